--- /dev/null
+++ b/bulrushpulley/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for latency-critical services and batch work on the same machines."""
--- /dev/null
+++ b/bulrushpulley/entities/__init__.py
@@ -0,0 +1,1 @@
+"""The rows of the system and the immutable tables that hold them."""
--- /dev/null
+++ b/bulrushpulley/entities/link.py
@@ -0,0 +1,199 @@
+"""What agents and entries tell each other over a link.
+
+An agent dials every entry and keeps one stream to each. Everything between the
+two travels on that stream in batches; these are its items, free of encoding.
+Each is an event for the role that receives it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bulrushpulley.entities.commit import Submission, VersionedRow
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Event
+from bulrushpulley.errors import Problem, Ran
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkEvent(Event):
+    """The base of the items; `peer` is the sending process's incarnation."""
+
+    peer: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkUp(LinkEvent):
+    """A stream to `peer` was opened."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkDown(LinkEvent):
+    """The stream to `peer` has ended; nothing more arrives on it."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Announce(LinkEvent):
+    """An agent's word on its backend server, from agent to entries.
+
+    `agent` is the settings' name, `incarnation` unique to the process. `running`
+    and `queued` count requests; `leaving` bars new work; `applied_revision` is
+    the revision of the configuration in force there.
+    """
+
+    agent: str
+    incarnation: str
+    service: str
+    region: str
+    failure_domain: str
+    slots: int
+    running: int
+    queued: int
+    healthy: bool
+    leaving: bool
+    applied_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Dispatch(LinkEvent):
+    """A request for the agent's backend server, from entry to agent.
+
+    `attempt_id` is unique to this dispatch; `request_id` is the caller's id and
+    is empty unless given. `remaining_s` is the time left until the caller's
+    deadline when the frame was written.
+    """
+
+    attempt_id: str
+    request_id: str
+    service: str
+    repeatable: bool
+    remaining_s: float
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Recall(LinkEvent):
+    """Asks the agent for the outcome of a claimed request it was given earlier.
+
+    An agent that has not seen `request_id` will refuse it from then on and
+    answers `Refused` with `Ran.NO`.
+    """
+
+    attempt_id: str
+    request_id: str
+    service: str
+    remaining_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Abandon(LinkEvent):
+    """Tells the agent that nobody waits for an attempt any more."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answered(LinkEvent):
+    """The whole answer of a backend server to one attempt, from agent to entry."""
+
+    attempt_id: str
+    status: int
+    body: bytes
+    took_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refused(LinkEvent):
+    """An attempt that has no whole answer, and whether it ran."""
+
+    attempt_id: str
+    ran: Ran
+    problem: Problem
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellSummary(LinkEvent):
+    """An owner's word on its cell, from agent to entries.
+
+    `free` is the sum over its workers, `largest` the most that one worker can
+    still take; `waiting` counts tasks that the cell holds but has not started.
+    """
+
+    cell: str
+    owner: str
+    epoch: int
+    failure_domain: str
+    region: str
+    free: Resources
+    largest: Resources
+    waiting: int
+    running: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Submit(LinkEvent):
+    """A submission that an agent asks an entry to commit."""
+
+    submission: Submission
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fetch(LinkEvent):
+    """Asks an entry to read the rows under a prefix, changed since a revision."""
+
+    fetch_id: str
+    prefix: str
+    since: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fetched(LinkEvent):
+    """The rows of a `Fetch`, complete up to `revision`; deleted rows as None.
+
+    `failed` is empty, or says why nothing could be read.
+    """
+
+    fetch_id: str
+    prefix: str
+    revision: int
+    rows: tuple[VersionedRow, ...]
+    failed: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configured(LinkEvent):
+    """Rows of the configuration that came in force, from entry to agents.
+
+    `base` is the revision that the receiver must already have; `revision` the
+    one it then has. Base 0 carries the whole configuration.
+    """
+
+    base: int
+    revision: int
+    rows: tuple[VersionedRow, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryAddress:
+    """Where a live entry takes links."""
+
+    name: str
+    incarnation: str
+    host: str
+    port: int
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Entries(LinkEvent):
+    """The live entries, from entry to agents, whenever the list changes."""
+
+    entries: tuple[EntryAddress, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Assigned(LinkEvent):
+    """Tells a cell's owner that rows of the cell have changed in the store."""
+
+    cell: str
+    rows: tuple[VersionedRow, ...]
--- /dev/null
+++ b/bulrushpulley/entities/table.py
@@ -0,0 +1,116 @@
+"""An immutable table of rows keyed by id, with secondary indexes.
+
+Entities live in tables; systems take tables and return new ones. A change costs
+what it touches, not what the table holds: both the rows and the indexes are
+persistent maps. The rows stand in `by_key`.
+
+Example::
+
+    def by_state(task: Task) -> tuple[str, ...]:
+        return (task.state.value,)
+
+    tasks = Table.empty(indexes={"state": by_state})
+    tasks = tasks.put(task.task_id, task)
+    tasks.keys_where("state", "running")
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from typing import Generic, TypeVar
+
+from pyrsistent import PMap, pmap
+
+R = TypeVar("R")
+
+IndexOf = Callable[[R], tuple[str, ...]]
+Entries = PMap[str, "PMap[str, None]"]
+
+
+def _without(entries: Entries, value: str, key: str) -> Entries:
+    left = entries[value].discard(key)
+    return entries.set(value, left) if left else entries.remove(value)
+
+
+def _with(entries: Entries, value: str, key: str) -> Entries:
+    return entries.set(value, entries.get(value, pmap()).set(key, None))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Table(Generic[R]):
+    """Rows keyed by id, and for each index name the keys by index value."""
+
+    by_key: PMap[str, R]
+    index_of: Mapping[str, IndexOf[R]]
+    by_index: Mapping[str, Entries]
+
+    @staticmethod
+    def empty(indexes: Mapping[str, IndexOf[R]] | None = None) -> Table[R]:
+        """Return a table without rows; `indexes` maps a name to a key function."""
+        index_of = dict(indexes or {})
+        return Table(
+            by_key=pmap(),
+            index_of=index_of,
+            by_index={name: pmap() for name in index_of},
+        )
+
+    def get(self, key: str) -> R | None:
+        """Return the row of a key, or None."""
+        return self.by_key.get(key)
+
+    def put(self, key: str, row: R) -> Table[R]:
+        """Return a table in which `key` holds `row`."""
+        indexes = self._reindexed(key, self.by_key.get(key), row)
+        return replace(self, by_key=self.by_key.set(key, row), by_index=indexes)
+
+    def drop(self, key: str) -> Table[R]:
+        """Return a table without `key`; an absent key is no error."""
+        if key not in self.by_key:
+            return self
+        indexes = self._reindexed(key, self.by_key[key], None)
+        return replace(self, by_key=self.by_key.remove(key), by_index=indexes)
+
+    def keys_where(self, index: str, value: str) -> Iterable[str]:
+        """Return the keys whose row has `value` in `index`, in no stated order."""
+        return self.by_index[index].get(value, pmap()).keys()
+
+    def rows_where(self, index: str, value: str) -> list[R]:
+        """Return the rows that have `value` in `index`, ordered by key."""
+        return [self.by_key[key] for key in sorted(self.keys_where(index, value))]
+
+    def count_where(self, index: str, value: str) -> int:
+        """Count the rows that have `value` in `index`."""
+        return len(self.by_index[index].get(value, pmap()))
+
+    def rows(self) -> list[R]:
+        """Return every row, ordered by key."""
+        return [self.by_key[key] for key in sorted(self.by_key)]
+
+    def __contains__(self, key: object) -> bool:
+        return key in self.by_key
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.by_key)
+
+    def __len__(self) -> int:
+        return len(self.by_key)
+
+    def _reindexed(
+        self, key: str, before: R | None, after: R | None
+    ) -> Mapping[str, Entries]:
+        if not self.index_of:
+            return self.by_index
+        changed = dict(self.by_index)
+        for name, index_of in self.index_of.items():
+            old = index_of(before) if before is not None else ()
+            new = index_of(after) if after is not None else ()
+            if old == new:
+                continue
+            entries = changed[name]
+            for value in old:
+                entries = _without(entries, value, key)
+            for value in new:
+                entries = _with(entries, value, key)
+            changed[name] = entries
+        return changed
--- /dev/null
+++ b/bulrushpulley/errors.py
@@ -0,0 +1,69 @@
+"""The errors of the system and their codes, in one place.
+
+Every error carries the step at which it arose and the peer involved, so that a
+log line or an HTTP answer says where to look. `Ran` tells a caller whether its
+request may have run: only `Ran.NO` allows a blind repeat.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Code(enum.Enum):
+    """A stable name for each kind of error; the value appears on the wire."""
+
+    INVALID = "invalid"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_KIND = "unknown_kind"
+    SCHEMA_VERSION = "schema_version"
+    TOO_LARGE = "too_large"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    UNAVAILABLE = "unavailable"
+    LEAVING = "leaving"
+
+
+class Ran(enum.Enum):
+    """Whether the request of a caller was run by a backend server."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """A typed description of one failure.
+
+    `field` is the dotted path of the offending key for bad input and empty
+    otherwise; `step` names the stage, such as ``records.check``; `peer` is the
+    process or address involved, or ``self``.
+    """
+
+    code: Code
+    step: str
+    peer: str
+    detail: str
+    field: str = ""
+
+    def __str__(self) -> str:
+        """Format the problem for logs and terminals."""
+        where = f" field {self.field}:" if self.field else ""
+        return f"{self.code.value} at {self.step} ({self.peer}):{where} {self.detail}"
+
+
+class BulrushpulleyError(Exception):
+    """An exception that carries a problem.
+
+    Several problems found together are raised as an `ExceptionGroup` of these.
+    """
+
+    def __init__(self, *, problem: Problem) -> None:
+        super().__init__(str(problem))
+        self.problem = problem
--- /dev/null
+++ b/bulrushpulley/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table service, object store, workers, backend servers."""
--- /dev/null
+++ b/bulrushpulley/roles/actor.py
@@ -0,0 +1,104 @@
+"""The actor that every role runs in.
+
+It holds a role's tables, gathers the events in its mailbox, runs one tick over
+them and has the commands carried out. A tick also happens every `TICK_S`, so
+that deadlines pass without events. The decisions stay in `systems`; the clock is
+read here, once a tick.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any, Generic, TypeVar
+
+import pykka
+
+from bulrushpulley.entities.step import Command, Event, Step, System, tick
+
+T = TypeVar("T")
+
+TICK_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Role(Generic[T]):
+    """The pure part of a role: its first tables and what runs over them."""
+
+    name: str
+    tables: T
+    apply: Callable[[Event, T, float], Step[T]]
+    systems: tuple[System[T], ...]
+
+    def tick(self, tables: T, events: Iterable[Event], now: float) -> Step[T]:
+        """Run one tick over `tables`."""
+        return tick(
+            tables=tables,
+            events=events,
+            now=now,
+            apply=self.apply,
+            systems=self.systems,
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TickDue:
+    """Tells the actor to run a tick over the events that came before."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Inspect:
+    """Asks the actor for its present tables; the answer is the tables value."""
+
+
+class RoleActor(pykka.ThreadingActor):
+    """Runs a role: `carry_out` gets each command after the tick that made it."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, *, role: Role[Any], carry_out: Callable[[Command], None]
+    ) -> None:
+        super().__init__()
+        self._role = role
+        self._tables = role.tables
+        self._carry_out = carry_out
+        self._events: list[Event] = []
+        self._tick_queued = False
+
+    def on_receive(self, message: Any) -> Any:
+        """Gather an event, run a tick, or return the tables."""
+        return self._receive(message)
+
+    @singledispatchmethod
+    def _receive(self, message: Event) -> Any:
+        self._events.append(message)
+        if not self._tick_queued:
+            self._tick_queued = True
+            self.actor_ref.tell(TickDue())
+
+    @_receive.register
+    def _(self, message: TickDue) -> Any:
+        self._run_tick()
+
+    @_receive.register
+    def _(self, message: Inspect) -> Any:
+        return self._tables
+
+    def _run_tick(self) -> None:
+        events, self._events = self._events, []
+        self._tick_queued = False
+        step = self._role.tick(self._tables, events, time.monotonic())
+        self._tables = step.tables
+        for command in step.commands:
+            self._carry_out(command)
+
+
+async def tick_forever(ref: pykka.ActorRef[Any]) -> None:
+    """Tell the actor every `TICK_S` that a tick is due, while it lives."""
+    while ref.is_alive():
+        ref.tell(TickDue())
+        await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/bulrushpulley/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding only: protobuf between processes, JSON towards the outside."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, the backend servers and the callers."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of bulrushpulley and its stand-ins."""
