--- a/bulrushpulley/entities/commit.py
+++ b/bulrushpulley/entities/commit.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from bulrushpulley.entities.rows import DurableRow
-from bulrushpulley.entities.step import Event
+from bulrushpulley.entities.step import Command, Event
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,3 +92,33 @@
     """
 
     reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Submitted(Event):
+    """Gives a submission to the committer.
+
+    `origin` says who gets the outcome: the name of a role of this process or the
+    incarnation of a linked process.
+    """
+
+    origin: str
+    submission: Submission
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadAsked(Event):
+    """Asks the committer for the rows under a prefix, changed since a revision."""
+
+    origin: str
+    fetch_id: str
+    prefix: str
+    since: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReportTo(Command):
+    """Gives `origin` a `CommitOutcome`, or the `Fetched` rows of a reading."""
+
+    origin: str
+    outcome: Event
--- a/bulrushpulley/entities/link.py
+++ b/bulrushpulley/entities/link.py
@@ -11,7 +11,7 @@
 
 from bulrushpulley.entities.commit import Submission, VersionedRow
 from bulrushpulley.entities.resources import Resources
-from bulrushpulley.entities.step import Event
+from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.errors import Problem, Ran
 
 
@@ -24,7 +24,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkUp(LinkEvent):
-    """A stream to `peer` was opened."""
+    """A stream to `peer`, a process of `region`, was opened."""
+
+    region: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -111,6 +113,14 @@
     problem: Problem
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DepartmentUse:
+    """What the tasks of one department commit in a cell."""
+
+    department: str
+    committed: Resources
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellSummary(LinkEvent):
     """An owner's word on its cell, from agent to entries.
@@ -128,6 +138,24 @@
     largest: Resources
     waiting: int
     running: int
+    uses: tuple[DepartmentUse, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Offer(LinkEvent):
+    """Offers an agent a cell that no owner speaks for, from entry to agent.
+
+    The agent takes it by the lease row; an offer grants nothing by itself.
+    """
+
+    cell: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobCancelled(LinkEvent):
+    """Tells owners to stop the tasks of a cancelled job, from entry to agents."""
+
+    job: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -197,3 +225,11 @@
 
     cell: str
     rows: tuple[VersionedRow, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Send(Command):
+    """Puts an item on the stream to `peer`; it is lost if the stream ends."""
+
+    peer: str
+    item: Event
--- /dev/null
+++ b/bulrushpulley/entities/operations.py
@@ -0,0 +1,113 @@
+"""The calls of operators as the front end hands them to the controller, and replies.
+
+Each call has a `call_id`, unique in the process, and is answered by exactly one
+`Reply` or `Reject` command.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bulrushpulley.entities.records import DomainState, Record
+from bulrushpulley.entities.rows import RecordRow
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.errors import Problem
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorCall(Event):
+    """The base of the calls; `author` names the operator for the record row."""
+
+    call_id: str
+    author: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitRecord(OperatorCall):
+    """Puts a new record in force; a conflict if the name is taken.
+
+    Repeating the very same record is no conflict: it was submitted already.
+    """
+
+    kind: str
+    schema_version: int
+    record: Record
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AmendRecord(OperatorCall):
+    """Replaces a record; `expected_revision` 0 takes whatever stands."""
+
+    kind: str
+    schema_version: int
+    record: Record
+    expected_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CancelJob(OperatorCall):
+    """Cancels a job; its tasks stop and never start again."""
+
+    job: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeDomain(OperatorCall):
+    """Takes a failure domain out of service or returns it."""
+
+    failure_domain: str
+    state: DomainState
+    expected_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskStatus(OperatorCall):
+    """Asks for members, cells, services, jobs and failure domains."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskExplain(OperatorCall):
+    """Asks why a task is where it is, or why it waits."""
+
+    task_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskInForce(OperatorCall):
+    """Asks which processes have not yet applied a revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply(Command):
+    """The base of the successful replies."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Accepted(Reply):
+    """The record is in force from its row's revision on."""
+
+    row: RecordRow
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InForce(Reply):
+    """Whether a revision is applied everywhere; `missing` names who lacks it."""
+
+    revision: int
+    everywhere: bool
+    missing: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reject(Command):
+    """The refusal of an operator's call; nothing was changed by it.
+
+    With `Code.OUTCOME_UNKNOWN` the change may still come in force.
+    """
+
+    call_id: str
+    problem: Problem
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -45,8 +45,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskSpec:
-    """What is to be run; the same for all tasks of a job but for `index`."""
+    """What is to be run; the same for all tasks of a job but for `index`.
 
+    `kind` is ``job`` or ``service`` and `job` the record's name. A start is
+    conditional on `record_version`, the version of the record row, so that
+    nothing starts after its record was cancelled.
+    """
+
+    kind: str
+    record_version: int
     job: str
     index: int
     department: str
@@ -63,6 +70,11 @@
         """The id of the task, ``JOB/INDEX``."""
         return f"{self.job}/{self.index}"
 
+    @property
+    def record_key(self) -> str:
+        """The key of the record row that asked for the task."""
+        return f"record/{self.kind}/{self.job}"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskRow:
