--- a/bulrushpulley/entities/step.py
+++ b/bulrushpulley/entities/step.py
@@ -25,6 +25,14 @@
     """The base of everything a role is told."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tell(Command):
+    """Hands an event to another role of the same process, by the role's name."""
+
+    role: str
+    event: Event
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Step(Generic[T]):
     """The outcome of one system: new tables and commands, in order."""
