Add a strict walker from decoded mappings to frozen data classes

Settings and records need the same check: unknown keys, missing keys, wrong types and values out of range, all reported together with field, step and peer. msgspec's decoder was ruled out for this, since it stops at the first error.

The walker turns type hints into shapes once for each class and reads by singledispatch over shapes; limits are annotations.

--- /dev/null
+++ b/bulrushpulley/wire/checked.py
@@ -0,0 +1,322 @@
+"""Builds frozen data classes from decoded mappings and reports every error.
+
+The walker follows the type hints of a data class: integers, floats, booleans,
+strings, enums by value, nested data classes, tuples of one type, mappings with
+string keys, and optional values. It is strict: an unknown key, a missing key, a
+value of another type and a value out of range each give one `Problem`; all of
+them are raised together. Limits are given as annotations.
+
+Example::
+
+    @dataclass(frozen=True, kw_only=True, slots=True)
+    class Listen:
+        host: str
+        port: Annotated[int, Range(low=0, high=65_535)] = 0
+
+    listen = build(Listen, {"host": "127.0.0.1"}, step="settings.check", peer="self")
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+import re
+import types
+import typing
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import cache, singledispatch
+from typing import Any, TypeVar
+
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Range:
+    """Bounds of a number, both inclusive."""
+
+    low: float
+    high: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Text:
+    """The pattern that a whole string must match and its longest length."""
+
+    pattern: str = ".*"
+    longest: int = 1_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Length:
+    """The most and fewest items of a tuple or mapping."""
+
+    fewest: int = 0
+    most: int = 10_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Where:
+    """Where a value stands: the step and peer of its errors and its dotted path."""
+
+    step: str
+    peer: str
+    field: str = ""
+
+    def at(self, name: str) -> Where:
+        """Return the place of a key below this one."""
+        path = f"{self.field}.{name}" if self.field else name
+        return dataclasses.replace(self, field=path)
+
+    def problem(self, detail: str, code: Code = Code.INVALID) -> Problem:
+        """Describe an error of the value that stands here."""
+        return Problem(
+            code=code, step=self.step, peer=self.peer, detail=detail, field=self.field
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Read:
+    """A value that was read, or the problems that keep it from being read."""
+
+    value: Any = None
+    problems: tuple[Problem, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ScalarShape:
+    """A number, boolean or string."""
+
+    of: type
+    limits: tuple[object, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChoiceShape:
+    """An enum, read by the value of its member."""
+
+    of: type[enum.Enum]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordShape:
+    """A data class, read from a mapping."""
+
+    of: type
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemsShape:
+    """A tuple of any length, read from a list."""
+
+    item: Shape
+    limits: tuple[object, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MappingShape:
+    """A mapping from strings to values of one type."""
+
+    item: Shape
+    limits: tuple[object, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OptionalShape:
+    """A value or None."""
+
+    item: Shape
+
+
+Shape = (
+    ScalarShape | ChoiceShape | RecordShape | ItemsShape | MappingShape | OptionalShape
+)
+
+
+def build(cls: type[T], raw: object, *, step: str, peer: str, field: str = "") -> T:
+    """Return an instance of the data class `cls` read from a decoded mapping.
+
+    Raises an `ExceptionGroup` of `BulrushpulleyError`, one for each problem.
+    """
+    outcome = read(RecordShape(of=cls), raw, Where(step=step, peer=peer, field=field))
+    raise_problems(outcome.problems)
+    value: T = outcome.value
+    return value
+
+
+def raise_problems(problems: tuple[Problem, ...]) -> None:
+    """Raise all problems together as one group; return when there is none."""
+    if problems:
+        errors = [BulrushpulleyError(problem=problem) for problem in problems]
+        raise ExceptionGroup(f"{len(errors)} problem(s) in the input", errors)
+
+
+@cache
+def shapes_of(cls: type) -> Mapping[str, Shape]:
+    """Return the shape of each field of a data class by name."""
+    hints = typing.get_type_hints(cls, include_extras=True)
+    return {item.name: _shape_of(hints[item.name]) for item in dataclasses.fields(cls)}
+
+
+def _shape_of(hint: Any, limits: tuple[object, ...] = ()) -> Shape:
+    origin = typing.get_origin(hint)
+    if origin is not None:
+        return _SHAPE_OF_ORIGIN[origin](hint, limits)
+    if dataclasses.is_dataclass(hint):
+        return RecordShape(of=typing.cast(type, hint))
+    if issubclass(hint, enum.Enum):
+        return ChoiceShape(of=hint)
+    return ScalarShape(of=hint, limits=limits)
+
+
+def _annotated(hint: Any, limits: tuple[object, ...]) -> Shape:
+    return _shape_of(hint.__origin__, limits + tuple(hint.__metadata__))
+
+
+def _items(hint: Any, limits: tuple[object, ...]) -> Shape:
+    return ItemsShape(item=_shape_of(typing.get_args(hint)[0]), limits=limits)
+
+
+def _mapping(hint: Any, limits: tuple[object, ...]) -> Shape:
+    return MappingShape(item=_shape_of(typing.get_args(hint)[1]), limits=limits)
+
+
+def _optional(hint: Any, limits: tuple[object, ...]) -> Shape:
+    chosen = [arg for arg in typing.get_args(hint) if arg is not types.NoneType]
+    return OptionalShape(item=_shape_of(chosen[0], limits))
+
+
+_SHAPE_OF_ORIGIN: Mapping[Any, Callable[[Any, tuple[object, ...]], Shape]] = {
+    typing.Annotated: _annotated,
+    tuple: _items,
+    Mapping: _mapping,
+    dict: _mapping,
+    types.UnionType: _optional,
+    typing.Union: _optional,
+}
+
+
+@singledispatch
+def read(shape: Shape, raw: object, where: Where) -> Read:
+    """Read a decoded value in the given shape."""
+    raise NotImplementedError(f"no reader for {type(shape).__name__}")
+
+
+@read.register
+def _(shape: ScalarShape, raw: object, where: Where) -> Read:
+    if shape.of is float and type(raw) is int:
+        raw = float(raw)
+    if type(raw) is not shape.of:
+        detail = f"must be {shape.of.__name__}, not {type(raw).__name__}"
+        return Read(problems=(where.problem(detail),))
+    if shape.of is float and not math.isfinite(typing.cast(float, raw)):
+        return Read(problems=(where.problem("must be a finite number"),))
+    return _limited(raw, shape.limits, where)
+
+
+@read.register
+def _(shape: ChoiceShape, raw: object, where: Where) -> Read:
+    by_value = {member.value: member for member in shape.of}
+    if type(raw) is str and raw in by_value:
+        return Read(value=by_value[raw])
+    return Read(problems=(where.problem(f"must be one of {', '.join(by_value)}"),))
+
+
+@read.register
+def _(shape: OptionalShape, raw: object, where: Where) -> Read:
+    return Read() if raw is None else read(shape.item, raw, where)
+
+
+@read.register
+def _(shape: ItemsShape, raw: object, where: Where) -> Read:
+    if not isinstance(raw, (list, tuple)):
+        return Read(problems=(where.problem("must be a list"),))
+    parts = [
+        read(shape.item, item, where.at(str(place))) for place, item in enumerate(raw)
+    ]
+    problems = tuple(problem for part in parts for problem in part.problems)
+    if problems:
+        return Read(problems=problems)
+    return _limited(tuple(part.value for part in parts), shape.limits, where)
+
+
+@read.register
+def _(shape: MappingShape, raw: object, where: Where) -> Read:
+    if not isinstance(raw, Mapping):
+        return Read(problems=(where.problem("must be a table of keys"),))
+    parts = {
+        key: read(shape.item, item, where.at(str(key))) for key, item in raw.items()
+    }
+    problems = tuple(problem for part in parts.values() for problem in part.problems)
+    if problems:
+        return Read(problems=problems)
+    value = {key: part.value for key, part in parts.items()}
+    return _limited(value, shape.limits, where)
+
+
+@read.register
+def _(shape: RecordShape, raw: object, where: Where) -> Read:
+    if not isinstance(raw, Mapping):
+        return Read(problems=(where.problem("must be a table of keys"),))
+    shapes = shapes_of(shape.of)
+    problems = [
+        where.at(str(key)).problem("unknown key", Code.UNKNOWN_KEY)
+        for key in raw
+        if key not in shapes
+    ]
+    values: dict[str, Any] = {}
+    for item in dataclasses.fields(shape.of):
+        if item.name not in raw:
+            if _is_required(item):
+                problems.append(where.at(item.name).problem("is required"))
+            continue
+        part = read(shapes[item.name], raw[item.name], where.at(item.name))
+        problems.extend(part.problems)
+        values[item.name] = part.value
+    if problems:
+        return Read(problems=tuple(problems))
+    return Read(value=shape.of(**values))
+
+
+def _is_required(item: dataclasses.Field[Any]) -> bool:
+    missing = dataclasses.MISSING
+    return item.default is missing and item.default_factory is missing
+
+
+def _limited(value: Any, limits: tuple[object, ...], where: Where) -> Read:
+    found = [detail for limit in limits if (detail := violation(limit, value))]
+    if found:
+        return Read(problems=tuple(where.problem(detail) for detail in found))
+    return Read(value=value)
+
+
+@singledispatch
+def violation(limit: object, value: Any) -> str:
+    """Say how `value` passes a limit; empty when it keeps it."""
+    return ""
+
+
+@violation.register
+def _(limit: Range, value: Any) -> str:
+    if limit.low <= value <= limit.high:
+        return ""
+    return f"must be from {limit.low:g} to {limit.high:g}, not {value:g}"
+
+
+@violation.register
+def _(limit: Text, value: Any) -> str:
+    if len(value) > limit.longest:
+        return f"must have at most {limit.longest} characters"
+    if re.fullmatch(limit.pattern, value) is None:
+        return f"must match {limit.pattern}"
+    return ""
+
+
+@violation.register
+def _(limit: Length, value: Any) -> str:
+    if limit.fewest <= len(value) <= limit.most:
+        return ""
+    return f"must have {limit.fewest} to {limit.most} items, not {len(value)}"
