Add records by schema version, and the operators' HTTP encoding

Operators need old and new forms of a record in force side by side. Each kind and schema version has a typed form with its limits; singledispatch converts it to the current record. All problems of a record are reported together. A single form with optional keys was ruled out: it could not refuse a new key in an old form.

The parsing of requests and the rendering of replies are pure functions, so the HTTP server only calls them.

--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -62,7 +62,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskStatus(OperatorCall):
-    """Asks for members, cells, services, jobs and failure domains."""
+    """Asks for members, cells, services, jobs and failure domains.
+
+    With `job` the reply lists that job alone, else those with waiting tasks.
+    """
+
+    job: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/bulrushpulley/wire/records.py
@@ -0,0 +1,143 @@
+"""Reads the records of operators from decoded JSON, and writes them back.
+
+A record names its kind and schema version; `FORMS` holds the typed form of each
+pair. Several versions of a kind are in force side by side: each form is read
+strictly and converted to the current record.
+
+Example::
+
+    parsed = parse_record({"kind": "job", "schema_version": 2, ...}, peer="ops")
+    parsed.record.tasks
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from bulrushpulley.entities.records import CellRecord, Record
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire import record_forms as forms
+from bulrushpulley.wire.checked import Where, build, raise_problems
+
+STEP = "records.check"
+MAX_RECORD_BYTES = 256 * 1024
+HEADER_KEYS = frozenset({"kind", "schema_version", "author"})
+
+FORMS: Mapping[str, Mapping[int, type]] = {
+    "service": {1: forms.ServiceV1, 2: forms.ServiceV2},
+    "job": {1: forms.JobV1, 2: forms.JobV2},
+    "failure_domain": {1: forms.FailureDomainV1},
+    "policy": {1: forms.PolicyV1},
+    "cell": {1: forms.CellV1},
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ParsedRecord:
+    """A checked record in its current form, and how it was submitted."""
+
+    kind: str
+    schema_version: int
+    author: str
+    record: Record
+
+
+def decode_object(body: bytes, *, peer: str) -> Mapping[str, Any]:
+    """Decode a JSON object of bounded size."""
+    where = Where(step=STEP, peer=peer)
+    if len(body) > MAX_RECORD_BYTES:
+        detail = f"a record has at most {MAX_RECORD_BYTES} bytes, not {len(body)}"
+        raise BulrushpulleyError(problem=where.problem(detail, Code.TOO_LARGE))
+    try:
+        raw = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise BulrushpulleyError(
+            problem=where.problem(f"malformed JSON: {error}")
+        ) from error
+    if not isinstance(raw, dict):
+        raise BulrushpulleyError(problem=where.problem("must be a JSON object"))
+    return raw
+
+
+def parse_record(raw: Mapping[str, Any], *, peer: str) -> ParsedRecord:
+    """Check a decoded record and convert it to the current form.
+
+    Raises an `ExceptionGroup` of `BulrushpulleyError` with every problem found.
+    """
+    where = Where(step=STEP, peer=peer)
+    kind, version, author = (raw.get("kind"), raw.get("schema_version"), "")
+    problems = _header_problems(kind, version, where)
+    if "author" in raw:
+        author = raw["author"]
+        if type(author) is not str:
+            problems.append(where.at("author").problem("must be str"))
+    raise_problems(tuple(problems))
+    fields = {key: value for key, value in raw.items() if key not in HEADER_KEYS}
+    form = FORMS[str(kind)][int(str(version))]
+    record = forms.to_record(build(form, fields, step=STEP, peer=peer))
+    raise_problems(further_problems(record, where))
+    return ParsedRecord(
+        kind=str(kind), schema_version=int(str(version)), author=author, record=record
+    )
+
+
+def _header_problems(kind: object, version: object, where: Where) -> list[Problem]:
+    versions = FORMS.get(kind) if type(kind) is str else None
+    if versions is None:
+        detail = f"must be one of {', '.join(FORMS)}"
+        return [where.at("kind").problem(detail, Code.UNKNOWN_KIND)]
+    if type(version) is not int or version not in versions:
+        known = ", ".join(str(number) for number in versions)
+        detail = f"must be one of {known} for a {kind}"
+        return [where.at("schema_version").problem(detail, Code.SCHEMA_VERSION)]
+    return []
+
+
+@singledispatch
+def further_problems(record: Record, where: Where) -> tuple[Problem, ...]:
+    """Return the problems that show only across the fields of a record."""
+    return ()
+
+
+@further_problems.register
+def _(record: CellRecord, where: Where) -> tuple[Problem, ...]:
+    ids = [worker.worker_id for worker in record.workers]
+    return tuple(
+        where.at(f"workers.{place}.worker_id").problem("stands twice in the cell")
+        for place, worker_id in enumerate(ids)
+        if worker_id in ids[:place]
+    )
+
+
+@singledispatch
+def to_plain(value: object) -> Any:
+    """Return `value` as JSON takes it: data classes as objects, enums by value."""
+    if dataclasses.is_dataclass(value):
+        return {
+            item.name: to_plain(getattr(value, item.name))
+            for item in dataclasses.fields(value)
+        }
+    return value
+
+
+@to_plain.register
+def _(value: enum.Enum) -> Any:
+    return value.value
+
+
+@to_plain.register(tuple)
+@to_plain.register(list)
+def _(value: Any) -> Any:
+    return [to_plain(item) for item in value]
+
+
+@to_plain.register
+def _(value: Mapping) -> Any:  # type: ignore[type-arg]
+    return {key: to_plain(item) for key, item in value.items()}
