--- /dev/null
+++ b/standins/table_core.py
@@ -0,0 +1,145 @@
+"""The table service itself, as an immutable table and pure functions.
+
+A transaction commits whole or not at all, and every row that it writes gets the
+number of the commit as its version. A deleted row leaves a tombstone, which
+conditions see as absent and readers that follow changes see as deleted.
+
+Example::
+
+    put = Put(key="claim/s/1", value=b"{}")
+    transaction = Transaction(conditions=(At(key="claim/s/1", version=0),), puts=(put,))
+    commit(TableState.empty(), transaction).revision
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bulrushpulley.entities.table import Table
+
+DEFAULT_LIMIT = 1_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class At:
+    """Requires a key to stand at `version`; 0 requires it to be absent."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Put:
+    """Puts `value` under `key`; None deletes it."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Transaction:
+    """Writes that take effect together if every condition holds."""
+
+    conditions: tuple[At, ...]
+    puts: tuple[Put, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stored:
+    """A row; a tombstone has no value."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+    @property
+    def condition_version(self) -> int:
+        """The version that conditions compare with: 0 for a tombstone."""
+        return self.version if self.value is not None else 0
+
+
+def prefixes_of(row: Stored) -> tuple[str, ...]:
+    """Return every prefix of the row's key that ends with a slash."""
+    parts = row.key.split("/")
+    return ("", *("/".join(parts[:n]) + "/" for n in range(1, len(parts))))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TableState:
+    """The rows and the number of the last commit."""
+
+    revision: int
+    rows: Table[Stored]
+
+    @staticmethod
+    def empty() -> TableState:
+        """Return a service that holds nothing."""
+        return TableState(revision=0, rows=Table.empty(indexes={"prefix": prefixes_of}))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitResult:
+    """The state after a transaction; `failed` are the rows that barred it."""
+
+    state: TableState
+    revision: int
+    failed: tuple[Stored, ...] = ()
+
+    @property
+    def committed(self) -> bool:
+        """Whether the transaction took effect."""
+        return not self.failed
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """Rows in the order of their versions; rows of one commit are never split."""
+
+    revision: int
+    rows: tuple[Stored, ...]
+    more: bool
+
+
+def _found(state: TableState, key: str) -> Stored:
+    row = state.rows.get(key)
+    if row is None or row.value is None:
+        return Stored(key=key, version=0, value=None)
+    return row
+
+
+def commit(state: TableState, transaction: Transaction) -> CommitResult:
+    """Apply a transaction if all of its conditions hold."""
+    found = [(at, _found(state, at.key)) for at in transaction.conditions]
+    failed = tuple(row for at, row in found if row.version != at.version)
+    if failed:
+        return CommitResult(state=state, revision=state.revision, failed=failed)
+    revision = state.revision + 1
+    rows = state.rows
+    for put in transaction.puts:
+        row = Stored(key=put.key, version=revision, value=put.value)
+        rows = rows.put(put.key, row)
+    after = TableState(revision=revision, rows=rows)
+    return CommitResult(state=after, revision=revision)
+
+
+def read(
+    state: TableState, *, prefix: str, since: int = 0, limit: int = DEFAULT_LIMIT
+) -> Page:
+    """Read the rows under `prefix` with a version above `since`.
+
+    Tombstones are read only with `since` above 0. A page holds about `limit` rows.
+    """
+    folder = prefix[: prefix.rfind("/") + 1]
+    rows = [
+        row
+        for row in state.rows.rows_where("prefix", folder)
+        if row.key.startswith(prefix)
+        and row.version > since
+        and (since > 0 or row.value is not None)
+    ]
+    rows.sort(key=lambda row: row.version)
+    end = min(limit, len(rows))
+    while 0 < end < len(rows) and rows[end].version == rows[end - 1].version:
+        end += 1
+    more = end < len(rows)
+    return Page(revision=state.revision, rows=tuple(rows[:end]), more=more)
