--- /dev/null
+++ b/bulrushpulley/entities/backlog.py
@@ -0,0 +1,129 @@
+"""The tasks that no cell holds yet, queued for assignment.
+
+Rows of a department wait in lanes by rank and priority, first come first served.
+A row that could not be placed leaves its lane for a while, so that it does not
+hold up what stands behind it. Lanes may keep keys of rows that are gone; they
+are passed over when they are reached.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskSpec
+
+CLOSING = "closing"
+
+
+class Rank(enum.IntEnum):
+    """The order in which tasks are assigned."""
+
+    URGENT = 0
+    LATENCY_CRITICAL = 1
+    BATCH = 2
+
+
+class Phase(enum.Enum):
+    """Where a waiting row stands: in its lane, put off, or being assigned."""
+
+    QUEUED = "queued"
+    DEFERRED = "deferred"
+    ASSIGNING = "assigning"
+
+
+class Why(enum.Enum):
+    """Why tasks wait."""
+
+    QUEUED = "in line for assignment"
+    ASSIGNING = "being assigned to a cell"
+    QUOTA = "the department's quota is used up"
+    NO_ROOM = "no cell with a fresh summary has room"
+    NO_CELL = "no cell of an allowed failure domain is reachable"
+    DOMAIN_OUT = "every allowed failure domain is out of service"
+    NEVER_FITS = "no allowed worker could ever hold it"
+    CLOSED = "its record was cancelled or lowered"
+    OTHER_ENTRY = "another entry assigns this department's tasks"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Lane:
+    """One queue of a department."""
+
+    department: str
+    rank: Rank
+    priority: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Waiting:
+    """A backlog row at `version`, first seen here at `seen_at`."""
+
+    key: str
+    row: BacklogRow
+    version: int
+    lane: Lane
+    seen_at: float
+    phase: Phase = Phase.QUEUED
+    why: Why = Why.QUEUED
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Deferral:
+    """A row that returns to its lane at `until`."""
+
+    key: str
+    until: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Closing:
+    """Tasks of a record that are being stopped for good.
+
+    The durable marker row covers its `count` tasks from `spec.index` on. The
+    owners are told again at `next_at`; `submission_id` is the write in flight.
+    """
+
+    marker: BacklogRow
+    version: int
+    next_at: float = 0.0
+    pause_s: float = 0.5
+    submission_id: str = ""
+
+    @property
+    def job(self) -> str:
+        """The name of the record."""
+        return self.marker.spec.job
+
+    def covers(self, index: int) -> bool:
+        """Tell whether the task of an index is being closed."""
+        first = self.marker.spec.index
+        return first <= index < first + self.marker.count
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Closed:
+    """An outcome under ``done/`` at `version` that stands for `tasks` tasks."""
+
+    tasks: int
+    version: int
+
+
+def backlog_key(job: str, first: int | str) -> str:
+    """Return the key of a backlog row."""
+    return f"backlog/{job}/{first}"
+
+
+def lane_of(spec: TaskSpec) -> Lane:
+    """Return the lane in which tasks of a spec wait."""
+    rank = Rank.BATCH
+    if spec.task_class is TaskClass.LATENCY_CRITICAL:
+        rank = Rank.LATENCY_CRITICAL
+    if spec.urgent:
+        rank = Rank.URGENT
+    return Lane(department=spec.department, rank=rank, priority=spec.priority)
+
+
+def by_job(waiting: Waiting) -> tuple[str, ...]:
+    """Index waiting rows by their record."""
+    return (waiting.row.spec.job,)
--- /dev/null
+++ b/bulrushpulley/entities/cell_view.py
@@ -0,0 +1,133 @@
+"""A cell as an entry sees it: the owner's last summary and what is on its way.
+
+A reservation stands for tasks that were assigned to the cell and that its
+summaries cannot show yet, so that the same room is not given away twice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from functools import reduce
+
+from bulrushpulley.entities.link import CellSummary
+from bulrushpulley.entities.resources import NOTHING, Resources
+
+FRESH_S = 15.0
+SETTLE_S = 2.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reservation:
+    """Tasks under way to a cell; `total` is the sum of their sizes.
+
+    `committed_at` is None while the assigning transaction is in flight.
+    """
+
+    submission_id: str
+    department: str
+    tasks: int
+    total: Resources
+    committed_at: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellView:
+    """The last summary of a cell, from `peer` at `heard_at`.
+
+    `free` is what the summary leaves after the reservations, `reserved_tasks`
+    their number of tasks.
+    """
+
+    cell: str
+    failure_domain: str
+    known_at: float
+    summary: CellSummary | None = None
+    peer: str = ""
+    heard_at: float = 0.0
+    reservations: tuple[Reservation, ...] = ()
+    free: Resources = NOTHING
+    reserved_tasks: int = 0
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the last summary is recent enough to place by."""
+        return self.summary is not None and now - self.heard_at < FRESH_S
+
+
+def total(amounts: tuple[Resources, ...]) -> Resources:
+    """Return the sum of amounts."""
+    return reduce(Resources.plus, amounts, NOTHING)
+
+
+def times(amount: Resources, count: int) -> Resources:
+    """Return `count` times an amount."""
+    return Resources(
+        processors_m=amount.processors_m * count,
+        memory_mb=amount.memory_mb * count,
+        accelerators=amount.accelerators * count,
+    )
+
+
+def how_many(size: Resources, room: Resources) -> int:
+    """Return how many tasks of `size` the sum of `room` could hold."""
+    pairs = (
+        (size.processors_m, room.processors_m),
+        (size.memory_mb, room.memory_mb),
+        (size.accelerators, room.accelerators),
+    )
+    return max(0, min((have // need for need, have in pairs if need > 0), default=0))
+
+
+def _recount(view: CellView) -> CellView:
+    reserved = total(tuple(one.total for one in view.reservations))
+    free = view.summary.free.minus(reserved) if view.summary else NOTHING
+    tasks = sum(one.tasks for one in view.reservations)
+    return replace(view, free=free, reserved_tasks=tasks)
+
+
+def with_summary(view: CellView, summary: CellSummary, now: float) -> CellView:
+    """Take a new summary; reservations that it must already show are dropped."""
+    kept = tuple(
+        one
+        for one in view.reservations
+        if one.committed_at is None or now < one.committed_at + SETTLE_S
+    )
+    return _recount(
+        replace(
+            view,
+            summary=summary,
+            peer=summary.peer,
+            heard_at=now,
+            failure_domain=summary.failure_domain,
+            reservations=kept,
+        )
+    )
+
+
+def with_reservation(view: CellView, reservation: Reservation) -> CellView:
+    """Reserve room for tasks that are being assigned."""
+    return _recount(
+        replace(view, reservations=(*view.reservations, reservation)),
+    )
+
+
+def settle_reservation(view: CellView, submission_id: str, now: float) -> CellView:
+    """Mark the reservation of a committed assignment."""
+    settled = tuple(
+        replace(one, committed_at=now) if one.submission_id == submission_id else one
+        for one in view.reservations
+    )
+    return replace(view, reservations=settled)
+
+
+def without_reservation(view: CellView, submission_id: str) -> CellView:
+    """Return the room of an assignment that did not take effect."""
+    kept = tuple(one for one in view.reservations if one.submission_id != submission_id)
+    return _recount(replace(view, reservations=kept))
+
+
+def uses_of(view: CellView) -> tuple[tuple[str, Resources], ...]:
+    """Return what each department uses or has reserved in the cell."""
+    summary = view.summary
+    used = [(use.department, use.committed) for use in summary.uses] if summary else []
+    reserved = [(one.department, one.total) for one in view.reservations]
+    return (*used, *reserved)
--- /dev/null
+++ b/bulrushpulley/entities/controller_tables.py
@@ -0,0 +1,176 @@
+"""The tables of the controller, the role that keeps records and the backlog."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pyrsistent import PDeque, PMap, pdeque, pmap
+
+from bulrushpulley.entities.backlog import (
+    Closed,
+    Closing,
+    Deferral,
+    Lane,
+    Waiting,
+    by_job,
+)
+from bulrushpulley.entities.cell_view import CellView
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.fleet import Fleet
+from bulrushpulley.entities.link import Announce, EntryAddress
+from bulrushpulley.entities.member import Member
+from bulrushpulley.entities.pending import (
+    Change,
+    Enquiry,
+    Pending,
+    Poll,
+    by_purpose,
+    by_resubmission,
+)
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.rows import RevisionRow
+from bulrushpulley.entities.table import Table
+
+RECENT_JOBS = 32
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Identity:
+    """The entry process itself; `name` is from the settings."""
+
+    name: str
+    incarnation: str
+    host: str
+    port: int
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AgentLink:
+    """A linked agent and the revision of the configuration it was sent.
+
+    `announced` is None until its first word. A whole configuration is sent to a
+    link that was sent nothing, which `sent_revision` 0 stands for.
+    """
+
+    peer: str
+    region: str
+    sent_revision: int = 0
+    sent_at: float = 0.0
+    announced: Announce | None = None
+
+    @property
+    def applied_revision(self) -> int:
+        """The revision that the agent says it has applied."""
+        return self.announced.applied_revision if self.announced else 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellOffer:
+    """To whom a silent cell was offered, and when it is offered next."""
+
+    cell: str
+    next_at: float
+    pause_s: float
+    tried: tuple[str, ...] = ()
+
+
+def _no_revision() -> VersionedRow:
+    return VersionedRow(key="revision", version=0, row=None)
+
+
+def _by_sent(link: AgentLink) -> tuple[str, ...]:
+    return (str(link.sent_revision),)
+
+
+def _by_kind(row: VersionedRow) -> tuple[str, ...]:
+    return (row.key.split("/")[1],)
+
+
+def _by_peer(view: CellView) -> tuple[str, ...]:
+    return (view.peer,) if view.peer else ()
+
+
+def _links() -> Table[AgentLink]:
+    return Table.empty(indexes={"sent": _by_sent})
+
+
+def _records() -> Table[VersionedRow]:
+    return Table.empty(indexes={"kind": _by_kind})
+
+
+def _cells() -> Table[CellView]:
+    return Table.empty(indexes={"peer": _by_peer})
+
+
+def _waiting() -> Table[Waiting]:
+    return Table.empty(indexes={"job": by_job})
+
+
+def _pending() -> Table[Pending]:
+    return Table.empty(
+        indexes={
+            "resubmit": by_resubmission,
+            "purpose": by_purpose,
+        }
+    )
+
+
+def _no_jobs() -> PDeque[str]:
+    return pdeque(maxlen=RECENT_JOBS)
+
+
+Lanes = PMap[Lane, "PDeque[str]"]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControllerTables:
+    """Everything the controller knows.
+
+    `records` holds the record rows of the configuration, jobs left out, by key;
+    `revision` is the one up to which they are complete and `revision_row` the
+    last seen row of the table service. `usage` sums what each department uses and
+    has reserved over `cells`. `deferred` is ordered by time. `closed_keys` holds
+    the outcomes of each closing record, and `recent_jobs` the jobs last seen.
+    `said_at` bounds the decision lines.
+    """
+
+    identity: Identity
+    last_number: int = 0
+    revision: int = 0
+    spread_revision: int = 0
+    revision_row: VersionedRow = field(default_factory=_no_revision)
+    renewing: str = ""
+    renewed_revision: int = 0
+    member_renew_at: float = 0.0
+    renewals: int = 0
+    members_read_at: float | None = None
+    entries_sent: tuple[EntryAddress, ...] = ()
+    fleet: Fleet = field(default_factory=Fleet)
+    quotas: PMap[str, Resources] = field(default_factory=pmap)
+    offers_at: float = 0.0
+    changing: str = ""
+    records: Table[VersionedRow] = field(default_factory=_records)
+    members: Table[Member] = field(default_factory=Table.empty)
+    links: Table[AgentLink] = field(default_factory=_links)
+    cells: Table[CellView] = field(default_factory=_cells)
+    offers: Table[CellOffer] = field(default_factory=Table.empty)
+    usage: PMap[str, Resources] = field(default_factory=pmap)
+    waiting: Table[Waiting] = field(default_factory=_waiting)
+    lanes: Lanes = field(default_factory=pmap)
+    deferred: PDeque[Deferral] = field(default_factory=pdeque)
+    closings: Table[Closing] = field(default_factory=Table.empty)
+    closed_keys: PMap[str, PMap[str, Closed]] = field(default_factory=pmap)
+    changes: Table[Change] = field(default_factory=Table.empty)
+    change_queue: PDeque[str] = field(default_factory=pdeque)
+    pending: Table[Pending] = field(default_factory=_pending)
+    polls: Table[Poll] = field(default_factory=Table.empty)
+    enquiries: Table[Enquiry] = field(default_factory=Table.empty)
+    recent_jobs: PDeque[str] = field(default_factory=_no_jobs)
+    said_at: PMap[str, float] = field(default_factory=pmap)
+
+    @property
+    def last_revision(self) -> int:
+        """The last revision of the configuration that is known to exist."""
+        row = self.revision_row.row
+        return row.revision if isinstance(row, RevisionRow) else 0
--- /dev/null
+++ b/bulrushpulley/entities/member.py
@@ -0,0 +1,40 @@
+"""The entry processes as one of them sees them in the table service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bulrushpulley.entities.link import EntryAddress
+from bulrushpulley.entities.rows import MemberRow
+
+LAPSE_S = 15.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """A member row and for how long successful readings have found it unchanged."""
+
+    row: MemberRow
+    version: int
+    quiet_s: float = 0.0
+
+    @property
+    def live(self) -> bool:
+        """Whether the entry still counts as running."""
+        return self.quiet_s < LAPSE_S
+
+
+def member_key(name: str) -> str:
+    """Return the key of an entry's member row."""
+    return f"member/{name}"
+
+
+def address_of(row: MemberRow) -> EntryAddress:
+    """Return where the entry of a member row takes links."""
+    return EntryAddress(
+        name=row.name,
+        incarnation=row.incarnation,
+        host=row.host,
+        port=row.port,
+        region=row.region,
+    )
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -5,8 +5,10 @@
     record/KIND/NAME          RecordRow    configuration, one row a record
     revision                  RevisionRow  the last revision of the configuration
     backlog/JOB/FIRST         BacklogRow   tasks that no cell holds yet
+    backlog/JOB/closing       BacklogRow   tasks that are being stopped for good
     task/CELL/JOB/INDEX       TaskRow      a task held by a cell
     done/JOB/INDEX            TaskRow      the outcome of a task
+    done/JOB/FIRST            BacklogRow   tasks closed before any cell held them
     lease/CELL                LeaseRow     the owner of a cell
     alive/AGENT               AliveRow     the liveness of an owner of cells
     member/ENTRY              MemberRow    an entry process
@@ -153,7 +155,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberRow:
-    """An entry process: where other processes link to it."""
+    """An entry process: where other processes link to it.
+
+    `applied_revision` is the revision of the configuration in force there.
+    """
 
     name: str
     incarnation: str
@@ -161,6 +166,7 @@
     port: int
     region: str
     renewals: int
+    applied_revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/bulrushpulley/roles/controller.py
@@ -0,0 +1,65 @@
+"""The controller: records, members, offers of cells and the backlog."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.controller_tables import ControllerTables, Identity
+from bulrushpulley.entities.pending import Poll
+from bulrushpulley.entities.table import Table
+from bulrushpulley.roles import controller_io as controller_io
+from bulrushpulley.roles.actor import Role
+from bulrushpulley.systems import (
+    control_assign,
+    control_assigned,
+    control_backlog,
+    control_cells,
+    control_changes,
+    control_closing,
+    control_enquiries,
+    control_events,
+    control_members,
+    control_offers,
+    control_polls,
+    control_records,
+    control_spread,
+    control_submissions,
+)
+
+NAME = "controller"
+HANDLERS = (control_assigned, control_cells)
+
+
+def build(
+    *, entry: str, incarnation: str, host: str, port: int, region: str
+) -> Role[ControllerTables]:
+    """Return the role of an entry process that takes links at `host` and `port`.
+
+    `entry` is the name in the settings, `incarnation` unique to the process.
+    """
+    identity = Identity(
+        name=entry, incarnation=incarnation, host=host, port=port, region=region
+    )
+    polls = {
+        **control_records.polls(),
+        control_members.PREFIX: control_members.poll(),
+        control_backlog.PREFIX: control_backlog.poll(),
+    }
+    table: Table[Poll] = Table.empty()
+    for name, poll in polls.items():
+        table = table.put(name, poll)
+    return Role(
+        name=NAME,
+        tables=ControllerTables(identity=identity, polls=table),
+        apply=control_events.apply,
+        systems=(
+            control_submissions.run,
+            control_changes.run,
+            control_members.run,
+            control_polls.run,
+            control_spread.run,
+            control_offers.run,
+            control_backlog.run,
+            control_closing.run,
+            control_assign.run,
+            control_enquiries.run,
+        ),
+    )
--- /dev/null
+++ b/bulrushpulley/systems/control_changes.py
@@ -0,0 +1,314 @@
+"""Carries out the calls of operators that change records.
+
+A change commits in one transaction that is conditional on the record's version
+and, for the configuration, on the revision. A conflict on the revision alone is
+tried again with the new one; changes of the configuration are committed one at a
+time, in the order of their calls. A conflict on the record names who wrote it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities import operations as ops
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    VersionedRow,
+    Write,
+)
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.entities.pending import Change, ChangeRecord, Pending, ProbeRecord
+from bulrushpulley.entities.rows import RecordRow, RevisionRow
+from bulrushpulley.entities.step import Step
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.systems.control_backlog import note_rows
+from bulrushpulley.systems.control_events import (
+    Controlled,
+    apply,
+    on_commit,
+    on_conflict,
+    on_loss,
+    then,
+)
+from bulrushpulley.systems.control_plans import (
+    Plan,
+    Planned,
+    Refusal,
+    Standing,
+    conflict,
+    key_of,
+    plan,
+    problem,
+)
+from bulrushpulley.systems.control_records import (
+    REVISION_KEY,
+    changed_here,
+    learn,
+    learn_revision,
+    record_row,
+)
+from bulrushpulley.systems.control_submissions import submit
+
+CHANGE_WITHIN_S = 10.0
+MAX_TRIES = 16
+MAX_CHANGES = 512
+
+
+@apply.register(ops.SubmitRecord)
+@apply.register(ops.AmendRecord)
+@apply.register(ops.CancelJob)
+@apply.register(ops.ChangeDomain)
+def _(event: ops.OperatorCall, tables: ControllerTables, now: float) -> Controlled:
+    if len(tables.changes) >= MAX_CHANGES:
+        detail = f"{MAX_CHANGES} changes are under way"
+        return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
+    change = Change(call=event, deadline=now + CHANGE_WITHIN_S)
+    tables = replace(tables, changes=tables.changes.put(event.call_id, change))
+    if is_of_job(event):
+        return _first_try(tables, event.call_id, now)
+    queue = tables.change_queue.append(event.call_id)
+    return Step(tables=replace(tables, change_queue=queue))
+
+
+def is_of_job(call: ops.OperatorCall) -> bool:
+    """Tell whether a call changes a job, which is no part of the configuration."""
+    return key_of(call).startswith("record/job/")
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Begin the next change of the configuration when the one before has ended."""
+    step = Step(tables=tables)
+    while step.tables.change_queue and not _is_changing(step.tables):
+        tables = step.tables
+        call_id = tables.change_queue.left
+        queue = tables.change_queue.popleft()
+        tables = replace(tables, change_queue=queue, changing=call_id)
+        step = then(step, _first_try(tables, call_id, now))
+    return step
+
+
+def _is_changing(tables: ControllerTables) -> bool:
+    return tables.changing in tables.changes
+
+
+def _first_try(tables: ControllerTables, call_id: str, now: float) -> Controlled:
+    change = tables.changes.by_key[call_id]
+    if now >= change.deadline:
+        detail = "other changes took too long; nothing was written"
+        return _reject(tables, call_id, problem(detail, Code.UNAVAILABLE))
+    current = tables.records.get(key_of(change.call))
+    return _try(tables, replace(change, current=current), now)
+
+
+def _probe(tables: ControllerTables, change: Change, now: float) -> Controlled:
+    """Have the table service confirm the record row that the plan rests on."""
+    call_id = change.call.call_id
+    tables = replace(tables, changes=tables.changes.put(call_id, change))
+    version = change.current.version if change.current is not None else 0
+    return submit(
+        tables,
+        now,
+        purpose=ProbeRecord(call_id=call_id),
+        conditions=(Condition(key=key_of(change.call), version=version),),
+        writes=(),
+        deadline=change.deadline,
+    )
+
+
+def _try(tables: ControllerTables, change: Change, now: float) -> Controlled:
+    planned = plan(change.call, change.current, tables)
+    tried = replace(change, tries=change.tries + 1)
+    call_id = change.call.call_id
+    tables = replace(tables, changes=tables.changes.put(call_id, tried))
+    if tried.tries > MAX_TRIES or now >= change.deadline:
+        detail = "too many changes at the same time; nothing was written"
+        return _reject(tables, call_id, problem(detail, Code.CONFLICT))
+    return _carry(planned, tables, tried, now)
+
+
+@singledispatch
+def _carry(
+    planned: Plan, tables: ControllerTables, change: Change, now: float
+) -> Controlled:
+    raise NotImplementedError(type(planned).__name__)
+
+
+@_carry.register
+def _(
+    planned: Standing, tables: ControllerTables, change: Change, now: float
+) -> Controlled:
+    if must_verify(change):
+        return _probe(tables, change, now)
+    return _accept(tables, change.call, planned.row)
+
+
+@_carry.register
+def _(
+    planned: Refusal, tables: ControllerTables, change: Change, now: float
+) -> Controlled:
+    if must_verify(change):
+        return _probe(tables, change, now)
+    return _reject(tables, change.call.call_id, planned.problem)
+
+
+def must_verify(change: Change) -> bool:
+    """Tell whether an answer would rest on a view that may be out of date."""
+    return not change.verified
+
+
+@_carry.register
+def _(
+    planned: Planned, tables: ControllerTables, change: Change, now: float
+) -> Controlled:
+    key = key_of(change.call)
+    version = change.current.version if change.current is not None else 0
+    conditions = (Condition(key=key, version=version), *planned.conditions)
+    writes = (Write(key=key, row=planned.row), *planned.writes)
+    if not is_of_job(change.call):
+        seen = tables.revision_row.version
+        conditions = (*conditions, Condition(key=REVISION_KEY, version=seen))
+        grown = RevisionRow(revision=planned.row.revision)
+        writes = (*writes, Write(key=REVISION_KEY, row=grown))
+    return submit(
+        tables,
+        now,
+        purpose=ChangeRecord(call_id=change.call.call_id, row=planned.row),
+        conditions=conditions,
+        writes=writes,
+        deadline=change.deadline,
+    )
+
+
+@on_commit.register
+def _(
+    purpose: ChangeRecord,
+    pending: Pending,
+    outcome: Committed,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    rows = tuple(
+        VersionedRow(key=write.key, version=outcome.revision, row=write.row)
+        for write in pending.submission.writes
+    )
+    tables = note_rows(changed_here(tables, rows, now), rows, now)
+    change = tables.changes.get(purpose.call_id)
+    if change is None:
+        return Step(tables=tables)
+    return _accept(tables, change.call, purpose.row)
+
+
+@on_commit.register
+def _(
+    purpose: ProbeRecord,
+    pending: Pending,
+    outcome: Committed,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    change = tables.changes.get(purpose.call_id)
+    if change is None:
+        return Step(tables=tables)
+    return _try(tables, replace(change, verified=True), now)
+
+
+@on_conflict.register
+def _(
+    purpose: ProbeRecord,
+    pending: Pending,
+    outcome: Conflicted,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    change = tables.changes.get(purpose.call_id)
+    if change is None:
+        return Step(tables=tables)
+    found = replace(change, current=outcome.rows[0], verified=True)
+    return _try(learn(tables, outcome.rows), found, now)
+
+
+@on_conflict.register
+def _(
+    purpose: ChangeRecord,
+    pending: Pending,
+    outcome: Conflicted,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    tables = learn(learn_revision(tables, outcome.rows, now), outcome.rows)
+    tables = note_rows(tables, outcome.rows, now)
+    change = tables.changes.get(purpose.call_id)
+    if change is None:
+        return Step(tables=tables)
+    by_key = {row.key: row for row in outcome.rows}
+    key = key_of(change.call)
+    if key in by_key and pending.unsettled:
+        return _settled_by_reading(tables, change, purpose.row, by_key[key])
+    others = [name for name in by_key if name not in (key, REVISION_KEY)]
+    if others:
+        return _reject(tables, purpose.call_id, _barred(by_key[others[0]]))
+    if key in by_key:
+        change = replace(change, current=by_key[key], verified=True)
+    return _try(tables, change, now)
+
+
+def _settled_by_reading(
+    tables: ControllerTables, change: Change, meant: RecordRow, found: VersionedRow
+) -> Controlled:
+    """Answer a change that may have committed before another replaced it."""
+    stands = record_row(found)
+    if stands == meant:
+        return _accept(tables, change.call, meant)
+    winner = conflict(stands).detail if stands is not None else "the record is gone"
+    detail = f"the change may have been in force for a moment; {winner}"
+    unknown = problem(detail, Code.OUTCOME_UNKNOWN)
+    return _reject(tables, change.call.call_id, unknown)
+
+
+def _barred(row: VersionedRow) -> Problem:
+    held = record_row(row)
+    if held is not None:
+        return conflict(held)
+    detail = f"tasks of an earlier record are still ending ({row.key}); try again"
+    return problem(detail, Code.CONFLICT)
+
+
+@on_loss.register(ChangeRecord)
+@on_loss.register(ProbeRecord)
+def _(
+    purpose: ChangeRecord | ProbeRecord,
+    pending: Pending,
+    reason: str,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    unsure = pending.unsettled and bool(pending.submission.writes)
+    code = Code.OUTCOME_UNKNOWN if unsure else Code.UNAVAILABLE
+    lost = Problem(code=code, step="store.commit", peer="table service", detail=reason)
+    return _reject(tables, purpose.call_id, lost)
+
+
+def _accept(
+    tables: ControllerTables, call: ops.OperatorCall, row: RecordRow
+) -> Controlled:
+    tables = replace(tables, changes=tables.changes.drop(call.call_id))
+    decision = Decision(
+        kind="record.change",
+        subject=key_of(call),
+        chosen="accepted",
+        reason=f"{type(call).__name__} by {call.author}",
+        revision=row.revision,
+    )
+    reply = ops.Accepted(call_id=call.call_id, row=row)
+    return Step(tables=tables, commands=(reply, decision, Count(name="changes")))
+
+
+def _reject(tables: ControllerTables, call_id: str, why: Problem) -> Controlled:
+    tables = replace(tables, changes=tables.changes.drop(call_id))
+    count = Count(name="changes_rejected", label=why.code.value)
+    reject = ops.Reject(call_id=call_id, problem=why)
+    return Step(tables=tables, commands=(reject, count))
--- /dev/null
+++ b/bulrushpulley/systems/control_events.py
@@ -0,0 +1,77 @@
+"""The dispatch of the controller's events and of the outcomes it waits for.
+
+Modules of the controller register on these functions: `apply` by the class of an
+event, `on_commit`, `on_conflict` and `on_loss` by the purpose of a submission,
+and `on_rows` by the target of a reading.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.pending import Pending, Purpose, Target
+from bulrushpulley.entities.step import Event, Step
+
+Controlled = Step[ControllerTables]
+
+
+@singledispatch
+def apply(event: Event, tables: ControllerTables, now: float) -> Controlled:
+    """Apply one event; events of no concern change nothing."""
+    return Step(tables=tables)
+
+
+@singledispatch
+def on_commit(
+    purpose: Purpose,
+    pending: Pending,
+    outcome: Committed,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    """Handle a submission that took effect."""
+    return Step(tables=tables)
+
+
+@singledispatch
+def on_conflict(
+    purpose: Purpose,
+    pending: Pending,
+    outcome: Conflicted,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    """Handle a submission of which some conditions failed."""
+    return Step(tables=tables)
+
+
+@singledispatch
+def on_loss(
+    purpose: Purpose,
+    pending: Pending,
+    reason: str,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    """Handle a submission that is given up; it may have taken effect if unsettled."""
+    return Step(tables=tables)
+
+
+@singledispatch
+def on_rows(
+    target: Target,
+    rows: tuple[VersionedRow, ...],
+    event: Fetched,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    """Handle the rows of a reading."""
+    return Step(tables=tables)
+
+
+def then(first: Controlled, second: Controlled) -> Controlled:
+    """Join two steps of which the second began with the tables of the first."""
+    return Step(tables=second.tables, commands=(*first.commands, *second.commands))
--- /dev/null
+++ b/bulrushpulley/systems/control_explain.py
@@ -0,0 +1,107 @@
+"""Says where a task is, or why it waits."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities import operations as ops
+from bulrushpulley.entities.backlog import Phase, Waiting, Why
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.outcome import indexes_of
+from bulrushpulley.entities.pending import Enquiry
+from bulrushpulley.entities.rows import TaskRow
+from bulrushpulley.entities.status import Explanation
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.systems.control_assign import current_spec
+from bulrushpulley.systems.control_place import Memo, choose
+from bulrushpulley.systems.control_share import is_responsible
+
+
+def find_waiting(
+    tables: ControllerTables, call: ops.AskExplain, now: float
+) -> Explanation | None:
+    """Explain a task that no cell holds; None if it does not wait here."""
+    job, index = call.task_id.split("/")
+    for waiting in tables.waiting.rows_where("job", job):
+        first = waiting.row.spec.index
+        if first <= int(index) < first + waiting.row.count:
+            return Explanation(
+                call_id=call.call_id,
+                task_id=call.task_id,
+                state="waiting",
+                detail=why_waits(tables, waiting, now),
+                generation=waiting.row.generation,
+                attempts=waiting.row.attempts,
+            )
+    return None
+
+
+def why_waits(tables: ControllerTables, waiting: Waiting, now: float) -> str:
+    """Say why a row waits, by a trial placement unless it is being assigned."""
+    if waiting.phase is Phase.ASSIGNING:
+        return Why.ASSIGNING.value
+    spec = current_spec(tables, waiting)
+    if spec is None:
+        return Why.CLOSED.value
+    choice = choose(tables, waiting, spec, now, Memo())
+    if not choice.cells:
+        return choice.why.value
+    if not is_responsible(tables, spec.department):
+        return Why.OTHER_ENTRY.value
+    return f"{Why.QUEUED.value}; cell {choice.cells[0]} has room"
+
+
+def held_or_done(call: ops.AskExplain, enquiry: Enquiry) -> Explanation | ops.Reject:
+    """Explain a task from the rows that were read for it."""
+    index = int(call.task_id.split("/")[1])
+    for row in enquiry.rows:
+        if row.key.startswith("task/") and row.key.endswith(f"/{call.task_id}"):
+            return _held(call, row)
+    for row in enquiry.rows:
+        if row.key.startswith("done/") and index in indexes_of(row.row):
+            return _done(call, row)
+    if enquiry.failed:
+        return Explanation(
+            call_id=call.call_id,
+            task_id=call.task_id,
+            state="unknown",
+            detail=enquiry.failed,
+        )
+    problem = Problem(
+        code=Code.NOT_FOUND,
+        step="controller.explain",
+        peer="self",
+        detail=f"no task {call.task_id} waits, is held by a cell or has ended",
+    )
+    return ops.Reject(call_id=call.call_id, problem=problem)
+
+
+def _held(call: ops.AskExplain, row: VersionedRow) -> Explanation:
+    return _explained(call, row, state="held", cell=row.key.split("/")[1])
+
+
+def _done(call: ops.AskExplain, row: VersionedRow) -> Explanation:
+    return _explained(call, row, state="done", cell="")
+
+
+def _explained(
+    call: ops.AskExplain, row: VersionedRow, *, state: str, cell: str
+) -> Explanation:
+    task = row.row
+    if not isinstance(task, TaskRow):
+        return Explanation(
+            call_id=call.call_id,
+            task_id=call.task_id,
+            state=state,
+            detail="cancelled before any cell held it",
+        )
+    detail = f"{task.state.value}: {task.reason}" if task.reason else task.state.value
+    return Explanation(
+        call_id=call.call_id,
+        task_id=call.task_id,
+        state=state,
+        detail=detail,
+        cell=cell,
+        worker_id=task.worker_id,
+        generation=task.generation,
+        attempts=task.attempts,
+    )
--- /dev/null
+++ b/bulrushpulley/systems/control_offers.py
@@ -0,0 +1,130 @@
+"""Offers the cells for which no owner speaks to agents of their region.
+
+The agent that speaks for the fewest cells comes first, one of another failure
+domain before one of the same, and a rendezvous hash breaks ties, so that all
+entries offer a cell to the same agent. An offer that is not taken is repeated to
+the next agent after a growing pause.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from zlib import crc32
+
+from bulrushpulley.entities.controller_tables import (
+    AgentLink,
+    CellOffer,
+    ControllerTables,
+)
+from bulrushpulley.entities.link import Offer, Send
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.entities.records import CellRecord, FailureDomainRecord
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.control_events import Controlled
+from bulrushpulley.systems.control_records import find
+
+CELL_SILENT_S = 8.0
+CELL_UNHEARD_S = 1.0
+OFFERS_EVERY_S = 1.0
+FIRST_PAUSE_S = 3.0
+LONGEST_PAUSE_S = 30.0
+PAUSE_GROWTH = 1.5
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Offer every silent cell whose pause is over."""
+    if now < tables.offers_at or not tables.links:
+        return Step(tables=tables)
+    tables = replace(tables, offers_at=now + OFFERS_EVERY_S)
+    commands: list[Command] = []
+    cells_by_peer = _cells_by_peer(tables)
+    for names in tables.fleet.cells_by_domain.values():
+        for cell in names:
+            if _is_silent(tables, cell, now):
+                step = _offered(tables, cell, cells_by_peer, now)
+                tables = step.tables
+                commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _cells_by_peer(tables: ControllerTables) -> dict[str, int]:
+    return {peer: tables.cells.count_where("peer", peer) for peer in tables.links}
+
+
+def _is_silent(tables: ControllerTables, cell: str, now: float) -> bool:
+    view = tables.cells.get(cell)
+    if view is None or view.summary is None:
+        return True
+    return now - view.heard_at >= CELL_SILENT_S or view.peer not in tables.links
+
+
+def _offered(
+    tables: ControllerTables, cell: str, cells_by_peer: dict[str, int], now: float
+) -> Controlled:
+    offer = tables.offers.get(cell)
+    if offer is None:
+        first = CellOffer(cell=cell, next_at=now + CELL_UNHEARD_S, pause_s=0.0)
+        return Step(tables=replace(tables, offers=tables.offers.put(cell, first)))
+    if now < offer.next_at:
+        return Step(tables=tables)
+    chosen = _next_agent(tables, offer, cells_by_peer)
+    if chosen is None:
+        return Step(tables=tables)
+    cells_by_peer[chosen.peer] += 1
+    tried = () if chosen.peer in offer.tried else offer.tried
+    pause = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, offer.pause_s * PAUSE_GROWTH))
+    made = CellOffer(
+        cell=cell,
+        next_at=now + pause,
+        pause_s=pause,
+        tried=(*tried, chosen.peer),
+    )
+    tables = replace(tables, offers=tables.offers.put(cell, made))
+    return Step(tables=tables, commands=_commands(cell, chosen, offer))
+
+
+def _commands(cell: str, chosen: AgentLink, offer: CellOffer) -> tuple[Command, ...]:
+    decision = Decision(
+        kind="cell.offer",
+        subject=cell,
+        chosen=chosen.peer,
+        reason="no owner sends summaries",
+        passed_over=offer.tried,
+    )
+    send = Send(peer=chosen.peer, item=Offer(cell=cell))
+    return (send, decision, Count(name="cells_offered", label=cell))
+
+
+def _next_agent(
+    tables: ControllerTables, offer: CellOffer, cells_by_peer: dict[str, int]
+) -> AgentLink | None:
+    record = find(tables, "cell", offer.cell, CellRecord)
+    if record is None:
+        return None
+    domain = find(tables, "failure_domain", record.failure_domain, FailureDomainRecord)
+    able = [
+        link
+        for link in tables.links.rows()
+        if domain is not None
+        and link.region == domain.region
+        and link.announced is not None
+        and not link.announced.leaving
+    ]
+    untried = [link for link in able if link.peer not in offer.tried]
+    return min(
+        untried or able,
+        key=lambda link: _preference(link, record, cells_by_peer),
+        default=None,
+    )
+
+
+def _preference(
+    link: AgentLink, record: CellRecord, cells_by_peer: dict[str, int]
+) -> tuple[bool, int, int]:
+    announced = link.announced
+    same_domain = (
+        announced is not None and announced.failure_domain == record.failure_domain
+    )
+    agent = announced.agent if announced is not None else link.peer
+    weight = crc32(f"{record.name}|{agent}".encode())
+    return (same_domain, cells_by_peer[link.peer], weight)
--- /dev/null
+++ b/bulrushpulley/systems/control_place.py
@@ -0,0 +1,268 @@
+"""Chooses cells for waiting tasks; a pure choice over the views of cells.
+
+Batch tasks go where most is free. Replicas of a service are spread: each index
+begins at another failure domain and, within it, at another cell. Urgent and
+latency-critical tasks for which no cell has room are given to a cell that could
+make room by evicting batch tasks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from bulrushpulley.entities.backlog import Rank, Waiting, Why
+from bulrushpulley.entities.cell_view import CellView, how_many
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.rows import TaskClass, TaskSpec
+from bulrushpulley.systems.control_cells import used_by
+from bulrushpulley.systems.control_records import in_service
+
+TASKS_A_TRANSACTION = 64
+SAMPLE_CELLS = 8
+DISPLACING_TASKS = 8
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The cell of each task in the order of the indexes, or why there is none.
+
+    `displacing` says that batch tasks have to make room.
+    """
+
+    cells: tuple[str, ...] = ()
+    why: Why = Why.QUEUED
+    displacing: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """A cell that may be chosen and the number of tasks for which it has room."""
+
+    view: CellView
+    room: int
+
+    @property
+    def name(self) -> str:
+        """The name of the cell."""
+        return self.view.cell
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Memo:
+    """What one pass has found out already: shapes for which no cell has room."""
+
+    full: dict[tuple[Resources, tuple[str, ...]], Why] = field(default_factory=dict)
+
+
+def within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
+    """Return for how many more tasks the department's quota has room."""
+    quota = tables.quotas.get(spec.department, NOTHING)
+    left = quota.minus(used_by(tables, spec.department))
+    limits = (
+        (quota.processors_m, spec.size.processors_m, left.processors_m),
+        (quota.memory_mb, spec.size.memory_mb, left.memory_mb),
+        (quota.accelerators, spec.size.accelerators, left.accelerators),
+    )
+    counts = [
+        max(0, have // need) for limit, need, have in limits if limit > 0 and need > 0
+    ]
+    return min(counts, default=TASKS_A_TRANSACTION)
+
+
+def choose(
+    tables: ControllerTables, waiting: Waiting, spec: TaskSpec, now: float, memo: Memo
+) -> Choice:
+    """Choose cells for the first tasks of a waiting row, as many as have room."""
+    allowed = spec.failure_domains or tuple(sorted(tables.fleet.cells_by_domain))
+    barred = _barred(tables, spec, allowed)
+    if barred is not None:
+        return Choice(why=barred)
+    count = min(waiting.row.count, TASKS_A_TRANSACTION, within_quota(tables, spec))
+    if count == 0:
+        return Choice(why=Why.QUOTA)
+    open_domains = tuple(name for name in allowed if in_service(tables, name))
+    shape = (spec.size, open_domains)
+    if waiting.lane.rank is Rank.BATCH and shape in memo.full:
+        return Choice(why=memo.full[shape])
+    names = _names(tables, open_domains)
+    if waiting.lane.rank is Rank.LATENCY_CRITICAL:
+        choice = _spread(tables, spec, open_domains, count, now)
+    else:
+        choice = _most_free(tables, waiting, spec, names, count, now)
+    if choice.cells:
+        return choice
+    if waiting.lane.rank is not Rank.BATCH:
+        return _displacing(tables, waiting, spec, names, count, now)
+    memo.full[shape] = choice.why
+    return choice
+
+
+def _barred(
+    tables: ControllerTables, spec: TaskSpec, allowed: tuple[str, ...]
+) -> Why | None:
+    if not any(tables.fleet.cells_by_domain.get(name) for name in allowed):
+        return Why.NO_CELL
+    if not tables.fleet.could_hold(spec.size, allowed):
+        return Why.NEVER_FITS
+    if not any(in_service(tables, name) for name in allowed):
+        return Why.DOMAIN_OUT
+    return None
+
+
+def _names(tables: ControllerTables, domains: Iterable[str]) -> tuple[str, ...]:
+    by_domain = tables.fleet.cells_by_domain
+    return tuple(cell for name in domains for cell in by_domain.get(name, ()))
+
+
+def _reachable(
+    tables: ControllerTables, names: Iterable[str], now: float
+) -> list[CellView]:
+    views = (tables.cells.get(name) for name in names)
+    return [
+        view
+        for view in views
+        if view is not None and view.is_fresh(now) and view.peer in tables.links
+    ]
+
+
+def _candidates(
+    tables: ControllerTables, names: Iterable[str], spec: TaskSpec, now: float
+) -> list[Candidate]:
+    found = [
+        Candidate(view=view, room=_room(view, spec))
+        for view in _reachable(tables, names, now)
+    ]
+    return [candidate for candidate in found if candidate.room > 0]
+
+
+def _room(view: CellView, spec: TaskSpec) -> int:
+    summary = view.summary
+    if summary is None or not spec.size.fits(summary.largest):
+        return 0
+    if spec.task_class is TaskClass.BATCH and summary.waiting > view.reserved_tasks:
+        return 0
+    return how_many(spec.size, view.free)
+
+
+def _sample(names: tuple[str, ...], seed: str) -> tuple[str, ...]:
+    if len(names) <= SAMPLE_CELLS:
+        return names
+    start = crc32(seed.encode())
+    stride = len(names) // SAMPLE_CELLS
+    return tuple(
+        names[(start + place * stride) % len(names)] for place in range(SAMPLE_CELLS)
+    )
+
+
+def _most_free(
+    tables: ControllerTables,
+    waiting: Waiting,
+    spec: TaskSpec,
+    names: tuple[str, ...],
+    count: int,
+    now: float,
+) -> Choice:
+    seed = f"{waiting.key}|{tables.last_number}"
+    found = _candidates(tables, _sample(names, seed), spec, now)
+    if sum(candidate.room for candidate in found) < count:
+        found = _candidates(tables, names, spec, now)
+    if not found:
+        reachable = _reachable(tables, names, now)
+        return Choice(why=Why.NO_ROOM if reachable else Why.NO_CELL)
+    found.sort(key=lambda one: (-one.room, one.name))
+    return Choice(cells=_dealt(found, count))
+
+
+def _dealt(found: list[Candidate], count: int) -> tuple[str, ...]:
+    cells: list[str] = []
+    found = found[:count]
+    for place, candidate in enumerate(found):
+        left = count - len(cells)
+        share = -(-left // (len(found) - place))
+        cells.extend([candidate.name] * min(share, candidate.room, left))
+    for candidate in found:
+        taken = cells.count(candidate.name)
+        more = min(count - len(cells), candidate.room - taken)
+        cells.extend([candidate.name] * more)
+    return tuple(cells)
+
+
+def _spread(
+    tables: ControllerTables,
+    spec: TaskSpec,
+    domains: tuple[str, ...],
+    count: int,
+    now: float,
+) -> Choice:
+    ordered = {name: _ordered(tables, spec, name, now) for name in domains}
+    room = {
+        candidate.name: candidate.room
+        for candidates in ordered.values()
+        for candidate in candidates
+    }
+    cells: list[str] = []
+    for index in range(spec.index, spec.index + count):
+        cell = _rotated(ordered, domains, index, room)
+        if cell is None:
+            break
+        room[cell] -= 1
+        cells.append(cell)
+    return Choice(cells=tuple(cells), why=Why.NO_ROOM)
+
+
+def _ordered(
+    tables: ControllerTables, spec: TaskSpec, domain: str, now: float
+) -> list[Candidate]:
+    found = _candidates(tables, _names(tables, (domain,)), spec, now)
+    return sorted(found, key=lambda one: crc32(f"{spec.job}|{one.name}".encode()))
+
+
+def _rotated(
+    ordered: Mapping[str, list[Candidate]],
+    domains: tuple[str, ...],
+    index: int,
+    room: Mapping[str, int],
+) -> str | None:
+    for turn in range(len(domains)):
+        candidates = ordered[domains[(index + turn) % len(domains)]]
+        for step in range(len(candidates)):
+            place = (index // len(domains) + step) % len(candidates)
+            if room[candidates[place].name] > 0:
+                return candidates[place].name
+    return None
+
+
+def _displacing(
+    tables: ControllerTables,
+    waiting: Waiting,
+    spec: TaskSpec,
+    names: tuple[str, ...],
+    count: int,
+    now: float,
+) -> Choice:
+    able = [
+        view
+        for view in _reachable(tables, names, now)
+        if _has_worker(tables, view, spec) and _expected(view) < DISPLACING_TASKS
+    ]
+    if not able:
+        return Choice(why=Why.NO_ROOM)
+    seed = f"{waiting.key}|{waiting.version}"
+    able.sort(
+        key=lambda one: (_expected(one), crc32(f"{seed}|{one.cell}".encode())),
+    )
+    cells = tuple(view.cell for view in able[:count])
+    return Choice(cells=cells, displacing=True)
+
+
+def _has_worker(tables: ControllerTables, view: CellView, spec: TaskSpec) -> bool:
+    capacities = tables.fleet.capacities_by_cell.get(view.cell, ())
+    return any(spec.size.fits(capacity) for capacity in capacities)
+
+
+def _expected(view: CellView) -> int:
+    waiting = view.summary.waiting if view.summary is not None else 0
+    return max(waiting, view.reserved_tasks)
--- /dev/null
+++ b/bulrushpulley/systems/control_plans.py
@@ -0,0 +1,320 @@
+"""Decides what an operator's call changes, given the record that stands now.
+
+`plan` is pure: it returns the row to write with the conditions and writes that
+must commit with it, or says that nothing is to be done, or refuses.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from bulrushpulley.entities import operations as ops
+from bulrushpulley.entities.backlog import CLOSING, backlog_key
+from bulrushpulley.entities.commit import Condition, VersionedRow, Write
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.records import (
+    FailureDomainRecord,
+    JobRecord,
+    Record,
+    ServiceRecord,
+)
+from bulrushpulley.entities.rows import BacklogRow, RecordRow, TaskClass, TaskSpec
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.systems.control_records import record_key, record_row
+
+STEP = "controller.change"
+CHECK_STEP = "records.check"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Planned:
+    """A row to commit under the conditions, together with further writes."""
+
+    row: RecordRow
+    conditions: tuple[Condition, ...] = ()
+    writes: tuple[Write, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Standing:
+    """What is asked for stands already."""
+
+    row: RecordRow
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The call cannot be carried out."""
+
+    problem: Problem
+
+
+Plan = Planned | Standing | Refusal
+
+
+def problem(detail: str, code: Code, field: str = "", step: str = STEP) -> Problem:
+    """Describe why a call is not carried out."""
+    return Problem(code=code, step=step, peer="self", detail=detail, field=field)
+
+
+def conflict(row: RecordRow) -> Problem:
+    """Name the change that stands in the way of a call."""
+    detail = (
+        f"{row.kind}/{row.record.name} stands at revision {row.revision}, "
+        f"written by {row.author}"
+    )
+    return problem(detail, Code.CONFLICT)
+
+
+def key_of(call: ops.OperatorCall) -> str:
+    """Return the key of the record that a call changes."""
+    return _target(call)
+
+
+@singledispatch
+def _target(call: ops.OperatorCall) -> str:
+    raise NotImplementedError(type(call).__name__)
+
+
+@_target.register(ops.SubmitRecord)
+@_target.register(ops.AmendRecord)
+def _(call: ops.SubmitRecord | ops.AmendRecord) -> str:
+    return record_key(call.kind, call.record.name)
+
+
+@_target.register
+def _(call: ops.CancelJob) -> str:
+    return record_key("job", call.job)
+
+
+@_target.register
+def _(call: ops.ChangeDomain) -> str:
+    return record_key("failure_domain", call.failure_domain)
+
+
+@singledispatch
+def plan(
+    call: ops.OperatorCall, current: VersionedRow | None, tables: ControllerTables
+) -> Plan:
+    """Plan a call against the record row that stands now, if there is one."""
+    raise NotImplementedError(type(call).__name__)
+
+
+@plan.register
+def _(
+    call: ops.SubmitRecord, current: VersionedRow | None, tables: ControllerTables
+) -> Plan:
+    stands = record_row(current)
+    if stands is not None and _is_same(stands, call):
+        return Standing(row=stands)
+    if stands is not None:
+        return Refusal(problem=conflict(stands))
+    return _checked(call, call.record, tables) or _submitted(
+        call.record, _row(call, tables)
+    )
+
+
+@plan.register
+def _(
+    call: ops.AmendRecord, current: VersionedRow | None, tables: ControllerTables
+) -> Plan:
+    stands = record_row(current)
+    if stands is None:
+        return _not_found(key_of(call))
+    if call.kind == "job":
+        detail = "a job is not amended; cancel it and submit another"
+        return Refusal(problem=problem(detail, Code.INVALID, "kind"))
+    if _is_same(stands, call):
+        return Standing(row=stands)
+    if call.expected_revision not in (0, stands.revision):
+        return Refusal(problem=conflict(stands))
+    if call.schema_version < stands.schema_version:
+        detail = (
+            f"the record stands in schema version {stands.schema_version}; "
+            f"version {call.schema_version} would drop its newer keys"
+        )
+        refused = problem(detail, Code.SCHEMA_VERSION, "schema_version")
+        return Refusal(problem=refused)
+    refusal = _checked(call, call.record, tables)
+    return refusal or _amended(call.record, stands.record, _row(call, tables))
+
+
+@plan.register
+def _(
+    call: ops.CancelJob, current: VersionedRow | None, tables: ControllerTables
+) -> Plan:
+    stands = record_row(current)
+    if stands is None or not isinstance(stands.record, JobRecord):
+        return _not_found(key_of(call))
+    if stands.record.cancelled:
+        return Standing(row=stands)
+    job = replace(stands.record, cancelled=True)
+    row = replace(stands, record=job, author=call.author)
+    marker = backlog_key(job.name, CLOSING)
+    closing = BacklogRow(spec=job_spec(job), count=job.tasks)
+    return Planned(
+        row=row,
+        conditions=(Condition(key=marker, version=0),),
+        writes=(Write(key=marker, row=closing),),
+    )
+
+
+@plan.register
+def _(
+    call: ops.ChangeDomain, current: VersionedRow | None, tables: ControllerTables
+) -> Plan:
+    stands = record_row(current)
+    if stands is None or not isinstance(stands.record, FailureDomainRecord):
+        return _not_found(key_of(call))
+    if stands.record.state is call.state:
+        return Standing(row=stands)
+    if call.expected_revision not in (0, stands.revision):
+        return Refusal(problem=conflict(stands))
+    record = replace(stands.record, state=call.state)
+    revision = tables.last_revision + 1
+    row = replace(stands, record=record, author=call.author, revision=revision)
+    return Planned(row=row)
+
+
+def _is_same(stands: RecordRow, call: ops.SubmitRecord | ops.AmendRecord) -> bool:
+    return (stands.record, stands.schema_version) == (call.record, call.schema_version)
+
+
+def _not_found(key: str) -> Refusal:
+    return Refusal(problem=problem(f"there is no {key}", Code.NOT_FOUND))
+
+
+def _row(
+    call: ops.SubmitRecord | ops.AmendRecord, tables: ControllerTables
+) -> RecordRow:
+    grown = 0 if call.kind == "job" else 1
+    return RecordRow(
+        kind=call.kind,
+        schema_version=call.schema_version,
+        record=call.record,
+        author=call.author,
+        revision=tables.last_revision + grown,
+    )
+
+
+def _checked(
+    call: ops.OperatorCall, record: Record, tables: ControllerTables
+) -> Refusal | None:
+    size = _size_of(record)
+    if size is None or not tables.fleet.capacities_by_cell:
+        return None
+    if tables.fleet.could_hold(size.size, size.failure_domains):
+        return None
+    detail = "no allowed worker of the known cells could ever hold it"
+    return Refusal(problem=problem(detail, Code.INVALID, "size", CHECK_STEP))
+
+
+@singledispatch
+def _size_of(record: Record) -> JobRecord | ServiceRecord | None:
+    return None
+
+
+@_size_of.register(JobRecord)
+@_size_of.register(ServiceRecord)
+def _(record: JobRecord | ServiceRecord) -> JobRecord | ServiceRecord:
+    return record
+
+
+def job_spec(job: JobRecord) -> TaskSpec:
+    """Return the spec of a job's first task, its record's version still open."""
+    return TaskSpec(
+        kind="job",
+        record_version=0,
+        job=job.name,
+        index=0,
+        department=job.department,
+        task_class=TaskClass.BATCH,
+        size=job.size,
+        run_s=job.run_s,
+        priority=job.priority,
+        urgent=job.urgent,
+        max_attempts=job.max_attempts,
+        failure_domains=job.failure_domains,
+    )
+
+
+def service_spec(service: ServiceRecord, first: int) -> TaskSpec:
+    """Return the spec of a service's replica, its record's version still open."""
+    return TaskSpec(
+        kind="service",
+        record_version=0,
+        job=service.name,
+        index=first,
+        department=service.department,
+        task_class=TaskClass.LATENCY_CRITICAL,
+        size=service.size,
+        run_s=0.0,
+        failure_domains=service.failure_domains,
+    )
+
+
+@singledispatch
+def _submitted(record: Record, row: RecordRow) -> Planned:
+    return Planned(row=row)
+
+
+@_submitted.register
+def _(record: JobRecord, row: RecordRow) -> Planned:
+    backlog = BacklogRow(spec=job_spec(record), count=record.tasks)
+    return _with_tasks(row, record_key("service", record.name), backlog)
+
+
+@_submitted.register
+def _(record: ServiceRecord, row: RecordRow) -> Planned:
+    backlog = BacklogRow(spec=service_spec(record, 0), count=record.replicas)
+    return _with_tasks(row, record_key("job", record.name), backlog)
+
+
+def _with_tasks(row: RecordRow, namesake: str, backlog: BacklogRow) -> Planned:
+    """Plan a new record with its tasks; no record of the other kind shares its name.
+
+    Jobs and services share the keys of their tasks.
+    """
+    key = backlog_key(backlog.spec.job, backlog.spec.index)
+    marker = backlog_key(backlog.spec.job, CLOSING)
+    absent = (Condition(key=namesake, version=0), Condition(key=marker, version=0))
+    if backlog.count == 0:
+        return Planned(row=row, conditions=absent)
+    return Planned(
+        row=row,
+        conditions=(*absent, Condition(key=key, version=0)),
+        writes=(Write(key=key, row=backlog),),
+    )
+
+
+@singledispatch
+def _amended(record: Record, before: Record, row: RecordRow) -> Planned:
+    return Planned(row=row)
+
+
+@_amended.register
+def _(record: ServiceRecord, before: ServiceRecord, row: RecordRow) -> Planned:
+    """Add the replicas that do not exist yet, or open the closing of the surplus.
+
+    Both wait until replicas of an earlier lowering have surely ended, so that an
+    index never runs twice.
+    """
+    if record.replicas == before.replicas:
+        return Planned(row=row)
+    marker = backlog_key(record.name, CLOSING)
+    absent = Condition(key=marker, version=0)
+    first, last = sorted((record.replicas, before.replicas))
+    backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
+    if record.replicas < before.replicas:
+        return Planned(
+            row=row,
+            conditions=(absent,),
+            writes=(Write(key=marker, row=backlog),),
+        )
+    key = backlog_key(record.name, first)
+    return Planned(
+        row=row,
+        conditions=(absent, Condition(key=key, version=0)),
+        writes=(Write(key=key, row=backlog),),
+    )
--- /dev/null
+++ b/bulrushpulley/systems/control_polls.py
@@ -0,0 +1,76 @@
+"""The readings of the controller: at most one in flight for each prefix."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import ReadAsked
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.pending import Poll, Target
+from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.systems.control_events import Controlled, apply, on_rows
+from bulrushpulley.systems.control_submissions import COMMITTER, ROLE, numbered
+
+ANSWER_WITHIN_S = 5.0
+
+
+def read_once(
+    tables: ControllerTables, now: float, *, target: Target, prefix: str
+) -> tuple[Controlled, str]:
+    """Read a prefix a single time; returns the step and the id of the reading."""
+    tables, fetch_id = numbered(tables, "f")
+    poll = Poll(
+        target=target, prefix=prefix, every_s=0.0, fetch_id=fetch_id, asked_at=now
+    )
+    tables = replace(tables, polls=tables.polls.put(fetch_id, poll))
+    return Step(tables=tables, commands=(_asked(poll),)), fetch_id
+
+
+def hasten(tables: ControllerTables, prefix: str, now: float) -> ControllerTables:
+    """Have a prefix read at the next tick."""
+    poll = tables.polls.get(prefix)
+    if poll is None:
+        return tables
+    return replace(tables, polls=tables.polls.put(prefix, replace(poll, next_at=now)))
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Ask for every reading that is due; one without an answer is asked again."""
+    commands: list[Command] = []
+    for name in tables.polls:
+        poll = tables.polls.by_key[name]
+        if poll.fetch_id and now - poll.asked_at < ANSWER_WITHIN_S:
+            continue
+        if poll.next_at is None or now < poll.next_at:
+            continue
+        tables, fetch_id = numbered(tables, "f")
+        asked = replace(poll, fetch_id=fetch_id, asked_at=now)
+        tables = replace(tables, polls=tables.polls.put(name, asked))
+        commands.append(_asked(asked))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _asked(poll: Poll) -> Command:
+    event = ReadAsked(
+        origin=ROLE, fetch_id=poll.fetch_id, prefix=poll.prefix, since=poll.since
+    )
+    return Tell(role=COMMITTER, event=event)
+
+
+@apply.register
+def _(event: Fetched, tables: ControllerTables, now: float) -> Controlled:
+    name = event.prefix if event.prefix in tables.polls else event.fetch_id
+    poll = tables.polls.get(name)
+    if poll is None or poll.fetch_id != event.fetch_id:
+        return Step(tables=tables)
+    if poll.every_s == 0.0:
+        tables = replace(tables, polls=tables.polls.drop(name))
+        return on_rows(poll.target, event.rows, event, tables, now)
+    since = poll.since if event.failed else max(poll.since, event.revision)
+    next_at = None if poll.next_at is None else max(now, poll.asked_at + poll.every_s)
+    rested = replace(poll, fetch_id="", since=since, next_at=next_at)
+    tables = replace(tables, polls=tables.polls.put(name, rested))
+    if event.failed:
+        return Step(tables=tables)
+    return on_rows(poll.target, event.rows, event, tables, now)
--- /dev/null
+++ b/bulrushpulley/systems/control_records.py
@@ -0,0 +1,171 @@
+"""The configuration as the controller knows it, read from the table service.
+
+The revision row is read often, the records only when it has grown. Revisions and
+versions only go up: an older row offered changes nothing. Jobs are no part of
+the configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import TypeVar
+
+from pyrsistent import pmap
+
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.fleet import fleet_of
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.pending import Poll, ReadRecords, ReadRevision
+from bulrushpulley.entities.records import (
+    CellRecord,
+    DomainState,
+    FailureDomainRecord,
+    PolicyRecord,
+)
+from bulrushpulley.entities.rows import RecordRow, RevisionRow
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.control_events import Controlled, on_rows
+
+R = TypeVar("R")
+
+REVISION_KEY = "revision"
+SPREAD_POLL_S = 0.5
+KINDS = ("service", "failure_domain", "policy", "cell")
+
+
+def record_key(kind: str, name: str) -> str:
+    """Return the key of a record row."""
+    return f"record/{kind}/{name}"
+
+
+def polls() -> dict[str, Poll]:
+    """Return the readings that keep the configuration up to date, by prefix."""
+    kinds = {
+        f"record/{kind}/": Poll(
+            target=ReadRecords(kind=kind),
+            prefix=f"record/{kind}/",
+            every_s=SPREAD_POLL_S,
+            next_at=None,
+        )
+        for kind in KINDS
+    }
+    revision = Poll(target=ReadRevision(), prefix="revision", every_s=SPREAD_POLL_S)
+    return {"revision": revision, **kinds}
+
+
+def learn(tables: ControllerTables, rows: Iterable[VersionedRow]) -> ControllerTables:
+    """Take record rows that are newer than the known ones; jobs are left out."""
+    changed: set[str] = set()
+    for row in rows:
+        known = tables.records.get(row.key)
+        if not row.key.startswith("record/") or row.key.startswith("record/job/"):
+            continue
+        if row.row is None or (known is not None and known.version >= row.version):
+            continue
+        tables = replace(tables, records=tables.records.put(row.key, row))
+        changed.add(row.key.split("/")[1])
+    if "cell" in changed:
+        tables = replace(tables, fleet=fleet_of(all_of(tables, "cell", CellRecord)))
+    if "policy" in changed:
+        policies = all_of(tables, "policy", PolicyRecord)
+        quotas = pmap({one.department: one.quota for one in policies})
+        tables = replace(tables, quotas=quotas)
+    return tables
+
+
+def record_row(row: VersionedRow | None) -> RecordRow | None:
+    """Return the record row that a versioned row holds, or None."""
+    held = row.row if row is not None else None
+    return held if isinstance(held, RecordRow) else None
+
+
+def find(tables: ControllerTables, kind: str, name: str, cls: type[R]) -> R | None:
+    """Return a record of the configuration by kind and name, or None."""
+    row = record_row(tables.records.get(record_key(kind, name)))
+    return row.record if row is not None and isinstance(row.record, cls) else None
+
+
+def all_of(tables: ControllerTables, kind: str, cls: type[R]) -> list[R]:
+    """Return every record of a kind, ordered by name."""
+    rows = [record_row(row) for row in tables.records.rows_where("kind", kind)]
+    records = [row.record for row in rows if row is not None]
+    return [record for record in records if isinstance(record, cls)]
+
+
+def in_service(tables: ControllerTables, failure_domain: str) -> bool:
+    """Tell whether the configuration lets tasks start in a failure domain."""
+    record = find(tables, "failure_domain", failure_domain, FailureDomainRecord)
+    return record is not None and record.state is DomainState.IN_SERVICE
+
+
+def learn_revision(
+    tables: ControllerTables, rows: Iterable[VersionedRow], now: float
+) -> ControllerTables:
+    """Take a newer revision row and have the records read up to it."""
+    for row in rows:
+        newer = row.version > tables.revision_row.version
+        if row.key == REVISION_KEY and newer and isinstance(row.row, RevisionRow):
+            tables = replace(tables, revision_row=row)
+    if tables.last_revision > tables.revision:
+        for kind in KINDS:
+            tables = _hasten_kind(tables, kind, now)
+    return tables
+
+
+def _hasten_kind(tables: ControllerTables, kind: str, now: float) -> ControllerTables:
+    name = f"record/{kind}/"
+    poll = tables.polls.get(name)
+    if poll is None or poll.since >= tables.revision_row.version:
+        return tables
+    return replace(tables, polls=tables.polls.put(name, replace(poll, next_at=now)))
+
+
+def changed_here(
+    tables: ControllerTables, rows: tuple[VersionedRow, ...], now: float
+) -> ControllerTables:
+    """Take the rows that a change by this process has just committed.
+
+    The revision is reached at once if the one before it was.
+    """
+    before = tables.revision
+    tables = learn(tables, rows)
+    newer = [row for row in rows if row.key == REVISION_KEY]
+    for row in newer:
+        reached = isinstance(row.row, RevisionRow) and row.row.revision == before + 1
+        if reached and row.version > tables.revision_row.version:
+            tables = replace(tables, revision=before + 1, revision_row=row)
+    return learn_revision(tables, newer, now)
+
+
+@on_rows.register
+def _(
+    target: ReadRevision,
+    rows: tuple[VersionedRow, ...],
+    event: Fetched,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    return Step(tables=learn_revision(tables, rows, now))
+
+
+@on_rows.register
+def _(
+    target: ReadRecords,
+    rows: tuple[VersionedRow, ...],
+    event: Fetched,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    tables = learn(tables, rows)
+    name = f"record/{target.kind}/"
+    poll = tables.polls.by_key[name]
+    if poll.since >= tables.revision_row.version:
+        rested = replace(poll, next_at=None)
+        tables = replace(tables, polls=tables.polls.put(name, rested))
+    read_to = min(tables.polls.by_key[f"record/{kind}/"].since for kind in KINDS)
+    if read_to >= tables.revision_row.version:
+        reached = max(tables.revision, tables.last_revision)
+        tables = replace(tables, revision=reached)
+    return Step(tables=tables)
--- /dev/null
+++ b/bulrushpulley/systems/control_share.py
@@ -0,0 +1,49 @@
+"""Decides which entry assigns a department's tasks, and in which order.
+
+A rendezvous hash over the live entries gives each department to one entry; the
+conditions of the transactions keep two entries from assigning the same task
+while their lists of live entries differ.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from zlib import crc32
+
+from bulrushpulley.entities.backlog import Lane, Waiting
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.systems.control_cells import used_by
+from bulrushpulley.systems.control_members import live_entries
+
+PRIORITY_STEP_S = 60.0
+
+
+@lru_cache(maxsize=4_096)
+def entry_for(department: str, entries: tuple[str, ...]) -> str:
+    """Return the entry that is responsible for a department."""
+    return max(entries, key=lambda name: crc32(f"{department}|{name}".encode()))
+
+
+def is_responsible(tables: ControllerTables, department: str) -> bool:
+    """Tell whether this entry assigns a department's tasks."""
+    return entry_for(department, live_entries(tables)) == tables.identity.name
+
+
+def share(tables: ControllerTables, department: str) -> float:
+    """Return what a department uses as a share of its quota or of all workers."""
+    limit = tables.quotas.get(department, NOTHING)
+    if limit == NOTHING:
+        limit = tables.fleet.capacity
+    used = used_by(tables, department)
+    pairs = (
+        (used.processors_m, limit.processors_m),
+        (used.memory_mb, limit.memory_mb),
+        (used.accelerators, limit.accelerators),
+    )
+    return max((have / most for have, most in pairs if most > 0), default=0.0)
+
+
+def urgency(lane: Lane, first: Waiting, now: float) -> float:
+    """Return a lane's priority, which grows with the age of its first row."""
+    return lane.priority + (now - first.seen_at) / PRIORITY_STEP_S
--- /dev/null
+++ b/bulrushpulley/systems/control_spread.py
@@ -0,0 +1,87 @@
+"""Spreads the configuration to the linked agents and to the router.
+
+A new link gets the whole configuration, the others what has changed since the
+revision they were sent. An agent that does not confirm in time gets the whole
+again. Items offered twice or out of order do no harm: receivers keep the newer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.controller_tables import AgentLink, ControllerTables
+from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp, Send
+from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.systems.control_events import Controlled, apply
+from bulrushpulley.systems.control_members import greet
+from bulrushpulley.systems.control_records import record_row
+
+ROUTER = "router"
+CONFIRM_WITHIN_S = 2.0
+
+
+@apply.register
+def _(event: LinkUp, tables: ControllerTables, now: float) -> Controlled:
+    link = AgentLink(peer=event.peer, region=event.region)
+    tables = replace(tables, links=tables.links.put(event.peer, link))
+    return Step(tables=tables, commands=(greet(event, tables),))
+
+
+@apply.register
+def _(event: LinkDown, tables: ControllerTables, now: float) -> Controlled:
+    return Step(tables=replace(tables, links=tables.links.drop(event.peer)))
+
+
+@apply.register
+def _(event: Announce, tables: ControllerTables, now: float) -> Controlled:
+    link = tables.links.get(event.peer)
+    if link is None:
+        return Step(tables=tables)
+    heard = replace(link, announced=event)
+    behind = event.applied_revision < link.sent_revision
+    if behind and now - link.sent_at >= CONFIRM_WITHIN_S:
+        heard = replace(heard, sent_revision=0)
+    return Step(tables=replace(tables, links=tables.links.put(event.peer, heard)))
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Send every link that is behind what it lacks, and the router likewise."""
+    current = tables.revision
+    if current == 0 or _all_sent(tables):
+        return Step(tables=tables)
+    by_base: dict[int, Configured] = {}
+    commands: list[Command] = []
+    if tables.spread_revision < current:
+        item = _since(tables, tables.spread_revision, by_base)
+        commands.append(Tell(role=ROUTER, event=item))
+        tables = replace(tables, spread_revision=current)
+    for link in tables.links.rows():
+        if link.sent_revision >= current:
+            continue
+        item = _since(tables, link.sent_revision, by_base)
+        commands.append(Send(peer=link.peer, item=item))
+        sent = replace(link, sent_revision=current, sent_at=now)
+        tables = replace(tables, links=tables.links.put(link.peer, sent))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _all_sent(tables: ControllerTables) -> bool:
+    sent = tables.links.count_where("sent", str(tables.revision))
+    return tables.spread_revision == tables.revision and sent == len(tables.links)
+
+
+def _since(
+    tables: ControllerTables, base: int, by_base: dict[int, Configured]
+) -> Configured:
+    if base not in by_base:
+        rows = tuple(
+            row for row in tables.records.rows() if _revision_of(row) > base or not base
+        )
+        by_base[base] = Configured(base=base, revision=tables.revision, rows=rows)
+    return by_base[base]
+
+
+def _revision_of(row: VersionedRow) -> int:
+    held = record_row(row)
+    return held.revision if held is not None else 0
--- /dev/null
+++ b/bulrushpulley/systems/control_submissions.py
@@ -0,0 +1,155 @@
+"""The submissions of the controller: numbered, awaited and submitted again.
+
+A submission whose outcome is unsettled is submitted again unchanged, since only
+that settles it. After its deadline it is given up.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    Submission,
+    Submitted,
+    Unsettled,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.pending import Pending, Purpose
+from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.systems.control_events import (
+    Controlled,
+    apply,
+    on_commit,
+    on_conflict,
+    on_loss,
+)
+
+ROLE = "controller"
+COMMITTER = "committer"
+RESUBMIT_S = 0.5
+GIVE_UP_MARGIN_S = 0.5
+
+
+def numbered(tables: ControllerTables, letter: str) -> tuple[ControllerTables, str]:
+    """Return the tables and a new id, unique over all processes and time."""
+    number = tables.last_number + 1
+    new_id = f"{tables.identity.incarnation}/{letter}{number}"
+    return replace(tables, last_number=number), new_id
+
+
+def submit(
+    tables: ControllerTables,
+    now: float,
+    *,
+    purpose: Purpose,
+    conditions: tuple[Condition, ...],
+    writes: tuple[Write, ...],
+    deadline: float,
+) -> Controlled:
+    """Submit conditional writes and await their outcome."""
+    tables, submission_id = numbered(tables, "c")
+    return submit_as(
+        tables,
+        now,
+        submission_id=submission_id,
+        purpose=purpose,
+        conditions=conditions,
+        writes=writes,
+        deadline=deadline,
+    )
+
+
+def submit_as(
+    tables: ControllerTables,
+    now: float,
+    *,
+    submission_id: str,
+    purpose: Purpose,
+    conditions: tuple[Condition, ...],
+    writes: tuple[Write, ...],
+    deadline: float,
+) -> Controlled:
+    """Submit conditional writes under an id that was drawn before."""
+    submission = Submission(
+        submission_id=submission_id,
+        conditions=conditions,
+        writes=writes,
+        give_up_after_s=max(GIVE_UP_MARGIN_S, deadline - now - GIVE_UP_MARGIN_S),
+    )
+    pending = Pending(submission=submission, purpose=purpose, deadline=deadline)
+    tables = replace(tables, pending=tables.pending.put(submission_id, pending))
+    return Step(tables=tables, commands=(_handed_over(submission),))
+
+
+def _handed_over(submission: Submission) -> Command:
+    return Tell(role=COMMITTER, event=Submitted(origin=ROLE, submission=submission))
+
+
+def _taken(
+    tables: ControllerTables, submission_id: str
+) -> tuple[ControllerTables, Pending | None]:
+    pending = tables.pending.get(submission_id)
+    return replace(tables, pending=tables.pending.drop(submission_id)), pending
+
+
+@apply.register
+def _(event: Committed, tables: ControllerTables, now: float) -> Controlled:
+    tables, pending = _taken(tables, event.submission_id)
+    if pending is None:
+        return Step(tables=tables)
+    return on_commit(pending.purpose, pending, event, tables, now)
+
+
+@apply.register
+def _(event: Conflicted, tables: ControllerTables, now: float) -> Controlled:
+    tables, pending = _taken(tables, event.submission_id)
+    if pending is None:
+        return Step(tables=tables)
+    return on_conflict(pending.purpose, pending, event, tables, now)
+
+
+@apply.register
+def _(event: Withdrawn, tables: ControllerTables, now: float) -> Controlled:
+    tables, pending = _taken(tables, event.submission_id)
+    if pending is None:
+        return Step(tables=tables)
+    return on_loss(pending.purpose, pending, event.reason, tables, now)
+
+
+@apply.register
+def _(event: Unsettled, tables: ControllerTables, now: float) -> Controlled:
+    pending = tables.pending.get(event.submission_id)
+    if pending is None:
+        return Step(tables=tables)
+    again = replace(pending, unsettled=True, resubmit_at=now + RESUBMIT_S)
+    return Step(
+        tables=replace(tables, pending=tables.pending.put(event.submission_id, again))
+    )
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Submit unsettled submissions again, or give them up after their deadline."""
+    step = Step(tables=tables)
+    for submission_id in sorted(tables.pending.keys_where("resubmit", "due")):
+        step = _resubmitted(submission_id, step, now)
+    return step
+
+
+def _resubmitted(submission_id: str, step: Controlled, now: float) -> Controlled:
+    tables = step.tables
+    pending = tables.pending.by_key[submission_id]
+    if now >= pending.deadline:
+        tables, _ = _taken(tables, submission_id)
+        lost = on_loss(pending.purpose, pending, "no answer in time", tables, now)
+        return Step(tables=lost.tables, commands=(*step.commands, *lost.commands))
+    if pending.resubmit_at is None or now < pending.resubmit_at:
+        return step
+    sent = replace(pending, resubmit_at=None)
+    tables = replace(tables, pending=tables.pending.put(submission_id, sent))
+    command = _handed_over(pending.submission)
+    return Step(tables=tables, commands=(*step.commands, command))
