Add the request path: router and guard from call to answer

Callers' requests had no way to a backend server. The router now queues a call, chooses an agent by its announcement, dispatches, and answers by attempt id; the guard runs it on the backend server and remembers unrepeatable ids. Unrepeatable requests rest on a committed claim row. No test of failures yet.

--- /dev/null
+++ b/bulrushpulley/entities/guard_tables.py
@@ -0,0 +1,104 @@
+"""The tables of the guard, the role that runs requests on the backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pyrsistent import PDeque, PMap, pdeque, pmap
+
+from bulrushpulley.entities.execution import (
+    Execution,
+    Remembered,
+    by_request_id,
+    by_state,
+)
+from bulrushpulley.entities.step import Command
+from bulrushpulley.entities.table import Table
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GuardDone(Command):
+    """Every request was answered after `Leave`; the process may exit."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryLink:
+    """A linked entry, keyed by its incarnation."""
+
+    peer: str
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GuardSettings:
+    """What the agent is and how much its backend server takes at once."""
+
+    agent: str
+    incarnation: str
+    service: str
+    region: str
+    failure_domain: str
+    slots: int
+    queue_limit: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Announced:
+    """The last announcement: when it left and what it said."""
+
+    at: float = float("-inf")
+    running: int = 0
+    queued: int = 0
+    healthy: bool = False
+    leaving: bool = False
+    applied_revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GuardTables:
+    """The state of a guard.
+
+    `remembered` holds the outcomes of unrepeatable ids and `oldest_first` the ids
+    in the order in which they came. Until `forgetful_until` an id may have been
+    forgotten too early, so the guard cannot say that an unknown id did not run.
+    `with_body` holds, oldest first, the ids whose answers still have their
+    bodies, of `body_bytes` in all. `refused` holds attempts that were answered
+    "not run" and must stay so, `refused_first` the same, oldest first.
+    """
+
+    settings: GuardSettings
+    executions: Table[Execution]
+    links: Table[EntryLink]
+    remembered: Table[Remembered]
+    oldest_first: PDeque[str]
+    with_body: PDeque[str]
+    refused: PMap[str, None]
+    refused_first: PDeque[str]
+    announced: Announced
+    body_bytes: int = 0
+    forgetful_until: float = 0.0
+    service_s: float = 0.0
+    healthy: bool = True
+    failures: int = 0
+    check_at: float = 0.0
+    applied_revision: int = 0
+    leaving: bool = False
+    linger_until: float = 0.0
+    done: bool = False
+
+    @staticmethod
+    def empty(*, settings: GuardSettings) -> GuardTables:
+        """Return the tables of a guard that has just started."""
+        return GuardTables(
+            settings=settings,
+            executions=Table.empty(
+                indexes={"state": by_state, "request_id": by_request_id}
+            ),
+            links=Table.empty(),
+            remembered=Table.empty(),
+            oldest_first=pdeque(),
+            with_body=pdeque(),
+            refused=pmap(),
+            refused_first=pdeque(),
+            announced=Announced(),
+        )
--- /dev/null
+++ b/bulrushpulley/roles/guard.py
@@ -0,0 +1,61 @@
+"""The guard: runs requests on its backend server, and is the last check on them."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.guard_tables import GuardSettings, GuardTables
+from bulrushpulley.roles.actor import Role
+from bulrushpulley.systems import (
+    guard_announce,
+    guard_health,
+    guard_leave,
+    guard_memory,
+    guard_queue,
+    guard_requests,
+    guard_results,
+)
+from bulrushpulley.systems.guard_events import apply
+
+EVENT_MODULES = (guard_requests, guard_results)
+"""The modules that register events by being imported."""
+
+SLOTS = 8
+QUEUE_LIMIT = 8
+
+
+def build(
+    *,
+    agent: str,
+    incarnation: str,
+    service: str,
+    region: str,
+    failure_domain: str,
+    slots: int = SLOTS,
+    queue_limit: int = QUEUE_LIMIT,
+) -> Role[GuardTables]:
+    """Return a guard that has just started.
+
+    `agent` is the name in the settings, `incarnation` unique to the process. The
+    backend server runs `service` with `slots` requests at once; `queue_limit`
+    more may wait here.
+    """
+    settings = GuardSettings(
+        agent=agent,
+        incarnation=incarnation,
+        service=service,
+        region=region,
+        failure_domain=failure_domain,
+        slots=slots,
+        queue_limit=queue_limit,
+    )
+    return Role(
+        name="guard",
+        tables=GuardTables.empty(settings=settings),
+        apply=apply,
+        systems=(
+            guard_memory.run,
+            guard_queue.run,
+            guard_health.run,
+            guard_announce.run,
+            guard_leave.run,
+        ),
+    )
--- /dev/null
+++ b/bulrushpulley/systems/guard_health.py
@@ -0,0 +1,36 @@
+"""Keeps the health of the backend server from its checks and failures."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.execution import CheckBackend, HealthSeen
+from bulrushpulley.entities.guard_tables import GuardTables
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.guard_events import apply
+
+CHECK_S = 1.0
+
+
+def run(tables: GuardTables, now: float) -> Step[GuardTables]:
+    """Ask for the backend server's health every `CHECK_S`."""
+    if now < tables.check_at:
+        return Step(tables=tables)
+    tables = replace(tables, check_at=now + CHECK_S)
+    return Step(tables=tables, commands=(CheckBackend(),))
+
+
+@apply.register
+def _(event: HealthSeen, tables: GuardTables, now: float) -> Step[GuardTables]:
+    if event.healthy == tables.healthy:
+        return Step(tables=tables)
+    decision = Decision(
+        kind="guard.health",
+        subject=tables.settings.agent,
+        chosen="healthy" if event.healthy else "unhealthy",
+        reason=event.detail or "health check",
+    )
+    failures = 0 if event.healthy else tables.failures
+    tables = replace(tables, healthy=event.healthy, failures=failures)
+    return Step(tables=tables, commands=(decision,))
--- /dev/null
+++ b/bulrushpulley/systems/guard_leave.py
@@ -0,0 +1,31 @@
+"""Leaves gracefully: announces it, refuses new requests, finishes those it has.
+
+The guard stays for `LINGER_S` at least, so that requests sent by entries that had
+not yet heard the announcement are refused as not run rather than lost.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.guard_tables import GuardDone, GuardTables
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.guard_events import apply
+
+LINGER_S = 1.0
+
+
+@apply.register
+def _(event: Leave, tables: GuardTables, now: float) -> Step[GuardTables]:
+    if tables.leaving:
+        return Step(tables=tables)
+    return Step(tables=replace(tables, leaving=True, linger_until=now + LINGER_S))
+
+
+def run(tables: GuardTables, now: float) -> Step[GuardTables]:
+    """Say once that nothing is left to finish."""
+    busy = tables.executions or now < tables.linger_until
+    if not tables.leaving or tables.done or busy:
+        return Step(tables=tables)
+    return Step(tables=replace(tables, done=True), commands=(GuardDone(),))
--- /dev/null
+++ b/bulrushpulley/systems/route_answers.py
@@ -0,0 +1,161 @@
+"""Matches the answers of agents to the attempts that wait for them.
+
+An answer is matched by its attempt id and by the agent that was asked, never by
+order. One for which nobody waits any more is dropped and counted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.link import Answered, LinkEvent, Refused
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.request import (
+    Attempt,
+    InFlight,
+    Recalling,
+    Request,
+    Stage,
+)
+from bulrushpulley.entities.router_tables import RouterTables, Service
+from bulrushpulley.entities.step import Step
+from bulrushpulley.errors import Code, Ran
+from bulrushpulley.systems.route_events import apply
+from bulrushpulley.systems.route_finish import (
+    answer,
+    drop_attempt,
+    put_request,
+    put_service,
+    refuse,
+    retry,
+    without_attempt,
+)
+
+SERVICE_WEIGHT = 0.05
+LATE_SHARE = 0.95
+LATE_STEP = 0.05
+
+
+def awaited(
+    tables: RouterTables, event: LinkEvent, attempt_id: str
+) -> tuple[Attempt, Request] | None:
+    """Return the attempt and request that an answer is for, if they wait for it."""
+    attempt = tables.attempts.get(attempt_id)
+    if attempt is None or attempt.agent != event.peer:
+        return None
+    request = tables.requests.get(attempt.call_id)
+    return None if request is None else (attempt, request)
+
+
+def late(tables: RouterTables) -> Step[RouterTables]:
+    """Drop an answer for which nobody waits."""
+    return Step(tables=tables, commands=(Count(name="route.late_answers"),))
+
+
+@apply.register
+def _(event: Answered, tables: RouterTables, now: float) -> Step[RouterTables]:
+    found = awaited(tables, event, event.attempt_id)
+    if found is None:
+        return late(tables)
+    attempt, request = found
+    tables = drop_attempt(tables, event.attempt_id)
+    if not attempt.recall:
+        tables = learn(tables, attempt, request.service, event.took_s, now)
+    left = without_attempt(request, event.attempt_id)
+    return answer(tables, left, status=event.status, body=event.body, now=now)
+
+
+def learn(
+    tables: RouterTables, attempt: Attempt, name: str, took_s: float, now: float
+) -> RouterTables:
+    """Take an answer's latency into the averages."""
+    latency_s = now - attempt.sent_at
+    server = tables.servers.get(attempt.agent)
+    if server is not None:
+        servers = tables.servers.put(attempt.agent, server.observed(latency_s))
+        tables = replace(tables, servers=servers)
+    return put_service(tables, learned(tables.service(name), took_s, latency_s))
+
+
+def learned(service: Service, took_s: float, latency_s: float) -> Service:
+    """Return the service with one more run in its estimates.
+
+    The percentile moves up by `LATE_SHARE` of a step for a latency above it and
+    down by the rest for one below, so it settles where that share lies below.
+    """
+    if not service.service_s:
+        return replace(service, service_s=took_s, late_s=2 * latency_s)
+    step = LATE_STEP * max(service.service_s, service.late_s / 2)
+    up = LATE_SHARE if latency_s > service.late_s else LATE_SHARE - 1.0
+    return replace(
+        service,
+        service_s=service.service_s + SERVICE_WEIGHT * (took_s - service.service_s),
+        late_s=max(service.late_s + step * up, 0.0),
+    )
+
+
+@apply.register
+def _(event: Refused, tables: RouterTables, now: float) -> Step[RouterTables]:
+    found = awaited(tables, event, event.attempt_id)
+    if found is None:
+        return late(tables)
+    attempt, request = found
+    tables = drop_attempt(tables, event.attempt_id)
+    if event.problem.code is Code.OVERLOADED:
+        tables = mark_full(tables, attempt.agent)
+    left = replace(
+        without_attempt(request, event.attempt_id),
+        tried=(*request.tried, attempt.agent),
+    )
+    tables = put_request(tables, left)
+    return after_refusal(left.stage, left, event, tables, now)
+
+
+def mark_full(tables: RouterTables, agent: str) -> RouterTables:
+    """Count an agent that refused for want of slots as full until it announces."""
+    server = tables.servers.get(agent)
+    if server is None:
+        return tables
+    full = replace(server, others=max(server.others, server.slots - server.in_flight))
+    return replace(tables, servers=tables.servers.put(agent, full))
+
+
+@singledispatch
+def after_refusal(
+    stage: Stage, request: Request, event: Refused, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    """Go on from `stage` after an agent refused an attempt."""
+    return Step(tables=tables)
+
+
+@after_refusal.register
+def _(
+    stage: InFlight,
+    request: Request,
+    event: Refused,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    ran, problem = event.ran, event.problem
+    if ran is not Ran.NO:
+        request = replace(request, may_have_run=True)
+    if request.attempts:
+        return Step(tables=put_request(tables, request))
+    if ran is Ran.NO or request.repeatable:
+        return retry(tables, request, ran=ran, problem=problem, now=now)
+    return refuse(tables, request, ran=ran, problem=problem, now=now)
+
+
+@after_refusal.register
+def _(
+    stage: Recalling,
+    request: Request,
+    event: Refused,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    ran, problem = event.ran, event.problem
+    if ran is Ran.NO:
+        return retry(tables, request, ran=ran, problem=problem, now=now)
+    return refuse(tables, request, ran=ran, problem=problem, now=now)
--- /dev/null
+++ b/bulrushpulley/systems/route_calls.py
@@ -0,0 +1,115 @@
+"""Takes the calls of callers into the router, or refuses them as not run."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.calls import CallAbandoned, CallReceived, RefuseCall
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.request import Request, Waiting
+from bulrushpulley.entities.router_tables import RouterTables, Service
+from bulrushpulley.entities.step import Step
+from bulrushpulley.errors import Code, Problem, Ran
+from bulrushpulley.systems.route_events import apply
+from bulrushpulley.systems.route_finish import SELF, close, enqueue, put_service
+
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HELD_BYTES = 32 * 1024 * 1024
+MAX_REQUEST_ID_LENGTH = 200
+MAX_WITHIN_S = 60.0
+RETRY_TOKENS_PER_CALL = 0.1
+MAX_RETRY_TOKENS = 10.0
+HEDGE_TOKENS_PER_CALL = 0.05
+MAX_HEDGE_TOKENS = 5.0
+GAP_WEIGHT = 0.05
+
+
+def refusal(code: Code, detail: str, field: str = "") -> Problem:
+    """Describe why a call was not taken in."""
+    return Problem(
+        code=code, step="route.accept", peer=SELF, detail=detail, field=field
+    )
+
+
+def is_request_id(text: str) -> bool:
+    """Tell whether `text` can stand as the last part of a key."""
+    printable = all("!" <= char <= "~" and char != "/" for char in text)
+    return 0 < len(text) <= MAX_REQUEST_ID_LENGTH and printable
+
+
+def bad_call(call: CallReceived) -> Problem | None:
+    """Return what is wrong with the call itself, if anything."""
+    if len(call.body) > MAX_BODY_BYTES:
+        return refusal(Code.TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
+    if not call.repeatable and not is_request_id(call.request_id):
+        detail = "an unrepeatable request needs an id of printable ASCII without '/'"
+        return refusal(Code.INVALID, detail, "request_id")
+    if call.within_s <= 0:
+        return refusal(Code.DEADLINE, "no time is left", "within_s")
+    return None
+
+
+def no_capacity(call: CallReceived, tables: RouterTables) -> Problem | None:
+    """Return why this router cannot take any such call now, if so."""
+    if tables.leaving:
+        return refusal(Code.LEAVING, "this entry is leaving; use another")
+    if tables.body_bytes + len(call.body) > MAX_HELD_BYTES:
+        return refusal(Code.OVERLOADED, "too many bytes of calls are held")
+    service = tables.service(call.service)
+    if service.declared or tables.servers.count_where("service", call.service):
+        return None
+    if tables.revision:
+        return refusal(Code.NOT_FOUND, f"no service {call.service}", "service")
+    return refusal(Code.UNAVAILABLE, f"no backend server of {call.service} is known")
+
+
+def arrived(service: Service, now: float) -> Service:
+    """Return the service with one more arrival in its averages and budgets."""
+    gap_s = min(1.0, now - service.arrived_at)
+    retry = service.retry_tokens + RETRY_TOKENS_PER_CALL
+    hedge = service.hedge_tokens + HEDGE_TOKENS_PER_CALL
+    return replace(
+        service,
+        arrived_at=now,
+        gap_s=service.gap_s + GAP_WEIGHT * (gap_s - service.gap_s),
+        retry_tokens=min(MAX_RETRY_TOKENS, retry),
+        hedge_tokens=min(MAX_HEDGE_TOKENS, hedge),
+    )
+
+
+@apply.register
+def _(event: CallReceived, tables: RouterTables, now: float) -> Step[RouterTables]:
+    problem = bad_call(event) or no_capacity(event, tables)
+    if problem is not None:
+        refused = RefuseCall(call_id=event.call_id, ran=Ran.NO, problem=problem)
+        count = Count(name=f"route.refused.{problem.code.value}", label=event.service)
+        return Step(tables=tables, commands=(refused, count))
+    deadline = now + min(event.within_s, MAX_WITHIN_S)
+    request = Request(
+        call_id=event.call_id,
+        service=event.service,
+        request_id=event.request_id,
+        repeatable=event.repeatable,
+        received_at=now,
+        deadline=deadline,
+        due_at=deadline,
+        body=event.body,
+        stage=Waiting(),
+    )
+    tables = put_service(tables, arrived(tables.service(event.service), now))
+    tables = replace(tables, body_bytes=tables.body_bytes + len(event.body))
+    return Step(tables=enqueue(tables, request))
+
+
+@apply.register
+def _(event: CallAbandoned, tables: RouterTables, now: float) -> Step[RouterTables]:
+    request = tables.requests.get(event.call_id)
+    if request is None:
+        return Step(tables=tables)
+    return close(tables, request)
+
+
+@apply.register
+def _(event: Leave, tables: RouterTables, now: float) -> Step[RouterTables]:
+    return Step(tables=replace(tables, leaving=True))
--- /dev/null
+++ b/bulrushpulley/systems/route_choice.py
@@ -0,0 +1,111 @@
+"""Chooses the backend server for a request.
+
+Servers of the router's own region come first, those of other regions only while
+no near one has a free slot. Among them the least expected wait wins: the load
+weighed with the latency seen, so that a slow server gets few requests before it is
+ejected.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bulrushpulley.entities.backend_server import BackendServer
+from bulrushpulley.entities.router_tables import RouterTables
+
+ANNOUNCE_TTL_S = 3.0
+CLAIM_SHARE = 2
+MAX_PASSED_OVER = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Candidate:
+    """A backend server that may take a request; the least one is the best."""
+
+    far: bool
+    cost_s: float
+    turn: int
+    incarnation: str
+
+
+def barred_reason(server: BackendServer, now: float) -> str:
+    """Return why a server must get no request at all; empty if it may."""
+    if server.leaving:
+        return "leaving"
+    if server.heard_at + ANNOUNCE_TTL_S < now:
+        return "silent"
+    if not server.healthy:
+        return "unhealthy"
+    return ""
+
+
+def unfit_reason(server: BackendServer, now: float) -> str:
+    """Return why a server gets no request now; empty if it may get one."""
+    barred = barred_reason(server, now)
+    if barred:
+        return barred
+    if server.ejected and (server.in_flight or now < server.probe_at):
+        return "ejected"
+    claimed = server.load + server.claiming
+    if server.load >= server.slots or claimed >= CLAIM_SHARE * server.slots:
+        return "full"
+    return ""
+
+
+def cost_s(server: BackendServer) -> float:
+    """Return the cost of one more request: least for a probe that is due."""
+    if server.ejected:
+        return 0.0
+    return (server.load + server.claiming + 1) * server.latency_s
+
+
+def candidate(server: BackendServer, tables: RouterTables, turn: int) -> Candidate:
+    """Return a server as a candidate; `turn` breaks ties."""
+    return Candidate(
+        far=server.region != tables.region,
+        cost_s=cost_s(server),
+        turn=turn,
+        incarnation=server.incarnation,
+    )
+
+
+def candidates(tables: RouterTables, service: str, now: float) -> list[Candidate]:
+    """Return a heap of the servers of a service that may get a request now."""
+    servers = tables.servers.rows_where("service", service)
+    count = len(servers)
+    heap = [
+        candidate(server, tables, (place - tables.sequence) % count)
+        for place, server in enumerate(servers)
+        if not unfit_reason(server, now)
+    ]
+    heapq.heapify(heap)
+    return heap
+
+
+def passed_over(
+    tables: RouterTables, service: str, chosen: str, now: float
+) -> tuple[str, ...]:
+    """Name some servers that were not chosen and why."""
+    found: list[str] = []
+    for key in tables.servers.keys_where("service", service):
+        if key == chosen:
+            continue
+        server = tables.servers.by_key[key]
+        reason = unfit_reason(server, now) or f"load {server.load}"
+        found.append(f"{server.agent}: {reason}")
+        if len(found) == MAX_PASSED_OVER:
+            break
+    return tuple(found)
+
+
+def take(heap: list[Candidate], avoid: Iterable[str]) -> Candidate:
+    """Pop the best candidate outside `avoid`, or the best one if there is none."""
+    shunned: list[Candidate] = []
+    while heap and heap[0].incarnation in avoid:
+        shunned.append(heapq.heappop(heap))
+    best = heapq.heappop(heap) if heap else shunned.pop(0)
+    for item in shunned:
+        heapq.heappush(heap, item)
+    return best
--- /dev/null
+++ b/bulrushpulley/systems/route_dispatch.py
@@ -0,0 +1,68 @@
+"""Sends waiting requests to backend servers with free slots."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import replace
+
+from bulrushpulley.entities.request import Request
+from bulrushpulley.entities.router_tables import RouterTables
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.route_choice import (
+    Candidate,
+    candidate,
+    candidates,
+    take,
+    unfit_reason,
+)
+from bulrushpulley.systems.route_claims import claim
+from bulrushpulley.systems.route_finish import unqueue
+from bulrushpulley.systems.route_queue import next_waiting
+from bulrushpulley.systems.route_send import dispatch
+
+
+def run(tables: RouterTables, now: float) -> Step[RouterTables]:
+    """Dispatch what the free slots of each busy service allow."""
+    commands: list[Command] = []
+    for name in sorted(tables.busy):
+        step = dispatch_service(tables, name, now)
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def dispatch_service(tables: RouterTables, name: str, now: float) -> Step[RouterTables]:
+    """Dispatch the waiting requests of one service while a server has a slot."""
+    heap = candidates(tables, name, now)
+    commands: list[Command] = []
+    while heap:
+        tables, request = next_waiting(tables, name, now)
+        if request is None:
+            break
+        best = take(heap, request.tried)
+        step = start(tables, request, best.incarnation, now)
+        tables = step.tables
+        commands.extend(step.commands)
+        put_back(heap, best, tables, now)
+    if not tables.service(name).waiting:
+        tables = replace(tables, busy=tables.busy.discard(name))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def put_back(
+    heap: list[Candidate], used: Candidate, tables: RouterTables, now: float
+) -> None:
+    """Put a server that still has free slots back into the heap."""
+    server = tables.servers.by_key[used.incarnation]
+    if not unfit_reason(server, now):
+        heapq.heappush(heap, candidate(server, tables, used.turn))
+
+
+def start(
+    tables: RouterTables, request: Request, agent: str, now: float
+) -> Step[RouterTables]:
+    """Dispatch a waiting request, or claim it first if it is unrepeatable."""
+    tables = unqueue(tables, tables.service(request.service))
+    if request.repeatable:
+        return dispatch(tables, request, agent, now, reason="least expected wait")
+    return claim(tables, request, agent, now)
--- /dev/null
+++ b/bulrushpulley/systems/route_finish.py
@@ -0,0 +1,186 @@
+"""Ends, queues and retries requests; the other systems of the router build on it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.calls import AnswerCall, RefuseCall
+from bulrushpulley.entities.link import Abandon, Send
+from bulrushpulley.entities.observe import Count, Observe
+from bulrushpulley.entities.request import Claiming, Request, Stage, Waiting
+from bulrushpulley.entities.router_tables import HeldClaim, RouterTables, Service
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.errors import Code, Problem, Ran
+
+SELF = "self"
+
+
+def claim_key(service: str, request_id: str) -> str:
+    """Return the key of the claim row of an unrepeatable request."""
+    return f"claim/{service}/{request_id}"
+
+
+def put_service(tables: RouterTables, service: Service) -> RouterTables:
+    """Return the tables with what is known of a service."""
+    return replace(tables, services=tables.services.put(service.name, service))
+
+
+def put_request(tables: RouterTables, request: Request) -> RouterTables:
+    """Return the tables with a request."""
+    return replace(tables, requests=tables.requests.put(request.call_id, request))
+
+
+def enqueue(
+    tables: RouterTables, request: Request, *, first: bool = False
+) -> RouterTables:
+    """Queue a request for its service; a retry goes `first`.
+
+    It is due when it could no longer be answered in time.
+    """
+    service = tables.service(request.service)
+    queue = service.queue
+    queue = (
+        queue.appendleft(request.call_id) if first else queue.append(request.call_id)
+    )
+    service = replace(service, queue=queue, waiting=service.waiting + 1)
+    waiting = replace(
+        request, stage=Waiting(), due_at=request.deadline - service.service_s
+    )
+    tables = put_request(put_service(tables, service), waiting)
+    return replace(tables, busy=tables.busy.set(service.name, None))
+
+
+def unqueue(tables: RouterTables, service: Service) -> RouterTables:
+    """Count one call less as waiting; its id may stay in the queue."""
+    service = replace(service, waiting=max(0, service.waiting - 1))
+    return put_service(tables, service)
+
+
+def drop_attempt(tables: RouterTables, attempt_id: str) -> RouterTables:
+    """Forget an attempt, and free the slot that it took."""
+    attempt = tables.attempts.get(attempt_id)
+    if attempt is None:
+        return tables
+    tables = replace(tables, attempts=tables.attempts.drop(attempt_id))
+    server = tables.servers.get(attempt.agent)
+    if server is None or attempt.recall:
+        return tables
+    servers = tables.servers.put(attempt.agent, server.released())
+    return replace(tables, servers=servers)
+
+
+def without_attempt(request: Request, attempt_id: str) -> Request:
+    """Return the request without one of its attempts."""
+    left = tuple(item for item in request.attempts if item != attempt_id)
+    return replace(request, attempts=left)
+
+
+@singledispatch
+def leave_stage(stage: Stage, request: Request, tables: RouterTables) -> RouterTables:
+    """Undo what a stage counts elsewhere, as its request leaves it."""
+    return tables
+
+
+@leave_stage.register
+def _(stage: Waiting, request: Request, tables: RouterTables) -> RouterTables:
+    return unqueue(tables, tables.service(request.service))
+
+
+@leave_stage.register
+def _(stage: Claiming, request: Request, tables: RouterTables) -> RouterTables:
+    server = tables.servers.get(stage.agent)
+    if server is None:
+        return tables
+    fewer = replace(server, claiming=max(0, server.claiming - 1))
+    return replace(tables, servers=tables.servers.put(stage.agent, fewer))
+
+
+def close(tables: RouterTables, request: Request) -> Step[RouterTables]:
+    """Forget a request and abandon the attempts that are still out."""
+    tables = leave_stage(request.stage, request, tables)
+    commands: list[Command] = []
+    for attempt_id in request.attempts:
+        attempt = tables.attempts.get(attempt_id)
+        tables = drop_attempt(tables, attempt_id)
+        if attempt is not None:
+            item = Abandon(attempt_id=attempt_id)
+            commands.append(Send(peer=attempt.agent, item=item))
+    tables = replace(
+        tables,
+        requests=tables.requests.drop(request.call_id),
+        body_bytes=tables.body_bytes - len(request.body),
+    )
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def answer(
+    tables: RouterTables, request: Request, *, status: int, body: bytes, now: float
+) -> Step[RouterTables]:
+    """Give the caller the whole answer."""
+    step = close(tables, request)
+    commands = (
+        AnswerCall(call_id=request.call_id, status=status, body=body),
+        Count(name="route.answered", label=request.service),
+        Observe(
+            name="route.latency",
+            seconds=now - request.received_at,
+            label=request.service,
+        ),
+    )
+    return Step(tables=step.tables, commands=step.commands + commands)
+
+
+def refuse(
+    tables: RouterTables, request: Request, *, ran: Ran, problem: Problem, now: float
+) -> Step[RouterTables]:
+    """Refuse a call; "not run" holds only if no attempt may have run.
+
+    A refusal as not run also frees the claim, so that a repeat may run.
+    """
+    surely_not = ran is Ran.NO and not request.may_have_run
+    if ran is Ran.NO and request.may_have_run:
+        ran = Ran.UNKNOWN
+        problem = replace(problem, code=Code.OUTCOME_UNKNOWN)
+    step = close(tables, request)
+    tables = step.tables
+    if surely_not and request.claim_version:
+        tables = delete_claim(tables, request, now)
+    commands = (
+        RefuseCall(call_id=request.call_id, ran=ran, problem=problem),
+        Count(name=f"route.refused.{problem.code.value}", label=request.service),
+    )
+    return Step(tables=tables, commands=step.commands + commands)
+
+
+def delete_claim(tables: RouterTables, request: Request, now: float) -> RouterTables:
+    """Have the claim deleted that its agent has refused for good."""
+    key = claim_key(request.service, request.request_id)
+    claim = HeldClaim(key=key, version=request.claim_version, delete_at=now)
+    return replace(tables, claims=tables.claims.put(key, claim))
+
+
+def retry(
+    tables: RouterTables, request: Request, *, ran: Ran, problem: Problem, now: float
+) -> Step[RouterTables]:
+    """Queue a request again if budget and time allow; refuse it otherwise.
+
+    The caller has made sure that a repeat is safe: the last attempt surely did not
+    run, or the request is repeatable.
+    """
+    service = tables.service(request.service)
+    late = now + service.service_s >= request.deadline
+    if late or service.retry_tokens < 1.0:
+        return refuse(tables, request, ran=ran, problem=problem, now=now)
+    spent = replace(service, retry_tokens=service.retry_tokens - 1.0)
+    tables = leave_stage(request.stage, request, put_service(tables, spent))
+    count = Count(name="route.retries", label=request.service)
+    again = replace(request, hedged=False)
+    return Step(tables=enqueue(tables, again, first=True), commands=(count,))
+
+
+def late_problem(peer: str = SELF) -> Problem:
+    """Describe a call whose time is over."""
+    return Problem(
+        code=Code.DEADLINE, step="route.wait", peer=peer, detail="the deadline passed"
+    )
--- /dev/null
+++ b/bulrushpulley/systems/route_queue.py
@@ -0,0 +1,69 @@
+"""The queue of each service: which call goes next, and which are turned away.
+
+Calls are served in order of arrival while the queue is short. Once the oldest has
+waited for `STANDING_SHARE` of its time the newest go first: under overload they can
+still be answered in time, while the oldest mostly cannot.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from pyrsistent import PDeque
+
+from bulrushpulley.entities.request import Request, Waiting
+from bulrushpulley.entities.router_tables import RouterTables
+from bulrushpulley.systems.route_finish import put_service
+
+STANDING_SHARE = 0.25
+
+
+def is_waiting(tables: RouterTables, call_id: str) -> bool:
+    """Tell whether a call in a queue still waits there."""
+    request = tables.requests.get(call_id)
+    return request is not None and request.stage == Waiting()
+
+
+def without_gone(tables: RouterTables, queue: PDeque[str]) -> PDeque[str]:
+    """Drop the ids of calls that are gone from the old end of a queue."""
+    while queue and not is_waiting(tables, queue.left):
+        queue = queue.popleft()
+    return queue
+
+
+def oldest_waiting(
+    tables: RouterTables, name: str
+) -> tuple[RouterTables, Request | None]:
+    """Return the oldest call that waits for a service, and leave it in the queue."""
+    service = tables.service(name)
+    queue = without_gone(tables, service.queue)
+    if queue is not service.queue:
+        tables = put_service(tables, replace(service, queue=queue))
+    return tables, tables.requests.by_key[queue.left] if queue else None
+
+
+def is_standing(oldest: Request, now: float) -> bool:
+    """Tell whether the queue is a standing one, by its oldest call."""
+    whole_s = oldest.deadline - oldest.received_at
+    return now - oldest.received_at > STANDING_SHARE * whole_s
+
+
+def next_waiting(
+    tables: RouterTables, name: str, now: float
+) -> tuple[RouterTables, Request | None]:
+    """Take the next call to be served out of the queue of a service.
+
+    A call that can no longer be answered in time stays for its timer to refuse.
+    """
+    service = tables.service(name)
+    queue = without_gone(tables, service.queue)
+    while queue:
+        oldest = tables.requests.by_key[queue.left]
+        newest_first = is_standing(oldest, now)
+        call_id = queue.right if newest_first else queue.left
+        queue = queue.pop() if newest_first else queue.popleft()
+        request = tables.requests.get(call_id)
+        if request is not None and request.stage == Waiting() and request.due_at > now:
+            return put_service(tables, replace(service, queue=queue)), request
+        queue = without_gone(tables, queue)
+    return put_service(tables, replace(service, queue=queue)), None
--- /dev/null
+++ b/bulrushpulley/systems/route_recall.py
@@ -0,0 +1,133 @@
+"""Asks agents for the outcome of requests that they may have run already."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.link import Recall, Send
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.entities.request import (
+    Attempt,
+    InFlight,
+    Recalling,
+    Request,
+    Stage,
+)
+from bulrushpulley.entities.router_tables import RouterTables
+from bulrushpulley.entities.step import Step
+from bulrushpulley.errors import Code, Problem, Ran
+from bulrushpulley.systems.route_finish import (
+    leave_stage,
+    put_request,
+    retry,
+    without_attempt,
+)
+
+UNLINKED_WAIT_S = 2.0
+
+
+def recall(
+    tables: RouterTables, request: Request, agent: str, now: float
+) -> Step[RouterTables]:
+    """Ask `agent` for the outcome, at once or when it is linked again."""
+    tables = leave_stage(request.stage, request, tables)
+    if agent in tables.links:
+        return send_recall(tables, request, agent, now)
+    until = min(request.deadline, now + UNLINKED_WAIT_S)
+    stage = Recalling(agent=agent, unlinked_until=until)
+    waiting = replace(request, stage=stage, due_at=until)
+    return Step(tables=put_request(tables, waiting))
+
+
+def send_recall(
+    tables: RouterTables, request: Request, agent: str, now: float
+) -> Step[RouterTables]:
+    """Send the agent a recall over its present link."""
+    tables, attempt_id = tables.numbered()
+    attempt = Attempt(
+        attempt_id=attempt_id,
+        call_id=request.call_id,
+        agent=agent,
+        sent_at=now,
+        recall=True,
+    )
+    asked = replace(
+        request,
+        stage=Recalling(agent=agent),
+        due_at=request.deadline,
+        attempts=(*request.attempts, attempt_id),
+    )
+    tables = replace(tables, attempts=tables.attempts.put(attempt_id, attempt))
+    item = Recall(
+        attempt_id=attempt_id,
+        request_id=request.request_id,
+        service=request.service,
+        remaining_s=request.deadline - now,
+    )
+    decision = Decision(
+        kind="route.recall",
+        subject=request.request_id,
+        chosen=agent,
+        reason="the claim of the id names this agent",
+    )
+    commands = (Send(peer=agent, item=item), decision)
+    return Step(tables=put_request(tables, asked), commands=commands)
+
+
+def unlinked_problem(agent: str) -> Problem:
+    """Describe a request whose agent cannot be asked for the outcome."""
+    return Problem(
+        code=Code.OUTCOME_UNKNOWN,
+        step="route.recall",
+        peer=agent,
+        detail="the agent that may have run the request is not linked",
+    )
+
+
+def link_lost(tables: RouterTables, attempt: Attempt, now: float) -> Step[RouterTables]:
+    """Go on with the request of an attempt whose answer cannot come any more."""
+    request = tables.requests.get(attempt.call_id)
+    if request is None:
+        return Step(tables=tables)
+    left = without_attempt(request, attempt.attempt_id)
+    tables = put_request(tables, left)
+    step = after_loss(left.stage, left, attempt, tables, now)
+    count = Count(name="route.attempts_lost", label=request.service)
+    return Step(tables=step.tables, commands=(*step.commands, count))
+
+
+@singledispatch
+def after_loss(
+    stage: Stage, request: Request, attempt: Attempt, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    """Go on from `stage` after an attempt was lost with its link."""
+    return Step(tables=tables)
+
+
+@after_loss.register
+def _(
+    stage: InFlight,
+    request: Request,
+    attempt: Attempt,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    if not request.repeatable:
+        return recall(tables, request, attempt.agent, now)
+    unsure = replace(request, may_have_run=True, tried=(*request.tried, attempt.agent))
+    if unsure.attempts:
+        return Step(tables=put_request(tables, unsure))
+    problem = unlinked_problem(attempt.agent)
+    return retry(tables, unsure, ran=Ran.UNKNOWN, problem=problem, now=now)
+
+
+@after_loss.register
+def _(
+    stage: Recalling,
+    request: Request,
+    attempt: Attempt,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    return recall(tables, request, attempt.agent, now)
--- /dev/null
+++ b/bulrushpulley/systems/route_send.py
@@ -0,0 +1,63 @@
+"""Sends one dispatch of a request to an agent."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.link import Dispatch, Send
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.entities.request import Attempt, InFlight, Request
+from bulrushpulley.entities.router_tables import RouterTables
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.route_choice import passed_over
+from bulrushpulley.systems.route_finish import put_request
+
+
+def dispatch(
+    tables: RouterTables, request: Request, agent: str, now: float, *, reason: str
+) -> Step[RouterTables]:
+    """Send the request to `agent` as a new attempt and take one of its slots."""
+    skipped = passed_over(tables, request.service, agent, now)
+    tables, attempt_id = tables.numbered()
+    attempt = Attempt(
+        attempt_id=attempt_id, call_id=request.call_id, agent=agent, sent_at=now
+    )
+    server = tables.servers.by_key[agent]
+    tables = replace(
+        tables,
+        attempts=tables.attempts.put(attempt_id, attempt),
+        servers=tables.servers.put(agent, server.dispatched()),
+    )
+    sent = replace(
+        request,
+        stage=InFlight(),
+        due_at=hedge_at(tables, request, now),
+        attempts=(*request.attempts, attempt_id),
+    )
+    item = Dispatch(
+        attempt_id=attempt_id,
+        request_id=request.request_id,
+        service=request.service,
+        repeatable=request.repeatable,
+        remaining_s=request.deadline - now,
+        body=request.body,
+    )
+    decision = Decision(
+        kind="route.dispatch",
+        subject=request.request_id or request.call_id,
+        chosen=server.agent,
+        reason=reason,
+        passed_over=skipped,
+        revision=tables.revision,
+    )
+    count = Count(name="route.dispatched", label=request.service)
+    commands = (Send(peer=agent, item=item), decision, count)
+    return Step(tables=put_request(tables, sent), commands=commands)
+
+
+def hedge_at(tables: RouterTables, request: Request, now: float) -> float:
+    """Return when to look at a dispatched request again."""
+    late_s = tables.service(request.service).late_s
+    if not request.repeatable or request.hedged or not late_s:
+        return request.deadline
+    return min(request.deadline, now + late_s)
--- /dev/null
+++ b/bulrushpulley/systems/route_settle.py
@@ -0,0 +1,217 @@
+"""Goes on from the outcome of each submitted claim.
+
+A claim that was committed for a call that has ended was never dispatched, so it is
+deleted. Nothing runs under a claim whose outcome is not known either: only the
+router that submitted it could dispatch under it, and it does so on `Committed`
+alone. Hence "not run" is true when time runs out meanwhile.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+from typing import cast
+
+from bulrushpulley.entities.commit import (
+    CommitOutcome,
+    Committed,
+    Conflicted,
+    Unsettled,
+    VersionedRow,
+    Withdrawn,
+)
+from bulrushpulley.entities.request import Claiming, Request, Stage
+from bulrushpulley.entities.router_tables import (
+    ClaimSubmission,
+    HeldClaim,
+    RouterTables,
+)
+from bulrushpulley.entities.rows import ClaimRow
+from bulrushpulley.entities.step import Step
+from bulrushpulley.errors import Code, Problem, Ran
+from bulrushpulley.systems.route_choice import barred_reason
+from bulrushpulley.systems.route_events import apply
+from bulrushpulley.systems.route_finish import (
+    claim_key,
+    enqueue,
+    leave_stage,
+    put_request,
+    refuse,
+    retry,
+)
+from bulrushpulley.systems.route_recall import recall
+from bulrushpulley.systems.route_send import dispatch
+
+CLAIM_TTL_S = 3600.0
+MAX_HELD_CLAIMS = 100_000
+RESUBMIT_S = 0.2
+COMMITTER = "committer"
+
+
+@singledispatch
+def claim_submission(stage: Stage) -> str:
+    """Return the id of the submission whose outcome a stage waits for."""
+    return ""
+
+
+@claim_submission.register
+def _(stage: Claiming) -> str:
+    return stage.submission_id
+
+
+@apply.register
+def _(event: CommitOutcome, tables: RouterTables, now: float) -> Step[RouterTables]:
+    pending = tables.submissions.get(event.submission_id)
+    if pending is None:
+        return Step(tables=tables)
+    tables = replace(tables, submissions=tables.submissions.drop(event.submission_id))
+    request = tables.requests.get(pending.call_id)
+    if request is None or claim_submission(request.stage) != event.submission_id:
+        return Step(tables=free_unused(event, pending, tables, now))
+    stage = cast(Claiming, request.stage)
+    return settle(event, request, stage, tables, now)
+
+
+@singledispatch
+def settle(
+    outcome: CommitOutcome,
+    request: Request,
+    stage: Claiming,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    """Go on with the request of a claim from the outcome of its submission."""
+    return Step(tables=tables)
+
+
+@settle.register
+def _(
+    outcome: Committed,
+    request: Request,
+    stage: Claiming,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    return claimed(tables, request, stage, outcome.revision, now)
+
+
+@settle.register
+def _(
+    outcome: Conflicted,
+    request: Request,
+    stage: Claiming,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    found = found_claim(outcome, claim_key(request.service, request.request_id))
+    if found.token == stage.submission_id:
+        return claimed(tables, request, stage, found.version, now)
+    tables = leave_stage(stage, request, tables)
+    request = replace(request, claim_version=found.version)
+    if found.row is None:
+        return Step(tables=enqueue(tables, request, first=True))
+    agent = cast(ClaimRow, found.row).incarnation
+    return recall(tables, replace(request, stage=Stage()), agent, now)
+
+
+@settle.register
+def _(
+    outcome: Withdrawn,
+    request: Request,
+    stage: Claiming,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    problem = Problem(
+        code=Code.UNAVAILABLE,
+        step="route.claim",
+        peer=COMMITTER,
+        detail=outcome.reason,
+    )
+    return refuse(tables, request, ran=Ran.NO, problem=problem, now=now)
+
+
+@settle.register
+def _(
+    outcome: Unsettled,
+    request: Request,
+    stage: Claiming,
+    tables: RouterTables,
+    now: float,
+) -> Step[RouterTables]:
+    due_at = min(request.deadline, now + RESUBMIT_S)
+    again = replace(request, stage=replace(stage, resubmit=True), due_at=due_at)
+    return Step(tables=put_request(tables, again))
+
+
+def claimed(
+    tables: RouterTables,
+    request: Request,
+    stage: Claiming,
+    version: int,
+    now: float,
+) -> Step[RouterTables]:
+    """Dispatch under a committed claim, unless its agent can get no work now.
+
+    Without a dispatch the request surely did not run, so it may be claimed for
+    another agent in place of this claim.
+    """
+    tables = leave_stage(stage, request, tables)
+    key = claim_key(request.service, request.request_id)
+    tables = hold(tables, key, version, now + CLAIM_TTL_S)
+    request = replace(request, claim_version=version)
+    ready = put_request(tables, request)
+    server = tables.servers.get(stage.agent)
+    reason = barred_reason(server, now) if server is not None else "not linked"
+    if now >= request.deadline:
+        reason = "the deadline passed"
+    if not reason:
+        return dispatch(ready, request, stage.agent, now, reason="claimed")
+    problem = Problem(
+        code=Code.UNAVAILABLE, step="route.claim", peer=stage.agent, detail=reason
+    )
+    request = replace(request, stage=Stage(), tried=(*request.tried, stage.agent))
+    return retry(ready, request, ran=Ran.NO, problem=problem, now=now)
+
+
+def found_claim(outcome: Conflicted, key: str) -> VersionedRow:
+    """Return the claim that stood in the way; an absent row if it is gone."""
+    found = [row for row in outcome.rows if row.key == key]
+    return found[0] if found else VersionedRow(key=key, version=0, row=None)
+
+
+def hold(
+    tables: RouterTables, key: str, version: int, delete_at: float
+) -> RouterTables:
+    """Note a claim row for its deletion; beyond the bound the sweep deletes it."""
+    if len(tables.claims) >= MAX_HELD_CLAIMS and key not in tables.claims:
+        return tables
+    claim = HeldClaim(key=key, version=version, delete_at=delete_at)
+    return replace(tables, claims=tables.claims.put(key, claim))
+
+
+@singledispatch
+def unused_version(outcome: CommitOutcome, pending: ClaimSubmission) -> int:
+    """Return the version of the claim row that a submission left; 0 if none."""
+    return 0
+
+
+@unused_version.register
+def _(outcome: Committed, pending: ClaimSubmission) -> int:
+    return outcome.revision
+
+
+@unused_version.register
+def _(outcome: Conflicted, pending: ClaimSubmission) -> int:
+    found = found_claim(outcome, pending.key)
+    return found.version if found.token == pending.submission_id else 0
+
+
+def free_unused(
+    outcome: CommitOutcome, pending: ClaimSubmission, tables: RouterTables, now: float
+) -> RouterTables:
+    """Have a claim deleted that came for a call that has ended."""
+    version = unused_version(outcome, pending)
+    if not version:
+        return tables
+    return hold(tables, pending.key, version, now)
--- /dev/null
+++ b/bulrushpulley/systems/route_sweep.py
@@ -0,0 +1,121 @@
+"""Deletes claims whose time is over, at a bounded rate.
+
+A router deletes the claims that it wrote after `CLAIM_TTL_S`, and those that were
+refused for good at once. What dead routers have left is found by reading the claims
+page by page: a row that has kept its version since a reading `CLAIM_TTL_S` ago is
+at least that old, by this process's clock alone. Every deletion is conditional on
+the version, so a claim that was replaced meanwhile stays.
+"""
+
+from __future__ import annotations
+
+import string
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import (
+    Condition,
+    ReadAsked,
+    Submission,
+    Submitted,
+    Write,
+)
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.router_tables import (
+    CLAIM_BUCKET_S,
+    ClaimPage,
+    HeldClaim,
+    RouterTables,
+)
+from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.systems.route_events import apply
+from bulrushpulley.systems.route_settle import CLAIM_TTL_S, hold
+
+SWEEP_S = 1.0
+DELETIONS_PER_SWEEP = 50
+PAGE_S = 5.0
+PAGE_CHARS = string.ascii_letters + string.digits + string.punctuation.replace("/", "")
+
+
+def run(tables: RouterTables, now: float) -> Step[RouterTables]:
+    """Delete some due claims, and read the next page of claims now and then."""
+    commands: list[Command] = []
+    if now >= tables.sweep_at:
+        step = delete_due(replace(tables, sweep_at=now + SWEEP_S), now)
+        tables = step.tables
+        commands.extend(step.commands)
+    if now >= tables.page_at:
+        step = read_page(replace(tables, page_at=now + PAGE_S))
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def delete_due(tables: RouterTables, now: float) -> Step[RouterTables]:
+    """Submit the deletion of up to `DELETIONS_PER_SWEEP` due claims."""
+    due = due_claims(tables, now)
+    commands: list[Command] = []
+    for claim in due:
+        tables, submission_id = tables.numbered()
+        tables = replace(tables, claims=tables.claims.drop(claim.key))
+        commands.append(deletion(claim, submission_id))
+    if due:
+        commands.append(Count(name="route.claims_deleted", by=len(due)))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def due_claims(tables: RouterTables, now: float) -> list[HeldClaim]:
+    """Return some of the claims that are due, those of the oldest buckets first."""
+    last = int(now / CLAIM_BUCKET_S)
+    buckets = (int(key) for key in tables.claims.by_index["deletion"])
+    found: list[HeldClaim] = []
+    for bucket in sorted(number for number in buckets if number <= last):
+        rows = tables.claims.rows_where("deletion", str(bucket))
+        found.extend(row for row in rows if row.delete_at <= now)
+        if len(found) >= DELETIONS_PER_SWEEP:
+            break
+    return found[:DELETIONS_PER_SWEEP]
+
+
+def deletion(claim: HeldClaim, submission_id: str) -> Tell:
+    """Return the command that deletes a claim if it still has its version."""
+    content = Submission(
+        submission_id=submission_id,
+        conditions=(Condition(key=claim.key, version=claim.version),),
+        writes=(Write(key=claim.key, row=None),),
+    )
+    return Tell(role="committer", event=Submitted(origin="router", submission=content))
+
+
+def page_prefix(tables: RouterTables) -> str:
+    """Return the prefix of the page that is to be read next; empty if none."""
+    names = sorted(tables.services)
+    if not names:
+        return ""
+    place, char = divmod(tables.page_number, len(PAGE_CHARS))
+    return f"claim/{names[place % len(names)]}/{PAGE_CHARS[char]}"
+
+
+def read_page(tables: RouterTables) -> Step[RouterTables]:
+    """Ask for the claims of the next page."""
+    prefix = page_prefix(tables)
+    if not prefix:
+        return Step(tables=tables)
+    tables, fetch_id = replace(tables, page_number=tables.page_number + 1).numbered()
+    asked = ReadAsked(origin="router", fetch_id=fetch_id, prefix=prefix)
+    return Step(tables=tables, commands=(Tell(role="committer", event=asked),))
+
+
+@apply.register
+def _(event: Fetched, tables: RouterTables, now: float) -> Step[RouterTables]:
+    if event.failed:
+        return Step(tables=tables)
+    before = tables.pages.get(event.prefix)
+    if before is not None and now - before.read_at < CLAIM_TTL_S:
+        return Step(tables=tables)
+    for row in event.rows:
+        left = before is not None and 0 < row.version <= before.revision
+        if left and row.row is not None:
+            tables = hold(tables, row.key, row.version, now)
+    page = ClaimPage(prefix=event.prefix, revision=event.revision, read_at=now)
+    return Step(tables=replace(tables, pages=tables.pages.put(event.prefix, page)))
--- /dev/null
+++ b/bulrushpulley/systems/route_timers.py
@@ -0,0 +1,84 @@
+"""Looks at the requests whose moment has come: refuses late ones, hedges slow ones.
+
+Requests stand in an index by the coarse bucket of `due_at`, so a tick looks only
+at the buckets that have passed since the tick before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.request import (
+    InFlight,
+    Recalling,
+    Request,
+    Stage,
+    timer_bucket,
+)
+from bulrushpulley.entities.router_tables import RouterTables
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.errors import Code, Problem, Ran
+from bulrushpulley.systems.route_finish import late_problem, refuse
+from bulrushpulley.systems.route_hedge import hedge
+from bulrushpulley.systems.route_recall import unlinked_problem
+
+
+def run(tables: RouterTables, now: float) -> Step[RouterTables]:
+    """Look at every request that has become due."""
+    last = timer_bucket(now) - 1
+    commands: list[Command] = []
+    for bucket in passed_buckets(tables, last):
+        for request in tables.requests.rows_where("due", bucket):
+            step = after_due(request.stage, request, tables, now)
+            tables = step.tables
+            commands.extend(step.commands)
+    return Step(tables=replace(tables, timers_until=last), commands=tuple(commands))
+
+
+def passed_buckets(tables: RouterTables, last: int) -> Iterable[str]:
+    """Return the buckets up to `last` that may hold requests, oldest first."""
+    first = tables.timers_until + 1
+    filled = tables.requests.by_index["due"]
+    if last - first < len(filled):
+        return [str(number) for number in range(first, last + 1)]
+    return sorted((key for key in filled if int(key) <= last), key=int)
+
+
+@singledispatch
+def after_due(
+    stage: Stage, request: Request, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    """Refuse a request that has nothing in flight."""
+    return refuse_late(request, tables, now)
+
+
+def refuse_late(
+    request: Request, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    """Refuse a request whose time is over and that has nothing in flight."""
+    return refuse(tables, request, ran=Ran.NO, problem=late_problem(), now=now)
+
+
+@after_due.register
+def _(
+    stage: InFlight, request: Request, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    if now < request.deadline:
+        return hedge(tables, request, now)
+    problem = Problem(
+        code=Code.OUTCOME_UNKNOWN,
+        step="route.answer",
+        peer=request.tried[-1] if request.tried else "agent",
+        detail="no answer came before the deadline",
+    )
+    return refuse(tables, request, ran=Ran.UNKNOWN, problem=problem, now=now)
+
+
+@after_due.register
+def _(
+    stage: Recalling, request: Request, tables: RouterTables, now: float
+) -> Step[RouterTables]:
+    problem = unlinked_problem(stage.agent)
+    return refuse(tables, request, ran=Ran.UNKNOWN, problem=problem, now=now)
