--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -1,9 +1,10 @@
 """The tasks that no cell holds yet, queued for assignment.
 
-Rows of a department wait in lanes by rank and priority, first come first served.
-A row that could not be placed leaves its lane for a while, so that it does not
-hold up what stands behind it. Lanes may keep keys of rows that are gone; they
-are passed over when they are reached.
+Rows wait in lanes, first come first served. All tasks of a lane are alike to the
+assignment: the same department, rank, priority, size and failure domains. So a
+lane whose first row cannot be placed is blocked as a whole for a while and holds
+up no other. Lanes may keep keys of rows that are gone; they are passed over when
+they are reached.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import enum
 from dataclasses import dataclass
 
+from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskSpec
 
 CLOSING = "closing"
@@ -25,7 +27,7 @@
 
 
 class Phase(enum.Enum):
-    """Where a waiting row stands: in its lane, put off, or being assigned."""
+    """Where a waiting row stands: in its lane, put off alone, or being assigned."""
 
     QUEUED = "queued"
     DEFERRED = "deferred"
@@ -48,11 +50,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Lane:
-    """One queue of a department."""
+    """One queue; `service` is empty for jobs, whose records never change."""
 
     department: str
     rank: Rank
     priority: int
+    size: Resources
+    failure_domains: tuple[str, ...]
+    service: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,7 +70,6 @@
     lane: Lane
     seen_at: float
     phase: Phase = Phase.QUEUED
-    why: Why = Why.QUEUED
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +80,14 @@
     until: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wake:
+    """A blocked lane that is tried again at `at`."""
+
+    lane: Lane
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Closing:
     """Tasks of a record that are being stopped for good.
@@ -121,7 +133,14 @@
         rank = Rank.LATENCY_CRITICAL
     if spec.urgent:
         rank = Rank.URGENT
-    return Lane(department=spec.department, rank=rank, priority=spec.priority)
+    return Lane(
+        department=spec.department,
+        rank=rank,
+        priority=spec.priority,
+        size=spec.size,
+        failure_domains=spec.failure_domains,
+        service=spec.job if spec.kind == "service" else "",
+    )
 
 
 def by_job(waiting: Waiting) -> tuple[str, ...]:
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -85,12 +85,19 @@
 
 
 def with_summary(view: CellView, summary: CellSummary, now: float) -> CellView:
-    """Take a new summary; reservations that it must already show are dropped."""
-    kept = tuple(
-        one
-        for one in view.reservations
-        if one.committed_at is None or now < one.committed_at + SETTLE_S
-    )
+    """Take a new summary; reservations that it must already show are dropped.
+
+    Tasks that wait in the cell use nothing there yet, so the newest reservations
+    are kept for as many tasks as wait.
+    """
+    kept: tuple[Reservation, ...] = ()
+    tasks = 0
+    for one in reversed(view.reservations):
+        settled = one.committed_at is not None and now >= one.committed_at + SETTLE_S
+        if settled and tasks >= summary.waiting:
+            continue
+        kept = (one, *kept)
+        tasks += one.tasks
     return _recount(
         replace(
             view,
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from pyrsistent import PDeque, PMap, pdeque, pmap
+from pyrsistent import PMap, PSet, pmap, pset
 
 from bulrushpulley.entities.backlog import (
     Closed,
@@ -12,6 +12,8 @@
     Deferral,
     Lane,
     Waiting,
+    Wake,
+    Why,
     by_job,
 )
 from bulrushpulley.entities.cell_view import CellView
@@ -27,6 +29,7 @@
     by_purpose,
     by_resubmission,
 )
+from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import RevisionRow
 from bulrushpulley.entities.table import Table
@@ -116,11 +119,7 @@
     )
 
 
-def _no_jobs() -> PDeque[str]:
-    return pdeque(maxlen=RECENT_JOBS)
-
-
-Lanes = PMap[Lane, "PDeque[str]"]
+Lanes = PMap[Lane, Queue[str]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,7 +129,8 @@
     `records` holds the record rows of the configuration, jobs left out, by key;
     `revision` is the one up to which they are complete and `revision_row` the
     last seen row of the table service. `usage` sums what each department uses and
-    has reserved over `cells`. `deferred` is ordered by time. `closed_keys` holds
+    has reserved over `cells`. `lanes` are either in `ready` or in
+    `blocked`; `wakes` and `deferred` are ordered by time. `closed_keys` holds
     the outcomes of each closing record, and `recent_jobs` the jobs last seen.
     `said_at` bounds the decision lines.
     """
@@ -158,15 +158,18 @@
     usage: PMap[str, Resources] = field(default_factory=pmap)
     waiting: Table[Waiting] = field(default_factory=_waiting)
     lanes: Lanes = field(default_factory=pmap)
-    deferred: PDeque[Deferral] = field(default_factory=pdeque)
+    ready: PSet[Lane] = field(default_factory=pset)
+    blocked: PMap[Lane, Why] = field(default_factory=pmap)
+    wakes: Queue[Wake] = field(default_factory=Queue.empty)
+    deferred: Queue[Deferral] = field(default_factory=Queue.empty)
     closings: Table[Closing] = field(default_factory=Table.empty)
     closed_keys: PMap[str, PMap[str, Closed]] = field(default_factory=pmap)
     changes: Table[Change] = field(default_factory=Table.empty)
-    change_queue: PDeque[str] = field(default_factory=pdeque)
+    change_queue: Queue[str] = field(default_factory=Queue.empty)
     pending: Table[Pending] = field(default_factory=_pending)
     polls: Table[Poll] = field(default_factory=Table.empty)
     enquiries: Table[Enquiry] = field(default_factory=Table.empty)
-    recent_jobs: PDeque[str] = field(default_factory=_no_jobs)
+    recent_jobs: tuple[str, ...] = ()
     said_at: PMap[str, float] = field(default_factory=pmap)
 
     @property
--- /dev/null
+++ b/bulrushpulley/entities/queue.py
@@ -0,0 +1,63 @@
+"""An immutable first-in, first-out queue.
+
+Appending and taking cost about the same whatever the length; a few items may be
+put back in front.
+
+Example::
+
+    queue = Queue.empty().append("a").append("b")
+    queue.first, queue.rest().first
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Generic, TypeVar
+
+from pyrsistent import PVector, pvector
+
+T = TypeVar("T")
+
+COMPACT_AT = 1_024
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Queue(Generic[T]):
+    """The items put back in `front`, then those of `items` from `start` on."""
+
+    front: tuple[T, ...]
+    items: PVector[T]
+    start: int
+
+    @staticmethod
+    def empty() -> Queue[T]:
+        """Return a queue without items."""
+        return Queue(front=(), items=pvector(), start=0)
+
+    @property
+    def first(self) -> T:
+        """The item that is next; the queue must hold one."""
+        return self.front[0] if self.front else self.items[self.start]
+
+    def append(self, item: T) -> Queue[T]:
+        """Return the queue with an item at its end."""
+        return replace(self, items=self.items.append(item))
+
+    def prepend(self, item: T) -> Queue[T]:
+        """Return the queue with an item put back in front."""
+        return replace(self, front=(item, *self.front))
+
+    def rest(self) -> Queue[T]:
+        """Return the queue without its first item."""
+        if self.front:
+            return replace(self, front=self.front[1:])
+        start = self.start + 1
+        if start >= COMPACT_AT and 2 * start > len(self.items):
+            return replace(self, items=pvector(self.items[start:]), start=0)
+        return replace(self, start=start)
+
+    def __len__(self) -> int:
+        return len(self.front) + len(self.items) - self.start
+
+    def __bool__(self) -> bool:
+        return len(self) > 0
--- a/bulrushpulley/systems/control_assign.py
+++ b/bulrushpulley/systems/control_assign.py
@@ -10,7 +10,7 @@
 
 import heapq
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from bulrushpulley.entities.backlog import (
     Lane,
@@ -31,10 +31,16 @@
     TaskSpec,
     TaskState,
 )
-from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_backlog import defer, head, take
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.control_backlog import (
+    block,
+    defer,
+    head,
+    take,
+    with_queue,
+)
 from bulrushpulley.systems.control_cells import put_cell
-from bulrushpulley.systems.control_events import Controlled
+from bulrushpulley.systems.control_events import Controlled, then
 from bulrushpulley.systems.control_place import Choice, Memo, choose
 from bulrushpulley.systems.control_records import find, record_key
 from bulrushpulley.systems.control_said import say
@@ -43,76 +49,76 @@
 
 ASSIGNMENTS_IN_FLIGHT = 32
 ROWS_A_TICK = 64
-ROWS_A_LANE = 16
 SETTLE_WITHIN_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Turn:
-    """A lane's place in the order of a rank."""
+    """A lane's place in the order of a rank; `key` is that of its first row."""
 
     share: float
     minus_urgency: float
-    lane_name: str
-    lane: Lane
+    key: str
+    lane: Lane = field(compare=False)
 
 
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Assign what has room, in order, within the bounds of one tick."""
-    if not tables.lanes:
+    if not tables.ready:
         return Step(tables=tables)
-    commands: list[Command] = []
+    step = Step(tables=tables)
+    by_rank: dict[Rank, list[Lane]] = {rank: [] for rank in Rank}
+    for lane in tables.ready:
+        by_rank[lane.rank].append(lane)
     memo = Memo()
     left = ROWS_A_TICK
-    for rank in Rank:
-        step, left = _assign_rank(tables, rank, left, now, memo)
-        tables = step.tables
-        commands.extend(step.commands)
-    return Step(tables=tables, commands=tuple(commands))
+    for lanes in by_rank.values():
+        ranked, left = _assign_rank(step.tables, lanes, left, now, memo)
+        step = then(step, ranked)
+    return step
 
 
 def _assign_rank(
-    tables: ControllerTables, rank: Rank, left: int, now: float, memo: Memo
+    tables: ControllerTables, lanes: list[Lane], left: int, now: float, memo: Memo
 ) -> tuple[Controlled, int]:
-    commands: list[Command] = []
-    turns = _turns(tables, rank, now)
-    heapq.heapify(turns)
-    tries: Counter[Lane] = Counter()
-    while turns and left > 0 and _in_flight(tables) < ASSIGNMENTS_IN_FLIGHT:
-        turn = heapq.heappop(turns)
-        tables, first = head(tables, turn.lane)
+    step = Step(tables=tables)
+    turns: list[Turn] = []
+    for lane in lanes:
+        step = replace(step, tables=_queue_up(step.tables, lane, turns, now))
+    while turns and left > 0 and _in_flight(step.tables) < ASSIGNMENTS_IN_FLIGHT:
+        lane = heapq.heappop(turns).lane
+        _, first = head(step.tables, lane)
         if first is None:
             continue
-        step = _attempt(tables, first, now, memo)
-        tables = step.tables
-        commands.extend(step.commands)
+        step = then(step, _attempt(step.tables, first, now, memo))
         left -= 1
-        tries[turn.lane] += 1
-        if tries[turn.lane] < ROWS_A_LANE:
-            heapq.heappush(turns, _turn(tables, turn.lane, first, now))
-    return Step(tables=tables, commands=tuple(commands)), left
+        if lane in step.tables.ready:
+            heapq.heappush(turns, _turn(step.tables, lane, first, now))
+    return step, left
 
 
 def _in_flight(tables: ControllerTables) -> int:
     return tables.pending.count_where("purpose", AssignTasks.__name__)
 
 
-def _turns(tables: ControllerTables, rank: Rank, now: float) -> list[Turn]:
-    turns: list[Turn] = []
-    for lane in tables.lanes:
-        if lane.rank is not rank or not is_responsible(tables, lane.department):
-            continue
-        _, first = head(tables, lane)
-        if first is not None:
-            turns.append(_turn(tables, lane, first, now))
-    return turns
+def _queue_up(
+    tables: ControllerTables, lane: Lane, turns: list[Turn], now: float
+) -> ControllerTables:
+    """Give a lane its turn, or set it aside if it is empty or another entry's."""
+    queue, first = head(tables, lane)
+    if first is None:
+        return with_queue(tables, lane, queue)
+    if not is_responsible(tables, lane.department):
+        return block(tables, lane, Why.OTHER_ENTRY, now)
+    heapq.heappush(turns, _turn(tables, lane, first, now))
+    return tables
 
 
 def _turn(tables: ControllerTables, lane: Lane, first: Waiting, now: float) -> Turn:
     return Turn(
         share=share(tables, lane.department),
         minus_urgency=-urgency(lane, first, now),
-        lane_name=f"{lane.department}|{lane.priority}",
+        key=first.key,
         lane=lane,
     )
 
@@ -148,24 +154,18 @@
 ) -> Controlled:
     spec = current_spec(tables, waiting)
     if spec is None:
-        return _put_off(tables, waiting, Why.CLOSED, now)
+        return Step(tables=defer(take(tables, waiting), waiting, now))
     choice = choose(tables, waiting, spec, now, memo)
-    if not choice.cells:
-        return _put_off(tables, waiting, choice.why, now)
-    return _assigned(tables, waiting, spec, choice, now)
-
-
-def _put_off(
-    tables: ControllerTables, waiting: Waiting, why: Why, now: float
-) -> Controlled:
+    if choice.cells:
+        return _assigned(tables, waiting, spec, choice, now)
     decision = Decision(
         kind="place.wait",
-        subject=waiting.row.spec.job,
+        subject=spec.job,
         chosen="",
-        reason=why.value,
+        reason=choice.why.value,
         revision=tables.revision,
     )
-    return say(defer(tables, waiting, why, now), decision, now)
+    return say(block(tables, waiting.lane, choice.why, now), decision, now)
 
 
 def _assigned(
--- a/bulrushpulley/systems/control_assigned.py
+++ b/bulrushpulley/systems/control_assigned.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from bulrushpulley.entities.backlog import Phase, Why
+from bulrushpulley.entities.backlog import Phase
 from bulrushpulley.entities.cell_view import settle_reservation, without_reservation
 from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.control_backlog import (
     PREFIX,
-    defer_taken,
+    defer,
     enqueue,
     note_rows,
 )
@@ -98,11 +98,9 @@
     waiting = tables.waiting.get(purpose.source)
     if waiting is None or waiting.phase is not Phase.ASSIGNING:
         return Step(tables=tables)
-    spec = purpose.placed[0].row.spec
     if failed == {purpose.source}:
         return Step(tables=enqueue(tables, purpose.source, first=True))
-    why = Why.CLOSED if spec.record_key in failed else Why.QUEUED
-    return Step(tables=defer_taken(tables, waiting, why, now))
+    return Step(tables=defer(tables, waiting, now))
 
 
 @on_loss.register
@@ -117,4 +115,4 @@
     waiting = tables.waiting.get(purpose.source)
     if waiting is None:
         return Step(tables=tables)
-    return Step(tables=defer_taken(tables, waiting, Why.QUEUED, now))
+    return Step(tables=defer(tables, waiting, now))
--- a/bulrushpulley/systems/control_backlog.py
+++ b/bulrushpulley/systems/control_backlog.py
@@ -10,8 +10,6 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from pyrsistent import PDeque, pdeque
-
 from bulrushpulley.entities.backlog import (
     CLOSING,
     Closing,
@@ -19,19 +17,22 @@
     Lane,
     Phase,
     Waiting,
+    Wake,
     Why,
     lane_of,
 )
 from bulrushpulley.entities.commit import VersionedRow
-from bulrushpulley.entities.controller_tables import ControllerTables, Lanes
+from bulrushpulley.entities.controller_tables import RECENT_JOBS, ControllerTables
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.pending import Poll, ReadBacklog
+from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.rows import BacklogRow, TaskSpec
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.control_events import Controlled, on_rows
 
 PREFIX = "backlog/"
 READ_EVERY_S = 0.5
+BLOCK_S = 1.0
 DEFER_S = 1.0
 WAKES_PER_TICK = 64
 
@@ -91,10 +92,10 @@
     return enqueue(tables, row.key, first=first)
 
 
-def _with_recent(tables: ControllerTables, spec: TaskSpec) -> PDeque[str]:
+def _with_recent(tables: ControllerTables, spec: TaskSpec) -> tuple[str, ...]:
     if spec.kind != "job" or spec.job in tables.recent_jobs:
         return tables.recent_jobs
-    return tables.recent_jobs.append(spec.job)
+    return (*tables.recent_jobs, spec.job)[-RECENT_JOBS:]
 
 
 def _noted_marker(
@@ -127,52 +128,64 @@
     waiting = tables.waiting.get(key)
     if waiting is None:
         return tables
-    queue = tables.lanes.get(waiting.lane, pdeque())
-    queue = queue.appendleft(key) if first else queue.append(key)
-    queued = replace(waiting, phase=Phase.QUEUED)
-    return replace(
-        tables,
-        lanes=tables.lanes.set(waiting.lane, queue),
-        waiting=tables.waiting.put(key, queued),
-    )
-
-
-def head(
-    tables: ControllerTables, lane: Lane
-) -> tuple[ControllerTables, Waiting | None]:
-    """Return the first row of a lane, after dropping keys that wait no more."""
-    queue = tables.lanes.get(lane, pdeque())
+    lane = waiting.lane
+    queue = tables.lanes.get(lane) or Queue.empty()
+    queue = queue.prepend(key) if first else queue.append(key)
+    if waiting.phase is not Phase.QUEUED:
+        queued = replace(waiting, phase=Phase.QUEUED)
+        tables = replace(tables, waiting=tables.waiting.put(key, queued))
+    ready = tables.ready if lane in tables.blocked else tables.ready.add(lane)
+    return replace(tables, lanes=tables.lanes.set(lane, queue), ready=ready)
+
+
+def head(tables: ControllerTables, lane: Lane) -> tuple[Queue[str], Waiting | None]:
+    """Return the first row of a lane and its queue without keys that wait no more."""
+    queue = tables.lanes.get(lane) or Queue.empty()
     while queue:
-        waiting = tables.waiting.get(queue.left)
+        waiting = tables.waiting.get(queue.first)
         if waiting is not None and waiting.phase is Phase.QUEUED:
-            return replace(tables, lanes=tables.lanes.set(lane, queue)), waiting
-        queue = queue.popleft()
-    return replace(tables, lanes=tables.lanes.discard(lane)), None
+            return queue, waiting
+        queue = queue.rest()
+    return queue, None
 
 
-def take(tables: ControllerTables, waiting: Waiting) -> ControllerTables:
-    """Take the first row of its lane out for assignment."""
-    taken = replace(waiting, phase=Phase.ASSIGNING, why=Why.ASSIGNING)
+def with_queue(
+    tables: ControllerTables, lane: Lane, queue: Queue[str]
+) -> ControllerTables:
+    """Put a lane's queue in place; an empty lane is dropped."""
+    if queue:
+        return replace(tables, lanes=tables.lanes.set(lane, queue))
     return replace(
         tables,
-        lanes=_shortened(tables, waiting.lane),
-        waiting=tables.waiting.put(waiting.key, taken),
+        lanes=tables.lanes.discard(lane),
+        ready=tables.ready.discard(lane),
+        blocked=tables.blocked.discard(lane),
     )
 
 
-def defer(
-    tables: ControllerTables, waiting: Waiting, why: Why, now: float
+def block(
+    tables: ControllerTables, lane: Lane, why: Why, now: float
 ) -> ControllerTables:
-    """Put the first row of its lane off for `DEFER_S`."""
-    tables = replace(tables, lanes=_shortened(tables, waiting.lane))
-    return defer_taken(tables, waiting, why, now)
+    """Leave a lane out of the assignment for `BLOCK_S`."""
+    return replace(
+        tables,
+        ready=tables.ready.discard(lane),
+        blocked=tables.blocked.set(lane, why),
+        wakes=tables.wakes.append(Wake(lane=lane, at=now + BLOCK_S)),
+    )
 
 
-def defer_taken(
-    tables: ControllerTables, waiting: Waiting, why: Why, now: float
-) -> ControllerTables:
-    """Put a row off that stands in no lane."""
-    deferred = replace(waiting, phase=Phase.DEFERRED, why=why)
+def take(tables: ControllerTables, waiting: Waiting) -> ControllerTables:
+    """Take the first row of its lane out for assignment."""
+    queue, _ = head(tables, waiting.lane)
+    tables = with_queue(tables, waiting.lane, queue.rest())
+    taken = replace(waiting, phase=Phase.ASSIGNING)
+    return replace(tables, waiting=tables.waiting.put(waiting.key, taken))
+
+
+def defer(tables: ControllerTables, waiting: Waiting, now: float) -> ControllerTables:
+    """Put a row off that stands in no lane, for `DEFER_S`."""
+    deferred = replace(waiting, phase=Phase.DEFERRED)
     return replace(
         tables,
         waiting=tables.waiting.put(waiting.key, deferred),
@@ -180,19 +193,28 @@
     )
 
 
-def _shortened(tables: ControllerTables, lane: Lane) -> Lanes:
-    queue = tables.lanes.get(lane, pdeque()).popleft()
-    return tables.lanes.set(lane, queue) if queue else tables.lanes.discard(lane)
-
-
 def run(tables: ControllerTables, now: float) -> Controlled:
-    """Return rows that were put off to their lanes, a bounded number a tick."""
+    """Return lanes and rows whose pause is over, a bounded number a tick."""
     for _ in range(WAKES_PER_TICK):
-        if not tables.deferred or tables.deferred.left.until > now:
+        if not tables.wakes or tables.wakes.first.at > now:
             break
-        key = tables.deferred.left.key
-        tables = replace(tables, deferred=tables.deferred.popleft())
+        tables = _woken(tables, tables.wakes.first.lane)
+    for _ in range(WAKES_PER_TICK):
+        if not tables.deferred or tables.deferred.first.until > now:
+            break
+        key = tables.deferred.first.key
+        tables = replace(tables, deferred=tables.deferred.rest())
         waiting = tables.waiting.get(key)
         if waiting is not None and waiting.phase is Phase.DEFERRED:
             tables = enqueue(tables, key)
     return Step(tables=tables)
+
+
+def _woken(tables: ControllerTables, lane: Lane) -> ControllerTables:
+    ready = tables.ready.add(lane) if lane in tables.lanes else tables.ready
+    return replace(
+        tables,
+        wakes=tables.wakes.rest(),
+        blocked=tables.blocked.discard(lane),
+        ready=ready,
+    )
--- a/bulrushpulley/systems/control_changes.py
+++ b/bulrushpulley/systems/control_changes.py
@@ -84,8 +84,8 @@
     step = Step(tables=tables)
     while step.tables.change_queue and not _is_changing(step.tables):
         tables = step.tables
-        call_id = tables.change_queue.left
-        queue = tables.change_queue.popleft()
+        call_id = tables.change_queue.first
+        queue = tables.change_queue.rest()
         tables = replace(tables, change_queue=queue, changing=call_id)
         step = then(step, _first_try(tables, call_id, now))
     return step
@@ -248,11 +248,12 @@
     key = key_of(change.call)
     if key in by_key and pending.unsettled:
         return _settled_by_reading(tables, change, purpose.row, by_key[key])
-    others = [name for name in by_key if name not in (key, REVISION_KEY)]
-    if others:
-        return _reject(tables, purpose.call_id, _barred(by_key[others[0]]))
     if key in by_key:
         change = replace(change, current=by_key[key], verified=True)
+        return _try(tables, change, now)
+    others = [name for name in by_key if name != REVISION_KEY]
+    if others:
+        return _reject(tables, purpose.call_id, _barred(by_key[others[0]]))
     return _try(tables, change, now)
 
 
--- a/bulrushpulley/systems/control_enquiries.py
+++ b/bulrushpulley/systems/control_enquiries.py
@@ -72,7 +72,7 @@
 
 @apply.register
 def _(event: ops.AskStatus, tables: ControllerTables, now: float) -> Controlled:
-    recent = list(tables.recent_jobs)[-STATUS_JOBS:]
+    recent = list(tables.recent_jobs[-STATUS_JOBS:])
     jobs = [event.job] if event.job else recent
     return _asked(tables, event, now, jobs=jobs, prefixes=_done_prefixes(jobs))
 
--- a/bulrushpulley/systems/control_records.py
+++ b/bulrushpulley/systems/control_records.py
@@ -62,7 +62,7 @@
         known = tables.records.get(row.key)
         if not row.key.startswith("record/") or row.key.startswith("record/job/"):
             continue
-        if row.row is None or (known is not None and known.version >= row.version):
+        if row.row is None or not is_newer(row, known):
             continue
         tables = replace(tables, records=tables.records.put(row.key, row))
         changed.add(row.key.split("/")[1])
@@ -75,6 +75,11 @@
     return tables
 
 
+def is_newer(row: VersionedRow, known: VersionedRow | None) -> bool:
+    """Tell whether a row offered is newer than the known one."""
+    return known is None or row.version > known.version
+
+
 def record_row(row: VersionedRow | None) -> RecordRow | None:
     """Return the record row that a versioned row holds, or None."""
     held = row.row if row is not None else None
--- a/bulrushpulley/systems/control_status.py
+++ b/bulrushpulley/systems/control_status.py
@@ -24,6 +24,7 @@
     ServiceStatus,
     Status,
 )
+from bulrushpulley.systems.control_explain import why_of
 from bulrushpulley.systems.control_members import live_entries
 from bulrushpulley.systems.control_offers import CELL_SILENT_S
 from bulrushpulley.systems.control_records import record_row
@@ -160,7 +161,8 @@
 ) -> JobStatus:
     waiting = _waiting_of(tables, job.name)
     ended = sum(done.values())
-    reasons = {row.why.value for row in tables.waiting.rows_where("job", job.name)}
+    rows = tables.waiting.rows_where("job", job.name)
+    reasons = {why_of(tables, row).value for row in rows}
     return JobStatus(
         name=job.name,
         department=job.department,
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable
 from functools import singledispatch
 from typing import Any, TypeVar
@@ -72,6 +73,7 @@
         self.inbox: dict[str, list[Event]] = {}
         self.sent: list[tuple[str, Command]] = []
         self.transactions = 0
+        self.tick_s = 0.0
         self.paused: set[str] = set()
         for name in entries:
             self.start(name)
@@ -107,7 +109,9 @@
 
     def tick(self, name: str) -> None:
         events, self.inbox[name] = self.inbox[name], []
+        began = time.perf_counter()
         step = self.roles[name].tick(self.tables[name], events, self.now)
+        self.tick_s += time.perf_counter() - began
         self.tables[name] = step.tables
         for command in step.commands:
             self.sent.append((name, command))
