--- /dev/null
+++ b/bulrushpulley/entities/cell.py
@@ -0,0 +1,77 @@
+"""The cells that an agent watches, takes and owns."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from bulrushpulley.entities.link import CellSummary
+from bulrushpulley.entities.rows import LeaseRow
+
+
+class CellPhase(enum.Enum):
+    """How far an agent has come with a cell."""
+
+    WATCHING = "watching"
+    TAKING = "taking"
+    LOADING = "loading"
+    OWNED = "owned"
+    RELEASING = "releasing"
+
+
+HELD = frozenset({CellPhase.LOADING, CellPhase.OWNED})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cell:
+    """One cell.
+
+    `lease` stands at `lease_version`. While watching, `alive_version` is the
+    version of the owner's liveness row, first seen at `alive_seen_at`. Of the
+    owner before, nothing lasts after `lapsed_at`. Rows are known up to revision
+    `rows_since`. `place_due` says that something that matters to placement has
+    changed.
+    """
+
+    name: str
+    phase: CellPhase
+    lease: LeaseRow | None = None
+    lease_version: int = 0
+    alive_version: int | None = None
+    alive_seen_at: float = 0.0
+    next_watch_at: float = 0.0
+    taken_at: float = 0.0
+    lapsed_at: float = 0.0
+    rows_since: int = 0
+    refetch_at: float = 0.0
+    place_due: bool = False
+    sweep_at: float = 0.0
+    summary_due: bool = True
+    summary: CellSummary | None = None
+    summarized_at: float = 0.0
+    release_by: float = 0.0
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the present lease."""
+        return self.lease.epoch if self.lease else 0
+
+
+def lease_key(cell: str) -> str:
+    """Return the key of a cell's lease row."""
+    return f"lease/{cell}"
+
+
+def alive_key(agent: str) -> str:
+    """Return the key of an agent's liveness row."""
+    return f"alive/{agent}"
+
+
+def domain_key(failure_domain: str) -> str:
+    """Return the key of a failure domain's record row."""
+    return f"record/failure_domain/{failure_domain}"
+
+
+def record_key(cell: str) -> str:
+    """Return the key of a cell's record row."""
+    return f"record/cell/{cell}"
--- /dev/null
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -0,0 +1,122 @@
+"""The tables of the cell owner and the events and commands that are its own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bulrushpulley.entities import cell as cells
+from bulrushpulley.entities import in_flight, task, worker
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.entities.table import Table
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaveCells(Event):
+    """The process is stopping: release every cell."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellsReleased(Command):
+    """No cell is owned any more, so that the process may exit."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkedEntry:
+    """An entry to which a stream is open."""
+
+    peer: str
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Liveness:
+    """The agent's own liveness row.
+
+    `version` is None until it was read. `confirmed_sent_at` is when the last
+    renewal that is known to have committed was first sent; `pending` is the id
+    of the renewal in flight.
+    """
+
+    version: int | None = None
+    renewals: int = 0
+    pending: str = ""
+    renew_at: float = 0.0
+    confirmed_sent_at: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancelling:
+    """A record whose tasks are being cancelled, a batch each tick."""
+
+    record_key: str
+
+
+def _tasks() -> Table[task.Task]:
+    return Table.empty(
+        indexes={
+            "worker": task.by_worker,
+            "phase": task.by_phase,
+            "cell": task.by_cell,
+            "record": task.by_job,
+        }
+    )
+
+
+def _workers() -> Table[worker.Worker]:
+    return Table.empty(indexes={"cell": worker.by_cell})
+
+
+def _flights() -> Table[in_flight.Flight]:
+    return Table.empty(
+        indexes={
+            "peer": in_flight.flights_by_peer,
+            "cell": in_flight.flights_by_cell,
+        }
+    )
+
+
+def _readings() -> Table[in_flight.Reading]:
+    return Table.empty(
+        indexes={
+            "peer": in_flight.readings_by_peer,
+            "purpose": in_flight.readings_by_purpose,
+        }
+    )
+
+
+def _failures() -> Table[worker.Failure]:
+    return Table.empty(
+        indexes={
+            "worker": worker.failures_by_worker,
+            "record": worker.failures_by_record,
+        }
+    )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellOwnerTables:
+    """Everything the cell owner knows.
+
+    `agent`, `incarnation`, `region` and `autonomy_s` come from the settings and
+    stay; `records` holds the record rows of the configuration by key.
+    """
+
+    agent: str
+    incarnation: str
+    region: str
+    autonomy_s: float
+    liveness: Liveness = field(default_factory=Liveness)
+    leaving: bool = False
+    released: bool = False
+    last_number: int = 0
+    revision: int = 0
+    entries: Table[LinkedEntry] = field(default_factory=Table.empty)
+    records: Table[VersionedRow] = field(default_factory=Table.empty)
+    cells: Table[cells.Cell] = field(default_factory=Table.empty)
+    workers: Table[worker.Worker] = field(default_factory=_workers)
+    tasks: Table[task.Task] = field(default_factory=_tasks)
+    flights: Table[in_flight.Flight] = field(default_factory=_flights)
+    readings: Table[in_flight.Reading] = field(default_factory=_readings)
+    failures: Table[worker.Failure] = field(default_factory=_failures)
+    cancels: Table[Cancelling] = field(default_factory=Table.empty)
--- /dev/null
+++ b/bulrushpulley/entities/worker.py
@@ -0,0 +1,86 @@
+"""The workers of a cell as its owner sees them, and the evidence of sick ones."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from bulrushpulley.entities.records import WorkerRecord
+from bulrushpulley.entities.resources import Resources
+
+
+class Health(enum.Enum):
+    """Whether tasks may be placed on a worker.
+
+    ASIDE gets none until its backoff has passed; PROBING gets one at a time.
+    """
+
+    HEALTHY = "healthy"
+    ASIDE = "aside"
+    PROBING = "probing"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Worker:
+    """One worker of a cell.
+
+    `present` is false once the cell's record no longer names it; its capacity is
+    then nothing. `asked_at` is when the report in flight was asked, or None;
+    `reported_at` when the last report that was answered had been asked.
+    No renewal of a task's lease has left after `renewed_until`. `strays` counts
+    the runs on it that the owner does not hold it to.
+    """
+
+    worker_id: str
+    cell: str
+    url: str
+    rack: str
+    capacity: Resources
+    present: bool = True
+    asked_at: float | None = None
+    next_report_at: float = 0.0
+    reported_at: float | None = None
+    answered_at: float = 0.0
+    renewed_until: float = 0.0
+    strays: int = 0
+    health: Health = Health.HEALTHY
+    aside_until: float = 0.0
+    backoff_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failure:
+    """Evidence: a task of a job failed on a worker, last at `at`."""
+
+    worker_id: str
+    record_key: str
+    task_key: str
+    at: float
+
+
+def worker_of(record: WorkerRecord, *, cell: str, now: float) -> Worker:
+    """Return a worker that has not been asked for a report yet."""
+    return Worker(
+        worker_id=record.worker_id,
+        cell=cell,
+        url=record.url,
+        rack=record.rack,
+        capacity=record.capacity,
+        next_report_at=now,
+        answered_at=now,
+    )
+
+
+def by_cell(worker: Worker) -> tuple[str, ...]:
+    """Index workers by cell."""
+    return (worker.cell,)
+
+
+def failures_by_worker(failure: Failure) -> tuple[str, ...]:
+    """Index failures by worker."""
+    return (failure.worker_id,)
+
+
+def failures_by_record(failure: Failure) -> tuple[str, ...]:
+    """Index failures by the record of the task."""
+    return (failure.record_key,)
--- /dev/null
+++ b/bulrushpulley/systems/cell_choice.py
@@ -0,0 +1,63 @@
+"""Chooses a worker for a task. Policies vary by type and stand side by side."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.task import Task
+from bulrushpulley.entities.worker import Worker
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Room:
+    """A worker that takes tasks and what it has left for them."""
+
+    worker: Worker
+    free: Resources
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The chosen worker, or the empty string, why, and what was passed over."""
+
+    worker_id: str
+    reason: str
+    passed_over: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Policy:
+    """The base of the placement policies."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FirstFit(Policy):
+    """Takes the first worker, by id, that has room."""
+
+
+@singledispatch
+def choose_worker(
+    policy: Policy, task: Task, rooms: Sequence[Room], avoid: frozenset[str]
+) -> Choice:
+    """Choose a worker for a task; those in `avoid` only if no other has room."""
+    raise NotImplementedError(type(policy).__name__)
+
+
+@choose_worker.register
+def _(
+    policy: FirstFit, task: Task, rooms: Sequence[Room], avoid: frozenset[str]
+) -> Choice:
+    size = task.row.spec.size
+    fitting = [room.worker.worker_id for room in rooms if size.fits(room.free)]
+    full = tuple(room.worker.worker_id for room in rooms if not size.fits(room.free))
+    preferred = [worker_id for worker_id in fitting if worker_id not in avoid]
+    if preferred:
+        return Choice(worker_id=preferred[0], reason="first fit", passed_over=full)
+    if fitting:
+        reason = "first fit, though its job failed there"
+        return Choice(worker_id=fitting[0], reason=reason, passed_over=full)
+    reason = "no worker has room" if rooms else "no worker takes tasks"
+    return Choice(worker_id="", reason=reason, passed_over=full)
--- /dev/null
+++ b/bulrushpulley/systems/cell_endings.py
@@ -0,0 +1,247 @@
+"""Writes what became of tasks that surely do not run.
+
+Every ending is one transaction, conditional on the task's row and on the lease
+that made this agent the owner. The outcome of a task is written together with
+the deletion of its row, so it is done at most once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import Cell, CellPhase, lease_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.in_flight import Flight, WriteEnding
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskRow, TaskState
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import (
+    Cancel,
+    Ending,
+    Fail,
+    Finish,
+    Phase,
+    Requeue,
+    Return,
+    Task,
+    phase_index,
+)
+from bulrushpulley.systems import cell_rows, cell_send
+from bulrushpulley.systems.cell_outcomes import (
+    on_committed,
+    on_conflicted,
+    on_withdrawn,
+)
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+ENDINGS_PER_TICK = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outcome:
+    """What is written: the task's next row, or None and a row elsewhere."""
+
+    row: TaskRow | None
+    elsewhere: tuple[Write, ...] = ()
+
+
+@singledispatch
+def outcome_of(ending: Ending, row: TaskRow) -> Outcome:
+    """Return what an ending writes for a task that stood at `row`."""
+    raise NotImplementedError(type(ending).__name__)
+
+
+@outcome_of.register
+def _(ending: Finish, row: TaskRow) -> Outcome:
+    if row.spec.task_class is TaskClass.LATENCY_CRITICAL:
+        return Outcome(row=_waiting(row, ending))
+    return _done(row, TaskState.FINISHED, ending)
+
+
+@outcome_of.register
+def _(ending: Fail, row: TaskRow) -> Outcome:
+    attempts = row.attempts + (1 if ending.counted else 0)
+    failed = replace(row, attempts=attempts)
+    batch = row.spec.task_class is TaskClass.BATCH
+    if batch and attempts >= row.spec.max_attempts:
+        return _done(failed, TaskState.FAILED, ending)
+    return Outcome(row=_waiting(failed, ending))
+
+
+@outcome_of.register
+def _(ending: Requeue, row: TaskRow) -> Outcome:
+    return Outcome(row=_waiting(row, ending))
+
+
+@outcome_of.register
+def _(ending: Return, row: TaskRow) -> Outcome:
+    spec = row.spec
+    back = BacklogRow(
+        spec=spec,
+        count=1,
+        generation=row.generation,
+        checkpoint=row.checkpoint,
+        attempts=row.attempts,
+    )
+    return Outcome(
+        row=None, elsewhere=(Write(key=f"backlog/{spec.task_id}", row=back),)
+    )
+
+
+@outcome_of.register
+def _(ending: Cancel, row: TaskRow) -> Outcome:
+    return _done(row, TaskState.CANCELLED, ending)
+
+
+def _waiting(row: TaskRow, ending: Ending) -> TaskRow:
+    return replace(row, state=TaskState.WAITING, worker_id="", reason=ending.reason)
+
+
+def _done(row: TaskRow, state: TaskState, ending: Ending) -> Outcome:
+    done = replace(row, state=state, reason=ending.reason)
+    write = Write(key=f"done/{row.spec.task_id}", row=done)
+    return Outcome(row=None, elsewhere=(write,))
+
+
+def write_endings(tables: CellOwnerTables, now: float) -> CellStep:
+    """Submit the endings of tasks that have ended, a bounded number each tick."""
+    commands: list[Command] = []
+    for cell in tables.cells.rows():
+        if cell.phase is not CellPhase.OWNED:
+            continue
+        value = phase_index(cell=cell.name, phase=Phase.ENDED)
+        for task in tables.tasks.rows_where("phase", value)[:ENDINGS_PER_TICK]:
+            if task.ending is not None and now >= task.since:
+                tables = _write(cell, task, task.ending, tables, now)
+                commands.append(_decision(cell, task, task.ending))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _write(
+    cell: Cell, task: Task, ending: Ending, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    outcome = outcome_of(ending, task.row)
+    writes = (Write(key=task.key, row=outcome.row), *outcome.elsewhere)
+    absent = tuple(Condition(key=w.key, version=0) for w in outcome.elsewhere)
+    tables, _ = cell_send.submit(
+        tables,
+        purpose=WriteEnding(task_key=task.key, row=outcome.row),
+        cell=cell.name,
+        conditions=(*fences(cell, task), *absent),
+        writes=writes,
+        now=now,
+    )
+    return cell_rows.put_task(tables, replace(task, phase=Phase.WRITING))
+
+
+def fences(cell: Cell, task: Task) -> tuple[Condition, ...]:
+    """Return the conditions of every write of a task: its row and the lease."""
+    return (
+        Condition(key=task.key, version=task.version),
+        Condition(key=lease_key(cell.name), version=cell.lease_version),
+    )
+
+
+def _decision(cell: Cell, task: Task, ending: Ending) -> Decision:
+    return Decision(
+        kind=f"task.{type(ending).__name__.lower()}",
+        subject=task.row.spec.task_id,
+        chosen=task.row.worker_id,
+        reason=ending.reason,
+        epoch=cell.epoch,
+    )
+
+
+@on_committed.register
+def _(
+    purpose: WriteEnding,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    if task is None:
+        return Step(tables=tables)
+    ended = Count(name="task_endings", label=type(task.ending).__name__.lower())
+    if purpose.row is None:
+        return Step(tables=cell_rows.drop_task(tables, task), commands=(ended,))
+    waiting = Task(
+        key=task.key,
+        cell=task.cell,
+        row=purpose.row,
+        version=outcome.revision,
+        phase=Phase.WAITING,
+        since=now,
+    )
+    return Step(tables=cell_rows.put_task(tables, waiting), commands=(ended,))
+
+
+@on_conflicted.register
+def _(
+    purpose: WriteEnding,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    if task is None:
+        return Step(tables=tables)
+    tables = cell_rows.put_task(tables, replace(task, phase=Phase.ENDED, since=now))
+    for found in outcome.rows:
+        if found.key == task.key:
+            return Step(tables=cell_rows.adopt_conflicting_task(found, tables, now))
+    return Step(tables=_elsewhere_taken(purpose, flight, outcome, tables, now))
+
+
+def _elsewhere_taken(
+    purpose: WriteEnding,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellOwnerTables:
+    """Settle an ending whose other row exists already.
+
+    A task with an outcome is done, so only its row is left to delete. A backlog
+    row in the way will be moved by the controller; the task waits meanwhile.
+    """
+    task = tables.tasks.by_key[purpose.task_key]
+    done_key = f"done/{task.row.spec.task_id}"
+    cell = tables.cells.by_key[task.cell]
+    if any(found.key == done_key for found in outcome.rows):
+        tables, _ = cell_send.submit(
+            tables,
+            purpose=WriteEnding(task_key=task.key, row=None),
+            cell=cell.name,
+            conditions=fences(cell, task),
+            writes=(Write(key=task.key, row=None),),
+            now=now,
+        )
+        return cell_rows.put_task(tables, replace(task, phase=Phase.WRITING))
+    waiting = Requeue(reason="its place in the backlog is taken")
+    return cell_rows.put_task(tables, replace(task, ending=waiting))
+
+
+@on_withdrawn.register
+def _(
+    purpose: WriteEnding,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    if task is None:
+        return Step(tables=tables)
+    again = replace(task, phase=Phase.ENDED, since=now + 1.0)
+    return Step(tables=cell_rows.put_task(tables, again))
--- /dev/null
+++ b/bulrushpulley/systems/cell_evict.py
@@ -0,0 +1,149 @@
+"""Decides which tasks have to leave their worker or their cell.
+
+Causes are drains, cancellations, shrunken workers, and waiting too long.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import Cell, CellPhase
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.owner_times import RETURN_AFTER_S
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import (
+    Cancel,
+    Phase,
+    Requeue,
+    Return,
+    Task,
+    phase_index,
+)
+from bulrushpulley.entities.worker import Worker
+from bulrushpulley.systems import cell_domains, cell_rows, cell_stop
+from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell_preempt import eviction, stopping_size
+from bulrushpulley.systems.cell_rooms import committed
+from bulrushpulley.systems.cell_victims import (
+    choose_victims,
+    evictable,
+)
+
+EVICTIONS_PER_TICK = 64
+SWEEP_EVERY_S = 1.0
+LEAVING = (Phase.WAITING, Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING)
+
+
+def owned(tables: CellOwnerTables) -> list[Cell]:
+    """Return the cells whose rows are known and may be changed."""
+    if tables.leaving:
+        return []
+    return [cell for cell in tables.cells.rows() if cell.phase is CellPhase.OWNED]
+
+
+def drain(tables: CellOwnerTables, now: float) -> CellStep:
+    """Return the tasks of drained cells to the backlog, a batch each tick."""
+    for cell in owned(tables):
+        if not cell_domains.is_drained(tables, cell):
+            continue
+        leaving = [
+            task
+            for phase in LEAVING
+            for task in tables.tasks.rows_where(
+                "phase", phase_index(cell=cell.name, phase=phase)
+            )
+        ]
+        ending = Return(reason="its failure domain was taken out of service")
+        for task in leaving[:EVICTIONS_PER_TICK]:
+            tables = cell_stop.plan_ending(tables, task, ending, now)
+    return Step(tables=tables)
+
+
+def cancel(tables: CellOwnerTables, now: float) -> CellStep:
+    """Cancel the tasks of cancelled records, a batch each tick."""
+    ending = Cancel(reason="its record was cancelled")
+    for key in sorted(tables.cancels):
+        tasks = [
+            task
+            for task in tables.tasks.rows_where("record", key)
+            if not isinstance(task.ending, Cancel)
+        ]
+        for task in tasks[:EVICTIONS_PER_TICK]:
+            tables = cell_stop.plan_ending(tables, task, ending, now)
+        if len(tasks) <= EVICTIONS_PER_TICK:
+            tables = replace(tables, cancels=tables.cancels.drop(key))
+    return Step(tables=tables)
+
+
+def shrink(tables: CellOwnerTables, now: float) -> CellStep:
+    """Evict the newest batch tasks of workers that hold more than their capacity."""
+    commands: list[Command] = []
+    for cell in owned(tables):
+        if not cell.place_due:
+            continue
+        for worker in tables.workers.rows_where("cell", cell.name):
+            step = _fit(cell, worker, tables, now)
+            tables = step.tables
+            commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _fit(cell: Cell, worker: Worker, tables: CellOwnerTables, now: float) -> CellStep:
+    held = committed(tables, worker.worker_id)
+    if held.fits(worker.capacity):
+        return Step(tables=tables)
+    running = tables.tasks.rows_where("worker", worker.worker_id)
+    over = _excess(held, worker.capacity)
+    soon = stopping_size(running)
+    ending = Requeue(reason=f"{worker.worker_id} holds more than its capacity")
+    commands: list[Command] = []
+    for task in _to_fit(over, soon, running):
+        tables = cell_stop.plan_ending(tables, task, ending, now)
+        commands.append(eviction(cell, task, ending.reason))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _excess(held: Resources, capacity: Resources) -> Resources:
+    over = held.minus(capacity)
+    return Resources(
+        processors_m=max(0, over.processors_m),
+        memory_mb=max(0, over.memory_mb),
+        accelerators=max(0, over.accelerators),
+    )
+
+
+def _to_fit(over: Resources, soon: Resources, running: list[Task]) -> tuple[Task, ...]:
+    """Return what to evict; every batch task if even that is not enough."""
+    if over.fits(soon):
+        return ()
+    victims = choose_victims(needed=over, free=soon, running=running)
+    return victims or tuple(task for task in running if evictable(task))
+
+
+def give_back(tables: CellOwnerTables, now: float) -> CellStep:
+    """Return tasks to the backlog that could not start here for a while."""
+    for cell in owned(tables):
+        if now < cell.sweep_at:
+            continue
+        swept = replace(cell, sweep_at=now + SWEEP_EVERY_S)
+        tables = cell_rows.put_cell(tables, swept)
+        value = phase_index(cell=cell.name, phase=Phase.WAITING)
+        for task in tables.tasks.rows_where("phase", value):
+            ending = _reason_to_return(tables, cell, task, now)
+            if ending is not None:
+                tables = cell_stop.plan_ending(tables, task, ending, now)
+    return Step(tables=tables)
+
+
+def _reason_to_return(
+    tables: CellOwnerTables, cell: Cell, task: Task, now: float
+) -> Return | None:
+    wanted = task.row.spec.failure_domains
+    domain = cell_rows.failure_domain_of(tables, cell.name)
+    if wanted and domain and domain not in wanted:
+        return Return(reason=f"it may not run in {domain}")
+    if now - task.since >= RETURN_AFTER_S:
+        why = task.skipped or "no start committed"
+        return Return(reason=f"it could not start in {cell.name}: {why}")
+    return None
--- /dev/null
+++ b/bulrushpulley/systems/cell_liveness.py
@@ -0,0 +1,124 @@
+"""Renews the agent's liveness row, one for all the cells that it owns.
+
+The row also bounds the owner's autonomy: without a confirmed renewal it goes on
+renewing task leases only for `autonomy_s` after the last one was sent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import alive_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, Liveness
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    VersionedRow,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.in_flight import Flight, ReadOwnAlive, RenewAlive
+from bulrushpulley.entities.owner_times import RENEW_S
+from bulrushpulley.entities.rows import AliveRow
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems import cell_outcomes, cell_send
+from bulrushpulley.systems.cell_outcomes import (
+    on_committed,
+    on_conflicted,
+    on_withdrawn,
+)
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+
+def autonomous_until(tables: CellOwnerTables) -> float:
+    """Return the instant up to which the owner may command its workers."""
+    confirmed = tables.liveness.confirmed_sent_at
+    return float("-inf") if confirmed is None else confirmed + tables.autonomy_s
+
+
+def renew(tables: CellOwnerTables, now: float) -> CellStep:
+    """Renew the liveness row when it is due and there is a cell to own."""
+    live = tables.liveness
+    if live.pending or not len(tables.cells) or now < live.renew_at:
+        return Step(tables=tables)
+    key = alive_key(tables.agent)
+    if live.version is None:
+        purpose = ReadOwnAlive()
+        return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
+    renewals = live.renewals + 1
+    row = AliveRow(
+        agent=tables.agent, incarnation=tables.incarnation, renewals=renewals
+    )
+    tables, pending = cell_send.submit(
+        tables,
+        purpose=RenewAlive(renewals=renewals),
+        cell="",
+        conditions=(Condition(key=key, version=live.version),),
+        writes=(Write(key=key, row=row),),
+        now=now,
+    )
+    live = replace(live, pending=pending, renew_at=now + RENEW_S)
+    return Step(tables=replace(tables, liveness=live))
+
+
+@on_committed.register
+def _(
+    purpose: RenewAlive,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    live = replace(
+        tables.liveness,
+        version=outcome.revision,
+        renewals=purpose.renewals,
+        pending="",
+        confirmed_sent_at=flight.first_sent_at,
+    )
+    return Step(tables=replace(tables, liveness=live))
+
+
+@on_withdrawn.register
+def _(
+    purpose: RenewAlive,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    live = replace(tables.liveness, pending="", renew_at=now + 1.0)
+    return Step(tables=replace(tables, liveness=live))
+
+
+@on_conflicted.register
+def _(
+    purpose: RenewAlive,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    found = cell_outcomes.row_of(outcome, alive_key(tables.agent))
+    if tables.liveness.confirmed_sent_at is not None and _is_other(found, tables):
+        return _replaced(tables)
+    version = found.version if found else None
+    live = replace(tables.liveness, version=version, pending="", renew_at=now)
+    return Step(tables=replace(tables, liveness=live))
+
+
+def _is_other(found: VersionedRow | None, tables: CellOwnerTables) -> bool:
+    row = found.row if found else None
+    return isinstance(row, AliveRow) and row.incarnation != tables.incarnation
+
+
+def _replaced(tables: CellOwnerTables) -> CellStep:
+    """Give every cell up: a newer process of this agent's name renews the row."""
+    commands: tuple[Command, ...] = ()
+    for name in sorted(tables.cells):
+        step = cell_outcomes.lose_cell(tables, name, "a newer incarnation lives")
+        tables, commands = step.tables, commands + step.commands
+    live = Liveness(renew_at=float("inf"))
+    tables = replace(tables, liveness=live, leaving=True)
+    return Step(tables=tables, commands=commands)
--- /dev/null
+++ b/bulrushpulley/systems/cell_load.py
@@ -0,0 +1,145 @@
+"""Reads the task rows of held cells and applies what readings bring.
+
+An owned cell is read again every `REFETCH_S`, which heals lost messages.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import HELD, CellPhase, alive_key, lease_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.in_flight import (
+    ReadLease,
+    ReadOwnAlive,
+    ReadOwnerAlive,
+    ReadPurpose,
+    ReadTasks,
+)
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.owner_times import REFETCH_S
+from bulrushpulley.entities.rows import AliveRow
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems import cell_rows, cell_send, cell_watch
+from bulrushpulley.systems.cell_owner_events import CellStep, apply
+
+
+def refetch(tables: CellOwnerTables, now: float) -> CellStep:
+    """Read the rows of each held cell for which a reading is due."""
+    for cell in tables.cells.rows():
+        if cell.phase in HELD and now >= cell.refetch_at:
+            tables = cell_send.read(
+                tables,
+                purpose=ReadTasks(cell=cell.name),
+                prefix=f"task/{cell.name}/",
+                since=cell.rows_since,
+                now=now,
+            )
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: Fetched, tables: CellOwnerTables, now: float) -> CellStep:
+    reading = tables.readings.get(event.fetch_id)
+    if reading is None:
+        return Step(tables=tables)
+    tables = replace(tables, readings=tables.readings.drop(event.fetch_id))
+    return on_fetched(reading.purpose, event, tables, now)
+
+
+@singledispatch
+def on_fetched(
+    purpose: ReadPurpose, event: Fetched, tables: CellOwnerTables, now: float
+) -> CellStep:
+    """Apply the rows of a reading to what it was for."""
+    raise NotImplementedError(type(purpose).__name__)
+
+
+@on_fetched.register
+def _(
+    purpose: ReadOwnAlive, event: Fetched, tables: CellOwnerTables, now: float
+) -> CellStep:
+    live = tables.liveness
+    if event.failed or live.version is not None:
+        return Step(tables=tables)
+    found = _exact(event, alive_key(tables.agent))
+    row = found.row if found else None
+    renewals = row.renewals if isinstance(row, AliveRow) else 0
+    version = found.version if found and row else 0
+    live = replace(live, version=version, renewals=renewals)
+    return Step(tables=replace(tables, liveness=live))
+
+
+@on_fetched.register
+def _(
+    purpose: ReadLease, event: Fetched, tables: CellOwnerTables, now: float
+) -> CellStep:
+    cell = tables.cells.get(purpose.cell)
+    if cell is None or cell.phase is not CellPhase.WATCHING:
+        return Step(tables=tables)
+    if event.failed:
+        return Step(tables=cell_watch.watch_failed(cell, tables))
+    found = _exact(event, lease_key(cell.name))
+    return cell_watch.lease_read(cell, found, tables, now)
+
+
+@on_fetched.register
+def _(
+    purpose: ReadOwnerAlive, event: Fetched, tables: CellOwnerTables, now: float
+) -> CellStep:
+    cell = tables.cells.get(purpose.cell)
+    if cell is None or cell.phase is not CellPhase.WATCHING or cell.lease is None:
+        return Step(tables=tables)
+    if event.failed:
+        return Step(tables=cell_watch.watch_failed(cell, tables))
+    found = _exact(event, alive_key(cell.lease.owner))
+    return cell_watch.owner_alive_read(cell, found, tables, now)
+
+
+@on_fetched.register
+def _(
+    purpose: ReadTasks, event: Fetched, tables: CellOwnerTables, now: float
+) -> CellStep:
+    cell = tables.cells.get(purpose.cell)
+    if cell is None or cell.phase not in HELD:
+        return Step(tables=tables)
+    if event.failed:
+        later = replace(cell, refetch_at=now + 1.0)
+        return Step(tables=cell_rows.put_cell(tables, later))
+    complete = True
+    for found in event.rows:
+        tables, taken = cell_rows.adopt_task(found, tables, now)
+        complete = complete and taken
+    return _rows_read(purpose.cell, event, complete, tables, now)
+
+
+def _rows_read(
+    name: str, event: Fetched, complete: bool, tables: CellOwnerTables, now: float
+) -> CellStep:
+    cell = tables.cells.by_key[name]
+    loading = cell.phase is CellPhase.LOADING
+    since = event.revision if complete else cell.rows_since
+    owned = replace(
+        cell, phase=CellPhase.OWNED, rows_since=since, refetch_at=now + REFETCH_S
+    )
+    tables = cell_rows.touch_cell(cell_rows.put_cell(tables, owned), name)
+    commands: tuple[Command, ...] = ()
+    if loading:
+        reason = f"{len(event.rows)} task rows read"
+        commands = (
+            Decision(
+                kind="cell.own",
+                subject=name,
+                chosen=tables.agent,
+                reason=reason,
+                epoch=cell.epoch,
+            ),
+        )
+    return Step(tables=tables, commands=commands)
+
+
+def _exact(event: Fetched, key: str) -> VersionedRow | None:
+    return next((row for row in event.rows if row.key == key), None)
--- /dev/null
+++ b/bulrushpulley/systems/cell_outcomes.py
@@ -0,0 +1,149 @@
+"""Applies the outcomes of submissions, by what each was for.
+
+`on_committed`, `on_conflicted` and `on_withdrawn` vary by the purpose and are
+registered in the modules that submit. A conflict that names another owner of the
+cell gives the cell up before anything else.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import HELD, CellPhase, lease_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import (
+    Committed,
+    Conflicted,
+    Unsettled,
+    VersionedRow,
+    Withdrawn,
+)
+from bulrushpulley.entities.in_flight import Flight, Purpose
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems import cell_send
+from bulrushpulley.systems.cell_owner_events import CellStep, apply
+
+FENCED = HELD | {CellPhase.RELEASING}
+
+
+@singledispatch
+def on_committed(
+    purpose: Purpose,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    """Apply a commit to what the submission was for."""
+    raise NotImplementedError(type(purpose).__name__)
+
+
+@singledispatch
+def on_conflicted(
+    purpose: Purpose,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    """Apply a conflict to what the submission was for."""
+    raise NotImplementedError(type(purpose).__name__)
+
+
+@singledispatch
+def on_withdrawn(
+    purpose: Purpose,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    """Apply to what a submission was for that it never takes effect."""
+    raise NotImplementedError(type(purpose).__name__)
+
+
+@apply.register
+def _(event: Committed, tables: CellOwnerTables, now: float) -> CellStep:
+    flight = tables.flights.get(event.submission_id)
+    if flight is None:
+        return Step(tables=tables)
+    tables = _landed(tables, flight)
+    return on_committed(flight.purpose, flight, event, tables, now)
+
+
+@apply.register
+def _(event: Conflicted, tables: CellOwnerTables, now: float) -> CellStep:
+    flight = tables.flights.get(event.submission_id)
+    if flight is None:
+        return Step(tables=tables)
+    if names_other_owner(tables, flight, event):
+        return lose_cell(tables, flight.cell, "another owner holds the lease")
+    tables = _landed(tables, flight)
+    return on_conflicted(flight.purpose, flight, event, tables, now)
+
+
+@apply.register
+def _(event: Withdrawn, tables: CellOwnerTables, now: float) -> CellStep:
+    flight = tables.flights.get(event.submission_id)
+    if flight is None:
+        return Step(tables=tables)
+    if flight.doubtful:
+        return Step(tables=cell_send.resubmit(tables, flight, now))
+    tables = _landed(tables, flight)
+    return on_withdrawn(flight.purpose, flight, event, tables, now)
+
+
+@apply.register
+def _(event: Unsettled, tables: CellOwnerTables, now: float) -> CellStep:
+    flight = tables.flights.get(event.submission_id)
+    if flight is None:
+        return Step(tables=tables)
+    return Step(tables=cell_send.resubmit(tables, flight, now))
+
+
+def names_other_owner(
+    tables: CellOwnerTables, flight: Flight, outcome: Conflicted
+) -> bool:
+    """Tell whether a conflict shows that the cell's lease has changed hands."""
+    cell = tables.cells.get(flight.cell)
+    if cell is None or cell.phase not in FENCED:
+        return False
+    found = row_of(outcome, lease_key(cell.name))
+    return found is not None and found.version != cell.lease_version
+
+
+def row_of(outcome: Conflicted, key: str) -> VersionedRow | None:
+    """Return the row of `key` if its condition was among those that failed."""
+    return next((row for row in outcome.rows if row.key == key), None)
+
+
+def lose_cell(tables: CellOwnerTables, name: str, reason: str) -> CellStep:
+    """Drop everything of a cell, so that no further command leaves for it."""
+    cell = tables.cells.get(name)
+    if cell is None:
+        return Step(tables=tables)
+    tasks, workers, flights = tables.tasks, tables.workers, tables.flights
+    for key in list(tasks.keys_where("cell", name)):
+        tasks = tasks.drop(key)
+    for key in list(workers.keys_where("cell", name)):
+        workers = workers.drop(key)
+    for key in list(flights.keys_where("cell", name)):
+        flights = flights.drop(key)
+    tables = replace(
+        tables,
+        cells=tables.cells.drop(name),
+        tasks=tasks,
+        workers=workers,
+        flights=flights,
+    )
+    decision = Decision(
+        kind="cell.lose", subject=name, chosen="", reason=reason, epoch=cell.epoch
+    )
+    return Step(tables=tables, commands=(decision,))
+
+
+def _landed(tables: CellOwnerTables, flight: Flight) -> CellOwnerTables:
+    key = flight.submission.submission_id
+    return replace(tables, flights=tables.flights.drop(key))
--- /dev/null
+++ b/bulrushpulley/systems/cell_owner_events.py
@@ -0,0 +1,94 @@
+"""The events of the cell owner: `apply` is registered for each kind it takes.
+
+Link items are applied here; outcomes of submissions, readings and calls to
+workers in the modules named after them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import HELD, Cell, CellPhase
+from bulrushpulley.entities.cell_owner_tables import (
+    Cancelling,
+    CellOwnerTables,
+    LeaveCells,
+    LinkedEntry,
+)
+from bulrushpulley.entities.link import (
+    Assigned,
+    Configured,
+    JobCancelled,
+    LinkDown,
+    LinkUp,
+    Offer,
+)
+from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.systems import cell_rows, cell_send
+
+CellStep = Step[CellOwnerTables]
+
+
+@singledispatch
+def apply(event: Event, tables: CellOwnerTables, now: float) -> CellStep:
+    """Apply one event; a kind that the cell owner does not take changes nothing."""
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: LinkUp, tables: CellOwnerTables, now: float) -> CellStep:
+    entry = LinkedEntry(peer=event.peer, region=event.region)
+    cells = tables.cells
+    for cell in cells.rows():
+        cells = cells.put(cell.name, replace(cell, summary_due=True, summary=None))
+    entries = tables.entries.put(event.peer, entry)
+    return Step(tables=replace(tables, entries=entries, cells=cells))
+
+
+@apply.register
+def _(event: LinkDown, tables: CellOwnerTables, now: float) -> CellStep:
+    tables = replace(tables, entries=tables.entries.drop(event.peer))
+    return Step(tables=cell_send.forget_peer(tables, event.peer, now))
+
+
+@apply.register
+def _(event: Configured, tables: CellOwnerTables, now: float) -> CellStep:
+    for found in event.rows:
+        tables = cell_rows.adopt_record(found, tables, now)
+    if event.base <= tables.revision:
+        revision = max(tables.revision, event.revision)
+        tables = replace(tables, revision=revision)
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: Offer, tables: CellOwnerTables, now: float) -> CellStep:
+    if tables.leaving or event.cell in tables.cells:
+        return Step(tables=tables)
+    cell = Cell(name=event.cell, phase=CellPhase.WATCHING, next_watch_at=now)
+    return Step(tables=replace(tables, cells=tables.cells.put(cell.name, cell)))
+
+
+@apply.register
+def _(event: Assigned, tables: CellOwnerTables, now: float) -> CellStep:
+    cell = tables.cells.get(event.cell)
+    if cell is None or cell.phase not in HELD:
+        return Step(tables=tables)
+    for found in event.rows:
+        tables, _ = cell_rows.adopt_task(found, tables, now)
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: JobCancelled, tables: CellOwnerTables, now: float) -> CellStep:
+    key = f"record/job/{event.job}"
+    if not tables.tasks.count_where("record", key):
+        return Step(tables=tables)
+    cancels = tables.cancels.put(key, Cancelling(record_key=key))
+    return Step(tables=replace(tables, cancels=cancels))
+
+
+@apply.register
+def _(event: LeaveCells, tables: CellOwnerTables, now: float) -> CellStep:
+    return Step(tables=replace(tables, leaving=True))
--- /dev/null
+++ b/bulrushpulley/systems/cell_preempt.py
@@ -0,0 +1,69 @@
+"""Evicts batch tasks so that a latency-critical or urgent one gets room."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bulrushpulley.entities.cell import Cell
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.step import Command
+from bulrushpulley.entities.task import Phase, Requeue, Task
+from bulrushpulley.systems import cell_stop
+from bulrushpulley.systems.cell_choice import Room
+from bulrushpulley.systems.cell_victims import choose_victims
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Preemption:
+    """The worker on which room is being made, or the empty string."""
+
+    worker_id: str
+    tables: CellOwnerTables
+    commands: tuple[Command, ...] = ()
+
+
+def stopping_size(tasks: Iterable[Task]) -> Resources:
+    """Return what tasks that are being stopped will soon set free."""
+    total = NOTHING
+    for task in tasks:
+        if task.phase is Phase.STOPPING:
+            total = total.plus(task.row.spec.size)
+    return total
+
+
+def make_room(
+    cell: Cell, task: Task, rooms: Iterable[Room], tables: CellOwnerTables, now: float
+) -> Preemption:
+    """Evict from the first worker on which a task fits without its batch tasks.
+
+    Nothing more is evicted where tasks that are stopping already make the room.
+    """
+    size = task.row.spec.size
+    for room in rooms:
+        worker_id = room.worker.worker_id
+        running = tables.tasks.rows_where("worker", worker_id)
+        soon = room.free.plus(stopping_size(running))
+        victims = choose_victims(needed=size, free=soon, running=running)
+        if not victims and not size.fits(soon):
+            continue
+        commands: list[Command] = []
+        for victim in victims:
+            ending = Requeue(reason=f"evicted for {task.row.spec.task_id}")
+            tables = cell_stop.plan_ending(tables, victim, ending, now)
+            commands.append(eviction(cell, victim, ending.reason))
+        return Preemption(worker_id=worker_id, tables=tables, commands=tuple(commands))
+    return Preemption(worker_id="", tables=tables)
+
+
+def eviction(cell: Cell, task: Task, reason: str) -> Decision:
+    """Return the decision line of an eviction."""
+    return Decision(
+        kind="task.evict",
+        subject=task.row.spec.task_id,
+        chosen=task.row.worker_id,
+        reason=reason,
+        epoch=cell.epoch,
+    )
--- /dev/null
+++ b/bulrushpulley/systems/cell_release.py
@@ -0,0 +1,117 @@
+"""Releases the cells of a stopping agent after its last command has left."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import HELD, Cell, CellPhase, lease_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, CellsReleased
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.in_flight import Flight, ReleaseCell
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.owner_times import CALL_WITHIN_S, RELEASE_WITHIN_S
+from bulrushpulley.entities.rows import LeaseRow
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import Phase, phase_index
+from bulrushpulley.systems import cell_outcomes, cell_rows, cell_send
+from bulrushpulley.systems.cell_outcomes import (
+    on_committed,
+    on_conflicted,
+    on_withdrawn,
+)
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+
+def release(tables: CellOwnerTables, now: float) -> CellStep:
+    """Release each held cell that is quiet, and say so once none is left."""
+    if not tables.leaving or tables.released:
+        return Step(tables=tables)
+    for cell in tables.cells.rows():
+        if cell.phase is CellPhase.WATCHING:
+            tables = replace(tables, cells=tables.cells.drop(cell.name))
+        elif not cell.release_by:
+            patient = replace(cell, release_by=now + RELEASE_WITHIN_S)
+            tables = cell_rows.put_cell(tables, patient)
+        elif cell.phase in HELD and quiet(tables, cell, now):
+            tables = _submit_release(tables, cell, now)
+    overdue = all(0 < cell.release_by <= now for cell in tables.cells.rows())
+    if len(tables.cells) and not overdue:
+        return Step(tables=tables)
+    tables = replace(tables, released=True)
+    return Step(tables=tables, commands=(CellsReleased(),))
+
+
+def quiet(tables: CellOwnerTables, cell: Cell, now: float) -> bool:
+    """Tell whether no command or write for a cell can still be under way."""
+    if tables.flights.count_where("cell", cell.name):
+        return False
+    sending = phase_index(cell=cell.name, phase=Phase.SENDING)
+    if tables.tasks.count_where("phase", sending):
+        return False
+    began = cell.release_by - RELEASE_WITHIN_S
+    return now - began >= CALL_WITHIN_S
+
+
+def _submit_release(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
+    key = lease_key(cell.name)
+    lease = LeaseRow(
+        owner="", incarnation="", epoch=cell.epoch, autonomy_s=tables.autonomy_s
+    )
+    tables, _ = cell_send.submit(
+        tables,
+        purpose=ReleaseCell(cell=cell.name),
+        cell=cell.name,
+        conditions=(Condition(key=key, version=cell.lease_version),),
+        writes=(Write(key=key, row=lease),),
+        now=now,
+    )
+    return cell_rows.put_cell(tables, replace(cell, phase=CellPhase.RELEASING))
+
+
+@on_committed.register
+def _(
+    purpose: ReleaseCell,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    step = cell_outcomes.lose_cell(tables, purpose.cell, "released")
+    commands: tuple[Command, ...] = (
+        Decision(
+            kind="cell.release", subject=purpose.cell, chosen="", reason="leaving"
+        ),
+    )
+    return Step(tables=step.tables, commands=commands)
+
+
+@on_conflicted.register
+def _(
+    purpose: ReleaseCell,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    return cell_outcomes.lose_cell(tables, purpose.cell, "the lease has moved on")
+
+
+@on_withdrawn.register
+def _(
+    purpose: ReleaseCell,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    cell = tables.cells.get(purpose.cell)
+    if cell is None:
+        return Step(tables=tables)
+    again = replace(cell, phase=CellPhase.OWNED)
+    return Step(tables=cell_rows.put_cell(tables, again))
--- /dev/null
+++ b/bulrushpulley/systems/cell_reports.py
@@ -0,0 +1,295 @@
+"""Asks workers for reports and applies what they say of starts, stops and runs.
+
+A worker is asked once a second, by one call that also renews the leases of its
+tasks and never overlaps with another. Only the answer to the report last asked
+counts; what it says of older generations changes nothing but has them stopped.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import CellPhase
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.owner_times import (
+    CALL_WITHIN_S,
+    REPORT_EVERY_S,
+    TASK_LEASE_S,
+)
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import (
+    Fail,
+    Finish,
+    Phase,
+    Task,
+    task_key,
+)
+from bulrushpulley.entities.worker import Health, Worker
+from bulrushpulley.entities.worker_calls import (
+    AskReport,
+    Renewal,
+    ReportUnanswered,
+    RunReport,
+    RunState,
+    Started,
+    StartNotSent,
+    StartUnknown,
+    StopAnswered,
+    StopTask,
+    StopUnanswered,
+    WorkerReported,
+)
+from bulrushpulley.systems import cell_rows, cell_sick, cell_stop
+from bulrushpulley.systems.cell_liveness import autonomous_until
+from bulrushpulley.systems.cell_owner_events import CellStep, apply
+
+STRAY_STOPS_PER_REPORT = 64
+SOUND_AFTER_S = 30.0
+REPORT_LOST_S = 5 * CALL_WITHIN_S
+RENEWED = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
+REPORTABLE = RENEWED | {Phase.STOPPING}
+
+
+def ask(tables: CellOwnerTables, now: float) -> CellStep:
+    """Ask each worker whose report is due, while the owner may command it."""
+    commands: list[Command] = []
+    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    if tables.leaving or now > not_after:
+        return Step(tables=tables)
+    for worker in tables.workers.rows():
+        if worker.asked_at is not None and now - worker.asked_at < REPORT_LOST_S:
+            continue
+        if not worker.url or now < worker.next_report_at:
+            continue
+        renewals = () if cell_stop.is_silent(worker, now) else _renewals(tables, worker)
+        asked = replace(
+            worker,
+            asked_at=now,
+            next_report_at=now + REPORT_EVERY_S,
+            renewed_until=not_after if renewals else worker.renewed_until,
+        )
+        tables = cell_rows.put_worker(tables, asked)
+        commands.append(
+            AskReport(
+                worker_id=worker.worker_id,
+                url=worker.url,
+                not_after=not_after,
+                asked_at=now,
+                renewals=renewals,
+            )
+        )
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _renewals(tables: CellOwnerTables, worker: Worker) -> tuple[Renewal, ...]:
+    return tuple(
+        Renewal(
+            task_id=task.row.spec.task_id,
+            generation=task.row.generation,
+            lease_s=TASK_LEASE_S,
+        )
+        for task in tables.tasks.rows_where("worker", worker.worker_id)
+        if task.phase in RENEWED
+    )
+
+
+@apply.register
+def _(event: Started, tables: CellOwnerTables, now: float) -> CellStep:
+    task = _current(tables, event.task_key, event.generation)
+    if task is None or task.phase not in (Phase.SENDING, Phase.UNKNOWN):
+        return Step(tables=tables)
+    running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
+    return Step(tables=cell_rows.put_task(tables, running))
+
+
+@apply.register
+def _(event: StartNotSent, tables: CellOwnerTables, now: float) -> CellStep:
+    task = _current(tables, event.task_key, event.generation)
+    if task is None or task.phase not in (Phase.SENDING, Phase.STOPPING):
+        return Step(tables=tables)
+    reason = f"the start was not sent: {event.problem.detail}"
+    return Step(tables=cell_stop.end_as_planned(tables, task, reason, now))
+
+
+@apply.register
+def _(event: StartUnknown, tables: CellOwnerTables, now: float) -> CellStep:
+    task = _current(tables, event.task_key, event.generation)
+    if task is None or task.phase is not Phase.SENDING:
+        return Step(tables=tables)
+    unknown = replace(task, phase=Phase.UNKNOWN)
+    return Step(tables=cell_rows.put_task(tables, unknown))
+
+
+def _current(tables: CellOwnerTables, key: str, generation: int) -> Task | None:
+    task = tables.tasks.get(key)
+    if task is None or task.row.generation != generation:
+        return None
+    return task if task.phase in REPORTABLE else None
+
+
+@apply.register
+def _(event: StopAnswered, tables: CellOwnerTables, now: float) -> CellStep:
+    worker = tables.workers.get(event.worker_id)
+    if worker is None:
+        return Step(tables=tables)
+    soon = replace(worker, next_report_at=now)
+    return Step(tables=cell_rows.put_worker(tables, soon))
+
+
+@apply.register
+def _(event: StopUnanswered, tables: CellOwnerTables, now: float) -> CellStep:
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: ReportUnanswered, tables: CellOwnerTables, now: float) -> CellStep:
+    worker = tables.workers.get(event.worker_id)
+    if worker is None or worker.asked_at != event.asked_at:
+        return Step(tables=tables)
+    unanswered = replace(worker, asked_at=None)
+    tables = cell_rows.put_worker(tables, unanswered)
+    return Step(tables=cell_rows.touch_cell(tables, worker.cell))
+
+
+@apply.register
+def _(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
+    worker = tables.workers.get(event.worker_id)
+    if worker is None or worker.asked_at != event.asked_at:
+        return Step(tables=tables)
+    cell = tables.cells.by_key[worker.cell]
+    loaded = cell.phase is CellPhase.OWNED
+    back = worker.reported_at is None or cell_stop.is_silent(worker, now)
+    heard = replace(
+        worker,
+        asked_at=None,
+        answered_at=now,
+        reported_at=event.asked_at if loaded else worker.reported_at,
+    )
+    tables = cell_rows.put_worker(tables, heard)
+    if not loaded:
+        return Step(tables=tables)
+    if back:
+        tables = cell_rows.touch_cell(tables, worker.cell)
+    return _apply_runs(event, tables, now)
+
+
+def _apply_runs(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
+    worker = tables.workers.by_key[event.worker_id]
+    commands: list[Command] = []
+    strays: list[RunReport] = []
+    seen: set[str] = set()
+    for run in event.runs:
+        key = task_key(cell=worker.cell, task_id=run.task_id)
+        if not is_current(tables, worker, key, run):
+            strays.append(run)
+            continue
+        seen.add(key)
+        step = _apply_run(run, key, worker.worker_id, tables, now)
+        tables = step.tables
+        commands.extend(step.commands)
+    tables = _end_missing(event, seen, tables, now)
+    tables = _note_strays(tables, worker.worker_id, strays)
+    commands.extend(_stray_stops(tables, worker, strays, now))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def is_current(
+    tables: CellOwnerTables, worker: Worker, key: str, run: RunReport
+) -> bool:
+    """Tell whether a run is the generation that the owner holds the worker to."""
+    task = tables.tasks.get(key)
+    if task is None or task.row.generation != run.generation:
+        return False
+    settling = task.phase in REPORTABLE or task.phase in (Phase.ENDED, Phase.WRITING)
+    return settling and task.row.worker_id == worker.worker_id
+
+
+def _apply_run(
+    run: RunReport, key: str, worker_id: str, tables: CellOwnerTables, now: float
+) -> CellStep:
+    task = tables.tasks.by_key[key]
+    if task.phase not in REPORTABLE:
+        return Step(tables=tables)
+    if run.state is RunState.RUNNING:
+        return Step(tables=_seen_running(tables, task, worker_id, now))
+    worker = tables.workers.by_key[worker_id]
+    if run.state is RunState.FINISHED:
+        tables = cell_sick.task_succeeded(tables, worker)
+        finish = Finish(reason=f"finished on {worker_id}")
+        return Step(tables=cell_stop.end(tables, task, finish, now, run.checkpoint))
+    if run.state is RunState.FAILED and task.ending is None:
+        return _failed(run, task, worker, tables, now)
+    reason = f"{run.state.value} on {worker_id}"
+    ended = cell_stop.end_as_planned(tables, task, reason, now, run.checkpoint)
+    return Step(tables=ended)
+
+
+def _seen_running(
+    tables: CellOwnerTables, task: Task, worker_id: str, now: float
+) -> CellOwnerTables:
+    worker = tables.workers.by_key[worker_id]
+    sound = task.phase is Phase.RUNNING and now - task.since >= SOUND_AFTER_S
+    if sound and worker.health is Health.PROBING:
+        return cell_sick.task_succeeded(tables, worker)
+    if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
+        return tables
+    running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
+    return cell_rows.put_task(tables, running)
+
+
+def _failed(
+    run: RunReport, task: Task, worker: Worker, tables: CellOwnerTables, now: float
+) -> CellStep:
+    tables, counted, commands = cell_sick.task_failed(tables, task, worker, now)
+    fail = Fail(reason=f"failed on {worker.worker_id}: {run.detail}", counted=counted)
+    tables = cell_stop.end(tables, task, fail, now, run.checkpoint)
+    return Step(tables=tables, commands=commands)
+
+
+def _end_missing(
+    event: WorkerReported, seen: set[str], tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    """End the tasks that the worker would have named if it still ran them."""
+    for task in tables.tasks.rows_where("worker", event.worker_id):
+        if task.key in seen or task.phase not in REPORTABLE:
+            continue
+        if shows_absence(task, event.asked_at):
+            reason = f"{event.worker_id} does not run it"
+            tables = cell_stop.end_as_planned(tables, task, reason, now)
+    return tables
+
+
+def shows_absence(task: Task, asked_at: float) -> bool:
+    """Tell whether a report asked then would have named the task if it ran."""
+    return asked_at > task.settle_after
+
+
+def _note_strays(
+    tables: CellOwnerTables, worker_id: str, strays: list[RunReport]
+) -> CellOwnerTables:
+    worker = tables.workers.by_key[worker_id]
+    running = sum(1 for run in strays if run.state is RunState.RUNNING)
+    if running == worker.strays:
+        return tables
+    tables = cell_rows.put_worker(tables, replace(worker, strays=running))
+    return cell_rows.touch_cell(tables, worker.cell)
+
+
+def _stray_stops(
+    tables: CellOwnerTables, worker: Worker, strays: list[RunReport], now: float
+) -> list[Command]:
+    """Stop runs that are not the owner's; this also has ended ones forgotten."""
+    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    if tables.leaving or now > not_after:
+        return []
+    return [
+        StopTask(
+            worker_id=worker.worker_id,
+            url=worker.url,
+            not_after=not_after,
+            task_id=run.task_id,
+            generation=run.generation,
+            checkpoint=False,
+        )
+        for run in strays[:STRAY_STOPS_PER_REPORT]
+    ]
--- /dev/null
+++ b/bulrushpulley/systems/cell_rooms.py
@@ -0,0 +1,43 @@
+"""What each worker has left: its capacity less all that may be running on it."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.worker import Health, Worker
+from bulrushpulley.systems.cell_choice import Room
+from bulrushpulley.systems.cell_stop import is_silent
+
+
+def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
+    """Return the sum over the tasks that may be running on a worker."""
+    total = NOTHING
+    for key in tables.tasks.keys_where("worker", worker_id):
+        total = total.plus(tables.tasks.by_key[key].row.spec.size)
+    return total
+
+
+def takes_tasks(tables: CellOwnerTables, worker: Worker, now: float) -> bool:
+    """Tell whether tasks may be placed on a worker.
+
+    It must have said what it runs, all of which must be the owner's own; a worker
+    on probation takes one task at a time.
+    """
+    if not worker.present or worker.reported_at is None or worker.strays:
+        return False
+    if is_silent(worker, now) or worker.health is Health.ASIDE:
+        return False
+    busy = tables.tasks.count_where("worker", worker.worker_id) > 0
+    return worker.health is Health.HEALTHY or not busy
+
+
+def rooms_of(tables: CellOwnerTables, cell: str, now: float) -> tuple[Room, ...]:
+    """Return the rooms of the workers of a cell that take tasks, by worker id."""
+    return tuple(
+        Room(
+            worker=worker,
+            free=worker.capacity.minus(committed(tables, worker.worker_id)),
+        )
+        for worker in tables.workers.rows_where("cell", cell)
+        if takes_tasks(tables, worker, now)
+    )
--- /dev/null
+++ b/bulrushpulley/systems/cell_rows.py
@@ -0,0 +1,232 @@
+"""Takes over rows that others wrote: configuration, tasks, records of tasks.
+
+Rows are taken by their version, which only grows: an older row changes nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import HELD, Cell, record_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.owner_times import (
+    CALL_WITHIN_S,
+    DRIFT_MARGIN_S,
+    START_WINDOW_S,
+    TASK_LEASE_S,
+)
+from bulrushpulley.entities.records import CellRecord, FailureDomainRecord, Record
+from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.rows import RecordRow, TaskRow, TaskState
+from bulrushpulley.entities.step import Step
+from bulrushpulley.entities.task import Phase, Task
+from bulrushpulley.entities.worker import Worker, worker_of
+
+KEPT_PREFIXES = ("record/cell/", "record/failure_domain/", "record/service/")
+SETTLE_AFTER_S = START_WINDOW_S + CALL_WITHIN_S + DRIFT_MARGIN_S
+
+
+def adopt_record(
+    found: VersionedRow, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    """Take a newer record of the configuration and what follows from it."""
+    known = tables.records.get(found.key)
+    if not found.key.startswith(KEPT_PREFIXES):
+        return tables
+    if not found.version:
+        return replace(tables, records=tables.records.drop(found.key))
+    if known is not None and known.version >= found.version:
+        return tables
+    tables = replace(tables, records=tables.records.put(found.key, found))
+    if isinstance(found.row, RecordRow):
+        return record_changed(found.row.record, tables, now)
+    return tables
+
+
+@singledispatch
+def record_changed(
+    record: Record, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    """Apply what follows from a record; by default nothing."""
+    return tables
+
+
+@record_changed.register
+def _(record: CellRecord, tables: CellOwnerTables, now: float) -> CellOwnerTables:
+    cell = tables.cells.get(record.name)
+    return sync_workers(tables, cell, now) if cell else tables
+
+
+@record_changed.register
+def _(
+    record: FailureDomainRecord, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    for cell in tables.cells.rows():
+        if failure_domain_of(tables, cell.name) == record.name:
+            tables = touch_cell(tables, cell.name)
+    return tables
+
+
+def cell_record(tables: CellOwnerTables, cell: str) -> CellRecord | None:
+    """Return the record of a cell, if it is known."""
+    found = tables.records.get(record_key(cell))
+    if found is None or not isinstance(found.row, RecordRow):
+        return None
+    record = found.row.record
+    return record if isinstance(record, CellRecord) else None
+
+
+def failure_domain_of(tables: CellOwnerTables, cell: str) -> str:
+    """Return the failure domain of a cell, or the empty string."""
+    record = cell_record(tables, cell)
+    return record.failure_domain if record else ""
+
+
+def touch_cell(tables: CellOwnerTables, name: str) -> CellOwnerTables:
+    """Note that something which matters to a cell's placement has changed."""
+    cell = tables.cells.get(name)
+    if cell is None or (cell.place_due and cell.summary_due):
+        return tables
+    return put_cell(tables, replace(cell, place_due=True, summary_due=True))
+
+
+def put_cell(tables: CellOwnerTables, cell: Cell) -> CellOwnerTables:
+    """Put one cell."""
+    return replace(tables, cells=tables.cells.put(cell.name, cell))
+
+
+def put_task(tables: CellOwnerTables, task: Task) -> CellOwnerTables:
+    """Put one task and note the change."""
+    tables = replace(tables, tasks=tables.tasks.put(task.key, task))
+    return touch_cell(tables, task.cell)
+
+
+def drop_task(tables: CellOwnerTables, task: Task) -> CellOwnerTables:
+    """Drop one task and note the change."""
+    tables = replace(tables, tasks=tables.tasks.drop(task.key))
+    return touch_cell(tables, task.cell)
+
+
+def put_worker(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
+    """Put one worker."""
+    return replace(tables, workers=tables.workers.put(worker.worker_id, worker))
+
+
+def sync_workers(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
+    """Bring a held cell's workers in line with its record.
+
+    A worker that the record no longer names has no capacity left and stays while
+    tasks may run on it.
+    """
+    record = cell_record(tables, cell.name)
+    if record is None or cell.phase not in HELD:
+        return tables
+    named = {worker.worker_id: worker for worker in record.workers}
+    for worker in tables.workers.rows_where("cell", cell.name):
+        if worker.worker_id not in named:
+            gone = replace(worker, present=False, capacity=NOTHING)
+            tables = put_worker(tables, gone)
+    for worker_id, wanted in named.items():
+        fresh = worker_of(wanted, cell=cell.name, now=now)
+        known = tables.workers.get(worker_id)
+        if known is not None and known.cell != cell.name:
+            continue
+        if known is not None:
+            fresh = replace(
+                known,
+                url=wanted.url,
+                rack=wanted.rack,
+                capacity=wanted.capacity,
+                present=True,
+            )
+        tables = put_worker(tables, fresh)
+    return touch_cell(tables, cell.name)
+
+
+def retire(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
+    """Drop workers that no record names once nothing may run on them.
+
+    A worker that moved between two cells of this agent joins the new one then.
+    """
+    for worker in tables.workers.rows():
+        busy = tables.tasks.count_where("worker", worker.worker_id)
+        if worker.present or busy:
+            continue
+        workers = tables.workers.drop(worker.worker_id)
+        tables = replace(tables, workers=workers)
+        for cell in tables.cells.rows():
+            tables = sync_workers(tables, cell, now)
+    return Step(tables=tables)
+
+
+def adopt_conflicting_task(
+    found: VersionedRow, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    """Take the row that a conflict showed; an absent one means a task is gone."""
+    task = tables.tasks.get(found.key)
+    if found.row is None:
+        return drop_task(tables, task) if task else tables
+    tables, _ = adopt_task(found, tables, now)
+    return tables
+
+
+def adopt_task(
+    found: VersionedRow, tables: CellOwnerTables, now: float
+) -> tuple[CellOwnerTables, bool]:
+    """Take a newer task row of a held cell.
+
+    Returns False if the row had to be passed over, because a submission on it is
+    in flight, and must be read again.
+    """
+    cell = tables.cells.get(found.key.split("/", 2)[1])
+    if cell is None or cell.phase not in HELD:
+        return tables, True
+    task = tables.tasks.get(found.key)
+    if task is not None and task.version >= found.version:
+        return tables, True
+    if task is not None and task.phase in (Phase.COMMITTING, Phase.WRITING):
+        return tables, False
+    if not isinstance(found.row, TaskRow):
+        return (drop_task(tables, task) if task else tables), True
+    if task is not None and _still_runs(task, found.row):
+        return put_task(tables, replace(task, version=found.version)), True
+    fresh = task_of(found.key, found.row, found.version, cell, now)
+    return put_task(_with_worker(tables, fresh, now), fresh), True
+
+
+def _still_runs(task: Task, row: TaskRow) -> bool:
+    return task.phase is not Phase.WAITING and task.row.generation == row.generation
+
+
+def task_of(key: str, row: TaskRow, version: int, cell: Cell, now: float) -> Task:
+    """Return a task as its row shows it: one that was started may still run."""
+    waiting = row.state is TaskState.WAITING
+    own_bound = now + START_WINDOW_S + TASK_LEASE_S + DRIFT_MARGIN_S
+    return Task(
+        key=key,
+        cell=cell.name,
+        row=row,
+        version=version,
+        phase=Phase.WAITING if waiting else Phase.UNKNOWN,
+        since=now,
+        settle_after=now + SETTLE_AFTER_S,
+        leased_until=max(cell.lapsed_at, own_bound),
+    )
+
+
+def _with_worker(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+    worker_id = task.worker_id
+    if not worker_id or worker_id in tables.workers:
+        return tables
+    absent = Worker(
+        worker_id=worker_id,
+        cell=task.cell,
+        url="",
+        rack="",
+        capacity=NOTHING,
+        present=False,
+        answered_at=now,
+    )
+    return put_worker(tables, absent)
--- /dev/null
+++ b/bulrushpulley/systems/cell_send.py
@@ -0,0 +1,160 @@
+"""Sends submissions and readings to an entry, and repeats those without outcome.
+
+A submission is repeated unchanged, through another entry where there is one: its
+conditions and its id let it take effect at most once.
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import replace
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, LinkedEntry
+from bulrushpulley.entities.commit import Condition, Submission, Write
+from bulrushpulley.entities.in_flight import (
+    Flight,
+    Purpose,
+    Reading,
+    ReadPurpose,
+    reading_index,
+)
+from bulrushpulley.entities.link import Fetch, Send, Submit
+from bulrushpulley.entities.owner_times import (
+    FETCH_WITHIN_S,
+    OUTCOME_WITHIN_S,
+    RESUBMIT_AFTER_S,
+)
+from bulrushpulley.entities.step import Command, Step
+
+GIVE_UP_AFTER_S = 10.0
+
+
+def submit(
+    tables: CellOwnerTables,
+    *,
+    purpose: Purpose,
+    cell: str,
+    conditions: tuple[Condition, ...],
+    writes: tuple[Write, ...],
+    now: float,
+    give_up_after_s: float = GIVE_UP_AFTER_S,
+) -> tuple[CellOwnerTables, str]:
+    """Put a submission in line and return its id."""
+    number = tables.last_number + 1
+    submission = Submission(
+        submission_id=f"{tables.incarnation}/{number}",
+        conditions=conditions,
+        writes=writes,
+        give_up_after_s=give_up_after_s,
+    )
+    flight = Flight(submission=submission, purpose=purpose, cell=cell, send_at=now)
+    flights = tables.flights.put(submission.submission_id, flight)
+    tables = replace(tables, last_number=number, flights=flights)
+    return tables, submission.submission_id
+
+
+def read(
+    tables: CellOwnerTables,
+    *,
+    purpose: ReadPurpose,
+    prefix: str,
+    now: float,
+    since: int = 0,
+) -> CellOwnerTables:
+    """Put a reading in line, unless one for the same purpose is in flight."""
+    if tables.readings.count_where("purpose", reading_index(purpose)):
+        return tables
+    number = tables.last_number + 1
+    reading = Reading(
+        fetch_id=f"{tables.incarnation}/{number}",
+        prefix=prefix,
+        since=since,
+        purpose=purpose,
+        created_at=now,
+    )
+    readings = tables.readings.put(reading.fetch_id, reading)
+    return replace(tables, last_number=number, readings=readings)
+
+
+def forget_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
+    """Put what was in flight to a lost entry in line again."""
+    for flight in tables.flights.rows_where("peer", peer):
+        tables = resubmit(tables, flight, now)
+    readings = tables.readings
+    for reading in readings.rows_where("peer", peer):
+        readings = readings.put(reading.fetch_id, replace(reading, peer=""))
+    return replace(tables, readings=readings)
+
+
+def resubmit(tables: CellOwnerTables, flight: Flight, now: float) -> CellOwnerTables:
+    """Put a submission whose outcome is unknown in line again."""
+    again = replace(
+        flight,
+        peer="",
+        avoid=flight.peer or flight.avoid,
+        send_at=now + RESUBMIT_AFTER_S,
+        doubtful=True,
+    )
+    key = flight.submission.submission_id
+    return replace(tables, flights=tables.flights.put(key, again))
+
+
+def choose_entry(tables: CellOwnerTables, *, avoid: str) -> LinkedEntry | None:
+    """Choose an entry of the agent's region, any other failing that.
+
+    Agents spread over the entries by their names and stay with their choice, so
+    that the submissions of one agent join one group commit.
+    """
+    entries = tables.entries.rows()
+    near = [entry for entry in entries if entry.region == tables.region]
+    for candidates in (near, entries):
+        others = [entry for entry in candidates if entry.peer != avoid]
+        if others:
+            return others[zlib.crc32(tables.agent.encode()) % len(others)]
+    return entries[0] if entries else None
+
+
+def send(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
+    """Send what is in line, after putting what has no outcome in line again."""
+    tables = _expire(tables, now)
+    commands: list[Command] = []
+    for flight in tables.flights.rows_where("peer", ""):
+        entry = choose_entry(tables, avoid=flight.avoid)
+        if entry is None or flight.send_at > now:
+            continue
+        tables = _mark_sent(tables, flight, entry.peer, now)
+        item = Submit(submission=flight.submission)
+        commands.append(Send(peer=entry.peer, item=item))
+    for reading in tables.readings.rows_where("peer", ""):
+        entry = choose_entry(tables, avoid="")
+        if entry is None:
+            break
+        readings = tables.readings.put(
+            reading.fetch_id, replace(reading, peer=entry.peer)
+        )
+        tables = replace(tables, readings=readings)
+        fetch = Fetch(
+            fetch_id=reading.fetch_id, prefix=reading.prefix, since=reading.since
+        )
+        commands.append(Send(peer=entry.peer, item=fetch))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _mark_sent(
+    tables: CellOwnerTables, flight: Flight, peer: str, now: float
+) -> CellOwnerTables:
+    first = now if flight.first_sent_at is None else flight.first_sent_at
+    sent = replace(flight, peer=peer, first_sent_at=first, sent_at=now)
+    flights = tables.flights.put(flight.submission.submission_id, sent)
+    return replace(tables, flights=flights)
+
+
+def _expire(tables: CellOwnerTables, now: float) -> CellOwnerTables:
+    for flight in tables.flights.rows():
+        if flight.peer and now - flight.sent_at >= OUTCOME_WITHIN_S:
+            tables = resubmit(tables, flight, now)
+    for reading in tables.readings.rows():
+        if now - reading.created_at >= FETCH_WITHIN_S:
+            readings = tables.readings.drop(reading.fetch_id)
+            tables = replace(tables, readings=readings)
+    return tables
--- /dev/null
+++ b/bulrushpulley/systems/cell_sick.py
@@ -0,0 +1,134 @@
+"""Tells sick workers from bad jobs by evidence, and probes sick ones back.
+
+A worker is set aside when tasks of several jobs, or several tasks of one, fail on
+it while those jobs fail nowhere else. A job that fails on more than one worker is
+at fault itself. A worker set aside takes one task after its backoff; success
+clears it, failure doubles the backoff.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import Phase, Task
+from bulrushpulley.entities.worker import Failure, Health, Worker
+from bulrushpulley.systems import cell_rows
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+SICK_JOBS = 2
+SICK_TASKS = 4
+BACKOFF_S = 30.0
+MAX_BACKOFF_S = 600.0
+EVIDENCE_S = 900.0
+
+
+def is_sick(tables: CellOwnerTables, worker_id: str) -> bool:
+    """Judge a worker by the failures on it of jobs that fail nowhere else."""
+    own = [
+        failure
+        for failure in tables.failures.rows_where("worker", worker_id)
+        if not fails_elsewhere(tables, failure)
+    ]
+    jobs = {failure.record_key for failure in own}
+    return len(jobs) >= SICK_JOBS or len(own) >= SICK_TASKS
+
+
+def fails_elsewhere(tables: CellOwnerTables, failure: Failure) -> bool:
+    """Tell whether the job of a failure also failed on another worker."""
+    same_job = tables.failures.rows_where("record", failure.record_key)
+    return any(other.worker_id != failure.worker_id for other in same_job)
+
+
+def task_failed(
+    tables: CellOwnerTables, task: Task, worker: Worker, now: float
+) -> tuple[CellOwnerTables, bool, tuple[Command, ...]]:
+    """Record a failure and tell whether it counts against the task."""
+    failure = Failure(
+        worker_id=worker.worker_id,
+        record_key=task.row.spec.record_key,
+        task_key=task.key,
+        at=now,
+    )
+    key = f"{worker.worker_id}|{task.key}"
+    tables = replace(tables, failures=tables.failures.put(key, failure))
+    if worker.health is not Health.HEALTHY:
+        tables, commands = _set_aside(tables, worker, now)
+        return tables, False, commands
+    if is_sick(tables, worker.worker_id):
+        tables, commands = _set_aside(tables, worker, now)
+        return _refund(tables, worker.worker_id), False, commands
+    return _clear_workers(tables, failure), True, ()
+
+
+def task_succeeded(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
+    """Clear the evidence against a worker on which a task succeeded."""
+    failures = tables.failures
+    for key in list(failures.keys_where("worker", worker.worker_id)):
+        failures = failures.drop(key)
+    tables = replace(tables, failures=failures)
+    if worker.health is Health.HEALTHY:
+        return tables
+    sound = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
+    tables = cell_rows.put_worker(tables, sound)
+    return cell_rows.touch_cell(tables, worker.cell)
+
+
+def _set_aside(
+    tables: CellOwnerTables, worker: Worker, now: float
+) -> tuple[CellOwnerTables, tuple[Command, ...]]:
+    backoff = min(MAX_BACKOFF_S, max(BACKOFF_S, 2 * worker.backoff_s))
+    aside = replace(
+        worker, health=Health.ASIDE, backoff_s=backoff, aside_until=now + backoff
+    )
+    tables = cell_rows.put_worker(tables, aside)
+    tables = cell_rows.touch_cell(tables, worker.cell)
+    decision = Decision(
+        kind="worker.aside",
+        subject=worker.worker_id,
+        chosen="",
+        reason=f"tasks fail here and not elsewhere; probed in {backoff:.0f} s",
+    )
+    return tables, (decision,)
+
+
+def _refund(tables: CellOwnerTables, worker_id: str) -> CellOwnerTables:
+    """Take back the attempts that tasks lost on a worker now known to be sick."""
+    for failure in tables.failures.rows_where("worker", worker_id):
+        task = tables.tasks.get(failure.task_key)
+        if task is None or task.phase in (Phase.COMMITTING, Phase.WRITING):
+            continue
+        if fails_elsewhere(tables, failure) or not task.row.attempts:
+            continue
+        row = replace(task.row, attempts=task.row.attempts - 1)
+        tables = cell_rows.put_task(tables, replace(task, row=row))
+    return tables
+
+
+def _clear_workers(tables: CellOwnerTables, failure: Failure) -> CellOwnerTables:
+    """Return workers to service that a job, now seen to be at fault, put aside."""
+    for other in tables.failures.rows_where("record", failure.record_key):
+        worker = tables.workers.get(other.worker_id)
+        if worker is None or worker.health is Health.HEALTHY:
+            continue
+        if not is_sick(tables, worker.worker_id):
+            sound = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
+            tables = cell_rows.put_worker(tables, sound)
+            tables = cell_rows.touch_cell(tables, worker.cell)
+    return tables
+
+
+def probe(tables: CellOwnerTables, now: float) -> CellStep:
+    """Put workers on probation whose backoff has passed; forget old evidence."""
+    for worker in tables.workers.rows():
+        if worker.health is Health.ASIDE and now >= worker.aside_until:
+            probing = replace(worker, health=Health.PROBING)
+            tables = cell_rows.put_worker(tables, probing)
+            tables = cell_rows.touch_cell(tables, worker.cell)
+    failures = tables.failures
+    for key in list(failures):
+        if now - failures.by_key[key].at >= EVIDENCE_S:
+            failures = failures.drop(key)
+    return Step(tables=replace(tables, failures=failures))
--- /dev/null
+++ b/bulrushpulley/systems/cell_start.py
@@ -0,0 +1,257 @@
+"""Commits starts and sends them.
+
+A start is committed together with the versions of the lease, of the failure
+domain's record and of the task's record. Its command may leave only within
+`START_WINDOW_S` of the first sending of that transaction, so nothing starts later
+than that after a drain or a cancellation was accepted. A generation is sent at
+most once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import Cell, domain_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    VersionedRow,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.in_flight import CommitStart, Flight
+from bulrushpulley.entities.observe import Observe
+from bulrushpulley.entities.owner_times import (
+    CALL_WITHIN_S,
+    DRIFT_MARGIN_S,
+    START_WINDOW_S,
+    TASK_LEASE_S,
+)
+from bulrushpulley.entities.records import JobRecord, Record, ServiceRecord
+from bulrushpulley.entities.rows import RecordRow, TaskRow, TaskSpec, TaskState
+from bulrushpulley.entities.step import Step
+from bulrushpulley.entities.task import Cancel, Phase, Requeue, Task
+from bulrushpulley.entities.worker import Worker
+from bulrushpulley.entities.worker_calls import StartTask
+from bulrushpulley.systems import (
+    cell_domains,
+    cell_endings,
+    cell_rows,
+    cell_send,
+    cell_stop,
+)
+from bulrushpulley.systems.cell_outcomes import (
+    on_committed,
+    on_conflicted,
+    on_withdrawn,
+)
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+
+def commit_start(
+    tables: CellOwnerTables, cell: Cell, task: Task, worker_id: str, now: float
+) -> CellOwnerTables:
+    """Submit the start of a task's next generation on a worker."""
+    row = replace(
+        task.row,
+        state=TaskState.STARTING,
+        generation=task.row.generation + 1,
+        worker_id=worker_id,
+        reason="",
+    )
+    tables, _ = cell_send.submit(
+        tables,
+        purpose=CommitStart(task_key=task.key, row=row, worker_id=worker_id),
+        cell=cell.name,
+        conditions=start_conditions(tables, cell, task),
+        writes=(Write(key=task.key, row=row),),
+        now=now,
+        give_up_after_s=START_WINDOW_S,
+    )
+    committing = replace(
+        task, phase=Phase.COMMITTING, planned_worker=worker_id, skipped=""
+    )
+    return cell_rows.put_task(tables, committing)
+
+
+def start_conditions(
+    tables: CellOwnerTables, cell: Cell, task: Task
+) -> tuple[Condition, ...]:
+    """Return what must stand unchanged for a start to commit."""
+    spec = task.row.spec
+    domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
+    return (
+        *cell_endings.fences(cell, task),
+        Condition(key=domain, version=tables.records.by_key[domain].version),
+        Condition(key=spec.record_key, version=spec.record_version),
+    )
+
+
+@on_committed.register
+def _(
+    purpose: CommitStart,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    worker = tables.workers.get(purpose.worker_id)
+    row = purpose.row
+    if task is None or row is None or flight.first_sent_at is None:
+        return Step(tables=tables)
+    deadline = flight.first_sent_at + START_WINDOW_S
+    started = replace(task, row=row, version=outcome.revision)
+    if task.ending is not None:
+        return Step(tables=cell_stop.end(tables, started, task.ending, now))
+    held_back = _held_back(tables, started, worker, deadline, now)
+    if held_back or worker is None:
+        requeue = Requeue(reason=held_back)
+        return Step(tables=cell_stop.end(tables, started, requeue, now))
+    sending = replace(
+        started,
+        phase=Phase.SENDING,
+        since=now,
+        settle_after=deadline + CALL_WITHIN_S + DRIFT_MARGIN_S,
+        leased_until=deadline + TASK_LEASE_S + DRIFT_MARGIN_S,
+    )
+    command = _start_command(sending, worker, deadline)
+    took = Observe(name="start_commit_s", seconds=now - flight.first_sent_at)
+    tables = cell_rows.put_task(tables, sending)
+    return Step(tables=tables, commands=(command, took))
+
+
+def _held_back(
+    tables: CellOwnerTables,
+    task: Task,
+    worker: Worker | None,
+    deadline: float,
+    now: float,
+) -> str:
+    """Say why a committed start must not be sent, or nothing."""
+    if not may_send(deadline, now):
+        return "the start window had passed at the commit"
+    if not cell_domains.in_service(tables, tables.cells.by_key[task.cell]):
+        return "its failure domain was taken out of service"
+    if worker is None or not worker.present:
+        return "its worker was taken out of the cell"
+    return "the agent is leaving" if tables.leaving else ""
+
+
+def may_send(deadline: float, now: float) -> bool:
+    """Tell whether a start may still leave; checked again right before it does."""
+    return now <= deadline
+
+
+def _start_command(task: Task, worker: Worker, deadline: float) -> StartTask:
+    spec = task.row.spec
+    return StartTask(
+        worker_id=worker.worker_id,
+        url=worker.url,
+        not_after=deadline,
+        task_key=task.key,
+        task_id=spec.task_id,
+        generation=task.row.generation,
+        size=spec.size,
+        lease_s=TASK_LEASE_S,
+        run_s=spec.run_s,
+        checkpoint=task.row.checkpoint,
+        task_class=spec.task_class,
+    )
+
+
+@on_withdrawn.register
+def _(
+    purpose: CommitStart,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    return Step(tables=_not_started(tables, task, now) if task else tables)
+
+
+@on_conflicted.register
+def _(
+    purpose: CommitStart,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    task = tables.tasks.get(purpose.task_key)
+    if task is None:
+        return Step(tables=tables)
+    tables = _not_started(tables, task, now)
+    for found in outcome.rows:
+        tables = cell_rows.adopt_record(found, tables, now)
+        if found.key == purpose.task_key:
+            tables = cell_rows.adopt_conflicting_task(found, tables, now)
+    task = tables.tasks.get(purpose.task_key)
+    for found in outcome.rows:
+        if task is not None and found.key == task.row.spec.record_key:
+            tables = _record_moved(found, task, tables, now)
+    return Step(tables=tables)
+
+
+def _not_started(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+    waiting = replace(task, phase=Phase.WAITING, planned_worker="", ending=None)
+    tables = cell_rows.put_task(tables, waiting)
+    if task.ending is None:
+        return tables
+    return cell_stop.plan_ending(tables, waiting, task.ending, now)
+
+
+def _record_moved(
+    found: VersionedRow, task: Task, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    record = found.row.record if isinstance(found.row, RecordRow) else None
+    spec = refreshed(record, task.row.spec, found.version) if record else None
+    if spec is None:
+        ending = Cancel(reason="its record was cancelled")
+        return cell_stop.plan_ending(tables, task, ending, now)
+    row = with_spec(task.row, spec)
+    return cell_rows.put_task(tables, replace(task, row=row))
+
+
+def with_spec(row: TaskRow, spec: TaskSpec) -> TaskRow:
+    """Return a task row with a spec of a newer record."""
+    return replace(row, spec=spec)
+
+
+@singledispatch
+def refreshed(record: Record, spec: TaskSpec, version: int) -> TaskSpec | None:
+    """Return the spec under a newer record, or None if the task is not wanted."""
+    return None
+
+
+@refreshed.register
+def _(record: JobRecord, spec: TaskSpec, version: int) -> TaskSpec | None:
+    if record.cancelled or spec.index >= record.tasks:
+        return None
+    return replace(
+        spec,
+        record_version=version,
+        size=record.size,
+        run_s=record.run_s,
+        priority=record.priority,
+        urgent=record.urgent,
+        max_attempts=record.max_attempts,
+        failure_domains=record.failure_domains,
+    )
+
+
+@refreshed.register
+def _(record: ServiceRecord, spec: TaskSpec, version: int) -> TaskSpec | None:
+    if spec.index >= record.replicas:
+        return None
+    return replace(
+        spec,
+        record_version=version,
+        size=record.size,
+        failure_domains=record.failure_domains,
+    )
--- /dev/null
+++ b/bulrushpulley/systems/cell_stop.py
@@ -0,0 +1,146 @@
+"""Stops tasks: plans an ending, sends the stops, and ends what surely stopped.
+
+A stop is repeated until a report shows that the task no longer runs; only then
+is its ending written. Every step may be repeated or lost.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.cell import CellPhase
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.owner_times import (
+    CALL_WITHIN_S,
+    DRIFT_MARGIN_S,
+    SILENT_AFTER_S,
+    STOP_RETRY_S,
+    TASK_LEASE_S,
+)
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import (
+    STOPPABLE,
+    Cancel,
+    Ending,
+    Phase,
+    Requeue,
+    Return,
+    Task,
+    phase_index,
+)
+from bulrushpulley.entities.worker import Worker
+from bulrushpulley.entities.worker_calls import StopTask
+from bulrushpulley.systems import cell_rows
+from bulrushpulley.systems.cell_liveness import autonomous_until
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+
+@singledispatch
+def strength(ending: Ending) -> int:
+    """Rank planned endings: a stronger one replaces a weaker one."""
+    return 3
+
+
+@strength.register
+def _(ending: Requeue) -> int:
+    return 0
+
+
+@strength.register
+def _(ending: Return) -> int:
+    return 1
+
+
+@strength.register
+def _(ending: Cancel) -> int:
+    return 2
+
+
+def plan_ending(
+    tables: CellOwnerTables, task: Task, ending: Ending, now: float
+) -> CellOwnerTables:
+    """Bring a task to an ending, stopping it first where it may run."""
+    if task.ending is not None and strength(task.ending) >= strength(ending):
+        return tables
+    if task.phase is Phase.WAITING:
+        return end(tables, task, ending, now)
+    if task.phase is Phase.WRITING:
+        return tables
+    phase = Phase.STOPPING if task.phase in STOPPABLE else task.phase
+    planned = replace(task, phase=phase, ending=ending)
+    return cell_rows.put_task(tables, planned)
+
+
+def end(
+    tables: CellOwnerTables,
+    task: Task,
+    ending: Ending,
+    now: float,
+    checkpoint: str = "",
+) -> CellOwnerTables:
+    """Note that a task surely does not run and what is to be written of it."""
+    row = replace(task.row, checkpoint=checkpoint or task.row.checkpoint)
+    ended = replace(task, row=row, phase=Phase.ENDED, ending=ending, since=now)
+    return cell_rows.put_task(tables, ended)
+
+
+def end_as_planned(
+    tables: CellOwnerTables, task: Task, reason: str, now: float, checkpoint: str = ""
+) -> CellOwnerTables:
+    """End a task that stopped: as planned, or so that it starts again."""
+    ending = task.ending or Requeue(reason=reason)
+    return end(tables, task, ending, now, checkpoint)
+
+
+def stop(tables: CellOwnerTables, now: float) -> CellStep:
+    """Send the stops that are due, while the owner may command its workers."""
+    commands: list[Command] = []
+    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    for cell in tables.cells.rows():
+        if cell.phase is not CellPhase.OWNED or now > not_after or tables.leaving:
+            continue
+        value = phase_index(cell=cell.name, phase=Phase.STOPPING)
+        for task in tables.tasks.rows_where("phase", value):
+            worker = tables.workers.get(task.worker_id)
+            if worker is None or not worker.url or now < task.stop_sent_at:
+                continue
+            due = replace(task, stop_sent_at=now + STOP_RETRY_S)
+            tables = replace(tables, tasks=tables.tasks.put(task.key, due))
+            commands.append(_stop_command(task, worker, not_after))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _stop_command(task: Task, worker: Worker, not_after: float) -> StopTask:
+    return StopTask(
+        worker_id=worker.worker_id,
+        url=worker.url,
+        not_after=not_after,
+        task_id=task.row.spec.task_id,
+        generation=task.row.generation,
+        checkpoint=not isinstance(task.ending, Cancel),
+    )
+
+
+def is_silent(worker: Worker, now: float) -> bool:
+    """Tell whether a worker has answered no report for a while."""
+    return now - worker.answered_at >= SILENT_AFTER_S
+
+
+def surely_lapsed(task: Task, worker: Worker, now: float) -> bool:
+    """Tell whether the lease of a task has run out on the worker's own clock."""
+    last_lease = worker.renewed_until + TASK_LEASE_S + DRIFT_MARGIN_S
+    return now >= max(task.leased_until, last_lease)
+
+
+def lapse(tables: CellOwnerTables, now: float) -> CellStep:
+    """End the tasks of silent workers whose leases have surely run out."""
+    for worker in tables.workers.rows():
+        if not is_silent(worker, now):
+            continue
+        for task in tables.tasks.rows_where("worker", worker.worker_id):
+            committing = task.phase is Phase.COMMITTING
+            if not committing and surely_lapsed(task, worker, now):
+                reason = f"the lease lapsed on silent worker {worker.worker_id}"
+                tables = end_as_planned(tables, task, reason, now)
+    return Step(tables=tables)
--- /dev/null
+++ b/bulrushpulley/systems/cell_summary.py
@@ -0,0 +1,91 @@
+"""Tells the entries what each owned cell has left and holds."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import Cell, CellPhase
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.link import CellSummary, DepartmentUse, Send
+from bulrushpulley.entities.owner_times import SUMMARY_EVERY_S, SUMMARY_KEEPALIVE_S
+from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import HOLDING, Phase
+from bulrushpulley.systems import cell_domains, cell_rows
+from bulrushpulley.systems.cell_choice import Room
+from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell_rooms import rooms_of
+
+NOT_STARTED = frozenset({Phase.WAITING, Phase.COMMITTING})
+
+
+def summarize(tables: CellOwnerTables, now: float) -> CellStep:
+    """Send a cell's summary when it changed, and at times to keep it alive."""
+    commands: list[Command] = []
+    for cell in tables.cells.rows():
+        age = now - cell.summarized_at
+        due = (cell.summary_due and age >= SUMMARY_EVERY_S) or not cell.summary
+        kept_alive = age >= SUMMARY_KEEPALIVE_S
+        if cell.phase is not CellPhase.OWNED or not (due or kept_alive):
+            continue
+        summary = summary_of(tables, cell, now)
+        if summary != cell.summary or kept_alive:
+            commands.extend(
+                Send(peer=entry.peer, item=summary) for entry in tables.entries.rows()
+            )
+            cell = replace(cell, summary=summary, summarized_at=now)
+        tables = cell_rows.put_cell(tables, replace(cell, summary_due=False))
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def summary_of(tables: CellOwnerTables, cell: Cell, now: float) -> CellSummary:
+    """Return a cell's summary; a cell that starts nothing has nothing free."""
+    takes = cell_domains.in_service(tables, cell) and not tables.leaving
+    rooms = rooms_of(tables, cell.name, now) if takes else ()
+    tasks = tables.tasks.rows_where("cell", cell.name)
+    return CellSummary(
+        cell=cell.name,
+        owner=tables.agent,
+        epoch=cell.epoch,
+        failure_domain=cell_rows.failure_domain_of(tables, cell.name),
+        region=tables.region,
+        free=_free(rooms),
+        largest=_largest(rooms),
+        waiting=sum(1 for task in tasks if task.phase in NOT_STARTED),
+        running=sum(1 for task in tasks if task.phase in HOLDING - NOT_STARTED),
+        uses=_uses(tables, cell),
+    )
+
+
+def _usable(room: Room) -> Resources:
+    return Resources(
+        processors_m=max(0, room.free.processors_m),
+        memory_mb=max(0, room.free.memory_mb),
+        accelerators=max(0, room.free.accelerators),
+    )
+
+
+def _free(rooms: tuple[Room, ...]) -> Resources:
+    total = NOTHING
+    for room in rooms:
+        total = total.plus(_usable(room))
+    return total
+
+
+def _largest(rooms: tuple[Room, ...]) -> Resources:
+    """Return the room of the worker that has most processors left, then memory."""
+    usable = [_usable(room) for room in rooms]
+    return max(usable, key=lambda r: (r.processors_m, r.memory_mb), default=NOTHING)
+
+
+def _uses(tables: CellOwnerTables, cell: Cell) -> tuple[DepartmentUse, ...]:
+    by_department: dict[str, Resources] = {}
+    for task in tables.tasks.rows_where("cell", cell.name):
+        if task.phase in HOLDING:
+            spec = task.row.spec
+            used = by_department.get(spec.department, NOTHING)
+            by_department[spec.department] = used.plus(spec.size)
+    return tuple(
+        DepartmentUse(department=department, committed=by_department[department])
+        for department in sorted(by_department)
+    )
--- /dev/null
+++ b/bulrushpulley/systems/cell_watch.py
@@ -0,0 +1,208 @@
+"""Watches the cells that were offered and takes those without a living owner.
+
+An owner lives while its liveness row changes; no clock is compared. The taking
+transaction requires the rows to be as they were seen, so an owner that renewed in
+the meantime keeps its cell.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import Cell, CellPhase, alive_key, lease_key
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    Conflicted,
+    VersionedRow,
+    Withdrawn,
+    Write,
+)
+from bulrushpulley.entities.in_flight import (
+    Flight,
+    ReadLease,
+    ReadOwnerAlive,
+    TakeCell,
+)
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.owner_times import (
+    DRIFT_MARGIN_S,
+    TAKEOVER_S,
+    TASK_LEASE_S,
+    WATCH_EVERY_S,
+)
+from bulrushpulley.entities.rows import AliveRow, LeaseRow
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems import cell_rows, cell_send
+from bulrushpulley.systems.cell_outcomes import (
+    on_committed,
+    on_conflicted,
+    on_withdrawn,
+)
+from bulrushpulley.systems.cell_owner_events import CellStep
+
+
+def watch(tables: CellOwnerTables, now: float) -> CellStep:
+    """Read the lease rows of watched cells, once the agent itself is seen to live."""
+    if tables.leaving or tables.liveness.confirmed_sent_at is None:
+        return Step(tables=tables)
+    for cell in tables.cells.rows():
+        if cell.phase is CellPhase.WATCHING and now >= cell.next_watch_at:
+            due = replace(cell, next_watch_at=now + WATCH_EVERY_S)
+            tables = cell_rows.put_cell(tables, due)
+            tables = cell_send.read(
+                tables,
+                purpose=ReadLease(cell=cell.name),
+                prefix=lease_key(cell.name),
+                now=now,
+            )
+    return Step(tables=tables)
+
+
+def lease_read(
+    cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
+) -> CellStep:
+    """Take a cell that nobody holds, or look whether its owner lives."""
+    row = found.row if found else None
+    lease = row if isinstance(row, LeaseRow) else None
+    version = found.version if found and lease else 0
+    if version != cell.lease_version:
+        cell = replace(cell, alive_version=None)
+    cell = replace(cell, lease=lease, lease_version=version)
+    tables = cell_rows.put_cell(tables, cell)
+    if lease is None or not lease.owner:
+        return _take(cell, (), now, "no owner", tables, now)
+    if lease.owner == tables.agent:
+        return _take(cell, (), now, "an earlier incarnation held it", tables, now)
+    purpose = ReadOwnerAlive(cell=cell.name)
+    key = alive_key(lease.owner)
+    return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
+
+
+def owner_alive_read(
+    cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
+) -> CellStep:
+    """Take the cell if its owner is gone; stop watching it if the owner lives."""
+    lease = cell.lease
+    if lease is None:
+        return Step(tables=tables)
+    version = found.version if found else 0
+    alive = Condition(key=alive_key(lease.owner), version=version)
+    row = found.row if found else None
+    if isinstance(row, AliveRow) and row.incarnation != lease.incarnation:
+        return _take(cell, (alive,), now, "its owner was restarted", tables, now)
+    if cell.alive_version is None:
+        cell = replace(cell, alive_version=version, alive_seen_at=now)
+        return Step(tables=cell_rows.put_cell(tables, cell))
+    if cell.alive_version != version:
+        return Step(tables=replace(tables, cells=tables.cells.drop(cell.name)))
+    if not silent_long_enough(cell, now):
+        return Step(tables=tables)
+    last_commands = cell.alive_seen_at + lease.autonomy_s
+    reason = "its owner's liveness row stood still"
+    return _take(cell, (alive,), last_commands, reason, tables, now)
+
+
+def silent_long_enough(cell: Cell, now: float) -> bool:
+    """Tell whether the owner's liveness row has stood still for the takeover time."""
+    return now - cell.alive_seen_at >= TAKEOVER_S
+
+
+def watch_failed(cell: Cell, tables: CellOwnerTables) -> CellOwnerTables:
+    """Begin the watch anew: a store outage keeps owners from renewing."""
+    return cell_rows.put_cell(tables, replace(cell, alive_version=None))
+
+
+def _take(
+    cell: Cell,
+    conditions: tuple[Condition, ...],
+    last_commands: float,
+    reason: str,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    lease = LeaseRow(
+        owner=tables.agent,
+        incarnation=tables.incarnation,
+        epoch=cell.epoch + 1,
+        autonomy_s=tables.autonomy_s,
+    )
+    key = lease_key(cell.name)
+    lapsed_at = last_commands + TASK_LEASE_S + DRIFT_MARGIN_S
+    tables = cell_rows.put_cell(tables, replace(cell, phase=CellPhase.TAKING))
+    tables, _ = cell_send.submit(
+        tables,
+        purpose=TakeCell(cell=cell.name, lapsed_at=lapsed_at),
+        cell=cell.name,
+        conditions=(Condition(key=key, version=cell.lease_version), *conditions),
+        writes=(Write(key=key, row=lease),),
+        now=now,
+    )
+    decision = Decision(
+        kind="cell.take",
+        subject=cell.name,
+        chosen=tables.agent,
+        reason=reason,
+        epoch=lease.epoch,
+    )
+    return Step(tables=tables, commands=(decision,))
+
+
+@on_committed.register
+def _(
+    purpose: TakeCell,
+    flight: Flight,
+    outcome: Committed,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    cell = tables.cells.get(purpose.cell)
+    lease = flight.submission.writes[0].row
+    if cell is None or not isinstance(lease, LeaseRow):
+        return Step(tables=tables)
+    taken = replace(
+        cell,
+        phase=CellPhase.LOADING,
+        lease=lease,
+        lease_version=outcome.revision,
+        taken_at=now,
+        lapsed_at=max(purpose.lapsed_at, now + TASK_LEASE_S + DRIFT_MARGIN_S),
+        refetch_at=now,
+    )
+    tables = cell_rows.put_cell(tables, taken)
+    return Step(tables=cell_rows.sync_workers(tables, taken, now))
+
+
+@on_conflicted.register
+def _(
+    purpose: TakeCell,
+    flight: Flight,
+    outcome: Conflicted,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    return Step(tables=_watch_again(purpose, tables, now))
+
+
+@on_withdrawn.register
+def _(
+    purpose: TakeCell,
+    flight: Flight,
+    outcome: Withdrawn,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    return Step(tables=_watch_again(purpose, tables, now))
+
+
+def _watch_again(
+    purpose: TakeCell, tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    cell = tables.cells.get(purpose.cell)
+    if cell is None:
+        return tables
+    again = Cell(
+        name=cell.name, phase=CellPhase.WATCHING, next_watch_at=now + WATCH_EVERY_S
+    )
+    return cell_rows.put_cell(tables, again)
