--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -1,4 +1,4 @@
-"""The tables of the cell owner and the events and commands that are its own."""
+"""The tables of the cell owner and the command that is its own."""
 
 from __future__ import annotations
 
@@ -7,18 +7,13 @@
 from bulrushpulley.entities import cell as cells
 from bulrushpulley.entities import in_flight, task, worker
 from bulrushpulley.entities.commit import VersionedRow
-from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class LeaveCells(Event):
-    """The process is stopping: release every cell."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CellsReleased(Command):
-    """No cell is owned any more, so that the process may exit."""
+class CellOwnerDone(Command):
+    """Every cell was released after `Leave`; the process may exit."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/bulrushpulley/platform/worker.py
@@ -0,0 +1,217 @@
+"""The HTTP client of workers.
+
+Every call has a timeout, and none leaves after its `not_after`, which is checked
+on an open connection right before the request is written. A start is written at
+most once: it is never retried, and whatever goes wrong after the check leaves its
+outcome unknown.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+import msgspec
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from bulrushpulley.entities.owner_times import CALL_WITHIN_S
+from bulrushpulley.entities.worker_calls import (
+    AskReport,
+    Renewal,
+    ReportUnanswered,
+    RunReport,
+    RunUsage,
+    Started,
+    StartNotSent,
+    StartOutcome,
+    StartTask,
+    StartUnknown,
+    StopAnswered,
+    StopTask,
+    StopUnanswered,
+    WorkerCommand,
+    WorkerEvent,
+    WorkerReported,
+)
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+
+MAX_REPORT_BYTES = 4 * 1024 * 1024
+STEP = "worker.call"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartForm:
+    """The body of a start."""
+
+    task_id: str
+    generation: int
+    processors_m: int
+    memory_mb: int
+    accelerators: int
+    lease_s: float
+    run_s: float
+    checkpoint: str
+    task_class: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopForm:
+    """The body of a stop."""
+
+    task_id: str
+    generation: int
+    checkpoint: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReportForm:
+    """The body of a request for a report."""
+
+    renew: tuple[Renewal, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReportAnswer:
+    """The body of a report."""
+
+    tasks: tuple[RunReport, ...]
+    usage: tuple[RunUsage, ...] = ()
+
+
+_decode_report = msgspec.json.Decoder(ReportAnswer).decode
+
+
+class WorkerClient:
+    """Calls workers, each call on a connection of its own.
+
+    A new connection for each call keeps a start from being written on one that
+    the worker has closed, where it could not be told whether it arrived.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+
+    def start(self, command: StartTask) -> StartOutcome:
+        """Send a start unless its deadline has passed."""
+        form = StartForm(
+            task_id=command.task_id,
+            generation=command.generation,
+            processors_m=command.size.processors_m,
+            memory_mb=command.size.memory_mb,
+            accelerators=command.size.accelerators,
+            lease_s=command.lease_s,
+            run_s=command.run_s,
+            checkpoint=command.checkpoint,
+            task_class=command.task_class.value,
+        )
+        try:
+            self._post(command, "/v1/tasks", form)
+        except BulrushpulleyError as error:
+            return _start_failed(command, error.problem)
+        return Started(
+            worker_id=command.worker_id,
+            task_key=command.task_key,
+            generation=command.generation,
+        )
+
+    def stop(self, command: StopTask) -> WorkerEvent:
+        """Send a stop."""
+        form = StopForm(
+            task_id=command.task_id,
+            generation=command.generation,
+            checkpoint=command.checkpoint,
+        )
+        try:
+            self._post(command, "/v1/tasks/stop", form)
+        except BulrushpulleyError as error:
+            return StopUnanswered(worker_id=command.worker_id, problem=error.problem)
+        return StopAnswered(worker_id=command.worker_id)
+
+    def report(self, command: AskReport) -> WorkerEvent:
+        """Renew leases and read all runs."""
+        form = ReportForm(renew=command.renewals)
+        try:
+            answer = _report(command, self._post(command, "/v1/report", form))
+        except BulrushpulleyError as error:
+            return ReportUnanswered(
+                worker_id=command.worker_id,
+                asked_at=command.asked_at,
+                problem=error.problem,
+            )
+        return WorkerReported(
+            worker_id=command.worker_id,
+            asked_at=command.asked_at,
+            runs=answer.tasks,
+            usages=answer.usage,
+        )
+
+    def _post(self, command: WorkerCommand, path: str, form: object) -> bytes:
+        url = urlsplit(command.url)
+        host, port = url.hostname or "", url.port or 80
+        connection = HTTPConnection(host, port, timeout=CALL_WITHIN_S)
+        try:
+            self._connect(connection, command)
+            return _exchange(connection, command, f"{url.path}{path}", form)
+        finally:
+            connection.close()
+
+    def _connect(self, connection: HTTPConnection, command: WorkerCommand) -> None:
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as error:
+            detail = f"{type(error).__name__}: {error}"
+            raise _not_sent(command, Code.UNAVAILABLE, detail) from error
+        if self._clock() > command.not_after:
+            detail = "its deadline passed before it could be sent"
+            raise _not_sent(command, Code.DEADLINE, detail)
+
+
+def _exchange(
+    connection: HTTPConnection, command: WorkerCommand, path: str, form: object
+) -> bytes:
+    headers = {"Content-Type": "application/json"}
+    try:
+        connection.request(
+            "POST", path, body=msgspec.json.encode(form), headers=headers
+        )
+        response = connection.getresponse()
+        body = response.read(MAX_REPORT_BYTES)
+    except (HTTPError, OSError) as error:
+        raise _unknown(command, f"{type(error).__name__}: {error}") from error
+    if response.status != 200:
+        raise _unknown(command, f"status {response.status}")
+    return body
+
+
+def _report(command: AskReport, body: bytes) -> ReportAnswer:
+    try:
+        return _decode_report(body)
+    except msgspec.MsgspecError as error:
+        raise _unknown(command, str(error)) from error
+
+
+def _start_failed(command: StartTask, problem: Problem) -> StartOutcome:
+    sent = problem.code is Code.OUTCOME_UNKNOWN
+    kind = StartUnknown if sent else StartNotSent
+    return kind(
+        worker_id=command.worker_id,
+        task_key=command.task_key,
+        generation=command.generation,
+        problem=problem,
+    )
+
+
+def _not_sent(command: WorkerCommand, code: Code, detail: str) -> BulrushpulleyError:
+    return _error(command, code, detail)
+
+
+def _unknown(command: WorkerCommand, detail: str) -> BulrushpulleyError:
+    return _error(command, Code.OUTCOME_UNKNOWN, detail)
+
+
+def _error(command: WorkerCommand, code: Code, detail: str) -> BulrushpulleyError:
+    problem = Problem(code=code, step=STEP, peer=command.worker_id, detail=detail)
+    return BulrushpulleyError(problem=problem)
--- a/bulrushpulley/systems/cell_owner_events.py
+++ b/bulrushpulley/systems/cell_owner_events.py
@@ -13,9 +13,9 @@
 from bulrushpulley.entities.cell_owner_tables import (
     Cancelling,
     CellOwnerTables,
-    LeaveCells,
     LinkedEntry,
 )
+from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import (
     Assigned,
     Configured,
@@ -90,5 +90,5 @@
 
 
 @apply.register
-def _(event: LeaveCells, tables: CellOwnerTables, now: float) -> CellStep:
+def _(event: Leave, tables: CellOwnerTables, now: float) -> CellStep:
     return Step(tables=replace(tables, leaving=True))
--- a/bulrushpulley/systems/cell_release.py
+++ b/bulrushpulley/systems/cell_release.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.cell import HELD, Cell, CellPhase, lease_key
-from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, CellsReleased
+from bulrushpulley.entities.cell_owner_tables import CellOwnerDone, CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
     Condition,
@@ -44,7 +44,7 @@
     if len(tables.cells) and not overdue:
         return Step(tables=tables)
     tables = replace(tables, released=True)
-    return Step(tables=tables, commands=(CellsReleased(),))
+    return Step(tables=tables, commands=(CellOwnerDone(),))
 
 
 def quiet(tables: CellOwnerTables, cell: Cell, now: float) -> bool:
