--- /dev/null
+++ b/test/cell_bench.py
@@ -0,0 +1,452 @@
+"""Runs cell owners in virtual time over a small store and small workers.
+
+Invariants are checked at every start and every commit; what breaks them is kept
+in `violations`. Faults are switched on by the sets and hooks of `CellBench`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import singledispatchmethod
+from typing import Any
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.commit import (
+    CommitOutcome,
+    Committed,
+    Conflicted,
+    Submission,
+    Unsettled,
+    VersionedRow,
+)
+from bulrushpulley.entities.link import (
+    CellSummary,
+    Configured,
+    Fetch,
+    Fetched,
+    LinkUp,
+    Offer,
+    Send,
+    Submit,
+)
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.owner_times import START_WINDOW_S
+from bulrushpulley.entities.records import (
+    CellRecord,
+    DomainState,
+    FailureDomainRecord,
+    JobRecord,
+    Record,
+    WorkerRecord,
+)
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.rows import (
+    DurableRow,
+    RecordRow,
+    TaskClass,
+    TaskRow,
+    TaskSpec,
+    TaskState,
+)
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.entities.worker_calls import (
+    AskReport,
+    ReportUnanswered,
+    RunReport,
+    RunState,
+    Started,
+    StartNotSent,
+    StartTask,
+    StartUnknown,
+    StopAnswered,
+    StopTask,
+    StopUnanswered,
+    WorkerReported,
+)
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.roles import cell_owner
+from bulrushpulley.wire.rows import decode_row, encode_row
+from standins import table_core, worker_core
+from standins.table_core import At, Put, TableState, Transaction
+from standins.worker_core import Renew, Start, WorkerState
+from test.virtual_world import Seat, VirtualWorld
+
+DOMAIN = "ege-izmir"
+CAPACITY = Resources(processors_m=8_000, memory_mb=16_000)
+SIZE = Resources(processors_m=2_000, memory_mb=1_000)
+DELIVERY_S = 0.005
+PROBLEM = Problem(code=Code.UNAVAILABLE, step="fake", peer="fake", detail="fake")
+
+
+def seat(agent: str) -> Seat:
+    """Return the cell owner of an agent."""
+    return Seat(process=agent, role="cell_owner")
+
+
+class CellBench:
+    """One cell, some workers, a store, and agents that may own the cell."""
+
+    def __init__(self, *, seed: int = 1, workers: int = 2) -> None:
+        self.world = VirtualWorld(carry_out=self._carry_out, seed=seed)
+        self.store = TableState.empty()
+        self.workers = {f"w{n}": WorkerState.empty() for n in range(workers)}
+        self.capacity = dict.fromkeys(self.workers, CAPACITY)
+        self.unreachable: set[str] = set()
+        self.lose_worker_answers: set[str] = set()
+        self.start_delay_s = DELIVERY_S
+        self.store_up = True
+        self.lose_commit: Callable[[Submission], bool] = lambda submission: False
+        self.before_commit: Callable[[Submission], None] = lambda submission: None
+        self.checks_deadline = True
+        self.drained_at: float | None = None
+        self.starts: list[StartTask] = []
+        self.commands: list[tuple[float, str, Command]] = []
+        self.decisions: list[Decision] = []
+        self.summaries: list[CellSummary] = []
+        self.violations: list[str] = []
+        self.put_record("failure_domain", self._domain(DomainState.IN_SERVICE))
+        self.put_record("cell", self._cell())
+
+    def _domain(self, state: DomainState) -> FailureDomainRecord:
+        return FailureDomainRecord(name=DOMAIN, region="ege", state=state)
+
+    def _cell(self) -> CellRecord:
+        workers = tuple(
+            WorkerRecord(worker_id=w, url=f"http://{w}", rack="r0", capacity=size)
+            for w, size in self.capacity.items()
+        )
+        return CellRecord(name="c0", failure_domain=DOMAIN, workers=workers)
+
+    # Set-up and events.
+
+    def put(self, key: str, row: DurableRow | None) -> int:
+        """Write a row whatever stands there."""
+        value = None if row is None else encode_row(row, "bench")
+        put = Put(key=key, value=value)
+        result = table_core.commit(self.store, Transaction(conditions=(), puts=(put,)))
+        self.store = result.state
+        return result.revision
+
+    def put_record(self, kind: str, record: Record) -> int:
+        """Put a record in force, not yet known to the agents."""
+        row = RecordRow(
+            kind=kind, schema_version=1, record=record, author="op", revision=0
+        )
+        return self.put(f"record/{kind}/{record.name}", row)
+
+    def spread(self) -> None:
+        """Tell every agent the whole configuration."""
+        rows = self._rows("record/")
+        event = Configured(base=0, revision=self.store.revision, rows=rows)
+        for owner in list(self.world.roles):
+            self.world.deliver(owner, event)
+
+    def drain(self) -> None:
+        """Take the failure domain out in the store; agents do not know it yet."""
+        self.put_record("failure_domain", self._domain(DomainState.DRAINED))
+        self.drained_at = self.world.now
+
+    def resize(self, worker: str, capacity: Resources) -> None:
+        """Amend a worker's capacity and spread the record."""
+        self.capacity[worker] = capacity
+        self.put_record("cell", self._cell())
+        self.spread()
+
+    def job(
+        self, name: str, *, tasks: int = 1, run_s: float = 5.0, **more: Any
+    ) -> None:
+        """Put a job in force and its tasks into the cell."""
+        more = {"size": SIZE, **more}
+        record = JobRecord(
+            name=name, department="bakery", tasks=tasks, run_s=run_s, **more
+        )
+        version = self.put_record("job", record)
+        for index in range(tasks):
+            self.task(name, index, version, run_s=run_s, **more)
+
+    def task(self, job: str, index: int, version: int, **more: Any) -> None:
+        """Put one waiting task into the cell."""
+        fields = {"task_class": TaskClass.BATCH, "kind": "job", "size": SIZE, **more}
+        spec = TaskSpec(
+            record_version=version,
+            job=job,
+            index=index,
+            department="bakery",
+            **fields,
+        )
+        row = TaskRow(spec=spec, state=TaskState.WAITING)
+        self.put(f"task/c0/{job}/{index}", row)
+
+    def agent(self, name: str, life: int = 1) -> None:
+        """Start an agent, link it, tell it the configuration and offer the cell."""
+        incarnation = f"{name}#{life}"
+        role = cell_owner.build(agent=name, incarnation=incarnation, region="ege")
+        self.world.start(name, [role])
+        for entry in ("entry-1", "entry-2"):
+            self.world.deliver(seat(name), LinkUp(peer=entry, region="ege"))
+        self.spread()
+        self.offer(name)
+
+    def offer(self, name: str) -> None:
+        """Offer the cell to an agent."""
+        self.world.deliver(seat(name), Offer(peer="entry-1", cell="c0"))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.world.run(self.world.now + seconds)
+
+    # What tests look at.
+
+    def tables(self, agent: str) -> CellOwnerTables:
+        """Return an agent's tables."""
+        found: CellOwnerTables = self.world.tables[seat(agent)]
+        return found
+
+    def row(self, key: str) -> Any:
+        """Return the row of a key, or None."""
+        stored = self.store.rows.get(key)
+        if stored is None or stored.value is None:
+            return None
+        return decode_row(stored.value).row
+
+    def done(self, task_id: str) -> TaskState | None:
+        """Return the outcome of a task, if it has one."""
+        row = self.row(f"done/{task_id}")
+        return row.state if row else None
+
+    def running(self, task_id: str) -> list[str]:
+        """Return the workers that run a task, once for each run."""
+        self._advance()
+        return [
+            worker
+            for worker, state in self.workers.items()
+            for run in state.runs.rows()
+            if run.start.task_id == task_id and run.state.value == "running"
+        ]
+
+    def kinds(self) -> set[str]:
+        """Return the kinds of all decision lines."""
+        return {decision.kind for decision in self.decisions}
+
+    # The checks.
+
+    def _check_start(self, command: StartTask) -> None:
+        twice = [
+            s
+            for s in self.starts
+            if (s.task_id, s.generation) == (command.task_id, command.generation)
+        ]
+        if twice:
+            self.violations.append(f"sent twice: {command.task_id}")
+        bound = START_WINDOW_S + self.start_delay_s
+        if self.drained_at is not None and self.world.now > self.drained_at + bound:
+            self.violations.append(f"started after the drain: {command.task_id}")
+        self.starts.append(command)
+
+    def check_workers(self) -> None:
+        """Check that nothing runs twice and that every worker's load fits."""
+        self._advance()
+        runs = [run for state in self.workers.values() for run in state.runs.rows()]
+        names = [r.start.task_id for r in runs if r.state.value == "running"]
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            self.violations.append(f"runs twice at {self.world.now:.2f}: {name}")
+        for worker, state in self.workers.items():
+            if not worker_core.running_size(state).fits(self.capacity[worker]):
+                self.violations.append(f"over its capacity: {worker}")
+
+    def _check_done(self, submission: Submission) -> None:
+        for write in submission.writes:
+            if write.key.startswith("done/") and self.row(write.key) is not None:
+                self.violations.append(f"done twice: {write.key}")
+
+    # The store.
+
+    def _rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
+        page = table_core.read(self.store, prefix=prefix, since=since, limit=100_000)
+        return tuple(self._versioned(row) for row in page.rows)
+
+    def _versioned(self, row: table_core.Stored) -> VersionedRow:
+        if row.value is None:
+            return VersionedRow(key=row.key, version=row.version, row=None)
+        decoded = decode_row(row.value)
+        return VersionedRow(
+            key=row.key, version=row.version, row=decoded.row, token=decoded.token
+        )
+
+    def commit(self, submission: Submission) -> CommitOutcome:
+        """Commit a submission as a committer does, settling by its token."""
+        key = submission.submission_id
+        if not self.store_up:
+            return Unsettled(submission_id=key, reason="down")
+        self.before_commit(submission)
+        puts = tuple(
+            Put(key=w.key, value=encode_row(w.row, key) if w.row else None)
+            for w in submission.writes
+        )
+        conditions = tuple(
+            At(key=c.key, version=c.version) for c in submission.conditions
+        )
+        result = table_core.commit(
+            self.store, Transaction(conditions=conditions, puts=puts)
+        )
+        if result.committed:
+            self._check_done(submission)
+            self.store = result.state
+            if self.lose_commit(submission):
+                return Unsettled(submission_id=key, reason="answer lost")
+            return Committed(submission_id=key, revision=result.revision)
+        rows = tuple(self._versioned(row) for row in result.failed)
+        own = [row.version for row in rows if row.token == key]
+        if own:
+            return Committed(submission_id=key, revision=own[0])
+        return Conflicted(submission_id=key, rows=rows)
+
+    # Commands.
+
+    def _carry_out(self, world: VirtualWorld, owner: Seat, command: Command) -> None:
+        self.commands.append((world.now, owner.process, command))
+        self._do(command, owner)
+
+    @singledispatchmethod
+    def _do(self, command: Command, owner: Seat) -> None:
+        """Pass over what the bench does not act on."""
+
+    @_do.register
+    def _(self, command: Decision, owner: Seat) -> None:
+        self.decisions.append(command)
+
+    @_do.register
+    def _(self, command: Send, owner: Seat) -> None:
+        self._take(command.item, owner)
+
+    @singledispatchmethod
+    def _take(self, item: Event, owner: Seat) -> None:
+        """Pass over what an entry does not act on."""
+
+    @_take.register
+    def _(self, item: CellSummary, owner: Seat) -> None:
+        self.summaries.append(item)
+
+    @_take.register
+    def _(self, item: Submit, owner: Seat) -> None:
+        def act() -> None:
+            outcome = self.commit(item.submission)
+            self.world.at(DELIVERY_S, lambda: self.world.deliver(owner, outcome))
+
+        self.world.at(DELIVERY_S, act)
+
+    @_take.register
+    def _(self, item: Fetch, owner: Seat) -> None:
+        def act() -> None:
+            fetched = Fetched(
+                fetch_id=item.fetch_id,
+                prefix=item.prefix,
+                revision=self.store.revision,
+                rows=self._rows(item.prefix, item.since) if self.store_up else (),
+                failed="" if self.store_up else "down",
+            )
+            self.world.at(DELIVERY_S, lambda: self.world.deliver(owner, fetched))
+
+        self.world.at(DELIVERY_S, act)
+
+    # Workers.
+
+    def _advance(self) -> None:
+        for worker, state in self.workers.items():
+            self.workers[worker] = worker_core.advance(state, self.world.now)
+
+    def _answers(self, worker: str) -> bool:
+        return worker not in self.unreachable | self.lose_worker_answers
+
+    @_do.register
+    def _(self, command: StartTask, owner: Seat) -> None:
+        ids: dict[str, Any] = {
+            "worker_id": command.worker_id,
+            "task_key": command.task_key,
+            "generation": command.generation,
+        }
+        late = self.checks_deadline and self.world.now > command.not_after
+        if late or command.worker_id in self.unreachable:
+            self.world.deliver(owner, StartNotSent(problem=PROBLEM, **ids))
+            return
+
+        def act() -> None:
+            self._check_start(command)
+            told = Start(
+                task_id=command.task_id,
+                generation=command.generation,
+                lease_s=command.lease_s,
+                run_s=command.run_s,
+                size=command.size,
+                checkpoint=command.checkpoint,
+            )
+            state = worker_core.start(
+                self.workers[command.worker_id], told, self.world.now
+            )
+            self.workers[command.worker_id] = state
+            self.check_workers()
+            if self._answers(command.worker_id):
+                self.world.deliver(owner, Started(**ids))
+
+        self.world.at(self.start_delay_s, act)
+        if not self._answers(command.worker_id):
+            unknown = StartUnknown(problem=PROBLEM, **ids)
+            self.world.at(0.1, lambda: self.world.deliver(owner, unknown))
+
+    @_do.register
+    def _(self, command: StopTask, owner: Seat) -> None:
+        worker = command.worker_id
+        lost = StopUnanswered(worker_id=worker, problem=PROBLEM)
+        if worker in self.unreachable or self.world.now > command.not_after:
+            self.world.deliver(owner, lost)
+            return
+        self.workers[worker] = worker_core.stop(
+            self.workers[worker],
+            command.task_id,
+            command.generation,
+            command.checkpoint,
+            self.world.now,
+        )
+        answered = StopAnswered(worker_id=worker)
+        self.world.deliver(owner, answered if self._answers(worker) else lost)
+
+    @_do.register
+    def _(self, command: AskReport, owner: Seat) -> None:
+        worker = command.worker_id
+        unanswered = ReportUnanswered(
+            worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
+        )
+        if worker in self.unreachable or self.world.now > command.not_after:
+            self.world.deliver(owner, unanswered)
+            return
+        renewals = tuple(
+            Renew(task_id=r.task_id, generation=r.generation, lease_s=r.lease_s)
+            for r in command.renewals
+        )
+        state = worker_core.renew(self.workers[worker], renewals, self.world.now)
+        self.workers[worker] = state
+        self.check_workers()
+        reported = WorkerReported(
+            worker_id=worker, asked_at=command.asked_at, runs=runs_of(state)
+        )
+        self.world.deliver(owner, reported if self._answers(worker) else unanswered)
+
+
+def runs_of(state: WorkerState) -> tuple[RunReport, ...]:
+    """Return what a worker reports."""
+    return tuple(
+        RunReport(
+            task_id=run.start.task_id,
+            generation=run.start.generation,
+            state=RunState(run.state.value),
+            checkpoint=run.checkpoint,
+            detail=run.detail,
+        )
+        for run in state.runs.rows()
+    )
+
+
+def failing(state: WorkerState, fails: bool) -> WorkerState:
+    """Return a worker that fails everything it starts, or not."""
+    return replace(state, fail_all=fails)
