Keep a paused owner from stopping what its successor runs

Cause: an owner that was paused, replaced and resumed took the next generation on a worker for a stray run and stopped it before its next commit told it that the cell was lost (seen with the paused-owner case: two starts in place of one). Ruled out: waiting for the next commit alone, since reports come every second. Change: a stop may leave only while no other agent can have taken the cell, and a newer generation is never stopped. Failure cases with each guard taken out. Conclusion: stops need a shorter bound than renewals.

--- a/bulrushpulley/systems/cell_liveness.py
+++ b/bulrushpulley/systems/cell_liveness.py
@@ -19,7 +19,7 @@
     Write,
 )
 from bulrushpulley.entities.in_flight import Flight, ReadOwnAlive, RenewAlive
-from bulrushpulley.entities.owner_times import RENEW_S
+from bulrushpulley.entities.owner_times import RENEW_S, TAKEOVER_S
 from bulrushpulley.entities.rows import AliveRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import cell_outcomes, cell_send
@@ -37,6 +37,17 @@
     return float("-inf") if confirmed is None else confirmed + tables.autonomy_s
 
 
+def stops_until(tables: CellOwnerTables) -> float:
+    """Return the instant up to which no other agent can have taken a cell.
+
+    A stop may leave only until then: a paused owner must not stop what its
+    successor runs. Leases are renewed for longer, as that harms nothing.
+    """
+    confirmed = tables.liveness.confirmed_sent_at
+    owned = float("-inf") if confirmed is None else confirmed + TAKEOVER_S
+    return min(owned, autonomous_until(tables))
+
+
 def renew(tables: CellOwnerTables, now: float) -> CellStep:
     """Renew the liveness row when it is due and there is a cell to own."""
     live = tables.liveness
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -40,10 +40,11 @@
     WorkerReported,
 )
 from bulrushpulley.systems import cell_rows, cell_sick, cell_stop
-from bulrushpulley.systems.cell_liveness import autonomous_until
+from bulrushpulley.systems.cell_liveness import autonomous_until, stops_until
 from bulrushpulley.systems.cell_owner_events import CellStep, apply
 
 STRAY_STOPS_PER_REPORT = 64
+REPORT_AFTER_STOP_S = 0.25
 SOUND_AFTER_S = 30.0
 REPORT_LOST_S = 5 * CALL_WITHIN_S
 RENEWED = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
@@ -132,8 +133,9 @@
     worker = tables.workers.get(event.worker_id)
     if worker is None:
         return Step(tables=tables)
-    soon = replace(worker, next_report_at=now)
-    return Step(tables=cell_rows.put_worker(tables, soon))
+    soon = min(worker.next_report_at, now + REPORT_AFTER_STOP_S)
+    worker = replace(worker, next_report_at=soon)
+    return Step(tables=cell_rows.put_worker(tables, worker))
 
 
 @apply.register
@@ -279,7 +281,7 @@
     tables: CellOwnerTables, worker: Worker, strays: list[RunReport], now: float
 ) -> list[Command]:
     """Stop runs that are not the owner's; this also has ended ones forgotten."""
-    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
     if tables.leaving or now > not_after:
         return []
     return [
@@ -292,4 +294,11 @@
             checkpoint=False,
         )
         for run in strays[:STRAY_STOPS_PER_REPORT]
+        if not is_newer(tables, worker, run)
     ]
+
+
+def is_newer(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
+    """Tell whether a run is of a generation that only another owner can know."""
+    task = tables.tasks.get(task_key(cell=worker.cell, task_id=run.task_id))
+    return task is not None and run.generation > task.row.generation
--- a/bulrushpulley/systems/cell_stop.py
+++ b/bulrushpulley/systems/cell_stop.py
@@ -32,7 +32,7 @@
 from bulrushpulley.entities.worker import Worker
 from bulrushpulley.entities.worker_calls import StopTask
 from bulrushpulley.systems import cell_rows
-from bulrushpulley.systems.cell_liveness import autonomous_until
+from bulrushpulley.systems.cell_liveness import stops_until
 from bulrushpulley.systems.cell_owner_events import CellStep
 
 
@@ -94,9 +94,9 @@
 
 
 def stop(tables: CellOwnerTables, now: float) -> CellStep:
-    """Send the stops that are due, while the owner may command its workers."""
+    """Send the stops that are due, while no other agent can own the cell."""
     commands: list[Command] = []
-    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
     for cell in tables.cells.rows():
         if cell.phase is not CellPhase.OWNED or now > not_after or tables.leaving:
             continue
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -94,6 +94,7 @@
         self.capacity = dict.fromkeys(self.workers, CAPACITY)
         self.unreachable: set[str] = set()
         self.lose_worker_answers: set[str] = set()
+        self.lose_start_answers = False
         self.start_delay_s = DELIVERY_S
         self.store_up = True
         self.lose_commit: Callable[[Submission], bool] = lambda submission: False
@@ -386,11 +387,12 @@
             )
             self.workers[command.worker_id] = state
             self.check_workers()
-            if self._answers(command.worker_id):
+            if answers:
                 self.world.deliver(owner, Started(**ids))
 
+        answers = self._answers(command.worker_id) and not self.lose_start_answers
         self.world.at(self.start_delay_s, act)
-        if not self._answers(command.worker_id):
+        if not answers:
             unknown = StartUnknown(problem=PROBLEM, **ids)
             self.world.at(0.1, lambda: self.world.deliver(owner, unknown))
 
--- /dev/null
+++ b/test/test_cell_faults.py
@@ -0,0 +1,366 @@
+"""Failures on the way of a task through a cell, each with its guard taken out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.entities.commit import Submission
+from bulrushpulley.entities.records import JobRecord
+from bulrushpulley.entities.rows import LeaseRow, TaskRow, TaskState
+from bulrushpulley.entities.step import Command
+from bulrushpulley.entities.task import Phase
+from bulrushpulley.entities.worker_calls import StartTask, WorkerReported
+from bulrushpulley.systems import (
+    cell_domains,
+    cell_reports,
+    cell_rooms,
+    cell_start,
+    cell_stop,
+    cell_watch,
+)
+from test.cell_bench import SIZE, CellBench, runs_of, seat
+from test.virtual_world import Seat, VirtualWorld
+
+
+def writes_start(submission: Submission) -> bool:
+    rows = [write.row for write in submission.writes]
+    return any(isinstance(r, TaskRow) and r.state is TaskState.STARTING for r in rows)
+
+
+def writes_done(submission: Submission) -> bool:
+    return any(write.key.startswith("done/") for write in submission.writes)
+
+
+def always(*_: Any, **__: Any) -> bool:
+    return True
+
+
+class OnceOnly:
+    """Runs an action at the first call that matches."""
+
+    def __init__(
+        self, *, matches: Callable[[Any], bool], action: Callable[[], None]
+    ) -> None:
+        self._matches = matches
+        self._action = action
+        self._done = False
+
+    def __call__(self, value: Any) -> bool:
+        """Act if this is the first match."""
+        if self._done or not self._matches(value):
+            return False
+        self._done = True
+        self._action()
+        return True
+
+
+def nothing() -> None:
+    """Do nothing."""
+
+
+def with_delayed_start(bench: CellBench) -> None:
+    """A start that leaves in time, arrives late, and whose answer is lost."""
+    bench.job("curves", run_s=20.0)
+    bench.agent("a")
+    bench.start_delay_s = 3.0
+    bench.lose_start_answers = True
+    bench.run(2.0)
+    bench.lose_start_answers = False
+    bench.run(60.0)
+
+
+def with_paused_owner(bench: CellBench) -> None:
+    """An owner paused right before its start leaves, and replaced meanwhile."""
+
+    def pause(world: VirtualWorld, owner: Seat, command: Command) -> None:
+        if isinstance(command, StartTask) and owner.process == "a":
+            world.watches.clear()
+            world.pause("a", 60.0)
+
+    bench.job("curves", run_s=90.0)
+    bench.agent("a")
+    bench.world.watches.append(pause)
+    bench.run(2.0)
+    bench.agent("b")
+    bench.run(120.0)
+
+
+def with_silent_worker(bench: CellBench) -> None:
+    """A worker cut off for so long that the leases of its tasks lapse."""
+    bench.job("curves", run_s=60.0)
+    bench.agent("a")
+    bench.run(5.0)
+    bench.unreachable = {"w0"}
+    bench.run(60.0)
+    bench.unreachable = set()
+    bench.run(90.0)
+
+
+def with_drain_at_commit(bench: CellBench) -> None:
+    """A drain that is accepted right before the start would commit."""
+    bench.before_commit = OnceOnly(matches=writes_start, action=bench.drain)  # type: ignore[assignment]
+    bench.job("curves")
+    bench.agent("a")
+    bench.run(1.0)
+    bench.run(10.0)
+
+
+def with_drain_and_lost_commit(bench: CellBench) -> None:
+    """A start that committed just before a drain, whose answer comes late."""
+    down = OnceOnly(matches=writes_start, action=lambda: drained_in_outage(bench))
+    bench.lose_commit = down
+    bench.job("curves")
+    bench.agent("a")
+    bench.run(30.0)
+
+
+def drained_in_outage(bench: CellBench) -> None:
+    bench.drain()
+    bench.store_up = False
+    bench.world.at(4.0, lambda: setattr(bench, "store_up", True))
+
+
+def with_crowded_cell(bench: CellBench) -> None:
+    """More tasks than the workers hold."""
+    bench.job("curves", tasks=20, run_s=10.0)
+    bench.agent("a")
+    bench.run(60.0)
+
+
+def with_late_report(bench: CellBench) -> None:
+    """A report of an earlier generation that comes again much later."""
+    bench.job("curves", run_s=30.0)
+    bench.agent("a")
+    bench.run(3.0)
+    early = runs_of(bench.workers["w0"])
+    bench.unreachable = {"w0"}
+    bench.run(50.0)
+    worker = bench.tables("a").workers.by_key["w1"]
+    late = WorkerReported(
+        worker_id="w1",
+        asked_at=worker.asked_at or worker.reported_at or 0.0,
+        runs=early,
+    )
+    bench.world.deliver(seat("a"), late)
+    bench.run(5.0)
+
+
+GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
+    (with_delayed_start, cell_reports, "shows_absence", always),
+    (with_silent_worker, cell_stop, "surely_lapsed", always),
+    (with_crowded_cell, cell_rooms, "committed", lambda *_: SIZE.minus(SIZE)),
+)
+
+
+class GuardTest(testtools.TestCase):
+    def test_nothing_is_violated_under_each_fault(self) -> None:
+        for case in (
+            with_delayed_start,
+            with_paused_owner,
+            with_silent_worker,
+            with_drain_at_commit,
+            with_drain_and_lost_commit,
+            with_crowded_cell,
+            with_late_report,
+        ):
+            bench = CellBench()
+            case(bench)
+            self.assertEqual([], bench.violations, case.__name__)
+            self.assertTrue(bench.commands, case.__name__)
+
+    def test_each_check_goes_red_without_its_guard(self) -> None:
+        for case, module, guard, without in GUARDED:
+            bench = CellBench()
+            with mock.patch.object(module, guard, without):
+                case(bench)
+            self.assertNotEqual([], bench.violations, f"{case.__name__} {guard}")
+
+    def test_a_start_past_its_deadline_would_run_twice(self) -> None:
+        bench = CellBench()
+        bench.checks_deadline = False
+        with_paused_owner(bench)
+        self.assertNotEqual([], bench.violations)
+
+    def test_a_start_whose_commit_was_confirmed_late_breaks_the_bound(self) -> None:
+        bench = CellBench()
+        bench.checks_deadline = False
+        with_drain_and_lost_commit(bench)
+        self.assertEqual([], bench.violations)
+        bench = CellBench()
+        bench.checks_deadline = False
+        with mock.patch.object(cell_start, "may_send", always):
+            with_drain_and_lost_commit(bench)
+        self.assertNotEqual([], bench.violations)
+
+    def test_a_paused_owner_would_stop_what_its_successor_runs(self) -> None:
+        bench = CellBench()
+        with_paused_owner(bench)
+        self.assertEqual(1, len(bench.starts))
+        bench = CellBench()
+        with (
+            mock.patch.object(cell_reports, "stops_until", lambda _: float("inf")),
+            mock.patch.object(cell_reports, "is_newer", lambda *_: False),
+        ):
+            with_paused_owner(bench)
+        self.assertNotEqual(1, len(bench.starts))
+
+    def test_a_drained_domain_bars_the_commit_of_a_start(self) -> None:
+        def unconditional(tables: Any, cell: Any, task: Any) -> Any:
+            return conditions(tables, cell, task)[:2]
+
+        bench = CellBench()
+        with_drain_at_commit(bench)
+        self.assertEqual([], bench.starts)
+        conditions = cell_start.start_conditions
+        bench = CellBench()
+        with (
+            mock.patch.object(cell_start, "start_conditions", unconditional),
+            mock.patch.object(cell_domains, "in_service", always),
+        ):
+            with_drain_at_commit(bench)
+        self.assertNotEqual([], bench.starts)
+
+    def test_a_takeover_waits_for_the_liveness_row_to_stand_still(self) -> None:
+        def owner_after(guard: Any) -> str:
+            bench = CellBench()
+            bench.agent("a")
+            bench.run(5.0)
+            bench.agent("b")
+            with mock.patch.object(cell_watch, "silent_long_enough", guard):
+                for _ in range(10):
+                    bench.offer("b")
+                    bench.run(3.7)
+            lease = bench.row("lease/c0")
+            assert isinstance(lease, LeaseRow)
+            return lease.owner
+
+        self.assertEqual("a", owner_after(cell_watch.silent_long_enough))
+        self.assertEqual("b", owner_after(always))
+
+
+class OutcomeTest(testtools.TestCase):
+    def test_paused_owner_gives_the_cell_up_and_sends_nothing_more(self) -> None:
+        bench = CellBench()
+        with_paused_owner(bench)
+        self.assertEqual("b", bench.row("lease/c0").owner)
+        self.assertNotIn("c0", bench.tables("a").cells)
+        later = [c for at, agent, c in bench.commands if agent == "a" and at > 70.0]
+        self.assertEqual([], [c for c in later if isinstance(c, StartTask)])
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_a_new_owner_adopts_what_runs(self) -> None:
+        bench = CellBench()
+        bench.job("curves", run_s=60.0)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.world.kill("a")
+        bench.agent("b")
+        bench.run(90.0)
+        self.assertEqual([], bench.violations)
+        self.assertEqual(1, len(bench.starts))
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_a_restarted_agent_takes_its_cell_back_at_once(self) -> None:
+        bench = CellBench()
+        bench.job("curves", run_s=60.0)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.agent("a", life=2)
+        bench.run(2.0)
+        lease = bench.row("lease/c0")
+        self.assertEqual(("a#2", 2), (lease.incarnation, lease.epoch))
+        self.assertEqual(1, len(bench.starts))
+
+    def test_a_lost_answer_holds_capacity_until_the_worker_reports(self) -> None:
+        bench = CellBench(workers=1)
+        bench.job("curves", run_s=30.0)
+        bench.agent("a")
+        bench.lose_start_answers = True
+        bench.run(2.0)
+        bench.lose_worker_answers = {"w0"}
+        bench.run(6.0)
+        task = bench.tables("a").tasks.by_key["task/c0/curves/0"]
+        self.assertEqual((Phase.UNKNOWN, "w0"), (task.phase, task.worker_id))
+        bench.lose_worker_answers = set()
+        bench.run(40.0)
+        self.assertEqual(1, len(bench.starts))
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_a_silent_worker_s_task_resumes_once_after_its_lease(self) -> None:
+        bench = CellBench()
+        with_silent_worker(bench)
+        self.assertEqual([1, 2], [start.generation for start in bench.starts])
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_a_worker_that_comes_back_in_time_keeps_its_task(self) -> None:
+        bench = CellBench()
+        bench.job("curves", run_s=60.0)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.unreachable = {"w0"}
+        bench.run(8.0)
+        bench.unreachable = set()
+        bench.run(60.0)
+        self.assertEqual(1, len(bench.starts))
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_an_unsettled_start_is_not_sent_once_its_window_has_passed(self) -> None:
+        bench = CellBench()
+        bench.lose_commit = OnceOnly(
+            matches=writes_start, action=lambda: outage(bench, 4.0)
+        )
+        bench.job("curves", run_s=5.0)
+        bench.agent("a")
+        bench.run(30.0)
+        self.assertEqual([2], [start.generation for start in bench.starts])
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_an_unsettled_ending_is_written_once(self) -> None:
+        bench = CellBench()
+        bench.lose_commit = OnceOnly(matches=writes_done, action=nothing)
+        bench.job("curves", run_s=5.0)
+        bench.agent("a")
+        bench.run(30.0)
+        self.assertEqual([], bench.violations)
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_tasks_run_on_through_a_store_outage(self) -> None:
+        bench = CellBench()
+        bench.job("curves", run_s=200.0)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.store_up = False
+        bench.run(250.0)
+        bench.store_up = True
+        bench.run(20.0)
+        self.assertEqual(1, len(bench.starts))
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
+
+    def test_a_cancelled_job_never_starts_once_its_record_says_so(self) -> None:
+        def cancel() -> None:
+            record = JobRecord(
+                name="curves",
+                department="bakery",
+                tasks=1,
+                size=SIZE,
+                run_s=5.0,
+                cancelled=True,
+            )
+            bench.put_record("job", record)
+
+        bench = CellBench()
+        bench.before_commit = OnceOnly(matches=writes_start, action=cancel)  # type: ignore[assignment]
+        bench.job("curves")
+        bench.agent("a")
+        bench.run(5.0)
+        self.assertEqual([], bench.starts)
+        self.assertEqual(TaskState.CANCELLED, bench.done("curves/0"))
+
+
+def outage(bench: CellBench, seconds: float) -> None:
+    bench.store_up = False
+    bench.world.at(seconds, lambda: setattr(bench, "store_up", True))
