--- a/bulrushpulley/systems/cell_sick.py
+++ b/bulrushpulley/systems/cell_sick.py
@@ -54,7 +54,9 @@
     )
     key = f"{worker.worker_id}|{task.key}"
     tables = replace(tables, failures=tables.failures.put(key, failure))
-    if worker.health is not Health.HEALTHY:
+    if worker.health is Health.ASIDE:
+        return tables, False, ()
+    if worker.health is Health.PROBING:
         tables, commands = _set_aside(tables, worker, now)
         return tables, False, commands
     if is_sick(tables, worker.worker_id):
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -21,6 +21,7 @@
     VersionedRow,
 )
 from bulrushpulley.entities.link import (
+    Assigned,
     CellSummary,
     Configured,
     Fetch,
@@ -38,6 +39,7 @@
     FailureDomainRecord,
     JobRecord,
     Record,
+    ServiceRecord,
     WorkerRecord,
 )
 from bulrushpulley.entities.resources import Resources
@@ -96,6 +98,7 @@
         self.lose_worker_answers: set[str] = set()
         self.lose_start_answers = False
         self.start_delay_s = DELIVERY_S
+        self.bad_jobs: set[str] = set()
         self.store_up = True
         self.lose_commit: Callable[[Submission], bool] = lambda submission: False
         self.before_commit: Callable[[Submission], None] = lambda submission: None
@@ -166,6 +169,16 @@
         for index in range(tasks):
             self.task(name, index, version, run_s=run_s, **more)
 
+    def assign(self, agent: str) -> None:
+        """Tell an owner of all task rows, as the controller does."""
+        event = Assigned(cell="c0", rows=self._rows("task/c0/"))
+        self.world.deliver(seat(agent), event)
+
+    def put_service(self, name: str) -> int:
+        """Put a service with one replica in force."""
+        record = ServiceRecord(name=name, department="ovens", replicas=1, size=SIZE)
+        return self.put_record("service", record)
+
     def task(self, job: str, index: int, version: int, **more: Any) -> None:
         """Put one waiting task into the cell."""
         fields = {"task_class": TaskClass.BATCH, "kind": "job", "size": SIZE, **more}
@@ -382,9 +395,10 @@
                 size=command.size,
                 checkpoint=command.checkpoint,
             )
-            state = worker_core.start(
-                self.workers[command.worker_id], told, self.world.now
-            )
+            before = self.workers[command.worker_id]
+            fails = before.fail_all or command.task_id.split("/")[0] in self.bad_jobs
+            state = worker_core.start(failing(before, fails), told, self.world.now)
+            state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
             self.check_workers()
             if answers:
