Keep starts off workers that do not answer, and lower services

Cause: a worker that refused a start was chosen again at once, one commit a try, until it counted as silent after 10 s; a lowered service kept its replicas. Ruled out: a shorter silence, which would give up renewing leases too early. Change: a worker whose call failed takes no task until a later report is answered; a withdrawn start waits 1 s; replicas beyond the record are cancelled. After: one generation used against a refusing worker in 9 s.

--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -85,7 +85,7 @@
     or after `settle_after` that lacks the task shows that it does not run, and
     its lease has surely lapsed at `leased_until`. `ending` is planned while
     the task still runs and final once it is ENDED. `skipped` is the last reason
-    for which no worker was chosen.
+    for which no worker was chosen. No start is tried before `retry_at`.
     """
 
     key: str
@@ -100,6 +100,7 @@
     stop_sent_at: float = 0.0
     ending: Ending | None = None
     skipped: str = ""
+    retry_at: float = 0.0
 
     @property
     def worker_id(self) -> str:
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -28,7 +28,8 @@
     then nothing. `asked_at` is when the report in flight was asked, or None;
     `reported_at` when the last report that was answered had been asked.
     No renewal of a task's lease has left after `renewed_until`. `strays` counts
-    the runs on it that the owner does not hold it to.
+    the runs on it that the owner does not hold it to. `unanswered_at` is when a
+    call to it last failed, until a report asked after that is answered.
     """
 
     worker_id: str
@@ -43,6 +44,7 @@
     answered_at: float = 0.0
     renewed_until: float = 0.0
     strays: int = 0
+    unanswered_at: float | None = None
     health: Health = Health.HEALTHY
     aside_until: float = 0.0
     backoff_s: float = 0.0
--- a/bulrushpulley/systems/cell_evict.py
+++ b/bulrushpulley/systems/cell_evict.py
@@ -10,6 +10,7 @@
 from bulrushpulley.entities.cell import Cell, CellPhase
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import RETURN_AFTER_S
+from bulrushpulley.entities.records import ServiceRecord
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import (
@@ -76,6 +77,17 @@
     return Step(tables=tables)
 
 
+@cell_rows.record_changed.register
+def _(record: ServiceRecord, tables: CellOwnerTables, now: float) -> CellOwnerTables:
+    """Cancel the replicas that a service no longer asks for."""
+    ending = Cancel(reason="its service asks for fewer replicas")
+    key = f"record/service/{record.name}"
+    for task in tables.tasks.rows_where("record", key):
+        if task.row.spec.index >= record.replicas:
+            tables = cell_stop.plan_ending(tables, task, ending, now)
+    return tables
+
+
 def shrink(tables: CellOwnerTables, now: float) -> CellStep:
     """Evict the newest batch tasks of workers that hold more than their capacity."""
     commands: list[Command] = []
@@ -131,6 +143,8 @@
         value = phase_index(cell=cell.name, phase=Phase.WAITING)
         for task in tables.tasks.rows_where("phase", value):
             ending = _reason_to_return(tables, cell, task, now)
+            if task.retry_at:
+                tables = cell_rows.touch_cell(tables, cell.name)
             if ending is not None:
                 tables = cell_stop.plan_ending(tables, task, ending, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -63,7 +63,8 @@
 
 def _place_cell(cell: Cell, tables: CellOwnerTables, now: float) -> CellStep:
     value = phase_index(cell=cell.name, phase=Phase.WAITING)
-    waiting = sorted(tables.tasks.rows_where("phase", value), key=order)
+    ready = [t for t in tables.tasks.rows_where("phase", value) if now >= t.retry_at]
+    waiting = sorted(ready, key=order)
     rooms = {room.worker.worker_id: room for room in rooms_of(tables, cell.name, now)}
     passed = Placement(rooms=rooms, tables=tables)
     for task in waiting[:PLACED_PER_TICK]:
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -106,6 +106,7 @@
 @apply.register
 def _(event: StartNotSent, tables: CellOwnerTables, now: float) -> CellStep:
     task = _current(tables, event.task_key, event.generation)
+    tables = _unanswered(tables, event.worker_id, now)
     if task is None or task.phase not in (Phase.SENDING, Phase.STOPPING):
         return Step(tables=tables)
     reason = f"the start was not sent: {event.problem.detail}"
@@ -115,6 +116,7 @@
 @apply.register
 def _(event: StartUnknown, tables: CellOwnerTables, now: float) -> CellStep:
     task = _current(tables, event.task_key, event.generation)
+    tables = _unanswered(tables, event.worker_id, now)
     if task is None or task.phase is not Phase.SENDING:
         return Step(tables=tables)
     unknown = replace(task, phase=Phase.UNKNOWN)
@@ -148,9 +150,16 @@
     worker = tables.workers.get(event.worker_id)
     if worker is None or worker.asked_at != event.asked_at:
         return Step(tables=tables)
-    unanswered = replace(worker, asked_at=None)
-    tables = cell_rows.put_worker(tables, unanswered)
-    return Step(tables=cell_rows.touch_cell(tables, worker.cell))
+    tables = cell_rows.put_worker(tables, replace(worker, asked_at=None))
+    return Step(tables=_unanswered(tables, event.worker_id, now))
+
+
+def _unanswered(tables: CellOwnerTables, worker_id: str, now: float) -> CellOwnerTables:
+    worker = tables.workers.get(worker_id)
+    if worker is None:
+        return tables
+    tables = cell_rows.put_worker(tables, replace(worker, unanswered_at=now))
+    return cell_rows.touch_cell(tables, worker.cell)
 
 
 @apply.register
@@ -160,12 +169,13 @@
         return Step(tables=tables)
     cell = tables.cells.by_key[worker.cell]
     loaded = cell.phase is CellPhase.OWNED
-    back = worker.reported_at is None or cell_stop.is_silent(worker, now)
+    back = worker.reported_at is None or worker.unanswered_at is not None
     heard = replace(
         worker,
         asked_at=None,
         answered_at=now,
         reported_at=event.asked_at if loaded else worker.reported_at,
+        unanswered_at=_still_unanswered(worker, event.asked_at),
     )
     tables = cell_rows.put_worker(tables, heard)
     if not loaded:
@@ -175,6 +185,11 @@
     return _apply_runs(event, tables, now)
 
 
+def _still_unanswered(worker: Worker, asked_at: float) -> float | None:
+    failed_at = worker.unanswered_at
+    return failed_at if failed_at is not None and asked_at <= failed_at else None
+
+
 def _apply_runs(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
     worker = tables.workers.by_key[event.worker_id]
     commands: list[Command] = []
--- a/bulrushpulley/systems/cell_rooms.py
+++ b/bulrushpulley/systems/cell_rooms.py
@@ -20,11 +20,13 @@
 def takes_tasks(tables: CellOwnerTables, worker: Worker, now: float) -> bool:
     """Tell whether tasks may be placed on a worker.
 
-    It must have said what it runs, all of which must be the owner's own; a worker
-    on probation takes one task at a time.
+    It must have said what it runs, all of which must be the owner's own, and have
+    answered since a call to it failed; a worker on probation takes one task.
     """
     if not worker.present or worker.reported_at is None or worker.strays:
         return False
+    if worker.unanswered_at is not None:
+        return False
     if is_silent(worker, now) or worker.health is Health.ASIDE:
         return False
     busy = tables.tasks.count_where("worker", worker.worker_id) > 0
--- a/bulrushpulley/systems/cell_start.py
+++ b/bulrushpulley/systems/cell_start.py
@@ -50,6 +50,8 @@
 )
 from bulrushpulley.systems.cell_owner_events import CellStep
 
+RETRY_START_AFTER_S = 1.0
+
 
 def commit_start(
     tables: CellOwnerTables, cell: Cell, task: Task, worker_id: str, now: float
@@ -72,7 +74,7 @@
         give_up_after_s=START_WINDOW_S,
     )
     committing = replace(
-        task, phase=Phase.COMMITTING, planned_worker=worker_id, skipped=""
+        task, phase=Phase.COMMITTING, planned_worker=worker_id, skipped="", retry_at=0.0
     )
     return cell_rows.put_task(tables, committing)
 
@@ -172,7 +174,10 @@
     now: float,
 ) -> CellStep:
     task = tables.tasks.get(purpose.task_key)
-    return Step(tables=_not_started(tables, task, now) if task else tables)
+    if task is None:
+        return Step(tables=tables)
+    later = replace(task, retry_at=now + RETRY_START_AFTER_S)
+    return Step(tables=_not_started(tables, later, now))
 
 
 @on_conflicted.register
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -110,12 +110,13 @@
         self.summaries: list[CellSummary] = []
         self.violations: list[str] = []
         self.put_record("failure_domain", self._domain(DomainState.IN_SERVICE))
-        self.put_record("cell", self._cell())
+        self.put_record("cell", self.cell())
 
     def _domain(self, state: DomainState) -> FailureDomainRecord:
         return FailureDomainRecord(name=DOMAIN, region="ege", state=state)
 
-    def _cell(self) -> CellRecord:
+    def cell(self) -> CellRecord:
+        """Return the cell's record with the workers that have a capacity."""
         workers = tuple(
             WorkerRecord(worker_id=w, url=f"http://{w}", rack="r0", capacity=size)
             for w, size in self.capacity.items()
@@ -154,7 +155,7 @@
     def resize(self, worker: str, capacity: Resources) -> None:
         """Amend a worker's capacity and spread the record."""
         self.capacity[worker] = capacity
-        self.put_record("cell", self._cell())
+        self.put_record("cell", self.cell())
         self.spread()
 
     def job(
@@ -174,9 +175,11 @@
         event = Assigned(cell="c0", rows=self._rows("task/c0/"))
         self.world.deliver(seat(agent), event)
 
-    def put_service(self, name: str) -> int:
-        """Put a service with one replica in force."""
-        record = ServiceRecord(name=name, department="ovens", replicas=1, size=SIZE)
+    def put_service(self, name: str, replicas: int = 1) -> int:
+        """Put a service in force."""
+        record = ServiceRecord(
+            name=name, department="ovens", replicas=replicas, size=SIZE
+        )
         return self.put_record("service", record)
 
     def task(self, job: str, index: int, version: int, **more: Any) -> None:
@@ -192,10 +195,12 @@
         row = TaskRow(spec=spec, state=TaskState.WAITING)
         self.put(f"task/c0/{job}/{index}", row)
 
-    def agent(self, name: str, life: int = 1) -> None:
+    def agent(self, name: str, life: int = 1, autonomy_s: float = 3600.0) -> None:
         """Start an agent, link it, tell it the configuration and offer the cell."""
         incarnation = f"{name}#{life}"
-        role = cell_owner.build(agent=name, incarnation=incarnation, region="ege")
+        role = cell_owner.build(
+            agent=name, incarnation=incarnation, region="ege", autonomy_s=autonomy_s
+        )
         self.world.start(name, [role])
         for entry in ("entry-1", "entry-2"):
             self.world.deliver(seat(name), LinkUp(peer=entry, region="ege"))
@@ -266,7 +271,9 @@
         for name in sorted({name for name in names if names.count(name) > 1}):
             self.violations.append(f"runs twice at {self.world.now:.2f}: {name}")
         for worker, state in self.workers.items():
-            if not worker_core.running_size(state).fits(self.capacity[worker]):
+            if not worker_core.running_size(state).fits(
+                self.capacity.get(worker, CAPACITY)
+            ):
                 self.violations.append(f"over its capacity: {worker}")
 
     def _check_done(self, submission: Submission) -> None:
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -96,6 +96,32 @@
         running = [bench.running(task) for task in ("oven/0", "older/0", "newer/0")]
         self.assertEqual([["w0"], ["w0"], []], running)
 
+    def test_a_lowered_service_loses_its_last_replicas(self) -> None:
+        bench = CellBench()
+        version = bench.put_service("oven", replicas=2)
+        for index in range(2):
+            bench.task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.put_service("oven", replicas=1)
+        bench.spread()
+        bench.run(5.0)
+        self.assertEqual(1, len(bench.running("oven/0")))
+        self.assertEqual([], bench.running("oven/1"))
+        self.assertEqual(TaskState.CANCELLED, bench.done("oven/1"))
+
+    def test_a_removed_worker_is_emptied_of_batch_tasks(self) -> None:
+        bench = CellBench()
+        bench.job("audit", run_s=60.0)
+        bench.agent("a")
+        bench.run(5.0)
+        del bench.capacity["w0"]
+        bench.put_record("cell", bench.cell())
+        bench.spread()
+        bench.run(8.0)
+        self.assertEqual(["w1"], bench.running("audit/0"))
+        self.assertNotIn("w0", bench.tables("a").workers)
+
     def test_a_cancelled_job_is_stopped(self) -> None:
         bench = CellBench()
         bench.job("curves", tasks=100, run_s=500.0)
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -264,6 +264,33 @@
         self.assertEqual(1, len(bench.starts))
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
+    def test_an_unreachable_worker_is_waited_for_after_a_takeover(self) -> None:
+        def starts(bench: CellBench) -> list[int]:
+            bench.job("curves", run_s=400.0)
+            bench.agent("a", autonomy_s=60.0)
+            bench.run(5.0)
+            bench.world.kill("a")
+            bench.agent("b")
+            bench.unreachable = {"w0"}
+            bench.run(85.0)
+            early = [start.generation for start in bench.starts]
+            bench.run(30.0)
+            return [len(early), len(bench.starts)]
+
+        self.assertEqual([1, 2], starts(CellBench()))
+        with mock.patch.object(cell_stop, "surely_lapsed", always):
+            self.assertEqual([2, 2], starts(CellBench()))
+
+    def test_a_worker_that_refuses_starts_is_not_tried_again_at_once(self) -> None:
+        bench = CellBench(workers=1)
+        bench.agent("a")
+        bench.run(3.0)
+        bench.unreachable = {"w0"}
+        bench.job("curves", run_s=5.0)
+        bench.assign("a")
+        bench.run(9.0)
+        self.assertLess(bench.row("task/c0/curves/0").generation, 2)
+
     def test_a_restarted_agent_takes_its_cell_back_at_once(self) -> None:
         bench = CellBench()
         bench.job("curves", run_s=60.0)
