Prove at most once and a true 'not run' under failures of the request path

Virtual time, real router and guard, a fake store and fake backend servers: the same id at two entries at once, an entry dying before and after its dispatch, an agent dying or restarting, a lost answer, a lost dispatch, a store that is down, slow or loses answers, repeated and reordered messages. Each guard taken out turns the check red.

--- /dev/null
+++ b/test/request_world.py
@@ -0,0 +1,285 @@
+"""Routers, guards and small fakes of the store and backend servers, in virtual time."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from functools import singledispatch
+from typing import Any
+
+from bulrushpulley.entities.calls import AnswerCall, CallReceived, RefuseCall
+from bulrushpulley.entities.commit import (
+    CommitOutcome,
+    Committed,
+    Conflicted,
+    Submission,
+    Submitted,
+    Unsettled,
+    VersionedRow,
+    Withdrawn,
+)
+from bulrushpulley.entities.execution import (
+    BackendAnswered,
+    CheckBackend,
+    HealthSeen,
+    RunOnBackend,
+)
+from bulrushpulley.entities.link import (
+    Announce,
+    Answered,
+    LinkDown,
+    LinkEvent,
+    LinkUp,
+    Refused,
+    Send,
+)
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Command, Event, Tell
+from bulrushpulley.errors import Ran
+from bulrushpulley.roles import guard, router
+from test.virtual_world import Path, Seat, VirtualWorld
+
+SERVICE = "oven-conductor"
+STORE_S = 0.005
+ROUTER_ITEMS = (Announce, Answered, Refused)
+Answer = AnswerCall | RefuseCall
+
+
+class FakeStore:
+    """Keeps rows by key, and takes submissions one by one."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[str, VersionedRow] = {}
+        self.revision = 0
+        self.mode = "up"
+        self.delay_s = STORE_S
+
+    def submit(self, content: Submission) -> CommitOutcome:
+        """Commit a submission unless the store is down; its answer may be lost."""
+        name = content.submission_id
+        if self.mode == "down":
+            return Withdrawn(submission_id=name, reason="the store is down")
+        failed = tuple(
+            self.row(at.key)
+            for at in content.conditions
+            if self.row(at.key).version != at.version
+        )
+        if self.mode == "lose_answers":
+            self._write(content, failed)
+            return Unsettled(submission_id=name, reason="no answer")
+        self._write(content, failed)
+        if failed:
+            return Conflicted(submission_id=name, rows=failed)
+        return Committed(submission_id=name, revision=self.revision)
+
+    def row(self, key: str) -> VersionedRow:
+        """Return a row, absent or not."""
+        return self.by_key.get(key, VersionedRow(key=key, version=0, row=None))
+
+    def _write(self, content: Submission, failed: tuple[VersionedRow, ...]) -> None:
+        if failed:
+            return
+        self.revision += 1
+        for write in content.writes:
+            self.by_key.pop(write.key, None)
+            if write.row is not None:
+                self.by_key[write.key] = VersionedRow(
+                    key=write.key,
+                    version=self.revision,
+                    row=write.row,
+                    token=content.submission_id,
+                )
+
+
+class RequestWorld:
+    """Some entries and agents, all linked; an agent's name is its incarnation."""
+
+    def __init__(
+        self, *, entries: int = 2, agents: int = 2, service_s: float = 0.02
+    ) -> None:
+        self.world = VirtualWorld(carry_out=self._carry_out)
+        self.store = FakeStore()
+        self.path = Path()
+        self.service_s: Callable[[str], float] = lambda agent: service_s
+        self.runs: Counter[str] = Counter()
+        self.run_on: dict[str, str] = {}
+        self.counts: Counter[str] = Counter()
+        self.answers: dict[str, list[tuple[float, Answer]]] = {}
+        self.id_of_call: dict[str, str] = {}
+        self.bodies_of_id: dict[str, set[str]] = {}
+        self.done: list[str] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.entries = [f"e{n}" for n in range(1, entries + 1)]
+        self.agents = [f"a{n}" for n in range(1, agents + 1)]
+        for name in self.entries:
+            role = router.build(incarnation=name, region="ege")
+            self.world.start(name, [role])
+        for name in self.agents:
+            self.start_agent(name)
+        self.run(0.2)
+
+    def start_agent(self, name: str, region: str = "ege") -> None:
+        """Start an agent and link it to every entry."""
+        role = guard.build(
+            agent=name,
+            incarnation=name,
+            service=SERVICE,
+            region=region,
+            failure_domain="ege-izmir",
+        )
+        self.world.start(name, [role])
+        for entry in self.entries:
+            self.link(entry, name)
+
+    def link(self, entry: str, agent: str) -> None:
+        """Open the link between two processes."""
+        for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
+            self.world.deliver(
+                Seat(process=one, role=role), LinkUp(peer=other, region="ege")
+            )
+
+    def unlink(self, entry: str, agent: str) -> None:
+        """End the link between two processes."""
+        for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
+            self.world.deliver(Seat(process=one, role=role), LinkDown(peer=other))
+
+    def kill(self, name: str) -> None:
+        """Kill a process and end its links."""
+        self.world.kill(name)
+        for other in self.agents if name in self.entries else self.entries:
+            role = "guard" if name in self.entries else "router"
+            self.world.deliver(Seat(process=other, role=role), LinkDown(peer=name))
+
+    def tell(self, process: str, event: Event) -> None:
+        """Tell the one role of a process an event."""
+        role = "router" if process in self.entries else "guard"
+        self.world.deliver(Seat(process=process, role=role), event)
+
+    def call(
+        self, entry: str, call_id: str, request_id: str = "", **fields: Any
+    ) -> None:
+        """Call the service through an entry; unrepeatable if an id is given."""
+        event = CallReceived(
+            call_id=call_id,
+            service=SERVICE,
+            request_id=request_id,
+            repeatable=fields.get("repeatable", not request_id),
+            within_s=fields.get("within_s", 2.0),
+            body=fields.get("body", call_id.encode()),
+        )
+        self.id_of_call[call_id] = request_id or call_id
+        self.bodies_of_id.setdefault(request_id or call_id, set()).add(
+            event.body.decode()
+        )
+        self.tell(entry, event)
+
+    def run(self, seconds: float) -> None:
+        """Let some time pass."""
+        self.world.run(self.world.now + seconds)
+
+    def outcome(self, call_id: str) -> str:
+        """Return how a call ended: its body, or whether it ran; empty if it waits."""
+        found = self.answers.get(call_id, [])
+        assert len(found) <= 1, f"{call_id} was answered {len(found)} times"
+        return described(found[0][1]) if found else ""
+
+    def check(self) -> None:
+        """Assert what must hold for every call, however it ended."""
+        ended: dict[str, set[str]] = {}
+        for call_id, name in self.id_of_call.items():
+            outcome = self.outcome(call_id)
+            ended.setdefault(name, set()).add(outcome)
+            own = {f"done {body}" for body in self.bodies_of_id[name]}
+            assert outcome in {"", "not run", "unknown", "ran"} | own, (name, outcome)
+        for name, outcomes in ended.items():
+            runs = self.runs[name]
+            assert runs <= 1, f"{name} ran {runs} times"
+            assert outcomes != {"not run"} or not runs, f"{name} ran, but 'not run'"
+
+    def tables(self, process: str) -> Any:
+        """Return the tables of the one role of a process."""
+        role = "router" if process in self.entries else "guard"
+        return self.world.tables[Seat(process=process, role=role)]
+
+    def _carry_out(self, world: VirtualWorld, seat: Seat, command: Command) -> None:
+        act(command, self, seat)
+
+
+@singledispatch
+def described(answer: Command) -> str:
+    """Return an answer in a form for assertions."""
+    raise NotImplementedError
+
+
+@described.register
+def _(answer: AnswerCall) -> str:
+    return answer.body.decode()
+
+
+@described.register
+def _(answer: RefuseCall) -> str:
+    return {Ran.NO: "not run", Ran.UNKNOWN: "unknown", Ran.YES: "ran"}[answer.ran]
+
+
+@singledispatch
+def act(command: Command, world: RequestWorld, seat: Seat) -> None:
+    """Carry out a command over the fakes; others have no effect."""
+    if type(command).__name__ in {"GuardDone", "RouterDone"}:
+        world.done.append(seat.process)
+
+
+@act.register
+def _(command: Send, world: RequestWorld, seat: Seat) -> None:
+    if (seat.process, command.peer) in world.cut:
+        return
+    role = "router" if isinstance(command.item, ROUTER_ITEMS) else "guard"
+    assert isinstance(command.item, LinkEvent)
+    target = Seat(process=command.peer, role=role)
+    world.world.deliver(target, from_peer(command.item, seat.process), world.path)
+
+
+def from_peer(item: LinkEvent, peer: str) -> LinkEvent:
+    """Return an item as its receiver sees it."""
+    return replace(item, peer=peer)
+
+
+@act.register
+def _(command: Tell, world: RequestWorld, seat: Seat) -> None:
+    if not isinstance(command.event, Submitted):
+        return
+    content = command.event.submission
+    half = Path(delay_s=world.store.delay_s / 2)
+
+    def arrive() -> None:
+        world.world.deliver(seat, world.store.submit(content), half)
+
+    world.world.at(half.delay_s, arrive)
+
+
+@act.register
+def _(command: RunOnBackend, world: RequestWorld, seat: Seat) -> None:
+    key = command.request_id or command.execution_id
+    world.runs[key] += 1
+    world.run_on[key] = seat.process
+    event = BackendAnswered(
+        execution_id=command.execution_id, status=200, body=b"done " + command.body
+    )
+    world.world.deliver(seat, event, Path(delay_s=world.service_s(seat.process)))
+
+
+@act.register
+def _(command: CheckBackend, world: RequestWorld, seat: Seat) -> None:
+    world.world.deliver(seat, HealthSeen(healthy=True), Path(delay_s=0.001))
+
+
+@act.register
+def _(command: Count, world: RequestWorld, seat: Seat) -> None:
+    world.counts[command.name] += command.by
+
+
+@act.register(AnswerCall)
+@act.register(RefuseCall)
+def _(command: Answer, world: RequestWorld, seat: Seat) -> None:
+    entry = (world.world.now, command)
+    world.answers.setdefault(command.call_id, []).append(entry)
--- /dev/null
+++ b/test/test_route_claims.py
@@ -0,0 +1,246 @@
+"""At most one run for an unrepeatable id, and a true "not run", under failure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.entities.commit import Submission
+from bulrushpulley.entities.link import Dispatch, Send
+from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.errors import Ran
+from bulrushpulley.systems import (
+    guard_requests,
+    route_answers,
+    route_claims,
+    route_finish,
+    route_recall,
+    route_settle,
+)
+from bulrushpulley.systems.route_finish import late_problem
+from test.request_world import RequestWorld
+from test.virtual_world import Path, Seat
+
+
+def kill_after(world: RequestWorld, kind: type[Command], item: type[Any]) -> None:
+    """Kill e1 as soon as its first such command was carried out."""
+
+    def watch(_: object, seat: Seat, command: Command) -> None:
+        about = getattr(command, "item", getattr(command, "event", None))
+        if (
+            seat.process == "e1"
+            and isinstance(command, kind)
+            and isinstance(about, item)
+        ):
+            world.world.at(0.0, lambda: world.kill("e1"))
+
+    world.world.watches.append(watch)
+
+
+def same_moment(world: RequestWorld) -> None:
+    """Two entries, which prefer different agents, get the same id."""
+    world.call("e2", "warm")
+    world.run(0.1)
+    world.call("e1", "c1", "id1")
+    world.call("e2", "c2", "id1")
+    world.run(1.0)
+
+
+def overtaken(world: RequestWorld) -> None:
+    """The second entry asks the agent before the first one's dispatch arrives."""
+    world.call("e1", "c1", "id1")
+    world.run(0.004)
+    world.world.pause("e1", 0.5)
+    world.call("e2", "c2", "id1")
+    world.run(2.0)
+
+
+def dies_before_dispatch(world: RequestWorld) -> None:
+    kill_after(world, Tell, object)
+    world.call("e1", "c1", "id1")
+    world.run(0.1)
+    world.call("e2", "c2", "id1")
+    world.run(1.0)
+
+
+def dies_after_dispatch(world: RequestWorld) -> None:
+    kill_after(world, Send, Dispatch)
+    world.call("e1", "c1", "id1")
+    world.run(0.1)
+    world.call("e2", "c2", "id1")
+    world.run(1.0)
+
+
+def agent_dies(world: RequestWorld) -> None:
+    world.call("e1", "c1", "id1")
+    world.run(0.02)
+    world.kill(world.run_on["id1"])
+    world.run(3.0)
+
+
+def agent_restarts(world: RequestWorld) -> None:
+    agent_dies(world)
+    world.start_agent("a9")
+    world.run(0.1)
+    world.call("e2", "c2", "id1")
+    world.run(3.0)
+
+
+def answer_lost(world: RequestWorld) -> None:
+    world.call("e1", "c1", "id1")
+    world.run(0.02)
+    agent = world.run_on["id1"]
+    world.cut.add((agent, "e1"))
+    world.run(0.1)
+    world.unlink("e1", agent)
+    world.run(0.1)
+    world.cut.clear()
+    world.link("e1", agent)
+    world.run(1.0)
+
+
+def dispatch_lost(world: RequestWorld) -> None:
+    world.cut |= {("e1", agent) for agent in world.agents}
+    world.call("e1", "c1", "id1")
+    world.run(0.1)
+    world.cut.clear()
+    for agent in world.agents:
+        world.unlink("e1", agent)
+        world.link("e1", agent)
+    world.run(1.0)
+
+
+def store_down(world: RequestWorld) -> None:
+    world.store.mode = "down"
+    world.call("e1", "c1", "id1")
+    world.run(1.0)
+    world.store.mode = "up"
+    world.call("e2", "c2", "id1")
+    world.run(1.0)
+
+
+def store_loses_answers(world: RequestWorld) -> None:
+    world.store.mode = "lose_answers"
+    world.call("e1", "c1", "id1")
+    world.run(0.1)
+    world.store.mode = "up"
+    world.run(1.0)
+
+
+def store_loses_all_answers(world: RequestWorld) -> None:
+    world.store.mode = "lose_answers"
+    world.call("e1", "c1", "id1")
+    world.run(3.0)
+    world.store.mode = "up"
+    world.call("e2", "c2", "id1")
+    world.run(1.0)
+
+
+def store_slow(world: RequestWorld) -> None:
+    world.store.delay_s = 3.0
+    world.call("e1", "c1", "id1")
+    world.run(5.0)
+    world.call("e2", "c2", "id1", within_s=8.0)
+    world.run(9.0)
+
+
+def copies_of_refused(world: RequestWorld) -> None:
+    """A dispatch arrives twice, while the agents are full and after that."""
+    world.path = Path(repeat_percent=100, jitter_s=0.5)
+    world.service_s = lambda agent: 0.3
+    for number in range(100):
+        entry = world.entries[number % 2]
+        world.call(entry, f"c{number}", f"id{number}", within_s=1.0)
+    world.run(4.0)
+    assert world.counts["guard.refused"], "no agent was full"
+
+
+def answers_out_of_order(world: RequestWorld) -> None:
+    times = iter((0.9, 0.7, 0.5, 0.3, 0.1, 0.2))
+    world.service_s = lambda agent: next(times)
+    for number in range(1, 5):
+        world.call("e1", f"c{number}", f"id{number}")
+    world.run(2.0)
+
+
+CASES: tuple[tuple[Callable[[RequestWorld], None], dict[str, str]], ...] = (
+    (same_moment, {"c1": "done c1", "c2": "done c1"}),
+    (overtaken, {"c1": "done c2", "c2": "done c2"}),
+    (dies_before_dispatch, {"c2": "done c2"}),
+    (dies_after_dispatch, {"c2": "done c1"}),
+    (agent_dies, {"c1": "unknown"}),
+    (agent_restarts, {"c1": "unknown", "c2": "unknown"}),
+    (answer_lost, {"c1": "done c1"}),
+    (dispatch_lost, {"c1": "done c1"}),
+    (store_down, {"c1": "not run", "c2": "done c2"}),
+    (store_loses_answers, {"c1": "done c1"}),
+    (store_loses_all_answers, {"c1": "not run", "c2": "done c2"}),
+    (store_slow, {"c1": "not run", "c2": "done c2"}),
+    (copies_of_refused, {}),
+    (answers_out_of_order, {f"c{n}": f"done c{n}" for n in range(1, 5)}),
+)
+
+
+def any_attempt(tables: Any, event: Any, attempt_id: str) -> Any:
+    """Match an answer to whatever attempt is first, as by order."""
+    if not tables.attempts:
+        return None
+    attempt = tables.attempts.rows()[0]
+    return attempt, tables.requests.by_key[attempt.call_id]
+
+
+def unconditional(request: Any, stage: Any, now: float) -> Submission:
+    return replace(SUBMISSION(request, stage, now), conditions=())
+
+
+def not_asked(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
+    """Claim again for another agent without asking the claimed one."""
+    return Step(tables=route_finish.enqueue(tables, request))
+
+
+def never_may_have_run(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
+    problem = late_problem()
+    return route_finish.refuse(tables, request, ran=Ran.NO, problem=problem, now=now)
+
+
+SUBMISSION = route_claims.submission
+UNGUARDED: tuple[tuple[Callable[[RequestWorld], None], Any, str, Any], ...] = (
+    (same_moment, route_claims, "submission", unconditional),
+    (overtaken, guard_requests, "remember", lambda tables, *_: tables),
+    (dies_after_dispatch, guard_requests, "join", lambda *_: None),
+    (copies_of_refused, guard_requests, "refuse_for_good", lambda tables, _: tables),
+    (answers_out_of_order, route_answers, "awaited", any_attempt),
+    (agent_restarts, route_settle, "recall", not_asked),
+    (agent_dies, route_recall, "recall", never_may_have_run),
+)
+
+
+class ClaimTest(testtools.TestCase):
+    def test_failures(self) -> None:
+        for scenario, expected in CASES:
+            world = RequestWorld()
+            scenario(world)
+            world.check()
+            ended = {call_id: world.outcome(call_id) for call_id in expected}
+            self.assertEqual(expected, ended, scenario.__name__)
+
+    def test_each_guard_is_needed(self) -> None:
+        for scenario, module, name, patch in UNGUARDED:
+            world = RequestWorld()
+            with mock.patch.object(module, name, patch):
+                scenario(world)
+            label = f"{scenario.__name__} without {name}"
+            self.assertTrue(is_red(world), label)
+
+
+def is_red(world: RequestWorld) -> bool:
+    """Tell whether the check fails."""
+    try:
+        world.check()
+    except AssertionError:
+        return True
+    return False
