--- /dev/null
+++ b/bulrushpulley/systems/linker_events.py
@@ -0,0 +1,83 @@
+"""Applies what the linker is told to its table of dials."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import replace
+from functools import singledispatch
+
+from bulrushpulley.entities.link import Entries
+from bulrushpulley.entities.linker_tables import (
+    Dial,
+    DialEnded,
+    DialLinked,
+    DialState,
+    LinkerTables,
+)
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Event, Step
+
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 10.0
+LARGEST_EXPONENT = 10
+
+
+def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
+    """Return the exponential delay before the next try, with jitter.
+
+    The jitter is between one half and the whole of the delay. It is derived from
+    the names, so that processes differ and a test repeats.
+    """
+    exponent = min(failures, LARGEST_EXPONENT)
+    delay = min(FIRST_RETRY_S * 2.0**exponent, LONGEST_RETRY_S)
+    spread = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
+    return delay * (0.5 + spread / 2)
+
+
+@singledispatch
+def apply(event: Event, tables: LinkerTables, now: float) -> Step[LinkerTables]:
+    """Apply one event; unknown ones change nothing."""
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: Entries, tables: LinkerTables, now: float) -> Step[LinkerTables]:
+    listed = {f"{entry.host}:{entry.port}" for entry in event.entries}
+    dials = tables.dials
+    for address in sorted(listed):
+        dial = dials.get(address) or Dial(address=address, seed=False)
+        dials = dials.put(address, replace(dial, listed=True))
+    for dial in dials.rows():
+        if dial.listed and dial.address not in listed:
+            dials = dials.put(dial.address, replace(dial, listed=False))
+    return Step(tables=replace(tables, dials=dials))
+
+
+@apply.register
+def _(event: DialLinked, tables: LinkerTables, now: float) -> Step[LinkerTables]:
+    dial = tables.dials.get(event.address)
+    if dial is None:
+        return Step(tables=tables)
+    linked = replace(dial, state=DialState.LINKED, failures=0)
+    dials = tables.dials.put(event.address, linked)
+    return Step(tables=replace(tables, dials=dials))
+
+
+@apply.register
+def _(event: DialEnded, tables: LinkerTables, now: float) -> Step[LinkerTables]:
+    dial = tables.dials.get(event.address)
+    if dial is None:
+        return Step(tables=tables)
+    delay = retry_delay(
+        incarnation=tables.incarnation, address=dial.address, failures=dial.failures
+    )
+    ended = replace(
+        dial,
+        state=DialState.WAITING,
+        failures=dial.failures + 1,
+        retry_at=now + delay,
+    )
+    dials = tables.dials.put(event.address, ended)
+    code = event.problem.code.value if event.problem else "closed"
+    count = Count(name="link_ended", label=code)
+    return Step(tables=replace(tables, dials=dials), commands=(count,))
--- /dev/null
+++ b/bulrushpulley/wire/link_client.py
@@ -0,0 +1,81 @@
+"""The agents' end of the links: dials one entry and keeps the stream open."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from typing import Any
+
+from grpclib.client import Channel
+
+from bulrushpulley.entities.linker_tables import DialEnded, DialLinked
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire.link_grpc import LinkStub
+from bulrushpulley.wire.link_stream import (
+    HELLO_S,
+    LinkHooks,
+    LinkStream,
+    link_error,
+    receive_hello,
+    send_hello,
+)
+from bulrushpulley.wire.links import Links
+
+
+class Dialler:
+    """Opens streams to entries; the hooks get `DialLinked` and `DialEnded`."""
+
+    def __init__(
+        self, *, links: Links, hooks: LinkHooks, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._links = links
+        self._hooks = hooks
+        self._tls = tls
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def dial(self, address: str) -> None:
+        """Start one try on the loop's thread; it ends by a `DialEnded`."""
+        task = asyncio.ensure_future(self._dial(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, address: str) -> None:
+        problem = None
+        try:
+            await self._keep(address)
+        except BulrushpulleyError as error:
+            problem = error.problem
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"
+            problem = Problem(
+                code=Code.UNAVAILABLE, step="link.dial", peer=address, detail=detail
+            )
+        self._hooks.receive(DialEnded(address=address, problem=problem))
+
+    async def _keep(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        channel = Channel(host, int(port), ssl=self._tls)
+        try:
+            async with LinkStub(channel).Attach.open() as stream:
+                link = await self._greet(stream, address)
+                self._hooks.receive(DialLinked(address=address))
+                await self._links.run(link)
+                await stream.cancel()
+        finally:
+            channel.close()
+
+    async def _greet(self, stream: Any, address: str) -> LinkStream:
+        async with asyncio.timeout(HELLO_S):
+            await stream.send_request()
+            await send_hello(stream, self._hooks)
+        hello = await receive_hello(stream, address)
+        if self._links.has(hello.peer):
+            raise link_error(
+                code=Code.CONFLICT,
+                step="link.hello",
+                peer=address,
+                detail=f"already linked to {hello.peer}",
+            )
+        return LinkStream(
+            peer=hello.peer, region=hello.region, stream=stream, hooks=self._hooks
+        )
--- /dev/null
+++ b/bulrushpulley/wire/link_stream.py
@@ -0,0 +1,200 @@
+"""One open stream between two processes: batching, bounds and keepalive.
+
+Both ends of a link run the same code. The writer puts everything that is queued
+into one frame; when nothing is queued for `HEARTBEAT_S` it sends an empty frame.
+The reader closes the stream after `SILENCE_S` without a frame, so a frozen peer
+is noticed within seconds. A queue that exceeds its bounds closes the stream: the
+roles on both ends treat items on a broken link as lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+from bulrushpulley.entities.link import LinkDown, LinkUp
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Event
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire.link_codec import decode_item, encode_item
+from bulrushpulley.wire.link_pb2 import Frame, Item
+
+HEARTBEAT_S = 1.5
+SILENCE_S = 5.0
+MAX_QUEUED_ITEMS = 16_384
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+MAX_FRAME_BYTES = 256 * 1024
+HELLO_S = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkHooks:
+    """Who this process is, and where a link hands over what it receives.
+
+    `receive` gets each decoded item and the `LinkUp` and `LinkDown` of each
+    stream; `count` the byte counters; `report` the reason for which a stream was
+    closed. All are called on the event loop and must not block.
+    """
+
+    incarnation: str
+    region: str
+    receive: Callable[[Event], None]
+    count: Callable[[Count], None]
+    report: Callable[[Problem], None]
+
+
+def link_error(*, code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
+    """Return the error of a link at `step` with `peer`."""
+    problem = Problem(code=code, step=step, peer=peer, detail=detail)
+    return BulrushpulleyError(problem=problem)
+
+
+async def receive_hello(stream: Any, address: str) -> Frame:
+    """Read the first frame of the other side, which names the peer."""
+    async with asyncio.timeout(HELLO_S):
+        frame = await stream.recv_message()
+    if frame is None or not frame.peer:
+        raise link_error(
+            code=Code.INVALID,
+            step="link.hello",
+            peer=address,
+            detail="the first frame names no peer",
+        )
+    return cast(Frame, frame)
+
+
+async def send_hello(stream: Any, hooks: LinkHooks) -> None:
+    """Send the first frame of this side."""
+    await stream.send_message(Frame(peer=hooks.incarnation, region=hooks.region))
+
+
+class LinkStream:
+    """An open stream; every method runs on the event loop's thread."""
+
+    def __init__(
+        self, *, peer: str, region: str, stream: Any, hooks: LinkHooks
+    ) -> None:
+        self.peer = peer
+        self.region = region
+        self._stream = stream
+        self._hooks = hooks
+        self._queue: deque[Item] = deque()
+        self._queued_bytes = 0
+        self._wake = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._closed: asyncio.Future[Problem | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._ended = asyncio.Event()
+
+    def put(self, event: Event) -> None:
+        """Queue an item; closes the stream when the queue exceeds its bounds."""
+        item = encode_item(event)
+        self._queue.append(item)
+        self._queued_bytes += item.ByteSize()
+        self._idle.clear()
+        self._wake.set()
+        if (
+            len(self._queue) > MAX_QUEUED_ITEMS
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ):
+            detail = f"{len(self._queue)} items, {self._queued_bytes} bytes queued"
+            self.close(self._problem(Code.OVERLOADED, "link.send", detail))
+
+    def close(self, problem: Problem | None = None) -> None:
+        """End the stream; `run` returns soon after."""
+        if not self._closed.done():
+            self._closed.set_result(problem)
+
+    async def flushed(self) -> None:
+        """Wait until everything queued has been handed to the transport."""
+        await self._idle.wait()
+
+    async def ended(self) -> None:
+        """Wait until `LinkDown` has been reported."""
+        await self._ended.wait()
+
+    async def run(self) -> None:
+        """Exchange frames until either side ends the stream or fails."""
+        reader = asyncio.ensure_future(self._read())
+        writer = asyncio.ensure_future(self._write())
+        self._hooks.receive(LinkUp(peer=self.peer, region=self.region))
+        try:
+            await asyncio.wait(
+                (reader, writer, self._closed), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            reader.cancel()
+            writer.cancel()
+            ends = await asyncio.gather(reader, writer, return_exceptions=True)
+            self._hooks.receive(LinkDown(peer=self.peer))
+            self._report(ends)
+            self._idle.set()
+            self._ended.set()
+
+    def _report(self, ends: list[Any]) -> None:
+        problem = self._closed.result() if self._closed.done() else None
+        self.close()
+        if problem is not None:
+            self._hooks.report(problem)
+        for end in ends:
+            if isinstance(end, Exception):
+                self._hooks.report(self._described(end))
+
+    def _described(self, error: Exception) -> Problem:
+        if isinstance(error, BulrushpulleyError):
+            return error.problem
+        code = Code.DEADLINE if isinstance(error, TimeoutError) else Code.UNAVAILABLE
+        return self._problem(code, "link.stream", f"{type(error).__name__}: {error}")
+
+    def _problem(self, code: Code, step: str, detail: str) -> Problem:
+        return Problem(code=code, step=step, peer=self.peer, detail=detail)
+
+    async def _read(self) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_S):
+                frame = await self._stream.recv_message()
+            if frame is None:
+                return
+            self._count("link_bytes_received", frame)
+            for item in frame.items:
+                event = decode_item(item, self.peer)
+                if event is not None:
+                    self._hooks.receive(event)
+
+    async def _write(self) -> None:
+        while True:
+            await self._wait_for_items()
+            frame = self._next_frame()
+            self._count("link_bytes_sent", frame)
+            async with asyncio.timeout(SILENCE_S):
+                await self._stream.send_message(frame)
+            if not self._queue:
+                self._idle.set()
+
+    async def _wait_for_items(self) -> None:
+        if self._queue:
+            return
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(HEARTBEAT_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _next_frame(self) -> Frame:
+        batch: list[Item] = []
+        size = 0
+        while self._queue and size < MAX_FRAME_BYTES:
+            item = self._queue.popleft()
+            size += item.ByteSize()
+            batch.append(item)
+        self._queued_bytes -= size
+        return Frame(items=batch)
+
+    def _count(self, name: str, frame: Frame) -> None:
+        self._hooks.count(Count(name=name, label=self.region, by=frame.ByteSize()))
--- /dev/null
+++ b/bulrushpulley/wire/links.py
@@ -0,0 +1,79 @@
+"""The open links of a process, and sending on them from any thread."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections import deque
+
+from bulrushpulley.entities.link import Send
+from bulrushpulley.errors import Code
+from bulrushpulley.wire.link_stream import LinkStream, link_error
+
+
+class Links:
+    """The streams by peer; a newer stream of a peer replaces the older one.
+
+    `send` may be called from any thread. Everything else runs on the loop. An
+    item for a peer without a stream is lost, as on a stream that ends.
+    """
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._by_peer: dict[str, LinkStream] = {}
+        self._lock = threading.Lock()
+        self._unsent: deque[Send] = deque()
+
+    def send(self, command: Send) -> None:
+        """Queue an item; the loop is woken once for everything unsent."""
+        with self._lock:
+            self._unsent.append(command)
+            is_first = len(self._unsent) == 1
+        if is_first:
+            self._loop.call_soon_threadsafe(self._distribute)
+
+    def _distribute(self) -> None:
+        with self._lock:
+            unsent, self._unsent = self._unsent, deque()
+        for command in unsent:
+            stream = self._by_peer.get(command.peer)
+            if stream is not None:
+                stream.put(command.item)
+
+    def has(self, peer: str) -> bool:
+        """Tell whether there is a stream to `peer`."""
+        return peer in self._by_peer
+
+    async def run(self, stream: LinkStream) -> None:
+        """Run a stream while it lasts; an older one of the peer ends first."""
+        older = self._by_peer.get(stream.peer)
+        if older is not None:
+            older.close(
+                link_error(
+                    code=Code.CONFLICT,
+                    step="link.replace",
+                    peer=stream.peer,
+                    detail="the peer opened a newer stream",
+                ).problem
+            )
+            await older.ended()
+        self._by_peer[stream.peer] = stream
+        try:
+            await stream.run()
+        finally:
+            if self._by_peer.get(stream.peer) is stream:
+                del self._by_peer[stream.peer]
+
+    async def close(self, within_s: float) -> None:
+        """Hand what is queued to the transport, then end every stream."""
+        self._distribute()
+        streams = list(self._by_peer.values())
+        if not streams:
+            return
+        flushes = [asyncio.ensure_future(stream.flushed()) for stream in streams]
+        _, late = await asyncio.wait(flushes, timeout=within_s)
+        for flush in late:
+            flush.cancel()
+        for stream in streams:
+            stream.close()
+        await asyncio.gather(*(stream.ended() for stream in streams))
