--- /dev/null
+++ b/bulrushpulley/entities/lifecycle.py
@@ -0,0 +1,12 @@
+"""The event that tells a role that its process is stopping."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bulrushpulley.entities.step import Event
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Leave(Event):
+    """The process was asked to stop: take no new work and finish what runs."""
--- /dev/null
+++ b/bulrushpulley/logs.py
@@ -0,0 +1,132 @@
+"""Log lines by eliot: one JSON line for each decision and each problem.
+
+The thread that logs only queues the message; one thread of its own encodes and
+writes. When the queue is full, because the reader of the log is slow or absent,
+lines are dropped and counted, and the count is logged when there is room again,
+so that a slow log never delays a request.
+"""
+
+from __future__ import annotations
+
+import os
+import threading
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import eliot
+import msgspec
+
+from bulrushpulley.entities.observe import Count, Decision
+from bulrushpulley.errors import Problem
+
+MAX_QUEUED_LINES = 20_000
+LINES_PER_WRITE = 500
+FLUSH_S = 2.0
+
+
+class LineWriter:
+    """A bounded queue of log messages and the thread that writes them to `fd`."""
+
+    def __init__(self, *, fd: int, count: Callable[[Count], None]) -> None:
+        self._fd = fd
+        self._count = count
+        self._queue: deque[dict[str, Any]] = deque()
+        self._ready = threading.Condition()
+        self._dropped = 0
+        self._stopping = False
+        self._thread = threading.Thread(target=self._write_all, daemon=True)
+
+    def start(self) -> None:
+        """Start writing, and take every eliot message."""
+        self._thread.start()
+        eliot.add_destinations(self.put)
+
+    def put(self, message: dict[str, Any]) -> None:
+        """Queue one message; called by eliot on any thread."""
+        with self._ready:
+            if len(self._queue) >= MAX_QUEUED_LINES:
+                self._dropped += 1
+                return
+            self._queue.append(message)
+            self._ready.notify()
+
+    def stop(self) -> None:
+        """Write what is queued and stop."""
+        eliot.remove_destination(self.put)
+        with self._ready:
+            self._stopping = True
+            self._ready.notify()
+        self._thread.join(FLUSH_S)
+
+    def _write_all(self) -> None:
+        while batch := self._next_batch():
+            data = b"".join(
+                msgspec.json.encode(message, enc_hook=str) + b"\n" for message in batch
+            )
+            try:
+                _write(self._fd, data)
+            except OSError:
+                self._count(Count(name="log_lines_lost", by=len(batch)))
+
+    def _next_batch(self) -> list[dict[str, Any]]:
+        with self._ready:
+            self._ready.wait_for(lambda: self._queue or self._stopping)
+            size = min(len(self._queue), LINES_PER_WRITE)
+            batch = [self._queue.popleft() for _ in range(size)]
+            dropped, self._dropped = self._dropped, 0
+        if dropped:
+            self._count(Count(name="log_lines_lost", by=dropped))
+            batch.append({"message_type": "log.dropped", "lines": dropped})
+        return batch
+
+
+def _write(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
+def log_decision(command: Decision, *, process: str) -> None:
+    """Write the line of one routing or placement decision."""
+    eliot.log_message(
+        message_type=command.kind,
+        process=process,
+        subject=command.subject,
+        chosen=command.chosen,
+        reason=command.reason,
+        passed_over=command.passed_over,
+        revision=command.revision,
+        epoch=command.epoch,
+    )
+
+
+def log_problem(problem: Problem, *, process: str) -> None:
+    """Write the line of one failure."""
+    eliot.log_message(
+        message_type="problem",
+        process=process,
+        code=problem.code.value,
+        step=problem.step,
+        peer=problem.peer,
+        field=problem.field,
+        detail=problem.detail,
+    )
+
+
+def log_process(*, process: str, stage: str, detail: str = "") -> None:
+    """Write the line of a stage of the process's life, such as ``started``."""
+    eliot.log_message(
+        message_type="process", process=process, stage=stage, detail=detail
+    )
+
+
+def decision_logger(process: str) -> Callable[[Decision], None]:
+    """Return the function that logs the decisions of a process."""
+    return partial(log_decision, process=process)
+
+
+def problem_logger(process: str) -> Callable[[Problem], None]:
+    """Return the function that logs the problems of a process."""
+    return partial(log_problem, process=process)
--- /dev/null
+++ b/bulrushpulley/main.py
@@ -0,0 +1,131 @@
+"""The command line: ``bulrushpulley VERB --config FILE.toml``.
+
+The verbs ``entry`` and ``agent`` run a process until SIGTERM or SIGINT; the other
+verbs are the operators'.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import sys
+import uuid
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from types import FrameType
+from typing import Protocol
+
+from absl import flags
+
+from bulrushpulley import verbs
+from bulrushpulley.roles.agent_process import AgentProcess
+from bulrushpulley.roles.entry_process import EntryProcess
+from bulrushpulley.roles.runtime import Runtime
+from bulrushpulley.settings import AgentSettings, EntrySettings, load
+from bulrushpulley.wire.http_message import problems_in
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+class Process(Protocol):
+    """A process that can be started and stopped."""
+
+    runtime: Runtime
+
+    def start(self) -> None:
+        """Start everything."""
+
+    def stop(self) -> None:
+        """Stop gracefully."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Options:
+    """The checked command line of a verb that runs a process."""
+
+    verb: str
+    config: pathlib.Path
+
+
+def _entry(options: Options) -> Process:
+    settings = load(EntrySettings, options.config)
+    return EntryProcess(settings=settings, incarnation=_incarnation(settings.name))
+
+
+def _agent(options: Options) -> Process:
+    settings = load(AgentSettings, options.config)
+    return AgentProcess(settings=settings, incarnation=_incarnation(settings.name))
+
+
+def _incarnation(name: str) -> str:
+    return f"{name}-{uuid.uuid4().hex[:12]}"
+
+
+PROCESS_BY_VERB: Mapping[str, Callable[[Options], Process]] = {
+    "entry": _entry,
+    "agent": _agent,
+}
+
+
+def parse(argv: list[str]) -> Options:
+    """Read the command line of a process verb; raises `flags.Error`."""
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string(
+        "config", None, "The settings file in TOML.", flag_values=values, required=True
+    )
+    left = values(["bulrushpulley", *argv[1:]])
+    if len(left) > 1:
+        raise flags.Error(f"unexpected argument {left[1]!r}")
+    return Options(verb=argv[0], config=pathlib.Path(values.config))
+
+
+def run_process(process: Process) -> int:
+    """Run a process until a signal or a failure; return the exit code.
+
+    A second signal cuts the notice that the first one began.
+    """
+    runtime = process.runtime
+
+    def stop(signum: int, frame: FrameType | None) -> None:
+        if runtime.stopping.is_set():
+            runtime.hurry.set()
+        runtime.stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    process.start()
+    runtime.stopping.wait()
+    process.stop()
+    return EXIT_FAILED if runtime.failed.is_set() else EXIT_OK
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Carry out a verb and return the exit code."""
+    argv = sys.argv[1:] if argv is None else argv
+    if argv and argv[0] in verbs.VERBS:
+        return verbs.run(argv)
+    if not argv or argv[0] not in PROCESS_BY_VERB:
+        known = ", ".join([*PROCESS_BY_VERB, *verbs.VERBS])
+        print(f"usage: bulrushpulley VERB ...; verbs: {known}", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        process = PROCESS_BY_VERB[argv[0]](parse(argv))
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    except ExceptionGroup as errors:
+        for problem in problems_in(errors):
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    return run_process(process)
+
+
+def console() -> None:
+    """Run `main` as a program; worker threads of libraries never hold the exit."""
+    code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- /dev/null
+++ b/bulrushpulley/roles/agent_process.py
@@ -0,0 +1,88 @@
+"""Assembles and runs an agent process."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.step import Command
+from bulrushpulley.logs import log_process
+from bulrushpulley.roles import linker, stub
+from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.linker_io import LinkerPorts
+from bulrushpulley.roles.routing import CELL_OWNER, GUARD, LINKER
+from bulrushpulley.roles.runtime import Runtime
+from bulrushpulley.settings import AgentSettings
+from bulrushpulley.wire.http_server import HttpServer
+from bulrushpulley.wire.link_client import Dialler
+from bulrushpulley.wire.operator_front import HealthFront
+from bulrushpulley.wire.tls import client_context
+
+STOP_S = 10.0
+LINK_FLUSH_S = 2.0
+
+
+class AgentProcess:
+    """The parts of an agent: links, the guard, the cell owner and a health front."""
+
+    def __init__(self, *, settings: AgentSettings, incarnation: str) -> None:
+        self.runtime = Runtime(
+            name=settings.name,
+            incarnation=incarnation,
+            region=settings.region,
+            log_fd=settings.logs.file_descriptor,
+        )
+        self._settings = settings
+        tls = client_context(settings.tls) if settings.tls else None
+        self._dialler = Dialler(
+            links=self.runtime.links, hooks=self.runtime.hooks(), tls=tls
+        )
+
+    def start(self) -> None:
+        """Start everything; the linker dials from here on."""
+        self.runtime.start()
+        self._start_roles()
+        self._start_front()
+        log_process(
+            process=self.runtime.name,
+            stage="started",
+            detail=f"health={self._health.port}",
+        )
+
+    def _start_roles(self) -> None:
+        base = self.runtime.ports(answer=self._no_answer)
+        for name in (GUARD, CELL_OWNER):
+            self.runtime.start_role(stub.build(name=name), Ports(**base))
+        role = linker.build(
+            incarnation=self.runtime.incarnation, seeds=self._settings.seeds
+        )
+        self.runtime.start_role(role, LinkerPorts(**base, dial=self._dial))
+
+    def _dial(self, address: str) -> None:
+        self.runtime.loop.call_soon_threadsafe(self._dialler.dial, address)
+
+    def _no_answer(self, command: Command) -> None:
+        raise NotImplementedError(f"no front end for {type(command).__name__}")
+
+    def _start_front(self) -> None:
+        health = HealthFront(
+            is_leaving=self.runtime.stopping.is_set,
+            metrics_text=self.runtime.metrics.text,
+        )
+        self._health = HttpServer(
+            host=self._settings.health.host,
+            port=self._settings.health.port,
+            handler=health.handle,
+            threads=self._settings.health.threads,
+            report=self.runtime.report,
+        )
+        self._health.start()
+
+    def stop(self) -> None:
+        """Let the roles finish what runs and release their cells, then end."""
+        stop = self._settings.stop
+        log_process(process=self.runtime.name, stage="leaving")
+        self.runtime.leave(Leave(), (GUARD, CELL_OWNER), stop.within_s)
+        self.runtime.tell(LINKER, Leave())
+        closing = self.runtime.links.close(LINK_FLUSH_S)
+        self.runtime.on_loop(closing).result(STOP_S)
+        self._health.stop(LINK_FLUSH_S)
+        self.runtime.stop()
--- /dev/null
+++ b/bulrushpulley/roles/entry_process.py
@@ -0,0 +1,108 @@
+"""Assembles and runs an entry process."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.logs import log_process
+from bulrushpulley.roles import report_io, stub
+from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.routing import COMMITTER, CONTROLLER, ROUTER
+from bulrushpulley.roles.runtime import Runtime
+from bulrushpulley.settings import EntrySettings
+from bulrushpulley.wire.caller_http import CallerFront
+from bulrushpulley.wire.http_server import HttpServer
+from bulrushpulley.wire.link_server import LinkServer
+from bulrushpulley.wire.operator_front import HealthFront
+from bulrushpulley.wire.pending import PendingCalls
+from bulrushpulley.wire.tls import server_context
+
+START_S = 10.0
+LINK_FLUSH_S = 2.0
+
+__all__ = ["EntryProcess", "report_io"]
+
+
+class EntryProcess:
+    """The parts of an entry: links, roles, and the fronts of callers and operators."""
+
+    def __init__(self, *, settings: EntrySettings, incarnation: str) -> None:
+        self.runtime = Runtime(
+            name=settings.name,
+            incarnation=incarnation,
+            region=settings.region,
+            log_fd=settings.logs.file_descriptor,
+        )
+        self._settings = settings
+        self._pending = PendingCalls(incarnation=incarnation)
+
+    def start(self) -> None:
+        """Start everything; listeners take calls from here on."""
+        self.runtime.start()
+        self._serve_links()
+        self._start_roles()
+        self._start_fronts()
+        ports = (
+            f"links={self._links.port} callers={self._callers.port}"
+            f" operators={self._operators.port}"
+        )
+        log_process(process=self.runtime.name, stage="started", detail=ports)
+
+    def _serve_links(self) -> None:
+        settings = self._settings
+        tls = server_context(settings.tls) if settings.tls else None
+        self._links = LinkServer(
+            links=self.runtime.links, hooks=self.runtime.hooks(), tls=tls
+        )
+        starting = self._links.start(host=settings.links.host, port=settings.links.port)
+        self.runtime.on_loop(starting).result(START_S)
+
+    def _start_roles(self) -> None:
+        ports = Ports(**self.runtime.ports(answer=self._answer))
+        for name in (COMMITTER, CONTROLLER, ROUTER):
+            self.runtime.start_role(stub.build(name=name), ports)
+
+    def _start_fronts(self) -> None:
+        settings = self._settings
+        callers = CallerFront(pending=self._pending, tell=self._tell_router)
+        health = HealthFront(
+            is_leaving=self.runtime.stopping.is_set,
+            metrics_text=self.runtime.metrics.text,
+        )
+        self._callers = HttpServer(
+            host=settings.callers.host,
+            port=settings.callers.port,
+            handler=callers.handle,
+            threads=settings.callers.threads,
+            report=self.runtime.report,
+        )
+        self._operators = HttpServer(
+            host=settings.operators.host,
+            port=settings.operators.port,
+            handler=health.handle,
+            threads=settings.operators.threads,
+            report=self.runtime.report,
+        )
+        self._callers.start()
+        self._operators.start()
+
+    def _tell_router(self, event: Event) -> None:
+        self.runtime.tell(ROUTER, event)
+
+    def _answer(self, command: Command) -> None:
+        self._pending.resolve(getattr(command, "call_id"), command)  # noqa: B009
+
+    def stop(self) -> None:
+        """Fail health checks, finish the calls in flight, then end."""
+        stop = self._settings.stop
+        log_process(process=self.runtime.name, stage="leaving")
+        self.runtime.hurry.wait(stop.notice_s)
+        self.runtime.tell(ROUTER, Leave())
+        self._callers.stop(stop.within_s)
+        self._operators.stop(LINK_FLUSH_S)
+        self.runtime.on_loop(self._close_links()).result(START_S)
+        self.runtime.stop()
+
+    async def _close_links(self) -> None:
+        await self.runtime.links.close(LINK_FLUSH_S)
+        await self._links.close()
--- /dev/null
+++ b/bulrushpulley/roles/routing.py
@@ -0,0 +1,109 @@
+"""Which roles of a process receive an item of a link, and in what form.
+
+A role that the process lacks is passed over, so an item that a peer sends to the
+wrong side has no effect.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from bulrushpulley.entities import link
+from bulrushpulley.entities.commit import CommitOutcome, ReadAsked, Submitted
+from bulrushpulley.entities.linker_tables import DialEnded, DialLinked
+from bulrushpulley.entities.step import Event
+
+ROUTER = "router"
+CONTROLLER = "controller"
+COMMITTER = "committer"
+GUARD = "guard"
+CELL_OWNER = "cell_owner"
+LINKER = "linker"
+ROLES = frozenset({ROUTER, CONTROLLER, COMMITTER, GUARD, CELL_OWNER, LINKER})
+
+
+@singledispatch
+def recipients(item: Event) -> tuple[str, ...]:
+    """Return the names of the roles that receive an item; none by default."""
+    return ()
+
+
+@recipients.register(link.LinkUp)
+@recipients.register(link.LinkDown)
+def _(item: Event) -> tuple[str, ...]:
+    return (ROUTER, CONTROLLER, GUARD, CELL_OWNER)
+
+
+@recipients.register
+def _(item: link.Announce) -> tuple[str, ...]:
+    return (ROUTER, CONTROLLER)
+
+
+@recipients.register(link.Answered)
+@recipients.register(link.Refused)
+def _(item: Event) -> tuple[str, ...]:
+    return (ROUTER,)
+
+
+@recipients.register
+def _(item: link.CellSummary) -> tuple[str, ...]:
+    return (CONTROLLER,)
+
+
+@recipients.register(link.Submit)
+@recipients.register(link.Fetch)
+def _(item: Event) -> tuple[str, ...]:
+    return (COMMITTER,)
+
+
+@recipients.register(link.Dispatch)
+@recipients.register(link.Recall)
+@recipients.register(link.Abandon)
+def _(item: Event) -> tuple[str, ...]:
+    return (GUARD,)
+
+
+@recipients.register
+def _(item: link.Configured) -> tuple[str, ...]:
+    return (GUARD, CELL_OWNER)
+
+
+@recipients.register
+def _(item: link.Entries) -> tuple[str, ...]:
+    return (LINKER, CELL_OWNER)
+
+
+@recipients.register(link.Offer)
+@recipients.register(link.Assigned)
+@recipients.register(link.JobCancelled)
+@recipients.register(link.Fetched)
+@recipients.register(CommitOutcome)
+def _(item: Event) -> tuple[str, ...]:
+    return (CELL_OWNER,)
+
+
+@recipients.register(DialLinked)
+@recipients.register(DialEnded)
+def _(item: Event) -> tuple[str, ...]:
+    return (LINKER,)
+
+
+@singledispatch
+def delivered(item: Event) -> Event:
+    """Return the event that a role is told for an item; the item by default."""
+    return item
+
+
+@delivered.register
+def _(item: link.Submit) -> Event:
+    return Submitted(origin=item.peer, submission=item.submission)
+
+
+@delivered.register
+def _(item: link.Fetch) -> Event:
+    return ReadAsked(
+        origin=item.peer,
+        fetch_id=item.fetch_id,
+        prefix=item.prefix,
+        since=item.since,
+    )
--- /dev/null
+++ b/bulrushpulley/roles/runtime.py
@@ -0,0 +1,181 @@
+"""What every process runs on: its actors, event loop, pool, links and metrics.
+
+The main thread waits for a signal; each role has a thread, the links share one
+event loop, and blocking calls to the platform run on a bounded pool. A role that
+fails ends the process, since a process without one of its roles would hold work
+that it no longer serves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Callable, Coroutine
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, TypeVar
+
+import pykka
+
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.logs import (
+    LineWriter,
+    decision_logger,
+    log_process,
+    problem_logger,
+)
+from bulrushpulley.metrics import Metrics
+from bulrushpulley.roles.actor import Role, RoleActor, tick_forever
+from bulrushpulley.roles.carry_out import Ports, carry_out
+from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.wire.link_stream import LinkHooks
+from bulrushpulley.wire.links import Links
+
+T = TypeVar("T")
+POOL_THREADS = 32
+LOOP_START_S = 5.0
+ROLE_STOP_S = 2.0
+
+
+class Runtime:
+    """The parts that entry and agent processes have in common."""
+
+    def __init__(
+        self, *, name: str, incarnation: str, region: str, log_fd: int
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.region = region
+        self.metrics = Metrics()
+        self.report = problem_logger(name)
+        self.stopping = threading.Event()
+        self.hurry = threading.Event()
+        self.failed = threading.Event()
+        self.loop = asyncio.new_event_loop()
+        self.links = Links(loop=self.loop)
+        self.pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="platform")
+        self._writer = LineWriter(fd=log_fd, count=self.metrics.count)
+        self._loop_thread = threading.Thread(target=self._run_loop, daemon=True)
+        self._ref_by_role: dict[str, pykka.ActorRef[Any]] = {}
+        self._done_by_role: dict[str, threading.Event] = {}
+
+    def start(self) -> None:
+        """Start the log and the event loop."""
+        self._writer.start()
+        self._loop_thread.start()
+        log_process(process=self.name, stage="starting", detail=self.incarnation)
+
+    def _run_loop(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_forever()
+
+    def on_loop(self, work: Coroutine[Any, Any, T]) -> Future[T]:
+        """Run a coroutine on the event loop."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop)
+
+    def hooks(self) -> LinkHooks:
+        """Return who this process is on its links, and what receives their items."""
+        return LinkHooks(
+            incarnation=self.incarnation,
+            region=self.region,
+            receive=self.receive,
+            count=self.metrics.count,
+            report=self.report,
+        )
+
+    def ports(self, *, answer: Callable[[Command], None]) -> dict[str, Any]:
+        """Return the arguments that every class of ports takes."""
+        return {
+            "send": self.links.send,
+            "tell": self.tell,
+            "answer": answer,
+            "decide": decision_logger(self.name),
+            "count": self.metrics.count,
+            "observe": self.metrics.observe,
+            "run": self.run,
+        }
+
+    def start_role(self, role: Role[Any], ports: Ports) -> None:
+        """Start the actor of a role and its ticks."""
+        ref = RoleActor.start(
+            role=role, carry_out=lambda command: carry_out(command, ports)
+        )
+        self._ref_by_role[role.name] = ref
+        self.on_loop(self._keep_ticking(role.name, ref))
+
+    async def _keep_ticking(self, role: str, ref: pykka.ActorRef[Any]) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            await tick_forever(ref)
+        if not self.stopping.is_set():
+            self._fail(role, "the role ended")
+
+    def _fail(self, role: str, detail: str) -> None:
+        problem = Problem(
+            code=Code.UNAVAILABLE, step="process.role", peer=role, detail=detail
+        )
+        self.report(problem)
+        self.failed.set()
+        self.stopping.set()
+
+    def tell(self, role: str, event: Event) -> None:
+        """Tell a role of this process an event; one it lacks is passed over."""
+        ref = self._ref_by_role.get(role)
+        if ref is None:
+            return
+        try:
+            ref.tell(event)
+        except pykka.ActorDeadError:
+            self.metrics.count(Count(name="events_lost", label=role))
+
+    def receive(self, item: Event) -> None:
+        """Hand an item of a link to the roles that it is for."""
+        event = delivered(item)
+        for role in recipients(item):
+            self.tell(role, event)
+
+    def run(self, *, role: str, work: Callable[[], Event]) -> None:
+        """Execute `work` on the pool and tell `role` the event it returns."""
+        self.pool.submit(self._run, role, work)
+
+    def _run(self, role: str, work: Callable[[], Event]) -> None:
+        try:
+            event = work()
+        except Exception as error:
+            self._fail(role, f"{type(error).__name__}: {error}")
+            return
+        self.tell(role, event)
+
+    def role_done(self, role: str) -> None:
+        """Note that a role has finished its work after `Leave`."""
+        self._done_by_role[role].set()
+
+    def leave(self, event: Event, roles: tuple[str, ...], within_s: float) -> None:
+        """Tell roles to leave and wait until they are done or time is up."""
+        for role in roles:
+            self._done_by_role[role] = threading.Event()
+        for role in roles:
+            self.tell(role, event)
+        deadline = self.loop.time() + within_s
+        for role in roles:
+            left = max(0.0, deadline - self.loop.time())
+            if not self._done_by_role[role].wait(left):
+                self.report(
+                    Problem(
+                        code=Code.DEADLINE,
+                        step="process.leave",
+                        peer=role,
+                        detail=f"not done within {within_s:g} s",
+                    )
+                )
+
+    def stop(self) -> None:
+        """Stop the actors, the loop and the log."""
+        for ref in self._ref_by_role.values():
+            ref.stop(block=True, timeout=ROLE_STOP_S)
+        self.pool.shutdown(wait=False, cancel_futures=True)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._loop_thread.join(LOOP_START_S)
+        log_process(process=self.name, stage="stopped")
+        self._writer.stop()
--- /dev/null
+++ b/bulrushpulley/settings.py
@@ -0,0 +1,197 @@
+"""Settings in TOML, read into frozen classes and checked as a whole.
+
+Every error of a file is reported at once, with the file as peer and the dotted
+path of the key; unknown keys are refused. The key ``role`` names the class, so
+that an agent cannot be started from an entry's file.
+
+Example::
+
+    role = "operator"
+    entries = ["http://127.0.0.1:7002"]
+"""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Annotated, Any, TypeVar
+
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire.checked import Length, Range, Text, build
+
+STEP = "settings.check"
+
+Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", longest=100)]
+Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", longest=45)]
+Address = Annotated[str, Text(pattern=r"[0-9.]+:[0-9]{1,5}", longest=60)]
+Url = Annotated[str, Text(pattern=r"https?://[^\s/]+(/[^\s]*)?", longest=500)]
+Port = Annotated[int, Range(low=0, high=65_535)]
+Threads = Annotated[int, Range(low=1, high=1_024)]
+Seconds = Annotated[float, Range(low=0.0, high=86_400.0)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpSettings:
+    """An HTTP listener and its threads, one for each request under way."""
+
+    host: Host
+    port: Port
+    threads: Threads = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListenSettings:
+    """The listener for the links of agents.
+
+    `advertised_host` is the IP number at which agents reach it.
+    """
+
+    host: Host
+    port: Port
+    advertised_host: Host = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TlsSettings:
+    """Files in PEM form for links; both sides show a certificate of `ca`."""
+
+    certificate: str
+    key: str
+    ca: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopSettings:
+    """A planned stop: `notice_s` of failed health checks, then the work's end."""
+
+    notice_s: Seconds = 0.0
+    within_s: Seconds = 30.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogSettings:
+    """Where log lines go: 1 is standard output, 2 standard error."""
+
+    file_descriptor: Annotated[int, Range(low=1, high=1_000)] = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformSettings:
+    """A platform service; a call that takes longer than `timeout_s` has failed."""
+
+    url: Url
+    timeout_s: Annotated[float, Range(low=0.1, high=60.0)] = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntrySettings:
+    """The settings of an entry process."""
+
+    role: Annotated[str, Text(pattern="entry")]
+    name: Name
+    region: Name
+    failure_domain: Name
+    links: ListenSettings
+    callers: HttpSettings
+    operators: HttpSettings
+    table_service: PlatformSettings
+    tls: TlsSettings | None = None
+    stop: StopSettings = field(default_factory=StopSettings)
+    logs: LogSettings = field(default_factory=LogSettings)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendSettings:
+    """The backend server beside the agent and how much it takes at once."""
+
+    url: Url
+    service: Name
+    slots: Annotated[int, Range(low=1, high=1_024)] = 8
+    connections: Annotated[int, Range(low=1, high=4_096)] = 64
+    queue_limit: Annotated[int, Range(low=0, high=100_000)] = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CellSettings:
+    """How the agent owns cells.
+
+    Without the store it goes on renewing the leases of tasks for `autonomy_s`.
+    """
+
+    autonomy_s: Seconds = 3_600.0
+    workers_timeout_s: Annotated[float, Range(low=0.1, high=60.0)] = 2.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AgentSettings:
+    """The settings of an agent process; `seeds` are addresses of entries."""
+
+    role: Annotated[str, Text(pattern="agent")]
+    name: Name
+    region: Name
+    failure_domain: Name
+    seeds: Annotated[tuple[Address, ...], Length(fewest=1, most=100)]
+    backend_server: BackendSettings
+    health: HttpSettings
+    cells: CellSettings = field(default_factory=CellSettings)
+    object_store: PlatformSettings | None = None
+    tls: TlsSettings | None = None
+    stop: StopSettings = field(default_factory=StopSettings)
+    logs: LogSettings = field(default_factory=LogSettings)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorSettings:
+    """The settings of the operator verbs; `entries` are tried in order."""
+
+    role: Annotated[str, Text(pattern="operator")]
+    entries: Annotated[tuple[Url, ...], Length(fewest=1, most=100)]
+    author: Name = "operator"
+    timeout_s: Annotated[float, Range(low=0.1, high=600.0)] = 10.0
+
+
+Settings = EntrySettings | AgentSettings | OperatorSettings
+S = TypeVar("S")
+
+CLASS_BY_ROLE: Mapping[str, type[Settings]] = {
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+    "operator": OperatorSettings,
+}
+
+
+def read_toml(path: pathlib.Path) -> dict[str, Any]:
+    """Read a TOML file; raises an `ExceptionGroup` that names the file."""
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise _group(path, str(error)) from error
+
+
+def load(cls: type[S], path: pathlib.Path) -> S:
+    """Read and check a settings file of one role.
+
+    Raises an `ExceptionGroup` of `BulrushpulleyError`, one for each problem.
+    """
+    return build(cls, read_toml(path), step=STEP, peer=str(path))
+
+
+def load_any(path: pathlib.Path) -> Settings:
+    """Read and check a settings file of whatever role its key ``role`` names."""
+    raw = read_toml(path)
+    cls = CLASS_BY_ROLE.get(str(raw.get("role")))
+    if cls is None:
+        known = ", ".join(CLASS_BY_ROLE)
+        raise _group(path, f"must be one of {known}", "role")
+    return build(cls, raw, step=STEP, peer=str(path))
+
+
+def _group(path: pathlib.Path, detail: str, key: str = "") -> BaseExceptionGroup[Any]:
+    problem = Problem(
+        code=Code.INVALID, step=STEP, peer=str(path), detail=detail, field=key
+    )
+    return ExceptionGroup(
+        "1 problem in the settings", [BulrushpulleyError(problem=problem)]
+    )
--- /dev/null
+++ b/bulrushpulley/wire/caller_http.py
@@ -0,0 +1,165 @@
+"""Callers' requests in HTTP: parsed to `CallReceived`, answers encoded.
+
+Example::
+
+    POST /v1/call/oven-conductor
+    Idempotency-Key: oven-7-42
+    X-Deadline-Ms: 1500
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from functools import singledispatch
+
+from bulrushpulley.entities.calls import (
+    AnswerCall,
+    CallAbandoned,
+    CallReceived,
+    RefuseCall,
+)
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem, Ran
+from bulrushpulley.wire.http_message import (
+    STATUS_BY_CODE,
+    HttpReply,
+    HttpRequest,
+    error_reply,
+    invalid,
+    json_reply,
+    problem_value,
+)
+from bulrushpulley.wire.pending import PendingCall, PendingCalls
+
+STEP = "call.parse"
+DEFAULT_WITHIN_S = 5.0
+LONGEST_WITHIN_S = 60.0
+ANSWER_MARGIN_S = 0.5
+MAX_KEY_CHARACTERS = 200
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+_BOOL_BY_TEXT = {"true": True, "false": False}
+_REFUSED = frozenset({400, 404, 413})
+
+
+def parse_call(request: HttpRequest, call_id: str) -> CallReceived:
+    """Read a call; raises `BulrushpulleyError` that names the bad field."""
+    parts = request.parts
+    if len(parts) != 3 or parts[:2] != ("v1", "call"):
+        raise _bad(request, "path", "no such path", Code.NOT_FOUND)
+    if request.method != "POST":
+        raise _bad(request, "method", "must be POST")
+    if _NAME.fullmatch(parts[2]) is None:
+        raise _bad(request, "service", "is no name of a service")
+    key = _idempotency_key(request)
+    return CallReceived(
+        call_id=call_id,
+        service=parts[2],
+        request_id=key,
+        repeatable=_repeatable(request, key),
+        within_s=_within_s(request),
+        body=request.body,
+    )
+
+
+def _idempotency_key(request: HttpRequest) -> str:
+    key = request.header_by_name.get("idempotency-key", "")
+    if key and _KEY.fullmatch(key) is None:
+        raise _bad(
+            request,
+            "Idempotency-Key",
+            f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters",
+        )
+    return key
+
+
+def _repeatable(request: HttpRequest, key: str) -> bool:
+    text = request.header_by_name.get("x-repeatable")
+    if text is None:
+        return not key
+    if text not in _BOOL_BY_TEXT:
+        raise _bad(request, "X-Repeatable", "must be true or false")
+    if not _BOOL_BY_TEXT[text] and not key:
+        raise _bad(
+            request, "Idempotency-Key", "is required for an unrepeatable request"
+        )
+    return _BOOL_BY_TEXT[text]
+
+
+def _within_s(request: HttpRequest) -> float:
+    text = request.header_by_name.get("x-deadline-ms")
+    if text is None:
+        return DEFAULT_WITHIN_S
+    if not text.isdecimal() or not 0 < int(text) <= LONGEST_WITHIN_S * 1000:
+        limit = int(LONGEST_WITHIN_S * 1000)
+        raise _bad(request, "X-Deadline-Ms", f"must be from 1 to {limit}")
+    return int(text) / 1000
+
+
+def _bad(
+    request: HttpRequest, field: str, detail: str, code: Code = Code.INVALID
+) -> BulrushpulleyError:
+    return invalid(step=STEP, peer=request.peer, field=field, detail=detail, code=code)
+
+
+@singledispatch
+def encode_answer(command: Command) -> HttpReply:
+    """Encode the command that answers a call."""
+    raise NotImplementedError(f"no reply for {type(command).__name__}")
+
+
+@encode_answer.register
+def _(command: AnswerCall) -> HttpReply:
+    return HttpReply(
+        status=command.status,
+        body=command.body,
+        content_type="application/octet-stream",
+    )
+
+
+@encode_answer.register
+def _(command: RefuseCall) -> HttpReply:
+    status = STATUS_BY_CODE[command.problem.code]
+    if status not in _REFUSED:
+        status = 503 if command.ran is Ran.NO else 504
+    return json_reply(status, problem_value(command.problem, command.ran))
+
+
+class CallerFront:
+    """Hands each call to the router and waits for the answer or the deadline."""
+
+    def __init__(self, *, pending: PendingCalls, tell: Callable[[Event], None]) -> None:
+        self._pending = pending
+        self._tell = tell
+
+    def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one call of a caller."""
+        call = self._pending.open()
+        try:
+            received = parse_call(request, call.call_id)
+        except BulrushpulleyError as error:
+            self._pending.abandon(call.call_id)
+            return error_reply(error, Ran.NO)
+        self._tell(received)
+        try:
+            command = call.answer.result(received.within_s + ANSWER_MARGIN_S)
+        except TimeoutError:
+            command = self._give_up(call, received)
+        return encode_answer(command)
+
+    def _give_up(self, call: PendingCall, received: CallReceived) -> Command:
+        if not self._pending.abandon(call.call_id):
+            return call.answer.result()
+        self._tell(CallAbandoned(call_id=call.call_id))
+        return _too_late(received)
+
+
+def _too_late(received: CallReceived) -> RefuseCall:
+    problem = Problem(
+        code=Code.DEADLINE,
+        step="call.wait",
+        peer="router",
+        detail=f"no answer within {received.within_s:g} s",
+    )
+    return RefuseCall(call_id=received.call_id, ran=Ran.UNKNOWN, problem=problem)
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -9,12 +9,13 @@
 from grpclib.client import Channel
 
 from bulrushpulley.entities.linker_tables import DialEnded, DialLinked
-from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.errors import Code
 from bulrushpulley.wire.link_grpc import LinkStub
 from bulrushpulley.wire.link_stream import (
     HELLO_S,
     LinkHooks,
     LinkStream,
+    described,
     link_error,
     receive_hello,
     send_hello,
@@ -43,13 +44,8 @@
         problem = None
         try:
             await self._keep(address)
-        except BulrushpulleyError as error:
-            problem = error.problem
         except Exception as error:
-            detail = f"{type(error).__name__}: {error}"
-            problem = Problem(
-                code=Code.UNAVAILABLE, step="link.dial", peer=address, detail=detail
-            )
+            problem = described(error, address)
         self._hooks.receive(DialEnded(address=address, problem=problem))
 
     async def _keep(self, address: str) -> None:
--- a/bulrushpulley/wire/link_codec.py
+++ b/bulrushpulley/wire/link_codec.py
@@ -107,9 +107,7 @@
 @encode_item.register
 def _(item: link.CellSummary) -> pb.Item:
     uses = [
-        pb.DepartmentUse(
-            department=use.department, committed=_resources(use.committed)
-        )
+        pb.DepartmentUse(department=use.department, committed=_resources(use.committed))
         for use in item.uses
     ]
     message = pb.CellSummary(
--- a/bulrushpulley/wire/link_server.py
+++ b/bulrushpulley/wire/link_server.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+import socket
 import ssl
 from typing import Any
 
 from grpclib.server import Server
 
-from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire.link_grpc import LinkBase
 from bulrushpulley.wire.link_stream import (
     LinkHooks,
     LinkStream,
+    described,
     receive_hello,
     send_hello,
 )
 from bulrushpulley.wire.links import Links
 
+BACKLOG = 1_024
+
 
 class LinkService(LinkBase):
     """The handler of the one method, `Attach`; a bad stream ends alone."""
@@ -30,11 +33,8 @@
         try:
             hello = await receive_hello(stream, "agent")
             await send_hello(stream, self._hooks)
-        except BulrushpulleyError as error:
-            self._hooks.report(error.problem)
-            return
         except Exception as error:
-            self._hooks.report(_hello_failed(error))
+            self._hooks.report(described(error, "agent"))
             return
         link = LinkStream(
             peer=hello.peer, region=hello.region, stream=stream, hooks=self._hooks
@@ -42,22 +42,24 @@
         await self._links.run(link)
 
 
-def _hello_failed(error: Exception) -> Problem:
-    detail = f"{type(error).__name__}: {error}"
-    return Problem(
-        code=Code.UNAVAILABLE, step="link.hello", peer="agent", detail=detail
-    )
-
-
-async def serve_links(
-    *,
-    host: str,
-    port: int,
-    links: Links,
-    hooks: LinkHooks,
-    tls: ssl.SSLContext | None = None,
-) -> Server:
-    """Listen for agents; the server runs until it is closed."""
-    server = Server([LinkService(links=links, hooks=hooks)])
-    await server.start(host, port, ssl=tls)
-    return server
+class LinkServer:
+    """The listener for the streams of agents; its methods run on the loop."""
+
+    def __init__(
+        self, *, links: Links, hooks: LinkHooks, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._service = LinkService(links=links, hooks=hooks)
+        self._tls = tls
+        self.port = 0
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Bind and listen; `port` then holds the bound one."""
+        listener = socket.create_server((host, port), backlog=BACKLOG)
+        self.port = listener.getsockname()[1]
+        self._server = Server([self._service])
+        await self._server.start(sock=listener, ssl=self._tls)
+
+    async def close(self) -> None:
+        """Stop listening and end every stream that is left."""
+        self._server.close()
+        await self._server.wait_closed()
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -11,8 +11,9 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Any, cast
 
 from bulrushpulley.entities.link import LinkDown, LinkUp
@@ -28,6 +29,7 @@
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
 MAX_FRAME_BYTES = 256 * 1024
 HELLO_S = 5.0
+FRAME_OVERHEAD_BYTES = 14
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,6 +54,24 @@
     return BulrushpulleyError(problem=problem)
 
 
+@singledispatch
+def described(error: Exception, peer: str) -> Problem:
+    """Return the problem for which a stream has ended."""
+    detail = f"{type(error).__name__}: {error}"
+    return Problem(code=Code.UNAVAILABLE, step="link.stream", peer=peer, detail=detail)
+
+
+@described.register
+def _(error: BulrushpulleyError, peer: str) -> Problem:
+    return error.problem
+
+
+@described.register
+def _(error: TimeoutError, peer: str) -> Problem:
+    detail = f"nothing heard or sent for {SILENCE_S:g} s"
+    return Problem(code=Code.DEADLINE, step="link.stream", peer=peer, detail=detail)
+
+
 async def receive_hello(stream: Any, address: str) -> Frame:
     """Read the first frame of the other side, which names the peer."""
     async with asyncio.timeout(HELLO_S):
@@ -98,10 +118,7 @@
         self._queued_bytes += item.ByteSize()
         self._idle.clear()
         self._wake.set()
-        if (
-            len(self._queue) > MAX_QUEUED_ITEMS
-            or self._queued_bytes > MAX_QUEUED_BYTES
-        ):
+        if len(self._queue) > MAX_QUEUED_ITEMS or self._queued_bytes > MAX_QUEUED_BYTES:
             detail = f"{len(self._queue)} items, {self._queued_bytes} bytes queued"
             self.close(self._problem(Code.OVERLOADED, "link.send", detail))
 
@@ -136,20 +153,14 @@
             self._idle.set()
             self._ended.set()
 
-    def _report(self, ends: list[Any]) -> None:
+    def _report(self, ends: Iterable[BaseException | None]) -> None:
         problem = self._closed.result() if self._closed.done() else None
         self.close()
         if problem is not None:
             self._hooks.report(problem)
         for end in ends:
             if isinstance(end, Exception):
-                self._hooks.report(self._described(end))
-
-    def _described(self, error: Exception) -> Problem:
-        if isinstance(error, BulrushpulleyError):
-            return error.problem
-        code = Code.DEADLINE if isinstance(error, TimeoutError) else Code.UNAVAILABLE
-        return self._problem(code, "link.stream", f"{type(error).__name__}: {error}")
+                self._hooks.report(described(end, self.peer))
 
     def _problem(self, code: Code, step: str, detail: str) -> Problem:
         return Problem(code=code, step=step, peer=self.peer, detail=detail)
@@ -197,4 +208,5 @@
         return Frame(items=batch)
 
     def _count(self, name: str, frame: Frame) -> None:
-        self._hooks.count(Count(name=name, label=self.region, by=frame.ByteSize()))
+        size = frame.ByteSize() + FRAME_OVERHEAD_BYTES
+        self._hooks.count(Count(name=name, label=self.region, by=size))
