--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -13,7 +13,7 @@
 from bulrushpulley.wire.caller_http import CallerFront
 from bulrushpulley.wire.http_server import HttpServer
 from bulrushpulley.wire.link_server import LinkServer
-from bulrushpulley.wire.operator_front import HealthFront
+from bulrushpulley.wire.operator_front import HealthFront, OperatorFront
 from bulrushpulley.wire.pending import PendingCalls
 from bulrushpulley.wire.tls import server_context
 
@@ -69,6 +69,9 @@
             is_leaving=self.runtime.stopping.is_set,
             metrics_text=self.runtime.metrics.text,
         )
+        operators = OperatorFront(
+            health=health, pending=self._pending, tell=self._tell_controller
+        )
         self._callers = HttpServer(
             host=settings.callers.host,
             port=settings.callers.port,
@@ -79,7 +82,7 @@
         self._operators = HttpServer(
             host=settings.operators.host,
             port=settings.operators.port,
-            handler=health.handle,
+            handler=operators.handle,
             threads=settings.operators.threads,
             report=self.runtime.report,
         )
@@ -89,6 +92,9 @@
     def _tell_router(self, event: Event) -> None:
         self.runtime.tell(ROUTER, event)
 
+    def _tell_controller(self, event: Event) -> None:
+        self.runtime.tell(CONTROLLER, event)
+
     def _answer(self, command: Command) -> None:
         self._pending.resolve(getattr(command, "call_id"), command)  # noqa: B009
 
--- a/bulrushpulley/wire/operator_front.py
+++ b/bulrushpulley/wire/operator_front.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from urllib.parse import parse_qsl
 
-from bulrushpulley.errors import Code
+from bulrushpulley.entities.operations import Reject
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.wire import operator_http
 from bulrushpulley.wire.http_message import HttpReply, HttpRequest, invalid
+from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
+ANSWER_S = 15.0
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/healthz"
 
@@ -39,3 +45,58 @@
         if self._is_leaving():
             return HttpReply(status=503, body=b'{"state":"leaving"}')
         return HttpReply(status=200, body=b'{"state":"serving"}')
+
+
+class OperatorFront:
+    """Hands operators' calls to the controller; health and metrics pass by."""
+
+    def __init__(
+        self,
+        *,
+        health: HealthFront,
+        pending: PendingCalls,
+        tell: Callable[[Event], None],
+    ) -> None:
+        self._health = health
+        self._pending = pending
+        self._tell = tell
+
+    def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one request of an operator."""
+        if request.path in (HEALTH_PATH, METRICS_PATH):
+            return self._health.handle(request)
+        call = self._pending.open()
+        try:
+            parsed = operator_http.parse(
+                request.method,
+                request.path,
+                dict(parse_qsl(request.query, keep_blank_values=True)),
+                request.header_by_name,
+                request.body,
+                call.call_id,
+            )
+        except Exception as error:
+            self._pending.abandon(call.call_id)
+            return _reply(
+                operator_http.render_problems(operator_http.problems_of(error))
+            )
+        self._tell(parsed)
+        return _reply(operator_http.render(self._wait(call)))
+
+    def _wait(self, call: PendingCall) -> Command:
+        try:
+            return call.answer.result(ANSWER_S)
+        except TimeoutError:
+            if not self._pending.abandon(call.call_id):
+                return call.answer.result()
+        problem = Problem(
+            code=Code.OUTCOME_UNKNOWN,
+            step="operators.wait",
+            peer="controller",
+            detail=f"no answer within {ANSWER_S:g} s",
+        )
+        return Reject(call_id=call.call_id, problem=problem)
+
+
+def _reply(answer: operator_http.HttpAnswer) -> HttpReply:
+    return HttpReply(status=answer.status, body=answer.body)
