Add the stand-ins of backend servers and callers, and tests of the guard and the policy

A backend server's answer whose head was cut short was taken for a whole, empty answer, since without a Content-Length the end of the connection ends the body: a test with a cut head failed. Answers must now state their end.

--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -2,7 +2,7 @@
 
 Every call has a deadline. A refused connection means that surely nothing was sent;
 any later failure means that the request may have run. A body that is shorter than
-its Content-Length is an error and never taken for an answer.
+its Content-Length, or that has no stated end, is never taken for an answer.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
 MAX_CONNECTIONS = 64
 MAX_ANSWER_BYTES = 1024 * 1024
 HEALTH_TIMEOUT_S = 0.5
+BODILESS = frozenset({204, 304})
 READ_BYTES = 64 * 1024
 RUN_STEP = "backend_server.run"
 
@@ -114,7 +115,12 @@
 
 
 def read_whole(response: urllib3.BaseHTTPResponse, deadline: float, peer: str) -> bytes:
-    """Read the body to its end, before `deadline` and within the largest size."""
+    """Read the body to its end, before `deadline` and within the largest size.
+
+    A body that ends only with its connection may have been cut short.
+    """
+    if not is_delimited(response):
+        raise no_answer(Code.OUTCOME_UNKNOWN, peer, "the body has no stated end")
     parts: list[bytes] = []
     size = 0
     for part in response.stream(READ_BYTES):
@@ -127,6 +133,13 @@
     return b"".join(parts)
 
 
+def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the head of an answer says where its body ends."""
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    counted = "Content-Length" in response.headers
+    return chunked or counted or response.status in BODILESS
+
+
 def no_answer(code: Code, peer: str, detail: str) -> BulrushpulleyError:
     """Return the error for an answer that cannot be taken whole."""
     problem = Problem(code=code, step=RUN_STEP, peer=peer, detail=detail)
--- a/bulrushpulley/systems/route_members.py
+++ b/bulrushpulley/systems/route_members.py
@@ -63,7 +63,7 @@
         heard_at=now,
         others=max(0, event.running + event.queued - known.in_flight),
         healthy=event.healthy,
-        leaving=event.leaving,
+        leaving=known.leaving or event.leaving,
     )
     return Step(tables=replace(tables, servers=tables.servers.put(event.peer, server)))
 
--- /dev/null
+++ b/scripts/measure_routing.py
@@ -0,0 +1,183 @@
+"""Measures the router's policy in virtual time against simple baselines.
+
+Run: scripts/measure_routing [--seed N]. The same arrivals and service times go to
+random choice, least connections (both with a queue at each backend server) and the
+router with its guards. It prints one line for each run and the ratios.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from absl import app, flags
+from hdrh.histogram import HdrHistogram
+
+from bulrushpulley.entities.calls import AnswerCall
+from test.request_world import RequestWorld
+
+FLAGS = flags.FLAGS
+SERVERS = 10
+SLOTS = 8
+MEAN_S = 0.05
+SPREAD = 0.5
+DEADLINE_S = 1.0
+CAPACITY_PER_S = SERVERS * SLOTS / MEAN_S
+WARM_UP_S = 1.0
+SLOW_FACTOR = 10.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """An open-loop load: arrivals at `rate` of the capacity, and slow servers."""
+
+    rate: float
+    seconds: float
+    slow: int = 0
+    seed: int = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Result:
+    """Latencies of useful answers, those within the deadline, and their rate."""
+
+    name: str
+    p50_s: float
+    p99_s: float
+    useful_per_s: float
+    offered_per_s: float
+
+
+def arrivals(load: Load) -> list[float]:
+    """Return the moments of arrival."""
+    dice = random.Random(load.seed)
+    rate = load.rate * CAPACITY_PER_S
+    now, found = 0.0, []
+    while now < load.seconds:
+        now += dice.expovariate(rate)
+        found.append(now)
+    return found
+
+
+def service_time(load: Load) -> Callable[[int], float]:
+    """Return the function that draws the next service time of a server."""
+    dice = random.Random(load.seed + 1)
+    mu = -SPREAD * SPREAD / 2
+
+    def draw(server: int) -> float:
+        factor = SLOW_FACTOR if server < load.slow else 1.0
+        return factor * MEAN_S * dice.lognormvariate(mu, SPREAD)
+
+    return draw
+
+
+def summary(name: str, load: Load, latencies: Sequence[float]) -> Result:
+    """Return the percentiles and the rate of useful answers."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    useful = [latency for latency in latencies if latency <= DEADLINE_S]
+    for latency in latencies:
+        histogram.record_value(int(latency * 1e6))
+    span = load.seconds - WARM_UP_S
+    return Result(
+        name=name,
+        p50_s=histogram.get_value_at_percentile(50) / 1e6,
+        p99_s=histogram.get_value_at_percentile(99) / 1e6,
+        useful_per_s=len(useful) / span,
+        offered_per_s=load.rate * CAPACITY_PER_S,
+    )
+
+
+def run_baseline(name: str, load: Load) -> Result:
+    """Send each arrival to a server's own queue, chosen at random or by its load."""
+    dice = random.Random(load.seed + 2)
+    draw = service_time(load)
+    free_at = [[0.0] * SLOTS for _ in range(SERVERS)]
+    ends: list[list[float]] = [[] for _ in range(SERVERS)]
+    latencies: list[float] = []
+    for now in arrivals(load):
+        for queue in ends:
+            while queue and queue[0] <= now:
+                heapq.heappop(queue)
+        server = dice.randrange(SERVERS)
+        if name == "least connections":
+            server = min(range(SERVERS), key=lambda n: (len(ends[n]), n ^ server))
+        starts = max(now, heapq.heappop(free_at[server]))
+        end = starts + draw(server)
+        heapq.heappush(free_at[server], end)
+        heapq.heappush(ends[server], end)
+        if now >= WARM_UP_S:
+            latencies.append(end - now)
+    return summary(name, load, latencies)
+
+
+def run_router(name: str, load: Load) -> Result:
+    """Send the arrivals through one router and ten guards."""
+    world = RequestWorld(entries=1, agents=SERVERS)
+    draw = service_time(load)
+    number_by_agent = {agent: place for place, agent in enumerate(world.agents)}
+    world.service_s = lambda agent: draw(number_by_agent[agent])
+    start = world.world.now
+    moments = arrivals(load)
+    for number, at in enumerate(moments):
+        world.call_at(at, "e1", f"c{number}", within_s=DEADLINE_S)
+    world.run(load.seconds + 2 * DEADLINE_S)
+    latencies = [
+        found[0][0] - start - moments[int(call_id[1:])]
+        for call_id, found in world.answers.items()
+        if isinstance(found[0][1], AnswerCall)
+        and moments[int(call_id[1:])] >= WARM_UP_S
+    ]
+    return summary(name, load, latencies)
+
+
+def shown(result: Result) -> str:
+    """Return a result as one line."""
+    return (
+        f"{result.name:<20} offered {result.offered_per_s:6.0f}/s"
+        f" useful {result.useful_per_s:6.0f}/s"
+        f" p50 {result.p50_s * 1e3:7.1f} ms p99 {result.p99_s * 1e3:7.1f} ms"
+    )
+
+
+POLICIES: tuple[tuple[str, Callable[[str, Load], Result]], ...] = (
+    ("random", run_baseline),
+    ("least connections", run_baseline),
+    ("router", run_router),
+)
+
+
+def measure_slow_server(seconds: float, seed: int) -> None:
+    """Compare one slow server out of ten with ten healthy ones."""
+    print(f"one of {SERVERS} servers {SLOW_FACTOR:.0f} times slower, 0.6x capacity")
+    for name, run in POLICIES:
+        healthy = run(name, Load(rate=0.6, seconds=seconds, seed=seed))
+        slow = run(name, Load(rate=0.6, seconds=seconds, slow=1, seed=seed))
+        print(f"  healthy  {shown(healthy)}")
+        print(f"  one slow {shown(slow)} p99 ratio {slow.p99_s / healthy.p99_s:.2f}")
+
+
+def measure_overload(seconds: float, seed: int) -> None:
+    """Compare the useful answers as the offered load passes the capacity."""
+    print(f"useful answers, capacity {CAPACITY_PER_S:.0f}/s")
+    for name, run in POLICIES:
+        peak = 0.0
+        for rate in (0.5, 0.9, 1.0, 1.5, 2.0, 3.0, 5.0):
+            result = run(name, Load(rate=rate, seconds=seconds, seed=seed))
+            peak = max(peak, result.useful_per_s)
+            share = result.useful_per_s / peak
+            print(f"  {rate:3.1f}x {shown(result)} of the peak so far {share:.2f}")
+
+
+def main(argv: list[str]) -> None:
+    """Run every measurement."""
+    del argv
+    measure_slow_server(FLAGS.seconds, FLAGS.seed)
+    measure_overload(FLAGS.seconds / 2, FLAGS.seed)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seed", 1, "Seed of arrivals and service times.")
+    flags.DEFINE_float("seconds", 10.0, "Virtual seconds of each run.")
+    app.run(main)
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,176 @@
+"""A load of callers: ``python -m standins.caller --entries URL,URL --service NAME``.
+
+Calls arrive in an open loop with a fixed seed. A call that was refused as not run,
+or whose outcome is unknown, is repeated with the same id through the next entry
+while its time lasts. With ``--backend_servers`` the runs of each id are counted
+afterwards. Exits 1 if a call was doubled, wrongly answered or falsely refused.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from absl import app, flags
+from urllib3.exceptions import HTTPError
+
+from standins.caller_core import (
+    EndedCall,
+    Outcome,
+    PlannedCall,
+    Report,
+    outcome_of,
+    plan,
+    tally,
+)
+
+FLAGS = flags.FLAGS
+CONNECTIONS = 64
+READ_TIMEOUT_S = 10.0
+RETRY_GAP_S = 0.02
+AGAIN = frozenset({Outcome.REFUSED, Outcome.UNKNOWN})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Target:
+    """Where the load goes and how long each caller waits."""
+
+    entries: tuple[str, ...]
+    service: str
+    within_s: float
+    max_tries: int
+    body_bytes: int
+
+
+class Caller:
+    """Makes planned calls over pooled connections."""
+
+    def __init__(self, *, target: Target) -> None:
+        self._target = target
+        self._pool = urllib3.PoolManager(
+            num_pools=len(target.entries), maxsize=CONNECTIONS, retries=False
+        )
+
+    def make(self, call: PlannedCall, number: int, started: float) -> EndedCall:
+        """Make a call that was due at `started`, with its repeats."""
+        deadline = started + self._target.within_s
+        body = call.request_id.encode().ljust(self._target.body_bytes, b".")
+        outcomes: list[Outcome] = []
+        for attempt in range(self._target.max_tries):
+            entry = self._target.entries[(number + attempt) % len(self._target.entries)]
+            outcomes.append(self._try(entry, call, body, deadline))
+            left_s = deadline - time.monotonic() - RETRY_GAP_S
+            if outcomes[-1] not in AGAIN or left_s <= 0:
+                break
+            threading.Event().wait(RETRY_GAP_S)
+        return EndedCall(
+            call=call,
+            outcome=outcomes[-1],
+            latency_s=time.monotonic() - started,
+            tries=len(outcomes),
+            surely_not_run=set(outcomes) == {Outcome.REFUSED},
+        )
+
+    def _try(
+        self, entry: str, call: PlannedCall, body: bytes, deadline: float
+    ) -> Outcome:
+        within_s = max(0.001, deadline - time.monotonic())
+        headers = {
+            "Idempotency-Key": call.request_id,
+            "X-Repeatable": str(call.repeatable).lower(),
+            "X-Deadline-Ms": str(max(1, int(within_s * 1000))),
+        }
+        url = f"{entry}/v1/call/{self._target.service}"
+        try:
+            response = self._pool.request(
+                "POST",
+                url,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=within_s, read=READ_TIMEOUT_S),
+            )
+        except (HTTPError, OSError):
+            return Outcome.UNKNOWN
+        return outcome_of(response.status, response.data, call, body)
+
+
+def make_all(
+    caller: Caller, calls: Sequence[PlannedCall], threads: int
+) -> list[EndedCall]:
+    """Make every call at its moment, whatever became of those before."""
+    start = time.monotonic()
+    waiter = threading.Event()
+    with ThreadPoolExecutor(threads) as pool:
+        futures = []
+        for number, call in enumerate(calls):
+            due = start + call.at_s
+            waiter.wait(max(0.0, due - time.monotonic()))
+            futures.append(pool.submit(caller.make, call, number, due))
+        return [future.result() for future in futures]
+
+
+def count_runs(urls: Sequence[str]) -> Counter[str]:
+    """Sum the runs of each id over the backend servers."""
+    pool = urllib3.PoolManager()
+    run_count_by_id: Counter[str] = Counter()
+    for url in urls:
+        body = pool.request("GET", f"{url}/v1/runs").data
+        run_count_by_id.update(msgspec.json.decode(body, type=dict[str, int]))
+    return run_count_by_id
+
+
+def shown(report: Report) -> str:
+    """Return a report as lines for a terminal."""
+    values = dataclasses.asdict(report)
+    return "\n".join(f"{name:<15} {value}" for name, value in values.items())
+
+
+def main(argv: list[str]) -> None:
+    """Make the load of the flags and print its report."""
+    del argv
+    target = Target(
+        entries=tuple(url.rstrip("/") for url in FLAGS.entries),
+        service=FLAGS.service,
+        within_s=FLAGS.within_s,
+        max_tries=FLAGS.max_tries,
+        body_bytes=FLAGS.body_bytes,
+    )
+    calls = plan(
+        rate=FLAGS.rate,
+        seconds=FLAGS.seconds,
+        repeatable_share=FLAGS.repeatable_share,
+        seed=FLAGS.seed,
+        name=FLAGS.id_prefix,
+    )
+    ended = make_all(Caller(target=target), calls, FLAGS.threads)
+    report = tally(ended, count_runs(FLAGS.backend_servers))
+    print(
+        msgspec.json.encode(report).decode() if FLAGS.json else shown(report),
+        flush=True,
+    )
+    sys.exit(1 if report.doubled or report.wrong or report.false_refusals else 0)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_list("entries", [], "Base URLs of the entries.")
+    flags.DEFINE_list("backend_servers", [], "Base URLs to count runs at.")
+    flags.DEFINE_string("service", "oven-conductor", "The service to call.")
+    flags.DEFINE_string("id_prefix", "call", "Begins every id; unique to a load.")
+    flags.DEFINE_float("rate", 50.0, "Arrivals a second.")
+    flags.DEFINE_float("seconds", 5.0, "Length of the load.")
+    flags.DEFINE_float("repeatable_share", 0.7, "Share of repeatable requests.")
+    flags.DEFINE_float("within_s", 2.0, "Time that each caller waits.")
+    flags.DEFINE_integer("max_tries", 3, "Tries of each call.")
+    flags.DEFINE_integer("body_bytes", 200, "Size of each body.")
+    flags.DEFINE_integer("threads", 128, "Calls that can be out at once.")
+    flags.DEFINE_integer("seed", 1, "Seed of arrivals and of the mix.")
+    flags.DEFINE_bool("json", False, "Print the report as one JSON line.")
+    app.run(main)
--- a/standins/web.py
+++ b/standins/web.py
@@ -6,7 +6,7 @@
 import http
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -19,12 +19,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
-    """A request with its whole body and its query by name."""
+    """A request with its whole body, its query and its headers by name.
+
+    The names of headers are in the form of WSGI, such as ``HTTP_X_REQUEST_ID``.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     body: bytes
+    header_by_name: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,6 +66,9 @@
         path=environ["PATH_INFO"],
         query=dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         body=environ["wsgi.input"].read(length),
+        header_by_name={
+            name: value for name, value in environ.items() if name.startswith("HTTP_")
+        },
     )
 
 
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -174,6 +174,10 @@
         )
         self.tell(entry, event)
 
+    def call_at(self, delay_s: float, entry: str, call_id: str, **fields: Any) -> None:
+        """Call the service after a delay."""
+        self.world.at(delay_s, lambda: self.call(entry, call_id, **fields))
+
     def run(self, seconds: float) -> None:
         """Let some time pass."""
         self.world.run(self.world.now + seconds)
--- /dev/null
+++ b/test/test_guard_backend_server.py
@@ -0,0 +1,135 @@
+"""The client of a backend server tells apart "surely not sent" and "may have run"."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from functools import partial
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.entities.execution import (
+    BackendAnswered,
+    BackendFailed,
+    RunOnBackend,
+)
+from bulrushpulley.platform.backend_server import BackendServerClient
+from standins.backend_server import BackendServer
+from standins.caller import Caller, Target, make_all
+from standins.caller_core import Outcome, outcome_of, plan, tally
+from standins.web import make_server
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+CASES = (
+    ("whole", WHOLE, BackendAnswered),
+    ("cut in the body", WHOLE[:-2], BackendFailed),
+    ("cut in the head", WHOLE[:20], BackendFailed),
+    ("no answer", b"", BackendFailed),
+    ("too large", WHOLE.replace(b": 4", b": 2000000") + b"x" * 1999996, BackendFailed),
+    ("5xx ran", WHOLE.replace(b"200 OK", b"500 No"), BackendAnswered),
+)
+
+
+@contextmanager
+def canned(answer: bytes) -> Iterator[str]:
+    """Serve one connection: read the request, send `answer` and close."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(answer)
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+        thread.join(5.0)
+
+
+COMMAND = RunOnBackend(execution_id="x1", request_id="", within_s=2.0, body=b"dough")
+
+
+def run(url: str, within_s: float = 2.0) -> BackendAnswered | BackendFailed:
+    return BackendServerClient(url=url).run(replace(COMMAND, within_s=within_s))
+
+
+class BackendServerTest(testtools.TestCase):
+    def test_only_whole_answers_are_answers(self) -> None:
+        for name, answer, kind in CASES:
+            with canned(answer) as url:
+                result = run(url)
+            self.assertIs(kind, type(result), name)
+            if isinstance(result, BackendFailed):
+                self.assertTrue(result.sent, name)
+
+    def test_without_the_length_check_a_part_looks_whole(self) -> None:
+        with canned(WHOLE[:-2]) as url:
+            client = BackendServerClient(url=url)
+            request = partial(client._pool.request, enforce_content_length=False)
+            with mock.patch.object(client._pool, "request", request):
+                result = client.run(COMMAND)
+        self.assertIs(BackendAnswered, type(result))
+
+    def test_refused_connection_was_surely_not_sent(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        result = run(f"http://127.0.0.1:{port}")
+        assert isinstance(result, BackendFailed)
+        self.assertFalse(result.sent)
+
+    def test_silent_server_may_have_run_and_the_deadline_holds(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            result = run(f"http://127.0.0.1:{port}", within_s=0.1)
+        assert isinstance(result, BackendFailed)
+        self.assertTrue(result.sent)
+
+    def test_stand_in_counts_runs(self) -> None:
+        server = make_server(handle=BackendServer(mean_s=0.005).handle, port=0)
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        url = f"http://127.0.0.1:{server.bind_addr[1]}"
+        try:
+            result = run(url)
+            assert isinstance(result, BackendAnswered)
+            self.assertEqual(b"x1\ndough", result.body)
+            self.assertTrue(BackendServerClient(url=url).check().healthy)
+        finally:
+            server.stop()
+
+
+class CallerTest(testtools.TestCase):
+    def test_unreachable_entries_are_unknown_and_the_plan_is_fixed(self) -> None:
+        calls = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
+        again = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
+        self.assertEqual(calls, again)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        target = Target(
+            entries=(f"http://127.0.0.1:{port}",),
+            service="s",
+            within_s=0.1,
+            max_tries=2,
+            body_bytes=10,
+        )
+        report = tally(make_all(Caller(target=target), calls, 8), {"t-0": 2})
+        self.assertEqual(len(calls), report.unknown)
+        self.assertEqual(len(calls) - 1, report.lost)
+
+    def test_outcomes(self) -> None:
+        call = plan(rate=9, seconds=9, repeatable_share=0, seed=1, name="t")[0]
+        for status, body, expected in (
+            (200, b"t-0\nsent", Outcome.SERVED),
+            (200, b"t-1\nsent", Outcome.WRONG),
+            (200, b"t-0\nse", Outcome.WRONG),
+            (503, b'{"ran":"no"}', Outcome.REFUSED),
+            (504, b'{"ran":"unknown"}', Outcome.UNKNOWN),
+            (400, b'{"ran":"no"}', Outcome.INVALID),
+            (500, b"oops", Outcome.UNKNOWN),
+        ):
+            self.assertEqual(expected, outcome_of(status, body, call, b"sent"))
--- /dev/null
+++ b/test/test_guard_requests.py
@@ -0,0 +1,160 @@
+"""The guard's bounds: slots, queue, memory, leaving and announcements."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.entities.execution import HealthSeen
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.link import Announce, Dispatch, Recall, Send
+from bulrushpulley.entities.step import Command
+from bulrushpulley.systems import (
+    guard_memory,
+    guard_requests,
+    route_choice,
+)
+from test.request_world import SERVICE, RequestWorld
+from test.virtual_world import Seat
+
+FLOOD = 40
+ROOM = 16
+
+
+def dispatch(name: str, repeatable: bool = False, peer: str = "e1") -> Dispatch:
+    return Dispatch(
+        peer=peer,
+        attempt_id=name,
+        request_id=f"id-{name}",
+        service=SERVICE,
+        repeatable=repeatable,
+        remaining_s=2.0,
+        body=b"",
+    )
+
+
+def recall(name: str) -> Recall:
+    return Recall(
+        peer="e1",
+        attempt_id=f"recall-{name}",
+        request_id=f"id-{name}",
+        service=SERVICE,
+        remaining_s=2.0,
+    )
+
+
+def sent(world: RequestWorld) -> list[Send]:
+    """Record what the processes send from now on."""
+    found: list[Send] = []
+
+    def watch(_: object, seat: Seat, command: Command) -> None:
+        if isinstance(command, Send):
+            found.append(command)
+
+    world.world.watches.append(watch)
+    return found
+
+
+def replies(found: list[Send], attempt_id: str) -> list[str]:
+    """Describe the replies to an attempt: answered, or whether it ran."""
+    items = [send.item for send in found]
+    own = [item for item in items if getattr(item, "attempt_id", "") == attempt_id]
+    return [item.ran.value if hasattr(item, "ran") else "answered" for item in own]
+
+
+class GuardTest(testtools.TestCase):
+    def flood(self) -> int:
+        world = RequestWorld(agents=1)
+        for number in range(FLOOD):
+            world.tell("a1", dispatch(f"x{number}"))
+        world.run(1.0)
+        return sum(world.runs.values())
+
+    def test_beyond_slots_and_queue_nothing_reaches_the_backend_server(self) -> None:
+        self.assertEqual(ROOM, self.flood())
+        with mock.patch.object(guard_requests, "no_room", lambda *_: None):
+            self.assertEqual(FLOOD, self.flood())
+
+    def test_forgotten_ids_are_never_said_not_to_have_run(self) -> None:
+        for limit, expected in ((2, ["unknown"]), (50_000, ["answered"])):
+            world = RequestWorld(agents=1)
+            found = sent(world)
+            with mock.patch.object(guard_memory, "MAX_REMEMBERED", limit):
+                for name in ("x1", "x2", "x3"):
+                    world.tell("a1", dispatch(name))
+                    world.run(0.1)
+                world.tell("a1", recall("x1"))
+                world.run(0.1)
+            self.assertEqual(expected, replies(found, "recall-x1"))
+
+    def test_an_answer_no_longer_kept_is_said_to_have_run(self) -> None:
+        world = RequestWorld(agents=1)
+        found = sent(world)
+        with mock.patch.object(guard_memory, "MAX_BODY_BYTES", 3):
+            world.tell("a1", dispatch("x1"))
+            world.run(0.1)
+        world.tell("a1", recall("x1"))
+        world.run(0.1)
+        self.assertEqual(["yes"], replies(found, "recall-x1"))
+        self.assertEqual(0, world.tables("a1").body_bytes)
+
+    def test_an_unhealthy_backend_server_gets_nothing(self) -> None:
+        world = RequestWorld(agents=1)
+        world.tell("a1", HealthSeen(healthy=False))
+        world.tell("a1", dispatch("x1"))
+        world.run(0.1)
+        self.assertEqual(0, sum(world.runs.values()))
+
+    def test_leaving_finishes_what_runs_and_takes_nothing_new(self) -> None:
+        world = RequestWorld(agents=2)
+        world.service_s = lambda agent: 0.5
+        for number in range(6):
+            world.call("e1", f"c{number}", f"id{number}")
+        world.run(0.1)
+        world.tell("a1", Leave())
+        world.run(0.02)
+        before = len([name for name in world.run_on.values() if name == "a1"])
+        for number in range(6, 12):
+            world.call("e2", f"c{number}", f"id{number}")
+        world.run(2.0)
+        world.check()
+        after = len([name for name in world.run_on.values() if name == "a1"])
+        self.assertEqual((before, ["a1"]), (after, world.done))
+        outcomes = {world.outcome(f"c{number}") for number in range(12)}
+        self.assertEqual({f"done c{number}" for number in range(12)}, outcomes)
+
+    def test_a_leaving_entry_finishes_and_refuses_new_calls(self) -> None:
+        world = RequestWorld()
+        world.call("e1", "c1", "id1")
+        world.run(0.01)
+        world.tell("e1", Leave())
+        world.call("e1", "c2", "id2")
+        world.run(0.5)
+        self.assertEqual("done c1", world.outcome("c1"))
+        self.assertEqual("not run", world.outcome("c2"))
+        self.assertEqual(["e1"], world.done)
+
+    def silent_agent_runs(self) -> int:
+        """Return how much a backend server gets that is no longer announced."""
+        world = RequestWorld(agents=2)
+        world.cut = {("a1", "e1")}
+        world.run(3.5)
+        for number in range(20):
+            world.call("e1", f"c{number}")
+        world.run(1.0)
+        return len([name for name in world.run_on.values() if name == "a1"])
+
+    def test_a_backend_server_no_longer_announced_gets_nothing(self) -> None:
+        self.assertEqual(0, self.silent_agent_runs())
+        with mock.patch.object(route_choice, "ANNOUNCE_TTL_S", 99.0):
+            self.assertNotEqual(0, self.silent_agent_runs())
+
+    def test_announcements_are_few(self) -> None:
+        world = RequestWorld(entries=1, agents=1)
+        found = sent(world)
+        for number in range(200):
+            world.call_at(number * 0.05, "e1", f"c{number}")
+        world.run(10.0)
+        announced = [send for send in found if isinstance(send.item, Announce)]
+        self.assertTrue(10 <= len(announced) <= 21, len(announced))
--- /dev/null
+++ b/test/test_route_policy.py
@@ -0,0 +1,170 @@
+"""The router's queue, budgets, choice and claim upkeep, and long mixes of faults."""
+
+from __future__ import annotations
+
+import random
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.rows import ClaimRow
+from bulrushpulley.systems import (
+    route_calls,
+    route_settle,
+    route_sweep,
+)
+from test.request_world import SERVICE, RequestWorld
+from test.virtual_world import Path
+
+MIX_SEEDS = range(1, 7)
+TTL_S = 15.0
+
+
+class PolicyTest(testtools.TestCase):
+    def useful(self, rate: float, seconds: float = 2.0) -> int:
+        """Count answers in time from a load of `rate` a second on 2 x 8 slots."""
+        world = RequestWorld(entries=1, agents=2, service_s=0.1)
+        dice = random.Random(1)
+        for number in range(int(rate * seconds)):
+            at = dice.random() * seconds
+            world.call_at(at, "e1", f"c{number}", within_s=0.5)
+        world.run(seconds + 1.0)
+        ended = [world.outcome(call_id) for call_id in world.answers]
+        return sum(outcome.startswith("done") for outcome in ended)
+
+    def test_overload_keeps_useful_answers_up(self) -> None:
+        peak = self.useful(160.0)
+        self.assertGreater(self.useful(800.0), 0.9 * peak)
+
+    def test_repeatable_calls_survive_a_lost_agent_and_budgets_bound_retries(
+        self,
+    ) -> None:
+        world = RequestWorld(agents=3, service_s=0.2)
+        for number in range(12):
+            world.call("e1", f"c{number}")
+        world.run(0.05)
+        world.kill("a1")
+        world.run(1.0)
+        outcomes = [world.outcome(f"c{number}") for number in range(12)]
+        self.assertEqual([f"done c{number}" for number in range(12)], outcomes)
+        self.assertEqual(4, world.counts["route.retries"])
+
+    def test_without_a_budget_nothing_is_retried(self) -> None:
+        with mock.patch.object(route_calls, "MAX_RETRY_TOKENS", 0.0):
+            world = RequestWorld(agents=2, service_s=0.2)
+            world.call("e1", "c1")
+            world.run(0.05)
+            world.kill(next(iter(world.run_on.values())))
+            world.run(1.0)
+        self.assertEqual("unknown", world.outcome("c1"))
+
+    def slow_share(self) -> float:
+        """Return the share of calls that a slow server of four gets."""
+        world = RequestWorld(entries=1, agents=4)
+        world.service_s = lambda agent: 0.3 if agent == "a1" else 0.02
+        for number in range(400):
+            world.call_at(number * 0.01, "e1", f"c{number}")
+        world.run(6.0)
+        return list(world.run_on.values()).count("a1") / 400
+
+    def test_a_slow_server_gets_few_calls(self) -> None:
+        self.assertLess(self.slow_share(), 0.03)
+
+    def test_bad_calls_are_refused_as_not_run(self) -> None:
+        world = RequestWorld()
+        for name, request_id, fields in (
+            ("no id", "", {"repeatable": False}),
+            ("slash", "a/b", {}),
+            ("space", "a b", {}),
+            ("large", "a", {"body": b"x" * (route_calls.MAX_BODY_BYTES + 1)}),
+            ("late", "a", {"within_s": 0.0}),
+        ):
+            world.call("e1", name, request_id, **fields)
+            world.run(0.1)
+            self.assertEqual("not run", world.outcome(name), name)
+        self.assertEqual(0, sum(world.runs.values()))
+
+    def test_claims_are_deleted_after_their_time(self) -> None:
+        world = RequestWorld(entries=1)
+        with mock.patch.object(route_settle, "CLAIM_TTL_S", TTL_S):
+            world.call("e1", "c1", "id1")
+            world.run(TTL_S - 1.0)
+            self.assertEqual(1, len(world.store.by_key))
+            world.run(20.0)
+        self.assertEqual(0, len(world.store.by_key))
+
+    def test_claims_of_dead_entries_are_swept(self) -> None:
+        world = RequestWorld(entries=1)
+        row = ClaimRow(
+            service=SERVICE, request_id="x", agent="a", incarnation="a", claimed_at=0
+        )
+        key = f"claim/{SERVICE}/x"
+        old = VersionedRow(key=key, version=3, row=row)
+        world.store.by_key[key] = old
+        prefix = f"claim/{SERVICE}/x"
+        with mock.patch.object(route_sweep, "CLAIM_TTL_S", TTL_S):
+            for revision in (9, 12):
+                self.assertEqual(1, len(world.store.by_key))
+                page = Fetched(
+                    fetch_id="f", prefix=prefix, revision=revision, rows=(old,)
+                )
+                world.tell("e1", page)
+                world.run(TTL_S + 1.0)
+        self.assertEqual(0, len(world.store.by_key))
+
+
+def run_mix(seed: int) -> RequestWorld:
+    """Run calls through entries and agents that fail at random."""
+    dice = random.Random(seed)
+    world = RequestWorld(entries=3, agents=4)
+    world.service_s = lambda agent: dice.choice((0.005, 0.02, 0.1, 0.6))
+    world.path = Path(jitter_s=0.05, repeat_percent=10)
+    for number in range(150):
+        entry = dice.choice(world.entries)
+        if world.world.alive(entry):
+            world.call(entry, f"c{number}", f"id{dice.randrange(60)}")
+        if dice.random() < 0.25:
+            fault(world, dice, number)
+        world.run(dice.random() * 0.06)
+    world.store.mode = "up"
+    world.run(4.0)
+    return world
+
+
+def fault(world: RequestWorld, dice: random.Random, number: int) -> None:
+    """Bring about one fault."""
+    entry, agent = dice.choice(world.entries), dice.choice(world.agents)
+    kind = dice.randrange(6)
+    if kind == 0:
+        world.unlink(entry, agent)
+        world.world.at(0.3, lambda: relink(world, entry, agent))
+    elif kind == 1:
+        world.world.pause(dice.choice((entry, agent)), dice.random())
+    elif kind == 2:
+        world.store.mode = dice.choice(("up", "down", "lose_answers"))
+    elif kind == 3 and number % 5 == 0:
+        world.kill(agent)
+        world.agents[world.agents.index(agent)] = f"{agent}+"
+        world.start_agent(f"{agent}+")
+    elif kind == 4:
+        world.store.delay_s = dice.choice((0.005, 0.3))
+    else:
+        world.cut ^= {(agent, entry)}
+
+
+def relink(world: RequestWorld, entry: str, agent: str) -> None:
+    """Open a link again if both processes still live."""
+    if world.world.alive(entry) and world.world.alive(agent):
+        world.link(entry, agent)
+
+
+class MixTest(testtools.TestCase):
+    def test_invariants_hold_in_mixes_of_faults(self) -> None:
+        ended = 0
+        for seed in MIX_SEEDS:
+            world = run_mix(seed)
+            world.check()
+            ended += len(world.answers)
+        self.assertGreater(ended, 100 * len(MIX_SEEDS))
