Count an index value once when a row gives it twice

Cause: an index function may return the same value twice (a transaction that holds two submissions of one submitter). Removing the row then removed the value twice and raised KeyError. Found by the fault matrix in virtual time: task committed and task leased, each with the store's answers lost after the write; both ended the committer role. Ruled out: a wrong row passed to drop (the row was the one put). Change: the values are taken without repetition, keeping their order. Before: the new test raises KeyError. After: it passes.

--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -103,8 +103,8 @@
             return self.by_index
         changed = dict(self.by_index)
         for name, index_of in self.index_of.items():
-            old = index_of(before) if before is not None else ()
-            new = index_of(after) if after is not None else ()
+            old = dict.fromkeys(index_of(before) if before is not None else ())
+            new = dict.fromkeys(index_of(after) if after is not None else ())
             if old == new:
                 continue
             entries = changed[name]
--- a/test/test_table.py
+++ b/test/test_table.py
@@ -48,6 +48,14 @@
         self.assertEqual([], list(blue.keys_where("colour", "red")))
         self.assertEqual(0, len(blue.drop("a").by_index["colour"]))
 
+    def test_an_index_value_that_is_given_twice_counts_once(self) -> None:
+        items: Table[Item] = Table.empty(
+            indexes={"words": lambda item: tuple(item.colour.split())}
+        )
+        items = items.put("a", Item(name="a", colour="red red"))
+        self.assertEqual(1, items.count_where("words", "red"))
+        self.assertEqual(0, len(items.drop("a")))
+
     def test_tick_applies_events_before_systems(self) -> None:
         items: Table[Item] = Table.empty(indexes={"colour": by_colour})
         step = tick(
