--- /dev/null
+++ b/bulrushpulley/entities/committer_tables.py
@@ -0,0 +1,163 @@
+"""The tables of the committer: submissions, lanes, doubts, prefix reads.
+
+A submission stands in `submissions` from its arrival until its outcome has been
+reported. Its lane holds its id in the queue, or has it in flight in the lane's one
+transaction. A doubt outlives the report `Unsettled`, so that the same submission,
+when it comes again, is answered by what is known of its first sending.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from bulrushpulley.entities.commit import Submission
+from bulrushpulley.entities.table import Table
+
+
+class Lane(enum.Enum):
+    """Which submissions share transactions; each lane has one in flight."""
+
+    URGENT = "urgent"
+    BULK = "bulk"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmissionRow:
+    """A submission whose outcome is owed to `origins`.
+
+    `size_bytes` estimates its encoded writes.
+    """
+
+    submission: Submission
+    lane: str
+    origins: tuple[str, ...]
+    arrived_at: float
+    give_up_at: float
+    size_bytes: int
+
+    @property
+    def submission_id(self) -> str:
+        """The id under which it stands in the table."""
+        return self.submission.submission_id
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Transaction:
+    """What was sent, with the fence version it depends on; resent unchanged.
+
+    `lost` tells that some request with it got no answer. It may be empty: then it
+    only moves the fence.
+    """
+
+    transaction_id: str
+    entries: tuple[SubmissionRow, ...]
+    fence_version: int
+    lost: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LaneRow:
+    """A lane: ids that wait, the transaction not settled yet, and its pace.
+
+    `awaiting` tells that a request is out since `sent_at`. `doubtful` tells that an
+    earlier request may still take effect while the fence stands where it does;
+    `seal_due` asks for an empty transaction to move it. `failures` counts requests
+    in a row without an answer from the store.
+    """
+
+    name: str
+    queue: tuple[str, ...] = ()
+    transaction: Transaction | None = None
+    transactions: int = 0
+    fence_version: int = 0
+    awaiting: bool = False
+    sent_at: float = 0.0
+    timeout_s: float = 0.0
+    doubtful: bool = False
+    seal_due: bool = False
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DoubtRow:
+    """A submission that was sent in `transaction_ids` without a sure answer.
+
+    `revision` is not 0 once the fence has shown that one of them committed.
+    """
+
+    submission_id: str
+    transaction_ids: tuple[str, ...]
+    since: float
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Asker:
+    """Who asked for a prefix, and under which id."""
+
+    origin: str
+    fetch_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrefixRead:
+    """A read of a prefix for all who asked before it was sent."""
+
+    read_id: str
+    prefix: str
+    since: int
+    askers: tuple[Asker, ...]
+    sent: bool = False
+
+    @property
+    def query(self) -> str:
+        """What is read, as one index value."""
+        return f"{self.since} {self.prefix}"
+
+
+def _read_query(read: PrefixRead) -> tuple[str, ...]:
+    return (read.query,)
+
+
+def _read_state(read: PrefixRead) -> tuple[str, ...]:
+    return ("sent" if read.sent else "waiting",)
+
+
+def _doubt_transactions(doubt: DoubtRow) -> tuple[str, ...]:
+    return doubt.transaction_ids
+
+
+def _no_doubts() -> Table[DoubtRow]:
+    return Table.empty(indexes={"transaction": _doubt_transactions})
+
+
+def _no_reads() -> Table[PrefixRead]:
+    return Table.empty(indexes={"query": _read_query, "state": _read_state})
+
+
+def _idle_lanes() -> Table[LaneRow]:
+    lanes: Table[LaneRow] = Table.empty()
+    for lane in Lane:
+        lanes = lanes.put(lane.value, LaneRow(name=lane.value))
+    return lanes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitterTables:
+    """Everything the committer knows.
+
+    `name` is the process's name in the settings, under which its fences stand;
+    `incarnation` makes transaction ids unique. No submission gives up before
+    `next_give_up_at`.
+    """
+
+    name: str
+    incarnation: str
+    submissions: Table[SubmissionRow] = field(default_factory=Table.empty)
+    lanes: Table[LaneRow] = field(default_factory=_idle_lanes)
+    doubts: Table[DoubtRow] = field(default_factory=_no_doubts)
+    reads: Table[PrefixRead] = field(default_factory=_no_reads)
+    reads_asked: int = 0
+    next_give_up_at: float = float("inf")
--- /dev/null
+++ b/bulrushpulley/platform/errors.py
@@ -0,0 +1,13 @@
+"""How calls to the platform fail: surely without effect, or with an unknown one."""
+
+from __future__ import annotations
+
+from bulrushpulley.errors import BulrushpulleyError
+
+
+class RefusedError(BulrushpulleyError):
+    """The request was never sent or was refused; it has no effect."""
+
+
+class AnswerLostError(BulrushpulleyError):
+    """No whole answer came; the request may have had effect or may yet have it."""
--- /dev/null
+++ b/bulrushpulley/platform/http_client.py
@@ -0,0 +1,87 @@
+"""One HTTP exchange with a service of the platform, under a deadline.
+
+Nothing is retried here: only the caller knows what may be sent twice.
+"""
+
+from __future__ import annotations
+
+import http
+from dataclasses import dataclass
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    EmptyPoolError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.platform.errors import AnswerLostError, RefusedError
+
+NEVER_SENT = (NewConnectionError, ConnectTimeoutError, EmptyPoolError)
+REFUSED_STATUSES = frozenset(
+    {http.HTTPStatus.SERVICE_UNAVAILABLE, http.HTTPStatus.TOO_MANY_REQUESTS}
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Exchange:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Sends requests to one base URL over kept connections; safe across threads."""
+
+    def __init__(self, *, url: str, connections: int, service: str) -> None:
+        self._peer = url
+        self._service = service
+        self._base = url.rstrip("/")
+        self._pool = urllib3.PoolManager(
+            num_pools=1, maxsize=connections, retries=False
+        )
+
+    def exchange(
+        self, method: str, path: str, *, timeout_s: float, body: bytes | None = None
+    ) -> Exchange:
+        """Send one request and return its whole answer.
+
+        Raises `RefusedError` if it surely had no effect and `AnswerLostError` if
+        that is unknown. `timeout_s` bounds the connecting together with each wait
+        for the answer.
+        """
+        step = f"{self._service}.{method.lower()}"
+        try:
+            response = self._pool.request(
+                method,
+                self._base + path,
+                body=body,
+                timeout=urllib3.Timeout(total=timeout_s),
+                retries=False,
+            )
+        except NEVER_SENT as error:
+            raise RefusedError(problem=self._unavailable(step, str(error))) from error
+        except HTTPError as error:
+            raise AnswerLostError(problem=self._unknown(step, str(error))) from error
+        if response.status in REFUSED_STATUSES:
+            detail = f"status {response.status}"
+            raise RefusedError(problem=self._unavailable(step, detail))
+        if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            detail = f"status {response.status}"
+            raise AnswerLostError(problem=self._unknown(step, detail))
+        return Exchange(status=response.status, body=response.data)
+
+    def invalid(self, step: str, detail: str) -> Problem:
+        """Describe an answer that this client does not understand."""
+        return Problem(code=Code.INVALID, step=step, peer=self._peer, detail=detail)
+
+    def _unavailable(self, step: str, detail: str) -> Problem:
+        return Problem(code=Code.UNAVAILABLE, step=step, peer=self._peer, detail=detail)
+
+    def _unknown(self, step: str, detail: str) -> Problem:
+        return Problem(
+            code=Code.OUTCOME_UNKNOWN, step=step, peer=self._peer, detail=detail
+        )
--- /dev/null
+++ b/bulrushpulley/roles/committer.py
@@ -0,0 +1,24 @@
+"""The committer: the only client of the table service in an entry process."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.committer_tables import CommitterTables
+from bulrushpulley.roles.actor import Role
+from bulrushpulley.systems import commit_batch, commit_give_up, commit_read
+from bulrushpulley.systems.committer_events import apply
+
+COMMITTER = "committer"
+
+
+def build(*, name: str, incarnation: str) -> Role[CommitterTables]:
+    """Build the role.
+
+    `name` is the process's name in the settings: one process of a name runs at a
+    time, a successor takes over its fences. `incarnation` is unique to the process.
+    """
+    return Role(
+        name=COMMITTER,
+        tables=CommitterTables(name=name, incarnation=incarnation),
+        apply=apply,
+        systems=(commit_give_up.run, commit_batch.run, commit_read.run),
+    )
--- /dev/null
+++ b/bulrushpulley/roles/committer_io.py
@@ -0,0 +1,90 @@
+"""Carries out the committer's commands through the client of the table service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from bulrushpulley.entities.commit import ReportTo, VersionedRow
+from bulrushpulley.entities.step import Event
+from bulrushpulley.entities.transactions import (
+    ReadFailed,
+    ReadRows,
+    RowsRead,
+    Transact,
+    TransactionLost,
+    TransactionRefused,
+)
+from bulrushpulley.errors import BulrushpulleyError
+from bulrushpulley.platform.errors import AnswerLostError, RefusedError
+from bulrushpulley.platform.table_service import TableServiceClient
+from bulrushpulley.roles.carry_out import Ports, carry_out
+from bulrushpulley.roles.committer import COMMITTER
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitterPorts(Ports):
+    """The committer's client, and how outcomes reach a role or a linked process."""
+
+    table: TableServiceClient
+    report: Callable[[ReportTo], None]
+
+
+@carry_out.register
+def _(command: Transact, ports: CommitterPorts) -> None:
+    ports.run(role=COMMITTER, work=partial(transact, command, ports.table))
+
+
+@carry_out.register
+def _(command: ReadRows, ports: CommitterPorts) -> None:
+    ports.run(role=COMMITTER, work=partial(read_rows, command, ports.table))
+
+
+@carry_out.register
+def _(command: ReportTo, ports: CommitterPorts) -> None:
+    ports.report(command)
+
+
+def transact(command: Transact, table: TableServiceClient) -> Event:
+    """Send a transaction and return how it ended; blocks up to its timeout."""
+    try:
+        return table.transact(command)
+    except RefusedError as error:
+        return TransactionRefused(
+            lane=command.lane,
+            transaction_id=command.transaction_id,
+            reason=str(error.problem),
+        )
+    except AnswerLostError as error:
+        return TransactionLost(
+            lane=command.lane,
+            transaction_id=command.transaction_id,
+            reason=str(error.problem),
+        )
+
+
+def read_rows(command: ReadRows, table: TableServiceClient) -> Event:
+    """Read a prefix page by page to its end; blocks up to its timeout for each."""
+    try:
+        return _all_pages(command, table)
+    except BulrushpulleyError as error:
+        return ReadFailed(read_id=command.read_id, reason=str(error.problem))
+
+
+def _all_pages(command: ReadRows, table: TableServiceClient) -> RowsRead:
+    """Follow the pages; a row that changed meanwhile comes again, with its last form.
+
+    A reader from revision 0 has nothing that could be deleted, so it gets no
+    tombstones.
+    """
+    row_by_key: dict[str, VersionedRow] = {}
+    since, more = command.since, True
+    while more:
+        page = table.read_page(command.prefix, since, timeout_s=command.timeout_s)
+        row_by_key.update({row.key: row for row in page.rows})
+        more = page.more and bool(page.rows)
+        since = page.rows[-1].version if page.rows else since
+    rows = row_by_key.values()
+    kept = tuple(row for row in rows if command.since or row.row is not None)
+    return RowsRead(read_id=command.read_id, revision=page.revision, rows=kept)
--- /dev/null
+++ b/bulrushpulley/systems/commit_accept.py
@@ -0,0 +1,90 @@
+"""Takes submissions into the queue of their lane, or withdraws them at once."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import Submission, Submitted
+from bulrushpulley.entities.committer_tables import (
+    CommitterTables,
+    Lane,
+    SubmissionRow,
+)
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.commit_doubt import known_revision
+from bulrushpulley.systems.commit_report import report_committed, withdraw
+
+MAX_QUEUED = 4_096
+URGENT_PREFIXES = ("claim/", "alive/", "lease/", "member/", "record/", "revision")
+
+
+def lane_of(submission: Submission) -> Lane:
+    """Choose the lane by what is written: claims and control do not wait for tasks."""
+    keys = [write.key for write in submission.writes]
+    if all(key.startswith(URGENT_PREFIXES) for key in keys):
+        return Lane.URGENT
+    return Lane.BULK
+
+
+def fault_of(submission: Submission) -> str:
+    """Say why a submission could take effect twice, or return an empty string."""
+    conditioned = {condition.key for condition in submission.conditions}
+    written = [write.key for write in submission.writes]
+    if not conditioned.issuperset(written):
+        return "a written key has no condition"
+    if len(set(written)) < len(written):
+        return "a key is written twice"
+    return ""
+
+
+def accept(
+    event: Submitted, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    """Queue a submission; one that is queued or in flight gains an origin."""
+    known = tables.submissions.get(event.submission.submission_id)
+    if known is not None:
+        return _joined(event, known, tables, now)
+    row = _row(event, now)
+    revision = known_revision(tables, row.submission_id)
+    if revision:
+        return report_committed(tables, row, revision, now)
+    fault = fault_of(event.submission)
+    if fault:
+        return withdraw(tables, row, fault, now)
+    lane = tables.lanes.by_key[row.lane]
+    if len(lane.queue) >= MAX_QUEUED:
+        return withdraw(tables, row, "the committer's queue is full", now)
+    queued = replace(lane, queue=(*lane.queue, row.submission_id))
+    after = replace(tables, lanes=tables.lanes.put(lane.name, queued))
+    return Step(tables=_kept(after, row))
+
+
+def _row(event: Submitted, now: float) -> SubmissionRow:
+    submission = event.submission
+    return SubmissionRow(
+        submission=submission,
+        lane=lane_of(submission).value,
+        origins=(event.origin,),
+        arrived_at=now,
+        give_up_at=now + submission.give_up_after_s,
+        size_bytes=sum(len(repr(write)) for write in submission.writes),
+    )
+
+
+def _joined(
+    event: Submitted, known: SubmissionRow, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    origins = known.origins
+    if event.origin not in origins:
+        origins = (*origins, event.origin)
+    give_up_at = max(known.give_up_at, now + event.submission.give_up_after_s)
+    joined = replace(known, origins=origins, give_up_at=give_up_at)
+    return Step(tables=_kept(tables, joined))
+
+
+def _kept(tables: CommitterTables, row: SubmissionRow) -> CommitterTables:
+    return replace(
+        tables,
+        submissions=tables.submissions.put(row.submission_id, row),
+        next_give_up_at=min(tables.next_give_up_at, row.give_up_at),
+    )
--- /dev/null
+++ b/bulrushpulley/systems/commit_backoff.py
@@ -0,0 +1,45 @@
+"""When a lane asks the store again after a failure, and how long it waits for it."""
+
+from __future__ import annotations
+
+import zlib
+
+from bulrushpulley.entities.committer_tables import LaneRow
+
+FIRST_RETRY_S = 0.05
+LAST_RETRY_S = 2.0
+FAILURES_TO_OPEN = 3
+MIN_TIMEOUT_S = 2.0
+MAX_TIMEOUT_S = 8.0
+TIMEOUT_PER_DELAY = 4.0
+
+
+def jitter(name: str) -> float:
+    """Return a fraction from 0 up to 1 that differs between names."""
+    return zlib.crc32(name.encode()) / 2**32
+
+
+def retry_delay(failures: int, name: str) -> float:
+    """Return the delay after so many failures in a row: exponential, with jitter."""
+    longest: float = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** (failures - 1))
+    return longest * (0.5 + 0.5 * jitter(f"{name} {failures}"))
+
+
+def is_open(lane: LaneRow) -> bool:
+    """Tell whether the store counts as down, so that only probes are sent."""
+    return lane.failures >= FAILURES_TO_OPEN
+
+
+def timeout_for(lane: LaneRow) -> float:
+    """Return how long the lane's next request waits for its answer."""
+    return max(MIN_TIMEOUT_S, lane.timeout_s)
+
+
+def timeout_after_answer(delay_s: float) -> float:
+    """Return the timeout to use after the store took `delay_s` to answer."""
+    return min(MAX_TIMEOUT_S, TIMEOUT_PER_DELAY * delay_s)
+
+
+def timeout_after_loss(lane: LaneRow) -> float:
+    """Return the timeout to use after an answer did not come in time."""
+    return min(MAX_TIMEOUT_S, 2.0 * timeout_for(lane))
--- /dev/null
+++ b/bulrushpulley/systems/commit_batch.py
@@ -0,0 +1,203 @@
+"""Joins what waits in a lane into one transaction once the one before is settled.
+
+There is no timer: an idle lane sends at once, a busy one gathers while it waits for
+the store. Submissions that touch what another of the batch writes wait for the next.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from bulrushpulley.entities.commit import Condition, Submission
+from bulrushpulley.entities.committer_tables import (
+    CommitterTables,
+    LaneRow,
+    SubmissionRow,
+    Transaction,
+)
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.transactions import (
+    Fence,
+    TokenWrite,
+    Transact,
+    TransactionLost,
+)
+from bulrushpulley.systems import commit_backoff, commit_settle
+
+MAX_ROWS = 256
+MAX_BYTES = 512 * 1024
+PROBE_ROWS = 16
+# How long after its timeout a request that reported nothing counts as lost.
+OVERDUE_S = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Batch:
+    """The submissions chosen so far, and the keys that bar others.
+
+    `required` holds the keys of conditions, `written` those of writes, both also of
+    the submissions passed over, so that nothing overtakes on a key.
+    """
+
+    chosen: tuple[SubmissionRow, ...] = ()
+    passed_over: tuple[str, ...] = ()
+    rows: int = 0
+    size_bytes: int = 0
+    required: frozenset[str] = frozenset()
+    written: frozenset[str] = frozenset()
+
+
+def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    """Send a transaction on each lane that is free to."""
+    commands: list[Command] = []
+    for name in sorted(tables.lanes):
+        step = _run_lane(tables, tables.lanes.by_key[name], now)
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def may_share(
+    submission: Submission, required: frozenset[str], written: frozenset[str]
+) -> bool:
+    """Tell whether a submission neither reads nor writes what the others write."""
+    reads = {condition.key for condition in submission.conditions}
+    writes = {write.key for write in submission.writes}
+    return not (writes & required or (reads | writes) & written)
+
+
+def _run_lane(
+    tables: CommitterTables, lane: LaneRow, now: float
+) -> Step[CommitterTables]:
+    if lane.awaiting:
+        return _lost_if_overdue(tables, lane, now)
+    if now < lane.retry_at:
+        return Step(tables=tables)
+    transaction = lane.transaction
+    if transaction is not None and _is_owed(tables, transaction):
+        return _sent(tables, lane, transaction, now)
+    built = _built(tables, lane)
+    transaction = built.transaction
+    if transaction is None:
+        return Step(tables=_with_lane(tables, built))
+    step = _sent(tables, built, transaction, now)
+    return replace(step, commands=(*_measures(built, transaction), *step.commands))
+
+
+def _with_lane(tables: CommitterTables, lane: LaneRow) -> CommitterTables:
+    if tables.lanes.by_key[lane.name] is lane:
+        return tables
+    return replace(tables, lanes=tables.lanes.put(lane.name, lane))
+
+
+def _is_owed(tables: CommitterTables, transaction: Transaction) -> bool:
+    return any(row.submission_id in tables.submissions for row in transaction.entries)
+
+
+def _lost_if_overdue(
+    tables: CommitterTables, lane: LaneRow, now: float
+) -> Step[CommitterTables]:
+    due_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_S
+    if lane.transaction is None or now < due_at:
+        return Step(tables=tables)
+    transaction_id = lane.transaction.transaction_id
+    event = TransactionLost(
+        lane=lane.name, transaction_id=transaction_id, reason="overdue"
+    )
+    return commit_settle.lost(event, lane.transaction, tables, now)
+
+
+def _built(tables: CommitterTables, lane: LaneRow) -> LaneRow:
+    """Return the lane with its next transaction, or with none if nothing waits."""
+    if not lane.queue and not lane.seal_due:
+        return replace(lane, transaction=None) if lane.transaction else lane
+    batch = Batch() if lane.seal_due else _select(tables, lane)
+    queue = lane.queue if lane.seal_due else batch.passed_over
+    if not batch.chosen and not lane.seal_due:
+        return replace(lane, transaction=None, queue=queue)
+    number = lane.transactions + 1
+    transaction = Transaction(
+        transaction_id=f"{tables.incarnation}/{lane.name}/{number}",
+        entries=batch.chosen,
+        fence_version=lane.fence_version,
+    )
+    return replace(lane, transaction=transaction, transactions=number, queue=queue)
+
+
+def _select(tables: CommitterTables, lane: LaneRow) -> Batch:
+    most_rows = PROBE_ROWS if commit_backoff.is_open(lane) else MAX_ROWS
+    batch = Batch()
+    for place, key in enumerate(lane.queue):
+        row = tables.submissions.get(key)
+        if row is None:
+            continue
+        if batch.chosen and _is_full(batch, row, most_rows):
+            left = (*batch.passed_over, *lane.queue[place:])
+            return replace(batch, passed_over=left)
+        batch = _considered(batch, row)
+    return batch
+
+
+def _is_full(batch: Batch, row: SubmissionRow, most_rows: int) -> bool:
+    rows = batch.rows + len(row.submission.writes)
+    return rows > most_rows or batch.size_bytes + row.size_bytes > MAX_BYTES
+
+
+def _considered(batch: Batch, row: SubmissionRow) -> Batch:
+    submission = row.submission
+    barred = replace(
+        batch,
+        required=batch.required.union(at.key for at in submission.conditions),
+        written=batch.written.union(write.key for write in submission.writes),
+    )
+    if not may_share(submission, batch.required, batch.written):
+        return replace(barred, passed_over=(*batch.passed_over, row.submission_id))
+    return replace(
+        barred,
+        chosen=(*batch.chosen, row),
+        rows=batch.rows + len(submission.writes),
+        size_bytes=batch.size_bytes + row.size_bytes,
+    )
+
+
+def _sent(
+    tables: CommitterTables, lane: LaneRow, transaction: Transaction, now: float
+) -> Step[CommitterTables]:
+    waiting = replace(lane, transaction=transaction, awaiting=True, sent_at=now)
+    fence = Fence(
+        key=f"fence/{tables.name}/{lane.name}", version=transaction.fence_version
+    )
+    command = Transact(
+        lane=lane.name,
+        transaction_id=transaction.transaction_id,
+        conditions=_conditions(transaction.entries),
+        writes=_writes(transaction.entries),
+        fence=fence,
+        timeout_s=commit_backoff.timeout_for(lane),
+    )
+    return Step(tables=_with_lane(tables, waiting), commands=(command,))
+
+
+def _conditions(entries: Iterable[SubmissionRow]) -> tuple[Condition, ...]:
+    found = [at for row in entries for at in row.submission.conditions]
+    return tuple(dict.fromkeys(found))
+
+
+def _writes(entries: Iterable[SubmissionRow]) -> tuple[TokenWrite, ...]:
+    return tuple(
+        TokenWrite(key=write.key, row=write.row, token=row.submission_id)
+        for row in entries
+        for write in row.submission.writes
+    )
+
+
+def _measures(lane: LaneRow, transaction: Transaction) -> tuple[Command, ...]:
+    entries = transaction.entries
+    rows = sum(len(row.submission.writes) for row in entries)
+    return (
+        Count(name="commit.transactions", label=lane.name),
+        Count(name="commit.submissions", label=lane.name, by=len(entries)),
+        Count(name="commit.rows", label=lane.name, by=rows),
+    )
--- /dev/null
+++ b/bulrushpulley/systems/commit_read.py
@@ -0,0 +1,105 @@
+"""Reads prefixes for whoever asks, once for all who asked before a read was sent.
+
+A read that is already out may be older than the asking, so it is not shared; there
+is at most one such read and one that waits behind it for each query.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import ReadAsked, ReportTo, VersionedRow
+from bulrushpulley.entities.committer_tables import Asker, CommitterTables, PrefixRead
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.transactions import ReadFailed, ReadRows, RowsRead
+
+MAX_READS_SENT = 8
+MAX_READS_WAITING = 1_024
+READ_TIMEOUT_S = 5.0
+
+
+def ask(event: ReadAsked, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    """Join a read that is not sent yet, or add one."""
+    asker = Asker(origin=event.origin, fetch_id=event.fetch_id)
+    number = tables.reads_asked + 1
+    read = PrefixRead(
+        read_id=f"{number:012d}",
+        prefix=event.prefix,
+        since=event.since,
+        askers=(asker,),
+    )
+    for other in tables.reads.rows_where("query", read.query):
+        if not other.sent:
+            joined = replace(other, askers=(*other.askers, asker))
+            reads = tables.reads.put(other.read_id, joined)
+            return Step(tables=replace(tables, reads=reads))
+    if tables.reads.count_where("state", "waiting") >= MAX_READS_WAITING:
+        reason = "too many reads wait for the store"
+        return Step(tables=tables, commands=_fetched(read, 0, (), reason))
+    reads = tables.reads.put(read.read_id, read)
+    return Step(tables=replace(tables, reads=reads, reads_asked=number))
+
+
+def rows_read(event: RowsRead, tables: CommitterTables) -> Step[CommitterTables]:
+    """Give the rows to everyone who asked for them."""
+    read = tables.reads.get(event.read_id)
+    if read is None:
+        return Step(tables=tables)
+    after = replace(tables, reads=tables.reads.drop(read.read_id))
+    counted = Count(name="commit.rows_read", by=len(event.rows))
+    fetched = _fetched(read, event.revision, event.rows, "")
+    return Step(tables=after, commands=(counted, *fetched))
+
+
+def read_failed(event: ReadFailed, tables: CommitterTables) -> Step[CommitterTables]:
+    """Tell everyone who asked that nothing could be read."""
+    read = tables.reads.get(event.read_id)
+    if read is None:
+        return Step(tables=tables)
+    after = replace(tables, reads=tables.reads.drop(read.read_id))
+    counted = Count(name="commit.reads_failed")
+    return Step(tables=after, commands=(counted, *_fetched(read, 0, (), event.reason)))
+
+
+def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    """Send waiting reads, one at a time for each query."""
+    commands: list[Command] = []
+    reads = tables.reads
+    free = MAX_READS_SENT - reads.count_where("state", "sent")
+    for read in tables.reads.rows_where("state", "waiting") if free else ():
+        alike = reads.rows_where("query", read.query)
+        if free == 0 or any(other.sent for other in alike):
+            continue
+        free -= 1
+        reads = reads.put(read.read_id, replace(read, sent=True))
+        commands.append(_command(read))
+    return Step(tables=replace(tables, reads=reads), commands=tuple(commands))
+
+
+def _command(read: PrefixRead) -> ReadRows:
+    return ReadRows(
+        read_id=read.read_id,
+        prefix=read.prefix,
+        since=read.since,
+        timeout_s=READ_TIMEOUT_S,
+    )
+
+
+def _fetched(
+    read: PrefixRead, revision: int, rows: tuple[VersionedRow, ...], failed: str
+) -> tuple[Command, ...]:
+    return tuple(
+        ReportTo(
+            origin=asker.origin,
+            outcome=Fetched(
+                fetch_id=asker.fetch_id,
+                prefix=read.prefix,
+                revision=revision,
+                rows=rows,
+                failed=failed,
+            ),
+        )
+        for asker in read.askers
+    )
--- /dev/null
+++ b/bulrushpulley/systems/commit_report.py
@@ -0,0 +1,74 @@
+"""Reports outcomes to whoever submitted, and takes the submission off the tables."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import (
+    CommitOutcome,
+    Committed,
+    ReportTo,
+    Unsettled,
+    Withdrawn,
+)
+from bulrushpulley.entities.committer_tables import CommitterTables, SubmissionRow
+from bulrushpulley.entities.observe import Count, Observe
+from bulrushpulley.entities.step import Command, Step
+
+
+def report_settled(
+    tables: CommitterTables, row: SubmissionRow, outcome: CommitOutcome, now: float
+) -> Step[CommitterTables]:
+    """Report an outcome that is certain, and forget any doubt."""
+    settled = replace(tables, doubts=tables.doubts.drop(row.submission_id))
+    return _report(settled, row, outcome, now)
+
+
+def report_committed(
+    tables: CommitterTables, row: SubmissionRow, revision: int, now: float
+) -> Step[CommitterTables]:
+    """Report that a submission took effect as part of commit `revision`."""
+    outcome = Committed(submission_id=row.submission_id, revision=revision)
+    return report_settled(tables, row, outcome, now)
+
+
+def report_unsettled(
+    tables: CommitterTables, row: SubmissionRow, reason: str, now: float
+) -> Step[CommitterTables]:
+    """Report that a submission may or may not have taken effect."""
+    outcome = Unsettled(submission_id=row.submission_id, reason=reason)
+    return _report(tables, row, outcome, now)
+
+
+def was_sent(tables: CommitterTables, submission_id: str) -> bool:
+    """Tell whether an earlier sending of a submission is still in doubt."""
+    return submission_id in tables.doubts
+
+
+def withdraw(
+    tables: CommitterTables, row: SubmissionRow, reason: str, now: float
+) -> Step[CommitterTables]:
+    """Report a submission that was not sent.
+
+    If it had been sent earlier, under the same id, and was never settled, that
+    sending may still take effect: then it stays unsettled.
+    """
+    if was_sent(tables, row.submission_id):
+        return report_unsettled(tables, row, reason, now)
+    outcome = Withdrawn(submission_id=row.submission_id, reason=reason)
+    return _report(tables, row, outcome, now)
+
+
+def _report(
+    tables: CommitterTables, row: SubmissionRow, outcome: CommitOutcome, now: float
+) -> Step[CommitterTables]:
+    label = type(outcome).__name__.lower()
+    commands: list[Command] = [
+        ReportTo(origin=origin, outcome=outcome) for origin in row.origins
+    ]
+    commands.append(Count(name="commit.outcomes", label=label))
+    commands.append(
+        Observe(name="commit.delay", seconds=now - row.arrived_at, label=row.lane)
+    )
+    after = replace(tables, submissions=tables.submissions.drop(row.submission_id))
+    return Step(tables=after, commands=tuple(commands))
--- /dev/null
+++ b/bulrushpulley/systems/committer_events.py
@@ -0,0 +1,84 @@
+"""Applies the events of the committer to its tables."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from bulrushpulley.entities.commit import ReadAsked, Submitted
+from bulrushpulley.entities.committer_tables import CommitterTables
+from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.entities.transactions import (
+    ReadFailed,
+    RowsRead,
+    TransactionCommitted,
+    TransactionConflicted,
+    TransactionLost,
+    TransactionRefused,
+)
+from bulrushpulley.systems import commit_accept, commit_read, commit_settle
+
+
+@singledispatch
+def apply(event: Event, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    """Apply one event; kinds that do not concern the committer change nothing."""
+    return Step(tables=tables)
+
+
+@apply.register
+def _(event: Submitted, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    return commit_accept.accept(event, tables, now)
+
+
+@apply.register
+def _(event: ReadAsked, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    return commit_read.ask(event, tables, now)
+
+
+@apply.register
+def _(event: RowsRead, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    return commit_read.rows_read(event, tables)
+
+
+@apply.register
+def _(event: ReadFailed, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+    return commit_read.read_failed(event, tables)
+
+
+@apply.register
+def _(
+    event: TransactionCommitted, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    transaction = commit_settle.pending(tables, event)
+    if transaction is None:
+        return Step(tables=tables)
+    return commit_settle.committed(event, transaction, tables, now)
+
+
+@apply.register
+def _(
+    event: TransactionConflicted, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    transaction = commit_settle.pending(tables, event)
+    if transaction is None:
+        return Step(tables=tables)
+    return commit_settle.conflicted(event, transaction, tables, now)
+
+
+@apply.register
+def _(
+    event: TransactionRefused, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    transaction = commit_settle.pending(tables, event)
+    if transaction is None:
+        return Step(tables=tables)
+    return commit_settle.refused(event, transaction, tables, now)
+
+
+@apply.register
+def _(
+    event: TransactionLost, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    transaction = commit_settle.pending(tables, event)
+    if transaction is None:
+        return Step(tables=tables)
+    return commit_settle.lost(event, transaction, tables, now)
--- /dev/null
+++ b/test/committer_bench.py
@@ -0,0 +1,352 @@
+"""Runs committers in virtual time against the core of the table service.
+
+Each request to commit meets the next fate of a list. Afterwards every outcome that
+was reported is compared with what the store holds.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from functools import singledispatch, singledispatchmethod
+from typing import Any
+
+from bulrushpulley.entities.commit import (
+    CommitOutcome,
+    Committed,
+    Conflicted,
+    ReportTo,
+    Submission,
+    Submitted,
+    Unsettled,
+    VersionedRow,
+    Withdrawn,
+)
+from bulrushpulley.entities.rows import DurableRow
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.entities.transactions import (
+    Fence,
+    ReadRows,
+    RowsRead,
+    Transact,
+    TransactionCommitted,
+    TransactionConflicted,
+    TransactionLost,
+    TransactionRefused,
+)
+from bulrushpulley.roles.committer import build
+from bulrushpulley.wire.rows import decode_row, encode_row
+from standins import table_core
+from standins.table_core import At, Put, Stored, TableState
+
+TICK_S = 0.2
+ANSWER_S = 0.004
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fate:
+    """When a request takes effect (None: never) and what its sender learns."""
+
+    effect_after_s: float | None = ANSWER_S
+    answered: bool = True
+
+
+OK = Fate()
+REFUSED = Fate(effect_after_s=None)
+NEVER_SENT = Fate(effect_after_s=None, answered=False)
+LOST = Fate(answered=False)
+
+
+def late(seconds: float) -> Fate:
+    return Fate(effect_after_s=seconds, answered=False)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Told(Event):
+    """An event that a process gets."""
+
+    process: str
+    event: Event
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitAgain(Event):
+    """A submission that is repeated if its last outcome was `Unsettled`."""
+
+    process: str
+    submission: Submission
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrives(Event):
+    """A request that reaches the store; `answered` says if the answer gets back."""
+
+    process: str
+    command: Transact
+    answered: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outside(Event):
+    """A write by someone else, without a condition."""
+
+    put: Put
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reported:
+    """An outcome and the process that reported it."""
+
+    process: str
+    outcome: CommitOutcome
+
+
+@dataclass(frozen=True, kw_only=True, order=True)
+class Due:
+    at: float
+    number: int
+    event: Event = field(compare=False)
+
+
+def encode_put(key: str, row: DurableRow | None, token: str) -> Put:
+    return Put(key=key, value=None if row is None else encode_row(row, token))
+
+
+def versioned(row: Stored) -> VersionedRow:
+    if row.value is None:
+        return VersionedRow(key=row.key, version=0, row=None)
+    found = decode_row(row.value)
+    return VersionedRow(
+        key=row.key, version=row.version, row=found.row, token=found.token
+    )
+
+
+class Bench:
+    """Some committers, the store and the clock."""
+
+    def __init__(self, *, fates: Iterable[Fate] = ()) -> None:
+        self.now = 0.0
+        self.store = TableState.empty()
+        self.commits_of: dict[str, list[int]] = defaultdict(list)
+        self.reports_of: dict[str, list[Reported]] = defaultdict(list)
+        self.submission_by_id: dict[str, Submission] = {}
+        self.fetched: list[Event] = []
+        self.sent: list[Transact] = []
+        self.shared: list[str] = []
+        self.reads: list[ReadRows] = []
+        self._fates = list(fates)
+        self._due: list[Due] = []
+        self._number = 0
+        self._roles = {
+            name: build(name=name, incarnation=f"{name}-1") for name in ("e1", "e2")
+        }
+        self._tables: dict[str, Any] = {
+            name: role.tables for name, role in self._roles.items()
+        }
+
+    def at(self, when: float, event: Event) -> None:
+        self._number += 1
+        heapq.heappush(self._due, Due(at=when, number=self._number, event=event))
+
+    def submit(self, when: float, process: str, submission: Submission) -> None:
+        self.submission_by_id[submission.submission_id] = submission
+        event = Submitted(origin="tester", submission=submission)
+        self.at(when, Told(process=process, event=event))
+
+    def run_until(self, end: float) -> None:
+        tick_at = self.now
+        while self.now < end:
+            at = min([tick_at, end, *(due.at for due in self._due[:1])])
+            self.now = max(self.now, at)
+            events: dict[str, list[Event]] = defaultdict(list)
+            while self._due and self._due[0].at <= self.now:
+                self._happen(heapq.heappop(self._due).event, events)
+            if tick_at <= self.now:
+                tick_at = self.now + TICK_S
+                for name in self._roles:
+                    events[name].extend([])
+            for name, some in events.items():
+                self._tick(name, some)
+
+    def _tick(self, name: str, events: list[Event]) -> None:
+        step = self._roles[name].tick(self._tables[name], events, self.now)
+        self._tables[name] = step.tables
+        for command in step.commands:
+            self._carry_out(command, name)
+
+    @singledispatchmethod
+    def _carry_out(self, command: Command, process: str) -> None:
+        """Pass over counts and durations."""
+
+    @_carry_out.register
+    def _(self, command: ReportTo, process: str) -> None:
+        self._keep(command.outcome, process)
+
+    @_carry_out.register
+    def _(self, command: ReadRows, process: str) -> None:
+        self.reads.append(command)
+        page = table_core.read(
+            self.store, prefix=command.prefix, since=command.since, limit=10**6
+        )
+        event = RowsRead(
+            read_id=command.read_id,
+            revision=page.revision,
+            rows=tuple(versioned(row) for row in page.rows),
+        )
+        self.at(self.now + ANSWER_S, Told(process=process, event=event))
+
+    @_carry_out.register
+    def _(self, command: Transact, process: str) -> None:
+        self.sent.append(command)
+        fate = self._fates.pop(0) if self._fates else OK
+        base = {"lane": command.lane, "transaction_id": command.transaction_id}
+        if fate.effect_after_s is not None:
+            arrival = Arrives(process=process, command=command, answered=fate.answered)
+            self.at(self.now + fate.effect_after_s, arrival)
+        if not fate.answered:
+            lost = TransactionLost(**base, reason="timeout")
+            self.at(self.now + command.timeout_s, Told(process=process, event=lost))
+        elif fate.effect_after_s is None:
+            refused = TransactionRefused(**base, reason="down")
+            self.at(self.now + ANSWER_S, Told(process=process, event=refused))
+
+    @singledispatchmethod
+    def _keep(self, outcome: Event, process: str) -> None:
+        self.fetched.append(outcome)
+
+    @_keep.register
+    def _(self, outcome: CommitOutcome, process: str) -> None:
+        reported = Reported(process=process, outcome=outcome)
+        self.reports_of[outcome.submission_id].append(reported)
+
+    @singledispatchmethod
+    def _happen(self, event: Event, events: dict[str, list[Event]]) -> None:
+        raise NotImplementedError(type(event))
+
+    @_happen.register
+    def _(self, event: Told, events: dict[str, list[Event]]) -> None:
+        events[event.process].append(event.event)
+
+    @_happen.register
+    def _(self, event: SubmitAgain, events: dict[str, list[Event]]) -> None:
+        reports = self.reports_of[event.submission.submission_id]
+        if reports and is_unsettled(reports[-1].outcome):
+            again = Submitted(origin="tester", submission=event.submission)
+            events[event.process].append(again)
+
+    @_happen.register
+    def _(self, event: Outside, events: dict[str, list[Event]]) -> None:
+        transaction = table_core.Transaction(conditions=(), puts=(event.put,))
+        self.store = table_core.commit(self.store, transaction).state
+
+    @_happen.register
+    def _(self, event: Arrives, events: dict[str, list[Event]]) -> None:
+        answer = self._commit(event.command)
+        if event.answered:
+            events[event.process].append(answer)
+
+    def _commit(self, command: Transact) -> Event:
+        fence = command.fence
+        fence_put = Put(key=fence.key, value=command.transaction_id.encode())
+        puts = [encode_put(put.key, put.row, put.token) for put in command.writes]
+        conditions = [At(key=at.key, version=at.version) for at in command.conditions]
+        result = table_core.commit(
+            self.store,
+            table_core.Transaction(
+                conditions=(At(key=fence.key, version=fence.version), *conditions),
+                puts=(fence_put, *puts),
+            ),
+        )
+        self.store = result.state
+        if not result.committed:
+            return conflict(command, result.failed)
+        self._check_shared(command)
+        for token in dict.fromkeys(put.token for put in command.writes):
+            self.commits_of[token].append(result.revision)
+        return TransactionCommitted(
+            lane=command.lane,
+            transaction_id=command.transaction_id,
+            revision=result.revision,
+        )
+
+    def _check_shared(self, command: Transact) -> None:
+        """Find submissions of one commit that touch what another of them writes."""
+        writer_of = {put.key: put.token for put in command.writes}
+        for token in set(writer_of.values()):
+            for at in self.submission_by_id[token].conditions:
+                if writer_of.get(at.key, token) != token:
+                    self.shared.append(f"{token} shares {at.key} with another")
+
+
+def conflict(command: Transact, failed: Iterable[Stored]) -> TransactionConflicted:
+    fence = None
+    rows = []
+    for row in failed:
+        if row.key == command.fence.key:
+            token = (row.value or b"").decode()
+            fence = Fence(key=row.key, version=row.version, token=token)
+        else:
+            rows.append(versioned(row))
+    return TransactionConflicted(
+        lane=command.lane,
+        transaction_id=command.transaction_id,
+        rows=tuple(rows),
+        fence=fence,
+    )
+
+
+@singledispatch
+def is_unsettled(outcome: CommitOutcome) -> bool:
+    return False
+
+
+@is_unsettled.register
+def _(outcome: Unsettled) -> bool:
+    return True
+
+
+@singledispatch
+def fault_of(outcome: CommitOutcome, commits: list[int]) -> str:
+    """Say how an outcome differs from the commits; `Unsettled` fits any."""
+    return ""
+
+
+@fault_of.register
+def _(outcome: Committed, commits: list[int]) -> str:
+    if commits[:1] == [outcome.revision]:
+        return ""
+    return f"committed at {outcome.revision}, but the store has {commits}"
+
+
+@fault_of.register
+def _(outcome: Conflicted, commits: list[int]) -> str:
+    return f"conflicted, but the store has {commits}" if commits else ""
+
+
+@fault_of.register
+def _(outcome: Withdrawn, commits: list[int]) -> str:
+    return f"withdrawn, but the store has {commits}" if commits else ""
+
+
+def faults_of(bench: Bench) -> list[str]:
+    """Compare every outcome with what the store took, and list what does not fit.
+
+    A process speaks only of what it sent itself: after `Unsettled` by another one,
+    `Withdrawn` and a conflict with a later writer say nothing of the first sending.
+    """
+    found = list(bench.shared)
+    for submission_id in bench.submission_by_id:
+        commits = bench.commits_of[submission_id]
+        if len(commits) > 1:
+            found.append(f"{submission_id} committed {len(commits)} times")
+        reports = bench.reports_of[submission_id]
+        if not reports:
+            found.append(f"{submission_id} has no outcome")
+        for place, reported in enumerate(reports):
+            others = [r for r in reports[:place] if r.process != reported.process]
+            fault = fault_of(reported.outcome, commits)
+            if fault and not others:
+                found.append(f"{submission_id} {fault}")
+    return found
--- /dev/null
+++ b/test/test_committer.py
@@ -0,0 +1,321 @@
+"""Tests of group commit under faults, driven by test-data/commit.txt."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest import mock
+
+import testtools
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from bulrushpulley.entities.commit import Condition, ReadAsked, Submission, Write
+from bulrushpulley.entities.committer_tables import Lane
+from bulrushpulley.entities.rows import RevisionRow
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems import (
+    commit_accept,
+    commit_batch,
+    commit_report,
+    commit_settle,
+)
+from test.committer_bench import (
+    LOST,
+    NEVER_SENT,
+    OK,
+    REFUSED,
+    Bench,
+    Fate,
+    Outside,
+    SubmitAgain,
+    Told,
+    encode_put,
+    faults_of,
+    late,
+)
+
+CASES = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "commit.txt"
+DEFAULT_END_S = 20.0
+FATE_BY_NAME = {"ok": OK, "refused": REFUSED, "never_sent": NEVER_SENT, "lost": LOST}
+ROW = RevisionRow(revision=1)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Case:
+    """The lines of one case."""
+
+    name: str
+    lines: tuple[str, ...]
+
+
+def read_cases(path: pathlib.Path) -> dict[str, Case]:
+    by_name: dict[str, Case] = {}
+    name = ""
+    for line in path.read_text().splitlines():
+        if line.startswith("[case "):
+            name = line[len("[case ") : -1]
+            by_name[name] = Case(name=name, lines=())
+        elif line and not line.startswith("#"):
+            case = by_name[name]
+            by_name[name] = replace(case, lines=(*case.lines, line))
+    return by_name
+
+
+def parse_fates(words: list[str]) -> list[Fate]:
+    fates: list[Fate] = []
+    for word in words:
+        name, _, times = word.partition("*")
+        kind, _, seconds = name.partition(":")
+        fate = late(float(seconds)) if kind == "late" else FATE_BY_NAME[kind]
+        fates.extend([fate] * int(times or 1))
+    return fates
+
+
+def parse_submission(submission_id: str, parts: list[str]) -> Submission:
+    conditions, writes, within = [], [], 10.0
+    for part in parts:
+        kind, _, rest = part.partition(":")
+        if kind == "within":
+            within = float(rest)
+            continue
+        key, _, version = rest.partition("@")
+        if version:
+            conditions.append(Condition(key=key, version=int(version)))
+        if kind != "need":
+            writes.append(Write(key=key, row=ROW if kind == "put" else None))
+    return Submission(
+        submission_id=submission_id,
+        conditions=tuple(conditions),
+        writes=tuple(writes),
+        give_up_after_s=within,
+    )
+
+
+def schedule(bench: Bench, line: str) -> float:
+    """Schedule one timed line and return the end that it asks for."""
+    when, who, *rest = line.split()
+    if who == "end":
+        return float(when)
+    if who == "store":
+        row = ROW if rest[0] == "puts" else None
+        put = encode_put(rest[1], row, "outside")
+        bench.at(float(when), Outside(put=put))
+    else:
+        submission = parse_submission(rest[1].rstrip(":"), rest[2:])
+        bench.submit(float(when), who, submission)
+    return DEFAULT_END_S
+
+
+def run_case(case: Case) -> list[str]:
+    """Run a case and return all that differs from what it expects."""
+    fates = [line.split()[1:] for line in case.lines if line.startswith("fates")]
+    bench = Bench(fates=parse_fates(fates[0] if fates else []))
+    timed = [line for line in case.lines if line[0].isdigit()]
+    bench.run_until(max([DEFAULT_END_S, *(schedule(bench, line) for line in timed)]))
+    expected = [
+        line
+        for line in case.lines
+        if line not in timed and not line.startswith("fates")
+    ]
+    seen = [line for line in expected if observed(bench, line) != line]
+    return [f"{line} -> {observed(bench, line)}" for line in seen] + faults_of(bench)
+
+
+def observed(bench: Bench, line: str) -> str:
+    submission_id, _, rest = line.partition(": ")
+    if rest.startswith("commits"):
+        return f"{submission_id}: commits {len(bench.commits_of[submission_id])}"
+    reports = bench.reports_of[submission_id]
+    names = [type(reported.outcome).__name__.lower() for reported in reports]
+    return f"{submission_id}: {' '.join(names)}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Guard:
+    """A guard, what takes it out, and the case that must then go red."""
+
+    module: Any
+    name: str
+    replacement: Any
+    case: str
+
+
+def always(value: Any) -> Any:
+    return lambda *args: value
+
+
+GUARDS = (
+    Guard(
+        module=commit_settle,
+        name="names",
+        replacement=always(False),
+        case="answer lost of a deletion is settled by the fence",
+    ),
+    Guard(
+        module=commit_settle,
+        name="version_with_token",
+        replacement=always(0),
+        case="submission again through a second committer after Unsettled",
+    ),
+    Guard(
+        module=commit_settle,
+        name="must_seal",
+        replacement=always(False),
+        case="delayed write cannot follow a reported conflict",
+    ),
+    Guard(
+        module=commit_settle,
+        name="fence_seen",
+        replacement=lambda tables, fence, now: Step(tables=tables),
+        case="submission again behind its own first sending",
+    ),
+    Guard(
+        module=commit_accept,
+        name="known_revision",
+        replacement=always(0),
+        case="submission again after its row was overwritten",
+    ),
+    Guard(
+        module=commit_accept,
+        name="fault_of",
+        replacement=always(""),
+        case="write without a condition is refused",
+    ),
+    Guard(
+        module=commit_accept,
+        name="lane_of",
+        replacement=always(Lane.BULK),
+        case="claim does not wait behind tasks",
+    ),
+    Guard(
+        module=commit_batch,
+        name="may_share",
+        replacement=always(True),
+        case="same key twice is not merged",
+    ),
+    Guard(
+        module=commit_report,
+        name="was_sent",
+        replacement=always(False),
+        case="unsettled submission is not withdrawn when the store is down",
+    ),
+)
+
+
+class CommitCaseTest(testtools.TestCase):
+    def test_every_case(self) -> None:
+        for case in read_cases(CASES).values():
+            self.assertEqual([], run_case(case), case.name)
+
+    def test_every_case_goes_red_without_its_guard(self) -> None:
+        by_name = read_cases(CASES)
+        for guard in GUARDS:
+            with mock.patch.object(guard.module, guard.name, guard.replacement):
+                self.assertNotEqual([], run_case(by_name[guard.case]), guard.name)
+
+
+def submissions(deletes: bool) -> st.SearchStrategy[Submission]:
+    keys = st.integers(0, 4).map("k/{}".format)
+    versions = st.sampled_from([0, 0, 0, 0, 1, 2, 3, 5])
+    return st.builds(
+        lambda by_key, needs, delete, within: Submission(
+            submission_id="",
+            conditions=tuple(
+                Condition(key=key, version=version)
+                for key, version in (needs | by_key).items()
+            ),
+            writes=tuple(
+                Write(key=key, row=None if delete and deletes else ROW)
+                for key in by_key
+            ),
+            give_up_after_s=within,
+        ),
+        st.dictionaries(keys, versions, min_size=1, max_size=2),
+        st.dictionaries(keys, versions, max_size=1),
+        st.booleans(),
+        st.sampled_from([1.0, 3.0, 8.0, 20.0]),
+    )
+
+
+FATES = st.lists(
+    st.sampled_from(
+        [OK, REFUSED, NEVER_SENT, NEVER_SENT, LOST, LOST, late(2.5), late(6), late(15)]
+    ),
+    min_size=3,
+    max_size=25,
+)
+TIMES = st.integers(0, 80).map(lambda tenths: tenths / 10)
+DELAYS = st.integers(10, 200).map(lambda tenths: tenths / 10)
+MIX = settings(
+    derandomize=True,
+    max_examples=80,
+    deadline=None,
+    phases=(Phase.explicit, Phase.generate),
+)
+
+
+def run_mix(
+    *,
+    fates: list[Fate],
+    timed: list[tuple[float, Submission]],
+    again: list[tuple[int, float, str]],
+    outside: list[tuple[float, int, bool]],
+) -> list[str]:
+    bench = Bench(fates=fates)
+    named = [
+        (when, replace(submission, submission_id=f"s{number}"))
+        for number, (when, submission) in enumerate(timed)
+    ]
+    for when, submission in named:
+        bench.submit(when, "e1", submission)
+    for number, delay, process in again:
+        when, submission = named[number % len(named)]
+        event = SubmitAgain(process=process, submission=submission)
+        bench.at(when + delay, event)
+    for when, number, delete in outside:
+        put = encode_put(f"k/{number}", None if delete else ROW, "outside")
+        bench.at(when, Outside(put=put))
+    bench.run_until(45.0)
+    return faults_of(bench)
+
+
+class CommitMixTest(testtools.TestCase):
+    @MIX
+    @given(
+        fates=FATES,
+        timed=st.lists(st.tuples(TIMES, submissions(True)), min_size=1, max_size=8),
+        again=st.lists(st.tuples(st.integers(0, 7), DELAYS, st.just("e1")), max_size=4),
+        outside=st.lists(
+            st.tuples(TIMES, st.integers(0, 4), st.booleans()), max_size=4
+        ),
+    )
+    def test_one_process(self, **mix: Any) -> None:
+        self.assertEqual([], run_mix(**mix))
+
+    @MIX
+    @given(
+        fates=FATES,
+        timed=st.lists(st.tuples(TIMES, submissions(False)), min_size=1, max_size=8),
+        again=st.lists(
+            st.tuples(st.integers(0, 7), DELAYS, st.sampled_from(["e1", "e2"])),
+            max_size=8,
+        ),
+        outside=st.lists(
+            st.tuples(TIMES, st.integers(0, 4), st.just(False)), max_size=4
+        ),
+    )
+    def test_two_processes(self, **mix: Any) -> None:
+        self.assertEqual([], run_mix(**mix))
+
+
+class PrefixReadTest(testtools.TestCase):
+    def test_reads_are_shared_only_before_they_are_sent(self) -> None:
+        bench = Bench()
+        for number, when in enumerate((0.0, 0.001, 0.002, 0.01)):
+            asked = ReadAsked(origin="o", fetch_id=f"f{number}", prefix="k/")
+            bench.at(when, Told(process="e1", event=asked))
+        bench.run_until(1.0)
+        self.assertEqual(3, len(bench.reads))
+        self.assertEqual(4, len(bench.fetched))
