--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -27,7 +27,8 @@
     `present` is false once the cell's record no longer names it; its capacity is
     then nothing. `asked_at` is when the report in flight was asked, or None;
     `reported_at` when the last report that was answered had been asked.
-    No renewal of a task's lease has left after `renewed_until`. `strays` counts
+    No renewal of a task's lease has left after `renewed_until`; the next
+    are due at `renew_at`. `strays` counts
     the runs on it that the owner does not hold it to. `unanswered_at` is when a
     call to it last failed, until a report asked after that is answered.
     """
@@ -43,6 +44,7 @@
     reported_at: float | None = None
     answered_at: float = 0.0
     renewed_until: float = 0.0
+    renew_at: float = 0.0
     strays: int = 0
     unanswered_at: float | None = None
     health: Health = Health.HEALTHY
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -37,6 +37,7 @@
     WorkerReported,
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.platform.http_body import read_whole
 
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 STEP = "worker.call"
@@ -175,11 +176,21 @@
     headers = {"Content-Type": "application/json"}
     try:
         connection.request(
-            "POST", path, body=msgspec.json.encode(form), headers=headers
+            "POST",
+            path,
+            body=msgspec.json.encode(form),
+            headers=headers,
+            preload_content=False,
         )
         response = connection.getresponse()
-        body = response.read(MAX_REPORT_BYTES)
-    except (HTTPError, OSError) as error:
+        body = read_whole(
+            response,
+            deadline=time.monotonic() + CALL_WITHIN_S,
+            limit=MAX_REPORT_BYTES,
+            step=STEP,
+            peer=command.worker_id,
+        )
+    except (HTTPError, OSError, BulrushpulleyError) as error:
         raise _unknown(command, f"{type(error).__name__}: {error}") from error
     if response.status != 200:
         raise _unknown(command, f"status {response.status}")
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -1,8 +1,8 @@
 """Asks workers for reports and applies what they say of starts, stops and runs.
 
-A worker is asked once a second, by one call that also renews the leases of its
-tasks and never overlaps with another. Only the answer to the report last asked
-counts; what it says of older generations changes nothing but has them stopped.
+A worker is asked once a second, by one call that never overlaps with another and
+renews the leases of its tasks when that is due. Only the answer to the report last
+asked counts; what it says of older generations changes nothing but has them stopped.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import (
     CALL_WITHIN_S,
+    RENEW_TASKS_S,
     REPORT_EVERY_S,
     TASK_LEASE_S,
 )
@@ -62,12 +63,13 @@
             continue
         if not worker.url or now < worker.next_report_at:
             continue
-        renewals = () if cell_stop.is_silent(worker, now) else _renewals(tables, worker)
+        renewals = _renewals(tables, worker, now)
         asked = replace(
             worker,
             asked_at=now,
             next_report_at=now + REPORT_EVERY_S,
             renewed_until=not_after if renewals else worker.renewed_until,
+            renew_at=now + RENEW_TASKS_S if renewals else worker.renew_at,
         )
         tables = cell_rows.put_worker(tables, asked)
         commands.append(
@@ -82,7 +84,12 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _renewals(tables: CellOwnerTables, worker: Worker) -> tuple[Renewal, ...]:
+def _renewals(
+    tables: CellOwnerTables, worker: Worker, now: float
+) -> tuple[Renewal, ...]:
+    """Return the renewals that are due; a silent worker's leases are let lapse."""
+    if now < worker.renew_at or cell_stop.is_silent(worker, now):
+        return ()
     return tuple(
         Renewal(
             task_id=task.row.spec.task_id,
@@ -158,7 +165,8 @@
     worker = tables.workers.get(worker_id)
     if worker is None:
         return tables
-    tables = cell_rows.put_worker(tables, replace(worker, unanswered_at=now))
+    failed = replace(worker, unanswered_at=now, renew_at=now)
+    tables = cell_rows.put_worker(tables, failed)
     return cell_rows.touch_cell(tables, worker.cell)
 
 
