Bound what an owner may do with readings, capacity and failure domains

Cause: found by review. A reading begun under an earlier lease could be taken for the first complete reading of a cell; a task whose record forbids the failure domain could start before it was returned; a start committed before its worker shrank was still sent. Ruled out: longer timeouts of readings, which only narrow the first. Change: readings are dropped with the lease, placement checks the allowed failure domains, and a start is held back if its worker has lost capacity. A case shows that renewals past the autonomy run a task twice (red without the guard).

--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -76,6 +76,7 @@
         indexes={
             "peer": in_flight.readings_by_peer,
             "purpose": in_flight.readings_by_purpose,
+            "cell": in_flight.readings_by_cell,
         }
     )
 
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -137,6 +137,11 @@
     return (reading.peer,)
 
 
+def readings_by_cell(reading: Reading) -> tuple[str, ...]:
+    """Index readings by cell."""
+    return (reading.purpose.cell,)
+
+
 def readings_by_purpose(reading: Reading) -> tuple[str, ...]:
     """Index readings by purpose and cell."""
     return (reading_index(reading.purpose),)
--- a/bulrushpulley/systems/cell_evict.py
+++ b/bulrushpulley/systems/cell_evict.py
@@ -22,7 +22,7 @@
     phase_index,
 )
 from bulrushpulley.entities.worker import Worker
-from bulrushpulley.systems import cell_domains, cell_rows, cell_stop
+from bulrushpulley.systems import cell_domains, cell_place, cell_rows, cell_stop
 from bulrushpulley.systems.cell_owner_events import CellStep
 from bulrushpulley.systems.cell_preempt import eviction, stopping_size
 from bulrushpulley.systems.cell_rooms import committed
@@ -112,7 +112,7 @@
     commands: list[Command] = []
     for task in _to_fit(over, soon, running):
         tables = cell_stop.plan_ending(tables, task, ending, now)
-        commands.append(eviction(cell, task, ending.reason))
+        commands.extend(eviction(cell, task, ending.reason))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -153,9 +153,8 @@
 def _reason_to_return(
     tables: CellOwnerTables, cell: Cell, task: Task, now: float
 ) -> Return | None:
-    wanted = task.row.spec.failure_domains
     domain = cell_rows.failure_domain_of(tables, cell.name)
-    if wanted and domain and domain not in wanted:
+    if domain and not cell_place.may_run_in(task, domain):
         return Return(reason=f"it may not run in {domain}")
     if now - task.since >= RETURN_AFTER_S:
         why = task.skipped or "no start committed"
--- a/bulrushpulley/systems/cell_outcomes.py
+++ b/bulrushpulley/systems/cell_outcomes.py
@@ -124,6 +124,7 @@
     cell = tables.cells.get(name)
     if cell is None:
         return Step(tables=tables)
+    tables = cell_send.drop_readings(tables, name)
     tasks, workers, flights = tables.tasks, tables.workers, tables.flights
     for key in list(tasks.keys_where("cell", name)):
         tasks = tasks.drop(key)
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -45,6 +45,12 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
+def may_run_in(task: Task, failure_domain: str) -> bool:
+    """Tell whether a task's record lets it run in a failure domain."""
+    allowed = task.row.spec.failure_domains
+    return not allowed or failure_domain in allowed
+
+
 def order(task: Task) -> tuple[bool, bool, int, float, str]:
     """Return the sort key: latency-critical, urgent, priority, then age."""
     spec = task.row.spec
@@ -63,7 +69,12 @@
 
 def _place_cell(cell: Cell, tables: CellOwnerTables, now: float) -> CellStep:
     value = phase_index(cell=cell.name, phase=Phase.WAITING)
-    ready = [t for t in tables.tasks.rows_where("phase", value) if now >= t.retry_at]
+    domain = cell_rows.failure_domain_of(tables, cell.name)
+    ready = [
+        task
+        for task in tables.tasks.rows_where("phase", value)
+        if now >= task.retry_at and may_run_in(task, domain)
+    ]
     waiting = sorted(ready, key=order)
     rooms = {room.worker.worker_id: room for room in rooms_of(tables, cell.name, now)}
     passed = Placement(rooms=rooms, tables=tables)
--- a/bulrushpulley/systems/cell_preempt.py
+++ b/bulrushpulley/systems/cell_preempt.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.cell import Cell
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
-from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.observe import Count, Decision
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase, Requeue, Task
@@ -53,17 +53,18 @@
         for victim in victims:
             ending = Requeue(reason=f"evicted for {task.row.spec.task_id}")
             tables = cell_stop.plan_ending(tables, victim, ending, now)
-            commands.append(eviction(cell, victim, ending.reason))
+            commands.extend(eviction(cell, victim, ending.reason))
         return Preemption(worker_id=worker_id, tables=tables, commands=tuple(commands))
     return Preemption(worker_id="", tables=tables)
 
 
-def eviction(cell: Cell, task: Task, reason: str) -> Decision:
-    """Return the decision line of an eviction."""
-    return Decision(
+def eviction(cell: Cell, task: Task, reason: str) -> tuple[Command, ...]:
+    """Return the decision line of an eviction and its count."""
+    line = Decision(
         kind="task.evict",
         subject=task.row.spec.task_id,
         chosen=task.row.worker_id,
         reason=reason,
         epoch=cell.epoch,
     )
+    return (line, Count(name="task_evictions", label=task.row.spec.department))
--- a/bulrushpulley/systems/cell_send.py
+++ b/bulrushpulley/systems/cell_send.py
@@ -76,6 +76,14 @@
     return replace(tables, last_number=number, readings=readings)
 
 
+def drop_readings(tables: CellOwnerTables, cell: str) -> CellOwnerTables:
+    """Drop the readings for a cell: what they bring was read under another lease."""
+    readings = tables.readings
+    for key in list(readings.keys_where("cell", cell)):
+        readings = readings.drop(key)
+    return replace(tables, readings=readings)
+
+
 def forget_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
     """Put what was in flight to a lost entry in line again."""
     for flight in tables.flights.rows_where("peer", peer):
--- a/bulrushpulley/systems/cell_sick.py
+++ b/bulrushpulley/systems/cell_sick.py
@@ -53,6 +53,7 @@
         at=now,
     )
     key = f"{worker.worker_id}|{task.key}"
+    tables = _forget_old(tables, worker.worker_id, now)
     tables = replace(tables, failures=tables.failures.put(key, failure))
     if worker.health is Health.ASIDE:
         return tables, False, ()
@@ -65,6 +66,14 @@
     return _clear_workers(tables, failure), True, ()
 
 
+def _forget_old(tables: CellOwnerTables, worker_id: str, now: float) -> CellOwnerTables:
+    failures = tables.failures
+    for key in list(failures.keys_where("worker", worker_id)):
+        if now - failures.by_key[key].at >= EVIDENCE_S:
+            failures = failures.drop(key)
+    return replace(tables, failures=failures)
+
+
 def task_succeeded(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
     """Clear the evidence against a worker on which a task succeeded."""
     failures = tables.failures
@@ -123,14 +132,10 @@
 
 
 def probe(tables: CellOwnerTables, now: float) -> CellStep:
-    """Put workers on probation whose backoff has passed; forget old evidence."""
+    """Put workers on probation whose backoff has passed."""
     for worker in tables.workers.rows():
         if worker.health is Health.ASIDE and now >= worker.aside_until:
             probing = replace(worker, health=Health.PROBING)
             tables = cell_rows.put_worker(tables, probing)
             tables = cell_rows.touch_cell(tables, worker.cell)
-    failures = tables.failures
-    for key in list(failures):
-        if now - failures.by_key[key].at >= EVIDENCE_S:
-            failures = failures.drop(key)
-    return Step(tables=replace(tables, failures=failures))
+    return Step(tables=tables)
--- a/bulrushpulley/systems/cell_start.py
+++ b/bulrushpulley/systems/cell_start.py
@@ -23,7 +23,7 @@
     Write,
 )
 from bulrushpulley.entities.in_flight import CommitStart, Flight
-from bulrushpulley.entities.observe import Observe
+from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.owner_times import (
     CALL_WITHIN_S,
     DRIFT_MARGIN_S,
@@ -39,6 +39,7 @@
 from bulrushpulley.systems import (
     cell_domains,
     cell_endings,
+    cell_rooms,
     cell_rows,
     cell_send,
     cell_stop,
@@ -122,8 +123,9 @@
     )
     command = _start_command(sending, worker, deadline)
     took = Observe(name="start_commit_s", seconds=now - flight.first_sent_at)
+    sent = Count(name="task_starts", label=task.cell)
     tables = cell_rows.put_task(tables, sending)
-    return Step(tables=tables, commands=(command, took))
+    return Step(tables=tables, commands=(command, took, sent))
 
 
 def _held_back(
@@ -140,6 +142,9 @@
         return "its failure domain was taken out of service"
     if worker is None or not worker.present:
         return "its worker was taken out of the cell"
+    held = cell_rooms.committed(tables, worker.worker_id)
+    if not held.fits(worker.capacity):
+        return "its worker has lost capacity"
     return "the agent is leaving" if tables.leaving else ""
 
 
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -22,6 +22,7 @@
     cell_stop,
     cell_watch,
 )
+from bulrushpulley.systems.cell_liveness import autonomous_until
 from test.cell_bench import SIZE, CellBench, runs_of, seat
 from test.virtual_world import Seat, VirtualWorld
 
@@ -281,6 +282,30 @@
         with mock.patch.object(cell_stop, "surely_lapsed", always):
             self.assertEqual([2, 2], starts(CellBench()))
 
+    def test_an_owner_without_its_row_stops_renewing_before_others_start(self) -> None:
+        def violations(guard: Any) -> list[str]:
+            bench = CellBench()
+            bench.job("curves", run_s=400.0)
+            bench.agent("a", autonomy_s=60.0)
+            bench.run(5.0)
+            bench.cut_off = {("a", "store"), ("b", "w0")}
+            bench.agent("b")
+            with mock.patch.object(cell_reports, "autonomous_until", guard):
+                bench.run(120.0)
+            self.assertEqual([1, 2], [start.generation for start in bench.starts])
+            return bench.violations
+
+        self.assertEqual([], violations(autonomous_until))
+        self.assertNotEqual([], violations(lambda _: float("inf")))
+
+    def test_a_task_does_not_start_where_its_record_forbids_it(self) -> None:
+        bench = CellBench()
+        bench.job("curves", failure_domains=("nbo-a",))
+        bench.agent("a")
+        bench.run(5.0)
+        self.assertEqual([], bench.starts)
+        self.assertIsNotNone(bench.row("backlog/curves/0"))
+
     def test_a_worker_that_refuses_starts_is_not_tried_again_at_once(self) -> None:
         bench = CellBench(workers=1)
         bench.agent("a")
