Tell two sick workers apart from bad jobs; run owner and controller together

Cause: with two workers that fail everything, each job failed on both, so neither was held to be sick and the jobs lost attempts. Ruled out: counting any success of the job elsewhere, since a job with a few bad tasks would then put sound workers aside. Change: a failure counts against the worker once the same task succeeds elsewhere. A bench joins a controller and cell owners; jobs, drains, cancellations, lowered services and a lost owner run through both. Before: both sick workers healthy. After: both aside, the jobs done.

--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -86,6 +86,7 @@
         indexes={
             "worker": worker.failures_by_worker,
             "record": worker.failures_by_record,
+            "task": worker.failures_by_task,
         }
     )
 
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -54,12 +54,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Failure:
-    """Evidence: a task of a job failed on a worker, last at `at`."""
+    """Evidence: a task of a job failed on a worker, last at `at`.
+
+    It is `proven` against the worker once the same task succeeds on another.
+    """
 
     worker_id: str
     record_key: str
     task_key: str
     at: float
+    proven: bool = False
 
 
 def worker_of(record: WorkerRecord, *, cell: str, now: float) -> Worker:
@@ -85,6 +89,11 @@
     return (failure.worker_id,)
 
 
+def failures_by_task(failure: Failure) -> tuple[str, ...]:
+    """Index failures by task."""
+    return (failure.task_key,)
+
+
 def failures_by_record(failure: Failure) -> tuple[str, ...]:
     """Index failures by the record of the task."""
     return (failure.record_key,)
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -239,9 +239,10 @@
         return Step(tables=_seen_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        tables = cell_sick.task_succeeded(tables, worker)
+        judged = cell_sick.task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
-        return Step(tables=cell_stop.end(tables, task, finish, now, run.checkpoint))
+        ended = cell_stop.end(judged.tables, task, finish, now, run.checkpoint)
+        return Step(tables=ended, commands=judged.commands)
     if run.state is RunState.FAILED and task.ending is None:
         return _failed(run, task, worker, tables, now)
     reason = f"{run.state.value} on {worker_id}"
@@ -255,7 +256,7 @@
     worker = tables.workers.by_key[worker_id]
     sound = task.phase is Phase.RUNNING and now - task.since >= SOUND_AFTER_S
     if sound and worker.health is Health.PROBING:
-        return cell_sick.task_succeeded(tables, worker)
+        return cell_sick.cleared(tables, worker)
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return tables
     running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
--- a/bulrushpulley/systems/cell_sick.py
+++ b/bulrushpulley/systems/cell_sick.py
@@ -1,9 +1,9 @@
 """Tells sick workers from bad jobs by evidence, and probes sick ones back.
 
 A worker is set aside when tasks of several jobs, or several tasks of one, fail on
-it while those jobs fail nowhere else. A job that fails on more than one worker is
-at fault itself. A worker set aside takes one task after its backoff; success
-clears it, failure doubles the backoff.
+it while those jobs fail nowhere else, or those tasks succeed elsewhere. Otherwise a
+job that fails on more than one worker is at fault itself. A worker set aside takes
+one task after its backoff; success clears it, failure doubles the backoff.
 """
 
 from __future__ import annotations
@@ -26,11 +26,11 @@
 
 
 def is_sick(tables: CellOwnerTables, worker_id: str) -> bool:
-    """Judge a worker by the failures on it of jobs that fail nowhere else."""
+    """Judge a worker by the failures on it that speak against it."""
     own = [
         failure
         for failure in tables.failures.rows_where("worker", worker_id)
-        if not fails_elsewhere(tables, failure)
+        if failure.proven or not fails_elsewhere(tables, failure)
     ]
     jobs = {failure.record_key for failure in own}
     return len(jobs) >= SICK_JOBS or len(own) >= SICK_TASKS
@@ -74,8 +74,28 @@
     return replace(tables, failures=failures)
 
 
-def task_succeeded(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
-    """Clear the evidence against a worker on which a task succeeded."""
+def task_succeeded(
+    tables: CellOwnerTables, task: Task, worker: Worker, now: float
+) -> CellStep:
+    """Clear a worker on which a task succeeded, and judge where it failed before."""
+    tables = cleared(tables, worker)
+    commands: tuple[Command, ...] = ()
+    for failure in tables.failures.rows_where("task", task.key):
+        key = f"{failure.worker_id}|{failure.task_key}"
+        proven = replace(failure, proven=True)
+        tables = replace(tables, failures=tables.failures.put(key, proven))
+        other = tables.workers.get(failure.worker_id)
+        if other is None or other.health is not Health.HEALTHY:
+            continue
+        if is_sick(tables, other.worker_id):
+            tables, aside = _set_aside(tables, other, now)
+            tables = _refund(tables, other.worker_id)
+            commands = (*commands, *aside)
+    return Step(tables=tables, commands=commands)
+
+
+def cleared(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
+    """Drop the evidence against a worker and return it to service."""
     failures = tables.failures
     for key in list(failures.keys_where("worker", worker.worker_id)):
         failures = failures.drop(key)
--- /dev/null
+++ b/test/test_cell_controlled.py
@@ -0,0 +1,191 @@
+"""A controller and a cell owner together: records in, outcomes out."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import testtools
+
+from bulrushpulley.entities.commit import ReadAsked, Submitted
+from bulrushpulley.entities.link import Announce, CellSummary, Fetched, LinkUp, Send
+from bulrushpulley.entities.operations import (
+    AmendRecord,
+    CancelJob,
+    ChangeDomain,
+    OperatorCall,
+)
+from bulrushpulley.entities.records import (
+    DomainState,
+    JobRecord,
+    Record,
+    ServiceRecord,
+)
+from bulrushpulley.entities.rows import TaskState
+from bulrushpulley.entities.step import Command, Tell
+from bulrushpulley.roles import cell_owner, controller
+from test.cell_bench import DELIVERY_S, DOMAIN, SIZE, CellBench, seat
+from test.control_bench import submit_record
+from test.virtual_world import Seat, VirtualWorld
+
+ENTRY = Seat(process="entry-1", role="controller")
+
+
+class ControlledBench(CellBench):
+    """A bench in which a controller offers the cell and assigns the tasks."""
+
+    def __init__(self, *, agents: tuple[str, ...] = ("a",)) -> None:
+        super().__init__(seed=1, workers=2)
+        for row in list(self.store.rows):
+            self.put(row, None)
+        role = controller.build(
+            entry="entry-1", incarnation="entry-1", host="h", port=1, region="ege"
+        )
+        self.world.start("entry-1", [role])
+        for name in agents:
+            self.join(name)
+        self.call(submit_record(self._domain(DomainState.IN_SERVICE)))
+        self.call(submit_record(self.cell()))
+        self.run(8.0)
+
+    def join(self, name: str) -> None:
+        """Start an agent and link it with the entry."""
+        role = cell_owner.build(agent=name, incarnation=name, region="ege")
+        self.world.start(name, [role])
+        self.world.deliver(seat(name), LinkUp(peer="entry-1", region="ege"))
+        self.world.deliver(ENTRY, LinkUp(peer=name, region="ege"))
+        self._announce(name)
+
+    def _announce(self, name: str) -> None:
+        if not self.world.alive(name):
+            return
+        item = Announce(
+            peer=name,
+            agent=name,
+            incarnation=name,
+            service="oven",
+            region="ege",
+            failure_domain=DOMAIN,
+            slots=8,
+            running=0,
+            queued=0,
+            healthy=True,
+            leaving=False,
+            applied_revision=0,
+        )
+        self.world.deliver(ENTRY, item)
+        self.world.at(1.0, lambda: self._announce(name))
+
+    def call(self, event: OperatorCall) -> None:
+        """Hand the controller an operator's call."""
+        self.world.deliver(ENTRY, event)
+        self.run(0.5)
+
+    def submit(self, record: Record) -> None:
+        """Submit a record as an operator."""
+        self.call(submit_record(record))
+
+    def _carry_out(self, world: VirtualWorld, owner: Seat, command: Command) -> None:
+        if owner != ENTRY:
+            super()._carry_out(world, owner, command)
+            if isinstance(command, Send) and isinstance(command.item, CellSummary):
+                summary = replace(command.item, peer=owner.process)
+                world.deliver(ENTRY, summary)
+        elif isinstance(command, Send):
+            item = command.item
+            world.at(DELIVERY_S, lambda: self._to_agent(command.peer, item))
+        elif isinstance(command, Tell):
+            self._ask(command.event)
+
+    def _to_agent(self, peer: str, item: Any) -> None:
+        if self.world.alive(peer):
+            self.world.deliver(seat(peer), replace(item, peer="entry-1"))
+
+    def _ask(self, event: Any) -> None:
+        if isinstance(event, Submitted):
+            self.world.deliver(ENTRY, self.commit(event.submission))
+        if isinstance(event, ReadAsked):
+            fetched = Fetched(
+                fetch_id=event.fetch_id,
+                prefix=event.prefix,
+                revision=self.store.revision,
+                rows=self._rows(event.prefix, event.since),
+            )
+            self.world.deliver(ENTRY, fetched)
+
+
+def curves(tasks: int, run_s: float) -> JobRecord:
+    return JobRecord(
+        name="curves", department="bakery", tasks=tasks, size=SIZE, run_s=run_s
+    )
+
+
+class ControlledTest(testtools.TestCase):
+    def test_a_submitted_job_is_done(self) -> None:
+        bench = ControlledBench()
+        bench.submit(curves(tasks=12, run_s=5.0))
+        bench.run(40.0)
+        done = {bench.done(f"curves/{index}") for index in range(12)}
+        self.assertEqual({TaskState.FINISHED}, done)
+        self.assertEqual(12, len(bench.starts))
+        self.assertEqual([], bench.violations)
+
+    def test_a_drain_and_a_return_resume_the_tasks(self) -> None:
+        bench = ControlledBench()
+        bench.submit(curves(tasks=4, run_s=30.0))
+        bench.run(20.0)
+        for state in (DomainState.DRAINED, DomainState.IN_SERVICE):
+            call = ChangeDomain(
+                call_id=state.value,
+                author="op",
+                failure_domain=DOMAIN,
+                state=state,
+                expected_revision=0,
+            )
+            bench.call(call)
+            bench.run(10.0)
+        bench.run(40.0)
+        done = {bench.done(f"curves/{index}") for index in range(4)}
+        self.assertEqual({TaskState.FINISHED}, done)
+        self.assertEqual(8, len(bench.starts))
+        self.assertTrue(all(s.checkpoint for s in bench.starts[4:]))
+
+    def test_a_cancelled_job_and_a_lowered_service_stop(self) -> None:
+        bench = ControlledBench()
+        bench.submit(curves(tasks=3, run_s=500.0))
+        service = ServiceRecord(name="oven", department="d", replicas=2, size=SIZE)
+        bench.submit(service)
+        bench.run(10.0)
+        self.assertEqual(5, len(bench.starts))
+        bench.call(CancelJob(call_id="cancel", author="op", job="curves"))
+        bench.run(10.0)
+        done = {bench.done(f"curves/{index}") for index in range(3)}
+        self.assertEqual({TaskState.CANCELLED}, done)
+        self.assertEqual([], bench.running("curves/0"))
+        self.assertEqual(1, len(bench.running("oven/1")))
+        lowered = AmendRecord(
+            call_id="lower",
+            author="op",
+            kind="service",
+            schema_version=1,
+            record=replace(service, replicas=1),
+            expected_revision=0,
+        )
+        bench.call(lowered)
+        bench.run(10.0)
+        self.assertEqual([], bench.running("oven/1"))
+        self.assertIsNone(bench.row("task/c0/oven/1"))
+        self.assertEqual(1, len(bench.running("oven/0")))
+
+    def test_another_agent_takes_the_cell_of_a_lost_one(self) -> None:
+        bench = ControlledBench(agents=("a", "b"))
+        owner = bench.row("lease/c0").owner
+        bench.submit(curves(tasks=2, run_s=90.0))
+        bench.run(5.0)
+        bench.world.kill(owner)
+        bench.run(60.0)
+        self.assertNotEqual(owner, bench.row("lease/c0").owner)
+        bench.run(60.0)
+        self.assertEqual(2, len(bench.starts))
+        self.assertEqual(TaskState.FINISHED, bench.done("curves/1"))
+        self.assertEqual([], bench.violations)
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -170,6 +170,22 @@
         worker = bench.tables("a").workers.by_key["w0"]
         self.assertEqual(Health.HEALTHY, worker.health)
 
+    def test_two_sick_workers_are_told_by_what_succeeds_on_the_third(self) -> None:
+        bench = CellBench(workers=3)
+        for worker in ("w0", "w1"):
+            bench.workers[worker] = failing(bench.workers[worker], True)
+        bench.agent("a")
+        bench.run(2.0)
+        for number in range(3):
+            bench.job(f"job{number}", run_s=5.0)
+            bench.assign("a")
+            bench.run(0.1)
+        bench.run(25.0)
+        for number in range(3):
+            self.assertEqual(TaskState.FINISHED, bench.done(f"job{number}/0"))
+        healths = [worker.health for worker in bench.tables("a").workers.rows()]
+        self.assertEqual([Health.ASIDE, Health.ASIDE, Health.HEALTHY], healths)
+
     def test_without_evidence_a_sick_worker_is_never_set_aside(self) -> None:
         bench = CellBench(workers=2)
         bench.workers["w0"] = failing(bench.workers["w0"], True)
