Bar starts on a worker that was shrunk; run drawn mixes with operators' calls

Cause: an owner that had not yet heard of an amended cell record could place beyond a worker's new capacity. Ruled out: a check at the owner alone, which knows the record only once told. Change: a start is also conditional on the version of the cell's record. Before: the start was sent (red without the condition). After: it does not commit.

--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -85,7 +85,8 @@
     or after `settle_after` that lacks the task shows that it does not run, and
     its lease has surely lapsed at `leased_until`. `ending` is planned while
     the task still runs and final once it is ENDED. `skipped` is the last reason
-    for which no worker was chosen. No start is tried before `retry_at`.
+    for which no worker was chosen. No
+    write is tried again before `retry_at`.
     """
 
     key: str
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -24,11 +24,11 @@
     RunOnBackend,
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.platform.http_body import read_whole
 
 MAX_CONNECTIONS = 64
 MAX_ANSWER_BYTES = 1024 * 1024
 HEALTH_TIMEOUT_S = 0.5
-READ_BYTES = 64 * 1024
 RUN_STEP = "backend_server.run"
 
 
@@ -47,7 +47,13 @@
         try:
             response = self._post(command)
             with response:
-                body = read_whole(response, deadline, self._url)
+                body = read_whole(
+                    response,
+                    deadline=deadline,
+                    limit=MAX_ANSWER_BYTES,
+                    step=RUN_STEP,
+                    peer=self._url,
+                )
         except (HTTPError, BulrushpulleyError, OSError) as error:
             return self._failed(command, error)
         return BackendAnswered(
@@ -111,23 +117,3 @@
 @may_have_sent.register
 def _(error: ConnectTimeoutError) -> bool:
     return False
-
-
-def read_whole(response: urllib3.BaseHTTPResponse, deadline: float, peer: str) -> bytes:
-    """Read the body to its end, before `deadline` and within the largest size."""
-    parts: list[bytes] = []
-    size = 0
-    for part in response.stream(READ_BYTES):
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise no_answer(Code.TOO_LARGE, peer, f"over {MAX_ANSWER_BYTES} bytes")
-        if time.monotonic() > deadline:
-            raise no_answer(Code.DEADLINE, peer, "the body did not end in time")
-    return b"".join(parts)
-
-
-def no_answer(code: Code, peer: str, detail: str) -> BulrushpulleyError:
-    """Return the error for an answer that cannot be taken whole."""
-    problem = Problem(code=code, step=RUN_STEP, peer=peer, detail=detail)
-    return BulrushpulleyError(problem=problem)
--- a/bulrushpulley/systems/cell_endings.py
+++ b/bulrushpulley/systems/cell_endings.py
@@ -43,6 +43,7 @@
 from bulrushpulley.systems.cell_owner_events import CellStep
 
 ENDINGS_PER_TICK = 64
+RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -119,7 +120,7 @@
             continue
         value = phase_index(cell=cell.name, phase=Phase.ENDED)
         for task in tables.tasks.rows_where("phase", value)[:ENDINGS_PER_TICK]:
-            if task.ending is not None and now >= task.since:
+            if task.ending is not None and now >= task.retry_at:
                 tables = _write(cell, task, task.ending, tables, now)
                 commands.append(_decision(cell, task, task.ending))
     return Step(tables=tables, commands=tuple(commands))
@@ -243,5 +244,5 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    again = replace(task, phase=Phase.ENDED, since=now + 1.0)
+    again = replace(task, phase=Phase.ENDED, retry_at=now + RETRY_AFTER_S)
     return Step(tables=cell_rows.put_task(tables, again))
--- a/bulrushpulley/systems/cell_start.py
+++ b/bulrushpulley/systems/cell_start.py
@@ -1,10 +1,10 @@
 """Commits starts and sends them.
 
-A start is committed together with the versions of the lease, of the failure
-domain's record and of the task's record. Its command may leave only within
-`START_WINDOW_S` of the first sending of that transaction, so nothing starts later
-than that after a drain or a cancellation was accepted. A generation is sent at
-most once.
+A start is committed together with the versions of the lease and of the records of
+the task, of the failure domain and of the cell, which gives the worker's capacity.
+Its command may leave only within `START_WINDOW_S` of the first sending of that
+transaction, so nothing starts later than that after a drain or a cancellation was
+accepted. A generation is sent at most once.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import Cell, domain_key
+from bulrushpulley.entities.cell import Cell, domain_key, record_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
@@ -86,10 +86,14 @@
     """Return what must stand unchanged for a start to commit."""
     spec = task.row.spec
     domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
+    records = (domain, record_key(cell.name))
     return (
         *cell_endings.fences(cell, task),
-        Condition(key=domain, version=tables.records.by_key[domain].version),
         Condition(key=spec.record_key, version=spec.record_version),
+        *(
+            Condition(key=key, version=tables.records.by_key[key].version)
+            for key in records
+        ),
     )
 
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -153,10 +153,14 @@
         self.put_record("failure_domain", self._domain(DomainState.DRAINED))
         self.drained_at = self.world.now
 
-    def resize(self, worker: str, capacity: Resources) -> None:
-        """Amend a worker's capacity and spread the record."""
+    def put_shrunken(self, worker: str, capacity: Resources) -> None:
+        """Amend a worker's capacity in the store; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.put_record("cell", self.cell())
+
+    def resize(self, worker: str, capacity: Resources) -> None:
+        """Amend a worker's capacity and spread the record."""
+        self.put_shrunken(worker, capacity)
         self.spread()
 
     def job(
@@ -282,6 +286,13 @@
             if write.key.startswith("done/") and self.row(write.key) is not None:
                 self.violations.append(f"done twice: {write.key}")
 
+    def _note_drain(self, submission: Submission) -> None:
+        for write in submission.writes:
+            record = write.row.record if isinstance(write.row, RecordRow) else None
+            if isinstance(record, FailureDomainRecord):
+                drained = record.state is DomainState.DRAINED
+                self.drained_at = self.world.now if drained else None
+
     # The store.
 
     def _rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
@@ -314,6 +325,7 @@
         )
         if result.committed:
             self._check_done(submission)
+            self._note_drain(submission)
             self.store = result.state
             if self.lose_commit(submission):
                 return Unsettled(submission_id=key, reason="answer lost")
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -26,7 +27,7 @@
 from bulrushpulley.roles import cell_owner, controller
 from test.cell_bench import DELIVERY_S, DOMAIN, SIZE, CellBench, seat
 from test.control_bench import submit_record
-from test.virtual_world import Seat, VirtualWorld
+from test.virtual_world import Dice, Seat, VirtualWorld
 
 ENTRY = Seat(process="entry-1", role="controller")
 
@@ -189,3 +190,79 @@
         self.assertEqual(2, len(bench.starts))
         self.assertEqual(TaskState.FINISHED, bench.done("curves/1"))
         self.assertEqual([], bench.violations)
+
+
+MIX_S = 90.0
+
+
+class OperatedMix:
+    """Draws faults and operators' calls, two at a time, from a fixed seed."""
+
+    def __init__(self, *, bench: ControlledBench, seed: int) -> None:
+        self._bench = bench
+        self._calls = 0
+        bench.world.dice = Dice(state=seed)
+
+    def run(self) -> None:
+        """Run the mix, then heal everything and let the work complete."""
+        bench = self._bench
+        until = bench.world.now + MIX_S
+        while bench.world.now < until:
+            chosen = [self._draw(len(self._faults())) for _ in range(2)]
+            for index in chosen:
+                self._faults()[index](True)
+            bench.run(1.0 + self._draw(12))
+            for index in chosen:
+                self._faults()[index](False)
+            bench.run(1.0 + self._draw(6))
+        self._drain(False)
+        bench.run(200.0)
+
+    def _faults(self) -> tuple[Callable[[bool], None], ...]:
+        bench = self._bench
+        cut = {("a", "w0"), ("b", "w1")}
+        return (
+            lambda on: setattr(bench, "store_up", not on),
+            lambda on: setattr(bench, "unreachable", {"w0"} if on else set()),
+            lambda on: setattr(bench, "lose_worker_answers", {"w1"} if on else set()),
+            lambda on: setattr(bench, "start_delay_s", 1.5 if on else DELIVERY_S),
+            lambda on: setattr(bench, "cut_off", cut if on else set()),
+            lambda on: setattr(
+                bench, "lose_commit", lambda _: on and not self._draw(2)
+            ),
+            lambda on: bench.world.pause("a", 20.0) if on else None,
+            lambda on: self._restart("a", on),
+            lambda on: self._restart("b", on),
+            self._drain,
+        )
+
+    def _draw(self, sides: int) -> int:
+        number, self._bench.world.dice = self._bench.world.dice.roll(sides * 1000)
+        return number % sides
+
+    def _restart(self, name: str, down: bool) -> None:
+        self._bench.world.kill(name)
+        if not down:
+            self._bench.join(name)
+
+    def _drain(self, out: bool) -> None:
+        self._calls += 1
+        call = ChangeDomain(
+            call_id=f"call-{self._calls}",
+            author="op",
+            failure_domain=DOMAIN,
+            state=DomainState.DRAINED if out else DomainState.IN_SERVICE,
+            expected_revision=0,
+        )
+        self._bench.call(call)
+
+
+class OperatedMixTest(testtools.TestCase):
+    def test_work_completes_once_through_drawn_faults_and_drains(self) -> None:
+        for seed in (11, 12):
+            bench = ControlledBench(agents=("a", "b"))
+            bench.submit(curves(tasks=10, run_s=12.0))
+            OperatedMix(bench=bench, seed=seed).run()
+            self.assertEqual([], bench.violations, f"seed {seed}")
+            done = {bench.done(f"curves/{index}") for index in range(10)}
+            self.assertEqual({TaskState.FINISHED}, done, f"seed {seed}")
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -10,6 +10,7 @@
 
 from bulrushpulley.entities.commit import Submission
 from bulrushpulley.entities.records import JobRecord
+from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import LeaseRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase
@@ -32,6 +33,9 @@
     return any(isinstance(r, TaskRow) and r.state is TaskState.STARTING for r in rows)
 
 
+ONE_CORE = Resources(processors_m=1_000)
+
+
 def writes_done(submission: Submission) -> bool:
     return any(write.key.startswith("done/") for write in submission.writes)
 
@@ -211,7 +215,7 @@
 
     def test_a_drained_domain_bars_the_commit_of_a_start(self) -> None:
         def unconditional(tables: Any, cell: Any, task: Any) -> Any:
-            return conditions(tables, cell, task)[:2]
+            return conditions(tables, cell, task)[:3]
 
         bench = CellBench()
         with_drain_at_commit(bench)
@@ -225,6 +229,25 @@
             with_drain_at_commit(bench)
         self.assertNotEqual([], bench.starts)
 
+    def test_a_shrunken_worker_bars_the_commit_of_a_start(self) -> None:
+        def shrunk_at_commit() -> CellBench:
+            bench = CellBench(workers=1)
+            bench.before_commit = OnceOnly(  # type: ignore[assignment]
+                matches=writes_start,
+                action=lambda: bench.put_shrunken("w0", SIZE.minus(ONE_CORE)),
+            )
+            bench.job("curves")
+            bench.agent("a")
+            bench.run(5.0)
+            return bench
+
+        conditions = cell_start.start_conditions
+        self.assertEqual([], shrunk_at_commit().starts)
+        with mock.patch.object(
+            cell_start, "start_conditions", lambda *args: conditions(*args)[:4]
+        ):
+            self.assertNotEqual([], shrunk_at_commit().violations)
+
     def test_a_takeover_waits_for_the_liveness_row_to_stand_still(self) -> None:
         def owner_after(guard: Any) -> str:
             bench = CellBench()
