--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -76,6 +76,7 @@
         indexes={
             "peer": in_flight.readings_by_peer,
             "purpose": in_flight.readings_by_purpose,
+            "cell": in_flight.readings_by_cell,
         }
     )
 
@@ -85,6 +86,7 @@
         indexes={
             "worker": worker.failures_by_worker,
             "record": worker.failures_by_record,
+            "task": worker.failures_by_task,
         }
     )
 
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -10,6 +10,7 @@
 
 from bulrushpulley.entities.commit import Submission
 from bulrushpulley.entities.records import JobRecord
+from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import LeaseRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase
@@ -22,6 +23,7 @@
     cell_stop,
     cell_watch,
 )
+from bulrushpulley.systems.cell_liveness import autonomous_until
 from test.cell_bench import SIZE, CellBench, runs_of, seat
 from test.virtual_world import Seat, VirtualWorld
 
@@ -31,6 +33,9 @@
     return any(isinstance(r, TaskRow) and r.state is TaskState.STARTING for r in rows)
 
 
+ONE_CORE = Resources(processors_m=1_000)
+
+
 def writes_done(submission: Submission) -> bool:
     return any(write.key.startswith("done/") for write in submission.writes)
 
@@ -210,7 +215,7 @@
 
     def test_a_drained_domain_bars_the_commit_of_a_start(self) -> None:
         def unconditional(tables: Any, cell: Any, task: Any) -> Any:
-            return conditions(tables, cell, task)[:2]
+            return conditions(tables, cell, task)[:3]
 
         bench = CellBench()
         with_drain_at_commit(bench)
@@ -224,6 +229,25 @@
             with_drain_at_commit(bench)
         self.assertNotEqual([], bench.starts)
 
+    def test_a_shrunken_worker_bars_the_commit_of_a_start(self) -> None:
+        def shrunk_at_commit() -> CellBench:
+            bench = CellBench(workers=1)
+            bench.before_commit = OnceOnly(  # type: ignore[assignment]
+                matches=writes_start,
+                action=lambda: bench.put_shrunken("w0", SIZE.minus(ONE_CORE)),
+            )
+            bench.job("curves")
+            bench.agent("a")
+            bench.run(5.0)
+            return bench
+
+        conditions = cell_start.start_conditions
+        self.assertEqual([], shrunk_at_commit().starts)
+        with mock.patch.object(
+            cell_start, "start_conditions", lambda *args: conditions(*args)[:4]
+        ):
+            self.assertNotEqual([], shrunk_at_commit().violations)
+
     def test_a_takeover_waits_for_the_liveness_row_to_stand_still(self) -> None:
         def owner_after(guard: Any) -> str:
             bench = CellBench()
@@ -281,6 +305,30 @@
         with mock.patch.object(cell_stop, "surely_lapsed", always):
             self.assertEqual([2, 2], starts(CellBench()))
 
+    def test_an_owner_without_its_row_stops_renewing_before_others_start(self) -> None:
+        def violations(guard: Any) -> list[str]:
+            bench = CellBench()
+            bench.job("curves", run_s=400.0)
+            bench.agent("a", autonomy_s=60.0)
+            bench.run(5.0)
+            bench.cut_off = {("a", "store"), ("b", "w0")}
+            bench.agent("b")
+            with mock.patch.object(cell_reports, "autonomous_until", guard):
+                bench.run(120.0)
+            self.assertEqual([1, 2], [start.generation for start in bench.starts])
+            return bench.violations
+
+        self.assertEqual([], violations(autonomous_until))
+        self.assertNotEqual([], violations(lambda _: float("inf")))
+
+    def test_a_task_does_not_start_where_its_record_forbids_it(self) -> None:
+        bench = CellBench()
+        bench.job("curves", failure_domains=("nbo-a",))
+        bench.agent("a")
+        bench.run(5.0)
+        self.assertEqual([], bench.starts)
+        self.assertIsNotNone(bench.row("backlog/curves/0"))
+
     def test_a_worker_that_refuses_starts_is_not_tried_again_at_once(self) -> None:
         bench = CellBench(workers=1)
         bench.agent("a")
