--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -73,7 +73,7 @@
         """Return every counter and histogram as text."""
         with self._lock:
             lines = [
-                f"{name}{{label={_quoted(label)}}} {value}"
+                f"{_metric_name(name)}{{label={_quoted(label)}}} {value}"
                 for (name, label), value in sorted(self._count_by_key.items())
             ]
             for (name, label), histogram in sorted(self._histogram_by_key.items()):
@@ -81,6 +81,10 @@
         return "\n".join(lines) + "\n"
 
 
+def _metric_name(name: str) -> str:
+    return name.replace(".", "_")
+
+
 def _quoted(label: str) -> str:
     escaped = label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
     return f'"{escaped}"'
@@ -88,6 +92,7 @@
 
 def _histogram_lines(name: str, label: str, histogram: HdrHistogram) -> list[str]:
     quoted = _quoted(label)
+    name = _metric_name(name)
     lines = []
     for quantile in QUANTILES:
         seconds = histogram.get_value_at_percentile(quantile) / 1e6
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from functools import partial
+from typing import Any
+
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Command
 from bulrushpulley.logs import log_process
-from bulrushpulley.roles import linker, stub
+from bulrushpulley.platform.backend_server import BackendServerClient
+from bulrushpulley.roles import guard, linker, stub
 from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.guard_io import GuardPorts
 from bulrushpulley.roles.linker_io import LinkerPorts
 from bulrushpulley.roles.routing import CELL_OWNER, GUARD, LINKER
 from bulrushpulley.roles.runtime import Runtime
@@ -18,6 +23,7 @@
 
 STOP_S = 10.0
 LINK_FLUSH_S = 2.0
+HEALTH_THREADS = 2
 
 
 class AgentProcess:
@@ -49,13 +55,32 @@
 
     def _start_roles(self) -> None:
         base = self.runtime.ports(answer=self._no_answer)
-        for name in (GUARD, CELL_OWNER):
-            self.runtime.start_role(stub.build(name=name), Ports(**base))
+        self._start_guard(base)
+        self.runtime.start_role(stub.build(name=CELL_OWNER), Ports(**base))
         role = linker.build(
             incarnation=self.runtime.incarnation, seeds=self._settings.seeds
         )
         self.runtime.start_role(role, LinkerPorts(**base, dial=self._dial))
 
+    def _start_guard(self, base: dict[str, Any]) -> None:
+        settings = self._settings
+        backend = settings.backend_server
+        role = guard.build(
+            agent=settings.name,
+            incarnation=self.runtime.incarnation,
+            service=backend.service,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            slots=backend.slots,
+            queue_limit=backend.queue_limit,
+        )
+        ports = GuardPorts(
+            **base,
+            backend_server=BackendServerClient(url=backend.url),
+            done=partial(self.runtime.role_done, GUARD),
+        )
+        self.runtime.start_role(role, ports, threads=backend.slots + HEALTH_THREADS)
+
     def _dial(self, address: str) -> None:
         self.runtime.loop.call_soon_threadsafe(self._dialler.dial, address)
 
@@ -80,7 +105,7 @@
         """Let the roles finish what runs and release their cells, then end."""
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
-        self.runtime.leave(Leave(), (GUARD, CELL_OWNER), stop.within_s)
+        self.runtime.leave(Leave(), (GUARD,), stop.within_s)
         self.runtime.tell(LINKER, Leave())
         closing = self.runtime.links.close(LINK_FLUSH_S)
         self.runtime.on_loop(closing).result(STOP_S)
--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.logs import log_process
-from bulrushpulley.roles import report_io, stub
+from bulrushpulley.roles import report_io, router, stub
 from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.router_io import RouterPorts
 from bulrushpulley.roles.routing import COMMITTER, CONTROLLER, ROUTER
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.settings import EntrySettings
@@ -58,9 +61,14 @@
         self.runtime.on_loop(starting).result(START_S)
 
     def _start_roles(self) -> None:
-        ports = Ports(**self.runtime.ports(answer=self._answer))
-        for name in (COMMITTER, CONTROLLER, ROUTER):
-            self.runtime.start_role(stub.build(name=name), ports)
+        base = self.runtime.ports(answer=self._answer)
+        for name in (COMMITTER, CONTROLLER):
+            self.runtime.start_role(stub.build(name=name), Ports(**base))
+        role = router.build(
+            incarnation=self.runtime.incarnation, region=self.runtime.region
+        )
+        done = partial(self.runtime.role_done, ROUTER)
+        self.runtime.start_role(role, RouterPorts(**base, done=done))
 
     def _start_fronts(self) -> None:
         settings = self._settings
@@ -103,7 +111,7 @@
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.hurry.wait(stop.notice_s)
-        self.runtime.tell(ROUTER, Leave())
+        self.runtime.leave(Leave(), (ROUTER,), stop.within_s)
         self._callers.stop(stop.within_s)
         self._operators.stop(LINK_FLUSH_S)
         self.runtime.on_loop(self._close_links()).result(START_S)
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -34,7 +34,6 @@
 from bulrushpulley.wire.links import Links
 
 T = TypeVar("T")
-POOL_THREADS = 32
 LOOP_START_S = 5.0
 ROLE_STOP_S = 2.0
 
@@ -55,10 +54,10 @@
         self.failed = threading.Event()
         self.loop = asyncio.new_event_loop()
         self.links = Links(loop=self.loop)
-        self.pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="platform")
         self._writer = LineWriter(fd=log_fd, count=self.metrics.count)
         self._loop_thread = threading.Thread(target=self._run_loop, daemon=True)
         self._ref_by_role: dict[str, pykka.ActorRef[Any]] = {}
+        self._pool_by_role: dict[str, ThreadPoolExecutor] = {}
         self._done_by_role: dict[str, threading.Event] = {}
 
     def start(self) -> None:
@@ -97,8 +96,16 @@
             "run": self.run,
         }
 
-    def start_role(self, role: Role[Any], ports: Ports) -> None:
-        """Start the actor of a role and its ticks."""
+    def start_role(self, role: Role[Any], ports: Ports, *, threads: int = 1) -> None:
+        """Start the actor of a role, its ticks and the pool of its blocking calls.
+
+        Each role has a pool of its own, so that the slow calls of one hold up no
+        other.
+        """
+        self._done_by_role[role.name] = threading.Event()
+        self._pool_by_role[role.name] = ThreadPoolExecutor(
+            threads, thread_name_prefix=role.name
+        )
         ref = RoleActor.start(
             role=role, carry_out=lambda command: carry_out(command, ports)
         )
@@ -136,8 +143,12 @@
             self.tell(role, event)
 
     def run(self, *, role: str, work: Callable[[], Event]) -> None:
-        """Execute `work` on the pool and tell `role` the event it returns."""
-        self.pool.submit(self._run, role, work)
+        """Execute `work` on the pool of `role` and tell it the event it returns.
+
+        Work that comes after the pool was shut down at a stop is dropped.
+        """
+        with contextlib.suppress(RuntimeError):
+            self._pool_by_role[role].submit(self._run, role, work)
 
     def _run(self, role: str, work: Callable[[], Event]) -> None:
         try:
@@ -153,8 +164,6 @@
 
     def leave(self, event: Event, roles: tuple[str, ...], within_s: float) -> None:
         """Tell roles to leave and wait until they are done or time is up."""
-        for role in roles:
-            self._done_by_role[role] = threading.Event()
         for role in roles:
             self.tell(role, event)
         deadline = self.loop.time() + within_s
@@ -174,7 +183,8 @@
         """Stop the actors, the loop and the log."""
         for ref in self._ref_by_role.values():
             ref.stop(block=True, timeout=ROLE_STOP_S)
-        self.pool.shutdown(wait=False, cancel_futures=True)
+        for pool in self._pool_by_role.values():
+            pool.shutdown(wait=False, cancel_futures=True)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._loop_thread.join(LOOP_START_S)
         log_process(process=self.name, stage="stopped")
--- /dev/null
+++ b/test/test_linker.py
@@ -0,0 +1,87 @@
+"""Tests of the linker in virtual time: seeds, the entries' list and retries."""
+
+from __future__ import annotations
+
+import itertools
+
+import testtools
+
+from bulrushpulley.entities.link import Entries, EntryAddress
+from bulrushpulley.entities.linker_tables import (
+    DialEnded,
+    DialEntry,
+    DialLinked,
+    LinkerTables,
+)
+from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.roles import linker
+from bulrushpulley.systems.linker_events import LONGEST_RETRY_S, retry_delay
+
+SEED = "127.0.0.1:1"
+LISTED = "127.0.0.1:2"
+
+
+def dialled(step: Step[LinkerTables]) -> list[str]:
+    return [c.address for c in step.commands if isinstance(c, DialEntry)]
+
+
+def entries(*addresses: str) -> Entries:
+    return Entries(
+        peer="e",
+        entries=tuple(
+            EntryAddress(
+                name="e",
+                incarnation="e",
+                host=address.partition(":")[0],
+                port=int(address.partition(":")[2]),
+                region="r",
+            )
+            for address in addresses
+        ),
+    )
+
+
+class LinkerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.role = linker.build(incarnation="a/1", seeds=(SEED,))
+        self.tables = self.role.tables
+
+    def tick(self, now: float, *events: Event) -> list[str]:
+        step = self.role.tick(self.tables, events, now)
+        self.tables = step.tables
+        return dialled(step)
+
+    def test_a_listed_entry_is_dialled_once_while_linked(self) -> None:
+        self.assertEqual([SEED], self.tick(0.0))
+        told = (DialLinked(address=SEED), entries(SEED, LISTED))
+        self.assertEqual([LISTED], self.tick(0.1, *told))
+        self.assertEqual([], self.tick(99.0, DialLinked(address=LISTED)))
+
+    def test_a_failed_dial_is_retried_after_a_growing_delay(self) -> None:
+        self.tick(0.0)
+        tries, now = [], 0.0
+        for _ in range(400):
+            now += 0.1
+            if self.tick(now, DialEnded(address=SEED)) or self.tick(now):
+                tries.append(now)
+        gaps = [
+            later - earlier for earlier, later in itertools.pairwise(tries)
+        ]
+        self.assertTrue(len(tries) < 20, tries)
+        self.assertTrue(max(gaps) <= LONGEST_RETRY_S + 0.2, gaps)
+
+    def test_an_address_out_of_the_list_is_kept_until_its_link_ends(self) -> None:
+        self.tick(0.0, entries(LISTED))
+        self.tick(0.1, DialLinked(address=LISTED), entries())
+        self.assertIn(LISTED, self.tables.dials)
+        self.tick(0.2, DialEnded(address=LISTED))
+        self.tick(0.3)
+        self.assertNotIn(LISTED, self.tables.dials)
+
+    def test_delays_of_two_agents_differ(self) -> None:
+        delays = {
+            retry_delay(incarnation=name, address=SEED, failures=3)
+            for name in ("a", "b", "c")
+        }
+        self.assertEqual(3, len(delays))
--- /dev/null
+++ b/test/test_links.py
@@ -0,0 +1,195 @@
+"""Tests of links over loopback: batching, malformed frames, bounds, replacement."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import testtools
+from grpclib.client import Channel
+
+from bulrushpulley.entities.link import Abandon, LinkDown, LinkUp, Offer, Send
+from bulrushpulley.entities.step import Event
+from bulrushpulley.errors import Problem
+from bulrushpulley.wire import link_stream
+from bulrushpulley.wire.link_client import Dialler
+from bulrushpulley.wire.link_grpc import LinkStub
+from bulrushpulley.wire.link_pb2 import Frame, Item, Refused
+from bulrushpulley.wire.link_server import LinkServer
+from bulrushpulley.wire.link_stream import LinkHooks
+from bulrushpulley.wire.links import Links
+
+HOST = "127.0.0.1"
+WITHIN_S = 4.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class End:
+    """One process of the test and what it has been told."""
+
+    name: str
+    links: Links
+    told: asyncio.Queue[Event] = field(default_factory=asyncio.Queue)
+    problems: list[Problem] = field(default_factory=list)
+
+    def hooks(self) -> LinkHooks:
+        return LinkHooks(
+            incarnation=self.name,
+            region="ege",
+            receive=self.told.put_nowait,
+            count=lambda count: None,
+            report=self.problems.append,
+        )
+
+    async def wait_for(self, wanted: Event) -> None:
+        async with asyncio.timeout(WITHIN_S):
+            while await self.told.get() != wanted:
+                pass
+
+
+def make_end(name: str) -> End:
+    return End(name=name, links=Links(loop=asyncio.get_running_loop()))
+
+
+async def serve(entry: End) -> LinkServer:
+    server = LinkServer(links=entry.links, hooks=entry.hooks())
+    await server.start(host=HOST, port=0)
+    return server
+
+
+async def dial(agent: End, server: LinkServer) -> Dialler:
+    dialler = Dialler(links=agent.links, hooks=agent.hooks())
+    dialler.dial(f"{HOST}:{server.port}")
+    return dialler
+
+
+async def finish(server: LinkServer, *ends: End) -> None:
+    for end in ends:
+        await end.links.close(1.0)
+    await server.close()
+
+
+async def attach_raw(server: LinkServer, use: Callable[[Any], Awaitable[None]]) -> None:
+    channel = Channel(HOST, server.port)
+    try:
+        async with LinkStub(channel).Attach.open() as stream:
+            await stream.send_message(Frame(peer="agent-raw", region="ege"))
+            await stream.recv_message()
+            await use(stream)
+            await stream.cancel()
+    finally:
+        channel.close()
+
+
+class LinksTest(testtools.TestCase):
+    def run_async(self, work: Coroutine[Any, Any, None]) -> None:
+        asyncio.run(work)
+
+    def test_items_arrive_in_order_with_their_peer(self) -> None:
+        async def work() -> None:
+            entry, agent = make_end("entry"), make_end("agent")
+            server = await serve(entry)
+            dialler = await dial(agent, server)
+            await entry.wait_for(LinkUp(peer="agent", region="ege"))
+            await agent.wait_for(LinkUp(peer="entry", region="ege"))
+            for number in range(500):
+                entry.links.send(Send(peer="agent", item=Offer(cell=str(number))))
+            for number in range(500):
+                async with asyncio.timeout(WITHIN_S):
+                    event = await agent.told.get()
+                self.assertEqual(Offer(peer="entry", cell=str(number)), event)
+            await finish(server, agent, entry)
+            self.assertIsNotNone(dialler)
+
+        self.run_async(work())
+
+    def test_a_malformed_item_closes_its_stream_and_no_other(self) -> None:
+        async def work() -> None:
+            entry, agent = make_end("entry"), make_end("agent")
+            server = await serve(entry)
+            dialler = await dial(agent, server)
+            await agent.wait_for(LinkUp(peer="entry", region="ege"))
+
+            async def send_bad(stream: Any) -> None:
+                bad = Item(refused=Refused(ran="perhaps"))
+                await stream.send_message(Frame(items=[bad]))
+                await entry.wait_for(LinkDown(peer="agent-raw"))
+
+            await attach_raw(server, send_bad)
+            agent.links.send(Send(peer="entry", item=Abandon(attempt_id="x")))
+            await entry.wait_for(Abandon(peer="agent", attempt_id="x"))
+            self.assertEqual(["link.decode"], [p.step for p in entry.problems])
+            await finish(server, agent, entry)
+            self.assertIsNotNone(dialler)
+
+        self.run_async(work())
+
+    def test_a_stream_without_a_peer_is_refused(self) -> None:
+        async def work() -> None:
+            entry = make_end("entry")
+            server = await serve(entry)
+            channel = Channel(HOST, server.port)
+            async with LinkStub(channel).Attach.open() as stream:
+                await stream.send_message(Frame())
+                self.assertIsNone(await stream.recv_message())
+            channel.close()
+            self.assertEqual(["link.hello"], [p.step for p in entry.problems])
+            self.assertTrue(entry.told.empty())
+            await finish(server, entry)
+
+        self.run_async(work())
+
+    def test_a_silent_peer_is_dropped(self) -> None:
+        self.patch(link_stream, "SILENCE_S", 0.2)
+
+        async def work() -> None:
+            entry = make_end("entry")
+            server = await serve(entry)
+
+            async def stay_silent(stream: Any) -> None:
+                await entry.wait_for(LinkDown(peer="agent-raw"))
+
+            await attach_raw(server, stay_silent)
+            self.assertEqual(["deadline"], [p.code.value for p in entry.problems])
+            await finish(server, entry)
+
+        self.run_async(work())
+
+    def test_a_queue_beyond_its_bound_closes_the_stream(self) -> None:
+        self.patch(link_stream, "MAX_QUEUED_ITEMS", 10)
+
+        async def work() -> None:
+            entry, agent = make_end("entry"), make_end("agent")
+            server = await serve(entry)
+            dialler = await dial(agent, server)
+            await agent.wait_for(LinkUp(peer="entry", region="ege"))
+            for number in range(50):
+                agent.links.send(Send(peer="entry", item=Offer(cell=str(number))))
+            await agent.wait_for(LinkDown(peer="entry"))
+            self.assertEqual(["link.send"], [p.step for p in agent.problems])
+            await finish(server, agent, entry)
+            self.assertIsNotNone(dialler)
+
+        self.run_async(work())
+
+    def test_a_newer_stream_of_a_peer_replaces_the_older(self) -> None:
+        async def work() -> None:
+            entry = make_end("entry")
+            server = await serve(entry)
+
+            async def replace(stream: Any) -> None:
+                await entry.wait_for(LinkUp(peer="agent-raw", region="ege"))
+
+                async def check(newer: Any) -> None:
+                    await entry.wait_for(LinkDown(peer="agent-raw"))
+                    await entry.wait_for(LinkUp(peer="agent-raw", region="ege"))
+                    self.assertTrue(entry.links.has("agent-raw"))
+
+                await attach_raw(server, check)
+
+            await attach_raw(server, replace)
+            await finish(server, entry)
+
+        self.run_async(work())
