--- /dev/null
+++ b/bulrushpulley/systems/control_backlog.py
@@ -0,0 +1,220 @@
+"""Keeps the backlog: its rows by key, their lanes and the rows put off.
+
+All changes of waiting rows go through these functions, so that a row stands in
+its lane exactly when its phase says so. A marker row under ``closing`` opens the
+closing of its record instead.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from bulrushpulley.entities.backlog import (
+    CLOSING,
+    Closing,
+    Deferral,
+    Lane,
+    Phase,
+    Waiting,
+    Wake,
+    Why,
+    lane_of,
+)
+from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.controller_tables import RECENT_JOBS, ControllerTables
+from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.pending import Poll, ReadBacklog
+from bulrushpulley.entities.queue import Queue
+from bulrushpulley.entities.rows import BacklogRow, TaskSpec
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.control_events import Controlled, on_rows
+
+PREFIX = "backlog/"
+READ_EVERY_S = 0.5
+BLOCK_S = 1.0
+DEFER_S = 1.0
+WAKES_PER_TICK = 64
+
+
+def poll() -> Poll:
+    """Return the reading of the backlog."""
+    return Poll(target=ReadBacklog(), prefix=PREFIX, every_s=READ_EVERY_S)
+
+
+@on_rows.register
+def _(
+    target: ReadBacklog,
+    rows: tuple[VersionedRow, ...],
+    event: Fetched,
+    tables: ControllerTables,
+    now: float,
+) -> Controlled:
+    return Step(tables=note_rows(tables, rows, now))
+
+
+def note_rows(
+    tables: ControllerTables,
+    rows: Iterable[VersionedRow],
+    now: float,
+    *,
+    first: bool = False,
+) -> ControllerTables:
+    """Take backlog rows as the table service holds them; `first` heads the lane."""
+    for row in rows:
+        if row.key.startswith(PREFIX):
+            tables = _noted(tables, row, now, first)
+    return tables
+
+
+def _noted(
+    tables: ControllerTables, row: VersionedRow, now: float, first: bool
+) -> ControllerTables:
+    if row.key.endswith(f"/{CLOSING}"):
+        return _noted_marker(tables, row, now)
+    if not isinstance(row.row, BacklogRow):
+        return replace(tables, waiting=tables.waiting.drop(row.key))
+    known = tables.waiting.get(row.key)
+    if known is not None and known.version >= row.version:
+        return tables
+    lane = lane_of(row.row.spec)
+    if known is not None:
+        newer = replace(known, row=row.row, version=row.version)
+        return replace(tables, waiting=tables.waiting.put(row.key, newer))
+    waiting = Waiting(
+        key=row.key, row=row.row, version=row.version, lane=lane, seen_at=now
+    )
+    tables = replace(
+        tables,
+        waiting=tables.waiting.put(row.key, waiting),
+        recent_jobs=_with_recent(tables, row.row.spec),
+    )
+    return enqueue(tables, row.key, first=first)
+
+
+def _with_recent(tables: ControllerTables, spec: TaskSpec) -> tuple[str, ...]:
+    if spec.kind != "job" or spec.job in tables.recent_jobs:
+        return tables.recent_jobs
+    return (*tables.recent_jobs, spec.job)[-RECENT_JOBS:]
+
+
+def _noted_marker(
+    tables: ControllerTables, row: VersionedRow, now: float
+) -> ControllerTables:
+    job = row.key.split("/")[1]
+    if not isinstance(row.row, BacklogRow):
+        return forget_closing(tables, job)
+    known = tables.closings.get(job)
+    if known is not None and known.version >= row.version:
+        return tables
+    closing = Closing(marker=row.row, version=row.version, next_at=now)
+    return replace(tables, closings=tables.closings.put(job, closing))
+
+
+def forget_closing(tables: ControllerTables, job: str) -> ControllerTables:
+    """Drop what is kept for the closing of a record."""
+    return replace(
+        tables,
+        closings=tables.closings.drop(job),
+        closed_keys=tables.closed_keys.discard(job),
+        polls=tables.polls.drop(f"done/{job}/"),
+    )
+
+
+def enqueue(
+    tables: ControllerTables, key: str, *, first: bool = False
+) -> ControllerTables:
+    """Put a row into its lane, at the end or as the first."""
+    waiting = tables.waiting.get(key)
+    if waiting is None:
+        return tables
+    lane = waiting.lane
+    queue = tables.lanes.get(lane) or Queue.empty()
+    queue = queue.prepend(key) if first else queue.append(key)
+    if waiting.phase is not Phase.QUEUED:
+        queued = replace(waiting, phase=Phase.QUEUED)
+        tables = replace(tables, waiting=tables.waiting.put(key, queued))
+    ready = tables.ready if lane in tables.blocked else tables.ready.add(lane)
+    return replace(tables, lanes=tables.lanes.set(lane, queue), ready=ready)
+
+
+def head(tables: ControllerTables, lane: Lane) -> tuple[Queue[str], Waiting | None]:
+    """Return the first row of a lane and its queue without keys that wait no more."""
+    queue = tables.lanes.get(lane) or Queue.empty()
+    while queue:
+        waiting = tables.waiting.get(queue.first)
+        if waiting is not None and waiting.phase is Phase.QUEUED:
+            return queue, waiting
+        queue = queue.rest()
+    return queue, None
+
+
+def with_queue(
+    tables: ControllerTables, lane: Lane, queue: Queue[str]
+) -> ControllerTables:
+    """Put a lane's queue in place; an empty lane is dropped."""
+    if queue:
+        return replace(tables, lanes=tables.lanes.set(lane, queue))
+    return replace(
+        tables,
+        lanes=tables.lanes.discard(lane),
+        ready=tables.ready.discard(lane),
+        blocked=tables.blocked.discard(lane),
+    )
+
+
+def block(
+    tables: ControllerTables, lane: Lane, why: Why, now: float
+) -> ControllerTables:
+    """Leave a lane out of the assignment for `BLOCK_S`."""
+    return replace(
+        tables,
+        ready=tables.ready.discard(lane),
+        blocked=tables.blocked.set(lane, why),
+        wakes=tables.wakes.append(Wake(lane=lane, at=now + BLOCK_S)),
+    )
+
+
+def take(tables: ControllerTables, waiting: Waiting) -> ControllerTables:
+    """Take the first row of its lane out for assignment."""
+    queue, _ = head(tables, waiting.lane)
+    tables = with_queue(tables, waiting.lane, queue.rest())
+    taken = replace(waiting, phase=Phase.ASSIGNING)
+    return replace(tables, waiting=tables.waiting.put(waiting.key, taken))
+
+
+def defer(tables: ControllerTables, waiting: Waiting, now: float) -> ControllerTables:
+    """Put a row off that stands in no lane, for `DEFER_S`."""
+    deferred = replace(waiting, phase=Phase.DEFERRED)
+    return replace(
+        tables,
+        waiting=tables.waiting.put(waiting.key, deferred),
+        deferred=tables.deferred.append(Deferral(key=waiting.key, until=now + DEFER_S)),
+    )
+
+
+def run(tables: ControllerTables, now: float) -> Controlled:
+    """Return lanes and rows whose pause is over, a bounded number a tick."""
+    for _ in range(WAKES_PER_TICK):
+        if not tables.wakes or tables.wakes.first.at > now:
+            break
+        tables = _woken(tables, tables.wakes.first.lane)
+    for _ in range(WAKES_PER_TICK):
+        if not tables.deferred or tables.deferred.first.until > now:
+            break
+        key = tables.deferred.first.key
+        tables = replace(tables, deferred=tables.deferred.rest())
+        waiting = tables.waiting.get(key)
+        if waiting is not None and waiting.phase is Phase.DEFERRED:
+            tables = enqueue(tables, key)
+    return Step(tables=tables)
+
+
+def _woken(tables: ControllerTables, lane: Lane) -> ControllerTables:
+    ready = tables.ready.add(lane) if lane in tables.lanes else tables.ready
+    return replace(
+        tables,
+        wakes=tables.wakes.rest(),
+        blocked=tables.blocked.discard(lane),
+        ready=ready,
+    )
