--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -24,6 +24,7 @@
 from bulrushpulley.entities.pending import (
     Change,
     Enquiry,
+    InForceWait,
     Pending,
     Poll,
     by_purpose,
@@ -168,6 +169,7 @@
     change_queue: Queue[str] = field(default_factory=Queue.empty)
     pending: Table[Pending] = field(default_factory=_pending)
     polls: Table[Poll] = field(default_factory=Table.empty)
+    in_force_waits: Table[InForceWait] = field(default_factory=Table.empty)
     enquiries: Table[Enquiry] = field(default_factory=Table.empty)
     recent_jobs: tuple[str, ...] = ()
     said_at: PMap[str, float] = field(default_factory=pmap)
--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -79,9 +79,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskInForce(OperatorCall):
-    """Asks which processes have not yet applied a revision."""
+    """Asks which processes have not yet applied a revision.
+
+    The reply is held back until none is missing, for up to `wait_s`.
+    """
 
     revision: int
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from bulrushpulley.entities.commit import Submission, VersionedRow
-from bulrushpulley.entities.operations import OperatorCall
+from bulrushpulley.entities.operations import AskInForce, OperatorCall
 from bulrushpulley.entities.rows import RecordRow, TaskRow
 
 
@@ -182,3 +182,11 @@
     waiting_for: frozenset[str]
     rows: tuple[VersionedRow, ...] = ()
     failed: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InForceWait:
+    """A question for a revision that is held back until `deadline`."""
+
+    call: AskInForce
+    deadline: float
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -16,6 +16,7 @@
     control_closing,
     control_enquiries,
     control_events,
+    control_in_force,
     control_members,
     control_offers,
     control_polls,
@@ -61,5 +62,6 @@
             control_closing.run,
             control_assign.run,
             control_enquiries.run,
+            control_in_force.run,
         ),
     )
--- a/bulrushpulley/systems/control_enquiries.py
+++ b/bulrushpulley/systems/control_enquiries.py
@@ -1,4 +1,4 @@
-"""Answers the questions of operators: in force, status and explain.
+"""Answers the questions of operators: status and explain.
 
 What an entry does not hold itself is read for the call; an answer that waits
 too long is given with what there is and says so.
@@ -33,7 +33,6 @@
     on_rows,
 )
 from bulrushpulley.systems.control_explain import find_waiting, held_or_done
-from bulrushpulley.systems.control_members import live_entries
 from bulrushpulley.systems.control_polls import read_once
 from bulrushpulley.systems.control_records import record_key
 from bulrushpulley.systems.control_status import status_of
@@ -44,32 +43,6 @@
 EXPLAIN_CELLS = 256
 
 
-@apply.register
-def _(event: ops.AskInForce, tables: ControllerTables, now: float) -> Controlled:
-    missing = [
-        link.announced.agent if link.announced else link.peer
-        for link in tables.links.rows()
-        if link.applied_revision < event.revision
-    ]
-    for name in live_entries(tables):
-        if _applied_by(tables, name) < event.revision:
-            missing.append(name)
-    reply = ops.InForce(
-        call_id=event.call_id,
-        revision=event.revision,
-        everywhere=not missing,
-        missing=tuple(missing),
-    )
-    return Step(tables=tables, commands=(reply,))
-
-
-def _applied_by(tables: ControllerTables, entry: str) -> int:
-    if entry == tables.identity.name:
-        return tables.spread_revision
-    member = tables.members.get(entry)
-    return member.row.applied_revision if member is not None else 0
-
-
 @apply.register
 def _(event: ops.AskStatus, tables: ControllerTables, now: float) -> Controlled:
     recent = list(tables.recent_jobs[-STATUS_JOBS:])
--- /dev/null
+++ b/bulrushpulley/verb_output.py
@@ -0,0 +1,92 @@
+"""Prints the answers that the operators' verbs get."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from bulrushpulley.errors import Problem
+from bulrushpulley.operator_client import Answer
+
+LIST_KEYS = ("failure_domains", "members", "agents", "cells", "services", "jobs")
+
+
+def print_problems(problems: Iterable[Problem]) -> None:
+    """Print problems on standard error, one a line."""
+    for problem in problems:
+        print(problem, file=sys.stderr)
+
+
+def print_answer(
+    verb: str, answer: Answer, *, as_json: bool, in_force: bool | None = None
+) -> None:
+    """Print an answer as JSON, or as text with its problems on standard error."""
+    value = dict(answer.value)
+    if in_force is not None:
+        value["in_force"] = in_force
+    if as_json:
+        print(msgspec.json.encode(value).decode())
+        return
+    for problem in answer.problems:
+        print(_problem_line(problem), file=sys.stderr)
+    if answer.problems:
+        return
+    lines = _LINES.get(verb, _change_lines)(value)
+    print("\n".join(lines))
+
+
+def explained(waited: Answer | None) -> str:
+    """Say why a revision was not seen in force everywhere."""
+    if waited is None:
+        return "not in force everywhere: no time was left to ask"
+    if waited.problems:
+        return _problem_line(waited.problems[0])
+    missing = ", ".join(waited.value.get("missing", ()))
+    return f"not in force everywhere yet; missing: {missing}"
+
+
+def _problem_line(problem: Mapping[str, Any]) -> str:
+    field = f" field {problem['field']}:" if problem.get("field") else ""
+    where = f"{problem.get('step', '')} ({problem.get('peer', '')})"
+    return f"{problem.get('code', '')} at {where}:{field} {problem.get('detail', '')}"
+
+
+def _change_lines(value: Mapping[str, Any]) -> list[str]:
+    line = f"accepted {value['kind']}/{value['name']} at revision {value['revision']}"
+    if value.get("in_force"):
+        line += ", in force everywhere"
+    return [line]
+
+
+def _explain_lines(value: Mapping[str, Any]) -> list[str]:
+    line = f"{value['task_id']}: {value['state']}, {value['detail']}"
+    if value.get("cell"):
+        line += f" (cell {value['cell']}, worker {value['worker_id'] or 'none'})"
+    return [line]
+
+
+def _status_lines(value: Mapping[str, Any]) -> list[str]:
+    lines = [f"revision {value['revision']}"]
+    for key in LIST_KEYS:
+        lines.append(f"{key.replace('_', ' ')}:")
+        lines.extend(f"  {_row_line(row)}" for row in value[key])
+    if value["incomplete"]:
+        lines.append(f"incomplete: {value['incomplete']}")
+    return lines
+
+
+def _row_line(row: Mapping[str, Any]) -> str:
+    shown = (f"{key}={_plain(held)}" for key, held in row.items() if held != "")
+    return " ".join(shown)
+
+
+def _plain(held: Any) -> str:
+    if isinstance(held, dict):
+        return "/".join(str(part) for part in held.values())
+    return str(held)
+
+
+_LINES = {"status": _status_lines, "explain": _explain_lines}
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -2,13 +2,250 @@
 
 `run` takes the arguments from the verb on and returns the exit code; `VERBS`
 names the verbs that it knows.
+
+Example::
+
+    bulrushpulley submit job.json --config operator.toml --wait
 """
 
 from __future__ import annotations
 
-VERBS = ("check", "submit", "amend", "cancel", "status", "explain", "drain", "restore")
+import pathlib
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from absl import flags
+
+from bulrushpulley import settings
+from bulrushpulley.errors import Problem
+from bulrushpulley.exit_codes import ExitCode, exit_code_of
+from bulrushpulley.operator_client import Answer, Call, OperatorClient
+from bulrushpulley.verb_output import explained, print_answer, print_problems
+from bulrushpulley.wire.operator_http import problems_of
+from bulrushpulley.wire.records import decode_object, parse_record
+
+DEFAULT_TIMEOUT_S = 10.0
+WAIT_EACH_S = 5.0
+WAIT_SHARE = 0.7
+LEAST_LEFT_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Options:
+    """The checked command line of a verb."""
+
+    verb: str
+    arguments: tuple[str, ...]
+    entries: tuple[str, ...]
+    author: str
+    timeout_s: float
+    wait: bool
+    as_json: bool
+    revision: int
+
+    @property
+    def argument(self) -> str:
+        """The one argument of a verb that takes one."""
+        return self.arguments[0]
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "config", None, "Settings of role operator.", flag_values=values
+    )
+    flags.DEFINE_multi_string(
+        "entry", [], "URL of an entry; may be repeated.", flag_values=values
+    )
+    flags.DEFINE_string("author", None, "Who makes the change.", flag_values=values)
+    flags.DEFINE_float(
+        "timeout", None, "Seconds for the verb.", 0.1, 3_600.0, flag_values=values
+    )
+    flags.DEFINE_bool(
+        "wait", False, "Wait until in force everywhere.", flag_values=values
+    )
+    flags.DEFINE_bool("json", False, "Print the answer as JSON.", flag_values=values)
+    flags.DEFINE_integer(
+        "revision", 0, "Only change this revision.", 0, flag_values=values
+    )
+
+
+def parse(argv: list[str]) -> Options:
+    """Read the command line; raises `flags.Error` or a group of problems."""
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    _define(values)
+    arguments = tuple(values(argv, known_only=False)[1:])
+    verb = argv[0]
+    counts = VERB_BY_NAME[verb].arguments
+    if len(arguments) not in counts:
+        expected = " or ".join(str(count) for count in counts[:2])
+        raise flags.Error(f"{verb} takes {expected} argument(s), not {len(arguments)}")
+    operator = None
+    if values.config is not None and verb != "check":
+        path = pathlib.Path(values.config)
+        operator = settings.load(settings.OperatorSettings, path)
+    entries = tuple(values.entry) or (operator.entries if operator else ())
+    if not entries and verb != "check":
+        raise flags.Error("give --config with a file of role operator, or --entry")
+    if verb == "check" and values.config is not None:
+        arguments = (*arguments, values.config)
+    return Options(
+        verb=verb,
+        arguments=arguments,
+        entries=entries,
+        author=values.author or (operator.author if operator else "operator"),
+        timeout_s=values.timeout
+        or (operator.timeout_s if operator else DEFAULT_TIMEOUT_S),
+        wait=values.wait,
+        as_json=values.json,
+        revision=values.revision,
+    )
 
 
 def run(argv: list[str]) -> int:
     """Carry out the verb ``argv[0]`` with its arguments and return the exit code."""
-    raise NotImplementedError(argv[0])
+    try:
+        options = parse(argv)
+        return VERB_BY_NAME[options.verb].run(options)
+    except flags.Error as error:
+        print(f"{argv[0]}: {error}", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    except Exception as error:
+        problems = problems_of(error)
+        print_problems(problems)
+        return exit_code_of([problem.code.value for problem in problems])
+
+
+def _check(options: Options) -> int:
+    """Check settings and records without any process."""
+    found: list[Problem] = []
+    for name in options.arguments:
+        try:
+            _check_file(pathlib.Path(name))
+        except Exception as error:
+            found.extend(problems_of(error))
+        else:
+            print(f"{name}: good")
+    print_problems(tuple(found))
+    return ExitCode.BAD_INPUT if found else ExitCode.OK
+
+
+def _check_file(path: pathlib.Path) -> None:
+    if path.suffix == ".toml":
+        settings.load_any(path)
+    else:
+        parse_record(decode_object(path.read_bytes(), peer=str(path)), peer=str(path))
+
+
+def _submit(options: Options) -> int:
+    body = _record_body(options)
+    call = Call(method="POST", path="/v1/records", query={}, body=body, idempotent=True)
+    return _change(options, call)
+
+
+def _amend(options: Options) -> int:
+    body = _record_body(options)
+    parsed = parse_record(decode_object(body, peer=options.argument), peer="self")
+    query = f"?revision={options.revision}"
+    path = f"/v1/records/{parsed.kind}/{parsed.record.name}{query}"
+    safe = options.revision > 0
+    return _change(
+        options, Call(method="PUT", path=path, query={}, body=body, idempotent=safe)
+    )
+
+
+def _record_body(options: Options) -> bytes:
+    path = pathlib.Path(options.argument)
+    body = path.read_bytes()
+    parse_record(decode_object(body, peer=str(path)), peer=str(path))
+    return body
+
+
+def _cancel(options: Options) -> int:
+    path = f"/v1/jobs/{quote(options.argument, safe='')}/cancel"
+    return _change(options, Call(method="POST", path=path, query={}, idempotent=True))
+
+
+def _change_domain(options: Options) -> int:
+    name = quote(options.argument, safe="")
+    path = f"/v1/failure-domains/{name}/{options.verb}?revision={options.revision}"
+    safe = options.revision > 0
+    return _change(options, Call(method="POST", path=path, query={}, idempotent=safe))
+
+
+def _status(options: Options) -> int:
+    query = {"job": options.argument} if options.arguments else {}
+    return _ask(options, Call(method="GET", path="/v1/status", query=query))
+
+
+def _explain(options: Options) -> int:
+    job, _, index = options.argument.partition("/")
+    path = f"/v1/explain/{quote(job, safe='')}/{quote(index, safe='')}"
+    return _ask(options, Call(method="GET", path=path, query={}))
+
+
+def _ask(options: Options, call: Call) -> int:
+    client = OperatorClient(entries=options.entries, author=options.author)
+    asked = Call(method=call.method, path=call.path, query=call.query, idempotent=True)
+    answer = client.call(asked, options.timeout_s)
+    print_answer(options.verb, answer, as_json=options.as_json)
+    return exit_code_of(answer.codes)
+
+
+def _change(options: Options, call: Call) -> int:
+    deadline = time.monotonic() + options.timeout_s
+    client = OperatorClient(entries=options.entries, author=options.author)
+    answer = client.call(call, options.timeout_s)
+    if answer.codes or not options.wait:
+        print_answer(options.verb, answer, as_json=options.as_json)
+        return exit_code_of(answer.codes)
+    waited = _in_force(client, int(answer.value["revision"]), deadline)
+    in_force = bool(waited is not None and waited.value.get("everywhere"))
+    print_answer(options.verb, answer, as_json=options.as_json, in_force=in_force)
+    if in_force:
+        return ExitCode.OK
+    print(explained(waited), file=sys.stderr)
+    return ExitCode.NOT_IN_FORCE
+
+
+def _in_force(client: OperatorClient, revision: int, deadline: float) -> Answer | None:
+    """Have entries hold the question until the revision is in force or time is up."""
+    last: Answer | None = None
+    while (left := deadline - time.monotonic()) > LEAST_LEFT_S:
+        wait_s = min(left * WAIT_SHARE, WAIT_EACH_S)
+        call = Call(
+            method="GET",
+            path=f"/v1/in-force/{revision}",
+            query={"wait_s": f"{wait_s:.3f}"},
+            idempotent=True,
+        )
+        answer = client.call(call, left)
+        if answer.codes:
+            return last or answer
+        last = answer
+        if answer.value.get("everywhere"):
+            break
+    return last
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verb:
+    """A verb, how many arguments it takes and what it does."""
+
+    run: Callable[[Options], int]
+    arguments: range = range(1, 2)
+
+
+VERB_BY_NAME: Mapping[str, Verb] = {
+    "check": Verb(run=_check, arguments=range(1_000)),
+    "submit": Verb(run=_submit),
+    "amend": Verb(run=_amend),
+    "cancel": Verb(run=_cancel),
+    "status": Verb(run=_status, arguments=range(2)),
+    "explain": Verb(run=_explain),
+    "drain": Verb(run=_change_domain),
+    "restore": Verb(run=_change_domain),
+}
+VERBS = tuple(VERB_BY_NAME)
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -48,6 +48,7 @@
     Code.DEADLINE: 504,
 }
 UNAVAILABLE_STATUS = 503
+LONGEST_WAIT_S = 10.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -268,9 +269,20 @@
         call_id=request.call_id,
         author=request.author,
         revision=_number(request.parts[0], "revision"),
+        wait_s=_wait_s(request.query),
     )
 
 
+def _wait_s(query: Mapping[str, str]) -> float:
+    unknown = [key for key in query if key != "wait_s"]
+    if unknown:
+        raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
+    text = query.get("wait_s", "0")
+    if re.fullmatch(r"[0-9]{1,4}(\.[0-9]{1,6})?", text) is None:
+        raise _refusal("must be a number of seconds", field="wait_s")
+    return min(float(text), LONGEST_WAIT_S)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
     """A method and path pattern, and the parser of the requests that match."""
