--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -8,10 +8,12 @@
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.logs import log_process
-from bulrushpulley.roles import controller, report_io, router, stub
+from bulrushpulley.platform.table_service import TableServiceClient
+from bulrushpulley.roles import committer, controller, router
 from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.committer_io import CommitterPorts
 from bulrushpulley.roles.router_io import RouterPorts
-from bulrushpulley.roles.routing import COMMITTER, CONTROLLER, ROUTER
+from bulrushpulley.roles.routing import CONTROLLER, ROUTER
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.settings import EntrySettings
 from bulrushpulley.wire.caller_http import CallerFront
@@ -23,8 +25,7 @@
 
 START_S = 10.0
 LINK_FLUSH_S = 2.0
-
-__all__ = ["EntryProcess", "report_io"]
+STORE_THREADS = 8
 
 
 class EntryProcess:
@@ -63,7 +64,7 @@
 
     def _start_roles(self) -> None:
         base = self.runtime.ports(answer=self._answer)
-        self.runtime.start_role(stub.build(name=COMMITTER), Ports(**base))
+        self._start_committer(base)
         self._start_controller(base)
         role = router.build(
             incarnation=self.runtime.incarnation, region=self.runtime.region
@@ -71,6 +72,16 @@
         done = partial(self.runtime.role_done, ROUTER)
         self.runtime.start_role(role, RouterPorts(**base, done=done))
 
+    def _start_committer(self, base: dict[str, Any]) -> None:
+        role = committer.build(
+            name=self._settings.name, incarnation=self.runtime.incarnation
+        )
+        table = TableServiceClient(
+            url=self._settings.table_service.url, connections=STORE_THREADS
+        )
+        ports = CommitterPorts(**base, table=table, report=self.runtime.report_to)
+        self.runtime.start_role(role, ports, threads=STORE_THREADS)
+
     def _start_controller(self, base: dict[str, Any]) -> None:
         links = self._settings.links
         role = controller.build(
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -17,6 +17,8 @@
 
 import pykka
 
+from bulrushpulley.entities.commit import ReportTo
+from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.errors import Code, Problem
@@ -29,7 +31,7 @@
 from bulrushpulley.metrics import Metrics
 from bulrushpulley.roles.actor import Role, RoleActor, tick_forever
 from bulrushpulley.roles.carry_out import Ports, carry_out
-from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.roles.routing import ROLES, delivered, recipients
 from bulrushpulley.wire.link_stream import LinkHooks
 from bulrushpulley.wire.links import Links
 
@@ -142,6 +144,13 @@
         for role in recipients(item):
             self.tell(role, event)
 
+    def report_to(self, command: ReportTo) -> None:
+        """Give an outcome to whoever asked: a role here or a linked process."""
+        if command.origin in ROLES:
+            self.tell(command.origin, command.outcome)
+        else:
+            self.links.send(Send(peer=command.origin, item=command.outcome))
+
     def run(self, *, role: str, work: Callable[[], Event]) -> None:
         """Execute `work` on the pool of `role` and tell it the event it returns.
 
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: the demo, the build's checks and measurements."""
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,199 @@
+"""The demo: two entries and three agents in two regions serve and run a job.
+
+It exits 1 when a request was doubled, wrongly answered or falsely refused, when
+one was lost, when the job did not finish, or when a process did not stop well.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from absl import app, flags
+
+from scripts.fleet import ROOT, Fleet, Layout, ask, make_layout, records, submit
+from standins.caller import Caller, Target, count_runs, make_all
+from standins.caller_core import Report, plan, tally
+
+FLAGS = flags.FLAGS
+REQUESTS = 200
+PLAN_MARGIN = 2.0
+REPEATABLE_SHARE = 0.5
+CALL_WITHIN_S = 4.0
+CALL_THREADS = 64
+READY_S = 30.0
+JOB_S = 90.0
+ASK_S = 0.5
+AGENTS_BY_DEPLOYMENT: Mapping[str, tuple[str, ...]] = {
+    "firinzeka": ("agent-01", "agent-05", "agent-08"),
+    "kalamu": ("agent-01", "agent-05", "agent-08"),
+}
+ENTRIES = ("entry-1", "entry-2")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outcome:
+    """What the demo came to."""
+
+    calls: Report
+    job: Mapping[str, Any]
+    drained: bool
+    exit_codes: Mapping[str, int]
+
+    @property
+    def good(self) -> bool:
+        """Whether nothing was lost or doubled and everything ended well."""
+        calls = self.calls
+        bad_calls = calls.doubled + calls.lost + calls.wrong + calls.false_refusals
+        job_done = self.job.get("finished") == self.job.get("tasks")
+        stopped = all(code == 0 for code in self.exit_codes.values())
+        return not bad_calls and job_done and self.drained and stopped
+
+
+def say(text: str) -> None:
+    """Show progress."""
+    print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
+
+
+def wait_until_ready(layout: Layout) -> None:
+    """Wait until every entry has a link to every agent."""
+    deadline = time.monotonic() + READY_S
+    for url in layout.operator_urls:
+        while len(ask(url, "/v1/status").get("agents", [])) < len(layout.agents):
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"agents are not linked: {ask(url, '/v1/status')}")
+            threading.Event().wait(ASK_S)
+
+
+def send_calls(layout: Layout, service: str, seconds: float) -> Report:
+    """Send the requests through both entries and count what became of them."""
+    target = Target(
+        entries=layout.caller_urls,
+        service=service,
+        within_s=CALL_WITHIN_S,
+        max_tries=3,
+        body_bytes=200,
+    )
+    calls = plan(
+        rate=REQUESTS / seconds,
+        seconds=seconds * PLAN_MARGIN,
+        repeatable_share=REPEATABLE_SHARE,
+        seed=FLAGS.seed,
+        name="demo",
+    )
+    ended = make_all(Caller(target=target), calls[:REQUESTS], CALL_THREADS)
+    return tally(ended, count_runs(layout.backend_urls))
+
+
+def wait_for_job(layout: Layout, name: str) -> Mapping[str, Any]:
+    """Wait until every task of a job has ended, and return the job's status."""
+    deadline = time.monotonic() + JOB_S
+    shown = -1
+    while True:
+        status = ask(layout.operator_urls[0], f"/v1/status?job={name}")
+        jobs = [job for job in status.get("jobs", []) if job["name"] == name]
+        job: Mapping[str, Any] = jobs[0] if jobs else {}
+        if job.get("finished", 0) != shown:
+            shown = job.get("finished", 0)
+            say(f"job {name}: {shown} of {job.get('tasks', '?')} tasks finished")
+        ended = sum(job.get(key, 0) for key in ("finished", "failed", "cancelled"))
+        if (job and ended == job["tasks"]) or time.monotonic() > deadline:
+            return job
+        threading.Event().wait(ASK_S)
+
+
+def drain_and_return(fleet: Fleet, failure_domain: str, pause_s: float) -> bool:
+    """Take a failure domain out of service and return it after a pause."""
+    say(f"draining {failure_domain}")
+    drained = fleet.verb("drain", failure_domain, "--wait")
+    say(f"{failure_domain} is drained everywhere" if drained == 0 else "drain failed")
+    threading.Event().wait(pause_s)
+    restored = fleet.verb("restore", failure_domain, "--wait")
+    say(f"{failure_domain} is back in service" if restored == 0 else "return failed")
+    return drained == 0 and restored == 0
+
+
+def run(fleet: Fleet, seconds: float) -> Outcome:
+    """Run every part of the demo on a started fleet."""
+    layout = fleet.layout
+    wait_until_ready(layout)
+    say("every agent is linked to every entry")
+    submitted = records(layout)
+    for record in submitted:
+        submit(layout.operator_urls[0], record)
+    say(f"{len(submitted)} records are in force")
+    name_by_kind = {record["kind"]: record["name"] for record in submitted}
+    domain = next(r["name"] for r in submitted if r["kind"] == "failure_domain")
+    with ThreadPoolExecutor(2) as pool:
+        calls = pool.submit(send_calls, layout, name_by_kind["service"], seconds)
+        drain = pool.submit(drain_and_return, fleet, domain, seconds / 4)
+        job = wait_for_job(layout, name_by_kind["job"])
+        say("waiting for the rest of the requests")
+        report, drained = calls.result(), drain.result()
+    exit_codes = stop_all(fleet)
+    return Outcome(calls=report, job=job, drained=drained, exit_codes=exit_codes)
+
+
+def stop_all(fleet: Fleet) -> Mapping[str, int]:
+    """Stop the agents, then the entries, each gracefully by its id."""
+    names = [item.name for item in (*fleet.layout.agents, *fleet.layout.entries)]
+    codes = {}
+    for name in names:
+        codes[name] = fleet.stop(name)
+        say(f"{name} stopped with exit code {codes[name]}")
+    return codes
+
+
+def show(outcome: Outcome) -> None:
+    """Print what the demo came to."""
+    calls = outcome.calls
+    print(
+        f"requests: {calls.calls} sent, {calls.served} served, {calls.lost} lost,"
+        f" {calls.doubled} doubled, {calls.refused} refused as not run,"
+        f" {calls.unknown} unknown, {calls.wrong} wrong, {calls.retries} retries"
+    )
+    print(f"latency: p50 {calls.p50_ms:.1f} ms, p99 {calls.p99_ms:.1f} ms")
+    print(f"job: {json.dumps(outcome.job)}")
+    print(f"drained and returned: {'yes' if outcome.drained else 'no'}")
+    print("demo passed" if outcome.good else "demo FAILED")
+
+
+def command() -> tuple[str, ...]:
+    """Return the command of a process: the built file or the module."""
+    if FLAGS.binary:
+        return (str(ROOT / "dist" / "bulrushpulley"),)
+    return (sys.executable, "-m", "bulrushpulley")
+
+
+def main(argv: list[str]) -> None:
+    """Run the demo; whatever it started is ended by id, also on an interrupt."""
+    del argv
+    layout = make_layout(
+        FLAGS.deployment, ENTRIES, AGENTS_BY_DEPLOYMENT[FLAGS.deployment]
+    )
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-demo-"))
+    fleet = Fleet(layout=layout, folder=folder, command=command())
+    say(f"starting {FLAGS.deployment}; settings and logs are in {folder}")
+    try:
+        fleet.start_all()
+        outcome = run(fleet, FLAGS.seconds)
+    finally:
+        fleet.end_all()
+    show(outcome)
+    sys.exit(0 if outcome.good else 1)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_float("seconds", 10.0, "Seconds over which requests are sent.")
+    flags.DEFINE_enum("deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample.")
+    flags.DEFINE_bool("binary", False, "Run the built file dist/bulrushpulley.")
+    flags.DEFINE_integer("seed", 1, "Seed of the requests.")
+    app.run(main)
