Test the platform clients over HTTP and add a measurement of group commit

Cause: the clients had run in virtual time only, without the HTTP between.

Change: eight tests on loopback: commit, conflict, fence, lost answer, refusal, slow store, pages that join, closed port, object store; a script that measures commits a second and delay for a number of submissions that wait.

Ruled out: asserting that a slow request overtakes its resend while the store is already fast again; the resend may win, and both orders are right.

The measurement is not run yet.

--- /dev/null
+++ b/scripts/measure_commit.py
@@ -0,0 +1,244 @@
+"""Measures group commit against one transaction for each submission.
+
+Runs the committer's actor against the stand-in of the table service over HTTP on
+loopback, with so many submissions waiting at all times::
+
+    PYTHONPATH=. python scripts/measure_commit.py --waiting 1,10,100,1000
+
+`waiting` submitters each submit again when their outcome came. The baseline
+is the same actor with a batch of one row.
+"""
+
+from __future__ import annotations
+
+import resource
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from functools import singledispatch
+from unittest import mock
+
+import pykka
+from absl import app, flags
+from hdrh.histogram import HdrHistogram
+
+from bulrushpulley.entities.commit import (
+    Committed,
+    Condition,
+    ReportTo,
+    Submission,
+    Submitted,
+    Write,
+)
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.rows import ClaimRow
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.platform.table_service import TableServiceClient
+from bulrushpulley.roles import committer, committer_io
+from bulrushpulley.roles.actor import RoleActor
+from bulrushpulley.roles.carry_out import carry_out
+from bulrushpulley.systems import commit_batch
+from standins.table_service import TableService
+from standins.web import make_server
+
+FLAGS = flags.FLAGS
+US_PER_S = 1_000_000
+CONNECTIONS = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Measured:
+    """The figures of one run."""
+
+    waiting: int
+    commits: int
+    seconds: float
+    cpu_s: float
+    transactions: int
+    p50_ms: float
+    p99_ms: float
+
+    @property
+    def per_s(self) -> float:
+        """Commits a second."""
+        return self.commits / self.seconds
+
+
+class Submitters:
+    """Keeps `waiting` submissions open and records their delays."""
+
+    def __init__(self, *, waiting: int, prefix: str) -> None:
+        self._prefix = prefix
+        self._waiting = waiting
+        self._sent_at_by_id: dict[str, float] = {}
+        self._number = 0
+        self.delays = HdrHistogram(1, 60 * US_PER_S, 3)
+        self.commits = 0
+        self.others = 0
+        self.transactions = 0
+        self.actor: pykka.ActorRef[RoleActor] | None = None
+
+    def start(self) -> None:
+        """Submit for every submitter."""
+        for _ in range(self._waiting):
+            self._submit()
+
+    def stop(self) -> None:
+        """Submit no more."""
+        self._waiting = 0
+
+    def report(self, command: ReportTo) -> None:
+        """Record an outcome and submit again."""
+        record(command.outcome, self)
+
+    def count(self, command: Count) -> None:
+        """Count transactions."""
+        if command.name == "commit.transactions":
+            self.transactions += command.by
+
+    def settled(self, submission_id: str) -> None:
+        """Record the delay of a committed submission."""
+        delay_s = time.monotonic() - self._sent_at_by_id.pop(submission_id)
+        self.delays.record_value(max(1, int(delay_s * US_PER_S)))
+        self.commits += 1
+        if self._waiting:
+            self._submit()
+
+    def _submit(self) -> None:
+        self._number += 1
+        name = f"{self._prefix}{self._number}"
+        key = f"claim/bench/{name}"
+        row = ClaimRow(
+            service="bench",
+            request_id=name,
+            agent="agent-1",
+            incarnation="agent-1-1",
+            claimed_at=0.0,
+        )
+        submission = Submission(
+            submission_id=name,
+            conditions=(Condition(key=key, version=0),),
+            writes=(Write(key=key, row=row),),
+            give_up_after_s=60.0,
+        )
+        self._sent_at_by_id[name] = time.monotonic()
+        assert self.actor is not None
+        self.actor.tell(Submitted(origin="bench", submission=submission))
+
+
+@singledispatch
+def record(outcome: Event, submitters: Submitters) -> None:
+    """Count any outcome but a commit."""
+    submitters.others += 1
+
+
+@record.register
+def _(outcome: Committed, submitters: Submitters) -> None:
+    submitters.settled(outcome.submission_id)
+
+
+def ignore(command: Command) -> None:
+    """Pass over what is not measured here."""
+
+
+def make_ports(
+    *, url: str, submitters: Submitters, pool: ThreadPoolExecutor
+) -> committer_io.CommitterPorts:
+    """Return ports that run the committer's I/O on a pool."""
+
+    def run(*, role: str, work: Callable[[], Event]) -> None:
+        assert submitters.actor is not None
+        actor = submitters.actor
+        pool.submit(lambda: actor.tell(work()))
+
+    return committer_io.CommitterPorts(
+        send=ignore,
+        tell=lambda role, event: None,
+        answer=ignore,
+        decide=ignore,
+        count=submitters.count,
+        observe=ignore,
+        run=run,
+        table=TableServiceClient(url=url, connections=CONNECTIONS),
+        report=submitters.report,
+    )
+
+
+def measure(*, url: str, waiting: int, seconds: float, prefix: str) -> Measured:
+    """Run `waiting` submitters for `seconds`."""
+    submitters = Submitters(waiting=waiting, prefix=prefix)
+    with ThreadPoolExecutor(max_workers=CONNECTIONS) as pool:
+        ports = make_ports(url=url, submitters=submitters, pool=pool)
+        role = committer.build(name=prefix, incarnation=prefix)
+        actor = RoleActor.start(
+            role=role, carry_out=lambda command: carry_out(command, ports)
+        )
+        submitters.actor = actor
+        used_s = cpu_s()
+        started = time.monotonic()
+        submitters.start()
+        threading.Event().wait(seconds)
+        measured = Measured(
+            waiting=waiting,
+            commits=submitters.commits,
+            seconds=time.monotonic() - started,
+            cpu_s=cpu_s() - used_s,
+            transactions=submitters.transactions,
+            p50_ms=submitters.delays.get_value_at_percentile(50) / 1_000,
+            p99_ms=submitters.delays.get_value_at_percentile(99) / 1_000,
+        )
+        submitters.stop()
+        actor.stop()
+    if submitters.others:
+        raise RuntimeError(f"{submitters.others} submissions did not commit")
+    return measured
+
+
+def cpu_s() -> float:
+    """Return the processor time that this process has used."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
+def show(label: str, measured: Measured) -> None:
+    """Print one row of figures."""
+    rows = measured.commits / max(1, measured.transactions)
+    print(
+        f"{label:8} waiting={measured.waiting:5} commits/s={measured.per_s:8.1f}"
+        f" rows/transaction={rows:6.1f} p50={measured.p50_ms:8.1f} ms"
+        f" p99={measured.p99_ms:8.1f} ms",
+        flush=True,
+    )
+
+
+def main(argv: list[str]) -> None:
+    """Measure each count of waiting submissions, grouped and one by one."""
+    del argv
+    url = FLAGS.url
+    if not url:
+        service = TableService(writes_per_s=FLAGS.writes_per_s)
+        server = make_server(handle=service.handle, port=0)
+        threading.Thread(target=server.serve, daemon=True).start()
+        url = f"http://127.0.0.1:{server.bind_addr[1]}"
+    for text in FLAGS.waiting:
+        waiting = int(text)
+        with mock.patch.object(commit_batch, "MAX_ROWS", 1):
+            single = measure(
+                url=url, waiting=waiting, seconds=FLAGS.seconds, prefix=f"one{text}-"
+            )
+        show("single", single)
+        grouped = measure(
+            url=url, waiting=waiting, seconds=FLAGS.seconds, prefix=f"group{text}-"
+        )
+        show("grouped", grouped)
+        print(f"ratio    waiting={waiting:5} {grouped.per_s / single.per_s:.1f}")
+
+
+if __name__ == "__main__":
+    flags.DEFINE_list("waiting", "1,10,100,1000", "Submissions that wait.")
+    flags.DEFINE_float("seconds", 5.0, "Length of each run.")
+    flags.DEFINE_float("writes_per_s", 300.0, "Transactions a second of the stand-in.")
+    flags.DEFINE_string("url", "", "A table service that runs already.")
+    app.run(main)
--- /dev/null
+++ b/test/test_table_service.py
@@ -0,0 +1,175 @@
+"""Tests of the platform clients against the stand-ins over HTTP on loopback."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import testtools
+import urllib3
+
+from bulrushpulley.entities.commit import Condition
+from bulrushpulley.entities.rows import RevisionRow
+from bulrushpulley.entities.step import Event
+from bulrushpulley.entities.transactions import (
+    Fence,
+    ReadFailed,
+    ReadRows,
+    RowsRead,
+    TokenWrite,
+    Transact,
+    TransactionCommitted,
+    TransactionConflicted,
+    TransactionLost,
+    TransactionRefused,
+)
+from bulrushpulley.platform.object_store import ObjectStoreClient
+from bulrushpulley.platform.table_service import TableServiceClient
+from bulrushpulley.roles.committer_io import read_rows, transact
+from standins.faults import LONGEST_QUEUE_S, Faults, Mode, Pace, Switch
+from standins.object_store import ObjectStore
+from standins.table_service import TableService
+from standins.web import Handler, make_server
+
+TIMEOUT_S = 0.5
+FENCE_KEY = "fence/e1/bulk"
+
+
+class ServedTest(testtools.TestCase):
+    def serve(self, handle: Handler) -> str:
+        server = make_server(handle=handle, port=0)
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.stop)
+        return f"http://127.0.0.1:{server.bind_addr[1]}"
+
+    def switch(self, url: str, body: str) -> None:
+        urllib3.request("POST", f"{url}/switch", body=body.encode())
+
+
+def command(key: str, version: int, fence: int, token: str = "a") -> Transact:
+    return Transact(
+        lane="bulk",
+        transaction_id=f"e1-1/bulk/{token}",
+        conditions=(Condition(key=key, version=version),),
+        writes=(TokenWrite(key=key, row=RevisionRow(revision=7), token=token),),
+        fence=Fence(key=FENCE_KEY, version=fence),
+        timeout_s=TIMEOUT_S,
+    )
+
+
+class TableServiceTest(ServedTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.url = self.serve(TableService().handle)
+        self.table = TableServiceClient(url=self.url, connections=2)
+
+    def read(self, since: int = 0) -> Event:
+        asked = ReadRows(read_id="r", prefix="k/", since=since, timeout_s=TIMEOUT_S)
+        return read_rows(asked, self.table)
+
+    def test_commit_conflict_and_reading_back(self) -> None:
+        first = transact(command("k/1", 0, 0), self.table)
+        self.assertIsInstance(first, TransactionCommitted)
+        second = transact(command("k/1", 0, 1, token="b"), self.table)
+        assert isinstance(second, TransactionConflicted)
+        self.assertEqual([("k/1", 1, "a")], [row_of(row) for row in second.rows])
+        self.assertIsNone(second.fence)
+        behind = transact(command("k/2", 0, 0, token="c"), self.table)
+        assert isinstance(behind, TransactionConflicted)
+        fence = Fence(key=FENCE_KEY, version=1, token="e1-1/bulk/a")
+        self.assertEqual(fence, behind.fence)
+        rows = self.read()
+        assert isinstance(rows, RowsRead)
+        self.assertEqual([("k/1", 1, "a")], [row_of(row) for row in rows.rows])
+
+    def test_lost_answer_and_refusal_are_told_apart(self) -> None:
+        self.switch(self.url, '{"mode":"lose_answers"}')
+        lost = transact(command("k/1", 0, 0), self.table)
+        self.assertIsInstance(lost, TransactionLost)
+        self.switch(self.url, '{"mode":"down"}')
+        refused = transact(command("k/2", 0, 1), self.table)
+        self.assertIsInstance(refused, TransactionRefused)
+        self.assertIsInstance(self.read(), ReadFailed)
+        self.switch(self.url, '{"mode":"up"}')
+        rows = self.read()
+        assert isinstance(rows, RowsRead)
+        self.assertEqual(["k/1"], [row.key for row in rows.rows])
+
+    def test_slow_answer_is_lost_and_takes_effect_later(self) -> None:
+        self.switch(self.url, '{"mode":"slow","seconds":0.7,"delay_s":0.8}')
+        lost = transact(command("k/1", 0, 0), self.table)
+        self.assertIsInstance(lost, TransactionLost)
+        settled = self.eventually(lambda: transact(command("k/1", 0, 0), self.table))
+        assert isinstance(settled, TransactionConflicted)
+        assert settled.fence is not None
+        self.assertEqual("e1-1/bulk/a", settled.fence.token)
+
+    def eventually(self, attempt: Callable[[], Event]) -> Event:
+        """Repeat an attempt that got no answer."""
+        for _ in range(10):
+            ended = attempt()
+            if not isinstance(ended, TransactionLost):
+                return ended
+        return ended
+
+    def test_closed_port_is_a_refusal(self) -> None:
+        table = TableServiceClient(url="http://127.0.0.1:1", connections=1)
+        refused = transact(command("k/1", 0, 0), table)
+        self.assertIsInstance(refused, TransactionRefused)
+
+    def test_pages_join_into_one_reading(self) -> None:
+        for number in range(1, 4):
+            writes = tuple(
+                TokenWrite(
+                    key=f"k/{number}/{n}", row=RevisionRow(revision=n), token="t"
+                )
+                for n in range(700)
+            )
+            many = Transact(
+                lane="bulk",
+                transaction_id=f"t{number}",
+                conditions=(),
+                writes=writes,
+                fence=Fence(key=FENCE_KEY, version=number - 1),
+                timeout_s=5.0,
+            )
+            self.assertIsInstance(transact(many, self.table), TransactionCommitted)
+        rows = self.read()
+        assert isinstance(rows, RowsRead)
+        self.assertEqual((3, 2100), (rows.revision, len(rows.rows)))
+        later = self.read(since=2)
+        assert isinstance(later, RowsRead)
+        self.assertEqual(700, len(later.rows))
+
+
+def row_of(row: object) -> tuple[object, ...]:
+    return tuple(getattr(row, name) for name in ("key", "version", "token"))
+
+
+class ObjectStoreTest(ServedTest):
+    def test_put_get_delete(self) -> None:
+        url = self.serve(ObjectStore().handle)
+        store = ObjectStoreClient(url=url)
+        self.assertIsNone(store.get("c/1", timeout_s=TIMEOUT_S))
+        store.put("c/1", b"state", timeout_s=TIMEOUT_S)
+        self.assertEqual(b"state", store.get("c/1", timeout_s=TIMEOUT_S))
+        store.delete("c/1", timeout_s=TIMEOUT_S)
+        self.assertIsNone(store.get("c/1", timeout_s=TIMEOUT_S))
+
+
+class FaultsTest(testtools.TestCase):
+    def test_switch_ends_by_itself(self) -> None:
+        down = Faults().switched(Switch(mode=Mode.DOWN, seconds=5.0), now=10.0)
+        self.assertEqual(Mode.DOWN, down.mode_at(14.9))
+        self.assertEqual(Mode.UP, down.mode_at(15.0))
+
+    def test_pace_bounds_the_rate_and_the_queue(self) -> None:
+        pace = Pace(per_s=100.0)
+        accepted = 0
+        while pace.accepts(0.0):
+            pace = pace.reserved(0.0)
+            accepted += 1
+        self.assertAlmostEqual(100 * LONGEST_QUEUE_S, accepted, delta=2)
+        self.assertTrue(pace.accepts(1.0))
