--- /dev/null
+++ b/bulrushpulley/platform/http_body.py
@@ -0,0 +1,54 @@
+"""Reads the body of an HTTP answer whole, within a size and a deadline."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import urllib3
+
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+
+READ_BYTES = 64 * 1024
+BODILESS = frozenset({204, 304})
+
+
+def read_whole(
+    response: urllib3.BaseHTTPResponse,
+    *,
+    deadline: float,
+    limit: int,
+    step: str,
+    peer: str,
+    clock: Callable[[], float] = time.monotonic,
+) -> bytes:
+    """Read a body of at most `limit` bytes to its end, before `deadline`.
+
+    A body that is shorter than its Content-Length is an error of urllib3. One
+    that ends only with its connection may have been cut short, and is refused.
+    """
+    if not is_delimited(response):
+        detail = "the body has no stated end"
+        raise _error(Code.OUTCOME_UNKNOWN, step, peer, detail)
+    parts: list[bytes] = []
+    size = 0
+    for part in response.stream(READ_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            raise _error(Code.TOO_LARGE, step, peer, f"over {limit} bytes")
+        if clock() > deadline:
+            raise _error(Code.DEADLINE, step, peer, "the body did not end in time")
+    return b"".join(parts)
+
+
+def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the head of an answer says where its body ends."""
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    counted = "Content-Length" in response.headers
+    return chunked or counted or response.status in BODILESS
+
+
+def _error(code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
+    problem = Problem(code=code, step=step, peer=peer, detail=detail)
+    return BulrushpulleyError(problem=problem)
--- a/bulrushpulley/systems/cell_start.py
+++ b/bulrushpulley/systems/cell_start.py
@@ -1,10 +1,10 @@
 """Commits starts and sends them.
 
-A start is committed together with the versions of the lease, of the failure
-domain's record and of the task's record. Its command may leave only within
-`START_WINDOW_S` of the first sending of that transaction, so nothing starts later
-than that after a drain or a cancellation was accepted. A generation is sent at
-most once.
+A start is committed together with the versions of the lease and of the records of
+the task, of the failure domain and of the cell, which gives the worker's capacity.
+Its command may leave only within `START_WINDOW_S` of the first sending of that
+transaction, so nothing starts later than that after a drain or a cancellation was
+accepted. A generation is sent at most once.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import Cell, domain_key
+from bulrushpulley.entities.cell import Cell, domain_key, record_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
@@ -23,7 +23,7 @@
     Write,
 )
 from bulrushpulley.entities.in_flight import CommitStart, Flight
-from bulrushpulley.entities.observe import Observe
+from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.owner_times import (
     CALL_WITHIN_S,
     DRIFT_MARGIN_S,
@@ -39,6 +39,7 @@
 from bulrushpulley.systems import (
     cell_domains,
     cell_endings,
+    cell_rooms,
     cell_rows,
     cell_send,
     cell_stop,
@@ -85,10 +86,14 @@
     """Return what must stand unchanged for a start to commit."""
     spec = task.row.spec
     domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
+    records = (domain, record_key(cell.name))
     return (
         *cell_endings.fences(cell, task),
-        Condition(key=domain, version=tables.records.by_key[domain].version),
         Condition(key=spec.record_key, version=spec.record_version),
+        *(
+            Condition(key=key, version=tables.records.by_key[key].version)
+            for key in records
+        ),
     )
 
 
@@ -122,8 +127,9 @@
     )
     command = _start_command(sending, worker, deadline)
     took = Observe(name="start_commit_s", seconds=now - flight.first_sent_at)
+    sent = Count(name="task_starts", label=task.cell)
     tables = cell_rows.put_task(tables, sending)
-    return Step(tables=tables, commands=(command, took))
+    return Step(tables=tables, commands=(command, took, sent))
 
 
 def _held_back(
@@ -140,6 +146,9 @@
         return "its failure domain was taken out of service"
     if worker is None or not worker.present:
         return "its worker was taken out of the cell"
+    held = cell_rooms.committed(tables, worker.worker_id)
+    if not held.fits(worker.capacity):
+        return "its worker has lost capacity"
     return "the agent is leaving" if tables.leaving else ""
 
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -95,6 +95,7 @@
         self.workers = {f"w{n}": WorkerState.empty() for n in range(workers)}
         self.capacity = dict.fromkeys(self.workers, CAPACITY)
         self.unreachable: set[str] = set()
+        self.cut_off: set[tuple[str, str]] = set()
         self.lose_worker_answers: set[str] = set()
         self.lose_start_answers = False
         self.start_delay_s = DELIVERY_S
@@ -152,10 +153,14 @@
         self.put_record("failure_domain", self._domain(DomainState.DRAINED))
         self.drained_at = self.world.now
 
-    def resize(self, worker: str, capacity: Resources) -> None:
-        """Amend a worker's capacity and spread the record."""
+    def put_shrunken(self, worker: str, capacity: Resources) -> None:
+        """Amend a worker's capacity in the store; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.put_record("cell", self.cell())
+
+    def resize(self, worker: str, capacity: Resources) -> None:
+        """Amend a worker's capacity and spread the record."""
+        self.put_shrunken(worker, capacity)
         self.spread()
 
     def job(
@@ -281,6 +286,13 @@
             if write.key.startswith("done/") and self.row(write.key) is not None:
                 self.violations.append(f"done twice: {write.key}")
 
+    def _note_drain(self, submission: Submission) -> None:
+        for write in submission.writes:
+            record = write.row.record if isinstance(write.row, RecordRow) else None
+            if isinstance(record, FailureDomainRecord):
+                drained = record.state is DomainState.DRAINED
+                self.drained_at = self.world.now if drained else None
+
     # The store.
 
     def _rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
@@ -313,6 +325,7 @@
         )
         if result.committed:
             self._check_done(submission)
+            self._note_drain(submission)
             self.store = result.state
             if self.lose_commit(submission):
                 return Unsettled(submission_id=key, reason="answer lost")
@@ -339,7 +352,8 @@
 
     @_do.register
     def _(self, command: Send, owner: Seat) -> None:
-        self._take(command.item, owner)
+        if (owner.process, "store") not in self.cut_off:
+            self._take(command.item, owner)
 
     @singledispatchmethod
     def _take(self, item: Event, owner: Seat) -> None:
@@ -380,6 +394,10 @@
     def _answers(self, worker: str) -> bool:
         return worker not in self.unreachable | self.lose_worker_answers
 
+    def _reaches(self, owner: Seat, worker: str) -> bool:
+        cut = (owner.process, worker) in self.cut_off
+        return not cut and worker not in self.unreachable
+
     @_do.register
     def _(self, command: StartTask, owner: Seat) -> None:
         ids: dict[str, Any] = {
@@ -388,7 +406,7 @@
             "generation": command.generation,
         }
         late = self.checks_deadline and self.world.now > command.not_after
-        if late or command.worker_id in self.unreachable:
+        if late or not self._reaches(owner, command.worker_id):
             self.world.deliver(owner, StartNotSent(problem=PROBLEM, **ids))
             return
 
@@ -421,7 +439,7 @@
     def _(self, command: StopTask, owner: Seat) -> None:
         worker = command.worker_id
         lost = StopUnanswered(worker_id=worker, problem=PROBLEM)
-        if worker in self.unreachable or self.world.now > command.not_after:
+        if not self._reaches(owner, worker) or self.world.now > command.not_after:
             self.world.deliver(owner, lost)
             return
         self.workers[worker] = worker_core.stop(
@@ -440,7 +458,7 @@
         unanswered = ReportUnanswered(
             worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
         )
-        if worker in self.unreachable or self.world.now > command.not_after:
+        if not self._reaches(owner, worker) or self.world.now > command.not_after:
             self.world.deliver(owner, unanswered)
             return
         renewals = tuple(
