--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -2,7 +2,7 @@
 
 Every call has a deadline. A refused connection means that surely nothing was sent;
 any later failure means that the request may have run. A body that is shorter than
-its Content-Length is an error and never taken for an answer.
+its Content-Length, or that has no stated end, is never taken for an answer.
 """
 
 from __future__ import annotations
