Read the whole request in the test of cut answers

The fake server closed with unread bytes of the request, so the kernel sometimes reset the connection before the answer was read, and the test without the length check failed in about every other run.

--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -23,6 +23,7 @@
 from standins.caller_core import Outcome, outcome_of, plan, tally
 from standins.web import make_server
 
+COMMAND = RunOnBackend(execution_id="x1", request_id="", within_s=2.0, body=b"dough")
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 CASES = (
     ("whole", WHOLE, BackendAnswered),
@@ -42,7 +43,9 @@
         def serve() -> None:
             connection, _ = listener.accept()
             with connection:
-                connection.recv(65536)
+                received = b""
+                while not received.endswith(COMMAND.body):
+                    received += connection.recv(65536)
                 connection.sendall(answer)
 
         thread = threading.Thread(target=serve, daemon=True)
@@ -51,9 +54,6 @@
         thread.join(5.0)
 
 
-COMMAND = RunOnBackend(execution_id="x1", request_id="", within_s=2.0, body=b"dough")
-
-
 def run(url: str, within_s: float = 2.0) -> BackendAnswered | BackendFailed:
     return BackendServerClient(url=url).run(replace(COMMAND, within_s=within_s))
 
