Do fewer table changes for each call in the router

Of about 54 replacements for each call, 11 came from putting the same service or server row twice in one step. A call now puts them once.

--- a/bulrushpulley/systems/route_answers.py
+++ b/bulrushpulley/systems/route_answers.py
@@ -60,25 +60,15 @@
     if found is None:
         return late(tables)
     attempt, request = found
-    tables = drop_attempt(tables, event.attempt_id)
+    latency_s = now - attempt.sent_at
+    tables = drop_attempt(tables, event.attempt_id, latency_s)
     if not attempt.recall:
-        tables = learn(tables, attempt, request.service, event.took_s, now)
+        service = tables.service(request.service)
+        tables = put_service(tables, learned(service, event.took_s, latency_s))
     left = without_attempt(request, event.attempt_id)
     return answer(tables, left, status=event.status, body=event.body, now=now)
 
 
-def learn(
-    tables: RouterTables, attempt: Attempt, name: str, took_s: float, now: float
-) -> RouterTables:
-    """Take an answer's latency into the averages."""
-    latency_s = now - attempt.sent_at
-    server = tables.servers.get(attempt.agent)
-    if server is not None:
-        servers = tables.servers.put(attempt.agent, server.observed(latency_s))
-        tables = replace(tables, servers=servers)
-    return put_service(tables, learned(tables.service(name), took_s, latency_s))
-
-
 def learned(service: Service, took_s: float, latency_s: float) -> Service:
     """Return the service with one more run in its estimates.
 
--- a/bulrushpulley/systems/route_calls.py
+++ b/bulrushpulley/systems/route_calls.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
 from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import SELF, close, enqueue, put_service
+from bulrushpulley.systems.route_finish import SELF, close, enqueue
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HELD_BYTES = 32 * 1024 * 1024
@@ -97,9 +97,9 @@
         body=event.body,
         stage=Waiting(),
     )
-    tables = put_service(tables, arrived(tables.service(event.service), now))
+    service = arrived(tables.service(event.service), now)
     tables = replace(tables, body_bytes=tables.body_bytes + len(event.body))
-    return Step(tables=enqueue(tables, request))
+    return Step(tables=enqueue(tables, request, service))
 
 
 @apply.register
--- a/bulrushpulley/systems/route_dispatch.py
+++ b/bulrushpulley/systems/route_dispatch.py
@@ -16,7 +16,6 @@
     unfit_reason,
 )
 from bulrushpulley.systems.route_claims import claim
-from bulrushpulley.systems.route_finish import unqueue
 from bulrushpulley.systems.route_queue import next_waiting
 from bulrushpulley.systems.route_send import dispatch
 
@@ -62,7 +61,6 @@
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
     """Dispatch a waiting request, or claim it first if it is unrepeatable."""
-    tables = unqueue(tables, tables.service(request.service))
     if request.repeatable:
         return dispatch(tables, request, agent, now, reason="least expected wait")
     return claim(tables, request, agent, now)
--- a/bulrushpulley/systems/route_finish.py
+++ b/bulrushpulley/systems/route_finish.py
@@ -32,13 +32,12 @@
 
 
 def enqueue(
-    tables: RouterTables, request: Request, *, first: bool = False
+    tables: RouterTables, request: Request, service: Service, *, first: bool = False
 ) -> RouterTables:
-    """Queue a request for its service; a retry goes `first`.
+    """Queue a request for its service as given; a retry goes `first`.
 
     It is due when it could no longer be answered in time.
     """
-    service = tables.service(request.service)
     queue = service.queue
     queue = (
         queue.appendleft(request.call_id) if first else queue.append(request.call_id)
@@ -47,8 +46,12 @@
     waiting = replace(
         request, stage=Waiting(), due_at=request.deadline - service.service_s
     )
-    tables = put_request(put_service(tables, service), waiting)
-    return replace(tables, busy=tables.busy.set(service.name, None))
+    return replace(
+        tables,
+        services=tables.services.put(service.name, service),
+        requests=tables.requests.put(request.call_id, waiting),
+        busy=tables.busy.set(service.name, None),
+    )
 
 
 def unqueue(tables: RouterTables, service: Service) -> RouterTables:
@@ -57,17 +60,25 @@
     return put_service(tables, service)
 
 
-def drop_attempt(tables: RouterTables, attempt_id: str) -> RouterTables:
-    """Forget an attempt, and free the slot that it took."""
+def drop_attempt(
+    tables: RouterTables, attempt_id: str, latency_s: float | None = None
+) -> RouterTables:
+    """Forget an attempt, and free the slot that it took.
+
+    The latency of an answered one goes into the average of its server.
+    """
     attempt = tables.attempts.get(attempt_id)
     if attempt is None:
         return tables
-    tables = replace(tables, attempts=tables.attempts.drop(attempt_id))
+    attempts = tables.attempts.drop(attempt_id)
     server = tables.servers.get(attempt.agent)
     if server is None or attempt.recall:
-        return tables
-    servers = tables.servers.put(attempt.agent, server.released())
-    return replace(tables, servers=servers)
+        return replace(tables, attempts=attempts)
+    after = server.released()
+    if latency_s is not None:
+        after = after.observed(latency_s)
+    servers = tables.servers.put(attempt.agent, after)
+    return replace(tables, attempts=attempts, servers=servers)
 
 
 def without_attempt(request: Request, attempt_id: str) -> Request:
@@ -175,10 +186,11 @@
     if late or service.retry_tokens < price:
         return refuse(tables, request, ran=ran, problem=problem, now=now)
     spent = replace(service, retry_tokens=service.retry_tokens - price)
-    tables = leave_stage(request.stage, request, put_service(tables, spent))
-    count = Count(name="route.retries", label=request.service)
+    tables = leave_stage(request.stage, request, tables)
     again = replace(request, hedged=False)
-    return Step(tables=enqueue(tables, again, first=True), commands=(count,))
+    tables = enqueue(tables, again, spent, first=True)
+    count = Count(name="route.retries", label=request.service)
+    return Step(tables=tables, commands=(count,))
 
 
 def late_problem(peer: str = SELF) -> Problem:
--- a/bulrushpulley/systems/route_queue.py
+++ b/bulrushpulley/systems/route_queue.py
@@ -53,6 +53,8 @@
 ) -> tuple[RouterTables, Request | None]:
     """Take the next call to be served out of the queue of a service.
 
+    It counts as waiting no more.
+
     A call that can no longer be answered in time stays for its timer to refuse.
     """
     service = tables.service(name)
@@ -64,6 +66,9 @@
         queue = queue.pop() if newest_first else queue.popleft()
         request = tables.requests.get(call_id)
         if request is not None and request.stage == Waiting() and request.due_at > now:
-            return put_service(tables, replace(service, queue=queue)), request
+            left = replace(service, queue=queue, waiting=service.waiting - 1)
+            return put_service(tables, left), request
         queue = without_gone(tables, queue)
+    if queue is service.queue:
+        return tables, None
     return put_service(tables, replace(service, queue=queue)), None
--- a/bulrushpulley/systems/route_settle.py
+++ b/bulrushpulley/systems/route_settle.py
@@ -120,7 +120,8 @@
     tables = leave_stage(stage, request, tables)
     request = replace(request, claim_version=found.version)
     if found.row is None:
-        return Step(tables=enqueue(tables, request, first=True))
+        service = tables.service(request.service)
+        return Step(tables=enqueue(tables, request, service, first=True))
     agent = cast(ClaimRow, found.row).incarnation
     return recall(tables, replace(request, stage=Stage()), agent, now)
 
--- a/bulrushpulley/systems/route_timers.py
+++ b/bulrushpulley/systems/route_timers.py
@@ -28,6 +28,8 @@
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
     """Look at every request that has become due."""
     last = timer_bucket(now) - 1
+    if last == tables.timers_until:
+        return Step(tables=tables)
     commands: list[Command] = []
     for bucket in passed_buckets(tables, last):
         for request in tables.requests.rows_where("due", bucket):
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -199,7 +199,8 @@
 
 def not_asked(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
     """Claim again for another agent without asking the claimed one."""
-    return Step(tables=route_finish.enqueue(tables, request))
+    service = tables.service(request.service)
+    return Step(tables=route_finish.enqueue(tables, request, service))
 
 
 def never_may_have_run(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
