Test region preference, second tries, ejection and abandoned claims

Each with its mechanism taken out where it can be. The measurement also runs the router without shedding and without second tries, and three entries that share the servers.

--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -1,21 +1,25 @@
 """Measures the router's policy in virtual time against simple baselines.
 
-Run: scripts/measure_routing [--seed N]. The same arrivals and service times go to
-random choice, least connections (both with a queue at each backend server) and the
-router with its guards. It prints one line for each run and the ratios.
+Run: ``python -m scripts.measure_routing [--seed N]``. The same arrivals and service
+times go to random choice, least connections (both with a queue at each backend
+server) and the router with its guards. It prints one line for each run and the
+ratios.
 """
 
 from __future__ import annotations
 
 import heapq
 import random
+import sys
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from unittest import mock
 
 from absl import app, flags
 from hdrh.histogram import HdrHistogram
 
 from bulrushpulley.entities.calls import AnswerCall
+from bulrushpulley.systems import route_calls, route_queue, route_shed
 from test.request_world import RequestWorld
 
 FLAGS = flags.FLAGS
@@ -158,6 +162,28 @@
     ("least connections", run_baseline),
     ("router", run_router),
 )
+RATES = (0.5, 1.0, 2.0, 5.0)
+
+
+def never(*_: object) -> bool:
+    """Stand in for a test that is switched off."""
+    return False
+
+
+def oldest_first(name: str, load: Load) -> Result:
+    """Run the router without shedding: oldest first, whatever the queue."""
+    with (
+        mock.patch.object(route_queue, "is_standing", never),
+        mock.patch.object(route_shed, "MIN_QUEUE", sys.maxsize),
+        mock.patch.object(route_shed, "MAX_QUEUE", sys.maxsize),
+    ):
+        return run_router(name, load)
+
+
+def without_hedges(name: str, load: Load) -> Result:
+    """Run the router without second attempts."""
+    with mock.patch.object(route_calls, "MAX_HEDGE_TOKENS", 0.0):
+        return run_router(name, load)
 
 
 def measure_slow_server(seconds: float, seed: int) -> None:
@@ -173,23 +199,52 @@
 def measure_overload(seconds: float, seed: int) -> None:
     """Compare the useful answers as the offered load passes the capacity."""
     print(f"useful answers, capacity {CAPACITY_PER_S:.0f}/s")
-    for name, run in POLICIES:
-        peak = 0.0
-        for rate in (0.5, 0.9, 1.0, 1.5, 2.0, 3.0, 5.0):
-            result = run(name, Load(rate=rate, seconds=seconds, seed=seed))
-            peak = max(peak, result.useful_per_s)
-            share = result.useful_per_s / peak
-            print(f"  {rate:3.1f}x {shown(result)} of the peak so far {share:.2f}")
+    for name, run in (*POLICIES, ("router, oldest first", oldest_first)):
+        loads = [Load(rate=rate, seconds=seconds, seed=seed) for rate in RATES]
+        print_overload(name, [run(name, load) for load in loads])
+
+
+def measure_shared(seconds: float, seed: int) -> None:
+    """Do the same with three entries that share the servers, and claims."""
+    print("useful answers, three entries, half of the calls unrepeatable")
+    loads = [
+        Load(rate=rate, seconds=seconds, seed=seed, entries=3, unrepeatable=0.5)
+        for rate in RATES
+    ]
+    print_overload("router", [run_router("router", load) for load in loads])
+
+
+def print_overload(name: str, results: Sequence[Result]) -> None:
+    """Print results with their share of the peak."""
+    peak = max(result.useful_per_s for result in results)
+    for rate, result in zip(RATES, results, strict=True):
+        share = result.useful_per_s / min(peak, result.offered_per_s)
+        print(f"  {rate:3.1f}x {shown(result)} of the peak or offer {share:.2f}")
+
+
+def measure_hedges(seconds: float, seed: int) -> None:
+    """Compare second attempts with none where one run in a hundred stalls."""
+    print(f"1 % of the runs take {SLOW_FACTOR:.0f} times as long")
+    for rate in (0.3, 0.6, 0.8):
+        load = Load(rate=rate, seconds=seconds, stalls=0.01, seed=seed)
+        before = without_hedges("without hedges", load)
+        after = run_router("router", load)
+        print(f"  {rate:3.1f}x {shown(before)}")
+        print(
+            f"  {rate:3.1f}x {shown(after)} p99 ratio {after.p99_s / before.p99_s:.2f}"
+        )
 
 
 def main(argv: list[str]) -> None:
     """Run every measurement."""
     del argv
     measure_slow_server(FLAGS.seconds, FLAGS.seed)
+    measure_hedges(FLAGS.seconds / 2, FLAGS.seed)
     measure_overload(FLAGS.seconds / 2, FLAGS.seed)
+    measure_shared(FLAGS.seconds / 2, FLAGS.seed)
 
 
 if __name__ == "__main__":
     flags.DEFINE_integer("seed", 1, "Seed of arrivals and service times.")
-    flags.DEFINE_float("seconds", 10.0, "Virtual seconds of each run.")
+    flags.DEFINE_float("seconds", 6.0, "Virtual seconds of each run.")
     app.run(main)
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -7,11 +7,14 @@
 
 import testtools
 
+from bulrushpulley.entities.calls import CallAbandoned
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.systems import (
     route_calls,
+    route_choice,
+    route_eject,
     route_settle,
     route_sweep,
 )
@@ -72,6 +75,50 @@
     def test_a_slow_server_gets_few_calls(self) -> None:
         self.assertLess(self.slow_share(), 0.03)
 
+    def test_without_ejection_and_weights_a_slow_server_gets_its_share(self) -> None:
+        with (
+            mock.patch.object(route_choice, "cost_s", lambda server: 0.0),
+            mock.patch.object(route_eject, "EJECT_FACTOR", 99.0),
+        ):
+            self.assertGreater(self.slow_share(), 0.03)
+
+    def test_other_regions_take_only_what_the_own_region_cannot(self) -> None:
+        world = RequestWorld(entries=1, agents=1, service_s=0.2)
+        world.agents.append("far")
+        world.start_agent("far", region="marmara")
+        world.run(0.2)
+        for number in range(12):
+            world.call("e1", f"c{number}")
+        world.run(1.0)
+        ran = list(world.run_on.values())
+        self.assertEqual((8, 4), (ran.count("a1"), ran.count("far")))
+
+    def stalled_latency(self) -> float:
+        """Return how long a call takes whose first run stalls."""
+        world = RequestWorld(entries=1, agents=2)
+        for number in range(100):
+            world.call_at(number * 0.02, "e1", f"c{number}")
+        world.run(3.0)
+        times = iter((1.5, 0.02))
+        world.service_s = lambda agent: next(times)
+        began = world.world.now
+        world.call("e1", "late")
+        world.run(2.0)
+        return world.answers["late"][0][0] - began
+
+    def test_a_late_repeatable_call_gets_a_second_try(self) -> None:
+        self.assertLess(self.stalled_latency(), 0.3)
+        with mock.patch.object(route_calls, "MAX_HEDGE_TOKENS", 0.0):
+            self.assertGreater(self.stalled_latency(), 1.4)
+
+    def test_an_abandoned_call_leaves_no_claim_and_does_not_run(self) -> None:
+        world = RequestWorld(entries=1)
+        world.call("e1", "c1", "id1")
+        world.run(0.004)
+        world.tell("e1", CallAbandoned(call_id="c1"))
+        world.run(3.0)
+        self.assertEqual((0, 0), (len(world.store.by_key), sum(world.runs.values())))
+
     def test_bad_calls_are_refused_as_not_run(self) -> None:
         world = RequestWorld()
         for name, request_id, fields in (
