--- /dev/null
+++ b/bulrushpulley/wire/link_server.py
@@ -0,0 +1,65 @@
+"""The entries' end of the links: takes the streams that agents open."""
+
+from __future__ import annotations
+
+import socket
+import ssl
+from typing import Any
+
+from grpclib.server import Server
+
+from bulrushpulley.wire.link_grpc import LinkBase
+from bulrushpulley.wire.link_stream import (
+    LinkHooks,
+    LinkStream,
+    described,
+    receive_hello,
+    send_hello,
+)
+from bulrushpulley.wire.links import Links
+
+BACKLOG = 1_024
+
+
+class LinkService(LinkBase):
+    """The handler of the one method, `Attach`; a bad stream ends alone."""
+
+    def __init__(self, *, links: Links, hooks: LinkHooks) -> None:
+        self._links = links
+        self._hooks = hooks
+
+    async def Attach(self, stream: Any) -> None:  # noqa: N802
+        """Run the link of one agent."""
+        try:
+            hello = await receive_hello(stream, "agent")
+            await send_hello(stream, self._hooks)
+        except Exception as error:
+            self._hooks.report(described(error, "agent"))
+            return
+        link = LinkStream(
+            peer=hello.peer, region=hello.region, stream=stream, hooks=self._hooks
+        )
+        await self._links.run(link)
+
+
+class LinkServer:
+    """The listener for the streams of agents; its methods run on the loop."""
+
+    def __init__(
+        self, *, links: Links, hooks: LinkHooks, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._service = LinkService(links=links, hooks=hooks)
+        self._tls = tls
+        self.port = 0
+
+    async def start(self, *, host: str, port: int) -> None:
+        """Bind and listen; `port` then holds the bound one."""
+        listener = socket.create_server((host, port), backlog=BACKLOG)
+        self.port = listener.getsockname()[1]
+        self._server = Server([self._service])
+        await self._server.start(sock=listener, ssl=self._tls)
+
+    async def close(self) -> None:
+        """Stop listening and end every stream that is left."""
+        self._server.close()
+        await self._server.wait_closed()
