--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from functools import partial
+from typing import Any
+
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.logs import log_process
-from bulrushpulley.roles import report_io, stub
+from bulrushpulley.platform.table_service import TableServiceClient
+from bulrushpulley.roles import committer, controller, router
 from bulrushpulley.roles.carry_out import Ports
-from bulrushpulley.roles.routing import COMMITTER, CONTROLLER, ROUTER
+from bulrushpulley.roles.committer_io import CommitterPorts
+from bulrushpulley.roles.router_io import RouterPorts
+from bulrushpulley.roles.routing import CONTROLLER, ROUTER
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.settings import EntrySettings
 from bulrushpulley.wire.caller_http import CallerFront
@@ -19,8 +25,7 @@
 
 START_S = 10.0
 LINK_FLUSH_S = 2.0
-
-__all__ = ["EntryProcess", "report_io"]
+STORE_THREADS = 8
 
 
 class EntryProcess:
@@ -58,9 +63,35 @@
         self.runtime.on_loop(starting).result(START_S)
 
     def _start_roles(self) -> None:
-        ports = Ports(**self.runtime.ports(answer=self._answer))
-        for name in (COMMITTER, CONTROLLER, ROUTER):
-            self.runtime.start_role(stub.build(name=name), ports)
+        base = self.runtime.ports(answer=self._answer)
+        self._start_committer(base)
+        self._start_controller(base)
+        role = router.build(
+            incarnation=self.runtime.incarnation, region=self.runtime.region
+        )
+        done = partial(self.runtime.role_done, ROUTER)
+        self.runtime.start_role(role, RouterPorts(**base, done=done))
+
+    def _start_committer(self, base: dict[str, Any]) -> None:
+        role = committer.build(
+            name=self._settings.name, incarnation=self.runtime.incarnation
+        )
+        table = TableServiceClient(
+            url=self._settings.table_service.url, connections=STORE_THREADS
+        )
+        ports = CommitterPorts(**base, table=table, report=self.runtime.report_to)
+        self.runtime.start_role(role, ports, threads=STORE_THREADS)
+
+    def _start_controller(self, base: dict[str, Any]) -> None:
+        links = self._settings.links
+        role = controller.build(
+            entry=self._settings.name,
+            incarnation=self.runtime.incarnation,
+            host=links.advertised_host or links.host,
+            port=self._links.port,
+            region=self._settings.region,
+        )
+        self.runtime.start_role(role, Ports(**base))
 
     def _start_fronts(self) -> None:
         settings = self._settings
@@ -103,7 +134,7 @@
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.hurry.wait(stop.notice_s)
-        self.runtime.tell(ROUTER, Leave())
+        self.runtime.leave(Leave(), (ROUTER,), stop.within_s)
         self._callers.stop(stop.within_s)
         self._operators.stop(LINK_FLUSH_S)
         self.runtime.on_loop(self._close_links()).result(START_S)
