Send submissions alone when the store does not take their transaction

Cause: a transaction that the store rejects for its content (too large, malformed) counted as refused, so one such submission had its whole batch sent again until all had given up, and the store counted as down meanwhile.

Ruled out: halving the batch; the submissions of one batch go one by one just once, which is simpler and as fast for a rare case.

Change: rejection is an outcome of its own, apart from refusal; the submissions of a rejected batch are sent alone, and the one that is rejected alone is withdrawn. The stand-in rejects transactions over 4 MiB. Settling is split into its answer, conflict and queue parts.

--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -62,8 +62,9 @@
 
     `awaiting` tells that a request is out since `sent_at`. `doubtful` tells that an
     earlier request may still take effect while the fence stands where it does;
-    `seal_due` asks for an empty transaction to move it. `failures` counts requests
-    in a row without an answer from the store.
+    `seal_due` asks for an empty transaction to move it. The next `alone` submissions
+    are sent one by one. `failures` counts requests in a row without an answer from
+    the store.
     """
 
     name: str
@@ -76,6 +77,7 @@
     timeout_s: float = 0.0
     doubtful: bool = False
     seal_due: bool = False
+    alone: int = 0
     failures: int = 0
     retry_at: float = 0.0
 
--- a/bulrushpulley/entities/transactions.py
+++ b/bulrushpulley/entities/transactions.py
@@ -83,6 +83,13 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TransactionRejected(TransactionEnded):
+    """The store does not take this content, now or later; it had no effect."""
+
+    reason: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionLost(TransactionEnded):
     """No answer came; the request may have had effect or may yet have it."""
--- a/bulrushpulley/platform/errors.py
+++ b/bulrushpulley/platform/errors.py
@@ -9,5 +9,9 @@
     """The request was never sent or was refused; it has no effect."""
 
 
+class RejectedError(BulrushpulleyError):
+    """The service does not take such a request; it has no effect, repeated or not."""
+
+
 class AnswerLostError(BulrushpulleyError):
     """No whole answer came; the request may have had effect or may yet have it."""
--- a/bulrushpulley/platform/table_service.py
+++ b/bulrushpulley/platform/table_service.py
@@ -16,7 +16,7 @@
     TransactionConflicted,
 )
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.errors import AnswerLostError, RefusedError
+from bulrushpulley.platform.errors import AnswerLostError, RejectedError
 from bulrushpulley.platform.http_client import HttpClient
 from bulrushpulley.wire.rows import decode_row, encode_row
 
@@ -148,7 +148,8 @@
 class TableServiceClient:
     """Commits transactions and reads prefixes; each call blocks up to its timeout.
 
-    Besides the errors of `HttpClient.exchange`, an answer that makes no sense is an
+    Besides the errors of `HttpClient.exchange`, a status of neither commit nor
+    conflict is a `RejectedError`, and an answer that makes no sense an
     `AnswerLostError`, since the request may have had effect all the same.
     """
 
@@ -165,7 +166,7 @@
         )
         if answer.status not in TRANSACTION_STATUSES:
             problem = self._http.invalid("table.transact", f"status {answer.status}")
-            raise RefusedError(problem=problem)
+            raise RejectedError(problem=problem)
         try:
             if answer.status == http.HTTPStatus.CONFLICT:
                 return _conflicted(transact, answer.body)
--- a/bulrushpulley/roles/committer_io.py
+++ b/bulrushpulley/roles/committer_io.py
@@ -15,9 +15,14 @@
     Transact,
     TransactionLost,
     TransactionRefused,
+    TransactionRejected,
 )
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.errors import AnswerLostError, RefusedError
+from bulrushpulley.platform.errors import (
+    AnswerLostError,
+    RefusedError,
+    RejectedError,
+)
 from bulrushpulley.platform.table_service import TableServiceClient
 from bulrushpulley.roles.carry_out import Ports, carry_out
 from bulrushpulley.roles.committer import COMMITTER
@@ -56,6 +61,12 @@
             transaction_id=command.transaction_id,
             reason=str(error.problem),
         )
+    except RejectedError as error:
+        return TransactionRejected(
+            lane=command.lane,
+            transaction_id=command.transaction_id,
+            reason=str(error.problem),
+        )
     except AnswerLostError as error:
         return TransactionLost(
             lane=command.lane,
--- a/bulrushpulley/systems/commit_batch.py
+++ b/bulrushpulley/systems/commit_batch.py
@@ -113,7 +113,20 @@
         entries=batch.chosen,
         fence_version=lane.fence_version,
     )
-    return replace(lane, transaction=transaction, transactions=number, queue=queue)
+    return replace(
+        lane,
+        transaction=transaction,
+        transactions=number,
+        queue=queue,
+        alone=max(0, lane.alone - len(batch.chosen)),
+    )
+
+
+def most_rows(lane: LaneRow) -> int:
+    """Return how many rows the lane's next transaction may have."""
+    if lane.alone:
+        return 1
+    return PROBE_ROWS if commit_backoff.is_open(lane) else MAX_ROWS
 
 
 def _select(tables: CommitterTables, lane: LaneRow) -> Batch:
@@ -121,7 +134,7 @@
 
     The keys of those passed over bar others too, so that nothing overtakes on a key.
     """
-    most_rows = PROBE_ROWS if commit_backoff.is_open(lane) else MAX_ROWS
+    rows_at_most = most_rows(lane)
     chosen: list[SubmissionRow] = []
     left: list[str] = []
     required: set[str] = set()
@@ -133,7 +146,7 @@
             continue
         rows += len(row.submission.writes)
         size_bytes += row.size_bytes
-        if chosen and (rows > most_rows or size_bytes > MAX_BYTES):
+        if chosen and (rows > rows_at_most or size_bytes > MAX_BYTES):
             left.extend(lane.queue[place:])
             break
         if may_share(row.submission, required, written):
--- /dev/null
+++ b/bulrushpulley/systems/commit_conflict.py
@@ -0,0 +1,148 @@
+"""Tells apart the submissions of a transaction that conflicted.
+
+Those that cannot commit are reported, the others go back to the head of the queue.
+After a lost answer the fence decides: it carries the transaction's id exactly if
+the transaction was the last of its lane to commit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from bulrushpulley.entities.commit import Conflicted, VersionedRow
+from bulrushpulley.entities.committer_tables import (
+    CommitterTables,
+    LaneRow,
+    SubmissionRow,
+    Transaction,
+)
+from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.transactions import Fence, TransactionConflicted
+from bulrushpulley.systems.commit_doubt import doubt, fence_seen
+from bulrushpulley.systems.commit_queue import answered, owed, put_back
+from bulrushpulley.systems.commit_report import (
+    report_committed,
+    report_settled,
+    report_unsettled,
+)
+from bulrushpulley.systems.commit_settle import all_committed
+
+
+def conflicted(
+    event: TransactionConflicted,
+    transaction: Transaction,
+    tables: CommitterTables,
+    now: float,
+) -> Step[CommitterTables]:
+    """Tell apart what had committed, what cannot, and what is to be sent again."""
+    fence = event.fence
+    if fence is not None and names(fence, transaction):
+        return all_committed(transaction, event.lane, fence.version, tables, now)
+    lane = answered(tables.lanes.by_key[event.lane], now)
+    rounds = Count(name="commit.conflict_rounds", label=event.lane)
+    if fence is not None:
+        step = _behind_fence(transaction, event, fence, lane, tables, now)
+    elif must_seal(lane):
+        # An earlier request could still take effect: nothing is certain before
+        # the fence has moved.
+        step = Step(tables=_sealing(transaction, lane, tables, now))
+    else:
+        step = _judge_all(transaction, event, lane, tables, now)
+    return replace(step, commands=(rounds, *step.commands))
+
+
+def names(fence: Fence, transaction: Transaction) -> bool:
+    """Tell whether the fence shows that the transaction has committed."""
+    return fence.token == transaction.transaction_id
+
+
+def must_seal(lane: LaneRow) -> bool:
+    """Tell whether an earlier request of the lane may still take effect."""
+    return lane.doubtful
+
+
+def version_with_token(rows: Iterable[VersionedRow], token: str) -> int:
+    """Return the version of a row that carries `token`, or 0."""
+    return max((row.version for row in rows if row.token == token), default=0)
+
+
+def _behind_fence(
+    transaction: Transaction,
+    event: TransactionConflicted,
+    fence: Fence,
+    lane: LaneRow,
+    tables: CommitterTables,
+    now: float,
+) -> Step[CommitterTables]:
+    """Go on from where an earlier transaction of the lane has left the fence."""
+    seen = fence_seen(tables, fence, now)
+    learnt = replace(lane, fence_version=fence.version, doubtful=False, seal_due=False)
+    step = _judge_all(transaction, event, learnt, seen.tables, now)
+    return replace(step, commands=seen.commands + step.commands)
+
+
+def _sealing(
+    transaction: Transaction, lane: LaneRow, tables: CommitterTables, now: float
+) -> CommitterTables:
+    """Put everything back until an empty transaction has moved the fence."""
+    after = put_back(tables, replace(lane, seal_due=True), transaction.entries)
+    if not transaction.lost:
+        return after
+    ids = [row.submission_id for row in owed(after, transaction.entries)]
+    return doubt(after, ids, transaction, now)
+
+
+def _judge_all(
+    transaction: Transaction,
+    event: TransactionConflicted,
+    lane: LaneRow,
+    tables: CommitterTables,
+    now: float,
+) -> Step[CommitterTables]:
+    row_by_key = {row.key: row for row in event.rows}
+    # The fence would tell whether a lost request committed, had it not moved on.
+    ambiguous = transaction.lost and event.fence is not None
+    left: list[SubmissionRow] = []
+    commands: list[Command] = []
+    for row in owed(tables, transaction.entries):
+        failed = _failed_rows(row, row_by_key)
+        if not failed:
+            left.append(row)
+            continue
+        if ambiguous:
+            tables = doubt(tables, [row.submission_id], transaction, now)
+        step = _judged(row, failed, ambiguous, tables, now)
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=put_back(tables, lane, left), commands=tuple(commands))
+
+
+def _judged(
+    row: SubmissionRow,
+    failed: tuple[VersionedRow, ...],
+    ambiguous: bool,
+    tables: CommitterTables,
+    now: float,
+) -> Step[CommitterTables]:
+    """Report a submission that cannot commit any more; its own token means it did."""
+    own_version = version_with_token(failed, row.submission_id)
+    if own_version:
+        return report_committed(tables, row, own_version, now)
+    if ambiguous:
+        reason = "another process of this name moved the fence"
+        return report_unsettled(tables, row, reason, now)
+    conflict = Conflicted(submission_id=row.submission_id, rows=failed)
+    return report_settled(tables, row, conflict, now)
+
+
+def _failed_rows(
+    row: SubmissionRow, row_by_key: Mapping[str, VersionedRow]
+) -> tuple[VersionedRow, ...]:
+    found = [
+        (condition.version, row_by_key[condition.key])
+        for condition in row.submission.conditions
+        if condition.key in row_by_key
+    ]
+    return tuple(held for version, held in found if held.version != version)
--- /dev/null
+++ b/bulrushpulley/systems/commit_queue.py
@@ -0,0 +1,52 @@
+"""What settling a transaction does to its lane and queue."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from bulrushpulley.entities.committer_tables import (
+    CommitterTables,
+    LaneRow,
+    SubmissionRow,
+    Transaction,
+)
+from bulrushpulley.systems import commit_backoff
+
+
+def answered(lane: LaneRow, now: float) -> LaneRow:
+    """Return the lane after an answer of the store: idle, without failures."""
+    return replace(
+        lane,
+        transaction=None,
+        awaiting=False,
+        failures=0,
+        retry_at=now,
+        timeout_s=commit_backoff.timeout_after_answer(now - lane.sent_at),
+    )
+
+
+def failed(lane: LaneRow, transaction: Transaction, now: float) -> LaneRow:
+    """Return the lane after a request without an answer: it backs off."""
+    failures = lane.failures + 1
+    delay_s = commit_backoff.retry_delay(failures, transaction.transaction_id)
+    return replace(lane, awaiting=False, failures=failures, retry_at=now + delay_s)
+
+
+def owed(
+    tables: CommitterTables, entries: Iterable[SubmissionRow]
+) -> list[SubmissionRow]:
+    """Return the entries whose outcome is still owed, with all their origins."""
+    found = [tables.submissions.get(row.submission_id) for row in entries]
+    return [row for row in found if row is not None]
+
+
+def put_back(
+    tables: CommitterTables, lane: LaneRow, entries: Iterable[SubmissionRow]
+) -> CommitterTables:
+    """Leave the lane idle, with the entries at the head of its queue."""
+    queued = set(lane.queue)
+    ids = [row.submission_id for row in owed(tables, entries)]
+    head = tuple(key for key in ids if key not in queued)
+    idle = replace(lane, queue=(*head, *lane.queue), transaction=None)
+    return replace(tables, lanes=tables.lanes.put(lane.name, idle))
--- a/bulrushpulley/systems/committer_events.py
+++ b/bulrushpulley/systems/committer_events.py
@@ -14,8 +14,14 @@
     TransactionConflicted,
     TransactionLost,
     TransactionRefused,
+    TransactionRejected,
+)
+from bulrushpulley.systems import (
+    commit_accept,
+    commit_conflict,
+    commit_read,
+    commit_settle,
 )
-from bulrushpulley.systems import commit_accept, commit_read, commit_settle
 
 
 @singledispatch
@@ -61,7 +67,7 @@
     transaction = commit_settle.pending(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_settle.conflicted(event, transaction, tables, now)
+    return commit_conflict.conflicted(event, transaction, tables, now)
 
 
 @apply.register
@@ -74,6 +80,16 @@
     return commit_settle.refused(event, transaction, tables, now)
 
 
+@apply.register
+def _(
+    event: TransactionRejected, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    transaction = commit_settle.pending(tables, event)
+    if transaction is None:
+        return Step(tables=tables)
+    return commit_settle.rejected(event, transaction, tables, now)
+
+
 @apply.register
 def _(
     event: TransactionLost, tables: CommitterTables, now: float
--- a/standins/table_service.py
+++ b/standins/table_service.py
@@ -31,6 +31,7 @@
 FLAGS = flags.FLAGS
 DEFAULT_WRITES_PER_S = 300.0
 DEFAULT_READS_PER_S = 2_000.0
+MAX_TRANSACTION_BYTES = 4 * 1024 * 1024
 # The persistent maps hold many objects and no cycles: full collections only cost.
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
@@ -135,6 +136,8 @@
         return as_json(http.HTTPStatus.OK, {"mode": switch.mode.value})
 
     def _transact(self, request: Request) -> Response:
+        if len(request.body) > MAX_TRANSACTION_BYTES:
+            return refusal(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "transaction")
         transaction = _transaction(request.body)
         with self._lock:
             result = table_core.commit(self._state, transaction)
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -35,6 +35,7 @@
     TransactionConflicted,
     TransactionLost,
     TransactionRefused,
+    TransactionRejected,
 )
 from bulrushpulley.roles.committer import build
 from bulrushpulley.wire.rows import decode_row, encode_row
@@ -43,6 +44,7 @@
 
 TICK_S = 0.2
 ANSWER_S = 0.004
+REJECTED_PREFIX = "rejected/"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,10 +53,12 @@
 
     effect_after_s: float | None = ANSWER_S
     answered: bool = True
+    ended: type[TransactionRefused | TransactionRejected] = TransactionRefused
 
 
 OK = Fate()
 REFUSED = Fate(effect_after_s=None)
+REJECTED = Fate(effect_after_s=None, ended=TransactionRejected)
 NEVER_SENT = Fate(effect_after_s=None, answered=False)
 LOST = Fate(answered=False)
 
@@ -201,6 +205,8 @@
     def _(self, command: Transact, process: str) -> None:
         self.sent.append(command)
         fate = self._fates.pop(0) if self._fates else OK
+        if any(write.key.startswith(REJECTED_PREFIX) for write in command.writes):
+            fate = REJECTED
         base = {"lane": command.lane, "transaction_id": command.transaction_id}
         if fate.effect_after_s is not None:
             arrival = Arrives(process=process, command=command, answered=fate.answered)
@@ -209,7 +215,7 @@
             lost = TransactionLost(**base, reason="timeout")
             self.at(self.now + command.timeout_s, Told(process=process, event=lost))
         elif fate.effect_after_s is None:
-            refused = TransactionRefused(**base, reason="down")
+            refused = fate.ended(**base, reason="not taken")
             self.at(self.now + ANSWER_S, Told(process=process, event=refused))
 
     @singledispatchmethod
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -18,8 +18,8 @@
 from bulrushpulley.systems import (
     commit_accept,
     commit_batch,
+    commit_conflict,
     commit_report,
-    commit_settle,
 )
 from test.committer_bench import (
     LOST,
@@ -148,25 +148,25 @@
 
 GUARDS = (
     Guard(
-        module=commit_settle,
+        module=commit_conflict,
         name="names",
         replacement=always(False),
         case="answer lost of a deletion is settled by the fence",
     ),
     Guard(
-        module=commit_settle,
+        module=commit_conflict,
         name="version_with_token",
         replacement=always(0),
         case="submission again through a second committer after Unsettled",
     ),
     Guard(
-        module=commit_settle,
+        module=commit_conflict,
         name="must_seal",
         replacement=always(False),
         case="delayed write cannot follow a reported conflict",
     ),
     Guard(
-        module=commit_settle,
+        module=commit_conflict,
         name="fence_seen",
         replacement=lambda tables, fence, now: Step(tables=tables),
         case="submission again behind its own first sending",
@@ -195,6 +195,12 @@
         replacement=always(True),
         case="same key twice is not merged",
     ),
+    Guard(
+        module=commit_batch,
+        name="most_rows",
+        replacement=always(commit_batch.MAX_ROWS),
+        case="submission that the store does not take spares its batch",
+    ),
     Guard(
         module=commit_report,
         name="was_sent",
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -22,6 +22,7 @@
     TransactionConflicted,
     TransactionLost,
     TransactionRefused,
+    TransactionRejected,
 )
 from bulrushpulley.platform.object_store import ObjectStoreClient
 from bulrushpulley.platform.table_service import TableServiceClient
@@ -114,6 +115,10 @@
                 return ended
         return ended
 
+    def test_transaction_that_is_too_large_is_rejected(self) -> None:
+        large = command("k/1", 0, 0, token="x" * 5_000_000)
+        self.assertIsInstance(transact(large, self.table), TransactionRejected)
+
     def test_closed_port_is_a_refusal(self) -> None:
         table = TableServiceClient(url="http://127.0.0.1:1", connections=1)
         refused = transact(command("k/1", 0, 0), table)
