--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -151,8 +151,8 @@
     """Everything the committer knows.
 
     `name` is the process's name in the settings, under which its fences stand;
-    `incarnation` makes transaction ids unique. No submission gives up before
-    `next_give_up_at`.
+    `incarnation` makes transaction ids unique. Deadlines are looked at again at
+    `sweep_at`.
     """
 
     name: str
@@ -162,4 +162,4 @@
     doubts: Table[DoubtRow] = field(default_factory=_no_doubts)
     reads: Table[PrefixRead] = field(default_factory=_no_reads)
     reads_asked: int = 0
-    next_give_up_at: float = float("inf")
+    sweep_at: float = 0.0
--- a/bulrushpulley/systems/commit_accept.py
+++ b/bulrushpulley/systems/commit_accept.py
@@ -87,9 +87,5 @@
 def _kept(
     tables: CommitterTables, row: SubmissionRow, lanes: Table[LaneRow]
 ) -> CommitterTables:
-    return replace(
-        tables,
-        lanes=lanes,
-        submissions=tables.submissions.put(row.submission_id, row),
-        next_give_up_at=min(tables.next_give_up_at, row.give_up_at),
-    )
+    submissions = tables.submissions.put(row.submission_id, row)
+    return replace(tables, lanes=lanes, submissions=submissions)
--- a/bulrushpulley/systems/commit_give_up.py
+++ b/bulrushpulley/systems/commit_give_up.py
@@ -13,7 +13,6 @@
 from bulrushpulley.entities.committer_tables import (
     CommitterTables,
     LaneRow,
-    SubmissionRow,
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
@@ -21,23 +20,28 @@
 from bulrushpulley.systems.commit_doubt import doubt
 from bulrushpulley.systems.commit_report import report_unsettled, withdraw
 
+SWEEP_S = 0.1
+
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    """Report every submission that waits no longer."""
-    lanes = tables.lanes.rows()
-    if max(_horizon(lane, now) for lane in lanes) < tables.next_give_up_at:
+    """Report every submission that waits no longer; looks at all every `SWEEP_S`."""
+    if now < tables.sweep_at or not tables.submissions:
         return Step(tables=tables)
+    tables = replace(tables, sweep_at=now + SWEEP_S)
+    lanes = tables.lanes.rows()
+    transaction_of = _in_flight(lanes)
+    horizon_of = {lane.name: _horizon(lane, now) for lane in lanes}
+    ended = [
+        key
+        for key, row in tables.submissions.by_key.items()
+        if row.give_up_at <= (now if key in transaction_of else horizon_of[row.lane])
+    ]
     commands: list[Command] = []
-    in_flight = _in_flight(lanes)
-    for row in tables.submissions.rows():
-        transaction = in_flight.get(row.submission_id)
-        if transaction is None:
-            step = _queued(tables, row, now)
-        else:
-            step = _sent(tables, row, transaction, now)
+    for key in sorted(ended):
+        step = _given_up(tables, key, transaction_of.get(key), now)
         tables = step.tables
         commands.extend(step.commands)
-    after = replace(tables, next_give_up_at=_next_give_up(tables))
+    after = _without_gone(tables) if ended else tables
     return Step(tables=after, commands=tuple(commands))
 
 
@@ -56,28 +60,22 @@
     return max(now, lane.retry_at) if is_open(lane) else now
 
 
-def _sent(
-    tables: CommitterTables, row: SubmissionRow, transaction: Transaction, now: float
-) -> Step[CommitterTables]:
-    if row.give_up_at > now:
-        return Step(tables=tables)
-    doubted = doubt(tables, [row.submission_id], transaction, now)
-    return report_unsettled(doubted, row, "the store has not answered in time", now)
-
-
-def _queued(
-    tables: CommitterTables, row: SubmissionRow, now: float
+def _given_up(
+    tables: CommitterTables, key: str, transaction: Transaction | None, now: float
 ) -> Step[CommitterTables]:
-    lane = tables.lanes.by_key[row.lane]
-    if row.give_up_at > _horizon(lane, now):
-        return Step(tables=tables)
-    reason = "the store is down" if is_open(lane) else "waited too long for the store"
-    step = withdraw(tables, row, reason, now)
-    queue = tuple(key for key in lane.queue if key != row.submission_id)
-    lanes = step.tables.lanes.put(lane.name, replace(lane, queue=queue))
-    return replace(step, tables=replace(step.tables, lanes=lanes))
-
-
-def _next_give_up(tables: CommitterTables) -> float:
-    rows = tables.submissions.by_key.values()
-    return min((row.give_up_at for row in rows), default=float("inf"))
+    row = tables.submissions.by_key[key]
+    if transaction is not None:
+        doubted = doubt(tables, [key], transaction, now)
+        return report_unsettled(doubted, row, "the store did not answer in time", now)
+    is_down = is_open(tables.lanes.by_key[row.lane])
+    reason = "the store is down" if is_down else "waited too long for the store"
+    return withdraw(tables, row, reason, now)
+
+
+def _without_gone(tables: CommitterTables) -> CommitterTables:
+    """Drop the ids of reported submissions from the queues."""
+    lanes = tables.lanes
+    for lane in lanes.rows():
+        queue = tuple(key for key in lane.queue if key in tables.submissions)
+        lanes = lanes.put(lane.name, replace(lane, queue=queue))
+    return replace(tables, lanes=lanes)
