--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -90,6 +90,15 @@
     Tasks that wait in the cell use nothing there yet, so the newest reservations
     are kept for as many tasks as wait.
     """
+    if not view.reservations:
+        return replace(
+            view,
+            summary=summary,
+            peer=summary.peer,
+            heard_at=now,
+            failure_domain=summary.failure_domain,
+            free=summary.free,
+        )
     kept: tuple[Reservation, ...] = ()
     tasks = 0
     for one in reversed(view.reservations):
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -11,6 +11,7 @@
     Closing,
     Deferral,
     Lane,
+    Rank,
     Waiting,
     Wake,
     Why,
@@ -131,7 +132,8 @@
     `revision` is the one up to which they are complete and `revision_row` the
     last seen row of the table service. `usage` sums what each department uses and
     has reserved over `cells`. `lanes` are either in `ready` or in
-    `blocked`; `wakes` and `deferred` are ordered by time. `closed_keys` holds
+    `blocked`; `wakes` of a rank and `deferred` are ordered by time. `room_seen`
+    says that a cell has more room than before. `closed_keys` holds
     the outcomes of each closing record, and `recent_jobs` the jobs last seen.
     `said_at` bounds the decision lines.
     """
@@ -161,7 +163,8 @@
     lanes: Lanes = field(default_factory=pmap)
     ready: PSet[Lane] = field(default_factory=pset)
     blocked: PMap[Lane, Why] = field(default_factory=pmap)
-    wakes: Queue[Wake] = field(default_factory=Queue.empty)
+    wakes: PMap[Rank, Queue[Wake]] = field(default_factory=pmap)
+    room_seen: bool = False
     deferred: Queue[Deferral] = field(default_factory=Queue.empty)
     closings: Table[Closing] = field(default_factory=Table.empty)
     closed_keys: PMap[str, PMap[str, Closed]] = field(default_factory=pmap)
--- a/bulrushpulley/systems/control_backlog.py
+++ b/bulrushpulley/systems/control_backlog.py
@@ -16,6 +16,7 @@
     Deferral,
     Lane,
     Phase,
+    Rank,
     Waiting,
     Wake,
     Why,
@@ -32,7 +33,8 @@
 
 PREFIX = "backlog/"
 READ_EVERY_S = 0.5
-BLOCK_S = 1.0
+BLOCK_S = {Rank.URGENT: 0.5, Rank.LATENCY_CRITICAL: 1.0, Rank.BATCH: 3.0}
+ROOM_WAKES_PER_TICK = 16
 DEFER_S = 1.0
 WAKES_PER_TICK = 64
 
@@ -166,12 +168,14 @@
 def block(
     tables: ControllerTables, lane: Lane, why: Why, now: float
 ) -> ControllerTables:
-    """Leave a lane out of the assignment for `BLOCK_S`."""
+    """Leave a lane out of the assignment for its rank's `BLOCK_S`."""
+    wake = Wake(lane=lane, at=now + BLOCK_S[lane.rank])
+    queue = tables.wakes.get(lane.rank) or Queue.empty()
     return replace(
         tables,
         ready=tables.ready.discard(lane),
         blocked=tables.blocked.set(lane, why),
-        wakes=tables.wakes.append(Wake(lane=lane, at=now + BLOCK_S)),
+        wakes=tables.wakes.set(lane.rank, queue.append(wake)),
     )
 
 
@@ -194,11 +198,14 @@
 
 
 def run(tables: ControllerTables, now: float) -> Controlled:
-    """Return lanes and rows whose pause is over, a bounded number a tick."""
-    for _ in range(WAKES_PER_TICK):
-        if not tables.wakes or tables.wakes.first.at > now:
-            break
-        tables = _woken(tables, tables.wakes.first.lane)
+    """Return lanes and rows whose pause is over, a bounded number a tick.
+
+    When a cell has more room than before, some lanes are tried before their time.
+    """
+    for rank in Rank:
+        tables = _wake_due(tables, rank, now)
+    if tables.room_seen:
+        tables = _wake_early(replace(tables, room_seen=False))
     for _ in range(WAKES_PER_TICK):
         if not tables.deferred or tables.deferred.first.until > now:
             break
@@ -210,11 +217,39 @@
     return Step(tables=tables)
 
 
-def _woken(tables: ControllerTables, lane: Lane) -> ControllerTables:
-    ready = tables.ready.add(lane) if lane in tables.lanes else tables.ready
+def _wake_due(tables: ControllerTables, rank: Rank, now: float) -> ControllerTables:
+    queue = tables.wakes.get(rank)
+    lanes: list[Lane] = []
+    while queue and len(lanes) < WAKES_PER_TICK and queue.first.at <= now:
+        lanes.append(queue.first.lane)
+        queue = queue.rest()
+    return _woken(tables, rank, queue, lanes) if queue is not None else tables
+
+
+def _wake_early(tables: ControllerTables) -> ControllerTables:
+    for rank in Rank:
+        queue = tables.wakes.get(rank)
+        lanes: list[Lane] = []
+        while queue and len(lanes) < ROOM_WAKES_PER_TICK:
+            lanes.append(queue.first.lane)
+            queue = queue.rest()
+        if queue is not None:
+            tables = _woken(tables, rank, queue, lanes)
+    return tables
+
+
+def _woken(
+    tables: ControllerTables, rank: Rank, queue: Queue[Wake], lanes: list[Lane]
+) -> ControllerTables:
+    if not lanes:
+        return tables
+    ready, blocked = tables.ready, tables.blocked
+    for lane in lanes:
+        blocked = blocked.discard(lane)
+        ready = ready.add(lane) if lane in tables.lanes else ready
     return replace(
         tables,
-        wakes=tables.wakes.rest(),
-        blocked=tables.blocked.discard(lane),
+        wakes=tables.wakes.set(rank, queue),
+        blocked=blocked,
         ready=ready,
     )
--- a/bulrushpulley/systems/control_cells.py
+++ b/bulrushpulley/systems/control_cells.py
@@ -18,12 +18,15 @@
 
 def put_cell(tables: ControllerTables, view: CellView) -> ControllerTables:
     """Return the tables with a cell's view and the departments' use renewed."""
+    known = tables.cells.get(view.cell)
+    before = uses_of(known) if known is not None else ()
+    after = uses_of(view)
     usage = tables.usage
-    before = tables.cells.get(view.cell)
-    for department, amount in uses_of(before) if before is not None else ():
-        usage = usage.set(department, usage.get(department, NOTHING).minus(amount))
-    for department, amount in uses_of(view):
-        usage = usage.set(department, usage.get(department, NOTHING).plus(amount))
+    if before != after:
+        for department, amount in before:
+            usage = usage.set(department, usage.get(department, NOTHING).minus(amount))
+        for department, amount in after:
+            usage = usage.set(department, usage.get(department, NOTHING).plus(amount))
     return replace(tables, cells=tables.cells.put(view.cell, view), usage=usage)
 
 
@@ -41,8 +44,13 @@
         )
     if _is_older(view, event):
         return Step(tables=tables)
-    tables = put_cell(tables, with_summary(view, event, now))
-    return Step(tables=replace(tables, offers=tables.offers.drop(event.cell)))
+    after = with_summary(view, event, now)
+    if not after.free.fits(view.free) and not tables.room_seen:
+        tables = replace(tables, room_seen=True)
+    tables = put_cell(tables, after)
+    if event.cell in tables.offers:
+        tables = replace(tables, offers=tables.offers.drop(event.cell))
+    return Step(tables=tables)
 
 
 def _is_older(view: CellView, event: CellSummary) -> bool:
--- a/bulrushpulley/systems/control_offers.py
+++ b/bulrushpulley/systems/control_offers.py
@@ -36,14 +36,15 @@
     if now < tables.offers_at or not tables.links:
         return Step(tables=tables)
     tables = replace(tables, offers_at=now + OFFERS_EVERY_S)
+    silent = _silent_cells(tables, now)
+    if not silent:
+        return Step(tables=tables)
     commands: list[Command] = []
     cells_by_peer = _cells_by_peer(tables)
-    for names in tables.fleet.cells_by_domain.values():
-        for cell in names:
-            if _is_silent(tables, cell, now):
-                step = _offered(tables, cell, cells_by_peer, now)
-                tables = step.tables
-                commands.extend(step.commands)
+    for cell in silent:
+        step = _offered(tables, cell, cells_by_peer, now)
+        tables = step.tables
+        commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -51,11 +52,17 @@
     return {peer: tables.cells.count_where("peer", peer) for peer in tables.links}
 
 
-def _is_silent(tables: ControllerTables, cell: str, now: float) -> bool:
-    view = tables.cells.get(cell)
-    if view is None or view.summary is None:
-        return True
-    return now - view.heard_at >= CELL_SILENT_S or view.peer not in tables.links
+def _silent_cells(tables: ControllerTables, now: float) -> list[str]:
+    linked = set(tables.links)
+    view_by_cell = tables.cells.by_key
+    heard_after = now - CELL_SILENT_S
+    silent: list[str] = []
+    for names in tables.fleet.cells_by_domain.values():
+        for cell in names:
+            view = view_by_cell.get(cell)
+            if view is None or view.heard_at <= heard_after or view.peer not in linked:
+                silent.append(cell)
+    return silent
 
 
 def _offered(
