--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -1,8 +1,9 @@
 """Asks workers for reports and applies what they say of starts, stops and runs.
 
-A worker is asked once a second, by one call that also renews the leases of its
-tasks and never overlaps with another. Only the answer to the report last asked
-counts; what it says of older generations changes nothing but has them stopped.
+A worker is asked about once a second, by one call that never overlaps with another
+and renews the leases of its tasks when that is due. Only the answer to the report
+last asked counts; what it says of older generations changes nothing but has them
+stopped.
 """
 
 from __future__ import annotations
@@ -13,7 +14,10 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import (
     CALL_WITHIN_S,
+    LONGEST_REPORT_S,
+    RENEW_TASKS_S,
     REPORT_EVERY_S,
+    REPORT_S_PER_RUN,
     TASK_LEASE_S,
 )
 from bulrushpulley.entities.step import Command, Step
@@ -62,12 +66,13 @@
             continue
         if not worker.url or now < worker.next_report_at:
             continue
-        renewals = () if cell_stop.is_silent(worker, now) else _renewals(tables, worker)
+        renewals = _renewals(tables, worker, now)
         asked = replace(
             worker,
             asked_at=now,
-            next_report_at=now + REPORT_EVERY_S,
+            next_report_at=now + report_interval(tables, worker),
             renewed_until=not_after if renewals else worker.renewed_until,
+            renew_at=now + RENEW_TASKS_S if renewals else worker.renew_at,
         )
         tables = cell_rows.put_worker(tables, asked)
         commands.append(
@@ -82,7 +87,25 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _renewals(tables: CellOwnerTables, worker: Worker) -> tuple[Renewal, ...]:
+def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
+    """Return the pause before the next report.
+
+    The size of a report grows with the runs on the worker, so many steady runs are
+    asked for less often; while one is being settled, reports come every second.
+    """
+    for key in tables.tasks.keys_where("worker", worker.worker_id):
+        if tables.tasks.by_key[key].phase is not Phase.RUNNING:
+            return REPORT_EVERY_S
+    steady = max(REPORT_EVERY_S, REPORT_S_PER_RUN * worker.runs)
+    return min(LONGEST_REPORT_S, steady)
+
+
+def _renewals(
+    tables: CellOwnerTables, worker: Worker, now: float
+) -> tuple[Renewal, ...]:
+    """Return the renewals that are due; a silent worker's leases are let lapse."""
+    if now < worker.renew_at or cell_stop.is_silent(worker, now):
+        return ()
     return tuple(
         Renewal(
             task_id=task.row.spec.task_id,
@@ -158,7 +181,8 @@
     worker = tables.workers.get(worker_id)
     if worker is None:
         return tables
-    tables = cell_rows.put_worker(tables, replace(worker, unanswered_at=now))
+    failed = replace(worker, unanswered_at=now, renew_at=now)
+    tables = cell_rows.put_worker(tables, failed)
     return cell_rows.touch_cell(tables, worker.cell)
 
 
@@ -174,6 +198,7 @@
         worker,
         asked_at=None,
         answered_at=now,
+        runs=len(event.runs),
         reported_at=event.asked_at if loaded else worker.reported_at,
         unanswered_at=_still_unanswered(worker, event.asked_at),
     )
@@ -231,9 +256,10 @@
         return Step(tables=_seen_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        tables = cell_sick.task_succeeded(tables, worker)
+        judged = cell_sick.task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
-        return Step(tables=cell_stop.end(tables, task, finish, now, run.checkpoint))
+        ended = cell_stop.end(judged.tables, task, finish, now, run.checkpoint)
+        return Step(tables=ended, commands=judged.commands)
     if run.state is RunState.FAILED and task.ending is None:
         return _failed(run, task, worker, tables, now)
     reason = f"{run.state.value} on {worker_id}"
@@ -247,7 +273,7 @@
     worker = tables.workers.by_key[worker_id]
     sound = task.phase is Phase.RUNNING and now - task.since >= SOUND_AFTER_S
     if sound and worker.health is Health.PROBING:
-        return cell_sick.task_succeeded(tables, worker)
+        return cell_sick.cleared(tables, worker)
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return tables
     running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
