Displace only where something runs, leave the members at a planned stop

In a trial of the demo with all parts together, replicas went to cells whose workers took no tasks, since a cell without free room was always thought able to make some. Now a cell is asked to make room only if something runs in it. The status of a job at an entry that does not assign it gave no reason; it now gives that of a trial placement. A stopping entry deletes its member row, so that the others take its departments over within about a second instead of 15 s.

The time from the backlog to the assignment is observed for each department.

--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -139,6 +139,7 @@
     """
 
     identity: Identity
+    leaving: bool = False
     last_number: int = 0
     revision: int = 0
     spread_revision: int = 0
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -22,6 +22,11 @@
     """Renews the member row of this entry."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaveMembers(Purpose):
+    """Deletes the member row of this entry, which is stopping."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeRecord(Purpose):
     """Carries out an operator's call that changes a record."""
--- a/bulrushpulley/systems/control_assign.py
+++ b/bulrushpulley/systems/control_assign.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field, replace
 
 from bulrushpulley.entities.backlog import (
+    Closing,
     Lane,
     Rank,
     Waiting,
@@ -64,7 +65,7 @@
 
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Assign what has room, in order, within the bounds of one tick."""
-    if not tables.ready:
+    if not tables.ready or tables.leaving:
         return Step(tables=tables)
     step = Step(tables=tables)
     by_rank: dict[Rank, list[Lane]] = {rank: [] for rank in Rank}
@@ -123,6 +124,11 @@
     )
 
 
+def is_closing(closing: Closing | None, *indexes: int) -> bool:
+    """Tell whether one of the indexes is being stopped for good."""
+    return closing is not None and any(closing.covers(index) for index in indexes)
+
+
 def current_spec(tables: ControllerTables, waiting: Waiting) -> TaskSpec | None:
     """Return what a waiting row's tasks run by the record now in force.
 
@@ -132,7 +138,7 @@
     spec = waiting.row.spec
     closing = tables.closings.get(spec.job)
     last = spec.index + waiting.row.count - 1
-    if closing is not None and (closing.covers(last) or closing.covers(spec.index)):
+    if is_closing(closing, spec.index, last):
         return None
     if spec.kind == "job":
         return replace(spec, record_version=spec.record_version or waiting.version)
--- a/bulrushpulley/systems/control_assigned.py
+++ b/bulrushpulley/systems/control_assigned.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import Assigned, Send
-from bulrushpulley.entities.observe import Count
+from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.pending import AssignTasks, Pending
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.control_backlog import (
@@ -47,6 +47,7 @@
         view = tables.cells.by_key[cell]
         view = settle_reservation(view, submission.submission_id, now)
         tables = put_cell(tables, view)
+    source = tables.waiting.get(purpose.source)
     tables = replace(tables, waiting=tables.waiting.drop(purpose.source))
     for write in submission.writes:
         if write.key.startswith(PREFIX) and write.row is not None:
@@ -55,7 +56,9 @@
     commands = _told(tables, purpose, submission.submission_id, outcome.revision)
     department = purpose.placed[0].row.spec.department
     count = Count(name="tasks_assigned", label=department, by=len(purpose.placed))
-    return Step(tables=tables, commands=(*commands, count))
+    waited_s = now - source.seen_at if source is not None else 0.0
+    waited = Observe(name="assign_wait", seconds=waited_s, label=department)
+    return Step(tables=tables, commands=(*commands, count, waited))
 
 
 def _told(
--- a/bulrushpulley/systems/control_enquiries.py
+++ b/bulrushpulley/systems/control_enquiries.py
@@ -175,7 +175,7 @@
             continue
         failed = enquiry.failed or ("not everything was read in time" if late else "")
         asked = replace(enquiry, failed=failed)
-        commands.append(_answer(asked, tables))
+        commands.append(_answer(asked, tables, now))
         for awaited in enquiry.waiting_for:
             tables = replace(tables, polls=tables.polls.drop(awaited))
         call_id = enquiry.call.call_id
@@ -183,8 +183,10 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _answer(enquiry: Enquiry, tables: ControllerTables) -> ops.Reply | ops.Reject:
+def _answer(
+    enquiry: Enquiry, tables: ControllerTables, now: float
+) -> ops.Reply | ops.Reject:
     call = enquiry.call
     if isinstance(call, ops.AskExplain):
         return held_or_done(call, enquiry)
-    return status_of(enquiry, tables)
+    return status_of(enquiry, tables, now)
--- a/bulrushpulley/systems/control_explain.py
+++ b/bulrushpulley/systems/control_explain.py
@@ -37,8 +37,7 @@
 
 def why_waits(tables: ControllerTables, waiting: Waiting, now: float) -> str:
     """Say why a row waits, by a trial placement unless it is being assigned."""
-    known = why_of(tables, waiting)
-    if known is Why.ASSIGNING:
+    if waiting.phase is Phase.ASSIGNING:
         return Why.ASSIGNING.value
     spec = current_spec(tables, waiting)
     if spec is None:
@@ -51,16 +50,6 @@
     return f"{Why.QUEUED.value}; cell {choice.cells[0]} has room"
 
 
-def why_of(tables: ControllerTables, waiting: Waiting) -> Why:
-    """Return the last known reason for which a row waits."""
-    if waiting.phase is Phase.ASSIGNING:
-        return Why.ASSIGNING
-    if current_spec(tables, waiting) is None:
-        return Why.CLOSED
-    why: Why = tables.blocked.get(waiting.lane, Why.QUEUED)
-    return why
-
-
 def held_or_done(call: ops.AskExplain, enquiry: Enquiry) -> Explanation | ops.Reject:
     """Explain a task from the rows that were read for it."""
     index = int(call.task_id.split("/")[1])
--- a/bulrushpulley/systems/control_members.py
+++ b/bulrushpulley/systems/control_members.py
@@ -17,13 +17,21 @@
     Write,
 )
 from bulrushpulley.entities.controller_tables import ControllerTables
+from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import Entries, EntryAddress, Fetched, LinkUp, Send
 from bulrushpulley.entities.member import Member, address_of, member_key
-from bulrushpulley.entities.pending import Pending, Poll, ReadMembers, RenewMember
+from bulrushpulley.entities.pending import (
+    LeaveMembers,
+    Pending,
+    Poll,
+    ReadMembers,
+    RenewMember,
+)
 from bulrushpulley.entities.rows import MemberRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.control_events import (
     Controlled,
+    apply,
     on_commit,
     on_conflict,
     on_loss,
@@ -97,7 +105,8 @@
     due_at = tables.member_renew_at
     if changed:
         due_at -= RENEW_S - RENEW_AFTER_CHANGE_S
-    if tables.renewing or tables.members_read_at is None or now < due_at:
+    waits = tables.leaving or tables.renewing or tables.members_read_at is None
+    if waits or now < due_at:
         return Step(tables=tables)
     row = own_row(tables)
     known = tables.members.get(row.name)
@@ -119,6 +128,29 @@
     )
 
 
+@apply.register
+def _(event: Leave, tables: ControllerTables, now: float) -> Controlled:
+    """Stop renewing, and delete the own row once no renewal is in flight."""
+    tables = replace(tables, leaving=True)
+    return Step(tables=tables) if tables.renewing else _deleted(tables, now)
+
+
+def _deleted(tables: ControllerTables, now: float) -> Controlled:
+    """Delete the own row, so that the others take over without waiting."""
+    key = member_key(tables.identity.name)
+    known = tables.members.get(tables.identity.name)
+    if known is None:
+        return Step(tables=tables)
+    return submit(
+        tables,
+        now,
+        purpose=LeaveMembers(),
+        conditions=(Condition(key=key, version=known.version),),
+        writes=(Write(key=key, row=None),),
+        deadline=now + RENEW_S,
+    )
+
+
 @on_commit.register
 def _(
     purpose: RenewMember,
@@ -129,7 +161,8 @@
 ) -> Controlled:
     write = pending.submission.writes[0]
     row = VersionedRow(key=write.key, version=outcome.revision, row=write.row)
-    return Step(tables=_noted(replace(tables, renewing=""), row))
+    tables = _noted(replace(tables, renewing=""), row)
+    return _deleted(tables, now) if tables.leaving else Step(tables=tables)
 
 
 @on_conflict.register
--- a/bulrushpulley/systems/control_offers.py
+++ b/bulrushpulley/systems/control_offers.py
@@ -33,7 +33,7 @@
 
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Offer every silent cell whose pause is over."""
-    if now < tables.offers_at or not tables.links:
+    if tables.leaving or now < tables.offers_at or not tables.links:
         return Step(tables=tables)
     tables = replace(tables, offers_at=now + OFFERS_EVERY_S)
     silent = _silent_cells(tables, now)
--- a/bulrushpulley/systems/control_place.py
+++ b/bulrushpulley/systems/control_place.py
@@ -246,7 +246,7 @@
     able = [
         view
         for view in _reachable(tables, names, now)
-        if _has_worker(tables, view, spec) and _expected(view) < DISPLACING_TASKS
+        if _could_make_room(tables, view, spec)
     ]
     if not able:
         return Choice(why=Why.NO_ROOM)
@@ -258,9 +258,13 @@
     return Choice(cells=cells, displacing=True)
 
 
-def _has_worker(tables: ControllerTables, view: CellView, spec: TaskSpec) -> bool:
+def _could_make_room(tables: ControllerTables, view: CellView, spec: TaskSpec) -> bool:
+    """Tell whether evicting what runs in a cell could let a task start there."""
+    if view.summary is None or view.summary.running == 0:
+        return False
     capacities = tables.fleet.capacities_by_cell.get(view.cell, ())
-    return any(spec.size.fits(capacity) for capacity in capacities)
+    has_worker = any(spec.size.fits(capacity) for capacity in capacities)
+    return has_worker and _expected(view) < DISPLACING_TASKS
 
 
 def _expected(view: CellView) -> int:
--- a/bulrushpulley/systems/control_plans.py
+++ b/bulrushpulley/systems/control_plans.py
@@ -277,8 +277,8 @@
     Jobs and services share the keys of their tasks.
     """
     key = backlog_key(backlog.spec.job, backlog.spec.index)
-    marker = backlog_key(backlog.spec.job, CLOSING)
-    absent = (Condition(key=namesake, version=0), Condition(key=marker, version=0))
+    closing = nothing_closing(backlog.spec.job)
+    absent = (Condition(key=namesake, version=0), *closing)
     if backlog.count == 0:
         return Planned(row=row, conditions=absent)
     return Planned(
@@ -303,18 +303,23 @@
     if record.replicas == before.replicas:
         return Planned(row=row)
     marker = backlog_key(record.name, CLOSING)
-    absent = Condition(key=marker, version=0)
+    absent = nothing_closing(record.name)
     first, last = sorted((record.replicas, before.replicas))
     backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
     if record.replicas < before.replicas:
         return Planned(
             row=row,
-            conditions=(absent,),
+            conditions=absent,
             writes=(Write(key=marker, row=backlog),),
         )
     key = backlog_key(record.name, first)
     return Planned(
         row=row,
-        conditions=(absent, Condition(key=key, version=0)),
+        conditions=(*absent, Condition(key=key, version=0)),
         writes=(Write(key=key, row=backlog),),
     )
+
+
+def nothing_closing(name: str) -> tuple[Condition, ...]:
+    """Require that no tasks of an earlier record of the name are still ending."""
+    return (Condition(key=backlog_key(name, CLOSING), version=0),)
--- a/bulrushpulley/systems/control_status.py
+++ b/bulrushpulley/systems/control_status.py
@@ -24,15 +24,17 @@
     ServiceStatus,
     Status,
 )
-from bulrushpulley.systems.control_explain import why_of
+from bulrushpulley.systems.control_explain import why_waits
 from bulrushpulley.systems.control_members import live_entries
 from bulrushpulley.systems.control_offers import CELL_SILENT_S
 from bulrushpulley.systems.control_records import record_row
 
+EXPLAINED_ROWS = 4
 
-def status_of(enquiry: Enquiry, tables: ControllerTables) -> Status:
+
+def status_of(enquiry: Enquiry, tables: ControllerTables, now: float) -> Status:
     """Return how things stand as this entry sees them."""
-    heard_after = enquiry.deadline - CELL_SILENT_S
+    heard_after = now - CELL_SILENT_S
     return Status(
         call_id=enquiry.call.call_id,
         revision=tables.revision,
@@ -40,7 +42,7 @@
         agents=_agents(tables),
         cells=_cells(tables, heard_after),
         services=_services(tables),
-        jobs=_jobs(enquiry.rows, tables),
+        jobs=_jobs(enquiry.rows, tables, now),
         failure_domains=_domains(tables),
         incomplete=enquiry.failed,
     )
@@ -141,7 +143,7 @@
 
 
 def _jobs(
-    rows: tuple[VersionedRow, ...], tables: ControllerTables
+    rows: tuple[VersionedRow, ...], tables: ControllerTables, now: float
 ) -> tuple[JobStatus, ...]:
     done_by_job: dict[str, Counter[TaskState]] = defaultdict(Counter)
     for row in rows:
@@ -150,19 +152,19 @@
             counts[state_of(row.row)] += len(indexes_of(row.row))
     jobs = [held.record for row in rows if (held := record_row(row)) is not None]
     return tuple(
-        _job(tables, job, done_by_job[job.name])
+        _job(tables, job, done_by_job[job.name], now)
         for job in jobs
         if isinstance(job, JobRecord)
     )
 
 
 def _job(
-    tables: ControllerTables, job: JobRecord, done: Counter[TaskState]
+    tables: ControllerTables, job: JobRecord, done: Counter[TaskState], now: float
 ) -> JobStatus:
     waiting = _waiting_of(tables, job.name)
     ended = sum(done.values())
-    rows = tables.waiting.rows_where("job", job.name)
-    reasons = {why_of(tables, row).value for row in rows}
+    rows = tables.waiting.rows_where("job", job.name)[:EXPLAINED_ROWS]
+    reasons = {why_waits(tables, row, now) for row in rows}
     return JobStatus(
         name=job.name,
         department=job.department,
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bulrushpulley.entities import operations as ops
+from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import (
     Entries,
     JobCancelled,
@@ -73,6 +74,15 @@
         with self.assertRaises(AssertionError):
             self.in_an_outage()
 
+    def test_a_leaving_entry_is_left_out_at_once(self) -> None:
+        bench = Bench(entries=("a", "b"))
+        bench.run(7.0)
+        bench.tell("b", Leave())
+        bench.run(2.5)
+        self.assertEqual(("a",), self.live(bench))
+        bench.run(10.0)
+        self.assertEqual(["member/a"], list(bench.rows("member/")))
+
     def test_a_replaced_entry_takes_its_row_over(self) -> None:
         bench = Bench(entries=("a",))
         bench.run(2.0)
