--- a/bulrushpulley/platform/http_body.py
+++ b/bulrushpulley/platform/http_body.py
@@ -10,6 +10,7 @@
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 
 READ_BYTES = 64 * 1024
+BODILESS = frozenset({204, 304})
 
 
 def read_whole(
@@ -23,8 +24,12 @@
 ) -> bytes:
     """Read a body of at most `limit` bytes to its end, before `deadline`.
 
-    A body that is shorter than its Content-Length is an error of urllib3.
+    A body that is shorter than its Content-Length is an error of urllib3. One that
+    ends only with its connection may have been cut short, so it is refused.
     """
+    if not is_delimited(response):
+        detail = "the body has no stated end"
+        raise _error(Code.OUTCOME_UNKNOWN, step, peer, detail)
     parts: list[bytes] = []
     size = 0
     for part in response.stream(READ_BYTES):
@@ -37,6 +42,13 @@
     return b"".join(parts)
 
 
+def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the head of an answer says where its body ends."""
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    counted = "Content-Length" in response.headers
+    return chunked or counted or response.status in BODILESS
+
+
 def _error(code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
     problem = Problem(code=code, step=step, peer=peer, detail=detail)
     return BulrushpulleyError(problem=problem)
