--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -105,6 +105,7 @@
         self.before_commit: Callable[[Submission], None] = lambda submission: None
         self.checks_deadline = True
         self.drained_at: float | None = None
+        self.shrunk_at: dict[str, float] = {}
         self.starts: list[StartTask] = []
         self.commands: list[tuple[float, str, Command]] = []
         self.decisions: list[Decision] = []
@@ -143,7 +144,7 @@
 
     def spread(self) -> None:
         """Tell every agent the whole configuration."""
-        rows = self._rows("record/")
+        rows = self.rows("record/")
         event = Configured(base=0, revision=self.store.revision, rows=rows)
         for owner in list(self.world.roles):
             self.world.deliver(owner, event)
@@ -156,6 +157,7 @@
     def put_shrunken(self, worker: str, capacity: Resources) -> None:
         """Amend a worker's capacity in the store; agents do not know it yet."""
         self.capacity[worker] = capacity
+        self.shrunk_at[worker] = self.world.now
         self.put_record("cell", self.cell())
 
     def resize(self, worker: str, capacity: Resources) -> None:
@@ -177,7 +179,7 @@
 
     def assign(self, agent: str) -> None:
         """Tell an owner of all task rows, as the controller does."""
-        event = Assigned(cell="c0", rows=self._rows("task/c0/"))
+        event = Assigned(cell="c0", rows=self.rows("task/c0/"))
         self.world.deliver(seat(agent), event)
 
     def put_service(self, name: str, replicas: int = 1) -> int:
@@ -268,6 +270,16 @@
             self.violations.append(f"started after the drain: {command.task_id}")
         self.starts.append(command)
 
+    def _check_room(self, command: StartTask) -> None:
+        """Check that no start goes to a worker that had lost its room before."""
+        worker = command.worker_id
+        load = worker_core.running_size(self.workers[worker])
+        bound = START_WINDOW_S + self.start_delay_s
+        shrunk_at = self.shrunk_at.get(worker, float("-inf"))
+        over = not load.fits(self.capacity.get(worker, CAPACITY))
+        if over and self.world.now > shrunk_at + bound:
+            self.violations.append(f"started beyond capacity: {command.task_id}")
+
     def check_workers(self) -> None:
         """Check that nothing runs twice and that every worker's load fits."""
         self._advance()
@@ -295,7 +307,8 @@
 
     # The store.
 
-    def _rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
+    def rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
+        """Return the rows under a prefix, changed since a revision."""
         page = table_core.read(self.store, prefix=prefix, since=since, limit=100_000)
         return tuple(self._versioned(row) for row in page.rows)
 
@@ -378,7 +391,7 @@
                 fetch_id=item.fetch_id,
                 prefix=item.prefix,
                 revision=self.store.revision,
-                rows=self._rows(item.prefix, item.since) if self.store_up else (),
+                rows=self.rows(item.prefix, item.since) if self.store_up else (),
                 failed="" if self.store_up else "down",
             )
             self.world.at(DELIVERY_S, lambda: self.world.deliver(owner, fetched))
@@ -425,6 +438,7 @@
             state = worker_core.start(failing(before, fails), told, self.world.now)
             state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
+            self._check_room(command)
             self.check_workers()
             if answers:
                 self.world.deliver(owner, Started(**ids))
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -110,7 +110,7 @@
                 fetch_id=event.fetch_id,
                 prefix=event.prefix,
                 revision=self.store.revision,
-                rows=self._rows(event.prefix, event.since),
+                rows=self.rows(event.prefix, event.since),
             )
             self.world.deliver(ENTRY, fetched)
 
