--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -30,7 +30,7 @@
     version of the owner's liveness row, first seen at `alive_seen_at`. Of the
     owner before, nothing lasts after `lapsed_at`. Rows are known up to revision
     `rows_since`. `place_due` says that something that matters to placement has
-    changed.
+    changed, `fit_due` that a worker may hold more than its capacity.
     """
 
     name: str
@@ -45,6 +45,7 @@
     rows_since: int = 0
     refetch_at: float = 0.0
     place_due: bool = False
+    fit_due: bool = False
     sweep_at: float = 0.0
     summary_due: bool = True
     summary: CellSummary | None = None
--- a/bulrushpulley/systems/cell_evict.py
+++ b/bulrushpulley/systems/cell_evict.py
@@ -92,19 +92,24 @@
     """Evict the newest batch tasks of workers that hold more than their capacity."""
     commands: list[Command] = []
     for cell in owned(tables):
-        if not cell.place_due:
+        if not cell.fit_due:
             continue
+        over = False
         for worker in tables.workers.rows_where("cell", cell.name):
-            step = _fit(cell, worker, tables, now)
-            tables = step.tables
-            commands.extend(step.commands)
+            held = committed(tables, worker.worker_id)
+            if not held.fits(worker.capacity):
+                over = True
+                step = _fit(cell, worker, held, tables, now)
+                tables = step.tables
+                commands.extend(step.commands)
+        kept = replace(tables.cells.by_key[cell.name], fit_due=over)
+        tables = cell_rows.put_cell(tables, kept)
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _fit(cell: Cell, worker: Worker, tables: CellOwnerTables, now: float) -> CellStep:
-    held = committed(tables, worker.worker_id)
-    if held.fits(worker.capacity):
-        return Step(tables=tables)
+def _fit(
+    cell: Cell, worker: Worker, held: Resources, tables: CellOwnerTables, now: float
+) -> CellStep:
     running = tables.tasks.rows_where("worker", worker.worker_id)
     over = _excess(held, worker.capacity)
     soon = stopping_size(running)
--- a/bulrushpulley/systems/cell_load.py
+++ b/bulrushpulley/systems/cell_load.py
@@ -123,7 +123,11 @@
     loading = cell.phase is CellPhase.LOADING
     since = event.revision if complete else cell.rows_since
     owned = replace(
-        cell, phase=CellPhase.OWNED, rows_since=since, refetch_at=now + REFETCH_S
+        cell,
+        phase=CellPhase.OWNED,
+        rows_since=since,
+        refetch_at=now + REFETCH_S,
+        fit_due=cell.fit_due or loading,
     )
     tables = cell_rows.touch_cell(cell_rows.put_cell(tables, owned), name)
     commands: tuple[Command, ...] = ()
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -76,6 +76,9 @@
         if now >= task.retry_at and may_run_in(task, domain)
     ]
     waiting = sorted(ready, key=order)
+    if not waiting:
+        idle = replace(cell, place_due=False)
+        return Step(tables=cell_rows.put_cell(tables, idle))
     rooms = {room.worker.worker_id: room for room in rooms_of(tables, cell.name, now)}
     passed = Placement(rooms=rooms, tables=tables)
     for task in waiting[:PLACED_PER_TICK]:
--- a/bulrushpulley/systems/cell_rows.py
+++ b/bulrushpulley/systems/cell_rows.py
@@ -142,6 +142,7 @@
                 present=True,
             )
         tables = put_worker(tables, fresh)
+    tables = put_cell(tables, replace(tables.cells.by_key[cell.name], fit_due=True))
     return touch_cell(tables, cell.name)
 
 
