--- a/bulrushpulley/platform/http_body.py
+++ b/bulrushpulley/platform/http_body.py
@@ -24,8 +24,8 @@
 ) -> bytes:
     """Read a body of at most `limit` bytes to its end, before `deadline`.
 
-    A body that is shorter than its Content-Length is an error of urllib3. One that
-    ends only with its connection may have been cut short, so it is refused.
+    A body that is shorter than its Content-Length is an error of urllib3. One
+    that ends only with its connection may have been cut short, and is refused.
     """
     if not is_delimited(response):
         detail = "the body has no stated end"
