Go on trying a service or server that was slow once

After a slow spell an agent's average run was longer than callers' deadlines, so it refused every dispatch as too late and learned no better; the router did the same with its queue, and of two servers the one that was slow once was not chosen again. Now a free slot is used whatever runs took before, the router's margin is at most half of a call's time, and latencies not seen for 5 s move towards those of the peers. A run that only outlived the caller's deadline no longer counts against the health of the backend server, and a refusal by a leaving agent costs no retry budget. The new test fails without the change.

--- a/bulrushpulley/entities/backend_server.py
+++ b/bulrushpulley/entities/backend_server.py
@@ -34,6 +34,7 @@
     claiming: int = 0
     latency_s: float = FIRST_LATENCY_S
     samples: int = 0
+    observed_at: float = 0.0
     healthy: bool = True
     leaving: bool = False
     ejected: bool = False
@@ -52,11 +53,13 @@
         """Return the row with one request less in flight."""
         return replace(self, in_flight=max(0, self.in_flight - 1))
 
-    def observed(self, latency_s: float) -> BackendServer:
+    def observed(self, latency_s: float, now: float) -> BackendServer:
         """Return the row with one more latency in the average."""
         weight = LATENCY_WEIGHT if self.samples else 1.0
         average = self.latency_s + weight * (latency_s - self.latency_s)
-        return replace(self, latency_s=average, samples=self.samples + 1)
+        return replace(
+            self, latency_s=average, samples=self.samples + 1, observed_at=now
+        )
 
 
 def by_service(server: BackendServer) -> tuple[str, ...]:
--- a/bulrushpulley/systems/guard_queue.py
+++ b/bulrushpulley/systems/guard_queue.py
@@ -20,14 +20,19 @@
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
-    """Go through the short queue, nearest deadline first."""
+    """Go through the short queue, nearest deadline first.
+
+    A free slot is used up to the deadline, however long runs usually take, so that
+    a backend server which was slow once goes on being tried.
+    """
     if not tables.executions.count_where("state", QUEUED):
         return Step(tables=tables)
     queued = tables.executions.rows_where("state", QUEUED)
     free = tables.settings.slots - tables.executions.count_where("state", RUNNING)
     commands: list[Command] = []
     for execution in sorted(queued, key=lambda row: (row.deadline, row.received_at)):
-        if execution.deadline - now <= tables.service_s:
+        least_s = tables.service_s if free <= 0 else 0.0
+        if execution.deadline - now <= least_s:
             step = expire(tables, execution, now)
         elif free > 0:
             free -= 1
--- a/bulrushpulley/systems/guard_requests.py
+++ b/bulrushpulley/systems/guard_requests.py
@@ -96,8 +96,9 @@
     ahead = len(tables.executions)
     if ahead >= settings.slots + settings.queue_limit:
         return not_run(Code.OVERLOADED, ACCEPT, f"{ahead} requests are here already")
-    waves = 1 + ahead // settings.slots
-    if event.remaining_s <= waves * tables.service_s:
+    waves = ahead // settings.slots
+    wait_s = (waves + 1) * tables.service_s if waves else 0.0
+    if event.remaining_s <= wait_s:
         return not_run(Code.DEADLINE, ACCEPT, "too little time is left")
     return None
 
--- a/bulrushpulley/systems/guard_results.py
+++ b/bulrushpulley/systems/guard_results.py
@@ -42,9 +42,11 @@
     execution = tables.executions.get(event.execution_id)
     if execution is None:
         return Step(tables=tables)
+    """End a failed run; one that only ran out of the caller's time is no fault."""
     ran = Ran.UNKNOWN if event.sent else Ran.NO
     outcome = Outcome(ran=ran, problem=event.problem)
-    failures = tables.failures + 1
+    out_of_time = now >= execution.deadline
+    failures = tables.failures + (not out_of_time)
     healthy = tables.healthy and failures < MAX_FAILURES
     tables = replace(tables, failures=failures, healthy=healthy)
     step = finish(tables, execution, outcome, now)
--- a/bulrushpulley/systems/route_answers.py
+++ b/bulrushpulley/systems/route_answers.py
@@ -61,7 +61,7 @@
         return late(tables)
     attempt, request = found
     latency_s = now - attempt.sent_at
-    tables = drop_attempt(tables, event.attempt_id, latency_s)
+    tables = drop_attempt(tables, event.attempt_id, answered_at=now)
     if not attempt.recall:
         service = tables.service(request.service)
         tables = put_service(tables, learned(service, event.took_s, latency_s))
--- a/bulrushpulley/systems/route_choice.py
+++ b/bulrushpulley/systems/route_choice.py
@@ -17,6 +17,7 @@
 
 ANNOUNCE_TTL_S = 3.0
 MIN_CLAIM_ROOM = 2
+LEAVING = "leaving"
 SHARED_QUEUE = 4
 MAX_PASSED_OVER = 4
 
@@ -34,7 +35,7 @@
 def barred_reason(server: BackendServer, now: float) -> str:
     """Return why a server must get no request at all; empty if it may."""
     if server.leaving:
-        return "leaving"
+        return LEAVING
     if server.heard_at + ANNOUNCE_TTL_S < now:
         return "silent"
     if not server.healthy:
--- a/bulrushpulley/systems/route_eject.py
+++ b/bulrushpulley/systems/route_eject.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Iterable
 from dataclasses import replace
 
 from bulrushpulley.entities.backend_server import BackendServer
@@ -16,6 +17,7 @@
 from bulrushpulley.entities.step import Command, Step
 
 CHECK_S = 0.25
+STALE_S = 5.0
 EJECT_FACTOR = 3.0
 RETURN_FACTOR = 2.0
 MIN_SERVERS = 3
@@ -40,12 +42,42 @@
 
 
 def compare(tables: RouterTables, service: Service, now: float) -> Step[RouterTables]:
-    """Eject or take back servers of one service by their latency."""
+    """Compare the latencies of the servers of one service."""
     servers = tables.servers.rows_where("service", service.name)
     seen = [server for server in servers if server.samples >= MIN_SAMPLES]
-    if len(seen) < MIN_SERVERS:
+    if len(seen) < 2:
         return Step(tables=tables)
     usual_s = statistics.median(server.latency_s for server in seen)
+    tables = forget_old(tables, seen, usual_s, now)
+    if len(seen) < MIN_SERVERS:
+        return Step(tables=tables)
+    return judge_all(tables, service, usual_s, now)
+
+
+def forget_old(
+    tables: RouterTables, servers: Iterable[BackendServer], usual_s: float, now: float
+) -> RouterTables:
+    """Move latencies that were not seen for long towards those of the peers.
+
+    Otherwise a server that was slow once would not be chosen and never seen again.
+    """
+    for server in servers:
+        idle = not server.ejected and server.observed_at + STALE_S < now
+        if not idle or server.latency_s <= usual_s:
+            continue
+        latency_s = (server.latency_s + usual_s) / 2
+        fresher = replace(server, latency_s=latency_s)
+        servers_after = tables.servers.put(server.incarnation, fresher)
+        tables = replace(tables, servers=servers_after)
+    return tables
+
+
+def judge_all(
+    tables: RouterTables, service: Service, usual_s: float, now: float
+) -> Step[RouterTables]:
+    """Eject or take back servers of one service against the usual latency."""
+    servers = tables.servers.rows_where("service", service.name)
+    seen = [server for server in servers if server.samples >= MIN_SAMPLES]
     room = int(len(servers) * MAX_EJECTED_SHARE)
     ejected = sum(server.ejected for server in servers)
     commands: list[Command] = []
--- a/bulrushpulley/systems/route_finish.py
+++ b/bulrushpulley/systems/route_finish.py
@@ -14,6 +14,8 @@
 from bulrushpulley.errors import Code, Problem, Ran
 
 SELF = "self"
+MARGIN_SHARE = 0.5
+FREE_CODES = frozenset({Code.OVERLOADED, Code.LEAVING})
 
 
 def claim_key(service: str, request_id: str) -> str:
@@ -31,6 +33,16 @@
     return replace(tables, requests=tables.requests.put(request.call_id, request))
 
 
+def margin_s(request: Request, service: Service) -> float:
+    """Return how long before its deadline a request must be dispatched.
+
+    That is a usual run, but never more than a share of the request's time, so that
+    a service which was slow once goes on being tried.
+    """
+    whole_s = request.deadline - request.received_at
+    return min(service.service_s, MARGIN_SHARE * whole_s)
+
+
 def enqueue(
     tables: RouterTables, request: Request, service: Service, *, first: bool = False
 ) -> RouterTables:
@@ -43,9 +55,8 @@
         queue.appendleft(request.call_id) if first else queue.append(request.call_id)
     )
     service = replace(service, queue=queue, waiting=service.waiting + 1)
-    waiting = replace(
-        request, stage=Waiting(), due_at=request.deadline - service.service_s
-    )
+    due_at = request.deadline - margin_s(request, service)
+    waiting = replace(request, stage=Waiting(), due_at=due_at)
     return replace(
         tables,
         services=tables.services.put(service.name, service),
@@ -61,7 +72,7 @@
 
 
 def drop_attempt(
-    tables: RouterTables, attempt_id: str, latency_s: float | None = None
+    tables: RouterTables, attempt_id: str, answered_at: float | None = None
 ) -> RouterTables:
     """Forget an attempt, and free the slot that it took.
 
@@ -75,8 +86,8 @@
     if server is None or attempt.recall:
         return replace(tables, attempts=attempts)
     after = server.released()
-    if latency_s is not None:
-        after = after.observed(latency_s)
+    if answered_at is not None:
+        after = after.observed(answered_at - attempt.sent_at, answered_at)
     servers = tables.servers.put(attempt.agent, after)
     return replace(tables, attempts=attempts, servers=servers)
 
@@ -178,11 +189,11 @@
 
     The caller has made sure that a repeat is safe: the last attempt surely did not
     run, or the request is repeatable. An attempt that an agent refused for want of
-    slots has cost its backend server nothing, so repeating it is free.
+    slots, or because it leaves, cost its backend server nothing: its repeat is free.
     """
     service = tables.service(request.service)
-    late = now + service.service_s >= request.deadline
-    price = 0.0 if problem.code is Code.OVERLOADED else 1.0
+    late = now + margin_s(request, service) >= request.deadline
+    price = 0.0 if problem.code in FREE_CODES else 1.0
     if late or service.retry_tokens < price:
         return refuse(tables, request, ran=ran, problem=problem, now=now)
     spent = replace(service, retry_tokens=service.retry_tokens - price)
--- a/bulrushpulley/systems/route_hedge.py
+++ b/bulrushpulley/systems/route_hedge.py
@@ -44,6 +44,6 @@
         server = tables.servers.get(attempt.agent)
         waited_s = now - attempt.sent_at
         if server is not None and waited_s > server.latency_s:
-            servers = tables.servers.put(attempt.agent, server.observed(waited_s))
+            servers = tables.servers.put(attempt.agent, server.observed(waited_s, now))
             tables = replace(tables, servers=servers)
     return tables
--- a/bulrushpulley/systems/route_settle.py
+++ b/bulrushpulley/systems/route_settle.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_choice import barred_reason
+from bulrushpulley.systems.route_choice import LEAVING, barred_reason
 from bulrushpulley.systems.route_events import apply
 from bulrushpulley.systems.route_finish import (
     claim_key,
@@ -179,9 +179,8 @@
         reason = "the deadline passed"
     if not reason:
         return dispatch(ready, request, stage.agent, now, reason="claimed")
-    problem = Problem(
-        code=Code.UNAVAILABLE, step="route.claim", peer=stage.agent, detail=reason
-    )
+    code = Code.LEAVING if reason == LEAVING else Code.UNAVAILABLE
+    problem = Problem(code=code, step="route.claim", peer=stage.agent, detail=reason)
     request = replace(request, stage=Stage(), tried=(*request.tried, stage.agent))
     return retry(ready, request, ran=Ran.NO, problem=problem, now=now)
 
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -119,6 +119,19 @@
         world.run(3.0)
         self.assertEqual((0, 0), (len(world.store.by_key), sum(world.runs.values())))
 
+    def test_a_service_that_was_slow_once_is_tried_again(self) -> None:
+        world = RequestWorld(entries=1, agents=2)
+        for number in range(40):
+            world.call_at(number * 0.5, "e1", f"c{number}", within_s=2.0)
+        world.service_s = lambda agent: 3.0
+        world.run(10.0)
+        world.service_s = lambda agent: 0.02
+        world.run(15.0)
+        ended = {world.outcome(f"c{number}") for number in range(30, 40)}
+        self.assertEqual({f"done c{number}" for number in range(30, 40)}, ended)
+        servers = world.tables("e1").servers.rows()
+        self.assertLess(max(server.latency_s for server in servers), 0.5)
+
     def test_bad_calls_are_refused_as_not_run(self) -> None:
         world = RequestWorld()
         for name, request_id, fields in (
