--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -85,12 +85,31 @@
     return draw
 
 
-def summary(name: str, load: Load, latencies: Sequence[float]) -> Result:
-    """Return the percentiles and the rate of useful answers."""
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """When a call came and when it was answered."""
+
+    arrived_at: float
+    ended_at: float
+
+    @property
+    def latency_s(self) -> float:
+        """How long the caller waited."""
+        return self.ended_at - self.arrived_at
+
+
+def summary(name: str, load: Load, answers: Sequence[Answer]) -> Result:
+    """Return the percentiles, and the useful answers given while the load lasted."""
     histogram = HdrHistogram(1, 60_000_000, 3)
-    useful = [latency for latency in latencies if latency <= DEADLINE_S]
-    for latency in latencies:
-        histogram.record_value(int(latency * 1e6))
+    useful = [
+        answer
+        for answer in answers
+        if answer.latency_s <= DEADLINE_S
+        and WARM_UP_S <= answer.ended_at < load.seconds
+    ]
+    for answer in answers:
+        if answer.arrived_at >= WARM_UP_S:
+            histogram.record_value(int(answer.latency_s * 1e6))
     span = load.seconds - WARM_UP_S
     return Result(
         name=name,
@@ -107,7 +126,7 @@
     draw = service_time(load)
     free_at = [[0.0] * SLOTS for _ in range(SERVERS)]
     ends: list[list[float]] = [[] for _ in range(SERVERS)]
-    latencies: list[float] = []
+    answers: list[Answer] = []
     for now in arrivals(load):
         for queue in ends:
             while queue and queue[0] <= now:
@@ -119,9 +138,8 @@
         end = starts + draw(server)
         heapq.heappush(free_at[server], end)
         heapq.heappush(ends[server], end)
-        if now >= WARM_UP_S:
-            latencies.append(end - now)
-    return summary(name, load, latencies)
+        answers.append(Answer(arrived_at=now, ended_at=end))
+    return summary(name, load, answers)
 
 
 def run_router(name: str, load: Load) -> Result:
@@ -139,13 +157,12 @@
         entry = world.entries[number % load.entries]
         world.call_at(at, entry, call_id, request_id=request_id, within_s=DEADLINE_S)
     world.run(load.seconds + 2 * DEADLINE_S)
-    latencies = [
-        found[0][0] - start - moments[int(call_id[1:])]
+    answers = [
+        Answer(arrived_at=moments[int(call_id[1:])], ended_at=found[0][0] - start)
         for call_id, found in world.answers.items()
         if isinstance(found[0][1], AnswerCall)
-        and moments[int(call_id[1:])] >= WARM_UP_S
     ]
-    return summary(name, load, latencies)
+    return summary(name, load, answers)
 
 
 def shown(result: Result) -> str:
