Refuse an id that the only agent has barred, rather than claim it again and again

With one agent, a barred id was claimed once for each token of the retry budget, a store write each, and took the budget from other calls. A second bar by the same agent now ends the call as not run; the test fails without it.

--- a/bulrushpulley/systems/route_answers.py
+++ b/bulrushpulley/systems/route_answers.py
@@ -20,7 +20,7 @@
 )
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Step
-from bulrushpulley.errors import Code, Ran
+from bulrushpulley.errors import Code, Problem, Ran
 from bulrushpulley.systems.route_choice import SHARED_QUEUE
 from bulrushpulley.systems.route_events import apply
 from bulrushpulley.systems.route_finish import (
@@ -134,11 +134,19 @@
         request = replace(request, may_have_run=True)
     if request.attempts:
         return Step(tables=put_request(tables, request))
+    if is_barred_twice(request, problem):
+        return refuse(tables, request, ran=ran, problem=problem, now=now)
     if ran is Ran.NO or request.repeatable:
         return retry(tables, request, ran=ran, problem=problem, now=now)
     return refuse(tables, request, ran=ran, problem=problem, now=now)
 
 
+def is_barred_twice(request: Request, problem: Problem) -> bool:
+    """Tell whether an agent that barred the id was tried again for want of others."""
+    again = request.tried.count(request.tried[-1]) > 1
+    return problem.code is Code.NOT_RUN and again
+
+
 @after_refusal.register
 def _(
     stage: Recalling,
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -229,6 +229,13 @@
             ended = {call_id: world.outcome(call_id) for call_id in expected}
             self.assertEqual(expected, ended, scenario.__name__)
 
+    def test_an_id_barred_by_the_only_agent_is_refused_after_few_claims(self) -> None:
+        world = RequestWorld(agents=1)
+        overtaken(world)
+        world.check()
+        self.assertEqual({"not run"}, {world.outcome(name) for name in ("c1", "c2")})
+        self.assertLess(world.store.revision, 6)
+
     def test_each_guard_is_needed(self) -> None:
         for scenario, module, name, patch in UNGUARDED:
             world = RequestWorld()
