Count a call's time from its arrival at the front end

Under load of the entry's processor a call waited in the router's mailbox while its time ran on only at the front end, so the router dispatched calls that nobody awaited any more. The front end now states the moment of arrival.

--- a/bulrushpulley/entities/calls.py
+++ b/bulrushpulley/entities/calls.py
@@ -17,7 +17,8 @@
 
     `call_id` is the front end's own and unique in the process. `request_id` is
     the caller's idempotency key and must be given for an unrepeatable request.
-    `within_s` is the time the caller will wait, from now.
+    `within_s` is the time the caller will wait, from `received_at` on the clock of
+    the process; without it, from the tick that takes the call in.
     """
 
     call_id: str
@@ -26,6 +27,7 @@
     repeatable: bool
     within_s: float
     body: bytes
+    received_at: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/route_calls.py
+++ b/bulrushpulley/systems/route_calls.py
@@ -85,13 +85,14 @@
         refused = RefuseCall(call_id=event.call_id, ran=Ran.NO, problem=problem)
         count = Count(name=f"route.refused.{problem.code.value}", label=event.service)
         return Step(tables=tables, commands=(refused, count))
-    deadline = now + min(event.within_s, MAX_WITHIN_S)
+    received_at = now if event.received_at is None else event.received_at
+    deadline = received_at + min(event.within_s, MAX_WITHIN_S)
     request = Request(
         call_id=event.call_id,
         service=event.service,
         request_id=event.request_id,
         repeatable=event.repeatable,
-        received_at=now,
+        received_at=received_at,
         deadline=deadline,
         due_at=deadline,
         body=event.body,
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Callable
 from functools import singledispatch
 
@@ -43,7 +44,7 @@
 _REFUSED = frozenset({400, 404, 413})
 
 
-def parse_call(request: HttpRequest, call_id: str) -> CallReceived:
+def parse_call(request: HttpRequest, call_id: str, now: float) -> CallReceived:
     """Read a call; raises `BulrushpulleyError` that names the bad field."""
     parts = request.parts
     if len(parts) != 3 or parts[:2] != ("v1", "call"):
@@ -60,6 +61,7 @@
         repeatable=_repeatable(request, key),
         within_s=_within_s(request),
         body=request.body,
+        received_at=now,
     )
 
 
@@ -137,7 +139,7 @@
         """Answer one call of a caller."""
         call = self._pending.open()
         try:
-            received = parse_call(request, call.call_id)
+            received = parse_call(request, call.call_id, time.monotonic())
         except BulrushpulleyError as error:
             self._pending.abandon(call.call_id)
             return error_reply(error, Ran.NO)
