Settle the doubts of a transaction whenever it is known to have committed

Cause: a submission that had given up inside a transaction whose answer was lost stayed in doubt when that transaction was then settled for the others of its batch. Submitted again after its row had been deleted, it committed twice.

Ruled out: the fence and the resending, which were right; only the memory of the first sending was not brought up to date.

Change: settle_doubts runs for every transaction that commits, not only for those that the fence of a later one names. A second process of the same name, and the branch in which it has moved the fence past a lost transaction, are now tested too.

Proof: the new case failed before ("a committed 2 times", commits 1 and 3) and passes now; it goes red with settle_doubts patched out.

--- a/bulrushpulley/systems/commit_conflict.py
+++ b/bulrushpulley/systems/commit_conflict.py
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.transactions import Fence, TransactionConflicted
-from bulrushpulley.systems.commit_doubt import doubt, fence_seen
+from bulrushpulley.systems.commit_doubt import doubt, settle_doubts
 from bulrushpulley.systems.commit_queue import answered, owed, put_back
 from bulrushpulley.systems.commit_report import (
     report_committed,
@@ -58,6 +58,11 @@
     return fence.token == transaction.transaction_id
 
 
+def is_ambiguous(transaction: Transaction, event: TransactionConflicted) -> bool:
+    """Tell whether the fence moved on past what it showed of a lost request."""
+    return transaction.lost and event.fence is not None
+
+
 def must_seal(lane: LaneRow) -> bool:
     """Tell whether an earlier request of the lane may still take effect."""
     return lane.doubtful
@@ -77,7 +82,7 @@
     now: float,
 ) -> Step[CommitterTables]:
     """Go on from where an earlier transaction of the lane has left the fence."""
-    seen = fence_seen(tables, fence, now)
+    seen = settle_doubts(tables, fence.token, fence.version, now)
     learnt = replace(lane, fence_version=fence.version, doubtful=False, seal_due=False)
     step = _judge_all(transaction, event, learnt, seen.tables, now)
     return replace(step, commands=seen.commands + step.commands)
@@ -102,8 +107,7 @@
     now: float,
 ) -> Step[CommitterTables]:
     row_by_key = {row.key: row for row in event.rows}
-    # The fence would tell whether a lost request committed, had it not moved on.
-    ambiguous = transaction.lost and event.fence is not None
+    ambiguous = is_ambiguous(transaction, event)
     left: list[SubmissionRow] = []
     commands: list[Command] = []
     for row in owed(tables, transaction.entries):
--- a/bulrushpulley/systems/commit_doubt.py
+++ b/bulrushpulley/systems/commit_doubt.py
@@ -15,7 +15,6 @@
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.entities.transactions import Fence
 from bulrushpulley.systems.commit_report import report_committed
 
 DOUBT_KEPT_S = 600.0
@@ -43,19 +42,19 @@
     return replace(tables, doubts=doubts)
 
 
-def fence_seen(
-    tables: CommitterTables, fence: Fence, now: float
+def settle_doubts(
+    tables: CommitterTables, transaction_id: str, revision: int, now: float
 ) -> Step[CommitterTables]:
-    """Settle the submissions of the transaction that the fence names."""
+    """Note that a transaction has committed, for whatever was in doubt in it."""
     commands: list[Command] = []
-    for known in tables.doubts.rows_where("transaction", fence.token):
+    for known in tables.doubts.rows_where("transaction", transaction_id):
         row = tables.submissions.get(known.submission_id)
         if row is None:
-            committed = replace(known, revision=fence.version)
+            committed = replace(known, revision=revision)
             doubts = tables.doubts.put(known.submission_id, committed)
             tables = replace(tables, doubts=doubts)
             continue
-        step = report_committed(tables, row, fence.version, now)
+        step = report_committed(tables, row, revision, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/commit_settle.py
+++ b/bulrushpulley/systems/commit_settle.py
@@ -15,6 +15,7 @@
     TransactionRejected,
 )
 from bulrushpulley.systems import commit_backoff
+from bulrushpulley.systems.commit_doubt import settle_doubts
 from bulrushpulley.systems.commit_queue import answered, failed, owed, put_back
 from bulrushpulley.systems.commit_report import report_committed, withdraw
 
@@ -59,7 +60,8 @@
         step = report_committed(after, row, revision, now)
         after = step.tables
         commands.extend(step.commands)
-    return Step(tables=after, commands=tuple(commands))
+    settled = settle_doubts(after, transaction.transaction_id, revision, now)
+    return Step(tables=settled.tables, commands=(*commands, *settled.commands))
 
 
 def refused(
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -44,6 +44,7 @@
 
 TICK_S = 0.2
 ANSWER_S = 0.004
+NAME_BY_PROCESS = {"e1": "e1", "e1b": "e1", "e2": "e2"}
 REJECTED_PREFIX = "rejected/"
 
 
@@ -144,7 +145,8 @@
         self._due: list[Due] = []
         self._number = 0
         self._roles = {
-            name: build(name=name, incarnation=f"{name}-1") for name in ("e1", "e2")
+            process: build(name=name, incarnation=f"{process}-1")
+            for process, name in NAME_BY_PROCESS.items()
         }
         self._tables: dict[str, Any] = {
             name: role.tables for name, role in self._roles.items()
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -20,6 +20,7 @@
     commit_batch,
     commit_conflict,
     commit_report,
+    commit_settle,
 )
 from test.committer_bench import (
     LOST,
@@ -146,6 +147,10 @@
     return lambda *args: value
 
 
+def settle_nothing(tables: Any, *args: Any) -> Any:
+    return Step(tables=tables)
+
+
 GUARDS = (
     Guard(
         module=commit_conflict,
@@ -167,10 +172,22 @@
     ),
     Guard(
         module=commit_conflict,
-        name="fence_seen",
-        replacement=lambda tables, fence, now: Step(tables=tables),
+        name="is_ambiguous",
+        replacement=always(False),
+        case="two live processes of one name and a row overwritten",
+    ),
+    Guard(
+        module=commit_conflict,
+        name="settle_doubts",
+        replacement=settle_nothing,
         case="submission again behind its own first sending",
     ),
+    Guard(
+        module=commit_settle,
+        name="settle_doubts",
+        replacement=settle_nothing,
+        case="submission again after its transaction was settled for others",
+    ),
     Guard(
         module=commit_accept,
         name="known_revision",
@@ -264,6 +281,7 @@
 
 def run_mix(
     *,
+    processes: tuple[str, ...],
     fates: list[Fate],
     timed: list[tuple[float, Submission]],
     again: list[tuple[int, float, str]],
@@ -275,7 +293,7 @@
         for number, (when, submission) in enumerate(timed)
     ]
     for when, submission in named:
-        bench.submit(when, "e1", submission)
+        bench.submit(when, processes[int(when) % len(processes)], submission)
     for number, delay, process in again:
         when, submission = named[number % len(named)]
         event = SubmitAgain(process=process, submission=submission)
@@ -298,14 +316,14 @@
         ),
     )
     def test_one_process(self, **mix: Any) -> None:
-        self.assertEqual([], run_mix(**mix))
+        self.assertEqual([], run_mix(processes=("e1",), **mix))
 
     @MIX
     @given(
         fates=FATES,
         timed=st.lists(st.tuples(TIMES, submissions(False)), min_size=1, max_size=8),
         again=st.lists(
-            st.tuples(st.integers(0, 7), DELAYS, st.sampled_from(["e1", "e2"])),
+            st.tuples(st.integers(0, 7), DELAYS, st.sampled_from(["e1", "e1b", "e2"])),
             max_size=8,
         ),
         outside=st.lists(
@@ -313,7 +331,7 @@
         ),
     )
     def test_two_processes(self, **mix: Any) -> None:
-        self.assertEqual([], run_mix(**mix))
+        self.assertEqual([], run_mix(processes=("e1", "e1b"), **mix))
 
 
 class PrefixReadTest(testtools.TestCase):
