Look at the oldest waiting call in constant time

pyrsistent's deque walks all its keys to show its left end after appends alone, so a tick of the router cost more with each call that waited, and one of the guard with each id that it remembered, up to 50,000. A queue over a persistent map from places takes its place.

--- a/bulrushpulley/entities/guard_tables.py
+++ b/bulrushpulley/entities/guard_tables.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from pyrsistent import PDeque, PMap, pdeque, pmap
+from pyrsistent import PMap, pmap
 
 from bulrushpulley.entities.execution import (
     Execution,
@@ -12,6 +12,7 @@
     by_request_id,
     by_state,
 )
+from bulrushpulley.entities.key_queue import KeyQueue
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
 
@@ -70,10 +71,10 @@
     executions: Table[Execution]
     links: Table[EntryLink]
     remembered: Table[Remembered]
-    oldest_first: PDeque[str]
-    with_body: PDeque[str]
+    oldest_first: KeyQueue
+    with_body: KeyQueue
     refused: PMap[str, None]
-    refused_first: PDeque[str]
+    refused_first: KeyQueue
     announced: Announced
     body_bytes: int = 0
     forgetful_until: float = 0.0
@@ -96,9 +97,9 @@
             ),
             links=Table.empty(),
             remembered=Table.empty(),
-            oldest_first=pdeque(),
-            with_body=pdeque(),
+            oldest_first=KeyQueue(),
+            with_body=KeyQueue(),
             refused=pmap(),
-            refused_first=pdeque(),
+            refused_first=KeyQueue(),
             announced=Announced(),
         )
--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass, field, replace
 
-from pyrsistent import PDeque, PMap, pdeque, pmap
+from pyrsistent import PMap, pmap
 
 from bulrushpulley.entities.backend_server import BackendServer, by_service
+from bulrushpulley.entities.key_queue import KeyQueue
 from bulrushpulley.entities.request import (
     Attempt,
     Request,
@@ -37,7 +38,7 @@
 
     name: str
     declared: bool = False
-    queue: PDeque[str] = field(default_factory=pdeque)
+    queue: KeyQueue = field(default_factory=KeyQueue)
     waiting: int = 0
     arrived_at: float = 0.0
     gap_s: float = 1.0
--- a/bulrushpulley/systems/route_queue.py
+++ b/bulrushpulley/systems/route_queue.py
@@ -9,8 +9,7 @@
 
 from dataclasses import replace
 
-from pyrsistent import PDeque
-
+from bulrushpulley.entities.key_queue import KeyQueue
 from bulrushpulley.entities.request import Request, Waiting
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.systems.route_finish import put_service
@@ -24,7 +23,7 @@
     return request is not None and request.stage == Waiting()
 
 
-def without_gone(tables: RouterTables, queue: PDeque[str]) -> PDeque[str]:
+def without_gone(tables: RouterTables, queue: KeyQueue) -> KeyQueue:
     """Drop the ids of calls that are gone from the old end of a queue."""
     while queue and not is_waiting(tables, queue.left):
         queue = queue.popleft()
