--- a/bulrushpulley/systems/route_finish.py
+++ b/bulrushpulley/systems/route_finish.py
@@ -14,6 +14,8 @@
 from bulrushpulley.errors import Code, Problem, Ran
 
 SELF = "self"
+MARGIN_SHARE = 0.5
+FREE_CODES = frozenset({Code.OVERLOADED, Code.LEAVING})
 
 
 def claim_key(service: str, request_id: str) -> str:
@@ -31,24 +33,36 @@
     return replace(tables, requests=tables.requests.put(request.call_id, request))
 
 
+def margin_s(request: Request, service: Service) -> float:
+    """Return how long before its deadline a request must be dispatched.
+
+    That is a usual run, but never more than a share of the request's time, so that
+    a service which was slow once goes on being tried.
+    """
+    whole_s = request.deadline - request.received_at
+    return min(service.service_s, MARGIN_SHARE * whole_s)
+
+
 def enqueue(
-    tables: RouterTables, request: Request, *, first: bool = False
+    tables: RouterTables, request: Request, service: Service, *, first: bool = False
 ) -> RouterTables:
-    """Queue a request for its service; a retry goes `first`.
+    """Queue a request for its service as given; a retry goes `first`.
 
     It is due when it could no longer be answered in time.
     """
-    service = tables.service(request.service)
     queue = service.queue
     queue = (
         queue.appendleft(request.call_id) if first else queue.append(request.call_id)
     )
     service = replace(service, queue=queue, waiting=service.waiting + 1)
-    waiting = replace(
-        request, stage=Waiting(), due_at=request.deadline - service.service_s
+    due_at = request.deadline - margin_s(request, service)
+    waiting = replace(request, stage=Waiting(), due_at=due_at)
+    return replace(
+        tables,
+        services=tables.services.put(service.name, service),
+        requests=tables.requests.put(request.call_id, waiting),
+        busy=tables.busy.set(service.name, None),
     )
-    tables = put_request(put_service(tables, service), waiting)
-    return replace(tables, busy=tables.busy.set(service.name, None))
 
 
 def unqueue(tables: RouterTables, service: Service) -> RouterTables:
@@ -57,17 +71,25 @@
     return put_service(tables, service)
 
 
-def drop_attempt(tables: RouterTables, attempt_id: str) -> RouterTables:
-    """Forget an attempt, and free the slot that it took."""
+def drop_attempt(
+    tables: RouterTables, attempt_id: str, answered_at: float | None = None
+) -> RouterTables:
+    """Forget an attempt, and free the slot that it took.
+
+    The latency of an answered one goes into the average of its server.
+    """
     attempt = tables.attempts.get(attempt_id)
     if attempt is None:
         return tables
-    tables = replace(tables, attempts=tables.attempts.drop(attempt_id))
+    attempts = tables.attempts.drop(attempt_id)
     server = tables.servers.get(attempt.agent)
     if server is None or attempt.recall:
-        return tables
-    servers = tables.servers.put(attempt.agent, server.released())
-    return replace(tables, servers=servers)
+        return replace(tables, attempts=attempts)
+    after = server.released()
+    if answered_at is not None:
+        after = after.observed(answered_at - attempt.sent_at, answered_at)
+    servers = tables.servers.put(attempt.agent, after)
+    return replace(tables, attempts=attempts, servers=servers)
 
 
 def without_attempt(request: Request, attempt_id: str) -> Request:
@@ -167,18 +189,19 @@
 
     The caller has made sure that a repeat is safe: the last attempt surely did not
     run, or the request is repeatable. An attempt that an agent refused for want of
-    slots has cost its backend server nothing, so repeating it is free.
+    slots, or because it leaves, cost its backend server nothing: its repeat is free.
     """
     service = tables.service(request.service)
-    late = now + service.service_s >= request.deadline
-    price = 0.0 if problem.code is Code.OVERLOADED else 1.0
+    late = now + margin_s(request, service) >= request.deadline
+    price = 0.0 if problem.code in FREE_CODES else 1.0
     if late or service.retry_tokens < price:
         return refuse(tables, request, ran=ran, problem=problem, now=now)
     spent = replace(service, retry_tokens=service.retry_tokens - price)
-    tables = leave_stage(request.stage, request, put_service(tables, spent))
-    count = Count(name="route.retries", label=request.service)
+    tables = leave_stage(request.stage, request, tables)
     again = replace(request, hedged=False)
-    return Step(tables=enqueue(tables, again, first=True), commands=(count,))
+    tables = enqueue(tables, again, spent, first=True)
+    count = Count(name="route.retries", label=request.service)
+    return Step(tables=tables, commands=(count,))
 
 
 def late_problem(peer: str = SELF) -> Problem:
