Tell entries how long the operator waits, and share the time among entries

The client now says how long it waits, the controller answers before that, and a call that may be repeated leaves an equal share of the time to each entry after. Longer timeouts alone were ruled out: operators would wait for an answer that is known earlier.

--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -16,10 +16,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OperatorCall(Event):
-    """The base of the calls; `author` names the operator for the record row."""
+    """The base of the calls; `author` names the operator for the record row.
+
+    `within_s` is the time that the operator will wait, from now.
+    """
 
     call_id: str
     author: str
+    within_s: float = 15.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -19,6 +19,7 @@
 
 STEP = "operators.call"
 CONNECT_S = 2.0
+LONGEST_TIMEOUT_S = 3_600.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 NOT_ACCEPTED_STATUS = 503
 UNKNOWN_STATUS = 504
@@ -77,17 +78,20 @@
         """Return the first definite answer, or the last failure of all entries.
 
         A refusal after a call of unknown outcome settles nothing: that call may
-        have taken effect and caused the refusal.
+        have taken effect and caused the refusal. Calls that may be repeated leave
+        an equal share of the time to each of the entries after.
         """
         deadline = time.monotonic() + timeout_s
         last = _failed("", Code.UNAVAILABLE, "no entry is configured")
         unknown: Answer | None = None
-        for entry in self._entries:
+        safe = call.idempotent
+        for place, entry in enumerate(self._entries):
             left = deadline - time.monotonic()
             if left <= 0:
                 break
-            last = self._try(entry, call, left)
-            if last.status == UNKNOWN_STATUS and not call.idempotent:
+            entries_left = len(self._entries) - place
+            last = self._try(entry, call, left / entries_left if safe else left)
+            if last.status == UNKNOWN_STATUS and not safe:
                 return last
             if last.status not in (NOT_ACCEPTED_STATUS, UNKNOWN_STATUS):
                 return unknown if unknown is not None and last.codes else last
@@ -103,7 +107,7 @@
                 entry.rstrip("/") + call.path,
                 fields=dict(call.query) if not call.body else None,
                 body=call.body or None,
-                headers={"X-Author": self._author, "Content-Type": "application/json"},
+                headers=self._headers(left_s),
                 timeout=timeout,
                 preload_content=True,
             )
@@ -113,6 +117,13 @@
             return _failed(entry, Code.OUTCOME_UNKNOWN, str(error))
         return _decoded(entry, response.status, response.data)
 
+    def _headers(self, left_s: float) -> Mapping[str, str]:
+        return {
+            "X-Author": self._author,
+            "X-Timeout-S": f"{min(left_s, LONGEST_TIMEOUT_S):.3f}",
+            "Content-Type": "application/json",
+        }
+
 
 def _failed(entry: str, code: Code, detail: str) -> Answer:
     status = NOT_ACCEPTED_STATUS if code is Code.UNAVAILABLE else UNKNOWN_STATUS
--- a/bulrushpulley/systems/control_changes.py
+++ b/bulrushpulley/systems/control_changes.py
@@ -54,6 +54,7 @@
 from bulrushpulley.systems.control_submissions import submit
 
 CHANGE_WITHIN_S = 10.0
+ANSWER_S = 0.5
 MAX_TRIES = 16
 MAX_CHANGES = 512
 
@@ -66,7 +67,8 @@
     if len(tables.changes) >= MAX_CHANGES:
         detail = f"{MAX_CHANGES} changes are under way"
         return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
-    change = Change(call=event, deadline=now + CHANGE_WITHIN_S)
+    within_s = min(CHANGE_WITHIN_S, max(ANSWER_S, event.within_s - ANSWER_S))
+    change = Change(call=event, deadline=now + within_s)
     tables = replace(tables, changes=tables.changes.put(event.call_id, change))
     if is_of_job(event):
         return _first_try(tables, event.call_id, now)
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -12,7 +12,7 @@
 
 import re
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatch
 from typing import Any
 
@@ -33,6 +33,8 @@
 
 STEP = "operators.parse"
 AUTHOR_HEADER = "x-author"
+TIMEOUT_HEADER = "x-timeout-s"
+SECONDS = r"[0-9]{1,4}(\.[0-9]{1,6})?"
 MAX_AUTHOR_CHARS = 200
 MAX_REVISION_DIGITS = 18
 
@@ -49,6 +51,7 @@
 }
 UNAVAILABLE_STATUS = 503
 LONGEST_WAIT_S = 10.0
+LONGEST_CALL_S = 15.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +88,9 @@
 
     Raises `BulrushpulleyError`, or an `ExceptionGroup` of them, for bad input.
     """
-    author = _author(headers)
+    by_name = {name.lower(): value for name, value in headers.items()}
+    author = _author(by_name)
+    within_s = _within_s(by_name)
     for route in ROUTES:
         matched = re.fullmatch(route.pattern, path)
         if route.method == method and matched is not None:
@@ -96,7 +101,7 @@
                 call_id=call_id,
                 author=author,
             )
-            return route.parser(request)
+            return replace(route.parser(request), within_s=within_s)
     raise _refusal(f"no operation {method} {path[:200]}", Code.NOT_FOUND)
 
 
@@ -171,8 +176,16 @@
     return BulrushpulleyError(problem=where.problem(detail, code))
 
 
-def _author(headers: Mapping[str, str]) -> str:
-    by_name = {name.lower(): value for name, value in headers.items()}
+def _within_s(by_name: Mapping[str, str]) -> float:
+    text = by_name.get(TIMEOUT_HEADER)
+    if text is None:
+        return LONGEST_CALL_S
+    if re.fullmatch(SECONDS, text) is None:
+        raise _refusal("must be a number of seconds", field=TIMEOUT_HEADER)
+    return min(float(text), LONGEST_CALL_S)
+
+
+def _author(by_name: Mapping[str, str]) -> str:
     author = by_name.get(AUTHOR_HEADER, "unknown")
     if len(author) > MAX_AUTHOR_CHARS or not author.isprintable():
         raise _refusal("must be short and printable", field=AUTHOR_HEADER)
@@ -278,7 +291,7 @@
     if unknown:
         raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     text = query.get("wait_s", "0")
-    if re.fullmatch(r"[0-9]{1,4}(\.[0-9]{1,6})?", text) is None:
+    if re.fullmatch(SECONDS, text) is None:
         raise _refusal("must be a number of seconds", field="wait_s")
     return min(float(text), LONGEST_WAIT_S)
 
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import testtools
@@ -119,6 +120,15 @@
         bench.run(12.0)
         self.assertEqual({}, bench.rows("record/"))
 
+    def test_an_answer_comes_before_the_operator_gives_up(self) -> None:
+        bench = Bench()
+        bench.mode = "lose_answers"
+        call = replace(submit_record(domain("izmir")), within_s=3.0)
+        began = bench.now
+        answer = bench.call("a", call)
+        self.assertEqual(Code.OUTCOME_UNKNOWN, code_of(answer))
+        self.assertLess(bench.now - began, 3.0)
+
     def test_the_same_record_again_is_accepted_and_another_is_not(self) -> None:
         bench = Bench(entries=("a", "b"))
         first = bench.call("a", submit_record(job("bread", 3), "1"))
--- a/test/test_control_verbs.py
+++ b/test/test_control_verbs.py
@@ -113,6 +113,8 @@
             both = (silent, good)
             drain = self.run_verb("drain", "izmir", "--timeout=0.3", entries=both)
             self.assertEqual((ExitCode.OUTCOME_UNKNOWN, []), (drain, seen))
+            again = ("submit", str(self.record), "--timeout=1")
+            self.assertEqual(ExitCode.OK, self.run_verb(*again, entries=both))
         unknown = (504, problem("outcome_unknown"))
         with entry(unknown) as (lost, _), entry((200, ACCEPTED)) as (good, _):
             both = (lost, good)
