Take links only after the roles have started; log failed dials

The entry took streams before its roles had started, so the LinkUp of an agent that dialled in between was told to nobody, and its announcements were passed over as those of an unknown link. A stuck dial and a port in use were ruled out: every process had started, and the agents showed no failed dial. The listener is now bound first, for the port, and takes streams once the roles run; what connected meanwhile waits in the backlog. Dials that fail are logged with their problem, which would have shown this at once.

--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -44,8 +44,9 @@
     def start(self) -> None:
         """Start everything; listeners take calls from here on."""
         self.runtime.start()
-        self._serve_links()
+        self._bind_links()
         self._start_roles()
+        self.runtime.on_loop(self._links.start()).result(START_S)
         self._start_fronts()
         ports = (
             f"links={self._links.port} callers={self._callers.port}"
@@ -53,14 +54,15 @@
         )
         log_process(process=self.runtime.name, stage="started", detail=ports)
 
-    def _serve_links(self) -> None:
+    def _bind_links(self) -> None:
         settings = self._settings
-        tls = server_context(settings.tls) if settings.tls else None
         self._links = LinkServer(
-            links=self.runtime.links, hooks=self.runtime.hooks(), tls=tls
+            host=settings.links.host,
+            port=settings.links.port,
+            links=self.runtime.links,
+            hooks=self.runtime.hooks(),
+            tls=server_context(settings.tls) if settings.tls else None,
         )
-        starting = self._links.start(host=settings.links.host, port=settings.links.port)
-        self.runtime.on_loop(starting).result(START_S)
 
     def _start_roles(self) -> None:
         base = self.runtime.ports(answer=self._answer)
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -46,6 +46,7 @@
             await self._keep(address)
         except Exception as error:
             problem = described(error, address)
+            self._hooks.report(problem)
         self._hooks.receive(DialEnded(address=address, problem=problem))
 
     async def _keep(self, address: str) -> None:
--- a/bulrushpulley/wire/link_server.py
+++ b/bulrushpulley/wire/link_server.py
@@ -43,21 +43,32 @@
 
 
 class LinkServer:
-    """The listener for the streams of agents; its methods run on the loop."""
+    """The listener for the streams of agents, bound to `port` when constructed.
+
+    Its methods run on the loop.
+    """
 
     def __init__(
-        self, *, links: Links, hooks: LinkHooks, tls: ssl.SSLContext | None = None
+        self,
+        *,
+        host: str,
+        port: int,
+        links: Links,
+        hooks: LinkHooks,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
+        self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._service = LinkService(links=links, hooks=hooks)
         self._tls = tls
-        self.port = 0
+        self.port: int = self._listener.getsockname()[1]
+
+    async def start(self) -> None:
+        """Take the streams that agents open, those that wait already among them.
 
-    async def start(self, *, host: str, port: int) -> None:
-        """Bind and listen; `port` then holds the bound one."""
-        listener = socket.create_server((host, port), backlog=BACKLOG)
-        self.port = listener.getsockname()[1]
+        The roles must be there before, since they are told of each stream once.
+        """
         self._server = Server([self._service])
-        await self._server.start(sock=listener, ssl=self._tls)
+        await self._server.start(sock=self._listener, ssl=self._tls)
 
     async def close(self) -> None:
         """Stop listening and end every stream that is left."""
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -54,8 +54,8 @@
 
 
 async def serve(entry: End) -> LinkServer:
-    server = LinkServer(links=entry.links, hooks=entry.hooks())
-    await server.start(host=HOST, port=0)
+    server = LinkServer(host=HOST, port=0, links=entry.links, hooks=entry.hooks())
+    await server.start()
     return server
 
 
@@ -105,6 +105,22 @@
 
         self.run_async(work())
 
+    def test_a_stream_opened_before_the_start_is_told_after_it(self) -> None:
+        async def work() -> None:
+            entry, agent = make_end("entry"), make_end("agent")
+            server = LinkServer(
+                host=HOST, port=0, links=entry.links, hooks=entry.hooks()
+            )
+            dialler = await dial(agent, server)
+            await asyncio.sleep(0.1)
+            self.assertTrue(entry.told.empty())
+            await server.start()
+            await entry.wait_for(LinkUp(peer="agent", region="ege"))
+            await finish(server, agent, entry)
+            self.assertIsNotNone(dialler)
+
+        self.run_async(work())
+
     def test_a_malformed_item_closes_its_stream_and_no_other(self) -> None:
         async def work() -> None:
             entry, agent = make_end("entry"), make_end("agent")
