--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -33,12 +33,12 @@
 
 
 class BackendServerClient:
-    """Calls one backend server over a pool of at most `MAX_CONNECTIONS`."""
+    """Calls one backend server over a pool of at most `connections`."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, connections: int = MAX_CONNECTIONS) -> None:
         self._url = url.rstrip("/")
         self._pool = urllib3.PoolManager(
-            num_pools=2, maxsize=MAX_CONNECTIONS, block=True, retries=False
+            num_pools=2, maxsize=connections, block=True, retries=False
         )
 
     def run(self, command: RunOnBackend) -> BackendAnswered | BackendFailed:
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -78,7 +78,9 @@
         )
         ports = GuardPorts(
             **base,
-            backend_server=BackendServerClient(url=backend.url),
+            backend_server=BackendServerClient(
+                url=backend.url, connections=backend.connections
+            ),
             done=partial(self.runtime.role_done, GUARD),
         )
         self.runtime.start_role(role, ports, threads=backend.slots + HEALTH_THREADS)
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -78,11 +78,10 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformSettings:
-    """A platform service; a call that takes longer than `timeout_s` has failed."""
+class TableServiceSettings:
+    """The platform's table service."""
 
     url: Url
-    timeout_s: Annotated[float, Range(low=0.1, high=60.0)] = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,7 +95,7 @@
     links: ListenSettings
     callers: HttpSettings
     operators: HttpSettings
-    table_service: PlatformSettings
+    table_service: TableServiceSettings
     tls: TlsSettings | None = None
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
@@ -121,7 +120,6 @@
     """
 
     autonomy_s: Seconds = 3_600.0
-    workers_timeout_s: Annotated[float, Range(low=0.1, high=60.0)] = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -136,7 +134,6 @@
     backend_server: BackendSettings
     health: HttpSettings
     cells: CellSettings = field(default_factory=CellSettings)
-    object_store: PlatformSettings | None = None
     tls: TlsSettings | None = None
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
