--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -36,7 +36,7 @@
 from bulrushpulley.wire.links import Links
 
 T = TypeVar("T")
-LOOP_START_S = 5.0
+LOOP_STOP_S = 5.0
 ROLE_STOP_S = 2.0
 
 
@@ -199,7 +199,16 @@
             ref.stop(block=True, timeout=ROLE_STOP_S)
         for pool in self._pool_by_role.values():
             pool.shutdown(wait=False, cancel_futures=True)
+        self.on_loop(_end_tasks()).result(LOOP_STOP_S)
         self.loop.call_soon_threadsafe(self.loop.stop)
-        self._loop_thread.join(LOOP_START_S)
+        self._loop_thread.join(LOOP_STOP_S)
         log_process(process=self.name, stage="stopped")
         self._writer.stop()
+
+
+async def _end_tasks() -> None:
+    """Cancel every other task of the loop and wait until it has ended."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/test/test_runtime.py
@@ -0,0 +1,149 @@
+"""Tests of the runtime, the log and the metrics of a process."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+from dataclasses import dataclass
+
+import testtools
+
+from bulrushpulley.entities.commit import Committed, ReadAsked, ReportTo
+from bulrushpulley.entities.link import Answered, Fetch, Send, Submit
+from bulrushpulley.entities.observe import Count, Decision, Observe
+from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.logs import MAX_QUEUED_LINES, LineWriter, log_decision
+from bulrushpulley.metrics import MAX_COUNTERS, Metrics
+from bulrushpulley.roles.actor import Role
+from bulrushpulley.roles.carry_out import Ports
+from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.roles.runtime import Runtime
+
+WITHIN_S = 3.0
+DECISION = Decision(
+    kind="route.dispatch",
+    subject="r-1",
+    chosen="agent-1",
+    reason="least load",
+    passed_over=("agent-2",),
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Told:
+    events: tuple[Event, ...] = ()
+
+
+def gather(event: Event, tables: Told, now: float) -> Step[Told]:
+    return Step(tables=Told(events=(*tables.events, event)))
+
+
+def fail(event: Event, tables: Told, now: float) -> Step[Told]:
+    raise ValueError("a fault of the role")
+
+
+class RuntimeTest(testtools.TestCase):
+    def start(self) -> Runtime:
+        read, write = os.pipe()
+        self.addCleanup(os.close, read)
+        self.addCleanup(os.close, write)
+        runtime = Runtime(name="p", incarnation="p/1", region="ege", log_fd=write)
+        runtime.start()
+        self.addCleanup(runtime.stop)
+        return runtime
+
+    def start_role(self, runtime: Runtime, name: str, apply: object) -> None:
+        role = Role(name=name, tables=Told(), apply=apply, systems=())  # type: ignore[arg-type]
+        ports = Ports(**runtime.ports(answer=lambda command: None))
+        runtime.start_role(role, ports)
+
+    def test_a_role_that_fails_stops_the_process(self) -> None:
+        runtime = self.start()
+        self.start_role(runtime, "router", fail)
+        runtime.tell("router", Committed(submission_id="a", revision=1))
+        self.assertTrue(runtime.stopping.wait(WITHIN_S))
+        self.assertTrue(runtime.failed.is_set())
+
+    def test_blocking_work_that_fails_stops_the_process(self) -> None:
+        runtime = self.start()
+        self.start_role(runtime, "guard", gather)
+        runtime.run(role="guard", work=lambda: [][0])
+        self.assertTrue(runtime.stopping.wait(WITHIN_S))
+        self.assertTrue(runtime.failed.is_set())
+
+    def test_an_outcome_reaches_the_role_or_the_peer_that_asked(self) -> None:
+        runtime = self.start()
+        sent: list[Send] = []
+        self.patch(runtime.links, "send", sent.append)
+        told: list[tuple[str, Event]] = []
+        self.patch(runtime, "tell", lambda role, event: told.append((role, event)))
+        outcome = Committed(submission_id="a", revision=1)
+        runtime.report_to(ReportTo(origin="router", outcome=outcome))
+        runtime.report_to(ReportTo(origin="agent-1-ab", outcome=outcome))
+        self.assertEqual([("router", outcome)], told)
+        self.assertEqual(1, len(sent))
+
+    def test_items_go_to_their_roles(self) -> None:
+        fetch = Fetch(peer="a", fetch_id="f", prefix="p/", since=3)
+        asked = ReadAsked(origin="a", fetch_id="f", prefix="p/", since=3)
+        self.assertEqual(("committer",), recipients(fetch))
+        self.assertEqual(asked, delivered(fetch))
+        answered = Answered(attempt_id="1", status=200, body=b"", took_s=0.1)
+        self.assertEqual(("router",), recipients(answered))
+        self.assertEqual((), recipients(Event()))
+        self.assertEqual(("committer",), recipients.dispatch(Submit)(Event()))
+
+
+class LogsTest(testtools.TestCase):
+    def test_each_decision_is_one_line_of_json(self) -> None:
+        read, write = os.pipe()
+        writer = LineWriter(fd=write, count=lambda count: None)
+        writer.start()
+        log_decision(DECISION, process="entry-1")
+        writer.stop()
+        os.close(write)
+        with os.fdopen(read) as lines:
+            line = json.loads(lines.read())
+        self.assertEqual("route.dispatch", line["message_type"])
+        self.assertEqual(("r-1", "agent-1"), (line["subject"], line["chosen"]))
+        self.assertEqual(["agent-2"], line["passed_over"])
+
+    def test_a_full_log_drops_and_counts_lines_and_delays_nobody(self) -> None:
+        read, write = os.pipe()
+        counts: list[Count] = []
+        writer = LineWriter(fd=write, count=counts.append)
+        writer.start()
+        for number in range(MAX_QUEUED_LINES + 5_000):
+            writer.put({"number": number, "text": "x" * 50})
+        drained = threading.Thread(target=_drain, args=(read,), daemon=True)
+        drained.start()
+        writer.stop()
+        os.close(write)
+        drained.join(WITHIN_S)
+        self.assertTrue(sum(count.by for count in counts) > 0)
+
+
+def _drain(fd: int) -> None:
+    while os.read(fd, 65_536):
+        pass
+    os.close(fd)
+
+
+class MetricsTest(testtools.TestCase):
+    def test_counters_and_percentiles_are_shown(self) -> None:
+        metrics = Metrics()
+        metrics.count(Count(name="route.refused", label='a"b', by=2))
+        metrics.count(Count(name="route.refused", label='a"b'))
+        for number in range(1, 101):
+            metrics.observe(Observe(name="t", label="s", seconds=number / 1000))
+        text = metrics.text()
+        self.assertIn('route_refused{label="a\\"b"} 3\n', text)
+        self.assertIn('t_seconds{label="s",quantile="0.5"} 0.05', text)
+        self.assertIn('t_seconds_count{label="s"} 100\n', text)
+
+    def test_labels_beyond_the_bound_are_counted_together(self) -> None:
+        metrics = Metrics()
+        for number in range(MAX_COUNTERS + 10):
+            metrics.count(Count(name="n", label=str(number)))
+        self.assertEqual(10, metrics.counted("n", "other"))
