Test links over TLS: only processes of the same authority are linked

Fixed certificates of two test authorities stand in test-data/tls, since no library for making them is among the requirements. With verification off the test fails.

--- a/test/test_links.py
+++ b/test/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,8 +12,10 @@
 from grpclib.client import Channel
 
 from bulrushpulley.entities.link import Abandon, LinkDown, LinkUp, Offer, Send
+from bulrushpulley.entities.linker_tables import DialEnded
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import Problem
+from bulrushpulley.settings import TlsSettings
 from bulrushpulley.wire import link_stream
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.link_grpc import LinkStub
@@ -20,8 +23,10 @@
 from bulrushpulley.wire.link_server import LinkServer
 from bulrushpulley.wire.link_stream import LinkHooks
 from bulrushpulley.wire.links import Links
+from bulrushpulley.wire.tls import client_context, server_context
 
 HOST = "127.0.0.1"
+TLS = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
 WITHIN_S = 4.0
 
 
@@ -49,6 +54,14 @@
                 pass
 
 
+def tls_settings(owner: str) -> TlsSettings:
+    return TlsSettings(
+        certificate=str(TLS / f"{owner}-certificate.pem"),
+        key=str(TLS / f"{owner}-key.pem"),
+        ca=str(TLS / "ours-ca.pem"),
+    )
+
+
 def make_end(name: str) -> End:
     return End(name=name, links=Links(loop=asyncio.get_running_loop()))
 
@@ -210,3 +223,36 @@
             await finish(server, entry)
 
         self.run_async(work())
+
+    def test_tls_links_only_processes_of_the_same_authority(self) -> None:
+        async def work() -> None:
+            entry = make_end("entry")
+            server = LinkServer(
+                host=HOST,
+                port=0,
+                links=entry.links,
+                hooks=entry.hooks(),
+                tls=server_context(tls_settings("ours")),
+            )
+            await server.start()
+            ends = {name: make_end(name) for name in ("ours", "theirs", "plain")}
+            contexts = {
+                "ours": client_context(tls_settings("ours")),
+                "theirs": client_context(tls_settings("theirs")),
+                "plain": None,
+            }
+            diallers = []
+            for name, end in ends.items():
+                dialler = Dialler(
+                    links=end.links, hooks=end.hooks(), tls=contexts[name]
+                )
+                dialler.dial(f"{HOST}:{server.port}")
+                diallers.append(dialler)
+            await ends["ours"].wait_for(LinkUp(peer="entry", region="ege"))
+            for name in ("theirs", "plain"):
+                async with asyncio.timeout(WITHIN_S):
+                    self.assertEqual(DialEnded, type(await ends[name].told.get()))
+            self.assertFalse(entry.links.has("theirs") or entry.links.has("plain"))
+            await finish(server, *ends.values(), entry)
+
+        self.run_async(work())
