--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -8,6 +8,7 @@
 
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import threading
@@ -32,6 +33,7 @@
 READY_S = 30.0
 JOB_S = 90.0
 ASK_S = 0.5
+INTERRUPTED = 130
 AGENTS_BY_DEPLOYMENT: Mapping[str, tuple[str, ...]] = {
     "firinzeka": ("agent-01", "agent-05", "agent-08"),
     "kalamu": ("agent-01", "agent-05", "agent-08"),
@@ -182,9 +184,14 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-demo-"))
     fleet = Fleet(layout=layout, folder=folder, command=command())
     say(f"starting {FLAGS.deployment}; settings and logs are in {folder}")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         fleet.start_all()
         outcome = run(fleet, FLAGS.seconds)
+    except KeyboardInterrupt:
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        say("interrupted; ending what was started")
+        sys.exit(INTERRUPTED)
     finally:
         fleet.end_all()
     show(outcome)
