--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +28,8 @@
 START_S = 20.0
 STOP_S = 40.0
 RETRY_S = 0.1
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,8 +88,16 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nothing is bound to now."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    """Return ports on loopback that nothing is bound to now.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections, so that none is lost to one before its process starts.
+    """
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        with contextlib.suppress(OSError):
+            port = random.randrange(FIRST_PORT, LAST_PORT)
+            sockets.append(socket.create_server((HOST, port)))
     ports = [int(item.getsockname()[1]) for item in sockets]
     for item in sockets:
         item.close()
