End a start that fails with its step and exit code 1

A listener whose port was in use raised out of the start, and the threads that had been started kept the process alive. It now prints the problem and exits 1.

--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -19,6 +19,7 @@
 from absl import flags
 
 from bulrushpulley import verbs
+from bulrushpulley.errors import Code, Problem
 from bulrushpulley.roles.agent_process import AgentProcess
 from bulrushpulley.roles.entry_process import EntryProcess
 from bulrushpulley.roles.runtime import Runtime
@@ -96,12 +97,22 @@
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
-    process.start()
+    try:
+        process.start()
+    except OSError as error:
+        print(_start_failed(error), file=sys.stderr)
+        return EXIT_FAILED
     runtime.stopping.wait()
     process.stop()
     return EXIT_FAILED if runtime.failed.is_set() else EXIT_OK
 
 
+def _start_failed(error: OSError) -> Problem:
+    return Problem(
+        code=Code.UNAVAILABLE, step="process.start", peer="self", detail=str(error)
+    )
+
+
 def main(argv: list[str] | None = None) -> int:
     """Carry out a verb and return the exit code."""
     argv = sys.argv[1:] if argv is None else argv
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -12,7 +13,7 @@
 import testtools
 import urllib3
 
-from scripts.fleet import Fleet, ask, make_layout
+from scripts.fleet import HOST, Fleet, ask, make_layout
 from standins.caller import Caller, Target, count_runs, make_all
 from standins.caller_core import Report, plan, tally
 
@@ -78,6 +79,16 @@
         ended = make_all(Caller(target=target), calls, 128)
         return tally(ended, count_runs(fleet.layout.backend_urls))
 
+    def test_a_port_in_use_ends_the_start_with_its_step(self) -> None:
+        layout = make_layout("firinzeka", ["entry-1"], [])
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-test-"))
+        fleet = Fleet(layout=layout, folder=folder)
+        self.addCleanup(fleet.end_all)
+        with socket.create_server((HOST, layout.entries[0].callers)):
+            program = fleet.start_entry(layout.entries[0])
+            self.assertEqual(1, program.process.wait(READY_S))
+        self.assertIn("process.start", program.log.read_text())
+
     def test_a_planned_stop_cuts_off_no_request(self) -> None:
         fleet = self.start(entries=1, agents=1)
         self.slow_down(fleet)
