Send real signals to owners of cells while a job runs

Cause: paused and killed owners had been tried in virtual time only. Ruled out: the worker stand-in alone as a witness, since it holds no history. Change: a script starts a fleet, stops an owner past its takeover and continues it, kills another during lost answers and an outage, and looks for tasks that run twice.

--- /dev/null
+++ b/scripts/cell_signals.py
@@ -0,0 +1,232 @@
+"""Sends real signals to the owners of cells while a job runs, and checks the work.
+
+Run with ``PYTHONPATH=. python -m scripts.cell_signals``; it takes two minutes. One
+owner is stopped for longer than a takeover takes and continued, another is killed
+while workers lose their answers and the table service goes down, and is started
+again. It exits 1 if a task was seen to run twice at once, if one did not finish,
+or if a process did not stop well.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import urllib3
+from absl import app, flags
+
+from scripts.fleet import HOST, Fleet, Layout, ask, make_layout, records, submit
+
+FLAGS = flags.FLAGS
+AGENTS = ("agent-01", "agent-02", "agent-05", "agent-08")
+ENTRIES = ("entry-1", "entry-2")
+JOB = "long-curves"
+TASKS = 24
+RUN_S = 60.0
+READY_S = 30.0
+TAKEOVER_S = 60.0
+DONE_S = 120.0
+OUTAGE_S = 20.0
+POLL_S = 0.2
+
+
+def say(text: str) -> None:
+    """Show progress."""
+    print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
+
+
+def wait_for(condition: Callable[[], bool], within_s: float, what: str) -> float:
+    """Wait until a condition holds and return how long that took."""
+    began = time.monotonic()
+    pause = threading.Event()
+    while not condition():
+        if time.monotonic() - began > within_s:
+            raise RuntimeError(f"{what}: not within {within_s:g} s")
+        pause.wait(POLL_S)
+    return time.monotonic() - began
+
+
+class Platform:
+    """Reads the table service and the workers, and switches their faults."""
+
+    def __init__(self, *, layout: Layout) -> None:
+        self._tables = f"http://{HOST}:{layout.table_service}"
+        self._workers = f"http://{HOST}:{layout.workers}/w"
+        self._pool = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=4)
+
+    def rows(self, prefix: str) -> Mapping[str, Any]:
+        """Return the rows under a prefix by key."""
+        url = f"{self._tables}/v1/rows?prefix={prefix}&since=0&limit=5000"
+        found = self._pool.request("GET", url).json()["rows"]
+        return {row["key"]: row["value"]["row"] for row in found}
+
+    def owner_by_cell(self) -> Mapping[str, str]:
+        """Return the owner of each cell."""
+        return {key: row["owner"] for key, row in self.rows("lease/").items()}
+
+    def finished(self) -> int:
+        """Count the tasks of the job that finished."""
+        done = self.rows(f"done/{JOB}/").values()
+        return sum(1 for row in done if row["state"] == "finished")
+
+    def running(self, worker_id: str) -> list[str]:
+        """Return the tasks that a worker runs, once for each run."""
+        url = f"{self._workers}/{worker_id}/v1/report"
+        report = self._pool.request("POST", url, json={"renew": []}).json()
+        runs = report.get("tasks", [])
+        return [run["task_id"] for run in runs if run["state"] == "running"]
+
+    def lose_worker_answers(self, worker_id: str, seconds: float) -> None:
+        """Have a worker's answers lost for a while."""
+        body = {"mode": "lose_answers", "seconds": seconds}
+        self._pool.request("POST", f"{self._workers}/{worker_id}/switch", json=body)
+
+    def take_tables_down(self, seconds: float) -> None:
+        """Have the table service down for a while."""
+        body = {"mode": "down", "seconds": seconds}
+        self._pool.request("POST", f"{self._tables}/switch", json=body)
+
+
+class Watcher:
+    """Looks again and again for a task that runs twice."""
+
+    def __init__(self, *, platform: Platform, worker_ids: list[str]) -> None:
+        self._platform = platform
+        self._worker_ids = worker_ids
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._watch, daemon=True)
+        self.doubled: set[str] = set()
+        self.looks = 0
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Look no more."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _watch(self) -> None:
+        while not self._stopped.wait(POLL_S):
+            runs: Counter[str] = Counter()
+            for worker_id in self._worker_ids:
+                runs.update(self._running(worker_id))
+            self.doubled.update(task for task, count in runs.items() if count > 1)
+            self.looks += 1
+
+    def _running(self, worker_id: str) -> list[str]:
+        try:
+            return self._platform.running(worker_id)
+        except urllib3.exceptions.HTTPError:
+            return []
+
+
+def begin(fleet: Fleet) -> Watcher:
+    """Put the records in force and start the job."""
+    layout = fleet.layout
+    url = layout.operator_urls[0]
+    platform = Platform(layout=layout)
+    agents = len(layout.agents)
+    wait_for(
+        lambda: len(ask(url, "/v1/status").get("agents", [])) == agents,
+        READY_S,
+        "links",
+    )
+    loaded = records(layout)
+    for record in loaded:
+        if record["kind"] != "job":
+            submit(url, record)
+    job = next(record for record in loaded if record["kind"] == "job")
+    submit(url, {**job, "name": JOB, "tasks": TASKS, "run_s": RUN_S})
+    cells = [record for record in loaded if record["kind"] == "cell"]
+    worker_ids = [w["worker_id"] for cell in cells for w in cell["workers"]]
+    watcher = Watcher(platform=platform, worker_ids=worker_ids)
+    watcher.start()
+    wait_for(
+        lambda: sum(len(platform.running(w)) for w in worker_ids) >= TASKS,
+        READY_S,
+        "starts",
+    )
+    return watcher
+
+
+def busiest(platform: Platform) -> str:
+    """Return the agent that owns the most cells."""
+    owners = Counter(platform.owner_by_cell().values())
+    return max(sorted(owners), key=lambda owner: owners[owner])
+
+
+def pause_owner(fleet: Fleet, platform: Platform) -> None:
+    """Stop an owner until its cells were taken over, then continue it."""
+    name = busiest(platform)
+    process = fleet.program_by_name[name].process
+    process.send_signal(signal.SIGSTOP)
+    took = wait_for(
+        lambda: name not in platform.owner_by_cell().values(),
+        TAKEOVER_S,
+        "takeover",
+    )
+    process.send_signal(signal.SIGCONT)
+    say(f"{name} was paused; its cells were taken over within {took:.1f} s")
+
+
+def kill_owner(fleet: Fleet, platform: Platform, worker_ids: list[str]) -> None:
+    """Kill an owner amid lost answers and an outage, and start it again."""
+    name = busiest(platform)
+    program = fleet.program_by_name.pop(name)
+    program.process.kill()
+    program.process.wait()
+    say(f"{name} was killed; answers are lost and the table service is down")
+    for worker_id in worker_ids:
+        platform.lose_worker_answers(worker_id, OUTAGE_S / 2)
+    platform.take_tables_down(OUTAGE_S)
+    threading.Event().wait(OUTAGE_S)
+    fleet.start_agent(next(a for a in fleet.layout.agents if a.name == name))
+
+
+def run(fleet: Fleet) -> bool:
+    """Run the signals against a started fleet and tell whether all was well."""
+    platform = Platform(layout=fleet.layout)
+    watcher = begin(fleet)
+    say(f"{TASKS} tasks run; owners are {dict(platform.owner_by_cell())}")
+    pause_owner(fleet, platform)
+    kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
+    took = wait_for(lambda: platform.finished() == TASKS, DONE_S, "the job")
+    watcher.stop()
+    rows = platform.rows(f"done/{JOB}/").values()
+    generations = Counter(row["generation"] for row in rows)
+    say(f"finished {took:.1f} s later; tasks by generation: {dict(generations)}")
+    say(f"{watcher.looks} looks; ran twice at once: {sorted(watcher.doubled)}")
+    names = [agent.name for agent in fleet.layout.agents]
+    codes = {name: fleet.stop(name) for name in (*names, *ENTRIES)}
+    say(f"exit codes: {codes}")
+    return not watcher.doubled and not any(codes.values())
+
+
+def main(argv: list[str]) -> None:
+    """Run everything in a folder of its own."""
+    del argv
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-signals-"))
+    say(f"settings and logs are in {folder}")
+    layout = make_layout(FLAGS.deployment, ENTRIES, AGENTS)
+    fleet = Fleet(layout=layout, folder=folder)
+    try:
+        fleet.start_all()
+        good = run(fleet)
+    finally:
+        fleet.end_all()
+    say("passed" if good else "failed")
+    sys.exit(0 if good else 1)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("deployment", "firinzeka", "The sample settings to run.")
+    app.run(main)
