Keep a malformed answer of a worker from ending the agent; renew once on leaving

Cause: a connection without a pool raises http.client's errors as they are, and a bad URL raises ValueError; either ended the role and with it the process. On a planned stop the leases were renewed last up to 8 s before. Ruled out: the pool, on whose kept connections a start could be written in doubt. Change: both are outcomes: not sent before the request is written, unknown after. A leaving owner renews every lease once more, so that its successor has 30 s. Before: the case ended in BadStatusLine. After: 56 passed, 0 failed for the cell's tests.

--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import http.client
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
 
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 STEP = "worker.call"
+# A connection without a pool raises the errors of http.client as they are.
+FAILURES = (HTTPError, http.client.HTTPException, OSError, ValueError)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -150,26 +153,37 @@
         )
 
     def _post(self, command: WorkerCommand, path: str, form: object) -> bytes:
-        url = urlsplit(command.url)
-        host, port = url.hostname or "", url.port or 80
-        connection = HTTPConnection(host, port, timeout=CALL_WITHIN_S)
+        connection = _connection(command)
         try:
             self._connect(connection, command)
-            return _exchange(connection, command, f"{url.path}{path}", form)
+            prefix = urlsplit(command.url).path
+            return _exchange(connection, command, f"{prefix}{path}", form)
         finally:
             connection.close()
 
     def _connect(self, connection: HTTPConnection, command: WorkerCommand) -> None:
         try:
             connection.connect()
-        except (HTTPError, OSError) as error:
-            detail = f"{type(error).__name__}: {error}"
-            raise _not_sent(command, Code.UNAVAILABLE, detail) from error
+        except FAILURES as error:
+            raise _not_sent(command, Code.UNAVAILABLE, _described(error)) from error
         if self._clock() > command.not_after:
             detail = "its deadline passed before it could be sent"
             raise _not_sent(command, Code.DEADLINE, detail)
 
 
+def _connection(command: WorkerCommand) -> HTTPConnection:
+    try:
+        url = urlsplit(command.url)
+        port = url.port or http.client.HTTP_PORT
+        return HTTPConnection(url.hostname or "", port, timeout=CALL_WITHIN_S)
+    except FAILURES as error:
+        raise _not_sent(command, Code.INVALID, _described(error)) from error
+
+
+def _described(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 def _exchange(
     connection: HTTPConnection, command: WorkerCommand, path: str, form: object
 ) -> bytes:
@@ -190,8 +204,8 @@
             step=STEP,
             peer=command.worker_id,
         )
-    except (HTTPError, OSError, BulrushpulleyError) as error:
-        raise _unknown(command, f"{type(error).__name__}: {error}") from error
+    except (*FAILURES, BulrushpulleyError) as error:
+        raise _unknown(command, _described(error)) from error
     if response.status != 200:
         raise _unknown(command, f"status {response.status}")
     return body
--- a/bulrushpulley/systems/cell_owner_events.py
+++ b/bulrushpulley/systems/cell_owner_events.py
@@ -15,7 +15,6 @@
     CellOwnerTables,
     LinkedEntry,
 )
-from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import (
     Assigned,
     Configured,
@@ -87,8 +86,3 @@
         return Step(tables=tables)
     cancels = tables.cancels.put(key, Cancelling(record_key=key))
     return Step(tables=replace(tables, cancels=cancels))
-
-
-@apply.register
-def _(event: Leave, tables: CellOwnerTables, now: float) -> CellStep:
-    return Step(tables=replace(tables, leaving=True))
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -12,6 +12,7 @@
 
 from bulrushpulley.entities.cell import CellPhase
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.owner_times import (
     CALL_WITHIN_S,
     LONGEST_REPORT_S,
@@ -87,6 +88,17 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
+def last_renewals(tables: CellOwnerTables, now: float) -> CellStep:
+    """Renew all leases once more, to last until the next owner has the cells."""
+    due = tables.workers
+    for worker in due.rows():
+        due = due.put(
+            worker.worker_id,
+            replace(worker, asked_at=None, next_report_at=now, renew_at=now),
+        )
+    return ask(replace(tables, workers=due), now)
+
+
 def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
     """Return the pause before the next report.
 
@@ -117,6 +129,13 @@
     )
 
 
+@apply.register
+def _(event: Leave, tables: CellOwnerTables, now: float) -> CellStep:
+    renewed = last_renewals(tables, now)
+    leaving = replace(renewed.tables, leaving=True)
+    return Step(tables=leaving, commands=renewed.commands)
+
+
 @apply.register
 def _(event: Started, tables: CellOwnerTables, now: float) -> CellStep:
     task = _current(tables, event.task_key, event.generation)
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -225,6 +225,8 @@
         kinds = (StartTask, StopTask, AskReport)
         last = max(at for at, c in commands if isinstance(c, kinds))
         self.assertEqual(1, len(released))
+        asked = [(at, c) for at, c in commands if isinstance(c, AskReport)]
+        self.assertTrue(any(at >= 5.0 and c.renewals for at, c in asked))
         self.assertLess(last + 1.9, released[0])
         bench.agent("b")
         bench.run(70.0)
--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http
+import socket
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -43,6 +44,14 @@
         return self.now
 
 
+def answer_garbage(server: socket.socket) -> None:
+    """Answer one connection with what is no HTTP."""
+    connection, _ = server.accept()
+    with connection:
+        connection.recv(65_536)
+        connection.sendall(b"no HTTP at all\r\n\r\n")
+
+
 class WorkerHttpTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -115,6 +124,17 @@
         self.assertIsInstance(self._start(not_after=99.0), Started)
         self.assertEqual([RunState.RUNNING], self._states())
 
+    def test_a_malformed_answer_or_url_is_an_outcome_and_no_crash(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            thread = threading.Thread(target=answer_garbage, args=(server,))
+            thread.start()
+            port = server.getsockname()[1]
+            outcome = self._start(url=f"http://127.0.0.1:{port}/w/w1")
+            thread.join()
+        self.assertIsInstance(outcome, StartUnknown)
+        for url in ("http://127.0.0.1:99999/w", "http://[::1/w", "no url"):
+            self.assertIsInstance(self._start(url=url), StartNotSent, url)
+
     def test_a_refused_connection_means_not_sent(self) -> None:
         outcome = self._start(url="http://127.0.0.1:1/w/w1")
         self.assertIsInstance(outcome, StartNotSent)
