Run a fault matrix of tasks in cells

Cause: each fault had been tried at one step only. Ruled out: running all of it with the tests (128 cells of 160 s take over a minute). Change: steps, faults and allowed outcomes are data; a script runs every cell, the tests a share, and two cells with a guard taken out, which go red.

--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -72,7 +72,7 @@
 from standins import table_core, worker_core
 from standins.table_core import At, Put, TableState, Transaction
 from standins.worker_core import Renew, Start, WorkerState
-from test.virtual_world import Seat, VirtualWorld
+from test.virtual_world import Path, Seat, VirtualWorld
 
 DOMAIN = "ege-izmir"
 CAPACITY = Resources(processors_m=8_000, memory_mb=16_000)
@@ -99,6 +99,8 @@
         self.lose_worker_answers: set[str] = set()
         self.lose_start_answers = False
         self.start_delay_s = DELIVERY_S
+        self.store_delay_s = DELIVERY_S
+        self.path = Path(delay_s=0.0)
         self.bad_jobs: set[str] = set()
         self.store_up = True
         self.lose_commit: Callable[[Submission], bool] = lambda submission: False
@@ -380,9 +382,9 @@
     def _(self, item: Submit, owner: Seat) -> None:
         def act() -> None:
             outcome = self.commit(item.submission)
-            self.world.at(DELIVERY_S, lambda: self.world.deliver(owner, outcome))
+            self._answer(owner, outcome)
 
-        self.world.at(DELIVERY_S, act)
+        self.world.at(self.store_delay_s, act)
 
     @_take.register
     def _(self, item: Fetch, owner: Seat) -> None:
@@ -394,9 +396,17 @@
                 rows=self.rows(item.prefix, item.since) if self.store_up else (),
                 failed="" if self.store_up else "down",
             )
-            self.world.at(DELIVERY_S, lambda: self.world.deliver(owner, fetched))
+            self._answer(owner, fetched)
 
-        self.world.at(DELIVERY_S, act)
+        self.world.at(self.store_delay_s, act)
+
+    def _answer(self, owner: Seat, event: Event) -> None:
+        """Have an entry tell an owner something."""
+        self.world.at(DELIVERY_S, lambda: self._deliver(owner, event))
+
+    def _deliver(self, owner: Seat, event: Event) -> None:
+        if self.world.alive(owner.process):
+            self.world.deliver(owner, event, self.path)
 
     # Workers.
 
@@ -420,7 +430,7 @@
         }
         late = self.checks_deadline and self.world.now > command.not_after
         if late or not self._reaches(owner, command.worker_id):
-            self.world.deliver(owner, StartNotSent(problem=PROBLEM, **ids))
+            self._deliver(owner, StartNotSent(problem=PROBLEM, **ids))
             return
 
         def act() -> None:
@@ -441,20 +451,20 @@
             self._check_room(command)
             self.check_workers()
             if answers:
-                self.world.deliver(owner, Started(**ids))
+                self._deliver(owner, Started(**ids))
 
         answers = self._answers(command.worker_id) and not self.lose_start_answers
         self.world.at(self.start_delay_s, act)
         if not answers:
             unknown = StartUnknown(problem=PROBLEM, **ids)
-            self.world.at(0.1, lambda: self.world.deliver(owner, unknown))
+            self.world.at(0.1, lambda: self._deliver(owner, unknown))
 
     @_do.register
     def _(self, command: StopTask, owner: Seat) -> None:
         worker = command.worker_id
         lost = StopUnanswered(worker_id=worker, problem=PROBLEM)
         if not self._reaches(owner, worker) or self.world.now > command.not_after:
-            self.world.deliver(owner, lost)
+            self._deliver(owner, lost)
             return
         self.workers[worker] = worker_core.stop(
             self.workers[worker],
@@ -464,7 +474,7 @@
             self.world.now,
         )
         answered = StopAnswered(worker_id=worker)
-        self.world.deliver(owner, answered if self._answers(worker) else lost)
+        self._deliver(owner, answered if self._answers(worker) else lost)
 
     @_do.register
     def _(self, command: AskReport, owner: Seat) -> None:
@@ -473,7 +483,7 @@
             worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
         )
         if not self._reaches(owner, worker) or self.world.now > command.not_after:
-            self.world.deliver(owner, unanswered)
+            self._deliver(owner, unanswered)
             return
         renewals = tuple(
             Renew(task_id=r.task_id, generation=r.generation, lease_s=r.lease_s)
@@ -485,7 +495,7 @@
         reported = WorkerReported(
             worker_id=worker, asked_at=command.asked_at, runs=runs_of(state)
         )
-        self.world.deliver(owner, reported if self._answers(worker) else unanswered)
+        self._deliver(owner, reported if self._answers(worker) else unanswered)
 
 
 def runs_of(state: WorkerState) -> tuple[RunReport, ...]:
--- /dev/null
+++ b/test/cell_matrix.py
@@ -0,0 +1,213 @@
+"""Runs the fault matrix of tasks in cells: each fault at each step, all checks."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from bulrushpulley.entities.commit import Submission
+from bulrushpulley.entities.link import JobCancelled, Send, Submit
+from bulrushpulley.entities.records import JobRecord
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.rows import AliveRow, LeaseRow, TaskRow, TaskState
+from bulrushpulley.entities.step import Command
+from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
+from test.cell_bench import DELIVERY_S, SIZE, CellBench, seat
+from test.virtual_world import Path, Seat, VirtualWorld
+
+DATA = pathlib.Path(__file__).resolve().parent.parent / "test-data/cell/matrix.txt"
+TASK = "curves/0"
+RUN_S = 30.0
+EVICTED_AT_S = 6.0
+HEAL_AFTER_S = 20.0
+PAUSE_S = 45.0
+OFFER_EVERY_S = 4.0
+END_S = 160.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Matrix:
+    """The steps, and the allowed outcomes by fault."""
+
+    steps: tuple[str, ...]
+    outcomes_by_fault: Mapping[str, frozenset[str]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What became of one cell of the matrix."""
+
+    step: str
+    fault: str
+    struck: bool
+    outcome: str
+    violations: tuple[str, ...]
+
+    def passed(self, matrix: Matrix) -> bool:
+        """Tell whether the fault struck, nothing broke and the outcome is right."""
+        allowed = matrix.outcomes_by_fault[self.fault]
+        return self.struck and not self.violations and self.outcome in allowed
+
+
+def load() -> Matrix:
+    """Read the matrix."""
+    steps: list[str] = []
+    outcomes: dict[str, frozenset[str]] = {}
+    for line in DATA.read_text().splitlines():
+        kind, _, rest = line.partition(" ")
+        if kind == "step":
+            steps.append(rest)
+        if kind == "fault":
+            name, _, allowed = rest.partition(":")
+            outcomes[name] = frozenset(allowed.split())
+    return Matrix(steps=tuple(steps), outcomes_by_fault=outcomes)
+
+
+def _writes(command: Command, wanted: Callable[[Any], bool]) -> bool:
+    item = command.item if isinstance(command, Send) else None
+    submission = item.submission if isinstance(item, Submit) else None
+    writes = submission.writes if isinstance(submission, Submission) else ()
+    return any(wanted(write.row) for write in writes)
+
+
+def _in_state(row: Any, *states: TaskState) -> bool:
+    return isinstance(row, TaskRow) and row.state in states
+
+
+ENDED = (TaskState.FINISHED, TaskState.CANCELLED)
+SEEN_BY_STEP: Mapping[str, Callable[[Command], bool]] = {
+    "cell_taken": lambda c: _writes(c, lambda row: isinstance(row, LeaseRow)),
+    "cell_renewed": lambda c: _writes(
+        c, lambda row: isinstance(row, AliveRow) and row.renewals > 1
+    ),
+    "start_committed": lambda c: _writes(
+        c, lambda row: _in_state(row, TaskState.STARTING)
+    ),
+    "start_sent": lambda c: isinstance(c, StartTask),
+    "running": lambda c: isinstance(c, AskReport) and bool(c.renewals),
+    "stop_sent": lambda c: isinstance(c, StopTask) and c.checkpoint,
+    "resumed": lambda c: isinstance(c, StartTask) and c.generation > 1,
+    "outcome_written": lambda c: _writes(c, lambda row: _in_state(row, *ENDED)),
+}
+
+
+def _kill(bench: CellBench) -> None:
+    bench.world.kill("a")
+
+
+def _restart(bench: CellBench) -> None:
+    bench.world.kill("a")
+    bench.world.at(1.0, lambda: bench.agent("a", life=2))
+
+
+def _pause(bench: CellBench) -> None:
+    bench.world.pause("a", PAUSE_S)
+
+
+def _cancel(bench: CellBench) -> None:
+    record = JobRecord(
+        name="curves",
+        department="bakery",
+        tasks=1,
+        size=SIZE,
+        run_s=RUN_S,
+        cancelled=True,
+    )
+    bench.put_record("job", record)
+    for agent in ("a", "b"):
+        for delay_s in (0.1, 30.0, 60.0):
+            tell = partial(_tell_cancelled, bench, agent)
+            bench.world.at(delay_s, tell)
+
+
+def _tell_cancelled(bench: CellBench, agent: str) -> None:
+    if bench.world.alive(agent):
+        bench.world.deliver(seat(agent), JobCancelled(job="curves"))
+
+
+def _drain(bench: CellBench) -> None:
+    bench.drain()
+    bench.world.at(3.0, bench.spread)
+
+
+def _delay_start(bench: CellBench) -> None:
+    """Have starts arrive late, and their answers lost, for a moment."""
+    bench.start_delay_s, bench.lose_start_answers = 3.0, True
+    bench.world.at(2.0, lambda: setattr(bench, "start_delay_s", DELIVERY_S))
+    bench.world.at(2.0, lambda: setattr(bench, "lose_start_answers", False))
+
+
+def _for_a_while(
+    name: str, faulty: Any, healed: Any, seconds: float = HEAL_AFTER_S
+) -> Callable[[CellBench], None]:
+    def strike(bench: CellBench) -> None:
+        setattr(bench, name, faulty)
+        bench.world.at(seconds, lambda: setattr(bench, name, healed))
+
+    return strike
+
+
+NO_PATH = Path(delay_s=0.0)
+BOTH = {"w0", "w1"}
+STRIKE_BY_FAULT: Mapping[str, Callable[[CellBench], None]] = {
+    "none": lambda bench: None,
+    "owner_killed": _kill,
+    "owner_restarted": _restart,
+    "owner_paused": _pause,
+    "store_down": _for_a_while("store_up", False, True),
+    "store_slow": _for_a_while("store_delay_s", 3.0, DELIVERY_S),
+    "commit_answer_lost": _for_a_while("lose_commit", lambda _: True, lambda _: False),
+    "messages_repeated": _for_a_while("path", Path(repeat_percent=100), NO_PATH),
+    "messages_disordered": _for_a_while("path", Path(jitter_s=2.0), NO_PATH),
+    "start_delayed": _delay_start,
+    "first_worker_cut_off": _for_a_while("unreachable", {"w0"}, set(), 60.0),
+    "workers_cut_off": _for_a_while("unreachable", BOTH, set()),
+    "worker_answers_lost": _for_a_while("lose_worker_answers", BOTH, set()),
+    "owner_cut_from_store": _for_a_while("cut_off", {("a", "store")}, set()),
+    "domain_drained": _drain,
+    "job_cancelled": _cancel,
+}
+
+
+def _offers(bench: CellBench) -> None:
+    """Offer the cell to the second agent again and again, as entries do."""
+    bench.offer("b")
+    bench.world.at(OFFER_EVERY_S, lambda: _offers(bench))
+
+
+def _outcome(bench: CellBench) -> str:
+    done = bench.done(TASK)
+    if done is not None:
+        return done.value
+    return "returned" if bench.row(f"backlog/{TASK}") else "open"
+
+
+def run_cell(step: str, fault: str) -> Verdict:
+    """Bring a fault about the first time that a step is reached."""
+    bench = CellBench()
+    struck: list[str] = []
+
+    def watch(world: VirtualWorld, owner: Seat, command: Command) -> None:
+        if not struck and owner.process == "a" and SEEN_BY_STEP[step](command):
+            struck.append(fault)
+            STRIKE_BY_FAULT[fault](bench)
+
+    bench.world.watches.append(watch)
+    bench.job("curves", run_s=RUN_S)
+    bench.agent("a")
+    bench.run(2.0)
+    bench.agent("b")
+    bench.world.at(OFFER_EVERY_S, lambda: _offers(bench))
+    bench.run(EVICTED_AT_S - 2.0)
+    bench.resize("w0", Resources())
+    bench.run(END_S - EVICTED_AT_S)
+    return Verdict(
+        step=step,
+        fault=fault,
+        struck=bool(struck),
+        outcome=_outcome(bench),
+        violations=tuple(v for v in bench.violations if "capacity: w0" not in v),
+    )
--- /dev/null
+++ b/test/test_cell_matrix.py
@@ -0,0 +1,37 @@
+"""A part of the fault matrix of tasks in cells; the script runs all of it."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+import testtools
+
+from bulrushpulley.systems import cell_reports, cell_stop
+from test import cell_matrix
+
+EVERY = 19
+
+
+class MatrixTest(testtools.TestCase):
+    def test_a_cell_goes_red_without_its_guard(self) -> None:
+        def always(*_: Any) -> bool:
+            return True
+
+        matrix = cell_matrix.load()
+        for step, fault, module, guard in (
+            ("start_sent", "start_delayed", cell_reports, "shows_absence"),
+            ("running", "first_worker_cut_off", cell_stop, "surely_lapsed"),
+        ):
+            with mock.patch.object(module, guard, always):
+                verdict = cell_matrix.run_cell(step, fault)
+            self.assertFalse(verdict.passed(matrix), str(verdict))
+
+    def test_a_share_of_the_matrix_passes(self) -> None:
+        matrix = cell_matrix.load()
+        self.assertEqual(set(cell_matrix.SEEN_BY_STEP), set(matrix.steps))
+        for row, step in enumerate(matrix.steps):
+            for column, fault in enumerate(matrix.outcomes_by_fault):
+                if (3 * row + column) % EVERY == 0:
+                    verdict = cell_matrix.run_cell(step, fault)
+                    self.assertTrue(verdict.passed(matrix), str(verdict))
