--- /dev/null
+++ b/test/matrix_faults.py
@@ -0,0 +1,181 @@
+"""The faults of the fault matrix, each done to a site at the moment of a step."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from bulrushpulley.entities.operations import ChangeDomain
+from bulrushpulley.entities.records import DomainState
+from standins.worker_core import WorkerState
+from test.site import AGENTS, DOMAINS, ENTRIES, STORE_S, WORKERS, Site
+from test.virtual_world import Path, Seat
+
+RESTART_S = 5.0
+PAUSE_S = 25.0
+CUT_S = 8.0
+DELAY_S = 2.5
+SLOW_S = 1.5
+STORE_FAULT_S = 20.0
+PATH_FAULT_S = 20.0
+WORKER_DEAD_S = 30.0
+WORKER_SICK_S = 40.0
+
+Fault = Callable[[Site, Seat, Any], None]
+
+
+def peers_of(process: str) -> tuple[str, ...]:
+    """Return the processes that a process has links to."""
+    return AGENTS if process in ENTRIES else ENTRIES
+
+
+def kill(site: Site, seat: Seat, command: Any) -> None:
+    """Kill the process; another one of its name starts a little later."""
+    site.kill(seat.process)
+    site.world.at(RESTART_S, lambda: site.start(seat.process))
+
+
+def pause(site: Site, seat: Seat, command: Any) -> None:
+    """Freeze the process past every lease, right before the command leaves."""
+    site.freeze(seat.process, PAUSE_S)
+
+
+def cut_out(site: Site, seat: Seat, command: Any) -> None:
+    """Lose what the process sends."""
+    site.cut_off({(seat.process, peer) for peer in peers_of(seat.process)}, CUT_S)
+
+
+def cut_in(site: Site, seat: Seat, command: Any) -> None:
+    """Lose what the process is sent."""
+    site.cut_off({(peer, seat.process) for peer in peers_of(seat.process)}, CUT_S)
+
+
+def change_path(site: Site, path: Path) -> None:
+    """Have all links carry messages over `path` for a while."""
+    site.path = path
+
+    def heal() -> None:
+        site.path = Path()
+
+    site.world.at(PATH_FAULT_S, heal)
+
+
+def delay(site: Site, seat: Seat, command: Any) -> None:
+    """Delay every message."""
+    change_path(site, Path(delay_s=DELAY_S))
+
+
+def repeat(site: Site, seat: Seat, command: Any) -> None:
+    """Repeat every message."""
+    change_path(site, Path(repeat_percent=100, jitter_s=0.2))
+
+
+def reorder(site: Site, seat: Seat, command: Any) -> None:
+    """Deliver messages out of order."""
+    change_path(site, Path(jitter_s=0.8))
+
+
+def change_store(site: Site, mode: str, delay_s: float) -> None:
+    """Have the store misbehave for a while."""
+    site.store_mode, site.store_delay_s = mode, delay_s
+
+    def heal() -> None:
+        site.store_mode, site.store_delay_s = "up", STORE_S
+
+    site.world.at(STORE_FAULT_S, heal)
+
+
+def store_down(site: Site, seat: Seat, command: Any) -> None:
+    """Have the store refuse everything."""
+    change_store(site, "down", STORE_S)
+
+
+def store_slow(site: Site, seat: Seat, command: Any) -> None:
+    """Have the store take long."""
+    change_store(site, "up", SLOW_S)
+
+
+def lose_answers(site: Site, seat: Seat, command: Any) -> None:
+    """Have the store's answers lost after the write."""
+    change_store(site, "lose_answers", STORE_S)
+
+
+def worker_of(command: Any) -> str:
+    """Return the worker that a step concerns, or some worker."""
+    name: str = getattr(command, "worker_id", next(iter(WORKERS)))
+    return name
+
+
+def worker_dies(site: Site, seat: Seat, command: Any) -> None:
+    """Have the worker lose all that it runs, and return later."""
+    worker = worker_of(command)
+    site.advance()
+    site.dead_workers.add(worker)
+    site.workers[worker] = WorkerState.empty()
+    site.world.at(WORKER_DEAD_S, lambda: site.dead_workers.discard(worker))
+
+
+def worker_loses_answers(site: Site, seat: Seat, command: Any) -> None:
+    """Have the worker's answers lost."""
+    worker = worker_of(command)
+    site.lossy_workers.add(worker)
+    site.world.at(WORKER_DEAD_S, lambda: site.lossy_workers.discard(worker))
+
+
+def worker_fails_all(site: Site, seat: Seat, command: Any) -> None:
+    """Have the worker fail everything that it starts."""
+    worker = worker_of(command)
+    site.fail_all(worker, True)
+    site.world.at(WORKER_SICK_S, lambda: site.fail_all(worker, False))
+
+
+def change_domain(site: Site, entry: str, domain: str, state: DomainState) -> None:
+    """Have an operator change a failure domain at an entry."""
+    call_id = f"op-{domain}-{state.value}-{entry}-{site.world.now:.3f}"
+    site.operate(
+        entry,
+        ChangeDomain(
+            call_id=call_id,
+            author=entry,
+            failure_domain=domain,
+            state=state,
+            expected_revision=0,
+        ),
+    )
+
+
+def operators_race(site: Site, seat: Seat, command: Any) -> None:
+    """Have operators take a failure domain out and return it at the same moment."""
+    first, second = ENTRIES
+    change_domain(site, first, DOMAINS[1], DomainState.DRAINED)
+    change_domain(site, second, DOMAINS[1], DomainState.IN_SERVICE)
+    site.world.at(
+        5.0, lambda: change_domain(site, first, DOMAINS[1], DomainState.IN_SERVICE)
+    )
+
+
+def domain_drained(site: Site, seat: Seat, command: Any) -> None:
+    """Take the second failure domain out for a while."""
+    change_domain(site, ENTRIES[1], DOMAINS[1], DomainState.DRAINED)
+    site.world.at(
+        20.0, lambda: change_domain(site, ENTRIES[0], DOMAINS[1], DomainState.IN_SERVICE)
+    )
+
+
+FAULT_BY_NAME: Mapping[str, Fault] = {
+    "process killed": kill,
+    "process paused": pause,
+    "cut outward": cut_out,
+    "cut inward": cut_in,
+    "message delayed": delay,
+    "message repeated": repeat,
+    "out of order": reorder,
+    "store down": store_down,
+    "store slow": store_slow,
+    "answer lost": lose_answers,
+    "worker dies": worker_dies,
+    "worker loses answers": worker_loses_answers,
+    "worker fails all": worker_fails_all,
+    "operators race": operators_race,
+    "domain drained": domain_drained,
+}
--- /dev/null
+++ b/test/site.py
@@ -0,0 +1,268 @@
+"""A whole site in virtual time: entries, agents, workers, backend servers, the store.
+
+It runs the very roles of the product, routed as the product routes them, over the
+cores of the stand-ins. `site_io` carries out the commands. Faults are switches of
+this class; what breaks an invariant is kept in `violations`.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+from bulrushpulley.entities.calls import AnswerCall, CallReceived, RefuseCall
+from bulrushpulley.entities.link import LinkDown, LinkEvent, LinkUp
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.roles import cell_owner, committer, controller, guard, router
+from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.wire.rows import decode_row
+from standins import worker_core
+from standins.table_core import TableState
+from standins.worker_core import WorkerState
+from test.virtual_world import Path, Seat, VirtualWorld
+
+SERVICE = "oven-conductor"
+REGION = "ege"
+DOMAINS = ("ege-izmir", "ege-manisa")
+ENTRIES = ("e1", "e2")
+AGENTS = ("a1", "a2", "a3")
+WORKERS = {"w0": "ege-izmir", "w1": "ege-izmir", "w2": "ege-manisa", "w3": "ege-manisa"}
+CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
+LINK_DOWN_AFTER_S = 3.0
+RELINK_S = 0.5
+STORE_S = 0.005
+DRAIN_BOUND_S = 4.0
+
+Answer = AnswerCall | RefuseCall
+
+
+class Site:
+    """All processes of a small deployment in one region with two failure domains."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        from test.site_io import carry_out
+
+        self.world = VirtualWorld(
+            carry_out=lambda world, seat, command: carry_out(command, self, seat),
+            seed=seed,
+        )
+        self.store = TableState.empty()
+        self.store_mode = "up"
+        self.store_delay_s = STORE_S
+        self.workers = {name: WorkerState.empty() for name in WORKERS}
+        self.dead_workers: set[str] = set()
+        self.lossy_workers: set[str] = set()
+        self.path = Path()
+        self.cut: set[tuple[str, str]] = set()
+        self.lives: Counter[str] = Counter()
+        self.process_of: dict[str, str] = {}
+        self.links: dict[tuple[str, str], int] = {}
+        self.link_number = 0
+        self.runs: Counter[str] = Counter()
+        self.finishes: Counter[str] = Counter()
+        self.answers: dict[str, list[Answer]] = {}
+        self.calls: dict[str, CallReceived] = {}
+        self.replies: dict[str, Command] = {}
+        self.drained_at: dict[str, float] = {}
+        self.decisions: Counter[str] = Counter()
+        self.done_processes: set[tuple[str, str]] = set()
+        self.violations: list[str] = []
+        for name in (*ENTRIES, *AGENTS):
+            self.start(name)
+
+    # Processes and links.
+
+    def incarnation(self, process: str) -> str:
+        """Return the incarnation of the present life of a process."""
+        return f"{process}#{self.lives[process]}"
+
+    def start(self, process: str) -> None:
+        """Start a process, in place of its earlier life, and link it."""
+        self.kill(process)
+        self.lives[process] += 1
+        name = self.incarnation(process)
+        self.process_of[name] = process
+        roles = self._entry(process) if process in ENTRIES else self._agent(process)
+        self.world.start(process, roles)
+        for other in AGENTS if process in ENTRIES else ENTRIES:
+            pair = (process, other) if process in ENTRIES else (other, process)
+            self.world.at(RELINK_S, lambda pair=pair: self.link(*pair))  # type: ignore[misc]
+
+    def _entry(self, name: str) -> list[Any]:
+        life = self.incarnation(name)
+        return [
+            router.build(incarnation=life, region=REGION),
+            controller.build(
+                entry=name, incarnation=life, host="127.0.0.1", port=1, region=REGION
+            ),
+            committer.build(name=name, incarnation=life),
+        ]
+
+    def _agent(self, name: str) -> list[Any]:
+        life = self.incarnation(name)
+        return [
+            guard.build(
+                agent=name,
+                incarnation=life,
+                service=SERVICE,
+                region=REGION,
+                failure_domain=DOMAINS[0],
+            ),
+            cell_owner.build(agent=name, incarnation=life, region=REGION),
+        ]
+
+    def kill(self, process: str) -> None:
+        """End a process; its peers see their links end."""
+        for pair in [pair for pair in self.links if process in pair]:
+            self.unlink(*pair)
+        self.world.kill(process)
+
+    def link(self, entry: str, agent: str) -> None:
+        """Open the link of two live processes, unless it is open or cut."""
+        both = self.world.alive(entry) and self.world.alive(agent)
+        barred = {(entry, agent), (agent, entry)} & self.cut
+        if not both or barred or (entry, agent) in self.links:
+            return
+        self.link_number += 1
+        self.links[entry, agent] = self.link_number
+        self.tell(entry, LinkUp(peer=self.incarnation(agent), region=REGION))
+        self.tell(agent, LinkUp(peer=self.incarnation(entry), region=REGION))
+
+    def unlink(self, entry: str, agent: str) -> None:
+        """End a link; nothing more arrives on it."""
+        if self.links.pop((entry, agent), None) is None:
+            return
+        self.tell(entry, LinkDown(peer=self.incarnation(agent)))
+        self.tell(agent, LinkDown(peer=self.incarnation(entry)))
+
+    def freeze(self, process: str, seconds: float) -> None:
+        """Pause a process; its peers end their links by keepalive meanwhile."""
+        self.world.pause(process, seconds)
+        pairs = [pair for pair in self.links if process in pair]
+        life = self.lives[process]
+
+        def notice() -> None:
+            for pair in pairs:
+                self.unlink(*pair)
+
+        def relink() -> None:
+            for pair in pairs if self.lives[process] == life else []:
+                self.link(*pair)
+
+        self.world.at(min(LINK_DOWN_AFTER_S, seconds), notice)
+        self.world.at(seconds + RELINK_S, relink)
+
+    def cut_off(self, ways: set[tuple[str, str]], seconds: float) -> None:
+        """Lose what travels these ways; keepalives end the links after a while."""
+        self.cut |= ways
+        pairs = {pair for pair in self.links if {pair, pair[::-1]} & ways}
+
+        def notice() -> None:
+            for pair in pairs:
+                self.unlink(*pair)
+
+        def heal() -> None:
+            self.cut -= ways
+            for pair in pairs:
+                self.link(*pair)
+
+        self.world.at(min(LINK_DOWN_AFTER_S, seconds), notice)
+        self.world.at(seconds, heal)
+
+    def send(self, source: str, peer: str, item: LinkEvent) -> None:
+        """Put an item on a link, over the present path."""
+        target = self.process_of.get(peer, "")
+        pair = (source, target) if source in ENTRIES else (target, source)
+        number = self.links.get(pair)
+        if number is None or peer != self.incarnation(target):
+            return
+        if (source, target) in self.cut:
+            return
+        event = replace(item, peer=self.incarnation(source))
+        for delay_s in self.world.delays(self.path):
+            self.world.at(delay_s, lambda: self._arrive(pair, number, target, event))
+
+    def _arrive(
+        self, pair: tuple[str, str], number: int, target: str, event: LinkEvent
+    ) -> None:
+        if self.links.get(pair) == number:
+            self.tell(target, event)
+
+    def tell(self, process: str, event: Event) -> None:
+        """Tell the roles of a process an item, as the product routes it."""
+        for role in recipients(event):
+            seat = Seat(process=process, role=role)
+            if seat in self.world.roles:
+                self.world.deliver(seat, delivered(event))
+
+    # Outside events.
+
+    def call(self, entry: str, call_id: str, request_id: str, within_s: float) -> None:
+        """Make an unrepeatable call through an entry."""
+        event = CallReceived(
+            call_id=call_id,
+            service=SERVICE,
+            request_id=request_id,
+            repeatable=False,
+            within_s=within_s,
+            body=request_id.encode(),
+        )
+        self.calls[call_id] = event
+        self.world.deliver(Seat(process=entry, role="router"), event)
+
+    def operate(self, entry: str, event: Event) -> None:
+        """Make an operator's call at an entry."""
+        self.world.deliver(Seat(process=entry, role="controller"), event)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.world.run(self.world.now + seconds)
+
+    def fail_all(self, worker: str, fails: bool) -> None:
+        """Have a worker fail everything that it starts, or not."""
+        self.workers[worker] = replace(self.workers[worker], fail_all=fails)
+
+    # What checks look at.
+
+    def row(self, key: str) -> Any:
+        """Return the row of a key, or None."""
+        stored = self.store.rows.get(key)
+        if stored is None or stored.value is None:
+            return None
+        return decode_row(stored.value).row
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        rows = self.store.rows.rows()
+        return [r.key for r in rows if r.value is not None and r.key.startswith(prefix)]
+
+    def advance(self) -> None:
+        """Let the workers work up to now, and count what has finished."""
+        for name, state in self.workers.items():
+            if name not in self.dead_workers:
+                after = worker_core.advance(state, self.world.now)
+                self._count_finished(state, after)
+                self.workers[name] = after
+
+    def _count_finished(self, before: WorkerState, after: WorkerState) -> None:
+        finished = worker_core.RunState.FINISHED
+        for key in after.runs:
+            run = after.runs.by_key[key]
+            old = before.runs.get(key)
+            if run.state is finished and (old is None or old.state is not finished):
+                self.finishes[run.start.task_id] += 1
+
+    def violate(self, what: str) -> None:
+        """Keep what broke an invariant, with the time."""
+        self.violations.append(f"{self.world.now:.2f} {what}")
+
+
+def described(answer: Answer) -> str:
+    """Return how a call ended: its body, or whether its request ran."""
+    body: bytes | None = getattr(answer, "body", None)
+    if body is not None:
+        return "answered " + body.decode()
+    ran: Any = getattr(answer, "ran", None)
+    return f"ran {ran.value}"
--- /dev/null
+++ b/test/site_io.py
@@ -0,0 +1,384 @@
+"""Carries out the commands of a `Site` over the cores of the stand-ins."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from bulrushpulley.entities.calls import AnswerCall, RefuseCall
+from bulrushpulley.entities.cell_owner_tables import CellOwnerDone
+from bulrushpulley.entities.commit import ReportTo, VersionedRow
+from bulrushpulley.entities.execution import (
+    BackendAnswered,
+    CheckBackend,
+    HealthSeen,
+    RunOnBackend,
+)
+from bulrushpulley.entities.guard_tables import GuardDone
+from bulrushpulley.entities.link import LinkEvent, Send
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.operations import Reject, Reply
+from bulrushpulley.entities.router_tables import RouterDone
+from bulrushpulley.entities.step import Command, Tell
+from bulrushpulley.entities.transactions import (
+    Fence,
+    ReadFailed,
+    ReadRows,
+    RowsRead,
+    Transact,
+    TransactionCommitted,
+    TransactionConflicted,
+    TransactionLost,
+    TransactionRefused,
+)
+from bulrushpulley.entities.worker_calls import (
+    AskReport,
+    ReportUnanswered,
+    RunReport,
+    RunState,
+    Started,
+    StartNotSent,
+    StartTask,
+    StartUnknown,
+    StopAnswered,
+    StopTask,
+    StopUnanswered,
+    WorkerReported,
+)
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.wire.rows import decode_row, encode_row
+from standins import table_core, worker_core
+from standins.table_core import At, Put, Stored, Transaction
+from standins.worker_core import Renew, Start, WorkerState
+from test.site import CAPACITY, DRAIN_BOUND_S, WORKERS, Site, described
+from test.virtual_world import Path, Seat
+
+PROBLEM = Problem(code=Code.UNAVAILABLE, step="fake", peer="fake", detail="fake")
+BACKEND_S = 0.05
+WORKER_S = 0.002
+ANSWER_LOST_S = 1.0
+STORE_REFUSES_S = 0.001
+
+
+@singledispatch
+def carry_out(command: Command, site: Site, seat: Seat) -> None:
+    """Carry out a command; counts and durations have no effect."""
+
+
+@carry_out.register
+def _(command: Decision, site: Site, seat: Seat) -> None:
+    site.decisions[command.kind] += 1
+
+
+@carry_out.register
+def _(command: Send, site: Site, seat: Seat) -> None:
+    item: Any = command.item
+    site.send(seat.process, command.peer, item)
+
+
+@carry_out.register
+def _(command: Tell, site: Site, seat: Seat) -> None:
+    target = Seat(process=seat.process, role=command.role)
+    site.world.deliver(target, command.event)
+
+
+@carry_out.register
+def _(command: ReportTo, site: Site, seat: Seat) -> None:
+    target = Seat(process=seat.process, role=command.origin)
+    if target in site.world.roles:
+        site.world.deliver(target, command.outcome)
+        return
+    outcome: Any = command.outcome
+    send_outcome(site, seat.process, command.origin, outcome)
+
+
+def send_outcome(site: Site, source: str, peer: str, outcome: Any) -> None:
+    """Send an outcome over a link; only link items name their peer."""
+    if isinstance(outcome, LinkEvent):
+        site.send(source, peer, outcome)
+        return
+    target = site.process_of.get(peer, "")
+    number = site.links.get((source, target))
+    if number is None or (source, target) in site.cut:
+        return
+    for delay_s in site.world.delays(site.path):
+        site.world.at(
+            delay_s,
+            lambda: (
+                site.tell(target, outcome)
+                if site.links.get((source, target)) == number
+                else None
+            ),
+        )
+
+
+# Callers, operators and the ends of roles.
+
+
+@carry_out.register(AnswerCall)
+@carry_out.register(RefuseCall)
+def _(command: AnswerCall | RefuseCall, site: Site, seat: Seat) -> None:
+    answers = site.answers.setdefault(command.call_id, [])
+    answers.append(command)
+    if len(answers) > 1:
+        site.violate(f"call {command.call_id} was answered twice")
+    request_id = site.calls[command.call_id].request_id
+    told = described(command)
+    if told.startswith("answered") and told != f"answered done {request_id}":
+        site.violate(f"call {command.call_id} got another's answer: {told}")
+
+
+@carry_out.register(Reply)
+@carry_out.register(Reject)
+def _(command: Reply | Reject, site: Site, seat: Seat) -> None:
+    site.replies[command.call_id] = command
+
+
+@carry_out.register(GuardDone)
+@carry_out.register(RouterDone)
+@carry_out.register(CellOwnerDone)
+def _(command: Command, site: Site, seat: Seat) -> None:
+    site.done_processes.add((seat.process, seat.role))
+
+
+# Backend servers.
+
+
+@carry_out.register
+def _(command: RunOnBackend, site: Site, seat: Seat) -> None:
+    site.runs[command.request_id] += 1
+    if site.runs[command.request_id] > 1:
+        site.violate(f"request {command.request_id} ran twice")
+    event = BackendAnswered(
+        execution_id=command.execution_id, status=200, body=b"done " + command.body
+    )
+    site.world.deliver(seat, event, Path(delay_s=BACKEND_S))
+
+
+@carry_out.register
+def _(command: CheckBackend, site: Site, seat: Seat) -> None:
+    site.world.deliver(seat, HealthSeen(healthy=True), Path(delay_s=0.001))
+
+
+# The table service.
+
+
+def versioned(row: Stored) -> VersionedRow:
+    """Decode a stored row."""
+    if row.value is None:
+        return VersionedRow(key=row.key, version=row.version, row=None)
+    found = decode_row(row.value)
+    return VersionedRow(
+        key=row.key, version=row.version, row=found.row, token=found.token
+    )
+
+
+@carry_out.register
+def _(command: Transact, site: Site, seat: Seat) -> None:
+    ids = {"lane": command.lane, "transaction_id": command.transaction_id}
+    if site.store_mode == "down":
+        refused = TransactionRefused(**ids, reason="down")
+        site.world.deliver(seat, refused, Path(delay_s=STORE_REFUSES_S))
+        return
+    loses = site.store_mode == "lose_answers"
+    slow_s = site.store_delay_s
+    lost = TransactionLost(**ids, reason="no answer")
+    if loses or slow_s >= command.timeout_s:
+        site.world.deliver(seat, lost, Path(delay_s=command.timeout_s))
+
+    def arrive() -> None:
+        event = commit(command, site)
+        if not loses and slow_s < command.timeout_s:
+            site.world.deliver(seat, event, Path(delay_s=STORE_REFUSES_S))
+
+    site.world.at(slow_s, arrive)
+
+
+def commit(command: Transact, site: Site) -> Any:
+    """Commit a transaction in the store and return what its sender would learn."""
+    ids = {"lane": command.lane, "transaction_id": command.transaction_id}
+    fence = command.fence
+    conditions = [At(key=c.key, version=c.version) for c in command.conditions]
+    conditions.append(At(key=fence.key, version=fence.version))
+    puts = [Put(key=fence.key, value=command.transaction_id.encode())]
+    for write in command.writes:
+        value = None if write.row is None else encode_row(write.row, write.token)
+        puts.append(Put(key=write.key, value=value))
+    transaction = Transaction(conditions=tuple(conditions), puts=tuple(puts))
+    result = table_core.commit(site.store, transaction)
+    if result.committed:
+        check_commit(command, site)
+        site.store = result.state
+        return TransactionCommitted(**ids, revision=result.revision)
+    rows = [row for row in result.failed if row.key != fence.key]
+    stood = [row for row in result.failed if row.key == fence.key]
+    return TransactionConflicted(
+        **ids,
+        rows=tuple(versioned(row) for row in rows),
+        fence=fence_of(stood[0]) if stood else None,
+    )
+
+
+def fence_of(row: Stored) -> Fence:
+    """Return a fence as it stands in the store."""
+    token = (row.value or b"").decode()
+    return Fence(key=row.key, version=row.version, token=token)
+
+
+def check_commit(command: Transact, site: Site) -> None:
+    """Check that no outcome of a task is written over, and note drains."""
+    for write in command.writes:
+        if write.key.startswith("done/") and site.row(write.key) is not None:
+            site.violate(f"done twice: {write.key}")
+        if write.key.startswith("record/failure_domain/"):
+            row: Any = write.row
+            name = row.record.name
+            site.drained_at.pop(name, None)
+            if row.record.state.value == "drained":
+                site.drained_at[name] = site.world.now
+
+
+@carry_out.register
+def _(command: ReadRows, site: Site, seat: Seat) -> None:
+    failed = ReadFailed(read_id=command.read_id, reason="store")
+    if site.store_mode == "down":
+        site.world.deliver(seat, failed, Path(delay_s=STORE_REFUSES_S))
+        return
+    if site.store_delay_s >= command.timeout_s:
+        site.world.deliver(seat, failed, Path(delay_s=command.timeout_s))
+        return
+
+    def arrive() -> None:
+        page = table_core.read(
+            site.store, prefix=command.prefix, since=command.since, limit=10**6
+        )
+        rows = tuple(versioned(row) for row in page.rows)
+        event = RowsRead(read_id=command.read_id, revision=page.revision, rows=rows)
+        site.world.deliver(seat, event, Path(delay_s=STORE_REFUSES_S))
+
+    site.world.at(site.store_delay_s, arrive)
+
+
+# Workers.
+
+
+def check_workers(site: Site) -> None:
+    """Check that no task runs twice and that no worker is beyond its capacity."""
+    site.advance()
+    names: list[str] = []
+    for name, state in site.workers.items():
+        if not worker_core.running_size(state).fits(CAPACITY):
+            site.violate(f"{name} is over its capacity")
+        names += [
+            run.start.task_id
+            for run in state.runs.rows()
+            if run.state is worker_core.RunState.RUNNING
+            and name not in site.dead_workers
+        ]
+    for task in sorted({task for task in names if names.count(task) > 1}):
+        site.violate(f"{task} runs twice")
+
+
+@carry_out.register
+def _(command: StartTask, site: Site, seat: Seat) -> None:
+    worker = command.worker_id
+    ids: dict[str, Any] = {
+        "worker_id": worker,
+        "task_key": command.task_key,
+        "generation": command.generation,
+    }
+    if site.world.now > command.not_after or worker in site.dead_workers:
+        site.world.deliver(seat, StartNotSent(problem=PROBLEM, **ids))
+        return
+    told = Start(
+        task_id=command.task_id,
+        generation=command.generation,
+        lease_s=command.lease_s,
+        run_s=command.run_s,
+        size=command.size,
+        checkpoint=command.checkpoint,
+    )
+
+    def arrive() -> None:
+        if worker in site.dead_workers:
+            return
+        drained_at = site.drained_at.get(WORKERS[worker])
+        if drained_at is not None and site.world.now > drained_at + DRAIN_BOUND_S:
+            site.violate(f"{command.task_id} started in a drained failure domain")
+        state = site.workers[worker]
+        site.workers[worker] = worker_core.start(state, told, site.world.now)
+        check_workers(site)
+        answer(site, seat, worker, Started(**ids))
+
+    site.world.at(WORKER_S, arrive)
+    lost = StartUnknown(problem=PROBLEM, **ids)
+    lose(site, seat, worker, lost)
+
+
+@carry_out.register
+def _(command: StopTask, site: Site, seat: Seat) -> None:
+    worker = command.worker_id
+    unanswered = StopUnanswered(worker_id=worker, problem=PROBLEM)
+    if site.world.now > command.not_after or worker in site.dead_workers:
+        site.world.deliver(seat, unanswered, Path(delay_s=WORKER_S))
+        return
+    site.advance()
+    site.workers[worker] = worker_core.stop(
+        site.workers[worker],
+        command.task_id,
+        command.generation,
+        command.checkpoint,
+        site.world.now,
+    )
+    answer(site, seat, worker, StopAnswered(worker_id=worker))
+    lose(site, seat, worker, unanswered)
+
+
+@carry_out.register
+def _(command: AskReport, site: Site, seat: Seat) -> None:
+    worker = command.worker_id
+    unanswered = ReportUnanswered(
+        worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
+    )
+    if site.world.now > command.not_after or worker in site.dead_workers:
+        site.world.deliver(seat, unanswered, Path(delay_s=WORKER_S))
+        return
+    site.advance()
+    renewals = tuple(
+        Renew(task_id=r.task_id, generation=r.generation, lease_s=r.lease_s)
+        for r in command.renewals
+    )
+    state = worker_core.renew(site.workers[worker], renewals, site.world.now)
+    site.workers[worker] = state
+    check_workers(site)
+    reported = WorkerReported(
+        worker_id=worker, asked_at=command.asked_at, runs=reports_of(state)
+    )
+    answer(site, seat, worker, reported)
+    lose(site, seat, worker, unanswered)
+
+
+def answer(site: Site, seat: Seat, worker: str, event: Any) -> None:
+    """Give the owner a worker's answer, unless the worker's answers are lost."""
+    if worker not in site.lossy_workers:
+        site.world.deliver(seat, event, Path(delay_s=WORKER_S))
+
+
+def lose(site: Site, seat: Seat, worker: str, event: Any) -> None:
+    """Tell the owner that no answer came, if the worker's answers are lost."""
+    if worker in site.lossy_workers:
+        site.world.deliver(seat, event, Path(delay_s=ANSWER_LOST_S))
+
+
+def reports_of(state: WorkerState) -> tuple[RunReport, ...]:
+    """Return what a worker reports."""
+    return tuple(
+        RunReport(
+            task_id=run.start.task_id,
+            generation=run.start.generation,
+            state=RunState(run.state.value),
+            checkpoint=run.checkpoint,
+            detail=run.detail,
+        )
+        for run in state.runs.rows()
+    )
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -102,16 +102,21 @@
 
     def deliver(self, seat: Seat, event: Event, path: Path | None = None) -> None:
         """Have a role told an event over a path, unless the process dies first."""
-        path = path or Path(delay_s=0.0)
         birth = self.births.get(seat.process, 0)
+        for delay_s in self.delays(path or Path(delay_s=0.0)):
+            self.at(delay_s, lambda: self._tell(seat, birth, (event,)))
+
+    def delays(self, path: Path) -> tuple[float, ...]:
+        """Return the delay of each copy of a message on a path; none if it is lost."""
         lost, self.dice = self.dice.roll(100)
         repeated, self.dice = self.dice.roll(100)
         if lost < path.lose_percent:
-            return
+            return ()
+        found: list[float] = []
         for _ in range(2 if repeated < path.repeat_percent else 1):
             part, self.dice = self.dice.roll(1000)
-            delay = path.delay_s + path.jitter_s * part / 1000
-            self.at(delay, lambda: self._tell(seat, birth, (event,)))
+            found.append(path.delay_s + path.jitter_s * part / 1000)
+        return tuple(found)
 
     def run(self, until: float) -> None:
         """Let everything happen up to a time."""
