--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -27,7 +27,8 @@
     `present` is false once the cell's record no longer names it; its capacity is
     then nothing. `asked_at` is when the report in flight was asked, or None;
     `reported_at` when the last report that was answered had been asked.
-    No renewal of a task's lease has left after `renewed_until`. `strays` counts
+    No renewal of a task's lease has left after `renewed_until`; the next
+    are due at `renew_at`. `runs` counts the runs of the last report, `strays`
     the runs on it that the owner does not hold it to. `unanswered_at` is when a
     call to it last failed, until a report asked after that is answered.
     """
@@ -43,6 +44,8 @@
     reported_at: float | None = None
     answered_at: float = 0.0
     renewed_until: float = 0.0
+    renew_at: float = 0.0
+    runs: int = 0
     strays: int = 0
     unanswered_at: float | None = None
     health: Health = Health.HEALTHY
@@ -52,12 +55,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Failure:
-    """Evidence: a task of a job failed on a worker, last at `at`."""
+    """Evidence: a task of a job failed on a worker, last at `at`.
+
+    It is `proven` against the worker once the same task succeeds on another.
+    """
 
     worker_id: str
     record_key: str
     task_key: str
     at: float
+    proven: bool = False
 
 
 def worker_of(record: WorkerRecord, *, cell: str, now: float) -> Worker:
@@ -83,6 +90,11 @@
     return (failure.worker_id,)
 
 
+def failures_by_task(failure: Failure) -> tuple[str, ...]:
+    """Index failures by task."""
+    return (failure.task_key,)
+
+
 def failures_by_record(failure: Failure) -> tuple[str, ...]:
     """Index failures by the record of the task."""
     return (failure.record_key,)
