--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -158,7 +158,8 @@
     """Take the second failure domain out for a while."""
     change_domain(site, ENTRIES[1], DOMAINS[1], DomainState.DRAINED)
     site.world.at(
-        20.0, lambda: change_domain(site, ENTRIES[0], DOMAINS[1], DomainState.IN_SERVICE)
+        20.0,
+        lambda: change_domain(site, ENTRIES[0], DOMAINS[1], DomainState.IN_SERVICE),
     )
 
 
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -86,9 +86,9 @@
 
 def sends(kind: type, found: Callable[[Any], bool] = bool) -> Callable[[Any], bool]:
     """Recognise an item of a link."""
-    return lambda command: isinstance(
-        getattr(command, "item", None), kind
-    ) and found(command.item)
+    return lambda command: (
+        isinstance(getattr(command, "item", None), kind) and found(command.item)
+    )
 
 
 def gives(kind: type, found: Callable[[Any], bool] = bool) -> Callable[[Any], bool]:
