Keep a task off the worker on which it failed, and prove the fault matrix

The failing worker is always the emptiest one, so a task came back to it at once and used up its three attempts before the evidence against the worker was complete. Ruled out: too high a threshold of evidence (the tasks of one job alone gave it within the attempts of one task); a bad refund of attempts (the task had ended before). Change: a task is not placed on a worker on which it failed itself while another worker of the cell could hold it, even if that one is full now; it waits, and goes back to the backlog like any task that waits too long.

--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from bulrushpulley.entities.cell import Cell, CellPhase
@@ -92,7 +92,8 @@
 def _place_task(cell: Cell, task: Task, passed: Placement, now: float) -> Placement:
     tables, rooms = passed.tables, passed.rooms
     avoid = failed_on(tables, task)
-    choice = choose_worker(POLICY, task, tuple(rooms.values()), avoid)
+    sound = sound_rooms(tables, task, tuple(rooms.values()))
+    choice = choose_worker(POLICY, task, sound, avoid)
     if choice.worker_id:
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
         line = _decision(cell, task, choice, tables)
@@ -134,6 +135,23 @@
     return frozenset(failure.worker_id for failure in failures)
 
 
+def sound_rooms(
+    tables: CellOwnerTables, task: Task, rooms: Sequence[Room]
+) -> tuple[Room, ...]:
+    """Leave out the workers on which this very task failed, while others could run it.
+
+    A worker that fails everything is always the emptiest one; a task that came back
+    to it at once would use up its attempts there before the evidence is complete.
+    """
+    failures = tables.failures.rows_where("task", task.key)
+    failed = {failure.worker_id for failure in failures}
+    sound = tuple(room for room in rooms if room.worker.worker_id not in failed)
+    size = task.row.spec.size
+    if any(size.fits(room.worker.capacity) for room in sound):
+        return sound
+    return tuple(rooms)
+
+
 def _decision(
     cell: Cell, task: Task, choice: Choice, tables: CellOwnerTables
 ) -> Decision:
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -59,16 +59,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Cell:
-    """A step and the faults that are done there, in order."""
+    """A step and the faults that are done there, in order.
+
+    `occurrence` says at which time of the step the faults are done.
+    """
 
     step: str
     faults: tuple[str, ...]
     seed: int = 1
+    occurrence: int = 1
 
     @property
     def name(self) -> str:
         """The cell's readable name."""
-        return f"{self.step} / {' + '.join(self.faults)} / seed {self.seed}"
+        faults = " + ".join(self.faults)
+        return f"{self.step} {self.occurrence} / {faults} / seed {self.seed}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,16 +130,19 @@
         self.cell = cell
         self.site = Site(seed=cell.seed)
         self.reached = False
+        self.occurred = 0
         self.callers: list[Caller] = []
         self.site.world.watches.append(self._watch)
 
     def _watch(self, world: VirtualWorld, seat: Seat, command: Command) -> None:
         if self.reached or world.now < ARMED_AT_S:
             return
-        if STEP_BY_NAME[self.cell.step](command):
-            self.reached = True
-            for name in self.cell.faults:
-                FAULT_BY_NAME[name](self.site, seat, command)
+        if not STEP_BY_NAME[self.cell.step](command):
+            return
+        self.occurred += 1
+        self.reached = self.occurred == self.cell.occurrence
+        for name in self.cell.faults if self.reached else ():
+            FAULT_BY_NAME[name](self.site, seat, command)
 
     def at(self, when: float, action: Any) -> None:
         """Have something happen at a moment of the scenario."""
--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -12,7 +12,7 @@
 from test.virtual_world import Path, Seat
 
 RESTART_S = 5.0
-PAUSE_S = 25.0
+PAUSE_S = 45.0
 CUT_S = 8.0
 DELAY_S = 2.5
 SLOW_S = 1.5
@@ -35,6 +35,12 @@
     site.world.at(RESTART_S, lambda: site.start(seat.process))
 
 
+def lose_host(site: Site, seat: Seat, command: Any) -> None:
+    """Kill the process for good."""
+    site.kill(seat.process)
+    site.lost.add(seat.process)
+
+
 def pause(site: Site, seat: Seat, command: Any) -> None:
     """Freeze the process past every lease, right before the command leaves."""
     site.freeze(seat.process, PAUSE_S)
@@ -165,6 +171,7 @@
 
 FAULT_BY_NAME: Mapping[str, Fault] = {
     "process killed": kill,
+    "host lost": lose_host,
     "process paused": pause,
     "cut outward": cut_out,
     "cut inward": cut_in,
--- a/test/site.py
+++ b/test/site.py
@@ -54,6 +54,7 @@
         self.workers = {name: WorkerState.empty() for name in WORKERS}
         self.dead_workers: set[str] = set()
         self.lossy_workers: set[str] = set()
+        self.lost: set[str] = set()
         self.path = Path()
         self.cut: set[tuple[str, str]] = set()
         self.lives: Counter[str] = Counter()
@@ -80,6 +81,8 @@
 
     def start(self, process: str) -> None:
         """Start a process, in place of its earlier life, and link it."""
+        if process in self.lost:
+            return
         self.kill(process)
         self.lives[process] += 1
         name = self.incarnation(process)
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -175,7 +175,10 @@
 
 @carry_out.register
 def _(command: Transact, site: Site, seat: Seat) -> None:
-    ids = {"lane": command.lane, "transaction_id": command.transaction_id}
+    ids: dict[str, Any] = {
+        "lane": command.lane,
+        "transaction_id": command.transaction_id,
+    }
     if site.store_mode == "down":
         refused = TransactionRefused(**ids, reason="down")
         site.world.deliver(seat, refused, Path(delay_s=STORE_REFUSES_S))
@@ -196,7 +199,10 @@
 
 def commit(command: Transact, site: Site) -> Any:
     """Commit a transaction in the store and return what its sender would learn."""
-    ids = {"lane": command.lane, "transaction_id": command.transaction_id}
+    ids: dict[str, Any] = {
+        "lane": command.lane,
+        "transaction_id": command.transaction_id,
+    }
     fence = command.fence
     conditions = [At(key=c.key, version=c.version) for c in command.conditions]
     conditions.append(At(key=fence.key, version=fence.version))
@@ -305,6 +311,8 @@
         drained_at = site.drained_at.get(WORKERS[worker])
         if drained_at is not None and site.world.now > drained_at + DRAIN_BOUND_S:
             site.violate(f"{command.task_id} started in a drained failure domain")
+        if site.row(f"done/{command.task_id}") is not None:
+            site.violate(f"{command.task_id} started again after its outcome")
         state = site.workers[worker]
         site.workers[worker] = worker_core.start(state, told, site.world.now)
         check_workers(site)
--- a/test/test_fault_matrix.py
+++ b/test/test_fault_matrix.py
@@ -23,6 +23,23 @@
 DATA = pathlib.Path(__file__).parent.parent / "test-data" / "fault_matrix.txt"
 PAIRS = 80
 PAIR_SEED = 20_261
+LATER = 60
+LATER_SEED = 20_262
+MOST_OCCURRENCES = 7
+OFTEN = frozenset(
+    {
+        "request accepted",
+        "request routed",
+        "request dispatched",
+        "request running",
+        "request answered",
+        "task leased",
+        "task start sent",
+        "task running",
+        "task finished",
+        "cell renewed",
+    }
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +81,25 @@
     return cells
 
 
+def later_cells(lists: Lists) -> list[Cell]:
+    """Return cells at later times of steps that occur often."""
+    steps = [step for step in lists.steps if step in OFTEN]
+    dice = Dice(state=LATER_SEED)
+    cells: list[Cell] = []
+    for number in range(LATER):
+        step, dice = dice.roll(len(steps))
+        fault, dice = dice.roll(len(lists.faults))
+        occurrence, dice = dice.roll(MOST_OCCURRENCES)
+        cell = Cell(
+            step=steps[step],
+            faults=(lists.faults[fault],),
+            seed=number + 2,
+            occurrence=occurrence + 2,
+        )
+        cells.append(cell)
+    return cells
+
+
 def run_cells(cells: list[Cell]) -> list[Verdict]:
     """Run the cells, a few at a time, and return their verdicts in order."""
     context = multiprocessing.get_context("spawn")
@@ -104,3 +140,7 @@
     def test_pairs_of_faults(self) -> None:
         verdicts = run_cells(pair_cells(read_lists()))
         self.assertEqual([], report("pairs of faults", verdicts))
+
+    def test_faults_at_later_times_of_a_step(self) -> None:
+        verdicts = run_cells(later_cells(read_lists()))
+        self.assertEqual([], report("later times of a step", verdicts))
