Count the refused calls of a full front whatever their order

Cause: the test took the last three of six connections to be the refused ones. On a busy machine (load 20) the server read an earlier connection later, so one of these was served and ended at its deadline (504) while an earlier one was refused (503). Ruled out: a fourth call served (the count of refusals was right). Change: exactly three of all six must be refused; before, three named ones. The bound is as strict, the order is not part of the promise.

--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -170,5 +170,5 @@
         self.assertEqual(200, urllib3.request("GET", url + "/healthz").status)
         self.assertEqual(b"a 1\n", urllib3.request("GET", url + "/metrics").data)
         self.assertTrue(time.monotonic() - started < 0.5)
-        refused = [sock.recv(12) for sock in held[3:]]
-        self.assertEqual([b"HTTP/1.1 503"] * 3, refused)
+        answers = [sock.recv(12) for sock in held]
+        self.assertEqual(3, answers.count(b"HTTP/1.1 503"), answers)
