Tell the controller of a planned stop, and leave the entry out of its own list

The entry process told only the router that it is leaving, so its member row stood for 15 s and agents kept dialling it. The controller is told too; the list that it still sends leaves itself out.

--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -134,6 +134,7 @@
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.hurry.wait(stop.notice_s)
+        self.runtime.tell(CONTROLLER, Leave())
         self.runtime.leave(Leave(), (ROUTER,), stop.within_s)
         self._callers.stop(stop.within_s)
         self._operators.stop(LINK_FLUSH_S)
--- a/bulrushpulley/systems/control_members.py
+++ b/bulrushpulley/systems/control_members.py
@@ -96,8 +96,8 @@
         for member in tables.members.rows()
         if member.live and member.row.name != tables.identity.name
     ]
-    own = address_of(own_row(tables))
-    return tuple(sorted((own, *others), key=lambda address: address.name))
+    own = () if tables.leaving else (address_of(own_row(tables)),)
+    return tuple(sorted((*own, *others), key=lambda address: address.name))
 
 
 def _renewed(tables: ControllerTables, now: float) -> Controlled:
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -77,8 +77,11 @@
     def test_a_leaving_entry_is_left_out_at_once(self) -> None:
         bench = Bench(entries=("a", "b"))
         bench.run(7.0)
+        bench.tell("b", LinkUp(peer="agent-1", region="ege"))
         bench.tell("b", Leave())
         bench.run(2.5)
+        last = bench.items(Entries)[-1]
+        self.assertEqual(["a"], [one.name for one in last.entries])
         self.assertEqual(("a",), self.live(bench))
         bench.run(10.0)
         self.assertEqual(["member/a"], list(bench.rows("member/")))
