--- a/bulrushpulley/systems/route_answers.py
+++ b/bulrushpulley/systems/route_answers.py
@@ -20,7 +20,7 @@
 )
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Step
-from bulrushpulley.errors import Code, Ran
+from bulrushpulley.errors import Code, Problem, Ran
 from bulrushpulley.systems.route_choice import SHARED_QUEUE
 from bulrushpulley.systems.route_events import apply
 from bulrushpulley.systems.route_finish import (
@@ -60,25 +60,15 @@
     if found is None:
         return late(tables)
     attempt, request = found
-    tables = drop_attempt(tables, event.attempt_id)
+    latency_s = now - attempt.sent_at
+    tables = drop_attempt(tables, event.attempt_id, answered_at=now)
     if not attempt.recall:
-        tables = learn(tables, attempt, request.service, event.took_s, now)
+        service = tables.service(request.service)
+        tables = put_service(tables, learned(service, event.took_s, latency_s))
     left = without_attempt(request, event.attempt_id)
     return answer(tables, left, status=event.status, body=event.body, now=now)
 
 
-def learn(
-    tables: RouterTables, attempt: Attempt, name: str, took_s: float, now: float
-) -> RouterTables:
-    """Take an answer's latency into the averages."""
-    latency_s = now - attempt.sent_at
-    server = tables.servers.get(attempt.agent)
-    if server is not None:
-        servers = tables.servers.put(attempt.agent, server.observed(latency_s))
-        tables = replace(tables, servers=servers)
-    return put_service(tables, learned(tables.service(name), took_s, latency_s))
-
-
 def learned(service: Service, took_s: float, latency_s: float) -> Service:
     """Return the service with one more run in its estimates.
 
@@ -144,11 +134,19 @@
         request = replace(request, may_have_run=True)
     if request.attempts:
         return Step(tables=put_request(tables, request))
+    if is_barred_twice(request, problem):
+        return refuse(tables, request, ran=ran, problem=problem, now=now)
     if ran is Ran.NO or request.repeatable:
         return retry(tables, request, ran=ran, problem=problem, now=now)
     return refuse(tables, request, ran=ran, problem=problem, now=now)
 
 
+def is_barred_twice(request: Request, problem: Problem) -> bool:
+    """Tell whether an agent that barred the id was tried again for want of others."""
+    again = request.tried.count(request.tried[-1]) > 1
+    return problem.code is Code.NOT_RUN and again
+
+
 @after_refusal.register
 def _(
     stage: Recalling,
