Fill the callers' front in a known order in its test

Change: the first call is sent and seen by the front before the others come, so exactly two of them find room in the queue.

--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -155,15 +155,28 @@
         self.assertEqual(b"HTTP/1.1 408", status)
         self.assertTrue(time.monotonic() - started < 2.0)
 
+    def send(self, port: int, data: bytes) -> socket.socket:
+        """Open a connection, send a request on it and leave it open."""
+        sock = socket.create_connection((HOST, port))
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        return sock
+
+    def wait_until_told(self) -> None:
+        """Wait until a thread of the server handles a call."""
+        pause = threading.Event()
+        until = time.monotonic() + 5.0
+        while not self.told and time.monotonic() < until:
+            pause.wait(0.01)
+
     def test_full_callers_leave_operators_their_threads(self) -> None:
         callers = self.serve_callers(threads=1)
         health = HealthFront(is_leaving=lambda: False, metrics_text=lambda: "a 1\n")
         operators = self.serve(health.handle, threads=1)
-        data = CALL + b"X-Deadline-Ms: 700\r\n\r\n"
-        held = [socket.create_connection((HOST, callers.port)) for _ in range(6)]
-        for sock in held:
-            self.addCleanup(sock.close)
-            sock.sendall(data)
+        data = CALL + b"X-Deadline-Ms: 2000\r\n\r\n"
+        held = [self.send(callers.port, data)]
+        self.wait_until_told()
+        held += [self.send(callers.port, data) for _ in range(5)]
         threading.Event().wait(0.2)
         started = time.monotonic()
         url = f"http://{HOST}:{operators.port}"
