--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -184,4 +184,4 @@
         self.assertEqual(b"a 1\n", urllib3.request("GET", url + "/metrics").data)
         self.assertTrue(time.monotonic() - started < 0.5)
         answers = [sock.recv(12) for sock in held]
-        self.assertEqual(3, answers.count(b"HTTP/1.1 503"), answers)
+        self.assertEqual(3, answers.count(b"HTTP/1.1 503"), str(answers))
