Learn interference from late measurements, throttle before evicting, place by neighbours

Cause: services suffered from batch work beside them until someone stopped it; the owner ignored the usage that workers report.

Change: the owner learns by (service, job) how much a job raises the latency, with an independent-state Kalman step that takes the lag and the share of that time into account. A suffering service (hysteresis, dwell time) has the batch tasks that harm it most throttled; what throttling cannot mend is evicted by the least loss after a patience that the departments' policy records set. Shares come back in steps. SpreadAndPack replaces first fit as the default placement; FirstFit and EvictNewest stay as policy types.

Ruled out: a plain normalised least-mean-squares step. It blamed a harmless job that had long run for one that had just come, because both had the same share.

With the hysteresis patched out the flapping check counts more than 4 changes in 600 s.

--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bulrushpulley.entities import cell as cells
-from bulrushpulley.entities import in_flight, task, worker
+from bulrushpulley.entities import in_flight, interference, task, worker
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
@@ -91,6 +91,14 @@
     )
 
 
+def _latencies() -> Table[interference.ServiceLatency]:
+    return Table.empty(indexes={"worker": interference.latencies_by_worker})
+
+
+def _throttles() -> Table[interference.Throttle]:
+    return Table.empty(indexes={"worker": interference.throttles_by_worker})
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellOwnerTables:
     """Everything the cell owner knows.
@@ -117,3 +125,8 @@
     readings: Table[in_flight.Reading] = field(default_factory=_readings)
     failures: Table[worker.Failure] = field(default_factory=_failures)
     cancels: Table[Cancelling] = field(default_factory=Table.empty)
+    harms: Table[interference.Harm] = field(default_factory=Table.empty)
+    job_usages: Table[interference.JobUsage] = field(default_factory=Table.empty)
+    latencies: Table[interference.ServiceLatency] = field(default_factory=_latencies)
+    throttles: Table[interference.Throttle] = field(default_factory=_throttles)
+    reliefs: Table[interference.Relief] = field(default_factory=Table.empty)
--- a/bulrushpulley/entities/worker_calls.py
+++ b/bulrushpulley/entities/worker_calls.py
@@ -60,6 +60,16 @@
     checkpoint: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ThrottleTask(WorkerCommand):
+    """Lets one generation work at a `share` of its speed; idempotent."""
+
+    task_key: str
+    task_id: str
+    generation: int
+    share: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Renewal:
     """Extends the lease of a run by `lease_s` from its arrival."""
@@ -145,6 +155,22 @@
     problem: Problem
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ThrottleAnswered(WorkerEvent):
+    """The worker has set the share of a generation."""
+
+    task_key: str
+    generation: int
+    share: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ThrottleUnanswered(WorkerEvent):
+    """A throttle was not sent or its answer is missing."""
+
+    problem: Problem
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerReported(WorkerEvent):
     """All runs of a worker, in answer to the report asked at `asked_at`."""
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -32,6 +32,9 @@
     StopAnswered,
     StopTask,
     StopUnanswered,
+    ThrottleAnswered,
+    ThrottleTask,
+    ThrottleUnanswered,
     WorkerCommand,
     WorkerEvent,
     WorkerReported,
@@ -67,6 +70,15 @@
     checkpoint: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ThrottleForm:
+    """The body of a throttle."""
+
+    task_id: str
+    generation: int
+    share: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportForm:
     """The body of a request for a report."""
@@ -131,6 +143,26 @@
             return StopUnanswered(worker_id=command.worker_id, problem=error.problem)
         return StopAnswered(worker_id=command.worker_id)
 
+    def throttle(self, command: ThrottleTask) -> WorkerEvent:
+        """Send the share of a run."""
+        form = ThrottleForm(
+            task_id=command.task_id,
+            generation=command.generation,
+            share=command.share,
+        )
+        try:
+            self._post(command, "/v1/tasks/throttle", form)
+        except BulrushpulleyError as error:
+            return ThrottleUnanswered(
+                worker_id=command.worker_id, problem=error.problem
+            )
+        return ThrottleAnswered(
+            worker_id=command.worker_id,
+            task_key=command.task_key,
+            generation=command.generation,
+            share=command.share,
+        )
+
     def report(self, command: AskReport) -> WorkerEvent:
         """Renew leases and read all runs."""
         form = ReportForm(renew=command.renewals)
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -7,6 +7,7 @@
 from bulrushpulley.roles.actor import Role
 from bulrushpulley.systems import (
     cell_evict,
+    cell_interfere,
     cell_liveness,
     cell_load,
     cell_owner_events,
@@ -18,6 +19,7 @@
     cell_sick,
     cell_stop,
     cell_summary,
+    cell_throttle,
     cell_watch,
 )
 from bulrushpulley.systems.cell_endings import write_endings
@@ -51,10 +53,12 @@
             cell_evict.cancel,
             cell_stop.lapse,
             cell_evict.shrink,
+            cell_interfere.interfere,
             cell_place.place,
             cell_evict.give_back,
             write_endings,
             cell_stop.stop,
+            cell_throttle.send,
             cell_reports.ask,
             cell_summary.summarize,
             cell_release.release,
--- a/bulrushpulley/roles/cell_owner_io.py
+++ b/bulrushpulley/roles/cell_owner_io.py
@@ -7,7 +7,12 @@
 from functools import partial
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerDone
-from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
+from bulrushpulley.entities.worker_calls import (
+    AskReport,
+    StartTask,
+    StopTask,
+    ThrottleTask,
+)
 from bulrushpulley.platform.worker import WorkerClient
 from bulrushpulley.roles.carry_out import Ports, carry_out
 
@@ -32,6 +37,11 @@
     ports.run(role=ROLE, work=partial(ports.workers.stop, command))
 
 
+@carry_out.register
+def _(command: ThrottleTask, ports: CellOwnerPorts) -> None:
+    ports.run(role=ROLE, work=partial(ports.workers.throttle, command))
+
+
 @carry_out.register
 def _(command: AskReport, ports: CellOwnerPorts) -> None:
     ports.run(role=ROLE, work=partial(ports.workers.report, command))
--- a/bulrushpulley/systems/cell_choice.py
+++ b/bulrushpulley/systems/cell_choice.py
@@ -13,10 +13,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Room:
-    """A worker that takes tasks and what it has left for them."""
+    """A worker that takes tasks, what it has left, and a task's neighbours there.
+
+    `replicas` and `rack_replicas` count the tasks of the same service on the worker
+    and in its rack. `expected_part` is the latency, as a part of its target, to be
+    expected of the service that the task would harm or be.
+    """
 
     worker: Worker
     free: Resources
+    replicas: int = 0
+    rack_replicas: int = 0
+    expected_part: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/bulrushpulley/systems/cell_interfere.py
@@ -0,0 +1,141 @@
+"""Relieves services that suffer from batch work beside them, and gives shares back.
+
+On each worker one measure is taken at a time, and nothing more before late
+measurements can show its effect. Shares come back in steps while all services of
+the worker are well and expected to stay so; each relapse after a step doubles the
+wait before the next. After a longer wait a step is tried whatever is expected, since
+an estimate that is too high could never be corrected otherwise.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell import Cell
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.interference import Relief, ServiceLatency, Throttle
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import Phase, Task
+from bulrushpulley.systems import cell_evict, cell_learn, cell_throttle
+from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell_relief import (
+    Case,
+    ReliefPolicy,
+    ThrottleFirst,
+    line,
+    relieve,
+)
+
+POLICY: ReliefPolicy = ThrottleFirst()
+SETTLE_S = cell_learn.USAGE_LAG_S + 5.0
+LONGEST_HOLD_S = 600.0
+STEP = 0.25
+SAFE = 0.9
+TRY_AFTER_HOLDS = 4
+
+
+def interfere(tables: CellOwnerTables, now: float) -> CellStep:
+    """Act on the workers of owned cells where services or throttles are measured."""
+    tables = _forget(tables)
+    commands: list[Command] = []
+    for cell in cell_evict.owned(tables):
+        for worker in tables.workers.rows_where("cell", cell.name):
+            step = _look_after(cell, worker.worker_id, tables, now)
+            tables = step.tables
+            commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _forget(tables: CellOwnerTables) -> CellOwnerTables:
+    """Drop the measurements of service tasks that no longer run."""
+    latencies = tables.latencies
+    for latency in latencies.rows():
+        task = tables.tasks.get(latency.task_key)
+        running = task is not None and task.phase is Phase.RUNNING
+        if task is None or not running or task.row.generation != latency.generation:
+            latencies = latencies.drop(latency.task_key)
+    return replace(tables, latencies=latencies)
+
+
+def _look_after(
+    cell: Cell, worker_id: str, tables: CellOwnerTables, now: float
+) -> CellStep:
+    latencies = tables.latencies.rows_where("worker", worker_id)
+    suffering = [latency for latency in latencies if latency.suffering]
+    relief = tables.reliefs.get(worker_id)
+    if not suffering:
+        return _give_back(cell, worker_id, latencies, tables, now)
+    if relief is not None and now - relief.acted_at < SETTLE_S:
+        return Step(tables=tables)
+    worst = max(suffering, key=lambda row: row.smoothed_ms / row.target_ms)
+    task = tables.tasks.by_key[worst.task_key]
+    case = Case(cell=cell, latency=worst, department=task.row.spec.department)
+    step = relieve(POLICY, case, tables, now)
+    if not step.commands:
+        return step
+    hold_s = relief.hold_s if relief else SETTLE_S
+    if relief is not None and relief.gave_back:
+        hold_s = min(LONGEST_HOLD_S, 2 * hold_s)
+    acted = Relief(worker_id=worker_id, acted_at=now, hold_s=hold_s)
+    return Step(tables=_put_relief(step.tables, acted), commands=step.commands)
+
+
+def _put_relief(tables: CellOwnerTables, relief: Relief) -> CellOwnerTables:
+    return replace(tables, reliefs=tables.reliefs.put(relief.worker_id, relief))
+
+
+def _give_back(
+    cell: Cell,
+    worker_id: str,
+    latencies: list[ServiceLatency],
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    relief = tables.reliefs.get(worker_id)
+    if relief is None or now - relief.acted_at < relief.hold_s:
+        return Step(tables=tables)
+    throttled = [
+        throttle
+        for throttle in tables.throttles.rows_where("worker", worker_id)
+        if throttle.share < cell_throttle.WHOLE and throttle.confirmed
+    ]
+    tries = now - relief.acted_at >= TRY_AFTER_HOLDS * relief.hold_s
+    for throttle in sorted(throttled, key=lambda row: (row.changed_at, row.task_key)):
+        task = tables.tasks.get(throttle.task_key)
+        step = min(STEP, cell_throttle.WHOLE - throttle.share)
+        if task is None:
+            continue
+        if not tries and not _is_safe(tables, task, step, latencies):
+            continue
+        return _raise_share(cell, relief, task, throttle, step, tables, now)
+    if not throttled and now - relief.acted_at >= LONGEST_HOLD_S:
+        tables = replace(tables, reliefs=tables.reliefs.drop(worker_id))
+    return Step(tables=tables)
+
+
+def _is_safe(
+    tables: CellOwnerTables, task: Task, step: float, latencies: list[ServiceLatency]
+) -> bool:
+    """Tell whether every service is expected to stay below its target."""
+    job = task.row.spec.record_key
+    return all(
+        latency.smoothed_ms + step * cell_learn.estimate(tables, latency.service, job)
+        <= SAFE * latency.target_ms
+        for latency in latencies
+    )
+
+
+def _raise_share(
+    cell: Cell,
+    relief: Relief,
+    task: Task,
+    throttle: Throttle,
+    step: float,
+    tables: CellOwnerTables,
+    now: float,
+) -> CellStep:
+    share = round(throttle.share + step, 2)
+    tables = cell_throttle.set_share(tables, task, share, now)
+    given = replace(relief, acted_at=now, gave_back=True)
+    reason = f"services are well; share {throttle.share:.2f} to {share:.2f}"
+    return Step(tables=_put_relief(tables, given), commands=(line(cell, task, reason),))
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -15,10 +15,14 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task, phase_index
 from bulrushpulley.entities.worker import Health
-from bulrushpulley.systems import cell_domains, cell_rows, cell_start
+from bulrushpulley.systems import (
+    cell_domains,
+    cell_neighbours,
+    cell_rows,
+    cell_start,
+)
 from bulrushpulley.systems.cell_choice import (
     Choice,
-    FirstFit,
     Policy,
     Room,
     choose_worker,
@@ -26,10 +30,11 @@
 from bulrushpulley.systems.cell_owner_events import CellStep
 from bulrushpulley.systems.cell_preempt import make_room
 from bulrushpulley.systems.cell_rooms import rooms_of
+from bulrushpulley.systems.cell_spread import SpreadAndPack
 from bulrushpulley.systems.cell_victims import may_preempt
 
 PLACED_PER_TICK = 128
-POLICY: Policy = FirstFit()
+POLICY: Policy = SpreadAndPack()
 
 
 def place(tables: CellOwnerTables, now: float) -> CellStep:
@@ -92,7 +97,8 @@
 def _place_task(cell: Cell, task: Task, passed: Placement, now: float) -> Placement:
     tables, rooms = passed.tables, passed.rooms
     avoid = failed_on(tables, task)
-    choice = choose_worker(POLICY, task, tuple(rooms.values()), avoid)
+    known = cell_neighbours.with_neighbours(tables, task, rooms.values())
+    choice = choose_worker(POLICY, task, known, avoid)
     if choice.worker_id:
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
         line = _decision(cell, task, choice, tables)
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell_reports.py
@@ -43,7 +43,13 @@
     StopUnanswered,
     WorkerReported,
 )
-from bulrushpulley.systems import cell_rows, cell_sick, cell_stop
+from bulrushpulley.systems import (
+    cell_learn,
+    cell_rows,
+    cell_sick,
+    cell_stop,
+    cell_throttle,
+)
 from bulrushpulley.systems.cell_liveness import autonomous_until, stops_until
 from bulrushpulley.systems.cell_owner_events import CellStep, apply
 
@@ -230,6 +236,7 @@
         tables = step.tables
         commands.extend(step.commands)
     tables = _end_missing(event, seen, tables, now)
+    tables = cell_learn.learn(event, tables, now)
     tables = _note_strays(tables, worker.worker_id, strays)
     commands.extend(_stray_stops(tables, worker, strays, now))
     return Step(tables=tables, commands=tuple(commands))
@@ -277,6 +284,8 @@
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return tables
     running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
+    if task.phase is Phase.UNKNOWN:
+        tables = cell_throttle.restore(tables, running, now)
     return cell_rows.put_task(tables, running)
 
 
--- a/bulrushpulley/systems/cell_rows.py
+++ b/bulrushpulley/systems/cell_rows.py
@@ -24,7 +24,12 @@
 from bulrushpulley.entities.task import Phase, Task
 from bulrushpulley.entities.worker import Worker, worker_of
 
-KEPT_PREFIXES = ("record/cell/", "record/failure_domain/", "record/service/")
+KEPT_PREFIXES = (
+    "record/cell/",
+    "record/failure_domain/",
+    "record/policy/",
+    "record/service/",
+)
 SETTLE_AFTER_S = START_WINDOW_S + CALL_WITHIN_S + DRIFT_MARGIN_S
 
 
--- /dev/null
+++ b/bulrushpulley/systems/cell_throttle.py
@@ -0,0 +1,110 @@
+"""Sets the shares of batch tasks and sends them until the worker has confirmed."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.interference import Throttle
+from bulrushpulley.entities.owner_times import CALL_WITHIN_S, STOP_RETRY_S
+from bulrushpulley.entities.rows import TaskClass
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.task import Phase, Task
+from bulrushpulley.entities.worker_calls import (
+    ThrottleAnswered,
+    ThrottleTask,
+    ThrottleUnanswered,
+)
+from bulrushpulley.systems.cell_learn import USAGE_LAG_S
+from bulrushpulley.systems.cell_liveness import stops_until
+from bulrushpulley.systems.cell_owner_events import CellStep, apply
+
+WHOLE = 1.0
+
+
+def share_of(tables: CellOwnerTables, task: Task) -> float:
+    """Return the share of its speed that a task may use."""
+    throttle = tables.throttles.get(task.key)
+    return throttle.share if throttle else WHOLE
+
+
+def set_share(
+    tables: CellOwnerTables, task: Task, share: float, now: float
+) -> CellOwnerTables:
+    """Plan a share for the running generation of a task."""
+    throttle = Throttle(
+        task_key=task.key,
+        worker_id=task.worker_id,
+        generation=task.row.generation,
+        share=share,
+        changed_at=now,
+        share_before=share_of(tables, task),
+    )
+    return replace(tables, throttles=tables.throttles.put(task.key, throttle))
+
+
+def restore(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+    """Give an adopted batch task its whole speed, whatever an owner before set."""
+    if task.row.spec.task_class is not TaskClass.BATCH:
+        return tables
+    return set_share(tables, task, WHOLE, now)
+
+
+def send(tables: CellOwnerTables, now: float) -> CellStep:
+    """Send the shares that are not confirmed, while no other agent can own the cell."""
+    commands: list[Command] = []
+    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
+    for throttle in tables.throttles.rows():
+        task = tables.tasks.get(throttle.task_key)
+        if not _is_current(throttle, task) or _is_settled(throttle, now):
+            throttles = tables.throttles.drop(throttle.task_key)
+            tables = replace(tables, throttles=throttles)
+            continue
+        worker = tables.workers.get(throttle.worker_id)
+        due = not throttle.confirmed and now >= throttle.send_at
+        if task is None or worker is None or not due or now > not_after:
+            continue
+        if not worker.url or tables.leaving:
+            continue
+        sent = replace(throttle, send_at=now + STOP_RETRY_S)
+        tables = replace(tables, throttles=tables.throttles.put(task.key, sent))
+        commands.append(
+            ThrottleTask(
+                worker_id=worker.worker_id,
+                url=worker.url,
+                not_after=not_after,
+                task_key=task.key,
+                task_id=task.row.spec.task_id,
+                generation=throttle.generation,
+                share=throttle.share,
+            )
+        )
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _is_current(throttle: Throttle, task: Task | None) -> bool:
+    if task is None or task.phase is not Phase.RUNNING:
+        return False
+    return task.row.generation == throttle.generation
+
+
+def _is_settled(throttle: Throttle, now: float) -> bool:
+    """Tell whether a task has its whole speed in all that is still measured."""
+    whole = throttle.share >= WHOLE and throttle.confirmed
+    return whole and now - throttle.changed_at >= USAGE_LAG_S
+
+
+@apply.register
+def _(event: ThrottleAnswered, tables: CellOwnerTables, now: float) -> CellStep:
+    throttle = tables.throttles.get(event.task_key)
+    asked = (event.generation, event.share)
+    if throttle is None or (throttle.generation, throttle.share) != asked:
+        return Step(tables=tables)
+    confirmed = replace(throttle, confirmed=True)
+    throttles = tables.throttles.put(event.task_key, confirmed)
+    return Step(tables=replace(tables, throttles=throttles))
+
+
+@apply.register
+def _(event: ThrottleUnanswered, tables: CellOwnerTables, now: float) -> CellStep:
+    return Step(tables=tables)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -232,7 +232,7 @@
 def _report(state: WorkerState, now: float) -> dict[str, object]:
     return {
         "tasks": [_run_form(run) for run in state.runs.rows()],
-        "usage": [_usage_form(run) for run in worker_core.used(state, now)],
+        "usage": [_usage_form(state, run, now) for run in worker_core.used(state, now)],
     }
 
 
@@ -246,13 +246,13 @@
     }
 
 
-def _usage_form(run: Run) -> dict[str, object]:
+def _usage_form(state: WorkerState, run: Run, now: float) -> dict[str, object]:
     return {
         "task_id": run.start.task_id,
         "generation": run.start.generation,
         "processors_m": int(run.start.size.processors_m * run.share),
         "memory_mb": run.start.size.memory_mb,
-        "latency_ms": 0.0,
+        "latency_ms": worker_core.latency_ms(state, run, now - worker_core.USAGE_LAG_S),
     }
 
 
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import enum
+import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from bulrushpulley.entities.resources import Resources
@@ -15,6 +17,10 @@
 
 FAILS_AFTER_S = 0.2
 USAGE_LAG_S = 10.0
+LOADS_KEPT_S = 2 * USAGE_LAG_S
+LATENCY_ALONE_MS = 100.0
+HARMFUL_ONE_IN = 4
+HARM_MS = 80.0
 
 
 class RunState(enum.Enum):
@@ -74,13 +80,27 @@
     return (f"{run.start.task_id}|{run.start.generation}",)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """The sum of the harm of all batch runs from `at` on."""
+
+    at: float
+    harm_ms: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerState:
-    """All runs of a worker by number, and whether it fails what it starts."""
+    """All runs of a worker by number, and whether it fails what it starts.
+
+    `harm_by_job` says by how much one run of a job raises the latency of every
+    latency-critical run beside it; without it a hash of the job's name does.
+    """
 
     runs: Table[Run]
     started: int = 0
     fail_all: bool = False
+    harm_by_job: Mapping[str, float] | None = None
+    loads: tuple[Load, ...] = ()
 
     @staticmethod
     def empty() -> WorkerState:
@@ -103,7 +123,8 @@
     )
     number = state.started + 1
     key = f"{number:08d}"
-    return replace(state, started=number, runs=state.runs.put(key, run))
+    started = replace(state, started=number, runs=state.runs.put(key, run))
+    return _noted(started, now)
 
 
 def advance(state: WorkerState, now: float) -> WorkerState:
@@ -113,7 +134,38 @@
         run = runs.by_key[key]
         if run.state is RunState.RUNNING:
             runs = runs.put(key, _advanced(run, now))
-    return replace(state, runs=runs)
+    return _noted(replace(state, runs=runs), now)
+
+
+def _noted(state: WorkerState, now: float) -> WorkerState:
+    """Keep the sum of harm for the usage reports, which lag."""
+    harm_ms = sum(
+        harm_of(state, run.start.task_id) * run.share
+        for run in state.runs.rows()
+        if run.state is RunState.RUNNING and run.start.task_class == "batch"
+    )
+    loads = tuple(load for load in state.loads if now - load.at <= LOADS_KEPT_S)
+    if not loads and state.loads:
+        loads = state.loads[-1:]
+    if not loads or loads[-1].harm_ms != harm_ms:
+        loads = (*loads, Load(at=now, harm_ms=harm_ms))
+    return replace(state, loads=loads)
+
+
+def harm_of(state: WorkerState, task_id: str) -> float:
+    """Return the harm of one run at full speed in milliseconds."""
+    job = task_id.split("/")[0]
+    if state.harm_by_job is not None:
+        return state.harm_by_job.get(job, 0.0)
+    return 0.0 if zlib.crc32(job.encode()) % HARMFUL_ONE_IN else HARM_MS
+
+
+def latency_ms(state: WorkerState, run: Run, at: float) -> float:
+    """Return the latency of a run as it was at a past time; zero for batch runs."""
+    if run.start.task_class == "batch":
+        return 0.0
+    before = [load.harm_ms for load in state.loads if load.at <= at]
+    return LATENCY_ALONE_MS + (before[-1] if before else 0.0)
 
 
 def _advanced(run: Run, now: float) -> Run:
@@ -157,7 +209,7 @@
             runs = runs.put(key, stopped)
         elif not checkpoint:
             runs = runs.drop(key)
-    return replace(state, runs=runs)
+    return _noted(replace(state, runs=runs), now)
 
 
 def throttle(
@@ -168,7 +220,7 @@
     runs = state.runs
     for key in list(runs.keys_where("task", f"{task_id}|{generation}")):
         runs = runs.put(key, replace(runs.by_key[key], share=share))
-    return replace(state, runs=runs)
+    return _noted(replace(state, runs=runs), now)
 
 
 def used(state: WorkerState, now: float) -> tuple[Run, ...]:
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -57,6 +57,7 @@
     ReportUnanswered,
     RunReport,
     RunState,
+    RunUsage,
     Started,
     StartNotSent,
     StartTask,
@@ -64,6 +65,9 @@
     StopAnswered,
     StopTask,
     StopUnanswered,
+    ThrottleAnswered,
+    ThrottleTask,
+    ThrottleUnanswered,
     WorkerReported,
 )
 from bulrushpulley.errors import Code, Problem
@@ -92,7 +96,9 @@
     def __init__(self, *, seed: int = 1, workers: int = 2) -> None:
         self.world = VirtualWorld(carry_out=self._carry_out, seed=seed)
         self.store = TableState.empty()
-        self.workers = {f"w{n}": WorkerState.empty() for n in range(workers)}
+        empty = replace(WorkerState.empty(), harm_by_job={})
+        self.workers = {f"w{n}": empty for n in range(workers)}
+        self.latency_noise: Callable[[float], float] = lambda now: 1.0
         self.capacity = dict.fromkeys(self.workers, CAPACITY)
         self.unreachable: set[str] = set()
         self.cut_off: set[tuple[str, str]] = set()
@@ -432,6 +438,7 @@
                 run_s=command.run_s,
                 size=command.size,
                 checkpoint=command.checkpoint,
+                task_class=command.task_class.value,
             )
             before = self.workers[command.worker_id]
             fails = before.fail_all or command.task_id.split("/")[0] in self.bad_jobs
@@ -466,6 +473,44 @@
         answered = StopAnswered(worker_id=worker)
         self.world.deliver(owner, answered if self._answers(worker) else lost)
 
+    @_do.register
+    def _(self, command: ThrottleTask, owner: Seat) -> None:
+        worker = command.worker_id
+        lost = ThrottleUnanswered(worker_id=worker, problem=PROBLEM)
+        if not self._reaches(owner, worker) or self.world.now > command.not_after:
+            self.world.deliver(owner, lost)
+            return
+        self.workers[worker] = worker_core.throttle(
+            self.workers[worker],
+            command.task_id,
+            command.generation,
+            command.share,
+            self.world.now,
+        )
+        answered = ThrottleAnswered(
+            worker_id=worker,
+            task_key=command.task_key,
+            generation=command.generation,
+            share=command.share,
+        )
+        self.world.deliver(owner, answered if self._answers(worker) else lost)
+
+    def usages_of(self, state: WorkerState) -> tuple[RunUsage, ...]:
+        """Return what a worker reports of usage, which lags."""
+        now = self.world.now
+        at = now - worker_core.USAGE_LAG_S
+        return tuple(
+            RunUsage(
+                task_id=run.start.task_id,
+                generation=run.start.generation,
+                processors_m=int(run.start.size.processors_m * run.share),
+                memory_mb=run.start.size.memory_mb,
+                latency_ms=worker_core.latency_ms(state, run, at)
+                * self.latency_noise(at),
+            )
+            for run in worker_core.used(state, now)
+        )
+
     @_do.register
     def _(self, command: AskReport, owner: Seat) -> None:
         worker = command.worker_id
@@ -483,7 +528,10 @@
         self.workers[worker] = state
         self.check_workers()
         reported = WorkerReported(
-            worker_id=worker, asked_at=command.asked_at, runs=runs_of(state)
+            worker_id=worker,
+            asked_at=command.asked_at,
+            runs=runs_of(state),
+            usages=self.usages_of(state),
         )
         self.world.deliver(owner, reported if self._answers(worker) else unanswered)
 
