--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -127,6 +127,7 @@
     cancels: Table[Cancelling] = field(default_factory=Table.empty)
     harms: Table[interference.Harm] = field(default_factory=Table.empty)
     job_usages: Table[interference.JobUsage] = field(default_factory=Table.empty)
+    job_starts: Table[interference.JobStart] = field(default_factory=Table.empty)
     latencies: Table[interference.ServiceLatency] = field(default_factory=_latencies)
     throttles: Table[interference.Throttle] = field(default_factory=_throttles)
     reliefs: Table[interference.Relief] = field(default_factory=Table.empty)
--- a/bulrushpulley/entities/interference.py
+++ b/bulrushpulley/entities/interference.py
@@ -35,6 +35,14 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobStart:
+    """When the first task of a job was started beside a service."""
+
+    job: str
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceLatency:
     """The latency of one latency-critical task against its service's target.
--- a/bulrushpulley/systems/cell_choice.py
+++ b/bulrushpulley/systems/cell_choice.py
@@ -17,7 +17,8 @@
 
     `replicas` and `rack_replicas` count the tasks of the same service on the worker
     and in its rack. `expected_part` is the latency, as a part of its target, to be
-    expected of the service that the task would harm or be.
+    expected of the service that the task would harm or be. A room is `probed` while
+    a first task of the same job shows there what the job does to services.
     """
 
     worker: Worker
@@ -25,15 +26,20 @@
     replicas: int = 0
     rack_replicas: int = 0
     expected_part: float = 0.0
+    probed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
-    """The chosen worker, or the empty string, why, and what was passed over."""
+    """The chosen worker, or the empty string, why, and what was passed over.
+
+    A task that was refused for its neighbours is tried again after `retry_s`.
+    """
 
     worker_id: str
     reason: str
     passed_over: tuple[str, ...] = ()
+    retry_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/cell_neighbours.py
+++ b/bulrushpulley/systems/cell_neighbours.py
@@ -7,25 +7,58 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.interference import JobStart
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.task import Task
 from bulrushpulley.systems import cell_learn, cell_throttle
 from bulrushpulley.systems.cell_choice import Room
 from bulrushpulley.systems.cell_relief import LEAST_HARM
 
+PROBE_S = cell_learn.USAGE_LAG_S + 5.0
+
 
 def with_neighbours(
-    tables: CellOwnerTables, task: Task, rooms: Iterable[Room]
+    tables: CellOwnerTables, task: Task, rooms: Iterable[Room], now: float
 ) -> tuple[Room, ...]:
     """Return the rooms with what a task would meet and cause there."""
     if task.row.spec.task_class is TaskClass.BATCH:
         return tuple(
-            replace(room, expected_part=_with_job(tables, task, room.worker.worker_id))
+            replace(
+                room,
+                expected_part=_with_job(tables, task, room.worker.worker_id),
+                probed=_is_probed(tables, task, room.worker.worker_id, now),
+            )
             for room in rooms
         )
     return _for_service(tables, task, tuple(rooms))
 
 
+def note_start(
+    tables: CellOwnerTables, task: Task, worker_id: str, now: float
+) -> CellOwnerTables:
+    """Note the first start of a job beside a service."""
+    job = task.row.spec.record_key
+    beside = tables.latencies.count_where("worker", worker_id)
+    if job in tables.job_starts or not beside:
+        return tables
+    starts = tables.job_starts.put(job, JobStart(job=job, at=now))
+    if len(starts) > cell_learn.MAX_LEARNED:
+        starts = starts.drop(min(starts.rows(), key=lambda row: row.at).job)
+    return replace(tables, job_starts=starts)
+
+
+def _is_probed(tables: CellOwnerTables, task: Task, worker_id: str, now: float) -> bool:
+    """Tell whether the effect of a first task beside a service is not measured yet."""
+    job = task.row.spec.record_key
+    start = tables.job_starts.get(job)
+    if start is None or now - start.at >= PROBE_S:
+        return False
+    if not tables.latencies.count_where("worker", worker_id):
+        return False
+    siblings = tables.tasks.rows_where("record", job)
+    return any(sibling.worker_id == worker_id for sibling in siblings)
+
+
 def _with_job(tables: CellOwnerTables, task: Task, worker_id: str) -> float:
     """Return the expected latency, as a part of its target, of the worst service.
 
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -97,9 +97,10 @@
 def _place_task(cell: Cell, task: Task, passed: Placement, now: float) -> Placement:
     tables, rooms = passed.tables, passed.rooms
     avoid = failed_on(tables, task)
-    known = cell_neighbours.with_neighbours(tables, task, rooms.values())
+    known = cell_neighbours.with_neighbours(tables, task, rooms.values(), now)
     choice = choose_worker(POLICY, task, known, avoid)
     if choice.worker_id:
+        tables = cell_neighbours.note_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
         line = _decision(cell, task, choice, tables)
         return Placement(
@@ -112,6 +113,9 @@
         skipped = replace(task, skipped=choice.reason)
         tables = cell_rows.put_task(tables, skipped)
         commands = (*commands, _decision(cell, task, choice, tables))
+    if choice.retry_s:
+        later = replace(task, skipped=choice.reason, retry_at=now + choice.retry_s)
+        tables = cell_rows.put_task(tables, later)
     if not may_preempt(task):
         return Placement(rooms=rooms, tables=tables, commands=commands)
     made = make_room(cell, task, rooms.values(), tables, now)
--- a/bulrushpulley/systems/cell_spread.py
+++ b/bulrushpulley/systems/cell_spread.py
@@ -11,6 +11,7 @@
 from bulrushpulley.systems.cell_choice import Choice, Policy, Room, choose_worker
 
 OVER_TARGET = 1.0
+RETRY_S = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -18,7 +19,8 @@
     """Spreads replicas to the least loaded workers and best-fits batch tasks.
 
     A batch task is not placed where it is expected to push a service over its
-    target, unless it is urgent.
+    target, nor beside the first task of its job while that one shows its effect,
+    unless it is urgent.
     """
 
 
@@ -44,14 +46,25 @@
     task: Task, rooms: Sequence[Room], fitting: list[Room], avoid: frozenset[str]
 ) -> Choice:
     spec = task.row.spec
-    harmless = [room for room in fitting if room.expected_part <= OVER_TARGET]
+    unprobed = [room for room in fitting if not room.probed]
+    harmless = [room for room in unprobed if room.expected_part <= OVER_TARGET]
     if not harmless and not spec.urgent:
-        reason = "it would push a service over its target"
-        return Choice(worker_id="", reason=reason, passed_over=_ids(rooms))
+        return Choice(
+            worker_id="",
+            reason=_refusal(unprobed),
+            passed_over=_ids(rooms),
+            retry_s=RETRY_S,
+        )
     best = min(harmless or fitting, key=lambda room: _batch_key(room, spec.size, avoid))
     return _choice(best, rooms, "best fit beside services it does not harm")
 
 
+def _refusal(unprobed: list[Room]) -> str:
+    if unprobed:
+        return "it would push a service over its target"
+    return "the first tasks of its job show first what they do to services"
+
+
 def _choice(best: Room, rooms: Sequence[Room], reason: str) -> Choice:
     others = tuple(room for room in rooms if room is not best)
     return Choice(
