--- a/bulrushpulley/systems/cell_neighbours.py
+++ b/bulrushpulley/systems/cell_neighbours.py
@@ -10,7 +10,7 @@
 from bulrushpulley.entities.interference import JobStart
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.task import Task
-from bulrushpulley.systems import cell_learn, cell_throttle
+from bulrushpulley.systems import cell_learn
 from bulrushpulley.systems.cell_choice import Room
 from bulrushpulley.systems.cell_relief import LEAST_HARM
 
@@ -77,12 +77,15 @@
 
 
 def _modelled_ms(tables: CellOwnerTables, service: str, worker_id: str) -> float:
-    """Return the latency that is to be expected of a service beside what runs."""
+    """Return the latency that is to be expected of a service beside what runs.
+
+    Throttled tasks count at full speed: what a throttle has spared is theirs.
+    """
     total_ms = cell_learn.estimate(tables, service, "")
     for task in tables.tasks.rows_where("worker", worker_id):
         if task.row.spec.task_class is TaskClass.BATCH:
-            harm_ms = cell_learn.estimate(tables, service, task.row.spec.record_key)
-            total_ms += harm_ms * cell_throttle.share_of(tables, task)
+            job = task.row.spec.record_key
+            total_ms += cell_learn.estimate(tables, service, job)
     return total_ms
 
 
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -283,6 +283,8 @@
     """Print the measures of both deployments."""
     del argv
     for deployment in DEPLOYMENTS:
+        if FLAGS.only not in ("", deployment.name):
+            continue
         print(f"{deployment.name}, {FLAGS.seeds} seeds, ratios to the first line")
         base: Measured | None = None
         for variant in VARIANTS:
@@ -294,4 +296,5 @@
 
 if __name__ == "__main__":
     flags.DEFINE_integer("seeds", 3, "How many seeds are run, from 1 on.")
+    flags.DEFINE_string("only", "", "Measure only the deployment of this name.")
     app.run(main)
