--- a/bulrushpulley/systems/route_calls.py
+++ b/bulrushpulley/systems/route_calls.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
 from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import SELF, close, enqueue, put_service
+from bulrushpulley.systems.route_finish import SELF, close, enqueue
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HELD_BYTES = 32 * 1024 * 1024
@@ -85,21 +85,22 @@
         refused = RefuseCall(call_id=event.call_id, ran=Ran.NO, problem=problem)
         count = Count(name=f"route.refused.{problem.code.value}", label=event.service)
         return Step(tables=tables, commands=(refused, count))
-    deadline = now + min(event.within_s, MAX_WITHIN_S)
+    received_at = now if event.received_at is None else event.received_at
+    deadline = received_at + min(event.within_s, MAX_WITHIN_S)
     request = Request(
         call_id=event.call_id,
         service=event.service,
         request_id=event.request_id,
         repeatable=event.repeatable,
-        received_at=now,
+        received_at=received_at,
         deadline=deadline,
         due_at=deadline,
         body=event.body,
         stage=Waiting(),
     )
-    tables = put_service(tables, arrived(tables.service(event.service), now))
+    service = arrived(tables.service(event.service), now)
     tables = replace(tables, body_bytes=tables.body_bytes + len(event.body))
-    return Step(tables=enqueue(tables, request))
+    return Step(tables=enqueue(tables, request, service))
 
 
 @apply.register
--- a/bulrushpulley/systems/route_queue.py
+++ b/bulrushpulley/systems/route_queue.py
@@ -9,8 +9,7 @@
 
 from dataclasses import replace
 
-from pyrsistent import PDeque
-
+from bulrushpulley.entities.key_queue import KeyQueue
 from bulrushpulley.entities.request import Request, Waiting
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.systems.route_finish import put_service
@@ -24,7 +23,7 @@
     return request is not None and request.stage == Waiting()
 
 
-def without_gone(tables: RouterTables, queue: PDeque[str]) -> PDeque[str]:
+def without_gone(tables: RouterTables, queue: KeyQueue) -> KeyQueue:
     """Drop the ids of calls that are gone from the old end of a queue."""
     while queue and not is_waiting(tables, queue.left):
         queue = queue.popleft()
@@ -53,6 +52,8 @@
 ) -> tuple[RouterTables, Request | None]:
     """Take the next call to be served out of the queue of a service.
 
+    It counts as waiting no more.
+
     A call that can no longer be answered in time stays for its timer to refuse.
     """
     service = tables.service(name)
@@ -64,6 +65,9 @@
         queue = queue.pop() if newest_first else queue.popleft()
         request = tables.requests.get(call_id)
         if request is not None and request.stage == Waiting() and request.due_at > now:
-            return put_service(tables, replace(service, queue=queue)), request
+            left = replace(service, queue=queue, waiting=service.waiting - 1)
+            return put_service(tables, left), request
         queue = without_gone(tables, queue)
+    if queue is service.queue:
+        return tables, None
     return put_service(tables, replace(service, queue=queue)), None
