--- a/bulrushpulley/systems/cell_choice.py
+++ b/bulrushpulley/systems/cell_choice.py
@@ -13,19 +13,33 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Room:
-    """A worker that takes tasks and what it has left for them."""
+    """A worker that takes tasks, what it has left, and a task's neighbours there.
+
+    `replicas` and `rack_replicas` count the tasks of the same service on the worker
+    and in its rack. `expected_part` is the latency, as a part of its target, to be
+    expected of the service that the task would harm or be. A room is `probed` while
+    a first task of the same job shows there what the job does to services.
+    """
 
     worker: Worker
     free: Resources
+    replicas: int = 0
+    rack_replicas: int = 0
+    expected_part: float = 0.0
+    probed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
-    """The chosen worker, or the empty string, why, and what was passed over."""
+    """The chosen worker, or the empty string, why, and what was passed over.
+
+    A task that was refused for its neighbours is tried again after `retry_s`.
+    """
 
     worker_id: str
     reason: str
     passed_over: tuple[str, ...] = ()
+    retry_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/bulrushpulley/systems/cell_neighbours.py
@@ -0,0 +1,114 @@
+"""Adds to the rooms of a cell what is known of a task's neighbours there."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import replace
+
+from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
+from bulrushpulley.entities.interference import JobStart
+from bulrushpulley.entities.rows import TaskClass
+from bulrushpulley.entities.task import Task
+from bulrushpulley.systems import cell_learn
+from bulrushpulley.systems.cell_choice import Room
+from bulrushpulley.systems.cell_relief import LEAST_HARM
+
+PROBE_S = cell_learn.USAGE_LAG_S + 5.0
+
+
+def with_neighbours(
+    tables: CellOwnerTables, task: Task, rooms: Iterable[Room], now: float
+) -> tuple[Room, ...]:
+    """Return the rooms with what a task would meet and cause there."""
+    if task.row.spec.task_class is TaskClass.BATCH:
+        return tuple(
+            replace(
+                room,
+                expected_part=_with_job(tables, task, room.worker.worker_id),
+                probed=_is_probed(tables, task, room.worker.worker_id, now),
+            )
+            for room in rooms
+        )
+    return _for_service(tables, task, tuple(rooms))
+
+
+def note_start(
+    tables: CellOwnerTables, task: Task, worker_id: str, now: float
+) -> CellOwnerTables:
+    """Note the first start of a job beside a service."""
+    job = task.row.spec.record_key
+    beside = tables.latencies.count_where("worker", worker_id)
+    if job in tables.job_starts or not beside:
+        return tables
+    starts = tables.job_starts.put(job, JobStart(job=job, at=now))
+    if len(starts) > cell_learn.MAX_LEARNED:
+        starts = starts.drop(min(starts.rows(), key=lambda row: row.at).job)
+    return replace(tables, job_starts=starts)
+
+
+def _is_probed(tables: CellOwnerTables, task: Task, worker_id: str, now: float) -> bool:
+    """Tell whether the effect of a first task beside a service is not measured yet."""
+    job = task.row.spec.record_key
+    start = tables.job_starts.get(job)
+    if start is None or now - start.at >= PROBE_S:
+        return False
+    if not tables.latencies.count_where("worker", worker_id):
+        return False
+    siblings = tables.tasks.rows_where("record", job)
+    return any(sibling.worker_id == worker_id for sibling in siblings)
+
+
+def _with_job(tables: CellOwnerTables, task: Task, worker_id: str) -> float:
+    """Return the expected latency, as a part of its target, of the worst service.
+
+    It is zero if the job is not known to harm a service there.
+    """
+    job = task.row.spec.record_key
+    worst = 0.0
+    for latency in tables.latencies.rows_where("worker", worker_id):
+        added_ms = cell_learn.estimate(tables, latency.service, job)
+        if added_ms < LEAST_HARM * latency.target_ms:
+            continue
+        modelled_ms = _modelled_ms(tables, latency.service, worker_id)
+        expected_ms = max(latency.smoothed_ms, modelled_ms) + added_ms
+        worst = max(worst, expected_ms / latency.target_ms)
+    return worst
+
+
+def _modelled_ms(tables: CellOwnerTables, service: str, worker_id: str) -> float:
+    """Return the latency that is to be expected of a service beside what runs.
+
+    Throttled tasks count at full speed: what a throttle has spared is theirs.
+    """
+    total_ms = cell_learn.estimate(tables, service, "")
+    for task in tables.tasks.rows_where("worker", worker_id):
+        if task.row.spec.task_class is TaskClass.BATCH:
+            job = task.row.spec.record_key
+            total_ms += cell_learn.estimate(tables, service, job)
+    return total_ms
+
+
+def _for_service(
+    tables: CellOwnerTables, task: Task, rooms: tuple[Room, ...]
+) -> tuple[Room, ...]:
+    spec = task.row.spec
+    record = cell_learn.service_of(tables, task)
+    target_ms = float(record.latency_target_ms) if record else 1.0
+    siblings = tables.tasks.rows_where("record", spec.record_key)
+    by_worker = Counter(sibling.worker_id for sibling in siblings)
+    by_rack: Counter[str] = Counter()
+    for worker_id, count in by_worker.items():
+        worker = tables.workers.get(worker_id)
+        if worker is not None:
+            by_rack[worker.rack] += count
+    return tuple(
+        replace(
+            room,
+            replicas=by_worker[room.worker.worker_id],
+            rack_replicas=by_rack[room.worker.rack],
+            expected_part=_modelled_ms(tables, spec.job, room.worker.worker_id)
+            / target_ms,
+        )
+        for room in rooms
+    )
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -15,10 +15,14 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task, phase_index
 from bulrushpulley.entities.worker import Health
-from bulrushpulley.systems import cell_domains, cell_rows, cell_start
+from bulrushpulley.systems import (
+    cell_domains,
+    cell_neighbours,
+    cell_rows,
+    cell_start,
+)
 from bulrushpulley.systems.cell_choice import (
     Choice,
-    FirstFit,
     Policy,
     Room,
     choose_worker,
@@ -26,10 +30,11 @@
 from bulrushpulley.systems.cell_owner_events import CellStep
 from bulrushpulley.systems.cell_preempt import make_room
 from bulrushpulley.systems.cell_rooms import rooms_of
+from bulrushpulley.systems.cell_spread import SpreadAndPack
 from bulrushpulley.systems.cell_victims import may_preempt
 
 PLACED_PER_TICK = 128
-POLICY: Policy = FirstFit()
+POLICY: Policy = SpreadAndPack()
 
 
 def place(tables: CellOwnerTables, now: float) -> CellStep:
@@ -93,8 +98,10 @@
     tables, rooms = passed.tables, passed.rooms
     avoid = failed_on(tables, task)
     sound = sound_rooms(tables, task, tuple(rooms.values()))
-    choice = choose_worker(POLICY, task, sound, avoid)
+    known = cell_neighbours.with_neighbours(tables, task, sound, now)
+    choice = choose_worker(POLICY, task, known, avoid)
     if choice.worker_id:
+        tables = cell_neighbours.note_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
         line = _decision(cell, task, choice, tables)
         return Placement(
@@ -107,6 +114,9 @@
         skipped = replace(task, skipped=choice.reason)
         tables = cell_rows.put_task(tables, skipped)
         commands = (*commands, _decision(cell, task, choice, tables))
+    if choice.retry_s:
+        later = replace(task, skipped=choice.reason, retry_at=now + choice.retry_s)
+        tables = cell_rows.put_task(tables, later)
     if not may_preempt(task):
         return Placement(rooms=rooms, tables=tables, commands=commands)
     made = make_room(cell, task, rooms.values(), tables, now)
