--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -24,6 +24,9 @@
     StartUnknown,
     StopAnswered,
     StopTask,
+    ThrottleAnswered,
+    ThrottleTask,
+    ThrottleUnanswered,
     WorkerReported,
 )
 from bulrushpulley.platform.worker import WorkerClient
@@ -119,6 +122,23 @@
         self.assertIsInstance(self._start(not_after=99.0), StartNotSent)
         self.assertEqual([], self._states())
 
+    def test_a_throttle_past_its_deadline_is_not_sent(self) -> None:
+        self._start()
+        cases = ((99.0, ThrottleUnanswered, 1.0), (1e9, ThrottleAnswered, 0.5))
+        for not_after, outcome, share in cases:
+            command = ThrottleTask(
+                **self._common(not_after),
+                task_key="task/c0/curves/0",
+                task_id="curves/0",
+                generation=3,
+                share=0.5,
+            )
+            self.assertIsInstance(self.client.throttle(command), outcome)
+            self.clock.now += 2.0
+            (run,) = self.workers._host("w1").state.runs.rows()
+            self.assertEqual(share, run.share)
+            self.clock.now -= 2.0
+
     def test_without_the_deadline_check_a_late_start_arrives(self) -> None:
         self.client = WorkerClient(clock=lambda: 0.0)
         self.assertIsInstance(self._start(not_after=99.0), Started)
