Tick roles that only control half as often, and poll the store less

Cause: a process at rest spends most of its time on ticks without events and on polls of the table service. Ruled out: the decisions themselves.

--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -1,9 +1,9 @@
 """The actor that every role runs in.
 
 It holds a role's tables, gathers the events in its mailbox, runs one tick over
-them and has the commands carried out. A tick also happens every `TICK_S`, so
-that deadlines pass without events. The decisions stay in `systems`; the clock is
-read here, once a tick.
+them and has the commands carried out. A tick also happens at the role's own
+interval, so that deadlines pass without events. The decisions stay in `systems`;
+the clock is read here, once a tick.
 """
 
 from __future__ import annotations
@@ -21,16 +21,23 @@
 T = TypeVar("T")
 
 TICK_S = 0.1
+CONTROL_TICK_S = 0.2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Role(Generic[T]):
-    """The pure part of a role: its first tables and what runs over them."""
+    """The pure part of a role: its first tables and what runs over them.
+
+    `tick_s` is the longest time between two ticks. Roles that serve requests take
+    `TICK_S`; those that only control take `CONTROL_TICK_S`, as their deadlines are
+    in seconds and an idle tick is the larger part of what a process at rest costs.
+    """
 
     name: str
     tables: T
     apply: Callable[[Event, T, float], Step[T]]
     systems: tuple[System[T], ...]
+    tick_s: float = TICK_S
 
     def tick(self, tables: T, events: Iterable[Event], now: float) -> Step[T]:
         """Run one tick over `tables`."""
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -4,7 +4,7 @@
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import AUTONOMY_S
-from bulrushpulley.roles.actor import Role
+from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
 from bulrushpulley.systems import (
     cell_evict,
     cell_interfere,
@@ -43,6 +43,7 @@
         name=NAME,
         tables=tables,
         apply=cell_owner_events.apply,
+        tick_s=CONTROL_TICK_S,
         systems=(
             cell_liveness.renew,
             cell_watch.watch,
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -6,7 +6,7 @@
 from bulrushpulley.entities.pending import Poll
 from bulrushpulley.entities.table import Table
 from bulrushpulley.roles import controller_io as controller_io
-from bulrushpulley.roles.actor import Role
+from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
 from bulrushpulley.systems import (
     control_assign,
     control_assigned,
@@ -51,6 +51,7 @@
         name=NAME,
         tables=ControllerTables(identity=identity, polls=table),
         apply=control_events.apply,
+        tick_s=CONTROL_TICK_S,
         systems=(
             control_submissions.run,
             control_changes.run,
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -59,6 +59,7 @@
         self._writer = LineWriter(fd=log_fd, count=self.metrics.count)
         self._loop_thread = threading.Thread(target=self._run_loop, daemon=True)
         self._ref_by_role: dict[str, pykka.ActorRef[Any]] = {}
+        self._tick_s_by_role: dict[str, float] = {}
         self._pool_by_role: dict[str, ThreadPoolExecutor] = {}
         self._done_by_role: dict[str, threading.Event] = {}
 
@@ -112,12 +113,18 @@
         ref = RoleActor.start(
             role=role, carry_out=lambda command: carry_out(command, ports)
         )
+        self._tick_s_by_role[role.name] = role.tick_s
         self._ref_by_role[role.name] = ref
 
     async def _tick_roles(self) -> None:
-        """Tell every role each `TICK_S` that a tick is due, until one has ended."""
+        """Tell every role at its interval that a tick is due, until one has ended."""
+        due_by_role: dict[str, float] = {}
         while True:
+            now = asyncio.get_running_loop().time()
             for role, ref in tuple(self._ref_by_role.items()):
+                if now < due_by_role.get(role, 0.0):
+                    continue
+                due_by_role[role] = now + self._tick_s_by_role[role] - TICK_S / 2
                 try:
                     ref.tell(TickDue())
                 except pykka.ActorDeadError:
--- a/bulrushpulley/systems/control_backlog.py
+++ b/bulrushpulley/systems/control_backlog.py
@@ -32,7 +32,7 @@
 from bulrushpulley.systems.control_events import Controlled, on_rows
 
 PREFIX = "backlog/"
-READ_EVERY_S = 0.5
+READ_EVERY_S = 0.75
 BLOCK_S = {Rank.URGENT: 0.5, Rank.LATENCY_CRITICAL: 1.0, Rank.BATCH: 3.0}
 ROOM_WAKES_PER_TICK = 16
 DEFER_S = 1.0
--- a/bulrushpulley/systems/control_records.py
+++ b/bulrushpulley/systems/control_records.py
@@ -31,7 +31,7 @@
 R = TypeVar("R")
 
 REVISION_KEY = "revision"
-SPREAD_POLL_S = 0.5
+SPREAD_POLL_S = 0.75
 KINDS = ("service", "failure_domain", "policy", "cell")
 
 
