Apply records to the task rows that a new owner reads

Cause: a service lowered while nobody owned a cell kept its surplus replicas there, since a record is applied to loaded tasks only when it changes. Ruled out: the controller's closing (it waits for the owner to end the replicas). Change: when task rows are read, the records that they name are applied again. Before: the new test finds the surplus replica running.

--- a/bulrushpulley/systems/cell_load.py
+++ b/bulrushpulley/systems/cell_load.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 from functools import singledispatch
 
@@ -21,7 +22,7 @@
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.owner_times import REFETCH_S
-from bulrushpulley.entities.rows import AliveRow
+from bulrushpulley.entities.rows import AliveRow, RecordRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import cell_rows, cell_send, cell_watch
 from bulrushpulley.systems.cell_owner_events import CellStep, apply
@@ -113,9 +114,25 @@
     for found in event.rows:
         tables, taken = cell_rows.adopt_task(found, tables, now)
         complete = complete and taken
+    tables = _apply_records(event.rows, tables, now)
     return _rows_read(purpose.cell, event, complete, tables, now)
 
 
+def _apply_records(
+    rows: Iterable[VersionedRow], tables: CellOwnerTables, now: float
+) -> CellOwnerTables:
+    """Apply the records of rows just read, which may have changed before.
+
+    A record that was amended while nobody owned the cell is not told again.
+    """
+    tasks = (tables.tasks.get(found.key) for found in rows)
+    for key in sorted({task.row.spec.record_key for task in tasks if task}):
+        found = tables.records.get(key)
+        if found is not None and isinstance(found.row, RecordRow):
+            tables = cell_rows.record_changed(found.row.record, tables, now)
+    return tables
+
+
 def _rows_read(
     name: str, event: Fetched, complete: bool, tables: CellOwnerTables, now: float
 ) -> CellStep:
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -110,6 +110,21 @@
         self.assertEqual([], bench.running("oven/1"))
         self.assertEqual(TaskState.CANCELLED, bench.done("oven/1"))
 
+    def test_a_service_lowered_while_nobody_owned_its_cell_loses_replicas(self) -> None:
+        bench = CellBench()
+        version = bench.put_service("oven", replicas=2)
+        for index in range(2):
+            bench.task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
+        bench.agent("a")
+        bench.run(5.0)
+        bench.world.kill("a")
+        bench.put_service("oven", replicas=1)
+        bench.agent("b")
+        bench.run(40.0)
+        self.assertEqual(1, len(bench.running("oven/0")))
+        self.assertEqual([], bench.running("oven/1"))
+        self.assertEqual(TaskState.CANCELLED, bench.done("oven/1"))
+
     def test_a_removed_worker_is_emptied_of_batch_tasks(self) -> None:
         bench = CellBench()
         bench.job("audit", run_s=60.0)
