Let announcements and summaries wait for the controller's next tick

Cause: each announcement and each summary of each agent caused a tick of the whole controller, so the cost at an entry grew with the agents. Change: a role may say that an event can wait; the controller says so of announcements and summaries, and takes all of them in its next tick, at most 200 ms later. Link bytes are unchanged.

--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -24,6 +24,11 @@
 CONTROL_TICK_S = 0.2
 
 
+def never(event: Event) -> bool:
+    """Have every event cause a tick."""
+    return False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Role(Generic[T]):
     """The pure part of a role: its first tables and what runs over them.
@@ -31,6 +36,8 @@
     `tick_s` is the longest time between two ticks. Roles that serve requests take
     `TICK_S`; those that only control take `CONTROL_TICK_S`, as their deadlines are
     in seconds and an idle tick is the larger part of what a process at rest costs.
+    An event for which `can_wait` holds is gathered for the next tick and causes
+    none itself: many agents then cost one tick, not one each.
     """
 
     name: str
@@ -38,6 +45,7 @@
     apply: Callable[[Event, T, float], Step[T]]
     systems: tuple[System[T], ...]
     tick_s: float = TICK_S
+    can_wait: Callable[[Event], bool] = never
 
     def tick(self, tables: T, events: Iterable[Event], now: float) -> Step[T]:
         """Run one tick over `tables`."""
@@ -82,7 +90,7 @@
     @singledispatchmethod
     def _receive(self, message: Event) -> Any:
         self._events.append(message)
-        if not self._tick_queued:
+        if not self._tick_queued and not self._role.can_wait(message):
             self._tick_queued = True
             self.actor_ref.tell(TickDue())
 
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -52,6 +52,7 @@
         tables=ControllerTables(identity=identity, polls=table),
         apply=control_events.apply,
         tick_s=CONTROL_TICK_S,
+        can_wait=control_events.can_wait,
         systems=(
             control_submissions.run,
             control_changes.run,
--- a/bulrushpulley/systems/control_events.py
+++ b/bulrushpulley/systems/control_events.py
@@ -11,7 +11,7 @@
 
 from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
-from bulrushpulley.entities.link import Fetched
+from bulrushpulley.entities.link import Announce, CellSummary, Fetched
 from bulrushpulley.entities.pending import Pending, Purpose, Target
 from bulrushpulley.entities.step import Event, Step
 
@@ -24,6 +24,18 @@
     return Step(tables=tables)
 
 
+@singledispatch
+def can_wait(event: Event) -> bool:
+    """Tell whether an event may wait for the next tick of the role's interval."""
+    return False
+
+
+@can_wait.register(Announce)
+@can_wait.register(CellSummary)
+def _(event: Event) -> bool:
+    return True
+
+
 @singledispatch
 def on_commit(
     purpose: Purpose,
--- /dev/null
+++ b/test/test_actor.py
@@ -0,0 +1,52 @@
+"""Tests of the actor: which events cause a tick and which wait for one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import testtools
+
+from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.roles import controller
+from bulrushpulley.roles.actor import Inspect, Role, RoleActor, TickDue
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Said(Event):
+    word: str
+    waits: bool = False
+
+
+def note(event: Event, words: tuple[Event, ...], now: float) -> Step[tuple[Event, ...]]:
+    return Step(tables=(*words, event))
+
+
+def may_wait(event: Any) -> bool:
+    waits: bool = event.waits
+    return waits
+
+
+class ActorTest(testtools.TestCase):
+    def test_an_event_that_can_wait_is_applied_in_order_at_the_next_tick(self) -> None:
+        first, second = Said(word="a", waits=True), Said(word="b", waits=True)
+        last = Said(word="c")
+        role: Role[Any] = Role(
+            name="r", tables=(), apply=note, systems=(), can_wait=may_wait
+        )
+        ref = RoleActor.start(role=role, carry_out=lambda command: None)
+        self.addCleanup(ref.stop)
+        ref.tell(first)
+        self.assertEqual((), ref.ask(Inspect()))
+        ref.tell(TickDue())
+        self.assertEqual((first,), ref.ask(Inspect()))
+        ref.tell(second)
+        ref.tell(last)
+        ref.ask(Inspect())
+        self.assertEqual((first, second, last), ref.ask(Inspect()))
+
+    def test_the_controller_answers_operators_at_once(self) -> None:
+        role = controller.build(
+            entry="e", incarnation="e#1", host="127.0.0.1", port=1, region="ege"
+        )
+        self.assertFalse(role.can_wait(Event()))
