--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -117,6 +117,7 @@
         status=command.status,
         body=command.body,
         content_type="application/octet-stream",
+        ran=Ran.YES,
     )
 
 
@@ -125,7 +126,8 @@
     status = STATUS_BY_CODE[command.problem.code]
     if status not in _REFUSED:
         status = 503 if command.ran is Ran.NO else 504
-    return json_reply(status, problem_value(command.problem, command.ran))
+    value = problem_value(command.problem, command.ran)
+    return json_reply(status, value, command.ran)
 
 
 class CallerFront:
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -52,16 +52,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpReply:
-    """A whole reply."""
+    """A whole reply.
+
+    `ran` is sent as the header `X-Ran`, so that a caller can tell a backend server's
+    own status from a refusal with the same one.
+    """
 
     status: int
     body: bytes
     content_type: str = JSON
+    ran: Ran | None = None
 
 
-def json_reply(status: int, value: Any) -> HttpReply:
+def json_reply(status: int, value: Any, ran: Ran | None = None) -> HttpReply:
     """Encode a value as a JSON reply."""
-    return HttpReply(status=status, body=msgspec.json.encode(value))
+    return HttpReply(status=status, body=msgspec.json.encode(value), ran=ran)
 
 
 def problem_value(problem: Problem, ran: Ran | None = None) -> dict[str, str]:
@@ -89,10 +94,10 @@
     problems = problems_in(error)
     value = problem_value(problems[0], ran)
     if len(problems) == 1:
-        return json_reply(STATUS_BY_CODE[problems[0].code], value)
+        return json_reply(STATUS_BY_CODE[problems[0].code], value, ran)
     errors = [problem_value(problem) for problem in problems]
     status = STATUS_BY_CODE[problems[0].code]
-    return json_reply(status, {**value, "errors": errors})
+    return json_reply(status, {**value, "errors": errors}, ran)
 
 
 def problems_in(error: BaseException) -> tuple[Problem, ...]:
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -160,6 +160,8 @@
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
         ]
+        if reply.ran is not None:
+            headers.append(("X-Ran", reply.ran.value))
         start(status, headers)
         return [reply.body]
 
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -119,6 +119,7 @@
             reply = urllib3.request("POST", url, body=body, retries=False)
             self.assertEqual(200, reply.status)
             self.assertTrue(reply.data == body * 2)
+            self.assertEqual("yes", reply.headers["X-Ran"])
 
     def test_a_refusal_says_whether_the_request_ran(self) -> None:
         cases = ((Code.OVERLOADED, Ran.NO, 503), (Code.OVERLOADED, Ran.UNKNOWN, 504))
@@ -130,6 +131,7 @@
             )
             reply = urllib3.request("POST", url, retries=False)
             self.assertEqual((status, ran.value), (reply.status, reply.json()["ran"]))
+            self.assertEqual(ran.value, reply.headers["X-Ran"])
 
     def test_a_call_without_an_answer_ends_at_its_deadline(self) -> None:
         url = f"http://{HOST}:{self.serve_callers().port}/v1/call/s"
