Say why a role ended, and find a department's policy by an index

Cause: in one run of the built file an agent ended with 'the role ended' and nothing more; the build had been made while a module was being edited and lacked an import (a NameError). The cause could only be guessed from the log. Change: the exception that ends a role is reported in the problem's detail. A policy record is found by an index on its department; before, every record was looked at. Before: the test of a failing role finds no reason. After: it finds the exception.

--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -7,6 +7,8 @@
 from bulrushpulley.entities import cell as cells
 from bulrushpulley.entities import in_flight, interference, task, worker
 from bulrushpulley.entities.commit import VersionedRow
+from bulrushpulley.entities.records import PolicyRecord
+from bulrushpulley.entities.rows import RecordRow
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
 
@@ -99,6 +101,12 @@
     return Table.empty(indexes={"worker": interference.throttles_by_worker})
 
 
+def policy_department(found: VersionedRow) -> tuple[str, ...]:
+    """Index key function: the department of a policy record; other rows have none."""
+    record = found.row.record if isinstance(found.row, RecordRow) else None
+    return (record.department,) if isinstance(record, PolicyRecord) else ()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellOwnerTables:
     """Everything the cell owner knows.
@@ -117,7 +125,11 @@
     last_number: int = 0
     revision: int = 0
     entries: Table[LinkedEntry] = field(default_factory=Table.empty)
-    records: Table[VersionedRow] = field(default_factory=Table.empty)
+    records: Table[VersionedRow] = field(
+        default_factory=lambda: Table.empty(
+            indexes={"policy_department": policy_department}
+        )
+    )
     cells: Table[cells.Cell] = field(default_factory=Table.empty)
     workers: Table[worker.Worker] = field(default_factory=_workers)
     tasks: Table[task.Task] = field(default_factory=_tasks)
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from types import TracebackType
 from typing import Any, Generic, TypeVar
 
 import pykka
@@ -24,6 +25,10 @@
 CONTROL_TICK_S = 0.2
 
 
+def ignore(error: BaseException | None) -> None:
+    """Do nothing about the end of a role."""
+
+
 def never(event: Event) -> bool:
     """Have every event cause a tick."""
     return False
@@ -69,20 +74,37 @@
 
 
 class RoleActor(pykka.ThreadingActor):
-    """Runs a role: `carry_out` gets each command after the tick that made it."""
+    """Runs a role: `carry_out` gets each command after the tick that made it.
+
+    `failed` gets the exception that ended the role, if one does.
+    """
 
     use_daemon_thread = True
 
     def __init__(
-        self, *, role: Role[Any], carry_out: Callable[[Command], None]
+        self,
+        *,
+        role: Role[Any],
+        carry_out: Callable[[Command], None],
+        failed: Callable[[BaseException | None], None] = ignore,
     ) -> None:
         super().__init__()
+        self._failed = failed
         self._role = role
         self._tables = role.tables
         self._carry_out = carry_out
         self._events: list[Event] = []
         self._tick_queued = False
 
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Hand on the exception that ended the role."""
+        self._failed(exception_value)
+
     def on_receive(self, message: Any) -> Any:
         """Gather an event, run a tick, or return the tables."""
         return self._receive(message)
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -111,7 +111,9 @@
             threads, thread_name_prefix=role.name
         )
         ref = RoleActor.start(
-            role=role, carry_out=lambda command: carry_out(command, ports)
+            role=role,
+            carry_out=lambda command: carry_out(command, ports),
+            failed=lambda error: self._fail(role.name, repr(error)),
         )
         self._tick_s_by_role[role.name] = role.tick_s
         self._ref_by_role[role.name] = ref
--- a/bulrushpulley/systems/cell_relief.py
+++ b/bulrushpulley/systems/cell_relief.py
@@ -139,9 +139,9 @@
 
 def policy_of(tables: CellOwnerTables, department: str) -> PolicyRecord:
     """Return the policy record of a department, or one of equal weights."""
-    for found in tables.records.rows():
+    for found in tables.records.rows_where("policy_department", department):
         record = found.row.record if isinstance(found.row, RecordRow) else None
-        if isinstance(record, PolicyRecord) and record.department == department:
+        if isinstance(record, PolicyRecord):
             return record
     return PolicyRecord(name="", department=department)
 
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -13,6 +13,7 @@
 from bulrushpulley.entities.link import Answered, Fetch, Send, Submit
 from bulrushpulley.entities.observe import Count, Decision, Observe
 from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.errors import Problem
 from bulrushpulley.logs import MAX_QUEUED_LINES, LineWriter, log_decision
 from bulrushpulley.metrics import MAX_COUNTERS, Metrics
 from bulrushpulley.roles.actor import Role
@@ -60,10 +61,13 @@
 
     def test_a_role_that_fails_stops_the_process(self) -> None:
         runtime = self.start()
+        reported: list[Problem] = []
+        self.patch(runtime, "report", reported.append)
         self.start_role(runtime, "router", fail)
         runtime.tell("router", Committed(submission_id="a", revision=1))
         self.assertTrue(runtime.stopping.wait(WITHIN_S))
         self.assertTrue(runtime.failed.is_set())
+        self.assertIn("a fault of the role", reported[0].detail)
 
     def test_blocking_work_that_fails_stops_the_process(self) -> None:
         runtime = self.start()
