Remove code that nothing calls, and share two fakes of the tests

Found by reading the whole change: control_polls.hasten and http_message.problem_reply had no caller (the latter was a twin of error_reply that would have lacked the X-Ran header); the matrix exported names that nothing imported. The site in virtual time had its own copies of versioned and runs_of, which the benches of the controller and the cell owner hold already, and calls these now. Behaviour and assertions are unchanged.

--- a/bulrushpulley/systems/control_polls.py
+++ b/bulrushpulley/systems/control_polls.py
@@ -27,14 +27,6 @@
     return Step(tables=tables, commands=(_asked(poll),)), fetch_id
 
 
-def hasten(tables: ControllerTables, prefix: str, now: float) -> ControllerTables:
-    """Have a prefix read at the next tick."""
-    poll = tables.polls.get(prefix)
-    if poll is None:
-        return tables
-    return replace(tables, polls=tables.polls.put(prefix, replace(poll, next_at=now)))
-
-
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Ask for every reading that is due; one without an answer is asked again."""
     commands: list[Command] = []
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -81,11 +81,6 @@
     return value if ran is None else {**value, "ran": ran.value}
 
 
-def problem_reply(problem: Problem, ran: Ran | None = None) -> HttpReply:
-    """Return the reply to a call that failed with one problem."""
-    return json_reply(STATUS_BY_CODE[problem.code], problem_value(problem, ran))
-
-
 def error_reply(error: BaseException, ran: Ran | None = None) -> HttpReply:
     """Return the reply to a call whose handling raised `error`.
 
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from bulrushpulley.entities.lifecycle import Leave
-from bulrushpulley.entities.operations import AskInForce, SubmitRecord
+from bulrushpulley.entities.operations import SubmitRecord
 from bulrushpulley.entities.records import (
     CellRecord,
     DomainState,
@@ -29,7 +29,6 @@
 from test.matrix_faults import FAULT_BY_NAME, change_domain
 from test.matrix_steps import STEP_BY_NAME
 from test.site import (
-    AGENTS,
     CAPACITY,
     DOMAINS,
     ENTRIES,
@@ -274,6 +273,3 @@
 def run_cell(cell: Cell) -> Verdict:
     """Run one cell of the matrix."""
     return Run(cell=cell).whole()
-
-
-__all__ = ["AGENTS", "AskInForce", "Cell", "Verdict", "run_cell"]
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.calls import AnswerCall, RefuseCall
 from bulrushpulley.entities.cell_owner_tables import CellOwnerDone
-from bulrushpulley.entities.commit import ReportTo, VersionedRow
+from bulrushpulley.entities.commit import ReportTo
 from bulrushpulley.entities.execution import (
     BackendAnswered,
     CheckBackend,
@@ -34,8 +34,6 @@
 from bulrushpulley.entities.worker_calls import (
     AskReport,
     ReportUnanswered,
-    RunReport,
-    RunState,
     Started,
     StartNotSent,
     StartTask,
@@ -46,10 +44,12 @@
     WorkerReported,
 )
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.wire.rows import decode_row, encode_row
+from bulrushpulley.wire.rows import encode_row
 from standins import table_core, worker_core
 from standins.table_core import At, Put, Stored, Transaction
-from standins.worker_core import Renew, Start, WorkerState
+from standins.worker_core import Renew, Start
+from test.cell_bench import runs_of
+from test.control_bench import versioned
 from test.site import CAPACITY, DRAIN_BOUND_S, WORKERS, Site, described
 from test.virtual_world import Path, Seat
 
@@ -163,16 +163,6 @@
 # The table service.
 
 
-def versioned(row: Stored) -> VersionedRow:
-    """Decode a stored row."""
-    if row.value is None:
-        return VersionedRow(key=row.key, version=row.version, row=None)
-    found = decode_row(row.value)
-    return VersionedRow(
-        key=row.key, version=row.version, row=found.row, token=found.token
-    )
-
-
 @carry_out.register
 def _(command: Transact, site: Site, seat: Seat) -> None:
     ids: dict[str, Any] = {
@@ -360,7 +350,7 @@
     site.workers[worker] = state
     check_workers(site)
     reported = WorkerReported(
-        worker_id=worker, asked_at=command.asked_at, runs=reports_of(state)
+        worker_id=worker, asked_at=command.asked_at, runs=runs_of(state)
     )
     answer(site, seat, worker, reported)
     lose(site, seat, worker, unanswered)
@@ -376,17 +366,3 @@
     """Tell the owner that no answer came, if the worker's answers are lost."""
     if worker in site.lossy_workers:
         site.world.deliver(seat, event, Path(delay_s=ANSWER_LOST_S))
-
-
-def reports_of(state: WorkerState) -> tuple[RunReport, ...]:
-    """Return what a worker reports."""
-    return tuple(
-        RunReport(
-            task_id=run.start.task_id,
-            generation=run.start.generation,
-            state=RunState(run.state.value),
-            checkpoint=run.checkpoint,
-            detail=run.detail,
-        )
-        for run in state.runs.rows()
-    )
