Bound how long a batch task is held back beside services

Change: after 20 s the least harmful worker takes it; choose_worker takes the present time. The new test fails without the bound (run with it set to never).

--- a/bulrushpulley/systems/cell_choice.py
+++ b/bulrushpulley/systems/cell_choice.py
@@ -54,7 +54,11 @@
 
 @singledispatch
 def choose_worker(
-    policy: Policy, task: Task, rooms: Sequence[Room], avoid: frozenset[str]
+    policy: Policy,
+    task: Task,
+    rooms: Sequence[Room],
+    avoid: frozenset[str],
+    now: float,
 ) -> Choice:
     """Choose a worker for a task; those in `avoid` only if no other has room."""
     raise NotImplementedError(type(policy).__name__)
@@ -62,7 +66,11 @@
 
 @choose_worker.register
 def _(
-    policy: FirstFit, task: Task, rooms: Sequence[Room], avoid: frozenset[str]
+    policy: FirstFit,
+    task: Task,
+    rooms: Sequence[Room],
+    avoid: frozenset[str],
+    now: float,
 ) -> Choice:
     size = task.row.spec.size
     fitting = [room.worker.worker_id for room in rooms if size.fits(room.free)]
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell_place.py
@@ -99,7 +99,7 @@
     avoid = failed_on(tables, task)
     sound = sound_rooms(tables, task, tuple(rooms.values()))
     known = cell_neighbours.with_neighbours(tables, task, sound, now)
-    choice = choose_worker(POLICY, task, known, avoid)
+    choice = choose_worker(POLICY, task, known, avoid, now)
     if choice.worker_id:
         tables = cell_neighbours.note_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
--- a/bulrushpulley/systems/cell_spread.py
+++ b/bulrushpulley/systems/cell_spread.py
@@ -12,6 +12,8 @@
 
 OVER_TARGET = 1.0
 RETRY_S = 2.0
+# Ends before a waiting task leaves its cell, which it does after 30 s.
+HELD_BACK_S = 20.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -20,7 +22,8 @@
 
     A batch task is not placed where it is expected to push a service over its
     target, nor beside the first task of its job while that one shows its effect,
-    unless it is urgent.
+    unless it is urgent or has waited `HELD_BACK_S`: then the least harmful worker
+    takes it, so that no job waits for as long as a service runs.
     """
 
 
@@ -30,6 +33,7 @@
     task: Task,
     rooms: Sequence[Room],
     avoid: frozenset[str],
+    now: float,
 ) -> Choice:
     spec = task.row.spec
     fitting = [room for room in rooms if spec.size.fits(room.free)]
@@ -37,18 +41,23 @@
         reason = "no worker has room" if rooms else "no worker takes tasks"
         return Choice(worker_id="", reason=reason, passed_over=_ids(rooms))
     if spec.task_class is TaskClass.BATCH:
-        return _choose_for_batch(task, rooms, fitting, avoid)
+        return _choose_for_batch(task, rooms, fitting, avoid, now)
     best = min(fitting, key=lambda room: _service_key(room, avoid))
     return _choice(best, rooms, "least loaded, replicas spread")
 
 
 def _choose_for_batch(
-    task: Task, rooms: Sequence[Room], fitting: list[Room], avoid: frozenset[str]
+    task: Task,
+    rooms: Sequence[Room],
+    fitting: list[Room],
+    avoid: frozenset[str],
+    now: float,
 ) -> Choice:
     spec = task.row.spec
+    held_enough = now - task.since >= HELD_BACK_S
     unprobed = [room for room in fitting if not room.probed]
     harmless = [room for room in unprobed if room.expected_part <= OVER_TARGET]
-    if not harmless and not spec.urgent:
+    if not harmless and not spec.urgent and not held_enough:
         return Choice(
             worker_id="",
             reason=_refusal(unprobed),
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -20,7 +20,7 @@
     WorkerReported,
 )
 from bulrushpulley.platform.worker import WorkerClient
-from bulrushpulley.systems import cell_learn, cell_place, cell_suffer
+from bulrushpulley.systems import cell_learn, cell_place, cell_spread, cell_suffer
 from bulrushpulley.systems.cell_choice import FirstFit
 from standins import worker_core
 from test.cell_bench import CAPACITY, SIZE, CellBench
@@ -121,6 +121,20 @@
         self.assertEqual({1.0}, shares)
 
 
+class HeldBackTest(testtools.TestCase):
+    def test_a_job_that_harms_on_every_worker_starts_within_the_bound(self) -> None:
+        bench = colocated(harm_by_job={"noisy": 900.0})
+        bench.run(120.0)
+        bench.job("noisy-again", run_s=50.0)
+        held = cell_spread.HELD_BACK_S + cell_spread.RETRY_S
+        with mock.patch.object(cell_learn, "estimate", return_value=900.0):
+            bench.assign("a")
+            bench.run(held / 2)
+            self.assertEqual([], bench.running("noisy-again/0"))
+            bench.run(held)
+        self.assertNotEqual([], bench.running("noisy-again/0"))
+
+
 class WeightTest(testtools.TestCase):
     def _evicted_at(self, eviction_weight: float) -> tuple[float, float]:
         bench = colocated(
