--- /dev/null
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -0,0 +1,75 @@
+"""Follows the tables of accepted jobs and of agents' addresses."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.rows import HOSTS
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    RereadTable,
+    SchedulerStep,
+    SchedulerTables,
+    WatchTable,
+)
+from bulrushpulley.entities.jobs.store import ReadRange, StoredRow, WatchState
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems import store_watch
+from bulrushpulley.systems.scheduling import accepting, edits, loading
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Send the calls of the watches that are due."""
+    if not edits.is_loaded(tables):
+        return Step(tables=tables)
+    commands: list[Command] = []
+    for table, state in tables.watch_by_table.items():
+        if store_watch.due(state, now):
+            tables = _put(tables, table, store_watch.called(state))
+            purpose = WatchTable(table=table, epoch=tables.epoch)
+            commands.append(
+                store_watch.call(state, role=SCHEDULER, purpose=purpose, table=table)
+            )
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _put(tables: SchedulerTables, table: str, state: WatchState) -> SchedulerTables:
+    watches = tables.watch_by_table.set(table, state)
+    return replace(tables, watch_by_table=watches)
+
+
+def on_rows(
+    rows: tuple[StoredRow, ...],
+    version: int,
+    table: str,
+    tables: SchedulerTables,
+    now: float,
+) -> SchedulerStep:
+    """Take in the rows of a table, whether changed or read anew."""
+    state = tables.watch_by_table.get(table)
+    if state is None:
+        return Step(tables=tables)
+    tables = _put(tables, table, store_watch.answered(state, version))
+    if table == HOSTS:
+        return Step(tables=loading.on_hosts(tables, rows))
+    return accepting.on_rows(rows, tables, now)
+
+
+def on_history_lost(table: str, tables: SchedulerTables) -> SchedulerStep:
+    """Read the whole table again; the watch goes on from there."""
+    read = ReadRange(
+        role=SCHEDULER,
+        purpose=RereadTable(table=table, epoch=tables.epoch),
+        timeout_s=loading.LOAD_S,
+        table=table,
+        part=loading.PART_BY_TABLE[table],
+    )
+    return Step(tables=tables, commands=(read,))
+
+
+def on_failed(table: str, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Try again soon."""
+    state = tables.watch_by_table.get(table)
+    if state is None:
+        return Step(tables=tables)
+    return Step(tables=_put(tables, table, store_watch.failed(state, now)))
--- /dev/null
+++ b/bulrushpulley/systems/store_watch.py
@@ -0,0 +1,45 @@
+"""How a watch on a table of the store goes on after each of its answers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.store import Purpose, Watch, WatchState
+
+# A watch that hears nothing within this time may be on a dead connection; it must be
+# well below the 2.5 s in which a change has to be in force.
+WAIT_S = 1.0
+ANSWER_S = 0.7
+RETRY_S = 0.3
+
+
+def due(state: WatchState, now: float) -> bool:
+    """Tell whether the next call of a watch is due."""
+    return not state.in_flight and now >= state.retry_at
+
+
+def call(state: WatchState, *, role: str, purpose: Purpose, table: str) -> Watch:
+    """Return the next call of a watch."""
+    return Watch(
+        role=role,
+        purpose=purpose,
+        timeout_s=WAIT_S + ANSWER_S,
+        table=table,
+        after=state.after,
+        wait_s=WAIT_S,
+    )
+
+
+def called(state: WatchState) -> WatchState:
+    """Return the state while a call is out."""
+    return replace(state, in_flight=True)
+
+
+def answered(state: WatchState, version: int) -> WatchState:
+    """Return the state after changes up to `version` were read."""
+    return replace(state, in_flight=False, after=max(state.after, version))
+
+
+def failed(state: WatchState, now: float) -> WatchState:
+    """Return the state after a call without answer."""
+    return replace(state, in_flight=False, retry_at=now + RETRY_S)
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -55,13 +55,15 @@
     """A whole reply.
 
     `ran` is sent as the header `X-Ran`, so that a caller can tell a backend server's
-    own status from a refusal with the same one.
+    own status from a refusal with the same one. `retry_after_s` is sent as
+    `Retry-After`, in whole seconds rounded up.
     """
 
     status: int
     body: bytes
     content_type: str = JSON
     ran: Ran | None = None
+    retry_after_s: float | None = None
 
 
 def json_reply(status: int, value: Any, ran: Ran | None = None) -> HttpReply:
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import http
+import math
 import socket
 import threading
 import time
@@ -162,6 +163,8 @@
         ]
         if reply.ran is not None:
             headers.append(("X-Ran", reply.ran.value))
+        if reply.retry_after_s is not None:
+            headers.append(("Retry-After", str(math.ceil(reply.retry_after_s))))
         start(status, headers)
         return [reply.body]
 
--- /dev/null
+++ b/bulrushpulley/wire/job_items.py
@@ -0,0 +1,47 @@
+"""The encoding of the items between scheduler and agents, for the link's frames."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+import msgspec
+
+from bulrushpulley.entities.jobs import items
+from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+
+STEP = "link.decode"
+
+KINDS: tuple[type[items.JobItem], ...] = (
+    items.Adopt,
+    items.Orders,
+    items.EndsNoted,
+    items.ContactAck,
+    items.Contact,
+    items.HostReport,
+    items.RunsReport,
+    items.RunRefused,
+    items.LifeEnded,
+)
+KIND_BY_NAME: Mapping[str, type[items.JobItem]] = {
+    kind.__name__: kind for kind in KINDS
+}
+
+
+def encode_job_item(item: items.JobItem) -> bytes:
+    """Return the bytes of an item, which begin with the name of its kind."""
+    return msgspec.msgpack.encode((type(item).__name__, item))
+
+
+def decode_job_item(data: bytes, peer: str) -> items.JobItem | None:
+    """Return the item that `peer` sent; None for a kind that is not known."""
+    try:
+        name, body = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        kind = KIND_BY_NAME.get(name)
+        if kind is None:
+            return None
+        return replace(msgspec.msgpack.decode(body, type=kind), peer=peer)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        detail = f"{type(error).__name__}: {error}"
+        problem = Problem(code=Code.INVALID, step=STEP, peer=peer, detail=detail)
+        raise BulrushpulleyError(problem=problem) from error
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -27,8 +27,14 @@
     """Opens streams to entries; the hooks get `DialLinked` and `DialEnded`."""
 
     def __init__(
-        self, *, links: Links, hooks: LinkHooks, tls: ssl.SSLContext | None = None
+        self,
+        *,
+        links: Links,
+        hooks: LinkHooks,
+        tls: ssl.SSLContext | None = None,
+        hello_s: float = HELLO_S,
     ) -> None:
+        self._hello_s = hello_s
         self._links = links
         self._hooks = hooks
         self._tls = tls
@@ -62,7 +68,7 @@
             channel.close()
 
     async def _greet(self, stream: Any, address: str) -> LinkStream:
-        async with asyncio.timeout(HELLO_S):
+        async with asyncio.timeout(self._hello_s):
             await stream.send_request()
             await send_hello(stream, self._hooks)
         hello = await receive_hello(stream, address)
--- a/bulrushpulley/wire/link_codec.py
+++ b/bulrushpulley/wire/link_codec.py
@@ -16,10 +16,12 @@
 from google.protobuf.message import Message
 
 from bulrushpulley.entities import commit, link
+from bulrushpulley.entities.jobs.items import JobItem
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem, Ran
 from bulrushpulley.wire import link_pb2 as pb
+from bulrushpulley.wire.job_items import decode_job_item, encode_job_item
 from bulrushpulley.wire.rows import decode_row, encode_row
 
 STEP = "link.decode"
@@ -89,6 +91,11 @@
     ]
 
 
+@encode_item.register
+def _(item: JobItem) -> pb.Item:
+    return pb.Item(job_item=encode_job_item(item))
+
+
 @encode_item.register
 def _(item: link.Refused) -> pb.Item:
     problem = pb.Problem(
@@ -345,7 +352,7 @@
     )
 
 
-_DECODERS: Mapping[str, Callable[[Any, str], Event]] = {
+_DECODERS: Mapping[str, Callable[[Any, str], Event | None]] = {
     "refused": _refused,
     "cell_summary": _cell_summary,
     "submit": _submit,
@@ -354,5 +361,6 @@
     "entries": _entries,
     "assigned": _assigned,
     "conflicted": _conflicted,
+    "job_item": decode_job_item,
     **{name: partial(_decode_plain, plain=plain) for name, plain in _PLAIN.items()},
 }
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -38,7 +38,8 @@
 
     `receive` gets each decoded item and the `LinkUp` and `LinkDown` of each
     stream; `count` the byte counters; `report` the reason for which a stream was
-    closed. All are called on the event loop and must not block.
+    closed. All are called on the event loop and must not block. An idle link sends an
+    empty frame each `heartbeat_s` and ends after `silence_s` without one.
     """
 
     incarnation: str
@@ -46,6 +47,8 @@
     receive: Callable[[Event], None]
     count: Callable[[Count], None]
     report: Callable[[Problem], None]
+    heartbeat_s: float = HEARTBEAT_S
+    silence_s: float = SILENCE_S
 
 
 def link_error(*, code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
@@ -68,7 +71,7 @@
 
 @described.register
 def _(error: TimeoutError, peer: str) -> Problem:
-    detail = f"nothing heard or sent for {SILENCE_S:g} s"
+    detail = "nothing heard or sent within the time allowed"
     return Problem(code=Code.DEADLINE, step="link.stream", peer=peer, detail=detail)
 
 
@@ -168,7 +171,7 @@
 
     async def _read(self) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_S):
+            async with asyncio.timeout(self._hooks.silence_s):
                 frame = await self._stream.recv_message()
             if frame is None:
                 return
@@ -183,7 +186,7 @@
             await self._wait_for_items()
             frame = self._next_frame()
             self._count("link_bytes_sent", frame)
-            async with asyncio.timeout(SILENCE_S):
+            async with asyncio.timeout(self._hooks.silence_s):
                 await self._stream.send_message(frame)
             if not self._queue:
                 self._idle.set()
@@ -193,7 +196,7 @@
             return
         self._wake.clear()
         try:
-            async with asyncio.timeout(HEARTBEAT_S):
+            async with asyncio.timeout(self._hooks.heartbeat_s):
                 await self._wake.wait()
         except TimeoutError:
             return
