Learn which images slow which, and place and pace by it

What was measured side by side shows that only a few pairs of images do harm (a trial's regression: one of eight images for each serving one, the others none). Ruled out: pacing by chance of the measures alone (the harmless pairs stay flat in each bin of load). Change: agents send what ran side by side, the owner estimates the harm of each pair by the filter that cells already used (now interference_step), tells agents which pairs are harmful, and placement counts the harm that it expects.

--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -61,6 +61,41 @@
     sent_at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServingMeasure:
+    """The tail latency of a serving task of an image, in milliseconds."""
+
+    image: str
+    latency_ms: float
+    target_ms: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FillingMeasure:
+    """How much of the tasks of an image works on a host.
+
+    A unit is a tenth of the host's processors.
+    """
+
+    image: str
+    units: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Measures(JobItem):
+    """What ran side by side on a host, and how the serving tasks fared."""
+
+    serving: tuple[ServingMeasure, ...]
+    filling: tuple[FillingMeasure, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HarmfulPairs(JobItem):
+    """Pairs of a serving image and an image that slows it, as far as is known."""
+
+    pairs: tuple[tuple[str, str], ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostReport(JobItem):
     """What an agent knows of its host and backend server.
--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/keeper_tables.py
@@ -119,10 +119,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pacing:
-    """When paces were last decided, and since when no serving task needs it."""
+    """When paces were last decided, and since when no serving task needs it.
+
+    `harmful` are the pairs of a serving and a slowing image that the owner has told.
+    """
 
     decided_at: float = 0.0
     calm_since: float | None = None
+    harmful: frozenset[tuple[str, str]] = frozenset()
 
 
 def by_phase(run: Run) -> tuple[str, ...]:
@@ -162,6 +166,7 @@
     ends: PMap[int, RunEnd] = field(default_factory=pmap)
     ends_sent: int = 0
     pacing: Pacing = Pacing()
+    measured_at: float = 0.0
     reported: HostReport | None = None
     synced: bool = False
     registered: bool = False
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -10,6 +10,7 @@
 
 from pyrsistent import PMap, PSet, pmap, pset
 
+from bulrushpulley.entities.interference import Harm
 from bulrushpulley.entities.jobs import host, job, task
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.configuration import NOTHING_STANDING, Standing
@@ -156,6 +157,10 @@
     backlog_written: BacklogRow = NO_BACKLOG
     store_s: float = 0.05
     wall_offset_s: float = 0.0
+    harms: Table[Harm] = field(default_factory=Table.empty)
+    target_by_image: PMap[str, float] = field(default_factory=pmap)
+    harmful_sent: tuple[tuple[str, str], ...] = ()
+    harmful_at: float = 0.0
     place_due: bool = False
     placed_at: float = 0.0
     leaving: bool = False
--- a/bulrushpulley/systems/cell_learn.py
+++ b/bulrushpulley/systems/cell_learn.py
@@ -3,9 +3,7 @@
 A measurement shows the worker as it was `USAGE_LAG_S` before, so it is held
 against the batch tasks that ran then, each at its share of that time. The latency
 of a service is modelled as its own plus, for each batch task beside it, the harm
-of the job times the share. Each sample corrects the estimates by the step of a
-Kalman filter with independent states: what is least sure takes most of the error,
-so a job that long did no harm is not blamed for one that has just come.
+of the job times the share; `interference_step` corrects the estimates.
 """
 
 from __future__ import annotations
@@ -25,12 +23,10 @@
 from bulrushpulley.entities.rows import RecordRow, TaskClass
 from bulrushpulley.entities.task import Phase, Task, task_key
 from bulrushpulley.entities.worker_calls import RunUsage, WorkerReported
-from bulrushpulley.systems import cell_suffer
+from bulrushpulley.systems import cell_suffer, interference_step
 
 USAGE_LAG_S = 10.0
 OWN = ""
-NOISE_VARIANCE = 0.5
-DRIFT_VARIANCE = 0.002
 USAGE_WEIGHT = 0.2
 LATENCY_WEIGHT = 0.3
 OWN_PART_OF_TARGET = 0.5
@@ -147,19 +143,8 @@
     share_by_job = {OWN: 1.0, **_shares_beside(tables, worker_id, now)}
     target_ms = float(service.latency_target_ms)
     harms = [harm_of(tables, service.name, job, target_ms, now) for job in share_by_job]
-    expected = sum(harm.estimate_ms * share_by_job[harm.job] for harm in harms)
-    spread = sum(harm.variance * share_by_job[harm.job] ** 2 for harm in harms)
-    error_ms = sample_ms - expected
-    for harm in harms:
-        share = share_by_job[harm.job]
-        gain = harm.variance * share / (spread + NOISE_VARIANCE)
-        corrected = replace(
-            harm,
-            estimate_ms=max(0.0, harm.estimate_ms + gain * error_ms),
-            variance=harm.variance * (1.0 - gain * share) + DRIFT_VARIANCE,
-            at=now,
-        )
-        tables = _put_harm(tables, corrected)
+    for harm in interference_step.corrected(harms, share_by_job, sample_ms, now):
+        tables = _put_harm(tables, harm)
     return tables
 
 
--- a/bulrushpulley/systems/keeping/events.py
+++ b/bulrushpulley/systems/keeping/events.py
@@ -19,7 +19,13 @@
     StopUnanswered,
     Withdrawn,
 )
-from bulrushpulley.entities.jobs.items import Adopt, ContactAck, EndsNoted, Orders
+from bulrushpulley.entities.jobs.items import (
+    Adopt,
+    ContactAck,
+    EndsNoted,
+    HarmfulPairs,
+    Orders,
+)
 from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables
 from bulrushpulley.entities.jobs.store import StoreEvent
 from bulrushpulley.entities.link import LinkDown
@@ -58,5 +64,6 @@
 apply.register(Adopt, obeying.on_adopt)
 apply.register(Orders, obeying.on_orders)
 apply.register(ContactAck, obeying.on_contact_ack)
+apply.register(HarmfulPairs, pacing.on_harmful)
 apply.register(LinkDown, obeying.on_link_down)
 apply.register(StoreEvent, registering.on_answer)
--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -1,12 +1,13 @@
 """Slows what disturbs serving tasks, as soon as one of them nears its target.
 
-The loop knows nobody's share in the harm: while any serving task is near its target,
-every run that may disturb is slowed; when all have been well for a while, they get
-their speed back in steps.
+While a serving task is near its target, the runs that are known to slow its image
+are slowed, and all that may disturb if that is not enough or nothing is known. When
+all have been well for a while, the runs get their speed back in steps.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.executor_calls import (
@@ -14,10 +15,10 @@
     PaceFailed,
     PaceRun,
 )
+from bulrushpulley.entities.jobs.items import HarmfulPairs
 from bulrushpulley.entities.jobs.keeper_tables import (
     KeeperStep,
     KeeperTables,
-    Pacing,
     Run,
     RunPhase,
 )
@@ -33,6 +34,8 @@
 # Calm for two measures in a row before any speed comes back.
 CALM_S = 0.9
 SLOWER = 0.5
+# Known culprits at this pace or less are slowed no further alone.
+ENOUGH_PERCENT = 25
 FASTER_PERCENT = 15
 LEAST_PERCENT = 5
 CALL_S = 0.5
@@ -42,23 +45,76 @@
 AGAIN_S = 1.0
 
 
+def on_harmful(event: HarmfulPairs, tables: KeeperTables, now: float) -> KeeperStep:
+    """Note which images slow which, as the owner has learned it from all hosts."""
+    if event.epoch != tables.epoch:
+        return Step(tables=tables)
+    pacing = replace(tables.pacing, harmful=frozenset(event.pairs))
+    return Step(tables=replace(tables, pacing=pacing))
+
+
 def decide(tables: KeeperTables, now: float) -> KeeperStep:
     """Set the pace of every run that may disturb, by the latest measures."""
     pacing = tables.pacing
     if tables.server is None or now - pacing.decided_at < DECIDE_S:
         return Step(tables=tables)
     runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
-    parts = [part for run_ in runs if (part := _part_of_target(run_)) is not None]
-    worst = max(parts, default=0.0)
+    part_by_image = _parts(runs)
+    worst = max(part_by_image.values(), default=0.0)
     calm_since = pacing.calm_since
     calm_since = None if worst >= WELL else (now if calm_since is None else calm_since)
     is_calm = calm_since is not None and now - calm_since >= CALM_S
-    tables = replace(tables, pacing=Pacing(decided_at=now, calm_since=calm_since))
-    lines: list[Command] = []
+    pacing = replace(pacing, decided_at=now, calm_since=calm_since)
+    tables = replace(tables, pacing=pacing)
+    disturbing = [
+        run_ for run_ in runs if run_.wanted and run_.order and run_.order.disturbs
+    ]
+    near = [image for image, part in part_by_image.items() if part > NEAR]
+    if near:
+        return _slow(tables, _blamed(tables, disturbing, near), worst)
+    if is_calm:
+        return _set(tables, disturbing, worst, lambda pace: pace + FASTER_PERCENT)
+    return Step(tables=tables)
+
+
+def _parts(runs: list[Run]) -> dict[str, float]:
+    """Return by image the worst latency of its serving runs, as a part of the target."""
+    part_by_image: dict[str, float] = {}
     for run_ in runs:
-        if run_.order is None or not run_.order.disturbs or not run_.wanted:
+        if run_.order is None or run_.status is None or run_.order.target_ms <= 0.0:
             continue
-        pace = _next_pace(run_.pace, worst, is_calm)
+        part = run_.status.measure / run_.order.target_ms
+        image = run_.order.image
+        part_by_image[image] = max(part, part_by_image.get(image, 0.0))
+    return part_by_image
+
+
+def _blamed(tables: KeeperTables, disturbing: list[Run], near: list[str]) -> list[Run]:
+    """Return the runs known to slow what suffers; all, if slowing those is not enough.
+
+    While nothing is known of anybody, everybody is blamed.
+    """
+    known = [
+        run_
+        for run_ in disturbing
+        if run_.order is not None
+        and any((image, run_.order.image) in tables.pacing.harmful for image in near)
+    ]
+    if any(run_.pace > ENOUGH_PERCENT for run_ in known):
+        return known
+    return disturbing
+
+
+def _slow(tables: KeeperTables, blamed: list[Run], worst: float) -> KeeperStep:
+    return _set(tables, blamed, worst, lambda pace: int(pace * SLOWER))
+
+
+def _set(
+    tables: KeeperTables, runs: list[Run], worst: float, pace_of: Callable[[int], int]
+) -> KeeperStep:
+    lines: list[Command] = []
+    for run_ in runs:
+        pace = min(100, max(LEAST_PERCENT, pace_of(run_.pace)))
         if pace == run_.pace:
             continue
         paced = replace(run_, pace=pace)
@@ -67,20 +123,6 @@
     return Step(tables=tables, commands=tuple(lines))
 
 
-def _part_of_target(run_: Run) -> float | None:
-    if run_.order is None or run_.status is None or run_.order.target_ms <= 0.0:
-        return None
-    return run_.status.measure / run_.order.target_ms
-
-
-def _next_pace(pace: int, worst: float, is_calm: bool) -> int:
-    if worst > NEAR:
-        return max(LEAST_PERCENT, int(pace * SLOWER))
-    if is_calm:
-        return min(100, pace + FASTER_PERCENT)
-    return pace
-
-
 def run(tables: KeeperTables, now: float) -> KeeperStep:
     """Send the paces that were not taken, and those that a late call may undo."""
     server = tables.server
--- a/bulrushpulley/systems/keeping/reporting.py
+++ b/bulrushpulley/systems/keeping/reporting.py
@@ -4,8 +4,20 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.jobs.items import Contact, HostReport, RunsReport
-from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables, Run
+from bulrushpulley.entities.jobs.items import (
+    Contact,
+    FillingMeasure,
+    HostReport,
+    Measures,
+    RunsReport,
+    ServingMeasure,
+)
+from bulrushpulley.entities.jobs.keeper_tables import (
+    KeeperStep,
+    KeeperTables,
+    Run,
+    RunPhase,
+)
 from bulrushpulley.entities.jobs.runs import RunStatus
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import NOTHING
@@ -15,6 +27,8 @@
 CONTACT_S = 0.8
 # Checkpoints are of use only when the host is lost, so old ones do.
 CHECKPOINT_S = 1.0
+# Latencies are measured over half a second.
+MEASURE_S = 0.5
 
 
 def run(tables: KeeperTables, now: float) -> KeeperStep:
@@ -22,7 +36,7 @@
     if not tables.owner:
         return Step(tables=tables)
     commands: list[Command] = []
-    for part in (_contact, _host, _runs):
+    for part in (_contact, _host, _runs, _measures):
         step = part(tables, now)
         tables = step.tables
         commands.extend(step.commands)
@@ -91,6 +105,38 @@
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=item),))
 
 
+def _measures(tables: KeeperTables, now: float) -> KeeperStep:
+    server = tables.server
+    if server is None or now - tables.measured_at < MEASURE_S:
+        return Step(tables=tables)
+    runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
+    serving: list[ServingMeasure] = []
+    units_by_image: dict[str, float] = {}
+    unit_m = max(1.0, server.capacity.processors_m / 10)
+    for run_ in runs:
+        if run_.order is None or run_.status is None:
+            continue
+        order, measure = run_.order, run_.status.measure
+        if order.target_ms > 0.0:
+            serving.append(
+                ServingMeasure(
+                    image=order.image, latency_ms=measure, target_ms=order.target_ms
+                )
+            )
+        elif order.disturbs:
+            units = units_by_image.get(order.image, 0.0) + measure / unit_m
+            units_by_image[order.image] = units
+    tables = replace(tables, measured_at=now)
+    if not serving:
+        return Step(tables=tables)
+    filling = tuple(
+        FillingMeasure(image=image, units=round(units, 2))
+        for image, units in units_by_image.items()
+    )
+    item = Measures(epoch=tables.epoch, serving=tuple(serving), filling=filling)
+    return Step(tables=tables, commands=(Send(peer=tables.owner, item=item),))
+
+
 def _is_news(run_: Run, now: float) -> bool:
     if run_.reported is None or run_.status is None:
         return True
--- a/bulrushpulley/systems/keeping/server_life.py
+++ b/bulrushpulley/systems/keeping/server_life.py
@@ -13,7 +13,6 @@
     Hold,
     KeeperStep,
     KeeperTables,
-    Pacing,
     Server,
 )
 from bulrushpulley.entities.link import Send
@@ -95,7 +94,7 @@
         ends_sent=0,
         ordered=False,
         synced=False,
-        pacing=Pacing(),
+        pacing=replace(tables.pacing, calm_since=None),
     )
     commands: list[Command] = [_line(tables, server.life, "ended", reason)]
     if tables.owner:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -14,6 +14,7 @@
     HostReport,
     JobItem,
     LifeEnded,
+    Measures,
     Orders,
     RunRefused,
     RunsReport,
@@ -35,7 +36,13 @@
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, job_of
 from bulrushpulley.entities.link import LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import draining, edits, endings, evidence
+from bulrushpulley.systems.scheduling import (
+    draining,
+    edits,
+    endings,
+    evidence,
+    learning,
+)
 
 KEPT = frozenset({TaskState.HELD, TaskState.RUNNING})
 
@@ -161,6 +168,9 @@
     return Step(tables=step.tables, commands=(line, *step.commands))
 
 
+on_report.register(Measures, learning.on_measures)
+
+
 def _held(
     tables: SchedulerTables, host: Host, life: str, task_id: str, run: int
 ) -> Task | None:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from functools import partial
 
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
@@ -23,7 +24,7 @@
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, learning
 from bulrushpulley.systems.scheduling.ranking import Room, cost, kind_of
 
 # An agent makes contact each second; one that missed two gets nothing new.
@@ -51,12 +52,7 @@
         return Step(tables=tables)
     tables = replace(tables, place_due=False, placed_at=now)
     rooms = {
-        host.name: Room(
-            host=host,
-            free=host.free,
-            filling_m=host.filling_m,
-            serving=host.serving,
-        )
+        host.name: room_of(tables, host)
         for host in tables.hosts.rows()
         if is_open(tables, host, now)
     }
@@ -69,6 +65,27 @@
     return Step(tables=state.tables, commands=state.lines)
 
 
+def room_of(tables: SchedulerTables, host: Host) -> Room:
+    """Return the room of a host, with the images of what it holds."""
+    target_by_image: dict[str, float] = {}
+    units_by_image: dict[str, float] = {}
+    capacity = max(1, host.capacity.processors_m)
+    for task in tables.tasks.rows_where("host", host.name):
+        step = edits.step_of(tables, task)
+        if step.serves:
+            target_by_image[step.image] = step.latency_target_ms
+        elif step.image:
+            units = 10 * step.size.processors_m / capacity
+            units_by_image[step.image] = units_by_image.get(step.image, 0.0) + units
+    return Room(
+        host=host,
+        free=host.free,
+        filling_m=host.filling_m,
+        target_by_image=target_by_image,
+        units_by_image=units_by_image,
+    )
+
+
 def is_open(tables: SchedulerTables, host: Host, now: float) -> bool:
     """Tell whether a host takes new tasks."""
     return (
@@ -174,6 +191,7 @@
     if not fitting:
         return None
     kind = kind_of(step)
+    harm_part = partial(learning.harm_part, state.tables)
     racks = {
         state.room_by_host[name].host.rack
         for name in siblings
@@ -184,7 +202,7 @@
         key=lambda room: (
             bool(step.near_rack) and room.host.rack != step.near_rack,
             step.one_rack and bool(racks) and room.host.rack not in racks,
-            cost(kind, step, room),
+            cost(kind, step, room, harm_part),
             room.host.name,
         ),
     )
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from functools import singledispatch
 
@@ -17,7 +18,8 @@
     host: Host
     free: Resources
     filling_m: int
-    serving: int
+    target_by_image: Mapping[str, float]
+    units_by_image: Mapping[str, float]
 
     @property
     def load(self) -> float:
@@ -28,13 +30,24 @@
     def with_task(self, step: StepSpec) -> Room:
         """Return the room after one more task of a step."""
         filling = step.size.processors_m if step.fills else 0
+        targets, units = self.target_by_image, self.units_by_image
+        if step.serves:
+            targets = {**targets, step.image: step.latency_target_ms}
+        elif step.image:
+            more = units.get(step.image, 0.0) + self.units_of(step)
+            units = {**units, step.image: more}
         return replace(
             self,
             free=self.free.minus(step.committed),
             filling_m=self.filling_m + filling,
-            serving=self.serving + int(step.serves),
+            target_by_image=targets,
+            units_by_image=units,
         )
 
+    def units_of(self, step: StepSpec) -> float:
+        """Return how much one task of a step is, in tenths of the processors."""
+        return 10 * step.size.processors_m / max(1, self.host.capacity.processors_m)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Kind:
@@ -56,11 +69,6 @@
     """Takes what is left over, and may slow those that serve beside it."""
 
 
-# How much emptier, as a part of the capacity, a host without serving tasks may be
-# taken for: a filling task there is never paced.
-QUIET_BONUS = 0.25
-
-
 def kind_of(step: StepSpec) -> Kind:
     """Return the kind of the tasks of a step."""
     if step.serves:
@@ -70,18 +78,45 @@
     return Plain()
 
 
+# What an expected latency as high as the target weighs against the load of a host.
+HARM_WEIGHT = 2.0
+# How much emptier a host without serving tasks, or with tasks of the same image, may
+# be taken for: what is not known there cannot do harm.
+QUIET_BONUS = 0.1
+SAME_BONUS = 0.15
+
+HarmPart = Callable[[str, str, float], float]
+
+
 @singledispatch
-def cost(kind: Kind, step: StepSpec, room: Room) -> float:
-    """Return how dear a room is for a task; the least is taken."""
+def cost(kind: Kind, step: StepSpec, room: Room, harm_part: HarmPart) -> float:
+    """Return how dear a room is for a task; the least is taken.
+
+    `harm_part` tells what one unit of an image adds to the latency of a serving
+    image, as a part of a target.
+    """
     return room.load
 
 
 @cost.register
-def _(kind: Serving, step: StepSpec, room: Room) -> float:
-    return room.filling_m / max(1, room.host.capacity.processors_m) + room.load / 4
+def _(kind: Serving, step: StepSpec, room: Room, harm_part: HarmPart) -> float:
+    harm = sum(
+        harm_part(step.image, image, step.latency_target_ms) * units
+        for image, units in room.units_by_image.items()
+    )
+    same = SAME_BONUS if step.image in room.target_by_image else 0.0
+    return room.load + HARM_WEIGHT * harm - same
 
 
 @cost.register
-def _(kind: Filling, step: StepSpec, room: Room) -> float:
-    after = step.size.processors_m / max(1, room.host.capacity.processors_m)
-    return room.load + after + (QUIET_BONUS if room.serving else 0.0)
+def _(kind: Filling, step: StepSpec, room: Room, harm_part: HarmPart) -> float:
+    units = room.units_of(step)
+    harm = max(
+        (
+            harm_part(serving, step.image, target_ms) * units
+            for serving, target_ms in room.target_by_image.items()
+        ),
+        default=0.0,
+    )
+    beside = QUIET_BONUS if room.target_by_image else 0.0
+    return room.load + units / 10 + HARM_WEIGHT * harm + beside
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -18,6 +18,8 @@
     items.EndsNoted,
     items.ContactAck,
     items.Contact,
+    items.Measures,
+    items.HarmfulPairs,
     items.HostReport,
     items.RunsReport,
     items.RunRefused,
--- a/test/test_link_codec.py
+++ b/test/test_link_codec.py
@@ -5,6 +5,8 @@
 import testtools
 
 from bulrushpulley.entities import commit, link
+from bulrushpulley.entities.jobs import items
+from bulrushpulley.entities.jobs.runs import RunEnd, RunStatus
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import ClaimRow, LeaseRow, RevisionRow
 from bulrushpulley.entities.step import Event
@@ -97,6 +99,14 @@
     "unsettled": commit.Unsettled(submission_id="a/1", reason="lost"),
     "offer": link.Offer(peer=PEER, cell="c"),
     "job_cancelled": link.JobCancelled(peer=PEER, job="j"),
+    "job_item": items.RunsReport(
+        peer=PEER,
+        epoch=2,
+        life="i-1/5",
+        runs=(RunStatus(task_id="j.0.0.1", run=3, checkpoint="c", measure=40),),
+        ends=(RunEnd(number=1, task_id="j.0.0.2", run=1, how="done"),),
+        complete=True,
+    ),
 }
 MALFORMED: dict[str, pb.Item] = {
     "unknown outcome": pb.Item(refused=pb.Refused(ran="perhaps")),
@@ -104,6 +114,8 @@
     "row is no JSON": pb.Item(
         assigned=pb.Assigned(rows=[pb.VersionedRow(key="k", row=b"{")])
     ),
+    "job item of another shape": pb.Item(job_item=b"\x92\xa5Adopt\x01"),
+    "job item that is no message": pb.Item(job_item=b"\xc1"),
     "row of unknown kind": pb.Item(
         submit=pb.Submission(
             writes=[pb.Write(key="k", row=b'{"token":"","kind":"x","row":{}}')]
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -38,6 +38,7 @@
     links: Links
     told: asyncio.Queue[Event] = field(default_factory=asyncio.Queue)
     problems: list[Problem] = field(default_factory=list)
+    silence_s: float = link_stream.SILENCE_S
 
     def hooks(self) -> LinkHooks:
         return LinkHooks(
@@ -46,6 +47,7 @@
             receive=self.told.put_nowait,
             count=lambda count: None,
             report=self.problems.append,
+            silence_s=self.silence_s,
         )
 
     async def wait_for(self, wanted: Event) -> None:
@@ -62,8 +64,9 @@
     )
 
 
-def make_end(name: str) -> End:
-    return End(name=name, links=Links(loop=asyncio.get_running_loop()))
+def make_end(name: str, silence_s: float = link_stream.SILENCE_S) -> End:
+    links = Links(loop=asyncio.get_running_loop())
+    return End(name=name, links=links, silence_s=silence_s)
 
 
 async def serve(entry: End) -> LinkServer:
@@ -172,10 +175,8 @@
         self.run_async(work())
 
     def test_a_silent_peer_is_dropped(self) -> None:
-        self.patch(link_stream, "SILENCE_S", 0.2)
-
         async def work() -> None:
-            entry = make_end("entry")
+            entry = make_end("entry", silence_s=0.2)
             server = await serve(entry)
 
             async def stay_silent(stream: Any) -> None:
