--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -78,7 +78,7 @@
 
 
 def _parts(runs: list[Run]) -> dict[str, float]:
-    """Return by image the worst latency of its serving runs, as a part of the target."""
+    """Return by image the worst latency of its runs, as a part of their target."""
     part_by_image: dict[str, float] = {}
     for run_ in runs:
         if run_.order is None or run_.status is None or run_.order.target_ms <= 0.0:
--- a/bulrushpulley/systems/scheduling/owning.py
+++ b/bulrushpulley/systems/scheduling/owning.py
@@ -58,7 +58,9 @@
 
 @advance.register
 def _(leadership: Following, tables: SchedulerTables, now: float) -> SchedulerStep:
-    if leadership.polling or now - leadership.polled_at < POLL_S or tables.leaving:
+    if tables.leaving or tables.standing.configuration is None:
+        return Step(tables=tables)
+    if leadership.polling or now - leadership.polled_at < POLL_S:
         return Step(tables=tables)
     polling = replace(leadership, polling=True, polled_at=now)
     read = ReadRange(
@@ -123,7 +125,7 @@
 
 
 def _reason_to_claim(seen: Following, tables: SchedulerTables, now: float) -> str:
-    if tables.leaving or tables.standing.configuration is None:
+    if tables.leaving:
         return ""
     if seen.row is None:
         return "it has no owner" if _is_first(seen, tables, now) else ""
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -16,6 +16,7 @@
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.jobs.scheduler_tables import (
+    Owning,
     SchedulerStep,
     SchedulerTables,
     SendStart,
@@ -32,6 +33,8 @@
 # Hosts come back from being set aside without any event.
 PASS_S = 0.5
 MAX_PLACED = 400
+# Agents that can be reached list their runs to a new owner within this time.
+SETTLE_S = 0.6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,6 +53,8 @@
     due = tables.place_due or now - tables.placed_at >= PASS_S
     if not edits.is_loaded(tables) or not waiting or not due or tables.leaving:
         return Step(tables=tables)
+    if _is_settling(tables, now):
+        return Step(tables=tables)
     tables = replace(tables, place_due=False, placed_at=now)
     rooms = {
         host.name: room_of(tables, host)
@@ -65,6 +70,15 @@
     return Step(tables=state.tables, commands=state.lines)
 
 
+def _is_settling(tables: SchedulerTables, now: float) -> bool:
+    """Wait for the agents after a takeover, lest the first one gets everything."""
+    owning = tables.leadership
+    since = owning.since if isinstance(owning, Owning) else now
+    if now - since >= SETTLE_S:
+        return False
+    return any(host.address and not host.synced for host in tables.hosts.rows())
+
+
 def room_of(tables: SchedulerTables, host: Host) -> Room:
     """Return the room of a host, with the images of what it holds."""
     target_by_image: dict[str, float] = {}
