Pack serving tasks, and pace by a verdict for each pair of images

Change: serving tasks go to the fullest host, those of one image together; the owner tells agents for each pair whether it is harmful, harmless or unknown; a run is paced only by the images that it may harm, and gets its speed back by the same.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -32,7 +32,7 @@
     tenure, and zero before. `adopted_epoch` is the tenure that the agent was told
     of. It is `synced` once the agent has listed every run of
     this life to this owner. `committed` is what its tasks hold. Nothing is placed
-    on it before `aside_until`.
+    on it before `aside_until`. `told` is the last word to its agent on who slows whom.
     """
 
     name: str
@@ -57,6 +57,7 @@
     aside_until: float = 0.0
     failed_at: tuple[float, ...] = ()
     done_at: float = 0.0
+    told: object | None = None
 
     @property
     def rack(self) -> str:
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -90,10 +90,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HarmfulPairs(JobItem):
-    """Pairs of a serving image and an image that slows it, as far as is known."""
+class HarmVerdicts(JobItem):
+    """Which images slow which serving images on the host, as far as is known.
 
-    pairs: tuple[tuple[str, str], ...]
+    Each pair names the serving image first. A pair in neither list is not known yet.
+    """
+
+    harmful: tuple[tuple[str, str], ...]
+    harmless: tuple[tuple[str, str], ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/keeper_tables.py
@@ -119,14 +119,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pacing:
-    """When paces were last decided, and since when no serving task needs it.
+    """When paces were last decided, and what the owner has told of pairs of images.
 
-    `harmful` are the pairs of a serving and a slowing image that the owner has told.
+    `near_since` is since when the serving tasks of an image have been near their
+    target without a break.
     """
 
     decided_at: float = 0.0
-    calm_since: float | None = None
     harmful: frozenset[tuple[str, str]] = frozenset()
+    harmless: frozenset[tuple[str, str]] = frozenset()
+    near_since: PMap[str, float] = field(default_factory=pmap)
 
 
 def by_phase(run: Run) -> tuple[str, ...]:
@@ -167,7 +169,7 @@
     )
     ends: PMap[int, RunEnd] = field(default_factory=pmap)
     ends_sent: int = 0
-    pacing: Pacing = Pacing()
+    pacing: Pacing = field(default_factory=Pacing)
     measured_at: float = 0.0
     reported: HostReport | None = None
     synced: bool = False
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -159,8 +159,8 @@
     wall_offset_s: float = 0.0
     harms: Table[Harm] = field(default_factory=Table.empty)
     target_by_image: PMap[str, float] = field(default_factory=pmap)
-    harmful_sent: tuple[tuple[str, str], ...] = ()
-    harmful_at: float = 0.0
+    harmful: frozenset[tuple[str, str]] = frozenset()
+    told_at: float = 0.0
     place_due: bool = False
     placed_at: float = 0.0
     leaving: bool = False
--- a/bulrushpulley/systems/keeping/events.py
+++ b/bulrushpulley/systems/keeping/events.py
@@ -23,7 +23,7 @@
     Adopt,
     ContactAck,
     EndsNoted,
-    HarmfulPairs,
+    HarmVerdicts,
     Orders,
 )
 from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables
@@ -64,6 +64,6 @@
 apply.register(Adopt, obeying.on_adopt)
 apply.register(Orders, obeying.on_orders)
 apply.register(ContactAck, obeying.on_contact_ack)
-apply.register(HarmfulPairs, pacing.on_harmful)
+apply.register(HarmVerdicts, pacing.on_verdicts)
 apply.register(LinkDown, obeying.on_link_down)
 apply.register(StoreEvent, registering.on_answer)
--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -1,13 +1,12 @@
 """Slows what disturbs serving tasks, as soon as one of them nears its target.
 
-While a serving task is near its target, the runs that are known to slow its image
-are slowed, and all that may disturb if that is not enough or nothing is known. When
-all have been well for a while, the runs get their speed back in steps.
+While a serving task is near its target, the runs beside it are slowed, but for those
+whose images are known to be harmless to it; if that does not help, they too. When what
+a run may harm is well, it gets its speed back in steps.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.executor_calls import (
@@ -15,10 +14,11 @@
     PaceFailed,
     PaceRun,
 )
-from bulrushpulley.entities.jobs.items import HarmfulPairs
+from bulrushpulley.entities.jobs.items import HarmVerdicts
 from bulrushpulley.entities.jobs.keeper_tables import (
     KeeperStep,
     KeeperTables,
+    Pacing,
     Run,
     RunPhase,
 )
@@ -31,11 +31,10 @@
 # there is room to give speed back.
 NEAR = 0.95
 WELL = 0.8
-# Calm for two measures in a row before any speed comes back.
-CALM_S = 0.9
 SLOWER = 0.5
-# Known culprits at this pace or less are slowed no further alone.
-ENOUGH_PERCENT = 25
+# After this time near the target nobody is held to be harmless any more; together
+# with the steps down it stays well within the 4 s that a task may be over its target.
+DOUBT_S = 1.4
 FASTER_PERCENT = 15
 LEAST_PERCENT = 5
 CALL_S = 0.5
@@ -45,36 +44,44 @@
 AGAIN_S = 1.0
 
 
-def on_harmful(event: HarmfulPairs, tables: KeeperTables, now: float) -> KeeperStep:
+def on_verdicts(event: HarmVerdicts, tables: KeeperTables, now: float) -> KeeperStep:
     """Note which images slow which, as the owner has learned it from all hosts."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
-    pacing = replace(tables.pacing, harmful=frozenset(event.pairs))
+    pacing = replace(
+        tables.pacing,
+        harmful=frozenset(event.harmful),
+        harmless=frozenset(event.harmless),
+    )
     return Step(tables=replace(tables, pacing=pacing))
 
 
 def decide(tables: KeeperTables, now: float) -> KeeperStep:
     """Set the pace of every run that may disturb, by the latest measures."""
-    pacing = tables.pacing
-    if tables.server is None or now - pacing.decided_at < DECIDE_S:
+    if tables.server is None or now - tables.pacing.decided_at < DECIDE_S:
         return Step(tables=tables)
     runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
     part_by_image = _parts(runs)
-    worst = max(part_by_image.values(), default=0.0)
-    calm_since = pacing.calm_since
-    calm_since = None if worst >= WELL else (now if calm_since is None else calm_since)
-    is_calm = calm_since is not None and now - calm_since >= CALM_S
-    pacing = replace(pacing, decided_at=now, calm_since=calm_since)
+    near_since = tables.pacing.near_since
+    for image, part in part_by_image.items():
+        if part <= NEAR:
+            near_since = near_since.discard(image)
+        elif image not in near_since:
+            near_since = near_since.set(image, now)
+    pacing = replace(tables.pacing, decided_at=now, near_since=near_since)
     tables = replace(tables, pacing=pacing)
-    disturbing = [
-        run_ for run_ in runs if run_.wanted and run_.order and run_.order.disturbs
-    ]
-    near = [image for image, part in part_by_image.items() if part > NEAR]
-    if near:
-        return _slow(tables, _blamed(tables, disturbing, near), worst)
-    if is_calm:
-        return _set(tables, disturbing, worst, lambda pace: pace + FASTER_PERCENT)
-    return Step(tables=tables)
+    lines: list[Command] = []
+    for run_ in runs:
+        if run_.order is None or not run_.order.disturbs or not run_.wanted:
+            continue
+        worst = _worst_beside(pacing, run_.order.image, part_by_image, now)
+        pace = _next_pace(run_.pace, worst)
+        if pace == run_.pace:
+            continue
+        paced = replace(run_, pace=pace)
+        tables = replace(tables, runs=tables.runs.put(run_.key, paced))
+        lines.append(_line(tables, paced, f"worst at {worst:.2f} of its target"))
+    return Step(tables=tables, commands=tuple(lines))
 
 
 def _parts(runs: list[Run]) -> dict[str, float]:
@@ -89,38 +96,29 @@
     return part_by_image
 
 
-def _blamed(tables: KeeperTables, disturbing: list[Run], near: list[str]) -> list[Run]:
-    """Return the runs known to slow what suffers; all, if slowing those is not enough.
+def _worst_beside(
+    pacing: Pacing, image: str, part_by_image: dict[str, float], now: float
+) -> float:
+    """Return the worst latency that an image may have to do with.
 
-    While nothing is known of anybody, everybody is blamed.
+    One that is known to be harmless to what suffers is left alone, unless slowing
+    the others has not helped for a while.
     """
-    known = [
-        run_
-        for run_ in disturbing
-        if run_.order is not None
-        and any((image, run_.order.image) in tables.pacing.harmful for image in near)
-    ]
-    if any(run_.pace > ENOUGH_PERCENT for run_ in known):
-        return known
-    return disturbing
-
-
-def _slow(tables: KeeperTables, blamed: list[Run], worst: float) -> KeeperStep:
-    return _set(tables, blamed, worst, lambda pace: int(pace * SLOWER))
+    worst = 0.0
+    for serving, part in part_by_image.items():
+        suffers_s = now - pacing.near_since.get(serving, now)
+        if (serving, image) in pacing.harmless and suffers_s < DOUBT_S:
+            continue
+        worst = max(worst, part)
+    return worst
 
 
-def _set(
-    tables: KeeperTables, runs: list[Run], worst: float, pace_of: Callable[[int], int]
-) -> KeeperStep:
-    lines: list[Command] = []
-    for run_ in runs:
-        pace = min(100, max(LEAST_PERCENT, pace_of(run_.pace)))
-        if pace == run_.pace:
-            continue
-        paced = replace(run_, pace=pace)
-        tables = replace(tables, runs=tables.runs.put(run_.key, paced))
-        lines.append(_line(tables, paced, f"worst at {worst:.2f} of its target"))
-    return Step(tables=tables, commands=tuple(lines))
+def _next_pace(pace: int, worst: float) -> int:
+    if worst > NEAR:
+        return max(LEAST_PERCENT, int(pace * SLOWER))
+    if worst < WELL:
+        return min(100, pace + FASTER_PERCENT)
+    return pace
 
 
 def run(tables: KeeperTables, now: float) -> KeeperStep:
--- a/bulrushpulley/systems/keeping/server_life.py
+++ b/bulrushpulley/systems/keeping/server_life.py
@@ -101,7 +101,7 @@
         ends_sent=0,
         ordered=False,
         synced=False,
-        pacing=replace(tables.pacing, calm_since=None),
+        pacing=replace(tables.pacing, near_since=pmap()),
     )
     commands: list[Command] = [_line(tables, server.life, "ended", reason)]
     if tables.owner:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -53,7 +53,7 @@
     """Note the agent's process; it is adopted at the next tick of an owner."""
     name = host_of_peer(event.peer)
     host = tables.hosts.get(name) or Host(name=name)
-    linked = replace(host, peer=event.peer, synced=False, redials=0)
+    linked = replace(host, peer=event.peer, synced=False, redials=0, told=None)
     return Step(tables=edits.put_host(tables, linked))
 
 
--- a/bulrushpulley/systems/scheduling/learning.py
+++ b/bulrushpulley/systems/scheduling/learning.py
@@ -10,8 +10,9 @@
 
 from bulrushpulley.entities.interference import Harm, harm_key
 from bulrushpulley.entities.jobs.host import Host
-from bulrushpulley.entities.jobs.items import HarmfulPairs, Measures, ServingMeasure
+from bulrushpulley.entities.jobs.items import HarmVerdicts, Measures, ServingMeasure
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
+from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import interference_step
@@ -26,8 +27,12 @@
 # forgiven below the second: a few units take a serving task past its target.
 HARMFUL_PART = 0.12
 FORGIVEN_PART = 0.07
+# An estimate that is this much surer than a first guess may clear an image.
+KNOWN_VARIANCE = 0.15
 TELL_S = 1.0
 
+Pair = tuple[str, str]
+
 
 def on_measures(
     event: Measures, host: Host, tables: SchedulerTables, now: float
@@ -77,34 +82,52 @@
 
 
 def tell(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Tell the agents which pairs are harmful, when that has changed."""
-    if not edits.is_loaded(tables) or now - tables.harmful_at < TELL_S:
-        return Step(tables=tables)
-    pairs = _harmful(tables)
-    tables = replace(tables, harmful_at=now)
-    if pairs == tables.harmful_sent:
+    """Tell each agent what is known of the images on its host, when that changes."""
+    if not edits.is_loaded(tables) or now - tables.told_at < TELL_S:
         return Step(tables=tables)
-    item = HarmfulPairs(epoch=tables.epoch, pairs=pairs)
-    sends = tuple(
-        Send(peer=host.peer, item=item)
-        for host in tables.hosts.rows()
-        if host.peer and host.adopted_epoch == tables.epoch
-    )
-    text = " ".join(f"{serving}<{image}" for serving, image in pairs)
-    line = edits.log(tables, "harm.learn", f"{len(pairs)} pairs", "", text)
-    commands: tuple[Command, ...] = (line, *sends)
-    return Step(tables=replace(tables, harmful_sent=pairs), commands=commands)
+    harmful, harmless = _verdicts(tables)
+    commands: list[Command] = []
+    if harmful != tables.harmful:
+        text = " ".join(f"{serving}<{image}" for serving, image in sorted(harmful))
+        line = edits.log(tables, "harm.learn", f"{len(harmful)} pairs", "", text)
+        commands.append(line)
+    tables = replace(tables, told_at=now, harmful=harmful)
+    for host in tables.hosts.rows():
+        if not host.synced or not host.peer:
+            continue
+        images = {step.image for step in _steps_on(tables, host) if step.image}
+        item = HarmVerdicts(
+            epoch=tables.epoch,
+            harmful=_among(harmful, images),
+            harmless=_among(harmless, images),
+        )
+        if item != host.told:
+            tables = edits.put_host(tables, replace(host, told=item))
+            commands.append(Send(peer=host.peer, item=item))
+    return Step(tables=tables, commands=tuple(commands))
+
 
+def _steps_on(tables: SchedulerTables, host: Host) -> list[StepSpec]:
+    tasks = tables.tasks.rows_where("host", host.name)
+    return [edits.step_of(tables, task) for task in tasks]
 
-def _harmful(tables: SchedulerTables) -> tuple[tuple[str, str], ...]:
-    known = frozenset(tables.harmful_sent)
-    found: list[tuple[str, str]] = []
+
+def _among(pairs: frozenset[Pair], images: set[str]) -> tuple[Pair, ...]:
+    return tuple(sorted(pair for pair in pairs if set(pair) <= images))
+
+
+def _verdicts(tables: SchedulerTables) -> tuple[frozenset[Pair], frozenset[Pair]]:
+    harmful: set[Pair] = set()
+    harmless: set[Pair] = set()
     for harm in tables.harms.rows():
-        if harm.job == OWN:
-            continue
         target_ms = tables.target_by_image.get(harm.service, 0.0)
+        if harm.job == OWN or not target_ms:
+            continue
         pair = (harm.service, harm.job)
-        bound = FORGIVEN_PART if pair in known else HARMFUL_PART
-        if target_ms and harm.estimate_ms >= bound * target_ms:
-            found.append(pair)
-    return tuple(found)
+        part = harm.estimate_ms / target_ms
+        bound = FORGIVEN_PART if pair in tables.harmful else HARMFUL_PART
+        if part >= bound:
+            harmful.add(pair)
+        elif harm.variance < KNOWN_VARIANCE:
+            harmless.add(pair)
+    return frozenset(harmful), frozenset(harmless)
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -138,6 +138,7 @@
             serving=0,
             aside_until=0.0,
             failed_at=(),
+            told=None,
         )
         hosts = hosts.put(host.name, plain)
     return hosts
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -27,6 +27,12 @@
         capacity = max(1, self.host.capacity.processors_m)
         return (capacity - self.free.processors_m + self.filling_m) / capacity
 
+    @property
+    def committed_part(self) -> float:
+        """The processors that are committed, as a part of the capacity."""
+        capacity = max(1, self.host.capacity.processors_m)
+        return 1.0 - self.free.processors_m / capacity
+
     def with_task(self, step: StepSpec) -> Room:
         """Return the room after one more task of a step."""
         filling = step.size.processors_m if step.fills else 0
@@ -82,7 +88,7 @@
 HARM_WEIGHT = 2.0
 # How much emptier a host without serving tasks, or with tasks of the same image, may
 # be taken for: what is not known there cannot do harm.
-QUIET_BONUS = 0.1
+QUIET_BONUS = 0.3
 SAME_BONUS = 0.15
 
 HarmPart = Callable[[str, str, float], float]
@@ -105,7 +111,9 @@
         for image, units in room.units_by_image.items()
     )
     same = SAME_BONUS if step.image in room.target_by_image else 0.0
-    return room.load + HARM_WEIGHT * harm - same
+    # Full hosts first: those that are left without serving tasks are free for work
+    # that need not be paced.
+    return HARM_WEIGHT * harm - same - room.committed_part
 
 
 @cost.register
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -19,7 +19,7 @@
     items.ContactAck,
     items.Contact,
     items.Measures,
-    items.HarmfulPairs,
+    items.HarmVerdicts,
     items.HostReport,
     items.RunsReport,
     items.RunRefused,
