--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -37,6 +37,9 @@
 DOUBT_S = 1.4
 FASTER_PERCENT = 15
 LEAST_PERCENT = 5
+# What a run begins with beside a task that it is known to slow, or may slow.
+KNOWN_START_PERCENT = 20
+UNKNOWN_START_PERCENT = 50
 CALL_S = 0.5
 RETRY_S = 0.1
 # A call without answer may be carried out up to 12 s later.
@@ -84,6 +87,26 @@
     return Step(tables=tables, commands=tuple(lines))
 
 
+def first_pace(tables: KeeperTables, run: Run) -> int:
+    """Return the pace of a run that has just started.
+
+    One that may slow what serves here starts as slow as its like have become, or
+    slowly, and is given its speed when the measures allow it.
+    """
+    if run.order is None or not run.order.disturbs:
+        return run.pace
+    runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
+    serving = {
+        other.order.image for other in runs if other.order and other.order.target_ms
+    }
+    image = run.order.image
+    if all((name, image) in tables.pacing.harmless for name in serving):
+        return run.pace
+    like = [other.pace for other in runs if other.order and other.order.image == image]
+    known = any((name, image) in tables.pacing.harmful for name in serving)
+    return min([*like, KNOWN_START_PERCENT if known else UNKNOWN_START_PERCENT])
+
+
 def _parts(runs: list[Run]) -> dict[str, float]:
     """Return by image the worst latency of its runs, as a part of their target."""
     part_by_image: dict[str, float] = {}
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import holding, refusing
+from bulrushpulley.systems.keeping import holding, pacing, refusing
 
 # A backend server on the same host answers within a few milliseconds.
 CALL_S = 0.5
@@ -95,7 +95,13 @@
     run_ = tables.runs.get(event.run.key)
     if run_ is None or run_.phase is not RunPhase.STARTING:
         return Step(tables=tables)
-    there = replace(run_, phase=RunPhase.RUNNING, in_flight=False, started_at=now)
+    there = replace(
+        run_,
+        phase=RunPhase.RUNNING,
+        in_flight=False,
+        started_at=now,
+        pace=pacing.first_pace(tables, run_),
+    )
     tables = replace(tables, runs=tables.runs.put(run_.key, there))
     line = Decision(
         kind="run.start",
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -86,10 +86,10 @@
     capacity = max(1, host.capacity.processors_m)
     for task in tables.tasks.rows_where("host", host.name):
         step = edits.step_of(tables, task)
+        units = 10 * step.size.processors_m / capacity
         if step.serves:
             target_by_image[step.image] = step.latency_target_ms
         elif step.image:
-            units = 10 * step.size.processors_m / capacity
             units_by_image[step.image] = units_by_image.get(step.image, 0.0) + units
     return Room(
         host=host,
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -86,10 +86,10 @@
 
 # What an expected latency as high as the target weighs against the load of a host.
 HARM_WEIGHT = 2.0
-# How much emptier a host without serving tasks, or with tasks of the same image, may
-# be taken for: what is not known there cannot do harm.
-QUIET_BONUS = 0.3
+# How much emptier a host with tasks of the same serving image may be taken for.
 SAME_BONUS = 0.15
+# How much emptier a host without serving tasks may be taken for by filling ones.
+QUIET_BONUS = 0.3
 
 HarmPart = Callable[[str, str, float], float]
 
