Prove jobs under faults in virtual time, and mend what that found

Found, each a cell that failed first: - a server that had gone silent for good was waited for without end: its agent kept asking for leases, so it never took them as lapsed (15 cells); - a server that was gone before its agent started again, or whose end was told while no owner was linked, was waited for without end (2 of 150 drawn pairs). Guards taken out turn cells red: the wait for leases, the condition on the owner row, the barring of late starts.

--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/keeper_tables.py
@@ -145,7 +145,8 @@
     `epoch` is the newest owner's that adopted this agent, at `owner` while linked.
     `contact_at` is when the last contact that it answered was sent. `ordered` says
     that its whole list of runs has come for the present life. `stalled_since` is
-    when the serving runs were first seen to stand still together. `ends` are kept by
+    when the serving runs were first seen to stand still together, `began_at` when this
+    process began to look for its server. `ends` are kept by
     number until the server forgets them.
     """
 
@@ -163,6 +164,7 @@
     server: Server | None = None
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
+    began_at: float | None = None
     hold: Hold = Hold()
     runs: Table[Run] = field(
         default_factory=lambda: Table.empty(indexes={"phase": by_phase})
--- a/bulrushpulley/systems/keeping/holding.py
+++ b/bulrushpulley/systems/keeping/holding.py
@@ -53,7 +53,9 @@
     server, hold = tables.server, tables.hold
     if server is None or hold.in_flight or now < hold.retry_at:
         return Step(tables=tables)
-    leases = is_vouched(tables, now) and server.listed
+    # What does not answer is not asked to run on, so that its lease surely ends.
+    answers = hold.failing_since is None
+    leases = is_vouched(tables, now) and server.listed and answers
     call = HoldRuns(
         server_id=server.server_id,
         address=server.address,
--- a/bulrushpulley/systems/keeping/server_life.py
+++ b/bulrushpulley/systems/keeping/server_life.py
@@ -73,7 +73,12 @@
         # An earlier process of this agent may have asked for a lease until now.
         lease_sent_at=now,
     )
-    begun = replace(step.tables, server=server, service=event.service)
+    begun = replace(
+        step.tables,
+        server=server,
+        server_state=ServerState.UNKNOWN,
+        service=event.service,
+    )
     line = _line(begun, server.life, "announced", event.address)
     return Step(tables=begun, commands=(*step.commands, line))
 
@@ -93,7 +98,7 @@
     fresh = replace(
         tables,
         server=None,
-        server_state=ServerState.UNKNOWN,
+        server_state=ServerState.GONE,
         stalled_since=None,
         hold=Hold(),
         runs=Table.empty(indexes=tables.runs.index_of),
@@ -114,7 +119,7 @@
     """Say in which state the backend server is, by its words and its answers."""
     server, hold = tables.server, tables.hold
     if server is None:
-        return Step(tables=tables)
+        return _judge_absent(tables, now)
     failing_s = 0.0 if hold.failing_since is None else now - hold.failing_since
     if hold.absences >= ABSENCES and failing_s >= ABSENT_S:
         return end(tables, "nothing listens at its address")
@@ -131,6 +136,19 @@
     return Step(tables=replace(tables, server_state=state), commands=(line,))
 
 
+def _judge_absent(tables: KeeperTables, now: float) -> KeeperStep:
+    """Give a life up that an earlier process of this agent may have kept alive."""
+    if tables.server_state is not ServerState.UNKNOWN:
+        return Step(tables=tables)
+    if tables.began_at is None:
+        return Step(tables=replace(tables, began_at=now))
+    if now - tables.began_at <= tables.bounds.lapse_s:
+        return Step(tables=tables)
+    gone = replace(tables, server_state=ServerState.GONE)
+    reason = "none has announced itself until every lease had lapsed"
+    return Step(tables=gone, commands=(_line(gone, "", "gone", reason),))
+
+
 def _watch_stall(tables: KeeperTables, now: float) -> KeeperTables:
     """Note since when every serving run is as slow as no neighbour makes it."""
     parts = [
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -38,6 +38,8 @@
     server = tables.server
     if server is None or not server.listed or not holding.is_vouched(tables, now):
         return Step(tables=tables)
+    if tables.hold.failing_since is not None:
+        return Step(tables=tables)
     unsure = tables.runs.rows_where("phase", RunPhase.STARTING.value)
     ordered = tables.runs.rows_where("phase", RunPhase.ORDERED.value)
     if not unsure and not ordered:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -128,7 +128,7 @@
     reason = f"life {event.life}, leaves in {event.leaves_in_s:g} s"
     line = edits.log(tables, "host.state", host.name, event.state.value, reason)
     commands: tuple[Command, ...] = (line,)
-    if event.life:
+    if event.life or event.state is ServerState.GONE:
         lost = "its backend server's life was over"
         step = endings.lose(tables, host.name, now, lost, keep_life=event.life)
         tables, commands = step.tables, (*commands, *step.commands)
--- /dev/null
+++ b/test/jobs_executor.py
@@ -0,0 +1,194 @@
+"""A backend server that runs tasks under a lease, for the jobs' world.
+
+It behaves as the platform describes: a start is idempotent, a stop bars the run for
+good, ends are listed until they are noted, and everything ends with the lease.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import singledispatchmethod
+
+from bulrushpulley.entities.jobs.executor_calls import (
+    Announced,
+    ExecutorCommand,
+    ExecutorEvent,
+    HoldRuns,
+    OtherLife,
+    PaceAnswered,
+    PaceRun,
+    RunsListed,
+    RunStarted,
+    StartDenied,
+    StartRun,
+    StopAnswered,
+    StopRun,
+)
+from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
+from bulrushpulley.entities.resources import NOTHING, Resources
+
+KILL_S = 0.2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Working:
+    """A run that is there, until `ends_at`; `stopping` once it was told to stop."""
+
+    order: RunOrder
+    began_at: float
+    ends_at: float
+    stopping: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeExecutor:
+    """One host's backend server through its lives; `watch` sees starts and ends."""
+
+    host: str
+    capacity: Resources
+    watch: Callable[[str, FakeExecutor, RunOrder | RunEnd], None]
+    born_at: float = 0.0
+    lives: int = 1
+    lease_until: float = 0.0
+    up: bool = True
+    draining: bool = False
+    hangs: bool = False
+    fails_all: bool = False
+    noted: int = 0
+    ends: list[RunEnd] = field(default_factory=list)
+    working: dict[str, Working] = field(default_factory=dict)
+    barred: dict[str, int] = field(default_factory=dict)
+    pace_by_key: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def server_id(self) -> str:
+        """The id of the present life."""
+        return f"i-{self.host}-{self.lives}"
+
+    @property
+    def committed(self) -> Resources:
+        """What its runs take, those that are being stopped among them."""
+        total = NOTHING
+        for run in self.working.values():
+            total = total.plus(run.order.committed)
+        return total
+
+    def announcement(self, now: float) -> Announced:
+        """Return its word on itself."""
+        return Announced(
+            server_id=self.server_id,
+            started_at_ms=self.lives,
+            sequence=int(now * 1000),
+            service="ovens",
+            address=self.host,
+            failure_domain=self.host.split("-")[0],
+            is_draining=self.draining,
+            capacity=self.capacity,
+            labels=("a", f"rack-{self.host}"),
+        )
+
+    def crash(self) -> None:
+        """End this life with all that it runs."""
+        self.up = False
+        self.working = {}
+
+    def restart(self, now: float) -> None:
+        """Begin another life, which knows nothing."""
+        self.up, self.draining, self.lives, self.born_at = (
+            True,
+            False,
+            self.lives + 1,
+            now,
+        )
+        self.lease_until, self.noted = 0.0, 0
+        self.ends, self.working, self.barred = [], {}, {}
+
+    def advance(self, now: float) -> None:
+        """End what has come to its end by `now`."""
+        for key, run in sorted(self.working.items()):
+            if self.lease_until <= now and run.began_at < self.lease_until:
+                self._end(key, "lapsed")
+            elif run.ends_at <= now and (run.stopping or not self.hangs):
+                self._end(key, "stopped" if run.stopping else self._outcome(run))
+
+    def _outcome(self, run: Working) -> str:
+        return "failed" if self.fails_all or run.order.payload == "poison" else "done"
+
+    def _end(self, key: str, how: str) -> None:
+        order = self.working.pop(key).order
+        number = self.noted + len(self.ends) + 1
+        end = RunEnd(number=number, task_id=order.task_id, run=order.run, how=how)
+        self.ends.append(end)
+        self._bar(RunRef(task_id=order.task_id, run=order.run))
+        self.watch("end", self, end)
+
+    def _bar(self, ref: RunRef) -> None:
+        self.barred[ref.task_id] = max(ref.run, self.barred.get(ref.task_id, 0))
+
+    @singledispatchmethod
+    def call(self, command: ExecutorCommand, now: float) -> ExecutorEvent:
+        """Carry out one call."""
+        raise NotImplementedError(type(command).__name__)
+
+    @call.register
+    def _(self, command: HoldRuns, now: float) -> ExecutorEvent:
+        if command.server_id != self.server_id:
+            return OtherLife(server_id=command.server_id)
+        if command.lease_until_ms is not None:
+            self._lease(command.lease_until_ms)
+        while self.ends and self.ends[0].number <= command.noted:
+            end = self.ends.pop(0)
+            self.noted = end.number
+            self.watch("noted", self, end)
+        runs = tuple(
+            RunStatus(task_id=run.order.task_id, run=run.order.run)
+            for run in self.working.values()
+        )
+        return RunsListed(
+            server_id=command.server_id,
+            started_at_ms=self.lives,
+            clock_ms=int((now - self.born_at) * 1000),
+            runs=runs,
+            ends=tuple(self.ends),
+        )
+
+    def _lease(self, until_ms: int) -> None:
+        self.lease_until = max(self.lease_until, self.born_at + until_ms / 1000)
+
+    @call.register
+    def _(self, command: StartRun, now: float) -> ExecutorEvent:
+        order = command.order
+        ref = RunRef(task_id=order.task_id, run=order.run)
+        denied = StartDenied(server_id=command.server_id, run=ref, reason="old")
+        if command.server_id != self.server_id:
+            return replace(denied, reason="life")
+        if order.key in self.working:
+            return RunStarted(server_id=command.server_id, run=ref)
+        if order.run <= self.barred.get(order.task_id, 0):
+            return replace(denied, final=True)
+        if self.born_at + command.lease_until_ms / 1000 <= now:
+            return replace(denied, reason="late")
+        self._lease(command.lease_until_ms)
+        duration_s = 0.3 if order.payload == "poison" else float(order.payload)
+        self.working[order.key] = Working(
+            order=order, began_at=now, ends_at=now + duration_s
+        )
+        self.watch("start", self, order)
+        return RunStarted(server_id=command.server_id, run=ref)
+
+    @call.register
+    def _(self, command: StopRun, now: float) -> ExecutorEvent:
+        if command.server_id == self.server_id:
+            run = self.working.get(command.run.key)
+            if run is not None and not run.stopping:
+                self.working[command.run.key] = replace(
+                    run, stopping=True, ends_at=now + KILL_S
+                )
+            self._bar(command.run)
+        return StopAnswered(server_id=command.server_id, run=command.run)
+
+    @call.register
+    def _(self, command: PaceRun, now: float) -> ExecutorEvent:
+        self.pace_by_key[command.run.key] = command.percent
+        return PaceAnswered(server_id=command.server_id, run=command.run)
--- /dev/null
+++ b/test/jobs_matrix.py
@@ -0,0 +1,218 @@
+"""Every fault at every step of a job: the steps, the faults and the site they hit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from bulrushpulley.entities.jobs import store
+from bulrushpulley.entities.jobs.calls import CancelCall
+from bulrushpulley.entities.jobs.executor_calls import HoldRuns, StartRun, StopRun
+from bulrushpulley.entities.jobs.intake_tables import StoreCancel, StoreJobs
+from bulrushpulley.entities.jobs.items import Adopt, EndsNoted, Orders, RunsReport
+from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.entities.jobs.scheduler_tables import ClaimShard, CommitProgress
+from bulrushpulley.entities.link import Send
+from bulrushpulley.entities.step import Command
+from test.jobs_world import QUEUE, JobsWorld, step
+
+READY_S = 2.0
+SETTLE_S = 60.0
+FAULT_S = 8.0
+VICTIM = "z1-1"
+
+
+def _item(command: Command) -> object:
+    return command.item if isinstance(command, Send) else None
+
+
+def _purpose(command: Command) -> object:
+    return command.purpose if isinstance(command, store.Transact) else None
+
+
+def _orders(command: Command) -> bool:
+    item = _item(command)
+    return isinstance(item, Orders) and bool(item.start)
+
+
+def _ends(command: Command) -> bool:
+    item = _item(command)
+    return isinstance(item, RunsReport) and bool(item.ends)
+
+
+def _progress(command: Command) -> bool:
+    many = isinstance(command, store.Transact) and len(command.puts) > 1
+    return many and isinstance(_purpose(command), CommitProgress)
+
+
+def _lease(command: Command) -> bool:
+    return isinstance(command, HoldRuns) and command.lease_until_ms is not None
+
+
+STEPS: Mapping[str, Callable[[Command], bool]] = {
+    "shard claimed": lambda command: isinstance(_purpose(command), ClaimShard),
+    "agent adopted": lambda command: isinstance(_item(command), Adopt),
+    "job stored": lambda command: isinstance(_purpose(command), StoreJobs),
+    "progress committed": _progress,
+    "order sent": _orders,
+    "start called": lambda command: isinstance(command, StartRun),
+    "lease renewed": _lease,
+    "end reported": _ends,
+    "end noted": lambda command: isinstance(_item(command), EndsNoted),
+    "cancel stored": lambda command: isinstance(_purpose(command), StoreCancel),
+    "stop called": lambda command: isinstance(command, StopRun),
+}
+
+
+def _owner(world: JobsWorld) -> str:
+    return world.owner() or "entry-0"
+
+
+def _answers_lost(world: JobsWorld) -> None:
+    world.lose_answers = True
+    world.at(2.0, lambda: setattr(world, "lose_answers", False))
+
+
+def _store_down(world: JobsWorld) -> None:
+    world.store_up = False
+    world.at(4.0, lambda: setattr(world, "store_up", True))
+
+
+def _late_orders(world: JobsWorld) -> None:
+    world.late_s = 5.0
+    world.at(2.0, lambda: setattr(world, "late_s", 0.0))
+
+
+def _dark(world: JobsWorld, for_s: float) -> None:
+    executor = world.executor_by_host[VICTIM]
+    executor.crash()
+    if for_s:
+        world.at(for_s, lambda: executor.restart(world.now))
+
+
+def _entries_killed(world: JobsWorld) -> None:
+    for name in ("entry-0", "entry-1"):
+        world.restart(name)
+
+
+def _power_off(world: JobsWorld) -> None:
+    for name in list(world.process_by_name):
+        world.restart(name)
+    for executor in world.executor_by_host.values():
+        executor.crash()
+        world.at(0.5, lambda executor=executor: executor.restart(world.now))  # type: ignore[misc]
+
+
+def _all_killed(world: JobsWorld) -> None:
+    for name in list(world.process_by_name):
+        world.restart(name)
+
+
+FAULTS: Mapping[str, Callable[[JobsWorld], None]] = {
+    "owner killed": lambda world: world.restart(_owner(world)),
+    "owner gone": lambda world: world.kill(_owner(world)),
+    "owner frozen": lambda world: world.freeze(_owner(world), 6.0),
+    "owner cut off": lambda world: world.cut_off(_owner(world), 5.5),
+    "owner without store": lambda world: _unstored(world, _owner(world)),
+    "entries killed": _entries_killed,
+    "agent killed": lambda world: world.restart(VICTIM),
+    "agent frozen": lambda world: world.freeze(VICTIM, 4.0),
+    "host cut off": lambda world: world.cut_off(VICTIM, 5.5),
+    "server dark": lambda world: _dark(world, 3.0),
+    "server gone": lambda world: _dark(world, 0.0),
+    "store down": _store_down,
+    "answers lost": _answers_lost,
+    "orders late": _late_orders,
+    "history lost": lambda world: world.store.compact(),
+    "all killed": _all_killed,
+    "power off": _power_off,
+}
+
+
+def _unstored(world: JobsWorld, name: str) -> None:
+    world.unstored.add(name)
+    world.at(7.0, lambda: world.unstored.discard(name))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cell:
+    """One run of the matrix: faults, each at the Nth time that its step is reached."""
+
+    strikes: tuple[tuple[str, str, int], ...]
+
+    @property
+    def name(self) -> str:
+        """Its name in reports."""
+        return ", ".join(f"{fault} at {at} {nth}" for at, fault, nth in self.strikes)
+
+
+def play(cell: Cell) -> list[str]:
+    """Play a cell and return what was wrong with it."""
+    world = JobsWorld()
+    _arm(world, cell)
+    world.run(READY_S)
+    for number in range(4):
+        chain = (step(2), step(2, after=(0,)))
+        world.submit(number, *chain, payload="1.0", entry=f"entry-{number % 2}")
+    cancelled = world.submit(9, step(3), payload="30.0", entry="entry-1")
+    world.run(1.0)
+    _cancel(world, cancelled)
+    kept = [job for job in world.spec_by_job if job != cancelled]
+
+    def accepted() -> list[str]:
+        return [job for job in kept if _is_stored(world, job)]
+
+    # Longer than any fault lasts, so that what a frozen entry held has come in.
+    world.run(FAULT_S)
+    world.run_until(lambda: _complete(world, accepted()), SETTLE_S)
+    world.run(2.0)
+    wrong = list(world.violations)
+    wrong += [
+        f"{job} is {world.state_of(job)}"
+        for job in accepted()
+        if world.state_of(job) is not JobState.COMPLETED
+    ]
+    running = [
+        order.order.task_id
+        for executor in world.executor_by_host.values()
+        for order in executor.working.values()
+    ]
+    stored = world.store.row_by_key
+    if any(key.key == f"{cancelled}.cancel" for key in stored) and running:
+        wrong.append(f"still running: {running}")
+    return wrong
+
+
+def _arm(world: JobsWorld, cell: Cell) -> None:
+    left = {number: nth for number, (_, _, nth) in enumerate(cell.strikes)}
+
+    def strike(command: Command) -> None:
+        for number, (at, fault, _) in enumerate(cell.strikes):
+            if left[number] and STEPS[at](command):
+                left[number] -= 1
+                if not left[number]:
+                    world.at(0.0, lambda fault=fault: FAULTS[fault](world))  # type: ignore[misc]
+
+    world.hook = strike
+
+
+def _cancel(world: JobsWorld, job: str) -> None:
+    entry = next(
+        name for name in ("entry-1", "entry-0") if world.process_by_name[name].alive
+    )
+    call = CancelCall(
+        call_id="cancel",
+        authority=QUEUE.authority,
+        path=f"{QUEUE.path_prefix}{job}",
+        within_s=3.0,
+        received_at_s=world.now,
+    )
+    world.tell(world.process_by_name[entry], "intake", call)
+
+
+def _is_stored(world: JobsWorld, job: str) -> bool:
+    return any(key.key == f"{job}.job" for key in world.store.row_by_key)
+
+
+def _complete(world: JobsWorld, jobs: list[str]) -> bool:
+    return all(world.state_of(job) is JobState.COMPLETED for job in jobs)
--- /dev/null
+++ b/test/jobs_store.py
@@ -0,0 +1,99 @@
+"""The platform's store of rows in memory, for the jobs' world in virtual time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bulrushpulley.entities.jobs.rows import Row, RowKey, key_of
+from bulrushpulley.entities.jobs.store import (
+    Changed,
+    Conflicted,
+    HistoryLost,
+    RangeRead,
+    ReadRange,
+    StoredRow,
+    StoreEvent,
+    Transact,
+    Transacted,
+    Watch,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobsStore:
+    """Rows with versions of one counter, and the history of their changes."""
+
+    row_by_key: dict[RowKey, StoredRow] = field(default_factory=dict)
+    history: list[StoredRow] = field(default_factory=list)
+    forgotten: list[int] = field(default_factory=list)
+
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return self.history[-1].version if self.history else 0
+
+    def put(self, *rows: Row, key: RowKey | None = None, order: object = None) -> None:
+        """Write rows as another writer does; `order` is an operator's, at `key`."""
+        version = self.version + 1
+        for row in rows:
+            self._set(StoredRow(key=key_of(row), version=version, row=row))
+        if key is not None:
+            self._set(StoredRow(key=key, version=version, row=order))
+
+    def _set(self, stored: StoredRow) -> None:
+        if stored.row is None:
+            self.row_by_key.pop(stored.key, None)
+        else:
+            self.row_by_key[stored.key] = stored
+        self.history.append(stored)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.forgotten.append(self.version)
+
+    def transact(self, call: Transact) -> StoreEvent:
+        """Do a transaction, or say which rows bar it."""
+        if self.bars(call):
+            rows = tuple(self._row(condition.key) for condition in call.conditions)
+            return Conflicted(purpose=call.purpose, rows=rows)
+        version = self.version + 1
+        for row in call.puts:
+            self._set(StoredRow(key=key_of(row), version=version, row=row))
+        for key in call.deletes:
+            self._set(StoredRow(key=key, version=version, row=None))
+        return Transacted(purpose=call.purpose, version=version)
+
+    def bars(self, call: Transact) -> bool:
+        """Tell whether a condition of a transaction does not hold."""
+        return any(
+            self._row(condition.key).version != condition.version
+            for condition in call.conditions
+        )
+
+    def _row(self, key: RowKey) -> StoredRow:
+        return self.row_by_key.get(key, StoredRow(key=key, version=0, row=None))
+
+    def read_range(self, call: ReadRange) -> StoreEvent:
+        """Return the rows of a range in the order of their keys."""
+        found = sorted(
+            (
+                stored
+                for key, stored in self.row_by_key.items()
+                if (key.table, key.part) == (call.table, call.part)
+                and call.first <= key.key
+                and (not call.end or key.key < call.end)
+            ),
+            key=lambda stored: stored.key.key,
+        )
+        return RangeRead(purpose=call.purpose, rows=tuple(found), version=self.version)
+
+    def changes(self, call: Watch) -> StoreEvent:
+        """Return the changes of a table after a version."""
+        if call.after < max(self.forgotten, default=0):
+            return HistoryLost(purpose=call.purpose)
+        rows = tuple(
+            stored
+            for stored in self.history
+            if stored.version > call.after and stored.key.table == call.table
+        )
+        return Changed(purpose=call.purpose, rows=rows, version=self.version)
--- /dev/null
+++ b/test/jobs_world.py
@@ -0,0 +1,579 @@
+"""Entries, agents, backend servers and the store of a small site, in virtual time.
+
+The roles are the product's; what carries their commands is here, with its faults. It
+checks while it runs what callers and backend servers see: that no task runs twice at
+once or again after its end was noted, that no host is committed beyond its capacity,
+and that steps keep their order.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial, singledispatchmethod
+from typing import Any
+
+from bulrushpulley.entities.jobs import store
+from bulrushpulley.entities.jobs.bounds import Bounds
+from bulrushpulley.entities.jobs.calls import CallAnswer, SubmitCall
+from bulrushpulley.entities.jobs.configuration import (
+    Configuration,
+    Evacuation,
+    Queue,
+)
+from bulrushpulley.entities.jobs.executor_calls import (
+    ExecutorCommand,
+    HoldFailed,
+    HoldRuns,
+    PaceFailed,
+    PaceRun,
+    StartRun,
+    StartUnanswered,
+    StopRun,
+    StopUnanswered,
+)
+from bulrushpulley.entities.jobs.intake_tables import PublishReady
+from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperTables
+from bulrushpulley.entities.jobs.rows import JobState, ProgressRow, RowKey, progress_key
+from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    DialAgent,
+    ReadWallClock,
+    SchedulerTables,
+    WallClock,
+)
+from bulrushpulley.entities.jobs.spec import JobSpec, StepSpec
+from bulrushpulley.entities.lifecycle import Leave
+from bulrushpulley.entities.link import LinkDown, LinkEvent, LinkUp, Send
+from bulrushpulley.entities.linker_tables import DialEnded
+from bulrushpulley.entities.observe import Count, Decision, Observe
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command, Event, Tell
+from bulrushpulley.roles import intake, keeper, scheduler
+from bulrushpulley.roles.actor import Role
+from test.jobs_executor import FakeExecutor
+from test.jobs_store import JobsStore
+
+CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
+SIZE = Resources(processors_m=1_000, memory_mb=1_000)
+STORE_S = 0.006
+LINK_S = 0.001
+CALL_S = 0.0005
+DIAL_S = 0.002
+ANNOUNCE_S = 1.0
+SILENCE_S = 3.0
+QUEUE = Queue(
+    name="r-push",
+    authority="push.example",
+    path_prefix="/push/",
+    service="ovens",
+    priority=0,
+    max_attempts=3,
+    latency_factor=1.5,
+    target_latency_s=0.4,
+    timeout_s=3.0,
+)
+
+
+@dataclass(kw_only=True, slots=True)
+class Seat:
+    """One role of one process."""
+
+    role: Role[Any]
+    tables: Any
+    events: list[Event]
+    queued: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class Process:
+    """One entry or agent process; a frozen one keeps what it is told for later."""
+
+    name: str
+    incarnation: str
+    seat_by_role: dict[str, Seat]
+    frozen: bool = False
+    alive: bool = True
+
+
+class JobsWorld:
+    """The whole site; `run` advances it, `violations` must stay empty."""
+
+    def __init__(self, *, entries: int = 2, hosts: int = 3) -> None:
+        self.now = 100.0
+        self.store = JobsStore()
+        self.process_by_name: dict[str, Process] = {}
+        self.executor_by_host: dict[str, FakeExecutor] = {}
+        self.links: dict[str, str] = {}
+        self.cut: set[str] = set()
+        self.unstored: set[str] = set()
+        self.store_up = True
+        self.lose_answers = False
+        self.late_s = 0.0
+        self.hook: Callable[[Command], None] | None = None
+        self.answers: list[CallAnswer] = []
+        self.decisions: list[Decision] = []
+        self.violations: list[str] = []
+        self.spec_by_job: dict[str, JobSpec] = {}
+        self.done: set[str] = set()
+        self.noted: set[str] = set()
+        self.starts = 0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = itertools.count(1)
+        self.configure()
+        for number in range(entries):
+            self.start_entry(f"entry-{number}")
+        for number in range(hosts):
+            self.start_host(f"z{number % 3}-{number}")
+
+    def configure(self, *queues: Queue) -> None:
+        """Put a configuration in force."""
+        key = RowKey(table="op", part="", key="config")
+        version = self.store.version + 1
+        order = Configuration(version=version, queues=queues or (QUEUE,))
+        self.store.put(key=key, order=order)
+
+    def evacuate(self, domain: str, *, back: bool = False) -> None:
+        """Take a failure domain out of service, or back."""
+        key = RowKey(table="op", part="", key=f"evacuate/{domain}")
+        self.store.put(
+            key=key, order=None if back else Evacuation(failure_domain=domain)
+        )
+
+    # Processes
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry process."""
+        incarnation = f"{name}-{next(self._number)}"
+        patience = 0.1 + 0.2 * len(self.process_by_name)
+        roles = (
+            scheduler.build(
+                name=name,
+                incarnation=incarnation,
+                patience=min(1.0, patience),
+                bounds=Bounds(kill_s=0.3),
+            ),
+            intake.build(),
+        )
+        self._start(name, incarnation, roles)
+
+    def start_host(self, name: str) -> None:
+        """Start a host with its backend server and agent."""
+        self.executor_by_host[name] = FakeExecutor(
+            host=name, capacity=CAPACITY, watch=self._seen, born_at=self.now
+        )
+        self.start_agent(name)
+        self._announce(name)
+
+    def start_agent(self, name: str) -> None:
+        """Start the agent process of a host."""
+        tables = KeeperTables(
+            host=name,
+            failure_domain=name.split("-")[0],
+            region="ege",
+            address=name,
+            bounds=Bounds(kill_s=0.3),
+        )
+        self._start(name, f"{name}-{next(self._number)}", (keeper.build(tables),))
+
+    def _start(self, name: str, incarnation: str, roles: tuple[Role[Any], ...]) -> None:
+        seats = {
+            role.name: Seat(role=role, tables=role.tables, events=[]) for role in roles
+        }
+        process = Process(name=name, incarnation=incarnation, seat_by_role=seats)
+        self.process_by_name[name] = process
+        for role in roles:
+            self._tick_always(process, role.name)
+
+    def _tick_always(self, process: Process, role: str) -> None:
+        if not process.alive:
+            return
+        if not process.frozen:
+            self._tick(process, role)
+        tick_s = process.seat_by_role[role].role.tick_s
+        self.at(tick_s, lambda: self._tick_always(process, role))
+
+    def kill(self, name: str) -> None:
+        """End a process at once; its links end with it."""
+        process = self.process_by_name[name]
+        process.alive = False
+        for pair in list(self.links.items()):
+            if process.incarnation in pair:
+                self._unlink(pair[0])
+
+    def restart(self, name: str) -> None:
+        """Kill a process and start it again half a second later."""
+        self.kill(name)
+        again = self.start_entry if name.startswith("entry") else self.start_agent
+        self.at(0.5, lambda: again(name))
+
+    def freeze(self, name: str, for_s: float) -> None:
+        """Let a process stand still for a while."""
+        process = self.process_by_name[name]
+        process.frozen = True
+        self.at(for_s, lambda: self._thaw(process))
+
+    def _thaw(self, process: Process) -> None:
+        process.frozen = False
+        for role in process.seat_by_role:
+            self._tick(process, role)
+
+    def leave(self, name: str) -> None:
+        """Tell the roles of a process that it is stopping."""
+        for role in self.process_by_name[name].seat_by_role:
+            self.tell(self.process_by_name[name], role, Leave())
+
+    def cut_off(self, name: str, for_s: float) -> None:
+        """Cut a process off from every other and from the store."""
+        self.cut.add(name)
+        self.unstored.add(name)
+        self.at(for_s, lambda: self.cut.discard(name))
+        self.at(for_s, lambda: self.unstored.discard(name))
+        self.at(SILENCE_S, lambda: self._drop_silent(name))
+
+    def _drop_silent(self, name: str) -> None:
+        incarnation = self.process_by_name[name].incarnation
+        for pair in list(self.links.items()):
+            if name in self.cut and incarnation in pair:
+                self._unlink(pair[0])
+
+    def _unlink(self, agent: str) -> None:
+        owner = self.links.pop(agent)
+        for end, other in ((agent, owner), (owner, agent)):
+            process = self._process(end)
+            if process is not None:
+                self._tell_all(process, LinkDown(peer=other))
+                self._tell_all(process, DialEnded(address=agent.rpartition("-")[0]))
+
+    def _process(self, incarnation: str) -> Process | None:
+        found = self.process_by_name.get(incarnation.rpartition("-")[0])
+        ok = found is not None and found.alive and found.incarnation == incarnation
+        return found if ok else None
+
+    # Time
+
+    def at(self, after_s: float, action: Callable[[], None]) -> None:
+        """Have something done later."""
+        entry = (self.now + after_s, next(self._number), action)
+        heapq.heappush(self._heap, entry)
+
+    def run(self, seconds: float) -> None:
+        """Advance the site."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._heap)
+            for executor in self.executor_by_host.values():
+                executor.advance(self.now)
+            action()
+        self.now = until
+
+    def run_until(self, condition: Callable[[], bool], within_s: float) -> bool:
+        """Advance until a condition holds; False if it does not in time."""
+        until = self.now + within_s
+        while not condition() and self.now < until:
+            self.run(0.1)
+        return condition()
+
+    def tell(self, process: Process, role: str, event: Event) -> None:
+        """Tell a role an event; it ticks soon."""
+        seat = process.seat_by_role.get(role)
+        if seat is None or not process.alive:
+            return
+        seat.events.append(event)
+        if not seat.queued and not process.frozen:
+            seat.queued = True
+            self.at(0.0001, lambda: self._tick(process, role))
+
+    def _tell_all(self, process: Process, event: Event) -> None:
+        for role in process.seat_by_role:
+            self.tell(process, role, event)
+
+    def _tick(self, process: Process, role: str) -> None:
+        seat = process.seat_by_role[role]
+        seat.queued = False
+        if process.frozen or not process.alive:
+            return
+        events, seat.events = seat.events, []
+        step = seat.role.tick(seat.tables, events, self.now)
+        seat.tables = step.tables
+        for command in step.commands:
+            if self.hook is not None:
+                self.hook(command)
+            if process.alive:
+                self._carry_out(command, process)
+
+    # Commands
+
+    @singledispatchmethod
+    def _carry_out(self, command: Command, process: Process) -> None:
+        raise NotImplementedError(type(command).__name__)
+
+    @_carry_out.register(Count)
+    @_carry_out.register(Observe)
+    @_carry_out.register(PublishReady)
+    def _(self, command: Command, process: Process) -> None:
+        """Nothing depends on these here."""
+
+    @_carry_out.register
+    def _(self, command: Decision, process: Process) -> None:
+        self.decisions.append(command)
+
+    @_carry_out.register
+    def _(self, command: CallAnswer, process: Process) -> None:
+        self.answers.append(command)
+
+    @_carry_out.register
+    def _(self, command: Tell, process: Process) -> None:
+        self.tell(process, command.role, command.event)
+
+    @_carry_out.register
+    def _(self, command: ReadWallClock, process: Process) -> None:
+        self.tell(process, command.role, WallClock(wall_s=self.now))
+
+    @_carry_out.register
+    def _(self, command: DialAgent, process: Process) -> None:
+        self.at(DIAL_S, lambda: self._dialled(command.address, process))
+
+    def _dialled(self, address: str, process: Process) -> None:
+        agent = self.process_by_name.get(address)
+        apart = {address, process.name} & self.cut
+        if agent is None or not agent.alive or agent.frozen or apart:
+            ended = DialEnded(address=address)
+            self.at(0.5, lambda: self.tell(process, SCHEDULER, ended))
+            return
+        if agent.incarnation in self.links:
+            self._unlink(agent.incarnation)
+        self.links[agent.incarnation] = process.incarnation
+        self._tell_all(process, LinkUp(peer=agent.incarnation, region="ege"))
+        self._tell_all(agent, LinkUp(peer=process.incarnation, region="ege"))
+
+    @_carry_out.register
+    def _(self, command: Send, process: Process) -> None:
+        linked = command.peer in (
+            self.links.get(process.incarnation),
+            *(end for end, owner in self.links.items() if owner == process.incarnation),
+        )
+        target = self._process(command.peer)
+        if not linked or target is None or {target.name, process.name} & self.cut:
+            return
+        item = command.item
+        if isinstance(item, LinkEvent):
+            item = replace(item, peer=process.incarnation)
+        self.at(LINK_S, lambda: self._tell_all(target, item))
+
+    @_carry_out.register
+    def _(self, command: store.Transact, process: Process) -> None:
+        refused = store.TransactRefused(purpose=command.purpose, reason="down")
+        lost = store.TransactLost(purpose=command.purpose, reason="no answer")
+        if process.name in self.unstored:
+            self._answer(command, process, command.timeout_s, lambda: lost)
+        elif not self.store_up:
+            self._answer(command, process, STORE_S, lambda: refused)
+        elif self.lose_answers:
+            self.store.transact(command)
+            self._answer(command, process, command.timeout_s, lambda: lost)
+        else:
+            done = partial(self.store.transact, command)
+            self._answer(command, process, STORE_S, done)
+
+    def _answer(
+        self,
+        command: store.StoreCommand,
+        process: Process,
+        after_s: float,
+        answer: Callable[[], store.StoreEvent],
+    ) -> None:
+        self.at(after_s, lambda: self.tell(process, command.role, answer()))
+
+    @_carry_out.register
+    def _(self, command: store.ReadRange, process: Process) -> None:
+        self._read(command, process, lambda: self.store.read_range(command))
+
+    @_carry_out.register
+    def _(self, command: store.Watch, process: Process) -> None:
+        self._watch(command, process, self.now + command.wait_s)
+
+    def _watch(self, command: store.Watch, process: Process, until: float) -> None:
+        event = self.store.changes(command)
+        has_news = not isinstance(event, store.Changed) or event.rows
+        if has_news or self.now >= until or not self.store_up:
+            self._read(command, process, lambda: self.store.changes(command))
+        else:
+            self.at(0.02, lambda: self._watch(command, process, until))
+
+    def _read(
+        self,
+        command: store.StoreCommand,
+        process: Process,
+        read: Callable[[], store.StoreEvent],
+    ) -> None:
+        if self.store_up and process.name not in self.unstored:
+            self._answer(command, process, STORE_S, read)
+            return
+        failed = store.ReadFailed(purpose=command.purpose, reason="down")
+        self._answer(command, process, 0.3, lambda: failed)
+
+    @_carry_out.register
+    def _(self, command: ExecutorCommand, process: Process) -> None:
+        executor = self.executor_by_host[process.name]
+        if not executor.up:
+            failed = _unanswered(command)
+            self.at(command.timeout_s, lambda: self.tell(process, KEEPER, failed))
+            return
+        if self.late_s and isinstance(command, (StartRun, StopRun)):
+            failed = _unanswered(command)
+            self.at(command.timeout_s, lambda: self.tell(process, KEEPER, failed))
+            self.at(self.late_s, lambda: self._call_late(executor, command))
+            return
+        until = self.now + getattr(command, "wait_ms", 0) / 1_000
+        self.at(CALL_S, lambda: self._called(executor, command, process, until))
+
+    def _call_late(self, executor: FakeExecutor, command: ExecutorCommand) -> None:
+        if executor.up:
+            executor.call(command, self.now)
+
+    def _called(
+        self,
+        executor: FakeExecutor,
+        command: ExecutorCommand,
+        process: Process,
+        until: float,
+    ) -> None:
+        if executor.up and not executor.ends and self.now < until:
+            self.at(0.02, lambda: self._called(executor, command, process, until))
+            return
+        event = (
+            executor.call(command, self.now) if executor.up else _unanswered(command)
+        )
+        self.tell(process, KEEPER, event)
+
+    def _announce(self, host: str) -> None:
+        executor = self.executor_by_host[host]
+        if executor.up:
+            event = executor.announcement(self.now)
+            self.tell(self.process_by_name[host], KEEPER, event)
+        self.at(ANNOUNCE_S, lambda: self._announce(host))
+
+    # What backend servers see
+
+    def _seen(self, what: str, executor: FakeExecutor, run: RunOrder | RunEnd) -> None:
+        if isinstance(run, RunEnd):
+            if run.how == "done":
+                (self.noted if what == "noted" else self.done).add(run.task_id)
+            return
+        self.starts += 1
+        others = [
+            other.host
+            for other in self.executor_by_host.values()
+            for working in other.working.values()
+            if other is not executor and working.order.task_id == run.task_id
+        ]
+        if others:
+            self._violated("twice at once", run, f"{executor.host} and {others}")
+        if run.task_id in self.noted:
+            self._violated("again after its end", run, executor.host)
+        if not executor.committed.fits(executor.capacity):
+            self._violated("over capacity", run, executor.host)
+        self._check_order(run)
+
+    def _check_order(self, run: RunOrder) -> None:
+        job_id, occurrence, step, _ = run.task_id.split(".")
+        spec = self.spec_by_job.get(job_id)
+        if spec is None:
+            self._violated("unasked", run, "")
+            return
+        for before in spec.steps[int(step)].after:
+            for index in range(spec.steps[before].count):
+                if f"{job_id}.{occurrence}.{before}.{index}" not in self.done:
+                    self._violated("out of order", run, f"step {before}")
+
+    def _violated(self, what: str, run: RunOrder, detail: str) -> None:
+        self.violations.append(f"{self.now:.2f} {run.key} {what} {detail}")
+
+    # Callers
+
+    def submit(
+        self,
+        number: int,
+        *steps: StepSpec,
+        payload: str = "1.0",
+        entry: str = "entry-0",
+        occurrences: int = 0,
+        first_due_s: float = 0.0,
+    ) -> str:
+        """Hand a job in at an entry; by default one step of two tasks."""
+        job_id = f"{number:016x}"
+        spec = JobSpec(
+            payload=payload,
+            steps=steps or (step(2),),
+            occurrences=occurrences,
+            first_due_s=first_due_s,
+            interval_s=2.0,
+        )
+        self.spec_by_job[job_id] = spec
+        call = SubmitCall(
+            call_id=f"submit-{number}",
+            authority=QUEUE.authority,
+            path=f"{QUEUE.path_prefix}{job_id}",
+            within_s=3.0,
+            received_at_s=self.now,
+            spec=spec,
+        )
+        self.tell(self.process_by_name[entry], "intake", call)
+        return job_id
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return the state that any entry would show."""
+        stored = self.store.row_by_key.get(progress_key(job_id))
+        row = stored.row if stored else None
+        return row.state if isinstance(row, ProgressRow) else None
+
+    def all_complete(self) -> bool:
+        """Tell whether every job that was handed in is shown as complete."""
+        states = {self.state_of(job_id) for job_id in self.spec_by_job}
+        return states <= {JobState.COMPLETED}
+
+    def owner(self) -> str:
+        """Return the entry that owns the shard and has read it, or nothing."""
+        for name, process in self.process_by_name.items():
+            seat = process.seat_by_role.get(SCHEDULER)
+            if seat is None or not process.alive:
+                continue
+            tables: SchedulerTables = seat.tables
+            if tables.epoch and not getattr(tables.leadership, "loading", True):
+                return name
+        return ""
+
+    def answer_to(self, call_id: str) -> CallAnswer | None:
+        """Return the answer to a call, if it came."""
+        found = [answer for answer in self.answers if answer.call_id == call_id]
+        return found[-1] if found else None
+
+
+def step(count: int, **more: Any) -> StepSpec:
+    """Return a step of tasks of the usual size."""
+    return StepSpec(**{"count": count, "size": SIZE, "estimate_s": 1.0, **more})
+
+
+def _unanswered(command: ExecutorCommand) -> Event:
+    server_id = command.server_id
+    if isinstance(command, HoldRuns):
+        return HoldFailed(server_id=server_id, reason="no answer")
+    return _unanswered_run(command)
+
+
+def _unanswered_run(command: ExecutorCommand) -> Event:
+    kinds: dict[type[ExecutorCommand], type[Any]] = {
+        StartRun: StartUnanswered,
+        StopRun: StopUnanswered,
+        PaceRun: PaceFailed,
+    }
+    run: Any = getattr(command, "run", None) or getattr(command, "order", None)
+    ref = RunRef(task_id=run.task_id, run=run.run)
+    event: Event = kinds[type(command)](
+        server_id=command.server_id, run=ref, reason="no answer"
+    )
+    return event
--- /dev/null
+++ b/test/test_jobs_path.py
@@ -0,0 +1,237 @@
+"""Jobs through the whole path in virtual time: calm, and while parties fail."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import testtools
+
+from bulrushpulley.entities.jobs.calls import (
+    CancelCall,
+    JobAccepted,
+    JobCancelled,
+    JobShown,
+    NoSuchJob,
+    NoSuchQueue,
+    OutcomeUnknown,
+    ShowCall,
+    TryLater,
+)
+from bulrushpulley.entities.jobs.rows import JobState
+from test.jobs_world import QUEUE, JobsWorld, step
+
+CHAIN = (step(2), step(3, after=(0,)), step(1, after=(1,)))
+
+
+class CalmTest(testtools.TestCase):
+    def test_a_job_of_steps_completes_in_order(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = world.submit(1, *CHAIN)
+        self.assertTrue(world.run_until(world.all_complete, 6.0))
+        self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
+        self.assertEqual(JobState.COMPLETED, world.state_of(job))
+        self.assertEqual(6, world.starts)
+        self.assertEqual([], world.violations)
+
+    def test_a_chain_costs_little_more_than_its_work(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, *CHAIN)
+        began = world.now
+        world.run_until(world.all_complete, 6.0)
+        self.assertLess(world.now - began, 3.0 * 1.15 + 0.2)
+
+    def test_more_work_than_room_waits_and_no_host_is_overcommitted(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        for number in range(10):
+            world.submit(number, step(4))
+        self.assertTrue(world.run_until(world.all_complete, 20.0))
+        self.assertEqual([], world.violations)
+
+    def test_calls_about_jobs_are_answered_from_the_store_by_any_entry(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = world.submit(1, payload="5.0")
+        world.run(1.0)
+        for kind, path, wanted in (
+            (ShowCall, f"/push/{job}", JobShown),
+            (ShowCall, "/push/00000000000000ff", NoSuchJob),
+            (ShowCall, f"/elsewhere/{job}", NoSuchQueue),
+            (CancelCall, "/push/00000000000000ff", NoSuchJob),
+            (CancelCall, f"/push/{job}", JobCancelled),
+        ):
+            call = kind(
+                call_id=f"{kind.__name__}{path}",
+                authority=QUEUE.authority,
+                path=path,
+                within_s=3.0,
+                received_at_s=world.now,
+            )
+            world.tell(world.process_by_name["entry-1"], "intake", call)
+            world.run(0.3)
+            self.assertIsInstance(world.answer_to(call.call_id), wanted, path)
+
+    def test_a_cancelled_job_is_stopped_and_frees_its_room(self) -> None:
+        world = JobsWorld(hosts=1)
+        world.run(2.0)
+        job = world.submit(1, step(4), payload="100.0")
+        world.run(1.0)
+        call = CancelCall(
+            call_id="cancel",
+            authority=QUEUE.authority,
+            path=f"/push/{job}",
+            within_s=3.0,
+            received_at_s=world.now,
+        )
+        world.tell(world.process_by_name["entry-1"], "intake", call)
+        world.run(1.0)
+        self.assertEqual({}, world.executor_by_host["z0-0"].working)
+        self.assertEqual(JobState.CANCELLED, world.state_of(job))
+        world.submit(2, step(4))
+        world.run(3.0)
+        self.assertEqual(JobState.COMPLETED, world.state_of(f"{2:016x}"))
+
+    def test_a_poisoned_job_fails_after_its_attempts(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = world.submit(1, step(1), payload="poison")
+        world.run(5.0)
+        self.assertEqual(JobState.FAILED, world.state_of(job))
+        self.assertEqual(QUEUE.max_attempts, world.starts)
+
+    def test_a_lasting_task_is_started_again_however_it_ends(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(1, lasting=True), payload="0.5")
+        world.run(5.0)
+        self.assertGreater(world.starts, 6)
+        self.assertEqual([], world.violations)
+
+    def test_the_tasks_of_a_gang_share_a_run_number(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(5, gang=True))
+        self.assertTrue(world.run_until(world.all_complete, 6.0))
+        placed = [line for line in world.decisions if line.kind == "task.place"]
+        self.assertEqual({"1"}, {line.subject.partition("#")[2] for line in placed})
+
+    def test_no_host_gets_more_tasks_of_a_step_than_allowed(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(3, per_host_limit=1), payload="9.0")
+        world.run(1.0)
+        counts = [len(host.working) for host in world.executor_by_host.values()]
+        self.assertEqual([1, 1, 1], counts)
+
+    def test_occurrences_start_when_they_are_due(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(1), payload="0.2", occurrences=3, first_due_s=103.0)
+        world.run(0.9)
+        self.assertEqual(0, world.starts)
+        world.run(0.4)
+        self.assertEqual(1, world.starts)
+        world.run(4.2)
+        self.assertEqual(3, world.starts)
+
+
+class OperatorTest(testtools.TestCase):
+    def test_nothing_starts_in_a_domain_that_was_taken_out(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.evacuate("z0")
+        world.run(1.0)
+        for number in range(6):
+            world.submit(number, step(2))
+        world.run(4.0)
+        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred))
+        world.evacuate("z0", back=True)
+        world.run(1.0)
+        for number in range(6, 12):
+            world.submit(number, step(2))
+        self.assertTrue(world.run_until(world.all_complete, 10.0))
+        self.assertNotEqual(0, len(world.executor_by_host["z0-0"].barred))
+
+    def test_a_leaving_backend_server_gets_nothing_and_its_work_moves(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(9, lasting=True), payload="100.0")
+        world.run(1.0)
+        leaving = world.executor_by_host["z0-0"]
+        leaving.draining = True
+        world.run(3.0)
+        self.assertEqual({}, leaving.working)
+        running = sum(len(host.working) for host in world.executor_by_host.values())
+        self.assertEqual(8, running)
+        self.assertEqual([], world.violations)
+
+    def test_a_dropped_route_is_not_found_within_a_second(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.configure(replace(QUEUE, name="r-other", path_prefix="/other/"))
+        world.run(1.0)
+        world.submit(1)
+        world.run(0.2)
+        self.assertIsInstance(world.answer_to("submit-1"), NoSuchQueue)
+
+    def test_a_history_that_is_lost_is_read_again(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.store_up = False
+        world.run(0.5)
+        world.evacuate("z0")
+        world.store.compact()
+        world.store_up = True
+        world.run(2.0)
+        for number in range(6):
+            world.submit(number, step(2))
+        world.run(4.0)
+        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred))
+
+
+class StoreTest(testtools.TestCase):
+    def test_a_refusal_says_at_once_when_to_come_back(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.store_up = False
+        world.submit(1)
+        world.run(0.4)
+        answer = world.answer_to("submit-1")
+        self.assertIsInstance(answer, TryLater)
+        world.store_up = True
+        world.run(3.0)
+        self.assertIsNone(world.state_of(f"{1:016x}"))
+        self.assertEqual(0, world.starts)
+
+    def test_a_submission_without_answer_is_never_called_refused(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.lose_answers = True
+        world.submit(1)
+        world.run(3.5)
+        answer = world.answer_to("submit-1")
+        self.assertIsInstance(answer, OutcomeUnknown)
+
+    def test_a_submission_whose_answer_was_lost_once_is_accepted(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.lose_answers = True
+        world.submit(1)
+        world.run(0.3)
+        world.lose_answers = False
+        world.run(0.5)
+        self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
+        self.assertTrue(world.run_until(world.all_complete, 5.0))
+
+    def test_what_runs_goes_on_while_the_store_is_down(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(3), payload="4.0")
+        world.run(1.0)
+        world.store_up = False
+        world.run(6.0)
+        world.store_up = True
+        self.assertTrue(world.run_until(world.all_complete, 4.0))
+        self.assertEqual(3, world.starts)
