Clear a run's call whichever answer comes first; hold filling work back from harm

Cause: a list that showed a run before its start was answered moved it to running, the answer then changed nothing, and the run kept a call in flight for good, so no stop left. Ruled out: a late watch (all tasks of the job would have run on, two of five did). The test of the keeper alone failed first. A run that fills starts no faster before the first measure of what it may harm.

--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -111,9 +111,11 @@
     """Return by image the worst latency of its runs, as a part of their target."""
     part_by_image: dict[str, float] = {}
     for run_ in runs:
-        if run_.order is None or run_.status is None or run_.order.target_ms <= 0.0:
+        if run_.order is None or run_.order.target_ms <= 0.0:
             continue
-        part = run_.status.measure / run_.order.target_ms
+        # Before its first measure a task is neither near its target nor well.
+        measure = run_.status.measure if run_.status else WELL * run_.order.target_ms
+        part = measure / run_.order.target_ms
         image = run_.order.image
         part_by_image[image] = max(part, part_by_image.get(image, 0.0))
     return part_by_image
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -93,10 +93,12 @@
 
 
 def on_started(event: RunStarted, tables: KeeperTables, now: float) -> KeeperStep:
-    """Note that a run is there."""
+    """Note that a run is there, which a list may have shown before."""
     run_ = tables.runs.get(event.run.key)
-    if run_ is None or run_.phase is not RunPhase.STARTING:
+    if run_ is None:
         return Step(tables=tables)
+    if run_.phase is not RunPhase.STARTING:
+        return Step(tables=_answered(tables, run_))
     there = replace(
         run_,
         phase=RunPhase.RUNNING,
@@ -115,11 +117,19 @@
     return Step(tables=tables, commands=(line,))
 
 
+def _answered(tables: KeeperTables, run_: Run) -> KeeperTables:
+    """Note that no call about a run is in flight any more."""
+    answered = replace(run_, in_flight=False)
+    return replace(tables, runs=tables.runs.put(run_.key, answered))
+
+
 def on_denied(event: StartDenied, tables: KeeperTables, now: float) -> KeeperStep:
     """Try again with a newer lease, or make sure that the run never starts."""
     run_ = tables.runs.get(event.run.key)
-    if run_ is None or run_.phase is not RunPhase.STARTING:
+    if run_ is None:
         return Step(tables=tables)
+    if run_.phase is not RunPhase.STARTING:
+        return Step(tables=_answered(tables, run_))
     if event.final:
         denied = replace(run_, phase=RunPhase.BARRED, barred_at=now, in_flight=False)
     elif event.reason == "late":
@@ -133,8 +143,10 @@
 def on_unhealthy(event: StartUnhealthy, tables: KeeperTables, now: float) -> KeeperStep:
     """Give a run back that the backend server surely did not start."""
     run_ = tables.runs.get(event.run.key)
-    if run_ is None or run_.phase is not RunPhase.STARTING:
+    if run_ is None:
         return Step(tables=tables)
+    if run_.phase is not RunPhase.STARTING:
+        return Step(tables=_answered(tables, run_))
     unhealthy = replace(run_, in_flight=False, unhealthy=True)
     if run_.unsure:
         barring = replace(unhealthy, wanted=False)
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -26,7 +26,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits, learning
-from bulrushpulley.systems.scheduling.ranking import Room, cost, kind_of
+from bulrushpulley.systems.scheduling.ranking import Room, cost, holds_back, kind_of
 
 # An agent makes contact each second; one that missed two gets nothing new.
 FRESH_S = 2.5
@@ -155,7 +155,7 @@
     now: float,
 ) -> Pass:
     for task in members:
-        room = _choose(state, job, step, task, siblings)
+        room = _choose(state, job, step, task, siblings, now)
         if room is None:
             if not task.avoid:
                 break
@@ -180,7 +180,7 @@
     checkpoint = max(task.checkpoint for task in members)
     tried = state
     for task in members:
-        room = _choose(tried, job, step, task, siblings)
+        room = _choose(tried, job, step, task, siblings, now)
         if room is None:
             return state
         siblings[room.host.name] += 1
@@ -190,8 +190,16 @@
 
 
 def _choose(
-    state: Pass, job: Job, step: StepSpec, task: Task, siblings: Counter[str]
+    state: Pass,
+    job: Job,
+    step: StepSpec,
+    task: Task,
+    siblings: Counter[str],
+    now: float,
 ) -> Room | None:
+    kind = kind_of(step)
+    harm_part = partial(learning.harm_part, state.tables)
+    waited_s = now - task.since
     service = service_of(state.tables, job)
     fitting = [
         room
@@ -200,12 +208,11 @@
         and room.host.service == service
         and (not step.needs_label or step.needs_label in room.host.labels)
         and not _is_crowded(step, siblings, room)
+        and not holds_back(kind, step, room, harm_part, waited_s)
     ]
     fitting = [room for room in fitting if room.host.name not in task.avoid] or fitting
     if not fitting:
         return None
-    kind = kind_of(step)
-    harm_part = partial(learning.harm_part, state.tables)
     racks = {
         state.room_by_host[name].host.rack
         for name in siblings
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -90,6 +90,10 @@
 SAME_BONUS = 0.15
 # How much emptier a host without serving tasks may be taken for by filling ones.
 QUIET_BONUS = 0.3
+# A filling task that would add this part of a target would be paced to a crawl there,
+# and waits for another room, but no longer than a caller may see a job stand still.
+TOLERABLE_PART = 0.3
+HELD_BACK_S = 2.5
 
 HarmPart = Callable[[str, str, float], float]
 
@@ -118,13 +122,35 @@
 
 @cost.register
 def _(kind: Filling, step: StepSpec, room: Room, harm_part: HarmPart) -> float:
+    harm = expected_harm(step, room, harm_part)
+    beside = QUIET_BONUS if room.target_by_image else 0.0
+    return room.load + room.units_of(step) / 10 + HARM_WEIGHT * harm + beside
+
+
+def expected_harm(step: StepSpec, room: Room, harm_part: HarmPart) -> float:
+    """Return what a task adds to the worst latency there, as a part of its target."""
     units = room.units_of(step)
-    harm = max(
+    return max(
         (
             harm_part(serving, step.image, target_ms) * units
             for serving, target_ms in room.target_by_image.items()
         ),
         default=0.0,
     )
-    beside = QUIET_BONUS if room.target_by_image else 0.0
-    return room.load + units / 10 + HARM_WEIGHT * harm + beside
+
+
+@singledispatch
+def holds_back(
+    kind: Kind, step: StepSpec, room: Room, harm_part: HarmPart, waited_s: float
+) -> bool:
+    """Tell whether a task rather waits than takes a room; by default it never does."""
+    return False
+
+
+@holds_back.register
+def _(
+    kind: Filling, step: StepSpec, room: Room, harm_part: HarmPart, waited_s: float
+) -> bool:
+    if waited_s >= HELD_BACK_S:
+        return False
+    return expected_harm(step, room, harm_part) > TOLERABLE_PART
--- /dev/null
+++ b/test/test_jobs_keeping.py
@@ -0,0 +1,229 @@
+"""The keeper alone: answers that overtake one another, paces and late calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+
+from bulrushpulley.entities.jobs.bounds import Bounds
+from bulrushpulley.entities.jobs.executor_calls import (
+    Announced,
+    HoldRuns,
+    PaceFailed,
+    PaceRun,
+    RunsListed,
+    RunStarted,
+    StartRun,
+    StopAnswered,
+    StopRun,
+)
+from bulrushpulley.entities.jobs.items import (
+    Adopt,
+    ContactAck,
+    HarmVerdicts,
+    HostReport,
+    Orders,
+)
+from bulrushpulley.entities.jobs.keeper_tables import KeeperTables
+from bulrushpulley.entities.jobs.runs import RunOrder, RunRef, RunStatus
+from bulrushpulley.entities.link import Send
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.roles import keeper
+
+LIFE = "i-1/5"
+OWNER = "entry-1-ab"
+ROOM = Resources(processors_m=4_000, memory_mb=8_000)
+
+
+class Bench:
+    """A keeper with a backend server that answers when the test says so."""
+
+    def __init__(self) -> None:
+        tables = KeeperTables(
+            host="h", failure_domain="z", region="r", address="a", bounds=Bounds()
+        )
+        self.role = keeper.build(tables)
+        self.tables = tables
+        self.now = 50.0
+        self.tell(
+            Announced(
+                server_id="i-1",
+                started_at_ms=5,
+                sequence=1,
+                service="ovens",
+                address="x",
+                failure_domain="z",
+                is_draining=False,
+                capacity=ROOM,
+                labels=("a", "r1"),
+            )
+        )
+        self.tell(Adopt(peer=OWNER, epoch=1))
+        self.vouch()
+        self.list_runs()
+        self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, complete=True))
+
+    def tell(self, *events: Event) -> list[Command]:
+        """Run a tick over events and return its commands."""
+        self.now += 0.05
+        step = self.role.tick(self.tables, events, self.now)
+        self.tables = step.tables
+        return list(step.commands)
+
+    def vouch(self) -> None:
+        """Answer the last contact."""
+        sent_at = self.tables.contact_sent_at
+        self.tell(ContactAck(peer=OWNER, epoch=1, sent_at=sent_at))
+
+    def list_runs(self, *statuses: RunStatus) -> list[Command]:
+        """Answer the call that lists runs."""
+        listed = RunsListed(
+            server_id="i-1",
+            started_at_ms=5,
+            clock_ms=int(self.now * 1000),
+            runs=statuses,
+            ends=(),
+        )
+        return self.tell(listed)
+
+    def order(self, task: str, **more: Any) -> list[Command]:
+        """Order a run of a task."""
+        size = Resources(processors_m=1_000, memory_mb=1_000)
+        order = RunOrder(task_id=task, run=1, payload="p", committed=size, **more)
+        return self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, start=(order,)))
+
+    def running(self, task: str, **more: Any) -> None:
+        """Order a run and have it started."""
+        self.order(task, **more)
+        self.tell(RunStarted(server_id="i-1", run=RunRef(task_id=task, run=1)))
+
+
+def of(kind: type[Command], commands: list[Command]) -> list[Any]:
+    """Return the commands of one kind."""
+    return [command for command in commands if isinstance(command, kind)]
+
+
+class OvertakingTest(testtools.TestCase):
+    def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
+        # hunt-c697-19 of kalamu-sched: a cancelled task ran on for 4.9 s.
+        bench = Bench()
+        ref = RunRef(task_id="t", run=1)
+        self.assertEqual(1, len(of(StartRun, bench.order("t"))))
+        bench.list_runs(RunStatus(task_id="t", run=1))
+        bench.tell(RunStarted(server_id="i-1", run=ref))
+        stop = Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,))
+        self.assertEqual(1, len(of(StopRun, bench.tell(stop))))
+
+    def test_a_stop_that_was_taken_is_repeated_until_the_end_is_listed(self) -> None:
+        bench = Bench()
+        bench.running("t")
+        ref = RunRef(task_id="t", run=1)
+        bench.list_runs(RunStatus(task_id="t", run=1))
+        bench.tell(Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,)))
+        bench.tell(StopAnswered(server_id="i-1", run=ref))
+        bench.now += 2.0
+        self.assertEqual(1, len(of(StopRun, bench.tell())))
+
+    def test_orders_of_an_owner_that_was_replaced_are_not_obeyed(self) -> None:
+        bench = Bench()
+        bench.tell(Adopt(peer="entry-2-cd", epoch=2))
+        self.assertEqual([], of(StartRun, bench.order("t")))
+        bench.tell(Adopt(peer=OWNER, epoch=1))
+        self.assertEqual("entry-2-cd", bench.tables.owner)
+
+
+class LeaseTest(testtools.TestCase):
+    def test_no_lease_is_asked_for_once_the_owners_word_is_too_old(self) -> None:
+        bench = Bench()
+        bench.now += bench.tables.bounds.agent_autonomy_s
+        hold = of(HoldRuns, bench.list_runs())[-1]
+        self.assertIsNone(hold.lease_until_ms)
+
+    def test_a_lease_is_counted_from_the_servers_own_last_time(self) -> None:
+        bench = Bench()
+        bench.vouch()
+        hold = of(HoldRuns, bench.list_runs())[-1]
+        server = bench.tables.server
+        assert server is not None
+        lease_ms = int(bench.tables.bounds.lease_s * 1_000)
+        self.assertEqual(server.clock_ms + lease_ms, hold.lease_until_ms)
+
+    def test_nothing_starts_on_a_word_that_is_too_old(self) -> None:
+        bench = Bench()
+        bench.now += bench.tables.bounds.agent_autonomy_s
+        self.assertEqual([], of(StartRun, bench.order("t")))
+
+
+class CapacityTest(testtools.TestCase):
+    def test_a_run_without_an_answer_keeps_its_room(self) -> None:
+        bench = Bench()
+        started = [len(of(StartRun, bench.order(f"t{n}"))) for n in range(5)]
+        self.assertEqual([1, 1, 1, 1, 0], started)
+
+
+class PacingTest(testtools.TestCase):
+    """Filling work beside serving tasks: who is slowed, and when it recovers."""
+
+    def _beside(self, verdict: str) -> tuple[Bench, list[int]]:
+        bench = Bench()
+        pair = (("oven", "tune"),)
+        harmful = pair if verdict == "harmful" else ()
+        harmless = pair if verdict == "harmless" else ()
+        word = HarmVerdicts(peer=OWNER, epoch=1, harmful=harmful, harmless=harmless)
+        bench.tell(word)
+        bench.running("serve", target_ms=10.0, image="oven")
+        bench.running("fill", image="tune", disturbs=True)
+        return bench, self._paces(bench, 20)
+
+    def _paces(self, bench: Bench, measure: int) -> list[int]:
+        paces = []
+        for _ in range(3):
+            bench.now += 0.5
+            statuses = (
+                RunStatus(task_id="serve", run=1, measure=measure),
+                RunStatus(task_id="fill", run=1, measure=900),
+            )
+            bench.vouch()
+            bench.list_runs(*statuses)
+            paces.append(bench.tables.runs.by_key["fill#1"].pace)
+        return paces
+
+    def test_a_harmful_run_is_slowed_at_once_and_further(self) -> None:
+        _, paces = self._beside("harmful")
+        self.assertEqual(sorted(paces, reverse=True), paces)
+        self.assertLessEqual(paces[0], 20)
+
+    def test_a_run_that_nothing_is_known_of_is_slowed(self) -> None:
+        _, paces = self._beside("unknown")
+        self.assertLessEqual(paces[-1], 25)
+
+    def test_a_harmless_run_keeps_its_speed_until_nothing_else_helps(self) -> None:
+        _, paces = self._beside("harmless")
+        self.assertEqual([100, 100], paces[:2])
+
+    def test_the_speed_comes_back_when_the_serving_task_is_well(self) -> None:
+        bench, paces = self._beside("harmful")
+        again = self._paces(bench, 3)
+        self.assertGreater(again[-1], paces[-1])
+
+    def test_a_pace_without_answer_is_sent_again(self) -> None:
+        bench, _ = self._beside("harmful")
+        ref = RunRef(task_id="fill", run=1)
+        bench.tell(PaceFailed(server_id="i-1", run=ref, reason="no answer"))
+        bench.now += 0.2
+        self.assertEqual(1, len(of(PaceRun, bench.tell())))
+
+
+class ReportTest(testtools.TestCase):
+    def test_a_new_owner_gets_the_whole_state(self) -> None:
+        bench = Bench()
+        bench.running("t")
+        bench.list_runs(RunStatus(task_id="t", run=1))
+        sent = of(Send, bench.tell(Adopt(peer="entry-2-cd", epoch=2)))
+        kinds = [type(command.item).__name__ for command in sent]
+        self.assertIn("HostReport", kinds)
+        self.assertIn("RunsReport", kinds)
+        report = next(c.item for c in sent if isinstance(c.item, HostReport))
+        self.assertEqual(LIFE, report.life)
