--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -5,24 +5,22 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import AUTONOMY_S
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
-from bulrushpulley.systems import (
-    cell_evict,
-    cell_interfere,
-    cell_liveness,
-    cell_load,
-    cell_owner_events,
-    cell_place,
-    cell_release,
-    cell_reports,
-    cell_rows,
-    cell_send,
-    cell_sick,
-    cell_stop,
-    cell_summary,
-    cell_throttle,
-    cell_watch,
-)
-from bulrushpulley.systems.cell_endings import write_endings
+from bulrushpulley.systems.cell import evict as cell_evict
+from bulrushpulley.systems.cell import interfere as cell_interfere
+from bulrushpulley.systems.cell import liveness as cell_liveness
+from bulrushpulley.systems.cell import load as cell_load
+from bulrushpulley.systems.cell import owner_events as cell_owner_events
+from bulrushpulley.systems.cell import place as cell_place
+from bulrushpulley.systems.cell import release as cell_release
+from bulrushpulley.systems.cell import reports as cell_reports
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell import sick as cell_sick
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell import summary as cell_summary
+from bulrushpulley.systems.cell import throttle as cell_throttle
+from bulrushpulley.systems.cell import watch as cell_watch
+from bulrushpulley.systems.cell.endings import write_endings
 
 NAME = "cell_owner"
 
--- a/bulrushpulley/roles/committer.py
+++ b/bulrushpulley/roles/committer.py
@@ -4,8 +4,10 @@
 
 from bulrushpulley.entities.committer_tables import CommitterTables
 from bulrushpulley.roles.actor import Role
-from bulrushpulley.systems import commit_batch, commit_give_up, commit_read
-from bulrushpulley.systems.committer_events import apply
+from bulrushpulley.systems.commit import batch as commit_batch
+from bulrushpulley.systems.commit import give_up as commit_give_up
+from bulrushpulley.systems.commit import read as commit_read
+from bulrushpulley.systems.commit.events import apply
 
 COMMITTER = "committer"
 
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -7,23 +7,21 @@
 from bulrushpulley.entities.table import Table
 from bulrushpulley.roles import controller_io as controller_io
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
-from bulrushpulley.systems import (
-    control_assign,
-    control_assigned,
-    control_backlog,
-    control_cells,
-    control_changes,
-    control_closing,
-    control_enquiries,
-    control_events,
-    control_in_force,
-    control_members,
-    control_offers,
-    control_polls,
-    control_records,
-    control_spread,
-    control_submissions,
-)
+from bulrushpulley.systems.control import assign as control_assign
+from bulrushpulley.systems.control import assigned as control_assigned
+from bulrushpulley.systems.control import backlog as control_backlog
+from bulrushpulley.systems.control import cells as control_cells
+from bulrushpulley.systems.control import changes as control_changes
+from bulrushpulley.systems.control import closing as control_closing
+from bulrushpulley.systems.control import enquiries as control_enquiries
+from bulrushpulley.systems.control import events as control_events
+from bulrushpulley.systems.control import in_force as control_in_force
+from bulrushpulley.systems.control import members as control_members
+from bulrushpulley.systems.control import offers as control_offers
+from bulrushpulley.systems.control import polls as control_polls
+from bulrushpulley.systems.control import records as control_records
+from bulrushpulley.systems.control import spread as control_spread
+from bulrushpulley.systems.control import submissions as control_submissions
 
 NAME = "controller"
 HANDLERS = (control_assigned, control_cells)
--- a/bulrushpulley/roles/guard.py
+++ b/bulrushpulley/roles/guard.py
@@ -4,16 +4,14 @@
 
 from bulrushpulley.entities.guard_tables import GuardSettings, GuardTables
 from bulrushpulley.roles.actor import Role
-from bulrushpulley.systems import (
-    guard_announce,
-    guard_health,
-    guard_leave,
-    guard_memory,
-    guard_queue,
-    guard_requests,
-    guard_results,
-)
-from bulrushpulley.systems.guard_events import apply
+from bulrushpulley.systems.guard import announce as guard_announce
+from bulrushpulley.systems.guard import health as guard_health
+from bulrushpulley.systems.guard import leave as guard_leave
+from bulrushpulley.systems.guard import memory as guard_memory
+from bulrushpulley.systems.guard import queue as guard_queue
+from bulrushpulley.systems.guard import requests as guard_requests
+from bulrushpulley.systems.guard import results as guard_results
+from bulrushpulley.systems.guard.events import apply
 
 EVENT_MODULES = (guard_requests, guard_results)
 """The modules that register events by being imported."""
--- a/bulrushpulley/roles/router.py
+++ b/bulrushpulley/roles/router.py
@@ -4,20 +4,18 @@
 
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.roles.actor import Role
-from bulrushpulley.systems import (
-    route_answers,
-    route_calls,
-    route_dispatch,
-    route_eject,
-    route_leave,
-    route_members,
-    route_resubmit,
-    route_settle,
-    route_shed,
-    route_sweep,
-    route_timers,
-)
-from bulrushpulley.systems.route_events import apply
+from bulrushpulley.systems.route import answers as route_answers
+from bulrushpulley.systems.route import calls as route_calls
+from bulrushpulley.systems.route import dispatch as route_dispatch
+from bulrushpulley.systems.route import eject as route_eject
+from bulrushpulley.systems.route import leave as route_leave
+from bulrushpulley.systems.route import members as route_members
+from bulrushpulley.systems.route import resubmit as route_resubmit
+from bulrushpulley.systems.route import settle as route_settle
+from bulrushpulley.systems.route import shed as route_shed
+from bulrushpulley.systems.route import sweep as route_sweep
+from bulrushpulley.systems.route import timers as route_timers
+from bulrushpulley.systems.route.events import apply
 
 EVENT_MODULES = (
     route_answers,
--- a/bulrushpulley/systems/cell_domains.py
+++ b/bulrushpulley/systems/cell/domains.py
@@ -6,7 +6,7 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.records import DomainState, FailureDomainRecord
 from bulrushpulley.entities.rows import RecordRow
-from bulrushpulley.systems import cell_rows
+from bulrushpulley.systems.cell import rows as cell_rows
 
 
 def domain_state(tables: CellOwnerTables, cell: Cell) -> DomainState | None:
--- a/bulrushpulley/systems/cell_endings.py
+++ b/bulrushpulley/systems/cell/endings.py
@@ -34,13 +34,14 @@
     Task,
     phase_index,
 )
-from bulrushpulley.systems import cell_rows, cell_send
-from bulrushpulley.systems.cell_outcomes import (
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell.outcomes import (
     on_committed,
     on_conflicted,
     on_withdrawn,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 ENDINGS_PER_TICK = 64
 RETRY_AFTER_S = 1.0
--- a/bulrushpulley/systems/cell_evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -22,11 +22,14 @@
     phase_index,
 )
 from bulrushpulley.entities.worker import Worker
-from bulrushpulley.systems import cell_domains, cell_place, cell_rows, cell_stop
-from bulrushpulley.systems.cell_owner_events import CellStep
-from bulrushpulley.systems.cell_preempt import eviction, stopping_size
-from bulrushpulley.systems.cell_rooms import committed
-from bulrushpulley.systems.cell_victims import (
+from bulrushpulley.systems.cell import domains as cell_domains
+from bulrushpulley.systems.cell import place as cell_place
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.preempt import eviction, stopping_size
+from bulrushpulley.systems.cell.rooms import committed
+from bulrushpulley.systems.cell.victims import (
     choose_victims,
     evictable,
 )
--- a/bulrushpulley/systems/cell_interfere.py
+++ b/bulrushpulley/systems/cell/interfere.py
@@ -16,9 +16,11 @@
 from bulrushpulley.entities.interference import Relief, ServiceLatency, Throttle
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task
-from bulrushpulley.systems import cell_evict, cell_learn, cell_throttle
-from bulrushpulley.systems.cell_owner_events import CellStep
-from bulrushpulley.systems.cell_relief import (
+from bulrushpulley.systems.cell import evict as cell_evict
+from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell import throttle as cell_throttle
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.relief import (
     Case,
     ReliefPolicy,
     ThrottleFirst,
--- a/bulrushpulley/systems/cell_learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -23,7 +23,8 @@
 from bulrushpulley.entities.rows import RecordRow, TaskClass
 from bulrushpulley.entities.task import Phase, Task, task_key
 from bulrushpulley.entities.worker_calls import RunUsage, WorkerReported
-from bulrushpulley.systems import cell_suffer, interference_step
+from bulrushpulley.systems import interference_step
+from bulrushpulley.systems.cell import suffer as cell_suffer
 
 USAGE_LAG_S = 10.0
 OWN = ""
--- a/bulrushpulley/systems/cell_liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -22,13 +22,14 @@
 from bulrushpulley.entities.owner_times import RENEW_S, TAKEOVER_S
 from bulrushpulley.entities.rows import AliveRow
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems import cell_outcomes, cell_send
-from bulrushpulley.systems.cell_outcomes import (
+from bulrushpulley.systems.cell import outcomes as cell_outcomes
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell.outcomes import (
     on_committed,
     on_conflicted,
     on_withdrawn,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 
 def autonomous_until(tables: CellOwnerTables) -> float:
--- a/bulrushpulley/systems/cell_load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -24,8 +24,10 @@
 from bulrushpulley.entities.owner_times import REFETCH_S
 from bulrushpulley.entities.rows import AliveRow, RecordRow
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems import cell_rows, cell_send, cell_watch
-from bulrushpulley.systems.cell_owner_events import CellStep, apply
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell import watch as cell_watch
+from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
 
 def refetch(tables: CellOwnerTables, now: float) -> CellStep:
--- a/bulrushpulley/systems/cell_neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -10,9 +10,9 @@
 from bulrushpulley.entities.interference import JobStart
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.task import Task
-from bulrushpulley.systems import cell_learn
-from bulrushpulley.systems.cell_choice import Room
-from bulrushpulley.systems.cell_relief import LEAST_HARM
+from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.relief import LEAST_HARM
 
 PROBE_S = cell_learn.USAGE_LAG_S + 5.0
 
--- a/bulrushpulley/systems/cell_outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -22,8 +22,8 @@
 from bulrushpulley.entities.in_flight import Flight, Purpose
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems import cell_send
-from bulrushpulley.systems.cell_owner_events import CellStep, apply
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
 FENCED = HELD | {CellPhase.RELEASING}
 
--- a/bulrushpulley/systems/cell_owner_events.py
+++ b/bulrushpulley/systems/cell/owner_events.py
@@ -24,7 +24,8 @@
     Offer,
 )
 from bulrushpulley.entities.step import Event, Step
-from bulrushpulley.systems import cell_rows, cell_send
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
 
 CellStep = Step[CellOwnerTables]
 
--- a/bulrushpulley/systems/cell_place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -15,23 +15,21 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task, phase_index
 from bulrushpulley.entities.worker import Health
-from bulrushpulley.systems import (
-    cell_domains,
-    cell_neighbours,
-    cell_rows,
-    cell_start,
-)
-from bulrushpulley.systems.cell_choice import (
+from bulrushpulley.systems.cell import domains as cell_domains
+from bulrushpulley.systems.cell import neighbours as cell_neighbours
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import start as cell_start
+from bulrushpulley.systems.cell.choice import (
     Choice,
     Policy,
     Room,
     choose_worker,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
-from bulrushpulley.systems.cell_preempt import make_room
-from bulrushpulley.systems.cell_rooms import rooms_of
-from bulrushpulley.systems.cell_spread import SpreadAndPack
-from bulrushpulley.systems.cell_victims import may_preempt
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.preempt import make_room
+from bulrushpulley.systems.cell.rooms import rooms_of
+from bulrushpulley.systems.cell.spread import SpreadAndPack
+from bulrushpulley.systems.cell.victims import may_preempt
 
 PLACED_PER_TICK = 128
 POLICY: Policy = SpreadAndPack()
--- a/bulrushpulley/systems/cell_preempt.py
+++ b/bulrushpulley/systems/cell/preempt.py
@@ -11,9 +11,9 @@
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase, Requeue, Task
-from bulrushpulley.systems import cell_stop
-from bulrushpulley.systems.cell_choice import Room
-from bulrushpulley.systems.cell_victims import choose_victims
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.victims import choose_victims
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/cell_release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -19,13 +19,15 @@
 from bulrushpulley.entities.rows import LeaseRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, phase_index
-from bulrushpulley.systems import cell_outcomes, cell_rows, cell_send
-from bulrushpulley.systems.cell_outcomes import (
+from bulrushpulley.systems.cell import outcomes as cell_outcomes
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell.outcomes import (
     on_committed,
     on_conflicted,
     on_withdrawn,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 
 def release(tables: CellOwnerTables, now: float) -> CellStep:
--- a/bulrushpulley/systems/cell_relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -19,10 +19,12 @@
 from bulrushpulley.entities.rows import RecordRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.task import Phase, Requeue, Task
-from bulrushpulley.systems import cell_learn, cell_stop, cell_throttle
-from bulrushpulley.systems.cell_owner_events import CellStep
-from bulrushpulley.systems.cell_preempt import eviction
-from bulrushpulley.systems.cell_victims import evictable
+from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell import throttle as cell_throttle
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.preempt import eviction
+from bulrushpulley.systems.cell.victims import evictable
 
 AIM = 0.75
 LEAST_HARM = 0.05
--- a/bulrushpulley/systems/cell_reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -44,15 +44,13 @@
     StopUnanswered,
     WorkerReported,
 )
-from bulrushpulley.systems import (
-    cell_learn,
-    cell_rows,
-    cell_sick,
-    cell_stop,
-    cell_throttle,
-)
-from bulrushpulley.systems.cell_liveness import autonomous_until, stops_until
-from bulrushpulley.systems.cell_owner_events import CellStep, apply
+from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import sick as cell_sick
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell import throttle as cell_throttle
+from bulrushpulley.systems.cell.liveness import autonomous_until, stops_until
+from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
 STRAY_STOPS_PER_REPORT = 64
 REPORT_AFTER_STOP_S = 0.25
--- a/bulrushpulley/systems/cell_rooms.py
+++ b/bulrushpulley/systems/cell/rooms.py
@@ -5,8 +5,8 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.worker import Health, Worker
-from bulrushpulley.systems.cell_choice import Room
-from bulrushpulley.systems.cell_stop import is_silent
+from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.stop import is_silent
 
 
 def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
--- a/bulrushpulley/systems/cell_sick.py
+++ b/bulrushpulley/systems/cell/sick.py
@@ -15,8 +15,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task
 from bulrushpulley.entities.worker import Failure, Health, Worker
-from bulrushpulley.systems import cell_rows
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 SICK_JOBS = 2
 SICK_TASKS = 4
--- a/bulrushpulley/systems/cell_spread.py
+++ b/bulrushpulley/systems/cell/spread.py
@@ -8,7 +8,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.task import Task
-from bulrushpulley.systems.cell_choice import Choice, Policy, Room, choose_worker
+from bulrushpulley.systems.cell.choice import Choice, Policy, Room, choose_worker
 
 OVER_TARGET = 1.0
 RETRY_S = 2.0
--- a/bulrushpulley/systems/cell_start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -36,20 +36,18 @@
 from bulrushpulley.entities.task import Cancel, Phase, Requeue, Task
 from bulrushpulley.entities.worker import Worker
 from bulrushpulley.entities.worker_calls import StartTask
-from bulrushpulley.systems import (
-    cell_domains,
-    cell_endings,
-    cell_rooms,
-    cell_rows,
-    cell_send,
-    cell_stop,
-)
-from bulrushpulley.systems.cell_outcomes import (
+from bulrushpulley.systems.cell import domains as cell_domains
+from bulrushpulley.systems.cell import endings as cell_endings
+from bulrushpulley.systems.cell import rooms as cell_rooms
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell.outcomes import (
     on_committed,
     on_conflicted,
     on_withdrawn,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 RETRY_START_AFTER_S = 1.0
 
--- a/bulrushpulley/systems/cell_stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -31,9 +31,9 @@
 )
 from bulrushpulley.entities.worker import Worker
 from bulrushpulley.entities.worker_calls import StopTask
-from bulrushpulley.systems import cell_rows
-from bulrushpulley.systems.cell_liveness import stops_until
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell.liveness import stops_until
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 
 @singledispatch
--- a/bulrushpulley/systems/cell_summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -11,10 +11,11 @@
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import HOLDING, Phase
-from bulrushpulley.systems import cell_domains, cell_rows
-from bulrushpulley.systems.cell_choice import Room
-from bulrushpulley.systems.cell_owner_events import CellStep
-from bulrushpulley.systems.cell_rooms import rooms_of
+from bulrushpulley.systems.cell import domains as cell_domains
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.rooms import rooms_of
 
 NOT_STARTED = frozenset({Phase.WAITING, Phase.COMMITTING})
 
--- a/bulrushpulley/systems/cell_throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -15,9 +15,9 @@
     ThrottleTask,
     ThrottleUnanswered,
 )
-from bulrushpulley.systems.cell_learn import USAGE_LAG_S
-from bulrushpulley.systems.cell_liveness import stops_until
-from bulrushpulley.systems.cell_owner_events import CellStep, apply
+from bulrushpulley.systems.cell.learn import USAGE_LAG_S
+from bulrushpulley.systems.cell.liveness import stops_until
+from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
 WHOLE = 1.0
 
--- a/bulrushpulley/systems/cell_watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -34,13 +34,14 @@
 )
 from bulrushpulley.entities.rows import AliveRow, LeaseRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems import cell_rows, cell_send
-from bulrushpulley.systems.cell_outcomes import (
+from bulrushpulley.systems.cell import rows as cell_rows
+from bulrushpulley.systems.cell import send as cell_send
+from bulrushpulley.systems.cell.outcomes import (
     on_committed,
     on_conflicted,
     on_withdrawn,
 )
-from bulrushpulley.systems.cell_owner_events import CellStep
+from bulrushpulley.systems.cell.owner_events import CellStep
 
 
 def watch(tables: CellOwnerTables, now: float) -> CellStep:
--- /dev/null
+++ b/bulrushpulley/systems/commit/__init__.py
@@ -0,0 +1,1 @@
+"""The committer's systems: the only ones that have the table service written."""
--- a/bulrushpulley/systems/commit_accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -13,8 +13,8 @@
 )
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.table import Table
-from bulrushpulley.systems.commit_doubt import known_revision
-from bulrushpulley.systems.commit_report import report_committed, withdraw
+from bulrushpulley.systems.commit.doubt import known_revision
+from bulrushpulley.systems.commit.report import report_committed, withdraw
 
 MAX_QUEUED = 4_096
 URGENT_PREFIXES = ("claim/", "alive/", "lease/", "member/", "record/", "revision")
--- a/bulrushpulley/systems/commit_batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -24,7 +24,8 @@
     Transact,
     TransactionLost,
 )
-from bulrushpulley.systems import commit_backoff, commit_settle
+from bulrushpulley.systems.commit import backoff as commit_backoff
+from bulrushpulley.systems.commit import settle as commit_settle
 
 MAX_ROWS = 256
 MAX_BYTES = 512 * 1024
--- a/bulrushpulley/systems/commit_conflict.py
+++ b/bulrushpulley/systems/commit/conflict.py
@@ -20,14 +20,14 @@
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.transactions import Fence, TransactionConflicted
-from bulrushpulley.systems.commit_doubt import doubt, settle_doubts
-from bulrushpulley.systems.commit_queue import answered, owed, put_back
-from bulrushpulley.systems.commit_report import (
+from bulrushpulley.systems.commit.doubt import doubt, settle_doubts
+from bulrushpulley.systems.commit.queue import answered, owed, put_back
+from bulrushpulley.systems.commit.report import (
     report_committed,
     report_settled,
     report_unsettled,
 )
-from bulrushpulley.systems.commit_settle import all_committed
+from bulrushpulley.systems.commit.settle import all_committed
 
 
 def conflicted(
--- a/bulrushpulley/systems/commit_doubt.py
+++ b/bulrushpulley/systems/commit/doubt.py
@@ -15,7 +15,7 @@
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.commit_report import report_committed
+from bulrushpulley.systems.commit.report import report_committed
 
 DOUBT_KEPT_S = 600.0
 MAX_DOUBTS = 20_000
--- a/bulrushpulley/systems/committer_events.py
+++ b/bulrushpulley/systems/commit/events.py
@@ -16,12 +16,10 @@
     TransactionRefused,
     TransactionRejected,
 )
-from bulrushpulley.systems import (
-    commit_accept,
-    commit_conflict,
-    commit_read,
-    commit_settle,
-)
+from bulrushpulley.systems.commit import accept as commit_accept
+from bulrushpulley.systems.commit import conflict as commit_conflict
+from bulrushpulley.systems.commit import read as commit_read
+from bulrushpulley.systems.commit import settle as commit_settle
 
 
 @singledispatch
--- a/bulrushpulley/systems/commit_give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -16,9 +16,9 @@
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.commit_backoff import is_open
-from bulrushpulley.systems.commit_doubt import doubt
-from bulrushpulley.systems.commit_report import report_unsettled, withdraw
+from bulrushpulley.systems.commit.backoff import is_open
+from bulrushpulley.systems.commit.doubt import doubt
+from bulrushpulley.systems.commit.report import report_unsettled, withdraw
 
 SWEEP_S = 0.1
 
--- a/bulrushpulley/systems/commit_queue.py
+++ b/bulrushpulley/systems/commit/queue.py
@@ -11,7 +11,7 @@
     SubmissionRow,
     Transaction,
 )
-from bulrushpulley.systems import commit_backoff
+from bulrushpulley.systems.commit import backoff as commit_backoff
 
 
 def answered(lane: LaneRow, now: float) -> LaneRow:
--- a/bulrushpulley/systems/commit_settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -14,10 +14,10 @@
     TransactionRefused,
     TransactionRejected,
 )
-from bulrushpulley.systems import commit_backoff
-from bulrushpulley.systems.commit_doubt import settle_doubts
-from bulrushpulley.systems.commit_queue import answered, failed, owed, put_back
-from bulrushpulley.systems.commit_report import report_committed, withdraw
+from bulrushpulley.systems.commit import backoff as commit_backoff
+from bulrushpulley.systems.commit.doubt import settle_doubts
+from bulrushpulley.systems.commit.queue import answered, failed, owed, put_back
+from bulrushpulley.systems.commit.report import report_committed, withdraw
 
 
 def pending(tables: CommitterTables, event: TransactionEnded) -> Transaction | None:
--- /dev/null
+++ b/bulrushpulley/systems/control/__init__.py
@@ -0,0 +1,1 @@
+"""The controller's systems: records, backlog, members and the calls of operators."""
--- a/bulrushpulley/systems/control_assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -24,10 +24,10 @@
 from bulrushpulley.entities.pending import AssignTasks, Placed
 from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_backlog import block, defer, head, take, with_queue
-from bulrushpulley.systems.control_cells import put_cells
-from bulrushpulley.systems.control_events import Controlled, then
-from bulrushpulley.systems.control_moves import (
+from bulrushpulley.systems.control.backlog import block, defer, head, take, with_queue
+from bulrushpulley.systems.control.cells import put_cells
+from bulrushpulley.systems.control.events import Controlled, then
+from bulrushpulley.systems.control.moves import (
     Part,
     conditions_of,
     current_spec,
@@ -35,15 +35,15 @@
     placed_of,
     writes_of,
 )
-from bulrushpulley.systems.control_place import (
+from bulrushpulley.systems.control.place import (
     TASKS_A_TRANSACTION,
     Choice,
     Memo,
     choose,
 )
-from bulrushpulley.systems.control_said import say
-from bulrushpulley.systems.control_share import is_responsible, share, urgency
-from bulrushpulley.systems.control_submissions import numbered, submit_as
+from bulrushpulley.systems.control.said import say
+from bulrushpulley.systems.control.share import is_responsible, share, urgency
+from bulrushpulley.systems.control.submissions import numbered, submit_as
 
 ROWS_A_MOVE = 32
 TASKS_A_TURN = 16
--- a/bulrushpulley/systems/control_assigned.py
+++ b/bulrushpulley/systems/control/assigned.py
@@ -22,20 +22,20 @@
 from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.pending import AssignTasks, Pending
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_backlog import (
+from bulrushpulley.systems.control.backlog import (
     PREFIX,
     defer,
     enqueue,
     note_rows,
 )
-from bulrushpulley.systems.control_cells import put_cells
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.cells import put_cells
+from bulrushpulley.systems.control.events import (
     Controlled,
     on_commit,
     on_conflict,
     on_loss,
 )
-from bulrushpulley.systems.control_records import learn
+from bulrushpulley.systems.control.records import learn
 
 
 @on_commit.register
--- a/bulrushpulley/systems/control_backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.rows import BacklogRow, TaskSpec
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_events import Controlled, on_rows
+from bulrushpulley.systems.control.events import Controlled, on_rows
 
 PREFIX = "backlog/"
 READ_EVERY_S = 0.75
--- a/bulrushpulley/systems/control_cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.link import CellSummary
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_events import Controlled, apply
+from bulrushpulley.systems.control.events import Controlled, apply
 
 
 def put_cells(tables: ControllerTables, views: Iterable[CellView]) -> ControllerTables:
--- a/bulrushpulley/systems/control_changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -25,8 +25,8 @@
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems.control_backlog import note_rows
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.backlog import note_rows
+from bulrushpulley.systems.control.events import (
     Controlled,
     apply,
     on_commit,
@@ -34,7 +34,7 @@
     on_loss,
     then,
 )
-from bulrushpulley.systems.control_plans import (
+from bulrushpulley.systems.control.plans import (
     Plan,
     Planned,
     Refusal,
@@ -44,14 +44,14 @@
     plan,
     problem,
 )
-from bulrushpulley.systems.control_records import (
+from bulrushpulley.systems.control.records import (
     REVISION_KEY,
     changed_here,
     learn,
     learn_revision,
     record_row,
 )
-from bulrushpulley.systems.control_submissions import submit
+from bulrushpulley.systems.control.submissions import submit
 
 CHANGE_WITHIN_S = 10.0
 ANSWER_S = 0.5
--- a/bulrushpulley/systems/control_closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -40,8 +40,8 @@
 )
 from bulrushpulley.entities.rows import BacklogRow
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_backlog import forget_closing, note_rows
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.backlog import forget_closing, note_rows
+from bulrushpulley.systems.control.events import (
     Controlled,
     on_commit,
     on_conflict,
@@ -49,9 +49,9 @@
     on_rows,
     then,
 )
-from bulrushpulley.systems.control_said import say
-from bulrushpulley.systems.control_share import is_responsible
-from bulrushpulley.systems.control_submissions import numbered, submit_as
+from bulrushpulley.systems.control.said import say
+from bulrushpulley.systems.control.share import is_responsible
+from bulrushpulley.systems.control.submissions import numbered, submit_as
 
 CLOSINGS_A_TICK = 8
 CLOSINGS_IN_FLIGHT = 8
--- a/bulrushpulley/systems/control_enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -24,7 +24,7 @@
     ReadForCall,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.events import (
     Controlled,
     apply,
     on_commit,
@@ -32,11 +32,11 @@
     on_loss,
     on_rows,
 )
-from bulrushpulley.systems.control_explain import find_waiting, held_or_done
-from bulrushpulley.systems.control_polls import read_once
-from bulrushpulley.systems.control_records import record_key
-from bulrushpulley.systems.control_status import status_of
-from bulrushpulley.systems.control_submissions import submit
+from bulrushpulley.systems.control.explain import find_waiting, held_or_done
+from bulrushpulley.systems.control.polls import read_once
+from bulrushpulley.systems.control.records import record_key
+from bulrushpulley.systems.control.status import status_of
+from bulrushpulley.systems.control.submissions import submit
 
 ANSWER_WITHIN_S = 3.0
 STATUS_JOBS = 20
--- a/bulrushpulley/systems/control_explain.py
+++ b/bulrushpulley/systems/control/explain.py
@@ -11,9 +11,9 @@
 from bulrushpulley.entities.rows import TaskRow
 from bulrushpulley.entities.status import Explanation
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems.control_moves import current_spec
-from bulrushpulley.systems.control_place import Memo, choose
-from bulrushpulley.systems.control_share import is_responsible
+from bulrushpulley.systems.control.moves import current_spec
+from bulrushpulley.systems.control.place import Memo, choose
+from bulrushpulley.systems.control.share import is_responsible
 
 
 def find_waiting(
--- a/bulrushpulley/systems/control_in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -8,8 +8,8 @@
 from bulrushpulley.entities.operations import AskInForce, InForce
 from bulrushpulley.entities.pending import InForceWait
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_events import Controlled, apply
-from bulrushpulley.systems.control_members import live_entries
+from bulrushpulley.systems.control.events import Controlled, apply
+from bulrushpulley.systems.control.members import live_entries
 
 
 @apply.register
--- a/bulrushpulley/systems/control_members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -29,7 +29,7 @@
 )
 from bulrushpulley.entities.rows import MemberRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.events import (
     Controlled,
     apply,
     on_commit,
@@ -37,7 +37,7 @@
     on_loss,
     on_rows,
 )
-from bulrushpulley.systems.control_submissions import submit
+from bulrushpulley.systems.control.submissions import submit
 
 PREFIX = "member/"
 RENEW_S = 5.0
--- a/bulrushpulley/systems/control_moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.pending import Placed
 from bulrushpulley.entities.records import ServiceRecord
 from bulrushpulley.entities.rows import TaskRow, TaskSpec, TaskState
-from bulrushpulley.systems.control_records import find, record_key
+from bulrushpulley.systems.control.records import find, record_key
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/control_offers.py
+++ b/bulrushpulley/systems/control/offers.py
@@ -20,8 +20,8 @@
 from bulrushpulley.entities.observe import Count, Decision
 from bulrushpulley.entities.records import CellRecord, FailureDomainRecord
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control_events import Controlled
-from bulrushpulley.systems.control_records import find
+from bulrushpulley.systems.control.events import Controlled
+from bulrushpulley.systems.control.records import find
 
 CELL_SILENT_S = 8.0
 CELL_UNHEARD_S = 1.0
--- a/bulrushpulley/systems/control_place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -17,8 +17,8 @@
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.rows import TaskClass, TaskSpec
-from bulrushpulley.systems.control_cells import used_by
-from bulrushpulley.systems.control_records import in_service
+from bulrushpulley.systems.control.cells import used_by
+from bulrushpulley.systems.control.records import in_service
 
 TASKS_A_TRANSACTION = 64
 SAMPLE_CELLS = 8
--- a/bulrushpulley/systems/control_plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -21,7 +21,7 @@
 )
 from bulrushpulley.entities.rows import BacklogRow, RecordRow, TaskClass, TaskSpec
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems.control_records import record_key, record_row
+from bulrushpulley.systems.control.records import record_key, record_row
 
 STEP = "controller.change"
 CHECK_STEP = "records.check"
--- a/bulrushpulley/systems/control_polls.py
+++ b/bulrushpulley/systems/control/polls.py
@@ -9,8 +9,8 @@
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.pending import Poll, Target
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control_events import Controlled, apply, on_rows
-from bulrushpulley.systems.control_submissions import COMMITTER, ROLE, numbered
+from bulrushpulley.systems.control.events import Controlled, apply, on_rows
+from bulrushpulley.systems.control.submissions import COMMITTER, ROLE, numbered
 
 ANSWER_WITHIN_S = 5.0
 
--- a/bulrushpulley/systems/control_records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -26,7 +26,7 @@
 )
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_events import Controlled, on_rows
+from bulrushpulley.systems.control.events import Controlled, on_rows
 
 R = TypeVar("R")
 
--- a/bulrushpulley/systems/control_said.py
+++ b/bulrushpulley/systems/control/said.py
@@ -9,7 +9,7 @@
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control_events import Controlled
+from bulrushpulley.systems.control.events import Controlled
 
 SAY_EVERY_S = 1.0
 REMEMBERED = 4_096
--- a/bulrushpulley/systems/control_share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -13,8 +13,8 @@
 from bulrushpulley.entities.backlog import Lane, Waiting
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.resources import NOTHING
-from bulrushpulley.systems.control_cells import used_by
-from bulrushpulley.systems.control_members import live_entries
+from bulrushpulley.systems.control.cells import used_by
+from bulrushpulley.systems.control.members import live_entries
 
 PRIORITY_STEP_S = 60.0
 
--- a/bulrushpulley/systems/control_spread.py
+++ b/bulrushpulley/systems/control/spread.py
@@ -13,9 +13,9 @@
 from bulrushpulley.entities.controller_tables import AgentLink, ControllerTables
 from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control_events import Controlled, apply
-from bulrushpulley.systems.control_members import greet
-from bulrushpulley.systems.control_records import record_row
+from bulrushpulley.systems.control.events import Controlled, apply
+from bulrushpulley.systems.control.members import greet
+from bulrushpulley.systems.control.records import record_row
 
 ROUTER = "router"
 CONFIRM_WITHIN_S = 2.0
--- a/bulrushpulley/systems/control_status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -24,10 +24,10 @@
     ServiceStatus,
     Status,
 )
-from bulrushpulley.systems.control_explain import why_waits
-from bulrushpulley.systems.control_members import live_entries
-from bulrushpulley.systems.control_offers import CELL_SILENT_S
-from bulrushpulley.systems.control_records import record_row
+from bulrushpulley.systems.control.explain import why_waits
+from bulrushpulley.systems.control.members import live_entries
+from bulrushpulley.systems.control.offers import CELL_SILENT_S
+from bulrushpulley.systems.control.records import record_row
 
 EXPLAINED_ROWS = 4
 
--- a/bulrushpulley/systems/control_submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.pending import Pending, Purpose
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control_events import (
+from bulrushpulley.systems.control.events import (
     Controlled,
     apply,
     on_commit,
--- a/bulrushpulley/systems/guard_announce.py
+++ b/bulrushpulley/systems/guard/announce.py
@@ -13,8 +13,8 @@
 from bulrushpulley.entities.guard_tables import Announced, EntryLink, GuardTables
 from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.guard_events import apply
-from bulrushpulley.systems.guard_queue import QUEUED, RUNNING
+from bulrushpulley.systems.guard.events import apply
+from bulrushpulley.systems.guard.queue import QUEUED, RUNNING
 
 URGENT_S = 0.1
 LOAD_S_PER_LINK = 0.05
--- a/bulrushpulley/systems/guard_health.py
+++ b/bulrushpulley/systems/guard/health.py
@@ -8,7 +8,7 @@
 from bulrushpulley.entities.guard_tables import GuardTables
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.guard_events import apply
+from bulrushpulley.systems.guard.events import apply
 
 CHECK_S = 1.0
 
--- a/bulrushpulley/systems/guard_leave.py
+++ b/bulrushpulley/systems/guard/leave.py
@@ -11,7 +11,7 @@
 from bulrushpulley.entities.guard_tables import GuardDone, GuardTables
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.guard_events import apply
+from bulrushpulley.systems.guard.events import apply
 
 LINGER_S = 1.0
 
--- a/bulrushpulley/systems/guard_queue.py
+++ b/bulrushpulley/systems/guard/queue.py
@@ -12,8 +12,8 @@
 from bulrushpulley.entities.guard_tables import GuardTables
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code
-from bulrushpulley.systems.guard_reply import not_run
-from bulrushpulley.systems.guard_results import finish
+from bulrushpulley.systems.guard.reply import not_run
+from bulrushpulley.systems.guard.results import finish
 
 QUEUED = ExecutionState.QUEUED.value
 RUNNING = ExecutionState.RUNNING.value
--- a/bulrushpulley/systems/guard_requests.py
+++ b/bulrushpulley/systems/guard/requests.py
@@ -20,9 +20,9 @@
 from bulrushpulley.entities.observe import Count, Decision
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Ran
-from bulrushpulley.systems.guard_events import apply
-from bulrushpulley.systems.guard_memory import refuse_for_good, remember
-from bulrushpulley.systems.guard_reply import not_run, problem, replies
+from bulrushpulley.systems.guard.events import apply
+from bulrushpulley.systems.guard.memory import refuse_for_good, remember
+from bulrushpulley.systems.guard.reply import not_run, problem, replies
 
 ACCEPT = "guard.accept"
 RECALL = "guard.recall"
--- a/bulrushpulley/systems/guard_results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -14,9 +14,9 @@
 from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Ran
-from bulrushpulley.systems.guard_events import apply
-from bulrushpulley.systems.guard_memory import refuse_for_good, remember
-from bulrushpulley.systems.guard_reply import replies
+from bulrushpulley.systems.guard.events import apply
+from bulrushpulley.systems.guard.memory import refuse_for_good, remember
+from bulrushpulley.systems.guard.reply import replies
 
 SERVICE_WEIGHT = 0.1
 MAX_FAILURES = 3
--- /dev/null
+++ b/bulrushpulley/systems/route/__init__.py
@@ -0,0 +1,1 @@
+"""The router's systems: they bring callers' requests to agents."""
--- a/bulrushpulley/systems/route_answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -21,9 +21,9 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_choice import SHARED_QUEUE
-from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import (
+from bulrushpulley.systems.route.choice import SHARED_QUEUE
+from bulrushpulley.systems.route.events import apply
+from bulrushpulley.systems.route.finish import (
     answer,
     drop_attempt,
     put_request,
--- a/bulrushpulley/systems/route_calls.py
+++ b/bulrushpulley/systems/route/calls.py
@@ -11,8 +11,8 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import SELF, close, enqueue
+from bulrushpulley.systems.route.events import apply
+from bulrushpulley.systems.route.finish import SELF, close, enqueue
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HELD_BYTES = 32 * 1024 * 1024
--- a/bulrushpulley/systems/route_claims.py
+++ b/bulrushpulley/systems/route/claims.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.router_tables import ClaimSubmission, RouterTables
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.entities.step import Step, Tell
-from bulrushpulley.systems.route_finish import claim_key, put_request
+from bulrushpulley.systems.route.finish import claim_key, put_request
 
 
 def claim(
--- a/bulrushpulley/systems/route_dispatch.py
+++ b/bulrushpulley/systems/route/dispatch.py
@@ -8,16 +8,16 @@
 from bulrushpulley.entities.request import Request
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.route_choice import (
+from bulrushpulley.systems.route.choice import (
     Candidate,
     candidate,
     candidates,
     take,
     unfit_reason,
 )
-from bulrushpulley.systems.route_claims import claim
-from bulrushpulley.systems.route_queue import next_waiting
-from bulrushpulley.systems.route_send import dispatch
+from bulrushpulley.systems.route.claims import claim
+from bulrushpulley.systems.route.queue import next_waiting
+from bulrushpulley.systems.route.send import dispatch
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
--- a/bulrushpulley/systems/route_hedge.py
+++ b/bulrushpulley/systems/route/hedge.py
@@ -8,9 +8,9 @@
 from bulrushpulley.entities.request import Request
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.route_choice import candidates, take
-from bulrushpulley.systems.route_finish import put_request, put_service
-from bulrushpulley.systems.route_send import dispatch
+from bulrushpulley.systems.route.choice import candidates, take
+from bulrushpulley.systems.route.finish import put_request, put_service
+from bulrushpulley.systems.route.send import dispatch
 
 
 def hedge(tables: RouterTables, request: Request, now: float) -> Step[RouterTables]:
--- a/bulrushpulley/systems/route_members.py
+++ b/bulrushpulley/systems/route/members.py
@@ -9,9 +9,9 @@
 from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import drop_attempt, put_service
-from bulrushpulley.systems.route_recall import link_lost, send_recall
+from bulrushpulley.systems.route.events import apply
+from bulrushpulley.systems.route.finish import drop_attempt, put_service
+from bulrushpulley.systems.route.recall import link_lost, send_recall
 
 SERVICE_PREFIX = "record/service/"
 
--- a/bulrushpulley/systems/route_queue.py
+++ b/bulrushpulley/systems/route/queue.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.key_queue import KeyQueue
 from bulrushpulley.entities.request import Request, Waiting
 from bulrushpulley.entities.router_tables import RouterTables
-from bulrushpulley.systems.route_finish import put_service
+from bulrushpulley.systems.route.finish import put_service
 
 STANDING_SHARE = 0.25
 
--- a/bulrushpulley/systems/route_recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -17,7 +17,7 @@
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_finish import (
+from bulrushpulley.systems.route.finish import (
     leave_stage,
     put_request,
     retry,
--- a/bulrushpulley/systems/route_resubmit.py
+++ b/bulrushpulley/systems/route/resubmit.py
@@ -7,8 +7,8 @@
 from bulrushpulley.entities.request import Claiming, Request
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.route_claims import submit
-from bulrushpulley.systems.route_timers import after_due, refuse_late
+from bulrushpulley.systems.route.claims import submit
+from bulrushpulley.systems.route.timers import after_due, refuse_late
 
 
 @after_due.register
--- a/bulrushpulley/systems/route_send.py
+++ b/bulrushpulley/systems/route/send.py
@@ -9,8 +9,8 @@
 from bulrushpulley.entities.request import Attempt, InFlight, Request
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.route_choice import passed_over
-from bulrushpulley.systems.route_finish import put_request
+from bulrushpulley.systems.route.choice import passed_over
+from bulrushpulley.systems.route.finish import put_request
 
 
 def dispatch(
--- a/bulrushpulley/systems/route_settle.py
+++ b/bulrushpulley/systems/route/settle.py
@@ -29,9 +29,9 @@
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_choice import LEAVING, barred_reason
-from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_finish import (
+from bulrushpulley.systems.route.choice import LEAVING, barred_reason
+from bulrushpulley.systems.route.events import apply
+from bulrushpulley.systems.route.finish import (
     claim_key,
     enqueue,
     leave_stage,
@@ -40,8 +40,8 @@
     refuse,
     retry,
 )
-from bulrushpulley.systems.route_recall import recall
-from bulrushpulley.systems.route_send import dispatch
+from bulrushpulley.systems.route.recall import recall
+from bulrushpulley.systems.route.send import dispatch
 
 CLAIM_TTL_S = 3600.0
 MAX_HELD_CLAIMS = 100_000
--- a/bulrushpulley/systems/route_shed.py
+++ b/bulrushpulley/systems/route/shed.py
@@ -6,8 +6,8 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_finish import SELF, refuse
-from bulrushpulley.systems.route_queue import oldest_waiting
+from bulrushpulley.systems.route.finish import SELF, refuse
+from bulrushpulley.systems.route.queue import oldest_waiting
 
 QUEUE_SHARE = 0.5
 MIN_QUEUE = 16
--- a/bulrushpulley/systems/route_sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -28,8 +28,8 @@
     RouterTables,
 )
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.route_events import apply
-from bulrushpulley.systems.route_settle import CLAIM_TTL_S, hold
+from bulrushpulley.systems.route.events import apply
+from bulrushpulley.systems.route.settle import CLAIM_TTL_S, hold
 
 SWEEP_S = 1.0
 DELETIONS_PER_SWEEP = 50
--- a/bulrushpulley/systems/route_timers.py
+++ b/bulrushpulley/systems/route/timers.py
@@ -20,9 +20,9 @@
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route_finish import late_problem, refuse
-from bulrushpulley.systems.route_hedge import hedge
-from bulrushpulley.systems.route_recall import unlinked_problem
+from bulrushpulley.systems.route.finish import late_problem, refuse
+from bulrushpulley.systems.route.hedge import hedge
+from bulrushpulley.systems.route.recall import unlinked_problem
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -40,7 +40,7 @@
 from bulrushpulley.roles import committer, committer_io
 from bulrushpulley.roles.actor import RoleActor
 from bulrushpulley.roles.carry_out import carry_out
-from bulrushpulley.systems import commit_batch
+from bulrushpulley.systems.commit import batch as commit_batch
 from standins.table_service import GC_THRESHOLDS, TableService
 from standins.web import make_server
 
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -27,9 +27,9 @@
 from bulrushpulley.entities.step import Event
 from bulrushpulley.roles import controller
 from bulrushpulley.roles.actor import Role
-from bulrushpulley.systems.control_backlog import note_rows
-from bulrushpulley.systems.control_plans import job_spec
-from bulrushpulley.systems.control_records import learn
+from bulrushpulley.systems.control.backlog import note_rows
+from bulrushpulley.systems.control.plans import job_spec
+from bulrushpulley.systems.control.records import learn
 
 CAPACITY = Resources(processors_m=32_000, memory_mb=125_000)
 SIZE = Resources(processors_m=1_000, memory_mb=1_000)
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -22,15 +22,16 @@
 from bulrushpulley.entities.records import DomainState, PolicyRecord
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskRow, TaskState
-from bulrushpulley.systems import cell_interfere, cell_place
-from bulrushpulley.systems.cell_choice import FirstFit, Policy
-from bulrushpulley.systems.cell_relief import (
+from bulrushpulley.systems.cell import interfere as cell_interfere
+from bulrushpulley.systems.cell import place as cell_place
+from bulrushpulley.systems.cell.choice import FirstFit, Policy
+from bulrushpulley.systems.cell.relief import (
     EvictNewest,
     LeaveAlone,
     ReliefPolicy,
     ThrottleFirst,
 )
-from bulrushpulley.systems.cell_spread import SpreadAndPack
+from bulrushpulley.systems.cell.spread import SpreadAndPack
 from standins import worker_core
 from standins.worker_core import RunState
 from test.cell_bench import CellBench
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -19,7 +19,9 @@
 from hdrh.histogram import HdrHistogram
 
 from bulrushpulley.entities.calls import AnswerCall
-from bulrushpulley.systems import route_calls, route_queue, route_shed
+from bulrushpulley.systems.route import calls as route_calls
+from bulrushpulley.systems.route import queue as route_queue
+from bulrushpulley.systems.route import shed as route_shed
 from test.request_world import RequestWorld
 
 FLAGS = flags.FLAGS
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -13,7 +13,8 @@
 from bulrushpulley.entities.rows import TaskClass, TaskState
 from bulrushpulley.entities.worker import Health
 from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
-from bulrushpulley.systems import cell_sick, cell_stop
+from bulrushpulley.systems.cell import sick as cell_sick
+from bulrushpulley.systems.cell import stop as cell_stop
 from standins.worker_core import running_size
 from test.cell_bench import CAPACITY, CellBench, failing, seat
 
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -15,15 +15,13 @@
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase
 from bulrushpulley.entities.worker_calls import StartTask, WorkerReported
-from bulrushpulley.systems import (
-    cell_domains,
-    cell_reports,
-    cell_rooms,
-    cell_start,
-    cell_stop,
-    cell_watch,
-)
-from bulrushpulley.systems.cell_liveness import autonomous_until
+from bulrushpulley.systems.cell import domains as cell_domains
+from bulrushpulley.systems.cell import reports as cell_reports
+from bulrushpulley.systems.cell import rooms as cell_rooms
+from bulrushpulley.systems.cell import start as cell_start
+from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell import watch as cell_watch
+from bulrushpulley.systems.cell.liveness import autonomous_until
 from test.cell_bench import SIZE, CellBench, runs_of, seat
 from test.virtual_world import Seat, VirtualWorld
 
--- a/test/test_cell_matrix.py
+++ b/test/test_cell_matrix.py
@@ -7,7 +7,8 @@
 
 import testtools
 
-from bulrushpulley.systems import cell_reports, cell_stop
+from bulrushpulley.systems.cell import reports as cell_reports
+from bulrushpulley.systems.cell import stop as cell_stop
 from test import cell_matrix
 
 EVERY = 19
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -20,8 +20,11 @@
     WorkerReported,
 )
 from bulrushpulley.platform.worker import WorkerClient
-from bulrushpulley.systems import cell_learn, cell_place, cell_spread, cell_suffer
-from bulrushpulley.systems.cell_choice import FirstFit
+from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell import place as cell_place
+from bulrushpulley.systems.cell import spread as cell_spread
+from bulrushpulley.systems.cell import suffer as cell_suffer
+from bulrushpulley.systems.cell.choice import FirstFit
 from standins import worker_core
 from test.cell_bench import CAPACITY, SIZE, CellBench
 
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -15,13 +15,11 @@
 from bulrushpulley.entities.committer_tables import Lane
 from bulrushpulley.entities.rows import RevisionRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems import (
-    commit_accept,
-    commit_batch,
-    commit_conflict,
-    commit_report,
-    commit_settle,
-)
+from bulrushpulley.systems.commit import accept as commit_accept
+from bulrushpulley.systems.commit import batch as commit_batch
+from bulrushpulley.systems.commit import conflict as commit_conflict
+from bulrushpulley.systems.commit import report as commit_report
+from bulrushpulley.systems.commit import settle as commit_settle
 from test.committer_bench import (
     LOST,
     NEVER_SENT,
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -26,13 +26,11 @@
     TaskRow,
     TaskSpec,
 )
-from bulrushpulley.systems import (
-    control_assign,
-    control_place,
-    control_plans,
-    control_share,
-)
-from bulrushpulley.systems.control_plans import job_spec
+from bulrushpulley.systems.control import assign as control_assign
+from bulrushpulley.systems.control import place as control_place
+from bulrushpulley.systems.control import plans as control_plans
+from bulrushpulley.systems.control import share as control_share
+from bulrushpulley.systems.control.plans import job_spec
 from test.control_bench import (
     BIG,
     SMALL,
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -18,8 +18,10 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import BacklogRow, TaskRow
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems import control_assign, control_closing, control_members
-from bulrushpulley.systems.control_plans import job_spec
+from bulrushpulley.systems.control import assign as control_assign
+from bulrushpulley.systems.control import closing as control_closing
+from bulrushpulley.systems.control import members as control_members
+from bulrushpulley.systems.control.plans import job_spec
 from test.control_bench import (
     Bench,
     announce,
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -13,7 +13,8 @@
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Tell
 from bulrushpulley.errors import Code
-from bulrushpulley.systems import control_changes, control_records
+from bulrushpulley.systems.control import changes as control_changes
+from bulrushpulley.systems.control import records as control_records
 from test.control_bench import (
     Bench,
     announce,
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -10,11 +10,9 @@
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import Announce, Dispatch, Recall, Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems import (
-    guard_memory,
-    guard_requests,
-    route_choice,
-)
+from bulrushpulley.systems.guard import memory as guard_memory
+from bulrushpulley.systems.guard import requests as guard_requests
+from bulrushpulley.systems.route import choice as route_choice
 from test.request_world import SERVICE, RequestWorld
 from test.virtual_world import Seat
 
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -12,7 +12,8 @@
 
 import testtools
 
-from bulrushpulley.systems import cell_start, guard_requests
+from bulrushpulley.systems.cell import start as cell_start
+from bulrushpulley.systems.guard import requests as guard_requests
 from test.matrix import Cell, run_cell
 
 
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -13,15 +13,13 @@
 from bulrushpulley.entities.link import Dispatch, Send
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.errors import Ran
-from bulrushpulley.systems import (
-    guard_requests,
-    route_answers,
-    route_claims,
-    route_finish,
-    route_recall,
-    route_settle,
-)
-from bulrushpulley.systems.route_finish import late_problem
+from bulrushpulley.systems.guard import requests as guard_requests
+from bulrushpulley.systems.route import answers as route_answers
+from bulrushpulley.systems.route import claims as route_claims
+from bulrushpulley.systems.route import finish as route_finish
+from bulrushpulley.systems.route import recall as route_recall
+from bulrushpulley.systems.route import settle as route_settle
+from bulrushpulley.systems.route.finish import late_problem
 from test.request_world import RequestWorld
 from test.virtual_world import Path, Seat
 
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -11,13 +11,11 @@
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.rows import ClaimRow
-from bulrushpulley.systems import (
-    route_calls,
-    route_choice,
-    route_eject,
-    route_settle,
-    route_sweep,
-)
+from bulrushpulley.systems.route import calls as route_calls
+from bulrushpulley.systems.route import choice as route_choice
+from bulrushpulley.systems.route import eject as route_eject
+from bulrushpulley.systems.route import settle as route_settle
+from bulrushpulley.systems.route import sweep as route_sweep
 from test.request_world import SERVICE, RequestWorld
 from test.virtual_world import Path
 
