Forget jobs that ended long ago; take SIGHUP as a note

Cause: jobs stayed in the scheduler's memory and in the store for good, and a SIGHUP, by which the platform says that the settings file has changed, ended the process.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -163,6 +163,7 @@
     told_at: float = 0.0
     place_due: bool = False
     placed_at: float = 0.0
+    forgot_at: float = 0.0
     leaving: bool = False
 
     @property
--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -19,6 +19,7 @@
 from absl import flags
 
 from bulrushpulley.errors import Code, Problem
+from bulrushpulley.logs import log_process
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.settings import (
     AgentSettings,
@@ -121,6 +122,12 @@
             runtime.hurry.set()
         runtime.stopping.set()
 
+    def reload(signum: int, frame: FrameType | None) -> None:
+        # Nothing that runs depends on settings that may change; the next start
+        # reads them.
+        log_process(process=runtime.name, stage="reload", detail="settings changed")
+
+    signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     try:
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/forgetting.py
@@ -0,0 +1,67 @@
+"""Removes jobs that ended long ago, from memory and from the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.rows import cancel_key, job_key, progress_key
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    DropJobRows,
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.store import Transact
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.scheduling import edits
+
+# Callers may ask for the state of a job for 120 s after its end; clocks may be off.
+RETAIN_S = 300.0
+EACH_S = 5.0
+# Two rows of a job stand in one part, and the store takes 100 in a transaction.
+MAX_FORGOTTEN = 45
+CALL_S = 3.0
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Remove the jobs that have been over for long enough.
+
+    A transaction that fails leaves rows of jobs that nobody asks for any more; the
+    next owner reads them and removes them.
+    """
+    if not edits.is_loaded(tables) or now - tables.forgot_at < EACH_S:
+        return Step(tables=tables)
+    wall_s = now + tables.wall_offset_s
+    over = [job for job in tables.jobs.rows() if _is_over(tables, job, wall_s)]
+    tables = replace(tables, forgot_at=now)
+    if not over:
+        return Step(tables=tables)
+    chosen = over[:MAX_FORGOTTEN]
+    jobs = tables.jobs
+    for job in chosen:
+        jobs = jobs.drop(job.job_id)
+    progress = tuple(progress_key(job.job_id) for job in chosen)
+    intake = tuple(
+        key for job in chosen for key in (job_key(job.job_id), cancel_key(job.job_id))
+    )
+    commands: tuple[Command, ...] = tuple(
+        Transact(
+            role=SCHEDULER,
+            purpose=DropJobRows(),
+            timeout_s=CALL_S,
+            conditions=(),
+            deletes=keys,
+        )
+        for keys in (intake, progress)
+    )
+    return Step(tables=replace(tables, jobs=jobs), commands=commands)
+
+
+def _is_over(tables: SchedulerTables, job: Job, wall_s: float) -> bool:
+    return (
+        job.is_final
+        and wall_s - job.ended_at_s >= RETAIN_S
+        and not edits.is_unwritten(tables, job.job_id)
+        and not tables.tasks.count_where("job", job.job_id)
+    )
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -18,6 +18,7 @@
     TryLater,
 )
 from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.systems.scheduling import forgetting
 from test.jobs_world import QUEUE, JobsWorld, step
 
 CHAIN = (step(2), step(3, after=(0,)), step(1, after=(1,)))
@@ -137,6 +138,21 @@
         self.assertEqual(3, world.starts)
 
 
+class RetentionTest(testtools.TestCase):
+    def test_jobs_that_ended_long_ago_leave_memory_and_store(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = world.submit(1)
+        world.run_until(world.all_complete, 5.0)
+        world.run(forgetting.RETAIN_S - 10.0)
+        self.assertEqual(JobState.COMPLETED, world.state_of(job))
+        world.run(20.0)
+        kept = [key for key in world.store.row_by_key if job in key.key]
+        self.assertEqual([], kept)
+        owner = world.process_by_name[world.owner()]
+        self.assertEqual(0, len(owner.seat_by_role["scheduler"].tables.jobs))
+
+
 class OperatorTest(testtools.TestCase):
     def test_nothing_starts_in_a_domain_that_was_taken_out(self) -> None:
         world = JobsWorld()
