--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -45,13 +45,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Inquiry:
-    """A call about one job or queue that waits for the store."""
+    """A call about one job or queue that waits for the store.
+
+    `repeat` is what has to be asked again, from `repeat_at` on. It is `unsure` once a
+    cancellation may have been stored without an answer.
+    """
 
     call: JobCall
     queue: Queue
     job_id: str
     due_at: float
     tries: int = 0
+    unsure: bool = False
+    repeat: Purpose | None = None
+    repeat_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -117,7 +117,8 @@
 
     `effects_by_job` holds the jobs whose progress is to be written and what waits
     for it; `progress_by_job` what was read of jobs while a shard is loaded;
-    `timed` the jobs with occurrences that are not due yet. `store_s` is how long the
+    `timed` the jobs with occurrences that are not due yet; `unread` when a table of a
+    shard that is being loaded is to be read again. `store_s` is how long the
     store takes to answer, smoothed; `wall_offset_s` is the time since 1970 less the
     role's clock. `patience` is a number from 0 to 1 by which entries take over one
     after another.
@@ -149,6 +150,7 @@
     )
     effects_by_job: PMap[str, tuple[Effect, ...]] = field(default_factory=pmap)
     progress_by_job: PMap[str, ProgressRow] = field(default_factory=pmap)
+    unread: PMap[str, float] = field(default_factory=pmap)
     timed: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
     watch_by_table: PMap[str, WatchState] = field(default_factory=pmap)
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -4,7 +4,12 @@
 
 from bulrushpulley.entities.jobs.intake_tables import INTAKE, IntakeTables
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role, since_boot
-from bulrushpulley.systems.intake import readiness, standing_orders, submitting
+from bulrushpulley.systems.intake import (
+    inquiring,
+    readiness,
+    standing_orders,
+    submitting,
+)
 from bulrushpulley.systems.intake.events import apply
 
 
@@ -14,7 +19,12 @@
         name=INTAKE,
         tables=IntakeTables(),
         apply=apply,
-        systems=(standing_orders.run, submitting.run, readiness.run),
+        systems=(
+            standing_orders.run,
+            submitting.run,
+            inquiring.run,
+            readiness.run,
+        ),
         tick_s=CONTROL_TICK_S,
         clock=since_boot,
     )
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -17,6 +17,7 @@
     forgetting,
     lapsing,
     learning,
+    loading,
     owning,
     placing,
     unblocking,
@@ -42,6 +43,7 @@
         apply=apply,
         systems=(
             owning.run,
+            loading.run,
             watching.run,
             dialling.run,
             agents.adopt,
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -50,6 +50,7 @@
 from bulrushpulley.entities.jobs.store import (
     Condition,
     Conflicted,
+    Purpose,
     RangeRead,
     ReadRange,
     StoreCommand,
@@ -59,7 +60,7 @@
     TransactRefused,
 )
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.step import Step
+from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_patience
 from bulrushpulley.systems.intake.submitting import (
     ANSWER_MARGIN_S,
@@ -67,6 +68,11 @@
     is_accepted,
 )
 
+# Pauses before a call that the store refused or did not answer is repeated.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+LEAST_CALL_S = 0.1
+
 
 @singledispatch
 def inquire(
@@ -178,31 +184,59 @@
     tables: IntakeTables,
     now: float,
 ) -> IntakeStep:
-    """Repeat a call to the store that got no answer, while there is time."""
-    unsure = not isinstance(event, TransactRefused) and isinstance(purpose, StoreCancel)
-    call_id = inquiry.call.call_id
+    """Have a call to the store that got no answer repeated, while there is time."""
+    unsure = isinstance(purpose, StoreCancel) and not isinstance(event, TransactRefused)
+    inquiry = replace(inquiry, unsure=inquiry.unsure or unsure)
     if now >= inquiry.due_at:
-        answer: CallAnswer = TryLater(
-            call_id=call_id,
-            reason="the store did not answer",
-            retry_after_s=RETRY_AFTER_S,
-        )
-        if unsure:
-            answer = OutcomeUnknown(call_id=call_id, reason="the store did not answer")
-        return _finish(tables, inquiry, answer)
-    again = replace(inquiry, tries=inquiry.tries + 1)
+        return _give_up(tables, inquiry)
+    call_id = inquiry.call.call_id
+    wait_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**inquiry.tries)
+    again = replace(
+        inquiry, tries=inquiry.tries + 1, repeat=purpose, repeat_at=now + wait_s
+    )
     inquiries = tables.inquiries.put(call_id, again)
-    timeout_s = store_patience.timeout_s(tables.store_s) * 2.0**again.tries
-    left_s = inquiry.due_at - now
-    command = replace(
-        repeated(purpose, inquiry),
-        timeout_s=max(0.1, min(timeout_s, left_s, store_patience.LONGEST_S)),
+    return Step(tables=replace(tables, inquiries=inquiries))
+
+
+def _give_up(tables: IntakeTables, inquiry: Inquiry) -> IntakeStep:
+    """Answer a call whose time is up: nothing was done, or that is not known."""
+    call_id = inquiry.call.call_id
+    reason = "the store did not answer"
+    answer: CallAnswer = TryLater(
+        call_id=call_id, reason=reason, retry_after_s=RETRY_AFTER_S
     )
-    return Step(tables=replace(tables, inquiries=inquiries), commands=(command,))
+    if inquiry.unsure:
+        answer = OutcomeUnknown(call_id=call_id, reason=reason)
+    return _finish(tables, inquiry, answer)
+
+
+def run(tables: IntakeTables, now: float) -> IntakeStep:
+    """Repeat the calls to the store that are due."""
+    commands: list[Command] = []
+    for call_id in sorted(tables.inquiries):
+        inquiry = tables.inquiries.by_key[call_id]
+        purpose = inquiry.repeat
+        if purpose is not None and now >= inquiry.due_at:
+            step = _give_up(tables, inquiry)
+            tables = step.tables
+            commands.extend(step.commands)
+            continue
+        if purpose is None or now < inquiry.repeat_at:
+            continue
+        timeout_s = store_patience.timeout_s(tables.store_s) * 2.0**inquiry.tries
+        left_s = max(LEAST_CALL_S, inquiry.due_at - now)
+        command = replace(
+            repeated(purpose, inquiry),
+            timeout_s=min(timeout_s, left_s, store_patience.LONGEST_S),
+        )
+        sent = replace(inquiry, repeat=None)
+        tables = replace(tables, inquiries=tables.inquiries.put(call_id, sent))
+        commands.append(command)
+    return Step(tables=tables, commands=tuple(commands))
 
 
 @singledispatch
-def repeated(purpose: CallPurpose, inquiry: Inquiry) -> StoreCommand:
+def repeated(purpose: Purpose, inquiry: Inquiry) -> StoreCommand:
     """Return the call to the store that has this purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -113,7 +113,7 @@
 ) -> SchedulerStep:
     if isinstance(event, RangeRead):
         return loading.on_loaded(event, purpose.table, tables, now)
-    return loading.on_unread(purpose.table, tables)
+    return loading.on_unread(purpose.table, tables, now)
 
 
 @on_store.register
@@ -122,7 +122,8 @@
 ) -> SchedulerStep:
     if isinstance(event, RangeRead):
         return watching.on_rows(event.rows, event.version, purpose.table, tables, now)
-    return watching.on_history_lost(purpose.table, tables)
+    # The watch goes on, and learns again that its history is gone.
+    return watching.on_failed(purpose.table, tables, now)
 
 
 @on_store.register
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -35,6 +35,7 @@
 
 # Long enough for a few hundred rows from a store that answers 100 times slower.
 LOAD_S = 6.0
+RETRY_S = 0.2
 PART_BY_TABLE = {JOBS: INTAKE_PART, PROGRESS: OWNED_PART, HOSTS: ""}
 # Progress is read before the jobs that it belongs to are made, so it comes first.
 ORDER = (PROGRESS, HOSTS, JOBS)
@@ -91,12 +92,20 @@
     return Step(tables=replace(tables, place_due=True), commands=(*commands, line))
 
 
-def on_unread(table: str, tables: SchedulerTables) -> SchedulerStep:
-    """Read a table again whose rows did not come."""
-    owning = tables.leadership
-    if not isinstance(owning, Owning) or table not in owning.loading:
-        return Step(tables=tables)
-    return Step(tables=tables, commands=(_read(table, tables),))
+def on_unread(table: str, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Have a table read again whose rows did not come."""
+    unread = tables.unread.set(table, now + RETRY_S)
+    return Step(tables=replace(tables, unread=unread))
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Read the tables again that are due."""
+    commands: list[Command] = []
+    for table, retry_at in tables.unread.items():
+        if now >= retry_at:
+            tables = replace(tables, unread=tables.unread.discard(table))
+            commands.append(_read(table, tables))
+    return Step(tables=tables, commands=tuple(commands))
 
 
 def _progress(rows: tuple[StoredRow, ...]) -> tuple[ProgressRow, ...]:
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -414,7 +414,8 @@
             self._answer(command, process, STORE_S, read)
             return
         failed = store.ReadFailed(purpose=command.purpose, reason="down")
-        self._answer(command, process, 0.3, lambda: failed)
+        after_s = command.timeout_s if process.name in self.unstored else STORE_S
+        self._answer(command, process, after_s, lambda: failed)
 
     @_carry_out.register
     def _(self, command: ExecutorCommand, process: Process) -> None:
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -18,6 +18,8 @@
     TryLater,
 )
 from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.entities.jobs.store import ReadRange
+from bulrushpulley.entities.step import Command
 from bulrushpulley.systems.scheduling import forgetting
 from test.jobs_world import QUEUE, JobsWorld, step
 
@@ -208,6 +210,27 @@
 
 
 class StoreTest(testtools.TestCase):
+    def test_a_store_that_refuses_is_not_asked_without_a_pause(self) -> None:
+        # inc-0850 of firinzeka-prod: 8,400 calls of the store instead of 3,400.
+        world = JobsWorld()
+        world.run(2.0)
+        world.store_up = False
+        asked: list[Command] = []
+        world.hook = asked.append
+        for number in range(5):
+            call = ShowCall(
+                call_id=f"show-{number}",
+                authority=QUEUE.authority,
+                path=f"/push/{number:016x}",
+                within_s=3.0,
+                received_at_s=world.now,
+            )
+            world.tell(world.process_by_name["entry-0"], "intake", call)
+        world.run(3.0)
+        reads = [command for command in asked if isinstance(command, ReadRange)]
+        self.assertLess(len(reads), 5 * 12)
+        self.assertIsInstance(world.answer_to("show-0"), TryLater)
+
     def test_a_refusal_says_at_once_when_to_come_back(self) -> None:
         world = JobsWorld()
         world.run(2.0)
