Ask for advice where a queue's policy needs it

A queue with terms of advice starts tasks only with tickets: the scheduler asks about the most urgent step that waits, one call at a time, and asks anew when tickets run out or are refused.

--- /dev/null
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -0,0 +1,61 @@
+"""Advice on which backend servers may run a step, for queues whose policy asks it.
+
+Only a service of the platform knows the policy. It names the servers that may run a
+step and gives a ticket for each, which the start of every task of the step carries.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bulrushpulley.entities.step import Command, Event
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceTerms:
+    """How long advice takes, for a step and for each server, and how long it counts."""
+
+    decide_s: float
+    per_server_s: float
+    valid_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Advice:
+    """The advice on one occurrence of a step; without tickets until it came.
+
+    It counts until `valid_until`, and is asked for again from `ask_at` on.
+    """
+
+    step_key: str
+    ticket_by_server: Mapping[str, str]
+    valid_until: float = 0.0
+    ask_at: float = 0.0
+    in_flight: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskAdvice(Command):
+    """Asks which of some backend servers may run a step."""
+
+    role: str
+    step_key: str
+    server_ids: tuple[str, ...]
+    timeout_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Advised(Event):
+    """The backend servers that may run a step, with their tickets."""
+
+    step_key: str
+    ticket_by_server: Mapping[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdviceFailed(Event):
+    """No advice came."""
+
+    step_key: str
+    reason: str
--- a/bulrushpulley/entities/jobs/configuration.py
+++ b/bulrushpulley/entities/jobs/configuration.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from bulrushpulley.entities.jobs.advice import AdviceTerms
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Queue:
@@ -11,7 +13,8 @@
 
     Priority 0 comes first. A job is late when it takes longer than `latency_factor`
     times its longest chain of work and `target_latency_s` more. A task may fail
-    `max_attempts` times.
+    `max_attempts` times. A queue with terms of `advice` runs a step only where the
+    platform's service allows it.
     """
 
     name: str
@@ -23,6 +26,7 @@
     latency_factor: float
     target_latency_s: float
     timeout_s: float
+    advice: AdviceTerms | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/keeper_tables.py
@@ -40,7 +40,8 @@
     """One run: the order for it, if one came, and what the backend server says.
 
     An unwanted run is stopped. No call about it goes out before `retry_at`, or while
-    one is in flight. It is `unsure` once a start got no answer. `pace` is the
+    one is in flight. It is `unsure` once a start got no answer, and `denied`
+    says why the backend server denied one. `pace` is the
     percentage of its speed that it should have, `pace_set` the last one that was
     taken, or zero if that is not known.
     """
@@ -57,6 +58,7 @@
     barred_at: float = 0.0
     unsure: bool = False
     unhealthy: bool = False
+    denied: str = ""
     pace: int = 100
     pace_set: int = 100
     pacing: bool = False
--- a/bulrushpulley/entities/jobs/runs.py
+++ b/bulrushpulley/entities/jobs/runs.py
@@ -25,7 +25,8 @@
     """Asks an agent to have a run started, or to keep it if it is there.
 
     `committed` is the room that the run takes. `target_ms` is above zero for a task
-    that serves, `disturbs` marks one that may slow those that serve.
+    that serves, `disturbs` marks one that may slow those that serve. `ticket` is what
+    advice gave for its backend server.
     """
 
     task_id: str
@@ -36,6 +37,7 @@
     target_ms: float = 0.0
     image: str = ""
     disturbs: bool = False
+    ticket: str = ""
 
     @property
     def key(self) -> str:
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -12,6 +12,7 @@
 
 from bulrushpulley.entities.interference import Harm
 from bulrushpulley.entities.jobs import host, job, task
+from bulrushpulley.entities.jobs.advice import Advice
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.configuration import NOTHING_STANDING, Standing
 from bulrushpulley.entities.jobs.host import Host
@@ -159,6 +160,7 @@
     backlog_written: BacklogRow = NO_BACKLOG
     store_s: float = 0.05
     wall_offset_s: float = 0.0
+    advice: Table[Advice] = field(default_factory=Table.empty)
     harms: Table[Harm] = field(default_factory=Table.empty)
     target_by_image: PMap[str, float] = field(default_factory=pmap)
     harmful: frozenset[tuple[str, str]] = frozenset()
--- /dev/null
+++ b/bulrushpulley/platform/advice.py
@@ -0,0 +1,50 @@
+"""The client of the service that knows which backend servers may run a step."""
+
+from __future__ import annotations
+
+import http
+
+import msgspec
+
+from bulrushpulley.entities.jobs.advice import AdviceFailed, Advised, AskAdvice
+from bulrushpulley.entities.step import Event
+from bulrushpulley.errors import BulrushpulleyError
+from bulrushpulley.platform.fields import decoded, invalid, items
+from bulrushpulley.platform.http_client import HttpClient
+
+STEP = "advice.decode"
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class AdviceClient:
+    """Asks for advice; each call blocks up to its timeout."""
+
+    def __init__(self, *, address: str) -> None:
+        self._http = HttpClient(
+            url=f"http://{address}", connections=1, service="advice"
+        )
+
+    def ask(self, command: AskAdvice) -> Event:
+        """Ask about one step."""
+        # The servers are named "workers" in the call.
+        body = {"StepId": command.step_key, "Workers": list(command.server_ids)}
+        try:
+            answer = self._http.exchange(
+                "POST",
+                "/v1/advise",
+                timeout_s=command.timeout_s,
+                body=msgspec.json.encode(body),
+                headers=JSON_HEADERS,
+            )
+            if answer.status != http.HTTPStatus.OK:
+                reason = f"status {answer.status}: {answer.body[:200]!r}"
+                return AdviceFailed(step_key=command.step_key, reason=reason)
+            raw = decoded(answer.body, STEP)
+            # A row is [server id, ticket].
+            rows = items(raw, "Approved", STEP)
+            if not all(isinstance(row, list) and len(row) > 1 for row in rows):
+                raise invalid(STEP, "Approved", "must have rows of two")
+        except BulrushpulleyError as error:
+            return AdviceFailed(step_key=command.step_key, reason=str(error))
+        ticket_by_server = {str(row[0]): str(row[1]) for row in rows}
+        return Advised(step_key=command.step_key, ticket_by_server=ticket_by_server)
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -101,6 +101,8 @@
         }
         if order.checkpoint:
             body["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["Ticket"] = order.ticket
         try:
             answer = self._post(command, "/v1/run-start", body)
         except RefusedError as error:
--- a/bulrushpulley/platform/order_rows.py
+++ b/bulrushpulley/platform/order_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bulrushpulley.entities.jobs.advice import AdviceTerms
 from bulrushpulley.entities.jobs.configuration import (
     Configuration,
     Evacuation,
@@ -14,6 +15,7 @@
     flag,
     integer,
     number,
+    table,
     tables,
     text,
 )
@@ -53,6 +55,19 @@
         # The part of a job's objective that every job of the queue has.
         target_latency_s=number(raw, "TargetLatencyMs", STEP) / 1_000,
         timeout_s=number(raw, "TimeoutMs", STEP) / 1_000,
+        advice=_advice(raw),
+    )
+
+
+def _advice(raw: Fields) -> AdviceTerms | None:
+    if raw.get("Recommendation") is None:
+        return None
+    terms = table(raw["Recommendation"], STEP, "Recommendation")
+    return AdviceTerms(
+        decide_s=number(terms, "DecisionMs", STEP) / 1_000,
+        # For each server that a call names.
+        per_server_s=number(terms, "PerItemMs", STEP) / 1_000,
+        valid_s=number(terms, "ValidityMs", STEP) / 1_000,
     )
 
 
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -12,6 +12,7 @@
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.step import Command
 from bulrushpulley.logs import log_process
+from bulrushpulley.platform.advice import AdviceClient
 from bulrushpulley.platform.agent_front import ReadyFront
 from bulrushpulley.platform.job_front import JobFront
 from bulrushpulley.platform.row_store import RowStoreClient
@@ -77,7 +78,10 @@
             bounds=settings.bounds.within(settings.limits),
         )
         ports = SchedulerPorts(
-            **base, store=self._store(SCHEDULER_THREADS), dial=self._dial
+            **base,
+            store=self._store(SCHEDULER_THREADS),
+            dial=self._dial,
+            advice=AdviceClient(address=settings.advice) if settings.advice else None,
         )
         self.runtime.start_role(role, ports, threads=SCHEDULER_THREADS)
 
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -5,21 +5,28 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
+from bulrushpulley.entities.jobs.advice import AdviceFailed, AskAdvice
 from bulrushpulley.entities.jobs.scheduler_tables import (
     DialAgent,
     ReadWallClock,
     WallClock,
 )
+from bulrushpulley.platform.advice import AdviceClient
 from bulrushpulley.roles.carry_out import carry_out
 from bulrushpulley.roles.store_io import StorePorts
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerPorts(StorePorts):
-    """The ports of the scheduler; `dial` returns at once."""
+    """The ports of the scheduler; `dial` returns at once.
+
+    `advice` is None where the platform has no service for it.
+    """
 
     dial: Callable[[str], None]
+    advice: AdviceClient | None = None
 
 
 @carry_out.register
@@ -27,6 +34,16 @@
     ports.dial(command.address)
 
 
+@carry_out.register
+def _(command: AskAdvice, ports: SchedulerPorts) -> None:
+    if ports.advice is None:
+        reason = "the settings name no service for advice"
+        failed = AdviceFailed(step_key=command.step_key, reason=reason)
+        ports.tell(command.role, failed)
+        return
+    ports.run(role=command.role, work=partial(ports.advice.ask, command))
+
+
 @carry_out.register
 def _(command: ReadWallClock, ports: SchedulerPorts) -> None:
     ports.tell(command.role, WallClock(wall_s=time.time()))
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -29,6 +29,7 @@
 Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", longest=100)]
 Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", longest=45)]
 Address = Annotated[str, Text(pattern=r"[0-9.]+:[0-9]{1,5}", longest=60)]
+MaybeAddress = Annotated[str, Text(pattern=r"([0-9.]+:[0-9]{1,5})?", longest=60)]
 Url = Annotated[str, Text(pattern=r"https?://[^\s/]+(/[^\s]*)?", longest=500)]
 Port = Annotated[int, Range(low=0, high=65_535)]
 Threads = Annotated[int, Range(low=1, high=1_024)]
@@ -185,7 +186,8 @@
     """The settings of an entry on the users' platform.
 
     `callers` is where jobs come in, `ready` where the platform asks whether new
-    callers should come.
+    callers should come. `advice` is the service that knows where steps may run, if
+    there is one.
     """
 
     role: Annotated[str, Text(pattern="job-entry")]
@@ -196,6 +198,7 @@
     ready: Address
     store: StoreSettings
     limits: LimitSettings
+    advice: MaybeAddress = ""
     bounds: BoundSettings = field(default_factory=BoundSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
--- a/bulrushpulley/systems/keeping/refusing.py
+++ b/bulrushpulley/systems/keeping/refusing.py
@@ -14,6 +14,7 @@
 def refuse(tables: KeeperTables, run: Run, reason: str) -> KeeperStep:
     """Drop a run and say so; an owner that is not linked asks again when it is."""
     tables = replace(tables, runs=tables.runs.drop(run.key))
+    reason = run.denied or reason
     line = Decision(
         kind="run.refuse",
         subject=run.key,
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -135,7 +135,7 @@
     elif event.reason == "late":
         denied = replace(run_, in_flight=False, retry_at=now + RETRY_S)
     else:
-        denied = replace(run_, in_flight=False, wanted=False)
+        denied = replace(run_, in_flight=False, wanted=False, denied=event.reason)
     tables = replace(tables, runs=tables.runs.put(run_.key, denied))
     return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
 
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -0,0 +1,140 @@
+"""Gets advice for the steps that wait for it, one call after another.
+
+The service works on one call of this process at a time, so the most urgent step is
+asked about first and no call waits behind another of ours.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.advice import (
+    Advice,
+    AdviceFailed,
+    AdviceTerms,
+    Advised,
+    AskAdvice,
+)
+from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.task import step_key
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.scheduling import edits
+
+# The platform reckons with advice on 30 servers a step, and takes 100 in a call.
+MAX_ASKED = 30
+ANSWER_S = 1.0
+RETRY_S = 0.3
+# Tickets that end sooner than a start takes are not worth a start.
+LEAST_LEFT_S = 0.7
+
+
+def terms_of(tables: SchedulerTables, job: Job) -> AdviceTerms | None:
+    """Return the terms of advice of a job's queue, if its policy asks for any."""
+    queue = tables.standing.queue(job.row.queue)
+    return queue.advice if queue is not None else None
+
+
+def tickets(
+    tables: SchedulerTables, job: Job, key: str, now: float
+) -> Mapping[str, str] | None:
+    """Return the tickets for a step by backend server; None where none are needed."""
+    if terms_of(tables, job) is None:
+        return None
+    advice = tables.advice.get(key)
+    if advice is None or advice.valid_until - now < LEAST_LEFT_S:
+        return {}
+    return advice.ticket_by_server
+
+
+def server_of(host: Host) -> str:
+    """Return the id of the backend server that lives on a host."""
+    return host.life.rpartition("/")[0]
+
+
+def ask(
+    tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
+) -> SchedulerStep:
+    """Ask about the first step that waits for advice; `jobs` are in their order."""
+    if any(advice.in_flight for advice in tables.advice.rows()):
+        return Step(tables=tables)
+    for job in jobs:
+        terms = terms_of(tables, job)
+        key = _waiting_step(tables, job, now) if terms is not None else ""
+        if terms is None or not key:
+            continue
+        roomy = sorted(open_hosts, key=lambda host: -host.free.processors_m)
+        server_ids = tuple(server_of(host) for host in roomy[:MAX_ASKED])
+        if not server_ids:
+            return Step(tables=tables)
+        call = AskAdvice(
+            role=SCHEDULER,
+            step_key=key,
+            server_ids=server_ids,
+            timeout_s=terms.decide_s + len(server_ids) * terms.per_server_s + ANSWER_S,
+        )
+        known = tables.advice.get(key) or Advice(step_key=key, ticket_by_server={})
+        tables = _put(tables, replace(known, in_flight=True))
+        return Step(tables=tables, commands=(call,))
+    return Step(tables=tables)
+
+
+def _waiting_step(tables: SchedulerTables, job: Job, now: float) -> str:
+    for task in tables.tasks.rows_where("waiting", job.job_id):
+        key = step_key(task.job_id, task.occurrence, task.step)
+        advice = tables.advice.get(key)
+        if advice is None:
+            return key
+        if now >= advice.ask_at and advice.valid_until - now < LEAST_LEFT_S:
+            return key
+    return ""
+
+
+def _put(tables: SchedulerTables, advice: Advice) -> SchedulerTables:
+    return replace(tables, advice=tables.advice.put(advice.step_key, advice))
+
+
+def on_advised(event: Advised, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Take advice in; the step can be placed at once."""
+    job = tables.jobs.get(event.step_key.partition(".")[0])
+    known = tables.advice.get(event.step_key)
+    terms = terms_of(tables, job) if job is not None else None
+    if known is None or terms is None or job is None or job.is_final:
+        return _forgotten(tables, event.step_key)
+    advice = Advice(
+        step_key=event.step_key,
+        ticket_by_server=event.ticket_by_server,
+        valid_until=now + terms.valid_s,
+        ask_at=now + RETRY_S,
+    )
+    count = len(event.ticket_by_server)
+    line = edits.log(tables, "step.advice", event.step_key, f"{count} servers", "")
+    tables = replace(_put(tables, advice), place_due=True)
+    return Step(tables=tables, commands=(line,))
+
+
+def _forgotten(tables: SchedulerTables, key: str) -> SchedulerStep:
+    return Step(tables=replace(tables, advice=tables.advice.drop(key)))
+
+
+def on_failed(
+    event: AdviceFailed, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Ask again after a pause."""
+    known = tables.advice.get(event.step_key)
+    if known is None:
+        return Step(tables=tables)
+    again = replace(known, in_flight=False, ask_at=now + RETRY_S)
+    line = edits.log(tables, "step.unadvised", event.step_key, "", event.reason)
+    return Step(tables=_put(tables, again), commands=(line,))
+
+
+def on_ticket_refused(tables: SchedulerTables, key: str) -> SchedulerTables:
+    """Ask anew for a step whose tickets no longer count."""
+    return replace(tables, advice=tables.advice.drop(key))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -33,10 +33,11 @@
     SchedulerStep,
     SchedulerTables,
 )
-from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, job_of
+from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, job_of, step_key
 from bulrushpulley.entities.link import LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import (
+    advising,
     draining,
     edits,
     endings,
@@ -46,6 +47,7 @@
 
 # A loss of every host at once costs a job no more work than this, in seconds.
 SAVE_S = 1.0
+NO_TICKET = "ticket"
 KEPT = frozenset({TaskState.HELD, TaskState.RUNNING})
 
 
@@ -165,6 +167,9 @@
     task = _held(tables, host, event.life, event.run.task_id, event.run.run)
     if task is None:
         return Step(tables=tables)
+    if event.reason == NO_TICKET:
+        key = step_key(task.job_id, task.occurrence, task.step)
+        tables = advising.on_ticket_refused(tables, key)
     line = edits.log(tables, "task.refused", task.task_id, host.name, event.reason)
     step = endings.end_run(tables, task, Stopped(), now)
     return Step(tables=step.tables, commands=(line, *step.commands))
@@ -277,4 +282,13 @@
         target_ms=spec.latency_target_ms,
         image=spec.image,
         disturbs=bool(spec.image) and not spec.serves,
+        ticket=_ticket(tables, task),
     )
+
+
+def _ticket(tables: SchedulerTables, task: Task) -> str:
+    advice = tables.advice.get(step_key(task.job_id, task.occurrence, task.step))
+    host = tables.hosts.get(task.host)
+    if advice is None or host is None:
+        return ""
+    return advice.ticket_by_server.get(advising.server_of(host), "")
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
+from bulrushpulley.entities.jobs.advice import AdviceFailed, Advised
 from bulrushpulley.entities.jobs.items import JobItem
 from bulrushpulley.entities.jobs.scheduler_tables import (
     ClaimShard,
@@ -36,6 +37,7 @@
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.systems.scheduling import (
     accepting,
+    advising,
     agents,
     committing,
     dialling,
@@ -55,6 +57,8 @@
 apply.register(LinkDown, agents.on_link_down)
 apply.register(JobItem, agents.on_item)
 apply.register(DialEnded, dialling.on_dial_ended)
+apply.register(Advised, advising.on_advised)
+apply.register(AdviceFailed, advising.on_failed)
 
 
 @apply.register
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -24,8 +24,8 @@
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits, learning
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.scheduling import advising, edits, learning
 from bulrushpulley.systems.scheduling.ranking import Room, cost, holds_back, kind_of
 
 # An agent makes contact each second; one that missed two gets nothing new.
@@ -63,11 +63,15 @@
     }
     state = Pass(tables=tables, room_by_host=rooms)
     jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
-    for job in sorted(jobs, key=lambda job: order(job, now)):
+    jobs.sort(key=lambda job: order(job, now))
+    for job in jobs:
         if state.placed >= MAX_PLACED:
             break
         state = _place_job(state, job, now)
-    return Step(tables=state.tables, commands=state.lines)
+    hosts = [room.host for room in rooms.values()]
+    asked = advising.ask(state.tables, jobs, hosts, now)
+    commands: tuple[Command, ...] = (*state.lines, *asked.commands)
+    return Step(tables=asked.tables, commands=commands)
 
 
 def _is_settling(tables: SchedulerTables, now: float) -> bool:
@@ -200,6 +204,8 @@
     kind = kind_of(step)
     harm_part = partial(learning.harm_part, state.tables)
     waited_s = now - task.since
+    key = step_key(task.job_id, task.occurrence, task.step)
+    tickets = advising.tickets(state.tables, job, key, now)
     service = service_of(state.tables, job)
     fitting = [
         room
@@ -208,6 +214,7 @@
         and room.host.service == service
         and (not step.needs_label or step.needs_label in room.host.labels)
         and not _is_crowded(step, siblings, room)
+        and (tickets is None or advising.server_of(room.host) in tickets)
         and not holds_back(kind, step, room, harm_part, waited_s)
     ]
     fitting = [room for room in fitting if room.host.name not in task.avoid] or fitting
--- a/test/jobs_executor.py
+++ b/test/jobs_executor.py
@@ -54,6 +54,7 @@
     up: bool = True
     draining: bool = False
     hangs: bool = False
+    wants_ticket: bool = False
     fails_all: bool = False
     noted: int = 0
     ends: list[RunEnd] = field(default_factory=list)
@@ -165,6 +166,8 @@
             return replace(denied, reason="life")
         if order.key in self.working:
             return RunStarted(server_id=command.server_id, run=ref)
+        if self.wants_ticket and order.ticket != f"ticket-{self.server_id}":
+            return replace(denied, reason="ticket")
         if order.run <= self.barred.get(order.task_id, 0):
             return replace(denied, final=True)
         if self.born_at + command.lease_until_ms / 1000 <= now:
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from bulrushpulley.entities.jobs import store
+from bulrushpulley.entities.jobs.advice import Advised, AskAdvice
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.calls import CallAnswer, SubmitCall
 from bulrushpulley.entities.jobs.configuration import (
@@ -113,6 +114,7 @@
         self.store_up = True
         self.lose_answers = False
         self.late_s = 0.0
+        self.disallowed: set[str] = set()
         self.hook: Callable[[Command], None] | None = None
         self.answers: list[CallAnswer] = []
         self.decisions: list[Decision] = []
@@ -329,6 +331,16 @@
     def _(self, command: Tell, process: Process) -> None:
         self.tell(process, command.role, command.event)
 
+    @_carry_out.register
+    def _(self, command: AskAdvice, process: Process) -> None:
+        approved = {
+            server_id: f"ticket-{server_id}"
+            for server_id in command.server_ids
+            if server_id not in self.disallowed
+        }
+        advised = Advised(step_key=command.step_key, ticket_by_server=approved)
+        self.at(0.05, lambda: self.tell(process, command.role, advised))
+
     @_carry_out.register
     def _(self, command: ReadWallClock, process: Process) -> None:
         self.tell(process, command.role, WallClock(wall_s=self.now))
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bulrushpulley.entities.jobs.advice import AdviceTerms
 from bulrushpulley.entities.jobs.calls import (
     CancelCall,
     JobAccepted,
@@ -155,6 +156,41 @@
         self.assertEqual(0, len(owner.seat_by_role["scheduler"].tables.jobs))
 
 
+class AdviceTest(testtools.TestCase):
+    """A queue whose steps run only where the platform's service allows it."""
+
+    def _world(self) -> JobsWorld:
+        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=2.0)
+        world = JobsWorld()
+        world.configure(replace(QUEUE, advice=terms))
+        for executor in world.executor_by_host.values():
+            executor.wants_ticket = True
+        world.run(2.0)
+        return world
+
+    def test_tasks_start_with_a_ticket_and_only_where_they_may(self) -> None:
+        world = self._world()
+        world.disallowed.add(world.executor_by_host["z0-0"].server_id)
+        world.submit(1, *CHAIN)
+        self.assertTrue(world.run_until(world.all_complete, 8.0))
+        self.assertEqual({}, world.executor_by_host["z0-0"].barred)
+        self.assertEqual([], world.violations)
+
+    def test_advice_that_has_run_out_is_asked_for_again(self) -> None:
+        world = self._world()
+        world.submit(1, step(30), payload="1.5")
+        self.assertTrue(world.run_until(world.all_complete, 12.0))
+
+    def test_a_ticket_that_is_refused_is_replaced(self) -> None:
+        world = self._world()
+        executor = world.executor_by_host["z0-0"]
+        world.submit(1, step(12), payload="3.0")
+        world.run(0.02)
+        executor.crash()
+        executor.restart(world.now)
+        self.assertTrue(world.run_until(world.all_complete, 12.0))
+
+
 class OperatorTest(testtools.TestCase):
     def test_nothing_starts_in_a_domain_that_was_taken_out(self) -> None:
         world = JobsWorld()
