--- a/bulrushpulley/platform/fields.py
+++ b/bulrushpulley/platform/fields.py
@@ -70,7 +70,7 @@
     value = raw.get(name, 0)
     if value is None:
         return 0.0
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    if type(value) not in (int, float):
         raise invalid(step, name, "must be a number")
     if not 0 <= value <= MAX_INTEGER:
         raise invalid(step, name, "is out of range")
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import singledispatch
 
 from bulrushpulley.entities.jobs.job import Job, new_job
 from bulrushpulley.entities.jobs.rows import CancelRow, JobRow, ProgressRow
@@ -21,20 +22,21 @@
 ) -> SchedulerStep:
     """Take in rows of the jobs table; jobs before their cancellations."""
     commands: list[Command] = []
-    for stored in rows:
-        if isinstance(stored.row, JobRow):
-            step = _accept(stored.row, tables, now)
-            tables = step.tables
-            commands.extend(step.commands)
-    for stored in rows:
-        if isinstance(stored.row, CancelRow):
-            step = _cancel(stored.row, tables, now)
-            tables = step.tables
-            commands.extend(step.commands)
+    for stored in sorted(rows, key=lambda stored: type(stored.row) is CancelRow):
+        step = on_row(stored.row, tables, now)
+        tables = step.tables
+        commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _accept(row: JobRow, tables: SchedulerTables, now: float) -> SchedulerStep:
+@singledispatch
+def on_row(row: object, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Take in one row; deleted rows and those of other kinds change nothing."""
+    return Step(tables=tables)
+
+
+@on_row.register
+def _(row: JobRow, tables: SchedulerTables, now: float) -> SchedulerStep:
     if row.job_id in tables.jobs:
         return Step(tables=tables)
     age_s = max(0.0, now + tables.wall_offset_s - row.accepted_at_s)
@@ -89,7 +91,8 @@
     ]
 
 
-def _cancel(row: CancelRow, tables: SchedulerTables, now: float) -> SchedulerStep:
+@on_row.register
+def _(row: CancelRow, tables: SchedulerTables, now: float) -> SchedulerStep:
     job = tables.jobs.get(row.job_id)
     if job is None or job.is_final:
         return Step(tables=tables)
