Count every decision, and time commits, stores, waits and starts

Cause: the roles of jobs logged their decisions but counted none, so the metrics pages were all but empty, and agents had none. Every decision is now counted by its kind where it is logged; four histograms; agents serve /metrics where their backend server announces itself. Tests of the deploy templates and of decoded bodies.

--- a/bulrushpulley/platform/agent_front.py
+++ b/bulrushpulley/platform/agent_front.py
@@ -17,17 +17,26 @@
 METRICS_PATH = "/metrics"
 
 
+def _metrics(text: Callable[[], str]) -> HttpReply:
+    return HttpReply(status=200, body=text().encode(), content_type="text/plain")
+
+
 class AgentFront:
     """Hands announcements to the keeper; a malformed one names no backend server."""
 
     def __init__(
-        self, *, tell: Callable[[Event], None], report: Callable[[Problem], None]
+        self,
+        *,
+        tell: Callable[[Event], None],
+        report: Callable[[Problem], None],
+        metrics_text: Callable[[], str],
     ) -> None:
         self._tell = tell
         self._report = report
+        self._metrics_text = metrics_text
 
     def handle(self, request: HttpRequest) -> HttpReply:
-        """Take one announcement."""
+        """Take one announcement, or answer with the metrics page."""
         announced = ANNOUNCE.fullmatch(request.path)
         if announced is not None:
             return self._announce(announced.group(1), request.body)
@@ -35,6 +44,8 @@
         if withdrawn is not None:
             self._tell(Withdrawn(server_id=withdrawn.group(1)))
             return json_reply(200, {})
+        if request.path == METRICS_PATH:
+            return _metrics(self._metrics_text)
         return json_reply(404, {"Error": "no such path"})
 
     def _announce(self, server_id: str, body: bytes) -> HttpReply:
@@ -60,6 +71,5 @@
         if request.path == READY_PATH:
             return json_reply(200 if self._is_ready() else 503, {})
         if request.path == METRICS_PATH:
-            body = self._metrics_text().encode()
-            return HttpReply(status=200, body=body, content_type="text/plain")
+            return _metrics(self._metrics_text)
         return json_reply(404, {"Error": "no such path"})
--- a/bulrushpulley/roles/carry_out.py
+++ b/bulrushpulley/roles/carry_out.py
@@ -61,6 +61,7 @@
 @carry_out.register
 def _(command: Decision, ports: Ports) -> None:
     ports.decide(command)
+    ports.count(Count(name="decisions", label=command.kind))
 
 
 @carry_out.register
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -77,7 +77,9 @@
 
     def _start_front(self) -> None:
         front = AgentFront(
-            tell=partial(self.runtime.tell, KEEPER), report=self.runtime.report
+            tell=partial(self.runtime.tell, KEEPER),
+            report=self.runtime.report,
+            metrics_text=self.runtime.metrics.text,
         )
         host, port = split_address(self._settings.announcements)
         self._front = HttpServer(
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -30,7 +30,7 @@
 )
 from bulrushpulley.entities.jobs.rows import JobRow, job_key
 from bulrushpulley.entities.jobs.store import Condition, Conflicted, Transact
-from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems import store_patience
@@ -203,6 +203,7 @@
             revision=tables.standing.revision,
         )
         commands.append(line)
+        commands.append(Observe(name="job_store_seconds", seconds=now - row.came_at))
         commands.extend(JobAccepted(call_id=call) for call in row.call_ids)
     return Step(tables=tables, commands=tuple(commands))
 
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -18,7 +18,7 @@
     Run,
     RunPhase,
 )
-from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.keeping import holding, pacing, refusing
@@ -114,7 +114,8 @@
         reason=f"{now - run_.since:.3f} s after its order",
         epoch=tables.epoch,
     )
-    return Step(tables=tables, commands=(line,))
+    waited = Observe(name="run_start_seconds", seconds=now - run_.since)
+    return Step(tables=tables, commands=(line, waited))
 
 
 def _answered(tables: KeeperTables, run_: Run) -> KeeperTables:
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -26,6 +26,7 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.store import Condition, Conflicted, Transact
+from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_patience
 from bulrushpulley.systems.scheduling import effects, owning
@@ -145,7 +146,9 @@
     took_s = now - commit.sent_at
     store_s = store_patience.smoothed(tables.store_s, took_s)
     tables = replace(tables, leadership=renewed, commit=None, store_s=store_s)
-    return _let_happen(commit.effects, tables, now)
+    took = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
+    step = _let_happen(commit.effects, tables, now)
+    return Step(tables=step.tables, commands=(took, *step.commands))
 
 
 def _let_happen(
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -23,7 +23,7 @@
 )
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
-from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import advising, edits, learning
 from bulrushpulley.systems.scheduling.ranking import (
@@ -49,7 +49,7 @@
 
     tables: SchedulerTables
     room_by_host: dict[str, Room]
-    lines: tuple[Decision, ...] = ()
+    lines: tuple[Command, ...] = ()
     placed: int = 0
 
 
@@ -287,10 +287,13 @@
     effect = SendStart(task_id=task.task_id, run=run)
     tables = edits.mark_dirty(tables, job.job_id, effect)
     reason = f"waited {now - task.since:.2f} s, load {room.load:.2f}"
+    waited = Observe(
+        name="task_wait_seconds", seconds=now - task.since, label=job.row.queue
+    )
     line = edits.log(tables, "task.place", f"{task.task_id}#{run}", host.name, reason)
     return Pass(
         tables=tables,
         room_by_host={**state.room_by_host, host.name: room.with_task(step)},
-        lines=(*state.lines, line),
+        lines=(*state.lines, line, waited),
         placed=state.placed + 1,
     )
--- /dev/null
+++ b/test/test_deploy.py
@@ -0,0 +1,76 @@
+"""The deploy file and its templates: what they render to are settings of the roles."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import tempfile
+import tomllib
+
+import testtools
+
+from bulrushpulley.main import PROCESS_BY_VERB
+from bulrushpulley.settings import (
+    JobAgentSettings,
+    JobEntrySettings,
+    load,
+    load_any,
+    split_address,
+)
+
+DEPLOY = pathlib.Path(__file__).resolve().parent.parent / "deploy"
+# One value for each placeholder, as the platform gives them to a process.
+VALUES = {
+    "Node": "edge-ege-izmir-1",
+    "Region": "ege",
+    "Zone": "ege-izmir",
+    "Service": "huvo11a",
+    "Ip": "10.1.0.13",
+    "PortRange.0": "7720",
+    "Listen.Front": "10.1.0.13:8161",
+    "Listen.Ready": "10.1.0.13:8167",
+    "Listen.Control": "10.1.0.13:8166",
+    "Recommendation": "10.200.1.9:8169",
+    "platform.Addr": "10.200.1.7:8169",
+    "Bounds.MaxHoldMs": "6000",
+    "Bounds.KillTimeoutMs": "200",
+}
+
+
+def rendered(name: str, **other: str) -> pathlib.Path:
+    """Return the path of a template with its placeholders filled in."""
+    values = {**VALUES, **other}
+    text = (DEPLOY / name).read_text()
+    filled = re.sub(r"\{\{([^}]+)\}\}", lambda match: values[match.group(1)], text)
+    path = pathlib.Path(tempfile.mkdtemp()) / name
+    path.write_text(filled)
+    return path
+
+
+class DeployTest(testtools.TestCase):
+    def test_the_template_of_an_entry_gives_its_settings(self) -> None:
+        settings = load(JobEntrySettings, rendered("entry.toml"))
+        self.assertEqual(("10.1.0.13", 8161), split_address(settings.callers))
+        self.assertEqual(6.0, settings.limits.longest_lease_s)
+        self.assertEqual(0.2, settings.limits.kill_s)
+
+    def test_a_platform_without_advice_gives_settings_too(self) -> None:
+        settings = load(JobEntrySettings, rendered("entry.toml", Recommendation=""))
+        self.assertEqual("", settings.advice)
+
+    def test_the_template_of_an_agent_gives_its_settings(self) -> None:
+        settings = load(JobAgentSettings, rendered("agent.toml"))
+        self.assertEqual(("10.1.0.13", 7720), split_address(settings.links))
+        self.assertIs(JobAgentSettings, type(load_any(rendered("agent.toml"))))
+
+    def test_no_lease_is_longer_than_the_platform_allows(self) -> None:
+        settings = load(JobAgentSettings, rendered("agent.toml"))
+        bounds = settings.bounds.within(settings.limits)
+        self.assertLess(bounds.lease_s, settings.limits.longest_lease_s)
+
+    def test_the_deploy_file_starts_verbs_that_there_are(self) -> None:
+        deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
+        for role in deploy["roles"].values():
+            verb = role["run"].split()[3]
+            self.assertIn(verb, PROCESS_BY_VERB)
+            self.assertTrue((DEPLOY.parent / role["template"]).is_file())
--- /dev/null
+++ b/test/test_platform_bodies.py
@@ -0,0 +1,109 @@
+"""What the platform's bodies are decoded to, and what is said of malformed ones."""
+
+from __future__ import annotations
+
+import testtools
+
+from bulrushpulley.entities.jobs.configuration import Evacuation, route
+from bulrushpulley.entities.jobs.rows import (
+    CancelRow,
+    JobState,
+    ProgressRow,
+    Row,
+    TaskProgress,
+)
+from bulrushpulley.errors import BulrushpulleyError
+from bulrushpulley.platform.executor import decode_announcement
+from bulrushpulley.platform.job_bodies import decode_job
+from bulrushpulley.platform.order_rows import decode_order
+from bulrushpulley.wire.job_rows import decode_row, encode_row
+
+JOB = (
+    b'{"Spec":"s","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimateMs":900},'
+    b'{"Count":2,"After":[0],"Checkpointing":true,"Utilization":true,"Image":"i"}]}'
+)
+CONFIG = (
+    b'{"Version":7,"Routes":[{"Name":"r","Host":"a.example","PathPrefix":"/p/",'
+    b'"TimeoutMs":3000,"TargetLatencyMs":400,"Priority":0,"Service":"s",'
+    b'"MaxAttempts":2,"LatencyFactor":1.5},{"Name":"q","Host":"a.example",'
+    b'"PathPrefix":"/p/long/","Service":"s","MaxAttempts":2,'
+    b'"Recommendation":{"DecisionMs":50,"PerItemMs":2,"ValidityMs":4000}}]}'
+)
+ANNOUNCEMENT = (
+    b'{"Service":"s","Addr":"10.0.0.9:80","Zone":"z","State":"draining","Seq":4,'
+    b'"Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":0},"Labels":["a","r1"],'
+    b'"RemainingMs":2500,"born":1770570211410}'
+)
+MALFORMED_JOBS = {
+    "no JSON": b"{",
+    "no object": b"[]",
+    "no steps": b'{"Spec":"s"}',
+    "a step that is no object": b'{"Steps":[1]}',
+    "no tasks": b'{"Steps":[{"Count":0}]}',
+    "a later step before": b'{"Steps":[{"Count":1,"After":[0]}]}',
+    "a negative amount": b'{"Steps":[{"Count":1,"Cpu":-1}]}',
+    "text for a number": b'{"Steps":[{"Count":"1"}]}',
+    "too many tasks": b'{"Steps":[{"Count":9000}]}',
+}
+
+
+class JobBodyTest(testtools.TestCase):
+    def test_a_job_is_decoded_with_the_platforms_defaults(self) -> None:
+        spec = decode_job(JOB)
+        first, second = spec.steps
+        self.assertEqual((4, 500, 0.9), (first.count, first.size.processors_m, 0.9))
+        self.assertEqual((0,), second.after)
+        self.assertTrue(second.checkpoints and second.fills)
+        self.assertEqual(0, second.committed.processors_m)
+        self.assertEqual(1, spec.runs)
+
+    def test_malformed_jobs_name_what_is_wrong(self) -> None:
+        for name, body in MALFORMED_JOBS.items():
+            with self.subTest(name):
+                error = self.assertRaises(BulrushpulleyError, decode_job, body)
+                self.assertEqual("job.decode", error.problem.step)
+
+
+class OrderTest(testtools.TestCase):
+    def test_a_configuration_routes_by_the_longest_prefix(self) -> None:
+        configuration = decode_order("config", CONFIG)
+        found = route(configuration, "A.example:80", "/p/long/5c")  # type: ignore[arg-type]
+        assert found is not None
+        queue, rest = found
+        self.assertEqual(("q", "5c"), (queue.name, rest))
+        assert queue.advice is not None
+        self.assertEqual(4.0, queue.advice.valid_s)
+
+    def test_an_evacuation_names_its_failure_domain(self) -> None:
+        order = decode_order("evacuate/ege-izmir", b"{}")
+        self.assertEqual(Evacuation(failure_domain="ege-izmir"), order)
+
+    def test_other_orders_are_passed_over(self) -> None:
+        self.assertIsNone(decode_order("wave/1", b"{}"))
+
+
+class AnnouncementTest(testtools.TestCase):
+    def test_an_announcement_is_decoded(self) -> None:
+        announced = decode_announcement("i-1", ANNOUNCEMENT)
+        self.assertTrue(announced.is_draining)
+        self.assertEqual(2.5, announced.leaves_in_s)
+        self.assertEqual(1770570211410, announced.started_at_ms)
+
+    def test_a_state_that_is_not_known_names_no_server(self) -> None:
+        body = ANNOUNCEMENT.replace(b"draining", b"dreaming")
+        self.assertRaises(BulrushpulleyError, decode_announcement, "i-1", body)
+
+
+class RowTest(testtools.TestCase):
+    def test_rows_come_back_as_they_were(self) -> None:
+        task = TaskProgress(occurrence=0, step=1, index=2, run=3, host="h", life="l")
+        rows: tuple[Row, ...] = (
+            CancelRow(job_id="j"),
+            ProgressRow(job_id="j", state=JobState.RUNNING, tasks=(task,)),
+        )
+        for row in rows:
+            self.assertEqual(row, decode_row(encode_row(row), peer="p"))
+
+    def test_bytes_of_another_writer_are_an_error(self) -> None:
+        for data in (b"", b"{}", b"\xc1", b"\x82\xa4kind\xa1x\xa3row\x80"):
+            self.assertRaises(BulrushpulleyError, decode_row, data, peer="p")
