--- a/test/jobs_executor.py
+++ b/test/jobs_executor.py
@@ -48,6 +48,7 @@
     host: str
     capacity: Resources
     watch: Callable[[str, FakeExecutor, RunOrder | RunEnd], None]
+    labels: tuple[str, ...] = ()
     born_at: float = 0.0
     lives: int = 1
     lease_until: float = 0.0
@@ -86,7 +87,7 @@
             failure_domain=self.host.split("-")[0],
             is_draining=self.draining,
             capacity=self.capacity,
-            labels=("a", f"rack-{self.host}"),
+            labels=self.labels or ("a", f"rack-{self.host}"),
         )
 
     def crash(self) -> None:
