Stop all that may disturb beside a task that stays near its target

Ruled out: late or lost paces (the agent's lines show each step taken). Change: nobody is held to be harmless after 0.9 s near the target (1.4 s before), and after 1.5 s nothing that may disturb works at all.

--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -32,9 +32,11 @@
 NEAR = 0.95
 WELL = 0.8
 SLOWER = 0.5
-# After this time near the target nobody is held to be harmless any more; together
-# with the steps down it stays well within the 4 s that a task may be over its target.
-DOUBT_S = 1.4
+# After this time near the target nobody is held to be harmless any more, and after the
+# second nothing that may disturb works at all: many slow runs together still do harm,
+# and a task may be over its target for 4 s at most.
+DOUBT_S = 0.9
+STOP_S = 1.5
 FASTER_PERCENT = 15
 LEAST_PERCENT = 5
 # What a run begins with beside a task that it is known to slow, or may slow.
@@ -73,12 +75,13 @@
             near_since = near_since.set(image, now)
     pacing = replace(tables.pacing, decided_at=now, near_since=near_since)
     tables = replace(tables, pacing=pacing)
+    suffers_s = max((now - since for since in near_since.values()), default=0.0)
     lines: list[Command] = []
     for run_ in runs:
         if run_.order is None or not run_.order.disturbs or not run_.wanted:
             continue
         worst = _worst_beside(pacing, run_.order.image, part_by_image, now)
-        pace = _next_pace(run_.pace, worst)
+        pace = 0 if suffers_s >= STOP_S else _next_pace(run_.pace, worst)
         if pace == run_.pace:
             continue
         paced = replace(run_, pace=pace)
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -203,6 +203,14 @@
         _, paces = self._beside("harmless")
         self.assertEqual([100, 100], paces[:2])
 
+    def test_nothing_that_may_disturb_works_on_beside_a_task_long_over(self) -> None:
+        # hunt-b8f2-23 of firinzeka-prod: many filling runs on one host, each held to
+        # be harmless or at 5%, kept a serving task over its target for 4 s.
+        for verdict in ("harmful", "unknown", "harmless"):
+            bench, _ = self._beside(verdict)
+            self.assertEqual(0, self._paces(bench, 20)[1], verdict)
+            self.assertGreater(self._paces(bench, 3)[-1], 0, verdict)
+
     def test_the_speed_comes_back_when_the_serving_task_is_well(self) -> None:
         bench, paces = self._beside("harmful")
         again = self._paces(bench, 3)
