Remove state of hosts and tasks that nothing reads

Read on the last look at the change: two counters of a host, a date and a measure of a task were written and never used, and the end of a life looked for its runs twice.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -53,10 +53,8 @@
     synced: bool = False
     committed: Resources = NOTHING
     filling_m: int = 0
-    serving: int = 0
     aside_until: float = 0.0
     failed_at: tuple[float, ...] = ()
-    done_at: float = 0.0
     told: object | None = None
 
     @property
--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -40,8 +40,8 @@
     """One task of one occurrence of a step.
 
     `host` and `life` name where its present run may be, `since` when its state
-    began. It is not placed before `not_before`, nor, while others have room, on the
-    hosts in `avoid`, where it failed. `processors_m` is the use last measured.
+    began. While others have room it is not placed on the hosts in `avoid`, where it
+    failed.
     """
 
     task_id: str
@@ -57,8 +57,6 @@
     life: str = ""
     checkpoint: str = ""
     avoid: tuple[str, ...] = ()
-    not_before: float = 0.0
-    processors_m: int = 0
     running_since: float = 0.0
 
     @property
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -150,9 +150,8 @@
     line = edits.log(tables, "host.life", host.name, "ended", event.life)
     commands: list[Command] = [line]
     reason = "its backend server is gone"
-    step = endings.lose(tables, host.name, now, reason, keep_life=host.life)
-    if host.life == event.life:
-        step = endings.lose(tables, host.name, now, reason)
+    keep_life = "" if host.life == event.life else host.life
+    step = endings.lose(tables, host.name, now, reason, keep_life=keep_life)
     tables = step.tables
     commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -225,7 +224,6 @@
         state=TaskState.RUNNING if began else task.state,
         running_since=now if began else task.running_since,
         checkpoint=status.checkpoint or task.checkpoint,
-        processors_m=status.measure,
     )
     return edits.put_task(tables, seen)
 
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -64,7 +64,6 @@
             row,
             committed=committed,
             filling_m=row.filling_m + sign * filling,
-            serving=row.serving + sign * int(spec.serves),
         ),
     )
 
--- a/bulrushpulley/systems/scheduling/evidence.py
+++ b/bulrushpulley/systems/scheduling/evidence.py
@@ -42,7 +42,7 @@
 
 @judged.register
 def _(ending: Done, host: Host, task: Task, now: float) -> Host:
-    return replace(host, done_at=now, failed_at=())
+    return replace(host, failed_at=())
 
 
 @judged.register
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -144,7 +144,6 @@
             synced=False,
             committed=NOTHING,
             filling_m=0,
-            serving=0,
             aside_until=0.0,
             failed_at=(),
             told=None,
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -132,8 +132,7 @@
     tasks = state.tables.tasks.rows_where("waiting", job.job_id)
     groups: dict[tuple[int, int], list[Task]] = {}
     for task in tasks:
-        if now >= task.not_before:
-            groups.setdefault((task.occurrence, task.step), []).append(task)
+        groups.setdefault((task.occurrence, task.step), []).append(task)
     for (occurrence, number), members in sorted(groups.items()):
         step = job.step(number)
         siblings = _siblings(state.tables, job.job_id, occurrence, number)
