--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -26,12 +26,15 @@
     contact that was answered; with a lease it covers a loss of all entries for 10 s.
     `lease_s`: the longest lease that an agent gives.
     `kill_s`: how long a backend server may take to end what has lost its lease.
+    `turn_s`: how long a new owner leaves machines alone that the former one may just
+    have given an order.
     """
 
     owner_autonomy_s: float = 8.0
     agent_autonomy_s: float = 6.0
     lease_s: float = 5.7
     kill_s: float = 1.0
+    turn_s: float = 3.0
 
     @property
     def lapse_s(self) -> float:
--- a/bulrushpulley/entities/jobs/configuration.py
+++ b/bulrushpulley/entities/jobs/configuration.py
@@ -54,17 +54,31 @@
     failure_domain: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaveOrder:
+    """An order to take machines through their upkeep, at most `at_once` at a time.
+
+    All of them should be through within `within_s`.
+    """
+
+    number: int
+    machine_ids: tuple[str, ...]
+    within_s: float
+    at_once: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Standing:
     """What operators have in force, as of the store's version `revision`.
 
     `configuration` is None until one was read. `evacuated` names the failure
-    domains in which nothing may start.
+    domains in which nothing may start, `waves` are in the order of their numbers.
     """
 
     revision: int = 0
     configuration: Configuration | None = None
     evacuated: frozenset[str] = frozenset()
+    waves: tuple[WaveOrder, ...] = ()
 
     def queue(self, name: str) -> Queue | None:
         """Return a queue by its name."""
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -21,6 +21,8 @@
 HOSTS = "hosts"
 BACKLOGS = "backlogs"
 ORDERS = "op"
+WAVES = "waves"
+STATUS = "status"
 
 
 class JobState(enum.Enum):
@@ -33,6 +35,13 @@
     CANCELLED = "cancelled"
 
 
+class WaveState(enum.Enum):
+    """What operators are told of a wave of upkeep."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+
+
 FINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
@@ -132,6 +141,23 @@
     waiting: tuple[tuple[str, int], ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaveRow(Row):
+    """How far a wave is: the machines whose upkeep was ordered, and is over."""
+
+    number: int
+    ordered: tuple[str, ...] = ()
+    finished: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaveStatusRow(Row):
+    """What operators are told of a wave."""
+
+    number: int
+    state: WaveState
+
+
 OWNER_KEY = RowKey(table=OWNERS, part=OWNED_PART, key="owner")
 BACKLOG_KEY = RowKey(table=BACKLOGS, part=OWNED_PART, key="backlog")
 
@@ -172,6 +198,16 @@
     return BACKLOG_KEY
 
 
+@key_of.register
+def _(row: WaveRow) -> RowKey:
+    return RowKey(table=WAVES, part=OWNED_PART, key=f"wave-{row.number}")
+
+
+@key_of.register
+def _(row: WaveStatusRow) -> RowKey:
+    return RowKey(table=STATUS, part="", key=f"wave/{row.number}")
+
+
 def job_key(job_id: str) -> RowKey:
     """Return where the submission of a job stands."""
     return RowKey(table=JOBS, part=INTAKE_PART, key=f"{job_id}.job")
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -17,9 +17,15 @@
 from bulrushpulley.entities.jobs.configuration import NOTHING_STANDING, Standing
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
-from bulrushpulley.entities.jobs.rows import BacklogRow, OwnerRow, ProgressRow
+from bulrushpulley.entities.jobs.rows import (
+    BacklogRow,
+    OwnerRow,
+    ProgressRow,
+    WaveState,
+)
 from bulrushpulley.entities.jobs.store import Purpose, Transact, WatchState
 from bulrushpulley.entities.jobs.task import Task
+from bulrushpulley.entities.jobs.upkeep import UpkeepTables
 from bulrushpulley.entities.step import Command, Event, Step
 from bulrushpulley.entities.table import Table
 
@@ -105,6 +111,7 @@
     row: OwnerRow
     effects: tuple[Effect, ...]
     job_ids: frozenset[str]
+    waves: tuple[int, ...]
     first_sent_at: float
     sent_at: float
     in_flight: bool = True
@@ -164,6 +171,7 @@
     harms: Table[Harm] = field(default_factory=Table.empty)
     target_by_image: PMap[str, float] = field(default_factory=pmap)
     harmful: frozenset[tuple[str, str]] = frozenset()
+    upkeep: UpkeepTables = field(default_factory=UpkeepTables)
     told_at: float = 0.0
     place_due: bool = False
     placed_at: float = 0.0
@@ -247,6 +255,19 @@
     table: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadWaves(TenurePurpose):
+    """An owner reads how far former owners came with the waves of upkeep."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TellWave(TenurePurpose):
+    """An owner tells operators the state of a wave."""
+
+    number: int
+    state: WaveState
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DropJobRows(Purpose):
     """An owner removes the rows of a job that ended long ago."""
--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -41,7 +41,7 @@
 
     `host` and `life` name where its present run may be, `since` when its state
     began. While others have room it is not placed on the hosts in `avoid`, where it
-    failed.
+    failed. It is `at_work` once its backend server says that its startup is over.
     """
 
     task_id: str
@@ -58,6 +58,7 @@
     checkpoint: str = ""
     avoid: tuple[str, ...] = ()
     running_since: float = 0.0
+    at_work: bool = False
 
     @property
     def progress(self) -> TaskProgress:
--- /dev/null
+++ b/bulrushpulley/platform/machines.py
@@ -0,0 +1,109 @@
+"""The client of the platform's service that knows machines and takes them down."""
+
+from __future__ import annotations
+
+import http
+from urllib.parse import urlencode
+
+import msgspec
+
+from bulrushpulley.entities.jobs.upkeep import (
+    ListMachines,
+    Machine,
+    MachinesListed,
+    MachineState,
+    MachinesUnlisted,
+    OrderUpkeep,
+    UpkeepDenied,
+    UpkeepEvent,
+    UpkeepTaken,
+)
+from bulrushpulley.entities.step import Event
+from bulrushpulley.errors import BulrushpulleyError
+from bulrushpulley.platform.fields import Fields, decoded, invalid, tables, text
+from bulrushpulley.platform.http_client import HttpClient
+
+STEP = "machines.decode"
+
+
+class MachinesClient:
+    """Lists machines and orders their upkeep; each call blocks up to its timeout."""
+
+    def __init__(self, *, address: str) -> None:
+        self._http = HttpClient(
+            url=f"http://{address}", connections=2, service="machines"
+        )
+
+    def list_all(self, command: ListMachines) -> Event:
+        """Read every page of the list."""
+        machines: list[Machine] = []
+        token = ""
+        try:
+            while True:
+                raw = self._page(token, command.timeout_s)
+                machines.extend(_machine(row) for row in tables(raw, "Machines", STEP))
+                token = text(raw, "NextToken", STEP)
+                if not token:
+                    break
+        except BulrushpulleyError as error:
+            return MachinesUnlisted(reason=str(error))
+        return MachinesListed(machines=tuple(machines))
+
+    def _page(self, token: str, timeout_s: float) -> Fields:
+        query = f"?{urlencode({'PageToken': token})}" if token else ""
+        answer = self._http.exchange("GET", f"/v1/machines{query}", timeout_s=timeout_s)
+        if answer.status != http.HTTPStatus.OK:
+            detail = f"status {answer.status}: {answer.body[:200]!r}"
+            raise BulrushpulleyError(problem=self._http.invalid(STEP, detail))
+        return decoded(answer.body, STEP)
+
+    def order_upkeep(self, command: OrderUpkeep) -> Event:
+        """Order the upkeep of one machine; asked again, it is taken once."""
+        body = {"Machine": command.machine_id, "MaintenanceWave": command.wave}
+        headers = {
+            "Content-Type": "application/json",
+            "Lease-Holder": command.holder,
+            # Rises with each owner of the shard, so that late orders can be told.
+            "Fencing-Token": str(command.token),
+        }
+        try:
+            answer = self._http.exchange(
+                "POST",
+                "/v1/machine-upkeep",
+                timeout_s=command.timeout_s,
+                body=msgspec.json.encode(body),
+                headers=headers,
+            )
+        except BulrushpulleyError as error:
+            return _denied(command, str(error))
+        if answer.status == http.HTTPStatus.OK:
+            return UpkeepTaken(wave=command.wave, machine_id=command.machine_id)
+        reason = f"status {answer.status}: {answer.body[:200]!r}"
+        unknown = answer.status == http.HTTPStatus.BAD_REQUEST
+        return _denied(command, reason, unknown_machine=unknown)
+
+
+def _denied(
+    command: OrderUpkeep, reason: str, *, unknown_machine: bool = False
+) -> UpkeepEvent:
+    return UpkeepDenied(
+        wave=command.wave,
+        machine_id=command.machine_id,
+        reason=reason,
+        unknown_machine=unknown_machine,
+    )
+
+
+def _machine(raw: Fields) -> Machine:
+    state = text(raw, "State", STEP)
+    try:
+        known = MachineState(state)
+    except ValueError as error:
+        raise invalid(STEP, "State", f"{state!r} is no state that is known") from error
+    return Machine(
+        machine_id=text(raw, "Machine", STEP),
+        pool=text(raw, "Pool", STEP),
+        state=known,
+        # The id of the backend server that lives on the machine.
+        server_id=text(raw, "Id", STEP),
+    )
--- a/bulrushpulley/platform/order_rows.py
+++ b/bulrushpulley/platform/order_rows.py
@@ -8,12 +8,15 @@
     Evacuation,
     Queue,
     ServiceSettings,
+    WaveOrder,
 )
 from bulrushpulley.platform.fields import (
     Fields,
     decoded,
     flag,
     integer,
+    invalid,
+    items,
     number,
     table,
     tables,
@@ -23,6 +26,7 @@
 STEP = "orders.decode"
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
+WAVE_PREFIX = "wave/"
 
 
 def decode_order(key: str, data: bytes) -> object | None:
@@ -31,9 +35,24 @@
         return _configuration(decoded(data, STEP))
     if key.startswith(EVACUATE_PREFIX):
         return Evacuation(failure_domain=key.removeprefix(EVACUATE_PREFIX))
+    if key.startswith(WAVE_PREFIX):
+        return _wave(decoded(data, STEP))
     return None
 
 
+def _wave(raw: Fields) -> WaveOrder:
+    wave = integer(raw, "MaintenanceWave", STEP)
+    if not wave:
+        raise invalid(STEP, "MaintenanceWave", "must be above zero")
+    return WaveOrder(
+        number=wave,
+        machine_ids=tuple(str(name) for name in items(raw, "Machines", STEP)),
+        within_s=number(raw, "DurationS", STEP),
+        # How many machines may be down at the same time.
+        at_once=max(1, integer(raw, "MaxCount", STEP)),
+    )
+
+
 def _configuration(raw: Fields) -> Configuration:
     return Configuration(
         version=integer(raw, "Version", STEP),
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bulrushpulley.entities.jobs.rows import ORDERS, RowKey, key_of
+from bulrushpulley.entities.jobs.rows import ORDERS, STATUS, RowKey, key_of
 from bulrushpulley.entities.jobs.store import (
     Changed,
     Conflicted,
@@ -39,7 +39,8 @@
 )
 from bulrushpulley.platform.http_client import Exchange, HttpClient
 from bulrushpulley.platform.order_rows import decode_order
-from bulrushpulley.wire.job_rows import decode_row, encode_row
+from bulrushpulley.platform.status_rows import encode_stored
+from bulrushpulley.wire.job_rows import decode_row
 
 STEP = "store.decode"
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -163,6 +164,9 @@
         return StoredRow(key=key, version=version, row=self._content(key, raw))
 
     def _content(self, key: RowKey, raw: Fields) -> object | None:
+        if key.table == STATUS:
+            # Written for operators only, in their encoding.
+            return None
         try:
             data = base64.b64decode(text(raw, "Value", STEP), validate=True)
             if key.table == ORDERS:
@@ -190,7 +194,7 @@
         "Upserts": [
             {
                 **_key(key_of(row)),
-                "Value": base64.b64encode(encode_row(row)).decode("ascii"),
+                "Value": base64.b64encode(encode_stored(row)).decode("ascii"),
             }
             for row in call.puts
         ],
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -59,7 +59,7 @@
             host=settings.name,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            address=settings.links,
+            address=settings.reached_at or settings.links,
             bounds=settings.bounds.within(settings.limits),
             service=settings.service,
         )
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -15,6 +15,7 @@
 from bulrushpulley.platform.advice import AdviceClient
 from bulrushpulley.platform.agent_front import ReadyFront
 from bulrushpulley.platform.job_front import JobFront
+from bulrushpulley.platform.machines import MachinesClient
 from bulrushpulley.platform.row_store import RowStoreClient
 from bulrushpulley.roles import intake, scheduler
 from bulrushpulley.roles.intake_io import IntakePorts
@@ -82,6 +83,9 @@
             store=self._store(SCHEDULER_THREADS),
             dial=self._dial,
             advice=AdviceClient(address=settings.advice) if settings.advice else None,
+            machines=(
+                MachinesClient(address=settings.machines) if settings.machines else None
+            ),
         )
         self.runtime.start_role(role, ports, threads=SCHEDULER_THREADS)
 
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -21,7 +21,9 @@
     owning,
     placing,
     unblocking,
+    upkeep,
     watching,
+    waves,
 )
 from bulrushpulley.systems.scheduling.events import apply
 
@@ -49,6 +51,8 @@
             agents.adopt,
             lapsing.run,
             unblocking.due,
+            waves.run,
+            upkeep.run,
             placing.run,
             learning.tell,
             backlog.run,
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -13,7 +13,14 @@
     ReadWallClock,
     WallClock,
 )
+from bulrushpulley.entities.jobs.upkeep import (
+    ListMachines,
+    MachinesUnlisted,
+    OrderUpkeep,
+    UpkeepDenied,
+)
 from bulrushpulley.platform.advice import AdviceClient
+from bulrushpulley.platform.machines import MachinesClient
 from bulrushpulley.roles.carry_out import carry_out
 from bulrushpulley.roles.store_io import StorePorts
 
@@ -22,11 +29,12 @@
 class SchedulerPorts(StorePorts):
     """The ports of the scheduler; `dial` returns at once.
 
-    `advice` is None where the platform has no service for it.
+    `advice` and `machines` are None where the platform has no service for them.
     """
 
     dial: Callable[[str], None]
     advice: AdviceClient | None = None
+    machines: MachinesClient | None = None
 
 
 @carry_out.register
@@ -47,3 +55,25 @@
 @carry_out.register
 def _(command: ReadWallClock, ports: SchedulerPorts) -> None:
     ports.tell(command.role, WallClock(wall_s=time.time()))
+
+
+NO_MACHINES = "the settings name no service for machines"
+
+
+@carry_out.register
+def _(command: ListMachines, ports: SchedulerPorts) -> None:
+    if ports.machines is None:
+        ports.tell(command.role, MachinesUnlisted(reason=NO_MACHINES))
+        return
+    ports.run(role=command.role, work=partial(ports.machines.list_all, command))
+
+
+@carry_out.register
+def _(command: OrderUpkeep, ports: SchedulerPorts) -> None:
+    if ports.machines is None:
+        denied = UpkeepDenied(
+            wave=command.wave, machine_id=command.machine_id, reason=NO_MACHINES
+        )
+        ports.tell(command.role, denied)
+        return
+    ports.run(role=command.role, work=partial(ports.machines.order_upkeep, command))
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -156,11 +156,12 @@
     """What the platform's backend servers allow.
 
     No lease is longer than `longest_lease_s`; what has lost its lease, or is
-    stopped, ends within `kill_s`.
+    stopped, ends within `kill_s`. A new owner leaves machines alone for `turn_s`.
     """
 
     longest_lease_s: Annotated[float, Range(low=0.5, high=3_600.0)]
     kill_s: Annotated[float, Range(low=0.0, high=600.0)]
+    turn_s: Annotated[float, Range(low=0.0, high=600.0)] = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,6 +179,7 @@
             agent_autonomy_s=self.agent_autonomy_s,
             lease_s=min(self.lease_s, limits.longest_lease_s * LEASE_PART),
             kill_s=limits.kill_s,
+            turn_s=limits.turn_s,
         )
 
 
@@ -186,8 +188,8 @@
     """The settings of an entry on the users' platform.
 
     `callers` is where jobs come in, `ready` where the platform asks whether new
-    callers should come. `advice` is the service that knows where steps may run, if
-    there is one.
+    callers should come. `advice` is the service that knows where steps may run and
+    `machines` the one that takes machines down, if there are any.
     """
 
     role: Annotated[str, Text(pattern="job-entry")]
@@ -199,6 +201,7 @@
     store: StoreSettings
     limits: LimitSettings
     advice: MaybeAddress = ""
+    machines: MaybeAddress = ""
     bounds: BoundSettings = field(default_factory=BoundSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
@@ -208,8 +211,9 @@
 class JobAgentSettings:
     """The settings of an agent on the users' platform.
 
-    `links` is where the owner of the shard dials it, `announcements` where its
-    backend server, of `service`, announces itself.
+    `links` is where it takes the links of the shard's owner, which dials it there or
+    at `reached_at`, and `announcements` where its backend server, of `service`,
+    announces itself.
     """
 
     role: Annotated[str, Text(pattern="job-agent")]
@@ -221,6 +225,7 @@
     announcements: Address
     store: StoreSettings
     limits: LimitSettings
+    reached_at: MaybeAddress = ""
     bounds: BoundSettings = field(default_factory=BoundSettings)
     logs: LogSettings = field(default_factory=LogSettings)
 
--- a/bulrushpulley/systems/keeping/reporting.py
+++ b/bulrushpulley/systems/keeping/reporting.py
@@ -140,6 +140,8 @@
 def _is_news(run_: Run, now: float) -> bool:
     if run_.reported is None or run_.status is None:
         return True
+    if (run_.reported.percent < 100) != (run_.status.percent < 100):
+        return True
     if run_.reported.checkpoint == run_.status.checkpoint:
         return False
     return now - run_.reported_at >= CHECKPOINT_S
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -47,6 +47,8 @@
 
 # A loss of every host at once costs a job no more work than this, in seconds.
 SAVE_S = 1.0
+# What a lasting task shows once its startup is over.
+AT_WORK_PERCENT = 100
 NO_TICKET = "ticket"
 KEPT = frozenset({TaskState.HELD, TaskState.RUNNING})
 
@@ -224,6 +226,7 @@
         state=TaskState.RUNNING if began else task.state,
         running_since=now if began else task.running_since,
         checkpoint=status.checkpoint or task.checkpoint,
+        at_work=status.percent >= AT_WORK_PERCENT,
     )
     return edits.put_task(tables, seen)
 
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_patience
-from bulrushpulley.systems.scheduling import effects, owning
+from bulrushpulley.systems.scheduling import effects, owning, waves
 
 # An owner that has nothing to write renews its row this often, in seconds, so that
 # followers see a change in each two of their reads.
@@ -77,6 +77,8 @@
     if not tenure.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
     puts.extend(progress_of(tables, job_id) for job_id in job_ids)
+    unwritten = waves.unwritten(tables)
+    puts.extend(unwritten)
     transact = Transact(
         role=SCHEDULER,
         purpose=CommitProgress(epoch=tables.epoch),
@@ -95,11 +97,12 @@
         row=row,
         effects=allowed,
         job_ids=frozenset(job_ids),
+        waves=tuple(row.number for row in unwritten),
         first_sent_at=now,
         sent_at=now,
     )
     tables = replace(
-        tables,
+        waves.writing(tables, unwritten),
         commit=commit,
         effects_by_job=left,
         backlog_written=tables.backlog,
@@ -145,6 +148,7 @@
     )
     took_s = now - commit.sent_at
     store_s = store_patience.smoothed(tables.store_s, took_s)
+    tables = waves.written(tables, commit.waves)
     tables = replace(tables, leadership=renewed, commit=None, store_s=store_s)
     took = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
     step = _let_happen(commit.effects, tables, now)
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -11,11 +11,13 @@
     ClaimShard,
     CommitProgress,
     LoadTable,
+    LoadWaves,
     PollOwner,
     RereadTable,
     SchedulerStep,
     SchedulerTables,
     StandingChanged,
+    TellWave,
     TenurePurpose,
     WallClock,
     WatchTable,
@@ -31,6 +33,12 @@
     TransactLost,
     TransactRefused,
 )
+from bulrushpulley.entities.jobs.upkeep import (
+    MachinesListed,
+    MachinesUnlisted,
+    UpkeepDenied,
+    UpkeepTaken,
+)
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import LinkDown, LinkUp
 from bulrushpulley.entities.linker_tables import DialEnded
@@ -43,7 +51,9 @@
     dialling,
     loading,
     owning,
+    upkeep,
     watching,
+    waves,
 )
 
 
@@ -59,6 +69,10 @@
 apply.register(DialEnded, dialling.on_dial_ended)
 apply.register(Advised, advising.on_advised)
 apply.register(AdviceFailed, advising.on_failed)
+apply.register(MachinesListed, waves.on_listed)
+apply.register(MachinesUnlisted, waves.on_unlisted)
+apply.register(UpkeepTaken, upkeep.on_taken)
+apply.register(UpkeepDenied, upkeep.on_denied)
 
 
 @apply.register
@@ -157,6 +171,23 @@
     return watching.on_history_lost(table, tables)
 
 
+@on_store.register
+def _(
+    purpose: LoadWaves, event: StoreEvent, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    if isinstance(event, RangeRead):
+        return waves.on_loaded(event, tables, now)
+    return waves.on_unread(tables, now)
+
+
+@on_store.register
+def _(
+    purpose: TellWave, event: StoreEvent, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    done = isinstance(event, (Transacted, Conflicted))
+    return waves.on_told(purpose, done, tables, now)
+
+
 @on_store.register
 def _(
     purpose: ClaimShard, event: StoreEvent, tables: SchedulerTables, now: float
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -25,7 +25,7 @@
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import advising, edits, learning
+from bulrushpulley.systems.scheduling import advising, edits, emptying, learning
 from bulrushpulley.systems.scheduling.ranking import (
     Room,
     cost,
@@ -62,10 +62,11 @@
     if _is_settling(tables, now):
         return Step(tables=tables)
     tables = replace(tables, place_due=False, placed_at=now)
+    closed = emptying.closed_hosts(tables)
     rooms = {
         host.name: room_of(tables, host)
         for host in tables.hosts.rows()
-        if is_open(tables, host, now)
+        if is_open(tables, host, now) and host.name not in closed
     }
     state = Pass(tables=tables, room_by_host=rooms)
     jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
@@ -278,6 +279,7 @@
         host=host.name,
         life=host.life,
         running_since=0.0,
+        at_work=False,
     )
     tables = edits.put_task(state.tables, placed)
     if job.state is JobState.QUEUED:
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -0,0 +1,270 @@
+"""Waves of upkeep: what operators ordered, how far each is, and what they are told.
+
+The progress of a wave is written with the owner's other rows, so only the owner of
+the shard can change it. `upkeep` acts on single machines.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.configuration import WaveOrder
+from bulrushpulley.entities.jobs.rows import (
+    OWNED_PART,
+    WAVES,
+    WaveRow,
+    WaveState,
+    WaveStatusRow,
+    key_of,
+)
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    LoadWaves,
+    SchedulerStep,
+    SchedulerTables,
+    TellWave,
+)
+from bulrushpulley.entities.jobs.store import (
+    Condition,
+    RangeRead,
+    ReadRange,
+    Transact,
+)
+from bulrushpulley.entities.jobs.upkeep import (
+    ListMachines,
+    Machine,
+    MachinesListed,
+    MachinesUnlisted,
+    Upkeep,
+    UpkeepPhase,
+    UpkeepTables,
+    Wave,
+)
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.entities.table import Table
+from bulrushpulley.systems.scheduling import edits
+
+# Readings of lists are few; an upkeep takes seconds.
+LIST_S = 1.0
+CALL_S = 1.5
+RETRY_S = 0.5
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Follow the orders, list machines while a wave is open, and tell operators."""
+    if not edits.is_loaded(tables) or not tables.standing.waves:
+        return Step(tables=tables)
+    if tables.upkeep.written_by_wave is None:
+        return _read(tables)
+    tables = _follow_orders(tables, now)
+    commands: list[Command] = []
+    if _is_list_due(tables, now):
+        tables = _put(tables, replace(tables.upkeep, listing=True, asked_at=now))
+        commands.append(ListMachines(role=SCHEDULER, timeout_s=CALL_S))
+    for wave in tables.upkeep.waves.rows():
+        step = _tell(tables, wave, now)
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _put(tables: SchedulerTables, upkeep: UpkeepTables) -> SchedulerTables:
+    return replace(tables, upkeep=upkeep)
+
+
+def put_upkeep(tables: SchedulerTables, upkeep: Upkeep) -> SchedulerTables:
+    """Store how far the upkeep of a machine is."""
+    upkeeps = tables.upkeep.upkeeps.put(upkeep.key, upkeep)
+    return _put(tables, replace(tables.upkeep, upkeeps=upkeeps))
+
+
+def _put_wave(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
+    waves = tables.upkeep.waves.put(str(wave.order.number), wave)
+    return _put(tables, replace(tables.upkeep, waves=waves))
+
+
+def of_wave(tables: SchedulerTables, number: int) -> list[Upkeep]:
+    """Return the upkeeps of a wave."""
+    return tables.upkeep.upkeeps.rows_where("wave", f"wave {number}")
+
+
+def _read(tables: SchedulerTables) -> SchedulerStep:
+    if tables.upkeep.reading:
+        return Step(tables=tables)
+    read = ReadRange(
+        role=SCHEDULER,
+        purpose=LoadWaves(epoch=tables.epoch),
+        timeout_s=CALL_S,
+        table=WAVES,
+        part=OWNED_PART,
+    )
+    reading = replace(tables.upkeep, reading=True)
+    return Step(tables=_put(tables, reading), commands=(read,))
+
+
+def on_loaded(event: RangeRead, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Take in how far former owners came."""
+    written = {
+        stored.row.number: stored.row
+        for stored in event.rows
+        if isinstance(stored.row, WaveRow)
+    }
+    loaded = replace(tables.upkeep, written_by_wave=written, reading=False)
+    return Step(tables=_put(tables, loaded))
+
+
+def on_unread(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Read again at the next tick."""
+    return Step(tables=_put(tables, replace(tables.upkeep, reading=False)))
+
+
+def _follow_orders(tables: SchedulerTables, now: float) -> SchedulerTables:
+    ordered = {str(order.number): order for order in tables.standing.waves}
+    for wave in tables.upkeep.waves.rows():
+        if str(wave.order.number) not in ordered:
+            tables = _withdraw(tables, wave)
+    for number, order in ordered.items():
+        if number not in tables.upkeep.waves:
+            tables = _begin(tables, order, now)
+    return tables
+
+
+def _withdraw(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
+    """Forget a wave whose order is gone; what was ordered may still happen."""
+    upkeeps = tables.upkeep.upkeeps
+    for upkeep in of_wave(tables, wave.order.number):
+        upkeeps = upkeeps.drop(upkeep.key)
+    waves = tables.upkeep.waves.drop(str(wave.order.number))
+    return _put(tables, replace(tables.upkeep, waves=waves, upkeeps=upkeeps))
+
+
+def _begin(tables: SchedulerTables, order: WaveOrder, now: float) -> SchedulerTables:
+    written_by_wave = tables.upkeep.written_by_wave or {}
+    written = written_by_wave.get(order.number, WaveRow(number=order.number))
+    wave = Wave(order=order, since=now, writing=written, durable=written)
+    tables = _put_wave(tables, wave)
+    for machine_id in order.machine_ids:
+        upkeep = Upkeep(
+            wave=order.number,
+            machine_id=machine_id,
+            phase=_phase(written, machine_id),
+            since=now,
+        )
+        tables = put_upkeep(tables, upkeep)
+    return tables
+
+
+def _phase(written: WaveRow, machine_id: str) -> UpkeepPhase:
+    if machine_id in written.finished:
+        return UpkeepPhase.FINISHED
+    # A former owner's order may have been taken or not, so it is given again.
+    return UpkeepPhase.ORDERED if machine_id in written.ordered else UpkeepPhase.WAITING
+
+
+def is_over(tables: SchedulerTables, wave: Wave) -> bool:
+    """Tell whether every machine of a wave is through."""
+    upkeeps = of_wave(tables, wave.order.number)
+    return all(upkeep.phase is UpkeepPhase.FINISHED for upkeep in upkeeps)
+
+
+def _is_list_due(tables: SchedulerTables, now: float) -> bool:
+    upkeep = tables.upkeep
+    if upkeep.listing or now - upkeep.asked_at < LIST_S:
+        return False
+    return any(not is_over(tables, wave) for wave in upkeep.waves.rows())
+
+
+def on_listed(
+    event: MachinesListed, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Replace the list of machines."""
+    machines: Table[Machine] = Table.empty()
+    for machine in event.machines:
+        machines = machines.put(machine.machine_id, machine)
+    upkeep = tables.upkeep
+    listed = replace(
+        upkeep, machines=machines, listing=False, listed_at=upkeep.asked_at
+    )
+    return Step(tables=_put(tables, listed))
+
+
+def on_unlisted(
+    event: MachinesUnlisted, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Ask again after the usual pause."""
+    line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
+    again = replace(tables.upkeep, listing=False)
+    return Step(tables=_put(tables, again), commands=(line,))
+
+
+def row_of(tables: SchedulerTables, wave: Wave) -> WaveRow:
+    """Return the durable part of a wave."""
+    upkeeps = of_wave(tables, wave.order.number)
+    given = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
+    ordered = (up.machine_id for up in upkeeps if up.phase in given)
+    finished = (up.machine_id for up in upkeeps if up.phase is UpkeepPhase.FINISHED)
+    return WaveRow(
+        number=wave.order.number,
+        ordered=tuple(sorted(ordered)),
+        finished=tuple(sorted(finished)),
+    )
+
+
+def unwritten(tables: SchedulerTables) -> tuple[WaveRow, ...]:
+    """Return the rows of waves that have changed since they were last written."""
+    rows = ((wave, row_of(tables, wave)) for wave in tables.upkeep.waves.rows())
+    return tuple(row for wave, row in rows if row != wave.writing)
+
+
+def writing(tables: SchedulerTables, rows: tuple[WaveRow, ...]) -> SchedulerTables:
+    """Note that a transaction with some rows is on its way."""
+    for row in rows:
+        wave = tables.upkeep.waves.by_key[str(row.number)]
+        tables = _put_wave(tables, replace(wave, writing=row))
+    return tables
+
+
+def written(tables: SchedulerTables, numbers: tuple[int, ...]) -> SchedulerTables:
+    """Note that the transaction with some waves has succeeded."""
+    for number in numbers:
+        wave = tables.upkeep.waves.get(str(number))
+        if wave is not None:
+            tables = _put_wave(tables, replace(wave, durable=wave.writing))
+    return tables
+
+
+def _tell(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerStep:
+    """Write the state of a wave where operators read it, once it is durable."""
+    finished = set(wave.durable.finished)
+    over = finished.issuperset(wave.order.machine_ids)
+    state = WaveState.COMPLETED if over else WaveState.RUNNING
+    if wave.telling or now < wave.retry_at or wave.told is state:
+        return Step(tables=tables)
+    row = WaveStatusRow(number=wave.order.number, state=state)
+    # A former owner may have told already that the wave is over.
+    first = Condition(key=key_of(row), version=0)
+    conditions = (first,) if state is WaveState.RUNNING else ()
+    write = Transact(
+        role=SCHEDULER,
+        purpose=TellWave(epoch=tables.epoch, number=row.number, state=state),
+        timeout_s=CALL_S,
+        conditions=conditions,
+        puts=(row,),
+    )
+    tables = _put_wave(tables, replace(wave, telling=True))
+    subject = f"wave {wave.order.number}"
+    reason = f"{len(finished)} of {len(wave.order.machine_ids)} machines are through"
+    line = edits.log(tables, "wave.tell", subject, state.value, reason)
+    return Step(tables=tables, commands=(line, write))
+
+
+def on_told(
+    purpose: TellWave, done: bool, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Note what operators were told, or have it written again."""
+    wave = tables.upkeep.waves.get(str(purpose.number))
+    if wave is None:
+        return Step(tables=tables)
+    told = purpose.state if done else wave.told
+    again = replace(wave, telling=False, told=told, retry_at=now + RETRY_S)
+    return Step(tables=_put_wave(tables, again))
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -32,6 +32,7 @@
     "progress": rows.ProgressRow,
     "host": rows.HostRow,
     "backlog": rows.BacklogRow,
+    "wave": rows.WaveRow,
 }
 NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
 
--- /dev/null
+++ b/test/jobs_machines.py
@@ -0,0 +1,107 @@
+"""The platform's service of machines, in virtual time, as a `JobsWorld` uses it.
+
+It notes what the rules of upkeep forbid: more machines down than a wave allows, and
+orders with a lower token after a higher one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bulrushpulley.entities.jobs.upkeep import (
+    Machine,
+    MachinesListed,
+    MachineState,
+    OrderUpkeep,
+    UpkeepDenied,
+    UpkeepEvent,
+    UpkeepTaken,
+)
+
+UPKEEP_S = 2.0
+TURN_S = 3.0
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeMachine:
+    """A machine; `upkept` holds the waves that it has been through, the last too."""
+
+    host: str
+    up_at: float = 0.0
+    down_for: int = 0
+    upkept: set[int] = field(default_factory=set)
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeMachines:
+    """All machines; a machine is named after its host, with ``m-`` before it."""
+
+    machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
+    limit_by_wave: dict[int, int] = field(default_factory=dict)
+    orders: list[OrderUpkeep] = field(default_factory=list)
+    ordered_at: list[float] = field(default_factory=list)
+    begun: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+
+    def add(self, host: str) -> None:
+        """Add the machine of a host."""
+        self.machine_by_id.setdefault(f"m-{host}", FakeMachine(host=host))
+
+    def listed(self, server_by_host: dict[str, str], now: float) -> MachinesListed:
+        """List all machines with the backend servers that live on them."""
+        machines = tuple(
+            Machine(
+                machine_id=machine_id,
+                pool="ovens",
+                state=MachineState.UP if now >= machine.up_at else MachineState.UPKEEP,
+                server_id=server_by_host.get(machine.host, ""),
+            )
+            for machine_id, machine in self.machine_by_id.items()
+        )
+        return MachinesListed(machines=machines)
+
+    def order(self, command: OrderUpkeep, now: float) -> tuple[UpkeepEvent, bool]:
+        """Answer an order, and say whether the machine goes down now."""
+        self._check_turn(command, now)
+        self.orders.append(command)
+        self.ordered_at.append(now)
+        machine = self.machine_by_id.get(command.machine_id)
+        if machine is None:
+            return _denied(command, "no such machine", unknown=True), False
+        taken = UpkeepTaken(wave=command.wave, machine_id=command.machine_id)
+        if command.wave in machine.upkept:
+            return taken, False
+        if now < machine.up_at:
+            return _denied(command, "busy"), False
+        down = [
+            other
+            for other in self.machine_by_id.values()
+            if now < other.up_at and command.wave == other.down_for
+        ]
+        if len(down) >= self.limit_by_wave.get(command.wave, 1):
+            self.violations.append(f"too many down for wave {command.wave}")
+        machine.upkept.add(command.wave)
+        machine.up_at = now + UPKEEP_S
+        machine.down_for = command.wave
+        self.begun.append(command.machine_id)
+        return taken, True
+
+    def _check_turn(self, command: OrderUpkeep, now: float) -> None:
+        for before, at in zip(self.orders, self.ordered_at, strict=True):
+            if before.holder != command.holder and now - at < TURN_S:
+                self.violations.append("two holders took turns")
+            if before.token > command.token:
+                self.violations.append("a lower token came after a higher one")
+            if before.token == command.token and before.holder != command.holder:
+                self.violations.append("two holders with one token")
+
+
+def _denied(
+    command: OrderUpkeep, reason: str, *, unknown: bool = False
+) -> UpkeepDenied:
+    return UpkeepDenied(
+        wave=command.wave,
+        machine_id=command.machine_id,
+        reason=reason,
+        unknown_machine=unknown,
+    )
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -23,6 +23,7 @@
     Configuration,
     Evacuation,
     Queue,
+    WaveOrder,
 )
 from bulrushpulley.entities.jobs.executor_calls import (
     ExecutorCommand,
@@ -47,6 +48,7 @@
     WallClock,
 )
 from bulrushpulley.entities.jobs.spec import JobSpec, StepSpec
+from bulrushpulley.entities.jobs.upkeep import ListMachines, OrderUpkeep, UpkeepDenied
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import LinkDown, LinkEvent, LinkUp, Send
 from bulrushpulley.entities.linker_tables import DialEnded
@@ -55,7 +57,8 @@
 from bulrushpulley.entities.step import Command, Event, Tell
 from bulrushpulley.roles import intake, keeper, scheduler
 from bulrushpulley.roles.actor import Role
-from test.jobs_executor import FakeExecutor
+from standins.executor_core import FakeExecutor
+from test.jobs_machines import UPKEEP_S, FakeMachines
 from test.jobs_store import JobsStore
 
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
@@ -115,6 +118,8 @@
         self.lose_answers = False
         self.late_s = 0.0
         self.disallowed: set[str] = set()
+        self.machines = FakeMachines()
+        self.lose_orders = False
         self.hook: Callable[[Command], None] | None = None
         self.answers: list[CallAnswer] = []
         self.decisions: list[Decision] = []
@@ -145,6 +150,16 @@
             key=key, order=None if back else Evacuation(failure_domain=domain)
         )
 
+    def order_wave(self, number: int, *machine_ids: str, at_once: int = 1) -> None:
+        """Order a wave of upkeep."""
+        self.machines.limit_by_wave[number] = at_once
+        order = WaveOrder(
+            number=number, machine_ids=machine_ids, within_s=30.0, at_once=at_once
+        )
+        self.store.put(
+            key=RowKey(table="op", part="", key=f"wave/{number}"), order=order
+        )
+
     # Processes
 
     def start_entry(self, name: str) -> None:
@@ -167,6 +182,7 @@
         self.executor_by_host[name] = FakeExecutor(
             host=name, capacity=CAPACITY, watch=self._seen, born_at=self.now
         )
+        self.machines.add(name)
         self.start_agent(name)
         self._announce(name)
 
@@ -341,6 +357,36 @@
         advised = Advised(step_key=command.step_key, ticket_by_server=approved)
         self.at(0.05, lambda: self.tell(process, command.role, advised))
 
+    @_carry_out.register
+    def _(self, command: ListMachines, process: Process) -> None:
+        servers = {
+            host: executor.server_id
+            for host, executor in self.executor_by_host.items()
+            if executor.up
+        }
+        listed = self.machines.listed(servers, self.now)
+        self.at(CALL_S, lambda: self.tell(process, command.role, listed))
+
+    @_carry_out.register
+    def _(self, command: OrderUpkeep, process: Process) -> None:
+        event, goes_down = self.machines.order(command, self.now)
+        if goes_down:
+            self._take_down(command.machine_id)
+        if self.lose_orders:
+            event = UpkeepDenied(
+                wave=command.wave, machine_id=command.machine_id, reason="no answer"
+            )
+        self.at(CALL_S, lambda: self.tell(process, command.role, event))
+
+    def _take_down(self, machine_id: str) -> None:
+        host = self.machines.machine_by_id[machine_id].host
+        self.executor_by_host[host].crash()
+        self.at(UPKEEP_S, lambda: self._bring_up(host))
+
+    def _bring_up(self, host: str) -> None:
+        self.executor_by_host[host].restart(self.now)
+        self._announce(host)
+
     @_carry_out.register
     def _(self, command: ReadWallClock, process: Process) -> None:
         self.tell(process, command.role, WallClock(wall_s=self.now))
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -34,6 +34,8 @@
     "platform.Addr": "10.200.1.7:8169",
     "Bounds.MaxHoldMs": "6000",
     "Bounds.KillTimeoutMs": "200",
+    "Bounds.LeaseMs": "3000",
+    "Cloud.Addr": "10.200.0.79:8169",
 }
 
 
@@ -41,6 +43,12 @@
     """Return the path of a template with its placeholders filled in."""
     values = {**VALUES, **other}
     text = (DEPLOY / name).read_text()
+    text = re.sub(
+        r"\{\{#(.+?)\}\}(.*?)\{\{/\1\}\}",
+        lambda match: match.group(2).replace("{{.}}", values.get(match.group(1), "")),
+        text,
+        flags=re.DOTALL,
+    )
     filled = re.sub(r"\{\{([^}]+)\}\}", lambda match: values[match.group(1)], text)
     path = pathlib.Path(tempfile.mkdtemp()) / name
     path.write_text(filled)
@@ -53,6 +61,7 @@
         self.assertEqual(("10.1.0.13", 8161), split_address(settings.callers))
         self.assertEqual(6.0, settings.limits.longest_lease_s)
         self.assertEqual(0.2, settings.limits.kill_s)
+        self.assertEqual(3.0, settings.limits.turn_s)
 
     def test_a_platform_without_advice_gives_settings_too(self) -> None:
         settings = load(JobEntrySettings, rendered("entry.toml", Recommendation=""))
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -8,7 +8,7 @@
 import testtools
 
 from bulrushpulley.entities.jobs import bounds
-from test.jobs_executor import FakeExecutor
+from standins.executor_core import FakeExecutor
 from test.jobs_matrix import FAULTS, STEPS, Cell, play
 from test.jobs_store import JobsStore
 
--- /dev/null
+++ b/test/test_jobs_upkeep.py
@@ -0,0 +1,154 @@
+"""Waves of upkeep: who goes down when, and what becomes of the work there."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import testtools
+
+from bulrushpulley.entities.jobs.rows import RowKey, WaveState, WaveStatusRow
+from bulrushpulley.entities.jobs.task import TaskState
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.step import Command
+from test.jobs_world import JobsWorld, step
+
+MACHINES = ("m-z0-0", "m-z1-1", "m-z2-2")
+# A machine is down for 2 s, and is listed as up within a second after that.
+WAVE_S = 25.0
+
+
+def told(world: JobsWorld, number: int) -> WaveState | None:
+    """Return what operators read of a wave."""
+    key = RowKey(table="status", part="", key=f"wave/{number}")
+    stored = world.store.row_by_key.get(key)
+    row = stored.row if stored is not None else None
+    return row.state if isinstance(row, WaveStatusRow) else None
+
+
+class UpkeepTest(testtools.TestCase):
+    def _check(self, world: JobsWorld) -> None:
+        self.assertEqual([], world.violations)
+        self.assertEqual([], world.machines.violations)
+
+    def test_each_machine_goes_down_once_and_operators_are_told(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.order_wave(4, *MACHINES)
+        world.run(2.0)
+        self.assertIs(WaveState.RUNNING, told(world, 4))
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        self.assertTrue(over)
+        self.assertEqual(sorted(MACHINES), sorted(world.machines.begun))
+        self._check(world)
+
+    def test_as_many_go_down_at_once_as_the_wave_allows(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        world.order_wave(4, *MACHINES, at_once=3)
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        self.assertTrue(over)
+        self._check(world)
+
+    def test_short_work_finishes_before_its_machine_goes_down(self) -> None:
+        world = JobsWorld(hosts=1)
+        world.run(6.0)
+        world.submit(1, step(4), payload="2.0")
+        world.run(0.5)
+        world.order_wave(4, "m-z0-0")
+        self.assertTrue(world.run_until(world.all_complete, 6.0))
+        self.assertEqual(4, world.starts)
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        self.assertTrue(over)
+        self._check(world)
+
+    def test_the_budget_of_a_lasting_step_is_kept(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        lasting = replace(step(6, lasting=True), disruption_budget=1)
+        world.submit(1, lasting, payload="900.0")
+        world.run(2.0)
+        world.order_wave(4, *MACHINES, at_once=3)
+        least = 6
+        for _ in range(300):
+            world.run(0.1)
+            tables = world.process_by_name[world.owner()].seat_by_role["scheduler"]
+            tasks = tables.tables.tasks.rows()
+            running = sum(
+                task.state is TaskState.RUNNING and task.at_work for task in tasks
+            )
+            least = min(least, running)
+        self.assertIs(WaveState.COMPLETED, told(world, 4))
+        self.assertEqual(5, least)
+        self._check(world)
+
+    def test_a_new_owner_goes_on_with_a_higher_token_after_its_turn(self) -> None:
+        world = JobsWorld(entries=3)
+        world.run(6.0)
+        world.order_wave(4, *MACHINES)
+        world.run_until(lambda: bool(world.machines.begun), 5.0)
+        world.freeze(world.owner(), 9.0)
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        self.assertTrue(over)
+        self.assertEqual(sorted(MACHINES), sorted(world.machines.begun))
+        self.assertGreater(len({order.token for order in world.machines.orders}), 1)
+        self._check(world)
+
+    def test_owners_that_hand_over_do_not_take_turns(self) -> None:
+        world = JobsWorld(entries=3)
+        world.run(6.0)
+        world.order_wave(4, *MACHINES, at_once=3)
+        world.run_until(lambda: bool(world.machines.begun), 5.0)
+        world.lose_orders = True
+        world.leave(world.owner())
+        world.run(1.0)
+        world.lose_orders = False
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        self.assertTrue(over)
+        self._check(world)
+
+    def test_nothing_is_ordered_before_it_is_durable(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+
+        def hook(command: Command) -> None:
+            if isinstance(command, Decision) and command.kind == "upkeep.order":
+                world.store_up = False
+
+        world.hook = hook
+        world.order_wave(4, "m-z0-0")
+        world.run(3.0)
+        self.assertFalse(world.store_up)
+        self.assertEqual([], world.machines.orders)
+        world.hook, world.store_up = None, True
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        self.assertTrue(over)
+
+    def test_an_order_without_answer_is_given_again(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        world.lose_orders = True
+        world.order_wave(4, "m-z0-0")
+        world.run(6.0)
+        self.assertIs(WaveState.RUNNING, told(world, 4))
+        world.lose_orders = False
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 6.0)
+        self.assertTrue(over)
+        self.assertEqual(["m-z0-0"], world.machines.begun)
+
+    def test_a_machine_that_is_gone_does_not_hold_a_wave_up(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        world.order_wave(4, "m-gone", "m-z0-0")
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 10.0)
+        self.assertTrue(over)
+        self.assertEqual(["m-z0-0"], world.machines.begun)
+
+    def test_two_waves_do_not_take_one_machine_at_once(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        world.order_wave(4, *MACHINES)
+        world.order_wave(5, *MACHINES)
+        over = world.run_until(lambda: told(world, 5) is WaveState.COMPLETED, 40.0)
+        self.assertTrue(over)
+        self.assertEqual(6, len(world.machines.begun))
+        self._check(world)
--- /dev/null
+++ b/test/test_platform_machines.py
@@ -0,0 +1,116 @@
+"""The client of the service of machines against a small server, and waves' rows."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+
+from bulrushpulley.entities.jobs.configuration import WaveOrder
+from bulrushpulley.entities.jobs.rows import WaveRow, WaveState, WaveStatusRow
+from bulrushpulley.entities.jobs.upkeep import (
+    ListMachines,
+    Machine,
+    MachinesListed,
+    MachineState,
+    MachinesUnlisted,
+    OrderUpkeep,
+    UpkeepDenied,
+    UpkeepTaken,
+)
+from bulrushpulley.errors import Problem
+from bulrushpulley.platform.machines import MachinesClient
+from bulrushpulley.platform.order_rows import decode_order
+from bulrushpulley.platform.status_rows import encode_stored
+from bulrushpulley.wire.http_message import HttpReply, HttpRequest, json_reply
+from bulrushpulley.wire.http_server import HttpServer
+from bulrushpulley.wire.job_rows import decode_row
+from scripts.fleet import free_ports
+
+WAVE = b'{"MaintenanceWave":3,"Machines":["m-1","m-2"],"DurationS":20,"MaxCount":2}'
+FIRST = {"Machine": "m-1", "Pool": "ovens", "State": "up", "Id": "i-1"}
+SECOND = {"Machine": "m-2", "Pool": "ovens", "State": "upkeep"}
+
+
+class RowsTest(testtools.TestCase):
+    def test_a_wave_is_decoded(self) -> None:
+        wanted = WaveOrder(
+            number=3, machine_ids=("m-1", "m-2"), within_s=20.0, at_once=2
+        )
+        self.assertEqual(wanted, decode_order("wave/3", WAVE))
+
+    def test_operators_read_the_state_of_a_wave_in_their_encoding(self) -> None:
+        row = WaveStatusRow(number=3, state=WaveState.RUNNING)
+        self.assertEqual({"State": "running"}, json.loads(encode_stored(row)))
+
+    def test_progress_of_a_wave_keeps_the_products_encoding(self) -> None:
+        row = WaveRow(number=3, ordered=("m-1",))
+        self.assertEqual(row, decode_row(encode_stored(row), peer="waves/wave-3"))
+
+
+class MachinesClientTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.requests: list[HttpRequest] = []
+        self.replies: list[HttpReply] = []
+        (port,) = free_ports(1)
+        server = HttpServer(
+            host="127.0.0.1",
+            port=port,
+            handler=self._handle,
+            threads=1,
+            report=self._report,
+        )
+        server.start()
+        self.addCleanup(server.stop, 0.1)
+        self.client = MachinesClient(address=f"127.0.0.1:{port}")
+
+    def _report(self, problem: Problem) -> None:
+        self.fail(str(problem))
+
+    def _handle(self, request: HttpRequest) -> HttpReply:
+        self.requests.append(request)
+        return self.replies.pop(0)
+
+    def test_the_list_is_read_page_by_page(self) -> None:
+        self.replies = [
+            json_reply(200, {"Machines": [FIRST], "NextToken": "t"}),
+            json_reply(200, {"Machines": [SECOND], "NextToken": None}),
+        ]
+        event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
+        first = Machine(
+            machine_id="m-1", pool="ovens", state=MachineState.UP, server_id="i-1"
+        )
+        second = Machine(machine_id="m-2", pool="ovens", state=MachineState.UPKEEP)
+        self.assertEqual(MachinesListed(machines=(first, second)), event)
+
+    def test_a_list_with_an_unknown_state_is_no_list(self) -> None:
+        odd = {**FIRST, "State": "odd"}
+        self.replies = [json_reply(200, {"Machines": [odd]})]
+        event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
+        self.assertIsInstance(event, MachinesUnlisted)
+
+    def test_the_answers_to_an_order(self) -> None:
+        for status, kind, unknown in (
+            (200, UpkeepTaken, False),
+            (409, UpkeepDenied, False),
+            (400, UpkeepDenied, True),
+            (503, UpkeepDenied, False),
+        ):
+            self.replies = [json_reply(status, {"Reason": "busy"})]
+            event = self.client.order_upkeep(
+                OrderUpkeep(
+                    role="scheduler",
+                    machine_id="m-1",
+                    wave=3,
+                    holder="entry-1",
+                    token=7,
+                    timeout_s=1.0,
+                )
+            )
+            self.assertIsInstance(event, kind, str(status))
+            self.assertEqual(unknown, getattr(event, "unknown_machine", False))
+        self.assertEqual(
+            {"Machine": "m-1", "MaintenanceWave": 3},
+            json.loads(self.requests[-1].body),
+        )
