Soak the job programs on loopback, with faults drawn from a seed

The real programs run as processes against stand-ins of the store and of backend servers; proxies delay, reset, cut one way and silence their connections; processes are killed, paused, stopped and told to reload, in series that overlap. What callers and backend servers see is judged while it runs.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,150 @@
+"""Callers of a run: they submit jobs, ask for states and cancel, over kept connections.
+
+Each caller keeps its connection until it breaks, then goes to the next entry, as
+clients behind the platform's balancer do.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import urllib3
+
+from soak.plan import JobPlan
+from soak.promises import Answered, Cancelled, Shown, Sight
+
+HOST_NAME = "push.example"
+PREFIX = "/push/"
+DEADLINE_S = 3.0
+TRIES = 8
+PAUSE_S = 0.3
+ASK_S = 1.0
+MEMORY_MB = 100
+UNSURE = (502, 504)
+REFUSED = (429, 503)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """An answer; status 0 stands for none."""
+
+    status: int
+    body: dict[str, object]
+
+
+class Connection:
+    """One caller's connection to whichever entry serves it."""
+
+    def __init__(self, urls: tuple[str, ...], first: int) -> None:
+        self._urls = urls
+        self._place = first
+        self._pool = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
+
+    def call(self, method: str, job_id: str, body: object = None) -> Reply:
+        """Send one request; moves on to the next entry where this one fails."""
+        url = self._urls[self._place % len(self._urls)]
+        try:
+            answer = self._pool.request(
+                method,
+                f"{url}{PREFIX}{job_id}",
+                json=body,
+                timeout=DEADLINE_S,
+                headers={
+                    "Host": HOST_NAME,
+                    "Deadline-Ms": str(int(DEADLINE_S * 1_000)),
+                },
+            )
+        except urllib3.exceptions.NewConnectionError:
+            # Nothing was sent, so this is as sure as a refusal.
+            self._place += 1
+            return Reply(status=REFUSED[-1], body={})
+        except urllib3.exceptions.HTTPError:
+            self._place += 1
+            return Reply(status=0, body={})
+        if answer.status in (*REFUSED, *UNSURE):
+            self._place += 1
+        return Reply(status=answer.status, body=_json(answer))
+
+
+def _json(answer: urllib3.BaseHTTPResponse) -> dict[str, object]:
+    try:
+        value = answer.json()
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def body_of(job: JobPlan) -> dict[str, object]:
+    """Return the body that submits a job."""
+    steps = [
+        {
+            "Count": count,
+            "Cpu": processors_m,
+            "MemMb": MEMORY_MB,
+            "After": list(after),
+            "EstimateMs": 1_000,
+            "LongRunning": job.lasting,
+            "Checkpointing": True,
+        }
+        for count, processors_m, after in job.steps
+    ]
+    return {"Spec": job.payload, "Steps": steps}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Caller:
+    """Takes one job through its life; `see` is told what it saw."""
+
+    connection: Connection
+    see: Callable[[Sight], None]
+    stop: threading.Event
+
+    def run(self, job: JobPlan) -> None:
+        """Submit a job, follow it, and cancel it when its plan says so."""
+        if not self._submit(job):
+            return
+        accepted_at = time.monotonic()
+        cancels = job.cancel_after_s is not None
+        while not self.stop.is_set():
+            waited_s = time.monotonic() - accepted_at
+            if cancels and waited_s >= (job.cancel_after_s or 0.0):
+                self._cancel(job)
+                return
+            if self.show(job.job_id) in ("completed", "failed"):
+                return
+            self.stop.wait(ASK_S)
+
+    def _submit(self, job: JobPlan) -> bool:
+        unsure = False
+        for left in reversed(range(TRIES)):
+            reply = self.connection.call("POST", job.job_id, body_of(job))
+            if 200 <= reply.status < 300:
+                self._answered(job, "accepted", final=True)
+                return True
+            unsure = unsure or reply.status not in REFUSED
+            self._answered(job, "unsure" if unsure else "refused", final=not left)
+            self.stop.wait(PAUSE_S)
+        return False
+
+    def _answered(self, job: JobPlan, what: str, *, final: bool) -> None:
+        at = time.monotonic()
+        self.see(Answered(at=at, job_id=job.job_id, what=what, final=final))
+
+    def show(self, job_id: str) -> str:
+        """Ask for the state of a job; empty where no answer came."""
+        reply = self.connection.call("GET", job_id)
+        state = "gone" if reply.status == 410 else str(reply.body.get("State", ""))
+        if state:
+            self.see(Shown(at=time.monotonic(), job_id=job_id, state=state))
+        return state
+
+    def _cancel(self, job: JobPlan) -> None:
+        while not self.stop.is_set():
+            reply = self.connection.call("DELETE", job.job_id)
+            if 200 <= reply.status < 300:
+                self.see(Cancelled(at=time.monotonic(), job_id=job.job_id))
+                return
+            self.stop.wait(PAUSE_S)
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,218 @@
+"""What a run of the soak does when: faults and jobs, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+CALM_S = 12.0
+STORE_MODES = ("down", "slow", "lose_answers")
+LINK_HOWS = ("delay", "reset", "cut_in", "cut_out", "silence")
+SLOW_S = 0.4
+EVACUATION_S = 7.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """The base of what is done to the site, `at` seconds from its start."""
+
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Kill(Fault):
+    """A process is killed, and started again after `for_s`."""
+
+    name: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Terminate(Fault):
+    """A process is told to stop, and started again once it has."""
+
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pause(Fault):
+    """A process stands still."""
+
+    name: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reload(Fault):
+    """A process is told that its settings have changed."""
+
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Crash(Fault):
+    """A backend server is killed, and another life begins after `for_s`."""
+
+    host: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Drain(Fault):
+    """A backend server says that it leaves, and another life begins later."""
+
+    host: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreTrouble(Fault):
+    """The store is down, slow, or loses its answers."""
+
+    mode: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Compact(Fault):
+    """The store forgets its history."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Harm(Fault):
+    """The connections through one proxy are harmed."""
+
+    proxy: str
+    how: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reconfigure(Fault):
+    """A new version of the configuration comes into force."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Evacuate(Fault):
+    """A failure domain is taken out of service, and taken back."""
+
+    failure_domain: str
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Names:
+    """The names of what a site consists of."""
+
+    entries: tuple[str, ...]
+    agents: tuple[str, ...]
+    hosts: tuple[str, ...]
+    proxies: tuple[str, ...]
+    failure_domains: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """One run; between `calm_from` and `calm_until` nothing is harmed."""
+
+    seed: int
+    seconds: float
+    calm_from: float
+    calm_until: float
+    faults: tuple[Fault, ...]
+
+
+def draw(seed: int, seconds: float, names: Names) -> Plan:
+    """Draw a run: trouble, a calm stretch with planned changes, and trouble again."""
+    dice = random.Random(seed)
+    calm_from = (seconds - CALM_S) / 2
+    calm_until = calm_from + CALM_S
+    faults: list[Fault] = []
+    at = 1.0
+    while at < seconds:
+        if at < calm_from or at >= calm_until:
+            # A series: several faults of the same moment, which may overlap.
+            for _ in range(dice.choice((1, 1, 2, 3))):
+                faults.append(_fault(dice, at, names))
+        at += dice.uniform(0.8, 3.0)
+    domain = dice.choice(names.failure_domains)
+    # Every fault has ended 2 s after the last one began at the latest.
+    began = calm_from + CALM_S / 3
+    calm: tuple[Fault, ...] = (
+        Evacuate(at=began, failure_domain=domain, for_s=EVACUATION_S),
+        Reconfigure(at=began + 1.0),
+    )
+    ordered = sorted((*faults, *calm), key=lambda fault: fault.at)
+    return Plan(
+        seed=seed,
+        seconds=seconds,
+        calm_from=calm_from,
+        calm_until=calm_until,
+        faults=tuple(ordered),
+    )
+
+
+def _fault(dice: random.Random, at: float, names: Names) -> Fault:
+    """Draw one fault."""
+    process = dice.choice((*names.entries, *names.entries, *names.agents))
+    host = dice.choice(names.hosts)
+    for_s = round(dice.uniform(0.3, 4.0), 2)
+    makers = (
+        lambda: Kill(at=at, name=process, for_s=for_s / 2),
+        lambda: Kill(at=at, name=dice.choice(names.entries), for_s=for_s / 2),
+        lambda: Terminate(at=at, name=process),
+        lambda: Pause(at=at, name=process, for_s=for_s),
+        lambda: Reload(at=at, name=process),
+        lambda: Crash(at=at, host=host, for_s=for_s / 2),
+        lambda: Drain(at=at, host=host),
+        lambda: StoreTrouble(at=at, mode=dice.choice(STORE_MODES), for_s=for_s),
+        lambda: Compact(at=at),
+        lambda: Harm(
+            at=at,
+            proxy=dice.choice(names.proxies),
+            how=dice.choice(LINK_HOWS),
+            for_s=for_s,
+        ),
+        lambda: Reconfigure(at=at),
+    )
+    return dice.choice(makers)()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobPlan:
+    """One job of a run: its steps as (tasks, processors, seconds, earlier steps)."""
+
+    at: float
+    job_id: str
+    payload: str
+    steps: tuple[tuple[int, int, tuple[int, ...]], ...]
+    lasting: bool = False
+    cancel_after_s: float | None = None
+
+
+def draw_jobs(seed: int, seconds: float, per_s: float) -> tuple[JobPlan, ...]:
+    """Draw the jobs of a run; a few last, are cancelled, or can never be done."""
+    dice = random.Random(seed + 1)
+    jobs: list[JobPlan] = []
+    at = 0.5
+    while at < seconds:
+        kind = dice.random()
+        lasting = kind < 0.05
+        payload = "900" if lasting else str(round(dice.uniform(0.2, 3.0), 1))
+        if 0.05 <= kind < 0.1:
+            payload = "poison"
+        steps = [(dice.randint(1, 4), dice.choice((250, 500, 1_000)), ())]
+        if not lasting and dice.random() < 0.5:
+            steps.append((dice.randint(1, 3), 500, (0,)))  # type: ignore[arg-type]
+        cancels = lasting or dice.random() < 0.15
+        jobs.append(
+            JobPlan(
+                at=at,
+                job_id=f"{dice.getrandbits(64):016x}",
+                payload=payload,
+                steps=tuple(steps),
+                lasting=lasting,
+                cancel_after_s=dice.uniform(0.5, 9.0) if cancels else None,
+            )
+        )
+        at += dice.expovariate(per_s)
+    return tuple(jobs)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,250 @@
+"""Runs the soak: ``scripts/soak --seed N`` or ``scripts/soak --seeds K --minutes M``.
+
+Each run prints its seed, what was done and seen, every broken promise, and its
+verdict last. The exit code is 1 when a run failed.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import pathlib
+import queue
+import random
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from absl import app, flags
+from pyrsistent import pmap
+
+from soak.callers import Caller, Connection
+from soak.plan import JobPlan, Plan, draw, draw_jobs
+from soak.promises import Ended, Noted, Sight, Started, Tables, judge, unfinished
+from soak.site import CAPACITY_M, Site, make_names, make_site, strike
+
+FLAGS = flags.FLAGS
+# The agents announce, and a first owner settles, within this time.
+READY_S = 3.0
+# What is left when the faults are over is done within this time: leases of 6 s, twice,
+# and the work itself.
+FINISH_S = 45.0
+# Sights of different processes are put in order over this time.
+SETTLE_S = 1.0
+CALLERS = 48
+POLL_S = 0.25
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What a run came to."""
+
+    seed: int
+    tables: Tables
+    unfinished: tuple[str, ...]
+    error: str = ""
+
+    @property
+    def good(self) -> bool:
+        """Whether every promise was kept and no job was lost."""
+        return not (self.tables.broken or self.unfinished or self.error)
+
+
+class Observer:
+    """Puts what was seen in order and judges it while the run goes on."""
+
+    def __init__(self, tables: Tables, folder: pathlib.Path) -> None:
+        self.tables = tables
+        self._folder = folder
+        self._sights: queue.SimpleQueue[Sight] = queue.SimpleQueue()
+        self._waiting: list[Sight] = []
+        self._read_by_path: dict[pathlib.Path, int] = {}
+
+    def see(self, sight: Sight) -> None:
+        """Take in what a caller or the site itself saw."""
+        self._sights.put(sight)
+
+    def look(self, now: float) -> None:
+        """Read the logs of backend servers on, and judge what is old enough."""
+        for path in self._folder.glob("host-*.log"):
+            self._read(path)
+        while not self._sights.empty():
+            self._waiting.append(self._sights.get())
+        self._waiting.sort(key=lambda sight: sight.at)
+        while self._waiting and self._waiting[0].at < now - SETTLE_S:
+            self.tables = judge(self._waiting.pop(0), self.tables)
+
+    def _read(self, path: pathlib.Path) -> None:
+        begin = self._read_by_path.get(path, 0)
+        with path.open("rb") as log:
+            log.seek(begin)
+            data = log.read()
+        whole = data[: data.rfind(b"\n") + 1]
+        self._read_by_path[path] = begin + len(whole)
+        for line in whole.splitlines():
+            sight = _sight(line)
+            if sight is not None:
+                self._waiting.append(sight)
+
+
+def _sight(line: bytes) -> Sight | None:
+    if not line.startswith(b"{"):
+        return None
+    raw = json.loads(line)
+    at, what = raw["at"], raw["what"]
+    if what == "start":
+        return Started(
+            at=at,
+            host=raw["host"],
+            failure_domain=raw["failure_domain"],
+            task=raw["task"],
+            run=raw["run"],
+        )
+    if what == "end":
+        return Ended(
+            at=at, host=raw["host"], task=raw["task"], run=raw["run"], how=raw["how"]
+        )
+    if what == "noted":
+        return Noted(at=at, task=raw["task"], how=raw["how"])
+    return None
+
+
+def play(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+    """Play one run and judge it."""
+    names = make_names(FLAGS.entries, FLAGS.hosts)
+    plan = draw(seed, seconds, names)
+    jobs = draw_jobs(seed, seconds, FLAGS.jobs_per_s)
+    kinds = collections.Counter(type(fault).__name__ for fault in plan.faults)
+    print(f"seed {seed}: {len(jobs)} jobs, faults {dict(sorted(kinds.items()))}")
+    tables = Tables(
+        job_by_id=pmap({job.job_id: job for job in jobs}),
+        capacity_m=CAPACITY_M,
+        calm=(0.0, 0.0),
+    )
+    observer = Observer(tables, folder)
+    site = make_site(names, folder, observer.see)
+    try:
+        site.start()
+        _go(site, plan, jobs, observer)
+    finally:
+        site.fleet.end_all()
+    return Verdict(
+        seed=seed, tables=observer.tables, unfinished=unfinished(observer.tables)
+    )
+
+
+def _go(site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer) -> None:
+    _pause(observer, READY_S)
+    began = time.monotonic()
+    # The first part of the calm stretch is left for what came before it.
+    settled = began + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
+    calm = (settled, began + plan.calm_until)
+    observer.tables = _with_calm(observer.tables, calm)
+    stop = threading.Event()
+    todo = sorted(
+        (
+            *((fault.at, fault) for fault in plan.faults),
+            *((job.at, job) for job in jobs),
+        ),
+        key=lambda pair: pair[0],
+    )
+    with ThreadPoolExecutor(CALLERS) as pool:
+        for at, what in todo:
+            _pause(observer, began + at - time.monotonic())
+            if isinstance(what, JobPlan):
+                connection = Connection(site.caller_urls, what.job_id.count("a"))
+                caller = Caller(connection=connection, see=observer.see, stop=stop)
+                pool.submit(caller.run, what)
+            else:
+                strike(what, site)
+        _finish(site, observer)
+        stop.set()
+    _pause(observer, SETTLE_S + POLL_S)
+
+
+def _with_calm(tables: Tables, calm: tuple[float, float]) -> Tables:
+    from dataclasses import replace
+
+    return replace(tables, calm=calm)
+
+
+def _finish(site: Site, observer: Observer) -> None:
+    """Wait until every accepted job has ended, or it has taken too long."""
+    until = time.monotonic() + FINISH_S
+    connection = Connection(site.caller_urls, 0)
+    asker = Caller(connection=connection, see=observer.see, stop=threading.Event())
+    _pause(observer, SETTLE_S)
+    while time.monotonic() < until:
+        left = unfinished(observer.tables)
+        if not left:
+            return
+        for job_id in left[:20]:
+            asker.show(job_id)
+        _pause(observer, SETTLE_S + POLL_S)
+
+
+def _pause(observer: Observer, for_s: float) -> None:
+    """Wait, and judge what is seen in the meantime."""
+    until = time.monotonic() + for_s
+    while True:
+        observer.look(time.monotonic())
+        left_s = until - time.monotonic()
+        if left_s <= 0.0:
+            return
+        threading.Event().wait(min(POLL_S, left_s))
+
+
+def show(verdict: Verdict, folder: pathlib.Path) -> None:
+    """Print what a run came to, its verdict last."""
+    tables = verdict.tables
+    states = collections.Counter(tables.state_by_job.values())
+    print(
+        f"  {len(tables.accepted)} jobs accepted, {len(tables.refused)} refused,"
+        f" {len(tables.unsure)} unsure; {tables.starts} starts;"
+        f" states {dict(sorted(states.items()))}"
+    )
+    for line in tables.broken:
+        print(f"  BROKEN {line}")
+    for job_id in verdict.unfinished:
+        print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'not shown')}")
+    if verdict.error:
+        print(f"  ERROR {verdict.error}")
+    end = "kept" if verdict.good else f"FAILED, logs in {folder}"
+    print(f"seed {verdict.seed}: {end}", flush=True)
+
+
+def main(argv: list[str]) -> None:
+    """Play the seeds of the flags."""
+    del argv
+    seeds = [FLAGS.seed]
+    if FLAGS.seed is None:
+        dice = random.SystemRandom()
+        seeds = [dice.randrange(1_000_000) for _ in range(FLAGS.seeds)]
+    until = time.monotonic() + 60.0 * FLAGS.minutes
+    failed: list[int] = []
+    played = 0
+    for seed in seeds:
+        if played and time.monotonic() > until:
+            break
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"bulrushpulley-soak-{seed}-"))
+        verdict = play(seed, FLAGS.seconds, folder)
+        show(verdict, folder)
+        played += 1
+        if not verdict.good:
+            failed.append(seed)
+    print(f"{played} runs, {len(failed)} failed{': ' if failed else ''}{failed or ''}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seed", None, "Play this one seed.")
+    flags.DEFINE_integer("seeds", 1, "Play this many fresh seeds.")
+    flags.DEFINE_float("minutes", 60.0, "Begin no further run after this time.")
+    flags.DEFINE_float("seconds", 34.0, "Length of a run before its end.")
+    flags.DEFINE_integer("entries", 2, "Entries.")
+    flags.DEFINE_integer("hosts", 4, "Hosts, each with an agent and a server.")
+    flags.DEFINE_float("jobs_per_s", 3.0, "Jobs a second.")
+    app.run(main)
--- /dev/null
+++ b/standins/executor.py
@@ -0,0 +1,299 @@
+"""A backend server on loopback that announces itself to the agent beside it.
+
+Each start and end is written to standard output as a line of JSON with the steady
+time, the host, the task and its run, so that a run can be judged afterwards.
+SIGUSR1 makes it say that it is draining.
+"""
+
+from __future__ import annotations
+
+import http
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import FrameType
+from typing import Any
+
+import msgspec
+import urllib3
+from absl import app, flags
+
+from bulrushpulley.entities.jobs.executor_calls import (
+    ExecutorEvent,
+    HoldRuns,
+    OtherLife,
+    PaceRun,
+    RunsListed,
+    RunStarted,
+    StartDenied,
+    StartRun,
+    StopRun,
+)
+from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef
+from bulrushpulley.entities.resources import NOTHING, Resources
+from standins.executor_core import FakeExecutor
+from standins.web import HOST, Request, Response, as_json, make_server, refusal, serve
+
+FLAGS = flags.FLAGS
+BEAT_S = 0.5
+ANSWER_S = 1.0
+TICK_S = 0.02
+CALL_S = 1.0
+# How long a backend server stays after it was told to leave.
+DRAIN_S = 3.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Where a backend server is and what it offers."""
+
+    host: str
+    service: str
+    failure_domain: str
+    rack: str
+    port: int
+    capacity: Resources
+
+
+def write_line(fields: dict[str, Any]) -> None:
+    """Write one line that cannot be split by another thread's."""
+    sys.stdout.write(msgspec.json.encode(fields).decode() + "\n")
+    sys.stdout.flush()
+
+
+class ExecutorServer:
+    """One life of a backend server behind one lock."""
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        clock: Callable[[], float] = time.monotonic,
+        report: Callable[[dict[str, Any]], None] = write_line,
+    ) -> None:
+        self._lock = threading.RLock()
+        self._clock = clock
+        self._report = report
+        self._place = place
+        self.born_ms = int(time.time() * 1_000)
+        self.leaving_at: float | None = None
+        self._sequence = 0
+        self._core = FakeExecutor(
+            host=place.host,
+            capacity=place.capacity,
+            watch=self._seen,
+            born_at=clock(),
+            lives=self.born_ms,
+            checkpoints=True,
+        )
+        self._handler_by_path = {
+            "/v1/hold": self._hold,
+            "/v1/run-start": self._start,
+            "/v1/run-stop": self._stop,
+            "/v1/pace": self._pace,
+        }
+
+    @property
+    def server_id(self) -> str:
+        """The id of this life."""
+        return self._core.server_id
+
+    def _seen(self, what: str, core: FakeExecutor, run: RunOrder | RunEnd) -> None:
+        self._report(
+            {
+                "at": self._clock(),
+                "what": what,
+                "host": core.host,
+                "failure_domain": self._place.failure_domain,
+                "life": core.lives,
+                "task": run.task_id,
+                "run": run.run,
+                "how": getattr(run, "how", ""),
+            }
+        )
+
+    def advance(self) -> None:
+        """End what has come to its end."""
+        with self._lock:
+            self._core.advance(self._clock())
+
+    def handle(self, request: Request) -> Response:
+        """Answer one call of the agent."""
+        handler = self._handler_by_path.get(request.path)
+        if handler is None:
+            return refusal(http.HTTPStatus.NOT_FOUND, request.path)
+        named = request.header_by_name.get("HTTP_EXPECTED_INSTANCE", self.server_id)
+        if named != self.server_id:
+            return refusal(http.HTTPStatus.MISDIRECTED_REQUEST, "another instance")
+        return handler(msgspec.json.decode(request.body))
+
+    def _call(self, command: Any) -> ExecutorEvent:
+        with self._lock:
+            now = self._clock()
+            self._core.advance(now)
+            return self._core.call(command, now)
+
+    def _common(self) -> dict[str, Any]:
+        return {
+            "server_id": self.server_id,
+            "address": "",
+            "timeout_s": CALL_S,
+        }
+
+    def _answer(
+        self, body: dict[str, Any], status: http.HTTPStatus = http.HTTPStatus.OK
+    ) -> Response:
+        clock_ms = int((self._clock() - self._core.born_at) * 1_000)
+        return as_json(status, {"ClockMs": clock_ms, "born": self.born_ms, **body})
+
+    def _hold(self, raw: dict[str, Any]) -> Response:
+        until = self._clock() + raw.get("WaitMs", 0) / 1_000
+        command = HoldRuns(
+            **self._common(),
+            noted=raw.get("LastSeen", 0),
+            wait_ms=0,
+            lease_until_ms=raw.get("DeadlineMs"),
+        )
+        listed = self._call(command)
+        while isinstance(listed, RunsListed) and not listed.ends:
+            if self._clock() >= until:
+                break
+            threading.Event().wait(TICK_S)
+            listed = self._call(command)
+        if not isinstance(listed, RunsListed):
+            assert isinstance(listed, OtherLife)
+            return refusal(http.HTTPStatus.MISDIRECTED_REQUEST, "another instance")
+        runs = [
+            [run.task_id, run.run, run.checkpoint, run.percent, run.measure]
+            for run in listed.runs
+        ]
+        ends = [
+            [end.number, end.task_id, end.run, end.how, end.checkpoint]
+            for end in listed.ends
+        ]
+        return self._answer({"Running": runs, "Finished": ends})
+
+    def _start(self, raw: dict[str, Any]) -> Response:
+        order = RunOrder(
+            task_id=raw["Task"],
+            run=raw["RunId"],
+            payload=raw.get("Spec", ""),
+            committed=NOTHING,
+            checkpoint=raw.get("Checkpoint", ""),
+        )
+        command = StartRun(
+            **self._common(), order=order, lease_until_ms=raw["DeadlineMs"]
+        )
+        event = self._call(command)
+        if isinstance(event, RunStarted):
+            return self._answer({})
+        assert isinstance(event, StartDenied)
+        return self._answer({"Reason": event.reason}, http.HTTPStatus.CONFLICT)
+
+    def _stop(self, raw: dict[str, Any]) -> Response:
+        run = RunRef(task_id=raw["Task"], run=raw["RunId"])
+        self._call(StopRun(**self._common(), run=run))
+        return self._answer({})
+
+    def _pace(self, raw: dict[str, Any]) -> Response:
+        run = RunRef(task_id=raw["Task"], run=raw["RunId"])
+        self._call(PaceRun(**self._common(), run=run, percent=raw["Percent"]))
+        return self._answer({})
+
+    def announcement(self) -> dict[str, Any]:
+        """Return its next word on itself."""
+        self._sequence += 1
+        place = self._place
+        left_s = DRAIN_S if self.leaving_at is None else self.leaving_at - self._clock()
+        return {
+            "Service": place.service,
+            "Addr": f"{HOST}:{place.port}",
+            "Zone": place.failure_domain,
+            "State": "ready" if self.leaving_at is None else "draining",
+            "RemainingMs": int(1_000 * max(0.0, left_s)),
+            "Capacity": {
+                "Cpu": place.capacity.processors_m,
+                "MemMb": place.capacity.memory_mb,
+                "Gpu": place.capacity.accelerators,
+            },
+            "Labels": ["a", place.rack],
+            "Seq": self._sequence,
+            "born": self.born_ms,
+        }
+
+    def leave(self) -> None:
+        """Say that it is draining from now on."""
+        self.leaving_at = self._clock() + DRAIN_S
+
+
+def announce(server: ExecutorServer, agent: str, *, withdraw: bool = False) -> None:
+    """Tell the agent about a backend server; an agent that is away is told later."""
+    verb = "deregister" if withdraw else "heartbeat"
+    body = {} if withdraw else server.announcement()
+    try:
+        urllib3.request(
+            "POST",
+            f"http://{agent}/v1/instances/{server.server_id}/{verb}",
+            json=body,
+            timeout=ANSWER_S,
+            retries=False,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        write_line({"at": time.monotonic(), "what": "unheard", "reason": str(error)})
+
+
+def _beat(server: ExecutorServer, agent: str, stop: Callable[[], None]) -> None:
+    while True:
+        announce(server, agent)
+        threading.Event().wait(BEAT_S)
+        if server.leaving_at is not None and time.monotonic() > server.leaving_at:
+            announce(server, agent, withdraw=True)
+            stop()
+            return
+
+
+def _advance(server: ExecutorServer) -> None:
+    while True:
+        server.advance()
+        threading.Event().wait(TICK_S)
+
+
+def main(argv: list[str]) -> None:
+    """Serve on the port of the flags until told to leave."""
+    del argv
+    place = Place(
+        host=FLAGS.host,
+        service=FLAGS.service,
+        failure_domain=FLAGS.failure_domain,
+        rack=FLAGS.rack,
+        port=FLAGS.port,
+        capacity=Resources(processors_m=FLAGS.processors_m, memory_mb=FLAGS.memory_mb),
+    )
+    server = ExecutorServer(place=place)
+
+    def leave(signum: int, frame: FrameType | None) -> None:
+        server.leave()
+
+    signal.signal(signal.SIGUSR1, leave)
+    web = make_server(handle=server.handle, port=FLAGS.port)
+    for target, arguments in (
+        (_advance, (server,)),
+        (_beat, (server, FLAGS.agent, web.stop)),
+    ):
+        threading.Thread(target=target, args=arguments, daemon=True).start()
+    serve(web)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("port", 7400, "Port on 127.0.0.1.")
+    flags.DEFINE_string("host", "host-1", "Name of the host.")
+    flags.DEFINE_string("service", "ovens", "Service that it serves.")
+    flags.DEFINE_string("failure_domain", "z1", "Failure domain of the host.")
+    flags.DEFINE_string("rack", "r1", "Rack of the host.")
+    flags.DEFINE_string("agent", "127.0.0.1:7500", "Where the agent listens.")
+    flags.DEFINE_integer("processors_m", 4_000, "Processors, in thousandths.")
+    flags.DEFINE_integer("memory_mb", 8_000, "Memory in MB.")
+    app.run(main)
--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,216 @@
+"""The platform's store of rows on loopback, over the core of the table service.
+
+A row's table, part and key make one key of the core, in that order, so that reading
+a prefix reads a table or a part. ``POST /switch`` takes a fault, ``POST /compact``
+forgets the history.
+"""
+
+from __future__ import annotations
+
+import gc
+import http
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+from absl import app, flags
+
+from standins import table_core
+from standins.faults import Faults, Mode, Switch
+from standins.table_core import At, CommitResult, Put, Stored, TableState, Transaction
+from standins.web import (
+    Request,
+    Response,
+    as_json,
+    make_server,
+    refusal,
+    serve,
+    wait_until,
+)
+
+FLAGS = flags.FLAGS
+# No byte of a table's, part's or key's text.
+BETWEEN = "\x1f"
+TRANSACTION_S = 0.004
+LONGEST_WAIT_S = 30.0
+MAX_ROWS = 500
+MAX_ENTRIES = 100
+# Written by operators alone; the system's writes are refused.
+OPERATORS_TABLES = frozenset({"op", "servers"})
+GC_THRESHOLDS = (100_000, 50, 1_000)
+
+_decode_switch = msgspec.json.Decoder(Switch).decode
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RowStore:
+    """The rows and the version up to which the history is gone."""
+
+    state: TableState
+    forgotten: int = 0
+
+
+def core_key(raw: dict[str, Any]) -> str:
+    """Return the key of the core of a row's address."""
+    return BETWEEN.join((raw["Table"], raw.get("part", ""), raw["Key"]))
+
+
+def _row(stored: Stored) -> dict[str, Any]:
+    table, part, key = stored.key.split(BETWEEN)
+    row: dict[str, Any] = {"Table": table, "part": part, "Key": key}
+    if stored.value is None:
+        # A tombstone, or a row that a condition found absent.
+        return {**row, "Ver": stored.version, "Deleted": bool(stored.version)}
+    return {**row, "Ver": stored.version, "Value": stored.value.decode()}
+
+
+def transaction_of(raw: dict[str, Any]) -> Transaction:
+    """Return the transaction of a body; raises `ValueError` on a bad one."""
+    conditions = tuple(
+        At(key=core_key(item), version=item["Ver"])
+        for item in raw.get("ExpectedRev") or ()
+    )
+    puts = tuple(
+        Put(key=core_key(item), value=item["Value"].encode())
+        for item in raw.get("Upserts") or ()
+    )
+    deletes = tuple(
+        Put(key=core_key(item), value=None) for item in raw.get("Deletes") or ()
+    )
+    if len(conditions) + len(puts) + len(deletes) > MAX_ENTRIES:
+        raise ValueError("too many entries")
+    keys = (entry.key for entries in (conditions, puts, deletes) for entry in entries)
+    parts = {key.split(BETWEEN)[1] for key in keys}
+    if len(parts) > 1:
+        raise ValueError("entries of several parts")
+    return Transaction(conditions=conditions, puts=(*puts, *deletes))
+
+
+class RowStoreServer:
+    """Holds the store behind one lock and answers requests."""
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._changed = threading.Condition()
+        self._clock = clock
+        self._store = RowStore(state=TableState.empty())
+        self._faults = Faults()
+        self._handler_by_path = {
+            ("POST", "/v1/rows-tx"): self._transact,
+            ("GET", "/v1/rows-get"): self._read,
+            ("GET", "/v1/rows-feed"): self._feed,
+        }
+
+    def handle(self, request: Request) -> Response:
+        """Answer one request; blocks for as long as the mode and the call demand."""
+        if request.path == "/switch":
+            switch = _decode_switch(request.body)
+            self._faults = self._faults.switched(switch, self._clock())
+            return as_json(http.HTTPStatus.OK, {})
+        if request.path == "/compact":
+            return self._compact()
+        if request.path == "/operate":
+            return self._operate(request)
+        handler = self._handler_by_path.get((request.method, request.path))
+        if handler is None:
+            return refusal(http.HTTPStatus.NOT_FOUND, request.path)
+        now = self._clock()
+        mode = self._faults.mode_at(now)
+        if mode is Mode.DOWN:
+            return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, mode.value)
+        wait_until(now + TRANSACTION_S + self._faults.delay_at(now), now)
+        response = handler(request)
+        lost = self._faults.mode_at(self._clock()) is Mode.LOSE_ANSWERS
+        return replace(response, lost=lost and request.method == "POST")
+
+    def _compact(self) -> Response:
+        with self._changed:
+            version = self._store.state.revision
+            self._store = replace(self._store, forgotten=version)
+            self._changed.notify_all()
+        return as_json(http.HTTPStatus.OK, {})
+
+    def _operate(self, request: Request) -> Response:
+        """Write what operators write."""
+        return self._commit(transaction_of(msgspec.json.decode(request.body)))
+
+    def _transact(self, request: Request) -> Response:
+        transaction = transaction_of(msgspec.json.decode(request.body))
+        tables = {put.key.split(BETWEEN)[0] for put in transaction.puts}
+        if tables & OPERATORS_TABLES:
+            return refusal(http.HTTPStatus.FORBIDDEN, "operators' tables")
+        return self._commit(transaction)
+
+    def _commit(self, transaction: Transaction) -> Response:
+        with self._changed:
+            result = table_core.commit(self._store.state, transaction)
+            self._store = replace(self._store, state=result.state)
+            self._changed.notify_all()
+        return self._committed(result)
+
+    def _committed(self, result: CommitResult) -> Response:
+        if result.committed:
+            return self._answer(http.HTTPStatus.OK, {"Ver": result.revision})
+        rows = [_row(stored) for stored in result.failed]
+        return self._answer(http.HTTPStatus.PRECONDITION_FAILED, {"rows": rows})
+
+    def _answer(self, status: http.HTTPStatus, body: dict[str, Any]) -> Response:
+        return as_json(status, {"NowMs": int(self._clock() * 1_000), **body})
+
+    def _read(self, request: Request) -> Response:
+        query = request.query
+        prefix = BETWEEN.join((query["Table"], query.get("part", ""), ""))
+        state = self._store.state
+        page = table_core.read(state, prefix=prefix, limit=len(state.rows) + 1)
+        first, end = query.get("From", ""), query.get("To", "")
+        rows = sorted((_row(stored) for stored in page.rows), key=lambda r: r["Key"])
+        found = [
+            row for row in rows if row["Key"] >= first and (not end or row["Key"] < end)
+        ]
+        body = {
+            "rows": found[:MAX_ROWS],
+            "HasMore": len(found) > MAX_ROWS,
+            "Ver": state.revision,
+        }
+        return self._answer(http.HTTPStatus.OK, body)
+
+    def _feed(self, request: Request) -> Response:
+        after = int(request.query.get("After", "0"))
+        wait_s = min(LONGEST_WAIT_S, int(request.query.get("WaitMs", "0")) / 1_000)
+        prefix = request.query["Table"] + BETWEEN
+        until = self._clock() + wait_s
+        with self._changed:
+            while True:
+                if after < self._store.forgotten:
+                    return refusal(http.HTTPStatus.GONE, "history is gone")
+                page = self._changes(prefix, after)
+                left_s = until - self._clock()
+                if page or left_s <= 0.0:
+                    break
+                self._changed.wait(left_s)
+            version = self._store.state.revision
+        body = {"rows": [_row(stored) for stored in page], "Ver": version}
+        return self._answer(http.HTTPStatus.OK, body)
+
+    def _changes(self, prefix: str, after: int) -> tuple[Stored, ...]:
+        state = self._store.state
+        if after >= state.revision:
+            return ()
+        page = table_core.read(
+            state, prefix=prefix, since=max(1, after), limit=len(state.rows) + 1
+        )
+        return page.rows
+
+
+def main(argv: list[str]) -> None:
+    """Serve on the port of the flags."""
+    del argv
+    gc.set_threshold(*GC_THRESHOLDS)
+    serve(make_server(handle=RowStoreServer().handle, port=FLAGS.port))
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("port", 7300, "Port on 127.0.0.1.")
+    app.run(main)
