--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 CALM_S = 12.0
@@ -156,7 +157,12 @@
     process = dice.choice((*names.entries, *names.entries, *names.agents))
     host = dice.choice(names.hosts)
     for_s = round(dice.uniform(0.3, 4.0), 2)
-    makers = (
+
+    def harm() -> Fault:
+        proxy, how = dice.choice(names.proxies), dice.choice(LINK_HOWS)
+        return Harm(at=at, proxy=proxy, how=how, for_s=for_s)
+
+    makers: tuple[Callable[[], Fault], ...] = (
         lambda: Kill(at=at, name=process, for_s=for_s / 2),
         lambda: Kill(at=at, name=dice.choice(names.entries), for_s=for_s / 2),
         lambda: Terminate(at=at, name=process),
@@ -166,12 +172,8 @@
         lambda: Drain(at=at, host=host),
         lambda: StoreTrouble(at=at, mode=dice.choice(STORE_MODES), for_s=for_s),
         lambda: Compact(at=at),
-        lambda: Harm(
-            at=at,
-            proxy=dice.choice(names.proxies),
-            how=dice.choice(LINK_HOWS),
-            for_s=for_s,
-        ),
+        harm,
+        harm,
         lambda: Reconfigure(at=at),
     )
     return dice.choice(makers)()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,7 +11,6 @@
 import contextlib
 import threading
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
 from typing import Any
 
 HOST = "127.0.0.1"
@@ -21,23 +20,25 @@
 IN, OUT = "in", "out"
 
 
-@dataclass(kw_only=True, slots=True)
 class Connection:
     """A connection and the one that carries it on."""
 
-    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
-    silent: bool = False
+    def __init__(
+        self, *, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    ) -> None:
+        self.writers = writers
+        self.silent = False
 
 
-@dataclass(kw_only=True, slots=True)
 class Proxy:
     """Carries connections from `port` to `target`; `held` names directions."""
 
-    port: int
-    target: int
-    delay_s: float = 0.0
-    held: frozenset[str] = frozenset()
-    connections: list[Connection] = field(default_factory=list)
+    def __init__(self, *, port: int, target: int) -> None:
+        self.port = port
+        self.target = target
+        self.delay_s = 0.0
+        self.held: frozenset[str] = frozenset()
+        self.connections: list[Connection] = []
 
     async def start(self) -> None:
         """Listen."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,14 +15,16 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import singledispatch
 
 from absl import app, flags
 from pyrsistent import pmap
 
 from soak.callers import Caller, Connection
-from soak.plan import JobPlan, Plan, draw, draw_jobs
+from soak.plan import Fault, JobPlan, Plan, draw, draw_jobs
 from soak.promises import Ended, Noted, Sight, Started, Tables, judge, unfinished
 from soak.site import CAPACITY_M, Site, make_names, make_site, strike
 
@@ -144,30 +146,42 @@
     calm = (settled, began + plan.calm_until)
     observer.tables = _with_calm(observer.tables, calm)
     stop = threading.Event()
-    todo = sorted(
-        (
-            *((fault.at, fault) for fault in plan.faults),
-            *((job.at, job) for job in jobs),
-        ),
-        key=lambda pair: pair[0],
-    )
+    todo: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
     with ThreadPoolExecutor(CALLERS) as pool:
-        for at, what in todo:
-            _pause(observer, began + at - time.monotonic())
-            if isinstance(what, JobPlan):
-                connection = Connection(site.caller_urls, what.job_id.count("a"))
-                caller = Caller(connection=connection, see=observer.see, stop=stop)
-                pool.submit(caller.run, what)
-            else:
-                strike(what, site)
+        stage = Stage(site=site, pool=pool, see=observer.see, stop=stop)
+        for what in todo:
+            _pause(observer, began + what.at - time.monotonic())
+            begin(what, stage)
         _finish(site, observer)
         stop.set()
     _pause(observer, SETTLE_S + POLL_S)
 
 
-def _with_calm(tables: Tables, calm: tuple[float, float]) -> Tables:
-    from dataclasses import replace
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stage:
+    """What faults and callers need to do their part."""
+
+    site: Site
+    pool: ThreadPoolExecutor
+    see: Callable[[Sight], None]
+    stop: threading.Event
+
 
+@singledispatch
+def begin(what: Fault | JobPlan, stage: Stage) -> None:
+    """Do what is due now: by default a fault."""
+    assert isinstance(what, Fault)
+    strike(what, stage.site)
+
+
+@begin.register
+def _(what: JobPlan, stage: Stage) -> None:
+    connection = Connection(stage.site.caller_urls, what.job_id.count("a"))
+    caller = Caller(connection=connection, see=stage.see, stop=stage.stop)
+    stage.pool.submit(caller.run, what)
+
+
+def _with_calm(tables: Tables, calm: tuple[float, float]) -> Tables:
     return replace(tables, calm=calm)
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,14 +5,15 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import pathlib
 import signal
+import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Any
 
@@ -46,18 +47,26 @@
 KILL_S = 0.3
 
 
-@dataclass(kw_only=True, slots=True)
 class Site:
     """A running site; `see` is told of what backend servers cannot say themselves."""
 
-    fleet: Fleet
-    see: Callable[[Sight], None]
-    proxies: Proxies
-    port_by_name: dict[str, int]
-    names: Names
-    version: int = 0
-    lock: threading.RLock = field(default_factory=threading.RLock)
-    lives: dict[str, int] = field(default_factory=dict)
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        see: Callable[[Sight], None],
+        proxies: Proxies,
+        port_by_name: dict[str, int],
+        names: Names,
+    ) -> None:
+        self.fleet = fleet
+        self.see = see
+        self.proxies = proxies
+        self.port_by_name = port_by_name
+        self.names = names
+        self.version = 0
+        self.lock = threading.RLock()
+        self.lives: dict[str, int] = {}
 
     @property
     def store(self) -> str:
@@ -150,7 +159,7 @@
             return
         try:
             program.process.wait(within_s)
-        except Exception:
+        except subprocess.TimeoutExpired:
             program.process.kill()
             program.process.wait(within_s)
 
@@ -179,7 +188,7 @@
             self.ask_store("/operate", {"Deletes": [at]})
             return
         encoded = json.dumps(value).encode()
-        put = {**at, "Value": _base64(encoded)}
+        put = {**at, "Value": base64.b64encode(encoded).decode()}
         self.ask_store("/operate", {"Upserts": [put]})
 
     def configure(self) -> None:
@@ -201,12 +210,6 @@
         self.operate("config", body)
 
 
-def _base64(data: bytes) -> str:
-    import base64
-
-    return base64.b64encode(data).decode()
-
-
 def make_names(entries: int, hosts: int) -> Names:
     """Return the names of a site."""
     entry_names = tuple(f"entry-{number}" for number in range(entries))
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,161 @@
+"""The soak: each promise broken once on purpose, its plan, and a short real run."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from collections.abc import Mapping
+from dataclasses import replace
+
+import testtools
+from pyrsistent import pmap
+
+from scripts.fleet import ROOT
+from soak.plan import JobPlan, draw, draw_jobs
+from soak.promises import (
+    Answered,
+    Cancelled,
+    Ended,
+    Evacuated,
+    Noted,
+    ServerGone,
+    Shown,
+    Sight,
+    Started,
+    Tables,
+    judge,
+    unfinished,
+)
+from soak.site import make_names
+
+JOB = JobPlan(
+    at=0.0, job_id="5c0e", payload="1", steps=((2, 3_000, ()), (1, 500, (0,)))
+)
+FIRST, SECOND, LAST = "5c0e.0.0.0", "5c0e.0.0.1", "5c0e.0.1.0"
+SHORT_RUN = ("--seed", "7", "--seconds", "14", "--hosts", "3")
+SHORT_RUN_S = 150.0
+
+
+def started(task: str, at: float = 1.0, host: str = "host-0", run: int = 1) -> Started:
+    """Return the start of a run."""
+    return Started(at=at, host=host, failure_domain="z1", task=task, run=run)
+
+
+def ended(task: str, how: str = "done", at: float = 2.0, run: int = 1) -> Ended:
+    """Return the end of a run."""
+    return Ended(at=at, host="host-0", task=task, run=run, how=how)
+
+
+def shown(state: str, at: float = 9.0) -> Shown:
+    """Return the state that a caller was shown."""
+    return Shown(at=at, job_id=JOB.job_id, state=state)
+
+
+def answered(what: str, at: float = 0.5) -> Answered:
+    """Return the last answer to a submission."""
+    return Answered(at=at, job_id=JOB.job_id, what=what, final=True)
+
+
+DONE = Noted(at=2.5, task=FIRST, how="done")
+OUT = Evacuated(at=1.0, failure_domain="z1")
+CANCELLED = Cancelled(at=1.0, job_id=JOB.job_id)
+# What breaks each promise, and what looks like it and does not.
+BROKEN_BY_PROMISE: Mapping[str, tuple[Sight, ...]] = {
+    "unasked": (started("5c0e.0.0.2"),),
+    "twice": (started(FIRST), started(FIRST, host="host-1", run=2)),
+    "again": (started(FIRST), ended(FIRST), DONE, started(FIRST, at=3.0, run=2)),
+    "order": (started(FIRST), ended(FIRST), started(LAST)),
+    "refused": (answered("refused"), started(FIRST)),
+    "cancelled": (CANCELLED, started(FIRST, at=4.5)),
+    "evacuated": (OUT, started(FIRST, at=6.5)),
+    "capacity": (started(FIRST), started(SECOND)),
+    "complete": (started(FIRST), ended(FIRST), shown("completed")),
+    "lost": (answered("accepted"), shown("gone")),
+    "failed": (answered("accepted"), shown("failed")),
+}
+KEPT: Mapping[str, tuple[Sight, ...]] = {
+    "a run after a crash": (
+        started(FIRST),
+        ServerGone(at=1.5, host="host-0"),
+        started(FIRST, at=2.0, host="host-1", run=2),
+    ),
+    "a run again whose end was never noted": (
+        started(FIRST),
+        ended(FIRST),
+        started(FIRST, at=3.0, run=2),
+    ),
+    "a refusal after an answer that was lost": (
+        answered("unsure"),
+        answered("refused"),
+        started(FIRST),
+    ),
+    "a start right after a cancellation": (CANCELLED, started(FIRST, at=2.0)),
+    "a start after the return of a failure domain": (
+        OUT,
+        Evacuated(at=6.0, failure_domain="z1", back=True),
+        started(FIRST, at=6.5),
+    ),
+}
+
+
+def judged(*sights: Sight) -> Tables:
+    """Judge some sights in a time without faults."""
+    tables = Tables(
+        job_by_id=pmap({JOB.job_id: JOB}), capacity_m=4_000, calm=(0.0, 60.0)
+    )
+    for sight in sights:
+        tables = judge(sight, tables)
+    return tables
+
+
+class PromisesTest(testtools.TestCase):
+    def test_each_promise_is_seen_broken(self) -> None:
+        for promise, sights in BROKEN_BY_PROMISE.items():
+            with self.subTest(promise):
+                broken = judged(*sights).broken
+                self.assertEqual([promise], [line.split()[0] for line in broken])
+
+    def test_what_only_looks_broken_is_kept(self) -> None:
+        for name, sights in KEPT.items():
+            with self.subTest(name):
+                self.assertEqual((), judged(*sights).broken)
+
+    def test_an_accepted_job_without_an_end_is_unfinished(self) -> None:
+        tables = judged(answered("accepted"), shown("running"))
+        self.assertEqual((JOB.job_id,), unfinished(tables))
+        over = judge(shown("failed"), replace(tables, broken=()))
+        self.assertEqual((), unfinished(over))
+
+
+class PlanTest(testtools.TestCase):
+    def test_a_seed_gives_the_same_run_again(self) -> None:
+        names = make_names(2, 4)
+        self.assertEqual(draw(5, 34.0, names), draw(5, 34.0, names))
+        self.assertEqual(draw_jobs(5, 34.0, 3.0), draw_jobs(5, 34.0, 3.0))
+        self.assertNotEqual(draw(5, 34.0, names), draw(6, 34.0, names))
+
+    def test_only_planned_changes_come_in_the_calm_stretch(self) -> None:
+        for seed in range(20):
+            plan = draw(seed, 34.0, make_names(2, 4))
+            kinds = {
+                type(fault).__name__
+                for fault in plan.faults
+                if plan.calm_from <= fault.at < plan.calm_until
+            }
+            self.assertEqual({"Evacuate", "Reconfigure"}, kinds)
+
+
+class ShortRunTest(testtools.TestCase):
+    def test_a_short_run_keeps_every_promise(self) -> None:
+        done = subprocess.run(
+            (sys.executable, "-m", "soak.run", *SHORT_RUN),
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            capture_output=True,
+            text=True,
+            timeout=SHORT_RUN_S,
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+        self.assertIn("seed 7: kept", done.stdout)
