Make a restart of everything cheaper

Three causes, all seen where power goes at once or the owner is cut from the store: 1. Now the estimates are written each 2 s with the owner's rows and read by the next owner. 2. Now rows of jobs that ended are cut down, and their progress holds only tasks that may still run. 3. Now whether a job has begun is written as such. Ruled out for 3: the age of the count alone (the new owner counted at once). Tests: EverythingStartsAgain, CondensedRowsTest and BacklogTest; the first and the last fail on the code before, by taking the change out.

--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -22,6 +22,7 @@
 BACKLOGS = "backlogs"
 ORDERS = "op"
 WAVES = "waves"
+HARMS = "harms"
 STATUS = "status"
 
 
@@ -116,12 +117,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProgressRow(Row):
-    """The state of a job and of its tasks."""
+    """The state of a job and of its tasks; `started` once one of them has run.
+
+    Of a job that ended it holds only the tasks that may still run.
+    """
 
     job_id: str
     state: JobState
     tasks: tuple[TaskProgress, ...] = ()
     ended_at_s: float = 0.0
+    started: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -141,6 +146,27 @@
     waiting: tuple[tuple[str, int], ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HarmEstimate:
+    """What one unit of the image `filling` adds to the latency of `serving`.
+
+    With an empty `filling` it is the latency of the serving image alone.
+    """
+
+    serving: str
+    filling: str
+    estimate_ms: float
+    variance: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HarmsRow(Row):
+    """What is known of who slows whom, and the targets of the serving images."""
+
+    estimates: tuple[HarmEstimate, ...]
+    target_by_image: tuple[tuple[str, float], ...] = ()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaveRow(Row):
     """How far a wave is: the machines whose upkeep was ordered, and is over."""
@@ -159,6 +185,7 @@
 
 
 OWNER_KEY = RowKey(table=OWNERS, part=OWNED_PART, key="owner")
+HARMS_KEY = RowKey(table=HARMS, part=OWNED_PART, key="harms")
 BACKLOG_KEY = RowKey(table=BACKLOGS, part=OWNED_PART, key="backlog")
 
 
@@ -198,6 +225,11 @@
     return BACKLOG_KEY
 
 
+@key_of.register
+def _(row: HarmsRow) -> RowKey:
+    return HARMS_KEY
+
+
 @key_of.register
 def _(row: WaveRow) -> RowKey:
     return RowKey(table=WAVES, part=OWNED_PART, key=f"wave-{row.number}")
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -173,9 +173,11 @@
     harmful: frozenset[tuple[str, str]] = frozenset()
     upkeep: UpkeepTables = field(default_factory=UpkeepTables)
     told_at: float = 0.0
+    harms_saved_at: float = 0.0
     place_due: bool = False
     placed_at: float = 0.0
     forgot_at: float = 0.0
+    condensed_at: float = 0.0
     leaving: bool = False
 
     @property
@@ -268,6 +270,11 @@
     state: WaveState
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CondenseJobRows(Purpose):
+    """An owner cuts down the rows of jobs that ended."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DropJobRows(Purpose):
     """An owner removes the rows of a job that ended long ago."""
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -26,16 +26,17 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.store import Condition, Conflicted, Transact
+from bulrushpulley.entities.jobs.task import HOLDING
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_patience
-from bulrushpulley.systems.scheduling import effects, owning, waves
+from bulrushpulley.systems.scheduling import effects, learning, owning, waves
 
 # An owner that has nothing to write renews its row this often, in seconds, so that
 # followers see a change in each two of their reads.
 RENEW_S = 0.8
 # The store takes 100 rows and 1 MB in a transaction; a task's progress is about 100
-# bytes, and the owner and backlog rows take two places.
+# bytes, and the rows of the owner, the backlog, harms and waves take a few places.
 MAX_JOBS = 90
 MAX_TASKS = 5_000
 REFUSED_RETRY_S = 0.15
@@ -77,6 +78,10 @@
     if not tenure.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
     puts.extend(progress_of(tables, job_id) for job_id in job_ids)
+    harms = None if tenure.loading else learning.due_row(tables, now)
+    if harms is not None:
+        puts.append(harms)
+        tables = replace(tables, harms_saved_at=now)
     unwritten = waves.unwritten(tables)
     puts.extend(unwritten)
     transact = Transact(
@@ -122,14 +127,17 @@
 
 
 def progress_of(tables: SchedulerTables, job_id: str) -> ProgressRow:
-    """Return the durable state of a job; tasks that never ran are left out."""
+    """Return the durable state of a job, without the tasks that never ran."""
     job = tables.jobs.by_key[job_id]
     tasks = tables.tasks.rows_where("job", job_id)
+    if job.is_final:
+        tasks = [task for task in tasks if task.state in HOLDING]
     return ProgressRow(
         job_id=job_id,
         state=job.state,
         tasks=tuple(task.progress for task in tasks if task.run),
         ended_at_s=job.ended_at_s,
+        started=job.started,
     )
 
 
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/condensing.py
@@ -0,0 +1,62 @@
+"""Cuts the rows of jobs that ended down to what callers may still ask for.
+
+A row must stand for as long as its job may be handed in again, but its steps are of no
+use any more. A new owner reads every row, so a shorter one makes takeovers shorter.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    CondenseJobRows,
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.spec import JobSpec
+from bulrushpulley.entities.jobs.store import Transact
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.scheduling import edits
+
+EACH_S = 2.0
+MAX_CONDENSED = 90
+CALL_S = 3.0
+NO_STEPS = JobSpec(payload="", steps=())
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Write the short rows of the jobs whose end is durable.
+
+    A transaction that fails leaves long rows, which the next owner cuts down. The end
+    of a job never changes, so that it may also come late, from a former owner.
+    """
+    if not edits.is_loaded(tables) or now - tables.condensed_at < EACH_S:
+        return Step(tables=tables)
+    tables = replace(tables, condensed_at=now)
+    chosen = [job for job in tables.jobs.rows() if _is_over(tables, job)]
+    if not chosen:
+        return Step(tables=tables)
+    rows = []
+    for job in chosen[:MAX_CONDENSED]:
+        row = replace(job.row, spec=NO_STEPS)
+        rows.append(row)
+        tables = edits.put_job(tables, replace(job, row=row))
+    write = Transact(
+        role=SCHEDULER,
+        purpose=CondenseJobRows(),
+        timeout_s=CALL_S,
+        conditions=(),
+        puts=tuple(rows),
+    )
+    return Step(tables=tables, commands=(write,))
+
+
+def _is_over(tables: SchedulerTables, job: Job) -> bool:
+    return (
+        job.is_final
+        and bool(job.row.spec.steps)
+        and not edits.is_unwritten(tables, job.job_id)
+        and not tables.tasks.count_where("job", job.job_id)
+    )
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -37,6 +37,9 @@
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
     tables = evidence.note_ending(tables, task, ending, now)
+    if has_run(ending) and not job.started:
+        job = replace(job, started=True)
+        tables = edits.put_job(tables, job)
     if job.is_final:
         tables = finishing.forget_task(tables, task.task_id)
         tables = edits.mark_dirty(tables, task.job_id, *effects)
@@ -48,6 +51,18 @@
     return Step(tables=tables, commands=(line, *step.commands))
 
 
+@singledispatch
+def has_run(ending: Ending) -> bool:
+    """Tell whether the task has run for sure before such an end."""
+    return False
+
+
+@has_run.register(Done)
+@has_run.register(Failed)
+def _(ending: Ending) -> bool:
+    return True
+
+
 @singledispatch
 def after_end(
     ending: Ending, tables: SchedulerTables, job: Job, task: Task, now: float
--- a/bulrushpulley/systems/scheduling/learning.py
+++ b/bulrushpulley/systems/scheduling/learning.py
@@ -1,7 +1,8 @@
 """Learns which images slow which serving images, over all hosts of the shard.
 
-What is learned is kept in memory: a new owner learns again, within seconds, and the
-agents keep what the former one told them until then.
+What is learned is written now and then with the owner's other rows, so that a new
+owner knows it too, although less surely; the agents keep what the former one told them
+until then.
 """
 
 from __future__ import annotations
@@ -11,8 +12,10 @@
 from bulrushpulley.entities.interference import Harm, harm_key
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.items import HarmVerdicts, Measures, ServingMeasure
+from bulrushpulley.entities.jobs.rows import HarmEstimate, HarmsRow
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.spec import StepSpec
+from bulrushpulley.entities.jobs.store import StoredRow
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import interference_step
@@ -30,6 +33,12 @@
 # An estimate that is this much surer than a first guess may clear an image.
 KNOWN_VARIANCE = 0.15
 TELL_S = 1.0
+# How often estimates are written; most settle within a few seconds.
+SAVE_S = 2.0
+# Estimates that no measure has touched for this long are of work that is over.
+KEPT_S = 60.0
+# How much less sure an estimate is that was read: load may have changed meanwhile.
+READ_VARIANCE = 0.05
 
 Pair = tuple[str, str]
 
@@ -81,6 +90,46 @@
     return known.estimate_ms / max(1.0, target_ms) if known else 0.0
 
 
+def due_row(tables: SchedulerTables, now: float) -> HarmsRow | None:
+    """Return the row of what is known, when it is to be written again."""
+    if now - tables.harms_saved_at < SAVE_S or not len(tables.harms):
+        return None
+    estimates = tuple(
+        HarmEstimate(
+            serving=harm.service,
+            filling=harm.job,
+            estimate_ms=round(harm.estimate_ms, 2),
+            variance=round(harm.variance, 4),
+        )
+        for harm in tables.harms.rows()
+        if now - harm.at < KEPT_S
+    )
+    targets = tuple(sorted(tables.target_by_image.items()))
+    return HarmsRow(estimates=estimates, target_by_image=targets)
+
+
+def on_read(
+    rows: tuple[StoredRow, ...], tables: SchedulerTables, now: float
+) -> SchedulerTables:
+    """Take in what a former owner had learned."""
+    for stored in rows:
+        if not isinstance(stored.row, HarmsRow):
+            continue
+        harms = tables.harms
+        for known in stored.row.estimates:
+            harm = Harm(
+                service=known.serving,
+                job=known.filling,
+                estimate_ms=known.estimate_ms,
+                variance=min(1.0, known.variance + READ_VARIANCE),
+                at=now,
+            )
+            harms = harms.put(harm_key(service=harm.service, job=harm.job), harm)
+        targets = tables.target_by_image.update(dict(stored.row.target_by_image))
+        tables = replace(tables, harms=harms, target_by_image=targets)
+    return tables
+
+
 def tell(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Tell each agent what is known of the images on its host, when that changes."""
     if not edits.is_loaded(tables) or now - tables.told_at < TELL_S:
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -6,6 +6,7 @@
 
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.rows import (
+    HARMS,
     HOSTS,
     INTAKE_PART,
     JOBS,
@@ -31,14 +32,19 @@
 from bulrushpulley.entities.resources import NOTHING
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
-from bulrushpulley.systems.scheduling import accepting, edits, restoring
+from bulrushpulley.systems.scheduling import accepting, edits, learning, restoring
 
 # Long enough for a few hundred rows from a store that answers 100 times slower.
 LOAD_S = 6.0
 RETRY_S = 0.2
-PART_BY_TABLE = {JOBS: INTAKE_PART, PROGRESS: OWNED_PART, HOSTS: ""}
+PART_BY_TABLE = {
+    JOBS: INTAKE_PART,
+    PROGRESS: OWNED_PART,
+    HOSTS: "",
+    HARMS: OWNED_PART,
+}
 # Progress is read before the jobs that it belongs to are made, so it comes first.
-ORDER = (PROGRESS, HOSTS, JOBS)
+ORDER = (PROGRESS, HOSTS, HARMS, JOBS)
 
 
 def begin(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -51,6 +57,7 @@
         ReadWallClock(role=SCHEDULER),
         _read(PROGRESS, tables),
         _read(HOSTS, tables),
+        _read(HARMS, tables),
     )
     return Step(tables=replace(tables, leadership=loading), commands=reads)
 
@@ -81,6 +88,8 @@
     elif table == HOSTS:
         tables = on_hosts(tables, event.rows)
         tables = _watch(tables, HOSTS, event.version)
+    elif table == HARMS:
+        tables = learning.on_read(event.rows, tables, now)
     else:
         step = accepting.on_rows(event.rows, tables, now)
         tables = _watch(restoring.forget(step.tables), JOBS, event.version)
--- a/bulrushpulley/systems/scheduling/restoring.py
+++ b/bulrushpulley/systems/scheduling/restoring.py
@@ -25,9 +25,11 @@
 
 def restored_job(job: Job, progress: ProgressRow) -> Job:
     """Return a job in the state that was written."""
-    started = any(task.run for task in progress.tasks)
     return replace(
-        job, state=progress.state, started=started, ended_at_s=progress.ended_at_s
+        job,
+        state=progress.state,
+        started=progress.started,
+        ended_at_s=progress.ended_at_s,
     )
 
 
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -33,6 +33,7 @@
     "host": rows.HostRow,
     "backlog": rows.BacklogRow,
     "wave": rows.WaveRow,
+    "harms": rows.HarmsRow,
 }
 NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
 
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import testtools
 
+from bulrushpulley.entities.interference import Harm, harm_key
 from bulrushpulley.entities.jobs.calls import JobAccepted, TryLater
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.resources import Resources
+from bulrushpulley.systems.scheduling import learning
 from test.jobs_world import JobsWorld, step
 
 BIG = Resources(processors_m=1_500, memory_mb=500)
@@ -108,3 +112,32 @@
         world.submit(1, step(1))
         world.run(1.5)
         self.assertIsInstance(world.answer_to("submit-1"), TryLater)
+
+
+class EverythingStartsAgain(testtools.TestCase):
+    """All processes lose power at once, and work that fills is placed anew.
+
+    trouble-3 of kalamu-sched: from 5 s after the restart on, serving tasks missed their
+    targets for ten seconds, as nobody knew any more which images slow them.
+    """
+
+    def _learned(self, world: JobsWorld) -> None:
+        seat = world.process_by_name[world.owner()].seat_by_role["scheduler"]
+        harm = Harm(
+            service="oven", job="curve", estimate_ms=25.0, variance=0.1, at=world.now
+        )
+        harms = seat.tables.harms.put(harm_key(service="oven", job="curve"), harm)
+        targets = seat.tables.target_by_image.set("oven", 100.0)
+        seat.tables = replace(seat.tables, harms=harms, target_by_image=targets)
+
+    def test_a_new_owner_knows_what_slows_whom(self) -> None:
+        world = JobsWorld(entries=2)
+        world.run(3.0)
+        self._learned(world)
+        world.run(3.0)
+        for name in list(world.process_by_name):
+            world.restart(name)
+        world.run(4.0)
+        seat = world.process_by_name[world.owner()].seat_by_role["scheduler"]
+        self.assertEqual(0.25, learning.harm_part(seat.tables, "oven", "curve", 100.0))
+        self.assertEqual(frozenset({("oven", "curve")}), seat.tables.harmful)
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -18,10 +18,20 @@
     ShowCall,
     TryLater,
 )
-from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.entities.jobs.items import Orders
+from bulrushpulley.entities.jobs.rows import (
+    BACKLOG_KEY,
+    BacklogRow,
+    JobRow,
+    JobState,
+    ProgressRow,
+    job_key,
+    progress_key,
+)
 from bulrushpulley.entities.jobs.store import ReadRange
+from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.scheduling import forgetting
+from bulrushpulley.systems.scheduling import condensing, forgetting
 from test.jobs_world import QUEUE, JobsWorld, step
 
 CHAIN = (step(2), step(3, after=(0,)), step(1, after=(1,)))
@@ -245,6 +255,62 @@
         self.assertEqual(0, len(world.executor_by_host["z0-0"].barred))
 
 
+class CondensedRowsTest(testtools.TestCase):
+    """Rows of jobs that ended are short, and still do what callers need of them."""
+
+    def _ended(self, world: JobsWorld) -> str:
+        job = world.submit(1, *CHAIN)
+        self.assertTrue(world.run_until(world.all_complete, 6.0))
+        world.run(condensing.EACH_S + 1.0)
+        return job
+
+    def test_they_hold_no_steps_and_no_tasks(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = self._ended(world)
+        row = world.store.row_by_key[job_key(job)].row
+        assert isinstance(row, JobRow)
+        self.assertEqual((), row.spec.steps)
+        progress = world.store.row_by_key[progress_key(job)].row
+        assert isinstance(progress, ProgressRow)
+        self.assertEqual((), progress.tasks)
+
+    def test_a_job_handed_in_again_is_still_the_same_job(self) -> None:
+        world = JobsWorld(entries=3)
+        world.run(2.0)
+        job = self._ended(world)
+        world.restart(world.owner())
+        world.run(2.0)
+        world.submit(1, *CHAIN, entry="entry-2")
+        world.run(3.0)
+        self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
+        self.assertEqual(JobState.COMPLETED, world.state_of(job))
+        self.assertEqual(6, world.starts)
+        self.assertEqual([], world.violations)
+
+
+class BacklogTest(testtools.TestCase):
+    def test_what_was_assigned_and_never_began_still_counts_as_waiting(self) -> None:
+        world = JobsWorld(entries=2)
+        world.run(2.0)
+
+        def hook(command: Command) -> None:
+            if isinstance(command, Send) and isinstance(command.item, Orders):
+                for host in world.executor_by_host:
+                    world.cut.add(host)
+
+        world.hook = hook
+        for number in range(3):
+            world.submit(number)
+        world.run(0.5)
+        world.hook = None
+        world.kill(world.owner())
+        world.run(5.0)
+        stored = world.store.row_by_key[BACKLOG_KEY].row
+        assert isinstance(stored, BacklogRow)
+        self.assertEqual(((QUEUE.name, 3),), stored.waiting)
+
+
 class StoreTest(testtools.TestCase):
     def test_a_store_that_refuses_is_not_asked_without_a_pause(self) -> None:
         # inc-0850 of firinzeka-prod: 8,400 calls of the store instead of 3,400.
