Rank each room once for the tasks of a step

Change: a host row counts its images as its tasks come and go; a room's rank is kept for the tasks of a step until the room changes; tables are built without replace(); lapses are looked for each 0.2 s; a report that changes nothing stores nothing.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from bulrushpulley.entities.resources import NOTHING, Resources
 
@@ -23,6 +24,18 @@
     GONE = "gone"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldImage:
+    """The tasks of an image that a host holds, and what processors they want.
+
+    `target_ms` is above zero for an image that serves.
+    """
+
+    count: int
+    processors_m: int
+    target_ms: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Host:
     """One host with its agent and backend server.
@@ -31,7 +44,8 @@
     present incarnation. `contact_at` is when the agent was last heard in this
     tenure, and zero before. `adopted_epoch` is the tenure that the agent was told
     of. It is `synced` once the agent has listed every run of
-    this life to this owner. `committed` is what its tasks hold. Nothing is placed
+    this life to this owner. `committed` is what its tasks hold, and `images` what
+    they are of. Nothing is placed
     on it before `aside_until`. `told` is the last word to its agent on who slows whom.
     """
 
@@ -53,6 +67,7 @@
     synced: bool = False
     committed: Resources = NOTHING
     filling_m: int = 0
+    images: Mapping[str, HeldImage] = field(default_factory=dict)
     aside_until: float = 0.0
     failed_at: tuple[float, ...] = ()
     told: object | None = None
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -177,6 +177,7 @@
     place_due: bool = False
     placed_at: float = 0.0
     forgot_at: float = 0.0
+    lapses_at: float = 0.0
     condensed_at: float = 0.0
     leaving: bool = False
 
--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from pyrsistent import PMap, pmap
@@ -29,6 +29,9 @@
 
 
 def _without(entries: Entries, value: str, key: str) -> Entries:
+    if value not in entries:
+        # An index function may name a value twice.
+        return entries
     left = entries[value].discard(key)
     return entries.set(value, left) if left else entries.remove(value)
 
@@ -62,14 +65,18 @@
     def put(self, key: str, row: R) -> Table[R]:
         """Return a table in which `key` holds `row`."""
         indexes = self._reindexed(key, self.by_key.get(key), row)
-        return replace(self, by_key=self.by_key.set(key, row), by_index=indexes)
+        return Table(
+            by_key=self.by_key.set(key, row), index_of=self.index_of, by_index=indexes
+        )
 
     def drop(self, key: str) -> Table[R]:
         """Return a table without `key`; an absent key is no error."""
         if key not in self.by_key:
             return self
         indexes = self._reindexed(key, self.by_key[key], None)
-        return replace(self, by_key=self.by_key.remove(key), by_index=indexes)
+        return Table(
+            by_key=self.by_key.remove(key), index_of=self.index_of, by_index=indexes
+        )
 
     def keys_where(self, index: str, value: str) -> Iterable[str]:
         """Return the keys whose row has `value` in `index`, in no stated order."""
@@ -99,18 +106,18 @@
     def _reindexed(
         self, key: str, before: R | None, after: R | None
     ) -> Mapping[str, Entries]:
-        if not self.index_of:
-            return self.by_index
-        changed = dict(self.by_index)
+        changed: dict[str, Entries] = {}
         for name, index_of in self.index_of.items():
-            old = dict.fromkeys(index_of(before) if before is not None else ())
-            new = dict.fromkeys(index_of(after) if after is not None else ())
+            old = index_of(before) if before is not None else ()
+            new = index_of(after) if after is not None else ()
             if old == new:
                 continue
-            entries = changed[name]
+            entries = self.by_index[name]
             for value in old:
-                entries = _without(entries, value, key)
+                if value not in new:
+                    entries = _without(entries, value, key)
             for value in new:
-                entries = _with(entries, value, key)
+                if value not in old:
+                    entries = _with(entries, value, key)
             changed[name] = entries
-        return changed
+        return {**self.by_index, **changed} if changed else self.by_index
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -228,7 +228,7 @@
         checkpoint=status.checkpoint or task.checkpoint,
         at_work=status.percent >= AT_WORK_PERCENT,
     )
-    return edits.put_task(tables, seen)
+    return edits.put_task(tables, seen) if seen != task else tables
 
 
 def _ended(
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import replace
 
-from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.host import HeldImage, Host
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Effect,
@@ -64,10 +65,25 @@
             row,
             committed=committed,
             filling_m=row.filling_m + sign * filling,
+            images=_with_image(row.images, spec, sign) if spec.image else row.images,
         ),
     )
 
 
+def _with_image(
+    images: Mapping[str, HeldImage], spec: StepSpec, sign: int
+) -> Mapping[str, HeldImage]:
+    held = images.get(spec.image)
+    count = (held.count if held else 0) + sign
+    processors_m = (held.processors_m if held else 0) + sign * spec.size.processors_m
+    if not count:
+        return {image: other for image, other in images.items() if image != spec.image}
+    more = HeldImage(
+        count=count, processors_m=processors_m, target_ms=spec.latency_target_ms
+    )
+    return {**images, spec.image: more}
+
+
 def put_job(tables: SchedulerTables, job: Job) -> SchedulerTables:
     """Store a job."""
     return replace(tables, jobs=tables.jobs.put(job.job_id, job))
--- a/bulrushpulley/systems/scheduling/lapsing.py
+++ b/bulrushpulley/systems/scheduling/lapsing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Owning,
@@ -11,12 +13,18 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, endings
 
+# Leases take seconds to lapse.
+EACH_S = 0.2
+
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """End the runs of hosts whose leases have surely lapsed."""
     owning = tables.leadership
     if not isinstance(owning, Owning) or owning.loading:
         return Step(tables=tables)
+    if now - tables.lapses_at < EACH_S:
+        return Step(tables=tables)
+    tables = replace(tables, lapses_at=now)
     commands: list[Command] = []
     for name in sorted(tables.tasks.by_index["host"]):
         host = tables.hosts.get(name) or Host(name=name)
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -153,6 +153,7 @@
             synced=False,
             committed=NOTHING,
             filling_m=0,
+            images={},
             aside_until=0.0,
             failed_at=(),
             told=None,
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -25,14 +25,14 @@
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import advising, edits, emptying, learning
-from bulrushpulley.systems.scheduling.ranking import (
-    Room,
-    cost,
-    fits,
-    holds_back,
-    kind_of,
+from bulrushpulley.systems.scheduling import (
+    advising,
+    choosing,
+    edits,
+    emptying,
+    learning,
 )
+from bulrushpulley.systems.scheduling.ranking import Room, kind_of
 
 # An agent makes contact each second; one that missed two gets nothing new.
 FRESH_S = 2.5
@@ -64,7 +64,7 @@
     tables = replace(tables, place_due=False, placed_at=now)
     closed = emptying.closed_hosts(tables)
     rooms = {
-        host.name: room_of(tables, host)
+        host.name: room_of(host)
         for host in tables.hosts.rows()
         if is_open(tables, host, now) and host.name not in closed
     }
@@ -90,24 +90,22 @@
     return any(host.address and not host.synced for host in tables.hosts.rows())
 
 
-def room_of(tables: SchedulerTables, host: Host) -> Room:
+def room_of(host: Host) -> Room:
     """Return the room of a host, with the images of what it holds."""
-    target_by_image: dict[str, float] = {}
-    units_by_image: dict[str, float] = {}
     capacity = max(1, host.capacity.processors_m)
-    for task in tables.tasks.rows_where("host", host.name):
-        step = edits.step_of(tables, task)
-        units = 10 * step.size.processors_m / capacity
-        if step.serves:
-            target_by_image[step.image] = step.latency_target_ms
-        elif step.image:
-            units_by_image[step.image] = units_by_image.get(step.image, 0.0) + units
+    images = host.images.items()
     return Room(
         host=host,
         free=host.free,
         filling_m=host.filling_m,
-        target_by_image=target_by_image,
-        units_by_image=units_by_image,
+        target_by_image={
+            image: held.target_ms for image, held in images if held.target_ms
+        },
+        units_by_image={
+            image: 10 * held.processors_m / capacity
+            for image, held in images
+            if not held.target_ms
+        },
     )
 
 
@@ -164,8 +162,12 @@
     siblings: Counter[str],
     now: float,
 ) -> Pass:
+    ranked: dict[float, dict[str, choosing.Ranked]] = {}
     for task in members:
-        room = _choose(state, job, step, task, siblings, now)
+        wanted = _wanted(state, job, step, task, now)
+        # What all hosts have free counts for lasting tasks, and changes with each.
+        same = {} if step.lasting else ranked.setdefault(task.since, {})
+        room = choosing.choose(wanted, state.room_by_host, task, siblings, same)
         if room is None:
             if not task.avoid:
                 break
@@ -190,7 +192,8 @@
     checkpoint = max(task.checkpoint for task in members)
     tried = state
     for task in members:
-        room = _choose(tried, job, step, task, siblings, now)
+        wanted = _wanted(tried, job, step, task, now)
+        room = choosing.choose(wanted, tried.room_by_host, task, siblings, {})
         if room is None:
             return state
         siblings[room.host.name] += 1
@@ -199,62 +202,20 @@
     return tried
 
 
-def _choose(
-    state: Pass,
-    job: Job,
-    step: StepSpec,
-    task: Task,
-    siblings: Counter[str],
-    now: float,
-) -> Room | None:
-    kind = kind_of(step)
-    harm_part = partial(learning.harm_part, state.tables)
-    waited_s = now - task.since
+def _wanted(
+    state: Pass, job: Job, step: StepSpec, task: Task, now: float
+) -> choosing.Wanted:
     key = step_key(task.job_id, task.occurrence, task.step)
-    tickets = advising.tickets(state.tables, job, key, now)
-    spare_part = _spare_part(state)
-    service = service_of(state.tables, job)
-    fitting = [
-        room
-        for room in state.room_by_host.values()
-        if fits(step, room, spare_part)
-        and room.host.service == service
-        and (not step.needs_label or step.needs_label in room.host.labels)
-        and not _is_crowded(step, siblings, room)
-        and (tickets is None or advising.server_of(room.host) in tickets)
-        and not holds_back(kind, step, room, harm_part, waited_s)
-    ]
-    fitting = [room for room in fitting if room.host.name not in task.avoid] or fitting
-    if not fitting:
-        return None
-    racks = {
-        state.room_by_host[name].host.rack
-        for name in siblings
-        if name in state.room_by_host
-    }
-    return min(
-        fitting,
-        key=lambda room: (
-            bool(step.near_rack) and room.host.rack != step.near_rack,
-            step.one_rack and bool(racks) and room.host.rack not in racks,
-            cost(kind, step, room, harm_part),
-            room.host.name,
-        ),
+    return choosing.Wanted(
+        step=step,
+        kind=kind_of(step),
+        service=service_of(state.tables, job),
+        tickets=advising.tickets(state.tables, job, key, now),
+        harm_part=partial(learning.harm_part, state.tables),
+        waited_s=now - task.since,
     )
 
 
-def _spare_part(state: Pass) -> float:
-    """Return what is free of the processors of all open hosts, as a part of them."""
-    rooms = state.room_by_host.values()
-    capacity = sum(room.host.capacity.processors_m for room in rooms)
-    return sum(room.free.processors_m for room in rooms) / max(1, capacity)
-
-
-def _is_crowded(step: StepSpec, siblings: Counter[str], room: Room) -> bool:
-    limit = step.per_host_limit
-    return bool(limit) and siblings[room.host.name] >= limit
-
-
 def service_of(tables: SchedulerTables, job: Job) -> str:
     """Return the service that the job's queue has now, or had when it was accepted."""
     queue = tables.standing.queue(job.row.queue)
