Deflate large rows and orders

Each commit writes the whole progress of every job it touches, and each order repeats its job's payload. Ruled out: the agents (they start a run as soon as its order comes).

--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -9,6 +9,7 @@
 
 from bulrushpulley.entities.jobs import items
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire.packed import pack, unpack
 
 STEP = "link.decode"
 
@@ -32,18 +33,19 @@
 
 def encode_job_item(item: items.JobItem) -> bytes:
     """Return the bytes of an item, which begin with the name of its kind."""
-    return msgspec.msgpack.encode((type(item).__name__, item))
+    return pack(msgspec.msgpack.encode((type(item).__name__, item)))
 
 
 def decode_job_item(data: bytes, peer: str) -> items.JobItem | None:
     """Return the item that `peer` sent; None for a kind that is not known."""
     try:
-        name, body = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        plain = unpack(data)
+        name, body = msgspec.msgpack.decode(plain, type=tuple[str, msgspec.Raw])
         kind = KIND_BY_NAME.get(name)
         if kind is None:
             return None
         return replace(msgspec.msgpack.decode(body, type=kind), peer=peer)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
         problem = Problem(code=Code.INVALID, step=STEP, peer=peer, detail=detail)
         raise BulrushpulleyError(problem=problem) from error
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -1,5 +1,7 @@
 """The encoding of the durable rows of jobs: MessagePack with the name of the kind.
 
+Large rows are deflated.
+
 Fields that a newer version added are passed over, and fields that an older one did
 not write take their defaults, so that versions can run side by side.
 """
@@ -13,6 +15,7 @@
 
 from bulrushpulley.entities.jobs import rows
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
+from bulrushpulley.wire.packed import pack, unpack
 
 STEP = "row.decode"
 
@@ -43,18 +46,17 @@
 def encode_row(row: rows.Row) -> bytes:
     """Return the bytes of a row."""
     data = msgspec.msgpack.encode(row)
-    return msgspec.msgpack.encode(
-        Envelope(kind=NAME_BY_KIND[type(row)], row=msgspec.Raw(data))
-    )
+    envelope = Envelope(kind=NAME_BY_KIND[type(row)], row=msgspec.Raw(data))
+    return pack(msgspec.msgpack.encode(envelope))
 
 
 def decode_row(data: bytes, *, peer: str) -> rows.Row:
     """Return the row of some bytes; raises `BulrushpulleyError` if they make none."""
     try:
-        envelope = _decode_envelope(data)
+        envelope = _decode_envelope(unpack(data))
         kind = KIND_BY_NAME[envelope.kind]
         return msgspec.msgpack.decode(envelope.row, type=kind)
-    except (msgspec.MsgspecError, KeyError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
         problem = Problem(code=Code.INVALID, step=STEP, peer=peer, detail=detail)
         raise BulrushpulleyError(problem=problem) from error
--- /dev/null
+++ b/test/test_packed.py
@@ -0,0 +1,56 @@
+"""Deflated rows and messages: what goes in comes out, and damage is told."""
+
+from __future__ import annotations
+
+import testtools
+
+from bulrushpulley.entities.jobs.items import Orders
+from bulrushpulley.entities.jobs.rows import JobState, ProgressRow, TaskProgress
+from bulrushpulley.entities.jobs.runs import RunOrder
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.errors import BulrushpulleyError
+from bulrushpulley.wire.job_items import decode_job_item, encode_job_item
+from bulrushpulley.wire.job_rows import decode_row, encode_row
+from bulrushpulley.wire.packed import LEAST_BYTES, pack, unpack
+
+TASKS = tuple(
+    TaskProgress(occurrence=0, step=0, index=index, run=1, host="host", life="life")
+    for index in range(20)
+)
+ROW = ProgressRow(job_id="5c0e7a21d94b36f8", state=JobState.RUNNING, tasks=TASKS)
+
+
+class PackedTest(testtools.TestCase):
+    def test_small_data_stays_as_it_is(self) -> None:
+        data = b"\x82" + bytes(LEAST_BYTES - 2)
+        self.assertEqual(data, pack(data))
+        self.assertEqual(data, unpack(data))
+
+    def test_a_large_row_is_deflated_and_read_again(self) -> None:
+        data = encode_row(ROW)
+        self.assertLess(len(data), 600)
+        self.assertEqual(ROW, decode_row(data, peer="progress/5c0e"))
+
+    def test_orders_of_alike_tasks_hold_their_payload_about_once(self) -> None:
+        payload = "".join(chr(33 + (7 * number) % 90) for number in range(900))
+        orders = tuple(
+            RunOrder(
+                task_id=f"5c0e7a21d94b36f8.0.0.{index}",
+                run=1,
+                payload=payload,
+                committed=Resources(),
+            )
+            for index in range(20)
+        )
+        item = Orders(epoch=1, life="life", start=orders)
+        data = encode_job_item(item)
+        self.assertLess(len(data), 3 * len(payload))
+        self.assertEqual(item, decode_job_item(data, peer=""))
+
+    def test_a_damaged_row_is_told(self) -> None:
+        data = encode_row(ROW)
+        for damaged in (data[:-5], data[:3] + b"\xff\xff" + data[5:]):
+            error = self.assertRaises(
+                BulrushpulleyError, decode_row, damaged, peer="progress/5c0e"
+            )
+            self.assertEqual("progress/5c0e", error.problem.peer)
