--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -2,5 +2,5 @@
 
 `plan` draws what happens when, `site` starts processes and carries faults out, `proxy`
 harms connections, `callers` submit jobs and note the answers, `promises` judges what
-callers and backend servers saw, and `run` puts a run together.
+callers and backend servers saw, `picture` shows it, and `run` puts a run together.
 """
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,7 @@
 from pyrsistent import pmap
 
 from soak.callers import Caller, Connection
+from soak.picture import draw_picture
 from soak.plan import Fault, JobPlan, Plan, draw, draw_jobs
 from soak.promises import Ended, Noted, Sight, Started, Tables, judge, unfinished
 from soak.site import CAPACITY_M, Site, make_names, make_site, strike
@@ -47,12 +48,12 @@
     seed: int
     tables: Tables
     unfinished: tuple[str, ...]
-    error: str = ""
+    picture: tuple[str, ...] = ()
 
     @property
     def good(self) -> bool:
         """Whether every promise was kept and no job was lost."""
-        return not (self.tables.broken or self.unfinished or self.error)
+        return not (self.tables.broken or self.unfinished)
 
 
 class Observer:
@@ -64,6 +65,7 @@
         self._sights: queue.SimpleQueue[Sight] = queue.SimpleQueue()
         self._waiting: list[Sight] = []
         self._read_by_path: dict[pathlib.Path, int] = {}
+        self.judged: list[Sight] = []
 
     def see(self, sight: Sight) -> None:
         """Take in what a caller or the site itself saw."""
@@ -77,7 +79,9 @@
             self._waiting.append(self._sights.get())
         self._waiting.sort(key=lambda sight: sight.at)
         while self._waiting and self._waiting[0].at < now - SETTLE_S:
-            self.tables = judge(self._waiting.pop(0), self.tables)
+            sight = self._waiting.pop(0)
+            self.judged.append(sight)
+            self.tables = judge(sight, self.tables)
 
     def _read(self, path: pathlib.Path) -> None:
         begin = self._read_by_path.get(path, 0)
@@ -118,6 +122,8 @@
     """Play one run and judge it."""
     names = make_names(FLAGS.entries, FLAGS.hosts)
     plan = draw(seed, seconds, names)
+    if FLAGS.calm:
+        plan = replace(plan, faults=())
     jobs = draw_jobs(seed, seconds, FLAGS.jobs_per_s)
     kinds = collections.Counter(type(fault).__name__ for fault in plan.faults)
     print(f"seed {seed}: {len(jobs)} jobs, faults {dict(sorted(kinds.items()))}")
@@ -130,15 +136,19 @@
     site = make_site(names, folder, observer.see)
     try:
         site.start()
-        _go(site, plan, jobs, observer)
+        began = _go(site, plan, jobs, observer)
     finally:
         site.fleet.end_all()
     return Verdict(
-        seed=seed, tables=observer.tables, unfinished=unfinished(observer.tables)
+        seed=seed,
+        tables=observer.tables,
+        unfinished=unfinished(observer.tables),
+        picture=tuple(draw_picture(began, observer.judged, plan.faults)),
     )
 
 
-def _go(site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer) -> None:
+def _go(site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer) -> float:
+    """Do what the plan says, wait for the end, and return when it began."""
     _pause(observer, READY_S)
     began = time.monotonic()
     # The first part of the calm stretch is left for what came before it.
@@ -155,6 +165,7 @@
         _finish(site, observer)
         stop.set()
     _pause(observer, SETTLE_S + POLL_S)
+    return began
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -214,6 +225,8 @@
 def show(verdict: Verdict, folder: pathlib.Path) -> None:
     """Print what a run came to, its verdict last."""
     tables = verdict.tables
+    if FLAGS.picture:
+        print("\n".join(verdict.picture))
     states = collections.Counter(tables.state_by_job.values())
     print(
         f"  {len(tables.accepted)} jobs accepted, {len(tables.refused)} refused,"
@@ -224,8 +237,6 @@
         print(f"  BROKEN {line}")
     for job_id in verdict.unfinished:
         print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'not shown')}")
-    if verdict.error:
-        print(f"  ERROR {verdict.error}")
     end = "kept" if verdict.good else f"FAILED, logs in {folder}"
     print(f"seed {verdict.seed}: {end}", flush=True)
 
@@ -260,5 +271,7 @@
     flags.DEFINE_float("seconds", 34.0, "Length of a run before its end.")
     flags.DEFINE_integer("entries", 2, "Entries.")
     flags.DEFINE_integer("hosts", 4, "Hosts, each with an agent and a server.")
+    flags.DEFINE_bool("calm", False, "Do no harm: a demonstration of the whole path.")
+    flags.DEFINE_bool("picture", False, "Print what happened in each two seconds.")
     flags.DEFINE_float("jobs_per_s", 3.0, "Jobs a second.")
     app.run(main)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,7 +12,8 @@
 from pyrsistent import pmap
 
 from scripts.fleet import ROOT
-from soak.plan import JobPlan, draw, draw_jobs
+from soak.picture import draw_picture
+from soak.plan import JobPlan, Kill, draw, draw_jobs
 from soak.promises import (
     Answered,
     Cancelled,
@@ -146,6 +147,19 @@
             self.assertEqual({"Evacuate", "Reconfigure"}, kinds)
 
 
+class PictureTest(testtools.TestCase):
+    def test_each_stretch_shows_what_happened_in_it(self) -> None:
+        sights = (answered("accepted"), started(FIRST), started(SECOND, at=3.0))
+        lines = draw_picture(0.0, sights, (Kill(at=2.5, name="entry-0", for_s=1.0),))
+        self.assertEqual(
+            [
+                "     0 s   1 acc   0 ref   1",
+                "     2 s   0 acc   0 ref   1  Kill",
+            ],
+            lines,
+        )
+
+
 class ShortRunTest(testtools.TestCase):
     def test_a_short_run_keeps_every_promise(self) -> None:
         done = subprocess.run(
