Explain a job from the live owner

bulrushpulley explain JOB asks entries until the owner of the shard answers with the state of each task, where it is, or why it waits, by a trial of its placement.

--- a/bulrushpulley/platform/agent_front.py
+++ b/bulrushpulley/platform/agent_front.py
@@ -1,4 +1,4 @@
-"""The announcements of the backend server beside an agent, and readiness checks."""
+"""The announcements of the backend server beside an agent, and its metrics."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 
 ANNOUNCE = re.compile(r"/v1/instances/([^/]+)/heartbeat")
 WITHDRAW = re.compile(r"/v1/instances/([^/]+)/deregister")
-READY_PATH = "/v1/readyz"
 METRICS_PATH = "/metrics"
 
 
-def _metrics(text: Callable[[], str]) -> HttpReply:
+def metrics_reply(text: Callable[[], str]) -> HttpReply:
+    """Return the metrics page."""
     return HttpReply(status=200, body=text().encode(), content_type="text/plain")
 
 
@@ -45,7 +45,7 @@
             self._tell(Withdrawn(server_id=withdrawn.group(1)))
             return json_reply(200, {})
         if request.path == METRICS_PATH:
-            return _metrics(self._metrics_text)
+            return metrics_reply(self._metrics_text)
         return json_reply(404, {"Error": "no such path"})
 
     def _announce(self, server_id: str, body: bytes) -> HttpReply:
@@ -55,21 +55,3 @@
             self._report(error.problem)
             return json_reply(400, {"Error": str(error.problem)})
         return json_reply(200, {})
-
-
-class ReadyFront:
-    """Answers the platform's question whether new callers should come here."""
-
-    def __init__(
-        self, *, is_ready: Callable[[], bool], metrics_text: Callable[[], str]
-    ) -> None:
-        self._is_ready = is_ready
-        self._metrics_text = metrics_text
-
-    def handle(self, request: HttpRequest) -> HttpReply:
-        """Answer a readiness check or the metrics page."""
-        if request.path == READY_PATH:
-            return json_reply(200 if self._is_ready() else 503, {})
-        if request.path == METRICS_PATH:
-            return _metrics(self._metrics_text)
-        return json_reply(404, {"Error": "no such path"})
--- /dev/null
+++ b/bulrushpulley/platform/ready_front.py
@@ -0,0 +1,98 @@
+"""What an entry answers besides callers: readiness, metrics, and questions on jobs."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from functools import singledispatch
+
+from bulrushpulley.entities.jobs.explanation import (
+    AskTheOwner,
+    ExplainJob,
+    JobExplained,
+    JobNotKnown,
+)
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.errors import Code, Problem
+from bulrushpulley.platform.agent_front import METRICS_PATH, metrics_reply
+from bulrushpulley.wire.http_message import (
+    STATUS_BY_CODE,
+    HttpReply,
+    HttpRequest,
+    json_reply,
+    problem_value,
+)
+from bulrushpulley.wire.pending import PendingCalls
+
+READY_PATH = "/v1/readyz"
+EXPLAIN = re.compile(r"/v1/explain/([0-9a-fA-F]{16})")
+STEP = "job.explain"
+ANSWER_S = 2.0
+
+
+@singledispatch
+def encode_explanation(answer: Command) -> HttpReply:
+    """Return the reply of an answer about a job."""
+    raise NotImplementedError(f"no reply for {type(answer).__name__}")
+
+
+@encode_explanation.register
+def _(answer: JobExplained) -> HttpReply:
+    return json_reply(200, answer)
+
+
+@encode_explanation.register
+def _(answer: JobNotKnown) -> HttpReply:
+    detail = f"the owner of the shard knows no job {answer.job_id}"
+    return _problem(Code.NOT_FOUND, "self", detail)
+
+
+@encode_explanation.register
+def _(answer: AskTheOwner) -> HttpReply:
+    owner = answer.owner or "nobody"
+    detail = f"this entry does not own the shard; {owner} does"
+    return _problem(Code.UNAVAILABLE, owner, detail)
+
+
+def _problem(code: Code, peer: str, detail: str) -> HttpReply:
+    problem = Problem(code=code, step=STEP, peer=peer, detail=detail)
+    value = {"problems": [problem_value(problem)]}
+    return json_reply(STATUS_BY_CODE[code], value)
+
+
+class ReadyFront:
+    """Answers whether new callers should come here, and why a job is where it is."""
+
+    def __init__(
+        self,
+        *,
+        is_ready: Callable[[], bool],
+        metrics_text: Callable[[], str],
+        pending: PendingCalls,
+        tell: Callable[[Event], None],
+    ) -> None:
+        self._is_ready = is_ready
+        self._metrics_text = metrics_text
+        self._pending = pending
+        self._tell = tell
+
+    def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer a readiness check, the metrics page or a question about a job."""
+        if request.path == READY_PATH:
+            return json_reply(200 if self._is_ready() else 503, {})
+        if request.path == METRICS_PATH:
+            return metrics_reply(self._metrics_text)
+        asked = EXPLAIN.fullmatch(request.path)
+        if asked is not None:
+            return self._explain(asked.group(1))
+        return json_reply(404, {"Error": "no such path"})
+
+    def _explain(self, job_id: str) -> HttpReply:
+        pending = self._pending.open()
+        self._tell(ExplainJob(call_id=pending.call_id, job_id=job_id))
+        try:
+            return encode_explanation(pending.answer.result(ANSWER_S))
+        except TimeoutError:
+            self._pending.abandon(pending.call_id)
+            detail = f"the scheduler did not answer within {ANSWER_S} s"
+            return _problem(Code.UNAVAILABLE, "self", detail)
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -13,9 +13,9 @@
 from bulrushpulley.entities.step import Command
 from bulrushpulley.logs import log_process
 from bulrushpulley.platform.advice import AdviceClient
-from bulrushpulley.platform.agent_front import ReadyFront
 from bulrushpulley.platform.job_front import JobFront
 from bulrushpulley.platform.machines import MachinesClient
+from bulrushpulley.platform.ready_front import ReadyFront
 from bulrushpulley.platform.row_store import RowStoreClient
 from bulrushpulley.roles import intake, scheduler
 from bulrushpulley.roles.intake_io import IntakePorts
@@ -110,7 +110,10 @@
             pending=self._pending, tell=partial(self.runtime.tell, INTAKE)
         )
         checks = ReadyFront(
-            is_ready=self._ready.is_set, metrics_text=self.runtime.metrics.text
+            is_ready=self._ready.is_set,
+            metrics_text=self.runtime.metrics.text,
+            pending=self._pending,
+            tell=partial(self.runtime.tell, SCHEDULER),
         )
         self._callers = self._server(
             self._settings.callers, callers.handle, CALLER_THREADS
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from bulrushpulley.entities.jobs.advice import AdviceFailed, AskAdvice
+from bulrushpulley.entities.jobs.explanation import Explanation
 from bulrushpulley.entities.jobs.scheduler_tables import (
     DialAgent,
     ReadWallClock,
@@ -52,6 +53,11 @@
     ports.run(role=command.role, work=partial(ports.advice.ask, command))
 
 
+@carry_out.register
+def _(command: Explanation, ports: SchedulerPorts) -> None:
+    ports.answer(command)
+
+
 @carry_out.register
 def _(command: ReadWallClock, ports: SchedulerPorts) -> None:
     ports.tell(command.role, WallClock(wall_s=time.time()))
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import singledispatch
 
 from bulrushpulley.entities.jobs.intake_tables import (
     INTAKE,
@@ -60,10 +61,10 @@
     batch = tables.batch
     if batch is None or batch.number != purpose.number:
         return Step(tables=tables)
-    known = isinstance(event, RangeRead)
-    stands = isinstance(event, RangeRead) and _stands(event)
+    stands = _stands(event)
     checking = batch.checking - {purpose.job_id}
     absent = batch.absent or not stands
+    known = stands is not None
     tables = replace(tables, batch=replace(batch, checking=checking, absent=absent))
     step: IntakeStep = Step(tables=tables)
     if stands:
@@ -75,7 +76,14 @@
     return Step(tables=_checked(step.tables, resends, now), commands=step.commands)
 
 
-def _stands(event: RangeRead) -> bool:
+@singledispatch
+def _stands(event: StoreEvent) -> bool | None:
+    """Tell whether a job's row was found; None where no answer came."""
+    return None
+
+
+@_stands.register
+def _(event: RangeRead) -> bool | None:
     return any(isinstance(stored.row, JobRow) for stored in event.rows)
 
 
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -6,6 +6,7 @@
 from functools import singledispatch
 
 from bulrushpulley.entities.jobs.advice import AdviceFailed, Advised
+from bulrushpulley.entities.jobs.explanation import ExplainJob
 from bulrushpulley.entities.jobs.items import JobItem
 from bulrushpulley.entities.jobs.scheduler_tables import (
     ClaimShard,
@@ -49,6 +50,7 @@
     agents,
     committing,
     dialling,
+    explaining,
     loading,
     owning,
     upkeep,
@@ -69,6 +71,7 @@
 apply.register(DialEnded, dialling.on_dial_ended)
 apply.register(Advised, advising.on_advised)
 apply.register(AdviceFailed, advising.on_failed)
+apply.register(ExplainJob, explaining.on_explain)
 apply.register(MachinesListed, waves.on_listed)
 apply.register(MachinesUnlisted, waves.on_unlisted)
 apply.register(UpkeepTaken, upkeep.on_taken)
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -0,0 +1,123 @@
+"""Says where the tasks of a job are, or why they wait, by a trial placement."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import partial, singledispatch
+
+from bulrushpulley.entities.jobs.explanation import (
+    AskTheOwner,
+    ExplainJob,
+    JobExplained,
+    JobNotKnown,
+    TaskExplained,
+)
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    Following,
+    Leadership,
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.task import Task, TaskState
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.scheduling import edits, emptying, learning, placing
+from bulrushpulley.systems.scheduling.ranking import Room, fits, holds_back, kind_of
+
+MAX_TASKS = 200
+
+
+def on_explain(event: ExplainJob, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Answer a question about a job."""
+    if not edits.is_loaded(tables):
+        owner = owner_of(tables.leadership, tables)
+        return Step(
+            tables=tables,
+            commands=(AskTheOwner(call_id=event.call_id, owner=owner),),
+        )
+    job = tables.jobs.get(event.job_id)
+    if job is None:
+        unknown = JobNotKnown(call_id=event.call_id, job_id=event.job_id)
+        return Step(tables=tables, commands=(unknown,))
+    tasks = tables.tasks.rows_where("job", job.job_id)
+    left = [task for task in tasks if task.state is not TaskState.DONE]
+    explained = JobExplained(
+        call_id=event.call_id,
+        job_id=job.job_id,
+        queue=job.row.queue,
+        state=job.state.value,
+        detail=job.reason or _in_time(job, now),
+        epoch=tables.epoch,
+        done=len(tasks) - len(left),
+        tasks=tuple(_task(tables, job, task, now) for task in left[:MAX_TASKS]),
+    )
+    return Step(tables=tables, commands=(explained,))
+
+
+@singledispatch
+def owner_of(leadership: Leadership, tables: SchedulerTables) -> str:
+    """Return who owns the shard as far as this entry knows; itself by default."""
+    return tables.name
+
+
+@owner_of.register
+def _(leadership: Following, tables: SchedulerTables) -> str:
+    return leadership.row.holder if leadership.row is not None else ""
+
+
+def _in_time(job: Job, now: float) -> str:
+    left_s = job.objective_at - now
+    if left_s >= 0.0:
+        return f"its objective is in {left_s:.1f} s"
+    return f"its objective was {-left_s:.1f} s ago"
+
+
+def _task(tables: SchedulerTables, job: Job, task: Task, now: float) -> TaskExplained:
+    return TaskExplained(
+        task_id=task.task_id,
+        state=task.state.value,
+        for_s=round(now - task.since, 2),
+        run=task.run,
+        failures=task.failures,
+        host=task.host,
+        detail=_why(tables, job, task, now),
+    )
+
+
+def _why(tables: SchedulerTables, job: Job, task: Task, now: float) -> str:
+    if task.state is TaskState.BLOCKED:
+        due_s = job.row.spec.due_s(task.occurrence) - now - tables.wall_offset_s
+        if due_s > 0.0:
+            return f"due in {due_s:.1f} s"
+        return "earlier steps are not complete"
+    if task.state is not TaskState.WAITING:
+        return ""
+    closed = emptying.closed_hosts(tables)
+    rooms = [
+        placing.room_of(host)
+        for host in tables.hosts.rows()
+        if placing.is_open(tables, host, now) and host.name not in closed
+    ]
+    return _why_no_room(tables, job, task, rooms, now)
+
+
+def _why_no_room(
+    tables: SchedulerTables, job: Job, task: Task, rooms: Iterable[Room], now: float
+) -> str:
+    step = job.step(task.step)
+    service = placing.service_of(tables, job)
+    serving = [room for room in rooms if room.host.service == service]
+    label = step.needs_label
+    labelled = [room for room in serving if not label or label in room.host.labels]
+    roomy = [room for room in labelled if fits(step, room, 0.0)]
+    harm_part = partial(learning.harm_part, tables)
+    waited_s = now - task.since
+    calm = [
+        room
+        for room in roomy
+        if not holds_back(kind_of(step), step, room, harm_part, waited_s)
+    ]
+    return (
+        f"{len(serving)} hosts of {service} are open, {len(labelled)} have its label,"
+        f" {len(roomy)} have room, {len(calm)} would let it run undisturbed"
+    )
--- a/bulrushpulley/verb_output.py
+++ b/bulrushpulley/verb_output.py
@@ -62,12 +62,32 @@
 
 
 def _explain_lines(value: Mapping[str, Any]) -> list[str]:
+    if "tasks" in value:
+        return _explain_job_lines(value)
     line = f"{value['task_id']}: {value['state']}, {value['detail']}"
     if value.get("cell"):
         line += f" (cell {value['cell']}, worker {value['worker_id'] or 'none'})"
     return [line]
 
 
+def _explain_job_lines(value: Mapping[str, Any]) -> list[str]:
+    lines = [
+        f"{value['job_id']} of {value['queue']}: {value['state']}, {value['detail']};"
+        f" {value['done']} tasks done, {len(value['tasks'])} not"
+    ]
+    for task in value["tasks"]:
+        line = f"  {task['task_id']}#{task['run']}: {task['state']}"
+        line += f" for {task['for_s']:.1f} s"
+        if task["host"]:
+            line += f" on {task['host']}"
+        if task["failures"]:
+            line += f", failed {task['failures']} times"
+        if task["detail"]:
+            line += f"; {task['detail']}"
+        lines.append(line)
+    return lines
+
+
 def _status_lines(value: Mapping[str, Any]) -> list[str]:
     lines = [f"revision {value['revision']}"]
     for key in LIST_KEYS:
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -181,8 +181,10 @@
 
 
 def _explain(options: Options) -> int:
-    job, _, index = options.argument.partition("/")
-    path = f"/v1/explain/{quote(job, safe='')}/{quote(index, safe='')}"
+    job, slash, index = options.argument.partition("/")
+    path = f"/v1/explain/{quote(job, safe='')}"
+    if slash:
+        path += f"/{quote(index, safe='')}"
     return _ask(options, Call(method="GET", path=path, query={}))
 
 
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -36,6 +36,7 @@
     StopRun,
     StopUnanswered,
 )
+from bulrushpulley.entities.jobs.explanation import Explanation
 from bulrushpulley.entities.jobs.intake_tables import PublishReady
 from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperTables
 from bulrushpulley.entities.jobs.rows import (
@@ -135,6 +136,7 @@
         self.lose_orders = False
         self.hook: Callable[[Command], None] | None = None
         self.answers: list[CallAnswer] = []
+        self.explanations: list[Explanation] = []
         self.decisions: list[Decision] = []
         self.violations: list[str] = []
         self.spec_by_job: dict[str, JobSpec] = {}
@@ -356,6 +358,10 @@
     def _(self, command: CallAnswer, process: Process) -> None:
         self.answers.append(command)
 
+    @_carry_out.register
+    def _(self, command: Explanation, process: Process) -> None:
+        self.explanations.append(command)
+
     @_carry_out.register
     def _(self, command: Tell, process: Process) -> None:
         self.tell(process, command.role, command.event)
