An empty list of machines does not end a wave

Seen on reading: a list without machines, which a platform in trouble may give, would have counted every machine of a wave as gone. The test fails without the change. Names of index values stand in one place.

--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from bulrushpulley.entities.jobs.configuration import WaveOrder
@@ -68,11 +69,19 @@
         return f"{self.wave}/{self.machine_id}"
 
 
+ALL_AWAY = "away"
+
+
+def wave_index(number: int) -> str:
+    """Return the index value of the upkeeps of a wave."""
+    return f"wave {number}"
+
+
 def by_wave(upkeep: Upkeep) -> tuple[str, ...]:
-    """Index upkeeps by wave, and those that are not over by machine."""
+    """Index upkeeps by wave, and those of machines that count as down together."""
     if upkeep.phase in AWAY:
-        return (f"wave {upkeep.wave}", "away")
-    return (f"wave {upkeep.wave}",)
+        return (wave_index(upkeep.wave), ALL_AWAY)
+    return (wave_index(upkeep.wave),)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,7 +115,7 @@
         default_factory=lambda: Table.empty(indexes={"wave": by_wave})
     )
     machines: Table[Machine] = field(default_factory=Table.empty)
-    written_by_wave: dict[int, WaveRow] | None = None
+    written_by_wave: Mapping[int, WaveRow] | None = None
     reading: bool = False
     listing: bool = False
     asked_at: float = -60.0
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -9,7 +9,7 @@
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
-from bulrushpulley.entities.jobs.upkeep import Upkeep, Wave
+from bulrushpulley.entities.jobs.upkeep import ALL_AWAY, Upkeep, Wave
 from bulrushpulley.entities.resources import NOTHING
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import advising, edits, stopping
@@ -33,7 +33,7 @@
     """Return the hosts that take nothing new because of their upkeep."""
     hosts = (
         host_of(tables, upkeep.machine_id)
-        for upkeep in tables.upkeep.upkeeps.rows_where("wave", "away")
+        for upkeep in tables.upkeep.upkeeps.rows_where("wave", ALL_AWAY)
     )
     return frozenset(host.name for host in hosts if host is not None)
 
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -15,6 +15,7 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.upkeep import (
+    ALL_AWAY,
     AWAY,
     MachineState,
     OrderUpkeep,
@@ -62,6 +63,7 @@
     listed_at = tables.upkeep.listed_at
     for upkeep in waves.of_wave(tables, wave.order.number):
         machine = machines.get(upkeep.machine_id)
+        # A list that was asked for before the phase began says nothing about it.
         if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= listed_at:
             continue
         back = machine is not None and machine.state is MachineState.UP
@@ -77,7 +79,7 @@
     room = wave.order.at_once - sum(upkeep.phase in AWAY for upkeep in upkeeps)
     waiting = [up for up in upkeeps if up.phase is UpkeepPhase.WAITING]
     ready = [up for up in waiting if _is_up(tables, up) and not _is_away(tables, up)]
-    ready.sort(key=lambda up: (_held(tables, up), up.machine_id))
+    ready.sort(key=lambda up: (_task_count(tables, up), up.machine_id))
     for upkeep in ready[: max(0, room)]:
         if emptying.has_room_elsewhere(tables, upkeep.machine_id):
             tables = _moved(tables, upkeep, UpkeepPhase.EMPTYING, now)
@@ -91,11 +93,11 @@
 
 def _is_away(tables: SchedulerTables, upkeep: Upkeep) -> bool:
     """Tell whether another wave has the machine."""
-    away = tables.upkeep.upkeeps.rows_where("wave", "away")
+    away = tables.upkeep.upkeeps.rows_where("wave", ALL_AWAY)
     return any(other.machine_id == upkeep.machine_id for other in away)
 
 
-def _held(tables: SchedulerTables, upkeep: Upkeep) -> int:
+def _task_count(tables: SchedulerTables, upkeep: Upkeep) -> int:
     host = emptying.host_of(tables, upkeep.machine_id)
     return tables.tasks.count_where("host", host.name) if host is not None else 0
 
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -39,6 +39,7 @@
     UpkeepPhase,
     UpkeepTables,
     Wave,
+    wave_index,
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
@@ -85,7 +86,7 @@
 
 def of_wave(tables: SchedulerTables, number: int) -> list[Upkeep]:
     """Return the upkeeps of a wave."""
-    return tables.upkeep.upkeeps.rows_where("wave", f"wave {number}")
+    return tables.upkeep.upkeeps.rows_where("wave", wave_index(number))
 
 
 def _read(tables: SchedulerTables) -> SchedulerStep:
@@ -177,7 +178,9 @@
 def on_listed(
     event: MachinesListed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Replace the list of machines."""
+    """Replace the list of machines; an empty one tells nothing about any of them."""
+    if not event.machines:
+        return on_unlisted(MachinesUnlisted(reason="an empty list"), tables, now)
     machines: Table[Machine] = Table.empty()
     for machine in event.machines:
         machines = machines.put(machine.machine_id, machine)
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -143,6 +143,17 @@
         self.assertTrue(over)
         self.assertEqual(["m-z0-0"], world.machines.begun)
 
+    def test_an_empty_list_does_not_end_a_wave(self) -> None:
+        world = JobsWorld()
+        world.run(6.0)
+        machines, world.machines.machine_by_id = world.machines.machine_by_id, {}
+        world.order_wave(4, "m-z0-0")
+        world.run(3.0)
+        self.assertIs(WaveState.RUNNING, told(world, 4))
+        world.machines.machine_by_id = machines
+        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        self.assertTrue(over)
+
     def test_two_waves_do_not_take_one_machine_at_once(self) -> None:
         world = JobsWorld()
         world.run(6.0)
