--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -116,6 +116,11 @@
         self.up = False
         self.working = {}
 
+    def break_all(self) -> None:
+        """End every run, as those of a gang end that lost a member."""
+        for key in sorted(self.working):
+            self._end(key, "broken")
+
     def restart(self, now: float) -> None:
         """Begin another life, which knows nothing."""
         self.up, self.draining, self.lives, self.born_at = (
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -131,6 +131,22 @@
         placed = [line for line in world.decisions if line.kind == "task.place"]
         self.assertEqual({"1"}, {line.subject.partition("#")[2] for line in placed})
 
+    def test_a_gang_that_lost_a_member_starts_again_as_a_whole(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        world.submit(1, step(5, gang=True), payload="2.0")
+        world.run(1.0)
+        lost, *others = world.executor_by_host.values()
+        lost.crash()
+        for executor in others:
+            executor.break_all()
+        world.at(2.0, lambda: lost.restart(world.now))
+        self.assertTrue(world.run_until(world.all_complete, 20.0))
+        placed = [line for line in world.decisions if line.kind == "task.place"]
+        runs = [line.subject.partition("#")[2] for line in placed]
+        self.assertEqual(["1"] * 5 + ["2"] * 5, runs)
+        self.assertEqual([], world.violations)
+
     def test_no_host_gets_more_tasks_of_a_step_than_allowed(self) -> None:
         world = JobsWorld()
         world.run(2.0)
--- /dev/null
+++ b/test/test_row_store.py
@@ -0,0 +1,156 @@
+"""The client of the store of rows against the stand-in over HTTP on loopback."""
+
+from __future__ import annotations
+
+import threading
+
+import testtools
+import urllib3
+
+from bulrushpulley.entities.jobs.rows import (
+    OWNED_PART,
+    OWNER_KEY,
+    OWNERS,
+    CancelRow,
+    OwnerRow,
+    cancel_key,
+)
+from bulrushpulley.entities.jobs.store import (
+    Changed,
+    Condition,
+    Conflicted,
+    HistoryLost,
+    Purpose,
+    RangeRead,
+    ReadFailed,
+    ReadRange,
+    Transact,
+    Transacted,
+    TransactLost,
+    TransactRefused,
+    Watch,
+)
+from bulrushpulley.errors import Problem
+from bulrushpulley.platform.row_store import RowStoreClient
+from standins.row_store import RowStoreServer
+from standins.web import make_server
+
+ROW = OwnerRow(holder="entry-1", incarnation="entry-1-aa", epoch=1, sequence=0)
+PURPOSE = Purpose()
+
+
+def transact(*rows: OwnerRow | CancelRow, version: int | None = None) -> Transact:
+    """Return a transaction, conditional on a version of the owner row if given."""
+    conditions = () if version is None else (Condition(key=OWNER_KEY, version=version),)
+    return Transact(
+        role="scheduler",
+        purpose=PURPOSE,
+        timeout_s=1.0,
+        conditions=conditions,
+        puts=rows,
+    )
+
+
+class RowStoreTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        server = make_server(handle=RowStoreServer().handle, port=0)
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.stop)
+        self.url = f"http://127.0.0.1:{server.bind_addr[1]}"
+        self.problems: list[Problem] = []
+        self.client = RowStoreClient(
+            url=self.url, connections=4, report=self.problems.append
+        )
+
+    def _tell(self, path: str, body: str = "{}") -> None:
+        urllib3.request("POST", f"{self.url}{path}", body=body.encode())
+
+    def _read(self) -> ReadRange:
+        return ReadRange(
+            role="scheduler",
+            purpose=PURPOSE,
+            timeout_s=1.0,
+            table=OWNERS,
+            part=OWNED_PART,
+        )
+
+    def _watch(self, after: int, wait_s: float = 0.5) -> Watch:
+        return Watch(
+            role="scheduler",
+            purpose=PURPOSE,
+            timeout_s=2.0,
+            table=OWNERS,
+            after=after,
+            wait_s=wait_s,
+        )
+
+    def test_a_row_is_written_and_read_with_its_version(self) -> None:
+        written = self.client.transact(transact(ROW, version=0))
+        assert isinstance(written, Transacted)
+        read = self.client.read_range(self._read())
+        assert isinstance(read, RangeRead)
+        self.assertEqual([ROW], [stored.row for stored in read.rows])
+        self.assertEqual(written.version, read.rows[0].version)
+
+    def test_a_condition_that_does_not_hold_shows_the_row_that_bars_it(self) -> None:
+        self.client.transact(transact(ROW, version=0))
+        event = self.client.transact(transact(ROW, version=0))
+        assert isinstance(event, Conflicted)
+        self.assertEqual([ROW], [stored.row for stored in event.rows])
+
+    def test_a_watch_returns_as_soon_as_a_row_changes(self) -> None:
+        first = self.client.transact(transact(ROW))
+        assert isinstance(first, Transacted)
+        timer = threading.Timer(0.2, self.client.transact, (transact(ROW),))
+        timer.start()
+        self.addCleanup(timer.join)
+        event = self.client.watch(self._watch(first.version, wait_s=5.0))
+        assert isinstance(event, Changed)
+        self.assertEqual([ROW], [stored.row for stored in event.rows])
+        self.assertGreater(event.version, first.version)
+
+    def test_a_watch_on_a_history_that_is_gone_says_so(self) -> None:
+        first = self.client.transact(transact(ROW))
+        assert isinstance(first, Transacted)
+        self.client.transact(transact(ROW))
+        self._tell("/compact")
+        event = self.client.watch(self._watch(first.version))
+        self.assertIsInstance(event, HistoryLost)
+
+    def test_a_deleted_row_is_absent_and_its_deletion_is_seen(self) -> None:
+        row = CancelRow(job_id="5c0e7a21d94b36f8")
+        self.client.transact(transact(row))
+        key = cancel_key(row.job_id)
+        drop = Transact(
+            role="scheduler",
+            purpose=PURPOSE,
+            timeout_s=1.0,
+            conditions=(),
+            deletes=(key,),
+        )
+        self.assertIsInstance(self.client.transact(drop), Transacted)
+        absent = Transact(
+            role="scheduler",
+            purpose=PURPOSE,
+            timeout_s=1.0,
+            conditions=(Condition(key=key, version=0),),
+            puts=(row,),
+        )
+        self.assertIsInstance(self.client.transact(absent), Transacted)
+
+    def test_faults_of_the_store_are_told_apart(self) -> None:
+        self._tell("/switch", '{"mode":"down","seconds":0.5,"delay_s":0}')
+        refused = self.client.transact(transact(ROW))
+        assert isinstance(refused, TransactRefused)
+        self.assertFalse(refused.busy)
+        self.assertIsInstance(self.client.read_range(self._read()), ReadFailed)
+        self._tell("/switch", '{"mode":"lose_answers","seconds":5,"delay_s":0}')
+        self.assertIsInstance(self.client.transact(transact(ROW)), TransactLost)
+        self._tell("/switch", '{"mode":"up","seconds":0,"delay_s":0}')
+        read = self.client.read_range(self._read())
+        assert isinstance(read, RangeRead)
+        self.assertEqual([ROW], [stored.row for stored in read.rows])
+        self.assertEqual([], self.problems)
