Leave machines alone whose wave was withdrawn

Cause: the system that follows waves returned early once no order stood, so the last wave's withdrawal was never taken in; its machine was emptied and taken down nonetheless. Found by reading the change. The test fails without the mend.

--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -53,7 +53,8 @@
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Follow the orders, list machines while a wave is open, and tell operators."""
-    if not edits.is_loaded(tables) or not tables.standing.waves:
+    known = tables.standing.waves or len(tables.upkeep.waves)
+    if not edits.is_loaded(tables) or not known:
         return Step(tables=tables)
     if tables.upkeep.written_by_wave is None:
         return _read(tables)
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -175,6 +175,12 @@
             key=RowKey(table="op", part="", key=f"wave/{number}"), order=order
         )
 
+    def withdraw_wave(self, number: int) -> None:
+        """Drop the order of a wave."""
+        self.store.put(
+            key=RowKey(table="op", part="", key=f"wave/{number}"), order=None
+        )
+
     # Processes
 
     def start_entry(self, name: str) -> None:
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -154,6 +154,21 @@
         over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
         self.assertTrue(over)
 
+    def test_a_machine_of_a_withdrawn_wave_is_left_alone(self) -> None:
+        world = JobsWorld(hosts=1)
+        world.run(6.0)
+        world.submit(1, step(2), payload="2.0")
+        world.run(0.5)
+        world.order_wave(4, "m-z0-0")
+        world.run(0.5)
+        world.withdraw_wave(4)
+        world.run(0.5)
+        world.submit(2, step(2), payload="0.5")
+        self.assertTrue(world.run_until(world.all_complete, 4.0))
+        world.run(4.0)
+        self.assertEqual([], world.machines.begun)
+        self._check(world)
+
     def test_two_waves_do_not_take_one_machine_at_once(self) -> None:
         world = JobsWorld()
         world.run(6.0)
