Make one piece of code serve where the change had written it twice

- Waiting for the answer of a call stood in four fronts, in one of them without the case of an answer in the last moment: PendingCalls.wait.
- Storing a run and writing a decision's line stood in every system of the keeper: its own edits, as the scheduler has.
- Stopping some runs on a host (leaving, upkeep): stopping.stop_some.
- When a job's end is settled (condensing, forgetting): edits.is_settled.
- Three readers of the intake, and the set-up of tests over HTTP, share one each.
- Removed: a wave's time that nothing read, a filter that the index by host already is, a set of one status.

--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -94,7 +94,6 @@
     """
 
     order: WaveOrder
-    since: float
     writing: WaveRow
     durable: WaveRow
     told: WaveState | None = None
--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -26,7 +26,6 @@
 )
 
 NEVER_SENT = (ConnectTimeoutError, EmptyPoolError)
-REFUSED_STATUSES = frozenset({http.HTTPStatus.SERVICE_UNAVAILABLE})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,14 +81,12 @@
             raise RefusedError(problem=self._unavailable(step, str(error))) from error
         except HTTPError as error:
             raise AnswerLostError(problem=self._unknown(step, str(error))) from error
+        detail = f"status {response.status}"
         if response.status == http.HTTPStatus.TOO_MANY_REQUESTS:
-            detail = f"status {response.status}"
             raise BusyError(problem=self._unavailable(step, detail))
-        if response.status in REFUSED_STATUSES:
-            detail = f"status {response.status}"
+        if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             raise RefusedError(problem=self._unavailable(step, detail))
         if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            detail = f"status {response.status}"
             raise AnswerLostError(problem=self._unknown(step, detail))
         return Exchange(status=response.status, body=response.data)
 
--- a/bulrushpulley/platform/job_front.py
+++ b/bulrushpulley/platform/job_front.py
@@ -141,10 +141,9 @@
         return encode_answer(self._wait(pending, call))
 
     def _wait(self, pending: PendingCall, call: JobCall) -> Command:
-        try:
-            return pending.answer.result(max(0.05, call.within_s - ANSWER_MARGIN_S))
-        except TimeoutError:
-            if not self._pending.abandon(pending.call_id):
-                return pending.answer.result()
+        within_s = max(0.05, call.within_s - ANSWER_MARGIN_S)
+        answer = self._pending.wait(pending, within_s)
+        if answer is not None:
+            return answer
         self._tell(CallDropped(call_id=pending.call_id))
         return OutcomeUnknown(call_id=pending.call_id, reason="no answer in time")
--- a/bulrushpulley/platform/ready_front.py
+++ b/bulrushpulley/platform/ready_front.py
@@ -90,9 +90,8 @@
     def _explain(self, job_id: str) -> HttpReply:
         pending = self._pending.open()
         self._tell(ExplainJob(call_id=pending.call_id, job_id=job_id))
-        try:
-            return encode_explanation(pending.answer.result(ANSWER_S))
-        except TimeoutError:
-            self._pending.abandon(pending.call_id)
-            detail = f"the scheduler did not answer within {ANSWER_S} s"
-            return _problem(Code.UNAVAILABLE, "self", detail)
+        answer = self._pending.wait(pending, ANSWER_S)
+        if answer is not None:
+            return encode_explanation(answer)
+        detail = f"the scheduler did not answer within {ANSWER_S} s"
+        return _problem(Code.UNAVAILABLE, "self", detail)
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -94,12 +94,8 @@
 def _(
     call: CancelCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    first = _read_job(call.call_id, job_id)
-    if is_accepted(tables, job_id):
-        return _begin(
-            call, queue, job_id, tables, now, _store_cancel(call.call_id, job_id)
-        )
-    return _begin(call, queue, job_id, tables, now, first)
+    first = _store_cancel if is_accepted(tables, job_id) else _read_job
+    return _begin(call, queue, job_id, tables, now, first(call.call_id, job_id))
 
 
 def _begin(
@@ -122,37 +118,31 @@
 
 
 def _read_progress(call_id: str, job_id: str) -> ReadRange:
-    return ReadRange(
-        role=INTAKE,
-        purpose=ReadProgress(call_id=call_id),
-        timeout_s=store_patience.SHORTEST_S,
-        table=PROGRESS,
-        part=OWNED_PART,
-        first=job_id,
-        end=f"{job_id}.",
-    )
+    purpose = ReadProgress(call_id=call_id)
+    return _read(purpose, PROGRESS, OWNED_PART, job_id, f"{job_id}.")
 
 
 def _read_job(call_id: str, job_id: str) -> ReadRange:
-    return ReadRange(
-        role=INTAKE,
-        purpose=ReadJob(call_id=call_id),
-        timeout_s=store_patience.SHORTEST_S,
-        table=JOBS,
-        part=INTAKE_PART,
-        first=f"{job_id}.",
-        end=f"{job_id}/",
-    )
+    purpose = ReadJob(call_id=call_id)
+    return _read(purpose, JOBS, INTAKE_PART, f"{job_id}.", f"{job_id}/")
 
 
 def _read_backlog(call_id: str, job_id: str) -> ReadRange:
+    purpose = ReadBacklog(call_id=call_id)
+    return _read(purpose, BACKLOGS, OWNED_PART, BACKLOG_KEY.key)
+
+
+def _read(
+    purpose: CallPurpose, table: str, part: str, first: str, end: str = ""
+) -> ReadRange:
     return ReadRange(
         role=INTAKE,
-        purpose=ReadBacklog(call_id=call_id),
+        purpose=purpose,
         timeout_s=store_patience.SHORTEST_S,
-        table=BACKLOGS,
-        part=OWNED_PART,
-        first=BACKLOG_KEY.key,
+        table=table,
+        part=part,
+        first=first,
+        end=end,
     )
 
 
--- /dev/null
+++ b/bulrushpulley/systems/keeping/edits.py
@@ -0,0 +1,22 @@
+"""The changes to the keeper's tables, and the log lines, that several systems make."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bulrushpulley.entities.jobs.keeper_tables import KeeperTables, Run
+from bulrushpulley.entities.observe import Decision
+
+
+def put_run(tables: KeeperTables, run: Run) -> KeeperTables:
+    """Store a run."""
+    return replace(tables, runs=tables.runs.put(run.key, run))
+
+
+def log(
+    tables: KeeperTables, kind: str, subject: str, chosen: str, reason: str
+) -> Decision:
+    """Return the line of a decision, with the epoch it rested on."""
+    return Decision(
+        kind=kind, subject=subject, chosen=chosen, reason=reason, epoch=tables.epoch
+    )
--- a/bulrushpulley/systems/keeping/holding.py
+++ b/bulrushpulley/systems/keeping/holding.py
@@ -25,9 +25,8 @@
     Server,
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunRef, RunStatus
-from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import refusing, server_life
+from bulrushpulley.systems.keeping import edits, refusing, server_life
 
 # The call returns at once when a run ends; otherwise it bounds how old the measured
 # latencies may be and how long a lease waits for its renewal.
@@ -87,12 +86,12 @@
     tables = replace(tables, hold=failing)
     if not first:
         return Step(tables=tables)
-    line = Decision(
-        kind="server.silent",
-        subject=tables.server.life if tables.server else "",
-        chosen="",
-        reason=event.reason,
-        epoch=tables.epoch,
+    line = edits.log(
+        tables,
+        "server.silent",
+        tables.server.life if tables.server else "",
+        "",
+        event.reason,
     )
     return Step(tables=tables, commands=(line,))
 
@@ -143,7 +142,7 @@
         status=status,
         started_at=now if began else run_.started_at,
     )
-    return replace(tables, runs=tables.runs.put(seen.key, seen))
+    return edits.put_run(tables, seen)
 
 
 def _ended(tables: KeeperTables, end: RunEnd) -> KeeperTables:
--- a/bulrushpulley/systems/keeping/obeying.py
+++ b/bulrushpulley/systems/keeping/obeying.py
@@ -15,6 +15,7 @@
 from bulrushpulley.entities.link import LinkDown
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.keeping import edits
 
 NEVER = -60.0
 
@@ -78,7 +79,7 @@
             tables = replace(tables, runs=tables.runs.drop(run.key))
             continue
         unwanted = replace(run, wanted=False)
-        tables = replace(tables, runs=tables.runs.put(run.key, unwanted))
+        tables = edits.put_run(tables, unwanted)
     return replace(tables, ordered=True)
 
 
@@ -90,7 +91,7 @@
     run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now)
     barred = run.phase is RunPhase.BARRED
     ordered = replace(run, order=order, wanted=run.wanted if barred else True)
-    return replace(tables, runs=tables.runs.put(ordered.key, ordered))
+    return edits.put_run(tables, ordered)
 
 
 def _unwanted(tables: KeeperTables, ref: RunRef, now: float) -> KeeperTables:
@@ -99,14 +100,8 @@
     known = tables.runs.get(ref.key)
     run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now)
     unwanted = replace(run, wanted=False)
-    return replace(tables, runs=tables.runs.put(unwanted.key, unwanted))
+    return edits.put_run(tables, unwanted)
 
 
 def _line(tables: KeeperTables, peer: str, reason: str) -> Decision:
-    return Decision(
-        kind="owner.hear",
-        subject=peer,
-        chosen="",
-        reason=reason,
-        epoch=tables.epoch,
-    )
+    return edits.log(tables, "owner.hear", peer, "", reason)
--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/keeping/pacing.py
@@ -24,6 +24,7 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.keeping import edits
 
 # Measures cover the last half second, so acting more often would act on old ones.
 DECIDE_S = 0.5
@@ -85,7 +86,7 @@
         if pace == run_.pace:
             continue
         paced = replace(run_, pace=pace)
-        tables = replace(tables, runs=tables.runs.put(run_.key, paced))
+        tables = edits.put_run(tables, paced)
         lines.append(_line(tables, paced, f"worst at {worst:.2f} of its target"))
     return Step(tables=tables, commands=tuple(lines))
 
@@ -163,7 +164,7 @@
         if run_.order is None or now < run_.pace_at:
             continue
         sent = replace(run_, pacing=True, pace_set=run_.pace)
-        tables = replace(tables, runs=tables.runs.put(run_.key, sent))
+        tables = edits.put_run(tables, sent)
         commands.append(
             PaceRun(
                 server_id=server.server_id,
@@ -183,7 +184,7 @@
         return Step(tables=tables)
     doubted = now < run_.pace_doubted_until
     paced = replace(run_, pacing=False, pace_at=now + AGAIN_S if doubted else now)
-    return Step(tables=replace(tables, runs=tables.runs.put(run_.key, paced)))
+    return Step(tables=edits.put_run(tables, paced))
 
 
 def on_unpaced(event: PaceFailed, tables: KeeperTables, now: float) -> KeeperStep:
@@ -198,14 +199,8 @@
         pace_at=now + RETRY_S,
         pace_doubted_until=now + LATEST_S,
     )
-    return Step(tables=replace(tables, runs=tables.runs.put(run_.key, doubted)))
+    return Step(tables=edits.put_run(tables, doubted))
 
 
 def _line(tables: KeeperTables, run_: Run, reason: str) -> Decision:
-    return Decision(
-        kind="run.pace",
-        subject=run_.key,
-        chosen=f"{run_.pace}%",
-        reason=reason,
-        epoch=tables.epoch,
-    )
+    return edits.log(tables, "run.pace", run_.key, f"{run_.pace}%", reason)
--- a/bulrushpulley/systems/keeping/refusing.py
+++ b/bulrushpulley/systems/keeping/refusing.py
@@ -7,21 +7,15 @@
 from bulrushpulley.entities.jobs.items import RunRefused
 from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables, Run
 from bulrushpulley.entities.link import Send
-from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.keeping import edits
 
 
 def refuse(tables: KeeperTables, run: Run, reason: str) -> KeeperStep:
     """Drop a run and say so; an owner that is not linked asks again when it is."""
     tables = replace(tables, runs=tables.runs.drop(run.key))
     reason = run.denied or reason
-    line = Decision(
-        kind="run.refuse",
-        subject=run.key,
-        chosen="",
-        reason=reason,
-        epoch=tables.epoch,
-    )
+    line = edits.log(tables, "run.refuse", run.key, "", reason)
     commands: list[Command] = [line]
     if tables.owner and tables.server is not None:
         item = RunRefused(
--- a/bulrushpulley/systems/keeping/reporting.py
+++ b/bulrushpulley/systems/keeping/reporting.py
@@ -22,6 +22,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import NOTHING
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.keeping import edits
 
 # Three contacts in a row must fail before the owner places nothing here any more.
 CONTACT_S = 0.8
@@ -88,7 +89,7 @@
         if run_.status is not None and (complete or _is_news(run_, now)):
             statuses.append(run_.status)
             reported = replace(run_, reported=run_.status, reported_at=now)
-            tables = replace(tables, runs=tables.runs.put(run_.key, reported))
+            tables = edits.put_run(tables, reported)
     sent = 0 if complete else tables.ends_sent
     ends = tuple(tables.ends[number] for number in sorted(tables.ends) if number > sent)
     if not statuses and not ends and not complete:
--- a/bulrushpulley/systems/keeping/server_life.py
+++ b/bulrushpulley/systems/keeping/server_life.py
@@ -20,6 +20,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
+from bulrushpulley.systems.keeping import edits
 
 # A backend server that has not answered for this long is not given anything new.
 SILENT_S = 1.2
@@ -172,10 +173,4 @@
 
 
 def _line(tables: KeeperTables, life: str, state: str, reason: str) -> Decision:
-    return Decision(
-        kind="server.state",
-        subject=life,
-        chosen=state,
-        reason=reason,
-        epoch=tables.epoch,
-    )
+    return edits.log(tables, "server.state", life, state, reason)
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.resources import NOTHING, Resources
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import holding, pacing, refusing
+from bulrushpulley.systems.keeping import edits, holding, pacing, refusing
 
 # A backend server on the same host answers within a few milliseconds.
 CALL_S = 0.5
@@ -66,7 +66,7 @@
             lease_until_ms=holding.lease_until_ms(tables, server),
         )
         sent = replace(run_, phase=RunPhase.STARTING, in_flight=True)
-        tables = replace(tables, runs=tables.runs.put(run_.key, sent))
+        tables = edits.put_run(tables, sent)
         commands.append(call)
     if commands:
         tables = replace(tables, server=replace(server, lease_sent_at=now))
@@ -88,7 +88,7 @@
         closed = tables.server_state is ServerState.DRAINING
         if run_.wanted and (late or closed):
             unwanted = replace(run_, wanted=False)
-            tables = replace(tables, runs=tables.runs.put(run_.key, unwanted))
+            tables = edits.put_run(tables, unwanted)
     return tables
 
 
@@ -106,13 +106,13 @@
         started_at=now,
         pace=pacing.first_pace(tables, run_),
     )
-    tables = replace(tables, runs=tables.runs.put(run_.key, there))
-    line = Decision(
-        kind="run.start",
-        subject=run_.key,
-        chosen=event.server_id,
-        reason=f"{now - run_.since:.3f} s after its order",
-        epoch=tables.epoch,
+    tables = edits.put_run(tables, there)
+    line = edits.log(
+        tables,
+        "run.start",
+        run_.key,
+        event.server_id,
+        f"{now - run_.since:.3f} s after its order",
     )
     waited = Observe(name="run_start_seconds", seconds=now - run_.since)
     return Step(tables=tables, commands=(line, waited))
@@ -121,7 +121,7 @@
 def _answered(tables: KeeperTables, run_: Run) -> KeeperTables:
     """Note that no call about a run is in flight any more."""
     answered = replace(run_, in_flight=False)
-    return replace(tables, runs=tables.runs.put(run_.key, answered))
+    return edits.put_run(tables, answered)
 
 
 def on_denied(event: StartDenied, tables: KeeperTables, now: float) -> KeeperStep:
@@ -137,7 +137,7 @@
         denied = replace(run_, in_flight=False, retry_at=now + RETRY_S)
     else:
         denied = replace(run_, in_flight=False, wanted=False, denied=event.reason)
-    tables = replace(tables, runs=tables.runs.put(run_.key, denied))
+    tables = edits.put_run(tables, denied)
     return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
 
 
@@ -151,7 +151,7 @@
     unhealthy = replace(run_, in_flight=False, unhealthy=True)
     if run_.unsure:
         barring = replace(unhealthy, wanted=False)
-        tables = replace(tables, runs=tables.runs.put(run_.key, barring))
+        tables = edits.put_run(tables, barring)
         return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
     return refusing.refuse(tables, unhealthy, event.reason)
 
@@ -164,15 +164,9 @@
     if run_ is None:
         return Step(tables=tables)
     unsure = replace(run_, in_flight=False, unsure=True, retry_at=now + RETRY_S)
-    tables = replace(tables, runs=tables.runs.put(run_.key, unsure))
+    tables = edits.put_run(tables, unsure)
     return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
 
 
 def _line(tables: KeeperTables, run_: Run, reason: str) -> Decision:
-    return Decision(
-        kind="run.deny",
-        subject=run_.key,
-        chosen="",
-        reason=reason,
-        epoch=tables.epoch,
-    )
+    return edits.log(tables, "run.deny", run_.key, "", reason)
--- a/bulrushpulley/systems/keeping/stopping.py
+++ b/bulrushpulley/systems/keeping/stopping.py
@@ -15,6 +15,7 @@
     RunPhase,
 )
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.keeping import edits
 
 CALL_S = 0.5
 RETRY_S = 0.1
@@ -33,7 +34,7 @@
         if waits or now < run_.retry_at:
             continue
         sent = replace(run_, in_flight=True)
-        tables = replace(tables, runs=tables.runs.put(run_.key, sent))
+        tables = edits.put_run(tables, sent)
         commands.append(
             StopRun(
                 server_id=server.server_id,
@@ -54,7 +55,7 @@
         taken = replace(run_, in_flight=False, retry_at=now + AGAIN_S)
     else:
         taken = replace(run_, in_flight=False, phase=RunPhase.BARRED, barred_at=now)
-    return Step(tables=replace(tables, runs=tables.runs.put(run_.key, taken)))
+    return Step(tables=edits.put_run(tables, taken))
 
 
 def on_unanswered(
@@ -65,4 +66,4 @@
     if run_ is None:
         return Step(tables=tables)
     again = replace(run_, in_flight=False, retry_at=now + RETRY_S)
-    return Step(tables=replace(tables, runs=tables.runs.put(run_.key, again)))
+    return Step(tables=edits.put_run(tables, again))
--- a/bulrushpulley/systems/scheduling/condensing.py
+++ b/bulrushpulley/systems/scheduling/condensing.py
@@ -8,7 +8,6 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
     CondenseJobRows,
@@ -35,7 +34,11 @@
     if not edits.is_loaded(tables) or now - tables.condensed_at < EACH_S:
         return Step(tables=tables)
     tables = replace(tables, condensed_at=now)
-    chosen = [job for job in tables.jobs.rows() if _is_over(tables, job)]
+    chosen = [
+        job
+        for job in tables.jobs.rows()
+        if job.row.spec.steps and edits.is_settled(tables, job)
+    ]
     if not chosen:
         return Step(tables=tables)
     rows = []
@@ -51,12 +54,3 @@
         puts=tuple(rows),
     )
     return Step(tables=tables, commands=(write,))
-
-
-def _is_over(tables: SchedulerTables, job: Job) -> bool:
-    return (
-        job.is_final
-        and bool(job.row.spec.steps)
-        and not edits.is_unwritten(tables, job.job_id)
-        and not tables.tasks.count_where("job", job.job_id)
-    )
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -108,6 +108,15 @@
     return in_flight or job_id in tables.effects_by_job
 
 
+def is_settled(tables: SchedulerTables, job: Job) -> bool:
+    """Tell whether a job's end is durable and nothing of it can still run."""
+    return (
+        job.is_final
+        and not is_unwritten(tables, job.job_id)
+        and not tables.tasks.count_where("job", job.job_id)
+    )
+
+
 def log(
     tables: SchedulerTables, kind: str, subject: str, chosen: str, reason: str
 ) -> Decision:
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -8,10 +8,9 @@
 
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
-from bulrushpulley.entities.jobs.task import HOLDING, Task, TaskState, step_key
+from bulrushpulley.entities.jobs.task import Task, TaskState, step_key
 from bulrushpulley.entities.jobs.upkeep import ALL_AWAY, Upkeep, Wave
 from bulrushpulley.entities.resources import NOTHING
-from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import advising, edits, stopping
 
 # The part of a machine's share of the wave's time in which its runs may finish.
@@ -42,18 +41,15 @@
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, host: Host, now: float
 ) -> SchedulerStep:
     """Stop the runs on a host that should not, or need not, finish there."""
-    commands: list[Command] = []
     overdue = now - upkeep.since >= finish_s(wave)
-    for task in tables.tasks.rows_where("host", host.name):
-        if task.state not in (TaskState.HELD, TaskState.RUNNING):
-            continue
+
+    def should_stop(tables: SchedulerTables, task: Task) -> bool:
         spec = edits.step_of(tables, task)
         moves = spec.lasting or spec.checkpoints or overdue
-        if moves and may_stop(tables, task):
-            step = stopping.stop(tables, task, now, "its machine is due for upkeep")
-            tables = step.tables
-            commands.extend(step.commands)
-    return Step(tables=tables, commands=tuple(commands))
+        return moves and may_stop(tables, task)
+
+    reason = "its machine is due for upkeep"
+    return stopping.stop_some(tables, host.name, should_stop, now, reason)
 
 
 def has_room_elsewhere(tables: SchedulerTables, machine_id: str) -> bool:
@@ -96,5 +92,4 @@
 
 def is_empty(tables: SchedulerTables, host: Host) -> bool:
     """Tell whether nothing runs on a host."""
-    tasks = tables.tasks.rows_where("host", host.name)
-    return not any(task.state in HOLDING for task in tasks)
+    return not tables.tasks.count_where("host", host.name)
--- a/bulrushpulley/systems/scheduling/finishing.py
+++ b/bulrushpulley/systems/scheduling/finishing.py
@@ -38,7 +38,7 @@
     for task in tables.tasks.rows_where("job", job.job_id):
         if task.state not in HOLDING:
             tables = replace(tables, tasks=tables.tasks.drop(task.task_id))
-        elif task.state in (TaskState.HELD, TaskState.RUNNING):
+        elif task.state in stopping.STOPPABLE:
             step = stopping.stop(tables, task, now, reason)
             tables = step.tables
             commands.extend(step.commands)
--- a/bulrushpulley/systems/scheduling/forgetting.py
+++ b/bulrushpulley/systems/scheduling/forgetting.py
@@ -4,7 +4,6 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.rows import cancel_key, job_key, progress_key
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
@@ -33,7 +32,11 @@
     if not edits.is_loaded(tables) or now - tables.forgot_at < EACH_S:
         return Step(tables=tables)
     wall_s = now + tables.wall_offset_s
-    over = [job for job in tables.jobs.rows() if _is_over(tables, job, wall_s)]
+    over = [
+        job
+        for job in tables.jobs.rows()
+        if wall_s - job.ended_at_s >= RETAIN_S and edits.is_settled(tables, job)
+    ]
     tables = replace(tables, forgot_at=now)
     if not over:
         return Step(tables=tables)
@@ -56,12 +59,3 @@
         for keys in (intake, progress)
     )
     return Step(tables=replace(tables, jobs=jobs), commands=commands)
-
-
-def _is_over(tables: SchedulerTables, job: Job, wall_s: float) -> bool:
-    return (
-        job.is_final
-        and wall_s - job.ended_at_s >= RETAIN_S
-        and not edits.is_unwritten(tables, job.job_id)
-        and not tables.tasks.count_where("job", job.job_id)
-    )
--- a/bulrushpulley/systems/scheduling/stopping.py
+++ b/bulrushpulley/systems/scheduling/stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.items import Orders
@@ -12,6 +13,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits
 
+STOPPABLE = frozenset({TaskState.HELD, TaskState.RUNNING})
+
 
 def stop(tables: SchedulerTables, task: Task, now: float, reason: str) -> SchedulerStep:
     """Order the run of a task to be stopped, now or when its host is linked."""
@@ -21,6 +24,23 @@
     return Step(tables=tables, commands=(line, *order(tables, task)))
 
 
+def stop_some(
+    tables: SchedulerTables,
+    host: str,
+    should_stop: Callable[[SchedulerTables, Task], bool],
+    now: float,
+    reason: str,
+) -> SchedulerStep:
+    """Stop the runs on a host that `should_stop`, given the stops before, selects."""
+    commands: list[Command] = []
+    for task in tables.tasks.rows_where("host", host):
+        if task.state in STOPPABLE and should_stop(tables, task):
+            step = stop(tables, task, now, reason)
+            tables = step.tables
+            commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
+
+
 def order(tables: SchedulerTables, task: Task) -> tuple[Command, ...]:
     """Return the order to stop a run, if its host is linked."""
     host = tables.hosts.get(task.host)
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -143,7 +143,7 @@
 def _begin(tables: SchedulerTables, order: WaveOrder, now: float) -> SchedulerTables:
     written_by_wave = tables.upkeep.written_by_wave or {}
     written = written_by_wave.get(order.number, WaveRow(number=order.number))
-    wave = Wave(order=order, since=now, writing=written, durable=written)
+    wave = Wave(order=order, writing=written, durable=written)
     tables = _put_wave(tables, wave)
     for machine_id in order.machine_ids:
         upkeep = Upkeep(
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -146,15 +146,12 @@
             self._pending.abandon(call.call_id)
             return error_reply(error, Ran.NO)
         self._tell(received)
-        try:
-            command = call.answer.result(received.within_s + ANSWER_MARGIN_S)
-        except TimeoutError:
-            command = self._give_up(call, received)
-        return encode_answer(command)
-
-    def _give_up(self, call: PendingCall, received: CallReceived) -> Command:
-        if not self._pending.abandon(call.call_id):
-            return call.answer.result()
+        return encode_answer(self._wait(call, received))
+
+    def _wait(self, call: PendingCall, received: CallReceived) -> Command:
+        answer = self._pending.wait(call, received.within_s + ANSWER_MARGIN_S)
+        if answer is not None:
+            return answer
         self._tell(CallAbandoned(call_id=call.call_id))
         return _too_late(received)
 
--- a/bulrushpulley/wire/operator_front.py
+++ b/bulrushpulley/wire/operator_front.py
@@ -84,11 +84,9 @@
         return _reply(operator_http.render(self._wait(call)))
 
     def _wait(self, call: PendingCall) -> Command:
-        try:
-            return call.answer.result(ANSWER_S)
-        except TimeoutError:
-            if not self._pending.abandon(call.call_id):
-                return call.answer.result()
+        answer = self._pending.wait(call, ANSWER_S)
+        if answer is not None:
+            return answer
         problem = Problem(
             code=Code.OUTCOME_UNKNOWN,
             step="operators.wait",
--- a/bulrushpulley/wire/pending.py
+++ b/bulrushpulley/wire/pending.py
@@ -42,6 +42,16 @@
         if call is not None:
             call.answer.set_result(command)
 
+    def wait(self, call: PendingCall, within_s: float) -> Command | None:
+        """Wait for the answer of a call, and abandon it if none comes in time."""
+        try:
+            return call.answer.result(within_s)
+        except TimeoutError:
+            if self.abandon(call.call_id):
+                return None
+        # The answer came in the last moment.
+        return call.answer.result()
+
     def abandon(self, call_id: str) -> bool:
         """Forget a call; False when its answer arrived first."""
         with self._lock:
--- a/soak/run.py
+++ b/soak/run.py
@@ -154,7 +154,7 @@
     # The first part of the calm stretch is left for what came before it.
     settled = began + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
     calm = (settled, began + plan.calm_until)
-    observer.tables = _with_calm(observer.tables, calm)
+    observer.tables = replace(observer.tables, calm=calm)
     stop = threading.Event()
     todo: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
     with ThreadPoolExecutor(CALLERS) as pool:
@@ -192,10 +192,6 @@
     stage.pool.submit(caller.run, what)
 
 
-def _with_calm(tables: Tables, calm: tuple[float, float]) -> Tables:
-    return replace(tables, calm=calm)
-
-
 def _finish(site: Site, observer: Observer) -> None:
     """Wait until every accepted job has ended, or it has taken too long."""
     until = time.monotonic() + FINISH_S
--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -4,7 +4,6 @@
 
 import threading
 
-import testtools
 import urllib3
 
 from bulrushpulley.entities.jobs.rows import (
@@ -33,7 +32,7 @@
 from bulrushpulley.errors import Problem
 from bulrushpulley.platform.row_store import RowStoreClient
 from standins.row_store import RowStoreServer
-from standins.web import make_server
+from test.test_table_service import ServedTest
 
 ROW = OwnerRow(holder="entry-1", incarnation="entry-1-aa", epoch=1, sequence=0)
 PURPOSE = Purpose()
@@ -51,23 +50,15 @@
     )
 
 
-class RowStoreTest(testtools.TestCase):
+class RowStoreTest(ServedTest):
     def setUp(self) -> None:
         super().setUp()
-        server = make_server(handle=RowStoreServer().handle, port=0)
-        thread = threading.Thread(target=server.serve, daemon=True)
-        thread.start()
-        self.addCleanup(thread.join)
-        self.addCleanup(server.stop)
-        self.url = f"http://127.0.0.1:{server.bind_addr[1]}"
+        self.url = self.serve(RowStoreServer().handle)
         self.problems: list[Problem] = []
         self.client = RowStoreClient(
             url=self.url, connections=4, report=self.problems.append
         )
 
-    def _tell(self, path: str, body: str = "{}") -> None:
-        urllib3.request("POST", f"{self.url}{path}", body=body.encode())
-
     def _read(self) -> ReadRange:
         return ReadRange(
             role="scheduler",
@@ -116,7 +107,7 @@
         first = self.client.transact(transact(ROW))
         assert isinstance(first, Transacted)
         self.client.transact(transact(ROW))
-        self._tell("/compact")
+        urllib3.request("POST", f"{self.url}/compact")
         event = self.client.watch(self._watch(first.version))
         self.assertIsInstance(event, HistoryLost)
 
@@ -142,14 +133,14 @@
         self.assertIsInstance(self.client.transact(absent), Transacted)
 
     def test_faults_of_the_store_are_told_apart(self) -> None:
-        self._tell("/switch", '{"mode":"down","seconds":0.5,"delay_s":0}')
+        self.switch(self.url, '{"mode":"down","seconds":0.5,"delay_s":0}')
         refused = self.client.transact(transact(ROW))
         assert isinstance(refused, TransactRefused)
         self.assertFalse(refused.busy)
         self.assertIsInstance(self.client.read_range(self._read()), ReadFailed)
-        self._tell("/switch", '{"mode":"lose_answers","seconds":5,"delay_s":0}')
+        self.switch(self.url, '{"mode":"lose_answers","seconds":5,"delay_s":0}')
         self.assertIsInstance(self.client.transact(transact(ROW)), TransactLost)
-        self._tell("/switch", '{"mode":"up","seconds":0,"delay_s":0}')
+        self.switch(self.url, '{"mode":"up","seconds":0,"delay_s":0}')
         read = self.client.read_range(self._read())
         assert isinstance(read, RangeRead)
         self.assertEqual([ROW], [stored.row for stored in read.rows])
