--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -19,7 +19,7 @@
     RELEASING = "releasing"
 
 
-HELD = frozenset({CellPhase.LOADING, CellPhase.OWNED})
+HELD_PHASES = frozenset({CellPhase.LOADING, CellPhase.OWNED})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -10,7 +10,7 @@
 from functools import reduce
 
 from bulrushpulley.entities.link import CellSummary
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
 FRESH_S = 15.0
 SETTLE_S = 2.0
@@ -45,7 +45,7 @@
     peer: str = ""
     heard_at: float = 0.0
     reservations: tuple[Reservation, ...] = ()
-    free: Resources = NOTHING
+    free: Resources = NO_RESOURCES
     reserved_tasks: int = 0
 
     def is_fresh(self, now: float) -> bool:
@@ -55,7 +55,7 @@
 
 def total(amounts: tuple[Resources, ...]) -> Resources:
     """Return the sum of amounts."""
-    return reduce(Resources.plus, amounts, NOTHING)
+    return reduce(Resources.plus, amounts, NO_RESOURCES)
 
 
 def times(amount: Resources, count: int) -> Resources:
@@ -79,7 +79,7 @@
 
 def _recount(view: CellView) -> CellView:
     reserved = total(tuple(one.total for one in view.reservations))
-    free = view.summary.free.minus(reserved) if view.summary else NOTHING
+    free = view.summary.free.minus(reserved) if view.summary else NO_RESOURCES
     tasks = sum(one.tasks for one in view.reservations)
     return replace(view, free=free, reserved_tasks=tasks)
 
--- a/bulrushpulley/entities/fleet.py
+++ b/bulrushpulley/entities/fleet.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.cell_view import total
 from bulrushpulley.entities.records import CellRecord
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -21,7 +21,7 @@
     capacities_by_cell: Mapping[str, tuple[Resources, ...]] = field(
         default_factory=dict
     )
-    capacity: Resources = NOTHING
+    capacity: Resources = NO_RESOURCES
 
     def could_hold(self, size: Resources, failure_domains: tuple[str, ...]) -> bool:
         """Tell whether some worker of the allowed failure domains is large enough.
--- a/bulrushpulley/entities/interference.py
+++ b/bulrushpulley/entities/interference.py
@@ -60,7 +60,7 @@
     changed_at: float
     above: int = 0
     below: int = 0
-    suffering: bool = False
+    degraded: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,7 +92,7 @@
     worker_id: str
     acted_at: float
     hold_s: float
-    gave_back: bool = False
+    raised_share: bool = False
 
 
 def harm_key(*, service: str, job: str) -> str:
--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
 
 class ServerState(enum.Enum):
@@ -59,13 +59,13 @@
     life: str = ""
     service: str = ""
     state: ServerState = ServerState.UNKNOWN
-    capacity: Resources = NOTHING
+    capacity: Resources = NO_RESOURCES
     labels: tuple[str, ...] = ()
     leaves_in_s: float = 0.0
     contact_at: float = 0.0
     adopted_epoch: int = 0
     synced: bool = False
-    committed: Resources = NOTHING
+    committed: Resources = NO_RESOURCES
     filling_m: int = 0
     images: Mapping[str, HeldImage] = field(default_factory=dict)
     aside_until: float = 0.0
--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/keeper_tables.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.items import HostReport
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.table import Table
 
@@ -75,7 +75,7 @@
     @property
     def committed(self) -> Resources:
         """The room that it takes, if known."""
-        return self.order.committed if self.order else NOTHING
+        return self.order.committed if self.order else NO_RESOURCES
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/resources.py
+++ b/bulrushpulley/entities/resources.py
@@ -42,4 +42,4 @@
         )
 
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -16,7 +16,7 @@
     """
 
     HEALTHY = "healthy"
-    ASIDE = "aside"
+    QUARANTINED = "aside"
     PROBING = "probing"
 
 
@@ -46,10 +46,10 @@
     renewed_until: float = 0.0
     renew_at: float = 0.0
     runs: int = 0
-    strays: int = 0
+    unexpected_runs: int = 0
     unanswered_at: float | None = None
     health: Health = Health.HEALTHY
-    aside_until: float = 0.0
+    quarantined_until: float = 0.0
     backoff_s: float = 0.0
 
 
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -6,16 +6,16 @@
 from bulrushpulley.entities.owner_times import AUTONOMY_S
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
 from bulrushpulley.systems.cell import evict as cell_evict
-from bulrushpulley.systems.cell import interfere as cell_interfere
+from bulrushpulley.systems.cell import interference as cell_interference
 from bulrushpulley.systems.cell import liveness as cell_liveness
 from bulrushpulley.systems.cell import load as cell_load
 from bulrushpulley.systems.cell import owner_events as cell_owner_events
 from bulrushpulley.systems.cell import place as cell_place
+from bulrushpulley.systems.cell import quarantine as cell_quarantine
 from bulrushpulley.systems.cell import release as cell_release
 from bulrushpulley.systems.cell import reports as cell_reports
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import send as cell_send
-from bulrushpulley.systems.cell import sick as cell_sick
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import summary as cell_summary
 from bulrushpulley.systems.cell import throttle as cell_throttle
@@ -47,12 +47,12 @@
             cell_watch.watch,
             cell_load.refetch,
             cell_rows.retire,
-            cell_sick.probe,
+            cell_quarantine.probe_quarantined,
             cell_evict.drain,
             cell_evict.cancel,
             cell_stop.lapse,
             cell_evict.shrink,
-            cell_interfere.interfere,
+            cell_interference.limit_interference,
             cell_place.place,
             cell_evict.give_back,
             write_endings,
--- a/bulrushpulley/systems/cell/rooms.py
+++ b/bulrushpulley/systems/cell/candidates.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.worker import Health, Worker
-from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.placement_policy import Candidate
 from bulrushpulley.systems.cell.stop import is_silent
 
 
 def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
     """Return the sum over the tasks that may be running on a worker."""
-    total = NOTHING
+    total = NO_RESOURCES
     for key in tables.tasks.keys_where("worker", worker_id):
         total = total.plus(tables.tasks.by_key[key].row.spec.size)
     return total
@@ -23,20 +23,22 @@
     It must have said what it runs, all of which must be the owner's own, and have
     answered since a call to it failed; a worker on probation takes one task.
     """
-    if not worker.present or worker.reported_at is None or worker.strays:
+    if not worker.present or worker.reported_at is None or worker.unexpected_runs:
         return False
     if worker.unanswered_at is not None:
         return False
-    if is_silent(worker, now) or worker.health is Health.ASIDE:
+    if is_silent(worker, now) or worker.health is Health.QUARANTINED:
         return False
     busy = tables.tasks.count_where("worker", worker.worker_id) > 0
     return worker.health is Health.HEALTHY or not busy
 
 
-def rooms_of(tables: CellOwnerTables, cell: str, now: float) -> tuple[Room, ...]:
+def candidates_of(
+    tables: CellOwnerTables, cell: str, now: float
+) -> tuple[Candidate, ...]:
     """Return the rooms of the workers of a cell that take tasks, by worker id."""
     return tuple(
-        Room(
+        Candidate(
             worker=worker,
             free=worker.capacity.minus(committed(tables, worker.worker_id)),
         )
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -26,12 +26,12 @@
 from bulrushpulley.systems.cell import place as cell_place
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import stop as cell_stop
+from bulrushpulley.systems.cell.candidates import committed
 from bulrushpulley.systems.cell.owner_events import CellStep
-from bulrushpulley.systems.cell.preempt import eviction, stopping_size
-from bulrushpulley.systems.cell.rooms import committed
+from bulrushpulley.systems.cell.preempt import eviction_commands, stopping_size
 from bulrushpulley.systems.cell.victims import (
     choose_victims,
-    evictable,
+    is_evictable,
 )
 
 EVICTIONS_PER_TICK = 64
@@ -120,7 +120,7 @@
     commands: list[Command] = []
     for task in _to_fit(over, soon, running):
         tables = cell_stop.plan_ending(tables, task, ending, now)
-        commands.extend(eviction(cell, task, ending.reason))
+        commands.extend(eviction_commands(cell, task, ending.reason))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -138,7 +138,7 @@
     if over.fits(soon):
         return ()
     victims = choose_victims(needed=over, free=soon, running=running)
-    return victims or tuple(task for task in running if evictable(task))
+    return victims or tuple(task for task in running if is_evictable(task))
 
 
 def give_back(tables: CellOwnerTables, now: float) -> CellStep:
--- a/bulrushpulley/systems/cell/interfere.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -21,34 +21,34 @@
 from bulrushpulley.systems.cell import throttle as cell_throttle
 from bulrushpulley.systems.cell.owner_events import CellStep
 from bulrushpulley.systems.cell.relief import (
-    Case,
+    ReliefCase,
     ReliefPolicy,
     ThrottleFirst,
-    line,
     relieve,
+    throttle_decision,
 )
 
-POLICY: ReliefPolicy = ThrottleFirst()
-SETTLE_S = cell_learn.USAGE_LAG_S + 5.0
-LONGEST_HOLD_S = 600.0
-STEP = 0.25
-SAFE = 0.9
-TRY_AFTER_HOLDS = 4
+RELIEF_POLICY: ReliefPolicy = ThrottleFirst()
+SETTLING_TIME_S = cell_learn.USAGE_LAG_S + 5.0
+MAX_HOLD_S = 600.0
+SHARE_STEP = 0.25
+SAFE_LATENCY_RATIO = 0.9
+FORCED_RAISE_AFTER_HOLDS = 4
 
 
-def interfere(tables: CellOwnerTables, now: float) -> CellStep:
+def limit_interference(tables: CellOwnerTables, now: float) -> CellStep:
     """Act on the workers of owned cells where services or throttles are measured."""
-    tables = _forget(tables)
+    tables = _drop_stale_latencies(tables)
     commands: list[Command] = []
     for cell in cell_evict.owned(tables):
         for worker in tables.workers.rows_where("cell", cell.name):
-            step = _look_after(cell, worker.worker_id, tables, now)
+            step = _relieve_worker(cell, worker.worker_id, tables, now)
             tables = step.tables
             commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _forget(tables: CellOwnerTables) -> CellOwnerTables:
+def _drop_stale_latencies(tables: CellOwnerTables) -> CellOwnerTables:
     """Drop the measurements of service tasks that no longer run."""
     latencies = tables.latencies
     for latency in latencies.rows():
@@ -59,25 +59,25 @@
     return replace(tables, latencies=latencies)
 
 
-def _look_after(
+def _relieve_worker(
     cell: Cell, worker_id: str, tables: CellOwnerTables, now: float
 ) -> CellStep:
     latencies = tables.latencies.rows_where("worker", worker_id)
-    suffering = [latency for latency in latencies if latency.suffering]
+    degraded = [latency for latency in latencies if latency.degraded]
     relief = tables.reliefs.get(worker_id)
-    if not suffering:
-        return _give_back(cell, worker_id, latencies, tables, now)
-    if relief is not None and now - relief.acted_at < SETTLE_S:
+    if not degraded:
+        return _raise_next_share(cell, worker_id, latencies, tables, now)
+    if relief is not None and now - relief.acted_at < SETTLING_TIME_S:
         return Step(tables=tables)
-    worst = max(suffering, key=lambda row: row.smoothed_ms / row.target_ms)
+    worst = max(degraded, key=lambda row: row.smoothed_ms / row.target_ms)
     task = tables.tasks.by_key[worst.task_key]
-    case = Case(cell=cell, latency=worst, department=task.row.spec.department)
-    step = relieve(POLICY, case, tables, now)
+    case = ReliefCase(cell=cell, latency=worst, department=task.row.spec.department)
+    step = relieve(RELIEF_POLICY, case, tables, now)
     if not step.commands:
         return step
-    hold_s = relief.hold_s if relief else SETTLE_S
-    if relief is not None and relief.gave_back:
-        hold_s = min(LONGEST_HOLD_S, 2 * hold_s)
+    hold_s = relief.hold_s if relief else SETTLING_TIME_S
+    if relief is not None and relief.raised_share:
+        hold_s = min(MAX_HOLD_S, 2 * hold_s)
     acted = Relief(worker_id=worker_id, acted_at=now, hold_s=hold_s)
     return Step(tables=_put_relief(step.tables, acted), commands=step.commands)
 
@@ -86,7 +86,7 @@
     return replace(tables, reliefs=tables.reliefs.put(relief.worker_id, relief))
 
 
-def _give_back(
+def _raise_next_share(
     cell: Cell,
     worker_id: str,
     latencies: list[ServiceLatency],
@@ -99,18 +99,18 @@
     throttled = [
         throttle
         for throttle in tables.throttles.rows_where("worker", worker_id)
-        if throttle.share < cell_throttle.WHOLE and throttle.confirmed
+        if throttle.share < cell_throttle.FULL_SHARE and throttle.confirmed
     ]
-    tries = now - relief.acted_at >= TRY_AFTER_HOLDS * relief.hold_s
+    forced = now - relief.acted_at >= FORCED_RAISE_AFTER_HOLDS * relief.hold_s
     for throttle in sorted(throttled, key=lambda row: (row.changed_at, row.task_key)):
         task = tables.tasks.get(throttle.task_key)
-        step = min(STEP, cell_throttle.WHOLE - throttle.share)
+        step = min(SHARE_STEP, cell_throttle.FULL_SHARE - throttle.share)
         if task is None:
             continue
-        if not tries and not _is_safe(tables, task, step, latencies):
+        if not forced and not _is_safe(tables, task, step, latencies):
             continue
         return _raise_share(cell, relief, task, throttle, step, tables, now)
-    if not throttled and now - relief.acted_at >= LONGEST_HOLD_S:
+    if not throttled and now - relief.acted_at >= MAX_HOLD_S:
         tables = replace(tables, reliefs=tables.reliefs.drop(worker_id))
     return Step(tables=tables)
 
@@ -122,7 +122,7 @@
     job = task.row.spec.record_key
     return all(
         latency.smoothed_ms + step * cell_learn.estimate(tables, latency.service, job)
-        <= SAFE * latency.target_ms
+        <= SAFE_LATENCY_RATIO * latency.target_ms
         for latency in latencies
     )
 
@@ -138,6 +138,9 @@
 ) -> CellStep:
     share = round(throttle.share + step, 2)
     tables = cell_throttle.set_share(tables, task, share, now)
-    given = replace(relief, acted_at=now, gave_back=True)
+    raised = replace(relief, acted_at=now, raised_share=True)
     reason = f"services are well; share {throttle.share:.2f} to {share:.2f}"
-    return Step(tables=_put_relief(tables, given), commands=(line(cell, task, reason),))
+    return Step(
+        tables=_put_relief(tables, raised),
+        commands=(throttle_decision(cell, task, reason),),
+    )
--- a/bulrushpulley/systems/cell/learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -24,14 +24,14 @@
 from bulrushpulley.entities.task import Phase, Task, task_key
 from bulrushpulley.entities.worker_calls import RunUsage, WorkerReported
 from bulrushpulley.systems import interference_step
-from bulrushpulley.systems.cell import suffer as cell_suffer
+from bulrushpulley.systems.cell import degradation as cell_degradation
 
 USAGE_LAG_S = 10.0
-OWN = ""
+SERVICE_ALONE = ""
 USAGE_WEIGHT = 0.2
 LATENCY_WEIGHT = 0.3
-OWN_PART_OF_TARGET = 0.5
-MAX_LEARNED = 2_048
+INITIAL_OWN_LATENCY_RATIO = 0.5
+MAX_LEARNED_ROWS = 2_048
 
 
 def learn(
@@ -41,7 +41,7 @@
     cell = tables.workers.by_key[event.worker_id].cell
     for usage in event.usages:
         task = tables.tasks.get(task_key(cell=cell, task_id=usage.task_id))
-        if task is None or not is_measured(task, usage, event.worker_id):
+        if task is None or not is_current_usage(task, usage, event.worker_id):
             continue
         if task.row.spec.task_class is TaskClass.BATCH:
             tables = _learn_usage(task, usage, tables, now)
@@ -50,7 +50,7 @@
     return tables
 
 
-def is_measured(task: Task, usage: RunUsage, worker_id: str) -> bool:
+def is_current_usage(task: Task, usage: RunUsage, worker_id: str) -> bool:
     """Tell whether a measurement is of the generation that runs now."""
     current = task.row.generation == usage.generation
     return current and task.phase is Phase.RUNNING and task.worker_id == worker_id
@@ -60,27 +60,27 @@
     task: Task, usage: RunUsage, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
     job = task.row.spec.record_key
-    share = share_then(tables.throttles.get(task.key), now)
+    share = measured_share(tables.throttles.get(task.key), now)
     processors_m = usage.processors_m / share
     known = tables.job_usages.get(job)
     learned = JobUsage(
         job=job,
-        processors_m=_mixed(known.processors_m if known else None, processors_m),
-        memory_mb=_mixed(known.memory_mb if known else None, usage.memory_mb),
+        processors_m=_smoothed(known.processors_m if known else None, processors_m),
+        memory_mb=_smoothed(known.memory_mb if known else None, usage.memory_mb),
         at=now,
     )
     usages = tables.job_usages.put(job, learned)
-    if len(usages) > MAX_LEARNED:
+    if len(usages) > MAX_LEARNED_ROWS:
         oldest = min(usages.rows(), key=lambda row: row.at)
         usages = usages.drop(oldest.job)
     return replace(tables, job_usages=usages)
 
 
-def _mixed(known: float | None, sample: float) -> float:
+def _smoothed(known: float | None, sample: float) -> float:
     return sample if known is None else known + USAGE_WEIGHT * (sample - known)
 
 
-def share_then(throttle: Throttle | None, now: float) -> float:
+def measured_share(throttle: Throttle | None, now: float) -> float:
     """Return the share that the measurements arriving now were taken under."""
     if throttle is None:
         return 1.0
@@ -101,7 +101,7 @@
     service = service_of(tables, task)
     if service is None:
         return tables
-    tables = _correct(service, task.worker_id, sample_ms, tables, now)
+    tables = _correct_harms(service, task.worker_id, sample_ms, tables, now)
     target_ms = float(service.latency_target_ms)
     known = tables.latencies.get(task.key)
     if known is None or known.generation != task.row.generation:
@@ -116,11 +116,11 @@
         )
     smoothed_ms = known.smoothed_ms + LATENCY_WEIGHT * (sample_ms - known.smoothed_ms)
     latency = replace(known, smoothed_ms=smoothed_ms, target_ms=target_ms)
-    judged = cell_suffer.judge(latency, now)
+    judged = cell_degradation.update_degraded(latency, now)
     return replace(tables, latencies=tables.latencies.put(task.key, judged))
 
 
-def _shares_beside(
+def _shares_by_job(
     tables: CellOwnerTables, worker_id: str, now: float
 ) -> Mapping[str, float]:
     """Return by job the sum of the shares that ran when the sample was taken."""
@@ -129,19 +129,19 @@
         ran = task.phase is Phase.RUNNING and now - task.since >= USAGE_LAG_S
         if ran and task.row.spec.task_class is TaskClass.BATCH:
             job = task.row.spec.record_key
-            share = share_then(tables.throttles.get(task.key), now)
+            share = measured_share(tables.throttles.get(task.key), now)
             by_job[job] = by_job.get(job, 0.0) + share
     return by_job
 
 
-def _correct(
+def _correct_harms(
     service: ServiceRecord,
     worker_id: str,
     sample_ms: float,
     tables: CellOwnerTables,
     now: float,
 ) -> CellOwnerTables:
-    share_by_job = {OWN: 1.0, **_shares_beside(tables, worker_id, now)}
+    share_by_job = {SERVICE_ALONE: 1.0, **_shares_by_job(tables, worker_id, now)}
     target_ms = float(service.latency_target_ms)
     harms = [harm_of(tables, service.name, job, target_ms, now) for job in share_by_job]
     for harm in interference_step.corrected(harms, share_by_job, sample_ms, now):
@@ -154,7 +154,7 @@
 ) -> Harm:
     """Return what is known of a job's harm, or the first guess."""
     known = tables.harms.get(harm_key(service=service, job=job))
-    first_ms = 0.0 if job else OWN_PART_OF_TARGET * target_ms
+    first_ms = 0.0 if job else INITIAL_OWN_LATENCY_RATIO * target_ms
     return known or Harm(
         service=service, job=job, estimate_ms=first_ms, variance=1.0, at=now
     )
@@ -168,7 +168,7 @@
 
 def _put_harm(tables: CellOwnerTables, harm: Harm) -> CellOwnerTables:
     harms = tables.harms.put(harm_key(service=harm.service, job=harm.job), harm)
-    if len(harms) > MAX_LEARNED:
+    if len(harms) > MAX_LEARNED_ROWS:
         oldest = min(harms.rows(), key=lambda row: row.at)
         harms = harms.drop(harm_key(service=oldest.service, job=oldest.job))
     return replace(tables, harms=harms)
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import HELD, CellPhase, alive_key, lease_key
+from bulrushpulley.entities.cell import HELD_PHASES, CellPhase, alive_key, lease_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.in_flight import (
@@ -33,7 +33,7 @@
 def refetch(tables: CellOwnerTables, now: float) -> CellStep:
     """Read the rows of each held cell for which a reading is due."""
     for cell in tables.cells.rows():
-        if cell.phase in HELD and now >= cell.refetch_at:
+        if cell.phase in HELD_PHASES and now >= cell.refetch_at:
             tables = cell_send.read(
                 tables,
                 purpose=ReadTasks(cell=cell.name),
@@ -107,7 +107,7 @@
     purpose: ReadTasks, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
     cell = tables.cells.get(purpose.cell)
-    if cell is None or cell.phase not in HELD:
+    if cell is None or cell.phase not in HELD_PHASES:
         return Step(tables=tables)
     if event.failed:
         later = replace(cell, refetch_at=now + 1.0)
--- a/bulrushpulley/systems/cell/neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -11,29 +11,33 @@
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.task import Task
 from bulrushpulley.systems.cell import learn as cell_learn
-from bulrushpulley.systems.cell.choice import Room
-from bulrushpulley.systems.cell.relief import LEAST_HARM
+from bulrushpulley.systems.cell.placement_policy import Candidate
+from bulrushpulley.systems.cell.relief import MIN_HARM_RATIO
 
-PROBE_S = cell_learn.USAGE_LAG_S + 5.0
+FIRST_EFFECT_WAIT_S = cell_learn.USAGE_LAG_S + 5.0
 
 
 def with_neighbours(
-    tables: CellOwnerTables, task: Task, rooms: Iterable[Room], now: float
-) -> tuple[Room, ...]:
+    tables: CellOwnerTables, task: Task, candidates: Iterable[Candidate], now: float
+) -> tuple[Candidate, ...]:
     """Return the rooms with what a task would meet and cause there."""
     if task.row.spec.task_class is TaskClass.BATCH:
         return tuple(
             replace(
-                room,
-                expected_part=_with_job(tables, task, room.worker.worker_id),
-                probed=_is_probed(tables, task, room.worker.worker_id, now),
+                candidate,
+                expected_latency_ratio=_latency_ratio_with_job(
+                    tables, task, candidate.worker.worker_id
+                ),
+                effect_pending=_is_effect_pending(
+                    tables, task, candidate.worker.worker_id, now
+                ),
             )
-            for room in rooms
+            for candidate in candidates
         )
-    return _for_service(tables, task, tuple(rooms))
+    return _for_service(tables, task, tuple(candidates))
 
 
-def note_start(
+def record_first_start(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
     """Note the first start of a job beside a service."""
@@ -42,16 +46,18 @@
     if job in tables.job_starts or not beside:
         return tables
     starts = tables.job_starts.put(job, JobStart(job=job, at=now))
-    if len(starts) > cell_learn.MAX_LEARNED:
+    if len(starts) > cell_learn.MAX_LEARNED_ROWS:
         starts = starts.drop(min(starts.rows(), key=lambda row: row.at).job)
     return replace(tables, job_starts=starts)
 
 
-def _is_probed(tables: CellOwnerTables, task: Task, worker_id: str, now: float) -> bool:
+def _is_effect_pending(
+    tables: CellOwnerTables, task: Task, worker_id: str, now: float
+) -> bool:
     """Tell whether the effect of a first task beside a service is not measured yet."""
     job = task.row.spec.record_key
     start = tables.job_starts.get(job)
-    if start is None or now - start.at >= PROBE_S:
+    if start is None or now - start.at >= FIRST_EFFECT_WAIT_S:
         return False
     if not tables.latencies.count_where("worker", worker_id):
         return False
@@ -59,7 +65,9 @@
     return any(sibling.worker_id == worker_id for sibling in siblings)
 
 
-def _with_job(tables: CellOwnerTables, task: Task, worker_id: str) -> float:
+def _latency_ratio_with_job(
+    tables: CellOwnerTables, task: Task, worker_id: str
+) -> float:
     """Return the expected latency, as a part of its target, of the worst service.
 
     It is zero if the job is not known to harm a service there.
@@ -68,7 +76,7 @@
     worst = 0.0
     for latency in tables.latencies.rows_where("worker", worker_id):
         added_ms = cell_learn.estimate(tables, latency.service, job)
-        if added_ms < LEAST_HARM * latency.target_ms:
+        if added_ms < MIN_HARM_RATIO * latency.target_ms:
             continue
         modelled_ms = _modelled_ms(tables, latency.service, worker_id)
         expected_ms = max(latency.smoothed_ms, modelled_ms) + added_ms
@@ -90,8 +98,8 @@
 
 
 def _for_service(
-    tables: CellOwnerTables, task: Task, rooms: tuple[Room, ...]
-) -> tuple[Room, ...]:
+    tables: CellOwnerTables, task: Task, candidates: tuple[Candidate, ...]
+) -> tuple[Candidate, ...]:
     spec = task.row.spec
     record = cell_learn.service_of(tables, task)
     target_ms = float(record.latency_target_ms) if record else 1.0
@@ -104,11 +112,13 @@
             by_rack[worker.rack] += count
     return tuple(
         replace(
-            room,
-            replicas=by_worker[room.worker.worker_id],
-            rack_replicas=by_rack[room.worker.rack],
-            expected_part=_modelled_ms(tables, spec.job, room.worker.worker_id)
+            candidate,
+            replicas=by_worker[candidate.worker.worker_id],
+            rack_replicas=by_rack[candidate.worker.rack],
+            expected_latency_ratio=_modelled_ms(
+                tables, spec.job, candidate.worker.worker_id
+            )
             / target_ms,
         )
-        for room in rooms
+        for candidate in candidates
     )
--- a/bulrushpulley/systems/cell/outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import HELD, CellPhase, lease_key
+from bulrushpulley.entities.cell import HELD_PHASES, CellPhase, lease_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
@@ -25,7 +25,7 @@
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
-FENCED = HELD | {CellPhase.RELEASING}
+FENCED = HELD_PHASES | {CellPhase.RELEASING}
 
 
 @singledispatch
--- a/bulrushpulley/systems/cell/owner_events.py
+++ b/bulrushpulley/systems/cell/owner_events.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import HELD, Cell, CellPhase
+from bulrushpulley.entities.cell import HELD_PHASES, Cell, CellPhase
 from bulrushpulley.entities.cell_owner_tables import (
     Cancelling,
     CellOwnerTables,
@@ -73,7 +73,7 @@
 @apply.register
 def _(event: Assigned, tables: CellOwnerTables, now: float) -> CellStep:
     cell = tables.cells.get(event.cell)
-    if cell is None or cell.phase not in HELD:
+    if cell is None or cell.phase not in HELD_PHASES:
         return Step(tables=tables)
     for found in event.rows:
         tables, _ = cell_rows.adopt_task(found, tables, now)
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -19,20 +19,20 @@
 from bulrushpulley.systems.cell import neighbours as cell_neighbours
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import start as cell_start
-from bulrushpulley.systems.cell.choice import (
+from bulrushpulley.systems.cell.candidates import candidates_of
+from bulrushpulley.systems.cell.owner_events import CellStep
+from bulrushpulley.systems.cell.placement_policy import (
+    Candidate,
     Choice,
-    Policy,
-    Room,
+    PlacementPolicy,
     choose_worker,
 )
-from bulrushpulley.systems.cell.owner_events import CellStep
-from bulrushpulley.systems.cell.preempt import make_room
-from bulrushpulley.systems.cell.rooms import rooms_of
-from bulrushpulley.systems.cell.spread import SpreadAndPack
+from bulrushpulley.systems.cell.preempt import preempt_batch_tasks
+from bulrushpulley.systems.cell.spread_and_pack import SpreadAndPack
 from bulrushpulley.systems.cell.victims import may_preempt
 
-PLACED_PER_TICK = 128
-POLICY: Policy = SpreadAndPack()
+MAX_PLACEMENTS_PER_TICK = 128
+PLACEMENT_POLICY: PlacementPolicy = SpreadAndPack()
 
 
 def place(tables: CellOwnerTables, now: float) -> CellStep:
@@ -54,7 +54,7 @@
     return not allowed or failure_domain in allowed
 
 
-def order(task: Task) -> tuple[bool, bool, int, float, str]:
+def placement_order(task: Task) -> tuple[bool, bool, int, float, str]:
     """Return the sort key: latency-critical, urgent, priority, then age."""
     spec = task.row.spec
     batch = spec.task_class is TaskClass.BATCH
@@ -65,7 +65,7 @@
 class Placement:
     """The state of one pass over the waiting tasks of a cell."""
 
-    rooms: Mapping[str, Room]
+    candidates: Mapping[str, Candidate]
     tables: CellOwnerTables
     commands: tuple[Command, ...] = ()
 
@@ -78,36 +78,39 @@
         for task in tables.tasks.rows_where("phase", value)
         if now >= task.retry_at and may_run_in(task, domain)
     ]
-    waiting = sorted(ready, key=order)
+    waiting = sorted(ready, key=placement_order)
     if not waiting:
         idle = replace(cell, place_due=False)
         return Step(tables=cell_rows.put_cell(tables, idle))
-    rooms = {room.worker.worker_id: room for room in rooms_of(tables, cell.name, now)}
-    passed = Placement(rooms=rooms, tables=tables)
-    for task in waiting[:PLACED_PER_TICK]:
-        passed = _place_task(cell, task, passed, now)
-    left = len(waiting) > PLACED_PER_TICK
-    done = replace(passed.tables.cells.by_key[cell.name], place_due=left)
-    tables = cell_rows.put_cell(passed.tables, done)
-    return Step(tables=tables, commands=passed.commands)
-
-
-def _place_task(cell: Cell, task: Task, passed: Placement, now: float) -> Placement:
-    tables, rooms = passed.tables, passed.rooms
-    avoid = failed_on(tables, task)
-    sound = sound_rooms(tables, task, tuple(rooms.values()))
-    known = cell_neighbours.with_neighbours(tables, task, sound, now)
-    choice = choose_worker(POLICY, task, known, avoid, now)
+    candidates = {
+        candidate.worker.worker_id: candidate
+        for candidate in candidates_of(tables, cell.name, now)
+    }
+    placement = Placement(candidates=candidates, tables=tables)
+    for task in waiting[:MAX_PLACEMENTS_PER_TICK]:
+        placement = _place_task(cell, task, placement, now)
+    left = len(waiting) > MAX_PLACEMENTS_PER_TICK
+    done = replace(placement.tables.cells.by_key[cell.name], place_due=left)
+    tables = cell_rows.put_cell(placement.tables, done)
+    return Step(tables=tables, commands=placement.commands)
+
+
+def _place_task(cell: Cell, task: Task, placement: Placement, now: float) -> Placement:
+    tables, candidates = placement.tables, placement.candidates
+    avoid = workers_with_failures_of(tables, task)
+    untried = without_failed_workers(tables, task, tuple(candidates.values()))
+    with_known_neighbours = cell_neighbours.with_neighbours(tables, task, untried, now)
+    choice = choose_worker(PLACEMENT_POLICY, task, with_known_neighbours, avoid, now)
     if choice.worker_id:
-        tables = cell_neighbours.note_start(tables, task, choice.worker_id, now)
+        tables = cell_neighbours.record_first_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
         line = _decision(cell, task, choice, tables)
         return Placement(
-            rooms=_taken(rooms, choice.worker_id, task),
+            candidates=_with_task_placed(candidates, choice.worker_id, task),
             tables=started,
-            commands=(*passed.commands, line),
+            commands=(*placement.commands, line),
         )
-    commands = passed.commands
+    commands = placement.commands
     if task.skipped != choice.reason:
         skipped = replace(task, skipped=choice.reason)
         tables = cell_rows.put_task(tables, skipped)
@@ -116,36 +119,40 @@
         later = replace(task, skipped=choice.reason, retry_at=now + choice.retry_s)
         tables = cell_rows.put_task(tables, later)
     if not may_preempt(task):
-        return Placement(rooms=rooms, tables=tables, commands=commands)
-    made = make_room(cell, task, rooms.values(), tables, now)
+        return Placement(candidates=candidates, tables=tables, commands=commands)
+    preemption = preempt_batch_tasks(cell, task, candidates.values(), tables, now)
     return Placement(
-        rooms=_without(rooms, made.worker_id),
-        tables=made.tables,
-        commands=(*commands, *made.commands),
+        candidates=_without_worker(candidates, preemption.worker_id),
+        tables=preemption.tables,
+        commands=(*commands, *preemption.commands),
     )
 
 
-def _without(rooms: Mapping[str, Room], worker_id: str) -> Mapping[str, Room]:
-    return {key: room for key, room in rooms.items() if key != worker_id}
+def _without_worker(
+    candidates: Mapping[str, Candidate], worker_id: str
+) -> Mapping[str, Candidate]:
+    return {key: candidate for key, candidate in candidates.items() if key != worker_id}
 
 
-def _taken(rooms: Mapping[str, Room], worker_id: str, task: Task) -> Mapping[str, Room]:
-    room = rooms[worker_id]
-    if room.worker.health is Health.PROBING:
-        return _without(rooms, worker_id)
-    left = replace(room, free=room.free.minus(task.row.spec.size))
-    return {**rooms, worker_id: left}
+def _with_task_placed(
+    candidates: Mapping[str, Candidate], worker_id: str, task: Task
+) -> Mapping[str, Candidate]:
+    candidate = candidates[worker_id]
+    if candidate.worker.health is Health.PROBING:
+        return _without_worker(candidates, worker_id)
+    left = replace(candidate, free=candidate.free.minus(task.row.spec.size))
+    return {**candidates, worker_id: left}
 
 
-def failed_on(tables: CellOwnerTables, task: Task) -> frozenset[str]:
+def workers_with_failures_of(tables: CellOwnerTables, task: Task) -> frozenset[str]:
     """Return the workers on which tasks of the same record have failed."""
     failures = tables.failures.rows_where("record", task.row.spec.record_key)
     return frozenset(failure.worker_id for failure in failures)
 
 
-def sound_rooms(
-    tables: CellOwnerTables, task: Task, rooms: Sequence[Room]
-) -> tuple[Room, ...]:
+def without_failed_workers(
+    tables: CellOwnerTables, task: Task, candidates: Sequence[Candidate]
+) -> tuple[Candidate, ...]:
     """Leave out the workers on which this very task failed, while others could run it.
 
     A worker that fails everything is always the emptiest one; a task that came back
@@ -153,11 +160,15 @@
     """
     failures = tables.failures.rows_where("task", task.key)
     failed = {failure.worker_id for failure in failures}
-    sound = tuple(room for room in rooms if room.worker.worker_id not in failed)
+    untried = tuple(
+        candidate
+        for candidate in candidates
+        if candidate.worker.worker_id not in failed
+    )
     size = task.row.spec.size
-    if any(size.fits(room.worker.capacity) for room in sound):
-        return sound
-    return tuple(rooms)
+    if any(size.fits(candidate.worker.capacity) for candidate in untried):
+        return untried
+    return tuple(candidates)
 
 
 def _decision(
--- a/bulrushpulley/systems/cell/choice.py
+++ b/bulrushpulley/systems/cell/placement_policy.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Room:
+class Candidate:
     """A worker that takes tasks, what it has left, and a task's neighbours there.
 
     `replicas` and `rack_replicas` count the tasks of the same service on the worker
@@ -25,8 +25,8 @@
     free: Resources
     replicas: int = 0
     rack_replicas: int = 0
-    expected_part: float = 0.0
-    probed: bool = False
+    expected_latency_ratio: float = 0.0
+    effect_pending: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,20 +43,20 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Policy:
+class PlacementPolicy:
     """The base of the placement policies."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class FirstFit(Policy):
+class FirstFit(PlacementPolicy):
     """Takes the first worker, by id, that has room."""
 
 
 @singledispatch
 def choose_worker(
-    policy: Policy,
+    policy: PlacementPolicy,
     task: Task,
-    rooms: Sequence[Room],
+    candidates: Sequence[Candidate],
     avoid: frozenset[str],
     now: float,
 ) -> Choice:
@@ -68,18 +68,26 @@
 def _(
     policy: FirstFit,
     task: Task,
-    rooms: Sequence[Room],
+    candidates: Sequence[Candidate],
     avoid: frozenset[str],
     now: float,
 ) -> Choice:
     size = task.row.spec.size
-    fitting = [room.worker.worker_id for room in rooms if size.fits(room.free)]
-    full = tuple(room.worker.worker_id for room in rooms if not size.fits(room.free))
+    fitting = [
+        candidate.worker.worker_id
+        for candidate in candidates
+        if size.fits(candidate.free)
+    ]
+    full = tuple(
+        candidate.worker.worker_id
+        for candidate in candidates
+        if not size.fits(candidate.free)
+    )
     preferred = [worker_id for worker_id in fitting if worker_id not in avoid]
     if preferred:
         return Choice(worker_id=preferred[0], reason="first fit", passed_over=full)
     if fitting:
         reason = "first fit, though its job failed there"
         return Choice(worker_id=fitting[0], reason=reason, passed_over=full)
-    reason = "no worker has room" if rooms else "no worker takes tasks"
+    reason = "no worker has room" if candidates else "no worker takes tasks"
     return Choice(worker_id="", reason=reason, passed_over=full)
--- a/bulrushpulley/systems/cell/preempt.py
+++ b/bulrushpulley/systems/cell/preempt.py
@@ -8,11 +8,11 @@
 from bulrushpulley.entities.cell import Cell
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.observe import Count, Decision
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase, Requeue, Task
 from bulrushpulley.systems.cell import stop as cell_stop
-from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.placement_policy import Candidate
 from bulrushpulley.systems.cell.victims import choose_victims
 
 
@@ -27,38 +27,42 @@
 
 def stopping_size(tasks: Iterable[Task]) -> Resources:
     """Return what tasks that are being stopped will soon set free."""
-    total = NOTHING
+    total = NO_RESOURCES
     for task in tasks:
         if task.phase is Phase.STOPPING:
             total = total.plus(task.row.spec.size)
     return total
 
 
-def make_room(
-    cell: Cell, task: Task, rooms: Iterable[Room], tables: CellOwnerTables, now: float
+def preempt_batch_tasks(
+    cell: Cell,
+    task: Task,
+    candidates: Iterable[Candidate],
+    tables: CellOwnerTables,
+    now: float,
 ) -> Preemption:
     """Evict from the first worker on which a task fits without its batch tasks.
 
     Nothing more is evicted where tasks that are stopping already make the room.
     """
     size = task.row.spec.size
-    for room in rooms:
-        worker_id = room.worker.worker_id
+    for candidate in candidates:
+        worker_id = candidate.worker.worker_id
         running = tables.tasks.rows_where("worker", worker_id)
-        soon = room.free.plus(stopping_size(running))
-        victims = choose_victims(needed=size, free=soon, running=running)
-        if not victims and not size.fits(soon):
+        free_after_stops = candidate.free.plus(stopping_size(running))
+        victims = choose_victims(needed=size, free=free_after_stops, running=running)
+        if not victims and not size.fits(free_after_stops):
             continue
         commands: list[Command] = []
         for victim in victims:
             ending = Requeue(reason=f"evicted for {task.row.spec.task_id}")
             tables = cell_stop.plan_ending(tables, victim, ending, now)
-            commands.extend(eviction(cell, victim, ending.reason))
+            commands.extend(eviction_commands(cell, victim, ending.reason))
         return Preemption(worker_id=worker_id, tables=tables, commands=tuple(commands))
     return Preemption(worker_id="", tables=tables)
 
 
-def eviction(cell: Cell, task: Task, reason: str) -> tuple[Command, ...]:
+def eviction_commands(cell: Cell, task: Task, reason: str) -> tuple[Command, ...]:
     """Return the decision line of an eviction and its count."""
     line = Decision(
         kind="task.evict",
--- a/bulrushpulley/systems/cell/sick.py
+++ b/bulrushpulley/systems/cell/quarantine.py
@@ -18,14 +18,14 @@
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell.owner_events import CellStep
 
-SICK_JOBS = 2
-SICK_TASKS = 4
-BACKOFF_S = 30.0
-MAX_BACKOFF_S = 600.0
-EVIDENCE_S = 900.0
+MIN_EVIDENCE_JOBS = 2
+MIN_EVIDENCE_TASKS = 4
+QUARANTINE_BACKOFF_S = 30.0
+MAX_QUARANTINE_BACKOFF_S = 600.0
+EVIDENCE_RETENTION_S = 900.0
 
 
-def is_sick(tables: CellOwnerTables, worker_id: str) -> bool:
+def is_faulty(tables: CellOwnerTables, worker_id: str) -> bool:
     """Judge a worker by the failures on it that speak against it."""
     own = [
         failure
@@ -33,7 +33,7 @@
         if failure.proven or not fails_elsewhere(tables, failure)
     ]
     jobs = {failure.record_key for failure in own}
-    return len(jobs) >= SICK_JOBS or len(own) >= SICK_TASKS
+    return len(jobs) >= MIN_EVIDENCE_JOBS or len(own) >= MIN_EVIDENCE_TASKS
 
 
 def fails_elsewhere(tables: CellOwnerTables, failure: Failure) -> bool:
@@ -53,23 +53,25 @@
         at=now,
     )
     key = f"{worker.worker_id}|{task.key}"
-    tables = _forget_old(tables, worker.worker_id, now)
+    tables = _drop_expired_evidence(tables, worker.worker_id, now)
     tables = replace(tables, failures=tables.failures.put(key, failure))
-    if worker.health is Health.ASIDE:
+    if worker.health is Health.QUARANTINED:
         return tables, False, ()
     if worker.health is Health.PROBING:
-        tables, commands = _set_aside(tables, worker, now)
+        tables, commands = _quarantine(tables, worker, now)
         return tables, False, commands
-    if is_sick(tables, worker.worker_id):
-        tables, commands = _set_aside(tables, worker, now)
-        return _refund(tables, worker.worker_id), False, commands
-    return _clear_workers(tables, failure), True, ()
+    if is_faulty(tables, worker.worker_id):
+        tables, commands = _quarantine(tables, worker, now)
+        return _restore_attempts(tables, worker.worker_id), False, commands
+    return _return_workers_to_service(tables, failure), True, ()
 
 
-def _forget_old(tables: CellOwnerTables, worker_id: str, now: float) -> CellOwnerTables:
+def _drop_expired_evidence(
+    tables: CellOwnerTables, worker_id: str, now: float
+) -> CellOwnerTables:
     failures = tables.failures
     for key in list(failures.keys_where("worker", worker_id)):
-        if now - failures.by_key[key].at >= EVIDENCE_S:
+        if now - failures.by_key[key].at >= EVIDENCE_RETENTION_S:
             failures = failures.drop(key)
     return replace(tables, failures=failures)
 
@@ -78,7 +80,7 @@
     tables: CellOwnerTables, task: Task, worker: Worker, now: float
 ) -> CellStep:
     """Clear a worker on which a task succeeded, and judge where it failed before."""
-    tables = cleared(tables, worker)
+    tables = return_to_service(tables, worker)
     commands: tuple[Command, ...] = ()
     for failure in tables.failures.rows_where("task", task.key):
         key = f"{failure.worker_id}|{failure.task_key}"
@@ -87,14 +89,14 @@
         other = tables.workers.get(failure.worker_id)
         if other is None or other.health is not Health.HEALTHY:
             continue
-        if is_sick(tables, other.worker_id):
-            tables, aside = _set_aside(tables, other, now)
-            tables = _refund(tables, other.worker_id)
+        if is_faulty(tables, other.worker_id):
+            tables, aside = _quarantine(tables, other, now)
+            tables = _restore_attempts(tables, other.worker_id)
             commands = (*commands, *aside)
     return Step(tables=tables, commands=commands)
 
 
-def cleared(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
+def return_to_service(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
     """Drop the evidence against a worker and return it to service."""
     failures = tables.failures
     for key in list(failures.keys_where("worker", worker.worker_id)):
@@ -107,12 +109,17 @@
     return cell_rows.touch_cell(tables, worker.cell)
 
 
-def _set_aside(
+def _quarantine(
     tables: CellOwnerTables, worker: Worker, now: float
 ) -> tuple[CellOwnerTables, tuple[Command, ...]]:
-    backoff = min(MAX_BACKOFF_S, max(BACKOFF_S, 2 * worker.backoff_s))
+    backoff = min(
+        MAX_QUARANTINE_BACKOFF_S, max(QUARANTINE_BACKOFF_S, 2 * worker.backoff_s)
+    )
     aside = replace(
-        worker, health=Health.ASIDE, backoff_s=backoff, aside_until=now + backoff
+        worker,
+        health=Health.QUARANTINED,
+        backoff_s=backoff,
+        quarantined_until=now + backoff,
     )
     tables = cell_rows.put_worker(tables, aside)
     tables = cell_rows.touch_cell(tables, worker.cell)
@@ -125,7 +132,7 @@
     return tables, (decision,)
 
 
-def _refund(tables: CellOwnerTables, worker_id: str) -> CellOwnerTables:
+def _restore_attempts(tables: CellOwnerTables, worker_id: str) -> CellOwnerTables:
     """Take back the attempts that tasks lost on a worker now known to be sick."""
     for failure in tables.failures.rows_where("worker", worker_id):
         task = tables.tasks.get(failure.task_key)
@@ -138,23 +145,25 @@
     return tables
 
 
-def _clear_workers(tables: CellOwnerTables, failure: Failure) -> CellOwnerTables:
+def _return_workers_to_service(
+    tables: CellOwnerTables, failure: Failure
+) -> CellOwnerTables:
     """Return workers to service that a job, now seen to be at fault, put aside."""
     for other in tables.failures.rows_where("record", failure.record_key):
         worker = tables.workers.get(other.worker_id)
         if worker is None or worker.health is Health.HEALTHY:
             continue
-        if not is_sick(tables, worker.worker_id):
+        if not is_faulty(tables, worker.worker_id):
             sound = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
             tables = cell_rows.put_worker(tables, sound)
             tables = cell_rows.touch_cell(tables, worker.cell)
     return tables
 
 
-def probe(tables: CellOwnerTables, now: float) -> CellStep:
+def probe_quarantined(tables: CellOwnerTables, now: float) -> CellStep:
     """Put workers on probation whose backoff has passed."""
     for worker in tables.workers.rows():
-        if worker.health is Health.ASIDE and now >= worker.aside_until:
+        if worker.health is Health.QUARANTINED and now >= worker.quarantined_until:
             probing = replace(worker, health=Health.PROBING)
             tables = cell_rows.put_worker(tables, probing)
             tables = cell_rows.touch_cell(tables, worker.cell)
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.cell import HELD, Cell, CellPhase, lease_key
+from bulrushpulley.entities.cell import HELD_PHASES, Cell, CellPhase, lease_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerDone, CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
@@ -40,7 +40,7 @@
         elif not cell.release_by:
             patient = replace(cell, release_by=now + RELEASE_WITHIN_S)
             tables = cell_rows.put_cell(tables, patient)
-        elif cell.phase in HELD and quiet(tables, cell, now):
+        elif cell.phase in HELD_PHASES and quiet(tables, cell, now):
             tables = _submit_release(tables, cell, now)
     overdue = all(0 < cell.release_by <= now for cell in tables.cells.rows())
     if len(tables.cells) and not overdue:
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -23,19 +23,19 @@
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import throttle as cell_throttle
 from bulrushpulley.systems.cell.owner_events import CellStep
-from bulrushpulley.systems.cell.preempt import eviction
-from bulrushpulley.systems.cell.victims import evictable
+from bulrushpulley.systems.cell.preempt import eviction_commands
+from bulrushpulley.systems.cell.victims import is_evictable
 
-AIM = 0.75
-LEAST_HARM = 0.05
-FLOOR = 0.25
-LOWEST_FLOOR = 0.05
-HIGHEST_FLOOR = 0.5
-PATIENCE_S = 30.0
-SHORTEST_PATIENCE_S = 15.0
-LONGEST_PATIENCE_S = 240.0
-UNSAVED_FACTOR = 2.0
-LEAST_CUT = 0.05
+RELIEF_GOAL_LATENCY_RATIO = 0.75
+MIN_HARM_RATIO = 0.05
+BASE_MIN_SHARE = 0.25
+LEAST_MIN_SHARE = 0.05
+GREATEST_MIN_SHARE = 0.5
+BASE_EVICTION_DELAY_S = 30.0
+MIN_EVICTION_DELAY_S = 15.0
+MAX_EVICTION_DELAY_S = 240.0
+NO_CHECKPOINT_LOSS_FACTOR = 2.0
+MIN_SHARE_CUT = 0.05
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,12 +54,12 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class LeaveAlone(ReliefPolicy):
+class NoRelief(ReliefPolicy):
     """Does nothing."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Case:
+class ReliefCase:
     """The service task that suffers most on a worker."""
 
     cell: Cell
@@ -69,73 +69,88 @@
 
 @singledispatch
 def relieve(
-    policy: ReliefPolicy, case: Case, tables: CellOwnerTables, now: float
+    policy: ReliefPolicy, case: ReliefCase, tables: CellOwnerTables, now: float
 ) -> CellStep:
     """Take one measure for a suffering service; no commands if there is none."""
     raise NotImplementedError(type(policy).__name__)
 
 
 @relieve.register
-def _(policy: LeaveAlone, case: Case, tables: CellOwnerTables, now: float) -> CellStep:
+def _(
+    policy: NoRelief, case: ReliefCase, tables: CellOwnerTables, now: float
+) -> CellStep:
     return Step(tables=tables)
 
 
 @relieve.register
-def _(policy: EvictNewest, case: Case, tables: CellOwnerTables, now: float) -> CellStep:
-    beside = _beside(tables, case)
-    if not beside:
+def _(
+    policy: EvictNewest, case: ReliefCase, tables: CellOwnerTables, now: float
+) -> CellStep:
+    neighbours = _evictable_neighbours(tables, case)
+    if not neighbours:
         return Step(tables=tables)
-    newest = max(beside, key=lambda task: (task.since, task.key))
+    newest = max(neighbours, key=lambda task: (task.since, task.key))
     return _evict(case, newest, tables, now)
 
 
 @relieve.register
 def _(
-    policy: ThrottleFirst, case: Case, tables: CellOwnerTables, now: float
+    policy: ThrottleFirst, case: ReliefCase, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    beside = sorted(_beside(tables, case), key=lambda task: _rank(tables, case, task))
-    loose = [
+    neighbours = sorted(
+        _evictable_neighbours(tables, case),
+        key=lambda task: _harm_order(tables, case, task),
+    )
+    throttleable = [
         task
-        for task in beside
-        if cell_throttle.share_of(tables, task) - _floor(tables, case, task)
-        >= LEAST_CUT
+        for task in neighbours
+        if cell_throttle.share_of(tables, task) - _min_share(tables, case, task)
+        >= MIN_SHARE_CUT
     ]
-    harmful = [task for task in loose if _harm_ms(tables, case, task) >= _least(case)]
-    if harmful or loose:
-        return _throttle(case, harmful or loose[:1], tables, now)
-    patient = [task for task in beside if _is_evictable(tables, case, task, now)]
-    if not patient:
+    harmful = [
+        task
+        for task in throttleable
+        if _harm_ms(tables, case, task) >= _min_harm_ms(case)
+    ]
+    if harmful or throttleable:
+        return _throttle(case, harmful or throttleable[:1], tables, now)
+    due = [task for task in neighbours if _is_eviction_due(tables, case, task, now)]
+    if not due:
         return Step(tables=tables)
-    victim = min(patient, key=lambda task: (loss_s(task, now), task.key))
+    victim = min(due, key=lambda task: (lost_work_s(task, now), task.key))
     return _evict(case, victim, tables, now)
 
 
-def _beside(tables: CellOwnerTables, case: Case) -> list[Task]:
+def _evictable_neighbours(tables: CellOwnerTables, case: ReliefCase) -> list[Task]:
     tasks = tables.tasks.rows_where("worker", case.latency.worker_id)
-    return [task for task in tasks if evictable(task) and task.phase is Phase.RUNNING]
+    return [
+        task for task in tasks if is_evictable(task) and task.phase is Phase.RUNNING
+    ]
 
 
-def _harm_ms(tables: CellOwnerTables, case: Case, task: Task) -> float:
+def _harm_ms(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     """Return what a task adds to the latency at its present share."""
     job = task.row.spec.record_key
     harm = cell_learn.estimate(tables, case.latency.service, job)
     return harm * cell_throttle.share_of(tables, task)
 
 
-def _least(case: Case) -> float:
-    return LEAST_HARM * case.latency.target_ms
+def _min_harm_ms(case: ReliefCase) -> float:
+    return MIN_HARM_RATIO * case.latency.target_ms
 
 
-def _rank(tables: CellOwnerTables, case: Case, task: Task) -> tuple[float, float, str]:
+def _harm_order(
+    tables: CellOwnerTables, case: ReliefCase, task: Task
+) -> tuple[float, float, str]:
     """Order by learned harm; where none is known, by the processors used."""
     used = tables.job_usages.get(task.row.spec.record_key)
     processors = used.processors_m if used else task.row.spec.size.processors_m
     return (-_harm_ms(tables, case, task), -processors, task.key)
 
 
-def loss_s(task: Task, now: float) -> float:
+def lost_work_s(task: Task, now: float) -> float:
     """Return the work at stake: more for a task that never showed a checkpoint."""
-    factor = 1.0 if task.row.checkpoint else UNSAVED_FACTOR
+    factor = 1.0 if task.row.checkpoint else NO_CHECKPOINT_LOSS_FACTOR
     return factor * (now - task.since)
 
 
@@ -148,58 +163,60 @@
     return PolicyRecord(name="", department=department)
 
 
-def _cost_ratio(tables: CellOwnerTables, case: Case, task: Task) -> float:
+def _cost_ratio(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     """Return the cost of an eviction of a task against that of latency."""
     latency_weight = policy_of(tables, case.department).latency_weight
     evicted = policy_of(tables, task.row.spec.department)
     return evicted.eviction_weight / max(latency_weight, 0.01)
 
 
-def _floor(tables: CellOwnerTables, case: Case, task: Task) -> float:
+def _min_share(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     ratio = max(_cost_ratio(tables, case, task), 0.01)
-    return min(HIGHEST_FLOOR, max(LOWEST_FLOOR, FLOOR / ratio))
+    return min(GREATEST_MIN_SHARE, max(LEAST_MIN_SHARE, BASE_MIN_SHARE / ratio))
 
 
-def _patience_s(tables: CellOwnerTables, case: Case, task: Task) -> float:
-    patience_s = PATIENCE_S * _cost_ratio(tables, case, task)
-    return min(LONGEST_PATIENCE_S, max(SHORTEST_PATIENCE_S, patience_s))
+def _eviction_delay_s(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
+    delay_s = BASE_EVICTION_DELAY_S * _cost_ratio(tables, case, task)
+    return min(MAX_EVICTION_DELAY_S, max(MIN_EVICTION_DELAY_S, delay_s))
 
 
-def _is_evictable(tables: CellOwnerTables, case: Case, task: Task, now: float) -> bool:
+def _is_eviction_due(
+    tables: CellOwnerTables, case: ReliefCase, task: Task, now: float
+) -> bool:
     """Tell whether a throttled task still does harm after its patience."""
     throttle = tables.throttles.get(task.key)
-    if throttle is None or _harm_ms(tables, case, task) < _least(case):
+    if throttle is None or _harm_ms(tables, case, task) < _min_harm_ms(case):
         return False
-    return now - throttle.changed_at >= _patience_s(tables, case, task)
+    return now - throttle.changed_at >= _eviction_delay_s(tables, case, task)
 
 
 def _throttle(
-    case: Case, tasks: list[Task], tables: CellOwnerTables, now: float
+    case: ReliefCase, tasks: list[Task], tables: CellOwnerTables, now: float
 ) -> CellStep:
     """Throttle as many of the tasks, and as deep, as the latency seems to need."""
     latency = case.latency
-    needed_ms = latency.smoothed_ms - AIM * latency.target_ms
+    needed_ms = latency.smoothed_ms - RELIEF_GOAL_LATENCY_RATIO * latency.target_ms
     commands: list[Decision | Count] = []
     for task in tasks:
         if needed_ms <= 0.0:
             break
         share = cell_throttle.share_of(tables, task)
-        floor = _floor(tables, case, task)
+        min_share = _min_share(tables, case, task)
         harm_ms = _harm_ms(tables, case, task)
-        cut = share * min(1.0, needed_ms / max(harm_ms, _least(case)))
-        lower = max(floor, round(share - max(LEAST_CUT, cut), 2))
+        cut = share * min(1.0, needed_ms / max(harm_ms, _min_harm_ms(case)))
+        lower = max(min_share, round(share - max(MIN_SHARE_CUT, cut), 2))
         needed_ms -= harm_ms * (share - lower) / share
         tables = cell_throttle.set_share(tables, task, lower, now)
         reason = (
             f"{latency.task_key} at {latency.smoothed_ms:.0f} ms of"
             f" {latency.target_ms:.0f} ms; share {share:.2f} to {lower:.2f}"
         )
-        commands.append(line(case.cell, task, reason))
+        commands.append(throttle_decision(case.cell, task, reason))
         commands.append(Count(name="task_throttles", label=task.row.spec.department))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def line(cell: Cell, task: Task, reason: str) -> Decision:
+def throttle_decision(cell: Cell, task: Task, reason: str) -> Decision:
     """Return the decision line of a change of share."""
     return Decision(
         kind="task.throttle",
@@ -210,7 +227,11 @@
     )
 
 
-def _evict(case: Case, task: Task, tables: CellOwnerTables, now: float) -> CellStep:
+def _evict(
+    case: ReliefCase, task: Task, tables: CellOwnerTables, now: float
+) -> CellStep:
     ending = Requeue(reason=f"evicted beside {case.latency.task_key}, which suffers")
     tables = cell_stop.plan_ending(tables, task, ending, now)
-    return Step(tables=tables, commands=eviction(case.cell, task, ending.reason))
+    return Step(
+        tables=tables, commands=eviction_commands(case.cell, task, ending.reason)
+    )
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -45,8 +45,8 @@
     WorkerReported,
 )
 from bulrushpulley.systems.cell import learn as cell_learn
+from bulrushpulley.systems.cell import quarantine as cell_quarantine
 from bulrushpulley.systems.cell import rows as cell_rows
-from bulrushpulley.systems.cell import sick as cell_sick
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import throttle as cell_throttle
 from bulrushpulley.systems.cell.liveness import autonomous_until, stops_until
@@ -241,12 +241,12 @@
 def _apply_runs(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
     worker = tables.workers.by_key[event.worker_id]
     commands: list[Command] = []
-    strays: list[RunReport] = []
+    unexpected_runs: list[RunReport] = []
     seen: set[str] = set()
     for run in event.runs:
         key = task_key(cell=worker.cell, task_id=run.task_id)
         if not is_current(tables, worker, key, run):
-            strays.append(run)
+            unexpected_runs.append(run)
             continue
         seen.add(key)
         step = _apply_run(run, key, worker.worker_id, tables, now)
@@ -254,8 +254,8 @@
         commands.extend(step.commands)
     tables = _end_missing(event, seen, tables, now)
     tables = cell_learn.learn(event, tables, now)
-    tables = _note_strays(tables, worker.worker_id, strays)
-    commands.extend(_stray_stops(tables, worker, strays, now))
+    tables = _note_strays(tables, worker.worker_id, unexpected_runs)
+    commands.extend(_stray_stops(tables, worker, unexpected_runs, now))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -280,7 +280,7 @@
         return Step(tables=_seen_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        judged = cell_sick.task_succeeded(tables, task, worker, now)
+        judged = cell_quarantine.task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
         ended = cell_stop.end(judged.tables, task, finish, now, run.checkpoint)
         return Step(tables=ended, commands=judged.commands)
@@ -297,19 +297,19 @@
     worker = tables.workers.by_key[worker_id]
     sound = task.phase is Phase.RUNNING and now - task.since >= SOUND_AFTER_S
     if sound and worker.health is Health.PROBING:
-        return cell_sick.cleared(tables, worker)
+        return cell_quarantine.return_to_service(tables, worker)
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return tables
     running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
     if task.phase is Phase.UNKNOWN:
-        tables = cell_throttle.restore(tables, running, now)
+        tables = cell_throttle.reset_share(tables, running, now)
     return cell_rows.put_task(tables, running)
 
 
 def _failed(
     run: RunReport, task: Task, worker: Worker, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    tables, counted, commands = cell_sick.task_failed(tables, task, worker, now)
+    tables, counted, commands = cell_quarantine.task_failed(tables, task, worker, now)
     fail = Fail(reason=f"failed on {worker.worker_id}: {run.detail}", counted=counted)
     tables = cell_stop.end(tables, task, fail, now, run.checkpoint)
     return Step(tables=tables, commands=commands)
@@ -334,18 +334,21 @@
 
 
 def _note_strays(
-    tables: CellOwnerTables, worker_id: str, strays: list[RunReport]
+    tables: CellOwnerTables, worker_id: str, unexpected_runs: list[RunReport]
 ) -> CellOwnerTables:
     worker = tables.workers.by_key[worker_id]
-    running = sum(1 for run in strays if run.state is RunState.RUNNING)
-    if running == worker.strays:
+    running = sum(1 for run in unexpected_runs if run.state is RunState.RUNNING)
+    if running == worker.unexpected_runs:
         return tables
-    tables = cell_rows.put_worker(tables, replace(worker, strays=running))
+    tables = cell_rows.put_worker(tables, replace(worker, unexpected_runs=running))
     return cell_rows.touch_cell(tables, worker.cell)
 
 
 def _stray_stops(
-    tables: CellOwnerTables, worker: Worker, strays: list[RunReport], now: float
+    tables: CellOwnerTables,
+    worker: Worker,
+    unexpected_runs: list[RunReport],
+    now: float,
 ) -> list[Command]:
     """Stop runs that are not the owner's; this also has ended ones forgotten."""
     not_after = min(now + CALL_WITHIN_S, stops_until(tables))
@@ -360,7 +363,7 @@
             generation=run.generation,
             checkpoint=False,
         )
-        for run in strays[:STRAY_STOPS_PER_REPORT]
+        for run in unexpected_runs[:STRAY_STOPS_PER_REPORT]
         if not is_newer(tables, worker, run)
     ]
 
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import HELD, Cell, record_key
+from bulrushpulley.entities.cell import HELD_PHASES, Cell, record_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.owner_times import (
@@ -18,7 +18,7 @@
     TASK_LEASE_S,
 )
 from bulrushpulley.entities.records import CellRecord, FailureDomainRecord, Record
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.rows import RecordRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.task import Phase, Task
@@ -126,12 +126,12 @@
     tasks may run on it.
     """
     record = cell_record(tables, cell.name)
-    if record is None or cell.phase not in HELD:
+    if record is None or cell.phase not in HELD_PHASES:
         return tables
     named = {worker.worker_id: worker for worker in record.workers}
     for worker in tables.workers.rows_where("cell", cell.name):
         if worker.worker_id not in named:
-            gone = replace(worker, present=False, capacity=NOTHING)
+            gone = replace(worker, present=False, capacity=NO_RESOURCES)
             tables = put_worker(tables, gone)
     for worker_id, wanted in named.items():
         fresh = worker_of(wanted, cell=cell.name, now=now)
@@ -187,7 +187,7 @@
     in flight, and must be read again.
     """
     cell = tables.cells.get(found.key.split("/", 2)[1])
-    if cell is None or cell.phase not in HELD:
+    if cell is None or cell.phase not in HELD_PHASES:
         return tables, True
     task = tables.tasks.get(found.key)
     if task is not None and task.version >= found.version:
@@ -231,7 +231,7 @@
         cell=task.cell,
         url="",
         rack="",
-        capacity=NOTHING,
+        capacity=NO_RESOURCES,
         present=False,
         answered_at=now,
     )
--- /dev/null
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -0,0 +1,127 @@
+"""The placement policy that knows neighbours: spread services, pack batch tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.rows import TaskClass
+from bulrushpulley.entities.task import Task
+from bulrushpulley.systems.cell.placement_policy import (
+    Candidate,
+    Choice,
+    PlacementPolicy,
+    choose_worker,
+)
+
+MAX_EXPECTED_LATENCY_RATIO = 1.0
+PLACEMENT_RETRY_DELAY_S = 2.0
+# Ends before a waiting task leaves its cell, which it does after 30 s.
+MAX_DEFERRAL_S = 20.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpreadAndPack(PlacementPolicy):
+    """Spreads replicas to the least loaded workers and best-fits batch tasks.
+
+    A batch task is not placed where it is expected to push a service over its
+    target, nor beside the first task of its job while that one shows its effect,
+    unless it is urgent or has waited `HELD_BACK_S`: then the least harmful worker
+    takes it, so that no job waits for as long as a service runs.
+    """
+
+
+@choose_worker.register
+def _(
+    policy: SpreadAndPack,
+    task: Task,
+    candidates: Sequence[Candidate],
+    avoid: frozenset[str],
+    now: float,
+) -> Choice:
+    spec = task.row.spec
+    fitting = [candidate for candidate in candidates if spec.size.fits(candidate.free)]
+    if not fitting:
+        reason = "no worker has room" if candidates else "no worker takes tasks"
+        return Choice(worker_id="", reason=reason, passed_over=_worker_ids(candidates))
+    if spec.task_class is TaskClass.BATCH:
+        return _choose_for_batch(task, candidates, fitting, avoid, now)
+    best = min(fitting, key=lambda candidate: _service_key(candidate, avoid))
+    return _choice(best, candidates, "least loaded, replicas spread")
+
+
+def _choose_for_batch(
+    task: Task,
+    candidates: Sequence[Candidate],
+    fitting: list[Candidate],
+    avoid: frozenset[str],
+    now: float,
+) -> Choice:
+    spec = task.row.spec
+    deferral_over = now - task.since >= MAX_DEFERRAL_S
+    settled = [candidate for candidate in fitting if not candidate.effect_pending]
+    harmless = [
+        candidate
+        for candidate in settled
+        if candidate.expected_latency_ratio <= MAX_EXPECTED_LATENCY_RATIO
+    ]
+    if not harmless and not spec.urgent and not deferral_over:
+        return Choice(
+            worker_id="",
+            reason=_deferral_reason(settled),
+            passed_over=_worker_ids(candidates),
+            retry_s=PLACEMENT_RETRY_DELAY_S,
+        )
+    best = min(
+        harmless or fitting,
+        key=lambda candidate: _batch_key(candidate, spec.size, avoid),
+    )
+    return _choice(best, candidates, "best fit beside services it does not harm")
+
+
+def _deferral_reason(settled: list[Candidate]) -> str:
+    if settled:
+        return "it would push a service over its target"
+    return "the first tasks of its job show first what they do to services"
+
+
+def _choice(best: Candidate, candidates: Sequence[Candidate], reason: str) -> Choice:
+    others = tuple(candidate for candidate in candidates if candidate is not best)
+    return Choice(
+        worker_id=best.worker.worker_id, reason=reason, passed_over=_worker_ids(others)
+    )
+
+
+def _worker_ids(candidates: Sequence[Candidate]) -> tuple[str, ...]:
+    return tuple(candidate.worker.worker_id for candidate in candidates)
+
+
+def _service_key(
+    candidate: Candidate, avoid: frozenset[str]
+) -> tuple[bool, int, int, bool, float, str]:
+    worker = candidate.worker
+    return (
+        worker.worker_id in avoid,
+        candidate.rack_replicas,
+        candidate.replicas,
+        candidate.expected_latency_ratio > MAX_EXPECTED_LATENCY_RATIO,
+        -_free_fraction(candidate.free, worker.capacity),
+        worker.worker_id,
+    )
+
+
+def _batch_key(
+    candidate: Candidate, size: Resources, avoid: frozenset[str]
+) -> tuple[bool, float, float, str]:
+    worker = candidate.worker
+    left = _free_fraction(candidate.free.minus(size), worker.capacity)
+    harm = round(candidate.expected_latency_ratio, 1)
+    return (worker.worker_id in avoid, harm, left, worker.worker_id)
+
+
+def _free_fraction(free: Resources, capacity: Resources) -> float:
+    """Return the mean of the free parts of processors and memory."""
+    processors = free.processors_m / max(1, capacity.processors_m)
+    memory = free.memory_mb / max(1, capacity.memory_mb)
+    return (processors + memory) / 2
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -36,9 +36,9 @@
 from bulrushpulley.entities.task import Cancel, Phase, Requeue, Task
 from bulrushpulley.entities.worker import Worker
 from bulrushpulley.entities.worker_calls import StartTask
+from bulrushpulley.systems.cell import candidates as cell_candidates
 from bulrushpulley.systems.cell import domains as cell_domains
 from bulrushpulley.systems.cell import endings as cell_endings
-from bulrushpulley.systems.cell import rooms as cell_rooms
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell import stop as cell_stop
@@ -144,7 +144,7 @@
         return "its failure domain was taken out of service"
     if worker is None or not worker.present:
         return "its worker was taken out of the cell"
-    held = cell_rooms.committed(tables, worker.worker_id)
+    held = cell_candidates.committed(tables, worker.worker_id)
     if not held.fits(worker.capacity):
         return "its worker has lost capacity"
     return "the agent is leaving" if tables.leaving else ""
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -8,14 +8,14 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.link import CellSummary, DepartmentUse, Send
 from bulrushpulley.entities.owner_times import SUMMARY_EVERY_S, SUMMARY_KEEPALIVE_S
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import HOLDING, Phase
 from bulrushpulley.systems.cell import domains as cell_domains
 from bulrushpulley.systems.cell import rows as cell_rows
-from bulrushpulley.systems.cell.choice import Room
+from bulrushpulley.systems.cell.candidates import candidates_of
 from bulrushpulley.systems.cell.owner_events import CellStep
-from bulrushpulley.systems.cell.rooms import rooms_of
+from bulrushpulley.systems.cell.placement_policy import Candidate
 
 NOT_STARTED = frozenset({Phase.WAITING, Phase.COMMITTING})
 
@@ -42,7 +42,7 @@
 def summary_of(tables: CellOwnerTables, cell: Cell, now: float) -> CellSummary:
     """Return a cell's summary; a cell that starts nothing has nothing free."""
     takes = cell_domains.in_service(tables, cell) and not tables.leaving
-    rooms = rooms_of(tables, cell.name, now) if takes else ()
+    candidates = candidates_of(tables, cell.name, now) if takes else ()
     tasks = tables.tasks.rows_where("cell", cell.name)
     return CellSummary(
         cell=cell.name,
@@ -50,33 +50,35 @@
         epoch=cell.epoch,
         failure_domain=cell_rows.failure_domain_of(tables, cell.name),
         region=tables.region,
-        free=_free(rooms),
-        largest=_largest(rooms),
+        free=_free(candidates),
+        largest=_largest(candidates),
         waiting=sum(1 for task in tasks if task.phase in NOT_STARTED),
         running=sum(1 for task in tasks if task.phase in HOLDING - NOT_STARTED),
         uses=_uses(tables, cell),
     )
 
 
-def _usable(room: Room) -> Resources:
+def _usable(candidate: Candidate) -> Resources:
     return Resources(
-        processors_m=max(0, room.free.processors_m),
-        memory_mb=max(0, room.free.memory_mb),
-        accelerators=max(0, room.free.accelerators),
+        processors_m=max(0, candidate.free.processors_m),
+        memory_mb=max(0, candidate.free.memory_mb),
+        accelerators=max(0, candidate.free.accelerators),
     )
 
 
-def _free(rooms: tuple[Room, ...]) -> Resources:
-    total = NOTHING
-    for room in rooms:
-        total = total.plus(_usable(room))
+def _free(candidates: tuple[Candidate, ...]) -> Resources:
+    total = NO_RESOURCES
+    for candidate in candidates:
+        total = total.plus(_usable(candidate))
     return total
 
 
-def _largest(rooms: tuple[Room, ...]) -> Resources:
+def _largest(candidates: tuple[Candidate, ...]) -> Resources:
     """Return the room of the worker that has most processors left, then memory."""
-    usable = [_usable(room) for room in rooms]
-    return max(usable, key=lambda r: (r.processors_m, r.memory_mb), default=NOTHING)
+    usable = [_usable(candidate) for candidate in candidates]
+    return max(
+        usable, key=lambda r: (r.processors_m, r.memory_mb), default=NO_RESOURCES
+    )
 
 
 def _uses(tables: CellOwnerTables, cell: Cell) -> tuple[DepartmentUse, ...]:
@@ -84,7 +86,7 @@
     for task in tables.tasks.rows_where("cell", cell.name):
         if task.phase in HOLDING:
             spec = task.row.spec
-            used = by_department.get(spec.department, NOTHING)
+            used = by_department.get(spec.department, NO_RESOURCES)
             by_department[spec.department] = used.plus(spec.size)
     return tuple(
         DepartmentUse(department=department, committed=by_department[department])
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -19,13 +19,13 @@
 from bulrushpulley.systems.cell.liveness import stops_until
 from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
-WHOLE = 1.0
+FULL_SHARE = 1.0
 
 
 def share_of(tables: CellOwnerTables, task: Task) -> float:
     """Return the share of its speed that a task may use."""
     throttle = tables.throttles.get(task.key)
-    return throttle.share if throttle else WHOLE
+    return throttle.share if throttle else FULL_SHARE
 
 
 def set_share(
@@ -43,11 +43,11 @@
     return replace(tables, throttles=tables.throttles.put(task.key, throttle))
 
 
-def restore(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+def reset_share(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
     """Give an adopted batch task its whole speed, whatever an owner before set."""
     if task.row.spec.task_class is not TaskClass.BATCH:
         return tables
-    return set_share(tables, task, WHOLE, now)
+    return set_share(tables, task, FULL_SHARE, now)
 
 
 def send(tables: CellOwnerTables, now: float) -> CellStep:
@@ -56,7 +56,7 @@
     not_after = min(now + CALL_WITHIN_S, stops_until(tables))
     for throttle in tables.throttles.rows():
         task = tables.tasks.get(throttle.task_key)
-        if not _is_current(throttle, task) or _is_settled(throttle, now):
+        if not _is_current(throttle, task) or _is_obsolete(throttle, now):
             throttles = tables.throttles.drop(throttle.task_key)
             tables = replace(tables, throttles=throttles)
             continue
@@ -88,9 +88,9 @@
     return task.row.generation == throttle.generation
 
 
-def _is_settled(throttle: Throttle, now: float) -> bool:
+def _is_obsolete(throttle: Throttle, now: float) -> bool:
     """Tell whether a task has its whole speed in all that is still measured."""
-    whole = throttle.share >= WHOLE and throttle.confirmed
+    whole = throttle.share >= FULL_SHARE and throttle.confirmed
     return whole and now - throttle.changed_at >= USAGE_LAG_S
 
 
--- a/bulrushpulley/systems/cell/victims.py
+++ b/bulrushpulley/systems/cell/victims.py
@@ -15,7 +15,7 @@
     return spec.urgent or spec.task_class is TaskClass.LATENCY_CRITICAL
 
 
-def evictable(task: Task) -> bool:
+def is_evictable(task: Task) -> bool:
     """Tell whether a running task may be evicted for another."""
     spec = task.row.spec
     batch = spec.task_class is TaskClass.BATCH
@@ -31,7 +31,7 @@
     A victim that proves needless once the later ones are chosen is spared.
     """
     candidates = sorted(
-        (task for task in running if evictable(task)),
+        (task for task in running if is_evictable(task)),
         key=lambda task: (task.row.spec.priority, -task.since, task.key),
     )
     chosen: list[Task] = []
@@ -42,10 +42,12 @@
         free = free.plus(task.row.spec.size)
     if not needed.fits(free):
         return ()
-    return _spare(needed, free, chosen)
+    return _drop_needless_victims(needed, free, chosen)
 
 
-def _spare(needed: Resources, free: Resources, chosen: list[Task]) -> tuple[Task, ...]:
+def _drop_needless_victims(
+    needed: Resources, free: Resources, chosen: list[Task]
+) -> tuple[Task, ...]:
     kept: list[Task] = []
     for task in chosen:
         without = free.minus(task.row.spec.size)
--- a/bulrushpulley/systems/control/cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.cell_view import CellView, uses_of, with_summary
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import CellSummary
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.control.events import Controlled, apply
 
@@ -39,15 +39,15 @@
             break
         same += 1
     for department, amount in before[same:]:
-        usage = usage.set(department, usage.get(department, NOTHING).minus(amount))
+        usage = usage.set(department, usage.get(department, NO_RESOURCES).minus(amount))
     for department, amount in after[same:]:
-        usage = usage.set(department, usage.get(department, NOTHING).plus(amount))
+        usage = usage.set(department, usage.get(department, NO_RESOURCES).plus(amount))
     return usage
 
 
 def used_by(tables: ControllerTables, department: str) -> Resources:
     """Return what a department uses and has reserved over all cells."""
-    return tables.usage.get(department, NOTHING)
+    return tables.usage.get(department, NO_RESOURCES)
 
 
 @apply.register
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.backlog import Rank, Waiting, Why
 from bulrushpulley.entities.cell_view import CellView, how_many
 from bulrushpulley.entities.controller_tables import ControllerTables
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.rows import TaskClass, TaskSpec
 from bulrushpulley.systems.control.cells import used_by
 from bulrushpulley.systems.control.records import in_service
@@ -60,7 +60,7 @@
 
 def within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
     """Return for how many more tasks the department's quota has room."""
-    quota = tables.quotas.get(spec.department, NOTHING)
+    quota = tables.quotas.get(spec.department, NO_RESOURCES)
     left = quota.minus(used_by(tables, spec.department))
     limits = (
         (quota.processors_m, spec.size.processors_m, left.processors_m),
--- a/bulrushpulley/systems/control/share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -12,7 +12,7 @@
 
 from bulrushpulley.entities.backlog import Lane, Waiting
 from bulrushpulley.entities.controller_tables import ControllerTables
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.control.cells import used_by
 from bulrushpulley.systems.control.members import live_entries
 
@@ -32,8 +32,8 @@
 
 def share(tables: ControllerTables, department: str) -> float:
     """Return what a department uses as a share of its quota or of all workers."""
-    limit = tables.quotas.get(department, NOTHING)
-    if limit == NOTHING:
+    limit = tables.quotas.get(department, NO_RESOURCES)
+    if limit == NO_RESOURCES:
         limit = tables.fleet.capacity
     used = used_by(tables, department)
     pairs = (
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -13,7 +13,7 @@
     JobRecord,
     ServiceRecord,
 )
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.rows import RecordRow, TaskState
 from bulrushpulley.entities.status import (
     AgentStatus,
@@ -98,7 +98,7 @@
         owner=summary.owner if summary else "",
         epoch=summary.epoch if summary else 0,
         fresh=view is not None and summary is not None and view.heard_at > heard_after,
-        free=summary.free if summary else NOTHING,
+        free=summary.free if summary else NO_RESOURCES,
         waiting=summary.waiting if summary else 0,
         running=summary.running if summary else 0,
     )
--- a/bulrushpulley/systems/keeping/reporting.py
+++ b/bulrushpulley/systems/keeping/reporting.py
@@ -20,7 +20,7 @@
 )
 from bulrushpulley.entities.jobs.runs import RunStatus
 from bulrushpulley.entities.link import Send
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.keeping import edits
 
@@ -73,7 +73,7 @@
         life=server.life if server else "",
         service=server.service if server else "",
         state=tables.server_state,
-        capacity=server.capacity if server else NOTHING,
+        capacity=server.capacity if server else NO_RESOURCES,
         labels=server.labels if server else (),
         leaves_in_s=server.leaves_in_s if server else 0.0,
     )
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/keeping/starting.py
@@ -19,7 +19,7 @@
     RunPhase,
 )
 from bulrushpulley.entities.observe import Decision, Observe
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.keeping import edits, holding, pacing, refusing
 
@@ -75,7 +75,7 @@
 
 def _taken(tables: KeeperTables) -> Resources:
     """Return the room of every run that is there, may be there, or is being stopped."""
-    taken = NOTHING
+    taken = NO_RESOURCES
     for run_ in tables.runs.rows():
         if run_.phase in (RunPhase.STARTING, RunPhase.RUNNING):
             taken = taken.plus(run_.committed)
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -10,7 +10,7 @@
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState, step_key
 from bulrushpulley.entities.jobs.upkeep import ALL_AWAY, Upkeep, Wave
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.scheduling import advising, edits, stopping
 
 # The part of a machine's share of the wave's time in which its runs may finish.
@@ -61,7 +61,7 @@
     closed = closed_hosts(tables)
     if leaving is None or is_empty(tables, leaving) or not closed:
         return True
-    moving, free = leaving.committed, NOTHING
+    moving, free = leaving.committed, NO_RESOURCES
     for host in tables.hosts.rows():
         if host.name in closed:
             moving = moving.plus(host.committed)
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -29,7 +29,7 @@
     StoredRow,
     WatchState,
 )
-from bulrushpulley.entities.resources import NOTHING
+from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
 from bulrushpulley.systems.scheduling import accepting, edits, learning, restoring
@@ -151,7 +151,7 @@
             contact_at=0.0,
             adopted_epoch=0,
             synced=False,
-            committed=NOTHING,
+            committed=NO_RESOURCES,
             filling_m=0,
             images={},
             aside_until=0.0,
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -22,7 +22,7 @@
     JobRecord,
     WorkerRecord,
 )
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.rows import BacklogRow, RecordRow
 from bulrushpulley.entities.step import Event
 from bulrushpulley.roles import controller
@@ -105,7 +105,7 @@
     rows += [record("cell", cell_record(number)) for number in range(cells)]
     tables = learn(role.tables, rows)
     events = [event for number in range(100) for event in link(number)]
-    events += [summary(number, NOTHING) for number in range(cells)]
+    events += [summary(number, NO_RESOURCES) for number in range(cells)]
     tables = role.tick(tables, events, 0.0).tables
     backlog = [waiting_row(number) for number in range(waiting)]
     return role, note_rows(tables, backlog, 0.0)
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -22,16 +22,16 @@
 from bulrushpulley.entities.records import DomainState, PolicyRecord
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskRow, TaskState
-from bulrushpulley.systems.cell import interfere as cell_interfere
+from bulrushpulley.systems.cell import interference as cell_interference
 from bulrushpulley.systems.cell import place as cell_place
-from bulrushpulley.systems.cell.choice import FirstFit, Policy
+from bulrushpulley.systems.cell.placement_policy import FirstFit, PlacementPolicy
 from bulrushpulley.systems.cell.relief import (
     EvictNewest,
-    LeaveAlone,
+    NoRelief,
     ReliefPolicy,
     ThrottleFirst,
 )
-from bulrushpulley.systems.cell.spread import SpreadAndPack
+from bulrushpulley.systems.cell.spread_and_pack import SpreadAndPack
 from standins import worker_core
 from standins.worker_core import RunState
 from test.cell_bench import CellBench
@@ -69,7 +69,7 @@
     """The policies of one run."""
 
     name: str
-    placement: Policy
+    placement: PlacementPolicy
     relief: ReliefPolicy
 
 
@@ -104,7 +104,7 @@
 )
 VARIANTS = (
     Variant(name="evict newest", placement=FirstFit(), relief=EvictNewest()),
-    Variant(name="leave alone", placement=FirstFit(), relief=LeaveAlone()),
+    Variant(name="leave alone", placement=FirstFit(), relief=NoRelief()),
     Variant(name="ours", placement=SpreadAndPack(), relief=ThrottleFirst()),
 )
 
@@ -206,7 +206,7 @@
         if state is DomainState.IN_SERVICE:
             self.bench.put_record("failure_domain", self.bench._domain(state))
             self.bench.drained_at = None
-        self.bench.spread()
+        self.bench.distribute_records()
 
     def rows_of(self, prefix: str) -> list[Any]:
         """Return the rows of tasks under a prefix."""
@@ -234,8 +234,8 @@
 
 def measure(deployment: Deployment, variant: Variant, seed: int) -> Measured:
     """Run one rack under the policies of a variant."""
-    placing = mock.patch.object(cell_place, "POLICY", variant.placement)
-    relieving = mock.patch.object(cell_interfere, "POLICY", variant.relief)
+    placing = mock.patch.object(cell_place, "PLACEMENT_POLICY", variant.placement)
+    relieving = mock.patch.object(cell_interference, "RELIEF_POLICY", variant.relief)
     with placing, relieving:
         rack = Rack(deployment=deployment, seed=seed)
         rack.run(STEADY_S)
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -31,7 +31,7 @@
     StopRun,
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from standins.executor_core import FakeExecutor
 from standins.web import HOST, Request, Response, as_json, make_server, refusal, serve
 
@@ -180,7 +180,7 @@
             task_id=raw["Task"],
             run=raw["RunId"],
             payload=raw.get("Spec", ""),
-            committed=NOTHING,
+            committed=NO_RESOURCES,
             checkpoint=raw.get("Checkpoint", ""),
         )
         command = StartRun(
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -27,7 +27,7 @@
     StopRun,
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
-from bulrushpulley.entities.resources import NOTHING, Resources
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
 KILL_S = 0.2
 POISON = "poison"
@@ -92,7 +92,7 @@
     @property
     def committed(self) -> Resources:
         """What its runs take, those that are being stopped among them."""
-        total = NOTHING
+        total = NO_RESOURCES
         for run in self.working.values():
             total = total.plus(run.order.committed)
         return total
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -150,7 +150,7 @@
         )
         return self.put(f"record/{kind}/{record.name}", row)
 
-    def spread(self) -> None:
+    def distribute_records(self) -> None:
         """Tell every agent the whole configuration."""
         rows = self.rows("record/")
         event = Configured(base=0, revision=self.store.revision, rows=rows)
@@ -162,7 +162,7 @@
         self.put_record("failure_domain", self._domain(DomainState.DRAINED))
         self.drained_at = self.world.now
 
-    def put_shrunken(self, worker: str, capacity: Resources) -> None:
+    def put_capacity(self, worker: str, capacity: Resources) -> None:
         """Amend a worker's capacity in the store; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.shrunk_at[worker] = self.world.now
@@ -170,8 +170,8 @@
 
     def resize(self, worker: str, capacity: Resources) -> None:
         """Amend a worker's capacity and spread the record."""
-        self.put_shrunken(worker, capacity)
-        self.spread()
+        self.put_capacity(worker, capacity)
+        self.distribute_records()
 
     def job(
         self, name: str, *, tasks: int = 1, run_s: float = 5.0, **more: Any
@@ -219,7 +219,7 @@
         self.world.start(name, [role])
         for entry in ("entry-1", "entry-2"):
             self.world.deliver(seat(name), LinkUp(peer=entry, region="ege"))
-        self.spread()
+        self.distribute_records()
         self.offer(name)
 
     def offer(self, name: str) -> None:
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -130,7 +130,7 @@
 
 def _drain(bench: CellBench) -> None:
     bench.drain()
-    bench.world.at(3.0, bench.spread)
+    bench.world.at(3.0, bench.distribute_records)
 
 
 def _delay_start(bench: CellBench) -> None:
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -13,7 +13,7 @@
 from bulrushpulley.entities.rows import TaskClass, TaskState
 from bulrushpulley.entities.worker import Health
 from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
-from bulrushpulley.systems.cell import sick as cell_sick
+from bulrushpulley.systems.cell import quarantine as cell_quarantine
 from bulrushpulley.systems.cell import stop as cell_stop
 from standins.worker_core import running_size
 from test.cell_bench import CAPACITY, CellBench, failing, seat
@@ -28,7 +28,7 @@
         bench.agent("a")
         bench.run(20.0)
         bench.drain()
-        bench.spread()
+        bench.distribute_records()
         bench.run(5.0)
         for index in range(3):
             back = bench.row(f"backlog/curves/{index}")
@@ -105,7 +105,7 @@
         bench.agent("a")
         bench.run(5.0)
         bench.put_service("oven", replicas=1)
-        bench.spread()
+        bench.distribute_records()
         bench.run(5.0)
         self.assertEqual(1, len(bench.running("oven/0")))
         self.assertEqual([], bench.running("oven/1"))
@@ -133,7 +133,7 @@
         bench.run(5.0)
         del bench.capacity["w0"]
         bench.put_record("cell", bench.cell())
-        bench.spread()
+        bench.distribute_records()
         bench.run(8.0)
         self.assertEqual(["w1"], bench.running("audit/0"))
         self.assertNotIn("w0", bench.tables("a").workers)
@@ -178,7 +178,7 @@
             self.assertEqual(TaskState.FINISHED, bench.done(f"job{number}/0"))
             self.assertLess(bench.row(f"done/job{number}/0").attempts, 2)
         worker = bench.tables("a").workers.by_key["w0"]
-        self.assertEqual(Health.ASIDE, worker.health)
+        self.assertEqual(Health.QUARANTINED, worker.health)
         bench.workers["w0"] = failing(bench.workers["w0"], False)
         bench.run(20.0)
         bench.job("later", tasks=8, run_s=5.0)
@@ -200,7 +200,9 @@
         for number in range(3):
             self.assertEqual(TaskState.FINISHED, bench.done(f"job{number}/0"))
         healths = [worker.health for worker in bench.tables("a").workers.rows()]
-        self.assertEqual([Health.ASIDE, Health.ASIDE, Health.HEALTHY], healths)
+        self.assertEqual(
+            [Health.QUARANTINED, Health.QUARANTINED, Health.HEALTHY], healths
+        )
 
     def test_without_evidence_a_sick_worker_is_never_set_aside(self) -> None:
         bench = CellBench(workers=2)
@@ -208,7 +210,7 @@
         for number in range(4):
             bench.job(f"job{number}", run_s=5.0)
         bench.agent("a")
-        with mock.patch.object(cell_sick, "is_sick", lambda *_: False):
+        with mock.patch.object(cell_quarantine, "is_faulty", lambda *_: False):
             bench.run(25.0)
         self.assertNotIn("worker.aside", bench.kinds())
 
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -15,9 +15,9 @@
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.task import Phase
 from bulrushpulley.entities.worker_calls import StartTask, WorkerReported
+from bulrushpulley.systems.cell import candidates as cell_candidates
 from bulrushpulley.systems.cell import domains as cell_domains
 from bulrushpulley.systems.cell import reports as cell_reports
-from bulrushpulley.systems.cell import rooms as cell_rooms
 from bulrushpulley.systems.cell import start as cell_start
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import watch as cell_watch
@@ -155,7 +155,7 @@
 GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
     (with_delayed_start, cell_reports, "shows_absence", always),
     (with_silent_worker, cell_stop, "surely_lapsed", always),
-    (with_crowded_cell, cell_rooms, "committed", lambda *_: SIZE.minus(SIZE)),
+    (with_crowded_cell, cell_candidates, "committed", lambda *_: SIZE.minus(SIZE)),
 )
 
 
@@ -232,7 +232,7 @@
             bench = CellBench(workers=1)
             bench.before_commit = OnceOnly(  # type: ignore[assignment]
                 matches=writes_start,
-                action=lambda: bench.put_shrunken("w0", SIZE.minus(ONE_CORE)),
+                action=lambda: bench.put_capacity("w0", SIZE.minus(ONE_CORE)),
             )
             bench.job("curves")
             bench.agent("a")
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -20,11 +20,11 @@
     WorkerReported,
 )
 from bulrushpulley.platform.worker import WorkerClient
+from bulrushpulley.systems.cell import degradation as cell_degradation
 from bulrushpulley.systems.cell import learn as cell_learn
 from bulrushpulley.systems.cell import place as cell_place
-from bulrushpulley.systems.cell import spread as cell_spread
-from bulrushpulley.systems.cell import suffer as cell_suffer
-from bulrushpulley.systems.cell.choice import FirstFit
+from bulrushpulley.systems.cell import spread_and_pack as cell_spread_and_pack
+from bulrushpulley.systems.cell.placement_policy import FirstFit
 from standins import worker_core
 from test.cell_bench import CAPACITY, SIZE, CellBench
 
@@ -101,7 +101,7 @@
         bench = colocated(harm_by_job={"noisy": 150.0})
         bench.run(60.0)
         bench.put_service("oven", replicas=0)
-        bench.spread()
+        bench.distribute_records()
         bench.run(180.0)
         run = bench.workers["w0"].runs.rows()[-2]
         self.assertEqual(1.0, run.share)
@@ -129,7 +129,10 @@
         bench = colocated(harm_by_job={"noisy": 900.0})
         bench.run(120.0)
         bench.job("noisy-again", run_s=50.0)
-        held = cell_spread.HELD_BACK_S + cell_spread.RETRY_S
+        held = (
+            cell_spread_and_pack.MAX_DEFERRAL_S
+            + cell_spread_and_pack.PLACEMENT_RETRY_DELAY_S
+        )
         with mock.patch.object(cell_learn, "estimate", return_value=900.0):
             bench.assign("a")
             bench.run(held / 2)
@@ -170,11 +173,11 @@
 
     def test_without_hysteresis_noisy_waves_cause_flapping(self) -> None:
         def naive(latency: ServiceLatency, now: float) -> ServiceLatency:
-            suffering = latency.smoothed_ms > latency.target_ms
-            return replace(latency, suffering=suffering)
+            degraded = latency.smoothed_ms > latency.target_ms
+            return replace(latency, degraded=degraded)
 
         weight = mock.patch.object(cell_learn, "LATENCY_WEIGHT", 1.0)
-        with mock.patch.object(cell_suffer, "judge", naive), weight:
+        with mock.patch.object(cell_degradation, "update_degraded", naive), weight:
             self.assertGreater(self._changes(), 4)
 
 
@@ -284,6 +287,6 @@
         bench.agent("a")
         bench.run(2.0)
         self._oven(bench)
-        with mock.patch.object(cell_place, "POLICY", FirstFit()):
+        with mock.patch.object(cell_place, "PLACEMENT_POLICY", FirstFit()):
             bench.run(5.0)
         self.assertEqual([["w0"]] * 3, [bench.running(f"oven/{n}") for n in range(3)])
