--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HoldRuns(ExecutorCommand):
+class PollRuns(ExecutorCommand):
     """Lists all runs and ends, and renews the lease to `lease_until_ms` if given.
 
     Ends up to `noted` may be forgotten. The answer waits up to `wait_ms` for an end.
@@ -102,15 +102,15 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HoldFailed(ExecutorEvent):
+class PollFailed(ExecutorEvent):
     """No list came; `absent` says that nothing listens at the address."""
 
     reason: str
-    absent: bool = False
+    connection_refused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class OtherLife(ExecutorEvent):
+class OtherIncarnation(ExecutorEvent):
     """Another backend server answers at the address."""
 
 
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -27,10 +27,10 @@
     job_id: str
     row: JobRow
     call_ids: tuple[str, ...]
-    came_at: float
+    received_at: float
     due_at: float
     in_flight: bool = False
-    unsure: bool = False
+    outcome_unknown: bool = False
     refused_at: float | None = None
     busy: bool = False
 
@@ -51,7 +51,7 @@
     check_at: float
     checking: frozenset[str] = frozenset()
     asked_at: float = 0.0
-    absent: bool = False
+    row_missing: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,13 +67,13 @@
     job_id: str
     due_at: float
     tries: int = 0
-    unsure: bool = False
-    repeat: Purpose | None = None
-    repeat_at: float = 0.0
+    outcome_unknown: bool = False
+    retry_purpose: Purpose | None = None
+    next_retry_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class StandingEntry:
+class OrderEntry:
     """A row of operators' orders as last read: its version and what it says."""
 
     version: int
@@ -90,19 +90,19 @@
     """
 
     standing: Standing = NOTHING_STANDING
-    entry_by_key: PMap[str, StandingEntry] = field(default_factory=pmap)
+    order_by_key: PMap[str, OrderEntry] = field(default_factory=pmap)
     watch: WatchState | None = None
     reading: bool = False
     read_at: float = 0.0
     submissions: Table[Submission] = field(default_factory=Table.empty)
     batch: Batch | None = None
-    batches: int = 0
+    batch_count: int = 0
     retry_at: float = 0.0
     inquiries: Table[Inquiry] = field(default_factory=Table.empty)
     accepted: PSet[str] = field(default_factory=pset)
-    accepted_before: PSet[str] = field(default_factory=pset)
-    answered_at: float = 0.0
-    store_s: float = 0.05
+    older_accepted: PSet[str] = field(default_factory=pset)
+    store_answered_at: float = 0.0
+    store_latency_s: float = 0.05
     ready: bool = False
     leaving: bool = False
 
--- a/bulrushpulley/entities/jobs/keeper_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -19,7 +19,7 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.table import Table
 
-KEEPER = "keeper"
+JOB_AGENT = "keeper"
 
 
 class RunPhase(enum.Enum):
@@ -56,14 +56,14 @@
     since: float = 0.0
     started_at: float = 0.0
     barred_at: float = 0.0
-    unsure: bool = False
+    unconfirmed: bool = False
     unhealthy: bool = False
     denied: str = ""
     pace: int = 100
     pace_set: int = 100
-    pacing: bool = False
-    pace_at: float = 0.0
-    pace_doubted_until: float = 0.0
+    pace_in_flight: bool = False
+    next_pace_at: float = 0.0
+    pace_uncertain_until: float = 0.0
     reported: RunStatus | None = None
     reported_at: float = 0.0
 
@@ -98,7 +98,7 @@
     leaves_in_s: float = 0.0
     clock_ms: int = 0
     noted: int = 0
-    noted_after: frozenset[int] = frozenset()
+    noted_out_of_order: frozenset[int] = frozenset()
     lease_sent_at: float = 0.0
     listed: bool = False
 
@@ -109,14 +109,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Hold:
+class PollState:
     """The call that lists runs; `failing_since` is set while it gets no answer."""
 
     in_flight: bool = False
     sent_at: float = 0.0
     retry_at: float = 0.0
     failing_since: float | None = None
-    absences: int = 0
+    connections_refused: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -130,7 +130,7 @@
     decided_at: float = 0.0
     harmful: frozenset[tuple[str, str]] = frozenset()
     harmless: frozenset[tuple[str, str]] = frozenset()
-    near_since: PMap[str, float] = field(default_factory=pmap)
+    near_target_since: PMap[str, float] = field(default_factory=pmap)
 
 
 def by_phase(run: Run) -> tuple[str, ...]:
@@ -141,7 +141,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class KeeperTables:
+class JobAgentTables:
     """The whole state of the role.
 
     `epoch` is the newest owner's that adopted this agent, at `owner` while linked.
@@ -162,19 +162,19 @@
     epoch: int = 0
     contact_at: float = -60.0
     contact_sent_at: float = -60.0
-    ordered: bool = False
+    orders_complete: bool = False
     server: Server | None = None
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
-    began_at: float | None = None
-    hold: Hold = Hold()
+    search_began_at: float | None = None
+    poll: PollState = PollState()
     runs: Table[Run] = field(
         default_factory=lambda: Table.empty(indexes={"phase": by_phase})
     )
     ends: PMap[int, RunEnd] = field(default_factory=pmap)
-    ends_sent: int = 0
+    last_end_sent: int = 0
     pacing: Pacing = field(default_factory=Pacing)
-    measured_at: float = 0.0
+    measures_sent_at: float = 0.0
     reported: HostReport | None = None
     synced: bool = False
     registered: bool = False
@@ -183,4 +183,4 @@
     leaving: bool = False
 
 
-KeeperStep = Step[KeeperTables]
+JobAgentStep = Step[JobAgentTables]
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -12,12 +12,12 @@
     Announced,
     ExecutorCommand,
     ExecutorEvent,
-    HoldFailed,
-    HoldRuns,
-    OtherLife,
+    OtherIncarnation,
     PaceAnswered,
     PaceFailed,
     PaceRun,
+    PollFailed,
+    PollRuns,
     RunsListed,
     RunStarted,
     StartDenied,
@@ -65,7 +65,7 @@
         raise NotImplementedError(type(command).__name__)
 
     @call.register
-    def _(self, command: HoldRuns) -> ExecutorEvent:
+    def _(self, command: PollRuns) -> ExecutorEvent:
         body: dict[str, Any] = {
             "FencingToken": FENCE,
             "LastSeen": command.noted,
@@ -76,17 +76,17 @@
         try:
             answer = self._post(command, "/v1/hold", body)
             if answer.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-                return OtherLife(server_id=command.server_id)
+                return OtherIncarnation(server_id=command.server_id)
             if answer.status != http.HTTPStatus.OK:
                 reason = f"status {answer.status}: {answer.body[:200]!r}"
-                return HoldFailed(server_id=command.server_id, reason=reason)
+                return PollFailed(server_id=command.server_id, reason=reason)
             return _listed(command, decoded(answer.body, STEP))
         except NoListenerError as error:
-            return HoldFailed(
-                server_id=command.server_id, reason=str(error), absent=True
+            return PollFailed(
+                server_id=command.server_id, reason=str(error), connection_refused=True
             )
         except BulrushpulleyError as error:
-            return HoldFailed(server_id=command.server_id, reason=str(error))
+            return PollFailed(server_id=command.server_id, reason=str(error))
 
     @call.register
     def _(self, command: StartRun) -> ExecutorEvent:
@@ -191,7 +191,7 @@
     )
 
 
-def _listed(command: HoldRuns, raw: Fields) -> RunsListed:
+def _listed(command: PollRuns, raw: Fields) -> RunsListed:
     return RunsListed(
         server_id=command.server_id,
         started_at_ms=integer(raw, "born", STEP),
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -7,8 +7,8 @@
 from bulrushpulley.systems.intake import (
     checking,
     inquiring,
+    operator_orders,
     readiness,
-    standing_orders,
     submitting,
 )
 from bulrushpulley.systems.intake.events import apply
@@ -21,7 +21,7 @@
         tables=IntakeTables(),
         apply=apply,
         systems=(
-            standing_orders.run,
+            operator_orders.run,
             checking.run,
             submitting.run,
             inquiring.run,
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -4,7 +4,7 @@
 
 from functools import partial
 
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
 from bulrushpulley.entities.step import Command
 from bulrushpulley.logs import log_process
 from bulrushpulley.platform.agent_front import AgentFront
@@ -55,7 +55,7 @@
 
     def _start_keeper(self) -> None:
         settings = self._settings
-        tables = KeeperTables(
+        tables = JobAgentTables(
             host=settings.name,
             failure_domain=settings.failure_domain,
             region=settings.region,
@@ -77,7 +77,7 @@
 
     def _start_front(self) -> None:
         front = AgentFront(
-            tell=partial(self.runtime.tell, KEEPER),
+            tell=partial(self.runtime.tell, JOB_AGENT),
             report=self.runtime.report,
             metrics_text=self.runtime.metrics.text,
         )
--- a/bulrushpulley/roles/keeper.py
+++ b/bulrushpulley/roles/keeper.py
@@ -2,34 +2,34 @@
 
 from __future__ import annotations
 
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role, since_boot
-from bulrushpulley.systems.keeping import (
-    holding,
+from bulrushpulley.systems.job_agent import (
     pacing,
+    polling,
     registering,
     reporting,
-    server_life,
+    server_lifecycle,
     starting,
     stopping,
 )
-from bulrushpulley.systems.keeping.events import apply
+from bulrushpulley.systems.job_agent.events import apply
 
 
-def build(tables: KeeperTables) -> Role[KeeperTables]:
+def build(tables: JobAgentTables) -> Role[JobAgentTables]:
     """Return the keeper of an agent."""
     return Role(
-        name=KEEPER,
+        name=JOB_AGENT,
         tables=tables,
         apply=apply,
         systems=(
             registering.run,
-            server_life.judge,
+            server_lifecycle.update_state,
             starting.run,
             stopping.run,
-            pacing.decide,
+            pacing.decide_paces,
             pacing.run,
-            holding.run,
+            polling.run,
             reporting.run,
         ),
         tick_s=CONTROL_TICK_S,
--- a/bulrushpulley/roles/keeper_io.py
+++ b/bulrushpulley/roles/keeper_io.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from bulrushpulley.entities.jobs.executor_calls import ExecutorCommand
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER
+from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT
 from bulrushpulley.platform.executor import ExecutorClient
 from bulrushpulley.roles.carry_out import carry_out
 from bulrushpulley.roles.store_io import StorePorts
@@ -21,4 +21,4 @@
 
 @carry_out.register
 def _(command: ExecutorCommand, ports: KeeperPorts) -> None:
-    ports.run(role=KEEPER, work=partial(ports.executor.call, command))
+    ports.run(role=JOB_AGENT, work=partial(ports.executor.call, command))
--- a/bulrushpulley/roles/routing.py
+++ b/bulrushpulley/roles/routing.py
@@ -11,7 +11,7 @@
 from bulrushpulley.entities import link
 from bulrushpulley.entities.commit import CommitOutcome, ReadAsked, Submitted
 from bulrushpulley.entities.jobs.items import JobItem
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER
+from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
 from bulrushpulley.entities.linker_tables import DialEnded, DialLinked
 from bulrushpulley.entities.step import Event
@@ -34,12 +34,12 @@
 @recipients.register(link.LinkUp)
 @recipients.register(link.LinkDown)
 def _(item: Event) -> tuple[str, ...]:
-    return (ROUTER, CONTROLLER, GUARD, CELL_OWNER, SCHEDULER, KEEPER)
+    return (ROUTER, CONTROLLER, GUARD, CELL_OWNER, SCHEDULER, JOB_AGENT)
 
 
 @recipients.register
 def _(item: JobItem) -> tuple[str, ...]:
-    return (SCHEDULER, KEEPER)
+    return (SCHEDULER, JOB_AGENT)
 
 
 @recipients.register
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -21,12 +21,12 @@
 from bulrushpulley.entities.jobs.rows import INTAKE_PART, JOBS, JobRow, job_key
 from bulrushpulley.entities.jobs.store import RangeRead, ReadRange, StoreEvent
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems import store_patience
+from bulrushpulley.systems import store_timeouts
 from bulrushpulley.systems.intake import submitting
 
-READ_S = 1.0
+CHECK_READ_TIMEOUT_S = 1.0
 # A store at its usual pace answers a read from the other region in 40 ms.
-QUICK_S = 0.2
+MAX_FAST_READ_S = 0.2
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
@@ -36,7 +36,7 @@
         return Step(tables=tables)
     left = [job_id for job_id in batch.job_ids if job_id in tables.submissions]
     reads: tuple[Command, ...] = tuple(_read(batch, job_id) for job_id in left)
-    asked = replace(batch, checking=frozenset(left), asked_at=now, absent=False)
+    asked = replace(batch, checking=frozenset(left), asked_at=now, row_missing=False)
     return Step(tables=replace(tables, batch=asked), commands=reads)
 
 
@@ -45,7 +45,7 @@
     return ReadRange(
         role=INTAKE,
         purpose=CheckStored(number=batch.number, job_id=job_id),
-        timeout_s=READ_S,
+        timeout_s=CHECK_READ_TIMEOUT_S,
         table=JOBS,
         part=INTAKE_PART,
         first=key,
@@ -61,40 +61,42 @@
     batch = tables.batch
     if batch is None or batch.number != purpose.number:
         return Step(tables=tables)
-    stands = _stands(event)
+    found = _job_row_found(event)
     checking = batch.checking - {purpose.job_id}
-    absent = batch.absent or not stands
-    known = stands is not None
-    tables = replace(tables, batch=replace(batch, checking=checking, absent=absent))
+    row_missing = batch.row_missing or not found
+    known = found is not None
+    tables = replace(
+        tables, batch=replace(batch, checking=checking, row_missing=row_missing)
+    )
     step: IntakeStep = Step(tables=tables)
-    if stands:
-        step = submitting.accept(tables, (purpose.job_id,), now)
+    if found:
+        step = submitting.accept_jobs(tables, (purpose.job_id,), now)
     if checking:
         return step
-    quick = now - batch.asked_at < QUICK_S
-    resends = absent and (quick or not known)
-    return Step(tables=_checked(step.tables, resends, now), commands=step.commands)
+    quick = now - batch.asked_at < MAX_FAST_READ_S
+    resends = row_missing and (quick or not known)
+    return Step(tables=_finish_check(step.tables, resends, now), commands=step.commands)
 
 
 @singledispatch
-def _stands(event: StoreEvent) -> bool | None:
+def _job_row_found(event: StoreEvent) -> bool | None:
     """Tell whether a job's row was found; None where no answer came."""
     return None
 
 
-@_stands.register
+@_job_row_found.register
 def _(event: RangeRead) -> bool | None:
     return any(isinstance(stored.row, JobRow) for stored in event.rows)
 
 
-def _checked(tables: IntakeTables, resends: bool, now: float) -> IntakeTables:
+def _finish_check(tables: IntakeTables, resends: bool, now: float) -> IntakeTables:
     """Go on after every row of the batch was asked for."""
     batch = tables.batch
     if batch is None:
         return tables
-    if not batch.absent:
+    if not batch.row_missing:
         return replace(tables, batch=None)
     if resends:
-        return submitting.returned(tables, unsure=True)
-    again_at = now + store_patience.SHORTEST_S
+        return submitting.requeue_batch(tables, outcome_unknown=True)
+    again_at = now + store_timeouts.MIN_STORE_TIMEOUT_S
     return replace(tables, batch=replace(batch, check_at=again_at))
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -43,13 +43,13 @@
 from bulrushpulley.systems.intake import (
     checking,
     inquiring,
-    standing_orders,
+    operator_orders,
     submitting,
 )
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 # A process that has just started has its configuration within this time.
-STARTING_S = 0.5
+STARTUP_RETRY_AFTER_S = 0.5
 
 
 @singledispatch
@@ -76,7 +76,7 @@
         later = TryLater(
             call_id=event.call_id,
             reason="no configuration was read yet",
-            retry_after_s=STARTING_S,
+            retry_after_s=STARTUP_RETRY_AFTER_S,
         )
         return _refuse(tables, event, later, later.reason)
     found = route(configuration, event.authority, event.path)
@@ -84,20 +84,20 @@
         answer = NoSuchQueue(call_id=event.call_id)
         return _refuse(tables, event, answer, f"version {configuration.version}")
     queue, rest = found
-    if not _names_well(event, rest):
+    if not _has_valid_job_id(event, rest):
         answer = NoSuchQueue(call_id=event.call_id)
         return _refuse(tables, event, answer, "the path names no job")
     return begin(event, queue, rest, tables, now)
 
 
 @singledispatch
-def _names_well(call: JobCall, job_id: str) -> bool:
+def _has_valid_job_id(call: JobCall, job_id: str) -> bool:
     """Tell whether the rest of the path fits the call: a job's id or nothing."""
     return not job_id or JOB_ID.fullmatch(job_id) is not None
 
 
-@_names_well.register(SubmitCall)
-@_names_well.register(CancelCall)
+@_has_valid_job_id.register(SubmitCall)
+@_has_valid_job_id.register(CancelCall)
 def _(call: JobCall, job_id: str) -> bool:
     return JOB_ID.fullmatch(job_id) is not None
 
@@ -128,18 +128,20 @@
 
 @apply.register
 def _(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeStep:
-    return on_store(event.purpose, event, answered(event, tables, now), now)
+    return on_store(event.purpose, event, note_store_answer(event, tables, now), now)
 
 
 @singledispatch
-def answered(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeTables:
+def note_store_answer(
+    event: StoreEvent, tables: IntakeTables, now: float
+) -> IntakeTables:
     """Note that the store answers."""
-    return replace(tables, answered_at=now)
+    return replace(tables, store_answered_at=now)
 
 
-@answered.register(ReadFailed)
-@answered.register(TransactLost)
-@answered.register(TransactRefused)
+@note_store_answer.register(ReadFailed)
+@note_store_answer.register(TransactLost)
+@note_store_answer.register(TransactRefused)
 def _(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeTables:
     return tables
 
@@ -164,8 +166,8 @@
     purpose: ReadOrders, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
     if isinstance(event, RangeRead):
-        return standing_orders.on_read(event, tables, now)
-    return standing_orders.on_unread(tables)
+        return operator_orders.on_read(event, tables, now)
+    return operator_orders.on_read_failed(tables)
 
 
 @on_store.register
@@ -178,17 +180,17 @@
 @singledispatch
 def on_watched(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeStep:
     """Act on the answer of the watch; by default the call failed."""
-    return standing_orders.on_failed(tables, now)
+    return operator_orders.on_watch_failed(tables, now)
 
 
 @on_watched.register
 def _(event: Changed, tables: IntakeTables, now: float) -> IntakeStep:
-    return standing_orders.on_changed(event.rows, event.version, tables, now)
+    return operator_orders.on_changed(event.rows, event.version, tables, now)
 
 
 @on_watched.register
 def _(event: HistoryLost, tables: IntakeTables, now: float) -> IntakeStep:
-    return standing_orders.on_history_lost(tables)
+    return operator_orders.on_history_lost(tables)
 
 
 on_store.register(CheckStored, checking.on_read)
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -61,17 +61,17 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems import store_patience
+from bulrushpulley.systems import store_timeouts
 from bulrushpulley.systems.intake.submitting import (
     ANSWER_MARGIN_S,
-    RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
     is_accepted,
 )
 
 # Pauses before a call that the store refused or did not answer is repeated.
-FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.8
-LEAST_CALL_S = 0.1
+MIN_INQUIRY_RETRY_DELAY_S = 0.1
+MAX_INQUIRY_RETRY_DELAY_S = 0.8
+MIN_INQUIRY_TIMEOUT_S = 0.1
 
 
 @singledispatch
@@ -113,7 +113,7 @@
         due_at=now + max(0.0, call.within_s - ANSWER_MARGIN_S),
     )
     inquiries = tables.inquiries.put(call.call_id, inquiry)
-    command = replace(first, timeout_s=store_patience.timeout_s(tables.store_s))
+    command = replace(first, timeout_s=store_timeouts.timeout_s(tables.store_latency_s))
     return Step(tables=replace(tables, inquiries=inquiries), commands=(command,))
 
 
@@ -138,7 +138,7 @@
     return ReadRange(
         role=INTAKE,
         purpose=purpose,
-        timeout_s=store_patience.SHORTEST_S,
+        timeout_s=store_timeouts.MIN_STORE_TIMEOUT_S,
         table=table,
         part=part,
         first=first,
@@ -150,7 +150,7 @@
     return Transact(
         role=INTAKE,
         purpose=StoreCancel(call_id=call_id),
-        timeout_s=store_patience.SHORTEST_S,
+        timeout_s=store_timeouts.MIN_STORE_TIMEOUT_S,
         conditions=(Condition(key=cancel_key(job_id), version=0),),
         puts=(CancelRow(job_id=job_id),),
     )
@@ -163,11 +163,11 @@
     inquiry = tables.inquiries.get(purpose.call_id)
     if inquiry is None:
         return Step(tables=tables)
-    return go_on(event, purpose, inquiry, tables, now)
+    return handle_answer(event, purpose, inquiry, tables, now)
 
 
 @singledispatch
-def go_on(
+def handle_answer(
     event: StoreEvent,
     purpose: CallPurpose,
     inquiry: Inquiry,
@@ -175,14 +175,23 @@
     now: float,
 ) -> IntakeStep:
     """Have a call to the store that got no answer repeated, while there is time."""
-    unsure = isinstance(purpose, StoreCancel) and not isinstance(event, TransactRefused)
-    inquiry = replace(inquiry, unsure=inquiry.unsure or unsure)
+    outcome_unknown = isinstance(purpose, StoreCancel) and not isinstance(
+        event, TransactRefused
+    )
+    inquiry = replace(
+        inquiry, outcome_unknown=inquiry.outcome_unknown or outcome_unknown
+    )
     if now >= inquiry.due_at:
         return _give_up(tables, inquiry)
     call_id = inquiry.call.call_id
-    wait_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**inquiry.tries)
+    wait_s = min(
+        MAX_INQUIRY_RETRY_DELAY_S, MIN_INQUIRY_RETRY_DELAY_S * 2.0**inquiry.tries
+    )
     again = replace(
-        inquiry, tries=inquiry.tries + 1, repeat=purpose, repeat_at=now + wait_s
+        inquiry,
+        tries=inquiry.tries + 1,
+        retry_purpose=purpose,
+        next_retry_at=now + wait_s,
     )
     inquiries = tables.inquiries.put(call_id, again)
     return Step(tables=replace(tables, inquiries=inquiries))
@@ -193,9 +202,9 @@
     call_id = inquiry.call.call_id
     reason = "the store did not answer"
     answer: CallAnswer = TryLater(
-        call_id=call_id, reason=reason, retry_after_s=RETRY_AFTER_S
+        call_id=call_id, reason=reason, retry_after_s=MIN_RETRY_AFTER_S
     )
-    if inquiry.unsure:
+    if inquiry.outcome_unknown:
         answer = OutcomeUnknown(call_id=call_id, reason=reason)
     return _finish(tables, inquiry, answer)
 
@@ -205,54 +214,56 @@
     commands: list[Command] = []
     for call_id in sorted(tables.inquiries):
         inquiry = tables.inquiries.by_key[call_id]
-        purpose = inquiry.repeat
+        purpose = inquiry.retry_purpose
         if purpose is not None and now >= inquiry.due_at:
             step = _give_up(tables, inquiry)
             tables = step.tables
             commands.extend(step.commands)
             continue
-        if purpose is None or now < inquiry.repeat_at:
+        if purpose is None or now < inquiry.next_retry_at:
             continue
-        timeout_s = store_patience.timeout_s(tables.store_s) * 2.0**inquiry.tries
-        left_s = max(LEAST_CALL_S, inquiry.due_at - now)
+        timeout_s = (
+            store_timeouts.timeout_s(tables.store_latency_s) * 2.0**inquiry.tries
+        )
+        left_s = max(MIN_INQUIRY_TIMEOUT_S, inquiry.due_at - now)
         command = replace(
-            repeated(purpose, inquiry),
-            timeout_s=min(timeout_s, left_s, store_patience.LONGEST_S),
+            retry_command(purpose, inquiry),
+            timeout_s=min(timeout_s, left_s, store_timeouts.MAX_STORE_TIMEOUT_S),
         )
-        sent = replace(inquiry, repeat=None)
+        sent = replace(inquiry, retry_purpose=None)
         tables = replace(tables, inquiries=tables.inquiries.put(call_id, sent))
         commands.append(command)
     return Step(tables=tables, commands=tuple(commands))
 
 
 @singledispatch
-def repeated(purpose: Purpose, inquiry: Inquiry) -> StoreCommand:
+def retry_command(purpose: Purpose, inquiry: Inquiry) -> StoreCommand:
     """Return the call to the store that has this purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
 
-@repeated.register
+@retry_command.register
 def _(purpose: ReadProgress, inquiry: Inquiry) -> StoreCommand:
     return _read_progress(purpose.call_id, inquiry.job_id)
 
 
-@repeated.register
+@retry_command.register
 def _(purpose: ReadJob, inquiry: Inquiry) -> StoreCommand:
     return _read_job(purpose.call_id, inquiry.job_id)
 
 
-@repeated.register
+@retry_command.register
 def _(purpose: ReadBacklog, inquiry: Inquiry) -> StoreCommand:
     return _read_backlog(purpose.call_id, inquiry.job_id)
 
 
-@repeated.register
+@retry_command.register
 def _(purpose: StoreCancel, inquiry: Inquiry) -> StoreCommand:
     return _store_cancel(purpose.call_id, inquiry.job_id)
 
 
-@go_on.register(Transacted)
-@go_on.register(Conflicted)
+@handle_answer.register(Transacted)
+@handle_answer.register(Conflicted)
 def _(
     event: StoreEvent,
     purpose: CallPurpose,
@@ -263,7 +274,7 @@
     return _finish(tables, inquiry, JobCancelled(call_id=purpose.call_id))
 
 
-@go_on.register
+@handle_answer.register
 def _(
     event: RangeRead,
     purpose: CallPurpose,
@@ -295,7 +306,7 @@
         shown = JobShown(call_id=purpose.call_id, state=JobState.QUEUED)
         return _finish(tables, inquiry, shown)
     read = _read_job(purpose.call_id, inquiry.job_id)
-    timeout_s = store_patience.timeout_s(tables.store_s)
+    timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
     return Step(tables=tables, commands=(replace(read, timeout_s=timeout_s),))
 
 
@@ -306,11 +317,11 @@
     rows = [stored.row for stored in event.rows]
     if not any(isinstance(row, JobRow) for row in rows):
         return _finish(tables, inquiry, NoSuchJob(call_id=purpose.call_id))
-    return when_accepted(inquiry.call, inquiry, rows, tables)
+    return handle_stored_job(inquiry.call, inquiry, rows, tables)
 
 
 @singledispatch
-def when_accepted(
+def handle_stored_job(
     call: JobCall, inquiry: Inquiry, rows: list[object], tables: IntakeTables
 ) -> IntakeStep:
     """Go on with a call about a job that is stored: by default show its state."""
@@ -319,14 +330,14 @@
     return _finish(tables, inquiry, JobShown(call_id=call.call_id, state=state))
 
 
-@when_accepted.register
+@handle_stored_job.register
 def _(
     call: CancelCall, inquiry: Inquiry, rows: list[object], tables: IntakeTables
 ) -> IntakeStep:
     if any(isinstance(row, CancelRow) for row in rows):
         return _finish(tables, inquiry, JobCancelled(call_id=call.call_id))
     store = _store_cancel(call.call_id, inquiry.job_id)
-    timeout_s = store_patience.timeout_s(tables.store_s)
+    timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
     return Step(tables=tables, commands=(replace(store, timeout_s=timeout_s),))
 
 
--- a/bulrushpulley/systems/intake/standing_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -19,8 +19,8 @@
     INTAKE,
     IntakeStep,
     IntakeTables,
+    OrderEntry,
     ReadOrders,
-    StandingEntry,
     WatchOrders,
 )
 from bulrushpulley.entities.jobs.rows import ORDERS
@@ -35,21 +35,21 @@
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.systems import store_watch
 
-READ_S = 1.5
-RETRY_S = 0.3
+ORDERS_READ_TIMEOUT_S = 1.5
+ORDERS_READ_RETRY_DELAY_S = 0.3
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
     """Read the orders once, then follow their changes."""
     state = tables.watch
     if state is None:
-        if tables.reading or now - tables.read_at < RETRY_S:
+        if tables.reading or now - tables.read_at < ORDERS_READ_RETRY_DELAY_S:
             return Step(tables=tables)
         reading = replace(tables, reading=True, read_at=now)
         read = ReadRange(
             role=INTAKE,
             purpose=ReadOrders(),
-            timeout_s=READ_S,
+            timeout_s=ORDERS_READ_TIMEOUT_S,
             table=ORDERS,
             part="",
         )
@@ -64,20 +64,20 @@
 def on_read(event: RangeRead, tables: IntakeTables, now: float) -> IntakeStep:
     """Replace all orders by what was read, and follow from there."""
     found = {stored.key.key for stored in event.rows}
-    entries = tables.entry_by_key
+    entries = tables.order_by_key
     for key in entries:
         if key not in found and entries[key].version <= event.version:
             entries = entries.remove(key)
     tables = replace(
         tables,
-        entry_by_key=entries,
+        order_by_key=entries,
         reading=False,
         watch=WatchState(after=event.version),
     )
-    return _take(tables, event.rows, event.version)
+    return _apply_rows(tables, event.rows, event.version)
 
 
-def on_unread(tables: IntakeTables) -> IntakeStep:
+def on_read_failed(tables: IntakeTables) -> IntakeStep:
     """Try again after a while."""
     return Step(tables=replace(tables, reading=False))
 
@@ -89,7 +89,7 @@
     if tables.watch is None:
         return Step(tables=tables)
     watch = store_watch.answered(tables.watch, version)
-    return _take(replace(tables, watch=watch), rows, version)
+    return _apply_rows(replace(tables, watch=watch), rows, version)
 
 
 def on_history_lost(tables: IntakeTables) -> IntakeStep:
@@ -97,31 +97,31 @@
     return Step(tables=replace(tables, watch=None))
 
 
-def on_failed(tables: IntakeTables, now: float) -> IntakeStep:
+def on_watch_failed(tables: IntakeTables, now: float) -> IntakeStep:
     """Try again soon."""
     if tables.watch is None:
         return Step(tables=tables)
     return Step(tables=replace(tables, watch=store_watch.failed(tables.watch, now)))
 
 
-def _take(
+def _apply_rows(
     tables: IntakeTables, rows: tuple[StoredRow, ...], version: int
 ) -> IntakeStep:
-    entries = tables.entry_by_key
+    entries = tables.order_by_key
     for stored in rows:
         known = entries.get(stored.key.key)
         if known is not None and known.version >= stored.version:
             continue
         if stored.row is None and known is None:
             continue
-        entry = StandingEntry(version=stored.version, row=stored.row)
+        entry = OrderEntry(version=stored.version, row=stored.row)
         entries = entries.set(stored.key.key, entry)
     standing = Standing(revision=version)
     for key in sorted(entries):
-        standing = in_force(entries[key].row, standing)
+        standing = with_order(entries[key].row, standing)
     before = tables.standing
     changed = replace(standing, revision=before.revision) != before
-    tables = replace(tables, entry_by_key=entries, standing=standing)
+    tables = replace(tables, order_by_key=entries, standing=standing)
     if not changed:
         return Step(tables=tables)
     tell = Tell(role=SCHEDULER, event=StandingChanged(standing=standing))
@@ -130,22 +130,22 @@
 
 
 @singledispatch
-def in_force(row: object, standing: Standing) -> Standing:
+def with_order(row: object, standing: Standing) -> Standing:
     """Add what a row says to what is in force; unknown rows add nothing."""
     return standing
 
 
-@in_force.register
+@with_order.register
 def _(row: Configuration, standing: Standing) -> Standing:
     return replace(standing, configuration=row)
 
 
-@in_force.register
+@with_order.register
 def _(row: Evacuation, standing: Standing) -> Standing:
     return replace(standing, evacuated=standing.evacuated | {row.failure_domain})
 
 
-@in_force.register
+@with_order.register
 def _(row: WaveOrder, standing: Standing) -> Standing:
     waves = sorted((*standing.waves, row), key=lambda wave: wave.number)
     return replace(standing, waves=tuple(waves))
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -16,7 +16,7 @@
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
     """Publish a change of readiness."""
-    served = now - tables.answered_at < submitting.SILENT_S
+    served = now - tables.store_answered_at < submitting.STORE_SILENT_TIMEOUT_S
     ready = served and not tables.leaving and tables.standing.configuration is not None
     if ready == tables.ready:
         return Step(tables=tables)
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -38,28 +38,28 @@
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems import store_patience
+from bulrushpulley.systems import store_timeouts
 
 # The store takes 100 rows in a transaction, and 1 MB; a job is 20 KB at most.
-MAX_BATCH = 45
+MAX_BATCH_JOBS = 45
 # A submission that the store turned away is tried again for this long before its
 # caller is told; a quarter of the shortest objective.
-HOLD_S = 0.1
-RETRY_S = 0.05
+REFUSED_TIMEOUT_S = 0.1
+REFUSED_RETRY_DELAY_S = 0.05
 # The same for a store that answers, but has too much to do: its queue is a second long,
 # and this is less than half of the time that callers give.
-BUSY_HOLD_S = 1.4
-BUSY_RETRY_S = 0.25
+BUSY_TIMEOUT_S = 1.4
+BUSY_RETRY_DELAY_S = 0.25
 # Outages of the store last seconds; callers that come back sooner meet them again. They
 # come back four times, which should bridge 6 s and cost little in a short outage.
-RETRY_AFTER_S = 1.0
-LONGEST_RETRY_AFTER_S = 2.0
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 2.0
 # The answer must be back before the caller's time is up; a tick is 0.2 s.
 ANSWER_MARGIN_S = 0.3
-MAX_REMEMBERED = 4_000
+MAX_REMEMBERED_JOBS = 4_000
 # The watch hears from the store each second. What is sent to a store that is silent
 # for longer could only end as an outcome that nobody knows.
-SILENT_S = 1.6
+STORE_SILENT_TIMEOUT_S = 1.6
 
 
 def submit(
@@ -72,12 +72,14 @@
     if is_accepted(tables, job_id):
         return _answer(tables, JobAccepted(call_id=call.call_id))
     known = tables.submissions.get(job_id)
-    if known is None and now - tables.answered_at > SILENT_S:
-        reason = f"the store has not answered for {now - tables.answered_at:.1f} s"
+    if known is None and now - tables.store_answered_at > STORE_SILENT_TIMEOUT_S:
+        reason = (
+            f"the store has not answered for {now - tables.store_answered_at:.1f} s"
+        )
         later = TryLater(
             call_id=call.call_id,
             reason=reason,
-            retry_after_s=retry_after_s(now - tables.answered_at),
+            retry_after_s=retry_after_s(now - tables.store_answered_at),
         )
         line = Decision(
             kind="job.refuse", subject=job_id, chosen=queue.name, reason=reason
@@ -91,16 +93,16 @@
         job_id=job_id,
         row=_row(call, queue, job_id),
         call_ids=(call.call_id,),
-        came_at=now,
+        received_at=now,
         due_at=now + max(0.0, call.within_s - ANSWER_MARGIN_S),
     )
     submissions = tables.submissions.put(job_id, submission)
     return Step(tables=replace(tables, submissions=submissions))
 
 
-def retry_after_s(silent_s: float) -> float:
+def retry_after_s(unanswered_s: float) -> float:
     """Return when to come back: after as long as the store has been silent already."""
-    return min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, silent_s))
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, unanswered_s))
 
 
 def _row(call: SubmitCall, queue: Queue, job_id: str) -> JobRow:
@@ -130,7 +132,7 @@
 
 def is_accepted(tables: IntakeTables, job_id: str) -> bool:
     """Tell whether a job is known to be stored."""
-    return job_id in tables.accepted or job_id in tables.accepted_before
+    return job_id in tables.accepted or job_id in tables.older_accepted
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
@@ -139,15 +141,15 @@
     tables = step.tables
     if tables.batch is not None or now < tables.retry_at:
         return step
-    waiting = sorted(tables.submissions.rows(), key=lambda row: row.came_at)
-    chosen = waiting[:MAX_BATCH]
+    waiting = sorted(tables.submissions.rows(), key=lambda row: row.received_at)
+    chosen = waiting[:MAX_BATCH_JOBS]
     if not chosen:
         return step
-    number = tables.batches + 1
+    number = tables.batch_count + 1
     transact = Transact(
         role=INTAKE,
         purpose=StoreJobs(number=number),
-        timeout_s=store_patience.LONGEST_S,
+        timeout_s=store_timeouts.MAX_STORE_TIMEOUT_S,
         conditions=tuple(
             Condition(key=job_key(row.job_id), version=0) for row in chosen
         ),
@@ -159,12 +161,12 @@
         transact=transact,
         job_ids=job_ids,
         sent_at=now,
-        check_at=now + store_patience.timeout_s(tables.store_s),
+        check_at=now + store_timeouts.timeout_s(tables.store_latency_s),
     )
     submissions = tables.submissions
     for row in chosen:
         submissions = submissions.put(row.job_id, replace(row, in_flight=True))
-    tables = replace(tables, batch=batch, batches=number, submissions=submissions)
+    tables = replace(tables, batch=batch, batch_count=number, submissions=submissions)
     return Step(tables=tables, commands=(*step.commands, transact))
 
 
@@ -173,26 +175,28 @@
     for row in tables.submissions.rows():
         if row.in_flight and now < row.due_at:
             continue
-        unsure = row.unsure or row.in_flight
-        hold_s = BUSY_HOLD_S if row.busy else HOLD_S
-        turned_away = row.refused_at is not None and now - row.refused_at >= hold_s
-        if now < row.due_at and (unsure or not turned_away):
+        outcome_unknown = row.outcome_unknown or row.in_flight
+        retry_timeout_s = BUSY_TIMEOUT_S if row.busy else REFUSED_TIMEOUT_S
+        refused = row.refused_at is not None and now - row.refused_at >= retry_timeout_s
+        if now < row.due_at and (outcome_unknown or not refused):
             continue
         tables = replace(tables, submissions=tables.submissions.drop(row.job_id))
-        retry_s = retry_after_s(now - tables.answered_at)
-        commands.extend(_give_up(row, unsure, retry_s))
+        retry_s = retry_after_s(now - tables.store_answered_at)
+        commands.extend(_give_up(row, outcome_unknown, retry_s))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _give_up(row: Submission, unsure: bool, retry_s: float) -> list[Command]:
-    reason = "the store did not answer" if unsure else "the store takes nothing"
+def _give_up(row: Submission, outcome_unknown: bool, retry_s: float) -> list[Command]:
+    reason = (
+        "the store did not answer" if outcome_unknown else "the store takes nothing"
+    )
     line = Decision(
-        kind="job.unsure" if unsure else "job.refuse",
+        kind="job.unsure" if outcome_unknown else "job.refuse",
         subject=row.job_id,
         chosen=row.row.queue,
         reason=reason,
     )
-    if unsure:
+    if outcome_unknown:
         return [
             line,
             *(OutcomeUnknown(call_id=call, reason=reason) for call in row.call_ids),
@@ -211,12 +215,16 @@
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
-    store_s = store_patience.smoothed(tables.store_s, now - batch.sent_at)
-    tables = replace(tables, batch=None, store_s=store_s)
-    return accept(tables, batch.job_ids, now)
+    store_latency_s = store_timeouts.smoothed_latency_s(
+        tables.store_latency_s, now - batch.sent_at
+    )
+    tables = replace(tables, batch=None, store_latency_s=store_latency_s)
+    return accept_jobs(tables, batch.job_ids, now)
 
 
-def accept(tables: IntakeTables, job_ids: tuple[str, ...], now: float) -> IntakeStep:
+def accept_jobs(
+    tables: IntakeTables, job_ids: tuple[str, ...], now: float
+) -> IntakeStep:
     """Tell the callers of some jobs that these are stored."""
     commands: list[Command] = []
     for job_id in job_ids:
@@ -229,20 +237,22 @@
             kind="job.store",
             subject=job_id,
             chosen=row.row.queue,
-            reason=f"after {now - row.came_at:.3f} s",
+            reason=f"after {now - row.received_at:.3f} s",
             revision=tables.standing.revision,
         )
         commands.append(line)
-        commands.append(Observe(name="job_store_seconds", seconds=now - row.came_at))
+        commands.append(
+            Observe(name="job_store_seconds", seconds=now - row.received_at)
+        )
         commands.extend(JobAccepted(call_id=call) for call in row.call_ids)
     return Step(tables=tables, commands=tuple(commands))
 
 
 def _remember(tables: IntakeTables, job_id: str) -> IntakeTables:
     accepted = tables.accepted.add(job_id)
-    if len(accepted) <= MAX_REMEMBERED:
+    if len(accepted) <= MAX_REMEMBERED_JOBS:
         return replace(tables, accepted=accepted)
-    return replace(tables, accepted=pset(), accepted_before=accepted)
+    return replace(tables, accepted=pset(), older_accepted=accepted)
 
 
 def on_conflict(event: Conflicted, tables: IntakeTables, now: float) -> IntakeStep:
@@ -254,7 +264,7 @@
     stored = tuple(
         job_id for job_id in batch.job_ids if job_key(job_id).key in standing
     )
-    return accept(returned(tables, unsure=False), stored, now)
+    return accept_jobs(requeue_batch(tables, outcome_unknown=False), stored, now)
 
 
 def on_lost(tables: IntakeTables, now: float) -> IntakeStep:
@@ -262,28 +272,32 @@
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
-    return Step(tables=returned(tables, unsure=True))
+    return Step(tables=requeue_batch(tables, outcome_unknown=True))
 
 
 def on_refused(event: TransactRefused, tables: IntakeTables, now: float) -> IntakeStep:
     """Have a batch that was turned away tried again after a pause."""
-    tables = returned(tables, unsure=False)
+    tables = requeue_batch(tables, outcome_unknown=False)
     submissions = tables.submissions
     for row in submissions.rows():
         since = now if row.refused_at is None else row.refused_at
-        turned_away = replace(row, refused_at=since, busy=event.busy)
-        submissions = submissions.put(row.job_id, turned_away)
-    pause_s = BUSY_RETRY_S if event.busy else RETRY_S
+        refused = replace(row, refused_at=since, busy=event.busy)
+        submissions = submissions.put(row.job_id, refused)
+    pause_s = BUSY_RETRY_DELAY_S if event.busy else REFUSED_RETRY_DELAY_S
     tables = replace(tables, submissions=submissions, retry_at=now + pause_s)
     return Step(tables=tables)
 
 
-def returned(tables: IntakeTables, *, unsure: bool) -> IntakeTables:
+def requeue_batch(tables: IntakeTables, *, outcome_unknown: bool) -> IntakeTables:
     """Let the jobs of the batch wait for the next one."""
     submissions = tables.submissions
     for job_id in tables.batch.job_ids if tables.batch else ():
         row = submissions.get(job_id)
         if row is not None:
-            waits = replace(row, in_flight=False, unsure=row.unsure or unsure)
+            waits = replace(
+                row,
+                in_flight=False,
+                outcome_unknown=row.outcome_unknown or outcome_unknown,
+            )
             submissions = submissions.put(job_id, waits)
     return replace(tables, batch=None, submissions=submissions)
--- a/bulrushpulley/systems/keeping/edits.py
+++ b/bulrushpulley/systems/job_agent/edits.py
@@ -4,17 +4,17 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.jobs.keeper_tables import KeeperTables, Run
+from bulrushpulley.entities.jobs.job_agent_tables import JobAgentTables, Run
 from bulrushpulley.entities.observe import Decision
 
 
-def put_run(tables: KeeperTables, run: Run) -> KeeperTables:
+def put_run(tables: JobAgentTables, run: Run) -> JobAgentTables:
     """Store a run."""
     return replace(tables, runs=tables.runs.put(run.key, run))
 
 
 def log(
-    tables: KeeperTables, kind: str, subject: str, chosen: str, reason: str
+    tables: JobAgentTables, kind: str, subject: str, chosen: str, reason: str
 ) -> Decision:
     """Return the line of a decision, with the epoch it rested on."""
     return Decision(
--- a/bulrushpulley/systems/keeping/events.py
+++ b/bulrushpulley/systems/job_agent/events.py
@@ -6,10 +6,10 @@
 
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
-    HoldFailed,
-    OtherLife,
+    OtherIncarnation,
     PaceAnswered,
     PaceFailed,
+    PollFailed,
     RunsListed,
     RunStarted,
     StartDenied,
@@ -26,44 +26,44 @@
     HarmVerdicts,
     Orders,
 )
-from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import JobAgentStep, JobAgentTables
 from bulrushpulley.entities.jobs.store import StoreEvent
 from bulrushpulley.entities.link import LinkDown
 from bulrushpulley.entities.step import Event, Step
-from bulrushpulley.systems.keeping import (
-    holding,
-    obeying,
+from bulrushpulley.systems.job_agent import (
+    owner_orders,
     pacing,
+    polling,
     registering,
-    server_life,
+    server_lifecycle,
     starting,
     stopping,
 )
 
 
 @singledispatch
-def apply(event: Event, tables: KeeperTables, now: float) -> KeeperStep:
+def apply(event: Event, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Act on one event; kinds that say nothing to the role change nothing."""
     return Step(tables=tables)
 
 
-apply.register(Announced, server_life.on_announced)
-apply.register(Withdrawn, server_life.on_withdrawn)
-apply.register(RunsListed, holding.on_listed)
-apply.register(HoldFailed, holding.on_failed)
-apply.register(OtherLife, holding.on_other_life)
-apply.register(EndsNoted, holding.on_noted)
+apply.register(Announced, server_lifecycle.on_announced)
+apply.register(Withdrawn, server_lifecycle.on_withdrawn)
+apply.register(RunsListed, polling.on_listed)
+apply.register(PollFailed, polling.on_failed)
+apply.register(OtherIncarnation, polling.on_other_incarnation)
+apply.register(EndsNoted, polling.on_noted)
 apply.register(RunStarted, starting.on_started)
 apply.register(StartDenied, starting.on_denied)
 apply.register(StartUnhealthy, starting.on_unhealthy)
 apply.register(StartUnanswered, starting.on_unanswered)
 apply.register(StopAnswered, stopping.on_answered)
 apply.register(StopUnanswered, stopping.on_unanswered)
-apply.register(PaceAnswered, pacing.on_paced)
-apply.register(PaceFailed, pacing.on_unpaced)
-apply.register(Adopt, obeying.on_adopt)
-apply.register(Orders, obeying.on_orders)
-apply.register(ContactAck, obeying.on_contact_ack)
+apply.register(PaceAnswered, pacing.on_pace_answered)
+apply.register(PaceFailed, pacing.on_pace_failed)
+apply.register(Adopt, owner_orders.on_adopt)
+apply.register(Orders, owner_orders.on_orders)
+apply.register(ContactAck, owner_orders.on_contact_ack)
 apply.register(HarmVerdicts, pacing.on_verdicts)
-apply.register(LinkDown, obeying.on_link_down)
+apply.register(LinkDown, owner_orders.on_link_down)
 apply.register(StoreEvent, registering.on_answer)
--- a/bulrushpulley/systems/keeping/obeying.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.items import Adopt, ContactAck, Orders
-from bulrushpulley.entities.jobs.keeper_tables import (
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
     Run,
     RunPhase,
 )
@@ -15,12 +15,12 @@
 from bulrushpulley.entities.link import LinkDown
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
-NEVER = -60.0
+NEVER_AT_S = -60.0
 
 
-def on_adopt(event: Adopt, tables: KeeperTables, now: float) -> KeeperStep:
+def on_adopt(event: Adopt, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Listen to the newest owner only, and tell it everything."""
     if event.epoch < tables.epoch:
         line = _line(tables, event.peer, f"its epoch {event.epoch} is over")
@@ -29,16 +29,16 @@
         tables,
         owner=event.peer,
         epoch=event.epoch,
-        contact_sent_at=NEVER,
-        ordered=False,
+        contact_sent_at=NEVER_AT_S,
+        orders_complete=False,
         synced=False,
         reported=None,
-        ends_sent=0,
+        last_end_sent=0,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
 
 
-def on_link_down(event: LinkDown, tables: KeeperTables, now: float) -> KeeperStep:
+def on_link_down(event: LinkDown, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Go on without the owner for as long as its last word allows."""
     if event.peer != tables.owner:
         return Step(tables=tables)
@@ -46,7 +46,9 @@
     return Step(tables=replace(tables, owner=""), commands=(line,))
 
 
-def on_contact_ack(event: ContactAck, tables: KeeperTables, now: float) -> KeeperStep:
+def on_contact_ack(
+    event: ContactAck, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Count the owner's vouching from when it was asked for."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
@@ -54,22 +56,22 @@
     return Step(tables=replace(tables, contact_at=contact_at))
 
 
-def on_orders(event: Orders, tables: KeeperTables, now: float) -> KeeperStep:
+def on_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Take in which runs are wanted."""
     server = tables.server
     if event.epoch != tables.epoch or server is None or event.life != server.life:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     if event.complete:
-        tables = _only(tables, event)
+        tables = _drop_unnamed(tables, event)
     for order in event.start:
-        tables = _wanted(tables, order, now)
+        tables = _mark_wanted(tables, order, now)
     for ref in event.stop:
-        tables = _unwanted(tables, ref, now)
+        tables = _mark_unwanted(tables, ref, now)
     return Step(tables=tables)
 
 
-def _only(tables: KeeperTables, event: Orders) -> KeeperTables:
+def _drop_unnamed(tables: JobAgentTables, event: Orders) -> JobAgentTables:
     """Want no run that a complete list does not name."""
     named = {order.key for order in event.start} | {ref.key for ref in event.stop}
     for run in tables.runs.rows():
@@ -80,10 +82,10 @@
             continue
         unwanted = replace(run, wanted=False)
         tables = edits.put_run(tables, unwanted)
-    return replace(tables, ordered=True)
+    return replace(tables, orders_complete=True)
 
 
-def _wanted(tables: KeeperTables, order: RunOrder, now: float) -> KeeperTables:
+def _mark_wanted(tables: JobAgentTables, order: RunOrder, now: float) -> JobAgentTables:
     ref = RunRef(task_id=order.task_id, run=order.run)
     if any(end.key == order.key for end in tables.ends.values()):
         return tables
@@ -94,7 +96,7 @@
     return edits.put_run(tables, ordered)
 
 
-def _unwanted(tables: KeeperTables, ref: RunRef, now: float) -> KeeperTables:
+def _mark_unwanted(tables: JobAgentTables, ref: RunRef, now: float) -> JobAgentTables:
     if any(end.key == ref.key for end in tables.ends.values()):
         return tables
     known = tables.runs.get(ref.key)
@@ -103,5 +105,5 @@
     return edits.put_run(tables, unwanted)
 
 
-def _line(tables: KeeperTables, peer: str, reason: str) -> Decision:
+def _line(tables: JobAgentTables, peer: str, reason: str) -> Decision:
     return edits.log(tables, "owner.hear", peer, "", reason)
--- a/bulrushpulley/systems/keeping/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -15,42 +15,44 @@
     PaceRun,
 )
 from bulrushpulley.entities.jobs.items import HarmVerdicts
-from bulrushpulley.entities.jobs.keeper_tables import (
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
     Pacing,
     Run,
     RunPhase,
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
 # Measures cover the last half second, so acting more often would act on old ones.
-DECIDE_S = 0.5
+PACE_INTERVAL_S = 0.5
 # Parts of the target: above the first a task is about to miss it, below the second
 # there is room to give speed back.
-NEAR = 0.95
-WELL = 0.8
-SLOWER = 0.5
+NEAR_TARGET_RATIO = 0.95
+RECOVERED_RATIO = 0.8
+SLOWDOWN_FACTOR = 0.5
 # After this time near the target nobody is held to be harmless any more, and after the
 # second nothing that may disturb works at all: many slow runs together still do harm,
 # and a task may be over its target for 4 s at most.
-DOUBT_S = 0.9
-STOP_S = 1.5
-FASTER_PERCENT = 15
-LEAST_PERCENT = 5
+SLOW_HARMLESS_AFTER_S = 0.9
+PAUSE_ALL_AFTER_S = 1.5
+SPEEDUP_PERCENT = 15
+MIN_PACE_PERCENT = 5
 # What a run begins with beside a task that it is known to slow, or may slow.
-KNOWN_START_PERCENT = 20
+HARMFUL_START_PERCENT = 20
 UNKNOWN_START_PERCENT = 50
-CALL_S = 0.5
-RETRY_S = 0.1
+PACE_TIMEOUT_S = 0.5
+PACE_RETRY_DELAY_S = 0.1
 # A call without answer may be carried out up to 12 s later.
-LATEST_S = 12.5
-AGAIN_S = 1.0
+MAX_LATE_PACE_S = 12.5
+UNCERTAIN_PACE_INTERVAL_S = 1.0
 
 
-def on_verdicts(event: HarmVerdicts, tables: KeeperTables, now: float) -> KeeperStep:
+def on_verdicts(
+    event: HarmVerdicts, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Note which images slow which, as the owner has learned it from all hosts."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
@@ -62,27 +64,29 @@
     return Step(tables=replace(tables, pacing=pacing))
 
 
-def decide(tables: KeeperTables, now: float) -> KeeperStep:
+def decide_paces(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Set the pace of every run that may disturb, by the latest measures."""
-    if tables.server is None or now - tables.pacing.decided_at < DECIDE_S:
+    if tables.server is None or now - tables.pacing.decided_at < PACE_INTERVAL_S:
         return Step(tables=tables)
     runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
-    part_by_image = _parts(runs)
-    near_since = tables.pacing.near_since
-    for image, part in part_by_image.items():
-        if part <= NEAR:
-            near_since = near_since.discard(image)
-        elif image not in near_since:
-            near_since = near_since.set(image, now)
-    pacing = replace(tables.pacing, decided_at=now, near_since=near_since)
+    ratio_by_image = _latency_ratios(runs)
+    near_target_since = tables.pacing.near_target_since
+    for image, ratio in ratio_by_image.items():
+        if ratio <= NEAR_TARGET_RATIO:
+            near_target_since = near_target_since.discard(image)
+        elif image not in near_target_since:
+            near_target_since = near_target_since.set(image, now)
+    pacing = replace(tables.pacing, decided_at=now, near_target_since=near_target_since)
     tables = replace(tables, pacing=pacing)
-    suffers_s = max((now - since for since in near_since.values()), default=0.0)
+    near_target_s = max(
+        (now - since for since in near_target_since.values()), default=0.0
+    )
     lines: list[Command] = []
     for run_ in runs:
         if run_.order is None or not run_.order.disturbs or not run_.wanted:
             continue
-        worst = _worst_beside(pacing, run_.order.image, part_by_image, now)
-        pace = 0 if suffers_s >= STOP_S else _next_pace(run_.pace, worst)
+        worst = _worst_ratio(pacing, run_.order.image, ratio_by_image, now)
+        pace = 0 if near_target_s >= PAUSE_ALL_AFTER_S else _next_pace(run_.pace, worst)
         if pace == run_.pace:
             continue
         paced = replace(run_, pace=pace)
@@ -91,7 +95,7 @@
     return Step(tables=tables, commands=tuple(lines))
 
 
-def first_pace(tables: KeeperTables, run: Run) -> int:
+def initial_pace(tables: JobAgentTables, run: Run) -> int:
     """Return the pace of a run that has just started.
 
     One that may slow what serves here starts as slow as its like have become, or
@@ -108,25 +112,29 @@
         return run.pace
     like = [other.pace for other in runs if other.order and other.order.image == image]
     known = any((name, image) in tables.pacing.harmful for name in serving)
-    return min([*like, KNOWN_START_PERCENT if known else UNKNOWN_START_PERCENT])
+    return min([*like, HARMFUL_START_PERCENT if known else UNKNOWN_START_PERCENT])
 
 
-def _parts(runs: list[Run]) -> dict[str, float]:
+def _latency_ratios(runs: list[Run]) -> dict[str, float]:
     """Return by image the worst latency of its runs, as a part of their target."""
-    part_by_image: dict[str, float] = {}
+    ratio_by_image: dict[str, float] = {}
     for run_ in runs:
         if run_.order is None or run_.order.target_ms <= 0.0:
             continue
         # Before its first measure a task is neither near its target nor well.
-        measure = run_.status.measure if run_.status else WELL * run_.order.target_ms
-        part = measure / run_.order.target_ms
+        measure = (
+            run_.status.measure
+            if run_.status
+            else RECOVERED_RATIO * run_.order.target_ms
+        )
+        ratio = measure / run_.order.target_ms
         image = run_.order.image
-        part_by_image[image] = max(part, part_by_image.get(image, 0.0))
-    return part_by_image
+        ratio_by_image[image] = max(ratio, ratio_by_image.get(image, 0.0))
+    return ratio_by_image
 
 
-def _worst_beside(
-    pacing: Pacing, image: str, part_by_image: dict[str, float], now: float
+def _worst_ratio(
+    pacing: Pacing, image: str, ratio_by_image: dict[str, float], now: float
 ) -> float:
     """Return the worst latency that an image may have to do with.
 
@@ -134,42 +142,45 @@
     the others has not helped for a while.
     """
     worst = 0.0
-    for serving, part in part_by_image.items():
-        suffers_s = now - pacing.near_since.get(serving, now)
-        if (serving, image) in pacing.harmless and suffers_s < DOUBT_S:
+    for serving, ratio in ratio_by_image.items():
+        near_target_s = now - pacing.near_target_since.get(serving, now)
+        if (
+            serving,
+            image,
+        ) in pacing.harmless and near_target_s < SLOW_HARMLESS_AFTER_S:
             continue
-        worst = max(worst, part)
+        worst = max(worst, ratio)
     return worst
 
 
 def _next_pace(pace: int, worst: float) -> int:
-    if worst > NEAR:
-        return max(LEAST_PERCENT, int(pace * SLOWER))
-    if worst < WELL:
-        return min(100, pace + FASTER_PERCENT)
+    if worst > NEAR_TARGET_RATIO:
+        return max(MIN_PACE_PERCENT, int(pace * SLOWDOWN_FACTOR))
+    if worst < RECOVERED_RATIO:
+        return min(100, pace + SPEEDUP_PERCENT)
     return pace
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the paces that were not taken, and those that a late call may undo."""
     server = tables.server
     if server is None:
         return Step(tables=tables)
     commands: list[Command] = []
     for run_ in tables.runs.rows_where("phase", RunPhase.RUNNING.value):
-        doubted = now < run_.pace_doubted_until
+        uncertain = now < run_.pace_uncertain_until
         differs = run_.pace != run_.pace_set
-        if run_.pacing or not run_.wanted or not (differs or doubted):
+        if run_.pace_in_flight or not run_.wanted or not (differs or uncertain):
             continue
-        if run_.order is None or now < run_.pace_at:
+        if run_.order is None or now < run_.next_pace_at:
             continue
-        sent = replace(run_, pacing=True, pace_set=run_.pace)
+        sent = replace(run_, pace_in_flight=True, pace_set=run_.pace)
         tables = edits.put_run(tables, sent)
         commands.append(
             PaceRun(
                 server_id=server.server_id,
                 address=server.address,
-                timeout_s=CALL_S,
+                timeout_s=PACE_TIMEOUT_S,
                 run=run_.ref,
                 percent=run_.pace,
             )
@@ -177,30 +188,38 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def on_paced(event: PaceAnswered, tables: KeeperTables, now: float) -> KeeperStep:
+def on_pace_answered(
+    event: PaceAnswered, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Note that the pace was taken; a doubted one is sent again after a while."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
-    doubted = now < run_.pace_doubted_until
-    paced = replace(run_, pacing=False, pace_at=now + AGAIN_S if doubted else now)
+    uncertain = now < run_.pace_uncertain_until
+    paced = replace(
+        run_,
+        pace_in_flight=False,
+        next_pace_at=now + UNCERTAIN_PACE_INTERVAL_S if uncertain else now,
+    )
     return Step(tables=edits.put_run(tables, paced))
 
 
-def on_unpaced(event: PaceFailed, tables: KeeperTables, now: float) -> KeeperStep:
+def on_pace_failed(
+    event: PaceFailed, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Send the pace again; the call without answer may still undo a later one."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
-    doubted = replace(
+    uncertain = replace(
         run_,
-        pacing=False,
+        pace_in_flight=False,
         pace_set=0,
-        pace_at=now + RETRY_S,
-        pace_doubted_until=now + LATEST_S,
+        next_pace_at=now + PACE_RETRY_DELAY_S,
+        pace_uncertain_until=now + MAX_LATE_PACE_S,
     )
-    return Step(tables=edits.put_run(tables, doubted))
+    return Step(tables=edits.put_run(tables, uncertain))
 
 
-def _line(tables: KeeperTables, run_: Run, reason: str) -> Decision:
+def _line(tables: JobAgentTables, run_: Run, reason: str) -> Decision:
     return edits.log(tables, "run.pace", run_.key, f"{run_.pace}%", reason)
--- a/bulrushpulley/systems/keeping/holding.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -10,80 +10,82 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.executor_calls import (
-    HoldFailed,
-    HoldRuns,
-    OtherLife,
+    OtherIncarnation,
+    PollFailed,
+    PollRuns,
     RunsListed,
 )
 from bulrushpulley.entities.jobs.items import EndsNoted
-from bulrushpulley.entities.jobs.keeper_tables import (
-    Hold,
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
+    PollState,
     Run,
     RunPhase,
     Server,
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunRef, RunStatus
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits, refusing, server_life
+from bulrushpulley.systems.job_agent import edits, refusing, server_lifecycle
 
 # The call returns at once when a run ends; otherwise it bounds how old the measured
 # latencies may be and how long a lease waits for its renewal.
-WAIT_MS = 400
+POLL_WAIT_MS = 400
 # The backend server is on the same host; a call that takes longer has no answer.
-ANSWER_S = 0.3
-RETRY_S = 0.1
-UNNOTED_S = 0.2
+POLL_ANSWER_TIMEOUT_S = 0.3
+POLL_RETRY_DELAY_S = 0.1
+UNNOTED_ENDS_INTERVAL_S = 0.2
 UNKNOWN_PACE = 0
 
 
-def is_vouched(tables: KeeperTables, now: float) -> bool:
+def has_recent_contact(tables: JobAgentTables, now: float) -> bool:
     """Tell whether the owner's last word still allows leases and starts."""
     return now - tables.contact_at < tables.bounds.agent_autonomy_s
 
 
-def lease_until_ms(tables: KeeperTables, server: Server) -> int:
+def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
     """Return the end of a lease asked for now, on the server's clock."""
     return server.clock_ms + int(tables.bounds.lease_s * 1_000)
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the next call once the one before it has ended."""
-    server, hold = tables.server, tables.hold
-    if server is None or hold.in_flight or now < hold.retry_at:
+    server, poll = tables.server, tables.poll
+    if server is None or poll.in_flight or now < poll.retry_at:
         return Step(tables=tables)
     # What does not answer is not asked to run on, so that its lease surely ends.
-    answers = hold.failing_since is None
-    leases = is_vouched(tables, now) and server.listed and answers
-    call = HoldRuns(
+    answers = poll.failing_since is None
+    leases = has_recent_contact(tables, now) and server.listed and answers
+    call = PollRuns(
         server_id=server.server_id,
         address=server.address,
-        timeout_s=WAIT_MS / 1_000 + ANSWER_S,
+        timeout_s=POLL_WAIT_MS / 1_000 + POLL_ANSWER_TIMEOUT_S,
         noted=server.noted,
-        wait_ms=WAIT_MS if server.listed else 0,
+        wait_ms=POLL_WAIT_MS if server.listed else 0,
         lease_until_ms=lease_until_ms(tables, server) if leases else None,
     )
     if leases:
         server = replace(server, lease_sent_at=now)
-    sent = replace(hold, in_flight=True, sent_at=now)
-    return Step(tables=replace(tables, server=server, hold=sent), commands=(call,))
+    sent = replace(poll, in_flight=True, sent_at=now)
+    return Step(tables=replace(tables, server=server, poll=sent), commands=(call,))
 
 
-def on_failed(event: HoldFailed, tables: KeeperTables, now: float) -> KeeperStep:
+def on_failed(event: PollFailed, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Try again soon, and remember since when it fails."""
-    hold = tables.hold
+    poll = tables.poll
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
-    first = hold.failing_since is None
+    first = poll.failing_since is None
     failing = replace(
-        hold,
+        poll,
         in_flight=False,
-        retry_at=now + RETRY_S,
-        failing_since=now if hold.failing_since is None else hold.failing_since,
-        absences=hold.absences + 1 if event.absent else 0,
+        retry_at=now + POLL_RETRY_DELAY_S,
+        failing_since=now if poll.failing_since is None else poll.failing_since,
+        connections_refused=poll.connections_refused + 1
+        if event.connection_refused
+        else 0,
     )
-    tables = replace(tables, hold=failing)
+    tables = replace(tables, poll=failing)
     if not first:
         return Step(tables=tables)
     line = edits.log(
@@ -96,41 +98,49 @@
     return Step(tables=tables, commands=(line,))
 
 
-def on_other_life(event: OtherLife, tables: KeeperTables, now: float) -> KeeperStep:
+def on_other_incarnation(
+    event: OtherIncarnation, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """End the life that was asked; the new one will announce itself."""
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
-    return server_life.end(tables, "another life answers at its address")
+    return server_lifecycle.end_incarnation(
+        tables, "another life answers at its address"
+    )
 
 
-def on_listed(event: RunsListed, tables: KeeperTables, now: float) -> KeeperStep:
+def on_listed(event: RunsListed, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Bring the table of runs to what the backend server lists."""
     server = tables.server
     if server is None or server.server_id != event.server_id:
         return Step(tables=tables)
     if event.started_at_ms not in (0, server.started_at_ms):
-        return server_life.end(tables, "another life answers at its address")
-    sent_at = tables.hold.sent_at
+        return server_lifecycle.end_incarnation(
+            tables, "another life answers at its address"
+        )
+    sent_at = tables.poll.sent_at
     server = replace(server, clock_ms=max(server.clock_ms, event.clock_ms), listed=True)
-    tables = replace(tables, server=server, hold=Hold())
+    tables = replace(tables, server=server, poll=PollState())
     for status in event.runs:
-        tables = _listed(tables, status, now)
+        tables = _update_run(tables, status, now)
     for end in event.ends:
-        tables = _ended(tables, end)
+        tables = _record_end(tables, end)
     if tables.ends:
         # The call does not wait while there are ends to be noted.
-        hold = replace(tables.hold, retry_at=now + UNNOTED_S)
-        tables = replace(tables, hold=hold)
-    return _missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
+        poll = replace(tables.poll, retry_at=now + UNNOTED_ENDS_INTERVAL_S)
+        tables = replace(tables, poll=poll)
+    return _refuse_missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
 
 
-def _listed(tables: KeeperTables, status: RunStatus, now: float) -> KeeperTables:
+def _update_run(
+    tables: JobAgentTables, status: RunStatus, now: float
+) -> JobAgentTables:
     run_ = tables.runs.get(status.key)
     if run_ is None:
         run_ = Run(
             ref=RunRef(task_id=status.task_id, run=status.run),
             phase=RunPhase.RUNNING,
-            wanted=not tables.ordered,
+            wanted=not tables.orders_complete,
             since=now,
             # An earlier process of this agent may have slowed it.
             pace_set=UNKNOWN_PACE,
@@ -145,7 +155,7 @@
     return edits.put_run(tables, seen)
 
 
-def _ended(tables: KeeperTables, end: RunEnd) -> KeeperTables:
+def _record_end(tables: JobAgentTables, end: RunEnd) -> JobAgentTables:
     server = tables.server
     if server is None or end.number <= server.noted:
         return tables
@@ -156,9 +166,9 @@
     )
 
 
-def _missing(
-    tables: KeeperTables, listed: frozenset[str], sent_at: float, now: float
-) -> KeeperStep:
+def _refuse_missing(
+    tables: JobAgentTables, listed: frozenset[str], sent_at: float, now: float
+) -> JobAgentStep:
     """Report the runs that were surely there, or barred, and are not listed."""
     commands: list[Command] = []
     barred = tables.runs.rows_where("phase", RunPhase.BARRED.value)
@@ -175,13 +185,13 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def on_noted(event: EndsNoted, tables: KeeperTables, now: float) -> KeeperStep:
+def on_noted(event: EndsNoted, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Let the backend server forget the ends up to the first one not yet noted."""
     server = tables.server
     stale = event.epoch != tables.epoch or server is None or event.life != server.life
     if stale or server is None:
         return Step(tables=tables)
-    after = server.noted_after | frozenset(event.numbers)
+    after = server.noted_out_of_order | frozenset(event.numbers)
     noted = server.noted
     while noted + 1 in after:
         noted += 1
@@ -189,8 +199,8 @@
     ends = tables.ends
     for number in range(server.noted + 1, noted + 1):
         ends = ends.discard(number)
-    server = replace(server, noted=noted, noted_after=after)
+    server = replace(server, noted=noted, noted_out_of_order=after)
     tables = replace(tables, server=server, ends=ends)
     if not ends:
-        tables = replace(tables, hold=replace(tables.hold, retry_at=now))
+        tables = replace(tables, poll=replace(tables.poll, retry_at=now))
     return Step(tables=tables)
--- a/bulrushpulley/systems/keeping/refusing.py
+++ b/bulrushpulley/systems/job_agent/refusing.py
@@ -5,13 +5,17 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.jobs.items import RunRefused
-from bulrushpulley.entities.jobs.keeper_tables import KeeperStep, KeeperTables, Run
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
+    Run,
+)
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
 
-def refuse(tables: KeeperTables, run: Run, reason: str) -> KeeperStep:
+def refuse(tables: JobAgentTables, run: Run, reason: str) -> JobAgentStep:
     """Drop a run and say so; an owner that is not linked asks again when it is."""
     tables = replace(tables, runs=tables.runs.drop(run.key))
     reason = run.denied or reason
--- a/bulrushpulley/systems/keeping/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -4,13 +4,17 @@
 
 from dataclasses import dataclass, replace
 
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperStep, KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JOB_AGENT,
+    JobAgentStep,
+    JobAgentTables,
+)
 from bulrushpulley.entities.jobs.rows import HostRow
 from bulrushpulley.entities.jobs.store import Purpose, Transact, Transacted
 from bulrushpulley.entities.step import Step
 
-CALL_S = 1.5
-RETRY_S = 0.4
+REGISTER_TIMEOUT_S = 1.5
+REGISTER_RETRY_DELAY_S = 0.4
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -18,7 +22,7 @@
     """Writes the row of this host."""
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Write the row once; a store that does not answer is asked again."""
     waits = tables.registered or tables.registering or now < tables.register_at
     if waits:
@@ -30,20 +34,23 @@
         region=tables.region,
     )
     call = Transact(
-        role=KEEPER,
+        role=JOB_AGENT,
         purpose=RegisterHost(),
-        timeout_s=CALL_S,
+        timeout_s=REGISTER_TIMEOUT_S,
         conditions=(),
         puts=(row,),
     )
     return Step(tables=replace(tables, registering=True), commands=(call,))
 
 
-def on_answer(event: object, tables: KeeperTables, now: float) -> KeeperStep:
+def on_answer(event: object, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Note that the row stands, or try again."""
     done = isinstance(event, Transacted)
     return Step(
         tables=replace(
-            tables, registering=False, registered=done, register_at=now + RETRY_S
+            tables,
+            registering=False,
+            registered=done,
+            register_at=now + REGISTER_RETRY_DELAY_S,
         )
     )
--- a/bulrushpulley/systems/keeping/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -12,9 +12,9 @@
     RunsReport,
     ServingMeasure,
 )
-from bulrushpulley.entities.jobs.keeper_tables import (
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
     Run,
     RunPhase,
 )
@@ -22,17 +22,17 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
 # Three contacts in a row must fail before the owner places nothing here any more.
-CONTACT_S = 0.8
+CONTACT_INTERVAL_S = 0.8
 # Checkpoints are of use only when the host is lost, so old ones do.
-CHECKPOINT_S = 1.0
+CHECKPOINT_INTERVAL_S = 1.0
 # Latencies are measured over half a second.
-MEASURE_S = 0.5
+MEASURE_INTERVAL_S = 0.5
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send contacts, the state of the host, and runs and ends that changed."""
     if not tables.owner:
         return Step(tables=tables)
@@ -44,15 +44,15 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _contact(tables: KeeperTables, now: float) -> KeeperStep:
-    if now - tables.contact_sent_at < CONTACT_S:
+def _contact(tables: JobAgentTables, now: float) -> JobAgentStep:
+    if now - tables.contact_sent_at < CONTACT_INTERVAL_S:
         return Step(tables=tables)
     contact = Contact(epoch=tables.epoch, sent_at=now)
     tables = replace(tables, contact_sent_at=now)
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=contact),))
 
 
-def _host(tables: KeeperTables, now: float) -> KeeperStep:
+def _host(tables: JobAgentTables, now: float) -> JobAgentStep:
     report = host_report(tables)
     before = tables.reported
     if before is not None and replace(before, leaves_in_s=0.0) == replace(
@@ -63,7 +63,7 @@
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=report),))
 
 
-def host_report(tables: KeeperTables) -> HostReport:
+def host_report(tables: JobAgentTables) -> HostReport:
     """Return what is known of the host and its backend server."""
     server = tables.server
     return HostReport(
@@ -79,18 +79,18 @@
     )
 
 
-def _runs(tables: KeeperTables, now: float) -> KeeperStep:
+def _runs(tables: JobAgentTables, now: float) -> JobAgentStep:
     server = tables.server
     if server is None or not server.listed:
         return Step(tables=tables)
     complete = not tables.synced
     statuses: list[RunStatus] = []
     for run_ in tables.runs.rows():
-        if run_.status is not None and (complete or _is_news(run_, now)):
+        if run_.status is not None and (complete or _is_report_due(run_, now)):
             statuses.append(run_.status)
             reported = replace(run_, reported=run_.status, reported_at=now)
             tables = edits.put_run(tables, reported)
-    sent = 0 if complete else tables.ends_sent
+    sent = 0 if complete else tables.last_end_sent
     ends = tuple(tables.ends[number] for number in sorted(tables.ends) if number > sent)
     if not statuses and not ends and not complete:
         return Step(tables=tables)
@@ -101,14 +101,14 @@
         ends=ends,
         complete=complete,
     )
-    last = ends[-1].number if ends else tables.ends_sent
-    tables = replace(tables, synced=True, ends_sent=max(last, tables.ends_sent))
+    last = ends[-1].number if ends else tables.last_end_sent
+    tables = replace(tables, synced=True, last_end_sent=max(last, tables.last_end_sent))
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=item),))
 
 
-def _measures(tables: KeeperTables, now: float) -> KeeperStep:
+def _measures(tables: JobAgentTables, now: float) -> JobAgentStep:
     server = tables.server
-    if server is None or now - tables.measured_at < MEASURE_S:
+    if server is None or now - tables.measures_sent_at < MEASURE_INTERVAL_S:
         return Step(tables=tables)
     runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
     serving: list[ServingMeasure] = []
@@ -127,7 +127,7 @@
         elif order.disturbs:
             units = units_by_image.get(order.image, 0.0) + measure / unit_m
             units_by_image[order.image] = units
-    tables = replace(tables, measured_at=now)
+    tables = replace(tables, measures_sent_at=now)
     if not serving:
         return Step(tables=tables)
     filling = tuple(
@@ -138,11 +138,11 @@
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=item),))
 
 
-def _is_news(run_: Run, now: float) -> bool:
+def _is_report_due(run_: Run, now: float) -> bool:
     if run_.reported is None or run_.status is None:
         return True
     if (run_.reported.percent < 100) != (run_.status.percent < 100):
         return True
     if run_.reported.checkpoint == run_.status.checkpoint:
         return False
-    return now - run_.reported_at >= CHECKPOINT_S
+    return now - run_.reported_at >= CHECKPOINT_INTERVAL_S
--- a/bulrushpulley/systems/keeping/server_life.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -9,10 +9,10 @@
 from bulrushpulley.entities.jobs.executor_calls import Announced, Withdrawn
 from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.items import LifeEnded
-from bulrushpulley.entities.jobs.keeper_tables import (
-    Hold,
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
+    PollState,
     RunPhase,
     Server,
 )
@@ -20,27 +20,27 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
 # A backend server that has not answered for this long is not given anything new.
-SILENT_S = 1.2
+SERVER_SILENT_TIMEOUT_S = 1.2
 # Two refused connections this far apart mean that no process listens any more.
-ABSENT_S = 0.3
-ABSENCES = 2
+REFUSED_CONNECTIONS_TIMEOUT_S = 0.3
+MIN_REFUSED_CONNECTIONS = 2
 # Neighbours slow a serving run to ten times its target at most; a backend server on
 # which everything stands still shows hundreds of times.
-STALLED_PART = 50.0
-STALLED_RUNS = 2
-STALLED_S = 0.5
+STALLED_LATENCY_RATIO = 50.0
+MIN_STALLED_RUNS = 2
+STALLED_TIMEOUT_S = 0.5
 
 
-def on_announced(event: Announced, tables: KeeperTables, now: float) -> KeeperStep:
+def on_announced(event: Announced, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Take a word of the backend server in, unless a newer one is known."""
     known = tables.server
     if known is not None and event.started_at_ms < known.started_at_ms:
         return Step(tables=tables)
-    if known is None or _life_of(event) != known.life:
-        return _begin(event, tables, now)
+    if known is None or _incarnation_of(event) != known.life:
+        return _begin_incarnation(event, tables, now)
     if event.sequence < known.sequence:
         return Step(tables=tables)
     server = replace(
@@ -55,12 +55,14 @@
     return Step(tables=replace(tables, server=server))
 
 
-def _life_of(event: Announced) -> str:
+def _incarnation_of(event: Announced) -> str:
     return f"{event.server_id}/{event.started_at_ms}"
 
 
-def _begin(event: Announced, tables: KeeperTables, now: float) -> KeeperStep:
-    step = end(tables, "another life was announced")
+def _begin_incarnation(
+    event: Announced, tables: JobAgentTables, now: float
+) -> JobAgentStep:
+    step = end_incarnation(tables, "another life was announced")
     server = Server(
         server_id=event.server_id,
         started_at_ms=event.started_at_ms,
@@ -84,14 +86,14 @@
     return Step(tables=begun, commands=(*step.commands, line))
 
 
-def on_withdrawn(event: Withdrawn, tables: KeeperTables, now: float) -> KeeperStep:
+def on_withdrawn(event: Withdrawn, tables: JobAgentTables, now: float) -> JobAgentStep:
     """End the life that says itself that it ends."""
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
-    return end(tables, "it withdrew")
+    return end_incarnation(tables, "it withdrew")
 
 
-def end(tables: KeeperTables, reason: str) -> KeeperStep:
+def end_incarnation(tables: JobAgentTables, reason: str) -> JobAgentStep:
     """Forget a life of which nothing runs any more, and tell the owner."""
     server = tables.server
     if server is None:
@@ -101,13 +103,13 @@
         server=None,
         server_state=ServerState.GONE,
         stalled_since=None,
-        hold=Hold(),
+        poll=PollState(),
         runs=Table.empty(indexes=tables.runs.index_of),
         ends=pmap(),
-        ends_sent=0,
-        ordered=False,
+        last_end_sent=0,
+        orders_complete=False,
         synced=False,
-        pacing=replace(tables.pacing, near_since=pmap()),
+        pacing=replace(tables.pacing, near_target_since=pmap()),
     )
     commands: list[Command] = [_line(tables, server.life, "ended", reason)]
     if tables.owner:
@@ -116,20 +118,23 @@
     return Step(tables=fresh, commands=tuple(commands))
 
 
-def judge(tables: KeeperTables, now: float) -> KeeperStep:
+def update_state(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Say in which state the backend server is, by its words and its answers."""
-    server, hold = tables.server, tables.hold
+    server, poll = tables.server, tables.poll
     if server is None:
-        return _judge_absent(tables, now)
-    failing_s = 0.0 if hold.failing_since is None else now - hold.failing_since
-    if hold.absences >= ABSENCES and failing_s >= ABSENT_S:
-        return end(tables, "nothing listens at its address")
+        return _update_unannounced(tables, now)
+    failing_s = 0.0 if poll.failing_since is None else now - poll.failing_since
+    if (
+        poll.connections_refused >= MIN_REFUSED_CONNECTIONS
+        and failing_s >= REFUSED_CONNECTIONS_TIMEOUT_S
+    ):
+        return end_incarnation(tables, "nothing listens at its address")
     lapsed = now - server.lease_sent_at > tables.bounds.lapse_s
-    if failing_s > SILENT_S and lapsed:
-        return end(tables, "it was silent until its lease had lapsed")
-    tables = _watch_stall(tables, now)
+    if failing_s > SERVER_SILENT_TIMEOUT_S and lapsed:
+        return end_incarnation(tables, "it was silent until its lease had lapsed")
+    tables = _update_stall(tables, now)
     stalled_since = tables.stalled_since
-    stalls = stalled_since is not None and now - stalled_since >= STALLED_S
+    stalls = stalled_since is not None and now - stalled_since >= STALLED_TIMEOUT_S
     state = _state(server, failing_s, stalls)
     if state is tables.server_state:
         return Step(tables=tables)
@@ -137,33 +142,33 @@
     return Step(tables=replace(tables, server_state=state), commands=(line,))
 
 
-def _judge_absent(tables: KeeperTables, now: float) -> KeeperStep:
+def _update_unannounced(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Give a life up that an earlier process of this agent may have kept alive."""
     if tables.server_state is not ServerState.UNKNOWN:
         return Step(tables=tables)
-    if tables.began_at is None:
-        return Step(tables=replace(tables, began_at=now))
-    if now - tables.began_at <= tables.bounds.lapse_s:
+    if tables.search_began_at is None:
+        return Step(tables=replace(tables, search_began_at=now))
+    if now - tables.search_began_at <= tables.bounds.lapse_s:
         return Step(tables=tables)
     gone = replace(tables, server_state=ServerState.GONE)
     reason = "none has announced itself until every lease had lapsed"
     return Step(tables=gone, commands=(_line(gone, "", "gone", reason),))
 
 
-def _watch_stall(tables: KeeperTables, now: float) -> KeeperTables:
+def _update_stall(tables: JobAgentTables, now: float) -> JobAgentTables:
     """Note since when every serving run is as slow as no neighbour makes it."""
-    parts = [
+    ratios = [
         run.status.measure / run.order.target_ms
         for run in tables.runs.rows_where("phase", RunPhase.RUNNING.value)
         if run.order and run.status and run.order.target_ms > 0.0
     ]
-    stalls = len(parts) >= STALLED_RUNS and min(parts) > STALLED_PART
+    stalls = len(ratios) >= MIN_STALLED_RUNS and min(ratios) > STALLED_LATENCY_RATIO
     since = tables.stalled_since if tables.stalled_since is not None else now
     return replace(tables, stalled_since=since if stalls else None)
 
 
 def _state(server: Server, failing_s: float, stalls: bool) -> ServerState:
-    if failing_s > SILENT_S:
+    if failing_s > SERVER_SILENT_TIMEOUT_S:
         return ServerState.SILENT
     if not server.listed:
         return ServerState.UNKNOWN
@@ -172,5 +177,5 @@
     return ServerState.STALLED if stalls else ServerState.READY
 
 
-def _line(tables: KeeperTables, life: str, state: str, reason: str) -> Decision:
+def _line(tables: JobAgentTables, life: str, state: str, reason: str) -> Decision:
     return edits.log(tables, "server.state", life, state, reason)
--- a/bulrushpulley/systems/keeping/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -12,42 +12,46 @@
     StartUnhealthy,
 )
 from bulrushpulley.entities.jobs.host import ServerState
-from bulrushpulley.entities.jobs.keeper_tables import (
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
     Run,
     RunPhase,
 )
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits, holding, pacing, refusing
+from bulrushpulley.systems.job_agent import edits, pacing, polling, refusing
 
 # A backend server on the same host answers within a few milliseconds.
-CALL_S = 0.5
-RETRY_S = 0.05
+START_TIMEOUT_S = 0.5
+START_RETRY_DELAY_S = 0.05
 # An order that cannot be sent within this time is given back to the owner, so that it
 # never starts long after what allowed it.
-ORDER_S = 1.5
-MAX_IN_FLIGHT = 6
+ORDER_TIMEOUT_S = 1.5
+MAX_STARTS_IN_FLIGHT = 6
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the starts that may be sent now."""
-    tables = _give_back(tables, now)
+    tables = _withdraw_unstarted(tables, now)
     server = tables.server
-    if server is None or not server.listed or not holding.is_vouched(tables, now):
+    if (
+        server is None
+        or not server.listed
+        or not polling.has_recent_contact(tables, now)
+    ):
         return Step(tables=tables)
-    if tables.hold.failing_since is not None:
+    if tables.poll.failing_since is not None:
         return Step(tables=tables)
-    unsure = tables.runs.rows_where("phase", RunPhase.STARTING.value)
+    unconfirmed = tables.runs.rows_where("phase", RunPhase.STARTING.value)
     ordered = tables.runs.rows_where("phase", RunPhase.ORDERED.value)
-    if not unsure and not ordered:
+    if not unconfirmed and not ordered:
         return Step(tables=tables)
-    in_flight = sum(1 for run_ in unsure if run_.in_flight)
-    free = server.capacity.minus(_taken(tables))
+    in_flight = sum(1 for run_ in unconfirmed if run_.in_flight)
+    free = server.capacity.minus(_used_resources(tables))
     chosen: list[Run] = []
-    for run_ in unsure:
+    for run_ in unconfirmed:
         if run_.wanted and not run_.in_flight and now >= run_.retry_at:
             chosen.append(run_)
     if tables.server_state is ServerState.READY:
@@ -56,14 +60,14 @@
                 free = free.minus(run_.committed)
                 chosen.append(run_)
     commands: list[Command] = []
-    for run_ in chosen[: MAX_IN_FLIGHT - in_flight]:
+    for run_ in chosen[: MAX_STARTS_IN_FLIGHT - in_flight]:
         assert run_.order is not None
         call = StartRun(
             server_id=server.server_id,
             address=server.address,
-            timeout_s=CALL_S,
+            timeout_s=START_TIMEOUT_S,
             order=run_.order,
-            lease_until_ms=holding.lease_until_ms(tables, server),
+            lease_until_ms=polling.lease_until_ms(tables, server),
         )
         sent = replace(run_, phase=RunPhase.STARTING, in_flight=True)
         tables = edits.put_run(tables, sent)
@@ -73,18 +77,18 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _taken(tables: KeeperTables) -> Resources:
+def _used_resources(tables: JobAgentTables) -> Resources:
     """Return the room of every run that is there, may be there, or is being stopped."""
-    taken = NO_RESOURCES
+    used = NO_RESOURCES
     for run_ in tables.runs.rows():
         if run_.phase in (RunPhase.STARTING, RunPhase.RUNNING):
-            taken = taken.plus(run_.committed)
-    return taken
+            used = used.plus(run_.committed)
+    return used
 
 
-def _give_back(tables: KeeperTables, now: float) -> KeeperTables:
+def _withdraw_unstarted(tables: JobAgentTables, now: float) -> JobAgentTables:
     for run_ in tables.runs.rows_where("phase", RunPhase.ORDERED.value):
-        late = now - run_.since > ORDER_S
+        late = now - run_.since > ORDER_TIMEOUT_S
         closed = tables.server_state is ServerState.DRAINING
         if run_.wanted and (late or closed):
             unwanted = replace(run_, wanted=False)
@@ -92,21 +96,21 @@
     return tables
 
 
-def on_started(event: RunStarted, tables: KeeperTables, now: float) -> KeeperStep:
+def on_started(event: RunStarted, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Note that a run is there, which a list may have shown before."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is not RunPhase.STARTING:
         return Step(tables=_answered(tables, run_))
-    there = replace(
+    started = replace(
         run_,
         phase=RunPhase.RUNNING,
         in_flight=False,
         started_at=now,
-        pace=pacing.first_pace(tables, run_),
+        pace=pacing.initial_pace(tables, run_),
     )
-    tables = edits.put_run(tables, there)
+    tables = edits.put_run(tables, started)
     line = edits.log(
         tables,
         "run.start",
@@ -118,13 +122,13 @@
     return Step(tables=tables, commands=(line, waited))
 
 
-def _answered(tables: KeeperTables, run_: Run) -> KeeperTables:
+def _answered(tables: JobAgentTables, run_: Run) -> JobAgentTables:
     """Note that no call about a run is in flight any more."""
     answered = replace(run_, in_flight=False)
     return edits.put_run(tables, answered)
 
 
-def on_denied(event: StartDenied, tables: KeeperTables, now: float) -> KeeperStep:
+def on_denied(event: StartDenied, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Try again with a newer lease, or make sure that the run never starts."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
@@ -134,14 +138,16 @@
     if event.final:
         denied = replace(run_, phase=RunPhase.BARRED, barred_at=now, in_flight=False)
     elif event.reason == "late":
-        denied = replace(run_, in_flight=False, retry_at=now + RETRY_S)
+        denied = replace(run_, in_flight=False, retry_at=now + START_RETRY_DELAY_S)
     else:
         denied = replace(run_, in_flight=False, wanted=False, denied=event.reason)
     tables = edits.put_run(tables, denied)
     return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
 
 
-def on_unhealthy(event: StartUnhealthy, tables: KeeperTables, now: float) -> KeeperStep:
+def on_unhealthy(
+    event: StartUnhealthy, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Give a run back that the backend server surely did not start."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
@@ -149,7 +155,7 @@
     if run_.phase is not RunPhase.STARTING:
         return Step(tables=_answered(tables, run_))
     unhealthy = replace(run_, in_flight=False, unhealthy=True)
-    if run_.unsure:
+    if run_.unconfirmed:
         barring = replace(unhealthy, wanted=False)
         tables = edits.put_run(tables, barring)
         return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
@@ -157,16 +163,18 @@
 
 
 def on_unanswered(
-    event: StartUnanswered, tables: KeeperTables, now: float
-) -> KeeperStep:
+    event: StartUnanswered, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Send the same start again: it is the same run, wherever the first one is."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
-    unsure = replace(run_, in_flight=False, unsure=True, retry_at=now + RETRY_S)
-    tables = edits.put_run(tables, unsure)
+    unconfirmed = replace(
+        run_, in_flight=False, unconfirmed=True, retry_at=now + START_RETRY_DELAY_S
+    )
+    tables = edits.put_run(tables, unconfirmed)
     return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
 
 
-def _line(tables: KeeperTables, run_: Run, reason: str) -> Decision:
+def _line(tables: JobAgentTables, run_: Run, reason: str) -> Decision:
     return edits.log(tables, "run.deny", run_.key, "", reason)
--- a/bulrushpulley/systems/keeping/stopping.py
+++ b/bulrushpulley/systems/job_agent/stopping.py
@@ -9,21 +9,21 @@
     StopRun,
     StopUnanswered,
 )
-from bulrushpulley.entities.jobs.keeper_tables import (
-    KeeperStep,
-    KeeperTables,
+from bulrushpulley.entities.jobs.job_agent_tables import (
+    JobAgentStep,
+    JobAgentTables,
     RunPhase,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.keeping import edits
+from bulrushpulley.systems.job_agent import edits
 
-CALL_S = 0.5
-RETRY_S = 0.1
+STOP_TIMEOUT_S = 0.5
+STOP_RETRY_DELAY_S = 0.1
 # A stop that was taken shows its end within `Bounds.kill_s`.
-AGAIN_S = 1.5
+STOP_REPEAT_INTERVAL_S = 1.5
 
 
-def run(tables: KeeperTables, now: float) -> KeeperStep:
+def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the stops that are due."""
     server = tables.server
     if server is None:
@@ -39,31 +39,33 @@
             StopRun(
                 server_id=server.server_id,
                 address=server.address,
-                timeout_s=CALL_S,
+                timeout_s=STOP_TIMEOUT_S,
                 run=run_.ref,
             )
         )
     return Step(tables=tables, commands=tuple(commands))
 
 
-def on_answered(event: StopAnswered, tables: KeeperTables, now: float) -> KeeperStep:
+def on_answered(
+    event: StopAnswered, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Wait for the end, or for a list that shows that there is no run."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is RunPhase.RUNNING:
-        taken = replace(run_, in_flight=False, retry_at=now + AGAIN_S)
+        taken = replace(run_, in_flight=False, retry_at=now + STOP_REPEAT_INTERVAL_S)
     else:
         taken = replace(run_, in_flight=False, phase=RunPhase.BARRED, barred_at=now)
     return Step(tables=edits.put_run(tables, taken))
 
 
 def on_unanswered(
-    event: StopUnanswered, tables: KeeperTables, now: float
-) -> KeeperStep:
+    event: StopUnanswered, tables: JobAgentTables, now: float
+) -> JobAgentStep:
     """Send the stop again soon."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
-    again = replace(run_, in_flight=False, retry_at=now + RETRY_S)
+    again = replace(run_, in_flight=False, retry_at=now + STOP_RETRY_DELAY_S)
     return Step(tables=edits.put_run(tables, again))
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.jobs.task import HOLDING
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems import store_patience
+from bulrushpulley.systems import store_timeouts
 from bulrushpulley.systems.scheduling import effects, learning, owning, waves
 
 # An owner that has nothing to write renews its row this often, in seconds, so that
@@ -52,7 +52,7 @@
         return _begin(tables, tables.leadership, now)
     if commit.in_flight or now < commit.retry_at:
         return Step(tables=tables)
-    timeout_s = store_patience.longer(commit.transact.timeout_s)
+    timeout_s = store_timeouts.next_timeout_s(commit.transact.timeout_s)
     again = replace(
         commit,
         transact=replace(commit.transact, timeout_s=timeout_s),
@@ -87,7 +87,7 @@
     transact = Transact(
         role=SCHEDULER,
         purpose=CommitProgress(epoch=tables.epoch),
-        timeout_s=store_patience.timeout_s(tables.store_s),
+        timeout_s=store_timeouts.timeout_s(tables.store_s),
         conditions=(Condition(key=OWNER_KEY, version=tenure.version),),
         puts=tuple(puts),
     )
@@ -155,7 +155,7 @@
         renewed_at=commit.first_sent_at,
     )
     took_s = now - commit.sent_at
-    store_s = store_patience.smoothed(tables.store_s, took_s)
+    store_s = store_timeouts.smoothed_latency_s(tables.store_s, took_s)
     tables = waves.written(tables, commit.waves)
     tables = replace(tables, leadership=renewed, commit=None, store_s=store_s)
     took = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
--- a/bulrushpulley/systems/store_patience.py
+++ b/bulrushpulley/systems/store_timeouts.py
@@ -7,24 +7,27 @@
 from __future__ import annotations
 
 # A call may take this many times what calls have taken lately.
-PATIENCE = 6.0
+STORE_TIMEOUT_FACTOR = 6.0
 # A store in the other region answers within 40 ms; ten times that is surely lost.
-SHORTEST_S = 0.4
+MIN_STORE_TIMEOUT_S = 0.4
 # A store that is 100 times slower than usual answers within 2 s.
-LONGEST_S = 3.0
-SMOOTHING = 0.3
+MAX_STORE_TIMEOUT_S = 3.0
+STORE_LATENCY_SMOOTHING = 0.3
 
 
-def timeout_s(store_s: float) -> float:
+def timeout_s(store_latency_s: float) -> float:
     """Return the timeout of a first call, in seconds."""
-    return min(LONGEST_S, max(SHORTEST_S, PATIENCE * store_s))
+    return min(
+        MAX_STORE_TIMEOUT_S,
+        max(MIN_STORE_TIMEOUT_S, STORE_TIMEOUT_FACTOR * store_latency_s),
+    )
 
 
-def longer(previous_s: float) -> float:
+def next_timeout_s(previous_s: float) -> float:
     """Return the timeout of the next try after a call without answer."""
-    return min(LONGEST_S, previous_s * 2)
+    return min(MAX_STORE_TIMEOUT_S, previous_s * 2)
 
 
-def smoothed(store_s: float, took_s: float) -> float:
+def smoothed_latency_s(store_latency_s: float, took_s: float) -> float:
     """Take one answer into the smoothed time that answers take."""
-    return store_s + SMOOTHING * (took_s - store_s)
+    return store_latency_s + STORE_LATENCY_SMOOTHING * (took_s - store_latency_s)
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -8,9 +8,9 @@
 
 # A watch that hears nothing within this time may be on a dead connection; it must be
 # well below the 2.5 s in which a change has to be in force.
-WAIT_S = 1.0
-ANSWER_S = 0.7
-RETRY_S = 0.3
+WATCH_WAIT_S = 1.0
+WATCH_ANSWER_TIMEOUT_S = 0.7
+WATCH_RETRY_DELAY_S = 0.3
 
 
 def due(state: WatchState, now: float) -> bool:
@@ -23,11 +23,11 @@
 
     Its answer tells at once that the store is back.
     """
-    wait_s = 0.0 if state.failed else WAIT_S
+    wait_s = 0.0 if state.failed else WATCH_WAIT_S
     return Watch(
         role=role,
         purpose=purpose,
-        timeout_s=wait_s + ANSWER_S,
+        timeout_s=wait_s + WATCH_ANSWER_TIMEOUT_S,
         table=table,
         after=state.after,
         wait_s=wait_s,
@@ -47,4 +47,6 @@
 
 def failed(state: WatchState, now: float) -> WatchState:
     """Return the state after a call without answer."""
-    return replace(state, in_flight=False, failed=True, retry_at=now + RETRY_S)
+    return replace(
+        state, in_flight=False, failed=True, retry_at=now + WATCH_RETRY_DELAY_S
+    )
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -23,8 +23,8 @@
 
 from bulrushpulley.entities.jobs.executor_calls import (
     ExecutorEvent,
-    HoldRuns,
     PaceRun,
+    PollRuns,
     RunsListed,
     StartDenied,
     StartRun,
@@ -149,7 +149,7 @@
 
     def _hold(self, raw: dict[str, Any]) -> Response:
         until = self._clock() + raw.get("WaitMs", 0) / 1_000
-        command = HoldRuns(
+        command = PollRuns(
             **self._common(),
             noted=raw.get("LastSeen", 0),
             wait_ms=0,
@@ -169,7 +169,7 @@
         ]
         return self._answer({"Running": runs, "Finished": ends})
 
-    def _listed(self, command: HoldRuns) -> RunsListed:
+    def _listed(self, command: PollRuns) -> RunsListed:
         listed = self._call(command)
         # The instance that the call named was checked before.
         assert isinstance(listed, RunsListed)
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -15,10 +15,10 @@
     Announced,
     ExecutorCommand,
     ExecutorEvent,
-    HoldRuns,
-    OtherLife,
+    OtherIncarnation,
     PaceAnswered,
     PaceRun,
+    PollRuns,
     RunsListed,
     RunStarted,
     StartDenied,
@@ -166,9 +166,9 @@
         raise NotImplementedError(type(command).__name__)
 
     @call.register
-    def _(self, command: HoldRuns, now: float) -> ExecutorEvent:
+    def _(self, command: PollRuns, now: float) -> ExecutorEvent:
         if command.server_id != self.server_id:
-            return OtherLife(server_id=command.server_id)
+            return OtherIncarnation(server_id=command.server_id)
         if command.lease_until_ms is not None:
             self._lease(command.lease_until_ms)
         while self.ends and self.ends[0].number <= command.noted:
--- a/test/jobs_matrix.py
+++ b/test/jobs_matrix.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.jobs import store
 from bulrushpulley.entities.jobs.calls import CancelCall
-from bulrushpulley.entities.jobs.executor_calls import HoldRuns, StartRun, StopRun
+from bulrushpulley.entities.jobs.executor_calls import PollRuns, StartRun, StopRun
 from bulrushpulley.entities.jobs.intake_tables import StoreCancel, StoreJobs
 from bulrushpulley.entities.jobs.items import Adopt, EndsNoted, Orders, RunsReport
 from bulrushpulley.entities.jobs.rows import JobState
@@ -46,7 +46,7 @@
 
 
 def _lease(command: Command) -> bool:
-    return isinstance(command, HoldRuns) and command.lease_until_ms is not None
+    return isinstance(command, PollRuns) and command.lease_until_ms is not None
 
 
 STEPS: Mapping[str, Callable[[Command], bool]] = {
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -27,10 +27,10 @@
 )
 from bulrushpulley.entities.jobs.executor_calls import (
     ExecutorCommand,
-    HoldFailed,
-    HoldRuns,
     PaceFailed,
     PaceRun,
+    PollFailed,
+    PollRuns,
     StartRun,
     StartUnanswered,
     StopRun,
@@ -38,7 +38,7 @@
 )
 from bulrushpulley.entities.jobs.explanation import Explanation
 from bulrushpulley.entities.jobs.intake_tables import PublishReady
-from bulrushpulley.entities.jobs.keeper_tables import KEEPER, KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
 from bulrushpulley.entities.jobs.rows import (
     JobState,
     ProgressRow,
@@ -209,7 +209,7 @@
 
     def start_agent(self, name: str) -> None:
         """Start the agent process of a host."""
-        tables = KeeperTables(
+        tables = JobAgentTables(
             host=name,
             failure_domain=name.split("-")[0],
             region="ege",
@@ -529,11 +529,11 @@
         executor = self.executor_by_host[process.name]
         if not executor.up:
             failed = _unanswered(command)
-            self.at(command.timeout_s, lambda: self.tell(process, KEEPER, failed))
+            self.at(command.timeout_s, lambda: self.tell(process, JOB_AGENT, failed))
             return
         if self.late_s and isinstance(command, (StartRun, StopRun)):
             failed = _unanswered(command)
-            self.at(command.timeout_s, lambda: self.tell(process, KEEPER, failed))
+            self.at(command.timeout_s, lambda: self.tell(process, JOB_AGENT, failed))
             self.at(self.late_s, lambda: self._call_late(executor, command))
             return
         until = self.now + getattr(command, "wait_ms", 0) / 1_000
@@ -556,13 +556,13 @@
         event = (
             executor.call(command, self.now) if executor.up else _unanswered(command)
         )
-        self.tell(process, KEEPER, event)
+        self.tell(process, JOB_AGENT, event)
 
     def _announce(self, host: str) -> None:
         executor = self.executor_by_host[host]
         if executor.up:
             event = executor.announcement(self.now)
-            self.tell(self.process_by_name[host], KEEPER, event)
+            self.tell(self.process_by_name[host], JOB_AGENT, event)
         self.at(ANNOUNCE_S, lambda: self._announce(host))
 
     # What backend servers see
@@ -672,8 +672,8 @@
 
 def _unanswered(command: ExecutorCommand) -> Event:
     server_id = command.server_id
-    if isinstance(command, HoldRuns):
-        return HoldFailed(server_id=server_id, reason="no answer")
+    if isinstance(command, PollRuns):
+        return PollFailed(server_id=server_id, reason="no answer")
     return _unanswered_run(command)
 
 
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -9,9 +9,9 @@
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
-    HoldRuns,
     PaceFailed,
     PaceRun,
+    PollRuns,
     RunsListed,
     RunStarted,
     StartRun,
@@ -25,7 +25,7 @@
     HostReport,
     Orders,
 )
-from bulrushpulley.entities.jobs.keeper_tables import KeeperTables
+from bulrushpulley.entities.jobs.job_agent_tables import JobAgentTables
 from bulrushpulley.entities.jobs.runs import RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import Resources
@@ -34,14 +34,14 @@
 
 LIFE = "i-1/5"
 OWNER = "entry-1-ab"
-ROOM = Resources(processors_m=4_000, memory_mb=8_000)
+CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
 
 
 class Bench:
     """A keeper with a backend server that answers when the test says so."""
 
     def __init__(self) -> None:
-        tables = KeeperTables(
+        tables = JobAgentTables(
             host="h", failure_domain="z", region="r", address="a", bounds=Bounds()
         )
         self.role = keeper.build(tables)
@@ -56,12 +56,12 @@
                 address="x",
                 failure_domain="z",
                 is_draining=False,
-                capacity=ROOM,
+                capacity=CAPACITY,
                 labels=("a", "r1"),
             )
         )
         self.tell(Adopt(peer=OWNER, epoch=1))
-        self.vouch()
+        self.acknowledge_contact()
         self.list_runs()
         self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, complete=True))
 
@@ -72,7 +72,7 @@
         self.tables = step.tables
         return list(step.commands)
 
-    def vouch(self) -> None:
+    def acknowledge_contact(self) -> None:
         """Answer the last contact."""
         sent_at = self.tables.contact_sent_at
         self.tell(ContactAck(peer=OWNER, epoch=1, sent_at=sent_at))
@@ -100,21 +100,21 @@
         self.tell(RunStarted(server_id="i-1", run=RunRef(task_id=task, run=1)))
 
 
-def of(kind: type[Command], commands: list[Command]) -> list[Any]:
+def commands_of(kind: type[Command], commands: list[Command]) -> list[Any]:
     """Return the commands of one kind."""
     return [command for command in commands if isinstance(command, kind)]
 
 
-class OvertakingTest(testtools.TestCase):
+class ReorderedAnswersTest(testtools.TestCase):
     def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
         # hunt-c697-19 of kalamu-sched: a cancelled task ran on for 4.9 s.
         bench = Bench()
         ref = RunRef(task_id="t", run=1)
-        self.assertEqual(1, len(of(StartRun, bench.order("t"))))
+        self.assertEqual(1, len(commands_of(StartRun, bench.order("t"))))
         bench.list_runs(RunStatus(task_id="t", run=1))
         bench.tell(RunStarted(server_id="i-1", run=ref))
         stop = Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,))
-        self.assertEqual(1, len(of(StopRun, bench.tell(stop))))
+        self.assertEqual(1, len(commands_of(StopRun, bench.tell(stop))))
 
     def test_a_stop_that_was_taken_is_repeated_until_the_end_is_listed(self) -> None:
         bench = Bench()
@@ -124,42 +124,42 @@
         bench.tell(Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,)))
         bench.tell(StopAnswered(server_id="i-1", run=ref))
         bench.now += 2.0
-        self.assertEqual(1, len(of(StopRun, bench.tell())))
+        self.assertEqual(1, len(commands_of(StopRun, bench.tell())))
 
     def test_orders_of_an_owner_that_was_replaced_are_not_obeyed(self) -> None:
         bench = Bench()
         bench.tell(Adopt(peer="entry-2-cd", epoch=2))
-        self.assertEqual([], of(StartRun, bench.order("t")))
+        self.assertEqual([], commands_of(StartRun, bench.order("t")))
         bench.tell(Adopt(peer=OWNER, epoch=1))
         self.assertEqual("entry-2-cd", bench.tables.owner)
 
 
 class LeaseTest(testtools.TestCase):
-    def test_no_lease_is_asked_for_once_the_owners_word_is_too_old(self) -> None:
+    def test_no_lease_is_asked_for_once_the_last_contact_is_too_old(self) -> None:
         bench = Bench()
         bench.now += bench.tables.bounds.agent_autonomy_s
-        hold = of(HoldRuns, bench.list_runs())[-1]
+        hold = commands_of(PollRuns, bench.list_runs())[-1]
         self.assertIsNone(hold.lease_until_ms)
 
     def test_a_lease_is_counted_from_the_servers_own_last_time(self) -> None:
         bench = Bench()
-        bench.vouch()
-        hold = of(HoldRuns, bench.list_runs())[-1]
+        bench.acknowledge_contact()
+        hold = commands_of(PollRuns, bench.list_runs())[-1]
         server = bench.tables.server
         assert server is not None
         lease_ms = int(bench.tables.bounds.lease_s * 1_000)
         self.assertEqual(server.clock_ms + lease_ms, hold.lease_until_ms)
 
-    def test_nothing_starts_on_a_word_that_is_too_old(self) -> None:
+    def test_nothing_starts_once_the_last_contact_is_too_old(self) -> None:
         bench = Bench()
         bench.now += bench.tables.bounds.agent_autonomy_s
-        self.assertEqual([], of(StartRun, bench.order("t")))
+        self.assertEqual([], commands_of(StartRun, bench.order("t")))
 
 
 class CapacityTest(testtools.TestCase):
     def test_a_run_without_an_answer_keeps_its_room(self) -> None:
         bench = Bench()
-        started = [len(of(StartRun, bench.order(f"t{n}"))) for n in range(5)]
+        started = [len(commands_of(StartRun, bench.order(f"t{n}"))) for n in range(5)]
         self.assertEqual([1, 1, 1, 1, 0], started)
 
 
@@ -185,7 +185,7 @@
                 RunStatus(task_id="serve", run=1, measure=measure),
                 RunStatus(task_id="fill", run=1, measure=900),
             )
-            bench.vouch()
+            bench.acknowledge_contact()
             bench.list_runs(*statuses)
             paces.append(bench.tables.runs.by_key["fill#1"].pace)
         return paces
@@ -203,7 +203,9 @@
         _, paces = self._beside("harmless")
         self.assertEqual([100, 100], paces[:2])
 
-    def test_nothing_that_may_disturb_works_on_beside_a_task_long_over(self) -> None:
+    def test_disturbing_runs_are_paused_beside_a_task_over_target_for_long(
+        self,
+    ) -> None:
         # hunt-b8f2-23 of firinzeka-prod: many filling runs on one host, each held to
         # be harmless or at 5%, kept a serving task over its target for 4 s.
         for verdict in ("harmful", "unknown", "harmless"):
@@ -211,7 +213,7 @@
             self.assertEqual(0, self._paces(bench, 20)[1], verdict)
             self.assertGreater(self._paces(bench, 3)[-1], 0, verdict)
 
-    def test_the_speed_comes_back_when_the_serving_task_is_well(self) -> None:
+    def test_the_pace_recovers_once_the_serving_task_meets_its_target(self) -> None:
         bench, paces = self._beside("harmful")
         again = self._paces(bench, 3)
         self.assertGreater(again[-1], paces[-1])
@@ -221,7 +223,7 @@
         ref = RunRef(task_id="fill", run=1)
         bench.tell(PaceFailed(server_id="i-1", run=ref, reason="no answer"))
         bench.now += 0.2
-        self.assertEqual(1, len(of(PaceRun, bench.tell())))
+        self.assertEqual(1, len(commands_of(PaceRun, bench.tell())))
 
 
 class ReportTest(testtools.TestCase):
@@ -229,7 +231,7 @@
         bench = Bench()
         bench.running("t")
         bench.list_runs(RunStatus(task_id="t", run=1))
-        sent = of(Send, bench.tell(Adopt(peer="entry-2-cd", epoch=2)))
+        sent = commands_of(Send, bench.tell(Adopt(peer="entry-2-cd", epoch=2)))
         kinds = [type(command.item).__name__ for command in sent]
         self.assertIn("HostReport", kinds)
         self.assertIn("RunsReport", kinds)
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -37,7 +37,7 @@
 CHAIN = (step(2), step(3, after=(0,)), step(1, after=(1,)))
 
 
-class CalmTest(testtools.TestCase):
+class FaultFreeTest(testtools.TestCase):
     def test_a_job_of_steps_completes_in_order(self) -> None:
         world = JobsWorld()
         world.run(2.0)
