--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -99,8 +99,8 @@
     tables, candidates = placement.tables, placement.candidates
     avoid = workers_with_failures_of(tables, task)
     untried = without_failed_workers(tables, task, tuple(candidates.values()))
-    with_known_neighbours = cell_neighbours.with_neighbours(tables, task, untried, now)
-    choice = choose_worker(PLACEMENT_POLICY, task, with_known_neighbours, avoid, now)
+    assessed = cell_neighbours.with_neighbours(tables, task, untried, now)
+    choice = choose_worker(PLACEMENT_POLICY, task, assessed, avoid, now)
     if choice.worker_id:
         tables = cell_neighbours.record_first_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -29,8 +29,8 @@
 RELIEF_GOAL_LATENCY_RATIO = 0.75
 MIN_HARM_RATIO = 0.05
 BASE_MIN_SHARE = 0.25
-LEAST_MIN_SHARE = 0.05
-GREATEST_MIN_SHARE = 0.5
+MIN_SHARE_LOWER_LIMIT = 0.05
+MIN_SHARE_UPPER_LIMIT = 0.5
 BASE_EVICTION_DELAY_S = 30.0
 MIN_EVICTION_DELAY_S = 15.0
 MAX_EVICTION_DELAY_S = 240.0
@@ -172,7 +172,9 @@
 
 def _min_share(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     ratio = max(_cost_ratio(tables, case, task), 0.01)
-    return min(GREATEST_MIN_SHARE, max(LEAST_MIN_SHARE, BASE_MIN_SHARE / ratio))
+    return min(
+        MIN_SHARE_UPPER_LIMIT, max(MIN_SHARE_LOWER_LIMIT, BASE_MIN_SHARE / ratio)
+    )
 
 
 def _eviction_delay_s(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -60,16 +60,16 @@
 ) -> Choice:
     spec = task.row.spec
     deferral_over = now - task.since >= MAX_DEFERRAL_S
-    settled = [candidate for candidate in fitting if not candidate.effect_pending]
+    measured = [candidate for candidate in fitting if not candidate.effect_pending]
     harmless = [
         candidate
-        for candidate in settled
+        for candidate in measured
         if candidate.expected_latency_ratio <= MAX_EXPECTED_LATENCY_RATIO
     ]
     if not harmless and not spec.urgent and not deferral_over:
         return Choice(
             worker_id="",
-            reason=_deferral_reason(settled),
+            reason=_deferral_reason(measured),
             passed_over=_worker_ids(candidates),
             retry_s=PLACEMENT_RETRY_DELAY_S,
         )
@@ -80,8 +80,8 @@
     return _choice(best, candidates, "best fit beside services it does not harm")
 
 
-def _deferral_reason(settled: list[Candidate]) -> str:
-    if settled:
+def _deferral_reason(measured: list[Candidate]) -> str:
+    if measured:
         return "it would push a service over its target"
     return "the first tasks of its job show first what they do to services"
 
