--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Cancelling:
+class RecordCancellation:
     """A record whose tasks are being cancelled, a batch each tick."""
 
     record_key: str
@@ -55,7 +55,7 @@
             "worker": task.by_worker,
             "phase": task.by_phase,
             "cell": task.by_cell,
-            "record": task.by_job,
+            "record": task.by_record,
         }
     )
 
@@ -64,11 +64,11 @@
     return Table.empty(indexes={"cell": worker.by_cell})
 
 
-def _flights() -> Table[in_flight.Flight]:
+def _submissions() -> Table[in_flight.InFlightSubmission]:
     return Table.empty(
         indexes={
-            "peer": in_flight.flights_by_peer,
-            "cell": in_flight.flights_by_cell,
+            "peer": in_flight.submissions_by_peer,
+            "cell": in_flight.submissions_by_cell,
         }
     )
 
@@ -133,10 +133,12 @@
     cells: Table[cells.Cell] = field(default_factory=Table.empty)
     workers: Table[worker.Worker] = field(default_factory=_workers)
     tasks: Table[task.Task] = field(default_factory=_tasks)
-    flights: Table[in_flight.Flight] = field(default_factory=_flights)
+    submissions: Table[in_flight.InFlightSubmission] = field(
+        default_factory=_submissions
+    )
     readings: Table[in_flight.Reading] = field(default_factory=_readings)
     failures: Table[worker.Failure] = field(default_factory=_failures)
-    cancels: Table[Cancelling] = field(default_factory=Table.empty)
+    cancellations: Table[RecordCancellation] = field(default_factory=Table.empty)
     harms: Table[interference.Harm] = field(default_factory=Table.empty)
     job_usages: Table[interference.JobUsage] = field(default_factory=Table.empty)
     job_starts: Table[interference.JobStart] = field(default_factory=Table.empty)
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Flight:
+class InFlightSubmission:
     """A submission in flight to the entry `peer`, or to be sent if that is empty.
 
     `first_sent_at` is None until it is sent. `doubtful` says that an earlier
@@ -75,7 +75,7 @@
     first_sent_at: float | None = None
     sent_at: float = 0.0
     send_at: float = 0.0
-    doubtful: bool = False
+    may_take_effect: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -122,14 +122,14 @@
     return f"{type(purpose).__name__}|{purpose.cell}"
 
 
-def flights_by_peer(flight: Flight) -> tuple[str, ...]:
+def submissions_by_peer(in_flight: InFlightSubmission) -> tuple[str, ...]:
     """Index flights by entry; the empty string holds those to be sent."""
-    return (flight.peer,)
+    return (in_flight.peer,)
 
 
-def flights_by_cell(flight: Flight) -> tuple[str, ...]:
+def submissions_by_cell(in_flight: InFlightSubmission) -> tuple[str, ...]:
     """Index flights by cell."""
-    return (flight.cell,)
+    return (in_flight.cell,)
 
 
 def readings_by_peer(reading: Reading) -> tuple[str, ...]:
--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -31,7 +31,7 @@
     WRITING = "writing"
 
 
-HOLDING = frozenset(
+HOLDING_PHASES = frozenset(
     {
         Phase.COMMITTING,
         Phase.SENDING,
@@ -40,7 +40,7 @@
         Phase.STOPPING,
     }
 )
-STOPPABLE = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
+STOPPABLE_PHASES = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,7 +84,7 @@
     `planned_worker` is the worker of a start being committed. A report asked at
     or after `settle_after` that lacks the task shows that it does not run, and
     its lease has surely lapsed at `leased_until`. `ending` is planned while
-    the task still runs and final once it is ENDED. `skipped` is the last reason
+    the task still runs and final once it is ENDED. `skip_reason` is the last reason
     for which no worker was chosen. No
     write is tried again before `retry_at`.
     """
@@ -100,7 +100,7 @@
     leased_until: float = 0.0
     stop_sent_at: float = 0.0
     ending: Ending | None = None
-    skipped: str = ""
+    skip_reason: str = ""
     retry_at: float = 0.0
 
     @property
@@ -108,7 +108,7 @@
         """The worker on which the task may run, or the empty string."""
         if self.phase is Phase.COMMITTING:
             return self.planned_worker
-        return self.row.worker_id if self.phase in HOLDING else ""
+        return self.row.worker_id if self.phase in HOLDING_PHASES else ""
 
 
 def task_key(*, cell: str, task_id: str) -> str:
@@ -136,6 +136,6 @@
     return (task.cell,)
 
 
-def by_job(task: Task) -> tuple[str, ...]:
+def by_record(task: Task) -> tuple[str, ...]:
     """Index tasks by the record that asked for them."""
     return (task.row.spec.record_key,)
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -18,7 +18,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from bulrushpulley.entities.owner_times import CALL_WITHIN_S
+from bulrushpulley.entities.owner_times import WORKER_CALL_TIMEOUT_S
 from bulrushpulley.entities.worker_calls import (
     AskReport,
     Renewal,
@@ -207,7 +207,7 @@
     try:
         url = urlsplit(command.url)
         port = url.port or http.client.HTTP_PORT
-        return HTTPConnection(url.hostname or "", port, timeout=CALL_WITHIN_S)
+        return HTTPConnection(url.hostname or "", port, timeout=WORKER_CALL_TIMEOUT_S)
     except FAILURES as error:
         raise _not_sent(command, Code.INVALID, _described(error)) from error
 
@@ -231,7 +231,7 @@
         response = connection.getresponse()
         body = read_whole(
             response,
-            deadline=time.monotonic() + CALL_WITHIN_S,
+            deadline=time.monotonic() + WORKER_CALL_TIMEOUT_S,
             limit=MAX_REPORT_BYTES,
             step=STEP,
             peer=command.worker_id,
--- a/bulrushpulley/systems/cell/candidates.py
+++ b/bulrushpulley/systems/cell/candidates.py
@@ -6,7 +6,7 @@
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.worker import Health, Worker
 from bulrushpulley.systems.cell.placement_policy import Candidate
-from bulrushpulley.systems.cell.stop import is_silent
+from bulrushpulley.systems.cell.stop import is_unreachable
 
 
 def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
@@ -27,7 +27,7 @@
         return False
     if worker.unanswered_at is not None:
         return False
-    if is_silent(worker, now) or worker.health is Health.QUARANTINED:
+    if is_unreachable(worker, now) or worker.health is Health.QUARANTINED:
         return False
     busy = tables.tasks.count_where("worker", worker.worker_id) > 0
     return worker.health is Health.HEALTHY or not busy
--- a/bulrushpulley/systems/cell/endings.py
+++ b/bulrushpulley/systems/cell/endings.py
@@ -19,7 +19,7 @@
     Withdrawn,
     Write,
 )
-from bulrushpulley.entities.in_flight import Flight, WriteEnding
+from bulrushpulley.entities.in_flight import InFlightSubmission, WriteEnding
 from bulrushpulley.entities.observe import Count, Decision
 from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskRow, TaskState
 from bulrushpulley.entities.step import Command, Step
@@ -43,48 +43,48 @@
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
-ENDINGS_PER_TICK = 64
-RETRY_AFTER_S = 1.0
+MAX_ENDINGS_PER_TICK = 64
+ENDING_RETRY_DELAY_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Outcome:
+class EndingWrites:
     """What is written: the task's next row, or None and a row elsewhere."""
 
     row: TaskRow | None
-    elsewhere: tuple[Write, ...] = ()
+    other_writes: tuple[Write, ...] = ()
 
 
 @singledispatch
-def outcome_of(ending: Ending, row: TaskRow) -> Outcome:
+def ending_writes(ending: Ending, row: TaskRow) -> EndingWrites:
     """Return what an ending writes for a task that stood at `row`."""
     raise NotImplementedError(type(ending).__name__)
 
 
-@outcome_of.register
-def _(ending: Finish, row: TaskRow) -> Outcome:
+@ending_writes.register
+def _(ending: Finish, row: TaskRow) -> EndingWrites:
     if row.spec.task_class is TaskClass.LATENCY_CRITICAL:
-        return Outcome(row=_waiting(row, ending))
-    return _done(row, TaskState.FINISHED, ending)
+        return EndingWrites(row=_waiting_row(row, ending))
+    return _done_writes(row, TaskState.FINISHED, ending)
 
 
-@outcome_of.register
-def _(ending: Fail, row: TaskRow) -> Outcome:
+@ending_writes.register
+def _(ending: Fail, row: TaskRow) -> EndingWrites:
     attempts = row.attempts + (1 if ending.counted else 0)
     failed = replace(row, attempts=attempts)
     batch = row.spec.task_class is TaskClass.BATCH
     if batch and attempts >= row.spec.max_attempts:
-        return _done(failed, TaskState.FAILED, ending)
-    return Outcome(row=_waiting(failed, ending))
+        return _done_writes(failed, TaskState.FAILED, ending)
+    return EndingWrites(row=_waiting_row(failed, ending))
 
 
-@outcome_of.register
-def _(ending: Requeue, row: TaskRow) -> Outcome:
-    return Outcome(row=_waiting(row, ending))
+@ending_writes.register
+def _(ending: Requeue, row: TaskRow) -> EndingWrites:
+    return EndingWrites(row=_waiting_row(row, ending))
 
 
-@outcome_of.register
-def _(ending: Return, row: TaskRow) -> Outcome:
+@ending_writes.register
+def _(ending: Return, row: TaskRow) -> EndingWrites:
     spec = row.spec
     back = BacklogRow(
         spec=spec,
@@ -93,24 +93,24 @@
         checkpoint=row.checkpoint,
         attempts=row.attempts,
     )
-    return Outcome(
-        row=None, elsewhere=(Write(key=f"backlog/{spec.task_id}", row=back),)
+    return EndingWrites(
+        row=None, other_writes=(Write(key=f"backlog/{spec.task_id}", row=back),)
     )
 
 
-@outcome_of.register
-def _(ending: Cancel, row: TaskRow) -> Outcome:
-    return _done(row, TaskState.CANCELLED, ending)
+@ending_writes.register
+def _(ending: Cancel, row: TaskRow) -> EndingWrites:
+    return _done_writes(row, TaskState.CANCELLED, ending)
 
 
-def _waiting(row: TaskRow, ending: Ending) -> TaskRow:
+def _waiting_row(row: TaskRow, ending: Ending) -> TaskRow:
     return replace(row, state=TaskState.WAITING, worker_id="", reason=ending.reason)
 
 
-def _done(row: TaskRow, state: TaskState, ending: Ending) -> Outcome:
+def _done_writes(row: TaskRow, state: TaskState, ending: Ending) -> EndingWrites:
     done = replace(row, state=state, reason=ending.reason)
     write = Write(key=f"done/{row.spec.task_id}", row=done)
-    return Outcome(row=None, elsewhere=(write,))
+    return EndingWrites(row=None, other_writes=(write,))
 
 
 def write_endings(tables: CellOwnerTables, now: float) -> CellStep:
@@ -120,7 +120,7 @@
         if cell.phase is not CellPhase.OWNED:
             continue
         value = phase_index(cell=cell.name, phase=Phase.ENDED)
-        for task in tables.tasks.rows_where("phase", value)[:ENDINGS_PER_TICK]:
+        for task in tables.tasks.rows_where("phase", value)[:MAX_ENDINGS_PER_TICK]:
             if task.ending is not None and now >= task.retry_at:
                 tables = _write(cell, task, task.ending, tables, now)
                 commands.append(_decision(cell, task, task.ending))
@@ -130,21 +130,21 @@
 def _write(
     cell: Cell, task: Task, ending: Ending, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    outcome = outcome_of(ending, task.row)
-    writes = (Write(key=task.key, row=outcome.row), *outcome.elsewhere)
-    absent = tuple(Condition(key=w.key, version=0) for w in outcome.elsewhere)
+    outcome = ending_writes(ending, task.row)
+    writes = (Write(key=task.key, row=outcome.row), *outcome.other_writes)
+    absent = tuple(Condition(key=w.key, version=0) for w in outcome.other_writes)
     tables, _ = cell_send.submit(
         tables,
         purpose=WriteEnding(task_key=task.key, row=outcome.row),
         cell=cell.name,
-        conditions=(*fences(cell, task), *absent),
+        conditions=(*fencing_conditions(cell, task), *absent),
         writes=writes,
         now=now,
     )
     return cell_rows.put_task(tables, replace(task, phase=Phase.WRITING))
 
 
-def fences(cell: Cell, task: Task) -> tuple[Condition, ...]:
+def fencing_conditions(cell: Cell, task: Task) -> tuple[Condition, ...]:
     """Return the conditions of every write of a task: its row and the lease."""
     return (
         Condition(key=task.key, version=task.version),
@@ -165,7 +165,7 @@
 @on_committed.register
 def _(
     purpose: WriteEnding,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
@@ -190,7 +190,7 @@
 @on_conflicted.register
 def _(
     purpose: WriteEnding,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
@@ -202,12 +202,12 @@
     for found in outcome.rows:
         if found.key == task.key:
             return Step(tables=cell_rows.adopt_conflicting_task(found, tables, now))
-    return Step(tables=_elsewhere_taken(purpose, flight, outcome, tables, now))
+    return Step(tables=_resolve_existing_row(purpose, in_flight, outcome, tables, now))
 
 
-def _elsewhere_taken(
+def _resolve_existing_row(
     purpose: WriteEnding,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
@@ -225,7 +225,7 @@
             tables,
             purpose=WriteEnding(task_key=task.key, row=None),
             cell=cell.name,
-            conditions=fences(cell, task),
+            conditions=fencing_conditions(cell, task),
             writes=(Write(key=task.key, row=None),),
             now=now,
         )
@@ -237,7 +237,7 @@
 @on_withdrawn.register
 def _(
     purpose: WriteEnding,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
@@ -245,5 +245,5 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    again = replace(task, phase=Phase.ENDED, retry_at=now + RETRY_AFTER_S)
+    again = replace(task, phase=Phase.ENDED, retry_at=now + ENDING_RETRY_DELAY_S)
     return Step(tables=cell_rows.put_task(tables, again))
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -9,7 +9,7 @@
 
 from bulrushpulley.entities.cell import Cell, CellPhase
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
-from bulrushpulley.entities.owner_times import RETURN_AFTER_S
+from bulrushpulley.entities.owner_times import RETURN_TO_BACKLOG_DELAY_S
 from bulrushpulley.entities.records import ServiceRecord
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Step
@@ -34,12 +34,12 @@
     is_evictable,
 )
 
-EVICTIONS_PER_TICK = 64
-SWEEP_EVERY_S = 1.0
-LEAVING = (Phase.WAITING, Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING)
+MAX_EVICTIONS_PER_TICK = 64
+WAITING_SWEEP_INTERVAL_S = 1.0
+DRAINABLE_PHASES = (Phase.WAITING, Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING)
 
 
-def owned(tables: CellOwnerTables) -> list[Cell]:
+def owned_cells(tables: CellOwnerTables) -> list[Cell]:
     """Return the cells whose rows are known and may be changed."""
     if tables.leaving:
         return []
@@ -48,18 +48,18 @@
 
 def drain(tables: CellOwnerTables, now: float) -> CellStep:
     """Return the tasks of drained cells to the backlog, a batch each tick."""
-    for cell in owned(tables):
+    for cell in owned_cells(tables):
         if not cell_domains.is_drained(tables, cell):
             continue
         leaving = [
             task
-            for phase in LEAVING
+            for phase in DRAINABLE_PHASES
             for task in tables.tasks.rows_where(
                 "phase", phase_index(cell=cell.name, phase=phase)
             )
         ]
         ending = Return(reason="its failure domain was taken out of service")
-        for task in leaving[:EVICTIONS_PER_TICK]:
+        for task in leaving[:MAX_EVICTIONS_PER_TICK]:
             tables = cell_stop.plan_ending(tables, task, ending, now)
     return Step(tables=tables)
 
@@ -67,16 +67,16 @@
 def cancel(tables: CellOwnerTables, now: float) -> CellStep:
     """Cancel the tasks of cancelled records, a batch each tick."""
     ending = Cancel(reason="its record was cancelled")
-    for key in sorted(tables.cancels):
+    for key in sorted(tables.cancellations):
         tasks = [
             task
             for task in tables.tasks.rows_where("record", key)
             if not isinstance(task.ending, Cancel)
         ]
-        for task in tasks[:EVICTIONS_PER_TICK]:
+        for task in tasks[:MAX_EVICTIONS_PER_TICK]:
             tables = cell_stop.plan_ending(tables, task, ending, now)
-        if len(tasks) <= EVICTIONS_PER_TICK:
-            tables = replace(tables, cancels=tables.cancels.drop(key))
+        if len(tasks) <= MAX_EVICTIONS_PER_TICK:
+            tables = replace(tables, cancellations=tables.cancellations.drop(key))
     return Step(tables=tables)
 
 
@@ -91,10 +91,10 @@
     return tables
 
 
-def shrink(tables: CellOwnerTables, now: float) -> CellStep:
+def evict_over_capacity(tables: CellOwnerTables, now: float) -> CellStep:
     """Evict the newest batch tasks of workers that hold more than their capacity."""
     commands: list[Command] = []
-    for cell in owned(tables):
+    for cell in owned_cells(tables):
         if not cell.fit_due:
             continue
         over = False
@@ -102,7 +102,7 @@
             held = committed(tables, worker.worker_id)
             if not held.fits(worker.capacity):
                 over = True
-                step = _fit(cell, worker, held, tables, now)
+                step = _evict_excess(cell, worker, held, tables, now)
                 tables = step.tables
                 commands.extend(step.commands)
         kept = replace(tables.cells.by_key[cell.name], fit_due=over)
@@ -110,7 +110,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _fit(
+def _evict_excess(
     cell: Cell, worker: Worker, held: Resources, tables: CellOwnerTables, now: float
 ) -> CellStep:
     running = tables.tasks.rows_where("worker", worker.worker_id)
@@ -118,7 +118,7 @@
     soon = stopping_size(running)
     ending = Requeue(reason=f"{worker.worker_id} holds more than its capacity")
     commands: list[Command] = []
-    for task in _to_fit(over, soon, running):
+    for task in _choose_excess(over, soon, running):
         tables = cell_stop.plan_ending(tables, task, ending, now)
         commands.extend(eviction_commands(cell, task, ending.reason))
     return Step(tables=tables, commands=tuple(commands))
@@ -133,7 +133,9 @@
     )
 
 
-def _to_fit(over: Resources, soon: Resources, running: list[Task]) -> tuple[Task, ...]:
+def _choose_excess(
+    over: Resources, soon: Resources, running: list[Task]
+) -> tuple[Task, ...]:
     """Return what to evict; every batch task if even that is not enough."""
     if over.fits(soon):
         return ()
@@ -141,12 +143,12 @@
     return victims or tuple(task for task in running if is_evictable(task))
 
 
-def give_back(tables: CellOwnerTables, now: float) -> CellStep:
+def return_waiting_tasks(tables: CellOwnerTables, now: float) -> CellStep:
     """Return tasks to the backlog that could not start here for a while."""
-    for cell in owned(tables):
+    for cell in owned_cells(tables):
         if now < cell.sweep_at:
             continue
-        swept = replace(cell, sweep_at=now + SWEEP_EVERY_S)
+        swept = replace(cell, sweep_at=now + WAITING_SWEEP_INTERVAL_S)
         tables = cell_rows.put_cell(tables, swept)
         value = phase_index(cell=cell.name, phase=Phase.WAITING)
         for task in tables.tasks.rows_where("phase", value):
@@ -164,7 +166,7 @@
     domain = cell_rows.failure_domain_of(tables, cell.name)
     if domain and not cell_place.may_run_in(task, domain):
         return Return(reason=f"it may not run in {domain}")
-    if now - task.since >= RETURN_AFTER_S:
-        why = task.skipped or "no start committed"
+    if now - task.since >= RETURN_TO_BACKLOG_DELAY_S:
+        why = task.skip_reason or "no start committed"
         return Return(reason=f"it could not start in {cell.name}: {why}")
     return None
--- a/bulrushpulley/systems/cell/interference.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -40,7 +40,7 @@
     """Act on the workers of owned cells where services or throttles are measured."""
     tables = _drop_stale_latencies(tables)
     commands: list[Command] = []
-    for cell in cell_evict.owned(tables):
+    for cell in cell_evict.owned_cells(tables):
         for worker in tables.workers.rows_where("cell", cell.name):
             step = _relieve_worker(cell, worker.worker_id, tables, now)
             tables = step.tables
--- a/bulrushpulley/systems/cell/liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -18,8 +18,15 @@
     Withdrawn,
     Write,
 )
-from bulrushpulley.entities.in_flight import Flight, ReadOwnAlive, RenewAlive
-from bulrushpulley.entities.owner_times import RENEW_S, TAKEOVER_S
+from bulrushpulley.entities.in_flight import (
+    InFlightSubmission,
+    ReadOwnAlive,
+    RenewAlive,
+)
+from bulrushpulley.entities.owner_times import (
+    LIVENESS_RENEW_INTERVAL_S,
+    TAKEOVER_TIMEOUT_S,
+)
 from bulrushpulley.entities.rows import AliveRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.cell import outcomes as cell_outcomes
@@ -32,21 +39,21 @@
 from bulrushpulley.systems.cell.owner_events import CellStep
 
 
-def autonomous_until(tables: CellOwnerTables) -> float:
+def autonomy_deadline(tables: CellOwnerTables) -> float:
     """Return the instant up to which the owner may command its workers."""
     confirmed = tables.liveness.confirmed_sent_at
     return float("-inf") if confirmed is None else confirmed + tables.autonomy_s
 
 
-def stops_until(tables: CellOwnerTables) -> float:
+def stop_deadline(tables: CellOwnerTables) -> float:
     """Return the instant up to which no other agent can have taken a cell.
 
     A stop may leave only until then: a paused owner must not stop what its
     successor runs. Leases are renewed for longer, as that harms nothing.
     """
     confirmed = tables.liveness.confirmed_sent_at
-    owned = float("-inf") if confirmed is None else confirmed + TAKEOVER_S
-    return min(owned, autonomous_until(tables))
+    owned = float("-inf") if confirmed is None else confirmed + TAKEOVER_TIMEOUT_S
+    return min(owned, autonomy_deadline(tables))
 
 
 def renew(tables: CellOwnerTables, now: float) -> CellStep:
@@ -70,14 +77,14 @@
         writes=(Write(key=key, row=row),),
         now=now,
     )
-    live = replace(live, pending=pending, renew_at=now + RENEW_S)
+    live = replace(live, pending=pending, renew_at=now + LIVENESS_RENEW_INTERVAL_S)
     return Step(tables=replace(tables, liveness=live))
 
 
 @on_committed.register
 def _(
     purpose: RenewAlive,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
@@ -87,7 +94,7 @@
         version=outcome.revision,
         renewals=purpose.renewals,
         pending="",
-        confirmed_sent_at=flight.first_sent_at,
+        confirmed_sent_at=in_flight.first_sent_at,
     )
     return Step(tables=replace(tables, liveness=live))
 
@@ -95,7 +102,7 @@
 @on_withdrawn.register
 def _(
     purpose: RenewAlive,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
@@ -107,25 +114,27 @@
 @on_conflicted.register
 def _(
     purpose: RenewAlive,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    found = cell_outcomes.row_of(outcome, alive_key(tables.agent))
-    if tables.liveness.confirmed_sent_at is not None and _is_other(found, tables):
-        return _replaced(tables)
+    found = cell_outcomes.conflicting_row(outcome, alive_key(tables.agent))
+    if tables.liveness.confirmed_sent_at is not None and _is_other_incarnation(
+        found, tables
+    ):
+        return _give_up_all_cells(tables)
     version = found.version if found else None
     live = replace(tables.liveness, version=version, pending="", renew_at=now)
     return Step(tables=replace(tables, liveness=live))
 
 
-def _is_other(found: VersionedRow | None, tables: CellOwnerTables) -> bool:
+def _is_other_incarnation(found: VersionedRow | None, tables: CellOwnerTables) -> bool:
     row = found.row if found else None
     return isinstance(row, AliveRow) and row.incarnation != tables.incarnation
 
 
-def _replaced(tables: CellOwnerTables) -> CellStep:
+def _give_up_all_cells(tables: CellOwnerTables) -> CellStep:
     """Give every cell up: a newer process of this agent's name renews the row."""
     commands: tuple[Command, ...] = ()
     for name in sorted(tables.cells):
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -21,7 +21,7 @@
 )
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.owner_times import REFETCH_S
+from bulrushpulley.entities.owner_times import TASK_REFETCH_INTERVAL_S
 from bulrushpulley.entities.rows import AliveRow, RecordRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.cell import rows as cell_rows
@@ -68,7 +68,7 @@
     live = tables.liveness
     if event.failed or live.version is not None:
         return Step(tables=tables)
-    found = _exact(event, alive_key(tables.agent))
+    found = _row_with_key(event, alive_key(tables.agent))
     row = found.row if found else None
     renewals = row.renewals if isinstance(row, AliveRow) else 0
     version = found.version if found and row else 0
@@ -84,9 +84,9 @@
     if cell is None or cell.phase is not CellPhase.WATCHING:
         return Step(tables=tables)
     if event.failed:
-        return Step(tables=cell_watch.watch_failed(cell, tables))
-    found = _exact(event, lease_key(cell.name))
-    return cell_watch.lease_read(cell, found, tables, now)
+        return Step(tables=cell_watch.restart_watch(cell, tables))
+    found = _row_with_key(event, lease_key(cell.name))
+    return cell_watch.handle_lease_read(cell, found, tables, now)
 
 
 @on_fetched.register
@@ -97,9 +97,9 @@
     if cell is None or cell.phase is not CellPhase.WATCHING or cell.lease is None:
         return Step(tables=tables)
     if event.failed:
-        return Step(tables=cell_watch.watch_failed(cell, tables))
-    found = _exact(event, alive_key(cell.lease.owner))
-    return cell_watch.owner_alive_read(cell, found, tables, now)
+        return Step(tables=cell_watch.restart_watch(cell, tables))
+    found = _row_with_key(event, alive_key(cell.lease.owner))
+    return cell_watch.handle_owner_alive_read(cell, found, tables, now)
 
 
 @on_fetched.register
@@ -145,7 +145,7 @@
         cell,
         phase=CellPhase.OWNED,
         rows_since=since,
-        refetch_at=now + REFETCH_S,
+        refetch_at=now + TASK_REFETCH_INTERVAL_S,
         fit_due=cell.fit_due or loading,
     )
     tables = cell_rows.touch_cell(cell_rows.put_cell(tables, owned), name)
@@ -164,5 +164,5 @@
     return Step(tables=tables, commands=commands)
 
 
-def _exact(event: Fetched, key: str) -> VersionedRow | None:
+def _row_with_key(event: Fetched, key: str) -> VersionedRow | None:
     return next((row for row in event.rows if row.key == key), None)
--- a/bulrushpulley/systems/cell/outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -19,19 +19,19 @@
     VersionedRow,
     Withdrawn,
 )
-from bulrushpulley.entities.in_flight import Flight, Purpose
+from bulrushpulley.entities.in_flight import InFlightSubmission, Purpose
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
-FENCED = HELD_PHASES | {CellPhase.RELEASING}
+FENCED_PHASES = HELD_PHASES | {CellPhase.RELEASING}
 
 
 @singledispatch
 def on_committed(
     purpose: Purpose,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
@@ -43,7 +43,7 @@
 @singledispatch
 def on_conflicted(
     purpose: Purpose,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
@@ -55,7 +55,7 @@
 @singledispatch
 def on_withdrawn(
     purpose: Purpose,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
@@ -66,55 +66,55 @@
 
 @apply.register
 def _(event: Committed, tables: CellOwnerTables, now: float) -> CellStep:
-    flight = tables.flights.get(event.submission_id)
-    if flight is None:
+    in_flight = tables.submissions.get(event.submission_id)
+    if in_flight is None:
         return Step(tables=tables)
-    tables = _landed(tables, flight)
-    return on_committed(flight.purpose, flight, event, tables, now)
+    tables = _remove_submission(tables, in_flight)
+    return on_committed(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
 def _(event: Conflicted, tables: CellOwnerTables, now: float) -> CellStep:
-    flight = tables.flights.get(event.submission_id)
-    if flight is None:
+    in_flight = tables.submissions.get(event.submission_id)
+    if in_flight is None:
         return Step(tables=tables)
-    if names_other_owner(tables, flight, event):
-        return lose_cell(tables, flight.cell, "another owner holds the lease")
-    tables = _landed(tables, flight)
-    return on_conflicted(flight.purpose, flight, event, tables, now)
+    if names_other_owner(tables, in_flight, event):
+        return lose_cell(tables, in_flight.cell, "another owner holds the lease")
+    tables = _remove_submission(tables, in_flight)
+    return on_conflicted(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
 def _(event: Withdrawn, tables: CellOwnerTables, now: float) -> CellStep:
-    flight = tables.flights.get(event.submission_id)
-    if flight is None:
+    in_flight = tables.submissions.get(event.submission_id)
+    if in_flight is None:
         return Step(tables=tables)
-    if flight.doubtful:
-        return Step(tables=cell_send.resubmit(tables, flight, now))
-    tables = _landed(tables, flight)
-    return on_withdrawn(flight.purpose, flight, event, tables, now)
+    if in_flight.may_take_effect:
+        return Step(tables=cell_send.resubmit(tables, in_flight, now))
+    tables = _remove_submission(tables, in_flight)
+    return on_withdrawn(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
 def _(event: Unsettled, tables: CellOwnerTables, now: float) -> CellStep:
-    flight = tables.flights.get(event.submission_id)
-    if flight is None:
+    in_flight = tables.submissions.get(event.submission_id)
+    if in_flight is None:
         return Step(tables=tables)
-    return Step(tables=cell_send.resubmit(tables, flight, now))
+    return Step(tables=cell_send.resubmit(tables, in_flight, now))
 
 
 def names_other_owner(
-    tables: CellOwnerTables, flight: Flight, outcome: Conflicted
+    tables: CellOwnerTables, in_flight: InFlightSubmission, outcome: Conflicted
 ) -> bool:
     """Tell whether a conflict shows that the cell's lease has changed hands."""
-    cell = tables.cells.get(flight.cell)
-    if cell is None or cell.phase not in FENCED:
+    cell = tables.cells.get(in_flight.cell)
+    if cell is None or cell.phase not in FENCED_PHASES:
         return False
-    found = row_of(outcome, lease_key(cell.name))
+    found = conflicting_row(outcome, lease_key(cell.name))
     return found is not None and found.version != cell.lease_version
 
 
-def row_of(outcome: Conflicted, key: str) -> VersionedRow | None:
+def conflicting_row(outcome: Conflicted, key: str) -> VersionedRow | None:
     """Return the row of `key` if its condition was among those that failed."""
     return next((row for row in outcome.rows if row.key == key), None)
 
@@ -125,19 +125,19 @@
     if cell is None:
         return Step(tables=tables)
     tables = cell_send.drop_readings(tables, name)
-    tasks, workers, flights = tables.tasks, tables.workers, tables.flights
+    tasks, workers, submissions = tables.tasks, tables.workers, tables.submissions
     for key in list(tasks.keys_where("cell", name)):
         tasks = tasks.drop(key)
     for key in list(workers.keys_where("cell", name)):
         workers = workers.drop(key)
-    for key in list(flights.keys_where("cell", name)):
-        flights = flights.drop(key)
+    for key in list(submissions.keys_where("cell", name)):
+        submissions = submissions.drop(key)
     tables = replace(
         tables,
         cells=tables.cells.drop(name),
         tasks=tasks,
         workers=workers,
-        flights=flights,
+        submissions=submissions,
     )
     decision = Decision(
         kind="cell.lose", subject=name, chosen="", reason=reason, epoch=cell.epoch
@@ -145,6 +145,8 @@
     return Step(tables=tables, commands=(decision,))
 
 
-def _landed(tables: CellOwnerTables, flight: Flight) -> CellOwnerTables:
-    key = flight.submission.submission_id
-    return replace(tables, flights=tables.flights.drop(key))
+def _remove_submission(
+    tables: CellOwnerTables, in_flight: InFlightSubmission
+) -> CellOwnerTables:
+    key = in_flight.submission.submission_id
+    return replace(tables, submissions=tables.submissions.drop(key))
--- a/bulrushpulley/systems/cell/owner_events.py
+++ b/bulrushpulley/systems/cell/owner_events.py
@@ -11,9 +11,9 @@
 
 from bulrushpulley.entities.cell import HELD_PHASES, Cell, CellPhase
 from bulrushpulley.entities.cell_owner_tables import (
-    Cancelling,
     CellOwnerTables,
     LinkedEntry,
+    RecordCancellation,
 )
 from bulrushpulley.entities.link import (
     Assigned,
@@ -49,7 +49,7 @@
 @apply.register
 def _(event: LinkDown, tables: CellOwnerTables, now: float) -> CellStep:
     tables = replace(tables, entries=tables.entries.drop(event.peer))
-    return Step(tables=cell_send.forget_peer(tables, event.peer, now))
+    return Step(tables=cell_send.requeue_for_peer(tables, event.peer, now))
 
 
 @apply.register
@@ -85,5 +85,5 @@
     key = f"record/job/{event.job}"
     if not tables.tasks.count_where("record", key):
         return Step(tables=tables)
-    cancels = tables.cancels.put(key, Cancelling(record_key=key))
-    return Step(tables=replace(tables, cancels=cancels))
+    cancellations = tables.cancellations.put(key, RecordCancellation(record_key=key))
+    return Step(tables=replace(tables, cancellations=cancellations))
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -111,12 +111,12 @@
             commands=(*placement.commands, line),
         )
     commands = placement.commands
-    if task.skipped != choice.reason:
-        skipped = replace(task, skipped=choice.reason)
+    if task.skip_reason != choice.reason:
+        skipped = replace(task, skip_reason=choice.reason)
         tables = cell_rows.put_task(tables, skipped)
         commands = (*commands, _decision(cell, task, choice, tables))
     if choice.retry_s:
-        later = replace(task, skipped=choice.reason, retry_at=now + choice.retry_s)
+        later = replace(task, skip_reason=choice.reason, retry_at=now + choice.retry_s)
         tables = cell_rows.put_task(tables, later)
     if not may_preempt(task):
         return Placement(candidates=candidates, tables=tables, commands=commands)
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -13,9 +13,9 @@
     Withdrawn,
     Write,
 )
-from bulrushpulley.entities.in_flight import Flight, ReleaseCell
+from bulrushpulley.entities.in_flight import InFlightSubmission, ReleaseCell
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.owner_times import CALL_WITHIN_S, RELEASE_WITHIN_S
+from bulrushpulley.entities.owner_times import RELEASE_TIMEOUT_S, WORKER_CALL_TIMEOUT_S
 from bulrushpulley.entities.rows import LeaseRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, phase_index
@@ -38,9 +38,9 @@
         if cell.phase is CellPhase.WATCHING:
             tables = replace(tables, cells=tables.cells.drop(cell.name))
         elif not cell.release_by:
-            patient = replace(cell, release_by=now + RELEASE_WITHIN_S)
-            tables = cell_rows.put_cell(tables, patient)
-        elif cell.phase in HELD_PHASES and quiet(tables, cell, now):
+            releasing = replace(cell, release_by=now + RELEASE_TIMEOUT_S)
+            tables = cell_rows.put_cell(tables, releasing)
+        elif cell.phase in HELD_PHASES and has_nothing_in_flight(tables, cell, now):
             tables = _submit_release(tables, cell, now)
     overdue = all(0 < cell.release_by <= now for cell in tables.cells.rows())
     if len(tables.cells) and not overdue:
@@ -49,15 +49,15 @@
     return Step(tables=tables, commands=(CellOwnerDone(),))
 
 
-def quiet(tables: CellOwnerTables, cell: Cell, now: float) -> bool:
+def has_nothing_in_flight(tables: CellOwnerTables, cell: Cell, now: float) -> bool:
     """Tell whether no command or write for a cell can still be under way."""
-    if tables.flights.count_where("cell", cell.name):
+    if tables.submissions.count_where("cell", cell.name):
         return False
     sending = phase_index(cell=cell.name, phase=Phase.SENDING)
     if tables.tasks.count_where("phase", sending):
         return False
-    began = cell.release_by - RELEASE_WITHIN_S
-    return now - began >= CALL_WITHIN_S
+    began = cell.release_by - RELEASE_TIMEOUT_S
+    return now - began >= WORKER_CALL_TIMEOUT_S
 
 
 def _submit_release(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
@@ -79,7 +79,7 @@
 @on_committed.register
 def _(
     purpose: ReleaseCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
@@ -96,7 +96,7 @@
 @on_conflicted.register
 def _(
     purpose: ReleaseCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
@@ -107,7 +107,7 @@
 @on_withdrawn.register
 def _(
     purpose: ReleaseCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -14,12 +14,12 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.owner_times import (
-    CALL_WITHIN_S,
-    LONGEST_REPORT_S,
-    RENEW_TASKS_S,
-    REPORT_EVERY_S,
-    REPORT_S_PER_RUN,
+    MAX_REPORT_INTERVAL_S,
+    MIN_REPORT_INTERVAL_S,
+    REPORT_INTERVAL_PER_RUN_S,
+    TASK_LEASE_RENEW_INTERVAL_S,
     TASK_LEASE_S,
+    WORKER_CALL_TIMEOUT_S,
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import (
@@ -49,25 +49,25 @@
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import throttle as cell_throttle
-from bulrushpulley.systems.cell.liveness import autonomous_until, stops_until
+from bulrushpulley.systems.cell.liveness import autonomy_deadline, stop_deadline
 from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
-STRAY_STOPS_PER_REPORT = 64
-REPORT_AFTER_STOP_S = 0.25
-SOUND_AFTER_S = 30.0
-REPORT_LOST_S = 5 * CALL_WITHIN_S
-RENEWED = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
-REPORTABLE = RENEWED | {Phase.STOPPING}
+MAX_UNEXPECTED_RUN_STOPS_PER_REPORT = 64
+REPORT_DELAY_AFTER_STOP_S = 0.25
+MIN_PROBE_RUN_S = 30.0
+REPORT_TIMEOUT_S = 5 * WORKER_CALL_TIMEOUT_S
+RENEWED_PHASES = frozenset({Phase.SENDING, Phase.UNKNOWN, Phase.RUNNING})
+REPORTABLE_PHASES = RENEWED_PHASES | {Phase.STOPPING}
 
 
-def ask(tables: CellOwnerTables, now: float) -> CellStep:
+def request_reports(tables: CellOwnerTables, now: float) -> CellStep:
     """Ask each worker whose report is due, while the owner may command it."""
     commands: list[Command] = []
-    not_after = min(now + CALL_WITHIN_S, autonomous_until(tables))
+    not_after = min(now + WORKER_CALL_TIMEOUT_S, autonomy_deadline(tables))
     if tables.leaving or now > not_after:
         return Step(tables=tables)
     for worker in tables.workers.rows():
-        if worker.asked_at is not None and now - worker.asked_at < REPORT_LOST_S:
+        if worker.asked_at is not None and now - worker.asked_at < REPORT_TIMEOUT_S:
             continue
         if not worker.url or now < worker.next_report_at:
             continue
@@ -77,7 +77,7 @@
             asked_at=now,
             next_report_at=now + report_interval(tables, worker),
             renewed_until=not_after if renewals else worker.renewed_until,
-            renew_at=now + RENEW_TASKS_S if renewals else worker.renew_at,
+            renew_at=now + TASK_LEASE_RENEW_INTERVAL_S if renewals else worker.renew_at,
         )
         tables = cell_rows.put_worker(tables, asked)
         commands.append(
@@ -92,7 +92,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def last_renewals(tables: CellOwnerTables, now: float) -> CellStep:
+def renew_all_task_leases(tables: CellOwnerTables, now: float) -> CellStep:
     """Renew all leases once more, to last until the next owner has the cells."""
     due = tables.workers
     for worker in due.rows():
@@ -100,7 +100,7 @@
             worker.worker_id,
             replace(worker, asked_at=None, next_report_at=now, renew_at=now),
         )
-    return ask(replace(tables, workers=due), now)
+    return request_reports(replace(tables, workers=due), now)
 
 
 def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
@@ -111,16 +111,16 @@
     """
     for key in tables.tasks.keys_where("worker", worker.worker_id):
         if tables.tasks.by_key[key].phase is not Phase.RUNNING:
-            return REPORT_EVERY_S
-    steady = max(REPORT_EVERY_S, REPORT_S_PER_RUN * worker.runs)
-    return min(LONGEST_REPORT_S, steady)
+            return MIN_REPORT_INTERVAL_S
+    steady = max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_PER_RUN_S * worker.runs)
+    return min(MAX_REPORT_INTERVAL_S, steady)
 
 
 def _renewals(
     tables: CellOwnerTables, worker: Worker, now: float
 ) -> tuple[Renewal, ...]:
     """Return the renewals that are due; a silent worker's leases are let lapse."""
-    if now < worker.renew_at or cell_stop.is_silent(worker, now):
+    if now < worker.renew_at or cell_stop.is_unreachable(worker, now):
         return ()
     return tuple(
         Renewal(
@@ -129,20 +129,20 @@
             lease_s=TASK_LEASE_S,
         )
         for task in tables.tasks.rows_where("worker", worker.worker_id)
-        if task.phase in RENEWED
+        if task.phase in RENEWED_PHASES
     )
 
 
 @apply.register
 def _(event: Leave, tables: CellOwnerTables, now: float) -> CellStep:
-    renewed = last_renewals(tables, now)
+    renewed = renew_all_task_leases(tables, now)
     leaving = replace(renewed.tables, leaving=True)
     return Step(tables=leaving, commands=renewed.commands)
 
 
 @apply.register
 def _(event: Started, tables: CellOwnerTables, now: float) -> CellStep:
-    task = _current(tables, event.task_key, event.generation)
+    task = _current_task(tables, event.task_key, event.generation)
     if task is None or task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return Step(tables=tables)
     running = replace(task, phase=Phase.RUNNING, since=now, settle_after=now)
@@ -151,8 +151,8 @@
 
 @apply.register
 def _(event: StartNotSent, tables: CellOwnerTables, now: float) -> CellStep:
-    task = _current(tables, event.task_key, event.generation)
-    tables = _unanswered(tables, event.worker_id, now)
+    task = _current_task(tables, event.task_key, event.generation)
+    tables = _note_failed_call(tables, event.worker_id, now)
     if task is None or task.phase not in (Phase.SENDING, Phase.STOPPING):
         return Step(tables=tables)
     reason = f"the start was not sent: {event.problem.detail}"
@@ -161,19 +161,19 @@
 
 @apply.register
 def _(event: StartUnknown, tables: CellOwnerTables, now: float) -> CellStep:
-    task = _current(tables, event.task_key, event.generation)
-    tables = _unanswered(tables, event.worker_id, now)
+    task = _current_task(tables, event.task_key, event.generation)
+    tables = _note_failed_call(tables, event.worker_id, now)
     if task is None or task.phase is not Phase.SENDING:
         return Step(tables=tables)
     unknown = replace(task, phase=Phase.UNKNOWN)
     return Step(tables=cell_rows.put_task(tables, unknown))
 
 
-def _current(tables: CellOwnerTables, key: str, generation: int) -> Task | None:
+def _current_task(tables: CellOwnerTables, key: str, generation: int) -> Task | None:
     task = tables.tasks.get(key)
     if task is None or task.row.generation != generation:
         return None
-    return task if task.phase in REPORTABLE else None
+    return task if task.phase in REPORTABLE_PHASES else None
 
 
 @apply.register
@@ -181,7 +181,7 @@
     worker = tables.workers.get(event.worker_id)
     if worker is None:
         return Step(tables=tables)
-    soon = min(worker.next_report_at, now + REPORT_AFTER_STOP_S)
+    soon = min(worker.next_report_at, now + REPORT_DELAY_AFTER_STOP_S)
     worker = replace(worker, next_report_at=soon)
     return Step(tables=cell_rows.put_worker(tables, worker))
 
@@ -197,10 +197,12 @@
     if worker is None or worker.asked_at != event.asked_at:
         return Step(tables=tables)
     tables = cell_rows.put_worker(tables, replace(worker, asked_at=None))
-    return Step(tables=_unanswered(tables, event.worker_id, now))
+    return Step(tables=_note_failed_call(tables, event.worker_id, now))
 
 
-def _unanswered(tables: CellOwnerTables, worker_id: str, now: float) -> CellOwnerTables:
+def _note_failed_call(
+    tables: CellOwnerTables, worker_id: str, now: float
+) -> CellOwnerTables:
     worker = tables.workers.get(worker_id)
     if worker is None:
         return tables
@@ -254,8 +256,8 @@
         commands.extend(step.commands)
     tables = _end_missing(event, seen, tables, now)
     tables = cell_learn.learn(event, tables, now)
-    tables = _note_strays(tables, worker.worker_id, unexpected_runs)
-    commands.extend(_stray_stops(tables, worker, unexpected_runs, now))
+    tables = _note_unexpected_runs(tables, worker.worker_id, unexpected_runs)
+    commands.extend(_stop_unexpected_runs(tables, worker, unexpected_runs, now))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -266,7 +268,10 @@
     task = tables.tasks.get(key)
     if task is None or task.row.generation != run.generation:
         return False
-    settling = task.phase in REPORTABLE or task.phase in (Phase.ENDED, Phase.WRITING)
+    settling = task.phase in REPORTABLE_PHASES or task.phase in (
+        Phase.ENDED,
+        Phase.WRITING,
+    )
     return settling and task.row.worker_id == worker.worker_id
 
 
@@ -274,28 +279,28 @@
     run: RunReport, key: str, worker_id: str, tables: CellOwnerTables, now: float
 ) -> CellStep:
     task = tables.tasks.by_key[key]
-    if task.phase not in REPORTABLE:
+    if task.phase not in REPORTABLE_PHASES:
         return Step(tables=tables)
     if run.state is RunState.RUNNING:
-        return Step(tables=_seen_running(tables, task, worker_id, now))
+        return Step(tables=_handle_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
         judged = cell_quarantine.task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
-        ended = cell_stop.end(judged.tables, task, finish, now, run.checkpoint)
+        ended = cell_stop.end_task(judged.tables, task, finish, now, run.checkpoint)
         return Step(tables=ended, commands=judged.commands)
     if run.state is RunState.FAILED and task.ending is None:
-        return _failed(run, task, worker, tables, now)
+        return _handle_failed(run, task, worker, tables, now)
     reason = f"{run.state.value} on {worker_id}"
     ended = cell_stop.end_as_planned(tables, task, reason, now, run.checkpoint)
     return Step(tables=ended)
 
 
-def _seen_running(
+def _handle_running(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
     worker = tables.workers.by_key[worker_id]
-    sound = task.phase is Phase.RUNNING and now - task.since >= SOUND_AFTER_S
+    sound = task.phase is Phase.RUNNING and now - task.since >= MIN_PROBE_RUN_S
     if sound and worker.health is Health.PROBING:
         return cell_quarantine.return_to_service(tables, worker)
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
@@ -306,12 +311,12 @@
     return cell_rows.put_task(tables, running)
 
 
-def _failed(
+def _handle_failed(
     run: RunReport, task: Task, worker: Worker, tables: CellOwnerTables, now: float
 ) -> CellStep:
     tables, counted, commands = cell_quarantine.task_failed(tables, task, worker, now)
     fail = Fail(reason=f"failed on {worker.worker_id}: {run.detail}", counted=counted)
-    tables = cell_stop.end(tables, task, fail, now, run.checkpoint)
+    tables = cell_stop.end_task(tables, task, fail, now, run.checkpoint)
     return Step(tables=tables, commands=commands)
 
 
@@ -320,7 +325,7 @@
 ) -> CellOwnerTables:
     """End the tasks that the worker would have named if it still ran them."""
     for task in tables.tasks.rows_where("worker", event.worker_id):
-        if task.key in seen or task.phase not in REPORTABLE:
+        if task.key in seen or task.phase not in REPORTABLE_PHASES:
             continue
         if shows_absence(task, event.asked_at):
             reason = f"{event.worker_id} does not run it"
@@ -333,7 +338,7 @@
     return asked_at > task.settle_after
 
 
-def _note_strays(
+def _note_unexpected_runs(
     tables: CellOwnerTables, worker_id: str, unexpected_runs: list[RunReport]
 ) -> CellOwnerTables:
     worker = tables.workers.by_key[worker_id]
@@ -344,14 +349,14 @@
     return cell_rows.touch_cell(tables, worker.cell)
 
 
-def _stray_stops(
+def _stop_unexpected_runs(
     tables: CellOwnerTables,
     worker: Worker,
     unexpected_runs: list[RunReport],
     now: float,
 ) -> list[Command]:
     """Stop runs that are not the owner's; this also has ended ones forgotten."""
-    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
+    not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     if tables.leaving or now > not_after:
         return []
     return [
@@ -363,7 +368,7 @@
             generation=run.generation,
             checkpoint=False,
         )
-        for run in unexpected_runs[:STRAY_STOPS_PER_REPORT]
+        for run in unexpected_runs[:MAX_UNEXPECTED_RUN_STOPS_PER_REPORT]
         if not is_newer(tables, worker, run)
     ]
 
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -12,10 +12,10 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.owner_times import (
-    CALL_WITHIN_S,
-    DRIFT_MARGIN_S,
+    CLOCK_DRIFT_MARGIN_S,
     START_WINDOW_S,
     TASK_LEASE_S,
+    WORKER_CALL_TIMEOUT_S,
 )
 from bulrushpulley.entities.records import CellRecord, FailureDomainRecord, Record
 from bulrushpulley.entities.resources import NO_RESOURCES
@@ -24,13 +24,13 @@
 from bulrushpulley.entities.task import Phase, Task
 from bulrushpulley.entities.worker import Worker, worker_of
 
-KEPT_PREFIXES = (
+RECORD_PREFIXES = (
     "record/cell/",
     "record/failure_domain/",
     "record/policy/",
     "record/service/",
 )
-SETTLE_AFTER_S = START_WINDOW_S + CALL_WITHIN_S + DRIFT_MARGIN_S
+START_SETTLE_TIME_S = START_WINDOW_S + WORKER_CALL_TIMEOUT_S + CLOCK_DRIFT_MARGIN_S
 
 
 def adopt_record(
@@ -38,7 +38,7 @@
 ) -> CellOwnerTables:
     """Take a newer record of the configuration and what follows from it."""
     known = tables.records.get(found.key)
-    if not found.key.startswith(KEPT_PREFIXES):
+    if not found.key.startswith(RECORD_PREFIXES):
         return tables
     if not found.version:
         return replace(tables, records=tables.records.drop(found.key))
@@ -151,7 +151,7 @@
     return touch_cell(tables, cell.name)
 
 
-def retire(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
+def remove_absent_workers(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
     """Drop workers that no record names once nothing may run on them.
 
     A worker that moved between two cells of this agent joins the new one then.
@@ -196,20 +196,20 @@
         return tables, False
     if not isinstance(found.row, TaskRow):
         return (drop_task(tables, task) if task else tables), True
-    if task is not None and _still_runs(task, found.row):
+    if task is not None and _is_same_run(task, found.row):
         return put_task(tables, replace(task, version=found.version)), True
     fresh = task_of(found.key, found.row, found.version, cell, now)
-    return put_task(_with_worker(tables, fresh, now), fresh), True
+    return put_task(_ensure_worker(tables, fresh, now), fresh), True
 
 
-def _still_runs(task: Task, row: TaskRow) -> bool:
+def _is_same_run(task: Task, row: TaskRow) -> bool:
     return task.phase is not Phase.WAITING and task.row.generation == row.generation
 
 
 def task_of(key: str, row: TaskRow, version: int, cell: Cell, now: float) -> Task:
     """Return a task as its row shows it: one that was started may still run."""
     waiting = row.state is TaskState.WAITING
-    own_bound = now + START_WINDOW_S + TASK_LEASE_S + DRIFT_MARGIN_S
+    own_bound = now + START_WINDOW_S + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return Task(
         key=key,
         cell=cell.name,
@@ -217,12 +217,12 @@
         version=version,
         phase=Phase.WAITING if waiting else Phase.UNKNOWN,
         since=now,
-        settle_after=now + SETTLE_AFTER_S,
+        settle_after=now + START_SETTLE_TIME_S,
         leased_until=max(cell.lapsed_at, own_bound),
     )
 
 
-def _with_worker(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+def _ensure_worker(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
     worker_id = task.worker_id
     if not worker_id or worker_id in tables.workers:
         return tables
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, LinkedEntry
 from bulrushpulley.entities.commit import Condition, Submission, Write
 from bulrushpulley.entities.in_flight import (
-    Flight,
+    InFlightSubmission,
     Purpose,
     Reading,
     ReadPurpose,
@@ -20,13 +20,13 @@
 )
 from bulrushpulley.entities.link import Fetch, Send, Submit
 from bulrushpulley.entities.owner_times import (
-    FETCH_WITHIN_S,
-    OUTCOME_WITHIN_S,
-    RESUBMIT_AFTER_S,
+    FETCH_TIMEOUT_S,
+    RESUBMIT_DELAY_S,
+    SUBMISSION_TIMEOUT_S,
 )
 from bulrushpulley.entities.step import Command, Step
 
-GIVE_UP_AFTER_S = 10.0
+DEFAULT_COMMIT_TIMEOUT_S = 10.0
 
 
 def submit(
@@ -37,7 +37,7 @@
     conditions: tuple[Condition, ...],
     writes: tuple[Write, ...],
     now: float,
-    give_up_after_s: float = GIVE_UP_AFTER_S,
+    give_up_after_s: float = DEFAULT_COMMIT_TIMEOUT_S,
 ) -> tuple[CellOwnerTables, str]:
     """Put a submission in line and return its id."""
     number = tables.last_number + 1
@@ -47,9 +47,11 @@
         writes=writes,
         give_up_after_s=give_up_after_s,
     )
-    flight = Flight(submission=submission, purpose=purpose, cell=cell, send_at=now)
-    flights = tables.flights.put(submission.submission_id, flight)
-    tables = replace(tables, last_number=number, flights=flights)
+    in_flight = InFlightSubmission(
+        submission=submission, purpose=purpose, cell=cell, send_at=now
+    )
+    submissions = tables.submissions.put(submission.submission_id, in_flight)
+    tables = replace(tables, last_number=number, submissions=submissions)
     return tables, submission.submission_id
 
 
@@ -84,27 +86,29 @@
     return replace(tables, readings=readings)
 
 
-def forget_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
+def requeue_for_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
     """Put what was in flight to a lost entry in line again."""
-    for flight in tables.flights.rows_where("peer", peer):
-        tables = resubmit(tables, flight, now)
+    for in_flight in tables.submissions.rows_where("peer", peer):
+        tables = resubmit(tables, in_flight, now)
     readings = tables.readings
     for reading in readings.rows_where("peer", peer):
         readings = readings.put(reading.fetch_id, replace(reading, peer=""))
     return replace(tables, readings=readings)
 
 
-def resubmit(tables: CellOwnerTables, flight: Flight, now: float) -> CellOwnerTables:
+def resubmit(
+    tables: CellOwnerTables, in_flight: InFlightSubmission, now: float
+) -> CellOwnerTables:
     """Put a submission whose outcome is unknown in line again."""
     again = replace(
-        flight,
+        in_flight,
         peer="",
-        avoid=flight.peer or flight.avoid,
-        send_at=now + RESUBMIT_AFTER_S,
-        doubtful=True,
+        avoid=in_flight.peer or in_flight.avoid,
+        send_at=now + RESUBMIT_DELAY_S,
+        may_take_effect=True,
     )
-    key = flight.submission.submission_id
-    return replace(tables, flights=tables.flights.put(key, again))
+    key = in_flight.submission.submission_id
+    return replace(tables, submissions=tables.submissions.put(key, again))
 
 
 def choose_entry(tables: CellOwnerTables, *, avoid: str) -> LinkedEntry | None:
@@ -126,12 +130,12 @@
     """Send what is in line, after putting what has no outcome in line again."""
     tables = _expire(tables, now)
     commands: list[Command] = []
-    for flight in tables.flights.rows_where("peer", ""):
-        entry = choose_entry(tables, avoid=flight.avoid)
-        if entry is None or flight.send_at > now:
+    for in_flight in tables.submissions.rows_where("peer", ""):
+        entry = choose_entry(tables, avoid=in_flight.avoid)
+        if entry is None or in_flight.send_at > now:
             continue
-        tables = _mark_sent(tables, flight, entry.peer, now)
-        item = Submit(submission=flight.submission)
+        tables = _mark_sent(tables, in_flight, entry.peer, now)
+        item = Submit(submission=in_flight.submission)
         commands.append(Send(peer=entry.peer, item=item))
     for reading in tables.readings.rows_where("peer", ""):
         entry = choose_entry(tables, avoid="")
@@ -149,20 +153,20 @@
 
 
 def _mark_sent(
-    tables: CellOwnerTables, flight: Flight, peer: str, now: float
+    tables: CellOwnerTables, in_flight: InFlightSubmission, peer: str, now: float
 ) -> CellOwnerTables:
-    first = now if flight.first_sent_at is None else flight.first_sent_at
-    sent = replace(flight, peer=peer, first_sent_at=first, sent_at=now)
-    flights = tables.flights.put(flight.submission.submission_id, sent)
-    return replace(tables, flights=flights)
+    first = now if in_flight.first_sent_at is None else in_flight.first_sent_at
+    sent = replace(in_flight, peer=peer, first_sent_at=first, sent_at=now)
+    submissions = tables.submissions.put(in_flight.submission.submission_id, sent)
+    return replace(tables, submissions=submissions)
 
 
 def _expire(tables: CellOwnerTables, now: float) -> CellOwnerTables:
-    for flight in tables.flights.rows():
-        if flight.peer and now - flight.sent_at >= OUTCOME_WITHIN_S:
-            tables = resubmit(tables, flight, now)
+    for in_flight in tables.submissions.rows():
+        if in_flight.peer and now - in_flight.sent_at >= SUBMISSION_TIMEOUT_S:
+            tables = resubmit(tables, in_flight, now)
     for reading in tables.readings.rows():
-        if now - reading.created_at >= FETCH_WITHIN_S:
+        if now - reading.created_at >= FETCH_TIMEOUT_S:
             readings = tables.readings.drop(reading.fetch_id)
             tables = replace(tables, readings=readings)
     return tables
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -22,13 +22,13 @@
     Withdrawn,
     Write,
 )
-from bulrushpulley.entities.in_flight import CommitStart, Flight
+from bulrushpulley.entities.in_flight import CommitStart, InFlightSubmission
 from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.owner_times import (
-    CALL_WITHIN_S,
-    DRIFT_MARGIN_S,
+    CLOCK_DRIFT_MARGIN_S,
     START_WINDOW_S,
     TASK_LEASE_S,
+    WORKER_CALL_TIMEOUT_S,
 )
 from bulrushpulley.entities.records import JobRecord, Record, ServiceRecord
 from bulrushpulley.entities.rows import RecordRow, TaskRow, TaskSpec, TaskState
@@ -49,7 +49,7 @@
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
-RETRY_START_AFTER_S = 1.0
+START_RETRY_DELAY_S = 1.0
 
 
 def commit_start(
@@ -73,7 +73,11 @@
         give_up_after_s=START_WINDOW_S,
     )
     committing = replace(
-        task, phase=Phase.COMMITTING, planned_worker=worker_id, skipped="", retry_at=0.0
+        task,
+        phase=Phase.COMMITTING,
+        planned_worker=worker_id,
+        skip_reason="",
+        retry_at=0.0,
     )
     return cell_rows.put_task(tables, committing)
 
@@ -86,7 +90,7 @@
     domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
     records = (domain, record_key(cell.name))
     return (
-        *cell_endings.fences(cell, task),
+        *cell_endings.fencing_conditions(cell, task),
         Condition(key=spec.record_key, version=spec.record_version),
         *(
             Condition(key=key, version=tables.records.by_key[key].version)
@@ -98,7 +102,7 @@
 @on_committed.register
 def _(
     purpose: CommitStart,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
@@ -106,31 +110,31 @@
     task = tables.tasks.get(purpose.task_key)
     worker = tables.workers.get(purpose.worker_id)
     row = purpose.row
-    if task is None or row is None or flight.first_sent_at is None:
+    if task is None or row is None or in_flight.first_sent_at is None:
         return Step(tables=tables)
-    deadline = flight.first_sent_at + START_WINDOW_S
+    deadline = in_flight.first_sent_at + START_WINDOW_S
     started = replace(task, row=row, version=outcome.revision)
     if task.ending is not None:
-        return Step(tables=cell_stop.end(tables, started, task.ending, now))
-    held_back = _held_back(tables, started, worker, deadline, now)
-    if held_back or worker is None:
-        requeue = Requeue(reason=held_back)
-        return Step(tables=cell_stop.end(tables, started, requeue, now))
+        return Step(tables=cell_stop.end_task(tables, started, task.ending, now))
+    not_sent_reason = _reason_not_to_send(tables, started, worker, deadline, now)
+    if not_sent_reason or worker is None:
+        requeue = Requeue(reason=not_sent_reason)
+        return Step(tables=cell_stop.end_task(tables, started, requeue, now))
     sending = replace(
         started,
         phase=Phase.SENDING,
         since=now,
-        settle_after=deadline + CALL_WITHIN_S + DRIFT_MARGIN_S,
-        leased_until=deadline + TASK_LEASE_S + DRIFT_MARGIN_S,
+        settle_after=deadline + WORKER_CALL_TIMEOUT_S + CLOCK_DRIFT_MARGIN_S,
+        leased_until=deadline + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S,
     )
     command = _start_command(sending, worker, deadline)
-    took = Observe(name="start_commit_s", seconds=now - flight.first_sent_at)
+    took = Observe(name="start_commit_s", seconds=now - in_flight.first_sent_at)
     sent = Count(name="task_starts", label=task.cell)
     tables = cell_rows.put_task(tables, sending)
     return Step(tables=tables, commands=(command, took, sent))
 
 
-def _held_back(
+def _reason_not_to_send(
     tables: CellOwnerTables,
     task: Task,
     worker: Worker | None,
@@ -175,7 +179,7 @@
 @on_withdrawn.register
 def _(
     purpose: CommitStart,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
@@ -183,14 +187,14 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    later = replace(task, retry_at=now + RETRY_START_AFTER_S)
-    return Step(tables=_not_started(tables, later, now))
+    later = replace(task, retry_at=now + START_RETRY_DELAY_S)
+    return Step(tables=_return_to_waiting(tables, later, now))
 
 
 @on_conflicted.register
 def _(
     purpose: CommitStart,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
@@ -198,7 +202,7 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    tables = _not_started(tables, task, now)
+    tables = _return_to_waiting(tables, task, now)
     for found in outcome.rows:
         tables = cell_rows.adopt_record(found, tables, now)
         if found.key == purpose.task_key:
@@ -206,11 +210,13 @@
     task = tables.tasks.get(purpose.task_key)
     for found in outcome.rows:
         if task is not None and found.key == task.row.spec.record_key:
-            tables = _record_moved(found, task, tables, now)
+            tables = _apply_newer_record(found, task, tables, now)
     return Step(tables=tables)
 
 
-def _not_started(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
+def _return_to_waiting(
+    tables: CellOwnerTables, task: Task, now: float
+) -> CellOwnerTables:
     waiting = replace(task, phase=Phase.WAITING, planned_worker="", ending=None)
     tables = cell_rows.put_task(tables, waiting)
     if task.ending is None:
@@ -218,11 +224,11 @@
     return cell_stop.plan_ending(tables, waiting, task.ending, now)
 
 
-def _record_moved(
+def _apply_newer_record(
     found: VersionedRow, task: Task, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
     record = found.row.record if isinstance(found.row, RecordRow) else None
-    spec = refreshed(record, task.row.spec, found.version) if record else None
+    spec = refreshed_spec(record, task.row.spec, found.version) if record else None
     if spec is None:
         ending = Cancel(reason="its record was cancelled")
         return cell_stop.plan_ending(tables, task, ending, now)
@@ -236,12 +242,12 @@
 
 
 @singledispatch
-def refreshed(record: Record, spec: TaskSpec, version: int) -> TaskSpec | None:
+def refreshed_spec(record: Record, spec: TaskSpec, version: int) -> TaskSpec | None:
     """Return the spec under a newer record, or None if the task is not wanted."""
     return None
 
 
-@refreshed.register
+@refreshed_spec.register
 def _(record: JobRecord, spec: TaskSpec, version: int) -> TaskSpec | None:
     if record.cancelled or spec.index >= record.tasks:
         return None
@@ -257,7 +263,7 @@
     )
 
 
-@refreshed.register
+@refreshed_spec.register
 def _(record: ServiceRecord, spec: TaskSpec, version: int) -> TaskSpec | None:
     if spec.index >= record.replicas:
         return None
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -12,15 +12,15 @@
 from bulrushpulley.entities.cell import CellPhase
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import (
-    CALL_WITHIN_S,
-    DRIFT_MARGIN_S,
-    SILENT_AFTER_S,
-    STOP_RETRY_S,
+    CLOCK_DRIFT_MARGIN_S,
+    STOP_RETRY_DELAY_S,
     TASK_LEASE_S,
+    WORKER_CALL_TIMEOUT_S,
+    WORKER_UNREACHABLE_TIMEOUT_S,
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import (
-    STOPPABLE,
+    STOPPABLE_PHASES,
     Cancel,
     Ending,
     Phase,
@@ -32,27 +32,27 @@
 from bulrushpulley.entities.worker import Worker
 from bulrushpulley.entities.worker_calls import StopTask
 from bulrushpulley.systems.cell import rows as cell_rows
-from bulrushpulley.systems.cell.liveness import stops_until
+from bulrushpulley.systems.cell.liveness import stop_deadline
 from bulrushpulley.systems.cell.owner_events import CellStep
 
 
 @singledispatch
-def strength(ending: Ending) -> int:
+def precedence(ending: Ending) -> int:
     """Rank planned endings: a stronger one replaces a weaker one."""
     return 3
 
 
-@strength.register
+@precedence.register
 def _(ending: Requeue) -> int:
     return 0
 
 
-@strength.register
+@precedence.register
 def _(ending: Return) -> int:
     return 1
 
 
-@strength.register
+@precedence.register
 def _(ending: Cancel) -> int:
     return 2
 
@@ -61,18 +61,18 @@
     tables: CellOwnerTables, task: Task, ending: Ending, now: float
 ) -> CellOwnerTables:
     """Bring a task to an ending, stopping it first where it may run."""
-    if task.ending is not None and strength(task.ending) >= strength(ending):
+    if task.ending is not None and precedence(task.ending) >= precedence(ending):
         return tables
     if task.phase is Phase.WAITING:
-        return end(tables, task, ending, now)
+        return end_task(tables, task, ending, now)
     if task.phase is Phase.WRITING:
         return tables
-    phase = Phase.STOPPING if task.phase in STOPPABLE else task.phase
+    phase = Phase.STOPPING if task.phase in STOPPABLE_PHASES else task.phase
     planned = replace(task, phase=phase, ending=ending)
     return cell_rows.put_task(tables, planned)
 
 
-def end(
+def end_task(
     tables: CellOwnerTables,
     task: Task,
     ending: Ending,
@@ -90,13 +90,13 @@
 ) -> CellOwnerTables:
     """End a task that stopped: as planned, or so that it starts again."""
     ending = task.ending or Requeue(reason=reason)
-    return end(tables, task, ending, now, checkpoint)
+    return end_task(tables, task, ending, now, checkpoint)
 
 
-def stop(tables: CellOwnerTables, now: float) -> CellStep:
+def send_stops(tables: CellOwnerTables, now: float) -> CellStep:
     """Send the stops that are due, while no other agent can own the cell."""
     commands: list[Command] = []
-    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
+    not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     for cell in tables.cells.rows():
         if cell.phase is not CellPhase.OWNED or now > not_after or tables.leaving:
             continue
@@ -105,7 +105,7 @@
             worker = tables.workers.get(task.worker_id)
             if worker is None or not worker.url or now < task.stop_sent_at:
                 continue
-            due = replace(task, stop_sent_at=now + STOP_RETRY_S)
+            due = replace(task, stop_sent_at=now + STOP_RETRY_DELAY_S)
             tables = replace(tables, tasks=tables.tasks.put(task.key, due))
             commands.append(_stop_command(task, worker, not_after))
     return Step(tables=tables, commands=tuple(commands))
@@ -122,25 +122,25 @@
     )
 
 
-def is_silent(worker: Worker, now: float) -> bool:
+def is_unreachable(worker: Worker, now: float) -> bool:
     """Tell whether a worker has answered no report for a while."""
-    return now - worker.answered_at >= SILENT_AFTER_S
+    return now - worker.answered_at >= WORKER_UNREACHABLE_TIMEOUT_S
 
 
-def surely_lapsed(task: Task, worker: Worker, now: float) -> bool:
+def lease_has_lapsed(task: Task, worker: Worker, now: float) -> bool:
     """Tell whether the lease of a task has run out on the worker's own clock."""
-    last_lease = worker.renewed_until + TASK_LEASE_S + DRIFT_MARGIN_S
+    last_lease = worker.renewed_until + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return now >= max(task.leased_until, last_lease)
 
 
-def lapse(tables: CellOwnerTables, now: float) -> CellStep:
+def end_lapsed_tasks(tables: CellOwnerTables, now: float) -> CellStep:
     """End the tasks of silent workers whose leases have surely run out."""
     for worker in tables.workers.rows():
-        if not is_silent(worker, now):
+        if not is_unreachable(worker, now):
             continue
         for task in tables.tasks.rows_where("worker", worker.worker_id):
             committing = task.phase is Phase.COMMITTING
-            if not committing and surely_lapsed(task, worker, now):
+            if not committing and lease_has_lapsed(task, worker, now):
                 reason = f"the lease lapsed on silent worker {worker.worker_id}"
                 tables = end_as_planned(tables, task, reason, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -7,10 +7,13 @@
 from bulrushpulley.entities.cell import Cell, CellPhase
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.link import CellSummary, DepartmentUse, Send
-from bulrushpulley.entities.owner_times import SUMMARY_EVERY_S, SUMMARY_KEEPALIVE_S
+from bulrushpulley.entities.owner_times import (
+    SUMMARY_INTERVAL_S,
+    SUMMARY_KEEPALIVE_INTERVAL_S,
+)
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.entities.task import HOLDING, Phase
+from bulrushpulley.entities.task import HOLDING_PHASES, Phase
 from bulrushpulley.systems.cell import domains as cell_domains
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell.candidates import candidates_of
@@ -25,8 +28,8 @@
     commands: list[Command] = []
     for cell in tables.cells.rows():
         age = now - cell.summarized_at
-        due = (cell.summary_due and age >= SUMMARY_EVERY_S) or not cell.summary
-        kept_alive = age >= SUMMARY_KEEPALIVE_S
+        due = (cell.summary_due and age >= SUMMARY_INTERVAL_S) or not cell.summary
+        kept_alive = age >= SUMMARY_KEEPALIVE_INTERVAL_S
         if cell.phase is not CellPhase.OWNED or not (due or kept_alive):
             continue
         summary = summary_of(tables, cell, now)
@@ -53,7 +56,7 @@
         free=_free(candidates),
         largest=_largest(candidates),
         waiting=sum(1 for task in tasks if task.phase in NOT_STARTED),
-        running=sum(1 for task in tasks if task.phase in HOLDING - NOT_STARTED),
+        running=sum(1 for task in tasks if task.phase in HOLDING_PHASES - NOT_STARTED),
         uses=_uses(tables, cell),
     )
 
@@ -84,7 +87,7 @@
 def _uses(tables: CellOwnerTables, cell: Cell) -> tuple[DepartmentUse, ...]:
     by_department: dict[str, Resources] = {}
     for task in tables.tasks.rows_where("cell", cell.name):
-        if task.phase in HOLDING:
+        if task.phase in HOLDING_PHASES:
             spec = task.row.spec
             used = by_department.get(spec.department, NO_RESOURCES)
             by_department[spec.department] = used.plus(spec.size)
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -6,7 +6,7 @@
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.interference import Throttle
-from bulrushpulley.entities.owner_times import CALL_WITHIN_S, STOP_RETRY_S
+from bulrushpulley.entities.owner_times import STOP_RETRY_DELAY_S, WORKER_CALL_TIMEOUT_S
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task
@@ -16,7 +16,7 @@
     ThrottleUnanswered,
 )
 from bulrushpulley.systems.cell.learn import USAGE_LAG_S
-from bulrushpulley.systems.cell.liveness import stops_until
+from bulrushpulley.systems.cell.liveness import stop_deadline
 from bulrushpulley.systems.cell.owner_events import CellStep, apply
 
 FULL_SHARE = 1.0
@@ -53,7 +53,7 @@
 def send(tables: CellOwnerTables, now: float) -> CellStep:
     """Send the shares that are not confirmed, while no other agent can own the cell."""
     commands: list[Command] = []
-    not_after = min(now + CALL_WITHIN_S, stops_until(tables))
+    not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     for throttle in tables.throttles.rows():
         task = tables.tasks.get(throttle.task_key)
         if not _is_current(throttle, task) or _is_obsolete(throttle, now):
@@ -66,7 +66,7 @@
             continue
         if not worker.url or tables.leaving:
             continue
-        sent = replace(throttle, send_at=now + STOP_RETRY_S)
+        sent = replace(throttle, send_at=now + STOP_RETRY_DELAY_S)
         tables = replace(tables, throttles=tables.throttles.put(task.key, sent))
         commands.append(
             ThrottleTask(
--- a/bulrushpulley/systems/cell/victims.py
+++ b/bulrushpulley/systems/cell/victims.py
@@ -6,7 +6,7 @@
 
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import TaskClass
-from bulrushpulley.entities.task import STOPPABLE, Task
+from bulrushpulley.entities.task import STOPPABLE_PHASES, Task
 
 
 def may_preempt(task: Task) -> bool:
@@ -19,7 +19,7 @@
     """Tell whether a running task may be evicted for another."""
     spec = task.row.spec
     batch = spec.task_class is TaskClass.BATCH
-    return batch and not spec.urgent and task.phase in STOPPABLE
+    return batch and not spec.urgent and task.phase in STOPPABLE_PHASES
 
 
 def choose_victims(
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -20,17 +20,17 @@
     Write,
 )
 from bulrushpulley.entities.in_flight import (
-    Flight,
+    InFlightSubmission,
     ReadLease,
     ReadOwnerAlive,
     TakeCell,
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.owner_times import (
-    DRIFT_MARGIN_S,
-    TAKEOVER_S,
+    CLOCK_DRIFT_MARGIN_S,
+    LEASE_WATCH_INTERVAL_S,
+    TAKEOVER_TIMEOUT_S,
     TASK_LEASE_S,
-    WATCH_EVERY_S,
 )
 from bulrushpulley.entities.rows import AliveRow, LeaseRow
 from bulrushpulley.entities.step import Step
@@ -50,7 +50,7 @@
         return Step(tables=tables)
     for cell in tables.cells.rows():
         if cell.phase is CellPhase.WATCHING and now >= cell.next_watch_at:
-            due = replace(cell, next_watch_at=now + WATCH_EVERY_S)
+            due = replace(cell, next_watch_at=now + LEASE_WATCH_INTERVAL_S)
             tables = cell_rows.put_cell(tables, due)
             tables = cell_send.read(
                 tables,
@@ -61,7 +61,7 @@
     return Step(tables=tables)
 
 
-def lease_read(
+def handle_lease_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
     """Take a cell that nobody holds, or look whether its owner lives."""
@@ -73,15 +73,15 @@
     cell = replace(cell, lease=lease, lease_version=version)
     tables = cell_rows.put_cell(tables, cell)
     if lease is None or not lease.owner:
-        return _take(cell, (), now, "no owner", tables, now)
+        return _take_cell(cell, (), now, "no owner", tables, now)
     if lease.owner == tables.agent:
-        return _take(cell, (), now, "an earlier incarnation held it", tables, now)
+        return _take_cell(cell, (), now, "an earlier incarnation held it", tables, now)
     purpose = ReadOwnerAlive(cell=cell.name)
     key = alive_key(lease.owner)
     return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
 
 
-def owner_alive_read(
+def handle_owner_alive_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
     """Take the cell if its owner is gone; stop watching it if the owner lives."""
@@ -92,30 +92,30 @@
     alive = Condition(key=alive_key(lease.owner), version=version)
     row = found.row if found else None
     if isinstance(row, AliveRow) and row.incarnation != lease.incarnation:
-        return _take(cell, (alive,), now, "its owner was restarted", tables, now)
+        return _take_cell(cell, (alive,), now, "its owner was restarted", tables, now)
     if cell.alive_version is None:
         cell = replace(cell, alive_version=version, alive_seen_at=now)
         return Step(tables=cell_rows.put_cell(tables, cell))
     if cell.alive_version != version:
         return Step(tables=replace(tables, cells=tables.cells.drop(cell.name)))
-    if not silent_long_enough(cell, now):
+    if not owner_timed_out(cell, now):
         return Step(tables=tables)
     last_commands = cell.alive_seen_at + lease.autonomy_s
     reason = "its owner's liveness row stood still"
-    return _take(cell, (alive,), last_commands, reason, tables, now)
+    return _take_cell(cell, (alive,), last_commands, reason, tables, now)
 
 
-def silent_long_enough(cell: Cell, now: float) -> bool:
+def owner_timed_out(cell: Cell, now: float) -> bool:
     """Tell whether the owner's liveness row has stood still for the takeover time."""
-    return now - cell.alive_seen_at >= TAKEOVER_S
+    return now - cell.alive_seen_at >= TAKEOVER_TIMEOUT_S
 
 
-def watch_failed(cell: Cell, tables: CellOwnerTables) -> CellOwnerTables:
+def restart_watch(cell: Cell, tables: CellOwnerTables) -> CellOwnerTables:
     """Begin the watch anew: a store outage keeps owners from renewing."""
     return cell_rows.put_cell(tables, replace(cell, alive_version=None))
 
 
-def _take(
+def _take_cell(
     cell: Cell,
     conditions: tuple[Condition, ...],
     last_commands: float,
@@ -130,7 +130,7 @@
         autonomy_s=tables.autonomy_s,
     )
     key = lease_key(cell.name)
-    lapsed_at = last_commands + TASK_LEASE_S + DRIFT_MARGIN_S
+    lapsed_at = last_commands + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     tables = cell_rows.put_cell(tables, replace(cell, phase=CellPhase.TAKING))
     tables, _ = cell_send.submit(
         tables,
@@ -153,13 +153,13 @@
 @on_committed.register
 def _(
     purpose: TakeCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Committed,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
     cell = tables.cells.get(purpose.cell)
-    lease = flight.submission.writes[0].row
+    lease = in_flight.submission.writes[0].row
     if cell is None or not isinstance(lease, LeaseRow):
         return Step(tables=tables)
     taken = replace(
@@ -168,7 +168,7 @@
         lease=lease,
         lease_version=outcome.revision,
         taken_at=now,
-        lapsed_at=max(purpose.lapsed_at, now + TASK_LEASE_S + DRIFT_MARGIN_S),
+        lapsed_at=max(purpose.lapsed_at, now + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S),
         refetch_at=now,
     )
     tables = cell_rows.put_cell(cell_send.drop_readings(tables, cell.name), taken)
@@ -178,32 +178,34 @@
 @on_conflicted.register
 def _(
     purpose: TakeCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Conflicted,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    return Step(tables=_watch_again(purpose, tables, now))
+    return Step(tables=_return_to_watching(purpose, tables, now))
 
 
 @on_withdrawn.register
 def _(
     purpose: TakeCell,
-    flight: Flight,
+    in_flight: InFlightSubmission,
     outcome: Withdrawn,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    return Step(tables=_watch_again(purpose, tables, now))
+    return Step(tables=_return_to_watching(purpose, tables, now))
 
 
-def _watch_again(
+def _return_to_watching(
     purpose: TakeCell, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
     cell = tables.cells.get(purpose.cell)
     if cell is None:
         return tables
     again = Cell(
-        name=cell.name, phase=CellPhase.WATCHING, next_watch_at=now + WATCH_EVERY_S
+        name=cell.name,
+        phase=CellPhase.WATCHING,
+        next_watch_at=now + LEASE_WATCH_INTERVAL_S,
     )
     return cell_rows.put_cell(tables, again)
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -22,9 +22,9 @@
 TASK = "curves/0"
 RUN_S = 30.0
 EVICTED_AT_S = 6.0
-HEAL_AFTER_S = 20.0
+FAULT_DURATION_S = 20.0
 PAUSE_S = 45.0
-OFFER_EVERY_S = 4.0
+OFFER_INTERVAL_S = 4.0
 END_S = 160.0
 
 
@@ -42,14 +42,14 @@
 
     step: str
     fault: str
-    struck: bool
+    injected: bool
     outcome: str
     violations: tuple[str, ...]
 
     def passed(self, matrix: Matrix) -> bool:
         """Tell whether the fault struck, nothing broke and the outcome is right."""
         allowed = matrix.outcomes_by_fault[self.fault]
-        return self.struck and not self.violations and self.outcome in allowed
+        return self.injected and not self.violations and self.outcome in allowed
 
 
 def load() -> Matrix:
@@ -78,7 +78,7 @@
 
 
 ENDED = (TaskState.FINISHED, TaskState.CANCELLED)
-SEEN_BY_STEP: Mapping[str, Callable[[Command], bool]] = {
+MATCHER_BY_STEP: Mapping[str, Callable[[Command], bool]] = {
     "cell_taken": lambda c: _writes(c, lambda row: isinstance(row, LeaseRow)),
     "cell_renewed": lambda c: _writes(
         c, lambda row: isinstance(row, AliveRow) and row.renewals > 1
@@ -119,11 +119,11 @@
     bench.put_record("job", record)
     for agent in ("a", "b"):
         for delay_s in (0.1, 30.0, 60.0):
-            tell = partial(_tell_cancelled, bench, agent)
-            bench.world.at(delay_s, tell)
+            notify = partial(_notify_cancelled, bench, agent)
+            bench.world.at(delay_s, notify)
 
 
-def _tell_cancelled(bench: CellBench, agent: str) -> None:
+def _notify_cancelled(bench: CellBench, agent: str) -> None:
     if bench.world.alive(agent):
         bench.world.deliver(seat(agent), JobCancelled(job="curves"))
 
@@ -140,42 +140,42 @@
     bench.world.at(2.0, lambda: setattr(bench, "lose_start_answers", False))
 
 
-def _for_a_while(
-    name: str, faulty: Any, healed: Any, seconds: float = HEAL_AFTER_S
+def _temporarily(
+    name: str, faulty_value: Any, restored_value: Any, seconds: float = FAULT_DURATION_S
 ) -> Callable[[CellBench], None]:
-    def strike(bench: CellBench) -> None:
-        setattr(bench, name, faulty)
-        bench.world.at(seconds, lambda: setattr(bench, name, healed))
+    def inject(bench: CellBench) -> None:
+        setattr(bench, name, faulty_value)
+        bench.world.at(seconds, lambda: setattr(bench, name, restored_value))
 
-    return strike
+    return inject
 
 
 NO_PATH = Path(delay_s=0.0)
 BOTH = {"w0", "w1"}
-STRIKE_BY_FAULT: Mapping[str, Callable[[CellBench], None]] = {
+INJECT_BY_FAULT: Mapping[str, Callable[[CellBench], None]] = {
     "none": lambda bench: None,
     "owner_killed": _kill,
     "owner_restarted": _restart,
     "owner_paused": _pause,
-    "store_down": _for_a_while("store_up", False, True),
-    "store_slow": _for_a_while("store_delay_s", 3.0, DELIVERY_S),
-    "commit_answer_lost": _for_a_while("lose_commit", lambda _: True, lambda _: False),
-    "messages_repeated": _for_a_while("path", Path(repeat_percent=100), NO_PATH),
-    "messages_disordered": _for_a_while("path", Path(jitter_s=2.0), NO_PATH),
+    "store_down": _temporarily("store_up", False, True),
+    "store_slow": _temporarily("store_delay_s", 3.0, DELIVERY_S),
+    "commit_answer_lost": _temporarily("lose_commit", lambda _: True, lambda _: False),
+    "messages_repeated": _temporarily("path", Path(repeat_percent=100), NO_PATH),
+    "messages_disordered": _temporarily("path", Path(jitter_s=2.0), NO_PATH),
     "start_delayed": _delay_start,
-    "first_worker_cut_off": _for_a_while("unreachable", {"w0"}, set(), 60.0),
-    "workers_cut_off": _for_a_while("unreachable", BOTH, set()),
-    "worker_answers_lost": _for_a_while("lose_worker_answers", BOTH, set()),
-    "owner_cut_from_store": _for_a_while("cut_off", {("a", "store")}, set()),
+    "first_worker_cut_off": _temporarily("unreachable", {"w0"}, set(), 60.0),
+    "workers_cut_off": _temporarily("unreachable", BOTH, set()),
+    "worker_answers_lost": _temporarily("lose_worker_answers", BOTH, set()),
+    "owner_cut_from_store": _temporarily("cut_off", {("a", "store")}, set()),
     "domain_drained": _drain,
     "job_cancelled": _cancel,
 }
 
 
-def _offers(bench: CellBench) -> None:
+def _offer_repeatedly(bench: CellBench) -> None:
     """Offer the cell to the second agent again and again, as entries do."""
     bench.offer("b")
-    bench.world.at(OFFER_EVERY_S, lambda: _offers(bench))
+    bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
 
 
 def _outcome(bench: CellBench) -> str:
@@ -188,26 +188,26 @@
 def run_cell(step: str, fault: str) -> Verdict:
     """Bring a fault about the first time that a step is reached."""
     bench = CellBench()
-    struck: list[str] = []
+    injected: list[str] = []
 
     def watch(world: VirtualWorld, owner: Seat, command: Command) -> None:
-        if not struck and owner.process == "a" and SEEN_BY_STEP[step](command):
-            struck.append(fault)
-            STRIKE_BY_FAULT[fault](bench)
+        if not injected and owner.process == "a" and MATCHER_BY_STEP[step](command):
+            injected.append(fault)
+            INJECT_BY_FAULT[fault](bench)
 
     bench.world.watches.append(watch)
     bench.job("curves", run_s=RUN_S)
     bench.agent("a")
     bench.run(2.0)
     bench.agent("b")
-    bench.world.at(OFFER_EVERY_S, lambda: _offers(bench))
+    bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
     bench.run(EVICTED_AT_S - 2.0)
     bench.resize("w0", Resources())
     bench.run(END_S - EVICTED_AT_S)
     return Verdict(
         step=step,
         fault=fault,
-        struck=bool(struck),
+        injected=bool(injected),
         outcome=_outcome(bench),
         violations=tuple(v for v in bench.violations if "capacity: w0" not in v),
     )
--- a/test/test_cell_actor.py
+++ b/test/test_cell_actor.py
@@ -33,7 +33,7 @@
 from standins.worker import Workers
 from test.cell_bench import CAPACITY, DOMAIN, CellBench
 
-DONE_WITHIN_S = 20.0
+DONE_TIMEOUT_S = 20.0
 TICK_S = 0.05
 
 
@@ -97,7 +97,7 @@
 
     def _tick(self, until: threading.Event) -> bool:
         """Have the actor tick until an event is set; a few seconds at most."""
-        for _ in range(round(DONE_WITHIN_S / TICK_S)):
+        for _ in range(round(DONE_TIMEOUT_S / TICK_S)):
             self.ref.tell(TickDue())
             if until.wait(TICK_S):
                 return True
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -72,7 +72,7 @@
 
     def test_an_unconfirmed_stop_would_run_a_task_twice(self) -> None:
         def at_once(tables, task, ending, now):  # type: ignore[no-untyped-def]
-            return cell_stop.end(tables, task, ending, now)
+            return cell_stop.end_task(tables, task, ending, now)
 
         bench = CellBench()
         bench.job("audit", run_s=60.0)
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -21,7 +21,7 @@
 from bulrushpulley.systems.cell import start as cell_start
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import watch as cell_watch
-from bulrushpulley.systems.cell.liveness import autonomous_until
+from bulrushpulley.systems.cell.liveness import autonomy_deadline
 from test.cell_bench import SIZE, CellBench, runs_of, seat
 from test.virtual_world import Seat, VirtualWorld
 
@@ -61,7 +61,7 @@
         return True
 
 
-def nothing() -> None:
+def do_nothing() -> None:
     """Do nothing."""
 
 
@@ -114,14 +114,14 @@
 
 def with_drain_and_lost_commit(bench: CellBench) -> None:
     """A start that committed just before a drain, whose answer comes late."""
-    down = OnceOnly(matches=writes_start, action=lambda: drained_in_outage(bench))
+    down = OnceOnly(matches=writes_start, action=lambda: drain_during_outage(bench))
     bench.lose_commit = down
     bench.job("curves")
     bench.agent("a")
     bench.run(30.0)
 
 
-def drained_in_outage(bench: CellBench) -> None:
+def drain_during_outage(bench: CellBench) -> None:
     bench.drain()
     bench.store_up = False
     bench.world.at(4.0, lambda: setattr(bench, "store_up", True))
@@ -154,7 +154,7 @@
 
 GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
     (with_delayed_start, cell_reports, "shows_absence", always),
-    (with_silent_worker, cell_stop, "surely_lapsed", always),
+    (with_silent_worker, cell_stop, "lease_has_lapsed", always),
     (with_crowded_cell, cell_candidates, "committed", lambda *_: SIZE.minus(SIZE)),
 )
 
@@ -205,7 +205,7 @@
         self.assertEqual(1, len(bench.starts))
         bench = CellBench()
         with (
-            mock.patch.object(cell_reports, "stops_until", lambda _: float("inf")),
+            mock.patch.object(cell_reports, "stop_deadline", lambda _: float("inf")),
             mock.patch.object(cell_reports, "is_newer", lambda *_: False),
         ):
             with_paused_owner(bench)
@@ -252,7 +252,7 @@
             bench.agent("a")
             bench.run(5.0)
             bench.agent("b")
-            with mock.patch.object(cell_watch, "silent_long_enough", guard):
+            with mock.patch.object(cell_watch, "owner_timed_out", guard):
                 for _ in range(10):
                     bench.offer("b")
                     bench.run(3.7)
@@ -260,7 +260,7 @@
             assert isinstance(lease, LeaseRow)
             return lease.owner
 
-        self.assertEqual("a", owner_after(cell_watch.silent_long_enough))
+        self.assertEqual("a", owner_after(cell_watch.owner_timed_out))
         self.assertEqual("b", owner_after(always))
 
 
@@ -300,7 +300,7 @@
             return [len(early), len(bench.starts)]
 
         self.assertEqual([1, 2], starts(CellBench()))
-        with mock.patch.object(cell_stop, "surely_lapsed", always):
+        with mock.patch.object(cell_stop, "lease_has_lapsed", always):
             self.assertEqual([2, 2], starts(CellBench()))
 
     def test_an_owner_without_its_row_stops_renewing_before_others_start(self) -> None:
@@ -311,12 +311,12 @@
             bench.run(5.0)
             bench.cut_off = {("a", "store"), ("b", "w0")}
             bench.agent("b")
-            with mock.patch.object(cell_reports, "autonomous_until", guard):
+            with mock.patch.object(cell_reports, "autonomy_deadline", guard):
                 bench.run(120.0)
             self.assertEqual([1, 2], [start.generation for start in bench.starts])
             return bench.violations
 
-        self.assertEqual([], violations(autonomous_until))
+        self.assertEqual([], violations(autonomy_deadline))
         self.assertNotEqual([], violations(lambda _: float("inf")))
 
     def test_a_task_does_not_start_where_its_record_forbids_it(self) -> None:
@@ -394,7 +394,7 @@
 
     def test_an_unsettled_ending_is_written_once(self) -> None:
         bench = CellBench()
-        bench.lose_commit = OnceOnly(matches=writes_done, action=nothing)
+        bench.lose_commit = OnceOnly(matches=writes_done, action=do_nothing)
         bench.job("curves", run_s=5.0)
         bench.agent("a")
         bench.run(30.0)
--- a/test/test_cell_matrix.py
+++ b/test/test_cell_matrix.py
@@ -11,7 +11,7 @@
 from bulrushpulley.systems.cell import stop as cell_stop
 from test import cell_matrix
 
-EVERY = 19
+SAMPLE_STRIDE = 19
 
 
 class MatrixTest(testtools.TestCase):
@@ -22,7 +22,7 @@
         matrix = cell_matrix.load()
         for step, fault, module, guard in (
             ("start_sent", "start_delayed", cell_reports, "shows_absence"),
-            ("running", "first_worker_cut_off", cell_stop, "surely_lapsed"),
+            ("running", "first_worker_cut_off", cell_stop, "lease_has_lapsed"),
         ):
             with mock.patch.object(module, guard, always):
                 verdict = cell_matrix.run_cell(step, fault)
@@ -30,9 +30,9 @@
 
     def test_a_share_of_the_matrix_passes(self) -> None:
         matrix = cell_matrix.load()
-        self.assertEqual(set(cell_matrix.SEEN_BY_STEP), set(matrix.steps))
+        self.assertEqual(set(cell_matrix.MATCHER_BY_STEP), set(matrix.steps))
         for row, step in enumerate(matrix.steps):
             for column, fault in enumerate(matrix.outcomes_by_fault):
-                if (3 * row + column) % EVERY == 0:
+                if (3 * row + column) % SAMPLE_STRIDE == 0:
                     verdict = cell_matrix.run_cell(step, fault)
                     self.assertTrue(verdict.passed(matrix), str(verdict))
