--- a/bulrushpulley/entities/jobs/advice.py
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -31,12 +31,12 @@
     step_key: str
     ticket_by_server: Mapping[str, str]
     valid_until: float = 0.0
-    ask_at: float = 0.0
+    retry_at: float = 0.0
     in_flight: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class AskAdvice(Command):
+class RequestAdvice(Command):
     """Asks which of some backend servers may run a step."""
 
     role: str
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Advised(Event):
+class AdviceReceived(Event):
     """The backend servers that may run a step, with their tickets."""
 
     step_key: str
--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -13,7 +13,7 @@
 # A backend server's clock may be this much slower than ours; the platform says so.
 CLOCK_DRIFT = 0.02
 # Reading clocks and timers that fire late add up to less than this, in seconds.
-MARGIN_S = 0.5
+CLOCK_MARGIN_S = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,16 +37,16 @@
     turn_s: float = 3.0
 
     @property
-    def lapse_s(self) -> float:
+    def lease_expiry_s(self) -> float:
         """How long after its last renewal a lease has surely ended with its runs."""
-        return self.lease_s / (1.0 - CLOCK_DRIFT) + self.kill_s + MARGIN_S
+        return self.lease_s / (1.0 - CLOCK_DRIFT) + self.kill_s + CLOCK_MARGIN_S
 
     @property
-    def silent_agent_s(self) -> float:
+    def agent_expiry_s(self) -> float:
         """How long after its last contact nothing runs by an agent's leave."""
-        return self.agent_autonomy_s + self.lapse_s
+        return self.agent_autonomy_s + self.lease_expiry_s
 
     @property
-    def unseen_agent_s(self) -> float:
+    def agent_expiry_after_takeover_s(self) -> float:
         """The same, after a takeover, for an agent that the former owner may reach."""
-        return self.owner_autonomy_s + self.silent_agent_s
+        return self.owner_autonomy_s + self.agent_expiry_s
--- a/bulrushpulley/entities/jobs/configuration.py
+++ b/bulrushpulley/entities/jobs/configuration.py
@@ -68,7 +68,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Standing:
+class OperatorSettings:
     """What operators have in force, as of the store's version `revision`.
 
     `configuration` is None until one was read. `evacuated` names the failure
@@ -88,7 +88,7 @@
         return found[0] if found else None
 
 
-NOTHING_STANDING = Standing()
+NO_OPERATOR_SETTINGS = OperatorSettings()
 
 
 def route(
--- a/bulrushpulley/entities/jobs/explanation.py
+++ b/bulrushpulley/entities/jobs/explanation.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class TaskExplained:
+class TaskExplanation:
     """One task that has not ended; `detail` says why it waits, if it does."""
 
     task_id: str
@@ -45,7 +45,7 @@
     detail: str
     epoch: int
     done: int
-    tasks: tuple[TaskExplained, ...]
+    tasks: tuple[TaskExplanation, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class AskTheOwner(Explanation):
+class RedirectToOwner(Explanation):
     """This entry does not own the shard; `owner` may, as far as it knows."""
 
     owner: str
--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -62,15 +62,15 @@
     capacity: Resources = NO_RESOURCES
     labels: tuple[str, ...] = ()
     leaves_in_s: float = 0.0
-    contact_at: float = 0.0
+    last_contact_at: float = 0.0
     adopted_epoch: int = 0
     synced: bool = False
     committed: Resources = NO_RESOURCES
     filling_m: int = 0
     images: Mapping[str, HeldImage] = field(default_factory=dict)
-    aside_until: float = 0.0
+    quarantined_until: float = 0.0
     failed_at: tuple[float, ...] = ()
-    told: object | None = None
+    sent_verdicts: object | None = None
 
     @property
     def rack(self) -> str:
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -7,7 +7,11 @@
 from pyrsistent import PMap, PSet, pmap, pset
 
 from bulrushpulley.entities.jobs.calls import JobCall
-from bulrushpulley.entities.jobs.configuration import NOTHING_STANDING, Queue, Standing
+from bulrushpulley.entities.jobs.configuration import (
+    NO_OPERATOR_SETTINGS,
+    OperatorSettings,
+    Queue,
+)
 from bulrushpulley.entities.jobs.rows import JobRow
 from bulrushpulley.entities.jobs.store import Purpose, Transact, WatchState
 from bulrushpulley.entities.step import Command, Step
@@ -89,7 +93,7 @@
     answered anything; `store_s` how long its answers take, smoothed.
     """
 
-    standing: Standing = NOTHING_STANDING
+    standing: OperatorSettings = NO_OPERATOR_SETTINGS
     order_by_key: PMap[str, OrderEntry] = field(default_factory=pmap)
     watch: WatchState | None = None
     reading: bool = False
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -14,7 +14,10 @@
 from bulrushpulley.entities.jobs import host, job, task
 from bulrushpulley.entities.jobs.advice import Advice
 from bulrushpulley.entities.jobs.bounds import Bounds
-from bulrushpulley.entities.jobs.configuration import NOTHING_STANDING, Standing
+from bulrushpulley.entities.jobs.configuration import (
+    NO_OPERATOR_SETTINGS,
+    OperatorSettings,
+)
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.rows import (
@@ -141,7 +144,7 @@
     takeover_stagger: float
     bounds: Bounds
     leadership: Leadership
-    standing: Standing = NOTHING_STANDING
+    standing: OperatorSettings = NO_OPERATOR_SETTINGS
     jobs: Table[Job] = field(
         default_factory=lambda: Table.empty(indexes={"stage": job.by_stage})
     )
@@ -195,7 +198,7 @@
 class StandingChanged(Event):
     """What operators have in force has changed."""
 
-    standing: Standing
+    standing: OperatorSettings
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -49,7 +49,7 @@
     FINISHED = "finished"
 
 
-AWAY = frozenset({UpkeepPhase.EMPTYING, UpkeepPhase.ORDERED, UpkeepPhase.TAKEN})
+DOWN_PHASES = frozenset({UpkeepPhase.EMPTYING, UpkeepPhase.ORDERED, UpkeepPhase.TAKEN})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,7 +69,7 @@
         return f"{self.wave}/{self.machine_id}"
 
 
-ALL_AWAY = "away"
+DOWN_INDEX = "away"
 
 
 def wave_index(number: int) -> str:
@@ -79,8 +79,8 @@
 
 def by_wave(upkeep: Upkeep) -> tuple[str, ...]:
     """Index upkeeps by wave, and those of machines that count as down together."""
-    if upkeep.phase in AWAY:
-        return (wave_index(upkeep.wave), ALL_AWAY)
+    if upkeep.phase in DOWN_PHASES:
+        return (wave_index(upkeep.wave), DOWN_INDEX)
     return (wave_index(upkeep.wave),)
 
 
@@ -94,10 +94,10 @@
     """
 
     order: WaveOrder
-    writing: WaveRow
-    durable: WaveRow
-    told: WaveState | None = None
-    telling: bool = False
+    submitted_row: WaveRow
+    durable_row: WaveRow
+    reported_state: WaveState | None = None
+    reporting: bool = False
     retry_at: float = 0.0
 
 
@@ -117,8 +117,8 @@
     written_by_wave: Mapping[int, WaveRow] | None = None
     reading: bool = False
     listing: bool = False
-    asked_at: float = -60.0
-    listed_at: float = -60.0
+    list_requested_at: float = -60.0
+    machines_as_of: float = -60.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -152,7 +152,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class MachinesUnlisted(Event):
+class ListMachinesFailed(Event):
     """No list of machines came."""
 
     reason: str
@@ -167,12 +167,12 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class UpkeepTaken(UpkeepEvent):
+class UpkeepOrderAccepted(UpkeepEvent):
     """The machine is down for its upkeep, or has been."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class UpkeepDenied(UpkeepEvent):
+class UpkeepOrderFailed(UpkeepEvent):
     """The platform did not take the order, or gave no answer.
 
     `unknown_machine` says that there is no such machine any more.
--- a/bulrushpulley/platform/advice.py
+++ b/bulrushpulley/platform/advice.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from bulrushpulley.entities.jobs.advice import AdviceFailed, Advised, AskAdvice
+from bulrushpulley.entities.jobs.advice import (
+    AdviceFailed,
+    AdviceReceived,
+    RequestAdvice,
+)
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError
 from bulrushpulley.platform.fields import decoded, invalid, items
@@ -24,7 +28,7 @@
             url=f"http://{address}", connections=1, service="advice"
         )
 
-    def ask(self, command: AskAdvice) -> Event:
+    def ask(self, command: RequestAdvice) -> Event:
         """Ask about one step."""
         # The servers are named "workers" in the call.
         body = {"StepId": command.step_key, "Workers": list(command.server_ids)}
@@ -47,4 +51,6 @@
         except BulrushpulleyError as error:
             return AdviceFailed(step_key=command.step_key, reason=str(error))
         ticket_by_server = {str(row[0]): str(row[1]) for row in rows}
-        return Advised(step_key=command.step_key, ticket_by_server=ticket_by_server)
+        return AdviceReceived(
+            step_key=command.step_key, ticket_by_server=ticket_by_server
+        )
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -9,14 +9,14 @@
 
 from bulrushpulley.entities.jobs.upkeep import (
     ListMachines,
+    ListMachinesFailed,
     Machine,
     MachinesListed,
     MachineState,
-    MachinesUnlisted,
     OrderUpkeep,
-    UpkeepDenied,
     UpkeepEvent,
-    UpkeepTaken,
+    UpkeepOrderAccepted,
+    UpkeepOrderFailed,
 )
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError
@@ -46,7 +46,7 @@
                 if not token:
                     break
         except BulrushpulleyError as error:
-            return MachinesUnlisted(reason=str(error))
+            return ListMachinesFailed(reason=str(error))
         return MachinesListed(machines=tuple(machines))
 
     def _page(self, token: str, timeout_s: float) -> Fields:
@@ -77,7 +77,7 @@
         except BulrushpulleyError as error:
             return _denied(command, str(error))
         if answer.status == http.HTTPStatus.OK:
-            return UpkeepTaken(wave=command.wave, machine_id=command.machine_id)
+            return UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         reason = f"status {answer.status}: {answer.body[:200]!r}"
         unknown = answer.status == http.HTTPStatus.BAD_REQUEST
         return _denied(command, reason, unknown_machine=unknown)
@@ -86,7 +86,7 @@
 def _denied(
     command: OrderUpkeep, reason: str, *, unknown_machine: bool = False
 ) -> UpkeepEvent:
-    return UpkeepDenied(
+    return UpkeepOrderFailed(
         wave=command.wave,
         machine_id=command.machine_id,
         reason=reason,
--- a/bulrushpulley/platform/ready_front.py
+++ b/bulrushpulley/platform/ready_front.py
@@ -7,10 +7,10 @@
 from functools import singledispatch
 
 from bulrushpulley.entities.jobs.explanation import (
-    AskTheOwner,
     ExplainJob,
     JobExplained,
     JobNotKnown,
+    RedirectToOwner,
 )
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.errors import Code, Problem
@@ -48,7 +48,7 @@
 
 
 @encode_explanation.register
-def _(answer: AskTheOwner) -> HttpReply:
+def _(answer: RedirectToOwner) -> HttpReply:
     owner = answer.owner or "nobody"
     detail = f"this entry does not own the shard; {owner} does"
     return _problem(Code.UNAVAILABLE, owner, detail)
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from bulrushpulley.entities.jobs.advice import AdviceFailed, AskAdvice
+from bulrushpulley.entities.jobs.advice import AdviceFailed, RequestAdvice
 from bulrushpulley.entities.jobs.explanation import Explanation
 from bulrushpulley.entities.jobs.scheduler_tables import (
     DialAgent,
@@ -16,9 +16,9 @@
 )
 from bulrushpulley.entities.jobs.upkeep import (
     ListMachines,
-    MachinesUnlisted,
+    ListMachinesFailed,
     OrderUpkeep,
-    UpkeepDenied,
+    UpkeepOrderFailed,
 )
 from bulrushpulley.platform.advice import AdviceClient
 from bulrushpulley.platform.machines import MachinesClient
@@ -44,7 +44,7 @@
 
 
 @carry_out.register
-def _(command: AskAdvice, ports: SchedulerPorts) -> None:
+def _(command: RequestAdvice, ports: SchedulerPorts) -> None:
     if ports.advice is None:
         reason = "the settings name no service for advice"
         failed = AdviceFailed(step_key=command.step_key, reason=reason)
@@ -69,7 +69,7 @@
 @carry_out.register
 def _(command: ListMachines, ports: SchedulerPorts) -> None:
     if ports.machines is None:
-        ports.tell(command.role, MachinesUnlisted(reason=NO_MACHINES))
+        ports.tell(command.role, ListMachinesFailed(reason=NO_MACHINES))
         return
     ports.run(role=command.role, work=partial(ports.machines.list_all, command))
 
@@ -77,7 +77,7 @@
 @carry_out.register
 def _(command: OrderUpkeep, ports: SchedulerPorts) -> None:
     if ports.machines is None:
-        denied = UpkeepDenied(
+        denied = UpkeepOrderFailed(
             wave=command.wave, machine_id=command.machine_id, reason=NO_MACHINES
         )
         ports.tell(command.role, denied)
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.jobs.configuration import (
     Configuration,
     Evacuation,
-    Standing,
+    OperatorSettings,
     WaveOrder,
 )
 from bulrushpulley.entities.jobs.intake_tables import (
@@ -116,7 +116,7 @@
             continue
         entry = OrderEntry(version=stored.version, row=stored.row)
         entries = entries.set(stored.key.key, entry)
-    standing = Standing(revision=version)
+    standing = OperatorSettings(revision=version)
     for key in sorted(entries):
         standing = with_order(entries[key].row, standing)
     before = tables.standing
@@ -130,28 +130,28 @@
 
 
 @singledispatch
-def with_order(row: object, standing: Standing) -> Standing:
+def with_order(row: object, standing: OperatorSettings) -> OperatorSettings:
     """Add what a row says to what is in force; unknown rows add nothing."""
     return standing
 
 
 @with_order.register
-def _(row: Configuration, standing: Standing) -> Standing:
+def _(row: Configuration, standing: OperatorSettings) -> OperatorSettings:
     return replace(standing, configuration=row)
 
 
 @with_order.register
-def _(row: Evacuation, standing: Standing) -> Standing:
+def _(row: Evacuation, standing: OperatorSettings) -> OperatorSettings:
     return replace(standing, evacuated=standing.evacuated | {row.failure_domain})
 
 
 @with_order.register
-def _(row: WaveOrder, standing: Standing) -> Standing:
+def _(row: WaveOrder, standing: OperatorSettings) -> OperatorSettings:
     waves = sorted((*standing.waves, row), key=lambda wave: wave.number)
     return replace(standing, waves=tuple(waves))
 
 
-def _line(standing: Standing) -> Decision:
+def _line(standing: OperatorSettings) -> Decision:
     configuration = standing.configuration
     version = configuration.version if configuration else 0
     queues = len(configuration.queues) if configuration else 0
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -129,7 +129,7 @@
         and failing_s >= REFUSED_CONNECTIONS_TIMEOUT_S
     ):
         return end_incarnation(tables, "nothing listens at its address")
-    lapsed = now - server.lease_sent_at > tables.bounds.lapse_s
+    lapsed = now - server.lease_sent_at > tables.bounds.lease_expiry_s
     if failing_s > SERVER_SILENT_TIMEOUT_S and lapsed:
         return end_incarnation(tables, "it was silent until its lease had lapsed")
     tables = _update_stall(tables, now)
@@ -148,7 +148,7 @@
         return Step(tables=tables)
     if tables.search_began_at is None:
         return Step(tables=replace(tables, search_began_at=now))
-    if now - tables.search_began_at <= tables.bounds.lapse_s:
+    if now - tables.search_began_at <= tables.bounds.lease_expiry_s:
         return Step(tables=tables)
     gone = replace(tables, server_state=ServerState.GONE)
     reason = "none has announced itself until every lease had lapsed"
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -14,40 +14,40 @@
 from bulrushpulley.systems.scheduling import edits, finishing, restoring, unblocking
 
 # Entries' clocks may be off; an age beyond this says nothing about the job.
-MAX_AGE_S = 120.0
+MAX_JOB_AGE_S = 120.0
 
 
-def on_rows(
+def handle_rows(
     rows: tuple[StoredRow, ...], tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Take in rows of the jobs table; jobs before their cancellations."""
     commands: list[Command] = []
     for stored in sorted(rows, key=lambda stored: type(stored.row) is CancelRow):
-        step = on_row(stored.row, tables, now)
+        step = handle_row(stored.row, tables, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
 @singledispatch
-def on_row(row: object, tables: SchedulerTables, now: float) -> SchedulerStep:
+def handle_row(row: object, tables: SchedulerTables, now: float) -> SchedulerStep:
     """Take in one row; deleted rows and those of other kinds change nothing."""
     return Step(tables=tables)
 
 
-@on_row.register
+@handle_row.register
 def _(row: JobRow, tables: SchedulerTables, now: float) -> SchedulerStep:
     if row.job_id in tables.jobs:
         return Step(tables=tables)
     age_s = max(0.0, now + tables.wall_offset_s - row.accepted_at_s)
-    job = new_job(row, now - min(age_s, MAX_AGE_S))
+    job = new_job(row, now - min(age_s, MAX_JOB_AGE_S))
     progress = tables.progress_by_job.get(row.job_id)
     if progress is not None:
         job = restoring.restored_job(job, progress)
     tables = edits.put_job(tables, job)
     if row.spec.occurrences:
         tables = replace(tables, timed_job_ids=tables.timed_job_ids.add(job.job_id))
-    for task in _tasks(job, progress, now):
+    for task in _tasks_of(job, progress, now):
         tables = edits.put_task(tables, task)
     tables = unblocking.unblock(tables, job, now)
     line = edits.log(
@@ -56,7 +56,7 @@
     return Step(tables=tables, commands=(line,))
 
 
-def _tasks(job: Job, progress: ProgressRow | None, now: float) -> list[Task]:
+def _tasks_of(job: Job, progress: ProgressRow | None, now: float) -> list[Task]:
     """Return the tasks of a job; of one that ended, those that may still run."""
     written = {
         task_id_of(job.job_id, task.occurrence, task.step, task.index): task
@@ -91,7 +91,7 @@
     ]
 
 
-@on_row.register
+@handle_row.register
 def _(row: CancelRow, tables: SchedulerTables, now: float) -> SchedulerStep:
     job = tables.jobs.get(row.job_id)
     if job is None or job.is_final:
@@ -99,6 +99,8 @@
     return finishing.cancel(tables, job, now)
 
 
-def with_clock(tables: SchedulerTables, wall_s: float, now: float) -> SchedulerTables:
+def set_wall_offset(
+    tables: SchedulerTables, wall_s: float, now: float
+) -> SchedulerTables:
     """Note how the time since 1970 stands to the role's clock."""
     return replace(tables, wall_offset_s=wall_s - now)
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -12,9 +12,9 @@
 from bulrushpulley.entities.jobs.advice import (
     Advice,
     AdviceFailed,
+    AdviceReceived,
     AdviceTerms,
-    Advised,
-    AskAdvice,
+    RequestAdvice,
 )
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
@@ -28,14 +28,14 @@
 from bulrushpulley.systems.scheduling import edits
 
 # The platform reckons with advice on 30 servers a step, and takes 100 in a call.
-MAX_ASKED = 30
-ANSWER_S = 1.0
-RETRY_S = 0.3
+MAX_SERVERS_PER_REQUEST = 30
+ADVICE_TIMEOUT_MARGIN_S = 1.0
+ADVICE_RETRY_DELAY_S = 0.3
 # Tickets that end sooner than a start takes are not worth a start.
-LEAST_LEFT_S = 0.7
+MIN_TICKET_VALIDITY_S = 0.7
 
 
-def terms_of(tables: SchedulerTables, job: Job) -> AdviceTerms | None:
+def advice_terms(tables: SchedulerTables, job: Job) -> AdviceTerms | None:
     """Return the terms of advice of a job's queue, if its policy asks for any."""
     queue = tables.standing.queue(job.row.queue)
     return queue.advice if queue is not None else None
@@ -45,10 +45,10 @@
     tables: SchedulerTables, job: Job, key: str, now: float
 ) -> Mapping[str, str] | None:
     """Return the tickets for a step by backend server; None where none are needed."""
-    if terms_of(tables, job) is None:
+    if advice_terms(tables, job) is None:
         return None
     advice = tables.advice.get(key)
-    if advice is None or advice.valid_until - now < LEAST_LEFT_S:
+    if advice is None or advice.valid_until - now < MIN_TICKET_VALIDITY_S:
         return {}
     return advice.ticket_by_server
 
@@ -58,26 +58,32 @@
     return host.life.rpartition("/")[0]
 
 
-def ask(
+def request_advice(
     tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
 ) -> SchedulerStep:
     """Ask about the first step that waits for advice; `jobs` are in their order."""
     if any(advice.in_flight for advice in tables.advice.rows()):
         return Step(tables=tables)
     for job in jobs:
-        terms = terms_of(tables, job)
-        key = _waiting_step(tables, job, now) if terms is not None else ""
+        terms = advice_terms(tables, job)
+        key = _step_without_advice(tables, job, now) if terms is not None else ""
         if terms is None or not key:
             continue
-        roomy = sorted(open_hosts, key=lambda host: -host.free.processors_m)
-        server_ids = tuple(server_of(host) for host in roomy[:MAX_ASKED])
+        by_free_processors = sorted(
+            open_hosts, key=lambda host: -host.free.processors_m
+        )
+        server_ids = tuple(
+            server_of(host) for host in by_free_processors[:MAX_SERVERS_PER_REQUEST]
+        )
         if not server_ids:
             return Step(tables=tables)
-        call = AskAdvice(
+        call = RequestAdvice(
             role=SCHEDULER,
             step_key=key,
             server_ids=server_ids,
-            timeout_s=terms.decide_s + len(server_ids) * terms.per_server_s + ANSWER_S,
+            timeout_s=terms.decide_s
+            + len(server_ids) * terms.per_server_s
+            + ADVICE_TIMEOUT_MARGIN_S,
         )
         known = tables.advice.get(key) or Advice(step_key=key, ticket_by_server={})
         tables = _put(tables, replace(known, in_flight=True))
@@ -85,13 +91,13 @@
     return Step(tables=tables)
 
 
-def _waiting_step(tables: SchedulerTables, job: Job, now: float) -> str:
+def _step_without_advice(tables: SchedulerTables, job: Job, now: float) -> str:
     for task in tables.tasks.rows_where("waiting", job.job_id):
         key = step_key(task.job_id, task.occurrence, task.step)
         advice = tables.advice.get(key)
         if advice is None:
             return key
-        if now >= advice.ask_at and advice.valid_until - now < LEAST_LEFT_S:
+        if now >= advice.retry_at and advice.valid_until - now < MIN_TICKET_VALIDITY_S:
             return key
     return ""
 
@@ -100,18 +106,20 @@
     return replace(tables, advice=tables.advice.put(advice.step_key, advice))
 
 
-def on_advised(event: Advised, tables: SchedulerTables, now: float) -> SchedulerStep:
+def handle_advice(
+    event: AdviceReceived, tables: SchedulerTables, now: float
+) -> SchedulerStep:
     """Take advice in; the step can be placed at once."""
     job = tables.jobs.get(event.step_key.partition(".")[0])
     known = tables.advice.get(event.step_key)
-    terms = terms_of(tables, job) if job is not None else None
+    terms = advice_terms(tables, job) if job is not None else None
     if known is None or terms is None or job is None or job.is_final:
-        return _forgotten(tables, event.step_key)
+        return _drop_advice(tables, event.step_key)
     advice = Advice(
         step_key=event.step_key,
         ticket_by_server=event.ticket_by_server,
         valid_until=now + terms.valid_s,
-        ask_at=now + RETRY_S,
+        retry_at=now + ADVICE_RETRY_DELAY_S,
     )
     count = len(event.ticket_by_server)
     line = edits.log(tables, "step.advice", event.step_key, f"{count} servers", "")
@@ -119,22 +127,22 @@
     return Step(tables=tables, commands=(line,))
 
 
-def _forgotten(tables: SchedulerTables, key: str) -> SchedulerStep:
+def _drop_advice(tables: SchedulerTables, key: str) -> SchedulerStep:
     return Step(tables=replace(tables, advice=tables.advice.drop(key)))
 
 
-def on_failed(
+def handle_advice_failed(
     event: AdviceFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Ask again after a pause."""
     known = tables.advice.get(event.step_key)
     if known is None:
         return Step(tables=tables)
-    again = replace(known, in_flight=False, ask_at=now + RETRY_S)
+    again = replace(known, in_flight=False, retry_at=now + ADVICE_RETRY_DELAY_S)
     line = edits.log(tables, "step.unadvised", event.step_key, "", event.reason)
     return Step(tables=_put(tables, again), commands=(line,))
 
 
-def on_ticket_refused(tables: SchedulerTables, key: str) -> SchedulerTables:
+def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
     """Ask anew for a step whose tickets no longer count."""
     return replace(tables, advice=tables.advice.drop(key))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -47,8 +47,8 @@
     draining,
     edits,
     endings,
-    evidence,
-    learning,
+    interference,
+    quarantine,
 )
 
 # A loss of every host at once costs a job no more work than this, in seconds.
@@ -63,7 +63,7 @@
     """Note the agent's process; it is adopted at the next tick of an owner."""
     name = host_of_peer(event.peer)
     host = tables.hosts.get(name) or Host(name=name)
-    linked = replace(host, peer=event.peer, synced=False, redials=0, told=None)
+    linked = replace(host, peer=event.peer, synced=False, redials=0, sent_verdicts=None)
     return Step(tables=edits.put_host(tables, linked))
 
 
@@ -109,7 +109,7 @@
 
 @on_report.register
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
-    tables = edits.put_host(tables, replace(host, contact_at=now))
+    tables = edits.put_host(tables, replace(host, last_contact_at=now))
     owning = tables.leadership
     renewed_at = owning.renewed_at if isinstance(owning, Owning) else 0.0
     if now - renewed_at > tables.bounds.owner_autonomy_s:
@@ -131,7 +131,7 @@
         capacity=event.capacity if event.life else host.capacity,
         labels=event.labels if event.life else host.labels,
         leaves_in_s=event.leaves_in_s,
-        contact_at=now,
+        last_contact_at=now,
         synced=host.synced and event.life == host.life,
     )
     tables = replace(edits.put_host(tables, known), place_due=True)
@@ -145,7 +145,7 @@
         )
         tables, commands = step.tables, (*commands, *step.commands)
     if known.state is ServerState.DRAINING and host.state is not known.state:
-        step = draining.begin(tables, known, now)
+        step = draining.drain_host(tables, known, now)
         tables, commands = step.tables, (*commands, *step.commands)
     return Step(tables=tables, commands=commands)
 
@@ -172,19 +172,19 @@
     event: RunRefused, host: Host, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     if event.unhealthy:
-        tables = evidence.note_refusal(tables, host.name, now)
+        tables = quarantine.record_refusal(tables, host.name, now)
     task = _current_task(tables, host, event.life, event.run.task_id, event.run.run)
     if task is None:
         return Step(tables=tables)
     if event.reason == TICKET_REFUSED_REASON:
         key = step_key(task.job_id, task.occurrence, task.step)
-        tables = advising.on_ticket_refused(tables, key)
+        tables = advising.drop_refused_tickets(tables, key)
     line = edits.log(tables, "task.refused", task.task_id, host.name, event.reason)
     step = endings.end_run(tables, task, Stopped(), now)
     return Step(tables=step.tables, commands=(line, *step.commands))
 
 
-on_report.register(Measures, learning.on_measures)
+on_report.register(Measures, interference.handle_measures)
 
 
 def _current_task(
--- a/bulrushpulley/systems/scheduling/backlog.py
+++ b/bulrushpulley/systems/scheduling/backlog.py
@@ -12,12 +12,15 @@
 from bulrushpulley.systems.scheduling import edits
 
 # Callers may be told a count that is 2 s old.
-COUNT_S = 0.8
+BACKLOG_COUNT_INTERVAL_S = 0.8
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Count anew when the last count has aged; the next commit writes it."""
-    if not edits.is_loaded(tables) or now - tables.backlog_at < COUNT_S:
+    if (
+        not edits.is_loaded(tables)
+        or now - tables.backlog_at < BACKLOG_COUNT_INTERVAL_S
+    ):
         return Step(tables=tables)
     jobs = tables.jobs.rows_where("stage", UNSTARTED)
     counts = Counter(job.row.queue for job in jobs)
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -14,12 +14,12 @@
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.systems.scheduling import advising
 from bulrushpulley.systems.scheduling.ranking import (
-    HarmPart,
-    Kind,
-    Room,
+    Candidate,
+    HarmFraction,
+    TaskKind,
     cost,
     fits,
-    holds_back,
+    should_wait,
 )
 
 # Least first: not near the data, and how dear the room is.
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Wanted:
+class PlacementRequest:
     """What the tasks of a step want of a host.
 
     `tickets` are those of advice by backend server, None where none are needed.
@@ -35,35 +35,37 @@
     """
 
     step: StepSpec
-    kind: Kind
+    kind: TaskKind
     service: str
     tickets: Mapping[str, str] | None
-    harm_part: HarmPart
+    harm_fraction: HarmFraction
     waited_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Ranked:
+class RankedCandidate:
     """The rank of a room as it was; None where the task may not go there."""
 
-    room: Room
+    candidate: Candidate
     rank: Rank | None
 
 
-def choose(
-    wanted: Wanted,
-    room_by_host: Mapping[str, Room],
+def choose_candidate(
+    request: PlacementRequest,
+    candidate_by_host: Mapping[str, Candidate],
     task: Task,
     siblings: Counter[str],
-    ranked_by_host: dict[str, Ranked],
-) -> Room | None:
+    ranked_by_host: dict[str, RankedCandidate],
+) -> Candidate | None:
     """Return the best room for a task, and keep what was ranked in `ranked_by_host`."""
-    limit = wanted.step.per_host_limit
+    limit = request.step.per_host_limit
     fitting: list[tuple[Rank, str]] = []
-    for name, room in room_by_host.items():
+    for name, candidate in candidate_by_host.items():
         known = ranked_by_host.get(name)
-        if known is None or known.room is not room:
-            known = Ranked(room=room, rank=_rank(wanted, room, room_by_host))
+        if known is None or known.candidate is not candidate:
+            known = RankedCandidate(
+                candidate=candidate, rank=_rank(request, candidate, candidate_by_host)
+            )
             ranked_by_host[name] = known
         if known.rank is not None and not (limit and siblings[name] >= limit):
             fitting.append((known.rank, name))
@@ -71,41 +73,51 @@
         fitting = [
             pair for pair in fitting if pair[1] not in task.avoided_hosts
         ] or fitting
-    if wanted.step.one_rack:
-        fitting = _same_rack(fitting, room_by_host, siblings)
-    return room_by_host[min(fitting)[1]] if fitting else None
+    if request.step.one_rack:
+        fitting = _prefer_same_rack(fitting, candidate_by_host, siblings)
+    return candidate_by_host[min(fitting)[1]] if fitting else None
 
 
-def _rank(wanted: Wanted, room: Room, rooms: Mapping[str, Room]) -> Rank | None:
-    step, host = wanted.step, room.host
-    if host.service != wanted.service:
+def _rank(
+    request: PlacementRequest, candidate: Candidate, candidates: Mapping[str, Candidate]
+) -> Rank | None:
+    step, host = request.step, candidate.host
+    if host.service != request.service:
         return None
     if step.needs_label and step.needs_label not in host.labels:
         return None
-    if wanted.tickets is not None and advising.server_of(host) not in wanted.tickets:
+    if request.tickets is not None and advising.server_of(host) not in request.tickets:
         return None
-    spare_part = _spare_part(rooms) if step.lasting else 1.0
-    if not fits(step, room, spare_part):
+    free_fraction = _free_fraction(candidates) if step.lasting else 1.0
+    if not fits(step, candidate, free_fraction):
         return None
-    if holds_back(wanted.kind, step, room, wanted.harm_part, wanted.waited_s):
+    if should_wait(
+        request.kind, step, candidate, request.harm_fraction, request.waited_s
+    ):
         return None
-    is_far = bool(step.near_rack) and host.rack != step.near_rack
-    return is_far, cost(wanted.kind, step, room, wanted.harm_part)
+    outside_rack = bool(step.near_rack) and host.rack != step.near_rack
+    return outside_rack, cost(request.kind, step, candidate, request.harm_fraction)
 
 
-def _spare_part(rooms: Mapping[str, Room]) -> float:
+def _free_fraction(candidates: Mapping[str, Candidate]) -> float:
     """Return what is free of the processors of all open hosts, as a part of them."""
-    capacity = sum(room.host.capacity.processors_m for room in rooms.values())
-    free = sum(room.free.processors_m for room in rooms.values())
+    capacity = sum(
+        candidate.host.capacity.processors_m for candidate in candidates.values()
+    )
+    free = sum(candidate.free.processors_m for candidate in candidates.values())
     return free / max(1, capacity)
 
 
-def _same_rack(
+def _prefer_same_rack(
     fitting: list[tuple[Rank, str]],
-    room_by_host: Mapping[str, Room],
+    candidate_by_host: Mapping[str, Candidate],
     siblings: Counter[str],
 ) -> list[tuple[Rank, str]]:
     """Keep the rooms in the racks of the tasks that are placed, if there are any."""
-    racks = {room_by_host[name].host.rack for name in siblings if name in room_by_host}
-    near = [pair for pair in fitting if room_by_host[pair[1]].host.rack in racks]
+    racks = {
+        candidate_by_host[name].host.rack
+        for name in siblings
+        if name in candidate_by_host
+    }
+    near = [pair for pair in fitting if candidate_by_host[pair[1]].host.rack in racks]
     return near or fitting
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -30,7 +30,7 @@
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_timeouts
-from bulrushpulley.systems.scheduling import effects, learning, ownership, waves
+from bulrushpulley.systems.scheduling import effects, interference, ownership, waves
 
 # An owner that has nothing to write renews its row this often, in seconds, so that
 # followers see a change in each two of their reads.
@@ -82,11 +82,11 @@
     if not tenure.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
     puts.extend(progress_of(tables, job_id) for job_id in job_ids)
-    harms = None if tenure.loading else learning.due_row(tables, now)
+    harms = None if tenure.loading else interference.row_to_save(tables, now)
     if harms is not None:
         puts.append(harms)
         tables = replace(tables, harms_saved_at=now)
-    unwritten = waves.unwritten(tables)
+    unwritten = waves.unwritten_rows(tables)
     puts.extend(unwritten)
     transact = Transact(
         role=SCHEDULER,
@@ -111,7 +111,7 @@
         sent_at=now,
     )
     tables = replace(
-        waves.writing(tables, unwritten),
+        waves.mark_submitted(tables, unwritten),
         commit=commit,
         effects_by_job=left,
         backlog_written=tables.backlog,
@@ -162,7 +162,7 @@
     )
     took_s = now - commit.sent_at
     store_latency_s = store_timeouts.smoothed_latency_s(tables.store_latency_s, took_s)
-    tables = waves.written(tables, commit.waves)
+    tables = waves.mark_durable(tables, commit.waves)
     tables = replace(
         tables, leadership=renewed, commit=None, store_latency_s=store_latency_s
     )
--- a/bulrushpulley/systems/scheduling/condensing.py
+++ b/bulrushpulley/systems/scheduling/condensing.py
@@ -19,10 +19,10 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
-EACH_S = 2.0
-MAX_CONDENSED = 90
-CALL_S = 3.0
-NO_STEPS = JobSpec(payload="", steps=())
+CONDENSE_INTERVAL_S = 2.0
+MAX_CONDENSED_ROWS = 90
+CONDENSE_TIMEOUT_S = 3.0
+SPEC_WITHOUT_STEPS = JobSpec(payload="", steps=())
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -31,7 +31,7 @@
     A transaction that fails leaves long rows, which the next owner cuts down. The end
     of a job never changes, so that it may also come late, from a former owner.
     """
-    if not edits.is_loaded(tables) or now - tables.condensed_at < EACH_S:
+    if not edits.is_loaded(tables) or now - tables.condensed_at < CONDENSE_INTERVAL_S:
         return Step(tables=tables)
     tables = replace(tables, condensed_at=now)
     chosen = [
@@ -42,14 +42,14 @@
     if not chosen:
         return Step(tables=tables)
     rows = []
-    for job in chosen[:MAX_CONDENSED]:
-        row = replace(job.row, spec=NO_STEPS)
+    for job in chosen[:MAX_CONDENSED_ROWS]:
+        row = replace(job.row, spec=SPEC_WITHOUT_STEPS)
         rows.append(row)
         tables = edits.put_job(tables, replace(job, row=row))
     write = Transact(
         role=SCHEDULER,
         purpose=CondenseJobRows(),
-        timeout_s=CALL_S,
+        timeout_s=CONDENSE_TIMEOUT_S,
         conditions=(),
         puts=tuple(rows),
     )
--- a/bulrushpulley/systems/scheduling/draining.py
+++ b/bulrushpulley/systems/scheduling/draining.py
@@ -8,15 +8,15 @@
 from bulrushpulley.systems.scheduling import edits, stopping
 
 
-def begin(tables: SchedulerTables, host: Host, now: float) -> SchedulerStep:
+def drain_host(tables: SchedulerTables, host: Host, now: float) -> SchedulerStep:
     """Stop what would be cut off or can go on elsewhere; let the rest finish."""
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
         spec = edits.step_of(tables, task)
         if spec.lasting or spec.checkpoints:
             return True
-        began = task.running_since or now
-        return spec.estimate_s - (now - began) > host.leaves_in_s
+        started_at = task.running_since or now
+        return spec.estimate_s - (now - started_at) > host.leaves_in_s
 
     reason = "its backend server is leaving"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -9,12 +9,12 @@
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState, step_key
-from bulrushpulley.entities.jobs.upkeep import ALL_AWAY, Upkeep, Wave
+from bulrushpulley.entities.jobs.upkeep import DOWN_INDEX, Upkeep, Wave
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.scheduling import advising, edits, stopping
 
 # The part of a machine's share of the wave's time in which its runs may finish.
-FINISH_PART = 0.5
+FINISH_FRACTION = 0.5
 
 
 def host_of(tables: SchedulerTables, machine_id: str) -> Host | None:
@@ -32,21 +32,21 @@
     """Return the hosts that take nothing new because of their upkeep."""
     hosts = (
         host_of(tables, upkeep.machine_id)
-        for upkeep in tables.upkeep.upkeeps.rows_where("wave", ALL_AWAY)
+        for upkeep in tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
     )
     return frozenset(host.name for host in hosts if host is not None)
 
 
-def empty(
+def empty_host(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, host: Host, now: float
 ) -> SchedulerStep:
     """Stop the runs on a host that should not, or need not, finish there."""
-    overdue = now - upkeep.since >= finish_s(wave)
+    overdue = now - upkeep.since >= finish_timeout_s(wave)
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
         spec = edits.step_of(tables, task)
-        moves = spec.lasting or spec.checkpoints or overdue
-        return moves and may_stop(tables, task)
+        must_leave = spec.lasting or spec.checkpoints or overdue
+        return must_leave and may_stop(tables, task)
 
     reason = "its machine is due for upkeep"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
@@ -70,11 +70,11 @@
     return moving.fits(free)
 
 
-def finish_s(wave: Wave) -> float:
+def finish_timeout_s(wave: Wave) -> float:
     """Return how long runs on one machine of a wave may go on."""
     order = wave.order
     rounds = max(1, -(-len(order.machine_ids) // order.at_once))
-    return FINISH_PART * order.within_s / rounds
+    return FINISH_FRACTION * order.within_s / rounds
 
 
 def may_stop(tables: SchedulerTables, task: Task) -> bool:
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -14,7 +14,7 @@
 )
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, step_key
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import edits, evidence, finishing, unblocking
+from bulrushpulley.systems.scheduling import edits, finishing, quarantine, unblocking
 
 # A host on which a task failed is avoided by that task for good, so few names suffice.
 MAX_AVOIDED_HOSTS = 8
@@ -36,7 +36,7 @@
         task.host,
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
-    tables = evidence.note_ending(tables, task, ending, now)
+    tables = quarantine.record_ending(tables, task, ending, now)
     if has_run(ending) and not job.started:
         job = replace(job, started=True)
         tables = edits.put_job(tables, job)
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.jobs.advice import AdviceFailed, Advised
+from bulrushpulley.entities.jobs.advice import AdviceFailed, AdviceReceived
 from bulrushpulley.entities.jobs.explanation import ExplainJob
 from bulrushpulley.entities.jobs.items import JobItem
 from bulrushpulley.entities.jobs.scheduler_tables import (
@@ -35,10 +35,10 @@
     TransactRefused,
 )
 from bulrushpulley.entities.jobs.upkeep import (
+    ListMachinesFailed,
     MachinesListed,
-    MachinesUnlisted,
-    UpkeepDenied,
-    UpkeepTaken,
+    UpkeepOrderAccepted,
+    UpkeepOrderFailed,
 )
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import LinkDown, LinkUp
@@ -69,13 +69,13 @@
 apply.register(LinkDown, agents.on_link_down)
 apply.register(JobItem, agents.on_item)
 apply.register(DialEnded, dialling.on_dial_ended)
-apply.register(Advised, advising.on_advised)
-apply.register(AdviceFailed, advising.on_failed)
+apply.register(AdviceReceived, advising.handle_advice)
+apply.register(AdviceFailed, advising.handle_advice_failed)
 apply.register(ExplainJob, explaining.on_explain)
-apply.register(MachinesListed, waves.on_listed)
-apply.register(MachinesUnlisted, waves.on_unlisted)
-apply.register(UpkeepTaken, upkeep.on_taken)
-apply.register(UpkeepDenied, upkeep.on_denied)
+apply.register(MachinesListed, waves.handle_machines_listed)
+apply.register(ListMachinesFailed, waves.handle_list_failed)
+apply.register(UpkeepOrderAccepted, upkeep.handle_order_accepted)
+apply.register(UpkeepOrderFailed, upkeep.handle_order_failed)
 
 
 @apply.register
@@ -85,7 +85,7 @@
 
 @apply.register
 def _(event: WallClock, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return Step(tables=accepting.with_clock(tables, event.wall_s, now))
+    return Step(tables=accepting.set_wall_offset(tables, event.wall_s, now))
 
 
 @apply.register
@@ -181,8 +181,8 @@
     purpose: LoadWaves, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     if isinstance(event, RangeRead):
-        return waves.on_loaded(event, tables, now)
-    return waves.on_unread(tables, now)
+        return waves.handle_waves_loaded(event, tables, now)
+    return waves.handle_load_failed(tables, now)
 
 
 @on_store.register
@@ -190,7 +190,7 @@
     purpose: WriteWaveStatus, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     done = isinstance(event, (Transacted, Conflicted))
-    return waves.on_told(purpose, done, tables, now)
+    return waves.handle_state_reported(purpose, done, tables, now)
 
 
 @on_store.register
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -6,11 +6,11 @@
 from functools import partial, singledispatch
 
 from bulrushpulley.entities.jobs.explanation import (
-    AskTheOwner,
     ExplainJob,
     JobExplained,
     JobNotKnown,
-    TaskExplained,
+    RedirectToOwner,
+    TaskExplanation,
 )
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import (
@@ -21,8 +21,13 @@
 )
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits, emptying, learning, placing
-from bulrushpulley.systems.scheduling.ranking import Room, fits, holds_back, kind_of
+from bulrushpulley.systems.scheduling import edits, emptying, interference, placing
+from bulrushpulley.systems.scheduling.ranking import (
+    Candidate,
+    fits,
+    kind_of,
+    should_wait,
+)
 
 MAX_EXPLAINED_TASKS = 200
 
@@ -33,7 +38,7 @@
         owner = owner_of(tables.leadership, tables)
         return Step(
             tables=tables,
-            commands=(AskTheOwner(call_id=event.call_id, owner=owner),),
+            commands=(RedirectToOwner(call_id=event.call_id, owner=owner),),
         )
     job = tables.jobs.get(event.job_id)
     if job is None:
@@ -76,8 +81,8 @@
 
 def _explain_task(
     tables: SchedulerTables, job: Job, task: Task, now: float
-) -> TaskExplained:
-    return TaskExplained(
+) -> TaskExplanation:
+    return TaskExplanation(
         task_id=task.task_id,
         state=task.state.value,
         for_s=round(now - task.since, 2),
@@ -97,29 +102,39 @@
     if task.state is not TaskState.WAITING:
         return ""
     closed = emptying.closed_hosts(tables)
-    rooms = [
-        placing.room_of(host)
+    candidates = [
+        placing.candidate_of(host)
         for host in tables.hosts.rows()
         if placing.is_open(tables, host, now) and host.name not in closed
     ]
-    return _explain_waiting(tables, job, task, rooms, now)
+    return _explain_waiting(tables, job, task, candidates, now)
 
 
 def _explain_waiting(
-    tables: SchedulerTables, job: Job, task: Task, rooms: Iterable[Room], now: float
+    tables: SchedulerTables,
+    job: Job,
+    task: Task,
+    candidates: Iterable[Candidate],
+    now: float,
 ) -> str:
     step = job.step(task.step)
     service = placing.service_of(tables, job)
-    serving = [room for room in rooms if room.host.service == service]
+    serving = [
+        candidate for candidate in candidates if candidate.host.service == service
+    ]
     label = step.needs_label
-    labelled = [room for room in serving if not label or label in room.host.labels]
-    roomy = [room for room in labelled if fits(step, room, 0.0)]
-    harm_part = partial(learning.harm_part, tables)
+    labelled = [
+        candidate
+        for candidate in serving
+        if not label or label in candidate.host.labels
+    ]
+    roomy = [candidate for candidate in labelled if fits(step, candidate, 0.0)]
+    harm_fraction = partial(interference.harm_fraction, tables)
     waited_s = now - task.since
     calm = [
-        room
-        for room in roomy
-        if not holds_back(kind_of(step), step, room, harm_part, waited_s)
+        candidate
+        for candidate in roomy
+        if not should_wait(kind_of(step), step, candidate, harm_fraction, waited_s)
     ]
     return (
         f"{len(serving)} hosts of {service} are open, {len(labelled)} have its label,"
--- a/bulrushpulley/systems/scheduling/learning.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -21,68 +21,68 @@
 from bulrushpulley.systems import interference_step
 from bulrushpulley.systems.scheduling import edits
 
-OWN = ""
+SERVICE_ALONE = ""
 # Serving tasks alone are at about this part of their target.
-OWN_PART = 0.4
+INITIAL_OWN_LATENCY_RATIO = 0.4
 # Beyond this part of the target a latency says no more than that it is too high.
-HIGHEST_PART = 2.0
+MAX_LATENCY_RATIO = 2.0
 # One unit of an image that adds this part of the target is called harmful, and is
 # forgiven below the second: a few units take a serving task past its target.
-HARMFUL_PART = 0.12
-FORGIVEN_PART = 0.07
+HARMFUL_FRACTION = 0.12
+HARMLESS_FRACTION = 0.07
 # An estimate that is this much surer than a first guess may clear an image.
-KNOWN_VARIANCE = 0.15
-TELL_S = 1.0
+MAX_HARMLESS_VARIANCE = 0.15
+VERDICT_INTERVAL_S = 1.0
 # How often estimates are written; most settle within a few seconds.
-SAVE_S = 2.0
+HARMS_SAVE_INTERVAL_S = 2.0
 # Estimates that no measure has touched for this long are of work that is over.
-KEPT_S = 60.0
+HARM_RETENTION_S = 60.0
 # How much less sure an estimate is that was read: load may have changed meanwhile.
-READ_VARIANCE = 0.05
+RESTORED_VARIANCE = 0.05
 
-Pair = tuple[str, str]
+ImagePair = tuple[str, str]
 
 
-def on_measures(
+def handle_measures(
     event: Measures, host: Host, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Take what one host has measured into the estimates."""
-    units = {OWN: 1.0}
+    units = {SERVICE_ALONE: 1.0}
     for filling in event.filling:
         units[filling.image] = units.get(filling.image, 0.0) + filling.units
     targets = tables.target_by_image
     for serving in event.serving:
         targets = targets.set(serving.image, serving.target_ms)
-        tables = _learn(tables, serving, units, now)
+        tables = _update_estimates(tables, serving, units, now)
     tables = replace(tables, target_by_image=targets)
     return Step(tables=tables)
 
 
-def _learn(
+def _update_estimates(
     tables: SchedulerTables,
     serving: ServingMeasure,
     units: dict[str, float],
     now: float,
 ) -> SchedulerTables:
-    sample_ms = min(serving.latency_ms, HIGHEST_PART * serving.target_ms)
-    harms = [_harm(tables, serving, image, now) for image in units]
+    sample_ms = min(serving.latency_ms, MAX_LATENCY_RATIO * serving.target_ms)
+    harms = [_known_or_first_estimate(tables, serving, image, now) for image in units]
     table = tables.harms
     for harm in interference_step.corrected(harms, units, sample_ms, now):
         table = table.put(harm_key(service=harm.service, job=harm.job), harm)
     return replace(tables, harms=table)
 
 
-def _harm(
+def _known_or_first_estimate(
     tables: SchedulerTables, serving: ServingMeasure, image: str, now: float
 ) -> Harm:
     known = tables.harms.get(harm_key(service=serving.image, job=image))
-    first_ms = 0.0 if image else OWN_PART * serving.target_ms
+    first_ms = 0.0 if image else INITIAL_OWN_LATENCY_RATIO * serving.target_ms
     return known or Harm(
         service=serving.image, job=image, estimate_ms=first_ms, variance=1.0, at=now
     )
 
 
-def harm_part(
+def harm_fraction(
     tables: SchedulerTables, serving: str, image: str, target_ms: float
 ) -> float:
     """Return what one unit of an image adds, as a part of the serving one's target."""
@@ -90,9 +90,9 @@
     return known.estimate_ms / max(1.0, target_ms) if known else 0.0
 
 
-def due_row(tables: SchedulerTables, now: float) -> HarmsRow | None:
+def row_to_save(tables: SchedulerTables, now: float) -> HarmsRow | None:
     """Return the row of what is known, when it is to be written again."""
-    if now - tables.harms_saved_at < SAVE_S or not len(tables.harms):
+    if now - tables.harms_saved_at < HARMS_SAVE_INTERVAL_S or not len(tables.harms):
         return None
     estimates = tuple(
         HarmEstimate(
@@ -102,13 +102,13 @@
             variance=round(harm.variance, 4),
         )
         for harm in tables.harms.rows()
-        if now - harm.at < KEPT_S
+        if now - harm.at < HARM_RETENTION_S
     )
     targets = tuple(sorted(tables.target_by_image.items()))
     return HarmsRow(estimates=estimates, target_by_image=targets)
 
 
-def on_read(
+def restore_estimates(
     rows: tuple[StoredRow, ...], tables: SchedulerTables, now: float
 ) -> SchedulerTables:
     """Take in what a former owner had learned."""
@@ -121,7 +121,7 @@
                 service=known.serving,
                 job=known.filling,
                 estimate_ms=known.estimate_ms,
-                variance=min(1.0, known.variance + READ_VARIANCE),
+                variance=min(1.0, known.variance + RESTORED_VARIANCE),
                 at=now,
             )
             harms = harms.put(harm_key(service=harm.service, job=harm.job), harm)
@@ -130,9 +130,12 @@
     return tables
 
 
-def tell(tables: SchedulerTables, now: float) -> SchedulerStep:
+def send_verdicts(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Tell each agent what is known of the images on its host, when that changes."""
-    if not edits.is_loaded(tables) or now - tables.verdicts_sent_at < TELL_S:
+    if (
+        not edits.is_loaded(tables)
+        or now - tables.verdicts_sent_at < VERDICT_INTERVAL_S
+    ):
         return Step(tables=tables)
     harmful, harmless = _verdicts(tables)
     commands: list[Command] = []
@@ -147,11 +150,11 @@
         images = {step.image for step in _steps_on(tables, host) if step.image}
         item = HarmVerdicts(
             epoch=tables.epoch,
-            harmful=_among(harmful, images),
-            harmless=_among(harmless, images),
+            harmful=_pairs_among(harmful, images),
+            harmless=_pairs_among(harmless, images),
         )
-        if item != host.told:
-            tables = edits.put_host(tables, replace(host, told=item))
+        if item != host.sent_verdicts:
+            tables = edits.put_host(tables, replace(host, sent_verdicts=item))
             commands.append(Send(peer=host.peer, item=item))
     return Step(tables=tables, commands=tuple(commands))
 
@@ -161,22 +164,26 @@
     return [edits.step_of(tables, task) for task in tasks]
 
 
-def _among(pairs: frozenset[Pair], images: set[str]) -> tuple[Pair, ...]:
+def _pairs_among(
+    pairs: frozenset[ImagePair], images: set[str]
+) -> tuple[ImagePair, ...]:
     return tuple(sorted(pair for pair in pairs if set(pair) <= images))
 
 
-def _verdicts(tables: SchedulerTables) -> tuple[frozenset[Pair], frozenset[Pair]]:
-    harmful: set[Pair] = set()
-    harmless: set[Pair] = set()
+def _verdicts(
+    tables: SchedulerTables,
+) -> tuple[frozenset[ImagePair], frozenset[ImagePair]]:
+    harmful: set[ImagePair] = set()
+    harmless: set[ImagePair] = set()
     for harm in tables.harms.rows():
         target_ms = tables.target_by_image.get(harm.service, 0.0)
-        if harm.job == OWN or not target_ms:
+        if harm.job == SERVICE_ALONE or not target_ms:
             continue
         pair = (harm.service, harm.job)
         part = harm.estimate_ms / target_ms
-        bound = FORGIVEN_PART if pair in tables.harmful else HARMFUL_PART
+        bound = HARMLESS_FRACTION if pair in tables.harmful else HARMFUL_FRACTION
         if part >= bound:
             harmful.add(pair)
-        elif harm.variance < KNOWN_VARIANCE:
+        elif harm.variance < MAX_HARMLESS_VARIANCE:
             harmless.add(pair)
     return frozenset(harmful), frozenset(harmless)
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -42,6 +42,6 @@
 
 def leases_expired_at(tables: SchedulerTables, owning: Owning, host: Host) -> float:
     """Return when nothing that was ordered there before can still run."""
-    if host.contact_at > 0.0:
-        return host.contact_at + tables.bounds.silent_agent_s
-    return owning.since + tables.bounds.unseen_agent_s
+    if host.last_contact_at > 0.0:
+        return host.last_contact_at + tables.bounds.agent_expiry_s
+    return owning.since + tables.bounds.agent_expiry_after_takeover_s
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -32,7 +32,7 @@
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
-from bulrushpulley.systems.scheduling import accepting, edits, learning, restoring
+from bulrushpulley.systems.scheduling import accepting, edits, interference, restoring
 
 # Long enough for a few hundred rows from a store that answers 100 times slower.
 LOAD_TIMEOUT_S = 6.0
@@ -89,9 +89,9 @@
         tables = on_hosts(tables, event.rows)
         tables = _start_watch(tables, HOSTS, event.version)
     elif table == HARMS:
-        tables = learning.on_read(event.rows, tables, now)
+        tables = interference.restore_estimates(event.rows, tables, now)
     else:
-        step = accepting.on_rows(event.rows, tables, now)
+        step = accepting.handle_rows(event.rows, tables, now)
         tables = _start_watch(restoring.drop_progress(step.tables), JOBS, event.version)
         commands = step.commands
     if left:
@@ -153,15 +153,15 @@
             host,
             life="",
             state=ServerState.UNKNOWN,
-            contact_at=0.0,
+            last_contact_at=0.0,
             adopted_epoch=0,
             synced=False,
             committed=NO_RESOURCES,
             filling_m=0,
             images={},
-            aside_until=0.0,
+            quarantined_until=0.0,
             failed_at=(),
-            told=None,
+            sent_verdicts=None,
         )
         hosts = hosts.put(host.name, plain)
     return hosts
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -30,25 +30,25 @@
     choosing,
     edits,
     emptying,
-    learning,
+    interference,
 )
-from bulrushpulley.systems.scheduling.ranking import Room, kind_of
+from bulrushpulley.systems.scheduling.ranking import Candidate, kind_of
 
 # An agent makes contact each second; one that missed two gets nothing new.
-FRESH_S = 2.5
+MAX_CONTACT_AGE_S = 2.5
 # Hosts come back from being set aside without any event.
-PASS_S = 0.5
-MAX_PLACED = 400
+PLACEMENT_INTERVAL_S = 0.5
+MAX_PLACED_PER_PASS = 400
 # Agents that can be reached list their runs to a new owner within this time.
-SETTLE_S = 0.6
+AGENT_SYNC_TIMEOUT_S = 0.6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Pass:
+class PlacementPass:
     """The state of one pass over the waiting tasks."""
 
     tables: SchedulerTables
-    room_by_host: dict[str, Room]
+    candidate_by_host: dict[str, Candidate]
     lines: tuple[Command, ...] = ()
     placed: int = 0
 
@@ -56,45 +56,45 @@
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Place what can be placed, when something has changed."""
     waiting = tables.tasks.by_index["waiting"]
-    due = tables.place_due or now - tables.placed_at >= PASS_S
+    due = tables.place_due or now - tables.placed_at >= PLACEMENT_INTERVAL_S
     if not edits.is_loaded(tables) or not waiting or not due or tables.leaving:
         return Step(tables=tables)
-    if _is_settling(tables, now):
+    if _awaits_agents(tables, now):
         return Step(tables=tables)
     tables = replace(tables, place_due=False, placed_at=now)
     closed = emptying.closed_hosts(tables)
-    rooms = {
-        host.name: room_of(host)
+    candidates = {
+        host.name: candidate_of(host)
         for host in tables.hosts.rows()
         if is_open(tables, host, now) and host.name not in closed
     }
-    state = Pass(tables=tables, room_by_host=rooms)
+    state = PlacementPass(tables=tables, candidate_by_host=candidates)
     jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
-    jobs.sort(key=lambda job: order(job, now))
+    jobs.sort(key=lambda job: placement_order(job, now))
     for job in jobs:
-        if state.placed >= MAX_PLACED:
+        if state.placed >= MAX_PLACED_PER_PASS:
             break
         state = _place_job(state, job, now)
-    hosts = [room.host for room in rooms.values()]
-    asked = advising.ask(state.tables, jobs, hosts, now)
+    hosts = [candidate.host for candidate in candidates.values()]
+    asked = advising.request_advice(state.tables, jobs, hosts, now)
     commands: tuple[Command, ...] = (*state.lines, *asked.commands)
     return Step(tables=asked.tables, commands=commands)
 
 
-def _is_settling(tables: SchedulerTables, now: float) -> bool:
+def _awaits_agents(tables: SchedulerTables, now: float) -> bool:
     """Wait for the agents after a takeover, lest the first one gets everything."""
     owning = tables.leadership
     since = owning.since if isinstance(owning, Owning) else now
-    if now - since >= SETTLE_S:
+    if now - since >= AGENT_SYNC_TIMEOUT_S:
         return False
     return any(host.address and not host.synced for host in tables.hosts.rows())
 
 
-def room_of(host: Host) -> Room:
+def candidate_of(host: Host) -> Candidate:
     """Return the room of a host, with the images of what it holds."""
     capacity = max(1, host.capacity.processors_m)
     images = host.images.items()
-    return Room(
+    return Candidate(
         host=host,
         free=host.free,
         filling_m=host.filling_m,
@@ -114,20 +114,20 @@
     return (
         host.state is ServerState.READY
         and host.synced
-        and now - host.contact_at < FRESH_S
-        and now >= host.aside_until
+        and now - host.last_contact_at < MAX_CONTACT_AGE_S
+        and now >= host.quarantined_until
         and host.failure_domain not in tables.standing.evacuated
     )
 
 
-def order(job: Job, now: float) -> tuple[bool, int, bool, float, str]:
+def placement_order(job: Job, now: float) -> tuple[bool, int, bool, float, str]:
     """Return the sort key: what is too late last, then priority, then objective."""
     lasting = any(step.lasting for step in job.row.spec.steps)
     late = now > job.deadline_at and not lasting
     return (late, job.row.priority, not lasting, job.objective_at, job.job_id)
 
 
-def _place_job(state: Pass, job: Job, now: float) -> Pass:
+def _place_job(state: PlacementPass, job: Job, now: float) -> PlacementPass:
     tasks = state.tables.tasks.rows_where("waiting", job.job_id)
     groups: dict[tuple[int, int], list[Task]] = {}
     for task in tasks:
@@ -155,63 +155,67 @@
 
 
 def _place_each(
-    state: Pass,
+    state: PlacementPass,
     job: Job,
     step: StepSpec,
     members: Iterable[Task],
     siblings: Counter[str],
     now: float,
-) -> Pass:
-    ranked: dict[float, dict[str, choosing.Ranked]] = {}
+) -> PlacementPass:
+    ranked: dict[float, dict[str, choosing.RankedCandidate]] = {}
     for task in members:
-        wanted = _wanted(state, job, step, task, now)
+        request = _placement_request(state, job, step, task, now)
         # What all hosts have free counts for lasting tasks, and changes with each.
         same = {} if step.lasting else ranked.setdefault(task.since, {})
-        room = choosing.choose(wanted, state.room_by_host, task, siblings, same)
-        if room is None:
+        candidate = choosing.choose_candidate(
+            request, state.candidate_by_host, task, siblings, same
+        )
+        if candidate is None:
             if not task.avoided_hosts:
                 break
             continue
-        siblings[room.host.name] += 1
-        state = _assign(state, job, step, task, room, task.run + 1, now)
+        siblings[candidate.host.name] += 1
+        state = _assign(state, job, step, task, candidate, task.run + 1, now)
     return state
 
 
 def _place_gang(
-    state: Pass,
+    state: PlacementPass,
     job: Job,
     step: StepSpec,
     members: list[Task],
     siblings: Counter[str],
     now: float,
-) -> Pass:
+) -> PlacementPass:
     """Place all members with one run number and checkpoint, or none."""
     if len(members) < step.count:
         return state
     run = max(task.run for task in members) + 1
     checkpoint = max(task.checkpoint for task in members)
-    tried = state
+    trial = state
     for task in members:
-        wanted = _wanted(tried, job, step, task, now)
-        room = choosing.choose(wanted, tried.room_by_host, task, siblings, {})
-        if room is None:
+        request = _placement_request(trial, job, step, task, now)
+        candidate = choosing.choose_candidate(
+            request, trial.candidate_by_host, task, siblings, {}
+        )
+        if candidate is None:
             return state
-        siblings[room.host.name] += 1
+        siblings[candidate.host.name] += 1
         same = replace(task, checkpoint=checkpoint)
-        tried = _assign(tried, job, step, same, room, run, now)
-    return tried
+        trial = _assign(trial, job, step, same, candidate, run, now)
+    return trial
 
 
-def _wanted(
-    state: Pass, job: Job, step: StepSpec, task: Task, now: float
-) -> choosing.Wanted:
+def _placement_request(
+    state: PlacementPass, job: Job, step: StepSpec, task: Task, now: float
+) -> choosing.PlacementRequest:
     key = step_key(task.job_id, task.occurrence, task.step)
-    return choosing.Wanted(
+    return choosing.PlacementRequest(
         step=step,
         kind=kind_of(step),
         service=service_of(state.tables, job),
         tickets=advising.tickets(state.tables, job, key, now),
-        harm_part=partial(learning.harm_part, state.tables),
+        harm_fraction=partial(interference.harm_fraction, state.tables),
         waited_s=now - task.since,
     )
 
@@ -223,15 +227,15 @@
 
 
 def _assign(
-    state: Pass,
+    state: PlacementPass,
     job: Job,
     step: StepSpec,
     task: Task,
-    room: Room,
+    candidate: Candidate,
     run: int,
     now: float,
-) -> Pass:
-    host = room.host
+) -> PlacementPass:
+    host = candidate.host
     placed = replace(
         task,
         state=TaskState.PLACED,
@@ -248,14 +252,17 @@
         tables = edits.put_job(tables, replace(current, state=JobState.RUNNING))
     effect = SendStart(task_id=task.task_id, run=run)
     tables = edits.mark_dirty(tables, job.job_id, effect)
-    reason = f"waited {now - task.since:.2f} s, load {room.load:.2f}"
+    reason = f"waited {now - task.since:.2f} s, load {candidate.load:.2f}"
     waited = Observe(
         name="task_wait_seconds", seconds=now - task.since, label=job.row.queue
     )
     line = edits.log(tables, "task.place", f"{task.task_id}#{run}", host.name, reason)
-    return Pass(
+    return PlacementPass(
         tables=tables,
-        room_by_host={**state.room_by_host, host.name: room.with_task(step)},
+        candidate_by_host={
+            **state.candidate_by_host,
+            host.name: candidate.with_task(step),
+        },
         lines=(*state.lines, line, waited),
         placed=state.placed + 1,
     )
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -15,74 +15,78 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.upkeep import (
-    ALL_AWAY,
-    AWAY,
+    DOWN_INDEX,
+    DOWN_PHASES,
     MachineState,
     OrderUpkeep,
     Upkeep,
-    UpkeepDenied,
+    UpkeepOrderAccepted,
+    UpkeepOrderFailed,
     UpkeepPhase,
-    UpkeepTaken,
     Wave,
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, emptying, waves
 
-CALL_S = 1.0
-RETRY_S = 0.5
+UPKEEP_ORDER_TIMEOUT_S = 1.0
+UPKEEP_ORDER_RETRY_DELAY_S = 0.5
 # An owner that has not renewed its row for this long may be replaced before an order
 # arrives; followers wait longer than this.
-FRESH_S = 1.2
+MAX_RENEWAL_AGE_S = 1.2
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Make the next moves for every wave."""
-    if not edits.is_loaded(tables) or tables.upkeep.listed_at < 0.0:
+    if not edits.is_loaded(tables) or tables.upkeep.machines_as_of < 0.0:
         return Step(tables=tables)
     commands: list[Command] = []
     for wave in tables.upkeep.waves.rows():
-        tables = _finish(tables, wave, now)
-        tables = _choose(tables, wave, now)
-        for upkeep in waves.of_wave(tables, wave.order.number):
+        tables = _finish_returned(tables, wave, now)
+        tables = _start_emptying(tables, wave, now)
+        for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
             step = _advance(tables, wave, upkeep, now)
             tables = step.tables
             commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _moved(
+def _with_phase(
     tables: SchedulerTables, upkeep: Upkeep, phase: UpkeepPhase, now: float
 ) -> SchedulerTables:
-    moved = replace(upkeep, phase=phase, since=now, in_flight=False, retry_at=0.0)
-    return waves.put_upkeep(tables, moved)
+    changed = replace(upkeep, phase=phase, since=now, in_flight=False, retry_at=0.0)
+    return waves.put_upkeep(tables, changed)
 
 
-def _finish(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerTables:
+def _finish_returned(
+    tables: SchedulerTables, wave: Wave, now: float
+) -> SchedulerTables:
     """Note the machines that are back, or that do not exist any more."""
     machines = tables.upkeep.machines
-    listed_at = tables.upkeep.listed_at
-    for upkeep in waves.of_wave(tables, wave.order.number):
+    machines_as_of = tables.upkeep.machines_as_of
+    for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
         machine = machines.get(upkeep.machine_id)
         # A list that was asked for before the phase began says nothing about it.
-        if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= listed_at:
+        if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= machines_as_of:
             continue
         back = machine is not None and machine.state is MachineState.UP
         if machine is None or (back and upkeep.phase is UpkeepPhase.TAKEN):
-            tables = _moved(tables, upkeep, UpkeepPhase.FINISHED, now)
+            tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
             tables = replace(tables, place_due=True)
     return tables
 
 
-def _choose(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerTables:
+def _start_emptying(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerTables:
     """Begin to empty as many machines as the wave allows, those with least first."""
-    upkeeps = waves.of_wave(tables, wave.order.number)
-    room = wave.order.at_once - sum(upkeep.phase in AWAY for upkeep in upkeeps)
+    upkeeps = waves.upkeeps_of_wave(tables, wave.order.number)
+    free_slots = wave.order.at_once - sum(
+        upkeep.phase in DOWN_PHASES for upkeep in upkeeps
+    )
     waiting = [up for up in upkeeps if up.phase is UpkeepPhase.WAITING]
     ready = [up for up in waiting if _is_up(tables, up) and not _is_away(tables, up)]
     ready.sort(key=lambda up: (_task_count(tables, up), up.machine_id))
-    for upkeep in ready[: max(0, room)]:
+    for upkeep in ready[: max(0, free_slots)]:
         if emptying.has_room_elsewhere(tables, upkeep.machine_id):
-            tables = _moved(tables, upkeep, UpkeepPhase.EMPTYING, now)
+            tables = _with_phase(tables, upkeep, UpkeepPhase.EMPTYING, now)
     return tables
 
 
@@ -93,7 +97,7 @@
 
 def _is_away(tables: SchedulerTables, upkeep: Upkeep) -> bool:
     """Tell whether another wave has the machine."""
-    away = tables.upkeep.upkeeps.rows_where("wave", ALL_AWAY)
+    away = tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
     return any(other.machine_id == upkeep.machine_id for other in away)
 
 
@@ -108,7 +112,7 @@
     if upkeep.phase is UpkeepPhase.EMPTYING:
         return _empty(tables, wave, upkeep, now)
     if upkeep.phase is UpkeepPhase.ORDERED:
-        return _order(tables, wave, upkeep, now)
+        return _order_upkeep(tables, wave, upkeep, now)
     return Step(tables=tables)
 
 
@@ -117,27 +121,27 @@
 ) -> SchedulerStep:
     host = emptying.host_of(tables, upkeep.machine_id)
     if host is not None and not emptying.is_empty(tables, host):
-        return emptying.empty(tables, wave, upkeep, host, now)
-    if host is None and now - upkeep.since < emptying.finish_s(wave):
+        return emptying.empty_host(tables, wave, upkeep, host, now)
+    if host is None and now - upkeep.since < emptying.finish_timeout_s(wave):
         # Its backend server may have started just now; its agent will report it.
         return Step(tables=tables)
     name = host.name if host is not None else ""
     line = edits.log(tables, "upkeep.order", upkeep.key, name, "nothing runs there")
-    tables = _moved(tables, upkeep, UpkeepPhase.ORDERED, now)
+    tables = _with_phase(tables, upkeep, UpkeepPhase.ORDERED, now)
     return Step(tables=tables, commands=(line,))
 
 
-def _order(
+def _order_upkeep(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, now: float
 ) -> SchedulerStep:
     """Order an upkeep that is durable, unless another owner may be ordering too."""
     owning = tables.leadership
     if not isinstance(owning, Owning) or upkeep.in_flight or now < upkeep.retry_at:
         return Step(tables=tables)
-    durable = upkeep.machine_id in wave.durable.ordered
-    turn = now - owning.since >= tables.bounds.turn_s
-    fresh = now - owning.renewed_at < FRESH_S
-    if not (durable and turn and fresh) or tables.leaving:
+    durable = upkeep.machine_id in wave.durable_row.ordered
+    turn_waited = now - owning.since >= tables.bounds.turn_s
+    recently_renewed = now - owning.renewed_at < MAX_RENEWAL_AGE_S
+    if not (durable and turn_waited and recently_renewed) or tables.leaving:
         return Step(tables=tables)
     call = OrderUpkeep(
         role=SCHEDULER,
@@ -145,24 +149,26 @@
         wave=upkeep.wave,
         holder=tables.name,
         token=tables.epoch,
-        timeout_s=CALL_S,
+        timeout_s=UPKEEP_ORDER_TIMEOUT_S,
     )
     tables = waves.put_upkeep(tables, replace(upkeep, in_flight=True))
     return Step(tables=tables, commands=(call,))
 
 
-def on_taken(event: UpkeepTaken, tables: SchedulerTables, now: float) -> SchedulerStep:
+def handle_order_accepted(
+    event: UpkeepOrderAccepted, tables: SchedulerTables, now: float
+) -> SchedulerStep:
     """Wait for the machine to come back."""
     upkeep = tables.upkeep.upkeeps.get(f"{event.wave}/{event.machine_id}")
     if upkeep is None or upkeep.phase is not UpkeepPhase.ORDERED:
         return Step(tables=tables)
     line = edits.log(tables, "upkeep.taken", upkeep.key, "", "the platform has it")
-    tables = _moved(tables, upkeep, UpkeepPhase.TAKEN, now)
+    tables = _with_phase(tables, upkeep, UpkeepPhase.TAKEN, now)
     return Step(tables=tables, commands=(line,))
 
 
-def on_denied(
-    event: UpkeepDenied, tables: SchedulerTables, now: float
+def handle_order_failed(
+    event: UpkeepOrderFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Order again after a while, unless there is no such machine."""
     upkeep = tables.upkeep.upkeeps.get(f"{event.wave}/{event.machine_id}")
@@ -170,7 +176,7 @@
         return Step(tables=tables)
     line = edits.log(tables, "upkeep.denied", upkeep.key, "", event.reason)
     if event.unknown_machine:
-        tables = _moved(tables, upkeep, UpkeepPhase.FINISHED, now)
+        tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
         return Step(tables=tables, commands=(line,))
-    again = replace(upkeep, in_flight=False, retry_at=now + RETRY_S)
+    again = replace(upkeep, in_flight=False, retry_at=now + UPKEEP_ORDER_RETRY_DELAY_S)
     return Step(tables=waves.put_upkeep(tables, again), commands=(line,))
--- a/bulrushpulley/systems/scheduling/watching.py
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -52,7 +52,7 @@
     tables = _put(tables, table, store_watch.answered(state, version))
     if table == HOSTS:
         return Step(tables=loading.on_hosts(tables, rows))
-    return accepting.on_rows(rows, tables, now)
+    return accepting.handle_rows(rows, tables, now)
 
 
 def on_history_lost(table: str, tables: SchedulerTables) -> SchedulerStep:
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -32,9 +32,9 @@
 )
 from bulrushpulley.entities.jobs.upkeep import (
     ListMachines,
+    ListMachinesFailed,
     Machine,
     MachinesListed,
-    MachinesUnlisted,
     Upkeep,
     UpkeepPhase,
     UpkeepTables,
@@ -46,9 +46,9 @@
 from bulrushpulley.systems.scheduling import edits
 
 # Readings of lists are few; an upkeep takes seconds.
-LIST_S = 1.0
-CALL_S = 1.5
-RETRY_S = 0.5
+MACHINE_LIST_INTERVAL_S = 1.0
+WAVE_CALL_TIMEOUT_S = 1.5
+WAVE_STATUS_RETRY_DELAY_S = 0.5
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -57,14 +57,16 @@
     if not edits.is_loaded(tables) or not known:
         return Step(tables=tables)
     if tables.upkeep.written_by_wave is None:
-        return _read(tables)
+        return _load_waves(tables)
     tables = _follow_orders(tables, now)
     commands: list[Command] = []
     if _is_list_due(tables, now):
-        tables = _put(tables, replace(tables.upkeep, listing=True, asked_at=now))
-        commands.append(ListMachines(role=SCHEDULER, timeout_s=CALL_S))
+        tables = _put(
+            tables, replace(tables.upkeep, listing=True, list_requested_at=now)
+        )
+        commands.append(ListMachines(role=SCHEDULER, timeout_s=WAVE_CALL_TIMEOUT_S))
     for wave in tables.upkeep.waves.rows():
-        step = _tell(tables, wave, now)
+        step = _report_state(tables, wave, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -85,18 +87,18 @@
     return _put(tables, replace(tables.upkeep, waves=waves))
 
 
-def of_wave(tables: SchedulerTables, number: int) -> list[Upkeep]:
+def upkeeps_of_wave(tables: SchedulerTables, number: int) -> list[Upkeep]:
     """Return the upkeeps of a wave."""
     return tables.upkeep.upkeeps.rows_where("wave", wave_index(number))
 
 
-def _read(tables: SchedulerTables) -> SchedulerStep:
+def _load_waves(tables: SchedulerTables) -> SchedulerStep:
     if tables.upkeep.reading:
         return Step(tables=tables)
     read = ReadRange(
         role=SCHEDULER,
         purpose=LoadWaves(epoch=tables.epoch),
-        timeout_s=CALL_S,
+        timeout_s=WAVE_CALL_TIMEOUT_S,
         table=WAVES,
         part=OWNED_PART,
     )
@@ -104,7 +106,9 @@
     return Step(tables=_put(tables, reading), commands=(read,))
 
 
-def on_loaded(event: RangeRead, tables: SchedulerTables, now: float) -> SchedulerStep:
+def handle_waves_loaded(
+    event: RangeRead, tables: SchedulerTables, now: float
+) -> SchedulerStep:
     """Take in how far former owners came."""
     written = {
         stored.row.number: stored.row
@@ -115,7 +119,7 @@
     return Step(tables=_put(tables, loaded))
 
 
-def on_unread(tables: SchedulerTables, now: float) -> SchedulerStep:
+def handle_load_failed(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Read again at the next tick."""
     return Step(tables=_put(tables, replace(tables.upkeep, reading=False)))
 
@@ -127,36 +131,36 @@
             tables = _withdraw(tables, wave)
     for number, order in ordered.items():
         if number not in tables.upkeep.waves:
-            tables = _begin(tables, order, now)
+            tables = _add_wave(tables, order, now)
     return tables
 
 
 def _withdraw(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
     """Forget a wave whose order is gone; what was ordered may still happen."""
     upkeeps = tables.upkeep.upkeeps
-    for upkeep in of_wave(tables, wave.order.number):
+    for upkeep in upkeeps_of_wave(tables, wave.order.number):
         upkeeps = upkeeps.drop(upkeep.key)
     waves = tables.upkeep.waves.drop(str(wave.order.number))
     return _put(tables, replace(tables.upkeep, waves=waves, upkeeps=upkeeps))
 
 
-def _begin(tables: SchedulerTables, order: WaveOrder, now: float) -> SchedulerTables:
+def _add_wave(tables: SchedulerTables, order: WaveOrder, now: float) -> SchedulerTables:
     written_by_wave = tables.upkeep.written_by_wave or {}
     written = written_by_wave.get(order.number, WaveRow(number=order.number))
-    wave = Wave(order=order, writing=written, durable=written)
+    wave = Wave(order=order, submitted_row=written, durable_row=written)
     tables = _put_wave(tables, wave)
     for machine_id in order.machine_ids:
         upkeep = Upkeep(
             wave=order.number,
             machine_id=machine_id,
-            phase=_phase(written, machine_id),
+            phase=_initial_phase(written, machine_id),
             since=now,
         )
         tables = put_upkeep(tables, upkeep)
     return tables
 
 
-def _phase(written: WaveRow, machine_id: str) -> UpkeepPhase:
+def _initial_phase(written: WaveRow, machine_id: str) -> UpkeepPhase:
     if machine_id in written.finished:
         return UpkeepPhase.FINISHED
     # A former owner's order may have been taken or not, so it is given again.
@@ -165,35 +169,40 @@
 
 def is_over(tables: SchedulerTables, wave: Wave) -> bool:
     """Tell whether every machine of a wave is through."""
-    upkeeps = of_wave(tables, wave.order.number)
+    upkeeps = upkeeps_of_wave(tables, wave.order.number)
     return all(upkeep.phase is UpkeepPhase.FINISHED for upkeep in upkeeps)
 
 
 def _is_list_due(tables: SchedulerTables, now: float) -> bool:
     upkeep = tables.upkeep
-    if upkeep.listing or now - upkeep.asked_at < LIST_S:
+    if upkeep.listing or now - upkeep.list_requested_at < MACHINE_LIST_INTERVAL_S:
         return False
     return any(not is_over(tables, wave) for wave in upkeep.waves.rows())
 
 
-def on_listed(
+def handle_machines_listed(
     event: MachinesListed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Replace the list of machines; an empty one tells nothing about any of them."""
     if not event.machines:
-        return on_unlisted(MachinesUnlisted(reason="an empty list"), tables, now)
+        return handle_list_failed(
+            ListMachinesFailed(reason="an empty list"), tables, now
+        )
     machines: Table[Machine] = Table.empty()
     for machine in event.machines:
         machines = machines.put(machine.machine_id, machine)
     upkeep = tables.upkeep
     listed = replace(
-        upkeep, machines=machines, listing=False, listed_at=upkeep.asked_at
+        upkeep,
+        machines=machines,
+        listing=False,
+        machines_as_of=upkeep.list_requested_at,
     )
     return Step(tables=_put(tables, listed))
 
 
-def on_unlisted(
-    event: MachinesUnlisted, tables: SchedulerTables, now: float
+def handle_list_failed(
+    event: ListMachinesFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Ask again after the usual pause."""
     line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
@@ -203,9 +212,9 @@
 
 def row_of(tables: SchedulerTables, wave: Wave) -> WaveRow:
     """Return the durable part of a wave."""
-    upkeeps = of_wave(tables, wave.order.number)
-    given = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
-    ordered = (up.machine_id for up in upkeeps if up.phase in given)
+    upkeeps = upkeeps_of_wave(tables, wave.order.number)
+    ordered_phases = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
+    ordered = (up.machine_id for up in upkeeps if up.phase in ordered_phases)
     finished = (up.machine_id for up in upkeeps if up.phase is UpkeepPhase.FINISHED)
     return WaveRow(
         number=wave.order.number,
@@ -214,35 +223,37 @@
     )
 
 
-def unwritten(tables: SchedulerTables) -> tuple[WaveRow, ...]:
+def unwritten_rows(tables: SchedulerTables) -> tuple[WaveRow, ...]:
     """Return the rows of waves that have changed since they were last written."""
     rows = ((wave, row_of(tables, wave)) for wave in tables.upkeep.waves.rows())
-    return tuple(row for wave, row in rows if row != wave.writing)
+    return tuple(row for wave, row in rows if row != wave.submitted_row)
 
 
-def writing(tables: SchedulerTables, rows: tuple[WaveRow, ...]) -> SchedulerTables:
+def mark_submitted(
+    tables: SchedulerTables, rows: tuple[WaveRow, ...]
+) -> SchedulerTables:
     """Note that a transaction with some rows is on its way."""
     for row in rows:
         wave = tables.upkeep.waves.by_key[str(row.number)]
-        tables = _put_wave(tables, replace(wave, writing=row))
+        tables = _put_wave(tables, replace(wave, submitted_row=row))
     return tables
 
 
-def written(tables: SchedulerTables, numbers: tuple[int, ...]) -> SchedulerTables:
+def mark_durable(tables: SchedulerTables, numbers: tuple[int, ...]) -> SchedulerTables:
     """Note that the transaction with some waves has succeeded."""
     for number in numbers:
         wave = tables.upkeep.waves.get(str(number))
         if wave is not None:
-            tables = _put_wave(tables, replace(wave, durable=wave.writing))
+            tables = _put_wave(tables, replace(wave, durable_row=wave.submitted_row))
     return tables
 
 
-def _tell(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerStep:
+def _report_state(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerStep:
     """Write the state of a wave where operators read it, once it is durable."""
-    finished = set(wave.durable.finished)
-    over = finished.issuperset(wave.order.machine_ids)
-    state = WaveState.COMPLETED if over else WaveState.RUNNING
-    if wave.telling or now < wave.retry_at or wave.told is state:
+    finished = set(wave.durable_row.finished)
+    all_finished = finished.issuperset(wave.order.machine_ids)
+    state = WaveState.COMPLETED if all_finished else WaveState.RUNNING
+    if wave.reporting or now < wave.retry_at or wave.reported_state is state:
         return Step(tables=tables)
     row = WaveStatusRow(number=wave.order.number, state=state)
     # A former owner may have told already that the wave is over.
@@ -251,24 +262,29 @@
     write = Transact(
         role=SCHEDULER,
         purpose=WriteWaveStatus(epoch=tables.epoch, number=row.number, state=state),
-        timeout_s=CALL_S,
+        timeout_s=WAVE_CALL_TIMEOUT_S,
         conditions=conditions,
         puts=(row,),
     )
-    tables = _put_wave(tables, replace(wave, telling=True))
+    tables = _put_wave(tables, replace(wave, reporting=True))
     subject = f"wave {wave.order.number}"
     reason = f"{len(finished)} of {len(wave.order.machine_ids)} machines are through"
     line = edits.log(tables, "wave.tell", subject, state.value, reason)
     return Step(tables=tables, commands=(line, write))
 
 
-def on_told(
+def handle_state_reported(
     purpose: WriteWaveStatus, done: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Note what operators were told, or have it written again."""
     wave = tables.upkeep.waves.get(str(purpose.number))
     if wave is None:
         return Step(tables=tables)
-    told = purpose.state if done else wave.told
-    again = replace(wave, telling=False, told=told, retry_at=now + RETRY_S)
+    reported_state = purpose.state if done else wave.reported_state
+    again = replace(
+        wave,
+        reporting=False,
+        reported_state=reported_state,
+        retry_at=now + WAVE_STATUS_RETRY_DELAY_S,
+    )
     return Step(tables=_put_wave(tables, again))
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -13,13 +13,13 @@
     MachinesListed,
     MachineState,
     OrderUpkeep,
-    UpkeepDenied,
     UpkeepEvent,
-    UpkeepTaken,
+    UpkeepOrderAccepted,
+    UpkeepOrderFailed,
 )
 
 UPKEEP_S = 2.0
-TURN_S = 3.0
+MIN_TURN_S = 3.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -28,8 +28,8 @@
 
     host: str
     up_at: float = 0.0
-    down_for: int = 0
-    upkept: set[int] = field(default_factory=set)
+    last_wave: int = 0
+    completed_waves: set[int] = field(default_factory=set)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -40,7 +40,7 @@
     limit_by_wave: dict[int, int] = field(default_factory=dict)
     orders: list[OrderUpkeep] = field(default_factory=list)
     ordered_at: list[float] = field(default_factory=list)
-    begun: list[str] = field(default_factory=list)
+    taken_down: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
     def add(self, host: str) -> None:
@@ -62,33 +62,33 @@
 
     def order(self, command: OrderUpkeep, now: float) -> tuple[UpkeepEvent, bool]:
         """Answer an order, and say whether the machine goes down now."""
-        self._check_turn(command, now)
+        self._check_order(command, now)
         self.orders.append(command)
         self.ordered_at.append(now)
         machine = self.machine_by_id.get(command.machine_id)
         if machine is None:
             return _denied(command, "no such machine", unknown=True), False
-        taken = UpkeepTaken(wave=command.wave, machine_id=command.machine_id)
-        if command.wave in machine.upkept:
+        taken = UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
+        if command.wave in machine.completed_waves:
             return taken, False
         if now < machine.up_at:
             return _denied(command, "busy"), False
         down = [
             other
             for other in self.machine_by_id.values()
-            if now < other.up_at and command.wave == other.down_for
+            if now < other.up_at and command.wave == other.last_wave
         ]
         if len(down) >= self.limit_by_wave.get(command.wave, 1):
             self.violations.append(f"too many down for wave {command.wave}")
-        machine.upkept.add(command.wave)
+        machine.completed_waves.add(command.wave)
         machine.up_at = now + UPKEEP_S
-        machine.down_for = command.wave
-        self.begun.append(command.machine_id)
+        machine.last_wave = command.wave
+        self.taken_down.append(command.machine_id)
         return taken, True
 
-    def _check_turn(self, command: OrderUpkeep, now: float) -> None:
+    def _check_order(self, command: OrderUpkeep, now: float) -> None:
         for before, at in zip(self.orders, self.ordered_at, strict=True):
-            if before.holder != command.holder and now - at < TURN_S:
+            if before.holder != command.holder and now - at < MIN_TURN_S:
                 self.violations.append("two holders took turns")
             if before.token > command.token:
                 self.violations.append("a lower token came after a higher one")
@@ -98,8 +98,8 @@
 
 def _denied(
     command: OrderUpkeep, reason: str, *, unknown: bool = False
-) -> UpkeepDenied:
-    return UpkeepDenied(
+) -> UpkeepOrderFailed:
+    return UpkeepOrderFailed(
         wave=command.wave,
         machine_id=command.machine_id,
         reason=reason,
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from bulrushpulley.entities.jobs import store
-from bulrushpulley.entities.jobs.advice import Advised, AskAdvice
+from bulrushpulley.entities.jobs.advice import AdviceReceived, RequestAdvice
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.calls import CallAnswer, SubmitCall
 from bulrushpulley.entities.jobs.configuration import (
@@ -55,7 +55,11 @@
     WallClock,
 )
 from bulrushpulley.entities.jobs.spec import JobSpec, StepSpec
-from bulrushpulley.entities.jobs.upkeep import ListMachines, OrderUpkeep, UpkeepDenied
+from bulrushpulley.entities.jobs.upkeep import (
+    ListMachines,
+    OrderUpkeep,
+    UpkeepOrderFailed,
+)
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import LinkDown, LinkEvent, LinkUp, Send
 from bulrushpulley.entities.linker_tables import DialEnded
@@ -379,13 +383,13 @@
         self.tell(process, command.role, command.event)
 
     @_carry_out.register
-    def _(self, command: AskAdvice, process: Process) -> None:
+    def _(self, command: RequestAdvice, process: Process) -> None:
         approved = {
             server_id: f"ticket-{server_id}"
             for server_id in command.server_ids
             if server_id not in self.disallowed
         }
-        advised = Advised(step_key=command.step_key, ticket_by_server=approved)
+        advised = AdviceReceived(step_key=command.step_key, ticket_by_server=approved)
         self.at(0.05, lambda: self.tell(process, command.role, advised))
 
     @_carry_out.register
@@ -404,7 +408,7 @@
         if goes_down:
             self._take_down(command.machine_id)
         if self.lose_orders:
-            event = UpkeepDenied(
+            event = UpkeepOrderFailed(
                 wave=command.wave, machine_id=command.machine_id, reason="no answer"
             )
         self.at(CALL_LATENCY_S, lambda: self.tell(process, command.role, event))
--- a/test/test_jobs_cases.py
+++ b/test/test_jobs_cases.py
@@ -14,8 +14,8 @@
 
 CASES = pathlib.Path(__file__).resolve().parent.parent / "test-data/jobs/placing.txt"
 MEMORY_MB = 8_000
-READY_S = 2.0
-PLACED_S = 1.0
+STARTUP_S = 2.0
+PLACEMENT_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,9 +67,9 @@
     def test_every_case(self) -> None:
         for case in read_cases():
             with self.subTest(case.name):
-                self._play(case)
+                self._run_case(case)
 
-    def _play(self, case: Case) -> None:
+    def _run_case(self, case: Case) -> None:
         world = JobsWorld(hosts=0)
         steps = 0
         for kind, *words in case.lines:
@@ -77,14 +77,14 @@
             if kind == "host":
                 self._add_host(world, given[0], options(given[1:]))
             elif kind == "then":
-                world.run(PLACED_S)
+                world.run(PLACEMENT_S)
             elif kind == "step":
                 steps += 1
                 if steps == 1:
-                    world.run(READY_S)
+                    world.run(STARTUP_S)
                 world.submit(steps, step_of(options(given)), payload="99.0")
             else:
-                world.run(PLACED_S)
+                world.run(PLACEMENT_S)
                 self.assertEqual(options(given), self._running(world))
         self.assertEqual([], world.violations)
 
--- a/test/test_jobs_explain.py
+++ b/test/test_jobs_explain.py
@@ -9,12 +9,12 @@
 import testtools
 
 from bulrushpulley.entities.jobs.explanation import (
-    AskTheOwner,
     ExplainJob,
     Explanation,
     JobExplained,
     JobNotKnown,
-    TaskExplained,
+    RedirectToOwner,
+    TaskExplanation,
 )
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Event
@@ -29,7 +29,7 @@
 
 HUGE = Resources(processors_m=99_000, memory_mb=100)
 JOB = "5c0e7a21d94b36f8"
-TASK = TaskExplained(
+TASK = TaskExplanation(
     task_id=f"{JOB}.0.0.0", state="waiting", for_s=1.5, run=2, failures=1, detail="why"
 )
 EXPLAINED = JobExplained(
@@ -73,7 +73,9 @@
         world.run(2.0)
         (other,) = {"entry-0", "entry-1"} - {world.owner()}
         answer = self._ask(world, other, JOB)
-        self.assertEqual(AskTheOwner(call_id="explain", owner=world.owner()), answer)
+        self.assertEqual(
+            RedirectToOwner(call_id="explain", owner=world.owner()), answer
+        )
 
     def test_a_job_that_nobody_handed_in_is_not_known(self) -> None:
         world = JobsWorld()
@@ -125,7 +127,7 @@
 
     def test_the_owner_is_found_among_entries(self) -> None:
         client = self._client(
-            lambda job: AskTheOwner(call_id="", owner="entry-2"),
+            lambda job: RedirectToOwner(call_id="", owner="entry-2"),
             lambda job: replace(EXPLAINED, job_id=job),
         )
         call = Call(method="GET", path=f"/v1/explain/{JOB}", query={}, idempotent=True)
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -11,7 +11,7 @@
 from bulrushpulley.entities.jobs.calls import JobAccepted, TryLater
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.resources import Resources
-from bulrushpulley.systems.scheduling import learning
+from bulrushpulley.systems.scheduling import interference
 from test.jobs_world import JobsWorld, step
 
 BIG = Resources(processors_m=1_500, memory_mb=500)
@@ -25,7 +25,7 @@
     jobs waited 11 s, as lasting tasks had taken the last processor of each host.
     """
 
-    def _full(self) -> JobsWorld:
+    def _full_world(self) -> JobsWorld:
         world = JobsWorld()
         world.run(2.0)
         world.submit(1, step(20, size=BIG, lasting=True), payload="600.0")
@@ -33,13 +33,13 @@
         return world
 
     def test_short_work_still_finds_room(self) -> None:
-        world = self._full()
+        world = self._full_world()
         job = world.submit(2, step(3, size=SMALL), payload="0.5")
         world.run(1.5)
         self.assertEqual(JobState.COMPLETED, world.state_of(job))
 
     def test_lasting_work_takes_every_place_that_would_fit_it_twice(self) -> None:
-        world = self._full()
+        world = self._full_world()
         for executor in world.executor_by_host.values():
             left = executor.capacity.minus(executor.committed)
             self.assertLess(left.processors_m, 2 * BIG.processors_m)
@@ -122,7 +122,7 @@
     targets for ten seconds, as nobody knew any more which images slow them.
     """
 
-    def _learned(self, world: JobsWorld) -> None:
+    def _store_harm_estimate(self, world: JobsWorld) -> None:
         seat = world.process_by_name[world.owner()].instance_by_role["scheduler"]
         harm = Harm(
             service="oven", job="curve", estimate_ms=25.0, variance=0.1, at=world.now
@@ -134,13 +134,15 @@
     def test_a_new_owner_knows_what_slows_whom(self) -> None:
         world = JobsWorld(entries=2)
         world.run(3.0)
-        self._learned(world)
+        self._store_harm_estimate(world)
         world.run(3.0)
         for name in list(world.process_by_name):
             world.restart(name)
         world.run(4.0)
         seat = world.process_by_name[world.owner()].instance_by_role["scheduler"]
-        self.assertEqual(0.25, learning.harm_part(seat.tables, "oven", "curve", 100.0))
+        self.assertEqual(
+            0.25, interference.harm_fraction(seat.tables, "oven", "curve", 100.0)
+        )
         self.assertEqual(frozenset({("oven", "curve")}), seat.tables.harmful)
 
 
@@ -180,17 +182,17 @@
         world.store_up = False
         world.at(outage_s, lambda: setattr(world, "store_up", True))
         world.run(first_after_s)
-        began = world.now
+        started_at = world.now
         for attempt in range(1, 6):
             world.answers.clear()
             world.submit(1, step(1))
             world.run_until(lambda: bool(world.answers), 3.0)
             answer = world.answer_to("submit-1")
             if isinstance(answer, JobAccepted):
-                return attempt, world.now - began
+                return attempt, world.now - started_at
             assert isinstance(answer, TryLater)
             world.run(math.ceil(answer.retry_after_s))
-        return 6, world.now - began
+        return 6, world.now - started_at
 
     def test_a_caller_who_comes_first_is_served_in_the_end(self) -> None:
         attempts, _ = self._attempts(outage_s=6.0, first_after_s=0.05)
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -73,7 +73,7 @@
         case = FaultCase(injections=(("start called", "host cut off", 3),))
         self.assertEqual([], run_case(case, payload="4.0"))
         soon = property(lambda self: 1.5)
-        with mock.patch.object(bounds.Bounds, "silent_agent_s", soon):
+        with mock.patch.object(bounds.Bounds, "agent_expiry_s", soon):
             self.assertNotEqual([], run_case(case, payload="4.0"))
 
     def test_without_the_condition_on_the_owner_row_two_owners_do_harm(self) -> None:
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -277,7 +277,7 @@
     def _ended(self, world: JobsWorld) -> str:
         job = world.submit(1, *CHAIN)
         self.assertTrue(world.run_until(world.all_complete, 6.0))
-        world.run(condensing.EACH_S + 1.0)
+        world.run(condensing.CONDENSE_INTERVAL_S + 1.0)
         return job
 
     def test_they_hold_no_steps_and_no_tasks(self) -> None:
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -17,7 +17,7 @@
 WAVE_S = 25.0
 
 
-def told(world: JobsWorld, number: int) -> WaveState | None:
+def wave_state(world: JobsWorld, number: int) -> WaveState | None:
     """Return what operators read of a wave."""
     key = RowKey(table="status", part="", key=f"wave/{number}")
     stored = world.store.row_by_key.get(key)
@@ -35,17 +35,19 @@
         world.run(2.0)
         world.order_wave(4, *MACHINES)
         world.run(2.0)
-        self.assertIs(WaveState.RUNNING, told(world, 4))
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        self.assertIs(WaveState.RUNNING, wave_state(world, 4))
+        over = world.run_until(
+            lambda: wave_state(world, 4) is WaveState.COMPLETED, WAVE_S
+        )
         self.assertTrue(over)
-        self.assertEqual(sorted(MACHINES), sorted(world.machines.begun))
+        self.assertEqual(sorted(MACHINES), sorted(world.machines.taken_down))
         self._check(world)
 
     def test_as_many_go_down_at_once_as_the_wave_allows(self) -> None:
         world = JobsWorld()
         world.run(6.0)
         world.order_wave(4, *MACHINES, at_once=3)
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        over = world.run_until(lambda: wave_state(world, 4) is WaveState.COMPLETED, 8.0)
         self.assertTrue(over)
         self._check(world)
 
@@ -57,7 +59,7 @@
         world.order_wave(4, "m-z0-0")
         self.assertTrue(world.run_until(world.all_complete, 6.0))
         self.assertEqual(4, world.starts)
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        over = world.run_until(lambda: wave_state(world, 4) is WaveState.COMPLETED, 8.0)
         self.assertTrue(over)
         self._check(world)
 
@@ -77,7 +79,7 @@
                 task.state is TaskState.RUNNING and task.startup_done for task in tasks
             )
             least = min(least, running)
-        self.assertIs(WaveState.COMPLETED, told(world, 4))
+        self.assertIs(WaveState.COMPLETED, wave_state(world, 4))
         self.assertEqual(5, least)
         self._check(world)
 
@@ -85,11 +87,13 @@
         world = JobsWorld(entries=3)
         world.run(6.0)
         world.order_wave(4, *MACHINES)
-        world.run_until(lambda: bool(world.machines.begun), 5.0)
+        world.run_until(lambda: bool(world.machines.taken_down), 5.0)
         world.freeze(world.owner(), 9.0)
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        over = world.run_until(
+            lambda: wave_state(world, 4) is WaveState.COMPLETED, WAVE_S
+        )
         self.assertTrue(over)
-        self.assertEqual(sorted(MACHINES), sorted(world.machines.begun))
+        self.assertEqual(sorted(MACHINES), sorted(world.machines.taken_down))
         self.assertGreater(len({order.token for order in world.machines.orders}), 1)
         self._check(world)
 
@@ -97,12 +101,14 @@
         world = JobsWorld(entries=3)
         world.run(6.0)
         world.order_wave(4, *MACHINES, at_once=3)
-        world.run_until(lambda: bool(world.machines.begun), 5.0)
+        world.run_until(lambda: bool(world.machines.taken_down), 5.0)
         world.lose_orders = True
         world.leave(world.owner())
         world.run(1.0)
         world.lose_orders = False
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        over = world.run_until(
+            lambda: wave_state(world, 4) is WaveState.COMPLETED, WAVE_S
+        )
         self.assertTrue(over)
         self._check(world)
 
@@ -120,7 +126,9 @@
         self.assertFalse(world.store_up)
         self.assertEqual([], world.machines.orders)
         world.hook, world.store_up = None, True
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, WAVE_S)
+        over = world.run_until(
+            lambda: wave_state(world, 4) is WaveState.COMPLETED, WAVE_S
+        )
         self.assertTrue(over)
 
     def test_an_order_without_answer_is_given_again(self) -> None:
@@ -129,19 +137,21 @@
         world.lose_orders = True
         world.order_wave(4, "m-z0-0")
         world.run(6.0)
-        self.assertIs(WaveState.RUNNING, told(world, 4))
+        self.assertIs(WaveState.RUNNING, wave_state(world, 4))
         world.lose_orders = False
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 6.0)
+        over = world.run_until(lambda: wave_state(world, 4) is WaveState.COMPLETED, 6.0)
         self.assertTrue(over)
-        self.assertEqual(["m-z0-0"], world.machines.begun)
+        self.assertEqual(["m-z0-0"], world.machines.taken_down)
 
     def test_a_machine_that_is_gone_does_not_hold_a_wave_up(self) -> None:
         world = JobsWorld()
         world.run(6.0)
         world.order_wave(4, "m-gone", "m-z0-0")
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 10.0)
+        over = world.run_until(
+            lambda: wave_state(world, 4) is WaveState.COMPLETED, 10.0
+        )
         self.assertTrue(over)
-        self.assertEqual(["m-z0-0"], world.machines.begun)
+        self.assertEqual(["m-z0-0"], world.machines.taken_down)
 
     def test_an_empty_list_does_not_end_a_wave(self) -> None:
         world = JobsWorld()
@@ -149,9 +159,9 @@
         machines, world.machines.machine_by_id = world.machines.machine_by_id, {}
         world.order_wave(4, "m-z0-0")
         world.run(3.0)
-        self.assertIs(WaveState.RUNNING, told(world, 4))
+        self.assertIs(WaveState.RUNNING, wave_state(world, 4))
         world.machines.machine_by_id = machines
-        over = world.run_until(lambda: told(world, 4) is WaveState.COMPLETED, 8.0)
+        over = world.run_until(lambda: wave_state(world, 4) is WaveState.COMPLETED, 8.0)
         self.assertTrue(over)
 
     def test_a_machine_of_a_withdrawn_wave_is_left_alone(self) -> None:
@@ -166,7 +176,7 @@
         world.submit(2, step(2), payload="0.5")
         self.assertTrue(world.run_until(world.all_complete, 4.0))
         world.run(4.0)
-        self.assertEqual([], world.machines.begun)
+        self.assertEqual([], world.machines.taken_down)
         self._check(world)
 
     def test_two_waves_do_not_take_one_machine_at_once(self) -> None:
@@ -174,7 +184,9 @@
         world.run(6.0)
         world.order_wave(4, *MACHINES)
         world.order_wave(5, *MACHINES)
-        over = world.run_until(lambda: told(world, 5) is WaveState.COMPLETED, 40.0)
+        over = world.run_until(
+            lambda: wave_state(world, 5) is WaveState.COMPLETED, 40.0
+        )
         self.assertTrue(over)
-        self.assertEqual(6, len(world.machines.begun))
+        self.assertEqual(6, len(world.machines.taken_down))
         self._check(world)
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -10,13 +10,13 @@
 from bulrushpulley.entities.jobs.rows import WaveRow, WaveState, WaveStatusRow
 from bulrushpulley.entities.jobs.upkeep import (
     ListMachines,
+    ListMachinesFailed,
     Machine,
     MachinesListed,
     MachineState,
-    MachinesUnlisted,
     OrderUpkeep,
-    UpkeepDenied,
-    UpkeepTaken,
+    UpkeepOrderAccepted,
+    UpkeepOrderFailed,
 )
 from bulrushpulley.errors import Problem
 from bulrushpulley.platform.machines import MachinesClient
@@ -88,14 +88,14 @@
         odd = {**FIRST, "State": "odd"}
         self.replies = [json_reply(200, {"Machines": [odd]})]
         event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
-        self.assertIsInstance(event, MachinesUnlisted)
+        self.assertIsInstance(event, ListMachinesFailed)
 
     def test_the_answers_to_an_order(self) -> None:
         for status, kind, unknown in (
-            (200, UpkeepTaken, False),
-            (409, UpkeepDenied, False),
-            (400, UpkeepDenied, True),
-            (503, UpkeepDenied, False),
+            (200, UpkeepOrderAccepted, False),
+            (409, UpkeepOrderFailed, False),
+            (400, UpkeepOrderFailed, True),
+            (503, UpkeepOrderFailed, False),
         ):
             self.replies = [json_reply(status, {"Reason": "busy"})]
             event = self.client.order_upkeep(
