--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -1,4 +1,4 @@
-"""The cells that an agent watches, takes and owns."""
+"""The cells that an agent watches, takes over and owns."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class CellPhase(enum.Enum):
-    """How far an agent has come with a cell."""
+    """The state of an agent's ownership of a cell."""
 
     WATCHING = "watching"
     TAKING = "taking"
@@ -26,11 +26,12 @@
 class Cell:
     """One cell.
 
-    `lease` stands at `lease_version`. While watching, `alive_version` is the
-    version of the owner's liveness row, first seen at `alive_seen_at`. Of the
-    owner before, nothing lasts after `lapsed_at`. Rows are known up to revision
-    `rows_since`. `place_due` says that something that matters to placement has
-    changed, `fit_due` that a worker may hold more than its capacity.
+    `lease` is the lease row at version `lease_version`. While watching,
+    `alive_version` is the version of the owner's liveness row, first seen at
+    `alive_seen_at`. Task leases of the previous owner have expired after
+    `lapsed_at`. Rows are known up to revision `rows_since`. `place_due` is set when
+    something relevant to placement has changed, `fit_due` when a worker may hold
+    more than its capacity.
     """
 
     name: str
@@ -54,7 +55,7 @@
 
     @property
     def epoch(self) -> int:
-        """The epoch of the present lease."""
+        """The epoch of the current lease, or 0 without a lease."""
         return self.lease.epoch if self.lease else 0
 
 
--- a/bulrushpulley/entities/interference.py
+++ b/bulrushpulley/entities/interference.py
@@ -1,7 +1,7 @@
-"""What an owner has measured of tasks that share a worker, and its throttles.
+"""Measured interference between tasks that share a worker, and throttles.
 
-None of it is durable: a new owner learns again and first gives every batch task
-its whole speed back.
+None of it is durable: a new owner starts learning from nothing and first resets
+every batch task to full speed.
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 class Harm:
     """How much one task of `job` at full speed raises the latency of `service`.
 
-    With an empty `job` it is the latency of the service alone. Both names are
-    record keys for jobs and plain names for services. `variance` says how unsure
-    the estimate is, against one at first; `at` is the last update.
+    With an empty `job` it is the latency of the service alone. `job` is a record
+    key, `service` a plain name. `variance` is the uncertainty of the estimate,
+    initially 1; `at` is the time of the last update.
     """
 
     service: str
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobStart:
-    """When the first task of a job was started beside a service."""
+    """When the first task of a job was started on a worker that runs a service."""
 
     job: str
     at: float
@@ -45,10 +45,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceLatency:
-    """The latency of one latency-critical task against its service's target.
+    """The latency of one latency-critical task, and its service's target.
 
-    `above` and `below` count the samples in a row beyond the upper and the lower
-    bound. `suffering` last changed at `changed_at`.
+    `above` and `below` count the consecutive samples above the upper and below the
+    lower bound. `degraded` last changed at `changed_at`.
     """
 
     task_key: str
@@ -65,10 +65,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Throttle:
-    """The share of its speed that a batch task may use, since `changed_at`.
+    """The share of its full speed that a batch task may use since `changed_at`.
 
-    Before that it was `share_before`. The worker has `confirmed` the share; until
-    then it is sent again from `send_at` on.
+    Before that it was `share_before`. Until the worker has `confirmed` the share,
+    it is sent again, at `send_at` at the earliest.
     """
 
     task_key: str
@@ -83,10 +83,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Relief:
-    """What was last done for the services of a worker.
+    """The last action taken for the services of a worker, at `acted_at`.
 
-    Nothing more is taken before measurements can show the effect of `acted_at`.
-    A share is given back `hold_s` after the last action at the earliest.
+    No further action is taken before measurements can show the effect of the last.
+    A share is raised `hold_s` after the last action at the earliest;
+    `raised_share` is set if the last action raised one.
     """
 
     worker_id: str
--- a/bulrushpulley/entities/resources.py
+++ b/bulrushpulley/entities/resources.py
@@ -26,7 +26,7 @@
         )
 
     def minus(self, other: Resources) -> Resources:
-        """Return the difference; it may be negative on a shrunken worker."""
+        """Return the difference, negative where a worker's capacity was reduced."""
         return Resources(
             processors_m=self.processors_m - other.processors_m,
             memory_mb=self.memory_mb - other.memory_mb,
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -1,4 +1,4 @@
-"""The workers of a cell as its owner sees them, and the evidence of sick ones."""
+"""The workers of a cell as its owner sees them, and evidence of faulty ones."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 class Health(enum.Enum):
     """Whether tasks may be placed on a worker.
 
-    ASIDE gets none until its backoff has passed; PROBING gets one at a time.
+    A QUARANTINED worker gets none until its backoff has passed, a PROBING worker
+    one at a time.
     """
 
     HEALTHY = "healthy"
@@ -24,13 +25,13 @@
 class Worker:
     """One worker of a cell.
 
-    `present` is false once the cell's record no longer names it; its capacity is
-    then nothing. `asked_at` is when the report in flight was asked, or None;
-    `reported_at` when the last report that was answered had been asked.
-    No renewal of a task's lease has left after `renewed_until`; the next
-    are due at `renew_at`. `runs` counts the runs of the last report, `strays`
-    the runs on it that the owner does not hold it to. `unanswered_at` is when a
-    call to it last failed, until a report asked after that is answered.
+    `present` is false once the cell's record no longer names the worker; its
+    capacity is then zero. `asked_at` is when the report in flight was requested, or
+    None; `reported_at` is when the last answered report was requested. No renewal
+    of a task lease was sent after `renewed_until`; the next ones are due at
+    `renew_at`. `runs` counts the runs of the last report, `unexpected_runs` those
+    running there that the owner has not assigned to it. `unanswered_at` is when a
+    call to it last failed, or None once a report requested after that is answered.
     """
 
     worker_id: str
@@ -55,9 +56,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Failure:
-    """Evidence: a task of a job failed on a worker, last at `at`.
+    """Evidence that a task of a job failed on a worker, last at `at`.
 
-    It is `proven` against the worker once the same task succeeds on another.
+    It is `proven` to be the worker's fault once the same task succeeds on another.
     """
 
     worker_id: str
@@ -68,7 +69,7 @@
 
 
 def worker_of(record: WorkerRecord, *, cell: str, now: float) -> Worker:
-    """Return a worker that has not been asked for a report yet."""
+    """Return the worker of a record, before the first report is requested."""
     return Worker(
         worker_id=record.worker_id,
         cell=cell,
--- a/bulrushpulley/systems/cell/__init__.py
+++ b/bulrushpulley/systems/cell/__init__.py
@@ -1,1 +1,1 @@
-"""The cell owner's systems: they run tasks on the workers of the cells it owns."""
+"""The cell owner's systems, which run tasks on the workers of its cells."""
--- a/bulrushpulley/systems/cell/candidates.py
+++ b/bulrushpulley/systems/cell/candidates.py
@@ -1,4 +1,4 @@
-"""What each worker has left: its capacity less all that may be running on it."""
+"""The workers that accept tasks, with the capacity not used by tasks there."""
 
 from __future__ import annotations
 
@@ -10,18 +10,19 @@
 
 
 def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
-    """Return the sum over the tasks that may be running on a worker."""
+    """Return the total size of the tasks that may be running on a worker."""
     total = NO_RESOURCES
     for key in tables.tasks.keys_where("worker", worker_id):
         total = total.plus(tables.tasks.by_key[key].row.spec.size)
     return total
 
 
-def takes_tasks(tables: CellOwnerTables, worker: Worker, now: float) -> bool:
+def accepts_tasks(tables: CellOwnerTables, worker: Worker, now: float) -> bool:
     """Tell whether tasks may be placed on a worker.
 
-    It must have said what it runs, all of which must be the owner's own, and have
-    answered since a call to it failed; a worker on probation takes one task.
+    It must have reported its runs, all of which the owner must have assigned to it,
+    and have answered since a call to it last failed. A probing worker gets a task
+    only while it has none.
     """
     if not worker.present or worker.reported_at is None or worker.unexpected_runs:
         return False
@@ -36,12 +37,12 @@
 def candidates_of(
     tables: CellOwnerTables, cell: str, now: float
 ) -> tuple[Candidate, ...]:
-    """Return the rooms of the workers of a cell that take tasks, by worker id."""
+    """Return the workers of a cell that accept tasks, with their free resources."""
     return tuple(
         Candidate(
             worker=worker,
             free=worker.capacity.minus(committed(tables, worker.worker_id)),
         )
         for worker in tables.workers.rows_where("cell", cell)
-        if takes_tasks(tables, worker, now)
+        if accepts_tasks(tables, worker, now)
     )
--- a/bulrushpulley/systems/cell/degradation.py
+++ b/bulrushpulley/systems/cell/degradation.py
@@ -1,7 +1,8 @@
-"""Judges with hysteresis whether a service suffers, so that noise causes no flapping.
+"""Tells with hysteresis whether a service is degraded, so that noise does not flap it.
 
-A service suffers after several samples in a row above its target, and is well again
-after several below a lower bound. Either state lasts for a minimum dwell time.
+A service becomes degraded after several consecutive samples above its target, and
+recovers after several below a lower bound. Either state lasts for a minimum dwell
+time.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 
 def update_degraded(latency: ServiceLatency, now: float) -> ServiceLatency:
-    """Count the newest sample and change the state if it has held for long enough."""
+    """Count the latest sample, and change the state after the dwell time if due."""
     part = latency.smoothed_ms / latency.target_ms
     above = latency.above + 1 if part > DEGRADED_LATENCY_RATIO else 0
     below = latency.below + 1 if part < RECOVERED_LATENCY_RATIO else 0
--- a/bulrushpulley/systems/cell/interference.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -1,10 +1,11 @@
-"""Relieves services that suffer from batch work beside them, and gives shares back.
-
-On each worker one measure is taken at a time, and nothing more before late
-measurements can show its effect. Shares come back in steps while all services of
-the worker are well and expected to stay so; each relapse after a step doubles the
-wait before the next. After a longer wait a step is tried whatever is expected, since
-an estimate that is too high could never be corrected otherwise.
+"""Limits the interference of batch tasks with the services on their worker.
+
+When a service is degraded, one action is taken on its worker, and no other before
+measurements, which arrive late, can show the effect. While no service of a worker is
+degraded and none is expected to be, the shares of throttled tasks are raised in
+steps; each degradation after a step doubles the wait before the next one. After a
+longer wait a step is made whatever is expected, since an estimate that is too high
+could never be corrected otherwise.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
 
 
 def limit_interference(tables: CellOwnerTables, now: float) -> CellStep:
-    """Act on the workers of owned cells where services or throttles are measured."""
+    """Relieve degraded services and raise shares on the workers of owned cells."""
     tables = _drop_stale_latencies(tables)
     commands: list[Command] = []
     for cell in cell_evict.owned_cells(tables):
@@ -49,7 +50,7 @@
 
 
 def _drop_stale_latencies(tables: CellOwnerTables) -> CellOwnerTables:
-    """Drop the measurements of service tasks that no longer run."""
+    """Drop the latencies of service tasks that no longer run."""
     latencies = tables.latencies
     for latency in latencies.rows():
         task = tables.tasks.get(latency.task_key)
@@ -118,7 +119,7 @@
 def _is_safe(
     tables: CellOwnerTables, task: Task, step: float, latencies: list[ServiceLatency]
 ) -> bool:
-    """Tell whether every service is expected to stay below its target."""
+    """Tell whether all services are expected to stay below target after the step."""
     job = task.row.spec.record_key
     return all(
         latency.smoothed_ms + step * cell_learn.estimate(tables, latency.service, job)
@@ -139,7 +140,7 @@
     share = round(throttle.share + step, 2)
     tables = cell_throttle.set_share(tables, task, share, now)
     raised = replace(relief, acted_at=now, raised_share=True)
-    reason = f"services are well; share {throttle.share:.2f} to {share:.2f}"
+    reason = f"no service is degraded; share {throttle.share:.2f} to {share:.2f}"
     return Step(
         tables=_put_relief(tables, raised),
         commands=(throttle_decision(cell, task, reason),),
--- a/bulrushpulley/systems/cell/learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -1,9 +1,9 @@
-"""Learns from late measurements which jobs raise the latency of which services.
+"""Learns from delayed measurements which jobs raise the latency of which services.
 
-A measurement shows the worker as it was `USAGE_LAG_S` before, so it is held
-against the batch tasks that ran then, each at its share of that time. The latency
-of a service is modelled as its own plus, for each batch task beside it, the harm
-of the job times the share; `interference_step` corrects the estimates.
+A measurement shows the worker as it was `USAGE_LAG_S` earlier, so it is attributed
+to the batch tasks that ran then, each with its share at that time. The latency of a
+service is modelled as its own latency plus, for each batch task on the worker, the
+harm of the task's job times its share; `interference_step` corrects the estimates.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 def learn(
     event: WorkerReported, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Take the measurements of a report; those of other generations are ignored."""
+    """Learn from the measurements of a report, except those of other generations."""
     cell = tables.workers.by_key[event.worker_id].cell
     for usage in event.usages:
         task = tables.tasks.get(task_key(cell=cell, task_id=usage.task_id))
@@ -51,7 +51,7 @@
 
 
 def is_current_usage(task: Task, usage: RunUsage, worker_id: str) -> bool:
-    """Tell whether a measurement is of the generation that runs now."""
+    """Tell whether a measurement is of the generation that is running there now."""
     current = task.row.generation == usage.generation
     return current and task.phase is Phase.RUNNING and task.worker_id == worker_id
 
@@ -81,7 +81,7 @@
 
 
 def measured_share(throttle: Throttle | None, now: float) -> float:
-    """Return the share that the measurements arriving now were taken under."""
+    """Return the share in effect when the measurements that arrive now were taken."""
     if throttle is None:
         return 1.0
     older = now - throttle.changed_at < USAGE_LAG_S
@@ -123,7 +123,7 @@
 def _shares_by_job(
     tables: CellOwnerTables, worker_id: str, now: float
 ) -> Mapping[str, float]:
-    """Return by job the sum of the shares that ran when the sample was taken."""
+    """Return each job's sum of shares on a worker when the sample was taken."""
     by_job: dict[str, float] = {}
     for task in tables.tasks.rows_where("worker", worker_id):
         ran = task.phase is Phase.RUNNING and now - task.since >= USAGE_LAG_S
@@ -152,7 +152,7 @@
 def harm_of(
     tables: CellOwnerTables, service: str, job: str, target_ms: float, now: float
 ) -> Harm:
-    """Return what is known of a job's harm, or the first guess."""
+    """Return the learned harm of a job, or the initial estimate."""
     known = tables.harms.get(harm_key(service=service, job=job))
     first_ms = 0.0 if job else INITIAL_OWN_LATENCY_RATIO * target_ms
     return known or Harm(
--- a/bulrushpulley/systems/cell/neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -1,4 +1,4 @@
-"""Adds to the rooms of a cell what is known of a task's neighbours there."""
+"""Adds to candidate workers what is known of a task's neighbours there."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 def with_neighbours(
     tables: CellOwnerTables, task: Task, candidates: Iterable[Candidate], now: float
 ) -> tuple[Candidate, ...]:
-    """Return the rooms with what a task would meet and cause there."""
+    """Return the candidates with the task's neighbours and expected latencies."""
     if task.row.spec.task_class is TaskClass.BATCH:
         return tuple(
             replace(
@@ -40,7 +40,7 @@
 def record_first_start(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
-    """Note the first start of a job beside a service."""
+    """Record the first start of a job on a worker that runs a service."""
     job = task.row.spec.record_key
     beside = tables.latencies.count_where("worker", worker_id)
     if job in tables.job_starts or not beside:
@@ -54,7 +54,7 @@
 def _is_effect_pending(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> bool:
-    """Tell whether the effect of a first task beside a service is not measured yet."""
+    """Tell whether the effect of the job's first task there is not measured yet."""
     job = task.row.spec.record_key
     start = tables.job_starts.get(job)
     if start is None or now - start.at >= FIRST_EFFECT_WAIT_S:
@@ -68,7 +68,7 @@
 def _latency_ratio_with_job(
     tables: CellOwnerTables, task: Task, worker_id: str
 ) -> float:
-    """Return the expected latency, as a part of its target, of the worst service.
+    """Return the highest expected ratio of a service's latency to its target.
 
     It is zero if the job is not known to harm a service there.
     """
@@ -85,9 +85,10 @@
 
 
 def _modelled_ms(tables: CellOwnerTables, service: str, worker_id: str) -> float:
-    """Return the latency that is to be expected of a service beside what runs.
+    """Return the expected latency of a service beside the tasks of a worker.
 
-    Throttled tasks count at full speed: what a throttle has spared is theirs.
+    Throttled tasks count at full speed, so that no new task takes up what their
+    throttles have freed.
     """
     total_ms = cell_learn.estimate(tables, service, "")
     for task in tables.tasks.rows_where("worker", worker_id):
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -1,6 +1,6 @@
-"""Places waiting tasks on workers, for cells in which something has changed.
+"""Places waiting tasks on workers in cells where something has changed.
 
-Latency-critical and urgent tasks come first and may have batch tasks evicted.
+Latency-critical and urgent tasks are placed first and may preempt batch tasks.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 
 
 def place(tables: CellOwnerTables, now: float) -> CellStep:
-    """Start what fits in the owned cells that have changed."""
+    """Start the tasks that fit in the owned cells that have changed."""
     commands: list[Command] = []
     for cell in tables.cells.rows():
         due = cell.place_due and cell.phase is CellPhase.OWNED
@@ -49,7 +49,7 @@
 
 
 def may_run_in(task: Task, failure_domain: str) -> bool:
-    """Tell whether a task's record lets it run in a failure domain."""
+    """Tell whether a task's record allows it to run in a failure domain."""
     allowed = task.row.spec.failure_domains
     return not allowed or failure_domain in allowed
 
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
-    """The state of one pass over the waiting tasks of a cell."""
+    """The state of a pass over the waiting tasks of a cell."""
 
     candidates: Mapping[str, Candidate]
     tables: CellOwnerTables
@@ -153,10 +153,10 @@
 def without_failed_workers(
     tables: CellOwnerTables, task: Task, candidates: Sequence[Candidate]
 ) -> tuple[Candidate, ...]:
-    """Leave out the workers on which this very task failed, while others could run it.
+    """Leave out workers on which this very task failed, if another could ever run it.
 
-    A worker that fails everything is always the emptiest one; a task that came back
-    to it at once would use up its attempts there before the evidence is complete.
+    A worker that fails every task is always the emptiest; a task that returned to it
+    at once would use up its attempts there before there is enough evidence.
     """
     failures = tables.failures.rows_where("task", task.key)
     failed = {failure.worker_id for failure in failures}
--- a/bulrushpulley/systems/cell/placement_policy.py
+++ b/bulrushpulley/systems/cell/placement_policy.py
@@ -1,4 +1,4 @@
-"""Chooses a worker for a task. Policies vary by type and stand side by side."""
+"""Placement policies: choose a worker for a task, dispatching on the policy type."""
 
 from __future__ import annotations
 
@@ -13,12 +13,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
-    """A worker that takes tasks, what it has left, and a task's neighbours there.
+    """A worker that accepts tasks, its free resources, and the task's neighbours.
 
     `replicas` and `rack_replicas` count the tasks of the same service on the worker
-    and in its rack. `expected_part` is the latency, as a part of its target, to be
-    expected of the service that the task would harm or be. A room is `probed` while
-    a first task of the same job shows there what the job does to services.
+    and in its rack. `expected_latency_ratio` is the latency relative to its target
+    that is expected of the service that the task belongs to or would harm.
+    `effect_pending` is set while a first task of the same job runs there and its
+    effect on services is not measured yet.
     """
 
     worker: Worker
@@ -31,9 +32,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
-    """The chosen worker, or the empty string, why, and what was passed over.
+    """The chosen worker or the empty string, the reason, and the other workers.
 
-    A task that was refused for its neighbours is tried again after `retry_s`.
+    A task that was refused because of its neighbours is retried after `retry_s`.
     """
 
     worker_id: str
@@ -49,7 +50,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FirstFit(PlacementPolicy):
-    """Takes the first worker, by id, that has room."""
+    """Chooses the first worker, by id, that has enough free resources."""
 
 
 @singledispatch
@@ -60,7 +61,7 @@
     avoid: frozenset[str],
     now: float,
 ) -> Choice:
-    """Choose a worker for a task; those in `avoid` only if no other has room."""
+    """Choose a worker for a task, one in `avoid` only if the task fits no other."""
     raise NotImplementedError(type(policy).__name__)
 
 
@@ -87,7 +88,7 @@
     if preferred:
         return Choice(worker_id=preferred[0], reason="first fit", passed_over=full)
     if fitting:
-        reason = "first fit, though its job failed there"
+        reason = "first fit, although its job failed there"
         return Choice(worker_id=fitting[0], reason=reason, passed_over=full)
-    reason = "no worker has room" if candidates else "no worker takes tasks"
+    reason = "no worker has room" if candidates else "no worker accepts tasks"
     return Choice(worker_id="", reason=reason, passed_over=full)
--- a/bulrushpulley/systems/cell/preempt.py
+++ b/bulrushpulley/systems/cell/preempt.py
@@ -1,4 +1,4 @@
-"""Evicts batch tasks so that a latency-critical or urgent one gets room."""
+"""Evicts batch tasks so that a latency-critical or urgent task fits."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Preemption:
-    """The worker on which room is being made, or the empty string."""
+    """The worker on which the task will fit, or the empty string."""
 
     worker_id: str
     tables: CellOwnerTables
@@ -26,7 +26,7 @@
 
 
 def stopping_size(tasks: Iterable[Task]) -> Resources:
-    """Return what tasks that are being stopped will soon set free."""
+    """Return the total size of the tasks that are being stopped."""
     total = NO_RESOURCES
     for task in tasks:
         if task.phase is Phase.STOPPING:
@@ -41,9 +41,9 @@
     tables: CellOwnerTables,
     now: float,
 ) -> Preemption:
-    """Evict from the first worker on which a task fits without its batch tasks.
+    """Evict batch tasks from the first worker on which a task would then fit.
 
-    Nothing more is evicted where tasks that are stopping already make the room.
+    Nothing is evicted where the task fits once the tasks being stopped are gone.
     """
     size = task.row.spec.size
     for candidate in candidates:
@@ -63,7 +63,7 @@
 
 
 def eviction_commands(cell: Cell, task: Task, reason: str) -> tuple[Command, ...]:
-    """Return the decision line of an eviction and its count."""
+    """Return the log line and the count of an eviction."""
     line = Decision(
         kind="task.evict",
         subject=task.row.spec.task_id,
--- a/bulrushpulley/systems/cell/quarantine.py
+++ b/bulrushpulley/systems/cell/quarantine.py
@@ -1,9 +1,10 @@
-"""Tells sick workers from bad jobs by evidence, and probes sick ones back.
+"""Quarantines faulty workers, and probes them after a backoff.
 
-A worker is set aside when tasks of several jobs, or several tasks of one, fail on
-it while those jobs fail nowhere else, or those tasks succeed elsewhere. Otherwise a
-job that fails on more than one worker is at fault itself. A worker set aside takes
-one task after its backoff; success clears it, failure doubles the backoff.
+A worker is quarantined when tasks of several jobs, or several tasks of one job, fail
+on it while those jobs fail on no other worker, or those tasks succeed on another.
+Otherwise a job that fails on more than one worker is itself at fault. After its
+backoff a quarantined worker gets one task: success returns it to service, failure
+doubles the backoff.
 """
 
 from __future__ import annotations
@@ -26,7 +27,7 @@
 
 
 def is_faulty(tables: CellOwnerTables, worker_id: str) -> bool:
-    """Judge a worker by the failures on it that speak against it."""
+    """Tell whether enough failures on a worker are evidence against it."""
     own = [
         failure
         for failure in tables.failures.rows_where("worker", worker_id)
@@ -37,7 +38,7 @@
 
 
 def fails_elsewhere(tables: CellOwnerTables, failure: Failure) -> bool:
-    """Tell whether the job of a failure also failed on another worker."""
+    """Tell whether the job of a failure has also failed on another worker."""
     same_job = tables.failures.rows_where("record", failure.record_key)
     return any(other.worker_id != failure.worker_id for other in same_job)
 
@@ -79,7 +80,7 @@
 def task_succeeded(
     tables: CellOwnerTables, task: Task, worker: Worker, now: float
 ) -> CellStep:
-    """Clear a worker on which a task succeeded, and judge where it failed before."""
+    """Clear a worker on which a task succeeded; recheck those where it failed."""
     tables = return_to_service(tables, worker)
     commands: tuple[Command, ...] = ()
     for failure in tables.failures.rows_where("task", task.key):
@@ -127,13 +128,13 @@
         kind="worker.aside",
         subject=worker.worker_id,
         chosen="",
-        reason=f"tasks fail here and not elsewhere; probed in {backoff:.0f} s",
+        reason=f"tasks fail here but not elsewhere; next probe in {backoff:.0f} s",
     )
     return tables, (decision,)
 
 
 def _restore_attempts(tables: CellOwnerTables, worker_id: str) -> CellOwnerTables:
-    """Take back the attempts that tasks lost on a worker now known to be sick."""
+    """Give tasks back the attempts they used up on a worker found to be faulty."""
     for failure in tables.failures.rows_where("worker", worker_id):
         task = tables.tasks.get(failure.task_key)
         if task is None or task.phase in (Phase.COMMITTING, Phase.WRITING):
@@ -148,7 +149,7 @@
 def _return_workers_to_service(
     tables: CellOwnerTables, failure: Failure
 ) -> CellOwnerTables:
-    """Return workers to service that a job, now seen to be at fault, put aside."""
+    """Return workers to service that were quarantined for a job now found at fault."""
     for other in tables.failures.rows_where("record", failure.record_key):
         worker = tables.workers.get(other.worker_id)
         if worker is None or worker.health is Health.HEALTHY:
@@ -161,7 +162,7 @@
 
 
 def probe_quarantined(tables: CellOwnerTables, now: float) -> CellStep:
-    """Put workers on probation whose backoff has passed."""
+    """Start probing quarantined workers whose backoff has passed."""
     for worker in tables.workers.rows():
         if worker.health is Health.QUARANTINED and now >= worker.quarantined_until:
             probing = replace(worker, health=Health.PROBING)
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -1,7 +1,7 @@
-"""Relieves a suffering service. Policies vary by type and stand side by side.
+"""Relief policies: reduce the load beside a degraded service.
 
-The departments' policy records say what is weighed: the more an eviction costs the
-department of the batch work against the latency of the service's department, the
+The departments' policy records give the weights: the more an eviction costs the
+batch task's department relative to what latency costs the service's department, the
 deeper batch tasks are throttled and the longer they keep running before one of them
 is evicted.
 """
@@ -40,17 +40,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReliefPolicy:
-    """The base of the ways to relieve a service."""
+    """The base of the relief policies."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleFirst(ReliefPolicy):
-    """Throttles what harms most, then evicts what loses least."""
+    """Throttles the most harmful tasks, then evicts the one that loses least work."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EvictNewest(ReliefPolicy):
-    """Evicts the newest batch task at once."""
+    """Evicts the newest batch task without throttling."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReliefCase:
-    """The service task that suffers most on a worker."""
+    """The most degraded service task of a worker, which is to be relieved."""
 
     cell: Cell
     latency: ServiceLatency
@@ -71,7 +71,7 @@
 def relieve(
     policy: ReliefPolicy, case: ReliefCase, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take one measure for a suffering service; no commands if there is none."""
+    """Take one action for a degraded service, or return no commands."""
     raise NotImplementedError(type(policy).__name__)
 
 
@@ -129,7 +129,7 @@
 
 
 def _harm_ms(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
-    """Return what a task adds to the latency at its present share."""
+    """Return what a task adds to the latency at its current share."""
     job = task.row.spec.record_key
     harm = cell_learn.estimate(tables, case.latency.service, job)
     return harm * cell_throttle.share_of(tables, task)
@@ -142,20 +142,20 @@
 def _harm_order(
     tables: CellOwnerTables, case: ReliefCase, task: Task
 ) -> tuple[float, float, str]:
-    """Order by learned harm; where none is known, by the processors used."""
+    """Return the sort key: the greatest learned harm first, then processors used."""
     used = tables.job_usages.get(task.row.spec.record_key)
     processors = used.processors_m if used else task.row.spec.size.processors_m
     return (-_harm_ms(tables, case, task), -processors, task.key)
 
 
 def lost_work_s(task: Task, now: float) -> float:
-    """Return the work at stake: more for a task that never showed a checkpoint."""
+    """Return the work an eviction may lose, weighted higher without a checkpoint."""
     factor = 1.0 if task.row.checkpoint else NO_CHECKPOINT_LOSS_FACTOR
     return factor * (now - task.since)
 
 
 def policy_of(tables: CellOwnerTables, department: str) -> PolicyRecord:
-    """Return the policy record of a department, or one of equal weights."""
+    """Return a department's policy record, or one with equal weights."""
     for found in tables.records.rows_where("policy_department", department):
         record = found.row.record if isinstance(found.row, RecordRow) else None
         if isinstance(record, PolicyRecord):
@@ -164,7 +164,7 @@
 
 
 def _cost_ratio(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
-    """Return the cost of an eviction of a task against that of latency."""
+    """Return the cost of evicting a task relative to the cost of latency."""
     latency_weight = policy_of(tables, case.department).latency_weight
     evicted = policy_of(tables, task.row.spec.department)
     return evicted.eviction_weight / max(latency_weight, 0.01)
@@ -185,7 +185,7 @@
 def _is_eviction_due(
     tables: CellOwnerTables, case: ReliefCase, task: Task, now: float
 ) -> bool:
-    """Tell whether a throttled task still does harm after its patience."""
+    """Tell whether a throttled task still does harm after its eviction delay."""
     throttle = tables.throttles.get(task.key)
     if throttle is None or _harm_ms(tables, case, task) < _min_harm_ms(case):
         return False
@@ -195,7 +195,7 @@
 def _throttle(
     case: ReliefCase, tasks: list[Task], tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Throttle as many of the tasks, and as deep, as the latency seems to need."""
+    """Throttle as many tasks, and as deep, as needed to reach the latency goal."""
     latency = case.latency
     needed_ms = latency.smoothed_ms - RELIEF_GOAL_LATENCY_RATIO * latency.target_ms
     commands: list[Decision | Count] = []
@@ -219,7 +219,7 @@
 
 
 def throttle_decision(cell: Cell, task: Task, reason: str) -> Decision:
-    """Return the decision line of a change of share."""
+    """Return the log line of a change of share."""
     return Decision(
         kind="task.throttle",
         subject=task.row.spec.task_id,
@@ -232,7 +232,7 @@
 def _evict(
     case: ReliefCase, task: Task, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    ending = Requeue(reason=f"evicted beside {case.latency.task_key}, which suffers")
+    ending = Requeue(reason=f"evicted to relieve {case.latency.task_key}")
     tables = cell_stop.plan_ending(tables, task, ending, now)
     return Step(
         tables=tables, commands=eviction_commands(case.cell, task, ending.reason)
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -1,4 +1,4 @@
-"""The placement policy that knows neighbours: spread services, pack batch tasks."""
+"""The placement policy that weighs neighbours: spread services, pack batch tasks."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 
 MAX_EXPECTED_LATENCY_RATIO = 1.0
 PLACEMENT_RETRY_DELAY_S = 2.0
-# Ends before a waiting task leaves its cell, which it does after 30 s.
+# Less than the 30 s after which a waiting task is returned from its cell.
 MAX_DEFERRAL_S = 20.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SpreadAndPack(PlacementPolicy):
-    """Spreads replicas to the least loaded workers and best-fits batch tasks.
+    """Spreads replicas over the least loaded workers and best-fits batch tasks.
 
-    A batch task is not placed where it is expected to push a service over its
-    target, nor beside the first task of its job while that one shows its effect,
-    unless it is urgent or has waited `HELD_BACK_S`: then the least harmful worker
-    takes it, so that no job waits for as long as a service runs.
+    A batch task is not placed where it is expected to raise the latency of a service
+    above its target, nor beside the first task of its job until the effect of that
+    task is measured. If it is urgent or has waited `MAX_DEFERRAL_S`, it is placed on
+    the least harmful worker, so that no job waits for as long as a service runs.
     """
 
 
@@ -43,7 +43,7 @@
     spec = task.row.spec
     fitting = [candidate for candidate in candidates if spec.size.fits(candidate.free)]
     if not fitting:
-        reason = "no worker has room" if candidates else "no worker takes tasks"
+        reason = "no worker has room" if candidates else "no worker accepts tasks"
         return Choice(worker_id="", reason=reason, passed_over=_worker_ids(candidates))
     if spec.task_class is TaskClass.BATCH:
         return _choose_for_batch(task, candidates, fitting, avoid, now)
@@ -77,13 +77,13 @@
         harmless or fitting,
         key=lambda candidate: _batch_key(candidate, spec.size, avoid),
     )
-    return _choice(best, candidates, "best fit beside services it does not harm")
+    return _choice(best, candidates, "best fit with the least harm to services")
 
 
 def _deferral_reason(measured: list[Candidate]) -> str:
     if measured:
-        return "it would push a service over its target"
-    return "the first tasks of its job show first what they do to services"
+        return "it would raise the latency of a service above its target"
+    return "the effect of its job's first task on services is not measured yet"
 
 
 def _choice(best: Candidate, candidates: Sequence[Candidate], reason: str) -> Choice:
@@ -121,7 +121,7 @@
 
 
 def _free_fraction(free: Resources, capacity: Resources) -> float:
-    """Return the mean of the free parts of processors and memory."""
+    """Return the mean of the free fractions of processors and memory."""
     processors = free.processors_m / max(1, capacity.processors_m)
     memory = free.memory_mb / max(1, capacity.memory_mb)
     return (processors + memory) / 2
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -1,4 +1,4 @@
-"""Tells the entries what each owned cell has left and holds."""
+"""Sends the entries a summary of each owned cell: free resources, tasks and usage."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 def summarize(tables: CellOwnerTables, now: float) -> CellStep:
-    """Send a cell's summary when it changed, and at times to keep it alive."""
+    """Send a cell's summary when it has changed, and periodically as a keepalive."""
     commands: list[Command] = []
     for cell in tables.cells.rows():
         age = now - cell.summarized_at
@@ -43,7 +43,7 @@
 
 
 def summary_of(tables: CellOwnerTables, cell: Cell, now: float) -> CellSummary:
-    """Return a cell's summary; a cell that starts nothing has nothing free."""
+    """Return a cell's summary, with no free resources if it must not start tasks."""
     takes = cell_domains.in_service(tables, cell) and not tables.leaving
     candidates = candidates_of(tables, cell.name, now) if takes else ()
     tasks = tables.tasks.rows_where("cell", cell.name)
@@ -77,7 +77,7 @@
 
 
 def _largest(candidates: tuple[Candidate, ...]) -> Resources:
-    """Return the room of the worker that has most processors left, then memory."""
+    """Return the free resources of the worker with most processors, then memory."""
     usable = [_usable(candidate) for candidate in candidates]
     return max(
         usable, key=lambda r: (r.processors_m, r.memory_mb), default=NO_RESOURCES
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -1,4 +1,4 @@
-"""Sets the shares of batch tasks and sends them until the worker has confirmed."""
+"""Sets the shares of batch tasks and sends them until the workers confirm them."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 def share_of(tables: CellOwnerTables, task: Task) -> float:
-    """Return the share of its speed that a task may use."""
+    """Return the share of its full speed that a task may use."""
     throttle = tables.throttles.get(task.key)
     return throttle.share if throttle else FULL_SHARE
 
@@ -31,7 +31,7 @@
 def set_share(
     tables: CellOwnerTables, task: Task, share: float, now: float
 ) -> CellOwnerTables:
-    """Plan a share for the running generation of a task."""
+    """Set the share of a task's running generation, to be sent by `send`."""
     throttle = Throttle(
         task_key=task.key,
         worker_id=task.worker_id,
@@ -44,14 +44,14 @@
 
 
 def reset_share(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
-    """Give an adopted batch task its whole speed, whatever an owner before set."""
+    """Reset an adopted batch task to full speed, whatever a previous owner set."""
     if task.row.spec.task_class is not TaskClass.BATCH:
         return tables
     return set_share(tables, task, FULL_SHARE, now)
 
 
 def send(tables: CellOwnerTables, now: float) -> CellStep:
-    """Send the shares that are not confirmed, while no other agent can own the cell."""
+    """Send the unconfirmed shares while no other agent can have taken over the cell."""
     commands: list[Command] = []
     not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     for throttle in tables.throttles.rows():
@@ -89,7 +89,7 @@
 
 
 def _is_obsolete(throttle: Throttle, now: float) -> bool:
-    """Tell whether a task has its whole speed in all that is still measured."""
+    """Tell whether a task had full speed in all measurements that can still arrive."""
     whole = throttle.share >= FULL_SHARE and throttle.confirmed
     return whole and now - throttle.changed_at >= USAGE_LAG_S
 
--- a/bulrushpulley/systems/cell/victims.py
+++ b/bulrushpulley/systems/cell/victims.py
@@ -1,4 +1,4 @@
-"""Chooses which batch tasks to evict so that another fits."""
+"""Chooses the batch tasks to evict so that another task fits."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 def may_preempt(task: Task) -> bool:
-    """Tell whether a task may have batch tasks evicted."""
+    """Tell whether batch tasks may be evicted for a task."""
     spec = task.row.spec
     return spec.urgent or spec.task_class is TaskClass.LATENCY_CRITICAL
 
@@ -25,10 +25,10 @@
 def choose_victims(
     *, needed: Resources, free: Resources, running: Sequence[Task]
 ) -> tuple[Task, ...]:
-    """Return the tasks to evict so that `needed` fits, or none if it cannot.
+    """Return the tasks to evict so that `needed` fits, or none if it cannot fit.
 
-    The lowest priority goes first, then the newest, which loses the least work.
-    A victim that proves needless once the later ones are chosen is spared.
+    The lowest priority is evicted first, then the newest, which loses the least
+    work. A victim that later ones make unnecessary is not evicted.
     """
     candidates = sorted(
         (task for task in running if is_evictable(task)),
--- a/bulrushpulley/systems/interference_step.py
+++ b/bulrushpulley/systems/interference_step.py
@@ -1,9 +1,10 @@
-"""One step of learning who slows whom, shared by every role that measures it.
+"""One step of learning how jobs slow services, shared by all roles that measure it.
 
 A latency is modelled as the service's own plus, for each job beside it, the harm of
-one unit of that job times how much of it runs there. A sample corrects the estimates
-by the step of a Kalman filter with independent states: what is least sure takes most
-of the error, so a job that long did no harm is not blamed for one that has just come.
+one unit of that job times the units of it that run there. A sample corrects the
+estimates by one step of a Kalman filter with independent states: the least certain
+estimate takes most of the error, so a job that has long done no harm is not blamed
+for one that has just arrived.
 """
 
 from __future__ import annotations
@@ -13,8 +14,8 @@
 
 from bulrushpulley.entities.interference import Harm
 
-# Variances are relative to that of a first guess, which is 1. A single sample is
-# about half as sure as a first guess is not, and what is known fades within minutes.
+# Variances are relative to that of an initial estimate, which is 1. A single sample
+# has half that variance; the drift makes an estimate uncertain again within minutes.
 NOISE_VARIANCE = 0.5
 DRIFT_VARIANCE = 0.002
 
@@ -25,7 +26,7 @@
     sample_ms: float,
     now: float,
 ) -> list[Harm]:
-    """Return the estimates after one sample of the latency that they add up to."""
+    """Return the estimates corrected by one sample of their combined latency."""
     expected = sum(harm.estimate_ms * units_by_job[harm.job] for harm in harms)
     spread = sum(harm.variance * units_by_job[harm.job] ** 2 for harm in harms)
     error_ms = sample_ms - expected
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -1,7 +1,7 @@
-"""Runs cell owners in virtual time over a small store and small workers.
+"""Runs cell owners in virtual time with an in-memory store and simulated workers.
 
-Invariants are checked at every start and every commit; what breaks them is kept
-in `violations`. Faults are switched on by the sets and hooks of `CellBench`.
+Invariants are checked at every start and every commit; breaches are collected in
+`violations`. Faults are switched on by the sets and hooks of `CellBench`.
 """
 
 from __future__ import annotations
@@ -86,7 +86,7 @@
 
 
 def seat(agent: str) -> Seat:
-    """Return the cell owner of an agent."""
+    """Return the seat of an agent's cell owner."""
     return Seat(process=agent, role="cell_owner")
 
 
@@ -126,7 +126,7 @@
         return FailureDomainRecord(name=DOMAIN, region="ege", state=state)
 
     def cell(self) -> CellRecord:
-        """Return the cell's record with the workers that have a capacity."""
+        """Return the cell's record, with the workers listed in `capacity`."""
         workers = tuple(
             WorkerRecord(worker_id=w, url=f"http://{w}", rack="r0", capacity=size)
             for w, size in self.capacity.items()
@@ -136,7 +136,7 @@
     # Set-up and events.
 
     def put(self, key: str, row: DurableRow | None) -> int:
-        """Write a row whatever stands there."""
+        """Write a row unconditionally."""
         value = None if row is None else encode_row(row, "bench")
         put = Put(key=key, value=value)
         result = table_core.commit(self.store, Transaction(conditions=(), puts=(put,)))
@@ -144,39 +144,39 @@
         return result.revision
 
     def put_record(self, kind: str, record: Record) -> int:
-        """Put a record in force, not yet known to the agents."""
+        """Store a record that the agents do not know yet."""
         row = RecordRow(
             kind=kind, schema_version=1, record=record, author="op", revision=0
         )
         return self.put(f"record/{kind}/{record.name}", row)
 
     def distribute_records(self) -> None:
-        """Tell every agent the whole configuration."""
+        """Send the whole configuration to every agent."""
         rows = self.rows("record/")
         event = Configured(base=0, revision=self.store.revision, rows=rows)
         for owner in list(self.world.roles):
             self.world.deliver(owner, event)
 
     def drain(self) -> None:
-        """Take the failure domain out in the store; agents do not know it yet."""
+        """Store the failure domain as drained; agents do not know it yet."""
         self.put_record("failure_domain", self._domain(DomainState.DRAINED))
         self.drained_at = self.world.now
 
     def put_capacity(self, worker: str, capacity: Resources) -> None:
-        """Amend a worker's capacity in the store; agents do not know it yet."""
+        """Store a new capacity of a worker; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.shrunk_at[worker] = self.world.now
         self.put_record("cell", self.cell())
 
     def resize(self, worker: str, capacity: Resources) -> None:
-        """Amend a worker's capacity and spread the record."""
+        """Store a new capacity of a worker and distribute the record."""
         self.put_capacity(worker, capacity)
         self.distribute_records()
 
     def job(
         self, name: str, *, tasks: int = 1, run_s: float = 5.0, **more: Any
     ) -> None:
-        """Put a job in force and its tasks into the cell."""
+        """Store a job's record and its tasks as assigned to the cell."""
         more = {"size": SIZE, **more}
         record = JobRecord(
             name=name, department="bakery", tasks=tasks, run_s=run_s, **more
@@ -186,19 +186,19 @@
             self.task(name, index, version, run_s=run_s, **more)
 
     def assign(self, agent: str) -> None:
-        """Tell an owner of all task rows, as the controller does."""
+        """Send an owner all task rows, as the controller does."""
         event = Assigned(cell="c0", rows=self.rows("task/c0/"))
         self.world.deliver(seat(agent), event)
 
     def put_service(self, name: str, replicas: int = 1) -> int:
-        """Put a service in force."""
+        """Store a service's record."""
         record = ServiceRecord(
             name=name, department="ovens", replicas=replicas, size=SIZE
         )
         return self.put_record("service", record)
 
     def task(self, job: str, index: int, version: int, **more: Any) -> None:
-        """Put one waiting task into the cell."""
+        """Store one waiting task as assigned to the cell."""
         fields = {"task_class": TaskClass.BATCH, "kind": "job", "size": SIZE, **more}
         spec = TaskSpec(
             record_version=version,
@@ -211,7 +211,7 @@
         self.put(f"task/c0/{job}/{index}", row)
 
     def agent(self, name: str, life: int = 1, autonomy_s: float = 3600.0) -> None:
-        """Start an agent, link it, tell it the configuration and offer the cell."""
+        """Start and link an agent, send it the configuration and offer the cell."""
         incarnation = f"{name}#{life}"
         role = cell_owner.build(
             agent=name, incarnation=incarnation, region="ege", autonomy_s=autonomy_s
@@ -227,10 +227,10 @@
         self.world.deliver(seat(name), Offer(peer="entry-1", cell="c0"))
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the virtual time."""
         self.world.run(self.world.now + seconds)
 
-    # What tests look at.
+    # State that tests inspect.
 
     def tables(self, agent: str) -> CellOwnerTables:
         """Return an agent's tables."""
@@ -250,7 +250,7 @@
         return row.state if row else None
 
     def running(self, task_id: str) -> list[str]:
-        """Return the workers that run a task, once for each run."""
+        """Return the worker of each running run of a task."""
         self._advance()
         return [
             worker
@@ -260,10 +260,10 @@
         ]
 
     def kinds(self) -> set[str]:
-        """Return the kinds of all decision lines."""
+        """Return the kinds of all logged decisions."""
         return {decision.kind for decision in self.decisions}
 
-    # The checks.
+    # Invariant checks.
 
     def _check_start(self, command: StartTask) -> None:
         twice = [
@@ -279,7 +279,7 @@
         self.starts.append(command)
 
     def _check_room(self, command: StartTask) -> None:
-        """Check that no start goes to a worker that had lost its room before."""
+        """Check that no task starts beyond a capacity that was reduced long before."""
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
         bound = START_WINDOW_S + self.start_delay_s
@@ -289,7 +289,7 @@
             self.violations.append(f"started beyond capacity: {command.task_id}")
 
     def check_workers(self) -> None:
-        """Check that nothing runs twice and that every worker's load fits."""
+        """Check that no task runs twice and that every worker's load fits."""
         self._advance()
         runs = [run for state in self.workers.values() for run in state.runs.rows()]
         names = [r.start.task_id for r in runs if r.state.value == "running"]
@@ -306,7 +306,7 @@
             if write.key.startswith("done/") and self.row(write.key) is not None:
                 self.violations.append(f"done twice: {write.key}")
 
-    def _note_drain(self, submission: Submission) -> None:
+    def _record_drain(self, submission: Submission) -> None:
         for write in submission.writes:
             record = write.row.record if isinstance(write.row, RecordRow) else None
             if isinstance(record, FailureDomainRecord):
@@ -316,7 +316,7 @@
     # The store.
 
     def rows(self, prefix: str, since: int = 0) -> tuple[VersionedRow, ...]:
-        """Return the rows under a prefix, changed since a revision."""
+        """Return the rows under a prefix that have changed since a revision."""
         page = table_core.read(self.store, prefix=prefix, since=since, limit=100_000)
         return tuple(self._versioned(row) for row in page.rows)
 
@@ -329,7 +329,7 @@
         )
 
     def commit(self, submission: Submission) -> CommitOutcome:
-        """Commit a submission as a committer does, settling by its token."""
+        """Commit a submission as a committer does, recognizing its own token."""
         key = submission.submission_id
         if not self.store_up:
             return Unsettled(submission_id=key, reason="down")
@@ -346,7 +346,7 @@
         )
         if result.committed:
             self._check_done(submission)
-            self._note_drain(submission)
+            self._record_drain(submission)
             self.store = result.state
             if self.lose_commit(submission):
                 return Unsettled(submission_id=key, reason="answer lost")
@@ -361,30 +361,30 @@
 
     def _carry_out(self, world: VirtualWorld, owner: Seat, command: Command) -> None:
         self.commands.append((world.now, owner.process, command))
-        self._do(command, owner)
+        self._handle_command(command, owner)
 
     @singledispatchmethod
-    def _do(self, command: Command, owner: Seat) -> None:
-        """Pass over what the bench does not act on."""
+    def _handle_command(self, command: Command, owner: Seat) -> None:
+        """Ignore commands without a handler."""
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: Decision, owner: Seat) -> None:
         self.decisions.append(command)
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: Send, owner: Seat) -> None:
         if (owner.process, "store") not in self.cut_off:
-            self._take(command.item, owner)
+            self._handle_item(command.item, owner)
 
     @singledispatchmethod
-    def _take(self, item: Event, owner: Seat) -> None:
-        """Pass over what an entry does not act on."""
+    def _handle_item(self, item: Event, owner: Seat) -> None:
+        """Ignore items without a handler."""
 
-    @_take.register
+    @_handle_item.register
     def _(self, item: CellSummary, owner: Seat) -> None:
         self.summaries.append(item)
 
-    @_take.register
+    @_handle_item.register
     def _(self, item: Submit, owner: Seat) -> None:
         def act() -> None:
             outcome = self.commit(item.submission)
@@ -392,7 +392,7 @@
 
         self.world.at(self.store_delay_s, act)
 
-    @_take.register
+    @_handle_item.register
     def _(self, item: Fetch, owner: Seat) -> None:
         def act() -> None:
             fetched = Fetched(
@@ -407,7 +407,7 @@
         self.world.at(self.store_delay_s, act)
 
     def _answer(self, owner: Seat, event: Event) -> None:
-        """Have an entry tell an owner something."""
+        """Deliver an event to an owner, as from an entry."""
         self.world.at(DELIVERY_S, lambda: self._deliver(owner, event))
 
     def _deliver(self, owner: Seat, event: Event) -> None:
@@ -427,7 +427,7 @@
         cut = (owner.process, worker) in self.cut_off
         return not cut and worker not in self.unreachable
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: StartTask, owner: Seat) -> None:
         ids: dict[str, Any] = {
             "worker_id": command.worker_id,
@@ -441,7 +441,7 @@
 
         def act() -> None:
             self._check_start(command)
-            told = Start(
+            start = Start(
                 task_id=command.task_id,
                 generation=command.generation,
                 lease_s=command.lease_s,
@@ -452,7 +452,7 @@
             )
             before = self.workers[command.worker_id]
             fails = before.fail_all or command.task_id.split("/")[0] in self.bad_jobs
-            state = worker_core.start(failing(before, fails), told, self.world.now)
+            state = worker_core.start(failing(before, fails), start, self.world.now)
             state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
             self._check_room(command)
@@ -466,7 +466,7 @@
             unknown = StartUnknown(problem=PROBLEM, **ids)
             self.world.at(0.1, lambda: self._deliver(owner, unknown))
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: StopTask, owner: Seat) -> None:
         worker = command.worker_id
         lost = StopUnanswered(worker_id=worker, problem=PROBLEM)
@@ -483,7 +483,7 @@
         answered = StopAnswered(worker_id=worker)
         self._deliver(owner, answered if self._answers(worker) else lost)
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: ThrottleTask, owner: Seat) -> None:
         worker = command.worker_id
         lost = ThrottleUnanswered(worker_id=worker, problem=PROBLEM)
@@ -506,7 +506,7 @@
         self.world.deliver(owner, answered if self._answers(worker) else lost)
 
     def usages_of(self, state: WorkerState) -> tuple[RunUsage, ...]:
-        """Return what a worker reports of usage, which lags."""
+        """Return the usages that a worker reports, delayed by the usage lag."""
         now = self.world.now
         at = now - worker_core.USAGE_LAG_S
         return tuple(
@@ -521,7 +521,7 @@
             for run in worker_core.used(state, now)
         )
 
-    @_do.register
+    @_handle_command.register
     def _(self, command: AskReport, owner: Seat) -> None:
         worker = command.worker_id
         unanswered = ReportUnanswered(
@@ -547,7 +547,7 @@
 
 
 def runs_of(state: WorkerState) -> tuple[RunReport, ...]:
-    """Return what a worker reports."""
+    """Return the runs that a worker reports."""
     return tuple(
         RunReport(
             task_id=run.start.task_id,
@@ -561,5 +561,5 @@
 
 
 def failing(state: WorkerState, fails: bool) -> WorkerState:
-    """Return a worker that fails everything it starts, or not."""
+    """Return a worker that fails all tasks it starts if `fails` is set."""
     return replace(state, fail_all=fails)
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -1,4 +1,4 @@
-"""A controller and a cell owner together: records in, outcomes out."""
+"""A controller and cell owners together, from submitted records to outcomes."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class ControlledBench(CellBench):
-    """A bench in which a controller offers the cell and assigns the tasks."""
+    """A bench where a controller offers the cell and assigns the tasks."""
 
     def __init__(self, *, agents: tuple[str, ...] = ("a",)) -> None:
         super().__init__(seed=1, workers=2)
@@ -50,7 +50,7 @@
         self.run(8.0)
 
     def join(self, name: str) -> None:
-        """Start an agent and link it with the entry."""
+        """Start an agent and link it to the entry."""
         role = cell_owner.build(agent=name, incarnation=name, region="ege")
         self.world.start(name, [role])
         self.world.deliver(seat(name), LinkUp(peer="entry-1", region="ege"))
@@ -78,7 +78,7 @@
         self.world.at(1.0, lambda: self._announce(name))
 
     def call(self, event: OperatorCall) -> None:
-        """Hand the controller an operator's call."""
+        """Deliver an operator's call to the controller."""
         self.world.deliver(ENTRY, event)
         self.run(0.5)
 
@@ -94,15 +94,15 @@
                 world.deliver(ENTRY, summary)
         elif isinstance(command, Send):
             item = command.item
-            world.at(DELIVERY_S, lambda: self._to_agent(command.peer, item))
+            world.at(DELIVERY_S, lambda: self._deliver_to_agent(command.peer, item))
         elif isinstance(command, Tell):
-            self._ask(command.event)
+            self._handle_tell(command.event)
 
-    def _to_agent(self, peer: str, item: Any) -> None:
+    def _deliver_to_agent(self, peer: str, item: Any) -> None:
         if self.world.alive(peer):
             self.world.deliver(seat(peer), replace(item, peer="entry-1"))
 
-    def _ask(self, event: Any) -> None:
+    def _handle_tell(self, event: Any) -> None:
         if isinstance(event, Submitted):
             self.world.deliver(ENTRY, self.commit(event.submission))
         if isinstance(event, ReadAsked):
@@ -151,7 +151,7 @@
         self.assertEqual(8, len(bench.starts))
         self.assertTrue(all(s.checkpoint for s in bench.starts[4:]))
 
-    def test_a_cancelled_job_and_a_lowered_service_stop(self) -> None:
+    def test_a_cancelled_job_and_surplus_replicas_stop(self) -> None:
         bench = ControlledBench()
         bench.submit(curves(tasks=3, run_s=500.0))
         service = ServiceRecord(name="oven", department="d", replicas=2, size=SIZE)
@@ -195,8 +195,8 @@
 MIX_S = 90.0
 
 
-class OperatedMix:
-    """Draws faults and operators' calls, two at a time, from a fixed seed."""
+class OperatorFaultMix:
+    """Injects faults and operators' calls, two at a time, drawn from a fixed seed."""
 
     def __init__(self, *, bench: ControlledBench, seed: int) -> None:
         self._bench = bench
@@ -204,7 +204,7 @@
         bench.world.dice = Dice(state=seed)
 
     def run(self) -> None:
-        """Run the mix, then heal everything and let the work complete."""
+        """Run the mix, then clear all faults and let the tasks complete."""
         bench = self._bench
         until = bench.world.now + MIX_S
         while bench.world.now < until:
@@ -257,12 +257,12 @@
         self._bench.call(call)
 
 
-class OperatedMixTest(testtools.TestCase):
+class OperatorFaultMixTest(testtools.TestCase):
     def test_work_completes_once_through_drawn_faults_and_drains(self) -> None:
         for seed in (11, 12):
             bench = ControlledBench(agents=("a", "b"))
             bench.submit(curves(tasks=10, run_s=12.0))
-            OperatedMix(bench=bench, seed=seed).run()
+            OperatorFaultMix(bench=bench, seed=seed).run()
             self.assertEqual([], bench.violations, f"seed {seed}")
             done = {bench.done(f"curves/{index}") for index in range(10)}
             self.assertEqual({TaskState.FINISHED}, done, f"seed {seed}")
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -1,4 +1,4 @@
-"""Evictions, drains, shrunken workers, sick workers, bad jobs and releases."""
+"""Evictions, drains, reduced capacities, faulty workers, bad jobs and releases."""
 
 from __future__ import annotations
 
@@ -166,8 +166,8 @@
     return total
 
 
-class SickTest(testtools.TestCase):
-    def test_a_worker_that_fails_everything_is_set_aside_and_probed_back(self) -> None:
+class QuarantineTest(testtools.TestCase):
+    def test_a_worker_that_fails_everything_is_quarantined_and_probed(self) -> None:
         bench = CellBench(workers=3)
         bench.workers["w0"] = failing(bench.workers["w0"], True)
         for number in range(6):
@@ -186,7 +186,7 @@
         worker = bench.tables("a").workers.by_key["w0"]
         self.assertEqual(Health.HEALTHY, worker.health)
 
-    def test_two_sick_workers_are_told_by_what_succeeds_on_the_third(self) -> None:
+    def test_two_faulty_workers_are_found_by_successes_on_a_third(self) -> None:
         bench = CellBench(workers=3)
         for worker in ("w0", "w1"):
             bench.workers[worker] = failing(bench.workers[worker], True)
@@ -204,7 +204,7 @@
             [Health.QUARANTINED, Health.QUARANTINED, Health.HEALTHY], healths
         )
 
-    def test_without_evidence_a_sick_worker_is_never_set_aside(self) -> None:
+    def test_without_evidence_a_faulty_worker_is_not_quarantined(self) -> None:
         bench = CellBench(workers=2)
         bench.workers["w0"] = failing(bench.workers["w0"], True)
         for number in range(4):
@@ -214,7 +214,7 @@
             bench.run(25.0)
         self.assertNotIn("worker.aside", bench.kinds())
 
-    def test_a_job_that_fails_everywhere_is_its_own_fault(self) -> None:
+    def test_a_job_that_fails_everywhere_quarantines_no_worker(self) -> None:
         bench = CellBench(workers=3)
         bench.agent("a")
         bench.bad_jobs = {"broken"}
@@ -265,8 +265,8 @@
 MIX_S = 100.0
 
 
-class MixTest(testtools.TestCase):
-    """Faults drawn by fixed seeds, two at a time, against all invariants."""
+class FaultMixTest(testtools.TestCase):
+    """Faults drawn from fixed seeds, two at a time, must not break any invariant."""
 
     def test_drawn_mixes_violate_nothing_and_lose_nothing(self) -> None:
         for seed in range(1, 5):
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -1,4 +1,4 @@
-"""Interference within a cell: learning, throttling, evicting and placing."""
+"""Interference within a cell: learning, throttling, eviction and placement."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def noise(now: float) -> float:
-    """Return waves between 0.55 and 1.45, the same in each run."""
+    """Return a factor between 0.55 and 1.45, the same for the same time."""
     return 0.55 + 0.9 * ((int(now * 10) * 7_919) % NOISE_MODULUS) / NOISE_MODULUS
 
 
@@ -45,7 +45,7 @@
     eviction_weight: float = 1.0,
     jobs: tuple[str, ...] = ("quiet", "noisy"),
 ) -> CellBench:
-    """Return a bench that runs a service, and jobs that start one after another."""
+    """Return a bench that runs a service and jobs that start one after another."""
     bench = CellBench(workers=workers)
     for worker, state in bench.workers.items():
         bench.workers[worker] = replace(state, harm_by_job=harm_by_job)
@@ -64,7 +64,7 @@
 
 
 def throttles(bench: CellBench) -> list[tuple[float, ThrottleTask]]:
-    """Return the throttles that were sent and when."""
+    """Return the throttles that were sent, with their times."""
     return [
         (at, command)
         for at, _, command in bench.commands
@@ -90,14 +90,14 @@
         self.assertLess(latency.smoothed_ms, 200.0)
         self.assertEqual([], bench.violations)
 
-    def test_nothing_more_is_done_before_the_lag_has_passed(self) -> None:
+    def test_no_further_action_is_taken_before_the_lag_has_passed(self) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0, "quiet": 900.0})
         bench.run(120.0)
         instants = sorted({at for at, _ in throttles(bench)})
         gaps = [b - a for a, b in itertools.pairwise(instants)]
         self.assertGreaterEqual(min(gaps, default=99.0), worker_core.USAGE_LAG_S)
 
-    def test_a_share_comes_back_once_the_service_is_gone(self) -> None:
+    def test_a_share_is_raised_once_the_service_is_gone(self) -> None:
         bench = colocated(harm_by_job={"noisy": 150.0})
         bench.run(60.0)
         bench.put_service("oven", replicas=0)
@@ -107,14 +107,14 @@
         self.assertEqual(1.0, run.share)
         self.assertEqual(0, len(bench.tables("a").throttles))
 
-    def test_what_throttling_cannot_mend_is_evicted_and_kept_away(self) -> None:
+    def test_what_throttling_cannot_relieve_is_evicted_and_kept_away(self) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0}, workers=2)
         bench.run(150.0)
         self.assertEqual(["noisy/0"], evicted(bench))
         self.assertNotEqual(bench.running("oven/0"), bench.running("noisy/0"))
         self.assertEqual([], bench.violations)
 
-    def test_a_new_owner_gives_a_throttled_task_its_speed_back(self) -> None:
+    def test_a_new_owner_resets_a_throttled_task_to_full_speed(self) -> None:
         bench = colocated(harm_by_job={"noisy": 150.0})
         bench.run(60.0)
         bench.world.kill("a")
@@ -124,7 +124,7 @@
         self.assertEqual({1.0}, shares)
 
 
-class HeldBackTest(testtools.TestCase):
+class DeferralTest(testtools.TestCase):
     def test_a_job_that_harms_on_every_worker_starts_within_the_bound(self) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0})
         bench.run(120.0)
