--- a/bulrushpulley/entities/jobs/calls.py
+++ b/bulrushpulley/entities/jobs/calls.py
@@ -12,10 +12,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobCall(Event):
-    """The base of the calls; `authority` and `path` select the queue and the job.
+    """Base class for calls; `authority` and `path` select the queue and the job.
 
-    The caller waits `within_s` from `received_at_s` on, which is in seconds since
-    1970.
+    The caller waits `within_s` seconds from `received_at_s`, which is in seconds
+    since 1970.
     """
 
     call_id: str
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitCall(JobCall):
-    """Asks for a job to be accepted; `problem` says why its body makes no sense."""
+    """Submits a job; `problem` is set if the body of the call is invalid."""
 
     spec: JobSpec | None
     problem: Problem | None = None
@@ -35,24 +35,24 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShowCall(JobCall):
-    """Asks for the state of a job, or of a queue if the path names no job."""
+    """Requests the state of a job, or of a queue if the path names no job."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CancelCall(JobCall):
-    """Asks for a job to be cancelled."""
+    """Requests the cancellation of a job."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallDropped(Event):
-    """Nobody waits for the answer to a call any more."""
+    """The caller no longer waits for the answer."""
 
     call_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallAnswer(Command):
-    """The base of the answers."""
+    """Base class for the answers."""
 
     call_id: str
 
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OutcomeUnknown(CallAnswer):
-    """Whether the call took effect is not known; it may be repeated with its id."""
+    """It is unknown whether the call took effect; it can be retried with its id."""
 
     reason: str
 
@@ -84,12 +84,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NoSuchJob(CallAnswer):
-    """The queue knows no such job."""
+    """The queue has no such job."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BadCall(CallAnswer):
-    """The call makes no sense."""
+    """The call is invalid."""
 
     problem: Problem
 
@@ -108,6 +108,6 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BacklogShown(CallAnswer):
-    """How many accepted jobs of a queue have no started task."""
+    """The number of accepted jobs of a queue none of whose tasks has started."""
 
     waiting: int
--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -1,7 +1,7 @@
-"""What an agent asks of the backend server beside it, and what it is told.
+"""Calls from an agent to the backend server on its host, and the answers.
 
-Lease times are on the backend server's own clock, in milliseconds: a call that is
-carried out late extends nothing beyond what was meant when it was sent.
+Lease ends are absolute times in milliseconds on the backend server's own clock, so a
+call that is carried out late does not extend a lease beyond the intended time.
 """
 
 from __future__ import annotations
@@ -15,10 +15,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Announced(Event):
-    """A backend server's own word on itself.
+    """An announcement that a backend server sends about itself.
 
-    `started_at_ms` tells two lives with one id apart, and `sequence` a late word
-    from a newer one. `leaves_in_s` is the least time that it stays while draining.
+    `started_at_ms` distinguishes incarnations with the same id, and `sequence` orders
+    the announcements of one. `leaves_in_s` is the least time that a draining server
+    still runs.
     """
 
     server_id: str
@@ -35,14 +36,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Withdrawn(Event):
-    """A backend server has ended; nothing runs on it any more."""
+    """A backend server has shut down; it has no runs left."""
 
     server_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExecutorCommand(Command):
-    """The base of the calls to the backend server with the id `server_id`."""
+    """Base class for the calls to the backend server with the id `server_id`."""
 
     server_id: str
     address: str
@@ -53,7 +54,8 @@
 class PollRuns(ExecutorCommand):
     """Lists all runs and ends, and renews the lease to `lease_until_ms` if given.
 
-    Ends up to `noted` may be forgotten. The answer waits up to `wait_ms` for an end.
+    The server may discard the ends with numbers up to `noted`. It answers after up to
+    `wait_ms`, or as soon as a run ends.
     """
 
     noted: int
@@ -63,7 +65,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartRun(ExecutorCommand):
-    """Starts a run, unless it is there already."""
+    """Starts a run unless it exists already."""
 
     order: RunOrder
     lease_until_ms: int
@@ -71,14 +73,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopRun(ExecutorCommand):
-    """Stops a run, or keeps it from ever starting."""
+    """Stops a run, or prevents it from ever starting."""
 
     run: RunRef
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PaceRun(ExecutorCommand):
-    """Lets a run work at a part of its speed."""
+    """Limits a run to `percent` of its full speed."""
 
     run: RunRef
     percent: int
@@ -86,14 +88,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExecutorEvent(Event):
-    """The base of the answers; `server_id` is that of the call."""
+    """Base class for the answers; `server_id` is that of the call."""
 
     server_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunsListed(ExecutorEvent):
-    """All runs and the ends not yet forgotten, at `clock_ms` of the server's clock."""
+    """All runs and the ends not yet discarded, at `clock_ms` of the server's clock."""
 
     started_at_ms: int
     clock_ms: int
@@ -103,7 +105,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PollFailed(ExecutorEvent):
-    """No list came; `absent` says that nothing listens at the address."""
+    """No list was received; with `connection_refused` no process listens there."""
 
     reason: str
     connection_refused: bool = False
@@ -111,24 +113,24 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OtherIncarnation(ExecutorEvent):
-    """Another backend server answers at the address."""
+    """A different backend server or incarnation answers at the address."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunEvent(ExecutorEvent):
-    """The base of the answers about one run."""
+    """Base class for the answers about one run."""
 
     run: RunRef
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunStarted(RunEvent):
-    """The run is there."""
+    """The run exists."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartDenied(RunEvent):
-    """The run was not started; `final` says that it can never be."""
+    """The run was not started; if `final`, it can never start."""
 
     reason: str
     final: bool = False
@@ -136,37 +138,37 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartUnhealthy(RunEvent):
-    """The backend server takes nothing; it did nothing with this call."""
+    """The backend server refuses all starts; the call had no effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartUnanswered(RunEvent):
-    """The run may have been started, or may be later."""
+    """No answer; the run may have started, or may start later."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopAnswered(RunEvent):
-    """The stop was taken."""
+    """The backend server accepted the stop."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopUnanswered(RunEvent):
-    """The stop may have been taken."""
+    """No answer; the stop may have taken effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PaceAnswered(RunEvent):
-    """The pace was taken."""
+    """The backend server accepted the pace."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PaceFailed(RunEvent):
-    """The pace may have been taken."""
+    """No answer; the pace may have taken effect."""
 
     reason: str
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -1,4 +1,4 @@
-"""The tables of the intake, the role of every entry that takes callers' calls."""
+"""The tables of the intake, the role of each entry that serves callers' calls."""
 
 from __future__ import annotations
 
@@ -24,8 +24,9 @@
 class Submission:
     """A job that is being stored, and the calls that wait for it.
 
-    It is `unsure` once a transaction with it got no answer. `refused_at` is when the
-    store first turned it away, `busy` whether it had too much to do the last time.
+    `outcome_unknown` is set once a transaction with the job got no answer.
+    `refused_at` is when the store first refused it, and `busy` tells whether the last
+    refusal was because of overload.
     """
 
     job_id: str
@@ -43,9 +44,9 @@
 class Batch:
     """The one transaction with submissions that is in flight.
 
-    From `check_at` on its rows are read, since the answer should have come; `checking`
-    are the jobs that were asked for at `asked_at`. It is `absent` once one of them
-    was not found.
+    If it has no answer by `check_at`, its rows are read. `checking` holds the ids of
+    the jobs whose reads, sent at `asked_at`, are in flight. `row_missing` is set once
+    one of the rows was not found or could not be read.
     """
 
     number: int
@@ -62,8 +63,9 @@
 class Inquiry:
     """A call about one job or queue that waits for the store.
 
-    `repeat` is what has to be asked again, from `repeat_at` on. It is `unsure` once a
-    cancellation may have been stored without an answer.
+    `retry_purpose` is the purpose of the store call that must be sent again, not
+    before `next_retry_at`. `outcome_unknown` is set once a cancellation may have been
+    stored without an answer.
     """
 
     call: JobCall
@@ -78,7 +80,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OrderEntry:
-    """A row of operators' orders as last read: its version and what it says."""
+    """A row of operators' orders as last read, with its version."""
 
     version: int
     row: object | None
@@ -88,9 +90,10 @@
 class IntakeTables:
     """The whole state of the role.
 
-    `accepted` and `accepted_before` hold the ids of jobs that are known to be
-    stored, the younger and the older ones. `answered_at` is when the store last
-    answered anything; `store_s` how long its answers take, smoothed.
+    `accepted` and `older_accepted` hold the ids of jobs that are known to be stored:
+    the recent ones and those before. `store_answered_at` is when the store last
+    answered any call, and `store_latency_s` its smoothed latency. `reading` tells
+    whether a read of all orders is in flight.
     """
 
     standing: OperatorSettings = NO_OPERATOR_SETTINGS
@@ -113,31 +116,31 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PublishReady(Command):
-    """Says whether the platform should send new callers here."""
+    """Publishes whether the platform should route new callers to this entry."""
 
     ready: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadOrders(Purpose):
-    """Reads everything that operators have in force."""
+    """Reads all orders of operators that are in force."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WatchOrders(Purpose):
-    """Follows what operators put in force."""
+    """Watches for changes of operators' orders."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreJobs(Purpose):
-    """Stores the submissions of the batch with a number."""
+    """Stores the submissions of the batch with this number."""
 
     number: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CheckStored(Purpose):
-    """Reads whether a job of a batch was stored."""
+    """Reads the row of a job of a batch, to see whether it was stored."""
 
     number: int
     job_id: str
@@ -145,7 +148,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallPurpose(Purpose):
-    """The base of calls to the store for one inquiry."""
+    """Base class for the store calls of one inquiry."""
 
     call_id: str
 
@@ -157,12 +160,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadJob(CallPurpose):
-    """Reads whether a job was accepted, and whether it was cancelled."""
+    """Reads the rows that show whether a job was accepted, and whether cancelled."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadBacklog(CallPurpose):
-    """Reads how many jobs of each queue have not started."""
+    """Reads the number of jobs of each queue that have not started."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -1,7 +1,8 @@
-"""What the scheduler and the agents tell each other over a link.
+"""Messages between the scheduler and the agents over a link.
 
-The owner of the shard dials every agent and adopts it. Every item names the epoch
-of the owner, so that a replaced owner's orders and answers to it go unheeded.
+The owner of the shard dials every agent and adopts it. Every item carries the epoch
+of the owner, so that orders of a replaced owner, and replies to it, are ignored. In
+all items, `life` names the incarnation of the backend server that the item is about.
 """
 
 from __future__ import annotations
@@ -16,21 +17,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobItem(LinkEvent):
-    """The base of the items between scheduler and agents."""
+    """Base class for the items between scheduler and agents."""
 
     epoch: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Adopt(JobItem):
-    """The owner of `epoch` takes the agent over; it answers with its whole state."""
+    """The owner of `epoch` takes over the agent, which replies with its full state."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Orders(JobItem):
-    """Runs to start or keep, and runs to stop, for one life of a backend server.
+    """Runs to start or keep, and runs to stop, on one incarnation of a server.
 
-    A `complete` one lists every run that may be there; all others are stopped.
+    If `complete`, it lists every run that may exist, and all others are stopped.
     """
 
     life: str
@@ -41,7 +42,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndsNoted(JobItem):
-    """Ends that are durable, so the backend server may forget them."""
+    """Ends that are durable in the store, so the backend server may discard them."""
 
     life: str
     numbers: tuple[int, ...]
@@ -49,14 +50,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ContactAck(JobItem):
-    """The owner still owns; `sent_at` is the agent's own time of its contact."""
+    """Confirms that the owner still owns the shard.
+
+    `sent_at` is the time on the agent's clock at which it sent the contact.
+    """
 
     sent_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Contact(JobItem):
-    """The agent asks the owner to vouch for its leases from `sent_at` on."""
+    """Asks the owner to confirm its ownership, which allows leases from `sent_at`."""
 
     sent_at: float
 
@@ -72,9 +76,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FillingMeasure:
-    """How much of the tasks of an image works on a host.
+    """How much the tasks of an image use of a host's processors.
 
-    A unit is a tenth of the host's processors.
+    A unit is a tenth of the processors.
     """
 
     image: str
@@ -83,7 +87,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Measures(JobItem):
-    """What ran side by side on a host, and how the serving tasks fared."""
+    """What ran together on a host, and the latencies of the serving tasks."""
 
     serving: tuple[ServingMeasure, ...]
     filling: tuple[FillingMeasure, ...]
@@ -91,9 +95,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HarmVerdicts(JobItem):
-    """Which images slow which serving images on the host, as far as is known.
+    """Which images are known to slow, or not to slow, which serving images.
 
-    Each pair names the serving image first. A pair in neither list is not known yet.
+    Each pair names the serving image first. The effect of a pair in neither list is
+    unknown.
     """
 
     harmful: tuple[tuple[str, str], ...]
@@ -102,9 +107,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostReport(JobItem):
-    """What an agent knows of its host and backend server.
+    """The state of a host and its backend server as the agent knows it.
 
-    `leaves_in_s` is the least time that a draining backend server stays.
+    `leaves_in_s` is the least time that a draining backend server still runs.
     """
 
     host: str
@@ -119,7 +124,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunsReport(JobItem):
-    """Runs and ends that changed; a `complete` one lists all there are."""
+    """Runs and ends that changed, or all of them if `complete`."""
 
     life: str
     runs: tuple[RunStatus, ...] = ()
@@ -129,9 +134,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunRefused(JobItem):
-    """A run that is not there and can never start any more.
+    """A run that does not exist and can never start any more.
 
-    `unhealthy` says that the backend server refused it for its own state.
+    `unhealthy` tells that the backend server refused it because of its own state.
     """
 
     life: str
@@ -142,6 +147,6 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LifeEnded(JobItem):
-    """A life of the backend server is over: nothing that it ran runs any more."""
+    """An incarnation of the backend server has ended, and all its runs with it."""
 
     life: str
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -1,7 +1,7 @@
-"""The tables of the keeper, the role of an agent that runs tasks on its server.
+"""The tables of the job agent, the role that runs tasks on a host's backend server.
 
-What the owner of the shard ordered stands beside what the backend server lists; the
-systems bring the second to the first.
+They hold the runs that the owner of the shard ordered and those that the backend
+server lists; the systems reconcile the second with the first.
 """
 
 from __future__ import annotations
@@ -19,14 +19,16 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.table import Table
 
+# The name of the role in logs and metrics.
 JOB_AGENT = "keeper"
 
 
 class RunPhase(enum.Enum):
-    """Where a run stands on the backend server.
+    """The state of a run on the backend server.
 
-    ORDERED was not sent yet, STARTING has no sure answer, and BARRED can never start
-    any more once a list without it was asked for after `barred_at`.
+    The start of an ORDERED run has not been sent yet. STARTING has no definite answer.
+    A BARRED run will not be started; it certainly does not exist once a list requested
+    after `barred_at` does not contain it.
     """
 
     ORDERED = "ordered"
@@ -37,13 +39,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Run:
-    """One run: the order for it, if one came, and what the backend server says.
-
-    An unwanted run is stopped. No call about it goes out before `retry_at`, or while
-    one is in flight. It is `unsure` once a start got no answer, and `denied`
-    says why the backend server denied one. `pace` is the
-    percentage of its speed that it should have, `pace_set` the last one that was
-    taken, or zero if that is not known.
+    """One run: the order for it, if there is one, and its status on the server.
+
+    A run that is not `wanted` is stopped. No call about it is sent before `retry_at`
+    or while one is in flight. `since` is when the order came or the run was first
+    listed. `unconfirmed` is set once a start got no answer, and `denied` is the reason
+    for which the backend server denied one. `pace` is the intended percentage of full
+    speed, and `pace_set` the last one that was sent, or zero if the actual one is not
+    known. Until `pace_uncertain_until` a late call may still change it, so the pace is
+    sent again.
     """
 
     ref: RunRef
@@ -69,22 +73,23 @@
 
     @property
     def key(self) -> str:
-        """Its key in the table of runs."""
+        """The key in the table of runs."""
         return self.ref.key
 
     @property
     def committed(self) -> Resources:
-        """The room that it takes, if known."""
+        """The resources that it takes, if known."""
         return self.order.committed if self.order else NO_RESOURCES
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Server:
-    """The present life of the backend server.
+    """The current incarnation of the backend server.
 
-    `clock_ms` is the newest time of its clock that an answer carried, `noted` the
-    number up to which its ends are durable. `lease_sent_at` is when a lease was last
-    asked for it.
+    `clock_ms` is the newest time on its clock that an answer carried. All ends with
+    numbers up to `noted` are durable, and so are those in `noted_out_of_order`.
+    `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
+    once it has answered with a list of its runs.
     """
 
     server_id: str
@@ -104,13 +109,17 @@
 
     @property
     def life(self) -> str:
-        """The name of this life, which no other life has."""
+        """The unique name of this incarnation."""
         return f"{self.server_id}/{self.started_at_ms}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PollState:
-    """The call that lists runs; `failing_since` is set while it gets no answer."""
+    """The state of the call that lists runs.
+
+    `failing_since` is set while it gets no answer. `connections_refused` counts the
+    refused connections in a row.
+    """
 
     in_flight: bool = False
     sent_at: float = 0.0
@@ -121,10 +130,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pacing:
-    """When paces were last decided, and what the owner has told of pairs of images.
+    """When paces were last decided, and the owner's verdicts on pairs of images.
 
-    `near_since` is since when the serving tasks of an image have been near their
-    target without a break.
+    `near_target_since` holds, for each serving image, since when its latency has been
+    near or above its target without interruption.
     """
 
     decided_at: float = 0.0
@@ -134,7 +143,7 @@
 
 
 def by_phase(run: Run) -> tuple[str, ...]:
-    """Index runs by phase, and those to be stopped besides."""
+    """Index runs by phase, and runs to be stopped also as unwanted."""
     if run.wanted:
         return (run.phase.value,)
     return (run.phase.value, "unwanted")
@@ -144,12 +153,13 @@
 class JobAgentTables:
     """The whole state of the role.
 
-    `epoch` is the newest owner's that adopted this agent, at `owner` while linked.
-    `contact_at` is when the last contact that it answered was sent. `ordered` says
-    that its whole list of runs has come for the present life. `stalled_since` is
-    when the serving runs were first seen to stand still together, `began_at` when this
-    process began to look for its server. `ends` are kept by
-    number until the server forgets them.
+    `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
+    name while linked. `contact_at` is when the last contact that the owner answered
+    was sent. `orders_complete` tells that the owner's complete list of runs for the
+    current incarnation has arrived. `stalled_since` is since when all serving runs
+    have been stalled, `search_began_at` when this process began to wait for an
+    announcement. `ends` are kept by number until the server may discard them.
+    `synced` tells that the owner has got the complete list of runs.
     """
 
     host: str
--- a/bulrushpulley/entities/lifecycle.py
+++ b/bulrushpulley/entities/lifecycle.py
@@ -9,4 +9,4 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Leave(Event):
-    """The process was asked to stop: take no new work and finish what runs."""
+    """The process must shut down: accept no new work and finish what is running."""
--- a/bulrushpulley/entities/observe.py
+++ b/bulrushpulley/entities/observe.py
@@ -1,7 +1,7 @@
-"""What systems say of their work: decision lines, counts and durations.
+"""Log lines, counters and durations that systems emit.
 
-A decision line names what was chosen, why, and what was passed over, so that an
-operator can follow one request or task through the logs by `subject`.
+A decision line names the choice, its reason and the rejected alternatives, so that
+an operator can follow one request or task through the logs by `subject`.
 """
 
 from __future__ import annotations
@@ -13,10 +13,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Decision(Command):
-    """One routing or placement decision, written as one log line.
+    """One decision, such as a routing or a placement, written as one log line.
 
-    `kind` is a dotted name such as ``route.dispatch``; `subject` the id of the
-    request, task or cell; `revision` and `epoch` those the decision rested on.
+    `kind` is a dotted name such as ``route.dispatch``, and `subject` the id of the
+    request, task or cell. `passed_over` lists the rejected alternatives. `revision`
+    and `epoch` are those that the decision was based on.
     """
 
     kind: str
@@ -30,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Count(Command):
-    """Adds `by` to the counter `name` of `label` (a service, department or cell)."""
+    """Adds `by` to the counter `name` for `label` (a service, department or cell)."""
 
     name: str
     label: str = ""
@@ -39,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Observe(Command):
-    """Records a duration in the histogram `name` of `label`."""
+    """Records a duration in the histogram `name` for `label`."""
 
     name: str
     seconds: float
--- a/bulrushpulley/entities/step.py
+++ b/bulrushpulley/entities/step.py
@@ -1,8 +1,8 @@
-"""What a system returns: the new tables and the commands to carry out.
+"""The result of a system: new tables and the commands to carry out.
 
-A role runs its systems in a stated order each tick. Every system has the form
+A role runs its systems in a fixed order each tick. Every system has the form
 ``run(tables, now) -> Step``; an event is applied by a `singledispatch` function
-of the form ``apply(event, tables, now) -> Step``. `chain` joins both.
+of the form ``apply(event, tables, now) -> Step``. `tick` runs both.
 """
 
 from __future__ import annotations
@@ -17,17 +17,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Command:
-    """The base of everything a system asks to have carried out."""
+    """Base class for the actions that a system requests."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Event:
-    """The base of everything a role is told."""
+    """Base class for the inputs of a role."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tell(Command):
-    """Hands an event to another role of the same process, by the role's name."""
+    """Passes an event to another role of the same process, by the role's name."""
 
     role: str
     event: Event
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Step(Generic[T]):
-    """The outcome of one system: new tables and commands, in order."""
+    """The result of one system: new tables and commands, in order."""
 
     tables: T
     commands: tuple[Command, ...] = ()
@@ -54,7 +54,7 @@
 ) -> Step[T]:
     """Apply the events in order, then run the systems in order.
 
-    Returns the last tables and all commands in the order in which they arose.
+    Returns the final tables and all commands in the order in which they were issued.
     """
     commands: list[Command] = []
     for event in events:
--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -1,8 +1,8 @@
 """An immutable table of rows keyed by id, with secondary indexes.
 
-Entities live in tables; systems take tables and return new ones. A change costs
-what it touches, not what the table holds: both the rows and the indexes are
-persistent maps. The rows stand in `by_key`.
+Entities live in tables; systems take tables and return new ones. The rows, in
+`by_key`, and the indexes are persistent maps, so the cost of a change depends on the
+entries that it touches and not on the size of the table.
 
 Example::
 
@@ -30,7 +30,7 @@
 
 def _without(entries: Entries, value: str, key: str) -> Entries:
     if value not in entries:
-        # An index function may name a value twice.
+        # An index function may return a value twice.
         return entries
     left = entries[value].discard(key)
     return entries.set(value, left) if left else entries.remove(value)
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Table(Generic[R]):
-    """Rows keyed by id, and for each index name the keys by index value."""
+    """Rows keyed by id, with secondary indexes from index values to keys."""
 
     by_key: PMap[str, R]
     index_of: Mapping[str, IndexOf[R]]
@@ -50,7 +50,7 @@
 
     @staticmethod
     def empty(indexes: Mapping[str, IndexOf[R]] | None = None) -> Table[R]:
-        """Return a table without rows; `indexes` maps a name to a key function."""
+        """Return a table without rows; `indexes` maps names to index functions."""
         index_of = dict(indexes or {})
         return Table(
             by_key=pmap(),
@@ -59,18 +59,18 @@
         )
 
     def get(self, key: str) -> R | None:
-        """Return the row of a key, or None."""
+        """Return the row for a key, or None."""
         return self.by_key.get(key)
 
     def put(self, key: str, row: R) -> Table[R]:
-        """Return a table in which `key` holds `row`."""
+        """Return a table in which `key` maps to `row`."""
         indexes = self._reindexed(key, self.by_key.get(key), row)
         return Table(
             by_key=self.by_key.set(key, row), index_of=self.index_of, by_index=indexes
         )
 
     def drop(self, key: str) -> Table[R]:
-        """Return a table without `key`; an absent key is no error."""
+        """Return a table without `key`, which may be absent."""
         if key not in self.by_key:
             return self
         indexes = self._reindexed(key, self.by_key[key], None)
@@ -79,7 +79,7 @@
         )
 
     def keys_where(self, index: str, value: str) -> Iterable[str]:
-        """Return the keys whose row has `value` in `index`, in no stated order."""
+        """Return the keys whose row has `value` in `index`, in arbitrary order."""
         return self.by_index[index].get(value, pmap()).keys()
 
     def rows_where(self, index: str, value: str) -> list[R]:
--- a/bulrushpulley/systems/dialling.py
+++ b/bulrushpulley/systems/dialling.py
@@ -1,4 +1,4 @@
-"""Dials every known entry that is not linked, when its next try is due."""
+"""Dials every known entry that is not linked, once its retry delay has passed."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def run(tables: LinkerTables, now: float) -> Step[LinkerTables]:
-    """Start the tries that are due and forget addresses that are out of use."""
+    """Start the attempts that are due and drop addresses that are no longer used."""
     if tables.leaving:
         return Step(tables=tables)
     dials = tables.dials
--- a/bulrushpulley/systems/intake/__init__.py
+++ b/bulrushpulley/systems/intake/__init__.py
@@ -1,1 +1,1 @@
-"""The intake's systems: they take callers' calls about jobs and store them."""
+"""The intake's systems: they serve callers' calls about jobs and store submissions."""
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -1,9 +1,9 @@
-"""Looks whether a batch that has no answer yet was stored nonetheless.
+"""Checks whether a batch without an answer was stored nonetheless.
 
 A write without an answer is slow or lost. Reads do not wait for a part's writes, so
-they tell which: rows that stand are accepted at once; where a quick read finds none
-the batch is sent again; while reads are slow too the write is given its time, since a
-copy of it would only make a slow store slower.
+they tell which: jobs whose rows are found are accepted at once; if a fast read finds a
+row missing, the batch is sent again; while reads are slow too, the write is left to
+complete, since a second copy would only add load to a slow store.
 """
 
 from __future__ import annotations
@@ -25,12 +25,12 @@
 from bulrushpulley.systems.intake import submitting
 
 CHECK_READ_TIMEOUT_S = 1.0
-# A store at its usual pace answers a read from the other region in 40 ms.
+# A store at its usual speed answers a read from the other region in 40 ms.
 MAX_FAST_READ_S = 0.2
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Read the rows of a batch whose answer is due."""
+    """Read the rows of a batch whose answer is overdue."""
     batch = tables.batch
     if batch is None or batch.checking or now < batch.check_at:
         return Step(tables=tables)
@@ -49,7 +49,7 @@
         table=JOBS,
         part=INTAKE_PART,
         first=key,
-        # The least key above it.
+        # The smallest key greater than `key`.
         end=key + "\0",
     )
 
@@ -57,7 +57,7 @@
 def on_read(
     purpose: CheckStored, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Take in whether the row of one job stands."""
+    """Record whether the row of one job was found."""
     batch = tables.batch
     if batch is None or batch.number != purpose.number:
         return Step(tables=tables)
@@ -80,7 +80,7 @@
 
 @singledispatch
 def _job_row_found(event: StoreEvent) -> bool | None:
-    """Tell whether a job's row was found; None where no answer came."""
+    """Return whether a job's row was found, or None if the read failed."""
     return None
 
 
@@ -90,7 +90,7 @@
 
 
 def _finish_check(tables: IntakeTables, resends: bool, now: float) -> IntakeTables:
-    """Go on after every row of the batch was asked for."""
+    """Decide what to do with the batch after the reads of all its rows."""
     batch = tables.batch
     if batch is None:
         return tables
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -1,4 +1,4 @@
-"""Which system acts on each event of the intake."""
+"""Dispatches each event of the intake to the system that handles it."""
 
 from __future__ import annotations
 
@@ -48,13 +48,13 @@
 )
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
-# A process that has just started has its configuration within this time.
+# A process has read its configuration within this time after its start.
 STARTUP_RETRY_AFTER_S = 0.5
 
 
 @singledispatch
 def apply(event: Event, tables: IntakeTables, now: float) -> IntakeStep:
-    """Act on one event; kinds that say nothing to the role change nothing."""
+    """Apply one event; kinds that the role does not handle are ignored."""
     return Step(tables=tables)
 
 
@@ -75,24 +75,29 @@
     if configuration is None:
         later = TryLater(
             call_id=event.call_id,
-            reason="no configuration was read yet",
+            reason="the configuration has not been read yet",
             retry_after_s=STARTUP_RETRY_AFTER_S,
         )
         return _refuse(tables, event, later, later.reason)
     found = route(configuration, event.authority, event.path)
     if found is None:
         answer = NoSuchQueue(call_id=event.call_id)
-        return _refuse(tables, event, answer, f"version {configuration.version}")
+        return _refuse(
+            tables,
+            event,
+            answer,
+            f"no matching queue in configuration version {configuration.version}",
+        )
     queue, rest = found
     if not _has_valid_job_id(event, rest):
         answer = NoSuchQueue(call_id=event.call_id)
-        return _refuse(tables, event, answer, "the path names no job")
+        return _refuse(tables, event, answer, "the path contains no valid job id")
     return begin(event, queue, rest, tables, now)
 
 
 @singledispatch
 def _has_valid_job_id(call: JobCall, job_id: str) -> bool:
-    """Tell whether the rest of the path fits the call: a job's id or nothing."""
+    """Return whether the rest of the path is a job id, or empty where allowed."""
     return not job_id or JOB_ID.fullmatch(job_id) is not None
 
 
@@ -119,7 +124,7 @@
 def begin(
     call: JobCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Begin to serve a call of a queue."""
+    """Start to handle a call to a queue."""
     return inquiring.inquire(call, queue, job_id, tables, now)
 
 
@@ -135,7 +140,7 @@
 def note_store_answer(
     event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeTables:
-    """Note that the store answers."""
+    """Record the time of the answer, unless it is a failure."""
     return replace(tables, store_answered_at=now)
 
 
@@ -150,7 +155,7 @@
 def on_store(
     purpose: Purpose, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Act on an answer of the store by what the call was for."""
+    """Handle an answer of the store by the purpose of the call."""
     return Step(tables=tables)
 
 
@@ -179,7 +184,7 @@
 
 @singledispatch
 def on_watched(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeStep:
-    """Act on the answer of the watch; by default the call failed."""
+    """Handle the answer of the watch; by default the call has failed."""
     return operator_orders.on_watch_failed(tables, now)
 
 
@@ -201,14 +206,14 @@
     purpose: StoreJobs, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
     if tables.batch is None or tables.batch.number != purpose.number:
-        # What became of it was found out before its answer came.
+        # The check of its rows settled the batch before this answer arrived.
         return Step(tables=tables)
     return on_batch(event, tables, now)
 
 
 @singledispatch
 def on_batch(event: StoreEvent, tables: IntakeTables, now: float) -> IntakeStep:
-    """Act on the answer to a batch of submissions."""
+    """Handle the answer to a batch of submissions; by default it was lost."""
     return submitting.on_lost(tables, now)
 
 
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -1,7 +1,7 @@
-"""Answers questions about jobs and queues, and stores cancellations.
+"""Answers calls about the state of jobs and queues, and stores cancellations.
 
-The store is asked each time, so any entry gives the same answer. A call that gets
-no answer from it is repeated while its caller waits.
+Every call reads the store, so all entries give the same answer. A store call that is
+refused or gets no answer is retried while the caller waits.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
     is_accepted,
 )
 
-# Pauses before a call that the store refused or did not answer is repeated.
+# Delays before a call that the store refused or did not answer is sent again.
 MIN_INQUIRY_RETRY_DELAY_S = 0.1
 MAX_INQUIRY_RETRY_DELAY_S = 0.8
 MIN_INQUIRY_TIMEOUT_S = 0.1
@@ -78,7 +78,7 @@
 def inquire(
     call: JobCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Begin to answer a call about a job or a queue."""
+    """Start to answer a call about a job or a queue."""
     raise NotImplementedError(type(call).__name__)
 
 
@@ -159,7 +159,7 @@
 def on_answer(
     purpose: CallPurpose, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Go on with the inquiry that a call to the store was for."""
+    """Continue the inquiry that the store call was made for."""
     inquiry = tables.inquiries.get(purpose.call_id)
     if inquiry is None:
         return Step(tables=tables)
@@ -174,7 +174,7 @@
     tables: IntakeTables,
     now: float,
 ) -> IntakeStep:
-    """Have a call to the store that got no answer repeated, while there is time."""
+    """Handle an answer; by default the call failed and is retried until `due_at`."""
     outcome_unknown = isinstance(purpose, StoreCancel) and not isinstance(
         event, TransactRefused
     )
@@ -198,7 +198,7 @@
 
 
 def _give_up(tables: IntakeTables, inquiry: Inquiry) -> IntakeStep:
-    """Answer a call whose time is up: nothing was done, or that is not known."""
+    """Answer a call at its deadline: nothing was done, or the outcome is unknown."""
     call_id = inquiry.call.call_id
     reason = "the store did not answer"
     answer: CallAnswer = TryLater(
@@ -210,7 +210,7 @@
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Repeat the calls to the store that are due."""
+    """Send the store calls whose retry is due."""
     commands: list[Command] = []
     for call_id in sorted(tables.inquiries):
         inquiry = tables.inquiries.by_key[call_id]
@@ -238,7 +238,7 @@
 
 @singledispatch
 def retry_command(purpose: Purpose, inquiry: Inquiry) -> StoreCommand:
-    """Return the call to the store that has this purpose."""
+    """Return the store call for this purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -289,7 +289,7 @@
 def on_rows(
     purpose: CallPurpose, event: RangeRead, inquiry: Inquiry, tables: IntakeTables
 ) -> IntakeStep:
-    """Answer an inquiry by the rows that were read, or read on."""
+    """Answer an inquiry from the rows that were read, or send the next store call."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -324,7 +324,7 @@
 def handle_stored_job(
     call: JobCall, inquiry: Inquiry, rows: list[object], tables: IntakeTables
 ) -> IntakeStep:
-    """Go on with a call about a job that is stored: by default show its state."""
+    """Continue a call about a job that is stored; by default return its state."""
     cancelled = any(isinstance(row, CancelRow) for row in rows)
     state = JobState.CANCELLED if cancelled else JobState.QUEUED
     return _finish(tables, inquiry, JobShown(call_id=call.call_id, state=state))
@@ -359,7 +359,7 @@
         kind="call.answer",
         subject=inquiry.job_id or inquiry.queue.name,
         chosen=type(answer).__name__,
-        reason=f"{type(inquiry.call).__name__}, {inquiry.tries} repeats",
+        reason=f"{type(inquiry.call).__name__}, {inquiry.tries} retries",
         revision=tables.standing.revision,
     )
     tables = replace(tables, inquiries=inquiries)
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -1,7 +1,7 @@
-"""Follows what operators put in force: the configuration and evacuations.
+"""Watches the orders of operators: configuration, evacuations and upkeep waves.
 
-A row is replaced only by one with a newer version, so nothing ever reverts. The
-scheduler of the same process is told of each change.
+A row is replaced only by one with a newer version, so an order never reverts to an
+older state. The scheduler of the same process is notified of each change.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Read the orders once, then follow their changes."""
+    """Read the orders once, then watch them for changes."""
     state = tables.watch
     if state is None:
         if tables.reading or now - tables.read_at < ORDERS_READ_RETRY_DELAY_S:
@@ -62,7 +62,7 @@
 
 
 def on_read(event: RangeRead, tables: IntakeTables, now: float) -> IntakeStep:
-    """Replace all orders by what was read, and follow from there."""
+    """Replace all orders by those that were read, and watch from that version."""
     found = {stored.key.key for stored in event.rows}
     entries = tables.order_by_key
     for key in entries:
@@ -78,14 +78,14 @@
 
 
 def on_read_failed(tables: IntakeTables) -> IntakeStep:
-    """Try again after a while."""
+    """Allow another read of the orders, after the retry delay."""
     return Step(tables=replace(tables, reading=False))
 
 
 def on_changed(
     rows: tuple[StoredRow, ...], version: int, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Take changes in."""
+    """Apply changed rows."""
     if tables.watch is None:
         return Step(tables=tables)
     watch = store_watch.answered(tables.watch, version)
@@ -93,12 +93,12 @@
 
 
 def on_history_lost(tables: IntakeTables) -> IntakeStep:
-    """Read everything again."""
+    """Read all orders again."""
     return Step(tables=replace(tables, watch=None))
 
 
 def on_watch_failed(tables: IntakeTables, now: float) -> IntakeStep:
-    """Try again soon."""
+    """Schedule a retry of the watch."""
     if tables.watch is None:
         return Step(tables=tables)
     return Step(tables=replace(tables, watch=store_watch.failed(tables.watch, now)))
@@ -131,7 +131,7 @@
 
 @singledispatch
 def with_order(row: object, standing: OperatorSettings) -> OperatorSettings:
-    """Add what a row says to what is in force; unknown rows add nothing."""
+    """Add the order in a row to those in force; unknown rows are ignored."""
     return standing
 
 
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -1,4 +1,4 @@
-"""Says whether new callers should come here: not without the store or when leaving."""
+"""Publishes readiness for new callers: store reachable and process not leaving."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Publish a change of readiness."""
+    """Publish readiness when it changes."""
     served = now - tables.store_answered_at < submitting.STORE_SILENT_TIMEOUT_S
     ready = served and not tables.leaving and tables.standing.configuration is not None
     if ready == tables.ready:
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -1,8 +1,8 @@
-"""Stores submitted jobs: what waits goes into one conditional transaction.
+"""Stores submitted jobs; those that wait are batched into a conditional transaction.
 
-A job is accepted once its row stands, whoever wrote it: the same id is the same job.
-While a transaction with a job has no answer, the job is neither accepted nor
-refused; it is sent again until its caller's time is up.
+A job is accepted once its row is stored, no matter by which call, since the same id
+means the same job. While a transaction with a job has no answer, the job is neither
+accepted nor refused; it is sent again until its caller's deadline.
 """
 
 from __future__ import annotations
@@ -42,32 +42,32 @@
 
 # The store takes 100 rows in a transaction, and 1 MB; a job is 20 KB at most.
 MAX_BATCH_JOBS = 45
-# A submission that the store turned away is tried again for this long before its
-# caller is told; a quarter of the shortest objective.
+# A submission that the store refused is retried for this long before its caller gets a
+# refusal; a quarter of the shortest latency objective.
 REFUSED_TIMEOUT_S = 0.1
 REFUSED_RETRY_DELAY_S = 0.05
-# The same for a store that answers, but has too much to do: its queue is a second long,
-# and this is less than half of the time that callers give.
+# The same for an overloaded store: its queue is a second long, and this is less than
+# half of the time that callers allow.
 BUSY_TIMEOUT_S = 1.4
 BUSY_RETRY_DELAY_S = 0.25
-# Outages of the store last seconds; callers that come back sooner meet them again. They
-# come back four times, which should bridge 6 s and cost little in a short outage.
+# Outages of the store last seconds, and callers that retry sooner fail again. Callers
+# retry four times, which should bridge 6 s and cost little in a short outage.
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 2.0
-# The answer must be back before the caller's time is up; a tick is 0.2 s.
+# The answer must reach the caller before its deadline; a tick is 0.2 s.
 ANSWER_MARGIN_S = 0.3
 MAX_REMEMBERED_JOBS = 4_000
-# The watch hears from the store each second. What is sent to a store that is silent
-# for longer could only end as an outcome that nobody knows.
+# The watch gets an answer from the store every second. A submission sent to a store
+# that has been silent for longer would most likely end with an unknown outcome.
 STORE_SILENT_TIMEOUT_S = 1.6
 
 
 def submit(
     call: SubmitCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Take a job in, or answer at once what is already known."""
+    """Queue a job for storing, or answer at once if the outcome is already known."""
     if call.spec is None:
-        problem = call.problem or _invalid(call, "the job makes no sense")
+        problem = call.problem or _invalid(call, "the job specification is invalid")
         return _answer(tables, BadCall(call_id=call.call_id, problem=problem))
     if is_accepted(tables, job_id):
         return _answer(tables, JobAccepted(call_id=call.call_id))
@@ -101,7 +101,7 @@
 
 
 def retry_after_s(unanswered_s: float) -> float:
-    """Return when to come back: after as long as the store has been silent already."""
+    """Return the retry delay for callers: the store's silence so far, within bounds."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, unanswered_s))
 
 
@@ -131,12 +131,12 @@
 
 
 def is_accepted(tables: IntakeTables, job_id: str) -> bool:
-    """Tell whether a job is known to be stored."""
+    """Return whether a job is known to be stored."""
     return job_id in tables.accepted or job_id in tables.older_accepted
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Answer the submissions whose time is up and send those that wait."""
+    """Answer the submissions that expired and send those that wait."""
     step = _expire(tables, now)
     tables = step.tables
     if tables.batch is not None or now < tables.retry_at:
@@ -188,7 +188,7 @@
 
 def _give_up(row: Submission, outcome_unknown: bool, retry_s: float) -> list[Command]:
     reason = (
-        "the store did not answer" if outcome_unknown else "the store takes nothing"
+        "the store did not answer" if outcome_unknown else "the store refuses writes"
     )
     line = Decision(
         kind="job.unsure" if outcome_unknown else "job.refuse",
@@ -211,7 +211,7 @@
 
 
 def on_stored(tables: IntakeTables, now: float) -> IntakeStep:
-    """Tell the callers of a batch that their jobs are accepted."""
+    """Accept the jobs of a batch that was stored."""
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
@@ -225,7 +225,7 @@
 def accept_jobs(
     tables: IntakeTables, job_ids: tuple[str, ...], now: float
 ) -> IntakeStep:
-    """Tell the callers of some jobs that these are stored."""
+    """Answer the callers of jobs that are known to be stored."""
     commands: list[Command] = []
     for job_id in job_ids:
         row = tables.submissions.get(job_id)
@@ -256,7 +256,7 @@
 
 
 def on_conflict(event: Conflicted, tables: IntakeTables, now: float) -> IntakeStep:
-    """Accept the jobs of a batch that stand already; the others are sent again."""
+    """Accept the jobs of a batch that are already stored; the others are sent again."""
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
@@ -268,7 +268,7 @@
 
 
 def on_lost(tables: IntakeTables, now: float) -> IntakeStep:
-    """Have a batch without answer sent again at once."""
+    """Requeue a batch without answer at once."""
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
@@ -276,7 +276,7 @@
 
 
 def on_refused(event: TransactRefused, tables: IntakeTables, now: float) -> IntakeStep:
-    """Have a batch that was turned away tried again after a pause."""
+    """Requeue a batch that was refused, to be sent after a delay."""
     tables = requeue_batch(tables, outcome_unknown=False)
     submissions = tables.submissions
     for row in submissions.rows():
@@ -289,7 +289,7 @@
 
 
 def requeue_batch(tables: IntakeTables, *, outcome_unknown: bool) -> IntakeTables:
-    """Let the jobs of the batch wait for the next one."""
+    """Move the jobs of the batch back to those that wait for the next one."""
     submissions = tables.submissions
     for job_id in tables.batch.job_ids if tables.batch else ():
         row = submissions.get(job_id)
--- a/bulrushpulley/systems/job_agent/__init__.py
+++ b/bulrushpulley/systems/job_agent/__init__.py
@@ -1,1 +1,1 @@
-"""The keeper's systems: they run tasks on the backend server beside an agent."""
+"""The job agent's systems: they run tasks on the backend server of their host."""
--- a/bulrushpulley/systems/job_agent/edits.py
+++ b/bulrushpulley/systems/job_agent/edits.py
@@ -1,4 +1,4 @@
-"""The changes to the keeper's tables, and the log lines, that several systems make."""
+"""Table changes and log lines that several systems of the job agent share."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 def log(
     tables: JobAgentTables, kind: str, subject: str, chosen: str, reason: str
 ) -> Decision:
-    """Return the line of a decision, with the epoch it rested on."""
+    """Return the log line of a decision, with the epoch that it was based on."""
     return Decision(
         kind=kind, subject=subject, chosen=chosen, reason=reason, epoch=tables.epoch
     )
--- a/bulrushpulley/systems/job_agent/events.py
+++ b/bulrushpulley/systems/job_agent/events.py
@@ -1,4 +1,4 @@
-"""Which system acts on each event of the keeper."""
+"""Dispatches each event of the job agent to the system that handles it."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 @singledispatch
 def apply(event: Event, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Act on one event; kinds that say nothing to the role change nothing."""
+    """Apply one event; kinds that the role does not handle are ignored."""
     return Step(tables=tables)
 
 
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -1,4 +1,4 @@
-"""Acts on the word of the shard's owner: adoption, orders, and its vouching."""
+"""Handles messages of the shard's owner: adoption, orders and contact replies."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
 
 
 def on_adopt(event: Adopt, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Listen to the newest owner only, and tell it everything."""
+    """Follow only the newest owner, and send it the full state."""
     if event.epoch < tables.epoch:
-        line = _line(tables, event.peer, f"its epoch {event.epoch} is over")
+        line = _line(tables, event.peer, f"its epoch {event.epoch} is outdated")
         return Step(tables=tables, commands=(line,))
     adopted = replace(
         tables,
@@ -39,7 +39,7 @@
 
 
 def on_link_down(event: LinkDown, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Go on without the owner for as long as its last word allows."""
+    """Continue without the owner for as long as the last contact allows."""
     if event.peer != tables.owner:
         return Step(tables=tables)
     line = _line(tables, event.peer, "the link ended")
@@ -49,7 +49,7 @@
 def on_contact_ack(
     event: ContactAck, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Count the owner's vouching from when it was asked for."""
+    """Record the contact as of the time at which it was sent."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
     contact_at = max(tables.contact_at, event.sent_at)
@@ -57,7 +57,7 @@
 
 
 def on_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Take in which runs are wanted."""
+    """Record which runs are to be started, kept or stopped."""
     server = tables.server
     if event.epoch != tables.epoch or server is None or event.life != server.life:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
@@ -72,7 +72,7 @@
 
 
 def _drop_unnamed(tables: JobAgentTables, event: Orders) -> JobAgentTables:
-    """Want no run that a complete list does not name."""
+    """Mark all runs as unwanted that are missing from a complete list."""
     named = {order.key for order in event.start} | {ref.key for ref in event.stop}
     for run in tables.runs.rows():
         if run.key in named:
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -1,8 +1,9 @@
-"""Slows what disturbs serving tasks, as soon as one of them nears its target.
+"""Slows runs that may disturb serving tasks when one of these nears its target.
 
-While a serving task is near its target, the runs beside it are slowed, but for those
-whose images are known to be harmless to it; if that does not help, they too. When what
-a run may harm is well, it gets its speed back in steps.
+While the latency of a serving task is near its target, the disturbing runs on the host
+are slowed, except those whose images are known to be harmless to it; if that does not
+help, these are slowed too. Once all serving tasks that a run may harm are well below
+their targets, its speed is restored in steps.
 """
 
 from __future__ import annotations
@@ -26,26 +27,26 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.job_agent import edits
 
-# Measures cover the last half second, so acting more often would act on old ones.
+# Measures cover the last half second, so more frequent decisions would use stale ones.
 PACE_INTERVAL_S = 0.5
-# Parts of the target: above the first a task is about to miss it, below the second
-# there is room to give speed back.
+# Ratios of latency to target: above the first a task is about to miss its target, below
+# the second runs can be sped up.
 NEAR_TARGET_RATIO = 0.95
 RECOVERED_RATIO = 0.8
 SLOWDOWN_FACTOR = 0.5
-# After this time near the target nobody is held to be harmless any more, and after the
-# second nothing that may disturb works at all: many slow runs together still do harm,
-# and a task may be over its target for 4 s at most.
+# After the first time near the target, images known as harmless are slowed too; after
+# the second, all runs that may disturb are paused: many slow runs together still do
+# harm, and a task may exceed its target for 4 s at most.
 SLOW_HARMLESS_AFTER_S = 0.9
 PAUSE_ALL_AFTER_S = 1.5
 SPEEDUP_PERCENT = 15
 MIN_PACE_PERCENT = 5
-# What a run begins with beside a task that it is known to slow, or may slow.
+# The initial pace of a run beside a task that it is known to slow, or may slow.
 HARMFUL_START_PERCENT = 20
 UNKNOWN_START_PERCENT = 50
 PACE_TIMEOUT_S = 0.5
 PACE_RETRY_DELAY_S = 0.1
-# A call without answer may be carried out up to 12 s later.
+# A call without answer may still take effect up to 12 s later.
 MAX_LATE_PACE_S = 12.5
 UNCERTAIN_PACE_INTERVAL_S = 1.0
 
@@ -53,7 +54,7 @@
 def on_verdicts(
     event: HarmVerdicts, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Note which images slow which, as the owner has learned it from all hosts."""
+    """Record which images slow which, as the owner has learned from all hosts."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
     pacing = replace(
@@ -65,7 +66,7 @@
 
 
 def decide_paces(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Set the pace of every run that may disturb, by the latest measures."""
+    """Set the pace of every run that may disturb, based on the latest measures."""
     if tables.server is None or now - tables.pacing.decided_at < PACE_INTERVAL_S:
         return Step(tables=tables)
     runs = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
@@ -91,15 +92,17 @@
             continue
         paced = replace(run_, pace=pace)
         tables = edits.put_run(tables, paced)
-        lines.append(_line(tables, paced, f"worst at {worst:.2f} of its target"))
+        lines.append(
+            _line(tables, paced, f"worst latency at {worst:.2f} of its target")
+        )
     return Step(tables=tables, commands=tuple(lines))
 
 
 def initial_pace(tables: JobAgentTables, run: Run) -> int:
     """Return the pace of a run that has just started.
 
-    One that may slow what serves here starts as slow as its like have become, or
-    slowly, and is given its speed when the measures allow it.
+    A run that may slow a serving task on this host starts at a reduced pace, or at the
+    lowest pace of the runs of its image; it is sped up when the measures allow it.
     """
     if run.order is None or not run.order.disturbs:
         return run.pace
@@ -116,12 +119,12 @@
 
 
 def _latency_ratios(runs: list[Run]) -> dict[str, float]:
-    """Return by image the worst latency of its runs, as a part of their target."""
+    """Return by image the highest ratio of latency to target of its runs."""
     ratio_by_image: dict[str, float] = {}
     for run_ in runs:
         if run_.order is None or run_.order.target_ms <= 0.0:
             continue
-        # Before its first measure a task is neither near its target nor well.
+        # Before its first measure a task neither slows other runs nor speeds them up.
         measure = (
             run_.status.measure
             if run_.status
@@ -136,10 +139,10 @@
 def _worst_ratio(
     pacing: Pacing, image: str, ratio_by_image: dict[str, float], now: float
 ) -> float:
-    """Return the worst latency that an image may have to do with.
+    """Return the highest latency ratio among the tasks that an image may slow.
 
-    One that is known to be harmless to what suffers is left alone, unless slowing
-    the others has not helped for a while.
+    Serving images to which it is known to be harmless do not count, unless slowing the
+    other runs has not helped for `SLOW_HARMLESS_AFTER_S`.
     """
     worst = 0.0
     for serving, ratio in ratio_by_image.items():
@@ -162,7 +165,7 @@
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Send the paces that were not taken, and those that a late call may undo."""
+    """Send the paces that are not set yet, and those that a late call may undo."""
     server = tables.server
     if server is None:
         return Step(tables=tables)
@@ -191,7 +194,7 @@
 def on_pace_answered(
     event: PaceAnswered, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Note that the pace was taken; a doubted one is sent again after a while."""
+    """Record that the pace was set; an uncertain one is sent again after a delay."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
@@ -207,7 +210,7 @@
 def on_pace_failed(
     event: PaceFailed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Send the pace again; the call without answer may still undo a later one."""
+    """Schedule a retry; the call without answer may still undo a later pace."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -1,8 +1,8 @@
-"""Lists what the backend server runs, over and over, and renews its lease.
+"""Polls the list of runs on the backend server and renews its lease.
 
-A lease is asked for only while the owner of the shard vouches for this agent, and is
-counted from the last time of the server's clock that an answer carried, so neither a
-slow call nor a pause of this process can make it longer.
+A lease is requested only while the last confirmed contact with the owner of the shard
+is recent. Its end is computed from the newest time on the server's clock that an answer
+carried, so neither a slow call nor a pause of this process can extend it.
 """
 
 from __future__ import annotations
@@ -28,10 +28,10 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.job_agent import edits, refusing, server_lifecycle
 
-# The call returns at once when a run ends; otherwise it bounds how old the measured
-# latencies may be and how long a lease waits for its renewal.
+# The call returns at once when a run ends; otherwise the wait bounds the age of the
+# measured latencies and the delay of a lease renewal.
 POLL_WAIT_MS = 400
-# The backend server is on the same host; a call that takes longer has no answer.
+# The backend server is on the same host; a later answer is considered lost.
 POLL_ANSWER_TIMEOUT_S = 0.3
 POLL_RETRY_DELAY_S = 0.1
 UNNOTED_ENDS_INTERVAL_S = 0.2
@@ -39,21 +39,22 @@
 
 
 def has_recent_contact(tables: JobAgentTables, now: float) -> bool:
-    """Tell whether the owner's last word still allows leases and starts."""
+    """Return whether the last confirmed contact still allows leases and starts."""
     return now - tables.contact_at < tables.bounds.agent_autonomy_s
 
 
 def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
-    """Return the end of a lease asked for now, on the server's clock."""
+    """Return the end of a lease requested now, on the server's clock."""
     return server.clock_ms + int(tables.bounds.lease_s * 1_000)
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Send the next call once the one before it has ended."""
+    """Send the next call once the previous one has ended."""
     server, poll = tables.server, tables.poll
     if server is None or poll.in_flight or now < poll.retry_at:
         return Step(tables=tables)
-    # What does not answer is not asked to run on, so that its lease surely ends.
+    # The lease of a server that does not answer is not renewed, so that it certainly
+    # expires.
     answers = poll.failing_since is None
     leases = has_recent_contact(tables, now) and server.listed and answers
     call = PollRuns(
@@ -71,7 +72,7 @@
 
 
 def on_failed(event: PollFailed, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Try again soon, and remember since when it fails."""
+    """Schedule a retry, and record since when the calls fail."""
     poll = tables.poll
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
@@ -101,22 +102,22 @@
 def on_other_incarnation(
     event: OtherIncarnation, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """End the life that was asked; the new one will announce itself."""
+    """End the incarnation that was called; the new one will announce itself."""
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
     return server_lifecycle.end_incarnation(
-        tables, "another life answers at its address"
+        tables, "another incarnation answers at its address"
     )
 
 
 def on_listed(event: RunsListed, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Bring the table of runs to what the backend server lists."""
+    """Update the table of runs to the list of the backend server."""
     server = tables.server
     if server is None or server.server_id != event.server_id:
         return Step(tables=tables)
     if event.started_at_ms not in (0, server.started_at_ms):
         return server_lifecycle.end_incarnation(
-            tables, "another life answers at its address"
+            tables, "another incarnation answers at its address"
         )
     sent_at = tables.poll.sent_at
     server = replace(server, clock_ms=max(server.clock_ms, event.clock_ms), listed=True)
@@ -126,7 +127,7 @@
     for end in event.ends:
         tables = _record_end(tables, end)
     if tables.ends:
-        # The call does not wait while there are ends to be noted.
+        # The server answers at once while ends are not acknowledged, so delay the call.
         poll = replace(tables.poll, retry_at=now + UNNOTED_ENDS_INTERVAL_S)
         tables = replace(tables, poll=poll)
     return _refuse_missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
@@ -142,7 +143,7 @@
             phase=RunPhase.RUNNING,
             wanted=not tables.orders_complete,
             since=now,
-            # An earlier process of this agent may have slowed it.
+            # An earlier process of this agent may have slowed the run.
             pace_set=UNKNOWN_PACE,
         )
     began = run_.phase is not RunPhase.RUNNING
@@ -169,7 +170,10 @@
 def _refuse_missing(
     tables: JobAgentTables, listed: frozenset[str], sent_at: float, now: float
 ) -> JobAgentStep:
-    """Report the runs that were surely there, or barred, and are not listed."""
+    """Report the barred and the running runs that the list should have contained.
+
+    Only runs that were barred or started before the list was requested count.
+    """
     commands: list[Command] = []
     barred = tables.runs.rows_where("phase", RunPhase.BARRED.value)
     running = tables.runs.rows_where("phase", RunPhase.RUNNING.value)
@@ -186,7 +190,7 @@
 
 
 def on_noted(event: EndsNoted, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Let the backend server forget the ends up to the first one not yet noted."""
+    """Acknowledge to the backend server the ends up to the first non-durable one."""
     server = tables.server
     stale = event.epoch != tables.epoch or server is None or event.life != server.life
     if stale or server is None:
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -1,4 +1,4 @@
-"""Writes where this agent takes links, so that owners of the shard can dial it."""
+"""Stores the address of this agent, so that owners of the shard can dial it."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Write the row once; a store that does not answer is asked again."""
+    """Write the row once, with retries until the store has confirmed it."""
     waits = tables.registered or tables.registering or now < tables.register_at
     if waits:
         return Step(tables=tables)
@@ -44,7 +44,7 @@
 
 
 def on_answer(event: object, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Note that the row stands, or try again."""
+    """Record that the row is stored, or schedule a retry."""
     done = isinstance(event, Transacted)
     return Step(
         tables=replace(
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -1,4 +1,4 @@
-"""Tells the owner of the shard what has changed, and everything when it is new."""
+"""Reports changes to the owner of the shard, and the full state to a new owner."""
 
 from __future__ import annotations
 
@@ -24,16 +24,16 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.job_agent import edits
 
-# Three contacts in a row must fail before the owner places nothing here any more.
+# Three contacts in a row must fail before the owner stops placing tasks here.
 CONTACT_INTERVAL_S = 0.8
-# Checkpoints are of use only when the host is lost, so old ones do.
+# Checkpoints are needed only when the host is lost, so slightly old ones suffice.
 CHECKPOINT_INTERVAL_S = 1.0
 # Latencies are measured over half a second.
 MEASURE_INTERVAL_S = 0.5
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Send contacts, the state of the host, and runs and ends that changed."""
+    """Send contacts, the state of the host, changed runs and ends, and measures."""
     if not tables.owner:
         return Step(tables=tables)
     commands: list[Command] = []
@@ -64,7 +64,7 @@
 
 
 def host_report(tables: JobAgentTables) -> HostReport:
-    """Return what is known of the host and its backend server."""
+    """Return the known state of the host and its backend server."""
     server = tables.server
     return HostReport(
         epoch=tables.epoch,
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -1,4 +1,4 @@
-"""Follows the lives of the backend server: which one is there, and when one is over."""
+"""Tracks the incarnations of the backend server: their start, state and end."""
 
 from __future__ import annotations
 
@@ -22,20 +22,20 @@
 from bulrushpulley.entities.table import Table
 from bulrushpulley.systems.job_agent import edits
 
-# A backend server that has not answered for this long is not given anything new.
+# A backend server that has not answered for this long gets no new work.
 SERVER_SILENT_TIMEOUT_S = 1.2
-# Two refused connections this far apart mean that no process listens any more.
+# Two refused connections over at least this time mean that no process listens.
 REFUSED_CONNECTIONS_TIMEOUT_S = 0.3
 MIN_REFUSED_CONNECTIONS = 2
-# Neighbours slow a serving run to ten times its target at most; a backend server on
-# which everything stands still shows hundreds of times.
+# Neighbours slow a serving run to at most ten times its target; on a backend server
+# that makes no progress the latencies are hundreds of times the target.
 STALLED_LATENCY_RATIO = 50.0
 MIN_STALLED_RUNS = 2
 STALLED_TIMEOUT_S = 0.5
 
 
 def on_announced(event: Announced, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Take a word of the backend server in, unless a newer one is known."""
+    """Apply an announcement of the backend server, unless a newer one is known."""
     known = tables.server
     if known is not None and event.started_at_ms < known.started_at_ms:
         return Step(tables=tables)
@@ -62,7 +62,7 @@
 def _begin_incarnation(
     event: Announced, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    step = end_incarnation(tables, "another life was announced")
+    step = end_incarnation(tables, "another incarnation was announced")
     server = Server(
         server_id=event.server_id,
         started_at_ms=event.started_at_ms,
@@ -73,7 +73,7 @@
         capacity=event.capacity,
         labels=event.labels,
         leaves_in_s=event.leaves_in_s,
-        # An earlier process of this agent may have asked for a lease until now.
+        # An earlier process of this agent may have requested leases until now.
         lease_sent_at=now,
     )
     begun = replace(
@@ -87,14 +87,14 @@
 
 
 def on_withdrawn(event: Withdrawn, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """End the life that says itself that it ends."""
+    """End the incarnation that has announced its own end."""
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
-    return end_incarnation(tables, "it withdrew")
+    return end_incarnation(tables, "it announced its end")
 
 
 def end_incarnation(tables: JobAgentTables, reason: str) -> JobAgentStep:
-    """Forget a life of which nothing runs any more, and tell the owner."""
+    """Drop an incarnation that has no runs any more, and notify the owner."""
     server = tables.server
     if server is None:
         return Step(tables=tables)
@@ -119,7 +119,7 @@
 
 
 def update_state(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Say in which state the backend server is, by its words and its answers."""
+    """Update the state of the backend server from its announcements and answers."""
     server, poll = tables.server, tables.poll
     if server is None:
         return _update_unannounced(tables, now)
@@ -128,10 +128,10 @@
         poll.connections_refused >= MIN_REFUSED_CONNECTIONS
         and failing_s >= REFUSED_CONNECTIONS_TIMEOUT_S
     ):
-        return end_incarnation(tables, "nothing listens at its address")
+        return end_incarnation(tables, "no process listens at its address")
     lapsed = now - server.lease_sent_at > tables.bounds.lease_expiry_s
     if failing_s > SERVER_SILENT_TIMEOUT_S and lapsed:
-        return end_incarnation(tables, "it was silent until its lease had lapsed")
+        return end_incarnation(tables, "it did not answer until its lease had expired")
     tables = _update_stall(tables, now)
     stalled_since = tables.stalled_since
     stalls = stalled_since is not None and now - stalled_since >= STALLED_TIMEOUT_S
@@ -143,7 +143,10 @@
 
 
 def _update_unannounced(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Give a life up that an earlier process of this agent may have kept alive."""
+    """Give up an unannounced incarnation once any lease that it held has expired.
+
+    An earlier process of this agent may have renewed that lease.
+    """
     if tables.server_state is not ServerState.UNKNOWN:
         return Step(tables=tables)
     if tables.search_began_at is None:
@@ -151,12 +154,12 @@
     if now - tables.search_began_at <= tables.bounds.lease_expiry_s:
         return Step(tables=tables)
     gone = replace(tables, server_state=ServerState.GONE)
-    reason = "none has announced itself until every lease had lapsed"
+    reason = "no server announced itself before every lease had expired"
     return Step(tables=gone, commands=(_line(gone, "", "gone", reason),))
 
 
 def _update_stall(tables: JobAgentTables, now: float) -> JobAgentTables:
-    """Note since when every serving run is as slow as no neighbour makes it."""
+    """Record since when all serving runs are slower than neighbours can make them."""
     ratios = [
         run.status.measure / run.order.target_ms
         for run in tables.runs.rows_where("phase", RunPhase.RUNNING.value)
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -1,4 +1,4 @@
-"""Starts the runs that were ordered, once each, however often the call is repeated."""
+"""Starts each ordered run once, even if the call is repeated."""
 
 from __future__ import annotations
 
@@ -26,8 +26,8 @@
 # A backend server on the same host answers within a few milliseconds.
 START_TIMEOUT_S = 0.5
 START_RETRY_DELAY_S = 0.05
-# An order that cannot be sent within this time is given back to the owner, so that it
-# never starts long after what allowed it.
+# A run whose start cannot be sent within this time is returned to the owner, so that it
+# never starts long after the decision that allowed it.
 ORDER_TIMEOUT_S = 1.5
 MAX_STARTS_IN_FLIGHT = 6
 
@@ -78,7 +78,7 @@
 
 
 def _used_resources(tables: JobAgentTables) -> Resources:
-    """Return the room of every run that is there, may be there, or is being stopped."""
+    """Return the resources of all runs that exist, may exist or are being stopped."""
     used = NO_RESOURCES
     for run_ in tables.runs.rows():
         if run_.phase in (RunPhase.STARTING, RunPhase.RUNNING):
@@ -97,7 +97,7 @@
 
 
 def on_started(event: RunStarted, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Note that a run is there, which a list may have shown before."""
+    """Record that a run has started, which a list may have shown already."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
@@ -123,13 +123,13 @@
 
 
 def _answered(tables: JobAgentTables, run_: Run) -> JobAgentTables:
-    """Note that no call about a run is in flight any more."""
+    """Record that no call about a run is in flight any more."""
     answered = replace(run_, in_flight=False)
     return edits.put_run(tables, answered)
 
 
 def on_denied(event: StartDenied, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Try again with a newer lease, or make sure that the run never starts."""
+    """Retry with a newer lease, or make sure that the run never starts."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
@@ -148,7 +148,7 @@
 def on_unhealthy(
     event: StartUnhealthy, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Give a run back that the backend server surely did not start."""
+    """Return a run to the owner if the backend server certainly did not start it."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
@@ -165,7 +165,7 @@
 def on_unanswered(
     event: StartUnanswered, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Send the same start again: it is the same run, wherever the first one is."""
+    """Schedule a retry of the start, which is idempotent for the same run."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/job_agent/stopping.py
+++ b/bulrushpulley/systems/job_agent/stopping.py
@@ -1,4 +1,4 @@
-"""Stops the runs that are not wanted, and bars those that may not have started."""
+"""Stops unwanted runs, and keeps those that have not started from starting."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 STOP_TIMEOUT_S = 0.5
 STOP_RETRY_DELAY_S = 0.1
-# A stop that was taken shows its end within `Bounds.kill_s`.
+# After a stop was accepted the run ends within `Bounds.kill_s`.
 STOP_REPEAT_INTERVAL_S = 1.5
 
 
@@ -49,7 +49,7 @@
 def on_answered(
     event: StopAnswered, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Wait for the end, or for a list that shows that there is no run."""
+    """Wait for the run's end, or for a list that shows that it does not exist."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
@@ -63,7 +63,7 @@
 def on_unanswered(
     event: StopUnanswered, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Send the stop again soon."""
+    """Schedule a retry of the stop."""
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -1,4 +1,4 @@
-"""How a watch on a table of the store goes on after each of its answers."""
+"""The state transitions of a watch on a table of the store."""
 
 from __future__ import annotations
 
@@ -6,22 +6,24 @@
 
 from bulrushpulley.entities.jobs.store import Purpose, Watch, WatchState
 
-# A watch that hears nothing within this time may be on a dead connection; it must be
-# well below the 2.5 s in which a change has to be in force.
+# The store answers a watch after this time even without changes, so that a dead
+# connection is detected. It must be well below the 2.5 s within which a change has to
+# be in force.
 WATCH_WAIT_S = 1.0
 WATCH_ANSWER_TIMEOUT_S = 0.7
 WATCH_RETRY_DELAY_S = 0.3
 
 
 def due(state: WatchState, now: float) -> bool:
-    """Tell whether the next call of a watch is due."""
+    """Return whether the next call of a watch is due."""
     return not state.in_flight and now >= state.retry_at
 
 
 def call(state: WatchState, *, role: str, purpose: Purpose, table: str) -> Watch:
-    """Return the next call of a watch; after a failure one that need not wait.
+    """Return the next call of a watch.
 
-    Its answer tells at once that the store is back.
+    After a failure it does not wait for changes, so that its answer shows at once that
+    the store is available again.
     """
     wait_s = 0.0 if state.failed else WATCH_WAIT_S
     return Watch(
@@ -35,12 +37,12 @@
 
 
 def called(state: WatchState) -> WatchState:
-    """Return the state while a call is out."""
+    """Return the state while a call is in flight."""
     return replace(state, in_flight=True)
 
 
 def answered(state: WatchState, version: int) -> WatchState:
-    """Return the state after changes up to `version` were read."""
+    """Return the state after changes up to `version` have been read."""
     after = max(state.after, version)
     return replace(state, in_flight=False, after=after, failed=False)
 
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -1,4 +1,4 @@
-"""The keeper alone: answers that overtake one another, paces and late calls."""
+"""Tests of the job agent alone: reordered answers, leases, paces and late calls."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Bench:
-    """A keeper with a backend server that answers when the test says so."""
+    """A job agent with a backend server whose answers the test sends."""
 
     def __init__(self) -> None:
         tables = JobAgentTables(
@@ -66,7 +66,7 @@
         self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, complete=True))
 
     def tell(self, *events: Event) -> list[Command]:
-        """Run a tick over events and return its commands."""
+        """Run a tick with events and return its commands."""
         self.now += 0.05
         step = self.role.tick(self.tables, events, self.now)
         self.tables = step.tables
@@ -107,7 +107,9 @@
 
 class ReorderedAnswersTest(testtools.TestCase):
     def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
-        # hunt-c697-19 of kalamu-sched: a cancelled task ran on for 4.9 s.
+        # If the answer to a start arrives after a list with the run, the run must not
+        # stay marked as in flight, or its stop is never sent: in hunt-c697-19 of
+        # kalamu-sched a cancelled task ran on for 4.9 s.
         bench = Bench()
         ref = RunRef(task_id="t", run=1)
         self.assertEqual(1, len(commands_of(StartRun, bench.order("t"))))
@@ -164,7 +166,7 @@
 
 
 class PacingTest(testtools.TestCase):
-    """Filling work beside serving tasks: who is slowed, and when it recovers."""
+    """Filling runs beside serving tasks: which are slowed, and when they recover."""
 
     def _beside(self, verdict: str) -> tuple[Bench, list[int]]:
         bench = Bench()
@@ -206,8 +208,8 @@
     def test_disturbing_runs_are_paused_beside_a_task_over_target_for_long(
         self,
     ) -> None:
-        # hunt-b8f2-23 of firinzeka-prod: many filling runs on one host, each held to
-        # be harmless or at 5%, kept a serving task over its target for 4 s.
+        # In hunt-b8f2-23 of firinzeka-prod many filling runs on one host, each known as
+        # harmless or slowed to 5%, kept a serving task over its target for 4 s.
         for verdict in ("harmful", "unknown", "harmless"):
             bench, _ = self._beside(verdict)
             self.assertEqual(0, self._paces(bench, 20)[1], verdict)
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -1,4 +1,4 @@
-"""Jobs through the whole path in virtual time: calm, and while parties fail."""
+"""Tests of jobs end to end in virtual time, without faults and with failing parts."""
 
 from __future__ import annotations
 
@@ -48,7 +48,7 @@
         self.assertEqual(6, world.starts)
         self.assertEqual([], world.violations)
 
-    def test_a_chain_costs_little_more_than_its_work(self) -> None:
+    def test_a_chain_takes_little_longer_than_its_work(self) -> None:
         world = JobsWorld()
         world.run(2.0)
         world.submit(1, *CHAIN)
@@ -56,7 +56,7 @@
         world.run_until(world.all_complete, 6.0)
         self.assertLess(world.now - began, 3.0 * 1.15 + 0.2)
 
-    def test_more_work_than_room_waits_and_no_host_is_overcommitted(self) -> None:
+    def test_excess_work_waits_and_no_host_is_overcommitted(self) -> None:
         world = JobsWorld()
         world.run(2.0)
         for number in range(10):
@@ -168,7 +168,7 @@
 
 
 class RetentionTest(testtools.TestCase):
-    def test_jobs_that_ended_long_ago_leave_memory_and_store(self) -> None:
+    def test_jobs_that_ended_long_ago_are_removed_from_memory_and_store(self) -> None:
         world = JobsWorld()
         world.run(2.0)
         job = world.submit(1)
@@ -183,7 +183,7 @@
 
 
 class AdviceTest(testtools.TestCase):
-    """A queue whose steps run only where the platform's service allows it."""
+    """A queue whose steps run only where the platform's advice service allows it."""
 
     def _world(self) -> JobsWorld:
         terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=2.0)
@@ -272,7 +272,7 @@
 
 
 class CondensedRowsTest(testtools.TestCase):
-    """Rows of jobs that ended are short, and still do what callers need of them."""
+    """Rows of ended jobs are condensed, and calls about them still work."""
 
     def _ended(self, world: JobsWorld) -> str:
         job = world.submit(1, *CHAIN)
@@ -291,7 +291,7 @@
         assert isinstance(progress, ProgressRow)
         self.assertEqual((), progress.tasks)
 
-    def test_a_job_handed_in_again_is_still_the_same_job(self) -> None:
+    def test_a_job_submitted_again_is_still_the_same_job(self) -> None:
         world = JobsWorld(entries=3)
         world.run(2.0)
         job = self._ended(world)
@@ -329,7 +329,8 @@
 
 class StoreTest(testtools.TestCase):
     def test_a_store_that_refuses_is_not_asked_without_a_pause(self) -> None:
-        # inc-0850 of firinzeka-prod: 8,400 calls of the store instead of 3,400.
+        # Without a delay, inc-0850 of firinzeka-prod took 8,400 store calls instead of
+        # 3,400.
         world = JobsWorld()
         world.run(2.0)
         world.store_up = False
@@ -349,7 +350,7 @@
         self.assertLess(len(reads), 5 * 12)
         self.assertIsInstance(world.answer_to("show-0"), TryLater)
 
-    def test_a_refusal_says_at_once_when_to_come_back(self) -> None:
+    def test_a_refusal_comes_at_once_and_the_job_is_never_stored(self) -> None:
         world = JobsWorld()
         world.run(2.0)
         world.store_up = False
@@ -362,8 +363,8 @@
         self.assertIsNone(world.state_of(f"{1:016x}"))
         self.assertEqual(0, world.starts)
 
-    def test_a_silent_store_is_known_and_callers_are_sent_away_at_once(self) -> None:
-        # One entry loses the store while clients keep coming to it.
+    def test_callers_are_refused_at_once_while_the_store_is_silent(self) -> None:
+        # One entry loses its connection to the store while callers keep calling it.
         world = JobsWorld()
         world.run(2.0)
         world.cut_off_from_store.add("entry-0")
@@ -375,7 +376,7 @@
         self.assertTrue(world.run_until(world.all_complete, 4.0))
 
     def test_a_shard_that_was_given_up_has_an_owner_within_a_second(self) -> None:
-        # Entries are stopped and started in turn, and each takes the shard with it.
+        # Entries are restarted in turn, and each that owns the shard must release it.
         world = JobsWorld(entries=3)
         world.run(3.0)
         first = world.owner()
@@ -412,7 +413,7 @@
         self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
         self.assertTrue(world.run_until(world.all_complete, 5.0))
 
-    def test_what_runs_goes_on_while_the_store_is_down(self) -> None:
+    def test_running_tasks_continue_while_the_store_is_down(self) -> None:
         world = JobsWorld()
         world.run(2.0)
         world.submit(1, step(3), payload="4.0")
