--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -1,4 +1,4 @@
-"""The tables of the cell owner and the command that is its own."""
+"""The tables of the cell owner and its `CellOwnerDone` command."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellOwnerDone(Command):
-    """Every cell was released after `Leave`; the process may exit."""
+    """All cells have been released after `Leave`; the process may exit."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkedEntry:
-    """An entry to which a stream is open."""
+    """An entry that has an open stream to this agent."""
 
     peer: str
     region: str
@@ -30,9 +30,9 @@
 class Liveness:
     """The agent's own liveness row.
 
-    `version` is None until it was read. `confirmed_sent_at` is when the last
-    renewal that is known to have committed was first sent; `pending` is the id
-    of the renewal in flight.
+    `version` is None until the row has been read. `confirmed_sent_at` is the time
+    at which the last renewal known to have committed was first sent. `pending` is
+    the submission id of the renewal in flight.
     """
 
     version: int | None = None
@@ -109,10 +109,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellOwnerTables:
-    """Everything the cell owner knows.
+    """The complete state of the cell owner.
 
     `agent`, `incarnation`, `region` and `autonomy_s` come from the settings and
-    stay; `records` holds the record rows of the configuration by key.
+    never change. `records` holds the configuration's record rows by key.
     """
 
     agent: str
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -1,7 +1,7 @@
-"""Submissions and readings of an owner that have no outcome yet.
+"""Submissions and reads of a cell owner that have no outcome yet.
 
-A flight is put into its table without a peer and sent at the end of the tick, so
-that one system chooses the entry for all of them and for repeats.
+They are added to their tables without a peer and sent at the end of the tick, so
+that a single system chooses the entry for new ones and for retries.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Purpose:
-    """The base of what a submission is for."""
+    """Base class of the purposes of submissions."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TakeCell(Purpose):
-    """Makes the agent the owner of a cell; see `Cell.lapsed_at`."""
+    """Makes the agent the owner of a cell.
+
+    `lapsed_at` becomes `Cell.lapsed_at`.
+    """
 
     cell: str
     lapsed_at: float
@@ -34,14 +37,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReleaseCell(Purpose):
-    """Gives a cell up in its lease row."""
+    """Removes the owner from a cell's lease row."""
 
     cell: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskPurpose(Purpose):
-    """The base of the submissions on a task row; `row` is what it becomes."""
+    """Base class for submissions that replace a task row by `row`, or delete it."""
 
     task_key: str
     row: TaskRow | None
@@ -49,22 +52,23 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitStart(TaskPurpose):
-    """Commits a start on a worker."""
+    """Commits the start of a task on a worker."""
 
     worker_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WriteEnding(TaskPurpose):
-    """Writes what became of a task that surely does not run."""
+    """Writes the outcome of a task that is known not to be running."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InFlightSubmission:
-    """A submission in flight to the entry `peer`, or to be sent if that is empty.
+    """A submission in flight to the entry `peer`, or queued if `peer` is empty.
 
-    `first_sent_at` is None until it is sent. `doubtful` says that an earlier
-    sending may yet take effect, so that only a commit or a conflict settles it.
+    `first_sent_at` is None until it is sent. `may_take_effect` is set when an
+    earlier attempt may still commit, so that only a commit or a conflict settles
+    the submission. `avoid` is the entry of the failed attempt.
     """
 
     submission: Submission
@@ -80,7 +84,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadPurpose:
-    """The base of what a reading is for; `cell` is empty for the agent's own."""
+    """Base class of the purposes of reads; `cell` is empty for the agent's own row."""
 
     cell: str = ""
 
@@ -107,7 +111,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reading:
-    """A `Fetch` in flight to the entry `peer`, or to be sent if that is empty."""
+    """A `Fetch` in flight to the entry `peer`, or queued if `peer` is empty."""
 
     fetch_id: str
     prefix: str
@@ -118,30 +122,30 @@
 
 
 def reading_index(purpose: ReadPurpose) -> str:
-    """Return the index value of the readings for a purpose."""
+    """Return the index value of the reads for a purpose."""
     return f"{type(purpose).__name__}|{purpose.cell}"
 
 
 def submissions_by_peer(in_flight: InFlightSubmission) -> tuple[str, ...]:
-    """Index flights by entry; the empty string holds those to be sent."""
+    """Index submissions by entry; queued ones have the empty string."""
     return (in_flight.peer,)
 
 
 def submissions_by_cell(in_flight: InFlightSubmission) -> tuple[str, ...]:
-    """Index flights by cell."""
+    """Index submissions by cell."""
     return (in_flight.cell,)
 
 
 def readings_by_peer(reading: Reading) -> tuple[str, ...]:
-    """Index readings by entry."""
+    """Index reads by entry; queued ones have the empty string."""
     return (reading.peer,)
 
 
 def readings_by_cell(reading: Reading) -> tuple[str, ...]:
-    """Index readings by cell."""
+    """Index reads by cell."""
     return (reading.purpose.cell,)
 
 
 def readings_by_purpose(reading: Reading) -> tuple[str, ...]:
-    """Index readings by purpose and cell."""
+    """Index reads by purpose and cell."""
     return (reading_index(reading.purpose),)
--- a/bulrushpulley/entities/owner_times.py
+++ b/bulrushpulley/entities/owner_times.py
@@ -1,7 +1,7 @@
-"""The time bounds that owners of cells share.
+"""Timeouts and intervals shared by all cell owners.
 
 They are constants rather than settings, because an owner relies on the bounds
-that the owner before it kept.
+that the previous owner of the cell has observed.
 """
 
 LIVENESS_RENEW_INTERVAL_S = 5.0
--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -1,8 +1,8 @@
-"""The tasks of a cell as its owner sees them.
+"""The tasks of a cell as tracked by the cell's owner.
 
-A task's durable part is its `TaskRow`; the rest is what the owner knows of the
-run on the worker. `Phase` says which, and an `Ending` says what is to be written
-once the task surely does not run.
+The `TaskRow` is the durable part of a task; the other fields hold what the owner
+knows about its run on the worker. `Phase` is the state of that run, and an
+`Ending` describes what to write once the task is known not to be running.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 
 
 class Phase(enum.Enum):
-    """Where a task stands between its rows and the worker.
+    """The state of a task between its stored row and the worker.
 
-    From COMMITTING to STOPPING the task may run and holds capacity. ENDED tasks
-    surely do not run and wait for their durable write, which is WRITING while a
-    submission is in flight.
+    From COMMITTING to STOPPING the task may be running and holds capacity. An ENDED
+    task is known not to be running and waits for its outcome to be stored; it is
+    WRITING while that submission is in flight.
     """
 
     WAITING = "waiting"
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ending:
-    """The base of what is written when a task surely does not run."""
+    """Base class for what is written once a task is known not to be running."""
 
     reason: str
 
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fail(Ending):
-    """The task failed; `counted` holds the failure against the task itself."""
+    """The task failed; if `counted`, the failure uses up one of its attempts."""
 
     counted: bool
 
@@ -81,12 +81,12 @@
 class Task:
     """One task of a cell.
 
-    `planned_worker` is the worker of a start being committed. A report asked at
-    or after `settle_after` that lacks the task shows that it does not run, and
-    its lease has surely lapsed at `leased_until`. `ending` is planned while
-    the task still runs and final once it is ENDED. `skip_reason` is the last reason
-    for which no worker was chosen. No
-    write is tried again before `retry_at`.
+    `planned_worker` is the worker of a start that is being committed. A report that
+    was requested after `settle_after` and lacks the task proves that the task is not
+    running. Its first lease has lapsed by `leased_until`, clock drift included.
+    `ending` is the planned ending while the task may still be running, and final once
+    the task is ENDED. `skip_reason` is the last reason why no worker was chosen. No
+    write is retried before `retry_at`.
     """
 
     key: str
@@ -105,7 +105,7 @@
 
     @property
     def worker_id(self) -> str:
-        """The worker on which the task may run, or the empty string."""
+        """The worker on which the task may be running, or the empty string."""
         if self.phase is Phase.COMMITTING:
             return self.planned_worker
         return self.row.worker_id if self.phase in HOLDING_PHASES else ""
@@ -137,5 +137,5 @@
 
 
 def by_record(task: Task) -> tuple[str, ...]:
-    """Index tasks by the record that asked for them."""
+    """Index tasks by the record that defines them."""
     return (task.row.spec.record_key,)
--- a/bulrushpulley/entities/worker_calls.py
+++ b/bulrushpulley/entities/worker_calls.py
@@ -1,7 +1,7 @@
-"""What an owner asks of workers and what it hears from them, free of encoding.
+"""The calls of an owner to its workers and their outcomes, independent of encoding.
 
-Every command carries `not_after`, an instant of the owner's monotonic clock that
-is checked right before the call leaves: a command is not sent after it.
+Every command carries a deadline `not_after` on the owner's monotonic clock. It is
+checked right before the call is sent: a command is never sent after it.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 
 class RunState(enum.Enum):
-    """The state of a run on a worker; all but RUNNING have ended."""
+    """The state of a run on a worker; in every state but RUNNING it has ended."""
 
     RUNNING = "running"
     FINISHED = "finished"
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerCommand(Command):
-    """The base of the calls to a worker, which answers under `url`."""
+    """Base class for calls to a worker, which listens at `url`."""
 
     worker_id: str
     url: str
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartTask(WorkerCommand):
-    """Starts one generation of a task; sent at most once, ever."""
+    """Starts one generation of a task; sent at most once per generation."""
 
     task_key: str
     task_id: str
@@ -50,9 +50,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopTask(WorkerCommand):
-    """Stops one generation, after a checkpoint if asked; idempotent.
+    """Stops one generation of a task, after a checkpoint if requested; idempotent.
 
-    Without `checkpoint` the worker also forgets a run that has ended.
+    Without `checkpoint`, the worker also drops a run that has ended from its reports.
     """
 
     task_id: str
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleTask(WorkerCommand):
-    """Lets one generation work at a `share` of its speed; idempotent."""
+    """Limits one generation of a task to a `share` of its full speed; idempotent."""
 
     task_key: str
     task_id: str
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Renewal:
-    """Extends the lease of a run by `lease_s` from its arrival."""
+    """Renews the lease of a run for `lease_s` from when the worker receives it."""
 
     task_id: str
     generation: int
@@ -81,7 +81,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskReport(WorkerCommand):
-    """Renews leases and asks for all runs and their usage in one call."""
+    """Renews leases and requests all runs and their resource usage in one call."""
 
     asked_at: float
     renewals: tuple[Renewal, ...]
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunReport:
-    """What a worker says of one run."""
+    """The state of one run as reported by its worker."""
 
     task_id: str
     generation: int
@@ -100,7 +100,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunUsage:
-    """What a run used some time ago; `latency_ms` is zero for batch work."""
+    """A past sample of a run's resource usage; `latency_ms` is zero for batch work."""
 
     task_id: str
     generation: int
@@ -111,14 +111,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerEvent(Event):
-    """The base of the outcomes of calls to a worker."""
+    """Base class for the outcomes of calls to a worker."""
 
     worker_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartOutcome(WorkerEvent):
-    """The base of the outcomes of a start."""
+    """Base class for the outcomes of a start."""
 
     task_key: str
     generation: int
@@ -126,19 +126,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Started(StartOutcome):
-    """The worker said that it runs the generation."""
+    """The worker confirmed that it runs the generation."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartNotSent(StartOutcome):
-    """The start surely did not leave the owner and never will."""
+    """The start was not sent and never will be."""
 
     problem: Problem
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartUnknown(StartOutcome):
-    """The start left, and the worker's answer is missing."""
+    """The start was sent, but the worker's answer is missing."""
 
     problem: Problem
 
@@ -150,14 +150,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopUnanswered(WorkerEvent):
-    """A stop was not sent or its answer is missing."""
+    """A stop was not sent, or its answer is missing."""
 
     problem: Problem
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleAnswered(WorkerEvent):
-    """The worker has set the share of a generation."""
+    """The worker has applied the share to the generation."""
 
     task_key: str
     generation: int
@@ -166,14 +166,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleUnanswered(WorkerEvent):
-    """A throttle was not sent or its answer is missing."""
+    """A throttle was not sent, or its answer is missing."""
 
     problem: Problem
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerReported(WorkerEvent):
-    """All runs of a worker, in answer to the report asked at `asked_at`."""
+    """All runs of a worker, in answer to the report requested at `asked_at`."""
 
     asked_at: float
     runs: tuple[RunReport, ...]
@@ -182,7 +182,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportUnanswered(WorkerEvent):
-    """The report asked at `asked_at` was not sent or has no answer."""
+    """The report requested at `asked_at` was not sent, or its answer is missing."""
 
     asked_at: float
     problem: Problem
--- a/bulrushpulley/systems/cell/domains.py
+++ b/bulrushpulley/systems/cell/domains.py
@@ -1,4 +1,4 @@
-"""Whether the failure domain of a cell is in service."""
+"""Looks up whether the failure domain of a cell is in service."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 
 def in_service(tables: CellOwnerTables, cell: Cell) -> bool:
-    """Tell whether tasks may start in a cell, as far as is known here."""
+    """Tell whether a cell's failure domain is known to be in service."""
     return domain_state(tables, cell) is DomainState.IN_SERVICE
 
 
 def is_drained(tables: CellOwnerTables, cell: Cell) -> bool:
-    """Tell whether a cell's failure domain was taken out of service."""
+    """Tell whether a cell's failure domain has been drained."""
     return domain_state(tables, cell) is DomainState.DRAINED
--- a/bulrushpulley/systems/cell/endings.py
+++ b/bulrushpulley/systems/cell/endings.py
@@ -1,8 +1,8 @@
-"""Writes what became of tasks that surely do not run.
+"""Writes the outcomes of tasks that are known not to be running.
 
 Every ending is one transaction, conditional on the task's row and on the lease
-that made this agent the owner. The outcome of a task is written together with
-the deletion of its row, so it is done at most once.
+that makes this agent the owner. The outcome of a task is written together with
+the deletion of its row, so it is recorded at most once.
 """
 
 from __future__ import annotations
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndingWrites:
-    """What is written: the task's next row, or None and a row elsewhere."""
+    """The writes of an ending: the task's next row, or None to delete it.
+
+    A deleted row is replaced by `other_writes`, a row under another key.
+    """
 
     row: TaskRow | None
     other_writes: tuple[Write, ...] = ()
@@ -57,7 +60,7 @@
 
 @singledispatch
 def ending_writes(ending: Ending, row: TaskRow) -> EndingWrites:
-    """Return what an ending writes for a task that stood at `row`."""
+    """Return the writes of an ending for a task whose current row is `row`."""
     raise NotImplementedError(type(ending).__name__)
 
 
@@ -114,7 +117,7 @@
 
 
 def write_endings(tables: CellOwnerTables, now: float) -> CellStep:
-    """Submit the endings of tasks that have ended, a bounded number each tick."""
+    """Submit the endings of ENDED tasks, at most `MAX_ENDINGS_PER_TICK` per cell."""
     commands: list[Command] = []
     for cell in tables.cells.rows():
         if cell.phase is not CellPhase.OWNED:
@@ -145,7 +148,7 @@
 
 
 def fencing_conditions(cell: Cell, task: Task) -> tuple[Condition, ...]:
-    """Return the conditions of every write of a task: its row and the lease."""
+    """Return the conditions of every write to a task: its row and the cell's lease."""
     return (
         Condition(key=task.key, version=task.version),
         Condition(key=lease_key(cell.name), version=cell.lease_version),
@@ -212,10 +215,11 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellOwnerTables:
-    """Settle an ending whose other row exists already.
+    """Resolve the conflict of an ending whose other row already exists.
 
-    A task with an outcome is done, so only its row is left to delete. A backlog
-    row in the way will be moved by the controller; the task waits meanwhile.
+    If the task already has an outcome, only its row is left to delete. If a backlog
+    row of the task exists, the controller will move it; until then the task waits in
+    this cell.
     """
     task = tables.tasks.by_key[purpose.task_key]
     done_key = f"done/{task.row.spec.task_id}"
@@ -230,7 +234,7 @@
             now=now,
         )
         return cell_rows.put_task(tables, replace(task, phase=Phase.WRITING))
-    waiting = Requeue(reason="its place in the backlog is taken")
+    waiting = Requeue(reason="the backlog already holds a row for the task")
     return cell_rows.put_task(tables, replace(task, ending=waiting))
 
 
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -1,6 +1,7 @@
-"""Decides which tasks have to leave their worker or their cell.
+"""Decides which tasks are removed from their worker or their cell.
 
-Causes are drains, cancellations, shrunken workers, and waiting too long.
+Causes are drained failure domains, cancellations, reduced worker capacity, and
+waiting too long for a start.
 """
 
 from __future__ import annotations
@@ -40,14 +41,14 @@
 
 
 def owned_cells(tables: CellOwnerTables) -> list[Cell]:
-    """Return the cells whose rows are known and may be changed."""
+    """Return the cells whose rows are loaded and may be changed."""
     if tables.leaving:
         return []
     return [cell for cell in tables.cells.rows() if cell.phase is CellPhase.OWNED]
 
 
 def drain(tables: CellOwnerTables, now: float) -> CellStep:
-    """Return the tasks of drained cells to the backlog, a batch each tick."""
+    """Return the tasks of drained cells to the backlog, a limited number per tick."""
     for cell in owned_cells(tables):
         if not cell_domains.is_drained(tables, cell):
             continue
@@ -58,15 +59,15 @@
                 "phase", phase_index(cell=cell.name, phase=phase)
             )
         ]
-        ending = Return(reason="its failure domain was taken out of service")
+        ending = Return(reason="the failure domain was taken out of service")
         for task in leaving[:MAX_EVICTIONS_PER_TICK]:
             tables = cell_stop.plan_ending(tables, task, ending, now)
     return Step(tables=tables)
 
 
 def cancel(tables: CellOwnerTables, now: float) -> CellStep:
-    """Cancel the tasks of cancelled records, a batch each tick."""
-    ending = Cancel(reason="its record was cancelled")
+    """Cancel the tasks of cancelled records, a limited number per tick."""
+    ending = Cancel(reason="the task's record was cancelled")
     for key in sorted(tables.cancellations):
         tasks = [
             task
@@ -82,8 +83,8 @@
 
 @cell_rows.record_changed.register
 def _(record: ServiceRecord, tables: CellOwnerTables, now: float) -> CellOwnerTables:
-    """Cancel the replicas that a service no longer asks for."""
-    ending = Cancel(reason="its service asks for fewer replicas")
+    """Cancel replicas in excess of the service's replica count."""
+    ending = Cancel(reason="the service's replica count was reduced")
     key = f"record/service/{record.name}"
     for task in tables.tasks.rows_where("record", key):
         if task.row.spec.index >= record.replicas:
@@ -92,7 +93,7 @@
 
 
 def evict_over_capacity(tables: CellOwnerTables, now: float) -> CellStep:
-    """Evict the newest batch tasks of workers that hold more than their capacity."""
+    """Evict the newest batch tasks of workers whose tasks exceed their capacity."""
     commands: list[Command] = []
     for cell in owned_cells(tables):
         if not cell.fit_due:
@@ -115,10 +116,10 @@
 ) -> CellStep:
     running = tables.tasks.rows_where("worker", worker.worker_id)
     over = _excess(held, worker.capacity)
-    soon = stopping_size(running)
-    ending = Requeue(reason=f"{worker.worker_id} holds more than its capacity")
+    free_after_stops = stopping_size(running)
+    ending = Requeue(reason=f"the tasks on {worker.worker_id} exceed its capacity")
     commands: list[Command] = []
-    for task in _choose_excess(over, soon, running):
+    for task in _choose_excess(over, free_after_stops, running):
         tables = cell_stop.plan_ending(tables, task, ending, now)
         commands.extend(eviction_commands(cell, task, ending.reason))
     return Step(tables=tables, commands=tuple(commands))
@@ -134,17 +135,17 @@
 
 
 def _choose_excess(
-    over: Resources, soon: Resources, running: list[Task]
+    over: Resources, free_after_stops: Resources, running: list[Task]
 ) -> tuple[Task, ...]:
-    """Return what to evict; every batch task if even that is not enough."""
-    if over.fits(soon):
+    """Return the tasks to evict: all evictable ones if even those are not enough."""
+    if over.fits(free_after_stops):
         return ()
-    victims = choose_victims(needed=over, free=soon, running=running)
+    victims = choose_victims(needed=over, free=free_after_stops, running=running)
     return victims or tuple(task for task in running if is_evictable(task))
 
 
 def return_waiting_tasks(tables: CellOwnerTables, now: float) -> CellStep:
-    """Return tasks to the backlog that could not start here for a while."""
+    """Return tasks to the backlog that may not or could not start in their cell."""
     for cell in owned_cells(tables):
         if now < cell.sweep_at:
             continue
@@ -165,8 +166,8 @@
 ) -> Return | None:
     domain = cell_rows.failure_domain_of(tables, cell.name)
     if domain and not cell_place.may_run_in(task, domain):
-        return Return(reason=f"it may not run in {domain}")
+        return Return(reason=f"the task may not run in failure domain {domain}")
     if now - task.since >= RETURN_TO_BACKLOG_DELAY_S:
         why = task.skip_reason or "no start committed"
-        return Return(reason=f"it could not start in {cell.name}: {why}")
+        return Return(reason=f"the task could not start in {cell.name}: {why}")
     return None
--- a/bulrushpulley/systems/cell/liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -1,7 +1,7 @@
-"""Renews the agent's liveness row, one for all the cells that it owns.
+"""Renews the agent's liveness row, which covers all the cells that it owns.
 
-The row also bounds the owner's autonomy: without a confirmed renewal it goes on
-renewing task leases only for `autonomy_s` after the last one was sent.
+The row also bounds the owner's autonomy: the owner renews task leases only for
+`autonomy_s` after it sent the last renewal of the row that was confirmed.
 """
 
 from __future__ import annotations
@@ -40,16 +40,16 @@
 
 
 def autonomy_deadline(tables: CellOwnerTables) -> float:
-    """Return the instant up to which the owner may command its workers."""
+    """Return the time until which the owner may send commands to its workers."""
     confirmed = tables.liveness.confirmed_sent_at
     return float("-inf") if confirmed is None else confirmed + tables.autonomy_s
 
 
 def stop_deadline(tables: CellOwnerTables) -> float:
-    """Return the instant up to which no other agent can have taken a cell.
+    """Return the time until which no other agent can have taken a cell.
 
-    A stop may leave only until then: a paused owner must not stop what its
-    successor runs. Leases are renewed for longer, as that harms nothing.
+    Stops may be sent only until then: an owner that was paused must not stop what
+    its successor runs. Leases may be renewed for longer, which is harmless.
     """
     confirmed = tables.liveness.confirmed_sent_at
     owned = float("-inf") if confirmed is None else confirmed + TAKEOVER_TIMEOUT_S
@@ -57,7 +57,7 @@
 
 
 def renew(tables: CellOwnerTables, now: float) -> CellStep:
-    """Renew the liveness row when it is due and there is a cell to own."""
+    """Renew the liveness row when it is due and the agent has any cell."""
     live = tables.liveness
     if live.pending or not len(tables.cells) or now < live.renew_at:
         return Step(tables=tables)
@@ -135,10 +135,10 @@
 
 
 def _give_up_all_cells(tables: CellOwnerTables) -> CellStep:
-    """Give every cell up: a newer process of this agent's name renews the row."""
+    """Give up every cell, as a newer process with this agent's name renews the row."""
     commands: tuple[Command, ...] = ()
     for name in sorted(tables.cells):
-        step = cell_outcomes.lose_cell(tables, name, "a newer incarnation lives")
+        step = cell_outcomes.lose_cell(tables, name, "a newer incarnation is running")
         tables, commands = step.tables, commands + step.commands
     live = Liveness(renew_at=float("inf"))
     tables = replace(tables, liveness=live, leaving=True)
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -1,6 +1,7 @@
-"""Reads the task rows of held cells and applies what readings bring.
+"""Reads the task rows of held cells and applies the rows of all reads.
 
-An owned cell is read again every `REFETCH_S`, which heals lost messages.
+An owned cell is read again every `TASK_REFETCH_INTERVAL_S`, which makes up for lost
+messages.
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
 
 
 def refetch(tables: CellOwnerTables, now: float) -> CellStep:
-    """Read the rows of each held cell for which a reading is due."""
+    """Read the task rows of each held cell for which a read is due."""
     for cell in tables.cells.rows():
         if cell.phase in HELD_PHASES and now >= cell.refetch_at:
             tables = cell_send.read(
@@ -57,7 +58,7 @@
 def on_fetched(
     purpose: ReadPurpose, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Apply the rows of a reading to what it was for."""
+    """Apply the rows of a read according to its purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -123,9 +124,9 @@
 def _apply_records(
     rows: Iterable[VersionedRow], tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Apply the records of rows just read, which may have changed before.
+    """Apply the records of task rows just read, as they may have changed before.
 
-    A record that was amended while nobody owned the cell is not told again.
+    An amendment made while the cell had no owner is not announced again.
     """
     tasks = (tables.tasks.get(found.key) for found in rows)
     for key in sorted({task.row.spec.record_key for task in tasks if task}):
--- a/bulrushpulley/systems/cell/outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -1,8 +1,8 @@
-"""Applies the outcomes of submissions, by what each was for.
+"""Applies the outcomes of submissions according to their purpose.
 
-`on_committed`, `on_conflicted` and `on_withdrawn` vary by the purpose and are
-registered in the modules that submit. A conflict that names another owner of the
-cell gives the cell up before anything else.
+`on_committed`, `on_conflicted` and `on_withdrawn` dispatch on the purpose; the
+modules that submit register the implementations. A conflict that shows another
+owner of the cell gives the cell up, and nothing else is done.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    """Apply a commit to what the submission was for."""
+    """Apply a commit according to the purpose of the submission."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -48,7 +48,7 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    """Apply a conflict to what the submission was for."""
+    """Apply a conflict according to the purpose of the submission."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -60,7 +60,7 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    """Apply to what a submission was for that it never takes effect."""
+    """Handle a submission that will never take effect, according to its purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
 
@@ -106,7 +106,7 @@
 def names_other_owner(
     tables: CellOwnerTables, in_flight: InFlightSubmission, outcome: Conflicted
 ) -> bool:
-    """Tell whether a conflict shows that the cell's lease has changed hands."""
+    """Tell whether a conflict shows that the cell's lease has a new owner."""
     cell = tables.cells.get(in_flight.cell)
     if cell is None or cell.phase not in FENCED_PHASES:
         return False
@@ -115,12 +115,12 @@
 
 
 def conflicting_row(outcome: Conflicted, key: str) -> VersionedRow | None:
-    """Return the row of `key` if its condition was among those that failed."""
+    """Return the current row of `key` if its condition failed, or None."""
     return next((row for row in outcome.rows if row.key == key), None)
 
 
 def lose_cell(tables: CellOwnerTables, name: str, reason: str) -> CellStep:
-    """Drop everything of a cell, so that no further command leaves for it."""
+    """Drop all state of a cell, so that no further command is sent for it."""
     cell = tables.cells.get(name)
     if cell is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/cell/owner_events.py
+++ b/bulrushpulley/systems/cell/owner_events.py
@@ -1,7 +1,7 @@
-"""The events of the cell owner: `apply` is registered for each kind it takes.
+"""Dispatches the events of the cell owner through `apply`.
 
-Link items are applied here; outcomes of submissions, readings and calls to
-workers in the modules named after them.
+Link items are applied here. Outcomes of submissions are applied in `outcomes`, those
+of reads in `load`, and those of worker calls in `reports` and `throttle`.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 @singledispatch
 def apply(event: Event, tables: CellOwnerTables, now: float) -> CellStep:
-    """Apply one event; a kind that the cell owner does not take changes nothing."""
+    """Apply one event; kinds that the cell owner does not handle are ignored."""
     return Step(tables=tables)
 
 
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -1,4 +1,4 @@
-"""Releases the cells of a stopping agent after its last command has left."""
+"""Releases the cells of a stopping agent once none of its commands is in flight."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 def release(tables: CellOwnerTables, now: float) -> CellStep:
-    """Release each held cell that is quiet, and say so once none is left."""
+    """Release each held cell with nothing in flight; report when no cell is left."""
     if not tables.leaving or tables.released:
         return Step(tables=tables)
     for cell in tables.cells.rows():
@@ -50,7 +50,7 @@
 
 
 def has_nothing_in_flight(tables: CellOwnerTables, cell: Cell, now: float) -> bool:
-    """Tell whether no command or write for a cell can still be under way."""
+    """Tell whether no command or write for a cell can still be in flight."""
     if tables.submissions.count_where("cell", cell.name):
         return False
     sending = phase_index(cell=cell.name, phase=Phase.SENDING)
@@ -87,7 +87,10 @@
     step = cell_outcomes.lose_cell(tables, purpose.cell, "released")
     commands: tuple[Command, ...] = (
         Decision(
-            kind="cell.release", subject=purpose.cell, chosen="", reason="leaving"
+            kind="cell.release",
+            subject=purpose.cell,
+            chosen="",
+            reason="the agent is shutting down",
         ),
     )
     return Step(tables=step.tables, commands=commands)
@@ -101,7 +104,7 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    return cell_outcomes.lose_cell(tables, purpose.cell, "the lease has moved on")
+    return cell_outcomes.lose_cell(tables, purpose.cell, "the lease has changed")
 
 
 @on_withdrawn.register
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -1,9 +1,9 @@
-"""Asks workers for reports and applies what they say of starts, stops and runs.
+"""Requests reports from workers and applies the reported starts, stops and runs.
 
-A worker is asked about once a second, by one call that never overlaps with another
-and renews the leases of its tasks when that is due. Only the answer to the report
-last asked counts; what it says of older generations changes nothing but has them
-stopped.
+A report is requested from each worker about once a second, by one call that never
+overlaps with another and that also renews the leases of its tasks when that is due.
+Only the answer to the latest request is applied. Runs of older generations in it
+change no state, but are stopped.
 """
 
 from __future__ import annotations
@@ -61,7 +61,7 @@
 
 
 def request_reports(tables: CellOwnerTables, now: float) -> CellStep:
-    """Ask each worker whose report is due, while the owner may command it."""
+    """Request the reports that are due, while the owner may send commands."""
     commands: list[Command] = []
     not_after = min(now + WORKER_CALL_TIMEOUT_S, autonomy_deadline(tables))
     if tables.leaving or now > not_after:
@@ -93,7 +93,7 @@
 
 
 def renew_all_task_leases(tables: CellOwnerTables, now: float) -> CellStep:
-    """Renew all leases once more, to last until the next owner has the cells."""
+    """Renew all task leases once more, to last until a new owner has the cells."""
     due = tables.workers
     for worker in due.rows():
         due = due.put(
@@ -104,10 +104,10 @@
 
 
 def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
-    """Return the pause before the next report.
+    """Return the interval before the next report.
 
-    The size of a report grows with the runs on the worker, so many steady runs are
-    asked for less often; while one is being settled, reports come every second.
+    The size of a report grows with the number of runs on the worker, so the interval
+    grows with it. While any task is not simply running, the interval is one second.
     """
     for key in tables.tasks.keys_where("worker", worker.worker_id):
         if tables.tasks.by_key[key].phase is not Phase.RUNNING:
@@ -119,7 +119,7 @@
 def _renewals(
     tables: CellOwnerTables, worker: Worker, now: float
 ) -> tuple[Renewal, ...]:
-    """Return the renewals that are due; a silent worker's leases are let lapse."""
+    """Return the renewals that are due; leases on an unreachable worker may lapse."""
     if now < worker.renew_at or cell_stop.is_unreachable(worker, now):
         return ()
     return tuple(
@@ -219,7 +219,7 @@
     cell = tables.cells.by_key[worker.cell]
     loaded = cell.phase is CellPhase.OWNED
     back = worker.reported_at is None or worker.unanswered_at is not None
-    heard = replace(
+    reported = replace(
         worker,
         asked_at=None,
         answered_at=now,
@@ -227,7 +227,7 @@
         reported_at=event.asked_at if loaded else worker.reported_at,
         unanswered_at=_still_unanswered(worker, event.asked_at),
     )
-    tables = cell_rows.put_worker(tables, heard)
+    tables = cell_rows.put_worker(tables, reported)
     if not loaded:
         return Step(tables=tables)
     if back:
@@ -264,7 +264,7 @@
 def is_current(
     tables: CellOwnerTables, worker: Worker, key: str, run: RunReport
 ) -> bool:
-    """Tell whether a run is the generation that the owner holds the worker to."""
+    """Tell whether a run is of the generation that the owner assigned to the worker."""
     task = tables.tasks.get(key)
     if task is None or task.row.generation != run.generation:
         return False
@@ -285,10 +285,10 @@
         return Step(tables=_handle_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        judged = cell_quarantine.task_succeeded(tables, task, worker, now)
+        succeeded = cell_quarantine.task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
-        ended = cell_stop.end_task(judged.tables, task, finish, now, run.checkpoint)
-        return Step(tables=ended, commands=judged.commands)
+        ended = cell_stop.end_task(succeeded.tables, task, finish, now, run.checkpoint)
+        return Step(tables=ended, commands=succeeded.commands)
     if run.state is RunState.FAILED and task.ending is None:
         return _handle_failed(run, task, worker, tables, now)
     reason = f"{run.state.value} on {worker_id}"
@@ -300,8 +300,8 @@
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
     worker = tables.workers.by_key[worker_id]
-    sound = task.phase is Phase.RUNNING and now - task.since >= MIN_PROBE_RUN_S
-    if sound and worker.health is Health.PROBING:
+    probe_passed = task.phase is Phase.RUNNING and now - task.since >= MIN_PROBE_RUN_S
+    if probe_passed and worker.health is Health.PROBING:
         return cell_quarantine.return_to_service(tables, worker)
     if task.phase not in (Phase.SENDING, Phase.UNKNOWN):
         return tables
@@ -323,18 +323,21 @@
 def _end_missing(
     event: WorkerReported, seen: set[str], tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """End the tasks that the worker would have named if it still ran them."""
+    """End the tasks whose absence from the report shows that they are not running."""
     for task in tables.tasks.rows_where("worker", event.worker_id):
         if task.key in seen or task.phase not in REPORTABLE_PHASES:
             continue
         if shows_absence(task, event.asked_at):
-            reason = f"{event.worker_id} does not run it"
+            reason = f"worker {event.worker_id} does not run the task"
             tables = cell_stop.end_as_planned(tables, task, reason, now)
     return tables
 
 
 def shows_absence(task: Task, asked_at: float) -> bool:
-    """Tell whether a report asked then would have named the task if it ran."""
+    """Tell whether absence from a report requested at `asked_at` proves an end.
+
+    An earlier report may lack a task whose start was still on its way.
+    """
     return asked_at > task.settle_after
 
 
@@ -355,7 +358,7 @@
     unexpected_runs: list[RunReport],
     now: float,
 ) -> list[Command]:
-    """Stop runs that are not the owner's; this also has ended ones forgotten."""
+    """Stop runs that the owner does not expect; the worker drops those that ended."""
     not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     if tables.leaving or now > not_after:
         return []
@@ -374,6 +377,6 @@
 
 
 def is_newer(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
-    """Tell whether a run is of a generation that only another owner can know."""
+    """Tell whether a run is of a later generation, which another owner started."""
     task = tables.tasks.get(task_key(cell=worker.cell, task_id=run.task_id))
     return task is not None and run.generation > task.row.generation
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -1,6 +1,6 @@
-"""Takes over rows that others wrote: configuration, tasks, records of tasks.
+"""Applies rows written by other processes: configuration, tasks and their records.
 
-Rows are taken by their version, which only grows: an older row changes nothing.
+Versions of a row only grow; a row that is not newer than the known one is ignored.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 def adopt_record(
     found: VersionedRow, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Take a newer record of the configuration and what follows from it."""
+    """Store a newer configuration record and apply its consequences."""
     known = tables.records.get(found.key)
     if not found.key.startswith(RECORD_PREFIXES):
         return tables
@@ -54,7 +54,7 @@
 def record_changed(
     record: Record, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Apply what follows from a record; by default nothing."""
+    """Apply the consequences of a changed record; by default there are none."""
     return tables
 
 
@@ -90,7 +90,7 @@
 
 
 def touch_cell(tables: CellOwnerTables, name: str) -> CellOwnerTables:
-    """Note that something which matters to a cell's placement has changed."""
+    """Mark a cell for placement and a new summary, as its state has changed."""
     cell = tables.cells.get(name)
     if cell is None or (cell.place_due and cell.summary_due):
         return tables
@@ -98,32 +98,32 @@
 
 
 def put_cell(tables: CellOwnerTables, cell: Cell) -> CellOwnerTables:
-    """Put one cell."""
+    """Insert or replace one cell."""
     return replace(tables, cells=tables.cells.put(cell.name, cell))
 
 
 def put_task(tables: CellOwnerTables, task: Task) -> CellOwnerTables:
-    """Put one task and note the change."""
+    """Insert or replace one task and touch its cell."""
     tables = replace(tables, tasks=tables.tasks.put(task.key, task))
     return touch_cell(tables, task.cell)
 
 
 def drop_task(tables: CellOwnerTables, task: Task) -> CellOwnerTables:
-    """Drop one task and note the change."""
+    """Drop one task and touch its cell."""
     tables = replace(tables, tasks=tables.tasks.drop(task.key))
     return touch_cell(tables, task.cell)
 
 
 def put_worker(tables: CellOwnerTables, worker: Worker) -> CellOwnerTables:
-    """Put one worker."""
+    """Insert or replace one worker."""
     return replace(tables, workers=tables.workers.put(worker.worker_id, worker))
 
 
 def sync_workers(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
-    """Bring a held cell's workers in line with its record.
+    """Update a held cell's workers from its record.
 
-    A worker that the record no longer names has no capacity left and stays while
-    tasks may run on it.
+    A worker that the record no longer names gets no capacity, and is kept while tasks
+    may be running on it.
     """
     record = cell_record(tables, cell.name)
     if record is None or cell.phase not in HELD_PHASES:
@@ -152,9 +152,9 @@
 
 
 def remove_absent_workers(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
-    """Drop workers that no record names once nothing may run on them.
+    """Drop workers that no record names, once no task can be running on them.
 
-    A worker that moved between two cells of this agent joins the new one then.
+    A worker that moved between two cells of this agent is then added to the new one.
     """
     for worker in tables.workers.rows():
         busy = tables.tasks.count_where("worker", worker.worker_id)
@@ -170,7 +170,7 @@
 def adopt_conflicting_task(
     found: VersionedRow, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Take the row that a conflict showed; an absent one means a task is gone."""
+    """Apply the task row that a conflict returned; an absent row drops the task."""
     task = tables.tasks.get(found.key)
     if found.row is None:
         return drop_task(tables, task) if task else tables
@@ -181,10 +181,10 @@
 def adopt_task(
     found: VersionedRow, tables: CellOwnerTables, now: float
 ) -> tuple[CellOwnerTables, bool]:
-    """Take a newer task row of a held cell.
+    """Apply a newer task row of a held cell.
 
-    Returns False if the row had to be passed over, because a submission on it is
-    in flight, and must be read again.
+    The second value is False if the row was skipped because a submission that changes
+    it is in flight; the row must then be read again.
     """
     cell = tables.cells.get(found.key.split("/", 2)[1])
     if cell is None or cell.phase not in HELD_PHASES:
@@ -207,7 +207,7 @@
 
 
 def task_of(key: str, row: TaskRow, version: int, cell: Cell, now: float) -> Task:
-    """Return a task as its row shows it: one that was started may still run."""
+    """Return the task of a stored row; a started task may still be running."""
     waiting = row.state is TaskState.WAITING
     own_bound = now + START_WINDOW_S + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return Task(
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -1,7 +1,7 @@
-"""Sends submissions and readings to an entry, and repeats those without outcome.
+"""Sends submissions and reads to an entry, and retries those without an outcome.
 
-A submission is repeated unchanged, through another entry where there is one: its
-conditions and its id let it take effect at most once.
+A submission is retried unchanged, through another entry if there is one: its
+conditions and its id ensure that it takes effect at most once.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
     now: float,
     give_up_after_s: float = DEFAULT_COMMIT_TIMEOUT_S,
 ) -> tuple[CellOwnerTables, str]:
-    """Put a submission in line and return its id."""
+    """Queue a submission and return its id."""
     number = tables.last_number + 1
     submission = Submission(
         submission_id=f"{tables.incarnation}/{number}",
@@ -63,7 +63,7 @@
     now: float,
     since: int = 0,
 ) -> CellOwnerTables:
-    """Put a reading in line, unless one for the same purpose is in flight."""
+    """Queue a read, unless one for the same purpose is already queued or in flight."""
     if tables.readings.count_where("purpose", reading_index(purpose)):
         return tables
     number = tables.last_number + 1
@@ -79,7 +79,7 @@
 
 
 def drop_readings(tables: CellOwnerTables, cell: str) -> CellOwnerTables:
-    """Drop the readings for a cell: what they bring was read under another lease."""
+    """Drop the reads for a cell, as they were made under another lease."""
     readings = tables.readings
     for key in list(readings.keys_where("cell", cell)):
         readings = readings.drop(key)
@@ -87,7 +87,7 @@
 
 
 def requeue_for_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
-    """Put what was in flight to a lost entry in line again."""
+    """Queue again what was in flight to an entry whose link was lost."""
     for in_flight in tables.submissions.rows_where("peer", peer):
         tables = resubmit(tables, in_flight, now)
     readings = tables.readings
@@ -99,7 +99,7 @@
 def resubmit(
     tables: CellOwnerTables, in_flight: InFlightSubmission, now: float
 ) -> CellOwnerTables:
-    """Put a submission whose outcome is unknown in line again."""
+    """Queue a submission again whose outcome is unknown."""
     again = replace(
         in_flight,
         peer="",
@@ -112,10 +112,11 @@
 
 
 def choose_entry(tables: CellOwnerTables, *, avoid: str) -> LinkedEntry | None:
-    """Choose an entry of the agent's region, any other failing that.
+    """Choose an entry of the agent's region, or another one if there is none.
 
-    Agents spread over the entries by their names and stay with their choice, so
-    that the submissions of one agent join one group commit.
+    Agents are spread over the entries by a hash of their names and keep their choice,
+    so that the submissions of one agent join one group commit. The entry `avoid` is
+    chosen only if it is the only one.
     """
     entries = tables.entries.rows()
     near = [entry for entry in entries if entry.region == tables.region]
@@ -127,7 +128,7 @@
 
 
 def send(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
-    """Send what is in line, after putting what has no outcome in line again."""
+    """Send what is queued, after queuing again what timed out."""
     tables = _expire(tables, now)
     commands: list[Command] = []
     for in_flight in tables.submissions.rows_where("peer", ""):
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -1,10 +1,10 @@
-"""Commits starts and sends them.
+"""Commits the starts of tasks and sends them to workers.
 
-A start is committed together with the versions of the lease and of the records of
-the task, of the failure domain and of the cell, which gives the worker's capacity.
-Its command may leave only within `START_WINDOW_S` of the first sending of that
-transaction, so nothing starts later than that after a drain or a cancellation was
-accepted. A generation is sent at most once.
+The commit of a start is conditional on the versions of the lease and of the records
+of the task, the failure domain and the cell, which holds the worker's capacity. The
+start command may be sent only within `START_WINDOW_S` after that transaction was
+first sent, so no task starts later than that after a drain or a cancellation was
+accepted. Each generation is sent at most once.
 """
 
 from __future__ import annotations
@@ -85,7 +85,7 @@
 def start_conditions(
     tables: CellOwnerTables, cell: Cell, task: Task
 ) -> tuple[Condition, ...]:
-    """Return what must stand unchanged for a start to commit."""
+    """Return the rows that must be unchanged for a start to commit."""
     spec = task.row.spec
     domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
     records = (domain, record_key(cell.name))
@@ -128,10 +128,10 @@
         leased_until=deadline + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S,
     )
     command = _start_command(sending, worker, deadline)
-    took = Observe(name="start_commit_s", seconds=now - in_flight.first_sent_at)
-    sent = Count(name="task_starts", label=task.cell)
+    commit_time = Observe(name="start_commit_s", seconds=now - in_flight.first_sent_at)
+    start_count = Count(name="task_starts", label=task.cell)
     tables = cell_rows.put_task(tables, sending)
-    return Step(tables=tables, commands=(command, took, sent))
+    return Step(tables=tables, commands=(command, commit_time, start_count))
 
 
 def _reason_not_to_send(
@@ -141,21 +141,21 @@
     deadline: float,
     now: float,
 ) -> str:
-    """Say why a committed start must not be sent, or nothing."""
+    """Return why a committed start must not be sent, or the empty string."""
     if not may_send(deadline, now):
-        return "the start window had passed at the commit"
+        return "the start window had passed when the commit was confirmed"
     if not cell_domains.in_service(tables, tables.cells.by_key[task.cell]):
-        return "its failure domain was taken out of service"
+        return "the failure domain was taken out of service"
     if worker is None or not worker.present:
-        return "its worker was taken out of the cell"
+        return "the worker was removed from the cell"
     held = cell_candidates.committed(tables, worker.worker_id)
     if not held.fits(worker.capacity):
-        return "its worker has lost capacity"
-    return "the agent is leaving" if tables.leaving else ""
+        return "the worker's capacity was reduced"
+    return "the agent is shutting down" if tables.leaving else ""
 
 
 def may_send(deadline: float, now: float) -> bool:
-    """Tell whether a start may still leave; checked again right before it does."""
+    """Tell whether a start may still be sent; checked again right before sending."""
     return now <= deadline
 
 
@@ -230,20 +230,20 @@
     record = found.row.record if isinstance(found.row, RecordRow) else None
     spec = refreshed_spec(record, task.row.spec, found.version) if record else None
     if spec is None:
-        ending = Cancel(reason="its record was cancelled")
+        ending = Cancel(reason="the task's record was cancelled")
         return cell_stop.plan_ending(tables, task, ending, now)
     row = with_spec(task.row, spec)
     return cell_rows.put_task(tables, replace(task, row=row))
 
 
 def with_spec(row: TaskRow, spec: TaskSpec) -> TaskRow:
-    """Return a task row with a spec of a newer record."""
+    """Return a task row with the spec of a newer record."""
     return replace(row, spec=spec)
 
 
 @singledispatch
 def refreshed_spec(record: Record, spec: TaskSpec, version: int) -> TaskSpec | None:
-    """Return the spec under a newer record, or None if the task is not wanted."""
+    """Return the spec under a newer record, or None if the task is to be cancelled."""
     return None
 
 
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -1,7 +1,7 @@
-"""Stops tasks: plans an ending, sends the stops, and ends what surely stopped.
+"""Stops tasks: plans endings, sends stops, and ends tasks known to have stopped.
 
-A stop is repeated until a report shows that the task no longer runs; only then
-is its ending written. Every step may be repeated or lost.
+A stop is repeated until a report shows that the task is no longer running; only then
+is its ending written. Any of these messages may be repeated or lost.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 
 @singledispatch
 def precedence(ending: Ending) -> int:
-    """Rank planned endings: a stronger one replaces a weaker one."""
+    """Return the rank of a planned ending; a higher rank replaces a lower one."""
     return 3
 
 
@@ -60,7 +60,7 @@
 def plan_ending(
     tables: CellOwnerTables, task: Task, ending: Ending, now: float
 ) -> CellOwnerTables:
-    """Bring a task to an ending, stopping it first where it may run."""
+    """Plan the ending of a task; a task that may be running is stopped first."""
     if task.ending is not None and precedence(task.ending) >= precedence(ending):
         return tables
     if task.phase is Phase.WAITING:
@@ -79,7 +79,7 @@
     now: float,
     checkpoint: str = "",
 ) -> CellOwnerTables:
-    """Note that a task surely does not run and what is to be written of it."""
+    """Mark a task as known not to be running, with the ending to be written."""
     row = replace(task.row, checkpoint=checkpoint or task.row.checkpoint)
     ended = replace(task, row=row, phase=Phase.ENDED, ending=ending, since=now)
     return cell_rows.put_task(tables, ended)
@@ -88,13 +88,13 @@
 def end_as_planned(
     tables: CellOwnerTables, task: Task, reason: str, now: float, checkpoint: str = ""
 ) -> CellOwnerTables:
-    """End a task that stopped: as planned, or so that it starts again."""
+    """End a stopped task with its planned ending, or requeue it if there is none."""
     ending = task.ending or Requeue(reason=reason)
     return end_task(tables, task, ending, now, checkpoint)
 
 
 def send_stops(tables: CellOwnerTables, now: float) -> CellStep:
-    """Send the stops that are due, while no other agent can own the cell."""
+    """Send the stops that are due, while no other agent can own their cells."""
     commands: list[Command] = []
     not_after = min(now + WORKER_CALL_TIMEOUT_S, stop_deadline(tables))
     for cell in tables.cells.rows():
@@ -123,24 +123,24 @@
 
 
 def is_unreachable(worker: Worker, now: float) -> bool:
-    """Tell whether a worker has answered no report for a while."""
+    """Tell whether a worker has answered no report within the timeout."""
     return now - worker.answered_at >= WORKER_UNREACHABLE_TIMEOUT_S
 
 
 def lease_has_lapsed(task: Task, worker: Worker, now: float) -> bool:
-    """Tell whether the lease of a task has run out on the worker's own clock."""
+    """Tell whether the lease of a task has lapsed even on the worker's own clock."""
     last_lease = worker.renewed_until + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return now >= max(task.leased_until, last_lease)
 
 
 def end_lapsed_tasks(tables: CellOwnerTables, now: float) -> CellStep:
-    """End the tasks of silent workers whose leases have surely run out."""
+    """End the tasks of unreachable workers whose leases have lapsed."""
     for worker in tables.workers.rows():
         if not is_unreachable(worker, now):
             continue
         for task in tables.tasks.rows_where("worker", worker.worker_id):
             committing = task.phase is Phase.COMMITTING
             if not committing and lease_has_lapsed(task, worker, now):
-                reason = f"the lease lapsed on silent worker {worker.worker_id}"
+                reason = f"the lease lapsed on unreachable worker {worker.worker_id}"
                 tables = end_as_planned(tables, task, reason, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -1,8 +1,8 @@
-"""Watches the cells that were offered and takes those without a living owner.
+"""Watches the cells offered to the agent and takes over those without a live owner.
 
-An owner lives while its liveness row changes; no clock is compared. The taking
-transaction requires the rows to be as they were seen, so an owner that renewed in
-the meantime keeps its cell.
+An owner is live while its liveness row changes; clocks of different hosts are not
+compared. The takeover transaction requires the rows to be unchanged since they were
+read, so an owner that renewed in the meantime keeps its cell.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 
 
 def watch(tables: CellOwnerTables, now: float) -> CellStep:
-    """Read the lease rows of watched cells, once the agent itself is seen to live."""
+    """Read the lease rows of watched cells, once the agent's liveness is confirmed."""
     if tables.leaving or tables.liveness.confirmed_sent_at is None:
         return Step(tables=tables)
     for cell in tables.cells.rows():
@@ -64,7 +64,7 @@
 def handle_lease_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take a cell that nobody holds, or look whether its owner lives."""
+    """Take a cell without an owner, or read the liveness row of its owner."""
     row = found.row if found else None
     lease = row if isinstance(row, LeaseRow) else None
     version = found.version if found and lease else 0
@@ -73,9 +73,9 @@
     cell = replace(cell, lease=lease, lease_version=version)
     tables = cell_rows.put_cell(tables, cell)
     if lease is None or not lease.owner:
-        return _take_cell(cell, (), now, "no owner", tables, now)
+        return _take_cell(cell, (), now, "the cell has no owner", tables, now)
     if lease.owner == tables.agent:
-        return _take_cell(cell, (), now, "an earlier incarnation held it", tables, now)
+        return _take_cell(cell, (), now, "this agent was restarted", tables, now)
     purpose = ReadOwnerAlive(cell=cell.name)
     key = alive_key(lease.owner)
     return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
@@ -84,7 +84,7 @@
 def handle_owner_alive_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take the cell if its owner is gone; stop watching it if the owner lives."""
+    """Take the cell if its owner is gone; stop watching it if the owner is live."""
     lease = cell.lease
     if lease is None:
         return Step(tables=tables)
@@ -92,7 +92,7 @@
     alive = Condition(key=alive_key(lease.owner), version=version)
     row = found.row if found else None
     if isinstance(row, AliveRow) and row.incarnation != lease.incarnation:
-        return _take_cell(cell, (alive,), now, "its owner was restarted", tables, now)
+        return _take_cell(cell, (alive,), now, "the owner was restarted", tables, now)
     if cell.alive_version is None:
         cell = replace(cell, alive_version=version, alive_seen_at=now)
         return Step(tables=cell_rows.put_cell(tables, cell))
@@ -101,17 +101,17 @@
     if not owner_timed_out(cell, now):
         return Step(tables=tables)
     last_commands = cell.alive_seen_at + lease.autonomy_s
-    reason = "its owner's liveness row stood still"
+    reason = "the owner did not renew its liveness row"
     return _take_cell(cell, (alive,), last_commands, reason, tables, now)
 
 
 def owner_timed_out(cell: Cell, now: float) -> bool:
-    """Tell whether the owner's liveness row has stood still for the takeover time."""
+    """Tell whether the owner's liveness row is unchanged for the takeover timeout."""
     return now - cell.alive_seen_at >= TAKEOVER_TIMEOUT_S
 
 
 def restart_watch(cell: Cell, tables: CellOwnerTables) -> CellOwnerTables:
-    """Begin the watch anew: a store outage keeps owners from renewing."""
+    """Restart the watch, as a store outage also keeps owners from renewing."""
     return cell_rows.put_cell(tables, replace(cell, alive_version=None))
 
 
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix of tasks in cells: each fault at each step, all checks."""
+"""Runs the fault matrix of tasks in cells: every fault at every step, all checks."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Matrix:
-    """The steps, and the allowed outcomes by fault."""
+    """The steps and the allowed outcomes by fault."""
 
     steps: tuple[str, ...]
     outcomes_by_fault: Mapping[str, frozenset[str]]
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
-    """What became of one cell of the matrix."""
+    """The result of one cell of the matrix."""
 
     step: str
     fault: str
@@ -47,13 +47,13 @@
     violations: tuple[str, ...]
 
     def passed(self, matrix: Matrix) -> bool:
-        """Tell whether the fault struck, nothing broke and the outcome is right."""
+        """Tell whether the fault was injected and the outcome is allowed and clean."""
         allowed = matrix.outcomes_by_fault[self.fault]
         return self.injected and not self.violations and self.outcome in allowed
 
 
 def load() -> Matrix:
-    """Read the matrix."""
+    """Read the matrix from its data file."""
     steps: list[str] = []
     outcomes: dict[str, frozenset[str]] = {}
     for line in DATA.read_text().splitlines():
@@ -134,7 +134,7 @@
 
 
 def _delay_start(bench: CellBench) -> None:
-    """Have starts arrive late, and their answers lost, for a moment."""
+    """Delay starts and lose their answers for two seconds."""
     bench.start_delay_s, bench.lose_start_answers = 3.0, True
     bench.world.at(2.0, lambda: setattr(bench, "start_delay_s", DELIVERY_S))
     bench.world.at(2.0, lambda: setattr(bench, "lose_start_answers", False))
@@ -173,7 +173,7 @@
 
 
 def _offer_repeatedly(bench: CellBench) -> None:
-    """Offer the cell to the second agent again and again, as entries do."""
+    """Offer the cell to the second agent repeatedly, as entries do."""
     bench.offer("b")
     bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
 
@@ -186,7 +186,7 @@
 
 
 def run_cell(step: str, fault: str) -> Verdict:
-    """Bring a fault about the first time that a step is reached."""
+    """Run one cell of the matrix: inject a fault when a step is first reached."""
     bench = CellBench()
     injected: list[str] = []
 
--- a/test/test_cell_actor.py
+++ b/test/test_cell_actor.py
@@ -1,4 +1,4 @@
-"""The cell owner as an actor with its real I/O, against an HTTP worker."""
+"""Tests the cell owner as an actor with its real I/O, against an HTTP worker."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
         self.done = threading.Event()
 
     def send(self, command: Send) -> None:
-        """Answer a submission or a reading."""
+        """Answer a submission or a read."""
         with self._lock:
             if isinstance(command.item, Submit):
                 self._tell(self._bench.commit(command.item.submission))
@@ -96,7 +96,7 @@
         )
 
     def _tick(self, until: threading.Event) -> bool:
-        """Have the actor tick until an event is set; a few seconds at most."""
+        """Have the actor tick until an event is set, for at most `DONE_TIMEOUT_S`."""
         for _ in range(round(DONE_TIMEOUT_S / TICK_S)):
             self.ref.tell(TickDue())
             if until.wait(TICK_S):
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -1,4 +1,4 @@
-"""Failures on the way of a task through a cell, each with its guard taken out."""
+"""Tests faults during the life of a task in a cell, with and without their guards."""
 
 from __future__ import annotations
 
@@ -66,7 +66,7 @@
 
 
 def with_delayed_start(bench: CellBench) -> None:
-    """A start that leaves in time, arrives late, and whose answer is lost."""
+    """Send a start in time that arrives late, and lose its answer."""
     bench.job("curves", run_s=20.0)
     bench.agent("a")
     bench.start_delay_s = 3.0
@@ -77,7 +77,7 @@
 
 
 def with_paused_owner(bench: CellBench) -> None:
-    """An owner paused right before its start leaves, and replaced meanwhile."""
+    """Pause an owner right before it sends a start, and have it replaced meanwhile."""
 
     def pause(world: VirtualWorld, owner: Seat, command: Command) -> None:
         if isinstance(command, StartTask) and owner.process == "a":
@@ -92,8 +92,8 @@
     bench.run(120.0)
 
 
-def with_silent_worker(bench: CellBench) -> None:
-    """A worker cut off for so long that the leases of its tasks lapse."""
+def with_unreachable_worker(bench: CellBench) -> None:
+    """Cut a worker off for so long that the leases of its tasks lapse."""
     bench.job("curves", run_s=60.0)
     bench.agent("a")
     bench.run(5.0)
@@ -104,7 +104,7 @@
 
 
 def with_drain_at_commit(bench: CellBench) -> None:
-    """A drain that is accepted right before the start would commit."""
+    """Drain the failure domain right before a start would commit."""
     bench.before_commit = OnceOnly(matches=writes_start, action=bench.drain)  # type: ignore[assignment]
     bench.job("curves")
     bench.agent("a")
@@ -113,7 +113,7 @@
 
 
 def with_drain_and_lost_commit(bench: CellBench) -> None:
-    """A start that committed just before a drain, whose answer comes late."""
+    """Commit a start just before a drain, with the answer delayed by an outage."""
     down = OnceOnly(matches=writes_start, action=lambda: drain_during_outage(bench))
     bench.lose_commit = down
     bench.job("curves")
@@ -128,14 +128,14 @@
 
 
 def with_crowded_cell(bench: CellBench) -> None:
-    """More tasks than the workers hold."""
+    """Submit more tasks than the workers have capacity for."""
     bench.job("curves", tasks=20, run_s=10.0)
     bench.agent("a")
     bench.run(60.0)
 
 
 def with_late_report(bench: CellBench) -> None:
-    """A report of an earlier generation that comes again much later."""
+    """Deliver a report of an earlier generation again, much later."""
     bench.job("curves", run_s=30.0)
     bench.agent("a")
     bench.run(3.0)
@@ -154,7 +154,7 @@
 
 GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
     (with_delayed_start, cell_reports, "shows_absence", always),
-    (with_silent_worker, cell_stop, "lease_has_lapsed", always),
+    (with_unreachable_worker, cell_stop, "lease_has_lapsed", always),
     (with_crowded_cell, cell_candidates, "committed", lambda *_: SIZE.minus(SIZE)),
 )
 
@@ -164,7 +164,7 @@
         for case in (
             with_delayed_start,
             with_paused_owner,
-            with_silent_worker,
+            with_unreachable_worker,
             with_drain_at_commit,
             with_drain_and_lost_commit,
             with_crowded_cell,
@@ -175,7 +175,7 @@
             self.assertEqual([], bench.violations, case.__name__)
             self.assertTrue(bench.commands, case.__name__)
 
-    def test_each_check_goes_red_without_its_guard(self) -> None:
+    def test_each_check_fails_without_its_guard(self) -> None:
         for case, module, guard, without in GUARDED:
             bench = CellBench()
             with mock.patch.object(module, guard, without):
@@ -365,7 +365,7 @@
 
     def test_a_silent_worker_s_task_resumes_once_after_its_lease(self) -> None:
         bench = CellBench()
-        with_silent_worker(bench)
+        with_unreachable_worker(bench)
         self.assertEqual([1, 2], [start.generation for start in bench.starts])
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
--- a/test/test_cell_matrix.py
+++ b/test/test_cell_matrix.py
@@ -1,4 +1,7 @@
-"""A part of the fault matrix of tasks in cells; the script runs all of it."""
+"""Runs a sample of the fault matrix of tasks in cells.
+
+`scripts/cell_matrix.py` runs all of it.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
 
 
 class MatrixTest(testtools.TestCase):
-    def test_a_cell_goes_red_without_its_guard(self) -> None:
+    def test_a_cell_fails_without_its_guard(self) -> None:
         def always(*_: Any) -> bool:
             return True
 
--- a/test/test_cell_thin.py
+++ b/test/test_cell_thin.py
@@ -1,4 +1,4 @@
-"""The path of a task through an owned cell without faults."""
+"""Tests the life of a task in an owned cell without faults."""
 
 from __future__ import annotations
 
--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -1,4 +1,4 @@
-"""The worker client against the HTTP stand-in, with its faults."""
+"""Tests the worker client against the HTTP stand-in and its fault modes."""
 
 from __future__ import annotations
 
@@ -37,18 +37,18 @@
 
 
 class Clock:
-    """A clock that a test sets."""
+    """A clock whose time the test sets."""
 
     def __init__(self) -> None:
         self.now = 100.0
 
     def __call__(self) -> float:
-        """Return the present time."""
+        """Return the time set by the test."""
         return self.now
 
 
 def answer_garbage(server: socket.socket) -> None:
-    """Answer one connection with what is no HTTP."""
+    """Answer one connection with a malformed HTTP response."""
     connection, _ = server.accept()
     with connection:
         connection.recv(65_536)
