Rename the key of a cell's record and some locals of the cell owner

record_key also names a field that holds the key of any record, so the function that returns the key of a cell's record is cell_record_key now. Locals such as left, aside, sound or part, and the durations of the test benches, get plain names.

--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -74,6 +74,6 @@
     return f"record/failure_domain/{failure_domain}"
 
 
-def record_key(cell: str) -> str:
+def cell_record_key(cell: str) -> str:
     """Return the key of a cell's record row."""
     return f"record/cell/{cell}"
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -68,7 +68,7 @@
     proven: bool = False
 
 
-def worker_of(record: WorkerRecord, *, cell: str, now: float) -> Worker:
+def worker_from_record(record: WorkerRecord, *, cell: str, now: float) -> Worker:
     """Return the worker of a record, before the first report is requested."""
     return Worker(
         worker_id=record.worker_id,
--- a/bulrushpulley/systems/cell/degradation.py
+++ b/bulrushpulley/systems/cell/degradation.py
@@ -20,9 +20,9 @@
 
 def update_degraded(latency: ServiceLatency, now: float) -> ServiceLatency:
     """Count the latest sample, and change the state after the dwell time if due."""
-    part = latency.smoothed_ms / latency.target_ms
-    above = latency.above + 1 if part > DEGRADED_LATENCY_RATIO else 0
-    below = latency.below + 1 if part < RECOVERED_LATENCY_RATIO else 0
+    ratio = latency.smoothed_ms / latency.target_ms
+    above = latency.above + 1 if ratio > DEGRADED_LATENCY_RATIO else 0
+    below = latency.below + 1 if ratio < RECOVERED_LATENCY_RATIO else 0
     counted = replace(latency, above=above, below=below)
     if now - latency.changed_at < MIN_DWELL_S:
         return counted
--- a/bulrushpulley/systems/cell/neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -42,8 +42,8 @@
 ) -> CellOwnerTables:
     """Record the first start of a job on a worker that runs a service."""
     job = task.row.spec.record_key
-    beside = tables.latencies.count_where("worker", worker_id)
-    if job in tables.job_starts or not beside:
+    services = tables.latencies.count_where("worker", worker_id)
+    if job in tables.job_starts or not services:
         return tables
     starts = tables.job_starts.put(job, JobStart(job=job, at=now))
     if len(starts) > cell_learn.MAX_LEARNED_ROWS:
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -89,8 +89,8 @@
     placement = Placement(candidates=candidates, tables=tables)
     for task in waiting[:MAX_PLACEMENTS_PER_TICK]:
         placement = _place_task(cell, task, placement, now)
-    left = len(waiting) > MAX_PLACEMENTS_PER_TICK
-    done = replace(placement.tables.cells.by_key[cell.name], place_due=left)
+    more_waiting = len(waiting) > MAX_PLACEMENTS_PER_TICK
+    done = replace(placement.tables.cells.by_key[cell.name], place_due=more_waiting)
     tables = cell_rows.put_cell(placement.tables, done)
     return Step(tables=tables, commands=placement.commands)
 
@@ -116,8 +116,10 @@
         tables = cell_rows.put_task(tables, skipped)
         commands = (*commands, _decision(cell, task, choice, tables))
     if choice.retry_s:
-        later = replace(task, skip_reason=choice.reason, retry_at=now + choice.retry_s)
-        tables = cell_rows.put_task(tables, later)
+        retried = replace(
+            task, skip_reason=choice.reason, retry_at=now + choice.retry_s
+        )
+        tables = cell_rows.put_task(tables, retried)
     if not may_preempt(task):
         return Placement(candidates=candidates, tables=tables, commands=commands)
     preemption = preempt_batch_tasks(cell, task, candidates.values(), tables, now)
@@ -140,8 +142,8 @@
     candidate = candidates[worker_id]
     if candidate.worker.health is Health.PROBING:
         return _without_worker(candidates, worker_id)
-    left = replace(candidate, free=candidate.free.minus(task.row.spec.size))
-    return {**candidates, worker_id: left}
+    reduced = replace(candidate, free=candidate.free.minus(task.row.spec.size))
+    return {**candidates, worker_id: reduced}
 
 
 def workers_with_failures_of(tables: CellOwnerTables, task: Task) -> frozenset[str]:
--- a/bulrushpulley/systems/cell/quarantine.py
+++ b/bulrushpulley/systems/cell/quarantine.py
@@ -28,13 +28,13 @@
 
 def is_faulty(tables: CellOwnerTables, worker_id: str) -> bool:
     """Tell whether enough failures on a worker are evidence against it."""
-    own = [
+    evidence = [
         failure
         for failure in tables.failures.rows_where("worker", worker_id)
         if failure.proven or not fails_elsewhere(tables, failure)
     ]
-    jobs = {failure.record_key for failure in own}
-    return len(jobs) >= MIN_EVIDENCE_JOBS or len(own) >= MIN_EVIDENCE_TASKS
+    jobs = {failure.record_key for failure in evidence}
+    return len(jobs) >= MIN_EVIDENCE_JOBS or len(evidence) >= MIN_EVIDENCE_TASKS
 
 
 def fails_elsewhere(tables: CellOwnerTables, failure: Failure) -> bool:
@@ -91,9 +91,9 @@
         if other is None or other.health is not Health.HEALTHY:
             continue
         if is_faulty(tables, other.worker_id):
-            tables, aside = _quarantine(tables, other, now)
+            tables, quarantine_commands = _quarantine(tables, other, now)
             tables = _restore_attempts(tables, other.worker_id)
-            commands = (*commands, *aside)
+            commands = (*commands, *quarantine_commands)
     return Step(tables=tables, commands=commands)
 
 
@@ -105,8 +105,8 @@
     tables = replace(tables, failures=failures)
     if worker.health is Health.HEALTHY:
         return tables
-    sound = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
-    tables = cell_rows.put_worker(tables, sound)
+    healthy = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
+    tables = cell_rows.put_worker(tables, healthy)
     return cell_rows.touch_cell(tables, worker.cell)
 
 
@@ -116,13 +116,13 @@
     backoff = min(
         MAX_QUARANTINE_BACKOFF_S, max(QUARANTINE_BACKOFF_S, 2 * worker.backoff_s)
     )
-    aside = replace(
+    quarantined = replace(
         worker,
         health=Health.QUARANTINED,
         backoff_s=backoff,
         quarantined_until=now + backoff,
     )
-    tables = cell_rows.put_worker(tables, aside)
+    tables = cell_rows.put_worker(tables, quarantined)
     tables = cell_rows.touch_cell(tables, worker.cell)
     decision = Decision(
         kind="worker.aside",
@@ -155,8 +155,8 @@
         if worker is None or worker.health is Health.HEALTHY:
             continue
         if not is_faulty(tables, worker.worker_id):
-            sound = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
-            tables = cell_rows.put_worker(tables, sound)
+            healthy = replace(worker, health=Health.HEALTHY, backoff_s=0.0)
+            tables = cell_rows.put_worker(tables, healthy)
             tables = cell_rows.touch_cell(tables, worker.cell)
     return tables
 
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import HELD_PHASES, Cell, record_key
+from bulrushpulley.entities.cell import HELD_PHASES, Cell, cell_record_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.owner_times import (
@@ -22,7 +22,7 @@
 from bulrushpulley.entities.rows import RecordRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.task import Phase, Task
-from bulrushpulley.entities.worker import Worker, worker_of
+from bulrushpulley.entities.worker import Worker, worker_from_record
 
 RECORD_PREFIXES = (
     "record/cell/",
@@ -76,7 +76,7 @@
 
 def cell_record(tables: CellOwnerTables, cell: str) -> CellRecord | None:
     """Return the record of a cell, if it is known."""
-    found = tables.records.get(record_key(cell))
+    found = tables.records.get(cell_record_key(cell))
     if found is None or not isinstance(found.row, RecordRow):
         return None
     record = found.row.record
@@ -134,7 +134,7 @@
             gone = replace(worker, present=False, capacity=NO_RESOURCES)
             tables = put_worker(tables, gone)
     for worker_id, wanted in named.items():
-        fresh = worker_of(wanted, cell=cell.name, now=now)
+        fresh = worker_from_record(wanted, cell=cell.name, now=now)
         known = tables.workers.get(worker_id)
         if known is not None and known.cell != cell.name:
             continue
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -12,7 +12,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from bulrushpulley.entities.cell import Cell, domain_key, record_key
+from bulrushpulley.entities.cell import Cell, cell_record_key, domain_key
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.commit import (
     Committed,
@@ -88,7 +88,7 @@
     """Return the rows that must be unchanged for a start to commit."""
     spec = task.row.spec
     domain = domain_key(cell_rows.failure_domain_of(tables, cell.name))
-    records = (domain, record_key(cell.name))
+    records = (domain, cell_record_key(cell.name))
     return (
         *cell_endings.fencing_conditions(cell, task),
         Condition(key=spec.record_key, version=spec.record_version),
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -44,8 +44,8 @@
 
 def summary_of(tables: CellOwnerTables, cell: Cell, now: float) -> CellSummary:
     """Return a cell's summary, with no free resources if it must not start tasks."""
-    takes = cell_domains.in_service(tables, cell) and not tables.leaving
-    candidates = candidates_of(tables, cell.name, now) if takes else ()
+    accepts = cell_domains.in_service(tables, cell) and not tables.leaving
+    candidates = candidates_of(tables, cell.name, now) if accepts else ()
     tasks = tables.tasks.rows_where("cell", cell.name)
     return CellSummary(
         cell=cell.name,
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -81,7 +81,7 @@
 DOMAIN = "ege-izmir"
 CAPACITY = Resources(processors_m=8_000, memory_mb=16_000)
 SIZE = Resources(processors_m=2_000, memory_mb=1_000)
-DELIVERY_S = 0.005
+DELIVERY_DELAY_S = 0.005
 PROBLEM = Problem(code=Code.UNAVAILABLE, step="fake", peer="fake", detail="fake")
 
 
@@ -104,8 +104,8 @@
         self.cut_off: set[tuple[str, str]] = set()
         self.lose_worker_answers: set[str] = set()
         self.lose_start_answers = False
-        self.start_delay_s = DELIVERY_S
-        self.store_delay_s = DELIVERY_S
+        self.start_delay_s = DELIVERY_DELAY_S
+        self.store_delay_s = DELIVERY_DELAY_S
         self.path = Path(delay_s=0.0)
         self.bad_jobs: set[str] = set()
         self.store_up = True
@@ -278,7 +278,7 @@
             self.violations.append(f"started after the drain: {command.task_id}")
         self.starts.append(command)
 
-    def _check_room(self, command: StartTask) -> None:
+    def _check_capacity(self, command: StartTask) -> None:
         """Check that no task starts beyond a capacity that was reduced long before."""
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
@@ -408,7 +408,7 @@
 
     def _answer(self, owner: Seat, event: Event) -> None:
         """Deliver an event to an owner, as from an entry."""
-        self.world.at(DELIVERY_S, lambda: self._deliver(owner, event))
+        self.world.at(DELIVERY_DELAY_S, lambda: self._deliver(owner, event))
 
     def _deliver(self, owner: Seat, event: Event) -> None:
         if self.world.alive(owner.process):
@@ -455,7 +455,7 @@
             state = worker_core.start(failing(before, fails), start, self.world.now)
             state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
-            self._check_room(command)
+            self._check_capacity(command)
             self.check_workers()
             if answers:
                 self._deliver(owner, Started(**ids))
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.rows import AliveRow, LeaseRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
-from test.cell_bench import DELIVERY_S, SIZE, CellBench, seat
+from test.cell_bench import DELIVERY_DELAY_S, SIZE, CellBench, seat
 from test.virtual_world import Path, Seat, VirtualWorld
 
 DATA = pathlib.Path(__file__).resolve().parent.parent / "test-data/cell/matrix.txt"
@@ -136,7 +136,7 @@
 def _delay_start(bench: CellBench) -> None:
     """Delay starts and lose their answers for two seconds."""
     bench.start_delay_s, bench.lose_start_answers = 3.0, True
-    bench.world.at(2.0, lambda: setattr(bench, "start_delay_s", DELIVERY_S))
+    bench.world.at(2.0, lambda: setattr(bench, "start_delay_s", DELIVERY_DELAY_S))
     bench.world.at(2.0, lambda: setattr(bench, "lose_start_answers", False))
 
 
@@ -158,7 +158,7 @@
     "owner_restarted": _restart,
     "owner_paused": _pause,
     "store_down": _temporarily("store_up", False, True),
-    "store_slow": _temporarily("store_delay_s", 3.0, DELIVERY_S),
+    "store_slow": _temporarily("store_delay_s", 3.0, DELIVERY_DELAY_S),
     "commit_answer_lost": _temporarily("lose_commit", lambda _: True, lambda _: False),
     "messages_repeated": _temporarily("path", Path(repeat_percent=100), NO_PATH),
     "messages_disordered": _temporarily("path", Path(jitter_s=2.0), NO_PATH),
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -25,7 +25,7 @@
 from bulrushpulley.entities.rows import TaskState
 from bulrushpulley.entities.step import Command, Tell
 from bulrushpulley.roles import cell_owner, controller
-from test.cell_bench import DELIVERY_S, DOMAIN, SIZE, CellBench, seat
+from test.cell_bench import DELIVERY_DELAY_S, DOMAIN, SIZE, CellBench, seat
 from test.control_bench import submit_record
 from test.virtual_world import Dice, Seat, VirtualWorld
 
@@ -94,7 +94,9 @@
                 world.deliver(ENTRY, summary)
         elif isinstance(command, Send):
             item = command.item
-            world.at(DELIVERY_S, lambda: self._deliver_to_agent(command.peer, item))
+            world.at(
+                DELIVERY_DELAY_S, lambda: self._deliver_to_agent(command.peer, item)
+            )
         elif isinstance(command, Tell):
             self._handle_tell(command.event)
 
@@ -192,7 +194,7 @@
         self.assertEqual([], bench.violations)
 
 
-MIX_S = 90.0
+MIX_DURATION_S = 90.0
 
 
 class OperatorFaultMix:
@@ -206,7 +208,7 @@
     def run(self) -> None:
         """Run the mix, then clear all faults and let the tasks complete."""
         bench = self._bench
-        until = bench.world.now + MIX_S
+        until = bench.world.now + MIX_DURATION_S
         while bench.world.now < until:
             chosen = [self._draw(len(self._faults())) for _ in range(2)]
             for index in chosen:
@@ -225,7 +227,7 @@
             lambda on: setattr(bench, "store_up", not on),
             lambda on: setattr(bench, "unreachable", {"w0"} if on else set()),
             lambda on: setattr(bench, "lose_worker_answers", {"w1"} if on else set()),
-            lambda on: setattr(bench, "start_delay_s", 1.5 if on else DELIVERY_S),
+            lambda on: setattr(bench, "start_delay_s", 1.5 if on else DELIVERY_DELAY_S),
             lambda on: setattr(bench, "cut_off", cut if on else set()),
             lambda on: setattr(
                 bench, "lose_commit", lambda _: on and not self._draw(2)
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -262,7 +262,7 @@
         self.assertEqual(1, kinds.count(CellOwnerDone))
 
 
-MIX_S = 100.0
+MIX_DURATION_S = 100.0
 
 
 class FaultMixTest(testtools.TestCase):
@@ -299,7 +299,7 @@
             lambda on: bench.world.pause("a", 20.0) if on else None,
             lambda on: bench.agent("b") if on else bench.offer("a"),
         )
-        until = bench.world.now + MIX_S
+        until = bench.world.now + MIX_DURATION_S
         while bench.world.now < until:
             chosen = [self._draw(bench, len(faults)) for _ in range(2)]
             for index in chosen:
