Name the reads in flight as such

A read that has no answer yet was a Reading in a table readings, next to the InFlightSubmission in submissions. It is now an InFlightRead in reads.

--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -73,12 +73,12 @@
     )
 
 
-def _readings() -> Table[in_flight.Reading]:
+def _reads() -> Table[in_flight.InFlightRead]:
     return Table.empty(
         indexes={
-            "peer": in_flight.readings_by_peer,
-            "purpose": in_flight.readings_by_purpose,
-            "cell": in_flight.readings_by_cell,
+            "peer": in_flight.reads_by_peer,
+            "purpose": in_flight.reads_by_purpose,
+            "cell": in_flight.reads_by_cell,
         }
     )
 
@@ -136,7 +136,7 @@
     submissions: Table[in_flight.InFlightSubmission] = field(
         default_factory=_submissions
     )
-    readings: Table[in_flight.Reading] = field(default_factory=_readings)
+    reads: Table[in_flight.InFlightRead] = field(default_factory=_reads)
     failures: Table[worker.Failure] = field(default_factory=_failures)
     cancellations: Table[RecordCancellation] = field(default_factory=Table.empty)
     harms: Table[interference.Harm] = field(default_factory=Table.empty)
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -110,7 +110,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Reading:
+class InFlightRead:
     """A `Fetch` in flight to the entry `peer`, or queued if `peer` is empty."""
 
     fetch_id: str
@@ -121,7 +121,7 @@
     peer: str = ""
 
 
-def reading_index(purpose: ReadPurpose) -> str:
+def read_index(purpose: ReadPurpose) -> str:
     """Return the index value of the reads for a purpose."""
     return f"{type(purpose).__name__}|{purpose.cell}"
 
@@ -136,16 +136,16 @@
     return (in_flight.cell,)
 
 
-def readings_by_peer(reading: Reading) -> tuple[str, ...]:
+def reads_by_peer(in_flight_read: InFlightRead) -> tuple[str, ...]:
     """Index reads by entry; queued ones have the empty string."""
-    return (reading.peer,)
+    return (in_flight_read.peer,)
 
 
-def readings_by_cell(reading: Reading) -> tuple[str, ...]:
+def reads_by_cell(in_flight_read: InFlightRead) -> tuple[str, ...]:
     """Index reads by cell."""
-    return (reading.purpose.cell,)
+    return (in_flight_read.purpose.cell,)
 
 
-def readings_by_purpose(reading: Reading) -> tuple[str, ...]:
+def reads_by_purpose(in_flight_read: InFlightRead) -> tuple[str, ...]:
     """Index reads by purpose and cell."""
-    return (reading_index(reading.purpose),)
+    return (read_index(in_flight_read.purpose),)
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -47,11 +47,11 @@
 
 @apply.register
 def _(event: Fetched, tables: CellOwnerTables, now: float) -> CellStep:
-    reading = tables.readings.get(event.fetch_id)
-    if reading is None:
+    in_flight_read = tables.reads.get(event.fetch_id)
+    if in_flight_read is None:
         return Step(tables=tables)
-    tables = replace(tables, readings=tables.readings.drop(event.fetch_id))
-    return on_fetched(reading.purpose, event, tables, now)
+    tables = replace(tables, reads=tables.reads.drop(event.fetch_id))
+    return on_fetched(in_flight_read.purpose, event, tables, now)
 
 
 @singledispatch
--- a/bulrushpulley/systems/cell/outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -124,7 +124,7 @@
     cell = tables.cells.get(name)
     if cell is None:
         return Step(tables=tables)
-    tables = cell_send.drop_readings(tables, name)
+    tables = cell_send.drop_reads(tables, name)
     tasks, workers, submissions = tables.tasks, tables.workers, tables.submissions
     for key in list(tasks.keys_where("cell", name)):
         tasks = tasks.drop(key)
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -12,11 +12,11 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables, LinkedEntry
 from bulrushpulley.entities.commit import Condition, Submission, Write
 from bulrushpulley.entities.in_flight import (
+    InFlightRead,
     InFlightSubmission,
     Purpose,
-    Reading,
     ReadPurpose,
-    reading_index,
+    read_index,
 )
 from bulrushpulley.entities.link import Fetch, Send, Submit
 from bulrushpulley.entities.owner_times import (
@@ -64,36 +64,36 @@
     since: int = 0,
 ) -> CellOwnerTables:
     """Queue a read, unless one for the same purpose is already queued or in flight."""
-    if tables.readings.count_where("purpose", reading_index(purpose)):
+    if tables.reads.count_where("purpose", read_index(purpose)):
         return tables
     number = tables.last_number + 1
-    reading = Reading(
+    in_flight_read = InFlightRead(
         fetch_id=f"{tables.incarnation}/{number}",
         prefix=prefix,
         since=since,
         purpose=purpose,
         created_at=now,
     )
-    readings = tables.readings.put(reading.fetch_id, reading)
-    return replace(tables, last_number=number, readings=readings)
+    reads = tables.reads.put(in_flight_read.fetch_id, in_flight_read)
+    return replace(tables, last_number=number, reads=reads)
 
 
-def drop_readings(tables: CellOwnerTables, cell: str) -> CellOwnerTables:
+def drop_reads(tables: CellOwnerTables, cell: str) -> CellOwnerTables:
     """Drop the reads for a cell, as they were made under another lease."""
-    readings = tables.readings
-    for key in list(readings.keys_where("cell", cell)):
-        readings = readings.drop(key)
-    return replace(tables, readings=readings)
+    reads = tables.reads
+    for key in list(reads.keys_where("cell", cell)):
+        reads = reads.drop(key)
+    return replace(tables, reads=reads)
 
 
 def requeue_for_peer(tables: CellOwnerTables, peer: str, now: float) -> CellOwnerTables:
     """Queue again what was in flight to an entry whose link was lost."""
     for in_flight in tables.submissions.rows_where("peer", peer):
         tables = resubmit(tables, in_flight, now)
-    readings = tables.readings
-    for reading in readings.rows_where("peer", peer):
-        readings = readings.put(reading.fetch_id, replace(reading, peer=""))
-    return replace(tables, readings=readings)
+    reads = tables.reads
+    for in_flight_read in reads.rows_where("peer", peer):
+        reads = reads.put(in_flight_read.fetch_id, replace(in_flight_read, peer=""))
+    return replace(tables, reads=reads)
 
 
 def resubmit(
@@ -138,16 +138,18 @@
         tables = _mark_sent(tables, in_flight, entry.peer, now)
         item = Submit(submission=in_flight.submission)
         commands.append(Send(peer=entry.peer, item=item))
-    for reading in tables.readings.rows_where("peer", ""):
+    for in_flight_read in tables.reads.rows_where("peer", ""):
         entry = choose_entry(tables, avoid="")
         if entry is None:
             break
-        readings = tables.readings.put(
-            reading.fetch_id, replace(reading, peer=entry.peer)
+        reads = tables.reads.put(
+            in_flight_read.fetch_id, replace(in_flight_read, peer=entry.peer)
         )
-        tables = replace(tables, readings=readings)
+        tables = replace(tables, reads=reads)
         fetch = Fetch(
-            fetch_id=reading.fetch_id, prefix=reading.prefix, since=reading.since
+            fetch_id=in_flight_read.fetch_id,
+            prefix=in_flight_read.prefix,
+            since=in_flight_read.since,
         )
         commands.append(Send(peer=entry.peer, item=fetch))
     return Step(tables=tables, commands=tuple(commands))
@@ -166,8 +168,8 @@
     for in_flight in tables.submissions.rows():
         if in_flight.peer and now - in_flight.sent_at >= SUBMISSION_TIMEOUT_S:
             tables = resubmit(tables, in_flight, now)
-    for reading in tables.readings.rows():
-        if now - reading.created_at >= FETCH_TIMEOUT_S:
-            readings = tables.readings.drop(reading.fetch_id)
-            tables = replace(tables, readings=readings)
+    for in_flight_read in tables.reads.rows():
+        if now - in_flight_read.created_at >= FETCH_TIMEOUT_S:
+            reads = tables.reads.drop(in_flight_read.fetch_id)
+            tables = replace(tables, reads=reads)
     return tables
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -171,7 +171,7 @@
         lapsed_at=max(purpose.lapsed_at, now + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S),
         refetch_at=now,
     )
-    tables = cell_rows.put_cell(cell_send.drop_readings(tables, cell.name), taken)
+    tables = cell_rows.put_cell(cell_send.drop_reads(tables, cell.name), taken)
     return Step(tables=cell_rows.sync_workers(tables, taken, now))
 
 
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -151,7 +151,7 @@
 
 
 NO_PATH = Path(delay_s=0.0)
-BOTH = {"w0", "w1"}
+BOTH_WORKERS = {"w0", "w1"}
 INJECT_BY_FAULT: Mapping[str, Callable[[CellBench], None]] = {
     "none": lambda bench: None,
     "owner_killed": _kill,
@@ -164,8 +164,8 @@
     "messages_disordered": _temporarily("path", Path(jitter_s=2.0), NO_PATH),
     "start_delayed": _delay_start,
     "first_worker_cut_off": _temporarily("unreachable", {"w0"}, set(), 60.0),
-    "workers_cut_off": _temporarily("unreachable", BOTH, set()),
-    "worker_answers_lost": _temporarily("lose_worker_answers", BOTH, set()),
+    "workers_cut_off": _temporarily("unreachable", BOTH_WORKERS, set()),
+    "worker_answers_lost": _temporarily("lose_worker_answers", BOTH_WORKERS, set()),
     "owner_cut_from_store": _temporarily("cut_off", {("a", "store")}, set()),
     "domain_drained": _drain,
     "job_cancelled": _cancel,
--- a/test/test_cell_thin.py
+++ b/test/test_cell_thin.py
@@ -14,7 +14,7 @@
     return sum(1 for _, _, c in bench.commands if isinstance(c, AskReport))
 
 
-class ThinPathTest(testtools.TestCase):
+class FaultFreeTaskTest(testtools.TestCase):
     def test_a_task_is_started_finishes_and_is_done(self) -> None:
         bench = CellBench()
         bench.job("curves", run_s=5.0)
