--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -3,7 +3,7 @@
 Every entry runs the role. The one that holds the shard's owner row schedules the jobs;
 the others follow, that is, they poll that row. A tenure is the time for which one
 process owns the shard; each tenure has its own epoch. Only `hosts` with its links, and
-`standing`, are kept beyond a tenure.
+`operator_settings`, are kept beyond a tenure.
 """
 
 from __future__ import annotations
@@ -142,6 +142,7 @@
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock.
+    - `leaving` is set once the process is stopping.
     """
 
     name: str
@@ -149,7 +150,7 @@
     takeover_stagger: float
     bounds: Bounds
     leadership: Leadership
-    standing: OperatorSettings = NO_OPERATOR_SETTINGS
+    operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
     jobs: Table[Job] = field(
         default_factory=lambda: Table.empty(indexes={"stage": job.by_stage})
     )
@@ -200,10 +201,10 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class StandingChanged(Event):
+class OperatorSettingsChanged(Event):
     """The operators' settings have changed."""
 
-    standing: OperatorSettings
+    operator_settings: OperatorSettings
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -24,7 +24,10 @@
     WatchOrders,
 )
 from bulrushpulley.entities.jobs.rows import ORDERS
-from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, StandingChanged
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    OperatorSettingsChanged,
+)
 from bulrushpulley.entities.jobs.store import (
     RangeRead,
     ReadRange,
@@ -124,7 +127,9 @@
     tables = replace(tables, order_by_key=entries, standing=standing)
     if not changed:
         return Step(tables=tables)
-    tell = Tell(role=SCHEDULER, event=StandingChanged(standing=standing))
+    tell = Tell(
+        role=SCHEDULER, event=OperatorSettingsChanged(operator_settings=standing)
+    )
     commands: tuple[Command, ...] = (_line(standing), tell)
     return Step(tables=tables, commands=commands)
 
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -37,7 +37,7 @@
 
 def advice_terms(tables: SchedulerTables, job: Job) -> AdviceTerms | None:
     """Return the terms of advice of a job's queue, if its policy asks for any."""
-    queue = tables.standing.queue(job.row.queue)
+    queue = tables.operator_settings.queue(job.row.queue)
     return queue.advice if queue is not None else None
 
 
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -36,10 +36,10 @@
 # poll interval, so that they see a change at every second read.
 OWNER_RENEW_INTERVAL_S = 0.8
 # The store accepts 100 rows and 1 MB in a transaction. A task's progress takes about
-# 100 bytes, and the rows of the owner, the backlog, harms and waves are added.
+# 100 bytes; the owner, the backlog, harms and waves need a few of the rows.
 MAX_JOBS_PER_COMMIT = 90
 MAX_TASKS_PER_COMMIT = 5_000
-MIN_COMMIT_RETRY_DELAY_S = 0.15
+COMMIT_RETRY_DELAY_S = 0.15
 MAX_COMMIT_RETRY_DELAY_S = 0.6
 
 
@@ -203,9 +203,7 @@
 def on_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
     """Retry the same transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
-    wait_s = min(
-        MAX_COMMIT_RETRY_DELAY_S, MIN_COMMIT_RETRY_DELAY_S * 2 ** min(attempts, 8)
-    )
+    wait_s = min(MAX_COMMIT_RETRY_DELAY_S, COMMIT_RETRY_DELAY_S * 2 ** min(attempts, 8))
     return _retry(tables, now, wait_s, reason)
 
 
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -126,6 +126,6 @@
         subject=subject,
         chosen=chosen,
         reason=reason,
-        revision=tables.standing.revision,
+        revision=tables.operator_settings.revision,
         epoch=tables.epoch,
     )
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -75,7 +75,7 @@
     return (
         host.life == task.life
         and host.state is ServerState.READY
-        and host.failure_domain not in tables.standing.evacuated
+        and host.failure_domain not in tables.operator_settings.evacuated
     )
 
 
@@ -117,4 +117,6 @@
 def log_retry(tables: SchedulerTables, commit: Commit, reason: str) -> Decision:
     """Return the log line of a transaction that is retried."""
     subject = f"sequence {commit.row.sequence}"
-    return edits.log(tables, "commit.retry", subject, f"try {commit.attempts}", reason)
+    return edits.log(
+        tables, "commit.retry", subject, f"attempt {commit.attempts}", reason
+    )
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -13,11 +13,11 @@
     CommitProgress,
     LoadTable,
     LoadWaves,
+    OperatorSettingsChanged,
     PollOwner,
     RereadTable,
     SchedulerStep,
     SchedulerTables,
-    StandingChanged,
     TenurePurpose,
     WallClock,
     WatchTable,
@@ -79,8 +79,14 @@
 
 
 @apply.register
-def _(event: StandingChanged, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return Step(tables=replace(tables, standing=event.standing, place_due=True))
+def _(
+    event: OperatorSettingsChanged, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    return Step(
+        tables=replace(
+            tables, operator_settings=event.operator_settings, place_due=True
+        )
+    )
 
 
 @apply.register
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -68,7 +68,7 @@
 
 @advance.register
 def _(leadership: Following, tables: SchedulerTables, now: float) -> SchedulerStep:
-    if tables.leaving or tables.standing.configuration is None:
+    if tables.leaving or tables.operator_settings.configuration is None:
         return Step(tables=tables)
     if leadership.polling or now - leadership.polled_at < OWNER_POLL_INTERVAL_S:
         return Step(tables=tables)
@@ -223,7 +223,7 @@
         takeover_stagger=tables.takeover_stagger,
         bounds=tables.bounds,
         leadership=Following(unchanged_since=now),
-        standing=tables.standing,
+        operator_settings=tables.operator_settings,
         hosts=loading.reset_hosts(tables.hosts),
         store_latency_s=tables.store_latency_s,
         wall_offset_s=tables.wall_offset_s,
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -116,7 +116,7 @@
         and host.synced
         and now - host.last_contact_at < MAX_CONTACT_AGE_S
         and now >= host.quarantined_until
-        and host.failure_domain not in tables.standing.evacuated
+        and host.failure_domain not in tables.operator_settings.evacuated
     )
 
 
@@ -222,7 +222,7 @@
 
 def service_of(tables: SchedulerTables, job: Job) -> str:
     """Return the service that the job's queue has now, or had when it was accepted."""
-    queue = tables.standing.queue(job.row.queue)
+    queue = tables.operator_settings.queue(job.row.queue)
     return queue.service if queue is not None else job.row.service
 
 
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -53,7 +53,7 @@
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Follow the orders, list machines while a wave is open, and tell operators."""
-    known = tables.standing.waves or len(tables.upkeep.waves)
+    known = tables.operator_settings.waves or len(tables.upkeep.waves)
     if not edits.is_loaded(tables) or not known:
         return Step(tables=tables)
     if tables.upkeep.written_by_wave is None:
@@ -125,7 +125,7 @@
 
 
 def _follow_orders(tables: SchedulerTables, now: float) -> SchedulerTables:
-    ordered = {str(order.number): order for order in tables.standing.waves}
+    ordered = {str(order.number): order for order in tables.operator_settings.waves}
     for wave in tables.upkeep.waves.rows():
         if str(wave.order.number) not in ordered:
             tables = _withdraw(tables, wave)
--- a/test/jobs_matrix.py
+++ b/test/jobs_matrix.py
@@ -30,22 +30,22 @@
     return command.purpose if isinstance(command, store.Transact) else None
 
 
-def _orders(command: Command) -> bool:
+def _sends_start_order(command: Command) -> bool:
     item = _item(command)
     return isinstance(item, Orders) and bool(item.start)
 
 
-def _ends(command: Command) -> bool:
+def _reports_end(command: Command) -> bool:
     item = _item(command)
     return isinstance(item, RunsReport) and bool(item.ends)
 
 
-def _progress(command: Command) -> bool:
+def _commits_progress(command: Command) -> bool:
     many = isinstance(command, store.Transact) and len(command.puts) > 1
     return many and isinstance(_purpose(command), CommitProgress)
 
 
-def _lease(command: Command) -> bool:
+def _renews_lease(command: Command) -> bool:
     return isinstance(command, PollRuns) and command.lease_until_ms is not None
 
 
@@ -53,11 +53,11 @@
     "shard claimed": lambda command: isinstance(_purpose(command), ClaimShard),
     "agent adopted": lambda command: isinstance(_item(command), Adopt),
     "job stored": lambda command: isinstance(_purpose(command), StoreJobs),
-    "progress committed": _progress,
-    "order sent": _orders,
+    "progress committed": _commits_progress,
+    "order sent": _sends_start_order,
     "start called": lambda command: isinstance(command, StartRun),
-    "lease renewed": _lease,
-    "end reported": _ends,
+    "lease renewed": _renews_lease,
+    "end reported": _reports_end,
     "end noted": lambda command: isinstance(_item(command), EndsNoted),
     "cancel stored": lambda command: isinstance(_purpose(command), StoreCancel),
     "stop called": lambda command: isinstance(command, StopRun),
@@ -68,7 +68,7 @@
     return world.owner() or "entry-0"
 
 
-def _answers_lost(world: JobsWorld) -> None:
+def _lose_answers(world: JobsWorld) -> None:
     world.lose_answers = True
     world.at(2.0, lambda: setattr(world, "lose_answers", False))
 
@@ -78,7 +78,7 @@
     world.at(4.0, lambda: setattr(world, "store_up", True))
 
 
-def _late_orders(world: JobsWorld) -> None:
+def _delay_calls(world: JobsWorld) -> None:
     world.call_delay_s = 5.0
     world.at(2.0, lambda: setattr(world, "call_delay_s", 0.0))
 
@@ -121,8 +121,8 @@
     "server dark": lambda world: _crash_server(world, 3.0),
     "server gone": lambda world: _crash_server(world, 0.0),
     "store down": _store_down,
-    "answers lost": _answers_lost,
-    "orders late": _late_orders,
+    "answers lost": _lose_answers,
+    "orders late": _delay_calls,
     "history lost": lambda world: world.store.compact(),
     "all killed": _all_killed,
     "power off": _power_off,
@@ -161,14 +161,14 @@
     cancelled = world.submit(9, step(3), payload="30.0", entry="entry-1")
     world.run(1.0)
     _cancel(world, cancelled)
-    kept = [job for job in world.spec_by_job if job != cancelled]
+    not_cancelled = [job for job in world.spec_by_job if job != cancelled]
 
     def accepted() -> list[str]:
-        return [job for job in kept if _is_stored(world, job)]
+        return [job for job in not_cancelled if _is_stored(world, job)]
 
-    # Longer than any fault lasts, so that a thawed entry has stored its submissions.
+    # Longer than any fault, so that what a frozen entry held back has been stored.
     world.run(MAX_FAULT_S)
-    world.run_until(lambda: _complete(world, accepted()), COMPLETION_TIMEOUT_S)
+    world.run_until(lambda: _all_complete(world, accepted()), COMPLETION_TIMEOUT_S)
     world.run(2.0)
     problems = list(world.violations)
     problems += [
@@ -218,5 +218,5 @@
     return any(key.key == f"{job}.job" for key in world.store.row_by_key)
 
 
-def _complete(world: JobsWorld, jobs: list[str]) -> bool:
+def _all_complete(world: JobsWorld, jobs: list[str]) -> bool:
     return all(world.state_of(job) is JobState.COMPLETED for job in jobs)
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -136,15 +136,15 @@
         self.call_delay_s = 0.0
         self.disallowed: set[str] = set()
         self.machines = FakeMachines()
-        self.lose_orders = False
+        self.lose_upkeep_answers = False
         self.hook: Callable[[Command], None] | None = None
         self.answers: list[CallAnswer] = []
         self.explanations: list[Explanation] = []
         self.decisions: list[Decision] = []
         self.violations: list[str] = []
         self.spec_by_job: dict[str, JobSpec] = {}
-        self.done: set[str] = set()
-        self.noted: set[str] = set()
+        self.done_task_ids: set[str] = set()
+        self.acknowledged_task_ids: set[str] = set()
         self.starts = 0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._number = itertools.count(1)
@@ -406,7 +406,7 @@
         event, goes_down = self.machines.order(command, self.now)
         if goes_down:
             self._take_down(command.machine_id)
-        if self.lose_orders:
+        if self.lose_upkeep_answers:
             event = UpkeepOrderFailed(
                 wave=command.wave, machine_id=command.machine_id, reason="no answer"
             )
@@ -591,7 +591,11 @@
     ) -> None:
         if isinstance(run, RunEnd):
             if run.how == "done":
-                (self.noted if what == "noted" else self.done).add(run.task_id)
+                (
+                    self.acknowledged_task_ids
+                    if what == "noted"
+                    else self.done_task_ids
+                ).add(run.task_id)
             return
         self.starts += 1
         others = [
@@ -604,7 +608,9 @@
             self._add_violation(
                 "runs twice at once", run, f"{executor.host} and {others}"
             )
-        if run.task_id in self.noted and not self._is_lasting(run.task_id):
+        if run.task_id in self.acknowledged_task_ids and not self._is_lasting(
+            run.task_id
+        ):
             self._add_violation(
                 "runs again after its end was acknowledged", run, executor.host
             )
@@ -624,7 +630,7 @@
             return
         for before in spec.steps[int(step)].after:
             for index in range(spec.steps[before].count):
-                if f"{job_id}.{occurrence}.{before}.{index}" not in self.done:
+                if f"{job_id}.{occurrence}.{before}.{index}" not in self.done_task_ids:
                     self._add_violation(
                         "runs before an earlier step has completed",
                         run,
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -102,10 +102,10 @@
         world.run(6.0)
         world.order_wave(4, *MACHINES, at_once=3)
         world.run_until(lambda: bool(world.machines.taken_down), 5.0)
-        world.lose_orders = True
+        world.lose_upkeep_answers = True
         world.leave(world.owner())
         world.run(1.0)
-        world.lose_orders = False
+        world.lose_upkeep_answers = False
         over = world.run_until(
             lambda: wave_state(world, 4) is WaveState.COMPLETED, WAVE_S
         )
@@ -134,11 +134,11 @@
     def test_an_order_without_answer_is_given_again(self) -> None:
         world = JobsWorld()
         world.run(6.0)
-        world.lose_orders = True
+        world.lose_upkeep_answers = True
         world.order_wave(4, "m-z0-0")
         world.run(6.0)
         self.assertIs(WaveState.RUNNING, wave_state(world, 4))
-        world.lose_orders = False
+        world.lose_upkeep_answers = False
         over = world.run_until(lambda: wave_state(world, 4) is WaveState.COMPLETED, 6.0)
         self.assertTrue(over)
         self.assertEqual(["m-z0-0"], world.machines.taken_down)
