--- a/bulrushpulley/systems/cell/degradation.py
+++ b/bulrushpulley/systems/cell/degradation.py
@@ -1,4 +1,4 @@
-"""Tells with hysteresis whether a service is degraded, so that noise does not flap it.
+"""Decides with hysteresis, so that noise causes no flapping, if a service is degraded.
 
 A service becomes degraded after several consecutive samples above its target, and
 recovers after several below a lower bound. Either state lasts for a minimum dwell
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -90,8 +90,8 @@
 
 def _is_obsolete(throttle: Throttle, now: float) -> bool:
     """Tell whether a task had full speed in all measurements that can still arrive."""
-    whole = throttle.share >= FULL_SHARE and throttle.confirmed
-    return whole and now - throttle.changed_at >= USAGE_LAG_S
+    full_speed = throttle.share >= FULL_SHARE and throttle.confirmed
+    return full_speed and now - throttle.changed_at >= USAGE_LAG_S
 
 
 @apply.register
