--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -28,7 +28,7 @@
 class TakeCell(Purpose):
     """Makes the agent the owner of a cell.
 
-    `lapsed_at` becomes `Cell.lapsed_at`.
+    `lapsed_at` is a lower bound for `Cell.lapsed_at`.
     """
 
     cell: str
