Name the operators' settings and some locals of the intake plainly

`IntakeTables.standing` held what is now `OperatorSettings`; the field and the locals follow. A few locals and docstrings of the job agent are made precise.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -25,7 +25,7 @@
     """A job that is being stored, and the calls that wait for it.
 
     `outcome_unknown` is set once a transaction with the job got no answer.
-    `refused_at` is when the store first refused it, and `busy` tells whether the last
+    `refused_at` is when the store first refused it, and `busy` is whether the last
     refusal was because of overload.
     """
 
@@ -92,11 +92,11 @@
 
     `accepted` and `older_accepted` hold the ids of jobs that are known to be stored:
     the recent ones and those before. `store_answered_at` is when the store last
-    answered any call, and `store_latency_s` its smoothed latency. `reading` tells
+    answered any call, and `store_latency_s` its smoothed latency. `reading` is
     whether a read of all orders is in flight.
     """
 
-    standing: OperatorSettings = NO_OPERATOR_SETTINGS
+    operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
     order_by_key: PMap[str, OrderEntry] = field(default_factory=pmap)
     watch: WatchState | None = None
     reading: bool = False
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -136,7 +136,7 @@
 class RunRefused(JobItem):
     """A run that does not exist and can never start any more.
 
-    `unhealthy` tells that the backend server refused it because of its own state.
+    `unhealthy` means that the backend server refused it because of its own state.
     """
 
     life: str
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -155,11 +155,11 @@
 
     `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
     name while linked. `contact_at` is when the last contact that the owner answered
-    was sent. `orders_complete` tells that the owner's complete list of runs for the
+    was sent. `orders_complete` means that the owner's complete list of runs for the
     current incarnation has arrived. `stalled_since` is since when all serving runs
     have been stalled, `search_began_at` when this process began to wait for an
     announcement. `ends` are kept by number until the server may discard them.
-    `synced` tells that the owner has got the complete list of runs.
+    `synced` means that the owner has been sent the complete list of runs.
     """
 
     host: str
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -73,8 +73,8 @@
         step = submitting.accept_jobs(tables, (purpose.job_id,), now)
     if checking:
         return step
-    quick = now - batch.asked_at < MAX_FAST_READ_S
-    resends = row_missing and (quick or not known)
+    is_fast = now - batch.asked_at < MAX_FAST_READ_S
+    resends = row_missing and (is_fast or not known)
     return Step(tables=_finish_check(step.tables, resends, now), commands=step.commands)
 
 
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -71,7 +71,7 @@
 
 @apply.register
 def _(event: JobCall, tables: IntakeTables, now: float) -> IntakeStep:
-    configuration = tables.standing.configuration
+    configuration = tables.operator_settings.configuration
     if configuration is None:
         later = TryLater(
             call_id=event.call_id,
@@ -115,7 +115,7 @@
         subject=call.path,
         chosen=type(answer).__name__,
         reason=reason,
-        revision=tables.standing.revision,
+        revision=tables.operator_settings.revision,
     )
     return Step(tables=tables, commands=(line, answer))
 
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -360,7 +360,7 @@
         subject=inquiry.job_id or inquiry.queue.name,
         chosen=type(answer).__name__,
         reason=f"{type(inquiry.call).__name__}, {inquiry.tries} retries",
-        revision=tables.standing.revision,
+        revision=tables.operator_settings.revision,
     )
     tables = replace(tables, inquiries=inquiries)
     return Step(tables=tables, commands=(line, answer))
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -119,51 +119,51 @@
             continue
         entry = OrderEntry(version=stored.version, row=stored.row)
         entries = entries.set(stored.key.key, entry)
-    standing = OperatorSettings(revision=version)
+    settings = OperatorSettings(revision=version)
     for key in sorted(entries):
-        standing = with_order(entries[key].row, standing)
-    before = tables.standing
-    changed = replace(standing, revision=before.revision) != before
-    tables = replace(tables, order_by_key=entries, standing=standing)
+        settings = with_order(entries[key].row, settings)
+    before = tables.operator_settings
+    changed = replace(settings, revision=before.revision) != before
+    tables = replace(tables, order_by_key=entries, operator_settings=settings)
     if not changed:
         return Step(tables=tables)
     tell = Tell(
-        role=SCHEDULER, event=OperatorSettingsChanged(operator_settings=standing)
+        role=SCHEDULER, event=OperatorSettingsChanged(operator_settings=settings)
     )
-    commands: tuple[Command, ...] = (_line(standing), tell)
+    commands: tuple[Command, ...] = (_line(settings), tell)
     return Step(tables=tables, commands=commands)
 
 
 @singledispatch
-def with_order(row: object, standing: OperatorSettings) -> OperatorSettings:
+def with_order(row: object, settings: OperatorSettings) -> OperatorSettings:
     """Add the order in a row to those in force; unknown rows are ignored."""
-    return standing
+    return settings
 
 
 @with_order.register
-def _(row: Configuration, standing: OperatorSettings) -> OperatorSettings:
-    return replace(standing, configuration=row)
+def _(row: Configuration, settings: OperatorSettings) -> OperatorSettings:
+    return replace(settings, configuration=row)
 
 
 @with_order.register
-def _(row: Evacuation, standing: OperatorSettings) -> OperatorSettings:
-    return replace(standing, evacuated=standing.evacuated | {row.failure_domain})
+def _(row: Evacuation, settings: OperatorSettings) -> OperatorSettings:
+    return replace(settings, evacuated=settings.evacuated | {row.failure_domain})
 
 
 @with_order.register
-def _(row: WaveOrder, standing: OperatorSettings) -> OperatorSettings:
-    waves = sorted((*standing.waves, row), key=lambda wave: wave.number)
-    return replace(standing, waves=tuple(waves))
+def _(row: WaveOrder, settings: OperatorSettings) -> OperatorSettings:
+    waves = sorted((*settings.waves, row), key=lambda wave: wave.number)
+    return replace(settings, waves=tuple(waves))
 
 
-def _line(standing: OperatorSettings) -> Decision:
-    configuration = standing.configuration
+def _line(settings: OperatorSettings) -> Decision:
+    configuration = settings.configuration
     version = configuration.version if configuration else 0
     queues = len(configuration.queues) if configuration else 0
     return Decision(
         kind="orders.apply",
         subject=f"version {version}",
         chosen=f"{queues} queues",
-        reason=f"evacuated: {', '.join(sorted(standing.evacuated)) or 'none'}",
-        revision=standing.revision,
+        reason=f"evacuated: {', '.join(sorted(settings.evacuated)) or 'none'}",
+        revision=settings.revision,
     )
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -17,7 +17,11 @@
 def run(tables: IntakeTables, now: float) -> IntakeStep:
     """Publish readiness when it changes."""
     served = now - tables.store_answered_at < submitting.STORE_SILENT_TIMEOUT_S
-    ready = served and not tables.leaving and tables.standing.configuration is not None
+    ready = (
+        served
+        and not tables.leaving
+        and tables.operator_settings.configuration is not None
+    )
     if ready == tables.ready:
         return Step(tables=tables)
     reason = "leaving" if tables.leaving else f"store answers: {served}"
@@ -26,7 +30,7 @@
         subject="entry",
         chosen=str(ready),
         reason=reason,
-        revision=tables.standing.revision,
+        revision=tables.operator_settings.revision,
     )
     published = PublishReady(ready=ready)
     return Step(tables=replace(tables, ready=ready), commands=(line, published))
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -238,7 +238,7 @@
             subject=job_id,
             chosen=row.row.queue,
             reason=f"after {now - row.received_at:.3f} s",
-            revision=tables.standing.revision,
+            revision=tables.operator_settings.revision,
         )
         commands.append(line)
         commands.append(
@@ -260,9 +260,9 @@
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
-    standing = {stored.key.key for stored in event.rows if stored.version}
+    stored_keys = {stored.key.key for stored in event.rows if stored.version}
     stored = tuple(
-        job_id for job_id in batch.job_ids if job_key(job_id).key in standing
+        job_id for job_id in batch.job_ids if job_key(job_id).key in stored_keys
     )
     return accept_jobs(requeue_batch(tables, outcome_unknown=False), stored, now)
 
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -101,8 +101,8 @@
 def initial_pace(tables: JobAgentTables, run: Run) -> int:
     """Return the pace of a run that has just started.
 
-    A run that may slow a serving task on this host starts at a reduced pace, or at the
-    lowest pace of the runs of its image; it is sped up when the measures allow it.
+    A run that may slow a serving task on this host starts at a reduced pace, at most
+    the lowest of the other runs of its image, and is sped up when the measures allow.
     """
     if run.order is None or not run.order.disturbs:
         return run.pace
@@ -113,9 +113,13 @@
     image = run.order.image
     if all((name, image) in tables.pacing.harmless for name in serving):
         return run.pace
-    like = [other.pace for other in runs if other.order and other.order.image == image]
+    same_image_paces = [
+        other.pace for other in runs if other.order and other.order.image == image
+    ]
     known = any((name, image) in tables.pacing.harmful for name in serving)
-    return min([*like, HARMFUL_START_PERCENT if known else UNKNOWN_START_PERCENT])
+    return min(
+        [*same_image_paces, HARMFUL_START_PERCENT if known else UNKNOWN_START_PERCENT]
+    )
 
 
 def _latency_ratios(runs: list[Run]) -> dict[str, float]:
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -129,8 +129,8 @@
         and failing_s >= REFUSED_CONNECTIONS_TIMEOUT_S
     ):
         return end_incarnation(tables, "no process listens at its address")
-    lapsed = now - server.lease_sent_at > tables.bounds.lease_expiry_s
-    if failing_s > SERVER_SILENT_TIMEOUT_S and lapsed:
+    lease_expired = now - server.lease_sent_at > tables.bounds.lease_expiry_s
+    if failing_s > SERVER_SILENT_TIMEOUT_S and lease_expired:
         return end_incarnation(tables, "it did not answer until its lease had expired")
     tables = _update_stall(tables, now)
     stalled_since = tables.stalled_since
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -168,13 +168,13 @@
 class PacingTest(testtools.TestCase):
     """Filling runs beside serving tasks: which are slowed, and when they recover."""
 
-    def _beside(self, verdict: str) -> tuple[Bench, list[int]]:
+    def _run_beside(self, verdict: str) -> tuple[Bench, list[int]]:
         bench = Bench()
         pair = (("oven", "tune"),)
         harmful = pair if verdict == "harmful" else ()
         harmless = pair if verdict == "harmless" else ()
-        word = HarmVerdicts(peer=OWNER, epoch=1, harmful=harmful, harmless=harmless)
-        bench.tell(word)
+        verdicts = HarmVerdicts(peer=OWNER, epoch=1, harmful=harmful, harmless=harmless)
+        bench.tell(verdicts)
         bench.running("serve", target_ms=10.0, image="oven")
         bench.running("fill", image="tune", disturbs=True)
         return bench, self._paces(bench, 20)
@@ -193,16 +193,16 @@
         return paces
 
     def test_a_harmful_run_is_slowed_at_once_and_further(self) -> None:
-        _, paces = self._beside("harmful")
+        _, paces = self._run_beside("harmful")
         self.assertEqual(sorted(paces, reverse=True), paces)
         self.assertLessEqual(paces[0], 20)
 
     def test_a_run_that_nothing_is_known_of_is_slowed(self) -> None:
-        _, paces = self._beside("unknown")
+        _, paces = self._run_beside("unknown")
         self.assertLessEqual(paces[-1], 25)
 
     def test_a_harmless_run_keeps_its_speed_until_nothing_else_helps(self) -> None:
-        _, paces = self._beside("harmless")
+        _, paces = self._run_beside("harmless")
         self.assertEqual([100, 100], paces[:2])
 
     def test_disturbing_runs_are_paused_beside_a_task_over_target_for_long(
@@ -211,17 +211,17 @@
         # In hunt-b8f2-23 of firinzeka-prod many filling runs on one host, each known as
         # harmless or slowed to 5%, kept a serving task over its target for 4 s.
         for verdict in ("harmful", "unknown", "harmless"):
-            bench, _ = self._beside(verdict)
+            bench, _ = self._run_beside(verdict)
             self.assertEqual(0, self._paces(bench, 20)[1], verdict)
             self.assertGreater(self._paces(bench, 3)[-1], 0, verdict)
 
     def test_the_pace_recovers_once_the_serving_task_meets_its_target(self) -> None:
-        bench, paces = self._beside("harmful")
+        bench, paces = self._run_beside("harmful")
         again = self._paces(bench, 3)
         self.assertGreater(again[-1], paces[-1])
 
     def test_a_pace_without_answer_is_sent_again(self) -> None:
-        bench, _ = self._beside("harmful")
+        bench, _ = self._run_beside("harmful")
         ref = RunRef(task_id="fill", run=1)
         bench.tell(PaceFailed(server_id="i-1", run=ref, reason="no answer"))
         bench.now += 0.2
