--- a/bulrushpulley/entities/jobs/__init__.py
+++ b/bulrushpulley/entities/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Jobs of steps and tasks: rows and messages of their scheduler, front and agents."""
+"""Jobs of steps and tasks: tables and messages of scheduler, front end and agents."""
--- a/bulrushpulley/entities/jobs/advice.py
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -1,7 +1,8 @@
-"""Advice on which backend servers may run a step, for queues whose policy asks it.
+"""Advice on which backend servers may run a step, for queues that require it.
 
-Only a service of the platform knows the policy. It names the servers that may run a
-step and gives a ticket for each, which the start of every task of the step carries.
+Only a service of the platform knows the placement policy of such queues. It names the
+servers that may run a step and issues a ticket for each. Every start of a task of the
+step carries the ticket of its server.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AdviceTerms:
-    """How long advice takes, for a step and for each server, and how long it counts."""
+    """How long advice takes, per step and per server, and how long it is valid."""
 
     decide_s: float
     per_server_s: float
@@ -23,9 +24,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Advice:
-    """The advice on one occurrence of a step; without tickets until it came.
+    """The advice on one occurrence of a step; it has no tickets until it arrives.
 
-    It counts until `valid_until`, and is asked for again from `ask_at` on.
+    It is valid until `valid_until`, and may be requested again from `retry_at` on.
     """
 
     step_key: str
@@ -55,7 +56,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AdviceFailed(Event):
-    """No advice came."""
+    """The service gave no advice."""
 
     step_key: str
     reason: str
--- a/bulrushpulley/entities/jobs/configuration.py
+++ b/bulrushpulley/entities/jobs/configuration.py
@@ -1,4 +1,4 @@
-"""The operators' configuration of queues and services, and their standing orders."""
+"""The operators' configuration of queues and services, and their active orders."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Queue:
-    """Where jobs come in: callers reach it by host name and path prefix.
+    """A queue for jobs; callers address it by host name and path prefix.
 
-    Priority 0 comes first. A job is late when it takes longer than `latency_factor`
-    times its longest chain of work and `target_latency_s` more. A task may fail
-    `max_attempts` times. A queue with terms of `advice` runs a step only where the
-    platform's service allows it.
+    Priority 0 is the most urgent. A job is late when it takes longer than
+    `latency_factor` times the length of its longest chain of steps, plus
+    `target_latency_s`. A task may fail `max_attempts` times. A queue with `advice`
+    terms runs a step only on servers that the platform's service allows.
     """
 
     name: str
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceSettings:
-    """A pool of backend servers; `standby` pools are off."""
+    """A pool of backend servers; pools on `standby` are turned off."""
 
     name: str
     guards_capacity: bool = False
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
-    """One whole version of the configuration."""
+    """One complete version of the configuration."""
 
     version: int
     queues: tuple[Queue, ...]
@@ -49,16 +49,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Evacuation:
-    """An order to start nothing in a failure domain while it stands."""
+    """An order to start no tasks in a failure domain while the order is active."""
 
     failure_domain: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaveOrder:
-    """An order to take machines through their upkeep, at most `at_once` at a time.
+    """An order for the upkeep of machines, at most `at_once` of them at a time.
 
-    All of them should be through within `within_s`.
+    All of them should be finished within `within_s`.
     """
 
     number: int
@@ -69,10 +69,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OperatorSettings:
-    """What operators have in force, as of the store's version `revision`.
+    """The active configuration and orders, as of the store's version `revision`.
 
-    `configuration` is None until one was read. `evacuated` names the failure
-    domains in which nothing may start, `waves` are in the order of their numbers.
+    `configuration` is None until one has been read. `evacuated` names the failure
+    domains in which no task may start. `waves` are sorted by number.
     """
 
     revision: int = 0
@@ -94,7 +94,7 @@
 def route(
     configuration: Configuration, authority: str, path: str
 ) -> tuple[Queue, str] | None:
-    """Return the queue with the longest prefix of `path`, and the rest of the path.
+    """Return the queue with the longest matching prefix, and the rest of the path.
 
     Example: with the prefix ``/push/``, ``/push/5c0e`` gives the rest ``5c0e``.
     """
--- a/bulrushpulley/entities/jobs/explanation.py
+++ b/bulrushpulley/entities/jobs/explanation.py
@@ -1,4 +1,4 @@
-"""An operator's question about one job, and what the owner of its shard says."""
+"""Operators' requests to explain a job, and the answers of the shard's owner."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExplainJob(Event):
-    """Asks where the tasks of a job are, or why they wait."""
+    """Requests where the tasks of a job are, or why they wait."""
 
     call_id: str
     job_id: str
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskExplanation:
-    """One task that has not ended; `detail` says why it waits, if it does."""
+    """One task that has not ended; `detail` is the reason if it waits."""
 
     task_id: str
     state: str
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobExplained(Explanation):
-    """What the owner of `epoch` knows of a job."""
+    """The state of a job according to the owner with this `epoch`."""
 
     job_id: str
     queue: str
@@ -50,13 +50,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobNotKnown(Explanation):
-    """The owner does not know such a job, or has forgotten it."""
+    """The owner has no such job, or has already deleted it."""
 
     job_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RedirectToOwner(Explanation):
-    """This entry does not own the shard; `owner` may, as far as it knows."""
+    """This entry does not own the shard; `owner` is the last known owner."""
 
     owner: str
--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -1,4 +1,4 @@
-"""The hosts of backend servers as the scheduler sees them through their agents."""
+"""The hosts of backend servers, as their agents report them to the scheduler."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 class ServerState(enum.Enum):
-    """What an agent says of the backend server beside it.
+    """The state of a backend server as reported by its agent.
 
-    SILENT does not answer, though its lease may still run; GONE surely runs nothing.
-    STALLED answers, but nothing on it gets on.
+    A SILENT server does not answer, but its lease may not have expired. A GONE server
+    is known to have no runs. A STALLED server answers, but its runs make no progress.
     """
 
     UNKNOWN = "unknown"
@@ -26,9 +26,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HeldImage:
-    """The tasks of an image that a host holds, and what processors they want.
+    """The number of tasks of an image on a host, and the processors they request.
 
-    `target_ms` is above zero for an image that serves.
+    `target_ms` is above zero for a serving image.
     """
 
     count: int
@@ -40,13 +40,13 @@
 class Host:
     """One host with its agent and backend server.
 
-    `peer` is the agent's process while it is linked, `life` the backend server's
-    present incarnation. `contact_at` is when the agent was last heard in this
-    tenure, and zero before. `adopted_epoch` is the tenure that the agent was told
-    of. It is `synced` once the agent has listed every run of
-    this life to this owner. `committed` is what its tasks hold, and `images` what
-    they are of. Nothing is placed
-    on it before `aside_until`. `told` is the last word to its agent on who slows whom.
+    `peer` is the agent's process while it is linked, and `life` the current incarnation
+    of the backend server. `last_contact_at` is the time of the agent's last contact in
+    this tenure, or zero. `announced_epoch` is the tenure that was announced to the
+    agent. The host is `synced` once the agent has reported every run of this life to
+    this owner. `committed` are the resources that its tasks hold, and `images` their
+    images. The host gets no new tasks before `quarantined_until`. `sent_verdicts` are
+    the verdicts on interference last sent to its agent.
     """
 
     name: str
@@ -63,7 +63,7 @@
     labels: tuple[str, ...] = ()
     leaves_in_s: float = 0.0
     last_contact_at: float = 0.0
-    adopted_epoch: int = 0
+    announced_epoch: int = 0
     synced: bool = False
     committed: Resources = NO_RESOURCES
     filling_m: int = 0
@@ -74,12 +74,12 @@
 
     @property
     def rack(self) -> str:
-        """The rack, which is the last label."""
+        """The rack, given by the last label."""
         return self.labels[-1] if self.labels else ""
 
     @property
     def free(self) -> Resources:
-        """What is left of its capacity."""
+        """The capacity that is not committed."""
         return self.capacity.minus(self.committed)
 
 
--- a/bulrushpulley/entities/jobs/spec.py
+++ b/bulrushpulley/entities/jobs/spec.py
@@ -1,6 +1,6 @@
-"""What a caller asks for: a job of steps, each a number of alike tasks.
+"""Job specifications: a job has steps, and a step has a number of identical tasks.
 
-A spec never changes once its job was accepted. Durations are in seconds.
+A spec never changes once its job is accepted. Durations are in seconds.
 """
 
 from __future__ import annotations
@@ -14,13 +14,13 @@
 class StepSpec:
     """One step: `count` tasks that start once the steps in `after` are complete.
 
-    A `gang` runs only with all of its tasks present. `near_rack` and `one_rack` are
-    preferences that slow a task when they are not met; `needs_label` and
-    `per_host_limit` (0: none) are not negotiable. A `speculative` task may run
-    twice. A `lasting` task runs until its job is cancelled; of its step, at most
-    `disruption_budget` (0: unlimited) may be away by our doing. A task that
-    `fills` takes the processors that others leave over, so that only its memory is
-    committed. `latency_target_ms` is the target of a task that serves requests.
+    A `gang` runs only while all of its tasks run. `near_rack` and `one_rack` are
+    preferences; tasks run slower if they are not met. `needs_label` and
+    `per_host_limit` (0: unlimited) are requirements. A `speculative` task may run
+    twice. A `lasting` task runs until its job is cancelled; the scheduler may
+    interrupt at most `disruption_budget` (0: unlimited) tasks of its step at a time.
+    A task that `fills` uses processors that others leave idle, so its processors are
+    not committed. `latency_target_ms` is the target of a task that serves requests.
     """
 
     count: int
@@ -42,7 +42,7 @@
 
     @property
     def committed(self) -> Resources:
-        """What a host must keep free for one task."""
+        """The resources that a host commits to one task."""
         if not self.fills:
             return self.size
         return Resources(
@@ -51,16 +51,16 @@
 
     @property
     def serves(self) -> bool:
-        """Whether a task has users of its own whose latency has a target."""
+        """Whether a task serves requests with a latency target."""
         return self.latency_target_ms > 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobSpec:
-    """A whole job; `payload` is handed to every task as it came.
+    """A whole job; `payload` is passed to every task unchanged.
 
-    With `occurrences` above zero the steps run that many times, the one numbered K
-    from `first_due_s` (since 1970) plus K times `interval_s`.
+    With `occurrences` above zero the steps run that many times. Occurrence K is due
+    at `first_due_s` (since 1970) plus K times `interval_s`.
     """
 
     payload: str
@@ -75,7 +75,7 @@
         return max(1, self.occurrences)
 
     def due_s(self, occurrence: int) -> float:
-        """When an occurrence is due, in seconds since 1970; zero for at once."""
+        """Return when an occurrence is due (since 1970); zero means immediately."""
         if not self.occurrences:
             return 0.0
         return self.first_due_s + occurrence * self.interval_s
--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -1,7 +1,7 @@
-"""Machines, the platform's calls about them, and how far their upkeep is.
+"""Machines, the platform's calls about them, and the progress of their upkeep.
 
-A machine goes through the upkeep of a wave once: the platform takes it down with all
-that runs there, and brings it back with a new life of its backend server.
+A machine undergoes upkeep once per wave: the platform takes it down, which ends all
+runs on it, and brings it back with a new incarnation of its backend server.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 class MachineState(enum.Enum):
-    """What the platform says of a machine."""
+    """The state of a machine as listed by the platform."""
 
     UP = "up"
     MOVING = "moving"
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Machine:
-    """A machine as the platform lists it; `server_id` is its backend server's."""
+    """A machine as listed by the platform; `server_id` names its backend server."""
 
     machine_id: str
     pool: str
@@ -36,10 +36,11 @@
 
 
 class UpkeepPhase(enum.Enum):
-    """How far a machine of a wave is.
+    """The progress of a machine in a wave.
 
-    From EMPTYING on it counts as one that is down. EMPTYING takes nothing new, ORDERED
-    may have begun once that is durable, and TAKEN was accepted by the platform.
+    The machine counts as down from EMPTYING until FINISHED. In EMPTYING its host
+    accepts no new tasks. In ORDERED its upkeep may have begun once this phase is
+    durable. TAKEN means that the platform has accepted the order.
     """
 
     WAITING = "waiting"
@@ -88,9 +89,9 @@
 class Wave:
     """One wave in this tenure.
 
-    `writing` is what the last commit with it holds, `durable` what has been written
-    for sure. `told` is the state that operators were told, `telling` says that a
-    write of it is in flight.
+    `submitted_row` is its row in the last commit that contains one, `durable_row` the
+    row that is known to be written. `reported_state` is the state written for
+    operators; `reporting` means that a write of it is in flight.
     """
 
     order: WaveOrder
@@ -103,10 +104,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepTables:
-    """What the owner of the shard knows of waves and machines.
+    """The waves and machines in the tables of the shard's owner.
 
-    `written_by_wave` is None until the rows of former owners were read. `listed_at`
-    is when the list of `machines` was asked for.
+    `written_by_wave` is None until the rows of former owners have been read.
+    `machines_as_of` is the time at which the list in `machines` was requested.
     """
 
     waves: Table[Wave] = field(default_factory=Table.empty)
@@ -131,9 +132,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OrderUpkeep(Command):
-    """Has the platform take a machine down for its upkeep in a wave.
+    """Orders the platform to take a machine down for its upkeep in a wave.
 
-    `holder` and `token` say who orders: the token rises with each owner.
+    `holder` and `token` identify the owner; the token increases with each owner.
     """
 
     role: str
@@ -146,14 +147,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MachinesListed(Event):
-    """All machines there are."""
+    """The list of all machines."""
 
     machines: tuple[Machine, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListMachinesFailed(Event):
-    """No list of machines came."""
+    """The platform returned no list of machines."""
 
     reason: str
 
@@ -168,14 +169,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepOrderAccepted(UpkeepEvent):
-    """The machine is down for its upkeep, or has been."""
+    """The machine is down for its upkeep, or has already been."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepOrderFailed(UpkeepEvent):
-    """The platform did not take the order, or gave no answer.
+    """The platform rejected the order, or gave no answer.
 
-    `unknown_machine` says that there is no such machine any more.
+    `unknown_machine` means that the machine no longer exists.
     """
 
     reason: str
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -1,4 +1,4 @@
-"""Taking accepted jobs and cancellations in, as their rows come from the store."""
+"""Adds accepted jobs and cancellations to the tables when their rows are read."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, finishing, restoring, unblocking
 
-# Entries' clocks may be off; an age beyond this says nothing about the job.
+# Clocks of entries may be wrong, so the age of a job is capped at this value.
 MAX_JOB_AGE_S = 120.0
 
 
 def handle_rows(
     rows: tuple[StoredRow, ...], tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Take in rows of the jobs table; jobs before their cancellations."""
+    """Handle rows of the jobs table; jobs come before their cancellations."""
     commands: list[Command] = []
     for stored in sorted(rows, key=lambda stored: type(stored.row) is CancelRow):
         step = handle_row(stored.row, tables, now)
@@ -31,7 +31,7 @@
 
 @singledispatch
 def handle_row(row: object, tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Take in one row; deleted rows and those of other kinds change nothing."""
+    """Handle one row; deleted rows and rows of other kinds are ignored."""
     return Step(tables=tables)
 
 
@@ -57,8 +57,8 @@
 
 
 def _tasks_of(job: Job, progress: ProgressRow | None, now: float) -> list[Task]:
-    """Return the tasks of a job; of one that ended, those that may still run."""
-    written = {
+    """Return the tasks of a job; of an ended job only those that may still run."""
+    restored_by_id = {
         task_id_of(job.job_id, task.occurrence, task.step, task.index): task
         for task in (progress.tasks if progress else ())
     }
@@ -77,8 +77,8 @@
         for index in range(step.count)
     ]
     restored = [
-        restoring.restored_task(task, written[task.task_id])
-        if task.task_id in written
+        restoring.restored_task(task, restored_by_id[task.task_id])
+        if task.task_id in restored_by_id
         else task
         for task in tasks
     ]
@@ -102,5 +102,5 @@
 def set_wall_offset(
     tables: SchedulerTables, wall_s: float, now: float
 ) -> SchedulerTables:
-    """Note how the time since 1970 stands to the role's clock."""
+    """Record the offset of wall-clock time (since 1970) from the role's clock."""
     return replace(tables, wall_offset_s=wall_s - now)
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -1,7 +1,7 @@
-"""Gets advice for the steps that wait for it, one call after another.
+"""Requests advice for the steps that need it, one call at a time.
 
-The service works on one call of this process at a time, so the most urgent step is
-asked about first and no call waits behind another of ours.
+The service handles one call per process at a time. Requests are therefore made one
+by one, for the most urgent step first, so that no call queues behind another.
 """
 
 from __future__ import annotations
@@ -27,16 +27,16 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
-# The platform reckons with advice on 30 servers a step, and takes 100 in a call.
+# The platform expects about 30 servers per step, and accepts 100 per call.
 MAX_SERVERS_PER_REQUEST = 30
 ADVICE_TIMEOUT_MARGIN_S = 1.0
 ADVICE_RETRY_DELAY_S = 0.3
-# Tickets that end sooner than a start takes are not worth a start.
+# Tickets with less validity left would expire before the task has started.
 MIN_TICKET_VALIDITY_S = 0.7
 
 
 def advice_terms(tables: SchedulerTables, job: Job) -> AdviceTerms | None:
-    """Return the terms of advice of a job's queue, if its policy asks for any."""
+    """Return the advice terms of a job's queue; None if it needs no advice."""
     queue = tables.operator_settings.queue(job.row.queue)
     return queue.advice if queue is not None else None
 
@@ -44,7 +44,7 @@
 def tickets(
     tables: SchedulerTables, job: Job, key: str, now: float
 ) -> Mapping[str, str] | None:
-    """Return the tickets for a step by backend server; None where none are needed."""
+    """Return the tickets for a step by backend server; None if none are needed."""
     if advice_terms(tables, job) is None:
         return None
     advice = tables.advice.get(key)
@@ -54,14 +54,14 @@
 
 
 def server_of(host: Host) -> str:
-    """Return the id of the backend server that lives on a host."""
+    """Return the id of the backend server on a host."""
     return host.life.rpartition("/")[0]
 
 
 def request_advice(
     tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
 ) -> SchedulerStep:
-    """Ask about the first step that waits for advice; `jobs` are in their order."""
+    """Request advice for the first step of `jobs` that needs it, in placement order."""
     if any(advice.in_flight for advice in tables.advice.rows()):
         return Step(tables=tables)
     for job in jobs:
@@ -109,7 +109,7 @@
 def handle_advice(
     event: AdviceReceived, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Take advice in; the step can be placed at once."""
+    """Store the tickets and trigger a placement pass."""
     job = tables.jobs.get(event.step_key.partition(".")[0])
     known = tables.advice.get(event.step_key)
     terms = advice_terms(tables, job) if job is not None else None
@@ -134,15 +134,15 @@
 def handle_advice_failed(
     event: AdviceFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Ask again after a pause."""
+    """Schedule another request after the retry delay."""
     known = tables.advice.get(event.step_key)
     if known is None:
         return Step(tables=tables)
-    again = replace(known, in_flight=False, retry_at=now + ADVICE_RETRY_DELAY_S)
+    retried = replace(known, in_flight=False, retry_at=now + ADVICE_RETRY_DELAY_S)
     line = edits.log(tables, "step.unadvised", event.step_key, "", event.reason)
-    return Step(tables=_put(tables, again), commands=(line,))
+    return Step(tables=_put(tables, retried), commands=(line,))
 
 
 def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
-    """Ask anew for a step whose tickets no longer count."""
+    """Drop the rejected tickets of a step, so that new ones are requested."""
     return replace(tables, advice=tables.advice.drop(key))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -72,7 +72,7 @@
     commands: list[Command] = []
     for host in tables.hosts.rows_where("peer", event.peer):
         tables = edits.put_host(
-            tables, replace(host, peer="", synced=False, adopted_epoch=0)
+            tables, replace(host, peer="", synced=False, announced_epoch=0)
         )
         commands.append(edits.log(tables, "host.unlinked", host.name, "", event.peer))
     return Step(tables=tables, commands=tuple(commands))
@@ -84,8 +84,8 @@
         return Step(tables=tables)
     commands: list[Command] = []
     for host in tables.hosts.rows():
-        if host.peer and host.adopted_epoch != tables.epoch:
-            adopted = replace(host, adopted_epoch=tables.epoch, synced=False)
+        if host.peer and host.announced_epoch != tables.epoch:
+            adopted = replace(host, announced_epoch=tables.epoch, synced=False)
             tables = edits.put_host(tables, adopted)
             commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/scheduling/backlog.py
+++ b/bulrushpulley/systems/scheduling/backlog.py
@@ -11,12 +11,12 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
-# Callers may be told a count that is 2 s old.
+# Callers may be given a count that is up to 2 s old.
 BACKLOG_COUNT_INTERVAL_S = 0.8
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Count anew when the last count has aged; the next commit writes it."""
+    """Count again once the interval has passed; the next commit writes the count."""
     if (
         not edits.is_loaded(tables)
         or now - tables.backlog_at < BACKLOG_COUNT_INTERVAL_S
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -1,7 +1,7 @@
-"""Chooses the room of each task of a step.
+"""Chooses a host for each task of a step.
 
-The tasks of a step want the same, so what was ranked for one of them holds for the
-next in every room that has not changed since.
+All tasks of a step have the same requirements, so the rank of a candidate is reused
+for the next task unless the candidate has changed.
 """
 
 from __future__ import annotations
@@ -22,15 +22,15 @@
     should_wait,
 )
 
-# Least first: not near the data, and how dear the room is.
+# The lowest rank is chosen: whether the host is outside the preferred rack, then cost.
 Rank = tuple[bool, float]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementRequest:
-    """What the tasks of a step want of a host.
+    """What the tasks of a step require of a host.
 
-    `tickets` are those of advice by backend server, None where none are needed.
+    `tickets` are the tickets from advice by backend server, None if none are needed.
     `waited_s` is how long the tasks have waited.
     """
 
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RankedCandidate:
-    """The rank of a room as it was; None where the task may not go there."""
+    """A candidate and its rank; None if the task must not be placed on it."""
 
     candidate: Candidate
     rank: Rank | None
@@ -57,7 +57,7 @@
     siblings: Counter[str],
     ranked_by_host: dict[str, RankedCandidate],
 ) -> Candidate | None:
-    """Return the best room for a task, and keep what was ranked in `ranked_by_host`."""
+    """Return the best candidate for a task, and cache ranks in `ranked_by_host`."""
     limit = request.step.per_host_limit
     fitting: list[tuple[Rank, str]] = []
     for name, candidate in candidate_by_host.items():
@@ -100,7 +100,7 @@
 
 
 def _free_fraction(candidates: Mapping[str, Candidate]) -> float:
-    """Return what is free of the processors of all open hosts, as a part of them."""
+    """Return the free fraction of the processors of all open hosts."""
     capacity = sum(
         candidate.host.capacity.processors_m for candidate in candidates.values()
     )
@@ -113,7 +113,7 @@
     candidate_by_host: Mapping[str, Candidate],
     siblings: Counter[str],
 ) -> list[tuple[Rank, str]]:
-    """Keep the rooms in the racks of the tasks that are placed, if there are any."""
+    """Keep the candidates in racks that already hold sibling tasks, if any."""
     racks = {
         candidate_by_host[name].host.rack
         for name in siblings
--- a/bulrushpulley/systems/scheduling/condensing.py
+++ b/bulrushpulley/systems/scheduling/condensing.py
@@ -1,7 +1,7 @@
-"""Cuts the rows of jobs that ended down to what callers may still ask for.
+"""Shrinks the stored rows of ended jobs to what callers may still request.
 
-A row must stand for as long as its job may be handed in again, but its steps are of no
-use any more. A new owner reads every row, so a shorter one makes takeovers shorter.
+A row must be kept for as long as its job may be submitted again, but its steps are no
+longer needed. A new owner reads all rows, so shorter rows make takeovers faster.
 """
 
 from __future__ import annotations
@@ -26,10 +26,10 @@
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Write the short rows of the jobs whose end is durable.
+    """Write the short rows of jobs whose end is durable.
 
-    A transaction that fails leaves long rows, which the next owner cuts down. The end
-    of a job never changes, so that it may also come late, from a former owner.
+    If the transaction fails, the long rows stay until the next owner condenses them.
+    The end of a job never changes, so a late write by a former owner does no harm.
     """
     if not edits.is_loaded(tables) or now - tables.condensed_at < CONDENSE_INTERVAL_S:
         return Step(tables=tables)
--- a/bulrushpulley/systems/scheduling/draining.py
+++ b/bulrushpulley/systems/scheduling/draining.py
@@ -1,4 +1,4 @@
-"""Moving work off a backend server that is leaving, while it still saves its state."""
+"""Drains backend servers that are leaving, while tasks can still save their state."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def drain_host(tables: SchedulerTables, host: Host, now: float) -> SchedulerStep:
-    """Stop what would be cut off or can go on elsewhere; let the rest finish."""
+    """Stop tasks that can resume elsewhere or would be cut off; let others finish."""
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
         spec = edits.step_of(tables, task)
@@ -18,5 +18,5 @@
         started_at = task.running_since or now
         return spec.estimate_s - (now - started_at) > host.leaves_in_s
 
-    reason = "its backend server is leaving"
+    reason = "backend server is leaving"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -1,7 +1,7 @@
-"""Emptying the hosts of machines that are about to be taken down.
+"""Empties the hosts of machines that are about to be taken down for upkeep.
 
-What can go on elsewhere is stopped, as far as the budgets of lasting steps allow; the
-rest may finish until the wave would be late.
+Tasks that can resume elsewhere are stopped, as far as the disruption budgets of their
+steps allow. Others may finish, unless the wave would miss its time limit.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.scheduling import advising, edits, stopping
 
-# The part of a machine's share of the wave's time in which its runs may finish.
+# The fraction of a machine's share of the wave's time in which its runs may finish.
 FINISH_FRACTION = 0.5
 
 
@@ -29,7 +29,7 @@
 
 
 def closed_hosts(tables: SchedulerTables) -> frozenset[str]:
-    """Return the hosts that take nothing new because of their upkeep."""
+    """Return the hosts that accept no new tasks because of their upkeep."""
     hosts = (
         host_of(tables, upkeep.machine_id)
         for upkeep in tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
@@ -40,7 +40,10 @@
 def empty_host(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, host: Host, now: float
 ) -> SchedulerStep:
-    """Stop the runs on a host that should not, or need not, finish there."""
+    """Stop the runs that can resume elsewhere, and all of them once time is up.
+
+    Disruption budgets are respected in both cases.
+    """
     overdue = now - upkeep.since >= finish_timeout_s(wave)
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
@@ -48,14 +51,15 @@
         must_leave = spec.lasting or spec.checkpoints or overdue
         return must_leave and may_stop(tables, task)
 
-    reason = "its machine is due for upkeep"
+    reason = "machine is due for upkeep"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
 
 
 def has_room_elsewhere(tables: SchedulerTables, machine_id: str) -> bool:
-    """Tell whether what runs on a machine finds room on hosts that stay open.
+    """Return whether the tasks on a machine fit on the hosts that stay open.
 
-    Without that the first machine is emptied nonetheless, or no wave would get on.
+    While no other machine is down the answer is always true, because otherwise a wave
+    might never make progress.
     """
     leaving = host_of(tables, machine_id)
     closed = closed_hosts(tables)
@@ -71,25 +75,25 @@
 
 
 def finish_timeout_s(wave: Wave) -> float:
-    """Return how long runs on one machine of a wave may go on."""
+    """Return how long runs on one machine of a wave may continue before they stop."""
     order = wave.order
     rounds = max(1, -(-len(order.machine_ids) // order.at_once))
     return FINISH_FRACTION * order.within_s / rounds
 
 
 def may_stop(tables: SchedulerTables, task: Task) -> bool:
-    """Tell whether the budget of a task's step allows that it goes away."""
+    """Return whether the disruption budget of a task's step allows stopping it."""
     budget = edits.step_of(tables, task).disruption_budget
     if not budget or not task.startup_done:
         return True
     key = step_key(task.job_id, task.occurrence, task.step)
-    away = sum(
+    unavailable = sum(
         not (sibling.state is TaskState.RUNNING and sibling.startup_done)
         for sibling in tables.tasks.rows_where("open", key)
     )
-    return away < budget
+    return unavailable < budget
 
 
 def is_empty(tables: SchedulerTables, host: Host) -> bool:
-    """Tell whether nothing runs on a host."""
+    """Return whether a host has no tasks."""
     return not tables.tasks.count_where("host", host.name)
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -1,8 +1,8 @@
 """Learns which images slow which serving images, over all hosts of the shard.
 
-What is learned is written now and then with the owner's other rows, so that a new
-owner knows it too, although less surely; the agents keep what the former one told them
-until then.
+The estimates are written periodically with the owner's other rows. A new owner starts
+from them, with a higher variance; until then the agents keep the former owner's
+verdicts.
 """
 
 from __future__ import annotations
@@ -22,22 +22,23 @@
 from bulrushpulley.systems.scheduling import edits
 
 SERVICE_ALONE = ""
-# Serving tasks alone are at about this part of their target.
+# A serving task without neighbours has about this fraction of its target latency.
 INITIAL_OWN_LATENCY_RATIO = 0.4
-# Beyond this part of the target a latency says no more than that it is too high.
+# Higher latencies are capped at this multiple of the target.
 MAX_LATENCY_RATIO = 2.0
-# One unit of an image that adds this part of the target is called harmful, and is
-# forgiven below the second: a few units take a serving task past its target.
+# An image is harmful if one unit of it adds at least the first fraction of the target,
+# because a few such units take a serving task past its target. It is no longer harmful
+# below the second fraction.
 HARMFUL_FRACTION = 0.12
 HARMLESS_FRACTION = 0.07
-# An estimate that is this much surer than a first guess may clear an image.
+# Only an estimate with less variance than this (initially 1.0) makes an image harmless.
 MAX_HARMLESS_VARIANCE = 0.15
 VERDICT_INTERVAL_S = 1.0
-# How often estimates are written; most settle within a few seconds.
+# Most estimates settle within a few seconds, so more frequent writes are not needed.
 HARMS_SAVE_INTERVAL_S = 2.0
-# Estimates that no measure has touched for this long are of work that is over.
+# Estimates without a measurement for this long belong to images that no longer run.
 HARM_RETENTION_S = 60.0
-# How much less sure an estimate is that was read: load may have changed meanwhile.
+# Variance added to a restored estimate, as the load may have changed meanwhile.
 RESTORED_VARIANCE = 0.05
 
 ImagePair = tuple[str, str]
@@ -46,7 +47,7 @@
 def handle_measures(
     event: Measures, host: Host, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Take what one host has measured into the estimates."""
+    """Update the estimates with the measurements of one host."""
     units = {SERVICE_ALONE: 1.0}
     for filling in event.filling:
         units[filling.image] = units.get(filling.image, 0.0) + filling.units
@@ -85,13 +86,13 @@
 def harm_fraction(
     tables: SchedulerTables, serving: str, image: str, target_ms: float
 ) -> float:
-    """Return what one unit of an image adds, as a part of the serving one's target."""
+    """Return the latency that a unit of an image adds, as a fraction of the target."""
     known = tables.harms.get(harm_key(service=serving, job=image))
     return known.estimate_ms / max(1.0, target_ms) if known else 0.0
 
 
 def row_to_save(tables: SchedulerTables, now: float) -> HarmsRow | None:
-    """Return the row of what is known, when it is to be written again."""
+    """Return the row of estimates if it is due to be written, else None."""
     if now - tables.harms_saved_at < HARMS_SAVE_INTERVAL_S or not len(tables.harms):
         return None
     estimates = tuple(
@@ -111,7 +112,7 @@
 def restore_estimates(
     rows: tuple[StoredRow, ...], tables: SchedulerTables, now: float
 ) -> SchedulerTables:
-    """Take in what a former owner had learned."""
+    """Restore the estimates that a former owner wrote."""
     for stored in rows:
         if not isinstance(stored.row, HarmsRow):
             continue
@@ -131,7 +132,7 @@
 
 
 def send_verdicts(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Tell each agent what is known of the images on its host, when that changes."""
+    """Send each agent the verdicts on the images on its host, if they changed."""
     if (
         not edits.is_loaded(tables)
         or now - tables.verdicts_sent_at < VERDICT_INTERVAL_S
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -154,7 +154,7 @@
             life="",
             state=ServerState.UNKNOWN,
             last_contact_at=0.0,
-            adopted_epoch=0,
+            announced_epoch=0,
             synced=False,
             committed=NO_RESOURCES,
             filling_m=0,
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -1,8 +1,8 @@
-"""Gives waiting tasks a host, the most urgent jobs first.
+"""Assigns waiting tasks to hosts, the most urgent jobs first.
 
-A pass looks at the jobs that have waiting tasks, in the order in which they should
-be served, and assigns as many tasks as there is room for. Smaller tasks pass larger
-ones that do not fit. Nothing starts here: an assignment is first committed.
+A pass goes through the jobs with waiting tasks in the order of `placement_order` and
+assigns as many tasks as fit. Smaller tasks overtake larger ones that do not fit. A
+task starts only after its assignment is committed.
 """
 
 from __future__ import annotations
@@ -34,12 +34,12 @@
 )
 from bulrushpulley.systems.scheduling.ranking import Candidate, kind_of
 
-# An agent makes contact each second; one that missed two gets nothing new.
+# Agents make contact every second; a host gets no new tasks after two missed contacts.
 MAX_CONTACT_AGE_S = 2.5
-# Hosts come back from being set aside without any event.
+# No event reports the end of a quarantine, so passes also run at this interval.
 PLACEMENT_INTERVAL_S = 0.5
 MAX_PLACED_PER_PASS = 400
-# Agents that can be reached list their runs to a new owner within this time.
+# Reachable agents report their runs to a new owner within this time.
 AGENT_SYNC_TIMEOUT_S = 0.6
 
 
@@ -49,12 +49,12 @@
 
     tables: SchedulerTables
     candidate_by_host: dict[str, Candidate]
-    lines: tuple[Command, ...] = ()
+    commands: tuple[Command, ...] = ()
     placed: int = 0
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Place what can be placed, when something has changed."""
+    """Run a placement pass if something has changed or the interval has passed."""
     waiting = tables.tasks.by_index["waiting"]
     due = tables.place_due or now - tables.placed_at >= PLACEMENT_INTERVAL_S
     if not edits.is_loaded(tables) or not waiting or not due or tables.leaving:
@@ -76,13 +76,16 @@
             break
         state = _place_job(state, job, now)
     hosts = [candidate.host for candidate in candidates.values()]
-    asked = advising.request_advice(state.tables, jobs, hosts, now)
-    commands: tuple[Command, ...] = (*state.lines, *asked.commands)
-    return Step(tables=asked.tables, commands=commands)
+    advice_step = advising.request_advice(state.tables, jobs, hosts, now)
+    commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
+    return Step(tables=advice_step.tables, commands=commands)
 
 
 def _awaits_agents(tables: SchedulerTables, now: float) -> bool:
-    """Wait for the agents after a takeover, lest the first one gets everything."""
+    """Return whether to wait for more agents, so that the first does not get all tasks.
+
+    Applies only shortly after a takeover.
+    """
     owning = tables.leadership
     since = owning.since if isinstance(owning, Owning) else now
     if now - since >= AGENT_SYNC_TIMEOUT_S:
@@ -91,7 +94,7 @@
 
 
 def candidate_of(host: Host) -> Candidate:
-    """Return the room of a host, with the images of what it holds."""
+    """Return a host as a placement candidate, with the images of its tasks."""
     capacity = max(1, host.capacity.processors_m)
     images = host.images.items()
     return Candidate(
@@ -110,7 +113,7 @@
 
 
 def is_open(tables: SchedulerTables, host: Host, now: float) -> bool:
-    """Tell whether a host takes new tasks."""
+    """Return whether a host accepts new tasks."""
     return (
         host.state is ServerState.READY
         and host.synced
@@ -121,7 +124,7 @@
 
 
 def placement_order(job: Job, now: float) -> tuple[bool, int, bool, float, str]:
-    """Return the sort key: what is too late last, then priority, then objective."""
+    """Return the sort key: jobs past their `lost_at` last, then priority, objective."""
     lasting = any(step.lasting for step in job.row.spec.steps)
     late = now > job.deadline_at and not lasting
     return (late, job.row.priority, not lasting, job.objective_at, job.job_id)
@@ -145,7 +148,7 @@
 def _siblings(
     tables: SchedulerTables, job_id: str, occurrence: int, number: int
 ) -> Counter[str]:
-    """Count the tasks of a step by the host that they hold room on."""
+    """Count the tasks of a step by the host whose resources they hold."""
     key = step_key(job_id, occurrence, number)
     return Counter(
         task.host
@@ -165,10 +168,11 @@
     ranked: dict[float, dict[str, choosing.RankedCandidate]] = {}
     for task in members:
         request = _placement_request(state, job, step, task, now)
-        # What all hosts have free counts for lasting tasks, and changes with each.
-        same = {} if step.lasting else ranked.setdefault(task.since, {})
+        # The rank of a lasting task depends on the free resources of all hosts, which
+        # change with each placement, so its ranks are not cached.
+        cached = {} if step.lasting else ranked.setdefault(task.since, {})
         candidate = choosing.choose_candidate(
-            request, state.candidate_by_host, task, siblings, same
+            request, state.candidate_by_host, task, siblings, cached
         )
         if candidate is None:
             if not task.avoided_hosts:
@@ -187,7 +191,7 @@
     siblings: Counter[str],
     now: float,
 ) -> PlacementPass:
-    """Place all members with one run number and checkpoint, or none."""
+    """Place all tasks of a gang with one run number and checkpoint, or none of them."""
     if len(members) < step.count:
         return state
     run = max(task.run for task in members) + 1
@@ -201,8 +205,8 @@
         if candidate is None:
             return state
         siblings[candidate.host.name] += 1
-        same = replace(task, checkpoint=checkpoint)
-        trial = _assign(trial, job, step, same, candidate, run, now)
+        member = replace(task, checkpoint=checkpoint)
+        trial = _assign(trial, job, step, member, candidate, run, now)
     return trial
 
 
@@ -221,7 +225,7 @@
 
 
 def service_of(tables: SchedulerTables, job: Job) -> str:
-    """Return the service that the job's queue has now, or had when it was accepted."""
+    """Return the service of the job's queue, or that at acceptance if it is gone."""
     queue = tables.operator_settings.queue(job.row.queue)
     return queue.service if queue is not None else job.row.service
 
@@ -253,7 +257,7 @@
     effect = SendStart(task_id=task.task_id, run=run)
     tables = edits.mark_dirty(tables, job.job_id, effect)
     reason = f"waited {now - task.since:.2f} s, load {candidate.load:.2f}"
-    waited = Observe(
+    wait_observation = Observe(
         name="task_wait_seconds", seconds=now - task.since, label=job.row.queue
     )
     line = edits.log(tables, "task.place", f"{task.task_id}#{run}", host.name, reason)
@@ -263,6 +267,6 @@
             **state.candidate_by_host,
             host.name: candidate.with_task(step),
         },
-        lines=(*state.lines, line, waited),
+        commands=(*state.commands, line, wait_observation),
         placed=state.placed + 1,
     )
--- a/bulrushpulley/systems/scheduling/quarantine.py
+++ b/bulrushpulley/systems/scheduling/quarantine.py
@@ -1,7 +1,7 @@
-"""What the ends of runs say of the hosts that they ran on.
+"""Quarantines hosts on which runs fail.
 
-A host that fails what it is given is set aside for a while, unless what failed there
-fails elsewhere too. The evidence ages: after the pause the host is tried again.
+A host gets no new tasks for a while after repeated failures, unless the same tasks
+fail elsewhere too. Failures expire, and the host is used again after the quarantine.
 """
 
 from __future__ import annotations
@@ -15,11 +15,11 @@
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.systems.scheduling import edits
 
-# Failures by chance are a few in a hundred runs; two in this time, on a host that
-# completed nothing in between, are a sign of the host.
+# A few in a hundred runs fail by chance. Two failures within this time, with no
+# completed run on the host in between, point to a faulty host.
 FAILURE_WINDOW_S = 4.0
 MIN_FAILURES_TO_QUARANTINE = 2
-# About as long as a disturbance of a backend server lasts.
+# About as long as a typical fault of a backend server lasts.
 QUARANTINE_DURATION_S = 4.0
 REFUSAL_QUARANTINE_S = 1.0
 
@@ -27,7 +27,7 @@
 def record_ending(
     tables: SchedulerTables, task: Task, ending: Ending, now: float
 ) -> SchedulerTables:
-    """Take an end into what is believed of its host."""
+    """Update the failure record of the host on which a run ended."""
     host = tables.hosts.get(task.host)
     if host is None:
         return tables
@@ -36,7 +36,7 @@
 
 @singledispatch
 def host_after_ending(ending: Ending, host: Host, task: Task, now: float) -> Host:
-    """Return the host as it is believed to be after an end."""
+    """Return the host with its failure record updated; other ends change nothing."""
     return host
 
 
@@ -48,7 +48,7 @@
 @host_after_ending.register
 def _(ending: Failed, host: Host, task: Task, now: float) -> Host:
     if task.failures:
-        # What failed before, elsewhere, says little about this host.
+        # The task has failed before, so its failure is no evidence against this host.
         return host
     recent = tuple(at for at in host.failed_at if now - at < FAILURE_WINDOW_S)
     failed = replace(host, failed_at=(*recent, now))
@@ -58,7 +58,7 @@
 
 
 def record_refusal(tables: SchedulerTables, name: str, now: float) -> SchedulerTables:
-    """Set a host aside that said itself that it takes nothing."""
+    """Quarantine a host that refused to start a task."""
     host = tables.hosts.by_key[name]
     quarantined = replace(
         host, quarantined_until=max(host.quarantined_until, now + REFUSAL_QUARANTINE_S)
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -1,4 +1,4 @@
-"""Ranks the hosts that could take a task, by the kind of the task."""
+"""Computes the cost of placing a task on a host, by the kind of the task."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
-    """A host that takes tasks, with what has been placed on it in this pass."""
+    """A host that is open for tasks, including those placed on it in this pass."""
 
     host: Host
     free: Resources
@@ -23,18 +23,18 @@
 
     @property
     def load(self) -> float:
-        """The processors that are committed or wanted, as a part of the capacity."""
+        """The fraction of the processors committed to or wanted by tasks."""
         capacity = max(1, self.host.capacity.processors_m)
         return (capacity - self.free.processors_m + self.filling_m) / capacity
 
     @property
     def committed_fraction(self) -> float:
-        """The processors that are committed, as a part of the capacity."""
+        """The fraction of the processors that is committed."""
         capacity = max(1, self.host.capacity.processors_m)
         return 1.0 - self.free.processors_m / capacity
 
     def with_task(self, step: StepSpec) -> Candidate:
-        """Return the room after one more task of a step."""
+        """Return the candidate with one more task of a step."""
         filling = step.size.processors_m if step.fills else 0
         targets, units = self.target_by_image, self.units_by_image
         if step.serves:
@@ -51,28 +51,28 @@
         )
 
     def units_of(self, step: StepSpec) -> float:
-        """Return how much one task of a step is, in tenths of the processors."""
+        """Return the size of one task of a step, in tenths of the host's processors."""
         return 10 * step.size.processors_m / max(1, self.host.capacity.processors_m)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskKind:
-    """The base of the kinds of tasks that are placed differently."""
+    """The base of the kinds of tasks; each kind has its own placement rules."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlainTask(TaskKind):
-    """Takes its own processors and is disturbed by nobody."""
+    """Has processors of its own and is not affected by other tasks."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServingTask(TaskKind):
-    """Has users of its own, whose latency suffers from what fills beside it."""
+    """Serves requests, whose latency rises with filling tasks on the same host."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FillingTask(TaskKind):
-    """Takes what is left over, and may slow those that serve beside it."""
+    """Uses spare processors, and may slow serving tasks on the same host."""
 
 
 def kind_of(step: StepSpec) -> TaskKind:
@@ -84,18 +84,19 @@
     return PlainTask()
 
 
-# What an expected latency as high as the target weighs against the load of a host.
+# The cost, in units of host load, of adding as much latency as the target.
 HARM_WEIGHT = 2.0
-# How much emptier a host with tasks of the same serving image may be taken for.
+# Subtracted from the cost of a host that already runs the same serving image.
 SAME_IMAGE_BONUS = 0.15
-# How much emptier a host without serving tasks may be taken for by filling ones.
+# Added to the cost of a host with serving tasks, for filling tasks.
 SERVING_HOST_PENALTY = 0.3
-# A filling task that would add this part of a target would be paced to a crawl there,
-# and waits for another room, but no longer than a caller may see a job stand still.
+# A filling task that would add more than this fraction of a latency target would be
+# throttled heavily. It waits for another host, but no longer than MAX_DEFERRAL_S,
+# because callers must not see a job without progress for long.
 MAX_HARM_FRACTION = 0.3
 MAX_DEFERRAL_S = 2.5
-# What lasting work leaves free of all processors; short urgent work takes a twentieth
-# of them in the mean on both deployments.
+# Fraction of all processors that lasting tasks leave free. Short urgent tasks use a
+# twentieth on average in both deployments.
 RESERVED_FRACTION = 0.06
 
 HarmFraction = Callable[[str, str, float], float]
@@ -105,10 +106,10 @@
 def cost(
     kind: TaskKind, step: StepSpec, candidate: Candidate, harm_fraction: HarmFraction
 ) -> float:
-    """Return how dear a room is for a task; the least is taken.
+    """Return the cost of placing a task on a candidate; the lowest cost wins.
 
-    `harm_part` tells what one unit of an image adds to the latency of a serving
-    image, as a part of a target.
+    `harm_fraction` returns how much latency one unit of an image adds to a serving
+    image, as a fraction of the latency target.
     """
     return candidate.load
 
@@ -121,10 +122,10 @@
         harm_fraction(step.image, image, step.latency_target_ms) * units
         for image, units in candidate.units_by_image.items()
     )
-    same = SAME_IMAGE_BONUS if step.image in candidate.target_by_image else 0.0
-    # Full hosts first: those that are left without serving tasks are free for work
-    # that need not be paced.
-    return HARM_WEIGHT * harm - same - candidate.committed_fraction
+    bonus = SAME_IMAGE_BONUS if step.image in candidate.target_by_image else 0.0
+    # Prefer full hosts, so that other hosts stay without serving tasks and can run
+    # filling tasks unthrottled.
+    return HARM_WEIGHT * harm - bonus - candidate.committed_fraction
 
 
 @cost.register
@@ -132,14 +133,14 @@
     kind: FillingTask, step: StepSpec, candidate: Candidate, harm_fraction: HarmFraction
 ) -> float:
     harm = expected_harm(step, candidate, harm_fraction)
-    beside = SERVING_HOST_PENALTY if candidate.target_by_image else 0.0
-    return candidate.load + candidate.units_of(step) / 10 + HARM_WEIGHT * harm + beside
+    penalty = SERVING_HOST_PENALTY if candidate.target_by_image else 0.0
+    return candidate.load + candidate.units_of(step) / 10 + HARM_WEIGHT * harm + penalty
 
 
 def expected_harm(
     step: StepSpec, candidate: Candidate, harm_fraction: HarmFraction
 ) -> float:
-    """Return what a task adds to the worst latency there, as a part of its target."""
+    """Return the largest latency that a task adds, as a fraction of a target."""
     units = candidate.units_of(step)
     return max(
         (
@@ -151,10 +152,10 @@
 
 
 def fits(step: StepSpec, candidate: Candidate, free_fraction: float) -> bool:
-    """Tell whether a task fits, and leaves room for short work if it stays long.
+    """Return whether a task fits; a lasting one must leave room for short tasks.
 
-    `spare_part` is what all hosts together have free, as a part of their processors.
-    A room with space for the task twice over is never refused.
+    `free_fraction` is the free fraction of the processors of all hosts. If it is
+    below the reserve, a lasting task fits only where there is room for it twice.
     """
     need = step.committed
     if not need.fits(candidate.free):
@@ -172,7 +173,7 @@
     harm_fraction: HarmFraction,
     waited_s: float,
 ) -> bool:
-    """Tell whether a task rather waits than takes a room; by default it never does."""
+    """Return whether a task should wait for another host; by default it never does."""
     return False
 
 
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -1,7 +1,8 @@
 """Takes the machines of each wave through their upkeep, a few at a time.
 
-A machine is emptied first, then its upkeep is made durable as ordered, and only then
-ordered. It counts as away until the platform lists it as up again, or no more.
+A machine is emptied first, then the order for its upkeep is made durable, and only
+then is the order sent. The machine counts as down until the platform lists it as up
+again, or no longer lists it.
 """
 
 from __future__ import annotations
@@ -30,13 +31,13 @@
 
 UPKEEP_ORDER_TIMEOUT_S = 1.0
 UPKEEP_ORDER_RETRY_DELAY_S = 0.5
-# An owner that has not renewed its row for this long may be replaced before an order
-# arrives; followers wait longer than this.
+# An owner sends orders only if it renewed its row within this time; otherwise it may
+# be replaced before an order arrives. Followers wait longer than this.
 MAX_RENEWAL_AGE_S = 1.2
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Make the next moves for every wave."""
+    """Advance every wave."""
     if not edits.is_loaded(tables) or tables.upkeep.machines_as_of < 0.0:
         return Step(tables=tables)
     commands: list[Command] = []
@@ -60,29 +61,29 @@
 def _finish_returned(
     tables: SchedulerTables, wave: Wave, now: float
 ) -> SchedulerTables:
-    """Note the machines that are back, or that do not exist any more."""
+    """Finish the upkeep of machines that are up again or no longer exist."""
     machines = tables.upkeep.machines
     machines_as_of = tables.upkeep.machines_as_of
     for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
         machine = machines.get(upkeep.machine_id)
-        # A list that was asked for before the phase began says nothing about it.
+        # A list requested before the phase began may not show its effect.
         if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= machines_as_of:
             continue
-        back = machine is not None and machine.state is MachineState.UP
-        if machine is None or (back and upkeep.phase is UpkeepPhase.TAKEN):
+        is_up = machine is not None and machine.state is MachineState.UP
+        if machine is None or (is_up and upkeep.phase is UpkeepPhase.TAKEN):
             tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
             tables = replace(tables, place_due=True)
     return tables
 
 
 def _start_emptying(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerTables:
-    """Begin to empty as many machines as the wave allows, those with least first."""
+    """Start emptying as many machines as the wave allows, fewest tasks first."""
     upkeeps = waves.upkeeps_of_wave(tables, wave.order.number)
     free_slots = wave.order.at_once - sum(
         upkeep.phase in DOWN_PHASES for upkeep in upkeeps
     )
     waiting = [up for up in upkeeps if up.phase is UpkeepPhase.WAITING]
-    ready = [up for up in waiting if _is_up(tables, up) and not _is_away(tables, up)]
+    ready = [up for up in waiting if _is_up(tables, up) and not _is_down(tables, up)]
     ready.sort(key=lambda up: (_task_count(tables, up), up.machine_id))
     for upkeep in ready[: max(0, free_slots)]:
         if emptying.has_room_elsewhere(tables, upkeep.machine_id):
@@ -95,10 +96,10 @@
     return machine is not None and machine.state is MachineState.UP
 
 
-def _is_away(tables: SchedulerTables, upkeep: Upkeep) -> bool:
-    """Tell whether another wave has the machine."""
-    away = tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
-    return any(other.machine_id == upkeep.machine_id for other in away)
+def _is_down(tables: SchedulerTables, upkeep: Upkeep) -> bool:
+    """Return whether the machine already counts as down, for whichever wave."""
+    down = tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
+    return any(other.machine_id == upkeep.machine_id for other in down)
 
 
 def _task_count(tables: SchedulerTables, upkeep: Upkeep) -> int:
@@ -123,10 +124,10 @@
     if host is not None and not emptying.is_empty(tables, host):
         return emptying.empty_host(tables, wave, upkeep, host, now)
     if host is None and now - upkeep.since < emptying.finish_timeout_s(wave):
-        # Its backend server may have started just now; its agent will report it.
+        # The backend server may have just started; its agent has not reported it yet.
         return Step(tables=tables)
     name = host.name if host is not None else ""
-    line = edits.log(tables, "upkeep.order", upkeep.key, name, "nothing runs there")
+    line = edits.log(tables, "upkeep.order", upkeep.key, name, "no tasks left")
     tables = _with_phase(tables, upkeep, UpkeepPhase.ORDERED, now)
     return Step(tables=tables, commands=(line,))
 
@@ -134,7 +135,7 @@
 def _order_upkeep(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, now: float
 ) -> SchedulerStep:
-    """Order an upkeep that is durable, unless another owner may be ordering too."""
+    """Send a durable order, unless another owner may be sending orders too."""
     owning = tables.leadership
     if not isinstance(owning, Owning) or upkeep.in_flight or now < upkeep.retry_at:
         return Step(tables=tables)
@@ -158,11 +159,11 @@
 def handle_order_accepted(
     event: UpkeepOrderAccepted, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Wait for the machine to come back."""
+    """Mark the machine as taken; it is finished once it is listed as up."""
     upkeep = tables.upkeep.upkeeps.get(f"{event.wave}/{event.machine_id}")
     if upkeep is None or upkeep.phase is not UpkeepPhase.ORDERED:
         return Step(tables=tables)
-    line = edits.log(tables, "upkeep.taken", upkeep.key, "", "the platform has it")
+    line = edits.log(tables, "upkeep.taken", upkeep.key, "", "accepted by the platform")
     tables = _with_phase(tables, upkeep, UpkeepPhase.TAKEN, now)
     return Step(tables=tables, commands=(line,))
 
@@ -170,7 +171,7 @@
 def handle_order_failed(
     event: UpkeepOrderFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Order again after a while, unless there is no such machine."""
+    """Retry after a delay, or finish if there is no such machine."""
     upkeep = tables.upkeep.upkeeps.get(f"{event.wave}/{event.machine_id}")
     if upkeep is None or upkeep.phase is not UpkeepPhase.ORDERED:
         return Step(tables=tables)
@@ -178,5 +179,7 @@
     if event.unknown_machine:
         tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
         return Step(tables=tables, commands=(line,))
-    again = replace(upkeep, in_flight=False, retry_at=now + UPKEEP_ORDER_RETRY_DELAY_S)
-    return Step(tables=waves.put_upkeep(tables, again), commands=(line,))
+    retried = replace(
+        upkeep, in_flight=False, retry_at=now + UPKEEP_ORDER_RETRY_DELAY_S
+    )
+    return Step(tables=waves.put_upkeep(tables, retried), commands=(line,))
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -1,7 +1,7 @@
-"""Waves of upkeep: what operators ordered, how far each is, and what they are told.
+"""Waves of upkeep: their orders, their progress, and the state operators see.
 
-The progress of a wave is written with the owner's other rows, so only the owner of
-the shard can change it. `upkeep` acts on single machines.
+The progress of a wave is written with the owner's other rows, so that only the owner
+of the shard can change it. The module `upkeep` acts on single machines.
 """
 
 from __future__ import annotations
@@ -45,16 +45,16 @@
 from bulrushpulley.entities.table import Table
 from bulrushpulley.systems.scheduling import edits
 
-# Readings of lists are few; an upkeep takes seconds.
+# An upkeep takes seconds, so the list of machines need not be read more often.
 MACHINE_LIST_INTERVAL_S = 1.0
 WAVE_CALL_TIMEOUT_S = 1.5
 WAVE_STATUS_RETRY_DELAY_S = 0.5
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Follow the orders, list machines while a wave is open, and tell operators."""
-    known = tables.operator_settings.waves or len(tables.upkeep.waves)
-    if not edits.is_loaded(tables) or not known:
+    """Follow the orders, list machines while a wave is open, and report its state."""
+    has_waves = tables.operator_settings.waves or len(tables.upkeep.waves)
+    if not edits.is_loaded(tables) or not has_waves:
         return Step(tables=tables)
     if tables.upkeep.written_by_wave is None:
         return _load_waves(tables)
@@ -77,7 +77,7 @@
 
 
 def put_upkeep(tables: SchedulerTables, upkeep: Upkeep) -> SchedulerTables:
-    """Store how far the upkeep of a machine is."""
+    """Store the progress of the upkeep of a machine."""
     upkeeps = tables.upkeep.upkeeps.put(upkeep.key, upkeep)
     return _put(tables, replace(tables.upkeep, upkeeps=upkeeps))
 
@@ -109,7 +109,7 @@
 def handle_waves_loaded(
     event: RangeRead, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Take in how far former owners came."""
+    """Store the progress that former owners wrote."""
     written = {
         stored.row.number: stored.row
         for stored in event.rows
@@ -120,7 +120,7 @@
 
 
 def handle_load_failed(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Read again at the next tick."""
+    """Read the rows again at the next tick."""
     return Step(tables=_put(tables, replace(tables.upkeep, reading=False)))
 
 
@@ -136,7 +136,7 @@
 
 
 def _withdraw(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
-    """Forget a wave whose order is gone; what was ordered may still happen."""
+    """Drop a wave whose order was withdrawn; upkeep already ordered may still run."""
     upkeeps = tables.upkeep.upkeeps
     for upkeep in upkeeps_of_wave(tables, wave.order.number):
         upkeeps = upkeeps.drop(upkeep.key)
@@ -163,12 +163,12 @@
 def _initial_phase(written: WaveRow, machine_id: str) -> UpkeepPhase:
     if machine_id in written.finished:
         return UpkeepPhase.FINISHED
-    # A former owner's order may have been taken or not, so it is given again.
+    # It is unknown whether a former owner's order was accepted, so it is sent again.
     return UpkeepPhase.ORDERED if machine_id in written.ordered else UpkeepPhase.WAITING
 
 
-def is_over(tables: SchedulerTables, wave: Wave) -> bool:
-    """Tell whether every machine of a wave is through."""
+def is_finished(tables: SchedulerTables, wave: Wave) -> bool:
+    """Return whether every machine of a wave has finished."""
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
     return all(upkeep.phase is UpkeepPhase.FINISHED for upkeep in upkeeps)
 
@@ -177,16 +177,16 @@
     upkeep = tables.upkeep
     if upkeep.listing or now - upkeep.list_requested_at < MACHINE_LIST_INTERVAL_S:
         return False
-    return any(not is_over(tables, wave) for wave in upkeep.waves.rows())
+    return any(not is_finished(tables, wave) for wave in upkeep.waves.rows())
 
 
 def handle_machines_listed(
     event: MachinesListed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Replace the list of machines; an empty one tells nothing about any of them."""
+    """Replace the list of machines; an empty list is treated as a failed read."""
     if not event.machines:
         return handle_list_failed(
-            ListMachinesFailed(reason="an empty list"), tables, now
+            ListMachinesFailed(reason="empty list of machines"), tables, now
         )
     machines: Table[Machine] = Table.empty()
     for machine in event.machines:
@@ -204,14 +204,14 @@
 def handle_list_failed(
     event: ListMachinesFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Ask again after the usual pause."""
+    """Log the failure; the list is requested again after the usual interval."""
     line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
-    again = replace(tables.upkeep, listing=False)
-    return Step(tables=_put(tables, again), commands=(line,))
+    updated = replace(tables.upkeep, listing=False)
+    return Step(tables=_put(tables, updated), commands=(line,))
 
 
 def row_of(tables: SchedulerTables, wave: Wave) -> WaveRow:
-    """Return the durable part of a wave."""
+    """Return the row that stores the progress of a wave."""
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
     ordered_phases = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
     ordered = (up.machine_id for up in upkeeps if up.phase in ordered_phases)
@@ -224,7 +224,7 @@
 
 
 def unwritten_rows(tables: SchedulerTables) -> tuple[WaveRow, ...]:
-    """Return the rows of waves that have changed since they were last written."""
+    """Return the rows of waves that have changed since they were last submitted."""
     rows = ((wave, row_of(tables, wave)) for wave in tables.upkeep.waves.rows())
     return tuple(row for wave, row in rows if row != wave.submitted_row)
 
@@ -232,7 +232,7 @@
 def mark_submitted(
     tables: SchedulerTables, rows: tuple[WaveRow, ...]
 ) -> SchedulerTables:
-    """Note that a transaction with some rows is on its way."""
+    """Record that a transaction with these rows is in flight."""
     for row in rows:
         wave = tables.upkeep.waves.by_key[str(row.number)]
         tables = _put_wave(tables, replace(wave, submitted_row=row))
@@ -240,7 +240,7 @@
 
 
 def mark_durable(tables: SchedulerTables, numbers: tuple[int, ...]) -> SchedulerTables:
-    """Note that the transaction with some waves has succeeded."""
+    """Record that the transaction with the rows of these waves has succeeded."""
     for number in numbers:
         wave = tables.upkeep.waves.get(str(number))
         if wave is not None:
@@ -249,14 +249,14 @@
 
 
 def _report_state(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerStep:
-    """Write the state of a wave where operators read it, once it is durable."""
+    """Write the state of a wave for operators, based on its durable progress."""
     finished = set(wave.durable_row.finished)
     all_finished = finished.issuperset(wave.order.machine_ids)
     state = WaveState.COMPLETED if all_finished else WaveState.RUNNING
     if wave.reporting or now < wave.retry_at or wave.reported_state is state:
         return Step(tables=tables)
     row = WaveStatusRow(number=wave.order.number, state=state)
-    # A former owner may have told already that the wave is over.
+    # A former owner may already have reported the wave as completed.
     first = Condition(key=key_of(row), version=0)
     conditions = (first,) if state is WaveState.RUNNING else ()
     write = Transact(
@@ -268,7 +268,7 @@
     )
     tables = _put_wave(tables, replace(wave, reporting=True))
     subject = f"wave {wave.order.number}"
-    reason = f"{len(finished)} of {len(wave.order.machine_ids)} machines are through"
+    reason = f"{len(finished)} of {len(wave.order.machine_ids)} machines finished"
     line = edits.log(tables, "wave.tell", subject, state.value, reason)
     return Step(tables=tables, commands=(line, write))
 
@@ -276,15 +276,15 @@
 def handle_state_reported(
     purpose: WriteWaveStatus, done: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Note what operators were told, or have it written again."""
+    """Record the state that operators can read, or schedule another write."""
     wave = tables.upkeep.waves.get(str(purpose.number))
     if wave is None:
         return Step(tables=tables)
     reported_state = purpose.state if done else wave.reported_state
-    again = replace(
+    updated = replace(
         wave,
         reporting=False,
         reported_state=reported_state,
         retry_at=now + WAVE_STATUS_RETRY_DELAY_S,
     )
-    return Step(tables=_put_wave(tables, again))
+    return Step(tables=_put_wave(tables, updated))
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -1,6 +1,6 @@
-"""The platform's service of machines, in virtual time, as a `JobsWorld` uses it.
+"""A fake of the platform's machine service in virtual time, for `JobsWorld`.
 
-It notes what the rules of upkeep forbid: more machines down than a wave allows, and
+It records violations of the upkeep rules: more machines down than a wave allows, and
 orders with a lower token after a higher one.
 """
 
@@ -24,7 +24,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class FakeMachine:
-    """A machine; `upkept` holds the waves that it has been through, the last too."""
+    """A machine; `completed_waves` includes the wave it is down for at present."""
 
     host: str
     up_at: float = 0.0
@@ -34,7 +34,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class FakeMachines:
-    """All machines; a machine is named after its host, with ``m-`` before it."""
+    """All machines; the id of a machine is ``m-`` and the name of its host."""
 
     machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
     limit_by_wave: dict[int, int] = field(default_factory=dict)
@@ -48,7 +48,7 @@
         self.machine_by_id.setdefault(f"m-{host}", FakeMachine(host=host))
 
     def listed(self, server_by_host: dict[str, str], now: float) -> MachinesListed:
-        """List all machines with the backend servers that live on them."""
+        """List all machines with the backend servers on them."""
         machines = tuple(
             Machine(
                 machine_id=machine_id,
@@ -61,7 +61,7 @@
         return MachinesListed(machines=machines)
 
     def order(self, command: OrderUpkeep, now: float) -> tuple[UpkeepEvent, bool]:
-        """Answer an order, and say whether the machine goes down now."""
+        """Answer an order, and return whether the machine goes down now."""
         self._check_order(command, now)
         self.orders.append(command)
         self.ordered_at.append(now)
@@ -79,7 +79,7 @@
             if now < other.up_at and command.wave == other.last_wave
         ]
         if len(down) >= self.limit_by_wave.get(command.wave, 1):
-            self.violations.append(f"too many down for wave {command.wave}")
+            self.violations.append(f"too many machines down for wave {command.wave}")
         machine.completed_waves.add(command.wave)
         machine.up_at = now + UPKEEP_S
         machine.last_wave = command.wave
@@ -89,11 +89,11 @@
     def _check_order(self, command: OrderUpkeep, now: float) -> None:
         for before, at in zip(self.orders, self.ordered_at, strict=True):
             if before.holder != command.holder and now - at < MIN_TURN_S:
-                self.violations.append("two holders took turns")
+                self.violations.append("orders of two holders too close in time")
             if before.token > command.token:
                 self.violations.append("a lower token came after a higher one")
             if before.token == command.token and before.holder != command.holder:
-                self.violations.append("two holders with one token")
+                self.violations.append("two holders with the same token")
 
 
 def _denied(
--- a/test/test_jobs_cases.py
+++ b/test/test_jobs_cases.py
@@ -1,4 +1,4 @@
-"""Placement by cases: test-data/jobs/placing.txt has the outcome beside the input."""
+"""Table-driven placement tests; test-data/jobs/placing.txt has input and outcome."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 def options(words: tuple[str, ...]) -> dict[str, str]:
-    """Return the words of the form name=value."""
+    """Parse words of the form name=value."""
     return dict(word.split("=", 1) for word in words)
 
 
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -1,4 +1,4 @@
-"""Loads that made callers wait, each named by its pattern."""
+"""Load patterns that made callers wait."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 
 
 class LastingWorkFillsEveryHost(testtools.TestCase):
-    """After an outage all lasting tasks come back at once, more than there is room for.
+    """After an outage more lasting tasks restart at once than the hosts can hold.
 
-    scale-2 of kalamu-sched, one host fewer than before the power went: short urgent
-    jobs waited 11 s, as lasting tasks had taken the last processor of each host.
+    Seen in scale-2 of kalamu-sched after a power loss, with one host fewer than before:
+    short urgent jobs waited 11 s, because lasting tasks held all processors.
     """
 
     def _full_world(self) -> JobsWorld:
@@ -46,7 +46,7 @@
 
 
 class ManyShortJobsAtOnce(testtools.TestCase):
-    """A burst of jobs that are larger than what is free: small ones pass large ones."""
+    """A burst of jobs, some too large to fit: small ones must overtake large ones."""
 
     def test_a_small_job_passes_one_that_does_not_fit(self) -> None:
         world = JobsWorld(hosts=1)
@@ -63,7 +63,7 @@
 
 
 class TakeoverUnderLoad(testtools.TestCase):
-    """A new owner finds one agent before the others and a queue of waiting tasks."""
+    """A new owner reaches one agent before the others while many tasks wait."""
 
     def test_the_first_agent_does_not_get_everything(self) -> None:
         world = JobsWorld()
@@ -78,12 +78,12 @@
 
 
 class SlowStore(testtools.TestCase):
-    """The store answers 60 times slower, and a part takes one write after another.
+    """The store is 60 times slower, and each of its parts handles one write at a time.
 
-    trouble-2 of kalamu-sched, where it was 94 times for 4 s: each entry sent its
-    transactions again before they had
-    been done, the copies filled the part's queue, the store turned the rest away, and
-    callers were refused for seconds although nothing was down.
+    Seen in trouble-2 of kalamu-sched (94 times slower for 4 s): entries resent their
+    transactions before these were complete, the copies filled the queue of the part,
+    the store rejected further writes, and callers were refused for seconds although
+    no process was down.
     """
 
     def test_callers_of_every_entry_are_accepted_in_their_first_call(self) -> None:
@@ -116,10 +116,10 @@
 
 
 class EverythingStartsAgain(testtools.TestCase):
-    """All processes lose power at once, and work that fills is placed anew.
+    """All processes lose power at once, and filling tasks are placed again.
 
-    trouble-3 of kalamu-sched: from 5 s after the restart on, serving tasks missed their
-    targets for ten seconds, as nobody knew any more which images slow them.
+    Seen in trouble-3 of kalamu-sched: from 5 s after the restart, serving tasks missed
+    their targets for ten seconds, because the interference estimates had been lost.
     """
 
     def _store_harm_estimate(self, world: JobsWorld) -> None:
@@ -147,10 +147,10 @@
 
 
 class RegionsFarApart(testtools.TestCase):
-    """Two entries stand in the other region than the store, 24 ms away.
+    """Two entries are in another region than the store, 24 ms away.
 
-    On firinzeka-prod-grown such an entry owned the shard, and each of its transactions
-    took five times as long.
+    Seen on firinzeka-prod-grown: such an entry owned the shard, and each of its
+    transactions took five times as long.
     """
 
     def test_an_entry_near_the_store_takes_the_shard_over(self) -> None:
@@ -169,14 +169,14 @@
 
 
 class StoreDownForSixSeconds(testtools.TestCase):
-    """Callers come back four times, when they were told to.
+    """Callers retry four times, after the delay that the answer names.
 
-    trouble-2 of firinzeka-prod-grown: with a second between their tries, those who came
-    first had used up all of them before the store was back.
+    Seen in trouble-2 of firinzeka-prod-grown: with a delay of one second, the first
+    callers had used up all their retries before the store was available again.
     """
 
     def _attempts(self, outage_s: float, first_after_s: float) -> tuple[int, float]:
-        """Return how many calls a caller needed, and for how long it waited."""
+        """Return how many calls a caller needed, and how long it waited."""
         world = JobsWorld(entries=1)
         world.run(3.0)
         world.store_up = False
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -1,4 +1,4 @@
-"""Waves of upkeep: who goes down when, and what becomes of the work there."""
+"""Waves of upkeep: when machines go down, and what happens to their tasks."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def wave_state(world: JobsWorld, number: int) -> WaveState | None:
-    """Return what operators read of a wave."""
+    """Return the state of a wave that operators can read."""
     key = RowKey(table="status", part="", key=f"wave/{number}")
     stored = world.store.row_by_key.get(key)
     row = stored.row if stored is not None else None
