--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -43,10 +43,10 @@
     `peer` is the agent's process while it is linked, and `life` the current incarnation
     of the backend server. `last_contact_at` is the time of the agent's last contact in
     this tenure, or zero. `announced_epoch` is the tenure that was announced to the
-    agent. The host is `synced` once the agent has reported every run of this life to
-    this owner. `committed` are the resources that its tasks hold, and `images` their
-    images. The host gets no new tasks before `quarantined_until`. `sent_verdicts` are
-    the verdicts on interference last sent to its agent.
+    agent. The host is `synced` once the agent has reported every run of this
+    incarnation to this owner. `committed` are the resources that its tasks hold, and
+    `images` their images. The host gets no new tasks before `quarantined_until`.
+    `sent_verdicts` are the verdicts on interference last sent to its agent.
     """
 
     name: str
--- a/bulrushpulley/systems/scheduling/draining.py
+++ b/bulrushpulley/systems/scheduling/draining.py
@@ -18,5 +18,5 @@
         started_at = task.running_since or now
         return spec.estimate_s - (now - started_at) > host.leaves_in_s
 
-    reason = "backend server is leaving"
+    reason = "its backend server is leaving"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -51,7 +51,7 @@
         must_leave = spec.lasting or spec.checkpoints or overdue
         return must_leave and may_stop(tables, task)
 
-    reason = "machine is due for upkeep"
+    reason = "its machine is due for upkeep"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
 
 
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -181,9 +181,9 @@
         if harm.job == SERVICE_ALONE or not target_ms:
             continue
         pair = (harm.service, harm.job)
-        part = harm.estimate_ms / target_ms
-        bound = HARMLESS_FRACTION if pair in tables.harmful else HARMFUL_FRACTION
-        if part >= bound:
+        fraction = harm.estimate_ms / target_ms
+        min_fraction = HARMLESS_FRACTION if pair in tables.harmful else HARMFUL_FRACTION
+        if fraction >= min_fraction:
             harmful.add(pair)
         elif harm.variance < MAX_HARMLESS_VARIANCE:
             harmless.add(pair)
