--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -34,7 +34,7 @@
     ASSIGNING = "assigning"
 
 
-class Why(enum.Enum):
+class WaitReason(enum.Enum):
     """Why tasks wait."""
 
     QUEUED = "in line for assignment"
@@ -61,14 +61,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Waiting:
+class WaitingRow:
     """A backlog row at `version`, first seen here at `seen_at`."""
 
     key: str
     row: BacklogRow
     version: int
     lane: Lane
-    seen_at: float
+    first_seen_at: float
     phase: Phase = Phase.QUEUED
 
 
@@ -99,7 +99,7 @@
     marker: BacklogRow
     version: int
     next_at: float = 0.0
-    pause_s: float = 0.5
+    notice_delay_s: float = 0.5
     submission_id: str = ""
 
     @property
@@ -114,7 +114,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Closed:
+class ClosingOutcome:
     """An outcome under ``done/`` at `version` that stands for `tasks` tasks."""
 
     tasks: int
@@ -143,6 +143,6 @@
     )
 
 
-def by_job(waiting: Waiting) -> tuple[str, ...]:
+def by_job(waiting: WaitingRow) -> tuple[str, ...]:
     """Index waiting rows by their record."""
     return (waiting.row.spec.job,)
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -12,8 +12,8 @@
 from bulrushpulley.entities.link import CellSummary
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
-FRESH_S = 15.0
-SETTLE_S = 2.0
+MAX_SUMMARY_AGE_S = 15.0
+RESERVATION_RETENTION_S = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,25 +40,27 @@
 
     cell: str
     failure_domain: str
-    known_at: float
+    first_seen_at: float
     summary: CellSummary | None = None
     peer: str = ""
-    heard_at: float = 0.0
+    last_summary_at: float = 0.0
     reservations: tuple[Reservation, ...] = ()
     free: Resources = NO_RESOURCES
     reserved_tasks: int = 0
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the last summary is recent enough to place by."""
-        return self.summary is not None and now - self.heard_at < FRESH_S
+        return (
+            self.summary is not None and now - self.last_summary_at < MAX_SUMMARY_AGE_S
+        )
 
 
-def total(amounts: tuple[Resources, ...]) -> Resources:
+def sum_resources(amounts: tuple[Resources, ...]) -> Resources:
     """Return the sum of amounts."""
     return reduce(Resources.plus, amounts, NO_RESOURCES)
 
 
-def times(amount: Resources, count: int) -> Resources:
+def multiply_resources(amount: Resources, count: int) -> Resources:
     """Return `count` times an amount."""
     return Resources(
         processors_m=amount.processors_m * count,
@@ -67,7 +69,7 @@
     )
 
 
-def how_many(size: Resources, room: Resources) -> int:
+def count_fitting(size: Resources, room: Resources) -> int:
     """Return how many tasks of `size` the sum of `room` could hold."""
     pairs = (
         (size.processors_m, room.processors_m),
@@ -78,7 +80,7 @@
 
 
 def _recount(view: CellView) -> CellView:
-    reserved = total(tuple(one.total for one in view.reservations))
+    reserved = sum_resources(tuple(one.total for one in view.reservations))
     free = view.summary.free.minus(reserved) if view.summary else NO_RESOURCES
     tasks = sum(one.tasks for one in view.reservations)
     return replace(view, free=free, reserved_tasks=tasks)
@@ -95,14 +97,17 @@
             view,
             summary=summary,
             peer=summary.peer,
-            heard_at=now,
+            last_summary_at=now,
             failure_domain=summary.failure_domain,
             free=summary.free,
         )
     kept: tuple[Reservation, ...] = ()
     tasks = 0
     for one in reversed(view.reservations):
-        settled = one.committed_at is not None and now >= one.committed_at + SETTLE_S
+        settled = (
+            one.committed_at is not None
+            and now >= one.committed_at + RESERVATION_RETENTION_S
+        )
         if settled and tasks >= summary.waiting:
             continue
         kept = (one, *kept)
@@ -112,7 +117,7 @@
             view,
             summary=summary,
             peer=summary.peer,
-            heard_at=now,
+            last_summary_at=now,
             failure_domain=summary.failure_domain,
             reservations=kept,
         )
@@ -126,7 +131,9 @@
     )
 
 
-def settle_reservation(view: CellView, submission_id: str, now: float) -> CellView:
+def mark_reservation_committed(
+    view: CellView, submission_id: str, now: float
+) -> CellView:
     """Mark the reservation of a committed assignment."""
     settled = tuple(
         replace(one, committed_at=now) if one.submission_id == submission_id else one
@@ -141,7 +148,7 @@
     return _recount(replace(view, reservations=kept))
 
 
-def uses_of(view: CellView) -> tuple[tuple[str, Resources], ...]:
+def usage_by_department(view: CellView) -> tuple[tuple[str, Resources], ...]:
     """Return what each department uses or has reserved in the cell."""
     summary = view.summary
     used = [(use.department, use.committed) for use in summary.uses] if summary else []
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -7,14 +7,14 @@
 from pyrsistent import PMap, PSet, pmap, pset
 
 from bulrushpulley.entities.backlog import (
-    Closed,
     Closing,
+    ClosingOutcome,
     Deferral,
     Lane,
     Rank,
-    Waiting,
+    WaitingRow,
+    WaitReason,
     Wake,
-    Why,
     by_job,
 )
 from bulrushpulley.entities.cell_view import CellView
@@ -76,7 +76,7 @@
 
     cell: str
     next_at: float
-    pause_s: float
+    retry_delay_s: float
     tried: tuple[str, ...] = ()
 
 
@@ -108,7 +108,7 @@
     return Table.empty(indexes={"peer": _by_peer})
 
 
-def _waiting() -> Table[Waiting]:
+def _waiting() -> Table[WaitingRow]:
     return Table.empty(indexes={"job": by_job})
 
 
@@ -144,7 +144,7 @@
     revision: int = 0
     spread_revision: int = 0
     revision_row: VersionedRow = field(default_factory=_no_revision)
-    renewing: str = ""
+    renewal_key: str = ""
     renewed_revision: int = 0
     member_renew_at: float = 0.0
     renewals: int = 0
@@ -152,23 +152,23 @@
     entries_sent: tuple[EntryAddress, ...] = ()
     fleet: Fleet = field(default_factory=Fleet)
     quotas: PMap[str, Resources] = field(default_factory=pmap)
-    offers_at: float = 0.0
-    changing: str = ""
+    next_offers_at: float = 0.0
+    current_change_id: str = ""
     records: Table[VersionedRow] = field(default_factory=_records)
     members: Table[Member] = field(default_factory=Table.empty)
     links: Table[AgentLink] = field(default_factory=_links)
     cells: Table[CellView] = field(default_factory=_cells)
     offers: Table[CellOffer] = field(default_factory=Table.empty)
     usage: PMap[str, Resources] = field(default_factory=pmap)
-    waiting: Table[Waiting] = field(default_factory=_waiting)
+    waiting: Table[WaitingRow] = field(default_factory=_waiting)
     lanes: Lanes = field(default_factory=pmap)
     ready: PSet[Lane] = field(default_factory=pset)
-    blocked: PMap[Lane, Why] = field(default_factory=pmap)
+    blocked: PMap[Lane, WaitReason] = field(default_factory=pmap)
     wakes: PMap[Rank, Queue[Wake]] = field(default_factory=pmap)
-    room_seen: bool = False
+    capacity_freed: bool = False
     deferred: Queue[Deferral] = field(default_factory=Queue.empty)
     closings: Table[Closing] = field(default_factory=Table.empty)
-    closed_keys: PMap[str, PMap[str, Closed]] = field(default_factory=pmap)
+    closing_outcomes: PMap[str, PMap[str, ClosingOutcome]] = field(default_factory=pmap)
     changes: Table[Change] = field(default_factory=Table.empty)
     change_queue: Queue[str] = field(default_factory=Queue.empty)
     pending: Table[Pending] = field(default_factory=_pending)
@@ -176,7 +176,7 @@
     in_force_waits: Table[InForceWait] = field(default_factory=Table.empty)
     enquiries: Table[Enquiry] = field(default_factory=Table.empty)
     recent_jobs: tuple[str, ...] = ()
-    said_at: PMap[str, float] = field(default_factory=pmap)
+    last_logged_at: PMap[str, float] = field(default_factory=pmap)
 
     @property
     def last_revision(self) -> int:
--- a/bulrushpulley/entities/fleet.py
+++ b/bulrushpulley/entities/fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from bulrushpulley.entities.cell_view import total
+from bulrushpulley.entities.cell_view import sum_resources
 from bulrushpulley.entities.records import CellRecord
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
@@ -50,5 +50,7 @@
         cells_by_domain={name: tuple(sorted(found)) for name, found in cells.items()},
         capacities_by_domain={name: tuple(found) for name, found in by_domain.items()},
         capacities_by_cell=by_cell,
-        capacity=total(tuple(one for found in by_cell.values() for one in found)),
+        capacity=sum_resources(
+            tuple(one for found in by_cell.values() for one in found)
+        ),
     )
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Placed:
+class PlacedTask:
     """A task and the cell that was chosen for it."""
 
     cell: str
@@ -63,7 +63,7 @@
     """Moves tasks from the backlog rows `sources` to cells."""
 
     sources: tuple[str, ...]
-    placed: tuple[Placed, ...]
+    placed: tuple[PlacedTask, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,41 +106,41 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Target:
+class ReadTarget:
     """The base of what is read."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadRevision(Target):
+class ReadRevision(ReadTarget):
     """Reads the revision of the configuration."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadRecords(Target):
+class ReadRecords(ReadTarget):
     """Reads the records of one kind."""
 
     kind: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadMembers(Target):
+class ReadMembers(ReadTarget):
     """Reads the member rows."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadBacklog(Target):
+class ReadBacklog(ReadTarget):
     """Reads the backlog."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadClosed(Target):
+class ReadClosed(ReadTarget):
     """Reads the outcomes of the tasks of a closing record."""
 
     job: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadForCall(Target):
+class ReadForCall(ReadTarget):
     """Reads rows that an operator's question needs."""
 
     call_id: str
@@ -154,13 +154,13 @@
     flight, asked at `asked_at`, and is empty without one.
     """
 
-    target: Target
+    target: ReadTarget
     prefix: str
-    every_s: float
+    interval_s: float
     since: int = 0
     next_at: float | None = 0.0
     fetch_id: str = ""
-    asked_at: float = 0.0
+    requested_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -173,7 +173,7 @@
 
     call: OperatorCall
     deadline: float
-    tries: int = 0
+    attempts: int = 0
     current: VersionedRow | None = None
     verified: bool = False
 
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -8,7 +8,9 @@
 from bulrushpulley.roles import controller_io as controller_io
 from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
 from bulrushpulley.systems.control import assign as control_assign
-from bulrushpulley.systems.control import assigned as control_assigned
+from bulrushpulley.systems.control import (
+    assignment_outcomes as control_assignment_outcomes,
+)
 from bulrushpulley.systems.control import backlog as control_backlog
 from bulrushpulley.systems.control import cells as control_cells
 from bulrushpulley.systems.control import changes as control_changes
@@ -24,7 +26,7 @@
 from bulrushpulley.systems.control import submissions as control_submissions
 
 NAME = "controller"
-HANDLERS = (control_assigned, control_cells)
+HANDLERS = (control_assignment_outcomes, control_cells)
 
 
 def build(
@@ -40,7 +42,7 @@
     polls = {
         **control_records.polls(),
         control_members.PREFIX: control_members.poll(),
-        control_backlog.PREFIX: control_backlog.poll(),
+        control_backlog.BACKLOG_PREFIX: control_backlog.poll(),
     }
     table: Table[Poll] = Table.empty()
     for name, poll in polls.items():
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -12,52 +12,62 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
-from bulrushpulley.entities.backlog import Lane, Phase, Rank, Waiting, Why
+from bulrushpulley.entities.backlog import Lane, Phase, Rank, WaitingRow, WaitReason
 from bulrushpulley.entities.cell_view import (
     CellView,
     Reservation,
-    times,
+    multiply_resources,
     with_reservation,
 )
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.pending import AssignTasks, Placed
+from bulrushpulley.entities.pending import AssignTasks, PlacedTask
 from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.backlog import block, defer, head, take, with_queue
+from bulrushpulley.systems.control.backlog import (
+    block,
+    defer,
+    head,
+    mark_assigning,
+    with_queue,
+)
 from bulrushpulley.systems.control.cells import put_cells
 from bulrushpulley.systems.control.events import Controlled, then
 from bulrushpulley.systems.control.moves import (
-    Part,
+    RowMove,
     conditions_of,
     current_spec,
-    dealt_out,
-    placed_of,
+    distribute_cells,
+    placed_tasks,
     writes_of,
 )
 from bulrushpulley.systems.control.place import (
-    TASKS_A_TRANSACTION,
+    MAX_TASKS_PER_TRANSACTION,
     Choice,
-    Memo,
-    choose,
+    PlacementCache,
+    choose_cells,
 )
 from bulrushpulley.systems.control.said import say
-from bulrushpulley.systems.control.share import is_responsible, share, urgency
+from bulrushpulley.systems.control.share import (
+    aged_priority,
+    department_share,
+    is_responsible,
+)
 from bulrushpulley.systems.control.submissions import numbered, submit_as
 
-ROWS_A_MOVE = 32
-TASKS_A_TURN = 16
-ASSIGNMENTS_IN_FLIGHT = 32
-ROWS_A_TICK = 64
-SETTLE_WITHIN_S = 5.0
+MAX_ROWS_PER_MOVE = 32
+MAX_TASKS_PER_TURN = 16
+MAX_ASSIGNMENTS_IN_FLIGHT = 32
+MAX_ATTEMPTS_PER_TICK = 64
+ASSIGNMENT_TIMEOUT_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
-class Turn:
+class LaneTurn:
     """A lane's place in the order of a rank; `key` is that of its first row."""
 
-    share: float
-    minus_urgency: float
+    department_share: float
+    minus_priority: float
     key: str
     lane: Lane = field(compare=False)
 
@@ -70,98 +80,118 @@
     by_rank: dict[Rank, list[Lane]] = {rank: [] for rank in Rank}
     for lane in tables.ready:
         by_rank[lane.rank].append(lane)
-    memo = Memo()
-    left = ROWS_A_TICK
+    cache = PlacementCache()
+    attempts_left = MAX_ATTEMPTS_PER_TICK
     for lanes in by_rank.values():
-        ranked, left = _assign_rank(step.tables, lanes, left, now, memo)
+        ranked, attempts_left = _assign_rank(
+            step.tables, lanes, attempts_left, now, cache
+        )
         step = then(step, ranked)
     return step
 
 
 def _assign_rank(
-    tables: ControllerTables, lanes: list[Lane], left: int, now: float, memo: Memo
+    tables: ControllerTables,
+    lanes: list[Lane],
+    attempts_left: int,
+    now: float,
+    cache: PlacementCache,
 ) -> tuple[Controlled, int]:
     step = Step(tables=tables)
-    turns: list[Turn] = []
+    turns: list[LaneTurn] = []
     for lane in lanes:
-        step = replace(step, tables=_queue_up(step.tables, lane, turns, now))
+        step = replace(step, tables=_add_turn(step.tables, lane, turns, now))
     departments = {turn.lane.department for turn in turns}
-    most = TASKS_A_TRANSACTION if len(departments) == 1 else TASKS_A_TURN
-    while turns and left > 0 and _in_flight(step.tables) < ASSIGNMENTS_IN_FLIGHT:
+    max_tasks = (
+        MAX_TASKS_PER_TRANSACTION if len(departments) == 1 else MAX_TASKS_PER_TURN
+    )
+    while (
+        turns
+        and attempts_left > 0
+        and _in_flight(step.tables) < MAX_ASSIGNMENTS_IN_FLIGHT
+    ):
         lane = heapq.heappop(turns).lane
         _, first = head(step.tables, lane)
         if first is None:
             continue
-        step = then(step, _attempt(step.tables, first, most, now, memo))
-        left -= 1
+        step = then(step, _attempt(step.tables, first, max_tasks, now, cache))
+        attempts_left -= 1
         if lane in step.tables.ready:
             heapq.heappush(turns, _turn(step.tables, lane, first, now))
-    return step, left
+    return step, attempts_left
 
 
 def _in_flight(tables: ControllerTables) -> int:
     return tables.pending.count_where("purpose", AssignTasks.__name__)
 
 
-def _queue_up(
-    tables: ControllerTables, lane: Lane, turns: list[Turn], now: float
+def _add_turn(
+    tables: ControllerTables, lane: Lane, turns: list[LaneTurn], now: float
 ) -> ControllerTables:
     """Give a lane its turn, or set it aside if it is empty or another entry's."""
     queue, first = head(tables, lane)
     if first is None:
         return with_queue(tables, lane, queue)
     if not is_responsible(tables, lane.department):
-        return block(tables, lane, Why.OTHER_ENTRY, now)
+        return block(tables, lane, WaitReason.OTHER_ENTRY, now)
     heapq.heappush(turns, _turn(tables, lane, first, now))
     return tables
 
 
-def _turn(tables: ControllerTables, lane: Lane, first: Waiting, now: float) -> Turn:
-    return Turn(
-        share=share(tables, lane.department),
-        minus_urgency=-urgency(lane, first, now),
+def _turn(
+    tables: ControllerTables, lane: Lane, first: WaitingRow, now: float
+) -> LaneTurn:
+    return LaneTurn(
+        department_share=department_share(tables, lane.department),
+        minus_priority=-aged_priority(lane, first, now),
         key=first.key,
         lane=lane,
     )
 
 
 def _attempt(
-    tables: ControllerTables, first: Waiting, most: int, now: float, memo: Memo
+    tables: ControllerTables,
+    first: WaitingRow,
+    max_tasks: int,
+    now: float,
+    cache: PlacementCache,
 ) -> Controlled:
     spec = current_spec(tables, first)
     if spec is None:
-        taken = take(tables, first.lane, (first,))
+        taken = mark_assigning(tables, first.lane, (first,))
         return Step(tables=defer(taken, first, now))
-    wanted = min(most, _likely_tasks(tables, first))
-    choice = choose(tables, first, spec, wanted, now, memo)
+    wanted = min(max_tasks, _likely_tasks(tables, first))
+    choice = choose_cells(tables, first, spec, wanted, now, cache)
     if choice.cells:
-        return _assigned(tables, first.lane, choice, now)
+        return _submit_assignment(tables, first.lane, choice, now)
     decision = Decision(
         kind="place.wait",
         subject=first.row.spec.job,
         chosen="",
-        reason=choice.why.value,
+        reason=choice.wait_reason.value,
         revision=tables.revision,
     )
-    return say(block(tables, first.lane, choice.why, now), (decision,), now)
+    return say(block(tables, first.lane, choice.wait_reason, now), (decision,), now)
 
 
-def _likely_tasks(tables: ControllerTables, first: Waiting) -> int:
+def _likely_tasks(tables: ControllerTables, first: WaitingRow) -> int:
     """Return about how many tasks the next move of a lane may take.
 
     Services move one row at a time, since replicas are spread by their index.
     """
     if first.lane.service:
         return first.row.count
-    rows = min(ROWS_A_MOVE, len(tables.lanes[first.lane]))
+    rows = min(MAX_ROWS_PER_MOVE, len(tables.lanes[first.lane]))
     return max(first.row.count, rows)
 
 
-def _front(tables: ControllerTables, lane: Lane, tasks: int) -> tuple[Part, ...]:
+def _first_rows(
+    tables: ControllerTables, lane: Lane, tasks: int
+) -> tuple[RowMove, ...]:
     """Return the first rows of a lane that hold so many tasks."""
-    found: dict[str, Part] = {}
+    found: dict[str, RowMove] = {}
     queue = tables.lanes.get(lane) or Queue.empty()
-    while queue and tasks > 0 and len(found) < ROWS_A_MOVE:
+    while queue and tasks > 0 and len(found) < MAX_ROWS_PER_MOVE:
         waiting = tables.waiting.get(queue.first)
         queue = queue.rest()
         if waiting is None or waiting.phase is not Phase.QUEUED:
@@ -169,37 +199,39 @@
         spec = current_spec(tables, waiting)
         if spec is None or waiting.key in found:
             break
-        found[waiting.key] = Part(waiting=waiting, spec=spec)
+        found[waiting.key] = RowMove(waiting=waiting, spec=spec)
         tasks -= waiting.row.count
     return tuple(found.values())
 
 
-def _assigned(
+def _submit_assignment(
     tables: ControllerTables, lane: Lane, choice: Choice, now: float
 ) -> Controlled:
     tables, submission_id = numbered(tables, "c")
-    parts = dealt_out(_front(tables, lane, len(choice.cells)), choice.cells)
-    rows = tuple(part.waiting for part in parts)
-    placed = tuple(one for part in parts for one in placed_of(part))
-    writes = writes_of(parts, placed)
-    tables = take(tables, lane, rows)
-    tables = _reserved(tables, submission_id, placed)
-    decisions = tuple(_decision(tables, part, choice) for part in parts)
-    said = say(tables, decisions, now)
+    row_moves = distribute_cells(
+        _first_rows(tables, lane, len(choice.cells)), choice.cells
+    )
+    rows = tuple(row_move.waiting for row_move in row_moves)
+    placed = tuple(one for row_move in row_moves for one in placed_tasks(row_move))
+    writes = writes_of(row_moves, placed)
+    tables = mark_assigning(tables, lane, rows)
+    tables = _reserve(tables, submission_id, placed)
+    decisions = tuple(_decision(tables, row_move, choice) for row_move in row_moves)
+    logged = say(tables, decisions, now)
     submitted = submit_as(
-        said.tables,
+        logged.tables,
         now,
         submission_id=submission_id,
         purpose=AssignTasks(sources=tuple(row.key for row in rows), placed=placed),
-        conditions=conditions_of(parts, writes),
+        conditions=conditions_of(row_moves, writes),
         writes=writes,
-        deadline=now + SETTLE_WITHIN_S,
+        deadline=now + ASSIGNMENT_TIMEOUT_S,
     )
-    return then(said, submitted)
+    return then(logged, submitted)
 
 
-def _reserved(
-    tables: ControllerTables, submission_id: str, placed: tuple[Placed, ...]
+def _reserve(
+    tables: ControllerTables, submission_id: str, placed: tuple[PlacedTask, ...]
 ) -> ControllerTables:
     spec = placed[0].row.spec
     views: list[CellView] = []
@@ -208,21 +240,21 @@
             submission_id=submission_id,
             department=spec.department,
             tasks=count,
-            total=times(spec.size, count),
+            total=multiply_resources(spec.size, count),
         )
         views.append(with_reservation(tables.cells.by_key[cell], reservation))
     return put_cells(tables, views)
 
 
-def _decision(tables: ControllerTables, part: Part, choice: Choice) -> Decision:
-    counts = Counter(part.cells)
+def _decision(tables: ControllerTables, row_move: RowMove, choice: Choice) -> Decision:
+    counts = Counter(row_move.cells)
     chosen = ", ".join(f"{cell} x{count}" for cell, count in counts.items())
-    reason = "spread by index" if part.waiting.lane.service else "most free"
+    reason = "spread by index" if row_move.waiting.lane.service else "most free"
     if choice.displacing:
         reason = "no room; batch tasks may be evicted"
     return Decision(
         kind="place.assign",
-        subject=part.spec.job,
+        subject=row_move.spec.job,
         chosen=chosen,
         reason=reason,
         revision=tables.revision,
--- a/bulrushpulley/systems/control/assigned.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -10,10 +10,10 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from bulrushpulley.entities.backlog import Phase, Waiting
+from bulrushpulley.entities.backlog import Phase, WaitingRow
 from bulrushpulley.entities.cell_view import (
     CellView,
-    settle_reservation,
+    mark_reservation_committed,
     without_reservation,
 )
 from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
@@ -23,10 +23,10 @@
 from bulrushpulley.entities.pending import AssignTasks, Pending
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.control.backlog import (
-    PREFIX,
+    BACKLOG_PREFIX,
     defer,
     enqueue,
-    note_rows,
+    handle_backlog_rows,
 )
 from bulrushpulley.systems.control.cells import put_cells
 from bulrushpulley.systems.control.events import (
@@ -50,8 +50,8 @@
     tables = put_cells(
         tables,
         [
-            settle_reservation(view, submission.submission_id, now)
-            for view in _views(tables, purpose)
+            mark_reservation_committed(view, submission.submission_id, now)
+            for view in _cell_views(tables, purpose)
         ],
     )
     waited_s = _longest_wait_s(tables, purpose, now)
@@ -60,17 +60,19 @@
         waiting = waiting.drop(source)
     tables = replace(tables, waiting=waiting)
     for write in submission.writes:
-        if write.key.startswith(PREFIX) and write.row is not None:
+        if write.key.startswith(BACKLOG_PREFIX) and write.row is not None:
             left = VersionedRow(key=write.key, version=outcome.revision, row=write.row)
-            tables = note_rows(tables, (left,), now, first=True)
-    commands = _told(tables, purpose, submission.submission_id, outcome.revision)
+            tables = handle_backlog_rows(tables, (left,), now, first=True)
+    commands = _notify_owners(
+        tables, purpose, submission.submission_id, outcome.revision
+    )
     department = purpose.placed[0].row.spec.department
     count = Count(name="tasks_assigned", label=department, by=len(purpose.placed))
     waited = Observe(name="assign_wait", seconds=waited_s, label=department)
     return Step(tables=tables, commands=(*commands, count, waited))
 
 
-def _told(
+def _notify_owners(
     tables: ControllerTables, purpose: AssignTasks, token: str, version: int
 ) -> tuple[Command, ...]:
     rows_by_cell: dict[str, list[VersionedRow]] = defaultdict(list)
@@ -87,14 +89,14 @@
     )
 
 
-def _released(
+def _release_reservations(
     tables: ControllerTables, purpose: AssignTasks, submission_id: str
 ) -> ControllerTables:
-    views = _views(tables, purpose)
+    views = _cell_views(tables, purpose)
     return put_cells(tables, [without_reservation(one, submission_id) for one in views])
 
 
-def _views(tables: ControllerTables, purpose: AssignTasks) -> list[CellView]:
+def _cell_views(tables: ControllerTables, purpose: AssignTasks) -> list[CellView]:
     cells = dict.fromkeys(one.cell for one in purpose.placed)
     return [tables.cells.by_key[cell] for cell in cells]
 
@@ -107,8 +109,8 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    tables = _released(tables, purpose, pending.submission.submission_id)
-    tables = learn(note_rows(tables, outcome.rows, now), outcome.rows)
+    tables = _release_reservations(tables, purpose, pending.submission.submission_id)
+    tables = learn(handle_backlog_rows(tables, outcome.rows, now), outcome.rows)
     failed = {row.key for row in outcome.rows}
     record_key_by_job = {
         one.row.spec.job: one.row.spec.record_key for one in purpose.placed
@@ -125,7 +127,7 @@
 
 def _still_assigning(
     tables: ControllerTables, purpose: AssignTasks
-) -> tuple[Waiting, ...]:
+) -> tuple[WaitingRow, ...]:
     found = (tables.waiting.get(key) for key in purpose.sources)
     return tuple(
         row for row in found if row is not None and row.phase is Phase.ASSIGNING
@@ -136,7 +138,7 @@
     tables: ControllerTables, purpose: AssignTasks, now: float
 ) -> float:
     found = _still_assigning(tables, purpose)
-    return max((now - row.seen_at for row in found), default=0.0)
+    return max((now - row.first_seen_at for row in found), default=0.0)
 
 
 @on_loss.register
@@ -147,7 +149,7 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    tables = _released(tables, purpose, pending.submission.submission_id)
+    tables = _release_reservations(tables, purpose, pending.submission.submission_id)
     for source in _still_assigning(tables, purpose):
         tables = defer(tables, source, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -17,9 +17,9 @@
     Lane,
     Phase,
     Rank,
-    Waiting,
+    WaitingRow,
+    WaitReason,
     Wake,
-    Why,
     lane_of,
 )
 from bulrushpulley.entities.commit import VersionedRow
@@ -31,17 +31,19 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.control.events import Controlled, on_rows
 
-PREFIX = "backlog/"
-READ_EVERY_S = 0.75
-BLOCK_S = {Rank.URGENT: 0.5, Rank.LATENCY_CRITICAL: 1.0, Rank.BATCH: 3.0}
-ROOM_WAKES_PER_TICK = 16
-DEFER_S = 1.0
-WAKES_PER_TICK = 64
+BACKLOG_PREFIX = "backlog/"
+BACKLOG_READ_INTERVAL_S = 0.75
+LANE_RETRY_DELAY_S = {Rank.URGENT: 0.5, Rank.LATENCY_CRITICAL: 1.0, Rank.BATCH: 3.0}
+MAX_EARLY_WAKES_PER_TICK = 16
+ROW_RETRY_DELAY_S = 1.0
+MAX_WAKES_PER_TICK = 64
 
 
 def poll() -> Poll:
     """Return the reading of the backlog."""
-    return Poll(target=ReadBacklog(), prefix=PREFIX, every_s=READ_EVERY_S)
+    return Poll(
+        target=ReadBacklog(), prefix=BACKLOG_PREFIX, interval_s=BACKLOG_READ_INTERVAL_S
+    )
 
 
 @on_rows.register
@@ -52,10 +54,10 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    return Step(tables=note_rows(tables, rows, now))
+    return Step(tables=handle_backlog_rows(tables, rows, now))
 
 
-def note_rows(
+def handle_backlog_rows(
     tables: ControllerTables,
     rows: Iterable[VersionedRow],
     now: float,
@@ -64,16 +66,16 @@
 ) -> ControllerTables:
     """Take backlog rows as the table service holds them; `first` heads the lane."""
     for row in rows:
-        if row.key.startswith(PREFIX):
-            tables = _noted(tables, row, now, first)
+        if row.key.startswith(BACKLOG_PREFIX):
+            tables = _handle_row(tables, row, now, first)
     return tables
 
 
-def _noted(
+def _handle_row(
     tables: ControllerTables, row: VersionedRow, now: float, first: bool
 ) -> ControllerTables:
     if row.key.endswith(f"/{CLOSING}"):
-        return _noted_marker(tables, row, now)
+        return _handle_marker(tables, row, now)
     if not isinstance(row.row, BacklogRow):
         return replace(tables, waiting=tables.waiting.drop(row.key))
     known = tables.waiting.get(row.key)
@@ -83,8 +85,8 @@
     if known is not None:
         newer = replace(known, row=row.row, version=row.version)
         return replace(tables, waiting=tables.waiting.put(row.key, newer))
-    waiting = Waiting(
-        key=row.key, row=row.row, version=row.version, lane=lane, seen_at=now
+    waiting = WaitingRow(
+        key=row.key, row=row.row, version=row.version, lane=lane, first_seen_at=now
     )
     tables = replace(
         tables,
@@ -100,12 +102,12 @@
     return (*tables.recent_jobs, spec.job)[-RECENT_JOBS:]
 
 
-def _noted_marker(
+def _handle_marker(
     tables: ControllerTables, row: VersionedRow, now: float
 ) -> ControllerTables:
     job = row.key.split("/")[1]
     if not isinstance(row.row, BacklogRow):
-        return forget_closing(tables, job)
+        return drop_closing(tables, job)
     known = tables.closings.get(job)
     if known is not None and known.version >= row.version:
         return tables
@@ -113,12 +115,12 @@
     return replace(tables, closings=tables.closings.put(job, closing))
 
 
-def forget_closing(tables: ControllerTables, job: str) -> ControllerTables:
+def drop_closing(tables: ControllerTables, job: str) -> ControllerTables:
     """Drop what is kept for the closing of a record."""
     return replace(
         tables,
         closings=tables.closings.drop(job),
-        closed_keys=tables.closed_keys.discard(job),
+        closing_outcomes=tables.closing_outcomes.discard(job),
         polls=tables.polls.drop(f"done/{job}/"),
     )
 
@@ -140,7 +142,7 @@
     return replace(tables, lanes=tables.lanes.set(lane, queue), ready=ready)
 
 
-def head(tables: ControllerTables, lane: Lane) -> tuple[Queue[str], Waiting | None]:
+def head(tables: ControllerTables, lane: Lane) -> tuple[Queue[str], WaitingRow | None]:
     """Return the first row of a lane and its queue without keys that wait no more."""
     queue = tables.lanes.get(lane) or Queue.empty()
     while queue:
@@ -166,21 +168,21 @@
 
 
 def block(
-    tables: ControllerTables, lane: Lane, why: Why, now: float
+    tables: ControllerTables, lane: Lane, wait_reason: WaitReason, now: float
 ) -> ControllerTables:
     """Leave a lane out of the assignment for its rank's `BLOCK_S`."""
-    wake = Wake(lane=lane, at=now + BLOCK_S[lane.rank])
+    wake = Wake(lane=lane, at=now + LANE_RETRY_DELAY_S[lane.rank])
     queue = tables.wakes.get(lane.rank) or Queue.empty()
     return replace(
         tables,
         ready=tables.ready.discard(lane),
-        blocked=tables.blocked.set(lane, why),
+        blocked=tables.blocked.set(lane, wait_reason),
         wakes=tables.wakes.set(lane.rank, queue.append(wake)),
     )
 
 
-def take(
-    tables: ControllerTables, lane: Lane, rows: tuple[Waiting, ...]
+def mark_assigning(
+    tables: ControllerTables, lane: Lane, rows: tuple[WaitingRow, ...]
 ) -> ControllerTables:
     """Take the first rows of a lane out for assignment."""
     table = tables.waiting
@@ -191,13 +193,17 @@
     return with_queue(tables, lane, queue)
 
 
-def defer(tables: ControllerTables, waiting: Waiting, now: float) -> ControllerTables:
+def defer(
+    tables: ControllerTables, waiting: WaitingRow, now: float
+) -> ControllerTables:
     """Put a row off that stands in no lane, for `DEFER_S`."""
     deferred = replace(waiting, phase=Phase.DEFERRED)
     return replace(
         tables,
         waiting=tables.waiting.put(waiting.key, deferred),
-        deferred=tables.deferred.append(Deferral(key=waiting.key, until=now + DEFER_S)),
+        deferred=tables.deferred.append(
+            Deferral(key=waiting.key, until=now + ROW_RETRY_DELAY_S)
+        ),
     )
 
 
@@ -208,9 +214,9 @@
     """
     for rank in Rank:
         tables = _wake_due(tables, rank, now)
-    if tables.room_seen:
-        tables = _wake_early(replace(tables, room_seen=False))
-    for _ in range(WAKES_PER_TICK):
+    if tables.capacity_freed:
+        tables = _wake_early(replace(tables, capacity_freed=False))
+    for _ in range(MAX_WAKES_PER_TICK):
         if not tables.deferred or tables.deferred.first.until > now:
             break
         key = tables.deferred.first.key
@@ -224,25 +230,25 @@
 def _wake_due(tables: ControllerTables, rank: Rank, now: float) -> ControllerTables:
     queue = tables.wakes.get(rank)
     lanes: list[Lane] = []
-    while queue and len(lanes) < WAKES_PER_TICK and queue.first.at <= now:
+    while queue and len(lanes) < MAX_WAKES_PER_TICK and queue.first.at <= now:
         lanes.append(queue.first.lane)
         queue = queue.rest()
-    return _woken(tables, rank, queue, lanes) if queue is not None else tables
+    return _unblock(tables, rank, queue, lanes) if queue is not None else tables
 
 
 def _wake_early(tables: ControllerTables) -> ControllerTables:
     for rank in Rank:
         queue = tables.wakes.get(rank)
         lanes: list[Lane] = []
-        while queue and len(lanes) < ROOM_WAKES_PER_TICK:
+        while queue and len(lanes) < MAX_EARLY_WAKES_PER_TICK:
             lanes.append(queue.first.lane)
             queue = queue.rest()
         if queue is not None:
-            tables = _woken(tables, rank, queue, lanes)
+            tables = _unblock(tables, rank, queue, lanes)
     return tables
 
 
-def _woken(
+def _unblock(
     tables: ControllerTables, rank: Rank, queue: Queue[Wake], lanes: list[Lane]
 ) -> ControllerTables:
     if not lanes:
--- a/bulrushpulley/systems/control/cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -11,7 +11,7 @@
 
 from pyrsistent import PMap
 
-from bulrushpulley.entities.cell_view import CellView, uses_of, with_summary
+from bulrushpulley.entities.cell_view import CellView, usage_by_department, with_summary
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import CellSummary
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
@@ -31,8 +31,8 @@
 def _with_use(
     usage: PMap[str, Resources], known: CellView | None, view: CellView
 ) -> PMap[str, Resources]:
-    before = uses_of(known) if known is not None else ()
-    after = uses_of(view)
+    before = usage_by_department(known) if known is not None else ()
+    after = usage_by_department(view)
     same = 0
     for old, new in zip(before, after, strict=False):
         if old != new:
@@ -55,13 +55,13 @@
     view = tables.cells.get(event.cell)
     if view is None:
         view = CellView(
-            cell=event.cell, failure_domain=event.failure_domain, known_at=now
+            cell=event.cell, failure_domain=event.failure_domain, first_seen_at=now
         )
     if _is_older(view, event):
         return Step(tables=tables)
     after = with_summary(view, event, now)
-    if not after.free.fits(view.free) and not tables.room_seen:
-        tables = replace(tables, room_seen=True)
+    if not after.free.fits(view.free) and not tables.capacity_freed:
+        tables = replace(tables, capacity_freed=True)
     tables = put_cells(tables, (after,))
     if event.cell in tables.offers:
         tables = replace(tables, offers=tables.offers.drop(event.cell))
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -25,7 +25,7 @@
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems.control.backlog import note_rows
+from bulrushpulley.systems.control.backlog import handle_backlog_rows
 from bulrushpulley.systems.control.events import (
     Controlled,
     apply,
@@ -53,9 +53,9 @@
 )
 from bulrushpulley.systems.control.submissions import submit
 
-CHANGE_WITHIN_S = 10.0
-ANSWER_S = 0.5
-MAX_TRIES = 16
+CHANGE_TIMEOUT_S = 10.0
+ANSWER_MARGIN_S = 0.5
+MAX_CHANGE_ATTEMPTS = 16
 MAX_CHANGES = 512
 
 
@@ -67,16 +67,18 @@
     if len(tables.changes) >= MAX_CHANGES:
         detail = f"{MAX_CHANGES} changes are under way"
         return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
-    within_s = min(CHANGE_WITHIN_S, max(ANSWER_S, event.within_s - ANSWER_S))
+    within_s = min(
+        CHANGE_TIMEOUT_S, max(ANSWER_MARGIN_S, event.within_s - ANSWER_MARGIN_S)
+    )
     change = Change(call=event, deadline=now + within_s)
     tables = replace(tables, changes=tables.changes.put(event.call_id, change))
-    if is_of_job(event):
-        return _first_try(tables, event.call_id, now)
+    if changes_job(event):
+        return _start_change(tables, event.call_id, now)
     queue = tables.change_queue.append(event.call_id)
     return Step(tables=replace(tables, change_queue=queue))
 
 
-def is_of_job(call: ops.OperatorCall) -> bool:
+def changes_job(call: ops.OperatorCall) -> bool:
     """Tell whether a call changes a job, which is no part of the configuration."""
     return key_of(call).startswith("record/job/")
 
@@ -88,25 +90,25 @@
         tables = step.tables
         call_id = tables.change_queue.first
         queue = tables.change_queue.rest()
-        tables = replace(tables, change_queue=queue, changing=call_id)
-        step = then(step, _first_try(tables, call_id, now))
+        tables = replace(tables, change_queue=queue, current_change_id=call_id)
+        step = then(step, _start_change(tables, call_id, now))
     return step
 
 
 def _is_changing(tables: ControllerTables) -> bool:
-    return tables.changing in tables.changes
+    return tables.current_change_id in tables.changes
 
 
-def _first_try(tables: ControllerTables, call_id: str, now: float) -> Controlled:
+def _start_change(tables: ControllerTables, call_id: str, now: float) -> Controlled:
     change = tables.changes.by_key[call_id]
     if now >= change.deadline:
         detail = "other changes took too long; nothing was written"
         return _reject(tables, call_id, problem(detail, Code.UNAVAILABLE))
     current = tables.records.get(key_of(change.call))
-    return _try(tables, replace(change, current=current), now)
+    return _attempt_change(tables, replace(change, current=current), now)
 
 
-def _probe(tables: ControllerTables, change: Change, now: float) -> Controlled:
+def _verify_record(tables: ControllerTables, change: Change, now: float) -> Controlled:
     """Have the table service confirm the record row that the plan rests on."""
     call_id = change.call.call_id
     tables = replace(tables, changes=tables.changes.put(call_id, change))
@@ -121,39 +123,39 @@
     )
 
 
-def _try(tables: ControllerTables, change: Change, now: float) -> Controlled:
+def _attempt_change(tables: ControllerTables, change: Change, now: float) -> Controlled:
     planned = plan(change.call, change.current, tables)
-    tried = replace(change, tries=change.tries + 1)
+    attempted = replace(change, attempts=change.attempts + 1)
     call_id = change.call.call_id
-    tables = replace(tables, changes=tables.changes.put(call_id, tried))
-    if tried.tries > MAX_TRIES or now >= change.deadline:
+    tables = replace(tables, changes=tables.changes.put(call_id, attempted))
+    if attempted.attempts > MAX_CHANGE_ATTEMPTS or now >= change.deadline:
         detail = "too many changes at the same time; nothing was written"
         return _reject(tables, call_id, problem(detail, Code.CONFLICT))
-    return _carry(planned, tables, tried, now)
+    return _execute_plan(planned, tables, attempted, now)
 
 
 @singledispatch
-def _carry(
+def _execute_plan(
     planned: Plan, tables: ControllerTables, change: Change, now: float
 ) -> Controlled:
     raise NotImplementedError(type(planned).__name__)
 
 
-@_carry.register
+@_execute_plan.register
 def _(
     planned: Standing, tables: ControllerTables, change: Change, now: float
 ) -> Controlled:
     if must_verify(change):
-        return _probe(tables, change, now)
+        return _verify_record(tables, change, now)
     return _accept(tables, change.call, planned.row)
 
 
-@_carry.register
+@_execute_plan.register
 def _(
     planned: Refusal, tables: ControllerTables, change: Change, now: float
 ) -> Controlled:
     if must_verify(change):
-        return _probe(tables, change, now)
+        return _verify_record(tables, change, now)
     return _reject(tables, change.call.call_id, planned.problem)
 
 
@@ -162,7 +164,7 @@
     return not change.verified
 
 
-@_carry.register
+@_execute_plan.register
 def _(
     planned: Planned, tables: ControllerTables, change: Change, now: float
 ) -> Controlled:
@@ -170,7 +172,7 @@
     version = change.current.version if change.current is not None else 0
     conditions = (Condition(key=key, version=version), *planned.conditions)
     writes = (Write(key=key, row=planned.row), *planned.writes)
-    if not is_of_job(change.call):
+    if not changes_job(change.call):
         seen = tables.revision_row.version
         conditions = (*conditions, Condition(key=REVISION_KEY, version=seen))
         grown = RevisionRow(revision=planned.row.revision)
@@ -197,7 +199,7 @@
         VersionedRow(key=write.key, version=outcome.revision, row=write.row)
         for write in pending.submission.writes
     )
-    tables = note_rows(changed_here(tables, rows, now), rows, now)
+    tables = handle_backlog_rows(changed_here(tables, rows, now), rows, now)
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
@@ -215,7 +217,7 @@
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
-    return _try(tables, replace(change, verified=True), now)
+    return _attempt_change(tables, replace(change, verified=True), now)
 
 
 @on_conflict.register
@@ -230,7 +232,7 @@
     if change is None:
         return Step(tables=tables)
     found = replace(change, current=outcome.rows[0], verified=True)
-    return _try(learn(tables, outcome.rows), found, now)
+    return _attempt_change(learn(tables, outcome.rows), found, now)
 
 
 @on_conflict.register
@@ -242,37 +244,41 @@
     now: float,
 ) -> Controlled:
     tables = learn(learn_revision(tables, outcome.rows, now), outcome.rows)
-    tables = note_rows(tables, outcome.rows, now)
+    tables = handle_backlog_rows(tables, outcome.rows, now)
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
     by_key = {row.key: row for row in outcome.rows}
     key = key_of(change.call)
     if key in by_key and pending.unsettled:
-        return _settled_by_reading(tables, change, purpose.row, by_key[key])
+        return _answer_unsettled_change(tables, change, purpose.row, by_key[key])
     if key in by_key:
         change = replace(change, current=by_key[key], verified=True)
-        return _try(tables, change, now)
+        return _attempt_change(tables, change, now)
     others = [name for name in by_key if name != REVISION_KEY]
     if others:
-        return _reject(tables, purpose.call_id, _barred(by_key[others[0]]))
-    return _try(tables, change, now)
+        return _reject(tables, purpose.call_id, _conflict_problem(by_key[others[0]]))
+    return _attempt_change(tables, change, now)
 
 
-def _settled_by_reading(
-    tables: ControllerTables, change: Change, meant: RecordRow, found: VersionedRow
+def _answer_unsettled_change(
+    tables: ControllerTables, change: Change, intended: RecordRow, found: VersionedRow
 ) -> Controlled:
     """Answer a change that may have committed before another replaced it."""
-    stands = record_row(found)
-    if stands == meant:
-        return _accept(tables, change.call, meant)
-    winner = conflict(stands).detail if stands is not None else "the record is gone"
+    current_row = record_row(found)
+    if current_row == intended:
+        return _accept(tables, change.call, intended)
+    winner = (
+        conflict(current_row).detail
+        if current_row is not None
+        else "the record is gone"
+    )
     detail = f"the change may have been in force for a moment; {winner}"
     unknown = problem(detail, Code.OUTCOME_UNKNOWN)
     return _reject(tables, change.call.call_id, unknown)
 
 
-def _barred(row: VersionedRow) -> Problem:
+def _conflict_problem(row: VersionedRow) -> Problem:
     held = record_row(row)
     if held is not None:
         return conflict(held)
@@ -310,8 +316,8 @@
     return Step(tables=tables, commands=(reply, decision, Count(name="changes")))
 
 
-def _reject(tables: ControllerTables, call_id: str, why: Problem) -> Controlled:
+def _reject(tables: ControllerTables, call_id: str, rejection: Problem) -> Controlled:
     tables = replace(tables, changes=tables.changes.drop(call_id))
-    count = Count(name="changes_rejected", label=why.code.value)
-    reject = ops.Reject(call_id=call_id, problem=why)
+    count = Count(name="changes_rejected", label=rejection.code.value)
+    reject = ops.Reject(call_id=call_id, problem=rejection)
     return Step(tables=tables, commands=(reject, count))
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -14,10 +14,10 @@
 
 from bulrushpulley.entities.backlog import (
     CLOSING,
-    Closed,
     Closing,
+    ClosingOutcome,
     Phase,
-    Waiting,
+    WaitingRow,
     backlog_key,
 )
 from bulrushpulley.entities.commit import (
@@ -40,7 +40,7 @@
 )
 from bulrushpulley.entities.rows import BacklogRow
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control.backlog import forget_closing, note_rows
+from bulrushpulley.systems.control.backlog import drop_closing, handle_backlog_rows
 from bulrushpulley.systems.control.events import (
     Controlled,
     on_commit,
@@ -53,19 +53,19 @@
 from bulrushpulley.systems.control.share import is_responsible
 from bulrushpulley.systems.control.submissions import numbered, submit_as
 
-CLOSINGS_A_TICK = 8
-CLOSINGS_IN_FLIGHT = 8
-ROWS_A_TRANSACTION = 64
-FIRST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 15.0
-SETTLE_WITHIN_S = 5.0
-RETRY_S = 0.5
+MAX_CLOSINGS_PER_TICK = 8
+MAX_CLOSINGS_IN_FLIGHT = 8
+MAX_ROWS_PER_TRANSACTION = 64
+MIN_NOTICE_DELAY_S = 0.5
+MAX_NOTICE_DELAY_S = 15.0
+CLOSING_TIMEOUT_S = 5.0
+CLOSING_RETRY_DELAY_S = 0.5
 
 
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Work on the closings that are due, a bounded number a tick."""
     step = Step(tables=tables)
-    left = CLOSINGS_A_TICK
+    left = MAX_CLOSINGS_PER_TICK
     for job in sorted(tables.closings):
         closing = tables.closings.by_key[job]
         if left == 0:
@@ -75,24 +75,26 @@
         if not is_responsible(tables, closing.marker.spec.department):
             continue
         left -= 1
-        step = then(step, _worked(step.tables, closing, now))
+        step = then(step, _advance_closing(step.tables, closing, now))
     return step
 
 
-def _worked(tables: ControllerTables, closing: Closing, now: float) -> Controlled:
+def _advance_closing(
+    tables: ControllerTables, closing: Closing, now: float
+) -> Controlled:
     rows = _open_rows(tables, closing)
-    if rows and _in_flight(tables) < CLOSINGS_IN_FLIGHT:
-        return _moved(tables, closing, rows, now)
-    if _accounted(tables, closing) >= closing.marker.count:
-        return _ended(tables, closing, now)
-    return _told(tables, closing, now)
+    if rows and _in_flight(tables) < MAX_CLOSINGS_IN_FLIGHT:
+        return _close_rows(tables, closing, rows, now)
+    if _ended_task_count(tables, closing) >= closing.marker.count:
+        return _end_closing(tables, closing, now)
+    return _notify_owners(tables, closing, now)
 
 
 def _in_flight(tables: ControllerTables) -> int:
     return tables.pending.count_where("purpose", CloseTasks.__name__)
 
 
-def _open_rows(tables: ControllerTables, closing: Closing) -> list[Waiting]:
+def _open_rows(tables: ControllerTables, closing: Closing) -> list[WaitingRow]:
     rows = tables.waiting.rows_where("job", closing.job)
     open_rows = [
         row
@@ -100,22 +102,22 @@
         if row.phase is not Phase.ASSIGNING
         and closing.covers(row.row.spec.index + row.row.count - 1)
     ]
-    return open_rows[:ROWS_A_TRANSACTION]
+    return open_rows[:MAX_ROWS_PER_TRANSACTION]
 
 
-def _moved(
-    tables: ControllerTables, closing: Closing, rows: list[Waiting], now: float
+def _close_rows(
+    tables: ControllerTables, closing: Closing, rows: list[WaitingRow], now: float
 ) -> Controlled:
     conditions: list[Condition] = []
     writes: list[Write] = []
     for waiting in rows:
         conditions.append(Condition(key=waiting.key, version=waiting.version))
-        writes.append(Write(key=waiting.key, row=_kept(waiting, closing)))
-        outcome = _outcome(waiting, closing)
+        writes.append(Write(key=waiting.key, row=_remaining_row(waiting, closing)))
+        outcome = _outcome_row(waiting, closing)
         key = f"done/{closing.job}/{outcome.spec.index}"
         conditions.append(Condition(key=key, version=0))
         writes.append(Write(key=key, row=outcome))
-    return _submitted(
+    return _submit(
         tables,
         closing,
         CloseTasks(job=closing.job),
@@ -125,20 +127,20 @@
     )
 
 
-def _kept(waiting: Waiting, closing: Closing) -> BacklogRow | None:
+def _remaining_row(waiting: WaitingRow, closing: Closing) -> BacklogRow | None:
     """Return the part of a row before the closing range, which goes on waiting."""
     count = closing.marker.spec.index - waiting.row.spec.index
     return replace(waiting.row, count=count) if count > 0 else None
 
 
-def _outcome(waiting: Waiting, closing: Closing) -> BacklogRow:
+def _outcome_row(waiting: WaitingRow, closing: Closing) -> BacklogRow:
     first = max(waiting.row.spec.index, closing.marker.spec.index)
     last = waiting.row.spec.index + waiting.row.count
     spec = replace(waiting.row.spec, index=first)
     return replace(waiting.row, spec=spec, count=last - first)
 
 
-def _submitted(
+def _submit(
     tables: ControllerTables,
     closing: Closing,
     purpose: CloseTasks | EndClosing,
@@ -156,28 +158,35 @@
         purpose=purpose,
         conditions=conditions,
         writes=writes,
-        deadline=now + SETTLE_WITHIN_S,
+        deadline=now + CLOSING_TIMEOUT_S,
     )
 
 
-def _accounted(tables: ControllerTables, closing: Closing) -> int:
-    closed = tables.closed_keys.get(closing.job, pmap())
+def _ended_task_count(tables: ControllerTables, closing: Closing) -> int:
+    closed = tables.closing_outcomes.get(closing.job, pmap())
     return sum(one.tasks for one in closed.values())
 
 
-def _told(tables: ControllerTables, closing: Closing, now: float) -> Controlled:
+def _notify_owners(
+    tables: ControllerTables, closing: Closing, now: float
+) -> Controlled:
     """Tell the owners of cells again and have the outcomes read."""
-    pause = min(LONGEST_PAUSE_S, closing.pause_s * 2)
-    waits = replace(closing, next_at=now + closing.pause_s, pause_s=pause)
+    delay_s = min(MAX_NOTICE_DELAY_S, closing.notice_delay_s * 2)
+    delayed = replace(
+        closing, next_at=now + closing.notice_delay_s, notice_delay_s=delay_s
+    )
     name = f"done/{closing.job}/"
     poll = tables.polls.get(name) or Poll(
-        target=ReadClosed(job=closing.job), prefix=name, every_s=RETRY_S, next_at=None
+        target=ReadClosed(job=closing.job),
+        prefix=name,
+        interval_s=CLOSING_RETRY_DELAY_S,
+        next_at=None,
     )
-    asked = replace(poll, next_at=now + closing.pause_s / 2)
+    scheduled = replace(poll, next_at=now + closing.notice_delay_s / 2)
     tables = replace(
         tables,
-        closings=tables.closings.put(closing.job, waits),
-        polls=tables.polls.put(name, asked),
+        closings=tables.closings.put(closing.job, delayed),
+        polls=tables.polls.put(name, scheduled),
     )
     sends: tuple[Command, ...] = ()
     if closing.marker.spec.kind == "job":
@@ -200,9 +209,9 @@
     tables = _with_outcomes(tables, closing, rows)
     poll = tables.polls.get(event.prefix)
     if poll is not None:
-        rested = replace(poll, next_at=None)
-        tables = replace(tables, polls=tables.polls.put(event.prefix, rested))
-    if _accounted(tables, closing) >= closing.marker.count:
+        idle = replace(poll, next_at=None)
+        tables = replace(tables, polls=tables.polls.put(event.prefix, idle))
+    if _ended_task_count(tables, closing) >= closing.marker.count:
         due = replace(closing, next_at=now)
         tables = replace(tables, closings=tables.closings.put(target.job, due))
     return Step(tables=tables)
@@ -211,49 +220,51 @@
 def _with_outcomes(
     tables: ControllerTables, closing: Closing, rows: tuple[VersionedRow, ...]
 ) -> ControllerTables:
-    closed = tables.closed_keys.get(closing.job, pmap())
+    closed = tables.closing_outcomes.get(closing.job, pmap())
     for row in rows:
         if not row.key.startswith("done/"):
             continue
-        tasks = _tasks_behind(row, closing)
+        tasks = _covered_task_count(row, closing)
         if tasks:
-            closed = closed.set(row.key, Closed(tasks=tasks, version=row.version))
+            closed = closed.set(
+                row.key, ClosingOutcome(tasks=tasks, version=row.version)
+            )
         else:
             closed = closed.discard(row.key)
-    closed_keys = tables.closed_keys.set(closing.job, closed)
-    return replace(tables, closed_keys=closed_keys)
+    closing_outcomes = tables.closing_outcomes.set(closing.job, closed)
+    return replace(tables, closing_outcomes=closing_outcomes)
 
 
-def _tasks_behind(row: VersionedRow, closing: Closing) -> int:
+def _covered_task_count(row: VersionedRow, closing: Closing) -> int:
     indexes = indexes_of(row.row)
     return len(indexes) if indexes and closing.covers(indexes.start) else 0
 
 
-def _ended(tables: ControllerTables, closing: Closing, now: float) -> Controlled:
+def _end_closing(tables: ControllerTables, closing: Closing, now: float) -> Controlled:
     """Delete the marker; a service's outcomes go first, so that it may grow again."""
-    closed = tables.closed_keys.get(closing.job, pmap())
-    swept: list[str] = []
+    closed = tables.closing_outcomes.get(closing.job, pmap())
+    deleted: list[str] = []
     if closing.marker.spec.kind == "service":
-        swept = sorted(closed, key=_index_of, reverse=True)[:ROWS_A_TRANSACTION]
-    left = closing.marker.count - sum(closed[key].tasks for key in swept)
-    kept = replace(closing.marker, count=left) if swept and left > 0 else None
+        deleted = sorted(closed, key=_index_of, reverse=True)[:MAX_ROWS_PER_TRANSACTION]
+    left = closing.marker.count - sum(closed[key].tasks for key in deleted)
+    kept = replace(closing.marker, count=left) if deleted and left > 0 else None
     marker = backlog_key(closing.job, CLOSING)
     conditions = [Condition(key=marker, version=closing.version)]
-    conditions += [Condition(key=key, version=closed[key].version) for key in swept]
+    conditions += [Condition(key=key, version=closed[key].version) for key in deleted]
     writes = [Write(key=marker, row=kept)]
-    writes += [Write(key=key, row=None) for key in swept]
+    writes += [Write(key=key, row=None) for key in deleted]
     decision = Decision(
         kind="record.closed",
         subject=closing.job,
         chosen="",
         reason="every task has ended",
     )
-    said = say(tables, (decision,), now)
+    logged = say(tables, (decision,), now)
     ended = EndClosing(job=closing.job)
-    submitted = _submitted(
-        said.tables, closing, ended, tuple(conditions), tuple(writes), now
+    submitted = _submit(
+        logged.tables, closing, ended, tuple(conditions), tuple(writes), now
     )
-    return then(said, submitted)
+    return then(logged, submitted)
 
 
 def _index_of(key: str) -> int:
@@ -273,10 +284,10 @@
         VersionedRow(key=write.key, version=outcome.revision, row=write.row)
         for write in pending.submission.writes
     )
-    tables = note_rows(tables, rows, now)
+    tables = handle_backlog_rows(tables, rows, now)
     closing = tables.closings.get(purpose.job)
     if closing is None:
-        return Step(tables=forget_closing(tables, purpose.job))
+        return Step(tables=drop_closing(tables, purpose.job))
     return Step(tables=_with_outcomes(tables, closing, rows))
 
 
@@ -289,7 +300,11 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    return Step(tables=_later(note_rows(tables, outcome.rows, now), purpose.job, now))
+    return Step(
+        tables=_retry_later(
+            handle_backlog_rows(tables, outcome.rows, now), purpose.job, now
+        )
+    )
 
 
 @on_loss.register(CloseTasks)
@@ -301,12 +316,12 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    return Step(tables=_later(tables, purpose.job, now))
+    return Step(tables=_retry_later(tables, purpose.job, now))
 
 
-def _later(tables: ControllerTables, job: str, now: float) -> ControllerTables:
+def _retry_later(tables: ControllerTables, job: str, now: float) -> ControllerTables:
     closing = tables.closings.get(job)
     if closing is None:
         return tables
-    waits = replace(closing, next_at=now + RETRY_S)
-    return replace(tables, closings=tables.closings.put(job, waits))
+    delayed = replace(closing, next_at=now + CLOSING_RETRY_DELAY_S)
+    return replace(tables, closings=tables.closings.put(job, delayed))
--- a/bulrushpulley/systems/control/events.py
+++ b/bulrushpulley/systems/control/events.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.commit import Committed, Conflicted, VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import Announce, CellSummary, Fetched
-from bulrushpulley.entities.pending import Pending, Purpose, Target
+from bulrushpulley.entities.pending import Pending, Purpose, ReadTarget
 from bulrushpulley.entities.step import Event, Step
 
 Controlled = Step[ControllerTables]
@@ -74,7 +74,7 @@
 
 @singledispatch
 def on_rows(
-    target: Target,
+    target: ReadTarget,
     rows: tuple[VersionedRow, ...],
     event: Fetched,
     tables: ControllerTables,
--- a/bulrushpulley/systems/control/explain.py
+++ b/bulrushpulley/systems/control/explain.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities import operations as ops
-from bulrushpulley.entities.backlog import Phase, Waiting, Why
+from bulrushpulley.entities.backlog import Phase, WaitingRow, WaitReason
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.outcome import indexes_of
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.status import Explanation
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems.control.moves import current_spec
-from bulrushpulley.systems.control.place import Memo, choose
+from bulrushpulley.systems.control.place import PlacementCache, choose_cells
 from bulrushpulley.systems.control.share import is_responsible
 
 
@@ -35,19 +35,21 @@
     return None
 
 
-def why_waits(tables: ControllerTables, waiting: Waiting, now: float) -> str:
+def why_waits(tables: ControllerTables, waiting: WaitingRow, now: float) -> str:
     """Say why a row waits, by a trial placement unless it is being assigned."""
     if waiting.phase is Phase.ASSIGNING:
-        return Why.ASSIGNING.value
+        return WaitReason.ASSIGNING.value
     spec = current_spec(tables, waiting)
     if spec is None:
-        return Why.CLOSED.value
-    choice = choose(tables, waiting, spec, waiting.row.count, now, Memo())
+        return WaitReason.CLOSED.value
+    choice = choose_cells(
+        tables, waiting, spec, waiting.row.count, now, PlacementCache()
+    )
     if not choice.cells:
-        return choice.why.value
+        return choice.wait_reason.value
     if not is_responsible(tables, spec.department):
-        return Why.OTHER_ENTRY.value
-    return f"{Why.QUEUED.value}; cell {choice.cells[0]} has room"
+        return WaitReason.OTHER_ENTRY.value
+    return f"{WaitReason.QUEUED.value}; cell {choice.cells[0]} has room"
 
 
 def held_or_done(call: ops.AskExplain, enquiry: Enquiry) -> Explanation | ops.Reject:
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -49,7 +49,7 @@
 
 def poll() -> Poll:
     """Return the reading of the member rows."""
-    return Poll(target=ReadMembers(), prefix=PREFIX, every_s=READ_EVERY_S)
+    return Poll(target=ReadMembers(), prefix=PREFIX, interval_s=READ_EVERY_S)
 
 
 def live_entries(tables: ControllerTables) -> tuple[str, ...]:
@@ -105,7 +105,7 @@
     due_at = tables.member_renew_at
     if changed:
         due_at -= RENEW_S - RENEW_AFTER_CHANGE_S
-    waits = tables.leaving or tables.renewing or tables.members_read_at is None
+    waits = tables.leaving or tables.renewal_key or tables.members_read_at is None
     if waits or now < due_at:
         return Step(tables=tables)
     row = own_row(tables)
@@ -114,7 +114,7 @@
     tables = replace(
         tables,
         renewals=row.renewals,
-        renewing=key,
+        renewal_key=key,
         renewed_revision=row.applied_revision,
         member_renew_at=now + RENEW_S,
     )
@@ -132,7 +132,7 @@
 def _(event: Leave, tables: ControllerTables, now: float) -> Controlled:
     """Stop renewing, and delete the own row once no renewal is in flight."""
     tables = replace(tables, leaving=True)
-    return Step(tables=tables) if tables.renewing else _deleted(tables, now)
+    return Step(tables=tables) if tables.renewal_key else _deleted(tables, now)
 
 
 def _deleted(tables: ControllerTables, now: float) -> Controlled:
@@ -161,7 +161,7 @@
 ) -> Controlled:
     write = pending.submission.writes[0]
     row = VersionedRow(key=write.key, version=outcome.revision, row=write.row)
-    tables = _noted(replace(tables, renewing=""), row)
+    tables = _noted(replace(tables, renewal_key=""), row)
     return _deleted(tables, now) if tables.leaving else Step(tables=tables)
 
 
@@ -173,7 +173,7 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    tables = replace(tables, renewing="", member_renew_at=now + RETRY_S)
+    tables = replace(tables, renewal_key="", member_renew_at=now + RETRY_S)
     for row in outcome.rows:
         tables = _noted(tables, row)
     return Step(tables=tables)
@@ -187,7 +187,7 @@
     tables: ControllerTables,
     now: float,
 ) -> Controlled:
-    return Step(tables=replace(tables, renewing="", member_renew_at=now + RETRY_S))
+    return Step(tables=replace(tables, renewal_key="", member_renew_at=now + RETRY_S))
 
 
 @on_rows.register
--- a/bulrushpulley/systems/control/moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -10,23 +10,23 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from bulrushpulley.entities.backlog import Closing, Waiting, backlog_key
+from bulrushpulley.entities.backlog import Closing, WaitingRow, backlog_key
 from bulrushpulley.entities.commit import Condition, Write
 from bulrushpulley.entities.controller_tables import ControllerTables
-from bulrushpulley.entities.pending import Placed
+from bulrushpulley.entities.pending import PlacedTask
 from bulrushpulley.entities.records import ServiceRecord
 from bulrushpulley.entities.rows import TaskRow, TaskSpec, TaskState
 from bulrushpulley.systems.control.records import find, record_key
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Part:
+class RowMove:
     """A waiting row and the cells of its first tasks, in the order of indexes.
 
     `spec` is what the tasks run by the record now in force.
     """
 
-    waiting: Waiting
+    waiting: WaitingRow
     spec: TaskSpec
     cells: tuple[str, ...] = ()
 
@@ -36,7 +36,7 @@
     return closing is not None and any(closing.covers(index) for index in indexes)
 
 
-def current_spec(tables: ControllerTables, waiting: Waiting) -> TaskSpec | None:
+def current_spec(tables: ControllerTables, waiting: WaitingRow) -> TaskSpec | None:
     """Return what a waiting row's tasks run by the record now in force.
 
     None means that they are not to run: the record is being closed or is not
@@ -62,24 +62,26 @@
     )
 
 
-def dealt_out(parts: Iterable[Part], cells: tuple[str, ...]) -> tuple[Part, ...]:
+def distribute_cells(
+    row_moves: Iterable[RowMove], cells: tuple[str, ...]
+) -> tuple[RowMove, ...]:
     """Give the chosen cells to the parts in order; parts without any are left out."""
-    dealt: list[Part] = []
-    for part in parts:
-        count = part.waiting.row.count
+    with_cells: list[RowMove] = []
+    for row_move in row_moves:
+        count = row_move.waiting.row.count
         if not cells:
             break
-        dealt.append(replace(part, cells=cells[:count]))
+        with_cells.append(replace(row_move, cells=cells[:count]))
         cells = cells[count:]
-    return tuple(dealt)
+    return tuple(with_cells)
 
 
-def placed_of(part: Part) -> tuple[Placed, ...]:
+def placed_tasks(row_move: RowMove) -> tuple[PlacedTask, ...]:
     """Return the task rows of a part."""
-    row = part.waiting.row
-    tasks: list[Placed] = []
-    for place, cell in enumerate(part.cells):
-        spec = replace(part.spec, index=part.spec.index + place)
+    row = row_move.waiting.row
+    tasks: list[PlacedTask] = []
+    for place, cell in enumerate(row_move.cells):
+        spec = replace(row_move.spec, index=row_move.spec.index + place)
         task = TaskRow(
             spec=spec,
             state=TaskState.WAITING,
@@ -87,28 +89,30 @@
             checkpoint=row.checkpoint,
             attempts=row.attempts,
         )
-        tasks.append(Placed(cell=cell, key=f"task/{cell}/{spec.task_id}", row=task))
+        tasks.append(PlacedTask(cell=cell, key=f"task/{cell}/{spec.task_id}", row=task))
     return tuple(tasks)
 
 
-def _remainder(part: Part) -> tuple[Write, ...]:
+def _remainder(row_move: RowMove) -> tuple[Write, ...]:
     """Return the write of the tasks that are left in the backlog, if any."""
-    row = part.waiting.row
-    taken = len(part.cells)
+    row = row_move.waiting.row
+    taken = len(row_move.cells)
     if taken == row.count:
         return ()
-    first = part.spec.index + taken
-    left = replace(row, spec=replace(part.spec, index=first), count=row.count - taken)
-    return (Write(key=backlog_key(part.spec.job, first), row=left),)
+    first = row_move.spec.index + taken
+    remainder = replace(
+        row, spec=replace(row_move.spec, index=first), count=row.count - taken
+    )
+    return (Write(key=backlog_key(row_move.spec.job, first), row=remainder),)
 
 
 def conditions_of(
-    parts: tuple[Part, ...], writes: tuple[Write, ...]
+    row_moves: tuple[RowMove, ...], writes: tuple[Write, ...]
 ) -> tuple[Condition, ...]:
     """Return the conditions of a move."""
     found: list[Condition] = []
-    for part in parts:
-        spec, waiting = part.spec, part.waiting
+    for row_move in row_moves:
+        spec, waiting = row_move.spec, row_move.waiting
         found.append(Condition(key=waiting.key, version=waiting.version))
         found.append(Condition(key=spec.record_key, version=spec.record_version))
     absent = [write.key for write in writes if write.row is not None]
@@ -116,9 +120,11 @@
     return tuple(dict.fromkeys(found))
 
 
-def writes_of(parts: tuple[Part, ...], placed: tuple[Placed, ...]) -> tuple[Write, ...]:
+def writes_of(
+    row_moves: tuple[RowMove, ...], placed: tuple[PlacedTask, ...]
+) -> tuple[Write, ...]:
     """Return the writes of a move."""
-    gone = [Write(key=part.waiting.key, row=None) for part in parts]
+    deletions = [Write(key=row_move.waiting.key, row=None) for row_move in row_moves]
     tasks = [Write(key=one.key, row=one.row) for one in placed]
-    left = [write for part in parts for write in _remainder(part)]
-    return (*gone, *tasks, *left)
+    remainders = [write for row_move in row_moves for write in _remainder(row_move)]
+    return (*deletions, *tasks, *remainders)
--- a/bulrushpulley/systems/control/offers.py
+++ b/bulrushpulley/systems/control/offers.py
@@ -23,26 +23,26 @@
 from bulrushpulley.systems.control.events import Controlled
 from bulrushpulley.systems.control.records import find
 
-CELL_SILENT_S = 8.0
-CELL_UNHEARD_S = 1.0
-OFFERS_EVERY_S = 1.0
-FIRST_PAUSE_S = 3.0
-LONGEST_PAUSE_S = 30.0
-PAUSE_GROWTH = 1.5
+SUMMARY_TIMEOUT_S = 8.0
+FIRST_OFFER_DELAY_S = 1.0
+OFFER_CHECK_INTERVAL_S = 1.0
+MIN_OFFER_RETRY_DELAY_S = 3.0
+MAX_OFFER_RETRY_DELAY_S = 30.0
+OFFER_BACKOFF_FACTOR = 1.5
 
 
 def run(tables: ControllerTables, now: float) -> Controlled:
     """Offer every silent cell whose pause is over."""
-    if tables.leaving or now < tables.offers_at or not tables.links:
+    if tables.leaving or now < tables.next_offers_at or not tables.links:
         return Step(tables=tables)
-    tables = replace(tables, offers_at=now + OFFERS_EVERY_S)
-    silent = _silent_cells(tables, now)
-    if not silent:
+    tables = replace(tables, next_offers_at=now + OFFER_CHECK_INTERVAL_S)
+    unowned = _cells_without_summaries(tables, now)
+    if not unowned:
         return Step(tables=tables)
     commands: list[Command] = []
     cells_by_peer = _cells_by_peer(tables)
-    for cell in silent:
-        step = _offered(tables, cell, cells_by_peer, now)
+    for cell in unowned:
+        step = _offer_cell(tables, cell, cells_by_peer, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -52,25 +52,31 @@
     return {peer: tables.cells.count_where("peer", peer) for peer in tables.links}
 
 
-def _silent_cells(tables: ControllerTables, now: float) -> list[str]:
+def _cells_without_summaries(tables: ControllerTables, now: float) -> list[str]:
     linked = set(tables.links)
     view_by_cell = tables.cells.by_key
-    heard_after = now - CELL_SILENT_S
-    silent: list[str] = []
+    summary_after = now - SUMMARY_TIMEOUT_S
+    unowned: list[str] = []
     for names in tables.fleet.cells_by_domain.values():
         for cell in names:
             view = view_by_cell.get(cell)
-            if view is None or view.heard_at <= heard_after or view.peer not in linked:
-                silent.append(cell)
-    return silent
+            if (
+                view is None
+                or view.last_summary_at <= summary_after
+                or view.peer not in linked
+            ):
+                unowned.append(cell)
+    return unowned
 
 
-def _offered(
+def _offer_cell(
     tables: ControllerTables, cell: str, cells_by_peer: dict[str, int], now: float
 ) -> Controlled:
     offer = tables.offers.get(cell)
     if offer is None:
-        first = CellOffer(cell=cell, next_at=now + CELL_UNHEARD_S, pause_s=0.0)
+        first = CellOffer(
+            cell=cell, next_at=now + FIRST_OFFER_DELAY_S, retry_delay_s=0.0
+        )
         return Step(tables=replace(tables, offers=tables.offers.put(cell, first)))
     if now < offer.next_at:
         return Step(tables=tables)
@@ -79,14 +85,17 @@
         return Step(tables=tables)
     cells_by_peer[chosen.peer] += 1
     tried = () if chosen.peer in offer.tried else offer.tried
-    pause = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, offer.pause_s * PAUSE_GROWTH))
-    made = CellOffer(
+    delay_s = min(
+        MAX_OFFER_RETRY_DELAY_S,
+        max(MIN_OFFER_RETRY_DELAY_S, offer.retry_delay_s * OFFER_BACKOFF_FACTOR),
+    )
+    updated = CellOffer(
         cell=cell,
-        next_at=now + pause,
-        pause_s=pause,
+        next_at=now + delay_s,
+        retry_delay_s=delay_s,
         tried=(*tried, chosen.peer),
     )
-    tables = replace(tables, offers=tables.offers.put(cell, made))
+    tables = replace(tables, offers=tables.offers.put(cell, updated))
     return Step(tables=tables, commands=_commands(cell, chosen, offer))
 
 
@@ -109,7 +118,7 @@
     if record is None:
         return None
     domain = find(tables, "failure_domain", record.failure_domain, FailureDomainRecord)
-    able = [
+    eligible = [
         link
         for link in tables.links.rows()
         if domain is not None
@@ -117,9 +126,9 @@
         and link.announced is not None
         and not link.announced.leaving
     ]
-    untried = [link for link in able if link.peer not in offer.tried]
+    untried = [link for link in eligible if link.peer not in offer.tried]
     return min(
-        untried or able,
+        untried or eligible,
         key=lambda link: _preference(link, record, cells_by_peer),
         default=None,
     )
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -12,18 +12,18 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from bulrushpulley.entities.backlog import Rank, Waiting, Why
-from bulrushpulley.entities.cell_view import CellView, how_many
+from bulrushpulley.entities.backlog import Rank, WaitingRow, WaitReason
+from bulrushpulley.entities.cell_view import CellView, count_fitting
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.rows import TaskClass, TaskSpec
 from bulrushpulley.systems.control.cells import used_by
 from bulrushpulley.systems.control.records import in_service
 
-TASKS_A_TRANSACTION = 64
-SAMPLE_CELLS = 8
-CELLS_A_MOVE = 4
-DISPLACING_TASKS = 8
+MAX_TASKS_PER_TRANSACTION = 64
+CELL_SAMPLE_SIZE = 8
+MIN_CELLS_PER_MOVE = 4
+MAX_DISPLACING_TASKS = 8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -34,7 +34,7 @@
     """
 
     cells: tuple[str, ...] = ()
-    why: Why = Why.QUEUED
+    wait_reason: WaitReason = WaitReason.QUEUED
     displacing: bool = False
 
 
@@ -52,13 +52,15 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Memo:
+class PlacementCache:
     """What one pass has found out already: shapes for which no cell has room."""
 
-    full: dict[tuple[Resources, tuple[str, ...]], Why] = field(default_factory=dict)
+    wait_reason_by_shape: dict[tuple[Resources, tuple[str, ...]], WaitReason] = field(
+        default_factory=dict
+    )
 
 
-def within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
+def tasks_within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
     """Return for how many more tasks the department's quota has room."""
     quota = tables.quotas.get(spec.department, NO_RESOURCES)
     left = quota.minus(used_by(tables, spec.department))
@@ -70,58 +72,58 @@
     counts = [
         max(0, have // need) for limit, need, have in limits if limit > 0 and need > 0
     ]
-    return min(counts, default=TASKS_A_TRANSACTION)
+    return min(counts, default=MAX_TASKS_PER_TRANSACTION)
 
 
-def choose(
+def choose_cells(
     tables: ControllerTables,
-    waiting: Waiting,
+    waiting: WaitingRow,
     spec: TaskSpec,
-    wanted: int,
+    max_tasks: int,
     now: float,
-    memo: Memo,
+    cache: PlacementCache,
 ) -> Choice:
     """Choose cells for up to `wanted` tasks like `spec`, as many as have room.
 
     `waiting` is the first row of their lane.
     """
     allowed = spec.failure_domains or tuple(sorted(tables.fleet.cells_by_domain))
-    barred = _barred(tables, spec, allowed)
-    if barred is not None:
-        return Choice(why=barred)
-    count = min(wanted, TASKS_A_TRANSACTION, within_quota(tables, spec))
+    reason = _reason_to_wait(tables, spec, allowed)
+    if reason is not None:
+        return Choice(wait_reason=reason)
+    count = min(max_tasks, MAX_TASKS_PER_TRANSACTION, tasks_within_quota(tables, spec))
     if count == 0:
-        return Choice(why=Why.QUOTA)
+        return Choice(wait_reason=WaitReason.QUOTA)
     open_domains = tuple(name for name in allowed if in_service(tables, name))
     shape = (spec.size, open_domains)
-    if waiting.lane.rank is Rank.BATCH and shape in memo.full:
-        return Choice(why=memo.full[shape])
-    names = _names(tables, open_domains)
+    if waiting.lane.rank is Rank.BATCH and shape in cache.wait_reason_by_shape:
+        return Choice(wait_reason=cache.wait_reason_by_shape[shape])
+    names = _cell_names(tables, open_domains)
     if waiting.lane.rank is Rank.LATENCY_CRITICAL:
-        choice = _spread(tables, spec, open_domains, count, now)
+        choice = _spread_replicas(tables, spec, open_domains, count, now)
     else:
         choice = _most_free(tables, waiting, spec, names, count, now)
     if choice.cells:
         return choice
     if waiting.lane.rank is not Rank.BATCH:
-        return _displacing(tables, waiting, spec, names, count, now)
-    memo.full[shape] = choice.why
+        return _choose_to_displace(tables, waiting, spec, names, count, now)
+    cache.wait_reason_by_shape[shape] = choice.wait_reason
     return choice
 
 
-def _barred(
+def _reason_to_wait(
     tables: ControllerTables, spec: TaskSpec, allowed: tuple[str, ...]
-) -> Why | None:
+) -> WaitReason | None:
     if not any(tables.fleet.cells_by_domain.get(name) for name in allowed):
-        return Why.NO_CELL
+        return WaitReason.NO_CELL
     if not tables.fleet.could_hold(spec.size, allowed):
-        return Why.NEVER_FITS
+        return WaitReason.NEVER_FITS
     if not any(in_service(tables, name) for name in allowed):
-        return Why.DOMAIN_OUT
+        return WaitReason.DOMAIN_OUT
     return None
 
 
-def _names(tables: ControllerTables, domains: Iterable[str]) -> tuple[str, ...]:
+def _cell_names(tables: ControllerTables, domains: Iterable[str]) -> tuple[str, ...]:
     by_domain = tables.fleet.cells_by_domain
     return tuple(cell for name in domains for cell in by_domain.get(name, ()))
 
@@ -153,22 +155,23 @@
         return 0
     if spec.task_class is TaskClass.BATCH and summary.waiting > view.reserved_tasks:
         return 0
-    return how_many(spec.size, view.free)
+    return count_fitting(spec.size, view.free)
 
 
 def _sample(names: tuple[str, ...], seed: str) -> tuple[str, ...]:
-    if len(names) <= SAMPLE_CELLS:
+    if len(names) <= CELL_SAMPLE_SIZE:
         return names
     start = crc32(seed.encode())
-    stride = len(names) // SAMPLE_CELLS
+    stride = len(names) // CELL_SAMPLE_SIZE
     return tuple(
-        names[(start + place * stride) % len(names)] for place in range(SAMPLE_CELLS)
+        names[(start + place * stride) % len(names)]
+        for place in range(CELL_SAMPLE_SIZE)
     )
 
 
 def _most_free(
     tables: ControllerTables,
-    waiting: Waiting,
+    waiting: WaitingRow,
     spec: TaskSpec,
     names: tuple[str, ...],
     count: int,
@@ -180,24 +183,26 @@
         found = _candidates(tables, names, spec, now)
     if not found:
         reachable = _reachable(tables, names, now)
-        return Choice(why=Why.NO_ROOM if reachable else Why.NO_CELL)
+        return Choice(
+            wait_reason=WaitReason.NO_ROOM if reachable else WaitReason.NO_CELL
+        )
     found.sort(key=lambda one: (-one.room, one.name))
-    return Choice(cells=_dealt(found, count))
+    return Choice(cells=_distribute_tasks(found, count))
 
 
-def _enough(found: list[Candidate], count: int) -> list[Candidate]:
+def _sufficient_candidates(found: list[Candidate], count: int) -> list[Candidate]:
     """Return the first few candidates, or as many as it takes to have room."""
     room = 0
     for place, candidate in enumerate(found):
         room += candidate.room
-        if room >= count and place + 1 >= min(count, CELLS_A_MOVE):
+        if room >= count and place + 1 >= min(count, MIN_CELLS_PER_MOVE):
             return found[: place + 1]
     return found
 
 
-def _dealt(found: list[Candidate], count: int) -> tuple[str, ...]:
+def _distribute_tasks(found: list[Candidate], count: int) -> tuple[str, ...]:
     cells: list[str] = []
-    found = _enough(found, count)
+    found = _sufficient_candidates(found, count)
     for place, candidate in enumerate(found):
         left = count - len(cells)
         share = -(-left // (len(found) - place))
@@ -209,14 +214,14 @@
     return tuple(cells)
 
 
-def _spread(
+def _spread_replicas(
     tables: ControllerTables,
     spec: TaskSpec,
     domains: tuple[str, ...],
     count: int,
     now: float,
 ) -> Choice:
-    ordered = {name: _ordered(tables, spec, name, now) for name in domains}
+    ordered = {name: _ordered_candidates(tables, spec, name, now) for name in domains}
     room = {
         candidate.name: candidate.room
         for candidates in ordered.values()
@@ -224,22 +229,22 @@
     }
     cells: list[str] = []
     for index in range(spec.index, spec.index + count):
-        cell = _rotated(ordered, domains, index, room)
+        cell = _next_cell(ordered, domains, index, room)
         if cell is None:
             break
         room[cell] -= 1
         cells.append(cell)
-    return Choice(cells=tuple(cells), why=Why.NO_ROOM)
+    return Choice(cells=tuple(cells), wait_reason=WaitReason.NO_ROOM)
 
 
-def _ordered(
+def _ordered_candidates(
     tables: ControllerTables, spec: TaskSpec, domain: str, now: float
 ) -> list[Candidate]:
-    found = _candidates(tables, _names(tables, (domain,)), spec, now)
+    found = _candidates(tables, _cell_names(tables, (domain,)), spec, now)
     return sorted(found, key=lambda one: crc32(f"{spec.job}|{one.name}".encode()))
 
 
-def _rotated(
+def _next_cell(
     ordered: Mapping[str, list[Candidate]],
     domains: tuple[str, ...],
     index: int,
@@ -254,26 +259,26 @@
     return None
 
 
-def _displacing(
+def _choose_to_displace(
     tables: ControllerTables,
-    waiting: Waiting,
+    waiting: WaitingRow,
     spec: TaskSpec,
     names: tuple[str, ...],
     count: int,
     now: float,
 ) -> Choice:
-    able = [
+    displaceable = [
         view
         for view in _reachable(tables, names, now)
         if _could_make_room(tables, view, spec)
     ]
-    if not able:
-        return Choice(why=Why.NO_ROOM)
+    if not displaceable:
+        return Choice(wait_reason=WaitReason.NO_ROOM)
     seed = f"{waiting.key}|{waiting.version}"
-    able.sort(
-        key=lambda one: (_expected(one), crc32(f"{seed}|{one.cell}".encode())),
+    displaceable.sort(
+        key=lambda one: (_expected_waiting(one), crc32(f"{seed}|{one.cell}".encode())),
     )
-    cells = tuple(view.cell for view in able[:count])
+    cells = tuple(view.cell for view in displaceable[:count])
     return Choice(cells=cells, displacing=True)
 
 
@@ -283,9 +288,9 @@
         return False
     capacities = tables.fleet.capacities_by_cell.get(view.cell, ())
     has_worker = any(spec.size.fits(capacity) for capacity in capacities)
-    return has_worker and _expected(view) < DISPLACING_TASKS
+    return has_worker and _expected_waiting(view) < MAX_DISPLACING_TASKS
 
 
-def _expected(view: CellView) -> int:
+def _expected_waiting(view: CellView) -> int:
     waiting = view.summary.waiting if view.summary is not None else 0
     return max(waiting, view.reserved_tasks)
--- a/bulrushpulley/systems/control/polls.py
+++ b/bulrushpulley/systems/control/polls.py
@@ -7,7 +7,7 @@
 from bulrushpulley.entities.commit import ReadAsked
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import Fetched
-from bulrushpulley.entities.pending import Poll, Target
+from bulrushpulley.entities.pending import Poll, ReadTarget
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.systems.control.events import Controlled, apply, on_rows
 from bulrushpulley.systems.control.submissions import COMMITTER, ROLE, numbered
@@ -16,12 +16,16 @@
 
 
 def read_once(
-    tables: ControllerTables, now: float, *, target: Target, prefix: str
+    tables: ControllerTables, now: float, *, target: ReadTarget, prefix: str
 ) -> tuple[Controlled, str]:
     """Read a prefix a single time; returns the step and the id of the reading."""
     tables, fetch_id = numbered(tables, "f")
     poll = Poll(
-        target=target, prefix=prefix, every_s=0.0, fetch_id=fetch_id, asked_at=now
+        target=target,
+        prefix=prefix,
+        interval_s=0.0,
+        fetch_id=fetch_id,
+        requested_at=now,
     )
     tables = replace(tables, polls=tables.polls.put(fetch_id, poll))
     return Step(tables=tables, commands=(_asked(poll),)), fetch_id
@@ -32,12 +36,12 @@
     commands: list[Command] = []
     for name in tables.polls:
         poll = tables.polls.by_key[name]
-        if poll.fetch_id and now - poll.asked_at < ANSWER_WITHIN_S:
+        if poll.fetch_id and now - poll.requested_at < ANSWER_WITHIN_S:
             continue
         if poll.next_at is None or now < poll.next_at:
             continue
         tables, fetch_id = numbered(tables, "f")
-        asked = replace(poll, fetch_id=fetch_id, asked_at=now)
+        asked = replace(poll, fetch_id=fetch_id, requested_at=now)
         tables = replace(tables, polls=tables.polls.put(name, asked))
         commands.append(_asked(asked))
     return Step(tables=tables, commands=tuple(commands))
@@ -56,11 +60,13 @@
     poll = tables.polls.get(name)
     if poll is None or poll.fetch_id != event.fetch_id:
         return Step(tables=tables)
-    if poll.every_s == 0.0:
+    if poll.interval_s == 0.0:
         tables = replace(tables, polls=tables.polls.drop(name))
         return on_rows(poll.target, event.rows, event, tables, now)
     since = poll.since if event.failed else max(poll.since, event.revision)
-    next_at = None if poll.next_at is None else max(now, poll.asked_at + poll.every_s)
+    next_at = (
+        None if poll.next_at is None else max(now, poll.requested_at + poll.interval_s)
+    )
     rested = replace(poll, fetch_id="", since=since, next_at=next_at)
     tables = replace(tables, polls=tables.polls.put(name, rested))
     if event.failed:
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -46,12 +46,12 @@
         f"record/{kind}/": Poll(
             target=ReadRecords(kind=kind),
             prefix=f"record/{kind}/",
-            every_s=SPREAD_POLL_S,
+            interval_s=SPREAD_POLL_S,
             next_at=None,
         )
         for kind in KINDS
     }
-    revision = Poll(target=ReadRevision(), prefix="revision", every_s=SPREAD_POLL_S)
+    revision = Poll(target=ReadRevision(), prefix="revision", interval_s=SPREAD_POLL_S)
     return {"revision": revision, **kinds}
 
 
--- a/bulrushpulley/systems/control/said.py
+++ b/bulrushpulley/systems/control/said.py
@@ -19,13 +19,17 @@
     tables: ControllerTables, decisions: tuple[Decision, ...], now: float
 ) -> Controlled:
     """Return as commands the decisions of which the like was not said just now."""
-    said_at = tables.said_at if len(tables.said_at) < REMEMBERED else pmap()
+    last_logged_at = (
+        tables.last_logged_at if len(tables.last_logged_at) < REMEMBERED else pmap()
+    )
     fresh: list[Decision] = []
     for decision in decisions:
         key = f"{decision.kind}|{decision.subject}|{decision.reason}"
-        if now - said_at.get(key, now - SAY_EVERY_S) >= SAY_EVERY_S:
-            said_at = said_at.set(key, now)
+        if now - last_logged_at.get(key, now - SAY_EVERY_S) >= SAY_EVERY_S:
+            last_logged_at = last_logged_at.set(key, now)
             fresh.append(decision)
     if not fresh:
         return Step(tables=tables)
-    return Step(tables=replace(tables, said_at=said_at), commands=tuple(fresh))
+    return Step(
+        tables=replace(tables, last_logged_at=last_logged_at), commands=tuple(fresh)
+    )
--- a/bulrushpulley/systems/control/share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -10,13 +10,13 @@
 from functools import lru_cache
 from zlib import crc32
 
-from bulrushpulley.entities.backlog import Lane, Waiting
+from bulrushpulley.entities.backlog import Lane, WaitingRow
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.control.cells import used_by
 from bulrushpulley.systems.control.members import live_entries
 
-PRIORITY_STEP_S = 60.0
+AGING_S_PER_PRIORITY = 60.0
 
 
 @lru_cache(maxsize=4_096)
@@ -30,7 +30,7 @@
     return entry_for(department, live_entries(tables)) == tables.identity.name
 
 
-def share(tables: ControllerTables, department: str) -> float:
+def department_share(tables: ControllerTables, department: str) -> float:
     """Return what a department uses as a share of its quota or of all workers."""
     limit = tables.quotas.get(department, NO_RESOURCES)
     if limit == NO_RESOURCES:
@@ -44,6 +44,6 @@
     return max((have / most for have, most in pairs if most > 0), default=0.0)
 
 
-def urgency(lane: Lane, first: Waiting, now: float) -> float:
+def aged_priority(lane: Lane, first: WaitingRow, now: float) -> float:
     """Return a lane's priority, which grows with the age of its first row."""
-    return lane.priority + (now - first.seen_at) / PRIORITY_STEP_S
+    return lane.priority + (now - first.first_seen_at) / AGING_S_PER_PRIORITY
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -26,7 +26,7 @@
 )
 from bulrushpulley.systems.control.explain import why_waits
 from bulrushpulley.systems.control.members import live_entries
-from bulrushpulley.systems.control.offers import CELL_SILENT_S
+from bulrushpulley.systems.control.offers import SUMMARY_TIMEOUT_S
 from bulrushpulley.systems.control.records import record_row
 
 EXPLAINED_ROWS = 4
@@ -34,7 +34,7 @@
 
 def status_of(enquiry: Enquiry, tables: ControllerTables, now: float) -> Status:
     """Return how things stand as this entry sees them."""
-    heard_after = now - CELL_SILENT_S
+    heard_after = now - SUMMARY_TIMEOUT_S
     return Status(
         call_id=enquiry.call.call_id,
         revision=tables.revision,
@@ -97,7 +97,9 @@
         failure_domain=domain,
         owner=summary.owner if summary else "",
         epoch=summary.epoch if summary else 0,
-        fresh=view is not None and summary is not None and view.heard_at > heard_after,
+        fresh=view is not None
+        and summary is not None
+        and view.last_summary_at > heard_after,
         free=summary.free if summary else NO_RESOURCES,
         waiting=summary.waiting if summary else 0,
         running=summary.running if summary else 0,
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -27,7 +27,7 @@
 from bulrushpulley.entities.step import Event
 from bulrushpulley.roles import controller
 from bulrushpulley.roles.actor import Role
-from bulrushpulley.systems.control.backlog import note_rows
+from bulrushpulley.systems.control.backlog import handle_backlog_rows
 from bulrushpulley.systems.control.plans import job_spec
 from bulrushpulley.systems.control.records import learn
 
@@ -108,7 +108,7 @@
     events += [summary(number, NO_RESOURCES) for number in range(cells)]
     tables = role.tick(tables, events, 0.0).tables
     backlog = [waiting_row(number) for number in range(waiting)]
-    return role, note_rows(tables, backlog, 0.0)
+    return role, handle_backlog_rows(tables, backlog, 0.0)
 
 
 def waiting_row(number: int, tasks: int = 1) -> VersionedRow:
@@ -158,7 +158,7 @@
     events: list[Event] = [summary(number, free) for number in range(200)]
     tables = role.tick(tables, events, 1.0).tables
     rows = [waiting_row(number, tasks_a_job) for number in range(jobs)]
-    held = [note_rows(tables, rows, 1.0)]
+    held = [handle_backlog_rows(tables, rows, 1.0)]
 
     def assign() -> None:
         now, outcomes = 1.0, ()
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -109,9 +109,9 @@
 
     def tick(self, name: str) -> None:
         events, self.inbox[name] = self.inbox[name], []
-        began = time.perf_counter()
+        started_at = time.perf_counter()
         step = self.roles[name].tick(self.tables[name], events, self.now)
-        self.tick_s += time.perf_counter() - began
+        self.tick_s += time.perf_counter() - started_at
         self.tables[name] = step.tables
         for command in step.commands:
             self.sent.append((name, command))
@@ -121,21 +121,26 @@
         for _ in range(round(seconds / STEP_S)):
             self.step()
 
-    def of(self, kind: type[T], name: str = "") -> list[T]:
+    def commands_of(self, kind: type[T], name: str = "") -> list[T]:
         return [
             command
             for entry, command in self.sent
             if isinstance(command, kind) and name in ("", entry)
         ]
 
-    def items(self, kind: type[T]) -> list[T]:
-        return [one.item for one in self.of(Send) if isinstance(one.item, kind)]
+    def sent_items(self, kind: type[T]) -> list[T]:
+        return [
+            one.item for one in self.commands_of(Send) if isinstance(one.item, kind)
+        ]
 
     def call(self, name: str, event: ops.OperatorCall, within_s: float = 15.0) -> Any:
         self.tell(name, event)
         for _ in range(round(within_s / STEP_S)):
             self.step()
-            given: list[Any] = [*self.of(ops.Reply), *self.of(ops.Reject)]
+            given: list[Any] = [
+                *self.commands_of(ops.Reply),
+                *self.commands_of(ops.Reject),
+            ]
             answers = [one for one in given if one.call_id == event.call_id]
             if answers:
                 return answers[-1]
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -46,7 +46,7 @@
 NO_ROOM = Resources()
 
 
-def held(bench: Bench) -> Counter[str]:
+def task_row_counts(bench: Bench) -> Counter[str]:
     """Count the task rows of each task over all cells."""
     return Counter(key.split("/", 2)[2] for key in bench.rows("task/"))
 
@@ -67,7 +67,7 @@
     )
 
 
-def full(name: str, failure_domain: str) -> CellSummary:
+def full_summary(name: str, failure_domain: str) -> CellSummary:
     return summary(name, failure_domain, free=NO_ROOM, running=3)
 
 
@@ -100,12 +100,12 @@
         self.patch(control_assign, "is_responsible", lambda tables, name: True)
         bench = Bench(entries=("a", "b"))
         with_cells(bench, CELLS, summary)
-        bench.tell("a", full("r3", "manisa"), full("r4", "manisa"))
-        bench.tell("b", full("r1", "izmir"), full("r2", "izmir"))
+        bench.tell("a", full_summary("r3", "manisa"), full_summary("r4", "manisa"))
+        bench.tell("b", full_summary("r1", "izmir"), full_summary("r2", "izmir"))
         self.seed(bench, job("bread", 100))
         bench.run(5.0)
-        self.assertEqual({1}, set(held(bench).values()))
-        self.assertEqual(100, len(held(bench)))
+        self.assertEqual({1}, set(task_row_counts(bench).values()))
+        self.assertEqual(100, len(task_row_counts(bench)))
 
     def test_two_entries_that_assign_at_once_double_nothing(self) -> None:
         self.check_two_entries_at_once()
@@ -127,12 +127,12 @@
         while not bench.rows("task/"):
             bench.step()
         bench.stop(owner)
-        self.assertEqual([], bench.items(Assigned))
+        self.assertEqual([], bench.sent_items(Assigned))
         for _ in range(25):
             bench.tell(other, *(summary(n, d) for n, d in CELLS.items()))
             bench.run(1.0)
-        self.assertEqual({1}, set(held(bench).values()))
-        self.assertEqual((100, 0), (len(held(bench)), waiting(bench)))
+        self.assertEqual({1}, set(task_row_counts(bench).values()))
+        self.assertEqual((100, 0), (len(task_row_counts(bench)), waiting(bench)))
 
     def test_a_lost_answer_assigns_once(self) -> None:
         bench = Bench()
@@ -143,8 +143,8 @@
         bench.mode = "up"
         bench.tell("a", *(summary(n, d) for n, d in CELLS.items()))
         bench.run(5.0)
-        self.assertEqual({1}, set(held(bench).values()))
-        self.assertEqual((100, 0), (len(held(bench)), waiting(bench)))
+        self.assertEqual({1}, set(task_row_counts(bench).values()))
+        self.assertEqual((100, 0), (len(task_row_counts(bench)), waiting(bench)))
 
     def assigned_to_a_drained_domain(self) -> int:
         bench = Bench()
@@ -188,7 +188,7 @@
         status = bench.call("a", ops.AskStatus(call_id="s", author="x", job="never"))
         self.assertEqual(("never", 5), (status.jobs[0].name, status.jobs[0].waiting))
         self.assertIn("no allowed worker", status.jobs[0].note)
-        lines = [one for one in bench.of(Decision) if one.subject == "never"]
+        lines = [one for one in bench.commands_of(Decision) if one.subject == "never"]
         self.assertLess(len(lines), 5)
 
     def used_under_quota(self) -> int:
@@ -205,7 +205,7 @@
             for key in bench.rows("task/"):
                 counts[key.split("/")[1]] += 1
             bench.tell("a", *(self.in_use(name, counts[name]) for name in CELLS))
-        return sum(held(bench).values())
+        return sum(task_row_counts(bench).values())
 
     @staticmethod
     def in_use(name: str, count: int) -> CellSummary:
@@ -218,7 +218,7 @@
         self.assertEqual(7, self.used_under_quota())
 
     def test_guard_out_a_quota_would_be_passed(self) -> None:
-        self.patch(control_place, "within_quota", lambda tables, spec: 64)
+        self.patch(control_place, "tasks_within_quota", lambda tables, spec: 64)
         self.assertEqual(50, self.used_under_quota())
 
     def test_waiting_tasks_of_a_cell_count_against_the_quota(self) -> None:
@@ -234,7 +234,7 @@
             late = (summary(n, d, waiting=counts[n]) for n, d in CELLS.items())
             bench.tell("a", *late)
             bench.run(3.0)
-        self.assertEqual(4, sum(held(bench).values()))
+        self.assertEqual(4, sum(task_row_counts(bench).values()))
 
     def test_a_small_department_is_served_beside_a_large_backlog(self) -> None:
         bench = Bench()
@@ -246,7 +246,7 @@
         bench.tell("a", submit_record(job("bread", 15)))
         bench.run(2.0)
         self.assertEqual(15, sum(cells_of(bench, "bread").values()))
-        self.assertEqual(40, sum(held(bench).values()))
+        self.assertEqual(40, sum(task_row_counts(bench).values()))
 
 
 class SpreadReplicasTest(testtools.TestCase):
@@ -259,7 +259,7 @@
 
     def test_a_service_may_displace_batch_where_no_room_is_left(self) -> None:
         bench = Bench()
-        with_cells(bench, CELLS, full)
+        with_cells(bench, CELLS, full_summary)
         bench.call("a", submit_record(job("bread", 8)))
         bench.call("a", submit_record(service(2)))
         bench.run(1.0)
@@ -291,7 +291,7 @@
         bench.call("a", submit_record(service(4)))
         bench.run(1.0)
         self.amend(bench, 2, "down")
-        bench.tell("a", full("r1", "izmir"), full("r3", "manisa"))
+        bench.tell("a", full_summary("r1", "izmir"), full_summary("r3", "manisa"))
         self.early = self.amend(bench, 4, "up-early")
         bench.run(2.0)
         return bench
@@ -301,7 +301,7 @@
         self.assertIsInstance(self.early, ops.Reject)
         self.assertIn("still ending", self.early.problem.detail)
         self.assertIn("backlog/oven/closing", bench.rows("backlog/"))
-        self.assertEqual({1}, set(held(bench).values()))
+        self.assertEqual({1}, set(task_row_counts(bench).values()))
         for key, row in bench.rows("task/").items():
             if isinstance(row, TaskRow) and row.spec.index >= 2:
                 bench.write(key, None)
@@ -310,34 +310,34 @@
         self.assertEqual({}, bench.rows("done/"))
         self.assertIsInstance(self.amend(bench, 4, "up"), ops.Accepted)
         bench.run(2.0)
-        self.assertEqual({f"oven/{n}" for n in range(4)}, set(held(bench)))
-        self.assertEqual({1}, set(held(bench).values()))
+        self.assertEqual({f"oven/{n}" for n in range(4)}, set(task_row_counts(bench)))
+        self.assertEqual({1}, set(task_row_counts(bench).values()))
 
     def test_guard_out_a_closing_would_end_while_replicas_run(self) -> None:
         self.patch(control_plans, "nothing_closing", lambda name: ())
         bench = self.lowered_and_raised()
         bench.run(5.0)
         self.assertIsInstance(self.early, ops.Accepted)
-        self.assertIn("oven/2", held(bench))
+        self.assertIn("oven/2", task_row_counts(bench))
         self.assertNotIn("backlog/oven/closing", bench.rows("backlog/"))
 
 
 class UrgentTest(testtools.TestCase):
     def test_urgent_work_is_assigned_past_10_000_waiting_batch_tasks(self) -> None:
         bench = Bench()
-        with_cells(bench, CELLS, full)
+        with_cells(bench, CELLS, full_summary)
         numbers = range(10_000)
         rows = {f"backlog/b{n}/0": self.backlog_row(n) for n in numbers}
         bench.write_all(rows)
         bench.run(1.5)
         self.assertEqual(10_000, len(bench.tables["a"].waiting))
-        bench.tell("a", *(full(n, d) for n, d in CELLS.items()))
-        began = bench.now
+        bench.tell("a", *(full_summary(n, d) for n, d in CELLS.items()))
+        started_at = bench.now
         bench.tell("a", submit_record(job("alarm", 4, urgent=True)))
-        while sum(held(bench).values()) < 4:
+        while sum(task_row_counts(bench).values()) < 4:
             bench.step()
-            self.assertLess(bench.now - began, 2.7)
-        took_s, before = bench.now - began, bench.tick_s
+            self.assertLess(bench.now - started_at, 2.7)
+        took_s, before = bench.now - started_at, bench.tick_s
         bench.run(0.5)
         tick_ms = (bench.tick_s - before) / 5 * 1_000
         print(f"urgent assigned in {took_s:.1f} s; {tick_ms:.1f} ms a tick")
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -34,7 +34,7 @@
 )
 
 
-def told(command: Command) -> bool:
+def is_cancellation_notice(command: Command) -> bool:
     return isinstance(command, Send) and isinstance(command.item, JobCancelled)
 
 
@@ -53,7 +53,9 @@
         self.assertEqual(("a", "b"), self.live(bench))
         bench.run(8.0)
         self.assertEqual(("a",), self.live(bench))
-        lists = [[one.name for one in item.entries] for item in bench.items(Entries)]
+        lists = [
+            [one.name for one in item.entries] for item in bench.sent_items(Entries)
+        ]
         self.assertEqual([["a", "b"], ["a"]], lists)
 
     def in_an_outage(self) -> tuple[str, ...]:
@@ -82,7 +84,7 @@
         bench.tell("b", LinkUp(peer="agent-1", region="ege"))
         bench.tell("b", Leave())
         bench.run(2.5)
-        last = bench.items(Entries)[-1]
+        last = bench.sent_items(Entries)[-1]
         self.assertEqual(["a"], [one.name for one in last.entries])
         self.assertEqual(("a",), self.live(bench))
         bench.run(10.0)
@@ -100,7 +102,7 @@
 
 class OffersTest(testtools.TestCase):
     def offered(self, bench: Bench) -> list[str]:
-        sends = [one for one in bench.of(Send) if isinstance(one.item, Offer)]
+        sends = [one for one in bench.commands_of(Send) if isinstance(one.item, Offer)]
         return [one.peer for one in sends]
 
     def test_a_silent_cell_is_offered_outside_its_domain_first_and_then_on(
@@ -149,7 +151,7 @@
         assert isinstance(answer, ops.Accepted), answer
         return answer
 
-    def end_held(self, bench: Bench) -> None:
+    def write_outcomes(self, bench: Bench) -> None:
         """Do what owners do on `JobCancelled`: write outcomes for held tasks."""
         for key, row in bench.rows("task/").items():
             assert isinstance(row, TaskRow)
@@ -165,14 +167,14 @@
         self.assertEqual(3, len(bench.rows("task/")))
         self.cancel(bench, "bread")
         bench.run(10.0)
-        self.assertGreater(len(bench.items(JobCancelled)), 2)
+        self.assertGreater(len(bench.sent_items(JobCancelled)), 2)
         self.assertIn("backlog/bread/closing", bench.rows("backlog/"))
-        self.end_held(bench)
+        self.write_outcomes(bench)
         bench.run(20.0)
         self.assertEqual({}, bench.rows("backlog/"))
-        told = len(bench.items(JobCancelled))
+        notices_sent = len(bench.sent_items(JobCancelled))
         bench.run(60.0)
-        self.assertEqual(told, len(bench.items(JobCancelled)))
+        self.assertEqual(notices_sent, len(bench.sent_items(JobCancelled)))
         status = bench.call("a", ops.AskStatus(call_id="s", author="x", job="bread"))
         found = status.jobs[0]
         self.assertEqual((10, 0, 0), (found.tasks, found.waiting, found.held))
@@ -185,12 +187,14 @@
         self.cancel(bench, "bread")
         bench.stop("a")
         bench.run(25.0)
-        self.assertGreater(len([c for n, c in bench.sent if n == "b" and told(c)]), 0)
-        self.end_held(bench)
+        self.assertGreater(
+            len([c for n, c in bench.sent if n == "b" and is_cancellation_notice(c)]), 0
+        )
+        self.write_outcomes(bench)
         bench.run(30.0)
         self.assertEqual({}, bench.rows("backlog/"))
 
-    def revived_by_a_stale_entry(self) -> int:
+    def tasks_assigned_by_a_stale_entry(self) -> int:
         bench = Bench(entries=("a", "b"))
         self.patch(control_assign, "is_responsible", lambda tables, name: False)
         self.patch(control_closing, "is_responsible", lambda tables, name: False)
@@ -207,13 +211,13 @@
         return len(bench.rows("task/"))
 
     def test_a_cancelled_job_is_not_revived_by_an_entry_that_is_behind(self) -> None:
-        self.assertEqual(0, self.revived_by_a_stale_entry())
+        self.assertEqual(0, self.tasks_assigned_by_a_stale_entry())
 
     def test_guard_out_a_cancelled_job_would_be_assigned(self) -> None:
         self.patch(control_assign, "conditions_of", lambda *given: ())
-        self.assertGreater(self.revived_by_a_stale_entry(), 0)
+        self.assertGreater(self.tasks_assigned_by_a_stale_entry(), 0)
 
-    def wave(self) -> int:
+    def peak_transactions(self) -> int:
         bench = Bench()
         with_cells(
             bench,
@@ -239,7 +243,7 @@
         return most
 
     def test_a_wave_of_cancellations_stays_within_the_write_budget(self) -> None:
-        self.assertLess(self.wave(), 400)
+        self.assertLess(self.peak_transactions(), 400)
 
     def test_closings_in_flight_are_bounded(self) -> None:
         bench = Bench()
@@ -252,4 +256,4 @@
         bench.run(3.0)
         kind = CloseTasks.__name__
         in_flight = bench.tables["a"].pending.count_where("purpose", kind)
-        self.assertLessEqual(in_flight, control_closing.CLOSINGS_IN_FLIGHT)
+        self.assertLessEqual(in_flight, control_closing.MAX_CLOSINGS_IN_FLIGHT)
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -52,7 +52,7 @@
         bench.tell("b", change(DomainState.DRAINED, "baraka", expected))
         restore = change(DomainState.IN_SERVICE, "chidi", expected)
         bench.run(2.0)
-        self.assertEqual(2, len(bench.of(ops.Accepted)) - 1)
+        self.assertEqual(2, len(bench.commands_of(ops.Accepted)) - 1)
         late = bench.call("b", restore)
         self.assertEqual(Code.CONFLICT, code_of(late))
         self.assertIn("amina", late.problem.detail)
@@ -64,7 +64,7 @@
             for number in range(10):
                 bench.tell(name, submit_record(domain(f"{name}{number}")))
         bench.run(4.0)
-        self.assertEqual(20, len(bench.of(ops.Accepted)))
+        self.assertEqual(20, len(bench.commands_of(ops.Accepted)))
         self.assertEqual(RevisionRow(revision=20), bench.rows("revision")["revision"])
         rows = list(bench.rows("record/").values())
         revisions = {row.revision for row in rows if isinstance(row, RecordRow)}
@@ -75,10 +75,10 @@
         bench.mode = "lose_answers"
         bench.tell("a", submit_record(domain("izmir")))
         bench.run(2.0)
-        self.assertEqual([], bench.of(ops.Accepted))
+        self.assertEqual([], bench.commands_of(ops.Accepted))
         bench.mode = "up"
         bench.run(2.0)
-        self.assertEqual(1, len(bench.of(ops.Accepted)))
+        self.assertEqual(1, len(bench.commands_of(ops.Accepted)))
         self.assertEqual(RevisionRow(revision=1), bench.rows("revision")["revision"])
 
     def test_without_any_answer_the_outcome_is_unknown(self) -> None:
@@ -108,7 +108,7 @@
         bench.write("revision", RevisionRow(revision=2))
         bench.mode = "up"
         bench.run(2.0)
-        rejected = bench.of(ops.Reject)[0]
+        rejected = bench.commands_of(ops.Reject)[0]
         self.assertEqual(Code.OUTCOME_UNKNOWN, rejected.problem.code)
         self.assertIn("baraka", rejected.problem.detail)
 
@@ -125,10 +125,10 @@
         bench = Bench()
         bench.mode = "lose_answers"
         call = replace(submit_record(domain("izmir")), within_s=3.0)
-        began = bench.now
+        started_at = bench.now
         answer = bench.call("a", call)
         self.assertEqual(Code.OUTCOME_UNKNOWN, code_of(answer))
-        self.assertLess(bench.now - began, 3.0)
+        self.assertLess(bench.now - started_at, 3.0)
 
     def test_the_same_record_again_is_accepted_and_another_is_not(self) -> None:
         bench = Bench(entries=("a", "b"))
@@ -180,7 +180,7 @@
         bench.tell_all(LinkUp(peer="agent-1", region="ege"), announce("agent-1"))
         bench.run(1.0)
         accepted = bench.call("a", submit_record(domain("izmir")))
-        began = bench.now
+        started_at = bench.now
         revision = accepted.row.revision
         bench.run(0.2)
         ask = ops.AskInForce(call_id="early", author="amina", revision=revision)
@@ -192,7 +192,7 @@
             ask = ops.AskInForce(call_id=f"q{number}", author="x", revision=revision)
             if bench.call("a", ask).everywhere:
                 break
-        self.assertLess(bench.now - began, 3.0)
+        self.assertLess(bench.now - started_at, 3.0)
         for name in ("a", "b"):
             self.assertEqual(revision, bench.tables[name].revision)
 
@@ -204,9 +204,9 @@
         bench.call("a", submit_record(domain("manisa")))
         bench.call("a", submit_record(job("bread")))
         bench.run(1.0)
-        found = [(one.base, len(one.rows)) for one in bench.items(Configured)]
+        found = [(one.base, len(one.rows)) for one in bench.sent_items(Configured)]
         self.assertEqual([(0, 1), (1, 1)], found)
-        told = [one.event for one in bench.of(Tell) if one.role == "router"]
+        told = [one.event for one in bench.commands_of(Tell) if one.role == "router"]
         self.assertEqual(
             [1, 2], [one.revision for one in told if isinstance(one, Configured)]
         )
@@ -218,7 +218,7 @@
         bench.run(2.5)
         bench.tell("a", announce("agent-1", applied=0))
         bench.run(0.2)
-        self.assertEqual([0, 0], [one.base for one in bench.items(Configured)])
+        self.assertEqual([0, 0], [one.base for one in bench.sent_items(Configured)])
 
     def after_an_older_row(self) -> DomainState:
         bench = Bench()
--- a/test/test_control_path.py
+++ b/test/test_control_path.py
@@ -16,7 +16,7 @@
         answer = bench.call("a", submit_record(job("bread", 3)))
         self.assertIsInstance(answer, ops.Accepted)
         bench.run(1.0)
-        keys = {row.key for item in bench.items(Assigned) for row in item.rows}
+        keys = {row.key for item in bench.sent_items(Assigned) for row in item.rows}
         self.assertEqual({f"task/r1/bread/{n}" for n in range(3)}, keys)
         self.assertEqual(keys, set(bench.rows("task/")))
         self.assertEqual({}, bench.rows("backlog/"))
