--- a/bulrushpulley/entities/backend_server.py
+++ b/bulrushpulley/entities/backend_server.py
@@ -9,8 +9,8 @@
 
 from dataclasses import dataclass, replace
 
-LATENCY_WEIGHT = 0.2
-FIRST_LATENCY_S = 0.01
+LATENCY_SAMPLE_WEIGHT = 0.2
+INITIAL_LATENCY_S = 0.01
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,11 +28,11 @@
     region: str
     failure_domain: str
     slots: int
-    heard_at: float
-    others: int = 0
+    last_announced_at: float
+    other_load: int = 0
     in_flight: int = 0
-    claiming: int = 0
-    latency_s: float = FIRST_LATENCY_S
+    pending_claims: int = 0
+    latency_s: float = INITIAL_LATENCY_S
     samples: int = 0
     observed_at: float = 0.0
     healthy: bool = True
@@ -43,19 +43,19 @@
     @property
     def load(self) -> int:
         """The requests that the backend server has, as far as is known."""
-        return self.in_flight + self.others
+        return self.in_flight + self.other_load
 
-    def dispatched(self) -> BackendServer:
+    def with_request_added(self) -> BackendServer:
         """Return the row with one more request in flight."""
         return replace(self, in_flight=self.in_flight + 1)
 
-    def released(self) -> BackendServer:
+    def with_request_removed(self) -> BackendServer:
         """Return the row with one request less in flight."""
         return replace(self, in_flight=max(0, self.in_flight - 1))
 
-    def observed(self, latency_s: float, now: float) -> BackendServer:
+    def with_latency_sample(self, latency_s: float, now: float) -> BackendServer:
         """Return the row with one more latency in the average."""
-        weight = LATENCY_WEIGHT if self.samples else 1.0
+        weight = LATENCY_SAMPLE_WEIGHT if self.samples else 1.0
         average = self.latency_s + weight * (latency_s - self.latency_s)
         return replace(
             self, latency_s=average, samples=self.samples + 1, observed_at=now
--- a/bulrushpulley/entities/execution.py
+++ b/bulrushpulley/entities/execution.py
@@ -59,11 +59,11 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Remembered:
+class RememberedOutcome:
     """The outcome of an unrepeatable id, kept until `until`."""
 
     request_id: str
-    until: float
+    expires_at: float
     outcome: Outcome
 
 
@@ -87,7 +87,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HealthSeen(Event):
+class HealthChecked(Event):
     """The outcome of a health check."""
 
     healthy: bool
--- a/bulrushpulley/entities/guard_tables.py
+++ b/bulrushpulley/entities/guard_tables.py
@@ -8,7 +8,7 @@
 
 from bulrushpulley.entities.execution import (
     Execution,
-    Remembered,
+    RememberedOutcome,
     by_request_id,
     by_state,
 )
@@ -44,10 +44,10 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Announced:
+class AnnouncedState:
     """The last announcement: when it left and what it said."""
 
-    at: float = float("-inf")
+    sent_at: float = float("-inf")
     running: int = 0
     queued: int = 0
     healthy: bool = False
@@ -70,14 +70,14 @@
     settings: GuardSettings
     executions: Table[Execution]
     links: Table[EntryLink]
-    remembered: Table[Remembered]
-    oldest_first: KeyQueue
-    with_body: KeyQueue
-    refused: PMap[str, None]
-    refused_first: KeyQueue
-    announced: Announced
+    remembered: Table[RememberedOutcome]
+    remembered_order: KeyQueue
+    body_order: KeyQueue
+    refused_attempts: PMap[str, None]
+    refused_order: KeyQueue
+    announced: AnnouncedState
     body_bytes: int = 0
-    forgetful_until: float = 0.0
+    outcomes_missing_until: float = 0.0
     service_s: float = 0.0
     healthy: bool = True
     failures: int = 0
@@ -97,9 +97,9 @@
             ),
             links=Table.empty(),
             remembered=Table.empty(),
-            oldest_first=KeyQueue(),
-            with_body=KeyQueue(),
-            refused=pmap(),
-            refused_first=KeyQueue(),
-            announced=Announced(),
+            remembered_order=KeyQueue(),
+            body_order=KeyQueue(),
+            refused_attempts=pmap(),
+            refused_order=KeyQueue(),
+            announced=AnnouncedState(),
         )
--- a/bulrushpulley/entities/key_queue.py
+++ b/bulrushpulley/entities/key_queue.py
@@ -17,39 +17,39 @@
 class KeyQueue:
     """Keys by place; those from `first` to `last` are filled."""
 
-    by_place: PMap[int, str] = field(default_factory=pmap)
+    by_position: PMap[int, str] = field(default_factory=pmap)
     first: int = 0
     last: int = -1
 
     @property
     def left(self) -> str:
         """The key at the left end."""
-        return self.by_place[self.first]
+        return self.by_position[self.first]
 
     @property
     def right(self) -> str:
         """The key at the right end."""
-        return self.by_place[self.last]
+        return self.by_position[self.last]
 
     def append(self, key: str) -> KeyQueue:
         """Return the queue with a key more at its right end."""
         last = self.last + 1
-        return replace(self, by_place=self.by_place.set(last, key), last=last)
+        return replace(self, by_position=self.by_position.set(last, key), last=last)
 
     def appendleft(self, key: str) -> KeyQueue:
         """Return the queue with a key more at its left end."""
         first = self.first - 1
-        return replace(self, by_place=self.by_place.set(first, key), first=first)
+        return replace(self, by_position=self.by_position.set(first, key), first=first)
 
     def pop(self) -> KeyQueue:
         """Return the queue without the key at its right end."""
-        left = self.by_place.remove(self.last)
-        return replace(self, by_place=left, last=self.last - 1)
+        left = self.by_position.remove(self.last)
+        return replace(self, by_position=left, last=self.last - 1)
 
     def popleft(self) -> KeyQueue:
         """Return the queue without the key at its left end."""
-        left = self.by_place.remove(self.first)
-        return replace(self, by_place=left, first=self.first + 1)
+        left = self.by_position.remove(self.first)
+        return replace(self, by_position=left, first=self.first + 1)
 
     def __len__(self) -> int:
-        return len(self.by_place)
+        return len(self.by_position)
--- a/bulrushpulley/entities/request.py
+++ b/bulrushpulley/entities/request.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-TIMER_S = 0.01
+TIMER_BUCKET_S = 0.01
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,7 +51,7 @@
     """
 
     agent: str
-    unlinked_until: float = 0.0
+    link_deadline: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,7 +75,7 @@
     stage: Stage
     claim_version: int = 0
     may_have_run: bool = False
-    tried: tuple[str, ...] = ()
+    tried_agents: tuple[str, ...] = ()
     attempts: tuple[str, ...] = ()
     hedged: bool = False
 
@@ -93,7 +93,7 @@
 
 def timer_bucket(at: float) -> int:
     """Return the number of the timer bucket that holds the moment `at`."""
-    return int(at / TIMER_S)
+    return int(at / TIMER_BUCKET_S)
 
 
 def by_due(request: Request) -> tuple[str, ...]:
@@ -114,7 +114,7 @@
 
 @awaited_link.register
 def _(stage: Recalling) -> tuple[str, ...]:
-    return (stage.agent,) if stage.unlinked_until else ()
+    return (stage.agent,) if stage.link_deadline else ()
 
 
 def by_awaited_link(request: Request) -> tuple[str, ...]:
--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -18,7 +18,7 @@
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
 
-CLAIM_BUCKET_S = 10.0
+CLAIM_DELETION_BUCKET_S = 10.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,11 +40,11 @@
     declared: bool = False
     queue: KeyQueue = field(default_factory=KeyQueue)
     waiting: int = 0
-    arrived_at: float = 0.0
-    gap_s: float = 1.0
+    last_arrival_at: float = 0.0
+    interarrival_s: float = 1.0
     service_s: float = 0.0
-    claim_s: float = 0.0
-    late_s: float = 0.0
+    claim_latency_s: float = 0.0
+    latency_p95_s: float = 0.0
     retry_tokens: float = 10.0
     hedge_tokens: float = 1.0
 
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class HeldClaim:
+class ClaimDeletion:
     """A claim row that this router is to delete at `delete_at`, keyed by its key."""
 
     key: str
@@ -80,9 +80,9 @@
     read_at: float
 
 
-def by_deletion(claim: HeldClaim) -> tuple[str, ...]:
+def by_deletion(claim: ClaimDeletion) -> tuple[str, ...]:
     """Index key function: the coarse bucket of the moment of deletion."""
-    return (str(int(claim.delete_at / CLAIM_BUCKET_S)),)
+    return (str(int(claim.delete_at / CLAIM_DELETION_BUCKET_S)),)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,19 +99,19 @@
     servers: Table[BackendServer]
     links: Table[str]
     services: Table[Service]
-    busy: PMap[str, None]
+    busy_services: PMap[str, None]
     requests: Table[Request]
     attempts: Table[Attempt]
     submissions: Table[ClaimSubmission]
-    claims: Table[HeldClaim]
-    pages: Table[ClaimPage]
+    claim_deletions: Table[ClaimDeletion]
+    claim_pages: Table[ClaimPage]
     body_bytes: int = 0
     sequence: int = 0
-    timers_until: int = -1
-    eject_at: float = 0.0
+    last_timer_bucket: int = -1
+    ejection_check_at: float = 0.0
     revision: int = 0
     sweep_at: float = 0.0
-    page_at: float = 0.0
+    page_read_at: float = 0.0
     page_number: int = 0
     leaving: bool = False
     done: bool = False
@@ -125,14 +125,14 @@
             servers=Table.empty(indexes={"service": by_service}),
             links=Table.empty(),
             services=Table.empty(),
-            busy=pmap(),
+            busy_services=pmap(),
             requests=Table.empty(
                 indexes={"due": by_due, "awaited_link": by_awaited_link}
             ),
             attempts=Table.empty(indexes={"agent": by_agent}),
             submissions=Table.empty(),
-            claims=Table.empty(indexes={"deletion": by_deletion}),
-            pages=Table.empty(),
+            claim_deletions=Table.empty(indexes={"deletion": by_deletion}),
+            claim_pages=Table.empty(),
         )
 
     def numbered(self) -> tuple[RouterTables, str]:
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.execution import (
     BackendAnswered,
     BackendFailed,
-    HealthSeen,
+    HealthChecked,
     RunOnBackend,
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
@@ -60,16 +60,16 @@
             execution_id=command.execution_id, status=response.status, body=body
         )
 
-    def check(self) -> HealthSeen:
+    def check(self) -> HealthChecked:
         """Ask the backend server for its health."""
         try:
             response = self._pool.request(
                 "GET", f"{self._url}/v1/health", timeout=HEALTH_TIMEOUT_S
             )
         except (HTTPError, OSError) as error:
-            return HealthSeen(healthy=False, detail=str(error))
+            return HealthChecked(healthy=False, detail=str(error))
         healthy = response.status == 200
-        return HealthSeen(healthy=healthy, detail=f"status {response.status}")
+        return HealthChecked(healthy=healthy, detail=f"status {response.status}")
 
     def close(self) -> None:
         """Close the pool's connections."""
--- a/bulrushpulley/roles/guard.py
+++ b/bulrushpulley/roles/guard.py
@@ -7,7 +7,7 @@
 from bulrushpulley.systems.guard import announce as guard_announce
 from bulrushpulley.systems.guard import health as guard_health
 from bulrushpulley.systems.guard import leave as guard_leave
-from bulrushpulley.systems.guard import memory as guard_memory
+from bulrushpulley.systems.guard import outcomes as guard_outcomes
 from bulrushpulley.systems.guard import queue as guard_queue
 from bulrushpulley.systems.guard import requests as guard_requests
 from bulrushpulley.systems.guard import results as guard_results
@@ -50,7 +50,7 @@
         tables=GuardTables.empty(settings=settings),
         apply=apply,
         systems=(
-            guard_memory.run,
+            guard_outcomes.run,
             guard_queue.run,
             guard_health.run,
             guard_announce.run,
--- a/bulrushpulley/roles/router.py
+++ b/bulrushpulley/roles/router.py
@@ -4,14 +4,14 @@
 
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.roles.actor import Role
+from bulrushpulley.systems.route import agents as route_agents
 from bulrushpulley.systems.route import answers as route_answers
 from bulrushpulley.systems.route import calls as route_calls
+from bulrushpulley.systems.route import claim_outcomes as route_claim_outcomes
 from bulrushpulley.systems.route import dispatch as route_dispatch
 from bulrushpulley.systems.route import eject as route_eject
 from bulrushpulley.systems.route import leave as route_leave
-from bulrushpulley.systems.route import members as route_members
 from bulrushpulley.systems.route import resubmit as route_resubmit
-from bulrushpulley.systems.route import settle as route_settle
 from bulrushpulley.systems.route import shed as route_shed
 from bulrushpulley.systems.route import sweep as route_sweep
 from bulrushpulley.systems.route import timers as route_timers
@@ -20,9 +20,9 @@
 EVENT_MODULES = (
     route_answers,
     route_calls,
-    route_members,
+    route_agents,
     route_resubmit,
-    route_settle,
+    route_claim_outcomes,
 )
 """The modules that register events by being imported."""
 
--- a/bulrushpulley/systems/guard/announce.py
+++ b/bulrushpulley/systems/guard/announce.py
@@ -10,23 +10,23 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.guard_tables import Announced, EntryLink, GuardTables
+from bulrushpulley.entities.guard_tables import AnnouncedState, EntryLink, GuardTables
 from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.guard.events import apply
 from bulrushpulley.systems.guard.queue import QUEUED, RUNNING
 
-URGENT_S = 0.1
-LOAD_S_PER_LINK = 0.05
-KEEPALIVE_S = 1.0
+URGENT_ANNOUNCE_INTERVAL_S = 0.1
+LOAD_ANNOUNCE_INTERVAL_PER_LINK_S = 0.05
+ANNOUNCE_KEEPALIVE_INTERVAL_S = 1.0
 
 
 @apply.register
 def _(event: LinkUp, tables: GuardTables, now: float) -> Step[GuardTables]:
     link = EntryLink(peer=event.peer, region=event.region)
     tables = replace(tables, links=tables.links.put(event.peer, link))
-    hello = announcement(tables, state(tables, now))
-    return Step(tables=tables, commands=(Send(peer=event.peer, item=hello),))
+    item = announcement(tables, current_state(tables, now))
+    return Step(tables=tables, commands=(Send(peer=event.peer, item=item),))
 
 
 @apply.register
@@ -42,10 +42,10 @@
     return Step(tables=replace(tables, applied_revision=revision))
 
 
-def state(tables: GuardTables, now: float) -> Announced:
+def current_state(tables: GuardTables, now: float) -> AnnouncedState:
     """Return what an announcement would say now."""
-    return Announced(
-        at=now,
+    return AnnouncedState(
+        sent_at=now,
         running=tables.executions.count_where("state", RUNNING),
         queued=tables.executions.count_where("state", QUEUED),
         healthy=tables.healthy,
@@ -54,7 +54,7 @@
     )
 
 
-def announcement(tables: GuardTables, said: Announced) -> Announce:
+def announcement(tables: GuardTables, state: AnnouncedState) -> Announce:
     """Return the link item of an announcement."""
     settings = tables.settings
     return Announce(
@@ -64,33 +64,40 @@
         region=settings.region,
         failure_domain=settings.failure_domain,
         slots=settings.slots,
-        running=said.running,
-        queued=said.queued,
-        healthy=said.healthy,
-        leaving=said.leaving,
-        applied_revision=said.applied_revision,
+        running=state.running,
+        queued=state.queued,
+        healthy=state.healthy,
+        leaving=state.leaving,
+        applied_revision=state.applied_revision,
     )
 
 
-def gap_s(before: Announced, after: Announced, links: int) -> float:
+def announce_interval_s(
+    before: AnnouncedState, after: AnnouncedState, links: int
+) -> float:
     """Return how long after the last announcement the next one is due."""
     if before.leaving != after.leaving:
         return 0.0
-    revised = before.applied_revision != after.applied_revision
-    filled = bool(before.queued) != bool(after.queued)
-    if before.healthy != after.healthy or revised or filled:
-        return URGENT_S
+    revision_changed = before.applied_revision != after.applied_revision
+    queue_changed = bool(before.queued) != bool(after.queued)
+    if before.healthy != after.healthy or revision_changed or queue_changed:
+        return URGENT_ANNOUNCE_INTERVAL_S
     if before.running != after.running or before.queued != after.queued:
-        return min(KEEPALIVE_S, max(URGENT_S, LOAD_S_PER_LINK * links))
-    return KEEPALIVE_S
+        return min(
+            ANNOUNCE_KEEPALIVE_INTERVAL_S,
+            max(URGENT_ANNOUNCE_INTERVAL_S, LOAD_ANNOUNCE_INTERVAL_PER_LINK_S * links),
+        )
+    return ANNOUNCE_KEEPALIVE_INTERVAL_S
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
     """Announce to every entry if it is due."""
-    said = state(tables, now)
+    state = current_state(tables, now)
     links = len(tables.links)
-    if now < tables.announced.at + gap_s(tables.announced, said, links):
+    if now < tables.announced.sent_at + announce_interval_s(
+        tables.announced, state, links
+    ):
         return Step(tables=tables)
-    item = announcement(tables, said)
+    item = announcement(tables, state)
     commands = tuple(Send(peer=peer, item=item) for peer in sorted(tables.links))
-    return Step(tables=replace(tables, announced=said), commands=commands)
+    return Step(tables=replace(tables, announced=state), commands=commands)
--- a/bulrushpulley/systems/guard/health.py
+++ b/bulrushpulley/systems/guard/health.py
@@ -4,25 +4,25 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.execution import CheckBackend, HealthSeen
+from bulrushpulley.entities.execution import CheckBackend, HealthChecked
 from bulrushpulley.entities.guard_tables import GuardTables
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.guard.events import apply
 
-CHECK_S = 1.0
+HEALTH_CHECK_INTERVAL_S = 1.0
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
     """Ask for the backend server's health every `CHECK_S`."""
     if now < tables.check_at:
         return Step(tables=tables)
-    tables = replace(tables, check_at=now + CHECK_S)
+    tables = replace(tables, check_at=now + HEALTH_CHECK_INTERVAL_S)
     return Step(tables=tables, commands=(CheckBackend(),))
 
 
 @apply.register
-def _(event: HealthSeen, tables: GuardTables, now: float) -> Step[GuardTables]:
+def _(event: HealthChecked, tables: GuardTables, now: float) -> Step[GuardTables]:
     if event.healthy == tables.healthy:
         return Step(tables=tables)
     decision = Decision(
--- a/bulrushpulley/systems/guard/leave.py
+++ b/bulrushpulley/systems/guard/leave.py
@@ -13,14 +13,14 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.guard.events import apply
 
-LINGER_S = 1.0
+MIN_LINGER_S = 1.0
 
 
 @apply.register
 def _(event: Leave, tables: GuardTables, now: float) -> Step[GuardTables]:
     if tables.leaving:
         return Step(tables=tables)
-    return Step(tables=replace(tables, leaving=True, linger_until=now + LINGER_S))
+    return Step(tables=replace(tables, leaving=True, linger_until=now + MIN_LINGER_S))
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
--- a/bulrushpulley/systems/guard/memory.py
+++ b/bulrushpulley/systems/guard/outcomes.py
@@ -9,15 +9,15 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.execution import Outcome, Remembered
+from bulrushpulley.entities.execution import Outcome, RememberedOutcome
 from bulrushpulley.entities.guard_tables import GuardTables
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
 
-REMEMBER_S = 4 * 3600.0
-MAX_REMEMBERED = 50_000
-MAX_BODY_BYTES = 16 * 1024 * 1024
-MAX_REFUSED = 10_000
+OUTCOME_RETENTION_S = 4 * 3600.0
+MAX_REMEMBERED_OUTCOMES = 50_000
+MAX_REMEMBERED_BODY_BYTES = 16 * 1024 * 1024
+MAX_REFUSED_ATTEMPTS = 10_000
 
 
 def remember(
@@ -26,15 +26,17 @@
     """Keep the outcome of an id; the first one stands."""
     if request_id in tables.remembered:
         return tables
-    row = Remembered(request_id=request_id, until=now + REMEMBER_S, outcome=outcome)
-    with_body = tables.with_body
+    row = RememberedOutcome(
+        request_id=request_id, expires_at=now + OUTCOME_RETENTION_S, outcome=outcome
+    )
+    body_order = tables.body_order
     if outcome.body:
-        with_body = with_body.append(request_id)
+        body_order = body_order.append(request_id)
     tables = replace(
         tables,
         remembered=tables.remembered.put(request_id, row),
-        oldest_first=tables.oldest_first.append(request_id),
-        with_body=with_body,
+        remembered_order=tables.remembered_order.append(request_id),
+        body_order=body_order,
         body_bytes=tables.body_bytes + len(outcome.body),
     )
     return trim_bodies(trim_ids(tables, now))
@@ -42,46 +44,46 @@
 
 def trim_ids(tables: GuardTables, now: float) -> GuardTables:
     """Forget the oldest ids beyond the bound, and note that some are missing."""
-    while len(tables.remembered) > MAX_REMEMBERED:
-        oldest = tables.remembered.by_key[tables.oldest_first.left]
-        until = max(tables.forgetful_until, oldest.until)
-        tables = replace(forget_oldest(tables), forgetful_until=until)
+    while len(tables.remembered) > MAX_REMEMBERED_OUTCOMES:
+        oldest = tables.remembered.by_key[tables.remembered_order.left]
+        expires_at = max(tables.outcomes_missing_until, oldest.expires_at)
+        tables = replace(drop_oldest(tables), outcomes_missing_until=expires_at)
     return tables
 
 
-def forget_oldest(tables: GuardTables) -> GuardTables:
+def drop_oldest(tables: GuardTables) -> GuardTables:
     """Forget the oldest id."""
-    request_id = tables.oldest_first.left
+    request_id = tables.remembered_order.left
     tables = drop_body(tables, request_id)
     return replace(
         tables,
         remembered=tables.remembered.drop(request_id),
-        oldest_first=tables.oldest_first.popleft(),
+        remembered_order=tables.remembered_order.popleft(),
     )
 
 
 def trim_bodies(tables: GuardTables) -> GuardTables:
     """Drop the oldest bodies beyond the bound; their ids stay."""
-    while tables.body_bytes > MAX_BODY_BYTES:
-        tables = drop_body(tables, tables.with_body.left)
+    while tables.body_bytes > MAX_REMEMBERED_BODY_BYTES:
+        tables = drop_body(tables, tables.body_order.left)
     return tables
 
 
 def drop_body(tables: GuardTables, request_id: str) -> GuardTables:
     """Drop the body of the answer to an id; bodies go in the order they came."""
-    if not tables.with_body or tables.with_body.left != request_id:
+    if not tables.body_order or tables.body_order.left != request_id:
         return tables
     row = tables.remembered.by_key[request_id]
-    outcome = Outcome(ran=Ran.YES, took_s=row.outcome.took_s, problem=GONE)
+    outcome = Outcome(ran=Ran.YES, took_s=row.outcome.took_s, problem=BODY_DROPPED)
     return replace(
         tables,
         remembered=tables.remembered.put(request_id, replace(row, outcome=outcome)),
-        with_body=tables.with_body.popleft(),
+        body_order=tables.body_order.popleft(),
         body_bytes=tables.body_bytes - len(row.outcome.body),
     )
 
 
-GONE = Problem(
+BODY_DROPPED = Problem(
     code=Code.OUTCOME_UNKNOWN,
     step="guard.recall",
     peer="self",
@@ -89,23 +91,23 @@
 )
 
 
-def refuse_for_good(tables: GuardTables, attempt_id: str) -> GuardTables:
+def record_refused_attempt(tables: GuardTables, attempt_id: str) -> GuardTables:
     """Note an attempt as refused, so that a late copy of it is refused too."""
-    if attempt_id in tables.refused:
+    if attempt_id in tables.refused_attempts:
         return tables
-    refused = tables.refused.set(attempt_id, None)
-    first = tables.refused_first.append(attempt_id)
-    if len(first) > MAX_REFUSED:
-        refused = refused.remove(first.left)
-        first = first.popleft()
-    return replace(tables, refused=refused, refused_first=first)
+    refused_attempts = tables.refused_attempts.set(attempt_id, None)
+    order = tables.refused_order.append(attempt_id)
+    if len(order) > MAX_REFUSED_ATTEMPTS:
+        refused_attempts = refused_attempts.remove(order.left)
+        order = order.popleft()
+    return replace(tables, refused_attempts=refused_attempts, refused_order=order)
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
     """Forget the ids whose time is over."""
-    while tables.oldest_first:
-        oldest = tables.remembered.by_key[tables.oldest_first.left]
-        if oldest.until > now:
+    while tables.remembered_order:
+        oldest = tables.remembered.by_key[tables.remembered_order.left]
+        if oldest.expires_at > now:
             break
-        tables = forget_oldest(tables)
+        tables = drop_oldest(tables)
     return Step(tables=tables)
--- a/bulrushpulley/systems/guard/queue.py
+++ b/bulrushpulley/systems/guard/queue.py
@@ -31,8 +31,8 @@
     free = tables.settings.slots - tables.executions.count_where("state", RUNNING)
     commands: list[Command] = []
     for execution in sorted(queued, key=lambda row: (row.deadline, row.received_at)):
-        least_s = tables.service_s if free <= 0 else 0.0
-        if execution.deadline - now <= least_s:
+        min_left_s = tables.service_s if free <= 0 else 0.0
+        if execution.deadline - now <= min_left_s:
             step = expire(tables, execution, now)
         elif free > 0:
             free -= 1
--- a/bulrushpulley/systems/guard/reply.py
+++ b/bulrushpulley/systems/guard/reply.py
@@ -20,7 +20,7 @@
     return Outcome(ran=Ran.NO, problem=problem(code, step, detail))
 
 
-def item(outcome: Outcome, attempt_id: str) -> LinkEvent:
+def reply_item(outcome: Outcome, attempt_id: str) -> LinkEvent:
     """Return the link item that tells an attempt its outcome."""
     if outcome.problem is None:
         return Answered(
@@ -35,6 +35,6 @@
 def replies(outcome: Outcome, waiters: Iterable[Waiter]) -> tuple[Command, ...]:
     """Return the commands that tell every waiter the outcome."""
     return tuple(
-        Send(peer=waiter.peer, item=item(outcome, waiter.attempt_id))
+        Send(peer=waiter.peer, item=reply_item(outcome, waiter.attempt_id))
         for waiter in waiters
     )
--- a/bulrushpulley/systems/guard/requests.py
+++ b/bulrushpulley/systems/guard/requests.py
@@ -21,22 +21,22 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Ran
 from bulrushpulley.systems.guard.events import apply
-from bulrushpulley.systems.guard.memory import refuse_for_good, remember
+from bulrushpulley.systems.guard.outcomes import record_refused_attempt, remember
 from bulrushpulley.systems.guard.reply import not_run, problem, replies
 
-ACCEPT = "guard.accept"
-RECALL = "guard.recall"
+ACCEPT_STEP = "guard.accept"
+RECALL_STEP = "guard.recall"
 
 
 @apply.register
 def _(event: Dispatch, tables: GuardTables, now: float) -> Step[GuardTables]:
     waiter = Waiter(peer=event.peer, attempt_id=event.attempt_id)
-    known = None if event.repeatable else join(tables, event.request_id, waiter)
+    known = None if event.repeatable else join_known(tables, event.request_id, waiter)
     if known is not None:
         return known
     if event.attempt_id in tables.executions:
         return Step(tables=tables)
-    refusal = refusal_of(event, tables)
+    refusal = dispatch_refusal(event, tables)
     if refusal is not None:
         return refuse(tables, event, waiter, refusal)
     execution = Execution(
@@ -50,16 +50,16 @@
         state=ExecutionState.QUEUED,
         waiters=(waiter,),
     )
-    return Step(tables=put(tables, execution))
+    return Step(tables=put_execution(tables, execution))
 
 
-def put(tables: GuardTables, execution: Execution) -> GuardTables:
+def put_execution(tables: GuardTables, execution: Execution) -> GuardTables:
     """Return the tables with an execution."""
     executions = tables.executions.put(execution.execution_id, execution)
     return replace(tables, executions=executions)
 
 
-def join(
+def join_known(
     tables: GuardTables, request_id: str, waiter: Waiter
 ) -> Step[GuardTables] | None:
     """Give an attempt the outcome of its id, now or later; None if it is unknown."""
@@ -70,36 +70,38 @@
         if waiter in execution.waiters:
             return Step(tables=tables)
         waiters = (*execution.waiters, waiter)
-        return Step(tables=put(tables, replace(execution, waiters=waiters)))
+        return Step(tables=put_execution(tables, replace(execution, waiters=waiters)))
     return None
 
 
-def refusal_of(event: Dispatch, tables: GuardTables) -> Outcome | None:
+def dispatch_refusal(event: Dispatch, tables: GuardTables) -> Outcome | None:
     """Return why a dispatch is not taken, if so."""
     settings = tables.settings
-    if event.attempt_id in tables.refused:
-        return not_run(Code.NOT_RUN, ACCEPT, "this attempt was refused before")
+    if event.attempt_id in tables.refused_attempts:
+        return not_run(Code.NOT_RUN, ACCEPT_STEP, "this attempt was refused before")
     if not event.repeatable and not event.request_id:
-        return not_run(Code.INVALID, ACCEPT, "an unrepeatable request needs an id")
+        return not_run(Code.INVALID, ACCEPT_STEP, "an unrepeatable request needs an id")
     if event.service != settings.service:
-        return not_run(Code.NOT_FOUND, ACCEPT, f"this runs {settings.service}")
+        return not_run(Code.NOT_FOUND, ACCEPT_STEP, f"this runs {settings.service}")
     if tables.leaving:
-        return not_run(Code.LEAVING, ACCEPT, "the backend server is leaving")
+        return not_run(Code.LEAVING, ACCEPT_STEP, "the backend server is leaving")
     if not tables.healthy:
-        return not_run(Code.UNAVAILABLE, ACCEPT, "the backend server is unhealthy")
-    return no_room(event, tables)
+        return not_run(Code.UNAVAILABLE, ACCEPT_STEP, "the backend server is unhealthy")
+    return capacity_refusal(event, tables)
 
 
-def no_room(event: Dispatch, tables: GuardTables) -> Outcome | None:
+def capacity_refusal(event: Dispatch, tables: GuardTables) -> Outcome | None:
     """Refuse a dispatch beyond the slots and the queue, or one that is late."""
     settings = tables.settings
-    ahead = len(tables.executions)
-    if ahead >= settings.slots + settings.queue_limit:
-        return not_run(Code.OVERLOADED, ACCEPT, f"{ahead} requests are here already")
-    waves = ahead // settings.slots
-    wait_s = (waves + 1) * tables.service_s if waves else 0.0
+    held = len(tables.executions)
+    if held >= settings.slots + settings.queue_limit:
+        return not_run(
+            Code.OVERLOADED, ACCEPT_STEP, f"{held} requests are here already"
+        )
+    rounds = held // settings.slots
+    wait_s = (rounds + 1) * tables.service_s if rounds else 0.0
     if event.remaining_s <= wait_s:
-        return not_run(Code.DEADLINE, ACCEPT, "too little time is left")
+        return not_run(Code.DEADLINE, ACCEPT_STEP, "too little time is left")
     return None
 
 
@@ -117,21 +119,25 @@
     count = Count(name="guard.refused", label=event.service)
     commands = (*replies(outcome, (waiter,)), decision, count)
     if not event.repeatable:
-        tables = refuse_for_good(tables, event.attempt_id)
+        tables = record_refused_attempt(tables, event.attempt_id)
     return Step(tables=tables, commands=commands)
 
 
 @apply.register
 def _(event: Recall, tables: GuardTables, now: float) -> Step[GuardTables]:
     waiter = Waiter(peer=event.peer, attempt_id=event.attempt_id)
-    known = join(tables, event.request_id, waiter)
+    known = join_known(tables, event.request_id, waiter)
     if known is not None:
         return known
-    if now < tables.forgetful_until:
-        gone = problem(Code.OUTCOME_UNKNOWN, RECALL, "the id may have been forgotten")
+    if now < tables.outcomes_missing_until:
+        gone = problem(
+            Code.OUTCOME_UNKNOWN, RECALL_STEP, "the id may have been forgotten"
+        )
         outcome = Outcome(ran=Ran.UNKNOWN, problem=gone)
         return Step(tables=tables, commands=replies(outcome, (waiter,)))
-    barred = not_run(Code.NOT_RUN, RECALL, "the id never came here and is barred now")
+    barred = not_run(
+        Code.NOT_RUN, RECALL_STEP, "the id never came here and is barred now"
+    )
     tables = remember(tables, event.request_id, barred, now)
     count = Count(name="guard.barred", label=event.service)
     return Step(tables=tables, commands=(*replies(barred, (waiter,)), count))
@@ -146,7 +152,7 @@
         waiter for waiter in execution.waiters if waiter.attempt_id != event.attempt_id
     )
     if left or execution.state is ExecutionState.RUNNING:
-        return Step(tables=put(tables, replace(execution, waiters=left)))
-    tables = refuse_for_good(tables, event.attempt_id)
+        return Step(tables=put_execution(tables, replace(execution, waiters=left)))
+    tables = record_refused_attempt(tables, event.attempt_id)
     dropped = tables.executions.drop(event.attempt_id)
     return Step(tables=replace(tables, executions=dropped))
--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -15,11 +15,11 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Ran
 from bulrushpulley.systems.guard.events import apply
-from bulrushpulley.systems.guard.memory import refuse_for_good, remember
+from bulrushpulley.systems.guard.outcomes import record_refused_attempt, remember
 from bulrushpulley.systems.guard.reply import replies
 
-SERVICE_WEIGHT = 0.1
-MAX_FAILURES = 3
+RUN_TIME_WEIGHT = 0.1
+MAX_CONSECUTIVE_FAILURES = 3
 
 
 @apply.register
@@ -29,7 +29,7 @@
         return Step(tables=tables)
     took_s = now - execution.started_at
     outcome = Outcome(ran=Ran.YES, status=event.status, body=event.body, took_s=took_s)
-    weight = SERVICE_WEIGHT if tables.service_s else 1.0
+    weight = RUN_TIME_WEIGHT if tables.service_s else 1.0
     average_s = tables.service_s + weight * (took_s - tables.service_s)
     tables = replace(tables, service_s=average_s, failures=0)
     step = finish(tables, execution, outcome, now)
@@ -47,7 +47,7 @@
     outcome = Outcome(ran=ran, problem=event.problem)
     out_of_time = now >= execution.deadline
     failures = tables.failures + (not out_of_time)
-    healthy = tables.healthy and failures < MAX_FAILURES
+    healthy = tables.healthy and failures < MAX_CONSECUTIVE_FAILURES
     tables = replace(tables, failures=failures, healthy=healthy)
     step = finish(tables, execution, outcome, now)
     count = Count(name=f"guard.failed.{ran.value}", label=execution.service)
@@ -65,7 +65,7 @@
     executions = tables.executions.drop(execution.execution_id)
     tables = replace(tables, executions=executions)
     if outcome.ran is Ran.NO:
-        tables = refuse_for_good(tables, execution.execution_id)
+        tables = record_refused_attempt(tables, execution.execution_id)
     elif not execution.repeatable:
         tables = remember(tables, execution.request_id, outcome, now)
     return Step(tables=tables, commands=replies(outcome, execution.waiters))
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -17,9 +17,9 @@
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Event, Step
 
-FIRST_RETRY_S = 0.2
-LONGEST_RETRY_S = 10.0
-LARGEST_EXPONENT = 10
+MIN_DIAL_RETRY_DELAY_S = 0.2
+MAX_DIAL_RETRY_DELAY_S = 10.0
+MAX_BACKOFF_EXPONENT = 10
 
 
 def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
@@ -28,10 +28,10 @@
     The jitter is between one half and the whole of the delay. It is derived from
     the names, so that processes differ and a test repeats.
     """
-    exponent = min(failures, LARGEST_EXPONENT)
-    delay = min(FIRST_RETRY_S * 2.0**exponent, LONGEST_RETRY_S)
-    spread = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
-    return delay * (0.5 + spread / 2)
+    exponent = min(failures, MAX_BACKOFF_EXPONENT)
+    delay = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
+    jitter = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
+    return delay * (0.5 + jitter / 2)
 
 
 @singledispatch
--- a/bulrushpulley/systems/route/members.py
+++ b/bulrushpulley/systems/route/agents.py
@@ -11,7 +11,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.route.events import apply
 from bulrushpulley.systems.route.finish import drop_attempt, put_service
-from bulrushpulley.systems.route.recall import link_lost, send_recall
+from bulrushpulley.systems.route.recall import handle_link_lost, send_recall
 
 SERVICE_PREFIX = "record/service/"
 
@@ -38,7 +38,7 @@
     commands: list[Command] = []
     for attempt in lost:
         tables = drop_attempt(tables, attempt.attempt_id)
-        step = link_lost(tables, attempt, now)
+        step = handle_link_lost(tables, attempt, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -55,13 +55,13 @@
         region=event.region,
         failure_domain=event.failure_domain,
         slots=event.slots,
-        heard_at=now,
+        last_announced_at=now,
     )
     server = replace(
         known,
         slots=event.slots,
-        heard_at=now,
-        others=max(0, event.running + event.queued - known.in_flight),
+        last_announced_at=now,
+        other_load=max(0, event.running + event.queued - known.in_flight),
         healthy=event.healthy,
         leaving=known.leaving or event.leaving,
     )
@@ -73,20 +73,20 @@
     if event.base > tables.revision or event.revision <= tables.revision:
         return Step(tables=tables)
     if event.base == 0:
-        tables = undeclare_all(tables)
+        tables = clear_declared(tables)
     for row in event.rows:
-        tables = declare(row, tables)
+        tables = apply_row(row, tables)
     return Step(tables=replace(tables, revision=event.revision))
 
 
-def undeclare_all(tables: RouterTables) -> RouterTables:
+def clear_declared(tables: RouterTables) -> RouterTables:
     """Forget which services are declared, before the whole configuration."""
     for service in tables.services.rows():
         tables = put_service(tables, replace(service, declared=False))
     return tables
 
 
-def declare(row: VersionedRow, tables: RouterTables) -> RouterTables:
+def apply_row(row: VersionedRow, tables: RouterTables) -> RouterTables:
     """Take in one row of the configuration, if it is that of a service."""
     if not row.key.startswith(SERVICE_PREFIX):
         return tables
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route.choice import SHARED_QUEUE
+from bulrushpulley.systems.route.choice import SHARED_SERVER_QUEUE_LIMIT
 from bulrushpulley.systems.route.events import apply
 from bulrushpulley.systems.route.finish import (
     answer,
@@ -33,12 +33,12 @@
     without_attempt,
 )
 
-SERVICE_WEIGHT = 0.05
-LATE_SHARE = 0.95
-LATE_STEP = 0.05
+SERVICE_TIME_WEIGHT = 0.05
+LATENCY_QUANTILE = 0.95
+QUANTILE_STEP_FRACTION = 0.05
 
 
-def awaited(
+def match_attempt(
     tables: RouterTables, event: LinkEvent, attempt_id: str
 ) -> tuple[Attempt, Request] | None:
     """Return the attempt and request that an answer is for, if they wait for it."""
@@ -49,58 +49,63 @@
     return None if request is None else (attempt, request)
 
 
-def late(tables: RouterTables) -> Step[RouterTables]:
+def drop_late_answer(tables: RouterTables) -> Step[RouterTables]:
     """Drop an answer for which nobody waits."""
     return Step(tables=tables, commands=(Count(name="route.late_answers"),))
 
 
 @apply.register
 def _(event: Answered, tables: RouterTables, now: float) -> Step[RouterTables]:
-    found = awaited(tables, event, event.attempt_id)
+    found = match_attempt(tables, event, event.attempt_id)
     if found is None:
-        return late(tables)
+        return drop_late_answer(tables)
     attempt, request = found
     latency_s = now - attempt.sent_at
     tables = drop_attempt(tables, event.attempt_id, answered_at=now)
     if not attempt.recall:
         service = tables.service(request.service)
-        tables = put_service(tables, learned(service, event.took_s, latency_s))
-    left = without_attempt(request, event.attempt_id)
-    return answer(tables, left, status=event.status, body=event.body, now=now)
+        tables = put_service(tables, with_run_sample(service, event.took_s, latency_s))
+    updated = without_attempt(request, event.attempt_id)
+    return answer(tables, updated, status=event.status, body=event.body, now=now)
 
 
-def learned(service: Service, took_s: float, latency_s: float) -> Service:
+def with_run_sample(service: Service, took_s: float, latency_s: float) -> Service:
     """Return the service with one more run in its estimates.
 
     The percentile moves up by `LATE_SHARE` of a step for a latency above it and
     down by the rest for one below, so it settles where that share lies below.
     """
     if not service.service_s:
-        return replace(service, service_s=took_s, late_s=2 * latency_s)
-    step = LATE_STEP * max(service.service_s, service.late_s / 2)
-    up = LATE_SHARE if latency_s > service.late_s else LATE_SHARE - 1.0
+        return replace(service, service_s=took_s, latency_p95_s=2 * latency_s)
+    step = QUANTILE_STEP_FRACTION * max(service.service_s, service.latency_p95_s / 2)
+    up = (
+        LATENCY_QUANTILE
+        if latency_s > service.latency_p95_s
+        else LATENCY_QUANTILE - 1.0
+    )
     return replace(
         service,
-        service_s=service.service_s + SERVICE_WEIGHT * (took_s - service.service_s),
-        late_s=max(service.late_s + step * up, 0.0),
+        service_s=service.service_s
+        + SERVICE_TIME_WEIGHT * (took_s - service.service_s),
+        latency_p95_s=max(service.latency_p95_s + step * up, 0.0),
     )
 
 
 @apply.register
 def _(event: Refused, tables: RouterTables, now: float) -> Step[RouterTables]:
-    found = awaited(tables, event, event.attempt_id)
+    found = match_attempt(tables, event, event.attempt_id)
     if found is None:
-        return late(tables)
+        return drop_late_answer(tables)
     attempt, request = found
     tables = drop_attempt(tables, event.attempt_id)
     if event.problem.code is Code.OVERLOADED:
         tables = mark_full(tables, attempt.agent)
-    left = replace(
+    updated = replace(
         without_attempt(request, event.attempt_id),
-        tried=(*request.tried, attempt.agent),
+        tried_agents=(*request.tried_agents, attempt.agent),
     )
-    tables = put_request(tables, left)
-    return after_refusal(left.stage, left, event, tables, now)
+    tables = put_request(tables, updated)
+    return handle_refusal(updated.stage, updated, event, tables, now)
 
 
 def mark_full(tables: RouterTables, agent: str) -> RouterTables:
@@ -108,20 +113,20 @@
     server = tables.servers.get(agent)
     if server is None:
         return tables
-    others = server.slots + SHARED_QUEUE - server.in_flight
-    full = replace(server, others=max(server.others, others))
-    return replace(tables, servers=tables.servers.put(agent, full))
+    other_load = server.slots + SHARED_SERVER_QUEUE_LIMIT - server.in_flight
+    marked = replace(server, other_load=max(server.other_load, other_load))
+    return replace(tables, servers=tables.servers.put(agent, marked))
 
 
 @singledispatch
-def after_refusal(
+def handle_refusal(
     stage: Stage, request: Request, event: Refused, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Go on from `stage` after an agent refused an attempt."""
     return Step(tables=tables)
 
 
-@after_refusal.register
+@handle_refusal.register
 def _(
     stage: InFlight,
     request: Request,
@@ -143,11 +148,11 @@
 
 def is_barred_twice(request: Request, problem: Problem) -> bool:
     """Tell whether an agent that barred the id was tried again for want of others."""
-    again = request.tried.count(request.tried[-1]) > 1
+    again = request.tried_agents.count(request.tried_agents[-1]) > 1
     return problem.code is Code.NOT_RUN and again
 
 
-@after_refusal.register
+@handle_refusal.register
 def _(
     stage: Recalling,
     request: Request,
--- a/bulrushpulley/systems/route/calls.py
+++ b/bulrushpulley/systems/route/calls.py
@@ -12,17 +12,17 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
 from bulrushpulley.systems.route.events import apply
-from bulrushpulley.systems.route.finish import SELF, close, enqueue
+from bulrushpulley.systems.route.finish import SELF, enqueue, remove_request
 
 MAX_BODY_BYTES = 1024 * 1024
-MAX_HELD_BYTES = 32 * 1024 * 1024
+MAX_PENDING_BODY_BYTES = 32 * 1024 * 1024
 MAX_REQUEST_ID_LENGTH = 200
-MAX_WITHIN_S = 60.0
+MAX_CALL_TIMEOUT_S = 60.0
 RETRY_TOKENS_PER_CALL = 0.1
 MAX_RETRY_TOKENS = 10.0
 HEDGE_TOKENS_PER_CALL = 0.05
 MAX_HEDGE_TOKENS = 5.0
-GAP_WEIGHT = 0.05
+INTERARRIVAL_WEIGHT = 0.05
 
 
 def refusal(code: Code, detail: str, field: str = "") -> Problem:
@@ -38,7 +38,7 @@
     return 0 < len(text) <= MAX_REQUEST_ID_LENGTH and printable
 
 
-def bad_call(call: CallReceived) -> Problem | None:
+def validation_problem(call: CallReceived) -> Problem | None:
     """Return what is wrong with the call itself, if anything."""
     if len(call.body) > MAX_BODY_BYTES:
         return refusal(Code.TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
@@ -50,11 +50,11 @@
     return None
 
 
-def no_capacity(call: CallReceived, tables: RouterTables) -> Problem | None:
+def admission_problem(call: CallReceived, tables: RouterTables) -> Problem | None:
     """Return why this router cannot take any such call now, if so."""
     if tables.leaving:
         return refusal(Code.LEAVING, "this entry is leaving; use another")
-    if tables.body_bytes + len(call.body) > MAX_HELD_BYTES:
+    if tables.body_bytes + len(call.body) > MAX_PENDING_BODY_BYTES:
         return refusal(Code.OVERLOADED, "too many bytes of calls are held")
     service = tables.service(call.service)
     if service.declared or tables.servers.count_where("service", call.service):
@@ -64,15 +64,16 @@
     return refusal(Code.UNAVAILABLE, f"no backend server of {call.service} is known")
 
 
-def arrived(service: Service, now: float) -> Service:
+def with_arrival(service: Service, now: float) -> Service:
     """Return the service with one more arrival in its averages and budgets."""
-    gap_s = min(1.0, now - service.arrived_at)
+    interarrival_s = min(1.0, now - service.last_arrival_at)
     retry = service.retry_tokens + RETRY_TOKENS_PER_CALL
     hedge = service.hedge_tokens + HEDGE_TOKENS_PER_CALL
     return replace(
         service,
-        arrived_at=now,
-        gap_s=service.gap_s + GAP_WEIGHT * (gap_s - service.gap_s),
+        last_arrival_at=now,
+        interarrival_s=service.interarrival_s
+        + INTERARRIVAL_WEIGHT * (interarrival_s - service.interarrival_s),
         retry_tokens=min(MAX_RETRY_TOKENS, retry),
         hedge_tokens=min(MAX_HEDGE_TOKENS, hedge),
     )
@@ -80,13 +81,13 @@
 
 @apply.register
 def _(event: CallReceived, tables: RouterTables, now: float) -> Step[RouterTables]:
-    problem = bad_call(event) or no_capacity(event, tables)
+    problem = validation_problem(event) or admission_problem(event, tables)
     if problem is not None:
         refused = RefuseCall(call_id=event.call_id, ran=Ran.NO, problem=problem)
         count = Count(name=f"route.refused.{problem.code.value}", label=event.service)
         return Step(tables=tables, commands=(refused, count))
     received_at = now if event.received_at is None else event.received_at
-    deadline = received_at + min(event.within_s, MAX_WITHIN_S)
+    deadline = received_at + min(event.within_s, MAX_CALL_TIMEOUT_S)
     request = Request(
         call_id=event.call_id,
         service=event.service,
@@ -98,7 +99,7 @@
         body=event.body,
         stage=Waiting(),
     )
-    service = arrived(tables.service(event.service), now)
+    service = with_arrival(tables.service(event.service), now)
     tables = replace(tables, body_bytes=tables.body_bytes + len(event.body))
     return Step(tables=enqueue(tables, request, service))
 
@@ -108,7 +109,7 @@
     request = tables.requests.get(event.call_id)
     if request is None:
         return Step(tables=tables)
-    return close(tables, request)
+    return remove_request(tables, request)
 
 
 @apply.register
--- a/bulrushpulley/systems/route/choice.py
+++ b/bulrushpulley/systems/route/choice.py
@@ -16,10 +16,10 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 
 ANNOUNCE_TTL_S = 3.0
-MIN_CLAIM_ROOM = 2
+MIN_CLAIM_ALLOWANCE = 2
 LEAVING = "leaving"
-SHARED_QUEUE = 4
-OWN_QUEUE = 1
+SHARED_SERVER_QUEUE_LIMIT = 4
+UNSHARED_SERVER_QUEUE_LIMIT = 1
 MAX_PASSED_OVER = 4
 
 
@@ -27,44 +27,49 @@
 class Candidate:
     """A backend server that may take a request; the least one is the best."""
 
-    far: bool
+    other_region: bool
     cost_s: float
-    turn: int
+    tie_rank: int
     incarnation: str
 
 
-def barred_reason(server: BackendServer, now: float) -> str:
+def unusable_reason(server: BackendServer, now: float) -> str:
     """Return why a server must get no request at all; empty if it may."""
     if server.leaving:
         return LEAVING
-    if server.heard_at + ANNOUNCE_TTL_S < now:
+    if server.last_announced_at + ANNOUNCE_TTL_S < now:
         return "silent"
     if not server.healthy:
         return "unhealthy"
     return ""
 
 
-def claim_room(service: Service, slots: int) -> int:
+def claim_allowance(service: Service, slots: int) -> int:
     """Return how many claims may be on their way beyond the free slots of a server.
 
     As many as its slots finish while a claim is committed keep it busy.
     """
     if not service.service_s:
-        return MIN_CLAIM_ROOM
-    room = int(slots * service.claim_s / service.service_s)
-    return min(slots, max(MIN_CLAIM_ROOM, room))
+        return MIN_CLAIM_ALLOWANCE
+    room = int(slots * service.claim_latency_s / service.service_s)
+    return min(slots, max(MIN_CLAIM_ALLOWANCE, room))
 
 
-def unfit_reason(server: BackendServer, service: Service, now: float) -> str:
+def ineligible_reason(server: BackendServer, service: Service, now: float) -> str:
     """Return why a server gets no request now; empty if it may get one."""
-    barred = barred_reason(server, now)
-    if barred:
-        return barred
+    unusable = unusable_reason(server, now)
+    if unusable:
+        return unusable
     if server.ejected and (server.in_flight or now < server.probe_at):
         return "ejected"
-    ahead = SHARED_QUEUE if server.others else OWN_QUEUE
-    room = server.slots + ahead - server.load
-    if room <= 0 or room + claim_room(service, server.slots) <= server.claiming:
+    queue_limit = (
+        SHARED_SERVER_QUEUE_LIMIT if server.other_load else UNSHARED_SERVER_QUEUE_LIMIT
+    )
+    room = server.slots + queue_limit - server.load
+    if (
+        room <= 0
+        or room + claim_allowance(service, server.slots) <= server.pending_claims
+    ):
         return "full"
     return ""
 
@@ -73,15 +78,15 @@
     """Return the cost of one more request: least for a probe that is due."""
     if server.ejected:
         return 0.0
-    return (server.load + server.claiming + 1) * server.latency_s
+    return (server.load + server.pending_claims + 1) * server.latency_s
 
 
-def candidate(server: BackendServer, tables: RouterTables, turn: int) -> Candidate:
+def candidate(server: BackendServer, tables: RouterTables, tie_rank: int) -> Candidate:
     """Return a server as a candidate; `turn` breaks ties."""
     return Candidate(
-        far=server.region != tables.region,
+        other_region=server.region != tables.region,
         cost_s=cost_s(server),
-        turn=turn,
+        tie_rank=tie_rank,
         incarnation=server.incarnation,
     )
 
@@ -92,9 +97,9 @@
     known = tables.service(service)
     count = len(servers)
     heap = [
-        candidate(server, tables, (place - tables.sequence) % count)
-        for place, server in enumerate(servers)
-        if not unfit_reason(server, known, now)
+        candidate(server, tables, (position - tables.sequence) % count)
+        for position, server in enumerate(servers)
+        if not ineligible_reason(server, known, now)
     ]
     heapq.heapify(heap)
     return heap
@@ -110,19 +115,19 @@
         if key == chosen:
             continue
         server = tables.servers.by_key[key]
-        reason = unfit_reason(server, known, now) or f"load {server.load}"
+        reason = ineligible_reason(server, known, now) or f"load {server.load}"
         found.append(f"{server.agent}: {reason}")
         if len(found) == MAX_PASSED_OVER:
             break
     return tuple(found)
 
 
-def take(heap: list[Candidate], avoid: Iterable[str]) -> Candidate:
+def pop_best(heap: list[Candidate], avoid: Iterable[str]) -> Candidate:
     """Pop the best candidate outside `avoid`, or the best one if there is none."""
-    shunned: list[Candidate] = []
+    avoided: list[Candidate] = []
     while heap and heap[0].incarnation in avoid:
-        shunned.append(heapq.heappop(heap))
-    best = heapq.heappop(heap) if heap else shunned.pop(0)
-    for item in shunned:
+        avoided.append(heapq.heappop(heap))
+    best = heapq.heappop(heap) if heap else avoided.pop(0)
+    for item in avoided:
         heapq.heappush(heap, item)
     return best
--- a/bulrushpulley/systems/route/settle.py
+++ b/bulrushpulley/systems/route/claim_outcomes.py
@@ -22,14 +22,14 @@
 )
 from bulrushpulley.entities.request import Claiming, Request, Stage
 from bulrushpulley.entities.router_tables import (
+    ClaimDeletion,
     ClaimSubmission,
-    HeldClaim,
     RouterTables,
 )
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route.choice import LEAVING, barred_reason
+from bulrushpulley.systems.route.choice import LEAVING, unusable_reason
 from bulrushpulley.systems.route.events import apply
 from bulrushpulley.systems.route.finish import (
     claim_key,
@@ -44,9 +44,9 @@
 from bulrushpulley.systems.route.send import dispatch
 
 CLAIM_TTL_S = 3600.0
-MAX_HELD_CLAIMS = 100_000
-RESUBMIT_S = 0.2
-CLAIM_WEIGHT = 0.1
+MAX_CLAIM_DELETIONS = 100_000
+CLAIM_RESUBMIT_DELAY_S = 0.2
+CLAIM_LATENCY_WEIGHT = 0.1
 COMMITTER = "committer"
 
 
@@ -69,22 +69,24 @@
     tables = replace(tables, submissions=tables.submissions.drop(event.submission_id))
     request = tables.requests.get(pending.call_id)
     if request is None or claim_submission(request.stage) != event.submission_id:
-        return Step(tables=free_unused(event, pending, tables, now))
+        return Step(tables=delete_unused_claim(event, pending, tables, now))
     stage = cast(Claiming, request.stage)
-    tables = learn_claim(tables, request.service, now - pending.submitted_at)
-    return settle(event, request, stage, tables, now)
+    tables = record_claim_latency(tables, request.service, now - pending.submitted_at)
+    return handle_claim_outcome(event, request, stage, tables, now)
 
 
-def learn_claim(tables: RouterTables, name: str, took_s: float) -> RouterTables:
+def record_claim_latency(
+    tables: RouterTables, name: str, took_s: float
+) -> RouterTables:
     """Take the time of one claim into the average of its service."""
     service = tables.service(name)
-    weight = CLAIM_WEIGHT if service.claim_s else 1.0
-    average_s = service.claim_s + weight * (took_s - service.claim_s)
-    return put_service(tables, replace(service, claim_s=average_s))
+    weight = CLAIM_LATENCY_WEIGHT if service.claim_latency_s else 1.0
+    average_s = service.claim_latency_s + weight * (took_s - service.claim_latency_s)
+    return put_service(tables, replace(service, claim_latency_s=average_s))
 
 
 @singledispatch
-def settle(
+def handle_claim_outcome(
     outcome: CommitOutcome,
     request: Request,
     stage: Claiming,
@@ -95,7 +97,7 @@
     return Step(tables=tables)
 
 
-@settle.register
+@handle_claim_outcome.register
 def _(
     outcome: Committed,
     request: Request,
@@ -103,10 +105,10 @@
     tables: RouterTables,
     now: float,
 ) -> Step[RouterTables]:
-    return claimed(tables, request, stage, outcome.revision, now)
+    return dispatch_claimed(tables, request, stage, outcome.revision, now)
 
 
-@settle.register
+@handle_claim_outcome.register
 def _(
     outcome: Conflicted,
     request: Request,
@@ -114,9 +116,9 @@
     tables: RouterTables,
     now: float,
 ) -> Step[RouterTables]:
-    found = found_claim(outcome, claim_key(request.service, request.request_id))
+    found = conflicting_claim(outcome, claim_key(request.service, request.request_id))
     if found.token == stage.submission_id:
-        return claimed(tables, request, stage, found.version, now)
+        return dispatch_claimed(tables, request, stage, found.version, now)
     tables = leave_stage(stage, request, tables)
     request = replace(request, claim_version=found.version)
     if found.row is None:
@@ -126,7 +128,7 @@
     return recall(tables, replace(request, stage=Stage()), agent, now)
 
 
-@settle.register
+@handle_claim_outcome.register
 def _(
     outcome: Withdrawn,
     request: Request,
@@ -143,7 +145,7 @@
     return refuse(tables, request, ran=Ran.NO, problem=problem, now=now)
 
 
-@settle.register
+@handle_claim_outcome.register
 def _(
     outcome: Unsettled,
     request: Request,
@@ -151,12 +153,12 @@
     tables: RouterTables,
     now: float,
 ) -> Step[RouterTables]:
-    due_at = min(request.deadline, now + RESUBMIT_S)
+    due_at = min(request.deadline, now + CLAIM_RESUBMIT_DELAY_S)
     again = replace(request, stage=replace(stage, resubmit=True), due_at=due_at)
     return Step(tables=put_request(tables, again))
 
 
-def claimed(
+def dispatch_claimed(
     tables: RouterTables,
     request: Request,
     stage: Claiming,
@@ -170,59 +172,64 @@
     """
     tables = leave_stage(stage, request, tables)
     key = claim_key(request.service, request.request_id)
-    tables = hold(tables, key, version, now + CLAIM_TTL_S)
+    tables = schedule_claim_deletion(tables, key, version, now + CLAIM_TTL_S)
     request = replace(request, claim_version=version)
     ready = put_request(tables, request)
     server = tables.servers.get(stage.agent)
-    reason = barred_reason(server, now) if server is not None else "not linked"
+    reason = unusable_reason(server, now) if server is not None else "not linked"
     if now >= request.deadline:
         reason = "the deadline passed"
     if not reason:
         return dispatch(ready, request, stage.agent, now, reason="claimed")
     code = Code.LEAVING if reason == LEAVING else Code.UNAVAILABLE
     problem = Problem(code=code, step="route.claim", peer=stage.agent, detail=reason)
-    request = replace(request, stage=Stage(), tried=(*request.tried, stage.agent))
+    request = replace(
+        request, stage=Stage(), tried_agents=(*request.tried_agents, stage.agent)
+    )
     return retry(ready, request, ran=Ran.NO, problem=problem, now=now)
 
 
-def found_claim(outcome: Conflicted, key: str) -> VersionedRow:
+def conflicting_claim(outcome: Conflicted, key: str) -> VersionedRow:
     """Return the claim that stood in the way; an absent row if it is gone."""
     found = [row for row in outcome.rows if row.key == key]
     return found[0] if found else VersionedRow(key=key, version=0, row=None)
 
 
-def hold(
+def schedule_claim_deletion(
     tables: RouterTables, key: str, version: int, delete_at: float
 ) -> RouterTables:
     """Note a claim row for its deletion; beyond the bound the sweep deletes it."""
-    if len(tables.claims) >= MAX_HELD_CLAIMS and key not in tables.claims:
+    if (
+        len(tables.claim_deletions) >= MAX_CLAIM_DELETIONS
+        and key not in tables.claim_deletions
+    ):
         return tables
-    claim = HeldClaim(key=key, version=version, delete_at=delete_at)
-    return replace(tables, claims=tables.claims.put(key, claim))
+    claim = ClaimDeletion(key=key, version=version, delete_at=delete_at)
+    return replace(tables, claim_deletions=tables.claim_deletions.put(key, claim))
 
 
 @singledispatch
-def unused_version(outcome: CommitOutcome, pending: ClaimSubmission) -> int:
+def unused_claim_version(outcome: CommitOutcome, pending: ClaimSubmission) -> int:
     """Return the version of the claim row that a submission left; 0 if none."""
     return 0
 
 
-@unused_version.register
+@unused_claim_version.register
 def _(outcome: Committed, pending: ClaimSubmission) -> int:
     return outcome.revision
 
 
-@unused_version.register
+@unused_claim_version.register
 def _(outcome: Conflicted, pending: ClaimSubmission) -> int:
-    found = found_claim(outcome, pending.key)
+    found = conflicting_claim(outcome, pending.key)
     return found.version if found.token == pending.submission_id else 0
 
 
-def free_unused(
+def delete_unused_claim(
     outcome: CommitOutcome, pending: ClaimSubmission, tables: RouterTables, now: float
 ) -> RouterTables:
     """Have a claim deleted that came for a call that has ended."""
-    version = unused_version(outcome, pending)
+    version = unused_claim_version(outcome, pending)
     if not version:
         return tables
-    return hold(tables, pending.key, version, now)
+    return schedule_claim_deletion(tables, pending.key, version, now)
--- a/bulrushpulley/systems/route/claims.py
+++ b/bulrushpulley/systems/route/claims.py
@@ -26,8 +26,8 @@
     tables, submission_id = tables.numbered()
     server = tables.servers.by_key[agent]
     stage = Claiming(agent=agent, agent_name=server.agent, submission_id=submission_id)
-    more = replace(server, claiming=server.claiming + 1)
-    tables = replace(tables, servers=tables.servers.put(agent, more))
+    updated_server = replace(server, pending_claims=server.pending_claims + 1)
+    tables = replace(tables, servers=tables.servers.put(agent, updated_server))
     step = submit(tables, request, stage, now)
     decision = Decision(
         kind="route.claim",
@@ -53,10 +53,10 @@
         tables,
         submissions=tables.submissions.put(stage.submission_id, pending),
     )
-    claiming = replace(request, stage=stage, due_at=request.deadline)
+    updated = replace(request, stage=stage, due_at=request.deadline)
     event = Submitted(origin="router", submission=submission(request, stage, now))
     command = Tell(role="committer", event=event)
-    return Step(tables=put_request(tables, claiming), commands=(command,))
+    return Step(tables=put_request(tables, updated), commands=(command,))
 
 
 def submission(request: Request, stage: Claiming, now: float) -> Submission:
--- a/bulrushpulley/systems/route/dispatch.py
+++ b/bulrushpulley/systems/route/dispatch.py
@@ -12,8 +12,8 @@
     Candidate,
     candidate,
     candidates,
-    take,
-    unfit_reason,
+    ineligible_reason,
+    pop_best,
 )
 from bulrushpulley.systems.route.claims import claim
 from bulrushpulley.systems.route.queue import next_waiting
@@ -23,7 +23,7 @@
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
     """Dispatch what the free slots of each busy service allow."""
     commands: list[Command] = []
-    for name in sorted(tables.busy):
+    for name in sorted(tables.busy_services):
         step = dispatch_service(tables, name, now)
         tables = step.tables
         commands.extend(step.commands)
@@ -38,13 +38,13 @@
         tables, request = next_waiting(tables, name, now)
         if request is None:
             break
-        best = take(heap, request.tried)
+        best = pop_best(heap, request.tried_agents)
         step = start(tables, request, best.incarnation, now)
         tables = step.tables
         commands.extend(step.commands)
         put_back(heap, best, tables, now)
     if not tables.service(name).waiting:
-        tables = replace(tables, busy=tables.busy.discard(name))
+        tables = replace(tables, busy_services=tables.busy_services.discard(name))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -53,8 +53,8 @@
 ) -> None:
     """Put a server that still has free slots back into the heap."""
     server = tables.servers.by_key[used.incarnation]
-    if not unfit_reason(server, tables.service(server.service), now):
-        heapq.heappush(heap, candidate(server, tables, used.turn))
+    if not ineligible_reason(server, tables.service(server.service), now):
+        heapq.heappush(heap, candidate(server, tables, used.tie_rank))
 
 
 def start(
--- a/bulrushpulley/systems/route/eject.py
+++ b/bulrushpulley/systems/route/eject.py
@@ -16,108 +16,116 @@
 from bulrushpulley.entities.router_tables import RouterTables, Service
 from bulrushpulley.entities.step import Command, Step
 
-CHECK_S = 0.25
-STALE_S = 5.0
+EJECTION_CHECK_INTERVAL_S = 0.25
+MAX_LATENCY_AGE_S = 5.0
 EJECT_FACTOR = 3.0
 RETURN_FACTOR = 2.0
-MIN_SERVERS = 3
-MIN_SAMPLES = 5
-MAX_EJECTED_SHARE = 0.34
-PROBE_GAP_REQUESTS = 300
-MIN_PROBE_GAP_S = 2.0
-MAX_PROBE_GAP_S = 60.0
+MIN_SERVERS_TO_EJECT = 3
+MIN_LATENCY_SAMPLES = 5
+MAX_EJECTED_FRACTION = 0.34
+PROBE_INTERVAL_REQUESTS = 300
+MIN_PROBE_INTERVAL_S = 2.0
+MAX_PROBE_INTERVAL_S = 60.0
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
     """Compare the servers of each service every `CHECK_S`."""
-    if now < tables.eject_at:
+    if now < tables.ejection_check_at:
         return Step(tables=tables)
-    tables = replace(tables, eject_at=now + CHECK_S)
+    tables = replace(tables, ejection_check_at=now + EJECTION_CHECK_INTERVAL_S)
     commands: list[Command] = []
     for service in tables.services.rows():
-        step = compare(tables, service, now)
+        step = compare_latencies(tables, service, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
-def compare(tables: RouterTables, service: Service, now: float) -> Step[RouterTables]:
+def compare_latencies(
+    tables: RouterTables, service: Service, now: float
+) -> Step[RouterTables]:
     """Compare the latencies of the servers of one service."""
     servers = tables.servers.rows_where("service", service.name)
-    seen = [server for server in servers if server.samples >= MIN_SAMPLES]
-    if len(seen) < 2:
+    measured = [server for server in servers if server.samples >= MIN_LATENCY_SAMPLES]
+    if len(measured) < 2:
         return Step(tables=tables)
-    usual_s = statistics.median(server.latency_s for server in seen)
-    tables = forget_old(tables, seen, usual_s, now)
-    if len(seen) < MIN_SERVERS:
+    median_s = statistics.median(server.latency_s for server in measured)
+    tables = decay_stale_latencies(tables, measured, median_s, now)
+    if len(measured) < MIN_SERVERS_TO_EJECT:
         return Step(tables=tables)
-    return judge_all(tables, service, usual_s, now)
+    return update_ejections(tables, service, median_s, now)
 
 
-def forget_old(
-    tables: RouterTables, servers: Iterable[BackendServer], usual_s: float, now: float
+def decay_stale_latencies(
+    tables: RouterTables, servers: Iterable[BackendServer], median_s: float, now: float
 ) -> RouterTables:
     """Move latencies that were not seen for long towards those of the peers.
 
     Otherwise a server that was slow once would not be chosen and never seen again.
     """
     for server in servers:
-        idle = not server.ejected and server.observed_at + STALE_S < now
-        if not idle or server.latency_s <= usual_s:
+        idle = not server.ejected and server.observed_at + MAX_LATENCY_AGE_S < now
+        if not idle or server.latency_s <= median_s:
             continue
-        latency_s = (server.latency_s + usual_s) / 2
-        fresher = replace(server, latency_s=latency_s)
-        servers_after = tables.servers.put(server.incarnation, fresher)
+        latency_s = (server.latency_s + median_s) / 2
+        decayed = replace(server, latency_s=latency_s)
+        servers_after = tables.servers.put(server.incarnation, decayed)
         tables = replace(tables, servers=servers_after)
     return tables
 
 
-def judge_all(
-    tables: RouterTables, service: Service, usual_s: float, now: float
+def update_ejections(
+    tables: RouterTables, service: Service, median_s: float, now: float
 ) -> Step[RouterTables]:
     """Eject or take back servers of one service against the usual latency."""
     servers = tables.servers.rows_where("service", service.name)
-    seen = [server for server in servers if server.samples >= MIN_SAMPLES]
-    room = int(len(servers) * MAX_EJECTED_SHARE)
+    measured = [server for server in servers if server.samples >= MIN_LATENCY_SAMPLES]
+    max_ejected = int(len(servers) * MAX_EJECTED_FRACTION)
     ejected = sum(server.ejected for server in servers)
     commands: list[Command] = []
-    for server in sorted(seen, key=lambda item: -item.latency_s):
-        after = judged(server, usual_s, ejected < room, probe_gap_s(service), now)
+    for server in sorted(measured, key=lambda item: -item.latency_s):
+        after = ejection_checked(
+            server, median_s, ejected < max_ejected, probe_interval_s(service), now
+        )
         if after is server:
             continue
         ejected += after.ejected - server.ejected
         servers_after = tables.servers.put(server.incarnation, after)
         tables = replace(tables, servers=servers_after)
         if after.ejected != server.ejected:
-            commands.append(decision(after, usual_s))
+            commands.append(decision(after, median_s))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def judged(
-    server: BackendServer, usual_s: float, room: bool, gap_s: float, now: float
+def ejection_checked(
+    server: BackendServer,
+    median_s: float,
+    may_eject: bool,
+    interval_s: float,
+    now: float,
 ) -> BackendServer:
     """Return the server ejected, taken back, with its next probe, or as it is."""
     if not server.ejected:
-        slow = server.latency_s > EJECT_FACTOR * usual_s
-        if not slow or not room:
+        slow = server.latency_s > EJECT_FACTOR * median_s
+        if not slow or not may_eject:
             return server
-        return replace(server, ejected=True, probe_at=now + gap_s)
-    if server.latency_s <= RETURN_FACTOR * usual_s:
+        return replace(server, ejected=True, probe_at=now + interval_s)
+    if server.latency_s <= RETURN_FACTOR * median_s:
         return replace(server, ejected=False)
     if server.in_flight and server.probe_at <= now:
-        return replace(server, probe_at=now + gap_s)
+        return replace(server, probe_at=now + interval_s)
     return server
 
 
-def probe_gap_s(service: Service) -> float:
+def probe_interval_s(service: Service) -> float:
     """Return the time between probes: that of `PROBE_GAP_REQUESTS` arrivals."""
-    gap_s = PROBE_GAP_REQUESTS * service.gap_s
-    return min(MAX_PROBE_GAP_S, max(MIN_PROBE_GAP_S, gap_s))
+    interval_s = PROBE_INTERVAL_REQUESTS * service.interarrival_s
+    return min(MAX_PROBE_INTERVAL_S, max(MIN_PROBE_INTERVAL_S, interval_s))
 
 
-def decision(server: BackendServer, usual_s: float) -> Decision:
+def decision(server: BackendServer, median_s: float) -> Decision:
     """Return the log line of an ejection or a return."""
-    reason = f"latency {server.latency_s:.3f} s, median of its peers {usual_s:.3f} s"
+    reason = f"latency {server.latency_s:.3f} s, median of its peers {median_s:.3f} s"
     return Decision(
         kind="route.eject" if server.ejected else "route.return",
         subject=server.service,
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -9,13 +9,13 @@
 from bulrushpulley.entities.link import Abandon, Send
 from bulrushpulley.entities.observe import Count, Observe
 from bulrushpulley.entities.request import Claiming, Request, Stage, Waiting
-from bulrushpulley.entities.router_tables import HeldClaim, RouterTables, Service
+from bulrushpulley.entities.router_tables import ClaimDeletion, RouterTables, Service
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem, Ran
 
 SELF = "self"
-MARGIN_SHARE = 0.5
-FREE_CODES = frozenset({Code.OVERLOADED, Code.LEAVING})
+MAX_MARGIN_FRACTION = 0.5
+FREE_RETRY_CODES = frozenset({Code.OVERLOADED, Code.LEAVING})
 
 
 def claim_key(service: str, request_id: str) -> str:
@@ -33,14 +33,14 @@
     return replace(tables, requests=tables.requests.put(request.call_id, request))
 
 
-def margin_s(request: Request, service: Service) -> float:
+def dispatch_margin_s(request: Request, service: Service) -> float:
     """Return how long before its deadline a request must be dispatched.
 
     That is a usual run, but never more than a share of the request's time, so that
     a service which was slow once goes on being tried.
     """
     whole_s = request.deadline - request.received_at
-    return min(service.service_s, MARGIN_SHARE * whole_s)
+    return min(service.service_s, MAX_MARGIN_FRACTION * whole_s)
 
 
 def enqueue(
@@ -55,17 +55,17 @@
         queue.appendleft(request.call_id) if first else queue.append(request.call_id)
     )
     service = replace(service, queue=queue, waiting=service.waiting + 1)
-    due_at = request.deadline - margin_s(request, service)
+    due_at = request.deadline - dispatch_margin_s(request, service)
     waiting = replace(request, stage=Waiting(), due_at=due_at)
     return replace(
         tables,
         services=tables.services.put(service.name, service),
         requests=tables.requests.put(request.call_id, waiting),
-        busy=tables.busy.set(service.name, None),
+        busy_services=tables.busy_services.set(service.name, None),
     )
 
 
-def unqueue(tables: RouterTables, service: Service) -> RouterTables:
+def decrement_waiting(tables: RouterTables, service: Service) -> RouterTables:
     """Count one call less as waiting; its id may stay in the queue."""
     service = replace(service, waiting=max(0, service.waiting - 1))
     return put_service(tables, service)
@@ -85,9 +85,9 @@
     server = tables.servers.get(attempt.agent)
     if server is None or attempt.recall:
         return replace(tables, attempts=attempts)
-    after = server.released()
+    after = server.with_request_removed()
     if answered_at is not None:
-        after = after.observed(answered_at - attempt.sent_at, answered_at)
+        after = after.with_latency_sample(answered_at - attempt.sent_at, answered_at)
     servers = tables.servers.put(attempt.agent, after)
     return replace(tables, attempts=attempts, servers=servers)
 
@@ -106,7 +106,7 @@
 
 @leave_stage.register
 def _(stage: Waiting, request: Request, tables: RouterTables) -> RouterTables:
-    return unqueue(tables, tables.service(request.service))
+    return decrement_waiting(tables, tables.service(request.service))
 
 
 @leave_stage.register
@@ -114,11 +114,11 @@
     server = tables.servers.get(stage.agent)
     if server is None:
         return tables
-    fewer = replace(server, claiming=max(0, server.claiming - 1))
-    return replace(tables, servers=tables.servers.put(stage.agent, fewer))
+    updated = replace(server, pending_claims=max(0, server.pending_claims - 1))
+    return replace(tables, servers=tables.servers.put(stage.agent, updated))
 
 
-def close(tables: RouterTables, request: Request) -> Step[RouterTables]:
+def remove_request(tables: RouterTables, request: Request) -> Step[RouterTables]:
     """Forget a request and abandon the attempts that are still out."""
     tables = leave_stage(request.stage, request, tables)
     commands: list[Command] = []
@@ -140,7 +140,7 @@
     tables: RouterTables, request: Request, *, status: int, body: bytes, now: float
 ) -> Step[RouterTables]:
     """Give the caller the whole answer."""
-    step = close(tables, request)
+    step = remove_request(tables, request)
     commands = (
         AnswerCall(call_id=request.call_id, status=status, body=body),
         Count(name="route.answered", label=request.service),
@@ -164,10 +164,10 @@
     if ran is Ran.NO and request.may_have_run:
         ran = Ran.UNKNOWN
         problem = replace(problem, code=Code.OUTCOME_UNKNOWN)
-    step = close(tables, request)
+    step = remove_request(tables, request)
     tables = step.tables
     if surely_not and request.claim_version:
-        tables = delete_claim(tables, request, now)
+        tables = delete_refused_claim(tables, request, now)
     commands = (
         RefuseCall(call_id=request.call_id, ran=ran, problem=problem),
         Count(name=f"route.refused.{problem.code.value}", label=request.service),
@@ -175,11 +175,13 @@
     return Step(tables=tables, commands=step.commands + commands)
 
 
-def delete_claim(tables: RouterTables, request: Request, now: float) -> RouterTables:
+def delete_refused_claim(
+    tables: RouterTables, request: Request, now: float
+) -> RouterTables:
     """Have the claim deleted that its agent has refused for good."""
     key = claim_key(request.service, request.request_id)
-    claim = HeldClaim(key=key, version=request.claim_version, delete_at=now)
-    return replace(tables, claims=tables.claims.put(key, claim))
+    claim = ClaimDeletion(key=key, version=request.claim_version, delete_at=now)
+    return replace(tables, claim_deletions=tables.claim_deletions.put(key, claim))
 
 
 def retry(
@@ -192,11 +194,11 @@
     slots, or because it leaves, cost its backend server nothing: its repeat is free.
     """
     service = tables.service(request.service)
-    late = now + margin_s(request, service) >= request.deadline
-    price = 0.0 if problem.code in FREE_CODES else 1.0
-    if late or service.retry_tokens < price:
+    too_late = now + dispatch_margin_s(request, service) >= request.deadline
+    cost = 0.0 if problem.code in FREE_RETRY_CODES else 1.0
+    if too_late or service.retry_tokens < cost:
         return refuse(tables, request, ran=ran, problem=problem, now=now)
-    spent = replace(service, retry_tokens=service.retry_tokens - price)
+    spent = replace(service, retry_tokens=service.retry_tokens - cost)
     tables = leave_stage(request.stage, request, tables)
     again = replace(request, hedged=False)
     tables = enqueue(tables, again, spent, first=True)
@@ -204,7 +206,7 @@
     return Step(tables=tables, commands=(count,))
 
 
-def late_problem(peer: str = SELF) -> Problem:
+def deadline_problem(peer: str = SELF) -> Problem:
     """Describe a call whose time is over."""
     return Problem(
         code=Code.DEADLINE, step="route.wait", peer=peer, detail="the deadline passed"
--- a/bulrushpulley/systems/route/hedge.py
+++ b/bulrushpulley/systems/route/hedge.py
@@ -8,7 +8,7 @@
 from bulrushpulley.entities.request import Request
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.route.choice import candidates, take
+from bulrushpulley.systems.route.choice import candidates, pop_best
 from bulrushpulley.systems.route.finish import put_request, put_service
 from bulrushpulley.systems.route.send import dispatch
 
@@ -18,16 +18,16 @@
 
     The servers that keep the request waiting are seen to be at least that slow.
     """
-    tables = note_slow(tables, request, now)
+    tables = raise_latencies(tables, request, now)
     request = replace(request, hedged=True, due_at=request.deadline)
     tables = put_request(tables, request)
     service = tables.service(request.service)
-    asked = {tables.attempts.by_key[item].agent for item in request.attempts}
+    attempted = {tables.attempts.by_key[item].agent for item in request.attempts}
     heap = candidates(tables, service.name, now)
     if not heap or service.hedge_tokens < 1.0 or service.waiting:
         return Step(tables=tables)
-    best = take(heap, asked)
-    if best.incarnation in asked or best.far:
+    best = pop_best(heap, attempted)
+    if best.incarnation in attempted or best.other_region:
         return Step(tables=tables)
     spent = replace(service, hedge_tokens=service.hedge_tokens - 1.0)
     step = dispatch(
@@ -37,13 +37,15 @@
     return Step(tables=step.tables, commands=(*step.commands, count))
 
 
-def note_slow(tables: RouterTables, request: Request, now: float) -> RouterTables:
+def raise_latencies(tables: RouterTables, request: Request, now: float) -> RouterTables:
     """Take the time that attempts have taken so far as a lower bound of latency."""
     for attempt_id in request.attempts:
         attempt = tables.attempts.by_key[attempt_id]
         server = tables.servers.get(attempt.agent)
         waited_s = now - attempt.sent_at
         if server is not None and waited_s > server.latency_s:
-            servers = tables.servers.put(attempt.agent, server.observed(waited_s, now))
+            servers = tables.servers.put(
+                attempt.agent, server.with_latency_sample(waited_s, now)
+            )
             tables = replace(tables, servers=servers)
     return tables
--- a/bulrushpulley/systems/route/queue.py
+++ b/bulrushpulley/systems/route/queue.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.systems.route.finish import put_service
 
-STANDING_SHARE = 0.25
+STANDING_QUEUE_FRACTION = 0.25
 
 
 def is_waiting(tables: RouterTables, call_id: str) -> bool:
@@ -23,7 +23,7 @@
     return request is not None and request.stage == Waiting()
 
 
-def without_gone(tables: RouterTables, queue: KeyQueue) -> KeyQueue:
+def without_ended_calls(tables: RouterTables, queue: KeyQueue) -> KeyQueue:
     """Drop the ids of calls that are gone from the old end of a queue."""
     while queue and not is_waiting(tables, queue.left):
         queue = queue.popleft()
@@ -35,16 +35,16 @@
 ) -> tuple[RouterTables, Request | None]:
     """Return the oldest call that waits for a service, and leave it in the queue."""
     service = tables.service(name)
-    queue = without_gone(tables, service.queue)
+    queue = without_ended_calls(tables, service.queue)
     if queue is not service.queue:
         tables = put_service(tables, replace(service, queue=queue))
     return tables, tables.requests.by_key[queue.left] if queue else None
 
 
-def is_standing(oldest: Request, now: float) -> bool:
+def is_standing_queue(oldest: Request, now: float) -> bool:
     """Tell whether the queue is a standing one, by its oldest call."""
     whole_s = oldest.deadline - oldest.received_at
-    return now - oldest.received_at > STANDING_SHARE * whole_s
+    return now - oldest.received_at > STANDING_QUEUE_FRACTION * whole_s
 
 
 def next_waiting(
@@ -57,17 +57,17 @@
     A call that can no longer be answered in time stays for its timer to refuse.
     """
     service = tables.service(name)
-    queue = without_gone(tables, service.queue)
+    queue = without_ended_calls(tables, service.queue)
     while queue:
         oldest = tables.requests.by_key[queue.left]
-        newest_first = is_standing(oldest, now)
+        newest_first = is_standing_queue(oldest, now)
         call_id = queue.right if newest_first else queue.left
         queue = queue.pop() if newest_first else queue.popleft()
         request = tables.requests.get(call_id)
         if request is not None and request.stage == Waiting() and request.due_at > now:
             left = replace(service, queue=queue, waiting=service.waiting - 1)
             return put_service(tables, left), request
-        queue = without_gone(tables, queue)
+        queue = without_ended_calls(tables, queue)
     if queue is service.queue:
         return tables, None
     return put_service(tables, replace(service, queue=queue)), None
--- a/bulrushpulley/systems/route/recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -24,7 +24,7 @@
     without_attempt,
 )
 
-UNLINKED_WAIT_S = 2.0
+LINK_WAIT_TIMEOUT_S = 2.0
 
 
 def recall(
@@ -34,8 +34,8 @@
     tables = leave_stage(request.stage, request, tables)
     if agent in tables.links:
         return send_recall(tables, request, agent, now)
-    until = min(request.deadline, now + UNLINKED_WAIT_S)
-    stage = Recalling(agent=agent, unlinked_until=until)
+    until = min(request.deadline, now + LINK_WAIT_TIMEOUT_S)
+    stage = Recalling(agent=agent, link_deadline=until)
     waiting = replace(request, stage=stage, due_at=until)
     return Step(tables=put_request(tables, waiting))
 
@@ -85,27 +85,29 @@
     )
 
 
-def link_lost(tables: RouterTables, attempt: Attempt, now: float) -> Step[RouterTables]:
+def handle_link_lost(
+    tables: RouterTables, attempt: Attempt, now: float
+) -> Step[RouterTables]:
     """Go on with the request of an attempt whose answer cannot come any more."""
     request = tables.requests.get(attempt.call_id)
     if request is None:
         return Step(tables=tables)
-    left = without_attempt(request, attempt.attempt_id)
-    tables = put_request(tables, left)
-    step = after_loss(left.stage, left, attempt, tables, now)
+    updated = without_attempt(request, attempt.attempt_id)
+    tables = put_request(tables, updated)
+    step = handle_lost_attempt(updated.stage, updated, attempt, tables, now)
     count = Count(name="route.attempts_lost", label=request.service)
     return Step(tables=step.tables, commands=(*step.commands, count))
 
 
 @singledispatch
-def after_loss(
+def handle_lost_attempt(
     stage: Stage, request: Request, attempt: Attempt, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Go on from `stage` after an attempt was lost with its link."""
     return Step(tables=tables)
 
 
-@after_loss.register
+@handle_lost_attempt.register
 def _(
     stage: InFlight,
     request: Request,
@@ -115,14 +117,16 @@
 ) -> Step[RouterTables]:
     if not request.repeatable:
         return recall(tables, request, attempt.agent, now)
-    unsure = replace(request, may_have_run=True, tried=(*request.tried, attempt.agent))
-    if unsure.attempts:
-        return Step(tables=put_request(tables, unsure))
+    updated = replace(
+        request, may_have_run=True, tried_agents=(*request.tried_agents, attempt.agent)
+    )
+    if updated.attempts:
+        return Step(tables=put_request(tables, updated))
     problem = unlinked_problem(attempt.agent)
-    return retry(tables, unsure, ran=Ran.UNKNOWN, problem=problem, now=now)
+    return retry(tables, updated, ran=Ran.UNKNOWN, problem=problem, now=now)
 
 
-@after_loss.register
+@handle_lost_attempt.register
 def _(
     stage: Recalling,
     request: Request,
--- a/bulrushpulley/systems/route/resubmit.py
+++ b/bulrushpulley/systems/route/resubmit.py
@@ -8,10 +8,10 @@
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.route.claims import submit
-from bulrushpulley.systems.route.timers import after_due, refuse_late
+from bulrushpulley.systems.route.timers import handle_due, refuse_late
 
 
-@after_due.register
+@handle_due.register
 def _(
     stage: Claiming, request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
--- a/bulrushpulley/systems/route/send.py
+++ b/bulrushpulley/systems/route/send.py
@@ -26,7 +26,7 @@
     tables = replace(
         tables,
         attempts=tables.attempts.put(attempt_id, attempt),
-        servers=tables.servers.put(agent, server.dispatched()),
+        servers=tables.servers.put(agent, server.with_request_added()),
     )
     sent = replace(
         request,
@@ -57,7 +57,7 @@
 
 def hedge_at(tables: RouterTables, request: Request, now: float) -> float:
     """Return when to look at a dispatched request again."""
-    late_s = tables.service(request.service).late_s
-    if not request.repeatable or request.hedged or not late_s:
+    latency_p95_s = tables.service(request.service).latency_p95_s
+    if not request.repeatable or request.hedged or not latency_p95_s:
         return request.deadline
-    return min(request.deadline, now + late_s)
+    return min(request.deadline, now + latency_p95_s)
--- a/bulrushpulley/systems/route/shed.py
+++ b/bulrushpulley/systems/route/shed.py
@@ -9,15 +9,15 @@
 from bulrushpulley.systems.route.finish import SELF, refuse
 from bulrushpulley.systems.route.queue import oldest_waiting
 
-QUEUE_SHARE = 0.5
-MIN_QUEUE = 16
-MAX_QUEUE = 5_000
+MAX_QUEUE_WAIT_FRACTION = 0.5
+MIN_QUEUE_LIMIT = 16
+MAX_QUEUE_LIMIT = 5_000
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
     """Turn away the oldest calls of each queue that is too long."""
     commands: list[Command] = []
-    for name in sorted(tables.busy):
+    for name in sorted(tables.busy_services):
         step = shed(tables, name, now)
         tables = step.tables
         commands.extend(step.commands)
@@ -35,7 +35,9 @@
         service = tables.service(name)
         if service.waiting <= queue_limit(service, slots, oldest):
             break
-        step = refuse(tables, oldest, ran=Ran.NO, problem=overloaded(service), now=now)
+        step = refuse(
+            tables, oldest, ran=Ran.NO, problem=overload_problem(service), now=now
+        )
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -44,13 +46,13 @@
 def queue_limit(service: Service, slots: int, oldest: Request) -> int:
     """Return how many calls can be served within a share of their time."""
     if not service.service_s:
-        return MAX_QUEUE
+        return MAX_QUEUE_LIMIT
     whole_s = oldest.deadline - oldest.received_at
-    servable = QUEUE_SHARE * whole_s * slots / service.service_s
-    return min(MAX_QUEUE, max(MIN_QUEUE, int(servable)))
+    servable = MAX_QUEUE_WAIT_FRACTION * whole_s * slots / service.service_s
+    return min(MAX_QUEUE_LIMIT, max(MIN_QUEUE_LIMIT, int(servable)))
 
 
-def overloaded(service: Service) -> Problem:
+def overload_problem(service: Service) -> Problem:
     """Describe a call that was turned away to keep the queue short."""
     return Problem(
         code=Code.OVERLOADED,
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -22,18 +22,21 @@
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.router_tables import (
-    CLAIM_BUCKET_S,
+    CLAIM_DELETION_BUCKET_S,
+    ClaimDeletion,
     ClaimPage,
-    HeldClaim,
     RouterTables,
 )
 from bulrushpulley.entities.step import Command, Step, Tell
+from bulrushpulley.systems.route.claim_outcomes import (
+    CLAIM_TTL_S,
+    schedule_claim_deletion,
+)
 from bulrushpulley.systems.route.events import apply
-from bulrushpulley.systems.route.settle import CLAIM_TTL_S, hold
 
-SWEEP_S = 1.0
-DELETIONS_PER_SWEEP = 50
-PAGE_S = 5.0
+CLAIM_SWEEP_INTERVAL_S = 1.0
+MAX_DELETIONS_PER_SWEEP = 50
+CLAIM_PAGE_READ_INTERVAL_S = 5.0
 PAGE_CHARS = string.ascii_letters + string.digits + string.punctuation.replace("/", "")
 
 
@@ -41,11 +44,11 @@
     """Delete some due claims, and read the next page of claims now and then."""
     commands: list[Command] = []
     if now >= tables.sweep_at:
-        step = delete_due(replace(tables, sweep_at=now + SWEEP_S), now)
+        step = delete_due(replace(tables, sweep_at=now + CLAIM_SWEEP_INTERVAL_S), now)
         tables = step.tables
         commands.extend(step.commands)
-    if now >= tables.page_at:
-        step = read_page(replace(tables, page_at=now + PAGE_S))
+    if now >= tables.page_read_at:
+        step = read_page(replace(tables, page_read_at=now + CLAIM_PAGE_READ_INTERVAL_S))
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -57,27 +60,27 @@
     commands: list[Command] = []
     for claim in due:
         tables, submission_id = tables.numbered()
-        tables = replace(tables, claims=tables.claims.drop(claim.key))
-        commands.append(deletion(claim, submission_id))
+        tables = replace(tables, claim_deletions=tables.claim_deletions.drop(claim.key))
+        commands.append(deletion_command(claim, submission_id))
     if due:
         commands.append(Count(name="route.claims_deleted", by=len(due)))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def due_claims(tables: RouterTables, now: float) -> list[HeldClaim]:
+def due_claims(tables: RouterTables, now: float) -> list[ClaimDeletion]:
     """Return some of the claims that are due, those of the oldest buckets first."""
-    last = int(now / CLAIM_BUCKET_S)
-    buckets = (int(key) for key in tables.claims.by_index["deletion"])
-    found: list[HeldClaim] = []
+    last = int(now / CLAIM_DELETION_BUCKET_S)
+    buckets = (int(key) for key in tables.claim_deletions.by_index["deletion"])
+    found: list[ClaimDeletion] = []
     for bucket in sorted(number for number in buckets if number <= last):
-        rows = tables.claims.rows_where("deletion", str(bucket))
+        rows = tables.claim_deletions.rows_where("deletion", str(bucket))
         found.extend(row for row in rows if row.delete_at <= now)
-        if len(found) >= DELETIONS_PER_SWEEP:
+        if len(found) >= MAX_DELETIONS_PER_SWEEP:
             break
-    return found[:DELETIONS_PER_SWEEP]
+    return found[:MAX_DELETIONS_PER_SWEEP]
 
 
-def deletion(claim: HeldClaim, submission_id: str) -> Tell:
+def deletion_command(claim: ClaimDeletion, submission_id: str) -> Tell:
     """Return the command that deletes a claim if it still has its version."""
     content = Submission(
         submission_id=submission_id,
@@ -92,8 +95,8 @@
     names = sorted(tables.services)
     if not names:
         return ""
-    place, char = divmod(tables.page_number, len(PAGE_CHARS))
-    return f"claim/{names[place % len(names)]}/{PAGE_CHARS[char]}"
+    service_index, char = divmod(tables.page_number, len(PAGE_CHARS))
+    return f"claim/{names[service_index % len(names)]}/{PAGE_CHARS[char]}"
 
 
 def read_page(tables: RouterTables) -> Step[RouterTables]:
@@ -110,12 +113,14 @@
 def _(event: Fetched, tables: RouterTables, now: float) -> Step[RouterTables]:
     if event.failed:
         return Step(tables=tables)
-    before = tables.pages.get(event.prefix)
+    before = tables.claim_pages.get(event.prefix)
     if before is not None and now - before.read_at < CLAIM_TTL_S:
         return Step(tables=tables)
     for row in event.rows:
-        left = before is not None and 0 < row.version <= before.revision
-        if left and row.row is not None:
-            tables = hold(tables, row.key, row.version, now)
+        unchanged = before is not None and 0 < row.version <= before.revision
+        if unchanged and row.row is not None:
+            tables = schedule_claim_deletion(tables, row.key, row.version, now)
     page = ClaimPage(prefix=event.prefix, revision=event.revision, read_at=now)
-    return Step(tables=replace(tables, pages=tables.pages.put(event.prefix, page)))
+    return Step(
+        tables=replace(tables, claim_pages=tables.claim_pages.put(event.prefix, page))
+    )
--- a/bulrushpulley/systems/route/timers.py
+++ b/bulrushpulley/systems/route/timers.py
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.router_tables import RouterTables
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem, Ran
-from bulrushpulley.systems.route.finish import late_problem, refuse
+from bulrushpulley.systems.route.finish import deadline_problem, refuse
 from bulrushpulley.systems.route.hedge import hedge
 from bulrushpulley.systems.route.recall import unlinked_problem
 
@@ -28,20 +28,22 @@
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
     """Look at every request that has become due."""
     last = timer_bucket(now) - 1
-    if last == tables.timers_until:
+    if last == tables.last_timer_bucket:
         return Step(tables=tables)
     commands: list[Command] = []
-    for bucket in passed_buckets(tables, last):
+    for bucket in due_buckets(tables, last):
         for request in tables.requests.rows_where("due", bucket):
-            step = after_due(request.stage, request, tables, now)
+            step = handle_due(request.stage, request, tables, now)
             tables = step.tables
             commands.extend(step.commands)
-    return Step(tables=replace(tables, timers_until=last), commands=tuple(commands))
+    return Step(
+        tables=replace(tables, last_timer_bucket=last), commands=tuple(commands)
+    )
 
 
-def passed_buckets(tables: RouterTables, last: int) -> Iterable[str]:
+def due_buckets(tables: RouterTables, last: int) -> Iterable[str]:
     """Return the buckets up to `last` that may hold requests, oldest first."""
-    first = tables.timers_until + 1
+    first = tables.last_timer_bucket + 1
     filled = tables.requests.by_index["due"]
     if last - first < len(filled):
         return [str(number) for number in range(first, last + 1)]
@@ -49,7 +51,7 @@
 
 
 @singledispatch
-def after_due(
+def handle_due(
     stage: Stage, request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Refuse a request that has nothing in flight."""
@@ -60,10 +62,10 @@
     request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Refuse a request whose time is over and that has nothing in flight."""
-    return refuse(tables, request, ran=Ran.NO, problem=late_problem(), now=now)
+    return refuse(tables, request, ran=Ran.NO, problem=deadline_problem(), now=now)
 
 
-@after_due.register
+@handle_due.register
 def _(
     stage: InFlight, request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
@@ -72,13 +74,13 @@
     problem = Problem(
         code=Code.OUTCOME_UNKNOWN,
         step="route.answer",
-        peer=request.tried[-1] if request.tried else "agent",
+        peer=request.tried_agents[-1] if request.tried_agents else "agent",
         detail="no answer came before the deadline",
     )
     return refuse(tables, request, ran=Ran.UNKNOWN, problem=problem, now=now)
 
 
-@after_due.register
+@handle_due.register
 def _(
     stage: Recalling, request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -192,9 +192,9 @@
 def oldest_first(name: str, load: Load) -> Result:
     """Run the router without shedding: oldest first, whatever the queue."""
     with (
-        mock.patch.object(route_queue, "is_standing", never),
-        mock.patch.object(route_shed, "MIN_QUEUE", sys.maxsize),
-        mock.patch.object(route_shed, "MAX_QUEUE", sys.maxsize),
+        mock.patch.object(route_queue, "is_standing_queue", never),
+        mock.patch.object(route_shed, "MIN_QUEUE_LIMIT", sys.maxsize),
+        mock.patch.object(route_shed, "MAX_QUEUE_LIMIT", sys.maxsize),
     ):
         return run_router(name, load)
 
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -22,7 +22,7 @@
 from bulrushpulley.entities.execution import (
     BackendAnswered,
     CheckBackend,
-    HealthSeen,
+    HealthChecked,
     RunOnBackend,
 )
 from bulrushpulley.entities.link import (
@@ -41,7 +41,7 @@
 from test.virtual_world import Path, Seat, VirtualWorld
 
 SERVICE = "oven-conductor"
-STORE_S = 0.005
+STORE_DELAY_S = 0.005
 ROUTER_ITEMS = (Announce, Answered, Refused)
 Answer = AnswerCall | RefuseCall
 
@@ -53,7 +53,7 @@
         self.by_key: dict[str, VersionedRow] = {}
         self.revision = 0
         self.mode = "up"
-        self.delay_s = STORE_S
+        self.delay_s = STORE_DELAY_S
 
     def submit(self, content: Submission) -> CommitOutcome:
         """Commit a submission unless the store is down; its answer may be lost."""
@@ -109,7 +109,7 @@
         self.id_of_call: dict[str, str] = {}
         self.bodies_of_id: dict[str, set[str]] = {}
         self.done: list[str] = []
-        self.cut: set[tuple[str, str]] = set()
+        self.cut_links: set[tuple[str, str]] = set()
         self.entries = [f"e{n}" for n in range(1, entries + 1)]
         self.agents = [f"a{n}" for n in range(1, agents + 1)]
         for name in self.entries:
@@ -186,7 +186,7 @@
         """Return how a call ended: its body, or whether it ran; empty if it waits."""
         found = self.answers.get(call_id, [])
         assert len(found) <= 1, f"{call_id} was answered {len(found)} times"
-        return described(found[0][1]) if found else ""
+        return describe_answer(found[0][1]) if found else ""
 
     def check(self) -> None:
         """Assert what must hold for every call, however it ended."""
@@ -207,35 +207,35 @@
         return self.world.tables[Seat(process=process, role=role)]
 
     def _carry_out(self, world: VirtualWorld, seat: Seat, command: Command) -> None:
-        act(command, self, seat)
+        carry_out(command, self, seat)
 
 
 @singledispatch
-def described(answer: Command) -> str:
+def describe_answer(answer: Command) -> str:
     """Return an answer in a form for assertions."""
     raise NotImplementedError
 
 
-@described.register
+@describe_answer.register
 def _(answer: AnswerCall) -> str:
     return answer.body.decode()
 
 
-@described.register
+@describe_answer.register
 def _(answer: RefuseCall) -> str:
     return {Ran.NO: "not run", Ran.UNKNOWN: "unknown", Ran.YES: "ran"}[answer.ran]
 
 
 @singledispatch
-def act(command: Command, world: RequestWorld, seat: Seat) -> None:
+def carry_out(command: Command, world: RequestWorld, seat: Seat) -> None:
     """Carry out a command over the fakes; others have no effect."""
     if type(command).__name__ in {"GuardDone", "RouterDone"}:
         world.done.append(seat.process)
 
 
-@act.register
+@carry_out.register
 def _(command: Send, world: RequestWorld, seat: Seat) -> None:
-    if (seat.process, command.peer) in world.cut:
+    if (seat.process, command.peer) in world.cut_links:
         return
     role = "router" if isinstance(command.item, ROUTER_ITEMS) else "guard"
     assert isinstance(command.item, LinkEvent)
@@ -248,7 +248,7 @@
     return replace(item, peer=peer)
 
 
-@act.register
+@carry_out.register
 def _(command: Tell, world: RequestWorld, seat: Seat) -> None:
     if not isinstance(command.event, Submitted):
         return
@@ -261,7 +261,7 @@
     world.world.at(half.delay_s, arrive)
 
 
-@act.register
+@carry_out.register
 def _(command: RunOnBackend, world: RequestWorld, seat: Seat) -> None:
     key = command.request_id or command.execution_id
     world.runs[key] += 1
@@ -272,18 +272,18 @@
     world.world.deliver(seat, event, Path(delay_s=world.service_s(seat.process)))
 
 
-@act.register
+@carry_out.register
 def _(command: CheckBackend, world: RequestWorld, seat: Seat) -> None:
-    world.world.deliver(seat, HealthSeen(healthy=True), Path(delay_s=0.001))
+    world.world.deliver(seat, HealthChecked(healthy=True), Path(delay_s=0.001))
 
 
-@act.register
+@carry_out.register
 def _(command: Count, world: RequestWorld, seat: Seat) -> None:
     world.counts[command.name] += command.by
 
 
-@act.register(AnswerCall)
-@act.register(RefuseCall)
+@carry_out.register(AnswerCall)
+@carry_out.register(RefuseCall)
 def _(command: Answer, world: RequestWorld, seat: Seat) -> None:
     entry = (world.world.now, command)
     world.answers.setdefault(command.call_id, []).append(entry)
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -11,7 +11,7 @@
 from bulrushpulley.entities.execution import (
     BackendAnswered,
     CheckBackend,
-    HealthSeen,
+    HealthChecked,
     RunOnBackend,
 )
 from bulrushpulley.entities.guard_tables import GuardDone
@@ -157,7 +157,7 @@
 
 @carry_out.register
 def _(command: CheckBackend, site: Site, seat: Seat) -> None:
-    site.world.deliver(seat, HealthSeen(healthy=True), Path(delay_s=0.001))
+    site.world.deliver(seat, HealthChecked(healthy=True), Path(delay_s=0.001))
 
 
 # The table service.
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -6,19 +6,19 @@
 
 import testtools
 
-from bulrushpulley.entities.execution import HealthSeen
+from bulrushpulley.entities.execution import HealthChecked
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import Announce, Dispatch, Recall, Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.guard import memory as guard_memory
+from bulrushpulley.systems.guard import outcomes as guard_outcomes
 from bulrushpulley.systems.guard import requests as guard_requests
 from bulrushpulley.systems.route import choice as route_choice
 from test.request_world import SERVICE, RequestWorld
 from test.virtual_world import Seat
 
-FLOOD = 40
-ROOM = 16
-MOST_ANNOUNCED_PER_S = 25
+DISPATCHES = 40
+AGENT_CAPACITY = 16
+MAX_ANNOUNCEMENTS_PER_S = 25
 ANNOUNCE_BYTES = 200
 
 
@@ -66,21 +66,21 @@
 class GuardTest(testtools.TestCase):
     def flood(self) -> int:
         world = RequestWorld(agents=1)
-        for number in range(FLOOD):
+        for number in range(DISPATCHES):
             world.tell("a1", dispatch(f"x{number}"))
         world.run(1.0)
         return sum(world.runs.values())
 
     def test_beyond_slots_and_queue_nothing_reaches_the_backend_server(self) -> None:
-        self.assertEqual(ROOM, self.flood())
-        with mock.patch.object(guard_requests, "no_room", lambda *_: None):
-            self.assertEqual(FLOOD, self.flood())
+        self.assertEqual(AGENT_CAPACITY, self.flood())
+        with mock.patch.object(guard_requests, "capacity_refusal", lambda *_: None):
+            self.assertEqual(DISPATCHES, self.flood())
 
     def test_forgotten_ids_are_never_said_not_to_have_run(self) -> None:
         for limit, expected in ((2, ["unknown"]), (50_000, ["answered"])):
             world = RequestWorld(agents=1)
             found = sent(world)
-            with mock.patch.object(guard_memory, "MAX_REMEMBERED", limit):
+            with mock.patch.object(guard_outcomes, "MAX_REMEMBERED_OUTCOMES", limit):
                 for name in ("x1", "x2", "x3"):
                     world.tell("a1", dispatch(name))
                     world.run(0.1)
@@ -91,7 +91,7 @@
     def test_an_answer_no_longer_kept_is_said_to_have_run(self) -> None:
         world = RequestWorld(agents=1)
         found = sent(world)
-        with mock.patch.object(guard_memory, "MAX_BODY_BYTES", 3):
+        with mock.patch.object(guard_outcomes, "MAX_REMEMBERED_BODY_BYTES", 3):
             world.tell("a1", dispatch("x1"))
             world.run(0.1)
         world.tell("a1", recall("x1"))
@@ -101,7 +101,7 @@
 
     def test_an_unhealthy_backend_server_gets_nothing(self) -> None:
         world = RequestWorld(agents=1)
-        world.tell("a1", HealthSeen(healthy=False))
+        world.tell("a1", HealthChecked(healthy=False))
         world.tell("a1", dispatch("x1"))
         world.run(0.1)
         self.assertEqual(0, sum(world.runs.values()))
@@ -135,10 +135,10 @@
         self.assertEqual("not run", world.outcome("c2"))
         self.assertEqual(["e1"], world.done)
 
-    def silent_agent_runs(self) -> int:
+    def unannounced_server_runs(self) -> int:
         """Return how much a backend server gets that is no longer announced."""
         world = RequestWorld(agents=2)
-        world.cut = {("a1", "e1")}
+        world.cut_links = {("a1", "e1")}
         world.run(3.5)
         for number in range(20):
             world.call("e1", f"c{number}")
@@ -146,9 +146,9 @@
         return len([name for name in world.run_on.values() if name == "a1"])
 
     def test_a_backend_server_no_longer_announced_gets_nothing(self) -> None:
-        self.assertEqual(0, self.silent_agent_runs())
+        self.assertEqual(0, self.unannounced_server_runs())
         with mock.patch.object(route_choice, "ANNOUNCE_TTL_S", 99.0):
-            self.assertNotEqual(0, self.silent_agent_runs())
+            self.assertNotEqual(0, self.unannounced_server_runs())
 
     def test_announcements_are_few(self) -> None:
         world = RequestWorld(entries=5, agents=1)
@@ -157,5 +157,5 @@
             world.call_at(number * 0.025, f"e{1 + number % 5}", f"c{number}")
         world.run(10.0)
         announced = [send for send in found if isinstance(send.item, Announce)]
-        self.assertTrue(50 <= len(announced) <= 10 * MOST_ANNOUNCED_PER_S)
-        self.assertLess(MOST_ANNOUNCED_PER_S * ANNOUNCE_BYTES, 10_000)
+        self.assertTrue(50 <= len(announced) <= 10 * MAX_ANNOUNCEMENTS_PER_S)
+        self.assertLess(MAX_ANNOUNCEMENTS_PER_S * ANNOUNCE_BYTES, 10_000)
--- a/test/test_linker.py
+++ b/test/test_linker.py
@@ -15,7 +15,7 @@
 )
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.roles import linker
-from bulrushpulley.systems.linker_events import LONGEST_RETRY_S, retry_delay
+from bulrushpulley.systems.linker_events import MAX_DIAL_RETRY_DELAY_S, retry_delay
 
 SEED = "127.0.0.1:1"
 LISTED = "127.0.0.1:2"
@@ -69,7 +69,7 @@
             tries += [now] if failed else []
         gaps = [later - earlier for earlier, later in itertools.pairwise(tries)]
         self.assertTrue(len(tries) < 20, tries)
-        self.assertTrue(max(gaps) <= LONGEST_RETRY_S + 0.2, gaps)
+        self.assertTrue(max(gaps) <= MAX_DIAL_RETRY_DELAY_S + 0.2, gaps)
 
     def test_an_address_out_of_the_list_is_kept_until_its_link_ends(self) -> None:
         self.tick(0.0, entries(LISTED))
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -34,7 +34,7 @@
 CASES = (
     GuardOut(
         name="an agent that forgets ids runs a repeated request twice",
-        patches=((guard_requests, "join", never_known),),
+        patches=((guard_requests, "join_known", never_known),),
         cell=Cell(step="request dispatched", faults=("message repeated",)),
         violation="ran twice",
     ),
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -15,11 +15,11 @@
 from bulrushpulley.errors import Ran
 from bulrushpulley.systems.guard import requests as guard_requests
 from bulrushpulley.systems.route import answers as route_answers
+from bulrushpulley.systems.route import claim_outcomes as route_claim_outcomes
 from bulrushpulley.systems.route import claims as route_claims
 from bulrushpulley.systems.route import finish as route_finish
 from bulrushpulley.systems.route import recall as route_recall
-from bulrushpulley.systems.route import settle as route_settle
-from bulrushpulley.systems.route.finish import late_problem
+from bulrushpulley.systems.route.finish import deadline_problem
 from test.request_world import RequestWorld
 from test.virtual_world import Path, Seat
 
@@ -92,20 +92,20 @@
     world.call("e1", "c1", "id1")
     world.run(0.02)
     agent = world.run_on["id1"]
-    world.cut.add((agent, "e1"))
+    world.cut_links.add((agent, "e1"))
     world.run(0.1)
     world.unlink("e1", agent)
     world.run(0.1)
-    world.cut.clear()
+    world.cut_links.clear()
     world.link("e1", agent)
     world.run(1.0)
 
 
 def dispatch_lost(world: RequestWorld) -> None:
-    world.cut |= {("e1", agent) for agent in world.agents}
+    world.cut_links |= {("e1", agent) for agent in world.agents}
     world.call("e1", "c1", "id1")
     world.run(0.1)
-    world.cut.clear()
+    world.cut_links.clear()
     for agent in world.agents:
         world.unlink("e1", agent)
         world.link("e1", agent)
@@ -202,18 +202,23 @@
 
 
 def never_may_have_run(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
-    problem = late_problem()
+    problem = deadline_problem()
     return route_finish.refuse(tables, request, ran=Ran.NO, problem=problem, now=now)
 
 
 SUBMISSION = route_claims.submission
-UNGUARDED: tuple[tuple[Callable[[RequestWorld], None], Any, str, Any], ...] = (
+UNPROTECTED_CASES: tuple[tuple[Callable[[RequestWorld], None], Any, str, Any], ...] = (
     (same_moment, route_claims, "submission", unconditional),
     (overtaken, guard_requests, "remember", lambda tables, *_: tables),
-    (dies_after_dispatch, guard_requests, "join", lambda *_: None),
-    (copies_of_refused, guard_requests, "refuse_for_good", lambda tables, _: tables),
-    (answers_out_of_order, route_answers, "awaited", any_attempt),
-    (agent_restarts, route_settle, "recall", not_asked),
+    (dies_after_dispatch, guard_requests, "join_known", lambda *_: None),
+    (
+        copies_of_refused,
+        guard_requests,
+        "record_refused_attempt",
+        lambda tables, _: tables,
+    ),
+    (answers_out_of_order, route_answers, "match_attempt", any_attempt),
+    (agent_restarts, route_claim_outcomes, "recall", not_asked),
     (agent_dies, route_recall, "recall", never_may_have_run),
 )
 
@@ -235,15 +240,15 @@
         self.assertLess(world.store.revision, 6)
 
     def test_each_guard_is_needed(self) -> None:
-        for scenario, module, name, patch in UNGUARDED:
+        for scenario, module, name, patch in UNPROTECTED_CASES:
             world = RequestWorld()
             with mock.patch.object(module, name, patch):
                 scenario(world)
             label = f"{scenario.__name__} without {name}"
-            self.assertTrue(is_red(world), label)
+            self.assertTrue(check_fails(world), label)
 
 
-def is_red(world: RequestWorld) -> bool:
+def check_fails(world: RequestWorld) -> bool:
     """Tell whether the check fails."""
     try:
         world.check()
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -13,8 +13,8 @@
 from bulrushpulley.entities.rows import ClaimRow
 from bulrushpulley.systems.route import calls as route_calls
 from bulrushpulley.systems.route import choice as route_choice
+from bulrushpulley.systems.route import claim_outcomes as route_claim_outcomes
 from bulrushpulley.systems.route import eject as route_eject
-from bulrushpulley.systems.route import settle as route_settle
 from bulrushpulley.systems.route import sweep as route_sweep
 from test.request_world import SERVICE, RequestWorld
 from test.virtual_world import Path
@@ -24,7 +24,7 @@
 
 
 class PolicyTest(testtools.TestCase):
-    def useful(self, rate: float, seconds: float = 2.0) -> int:
+    def count_useful(self, rate: float, seconds: float = 2.0) -> int:
         """Count answers in time from a load of `rate` a second on 2 x 8 slots."""
         world = RequestWorld(entries=1, agents=2, service_s=0.1)
         dice = random.Random(1)
@@ -36,8 +36,8 @@
         return sum(outcome.startswith("done") for outcome in ended)
 
     def test_overload_keeps_useful_answers_up(self) -> None:
-        peak = self.useful(160.0)
-        self.assertGreater(self.useful(800.0), 0.9 * peak)
+        peak = self.count_useful(160.0)
+        self.assertGreater(self.count_useful(800.0), 0.9 * peak)
 
     def test_repeatable_calls_survive_a_lost_agent_and_budgets_bound_retries(
         self,
@@ -61,7 +61,7 @@
             world.run(1.0)
         self.assertEqual("unknown", world.outcome("c1"))
 
-    def slow_share(self) -> float:
+    def slow_server_fraction(self) -> float:
         """Return the share of calls that a slow server of four gets."""
         world = RequestWorld(entries=1, agents=4)
         world.service_s = lambda agent: 0.3 if agent == "a1" else 0.02
@@ -71,14 +71,14 @@
         return list(world.run_on.values()).count("a1") / 400
 
     def test_a_slow_server_gets_few_calls(self) -> None:
-        self.assertLess(self.slow_share(), 0.03)
+        self.assertLess(self.slow_server_fraction(), 0.03)
 
     def test_without_ejection_and_weights_a_slow_server_gets_its_share(self) -> None:
         with (
             mock.patch.object(route_choice, "cost_s", lambda server: 0.0),
             mock.patch.object(route_eject, "EJECT_FACTOR", 99.0),
         ):
-            self.assertGreater(self.slow_share(), 0.03)
+            self.assertGreater(self.slow_server_fraction(), 0.03)
 
     def test_other_regions_take_only_what_the_own_region_cannot(self) -> None:
         world = RequestWorld(entries=1, agents=1, service_s=0.2)
@@ -146,7 +146,7 @@
 
     def test_claims_are_deleted_after_their_time(self) -> None:
         world = RequestWorld(entries=1)
-        with mock.patch.object(route_settle, "CLAIM_TTL_S", TTL_S):
+        with mock.patch.object(route_claim_outcomes, "CLAIM_TTL_S", TTL_S):
             world.call("e1", "c1", "id1")
             world.run(TTL_S - 1.0)
             self.assertEqual(1, len(world.store.by_key))
@@ -209,7 +209,7 @@
     elif kind == 4:
         world.store.delay_s = dice.choice((0.005, 0.3))
     else:
-        world.cut ^= {(agent, entry)}
+        world.cut_links ^= {(agent, entry)}
 
 
 def relink(world: RequestWorld, entry: str, agent: str) -> None:
