--- a/bulrushpulley/entities/commit.py
+++ b/bulrushpulley/entities/commit.py
@@ -107,7 +107,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ReadAsked(Event):
+class ReadRequested(Event):
     """Asks the committer for the rows under a prefix, changed since a revision."""
 
     origin: str
--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -75,15 +75,15 @@
     awaiting: bool = False
     sent_at: float = 0.0
     timeout_s: float = 0.0
-    doubtful: bool = False
-    seal_due: bool = False
-    alone: int = 0
+    request_in_doubt: bool = False
+    fence_move_due: bool = False
+    single_sends: int = 0
     failures: int = 0
     retry_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DoubtRow:
+class InDoubtRow:
     """A submission that was sent in `transaction_ids` without a sure answer.
 
     `revision` is not 0 once the fence has shown that one of them committed.
@@ -96,7 +96,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Asker:
+class ReadRequester:
     """Who asked for a prefix, and under which id."""
 
     origin: str
@@ -110,7 +110,7 @@
     read_id: str
     prefix: str
     since: int
-    askers: tuple[Asker, ...]
+    requesters: tuple[ReadRequester, ...]
     sent: bool = False
 
     @property
@@ -127,15 +127,15 @@
     return ("sent" if read.sent else "waiting",)
 
 
-def _doubt_transactions(doubt: DoubtRow) -> tuple[str, ...]:
-    return doubt.transaction_ids
+def _in_doubt_transactions(row: InDoubtRow) -> tuple[str, ...]:
+    return row.transaction_ids
 
 
-def _no_doubts() -> Table[DoubtRow]:
-    return Table.empty(indexes={"transaction": _doubt_transactions})
+def _empty_in_doubt() -> Table[InDoubtRow]:
+    return Table.empty(indexes={"transaction": _in_doubt_transactions})
 
 
-def _no_reads() -> Table[PrefixRead]:
+def _empty_reads() -> Table[PrefixRead]:
     return Table.empty(indexes={"query": _read_query, "state": _read_state})
 
 
@@ -159,7 +159,7 @@
     incarnation: str
     submissions: Table[SubmissionRow] = field(default_factory=Table.empty)
     lanes: Table[LaneRow] = field(default_factory=_idle_lanes)
-    doubts: Table[DoubtRow] = field(default_factory=_no_doubts)
-    reads: Table[PrefixRead] = field(default_factory=_no_reads)
-    reads_asked: int = 0
+    in_doubt: Table[InDoubtRow] = field(default_factory=_empty_in_doubt)
+    reads: Table[PrefixRead] = field(default_factory=_empty_reads)
+    last_read_number: int = 0
     sweep_at: float = 0.0
--- a/bulrushpulley/entities/member.py
+++ b/bulrushpulley/entities/member.py
@@ -7,7 +7,7 @@
 from bulrushpulley.entities.link import EntryAddress
 from bulrushpulley.entities.rows import MemberRow
 
-LAPSE_S = 15.0
+MEMBER_EXPIRY_S = 15.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -16,12 +16,12 @@
 
     row: MemberRow
     version: int
-    quiet_s: float = 0.0
+    unchanged_s: float = 0.0
 
     @property
     def live(self) -> bool:
         """Whether the entry still counts as running."""
-        return self.quiet_s < LAPSE_S
+        return self.unchanged_s < MEMBER_EXPIRY_S
 
 
 def member_key(name: str) -> str:
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -15,6 +15,7 @@
 from bulrushpulley.systems.control import cells as control_cells
 from bulrushpulley.systems.control import changes as control_changes
 from bulrushpulley.systems.control import closing as control_closing
+from bulrushpulley.systems.control import distribution as control_distribution
 from bulrushpulley.systems.control import enquiries as control_enquiries
 from bulrushpulley.systems.control import events as control_events
 from bulrushpulley.systems.control import in_force as control_in_force
@@ -22,7 +23,6 @@
 from bulrushpulley.systems.control import offers as control_offers
 from bulrushpulley.systems.control import polls as control_polls
 from bulrushpulley.systems.control import records as control_records
-from bulrushpulley.systems.control import spread as control_spread
 from bulrushpulley.systems.control import submissions as control_submissions
 
 NAME = "controller"
@@ -41,7 +41,7 @@
     )
     polls = {
         **control_records.polls(),
-        control_members.PREFIX: control_members.poll(),
+        control_members.MEMBER_PREFIX: control_members.poll(),
         control_backlog.BACKLOG_PREFIX: control_backlog.poll(),
     }
     table: Table[Poll] = Table.empty()
@@ -58,7 +58,7 @@
             control_changes.run,
             control_members.run,
             control_polls.run,
-            control_spread.run,
+            control_distribution.run,
             control_offers.run,
             control_backlog.run,
             control_closing.run,
--- a/bulrushpulley/roles/routing.py
+++ b/bulrushpulley/roles/routing.py
@@ -9,7 +9,7 @@
 from functools import singledispatch
 
 from bulrushpulley.entities import link
-from bulrushpulley.entities.commit import CommitOutcome, ReadAsked, Submitted
+from bulrushpulley.entities.commit import CommitOutcome, ReadRequested, Submitted
 from bulrushpulley.entities.jobs.items import JobItem
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
@@ -109,7 +109,7 @@
 
 @delivered.register
 def _(item: link.Fetch) -> Event:
-    return ReadAsked(
+    return ReadRequested(
         origin=item.peer,
         fetch_id=item.fetch_id,
         prefix=item.prefix,
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -13,10 +13,10 @@
 )
 from bulrushpulley.entities.step import Step
 from bulrushpulley.entities.table import Table
-from bulrushpulley.systems.commit.doubt import known_revision
+from bulrushpulley.systems.commit.in_doubt import known_revision
 from bulrushpulley.systems.commit.report import report_committed, withdraw
 
-MAX_QUEUED = 4_096
+MAX_QUEUED_PER_LANE = 4_096
 URGENT_PREFIXES = ("claim/", "alive/", "lease/", "member/", "record/", "revision")
 
 
@@ -28,7 +28,7 @@
     return Lane.BULK
 
 
-def fault_of(submission: Submission) -> str:
+def unsafe_reason(submission: Submission) -> str:
     """Say why a submission could take effect twice, or return an empty string."""
     conditioned = {condition.key for condition in submission.conditions}
     written = [write.key for write in submission.writes]
@@ -45,20 +45,20 @@
     """Queue a submission; one that is queued or in flight gains an origin."""
     known = tables.submissions.get(event.submission.submission_id)
     if known is not None:
-        return _joined(event, known, tables, now)
+        return _add_origin(event, known, tables, now)
     row = _row(event, now)
     revision = known_revision(tables, row.submission_id)
     if revision:
         return report_committed(tables, row, revision, now)
-    fault = fault_of(event.submission)
+    fault = unsafe_reason(event.submission)
     if fault:
         return withdraw(tables, row, fault, now)
     lane = tables.lanes.by_key[row.lane]
-    if len(lane.queue) >= MAX_QUEUED:
+    if len(lane.queue) >= MAX_QUEUED_PER_LANE:
         return withdraw(tables, row, "the committer's queue is full", now)
     queued = replace(lane, queue=(*lane.queue, row.submission_id))
     lanes = tables.lanes.put(lane.name, queued)
-    return Step(tables=_kept(tables, row, lanes))
+    return Step(tables=_with_submission(tables, row, lanes))
 
 
 def _row(event: Submitted, now: float) -> SubmissionRow:
@@ -73,7 +73,7 @@
     )
 
 
-def _joined(
+def _add_origin(
     event: Submitted, known: SubmissionRow, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
     origins = known.origins
@@ -81,10 +81,10 @@
         origins = (*origins, event.origin)
     give_up_at = max(known.give_up_at, now + event.submission.give_up_after_s)
     joined = replace(known, origins=origins, give_up_at=give_up_at)
-    return Step(tables=_kept(tables, joined, tables.lanes))
+    return Step(tables=_with_submission(tables, joined, tables.lanes))
 
 
-def _kept(
+def _with_submission(
     tables: CommitterTables, row: SubmissionRow, lanes: Table[LaneRow]
 ) -> CommitterTables:
     submissions = tables.submissions.put(row.submission_id, row)
--- a/bulrushpulley/systems/commit/backoff.py
+++ b/bulrushpulley/systems/commit/backoff.py
@@ -6,12 +6,12 @@
 
 from bulrushpulley.entities.committer_tables import LaneRow
 
-FIRST_RETRY_S = 0.05
-LAST_RETRY_S = 2.0
-FAILURES_TO_OPEN = 3
-MIN_TIMEOUT_S = 2.0
-MAX_TIMEOUT_S = 8.0
-TIMEOUT_PER_DELAY = 4.0
+MIN_COMMIT_RETRY_DELAY_S = 0.05
+MAX_COMMIT_RETRY_DELAY_S = 2.0
+FAILURES_TO_OPEN_CIRCUIT = 3
+MIN_COMMIT_TIMEOUT_S = 2.0
+MAX_COMMIT_TIMEOUT_S = 8.0
+COMMIT_TIMEOUT_FACTOR = 4.0
 
 
 def jitter(name: str) -> float:
@@ -21,25 +21,27 @@
 
 def retry_delay(failures: int, name: str) -> float:
     """Return the delay after so many failures in a row: exponential, with jitter."""
-    longest: float = min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** (failures - 1))
+    longest: float = min(
+        MAX_COMMIT_RETRY_DELAY_S, MIN_COMMIT_RETRY_DELAY_S * 2.0 ** (failures - 1)
+    )
     return longest * (0.5 + 0.5 * jitter(f"{name} {failures}"))
 
 
-def is_open(lane: LaneRow) -> bool:
+def is_circuit_open(lane: LaneRow) -> bool:
     """Tell whether the store counts as down, so that only probes are sent."""
-    return lane.failures >= FAILURES_TO_OPEN
+    return lane.failures >= FAILURES_TO_OPEN_CIRCUIT
 
 
 def timeout_for(lane: LaneRow) -> float:
     """Return how long the lane's next request waits for its answer."""
-    return max(MIN_TIMEOUT_S, lane.timeout_s)
+    return max(MIN_COMMIT_TIMEOUT_S, lane.timeout_s)
 
 
 def timeout_after_answer(delay_s: float) -> float:
     """Return the timeout to use after the store took `delay_s` to answer."""
-    return min(MAX_TIMEOUT_S, TIMEOUT_PER_DELAY * delay_s)
+    return min(MAX_COMMIT_TIMEOUT_S, COMMIT_TIMEOUT_FACTOR * delay_s)
 
 
 def timeout_after_loss(lane: LaneRow) -> float:
     """Return the timeout to use after an answer did not come in time."""
-    return min(MAX_TIMEOUT_S, 2.0 * timeout_for(lane))
+    return min(MAX_COMMIT_TIMEOUT_S, 2.0 * timeout_for(lane))
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -27,11 +27,11 @@
 from bulrushpulley.systems.commit import backoff as commit_backoff
 from bulrushpulley.systems.commit import settle as commit_settle
 
-MAX_ROWS = 256
-MAX_BYTES = 512 * 1024
-PROBE_ROWS = 16
+MAX_BATCH_ROWS = 256
+MAX_BATCH_BYTES = 512 * 1024
+MAX_PROBE_ROWS = 16
 # How long after its timeout a request that reported nothing counts as lost.
-OVERDUE_S = 5.0
+OVERDUE_MARGIN_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,7 +39,7 @@
     """The submissions to send together, and the ids that go on waiting."""
 
     chosen: tuple[SubmissionRow, ...] = ()
-    left: tuple[str, ...] = ()
+    remaining: tuple[str, ...] = ()
 
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
@@ -67,14 +67,16 @@
     if now < lane.retry_at:
         return Step(tables=tables)
     transaction = lane.transaction
-    if transaction is not None and _is_owed(tables, transaction):
-        return _sent(tables, lane, transaction, now)
-    built = _built(tables, lane)
-    transaction = built.transaction
+    if transaction is not None and _has_unreported(tables, transaction):
+        return _send(tables, lane, transaction, now)
+    next_lane = _with_next_transaction(tables, lane)
+    transaction = next_lane.transaction
     if transaction is None:
-        return Step(tables=_with_lane(tables, built))
-    step = _sent(tables, built, transaction, now)
-    return replace(step, commands=(*_measures(built, transaction), *step.commands))
+        return Step(tables=_with_lane(tables, next_lane))
+    step = _send(tables, next_lane, transaction, now)
+    return replace(
+        step, commands=(*_batch_counts(next_lane, transaction), *step.commands)
+    )
 
 
 def _with_lane(tables: CommitterTables, lane: LaneRow) -> CommitterTables:
@@ -83,30 +85,30 @@
     return replace(tables, lanes=tables.lanes.put(lane.name, lane))
 
 
-def _is_owed(tables: CommitterTables, transaction: Transaction) -> bool:
+def _has_unreported(tables: CommitterTables, transaction: Transaction) -> bool:
     return any(row.submission_id in tables.submissions for row in transaction.entries)
 
 
 def _lost_if_overdue(
     tables: CommitterTables, lane: LaneRow, now: float
 ) -> Step[CommitterTables]:
-    due_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_S
+    due_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_MARGIN_S
     if lane.transaction is None or now < due_at:
         return Step(tables=tables)
     transaction_id = lane.transaction.transaction_id
     event = TransactionLost(
         lane=lane.name, transaction_id=transaction_id, reason="overdue"
     )
-    return commit_settle.lost(event, lane.transaction, tables, now)
+    return commit_settle.handle_lost(event, lane.transaction, tables, now)
 
 
-def _built(tables: CommitterTables, lane: LaneRow) -> LaneRow:
+def _with_next_transaction(tables: CommitterTables, lane: LaneRow) -> LaneRow:
     """Return the lane with its next transaction, or with none if nothing waits."""
-    if not lane.queue and not lane.seal_due:
+    if not lane.queue and not lane.fence_move_due:
         return replace(lane, transaction=None) if lane.transaction else lane
-    batch = Batch() if lane.seal_due else _select(tables, lane)
-    queue = lane.queue if lane.seal_due else batch.left
-    if not batch.chosen and not lane.seal_due:
+    batch = Batch() if lane.fence_move_due else _select(tables, lane)
+    queue = lane.queue if lane.fence_move_due else batch.remaining
+    if not batch.chosen and not lane.fence_move_due:
         return replace(lane, transaction=None, queue=queue)
     number = lane.transactions + 1
     transaction = Transaction(
@@ -119,15 +121,15 @@
         transaction=transaction,
         transactions=number,
         queue=queue,
-        alone=max(0, lane.alone - len(batch.chosen)),
+        single_sends=max(0, lane.single_sends - len(batch.chosen)),
     )
 
 
-def most_rows(lane: LaneRow) -> int:
+def max_rows(lane: LaneRow) -> int:
     """Return how many rows the lane's next transaction may have."""
-    if lane.alone:
+    if lane.single_sends:
         return 1
-    return PROBE_ROWS if commit_backoff.is_open(lane) else MAX_ROWS
+    return MAX_PROBE_ROWS if commit_backoff.is_circuit_open(lane) else MAX_BATCH_ROWS
 
 
 def _select(tables: CommitterTables, lane: LaneRow) -> Batch:
@@ -135,9 +137,9 @@
 
     The keys of those passed over bar others too, so that nothing overtakes on a key.
     """
-    rows_at_most = most_rows(lane)
+    row_limit = max_rows(lane)
     chosen: list[SubmissionRow] = []
-    left: list[str] = []
+    remaining: list[str] = []
     required: set[str] = set()
     written: set[str] = set()
     rows = size_bytes = 0
@@ -147,19 +149,19 @@
             continue
         rows += len(row.submission.writes)
         size_bytes += row.size_bytes
-        if chosen and (rows > rows_at_most or size_bytes > MAX_BYTES):
-            left.extend(lane.queue[place:])
+        if chosen and (rows > row_limit or size_bytes > MAX_BATCH_BYTES):
+            remaining.extend(lane.queue[place:])
             break
         if may_share(row.submission, required, written):
             chosen.append(row)
         else:
-            left.append(key)
+            remaining.append(key)
         required.update(at.key for at in row.submission.conditions)
         written.update(write.key for write in row.submission.writes)
-    return Batch(chosen=tuple(chosen), left=tuple(left))
+    return Batch(chosen=tuple(chosen), remaining=tuple(remaining))
 
 
-def _sent(
+def _send(
     tables: CommitterTables, lane: LaneRow, transaction: Transaction, now: float
 ) -> Step[CommitterTables]:
     waiting = replace(lane, transaction=transaction, awaiting=True, sent_at=now)
@@ -190,7 +192,7 @@
     )
 
 
-def _measures(lane: LaneRow, transaction: Transaction) -> tuple[Command, ...]:
+def _batch_counts(lane: LaneRow, transaction: Transaction) -> tuple[Command, ...]:
     entries = transaction.entries
     rows = sum(len(row.submission.writes) for row in entries)
     return (
--- a/bulrushpulley/systems/commit/conflict.py
+++ b/bulrushpulley/systems/commit/conflict.py
@@ -20,8 +20,8 @@
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.transactions import Fence, TransactionConflicted
-from bulrushpulley.systems.commit.doubt import doubt, settle_doubts
-from bulrushpulley.systems.commit.queue import answered, owed, put_back
+from bulrushpulley.systems.commit.in_doubt import mark_in_doubt, resolve_in_doubt
+from bulrushpulley.systems.commit.queue import after_answer, put_back, unreported
 from bulrushpulley.systems.commit.report import (
     report_committed,
     report_settled,
@@ -30,7 +30,7 @@
 from bulrushpulley.systems.commit.settle import all_committed
 
 
-def conflicted(
+def handle_conflicted(
     event: TransactionConflicted,
     transaction: Transaction,
     tables: CommitterTables,
@@ -38,22 +38,22 @@
 ) -> Step[CommitterTables]:
     """Tell apart what had committed, what cannot, and what is to be sent again."""
     fence = event.fence
-    if fence is not None and names(fence, transaction):
+    if fence is not None and shows_commit(fence, transaction):
         return all_committed(transaction, event.lane, fence.version, tables, now)
-    lane = answered(tables.lanes.by_key[event.lane], now)
+    lane = after_answer(tables.lanes.by_key[event.lane], now)
     rounds = Count(name="commit.conflict_rounds", label=event.lane)
     if fence is not None:
-        step = _behind_fence(transaction, event, fence, lane, tables, now)
-    elif must_seal(lane):
+        step = _settle_after_fence_moved(transaction, event, fence, lane, tables, now)
+    elif must_move_fence(lane):
         # An earlier request could still take effect: nothing is certain before
         # the fence has moved.
-        step = Step(tables=_sealing(transaction, lane, tables, now))
+        step = Step(tables=_put_back_to_move_fence(transaction, lane, tables, now))
     else:
-        step = _judge_all(transaction, event, lane, tables, now)
+        step = _settle_each(transaction, event, lane, tables, now)
     return replace(step, commands=(rounds, *step.commands))
 
 
-def names(fence: Fence, transaction: Transaction) -> bool:
+def shows_commit(fence: Fence, transaction: Transaction) -> bool:
     """Tell whether the fence shows that the transaction has committed."""
     return fence.token == transaction.transaction_id
 
@@ -63,9 +63,9 @@
     return transaction.lost and event.fence is not None
 
 
-def must_seal(lane: LaneRow) -> bool:
+def must_move_fence(lane: LaneRow) -> bool:
     """Tell whether an earlier request of the lane may still take effect."""
-    return lane.doubtful
+    return lane.request_in_doubt
 
 
 def version_with_token(rows: Iterable[VersionedRow], token: str) -> int:
@@ -73,7 +73,7 @@
     return max((row.version for row in rows if row.token == token), default=0)
 
 
-def _behind_fence(
+def _settle_after_fence_moved(
     transaction: Transaction,
     event: TransactionConflicted,
     fence: Fence,
@@ -82,24 +82,26 @@
     now: float,
 ) -> Step[CommitterTables]:
     """Go on from where an earlier transaction of the lane has left the fence."""
-    seen = settle_doubts(tables, fence.token, fence.version, now)
-    learnt = replace(lane, fence_version=fence.version, doubtful=False, seal_due=False)
-    step = _judge_all(transaction, event, learnt, seen.tables, now)
+    seen = resolve_in_doubt(tables, fence.token, fence.version, now)
+    learnt = replace(
+        lane, fence_version=fence.version, request_in_doubt=False, fence_move_due=False
+    )
+    step = _settle_each(transaction, event, learnt, seen.tables, now)
     return replace(step, commands=seen.commands + step.commands)
 
 
-def _sealing(
+def _put_back_to_move_fence(
     transaction: Transaction, lane: LaneRow, tables: CommitterTables, now: float
 ) -> CommitterTables:
     """Put everything back until an empty transaction has moved the fence."""
-    after = put_back(tables, replace(lane, seal_due=True), transaction.entries)
+    after = put_back(tables, replace(lane, fence_move_due=True), transaction.entries)
     if not transaction.lost:
         return after
-    ids = [row.submission_id for row in owed(after, transaction.entries)]
-    return doubt(after, ids, transaction, now)
+    ids = [row.submission_id for row in unreported(after, transaction.entries)]
+    return mark_in_doubt(after, ids, transaction, now)
 
 
-def _judge_all(
+def _settle_each(
     transaction: Transaction,
     event: TransactionConflicted,
     lane: LaneRow,
@@ -108,22 +110,22 @@
 ) -> Step[CommitterTables]:
     row_by_key = {row.key: row for row in event.rows}
     ambiguous = is_ambiguous(transaction, event)
-    left: list[SubmissionRow] = []
+    remaining: list[SubmissionRow] = []
     commands: list[Command] = []
-    for row in owed(tables, transaction.entries):
+    for row in unreported(tables, transaction.entries):
         failed = _failed_rows(row, row_by_key)
         if not failed:
-            left.append(row)
+            remaining.append(row)
             continue
         if ambiguous:
-            tables = doubt(tables, [row.submission_id], transaction, now)
-        step = _judged(row, failed, ambiguous, tables, now)
+            tables = mark_in_doubt(tables, [row.submission_id], transaction, now)
+        step = _settle_failed(row, failed, ambiguous, tables, now)
         tables = step.tables
         commands.extend(step.commands)
-    return Step(tables=put_back(tables, lane, left), commands=tuple(commands))
+    return Step(tables=put_back(tables, lane, remaining), commands=tuple(commands))
 
 
-def _judged(
+def _settle_failed(
     row: SubmissionRow,
     failed: tuple[VersionedRow, ...],
     ambiguous: bool,
--- a/bulrushpulley/systems/commit/events.py
+++ b/bulrushpulley/systems/commit/events.py
@@ -4,7 +4,7 @@
 
 from functools import singledispatch
 
-from bulrushpulley.entities.commit import ReadAsked, Submitted
+from bulrushpulley.entities.commit import ReadRequested, Submitted
 from bulrushpulley.entities.committer_tables import CommitterTables
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.entities.transactions import (
@@ -34,65 +34,67 @@
 
 
 @apply.register
-def _(event: ReadAsked, tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    return commit_read.ask(event, tables, now)
+def _(
+    event: ReadRequested, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
+    return commit_read.request_read(event, tables, now)
 
 
 @apply.register
 def _(event: RowsRead, tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    return commit_read.rows_read(event, tables)
+    return commit_read.handle_rows_read(event, tables)
 
 
 @apply.register
 def _(event: ReadFailed, tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    return commit_read.read_failed(event, tables)
+    return commit_read.handle_read_failed(event, tables)
 
 
 @apply.register
 def _(
     event: TransactionCommitted, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    transaction = commit_settle.pending(tables, event)
+    transaction = commit_settle.pending_transaction(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_settle.committed(event, transaction, tables, now)
+    return commit_settle.handle_committed(event, transaction, tables, now)
 
 
 @apply.register
 def _(
     event: TransactionConflicted, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    transaction = commit_settle.pending(tables, event)
+    transaction = commit_settle.pending_transaction(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_conflict.conflicted(event, transaction, tables, now)
+    return commit_conflict.handle_conflicted(event, transaction, tables, now)
 
 
 @apply.register
 def _(
     event: TransactionRefused, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    transaction = commit_settle.pending(tables, event)
+    transaction = commit_settle.pending_transaction(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_settle.refused(event, transaction, tables, now)
+    return commit_settle.handle_refused(event, transaction, tables, now)
 
 
 @apply.register
 def _(
     event: TransactionRejected, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    transaction = commit_settle.pending(tables, event)
+    transaction = commit_settle.pending_transaction(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_settle.rejected(event, transaction, tables, now)
+    return commit_settle.handle_rejected(event, transaction, tables, now)
 
 
 @apply.register
 def _(
     event: TransactionLost, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    transaction = commit_settle.pending(tables, event)
+    transaction = commit_settle.pending_transaction(tables, event)
     if transaction is None:
         return Step(tables=tables)
-    return commit_settle.lost(event, transaction, tables, now)
+    return commit_settle.handle_lost(event, transaction, tables, now)
--- a/bulrushpulley/systems/commit/give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -16,32 +16,33 @@
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.commit.backoff import is_open
-from bulrushpulley.systems.commit.doubt import doubt
+from bulrushpulley.systems.commit.backoff import is_circuit_open
+from bulrushpulley.systems.commit.in_doubt import mark_in_doubt
 from bulrushpulley.systems.commit.report import report_unsettled, withdraw
 
-SWEEP_S = 0.1
+GIVE_UP_SWEEP_INTERVAL_S = 0.1
 
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
     """Report every submission that waits no longer; looks at all every `SWEEP_S`."""
     if now < tables.sweep_at or not tables.submissions:
         return Step(tables=tables)
-    tables = replace(tables, sweep_at=now + SWEEP_S)
+    tables = replace(tables, sweep_at=now + GIVE_UP_SWEEP_INTERVAL_S)
     lanes = tables.lanes.rows()
-    transaction_of = _in_flight(lanes)
-    horizon_of = {lane.name: _horizon(lane, now) for lane in lanes}
+    transaction_by_id = _in_flight(lanes)
+    next_send_at_by_lane = {lane.name: _next_send_at(lane, now) for lane in lanes}
     ended = [
         key
         for key, row in tables.submissions.by_key.items()
-        if row.give_up_at <= (now if key in transaction_of else horizon_of[row.lane])
+        if row.give_up_at
+        <= (now if key in transaction_by_id else next_send_at_by_lane[row.lane])
     ]
     commands: list[Command] = []
     for key in sorted(ended):
-        step = _given_up(tables, key, transaction_of.get(key), now)
+        step = _give_up(tables, key, transaction_by_id.get(key), now)
         tables = step.tables
         commands.extend(step.commands)
-    after = _without_gone(tables) if ended else tables
+    after = _drop_reported_ids(tables) if ended else tables
     return Step(tables=after, commands=tuple(commands))
 
 
@@ -55,24 +56,24 @@
     }
 
 
-def _horizon(lane: LaneRow, now: float) -> float:
+def _next_send_at(lane: LaneRow, now: float) -> float:
     """Return the time before which a queued submission must not give up."""
-    return max(now, lane.retry_at) if is_open(lane) else now
+    return max(now, lane.retry_at) if is_circuit_open(lane) else now
 
 
-def _given_up(
+def _give_up(
     tables: CommitterTables, key: str, transaction: Transaction | None, now: float
 ) -> Step[CommitterTables]:
     row = tables.submissions.by_key[key]
     if transaction is not None:
-        doubted = doubt(tables, [key], transaction, now)
-        return report_unsettled(doubted, row, "the store did not answer in time", now)
-    is_down = is_open(tables.lanes.by_key[row.lane])
+        marked = mark_in_doubt(tables, [key], transaction, now)
+        return report_unsettled(marked, row, "the store did not answer in time", now)
+    is_down = is_circuit_open(tables.lanes.by_key[row.lane])
     reason = "the store is down" if is_down else "waited too long for the store"
     return withdraw(tables, row, reason, now)
 
 
-def _without_gone(tables: CommitterTables) -> CommitterTables:
+def _drop_reported_ids(tables: CommitterTables) -> CommitterTables:
     """Drop the ids of reported submissions from the queues."""
     lanes = tables.lanes
     for lane in lanes.rows():
--- a/bulrushpulley/systems/commit/doubt.py
+++ b/bulrushpulley/systems/commit/in_doubt.py
@@ -11,48 +11,48 @@
 
 from bulrushpulley.entities.committer_tables import (
     CommitterTables,
-    DoubtRow,
+    InDoubtRow,
     Transaction,
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.commit.report import report_committed
 
-DOUBT_KEPT_S = 600.0
-MAX_DOUBTS = 20_000
+IN_DOUBT_RETENTION_S = 600.0
+MAX_IN_DOUBT_ROWS = 20_000
 
 
-def doubt(
+def mark_in_doubt(
     tables: CommitterTables,
     submission_ids: Iterable[str],
     transaction: Transaction,
     now: float,
 ) -> CommitterTables:
     """Note that the submissions were sent in a transaction of unknown outcome."""
-    doubts = _forget_old(tables, now).doubts
+    in_doubt = _drop_expired(tables, now).in_doubt
     for submission_id in submission_ids:
-        known = doubts.get(submission_id)
+        known = in_doubt.get(submission_id)
         before = known.transaction_ids if known is not None else ()
         sent_in = dict.fromkeys((*before, transaction.transaction_id))
-        row = DoubtRow(
+        row = InDoubtRow(
             submission_id=submission_id,
             transaction_ids=tuple(sent_in),
             since=now,
         )
-        doubts = doubts.put(submission_id, row)
-    return replace(tables, doubts=doubts)
+        in_doubt = in_doubt.put(submission_id, row)
+    return replace(tables, in_doubt=in_doubt)
 
 
-def settle_doubts(
+def resolve_in_doubt(
     tables: CommitterTables, transaction_id: str, revision: int, now: float
 ) -> Step[CommitterTables]:
     """Note that a transaction has committed, for whatever was in doubt in it."""
     commands: list[Command] = []
-    for known in tables.doubts.rows_where("transaction", transaction_id):
+    for known in tables.in_doubt.rows_where("transaction", transaction_id):
         row = tables.submissions.get(known.submission_id)
         if row is None:
             committed = replace(known, revision=revision)
-            doubts = tables.doubts.put(known.submission_id, committed)
-            tables = replace(tables, doubts=doubts)
+            in_doubt = tables.in_doubt.put(known.submission_id, committed)
+            tables = replace(tables, in_doubt=in_doubt)
             continue
         step = report_committed(tables, row, revision, now)
         tables = step.tables
@@ -62,15 +62,15 @@
 
 def known_revision(tables: CommitterTables, submission_id: str) -> int:
     """Return the commit in which a submission is known to have taken effect, or 0."""
-    known = tables.doubts.get(submission_id)
+    known = tables.in_doubt.get(submission_id)
     return known.revision if known is not None else 0
 
 
-def _forget_old(tables: CommitterTables, now: float) -> CommitterTables:
-    if len(tables.doubts) < MAX_DOUBTS:
+def _drop_expired(tables: CommitterTables, now: float) -> CommitterTables:
+    if len(tables.in_doubt) < MAX_IN_DOUBT_ROWS:
         return tables
-    doubts = tables.doubts
-    for known in tables.doubts.rows():
-        if known.since + DOUBT_KEPT_S <= now:
-            doubts = doubts.drop(known.submission_id)
-    return replace(tables, doubts=doubts)
+    in_doubt = tables.in_doubt
+    for known in tables.in_doubt.rows():
+        if known.since + IN_DOUBT_RETENTION_S <= now:
+            in_doubt = in_doubt.drop(known.submission_id)
+    return replace(tables, in_doubt=in_doubt)
--- a/bulrushpulley/systems/commit/queue.py
+++ b/bulrushpulley/systems/commit/queue.py
@@ -14,7 +14,7 @@
 from bulrushpulley.systems.commit import backoff as commit_backoff
 
 
-def answered(lane: LaneRow, now: float) -> LaneRow:
+def after_answer(lane: LaneRow, now: float) -> LaneRow:
     """Return the lane after an answer of the store: idle, without failures."""
     return replace(
         lane,
@@ -26,14 +26,14 @@
     )
 
 
-def failed(lane: LaneRow, transaction: Transaction, now: float) -> LaneRow:
+def after_failure(lane: LaneRow, transaction: Transaction, now: float) -> LaneRow:
     """Return the lane after a request without an answer: it backs off."""
     failures = lane.failures + 1
     delay_s = commit_backoff.retry_delay(failures, transaction.transaction_id)
     return replace(lane, awaiting=False, failures=failures, retry_at=now + delay_s)
 
 
-def owed(
+def unreported(
     tables: CommitterTables, entries: Iterable[SubmissionRow]
 ) -> list[SubmissionRow]:
     """Return the entries whose outcome is still owed, with all their origins."""
@@ -46,7 +46,7 @@
 ) -> CommitterTables:
     """Leave the lane idle, with the entries at the head of its queue."""
     queued = set(lane.queue)
-    ids = [row.submission_id for row in owed(tables, entries)]
+    ids = [row.submission_id for row in unreported(tables, entries)]
     head = tuple(key for key in ids if key not in queued)
     idle = replace(lane, queue=(*head, *lane.queue), transaction=None)
     return replace(tables, lanes=tables.lanes.put(lane.name, idle))
--- a/bulrushpulley/systems/commit/read.py
+++ b/bulrushpulley/systems/commit/read.py
@@ -8,41 +8,47 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.commit import ReadAsked, ReportTo, VersionedRow
-from bulrushpulley.entities.committer_tables import Asker, CommitterTables, PrefixRead
+from bulrushpulley.entities.commit import ReadRequested, ReportTo, VersionedRow
+from bulrushpulley.entities.committer_tables import (
+    CommitterTables,
+    PrefixRead,
+    ReadRequester,
+)
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.transactions import ReadFailed, ReadRows, RowsRead
 
-MAX_READS_SENT = 8
+MAX_READS_IN_FLIGHT = 8
 MAX_READS_WAITING = 1_024
-READ_TIMEOUT_S = 5.0
+PREFIX_READ_TIMEOUT_S = 5.0
 
 
-def ask(event: ReadAsked, tables: CommitterTables, now: float) -> Step[CommitterTables]:
+def request_read(
+    event: ReadRequested, tables: CommitterTables, now: float
+) -> Step[CommitterTables]:
     """Join a read that is not sent yet, or add one."""
-    asker = Asker(origin=event.origin, fetch_id=event.fetch_id)
-    number = tables.reads_asked + 1
+    requester = ReadRequester(origin=event.origin, fetch_id=event.fetch_id)
+    number = tables.last_read_number + 1
     read = PrefixRead(
         read_id=f"{number:012d}",
         prefix=event.prefix,
         since=event.since,
-        askers=(asker,),
+        requesters=(requester,),
     )
     for other in tables.reads.rows_where("query", read.query):
         if not other.sent:
-            joined = replace(other, askers=(*other.askers, asker))
+            joined = replace(other, requesters=(*other.requesters, requester))
             reads = tables.reads.put(other.read_id, joined)
             return Step(tables=replace(tables, reads=reads))
     if tables.reads.count_where("state", "waiting") >= MAX_READS_WAITING:
         reason = "too many reads wait for the store"
         return Step(tables=tables, commands=_fetched(read, 0, (), reason))
     reads = tables.reads.put(read.read_id, read)
-    return Step(tables=replace(tables, reads=reads, reads_asked=number))
+    return Step(tables=replace(tables, reads=reads, last_read_number=number))
 
 
-def rows_read(event: RowsRead, tables: CommitterTables) -> Step[CommitterTables]:
+def handle_rows_read(event: RowsRead, tables: CommitterTables) -> Step[CommitterTables]:
     """Give the rows to everyone who asked for them."""
     read = tables.reads.get(event.read_id)
     if read is None:
@@ -53,7 +59,9 @@
     return Step(tables=after, commands=(counted, *fetched))
 
 
-def read_failed(event: ReadFailed, tables: CommitterTables) -> Step[CommitterTables]:
+def handle_read_failed(
+    event: ReadFailed, tables: CommitterTables
+) -> Step[CommitterTables]:
     """Tell everyone who asked that nothing could be read."""
     read = tables.reads.get(event.read_id)
     if read is None:
@@ -67,7 +75,7 @@
     """Send waiting reads, one at a time for each query."""
     commands: list[Command] = []
     reads = tables.reads
-    free = MAX_READS_SENT - reads.count_where("state", "sent")
+    free = MAX_READS_IN_FLIGHT - reads.count_where("state", "sent")
     for read in tables.reads.rows_where("state", "waiting") if free else ():
         alike = reads.rows_where("query", read.query)
         if free == 0 or any(other.sent for other in alike):
@@ -83,7 +91,7 @@
         read_id=read.read_id,
         prefix=read.prefix,
         since=read.since,
-        timeout_s=READ_TIMEOUT_S,
+        timeout_s=PREFIX_READ_TIMEOUT_S,
     )
 
 
@@ -92,14 +100,14 @@
 ) -> tuple[Command, ...]:
     return tuple(
         ReportTo(
-            origin=asker.origin,
+            origin=requester.origin,
             outcome=Fetched(
-                fetch_id=asker.fetch_id,
+                fetch_id=requester.fetch_id,
                 prefix=read.prefix,
                 revision=revision,
                 rows=rows,
                 failed=failed,
             ),
         )
-        for asker in read.askers
+        for requester in read.requesters
     )
--- a/bulrushpulley/systems/commit/report.py
+++ b/bulrushpulley/systems/commit/report.py
@@ -20,9 +20,9 @@
     tables: CommitterTables, row: SubmissionRow, outcome: CommitOutcome, now: float
 ) -> Step[CommitterTables]:
     """Report an outcome that is certain, and forget any doubt."""
-    if row.submission_id in tables.doubts:
-        doubts = tables.doubts.drop(row.submission_id)
-        tables = replace(tables, doubts=doubts)
+    if row.submission_id in tables.in_doubt:
+        in_doubt = tables.in_doubt.drop(row.submission_id)
+        tables = replace(tables, in_doubt=in_doubt)
     return _report(tables, row, outcome, now)
 
 
@@ -42,9 +42,9 @@
     return _report(tables, row, outcome, now)
 
 
-def was_sent(tables: CommitterTables, submission_id: str) -> bool:
+def is_in_doubt(tables: CommitterTables, submission_id: str) -> bool:
     """Tell whether an earlier sending of a submission is still in doubt."""
-    return submission_id in tables.doubts
+    return submission_id in tables.in_doubt
 
 
 def withdraw(
@@ -55,7 +55,7 @@
     If it had been sent earlier, under the same id, and was never settled, that
     sending may still take effect: then it stays unsettled.
     """
-    if was_sent(tables, row.submission_id):
+    if is_in_doubt(tables, row.submission_id):
         return report_unsettled(tables, row, reason, now)
     outcome = Withdrawn(submission_id=row.submission_id, reason=reason)
     return _report(tables, row, outcome, now)
--- a/bulrushpulley/systems/commit/settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -15,12 +15,19 @@
     TransactionRejected,
 )
 from bulrushpulley.systems.commit import backoff as commit_backoff
-from bulrushpulley.systems.commit.doubt import settle_doubts
-from bulrushpulley.systems.commit.queue import answered, failed, owed, put_back
+from bulrushpulley.systems.commit.in_doubt import resolve_in_doubt
+from bulrushpulley.systems.commit.queue import (
+    after_answer,
+    after_failure,
+    put_back,
+    unreported,
+)
 from bulrushpulley.systems.commit.report import report_committed, withdraw
 
 
-def pending(tables: CommitterTables, event: TransactionEnded) -> Transaction | None:
+def pending_transaction(
+    tables: CommitterTables, event: TransactionEnded
+) -> Transaction | None:
     """Return the lane's transaction if the event is about it."""
     transaction = tables.lanes.by_key[event.lane].transaction
     if transaction is None or transaction.transaction_id != event.transaction_id:
@@ -28,7 +35,7 @@
     return transaction
 
 
-def committed(
+def handle_committed(
     event: TransactionCommitted,
     transaction: Transaction,
     tables: CommitterTables,
@@ -49,29 +56,29 @@
 ) -> Step[CommitterTables]:
     """Report every submission of a transaction that is known to have committed."""
     lane = replace(
-        answered(tables.lanes.by_key[lane_name], now),
+        after_answer(tables.lanes.by_key[lane_name], now),
         fence_version=revision,
-        doubtful=False,
-        seal_due=False,
+        request_in_doubt=False,
+        fence_move_due=False,
     )
     after = replace(tables, lanes=tables.lanes.put(lane_name, lane))
     commands: list[Command] = []
-    for row in owed(after, transaction.entries):
+    for row in unreported(after, transaction.entries):
         step = report_committed(after, row, revision, now)
         after = step.tables
         commands.extend(step.commands)
-    settled = settle_doubts(after, transaction.transaction_id, revision, now)
+    settled = resolve_in_doubt(after, transaction.transaction_id, revision, now)
     return Step(tables=settled.tables, commands=(*commands, *settled.commands))
 
 
-def refused(
+def handle_refused(
     event: TransactionRefused,
     transaction: Transaction,
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
     """Back off; a transaction that was never in doubt is taken apart again."""
-    lane = failed(tables.lanes.by_key[event.lane], transaction, now)
+    lane = after_failure(tables.lanes.by_key[event.lane], transaction, now)
     count = Count(name="commit.refused", label=event.lane)
     if transaction.lost:
         lanes = tables.lanes.put(lane.name, lane)
@@ -80,7 +87,7 @@
     return Step(tables=after, commands=(count,))
 
 
-def rejected(
+def handle_rejected(
     event: TransactionRejected,
     transaction: Transaction,
     tables: CommitterTables,
@@ -95,20 +102,20 @@
             transaction_id=event.transaction_id,
             reason=event.reason,
         )
-        return refused(refusal, transaction, tables, now)
-    lane = answered(tables.lanes.by_key[event.lane], now)
+        return handle_refused(refusal, transaction, tables, now)
+    lane = after_answer(tables.lanes.by_key[event.lane], now)
     if len(entries) > 1:
-        apart = replace(lane, alone=len(entries))
+        apart = replace(lane, single_sends=len(entries))
         return Step(tables=put_back(tables, apart, entries), commands=(count,))
     commands: list[Command] = [count]
-    for row in owed(tables, entries):
+    for row in unreported(tables, entries):
         step = withdraw(tables, row, event.reason, now)
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=put_back(tables, lane, ()), commands=tuple(commands))
 
 
-def lost(
+def handle_lost(
     event: TransactionLost,
     transaction: Transaction,
     tables: CommitterTables,
@@ -117,10 +124,10 @@
     """Back off; the very same transaction is to be sent again."""
     before = tables.lanes.by_key[event.lane]
     lane = replace(
-        failed(before, transaction, now),
+        after_failure(before, transaction, now),
         transaction=replace(transaction, lost=True),
         timeout_s=commit_backoff.timeout_after_loss(before),
-        doubtful=True,
+        request_in_doubt=True,
     )
     count = Count(name="commit.lost", label=event.lane)
     lanes = tables.lanes.put(lane.name, lane)
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -32,7 +32,8 @@
     with_queue,
 )
 from bulrushpulley.systems.control.cells import put_cells
-from bulrushpulley.systems.control.events import Controlled, then
+from bulrushpulley.systems.control.decision_limit import limit_decisions
+from bulrushpulley.systems.control.events import ControllerStep, join_steps
 from bulrushpulley.systems.control.moves import (
     RowMove,
     conditions_of,
@@ -47,13 +48,12 @@
     PlacementCache,
     choose_cells,
 )
-from bulrushpulley.systems.control.said import say
 from bulrushpulley.systems.control.share import (
     aged_priority,
     department_share,
     is_responsible,
 )
-from bulrushpulley.systems.control.submissions import numbered, submit_as
+from bulrushpulley.systems.control.submissions import submit_as, with_new_id
 
 MAX_ROWS_PER_MOVE = 32
 MAX_TASKS_PER_TURN = 16
@@ -72,7 +72,7 @@
     lane: Lane = field(compare=False)
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Assign what has room, in order, within the bounds of one tick."""
     if not tables.ready or tables.leaving:
         return Step(tables=tables)
@@ -86,7 +86,7 @@
         ranked, attempts_left = _assign_rank(
             step.tables, lanes, attempts_left, now, cache
         )
-        step = then(step, ranked)
+        step = join_steps(step, ranked)
     return step
 
 
@@ -96,7 +96,7 @@
     attempts_left: int,
     now: float,
     cache: PlacementCache,
-) -> tuple[Controlled, int]:
+) -> tuple[ControllerStep, int]:
     step = Step(tables=tables)
     turns: list[LaneTurn] = []
     for lane in lanes:
@@ -114,7 +114,7 @@
         _, first = head(step.tables, lane)
         if first is None:
             continue
-        step = then(step, _attempt(step.tables, first, max_tasks, now, cache))
+        step = join_steps(step, _attempt(step.tables, first, max_tasks, now, cache))
         attempts_left -= 1
         if lane in step.tables.ready:
             heapq.heappush(turns, _turn(step.tables, lane, first, now))
@@ -155,7 +155,7 @@
     max_tasks: int,
     now: float,
     cache: PlacementCache,
-) -> Controlled:
+) -> ControllerStep:
     spec = current_spec(tables, first)
     if spec is None:
         taken = mark_assigning(tables, first.lane, (first,))
@@ -171,7 +171,9 @@
         reason=choice.wait_reason.value,
         revision=tables.revision,
     )
-    return say(block(tables, first.lane, choice.wait_reason, now), (decision,), now)
+    return limit_decisions(
+        block(tables, first.lane, choice.wait_reason, now), (decision,), now
+    )
 
 
 def _likely_tasks(tables: ControllerTables, first: WaitingRow) -> int:
@@ -206,8 +208,8 @@
 
 def _submit_assignment(
     tables: ControllerTables, lane: Lane, choice: Choice, now: float
-) -> Controlled:
-    tables, submission_id = numbered(tables, "c")
+) -> ControllerStep:
+    tables, submission_id = with_new_id(tables, "c")
     row_moves = distribute_cells(
         _first_rows(tables, lane, len(choice.cells)), choice.cells
     )
@@ -217,7 +219,7 @@
     tables = mark_assigning(tables, lane, rows)
     tables = _reserve(tables, submission_id, placed)
     decisions = tuple(_decision(tables, row_move, choice) for row_move in row_moves)
-    logged = say(tables, decisions, now)
+    logged = limit_decisions(tables, decisions, now)
     submitted = submit_as(
         logged.tables,
         now,
@@ -227,7 +229,7 @@
         writes=writes,
         deadline=now + ASSIGNMENT_TIMEOUT_S,
     )
-    return then(logged, submitted)
+    return join_steps(logged, submitted)
 
 
 def _reserve(
--- a/bulrushpulley/systems/control/assignment_outcomes.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -30,12 +30,12 @@
 )
 from bulrushpulley.systems.control.cells import put_cells
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
     on_commit,
     on_conflict,
     on_loss,
 )
-from bulrushpulley.systems.control.records import learn
+from bulrushpulley.systems.control.records import update_records
 
 
 @on_commit.register
@@ -45,7 +45,7 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     submission = pending.submission
     tables = put_cells(
         tables,
@@ -108,9 +108,11 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     tables = _release_reservations(tables, purpose, pending.submission.submission_id)
-    tables = learn(handle_backlog_rows(tables, outcome.rows, now), outcome.rows)
+    tables = update_records(
+        handle_backlog_rows(tables, outcome.rows, now), outcome.rows
+    )
     failed = {row.key for row in outcome.rows}
     record_key_by_job = {
         one.row.spec.job: one.row.spec.record_key for one in purpose.placed
@@ -148,7 +150,7 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     tables = _release_reservations(tables, purpose, pending.submission.submission_id)
     for source in _still_assigning(tables, purpose):
         tables = defer(tables, source, now)
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.rows import BacklogRow, TaskSpec
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import Controlled, on_rows
+from bulrushpulley.systems.control.events import ControllerStep, on_rows
 
 BACKLOG_PREFIX = "backlog/"
 BACKLOG_READ_INTERVAL_S = 0.75
@@ -53,7 +53,7 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     return Step(tables=handle_backlog_rows(tables, rows, now))
 
 
@@ -207,7 +207,7 @@
     )
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Return lanes and rows whose pause is over, a bounded number a tick.
 
     When a cell has more room than before, some lanes are tried before their time.
--- a/bulrushpulley/systems/control/cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.link import CellSummary
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import Controlled, apply
+from bulrushpulley.systems.control.events import ControllerStep, apply
 
 
 def put_cells(tables: ControllerTables, views: Iterable[CellView]) -> ControllerTables:
@@ -51,7 +51,7 @@
 
 
 @apply.register
-def _(event: CellSummary, tables: ControllerTables, now: float) -> Controlled:
+def _(event: CellSummary, tables: ControllerTables, now: float) -> ControllerStep:
     view = tables.cells.get(event.cell)
     if view is None:
         view = CellView(
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -27,18 +27,18 @@
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems.control.backlog import handle_backlog_rows
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
     apply,
+    join_steps,
     on_commit,
     on_conflict,
     on_loss,
-    then,
 )
 from bulrushpulley.systems.control.plans import (
+    AlreadyInForce,
     Plan,
-    Planned,
+    PlannedChange,
     Refusal,
-    Standing,
     conflict,
     key_of,
     plan,
@@ -46,10 +46,10 @@
 )
 from bulrushpulley.systems.control.records import (
     REVISION_KEY,
-    changed_here,
-    learn,
-    learn_revision,
+    apply_own_change,
     record_row,
+    update_records,
+    update_revision,
 )
 from bulrushpulley.systems.control.submissions import submit
 
@@ -63,7 +63,7 @@
 @apply.register(ops.AmendRecord)
 @apply.register(ops.CancelJob)
 @apply.register(ops.ChangeDomain)
-def _(event: ops.OperatorCall, tables: ControllerTables, now: float) -> Controlled:
+def _(event: ops.OperatorCall, tables: ControllerTables, now: float) -> ControllerStep:
     if len(tables.changes) >= MAX_CHANGES:
         detail = f"{MAX_CHANGES} changes are under way"
         return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
@@ -83,7 +83,7 @@
     return key_of(call).startswith("record/job/")
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Begin the next change of the configuration when the one before has ended."""
     step = Step(tables=tables)
     while step.tables.change_queue and not _is_changing(step.tables):
@@ -91,7 +91,7 @@
         call_id = tables.change_queue.first
         queue = tables.change_queue.rest()
         tables = replace(tables, change_queue=queue, current_change_id=call_id)
-        step = then(step, _start_change(tables, call_id, now))
+        step = join_steps(step, _start_change(tables, call_id, now))
     return step
 
 
@@ -99,7 +99,7 @@
     return tables.current_change_id in tables.changes
 
 
-def _start_change(tables: ControllerTables, call_id: str, now: float) -> Controlled:
+def _start_change(tables: ControllerTables, call_id: str, now: float) -> ControllerStep:
     change = tables.changes.by_key[call_id]
     if now >= change.deadline:
         detail = "other changes took too long; nothing was written"
@@ -108,7 +108,9 @@
     return _attempt_change(tables, replace(change, current=current), now)
 
 
-def _verify_record(tables: ControllerTables, change: Change, now: float) -> Controlled:
+def _verify_record(
+    tables: ControllerTables, change: Change, now: float
+) -> ControllerStep:
     """Have the table service confirm the record row that the plan rests on."""
     call_id = change.call.call_id
     tables = replace(tables, changes=tables.changes.put(call_id, change))
@@ -123,7 +125,9 @@
     )
 
 
-def _attempt_change(tables: ControllerTables, change: Change, now: float) -> Controlled:
+def _attempt_change(
+    tables: ControllerTables, change: Change, now: float
+) -> ControllerStep:
     planned = plan(change.call, change.current, tables)
     attempted = replace(change, attempts=change.attempts + 1)
     call_id = change.call.call_id
@@ -137,14 +141,14 @@
 @singledispatch
 def _execute_plan(
     planned: Plan, tables: ControllerTables, change: Change, now: float
-) -> Controlled:
+) -> ControllerStep:
     raise NotImplementedError(type(planned).__name__)
 
 
 @_execute_plan.register
 def _(
-    planned: Standing, tables: ControllerTables, change: Change, now: float
-) -> Controlled:
+    planned: AlreadyInForce, tables: ControllerTables, change: Change, now: float
+) -> ControllerStep:
     if must_verify(change):
         return _verify_record(tables, change, now)
     return _accept(tables, change.call, planned.row)
@@ -153,7 +157,7 @@
 @_execute_plan.register
 def _(
     planned: Refusal, tables: ControllerTables, change: Change, now: float
-) -> Controlled:
+) -> ControllerStep:
     if must_verify(change):
         return _verify_record(tables, change, now)
     return _reject(tables, change.call.call_id, planned.problem)
@@ -166,8 +170,8 @@
 
 @_execute_plan.register
 def _(
-    planned: Planned, tables: ControllerTables, change: Change, now: float
-) -> Controlled:
+    planned: PlannedChange, tables: ControllerTables, change: Change, now: float
+) -> ControllerStep:
     key = key_of(change.call)
     version = change.current.version if change.current is not None else 0
     conditions = (Condition(key=key, version=version), *planned.conditions)
@@ -194,12 +198,12 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     rows = tuple(
         VersionedRow(key=write.key, version=outcome.revision, row=write.row)
         for write in pending.submission.writes
     )
-    tables = handle_backlog_rows(changed_here(tables, rows, now), rows, now)
+    tables = handle_backlog_rows(apply_own_change(tables, rows, now), rows, now)
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
@@ -213,7 +217,7 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
@@ -227,12 +231,12 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
     found = replace(change, current=outcome.rows[0], verified=True)
-    return _attempt_change(learn(tables, outcome.rows), found, now)
+    return _attempt_change(update_records(tables, outcome.rows), found, now)
 
 
 @on_conflict.register
@@ -242,8 +246,8 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    tables = learn(learn_revision(tables, outcome.rows, now), outcome.rows)
+) -> ControllerStep:
+    tables = update_records(update_revision(tables, outcome.rows, now), outcome.rows)
     tables = handle_backlog_rows(tables, outcome.rows, now)
     change = tables.changes.get(purpose.call_id)
     if change is None:
@@ -263,7 +267,7 @@
 
 def _answer_unsettled_change(
     tables: ControllerTables, change: Change, intended: RecordRow, found: VersionedRow
-) -> Controlled:
+) -> ControllerStep:
     """Answer a change that may have committed before another replaced it."""
     current_row = record_row(found)
     if current_row == intended:
@@ -294,7 +298,7 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     unsure = pending.unsettled and bool(pending.submission.writes)
     code = Code.OUTCOME_UNKNOWN if unsure else Code.UNAVAILABLE
     lost = Problem(code=code, step="store.commit", peer="table service", detail=reason)
@@ -303,7 +307,7 @@
 
 def _accept(
     tables: ControllerTables, call: ops.OperatorCall, row: RecordRow
-) -> Controlled:
+) -> ControllerStep:
     tables = replace(tables, changes=tables.changes.drop(call.call_id))
     decision = Decision(
         kind="record.change",
@@ -316,7 +320,9 @@
     return Step(tables=tables, commands=(reply, decision, Count(name="changes")))
 
 
-def _reject(tables: ControllerTables, call_id: str, rejection: Problem) -> Controlled:
+def _reject(
+    tables: ControllerTables, call_id: str, rejection: Problem
+) -> ControllerStep:
     tables = replace(tables, changes=tables.changes.drop(call_id))
     count = Count(name="changes_rejected", label=rejection.code.value)
     reject = ops.Reject(call_id=call_id, problem=rejection)
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -41,17 +41,17 @@
 from bulrushpulley.entities.rows import BacklogRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.control.backlog import drop_closing, handle_backlog_rows
+from bulrushpulley.systems.control.decision_limit import limit_decisions
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
+    join_steps,
     on_commit,
     on_conflict,
     on_loss,
     on_rows,
-    then,
 )
-from bulrushpulley.systems.control.said import say
 from bulrushpulley.systems.control.share import is_responsible
-from bulrushpulley.systems.control.submissions import numbered, submit_as
+from bulrushpulley.systems.control.submissions import submit_as, with_new_id
 
 MAX_CLOSINGS_PER_TICK = 8
 MAX_CLOSINGS_IN_FLIGHT = 8
@@ -62,7 +62,7 @@
 CLOSING_RETRY_DELAY_S = 0.5
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Work on the closings that are due, a bounded number a tick."""
     step = Step(tables=tables)
     left = MAX_CLOSINGS_PER_TICK
@@ -75,13 +75,13 @@
         if not is_responsible(tables, closing.marker.spec.department):
             continue
         left -= 1
-        step = then(step, _advance_closing(step.tables, closing, now))
+        step = join_steps(step, _advance_closing(step.tables, closing, now))
     return step
 
 
 def _advance_closing(
     tables: ControllerTables, closing: Closing, now: float
-) -> Controlled:
+) -> ControllerStep:
     rows = _open_rows(tables, closing)
     if rows and _in_flight(tables) < MAX_CLOSINGS_IN_FLIGHT:
         return _close_rows(tables, closing, rows, now)
@@ -107,7 +107,7 @@
 
 def _close_rows(
     tables: ControllerTables, closing: Closing, rows: list[WaitingRow], now: float
-) -> Controlled:
+) -> ControllerStep:
     conditions: list[Condition] = []
     writes: list[Write] = []
     for waiting in rows:
@@ -147,8 +147,8 @@
     conditions: tuple[Condition, ...],
     writes: tuple[Write, ...],
     now: float,
-) -> Controlled:
-    tables, submission_id = numbered(tables, "c")
+) -> ControllerStep:
+    tables, submission_id = with_new_id(tables, "c")
     marked = replace(closing, submission_id=submission_id)
     tables = replace(tables, closings=tables.closings.put(closing.job, marked))
     return submit_as(
@@ -169,7 +169,7 @@
 
 def _notify_owners(
     tables: ControllerTables, closing: Closing, now: float
-) -> Controlled:
+) -> ControllerStep:
     """Tell the owners of cells again and have the outcomes read."""
     delay_s = min(MAX_NOTICE_DELAY_S, closing.notice_delay_s * 2)
     delayed = replace(
@@ -202,7 +202,7 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     closing = tables.closings.get(target.job)
     if closing is None:
         return Step(tables=tables)
@@ -240,7 +240,9 @@
     return len(indexes) if indexes and closing.covers(indexes.start) else 0
 
 
-def _end_closing(tables: ControllerTables, closing: Closing, now: float) -> Controlled:
+def _end_closing(
+    tables: ControllerTables, closing: Closing, now: float
+) -> ControllerStep:
     """Delete the marker; a service's outcomes go first, so that it may grow again."""
     closed = tables.closing_outcomes.get(closing.job, pmap())
     deleted: list[str] = []
@@ -259,12 +261,12 @@
         chosen="",
         reason="every task has ended",
     )
-    logged = say(tables, (decision,), now)
+    logged = limit_decisions(tables, (decision,), now)
     ended = EndClosing(job=closing.job)
     submitted = _submit(
         logged.tables, closing, ended, tuple(conditions), tuple(writes), now
     )
-    return then(logged, submitted)
+    return join_steps(logged, submitted)
 
 
 def _index_of(key: str) -> int:
@@ -279,7 +281,7 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     rows = tuple(
         VersionedRow(key=write.key, version=outcome.revision, row=write.row)
         for write in pending.submission.writes
@@ -299,7 +301,7 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     return Step(
         tables=_retry_later(
             handle_backlog_rows(tables, outcome.rows, now), purpose.job, now
@@ -315,7 +317,7 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     return Step(tables=_retry_later(tables, purpose.job, now))
 
 
--- a/bulrushpulley/systems/control/said.py
+++ b/bulrushpulley/systems/control/decision_limit.py
@@ -9,23 +9,28 @@
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import Controlled
+from bulrushpulley.systems.control.events import ControllerStep
 
-SAY_EVERY_S = 1.0
-REMEMBERED = 4_096
+MIN_DECISION_INTERVAL_S = 1.0
+MAX_REMEMBERED_DECISIONS = 4_096
 
 
-def say(
+def limit_decisions(
     tables: ControllerTables, decisions: tuple[Decision, ...], now: float
-) -> Controlled:
+) -> ControllerStep:
     """Return as commands the decisions of which the like was not said just now."""
     last_logged_at = (
-        tables.last_logged_at if len(tables.last_logged_at) < REMEMBERED else pmap()
+        tables.last_logged_at
+        if len(tables.last_logged_at) < MAX_REMEMBERED_DECISIONS
+        else pmap()
     )
     fresh: list[Decision] = []
     for decision in decisions:
         key = f"{decision.kind}|{decision.subject}|{decision.reason}"
-        if now - last_logged_at.get(key, now - SAY_EVERY_S) >= SAY_EVERY_S:
+        if (
+            now - last_logged_at.get(key, now - MIN_DECISION_INTERVAL_S)
+            >= MIN_DECISION_INTERVAL_S
+        ):
             last_logged_at = last_logged_at.set(key, now)
             fresh.append(decision)
     if not fresh:
--- a/bulrushpulley/systems/control/spread.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -13,39 +13,39 @@
 from bulrushpulley.entities.controller_tables import AgentLink, ControllerTables
 from bulrushpulley.entities.link import Announce, Configured, LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control.events import Controlled, apply
-from bulrushpulley.systems.control.members import greet
+from bulrushpulley.systems.control.events import ControllerStep, apply
+from bulrushpulley.systems.control.members import entries_for_link
 from bulrushpulley.systems.control.records import record_row
 
 ROUTER = "router"
-CONFIRM_WITHIN_S = 2.0
+CONFIG_CONFIRM_TIMEOUT_S = 2.0
 
 
 @apply.register
-def _(event: LinkUp, tables: ControllerTables, now: float) -> Controlled:
+def _(event: LinkUp, tables: ControllerTables, now: float) -> ControllerStep:
     link = AgentLink(peer=event.peer, region=event.region)
     tables = replace(tables, links=tables.links.put(event.peer, link))
-    return Step(tables=tables, commands=(greet(event, tables),))
+    return Step(tables=tables, commands=(entries_for_link(event, tables),))
 
 
 @apply.register
-def _(event: LinkDown, tables: ControllerTables, now: float) -> Controlled:
+def _(event: LinkDown, tables: ControllerTables, now: float) -> ControllerStep:
     return Step(tables=replace(tables, links=tables.links.drop(event.peer)))
 
 
 @apply.register
-def _(event: Announce, tables: ControllerTables, now: float) -> Controlled:
+def _(event: Announce, tables: ControllerTables, now: float) -> ControllerStep:
     link = tables.links.get(event.peer)
     if link is None:
         return Step(tables=tables)
-    heard = replace(link, announced=event)
+    updated = replace(link, announced=event)
     behind = event.applied_revision < link.sent_revision
-    if behind and now - link.sent_at >= CONFIRM_WITHIN_S:
-        heard = replace(heard, sent_revision=0)
-    return Step(tables=replace(tables, links=tables.links.put(event.peer, heard)))
+    if behind and now - link.sent_at >= CONFIG_CONFIRM_TIMEOUT_S:
+        updated = replace(updated, sent_revision=0)
+    return Step(tables=replace(tables, links=tables.links.put(event.peer, updated)))
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Send every link that is behind what it lacks, and the router likewise."""
     current = tables.revision
     if current == 0 or _all_sent(tables):
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -25,29 +25,29 @@
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
     apply,
     on_commit,
     on_conflict,
     on_loss,
     on_rows,
 )
-from bulrushpulley.systems.control.explain import find_waiting, held_or_done
+from bulrushpulley.systems.control.explain import explain_from_rows, explain_waiting
 from bulrushpulley.systems.control.polls import read_once
 from bulrushpulley.systems.control.records import record_key
 from bulrushpulley.systems.control.status import status_of
 from bulrushpulley.systems.control.submissions import submit
 
-ANSWER_WITHIN_S = 3.0
-STATUS_JOBS = 20
-EXPLAIN_CELLS = 256
+ENQUIRY_TIMEOUT_S = 3.0
+MAX_STATUS_JOBS = 20
+MAX_EXPLAIN_CELLS = 256
 
 
 @apply.register
-def _(event: ops.AskStatus, tables: ControllerTables, now: float) -> Controlled:
-    recent = list(tables.recent_jobs[-STATUS_JOBS:])
+def _(event: ops.AskStatus, tables: ControllerTables, now: float) -> ControllerStep:
+    recent = list(tables.recent_jobs[-MAX_STATUS_JOBS:])
     jobs = [event.job] if event.job else recent
-    return _asked(tables, event, now, jobs=jobs, prefixes=_done_prefixes(jobs))
+    return _start_enquiry(tables, event, now, jobs=jobs, prefixes=_done_prefixes(jobs))
 
 
 def _done_prefixes(jobs: list[str]) -> list[str]:
@@ -55,26 +55,26 @@
 
 
 @apply.register
-def _(event: ops.AskExplain, tables: ControllerTables, now: float) -> Controlled:
-    waiting = find_waiting(tables, event, now)
+def _(event: ops.AskExplain, tables: ControllerTables, now: float) -> ControllerStep:
+    waiting = explain_waiting(tables, event, now)
     if waiting is not None:
         return Step(tables=tables, commands=(waiting,))
     job = event.task_id.split("/")[0]
     cells = sorted(set(tables.cells) | set(tables.fleet.capacities_by_cell))
-    prefixes = [f"task/{cell}/{event.task_id}" for cell in cells[:EXPLAIN_CELLS]]
-    return _asked(
+    prefixes = [f"task/{cell}/{event.task_id}" for cell in cells[:MAX_EXPLAIN_CELLS]]
+    return _start_enquiry(
         tables, event, now, jobs=[], prefixes=[*_done_prefixes([job]), *prefixes]
     )
 
 
-def _asked(
+def _start_enquiry(
     tables: ControllerTables,
     call: ops.OperatorCall,
     now: float,
     *,
     jobs: list[str],
     prefixes: list[str],
-) -> Controlled:
+) -> ControllerStep:
     commands: list[Command] = []
     waits: set[str] = set()
     for prefix in prefixes:
@@ -90,13 +90,13 @@
             purpose=ProbeForCall(call_id=call.call_id),
             conditions=(Condition(key=record_key("job", job), version=0),),
             writes=(),
-            deadline=now + ANSWER_WITHIN_S,
+            deadline=now + ENQUIRY_TIMEOUT_S,
         )
         tables = step.tables
         commands.extend(step.commands)
         waits.add(f"{tables.identity.incarnation}/c{tables.last_number}")
     enquiry = Enquiry(
-        call=call, deadline=now + ANSWER_WITHIN_S, waiting_for=frozenset(waits)
+        call=call, deadline=now + ENQUIRY_TIMEOUT_S, waiting_for=frozenset(waits)
     )
     tables = replace(tables, enquiries=tables.enquiries.put(call.call_id, enquiry))
     return Step(tables=tables, commands=tuple(commands))
@@ -109,8 +109,8 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    return _came(tables, target.call_id, event.fetch_id, rows, event.failed)
+) -> ControllerStep:
+    return _record_result(tables, target.call_id, event.fetch_id, rows, event.failed)
 
 
 @on_commit.register
@@ -120,8 +120,8 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    return _came(tables, purpose.call_id, outcome.submission_id, (), "")
+) -> ControllerStep:
+    return _record_result(tables, purpose.call_id, outcome.submission_id, (), "")
 
 
 @on_conflict.register
@@ -131,8 +131,10 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    return _came(tables, purpose.call_id, outcome.submission_id, outcome.rows, "")
+) -> ControllerStep:
+    return _record_result(
+        tables, purpose.call_id, outcome.submission_id, outcome.rows, ""
+    )
 
 
 @on_loss.register
@@ -142,31 +144,33 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     submission_id = pending.submission.submission_id
-    return _came(tables, purpose.call_id, submission_id, (), reason)
+    return _record_result(tables, purpose.call_id, submission_id, (), reason)
 
 
-def _came(
+def _record_result(
     tables: ControllerTables,
     call_id: str,
     awaited: str,
     rows: tuple[VersionedRow, ...],
     failed: str,
-) -> Controlled:
+) -> ControllerStep:
     enquiry = tables.enquiries.get(call_id)
     if enquiry is None:
         return Step(tables=tables)
-    nearer = replace(
+    updated = replace(
         enquiry,
         waiting_for=enquiry.waiting_for - {awaited},
         rows=(*enquiry.rows, *rows),
         failed=failed or enquiry.failed,
     )
-    return Step(tables=replace(tables, enquiries=tables.enquiries.put(call_id, nearer)))
+    return Step(
+        tables=replace(tables, enquiries=tables.enquiries.put(call_id, updated))
+    )
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Answer the questions whose readings are in, or whose time is up."""
     commands: list[Command] = []
     for enquiry in tables.enquiries.rows():
@@ -174,8 +178,8 @@
         if enquiry.waiting_for and not late:
             continue
         failed = enquiry.failed or ("not everything was read in time" if late else "")
-        asked = replace(enquiry, failed=failed)
-        commands.append(_answer(asked, tables, now))
+        finished = replace(enquiry, failed=failed)
+        commands.append(_answer(finished, tables, now))
         for awaited in enquiry.waiting_for:
             tables = replace(tables, polls=tables.polls.drop(awaited))
         call_id = enquiry.call.call_id
@@ -188,5 +192,5 @@
 ) -> ops.Reply | ops.Reject:
     call = enquiry.call
     if isinstance(call, ops.AskExplain):
-        return held_or_done(call, enquiry)
+        return explain_from_rows(call, enquiry)
     return status_of(enquiry, tables, now)
--- a/bulrushpulley/systems/control/events.py
+++ b/bulrushpulley/systems/control/events.py
@@ -15,11 +15,11 @@
 from bulrushpulley.entities.pending import Pending, Purpose, ReadTarget
 from bulrushpulley.entities.step import Event, Step
 
-Controlled = Step[ControllerTables]
+ControllerStep = Step[ControllerTables]
 
 
 @singledispatch
-def apply(event: Event, tables: ControllerTables, now: float) -> Controlled:
+def apply(event: Event, tables: ControllerTables, now: float) -> ControllerStep:
     """Apply one event; events of no concern change nothing."""
     return Step(tables=tables)
 
@@ -43,7 +43,7 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     """Handle a submission that took effect."""
     return Step(tables=tables)
 
@@ -55,7 +55,7 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     """Handle a submission of which some conditions failed."""
     return Step(tables=tables)
 
@@ -67,7 +67,7 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     """Handle a submission that is given up; it may have taken effect if unsettled."""
     return Step(tables=tables)
 
@@ -79,11 +79,11 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     """Handle the rows of a reading."""
     return Step(tables=tables)
 
 
-def then(first: Controlled, second: Controlled) -> Controlled:
+def join_steps(first: ControllerStep, second: ControllerStep) -> ControllerStep:
     """Join two steps of which the second began with the tables of the first."""
     return Step(tables=second.tables, commands=(*first.commands, *second.commands))
--- a/bulrushpulley/systems/control/explain.py
+++ b/bulrushpulley/systems/control/explain.py
@@ -16,7 +16,7 @@
 from bulrushpulley.systems.control.share import is_responsible
 
 
-def find_waiting(
+def explain_waiting(
     tables: ControllerTables, call: ops.AskExplain, now: float
 ) -> Explanation | None:
     """Explain a task that no cell holds; None if it does not wait here."""
@@ -52,15 +52,17 @@
     return f"{WaitReason.QUEUED.value}; cell {choice.cells[0]} has room"
 
 
-def held_or_done(call: ops.AskExplain, enquiry: Enquiry) -> Explanation | ops.Reject:
+def explain_from_rows(
+    call: ops.AskExplain, enquiry: Enquiry
+) -> Explanation | ops.Reject:
     """Explain a task from the rows that were read for it."""
     index = int(call.task_id.split("/")[1])
     for row in enquiry.rows:
         if row.key.startswith("task/") and row.key.endswith(f"/{call.task_id}"):
-            return _held(call, row)
+            return _explain_held(call, row)
     for row in enquiry.rows:
         if row.key.startswith("done/") and index in indexes_of(row.row):
-            return _done(call, row)
+            return _explain_done(call, row)
     if enquiry.failed:
         return Explanation(
             call_id=call.call_id,
@@ -77,15 +79,15 @@
     return ops.Reject(call_id=call.call_id, problem=problem)
 
 
-def _held(call: ops.AskExplain, row: VersionedRow) -> Explanation:
-    return _explained(call, row, state="held", cell=row.key.split("/")[1])
+def _explain_held(call: ops.AskExplain, row: VersionedRow) -> Explanation:
+    return _explanation(call, row, state="held", cell=row.key.split("/")[1])
 
 
-def _done(call: ops.AskExplain, row: VersionedRow) -> Explanation:
-    return _explained(call, row, state="done", cell="")
+def _explain_done(call: ops.AskExplain, row: VersionedRow) -> Explanation:
+    return _explanation(call, row, state="done", cell="")
 
 
-def _explained(
+def _explanation(
     call: ops.AskExplain, row: VersionedRow, *, state: str, cell: str
 ) -> Explanation:
     task = row.row
--- a/bulrushpulley/systems/control/in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -8,22 +8,22 @@
 from bulrushpulley.entities.operations import AskInForce, InForce
 from bulrushpulley.entities.pending import InForceWait
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control.events import Controlled, apply
+from bulrushpulley.systems.control.events import ControllerStep, apply
 from bulrushpulley.systems.control.members import live_entries
 
 
 @apply.register
-def _(event: AskInForce, tables: ControllerTables, now: float) -> Controlled:
+def _(event: AskInForce, tables: ControllerTables, now: float) -> ControllerStep:
     wait = InForceWait(call=event, deadline=now + event.wait_s)
     waits = tables.in_force_waits.put(event.call_id, wait)
     return Step(tables=replace(tables, in_force_waits=waits))
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Answer the questions whose revision is in force, or whose time is up."""
     commands: list[Command] = []
     for wait in tables.in_force_waits.rows():
-        missing = missing_at(tables, wait.call.revision)
+        missing = processes_behind(tables, wait.call.revision)
         if missing and now < wait.deadline:
             continue
         commands.append(_reply(wait.call, missing))
@@ -32,7 +32,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def missing_at(tables: ControllerTables, revision: int) -> tuple[str, ...]:
+def processes_behind(tables: ControllerTables, revision: int) -> tuple[str, ...]:
     """Return the linked agents and live entries that have not applied a revision."""
     agents = [
         link.announced.agent if link.announced else link.peer
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -30,7 +30,7 @@
 from bulrushpulley.entities.rows import MemberRow
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
     apply,
     on_commit,
     on_conflict,
@@ -39,17 +39,19 @@
 )
 from bulrushpulley.systems.control.submissions import submit
 
-PREFIX = "member/"
-RENEW_S = 5.0
-RENEW_AFTER_CHANGE_S = 1.0
-RETRY_S = 1.0
-READ_EVERY_S = 1.0
-GAP_COUNTED_S = 2 * READ_EVERY_S
+MEMBER_PREFIX = "member/"
+MEMBER_RENEW_INTERVAL_S = 5.0
+MEMBER_RENEW_DELAY_AFTER_CHANGE_S = 1.0
+MEMBER_RENEW_RETRY_DELAY_S = 1.0
+MEMBER_READ_INTERVAL_S = 1.0
+MAX_COUNTED_GAP_S = 2 * MEMBER_READ_INTERVAL_S
 
 
 def poll() -> Poll:
     """Return the reading of the member rows."""
-    return Poll(target=ReadMembers(), prefix=PREFIX, interval_s=READ_EVERY_S)
+    return Poll(
+        target=ReadMembers(), prefix=MEMBER_PREFIX, interval_s=MEMBER_READ_INTERVAL_S
+    )
 
 
 def live_entries(tables: ControllerTables) -> tuple[str, ...]:
@@ -72,9 +74,9 @@
     )
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Renew the own row when due and send the list of entries when it changes."""
-    step = _renewed(tables, now)
+    step = _renew_if_due(tables, now)
     tables = step.tables
     addresses = _addresses(tables)
     if addresses == tables.entries_sent:
@@ -85,7 +87,7 @@
     return Step(tables=tables, commands=(*step.commands, *sends))
 
 
-def greet(event: LinkUp, tables: ControllerTables) -> Send:
+def entries_for_link(event: LinkUp, tables: ControllerTables) -> Send:
     """Return the list of entries for a new link."""
     return Send(peer=event.peer, item=Entries(entries=_addresses(tables)))
 
@@ -100,11 +102,11 @@
     return tuple(sorted((*own, *others), key=lambda address: address.name))
 
 
-def _renewed(tables: ControllerTables, now: float) -> Controlled:
+def _renew_if_due(tables: ControllerTables, now: float) -> ControllerStep:
     changed = tables.revision != tables.renewed_revision
     due_at = tables.member_renew_at
     if changed:
-        due_at -= RENEW_S - RENEW_AFTER_CHANGE_S
+        due_at -= MEMBER_RENEW_INTERVAL_S - MEMBER_RENEW_DELAY_AFTER_CHANGE_S
     waits = tables.leaving or tables.renewal_key or tables.members_read_at is None
     if waits or now < due_at:
         return Step(tables=tables)
@@ -116,7 +118,7 @@
         renewals=row.renewals,
         renewal_key=key,
         renewed_revision=row.applied_revision,
-        member_renew_at=now + RENEW_S,
+        member_renew_at=now + MEMBER_RENEW_INTERVAL_S,
     )
     return submit(
         tables,
@@ -124,18 +126,18 @@
         purpose=RenewMember(),
         conditions=(Condition(key=key, version=known.version if known else 0),),
         writes=(Write(key=key, row=row),),
-        deadline=now + RENEW_S,
+        deadline=now + MEMBER_RENEW_INTERVAL_S,
     )
 
 
 @apply.register
-def _(event: Leave, tables: ControllerTables, now: float) -> Controlled:
+def _(event: Leave, tables: ControllerTables, now: float) -> ControllerStep:
     """Stop renewing, and delete the own row once no renewal is in flight."""
     tables = replace(tables, leaving=True)
-    return Step(tables=tables) if tables.renewal_key else _deleted(tables, now)
+    return Step(tables=tables) if tables.renewal_key else _delete_own_row(tables, now)
 
 
-def _deleted(tables: ControllerTables, now: float) -> Controlled:
+def _delete_own_row(tables: ControllerTables, now: float) -> ControllerStep:
     """Delete the own row, so that the others take over without waiting."""
     key = member_key(tables.identity.name)
     known = tables.members.get(tables.identity.name)
@@ -147,7 +149,7 @@
         purpose=LeaveMembers(),
         conditions=(Condition(key=key, version=known.version),),
         writes=(Write(key=key, row=None),),
-        deadline=now + RENEW_S,
+        deadline=now + MEMBER_RENEW_INTERVAL_S,
     )
 
 
@@ -158,11 +160,11 @@
     outcome: Committed,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     write = pending.submission.writes[0]
     row = VersionedRow(key=write.key, version=outcome.revision, row=write.row)
-    tables = _noted(replace(tables, renewal_key=""), row)
-    return _deleted(tables, now) if tables.leaving else Step(tables=tables)
+    tables = _update_member(replace(tables, renewal_key=""), row)
+    return _delete_own_row(tables, now) if tables.leaving else Step(tables=tables)
 
 
 @on_conflict.register
@@ -172,10 +174,12 @@
     outcome: Conflicted,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    tables = replace(tables, renewal_key="", member_renew_at=now + RETRY_S)
+) -> ControllerStep:
+    tables = replace(
+        tables, renewal_key="", member_renew_at=now + MEMBER_RENEW_RETRY_DELAY_S
+    )
     for row in outcome.rows:
-        tables = _noted(tables, row)
+        tables = _update_member(tables, row)
     return Step(tables=tables)
 
 
@@ -186,8 +190,12 @@
     reason: str,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    return Step(tables=replace(tables, renewal_key="", member_renew_at=now + RETRY_S))
+) -> ControllerStep:
+    return Step(
+        tables=replace(
+            tables, renewal_key="", member_renew_at=now + MEMBER_RENEW_RETRY_DELAY_S
+        )
+    )
 
 
 @on_rows.register
@@ -197,21 +205,21 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
+) -> ControllerStep:
     last = tables.members_read_at
-    passed = 0.0 if last is None else min(now - last, GAP_COUNTED_S)
+    elapsed_s = 0.0 if last is None else min(now - last, MAX_COUNTED_GAP_S)
     tables = replace(tables, members_read_at=now)
     for name in tables.members:
         member = tables.members.by_key[name]
-        quieter = replace(member, quiet_s=member.quiet_s + passed)
-        tables = replace(tables, members=tables.members.put(name, quieter))
+        updated = replace(member, unchanged_s=member.unchanged_s + elapsed_s)
+        tables = replace(tables, members=tables.members.put(name, updated))
     for row in rows:
-        tables = _noted(tables, row)
+        tables = _update_member(tables, row)
     return Step(tables=tables)
 
 
-def _noted(tables: ControllerTables, row: VersionedRow) -> ControllerTables:
-    name = row.key.removeprefix(PREFIX)
+def _update_member(tables: ControllerTables, row: VersionedRow) -> ControllerTables:
+    name = row.key.removeprefix(MEMBER_PREFIX)
     if not isinstance(row.row, MemberRow):
         return replace(tables, members=tables.members.drop(name))
     known = tables.members.get(name)
--- a/bulrushpulley/systems/control/moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.pending import PlacedTask
 from bulrushpulley.entities.records import ServiceRecord
 from bulrushpulley.entities.rows import TaskRow, TaskSpec, TaskState
-from bulrushpulley.systems.control.records import find, record_key
+from bulrushpulley.systems.control.records import find_record, record_key
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,7 +49,7 @@
         return None
     if spec.kind == "job":
         return replace(spec, record_version=spec.record_version or waiting.version)
-    record = find(tables, "service", spec.job, ServiceRecord)
+    record = find_record(tables, "service", spec.job, ServiceRecord)
     held = tables.records.get(record_key("service", spec.job))
     if record is None or held is None or last >= record.replicas:
         return None
--- a/bulrushpulley/systems/control/offers.py
+++ b/bulrushpulley/systems/control/offers.py
@@ -20,8 +20,8 @@
 from bulrushpulley.entities.observe import Count, Decision
 from bulrushpulley.entities.records import CellRecord, FailureDomainRecord
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.control.events import Controlled
-from bulrushpulley.systems.control.records import find
+from bulrushpulley.systems.control.events import ControllerStep
+from bulrushpulley.systems.control.records import find_record
 
 SUMMARY_TIMEOUT_S = 8.0
 FIRST_OFFER_DELAY_S = 1.0
@@ -31,7 +31,7 @@
 OFFER_BACKOFF_FACTOR = 1.5
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Offer every silent cell whose pause is over."""
     if tables.leaving or now < tables.next_offers_at or not tables.links:
         return Step(tables=tables)
@@ -71,7 +71,7 @@
 
 def _offer_cell(
     tables: ControllerTables, cell: str, cells_by_peer: dict[str, int], now: float
-) -> Controlled:
+) -> ControllerStep:
     offer = tables.offers.get(cell)
     if offer is None:
         first = CellOffer(
@@ -114,10 +114,12 @@
 def _next_agent(
     tables: ControllerTables, offer: CellOffer, cells_by_peer: dict[str, int]
 ) -> AgentLink | None:
-    record = find(tables, "cell", offer.cell, CellRecord)
+    record = find_record(tables, "cell", offer.cell, CellRecord)
     if record is None:
         return None
-    domain = find(tables, "failure_domain", record.failure_domain, FailureDomainRecord)
+    domain = find_record(
+        tables, "failure_domain", record.failure_domain, FailureDomainRecord
+    )
     eligible = [
         link
         for link in tables.links.rows()
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -23,12 +23,12 @@
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems.control.records import record_key, record_row
 
-STEP = "controller.change"
+CHANGE_STEP = "controller.change"
 CHECK_STEP = "records.check"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Planned:
+class PlannedChange:
     """A row to commit under the conditions, together with further writes."""
 
     row: RecordRow
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Standing:
+class AlreadyInForce:
     """What is asked for stands already."""
 
     row: RecordRow
@@ -50,10 +50,12 @@
     problem: Problem
 
 
-Plan = Planned | Standing | Refusal
+Plan = PlannedChange | AlreadyInForce | Refusal
 
 
-def problem(detail: str, code: Code, field: str = "", step: str = STEP) -> Problem:
+def problem(
+    detail: str, code: Code, field: str = "", step: str = CHANGE_STEP
+) -> Problem:
     """Describe why a call is not carried out."""
     return Problem(code=code, step=step, peer="self", detail=detail, field=field)
 
@@ -69,26 +71,26 @@
 
 def key_of(call: ops.OperatorCall) -> str:
     """Return the key of the record that a call changes."""
-    return _target(call)
+    return _key_of(call)
 
 
 @singledispatch
-def _target(call: ops.OperatorCall) -> str:
+def _key_of(call: ops.OperatorCall) -> str:
     raise NotImplementedError(type(call).__name__)
 
 
-@_target.register(ops.SubmitRecord)
-@_target.register(ops.AmendRecord)
+@_key_of.register(ops.SubmitRecord)
+@_key_of.register(ops.AmendRecord)
 def _(call: ops.SubmitRecord | ops.AmendRecord) -> str:
     return record_key(call.kind, call.record.name)
 
 
-@_target.register
+@_key_of.register
 def _(call: ops.CancelJob) -> str:
     return record_key("job", call.job)
 
 
-@_target.register
+@_key_of.register
 def _(call: ops.ChangeDomain) -> str:
     return record_key("failure_domain", call.failure_domain)
 
@@ -105,12 +107,12 @@
 def _(
     call: ops.SubmitRecord, current: VersionedRow | None, tables: ControllerTables
 ) -> Plan:
-    stands = record_row(current)
-    if stands is not None and _is_same(stands, call):
-        return Standing(row=stands)
-    if stands is not None:
-        return Refusal(problem=conflict(stands))
-    return _checked(call, call.record, tables) or _submitted(
+    existing = record_row(current)
+    if existing is not None and _is_same(existing, call):
+        return AlreadyInForce(row=existing)
+    if existing is not None:
+        return Refusal(problem=conflict(existing))
+    return _refuse_if_too_large(call, call.record, tables) or _plan_new(
         call.record, _row(call, tables)
     )
 
@@ -119,41 +121,41 @@
 def _(
     call: ops.AmendRecord, current: VersionedRow | None, tables: ControllerTables
 ) -> Plan:
-    stands = record_row(current)
-    if stands is None:
+    existing = record_row(current)
+    if existing is None:
         return _not_found(key_of(call))
     if call.kind == "job":
         detail = "a job is not amended; cancel it and submit another"
         return Refusal(problem=problem(detail, Code.INVALID, "kind"))
-    if _is_same(stands, call):
-        return Standing(row=stands)
-    if call.expected_revision not in (0, stands.revision):
-        return Refusal(problem=conflict(stands))
-    if call.schema_version < stands.schema_version:
+    if _is_same(existing, call):
+        return AlreadyInForce(row=existing)
+    if call.expected_revision not in (0, existing.revision):
+        return Refusal(problem=conflict(existing))
+    if call.schema_version < existing.schema_version:
         detail = (
-            f"the record stands in schema version {stands.schema_version}; "
+            f"the record stands in schema version {existing.schema_version}; "
             f"version {call.schema_version} would drop its newer keys"
         )
         refused = problem(detail, Code.SCHEMA_VERSION, "schema_version")
         return Refusal(problem=refused)
-    refusal = _checked(call, call.record, tables)
-    return refusal or _amended(call.record, stands.record, _row(call, tables))
+    refusal = _refuse_if_too_large(call, call.record, tables)
+    return refusal or _plan_amended(call.record, existing.record, _row(call, tables))
 
 
 @plan.register
 def _(
     call: ops.CancelJob, current: VersionedRow | None, tables: ControllerTables
 ) -> Plan:
-    stands = record_row(current)
-    if stands is None or not isinstance(stands.record, JobRecord):
+    existing = record_row(current)
+    if existing is None or not isinstance(existing.record, JobRecord):
         return _not_found(key_of(call))
-    if stands.record.cancelled:
-        return Standing(row=stands)
-    job = replace(stands.record, cancelled=True)
-    row = replace(stands, record=job, author=call.author)
+    if existing.record.cancelled:
+        return AlreadyInForce(row=existing)
+    job = replace(existing.record, cancelled=True)
+    row = replace(existing, record=job, author=call.author)
     marker = backlog_key(job.name, CLOSING)
     closing = BacklogRow(spec=job_spec(job), count=job.tasks)
-    return Planned(
+    return PlannedChange(
         row=row,
         conditions=(Condition(key=marker, version=0),),
         writes=(Write(key=marker, row=closing),),
@@ -164,21 +166,24 @@
 def _(
     call: ops.ChangeDomain, current: VersionedRow | None, tables: ControllerTables
 ) -> Plan:
-    stands = record_row(current)
-    if stands is None or not isinstance(stands.record, FailureDomainRecord):
+    existing = record_row(current)
+    if existing is None or not isinstance(existing.record, FailureDomainRecord):
         return _not_found(key_of(call))
-    if stands.record.state is call.state:
-        return Standing(row=stands)
-    if call.expected_revision not in (0, stands.revision):
-        return Refusal(problem=conflict(stands))
-    record = replace(stands.record, state=call.state)
+    if existing.record.state is call.state:
+        return AlreadyInForce(row=existing)
+    if call.expected_revision not in (0, existing.revision):
+        return Refusal(problem=conflict(existing))
+    record = replace(existing.record, state=call.state)
     revision = tables.last_revision + 1
-    row = replace(stands, record=record, author=call.author, revision=revision)
-    return Planned(row=row)
+    row = replace(existing, record=record, author=call.author, revision=revision)
+    return PlannedChange(row=row)
 
 
-def _is_same(stands: RecordRow, call: ops.SubmitRecord | ops.AmendRecord) -> bool:
-    return (stands.record, stands.schema_version) == (call.record, call.schema_version)
+def _is_same(existing: RecordRow, call: ops.SubmitRecord | ops.AmendRecord) -> bool:
+    return (existing.record, existing.schema_version) == (
+        call.record,
+        call.schema_version,
+    )
 
 
 def _not_found(key: str) -> Refusal:
@@ -188,20 +193,20 @@
 def _row(
     call: ops.SubmitRecord | ops.AmendRecord, tables: ControllerTables
 ) -> RecordRow:
-    grown = 0 if call.kind == "job" else 1
+    increment = 0 if call.kind == "job" else 1
     return RecordRow(
         kind=call.kind,
         schema_version=call.schema_version,
         record=call.record,
         author=call.author,
-        revision=tables.last_revision + grown,
+        revision=tables.last_revision + increment,
     )
 
 
-def _checked(
+def _refuse_if_too_large(
     call: ops.OperatorCall, record: Record, tables: ControllerTables
 ) -> Refusal | None:
-    size = _size_of(record)
+    size = _sized_record(record)
     if size is None or not tables.fleet.capacities_by_cell:
         return None
     if tables.fleet.could_hold(size.size, size.failure_domains):
@@ -211,12 +216,12 @@
 
 
 @singledispatch
-def _size_of(record: Record) -> JobRecord | ServiceRecord | None:
+def _sized_record(record: Record) -> JobRecord | ServiceRecord | None:
     return None
 
 
-@_size_of.register(JobRecord)
-@_size_of.register(ServiceRecord)
+@_sized_record.register(JobRecord)
+@_sized_record.register(ServiceRecord)
 def _(record: JobRecord | ServiceRecord) -> JobRecord | ServiceRecord:
     return record
 
@@ -255,23 +260,23 @@
 
 
 @singledispatch
-def _submitted(record: Record, row: RecordRow) -> Planned:
-    return Planned(row=row)
+def _plan_new(record: Record, row: RecordRow) -> PlannedChange:
+    return PlannedChange(row=row)
 
 
-@_submitted.register
-def _(record: JobRecord, row: RecordRow) -> Planned:
+@_plan_new.register
+def _(record: JobRecord, row: RecordRow) -> PlannedChange:
     backlog = BacklogRow(spec=job_spec(record), count=record.tasks)
     return _with_tasks(row, record_key("service", record.name), backlog)
 
 
-@_submitted.register
-def _(record: ServiceRecord, row: RecordRow) -> Planned:
+@_plan_new.register
+def _(record: ServiceRecord, row: RecordRow) -> PlannedChange:
     backlog = BacklogRow(spec=service_spec(record, 0), count=record.replicas)
     return _with_tasks(row, record_key("job", record.name), backlog)
 
 
-def _with_tasks(row: RecordRow, namesake: str, backlog: BacklogRow) -> Planned:
+def _with_tasks(row: RecordRow, namesake: str, backlog: BacklogRow) -> PlannedChange:
     """Plan a new record with its tasks; no record of the other kind shares its name.
 
     Jobs and services share the keys of their tasks.
@@ -280,8 +285,8 @@
     closing = nothing_closing(backlog.spec.job)
     absent = (Condition(key=namesake, version=0), *closing)
     if backlog.count == 0:
-        return Planned(row=row, conditions=absent)
-    return Planned(
+        return PlannedChange(row=row, conditions=absent)
+    return PlannedChange(
         row=row,
         conditions=(*absent, Condition(key=key, version=0)),
         writes=(Write(key=key, row=backlog),),
@@ -289,31 +294,31 @@
 
 
 @singledispatch
-def _amended(record: Record, before: Record, row: RecordRow) -> Planned:
-    return Planned(row=row)
+def _plan_amended(record: Record, before: Record, row: RecordRow) -> PlannedChange:
+    return PlannedChange(row=row)
 
 
-@_amended.register
-def _(record: ServiceRecord, before: ServiceRecord, row: RecordRow) -> Planned:
+@_plan_amended.register
+def _(record: ServiceRecord, before: ServiceRecord, row: RecordRow) -> PlannedChange:
     """Add the replicas that do not exist yet, or open the closing of the surplus.
 
     Both wait until replicas of an earlier lowering have surely ended, so that an
     index never runs twice.
     """
     if record.replicas == before.replicas:
-        return Planned(row=row)
+        return PlannedChange(row=row)
     marker = backlog_key(record.name, CLOSING)
     absent = nothing_closing(record.name)
     first, last = sorted((record.replicas, before.replicas))
     backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
     if record.replicas < before.replicas:
-        return Planned(
+        return PlannedChange(
             row=row,
             conditions=absent,
             writes=(Write(key=marker, row=backlog),),
         )
     key = backlog_key(record.name, first)
-    return Planned(
+    return PlannedChange(
         row=row,
         conditions=(*absent, Condition(key=key, version=0)),
         writes=(Write(key=key, row=backlog),),
--- a/bulrushpulley/systems/control/polls.py
+++ b/bulrushpulley/systems/control/polls.py
@@ -4,22 +4,22 @@
 
 from dataclasses import replace
 
-from bulrushpulley.entities.commit import ReadAsked
+from bulrushpulley.entities.commit import ReadRequested
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.pending import Poll, ReadTarget
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control.events import Controlled, apply, on_rows
-from bulrushpulley.systems.control.submissions import COMMITTER, ROLE, numbered
+from bulrushpulley.systems.control.events import ControllerStep, apply, on_rows
+from bulrushpulley.systems.control.submissions import COMMITTER, ROLE, with_new_id
 
-ANSWER_WITHIN_S = 5.0
+POLL_TIMEOUT_S = 5.0
 
 
 def read_once(
     tables: ControllerTables, now: float, *, target: ReadTarget, prefix: str
-) -> tuple[Controlled, str]:
+) -> tuple[ControllerStep, str]:
     """Read a prefix a single time; returns the step and the id of the reading."""
-    tables, fetch_id = numbered(tables, "f")
+    tables, fetch_id = with_new_id(tables, "f")
     poll = Poll(
         target=target,
         prefix=prefix,
@@ -28,34 +28,34 @@
         requested_at=now,
     )
     tables = replace(tables, polls=tables.polls.put(fetch_id, poll))
-    return Step(tables=tables, commands=(_asked(poll),)), fetch_id
+    return Step(tables=tables, commands=(_read_command(poll),)), fetch_id
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Ask for every reading that is due; one without an answer is asked again."""
     commands: list[Command] = []
     for name in tables.polls:
         poll = tables.polls.by_key[name]
-        if poll.fetch_id and now - poll.requested_at < ANSWER_WITHIN_S:
+        if poll.fetch_id and now - poll.requested_at < POLL_TIMEOUT_S:
             continue
         if poll.next_at is None or now < poll.next_at:
             continue
-        tables, fetch_id = numbered(tables, "f")
-        asked = replace(poll, fetch_id=fetch_id, requested_at=now)
-        tables = replace(tables, polls=tables.polls.put(name, asked))
-        commands.append(_asked(asked))
+        tables, fetch_id = with_new_id(tables, "f")
+        sent = replace(poll, fetch_id=fetch_id, requested_at=now)
+        tables = replace(tables, polls=tables.polls.put(name, sent))
+        commands.append(_read_command(sent))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _asked(poll: Poll) -> Command:
-    event = ReadAsked(
+def _read_command(poll: Poll) -> Command:
+    event = ReadRequested(
         origin=ROLE, fetch_id=poll.fetch_id, prefix=poll.prefix, since=poll.since
     )
     return Tell(role=COMMITTER, event=event)
 
 
 @apply.register
-def _(event: Fetched, tables: ControllerTables, now: float) -> Controlled:
+def _(event: Fetched, tables: ControllerTables, now: float) -> ControllerStep:
     name = event.prefix if event.prefix in tables.polls else event.fetch_id
     poll = tables.polls.get(name)
     if poll is None or poll.fetch_id != event.fetch_id:
@@ -67,8 +67,8 @@
     next_at = (
         None if poll.next_at is None else max(now, poll.requested_at + poll.interval_s)
     )
-    rested = replace(poll, fetch_id="", since=since, next_at=next_at)
-    tables = replace(tables, polls=tables.polls.put(name, rested))
+    idle = replace(poll, fetch_id="", since=since, next_at=next_at)
+    tables = replace(tables, polls=tables.polls.put(name, idle))
     if event.failed:
         return Step(tables=tables)
     return on_rows(poll.target, event.rows, event, tables, now)
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -26,13 +26,13 @@
 )
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import Controlled, on_rows
+from bulrushpulley.systems.control.events import ControllerStep, on_rows
 
 R = TypeVar("R")
 
 REVISION_KEY = "revision"
-SPREAD_POLL_S = 0.75
-KINDS = ("service", "failure_domain", "policy", "cell")
+CONFIG_POLL_INTERVAL_S = 0.75
+CONFIG_KINDS = ("service", "failure_domain", "policy", "cell")
 
 
 def record_key(kind: str, name: str) -> str:
@@ -46,16 +46,20 @@
         f"record/{kind}/": Poll(
             target=ReadRecords(kind=kind),
             prefix=f"record/{kind}/",
-            interval_s=SPREAD_POLL_S,
+            interval_s=CONFIG_POLL_INTERVAL_S,
             next_at=None,
         )
-        for kind in KINDS
+        for kind in CONFIG_KINDS
     }
-    revision = Poll(target=ReadRevision(), prefix="revision", interval_s=SPREAD_POLL_S)
+    revision = Poll(
+        target=ReadRevision(), prefix="revision", interval_s=CONFIG_POLL_INTERVAL_S
+    )
     return {"revision": revision, **kinds}
 
 
-def learn(tables: ControllerTables, rows: Iterable[VersionedRow]) -> ControllerTables:
+def update_records(
+    tables: ControllerTables, rows: Iterable[VersionedRow]
+) -> ControllerTables:
     """Take record rows that are newer than the known ones; jobs are left out."""
     changed: set[str] = set()
     for row in rows:
@@ -67,9 +71,11 @@
         tables = replace(tables, records=tables.records.put(row.key, row))
         changed.add(row.key.split("/")[1])
     if "cell" in changed:
-        tables = replace(tables, fleet=fleet_of(all_of(tables, "cell", CellRecord)))
+        tables = replace(
+            tables, fleet=fleet_of(records_of_kind(tables, "cell", CellRecord))
+        )
     if "policy" in changed:
-        policies = all_of(tables, "policy", PolicyRecord)
+        policies = records_of_kind(tables, "policy", PolicyRecord)
         quotas = pmap({one.department: one.quota for one in policies})
         tables = replace(tables, quotas=quotas)
     return tables
@@ -86,13 +92,15 @@
     return held if isinstance(held, RecordRow) else None
 
 
-def find(tables: ControllerTables, kind: str, name: str, cls: type[R]) -> R | None:
+def find_record(
+    tables: ControllerTables, kind: str, name: str, cls: type[R]
+) -> R | None:
     """Return a record of the configuration by kind and name, or None."""
     row = record_row(tables.records.get(record_key(kind, name)))
     return row.record if row is not None and isinstance(row.record, cls) else None
 
 
-def all_of(tables: ControllerTables, kind: str, cls: type[R]) -> list[R]:
+def records_of_kind(tables: ControllerTables, kind: str, cls: type[R]) -> list[R]:
     """Return every record of a kind, ordered by name."""
     rows = [record_row(row) for row in tables.records.rows_where("kind", kind)]
     records = [row.record for row in rows if row is not None]
@@ -101,11 +109,11 @@
 
 def in_service(tables: ControllerTables, failure_domain: str) -> bool:
     """Tell whether the configuration lets tasks start in a failure domain."""
-    record = find(tables, "failure_domain", failure_domain, FailureDomainRecord)
+    record = find_record(tables, "failure_domain", failure_domain, FailureDomainRecord)
     return record is not None and record.state is DomainState.IN_SERVICE
 
 
-def learn_revision(
+def update_revision(
     tables: ControllerTables, rows: Iterable[VersionedRow], now: float
 ) -> ControllerTables:
     """Take a newer revision row and have the records read up to it."""
@@ -114,12 +122,12 @@
         if row.key == REVISION_KEY and newer and isinstance(row.row, RevisionRow):
             tables = replace(tables, revision_row=row)
     if tables.last_revision > tables.revision:
-        for kind in KINDS:
-            tables = _hasten_kind(tables, kind, now)
+        for kind in CONFIG_KINDS:
+            tables = _read_kind_now(tables, kind, now)
     return tables
 
 
-def _hasten_kind(tables: ControllerTables, kind: str, now: float) -> ControllerTables:
+def _read_kind_now(tables: ControllerTables, kind: str, now: float) -> ControllerTables:
     name = f"record/{kind}/"
     poll = tables.polls.get(name)
     if poll is None or poll.since >= tables.revision_row.version:
@@ -127,7 +135,7 @@
     return replace(tables, polls=tables.polls.put(name, replace(poll, next_at=now)))
 
 
-def changed_here(
+def apply_own_change(
     tables: ControllerTables, rows: tuple[VersionedRow, ...], now: float
 ) -> ControllerTables:
     """Take the rows that a change by this process has just committed.
@@ -135,13 +143,13 @@
     The revision is reached at once if the one before it was.
     """
     before = tables.revision
-    tables = learn(tables, rows)
+    tables = update_records(tables, rows)
     newer = [row for row in rows if row.key == REVISION_KEY]
     for row in newer:
         reached = isinstance(row.row, RevisionRow) and row.row.revision == before + 1
         if reached and row.version > tables.revision_row.version:
             tables = replace(tables, revision=before + 1, revision_row=row)
-    return learn_revision(tables, newer, now)
+    return update_revision(tables, newer, now)
 
 
 @on_rows.register
@@ -151,8 +159,8 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    return Step(tables=learn_revision(tables, rows, now))
+) -> ControllerStep:
+    return Step(tables=update_revision(tables, rows, now))
 
 
 @on_rows.register
@@ -162,14 +170,14 @@
     event: Fetched,
     tables: ControllerTables,
     now: float,
-) -> Controlled:
-    tables = learn(tables, rows)
+) -> ControllerStep:
+    tables = update_records(tables, rows)
     name = f"record/{target.kind}/"
     poll = tables.polls.by_key[name]
     if poll.since >= tables.revision_row.version:
-        rested = replace(poll, next_at=None)
-        tables = replace(tables, polls=tables.polls.put(name, rested))
-    read_to = min(tables.polls.by_key[f"record/{kind}/"].since for kind in KINDS)
+        idle = replace(poll, next_at=None)
+        tables = replace(tables, polls=tables.polls.put(name, idle))
+    read_to = min(tables.polls.by_key[f"record/{kind}/"].since for kind in CONFIG_KINDS)
     if read_to >= tables.revision_row.version:
         reached = max(tables.revision, tables.last_revision)
         tables = replace(tables, revision=reached)
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -29,18 +29,18 @@
 from bulrushpulley.systems.control.offers import SUMMARY_TIMEOUT_S
 from bulrushpulley.systems.control.records import record_row
 
-EXPLAINED_ROWS = 4
+MAX_EXPLAINED_ROWS = 4
 
 
 def status_of(enquiry: Enquiry, tables: ControllerTables, now: float) -> Status:
     """Return how things stand as this entry sees them."""
-    heard_after = now - SUMMARY_TIMEOUT_S
+    fresh_after = now - SUMMARY_TIMEOUT_S
     return Status(
         call_id=enquiry.call.call_id,
         revision=tables.revision,
         members=_members(tables),
         agents=_agents(tables),
-        cells=_cells(tables, heard_after),
+        cells=_cells(tables, fresh_after),
         services=_services(tables),
         jobs=_jobs(enquiry.rows, tables, now),
         failure_domains=_domains(tables),
@@ -63,7 +63,7 @@
 
 
 def _agents(tables: ControllerTables) -> tuple[AgentStatus, ...]:
-    heard = [link.announced for link in tables.links.rows()]
+    announcements = [link.announced for link in tables.links.rows()]
     return tuple(
         AgentStatus(
             agent=one.agent,
@@ -74,21 +74,21 @@
             leaving=one.leaving,
             applied_revision=one.applied_revision,
         )
-        for one in heard
+        for one in announcements
         if one is not None
     )
 
 
-def _cells(tables: ControllerTables, heard_after: float) -> tuple[CellStatus, ...]:
+def _cells(tables: ControllerTables, fresh_after: float) -> tuple[CellStatus, ...]:
     return tuple(
-        _cell(tables, name, domain, heard_after)
+        _cell(tables, name, domain, fresh_after)
         for domain, names in sorted(tables.fleet.cells_by_domain.items())
         for name in names
     )
 
 
 def _cell(
-    tables: ControllerTables, name: str, domain: str, heard_after: float
+    tables: ControllerTables, name: str, domain: str, fresh_after: float
 ) -> CellStatus:
     view = tables.cells.get(name)
     summary = view.summary if view is not None else None
@@ -99,7 +99,7 @@
         epoch=summary.epoch if summary else 0,
         fresh=view is not None
         and summary is not None
-        and view.last_summary_at > heard_after,
+        and view.last_summary_at > fresh_after,
         free=summary.free if summary else NO_RESOURCES,
         waiting=summary.waiting if summary else 0,
         running=summary.running if summary else 0,
@@ -165,7 +165,7 @@
 ) -> JobStatus:
     waiting = _waiting_of(tables, job.name)
     ended = sum(done.values())
-    rows = tables.waiting.rows_where("job", job.name)[:EXPLAINED_ROWS]
+    rows = tables.waiting.rows_where("job", job.name)[:MAX_EXPLAINED_ROWS]
     reasons = {why_waits(tables, row, now) for row in rows}
     return JobStatus(
         name=job.name,
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -22,7 +22,7 @@
 from bulrushpulley.entities.pending import Pending, Purpose
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.systems.control.events import (
-    Controlled,
+    ControllerStep,
     apply,
     on_commit,
     on_conflict,
@@ -31,11 +31,11 @@
 
 ROLE = "controller"
 COMMITTER = "committer"
-RESUBMIT_S = 0.5
+UNSETTLED_RESUBMIT_DELAY_S = 0.5
 GIVE_UP_MARGIN_S = 0.5
 
 
-def numbered(tables: ControllerTables, letter: str) -> tuple[ControllerTables, str]:
+def with_new_id(tables: ControllerTables, letter: str) -> tuple[ControllerTables, str]:
     """Return the tables and a new id, unique over all processes and time."""
     number = tables.last_number + 1
     new_id = f"{tables.identity.incarnation}/{letter}{number}"
@@ -50,9 +50,9 @@
     conditions: tuple[Condition, ...],
     writes: tuple[Write, ...],
     deadline: float,
-) -> Controlled:
+) -> ControllerStep:
     """Submit conditional writes and await their outcome."""
-    tables, submission_id = numbered(tables, "c")
+    tables, submission_id = with_new_id(tables, "c")
     return submit_as(
         tables,
         now,
@@ -73,7 +73,7 @@
     conditions: tuple[Condition, ...],
     writes: tuple[Write, ...],
     deadline: float,
-) -> Controlled:
+) -> ControllerStep:
     """Submit conditional writes under an id that was drawn before."""
     submission = Submission(
         submission_id=submission_id,
@@ -83,14 +83,14 @@
     )
     pending = Pending(submission=submission, purpose=purpose, deadline=deadline)
     tables = replace(tables, pending=tables.pending.put(submission_id, pending))
-    return Step(tables=tables, commands=(_handed_over(submission),))
+    return Step(tables=tables, commands=(_submit_command(submission),))
 
 
-def _handed_over(submission: Submission) -> Command:
+def _submit_command(submission: Submission) -> Command:
     return Tell(role=COMMITTER, event=Submitted(origin=ROLE, submission=submission))
 
 
-def _taken(
+def _pop_pending(
     tables: ControllerTables, submission_id: str
 ) -> tuple[ControllerTables, Pending | None]:
     pending = tables.pending.get(submission_id)
@@ -98,58 +98,62 @@
 
 
 @apply.register
-def _(event: Committed, tables: ControllerTables, now: float) -> Controlled:
-    tables, pending = _taken(tables, event.submission_id)
+def _(event: Committed, tables: ControllerTables, now: float) -> ControllerStep:
+    tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
     return on_commit(pending.purpose, pending, event, tables, now)
 
 
 @apply.register
-def _(event: Conflicted, tables: ControllerTables, now: float) -> Controlled:
-    tables, pending = _taken(tables, event.submission_id)
+def _(event: Conflicted, tables: ControllerTables, now: float) -> ControllerStep:
+    tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
     return on_conflict(pending.purpose, pending, event, tables, now)
 
 
 @apply.register
-def _(event: Withdrawn, tables: ControllerTables, now: float) -> Controlled:
-    tables, pending = _taken(tables, event.submission_id)
+def _(event: Withdrawn, tables: ControllerTables, now: float) -> ControllerStep:
+    tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
     return on_loss(pending.purpose, pending, event.reason, tables, now)
 
 
 @apply.register
-def _(event: Unsettled, tables: ControllerTables, now: float) -> Controlled:
+def _(event: Unsettled, tables: ControllerTables, now: float) -> ControllerStep:
     pending = tables.pending.get(event.submission_id)
     if pending is None:
         return Step(tables=tables)
-    again = replace(pending, unsettled=True, resubmit_at=now + RESUBMIT_S)
+    again = replace(
+        pending, unsettled=True, resubmit_at=now + UNSETTLED_RESUBMIT_DELAY_S
+    )
     return Step(
         tables=replace(tables, pending=tables.pending.put(event.submission_id, again))
     )
 
 
-def run(tables: ControllerTables, now: float) -> Controlled:
+def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Submit unsettled submissions again, or give them up after their deadline."""
     step = Step(tables=tables)
     for submission_id in sorted(tables.pending.keys_where("resubmit", "due")):
-        step = _resubmitted(submission_id, step, now)
+        step = _resubmit_or_give_up(submission_id, step, now)
     return step
 
 
-def _resubmitted(submission_id: str, step: Controlled, now: float) -> Controlled:
+def _resubmit_or_give_up(
+    submission_id: str, step: ControllerStep, now: float
+) -> ControllerStep:
     tables = step.tables
     pending = tables.pending.by_key[submission_id]
     if now >= pending.deadline:
-        tables, _ = _taken(tables, submission_id)
+        tables, _ = _pop_pending(tables, submission_id)
         lost = on_loss(pending.purpose, pending, "no answer in time", tables, now)
         return Step(tables=lost.tables, commands=(*step.commands, *lost.commands))
     if pending.resubmit_at is None or now < pending.resubmit_at:
         return step
     sent = replace(pending, resubmit_at=None)
     tables = replace(tables, pending=tables.pending.put(submission_id, sent))
-    command = _handed_over(pending.submission)
+    command = _submit_command(pending.submission)
     return Step(tables=tables, commands=(*step.commands, command))
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -14,7 +14,7 @@
 
 from bulrushpulley.entities.commit import (
     Condition,
-    ReadAsked,
+    ReadRequested,
     Submission,
     Submitted,
     Write,
@@ -105,7 +105,7 @@
     if not prefix:
         return Step(tables=tables)
     tables, fetch_id = replace(tables, page_number=tables.page_number + 1).numbered()
-    asked = ReadAsked(origin="router", fetch_id=fetch_id, prefix=prefix)
+    asked = ReadRequested(origin="router", fetch_id=fetch_id, prefix=prefix)
     return Step(tables=tables, commands=(Tell(role="committer", event=asked),))
 
 
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -227,7 +227,7 @@
         url = f"http://127.0.0.1:{server.bind_addr[1]}"
     for text in FLAGS.waiting:
         waiting = int(text)
-        with mock.patch.object(commit_batch, "MAX_ROWS", 1):
+        with mock.patch.object(commit_batch, "MAX_BATCH_ROWS", 1):
             single = measure(
                 url=url, waiting=waiting, seconds=FLAGS.seconds, prefix=f"one{text}-"
             )
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -29,7 +29,7 @@
 from bulrushpulley.roles.actor import Role
 from bulrushpulley.systems.control.backlog import handle_backlog_rows
 from bulrushpulley.systems.control.plans import job_spec
-from bulrushpulley.systems.control.records import learn
+from bulrushpulley.systems.control.records import update_records
 
 CAPACITY = Resources(processors_m=32_000, memory_mb=125_000)
 SIZE = Resources(processors_m=1_000, memory_mb=1_000)
@@ -103,7 +103,7 @@
     domains = [FailureDomainRecord(name=f"d{n}", region="ege") for n in range(DOMAINS)]
     rows = [record("failure_domain", one) for one in domains]
     rows += [record("cell", cell_record(number)) for number in range(cells)]
-    tables = learn(role.tables, rows)
+    tables = update_records(role.tables, rows)
     events = [event for number in range(100) for event in link(number)]
     events += [summary(number, NO_RESOURCES) for number in range(cells)]
     tables = role.tick(tables, events, 0.0).tables
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -42,8 +42,8 @@
 from standins import table_core
 from standins.table_core import At, Put, Stored, TableState
 
-TICK_S = 0.2
-ANSWER_S = 0.004
+TICK_INTERVAL_S = 0.2
+ANSWER_DELAY_S = 0.004
 NAME_BY_PROCESS = {"e1": "e1", "e1b": "e1", "e2": "e2"}
 REJECTED_PREFIX = "rejected/"
 
@@ -52,7 +52,7 @@
 class Fate:
     """When a request takes effect (None: never) and what its sender learns."""
 
-    effect_after_s: float | None = ANSWER_S
+    effect_after_s: float | None = ANSWER_DELAY_S
     answered: bool = True
     ended: type[TransactionRefused | TransactionRejected] = TransactionRefused
 
@@ -69,7 +69,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Told(Event):
+class Delivery(Event):
     """An event that a process gets."""
 
     process: str
@@ -85,7 +85,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Arrives(Event):
+class RequestArrival(Event):
     """A request that reaches the store; `answered` says if the answer gets back."""
 
     process: str
@@ -94,7 +94,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Outside(Event):
+class ForeignWrite(Event):
     """A write by someone else, without a condition."""
 
     put: Put
@@ -109,7 +109,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, order=True)
-class Due:
+class ScheduledEvent:
     at: float
     number: int
     event: Event = field(compare=False)
@@ -139,10 +139,10 @@
         self.submission_by_id: dict[str, Submission] = {}
         self.fetched: list[Event] = []
         self.sent: list[Transact] = []
-        self.shared: list[str] = []
+        self.key_conflicts: list[str] = []
         self.reads: list[ReadRows] = []
         self._fates = list(fates)
-        self._due: list[Due] = []
+        self._due: list[ScheduledEvent] = []
         self._number = 0
         self._roles = {
             process: build(name=name, incarnation=f"{process}-1")
@@ -154,12 +154,14 @@
 
     def at(self, when: float, event: Event) -> None:
         self._number += 1
-        heapq.heappush(self._due, Due(at=when, number=self._number, event=event))
+        heapq.heappush(
+            self._due, ScheduledEvent(at=when, number=self._number, event=event)
+        )
 
     def submit(self, when: float, process: str, submission: Submission) -> None:
         self.submission_by_id[submission.submission_id] = submission
         event = Submitted(origin="tester", submission=submission)
-        self.at(when, Told(process=process, event=event))
+        self.at(when, Delivery(process=process, event=event))
 
     def run_until(self, end: float) -> None:
         tick_at = self.now
@@ -168,9 +170,9 @@
             self.now = max(self.now, at)
             events: dict[str, list[Event]] = defaultdict(list)
             while self._due and self._due[0].at <= self.now:
-                self._happen(heapq.heappop(self._due).event, events)
+                self._handle_event(heapq.heappop(self._due).event, events)
             if tick_at <= self.now:
-                tick_at = self.now + TICK_S
+                tick_at = self.now + TICK_INTERVAL_S
                 for name in self._roles:
                     events[name].extend([])
             for name, some in events.items():
@@ -188,7 +190,7 @@
 
     @_carry_out.register
     def _(self, command: ReportTo, process: str) -> None:
-        self._keep(command.outcome, process)
+        self._record_outcome(command.outcome, process)
 
     @_carry_out.register
     def _(self, command: ReadRows, process: str) -> None:
@@ -201,7 +203,7 @@
             revision=page.revision,
             rows=tuple(versioned(row) for row in page.rows),
         )
-        self.at(self.now + ANSWER_S, Told(process=process, event=event))
+        self.at(self.now + ANSWER_DELAY_S, Delivery(process=process, event=event))
 
     @_carry_out.register
     def _(self, command: Transact, process: str) -> None:
@@ -211,46 +213,48 @@
             fate = REJECTED
         base = {"lane": command.lane, "transaction_id": command.transaction_id}
         if fate.effect_after_s is not None:
-            arrival = Arrives(process=process, command=command, answered=fate.answered)
+            arrival = RequestArrival(
+                process=process, command=command, answered=fate.answered
+            )
             self.at(self.now + fate.effect_after_s, arrival)
         if not fate.answered:
             lost = TransactionLost(**base, reason="timeout")
-            self.at(self.now + command.timeout_s, Told(process=process, event=lost))
+            self.at(self.now + command.timeout_s, Delivery(process=process, event=lost))
         elif fate.effect_after_s is None:
             refused = fate.ended(**base, reason="not taken")
-            self.at(self.now + ANSWER_S, Told(process=process, event=refused))
+            self.at(self.now + ANSWER_DELAY_S, Delivery(process=process, event=refused))
 
     @singledispatchmethod
-    def _keep(self, outcome: Event, process: str) -> None:
+    def _record_outcome(self, outcome: Event, process: str) -> None:
         self.fetched.append(outcome)
 
-    @_keep.register
+    @_record_outcome.register
     def _(self, outcome: CommitOutcome, process: str) -> None:
         reported = Reported(process=process, outcome=outcome)
         self.reports_of[outcome.submission_id].append(reported)
 
     @singledispatchmethod
-    def _happen(self, event: Event, events: dict[str, list[Event]]) -> None:
+    def _handle_event(self, event: Event, events: dict[str, list[Event]]) -> None:
         raise NotImplementedError(type(event))
 
-    @_happen.register
-    def _(self, event: Told, events: dict[str, list[Event]]) -> None:
+    @_handle_event.register
+    def _(self, event: Delivery, events: dict[str, list[Event]]) -> None:
         events[event.process].append(event.event)
 
-    @_happen.register
+    @_handle_event.register
     def _(self, event: SubmitAgain, events: dict[str, list[Event]]) -> None:
         reports = self.reports_of[event.submission.submission_id]
         if reports and is_unsettled(reports[-1].outcome):
             again = Submitted(origin="tester", submission=event.submission)
             events[event.process].append(again)
 
-    @_happen.register
-    def _(self, event: Outside, events: dict[str, list[Event]]) -> None:
+    @_handle_event.register
+    def _(self, event: ForeignWrite, events: dict[str, list[Event]]) -> None:
         transaction = table_core.Transaction(conditions=(), puts=(event.put,))
         self.store = table_core.commit(self.store, transaction).state
 
-    @_happen.register
-    def _(self, event: Arrives, events: dict[str, list[Event]]) -> None:
+    @_handle_event.register
+    def _(self, event: RequestArrival, events: dict[str, list[Event]]) -> None:
         answer = self._commit(event.command)
         if event.answered:
             events[event.process].append(answer)
@@ -270,7 +274,7 @@
         self.store = result.state
         if not result.committed:
             return conflict(command, result.failed)
-        self._check_shared(command)
+        self._check_key_conflicts(command)
         for token in dict.fromkeys(put.token for put in command.writes):
             self.commits_of[token].append(result.revision)
         return TransactionCommitted(
@@ -279,13 +283,13 @@
             revision=result.revision,
         )
 
-    def _check_shared(self, command: Transact) -> None:
+    def _check_key_conflicts(self, command: Transact) -> None:
         """Find submissions of one commit that touch what another of them writes."""
         writer_of = {put.key: put.token for put in command.writes}
         for token in set(writer_of.values()):
             for at in self.submission_by_id[token].conditions:
                 if writer_of.get(at.key, token) != token:
-                    self.shared.append(f"{token} shares {at.key} with another")
+                    self.key_conflicts.append(f"{token} shares {at.key} with another")
 
 
 def conflict(command: Transact, failed: Iterable[Stored]) -> TransactionConflicted:
@@ -316,35 +320,35 @@
 
 
 @singledispatch
-def fault_of(outcome: CommitOutcome, commits: list[int]) -> str:
+def mismatch_of(outcome: CommitOutcome, commits: list[int]) -> str:
     """Say how an outcome differs from the commits; `Unsettled` fits any."""
     return ""
 
 
-@fault_of.register
+@mismatch_of.register
 def _(outcome: Committed, commits: list[int]) -> str:
     if commits[:1] == [outcome.revision]:
         return ""
     return f"committed at {outcome.revision}, but the store has {commits}"
 
 
-@fault_of.register
+@mismatch_of.register
 def _(outcome: Conflicted, commits: list[int]) -> str:
     return f"conflicted, but the store has {commits}" if commits else ""
 
 
-@fault_of.register
+@mismatch_of.register
 def _(outcome: Withdrawn, commits: list[int]) -> str:
     return f"withdrawn, but the store has {commits}" if commits else ""
 
 
-def faults_of(bench: Bench) -> list[str]:
+def mismatches_of(bench: Bench) -> list[str]:
     """Compare every outcome with what the store took, and list what does not fit.
 
     A process speaks only of what it sent itself: after `Unsettled` by another one,
     `Withdrawn` and a conflict with a later writer say nothing of the first sending.
     """
-    found = list(bench.shared)
+    found = list(bench.key_conflicts)
     for submission_id in bench.submission_by_id:
         commits = bench.commits_of[submission_id]
         if len(commits) > 1:
@@ -354,7 +358,7 @@
             found.append(f"{submission_id} has no outcome")
         for place, reported in enumerate(reports):
             others = [r for r in reports[:place] if r.process != reported.process]
-            fault = fault_of(reported.outcome, commits)
+            fault = mismatch_of(reported.outcome, commits)
             if fault and not others:
                 found.append(f"{submission_id} {fault}")
     return found
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.commit import (
     Committed,
     Conflicted,
-    ReadAsked,
+    ReadRequested,
     Submitted,
     Unsettled,
     VersionedRow,
@@ -217,7 +217,7 @@
 
 
 @serve_event.register
-def _(event: ReadAsked, bench: Bench, name: str) -> None:
+def _(event: ReadRequested, bench: Bench, name: str) -> None:
     if bench.mode == "down":
         failed = Fetched(
             fetch_id=event.fetch_id,
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from bulrushpulley.entities.commit import ReadAsked, Submitted
+from bulrushpulley.entities.commit import ReadRequested, Submitted
 from bulrushpulley.entities.link import Announce, CellSummary, Fetched, LinkUp, Send
 from bulrushpulley.entities.operations import (
     AmendRecord,
@@ -107,7 +107,7 @@
     def _handle_tell(self, event: Any) -> None:
         if isinstance(event, Submitted):
             self.world.deliver(ENTRY, self.commit(event.submission))
-        if isinstance(event, ReadAsked):
+        if isinstance(event, ReadRequested):
             fetched = Fetched(
                 fetch_id=event.fetch_id,
                 prefix=event.prefix,
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -11,7 +11,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from bulrushpulley.entities.commit import Condition, ReadAsked, Submission, Write
+from bulrushpulley.entities.commit import Condition, ReadRequested, Submission, Write
 from bulrushpulley.entities.committer_tables import Lane
 from bulrushpulley.entities.rows import RevisionRow
 from bulrushpulley.entities.step import Step
@@ -26,13 +26,13 @@
     OK,
     REFUSED,
     Bench,
+    Delivery,
     Fate,
-    Outside,
+    ForeignWrite,
     SubmitAgain,
-    Told,
     encode_put,
-    faults_of,
     late,
+    mismatches_of,
 )
 
 CASES = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "commit.txt"
@@ -100,7 +100,7 @@
     if who == "store":
         row = ROW if rest[0] == "puts" else None
         put = encode_put(rest[1], row, "outside")
-        bench.at(float(when), Outside(put=put))
+        bench.at(float(when), ForeignWrite(put=put))
     else:
         submission = parse_submission(rest[1].rstrip(":"), rest[2:])
         bench.submit(float(when), who, submission)
@@ -118,8 +118,10 @@
         for line in case.lines
         if line not in timed and not line.startswith("fates")
     ]
-    seen = [line for line in expected if observed(bench, line) != line]
-    return [f"{line} -> {observed(bench, line)}" for line in seen] + faults_of(bench)
+    mismatches = [line for line in expected if observed(bench, line) != line]
+    return [
+        f"{line} -> {observed(bench, line)}" for line in mismatches
+    ] + mismatches_of(bench)
 
 
 def observed(bench: Bench, line: str) -> str:
@@ -132,7 +134,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Guard:
+class Mutation:
     """A guard, what takes it out, and the case that must then go red."""
 
     module: Any
@@ -145,80 +147,80 @@
     return lambda *args: value
 
 
-def settle_nothing(tables: Any, *args: Any) -> Any:
+def resolve_nothing(tables: Any, *args: Any) -> Any:
     return Step(tables=tables)
 
 
-GUARDS = (
-    Guard(
+MUTATIONS = (
+    Mutation(
         module=commit_conflict,
-        name="names",
+        name="shows_commit",
         replacement=always(False),
         case="answer lost of a deletion is settled by the fence",
     ),
-    Guard(
+    Mutation(
         module=commit_conflict,
         name="version_with_token",
         replacement=always(0),
         case="submission again through a second committer after Unsettled",
     ),
-    Guard(
+    Mutation(
         module=commit_conflict,
-        name="must_seal",
+        name="must_move_fence",
         replacement=always(False),
         case="delayed write cannot follow a reported conflict",
     ),
-    Guard(
+    Mutation(
         module=commit_conflict,
         name="is_ambiguous",
         replacement=always(False),
         case="two live processes of one name and a row overwritten",
     ),
-    Guard(
+    Mutation(
         module=commit_conflict,
-        name="settle_doubts",
-        replacement=settle_nothing,
+        name="resolve_in_doubt",
+        replacement=resolve_nothing,
         case="submission again behind its own first sending",
     ),
-    Guard(
+    Mutation(
         module=commit_settle,
-        name="settle_doubts",
-        replacement=settle_nothing,
+        name="resolve_in_doubt",
+        replacement=resolve_nothing,
         case="submission again after its transaction was settled for others",
     ),
-    Guard(
+    Mutation(
         module=commit_accept,
         name="known_revision",
         replacement=always(0),
         case="submission again after its row was overwritten",
     ),
-    Guard(
+    Mutation(
         module=commit_accept,
-        name="fault_of",
+        name="unsafe_reason",
         replacement=always(""),
         case="write without a condition is refused",
     ),
-    Guard(
+    Mutation(
         module=commit_accept,
         name="lane_of",
         replacement=always(Lane.BULK),
         case="claim does not wait behind tasks",
     ),
-    Guard(
+    Mutation(
         module=commit_batch,
         name="may_share",
         replacement=always(True),
         case="same key twice is not merged",
     ),
-    Guard(
+    Mutation(
         module=commit_batch,
-        name="most_rows",
-        replacement=always(commit_batch.MAX_ROWS),
+        name="max_rows",
+        replacement=always(commit_batch.MAX_BATCH_ROWS),
         case="submission that the store does not take spares its batch",
     ),
-    Guard(
+    Mutation(
         module=commit_report,
-        name="was_sent",
+        name="is_in_doubt",
         replacement=always(False),
         case="unsettled submission is not withdrawn when the store is down",
     ),
@@ -232,9 +234,11 @@
 
     def test_every_case_goes_red_without_its_guard(self) -> None:
         by_name = read_cases(CASES)
-        for guard in GUARDS:
-            with mock.patch.object(guard.module, guard.name, guard.replacement):
-                self.assertNotEqual([], run_case(by_name[guard.case]), guard.name)
+        for mutation in MUTATIONS:
+            with mock.patch.object(
+                mutation.module, mutation.name, mutation.replacement
+            ):
+                self.assertNotEqual([], run_case(by_name[mutation.case]), mutation.name)
 
 
 def submissions(deletes: bool) -> st.SearchStrategy[Submission]:
@@ -298,9 +302,9 @@
         bench.at(when + delay, event)
     for when, number, delete in outside:
         put = encode_put(f"k/{number}", None if delete else ROW, "outside")
-        bench.at(when, Outside(put=put))
+        bench.at(when, ForeignWrite(put=put))
     bench.run_until(45.0)
-    return faults_of(bench)
+    return mismatches_of(bench)
 
 
 class CommitMixTest(testtools.TestCase):
@@ -336,8 +340,8 @@
     def test_reads_are_shared_only_before_they_are_sent(self) -> None:
         bench = Bench()
         for number, when in enumerate((0.0, 0.001, 0.002, 0.01)):
-            asked = ReadAsked(origin="o", fetch_id=f"f{number}", prefix="k/")
-            bench.at(when, Told(process="e1", event=asked))
+            asked = ReadRequested(origin="o", fetch_id=f"f{number}", prefix="k/")
+            bench.at(when, Delivery(process="e1", event=asked))
         bench.run_until(1.0)
         self.assertEqual(3, len(bench.reads))
         self.assertEqual(4, len(bench.fetched))
--- a/test/test_committer_http.py
+++ b/test/test_committer_http.py
@@ -31,11 +31,11 @@
 from standins.table_service import TableService
 from standins.web import make_server
 
-WAIT_S = 15.0
-TICK_S = 0.05
+OUTCOME_TIMEOUT_S = 15.0
+TICK_INTERVAL_S = 0.05
 
 
-def ignore(command: Command) -> None:
+def ignore_command(command: Command) -> None:
     """Pass over what is not looked at here."""
 
 
@@ -56,15 +56,15 @@
 
     def start_actor(self) -> pykka.ActorRef[Any]:
         ports = CommitterPorts(
-            send=ignore,
+            send=ignore_command,
             tell=lambda role, event: None,
-            answer=ignore,
-            decide=ignore,
-            count=ignore,
-            observe=ignore,
+            answer=ignore_command,
+            decide=ignore_command,
+            count=ignore_command,
+            observe=ignore_command,
             run=self.run_work,
             table=TableServiceClient(url=self.url, connections=4),
-            report=self.keep,
+            report=self.record_outcome,
         )
         role = committer.build(name="e1", incarnation="e1-1")
         actor = RoleActor.start(role=role, carry_out=partial(carry_out, ports=ports))
@@ -77,18 +77,18 @@
         return actor
 
     def tick(self, actor: pykka.ActorRef[Any], stop: threading.Event) -> None:
-        while not stop.wait(TICK_S):
+        while not stop.wait(TICK_INTERVAL_S):
             actor.tell(TickDue())
 
     def run_work(self, *, role: str, work: Callable[[], Event]) -> None:
         self.pool.submit(lambda: self.actor.tell(work()))
 
-    def keep(self, command: ReportTo) -> None:
+    def record_outcome(self, command: ReportTo) -> None:
         with self.changed:
             self.outcomes.append(command.outcome)
             self.changed.notify_all()
 
-    def switch(self, body: str) -> None:
+    def switch_mode(self, body: str) -> None:
         urllib3.request("POST", f"{self.url}/switch", body=body.encode())
 
     def submit(self, count: int, prefix: str, within_s: float = 10.0) -> None:
@@ -104,18 +104,20 @@
 
     def wait_for(self, count: int) -> list[type[Event]]:
         with self.changed:
-            self.changed.wait_for(lambda: len(self.outcomes) >= count, WAIT_S)
+            self.changed.wait_for(
+                lambda: len(self.outcomes) >= count, OUTCOME_TIMEOUT_S
+            )
             return [type(outcome) for outcome in self.outcomes]
 
     def test_every_submission_commits_though_answers_are_lost(self) -> None:
-        self.switch('{"mode":"lose_answers","seconds":0.5}')
+        self.switch_mode('{"mode":"lose_answers","seconds":0.5}')
         self.submit(400, "task")
         self.assertEqual([Committed] * 400, self.wait_for(400))
 
     def test_claims_are_withdrawn_soon_while_the_store_is_down(self) -> None:
-        self.switch('{"mode":"down"}')
+        self.switch_mode('{"mode":"down"}')
         self.submit(20, "claim", within_s=1.0)
         self.assertEqual([Withdrawn] * 20, self.wait_for(20))
-        self.switch('{"mode":"up"}')
+        self.switch_mode('{"mode":"up"}')
         self.submit(20, "task")
         self.assertEqual([Committed] * 20, self.wait_for(40)[20:])
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -74,7 +74,7 @@
         self.assertEqual(("a", "b"), self.in_an_outage())
 
     def test_guard_out_an_outage_would_empty_the_list(self) -> None:
-        self.patch(control_members, "GAP_COUNTED_S", 1e9)
+        self.patch(control_members, "MAX_COUNTED_GAP_S", 1e9)
         with self.assertRaises(AssertionError):
             self.in_an_outage()
 
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -235,7 +235,7 @@
             revision=1,
         )
         offered = type(newest)(key=newest.key, version=newest.version - 1, row=old)
-        tables = control_records.learn(tables, [offered])
+        tables = control_records.update_records(tables, [offered])
         in_service = control_records.in_service(tables, "izmir")
         return DomainState.IN_SERVICE if in_service else DomainState.DRAINED
 
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from bulrushpulley.entities.commit import Committed, ReadAsked, ReportTo
+from bulrushpulley.entities.commit import Committed, ReadRequested, ReportTo
 from bulrushpulley.entities.link import Answered, Fetch, Send, Submit
 from bulrushpulley.entities.observe import Count, Decision, Observe
 from bulrushpulley.entities.step import Event, Step
@@ -90,7 +90,7 @@
 
     def test_items_go_to_their_roles(self) -> None:
         fetch = Fetch(peer="a", fetch_id="f", prefix="p/", since=3)
-        asked = ReadAsked(origin="a", fetch_id="f", prefix="p/", since=3)
+        asked = ReadRequested(origin="a", fetch_id="f", prefix="p/", since=3)
         self.assertEqual(("committer",), recipients(fetch))
         self.assertEqual(asked, delivered(fetch))
         answered = Answered(attempt_id="1", status=200, body=b"", took_s=0.1)
