--- a/bulrushpulley/exit_codes.py
+++ b/bulrushpulley/exit_codes.py
@@ -19,7 +19,7 @@
     NOT_IN_FORCE = 6
 
 
-EXIT_OF_CODE: Mapping[str, ExitCode] = {
+EXIT_CODE_BY_ERROR_CODE: Mapping[str, ExitCode] = {
     Code.INVALID.value: ExitCode.BAD_INPUT,
     Code.UNKNOWN_KEY.value: ExitCode.BAD_INPUT,
     Code.UNKNOWN_KIND.value: ExitCode.BAD_INPUT,
@@ -36,4 +36,4 @@
     """Return the exit code for the error codes of an answer."""
     if not codes:
         return ExitCode.OK
-    return EXIT_OF_CODE.get(codes[0], ExitCode.UNAVAILABLE)
+    return EXIT_CODE_BY_ERROR_CODE.get(codes[0], ExitCode.UNAVAILABLE)
--- a/bulrushpulley/logs.py
+++ b/bulrushpulley/logs.py
@@ -22,11 +22,11 @@
 from bulrushpulley.errors import Problem
 
 MAX_QUEUED_LINES = 20_000
-LINES_PER_WRITE = 500
-FLUSH_S = 2.0
+MAX_LINES_PER_WRITE = 500
+FLUSH_TIMEOUT_S = 2.0
 # Lines that come within this time are written together; a wake-up for each of them
 # costs more than the line.
-GATHER_S = 0.1
+MAX_BATCH_DELAY_S = 0.1
 
 
 class LineWriter:
@@ -53,7 +53,7 @@
                 self._dropped += 1
                 return
             self._queue.append(message)
-            if len(self._queue) in (1, LINES_PER_WRITE):
+            if len(self._queue) in (1, MAX_LINES_PER_WRITE):
                 self._ready.notify()
 
     def stop(self) -> None:
@@ -62,10 +62,10 @@
         with self._ready:
             self._stopping = True
             self._ready.notify()
-        self._thread.join(FLUSH_S)
+        self._thread.join(FLUSH_TIMEOUT_S)
 
-    def _is_due(self) -> bool:
-        return self._stopping or len(self._queue) >= LINES_PER_WRITE
+    def _is_batch_due(self) -> bool:
+        return self._stopping or len(self._queue) >= MAX_LINES_PER_WRITE
 
     def _write_all(self) -> None:
         while batch := self._next_batch():
@@ -80,8 +80,8 @@
     def _next_batch(self) -> list[dict[str, Any]]:
         with self._ready:
             self._ready.wait_for(lambda: self._queue or self._stopping)
-            self._ready.wait_for(self._is_due, GATHER_S)
-            size = min(len(self._queue), LINES_PER_WRITE)
+            self._ready.wait_for(self._is_batch_due, MAX_BATCH_DELAY_S)
+            size = min(len(self._queue), MAX_LINES_PER_WRITE)
             batch = [self._queue.popleft() for _ in range(size)]
             dropped, self._dropped = self._dropped, 0
         if dropped:
--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -58,43 +58,47 @@
 # Each verb imports only its own roles: a process that is started again serves sooner.
 
 
-def _entry(options: Options) -> Process:
+def _make_entry(options: Options) -> Process:
     from bulrushpulley.roles.entry_process import EntryProcess
 
     settings = load(EntrySettings, options.config)
-    return EntryProcess(settings=settings, incarnation=_incarnation(settings.name))
+    return EntryProcess(settings=settings, incarnation=_new_incarnation(settings.name))
 
 
-def _agent(options: Options) -> Process:
+def _make_agent(options: Options) -> Process:
     from bulrushpulley.roles.agent_process import AgentProcess
 
     settings = load(AgentSettings, options.config)
-    return AgentProcess(settings=settings, incarnation=_incarnation(settings.name))
+    return AgentProcess(settings=settings, incarnation=_new_incarnation(settings.name))
 
 
-def _job_entry(options: Options) -> Process:
+def _make_job_entry(options: Options) -> Process:
     from bulrushpulley.roles.job_entry_process import JobEntryProcess
 
     settings = load(JobEntrySettings, options.config)
-    return JobEntryProcess(settings=settings, incarnation=_incarnation(settings.name))
+    return JobEntryProcess(
+        settings=settings, incarnation=_new_incarnation(settings.name)
+    )
 
 
-def _job_agent(options: Options) -> Process:
+def _make_job_agent(options: Options) -> Process:
     from bulrushpulley.roles.job_agent_process import JobAgentProcess
 
     settings = load(JobAgentSettings, options.config)
-    return JobAgentProcess(settings=settings, incarnation=_incarnation(settings.name))
+    return JobAgentProcess(
+        settings=settings, incarnation=_new_incarnation(settings.name)
+    )
 
 
-def _incarnation(name: str) -> str:
+def _new_incarnation(name: str) -> str:
     return f"{name}-{uuid.uuid4().hex[:12]}"
 
 
 PROCESS_BY_VERB: Mapping[str, Callable[[Options], Process]] = {
-    "entry": _entry,
-    "agent": _agent,
-    "job-entry": _job_entry,
-    "job-agent": _job_agent,
+    "entry": _make_entry,
+    "agent": _make_agent,
+    "job-entry": _make_job_entry,
+    "job-agent": _make_job_agent,
 }
 
 
@@ -104,9 +108,9 @@
     flags.DEFINE_string(
         "config", None, "The settings file in TOML.", flag_values=values, required=True
     )
-    left = values(["bulrushpulley", *argv[1:]])
-    if len(left) > 1:
-        raise flags.Error(f"unexpected argument {left[1]!r}")
+    rest = values(["bulrushpulley", *argv[1:]])
+    if len(rest) > 1:
+        raise flags.Error(f"unexpected argument {rest[1]!r}")
     return Options(verb=argv[0], config=pathlib.Path(values.config))
 
 
@@ -119,7 +123,7 @@
 
     def stop(signum: int, frame: FrameType | None) -> None:
         if runtime.stopping.is_set():
-            runtime.hurry.set()
+            runtime.skip_notice.set()
         runtime.stopping.set()
 
     def reload(signum: int, frame: FrameType | None) -> None:
@@ -133,14 +137,14 @@
     try:
         process.start()
     except OSError as error:
-        print(_start_failed(error), file=sys.stderr)
+        print(_start_problem(error), file=sys.stderr)
         return EXIT_FAILED
     runtime.stopping.wait()
     process.stop()
     return EXIT_FAILED if runtime.failed.is_set() else EXIT_OK
 
 
-def _start_failed(error: OSError) -> Problem:
+def _start_problem(error: OSError) -> Problem:
     return Problem(
         code=Code.UNAVAILABLE, step="process.start", peer="self", detail=str(error)
     )
@@ -150,11 +154,11 @@
     """Carry out a verb and return the exit code."""
     argv = sys.argv[1:] if argv is None else argv
     if not argv or argv[0] not in PROCESS_BY_VERB:
-        return _verb(argv)
-    return _process(argv)
+        return _run_operator_verb(argv)
+    return _run_process_verb(argv)
 
 
-def _verb(argv: list[str]) -> int:
+def _run_operator_verb(argv: list[str]) -> int:
     from bulrushpulley import verbs
 
     if not argv or argv[0] not in verbs.VERBS:
@@ -164,7 +168,7 @@
     return verbs.run(argv)
 
 
-def _process(argv: list[str]) -> int:
+def _run_process_verb(argv: list[str]) -> int:
     try:
         process = PROCESS_BY_VERB[argv[0]](parse(argv))
     except flags.Error as error:
--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -17,13 +17,13 @@
 
 from bulrushpulley.entities.observe import Count, Observe
 
-LOWEST_US = 1
-HIGHEST_US = 600_000_000
-DIGITS = 2
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
+MIN_VALUE_US = 1
+MAX_VALUE_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 MAX_COUNTERS = 4_096
 MAX_HISTOGRAMS = 512
-OTHER = "other"
+OTHER_LABEL = "other"
 
 
 class Metrics:
@@ -39,7 +39,7 @@
         key = (command.name, command.label)
         with self._lock:
             if key not in self._count_by_key and self._is_full():
-                key = (command.name, OTHER)
+                key = (command.name, OTHER_LABEL)
             self._count_by_key[key] = self._count_by_key.get(key, 0) + command.by
 
     def _is_full(self) -> bool:
@@ -47,7 +47,7 @@
 
     def observe(self, command: Observe) -> None:
         """Record a duration."""
-        value = min(max(int(command.seconds * 1e6), LOWEST_US), HIGHEST_US)
+        value = min(max(int(command.seconds * 1e6), MIN_VALUE_US), MAX_VALUE_US)
         with self._lock:
             histogram = self._histogram((command.name, command.label))
             histogram.record_value(value)
@@ -57,14 +57,14 @@
         if found is not None:
             return found
         if len(self._histogram_by_key) >= MAX_HISTOGRAMS:
-            key = (key[0], OTHER)
+            key = (key[0], OTHER_LABEL)
         made = self._histogram_by_key.get(key) or HdrHistogram(
-            LOWEST_US, HIGHEST_US, DIGITS
+            MIN_VALUE_US, MAX_VALUE_US, SIGNIFICANT_DIGITS
         )
         self._histogram_by_key[key] = made
         return made
 
-    def counted(self, name: str, label: str = "") -> int:
+    def counter_value(self, name: str, label: str = "") -> int:
         """Return the value of a counter."""
         with self._lock:
             return self._count_by_key.get((name, label), 0)
@@ -94,10 +94,10 @@
     quoted = _quoted(label)
     name = _metric_name(name)
     lines = []
-    for quantile in QUANTILES:
-        seconds = histogram.get_value_at_percentile(quantile) / 1e6
-        place = f'label={quoted},quantile="{quantile / 100:g}"'
-        lines.append(f"{name}_seconds{{{place}}} {seconds:g}")
+    for percentile in PERCENTILES:
+        seconds = histogram.get_value_at_percentile(percentile) / 1e6
+        labels = f'label={quoted},quantile="{percentile / 100:g}"'
+        lines.append(f"{name}_seconds{{{labels}}} {seconds:g}")
     total = histogram.get_total_count()
     lines.append(f"{name}_seconds_count{{label={quoted}}} {total}")
     return lines
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -18,11 +18,11 @@
 from bulrushpulley.wire.records import to_plain
 
 STEP = "operators.call"
-CONNECT_S = 2.0
-LONGEST_TIMEOUT_S = 3_600.0
+CONNECT_TIMEOUT_S = 2.0
+MAX_TIMEOUT_S = 3_600.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 NOT_ACCEPTED_STATUS = 503
-UNKNOWN_STATUS = 504
+OUTCOME_UNKNOWN_STATUS = 504
 NOT_ACCEPTED_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -82,64 +82,72 @@
         an equal share of the time to each of the entries after.
         """
         deadline = time.monotonic() + timeout_s
-        last = _failed("", Code.UNAVAILABLE, "no entry is configured")
+        last = _failure_answer("", Code.UNAVAILABLE, "no entry is configured")
         unknown: Answer | None = None
-        safe = call.idempotent
-        for place, entry in enumerate(self._entries):
-            left = deadline - time.monotonic()
-            if left <= 0:
+        repeatable = call.idempotent
+        for index, entry in enumerate(self._entries):
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
                 break
-            entries_left = len(self._entries) - place
-            last = self._try(entry, call, left / entries_left if safe else left)
-            if last.status == UNKNOWN_STATUS and not safe:
+            entries_left = len(self._entries) - index
+            last = self._call_entry(
+                entry, call, remaining_s / entries_left if repeatable else remaining_s
+            )
+            if last.status == OUTCOME_UNKNOWN_STATUS and not repeatable:
                 return last
-            if last.status not in (NOT_ACCEPTED_STATUS, UNKNOWN_STATUS):
+            if last.status not in (NOT_ACCEPTED_STATUS, OUTCOME_UNKNOWN_STATUS):
                 return unknown if unknown is not None and last.codes else last
-            if last.status == UNKNOWN_STATUS:
+            if last.status == OUTCOME_UNKNOWN_STATUS:
                 unknown = last
         return unknown or last
 
-    def _try(self, entry: str, call: Call, left_s: float) -> Answer:
-        timeout = urllib3.Timeout(connect=min(CONNECT_S, left_s), total=left_s)
+    def _call_entry(self, entry: str, call: Call, timeout_s: float) -> Answer:
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, timeout_s), total=timeout_s
+        )
         try:
             response = self._pool.request(
                 call.method,
                 entry.rstrip("/") + call.path,
                 fields=dict(call.query) if not call.body else None,
                 body=call.body or None,
-                headers=self._headers(left_s),
+                headers=self._headers(timeout_s),
                 timeout=timeout,
                 preload_content=True,
             )
         except NOT_ACCEPTED_ERRORS as error:
-            return _failed(entry, Code.UNAVAILABLE, str(error))
+            return _failure_answer(entry, Code.UNAVAILABLE, str(error))
         except urllib3.exceptions.HTTPError as error:
-            return _failed(entry, Code.OUTCOME_UNKNOWN, str(error))
-        return _decoded(entry, response.status, response.data)
+            return _failure_answer(entry, Code.OUTCOME_UNKNOWN, str(error))
+        return _decode_answer(entry, response.status, response.data)
 
-    def _headers(self, left_s: float) -> Mapping[str, str]:
+    def _headers(self, timeout_s: float) -> Mapping[str, str]:
         return {
             "X-Author": self._author,
-            "X-Timeout-S": f"{min(left_s, LONGEST_TIMEOUT_S):.3f}",
+            "X-Timeout-S": f"{min(timeout_s, MAX_TIMEOUT_S):.3f}",
             "Content-Type": "application/json",
         }
 
 
-def _failed(entry: str, code: Code, detail: str) -> Answer:
-    status = NOT_ACCEPTED_STATUS if code is Code.UNAVAILABLE else UNKNOWN_STATUS
+def _failure_answer(entry: str, code: Code, detail: str) -> Answer:
+    status = NOT_ACCEPTED_STATUS if code is Code.UNAVAILABLE else OUTCOME_UNKNOWN_STATUS
     problem = Problem(code=code, step=STEP, peer=entry or "self", detail=detail)
     return Answer(entry=entry, status=status, value={"problems": [to_plain(problem)]})
 
 
-def _decoded(entry: str, status: int, data: bytes) -> Answer:
+def _decode_answer(entry: str, status: int, data: bytes) -> Answer:
     try:
         value = msgspec.json.decode(data)
     except msgspec.DecodeError as error:
         detail = f"status {status} without a JSON answer: {error}"
-        return _failed(entry, Code.OUTCOME_UNKNOWN, detail)
+        return _failure_answer(entry, Code.OUTCOME_UNKNOWN, detail)
     if not isinstance(value, dict):
-        return _failed(entry, Code.OUTCOME_UNKNOWN, f"status {status}: no object")
+        return _failure_answer(
+            entry, Code.OUTCOME_UNKNOWN, f"status {status}: no object"
+        )
     answer = Answer(entry=entry, status=status, value=value)
     if status >= 400 and not answer.problems:
-        return replace(_failed(entry, Code.OUTCOME_UNKNOWN, str(value)), status=status)
+        return replace(
+            _failure_answer(entry, Code.OUTCOME_UNKNOWN, str(value)), status=status
+        )
     return answer
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -21,8 +21,8 @@
 
 T = TypeVar("T")
 
-TICK_S = 0.1
-CONTROL_TICK_S = 0.2
+TICK_INTERVAL_S = 0.1
+CONTROL_TICK_INTERVAL_S = 0.2
 
 
 def since_boot() -> float:
@@ -30,11 +30,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def ignore(error: BaseException | None) -> None:
+def ignore_failure(error: BaseException | None) -> None:
     """Do nothing about the end of a role."""
 
 
-def never(event: Event) -> bool:
+def no_event_can_wait(event: Event) -> bool:
     """Have every event cause a tick."""
     return False
 
@@ -55,8 +55,8 @@
     tables: T
     apply: Callable[[Event, T, float], Step[T]]
     systems: tuple[System[T], ...]
-    tick_s: float = TICK_S
-    can_wait: Callable[[Event], bool] = never
+    tick_interval_s: float = TICK_INTERVAL_S
+    can_wait: Callable[[Event], bool] = no_event_can_wait
     clock: Callable[[], float] = time.monotonic
 
     def tick(self, tables: T, events: Iterable[Event], now: float) -> Step[T]:
@@ -93,10 +93,10 @@
         *,
         role: Role[Any],
         carry_out: Callable[[Command], None],
-        failed: Callable[[BaseException | None], None] = ignore,
+        report_failure: Callable[[BaseException | None], None] = ignore_failure,
     ) -> None:
         super().__init__()
-        self._failed = failed
+        self._report_failure = report_failure
         self._role = role
         self._tables = role.tables
         self._carry_out = carry_out
@@ -110,7 +110,7 @@
         traceback: TracebackType | None,
     ) -> None:
         """Hand on the exception that ended the role."""
-        self._failed(exception_value)
+        self._report_failure(exception_value)
 
     def on_receive(self, message: Any) -> Any:
         """Gather an event, run a tick, or return the tables."""
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -22,8 +22,8 @@
 from bulrushpulley.wire.operator_front import HealthFront
 from bulrushpulley.wire.tls import client_context
 
-STOP_S = 10.0
-LINK_FLUSH_S = 2.0
+LINKS_CLOSE_TIMEOUT_S = 10.0
+LINK_FLUSH_TIMEOUT_S = 2.0
 HEALTH_THREADS = 2
 WORKER_THREADS = 16
 
@@ -126,7 +126,7 @@
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.leave(Leave(), (GUARD, CELL_OWNER), stop.within_s)
         self.runtime.tell(LINKER, Leave())
-        closing = self.runtime.links.close(LINK_FLUSH_S)
-        self.runtime.on_loop(closing).result(STOP_S)
-        self._health.stop(LINK_FLUSH_S)
+        closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
+        self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
+        self._health.stop(LINK_FLUSH_TIMEOUT_S)
         self.runtime.stop()
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -4,7 +4,7 @@
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import AUTONOMY_S
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role
 from bulrushpulley.systems.cell import evict as cell_evict
 from bulrushpulley.systems.cell import interference as cell_interference
 from bulrushpulley.systems.cell import liveness as cell_liveness
@@ -41,7 +41,7 @@
         name=NAME,
         tables=tables,
         apply=cell_owner_events.apply,
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
         systems=(
             cell_liveness.renew,
             cell_watch.watch,
--- a/bulrushpulley/roles/committer_io.py
+++ b/bulrushpulley/roles/committer_io.py
@@ -78,12 +78,12 @@
 def read_rows(command: ReadRows, table: TableServiceClient) -> Event:
     """Read a prefix page by page to its end; blocks up to its timeout for each."""
     try:
-        return _all_pages(command, table)
+        return _read_all_pages(command, table)
     except BulrushpulleyError as error:
         return ReadFailed(read_id=command.read_id, reason=str(error.problem))
 
 
-def _all_pages(command: ReadRows, table: TableServiceClient) -> RowsRead:
+def _read_all_pages(command: ReadRows, table: TableServiceClient) -> RowsRead:
     """Follow the pages; a row that changed meanwhile comes again, with its last form.
 
     A reader from revision 0 has nothing that could be deleted, so it gets no
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -6,7 +6,7 @@
 from bulrushpulley.entities.pending import Poll
 from bulrushpulley.entities.table import Table
 from bulrushpulley.roles import controller_io as controller_io
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role
 from bulrushpulley.systems.control import assign as control_assign
 from bulrushpulley.systems.control import (
     assignment_outcomes as control_assignment_outcomes,
@@ -26,7 +26,7 @@
 from bulrushpulley.systems.control import submissions as control_submissions
 
 NAME = "controller"
-HANDLERS = (control_assignment_outcomes, control_cells)
+EVENT_MODULES = (control_assignment_outcomes, control_cells)
 
 
 def build(
@@ -51,7 +51,7 @@
         name=NAME,
         tables=ControllerTables(identity=identity, polls=table),
         apply=control_events.apply,
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
         can_wait=control_events.can_wait,
         systems=(
             control_submissions.run,
--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -23,9 +23,9 @@
 from bulrushpulley.wire.pending import PendingCalls
 from bulrushpulley.wire.tls import server_context
 
-START_S = 10.0
-LINK_FLUSH_S = 2.0
-STORE_THREADS = 8
+LINKS_TIMEOUT_S = 10.0
+LINK_FLUSH_TIMEOUT_S = 2.0
+COMMITTER_THREADS = 8
 
 
 class EntryProcess:
@@ -46,7 +46,7 @@
         self.runtime.start()
         self._bind_links()
         self._start_roles()
-        self.runtime.on_loop(self._links.start()).result(START_S)
+        self.runtime.run_on_loop(self._links.start()).result(LINKS_TIMEOUT_S)
         self._start_fronts()
         ports = (
             f"links={self._links.port} callers={self._callers.port}"
@@ -79,10 +79,10 @@
             name=self._settings.name, incarnation=self.runtime.incarnation
         )
         table = TableServiceClient(
-            url=self._settings.table_service.url, connections=STORE_THREADS
+            url=self._settings.table_service.url, connections=COMMITTER_THREADS
         )
         ports = CommitterPorts(**base, table=table, report=self.runtime.report_to)
-        self.runtime.start_role(role, ports, threads=STORE_THREADS)
+        self.runtime.start_role(role, ports, threads=COMMITTER_THREADS)
 
     def _start_controller(self, base: dict[str, Any]) -> None:
         links = self._settings.links
@@ -135,14 +135,14 @@
         """Fail health checks, finish the calls in flight, then end."""
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
-        self.runtime.hurry.wait(stop.notice_s)
+        self.runtime.skip_notice.wait(stop.notice_s)
         self.runtime.tell(CONTROLLER, Leave())
         self.runtime.leave(Leave(), (ROUTER,), stop.within_s)
         self._callers.stop(stop.within_s)
-        self._operators.stop(LINK_FLUSH_S)
-        self.runtime.on_loop(self._close_links()).result(START_S)
+        self._operators.stop(LINK_FLUSH_TIMEOUT_S)
+        self.runtime.run_on_loop(self._close_links()).result(LINKS_TIMEOUT_S)
         self.runtime.stop()
 
     async def _close_links(self) -> None:
-        await self.runtime.links.close(LINK_FLUSH_S)
+        await self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         await self._links.close()
--- a/bulrushpulley/roles/guard.py
+++ b/bulrushpulley/roles/guard.py
@@ -16,8 +16,8 @@
 EVENT_MODULES = (guard_requests, guard_results)
 """The modules that register events by being imported."""
 
-SLOTS = 8
-QUEUE_LIMIT = 8
+DEFAULT_SLOTS = 8
+DEFAULT_QUEUE_LIMIT = 8
 
 
 def build(
@@ -27,8 +27,8 @@
     service: str,
     region: str,
     failure_domain: str,
-    slots: int = SLOTS,
-    queue_limit: int = QUEUE_LIMIT,
+    slots: int = DEFAULT_SLOTS,
+    queue_limit: int = DEFAULT_QUEUE_LIMIT,
 ) -> Role[GuardTables]:
     """Return a guard that has just started.
 
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.jobs.intake_tables import INTAKE, IntakeTables
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
 from bulrushpulley.systems.intake import (
     checking,
     inquiring,
@@ -27,6 +27,6 @@
             inquiring.run,
             readiness.run,
         ),
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
         clock=since_boot,
     )
--- a/bulrushpulley/roles/keeper.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
 from bulrushpulley.systems.job_agent import (
     pacing,
     polling,
@@ -32,6 +32,6 @@
             polling.run,
             reporting.run,
         ),
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
         clock=since_boot,
     )
--- a/bulrushpulley/roles/keeper_io.py
+++ b/bulrushpulley/roles/job_agent_io.py
@@ -13,12 +13,12 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class KeeperPorts(StorePorts):
+class JobAgentPorts(StorePorts):
     """The ports of the keeper."""
 
     executor: ExecutorClient
 
 
 @carry_out.register
-def _(command: ExecutorCommand, ports: KeeperPorts) -> None:
+def _(command: ExecutorCommand, ports: JobAgentPorts) -> None:
     ports.run(role=JOB_AGENT, work=partial(ports.executor.call, command))
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -10,19 +10,22 @@
 from bulrushpulley.platform.agent_front import AgentFront
 from bulrushpulley.platform.executor import ExecutorClient
 from bulrushpulley.platform.row_store import RowStoreClient
-from bulrushpulley.roles import keeper
-from bulrushpulley.roles.job_links import HEARTBEAT_S, SILENCE_S
-from bulrushpulley.roles.keeper_io import KeeperPorts
+from bulrushpulley.roles import job_agent
+from bulrushpulley.roles.job_agent_io import JobAgentPorts
+from bulrushpulley.roles.job_links import (
+    JOB_LINK_HEARTBEAT_INTERVAL_S,
+    JOB_LINK_SILENCE_TIMEOUT_S,
+)
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.settings import JobAgentSettings, split_address
 from bulrushpulley.wire.http_server import HttpServer
 from bulrushpulley.wire.link_server import LinkServer
 
-KEEPER_THREADS = 10
+JOB_AGENT_THREADS = 10
 FRONT_THREADS = 2
-START_S = 5.0
-LINK_FLUSH_S = 0.3
-STOP_S = 1.0
+LINKS_START_TIMEOUT_S = 5.0
+LINK_FLUSH_TIMEOUT_S = 0.3
+LINKS_CLOSE_TIMEOUT_S = 1.0
 
 
 class JobAgentProcess:
@@ -46,14 +49,17 @@
             host=host,
             port=port,
             links=self.runtime.links,
-            hooks=self.runtime.hooks(heartbeat_s=HEARTBEAT_S, silence_s=SILENCE_S),
+            hooks=self.runtime.hooks(
+                heartbeat_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
+                silence_s=JOB_LINK_SILENCE_TIMEOUT_S,
+            ),
         )
-        self._start_keeper()
-        self.runtime.on_loop(self._links.start()).result(START_S)
+        self._start_job_agent()
+        self.runtime.run_on_loop(self._links.start()).result(LINKS_START_TIMEOUT_S)
         self._start_front()
         log_process(process=self.runtime.name, stage="started")
 
-    def _start_keeper(self) -> None:
+    def _start_job_agent(self) -> None:
         settings = self._settings
         tables = JobAgentTables(
             host=settings.name,
@@ -63,14 +69,16 @@
             bounds=settings.bounds.within(settings.limits),
             service=settings.service,
         )
-        ports = KeeperPorts(
+        ports = JobAgentPorts(
             **self.runtime.ports(answer=self._no_answer),
             store=RowStoreClient(
                 url=settings.store.url, connections=1, report=self.runtime.report
             ),
             executor=ExecutorClient(),
         )
-        self.runtime.start_role(keeper.build(tables), ports, threads=KEEPER_THREADS)
+        self.runtime.start_role(
+            job_agent.build(tables), ports, threads=JOB_AGENT_THREADS
+        )
 
     def _no_answer(self, command: Command) -> None:
         raise NotImplementedError(f"no front end for {type(command).__name__}")
@@ -94,7 +102,7 @@
     def stop(self) -> None:
         """End at once: what runs goes on, and the next process finds it listed."""
         log_process(process=self.runtime.name, stage="leaving")
-        closing = self.runtime.links.close(LINK_FLUSH_S)
-        self.runtime.on_loop(closing).result(STOP_S)
-        self._front.stop(LINK_FLUSH_S)
+        closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
+        self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
+        self._front.stop(LINK_FLUSH_TIMEOUT_S)
         self.runtime.stop()
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -19,7 +19,11 @@
 from bulrushpulley.platform.row_store import RowStoreClient
 from bulrushpulley.roles import intake, scheduler
 from bulrushpulley.roles.intake_io import IntakePorts
-from bulrushpulley.roles.job_links import HEARTBEAT_S, HELLO_S, SILENCE_S
+from bulrushpulley.roles.job_links import (
+    JOB_LINK_HEARTBEAT_INTERVAL_S,
+    JOB_LINK_HELLO_TIMEOUT_S,
+    JOB_LINK_SILENCE_TIMEOUT_S,
+)
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.roles.scheduler_io import SchedulerPorts
 from bulrushpulley.settings import JobEntrySettings, split_address
@@ -32,8 +36,8 @@
 SCHEDULER_THREADS = 6
 CALLER_THREADS = 24
 READY_THREADS = 2
-LINK_FLUSH_S = 0.5
-STOP_S = 2.0
+LINK_FLUSH_TIMEOUT_S = 0.5
+LINKS_CLOSE_TIMEOUT_S = 2.0
 
 
 class JobEntryProcess:
@@ -51,8 +55,11 @@
         self._ready = threading.Event()
         self._dialler = Dialler(
             links=self.runtime.links,
-            hooks=self.runtime.hooks(heartbeat_s=HEARTBEAT_S, silence_s=SILENCE_S),
-            hello_s=HELLO_S,
+            hooks=self.runtime.hooks(
+                heartbeat_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
+                silence_s=JOB_LINK_SILENCE_TIMEOUT_S,
+            ),
+            hello_s=JOB_LINK_HELLO_TIMEOUT_S,
         )
 
     def start(self) -> None:
@@ -76,7 +83,7 @@
         role = scheduler.build(
             name=settings.name,
             incarnation=self.runtime.incarnation,
-            patience=patience(settings),
+            takeover_stagger=takeover_stagger(settings),
             bounds=settings.bounds.within(settings.limits),
         )
         ports = SchedulerPorts(
@@ -138,14 +145,14 @@
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.tell(SCHEDULER, Leave())
         self.runtime.tell(INTAKE, Leave())
-        self.runtime.hurry.wait(stop.notice_s)
+        self.runtime.skip_notice.wait(stop.notice_s)
         self._callers.stop(stop.within_s)
-        self._checks.stop(LINK_FLUSH_S)
-        closing = self.runtime.links.close(LINK_FLUSH_S)
-        self.runtime.on_loop(closing).result(STOP_S)
+        self._checks.stop(LINK_FLUSH_TIMEOUT_S)
+        closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
+        self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
         self.runtime.stop()
 
 
-def patience(settings: JobEntrySettings) -> float:
+def takeover_stagger(settings: JobEntrySettings) -> float:
     """Return how late an entry takes over among its equals, from 0 to 1."""
     return (zlib.crc32(settings.name.encode()) % 997) / 997
--- a/bulrushpulley/roles/linker.py
+++ b/bulrushpulley/roles/linker.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.linker_tables import Dial, LinkerTables, by_state
 from bulrushpulley.entities.table import Table
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role
 from bulrushpulley.systems import dialling
 from bulrushpulley.systems.linker_events import apply
 
@@ -22,5 +22,5 @@
         tables=LinkerTables(incarnation=incarnation, dials=dials),
         apply=apply,
         systems=(dialling.run,),
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
     )
--- a/bulrushpulley/roles/routing.py
+++ b/bulrushpulley/roles/routing.py
@@ -97,17 +97,17 @@
 
 
 @singledispatch
-def delivered(item: Event) -> Event:
+def event_for_item(item: Event) -> Event:
     """Return the event that a role is told for an item; the item by default."""
     return item
 
 
-@delivered.register
+@event_for_item.register
 def _(item: link.Submit) -> Event:
     return Submitted(origin=item.peer, submission=item.submission)
 
 
-@delivered.register
+@event_for_item.register
 def _(item: link.Fetch) -> Event:
     return ReadRequested(
         origin=item.peer,
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -29,15 +29,15 @@
     problem_logger,
 )
 from bulrushpulley.metrics import Metrics
-from bulrushpulley.roles.actor import TICK_S, Role, RoleActor, TickDue
+from bulrushpulley.roles.actor import TICK_INTERVAL_S, Role, RoleActor, TickDue
 from bulrushpulley.roles.carry_out import Ports, carry_out
-from bulrushpulley.roles.routing import ROLES, delivered, recipients
+from bulrushpulley.roles.routing import ROLES, event_for_item, recipients
 from bulrushpulley.wire.link_stream import HEARTBEAT_S, SILENCE_S, LinkHooks
 from bulrushpulley.wire.links import Links
 
 T = TypeVar("T")
-LOOP_STOP_S = 5.0
-ROLE_STOP_S = 2.0
+LOOP_STOP_TIMEOUT_S = 5.0
+ROLE_STOP_TIMEOUT_S = 2.0
 
 
 class Runtime:
@@ -52,14 +52,14 @@
         self.metrics = Metrics()
         self.report = problem_logger(name)
         self.stopping = threading.Event()
-        self.hurry = threading.Event()
+        self.skip_notice = threading.Event()
         self.failed = threading.Event()
         self.loop = asyncio.new_event_loop()
         self.links = Links(loop=self.loop)
         self._writer = LineWriter(fd=log_fd, count=self.metrics.count)
         self._loop_thread = threading.Thread(target=self._run_loop, daemon=True)
         self._ref_by_role: dict[str, pykka.ActorRef[Any]] = {}
-        self._tick_s_by_role: dict[str, float] = {}
+        self._tick_interval_s_by_role: dict[str, float] = {}
         self._pool_by_role: dict[str, ThreadPoolExecutor] = {}
         self._done_by_role: dict[str, threading.Event] = {}
 
@@ -67,14 +67,14 @@
         """Start the log and the event loop."""
         self._writer.start()
         self._loop_thread.start()
-        self.on_loop(self._tick_roles())
+        self.run_on_loop(self._tick_roles())
         log_process(process=self.name, stage="starting", detail=self.incarnation)
 
     def _run_loop(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.run_forever()
 
-    def on_loop(self, work: Coroutine[Any, Any, T]) -> Future[T]:
+    def run_on_loop(self, work: Coroutine[Any, Any, T]) -> Future[T]:
         """Run a coroutine on the event loop."""
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
@@ -117,9 +117,9 @@
         ref = RoleActor.start(
             role=role,
             carry_out=lambda command: carry_out(command, ports),
-            failed=lambda error: self._fail(role.name, repr(error)),
+            report_failure=lambda error: self._fail(role.name, repr(error)),
         )
-        self._tick_s_by_role[role.name] = role.tick_s
+        self._tick_interval_s_by_role[role.name] = role.tick_interval_s
         self._ref_by_role[role.name] = ref
 
     async def _tick_roles(self) -> None:
@@ -130,13 +130,17 @@
             for role, ref in tuple(self._ref_by_role.items()):
                 if now < due_by_role.get(role, 0.0):
                     continue
-                due_by_role[role] = now + self._tick_s_by_role[role] - TICK_S / 2
+                due_by_role[role] = (
+                    now + self._tick_interval_s_by_role[role] - TICK_INTERVAL_S / 2
+                )
                 try:
                     ref.tell(TickDue())
                 except pykka.ActorDeadError:
                     if not self.stopping.is_set():
                         self._fail(role, "the role ended")
-            await asyncio.sleep(min(self._tick_s_by_role.values(), default=TICK_S))
+            await asyncio.sleep(
+                min(self._tick_interval_s_by_role.values(), default=TICK_INTERVAL_S)
+            )
 
     def _fail(self, role: str, detail: str) -> None:
         problem = Problem(
@@ -158,7 +162,7 @@
 
     def receive(self, item: Event) -> None:
         """Hand an item of a link to the roles that it is for."""
-        event = delivered(item)
+        event = event_for_item(item)
         for role in recipients(item):
             self.tell(role, event)
 
@@ -189,32 +193,32 @@
         """Note that a role has finished its work after `Leave`."""
         self._done_by_role[role].set()
 
-    def leave(self, event: Event, roles: tuple[str, ...], within_s: float) -> None:
+    def leave(self, event: Event, roles: tuple[str, ...], timeout_s: float) -> None:
         """Tell roles to leave and wait until they are done or time is up."""
         for role in roles:
             self.tell(role, event)
-        deadline = self.loop.time() + within_s
+        deadline = self.loop.time() + timeout_s
         for role in roles:
-            left = max(0.0, deadline - self.loop.time())
-            if not self._done_by_role[role].wait(left):
+            remaining_s = max(0.0, deadline - self.loop.time())
+            if not self._done_by_role[role].wait(remaining_s):
                 self.report(
                     Problem(
                         code=Code.DEADLINE,
                         step="process.leave",
                         peer=role,
-                        detail=f"not done within {within_s:g} s",
+                        detail=f"not done within {timeout_s:g} s",
                     )
                 )
 
     def stop(self) -> None:
         """Stop the actors, the loop and the log."""
         for ref in self._ref_by_role.values():
-            ref.stop(block=True, timeout=ROLE_STOP_S)
+            ref.stop(block=True, timeout=ROLE_STOP_TIMEOUT_S)
         for pool in self._pool_by_role.values():
             pool.shutdown(wait=False, cancel_futures=True)
-        self.on_loop(_end_tasks()).result(LOOP_STOP_S)
+        self.run_on_loop(_end_tasks()).result(LOOP_STOP_TIMEOUT_S)
         self.loop.call_soon_threadsafe(self.loop.stop)
-        self._loop_thread.join(LOOP_STOP_S)
+        self._loop_thread.join(LOOP_STOP_TIMEOUT_S)
         log_process(process=self.name, stage="stopped")
         self._writer.stop()
 
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -8,7 +8,7 @@
     Following,
     SchedulerTables,
 )
-from bulrushpulley.roles.actor import CONTROL_TICK_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
 from bulrushpulley.systems.scheduling import (
     agents,
     backlog,
@@ -30,13 +30,13 @@
 
 
 def build(
-    *, name: str, incarnation: str, patience: float, bounds: Bounds
+    *, name: str, incarnation: str, takeover_stagger: float, bounds: Bounds
 ) -> Role[SchedulerTables]:
     """Return the scheduler of an entry; the least `patience` takes over first."""
     tables = SchedulerTables(
         name=name,
         incarnation=incarnation,
-        takeover_stagger=patience,
+        takeover_stagger=takeover_stagger,
         bounds=bounds,
         leadership=Following(),
     )
@@ -61,6 +61,6 @@
             purging.run,
             committing.run,
         ),
-        tick_s=CONTROL_TICK_S,
+        tick_interval_s=CONTROL_TICK_INTERVAL_S,
         clock=since_boot,
     )
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -24,12 +24,12 @@
 
 STEP = "settings.check"
 # A lease is asked for with this part of the longest one, as clocks are read.
-LEASE_PART = 0.95
+LEASE_FRACTION = 0.95
 
 Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", longest=100)]
 Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", longest=45)]
 Address = Annotated[str, Text(pattern=r"[0-9.]+:[0-9]{1,5}", longest=60)]
-MaybeAddress = Annotated[str, Text(pattern=r"([0-9.]+:[0-9]{1,5})?", longest=60)]
+OptionalAddress = Annotated[str, Text(pattern=r"([0-9.]+:[0-9]{1,5})?", longest=60)]
 Url = Annotated[str, Text(pattern=r"https?://[^\s/]+(/[^\s]*)?", longest=500)]
 Port = Annotated[int, Range(low=0, high=65_535)]
 Threads = Annotated[int, Range(low=1, high=1_024)]
@@ -176,7 +176,7 @@
         return Bounds(
             owner_autonomy_s=self.owner_autonomy_s,
             agent_autonomy_s=self.agent_autonomy_s,
-            lease_s=min(self.lease_s, limits.longest_lease_s * LEASE_PART),
+            lease_s=min(self.lease_s, limits.longest_lease_s * LEASE_FRACTION),
             kill_s=limits.kill_s,
             turn_s=limits.turn_s,
         )
@@ -199,8 +199,8 @@
     ready: Address
     store: StoreSettings
     limits: LimitSettings
-    advice: MaybeAddress = ""
-    machines: MaybeAddress = ""
+    advice: OptionalAddress = ""
+    machines: OptionalAddress = ""
     bounds: BoundSettings = field(default_factory=BoundSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
@@ -224,7 +224,7 @@
     announcements: Address
     store: StoreSettings
     limits: LimitSettings
-    reached_at: MaybeAddress = ""
+    reached_at: OptionalAddress = ""
     bounds: BoundSettings = field(default_factory=BoundSettings)
     logs: LogSettings = field(default_factory=LogSettings)
 
@@ -236,7 +236,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class OperatorSettings:
+class OperatorClientSettings:
     """The settings of the operator verbs; `entries` are tried in order."""
 
     role: Annotated[str, Text(pattern="operator")]
@@ -250,7 +250,7 @@
     | AgentSettings
     | JobEntrySettings
     | JobAgentSettings
-    | OperatorSettings
+    | OperatorClientSettings
 )
 S = TypeVar("S")
 
@@ -259,7 +259,7 @@
     "agent": AgentSettings,
     "job-entry": JobEntrySettings,
     "job-agent": JobAgentSettings,
-    "operator": OperatorSettings,
+    "operator": OperatorClientSettings,
 }
 
 
@@ -268,7 +268,7 @@
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
-        raise _group(path, str(error)) from error
+        raise _problem_group(path, str(error)) from error
 
 
 def load(cls: type[S], path: pathlib.Path) -> S:
@@ -285,11 +285,13 @@
     cls = CLASS_BY_ROLE.get(str(raw.get("role")))
     if cls is None:
         known = ", ".join(CLASS_BY_ROLE)
-        raise _group(path, f"must be one of {known}", "role")
+        raise _problem_group(path, f"must be one of {known}", "role")
     return build(cls, raw, step=STEP, peer=str(path))
 
 
-def _group(path: pathlib.Path, detail: str, key: str = "") -> BaseExceptionGroup[Any]:
+def _problem_group(
+    path: pathlib.Path, detail: str, key: str = ""
+) -> BaseExceptionGroup[Any]:
     problem = Problem(
         code=Code.INVALID, step=STEP, peer=str(path), detail=detail, field=key
     )
--- a/bulrushpulley/verb_output.py
+++ b/bulrushpulley/verb_output.py
@@ -34,11 +34,11 @@
         print(_problem_line(problem), file=sys.stderr)
     if answer.problems:
         return
-    lines = _LINES.get(verb, _change_lines)(value)
+    lines = _LINES_BY_VERB.get(verb, _change_lines)(value)
     print("\n".join(lines))
 
 
-def explained(waited: Answer | None) -> str:
+def not_in_force_reason(waited: Answer | None) -> str:
     """Say why a revision was not seen in force everywhere."""
     if waited is None:
         return "not in force everywhere: no time was left to ask"
@@ -99,14 +99,14 @@
 
 
 def _row_line(row: Mapping[str, Any]) -> str:
-    shown = (f"{key}={_plain(held)}" for key, held in row.items() if held != "")
+    shown = (f"{key}={_plain(value)}" for key, value in row.items() if value != "")
     return " ".join(shown)
 
 
-def _plain(held: Any) -> str:
-    if isinstance(held, dict):
-        return "/".join(str(part) for part in held.values())
-    return str(held)
+def _plain(value: Any) -> str:
+    if isinstance(value, dict):
+        return "/".join(str(part) for part in value.values())
+    return str(value)
 
 
-_LINES = {"status": _status_lines, "explain": _explain_lines}
+_LINES_BY_VERB = {"status": _status_lines, "explain": _explain_lines}
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -23,14 +23,14 @@
 from bulrushpulley.errors import Problem
 from bulrushpulley.exit_codes import ExitCode, exit_code_of
 from bulrushpulley.operator_client import Answer, Call, OperatorClient
-from bulrushpulley.verb_output import explained, print_answer, print_problems
+from bulrushpulley.verb_output import not_in_force_reason, print_answer, print_problems
 from bulrushpulley.wire.operator_http import problems_of
 from bulrushpulley.wire.records import decode_object, parse_record
 
 DEFAULT_TIMEOUT_S = 10.0
-WAIT_EACH_S = 5.0
-WAIT_SHARE = 0.7
-LEAST_LEFT_S = 0.1
+MAX_LONG_POLL_S = 5.0
+LONG_POLL_FRACTION = 0.7
+MIN_REMAINING_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +85,7 @@
     operator = None
     if values.config is not None and verb != "check":
         path = pathlib.Path(values.config)
-        operator = settings.load(settings.OperatorSettings, path)
+        operator = settings.load(settings.OperatorClientSettings, path)
     entries = tuple(values.entry) or (operator.entries if operator else ())
     if not entries and verb != "check":
         raise flags.Error("give --config with a file of role operator, or --entry")
@@ -142,7 +142,7 @@
 def _submit(options: Options) -> int:
     body = _record_body(options)
     call = Call(method="POST", path="/v1/records", query={}, body=body, idempotent=True)
-    return _change(options, call)
+    return _send_change(options, call)
 
 
 def _amend(options: Options) -> int:
@@ -150,9 +150,10 @@
     parsed = parse_record(decode_object(body, peer=options.argument), peer="self")
     query = f"?revision={options.revision}"
     path = f"/v1/records/{parsed.kind}/{parsed.record.name}{query}"
-    safe = options.revision > 0
-    return _change(
-        options, Call(method="PUT", path=path, query={}, body=body, idempotent=safe)
+    repeatable = options.revision > 0
+    return _send_change(
+        options,
+        Call(method="PUT", path=path, query={}, body=body, idempotent=repeatable),
     )
 
 
@@ -165,19 +166,23 @@
 
 def _cancel(options: Options) -> int:
     path = f"/v1/jobs/{quote(options.argument, safe='')}/cancel"
-    return _change(options, Call(method="POST", path=path, query={}, idempotent=True))
+    return _send_change(
+        options, Call(method="POST", path=path, query={}, idempotent=True)
+    )
 
 
 def _change_domain(options: Options) -> int:
     name = quote(options.argument, safe="")
     path = f"/v1/failure-domains/{name}/{options.verb}?revision={options.revision}"
-    safe = options.revision > 0
-    return _change(options, Call(method="POST", path=path, query={}, idempotent=safe))
+    repeatable = options.revision > 0
+    return _send_change(
+        options, Call(method="POST", path=path, query={}, idempotent=repeatable)
+    )
 
 
 def _status(options: Options) -> int:
     query = {"job": options.argument} if options.arguments else {}
-    return _ask(options, Call(method="GET", path="/v1/status", query=query))
+    return _query(options, Call(method="GET", path="/v1/status", query=query))
 
 
 def _explain(options: Options) -> int:
@@ -185,45 +190,49 @@
     path = f"/v1/explain/{quote(job, safe='')}"
     if slash:
         path += f"/{quote(index, safe='')}"
-    return _ask(options, Call(method="GET", path=path, query={}))
+    return _query(options, Call(method="GET", path=path, query={}))
 
 
-def _ask(options: Options, call: Call) -> int:
+def _query(options: Options, call: Call) -> int:
     client = OperatorClient(entries=options.entries, author=options.author)
-    asked = Call(method=call.method, path=call.path, query=call.query, idempotent=True)
-    answer = client.call(asked, options.timeout_s)
+    query_call = Call(
+        method=call.method, path=call.path, query=call.query, idempotent=True
+    )
+    answer = client.call(query_call, options.timeout_s)
     print_answer(options.verb, answer, as_json=options.as_json)
     return exit_code_of(answer.codes)
 
 
-def _change(options: Options, call: Call) -> int:
+def _send_change(options: Options, call: Call) -> int:
     deadline = time.monotonic() + options.timeout_s
     client = OperatorClient(entries=options.entries, author=options.author)
     answer = client.call(call, options.timeout_s)
     if answer.codes or not options.wait:
         print_answer(options.verb, answer, as_json=options.as_json)
         return exit_code_of(answer.codes)
-    waited = _in_force(client, int(answer.value["revision"]), deadline)
+    waited = _wait_until_in_force(client, int(answer.value["revision"]), deadline)
     in_force = bool(waited is not None and waited.value.get("everywhere"))
     print_answer(options.verb, answer, as_json=options.as_json, in_force=in_force)
     if in_force:
         return ExitCode.OK
-    print(explained(waited), file=sys.stderr)
+    print(not_in_force_reason(waited), file=sys.stderr)
     return ExitCode.NOT_IN_FORCE
 
 
-def _in_force(client: OperatorClient, revision: int, deadline: float) -> Answer | None:
+def _wait_until_in_force(
+    client: OperatorClient, revision: int, deadline: float
+) -> Answer | None:
     """Have entries hold the question until the revision is in force or time is up."""
     last: Answer | None = None
-    while (left := deadline - time.monotonic()) > LEAST_LEFT_S:
-        wait_s = min(left * WAIT_SHARE, WAIT_EACH_S)
+    while (remaining_s := deadline - time.monotonic()) > MIN_REMAINING_S:
+        wait_s = min(remaining_s * LONG_POLL_FRACTION, MAX_LONG_POLL_S)
         call = Call(
             method="GET",
             path=f"/v1/in-force/{revision}",
             query={"wait_s": f"{wait_s:.3f}"},
             idempotent=True,
         )
-        answer = client.call(call, left)
+        answer = client.call(call, remaining_s)
         if answer.codes:
             return last or answer
         last = answer
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -65,7 +65,7 @@
 from bulrushpulley.entities.observe import Count, Decision, Observe
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Event, Tell
-from bulrushpulley.roles import intake, keeper, scheduler
+from bulrushpulley.roles import intake, job_agent, scheduler
 from bulrushpulley.roles.actor import Role
 from standins.executor_core import FakeExecutor
 from test.jobs_machines import UPKEEP_S, FakeMachines
@@ -194,7 +194,7 @@
             scheduler.build(
                 name=name,
                 incarnation=incarnation,
-                patience=min(1.0, takeover_stagger),
+                takeover_stagger=min(1.0, takeover_stagger),
                 bounds=Bounds(kill_s=0.3),
             ),
             intake.build(),
@@ -222,7 +222,7 @@
             address=name,
             bounds=Bounds(kill_s=0.3),
         )
-        self._start(name, f"{name}-{next(self._number)}", (keeper.build(tables),))
+        self._start(name, f"{name}-{next(self._number)}", (job_agent.build(tables),))
 
     def _start(self, name: str, incarnation: str, roles: tuple[Role[Any], ...]) -> None:
         instances = {
@@ -241,8 +241,8 @@
             return
         if not process.frozen:
             self._tick(process, role)
-        tick_s = process.instance_by_role[role].role.tick_s
-        self.at(tick_s, lambda: self._tick_always(process, role))
+        tick_interval_s = process.instance_by_role[role].role.tick_interval_s
+        self.at(tick_interval_s, lambda: self._tick_always(process, role))
 
     def kill(self, name: str) -> None:
         """End a process at once; its links end with it."""
--- a/test/site.py
+++ b/test/site.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.roles import cell_owner, committer, controller, guard, router
-from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.roles.routing import event_for_item, recipients
 from bulrushpulley.wire.rows import decode_row
 from standins import worker_core
 from standins.table_core import TableState
@@ -198,7 +198,7 @@
         for role in recipients(event):
             seat = Seat(process=process, role=role)
             if seat in self.world.roles:
-                self.world.deliver(seat, delivered(event))
+                self.world.deliver(seat, event_for_item(event))
 
     # Outside events.
 
--- a/test/test_actor.py
+++ b/test/test_actor.py
@@ -13,26 +13,28 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Said(Event):
+class WordEvent(Event):
     word: str
     waits: bool = False
 
 
-def note(event: Event, words: tuple[Event, ...], now: float) -> Step[tuple[Event, ...]]:
+def record_event(
+    event: Event, words: tuple[Event, ...], now: float
+) -> Step[tuple[Event, ...]]:
     return Step(tables=(*words, event))
 
 
-def may_wait(event: Any) -> bool:
+def event_can_wait(event: Any) -> bool:
     waits: bool = event.waits
     return waits
 
 
 class ActorTest(testtools.TestCase):
     def test_an_event_that_can_wait_is_applied_in_order_at_the_next_tick(self) -> None:
-        first, second = Said(word="a", waits=True), Said(word="b", waits=True)
-        last = Said(word="c")
+        first, second = WordEvent(word="a", waits=True), WordEvent(word="b", waits=True)
+        last = WordEvent(word="c")
         role: Role[Any] = Role(
-            name="r", tables=(), apply=note, systems=(), can_wait=may_wait
+            name="r", tables=(), apply=record_event, systems=(), can_wait=event_can_wait
         )
         ref = RoleActor.start(role=role, carry_out=lambda command: None)
         self.addCleanup(ref.stop)
--- a/test/test_decisions_counted.py
+++ b/test/test_decisions_counted.py
@@ -13,18 +13,18 @@
 
 class DecisionsTest(testtools.TestCase):
     def test_a_decision_is_logged_and_counted(self) -> None:
-        metrics, lines = Metrics(), []  # type: ignore[var-annotated]
-        nothing: Any = lambda *_, **__: None  # noqa: E731
+        metrics, decisions = Metrics(), []  # type: ignore[var-annotated]
+        ignore: Any = lambda *_, **__: None  # noqa: E731
         ports = Ports(
-            send=nothing,
-            tell=nothing,
-            answer=nothing,
-            decide=lines.append,
+            send=ignore,
+            tell=ignore,
+            answer=ignore,
+            decide=decisions.append,
             count=metrics.count,
-            observe=nothing,
-            run=nothing,
+            observe=ignore,
+            run=ignore,
         )
-        line = Decision(kind="task.place", subject="t", chosen="h", reason="r")
-        carry_out(line, ports)
-        self.assertEqual([line], lines)
-        self.assertEqual(1, metrics.counted("decisions", "task.place"))
+        decision = Decision(kind="task.place", subject="t", chosen="h", reason="r")
+        carry_out(decision, ports)
+        self.assertEqual([decision], decisions)
+        self.assertEqual(1, metrics.counter_value("decisions", "task.place"))
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -20,7 +20,7 @@
 
 DEPLOY = pathlib.Path(__file__).resolve().parent.parent / "deploy"
 # One value for each placeholder, as the platform gives them to a process.
-VALUES = {
+VALUE_BY_PLACEHOLDER = {
     "Node": "edge-ege-izmir-1",
     "Region": "ege",
     "Zone": "ege-izmir",
@@ -39,9 +39,9 @@
 }
 
 
-def rendered(name: str, **other: str) -> pathlib.Path:
+def render_template(name: str, **other: str) -> pathlib.Path:
     """Return the path of a template with its placeholders filled in."""
-    values = {**VALUES, **other}
+    values = {**VALUE_BY_PLACEHOLDER, **other}
     text = (DEPLOY / name).read_text()
     text = re.sub(
         r"\{\{#(.+?)\}\}(.*?)\{\{/\1\}\}",
@@ -57,23 +57,25 @@
 
 class DeployTest(testtools.TestCase):
     def test_the_template_of_an_entry_gives_its_settings(self) -> None:
-        settings = load(JobEntrySettings, rendered("entry.toml"))
+        settings = load(JobEntrySettings, render_template("entry.toml"))
         self.assertEqual(("10.1.0.13", 8161), split_address(settings.callers))
         self.assertEqual(6.0, settings.limits.longest_lease_s)
         self.assertEqual(0.2, settings.limits.kill_s)
         self.assertEqual(3.0, settings.limits.turn_s)
 
     def test_a_platform_without_advice_gives_settings_too(self) -> None:
-        settings = load(JobEntrySettings, rendered("entry.toml", Recommendation=""))
+        settings = load(
+            JobEntrySettings, render_template("entry.toml", Recommendation="")
+        )
         self.assertEqual("", settings.advice)
 
     def test_the_template_of_an_agent_gives_its_settings(self) -> None:
-        settings = load(JobAgentSettings, rendered("agent.toml"))
+        settings = load(JobAgentSettings, render_template("agent.toml"))
         self.assertEqual(("10.1.0.13", 7720), split_address(settings.links))
-        self.assertIs(JobAgentSettings, type(load_any(rendered("agent.toml"))))
+        self.assertIs(JobAgentSettings, type(load_any(render_template("agent.toml"))))
 
     def test_no_lease_is_longer_than_the_platform_allows(self) -> None:
-        settings = load(JobAgentSettings, rendered("agent.toml"))
+        settings = load(JobAgentSettings, render_template("agent.toml"))
         bounds = settings.bounds.within(settings.limits)
         self.assertLess(bounds.lease_s, settings.limits.longest_lease_s)
 
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -30,7 +30,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Event
-from bulrushpulley.roles import keeper
+from bulrushpulley.roles import job_agent
 
 LIFE = "i-1/5"
 OWNER = "entry-1-ab"
@@ -44,7 +44,7 @@
         tables = JobAgentTables(
             host="h", failure_domain="z", region="r", address="a", bounds=Bounds()
         )
-        self.role = keeper.build(tables)
+        self.role = job_agent.build(tables)
         self.tables = tables
         self.now = 50.0
         self.tell(
--- a/test/test_main_signals.py
+++ b/test/test_main_signals.py
@@ -20,7 +20,7 @@
         self.runtime: Any = SimpleNamespace(
             name="p",
             stopping=threading.Event(),
-            hurry=threading.Event(),
+            skip_notice=threading.Event(),
             failed=threading.Event(),
         )
         self.stages: list[str] = []
@@ -49,4 +49,4 @@
     def test_a_second_signal_hurries_the_stop(self) -> None:
         process = FakeProcess(signal.SIGTERM, signal.SIGTERM)
         main.run_process(cast(main.Process, process))
-        self.assertTrue(process.runtime.hurry.is_set())
+        self.assertTrue(process.runtime.skip_notice.is_set())
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -18,9 +18,9 @@
 from standins.caller_core import Report, plan, tally
 
 SERVICE = "oven-conductor"
-READY_S = 15.0
-SLOW_S = 1.0
-STEP_S = 0.05
+READY_TIMEOUT_S = 15.0
+SLOW_RESPONSE_S = 1.0
+POLL_INTERVAL_S = 0.05
 
 
 def post(url: str, body: bytes, **headers: str) -> urllib3.BaseHTTPResponse:
@@ -45,25 +45,27 @@
             self.wait_for_agents(url, agents)
         return fleet
 
-    def wait_for_agents(self, url: str, count: int, within_s: float = READY_S) -> None:
-        deadline = time.monotonic() + within_s
+    def wait_for_agents(
+        self, url: str, count: int, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        deadline = time.monotonic() + timeout_s
         while True:
             status = ask(url, "/v1/status")
             if len(status.get("agents", [])) == count:
                 return
             self.assertTrue(time.monotonic() < deadline, status)
-            threading.Event().wait(STEP_S)
+            threading.Event().wait(POLL_INTERVAL_S)
 
     def slow_down(self, fleet: Fleet) -> None:
         for url in fleet.layout.backend_urls:
-            body = b'{"mode": "slow", "delay_s": %f}' % SLOW_S
+            body = b'{"mode": "slow", "delay_s": %f}' % SLOW_RESPONSE_S
             self.assertEqual(200, post(f"{url}/switch", body).status)
 
     def wait_for_run(self, fleet: Fleet, request_id: str) -> None:
-        deadline = time.monotonic() + READY_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while not count_runs(fleet.layout.backend_urls)[request_id]:
             self.assertTrue(time.monotonic() < deadline, "it never ran")
-            threading.Event().wait(STEP_S)
+            threading.Event().wait(POLL_INTERVAL_S)
 
     def send(self, fleet: Fleet, seconds: float) -> Report:
         target = Target(
@@ -86,7 +88,7 @@
         self.addCleanup(fleet.end_all)
         with socket.create_server((HOST, layout.entries[0].callers)):
             program = fleet.start_entry(layout.entries[0])
-            self.assertEqual(1, program.process.wait(READY_S))
+            self.assertEqual(1, program.process.wait(READY_TIMEOUT_S))
         self.assertIn("process.start", program.log.read_text())
 
     def test_a_planned_stop_cuts_off_no_request(self) -> None:
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -18,10 +18,10 @@
 from bulrushpulley.metrics import MAX_COUNTERS, Metrics
 from bulrushpulley.roles.actor import Role
 from bulrushpulley.roles.carry_out import Ports
-from bulrushpulley.roles.routing import delivered, recipients
+from bulrushpulley.roles.routing import event_for_item, recipients
 from bulrushpulley.roles.runtime import Runtime
 
-WITHIN_S = 3.0
+TIMEOUT_S = 3.0
 DECISION = Decision(
     kind="route.dispatch",
     subject="r-1",
@@ -32,15 +32,17 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Told:
+class RecordedEvents:
     events: tuple[Event, ...] = ()
 
 
-def gather(event: Event, tables: Told, now: float) -> Step[Told]:
-    return Step(tables=Told(events=(*tables.events, event)))
+def record_event(
+    event: Event, tables: RecordedEvents, now: float
+) -> Step[RecordedEvents]:
+    return Step(tables=RecordedEvents(events=(*tables.events, event)))
 
 
-def fail(event: Event, tables: Told, now: float) -> Step[Told]:
+def fail(event: Event, tables: RecordedEvents, now: float) -> Step[RecordedEvents]:
     raise ValueError("a fault of the role")
 
 
@@ -55,7 +57,7 @@
         return runtime
 
     def start_role(self, runtime: Runtime, name: str, apply: object) -> None:
-        role = Role(name=name, tables=Told(), apply=apply, systems=())  # type: ignore[arg-type]
+        role = Role(name=name, tables=RecordedEvents(), apply=apply, systems=())  # type: ignore[arg-type]
         ports = Ports(**runtime.ports(answer=lambda command: None))
         runtime.start_role(role, ports)
 
@@ -65,34 +67,36 @@
         self.patch(runtime, "report", reported.append)
         self.start_role(runtime, "router", fail)
         runtime.tell("router", Committed(submission_id="a", revision=1))
-        self.assertTrue(runtime.stopping.wait(WITHIN_S))
+        self.assertTrue(runtime.stopping.wait(TIMEOUT_S))
         self.assertTrue(runtime.failed.is_set())
         self.assertIn("a fault of the role", reported[0].detail)
 
     def test_blocking_work_that_fails_stops_the_process(self) -> None:
         runtime = self.start()
-        self.start_role(runtime, "guard", gather)
+        self.start_role(runtime, "guard", record_event)
         runtime.run(role="guard", work=lambda: [][0])
-        self.assertTrue(runtime.stopping.wait(WITHIN_S))
+        self.assertTrue(runtime.stopping.wait(TIMEOUT_S))
         self.assertTrue(runtime.failed.is_set())
 
     def test_an_outcome_reaches_the_role_or_the_peer_that_asked(self) -> None:
         runtime = self.start()
         sent: list[Send] = []
         self.patch(runtime.links, "send", sent.append)
-        told: list[tuple[str, Event]] = []
-        self.patch(runtime, "tell", lambda role, event: told.append((role, event)))
+        told_events: list[tuple[str, Event]] = []
+        self.patch(
+            runtime, "tell", lambda role, event: told_events.append((role, event))
+        )
         outcome = Committed(submission_id="a", revision=1)
         runtime.report_to(ReportTo(origin="router", outcome=outcome))
         runtime.report_to(ReportTo(origin="agent-1-ab", outcome=outcome))
-        self.assertEqual([("router", outcome)], told)
+        self.assertEqual([("router", outcome)], told_events)
         self.assertEqual(1, len(sent))
 
     def test_items_go_to_their_roles(self) -> None:
         fetch = Fetch(peer="a", fetch_id="f", prefix="p/", since=3)
         asked = ReadRequested(origin="a", fetch_id="f", prefix="p/", since=3)
         self.assertEqual(("committer",), recipients(fetch))
-        self.assertEqual(asked, delivered(fetch))
+        self.assertEqual(asked, event_for_item(fetch))
         answered = Answered(attempt_id="1", status=200, body=b"", took_s=0.1)
         self.assertEqual(("router",), recipients(answered))
         self.assertEqual((), recipients(Event()))
@@ -124,7 +128,7 @@
         drained.start()
         writer.stop()
         os.close(write)
-        drained.join(WITHIN_S)
+        drained.join(TIMEOUT_S)
         self.assertTrue(sum(count.by for count in counts) > 0)
 
 
@@ -150,4 +154,4 @@
         metrics = Metrics()
         for number in range(MAX_COUNTERS + 10):
             metrics.count(Count(name="n", label=str(number)))
-        self.assertEqual(10, metrics.counted("n", "other"))
+        self.assertEqual(10, metrics.counter_value("n", "other"))
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from bulrushpulley.entities.step import Command, Event
-from bulrushpulley.roles.actor import TICK_S, Role
+from bulrushpulley.roles.actor import TICK_INTERVAL_S, Role
 
 RANDOM_MODULUS = 2_147_483_647
 RANDOM_FACTOR = 48_271
@@ -137,7 +137,7 @@
             return
         for seat in [seat for seat in self.roles if seat.process == process]:
             self._tell(seat, birth, ())
-        wait = max(TICK_S, self._frozen_for(process))
+        wait = max(TICK_INTERVAL_S, self._frozen_for(process))
         self.at(wait, lambda: self._tick_all(process, birth))
 
     def _tell(self, seat: Seat, birth: int, events: tuple[Event, ...]) -> None:
