--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -59,7 +59,7 @@
                 heartbeat_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
                 silence_s=JOB_LINK_SILENCE_TIMEOUT_S,
             ),
-            hello_s=JOB_LINK_HELLO_TIMEOUT_S,
+            hello_timeout_s=JOB_LINK_HELLO_TIMEOUT_S,
         )
 
     def start(self) -> None:
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -32,7 +32,11 @@
 from bulrushpulley.roles.actor import TICK_INTERVAL_S, Role, RoleActor, TickDue
 from bulrushpulley.roles.carry_out import Ports, carry_out
 from bulrushpulley.roles.routing import ROLES, event_for_item, recipients
-from bulrushpulley.wire.link_stream import HEARTBEAT_S, SILENCE_S, LinkHooks
+from bulrushpulley.wire.link_stream import (
+    HEARTBEAT_INTERVAL_S,
+    SILENCE_TIMEOUT_S,
+    LinkHooks,
+)
 from bulrushpulley.wire.links import Links
 
 T = TypeVar("T")
@@ -79,7 +83,10 @@
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
     def hooks(
-        self, *, heartbeat_s: float = HEARTBEAT_S, silence_s: float = SILENCE_S
+        self,
+        *,
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
+        silence_s: float = SILENCE_TIMEOUT_S,
     ) -> LinkHooks:
         """Return who this process is on its links, and what receives their items."""
         return LinkHooks(
@@ -88,8 +95,8 @@
             receive=self.receive,
             count=self.metrics.count,
             report=self.report,
-            heartbeat_s=heartbeat_s,
-            silence_s=silence_s,
+            heartbeat_interval_s=heartbeat_s,
+            silence_timeout_s=silence_s,
         )
 
     def ports(self, *, answer: Callable[[Command], None]) -> dict[str, Any]:
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -20,17 +20,19 @@
 
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.wire.checked import Length, Range, Text, build
+from bulrushpulley.wire.validation import Length, Range, Text, build
 
 STEP = "settings.check"
 # A lease is asked for with this part of the longest one, as clocks are read.
 LEASE_FRACTION = 0.95
 
-Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", longest=100)]
-Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", longest=45)]
-Address = Annotated[str, Text(pattern=r"[0-9.]+:[0-9]{1,5}", longest=60)]
-OptionalAddress = Annotated[str, Text(pattern=r"([0-9.]+:[0-9]{1,5})?", longest=60)]
-Url = Annotated[str, Text(pattern=r"https?://[^\s/]+(/[^\s]*)?", longest=500)]
+Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", max_characters=100)]
+Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", max_characters=45)]
+Address = Annotated[str, Text(pattern=r"[0-9.]+:[0-9]{1,5}", max_characters=60)]
+OptionalAddress = Annotated[
+    str, Text(pattern=r"([0-9.]+:[0-9]{1,5})?", max_characters=60)
+]
+Url = Annotated[str, Text(pattern=r"https?://[^\s/]+(/[^\s]*)?", max_characters=500)]
 Port = Annotated[int, Range(low=0, high=65_535)]
 Threads = Annotated[int, Range(low=1, high=1_024)]
 Seconds = Annotated[float, Range(low=0.0, high=86_400.0)]
@@ -134,7 +136,7 @@
     name: Name
     region: Name
     failure_domain: Name
-    seeds: Annotated[tuple[Address, ...], Length(fewest=1, most=100)]
+    seeds: Annotated[tuple[Address, ...], Length(min_items=1, max_items=100)]
     backend_server: BackendSettings
     health: HttpSettings
     cells: CellSettings = field(default_factory=CellSettings)
@@ -240,7 +242,7 @@
     """The settings of the operator verbs; `entries` are tried in order."""
 
     role: Annotated[str, Text(pattern="operator")]
-    entries: Annotated[tuple[Url, ...], Length(fewest=1, most=100)]
+    entries: Annotated[tuple[Url, ...], Length(min_items=1, max_items=100)]
     author: Name = "operator"
     timeout_s: Annotated[float, Range(low=0.1, high=600.0)] = 10.0
 
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -34,32 +34,32 @@
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
 STEP = "call.parse"
-DEFAULT_WITHIN_S = 5.0
-LONGEST_WITHIN_S = 60.0
-ANSWER_MARGIN_S = 0.5
+DEFAULT_CALL_TIMEOUT_S = 5.0
+MAX_CALL_TIMEOUT_S = 60.0
+CALL_TIMEOUT_MARGIN_S = 0.5
 MAX_KEY_CHARACTERS = 200
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 _KEY = re.compile(r"[\x21-\x7e]{1,200}")
 _BOOL_BY_TEXT = {"true": True, "false": False}
-_REFUSED = frozenset({400, 404, 413})
+_CALLER_ERROR_STATUSES = frozenset({400, 404, 413})
 
 
 def parse_call(request: HttpRequest, call_id: str, now: float) -> CallReceived:
     """Read a call; raises `BulrushpulleyError` that names the bad field."""
     parts = request.parts
     if len(parts) != 3 or parts[:2] != ("v1", "call"):
-        raise _bad(request, "path", "no such path", Code.NOT_FOUND)
+        raise _field_error(request, "path", "no such path", Code.NOT_FOUND)
     if request.method != "POST":
-        raise _bad(request, "method", "must be POST")
+        raise _field_error(request, "method", "must be POST")
     if _NAME.fullmatch(parts[2]) is None:
-        raise _bad(request, "service", "is no name of a service")
+        raise _field_error(request, "service", "is no name of a service")
     key = _idempotency_key(request)
     return CallReceived(
         call_id=call_id,
         service=parts[2],
         request_id=key,
         repeatable=_repeatable(request, key),
-        within_s=_within_s(request),
+        within_s=_timeout_s(request),
         body=request.body,
         received_at=now,
     )
@@ -68,7 +68,7 @@
 def _idempotency_key(request: HttpRequest) -> str:
     key = request.header_by_name.get("idempotency-key", "")
     if key and _KEY.fullmatch(key) is None:
-        raise _bad(
+        raise _field_error(
             request,
             "Idempotency-Key",
             f"must be 1 to {MAX_KEY_CHARACTERS} visible ASCII characters",
@@ -81,25 +81,25 @@
     if text is None:
         return not key
     if text not in _BOOL_BY_TEXT:
-        raise _bad(request, "X-Repeatable", "must be true or false")
+        raise _field_error(request, "X-Repeatable", "must be true or false")
     if not _BOOL_BY_TEXT[text] and not key:
-        raise _bad(
+        raise _field_error(
             request, "Idempotency-Key", "is required for an unrepeatable request"
         )
     return _BOOL_BY_TEXT[text]
 
 
-def _within_s(request: HttpRequest) -> float:
+def _timeout_s(request: HttpRequest) -> float:
     text = request.header_by_name.get("x-deadline-ms")
     if text is None:
-        return DEFAULT_WITHIN_S
-    if not text.isdecimal() or not 0 < int(text) <= LONGEST_WITHIN_S * 1000:
-        limit = int(LONGEST_WITHIN_S * 1000)
-        raise _bad(request, "X-Deadline-Ms", f"must be from 1 to {limit}")
+        return DEFAULT_CALL_TIMEOUT_S
+    if not text.isdecimal() or not 0 < int(text) <= MAX_CALL_TIMEOUT_S * 1000:
+        limit = int(MAX_CALL_TIMEOUT_S * 1000)
+        raise _field_error(request, "X-Deadline-Ms", f"must be from 1 to {limit}")
     return int(text) / 1000
 
 
-def _bad(
+def _field_error(
     request: HttpRequest, field: str, detail: str, code: Code = Code.INVALID
 ) -> BulrushpulleyError:
     return invalid(step=STEP, peer=request.peer, field=field, detail=detail, code=code)
@@ -124,7 +124,7 @@
 @encode_answer.register
 def _(command: RefuseCall) -> HttpReply:
     status = STATUS_BY_CODE[command.problem.code]
-    if status not in _REFUSED:
+    if status not in _CALLER_ERROR_STATUSES:
         status = 503 if command.ran is Ran.NO else 504
     value = problem_value(command.problem, command.ran)
     return json_reply(status, value, command.ran)
@@ -149,14 +149,14 @@
         return encode_answer(self._wait(call, received))
 
     def _wait(self, call: PendingCall, received: CallReceived) -> Command:
-        answer = self._pending.wait(call, received.within_s + ANSWER_MARGIN_S)
+        answer = self._pending.wait(call, received.within_s + CALL_TIMEOUT_MARGIN_S)
         if answer is not None:
             return answer
         self._tell(CallAbandoned(call_id=call.call_id))
-        return _too_late(received)
+        return _deadline_refusal(received)
 
 
-def _too_late(received: CallReceived) -> RefuseCall:
+def _deadline_refusal(received: CallReceived) -> RefuseCall:
     problem = Problem(
         code=Code.DEADLINE,
         step="call.wait",
--- a/bulrushpulley/wire/packed.py
+++ b/bulrushpulley/wire/compression.py
@@ -10,31 +10,31 @@
 import zlib
 
 # Not the first byte of any MessagePack map or array.
-DEFLATED = b"\x01"
+COMPRESSED_PREFIX = b"\x01"
 # Below this, deflating saves less than a packet's header.
-LEAST_BYTES = 400
+MIN_BYTES_TO_COMPRESS = 400
 # The fastest level; higher ones cost twice the time for a tenth less.
-LEVEL = 1
+COMPRESSION_LEVEL = 1
 # No row or message of ours is larger; a damaged one must not fill the memory.
-MOST_BYTES = 16 * 1024 * 1024
+MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 
 
-def pack(data: bytes) -> bytes:
+def compress(data: bytes) -> bytes:
     """Return the data, deflated if that is worth it."""
-    if len(data) < LEAST_BYTES:
+    if len(data) < MIN_BYTES_TO_COMPRESS:
         return data
-    return DEFLATED + zlib.compress(data, LEVEL)
+    return COMPRESSED_PREFIX + zlib.compress(data, COMPRESSION_LEVEL)
 
 
-def unpack(data: bytes) -> bytes:
+def decompress(data: bytes) -> bytes:
     """Return what was packed; raises `ValueError` if it cannot be inflated."""
-    if data[:1] != DEFLATED:
+    if data[:1] != COMPRESSED_PREFIX:
         return data
     inflater = zlib.decompressobj()
     try:
-        plain = inflater.decompress(data[1:], MOST_BYTES)
+        plain = inflater.decompress(data[1:], MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
         raise ValueError(f"cannot be inflated: {error}") from error
     if not inflater.eof:
-        raise ValueError(f"is cut off, or larger than {MOST_BYTES} bytes")
+        raise ValueError(f"is cut off, or larger than {MAX_DECOMPRESSED_BYTES} bytes")
     return plain
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -30,11 +30,11 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
-READ_S = 10.0
-IDLE_S = 60
-SELECT_S = 0.5
-QUEUED_PER_THREAD = 2
-KEEP_ALIVE_CONNECTIONS = 4_096
+REQUEST_READ_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 60
+EXPIRATION_CHECK_INTERVAL_S = 0.5
+MAX_QUEUED_PER_THREAD = 2
+MAX_KEEP_ALIVE_CONNECTIONS = 4_096
 LISTEN_BACKLOG = 512
 
 Handler = Callable[[HttpRequest], HttpReply]
@@ -57,14 +57,14 @@
 
     def readinto(self, buffer: Any) -> int | None:
         """Read what has arrived, or fail when the deadline has passed."""
-        left = self.deadline - time.monotonic()
-        if left <= 0:
+        remaining_s = self.deadline - time.monotonic()
+        if remaining_s <= 0:
             raise TimeoutError("timed out")
-        self._sock.settimeout(left)  # type: ignore[attr-defined]
+        self._sock.settimeout(remaining_s)  # type: ignore[attr-defined]
         try:
             return super().readinto(buffer)
         finally:
-            self._sock.settimeout(READ_S)  # type: ignore[attr-defined]
+            self._sock.settimeout(REQUEST_READ_TIMEOUT_S)  # type: ignore[attr-defined]
 
 
 def _timed_file(sock: Any, mode: str, size: int) -> Any:
@@ -116,7 +116,7 @@
 
     def communicate(self) -> bool:
         """Read one request and answer it."""
-        self.rfile.raw.deadline = time.monotonic() + READ_S
+        self.rfile.raw.deadline = time.monotonic() + REQUEST_READ_TIMEOUT_S
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
 
@@ -196,15 +196,15 @@
             numthreads=threads,
             max=threads,
             request_queue_size=LISTEN_BACKLOG,
-            timeout=IDLE_S,
-            accepted_queue_size=threads * QUEUED_PER_THREAD,
+            timeout=IDLE_TIMEOUT_S,
+            accepted_queue_size=threads * MAX_QUEUED_PER_THREAD,
             accepted_queue_timeout=0,
         )
         server.ConnectionClass = _connection
-        server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+        server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
         server.max_request_body_size = MAX_BODY_BYTES
         server.max_request_header_size = MAX_HEADER_BYTES
-        server.expiration_interval = SELECT_S
+        server.expiration_interval = EXPIRATION_CHECK_INTERVAL_S
         server.error_log = self._log
         self._server = server
         self._report = report
@@ -220,9 +220,9 @@
         self._server.prepare()
         self._thread.start()
 
-    def stop(self, within_s: float) -> None:
+    def stop(self, timeout_s: float) -> None:
         """Stop accepting, let requests in flight finish, and return."""
-        self._server.shutdown_timeout = within_s
+        self._server.shutdown_timeout = timeout_s
         self._server.stop()
 
     def _log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -9,11 +9,11 @@
 
 from bulrushpulley.entities.jobs import items
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.wire.packed import pack, unpack
+from bulrushpulley.wire.compression import compress, decompress
 
 STEP = "link.decode"
 
-KINDS: tuple[type[items.JobItem], ...] = (
+ITEM_CLASSES: tuple[type[items.JobItem], ...] = (
     items.Adopt,
     items.Orders,
     items.EndsNoted,
@@ -26,22 +26,22 @@
     items.RunRefused,
     items.LifeEnded,
 )
-KIND_BY_NAME: Mapping[str, type[items.JobItem]] = {
-    kind.__name__: kind for kind in KINDS
+ITEM_CLASS_BY_NAME: Mapping[str, type[items.JobItem]] = {
+    kind.__name__: kind for kind in ITEM_CLASSES
 }
 
 
 def encode_job_item(item: items.JobItem) -> bytes:
     """Return the bytes of an item, which begin with the name of its kind."""
-    return pack(msgspec.msgpack.encode((type(item).__name__, item)))
+    return compress(msgspec.msgpack.encode((type(item).__name__, item)))
 
 
 def decode_job_item(data: bytes, peer: str) -> items.JobItem | None:
     """Return the item that `peer` sent; None for a kind that is not known."""
     try:
-        plain = unpack(data)
+        plain = decompress(data)
         name, body = msgspec.msgpack.decode(plain, type=tuple[str, msgspec.Raw])
-        kind = KIND_BY_NAME.get(name)
+        kind = ITEM_CLASS_BY_NAME.get(name)
         if kind is None:
             return None
         return replace(msgspec.msgpack.decode(body, type=kind), peer=peer)
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -15,7 +15,7 @@
 
 from bulrushpulley.entities.jobs import rows
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.wire.packed import pack, unpack
+from bulrushpulley.wire.compression import compress, decompress
 
 STEP = "row.decode"
 
@@ -28,7 +28,7 @@
     row: msgspec.Raw
 
 
-KIND_BY_NAME: Mapping[str, type[rows.Row]] = {
+ROW_CLASS_BY_KIND: Mapping[str, type[rows.Row]] = {
     "owner": rows.OwnerRow,
     "job": rows.JobRow,
     "cancel": rows.CancelRow,
@@ -38,7 +38,7 @@
     "wave": rows.WaveRow,
     "harms": rows.HarmsRow,
 }
-NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
+KIND_BY_ROW_CLASS = {kind: name for name, kind in ROW_CLASS_BY_KIND.items()}
 
 _decode_envelope = msgspec.msgpack.Decoder(Envelope).decode
 
@@ -46,15 +46,15 @@
 def encode_row(row: rows.Row) -> bytes:
     """Return the bytes of a row."""
     data = msgspec.msgpack.encode(row)
-    envelope = Envelope(kind=NAME_BY_KIND[type(row)], row=msgspec.Raw(data))
-    return pack(msgspec.msgpack.encode(envelope))
+    envelope = Envelope(kind=KIND_BY_ROW_CLASS[type(row)], row=msgspec.Raw(data))
+    return compress(msgspec.msgpack.encode(envelope))
 
 
 def decode_row(data: bytes, *, peer: str) -> rows.Row:
     """Return the row of some bytes; raises `BulrushpulleyError` if they make none."""
     try:
-        envelope = _decode_envelope(unpack(data))
-        kind = KIND_BY_NAME[envelope.kind]
+        envelope = _decode_envelope(decompress(data))
+        kind = ROW_CLASS_BY_KIND[envelope.kind]
         return msgspec.msgpack.decode(envelope.row, type=kind)
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -12,13 +12,13 @@
 from bulrushpulley.errors import Code
 from bulrushpulley.wire.link_grpc import LinkStub
 from bulrushpulley.wire.link_stream import (
-    HELLO_S,
+    HELLO_TIMEOUT_S,
     LinkHooks,
     LinkStream,
-    described,
     link_error,
     receive_hello,
     send_hello,
+    stream_problem,
 )
 from bulrushpulley.wire.links import Links
 
@@ -32,9 +32,9 @@
         links: Links,
         hooks: LinkHooks,
         tls: ssl.SSLContext | None = None,
-        hello_s: float = HELLO_S,
+        hello_timeout_s: float = HELLO_TIMEOUT_S,
     ) -> None:
-        self._hello_s = hello_s
+        self._hello_timeout_s = hello_timeout_s
         self._links = links
         self._hooks = hooks
         self._tls = tls
@@ -49,26 +49,26 @@
     async def _dial(self, address: str) -> None:
         problem = None
         try:
-            await self._keep(address)
+            await self._run_link(address)
         except Exception as error:
-            problem = described(error, address)
+            problem = stream_problem(error, address)
             self._hooks.report(problem)
         self._hooks.receive(DialEnded(address=address, problem=problem))
 
-    async def _keep(self, address: str) -> None:
+    async def _run_link(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         channel = Channel(host, int(port), ssl=self._tls)
         try:
             async with LinkStub(channel).Attach.open() as stream:
-                link = await self._greet(stream, address)
+                link = await self._exchange_hellos(stream, address)
                 self._hooks.receive(DialLinked(address=address))
                 await self._links.run(link)
                 await stream.cancel()
         finally:
             channel.close()
 
-    async def _greet(self, stream: Any, address: str) -> LinkStream:
-        async with asyncio.timeout(self._hello_s):
+    async def _exchange_hellos(self, stream: Any, address: str) -> LinkStream:
+        async with asyncio.timeout(self._hello_timeout_s):
             await stream.send_request()
             await send_hello(stream, self._hooks)
         hello = await receive_hello(stream, address)
--- a/bulrushpulley/wire/link_codec.py
+++ b/bulrushpulley/wire/link_codec.py
@@ -36,23 +36,23 @@
     names: tuple[str, ...]
 
 
-def _plain(event: type[Event], message: type[Message]) -> PlainItem:
+def _plain_item(event: type[Event], message: type[Message]) -> PlainItem:
     names = tuple(field.name for field in fields(event) if field.name != "peer")
     return PlainItem(event=event, message=message, names=names)
 
 
 _PLAIN: Mapping[str, PlainItem] = {
-    "announce": _plain(link.Announce, pb.Announce),
-    "dispatch": _plain(link.Dispatch, pb.Dispatch),
-    "recall": _plain(link.Recall, pb.Recall),
-    "abandon": _plain(link.Abandon, pb.Abandon),
-    "answered": _plain(link.Answered, pb.Answered),
-    "fetch": _plain(link.Fetch, pb.Fetch),
-    "offer": _plain(link.Offer, pb.Offer),
-    "job_cancelled": _plain(link.JobCancelled, pb.JobCancelled),
-    "committed": _plain(commit.Committed, pb.Committed),
-    "withdrawn": _plain(commit.Withdrawn, pb.Withdrawn),
-    "unsettled": _plain(commit.Unsettled, pb.Unsettled),
+    "announce": _plain_item(link.Announce, pb.Announce),
+    "dispatch": _plain_item(link.Dispatch, pb.Dispatch),
+    "recall": _plain_item(link.Recall, pb.Recall),
+    "abandon": _plain_item(link.Abandon, pb.Abandon),
+    "answered": _plain_item(link.Answered, pb.Answered),
+    "fetch": _plain_item(link.Fetch, pb.Fetch),
+    "offer": _plain_item(link.Offer, pb.Offer),
+    "job_cancelled": _plain_item(link.JobCancelled, pb.JobCancelled),
+    "committed": _plain_item(commit.Committed, pb.Committed),
+    "withdrawn": _plain_item(commit.Withdrawn, pb.Withdrawn),
+    "unsettled": _plain_item(commit.Unsettled, pb.Unsettled),
 }
 
 
@@ -71,7 +71,7 @@
     encode_item.register(_kind.event, partial(_encode_plain, name=_name, plain=_kind))
 
 
-def _resources(amount: Resources) -> pb.Resources:
+def _encode_resources(amount: Resources) -> pb.Resources:
     return pb.Resources(
         processors_m=amount.processors_m,
         memory_mb=amount.memory_mb,
@@ -79,7 +79,7 @@
     )
 
 
-def _versioned(rows: Iterable[commit.VersionedRow]) -> list[pb.VersionedRow]:
+def _encode_rows(rows: Iterable[commit.VersionedRow]) -> list[pb.VersionedRow]:
     return [
         pb.VersionedRow(
             key=row.key,
@@ -114,7 +114,9 @@
 @encode_item.register
 def _(item: link.CellSummary) -> pb.Item:
     uses = [
-        pb.DepartmentUse(department=use.department, committed=_resources(use.committed))
+        pb.DepartmentUse(
+            department=use.department, committed=_encode_resources(use.committed)
+        )
         for use in item.uses
     ]
     message = pb.CellSummary(
@@ -123,8 +125,8 @@
         epoch=item.epoch,
         failure_domain=item.failure_domain,
         region=item.region,
-        free=_resources(item.free),
-        largest=_resources(item.largest),
+        free=_encode_resources(item.free),
+        largest=_encode_resources(item.largest),
         waiting=item.waiting,
         running=item.running,
         uses=uses,
@@ -163,7 +165,7 @@
         fetch_id=item.fetch_id,
         prefix=item.prefix,
         revision=item.revision,
-        rows=_versioned(item.rows),
+        rows=_encode_rows(item.rows),
         failed=item.failed,
     )
     return pb.Item(fetched=message)
@@ -172,7 +174,7 @@
 @encode_item.register
 def _(item: link.Configured) -> pb.Item:
     message = pb.Configured(
-        base=item.base, revision=item.revision, rows=_versioned(item.rows)
+        base=item.base, revision=item.revision, rows=_encode_rows(item.rows)
     )
     return pb.Item(configured=message)
 
@@ -194,13 +196,13 @@
 
 @encode_item.register
 def _(item: link.Assigned) -> pb.Item:
-    return pb.Item(assigned=pb.Assigned(cell=item.cell, rows=_versioned(item.rows)))
+    return pb.Item(assigned=pb.Assigned(cell=item.cell, rows=_encode_rows(item.rows)))
 
 
 @encode_item.register
 def _(item: commit.Conflicted) -> pb.Item:
     message = pb.Conflicted(
-        submission_id=item.submission_id, rows=_versioned(item.rows)
+        submission_id=item.submission_id, rows=_encode_rows(item.rows)
     )
     return pb.Item(conflicted=message)
 
@@ -233,7 +235,7 @@
     return plain.event(**values)
 
 
-def _amount(message: Any) -> Resources:
+def _decode_resources(message: Any) -> Resources:
     return Resources(
         processors_m=message.processors_m,
         memory_mb=message.memory_mb,
@@ -241,7 +243,7 @@
     )
 
 
-def _rows(messages: Iterable[Any]) -> tuple[commit.VersionedRow, ...]:
+def _decode_rows(messages: Iterable[Any]) -> tuple[commit.VersionedRow, ...]:
     return tuple(
         commit.VersionedRow(
             key=message.key,
@@ -253,7 +255,7 @@
     )
 
 
-def _refused(message: Any, peer: str) -> Event:
+def _decode_refused(message: Any, peer: str) -> Event:
     problem = Problem(
         code=Code(message.problem.code),
         step=message.problem.step,
@@ -269,9 +271,11 @@
     )
 
 
-def _cell_summary(message: Any, peer: str) -> Event:
+def _decode_cell_summary(message: Any, peer: str) -> Event:
     uses = tuple(
-        link.DepartmentUse(department=use.department, committed=_amount(use.committed))
+        link.DepartmentUse(
+            department=use.department, committed=_decode_resources(use.committed)
+        )
         for use in message.uses
     )
     return link.CellSummary(
@@ -281,15 +285,15 @@
         epoch=message.epoch,
         failure_domain=message.failure_domain,
         region=message.region,
-        free=_amount(message.free),
-        largest=_amount(message.largest),
+        free=_decode_resources(message.free),
+        largest=_decode_resources(message.largest),
         waiting=message.waiting,
         running=message.running,
         uses=uses,
     )
 
 
-def _submit(message: Any, peer: str) -> Event:
+def _decode_submit(message: Any, peer: str) -> Event:
     submission = commit.Submission(
         submission_id=message.submission_id,
         conditions=tuple(
@@ -308,27 +312,27 @@
     return link.Submit(peer=peer, submission=submission)
 
 
-def _fetched(message: Any, peer: str) -> Event:
+def _decode_fetched(message: Any, peer: str) -> Event:
     return link.Fetched(
         peer=peer,
         fetch_id=message.fetch_id,
         prefix=message.prefix,
         revision=message.revision,
-        rows=_rows(message.rows),
+        rows=_decode_rows(message.rows),
         failed=message.failed,
     )
 
 
-def _configured(message: Any, peer: str) -> Event:
+def _decode_configured(message: Any, peer: str) -> Event:
     return link.Configured(
         peer=peer,
         base=message.base,
         revision=message.revision,
-        rows=_rows(message.rows),
+        rows=_decode_rows(message.rows),
     )
 
 
-def _entries(message: Any, peer: str) -> Event:
+def _decode_entries(message: Any, peer: str) -> Event:
     entries = tuple(
         link.EntryAddress(
             name=entry.name,
@@ -342,25 +346,25 @@
     return link.Entries(peer=peer, entries=entries)
 
 
-def _assigned(message: Any, peer: str) -> Event:
-    return link.Assigned(peer=peer, cell=message.cell, rows=_rows(message.rows))
+def _decode_assigned(message: Any, peer: str) -> Event:
+    return link.Assigned(peer=peer, cell=message.cell, rows=_decode_rows(message.rows))
 
 
-def _conflicted(message: Any, peer: str) -> Event:
+def _decode_conflicted(message: Any, peer: str) -> Event:
     return commit.Conflicted(
-        submission_id=message.submission_id, rows=_rows(message.rows)
+        submission_id=message.submission_id, rows=_decode_rows(message.rows)
     )
 
 
 _DECODERS: Mapping[str, Callable[[Any, str], Event | None]] = {
-    "refused": _refused,
-    "cell_summary": _cell_summary,
-    "submit": _submit,
-    "fetched": _fetched,
-    "configured": _configured,
-    "entries": _entries,
-    "assigned": _assigned,
-    "conflicted": _conflicted,
+    "refused": _decode_refused,
+    "cell_summary": _decode_cell_summary,
+    "submit": _decode_submit,
+    "fetched": _decode_fetched,
+    "configured": _decode_configured,
+    "entries": _decode_entries,
+    "assigned": _decode_assigned,
+    "conflicted": _decode_conflicted,
     "job_item": decode_job_item,
     **{name: partial(_decode_plain, plain=plain) for name, plain in _PLAIN.items()},
 }
--- a/bulrushpulley/wire/link_server.py
+++ b/bulrushpulley/wire/link_server.py
@@ -12,13 +12,13 @@
 from bulrushpulley.wire.link_stream import (
     LinkHooks,
     LinkStream,
-    described,
     receive_hello,
     send_hello,
+    stream_problem,
 )
 from bulrushpulley.wire.links import Links
 
-BACKLOG = 1_024
+LISTEN_BACKLOG = 1_024
 
 
 class LinkService(LinkBase):
@@ -34,7 +34,7 @@
             hello = await receive_hello(stream, "agent")
             await send_hello(stream, self._hooks)
         except Exception as error:
-            self._hooks.report(described(error, "agent"))
+            self._hooks.report(stream_problem(error, "agent"))
             return
         link = LinkStream(
             peer=hello.peer, region=hello.region, stream=stream, hooks=self._hooks
@@ -57,7 +57,7 @@
         hooks: LinkHooks,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        self._listener = socket.create_server((host, port), backlog=BACKLOG)
+        self._listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._service = LinkService(links=links, hooks=hooks)
         self._tls = tls
         self.port: int = self._listener.getsockname()[1]
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -23,12 +23,12 @@
 from bulrushpulley.wire.link_codec import decode_item, encode_item
 from bulrushpulley.wire.link_pb2 import Frame, Item
 
-HEARTBEAT_S = 1.5
-SILENCE_S = 5.0
+HEARTBEAT_INTERVAL_S = 1.5
+SILENCE_TIMEOUT_S = 5.0
 MAX_QUEUED_ITEMS = 16_384
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
 MAX_FRAME_BYTES = 256 * 1024
-HELLO_S = 5.0
+HELLO_TIMEOUT_S = 5.0
 FRAME_OVERHEAD_BYTES = 14
 
 
@@ -47,8 +47,8 @@
     receive: Callable[[Event], None]
     count: Callable[[Count], None]
     report: Callable[[Problem], None]
-    heartbeat_s: float = HEARTBEAT_S
-    silence_s: float = SILENCE_S
+    heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
+    silence_timeout_s: float = SILENCE_TIMEOUT_S
 
 
 def link_error(*, code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
@@ -58,18 +58,18 @@
 
 
 @singledispatch
-def described(error: Exception, peer: str) -> Problem:
+def stream_problem(error: Exception, peer: str) -> Problem:
     """Return the problem for which a stream has ended."""
     detail = f"{type(error).__name__}: {error}"
     return Problem(code=Code.UNAVAILABLE, step="link.stream", peer=peer, detail=detail)
 
 
-@described.register
+@stream_problem.register
 def _(error: BulrushpulleyError, peer: str) -> Problem:
     return error.problem
 
 
-@described.register
+@stream_problem.register
 def _(error: TimeoutError, peer: str) -> Problem:
     detail = "nothing heard or sent within the time allowed"
     return Problem(code=Code.DEADLINE, step="link.stream", peer=peer, detail=detail)
@@ -77,7 +77,7 @@
 
 async def receive_hello(stream: Any, address: str) -> Frame:
     """Read the first frame of the other side, which names the peer."""
-    async with asyncio.timeout(HELLO_S):
+    async with asyncio.timeout(HELLO_TIMEOUT_S):
         frame = await stream.recv_message()
     if frame is None or not frame.peer:
         raise link_error(
@@ -107,8 +107,8 @@
         self._queue: deque[Item] = deque()
         self._queued_bytes = 0
         self._wake = asyncio.Event()
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._flushed = asyncio.Event()
+        self._flushed.set()
         self._closed: asyncio.Future[Problem | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -119,7 +119,7 @@
         item = encode_item(event)
         self._queue.append(item)
         self._queued_bytes += item.ByteSize()
-        self._idle.clear()
+        self._flushed.clear()
         self._wake.set()
         if len(self._queue) > MAX_QUEUED_ITEMS or self._queued_bytes > MAX_QUEUED_BYTES:
             detail = f"{len(self._queue)} items, {self._queued_bytes} bytes queued"
@@ -130,11 +130,11 @@
         if not self._closed.done():
             self._closed.set_result(problem)
 
-    async def flushed(self) -> None:
+    async def wait_flushed(self) -> None:
         """Wait until everything queued has been handed to the transport."""
-        await self._idle.wait()
+        await self._flushed.wait()
 
-    async def ended(self) -> None:
+    async def wait_ended(self) -> None:
         """Wait until `LinkDown` has been reported."""
         await self._ended.wait()
 
@@ -158,20 +158,20 @@
         problem = self._closed.result() if self._closed.done() else None
         self.close()
         self._hooks.receive(LinkDown(peer=self.peer))
-        self._idle.set()
+        self._flushed.set()
         self._ended.set()
         if problem is not None:
             self._hooks.report(problem)
         for error in errors:
             if isinstance(error, Exception):
-                self._hooks.report(described(error, self.peer))
+                self._hooks.report(stream_problem(error, self.peer))
 
     def _problem(self, code: Code, step: str, detail: str) -> Problem:
         return Problem(code=code, step=step, peer=self.peer, detail=detail)
 
     async def _read(self) -> None:
         while True:
-            async with asyncio.timeout(self._hooks.silence_s):
+            async with asyncio.timeout(self._hooks.silence_timeout_s):
                 frame = await self._stream.recv_message()
             if frame is None:
                 return
@@ -186,17 +186,17 @@
             await self._wait_for_items()
             frame = self._next_frame()
             self._count("link_bytes_sent", frame)
-            async with asyncio.timeout(self._hooks.silence_s):
+            async with asyncio.timeout(self._hooks.silence_timeout_s):
                 await self._stream.send_message(frame)
             if not self._queue:
-                self._idle.set()
+                self._flushed.set()
 
     async def _wait_for_items(self) -> None:
         if self._queue:
             return
         self._wake.clear()
         try:
-            async with asyncio.timeout(self._hooks.heartbeat_s):
+            async with asyncio.timeout(self._hooks.heartbeat_interval_s):
                 await self._wake.wait()
         except TimeoutError:
             return
--- a/bulrushpulley/wire/links.py
+++ b/bulrushpulley/wire/links.py
@@ -56,7 +56,7 @@
                     detail="the peer opened a newer stream",
                 ).problem
             )
-            await older.ended()
+            await older.wait_ended()
         self._by_peer[stream.peer] = stream
         try:
             await stream.run()
@@ -64,16 +64,16 @@
             if self._by_peer.get(stream.peer) is stream:
                 del self._by_peer[stream.peer]
 
-    async def close(self, within_s: float) -> None:
+    async def close(self, timeout_s: float) -> None:
         """Hand what is queued to the transport, then end every stream."""
         self._distribute()
         streams = list(self._by_peer.values())
         if not streams:
             return
-        flushes = [asyncio.ensure_future(stream.flushed()) for stream in streams]
-        _, late = await asyncio.wait(flushes, timeout=within_s)
-        for flush in late:
+        flushes = [asyncio.ensure_future(stream.wait_flushed()) for stream in streams]
+        _, unflushed = await asyncio.wait(flushes, timeout=timeout_s)
+        for flush in unflushed:
             flush.cancel()
         for stream in streams:
             stream.close()
-        await asyncio.gather(*(stream.ended() for stream in streams))
+        await asyncio.gather(*(stream.wait_ended() for stream in streams))
--- a/bulrushpulley/wire/operator_front.py
+++ b/bulrushpulley/wire/operator_front.py
@@ -12,7 +12,7 @@
 from bulrushpulley.wire.http_message import HttpReply, HttpRequest, invalid
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
-ANSWER_S = 15.0
+OPERATOR_ANSWER_TIMEOUT_S = 15.0
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/healthz"
 
@@ -84,14 +84,14 @@
         return _reply(operator_http.render(self._wait(call)))
 
     def _wait(self, call: PendingCall) -> Command:
-        answer = self._pending.wait(call, ANSWER_S)
+        answer = self._pending.wait(call, OPERATOR_ANSWER_TIMEOUT_S)
         if answer is not None:
             return answer
         problem = Problem(
             code=Code.OUTCOME_UNKNOWN,
             step="operators.wait",
             peer="controller",
-            detail=f"no answer within {ANSWER_S:g} s",
+            detail=f"no answer within {OPERATOR_ANSWER_TIMEOUT_S:g} s",
         )
         return Reject(call_id=call.call_id, problem=problem)
 
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -23,22 +23,22 @@
 from bulrushpulley.entities.status import Explanation, Status
 from bulrushpulley.entities.step import Command
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.wire.checked import Where
 from bulrushpulley.wire.records import (
     ParsedRecord,
     decode_object,
     parse_record,
     to_plain,
 )
+from bulrushpulley.wire.validation import ValueLocation
 
 STEP = "operators.parse"
 AUTHOR_HEADER = "x-author"
 TIMEOUT_HEADER = "x-timeout-s"
-SECONDS = r"[0-9]{1,4}(\.[0-9]{1,6})?"
+SECONDS_PATTERN = r"[0-9]{1,4}(\.[0-9]{1,6})?"
 MAX_AUTHOR_CHARS = 200
 MAX_REVISION_DIGITS = 18
 
-STATUS_OF_CODE: Mapping[Code, int] = {
+OPERATOR_STATUS_BY_CODE: Mapping[Code, int] = {
     Code.INVALID: 400,
     Code.UNKNOWN_KEY: 400,
     Code.UNKNOWN_KIND: 400,
@@ -50,8 +50,8 @@
     Code.DEADLINE: 504,
 }
 UNAVAILABLE_STATUS = 503
-LONGEST_WAIT_S = 10.0
-LONGEST_CALL_S = 15.0
+MAX_IN_FORCE_WAIT_S = 10.0
+MAX_OPERATOR_CALL_TIMEOUT_S = 15.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,9 +88,9 @@
 
     Raises `BulrushpulleyError`, or an `ExceptionGroup` of them, for bad input.
     """
-    by_name = {name.lower(): value for name, value in headers.items()}
-    author = _author(by_name)
-    within_s = _within_s(by_name)
+    header_by_name = {name.lower(): value for name, value in headers.items()}
+    author = _author(header_by_name)
+    timeout_s = _timeout_s(header_by_name)
     for route in ROUTES:
         matched = re.fullmatch(route.pattern, path)
         if route.method == method and matched is not None:
@@ -101,7 +101,7 @@
                 call_id=call_id,
                 author=author,
             )
-            return replace(route.parser(request), within_s=within_s)
+            return replace(route.parser(request), within_s=timeout_s)
     raise _refusal(f"no operation {method} {path[:200]}", Code.NOT_FOUND)
 
 
@@ -124,7 +124,7 @@
 
 def render_problems(problems: tuple[Problem, ...]) -> HttpAnswer:
     """Return the answer that reports problems; the first one sets its status."""
-    status = STATUS_OF_CODE.get(problems[0].code, UNAVAILABLE_STATUS)
+    status = OPERATOR_STATUS_BY_CODE.get(problems[0].code, UNAVAILABLE_STATUS)
     return _answer(status, {"problems": to_plain(problems)})
 
 
@@ -172,21 +172,21 @@
 def _refusal(
     detail: str, code: Code = Code.INVALID, field: str = ""
 ) -> BulrushpulleyError:
-    where = Where(step=STEP, peer="operator", field=field)
-    return BulrushpulleyError(problem=where.problem(detail, code))
+    location = ValueLocation(step=STEP, peer="operator", field=field)
+    return BulrushpulleyError(problem=location.problem(detail, code))
 
 
-def _within_s(by_name: Mapping[str, str]) -> float:
-    text = by_name.get(TIMEOUT_HEADER)
+def _timeout_s(header_by_name: Mapping[str, str]) -> float:
+    text = header_by_name.get(TIMEOUT_HEADER)
     if text is None:
-        return LONGEST_CALL_S
-    if re.fullmatch(SECONDS, text) is None:
+        return MAX_OPERATOR_CALL_TIMEOUT_S
+    if re.fullmatch(SECONDS_PATTERN, text) is None:
         raise _refusal("must be a number of seconds", field=TIMEOUT_HEADER)
-    return min(float(text), LONGEST_CALL_S)
+    return min(float(text), MAX_OPERATOR_CALL_TIMEOUT_S)
 
 
-def _author(by_name: Mapping[str, str]) -> str:
-    author = by_name.get(AUTHOR_HEADER, "unknown")
+def _author(header_by_name: Mapping[str, str]) -> str:
+    author = header_by_name.get(AUTHOR_HEADER, "unknown")
     if len(author) > MAX_AUTHOR_CHARS or not author.isprintable():
         raise _refusal("must be short and printable", field=AUTHOR_HEADER)
     return author
@@ -198,20 +198,20 @@
     return int(text)
 
 
-def _expected(query: Mapping[str, str]) -> int:
+def _expected_revision(query: Mapping[str, str]) -> int:
     unknown = [key for key in query if key != "revision"]
     if unknown:
         raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     return _number(query.get("revision", "0"), "revision")
 
 
-def _record(request: Request) -> ParsedRecord:
+def _parse_body_record(request: Request) -> ParsedRecord:
     raw = decode_object(request.body, peer=request.author)
     return parse_record(raw, peer=request.author)
 
 
 def _submit(request: Request) -> ops.OperatorCall:
-    parsed = _record(request)
+    parsed = _parse_body_record(request)
     return ops.SubmitRecord(
         call_id=request.call_id,
         author=parsed.author or request.author,
@@ -222,7 +222,7 @@
 
 
 def _amend(request: Request) -> ops.OperatorCall:
-    parsed = _record(request)
+    parsed = _parse_body_record(request)
     kind, name = request.parts
     if (parsed.kind, parsed.record.name) != (kind, name):
         raise _refusal(
@@ -234,7 +234,7 @@
         kind=parsed.kind,
         schema_version=parsed.schema_version,
         record=parsed.record,
-        expected_revision=_expected(request.query),
+        expected_revision=_expected_revision(request.query),
     )
 
 
@@ -251,7 +251,7 @@
             author=request.author,
             failure_domain=request.parts[0],
             state=state,
-            expected_revision=_expected(request.query),
+            expected_revision=_expected_revision(request.query),
         )
 
     return parser
@@ -291,9 +291,9 @@
     if unknown:
         raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     text = query.get("wait_s", "0")
-    if re.fullmatch(SECONDS, text) is None:
+    if re.fullmatch(SECONDS_PATTERN, text) is None:
         raise _refusal("must be a number of seconds", field="wait_s")
-    return min(float(text), LONGEST_WAIT_S)
+    return min(float(text), MAX_IN_FORCE_WAIT_S)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -305,22 +305,30 @@
     parser: Parser
 
 
-NAME = "([^/]{1,63})"
+NAME_PATTERN = "([^/]{1,63})"
 ROUTES: tuple[Route, ...] = (
     Route(method="POST", pattern="/v1/records", parser=_submit),
-    Route(method="PUT", pattern=f"/v1/records/{NAME}/{NAME}", parser=_amend),
-    Route(method="POST", pattern=f"/v1/jobs/{NAME}/cancel", parser=_cancel),
+    Route(
+        method="PUT",
+        pattern=f"/v1/records/{NAME_PATTERN}/{NAME_PATTERN}",
+        parser=_amend,
+    ),
+    Route(method="POST", pattern=f"/v1/jobs/{NAME_PATTERN}/cancel", parser=_cancel),
     Route(
         method="POST",
-        pattern=f"/v1/failure-domains/{NAME}/drain",
+        pattern=f"/v1/failure-domains/{NAME_PATTERN}/drain",
         parser=_change_domain(DomainState.DRAINED),
     ),
     Route(
         method="POST",
-        pattern=f"/v1/failure-domains/{NAME}/restore",
+        pattern=f"/v1/failure-domains/{NAME_PATTERN}/restore",
         parser=_change_domain(DomainState.IN_SERVICE),
     ),
     Route(method="GET", pattern="/v1/status", parser=_status),
-    Route(method="GET", pattern=f"/v1/explain/{NAME}/{NAME}", parser=_explain),
+    Route(
+        method="GET",
+        pattern=f"/v1/explain/{NAME_PATTERN}/{NAME_PATTERN}",
+        parser=_explain,
+    ),
     Route(method="GET", pattern="/v1/in-force/([0-9]{1,18})", parser=_in_force),
 )
--- a/bulrushpulley/wire/pending.py
+++ b/bulrushpulley/wire/pending.py
@@ -42,10 +42,10 @@
         if call is not None:
             call.answer.set_result(command)
 
-    def wait(self, call: PendingCall, within_s: float) -> Command | None:
+    def wait(self, call: PendingCall, timeout_s: float) -> Command | None:
         """Wait for the answer of a call, and abandon it if none comes in time."""
         try:
-            return call.answer.result(within_s)
+            return call.answer.result(timeout_s)
         except TimeoutError:
             if self.abandon(call.call_id):
                 return None
--- a/bulrushpulley/wire/record_forms.py
+++ b/bulrushpulley/wire/record_forms.py
@@ -21,13 +21,13 @@
     WorkerRecord,
 )
 from bulrushpulley.entities.resources import Resources
-from bulrushpulley.wire.checked import Length, Range, Text
+from bulrushpulley.wire.validation import Length, Range, Text
 
 MB_PER_GB = 1_024
 MILLI = 1_000
 
-Name = Annotated[str, Text(pattern="[a-z0-9]([a-z0-9.-]*[a-z0-9])?", longest=63)]
-Names = Annotated[tuple[Name, ...], Length(most=64)]
+Name = Annotated[str, Text(pattern="[a-z0-9]([a-z0-9.-]*[a-z0-9])?", max_characters=63)]
+Names = Annotated[tuple[Name, ...], Length(max_items=64)]
 Processors = Annotated[float, Range(low=0.001, high=1_024)]
 Gigabytes = Annotated[float, Range(low=0.001, high=16_384)]
 Seconds = Annotated[float, Range(low=0.001, high=30 * 86_400)]
@@ -136,7 +136,7 @@
     """One worker of a cell."""
 
     worker_id: Name
-    url: Annotated[str, Text(pattern="https?://[^\\s]+", longest=300)]
+    url: Annotated[str, Text(pattern="https?://[^\\s]+", max_characters=300)]
     rack: Name
     capacity: SizeForm
 
@@ -147,10 +147,10 @@
 
     name: Name
     failure_domain: Name
-    workers: Annotated[tuple[WorkerForm, ...], Length(most=64)]
+    workers: Annotated[tuple[WorkerForm, ...], Length(max_items=64)]
 
 
-def _resources(form: SizeForm | AmountForm) -> Resources:
+def _resources_from_form(form: SizeForm | AmountForm) -> Resources:
     return Resources(
         processors_m=form.processors_m,
         memory_mb=form.memory_mb,
@@ -158,7 +158,7 @@
     )
 
 
-def _from_units(processors: float, memory_gb: float) -> Resources:
+def _resources_from_units(processors: float, memory_gb: float) -> Resources:
     return Resources(
         processors_m=max(1, round(processors * MILLI)),
         memory_mb=max(1, round(memory_gb * MB_PER_GB)),
@@ -177,7 +177,7 @@
         name=form.name,
         department=form.department,
         replicas=form.executors,
-        size=_from_units(form.processors, form.memory_gb),
+        size=_resources_from_units(form.processors, form.memory_gb),
         failure_domains=form.failure_domains,
         deadline_ms=max(1, round(form.deadline_s * MILLI)),
     )
@@ -189,7 +189,7 @@
         name=form.name,
         department=form.department,
         replicas=form.replicas,
-        size=_resources(form.size),
+        size=_resources_from_form(form.size),
         failure_domains=form.failure_domains,
         deadline_ms=form.deadline_ms,
         latency_target_ms=form.latency_target_ms,
@@ -202,7 +202,7 @@
         name=form.name,
         department=form.department,
         tasks=form.tasks,
-        size=_from_units(form.processors, form.memory_gb),
+        size=_resources_from_units(form.processors, form.memory_gb),
         run_s=form.run_s,
         priority=form.priority,
         failure_domains=form.failure_domains,
@@ -215,7 +215,7 @@
         name=form.name,
         department=form.department,
         tasks=form.tasks,
-        size=_resources(form.size),
+        size=_resources_from_form(form.size),
         run_s=form.run_s,
         priority=form.priority,
         urgent=form.urgent,
@@ -236,7 +236,7 @@
         department=form.department,
         latency_weight=form.latency_weight,
         eviction_weight=form.eviction_weight,
-        quota=_resources(form.quota),
+        quota=_resources_from_form(form.quota),
     )
 
 
@@ -247,7 +247,7 @@
             worker_id=worker.worker_id,
             url=worker.url,
             rack=worker.rack,
-            capacity=_resources(worker.capacity),
+            capacity=_resources_from_form(worker.capacity),
         )
         for worker in form.workers
     )
--- a/bulrushpulley/wire/records.py
+++ b/bulrushpulley/wire/records.py
@@ -24,7 +24,7 @@
 from bulrushpulley.entities.records import CellRecord, Record
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire import record_forms as forms
-from bulrushpulley.wire.checked import Where, build, raise_problems
+from bulrushpulley.wire.validation import ValueLocation, build, raise_problems
 
 STEP = "records.check"
 MAX_RECORD_BYTES = 256 * 1024
@@ -51,18 +51,18 @@
 
 def decode_object(body: bytes, *, peer: str) -> Mapping[str, Any]:
     """Decode a JSON object of bounded size."""
-    where = Where(step=STEP, peer=peer)
+    location = ValueLocation(step=STEP, peer=peer)
     if len(body) > MAX_RECORD_BYTES:
         detail = f"a record has at most {MAX_RECORD_BYTES} bytes, not {len(body)}"
-        raise BulrushpulleyError(problem=where.problem(detail, Code.TOO_LARGE))
+        raise BulrushpulleyError(problem=location.problem(detail, Code.TOO_LARGE))
     try:
         raw = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
         raise BulrushpulleyError(
-            problem=where.problem(f"malformed JSON: {error}")
+            problem=location.problem(f"malformed JSON: {error}")
         ) from error
     if not isinstance(raw, dict):
-        raise BulrushpulleyError(problem=where.problem("must be a JSON object"))
+        raise BulrushpulleyError(problem=location.problem("must be a JSON object"))
     return raw
 
 
@@ -71,48 +71,52 @@
 
     Raises an `ExceptionGroup` of `BulrushpulleyError` with every problem found.
     """
-    where = Where(step=STEP, peer=peer)
+    location = ValueLocation(step=STEP, peer=peer)
     kind, version, author = (raw.get("kind"), raw.get("schema_version"), "")
-    problems = _header_problems(kind, version, where)
+    problems = _header_problems(kind, version, location)
     if "author" in raw:
         author = raw["author"]
         if type(author) is not str:
-            problems.append(where.at("author").problem("must be str"))
+            problems.append(location.at("author").problem("must be str"))
     raise_problems(tuple(problems))
     fields = {key: value for key, value in raw.items() if key not in HEADER_KEYS}
     form = FORMS[str(kind)][int(str(version))]
     record = forms.to_record(build(form, fields, step=STEP, peer=peer))
-    raise_problems(further_problems(record, where))
+    raise_problems(cross_field_problems(record, location))
     return ParsedRecord(
         kind=str(kind), schema_version=int(str(version)), author=author, record=record
     )
 
 
-def _header_problems(kind: object, version: object, where: Where) -> list[Problem]:
+def _header_problems(
+    kind: object, version: object, location: ValueLocation
+) -> list[Problem]:
     versions = FORMS.get(kind) if type(kind) is str else None
     if versions is None:
         detail = f"must be one of {', '.join(FORMS)}"
-        return [where.at("kind").problem(detail, Code.UNKNOWN_KIND)]
+        return [location.at("kind").problem(detail, Code.UNKNOWN_KIND)]
     if type(version) is not int or version not in versions:
         known = ", ".join(str(number) for number in versions)
         detail = f"must be one of {known} for a {kind}"
-        return [where.at("schema_version").problem(detail, Code.SCHEMA_VERSION)]
+        return [location.at("schema_version").problem(detail, Code.SCHEMA_VERSION)]
     return []
 
 
 @singledispatch
-def further_problems(record: Record, where: Where) -> tuple[Problem, ...]:
+def cross_field_problems(
+    record: Record, location: ValueLocation
+) -> tuple[Problem, ...]:
     """Return the problems that show only across the fields of a record."""
     return ()
 
 
-@further_problems.register
-def _(record: CellRecord, where: Where) -> tuple[Problem, ...]:
+@cross_field_problems.register
+def _(record: CellRecord, location: ValueLocation) -> tuple[Problem, ...]:
     ids = [worker.worker_id for worker in record.workers]
     return tuple(
-        where.at(f"workers.{place}.worker_id").problem("stands twice in the cell")
-        for place, worker_id in enumerate(ids)
-        if worker_id in ids[:place]
+        location.at(f"workers.{index}.worker_id").problem("stands twice in the cell")
+        for index, worker_id in enumerate(ids)
+        if worker_id in ids[:index]
     )
 
 
--- a/bulrushpulley/wire/rows.py
+++ b/bulrushpulley/wire/rows.py
@@ -71,7 +71,7 @@
     return msgspec.json.Decoder(form).decode
 
 
-RECORD_BY_KIND: Mapping[str, Callable[[msgspec.Raw], Record]] = {
+RECORD_DECODER_BY_KIND: Mapping[str, Callable[[msgspec.Raw], Record]] = {
     "service": _decoder(ServiceRecord),
     "job": _decoder(JobRecord),
     "failure_domain": _decoder(FailureDomainRecord),
@@ -96,18 +96,18 @@
 
 def _decode_record_row(data: msgspec.Raw) -> RecordRow:
     form = _decode_record_form(data)
-    if form.kind not in RECORD_BY_KIND:
+    if form.kind not in RECORD_DECODER_BY_KIND:
         raise _malformed(f"unknown kind of record {form.kind!r}")
     return RecordRow(
         kind=form.kind,
         schema_version=form.schema_version,
-        record=RECORD_BY_KIND[form.kind](form.record),
+        record=RECORD_DECODER_BY_KIND[form.kind](form.record),
         author=form.author,
         revision=form.revision,
     )
 
 
-ROW_BY_KIND: Mapping[str, Callable[[msgspec.Raw], DurableRow]] = {
+ROW_DECODER_BY_KIND: Mapping[str, Callable[[msgspec.Raw], DurableRow]] = {
     "record": _decode_record_row,
     "revision": _decoder(RevisionRow),
     "backlog": _decoder(BacklogRow),
@@ -137,9 +137,9 @@
     """Decode what `encode_row` made; raises `BulrushpulleyError` on anything else."""
     try:
         envelope = _decode_envelope(data)
-        if envelope.kind not in ROW_BY_KIND:
+        if envelope.kind not in ROW_DECODER_BY_KIND:
             raise _malformed(f"unknown kind of row {envelope.kind!r}")
-        row = ROW_BY_KIND[envelope.kind](envelope.row)
+        row = ROW_DECODER_BY_KIND[envelope.kind](envelope.row)
     except msgspec.MsgspecError as error:
         raise _malformed(str(error)) from error
     return DecodedRow(row=row, token=envelope.token)
--- a/bulrushpulley/wire/checked.py
+++ b/bulrushpulley/wire/validation.py
@@ -47,26 +47,26 @@
     """The pattern that a whole string must match and its longest length."""
 
     pattern: str = ".*"
-    longest: int = 1_000
+    max_characters: int = 1_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Length:
     """The most and fewest items of a tuple or mapping."""
 
-    fewest: int = 0
-    most: int = 10_000
+    min_items: int = 0
+    max_items: int = 10_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Where:
+class ValueLocation:
     """Where a value stands: the step and peer of its errors and its dotted path."""
 
     step: str
     peer: str
     field: str = ""
 
-    def at(self, name: str) -> Where:
+    def at(self, name: str) -> ValueLocation:
         """Return the place of a key below this one."""
         path = f"{self.field}.{name}" if self.field else name
         return dataclasses.replace(self, field=path)
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Read:
+class ReadResult:
     """A value that was read, or the problems that keep it from being read."""
 
     value: Any = None
@@ -141,9 +141,11 @@
 
     Raises an `ExceptionGroup` of `BulrushpulleyError`, one for each problem.
     """
-    outcome = read(RecordShape(of=cls), raw, Where(step=step, peer=peer, field=field))
-    raise_problems(outcome.problems)
-    value: T = outcome.value
+    result = read(
+        RecordShape(of=cls), raw, ValueLocation(step=step, peer=peer, field=field)
+    )
+    raise_problems(result.problems)
+    value: T = result.value
     return value
 
 
@@ -200,70 +202,73 @@
 
 
 @singledispatch
-def read(shape: Shape, raw: object, where: Where) -> Read:
+def read(shape: Shape, raw: object, location: ValueLocation) -> ReadResult:
     """Read a decoded value in the given shape."""
     raise NotImplementedError(f"no reader for {type(shape).__name__}")
 
 
 @read.register
-def _(shape: ScalarShape, raw: object, where: Where) -> Read:
+def _(shape: ScalarShape, raw: object, location: ValueLocation) -> ReadResult:
     if shape.of is float and type(raw) is int:
         raw = float(raw)
     if type(raw) is not shape.of:
         detail = f"must be {shape.of.__name__}, not {type(raw).__name__}"
-        return Read(problems=(where.problem(detail),))
+        return ReadResult(problems=(location.problem(detail),))
     if shape.of is float and not math.isfinite(typing.cast(float, raw)):
-        return Read(problems=(where.problem("must be a finite number"),))
-    return _limited(raw, shape.limits, where)
+        return ReadResult(problems=(location.problem("must be a finite number"),))
+    return _check_limits(raw, shape.limits, location)
 
 
 @read.register
-def _(shape: ChoiceShape, raw: object, where: Where) -> Read:
+def _(shape: ChoiceShape, raw: object, location: ValueLocation) -> ReadResult:
     by_value = {member.value: member for member in shape.of}
     if type(raw) is str and raw in by_value:
-        return Read(value=by_value[raw])
-    return Read(problems=(where.problem(f"must be one of {', '.join(by_value)}"),))
+        return ReadResult(value=by_value[raw])
+    return ReadResult(
+        problems=(location.problem(f"must be one of {', '.join(by_value)}"),)
+    )
 
 
 @read.register
-def _(shape: OptionalShape, raw: object, where: Where) -> Read:
-    return Read() if raw is None else read(shape.item, raw, where)
+def _(shape: OptionalShape, raw: object, location: ValueLocation) -> ReadResult:
+    return ReadResult() if raw is None else read(shape.item, raw, location)
 
 
 @read.register
-def _(shape: ItemsShape, raw: object, where: Where) -> Read:
+def _(shape: ItemsShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, (list, tuple)):
-        return Read(problems=(where.problem("must be a list"),))
+        return ReadResult(problems=(location.problem("must be a list"),))
     parts = [
-        read(shape.item, item, where.at(str(place))) for place, item in enumerate(raw)
+        read(shape.item, item, location.at(str(index)))
+        for index, item in enumerate(raw)
     ]
     problems = tuple(problem for part in parts for problem in part.problems)
     if problems:
-        return Read(problems=problems)
-    return _limited(tuple(part.value for part in parts), shape.limits, where)
+        return ReadResult(problems=problems)
+    return _check_limits(tuple(part.value for part in parts), shape.limits, location)
 
 
 @read.register
-def _(shape: MappingShape, raw: object, where: Where) -> Read:
+def _(shape: MappingShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
-        return Read(problems=(where.problem("must be a table of keys"),))
+        return ReadResult(problems=(location.problem("must be a table of keys"),))
     parts = {
-        key: read(shape.item, item, where.at(str(key))) for key, item in raw.items()
+        key: read(shape.item, item, location.at(str(key))) for key, item in raw.items()
     }
     problems = tuple(problem for part in parts.values() for problem in part.problems)
     if problems:
-        return Read(problems=problems)
+        return ReadResult(problems=problems)
     value = {key: part.value for key, part in parts.items()}
-    return _limited(value, shape.limits, where)
+    return _check_limits(value, shape.limits, location)
 
 
 @read.register
-def _(shape: RecordShape, raw: object, where: Where) -> Read:
+def _(shape: RecordShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
-        return Read(problems=(where.problem("must be a table of keys"),))
+        return ReadResult(problems=(location.problem("must be a table of keys"),))
     shapes = shapes_of(shape.of)
     problems = [
-        where.at(str(key)).problem("unknown key", Code.UNKNOWN_KEY)
+        location.at(str(key)).problem("unknown key", Code.UNKNOWN_KEY)
         for key in raw
         if key not in shapes
     ]
@@ -271,14 +276,14 @@
     for item in dataclasses.fields(shape.of):
         if item.name not in raw:
             if _is_required(item):
-                problems.append(where.at(item.name).problem("is required"))
+                problems.append(location.at(item.name).problem("is required"))
             continue
-        part = read(shapes[item.name], raw[item.name], where.at(item.name))
+        part = read(shapes[item.name], raw[item.name], location.at(item.name))
         problems.extend(part.problems)
         values[item.name] = part.value
     if problems:
-        return Read(problems=tuple(problems))
-    return Read(value=shape.of(**values))
+        return ReadResult(problems=tuple(problems))
+    return ReadResult(value=shape.of(**values))
 
 
 def _is_required(item: dataclasses.Field[Any]) -> bool:
@@ -286,11 +291,15 @@
     return item.default is missing and item.default_factory is missing
 
 
-def _limited(value: Any, limits: tuple[object, ...], where: Where) -> Read:
-    found = [detail for limit in limits if (detail := violation(limit, value))]
-    if found:
-        return Read(problems=tuple(where.problem(detail) for detail in found))
-    return Read(value=value)
+def _check_limits(
+    value: Any, limits: tuple[object, ...], location: ValueLocation
+) -> ReadResult:
+    violations = [detail for limit in limits if (detail := violation(limit, value))]
+    if violations:
+        return ReadResult(
+            problems=tuple(location.problem(detail) for detail in violations)
+        )
+    return ReadResult(value=value)
 
 
 @singledispatch
@@ -308,8 +317,8 @@
 
 @violation.register
 def _(limit: Text, value: Any) -> str:
-    if len(value) > limit.longest:
-        return f"must have at most {limit.longest} characters"
+    if len(value) > limit.max_characters:
+        return f"must have at most {limit.max_characters} characters"
     if re.fullmatch(limit.pattern, value) is None:
         return f"must match {limit.pattern}"
     return ""
@@ -317,6 +326,6 @@
 
 @violation.register
 def _(limit: Length, value: Any) -> str:
-    if limit.fewest <= len(value) <= limit.most:
+    if limit.min_items <= len(value) <= limit.max_items:
         return ""
-    return f"must have {limit.fewest} to {limit.most} items, not {len(value)}"
+    return f"must have {limit.min_items} to {limit.max_items} items, not {len(value)}"
--- a/test/runner.py
+++ b/test/runner.py
@@ -16,7 +16,7 @@
 SLOW_TEST_S = 5.0
 
 
-def known_reds() -> set[str]:
+def known_failures() -> set[str]:
     """Read the ids of the tests that may fail."""
     lines = (ROOT / "KNOWN-RED.txt").read_text().splitlines()
     entries = [line for line in lines if line and not line.startswith("#")]
@@ -34,9 +34,9 @@
         super().startTest(test)
 
     def stopTest(self, test: unittest.TestCase) -> None:
-        took = time.monotonic() - self.started
-        if took > SLOW_TEST_S:
-            print(f"slow: {test.id()} {took:.1f} s", file=sys.stderr)
+        duration_s = time.monotonic() - self.started
+        if duration_s > SLOW_TEST_S:
+            print(f"slow: {test.id()} {duration_s:.1f} s", file=sys.stderr)
         super().stopTest(test)
 
     def addSuccess(self, test: unittest.TestCase) -> None:
@@ -44,12 +44,12 @@
         super().addSuccess(test)
 
 
-def selected(suite: unittest.TestSuite, parts: list[str]) -> unittest.TestSuite:
+def select_tests(suite: unittest.TestSuite, parts: list[str]) -> unittest.TestSuite:
     """Keep the tests whose id contains one of the parts; all without parts."""
     chosen = unittest.TestSuite()
     for item in suite:
         if isinstance(item, unittest.TestSuite):
-            chosen.addTests(selected(item, parts))
+            chosen.addTests(select_tests(item, parts))
         elif not parts or any(part in item.id() for part in parts):
             chosen.addTest(item)
     return chosen
@@ -58,17 +58,17 @@
 def main() -> int:
     """Run the selected tests and return the exit code."""
     found = unittest.TestLoader().discover(str(ROOT / "test"), top_level_dir=str(ROOT))
-    suite = selected(found, sys.argv[1:])
+    suite = select_tests(found, sys.argv[1:])
     runner = unittest.TextTestRunner(resultclass=Result, verbosity=1)  # type: ignore[arg-type]
     result = runner.run(suite)
     assert isinstance(result, Result)
-    reds = known_reds()
-    broken = [test.id() for test, _ in result.failures + result.errors]
-    red = sorted(name for name in broken if name in reds)
-    failed = sorted(name for name in broken if name not in reds)
-    for name in red:
+    known_ids = known_failures()
+    not_passed = [test.id() for test, _ in result.failures + result.errors]
+    known_failed = sorted(name for name in not_passed if name in known_ids)
+    failed = sorted(name for name in not_passed if name not in known_ids)
+    for name in known_failed:
         print(f"known red: {name}")
-    print(f"{result.passed} passed, {len(failed)} failed, {len(red)} skipped")
+    print(f"{result.passed} passed, {len(failed)} failed, {len(known_failed)} skipped")
     return 1 if failed or not result.passed else 0
 
 
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -67,11 +67,11 @@
     def setUp(self) -> None:
         super().setUp()
         self.pending = PendingCalls(incarnation="e/1")
-        self.told: list[Event] = []
+        self.received: list[Event] = []
         self.answer: Callable[[CallReceived], Any] = lambda event: None
 
     def tell(self, event: Event) -> None:
-        self.told.append(event)
+        self.received.append(event)
         command = self.answer(event) if isinstance(event, CallReceived) else None
         if command is not None:
             self.pending.resolve(command.call_id, command)
@@ -99,7 +99,7 @@
             head, _, body = sock.makefile("rb").read().partition(b"\r\n\r\n")
         return int(head.split(b" ")[1]), json.loads(body)
 
-    def test_bad_input_gets_an_error_and_tells_the_router_nothing(self) -> None:
+    def test_bad_input_gets_an_error_and_sends_the_router_nothing(self) -> None:
         port = self.serve_callers().port
         for name, data, status, field, detail in RAW_CASES:
             with self.subTest(name):
@@ -108,7 +108,7 @@
                 self.assertIn(detail, problem["detail"])
                 self.assertEqual("no", problem["ran"])
                 self.assertIn(HOST, problem["peer"])
-        self.assertEqual([], self.told)
+        self.assertEqual([], self.received)
 
     def test_an_answer_goes_to_its_own_call(self) -> None:
         self.answer = lambda event: AnswerCall(
@@ -121,7 +121,7 @@
             self.assertTrue(reply.data == body * 2)
             self.assertEqual("yes", reply.headers["X-Ran"])
 
-    def test_a_refusal_says_whether_the_request_ran(self) -> None:
+    def test_a_refusal_states_whether_the_request_ran(self) -> None:
         cases = ((Code.OVERLOADED, Ran.NO, 503), (Code.OVERLOADED, Ran.UNKNOWN, 504))
         url = f"http://{HOST}:{self.serve_callers().port}/v1/call/s"
         for code, ran, status in cases:
@@ -139,10 +139,10 @@
             "POST", url, headers={"X-Deadline-Ms": "50"}, retries=False
         )
         self.assertEqual((504, "unknown"), (reply.status, reply.json()["ran"]))
-        self.assertEqual(CallAbandoned, type(self.told[-1]))
+        self.assertEqual(CallAbandoned, type(self.received[-1]))
 
-    def test_a_dripping_request_loses_its_thread(self) -> None:
-        self.patch(http_server, "READ_S", 0.4)
+    def test_a_slowly_sent_request_times_out(self) -> None:
+        self.patch(http_server, "REQUEST_READ_TIMEOUT_S", 0.4)
         port = self.serve_callers(threads=1).port
         with socket.create_connection((HOST, port), timeout=5.0) as sock:
             started = time.monotonic()
@@ -164,26 +164,26 @@
         sock.sendall(data)
         return sock
 
-    def wait_until_told(self) -> None:
+    def wait_until_received(self) -> None:
         """Wait until a thread of the server handles a call."""
         pause = threading.Event()
         until = time.monotonic() + 5.0
-        while not self.told and time.monotonic() < until:
+        while not self.received and time.monotonic() < until:
             pause.wait(0.01)
 
-    def test_full_callers_leave_operators_their_threads(self) -> None:
+    def test_operators_are_served_while_callers_use_all_threads(self) -> None:
         callers = self.serve_callers(threads=1)
         health = HealthFront(is_leaving=lambda: False, metrics_text=lambda: "a 1\n")
         operators = self.serve(health.handle, threads=1)
         data = CALL + b"X-Deadline-Ms: 2000\r\n\r\n"
-        held = [self.send(callers.port, data)]
-        self.wait_until_told()
-        held += [self.send(callers.port, data) for _ in range(5)]
+        connections = [self.send(callers.port, data)]
+        self.wait_until_received()
+        connections += [self.send(callers.port, data) for _ in range(5)]
         threading.Event().wait(0.2)
         started = time.monotonic()
         url = f"http://{HOST}:{operators.port}"
         self.assertEqual(200, urllib3.request("GET", url + "/healthz").status)
         self.assertEqual(b"a 1\n", urllib3.request("GET", url + "/metrics").data)
         self.assertTrue(time.monotonic() - started < 0.5)
-        answers = [sock.recv(12) for sock in held]
+        answers = [sock.recv(12) for sock in connections]
         self.assertEqual(3, answers.count(b"HTTP/1.1 503"), str(answers))
--- a/test/test_link_codec.py
+++ b/test/test_link_codec.py
@@ -136,7 +136,7 @@
         self.assertEqual(names, set(ITEMS))
         self.assertEqual(names, set(_DECODERS))
 
-    def test_an_item_of_a_newer_version_is_passed_over(self) -> None:
+    def test_an_item_of_a_newer_version_is_ignored(self) -> None:
         newer = pb.Item.FromString(b"\xfa\x01\x02\x08\x01")
         self.assertIsNone(decode_item(newer, PEER))
 
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -27,7 +27,7 @@
 
 HOST = "127.0.0.1"
 TLS = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
-WITHIN_S = 4.0
+TIMEOUT_S = 4.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,23 +36,23 @@
 
     name: str
     links: Links
-    told: asyncio.Queue[Event] = field(default_factory=asyncio.Queue)
+    events: asyncio.Queue[Event] = field(default_factory=asyncio.Queue)
     problems: list[Problem] = field(default_factory=list)
-    silence_s: float = link_stream.SILENCE_S
+    silence_timeout_s: float = link_stream.SILENCE_TIMEOUT_S
 
     def hooks(self) -> LinkHooks:
         return LinkHooks(
             incarnation=self.name,
             region="ege",
-            receive=self.told.put_nowait,
+            receive=self.events.put_nowait,
             count=lambda count: None,
             report=self.problems.append,
-            silence_s=self.silence_s,
+            silence_timeout_s=self.silence_timeout_s,
         )
 
     async def wait_for(self, wanted: Event) -> None:
-        async with asyncio.timeout(WITHIN_S):
-            while await self.told.get() != wanted:
+        async with asyncio.timeout(TIMEOUT_S):
+            while await self.events.get() != wanted:
                 pass
 
 
@@ -64,9 +64,11 @@
     )
 
 
-def make_end(name: str, silence_s: float = link_stream.SILENCE_S) -> End:
+def make_end(
+    name: str, silence_timeout_s: float = link_stream.SILENCE_TIMEOUT_S
+) -> End:
     links = Links(loop=asyncio.get_running_loop())
-    return End(name=name, links=links, silence_s=silence_s)
+    return End(name=name, links=links, silence_timeout_s=silence_timeout_s)
 
 
 async def serve(entry: End) -> LinkServer:
@@ -113,15 +115,15 @@
             for number in range(500):
                 entry.links.send(Send(peer="agent", item=Offer(cell=str(number))))
             for number in range(500):
-                async with asyncio.timeout(WITHIN_S):
-                    event = await agent.told.get()
+                async with asyncio.timeout(TIMEOUT_S):
+                    event = await agent.events.get()
                 self.assertEqual(Offer(peer="entry", cell=str(number)), event)
             await finish(server, agent, entry)
             self.assertIsNotNone(dialler)
 
         self.run_async(work())
 
-    def test_a_stream_opened_before_the_start_is_told_after_it(self) -> None:
+    def test_a_stream_opened_before_the_start_is_reported_after_it(self) -> None:
         async def work() -> None:
             entry, agent = make_end("entry"), make_end("agent")
             server = LinkServer(
@@ -129,7 +131,7 @@
             )
             dialler = await dial(agent, server)
             await asyncio.sleep(0.1)
-            self.assertTrue(entry.told.empty())
+            self.assertTrue(entry.events.empty())
             await server.start()
             await entry.wait_for(LinkUp(peer="agent", region="ege"))
             await finish(server, agent, entry)
@@ -169,14 +171,14 @@
                 await stream.cancel()
             channel.close()
             self.assertEqual(["link.hello"], [p.step for p in entry.problems])
-            self.assertTrue(entry.told.empty())
+            self.assertTrue(entry.events.empty())
             await finish(server, entry)
 
         self.run_async(work())
 
     def test_a_silent_peer_is_dropped(self) -> None:
         async def work() -> None:
-            entry = make_end("entry", silence_s=0.2)
+            entry = make_end("entry", silence_timeout_s=0.2)
             server = await serve(entry)
 
             async def stay_silent(stream: Any) -> None:
@@ -251,8 +253,8 @@
                 diallers.append(dialler)
             await ends["ours"].wait_for(LinkUp(peer="entry", region="ege"))
             for name in ("theirs", "plain"):
-                async with asyncio.timeout(WITHIN_S):
-                    self.assertEqual(DialEnded, type(await ends[name].told.get()))
+                async with asyncio.timeout(TIMEOUT_S):
+                    self.assertEqual(DialEnded, type(await ends[name].events.get()))
             self.assertFalse(entry.links.has("theirs") or entry.links.has("plain"))
             await finish(server, *ends.values(), entry)
 
--- a/test/test_records_checked.py
+++ b/test/test_records_checked.py
@@ -10,7 +10,7 @@
 import testtools
 
 from bulrushpulley.errors import Code
-from bulrushpulley.wire.checked import Length, Range, Text, build
+from bulrushpulley.wire.validation import Length, Range, Text, build
 
 
 class Colour(enum.Enum):
@@ -24,11 +24,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outer:
-    name: Annotated[str, Text(pattern="[a-z]+", longest=5)]
+    name: Annotated[str, Text(pattern="[a-z]+", max_characters=5)]
     share: float = 1.0
     colour: Colour = Colour.RED
     inner: Inner = field(default_factory=Inner)
-    many: Annotated[tuple[Inner, ...], Length(most=2)] = ()
+    many: Annotated[tuple[Inner, ...], Length(max_items=2)] = ()
     by_name: Mapping[str, int] = field(default_factory=dict)
     maybe: str | None = None
 
--- a/test/test_records_forms.py
+++ b/test/test_records_forms.py
@@ -106,7 +106,7 @@
             ops.AskExplain(call_id="c2", author="unknown", task_id="audit/3"), ask
         )
 
-    def test_bad_requests_change_nothing(self) -> None:
+    def test_bad_requests_are_refused(self) -> None:
         drain = "/v1/failure-domains/nbo-a/drain"
         self.assertEqual(Code.NOT_FOUND, self.refused("GET", "/v1/nothing", {}))
         self.assertEqual(Code.INVALID, self.refused("POST", drain, {"revision": "x"}))
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -31,7 +31,7 @@
 from bulrushpulley.errors import BulrushpulleyError
 from bulrushpulley.wire.rows import (
     KIND_BY_CLASS,
-    RECORD_BY_KIND,
+    RECORD_DECODER_BY_KIND,
     DecodedRow,
     decode_row,
     encode_row,
@@ -79,13 +79,13 @@
 
 
 class RowsTest(testtools.TestCase):
-    def test_every_kind_of_row_and_record_comes_back_equal(self) -> None:
+    def test_every_kind_of_row_and_record_round_trips(self) -> None:
         rows = (*ROWS, *(record_row(kind, RECORDS[kind]) for kind in RECORDS))
         for row in rows:
             decoded = decode_row(encode_row(row, "a/1/7"))
             self.assertEqual(DecodedRow(row=row, token="a/1/7"), decoded)
         self.assertEqual(set(KIND_BY_CLASS), {type(row) for row in rows})
-        self.assertEqual(set(RECORD_BY_KIND), set(RECORDS))
+        self.assertEqual(set(RECORD_DECODER_BY_KIND), set(RECORDS))
 
     def test_malformed_data_is_refused_with_step_and_peer(self) -> None:
         cases = (
