Reword the texts of the controller's assignment, closing and offers

Docstrings spoke of owners that speak, rows put off, words and room; they now use the terms of the code, such as summaries, deferred rows, reserved capacity, notices and retry delays. The order of offers is told as the code has it: another failure domain first, then the fewest cells. Three error details and one decision reason are reworded.

--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -1,10 +1,10 @@
-"""The tasks that no cell holds yet, queued for assignment.
+"""Tasks that are not assigned to a cell yet, queued for assignment.
 
-Rows wait in lanes, first come first served. All tasks of a lane are alike to the
-assignment: the same department, rank, priority, size and failure domains. So a
-lane whose first row cannot be placed is blocked as a whole for a while and holds
-up no other. Lanes may keep keys of rows that are gone; they are passed over when
-they are reached.
+Rows wait in lanes, which are first-in, first-out queues. All tasks of a lane have
+the same department, rank, priority, size and failure domains. If the first row of
+a lane cannot be placed, the whole lane is therefore blocked for a while, without
+delaying other lanes. A lane may still hold keys of deleted rows; they are skipped
+when they reach the front.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 
 class Phase(enum.Enum):
-    """Where a waiting row stands: in its lane, put off alone, or being assigned."""
+    """The state of a waiting row: in its lane, deferred alone, or being assigned."""
 
     QUEUED = "queued"
     DEFERRED = "deferred"
@@ -50,7 +50,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Lane:
-    """One queue; `service` is empty for jobs, whose records never change."""
+    """The properties that tasks of one queue share.
+
+    `service` is empty for jobs: their records never change, so that the tasks of
+    several jobs may share a lane.
+    """
 
     department: str
     rank: Rank
@@ -62,7 +66,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingRow:
-    """A backlog row at `version`, first seen here at `seen_at`."""
+    """A backlog row at `version`, first seen by this entry at `first_seen_at`."""
 
     key: str
     row: BacklogRow
@@ -90,10 +94,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Closing:
-    """Tasks of a record that are being stopped for good.
+    """Tasks of a record that are being stopped permanently.
 
     The durable marker row covers its `count` tasks from `spec.index` on. The
-    owners are told again at `next_at`; `submission_id` is the write in flight.
+    cell owners are notified again at `next_at`; `notice_delay_s` is the delay until
+    the notice after that. `submission_id` identifies the write in flight.
     """
 
     marker: BacklogRow
@@ -108,14 +113,14 @@
         return self.marker.spec.job
 
     def covers(self, index: int) -> bool:
-        """Tell whether the task of an index is being closed."""
+        """Tell whether the task at `index` is being closed."""
         first = self.marker.spec.index
         return first <= index < first + self.marker.count
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClosingOutcome:
-    """An outcome under ``done/`` at `version` that stands for `tasks` tasks."""
+    """An outcome row under ``done/`` at `version` that covers `tasks` tasks."""
 
     tasks: int
     version: int
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -1,7 +1,7 @@
-"""A cell as an entry sees it: the owner's last summary and what is on its way.
+"""An entry's view of a cell: the owner's last summary and the reservations.
 
-A reservation stands for tasks that were assigned to the cell and that its
-summaries cannot show yet, so that the same room is not given away twice.
+A reservation stands for tasks that were assigned to the cell but that its
+summaries cannot show yet. It keeps capacity from being allocated twice.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reservation:
-    """Tasks under way to a cell; `total` is the sum of their sizes.
+    """Tasks being assigned to a cell; `total` is the sum of their sizes.
 
     `committed_at` is None while the assigning transaction is in flight.
     """
@@ -32,10 +32,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellView:
-    """The last summary of a cell, from `peer` at `heard_at`.
+    """The last summary of a cell, received from `peer` at `last_summary_at`.
 
-    `free` is what the summary leaves after the reservations, `reserved_tasks`
-    their number of tasks.
+    `free` is the free capacity of the summary minus the reservations, and
+    `reserved_tasks` the number of tasks in the reservations.
     """
 
     cell: str
@@ -49,7 +49,7 @@
     reserved_tasks: int = 0
 
     def is_fresh(self, now: float) -> bool:
-        """Tell whether the last summary is recent enough to place by."""
+        """Tell whether the last summary is recent enough to base placements on."""
         return (
             self.summary is not None and now - self.last_summary_at < MAX_SUMMARY_AGE_S
         )
@@ -69,12 +69,12 @@
     )
 
 
-def count_fitting(size: Resources, room: Resources) -> int:
-    """Return how many tasks of `size` the sum of `room` could hold."""
+def count_fitting(size: Resources, capacity: Resources) -> int:
+    """Return how many tasks of `size` fit into the sum of `capacity`."""
     pairs = (
-        (size.processors_m, room.processors_m),
-        (size.memory_mb, room.memory_mb),
-        (size.accelerators, room.accelerators),
+        (size.processors_m, capacity.processors_m),
+        (size.memory_mb, capacity.memory_mb),
+        (size.accelerators, capacity.accelerators),
     )
     return max(0, min((have // need for need, have in pairs if need > 0), default=0))
 
@@ -87,10 +87,10 @@
 
 
 def with_summary(view: CellView, summary: CellSummary, now: float) -> CellView:
-    """Take a new summary; reservations that it must already show are dropped.
+    """Apply a new summary and drop the reservations that it must already show.
 
-    Tasks that wait in the cell use nothing there yet, so the newest reservations
-    are kept for as many tasks as wait.
+    Tasks that wait in the cell use no capacity there yet, so the newest
+    reservations are kept until they cover as many tasks as wait.
     """
     if not view.reservations:
         return replace(
@@ -125,7 +125,7 @@
 
 
 def with_reservation(view: CellView, reservation: Reservation) -> CellView:
-    """Reserve room for tasks that are being assigned."""
+    """Reserve capacity for tasks that are being assigned."""
     return _recount(
         replace(view, reservations=(*view.reservations, reservation)),
     )
@@ -134,7 +134,7 @@
 def mark_reservation_committed(
     view: CellView, submission_id: str, now: float
 ) -> CellView:
-    """Mark the reservation of a committed assignment."""
+    """Mark the reservation of an assignment as committed at `now`."""
     settled = tuple(
         replace(one, committed_at=now) if one.submission_id == submission_id else one
         for one in view.reservations
@@ -143,7 +143,7 @@
 
 
 def without_reservation(view: CellView, submission_id: str) -> CellView:
-    """Return the room of an assignment that did not take effect."""
+    """Release the capacity of an assignment that did not take effect."""
     kept = tuple(one for one in view.reservations if one.submission_id != submission_id)
     return _recount(replace(view, reservations=kept))
 
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -1,4 +1,4 @@
-"""The tables of the controller, the role that keeps records and the backlog."""
+"""The tables of the controller, the role that manages records and the backlog."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Identity:
-    """The entry process itself; `name` is from the settings."""
+    """The identity of this entry process; `name` comes from the settings."""
 
     name: str
     incarnation: str
@@ -52,10 +52,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AgentLink:
-    """A linked agent and the revision of the configuration it was sent.
+    """A linked agent and the revision of the configuration last sent to it.
 
-    `announced` is None until its first word. A whole configuration is sent to a
-    link that was sent nothing, which `sent_revision` 0 stands for.
+    `announced` is its last announcement, None before the first one. If
+    `sent_revision` is 0, nothing was sent yet, and the link is sent the full
+    configuration.
     """
 
     peer: str
@@ -66,13 +67,13 @@
 
     @property
     def applied_revision(self) -> int:
-        """The revision that the agent says it has applied."""
+        """The revision that the agent last reported as applied."""
         return self.announced.applied_revision if self.announced else 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellOffer:
-    """To whom a silent cell was offered, and when it is offered next."""
+    """The agents that a cell was offered to, and the time of its next offer."""
 
     cell: str
     next_at: float
@@ -126,16 +127,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ControllerTables:
-    """Everything the controller knows.
-
-    `records` holds the record rows of the configuration, jobs left out, by key;
-    `revision` is the one up to which they are complete and `revision_row` the
-    last seen row of the table service. `usage` sums what each department uses and
-    has reserved over `cells`. `lanes` are either in `ready` or in
-    `blocked`; `wakes` of a rank and `deferred` are ordered by time. `room_seen`
-    says that a cell has more room than before. `closed_keys` holds
-    the outcomes of each closing record, and `recent_jobs` the jobs last seen.
-    `said_at` bounds the decision lines.
+    """The state of the controller.
+
+    `records` holds the record rows of the configuration by key, without jobs.
+    They are complete up to `revision`; `revision_row` is the last seen revision
+    row of the table service. `usage` sums what each department uses and has
+    reserved in all `cells`. Each lane of `lanes` is either in `ready` or in
+    `blocked`; the `wakes` of a rank and `deferred` are ordered by time.
+    `capacity_freed` is set when a cell has more free capacity than before.
+    `current_change_id` is the call whose configuration change is in progress.
+    `closing_outcomes` holds the outcomes of each closing record by key, and
+    `recent_jobs` the jobs seen last. `last_logged_at` serves to limit the rate of
+    logged decisions.
     """
 
     identity: Identity
@@ -180,6 +183,6 @@
 
     @property
     def last_revision(self) -> int:
-        """The last revision of the configuration that is known to exist."""
+        """The latest revision of the configuration that is known to exist."""
         row = self.revision_row.row
         return row.revision if isinstance(row, RevisionRow) else 0
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -1,6 +1,6 @@
-"""What the controller waits for: outcomes of submissions and readings.
+"""The submissions and reads whose results the controller waits for.
 
-Each carries its purpose, a typed value by which the outcome is handled.
+Each carries a purpose or a target, whose class selects the handler of the result.
 """
 
 from __future__ import annotations
@@ -37,14 +37,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProbeRecord(Purpose):
-    """Looks for the present row of a record without changing it."""
+    """Checks the current row of a record without changing it."""
 
     call_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProbeForCall(Purpose):
-    """Reads one record row for an operator's question."""
+    """Reads one record row for an operator's query."""
 
     call_id: str
 
@@ -84,8 +84,8 @@
 class Pending:
     """A submission whose outcome is awaited.
 
-    It is submitted again, unchanged, at `resubmit_at` when its outcome was
-    unsettled, until `deadline`. `unsettled` stays set from then on.
+    If its outcome is unsettled, it is submitted again unchanged at
+    `resubmit_at`, until `deadline`. `unsettled` stays set from then on.
     """
 
     submission: Submission
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadTarget:
-    """The base of what is read."""
+    """The base of the targets of reads."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -141,17 +141,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadForCall(ReadTarget):
-    """Reads rows that an operator's question needs."""
+    """Reads rows for an operator's query."""
 
     call_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Poll:
-    """A prefix that is read again and again from the last revision on.
+    """A prefix that is read repeatedly, each time from the last revision on.
 
-    `next_at` is None while no reading is wanted; `fetch_id` names the one in
-    flight, asked at `asked_at`, and is empty without one.
+    A prefix with an `interval_s` of 0 is read once. `next_at` is None while no
+    read is wanted. `fetch_id` identifies the read in flight, requested at
+    `requested_at`, and is empty when there is none.
     """
 
     target: ReadTarget
@@ -165,10 +166,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Change:
-    """An operator's call that changes a record, under way until `deadline`.
+    """An operator's call that changes a record, in progress until `deadline`.
 
-    `current` is the record row as last known, and `verified` says that the table
-    service has just shown it.
+    `current` is the last known row of the record, and `verified` is set once the
+    table service has confirmed it for this call.
     """
 
     call: OperatorCall
@@ -180,7 +181,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Enquiry:
-    """An operator's question that waits for readings, until `deadline`."""
+    """An operator's query that waits for reads, until `deadline`."""
 
     call: OperatorCall
     deadline: float
@@ -191,7 +192,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InForceWait:
-    """A question for a revision that is held back until `deadline`."""
+    """A query whether a revision is in force, kept open until `deadline`."""
 
     call: AskInForce
     deadline: float
--- a/bulrushpulley/entities/queue.py
+++ b/bulrushpulley/entities/queue.py
@@ -1,7 +1,7 @@
 """An immutable first-in, first-out queue.
 
-Appending and taking cost about the same whatever the length; a few items may be
-put back in front.
+Appending and removing an item takes about the same time whatever the length. A
+few items may be put back in front.
 
 Example::
 
@@ -36,7 +36,7 @@
 
     @property
     def first(self) -> T:
-        """The item that is next; the queue must hold one."""
+        """The next item; the queue must not be empty."""
         return self.front[0] if self.front else self.items[self.start]
 
     def append(self, item: T) -> Queue[T]:
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -2,8 +2,8 @@
 
 Urgent tasks come first, then latency-critical ones, then batch. Within a rank
 the department with the smallest share is next, and within a department the lane
-of highest priority and age. A row that cannot be placed is put off, so that it
-does not hold up others.
+of the highest priority, which grows with age. A lane whose first row cannot be
+placed is blocked for a while, so that it does not delay others.
 """
 
 from __future__ import annotations
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class LaneTurn:
-    """A lane's place in the order of a rank; `key` is that of its first row."""
+    """A lane's position in the order of its rank; `key` is its first row's key."""
 
     department_share: float
     minus_priority: float
@@ -73,7 +73,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Assign what has room, in order, within the bounds of one tick."""
+    """Assign the tasks that fit, in order, within the limits of one tick."""
     if not tables.ready or tables.leaving:
         return Step(tables=tables)
     step = Step(tables=tables)
@@ -128,7 +128,7 @@
 def _add_turn(
     tables: ControllerTables, lane: Lane, turns: list[LaneTurn], now: float
 ) -> ControllerTables:
-    """Give a lane its turn, or set it aside if it is empty or another entry's."""
+    """Add a lane's turn; drop an empty lane and block one of another entry."""
     queue, first = head(tables, lane)
     if first is None:
         return with_queue(tables, lane, queue)
@@ -177,7 +177,7 @@
 
 
 def _likely_tasks(tables: ControllerTables, first: WaitingRow) -> int:
-    """Return about how many tasks the next move of a lane may take.
+    """Estimate how many tasks the next move of a lane may take.
 
     Services move one row at a time, since replicas are spread by their index.
     """
@@ -190,7 +190,7 @@
 def _first_rows(
     tables: ControllerTables, lane: Lane, tasks: int
 ) -> tuple[RowMove, ...]:
-    """Return the first rows of a lane that hold so many tasks."""
+    """Return as many first rows of a lane as hold the number of tasks."""
     found: dict[str, RowMove] = {}
     queue = tables.lanes.get(lane) or Queue.empty()
     while queue and tasks > 0 and len(found) < MAX_ROWS_PER_MOVE:
@@ -251,7 +251,9 @@
 def _decision(tables: ControllerTables, row_move: RowMove, choice: Choice) -> Decision:
     counts = Counter(row_move.cells)
     chosen = ", ".join(f"{cell} x{count}" for cell, count in counts.items())
-    reason = "spread by index" if row_move.waiting.lane.service else "most free"
+    reason = (
+        "spread by index" if row_move.waiting.lane.service else "most free capacity"
+    )
     if choice.displacing:
         reason = "no room; batch tasks may be evicted"
     return Decision(
--- a/bulrushpulley/systems/control/assignment_outcomes.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -1,8 +1,8 @@
 """Handles the outcomes of assignments.
 
-The room that was reserved is settled, or returned when nothing was assigned.
-An assignment given up is safe to try anew: its conditions keep it from taking
-effect once the new one has.
+The reservations are marked as committed, or released if nothing was assigned. It
+is safe to retry an assignment that was given up: its conditions keep it from
+taking effect once the new one has.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -1,7 +1,7 @@
-"""Keeps the backlog: its rows by key, their lanes and the rows put off.
+"""Maintains the backlog: its rows by key, their lanes and the deferred rows.
 
-All changes of waiting rows go through these functions, so that a row stands in
-its lane exactly when its phase says so. A marker row under ``closing`` opens the
+All changes of waiting rows go through these functions, so that a row is in its
+lane exactly while its phase is `QUEUED`. A marker row under ``closing`` starts the
 closing of its record instead.
 """
 
@@ -40,7 +40,7 @@
 
 
 def poll() -> Poll:
-    """Return the reading of the backlog."""
+    """Return the poll of the backlog."""
     return Poll(
         target=ReadBacklog(), prefix=BACKLOG_PREFIX, interval_s=BACKLOG_READ_INTERVAL_S
     )
@@ -64,7 +64,7 @@
     *,
     first: bool = False,
 ) -> ControllerTables:
-    """Take backlog rows as the table service holds them; `first` heads the lane."""
+    """Apply backlog rows of the table service; `first` puts new ones in front."""
     for row in rows:
         if row.key.startswith(BACKLOG_PREFIX):
             tables = _handle_row(tables, row, now, first)
@@ -116,7 +116,7 @@
 
 
 def drop_closing(tables: ControllerTables, job: str) -> ControllerTables:
-    """Drop what is kept for the closing of a record."""
+    """Drop the state of the closing of a record."""
     return replace(
         tables,
         closings=tables.closings.drop(job),
@@ -128,7 +128,7 @@
 def enqueue(
     tables: ControllerTables, key: str, *, first: bool = False
 ) -> ControllerTables:
-    """Put a row into its lane, at the end or as the first."""
+    """Put a row into its lane, at the end or, if `first`, at the front."""
     waiting = tables.waiting.get(key)
     if waiting is None:
         return tables
@@ -143,7 +143,7 @@
 
 
 def head(tables: ControllerTables, lane: Lane) -> tuple[Queue[str], WaitingRow | None]:
-    """Return the first row of a lane and its queue without keys that wait no more."""
+    """Return the queue of a lane without stale keys in front, and its first row."""
     queue = tables.lanes.get(lane) or Queue.empty()
     while queue:
         waiting = tables.waiting.get(queue.first)
@@ -156,7 +156,7 @@
 def with_queue(
     tables: ControllerTables, lane: Lane, queue: Queue[str]
 ) -> ControllerTables:
-    """Put a lane's queue in place; an empty lane is dropped."""
+    """Set the queue of a lane; a lane with an empty queue is dropped."""
     if queue:
         return replace(tables, lanes=tables.lanes.set(lane, queue))
     return replace(
@@ -170,7 +170,7 @@
 def block(
     tables: ControllerTables, lane: Lane, wait_reason: WaitReason, now: float
 ) -> ControllerTables:
-    """Leave a lane out of the assignment for its rank's `BLOCK_S`."""
+    """Exclude a lane from assignment for the `LANE_RETRY_DELAY_S` of its rank."""
     wake = Wake(lane=lane, at=now + LANE_RETRY_DELAY_S[lane.rank])
     queue = tables.wakes.get(lane.rank) or Queue.empty()
     return replace(
@@ -184,7 +184,7 @@
 def mark_assigning(
     tables: ControllerTables, lane: Lane, rows: tuple[WaitingRow, ...]
 ) -> ControllerTables:
-    """Take the first rows of a lane out for assignment."""
+    """Mark the first rows of a lane as being assigned and remove them from it."""
     table = tables.waiting
     for waiting in rows:
         table = table.put(waiting.key, replace(waiting, phase=Phase.ASSIGNING))
@@ -196,7 +196,7 @@
 def defer(
     tables: ControllerTables, waiting: WaitingRow, now: float
 ) -> ControllerTables:
-    """Put a row off that stands in no lane, for `DEFER_S`."""
+    """Defer a row that is in no lane, for `ROW_RETRY_DELAY_S`."""
     deferred = replace(waiting, phase=Phase.DEFERRED)
     return replace(
         tables,
@@ -208,9 +208,9 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Return lanes and rows whose pause is over, a bounded number a tick.
+    """Make lanes and rows ready whose delay is over, a bounded number per tick.
 
-    When a cell has more room than before, some lanes are tried before their time.
+    When a cell has more free capacity than before, some lanes are unblocked early.
     """
     for rank in Rank:
         tables = _wake_due(tables, rank, now)
--- a/bulrushpulley/systems/control/cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -1,7 +1,7 @@
-"""Keeps the view of cells by their owners' summaries, and what departments use.
+"""Maintains the views of cells by their owners' summaries, and departments' usage.
 
 Every change of a cell's view goes through `put_cells`, which keeps the sums by
-department in step with it.
+department consistent with it.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 def put_cells(tables: ControllerTables, views: Iterable[CellView]) -> ControllerTables:
-    """Return the tables with the views of cells and the departments' use renewed."""
+    """Return the tables with the given views and the departments' usage updated."""
     cells, usage = tables.cells, tables.usage
     for view in views:
         usage = _with_use(usage, cells.get(view.cell), view)
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -1,9 +1,10 @@
 """Carries out the calls of operators that change records.
 
 A change commits in one transaction that is conditional on the record's version
-and, for the configuration, on the revision. A conflict on the revision alone is
-tried again with the new one; changes of the configuration are committed one at a
-time, in the order of their calls. A conflict on the record names who wrote it.
+and, for the configuration, on the revision. After a conflict on the revision
+alone, the change is retried with the new one; changes of the configuration are
+committed one at a time, in the order of their calls. The error for a conflict on
+the record names the author of the conflicting version.
 """
 
 from __future__ import annotations
@@ -65,7 +66,7 @@
 @apply.register(ops.ChangeDomain)
 def _(event: ops.OperatorCall, tables: ControllerTables, now: float) -> ControllerStep:
     if len(tables.changes) >= MAX_CHANGES:
-        detail = f"{MAX_CHANGES} changes are under way"
+        detail = f"{MAX_CHANGES} changes are already in progress"
         return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
     within_s = min(
         CHANGE_TIMEOUT_S, max(ANSWER_MARGIN_S, event.within_s - ANSWER_MARGIN_S)
@@ -79,12 +80,12 @@
 
 
 def changes_job(call: ops.OperatorCall) -> bool:
-    """Tell whether a call changes a job, which is no part of the configuration."""
+    """Tell whether a call changes a job; jobs are not part of the configuration."""
     return key_of(call).startswith("record/job/")
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Begin the next change of the configuration when the one before has ended."""
+    """Start the next change of the configuration once the previous one has ended."""
     step = Step(tables=tables)
     while step.tables.change_queue and not _is_changing(step.tables):
         tables = step.tables
@@ -111,7 +112,7 @@
 def _verify_record(
     tables: ControllerTables, change: Change, now: float
 ) -> ControllerStep:
-    """Have the table service confirm the record row that the plan rests on."""
+    """Have the table service confirm the record row that the plan is based on."""
     call_id = change.call.call_id
     tables = replace(tables, changes=tables.changes.put(call_id, change))
     version = change.current.version if change.current is not None else 0
@@ -164,7 +165,7 @@
 
 
 def must_verify(change: Change) -> bool:
-    """Tell whether an answer would rest on a view that may be out of date."""
+    """Tell whether an answer would be based on a possibly outdated record row."""
     return not change.verified
 
 
@@ -268,16 +269,16 @@
 def _answer_unsettled_change(
     tables: ControllerTables, change: Change, intended: RecordRow, found: VersionedRow
 ) -> ControllerStep:
-    """Answer a change that may have committed before another replaced it."""
+    """Answer a change that may have committed before another one replaced it."""
     current_row = record_row(found)
     if current_row == intended:
         return _accept(tables, change.call, intended)
     winner = (
         conflict(current_row).detail
         if current_row is not None
-        else "the record is gone"
+        else "the record no longer exists"
     )
-    detail = f"the change may have been in force for a moment; {winner}"
+    detail = f"the change may have been in force briefly; {winner}"
     unknown = problem(detail, Code.OUTCOME_UNKNOWN)
     return _reject(tables, change.call.call_id, unknown)
 
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -1,9 +1,9 @@
-"""Ends the tasks of cancelled jobs and of lowered services, for good.
+"""Permanently ends the tasks of cancelled jobs and of scaled-down services.
 
-A durable marker row makes every entry know of the closing; the one responsible
-for the department works on it. Backlog rows become outcomes in bounded
-transactions, and the owners of cells are told again, at growing intervals, until
-the outcomes account for every task. Only then is the marker deleted.
+A durable marker row informs every entry of the closing; the one responsible for
+the department carries it out. It turns backlog rows into outcomes in bounded
+transactions and notifies the cell owners repeatedly, at growing intervals, until
+the outcomes account for every task. Only then does it delete the marker.
 """
 
 from __future__ import annotations
@@ -63,7 +63,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Work on the closings that are due, a bounded number a tick."""
+    """Advance the closings that are due, a bounded number per tick."""
     step = Step(tables=tables)
     left = MAX_CLOSINGS_PER_TICK
     for job in sorted(tables.closings):
@@ -128,7 +128,7 @@
 
 
 def _remaining_row(waiting: WaitingRow, closing: Closing) -> BacklogRow | None:
-    """Return the part of a row before the closing range, which goes on waiting."""
+    """Return the part of a row before the closing range, which keeps waiting."""
     count = closing.marker.spec.index - waiting.row.spec.index
     return replace(waiting.row, count=count) if count > 0 else None
 
@@ -170,7 +170,7 @@
 def _notify_owners(
     tables: ControllerTables, closing: Closing, now: float
 ) -> ControllerStep:
-    """Tell the owners of cells again and have the outcomes read."""
+    """Notify the cell owners again and schedule a read of the outcomes."""
     delay_s = min(MAX_NOTICE_DELAY_S, closing.notice_delay_s * 2)
     delayed = replace(
         closing, next_at=now + closing.notice_delay_s, notice_delay_s=delay_s
@@ -243,7 +243,11 @@
 def _end_closing(
     tables: ControllerTables, closing: Closing, now: float
 ) -> ControllerStep:
-    """Delete the marker; a service's outcomes go first, so that it may grow again."""
+    """Delete the marker.
+
+    A service's outcomes are deleted before it, so that the service can be scaled up
+    again.
+    """
     closed = tables.closing_outcomes.get(closing.job, pmap())
     deleted: list[str] = []
     if closing.marker.spec.kind == "service":
--- a/bulrushpulley/systems/control/moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -1,8 +1,9 @@
 """Builds the transaction that moves waiting tasks from the backlog to cells.
 
-A move takes rows of one lane, whose tasks are alike. It is conditional on every
-backlog row, on the records that asked for the tasks, and on the absence of what
-it writes, so that it takes effect whole and at most once.
+A move takes rows of one lane, whose tasks have the same requirements. It is
+conditional on every backlog row, on the records that the tasks belong to, and on
+the absence of the rows it writes, so that it takes effect as a whole and at most
+once.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 class RowMove:
     """A waiting row and the cells of its first tasks, in the order of indexes.
 
-    `spec` is what the tasks run by the record now in force.
+    `spec` is the spec of the tasks according to the record in force.
     """
 
     waiting: WaitingRow
@@ -32,15 +33,15 @@
 
 
 def is_closing(closing: Closing | None, *indexes: int) -> bool:
-    """Tell whether one of the indexes is being stopped for good."""
+    """Tell whether the task at one of the indexes is being closed."""
     return closing is not None and any(closing.covers(index) for index in indexes)
 
 
 def current_spec(tables: ControllerTables, waiting: WaitingRow) -> TaskSpec | None:
-    """Return what a waiting row's tasks run by the record now in force.
+    """Return the spec of a waiting row's tasks according to the record in force.
 
-    None means that they are not to run: the record is being closed or is not
-    known yet. A job's record never changes but by cancellation.
+    None means that they must not run: the record is being closed, has fewer
+    replicas or is not known yet. A job's record only changes by cancellation.
     """
     spec = waiting.row.spec
     closing = tables.closings.get(spec.job)
@@ -65,7 +66,7 @@
 def distribute_cells(
     row_moves: Iterable[RowMove], cells: tuple[str, ...]
 ) -> tuple[RowMove, ...]:
-    """Give the chosen cells to the parts in order; parts without any are left out."""
+    """Distribute the cells over the rows in order; rows without any are left out."""
     with_cells: list[RowMove] = []
     for row_move in row_moves:
         count = row_move.waiting.row.count
@@ -77,7 +78,7 @@
 
 
 def placed_tasks(row_move: RowMove) -> tuple[PlacedTask, ...]:
-    """Return the task rows of a part."""
+    """Return the tasks that a row's move places, with their cells."""
     row = row_move.waiting.row
     tasks: list[PlacedTask] = []
     for place, cell in enumerate(row_move.cells):
@@ -94,7 +95,7 @@
 
 
 def _remainder(row_move: RowMove) -> tuple[Write, ...]:
-    """Return the write of the tasks that are left in the backlog, if any."""
+    """Return the write of the tasks that stay in the backlog, if any."""
     row = row_move.waiting.row
     taken = len(row_move.cells)
     if taken == row.count:
--- a/bulrushpulley/systems/control/offers.py
+++ b/bulrushpulley/systems/control/offers.py
@@ -1,9 +1,9 @@
-"""Offers the cells for which no owner speaks to agents of their region.
+"""Offers cells for which no owner sends summaries to agents of their region.
 
-The agent that speaks for the fewest cells comes first, one of another failure
-domain before one of the same, and a rendezvous hash breaks ties, so that all
-entries offer a cell to the same agent. An offer that is not taken is repeated to
-the next agent after a growing pause.
+Agents of other failure domains are preferred, then those that send summaries for
+the fewest cells. A rendezvous hash breaks ties, so that all entries offer a cell
+to the same agent. An offer that is not accepted is repeated to the next agent
+after a growing delay.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Offer every silent cell whose pause is over."""
+    """Offer every cell without recent summaries whose next offer is due."""
     if tables.leaving or now < tables.next_offers_at or not tables.links:
         return Step(tables=tables)
     tables = replace(tables, next_offers_at=now + OFFER_CHECK_INTERVAL_S)
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -1,9 +1,9 @@
-"""Chooses cells for waiting tasks; a pure choice over the views of cells.
+"""Chooses cells for waiting tasks, based on the views of the cells.
 
-Batch tasks go where most is free. Replicas of a service are spread: each index
-begins at another failure domain and, within it, at another cell. Urgent and
-latency-critical tasks for which no cell has room are given to a cell that could
-make room by evicting batch tasks.
+Batch tasks go to the cells with the most free capacity. Replicas of a service are
+spread: each index starts at another failure domain and, within it, at another
+cell. Urgent and latency-critical tasks that fit into no cell are given to a cell
+that could free capacity by evicting batch tasks.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 class Choice:
     """The cell of each task in the order of the indexes, or why there is none.
 
-    `displacing` says that batch tasks have to make room.
+    `displacing` is set if batch tasks have to be evicted for them.
     """
 
     cells: tuple[str, ...] = ()
@@ -40,10 +40,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
-    """A cell that may be chosen and the number of tasks for which it has room."""
+    """A cell that may be chosen and the number of tasks that fit into it."""
 
     view: CellView
-    room: int
+    free_slots: int
 
     @property
     def name(self) -> str:
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementCache:
-    """What one pass has found out already: shapes for which no cell has room."""
+    """The task shapes that one pass has already found to fit into no cell."""
 
     wait_reason_by_shape: dict[tuple[Resources, tuple[str, ...]], WaitReason] = field(
         default_factory=dict
@@ -61,7 +61,7 @@
 
 
 def tasks_within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
-    """Return for how many more tasks the department's quota has room."""
+    """Return how many more tasks the department's quota allows."""
     quota = tables.quotas.get(spec.department, NO_RESOURCES)
     left = quota.minus(used_by(tables, spec.department))
     limits = (
@@ -83,7 +83,7 @@
     now: float,
     cache: PlacementCache,
 ) -> Choice:
-    """Choose cells for up to `wanted` tasks like `spec`, as many as have room.
+    """Choose cells for up to `max_tasks` tasks like `spec`, as many as fit.
 
     `waiting` is the first row of their lane.
     """
@@ -143,13 +143,13 @@
     tables: ControllerTables, names: Iterable[str], spec: TaskSpec, now: float
 ) -> list[Candidate]:
     found = [
-        Candidate(view=view, room=_room(view, spec))
+        Candidate(view=view, free_slots=_free_slots(view, spec))
         for view in _reachable(tables, names, now)
     ]
-    return [candidate for candidate in found if candidate.room > 0]
+    return [candidate for candidate in found if candidate.free_slots > 0]
 
 
-def _room(view: CellView, spec: TaskSpec) -> int:
+def _free_slots(view: CellView, spec: TaskSpec) -> int:
     summary = view.summary
     if summary is None or not spec.size.fits(summary.largest):
         return 0
@@ -179,23 +179,23 @@
 ) -> Choice:
     seed = f"{waiting.key}|{tables.last_number}"
     found = _candidates(tables, _sample(names, seed), spec, now)
-    if sum(candidate.room for candidate in found) < count:
+    if sum(candidate.free_slots for candidate in found) < count:
         found = _candidates(tables, names, spec, now)
     if not found:
         reachable = _reachable(tables, names, now)
         return Choice(
             wait_reason=WaitReason.NO_ROOM if reachable else WaitReason.NO_CELL
         )
-    found.sort(key=lambda one: (-one.room, one.name))
+    found.sort(key=lambda one: (-one.free_slots, one.name))
     return Choice(cells=_distribute_tasks(found, count))
 
 
 def _sufficient_candidates(found: list[Candidate], count: int) -> list[Candidate]:
-    """Return the first few candidates, or as many as it takes to have room."""
-    room = 0
+    """Return the first candidates, at least a few and enough for `count` tasks."""
+    free_slots = 0
     for place, candidate in enumerate(found):
-        room += candidate.room
-        if room >= count and place + 1 >= min(count, MIN_CELLS_PER_MOVE):
+        free_slots += candidate.free_slots
+        if free_slots >= count and place + 1 >= min(count, MIN_CELLS_PER_MOVE):
             return found[: place + 1]
     return found
 
@@ -206,10 +206,10 @@
     for place, candidate in enumerate(found):
         left = count - len(cells)
         share = -(-left // (len(found) - place))
-        cells.extend([candidate.name] * min(share, candidate.room, left))
+        cells.extend([candidate.name] * min(share, candidate.free_slots, left))
     for candidate in found:
         taken = cells.count(candidate.name)
-        more = min(count - len(cells), candidate.room - taken)
+        more = min(count - len(cells), candidate.free_slots - taken)
         cells.extend([candidate.name] * more)
     return tuple(cells)
 
@@ -222,17 +222,17 @@
     now: float,
 ) -> Choice:
     ordered = {name: _ordered_candidates(tables, spec, name, now) for name in domains}
-    room = {
-        candidate.name: candidate.room
+    free_slots = {
+        candidate.name: candidate.free_slots
         for candidates in ordered.values()
         for candidate in candidates
     }
     cells: list[str] = []
     for index in range(spec.index, spec.index + count):
-        cell = _next_cell(ordered, domains, index, room)
+        cell = _next_cell(ordered, domains, index, free_slots)
         if cell is None:
             break
-        room[cell] -= 1
+        free_slots[cell] -= 1
         cells.append(cell)
     return Choice(cells=tuple(cells), wait_reason=WaitReason.NO_ROOM)
 
@@ -248,13 +248,13 @@
     ordered: Mapping[str, list[Candidate]],
     domains: tuple[str, ...],
     index: int,
-    room: Mapping[str, int],
+    free_slots: Mapping[str, int],
 ) -> str | None:
     for turn in range(len(domains)):
         candidates = ordered[domains[(index + turn) % len(domains)]]
         for step in range(len(candidates)):
             place = (index // len(domains) + step) % len(candidates)
-            if room[candidates[place].name] > 0:
+            if free_slots[candidates[place].name] > 0:
                 return candidates[place].name
     return None
 
@@ -270,7 +270,7 @@
     displaceable = [
         view
         for view in _reachable(tables, names, now)
-        if _could_make_room(tables, view, spec)
+        if _could_free_capacity(tables, view, spec)
     ]
     if not displaceable:
         return Choice(wait_reason=WaitReason.NO_ROOM)
@@ -282,8 +282,10 @@
     return Choice(cells=cells, displacing=True)
 
 
-def _could_make_room(tables: ControllerTables, view: CellView, spec: TaskSpec) -> bool:
-    """Tell whether evicting what runs in a cell could let a task start there."""
+def _could_free_capacity(
+    tables: ControllerTables, view: CellView, spec: TaskSpec
+) -> bool:
+    """Tell whether evicting running tasks of a cell could let a task start there."""
     if view.summary is None or view.summary.running == 0:
         return False
     capacities = tables.fleet.capacities_by_cell.get(view.cell, ())
--- a/bulrushpulley/systems/control/share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -31,7 +31,7 @@
 
 
 def department_share(tables: ControllerTables, department: str) -> float:
-    """Return what a department uses as a share of its quota or of all workers."""
+    """Return a department's usage as a fraction of its quota or of all workers."""
     limit = tables.quotas.get(department, NO_RESOURCES)
     if limit == NO_RESOURCES:
         limit = tables.fleet.capacity
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -1,7 +1,7 @@
 """Runs controllers in virtual time over a table service held in memory.
 
-`Bench` is immutable in what it is given and keeps the run's state in plain
-attributes, as a test fixture does. Each submission is answered one step later.
+`Bench` keeps the state of a run in mutable attributes. Each submission is answered
+one step later.
 """
 
 from __future__ import annotations
@@ -62,7 +62,7 @@
 
 
 class Bench:
-    """Entries over one table service; `mode` is up, down or lose_answers."""
+    """Entries that share a table service; `mode` is up, down or lose_answers."""
 
     def __init__(self, *, entries: Iterable[str] = ("a",)) -> None:
         self.now = 0.0
@@ -165,7 +165,7 @@
 
 @singledispatch
 def serve(command: Command, bench: Bench, name: str) -> None:
-    """Have the bench's committer serve what a controller tells it."""
+    """Carry out a controller's command to the committer."""
 
 
 @serve.register
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -1,4 +1,4 @@
-"""Assignment under faults: races, drains, quotas, deaths and long backlogs."""
+"""Assignment under faults: races, drains, quotas, crashes and long backlogs."""
 
 from __future__ import annotations
 
@@ -88,7 +88,7 @@
 
     @staticmethod
     def seed(bench: Bench, record: JobRecord) -> None:
-        """Put a job into the table service so that all entries read it together."""
+        """Put a job into the table service so that all entries read it at once."""
         row = RecordRow(
             kind="job", schema_version=1, record=record, author="x", revision=0
         )
@@ -284,8 +284,8 @@
         )
         return bench.call("a", call)
 
-    def lowered_and_raised(self) -> Bench:
-        """Lower a service and raise it again while owners still stop replicas."""
+    def scaled_down_and_up(self) -> Bench:
+        """Scale a service down and up again while owners still stop replicas."""
         bench = Bench()
         with_cells(bench, CELLS, summary)
         bench.call("a", submit_record(service(4)))
@@ -297,7 +297,7 @@
         return bench
 
     def test_lowered_replicas_end_before_the_service_grows_again(self) -> None:
-        bench = self.lowered_and_raised()
+        bench = self.scaled_down_and_up()
         self.assertIsInstance(self.early, ops.Reject)
         self.assertIn("still ending", self.early.problem.detail)
         self.assertIn("backlog/oven/closing", bench.rows("backlog/"))
@@ -315,7 +315,7 @@
 
     def test_guard_out_a_closing_would_end_while_replicas_run(self) -> None:
         self.patch(control_plans, "nothing_closing", lambda name: ())
-        bench = self.lowered_and_raised()
+        bench = self.scaled_down_and_up()
         bench.run(5.0)
         self.assertIsInstance(self.early, ops.Accepted)
         self.assertIn("oven/2", task_row_counts(bench))
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -152,7 +152,7 @@
         return answer
 
     def write_outcomes(self, bench: Bench) -> None:
-        """Do what owners do on `JobCancelled`: write outcomes for held tasks."""
+        """Write outcomes for assigned tasks, as owners do on `JobCancelled`."""
         for key, row in bench.rows("task/").items():
             assert isinstance(row, TaskRow)
             bench.write(key, None)
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -206,9 +206,12 @@
         bench.run(1.0)
         found = [(one.base, len(one.rows)) for one in bench.sent_items(Configured)]
         self.assertEqual([(0, 1), (1, 1)], found)
-        told = [one.event for one in bench.commands_of(Tell) if one.role == "router"]
+        router_events = [
+            one.event for one in bench.commands_of(Tell) if one.role == "router"
+        ]
         self.assertEqual(
-            [1, 2], [one.revision for one in told if isinstance(one, Configured)]
+            [1, 2],
+            [one.revision for one in router_events if isinstance(one, Configured)],
         )
 
     def test_an_agent_that_does_not_confirm_gets_the_whole_again(self) -> None:
