Rename a few more constants and locals of the controller

RECENT_JOBS, CLOSING and COMPACT_AT did not tell what they bound or name, and spread_revision did not follow the module that distributes records. The deletion of a closing marker says now why a service's outcomes go with it.

--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import BacklogRow, TaskClass, TaskSpec
 
-CLOSING = "closing"
+CLOSING_MARKER = "closing"
 
 
 class Rank(enum.IntEnum):
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -36,11 +36,11 @@
 from bulrushpulley.entities.rows import RevisionRow
 from bulrushpulley.entities.table import Table
 
-RECENT_JOBS = 32
+MAX_RECENT_JOBS = 32
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Identity:
+class EntryIdentity:
     """The identity of this entry process; `name` comes from the settings."""
 
     name: str
@@ -141,11 +141,11 @@
     logged decisions.
     """
 
-    identity: Identity
+    identity: EntryIdentity
     leaving: bool = False
     last_number: int = 0
     revision: int = 0
-    spread_revision: int = 0
+    distributed_revision: int = 0
     revision_row: VersionedRow = field(default_factory=_no_revision)
     renewal_key: str = ""
     renewed_revision: int = 0
--- a/bulrushpulley/entities/queue.py
+++ b/bulrushpulley/entities/queue.py
@@ -18,7 +18,7 @@
 
 T = TypeVar("T")
 
-COMPACT_AT = 1_024
+MIN_START_TO_COMPACT = 1_024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,7 +52,7 @@
         if self.front:
             return replace(self, front=self.front[1:])
         start = self.start + 1
-        if start >= COMPACT_AT and 2 * start > len(self.items):
+        if start >= MIN_START_TO_COMPACT and 2 * start > len(self.items):
             return replace(self, items=pvector(self.items[start:]), start=0)
         return replace(self, start=start)
 
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bulrushpulley.entities.controller_tables import ControllerTables, Identity
+from bulrushpulley.entities.controller_tables import ControllerTables, EntryIdentity
 from bulrushpulley.entities.pending import Poll
 from bulrushpulley.entities.table import Table
 from bulrushpulley.roles import controller_io as controller_io
@@ -36,7 +36,7 @@
 
     `entry` is the name in the settings, `incarnation` unique to the process.
     """
-    identity = Identity(
+    identity = EntryIdentity(
         name=entry, incarnation=incarnation, host=host, port=port, region=region
     )
     polls = {
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from bulrushpulley.entities.backlog import (
-    CLOSING,
+    CLOSING_MARKER,
     Closing,
     Deferral,
     Lane,
@@ -23,7 +23,7 @@
     lane_of,
 )
 from bulrushpulley.entities.commit import VersionedRow
-from bulrushpulley.entities.controller_tables import RECENT_JOBS, ControllerTables
+from bulrushpulley.entities.controller_tables import MAX_RECENT_JOBS, ControllerTables
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.pending import Poll, ReadBacklog
 from bulrushpulley.entities.queue import Queue
@@ -74,7 +74,7 @@
 def _handle_row(
     tables: ControllerTables, row: VersionedRow, now: float, first: bool
 ) -> ControllerTables:
-    if row.key.endswith(f"/{CLOSING}"):
+    if row.key.endswith(f"/{CLOSING_MARKER}"):
         return _handle_marker(tables, row, now)
     if not isinstance(row.row, BacklogRow):
         return replace(tables, waiting=tables.waiting.drop(row.key))
@@ -99,7 +99,7 @@
 def _with_recent(tables: ControllerTables, spec: TaskSpec) -> tuple[str, ...]:
     if spec.kind != "job" or spec.job in tables.recent_jobs:
         return tables.recent_jobs
-    return (*tables.recent_jobs, spec.job)[-RECENT_JOBS:]
+    return (*tables.recent_jobs, spec.job)[-MAX_RECENT_JOBS:]
 
 
 def _handle_marker(
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -180,8 +180,8 @@
     if not changes_job(change.call):
         seen = tables.revision_row.version
         conditions = (*conditions, Condition(key=REVISION_KEY, version=seen))
-        grown = RevisionRow(revision=planned.row.revision)
-        writes = (*writes, Write(key=REVISION_KEY, row=grown))
+        next_revision = RevisionRow(revision=planned.row.revision)
+        writes = (*writes, Write(key=REVISION_KEY, row=next_revision))
     return submit(
         tables,
         now,
@@ -273,12 +273,12 @@
     current_row = record_row(found)
     if current_row == intended:
         return _accept(tables, change.call, intended)
-    winner = (
+    replacement = (
         conflict(current_row).detail
         if current_row is not None
         else "the record no longer exists"
     )
-    detail = f"the change may have been in force briefly; {winner}"
+    detail = f"the change may have been in force briefly; {replacement}"
     unknown = problem(detail, Code.OUTCOME_UNKNOWN)
     return _reject(tables, change.call.call_id, unknown)
 
@@ -300,8 +300,8 @@
     tables: ControllerTables,
     now: float,
 ) -> ControllerStep:
-    unsure = pending.unsettled and bool(pending.submission.writes)
-    code = Code.OUTCOME_UNKNOWN if unsure else Code.UNAVAILABLE
+    outcome_unknown = pending.unsettled and bool(pending.submission.writes)
+    code = Code.OUTCOME_UNKNOWN if outcome_unknown else Code.UNAVAILABLE
     lost = Problem(code=code, step="store.commit", peer="table service", detail=reason)
     return _reject(tables, purpose.call_id, lost)
 
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -13,7 +13,7 @@
 from pyrsistent import pmap
 
 from bulrushpulley.entities.backlog import (
-    CLOSING,
+    CLOSING_MARKER,
     Closing,
     ClosingOutcome,
     Phase,
@@ -243,10 +243,10 @@
 def _end_closing(
     tables: ControllerTables, closing: Closing, now: float
 ) -> ControllerStep:
-    """Delete the marker.
+    """Delete the marker, and with it the outcomes of a service.
 
-    A service's outcomes are deleted before it, so that the service can be scaled up
-    again.
+    Without its outcomes, the service can be scaled up again. If they exceed one
+    transaction, the marker is kept until all are deleted.
     """
     closed = tables.closing_outcomes.get(closing.job, pmap())
     deleted: list[str] = []
@@ -254,7 +254,7 @@
         deleted = sorted(closed, key=_index_of, reverse=True)[:MAX_ROWS_PER_TRANSACTION]
     left = closing.marker.count - sum(closed[key].tasks for key in deleted)
     kept = replace(closing.marker, count=left) if deleted and left > 0 else None
-    marker = backlog_key(closing.job, CLOSING)
+    marker = backlog_key(closing.job, CLOSING_MARKER)
     conditions = [Condition(key=marker, version=closing.version)]
     conditions += [Condition(key=key, version=closed[key].version) for key in deleted]
     writes = [Write(key=marker, row=kept)]
--- a/bulrushpulley/systems/control/distribution.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -52,10 +52,10 @@
         return Step(tables=tables)
     by_base: dict[int, Configured] = {}
     commands: list[Command] = []
-    if tables.spread_revision < current:
-        item = _since(tables, tables.spread_revision, by_base)
+    if tables.distributed_revision < current:
+        item = _since(tables, tables.distributed_revision, by_base)
         commands.append(Tell(role=ROUTER, event=item))
-        tables = replace(tables, spread_revision=current)
+        tables = replace(tables, distributed_revision=current)
     for link in tables.links.rows():
         if link.sent_revision >= current:
             continue
@@ -68,7 +68,7 @@
 
 def _all_sent(tables: ControllerTables) -> bool:
     sent = tables.links.count_where("sent", str(tables.revision))
-    return tables.spread_revision == tables.revision and sent == len(tables.links)
+    return tables.distributed_revision == tables.revision and sent == len(tables.links)
 
 
 def _since(
--- a/bulrushpulley/systems/control/in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -47,7 +47,7 @@
 
 def _applied_by(tables: ControllerTables, entry: str) -> int:
     if entry == tables.identity.name:
-        return tables.spread_revision
+        return tables.distributed_revision
     member = tables.members.get(entry)
     return member.row.applied_revision if member is not None else 0
 
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -267,18 +267,18 @@
     count: int,
     now: float,
 ) -> Choice:
-    displaceable = [
+    eligible = [
         view
         for view in _reachable(tables, names, now)
         if _could_free_capacity(tables, view, spec)
     ]
-    if not displaceable:
+    if not eligible:
         return Choice(wait_reason=WaitReason.NO_ROOM)
     seed = f"{waiting.key}|{waiting.version}"
-    displaceable.sort(
+    eligible.sort(
         key=lambda one: (_expected_waiting(one), crc32(f"{seed}|{one.cell}".encode())),
     )
-    cells = tuple(view.cell for view in displaceable[:count])
+    cells = tuple(view.cell for view in eligible[:count])
     return Choice(cells=cells, displacing=True)
 
 
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -10,7 +10,7 @@
 from functools import singledispatch
 
 from bulrushpulley.entities import operations as ops
-from bulrushpulley.entities.backlog import CLOSING, backlog_key
+from bulrushpulley.entities.backlog import CLOSING_MARKER, backlog_key
 from bulrushpulley.entities.commit import Condition, VersionedRow, Write
 from bulrushpulley.entities.controller_tables import ControllerTables
 from bulrushpulley.entities.records import (
@@ -153,7 +153,7 @@
         return AlreadyInForce(row=existing)
     job = replace(existing.record, cancelled=True)
     row = replace(existing, record=job, author=call.author)
-    marker = backlog_key(job.name, CLOSING)
+    marker = backlog_key(job.name, CLOSING_MARKER)
     closing = BacklogRow(spec=job_spec(job), count=job.tasks)
     return PlannedChange(
         row=row,
@@ -307,7 +307,7 @@
     """
     if record.replicas == before.replicas:
         return PlannedChange(row=row)
-    marker = backlog_key(record.name, CLOSING)
+    marker = backlog_key(record.name, CLOSING_MARKER)
     absent = nothing_closing(record.name)
     first, last = sorted((record.replicas, before.replicas))
     backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
@@ -327,4 +327,4 @@
 
 def nothing_closing(name: str) -> tuple[Condition, ...]:
     """Require that no tasks of an earlier record of the name are still ending."""
-    return (Condition(key=backlog_key(name, CLOSING), version=0),)
+    return (Condition(key=backlog_key(name, CLOSING_MARKER), version=0),)
