--- a/bulrushpulley/entities/commit.py
+++ b/bulrushpulley/entities/commit.py
@@ -1,9 +1,9 @@
 """Submissions to the table service and their outcomes.
 
-A submission is a set of conditional writes that commits whole or not at all. The
-committer joins many submissions into one transaction and gives each its own
-outcome. Every written row keeps the submission's id as its token, so that a lost
-answer is settled by reading back.
+A submission is a set of conditional writes that commits atomically. The committer
+combines many submissions into one transaction and reports an outcome for each. Every
+written row keeps the submission's id as its token, so that the outcome can be read
+back after a lost answer.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Condition:
-    """Requires a row to stand at `version`; 0 requires it to be absent."""
+    """Requires a row to have `version`; 0 requires it to be absent."""
 
     key: str
     version: int
@@ -45,8 +45,8 @@
     """Conditional writes that commit together.
 
     `submission_id` is unique over all processes and time. Each written key must
-    have a condition. `give_up_after_s` is how long the submitter will wait: a
-    submission that was not sent by then is answered `Withdrawn`.
+    have a condition. `give_up_after_s` is how long the submitter will wait: the
+    outcome of a submission that was not sent by then is `Withdrawn`.
     """
 
     submission_id: str
@@ -96,10 +96,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Submitted(Event):
-    """Gives a submission to the committer.
+    """Passes a submission to the committer.
 
-    `origin` says who gets the outcome: the name of a role of this process or the
-    incarnation of a linked process.
+    `origin` identifies the receiver of the outcome: the name of a role of this
+    process or the incarnation of a linked process.
     """
 
     origin: str
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRequested(Event):
-    """Asks the committer for the rows under a prefix, changed since a revision."""
+    """Requests the rows under a prefix that have changed since a revision."""
 
     origin: str
     fetch_id: str
@@ -118,7 +118,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportTo(Command):
-    """Gives `origin` a `CommitOutcome`, or the `Fetched` rows of a reading."""
+    """Reports a `CommitOutcome`, or the `Fetched` rows of a read, to `origin`."""
 
     origin: str
     outcome: Event
--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -1,9 +1,9 @@
-"""The tables of the committer: submissions, lanes, doubts, prefix reads.
+"""The tables of the committer: submissions, lanes, submissions in doubt, reads.
 
-A submission stands in `submissions` from its arrival until its outcome has been
-reported. Its lane holds its id in the queue, or has it in flight in the lane's one
-transaction. A doubt outlives the report `Unsettled`, so that the same submission,
-when it comes again, is answered by what is known of its first sending.
+A submission is in `submissions` from its arrival until its outcome has been
+reported. Its id is in the queue of its lane, or it is in flight in the lane's one
+transaction. An `InDoubtRow` outlives the report of `Unsettled`, so that the outcome
+of the first request is used when the same submission is submitted again.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 
 class Lane(enum.Enum):
-    """Which submissions share transactions; each lane has one in flight."""
+    """The lanes of submissions; each lane has one transaction in flight."""
 
     URGENT = "urgent"
     BULK = "bulk"
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmissionRow:
-    """A submission whose outcome is owed to `origins`.
+    """A submission whose outcome is to be reported to `origins`.
 
     `size_bytes` estimates its encoded writes.
     """
@@ -38,7 +38,7 @@
 
     @property
     def submission_id(self) -> str:
-        """The id under which it stands in the table."""
+        """The id of the submission, its key in the table."""
         return self.submission.submission_id
 
 
@@ -46,8 +46,8 @@
 class Transaction:
     """What was sent, with the fence version it depends on; resent unchanged.
 
-    `lost` tells that some request with it got no answer. It may be empty: then it
-    only moves the fence.
+    `lost` is set after a request with it got no answer. A transaction without
+    entries only moves the fence.
     """
 
     transaction_id: str
@@ -58,13 +58,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LaneRow:
-    """A lane: ids that wait, the transaction not settled yet, and its pace.
+    """A lane: its queued ids, the transaction not settled yet, and its backoff.
 
-    `awaiting` tells that a request is out since `sent_at`. `doubtful` tells that an
-    earlier request may still take effect while the fence stands where it does;
-    `seal_due` asks for an empty transaction to move it. The next `alone` submissions
-    are sent one by one. `failures` counts requests in a row without an answer from
-    the store.
+    `awaiting` is set while a request sent at `sent_at` is in flight.
+    `request_in_doubt` is set while an earlier request may still take effect, until
+    the fence moves; `fence_move_due` asks for an empty transaction to move it. The
+    next `single_sends` submissions are sent one by one. `failures` counts consecutive
+    requests that failed.
     """
 
     name: str
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InDoubtRow:
-    """A submission that was sent in `transaction_ids` without a sure answer.
+    """A submission sent in `transaction_ids`, whose outcome is unknown.
 
     `revision` is not 0 once the fence has shown that one of them committed.
     """
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRequester:
-    """Who asked for a prefix, and under which id."""
+    """The receiver of a read's rows and its id for the read."""
 
     origin: str
     fetch_id: str
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PrefixRead:
-    """A read of a prefix for all who asked before it was sent."""
+    """A read of a prefix, shared by all requests made before it was sent."""
 
     read_id: str
     prefix: str
@@ -115,7 +115,7 @@
 
     @property
     def query(self) -> str:
-        """What is read, as one index value."""
+        """The start revision and the prefix, as one index value."""
         return f"{self.since} {self.prefix}"
 
 
@@ -148,11 +148,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitterTables:
-    """Everything the committer knows.
+    """The state of the committer.
 
-    `name` is the process's name in the settings, under which its fences stand;
-    `incarnation` makes transaction ids unique. Deadlines are looked at again at
-    `sweep_at`.
+    `name` is the process's name in the settings and part of its fences' keys;
+    `incarnation` makes transaction ids unique. Overdue submissions are next looked
+    for at `sweep_at`.
     """
 
     name: str
--- a/bulrushpulley/entities/fleet.py
+++ b/bulrushpulley/entities/fleet.py
@@ -1,4 +1,4 @@
-"""What the configuration says of cells and workers, arranged for placement."""
+"""The configured cells and workers, indexed for placement."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
     def could_hold(self, size: Resources, failure_domains: tuple[str, ...]) -> bool:
         """Tell whether some worker of the allowed failure domains is large enough.
 
-        No failure domains means that all are allowed.
+        An empty `failure_domains` allows all.
         """
         allowed = failure_domains or tuple(self.capacities_by_domain)
         return any(
@@ -37,7 +37,7 @@
 
 
 def fleet_of(records: Iterable[CellRecord]) -> Fleet:
-    """Arrange cell records for placement."""
+    """Index cell records for placement."""
     cells: dict[str, list[str]] = {}
     by_domain: dict[str, set[Resources]] = {}
     by_cell: dict[str, tuple[Resources, ...]] = {}
--- a/bulrushpulley/entities/member.py
+++ b/bulrushpulley/entities/member.py
@@ -1,4 +1,4 @@
-"""The entry processes as one of them sees them in the table service."""
+"""The entry processes, as read from the table service."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
-    """A member row and for how long successful readings have found it unchanged."""
+    """A member row and how long successful reads have found it unchanged."""
 
     row: MemberRow
     version: int
@@ -30,7 +30,7 @@
 
 
 def address_of(row: MemberRow) -> EntryAddress:
-    """Return where the entry of a member row takes links."""
+    """Return the address at which the entry of a member row accepts links."""
     return EntryAddress(
         name=row.name,
         incarnation=row.incarnation,
--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -1,4 +1,4 @@
-"""The calls of operators as the front end hands them to the controller, and replies.
+"""Operators' calls as the front end passes them to the controller, and replies.
 
 Each call has a `call_id`, unique in the process, and is answered by exactly one
 `Reply` or `Reject` command.
@@ -18,7 +18,7 @@
 class OperatorCall(Event):
     """The base of the calls; `author` names the operator for the record row.
 
-    `within_s` is the time that the operator will wait, from now.
+    `within_s` is how long the operator will wait.
     """
 
     call_id: str
@@ -30,7 +30,7 @@
 class SubmitRecord(OperatorCall):
     """Puts a new record in force; a conflict if the name is taken.
 
-    Repeating the very same record is no conflict: it was submitted already.
+    Repeating an identical record is no conflict: it was submitted already.
     """
 
     kind: str
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AmendRecord(OperatorCall):
-    """Replaces a record; `expected_revision` 0 takes whatever stands."""
+    """Replaces a record; `expected_revision` 0 replaces any revision."""
 
     kind: str
     schema_version: int
@@ -68,7 +68,7 @@
 class AskStatus(OperatorCall):
     """Asks for members, cells, services, jobs and failure domains.
 
-    With `job` the reply lists that job alone, else those with waiting tasks.
+    With `job` the reply lists that job alone, else the jobs last seen waiting.
     """
 
     job: str = ""
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AskExplain(OperatorCall):
-    """Asks why a task is where it is, or why it waits."""
+    """Asks where a task is, or why it waits."""
 
     task_id: str
 
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InForce(Reply):
-    """Whether a revision is applied everywhere; `missing` names who lacks it."""
+    """Whether a revision is applied everywhere; `missing` names where it is not."""
 
     revision: int
     everywhere: bool
@@ -119,7 +119,7 @@
 class Reject(Command):
     """The refusal of an operator's call; nothing was changed by it.
 
-    With `Code.OUTCOME_UNKNOWN` the change may still come in force.
+    With `Code.OUTCOME_UNKNOWN` the change may still come into force.
     """
 
     call_id: str
--- a/bulrushpulley/entities/outcome.py
+++ b/bulrushpulley/entities/outcome.py
@@ -1,4 +1,4 @@
-"""What the rows under ``done/`` say: which tasks have ended, and how."""
+"""Which tasks have ended, and how, by the rows under ``done/``."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @singledispatch
 def indexes_of(row: DurableRow | None) -> range:
-    """Return the indexes of the tasks that a row stands for."""
+    """Return the indexes of the tasks that a row covers."""
     return range(0)
 
 
@@ -25,7 +25,7 @@
 
 @singledispatch
 def state_of(row: DurableRow | None) -> TaskState:
-    """Return how the tasks of an outcome ended."""
+    """Return the final state of the tasks of an outcome row."""
     return TaskState.CANCELLED
 
 
--- a/bulrushpulley/entities/records.py
+++ b/bulrushpulley/entities/records.py
@@ -2,7 +2,7 @@
 
 These are the current forms, after conversion from any older schema version. A
 `RecordRow` is what the table service keeps under ``record/KIND/NAME``; its
-version there is the revision at which it came in force.
+version there is the revision at which it came into force.
 """
 
 from __future__ import annotations
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PolicyRecord:
-    """What a department weighs, and its quota (zero means no limit)."""
+    """The weights of a department, and its quota (zero means no limit)."""
 
     name: str
     department: str
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerRecord:
-    """One worker of a cell and where the platform answers for it."""
+    """One worker of a cell and the URL at which the platform serves it."""
 
     worker_id: str
     url: str
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -1,4 +1,4 @@
-"""The durable rows of the table service and the keys under which they stand.
+"""The durable rows of the table service and their keys.
 
 Keys::
 
@@ -28,7 +28,7 @@
 
 
 class TaskClass(enum.Enum):
-    """What a task is measured by."""
+    """Whether a task is run for its latency or as batch work."""
 
     LATENCY_CRITICAL = "latency_critical"
     BATCH = "batch"
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskSpec:
-    """What is to be run; the same for all tasks of a job but for `index`.
+    """What is to be run; the same for all tasks of a job except for `index`.
 
     `kind` is ``job`` or ``service`` and `job` the record's name. A start is
     conditional on `record_version`, the version of the record row, so that
@@ -74,16 +74,16 @@
 
     @property
     def record_key(self) -> str:
-        """The key of the record row that asked for the task."""
+        """The key of the record row that the task was created for."""
         return f"record/{self.kind}/{self.job}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskRow:
-    """A task: `generation` counts its starts, `checkpoint` names its last state.
+    """A task: `generation` counts its starts, `checkpoint` names its last checkpoint.
 
     `worker_id` is the only worker on which `generation` may run. `attempts`
-    counts the failures held against the task itself.
+    counts the failures attributed to the task itself.
     """
 
     spec: TaskSpec
@@ -99,8 +99,8 @@
 class BacklogRow:
     """`count` tasks of a job from `spec.index` on that no cell holds.
 
-    A task that came back from a cell stands alone with its generation,
-    checkpoint and attempts, so that it resumes rather than begins again.
+    A task returned by a cell has its own row with its generation, checkpoint and
+    attempts, so that it resumes instead of starting over.
     """
 
     spec: TaskSpec
@@ -128,7 +128,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AliveRow:
-    """Shows that an agent lives: `renewals` grows while it does."""
+    """Shows that an agent is alive: `renewals` grows while it is."""
 
     agent: str
     incarnation: str
@@ -155,7 +155,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberRow:
-    """An entry process: where other processes link to it.
+    """An entry process and the address at which other processes link to it.
 
     `applied_revision` is the revision of the configuration in force there.
     """
@@ -171,7 +171,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClaimRow:
-    """The right to run an unrepeatable request, given to one agent once."""
+    """The right to run an unrepeatable request, granted once, to one agent."""
 
     service: str
     request_id: str
--- a/bulrushpulley/entities/status.py
+++ b/bulrushpulley/entities/status.py
@@ -1,6 +1,6 @@
-"""The replies that tell operators how things stand.
+"""The replies to operators' status and explain calls.
 
-They are built from what one entry knows and from rows that it reads for the
+They are built from the tables of one entry and from rows that it reads for the
 call; `JobStatus.held` counts the tasks that cells hold.
 """
 
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellStatus:
-    """A cell, its owner by the last summary, and what is free in it."""
+    """A cell with its owner and free resources by its last summary."""
 
     cell: str
     failure_domain: str
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobStatus:
-    """The tasks of a job by where they are; `note` says why tasks wait."""
+    """The task counts of a job by state; `note` says why tasks wait."""
 
     name: str
     department: str
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Status(Reply):
-    """How things stand as one entry sees them.
+    """The state of the system as one entry sees it.
 
     `incomplete` is empty, or says what could not be read in time.
     """
--- a/bulrushpulley/entities/transactions.py
+++ b/bulrushpulley/entities/transactions.py
@@ -1,8 +1,8 @@
-"""What the committer asks of the table service and what it learns.
+"""The committer's requests to the table service and their results.
 
-A transaction is written on a lane of its process. Besides the writes of its
-submissions it moves the lane's fence, a row that no one else writes, so the fence
-shows for certain which of the lane's transactions was the last to commit.
+A transaction belongs to a lane of its process. Besides the writes of its submissions
+it moves the lane's fence, a row that no one else writes, so the fence shows for
+certain which of the lane's transactions was the last to commit.
 """
 
 from __future__ import annotations
@@ -34,10 +34,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Transact(Command):
-    """Sends a transaction; exactly one `TransactionEnded` comes back.
+    """Sends a transaction; the result is exactly one `TransactionEnded`.
 
-    It takes effect only while the fence stands at `fence.version`, and then leaves
-    `transaction_id` there as token.
+    It takes effect only if the fence has version `fence.version`, and then the fence
+    gets `transaction_id` as its token.
     """
 
     lane: str
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionEnded(Event):
-    """The base of what becomes known when a request to commit has ended."""
+    """The base of the results of a request to commit."""
 
     lane: str
     transaction_id: str
@@ -66,10 +66,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionConflicted(TransactionEnded):
-    """This request had no effect; `rows` and `fence` are what barred it.
+    """This request had no effect; the conditions on `rows` and `fence` failed.
 
-    `fence` is None if the fence stood where it was expected. An earlier request
-    with the same transaction may have had effect; the fence tells.
+    `fence` is None if it had the expected version. An earlier request with the same
+    transaction may have taken effect; the fence shows whether it did.
     """
 
     rows: tuple[VersionedRow, ...]
@@ -78,28 +78,28 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionRefused(TransactionEnded):
-    """This request surely had no effect and will have none."""
+    """This request certainly had no effect and will have none."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionRejected(TransactionEnded):
-    """The store does not take this content, now or later; it had no effect."""
+    """The store will never accept this content; the request had no effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionLost(TransactionEnded):
-    """No answer came; the request may have had effect or may yet have it."""
+    """No answer came; the request may have taken effect or may yet do so."""
 
     reason: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRows(Command):
-    """Reads a prefix to its end; `RowsRead` or `ReadFailed` comes back."""
+    """Reads a whole prefix; the result is `RowsRead` or `ReadFailed`."""
 
     read_id: str
     prefix: str
--- a/bulrushpulley/systems/commit/__init__.py
+++ b/bulrushpulley/systems/commit/__init__.py
@@ -1,1 +1,1 @@
-"""The committer's systems: the only ones that have the table service written."""
+"""The committer's systems; only they write to the table service."""
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -1,4 +1,4 @@
-"""Takes submissions into the queue of their lane, or withdraws them at once."""
+"""Queues submissions on their lane, or withdraws them at once."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 def lane_of(submission: Submission) -> Lane:
-    """Choose the lane by what is written: claims and control do not wait for tasks."""
+    """Choose the lane by the keys: claims and control rows do not wait for tasks."""
     keys = [write.key for write in submission.writes]
     if all(key.startswith(URGENT_PREFIXES) for key in keys):
         return Lane.URGENT
@@ -29,7 +29,7 @@
 
 
 def unsafe_reason(submission: Submission) -> str:
-    """Say why a submission could take effect twice, or return an empty string."""
+    """Return why a submission could take effect twice, or an empty string."""
     conditioned = {condition.key for condition in submission.conditions}
     written = [write.key for write in submission.writes]
     if not conditioned.issuperset(written):
@@ -42,7 +42,7 @@
 def accept(
     event: Submitted, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    """Queue a submission; one that is queued or in flight gains an origin."""
+    """Queue a submission; if it is already queued or in flight, add its origin."""
     known = tables.submissions.get(event.submission.submission_id)
     if known is not None:
         return _add_origin(event, known, tables, now)
--- a/bulrushpulley/systems/commit/backoff.py
+++ b/bulrushpulley/systems/commit/backoff.py
@@ -1,4 +1,4 @@
-"""When a lane asks the store again after a failure, and how long it waits for it."""
+"""Retry delays, timeouts and the circuit breaker of a lane."""
 
 from __future__ import annotations
 
@@ -20,20 +20,20 @@
 
 
 def retry_delay(failures: int, name: str) -> float:
-    """Return the delay after so many failures in a row: exponential, with jitter."""
-    longest: float = min(
+    """Return the delay after consecutive failures: exponential, with jitter."""
+    max_delay_s: float = min(
         MAX_COMMIT_RETRY_DELAY_S, MIN_COMMIT_RETRY_DELAY_S * 2.0 ** (failures - 1)
     )
-    return longest * (0.5 + 0.5 * jitter(f"{name} {failures}"))
+    return max_delay_s * (0.5 + 0.5 * jitter(f"{name} {failures}"))
 
 
 def is_circuit_open(lane: LaneRow) -> bool:
-    """Tell whether the store counts as down, so that only probes are sent."""
+    """Tell whether the store is considered down, so that only probes are sent."""
     return lane.failures >= FAILURES_TO_OPEN_CIRCUIT
 
 
 def timeout_for(lane: LaneRow) -> float:
-    """Return how long the lane's next request waits for its answer."""
+    """Return the timeout of the lane's next request."""
     return max(MIN_COMMIT_TIMEOUT_S, lane.timeout_s)
 
 
@@ -43,5 +43,5 @@
 
 
 def timeout_after_loss(lane: LaneRow) -> float:
-    """Return the timeout to use after an answer did not come in time."""
+    """Return the timeout to use after a request timed out."""
     return min(MAX_COMMIT_TIMEOUT_S, 2.0 * timeout_for(lane))
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -1,7 +1,8 @@
-"""Joins what waits in a lane into one transaction once the one before is settled.
+"""Combines the submissions waiting in a lane into one transaction.
 
-There is no timer: an idle lane sends at once, a busy one gathers while it waits for
-the store. Submissions that touch what another of the batch writes wait for the next.
+There is no batching timer: an idle lane sends at once, and a busy lane collects
+submissions until its current transaction is settled. A submission that conflicts
+with another one of the batch on a key waits for a later transaction.
 """
 
 from __future__ import annotations
@@ -30,20 +31,20 @@
 MAX_BATCH_ROWS = 256
 MAX_BATCH_BYTES = 512 * 1024
 MAX_PROBE_ROWS = 16
-# How long after its timeout a request that reported nothing counts as lost.
+# A request without any result counts as lost this long after its timeout.
 OVERDUE_MARGIN_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Batch:
-    """The submissions to send together, and the ids that go on waiting."""
+    """The submissions to send together, and the ids that remain queued."""
 
     chosen: tuple[SubmissionRow, ...] = ()
     remaining: tuple[str, ...] = ()
 
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    """Send a transaction on each lane that is free to."""
+    """Send a transaction on each lane that may send now."""
     commands: list[Command] = []
     for name in sorted(tables.lanes):
         step = _run_lane(tables, tables.lanes.by_key[name], now)
@@ -53,7 +54,7 @@
 
 
 def may_share(submission: Submission, required: Set[str], written: Set[str]) -> bool:
-    """Tell whether a submission neither reads nor writes what the others write."""
+    """Tell whether a submission has no write conflict with the others of a batch."""
     reads = {condition.key for condition in submission.conditions}
     writes = {write.key for write in submission.writes}
     return writes.isdisjoint(required) and (reads | writes).isdisjoint(written)
@@ -133,9 +134,10 @@
 
 
 def _select(tables: CommitterTables, lane: LaneRow) -> Batch:
-    """Choose from the head of the queue, passing over what must not be joined.
+    """Choose submissions from the head of the queue, skipping those that conflict.
 
-    The keys of those passed over bar others too, so that nothing overtakes on a key.
+    The keys of skipped submissions block later ones too, so that submissions on the
+    same key stay in order.
     """
     row_limit = max_rows(lane)
     chosen: list[SubmissionRow] = []
--- a/bulrushpulley/systems/commit/conflict.py
+++ b/bulrushpulley/systems/commit/conflict.py
@@ -1,8 +1,8 @@
-"""Tells apart the submissions of a transaction that conflicted.
+"""Handles transactions that did not commit because conditions failed.
 
-Those that cannot commit are reported, the others go back to the head of the queue.
-After a lost answer the fence decides: it carries the transaction's id exactly if
-the transaction was the last of its lane to commit.
+Submissions that cannot commit are reported, the others return to the head of the
+queue. After a lost answer the fence decides: it holds the transaction's id if and
+only if the transaction was the last of its lane to commit.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Tell apart what had committed, what cannot, and what is to be sent again."""
+    """Report the submissions that committed or cannot commit; requeue the others."""
     fence = event.fence
     if fence is not None and shows_commit(fence, transaction):
         return all_committed(transaction, event.lane, fence.version, tables, now)
@@ -59,7 +59,7 @@
 
 
 def is_ambiguous(transaction: Transaction, event: TransactionConflicted) -> bool:
-    """Tell whether the fence moved on past what it showed of a lost request."""
+    """Tell whether the fence no longer shows if a lost request committed."""
     return transaction.lost and event.fence is not None
 
 
@@ -81,19 +81,19 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Go on from where an earlier transaction of the lane has left the fence."""
-    seen = resolve_in_doubt(tables, fence.token, fence.version, now)
-    learnt = replace(
+    """Settle the submissions by the fence that another transaction has moved."""
+    resolved = resolve_in_doubt(tables, fence.token, fence.version, now)
+    updated_lane = replace(
         lane, fence_version=fence.version, request_in_doubt=False, fence_move_due=False
     )
-    step = _settle_each(transaction, event, learnt, seen.tables, now)
-    return replace(step, commands=seen.commands + step.commands)
+    step = _settle_each(transaction, event, updated_lane, resolved.tables, now)
+    return replace(step, commands=resolved.commands + step.commands)
 
 
 def _put_back_to_move_fence(
     transaction: Transaction, lane: LaneRow, tables: CommitterTables, now: float
 ) -> CommitterTables:
-    """Put everything back until an empty transaction has moved the fence."""
+    """Requeue all submissions until an empty transaction has moved the fence."""
     after = put_back(tables, replace(lane, fence_move_due=True), transaction.entries)
     if not transaction.lost:
         return after
@@ -132,7 +132,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Report a submission that cannot commit any more; its own token means it did."""
+    """Report a submission with failed conditions; its own token shows a commit."""
     own_version = version_with_token(failed, row.submission_id)
     if own_version:
         return report_committed(tables, row, own_version, now)
--- a/bulrushpulley/systems/commit/events.py
+++ b/bulrushpulley/systems/commit/events.py
@@ -24,7 +24,7 @@
 
 @singledispatch
 def apply(event: Event, tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    """Apply one event; kinds that do not concern the committer change nothing."""
+    """Apply one event; events without a handler change nothing."""
     return Step(tables=tables)
 
 
--- a/bulrushpulley/systems/commit/give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -1,8 +1,9 @@
-"""Ends the wait of submissions whose submitter waits no longer.
+"""Gives up submissions after the time that their submitter will wait.
 
-One that was not sent is withdrawn: it surely has no effect. One that is in flight is
-unsettled. While the store counts as down, a submission that would give up before the
-next probe is withdrawn at once, so that a caller learns early that it did not run.
+A submission that was not sent is withdrawn: it certainly has no effect. One that is
+in flight is unsettled. While the store is considered down, a submission that would
+be given up before the next probe is withdrawn at once, so that a caller learns early
+that its request did not run.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    """Report every submission that waits no longer; looks at all every `SWEEP_S`."""
+    """Give up every overdue submission, once per `GIVE_UP_SWEEP_INTERVAL_S`."""
     if now < tables.sweep_at or not tables.submissions:
         return Step(tables=tables)
     tables = replace(tables, sweep_at=now + GIVE_UP_SWEEP_INTERVAL_S)
@@ -57,7 +58,7 @@
 
 
 def _next_send_at(lane: LaneRow, now: float) -> float:
-    """Return the time before which a queued submission must not give up."""
+    """Return the earliest time at which the lane can send."""
     return max(now, lane.retry_at) if is_circuit_open(lane) else now
 
 
--- a/bulrushpulley/systems/commit/in_doubt.py
+++ b/bulrushpulley/systems/commit/in_doubt.py
@@ -1,7 +1,7 @@
-"""Remembers which submissions were sent without a sure answer.
+"""Tracks submissions in doubt: sent in a transaction of unknown outcome.
 
-The fence of a lane names the last transaction that committed there. When it turns
-out to be one that got no answer, its submissions are known to have committed.
+The fence of a lane holds the id of the last transaction that committed there. If
+that transaction got no answer, its submissions are now known to have committed.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
     transaction: Transaction,
     now: float,
 ) -> CommitterTables:
-    """Note that the submissions were sent in a transaction of unknown outcome."""
+    """Record that submissions were sent in a transaction of unknown outcome."""
     in_doubt = _drop_expired(tables, now).in_doubt
     for submission_id in submission_ids:
         known = in_doubt.get(submission_id)
@@ -45,7 +45,7 @@
 def resolve_in_doubt(
     tables: CommitterTables, transaction_id: str, revision: int, now: float
 ) -> Step[CommitterTables]:
-    """Note that a transaction has committed, for whatever was in doubt in it."""
+    """Record that a transaction has committed, for its submissions in doubt."""
     commands: list[Command] = []
     for known in tables.in_doubt.rows_where("transaction", transaction_id):
         row = tables.submissions.get(known.submission_id)
@@ -61,7 +61,7 @@
 
 
 def known_revision(tables: CommitterTables, submission_id: str) -> int:
-    """Return the commit in which a submission is known to have taken effect, or 0."""
+    """Return the revision at which a submission is known to have committed, or 0."""
     known = tables.in_doubt.get(submission_id)
     return known.revision if known is not None else 0
 
--- a/bulrushpulley/systems/commit/queue.py
+++ b/bulrushpulley/systems/commit/queue.py
@@ -1,4 +1,4 @@
-"""What settling a transaction does to its lane and queue."""
+"""Updates a lane and its queue after a request has ended."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def after_answer(lane: LaneRow, now: float) -> LaneRow:
-    """Return the lane after an answer of the store: idle, without failures."""
+    """Return the lane after an answer of the store: idle and without failures."""
     return replace(
         lane,
         transaction=None,
@@ -27,7 +27,7 @@
 
 
 def after_failure(lane: LaneRow, transaction: Transaction, now: float) -> LaneRow:
-    """Return the lane after a request without an answer: it backs off."""
+    """Return the lane after a failed request: it backs off."""
     failures = lane.failures + 1
     delay_s = commit_backoff.retry_delay(failures, transaction.transaction_id)
     return replace(lane, awaiting=False, failures=failures, retry_at=now + delay_s)
@@ -36,7 +36,7 @@
 def unreported(
     tables: CommitterTables, entries: Iterable[SubmissionRow]
 ) -> list[SubmissionRow]:
-    """Return the entries whose outcome is still owed, with all their origins."""
+    """Return the entries whose outcome is not reported yet, with all their origins."""
     found = [tables.submissions.get(row.submission_id) for row in entries]
     return [row for row in found if row is not None]
 
@@ -44,7 +44,7 @@
 def put_back(
     tables: CommitterTables, lane: LaneRow, entries: Iterable[SubmissionRow]
 ) -> CommitterTables:
-    """Leave the lane idle, with the entries at the head of its queue."""
+    """Make the lane idle and put the entries at the head of its queue."""
     queued = set(lane.queue)
     ids = [row.submission_id for row in unreported(tables, entries)]
     head = tuple(key for key in ids if key not in queued)
--- a/bulrushpulley/systems/commit/read.py
+++ b/bulrushpulley/systems/commit/read.py
@@ -1,7 +1,7 @@
-"""Reads prefixes for whoever asks, once for all who asked before a read was sent.
+"""Reads prefixes; all requests made before a read was sent share it.
 
-A read that is already out may be older than the asking, so it is not shared; there
-is at most one such read and one that waits behind it for each query.
+A read in flight may be older than a new request, so that request does not share it.
+For each query at most one read is in flight and one waits behind it.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 def request_read(
     event: ReadRequested, tables: CommitterTables, now: float
 ) -> Step[CommitterTables]:
-    """Join a read that is not sent yet, or add one."""
+    """Join a read of the same query that is not sent yet, or add one."""
     requester = ReadRequester(origin=event.origin, fetch_id=event.fetch_id)
     number = tables.last_read_number + 1
     read = PrefixRead(
@@ -49,7 +49,7 @@
 
 
 def handle_rows_read(event: RowsRead, tables: CommitterTables) -> Step[CommitterTables]:
-    """Give the rows to everyone who asked for them."""
+    """Report the rows to everyone who requested them."""
     read = tables.reads.get(event.read_id)
     if read is None:
         return Step(tables=tables)
@@ -62,7 +62,7 @@
 def handle_read_failed(
     event: ReadFailed, tables: CommitterTables
 ) -> Step[CommitterTables]:
-    """Tell everyone who asked that nothing could be read."""
+    """Report the failure to everyone who requested the read."""
     read = tables.reads.get(event.read_id)
     if read is None:
         return Step(tables=tables)
@@ -72,13 +72,13 @@
 
 
 def run(tables: CommitterTables, now: float) -> Step[CommitterTables]:
-    """Send waiting reads, one at a time for each query."""
+    """Send waiting reads, at most one in flight for each query."""
     commands: list[Command] = []
     reads = tables.reads
     free = MAX_READS_IN_FLIGHT - reads.count_where("state", "sent")
     for read in tables.reads.rows_where("state", "waiting") if free else ():
-        alike = reads.rows_where("query", read.query)
-        if free == 0 or any(other.sent for other in alike):
+        same_query = reads.rows_where("query", read.query)
+        if free == 0 or any(other.sent for other in same_query):
             continue
         free -= 1
         reads = reads.put(read.read_id, replace(read, sent=True))
--- a/bulrushpulley/systems/commit/report.py
+++ b/bulrushpulley/systems/commit/report.py
@@ -1,4 +1,4 @@
-"""Reports outcomes to whoever submitted, and takes the submission off the tables."""
+"""Reports the outcomes of submissions and removes the submissions."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 def report_settled(
     tables: CommitterTables, row: SubmissionRow, outcome: CommitOutcome, now: float
 ) -> Step[CommitterTables]:
-    """Report an outcome that is certain, and forget any doubt."""
+    """Report a certain outcome; the submission is no longer in doubt."""
     if row.submission_id in tables.in_doubt:
         in_doubt = tables.in_doubt.drop(row.submission_id)
         tables = replace(tables, in_doubt=in_doubt)
@@ -43,7 +43,7 @@
 
 
 def is_in_doubt(tables: CommitterTables, submission_id: str) -> bool:
-    """Tell whether an earlier sending of a submission is still in doubt."""
+    """Tell whether an earlier request with a submission is still in doubt."""
     return submission_id in tables.in_doubt
 
 
@@ -52,8 +52,8 @@
 ) -> Step[CommitterTables]:
     """Report a submission that was not sent.
 
-    If it had been sent earlier, under the same id, and was never settled, that
-    sending may still take effect: then it stays unsettled.
+    If it was sent earlier under the same id and was never settled, that request may
+    still take effect: then the submission stays unsettled.
     """
     if is_in_doubt(tables, row.submission_id):
         return report_unsettled(tables, row, reason, now)
--- a/bulrushpulley/systems/commit/settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -1,4 +1,4 @@
-"""Settles a lane's transaction by what the store answered, or by its silence."""
+"""Settles a lane's transaction after an answer of the store or a timeout."""
 
 from __future__ import annotations
 
@@ -77,7 +77,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Back off; a transaction that was never in doubt is taken apart again."""
+    """Back off; requeue the submissions unless the transaction is in doubt."""
     lane = after_failure(tables.lanes.by_key[event.lane], transaction, now)
     count = Count(name="commit.refused", label=event.lane)
     if transaction.lost:
@@ -93,7 +93,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Find the submission that the store does not take by sending each alone."""
+    """Have the submissions sent one by one to find the one that is rejected."""
     count = Count(name="commit.rejected", label=event.lane)
     entries = transaction.entries
     if transaction.lost or not entries:
@@ -105,8 +105,8 @@
         return handle_refused(refusal, transaction, tables, now)
     lane = after_answer(tables.lanes.by_key[event.lane], now)
     if len(entries) > 1:
-        apart = replace(lane, single_sends=len(entries))
-        return Step(tables=put_back(tables, apart, entries), commands=(count,))
+        sending_singly = replace(lane, single_sends=len(entries))
+        return Step(tables=put_back(tables, sending_singly, entries), commands=(count,))
     commands: list[Command] = [count]
     for row in unreported(tables, entries):
         step = withdraw(tables, row, event.reason, now)
@@ -121,7 +121,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Back off; the very same transaction is to be sent again."""
+    """Back off; the transaction will be sent again unchanged."""
     before = tables.lanes.by_key[event.lane]
     lane = replace(
         after_failure(before, transaction, now),
--- a/bulrushpulley/systems/control/decision_limit.py
+++ b/bulrushpulley/systems/control/decision_limit.py
@@ -1,4 +1,4 @@
-"""Bounds the decision lines: one for each subject and reason in `SAY_EVERY_S`."""
+"""Limits how often decisions of the same kind, subject and reason are logged."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 def limit_decisions(
     tables: ControllerTables, decisions: tuple[Decision, ...], now: float
 ) -> ControllerStep:
-    """Return as commands the decisions of which the like was not said just now."""
+    """Return as commands the decisions that were not logged within the interval."""
     last_logged_at = (
         tables.last_logged_at
         if len(tables.last_logged_at) < MAX_REMEMBERED_DECISIONS
--- a/bulrushpulley/systems/control/distribution.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -1,8 +1,9 @@
-"""Spreads the configuration to the linked agents and to the router.
+"""Distributes the configuration to the linked agents and to the router.
 
-A new link gets the whole configuration, the others what has changed since the
-revision they were sent. An agent that does not confirm in time gets the whole
-again. Items offered twice or out of order do no harm: receivers keep the newer.
+A new link gets the whole configuration, the others the changes since the revision
+last sent to them. An agent that does not confirm in time gets the whole
+configuration again. Duplicate and reordered items do no harm: receivers keep the
+newer row.
 """
 
 from __future__ import annotations
@@ -46,7 +47,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Send every link that is behind what it lacks, and the router likewise."""
+    """Send the missing changes to the router and to every link that is behind."""
     current = tables.revision
     if current == 0 or _all_sent(tables):
         return Step(tables=tables)
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -1,7 +1,7 @@
-"""Answers the questions of operators: status and explain.
+"""Answers operators' status and explain calls.
 
-What an entry does not hold itself is read for the call; an answer that waits
-too long is given with what there is and says so.
+Rows that the entry does not hold are read for the call. If they do not arrive in
+time, the reply contains what is known and says that it is incomplete.
 """
 
 from __future__ import annotations
@@ -171,13 +171,13 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Answer the questions whose readings are in, or whose time is up."""
+    """Answer the calls whose reads have ended or whose deadline has passed."""
     commands: list[Command] = []
     for enquiry in tables.enquiries.rows():
         late = now >= enquiry.deadline
         if enquiry.waiting_for and not late:
             continue
-        failed = enquiry.failed or ("not everything was read in time" if late else "")
+        failed = enquiry.failed or ("some rows were not read in time" if late else "")
         finished = replace(enquiry, failed=failed)
         commands.append(_answer(finished, tables, now))
         for awaited in enquiry.waiting_for:
--- a/bulrushpulley/systems/control/events.py
+++ b/bulrushpulley/systems/control/events.py
@@ -1,8 +1,8 @@
-"""The dispatch of the controller's events and of the outcomes it waits for.
+"""Dispatches the controller's events and the outcomes that it waits for.
 
-Modules of the controller register on these functions: `apply` by the class of an
-event, `on_commit`, `on_conflict` and `on_loss` by the purpose of a submission,
-and `on_rows` by the target of a reading.
+Modules of the controller register their handlers with these functions: `apply` by
+the class of an event, `on_commit`, `on_conflict` and `on_loss` by the purpose of a
+submission, and `on_rows` by the target of a read.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 @singledispatch
 def apply(event: Event, tables: ControllerTables, now: float) -> ControllerStep:
-    """Apply one event; events of no concern change nothing."""
+    """Apply one event; events without a handler change nothing."""
     return Step(tables=tables)
 
 
@@ -80,10 +80,10 @@
     tables: ControllerTables,
     now: float,
 ) -> ControllerStep:
-    """Handle the rows of a reading."""
+    """Handle the rows of a read."""
     return Step(tables=tables)
 
 
 def join_steps(first: ControllerStep, second: ControllerStep) -> ControllerStep:
-    """Join two steps of which the second began with the tables of the first."""
+    """Join two steps; the second must have started from the tables of the first."""
     return Step(tables=second.tables, commands=(*first.commands, *second.commands))
--- a/bulrushpulley/systems/control/explain.py
+++ b/bulrushpulley/systems/control/explain.py
@@ -1,4 +1,4 @@
-"""Says where a task is, or why it waits."""
+"""Explains where a task is, or why it waits."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 def explain_waiting(
     tables: ControllerTables, call: ops.AskExplain, now: float
 ) -> Explanation | None:
-    """Explain a task that no cell holds; None if it does not wait here."""
+    """Explain a task that waits in the backlog; return None if it does not."""
     job, index = call.task_id.split("/")
     for waiting in tables.waiting.rows_where("job", job):
         first = waiting.row.spec.index
@@ -36,7 +36,7 @@
 
 
 def why_waits(tables: ControllerTables, waiting: WaitingRow, now: float) -> str:
-    """Say why a row waits, by a trial placement unless it is being assigned."""
+    """Return why a row waits, by a trial placement unless it is being assigned."""
     if waiting.phase is Phase.ASSIGNING:
         return WaitReason.ASSIGNING.value
     spec = current_spec(tables, waiting)
--- a/bulrushpulley/systems/control/in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -1,4 +1,4 @@
-"""Says where a revision of the configuration is not in force yet."""
+"""Reports which processes have not applied a revision of the configuration."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Answer the questions whose revision is in force, or whose time is up."""
+    """Answer the calls whose revision is applied everywhere or whose time is up."""
     commands: list[Command] = []
     for wait in tables.in_force_waits.rows():
         missing = processes_behind(tables, wait.call.revision)
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -1,8 +1,8 @@
-"""Keeps the entry's member row fresh and tells the agents which entries live.
+"""Renews the entry's member row and sends the agents the list of live entries.
 
-An entry whose row successful readings have found unchanged for long enough is
-left out. Time without a successful reading does not count, so the last list
-stays during an outage of the table service.
+An entry is left out once successful reads have found its row unchanged for
+`MEMBER_EXPIRY_S`. Time without a successful read does not count, so the last list
+is kept during an outage of the table service.
 """
 
 from __future__ import annotations
@@ -48,14 +48,14 @@
 
 
 def poll() -> Poll:
-    """Return the reading of the member rows."""
+    """Return the poll that reads the member rows."""
     return Poll(
         target=ReadMembers(), prefix=MEMBER_PREFIX, interval_s=MEMBER_READ_INTERVAL_S
     )
 
 
 def live_entries(tables: ControllerTables) -> tuple[str, ...]:
-    """Return the names of the live entries, this one included, in order."""
+    """Return the sorted names of the live entries, including this one."""
     live = {member.row.name for member in tables.members.rows() if member.live}
     return tuple(sorted(live | {tables.identity.name}))
 
@@ -75,7 +75,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Renew the own row when due and send the list of entries when it changes."""
+    """Renew this entry's row when due, and send the list of entries if it changed."""
     step = _renew_if_due(tables, now)
     tables = step.tables
     addresses = _addresses(tables)
@@ -132,13 +132,13 @@
 
 @apply.register
 def _(event: Leave, tables: ControllerTables, now: float) -> ControllerStep:
-    """Stop renewing, and delete the own row once no renewal is in flight."""
+    """Stop renewing, and delete this entry's row once no renewal is in flight."""
     tables = replace(tables, leaving=True)
     return Step(tables=tables) if tables.renewal_key else _delete_own_row(tables, now)
 
 
 def _delete_own_row(tables: ControllerTables, now: float) -> ControllerStep:
-    """Delete the own row, so that the others take over without waiting."""
+    """Delete this entry's row, so that the others take over without waiting."""
     key = member_key(tables.identity.name)
     known = tables.members.get(tables.identity.name)
     if known is None:
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -1,7 +1,7 @@
-"""Decides what an operator's call changes, given the record that stands now.
+"""Decides what an operator's call changes, given the current record.
 
-`plan` is pure: it returns the row to write with the conditions and writes that
-must commit with it, or says that nothing is to be done, or refuses.
+`plan` is pure: it returns the row to write with the conditions and writes that must
+commit with it, or that the record is already in force, or a refusal.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AlreadyInForce:
-    """What is asked for stands already."""
+    """The requested record is already in force."""
 
     row: RecordRow
 
@@ -61,9 +61,9 @@
 
 
 def conflict(row: RecordRow) -> Problem:
-    """Name the change that stands in the way of a call."""
+    """Describe the existing record that a call conflicts with."""
     detail = (
-        f"{row.kind}/{row.record.name} stands at revision {row.revision}, "
+        f"{row.kind}/{row.record.name} is at revision {row.revision}, "
         f"written by {row.author}"
     )
     return problem(detail, Code.CONFLICT)
@@ -99,7 +99,7 @@
 def plan(
     call: ops.OperatorCall, current: VersionedRow | None, tables: ControllerTables
 ) -> Plan:
-    """Plan a call against the record row that stands now, if there is one."""
+    """Plan a call against the current record row, if there is one."""
     raise NotImplementedError(type(call).__name__)
 
 
@@ -125,7 +125,7 @@
     if existing is None:
         return _not_found(key_of(call))
     if call.kind == "job":
-        detail = "a job is not amended; cancel it and submit another"
+        detail = "a job cannot be amended; cancel it and submit another"
         return Refusal(problem=problem(detail, Code.INVALID, "kind"))
     if _is_same(existing, call):
         return AlreadyInForce(row=existing)
@@ -133,7 +133,7 @@
         return Refusal(problem=conflict(existing))
     if call.schema_version < existing.schema_version:
         detail = (
-            f"the record stands in schema version {existing.schema_version}; "
+            f"the record has schema version {existing.schema_version}; "
             f"version {call.schema_version} would drop its newer keys"
         )
         refused = problem(detail, Code.SCHEMA_VERSION, "schema_version")
@@ -227,7 +227,7 @@
 
 
 def job_spec(job: JobRecord) -> TaskSpec:
-    """Return the spec of a job's first task, its record's version still open."""
+    """Return the spec of a job's first task, without its record's version."""
     return TaskSpec(
         kind="job",
         record_version=0,
@@ -245,7 +245,7 @@
 
 
 def service_spec(service: ServiceRecord, first: int) -> TaskSpec:
-    """Return the spec of a service's replica, its record's version still open."""
+    """Return the spec of a service's replica, without its record's version."""
     return TaskSpec(
         kind="service",
         record_version=0,
@@ -277,9 +277,9 @@
 
 
 def _with_tasks(row: RecordRow, namesake: str, backlog: BacklogRow) -> PlannedChange:
-    """Plan a new record with its tasks; no record of the other kind shares its name.
+    """Plan a new record with its tasks; no record of the other kind may share its name.
 
-    Jobs and services share the keys of their tasks.
+    Jobs and services use the same keys for their tasks.
     """
     key = backlog_key(backlog.spec.job, backlog.spec.index)
     closing = nothing_closing(backlog.spec.job)
@@ -300,10 +300,10 @@
 
 @_plan_amended.register
 def _(record: ServiceRecord, before: ServiceRecord, row: RecordRow) -> PlannedChange:
-    """Add the replicas that do not exist yet, or open the closing of the surplus.
+    """Add the missing replicas, or start closing the surplus ones.
 
-    Both wait until replicas of an earlier lowering have surely ended, so that an
-    index never runs twice.
+    Both require that all replicas closed by an earlier reduction have ended, so that
+    an index never runs twice.
     """
     if record.replicas == before.replicas:
         return PlannedChange(row=row)
--- a/bulrushpulley/systems/control/polls.py
+++ b/bulrushpulley/systems/control/polls.py
@@ -1,4 +1,4 @@
-"""The readings of the controller: at most one in flight for each prefix."""
+"""The reads of the controller: at most one in flight for each poll."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 def read_once(
     tables: ControllerTables, now: float, *, target: ReadTarget, prefix: str
 ) -> tuple[ControllerStep, str]:
-    """Read a prefix a single time; returns the step and the id of the reading."""
+    """Read a prefix once; return the step and the id of the read."""
     tables, fetch_id = with_new_id(tables, "f")
     poll = Poll(
         target=target,
@@ -32,7 +32,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Ask for every reading that is due; one without an answer is asked again."""
+    """Request every read that is due, and repeat reads that got no answer."""
     commands: list[Command] = []
     for name in tables.polls:
         poll = tables.polls.by_key[name]
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -1,7 +1,7 @@
 """The configuration as the controller knows it, read from the table service.
 
-The revision row is read often, the records only when it has grown. Revisions and
-versions only go up: an older row offered changes nothing. Jobs are no part of
+The revision row is read often, the records only when the revision has increased.
+Revisions and versions only increase, so older rows are ignored. Jobs are not part of
 the configuration.
 """
 
@@ -41,7 +41,7 @@
 
 
 def polls() -> dict[str, Poll]:
-    """Return the readings that keep the configuration up to date, by prefix."""
+    """Return the polls that keep the configuration up to date, by prefix."""
     kinds = {
         f"record/{kind}/": Poll(
             target=ReadRecords(kind=kind),
@@ -60,7 +60,7 @@
 def update_records(
     tables: ControllerTables, rows: Iterable[VersionedRow]
 ) -> ControllerTables:
-    """Take record rows that are newer than the known ones; jobs are left out."""
+    """Store record rows that are newer than the known ones; jobs are left out."""
     changed: set[str] = set()
     for row in rows:
         known = tables.records.get(row.key)
@@ -82,7 +82,7 @@
 
 
 def is_newer(row: VersionedRow, known: VersionedRow | None) -> bool:
-    """Tell whether a row offered is newer than the known one."""
+    """Tell whether a row is newer than the known one."""
     return known is None or row.version > known.version
 
 
@@ -116,7 +116,7 @@
 def update_revision(
     tables: ControllerTables, rows: Iterable[VersionedRow], now: float
 ) -> ControllerTables:
-    """Take a newer revision row and have the records read up to it."""
+    """Store a newer revision row and have the records read up to it."""
     for row in rows:
         newer = row.version > tables.revision_row.version
         if row.key == REVISION_KEY and newer and isinstance(row.row, RevisionRow):
@@ -138,9 +138,9 @@
 def apply_own_change(
     tables: ControllerTables, rows: tuple[VersionedRow, ...], now: float
 ) -> ControllerTables:
-    """Take the rows that a change by this process has just committed.
+    """Store the rows that a change by this process has just committed.
 
-    The revision is reached at once if the one before it was.
+    The new revision takes effect at once if the one before it was in effect.
     """
     before = tables.revision
     tables = update_records(tables, rows)
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -33,7 +33,7 @@
 
 
 def status_of(enquiry: Enquiry, tables: ControllerTables, now: float) -> Status:
-    """Return how things stand as this entry sees them."""
+    """Return the state of the system as this entry sees it."""
     fresh_after = now - SUMMARY_TIMEOUT_S
     return Status(
         call_id=enquiry.call.call_id,
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -1,4 +1,4 @@
-"""The submissions of the controller: numbered, awaited and submitted again.
+"""Submits the controller's writes and passes on their outcomes.
 
 A submission whose outcome is unsettled is submitted again unchanged, since only
 that settles it. After its deadline it is given up.
@@ -74,7 +74,7 @@
     writes: tuple[Write, ...],
     deadline: float,
 ) -> ControllerStep:
-    """Submit conditional writes under an id that was drawn before."""
+    """Submit conditional writes under an id from `with_new_id`."""
     submission = Submission(
         submission_id=submission_id,
         conditions=conditions,
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -1,7 +1,7 @@
-"""Runs committers in virtual time against the core of the table service.
+"""Runs committers in virtual time against the core of the table service's stand-in.
 
-Each request to commit meets the next fate of a list. Afterwards every outcome that
-was reported is compared with what the store holds.
+Each request to commit gets the next fate of a list. Afterwards every reported outcome
+is compared with the commits of the store.
 """
 
 from __future__ import annotations
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Delivery(Event):
-    """An event that a process gets."""
+    """An event to deliver to a process."""
 
     process: str
     event: Event
@@ -86,7 +86,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestArrival(Event):
-    """A request that reaches the store; `answered` says if the answer gets back."""
+    """A request reaching the store; `answered` tells if the sender gets the answer."""
 
     process: str
     command: Transact
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForeignWrite(Event):
-    """A write by someone else, without a condition."""
+    """An unconditional write by another client."""
 
     put: Put
 
@@ -186,7 +186,7 @@
 
     @singledispatchmethod
     def _carry_out(self, command: Command, process: str) -> None:
-        """Pass over counts and durations."""
+        """Ignore counts and durations."""
 
     @_carry_out.register
     def _(self, command: ReportTo, process: str) -> None:
@@ -284,7 +284,7 @@
         )
 
     def _check_key_conflicts(self, command: Transact) -> None:
-        """Find submissions of one commit that touch what another of them writes."""
+        """Find submissions of one commit that require a key another one writes."""
         writer_of = {put.key: put.token for put in command.writes}
         for token in set(writer_of.values()):
             for at in self.submission_by_id[token].conditions:
@@ -321,7 +321,7 @@
 
 @singledispatch
 def mismatch_of(outcome: CommitOutcome, commits: list[int]) -> str:
-    """Say how an outcome differs from the commits; `Unsettled` fits any."""
+    """Describe how an outcome differs from the commits; `Unsettled` fits any."""
     return ""
 
 
@@ -343,10 +343,11 @@
 
 
 def mismatches_of(bench: Bench) -> list[str]:
-    """Compare every outcome with what the store took, and list what does not fit.
+    """Compare every outcome with the commits of the store and list the mismatches.
 
-    A process speaks only of what it sent itself: after `Unsettled` by another one,
-    `Withdrawn` and a conflict with a later writer say nothing of the first sending.
+    A process reports only on its own requests: after `Unsettled` by another one,
+    `Withdrawn` and a conflict with a later writer do not exclude that the other
+    process's request took effect.
     """
     found = list(bench.key_conflicts)
     for submission_id in bench.submission_by_id:
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Case:
-    """The lines of one case."""
+    """The name and the lines of a test case."""
 
     name: str
     lines: tuple[str, ...]
@@ -108,7 +108,7 @@
 
 
 def run_case(case: Case) -> list[str]:
-    """Run a case and return all that differs from what it expects."""
+    """Run a case and return the differences from what it expects."""
     fates = [line.split()[1:] for line in case.lines if line.startswith("fates")]
     bench = Bench(fates=parse_fates(fates[0] if fates else []))
     timed = [line for line in case.lines if line[0].isdigit()]
@@ -135,7 +135,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Mutation:
-    """A guard, what takes it out, and the case that must then go red."""
+    """A replacement that disables a safeguard, and the case that must then fail."""
 
     module: Any
     name: str
--- a/test/test_committer_http.py
+++ b/test/test_committer_http.py
@@ -1,4 +1,4 @@
-"""Runs the committer's actor against the stand-in over HTTP while its mode changes."""
+"""Tests of the committer's actor against the table service's stand-in over HTTP."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 def ignore_command(command: Command) -> None:
-    """Pass over what is not looked at here."""
+    """Ignore a command that these tests do not check."""
 
 
 class CommitterHttpTest(testtools.TestCase):
--- a/test/test_control_path.py
+++ b/test/test_control_path.py
@@ -1,4 +1,4 @@
-"""The thin path of the controller: a record becomes an assignment to a cell."""
+"""Test of the controller from a submitted record to an assignment to a cell."""
 
 from __future__ import annotations
 
--- a/test/test_control_verbs.py
+++ b/test/test_control_verbs.py
@@ -1,4 +1,4 @@
-"""The operators' verbs against entries that refuse, fail or do not answer."""
+"""Tests of the operators' verbs with entries that refuse, fail or do not answer."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 @contextlib.contextmanager
 def entry(*answers: tuple[int, dict[str, Any]]) -> Iterator[tuple[str, list[str]]]:
-    """Serve the given answers in order, the last one for ever; log the requests."""
+    """Serve the answers in order, repeating the last one; log the requests."""
     seen: list[str] = []
 
     class Handler(http.server.BaseHTTPRequestHandler):
@@ -68,8 +68,8 @@
 
 
 @contextlib.contextmanager
-def silent_entry() -> Iterator[str]:
-    """Take connections and never answer."""
+def unresponsive_entry() -> Iterator[str]:
+    """Accept connections and never answer."""
     with socket.create_server(("127.0.0.1", 0)) as server:
         yield f"http://127.0.0.1:{server.getsockname()[1]}"
 
@@ -109,8 +109,11 @@
         self.assertEqual(ExitCode.UNAVAILABLE, code)
 
     def test_without_an_answer_only_idempotent_calls_are_repeated(self) -> None:
-        with silent_entry() as silent, entry((200, ACCEPTED)) as (good, seen):
-            both = (silent, good)
+        with (
+            unresponsive_entry() as unresponsive,
+            entry((200, ACCEPTED)) as (good, seen),
+        ):
+            both = (unresponsive, good)
             drain = self.run_verb("drain", "izmir", "--timeout=0.3", entries=both)
             self.assertEqual((ExitCode.OUTCOME_UNKNOWN, []), (drain, seen))
             again = ("submit", str(self.record), "--timeout=1")
