Reword the texts of the roles, the settings, the logs and the verbs

Docstrings said what a part is in figures, such as fronts, who a process is on its links, or parts that take calls from here on. They now say what each role and process does and which conditions hold for its arguments. The docstring of Role names its field and constants as they are called now.

--- a/bulrushpulley/errors.py
+++ b/bulrushpulley/errors.py
@@ -1,8 +1,8 @@
 """The errors of the system and their codes, in one place.
 
-Every error carries the step at which it arose and the peer involved, so that a
-log line or an HTTP answer says where to look. `Ran` tells a caller whether its
-request may have run: only `Ran.NO` allows a blind repeat.
+Every error carries the step at which it arose and the peer involved, so that log
+lines and HTTP answers show its origin. `Ran` tells a caller whether its request may
+have run: only after `Ran.NO` can any request be repeated safely.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/exit_codes.py
+++ b/bulrushpulley/exit_codes.py
@@ -9,7 +9,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What a script may rely on; `docs/RECORDS.md` explains each."""
+    """The codes that scripts may rely on; `docs/RECORDS.md` explains each."""
 
     OK = 0
     BAD_INPUT = 2
--- a/bulrushpulley/logs.py
+++ b/bulrushpulley/logs.py
@@ -1,9 +1,9 @@
-"""Log lines by eliot: one JSON line for each decision and each problem.
+"""Logs decisions and problems through eliot, one JSON line for each.
 
-The thread that logs only queues the message; one thread of its own encodes and
-writes. When the queue is full, because the reader of the log is slow or absent,
-lines are dropped and counted, and the count is logged when there is room again,
-so that a slow log never delays a request.
+A thread that logs only queues the message; a separate thread encodes and writes it.
+When the queue is full, because the reader of the log is slow or absent, lines are
+dropped and counted, and the count is logged once there is room again. A slow log
+therefore never delays a request.
 """
 
 from __future__ import annotations
@@ -24,8 +24,8 @@
 MAX_QUEUED_LINES = 20_000
 MAX_LINES_PER_WRITE = 500
 FLUSH_TIMEOUT_S = 2.0
-# Lines that come within this time are written together; a wake-up for each of them
-# costs more than the line.
+# Lines that arrive within this time are written together, since waking the writer
+# for each of them costs more than writing the line.
 MAX_BATCH_DELAY_S = 0.1
 
 
@@ -42,7 +42,7 @@
         self._thread = threading.Thread(target=self._write_all, daemon=True)
 
     def start(self) -> None:
-        """Start writing, and take every eliot message."""
+        """Start the thread and receive every eliot message."""
         self._thread.start()
         eliot.add_destinations(self.put)
 
@@ -57,7 +57,7 @@
                 self._ready.notify()
 
     def stop(self) -> None:
-        """Write what is queued and stop."""
+        """Write the queued messages and stop the thread."""
         eliot.remove_destination(self.put)
         with self._ready:
             self._stopping = True
@@ -97,7 +97,7 @@
 
 
 def log_decision(command: Decision, *, process: str) -> None:
-    """Write the line of one routing or placement decision."""
+    """Log one routing or placement decision."""
     eliot.log_message(
         message_type=command.kind,
         process=process,
@@ -111,7 +111,7 @@
 
 
 def log_problem(problem: Problem, *, process: str) -> None:
-    """Write the line of one failure."""
+    """Log one failure."""
     eliot.log_message(
         message_type="problem",
         process=process,
@@ -124,7 +124,7 @@
 
 
 def log_process(*, process: str, stage: str, detail: str = "") -> None:
-    """Write the line of a stage of the process's life, such as ``started``."""
+    """Log a stage of the process, such as ``started``."""
     eliot.log_message(
         message_type="process", process=process, stage=stage, detail=detail
     )
--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -1,7 +1,7 @@
 """The command line: ``bulrushpulley VERB --config FILE.toml``.
 
 The verbs ``entry`` and ``agent``, and ``job-entry`` and ``job-agent`` on the users'
-platform, run a process until SIGTERM or SIGINT; the other verbs are the operators'.
+platform, run a process until SIGTERM or SIGINT. The other verbs are for operators.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
     runtime: Runtime
 
     def start(self) -> None:
-        """Start everything."""
+        """Start all parts."""
 
     def stop(self) -> None:
         """Stop gracefully."""
@@ -55,7 +55,7 @@
     config: pathlib.Path
 
 
-# Each verb imports only its own roles: a process that is started again serves sooner.
+# Each verb imports only its own roles, so that a restarted process serves sooner.
 
 
 def _make_entry(options: Options) -> Process:
@@ -117,7 +117,7 @@
 def run_process(process: Process) -> int:
     """Run a process until a signal or a failure; return the exit code.
 
-    A second signal cuts the notice that the first one began.
+    A second signal skips the notice period that the first one started.
     """
     runtime = process.runtime
 
@@ -127,8 +127,8 @@
         runtime.stopping.set()
 
     def reload(signum: int, frame: FrameType | None) -> None:
-        # Nothing that runs depends on settings that may change; the next start
-        # reads them.
+        # Running parts do not depend on settings that may change; changes are read
+        # at the next start.
         log_process(process=runtime.name, stage="reload", detail="settings changed")
 
     signal.signal(signal.SIGHUP, reload)
@@ -182,7 +182,7 @@
 
 
 def console() -> None:
-    """Run `main` as a program; worker threads of libraries never hold the exit."""
+    """Run `main` and exit without waiting for the threads of libraries."""
     code = main()
     sys.stdout.flush()
     sys.stderr.flush()
--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -5,8 +5,8 @@
     route_dispatched{label="oven-conductor"} 41
     route_latency_seconds{label="oven-conductor",quantile="0.99"} 0.0131
 
-A histogram is made when its first value comes; the number of labels is bounded,
-so that a flood of names cannot fill the memory.
+A histogram is created with its first value. The numbers of counters and histograms
+are bounded, so that many different labels cannot exhaust memory.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -1,7 +1,7 @@
 """The HTTP client of the operators' verbs.
 
-It tries the entries in order. A call goes to another entry only when the one
-before surely did not accept it, or when repeating the call does no harm.
+Entries are tried in order. A call is sent to the next entry only if the previous one
+certainly did not accept it, or if the call can be repeated safely.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """A call of an operator; `idempotent` ones may be repeated blindly."""
+    """A call of an operator; `idempotent` ones can always be repeated safely."""
 
     method: str
     path: str
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """The decoded answer of an entry; problems have the codes of `Code`."""
+    """The decoded answer of an entry; its problems have codes of `Code`."""
 
     entry: str
     status: int
@@ -77,9 +77,9 @@
     def call(self, call: Call, timeout_s: float) -> Answer:
         """Return the first definite answer, or the last failure of all entries.
 
-        A refusal after a call of unknown outcome settles nothing: that call may
-        have taken effect and caused the refusal. Calls that may be repeated leave
-        an equal share of the time to each of the entries after.
+        A refusal after a call of unknown outcome is not definite: that call may
+        have taken effect and caused the refusal. A repeatable call leaves each of
+        the later entries an equal share of the time.
         """
         deadline = time.monotonic() + timeout_s
         last = _failure_answer("", Code.UNAVAILABLE, "no entry is configured")
@@ -143,7 +143,7 @@
         return _failure_answer(entry, Code.OUTCOME_UNKNOWN, detail)
     if not isinstance(value, dict):
         return _failure_answer(
-            entry, Code.OUTCOME_UNKNOWN, f"status {status}: no object"
+            entry, Code.OUTCOME_UNKNOWN, f"status {status}: answer is not a JSON object"
         )
     answer = Answer(entry=entry, status=status, value=value)
     if status >= 400 and not answer.problems:
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -1,9 +1,9 @@
-"""The actor that every role runs in.
+"""The actor that runs a role.
 
-It holds a role's tables, gathers the events in its mailbox, runs one tick over
-them and has the commands carried out. A tick also happens at the role's own
-interval, so that deadlines pass without events. The decisions stay in `systems`;
-the clock is read here, once a tick.
+It holds the role's tables and queues the events that it receives. Each tick applies
+the queued events, runs the role's systems and carries out their commands. Ticks also
+run at the role's interval, so that deadlines are checked when no events arrive.
+Decisions are made in `systems`; the clock is read only here, once per tick.
 """
 
 from __future__ import annotations
@@ -26,29 +26,29 @@
 
 
 def since_boot() -> float:
-    """Read a steady clock that also counts the time for which a host is suspended."""
+    """Read a monotonic clock that also advances while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def ignore_failure(error: BaseException | None) -> None:
-    """Do nothing about the end of a role."""
+    """Do nothing when a role ends."""
 
 
 def no_event_can_wait(event: Event) -> bool:
-    """Have every event cause a tick."""
+    """Return False, so that every event causes a tick."""
     return False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Role(Generic[T]):
-    """The pure part of a role: its first tables and what runs over them.
-
-    `tick_s` is the longest time between two ticks. Roles that serve requests take
-    `TICK_S`; those that only control take `CONTROL_TICK_S`, as their deadlines are
-    in seconds and an idle tick is the larger part of what a process at rest costs.
-    An event for which `can_wait` holds is gathered for the next tick and causes
-    none itself: many agents then cost one tick, not one each. `clock` is what the
-    role's times are read from.
+    """The pure part of a role: its initial tables and the systems that run over them.
+
+    `tick_interval_s` is the longest time between two ticks. Roles that serve requests
+    use `TICK_INTERVAL_S`. Roles that only control use `CONTROL_TICK_INTERVAL_S`, as
+    their deadlines are in seconds and idle ticks are most of the cost of an idle
+    process. An event for which `can_wait` returns True is queued for the next tick
+    and causes none itself, so that the events of many agents share one tick. `clock`
+    returns the time that is passed to the ticks.
     """
 
     name: str
@@ -72,18 +72,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TickDue:
-    """Tells the actor to run a tick over the events that came before."""
+    """Makes the actor run a tick over the events queued so far."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Inspect:
-    """Asks the actor for its present tables; the answer is the tables value."""
+    """Asks the actor for its current tables, which are the answer."""
 
 
 class RoleActor(pykka.ThreadingActor):
-    """Runs a role: `carry_out` gets each command after the tick that made it.
+    """Runs a role and calls `carry_out` with each command after the tick.
 
-    `failed` gets the exception that ended the role, if one does.
+    `report_failure` is called with the exception that ended the role, if any.
     """
 
     use_daemon_thread = True
@@ -109,11 +109,11 @@
         exception_value: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Hand on the exception that ended the role."""
+        """Report the exception that ended the role."""
         self._report_failure(exception_value)
 
     def on_receive(self, message: Any) -> Any:
-        """Gather an event, run a tick, or return the tables."""
+        """Queue an event, run a tick, or return the tables."""
         return self._receive(message)
 
     @singledispatchmethod
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -29,7 +29,7 @@
 
 
 class AgentProcess:
-    """The parts of an agent: links, the guard, the cell owner and a health front."""
+    """An agent process: links, guard, cell owner and the server for health checks."""
 
     def __init__(self, *, settings: AgentSettings, incarnation: str) -> None:
         self.runtime = Runtime(
@@ -45,7 +45,7 @@
         )
 
     def start(self) -> None:
-        """Start everything; the linker dials from here on."""
+        """Start all parts; the linker then connects to the entries."""
         self.runtime.start()
         self._start_roles()
         self._start_front()
@@ -121,7 +121,7 @@
         self._health.start()
 
     def stop(self) -> None:
-        """Let the roles finish what runs and release their cells, then end."""
+        """Finish the requests in flight, release the cells, then stop."""
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.leave(Leave(), (GUARD, CELL_OWNER), stop.within_s)
--- a/bulrushpulley/roles/carry_out.py
+++ b/bulrushpulley/roles/carry_out.py
@@ -1,9 +1,9 @@
-"""The one place where commands become I/O.
+"""Carries out the commands of the roles; all I/O of the roles starts here.
 
-`carry_out` is a `singledispatch` function over commands. The common commands are
-registered here; a role with I/O of its own registers its commands in a module
-beside it, such as `guard_io`, over a blocking function that `Ports.run` executes
-off the actor's thread and whose resulting event goes back to the role.
+`carry_out` is a `singledispatch` function over command types. The common commands
+are registered here. A role with I/O of its own registers its commands in a module
+beside it, such as `guard_io`. Blocking calls are passed to `Ports.run`, which
+executes them off the actor's thread and sends the resulting event to the role.
 """
 
 from __future__ import annotations
@@ -19,18 +19,19 @@
 
 
 class Run(Protocol):
-    """Executes `work` on a pool and tells `role` the event that it returns."""
+    """Executes `work` on a thread pool and sends `role` the event that it returns."""
 
     def __call__(self, *, role: str, work: Callable[[], Event]) -> None:
-        """Return at once."""
+        """Schedule `work` and return without waiting for it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ports:
-    """What a process gives its roles to act with; none of these block.
+    """The functions that a process provides for the commands; none of them block.
 
-    `answer` takes the commands that answer calls of callers and operators. A role
-    with platform clients of its own extends this class in its I/O module.
+    `answer` takes the commands that answer calls of callers and operators, `decide`
+    logs a decision. A role with platform clients of its own extends this class in
+    its I/O module.
     """
 
     send: Callable[[Send], None]
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -28,11 +28,11 @@
 def build(
     *, agent: str, incarnation: str, region: str, autonomy_s: float = AUTONOMY_S
 ) -> Role[CellOwnerTables]:
-    """Return the role of an agent that owns no cell yet.
+    """Return the cell owner of an agent, initially without cells.
 
-    `agent` is the agent's name in its settings, `incarnation` unique to the
-    process. For `autonomy_s` after its last confirmed renewal it goes on renewing
-    the leases of running tasks.
+    `agent` is the agent's name in its settings; `incarnation` must be unique to the
+    process. The cell owner keeps renewing the leases of running tasks for
+    `autonomy_s` after its own last confirmed renewal.
     """
     tables = CellOwnerTables(
         agent=agent, incarnation=incarnation, region=region, autonomy_s=autonomy_s
--- a/bulrushpulley/roles/committer.py
+++ b/bulrushpulley/roles/committer.py
@@ -1,4 +1,4 @@
-"""The committer: the only client of the table service in an entry process."""
+"""Builds the committer, the only client of the table service in an entry process."""
 
 from __future__ import annotations
 
@@ -13,10 +13,11 @@
 
 
 def build(*, name: str, incarnation: str) -> Role[CommitterTables]:
-    """Build the role.
+    """Return the committer of an entry.
 
-    `name` is the process's name in the settings: one process of a name runs at a
-    time, a successor takes over its fences. `incarnation` is unique to the process.
+    `name` is the process's name in the settings. Only one process of a name runs at
+    a time, and its successor takes over its fences. `incarnation` must be unique to
+    the process.
     """
     return Role(
         name=COMMITTER,
--- a/bulrushpulley/roles/committer_io.py
+++ b/bulrushpulley/roles/committer_io.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitterPorts(Ports):
-    """The committer's client, and how outcomes reach a role or a linked process."""
+    """The ports of the committer; `report` sends an outcome to a role or a peer."""
 
     table: TableServiceClient
     report: Callable[[ReportTo], None]
@@ -52,7 +52,7 @@
 
 
 def transact(command: Transact, table: TableServiceClient) -> Event:
-    """Send a transaction and return how it ended; blocks up to its timeout."""
+    """Send a transaction and return its outcome; blocks up to its timeout."""
     try:
         return table.transact(command)
     except RefusedError as error:
@@ -76,7 +76,7 @@
 
 
 def read_rows(command: ReadRows, table: TableServiceClient) -> Event:
-    """Read a prefix page by page to its end; blocks up to its timeout for each."""
+    """Read all rows of a prefix by pages; blocks up to the timeout for each page."""
     try:
         return _read_all_pages(command, table)
     except BulrushpulleyError as error:
@@ -84,10 +84,10 @@
 
 
 def _read_all_pages(command: ReadRows, table: TableServiceClient) -> RowsRead:
-    """Follow the pages; a row that changed meanwhile comes again, with its last form.
+    """Read every page and keep the latest version of each row.
 
-    A reader from revision 0 has nothing that could be deleted, so it gets no
-    tombstones.
+    A row that changes during the read is listed again on a later page. A read from
+    revision 0 returns no tombstones, since its reader has no rows to delete.
     """
     row_by_key: dict[str, VersionedRow] = {}
     since, more = command.since, True
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -1,4 +1,4 @@
-"""The controller: records, members, offers of cells and the backlog."""
+"""Builds the controller, which handles records, members, cells and the backlog."""
 
 from __future__ import annotations
 
@@ -26,15 +26,17 @@
 from bulrushpulley.systems.control import submissions as control_submissions
 
 NAME = "controller"
+# The modules that register events by being imported.
 EVENT_MODULES = (control_assignment_outcomes, control_cells)
 
 
 def build(
     *, entry: str, incarnation: str, host: str, port: int, region: str
 ) -> Role[ControllerTables]:
-    """Return the role of an entry process that takes links at `host` and `port`.
+    """Return the controller of an entry that accepts links at `host` and `port`.
 
-    `entry` is the name in the settings, `incarnation` unique to the process.
+    `entry` is the entry's name in its settings; `incarnation` must be unique to the
+    process.
     """
     identity = EntryIdentity(
         name=entry, incarnation=incarnation, host=host, port=port, region=region
--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -29,7 +29,7 @@
 
 
 class EntryProcess:
-    """The parts of an entry: links, roles, and the fronts of callers and operators."""
+    """An entry process: links, roles, and the servers for callers and operators."""
 
     def __init__(self, *, settings: EntrySettings, incarnation: str) -> None:
         self.runtime = Runtime(
@@ -42,7 +42,7 @@
         self._pending = PendingCalls(incarnation=incarnation)
 
     def start(self) -> None:
-        """Start everything; listeners take calls from here on."""
+        """Start all parts; the listeners then accept calls."""
         self.runtime.start()
         self._bind_links()
         self._start_roles()
@@ -132,7 +132,7 @@
         self._pending.resolve(getattr(command, "call_id"), command)  # noqa: B009
 
     def stop(self) -> None:
-        """Fail health checks, finish the calls in flight, then end."""
+        """Fail health checks during the notice, finish calls in flight, then stop."""
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.skip_notice.wait(stop.notice_s)
--- a/bulrushpulley/roles/guard.py
+++ b/bulrushpulley/roles/guard.py
@@ -1,4 +1,7 @@
-"""The guard: runs requests on its backend server, and is the last check on them."""
+"""Builds the guard of a backend server.
+
+It makes the last check on requests and runs them on the server.
+"""
 
 from __future__ import annotations
 
@@ -30,11 +33,11 @@
     slots: int = DEFAULT_SLOTS,
     queue_limit: int = DEFAULT_QUEUE_LIMIT,
 ) -> Role[GuardTables]:
-    """Return a guard that has just started.
+    """Return the guard of an agent that has just started.
 
-    `agent` is the name in the settings, `incarnation` unique to the process. The
-    backend server runs `service` with `slots` requests at once; `queue_limit`
-    more may wait here.
+    `agent` is the agent's name in its settings; `incarnation` must be unique to the
+    process. The backend server runs `service` with up to `slots` concurrent requests;
+    up to `queue_limit` more are queued by the guard.
     """
     settings = GuardSettings(
         agent=agent,
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -1,4 +1,4 @@
-"""The role of every entry that takes callers' calls about jobs."""
+"""Builds the intake, the role of an entry that handles callers' calls about jobs."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/roles/job_agent.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -1,4 +1,4 @@
-"""The role of an agent that runs tasks on the backend server beside it."""
+"""Builds the job agent, the role that runs tasks on the backend server beside it."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def build(tables: JobAgentTables) -> Role[JobAgentTables]:
-    """Return the keeper of an agent."""
+    """Return the job agent with its initial tables."""
     return Role(
         name=JOB_AGENT,
         tables=tables,
--- a/bulrushpulley/roles/job_agent_io.py
+++ b/bulrushpulley/roles/job_agent_io.py
@@ -1,4 +1,4 @@
-"""Carries out the commands of the keeper."""
+"""Carries out the commands of the job agent."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobAgentPorts(StorePorts):
-    """The ports of the keeper."""
+    """The ports of the job agent."""
 
     executor: ExecutorClient
 
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -29,7 +29,7 @@
 
 
 class JobAgentProcess:
-    """The parts of an agent: the keeper, the link's listener and the server's front."""
+    """A job agent process: its role and the servers for links and announcements."""
 
     def __init__(self, *, settings: JobAgentSettings, incarnation: str) -> None:
         self.runtime = Runtime(
@@ -41,7 +41,7 @@
         self._settings = settings
 
     def start(self) -> None:
-        """Start everything; the owner of the shard can dial from here on."""
+        """Start all parts; the owner of the shard can then connect."""
         settings = self._settings
         self.runtime.start()
         host, port = split_address(settings.links)
@@ -100,7 +100,7 @@
         self._front.start()
 
     def stop(self) -> None:
-        """End at once: what runs goes on, and the next process finds it listed."""
+        """Stop at once; runs continue, and the next process finds them in the run list."""
         log_process(process=self.runtime.name, stage="leaving")
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -1,4 +1,4 @@
-"""Assembles and runs an entry on the users' platform: callers' front and scheduler."""
+"""Assembles and runs an entry on the users' platform: intake and scheduler."""
 
 from __future__ import annotations
 
@@ -31,7 +31,8 @@
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.pending import PendingCalls
 
-# A write that waits for a slow store holds a thread beside those of the checks.
+# Writes that wait for a slow store hold threads beside those of the reads that
+# check whether a write took effect.
 INTAKE_THREADS = 14
 SCHEDULER_THREADS = 6
 CALLER_THREADS = 24
@@ -41,7 +42,7 @@
 
 
 class JobEntryProcess:
-    """The parts of an entry: intake, scheduler, fronts of callers and checks."""
+    """A job entry process: intake, scheduler, and servers for callers and checks."""
 
     def __init__(self, *, settings: JobEntrySettings, incarnation: str) -> None:
         self.runtime = Runtime(
@@ -63,7 +64,7 @@
         )
 
     def start(self) -> None:
-        """Start everything; the listeners take calls from here on."""
+        """Start all parts; the listeners then accept calls."""
         self.runtime.start()
         base = self.runtime.ports(answer=self._answer)
         self._start_scheduler(base)
@@ -140,7 +141,7 @@
         )
 
     def stop(self) -> None:
-        """Turn new callers away, give the shard up, finish calls, then end."""
+        """Refuse new calls, release the shard, finish calls in flight, then stop."""
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.tell(SCHEDULER, Leave())
@@ -154,5 +155,5 @@
 
 
 def takeover_stagger(settings: JobEntrySettings) -> float:
-    """Return how late an entry takes over among its equals, from 0 to 1."""
+    """Return when an entry takes over relative to other entries, from 0 to 1."""
     return (zlib.crc32(settings.name.encode()) % 997) / 997
--- a/bulrushpulley/roles/job_links.py
+++ b/bulrushpulley/roles/job_links.py
@@ -1,12 +1,13 @@
-"""How the links between the owner of a shard and the agents are kept alive.
+"""Heartbeat interval and timeouts of the links between a shard's owner and agents.
 
-A silent link is noticed before the leases of its agent's runs are in danger.
+They detect a dead link before the leases of its agent's runs are at risk.
 """
 
 from __future__ import annotations
 
-# An idle link sends an empty frame this often, and ends after so long without one.
+# An idle link sends an empty frame at this interval, and is closed when no frame
+# arrives for the timeout.
 JOB_LINK_HEARTBEAT_INTERVAL_S = 1.0
 JOB_LINK_SILENCE_TIMEOUT_S = 3.0
-# A host that does not answer a dial within this time is dialled again.
+# A connection attempt that a host does not answer within this time is repeated.
 JOB_LINK_HELLO_TIMEOUT_S = 1.5
--- a/bulrushpulley/roles/linker.py
+++ b/bulrushpulley/roles/linker.py
@@ -1,6 +1,7 @@
-"""The role that keeps an agent linked to every entry.
+"""Builds the linker, the role that keeps an agent linked to every entry.
 
-It starts from the seeds of the settings and then follows the entries' own list.
+It starts with the seed addresses of the settings, then follows the list of entries
+that the entries send.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 
 def build(*, incarnation: str, seeds: tuple[str, ...]) -> Role[LinkerTables]:
-    """Return the linker of a process; `seeds` are ``HOST:PORT`` of entries."""
+    """Return the linker of an agent; `seeds` are ``HOST:PORT`` of entries."""
     dials: Table[Dial] = Table.empty(indexes={"state": by_state})
     for address in seeds:
         dials = dials.put(address, Dial(address=address, seed=True))
--- a/bulrushpulley/roles/router.py
+++ b/bulrushpulley/roles/router.py
@@ -1,4 +1,4 @@
-"""The router: sends callers' requests to agents and gives back whole answers."""
+"""Builds the router, which sends callers' requests to agents and returns answers."""
 
 from __future__ import annotations
 
@@ -28,9 +28,9 @@
 
 
 def build(*, incarnation: str, region: str) -> Role[RouterTables]:
-    """Return a router that has just started.
+    """Return the router of an entry that has just started.
 
-    `incarnation` must be unique to the process: attempts and submissions are
+    `incarnation` must be unique to the process, since attempts and submissions are
     numbered under it. Servers of `region` are preferred.
     """
     return Role(
--- a/bulrushpulley/roles/routing.py
+++ b/bulrushpulley/roles/routing.py
@@ -1,7 +1,7 @@
-"""Which roles of a process receive an item of a link, and in what form.
+"""Determines which roles receive an item from a link, and as which event.
 
-A role that the process lacks is passed over, so an item that a peer sends to the
-wrong side has no effect.
+Roles that the process does not run are skipped, so an item that a peer sends to the
+wrong kind of process has no effect.
 """
 
 from __future__ import annotations
@@ -98,7 +98,7 @@
 
 @singledispatch
 def event_for_item(item: Event) -> Event:
-    """Return the event that a role is told for an item; the item by default."""
+    """Return the event that a role receives for an item; the item by default."""
     return item
 
 
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -1,8 +1,8 @@
-"""What every process runs on: its actors, event loop, pool, links and metrics.
+"""The runtime of every process: actors, event loop, pools, links and metrics.
 
-The main thread waits for a signal; each role has a thread, the links share one
-event loop, and blocking calls to the platform run on a bounded pool. A role that
-fails ends the process, since a process without one of its roles would hold work
+The main thread waits for a signal. Each role has a thread of its own, the links share
+one event loop, and blocking calls to the platform run on bounded pools. The failure
+of a role ends the process, since a process without one of its roles would hold work
 that it no longer serves.
 """
 
@@ -88,7 +88,7 @@
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
         silence_s: float = SILENCE_TIMEOUT_S,
     ) -> LinkHooks:
-        """Return who this process is on its links, and what receives their items."""
+        """Return the identity of this process on its links and their callbacks."""
         return LinkHooks(
             incarnation=self.incarnation,
             region=self.region,
@@ -100,7 +100,7 @@
         )
 
     def ports(self, *, answer: Callable[[Command], None]) -> dict[str, Any]:
-        """Return the arguments that every class of ports takes."""
+        """Return the arguments common to all classes of ports."""
         return {
             "send": self.links.send,
             "tell": self.tell,
@@ -112,10 +112,10 @@
         }
 
     def start_role(self, role: Role[Any], ports: Ports, *, threads: int = 1) -> None:
-        """Start the actor of a role, its ticks and the pool of its blocking calls.
+        """Start the actor of a role, its ticks and the pool for its blocking calls.
 
-        Each role has a pool of its own, so that the slow calls of one hold up no
-        other.
+        Each role has a pool of its own, so that slow calls of one role do not delay
+        another.
         """
         self._done_by_role[role.name] = threading.Event()
         self._pool_by_role[role.name] = ThreadPoolExecutor(
@@ -130,7 +130,7 @@
         self._ref_by_role[role.name] = ref
 
     async def _tick_roles(self) -> None:
-        """Tell every role at its interval that a tick is due, until one has ended."""
+        """Send every role a tick at its interval; fail the process if a role ended."""
         due_by_role: dict[str, float] = {}
         while True:
             now = asyncio.get_running_loop().time()
@@ -144,7 +144,7 @@
                     ref.tell(TickDue())
                 except pykka.ActorDeadError:
                     if not self.stopping.is_set():
-                        self._fail(role, "the role ended")
+                        self._fail(role, "the role's actor has ended")
             await asyncio.sleep(
                 min(self._tick_interval_s_by_role.values(), default=TICK_INTERVAL_S)
             )
@@ -158,7 +158,7 @@
         self.stopping.set()
 
     def tell(self, role: str, event: Event) -> None:
-        """Tell a role of this process an event; one it lacks is passed over."""
+        """Send an event to a role; do nothing if this process does not run it."""
         ref = self._ref_by_role.get(role)
         if ref is None:
             return
@@ -168,22 +168,22 @@
             self.metrics.count(Count(name="events_lost", label=role))
 
     def receive(self, item: Event) -> None:
-        """Hand an item of a link to the roles that it is for."""
+        """Pass an item from a link to its recipients among the roles."""
         event = event_for_item(item)
         for role in recipients(item):
             self.tell(role, event)
 
     def report_to(self, command: ReportTo) -> None:
-        """Give an outcome to whoever asked: a role here or a linked process."""
+        """Send an outcome to its origin: a role of this process or a linked one."""
         if command.origin in ROLES:
             self.tell(command.origin, command.outcome)
         else:
             self.links.send(Send(peer=command.origin, item=command.outcome))
 
     def run(self, *, role: str, work: Callable[[], Event]) -> None:
-        """Execute `work` on the pool of `role` and tell it the event it returns.
+        """Execute `work` on the pool of `role` and send the role the resulting event.
 
-        Work that comes after the pool was shut down at a stop is dropped.
+        Work that arrives after the pool was shut down at a stop is dropped.
         """
         with contextlib.suppress(RuntimeError):
             self._pool_by_role[role].submit(self._run, role, work)
@@ -197,11 +197,11 @@
         self.tell(role, event)
 
     def role_done(self, role: str) -> None:
-        """Note that a role has finished its work after `Leave`."""
+        """Record that a role has finished its work after `Leave`."""
         self._done_by_role[role].set()
 
     def leave(self, event: Event, roles: tuple[str, ...], timeout_s: float) -> None:
-        """Tell roles to leave and wait until they are done or time is up."""
+        """Send `event` to roles and wait until they are done or the time is up."""
         for role in roles:
             self.tell(role, event)
         deadline = self.loop.time() + timeout_s
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -1,4 +1,7 @@
-"""The role that owns a shard of the jobs and places their tasks, in one entry."""
+"""Builds the scheduler, which places the tasks of jobs.
+
+One entry's scheduler owns a shard; those of the other entries follow it.
+"""
 
 from __future__ import annotations
 
@@ -32,7 +35,10 @@
 def build(
     *, name: str, incarnation: str, takeover_stagger: float, bounds: Bounds
 ) -> Role[SchedulerTables]:
-    """Return the scheduler of an entry; the least `patience` takes over first."""
+    """Return the scheduler of an entry.
+
+    The entry with the least `takeover_stagger` takes over first.
+    """
     tables = SchedulerTables(
         name=name,
         incarnation=incarnation,
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -30,7 +30,7 @@
 class SchedulerPorts(StorePorts):
     """The ports of the scheduler; `dial` returns at once.
 
-    `advice` and `machines` are None where the platform has no service for them.
+    `advice` and `machines` are None if no such service is configured.
     """
 
     dial: Callable[[str], None]
@@ -46,7 +46,7 @@
 @carry_out.register
 def _(command: RequestAdvice, ports: SchedulerPorts) -> None:
     if ports.advice is None:
-        reason = "the settings name no service for advice"
+        reason = "no advice service is configured"
         failed = AdviceFailed(step_key=command.step_key, reason=reason)
         ports.tell(command.role, failed)
         return
@@ -63,7 +63,7 @@
     ports.tell(command.role, WallClock(wall_s=time.time()))
 
 
-NO_MACHINES = "the settings name no service for machines"
+NO_MACHINES = "no machines service is configured"
 
 
 @carry_out.register
--- a/bulrushpulley/roles/store_io.py
+++ b/bulrushpulley/roles/store_io.py
@@ -1,4 +1,4 @@
-"""Carries out calls to the platform's store for any role that has its client."""
+"""Carries out calls to the platform's store for the roles that have its client."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -1,7 +1,7 @@
 """Settings in TOML, read into frozen classes and checked as a whole.
 
-Every error of a file is reported at once, with the file as peer and the dotted
-path of the key; unknown keys are refused. The key ``role`` names the class, so
+All errors of a file are reported at once, with the file as peer and the dotted
+path of the key; unknown keys are errors. The key ``role`` names the class, so
 that an agent cannot be started from an entry's file.
 
 Example::
@@ -23,7 +23,8 @@
 from bulrushpulley.wire.validation import Length, Range, Text, build
 
 STEP = "settings.check"
-# A lease is asked for with this part of the longest one, as clocks are read.
+# Leases are requested for this fraction of the longest one allowed, as a margin for
+# the reading of clocks.
 LEASE_FRACTION = 0.95
 
 Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", max_characters=100)]
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpSettings:
-    """An HTTP listener and its threads, one for each request under way."""
+    """An HTTP listener and its threads, one for each request in flight."""
 
     host: Host
     port: Port
@@ -51,7 +52,7 @@
 class ListenSettings:
     """The listener for the links of agents.
 
-    `advertised_host` is the IP number at which agents reach it.
+    `advertised_host` is the IP address at which agents reach it.
     """
 
     host: Host
@@ -61,7 +62,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TlsSettings:
-    """Files in PEM form for links; both sides show a certificate of `ca`."""
+    """PEM files for links; both sides present a certificate signed by `ca`."""
 
     certificate: str
     key: str
@@ -70,7 +71,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopSettings:
-    """A planned stop: `notice_s` of failed health checks, then the work's end."""
+    """A planned stop.
+
+    Health checks fail for `notice_s`, then work in flight is finished in `within_s`.
+    """
 
     notice_s: Seconds = 0.0
     within_s: Seconds = 30.0
@@ -109,7 +113,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendSettings:
-    """The backend server beside the agent and how much it takes at once."""
+    """The backend server beside the agent and its limits."""
 
     url: Url
     service: Name
@@ -122,7 +126,7 @@
 class CellSettings:
     """How the agent owns cells.
 
-    Without the store it goes on renewing the leases of tasks for `autonomy_s`.
+    While the store is unreachable, it keeps renewing task leases for `autonomy_s`.
     """
 
     autonomy_s: Seconds = 3_600.0
@@ -156,8 +160,8 @@
 class LimitSettings:
     """What the platform's backend servers allow.
 
-    No lease is longer than `longest_lease_s`; what has lost its lease, or is
-    stopped, ends within `kill_s`. A new owner leaves machines alone for `turn_s`.
+    No lease is longer than `longest_lease_s`. A run that lost its lease or is stopped
+    ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep.
     """
 
     longest_lease_s: Annotated[float, Range(low=0.5, high=3_600.0)]
@@ -167,14 +171,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BoundSettings:
-    """How long each party goes on without the others; see `entities.jobs.bounds`."""
+    """How long each party continues without contact; see `entities.jobs.bounds`."""
 
     owner_autonomy_s: Seconds = 8.0
     agent_autonomy_s: Seconds = 6.0
     lease_s: Annotated[float, Range(low=0.5, high=3_600.0)] = 5.7
 
     def within(self, limits: LimitSettings) -> Bounds:
-        """Return the bounds that also keep to what the platform allows."""
+        """Return the bounds, with leases limited to what the platform allows."""
         return Bounds(
             owner_autonomy_s=self.owner_autonomy_s,
             agent_autonomy_s=self.agent_autonomy_s,
@@ -188,9 +192,9 @@
 class JobEntrySettings:
     """The settings of an entry on the users' platform.
 
-    `callers` is where jobs come in, `ready` where the platform asks whether new
-    callers should come. `advice` is the service that knows where steps may run and
-    `machines` the one that takes machines down, if there are any.
+    `callers` is the address for job submissions, `ready` the one for the platform's
+    readiness checks. `advice` is the service that knows where steps may run and
+    `machines` the one that takes machines down; both are optional.
     """
 
     role: Annotated[str, Text(pattern="job-entry")]
@@ -212,9 +216,9 @@
 class JobAgentSettings:
     """The settings of an agent on the users' platform.
 
-    `links` is where it takes the links of the shard's owner, which dials it there or
-    at `reached_at`, and `announcements` where its backend server, of `service`,
-    announces itself.
+    `links` is the address at which it accepts links. The shard's owner connects to it,
+    or to `reached_at` if set. At `announcements` its backend server, which runs
+    `service`, announces itself.
     """
 
     role: Annotated[str, Text(pattern="job-agent")]
@@ -239,7 +243,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OperatorClientSettings:
-    """The settings of the operator verbs; `entries` are tried in order."""
+    """The settings of the operators' verbs; `entries` are tried in order."""
 
     role: Annotated[str, Text(pattern="operator")]
     entries: Annotated[tuple[Url, ...], Length(min_items=1, max_items=100)]
@@ -282,7 +286,7 @@
 
 
 def load_any(path: pathlib.Path) -> Settings:
-    """Read and check a settings file of whatever role its key ``role`` names."""
+    """Read and check a settings file of the role that its key ``role`` names."""
     raw = read_toml(path)
     cls = CLASS_BY_ROLE.get(str(raw.get("role")))
     if cls is None:
--- a/bulrushpulley/verb_output.py
+++ b/bulrushpulley/verb_output.py
@@ -15,7 +15,7 @@
 
 
 def print_problems(problems: Iterable[Problem]) -> None:
-    """Print problems on standard error, one a line."""
+    """Print problems on standard error, one per line."""
     for problem in problems:
         print(problem, file=sys.stderr)
 
@@ -39,9 +39,9 @@
 
 
 def not_in_force_reason(waited: Answer | None) -> str:
-    """Say why a revision was not seen in force everywhere."""
+    """Return the reason why a revision was not seen in force everywhere."""
     if waited is None:
-        return "not in force everywhere: no time was left to ask"
+        return "not in force everywhere: timed out before asking"
     if waited.problems:
         return _problem_line(waited.problems[0])
     missing = ", ".join(waited.value.get("missing", ()))
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -1,7 +1,7 @@
 """The operators' verbs of the command line.
 
-`run` takes the arguments from the verb on and returns the exit code; `VERBS`
-names the verbs that it knows.
+`run` takes the arguments, of which the first is the verb, and returns the exit code.
+`VERBS` lists the verbs.
 
 Example::
 
@@ -48,7 +48,7 @@
 
     @property
     def argument(self) -> str:
-        """The one argument of a verb that takes one."""
+        """The argument of a verb that takes exactly one."""
         return self.arguments[0]
 
 
@@ -59,16 +59,30 @@
     flags.DEFINE_multi_string(
         "entry", [], "URL of an entry; may be repeated.", flag_values=values
     )
-    flags.DEFINE_string("author", None, "Who makes the change.", flag_values=values)
+    flags.DEFINE_string(
+        "author", None, "Name of who makes the change.", flag_values=values
+    )
     flags.DEFINE_float(
-        "timeout", None, "Seconds for the verb.", 0.1, 3_600.0, flag_values=values
+        "timeout",
+        None,
+        "Time limit of the verb in seconds.",
+        0.1,
+        3_600.0,
+        flag_values=values,
     )
     flags.DEFINE_bool(
-        "wait", False, "Wait until in force everywhere.", flag_values=values
+        "wait",
+        False,
+        "Wait until the change is in force everywhere.",
+        flag_values=values,
     )
     flags.DEFINE_bool("json", False, "Print the answer as JSON.", flag_values=values)
     flags.DEFINE_integer(
-        "revision", 0, "Only change this revision.", 0, flag_values=values
+        "revision",
+        0,
+        "Change the record only if it is at this revision.",
+        0,
+        flag_values=values,
     )
 
 
@@ -119,7 +133,7 @@
 
 
 def _check(options: Options) -> int:
-    """Check settings and records without any process."""
+    """Check files of settings and records without contacting an entry."""
     found: list[Problem] = []
     for name in options.arguments:
         try:
@@ -222,7 +236,7 @@
 def _wait_until_in_force(
     client: OperatorClient, revision: int, deadline: float
 ) -> Answer | None:
-    """Have entries hold the question until the revision is in force or time is up."""
+    """Long-poll the entries until the revision is in force or the time is up."""
     last: Answer | None = None
     while (remaining_s := deadline - time.monotonic()) > MIN_REMAINING_S:
         wait_s = min(remaining_s * LONG_POLL_FRACTION, MAX_LONG_POLL_S)
@@ -243,7 +257,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verb:
-    """A verb, how many arguments it takes and what it does."""
+    """A verb: the function that carries it out and how many arguments it takes."""
 
     run: Callable[[Options], int]
     arguments: range = range(1, 2)
--- a/test/test_decisions_counted.py
+++ b/test/test_decisions_counted.py
@@ -1,4 +1,4 @@
-"""Decisions show in the metrics by their kind, whoever made them."""
+"""Tests that the decisions of every role are counted by kind in the metrics."""
 
 from __future__ import annotations
 
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -1,4 +1,4 @@
-"""The deploy file and its templates: what they render to are settings of the roles."""
+"""Tests that the deploy file's templates render to valid settings of the roles."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 )
 
 DEPLOY = pathlib.Path(__file__).resolve().parent.parent / "deploy"
-# One value for each placeholder, as the platform gives them to a process.
+# A value for each placeholder, as the platform fills them in for a process.
 VALUE_BY_PLACEHOLDER = {
     "Node": "edge-ege-izmir-1",
     "Region": "ege",
--- a/test/test_main_signals.py
+++ b/test/test_main_signals.py
@@ -1,4 +1,4 @@
-"""How a process takes the signals of the platform."""
+"""Tests of how a process handles the signals of the platform."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class FakeProcess:
-    """A process that notes its life and sends itself signals."""
+    """A process that records its stages and sends itself signals at its start."""
 
     def __init__(self, *signals: int) -> None:
         self.runtime: Any = SimpleNamespace(
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -64,7 +64,9 @@
     def wait_for_run(self, fleet: Fleet, request_id: str) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not count_runs(fleet.layout.backend_urls)[request_id]:
-            self.assertTrue(time.monotonic() < deadline, "it never ran")
+            self.assertTrue(
+                time.monotonic() < deadline, "the request did not run in time"
+            )
             threading.Event().wait(POLL_INTERVAL_S)
 
     def send(self, fleet: Fleet, seconds: float) -> Report:
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the settings: the samples, and every error of a file at once."""
+"""Tests of the settings: the samples load, and all errors are reported at once."""
 
 from __future__ import annotations
 
