Name the roles' constants after the roles

NAME and ROLE stood for the same role names in several modules; they are CELL_OWNER and CONTROLLER now, as the committer's module has it. A few locals of the verbs and the metrics say what they hold.

--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -53,16 +53,16 @@
             histogram.record_value(value)
 
     def _histogram(self, key: tuple[str, str]) -> HdrHistogram:
-        found = self._histogram_by_key.get(key)
-        if found is not None:
-            return found
+        existing = self._histogram_by_key.get(key)
+        if existing is not None:
+            return existing
         if len(self._histogram_by_key) >= MAX_HISTOGRAMS:
             key = (key[0], OTHER_LABEL)
-        made = self._histogram_by_key.get(key) or HdrHistogram(
+        created = self._histogram_by_key.get(key) or HdrHistogram(
             MIN_VALUE_US, MAX_VALUE_US, SIGNIFICANT_DIGITS
         )
-        self._histogram_by_key[key] = made
-        return made
+        self._histogram_by_key[key] = created
+        return created
 
     def counter_value(self, name: str, label: str = "") -> int:
         """Return the value of a counter."""
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -56,7 +56,7 @@
         )
 
     def _start_roles(self) -> None:
-        base = self.runtime.ports(answer=self._no_answer)
+        base = self.runtime.ports(answer=self._reject_answer)
         self._start_guard(base)
         self._start_cell_owner(base)
         role = linker.build(
@@ -103,7 +103,7 @@
     def _dial(self, address: str) -> None:
         self.runtime.loop.call_soon_threadsafe(self._dialler.dial, address)
 
-    def _no_answer(self, command: Command) -> None:
+    def _reject_answer(self, command: Command) -> None:
         raise NotImplementedError(f"no front end for {type(command).__name__}")
 
     def _start_front(self) -> None:
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -22,7 +22,7 @@
 from bulrushpulley.systems.cell import watch as cell_watch
 from bulrushpulley.systems.cell.endings import write_endings
 
-NAME = "cell_owner"
+CELL_OWNER = "cell_owner"
 
 
 def build(
@@ -38,7 +38,7 @@
         agent=agent, incarnation=incarnation, region=region, autonomy_s=autonomy_s
     )
     return Role(
-        name=NAME,
+        name=CELL_OWNER,
         tables=tables,
         apply=cell_owner_events.apply,
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
--- a/bulrushpulley/roles/cell_owner_io.py
+++ b/bulrushpulley/roles/cell_owner_io.py
@@ -16,7 +16,7 @@
 from bulrushpulley.platform.worker import WorkerClient
 from bulrushpulley.roles.carry_out import Ports, carry_out
 
-ROLE = "cell_owner"
+CELL_OWNER = "cell_owner"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,22 +29,22 @@
 
 @carry_out.register
 def _(command: StartTask, ports: CellOwnerPorts) -> None:
-    ports.run(role=ROLE, work=partial(ports.workers.start, command))
+    ports.run(role=CELL_OWNER, work=partial(ports.workers.start, command))
 
 
 @carry_out.register
 def _(command: StopTask, ports: CellOwnerPorts) -> None:
-    ports.run(role=ROLE, work=partial(ports.workers.stop, command))
+    ports.run(role=CELL_OWNER, work=partial(ports.workers.stop, command))
 
 
 @carry_out.register
 def _(command: ThrottleTask, ports: CellOwnerPorts) -> None:
-    ports.run(role=ROLE, work=partial(ports.workers.throttle, command))
+    ports.run(role=CELL_OWNER, work=partial(ports.workers.throttle, command))
 
 
 @carry_out.register
 def _(command: AskReport, ports: CellOwnerPorts) -> None:
-    ports.run(role=ROLE, work=partial(ports.workers.report, command))
+    ports.run(role=CELL_OWNER, work=partial(ports.workers.report, command))
 
 
 @carry_out.register
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -25,7 +25,7 @@
 from bulrushpulley.systems.control import records as control_records
 from bulrushpulley.systems.control import submissions as control_submissions
 
-NAME = "controller"
+CONTROLLER = "controller"
 # The modules that register events by being imported.
 EVENT_MODULES = (control_assignment_outcomes, control_cells)
 
@@ -50,7 +50,7 @@
     for name, poll in polls.items():
         table = table.put(name, poll)
     return Role(
-        name=NAME,
+        name=CONTROLLER,
         tables=ControllerTables(identity=identity, polls=table),
         apply=control_events.apply,
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -70,7 +70,7 @@
             service=settings.service,
         )
         ports = JobAgentPorts(
-            **self.runtime.ports(answer=self._no_answer),
+            **self.runtime.ports(answer=self._reject_answer),
             store=RowStoreClient(
                 url=settings.store.url, connections=1, report=self.runtime.report
             ),
@@ -80,7 +80,7 @@
             job_agent.build(tables), ports, threads=JOB_AGENT_THREADS
         )
 
-    def _no_answer(self, command: Command) -> None:
+    def _reject_answer(self, command: Command) -> None:
         raise NotImplementedError(f"no front end for {type(command).__name__}")
 
     def _start_front(self) -> None:
@@ -100,7 +100,7 @@
         self._front.start()
 
     def stop(self) -> None:
-        """Stop at once; runs continue, and the next process finds them in the run list."""
+        """Stop at once; runs continue, and the next process finds them by polling."""
         log_process(process=self.runtime.name, stage="leaving")
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
--- a/bulrushpulley/verb_output.py
+++ b/bulrushpulley/verb_output.py
@@ -38,13 +38,13 @@
     print("\n".join(lines))
 
 
-def not_in_force_reason(waited: Answer | None) -> str:
+def not_in_force_reason(in_force_answer: Answer | None) -> str:
     """Return the reason why a revision was not seen in force everywhere."""
-    if waited is None:
+    if in_force_answer is None:
         return "not in force everywhere: timed out before asking"
-    if waited.problems:
-        return _problem_line(waited.problems[0])
-    missing = ", ".join(waited.value.get("missing", ()))
+    if in_force_answer.problems:
+        return _problem_line(in_force_answer.problems[0])
+    missing = ", ".join(in_force_answer.value.get("missing", ()))
     return f"not in force everywhere yet; missing: {missing}"
 
 
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -224,12 +224,16 @@
     if answer.codes or not options.wait:
         print_answer(options.verb, answer, as_json=options.as_json)
         return exit_code_of(answer.codes)
-    waited = _wait_until_in_force(client, int(answer.value["revision"]), deadline)
-    in_force = bool(waited is not None and waited.value.get("everywhere"))
+    in_force_answer = _wait_until_in_force(
+        client, int(answer.value["revision"]), deadline
+    )
+    in_force = bool(
+        in_force_answer is not None and in_force_answer.value.get("everywhere")
+    )
     print_answer(options.verb, answer, as_json=options.as_json, in_force=in_force)
     if in_force:
         return ExitCode.OK
-    print(not_in_force_reason(waited), file=sys.stderr)
+    print(not_in_force_reason(in_force_answer), file=sys.stderr)
     return ExitCode.NOT_IN_FORCE
 
 
