--- a/bulrushpulley/entities/__init__.py
+++ b/bulrushpulley/entities/__init__.py
@@ -1,1 +1,1 @@
-"""The rows of the system and the immutable tables that hold them."""
+"""The row types of the system and the immutable tables that store them."""
--- a/bulrushpulley/entities/backend_server.py
+++ b/bulrushpulley/entities/backend_server.py
@@ -1,8 +1,8 @@
-"""A backend server as a router sees it, through its agent's announcements.
+"""A router's view of a backend server, built from its agent's announcements.
 
-The load is what this router has in flight there plus what others had at the last
-announcement. Latency is an exponentially weighted moving average of the time
-between a dispatch and its answer.
+The load is the number of requests that this router has in flight on the server plus
+those of other routers at the last announcement. Latency is an exponentially weighted
+moving average of the time between a dispatch and its answer.
 """
 
 from __future__ import annotations
@@ -15,11 +15,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendServer:
-    """One linked agent and its backend server, keyed by the incarnation.
+    """One linked agent and its backend server, keyed by the agent's incarnation.
 
-    `others` counts the requests of other entries there, `claiming` the claims on
-    their way to the table service that name it. An `ejected` server gets
-    nothing but one probe at a time, from `probe_at` on.
+    `other_load` counts the requests of other entries on the server;
+    `pending_claims` counts the claims that name it and await their outcome. An
+    `ejected` server receives only one probe request at a time, starting at
+    `probe_at`.
     """
 
     agent: str
@@ -42,7 +43,7 @@
 
     @property
     def load(self) -> int:
-        """The requests that the backend server has, as far as is known."""
+        """The number of requests that the backend server is known to have."""
         return self.in_flight + self.other_load
 
     def with_request_added(self) -> BackendServer:
@@ -50,11 +51,11 @@
         return replace(self, in_flight=self.in_flight + 1)
 
     def with_request_removed(self) -> BackendServer:
-        """Return the row with one request less in flight."""
+        """Return the row with one request fewer in flight."""
         return replace(self, in_flight=max(0, self.in_flight - 1))
 
     def with_latency_sample(self, latency_s: float, now: float) -> BackendServer:
-        """Return the row with one more latency in the average."""
+        """Return the row with a latency sample added to the average."""
         weight = LATENCY_SAMPLE_WEIGHT if self.samples else 1.0
         average = self.latency_s + weight * (latency_s - self.latency_s)
         return replace(
--- a/bulrushpulley/entities/calls.py
+++ b/bulrushpulley/entities/calls.py
@@ -1,6 +1,6 @@
-"""The calls of callers as the front end hands them to the router, and answers.
+"""Calls as the front end passes them to the router, and the replies to them.
 
-They are free of encoding: HTTP today, any other front end tomorrow.
+They are independent of the encoding, so that front ends other than HTTP can use them.
 """
 
 from __future__ import annotations
@@ -15,10 +15,10 @@
 class CallReceived(Event):
     """A caller's request.
 
-    `call_id` is the front end's own and unique in the process. `request_id` is
-    the caller's idempotency key and must be given for an unrepeatable request.
-    `within_s` is the time the caller will wait, from `received_at` on the clock of
-    the process; without it, from the tick that takes the call in.
+    `call_id` is assigned by the front end and unique in the process. `request_id`
+    is the caller's idempotency key and is required for an unrepeatable request.
+    `within_s` is the caller's timeout, counted from `received_at` on the clock of
+    the process, or from the tick that receives the call if that is None.
     """
 
     call_id: str
@@ -32,14 +32,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallAbandoned(Event):
-    """The caller has gone; nobody waits for the answer."""
+    """The caller has disconnected and no longer waits for the answer."""
 
     call_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerCall(Command):
-    """The whole answer of the backend server to a call."""
+    """Returns the backend server's complete answer to the caller."""
 
     call_id: str
     status: int
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RefuseCall(Command):
-    """The refusal of a call and whether its request may have run."""
+    """Refuses a call; `ran` says whether its request may have run."""
 
     call_id: str
     ran: Ran
--- a/bulrushpulley/entities/execution.py
+++ b/bulrushpulley/entities/execution.py
@@ -1,7 +1,7 @@
-"""A request at an agent: queued or running on the backend server, or remembered.
+"""Requests at an agent: queued or running on the backend server, or finished.
 
-The agent keeps the outcome of each unrepeatable id, so that a repeated call gets
-the same answer and an id that was barred never runs.
+The agent stores the outcome of each unrepeatable request id, so that a repeated call
+gets the same answer and a barred id never runs.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 
 class ExecutionState(enum.Enum):
-    """Where a request stands at the agent."""
+    """The state of a request at the agent."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Waiter:
-    """An attempt of an entry that waits for the outcome of an execution."""
+    """An attempt by the entry `peer` that waits for the outcome of an execution."""
 
     peer: str
     attempt_id: str
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Execution:
-    """One run of a request, keyed by the attempt that brought it."""
+    """One run of a request, keyed by the attempt that dispatched it."""
 
     execution_id: str
     request_id: str
@@ -46,9 +46,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outcome:
-    """How an execution ended: a whole answer, or whether it ran and why not.
+    """How an execution ended: with a complete answer, or with a problem.
 
-    `problem` is None for a whole answer.
+    `ran` says whether the request ran. `problem` is None for a complete answer.
     """
 
     ran: Ran
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RememberedOutcome:
-    """The outcome of an unrepeatable id, kept until `until`."""
+    """The outcome of an unrepeatable request id, kept until `expires_at`."""
 
     request_id: str
     expires_at: float
@@ -71,8 +71,8 @@
 class RunOnBackend(Command):
     """Runs a request on the backend server.
 
-    Exactly one `BackendAnswered` or `BackendFailed` follows, within `within_s`
-    and a little more.
+    Exactly one `BackendAnswered` or `BackendFailed` follows, shortly after
+    `within_s` at the latest.
     """
 
     execution_id: str
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CheckBackend(Command):
-    """Asks the backend server for its health; `HealthSeen` follows."""
+    """Checks the health of the backend server; `HealthChecked` follows."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendAnswered(Event):
-    """The backend server's whole answer, of whatever status."""
+    """The backend server's complete answer, with any status."""
 
     execution_id: str
     status: int
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendFailed(Event):
-    """No whole answer; `sent` is False only if surely no byte was sent."""
+    """No complete answer came; `sent` is False only if certainly no byte was sent."""
 
     execution_id: str
     sent: bool
@@ -113,12 +113,12 @@
 
 
 def by_state(execution: Execution) -> tuple[str, ...]:
-    """Index key function: queued or running."""
+    """Index key function: the state, queued or running."""
     return (execution.state.value,)
 
 
 def by_request_id(execution: Execution) -> tuple[str, ...]:
-    """Index key function: the unrepeatable id, if there is one."""
+    """Index key function: the request id, if the request is unrepeatable."""
     if execution.repeatable or not execution.request_id:
         return ()
     return (execution.request_id,)
--- a/bulrushpulley/entities/guard_tables.py
+++ b/bulrushpulley/entities/guard_tables.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GuardDone(Command):
-    """Every request was answered after `Leave`; the process may exit."""
+    """All requests have been answered after `Leave`; the process may exit."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GuardSettings:
-    """What the agent is and how much its backend server takes at once."""
+    """The identity of the agent and the capacity of its backend server."""
 
     agent: str
     incarnation: str
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnnouncedState:
-    """The last announcement: when it left and what it said."""
+    """The contents of an announcement and when it was sent."""
 
     sent_at: float = float("-inf")
     running: int = 0
@@ -59,12 +59,12 @@
 class GuardTables:
     """The state of a guard.
 
-    `remembered` holds the outcomes of unrepeatable ids and `oldest_first` the ids
-    in the order in which they came. Until `forgetful_until` an id may have been
-    forgotten too early, so the guard cannot say that an unknown id did not run.
-    `with_body` holds, oldest first, the ids whose answers still have their
-    bodies, of `body_bytes` in all. `refused` holds attempts that were answered
-    "not run" and must stay so, `refused_first` the same, oldest first.
+    `remembered` holds the outcomes of unrepeatable ids and `remembered_order` their
+    ids, oldest first. Until `outcomes_missing_until` an outcome may have been
+    dropped before it expired, so an unknown id cannot be reported as not run.
+    `body_order` holds, oldest first, the ids whose answers still have their bodies,
+    `body_bytes` in total. `refused_attempts` holds attempts that were answered "not
+    run" and must never run; `refused_order` holds the same ones, oldest first.
     """
 
     settings: GuardSettings
--- a/bulrushpulley/entities/key_queue.py
+++ b/bulrushpulley/entities/key_queue.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KeyQueue:
-    """Keys by place; those from `first` to `last` are filled."""
+    """Keys by position; the positions from `first` to `last` are occupied."""
 
     by_position: PMap[int, str] = field(default_factory=pmap)
     first: int = 0
@@ -32,12 +32,12 @@
         return self.by_position[self.last]
 
     def append(self, key: str) -> KeyQueue:
-        """Return the queue with a key more at its right end."""
+        """Return the queue with a key added at its right end."""
         last = self.last + 1
         return replace(self, by_position=self.by_position.set(last, key), last=last)
 
     def appendleft(self, key: str) -> KeyQueue:
-        """Return the queue with a key more at its left end."""
+        """Return the queue with a key added at its left end."""
         first = self.first - 1
         return replace(self, by_position=self.by_position.set(first, key), first=first)
 
--- a/bulrushpulley/entities/link.py
+++ b/bulrushpulley/entities/link.py
@@ -1,8 +1,8 @@
-"""What agents and entries tell each other over a link.
+"""The messages that agents and entries exchange over a link.
 
-An agent dials every entry and keeps one stream to each. Everything between the
-two travels on that stream in batches; these are its items, free of encoding.
-Each is an event for the role that receives it.
+An agent connects to every entry and keeps one stream to each. All messages between
+the two are sent on that stream in batches; these are its items, independent of the
+encoding. Each is an event for the role that receives it.
 """
 
 from __future__ import annotations
@@ -36,11 +36,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Announce(LinkEvent):
-    """An agent's word on its backend server, from agent to entries.
+    """The state of an agent's backend server, from agent to entries.
 
-    `agent` is the settings' name, `incarnation` unique to the process. `running`
-    and `queued` count requests; `leaving` bars new work; `applied_revision` is
-    the revision of the configuration in force there.
+    `agent` is the name in the settings; `incarnation` is unique to the process.
+    `running` and `queued` count requests. If `leaving` is set, the agent accepts no
+    new requests. `applied_revision` is the configuration revision in force at the
+    agent.
     """
 
     agent: str
@@ -60,8 +61,8 @@
 class Dispatch(LinkEvent):
     """A request for the agent's backend server, from entry to agent.
 
-    `attempt_id` is unique to this dispatch; `request_id` is the caller's id and
-    is empty unless given. `remaining_s` is the time left until the caller's
+    `attempt_id` is unique to this dispatch; `request_id` is the caller's id, or
+    empty if the caller gave none. `remaining_s` is the time left until the caller's
     deadline when the frame was written.
     """
 
@@ -75,10 +76,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Recall(LinkEvent):
-    """Asks the agent for the outcome of a claimed request it was given earlier.
+    """Asks the agent for the outcome of a claimed request sent to it earlier.
 
-    An agent that has not seen `request_id` will refuse it from then on and
-    answers `Refused` with `Ran.NO`.
+    An agent that has not seen `request_id` answers `Refused` with `Ran.NO` and
+    refuses that id from then on.
     """
 
     attempt_id: str
@@ -89,14 +90,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Abandon(LinkEvent):
-    """Tells the agent that nobody waits for an attempt any more."""
+    """Tells the agent that the outcome of an attempt is no longer needed."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered(LinkEvent):
-    """The whole answer of a backend server to one attempt, from agent to entry."""
+    """The complete answer of a backend server to one attempt, from agent to entry."""
 
     attempt_id: str
     status: int
@@ -106,7 +107,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refused(LinkEvent):
-    """An attempt that has no whole answer, and whether it ran."""
+    """An attempt ended without a complete answer; `ran` says whether it ran."""
 
     attempt_id: str
     ran: Ran
@@ -115,7 +116,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DepartmentUse:
-    """What the tasks of one department commit in a cell."""
+    """The resources committed to the tasks of one department in a cell."""
 
     department: str
     committed: Resources
@@ -123,10 +124,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CellSummary(LinkEvent):
-    """An owner's word on its cell, from agent to entries.
+    """The state of a cell as reported by its owner, from agent to entries.
 
-    `free` is the sum over its workers, `largest` the most that one worker can
-    still take; `waiting` counts tasks that the cell holds but has not started.
+    `free` is the sum over the cell's workers, `largest` the most that is free on one
+    worker; `waiting` counts tasks assigned to the cell but not started.
     """
 
     cell: str
@@ -143,9 +144,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Offer(LinkEvent):
-    """Offers an agent a cell that no owner speaks for, from entry to agent.
+    """Offers an agent a cell without a reporting owner, from entry to agent.
 
-    The agent takes it by the lease row; an offer grants nothing by itself.
+    Ownership is acquired through the lease row; an offer alone grants nothing.
     """
 
     cell: str
@@ -167,7 +168,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fetch(LinkEvent):
-    """Asks an entry to read the rows under a prefix, changed since a revision."""
+    """Asks an entry to read the rows under a prefix that changed since a revision."""
 
     fetch_id: str
     prefix: str
@@ -176,9 +177,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fetched(LinkEvent):
-    """The rows of a `Fetch`, complete up to `revision`; deleted rows as None.
+    """The rows of a `Fetch`, complete up to `revision`; deleted rows are None.
 
-    `failed` is empty, or says why nothing could be read.
+    `failed` is the reason why nothing could be read, or empty.
     """
 
     fetch_id: str
@@ -190,10 +191,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Configured(LinkEvent):
-    """Rows of the configuration that came in force, from entry to agents.
+    """Configuration rows that have come into force, from entry to agents.
 
-    `base` is the revision that the receiver must already have; `revision` the
-    one it then has. Base 0 carries the whole configuration.
+    `base` is the revision that the receiver must already have, `revision` the one
+    it has after applying the rows. With base 0 the rows are the whole configuration.
     """
 
     base: int
@@ -203,7 +204,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntryAddress:
-    """Where a live entry takes links."""
+    """The address at which a live entry accepts links."""
 
     name: str
     incarnation: str
@@ -229,7 +230,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Send(Command):
-    """Puts an item on the stream to `peer`; it is lost if the stream ends."""
+    """Sends an item on the stream to `peer`; it is lost if the stream ends."""
 
     peer: str
     item: Event
--- a/bulrushpulley/entities/linker_tables.py
+++ b/bulrushpulley/entities/linker_tables.py
@@ -11,7 +11,7 @@
 
 
 class DialState(enum.Enum):
-    """Whether an address is linked, being dialled or waiting for the next try."""
+    """Whether an address is linked, being dialled or waiting for the next attempt."""
 
     WAITING = "waiting"
     DIALLING = "dialling"
@@ -20,10 +20,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Dial:
-    """One address of an entry; `failures` counts tries since the last link.
+    """One address of an entry; `failures` counts failed attempts since the last link.
 
-    A `seed` comes from the settings and is never forgotten; another address is
-    forgotten when the entries no longer list it and its link has ended.
+    A `seed` address comes from the settings and is never removed. Any other address
+    is removed when the entries no longer list it and its link has ended.
     """
 
     address: str
@@ -35,13 +35,13 @@
 
 
 def by_state(dial: Dial) -> tuple[str, ...]:
-    """Index dials by the value of their state."""
+    """Index key function: the state of a dial."""
     return (dial.state.value,)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkerTables:
-    """The addresses to link to, by address."""
+    """The state of a linker: the addresses to link to, keyed by address."""
 
     incarnation: str
     dials: Table[Dial]
@@ -57,9 +57,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DialEnded(Event):
-    """The try or the stream to `address` has ended.
+    """The dialling attempt or the stream to `address` has ended.
 
-    `problem` is None when the other side closed the stream in good order.
+    `problem` is None when the other side closed the stream normally.
     """
 
     address: str
@@ -68,6 +68,6 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DialEntry(Command):
-    """Opens a stream to `address`; a `DialEnded` always follows in the end."""
+    """Opens a stream to `address`; a `DialEnded` always follows eventually."""
 
     address: str
--- a/bulrushpulley/entities/request.py
+++ b/bulrushpulley/entities/request.py
@@ -1,10 +1,10 @@
-"""A caller's request in the router, the stage it is in, and its attempts.
+"""A caller's request in the router, its stage and its attempts.
 
-The stages vary what an event means for a request; systems vary over them by
+How an event affects a request depends on its stage; systems dispatch on the stage by
 `singledispatch`. A repeatable request goes from `Waiting` to `InFlight` and back
-with each retry. An unrepeatable one passes through `Claiming` first, so that its
-dispatch rests on a committed claim row, and is `Recalling` while it asks the agent
-named by a claim for the outcome.
+with each retry. An unrepeatable one passes through `Claiming` first, so that it is
+dispatched only under a committed claim row, and is `Recalling` while the agent named
+by a claim is asked for the outcome.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Stage:
-    """The base of the stages."""
+    """The base class of the stages."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,9 +27,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Claiming(Stage):
-    """A claim naming `agent` is with the table service; nothing was dispatched.
+    """A claim naming `agent`, an incarnation, is submitted; nothing was dispatched.
 
-    `resubmit` is set while its outcome is unsettled and it waits to be sent again.
+    `resubmit` is set while the outcome of the claim is unsettled and the claim waits
+    to be submitted again.
     """
 
     agent: str
@@ -40,14 +41,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InFlight(Stage):
-    """At least one attempt is at an agent."""
+    """At least one attempt was sent to an agent and has not ended."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Recalling(Stage):
-    """Asks the claimed `agent` for the outcome, now or when it is linked again.
+    """The claimed `agent` is asked for the outcome, or will be once it is linked.
 
-    `unlinked_until` is when to stop waiting for the link; 0 while it is up.
+    `link_deadline` is when to stop waiting for the link; it is 0 while the link is up.
     """
 
     agent: str
@@ -58,10 +59,11 @@
 class Request:
     """One call, keyed by the front end's `call_id`.
 
-    `due_at` is when the router must next look at it without an event. `claim_version`
-    is the version of a claim row for the id that the agent named in it has
-    refused; 0 if there is none. `may_have_run` is set once an attempt ended
-    without a sure outcome. `tried` names the agents that refused or failed it.
+    `due_at` is when the request's timer fires. `claim_version` is the version of the
+    claim row for the request id, 0 if there is none. The row is replaced or deleted
+    on that version once the agent named in it has refused the request.
+    `may_have_run` is set once an attempt ended without a known outcome.
+    `tried_agents` holds the incarnations of the agents that refused or failed it.
     """
 
     call_id: str
@@ -82,7 +84,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Attempt:
-    """One dispatch or recall, keyed by its `attempt_id`, which matches its answer."""
+    """One dispatch or recall to `agent`, an incarnation.
+
+    It is keyed by `attempt_id`, which its answer carries too.
+    """
 
     attempt_id: str
     call_id: str
@@ -92,7 +97,7 @@
 
 
 def timer_bucket(at: float) -> int:
-    """Return the number of the timer bucket that holds the moment `at`."""
+    """Return the number of the timer bucket that contains the time `at`."""
     return int(at / TIMER_BUCKET_S)
 
 
@@ -102,13 +107,13 @@
 
 
 def by_agent(attempt: Attempt) -> tuple[str, ...]:
-    """Index key function: the agent that has the attempt."""
+    """Index key function: the agent that the attempt was sent to."""
     return (attempt.agent,)
 
 
 @singledispatch
 def awaited_link(stage: Stage) -> tuple[str, ...]:
-    """Return the agent whose link a stage waits for, if it waits for one."""
+    """Return the agent whose link a stage waits for, or nothing."""
     return ()
 
 
@@ -118,5 +123,5 @@
 
 
 def by_awaited_link(request: Request) -> tuple[str, ...]:
-    """Index key function: the agent that is to be asked once it is linked."""
+    """Index key function: the agent to be asked for the outcome once it is linked."""
     return awaited_link(request.stage)
--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -23,17 +23,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RouterDone(Command):
-    """Every call was answered after `Leave`; the process may exit."""
+    """All calls have been answered after `Leave`; the process may exit."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """What the router has learned of a service, keyed by its name.
+    """The state and the estimates of a service, keyed by its name.
 
-    `queue` holds the call ids that wait, oldest first; ids of calls that are gone
-    may still stand in it. `gap_s` is the average time between arrivals, `service_s`
-    that of a run, `claim_s` that of a claim, and `late_s` estimates the 95th
-    percentile of the latency. Each token lets one retry or hedge through.
+    `queue` holds the ids of waiting calls, oldest first; it may still contain ids of
+    calls that have ended. `interarrival_s` is the average time between arrivals,
+    `service_s` the average run time, `claim_latency_s` the average time of a claim,
+    and `latency_p95_s` the estimated 95th percentile of the latency. Each token
+    permits one retry or hedge.
     """
 
     name: str
@@ -61,7 +62,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClaimDeletion:
-    """A claim row that this router is to delete at `delete_at`, keyed by its key."""
+    """A claim row that this router will delete at `delete_at`, keyed by its key."""
 
     key: str
     version: int
@@ -70,9 +71,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClaimPage:
-    """The last reading of one page of the claims, keyed by its prefix.
+    """The last read of one page of claims, keyed by the page's prefix.
 
-    Rows that still have a version up to `revision` are older than `read_at`.
+    Rows whose version is still at most `revision` are older than `read_at`.
     """
 
     prefix: str
@@ -81,7 +82,7 @@
 
 
 def by_deletion(claim: ClaimDeletion) -> tuple[str, ...]:
-    """Index key function: the coarse bucket of the moment of deletion."""
+    """Index key function: the time bucket of the deletion."""
     return (str(int(claim.delete_at / CLAIM_DELETION_BUCKET_S)),)
 
 
@@ -89,9 +90,9 @@
 class RouterTables:
     """The state of a router.
 
-    `timers_until` is the last timer bucket that was looked at. `sequence` numbers
-    attempts and submissions. `busy` names the services with waiting calls and
-    `body_bytes` sums the bodies that are held.
+    `last_timer_bucket` is the last timer bucket that was processed. `sequence`
+    numbers attempts, submissions and reads. `busy_services` names the services with
+    waiting calls, and `body_bytes` is the total size of the bodies held.
     """
 
     incarnation: str
@@ -136,10 +137,10 @@
         )
 
     def numbered(self) -> tuple[RouterTables, str]:
-        """Return the tables and an id that this process has not used before."""
+        """Return the tables and a new id that is unique in this process."""
         number = self.sequence + 1
         return replace(self, sequence=number), f"{self.incarnation}.{number}"
 
     def service(self, name: str) -> Service:
-        """Return what is known of a service."""
+        """Return the row of a service, or a new one."""
         return self.services.get(name) or Service(name=name)
--- a/bulrushpulley/systems/guard/__init__.py
+++ b/bulrushpulley/systems/guard/__init__.py
@@ -1,1 +1,1 @@
-"""The guard's systems: they run requests on the backend server beside an agent."""
+"""The guard's systems, which run requests on the agent's backend server."""
--- a/bulrushpulley/systems/guard/announce.py
+++ b/bulrushpulley/systems/guard/announce.py
@@ -1,9 +1,11 @@
-"""Tells every linked entry how the backend server does.
-
-A change of health or of leaving, and the queue filling up or emptying, goes out
-at most every `URGENT_S`; other changes of load every `LOAD_S_PER_LINK` for each
-linked entry, so that the bytes do not grow with the entries; and the same again
-every `KEEPALIVE_S`, which shows that the agent lives.
+"""Announces the state of the backend server to every linked entry.
+
+That the agent is leaving is announced immediately. A change of its health or of its
+configuration revision, or between an empty and a non-empty queue, is announced at
+most every `URGENT_ANNOUNCE_INTERVAL_S`. Other changes of the load are announced at
+most every `LOAD_ANNOUNCE_INTERVAL_PER_LINK_S` times the number of linked entries, so
+that the bytes sent do not grow with that number. An unchanged state is repeated every
+`ANNOUNCE_KEEPALIVE_INTERVAL_S`, to show that the agent is alive.
 """
 
 from __future__ import annotations
@@ -43,7 +45,7 @@
 
 
 def current_state(tables: GuardTables, now: float) -> AnnouncedState:
-    """Return what an announcement would say now."""
+    """Return the state that an announcement would contain now."""
     return AnnouncedState(
         sent_at=now,
         running=tables.executions.count_where("state", RUNNING),
@@ -55,7 +57,7 @@
 
 
 def announcement(tables: GuardTables, state: AnnouncedState) -> Announce:
-    """Return the link item of an announcement."""
+    """Return the link item that announces a state."""
     settings = tables.settings
     return Announce(
         agent=settings.agent,
@@ -75,7 +77,7 @@
 def announce_interval_s(
     before: AnnouncedState, after: AnnouncedState, links: int
 ) -> float:
-    """Return how long after the last announcement the next one is due."""
+    """Return the interval between the last announcement and the next one."""
     if before.leaving != after.leaving:
         return 0.0
     revision_changed = before.applied_revision != after.applied_revision
--- a/bulrushpulley/systems/guard/health.py
+++ b/bulrushpulley/systems/guard/health.py
@@ -1,4 +1,4 @@
-"""Keeps the health of the backend server from its checks and failures."""
+"""Checks the backend server periodically and updates its health."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
-    """Ask for the backend server's health every `CHECK_S`."""
+    """Check the backend server's health every `HEALTH_CHECK_INTERVAL_S`."""
     if now < tables.check_at:
         return Step(tables=tables)
     tables = replace(tables, check_at=now + HEALTH_CHECK_INTERVAL_S)
--- a/bulrushpulley/systems/guard/leave.py
+++ b/bulrushpulley/systems/guard/leave.py
@@ -1,7 +1,7 @@
-"""Leaves gracefully: announces it, refuses new requests, finishes those it has.
+"""Leaves gracefully: announces it, refuses new requests and finishes the others.
 
-The guard stays for `LINGER_S` at least, so that requests sent by entries that had
-not yet heard the announcement are refused as not run rather than lost.
+The guard stays for at least `MIN_LINGER_S`, so that requests from entries that have
+not yet received the announcement are refused as not run rather than lost.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
-    """Say once that nothing is left to finish."""
+    """Report once that no request is left."""
     busy = tables.executions or now < tables.linger_until
     if not tables.leaving or tables.done or busy:
         return Step(tables=tables)
--- a/bulrushpulley/systems/guard/outcomes.py
+++ b/bulrushpulley/systems/guard/outcomes.py
@@ -1,8 +1,8 @@
-"""Remembers the outcomes of unrepeatable ids, within bounds of count, bytes and time.
+"""Stores the outcomes of unrepeatable ids, limited in number, bytes and time.
 
-An id is remembered for `REMEMBER_S`, well beyond the life of its claim. The body of
-its answer goes earlier if all bodies exceed `MAX_BODY_BYTES`; the id then still
-stands as one that ran.
+An outcome is kept for `OUTCOME_RETENTION_S`, well beyond the lifetime of the id's
+claim. The body of an answer is dropped earlier if the bodies together exceed
+`MAX_REMEMBERED_BODY_BYTES`; the id is then still known to have run.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 def remember(
     tables: GuardTables, request_id: str, outcome: Outcome, now: float
 ) -> GuardTables:
-    """Keep the outcome of an id; the first one stands."""
+    """Store the outcome of an id, unless it already has one."""
     if request_id in tables.remembered:
         return tables
     row = RememberedOutcome(
@@ -43,7 +43,7 @@
 
 
 def trim_ids(tables: GuardTables, now: float) -> GuardTables:
-    """Forget the oldest ids beyond the bound, and note that some are missing."""
+    """Drop the oldest ids beyond the limit, and record until when they are missing."""
     while len(tables.remembered) > MAX_REMEMBERED_OUTCOMES:
         oldest = tables.remembered.by_key[tables.remembered_order.left]
         expires_at = max(tables.outcomes_missing_until, oldest.expires_at)
@@ -52,7 +52,7 @@
 
 
 def drop_oldest(tables: GuardTables) -> GuardTables:
-    """Forget the oldest id."""
+    """Drop the oldest id and its outcome."""
     request_id = tables.remembered_order.left
     tables = drop_body(tables, request_id)
     return replace(
@@ -63,14 +63,17 @@
 
 
 def trim_bodies(tables: GuardTables) -> GuardTables:
-    """Drop the oldest bodies beyond the bound; their ids stay."""
+    """Drop the oldest bodies beyond the limit; their ids are kept."""
     while tables.body_bytes > MAX_REMEMBERED_BODY_BYTES:
         tables = drop_body(tables, tables.body_order.left)
     return tables
 
 
 def drop_body(tables: GuardTables, request_id: str) -> GuardTables:
-    """Drop the body of the answer to an id; bodies go in the order they came."""
+    """Drop the body of the answer to an id if it is the oldest body stored.
+
+    Bodies are dropped in the order in which they were stored.
+    """
     if not tables.body_order or tables.body_order.left != request_id:
         return tables
     row = tables.remembered.by_key[request_id]
@@ -87,12 +90,12 @@
     code=Code.OUTCOME_UNKNOWN,
     step="guard.recall",
     peer="self",
-    detail="the request ran; its answer is no longer kept",
+    detail="the request ran; its answer is no longer stored",
 )
 
 
 def record_refused_attempt(tables: GuardTables, attempt_id: str) -> GuardTables:
-    """Note an attempt as refused, so that a late copy of it is refused too."""
+    """Record an attempt as refused, so that a delayed copy of it is refused too."""
     if attempt_id in tables.refused_attempts:
         return tables
     refused_attempts = tables.refused_attempts.set(attempt_id, None)
@@ -104,7 +107,7 @@
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
-    """Forget the ids whose time is over."""
+    """Drop the expired outcomes."""
     while tables.remembered_order:
         oldest = tables.remembered.by_key[tables.remembered_order.left]
         if oldest.expires_at > now:
--- a/bulrushpulley/systems/guard/queue.py
+++ b/bulrushpulley/systems/guard/queue.py
@@ -1,4 +1,4 @@
-"""Starts queued requests in free slots, and refuses those whose time is over."""
+"""Starts queued requests in free slots, and refuses those that are too late."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
-    """Go through the short queue, nearest deadline first.
+    """Start or refuse the queued requests, earliest deadline first.
 
-    A free slot is used up to the deadline, however long runs usually take, so that
-    a backend server which was slow once goes on being tried.
+    While a slot is free, requests are started until their deadline, whatever the
+    average run time is, so that a backend server that was slow once is still tried.
     """
     if not tables.executions.count_where("state", QUEUED):
         return Step(tables=tables)
@@ -45,8 +45,10 @@
 
 
 def expire(tables: GuardTables, execution: Execution, now: float) -> Step[GuardTables]:
-    """Refuse a queued request that could not be answered in time any more."""
-    outcome = not_run(Code.DEADLINE, "guard.wait", "too little time is left")
+    """Refuse a queued request that can no longer be answered in time."""
+    outcome = not_run(
+        Code.DEADLINE, "guard.wait", "too late to run before the deadline"
+    )
     return finish(tables, execution, outcome, now)
 
 
--- a/bulrushpulley/systems/guard/reply.py
+++ b/bulrushpulley/systems/guard/reply.py
@@ -11,17 +11,17 @@
 
 
 def problem(code: Code, step: str, detail: str, peer: str = "self") -> Problem:
-    """Describe why the guard did not answer."""
+    """Describe why there is no complete answer."""
     return Problem(code=code, step=step, peer=peer, detail=detail)
 
 
 def not_run(code: Code, step: str, detail: str) -> Outcome:
-    """Return the outcome of a request of which the backend server saw no byte."""
+    """Return the outcome of a request that was not sent to the backend server."""
     return Outcome(ran=Ran.NO, problem=problem(code, step, detail))
 
 
 def reply_item(outcome: Outcome, attempt_id: str) -> LinkEvent:
-    """Return the link item that tells an attempt its outcome."""
+    """Return the link item that reports the outcome of an attempt."""
     if outcome.problem is None:
         return Answered(
             attempt_id=attempt_id,
@@ -33,7 +33,7 @@
 
 
 def replies(outcome: Outcome, waiters: Iterable[Waiter]) -> tuple[Command, ...]:
-    """Return the commands that tell every waiter the outcome."""
+    """Return the commands that send the outcome to every waiter."""
     return tuple(
         Send(peer=waiter.peer, item=reply_item(outcome, waiter.attempt_id))
         for waiter in waiters
--- a/bulrushpulley/systems/guard/requests.py
+++ b/bulrushpulley/systems/guard/requests.py
@@ -1,8 +1,8 @@
-"""Takes the dispatches and recalls of entries, each id at most once.
+"""Accepts dispatches and recalls from entries; an unrepeatable id runs at most once.
 
-A dispatch is refused as not run before the backend server sees a byte of it. An
-unrepeatable id that is known already is never run again: its dispatches and recalls
-all get the outcome of the one run.
+A dispatch is refused as not run only before any byte of it is sent to the backend
+server. An unrepeatable id that is already known is never run again: all its dispatches
+and recalls get the outcome of the one run.
 """
 
 from __future__ import annotations
@@ -62,7 +62,10 @@
 def join_known(
     tables: GuardTables, request_id: str, waiter: Waiter
 ) -> Step[GuardTables] | None:
-    """Give an attempt the outcome of its id, now or later; None if it is unknown."""
+    """Give an attempt the outcome of its id, now or once it is known.
+
+    Return None if the id is unknown.
+    """
     row = tables.remembered.get(request_id)
     if row is not None:
         return Step(tables=tables, commands=replies(row.outcome, (waiter,)))
@@ -75,40 +78,44 @@
 
 
 def dispatch_refusal(event: Dispatch, tables: GuardTables) -> Outcome | None:
-    """Return why a dispatch is not taken, if so."""
+    """Return the outcome of a dispatch that is not accepted, or None."""
     settings = tables.settings
     if event.attempt_id in tables.refused_attempts:
         return not_run(Code.NOT_RUN, ACCEPT_STEP, "this attempt was refused before")
     if not event.repeatable and not event.request_id:
         return not_run(Code.INVALID, ACCEPT_STEP, "an unrepeatable request needs an id")
     if event.service != settings.service:
-        return not_run(Code.NOT_FOUND, ACCEPT_STEP, f"this runs {settings.service}")
+        return not_run(
+            Code.NOT_FOUND, ACCEPT_STEP, f"the backend server runs {settings.service}"
+        )
     if tables.leaving:
-        return not_run(Code.LEAVING, ACCEPT_STEP, "the backend server is leaving")
+        return not_run(Code.LEAVING, ACCEPT_STEP, "the agent is shutting down")
     if not tables.healthy:
         return not_run(Code.UNAVAILABLE, ACCEPT_STEP, "the backend server is unhealthy")
     return capacity_refusal(event, tables)
 
 
 def capacity_refusal(event: Dispatch, tables: GuardTables) -> Outcome | None:
-    """Refuse a dispatch beyond the slots and the queue, or one that is late."""
+    """Refuse a dispatch if the queue is full or it could not be answered in time."""
     settings = tables.settings
     held = len(tables.executions)
     if held >= settings.slots + settings.queue_limit:
         return not_run(
-            Code.OVERLOADED, ACCEPT_STEP, f"{held} requests are here already"
+            Code.OVERLOADED, ACCEPT_STEP, f"{held} requests are running or queued"
         )
     rounds = held // settings.slots
     wait_s = (rounds + 1) * tables.service_s if rounds else 0.0
     if event.remaining_s <= wait_s:
-        return not_run(Code.DEADLINE, ACCEPT_STEP, "too little time is left")
+        return not_run(
+            Code.DEADLINE, ACCEPT_STEP, "too late to run before the deadline"
+        )
     return None
 
 
 def refuse(
     tables: GuardTables, event: Dispatch, waiter: Waiter, outcome: Outcome
 ) -> Step[GuardTables]:
-    """Refuse a dispatch, and any late copy of it."""
+    """Refuse a dispatch, and any delayed copy of it if it is unrepeatable."""
     assert outcome.problem is not None
     decision = Decision(
         kind="guard.refuse",
@@ -130,13 +137,13 @@
     if known is not None:
         return known
     if now < tables.outcomes_missing_until:
-        gone = problem(
-            Code.OUTCOME_UNKNOWN, RECALL_STEP, "the id may have been forgotten"
+        missing = problem(
+            Code.OUTCOME_UNKNOWN, RECALL_STEP, "the outcome may have been dropped"
         )
-        outcome = Outcome(ran=Ran.UNKNOWN, problem=gone)
+        outcome = Outcome(ran=Ran.UNKNOWN, problem=missing)
         return Step(tables=tables, commands=replies(outcome, (waiter,)))
     barred = not_run(
-        Code.NOT_RUN, RECALL_STEP, "the id never came here and is barred now"
+        Code.NOT_RUN, RECALL_STEP, "the id was never received and is now barred"
     )
     tables = remember(tables, event.request_id, barred, now)
     count = Count(name="guard.barred", label=event.service)
@@ -148,11 +155,11 @@
     execution = tables.executions.get(event.attempt_id)
     if execution is None:
         return Step(tables=tables)
-    left = tuple(
+    remaining = tuple(
         waiter for waiter in execution.waiters if waiter.attempt_id != event.attempt_id
     )
-    if left or execution.state is ExecutionState.RUNNING:
-        return Step(tables=put_execution(tables, replace(execution, waiters=left)))
+    if remaining or execution.state is ExecutionState.RUNNING:
+        return Step(tables=put_execution(tables, replace(execution, waiters=remaining)))
     tables = record_refused_attempt(tables, event.attempt_id)
     dropped = tables.executions.drop(event.attempt_id)
     return Step(tables=replace(tables, executions=dropped))
--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -1,4 +1,4 @@
-"""Takes the results of the backend server and tells the entries that wait."""
+"""Handles the backend server's results and sends them to the waiting entries."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
     execution = tables.executions.get(event.execution_id)
     if execution is None:
         return Step(tables=tables)
-    """End a failed run; one that only ran out of the caller's time is no fault."""
+    """A run that ended at the caller's deadline is not counted as a failure."""
     ran = Ran.UNKNOWN if event.sent else Ran.NO
     outcome = Outcome(ran=ran, problem=event.problem)
     out_of_time = now >= execution.deadline
@@ -57,10 +57,10 @@
 def finish(
     tables: GuardTables, execution: Execution, outcome: Outcome, now: float
 ) -> Step[GuardTables]:
-    """End an execution, remember what an unrepeatable one came to, and reply.
+    """End an execution, store the outcome of an unrepeatable one, and reply.
 
-    An outcome of "not run" leaves the id free, for a dispatch under a later claim;
-    only the attempt itself never runs.
+    After an outcome of "not run" the id may be dispatched again under a later claim;
+    only the attempt itself must never run.
     """
     executions = tables.executions.drop(execution.execution_id)
     tables = replace(tables, executions=executions)
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -1,4 +1,4 @@
-"""Applies what the linker is told to its table of dials."""
+"""Applies the linker's events to its table of dials."""
 
 from __future__ import annotations
 
@@ -23,10 +23,11 @@
 
 
 def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
-    """Return the exponential delay before the next try, with jitter.
+    """Return the exponential backoff before the next attempt, with jitter.
 
-    The jitter is between one half and the whole of the delay. It is derived from
-    the names, so that processes differ and a test repeats.
+    The result is between half and all of the exponential delay. The jitter is
+    derived from the arguments, so that it differs between processes and is the same
+    in each run of a test.
     """
     exponent = min(failures, MAX_BACKOFF_EXPONENT)
     delay = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
@@ -36,7 +37,7 @@
 
 @singledispatch
 def apply(event: Event, tables: LinkerTables, now: float) -> Step[LinkerTables]:
-    """Apply one event; unknown ones change nothing."""
+    """Apply one event; an event without a registered handler changes nothing."""
     return Step(tables=tables)
 
 
--- a/bulrushpulley/systems/route/__init__.py
+++ b/bulrushpulley/systems/route/__init__.py
@@ -1,1 +1,1 @@
-"""The router's systems: they bring callers' requests to agents."""
+"""The router's systems, which send callers' requests to agents."""
--- a/bulrushpulley/systems/route/agents.py
+++ b/bulrushpulley/systems/route/agents.py
@@ -1,4 +1,4 @@
-"""Keeps the router's view of the linked agents, and of the declared services."""
+"""Maintains the router's view of the linked agents and the declared services."""
 
 from __future__ import annotations
 
@@ -80,14 +80,14 @@
 
 
 def clear_declared(tables: RouterTables) -> RouterTables:
-    """Forget which services are declared, before the whole configuration."""
+    """Mark all services as not declared, before a whole configuration is applied."""
     for service in tables.services.rows():
         tables = put_service(tables, replace(service, declared=False))
     return tables
 
 
 def apply_row(row: VersionedRow, tables: RouterTables) -> RouterTables:
-    """Take in one row of the configuration, if it is that of a service."""
+    """Apply one row of the configuration if it is a service record."""
     if not row.key.startswith(SERVICE_PREFIX):
         return tables
     name = row.key.removeprefix(SERVICE_PREFIX)
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -1,7 +1,7 @@
 """Matches the answers of agents to the attempts that wait for them.
 
-An answer is matched by its attempt id and by the agent that was asked, never by
-order. One for which nobody waits any more is dropped and counted.
+An answer is matched by its attempt id and by the agent that the attempt was sent to,
+never by order. An answer that no attempt waits for is dropped and counted.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 def match_attempt(
     tables: RouterTables, event: LinkEvent, attempt_id: str
 ) -> tuple[Attempt, Request] | None:
-    """Return the attempt and request that an answer is for, if they wait for it."""
+    """Return the attempt and the request that wait for an answer, if there are any."""
     attempt = tables.attempts.get(attempt_id)
     if attempt is None or attempt.agent != event.peer:
         return None
@@ -50,7 +50,7 @@
 
 
 def drop_late_answer(tables: RouterTables) -> Step[RouterTables]:
-    """Drop an answer for which nobody waits."""
+    """Count an answer that no attempt waits for, and drop it."""
     return Step(tables=tables, commands=(Count(name="route.late_answers"),))
 
 
@@ -70,10 +70,11 @@
 
 
 def with_run_sample(service: Service, took_s: float, latency_s: float) -> Service:
-    """Return the service with one more run in its estimates.
+    """Return the service with a run added to its estimates.
 
-    The percentile moves up by `LATE_SHARE` of a step for a latency above it and
-    down by the rest for one below, so it settles where that share lies below.
+    The percentile estimate moves up by `LATENCY_QUANTILE` of a step for a latency
+    above it, and down by the rest of the step for one below it. It converges to the
+    value that this fraction of the latencies stay below.
     """
     if not service.service_s:
         return replace(service, service_s=took_s, latency_p95_s=2 * latency_s)
@@ -109,7 +110,7 @@
 
 
 def mark_full(tables: RouterTables, agent: str) -> RouterTables:
-    """Count an agent that refused for want of slots as full until it announces."""
+    """Treat an agent that had no free slot as full until its next announcement."""
     server = tables.servers.get(agent)
     if server is None:
         return tables
@@ -122,7 +123,7 @@
 def handle_refusal(
     stage: Stage, request: Request, event: Refused, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
-    """Go on from `stage` after an agent refused an attempt."""
+    """Continue a request in `stage` after an agent refused an attempt."""
     return Step(tables=tables)
 
 
@@ -147,7 +148,10 @@
 
 
 def is_barred_twice(request: Request, problem: Problem) -> bool:
-    """Tell whether an agent that barred the id was tried again for want of others."""
+    """Tell whether an agent that barred the id was tried again.
+
+    This happens if there is no other agent to try.
+    """
     again = request.tried_agents.count(request.tried_agents[-1]) > 1
     return problem.code is Code.NOT_RUN and again
 
--- a/bulrushpulley/systems/route/calls.py
+++ b/bulrushpulley/systems/route/calls.py
@@ -1,4 +1,4 @@
-"""Takes the calls of callers into the router, or refuses them as not run."""
+"""Accepts callers' calls into the router, or refuses them as not run."""
 
 from __future__ import annotations
 
@@ -26,36 +26,36 @@
 
 
 def refusal(code: Code, detail: str, field: str = "") -> Problem:
-    """Describe why a call was not taken in."""
+    """Describe why a call was not accepted."""
     return Problem(
         code=code, step="route.accept", peer=SELF, detail=detail, field=field
     )
 
 
 def is_request_id(text: str) -> bool:
-    """Tell whether `text` can stand as the last part of a key."""
+    """Tell whether `text` can be used as the last part of a key."""
     printable = all("!" <= char <= "~" and char != "/" for char in text)
     return 0 < len(text) <= MAX_REQUEST_ID_LENGTH and printable
 
 
 def validation_problem(call: CallReceived) -> Problem | None:
-    """Return what is wrong with the call itself, if anything."""
+    """Return the reason why the call is invalid or late, if it is."""
     if len(call.body) > MAX_BODY_BYTES:
         return refusal(Code.TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
     if not call.repeatable and not is_request_id(call.request_id):
         detail = "an unrepeatable request needs an id of printable ASCII without '/'"
         return refusal(Code.INVALID, detail, "request_id")
     if call.within_s <= 0:
-        return refusal(Code.DEADLINE, "no time is left", "within_s")
+        return refusal(Code.DEADLINE, "the deadline has passed", "within_s")
     return None
 
 
 def admission_problem(call: CallReceived, tables: RouterTables) -> Problem | None:
-    """Return why this router cannot take any such call now, if so."""
+    """Return the reason why this router cannot accept a valid call now, if any."""
     if tables.leaving:
-        return refusal(Code.LEAVING, "this entry is leaving; use another")
+        return refusal(Code.LEAVING, "this entry is shutting down; use another")
     if tables.body_bytes + len(call.body) > MAX_PENDING_BODY_BYTES:
-        return refusal(Code.OVERLOADED, "too many bytes of calls are held")
+        return refusal(Code.OVERLOADED, "the bodies of pending calls are too large")
     service = tables.service(call.service)
     if service.declared or tables.servers.count_where("service", call.service):
         return None
@@ -65,7 +65,7 @@
 
 
 def with_arrival(service: Service, now: float) -> Service:
-    """Return the service with one more arrival in its averages and budgets."""
+    """Return the service with an arrival added to its average and budgets."""
     interarrival_s = min(1.0, now - service.last_arrival_at)
     retry = service.retry_tokens + RETRY_TOKENS_PER_CALL
     hedge = service.hedge_tokens + HEDGE_TOKENS_PER_CALL
--- a/bulrushpulley/systems/route/choice.py
+++ b/bulrushpulley/systems/route/choice.py
@@ -1,9 +1,9 @@
 """Chooses the backend server for a request.
 
-Servers of the router's own region come first, those of other regions only while
-no near one has a free slot. Among them the least expected wait wins: the load
-weighed with the latency seen, so that a slow server gets few requests before it is
-ejected.
+Servers of the router's own region are preferred; those of other regions are used only
+while none of them has a free slot. Within a region the server with the least expected
+wait is chosen: its load weighted by its observed latency, so that a slow server gets
+few requests even before it is ejected.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Candidate:
-    """A backend server that may take a request; the least one is the best."""
+    """A backend server that may receive a request; the least one is the best."""
 
     other_region: bool
     cost_s: float
@@ -34,7 +34,7 @@
 
 
 def unusable_reason(server: BackendServer, now: float) -> str:
-    """Return why a server must get no request at all; empty if it may."""
+    """Return why a server must not receive any request; empty if it may."""
     if server.leaving:
         return LEAVING
     if server.last_announced_at + ANNOUNCE_TTL_S < now:
@@ -45,18 +45,19 @@
 
 
 def claim_allowance(service: Service, slots: int) -> int:
-    """Return how many claims may be on their way beyond the free slots of a server.
+    """Return how many claims may be pending beyond the free slots of a server.
 
-    As many as its slots finish while a claim is committed keep it busy.
+    The server stays busy with as many as its slots finish in the time that a claim
+    takes to commit.
     """
     if not service.service_s:
         return MIN_CLAIM_ALLOWANCE
-    room = int(slots * service.claim_latency_s / service.service_s)
-    return min(slots, max(MIN_CLAIM_ALLOWANCE, room))
+    allowance = int(slots * service.claim_latency_s / service.service_s)
+    return min(slots, max(MIN_CLAIM_ALLOWANCE, allowance))
 
 
 def ineligible_reason(server: BackendServer, service: Service, now: float) -> str:
-    """Return why a server gets no request now; empty if it may get one."""
+    """Return why a server cannot receive a request now; empty if it can."""
     unusable = unusable_reason(server, now)
     if unusable:
         return unusable
@@ -65,24 +66,24 @@
     queue_limit = (
         SHARED_SERVER_QUEUE_LIMIT if server.other_load else UNSHARED_SERVER_QUEUE_LIMIT
     )
-    room = server.slots + queue_limit - server.load
+    free = server.slots + queue_limit - server.load
     if (
-        room <= 0
-        or room + claim_allowance(service, server.slots) <= server.pending_claims
+        free <= 0
+        or free + claim_allowance(service, server.slots) <= server.pending_claims
     ):
         return "full"
     return ""
 
 
 def cost_s(server: BackendServer) -> float:
-    """Return the cost of one more request: least for a probe that is due."""
+    """Return the expected wait of one more request; 0 for a probe that is due."""
     if server.ejected:
         return 0.0
     return (server.load + server.pending_claims + 1) * server.latency_s
 
 
 def candidate(server: BackendServer, tables: RouterTables, tie_rank: int) -> Candidate:
-    """Return a server as a candidate; `turn` breaks ties."""
+    """Return a server as a candidate; `tie_rank` breaks ties."""
     return Candidate(
         other_region=server.region != tables.region,
         cost_s=cost_s(server),
@@ -92,7 +93,7 @@
 
 
 def candidates(tables: RouterTables, service: str, now: float) -> list[Candidate]:
-    """Return a heap of the servers of a service that may get a request now."""
+    """Return a heap of the servers of a service that can receive a request now."""
     servers = tables.servers.rows_where("service", service)
     known = tables.service(service)
     count = len(servers)
@@ -108,7 +109,7 @@
 def passed_over(
     tables: RouterTables, service: str, chosen: str, now: float
 ) -> tuple[str, ...]:
-    """Name some servers that were not chosen and why."""
+    """Return the names of some servers that were not chosen, with the reasons."""
     found: list[str] = []
     known = tables.service(service)
     for key in tables.servers.keys_where("service", service):
@@ -123,7 +124,7 @@
 
 
 def pop_best(heap: list[Candidate], avoid: Iterable[str]) -> Candidate:
-    """Pop the best candidate outside `avoid`, or the best one if there is none."""
+    """Pop the best candidate not in `avoid`, or the best of all if there is none."""
     avoided: list[Candidate] = []
     while heap and heap[0].incarnation in avoid:
         avoided.append(heapq.heappop(heap))
--- a/bulrushpulley/systems/route/claim_outcomes.py
+++ b/bulrushpulley/systems/route/claim_outcomes.py
@@ -1,9 +1,10 @@
-"""Goes on from the outcome of each submitted claim.
+"""Handles the outcome of each submitted claim.
 
-A claim that was committed for a call that has ended was never dispatched, so it is
-deleted. Nothing runs under a claim whose outcome is not known either: only the
-router that submitted it could dispatch under it, and it does so on `Committed`
-alone. Hence "not run" is true when time runs out meanwhile.
+A claim that was committed for a call that has ended was never dispatched under, so it
+is deleted. Nothing runs under a claim of unknown outcome either: only the router that
+submitted it can dispatch under it, and it does so only once it knows that the claim
+was committed. Hence the call can be refused as "not run" if its deadline passes while
+the outcome is unknown.
 """
 
 from __future__ import annotations
@@ -78,7 +79,7 @@
 def record_claim_latency(
     tables: RouterTables, name: str, took_s: float
 ) -> RouterTables:
-    """Take the time of one claim into the average of its service."""
+    """Add the time that a claim took to the average of its service."""
     service = tables.service(name)
     weight = CLAIM_LATENCY_WEIGHT if service.claim_latency_s else 1.0
     average_s = service.claim_latency_s + weight * (took_s - service.claim_latency_s)
@@ -93,7 +94,7 @@
     tables: RouterTables,
     now: float,
 ) -> Step[RouterTables]:
-    """Go on with the request of a claim from the outcome of its submission."""
+    """Continue the request of a claim according to the outcome of its submission."""
     return Step(tables=tables)
 
 
@@ -165,10 +166,10 @@
     version: int,
     now: float,
 ) -> Step[RouterTables]:
-    """Dispatch under a committed claim, unless its agent can get no work now.
+    """Dispatch under a committed claim, unless its agent cannot receive requests now.
 
-    Without a dispatch the request surely did not run, so it may be claimed for
-    another agent in place of this claim.
+    Without a dispatch the request certainly did not run, so this claim may be
+    replaced by one for another agent.
     """
     tables = leave_stage(stage, request, tables)
     key = claim_key(request.service, request.request_id)
@@ -190,7 +191,7 @@
 
 
 def conflicting_claim(outcome: Conflicted, key: str) -> VersionedRow:
-    """Return the claim that stood in the way; an absent row if it is gone."""
+    """Return the claim that caused the conflict; an absent row if there is none."""
     found = [row for row in outcome.rows if row.key == key]
     return found[0] if found else VersionedRow(key=key, version=0, row=None)
 
@@ -198,7 +199,10 @@
 def schedule_claim_deletion(
     tables: RouterTables, key: str, version: int, delete_at: float
 ) -> RouterTables:
-    """Note a claim row for its deletion; beyond the bound the sweep deletes it."""
+    """Schedule the deletion of a claim row.
+
+    A row beyond `MAX_CLAIM_DELETIONS` is found and deleted later by the sweep.
+    """
     if (
         len(tables.claim_deletions) >= MAX_CLAIM_DELETIONS
         and key not in tables.claim_deletions
@@ -210,7 +214,7 @@
 
 @singledispatch
 def unused_claim_version(outcome: CommitOutcome, pending: ClaimSubmission) -> int:
-    """Return the version of the claim row that a submission left; 0 if none."""
+    """Return the version of the claim row that a submission wrote; 0 if none."""
     return 0
 
 
@@ -228,7 +232,7 @@
 def delete_unused_claim(
     outcome: CommitOutcome, pending: ClaimSubmission, tables: RouterTables, now: float
 ) -> RouterTables:
-    """Have a claim deleted that came for a call that has ended."""
+    """Schedule the deletion of a claim committed for a call that has ended."""
     version = unused_claim_version(outcome, pending)
     if not version:
         return tables
--- a/bulrushpulley/systems/route/claims.py
+++ b/bulrushpulley/systems/route/claims.py
@@ -1,9 +1,10 @@
 """Claims unrepeatable requests before they are dispatched.
 
-A claim row gives one agent incarnation the right to run an id. Only the router
-whose own claim was committed dispatches under it, once. Whoever finds another's
-claim asks the agent named in it. A claim that its agent has refused for good is
-replaced or deleted by a write conditional on its version.
+A claim row gives one agent incarnation the right to run a request id. Only the router
+whose claim was committed dispatches under it, and only once. A router that finds a
+claim by another one asks the agent named in it for the outcome. A claim that its
+agent has refused permanently is replaced or deleted by a write conditional on its
+version.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 def claim(
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
-    """Submit a claim of the request for `agent`, in place of a refused one if any."""
+    """Submit a claim of the request for `agent`, replacing a refused one if any."""
     tables, submission_id = tables.numbered()
     server = tables.servers.by_key[agent]
     stage = Claiming(agent=agent, agent_name=server.agent, submission_id=submission_id)
@@ -42,7 +43,7 @@
 def submit(
     tables: RouterTables, request: Request, stage: Claiming, now: float
 ) -> Step[RouterTables]:
-    """Give a claim to the committer; the same one may be submitted again."""
+    """Submit a claim to the committer; a claim may be submitted more than once."""
     pending = ClaimSubmission(
         submission_id=stage.submission_id,
         call_id=request.call_id,
@@ -60,7 +61,7 @@
 
 
 def submission(request: Request, stage: Claiming, now: float) -> Submission:
-    """Return the submission of a claim, the same each time but for the patience."""
+    """Return the submission of a claim; only its timeout differs between retries."""
     key = claim_key(request.service, request.request_id)
     row = ClaimRow(
         service=request.service,
--- a/bulrushpulley/systems/route/eject.py
+++ b/bulrushpulley/systems/route/eject.py
@@ -1,8 +1,8 @@
 """Ejects backend servers that are much slower than their peers, and probes them.
 
-An ejected server gets one request at a time, seldom enough that the probes do not
-show in the 99th percentile. It is taken back when its latency is near that of its
-peers again.
+An ejected server receives one request at a time, seldom enough that these probes do
+not affect the 99th percentile of the latency. It is returned to service when its
+latency is close to that of its peers again.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Compare the servers of each service every `CHECK_S`."""
+    """Compare the servers of each service every `EJECTION_CHECK_INTERVAL_S`."""
     if now < tables.ejection_check_at:
         return Step(tables=tables)
     tables = replace(tables, ejection_check_at=now + EJECTION_CHECK_INTERVAL_S)
@@ -44,7 +44,7 @@
 def compare_latencies(
     tables: RouterTables, service: Service, now: float
 ) -> Step[RouterTables]:
-    """Compare the latencies of the servers of one service."""
+    """Compare the servers of one service with their median latency."""
     servers = tables.servers.rows_where("service", service.name)
     measured = [server for server in servers if server.samples >= MIN_LATENCY_SAMPLES]
     if len(measured) < 2:
@@ -59,9 +59,10 @@
 def decay_stale_latencies(
     tables: RouterTables, servers: Iterable[BackendServer], median_s: float, now: float
 ) -> RouterTables:
-    """Move latencies that were not seen for long towards those of the peers.
+    """Move stale latencies above the median towards it.
 
-    Otherwise a server that was slow once would not be chosen and never seen again.
+    Otherwise a server that was slow once would never be chosen, and its latency
+    would never be measured again.
     """
     for server in servers:
         idle = not server.ejected and server.observed_at + MAX_LATENCY_AGE_S < now
@@ -77,7 +78,7 @@
 def update_ejections(
     tables: RouterTables, service: Service, median_s: float, now: float
 ) -> Step[RouterTables]:
-    """Eject or take back servers of one service against the usual latency."""
+    """Eject servers of one service or return them to service by the median latency."""
     servers = tables.servers.rows_where("service", service.name)
     measured = [server for server in servers if server.samples >= MIN_LATENCY_SAMPLES]
     max_ejected = int(len(servers) * MAX_EJECTED_FRACTION)
@@ -104,7 +105,7 @@
     interval_s: float,
     now: float,
 ) -> BackendServer:
-    """Return the server ejected, taken back, with its next probe, or as it is."""
+    """Return the server with its ejection and next probe updated, or unchanged."""
     if not server.ejected:
         slow = server.latency_s > EJECT_FACTOR * median_s
         if not slow or not may_eject:
@@ -118,13 +119,13 @@
 
 
 def probe_interval_s(service: Service) -> float:
-    """Return the time between probes: that of `PROBE_GAP_REQUESTS` arrivals."""
+    """Return the time between probes: that of `PROBE_INTERVAL_REQUESTS` arrivals."""
     interval_s = PROBE_INTERVAL_REQUESTS * service.interarrival_s
     return min(MAX_PROBE_INTERVAL_S, max(MIN_PROBE_INTERVAL_S, interval_s))
 
 
 def decision(server: BackendServer, median_s: float) -> Decision:
-    """Return the log line of an ejection or a return."""
+    """Return the log line of an ejection or a return to service."""
     reason = f"latency {server.latency_s:.3f} s, median of its peers {median_s:.3f} s"
     return Decision(
         kind="route.eject" if server.ejected else "route.return",
--- a/bulrushpulley/systems/route/events.py
+++ b/bulrushpulley/systems/route/events.py
@@ -1,4 +1,4 @@
-"""Applies the events of the router; the modules beside it register the kinds."""
+"""Applies the router's events; the other modules register a handler for each kind."""
 
 from __future__ import annotations
 
@@ -10,5 +10,5 @@
 
 @singledispatch
 def apply(event: Event, tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Apply one event; a kind that is not registered changes nothing."""
+    """Apply one event; an event without a registered handler changes nothing."""
     return Step(tables=tables)
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -1,4 +1,4 @@
-"""Ends, queues and retries requests; the other systems of the router build on it."""
+"""Ends, queues and retries requests; the router's other systems use these functions."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 def put_service(tables: RouterTables, service: Service) -> RouterTables:
-    """Return the tables with what is known of a service."""
+    """Return the tables with a service."""
     return replace(tables, services=tables.services.put(service.name, service))
 
 
@@ -36,17 +36,17 @@
 def dispatch_margin_s(request: Request, service: Service) -> float:
     """Return how long before its deadline a request must be dispatched.
 
-    That is a usual run, but never more than a share of the request's time, so that
-    a service which was slow once goes on being tried.
+    This is the average run time, but at most a fraction of the request's time, so
+    that a service that was slow once is still tried.
     """
-    whole_s = request.deadline - request.received_at
-    return min(service.service_s, MAX_MARGIN_FRACTION * whole_s)
+    total_s = request.deadline - request.received_at
+    return min(service.service_s, MAX_MARGIN_FRACTION * total_s)
 
 
 def enqueue(
     tables: RouterTables, request: Request, service: Service, *, first: bool = False
 ) -> RouterTables:
-    """Queue a request for its service as given; a retry goes `first`.
+    """Queue a request for `service`, at the front if `first`, as for a retry.
 
     It is due when it could no longer be answered in time.
     """
@@ -66,7 +66,7 @@
 
 
 def decrement_waiting(tables: RouterTables, service: Service) -> RouterTables:
-    """Count one call less as waiting; its id may stay in the queue."""
+    """Count one waiting call fewer; its id may stay in the queue."""
     service = replace(service, waiting=max(0, service.waiting - 1))
     return put_service(tables, service)
 
@@ -74,9 +74,9 @@
 def drop_attempt(
     tables: RouterTables, attempt_id: str, answered_at: float | None = None
 ) -> RouterTables:
-    """Forget an attempt, and free the slot that it took.
+    """Remove an attempt and free its slot.
 
-    The latency of an answered one goes into the average of its server.
+    The latency of an answered attempt is added to the average of its server.
     """
     attempt = tables.attempts.get(attempt_id)
     if attempt is None:
@@ -100,7 +100,7 @@
 
 @singledispatch
 def leave_stage(stage: Stage, request: Request, tables: RouterTables) -> RouterTables:
-    """Undo what a stage counts elsewhere, as its request leaves it."""
+    """Update the counters that a request in `stage` is part of when it leaves it."""
     return tables
 
 
@@ -119,7 +119,7 @@
 
 
 def remove_request(tables: RouterTables, request: Request) -> Step[RouterTables]:
-    """Forget a request and abandon the attempts that are still out."""
+    """Remove a request and abandon its attempts that are in flight."""
     tables = leave_stage(request.stage, request, tables)
     commands: list[Command] = []
     for attempt_id in request.attempts:
@@ -139,7 +139,7 @@
 def answer(
     tables: RouterTables, request: Request, *, status: int, body: bytes, now: float
 ) -> Step[RouterTables]:
-    """Give the caller the whole answer."""
+    """End a request with the complete answer for its caller."""
     step = remove_request(tables, request)
     commands = (
         AnswerCall(call_id=request.call_id, status=status, body=body),
@@ -156,9 +156,9 @@
 def refuse(
     tables: RouterTables, request: Request, *, ran: Ran, problem: Problem, now: float
 ) -> Step[RouterTables]:
-    """Refuse a call; "not run" holds only if no attempt may have run.
+    """Refuse a call, as "not run" only if no attempt may have run.
 
-    A refusal as not run also frees the claim, so that a repeat may run.
+    A refusal as not run also deletes the claim, so that a repeated call may run.
     """
     surely_not = ran is Ran.NO and not request.may_have_run
     if ran is Ran.NO and request.may_have_run:
@@ -178,7 +178,7 @@
 def delete_refused_claim(
     tables: RouterTables, request: Request, now: float
 ) -> RouterTables:
-    """Have the claim deleted that its agent has refused for good."""
+    """Schedule the deletion of a claim that its agent has refused permanently."""
     key = claim_key(request.service, request.request_id)
     claim = ClaimDeletion(key=key, version=request.claim_version, delete_at=now)
     return replace(tables, claim_deletions=tables.claim_deletions.put(key, claim))
@@ -187,11 +187,12 @@
 def retry(
     tables: RouterTables, request: Request, *, ran: Ran, problem: Problem, now: float
 ) -> Step[RouterTables]:
-    """Queue a request again if budget and time allow; refuse it otherwise.
+    """Queue a request again if the retry budget and its deadline allow, or refuse it.
 
-    The caller has made sure that a repeat is safe: the last attempt surely did not
-    run, or the request is repeatable. An attempt that an agent refused for want of
-    slots, or because it leaves, cost its backend server nothing: its repeat is free.
+    The calling function must ensure that a repeat is safe: the last attempt certainly
+    did not run, or the request is repeatable. A retry costs no token if the agent
+    refused because it had no free slot or is leaving, as that attempt put no load on
+    the backend server.
     """
     service = tables.service(request.service)
     too_late = now + dispatch_margin_s(request, service) >= request.deadline
@@ -207,7 +208,7 @@
 
 
 def deadline_problem(peer: str = SELF) -> Problem:
-    """Describe a call whose time is over."""
+    """Describe a call whose deadline has passed."""
     return Problem(
         code=Code.DEADLINE, step="route.wait", peer=peer, detail="the deadline passed"
     )
--- a/bulrushpulley/systems/route/hedge.py
+++ b/bulrushpulley/systems/route/hedge.py
@@ -1,4 +1,4 @@
-"""Sends a second attempt of a repeatable request whose first one is late."""
+"""Sends a second attempt of a repeatable request when its first one is slow."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 
 def hedge(tables: RouterTables, request: Request, now: float) -> Step[RouterTables]:
-    """Try another backend server if the budget and free slots allow.
+    """Try another backend server if the budget and the free slots allow it.
 
-    The servers that keep the request waiting are seen to be at least that slow.
+    The time waited so far is taken as a latency sample of the servers tried.
     """
     tables = raise_latencies(tables, request, now)
     request = replace(request, hedged=True, due_at=request.deadline)
@@ -38,7 +38,7 @@
 
 
 def raise_latencies(tables: RouterTables, request: Request, now: float) -> RouterTables:
-    """Take the time that attempts have taken so far as a lower bound of latency."""
+    """Add the time that attempts have taken so far as lower bounds of the latency."""
     for attempt_id in request.attempts:
         attempt = tables.attempts.by_key[attempt_id]
         server = tables.servers.get(attempt.agent)
--- a/bulrushpulley/systems/route/leave.py
+++ b/bulrushpulley/systems/route/leave.py
@@ -1,4 +1,4 @@
-"""Reports the end of a leaving router once every call was answered."""
+"""Reports that a leaving router has finished once all calls are answered."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Say once that nothing is left to finish."""
+    """Report once that no call is left."""
     if not tables.leaving or tables.done or tables.requests:
         return Step(tables=tables)
     return Step(tables=replace(tables, done=True), commands=(RouterDone(),))
--- a/bulrushpulley/systems/route/queue.py
+++ b/bulrushpulley/systems/route/queue.py
@@ -1,8 +1,8 @@
-"""The queue of each service: which call goes next, and which are turned away.
+"""The queue of each service: which waiting call is served next.
 
 Calls are served in order of arrival while the queue is short. Once the oldest has
-waited for `STANDING_SHARE` of its time the newest go first: under overload they can
-still be answered in time, while the oldest mostly cannot.
+waited for `STANDING_QUEUE_FRACTION` of its time, the newest are served first: under
+overload they can still be answered in time, while the oldest mostly cannot.
 """
 
 from __future__ import annotations
@@ -18,13 +18,13 @@
 
 
 def is_waiting(tables: RouterTables, call_id: str) -> bool:
-    """Tell whether a call in a queue still waits there."""
+    """Tell whether a call in a queue is still waiting."""
     request = tables.requests.get(call_id)
     return request is not None and request.stage == Waiting()
 
 
 def without_ended_calls(tables: RouterTables, queue: KeyQueue) -> KeyQueue:
-    """Drop the ids of calls that are gone from the old end of a queue."""
+    """Drop the ids of calls that no longer wait from the old end of a queue."""
     while queue and not is_waiting(tables, queue.left):
         queue = queue.popleft()
     return queue
@@ -33,7 +33,7 @@
 def oldest_waiting(
     tables: RouterTables, name: str
 ) -> tuple[RouterTables, Request | None]:
-    """Return the oldest call that waits for a service, and leave it in the queue."""
+    """Return the oldest waiting call of a service without removing it."""
     service = tables.service(name)
     queue = without_ended_calls(tables, service.queue)
     if queue is not service.queue:
@@ -42,19 +42,18 @@
 
 
 def is_standing_queue(oldest: Request, now: float) -> bool:
-    """Tell whether the queue is a standing one, by its oldest call."""
-    whole_s = oldest.deadline - oldest.received_at
-    return now - oldest.received_at > STANDING_QUEUE_FRACTION * whole_s
+    """Tell by its oldest call whether the queue is persistently long."""
+    total_s = oldest.deadline - oldest.received_at
+    return now - oldest.received_at > STANDING_QUEUE_FRACTION * total_s
 
 
 def next_waiting(
     tables: RouterTables, name: str, now: float
 ) -> tuple[RouterTables, Request | None]:
-    """Take the next call to be served out of the queue of a service.
+    """Remove the next call to serve from the queue of a service and return it.
 
-    It counts as waiting no more.
-
-    A call that can no longer be answered in time stays for its timer to refuse.
+    It is no longer counted as waiting. A call that can no longer be answered in time
+    is passed over; its timer refuses it.
     """
     service = tables.service(name)
     queue = without_ended_calls(tables, service.queue)
@@ -65,8 +64,8 @@
         queue = queue.pop() if newest_first else queue.popleft()
         request = tables.requests.get(call_id)
         if request is not None and request.stage == Waiting() and request.due_at > now:
-            left = replace(service, queue=queue, waiting=service.waiting - 1)
-            return put_service(tables, left), request
+            updated = replace(service, queue=queue, waiting=service.waiting - 1)
+            return put_service(tables, updated), request
         queue = without_ended_calls(tables, queue)
     if queue is service.queue:
         return tables, None
--- a/bulrushpulley/systems/route/recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -1,4 +1,4 @@
-"""Asks agents for the outcome of requests that they may have run already."""
+"""Asks agents for the outcomes of requests that they may already have run."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 def recall(
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
-    """Ask `agent` for the outcome, at once or when it is linked again."""
+    """Ask `agent` for the outcome, now or once it is linked again."""
     tables = leave_stage(request.stage, request, tables)
     if agent in tables.links:
         return send_recall(tables, request, agent, now)
@@ -43,7 +43,7 @@
 def send_recall(
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
-    """Send the agent a recall over its present link."""
+    """Send the agent a recall over its current link."""
     tables, attempt_id = tables.numbered()
     attempt = Attempt(
         attempt_id=attempt_id,
@@ -69,7 +69,7 @@
         kind="route.recall",
         subject=request.request_id,
         chosen=agent,
-        reason="the claim of the id names this agent",
+        reason="the claim of the request id names this agent",
     )
     commands = (Send(peer=agent, item=item), decision)
     return Step(tables=put_request(tables, asked), commands=commands)
@@ -88,7 +88,7 @@
 def handle_link_lost(
     tables: RouterTables, attempt: Attempt, now: float
 ) -> Step[RouterTables]:
-    """Go on with the request of an attempt whose answer cannot come any more."""
+    """Continue the request of an attempt whose answer can no longer arrive."""
     request = tables.requests.get(attempt.call_id)
     if request is None:
         return Step(tables=tables)
@@ -103,7 +103,7 @@
 def handle_lost_attempt(
     stage: Stage, request: Request, attempt: Attempt, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
-    """Go on from `stage` after an attempt was lost with its link."""
+    """Continue a request in `stage` after an attempt was lost with its link."""
     return Step(tables=tables)
 
 
--- a/bulrushpulley/systems/route/resubmit.py
+++ b/bulrushpulley/systems/route/resubmit.py
@@ -1,4 +1,4 @@
-"""Submits a claim again whose outcome is unsettled."""
+"""Submits claims again whose outcome is unsettled."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/route/send.py
+++ b/bulrushpulley/systems/route/send.py
@@ -1,4 +1,4 @@
-"""Sends one dispatch of a request to an agent."""
+"""Dispatches a request to an agent."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 def dispatch(
     tables: RouterTables, request: Request, agent: str, now: float, *, reason: str
 ) -> Step[RouterTables]:
-    """Send the request to `agent` as a new attempt and take one of its slots."""
+    """Send the request to `agent` as a new attempt, which occupies a slot there."""
     skipped = passed_over(tables, request.service, agent, now)
     tables, attempt_id = tables.numbered()
     attempt = Attempt(
@@ -56,7 +56,7 @@
 
 
 def hedge_at(tables: RouterTables, request: Request, now: float) -> float:
-    """Return when to look at a dispatched request again."""
+    """Return when a dispatched request is due: to be hedged, or at its deadline."""
     latency_p95_s = tables.service(request.service).latency_p95_s
     if not request.repeatable or request.hedged or not latency_p95_s:
         return request.deadline
--- a/bulrushpulley/systems/route/shed.py
+++ b/bulrushpulley/systems/route/shed.py
@@ -1,4 +1,4 @@
-"""Bounds the queue of each service to what its backend servers can serve in time."""
+"""Limits the queue of each service to what its backend servers can serve in time."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Turn away the oldest calls of each queue that is too long."""
+    """Refuse the oldest calls of each queue that is too long."""
     commands: list[Command] = []
     for name in sorted(tables.busy_services):
         step = shed(tables, name, now)
@@ -25,7 +25,7 @@
 
 
 def shed(tables: RouterTables, name: str, now: float) -> Step[RouterTables]:
-    """Turn away the oldest calls of one service while too many wait."""
+    """Refuse the oldest calls of one service while too many wait."""
     slots = sum(row.slots for row in tables.servers.rows_where("service", name))
     commands: list[Command] = []
     while True:
@@ -44,19 +44,19 @@
 
 
 def queue_limit(service: Service, slots: int, oldest: Request) -> int:
-    """Return how many calls can be served within a share of their time."""
+    """Return how many calls can be served within a fraction of their time."""
     if not service.service_s:
         return MAX_QUEUE_LIMIT
-    whole_s = oldest.deadline - oldest.received_at
-    servable = MAX_QUEUE_WAIT_FRACTION * whole_s * slots / service.service_s
+    total_s = oldest.deadline - oldest.received_at
+    servable = MAX_QUEUE_WAIT_FRACTION * total_s * slots / service.service_s
     return min(MAX_QUEUE_LIMIT, max(MIN_QUEUE_LIMIT, int(servable)))
 
 
 def overload_problem(service: Service) -> Problem:
-    """Describe a call that was turned away to keep the queue short."""
+    """Describe a call that was refused to keep the queue short."""
     return Problem(
         code=Code.OVERLOADED,
         step="route.wait",
         peer=SELF,
-        detail=f"{service.waiting} calls wait for {service.name}",
+        detail=f"{service.waiting} calls are queued for service {service.name}",
     )
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -1,10 +1,10 @@
-"""Deletes claims whose time is over, at a bounded rate.
+"""Deletes expired claims, at a bounded rate.
 
-A router deletes the claims that it wrote after `CLAIM_TTL_S`, and those that were
-refused for good at once. What dead routers have left is found by reading the claims
-page by page: a row that has kept its version since a reading `CLAIM_TTL_S` ago is
-at least that old, by this process's clock alone. Every deletion is conditional on
-the version, so a claim that was replaced meanwhile stays.
+A router deletes the claims that it wrote after `CLAIM_TTL_S`, and permanently refused
+ones immediately. Claims of routers that have died are found by reading all claims
+page by page: a row with the same version as in a read `CLAIM_TTL_S` ago is at least
+that old, judged by this process's clock only. Every deletion is conditional on the
+version, so a claim that was replaced in the meantime is kept.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Delete some due claims, and read the next page of claims now and then."""
+    """Delete some of the due claims, and read the next page of claims periodically."""
     commands: list[Command] = []
     if now >= tables.sweep_at:
         step = delete_due(replace(tables, sweep_at=now + CLAIM_SWEEP_INTERVAL_S), now)
@@ -55,7 +55,7 @@
 
 
 def delete_due(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Submit the deletion of up to `DELETIONS_PER_SWEEP` due claims."""
+    """Submit the deletion of up to `MAX_DELETIONS_PER_SWEEP` due claims."""
     due = due_claims(tables, now)
     commands: list[Command] = []
     for claim in due:
@@ -68,7 +68,7 @@
 
 
 def due_claims(tables: RouterTables, now: float) -> list[ClaimDeletion]:
-    """Return some of the claims that are due, those of the oldest buckets first."""
+    """Return some of the due claims, those of the oldest buckets first."""
     last = int(now / CLAIM_DELETION_BUCKET_S)
     buckets = (int(key) for key in tables.claim_deletions.by_index["deletion"])
     found: list[ClaimDeletion] = []
@@ -91,7 +91,7 @@
 
 
 def page_prefix(tables: RouterTables) -> str:
-    """Return the prefix of the page that is to be read next; empty if none."""
+    """Return the prefix of the page to read next; empty if there is no service."""
     names = sorted(tables.services)
     if not names:
         return ""
--- a/bulrushpulley/systems/route/timers.py
+++ b/bulrushpulley/systems/route/timers.py
@@ -1,7 +1,7 @@
-"""Looks at the requests whose moment has come: refuses late ones, hedges slow ones.
+"""Handles the requests whose timer fires: refuses late ones, hedges slow ones.
 
-Requests stand in an index by the coarse bucket of `due_at`, so a tick looks only
-at the buckets that have passed since the tick before.
+Requests are indexed by the time bucket of `due_at`, so a tick processes only the
+buckets that have passed since the previous tick.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Look at every request that has become due."""
+    """Handle every request that has become due."""
     last = timer_bucket(now) - 1
     if last == tables.last_timer_bucket:
         return Step(tables=tables)
@@ -54,14 +54,14 @@
 def handle_due(
     stage: Stage, request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
-    """Refuse a request that has nothing in flight."""
+    """Handle a due request in `stage`: refuse it if it has nothing in flight."""
     return refuse_late(request, tables, now)
 
 
 def refuse_late(
     request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
-    """Refuse a request whose time is over and that has nothing in flight."""
+    """Refuse a request with nothing in flight that can't be answered in time."""
     return refuse(tables, request, ran=Ran.NO, problem=deadline_problem(), now=now)
 
 
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -1,4 +1,4 @@
-"""Routers, guards and small fakes of the store and backend servers, in virtual time."""
+"""Runs routers and guards in virtual time, with a fake store and backend servers."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class FakeStore:
-    """Keeps rows by key, and takes submissions one by one."""
+    """Stores rows by key, and applies submissions one by one."""
 
     def __init__(self) -> None:
         self.by_key: dict[str, VersionedRow] = {}
@@ -56,7 +56,10 @@
         self.delay_s = STORE_DELAY_S
 
     def submit(self, content: Submission) -> CommitOutcome:
-        """Commit a submission unless the store is down; its answer may be lost."""
+        """Commit a submission and return its outcome, according to `mode`.
+
+        "down" withdraws it; "lose_answers" applies it and reports it as unsettled.
+        """
         name = content.submission_id
         if self.mode == "down":
             return Withdrawn(submission_id=name, reason="the store is down")
@@ -74,7 +77,7 @@
         return Committed(submission_id=name, revision=self.revision)
 
     def row(self, key: str) -> VersionedRow:
-        """Return a row, absent or not."""
+        """Return a row; one without contents if it is absent."""
         return self.by_key.get(key, VersionedRow(key=key, version=0, row=None))
 
     def _write(self, content: Submission, failed: tuple[VersionedRow, ...]) -> None:
@@ -93,7 +96,7 @@
 
 
 class RequestWorld:
-    """Some entries and agents, all linked; an agent's name is its incarnation."""
+    """Entries and agents, all linked; an agent's name is also its incarnation."""
 
     def __init__(
         self, *, entries: int = 2, agents: int = 2, service_s: float = 0.02
@@ -152,7 +155,7 @@
             self.world.deliver(Seat(process=other, role=role), LinkDown(peer=name))
 
     def tell(self, process: str, event: Event) -> None:
-        """Tell the one role of a process an event."""
+        """Deliver an event to the role of a process."""
         role = "router" if process in self.entries else "guard"
         self.world.deliver(Seat(process=process, role=role), event)
 
@@ -179,17 +182,21 @@
         self.world.at(delay_s, lambda: self.call(entry, call_id, **fields))
 
     def run(self, seconds: float) -> None:
-        """Let some time pass."""
+        """Advance the virtual time."""
         self.world.run(self.world.now + seconds)
 
     def outcome(self, call_id: str) -> str:
-        """Return how a call ended: its body, or whether it ran; empty if it waits."""
+        """Return how a call ended: its body, or whether it ran; empty if pending."""
         found = self.answers.get(call_id, [])
         assert len(found) <= 1, f"{call_id} was answered {len(found)} times"
         return describe_answer(found[0][1]) if found else ""
 
     def check(self) -> None:
-        """Assert what must hold for every call, however it ended."""
+        """Assert the invariants of all calls.
+
+        An answer is that of a call with the same request id. No request runs twice.
+        A request whose calls were all refused as not run did not run.
+        """
         ended: dict[str, set[str]] = {}
         for call_id, name in self.id_of_call.items():
             outcome = self.outcome(call_id)
@@ -202,7 +209,7 @@
             assert outcomes != {"not run"} or not runs, f"{name} ran, but 'not run'"
 
     def tables(self, process: str) -> Any:
-        """Return the tables of the one role of a process."""
+        """Return the tables of the role of a process."""
         role = "router" if process in self.entries else "guard"
         return self.world.tables[Seat(process=process, role=role)]
 
@@ -212,7 +219,7 @@
 
 @singledispatch
 def describe_answer(answer: Command) -> str:
-    """Return an answer in a form for assertions."""
+    """Return an answer as text for assertions."""
     raise NotImplementedError
 
 
@@ -228,7 +235,7 @@
 
 @singledispatch
 def carry_out(command: Command, world: RequestWorld, seat: Seat) -> None:
-    """Carry out a command over the fakes; others have no effect."""
+    """Carry out a command on the fakes; unregistered commands have no effect."""
     if type(command).__name__ in {"GuardDone", "RouterDone"}:
         world.done.append(seat.process)
 
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -1,4 +1,8 @@
-"""The client of a backend server tells apart "surely not sent" and "may have run"."""
+"""Tests the backend server's client and the stand-ins of servers and callers.
+
+The client must tell requests that were certainly not sent from those that may have
+run.
+"""
 
 from __future__ import annotations
 
@@ -24,19 +28,23 @@
 from standins.web import make_server
 
 COMMAND = RunOnBackend(execution_id="x1", request_id="", within_s=2.0, body=b"dough")
-WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+COMPLETE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 CASES = (
-    ("whole", WHOLE, BackendAnswered),
-    ("cut in the body", WHOLE[:-2], BackendFailed),
-    ("cut in the head", WHOLE[:20], BackendFailed),
+    ("whole", COMPLETE_ANSWER, BackendAnswered),
+    ("cut in the body", COMPLETE_ANSWER[:-2], BackendFailed),
+    ("cut in the head", COMPLETE_ANSWER[:20], BackendFailed),
     ("no answer", b"", BackendFailed),
-    ("too large", WHOLE.replace(b": 4", b": 2000000") + b"x" * 1999996, BackendFailed),
-    ("5xx ran", WHOLE.replace(b"200 OK", b"500 No"), BackendAnswered),
+    (
+        "too large",
+        COMPLETE_ANSWER.replace(b": 4", b": 2000000") + b"x" * 1999996,
+        BackendFailed,
+    ),
+    ("5xx ran", COMPLETE_ANSWER.replace(b"200 OK", b"500 No"), BackendAnswered),
 )
 
 
 @contextmanager
-def canned(answer: bytes) -> Iterator[str]:
+def serve_once(answer: bytes) -> Iterator[str]:
     """Serve one connection: read the request, send `answer` and close."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
 
@@ -61,14 +69,14 @@
 class BackendServerTest(testtools.TestCase):
     def test_only_whole_answers_are_answers(self) -> None:
         for name, answer, kind in CASES:
-            with canned(answer) as url:
+            with serve_once(answer) as url:
                 result = run(url)
             self.assertIs(kind, type(result), name)
             if isinstance(result, BackendFailed):
                 self.assertTrue(result.sent, name)
 
     def test_without_the_length_check_a_part_looks_whole(self) -> None:
-        with canned(WHOLE[:-2]) as url:
+        with serve_once(COMPLETE_ANSWER[:-2]) as url:
             client = BackendServerClient(url=url)
             request = partial(client._pool.request, enforce_content_length=False)
             with mock.patch.object(client._pool, "request", request):
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -1,4 +1,4 @@
-"""The guard's bounds: slots, queue, memory, leaving and announcements."""
+"""Tests the guard's limits: slots, queue, stored outcomes, leaving, announcements."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 
 
 def sent(world: RequestWorld) -> list[Send]:
-    """Record what the processes send from now on."""
+    """Record the items that the processes send from now on."""
     found: list[Send] = []
 
     def watch(_: object, seat: Seat, command: Command) -> None:
@@ -136,7 +136,7 @@
         self.assertEqual(["e1"], world.done)
 
     def unannounced_server_runs(self) -> int:
-        """Return how much a backend server gets that is no longer announced."""
+        """Return the number of runs on a server that is no longer announced."""
         world = RequestWorld(agents=2)
         world.cut_links = {("a1", "e1")}
         world.run(3.5)
--- a/test/test_linker.py
+++ b/test/test_linker.py
@@ -1,4 +1,4 @@
-"""Tests of the linker in virtual time: seeds, the entries' list and retries."""
+"""Tests the linker in virtual time: seeds, the entries' list and retries."""
 
 from __future__ import annotations
 
@@ -54,22 +54,22 @@
 
     def test_a_listed_entry_is_dialled_once_while_linked(self) -> None:
         self.assertEqual([SEED], self.tick(0.0))
-        told = (DialLinked(address=SEED), entries(SEED, LISTED))
-        self.assertEqual([LISTED], self.tick(0.1, *told))
+        events = (DialLinked(address=SEED), entries(SEED, LISTED))
+        self.assertEqual([LISTED], self.tick(0.1, *events))
         self.assertEqual([], self.tick(99.0, DialLinked(address=LISTED)))
 
     def test_a_failed_dial_is_retried_after_a_growing_delay(self) -> None:
         self.tick(0.0)
-        tries, now, failed = [], 0.0, True
+        attempts_at, now, failed = [], 0.0, True
         for _ in range(400):
             now += 0.1
             failed = bool(
                 self.tick(now, *([DialEnded(address=SEED)] if failed else []))
             )
-            tries += [now] if failed else []
-        gaps = [later - earlier for earlier, later in itertools.pairwise(tries)]
-        self.assertTrue(len(tries) < 20, tries)
-        self.assertTrue(max(gaps) <= MAX_DIAL_RETRY_DELAY_S + 0.2, gaps)
+            attempts_at += [now] if failed else []
+        delays = [later - earlier for earlier, later in itertools.pairwise(attempts_at)]
+        self.assertTrue(len(attempts_at) < 20, attempts_at)
+        self.assertTrue(max(delays) <= MAX_DIAL_RETRY_DELAY_S + 0.2, delays)
 
     def test_an_address_out_of_the_list_is_kept_until_its_link_ends(self) -> None:
         self.tick(0.0, entries(LISTED))
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -1,4 +1,7 @@
-"""At most one run for an unrepeatable id, and a true "not run", under failure."""
+"""Tests that an unrepeatable id runs at most once, in spite of failures.
+
+A request that was refused as "not run" must not have run.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +28,7 @@
 
 
 def kill_after(world: RequestWorld, kind: type[Command], item: type[Any]) -> None:
-    """Kill e1 as soon as its first such command was carried out."""
+    """Kill e1 as soon as it has carried out a command of `kind` with an `item`."""
 
     def watch(_: object, seat: Seat, command: Command) -> None:
         about = getattr(command, "item", getattr(command, "event", None))
@@ -40,7 +43,7 @@
 
 
 def same_moment(world: RequestWorld) -> None:
-    """Two entries, which prefer different agents, get the same id."""
+    """Send the same id to two entries that prefer different agents."""
     world.call("e2", "warm")
     world.run(0.5)
     world.call("e1", "c1", "id1")
@@ -49,7 +52,7 @@
 
 
 def overtaken(world: RequestWorld) -> None:
-    """The second entry asks the agent before the first one's dispatch arrives."""
+    """Let the second entry ask the agent before the first one's dispatch arrives."""
     world.call("e1", "c1", "id1")
     world.run(0.004)
     world.world.pause("e1", 0.5)
@@ -147,7 +150,7 @@
 
 
 def copies_of_refused(world: RequestWorld) -> None:
-    """A dispatch arrives twice, while the agents are full and after that."""
+    """Deliver each dispatch twice, while the agents are full and after that."""
     world.path = Path(repeat_percent=100, jitter_s=0.5)
     world.service_s = lambda agent: 0.3
     for number in range(100):
@@ -184,7 +187,7 @@
 
 
 def any_attempt(tables: Any, event: Any, attempt_id: str) -> Any:
-    """Match an answer to whatever attempt is first, as by order."""
+    """Match an answer to the first attempt, as if answers were matched by order."""
     if not tables.attempts:
         return None
     attempt = tables.attempts.rows()[0]
@@ -196,7 +199,7 @@
 
 
 def not_asked(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
-    """Claim again for another agent without asking the claimed one."""
+    """Claim for another agent without asking the claimed agent for the outcome."""
     service = tables.service(request.service)
     return Step(tables=route_finish.enqueue(tables, request, service))
 
@@ -249,7 +252,7 @@
 
 
 def check_fails(world: RequestWorld) -> bool:
-    """Tell whether the check fails."""
+    """Tell whether the world violates an invariant."""
     try:
         world.check()
     except AssertionError:
--- a/test/test_route_key_queue.py
+++ b/test/test_route_key_queue.py
@@ -1,4 +1,4 @@
-"""The queue of keys against a list, and its cost at either end."""
+"""Compares the queue of keys with a list."""
 
 from __future__ import annotations
 
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -1,4 +1,7 @@
-"""The router's queue, budgets, choice and claim upkeep, and long mixes of faults."""
+"""Tests the router's queue, budgets, server choice and claim deletion.
+
+Long runs with random mixes of faults check the invariants of all calls.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +28,7 @@
 
 class PolicyTest(testtools.TestCase):
     def count_useful(self, rate: float, seconds: float = 2.0) -> int:
-        """Count answers in time from a load of `rate` a second on 2 x 8 slots."""
+        """Count the answers in time under `rate` calls per second on 2 x 8 slots."""
         world = RequestWorld(entries=1, agents=2, service_s=0.1)
         dice = random.Random(1)
         for number in range(int(rate * seconds)):
@@ -62,7 +65,7 @@
         self.assertEqual("unknown", world.outcome("c1"))
 
     def slow_server_fraction(self) -> float:
-        """Return the share of calls that a slow server of four gets."""
+        """Return the fraction of the calls that the slow one of four servers gets."""
         world = RequestWorld(entries=1, agents=4)
         world.service_s = lambda agent: 0.3 if agent == "a1" else 0.02
         for number in range(400):
@@ -92,17 +95,17 @@
         self.assertEqual((9, 3), (ran.count("a1"), ran.count("far")))
 
     def stalled_latency(self) -> float:
-        """Return how long a call takes whose first run stalls."""
+        """Return the latency of a call whose first run stalls."""
         world = RequestWorld(entries=1, agents=2)
         for number in range(100):
             world.call_at(number * 0.02, "e1", f"c{number}")
         world.run(3.0)
         times = iter((1.5, 0.02))
         world.service_s = lambda agent: next(times)
-        began = world.world.now
+        started_at = world.world.now
         world.call("e1", "late")
         world.run(2.0)
-        return world.answers["late"][0][0] - began
+        return world.answers["late"][0][0] - started_at
 
     def test_a_late_repeatable_call_gets_a_second_try(self) -> None:
         self.assertLess(self.stalled_latency(), 0.3)
@@ -184,15 +187,15 @@
         if world.world.alive(entry):
             world.call(entry, f"c{number}", f"id{dice.randrange(60)}")
         if dice.random() < 0.25:
-            fault(world, dice, number)
+            inject_fault(world, dice, number)
         world.run(dice.random() * 0.06)
     world.store.mode = "up"
     world.run(4.0)
     return world
 
 
-def fault(world: RequestWorld, dice: random.Random, number: int) -> None:
-    """Bring about one fault."""
+def inject_fault(world: RequestWorld, dice: random.Random, number: int) -> None:
+    """Inject one random fault."""
     entry, agent = dice.choice(world.entries), dice.choice(world.agents)
     kind = dice.randrange(6)
     if kind == 0:
@@ -213,7 +216,7 @@
 
 
 def relink(world: RequestWorld, entry: str, agent: str) -> None:
-    """Open a link again if both processes still live."""
+    """Restore a link if both processes are still alive."""
     if world.world.alive(entry) and world.world.alive(agent):
         world.link(entry, agent)
 
