--- a/bulrushpulley/entities/commit.py
+++ b/bulrushpulley/entities/commit.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class VersionedRow:
-    """A row as the table service holds it; None stands for an absent row."""
+    """A row as the table service holds it; None means that it is absent."""
 
     key: str
     version: int
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -145,14 +145,14 @@
     required: set[str] = set()
     written: set[str] = set()
     rows = size_bytes = 0
-    for place, key in enumerate(lane.queue):
+    for position, key in enumerate(lane.queue):
         row = tables.submissions.get(key)
         if row is None:
             continue
         rows += len(row.submission.writes)
         size_bytes += row.size_bytes
         if chosen and (rows > row_limit or size_bytes > MAX_BATCH_BYTES):
-            remaining.extend(lane.queue[place:])
+            remaining.extend(lane.queue[position:])
             break
         if may_share(row.submission, required, written):
             chosen.append(row)
--- a/bulrushpulley/systems/commit/conflict.py
+++ b/bulrushpulley/systems/commit/conflict.py
@@ -81,7 +81,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Settle the submissions by the fence that another transaction has moved."""
+    """Settle the submissions after an earlier transaction has moved the fence."""
     resolved = resolve_in_doubt(tables, fence.token, fence.version, now)
     updated_lane = replace(
         lane, fence_version=fence.version, request_in_doubt=False, fence_move_due=False
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -93,7 +93,7 @@
 
 
 def schedule(bench: Bench, line: str) -> float:
-    """Schedule one timed line and return the end that it asks for."""
+    """Schedule one timed line and return the end time that it sets."""
     when, who, *rest = line.split()
     if who == "end":
         return float(when)
@@ -340,8 +340,8 @@
     def test_reads_are_shared_only_before_they_are_sent(self) -> None:
         bench = Bench()
         for number, when in enumerate((0.0, 0.001, 0.002, 0.01)):
-            asked = ReadRequested(origin="o", fetch_id=f"f{number}", prefix="k/")
-            bench.at(when, Delivery(process="e1", event=asked))
+            request = ReadRequested(origin="o", fetch_id=f"f{number}", prefix="k/")
+            bench.at(when, Delivery(process="e1", event=request))
         bench.run_until(1.0)
         self.assertEqual(3, len(bench.reads))
         self.assertEqual(4, len(bench.fetched))
