Reword the texts of the wire package and its tests

Many docstrings were figurative or telegraphic, such as "a bad stream ends alone" or "what goes in comes out, and damage is told". They now say in plain terms what the code does.

Some texts were wrong. The two ends of a link were described as agents and entries, but between scheduler and agents it is the entry that dials. The head of the test runner promised that a listed test which succeeds is reported, which the code does not do, and gave another closing line than the one printed. An HTTP server is bound by start, not on construction.

Error details are reworded likewise: an invalid service name, a repeated worker id of a cell, a value that is not a mapping, damaged compressed data, a first frame without a peer, and a frame that timed out.

--- a/bulrushpulley/wire/__init__.py
+++ b/bulrushpulley/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Encoding only: protobuf between processes, JSON towards the outside."""
+"""Encoding only: protobuf between processes, JSON for callers and operators."""
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -1,4 +1,4 @@
-"""Callers' requests in HTTP: parsed to `CallReceived`, answers encoded.
+"""Parses callers' HTTP requests into `CallReceived` and encodes the answers.
 
 Example::
 
@@ -45,14 +45,14 @@
 
 
 def parse_call(request: HttpRequest, call_id: str, now: float) -> CallReceived:
-    """Read a call; raises `BulrushpulleyError` that names the bad field."""
+    """Parse a call; raises `BulrushpulleyError` that names the invalid field."""
     parts = request.parts
     if len(parts) != 3 or parts[:2] != ("v1", "call"):
         raise _field_error(request, "path", "no such path", Code.NOT_FOUND)
     if request.method != "POST":
         raise _field_error(request, "method", "must be POST")
     if _NAME.fullmatch(parts[2]) is None:
-        raise _field_error(request, "service", "is no name of a service")
+        raise _field_error(request, "service", "is not a valid service name")
     key = _idempotency_key(request)
     return CallReceived(
         call_id=call_id,
@@ -131,7 +131,7 @@
 
 
 class CallerFront:
-    """Hands each call to the router and waits for the answer or the deadline."""
+    """Passes each call to the router and waits for its answer or its deadline."""
 
     def __init__(self, *, pending: PendingCalls, tell: Callable[[Event], None]) -> None:
         self._pending = pending
--- a/bulrushpulley/wire/compression.py
+++ b/bulrushpulley/wire/compression.py
@@ -1,8 +1,8 @@
-"""Deflates large messages and rows; small ones stay as they are.
+"""Compresses large messages and rows; small ones are left uncompressed.
 
-Both are MessagePack maps or arrays, whose first byte is never `DEFLATED`, so a reader
-can tell without being told. Entries' links and the store's are narrow, and rows and
-orders of many alike tasks shrink to a quarter.
+Both are MessagePack maps or arrays, whose first byte is never `COMPRESSED_PREFIX`, so
+a reader can recognise compressed data. Links of entries and of the store have little
+bandwidth, and rows and orders of many similar tasks shrink to a quarter.
 """
 
 from __future__ import annotations
@@ -11,30 +11,30 @@
 
 # Not the first byte of any MessagePack map or array.
 COMPRESSED_PREFIX = b"\x01"
-# Below this, deflating saves less than a packet's header.
+# Below this size, compression saves less than a packet's header.
 MIN_BYTES_TO_COMPRESS = 400
-# The fastest level; higher ones cost twice the time for a tenth less.
+# The fastest level; higher ones take twice the time and save a tenth in size.
 COMPRESSION_LEVEL = 1
-# No row or message of ours is larger; a damaged one must not fill the memory.
+# No row or message is larger; the bound keeps a damaged one from filling memory.
 MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 
 
 def compress(data: bytes) -> bytes:
-    """Return the data, deflated if that is worth it."""
+    """Return the data, compressed if it is large enough."""
     if len(data) < MIN_BYTES_TO_COMPRESS:
         return data
     return COMPRESSED_PREFIX + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decompress(data: bytes) -> bytes:
-    """Return what was packed; raises `ValueError` if it cannot be inflated."""
+    """Return the original data; raises `ValueError` if it cannot be decompressed."""
     if data[:1] != COMPRESSED_PREFIX:
         return data
     inflater = zlib.decompressobj()
     try:
         plain = inflater.decompress(data[1:], MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
-        raise ValueError(f"cannot be inflated: {error}") from error
+        raise ValueError(f"cannot be decompressed: {error}") from error
     if not inflater.eof:
-        raise ValueError(f"is cut off, or larger than {MAX_DECOMPRESSED_BYTES} bytes")
+        raise ValueError(f"is truncated, or larger than {MAX_DECOMPRESSED_BYTES} bytes")
     return plain
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -1,7 +1,7 @@
 """HTTP requests and replies as values, and the JSON form of errors.
 
 The handlers of callers' and operators' calls are functions from `HttpRequest` to
-`HttpReply`; the server that carries them is in `http_server`.
+`HttpReply`; the server that runs them is in `http_server`.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpRequest:
-    """A whole request; header names are in lower case, `peer` is an address."""
+    """A complete request; header names are in lower case, `peer` is an address."""
 
     method: str
     path: str
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpReply:
-    """A whole reply.
+    """A complete reply.
 
     `ran` is sent as the header `X-Ran`, so that a caller can tell a backend server's
     own status from a refusal with the same one. `retry_after_s` is sent as
@@ -86,7 +86,8 @@
 def error_reply(error: BaseException, ran: Ran | None = None) -> HttpReply:
     """Return the reply to a call whose handling raised `error`.
 
-    A group of errors gives the first one with the list of all as ``errors``.
+    For a group of errors, the reply describes the first one and lists all of them
+    as ``errors``.
     """
     problems = problems_in(error)
     value = problem_value(problems[0], ran)
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -1,9 +1,10 @@
-"""The HTTP server towards callers and operators, on cheroot.
+"""The HTTP server for callers and operators, built on cheroot.
 
-A request holds one thread from its first byte to the last of its answer. The pool
-and the queue before it are bounded; a connection beyond both gets 503 at once.
-A request that is not read whole within `READ_S` ends with 408, however slowly its
-bytes drip. Bodies larger than `MAX_BODY_BYTES` are refused before they are read.
+A request occupies one thread from its first byte to the last byte of its answer.
+The thread pool and its queue are bounded; a connection that exceeds both gets 503
+at once. A request that is not completely read within `REQUEST_READ_TIMEOUT_S` gets
+408, even if bytes keep arriving slowly. Bodies larger than `MAX_BODY_BYTES` are
+refused before they are read.
 """
 
 from __future__ import annotations
@@ -51,7 +52,7 @@
 
 
 class TimedReader(socket.SocketIO):
-    """Reads a socket under one deadline for the whole request."""
+    """Reads a socket with one deadline for the whole request."""
 
     deadline = 0.0
 
@@ -78,7 +79,7 @@
     """A request whose protocol errors are answered in JSON."""
 
     def read_request_headers(self) -> bool:
-        """Refuse bodies of unknown or negative length besides cheroot's checks."""
+        """Run cheroot's checks, and refuse bodies of unknown or negative length."""
         if not super().read_request_headers():  # type: ignore[no-untyped-call]
             return False
         if self.chunked_read:
@@ -90,7 +91,7 @@
         return True
 
     def simple_response(self, status: str, msg: str = "") -> None:
-        """Write the JSON error of a status; the connection closes after it."""
+        """Answer with a JSON error, after which the connection is closed."""
         self.close_connection = True
         problem = Problem(
             code=_CODE_BY_STATUS.get(status[:3], Code.INVALID),
@@ -106,11 +107,11 @@
         try:
             self.conn.wfile.write(head.encode("latin-1") + body)
         except OSError:
-            self.server.error_log(f"no answer to {problem.peer}: {status}")
+            self.server.error_log(f"could not answer {problem.peer}: {status}")
 
 
 class TimedConnection(HTTPConnection):
-    """A connection that begins a read deadline with each request."""
+    """A connection that sets a read deadline for each request."""
 
     RequestHandlerClass = JsonErrorRequest
 
@@ -133,7 +134,7 @@
 
 
 def read_request(environ: Mapping[str, Any]) -> HttpRequest:
-    """Read the whole request of a WSGI environment."""
+    """Read the complete request from a WSGI environment."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
     return HttpRequest(
         method=environ["REQUEST_METHOD"],
@@ -148,7 +149,7 @@
 def wsgi_app(
     handler: Handler,
 ) -> Callable[[Mapping[str, Any], StartResponse], Iterable[bytes]]:
-    """Return the WSGI application that serves a handler."""
+    """Return the WSGI application that calls `handler`."""
 
     def serve(environ: Mapping[str, Any], start: StartResponse) -> Iterable[bytes]:
         request = read_request(environ)
@@ -179,7 +180,7 @@
 
 
 class HttpServer:
-    """A bound cheroot server with its own threads; `start` returns at once."""
+    """A cheroot server with its own threads; `start` returns at once."""
 
     def __init__(
         self,
@@ -216,12 +217,12 @@
         return int(self._server.bind_addr[1])
 
     def start(self) -> None:
-        """Bind, listen and serve on threads of its own."""
+        """Bind, listen and serve on the server's own threads."""
         self._server.prepare()
         self._thread.start()
 
     def stop(self, timeout_s: float) -> None:
-        """Stop accepting, let requests in flight finish, and return."""
+        """Stop accepting and let requests in flight finish within `timeout_s`."""
         self._server.shutdown_timeout = timeout_s
         self._server.stop()
 
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -1,4 +1,4 @@
-"""The encoding of the items between scheduler and agents, for the link's frames."""
+"""Encodes the items exchanged by scheduler and agents, for the frames of a link."""
 
 from __future__ import annotations
 
@@ -32,12 +32,12 @@
 
 
 def encode_job_item(item: items.JobItem) -> bytes:
-    """Return the bytes of an item, which begin with the name of its kind."""
+    """Encode an item, preceded by the name of its class."""
     return compress(msgspec.msgpack.encode((type(item).__name__, item)))
 
 
 def decode_job_item(data: bytes, peer: str) -> items.JobItem | None:
-    """Return the item that `peer` sent; None for a kind that is not known."""
+    """Decode an item that `peer` sent; None if its class is unknown."""
     try:
         plain = decompress(data)
         name, body = msgspec.msgpack.decode(plain, type=tuple[str, msgspec.Raw])
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -1,9 +1,8 @@
-"""The encoding of the durable rows of jobs: MessagePack with the name of the kind.
+"""Encodes the durable rows of jobs as MessagePack with the name of their kind.
 
-Large rows are deflated.
-
-Fields that a newer version added are passed over, and fields that an older one did
-not write take their defaults, so that versions can run side by side.
+Large rows are compressed. Fields that a newer version added are ignored, and fields
+that an older one did not write take their defaults, so that versions can run side by
+side.
 """
 
 from __future__ import annotations
@@ -44,14 +43,14 @@
 
 
 def encode_row(row: rows.Row) -> bytes:
-    """Return the bytes of a row."""
+    """Encode a row."""
     data = msgspec.msgpack.encode(row)
     envelope = Envelope(kind=KIND_BY_ROW_CLASS[type(row)], row=msgspec.Raw(data))
     return compress(msgspec.msgpack.encode(envelope))
 
 
 def decode_row(data: bytes, *, peer: str) -> rows.Row:
-    """Return the row of some bytes; raises `BulrushpulleyError` if they make none."""
+    """Decode a row; raises `BulrushpulleyError` if the data is malformed."""
     try:
         envelope = _decode_envelope(decompress(data))
         kind = ROW_CLASS_BY_KIND[envelope.kind]
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -1,4 +1,4 @@
-"""The agents' end of the links: dials one entry and keeps the stream open."""
+"""The dialling end of links: opens a stream to an address and runs it."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class Dialler:
-    """Opens streams to entries; the hooks get `DialLinked` and `DialEnded`."""
+    """Opens streams to peers; the hooks receive `DialLinked` and `DialEnded`."""
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def dial(self, address: str) -> None:
-        """Start one try on the loop's thread; it ends by a `DialEnded`."""
+        """Start one attempt on the event loop's thread; it ends with a `DialEnded`."""
         task = asyncio.ensure_future(self._dial(address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/bulrushpulley/wire/link_codec.py
+++ b/bulrushpulley/wire/link_codec.py
@@ -1,8 +1,8 @@
 """Encodes the items of a link as protobuf messages and decodes them.
 
 `encode_item` varies by `singledispatch`; decoding varies by the name of the
-oneof field. Items whose message has the very same plain fields are listed in
-`_PLAIN` and need no code of their own. Durable rows travel in the encoding of the
+oneof field. Items whose message has the same fields, all of plain types, are listed
+in `_PLAIN` and need no functions of their own. Durable rows are encoded as in the
 table service.
 """
 
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlainItem:
-    """An item whose fields, but for `peer`, are those of its message."""
+    """An item whose fields, except `peer`, are those of its message."""
 
     event: type[Event]
     message: type[Message]
@@ -59,7 +59,7 @@
 @singledispatch
 def encode_item(item: Event) -> pb.Item:
     """Encode one item; an unregistered kind is a programming error."""
-    raise NotImplementedError(f"no message for {type(item).__name__}")
+    raise NotImplementedError(f"no protobuf message for {type(item).__name__}")
 
 
 def _encode_plain(item: Event, name: str, plain: PlainItem) -> pb.Item:
@@ -210,9 +210,8 @@
 def decode_item(item: pb.Item, peer: str) -> Event | None:
     """Decode one item received from `peer`.
 
-    An item of a kind that this version does not know is None, so that newer
-    processes can be linked to older ones. A malformed one raises
-    `BulrushpulleyError`.
+    Returns None for a kind that this version does not know, so that newer processes
+    can be linked to older ones. Raises `BulrushpulleyError` for a malformed item.
     """
     name = item.WhichOneof("item")
     if name is None:
--- a/bulrushpulley/wire/link_server.py
+++ b/bulrushpulley/wire/link_server.py
@@ -1,4 +1,4 @@
-"""The entries' end of the links: takes the streams that agents open."""
+"""The listening end of links: accepts the streams that peers open."""
 
 from __future__ import annotations
 
@@ -22,14 +22,14 @@
 
 
 class LinkService(LinkBase):
-    """The handler of the one method, `Attach`; a bad stream ends alone."""
+    """Handles `Attach`, the only method; an invalid stream does not affect others."""
 
     def __init__(self, *, links: Links, hooks: LinkHooks) -> None:
         self._links = links
         self._hooks = hooks
 
     async def Attach(self, stream: Any) -> None:  # noqa: N802
-        """Run the link of one agent."""
+        """Run the link of one peer."""
         try:
             hello = await receive_hello(stream, "agent")
             await send_hello(stream, self._hooks)
@@ -43,9 +43,9 @@
 
 
 class LinkServer:
-    """The listener for the streams of agents, bound to `port` when constructed.
+    """The listener for the streams of peers, bound to `port` when constructed.
 
-    Its methods run on the loop.
+    Its methods run on the event loop.
     """
 
     def __init__(
@@ -63,14 +63,14 @@
         self.port: int = self._listener.getsockname()[1]
 
     async def start(self) -> None:
-        """Take the streams that agents open, those that wait already among them.
+        """Accept the streams that peers open, including those already waiting.
 
-        The roles must be there before, since they are told of each stream once.
+        The roles must exist before, since each stream is reported to them only once.
         """
         self._server = Server([self._service])
         await self._server.start(sock=self._listener, ssl=self._tls)
 
     async def close(self) -> None:
-        """Stop listening and end every stream that is left."""
+        """Stop listening and end all remaining streams."""
         self._server.close()
         await self._server.wait_closed()
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -1,9 +1,9 @@
 """One open stream between two processes: batching, bounds and keepalive.
 
-Both ends of a link run the same code. The writer puts everything that is queued
-into one frame; when nothing is queued for `HEARTBEAT_S` it sends an empty frame.
-The reader closes the stream after `SILENCE_S` without a frame, so a frozen peer
-is noticed within seconds. A queue that exceeds its bounds closes the stream: the
+Both ends of a link run the same code. The writer batches queued items into frames;
+when nothing is queued for `HEARTBEAT_INTERVAL_S` it sends an empty frame. The reader
+closes the stream after `SILENCE_TIMEOUT_S` without a frame, so that a frozen peer is
+detected within seconds. The stream is closed if its queue exceeds its bounds: the
 roles on both ends treat items on a broken link as lost.
 """
 
@@ -34,12 +34,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkHooks:
-    """Who this process is, and where a link hands over what it receives.
+    """The identity of this process, and the callbacks and timing of its links.
 
     `receive` gets each decoded item and the `LinkUp` and `LinkDown` of each
-    stream; `count` the byte counters; `report` the reason for which a stream was
+    stream; `count` gets the byte counters; `report` gets the reason why a stream was
     closed. All are called on the event loop and must not block. An idle link sends an
-    empty frame each `heartbeat_s` and ends after `silence_s` without one.
+    empty frame every `heartbeat_interval_s` and is closed after `silence_timeout_s`
+    without one.
     """
 
     incarnation: str
@@ -59,7 +60,7 @@
 
 @singledispatch
 def stream_problem(error: Exception, peer: str) -> Problem:
-    """Return the problem for which a stream has ended."""
+    """Return the problem that ended a stream."""
     detail = f"{type(error).__name__}: {error}"
     return Problem(code=Code.UNAVAILABLE, step="link.stream", peer=peer, detail=detail)
 
@@ -71,12 +72,12 @@
 
 @stream_problem.register
 def _(error: TimeoutError, peer: str) -> Problem:
-    detail = "nothing heard or sent within the time allowed"
+    detail = "no frame was received or sent within the timeout"
     return Problem(code=Code.DEADLINE, step="link.stream", peer=peer, detail=detail)
 
 
 async def receive_hello(stream: Any, address: str) -> Frame:
-    """Read the first frame of the other side, which names the peer."""
+    """Receive the first frame of the other side, which names the peer."""
     async with asyncio.timeout(HELLO_TIMEOUT_S):
         frame = await stream.recv_message()
     if frame is None or not frame.peer:
@@ -84,7 +85,7 @@
             code=Code.INVALID,
             step="link.hello",
             peer=address,
-            detail="the first frame names no peer",
+            detail="the first frame does not name the peer",
         )
     return cast(Frame, frame)
 
@@ -151,7 +152,7 @@
             self._finish(reader, writer)
 
     def _finish(self, *tasks: asyncio.Task[None]) -> None:
-        """Report the end without waiting: grpclib may cancel `run` more than once."""
+        """Report the end without waiting, as grpclib may cancel `run` repeatedly."""
         errors = [task.exception() for task in tasks if task.done()]
         for task in tasks:
             task.cancel()
--- a/bulrushpulley/wire/links.py
+++ b/bulrushpulley/wire/links.py
@@ -14,8 +14,9 @@
 class Links:
     """The streams by peer; a newer stream of a peer replaces the older one.
 
-    `send` may be called from any thread. Everything else runs on the loop. An
-    item for a peer without a stream is lost, as on a stream that ends.
+    `send` may be called from any thread. Everything else runs on the event loop.
+    An item for a peer without a stream is dropped, like items queued on a stream
+    that ends.
     """
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
@@ -25,7 +26,7 @@
         self._unsent: deque[Send] = deque()
 
     def send(self, command: Send) -> None:
-        """Queue an item; the loop is woken once for everything unsent."""
+        """Queue an item; the event loop is woken once for all unsent items."""
         with self._lock:
             self._unsent.append(command)
             is_first = len(self._unsent) == 1
@@ -41,11 +42,11 @@
                 stream.put(command.item)
 
     def has(self, peer: str) -> bool:
-        """Tell whether there is a stream to `peer`."""
+        """Return whether there is a stream to `peer`."""
         return peer in self._by_peer
 
     async def run(self, stream: LinkStream) -> None:
-        """Run a stream while it lasts; an older one of the peer ends first."""
+        """Run a stream until it ends, after closing an older one of its peer."""
         older = self._by_peer.get(stream.peer)
         if older is not None:
             older.close(
@@ -65,7 +66,7 @@
                 del self._by_peer[stream.peer]
 
     async def close(self, timeout_s: float) -> None:
-        """Hand what is queued to the transport, then end every stream."""
+        """Flush queued items for at most `timeout_s`, then end every stream."""
         self._distribute()
         streams = list(self._by_peer.values())
         if not streams:
--- a/bulrushpulley/wire/operator_front.py
+++ b/bulrushpulley/wire/operator_front.py
@@ -1,4 +1,4 @@
-"""Operators' calls, the health check and the metrics page in HTTP."""
+"""HTTP handlers of operators' calls, the health check and the metrics page."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
         self._metrics_text = metrics_text
 
     def handle(self, request: HttpRequest) -> HttpReply:
-        """Answer a request of this front; any other path is not found."""
+        """Answer a health check or a metrics request; other paths are not found."""
         if request.path == HEALTH_PATH:
             return self._health()
         if request.path == METRICS_PATH:
@@ -48,7 +48,7 @@
 
 
 class OperatorFront:
-    """Hands operators' calls to the controller; health and metrics pass by."""
+    """Passes operators' calls to the controller; `HealthFront` answers the rest."""
 
     def __init__(
         self,
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -1,6 +1,6 @@
-"""Turns the HTTP requests of operators into calls, and replies into answers.
+"""Parses operators' HTTP requests into calls and renders replies as answers.
 
-Only encoding happens here; the controller decides.
+This module only encodes and decodes; the controller makes the decisions.
 
 Example::
 
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
-    """A request whose path has matched a route; `parts` are its variables."""
+    """A request whose path matched a route; `parts` are the path's variables."""
 
     parts: tuple[str, ...]
     query: Mapping[str, str]
@@ -84,7 +84,7 @@
     body: bytes,
     call_id: str,
 ) -> ops.OperatorCall:
-    """Return the call that a request makes.
+    """Parse a request into a call.
 
     Raises `BulrushpulleyError`, or an `ExceptionGroup` of them, for bad input.
     """
@@ -123,7 +123,7 @@
 
 
 def render_problems(problems: tuple[Problem, ...]) -> HttpAnswer:
-    """Return the answer that reports problems; the first one sets its status."""
+    """Return the answer that reports problems; the first determines its status."""
     status = OPERATOR_STATUS_BY_CODE.get(problems[0].code, UNAVAILABLE_STATUS)
     return _answer(status, {"problems": to_plain(problems)})
 
@@ -226,7 +226,7 @@
     kind, name = request.parts
     if (parsed.kind, parsed.record.name) != (kind, name):
         raise _refusal(
-            f"the record is not {kind}/{name} as the path says", field="name"
+            f"the record is not {kind}/{name} as given in the path", field="name"
         )
     return ops.AmendRecord(
         call_id=request.call_id,
--- a/bulrushpulley/wire/pending.py
+++ b/bulrushpulley/wire/pending.py
@@ -1,4 +1,4 @@
-"""The calls under way at the front end, each with the future of its answer."""
+"""The pending calls of the front end, each with the future of its answer."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PendingCall:
-    """A call that waits for the command that answers it."""
+    """A call and the future of the command that answers it."""
 
     call_id: str
     answer: Future[Command]
 
 
 class PendingCalls:
-    """Hands out call ids and gives each answer to the thread that waits for it."""
+    """Assigns call ids and passes each answer to the thread that waits for it."""
 
     def __init__(self, *, incarnation: str) -> None:
         self._incarnation = incarnation
@@ -36,23 +36,23 @@
         return call
 
     def resolve(self, call_id: str, command: Command) -> None:
-        """Give a call its answer; an unknown call has been abandoned."""
+        """Set the answer of a call; ignored if the call has been abandoned."""
         with self._lock:
             call = self._by_call_id.pop(call_id, None)
         if call is not None:
             call.answer.set_result(command)
 
     def wait(self, call: PendingCall, timeout_s: float) -> Command | None:
-        """Wait for the answer of a call, and abandon it if none comes in time."""
+        """Wait for the answer of a call, and abandon the call after `timeout_s`."""
         try:
             return call.answer.result(timeout_s)
         except TimeoutError:
             if self.abandon(call.call_id):
                 return None
-        # The answer came in the last moment.
+        # The answer arrived after the timeout, but before the call was abandoned.
         return call.answer.result()
 
     def abandon(self, call_id: str) -> bool:
-        """Forget a call; False when its answer arrived first."""
+        """Remove a call; return False if its answer arrived first."""
         with self._lock:
             return self._by_call_id.pop(call_id, None) is not None
--- a/bulrushpulley/wire/record_forms.py
+++ b/bulrushpulley/wire/record_forms.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SizeForm:
-    """What one task or replica takes; it must take some processor and memory."""
+    """The resources of one task or replica; processor and memory are never zero."""
 
     processors_m: Annotated[int, Range(low=1, high=1_024_000)]
     memory_mb: Annotated[int, Range(low=1, high=16_777_216)]
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceV2:
-    """A service with its size in whole units and a latency target."""
+    """A service with size in milliprocessors and megabytes, and a latency target."""
 
     name: Name
     department: Name
@@ -98,7 +98,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobV2:
-    """A job with its size in whole units, urgency and bounded attempts."""
+    """A job with its size in milliprocessors and megabytes, urgency and attempts."""
 
     name: Name
     department: Name
--- a/bulrushpulley/wire/records.py
+++ b/bulrushpulley/wire/records.py
@@ -1,7 +1,7 @@
-"""Reads the records of operators from decoded JSON, and writes them back.
+"""Parses operators' records from decoded JSON, and converts them back to it.
 
 A record names its kind and schema version; `FORMS` holds the typed form of each
-pair. Several versions of a kind are in force side by side: each form is read
+pair. Several versions of a kind are supported side by side: each form is validated
 strictly and converted to the current record.
 
 Example::
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ParsedRecord:
-    """A checked record in its current form, and how it was submitted."""
+    """A validated record in its current form, and its header as submitted."""
 
     kind: str
     schema_version: int
@@ -106,7 +106,7 @@
 def cross_field_problems(
     record: Record, location: ValueLocation
 ) -> tuple[Problem, ...]:
-    """Return the problems that show only across the fields of a record."""
+    """Return the problems that involve several fields of a record."""
     return ()
 
 
@@ -114,7 +114,7 @@
 def _(record: CellRecord, location: ValueLocation) -> tuple[Problem, ...]:
     ids = [worker.worker_id for worker in record.workers]
     return tuple(
-        location.at(f"workers.{index}.worker_id").problem("stands twice in the cell")
+        location.at(f"workers.{index}.worker_id").problem("appears twice in the cell")
         for index, worker_id in enumerate(ids)
         if worker_id in ids[:index]
     )
@@ -122,7 +122,7 @@
 
 @singledispatch
 def to_plain(value: object) -> Any:
-    """Return `value` as JSON takes it: data classes as objects, enums by value."""
+    """Convert `value` for JSON: data classes to objects, enums to their values."""
     if dataclasses.is_dataclass(value):
         return {
             item.name: to_plain(getattr(value, item.name))
--- a/bulrushpulley/wire/rows.py
+++ b/bulrushpulley/wire/rows.py
@@ -1,12 +1,12 @@
-"""The encoding of durable rows, as the table service and the link carry them.
+"""Encodes durable rows for the table service and the links.
 
-A row is kept as JSON with the token of the submission that wrote it and a kind
-that names its class::
+A row is encoded as JSON with the token of the submission that wrote it and a kind
+that identifies its class::
 
     {"token": "a1/7", "kind": "revision", "row": {"revision": 3}}
 
-Unknown keys are passed over, so that an older process reads the rows of a newer
-one. The record inside a `RecordRow` has the form that its own `kind` names.
+Unknown keys are ignored, so that an older process can read the rows of a newer one.
+The `kind` of a `RecordRow` determines the class of its record.
 """
 
 from __future__ import annotations
@@ -134,7 +134,7 @@
 
 
 def decode_row(data: bytes) -> DecodedRow:
-    """Decode what `encode_row` made; raises `BulrushpulleyError` on anything else."""
+    """Decode the output of `encode_row`; raises `BulrushpulleyError` if malformed."""
     try:
         envelope = _decode_envelope(data)
         if envelope.kind not in ROW_DECODER_BY_KIND:
--- a/bulrushpulley/wire/tls.py
+++ b/bulrushpulley/wire/tls.py
@@ -1,4 +1,4 @@
-"""The TLS contexts of links: both sides show a certificate of the same authority."""
+"""TLS contexts of links: both sides present certificates of the same authority."""
 
 from __future__ import annotations
 
@@ -10,13 +10,16 @@
 
 
 def server_context(tls: TlsSettings) -> ssl.SSLContext:
-    """Return the context of a listener that requires clients' certificates."""
+    """Return the context of a listener that requires client certificates."""
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     return _load(context, tls)
 
 
 def client_context(tls: TlsSettings) -> ssl.SSLContext:
-    """Return the context of a dialler; the peer is known by address, not by name."""
+    """Return the context of a dialler.
+
+    Host names are not checked, since peers are known by address.
+    """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
     return _load(context, tls)
--- a/bulrushpulley/wire/validation.py
+++ b/bulrushpulley/wire/validation.py
@@ -1,6 +1,6 @@
 """Builds frozen data classes from decoded mappings and reports every error.
 
-The walker follows the type hints of a data class: integers, floats, booleans,
+The reader follows the type hints of a data class: integers, floats, booleans,
 strings, enums by value, nested data classes, tuples of one type, mappings with
 string keys, and optional values. It is strict: an unknown key, a missing key, a
 value of another type and a value out of range each give one `Problem`; all of
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Text:
-    """The pattern that a whole string must match and its longest length."""
+    """The pattern that the whole string must match and its maximum length."""
 
     pattern: str = ".*"
     max_characters: int = 1_000
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Length:
-    """The most and fewest items of a tuple or mapping."""
+    """Bounds of the number of items of a tuple or mapping, both inclusive."""
 
     min_items: int = 0
     max_items: int = 10_000
@@ -60,19 +60,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ValueLocation:
-    """Where a value stands: the step and peer of its errors and its dotted path."""
+    """The dotted path of a value, and the step and peer of its errors."""
 
     step: str
     peer: str
     field: str = ""
 
     def at(self, name: str) -> ValueLocation:
-        """Return the place of a key below this one."""
+        """Return the location of a key below this one."""
         path = f"{self.field}.{name}" if self.field else name
         return dataclasses.replace(self, field=path)
 
     def problem(self, detail: str, code: Code = Code.INVALID) -> Problem:
-        """Describe an error of the value that stands here."""
+        """Return a problem of the value at this location."""
         return Problem(
             code=code, step=self.step, peer=self.peer, detail=detail, field=self.field
         )
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadResult:
-    """A value that was read, or the problems that keep it from being read."""
+    """A value that was read, or the problems that prevented reading it."""
 
     value: Any = None
     problems: tuple[Problem, ...] = ()
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChoiceShape:
-    """An enum, read by the value of its member."""
+    """An enum member, read by its value."""
 
     of: type[enum.Enum]
 
@@ -150,7 +150,7 @@
 
 
 def raise_problems(problems: tuple[Problem, ...]) -> None:
-    """Raise all problems together as one group; return when there is none."""
+    """Raise all problems together as one group, if there are any."""
     if problems:
         errors = [BulrushpulleyError(problem=problem) for problem in problems]
         raise ExceptionGroup(f"{len(errors)} problem(s) in the input", errors)
@@ -251,7 +251,7 @@
 @read.register
 def _(shape: MappingShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
-        return ReadResult(problems=(location.problem("must be a table of keys"),))
+        return ReadResult(problems=(location.problem("must be a mapping"),))
     parts = {
         key: read(shape.item, item, location.at(str(key))) for key, item in raw.items()
     }
@@ -265,7 +265,7 @@
 @read.register
 def _(shape: RecordShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
-        return ReadResult(problems=(location.problem("must be a table of keys"),))
+        return ReadResult(problems=(location.problem("must be a mapping"),))
     shapes = shapes_of(shape.of)
     problems = [
         location.at(str(key)).problem("unknown key", Code.UNKNOWN_KEY)
@@ -304,7 +304,7 @@
 
 @singledispatch
 def violation(limit: object, value: Any) -> str:
-    """Say how `value` passes a limit; empty when it keeps it."""
+    """Describe how `value` violates a limit; empty if it does not."""
     return ""
 
 
--- a/test/runner.py
+++ b/test/runner.py
@@ -1,8 +1,8 @@
-"""Runs every test module, passing over just the known reds, and prints the count.
+"""Runs the test modules and prints how many tests passed and failed.
 
-The closing line is 'N passed, N failed'. A test listed in KNOWN-RED.txt still
-runs; its failure is printed but fails the run no more, and its success is
-reported so that the entry can be removed.
+The last line is 'N passed, N failed, N skipped'. Tests listed in KNOWN-RED.txt
+still run; their failures are printed and counted as skipped, but do not fail the
+run. Their successes count as passed.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 
 
 def select_tests(suite: unittest.TestSuite, parts: list[str]) -> unittest.TestSuite:
-    """Keep the tests whose id contains one of the parts; all without parts."""
+    """Return the tests whose id contains one of `parts`, or all if there are none."""
     chosen = unittest.TestSuite()
     for item in suite:
         if isinstance(item, unittest.TestSuite):
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -30,11 +30,17 @@
 CALL = b"POST /v1/call/s HTTP/1.1\r\nHost: h\r\n"
 # name, bytes of the request, status, field, part of the detail
 RAW_CASES = (
-    ("no HTTP at all", b"hello\r\n\r\n", 400, "", "Malformed"),
+    ("not HTTP", b"hello\r\n\r\n", 400, "", "Malformed"),
     ("body too large", CALL + b"Content-Length: 1048577\r\n\r\n", 413, "", "maximum"),
-    ("body of no length", CALL + b"Transfer-Encoding: chunked\r\n\r\n", 411, "", "req"),
+    (
+        "body without a length",
+        CALL + b"Transfer-Encoding: chunked\r\n\r\n",
+        411,
+        "",
+        "req",
+    ),
     ("negative length", CALL + b"Content-Length: -1\r\n\r\n", 400, "", "negative"),
-    ("length is no number", CALL + b"Content-Length: x\r\n\r\n", 400, "", "Length"),
+    ("length is not a number", CALL + b"Content-Length: x\r\n\r\n", 400, "", "Length"),
     ("bad deadline", CALL + b"X-Deadline-Ms: 0\r\n\r\n", 400, "X-Deadline-Ms", "1 to"),
     ("bad flag", CALL + b"X-Repeatable: yes\r\n\r\n", 400, "X-Repeatable", "true"),
     (
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class End:
-    """One process of the test and what it has been told."""
+    """One process of the test, with the events and problems it received."""
 
     name: str
     links: Links
--- a/test/test_packed.py
+++ b/test/test_packed.py
@@ -1,4 +1,4 @@
-"""Deflated rows and messages: what goes in comes out, and damage is told."""
+"""Tests of compressed rows and messages: round trips and damaged data."""
 
 from __future__ import annotations
 
--- a/test/test_records_checked.py
+++ b/test/test_records_checked.py
@@ -1,4 +1,4 @@
-"""Tests of the strict walker from mappings to frozen data classes."""
+"""Tests of reading mappings strictly into frozen data classes."""
 
 from __future__ import annotations
 
