--- a/bulrushpulley/platform/advice.py
+++ b/bulrushpulley/platform/advice.py
@@ -13,7 +13,7 @@
 )
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.fields import decoded, invalid, items
+from bulrushpulley.platform.fields import decode_object, field_error, items
 from bulrushpulley.platform.http_client import HttpClient
 
 STEP = "advice.decode"
@@ -28,7 +28,7 @@
             url=f"http://{address}", connections=1, service="advice"
         )
 
-    def ask(self, command: RequestAdvice) -> Event:
+    def request_advice(self, command: RequestAdvice) -> Event:
         """Ask about one step."""
         # The servers are named "workers" in the call.
         body = {"StepId": command.step_key, "Workers": list(command.server_ids)}
@@ -43,11 +43,11 @@
             if answer.status != http.HTTPStatus.OK:
                 reason = f"status {answer.status}: {answer.body[:200]!r}"
                 return AdviceFailed(step_key=command.step_key, reason=reason)
-            raw = decoded(answer.body, STEP)
+            raw = decode_object(answer.body, STEP)
             # A row is [server id, ticket].
             rows = items(raw, "Approved", STEP)
             if not all(isinstance(row, list) and len(row) > 1 for row in rows):
-                raise invalid(STEP, "Approved", "must have rows of two")
+                raise field_error(STEP, "Approved", "must have rows of two")
         except BulrushpulleyError as error:
             return AdviceFailed(step_key=command.step_key, reason=str(error))
         ticket_by_server = {str(row[0]): str(row[1]) for row in rows}
--- a/bulrushpulley/platform/agent_front.py
+++ b/bulrushpulley/platform/agent_front.py
@@ -11,8 +11,8 @@
 from bulrushpulley.platform.executor import decode_announcement
 from bulrushpulley.wire.http_message import HttpReply, HttpRequest, json_reply
 
-ANNOUNCE = re.compile(r"/v1/instances/([^/]+)/heartbeat")
-WITHDRAW = re.compile(r"/v1/instances/([^/]+)/deregister")
+ANNOUNCE_PATH = re.compile(r"/v1/instances/([^/]+)/heartbeat")
+WITHDRAW_PATH = re.compile(r"/v1/instances/([^/]+)/deregister")
 METRICS_PATH = "/metrics"
 
 
@@ -37,12 +37,12 @@
 
     def handle(self, request: HttpRequest) -> HttpReply:
         """Take one announcement, or answer with the metrics page."""
-        announced = ANNOUNCE.fullmatch(request.path)
-        if announced is not None:
-            return self._announce(announced.group(1), request.body)
-        withdrawn = WITHDRAW.fullmatch(request.path)
-        if withdrawn is not None:
-            self._tell(Withdrawn(server_id=withdrawn.group(1)))
+        announce_match = ANNOUNCE_PATH.fullmatch(request.path)
+        if announce_match is not None:
+            return self._announce(announce_match.group(1), request.body)
+        withdraw_match = WITHDRAW_PATH.fullmatch(request.path)
+        if withdraw_match is not None:
+            self._tell(Withdrawn(server_id=withdraw_match.group(1)))
             return json_reply(200, {})
         if request.path == METRICS_PATH:
             return metrics_reply(self._metrics_text)
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -24,9 +24,9 @@
     RunOnBackend,
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.platform.http_body import read_whole
+from bulrushpulley.platform.http_body import read_body
 
-MAX_CONNECTIONS = 64
+BACKEND_SERVER_CONNECTIONS = 64
 MAX_ANSWER_BYTES = 1024 * 1024
 HEALTH_TIMEOUT_S = 0.5
 RUN_STEP = "backend_server.run"
@@ -35,7 +35,9 @@
 class BackendServerClient:
     """Calls one backend server over a pool of at most `connections`."""
 
-    def __init__(self, *, url: str, connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self, *, url: str, connections: int = BACKEND_SERVER_CONNECTIONS
+    ) -> None:
         self._url = url.rstrip("/")
         self._pool = urllib3.PoolManager(
             num_pools=2, maxsize=connections, block=True, retries=False
@@ -47,7 +49,7 @@
         try:
             response = self._post(command)
             with response:
-                body = read_whole(
+                body = read_body(
                     response,
                     deadline=deadline,
                     limit=MAX_ANSWER_BYTES,
@@ -55,7 +57,7 @@
                     peer=self._url,
                 )
         except (HTTPError, BulrushpulleyError, OSError) as error:
-            return self._failed(command, error)
+            return self._failure(command, error)
         return BackendAnswered(
             execution_id=command.execution_id, status=response.status, body=body
         )
@@ -89,7 +91,7 @@
             preload_content=False,
         )
 
-    def _failed(self, command: RunOnBackend, error: Exception) -> BackendFailed:
+    def _failure(self, command: RunOnBackend, error: Exception) -> BackendFailed:
         problem = Problem(
             code=Code.OUTCOME_UNKNOWN if may_have_sent(error) else Code.UNAVAILABLE,
             step=RUN_STEP,
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -33,22 +33,22 @@
 from bulrushpulley.platform.errors import NoListenerError, RefusedError
 from bulrushpulley.platform.fields import (
     Fields,
-    decoded,
+    check_object,
+    decode_object,
+    field_error,
     integer,
-    invalid,
     items,
     number,
-    table,
     text,
 )
-from bulrushpulley.platform.http_client import Exchange, HttpClient
-from bulrushpulley.platform.job_bodies import resources
+from bulrushpulley.platform.http_client import HttpAnswer, HttpClient
+from bulrushpulley.platform.job_bodies import decode_resources
 
 STEP = "executor.decode"
 # Only the agent beside it calls a backend server, and the ways in which its runs are
 # numbered keep an order that comes late from doing harm, so one token serves always.
-FENCE = 1
-MAX_CONNECTIONS = 10
+FENCING_TOKEN = 1
+EXECUTOR_CONNECTIONS = 10
 DRAINING = "draining"
 READY = "ready"
 
@@ -67,7 +67,7 @@
     @call.register
     def _(self, command: PollRuns) -> ExecutorEvent:
         body: dict[str, Any] = {
-            "FencingToken": FENCE,
+            "FencingToken": FENCING_TOKEN,
             "LastSeen": command.noted,
             "WaitMs": command.wait_ms,
         }
@@ -80,7 +80,7 @@
             if answer.status != http.HTTPStatus.OK:
                 reason = f"status {answer.status}: {answer.body[:200]!r}"
                 return PollFailed(server_id=command.server_id, reason=reason)
-            return _listed(command, decoded(answer.body, STEP))
+            return _decode_runs(command, decode_object(answer.body, STEP))
         except NoListenerError as error:
             return PollFailed(
                 server_id=command.server_id, reason=str(error), connection_refused=True
@@ -97,7 +97,7 @@
             "RunId": order.run,
             "Spec": order.payload,
             "DeadlineMs": command.lease_until_ms,
-            "FencingToken": FENCE,
+            "FencingToken": FENCING_TOKEN,
         }
         if order.checkpoint:
             body["Checkpoint"] = order.checkpoint
@@ -113,14 +113,14 @@
             return StartUnanswered(
                 server_id=command.server_id, run=run, reason=str(error)
             )
-        return _started(command, run, answer)
+        return _start_outcome(command, run, answer)
 
     @call.register
     def _(self, command: StopRun) -> ExecutorEvent:
         body = {
             "Task": command.run.task_id,
             "RunId": command.run.run,
-            "FencingToken": FENCE,
+            "FencingToken": FENCING_TOKEN,
         }
         try:
             answer = self._post(command, "/v1/run-stop", body)
@@ -141,7 +141,7 @@
             "Task": command.run.task_id,
             "RunId": command.run.run,
             "Percent": command.percent,
-            "FencingToken": FENCE,
+            "FencingToken": FENCING_TOKEN,
         }
         try:
             answer = self._post(command, "/v1/pace", body)
@@ -158,12 +158,12 @@
 
     def _post(
         self, command: ExecutorCommand, path: str, body: dict[str, Any]
-    ) -> Exchange:
+    ) -> HttpAnswer:
         client = self._client_by_address.get(command.address)
         if client is None:
             client = HttpClient(
                 url=f"http://{command.address}",
-                connections=MAX_CONNECTIONS,
+                connections=EXECUTOR_CONNECTIONS,
                 service="executor",
             )
             self._client_by_address = {command.address: client}
@@ -179,32 +179,32 @@
         )
 
 
-def _started(command: StartRun, run: RunRef, answer: Exchange) -> ExecutorEvent:
+def _start_outcome(command: StartRun, run: RunRef, answer: HttpAnswer) -> ExecutorEvent:
     if answer.status == http.HTTPStatus.OK:
         return RunStarted(server_id=command.server_id, run=run)
     reason = f"status {answer.status}"
     if answer.status == http.HTTPStatus.CONFLICT:
         # `Reason` is one of fence, old, late, room and ticket.
-        reason = text(decoded(answer.body, STEP), "Reason", STEP)
+        reason = text(decode_object(answer.body, STEP), "Reason", STEP)
     return StartDenied(
         server_id=command.server_id, run=run, reason=reason, final=reason == "old"
     )
 
 
-def _listed(command: PollRuns, raw: Fields) -> RunsListed:
+def _decode_runs(command: PollRuns, raw: Fields) -> RunsListed:
     return RunsListed(
         server_id=command.server_id,
         started_at_ms=integer(raw, "born", STEP),
         clock_ms=integer(raw, "ClockMs", STEP),
-        runs=tuple(_status(row) for row in items(raw, "Running", STEP)),
-        ends=tuple(_end(row) for row in items(raw, "Finished", STEP)),
+        runs=tuple(_decode_status(row) for row in items(raw, "Running", STEP)),
+        ends=tuple(_decode_end(row) for row in items(raw, "Finished", STEP)),
     )
 
 
-def _status(row: Any) -> RunStatus:
+def _decode_status(row: Any) -> RunStatus:
     # A row is [task, run, checkpoint, percent, measure]; the last one may be missing.
     if not isinstance(row, list) or len(row) < 4:
-        raise invalid(STEP, "Running", "must have rows of four or five")
+        raise field_error(STEP, "Running", "must have rows of four or five")
     measure = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
     return RunStatus(
         task_id=str(row[0]),
@@ -215,10 +215,10 @@
     )
 
 
-def _end(row: Any) -> RunEnd:
+def _decode_end(row: Any) -> RunEnd:
     # A row is [number, task, run, how, checkpoint].
     if not isinstance(row, list) or len(row) < 4:
-        raise invalid(STEP, "Finished", "must have rows of four or five")
+        raise field_error(STEP, "Finished", "must have rows of four or five")
     return RunEnd(
         number=int(row[0]),
         task_id=str(row[1]),
@@ -231,12 +231,12 @@
 def decode_announcement(server_id: str, body: bytes) -> Announced:
     """Return a backend server's word on itself; raises `BulrushpulleyError`."""
     step = "announce.decode"
-    raw = decoded(body, step)
+    raw = decode_object(body, step)
     state = text(raw, "State", step)
     if state not in (READY, DRAINING):
-        raise invalid(step, "State", f"{state!r} is no state that is known")
+        raise field_error(step, "State", f"{state!r} is no state that is known")
     if not text(raw, "Addr", step) or not text(raw, "Service", step):
-        raise invalid(step, "Addr", "and Service must not be empty")
+        raise field_error(step, "Addr", "and Service must not be empty")
     return Announced(
         server_id=server_id,
         # The time since 1970 at which this life began.
@@ -246,7 +246,9 @@
         address=text(raw, "Addr", step),
         failure_domain=text(raw, "Zone", step),
         is_draining=state == DRAINING,
-        capacity=resources(table(raw.get("Capacity", {}), step, "Capacity"), step),
+        capacity=decode_resources(
+            check_object(raw.get("Capacity", {}), step, "Capacity"), step
+        ),
         labels=tuple(str(label) for label in items(raw, "Labels", step)),
         leaves_in_s=number(raw, "RemainingMs", step) / 1_000,
     )
--- a/bulrushpulley/platform/fields.py
+++ b/bulrushpulley/platform/fields.py
@@ -16,7 +16,7 @@
 MAX_INTEGER = 2**53
 
 
-def invalid(step: str, field: str, detail: str) -> BulrushpulleyError:
+def field_error(step: str, field: str, detail: str) -> BulrushpulleyError:
     """Return the error of a field that makes no sense."""
     problem = Problem(
         code=Code.INVALID, step=step, peer="body", detail=detail, field=field
@@ -24,25 +24,25 @@
     return BulrushpulleyError(problem=problem)
 
 
-def decoded(data: bytes, step: str) -> Fields:
+def decode_object(data: bytes, step: str) -> Fields:
     """Return the object that some bytes hold in JSON."""
     try:
         value = msgspec.json.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise invalid(step, "", f"{error}") from error
-    return table(value, step, "")
+        raise field_error(step, "", f"{error}") from error
+    return check_object(value, step, "")
 
 
-def table(value: object, step: str, field: str) -> Fields:
+def check_object(value: object, step: str, field: str) -> Fields:
     """Return a value that must be an object."""
     if not isinstance(value, dict):
-        raise invalid(step, field, "must be an object")
+        raise field_error(step, field, "must be an object")
     return value
 
 
-def tables(raw: Fields, name: str, step: str) -> tuple[Fields, ...]:
+def objects(raw: Fields, name: str, step: str) -> tuple[Fields, ...]:
     """Return a field that must be a list of objects."""
-    return tuple(table(item, step, name) for item in items(raw, name, step))
+    return tuple(check_object(item, step, name) for item in items(raw, name, step))
 
 
 def items(raw: Fields, name: str, step: str) -> list[Any]:
@@ -51,7 +51,7 @@
     if value is None:
         return []
     if not isinstance(value, list):
-        raise invalid(step, name, "must be a list")
+        raise field_error(step, name, "must be a list")
     return value
 
 
@@ -61,7 +61,7 @@
     if value is None:
         return ""
     if not isinstance(value, str):
-        raise invalid(step, name, "must be text")
+        raise field_error(step, name, "must be text")
     return value
 
 
@@ -71,9 +71,9 @@
     if value is None:
         return 0.0
     if type(value) not in (int, float):
-        raise invalid(step, name, "must be a number")
+        raise field_error(step, name, "must be a number")
     if not 0 <= value <= MAX_INTEGER:
-        raise invalid(step, name, "is out of range")
+        raise field_error(step, name, "is out of range")
     return float(value)
 
 
@@ -81,7 +81,7 @@
     """Return a field that must be a whole number that is not negative."""
     value = number(raw, name, step)
     if value != int(value):
-        raise invalid(step, name, "must be a whole number")
+        raise field_error(step, name, "must be a whole number")
     return int(value)
 
 
@@ -91,5 +91,5 @@
     if value is None:
         return False
     if not isinstance(value, bool):
-        raise invalid(step, name, "must be true or false")
+        raise field_error(step, name, "must be true or false")
     return value
--- a/bulrushpulley/platform/http_body.py
+++ b/bulrushpulley/platform/http_body.py
@@ -9,11 +9,11 @@
 
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 
-READ_BYTES = 64 * 1024
-BODILESS = frozenset({204, 304})
+READ_CHUNK_BYTES = 64 * 1024
+BODILESS_STATUSES = frozenset({204, 304})
 
 
-def read_whole(
+def read_body(
     response: urllib3.BaseHTTPResponse,
     *,
     deadline: float,
@@ -30,23 +30,23 @@
     if not is_delimited(response):
         detail = "the body has no stated end"
         raise _error(Code.OUTCOME_UNKNOWN, step, peer, detail)
-    parts: list[bytes] = []
+    chunks: list[bytes] = []
     size = 0
-    for part in response.stream(READ_BYTES):
-        parts.append(part)
-        size += len(part)
+    for chunk in response.stream(READ_CHUNK_BYTES):
+        chunks.append(chunk)
+        size += len(chunk)
         if size > limit:
             raise _error(Code.TOO_LARGE, step, peer, f"over {limit} bytes")
         if clock() > deadline:
             raise _error(Code.DEADLINE, step, peer, "the body did not end in time")
-    return b"".join(parts)
+    return b"".join(chunks)
 
 
 def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
     """Tell whether the head of an answer says where its body ends."""
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    counted = "Content-Length" in response.headers
-    return chunked or counted or response.status in BODILESS
+    has_length = "Content-Length" in response.headers
+    return chunked or has_length or response.status in BODILESS_STATUSES
 
 
 def _error(code: Code, step: str, peer: str, detail: str) -> BulrushpulleyError:
--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -25,11 +25,11 @@
     RefusedError,
 )
 
-NEVER_SENT = (ConnectTimeoutError, EmptyPoolError)
+NOT_SENT_ERRORS = (ConnectTimeoutError, EmptyPoolError)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Exchange:
+class HttpAnswer:
     """A whole answer."""
 
     status: int
@@ -55,7 +55,7 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
-    ) -> Exchange:
+    ) -> HttpAnswer:
         """Send one request and return its whole answer.
 
         Raises `RefusedError` if it surely had no effect and `AnswerLostError` if
@@ -77,27 +77,29 @@
                 problem = self._unavailable(step, str(error))
                 raise NoListenerError(problem=problem) from error
             raise RefusedError(problem=self._unavailable(step, str(error))) from error
-        except NEVER_SENT as error:
+        except NOT_SENT_ERRORS as error:
             raise RefusedError(problem=self._unavailable(step, str(error))) from error
         except HTTPError as error:
-            raise AnswerLostError(problem=self._unknown(step, str(error))) from error
+            raise AnswerLostError(
+                problem=self._outcome_unknown(step, str(error))
+            ) from error
         detail = f"status {response.status}"
         if response.status == http.HTTPStatus.TOO_MANY_REQUESTS:
             raise BusyError(problem=self._unavailable(step, detail))
         if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             raise RefusedError(problem=self._unavailable(step, detail))
         if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            raise AnswerLostError(problem=self._unknown(step, detail))
-        return Exchange(status=response.status, body=response.data)
+            raise AnswerLostError(problem=self._outcome_unknown(step, detail))
+        return HttpAnswer(status=response.status, body=response.data)
 
-    def invalid(self, step: str, detail: str) -> Problem:
+    def invalid_answer(self, step: str, detail: str) -> Problem:
         """Describe an answer that this client does not understand."""
         return Problem(code=Code.INVALID, step=step, peer=self._peer, detail=detail)
 
     def _unavailable(self, step: str, detail: str) -> Problem:
         return Problem(code=Code.UNAVAILABLE, step=step, peer=self._peer, detail=detail)
 
-    def _unknown(self, step: str, detail: str) -> Problem:
+    def _outcome_unknown(self, step: str, detail: str) -> Problem:
         return Problem(
             code=Code.OUTCOME_UNKNOWN, step=step, peer=self._peer, detail=detail
         )
--- a/bulrushpulley/platform/job_bodies.py
+++ b/bulrushpulley/platform/job_bodies.py
@@ -6,13 +6,13 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.platform.fields import (
     Fields,
-    decoded,
+    decode_object,
+    field_error,
     flag,
     integer,
-    invalid,
     items,
     number,
-    tables,
+    objects,
     text,
 )
 
@@ -23,9 +23,10 @@
 
 def decode_job(body: bytes) -> JobSpec:
     """Return the job of a body; raises `BulrushpulleyError` for a senseless one."""
-    raw = decoded(body, STEP)
+    raw = decode_object(body, STEP)
     steps = tuple(
-        _step(item, place) for place, item in enumerate(tables(raw, "Steps", STEP))
+        _step(item, position)
+        for position, item in enumerate(objects(raw, "Steps", STEP))
     )
     spec = JobSpec(
         payload=text(raw, "Spec", STEP),
@@ -36,23 +37,23 @@
         interval_s=number(raw, "IntervalMs", STEP) / 1_000,
     )
     if not steps:
-        raise invalid(STEP, "Steps", "must have a step")
+        raise field_error(STEP, "Steps", "must have a step")
     if sum(step.count for step in steps) * spec.runs > MAX_TASKS:
-        raise invalid(STEP, "Steps", f"must have {MAX_TASKS} tasks at most")
+        raise field_error(STEP, "Steps", f"must have {MAX_TASKS} tasks at most")
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
-        raise invalid(STEP, "Spec", f"must have {MAX_PAYLOAD_BYTES} bytes at most")
+        raise field_error(STEP, "Spec", f"must have {MAX_PAYLOAD_BYTES} bytes at most")
     return spec
 
 
-def _step(raw: Fields, place: int) -> StepSpec:
+def _step(raw: Fields, position: int) -> StepSpec:
     count = integer(raw, "Count", STEP)
     if count < 1:
-        raise invalid(STEP, "Count", "must be 1 or more")
+        raise field_error(STEP, "Count", "must be 1 or more")
     return StepSpec(
         count=count,
-        size=resources(raw, STEP),
+        size=decode_resources(raw, STEP),
         estimate_s=number(raw, "EstimateMs", STEP) / 1_000,
-        after=_after(raw, place),
+        after=_earlier_steps(raw, position),
         gang=flag(raw, "Gang", STEP),
         one_rack=flag(raw, "RackLocal", STEP),
         # One label that the host must have, in spite of the plural.
@@ -72,15 +73,15 @@
     )
 
 
-def _after(raw: Fields, place: int) -> tuple[int, ...]:
-    numbers = items(raw, "After", STEP)
-    for number_ in numbers:
-        if type(number_) is not int or not 0 <= number_ < place:
-            raise invalid(STEP, "After", "must name earlier steps by their number")
-    return tuple(numbers)
+def _earlier_steps(raw: Fields, position: int) -> tuple[int, ...]:
+    step_indexes = items(raw, "After", STEP)
+    for step_index in step_indexes:
+        if type(step_index) is not int or not 0 <= step_index < position:
+            raise field_error(STEP, "After", "must name earlier steps by their number")
+    return tuple(step_indexes)
 
 
-def resources(raw: Fields, step: str) -> Resources:
+def decode_resources(raw: Fields, step: str) -> Resources:
     """Return an amount of resources."""
     return Resources(
         processors_m=integer(raw, "Cpu", step),
--- a/bulrushpulley/platform/job_front.py
+++ b/bulrushpulley/platform/job_front.py
@@ -34,40 +34,40 @@
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
 # How long callers wait who do not say it, and the longest that one is believed.
-DEFAULT_WITHIN_S = 3.0
-LONGEST_WITHIN_S = 30.0
+DEFAULT_JOB_CALL_TIMEOUT_S = 3.0
+MAX_JOB_CALL_TIMEOUT_S = 30.0
 # The role answers before its caller's time is up; this covers a role that is late.
-ANSWER_MARGIN_S = 0.05
+JOB_CALL_TIMEOUT_MARGIN_S = 0.05
 
 
 def decode_call(request: HttpRequest, call_id: str, now_s: float) -> JobCall | None:
     """Return the call of a request at `now_s` since 1970; None for other methods."""
-    common = {
+    common_fields = {
         "call_id": call_id,
         "authority": request.header_by_name.get("host", ""),
         "path": request.path,
-        "within_s": _within_s(request.header_by_name),
+        "within_s": _timeout_s(request.header_by_name),
         "received_at_s": now_s,
     }
     if request.method == "GET":
-        return ShowCall(**common)  # type: ignore[arg-type]
+        return ShowCall(**common_fields)  # type: ignore[arg-type]
     if request.method == "DELETE":
-        return CancelCall(**common)  # type: ignore[arg-type]
+        return CancelCall(**common_fields)  # type: ignore[arg-type]
     if request.method != "POST":
         return None
     try:
         spec = decode_job(request.body)
     except BulrushpulleyError as error:
-        return SubmitCall(**common, spec=None, problem=error.problem)  # type: ignore[arg-type]
-    return SubmitCall(**common, spec=spec)  # type: ignore[arg-type]
+        return SubmitCall(**common_fields, spec=None, problem=error.problem)  # type: ignore[arg-type]
+    return SubmitCall(**common_fields, spec=spec)  # type: ignore[arg-type]
 
 
-def _within_s(header_by_name: Mapping[str, str]) -> float:
+def _timeout_s(header_by_name: Mapping[str, str]) -> float:
     try:
-        within_s = float(header_by_name.get("deadline-ms", "")) / 1_000
+        timeout_s = float(header_by_name.get("deadline-ms", "")) / 1_000
     except ValueError:
-        return DEFAULT_WITHIN_S
-    return min(max(within_s, 0.0), LONGEST_WITHIN_S)
+        return DEFAULT_JOB_CALL_TIMEOUT_S
+    return min(max(timeout_s, 0.0), MAX_JOB_CALL_TIMEOUT_S)
 
 
 @singledispatch
@@ -138,11 +138,11 @@
             self._pending.abandon(pending.call_id)
             return json_reply(405, {"Error": "no such method"})
         self._tell(call)
-        return encode_answer(self._wait(pending, call))
+        return encode_answer(self._wait_for_answer(pending, call))
 
-    def _wait(self, pending: PendingCall, call: JobCall) -> Command:
-        within_s = max(0.05, call.within_s - ANSWER_MARGIN_S)
-        answer = self._pending.wait(pending, within_s)
+    def _wait_for_answer(self, pending: PendingCall, call: JobCall) -> Command:
+        timeout_s = max(0.05, call.within_s - JOB_CALL_TIMEOUT_MARGIN_S)
+        answer = self._pending.wait(pending, timeout_s)
         if answer is not None:
             return answer
         self._tell(CallDropped(call_id=pending.call_id))
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -20,7 +20,13 @@
 )
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.fields import Fields, decoded, invalid, tables, text
+from bulrushpulley.platform.fields import (
+    Fields,
+    decode_object,
+    field_error,
+    objects,
+    text,
+)
 from bulrushpulley.platform.http_client import HttpClient
 
 STEP = "machines.decode"
@@ -40,8 +46,8 @@
         token = ""
         try:
             while True:
-                raw = self._page(token, command.timeout_s)
-                machines.extend(_machine(row) for row in tables(raw, "Machines", STEP))
+                raw = self._read_page(token, command.timeout_s)
+                machines.extend(_machine(row) for row in objects(raw, "Machines", STEP))
                 token = text(raw, "NextToken", STEP)
                 if not token:
                     break
@@ -49,13 +55,13 @@
             return ListMachinesFailed(reason=str(error))
         return MachinesListed(machines=tuple(machines))
 
-    def _page(self, token: str, timeout_s: float) -> Fields:
+    def _read_page(self, token: str, timeout_s: float) -> Fields:
         query = f"?{urlencode({'PageToken': token})}" if token else ""
         answer = self._http.exchange("GET", f"/v1/machines{query}", timeout_s=timeout_s)
         if answer.status != http.HTTPStatus.OK:
             detail = f"status {answer.status}: {answer.body[:200]!r}"
-            raise BulrushpulleyError(problem=self._http.invalid(STEP, detail))
-        return decoded(answer.body, STEP)
+            raise BulrushpulleyError(problem=self._http.invalid_answer(STEP, detail))
+        return decode_object(answer.body, STEP)
 
     def order_upkeep(self, command: OrderUpkeep) -> Event:
         """Order the upkeep of one machine; asked again, it is taken once."""
@@ -75,15 +81,15 @@
                 headers=headers,
             )
         except BulrushpulleyError as error:
-            return _denied(command, str(error))
+            return _order_failed(command, str(error))
         if answer.status == http.HTTPStatus.OK:
             return UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         reason = f"status {answer.status}: {answer.body[:200]!r}"
-        unknown = answer.status == http.HTTPStatus.BAD_REQUEST
-        return _denied(command, reason, unknown_machine=unknown)
+        unknown_machine = answer.status == http.HTTPStatus.BAD_REQUEST
+        return _order_failed(command, reason, unknown_machine=unknown_machine)
 
 
-def _denied(
+def _order_failed(
     command: OrderUpkeep, reason: str, *, unknown_machine: bool = False
 ) -> UpkeepEvent:
     return UpkeepOrderFailed(
@@ -97,13 +103,15 @@
 def _machine(raw: Fields) -> Machine:
     state = text(raw, "State", STEP)
     try:
-        known = MachineState(state)
+        machine_state = MachineState(state)
     except ValueError as error:
-        raise invalid(STEP, "State", f"{state!r} is no state that is known") from error
+        raise field_error(
+            STEP, "State", f"{state!r} is no state that is known"
+        ) from error
     return Machine(
         machine_id=text(raw, "Machine", STEP),
         pool=text(raw, "Pool", STEP),
-        state=known,
+        state=machine_state,
         # The id of the backend server that lives on the machine.
         server_id=text(raw, "Id", STEP),
     )
--- a/bulrushpulley/platform/object_store.py
+++ b/bulrushpulley/platform/object_store.py
@@ -6,9 +6,9 @@
 from urllib.parse import quote
 
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.http_client import Exchange, HttpClient
+from bulrushpulley.platform.http_client import HttpAnswer, HttpClient
 
-CONNECTIONS = 4
+OBJECT_STORE_CONNECTIONS = 4
 
 
 class ObjectStoreClient:
@@ -18,29 +18,33 @@
     """
 
     def __init__(self, *, url: str) -> None:
-        self._http = HttpClient(url=url, connections=CONNECTIONS, service="objects")
+        self._http = HttpClient(
+            url=url, connections=OBJECT_STORE_CONNECTIONS, service="objects"
+        )
 
     def put(self, key: str, data: bytes, *, timeout_s: float) -> None:
         """Store `data` under `key`, replacing what was there."""
-        self._checked("PUT", key, timeout_s=timeout_s, body=data)
+        self._request("PUT", key, timeout_s=timeout_s, body=data)
 
     def get(self, key: str, *, timeout_s: float) -> bytes | None:
         """Return the object under `key`, or None if there is none."""
-        found = self._checked("GET", key, timeout_s=timeout_s)
-        return None if found.status == http.HTTPStatus.NOT_FOUND else found.body
+        answer = self._request("GET", key, timeout_s=timeout_s)
+        return None if answer.status == http.HTTPStatus.NOT_FOUND else answer.body
 
     def delete(self, key: str, *, timeout_s: float) -> None:
         """Delete the object under `key`; an absent one is no error."""
-        self._checked("DELETE", key, timeout_s=timeout_s)
+        self._request("DELETE", key, timeout_s=timeout_s)
 
-    def _checked(
+    def _request(
         self, method: str, key: str, *, timeout_s: float, body: bytes | None = None
-    ) -> Exchange:
+    ) -> HttpAnswer:
         path = f"/v1/objects/{quote(key)}"
-        found = self._http.exchange(method, path, timeout_s=timeout_s, body=body)
-        if found.status >= http.HTTPStatus.BAD_REQUEST and (
-            found.status != http.HTTPStatus.NOT_FOUND
+        answer = self._http.exchange(method, path, timeout_s=timeout_s, body=body)
+        if answer.status >= http.HTTPStatus.BAD_REQUEST and (
+            answer.status != http.HTTPStatus.NOT_FOUND
         ):
-            problem = self._http.invalid("objects.answer", f"status {found.status}")
+            problem = self._http.invalid_answer(
+                "objects.answer", f"status {answer.status}"
+            )
             raise BulrushpulleyError(problem=problem)
-        return found
+        return answer
--- a/bulrushpulley/platform/order_rows.py
+++ b/bulrushpulley/platform/order_rows.py
@@ -12,14 +12,14 @@
 )
 from bulrushpulley.platform.fields import (
     Fields,
-    decoded,
+    check_object,
+    decode_object,
+    field_error,
     flag,
     integer,
-    invalid,
     items,
     number,
-    table,
-    tables,
+    objects,
     text,
 )
 
@@ -32,18 +32,18 @@
 def decode_order(key: str, data: bytes) -> object | None:
     """Return the order of a row, or None for a kind that is not known."""
     if key == CONFIG_KEY:
-        return _configuration(decoded(data, STEP))
+        return _configuration(decode_object(data, STEP))
     if key.startswith(EVACUATE_PREFIX):
         return Evacuation(failure_domain=key.removeprefix(EVACUATE_PREFIX))
     if key.startswith(WAVE_PREFIX):
-        return _wave(decoded(data, STEP))
+        return _wave(decode_object(data, STEP))
     return None
 
 
 def _wave(raw: Fields) -> WaveOrder:
     wave = integer(raw, "MaintenanceWave", STEP)
     if not wave:
-        raise invalid(STEP, "MaintenanceWave", "must be above zero")
+        raise field_error(STEP, "MaintenanceWave", "must be above zero")
     return WaveOrder(
         number=wave,
         machine_ids=tuple(str(name) for name in items(raw, "Machines", STEP)),
@@ -56,8 +56,8 @@
 def _configuration(raw: Fields) -> Configuration:
     return Configuration(
         version=integer(raw, "Version", STEP),
-        queues=tuple(_queue(item) for item in tables(raw, "Routes", STEP)),
-        services=tuple(_service(item) for item in tables(raw, "Services", STEP)),
+        queues=tuple(_queue(item) for item in objects(raw, "Routes", STEP)),
+        services=tuple(_service(item) for item in objects(raw, "Services", STEP)),
     )
 
 
@@ -81,7 +81,7 @@
 def _advice(raw: Fields) -> AdviceTerms | None:
     if raw.get("Recommendation") is None:
         return None
-    terms = table(raw["Recommendation"], STEP, "Recommendation")
+    terms = check_object(raw["Recommendation"], STEP, "Recommendation")
     return AdviceTerms(
         decide_s=number(terms, "DecisionMs", STEP) / 1_000,
         # For each server that a call names.
--- a/bulrushpulley/platform/ready_front.py
+++ b/bulrushpulley/platform/ready_front.py
@@ -25,9 +25,9 @@
 from bulrushpulley.wire.pending import PendingCalls
 
 READY_PATH = "/v1/readyz"
-EXPLAIN = re.compile(r"/v1/explain/([0-9a-fA-F]{16})")
+EXPLAIN_PATH = re.compile(r"/v1/explain/([0-9a-fA-F]{16})")
 STEP = "job.explain"
-ANSWER_S = 2.0
+EXPLAIN_TIMEOUT_S = 2.0
 
 
 @singledispatch
@@ -44,17 +44,17 @@
 @encode_explanation.register
 def _(answer: JobNotKnown) -> HttpReply:
     detail = f"the owner of the shard knows no job {answer.job_id}"
-    return _problem(Code.NOT_FOUND, "self", detail)
+    return _problem_reply(Code.NOT_FOUND, "self", detail)
 
 
 @encode_explanation.register
 def _(answer: RedirectToOwner) -> HttpReply:
     owner = answer.owner or "nobody"
     detail = f"this entry does not own the shard; {owner} does"
-    return _problem(Code.UNAVAILABLE, owner, detail)
+    return _problem_reply(Code.UNAVAILABLE, owner, detail)
 
 
-def _problem(code: Code, peer: str, detail: str) -> HttpReply:
+def _problem_reply(code: Code, peer: str, detail: str) -> HttpReply:
     problem = Problem(code=code, step=STEP, peer=peer, detail=detail)
     value = {"problems": [problem_value(problem)]}
     return json_reply(STATUS_BY_CODE[code], value)
@@ -82,16 +82,16 @@
             return json_reply(200 if self._is_ready() else 503, {})
         if request.path == METRICS_PATH:
             return metrics_reply(self._metrics_text)
-        asked = EXPLAIN.fullmatch(request.path)
-        if asked is not None:
-            return self._explain(asked.group(1))
+        explain_match = EXPLAIN_PATH.fullmatch(request.path)
+        if explain_match is not None:
+            return self._explain(explain_match.group(1))
         return json_reply(404, {"Error": "no such path"})
 
     def _explain(self, job_id: str) -> HttpReply:
         pending = self._pending.open()
         self._tell(ExplainJob(call_id=pending.call_id, job_id=job_id))
-        answer = self._pending.wait(pending, ANSWER_S)
+        answer = self._pending.wait(pending, EXPLAIN_TIMEOUT_S)
         if answer is not None:
             return encode_explanation(answer)
-        detail = f"the scheduler did not answer within {ANSWER_S} s"
-        return _problem(Code.UNAVAILABLE, "self", detail)
+        detail = f"the scheduler did not answer within {EXPLAIN_TIMEOUT_S} s"
+        return _problem_reply(Code.UNAVAILABLE, "self", detail)
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -31,15 +31,15 @@
 from bulrushpulley.platform.errors import AnswerLostError, BusyError, RefusedError
 from bulrushpulley.platform.fields import (
     Fields,
-    decoded,
+    decode_object,
     flag,
     integer,
-    tables,
+    objects,
     text,
 )
-from bulrushpulley.platform.http_client import Exchange, HttpClient
+from bulrushpulley.platform.http_client import HttpAnswer, HttpClient
 from bulrushpulley.platform.order_rows import decode_order
-from bulrushpulley.platform.status_rows import encode_stored
+from bulrushpulley.platform.status_rows import encode_stored_row
 from bulrushpulley.wire.job_rows import decode_row
 
 STEP = "store.decode"
@@ -62,7 +62,7 @@
 
     def transact(self, call: Transact) -> StoreEvent:
         """Send a transaction once and say what became of it."""
-        body = msgspec.json.encode(_transaction(call))
+        body = msgspec.json.encode(_encode_transaction(call))
         try:
             answer = self._http.exchange(
                 "POST",
@@ -71,7 +71,7 @@
                 body=body,
                 headers=JSON_HEADERS,
             )
-            return self._outcome(call, answer)
+            return self._transact_outcome(call, answer)
         except RefusedError as error:
             reason = str(error.problem)
             busy = isinstance(error, BusyError)
@@ -81,16 +81,16 @@
                 purpose=call.purpose, reason=str(error.problem)
             )
 
-    def _outcome(self, call: Transact, answer: Exchange) -> StoreEvent:
+    def _transact_outcome(self, call: Transact, answer: HttpAnswer) -> StoreEvent:
         if answer.status == http.HTTPStatus.OK:
-            raw = decoded(answer.body, STEP)
+            raw = decode_object(answer.body, STEP)
             return Transacted(purpose=call.purpose, version=integer(raw, "Ver", STEP))
         if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
-            raw = decoded(answer.body, STEP)
-            rows = tuple(self._row(item) for item in tables(raw, "rows", STEP))
+            raw = decode_object(answer.body, STEP)
+            rows = tuple(self._stored_row(item) for item in objects(raw, "rows", STEP))
             return Conflicted(purpose=call.purpose, rows=rows)
         reason = f"status {answer.status}: {answer.body[:200]!r}"
-        self._report(self._http.invalid("store.transact", reason))
+        self._report(self._http.invalid_answer("store.transact", reason))
         return TransactRefused(purpose=call.purpose, reason=reason)
 
     def read_range(self, call: ReadRange) -> StoreEvent:
@@ -109,7 +109,7 @@
                     },
                     call.timeout_s,
                 )
-                page = [self._row(item) for item in tables(raw, "rows", STEP)]
+                page = [self._stored_row(item) for item in objects(raw, "rows", STEP)]
                 rows.extend(page)
                 version = version or integer(raw, "Ver", STEP)
                 if not page or not flag(raw, "HasMore", STEP):
@@ -133,30 +133,30 @@
             )
             if answer.status == http.HTTPStatus.GONE:
                 return HistoryLost(purpose=call.purpose)
-            raw = self._body(answer)
-            rows = tuple(self._row(item) for item in tables(raw, "rows", STEP))
+            raw = self._decode_body(answer)
+            rows = tuple(self._stored_row(item) for item in objects(raw, "rows", STEP))
             version = integer(raw, "Ver", STEP)
         except READ_FAILURES as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
         return RowsChanged(purpose=call.purpose, rows=rows, version=version)
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> Fields:
-        given = {
+        parameters = {
             name: value for name, value in query.items() if value or name == "part"
         }
         answer = self._http.exchange(
-            "GET", f"{path}?{urlencode(given)}", timeout_s=timeout_s
+            "GET", f"{path}?{urlencode(parameters)}", timeout_s=timeout_s
         )
-        return self._body(answer)
+        return self._decode_body(answer)
 
-    def _body(self, answer: Exchange) -> Fields:
+    def _decode_body(self, answer: HttpAnswer) -> Fields:
         if answer.status != http.HTTPStatus.OK:
             detail = f"status {answer.status}: {answer.body[:200]!r}"
-            problem = self._http.invalid("store.read", detail)
+            problem = self._http.invalid_answer("store.read", detail)
             raise BulrushpulleyError(problem=problem)
-        return decoded(answer.body, STEP)
+        return decode_object(answer.body, STEP)
 
-    def _row(self, raw: Fields) -> StoredRow:
+    def _stored_row(self, raw: Fields) -> StoredRow:
         key = RowKey(
             table=text(raw, "Table", STEP),
             part=text(raw, "part", STEP),
@@ -165,9 +165,9 @@
         version = integer(raw, "Ver", STEP)
         if flag(raw, "Deleted", STEP) or not version:
             return StoredRow(key=key, version=version, row=None)
-        return StoredRow(key=key, version=version, row=self._content(key, raw))
+        return StoredRow(key=key, version=version, row=self._decode_content(key, raw))
 
-    def _content(self, key: RowKey, raw: Fields) -> object | None:
+    def _decode_content(self, key: RowKey, raw: Fields) -> object | None:
         if key.table == STATUS:
             # Written for operators only, in their encoding.
             return None
@@ -180,27 +180,27 @@
             self._report(error.problem)
         except binascii.Error as error:
             detail = f"{key.table}/{key.key}: {error}"
-            self._report(self._http.invalid("store.row", detail))
+            self._report(self._http.invalid_answer("store.row", detail))
         return None
 
 
-def _key(key: RowKey) -> dict[str, Any]:
+def _encode_key(key: RowKey) -> dict[str, Any]:
     return {"Table": key.table, "part": key.part, "Key": key.key}
 
 
-def _transaction(call: Transact) -> dict[str, Any]:
+def _encode_transaction(call: Transact) -> dict[str, Any]:
     return {
         # Conditions by version, although the name speaks of revisions; 0 for absent.
         "ExpectedRev": [
-            {**_key(condition.key), "Ver": condition.version}
+            {**_encode_key(condition.key), "Ver": condition.version}
             for condition in call.conditions
         ],
         "Upserts": [
             {
-                **_key(key_of(row)),
-                "Value": base64.b64encode(encode_stored(row)).decode("ascii"),
+                **_encode_key(key_of(row)),
+                "Value": base64.b64encode(encode_stored_row(row)).decode("ascii"),
             }
             for row in call.puts
         ],
-        "Deletes": [_key(key) for key in call.deletes],
+        "Deletes": [_encode_key(key) for key in call.deletes],
     }
--- a/bulrushpulley/platform/status_rows.py
+++ b/bulrushpulley/platform/status_rows.py
@@ -11,11 +11,11 @@
 
 
 @singledispatch
-def encode_stored(row: Row) -> bytes:
+def encode_stored_row(row: Row) -> bytes:
     """Return the bytes of a row; the product's own rows have its own encoding."""
     return encode_row(row)
 
 
-@encode_stored.register
+@encode_stored_row.register
 def _(row: WaveStatusRow) -> bytes:
     return msgspec.json.encode({"State": row.state.value})
--- a/bulrushpulley/platform/table_service.py
+++ b/bulrushpulley/platform/table_service.py
@@ -26,21 +26,21 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _At:
+class _ConditionForm:
     key: str
     version: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Put:
+class _WriteForm:
     key: str
     value: msgspec.Raw
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _TransactionForm:
-    conditions: tuple[_At, ...]
-    writes: tuple[_Put, ...]
+    conditions: tuple[_ConditionForm, ...]
+    writes: tuple[_WriteForm, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,7 +88,7 @@
     more: bool
 
 
-_ABSENT = b"null"
+_ABSENT_VALUE = b"null"
 _decode_committed = msgspec.json.Decoder(_CommittedForm).decode
 _decode_conflict = msgspec.json.Decoder(_ConflictForm).decode
 _decode_page = msgspec.json.Decoder(_PageForm).decode
@@ -98,19 +98,24 @@
 def _encode_transaction(transact: Transact) -> bytes:
     fence = transact.fence
     fence_value = msgspec.json.encode(_FenceForm(token=transact.transaction_id))
-    puts = [_Put(key=fence.key, value=msgspec.Raw(fence_value))]
+    write_forms = [_WriteForm(key=fence.key, value=msgspec.Raw(fence_value))]
     for write in transact.writes:
-        value = _ABSENT if write.row is None else encode_row(write.row, write.token)
-        puts.append(_Put(key=write.key, value=msgspec.Raw(value)))
-    conditions = [_At(key=fence.key, version=fence.version)]
-    conditions += [_At(key=at.key, version=at.version) for at in transact.conditions]
-    form = _TransactionForm(conditions=tuple(conditions), writes=tuple(puts))
+        value = (
+            _ABSENT_VALUE if write.row is None else encode_row(write.row, write.token)
+        )
+        write_forms.append(_WriteForm(key=write.key, value=msgspec.Raw(value)))
+    conditions = [_ConditionForm(key=fence.key, version=fence.version)]
+    conditions += [
+        _ConditionForm(key=condition.key, version=condition.version)
+        for condition in transact.conditions
+    ]
+    form = _TransactionForm(conditions=tuple(conditions), writes=tuple(write_forms))
     return msgspec.json.encode(form)
 
 
 def _versioned_row(form: _RowForm) -> VersionedRow:
     data = bytes(form.value)
-    if data == _ABSENT:
+    if data == _ABSENT_VALUE:
         return VersionedRow(key=form.key, version=form.version, row=None)
     decoded = decode_row(data)
     return VersionedRow(
@@ -128,7 +133,7 @@
 
 def _fence(form: _RowForm) -> Fence:
     data = bytes(form.value)
-    token = "" if data == _ABSENT else _decode_fence(data).token
+    token = "" if data == _ABSENT_VALUE else _decode_fence(data).token
     return Fence(key=form.key, version=form.version, token=token)
 
 
@@ -165,7 +170,9 @@
             "POST", TRANSACTIONS_PATH, timeout_s=transact.timeout_s, body=body
         )
         if answer.status not in TRANSACTION_STATUSES:
-            problem = self._http.invalid("table.transact", f"status {answer.status}")
+            problem = self._http.invalid_answer(
+                "table.transact", f"status {answer.status}"
+            )
             raise RejectedError(problem=problem)
         try:
             if answer.status == http.HTTPStatus.CONFLICT:
@@ -177,7 +184,7 @@
                 sent_bytes=len(body),
             )
         except msgspec.MsgspecError as error:
-            problem = self._http.invalid("table.transact", str(error))
+            problem = self._http.invalid_answer("table.transact", str(error))
             raise AnswerLostError(problem=problem) from error
 
     def read_page(self, prefix: str, since: int, *, timeout_s: float) -> Page:
@@ -187,7 +194,7 @@
         try:
             form = _decode_page(answer.body)
         except msgspec.MsgspecError as error:
-            problem = self._http.invalid("table.read", str(error))
+            problem = self._http.invalid_answer("table.read", str(error))
             raise AnswerLostError(problem=problem) from error
         rows = tuple(_versioned_row(row) for row in form.rows)
         return Page(revision=form.revision, rows=rows, more=form.more)
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -41,12 +41,12 @@
     WorkerReported,
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
-from bulrushpulley.platform.http_body import read_whole
+from bulrushpulley.platform.http_body import read_body
 
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 STEP = "worker.call"
 # A connection without a pool raises the errors of http.client as they are.
-FAILURES = (HTTPError, http.client.HTTPException, OSError, ValueError)
+CALL_ERRORS = (HTTPError, http.client.HTTPException, OSError, ValueError)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -170,7 +170,9 @@
         """Renew leases and read all runs."""
         form = ReportForm(renew=command.renewals)
         try:
-            answer = _report(command, self._post(command, "/v1/report", form))
+            answer = _decode_report_answer(
+                command, self._post(command, "/v1/report", form)
+            )
         except BulrushpulleyError as error:
             return ReportUnanswered(
                 worker_id=command.worker_id,
@@ -196,11 +198,13 @@
     def _connect(self, connection: HTTPConnection, command: WorkerCommand) -> None:
         try:
             connection.connect()
-        except FAILURES as error:
-            raise _not_sent(command, Code.UNAVAILABLE, _described(error)) from error
+        except CALL_ERRORS as error:
+            raise _not_sent_error(
+                command, Code.UNAVAILABLE, _describe_error(error)
+            ) from error
         if self._clock() > command.not_after:
             detail = "its deadline passed before it could be sent"
-            raise _not_sent(command, Code.DEADLINE, detail)
+            raise _not_sent_error(command, Code.DEADLINE, detail)
 
 
 def _connection(command: WorkerCommand) -> HTTPConnection:
@@ -208,11 +212,11 @@
         url = urlsplit(command.url)
         port = url.port or http.client.HTTP_PORT
         return HTTPConnection(url.hostname or "", port, timeout=WORKER_CALL_TIMEOUT_S)
-    except FAILURES as error:
-        raise _not_sent(command, Code.INVALID, _described(error)) from error
+    except CALL_ERRORS as error:
+        raise _not_sent_error(command, Code.INVALID, _describe_error(error)) from error
 
 
-def _described(error: Exception) -> str:
+def _describe_error(error: Exception) -> str:
     return f"{type(error).__name__}: {error}"
 
 
@@ -229,31 +233,31 @@
             preload_content=False,
         )
         response = connection.getresponse()
-        body = read_whole(
+        body = read_body(
             response,
             deadline=time.monotonic() + WORKER_CALL_TIMEOUT_S,
             limit=MAX_REPORT_BYTES,
             step=STEP,
             peer=command.worker_id,
         )
-    except (*FAILURES, BulrushpulleyError) as error:
-        raise _unknown(command, _described(error)) from error
+    except (*CALL_ERRORS, BulrushpulleyError) as error:
+        raise _unknown_outcome_error(command, _describe_error(error)) from error
     if response.status != 200:
-        raise _unknown(command, f"status {response.status}")
+        raise _unknown_outcome_error(command, f"status {response.status}")
     return body
 
 
-def _report(command: AskReport, body: bytes) -> ReportAnswer:
+def _decode_report_answer(command: AskReport, body: bytes) -> ReportAnswer:
     try:
         return _decode_report(body)
     except msgspec.MsgspecError as error:
-        raise _unknown(command, str(error)) from error
+        raise _unknown_outcome_error(command, str(error)) from error
 
 
 def _start_failed(command: StartTask, problem: Problem) -> StartOutcome:
-    sent = problem.code is Code.OUTCOME_UNKNOWN
-    kind = StartUnknown if sent else StartNotSent
-    return kind(
+    may_have_arrived = problem.code is Code.OUTCOME_UNKNOWN
+    outcome_class = StartUnknown if may_have_arrived else StartNotSent
+    return outcome_class(
         worker_id=command.worker_id,
         task_key=command.task_key,
         generation=command.generation,
@@ -261,11 +265,13 @@
     )
 
 
-def _not_sent(command: WorkerCommand, code: Code, detail: str) -> BulrushpulleyError:
+def _not_sent_error(
+    command: WorkerCommand, code: Code, detail: str
+) -> BulrushpulleyError:
     return _error(command, code, detail)
 
 
-def _unknown(command: WorkerCommand, detail: str) -> BulrushpulleyError:
+def _unknown_outcome_error(command: WorkerCommand, detail: str) -> BulrushpulleyError:
     return _error(command, Code.OUTCOME_UNKNOWN, detail)
 
 
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -50,7 +50,7 @@
         failed = AdviceFailed(step_key=command.step_key, reason=reason)
         ports.tell(command.role, failed)
         return
-    ports.run(role=command.role, work=partial(ports.advice.ask, command))
+    ports.run(role=command.role, work=partial(ports.advice.request_advice, command))
 
 
 @carry_out.register
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -21,7 +21,7 @@
 from bulrushpulley.errors import Problem
 from bulrushpulley.platform.machines import MachinesClient
 from bulrushpulley.platform.order_rows import decode_order
-from bulrushpulley.platform.status_rows import encode_stored
+from bulrushpulley.platform.status_rows import encode_stored_row
 from bulrushpulley.wire.http_message import HttpReply, HttpRequest, json_reply
 from bulrushpulley.wire.http_server import HttpServer
 from bulrushpulley.wire.job_rows import decode_row
@@ -41,11 +41,11 @@
 
     def test_operators_read_the_state_of_a_wave_in_their_encoding(self) -> None:
         row = WaveStatusRow(number=3, state=WaveState.RUNNING)
-        self.assertEqual({"State": "running"}, json.loads(encode_stored(row)))
+        self.assertEqual({"State": "running"}, json.loads(encode_stored_row(row)))
 
     def test_progress_of_a_wave_keeps_the_products_encoding(self) -> None:
         row = WaveRow(number=3, ordered=("m-1",))
-        self.assertEqual(row, decode_row(encode_stored(row), peer="waves/wave-3"))
+        self.assertEqual(row, decode_row(encode_stored_row(row), peer="waves/wave-3"))
 
 
 class MachinesClientTest(testtools.TestCase):
--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -115,22 +115,22 @@
         row = CancelRow(job_id="5c0e7a21d94b36f8")
         self.client.transact(transact(row))
         key = cancel_key(row.job_id)
-        drop = Transact(
+        deletion = Transact(
             role="scheduler",
             purpose=PURPOSE,
             timeout_s=1.0,
             conditions=(),
             deletes=(key,),
         )
-        self.assertIsInstance(self.client.transact(drop), Transacted)
-        absent = Transact(
+        self.assertIsInstance(self.client.transact(deletion), Transacted)
+        put_if_absent = Transact(
             role="scheduler",
             purpose=PURPOSE,
             timeout_s=1.0,
             conditions=(Condition(key=key, version=0),),
             puts=(row,),
         )
-        self.assertIsInstance(self.client.transact(absent), Transacted)
+        self.assertIsInstance(self.client.transact(put_if_absent), Transacted)
 
     def test_faults_of_the_store_are_told_apart(self) -> None:
         self.switch(self.url, '{"mode":"down","seconds":0.5,"delay_s":0}')
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -49,7 +49,7 @@
         urllib3.request("POST", f"{url}/switch", body=body.encode())
 
 
-def command(key: str, version: int, fence: int, token: str = "a") -> Transact:
+def transact_command(key: str, version: int, fence: int, token: str = "a") -> Transact:
     return Transact(
         lane="bulk",
         transaction_id=f"e1-1/bulk/{token}",
@@ -67,30 +67,36 @@
         self.table = TableServiceClient(url=self.url, connections=2)
 
     def read(self, since: int = 0) -> Event:
-        asked = ReadRows(read_id="r", prefix="k/", since=since, timeout_s=TIMEOUT_S)
-        return read_rows(asked, self.table)
+        read_command = ReadRows(
+            read_id="r", prefix="k/", since=since, timeout_s=TIMEOUT_S
+        )
+        return read_rows(read_command, self.table)
 
     def test_commit_conflict_and_reading_back(self) -> None:
-        first = transact(command("k/1", 0, 0), self.table)
+        first = transact(transact_command("k/1", 0, 0), self.table)
         self.assertIsInstance(first, TransactionCommitted)
-        second = transact(command("k/1", 0, 1, token="b"), self.table)
+        second = transact(transact_command("k/1", 0, 1, token="b"), self.table)
         assert isinstance(second, TransactionConflicted)
-        self.assertEqual([("k/1", 1, "a")], [row_of(row) for row in second.rows])
+        self.assertEqual(
+            [("k/1", 1, "a")], [key_version_token(row) for row in second.rows]
+        )
         self.assertIsNone(second.fence)
-        behind = transact(command("k/2", 0, 0, token="c"), self.table)
-        assert isinstance(behind, TransactionConflicted)
+        fenced = transact(transact_command("k/2", 0, 0, token="c"), self.table)
+        assert isinstance(fenced, TransactionConflicted)
         fence = Fence(key=FENCE_KEY, version=1, token="e1-1/bulk/a")
-        self.assertEqual(fence, behind.fence)
+        self.assertEqual(fence, fenced.fence)
         rows = self.read()
         assert isinstance(rows, RowsRead)
-        self.assertEqual([("k/1", 1, "a")], [row_of(row) for row in rows.rows])
+        self.assertEqual(
+            [("k/1", 1, "a")], [key_version_token(row) for row in rows.rows]
+        )
 
     def test_lost_answer_and_refusal_are_told_apart(self) -> None:
         self.switch(self.url, '{"mode":"lose_answers"}')
-        lost = transact(command("k/1", 0, 0), self.table)
+        lost = transact(transact_command("k/1", 0, 0), self.table)
         self.assertIsInstance(lost, TransactionLost)
         self.switch(self.url, '{"mode":"down"}')
-        refused = transact(command("k/2", 0, 1), self.table)
+        refused = transact(transact_command("k/2", 0, 1), self.table)
         self.assertIsInstance(refused, TransactionRefused)
         self.assertIsInstance(self.read(), ReadFailed)
         self.switch(self.url, '{"mode":"up"}')
@@ -100,9 +106,11 @@
 
     def test_slow_answer_is_lost_and_takes_effect_later(self) -> None:
         self.switch(self.url, '{"mode":"slow","seconds":0.7,"delay_s":0.8}')
-        lost = transact(command("k/1", 0, 0), self.table)
+        lost = transact(transact_command("k/1", 0, 0), self.table)
         self.assertIsInstance(lost, TransactionLost)
-        settled = self.eventually(lambda: transact(command("k/1", 0, 0), self.table))
+        settled = self.eventually(
+            lambda: transact(transact_command("k/1", 0, 0), self.table)
+        )
         assert isinstance(settled, TransactionConflicted)
         assert settled.fence is not None
         self.assertEqual("e1-1/bulk/a", settled.fence.token)
@@ -116,12 +124,12 @@
         return ended
 
     def test_transaction_that_is_too_large_is_rejected(self) -> None:
-        large = command("k/1", 0, 0, token="x" * 5_000_000)
+        large = transact_command("k/1", 0, 0, token="x" * 5_000_000)
         self.assertIsInstance(transact(large, self.table), TransactionRejected)
 
     def test_closed_port_is_a_refusal(self) -> None:
         table = TableServiceClient(url="http://127.0.0.1:1", connections=1)
-        refused = transact(command("k/1", 0, 0), table)
+        refused = transact(transact_command("k/1", 0, 0), table)
         self.assertIsInstance(refused, TransactionRefused)
 
     def test_pages_join_into_one_reading(self) -> None:
@@ -149,7 +157,7 @@
         self.assertEqual(700, len(later.rows))
 
 
-def row_of(row: object) -> tuple[object, ...]:
+def key_version_token(row: object) -> tuple[object, ...]:
     return tuple(getattr(row, name) for name in ("key", "version", "token"))
 
 
