--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -21,7 +21,7 @@
 from absl import app, flags
 
 from scripts.fleet import ROOT, Fleet, Layout, ask, make_layout, records, submit
-from standins.caller import Caller, Target, count_runs, make_all
+from standins.caller import Caller, Target, count_runs, make_calls
 from standins.caller_core import Report, plan, tally
 
 FLAGS = flags.FLAGS
@@ -91,7 +91,7 @@
         seed=FLAGS.seed,
         name="demo",
     )
-    ended = make_all(Caller(target=target), calls[:REQUESTS], CALL_THREADS)
+    ended = make_calls(Caller(target=target), calls[:REQUESTS], CALL_THREADS)
     return tally(ended, count_runs(layout.backend_urls))
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,18 +13,18 @@
 
 import urllib3
 
+from soak.invariants import Answered, Cancelled, Observation, Shown
 from soak.plan import JobPlan
-from soak.promises import Answered, Cancelled, Shown, Sight
-
-HOST_NAME = "push.example"
-PREFIX = "/push/"
-DEADLINE_S = 3.0
-TRIES = 8
-PAUSE_S = 0.3
-ASK_S = 1.0
+
+ROUTE_HOST = "push.example"
+ROUTE_PREFIX = "/push/"
+CALL_TIMEOUT_S = 3.0
+MAX_SUBMIT_ATTEMPTS = 8
+CALLER_RETRY_DELAY_S = 0.3
+STATE_POLL_INTERVAL_S = 1.0
 MEMORY_MB = 100
-UNSURE = (502, 504)
-REFUSED = (429, 503)
+OUTCOME_UNKNOWN_STATUSES = (502, 504)
+REFUSAL_STATUSES = (429, 503)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,38 +38,38 @@
 class Connection:
     """One caller's connection to whichever entry serves it."""
 
-    def __init__(self, urls: tuple[str, ...], first: int) -> None:
+    def __init__(self, urls: tuple[str, ...], first_entry: int) -> None:
         self._urls = urls
-        self._place = first
+        self._entry_index = first_entry
         self._pool = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
 
     def call(self, method: str, job_id: str, body: object = None) -> Reply:
         """Send one request; moves on to the next entry where this one fails."""
-        url = self._urls[self._place % len(self._urls)]
+        url = self._urls[self._entry_index % len(self._urls)]
         try:
             answer = self._pool.request(
                 method,
-                f"{url}{PREFIX}{job_id}",
+                f"{url}{ROUTE_PREFIX}{job_id}",
                 json=body,
-                timeout=DEADLINE_S,
+                timeout=CALL_TIMEOUT_S,
                 headers={
-                    "Host": HOST_NAME,
-                    "Deadline-Ms": str(int(DEADLINE_S * 1_000)),
+                    "Host": ROUTE_HOST,
+                    "Deadline-Ms": str(int(CALL_TIMEOUT_S * 1_000)),
                 },
             )
         except urllib3.exceptions.NewConnectionError:
             # Nothing was sent, so this is as sure as a refusal.
-            self._place += 1
-            return Reply(status=REFUSED[-1], body={})
+            self._entry_index += 1
+            return Reply(status=REFUSAL_STATUSES[-1], body={})
         except urllib3.exceptions.HTTPError:
-            self._place += 1
+            self._entry_index += 1
             return Reply(status=0, body={})
-        if answer.status in (*REFUSED, *UNSURE):
-            self._place += 1
-        return Reply(status=answer.status, body=_json(answer))
+        if answer.status in (*REFUSAL_STATUSES, *OUTCOME_UNKNOWN_STATUSES):
+            self._entry_index += 1
+        return Reply(status=answer.status, body=_parse_json(answer))
 
 
-def _json(answer: urllib3.BaseHTTPResponse) -> dict[str, object]:
+def _parse_json(answer: urllib3.BaseHTTPResponse) -> dict[str, object]:
     try:
         value = answer.json()
     except ValueError:
@@ -99,7 +99,7 @@
     """Takes one job through its life; `see` is told what it saw."""
 
     connection: Connection
-    see: Callable[[Sight], None]
+    record: Callable[[Observation], None]
     stop: threading.Event
 
     def run(self, job: JobPlan) -> None:
@@ -113,38 +113,40 @@
             if cancels and waited_s >= (job.cancel_after_s or 0.0):
                 self._cancel(job)
                 return
-            if self.show(job.job_id) in ("completed", "failed"):
+            if self.query_state(job.job_id) in ("completed", "failed"):
                 return
-            self.stop.wait(ASK_S)
+            self.stop.wait(STATE_POLL_INTERVAL_S)
 
     def _submit(self, job: JobPlan) -> bool:
-        unsure = False
-        for left in reversed(range(TRIES)):
+        outcome_unknown = False
+        for attempts_left in reversed(range(MAX_SUBMIT_ATTEMPTS)):
             reply = self.connection.call("POST", job.job_id, body_of(job))
             if 200 <= reply.status < 300:
-                self._answered(job, "accepted", final=True)
+                self._record_answer(job, "accepted", final=True)
                 return True
-            unsure = unsure or reply.status not in REFUSED
-            self._answered(job, "unsure" if unsure else "refused", final=not left)
-            self.stop.wait(PAUSE_S)
+            outcome_unknown = outcome_unknown or reply.status not in REFUSAL_STATUSES
+            self._record_answer(
+                job, "unsure" if outcome_unknown else "refused", final=not attempts_left
+            )
+            self.stop.wait(CALLER_RETRY_DELAY_S)
         return False
 
-    def _answered(self, job: JobPlan, what: str, *, final: bool) -> None:
+    def _record_answer(self, job: JobPlan, answer: str, *, final: bool) -> None:
         at = time.monotonic()
-        self.see(Answered(at=at, job_id=job.job_id, what=what, final=final))
+        self.record(Answered(at=at, job_id=job.job_id, answer=answer, final=final))
 
-    def show(self, job_id: str) -> str:
+    def query_state(self, job_id: str) -> str:
         """Ask for the state of a job; empty where no answer came."""
         reply = self.connection.call("GET", job_id)
         state = "gone" if reply.status == 410 else str(reply.body.get("State", ""))
         if state:
-            self.see(Shown(at=time.monotonic(), job_id=job_id, state=state))
+            self.record(Shown(at=time.monotonic(), job_id=job_id, state=state))
         return state
 
     def _cancel(self, job: JobPlan) -> None:
         while not self.stop.is_set():
             reply = self.connection.call("DELETE", job.job_id)
             if 200 <= reply.status < 300:
-                self.see(Cancelled(at=time.monotonic(), job_id=job.job_id))
+                self.record(Cancelled(at=time.monotonic(), job_id=job.job_id))
                 return
-            self.stop.wait(PAUSE_S)
+            self.stop.wait(CALLER_RETRY_DELAY_S)
--- a/soak/picture.py
+++ b/soak/picture.py
@@ -12,46 +12,48 @@
 from collections.abc import Iterable
 from functools import singledispatch
 
+from soak.invariants import Answered, Observation, Started
 from soak.plan import Fault
-from soak.promises import Answered, Sight, Started
 
-STRETCH_S = 2.0
-STARTS_IN_A_MARK = 2
+PICTURE_INTERVAL_S = 2.0
+STARTS_PER_MARK = 2
 
 
 @singledispatch
-def name_of(sight: Sight) -> str:
+def counter_name(observation: Observation) -> str:
     """Return what a sight is counted as; most are not shown."""
     return ""
 
 
-@name_of.register
-def _(sight: Started) -> str:
+@counter_name.register
+def _(observation: Started) -> str:
     return "started"
 
 
-@name_of.register
-def _(sight: Answered) -> str:
-    return sight.what
+@counter_name.register
+def _(observation: Answered) -> str:
+    return observation.answer
 
 
 def draw_picture(
-    began: float, sights: Iterable[Sight], faults: Iterable[Fault]
+    started_at: float, observations: Iterable[Observation], faults: Iterable[Fault]
 ) -> list[str]:
     """Return the lines of a run that began at `began`."""
     counts: dict[int, Counter[str]] = defaultdict(Counter)
-    for sight in sights:
-        counts[int((sight.at - began) // STRETCH_S)][name_of(sight)] += 1
-    done: dict[int, list[str]] = defaultdict(list)
+    for observation in observations:
+        counts[int((observation.at - started_at) // PICTURE_INTERVAL_S)][
+            counter_name(observation)
+        ] += 1
+    fault_names: dict[int, list[str]] = defaultdict(list)
     for fault in faults:
-        done[int(fault.at // STRETCH_S)].append(type(fault).__name__)
+        fault_names[int(fault.at // PICTURE_INTERVAL_S)].append(type(fault).__name__)
     lines = []
-    for stretch in range(max(counts, default=0) + 1):
-        count = counts[stretch]
-        bar = "#" * (count["started"] // STARTS_IN_A_MARK)
+    for interval in range(max(counts, default=0) + 1):
+        count = counts[interval]
+        bar = "#" * (count["started"] // STARTS_PER_MARK)
         lines.append(
-            f"  {stretch * STRETCH_S:4.0f} s {count['accepted']:3d} acc"
+            f"  {interval * PICTURE_INTERVAL_S:4.0f} s {count['accepted']:3d} acc"
             f" {count['refused'] + count['unsure']:3d} ref"
-            f"  {bar} {count['started']}  {' '.join(done[stretch])}".rstrip()
+            f"  {bar} {count['started']}  {' '.join(fault_names[interval])}".rstrip()
         )
     return lines
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-CALM_S = 12.0
+CALM_PERIOD_S = 12.0
 STORE_MODES = ("down", "slow", "lose_answers")
-LINK_HOWS = ("delay", "reset", "cut_in", "cut_out", "silence")
-SLOW_S = 0.4
-EVACUATION_S = 7.0
+LINK_FAULT_KINDS = ("delay", "reset", "cut_in", "cut_out", "silence")
+SLOW_STORE_DELAY_S = 0.4
+EVACUATION_DURATION_S = 7.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,7 +25,7 @@
     """A process is killed, and started again after `for_s`."""
 
     name: str
-    for_s: float
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,7 +40,7 @@
     """A process stands still."""
 
     name: str
-    for_s: float
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,7 +55,7 @@
     """A backend server is killed, and another life begins after `for_s`."""
 
     host: str
-    for_s: float
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -70,7 +70,7 @@
     """The store is down, slow, or loses its answers."""
 
     mode: str
-    for_s: float
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,8 +83,8 @@
     """The connections through one proxy are harmed."""
 
     proxy: str
-    how: str
-    for_s: float
+    fault_kind: str
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,11 +97,11 @@
     """A failure domain is taken out of service, and taken back."""
 
     failure_domain: str
-    for_s: float
+    duration_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Names:
+class SiteNames:
     """The names of what a site consists of."""
 
     entries: tuple[str, ...]
@@ -122,25 +122,27 @@
     faults: tuple[Fault, ...]
 
 
-def draw(seed: int, seconds: float, names: Names) -> Plan:
+def draw(seed: int, seconds: float, names: SiteNames) -> Plan:
     """Draw a run: trouble, a calm stretch with planned changes, and trouble again."""
-    dice = random.Random(seed)
-    calm_from = (seconds - CALM_S) / 2
-    calm_until = calm_from + CALM_S
+    rng = random.Random(seed)
+    calm_from = (seconds - CALM_PERIOD_S) / 2
+    calm_until = calm_from + CALM_PERIOD_S
     faults: list[Fault] = []
     at = 1.0
     while at < seconds:
         if at < calm_from or at >= calm_until:
             # A series: several faults of the same moment, which may overlap.
-            for _ in range(dice.choice((1, 1, 2, 3))):
-                faults.append(_fault(dice, at, names))
-        at += dice.uniform(0.8, 3.0)
-    domain = dice.choice(names.failure_domains)
+            for _ in range(rng.choice((1, 1, 2, 3))):
+                faults.append(_fault(rng, at, names))
+        at += rng.uniform(0.8, 3.0)
+    domain = rng.choice(names.failure_domains)
     # Every fault has ended 2 s after the last one began at the latest.
-    began = calm_from + CALM_S / 3
+    changes_at = calm_from + CALM_PERIOD_S / 3
     calm: tuple[Fault, ...] = (
-        Evacuate(at=began, failure_domain=domain, for_s=EVACUATION_S),
-        Reconfigure(at=began + 1.0),
+        Evacuate(
+            at=changes_at, failure_domain=domain, duration_s=EVACUATION_DURATION_S
+        ),
+        Reconfigure(at=changes_at + 1.0),
     )
     ordered = sorted((*faults, *calm), key=lambda fault: fault.at)
     return Plan(
@@ -152,31 +154,33 @@
     )
 
 
-def _fault(dice: random.Random, at: float, names: Names) -> Fault:
+def _fault(rng: random.Random, at: float, names: SiteNames) -> Fault:
     """Draw one fault."""
-    process = dice.choice((*names.entries, *names.entries, *names.agents))
-    host = dice.choice(names.hosts)
-    for_s = round(dice.uniform(0.3, 4.0), 2)
+    process = rng.choice((*names.entries, *names.entries, *names.agents))
+    host = rng.choice(names.hosts)
+    duration_s = round(rng.uniform(0.3, 4.0), 2)
 
     def harm() -> Fault:
-        proxy, how = dice.choice(names.proxies), dice.choice(LINK_HOWS)
-        return Harm(at=at, proxy=proxy, how=how, for_s=for_s)
+        proxy, fault_kind = rng.choice(names.proxies), rng.choice(LINK_FAULT_KINDS)
+        return Harm(at=at, proxy=proxy, fault_kind=fault_kind, duration_s=duration_s)
 
     makers: tuple[Callable[[], Fault], ...] = (
-        lambda: Kill(at=at, name=process, for_s=for_s / 2),
-        lambda: Kill(at=at, name=dice.choice(names.entries), for_s=for_s / 2),
+        lambda: Kill(at=at, name=process, duration_s=duration_s / 2),
+        lambda: Kill(at=at, name=rng.choice(names.entries), duration_s=duration_s / 2),
         lambda: Terminate(at=at, name=process),
-        lambda: Pause(at=at, name=process, for_s=for_s),
+        lambda: Pause(at=at, name=process, duration_s=duration_s),
         lambda: Reload(at=at, name=process),
-        lambda: Crash(at=at, host=host, for_s=for_s / 2),
+        lambda: Crash(at=at, host=host, duration_s=duration_s / 2),
         lambda: Drain(at=at, host=host),
-        lambda: StoreTrouble(at=at, mode=dice.choice(STORE_MODES), for_s=for_s),
+        lambda: StoreTrouble(
+            at=at, mode=rng.choice(STORE_MODES), duration_s=duration_s
+        ),
         lambda: Compact(at=at),
         harm,
         harm,
         lambda: Reconfigure(at=at),
     )
-    return dice.choice(makers)()
+    return rng.choice(makers)()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -193,28 +197,28 @@
 
 def draw_jobs(seed: int, seconds: float, per_s: float) -> tuple[JobPlan, ...]:
     """Draw the jobs of a run; a few last, are cancelled, or can never be done."""
-    dice = random.Random(seed + 1)
+    rng = random.Random(seed + 1)
     jobs: list[JobPlan] = []
     at = 0.5
     while at < seconds:
-        kind = dice.random()
+        kind = rng.random()
         lasting = kind < 0.05
-        payload = "900" if lasting else str(round(dice.uniform(0.2, 3.0), 1))
+        payload = "900" if lasting else str(round(rng.uniform(0.2, 3.0), 1))
         if 0.05 <= kind < 0.1:
             payload = "poison"
-        steps = [(dice.randint(1, 4), dice.choice((250, 500, 1_000)), ())]
-        if not lasting and dice.random() < 0.5:
-            steps.append((dice.randint(1, 3), 500, (0,)))  # type: ignore[arg-type]
-        cancels = lasting or dice.random() < 0.15
+        steps = [(rng.randint(1, 4), rng.choice((250, 500, 1_000)), ())]
+        if not lasting and rng.random() < 0.5:
+            steps.append((rng.randint(1, 3), 500, (0,)))  # type: ignore[arg-type]
+        cancels = lasting or rng.random() < 0.15
         jobs.append(
             JobPlan(
                 at=at,
-                job_id=f"{dice.getrandbits(64):016x}",
+                job_id=f"{rng.getrandbits(64):016x}",
                 payload=payload,
                 steps=tuple(steps),
                 lasting=lasting,
-                cancel_after_s=dice.uniform(0.5, 9.0) if cancels else None,
+                cancel_after_s=rng.uniform(0.5, 9.0) if cancels else None,
             )
         )
-        at += dice.expovariate(per_s)
+        at += rng.expovariate(per_s)
     return tuple(jobs)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,13 +14,13 @@
 from typing import Any
 
 HOST = "127.0.0.1"
-CHUNK = 65_536
-DELAY_S = 0.15
-POLL_S = 0.02
+CHUNK_BYTES = 65_536
+FORWARD_DELAY_S = 0.15
+HOLD_POLL_INTERVAL_S = 0.02
 IN, OUT = "in", "out"
 
 
-class Connection:
+class ProxiedConnection:
     """A connection and the one that carries it on."""
 
     def __init__(
@@ -37,8 +37,8 @@
         self.port = port
         self.target = target
         self.delay_s = 0.0
-        self.held: frozenset[str] = frozenset()
-        self.connections: list[Connection] = []
+        self.held_directions: frozenset[str] = frozenset()
+        self.connections: list[ProxiedConnection] = []
 
     async def start(self) -> None:
         """Listen."""
@@ -48,35 +48,37 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            far_reader, far_writer = await asyncio.open_connection(HOST, self.target)
+            target_reader, target_writer = await asyncio.open_connection(
+                HOST, self.target
+            )
         except OSError:
             # Nothing listens there, which the caller sees as a reset.
             writer.transport.abort()
             return
-        connection = Connection(writers=(writer, far_writer))
+        connection = ProxiedConnection(writers=(writer, target_writer))
         self.connections.append(connection)
         await asyncio.gather(
-            self._carry(connection, reader, far_writer, IN),
-            self._carry(connection, far_reader, writer, OUT),
+            self._forward(connection, reader, target_writer, IN),
+            self._forward(connection, target_reader, writer, OUT),
         )
         self.connections.remove(connection)
 
-    async def _carry(
+    async def _forward(
         self,
-        connection: Connection,
+        connection: ProxiedConnection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
         with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK):
+            while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.delay_s)
-                while direction in self.held or connection.silent:
-                    await asyncio.sleep(POLL_S)
+                while direction in self.held_directions or connection.silent:
+                    await asyncio.sleep(HOLD_POLL_INTERVAL_S)
                 writer.write(data)
                 await writer.drain()
         while connection.silent:
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(HOLD_POLL_INTERVAL_S)
         writer.close()
 
     def reset(self) -> None:
@@ -85,23 +87,25 @@
             for writer in connection.writers:
                 writer.transport.abort()
 
-    def harm(self, how: str) -> None:
+    def start_fault(self, fault_kind: str) -> None:
         """Begin one kind of harm."""
-        if how == "reset":
+        if fault_kind == "reset":
             self.reset()
-        elif how == "silence":
+        elif fault_kind == "silence":
             for connection in self.connections:
                 connection.silent = True
-        elif how == "delay":
-            self.delay_s = DELAY_S
+        elif fault_kind == "delay":
+            self.delay_s = FORWARD_DELAY_S
         else:
-            self.held = self.held | {how.removeprefix("cut_")}
+            self.held_directions = self.held_directions | {
+                fault_kind.removeprefix("cut_")
+            }
 
-    def heal(self, how: str) -> None:
+    def end_fault(self, fault_kind: str) -> None:
         """End one kind of harm; silenced connections stay silent."""
-        if how == "delay":
+        if fault_kind == "delay":
             self.delay_s = 0.0
-        self.held = self.held - {how.removeprefix("cut_")}
+        self.held_directions = self.held_directions - {fault_kind.removeprefix("cut_")}
 
 
 class Proxies:
@@ -121,10 +125,10 @@
     def _wait(self, work: Coroutine[Any, Any, None]) -> None:
         asyncio.run_coroutine_threadsafe(work, self._loop).result(5.0)
 
-    def harm(self, name: str, how: str) -> None:
+    def start_fault(self, name: str, fault_kind: str) -> None:
         """Begin to harm the connections of a proxy."""
-        self._loop.call_soon_threadsafe(self.by_name[name].harm, how)
+        self._loop.call_soon_threadsafe(self.by_name[name].start_fault, fault_kind)
 
-    def heal(self, name: str, how: str) -> None:
+    def end_fault(self, name: str, fault_kind: str) -> None:
         """End that harm."""
-        self._loop.call_soon_threadsafe(self.by_name[name].heal, how)
+        self._loop.call_soon_threadsafe(self.by_name[name].end_fault, fault_kind)
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,21 +24,29 @@
 from pyrsistent import pmap
 
 from soak.callers import Caller, Connection
+from soak.invariants import (
+    Ended,
+    Noted,
+    Observation,
+    Started,
+    Tables,
+    check_observation,
+    unfinished,
+)
 from soak.picture import draw_picture
 from soak.plan import Fault, JobPlan, Plan, draw, draw_jobs
-from soak.promises import Ended, Noted, Sight, Started, Tables, judge, unfinished
-from soak.site import CAPACITY_M, Site, make_names, make_site, strike
+from soak.site import CAPACITY_M, Site, inject_fault, make_names, make_site
 
 FLAGS = flags.FLAGS
 # The agents announce, and a first owner settles, within this time.
-READY_S = 3.0
+READY_WAIT_S = 3.0
 # What is left when the faults are over is done within this time: leases of 6 s, twice,
 # and the work itself.
-FINISH_S = 45.0
+FINISH_TIMEOUT_S = 45.0
 # Sights of different processes are put in order over this time.
-SETTLE_S = 1.0
-CALLERS = 48
-POLL_S = 0.25
+REORDER_WINDOW_S = 1.0
+MAX_CALLERS = 48
+POLL_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,9 +59,9 @@
     picture: tuple[str, ...] = ()
 
     @property
-    def good(self) -> bool:
+    def passed(self) -> bool:
         """Whether every promise was kept and no job was lost."""
-        return not (self.tables.broken or self.unfinished)
+        return not (self.tables.violations or self.unfinished)
 
 
 class Observer:
@@ -62,41 +70,41 @@
     def __init__(self, tables: Tables, folder: pathlib.Path) -> None:
         self.tables = tables
         self._folder = folder
-        self._sights: queue.SimpleQueue[Sight] = queue.SimpleQueue()
-        self._waiting: list[Sight] = []
+        self._observations: queue.SimpleQueue[Observation] = queue.SimpleQueue()
+        self._pending: list[Observation] = []
         self._read_by_path: dict[pathlib.Path, int] = {}
-        self.judged: list[Sight] = []
+        self.processed: list[Observation] = []
 
-    def see(self, sight: Sight) -> None:
+    def record(self, observation: Observation) -> None:
         """Take in what a caller or the site itself saw."""
-        self._sights.put(sight)
+        self._observations.put(observation)
 
-    def look(self, now: float) -> None:
+    def process(self, now: float) -> None:
         """Read the logs of backend servers on, and judge what is old enough."""
         for path in self._folder.glob("host-*.log"):
             self._read(path)
-        while not self._sights.empty():
-            self._waiting.append(self._sights.get())
-        self._waiting.sort(key=lambda sight: sight.at)
-        while self._waiting and self._waiting[0].at < now - SETTLE_S:
-            sight = self._waiting.pop(0)
-            self.judged.append(sight)
-            self.tables = judge(sight, self.tables)
+        while not self._observations.empty():
+            self._pending.append(self._observations.get())
+        self._pending.sort(key=lambda observation: observation.at)
+        while self._pending and self._pending[0].at < now - REORDER_WINDOW_S:
+            observation = self._pending.pop(0)
+            self.processed.append(observation)
+            self.tables = check_observation(observation, self.tables)
 
     def _read(self, path: pathlib.Path) -> None:
-        begin = self._read_by_path.get(path, 0)
+        offset = self._read_by_path.get(path, 0)
         with path.open("rb") as log:
-            log.seek(begin)
+            log.seek(offset)
             data = log.read()
         whole = data[: data.rfind(b"\n") + 1]
-        self._read_by_path[path] = begin + len(whole)
+        self._read_by_path[path] = offset + len(whole)
         for line in whole.splitlines():
-            sight = _sight(line)
-            if sight is not None:
-                self._waiting.append(sight)
+            observation = _parse_observation(line)
+            if observation is not None:
+                self._pending.append(observation)
 
 
-def _sight(line: bytes) -> Sight | None:
+def _parse_observation(line: bytes) -> Observation | None:
     if not line.startswith(b"{"):
         return None
     raw = json.loads(line)
@@ -118,7 +126,7 @@
     return None
 
 
-def play(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+def run_seed(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
     """Play one run and judge it."""
     names = make_names(FLAGS.entries, FLAGS.hosts)
     plan = draw(seed, seconds, names)
@@ -133,92 +141,96 @@
         calm=(0.0, 0.0),
     )
     observer = Observer(tables, folder)
-    site = make_site(names, folder, observer.see)
+    site = make_site(names, folder, observer.record)
     try:
         site.start()
-        began = _go(site, plan, jobs, observer)
+        started_at = _run_plan(site, plan, jobs, observer)
     finally:
         site.fleet.end_all()
     return Verdict(
         seed=seed,
         tables=observer.tables,
         unfinished=unfinished(observer.tables),
-        picture=tuple(draw_picture(began, observer.judged, plan.faults)),
+        picture=tuple(draw_picture(started_at, observer.processed, plan.faults)),
     )
 
 
-def _go(site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer) -> float:
+def _run_plan(
+    site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer
+) -> float:
     """Do what the plan says, wait for the end, and return when it began."""
-    _pause(observer, READY_S)
-    began = time.monotonic()
+    _process_for(observer, READY_WAIT_S)
+    started_at = time.monotonic()
     # The first part of the calm stretch is left for what came before it.
-    settled = began + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
-    calm = (settled, began + plan.calm_until)
+    settled = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
+    calm = (settled, started_at + plan.calm_until)
     observer.tables = replace(observer.tables, calm=calm)
     stop = threading.Event()
-    todo: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
-    with ThreadPoolExecutor(CALLERS) as pool:
-        stage = Stage(site=site, pool=pool, see=observer.see, stop=stop)
-        for what in todo:
-            _pause(observer, began + what.at - time.monotonic())
-            begin(what, stage)
-        _finish(site, observer)
+    items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
+    with ThreadPoolExecutor(MAX_CALLERS) as pool:
+        context = RunContext(site=site, pool=pool, record=observer.record, stop=stop)
+        for item in items:
+            _process_for(observer, started_at + item.at - time.monotonic())
+            start_item(item, context)
+        _wait_until_finished(site, observer)
         stop.set()
-    _pause(observer, SETTLE_S + POLL_S)
-    return began
+    _process_for(observer, REORDER_WINDOW_S + POLL_INTERVAL_S)
+    return started_at
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Stage:
+class RunContext:
     """What faults and callers need to do their part."""
 
     site: Site
     pool: ThreadPoolExecutor
-    see: Callable[[Sight], None]
+    record: Callable[[Observation], None]
     stop: threading.Event
 
 
 @singledispatch
-def begin(what: Fault | JobPlan, stage: Stage) -> None:
+def start_item(item: Fault | JobPlan, context: RunContext) -> None:
     """Do what is due now: by default a fault."""
-    assert isinstance(what, Fault)
-    strike(what, stage.site)
+    assert isinstance(item, Fault)
+    inject_fault(item, context.site)
 
 
-@begin.register
-def _(what: JobPlan, stage: Stage) -> None:
-    connection = Connection(stage.site.caller_urls, what.job_id.count("a"))
-    caller = Caller(connection=connection, see=stage.see, stop=stage.stop)
-    stage.pool.submit(caller.run, what)
+@start_item.register
+def _(item: JobPlan, context: RunContext) -> None:
+    connection = Connection(context.site.caller_urls, item.job_id.count("a"))
+    caller = Caller(connection=connection, record=context.record, stop=context.stop)
+    context.pool.submit(caller.run, item)
 
 
-def _finish(site: Site, observer: Observer) -> None:
+def _wait_until_finished(site: Site, observer: Observer) -> None:
     """Wait until every accepted job has ended, or it has taken too long."""
-    until = time.monotonic() + FINISH_S
+    until = time.monotonic() + FINISH_TIMEOUT_S
     connection = Connection(site.caller_urls, 0)
-    asker = Caller(connection=connection, see=observer.see, stop=threading.Event())
-    _pause(observer, SETTLE_S)
+    caller = Caller(
+        connection=connection, record=observer.record, stop=threading.Event()
+    )
+    _process_for(observer, REORDER_WINDOW_S)
     while time.monotonic() < until:
         left = unfinished(observer.tables)
         if not left:
             return
         for job_id in left[:20]:
-            asker.show(job_id)
-        _pause(observer, SETTLE_S + POLL_S)
+            caller.query_state(job_id)
+        _process_for(observer, REORDER_WINDOW_S + POLL_INTERVAL_S)
 
 
-def _pause(observer: Observer, for_s: float) -> None:
+def _process_for(observer: Observer, duration_s: float) -> None:
     """Wait, and judge what is seen in the meantime."""
-    until = time.monotonic() + for_s
+    until = time.monotonic() + duration_s
     while True:
-        observer.look(time.monotonic())
+        observer.process(time.monotonic())
         left_s = until - time.monotonic()
         if left_s <= 0.0:
             return
-        threading.Event().wait(min(POLL_S, left_s))
+        threading.Event().wait(min(POLL_INTERVAL_S, left_s))
 
 
-def show(verdict: Verdict, folder: pathlib.Path) -> None:
+def print_verdict(verdict: Verdict, folder: pathlib.Path) -> None:
     """Print what a run came to, its verdict last."""
     tables = verdict.tables
     if FLAGS.picture:
@@ -226,14 +238,14 @@
     states = collections.Counter(tables.state_by_job.values())
     print(
         f"  {len(tables.accepted)} jobs accepted, {len(tables.refused)} refused,"
-        f" {len(tables.unsure)} unsure; {tables.starts} starts;"
+        f" {len(tables.outcome_unknown)} unsure; {tables.starts} starts;"
         f" states {dict(sorted(states.items()))}"
     )
-    for line in tables.broken:
+    for line in tables.violations:
         print(f"  BROKEN {line}")
     for job_id in verdict.unfinished:
         print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'not shown')}")
-    end = "kept" if verdict.good else f"FAILED, logs in {folder}"
+    end = "kept" if verdict.passed else f"FAILED, logs in {folder}"
     print(f"seed {verdict.seed}: {end}", flush=True)
 
 
@@ -242,21 +254,23 @@
     del argv
     seeds = [FLAGS.seed]
     if FLAGS.seed is None:
-        dice = random.SystemRandom()
-        seeds = [dice.randrange(1_000_000) for _ in range(FLAGS.seeds)]
+        rng = random.SystemRandom()
+        seeds = [rng.randrange(1_000_000) for _ in range(FLAGS.seeds)]
     until = time.monotonic() + 60.0 * FLAGS.minutes
     failed: list[int] = []
-    played = 0
+    run_count = 0
     for seed in seeds:
-        if played and time.monotonic() > until:
+        if run_count and time.monotonic() > until:
             break
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"bulrushpulley-soak-{seed}-"))
-        verdict = play(seed, FLAGS.seconds, folder)
-        show(verdict, folder)
-        played += 1
-        if not verdict.good:
+        verdict = run_seed(seed, FLAGS.seconds, folder)
+        print_verdict(verdict, folder)
+        run_count += 1
+        if not verdict.passed:
             failed.append(seed)
-    print(f"{played} runs, {len(failed)} failed{': ' if failed else ''}{failed or ''}")
+    print(
+        f"{run_count} runs, {len(failed)} failed{': ' if failed else ''}{failed or ''}"
+    )
     sys.exit(1 if failed else 0)
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -20,8 +20,9 @@
 import urllib3
 
 from scripts.fleet import HOST, Fleet, free_ports, to_toml, wait_for_port
+from soak.invariants import Evacuated, Observation, ServerGone
 from soak.plan import (
-    SLOW_S,
+    SLOW_STORE_DELAY_S,
     Compact,
     Crash,
     Drain,
@@ -29,22 +30,21 @@
     Fault,
     Harm,
     Kill,
-    Names,
     Pause,
     Reconfigure,
     Reload,
+    SiteNames,
     StoreTrouble,
     Terminate,
 )
-from soak.promises import Evacuated, ServerGone, Sight
 from soak.proxy import Proxies
 
 SERVICE = "ovens"
-DOMAINS = ("z1", "z2")
+FAILURE_DOMAINS = ("z1", "z2")
 CAPACITY_M = 4_000
 # A server that said that it leaves stays for 3 s; its next life begins after that.
-AFTER_DRAIN_S = 4.0
-KILL_S = 0.3
+RESTART_DELAY_AFTER_DRAIN_S = 4.0
+KILL_TIME_S = 0.3
 
 
 class Site:
@@ -54,19 +54,19 @@
         self,
         *,
         fleet: Fleet,
-        see: Callable[[Sight], None],
+        record: Callable[[Observation], None],
         proxies: Proxies,
         port_by_name: dict[str, int],
-        names: Names,
+        names: SiteNames,
     ) -> None:
         self.fleet = fleet
-        self.see = see
+        self.record = record
         self.proxies = proxies
         self.port_by_name = port_by_name
         self.names = names
         self.version = 0
         self.lock = threading.RLock()
-        self.lives: dict[str, int] = {}
+        self.incarnation_by_host: dict[str, int] = {}
 
     @property
     def store(self) -> str:
@@ -115,17 +115,17 @@
             "role": verb,
             "name": name,
             "region": "ege",
-            "failure_domain": self._domain(name),
+            "failure_domain": self._failure_domain(name),
             **address,
             "store": {"url": f"http://{HOST}:{store}"},
-            "limits": {"longest_lease_s": 6.0, "kill_s": KILL_S},
+            "limits": {"longest_lease_s": 6.0, "kill_s": KILL_TIME_S},
         }
         if verb == "job-entry":
             return {**common, "stop": {"notice_s": 0.5, "within_s": 2.0}}
         return {**common, "service": SERVICE}
 
-    def _domain(self, name: str) -> str:
-        return DOMAINS[int(name.rpartition("-")[2]) % len(DOMAINS)]
+    def _failure_domain(self, name: str) -> str:
+        return FAILURE_DOMAINS[int(name.rpartition("-")[2]) % len(FAILURE_DOMAINS)]
 
     def start_server(self, host: str) -> None:
         """Start the next life of a backend server."""
@@ -134,16 +134,16 @@
             "port": self.port_by_name[f"server {host}"],
             "host": host,
             "service": SERVICE,
-            "failure_domain": self._domain(agent),
+            "failure_domain": self._failure_domain(agent),
             "rack": f"rack-{host}",
             "agent": f"{HOST}:{self.port_by_name[f'announcements {agent}']}",
             "processors_m": CAPACITY_M,
         }
         arguments = (f"--{name}={value}" for name, value in flags.items())
         with self.lock:
-            self.lives[host] = self.lives.get(host, 0) + 1
+            self.incarnation_by_host[host] = self.incarnation_by_host.get(host, 0) + 1
             command = (sys.executable, "-m", "standins.executor", *arguments)
-            self.fleet.start(f"{host}.{self.lives[host]}", command)
+            self.fleet.start(f"{host}.{self.incarnation_by_host[host]}", command)
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Signal a process of the run, if it still runs."""
@@ -152,7 +152,7 @@
             if program is not None and program.process.poll() is None:
                 program.process.send_signal(number)
 
-    def ended(self, name: str, within_s: float) -> None:
+    def wait_ended(self, name: str, within_s: float) -> None:
         """Wait until a process has ended, and kill it where it does not."""
         program = self.fleet.program_by_name.get(name)
         if program is None:
@@ -163,17 +163,17 @@
             program.process.kill()
             program.process.wait(within_s)
 
-    def server_of(self, host: str) -> str:
+    def current_server(self, host: str) -> str:
         """Return the process of the present life on a host."""
-        return f"{host}.{self.lives[host]}"
+        return f"{host}.{self.incarnation_by_host[host]}"
 
-    def later(self, after_s: float, action: Callable[[], None]) -> None:
+    def schedule(self, after_s: float, action: Callable[[], None]) -> None:
         """Have something done later."""
         timer = threading.Timer(after_s, action)
         timer.daemon = True
         timer.start()
 
-    def ask_store(self, path: str, body: object) -> None:
+    def post_to_store(self, path: str, body: object) -> None:
         """Have the store do something as its operators would."""
         answer = urllib3.request(
             "POST", f"{self.store}{path}", json=body, timeout=5.0, retries=False
@@ -181,15 +181,15 @@
         if answer.status != 200:
             raise RuntimeError(f"store {path}: {answer.status} {answer.data!r}")
 
-    def operate(self, key: str, value: object | None) -> None:
+    def write_order(self, key: str, value: object | None) -> None:
         """Write or drop an order of operators."""
         at = {"Table": "op", "part": "", "Key": key}
         if value is None:
-            self.ask_store("/operate", {"Deletes": [at]})
+            self.post_to_store("/operate", {"Deletes": [at]})
             return
         encoded = json.dumps(value).encode()
         put = {**at, "Value": base64.b64encode(encoded).decode()}
-        self.ask_store("/operate", {"Upserts": [put]})
+        self.post_to_store("/operate", {"Upserts": [put]})
 
     def configure(self) -> None:
         """Put the next version of the configuration in force."""
@@ -207,14 +207,14 @@
         }
         services = [{"Name": SERVICE}]
         body = {"Version": self.version, "Routes": [route], "Services": services}
-        self.operate("config", body)
+        self.write_order("config", body)
 
 
-def make_names(entries: int, hosts: int) -> Names:
+def make_names(entries: int, hosts: int) -> SiteNames:
     """Return the names of a site."""
     entry_names = tuple(f"entry-{number}" for number in range(entries))
     agents = tuple(f"agent-{number}" for number in range(hosts))
-    return Names(
+    return SiteNames(
         entries=entry_names,
         agents=agents,
         hosts=tuple(f"host-{number}" for number in range(hosts)),
@@ -222,11 +222,13 @@
             *(f"store < {name}" for name in (*entry_names, *agents)),
             *(f"reached_at {name}" for name in agents),
         ),
-        failure_domains=DOMAINS,
+        failure_domains=FAILURE_DOMAINS,
     )
 
 
-def make_site(names: Names, folder: pathlib.Path, see: Callable[[Sight], None]) -> Site:
+def make_site(
+    names: SiteNames, folder: pathlib.Path, record: Callable[[Observation], None]
+) -> Site:
     """Choose ports and start the proxies of a site."""
     keys = ["store"]
     keys += [
@@ -245,105 +247,111 @@
         proxies.add(name, port_by_name[name], port_by_name[target])
     fleet = Fleet(layout=None, folder=folder)  # type: ignore[arg-type]
     return Site(
-        fleet=fleet, see=see, proxies=proxies, port_by_name=port_by_name, names=names
+        fleet=fleet,
+        record=record,
+        proxies=proxies,
+        port_by_name=port_by_name,
+        names=names,
     )
 
 
 @singledispatch
-def strike(fault: Fault, site: Site) -> None:
+def inject_fault(fault: Fault, site: Site) -> None:
     """Do one fault to the site; what ends it comes later."""
     raise NotImplementedError(type(fault).__name__)
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Kill, site: Site) -> None:
     site.signal(fault.name, signal.SIGKILL)
-    site.ended(fault.name, 5.0)
-    site.later(fault.for_s, lambda: site.start_process(fault.name))
+    site.wait_ended(fault.name, 5.0)
+    site.schedule(fault.duration_s, lambda: site.start_process(fault.name))
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Terminate, site: Site) -> None:
     site.signal(fault.name, signal.SIGCONT)
     site.signal(fault.name, signal.SIGTERM)
 
-    def again() -> None:
-        site.ended(fault.name, 8.0)
+    def restart() -> None:
+        site.wait_ended(fault.name, 8.0)
         site.start_process(fault.name)
 
-    site.later(0.0, again)
+    site.schedule(0.0, restart)
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Pause, site: Site) -> None:
     site.signal(fault.name, signal.SIGSTOP)
-    site.later(fault.for_s, lambda: site.signal(fault.name, signal.SIGCONT))
+    site.schedule(fault.duration_s, lambda: site.signal(fault.name, signal.SIGCONT))
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Reload, site: Site) -> None:
     site.signal(fault.name, signal.SIGHUP)
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Crash, site: Site) -> None:
-    name = site.server_of(fault.host)
+    name = site.current_server(fault.host)
     site.signal(name, signal.SIGKILL)
-    site.ended(name, 5.0)
-    site.see(ServerGone(at=time.monotonic(), host=fault.host))
-    site.later(fault.for_s, lambda: site.start_server(fault.host))
+    site.wait_ended(name, 5.0)
+    site.record(ServerGone(at=time.monotonic(), host=fault.host))
+    site.schedule(fault.duration_s, lambda: site.start_server(fault.host))
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Drain, site: Site) -> None:
-    name = site.server_of(fault.host)
+    name = site.current_server(fault.host)
     site.signal(name, signal.SIGUSR1)
 
-    def again() -> None:
+    def restart() -> None:
         # Killed or ended, nothing of this life runs any more.
         site.signal(name, signal.SIGKILL)
-        site.ended(name, 5.0)
-        if name == site.server_of(fault.host):
-            site.see(ServerGone(at=time.monotonic(), host=fault.host))
+        site.wait_ended(name, 5.0)
+        if name == site.current_server(fault.host):
+            site.record(ServerGone(at=time.monotonic(), host=fault.host))
             site.start_server(fault.host)
 
-    site.later(AFTER_DRAIN_S, again)
+    site.schedule(RESTART_DELAY_AFTER_DRAIN_S, restart)
 
 
-@strike.register
+@inject_fault.register
 def _(fault: StoreTrouble, site: Site) -> None:
-    delay_s = SLOW_S if fault.mode == "slow" else 0.0
-    switch = {"mode": fault.mode, "seconds": fault.for_s, "delay_s": delay_s}
-    site.ask_store("/switch", switch)
+    delay_s = SLOW_STORE_DELAY_S if fault.mode == "slow" else 0.0
+    switch = {"mode": fault.mode, "seconds": fault.duration_s, "delay_s": delay_s}
+    site.post_to_store("/switch", switch)
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Compact, site: Site) -> None:
-    site.ask_store("/compact", {})
+    site.post_to_store("/compact", {})
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Harm, site: Site) -> None:
-    site.proxies.harm(fault.proxy, fault.how)
-    site.later(fault.for_s, lambda: site.proxies.heal(fault.proxy, fault.how))
+    site.proxies.start_fault(fault.proxy, fault.fault_kind)
+    site.schedule(
+        fault.duration_s, lambda: site.proxies.end_fault(fault.proxy, fault.fault_kind)
+    )
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Reconfigure, site: Site) -> None:
     site.configure()
 
 
-@strike.register
+@inject_fault.register
 def _(fault: Evacuate, site: Site) -> None:
     key = f"evacuate/{fault.failure_domain}"
-    site.operate(key, {})
-    site.see(Evacuated(at=time.monotonic(), failure_domain=fault.failure_domain))
+    site.write_order(key, {})
+    site.record(Evacuated(at=time.monotonic(), failure_domain=fault.failure_domain))
 
-    def back() -> None:
-        over = Evacuated(
-            at=time.monotonic(), failure_domain=fault.failure_domain, back=True
+    def end_evacuation() -> None:
+        observation = Evacuated(
+            at=time.monotonic(), failure_domain=fault.failure_domain, returned=True
         )
-        site.see(over)
-        site.operate(key, None)
+        site.record(observation)
+        site.write_order(key, None)
 
-    site.later(fault.for_s, back)
+    site.schedule(fault.duration_s, end_evacuation)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -54,7 +54,7 @@
         self._clock = clock
         self._state = BackendState.empty(slots=slots)
         self._faults = Faults()
-        self._dice = random.Random(seed)
+        self._rng = random.Random(seed)
         self._mu = math.log(mean_s) - spread * spread / 2
         self._spread = spread
         self._handler_by_path = {
@@ -78,7 +78,7 @@
             mode = self._faults.mode_at(now)
             if mode is Mode.DOWN:
                 return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, mode.value)
-            service_s = self._dice.lognormvariate(self._mu, self._spread)
+            service_s = self._rng.lognormvariate(self._mu, self._spread)
             service_s += self._faults.delay_at(now)
             run = admit(
                 self._state, request_id=request_id, service_s=service_s, now=now
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -33,10 +33,10 @@
 )
 
 FLAGS = flags.FLAGS
-CONNECTIONS = 64
-ANSWER_MARGIN_S = 1.0
-RETRY_GAP_S = 0.02
-AGAIN = frozenset({Outcome.REFUSED, Outcome.UNKNOWN})
+MAX_CONNECTIONS = 64
+CALL_TIMEOUT_MARGIN_S = 1.0
+CALL_RETRY_DELAY_S = 0.02
+RETRYABLE_OUTCOMES = frozenset({Outcome.REFUSED, Outcome.UNKNOWN})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,7 +56,7 @@
     def __init__(self, *, target: Target) -> None:
         self._target = target
         self._pool = urllib3.PoolManager(
-            num_pools=len(target.entries), maxsize=CONNECTIONS, retries=False
+            num_pools=len(target.entries), maxsize=MAX_CONNECTIONS, retries=False
         )
 
     def make(self, call: PlannedCall, number: int, started: float) -> EndedCall:
@@ -67,16 +67,16 @@
         for attempt in range(self._target.max_tries):
             entry = self._target.entries[(number + attempt) % len(self._target.entries)]
             outcomes.append(self._try(entry, call, body, deadline))
-            left_s = deadline - time.monotonic() - RETRY_GAP_S
-            if outcomes[-1] not in AGAIN or left_s <= 0:
+            left_s = deadline - time.monotonic() - CALL_RETRY_DELAY_S
+            if outcomes[-1] not in RETRYABLE_OUTCOMES or left_s <= 0:
                 break
-            threading.Event().wait(RETRY_GAP_S)
+            threading.Event().wait(CALL_RETRY_DELAY_S)
         return EndedCall(
             call=call,
             outcome=outcomes[-1],
             latency_s=time.monotonic() - started,
             tries=len(outcomes),
-            surely_not_run=set(outcomes) == {Outcome.REFUSED},
+            known_not_run=set(outcomes) == {Outcome.REFUSED},
         )
 
     def _try(
@@ -95,14 +95,14 @@
                 url,
                 body=body,
                 headers=headers,
-                timeout=within_s + ANSWER_MARGIN_S,
+                timeout=within_s + CALL_TIMEOUT_MARGIN_S,
             )
         except (HTTPError, OSError):
             return Outcome.UNKNOWN
         return outcome_of(response.status, response.data, call, body)
 
 
-def make_all(
+def make_calls(
     caller: Caller, calls: Sequence[PlannedCall], threads: int
 ) -> list[EndedCall]:
     """Make every call at its moment, whatever became of those before."""
@@ -127,7 +127,7 @@
     return run_count_by_id
 
 
-def shown(report: Report) -> str:
+def format_report(report: Report) -> str:
     """Return a report as lines for a terminal."""
     values = dataclasses.asdict(report)
     return "\n".join(f"{name:<15} {value}" for name, value in values.items())
@@ -150,10 +150,10 @@
         seed=FLAGS.seed,
         name=FLAGS.id_prefix,
     )
-    ended = make_all(Caller(target=target), calls, FLAGS.threads)
+    ended = make_calls(Caller(target=target), calls, FLAGS.threads)
     report = tally(ended, count_runs(FLAGS.backend_servers))
     print(
-        msgspec.json.encode(report).decode() if FLAGS.json else shown(report),
+        msgspec.json.encode(report).decode() if FLAGS.json else format_report(report),
         flush=True,
     )
     sys.exit(1 if report.doubled or report.wrong or report.false_refusals else 0)
--- a/standins/caller_core.py
+++ b/standins/caller_core.py
@@ -42,7 +42,7 @@
     outcome: Outcome
     latency_s: float
     tries: int
-    surely_not_run: bool
+    known_not_run: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,17 +72,17 @@
     *, rate: float, seconds: float, repeatable_share: float, seed: int, name: str
 ) -> tuple[PlannedCall, ...]:
     """Return open-loop arrivals at `rate` a second; ids begin with `name`."""
-    dice = random.Random(seed)
+    rng = random.Random(seed)
     calls: list[PlannedCall] = []
-    at_s = dice.expovariate(rate)
+    at_s = rng.expovariate(rate)
     while at_s < seconds:
         call = PlannedCall(
             at_s=at_s,
             request_id=f"{name}-{len(calls)}",
-            repeatable=dice.random() < repeatable_share,
+            repeatable=rng.random() < repeatable_share,
         )
         calls.append(call)
-        at_s += dice.expovariate(rate)
+        at_s += rng.expovariate(rate)
     return tuple(calls)
 
 
@@ -93,13 +93,13 @@
             call.repeatable or body.startswith(call.request_id.encode() + b"\n")
         )
         return Outcome.SERVED if own else Outcome.WRONG
-    ran = ran_of(body)
+    ran = ran_field(body)
     if ran == "no":
         return Outcome.INVALID if status in (400, 404, 413) else Outcome.REFUSED
     return Outcome.UNKNOWN
 
 
-def ran_of(body: bytes) -> str:
+def ran_field(body: bytes) -> str:
     """Return the field "ran" of a refusal, or empty."""
     try:
         value = json.loads(body)
@@ -140,7 +140,7 @@
 
 def is_false_refusal(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
     """Tell whether a call ran that was always refused as not run."""
-    return item.surely_not_run and item.call.request_id in run_count_by_id
+    return item.known_not_run and item.call.request_id in run_count_by_id
 
 
 def is_lost(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -36,16 +36,16 @@
 from standins.web import HOST, Request, Response, as_json, make_server, refusal, serve
 
 FLAGS = flags.FLAGS
-BEAT_S = 0.5
-ANSWER_S = 1.0
-TICK_S = 0.02
-CALL_S = 1.0
+HEARTBEAT_INTERVAL_S = 0.5
+HEARTBEAT_TIMEOUT_S = 1.0
+ADVANCE_INTERVAL_S = 0.02
+CALL_TIMEOUT_S = 1.0
 # How long a backend server stays after it was told to leave.
-DRAIN_S = 3.0
+DRAIN_TIME_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Place:
+class ServerDescription:
     """Where a backend server is and what it offers."""
 
     host: str
@@ -68,27 +68,27 @@
     def __init__(
         self,
         *,
-        place: Place,
+        description: ServerDescription,
         clock: Callable[[], float] = time.monotonic,
         report: Callable[[dict[str, Any]], None] = write_line,
     ) -> None:
         self._lock = threading.RLock()
         self._clock = clock
         self._report = report
-        self._place = place
-        self.born_ms = int(time.time() * 1_000)
+        self._description = description
+        self.incarnation_started_at_ms = int(time.time() * 1_000)
         self.leaving_at: float | None = None
         self._sequence = 0
         self._core = FakeExecutor(
-            host=place.host,
-            capacity=place.capacity,
-            watch=self._seen,
-            born_at=clock(),
-            lives=self.born_ms,
+            host=description.host,
+            capacity=description.capacity,
+            listener=self._report_event,
+            incarnation_started_at=clock(),
+            incarnation=self.incarnation_started_at_ms,
             checkpoints=True,
         )
         self._handler_by_path = {
-            "/v1/hold": self._hold,
+            "/v1/hold": self._poll,
             "/v1/run-start": self._start,
             "/v1/run-stop": self._stop,
             "/v1/pace": self._pace,
@@ -99,14 +99,16 @@
         """The id of this life."""
         return self._core.server_id
 
-    def _seen(self, what: str, core: FakeExecutor, run: RunOrder | RunEnd) -> None:
+    def _report_event(
+        self, what: str, core: FakeExecutor, run: RunOrder | RunEnd
+    ) -> None:
         self._report(
             {
                 "at": self._clock(),
                 "what": what,
                 "host": core.host,
-                "failure_domain": self._place.failure_domain,
-                "life": core.lives,
+                "failure_domain": self._description.failure_domain,
+                "life": core.incarnation,
                 "task": run.task_id,
                 "run": run.run,
                 "how": getattr(run, "how", ""),
@@ -138,16 +140,19 @@
         return {
             "server_id": self.server_id,
             "address": "",
-            "timeout_s": CALL_S,
+            "timeout_s": CALL_TIMEOUT_S,
         }
 
     def _answer(
         self, body: dict[str, Any], status: http.HTTPStatus = http.HTTPStatus.OK
     ) -> Response:
-        clock_ms = int((self._clock() - self._core.born_at) * 1_000)
-        return as_json(status, {"ClockMs": clock_ms, "born": self.born_ms, **body})
+        clock_ms = int((self._clock() - self._core.incarnation_started_at) * 1_000)
+        return as_json(
+            status,
+            {"ClockMs": clock_ms, "born": self.incarnation_started_at_ms, **body},
+        )
 
-    def _hold(self, raw: dict[str, Any]) -> Response:
+    def _poll(self, raw: dict[str, Any]) -> Response:
         until = self._clock() + raw.get("WaitMs", 0) / 1_000
         command = PollRuns(
             **self._common(),
@@ -155,10 +160,10 @@
             wait_ms=0,
             lease_until_ms=raw.get("DeadlineMs"),
         )
-        listed = self._listed(command)
+        listed = self._list_runs(command)
         while not listed.ends and self._clock() < until:
-            threading.Event().wait(TICK_S)
-            listed = self._listed(command)
+            threading.Event().wait(ADVANCE_INTERVAL_S)
+            listed = self._list_runs(command)
         runs = [
             [run.task_id, run.run, run.checkpoint, run.percent, run.measure]
             for run in listed.runs
@@ -169,7 +174,7 @@
         ]
         return self._answer({"Running": runs, "Finished": ends})
 
-    def _listed(self, command: PollRuns) -> RunsListed:
+    def _list_runs(self, command: PollRuns) -> RunsListed:
         listed = self._call(command)
         # The instance that the call named was checked before.
         assert isinstance(listed, RunsListed)
@@ -204,27 +209,29 @@
     def announcement(self) -> dict[str, Any]:
         """Return its next word on itself."""
         self._sequence += 1
-        place = self._place
-        left_s = DRAIN_S if self.leaving_at is None else self.leaving_at - self._clock()
+        description = self._description
+        left_s = (
+            DRAIN_TIME_S if self.leaving_at is None else self.leaving_at - self._clock()
+        )
         return {
-            "Service": place.service,
-            "Addr": f"{HOST}:{place.port}",
-            "Zone": place.failure_domain,
+            "Service": description.service,
+            "Addr": f"{HOST}:{description.port}",
+            "Zone": description.failure_domain,
             "State": "ready" if self.leaving_at is None else "draining",
             "RemainingMs": int(1_000 * max(0.0, left_s)),
             "Capacity": {
-                "Cpu": place.capacity.processors_m,
-                "MemMb": place.capacity.memory_mb,
-                "Gpu": place.capacity.accelerators,
+                "Cpu": description.capacity.processors_m,
+                "MemMb": description.capacity.memory_mb,
+                "Gpu": description.capacity.accelerators,
             },
-            "Labels": ["a", place.rack],
+            "Labels": ["a", description.rack],
             "Seq": self._sequence,
-            "born": self.born_ms,
+            "born": self.incarnation_started_at_ms,
         }
 
     def leave(self) -> None:
         """Say that it is draining from now on."""
-        self.leaving_at = self._clock() + DRAIN_S
+        self.leaving_at = self._clock() + DRAIN_TIME_S
 
 
 def announce(server: ExecutorServer, agent: str, *, withdraw: bool = False) -> None:
@@ -236,33 +243,35 @@
             "POST",
             f"http://{agent}/v1/instances/{server.server_id}/{verb}",
             json=body,
-            timeout=ANSWER_S,
+            timeout=HEARTBEAT_TIMEOUT_S,
             retries=False,
         )
     except urllib3.exceptions.HTTPError as error:
         write_line({"at": time.monotonic(), "what": "unheard", "reason": str(error)})
 
 
-def _beat(server: ExecutorServer, agent: str, stop: Callable[[], None]) -> None:
+def _send_heartbeats(
+    server: ExecutorServer, agent: str, stop: Callable[[], None]
+) -> None:
     while True:
         announce(server, agent)
-        threading.Event().wait(BEAT_S)
+        threading.Event().wait(HEARTBEAT_INTERVAL_S)
         if server.leaving_at is not None and time.monotonic() > server.leaving_at:
             announce(server, agent, withdraw=True)
             stop()
             return
 
 
-def _advance(server: ExecutorServer) -> None:
+def _advance_regularly(server: ExecutorServer) -> None:
     while True:
         server.advance()
-        threading.Event().wait(TICK_S)
+        threading.Event().wait(ADVANCE_INTERVAL_S)
 
 
 def main(argv: list[str]) -> None:
     """Serve on the port of the flags until told to leave."""
     del argv
-    place = Place(
+    description = ServerDescription(
         host=FLAGS.host,
         service=FLAGS.service,
         failure_domain=FLAGS.failure_domain,
@@ -270,7 +279,7 @@
         port=FLAGS.port,
         capacity=Resources(processors_m=FLAGS.processors_m, memory_mb=FLAGS.memory_mb),
     )
-    server = ExecutorServer(place=place)
+    server = ExecutorServer(description=description)
 
     def leave(signum: int, frame: FrameType | None) -> None:
         server.leave()
@@ -278,8 +287,8 @@
     signal.signal(signal.SIGUSR1, leave)
     web = make_server(handle=server.handle, port=FLAGS.port)
     for target, arguments in (
-        (_advance, (server,)),
-        (_beat, (server, FLAGS.agent, web.stop)),
+        (_advance_regularly, (server,)),
+        (_send_heartbeats, (server, FLAGS.agent, web.stop)),
     ):
         threading.Thread(target=target, args=arguments, daemon=True).start()
     serve(web)
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -29,26 +29,26 @@
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
-KILL_S = 0.2
-POISON = "poison"
-POISON_S = 0.3
+KILL_TIME_S = 0.2
+POISON_PAYLOAD = "poison"
+POISON_RUN_TIME_S = 0.3
 
 
-def _works(order: RunOrder) -> bool:
-    return order.payload != POISON
+def _succeeds(order: RunOrder) -> bool:
+    return order.payload != POISON_PAYLOAD
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Working:
+class ExecutorRun:
     """A run that is there, until `ends_at`; `stopping` once it was told to stop."""
 
     order: RunOrder
-    began_at: float
+    started_at: float
     ends_at: float
     stopping: bool = False
 
 
-Seen = Callable[[str, "FakeExecutor", RunOrder | RunEnd], None]
+EventListener = Callable[[str, "FakeExecutor", RunOrder | RunEnd], None]
 
 
 class FakeExecutor:
@@ -59,41 +59,41 @@
         *,
         host: str,
         capacity: Resources,
-        watch: Seen,
-        born_at: float = 0.0,
-        lives: int = 1,
+        listener: EventListener,
+        incarnation_started_at: float = 0.0,
+        incarnation: int = 1,
         checkpoints: bool = False,
     ) -> None:
         self.host = host
         self.capacity = capacity
-        self.watch = watch
+        self.listener = listener
         self.labels: tuple[str, ...] = ()
-        self.born_at = born_at
-        self.lives = lives
+        self.incarnation_started_at = incarnation_started_at
+        self.incarnation = incarnation
         self.lease_until = 0.0
         self.up = True
         self.draining = False
         self.hangs = False
-        self.wants_ticket = False
+        self.requires_ticket = False
         self.checkpoints = checkpoints
         self.fails_all = False
         self.noted = 0
         self.ends: list[RunEnd] = []
-        self.working: dict[str, Working] = {}
-        self.barred: dict[str, int] = {}
+        self.run_by_key: dict[str, ExecutorRun] = {}
+        self.barred_run_by_task: dict[str, int] = {}
         self.pace_by_key: dict[str, int] = {}
         self.checkpoint_by_key: dict[str, str] = {}
 
     @property
     def server_id(self) -> str:
         """The id of the present life."""
-        return f"i-{self.host}-{self.lives}"
+        return f"i-{self.host}-{self.incarnation}"
 
     @property
     def committed(self) -> Resources:
         """What its runs take, those that are being stopped among them."""
         total = NO_RESOURCES
-        for run in self.working.values():
+        for run in self.run_by_key.values():
             total = total.plus(run.order.committed)
         return total
 
@@ -101,7 +101,7 @@
         """Return its word on itself."""
         return Announced(
             server_id=self.server_id,
-            started_at_ms=self.lives,
+            started_at_ms=self.incarnation,
             sequence=int(now * 1000),
             service="ovens",
             address=self.host,
@@ -114,37 +114,37 @@
     def crash(self) -> None:
         """End this life with all that it runs."""
         self.up = False
-        self.working = {}
+        self.run_by_key = {}
 
     def break_all(self) -> None:
         """End every run, as those of a gang end that lost a member."""
-        for key in sorted(self.working):
+        for key in sorted(self.run_by_key):
             self._end(key, "broken")
 
     def restart(self, now: float) -> None:
         """Begin another life, which knows nothing."""
-        self.up, self.draining, self.lives, self.born_at = (
+        self.up, self.draining, self.incarnation, self.incarnation_started_at = (
             True,
             False,
-            self.lives + 1,
+            self.incarnation + 1,
             now,
         )
         self.lease_until, self.noted = 0.0, 0
-        self.ends, self.working, self.barred = [], {}, {}
+        self.ends, self.run_by_key, self.barred_run_by_task = [], {}, {}
 
     def advance(self, now: float) -> None:
         """End what has come to its end by `now`."""
-        for key, run in sorted(self.working.items()):
-            if self.lease_until <= now and run.began_at < self.lease_until:
+        for key, run in sorted(self.run_by_key.items()):
+            if self.lease_until <= now and run.started_at < self.lease_until:
                 self._end(key, "lapsed")
             elif run.ends_at <= now and (run.stopping or not self.hangs):
                 self._end(key, "stopped" if run.stopping else self._outcome(run))
 
-    def _outcome(self, run: Working) -> str:
-        return "failed" if self.fails_all or not _works(run.order) else "done"
+    def _outcome(self, run: ExecutorRun) -> str:
+        return "failed" if self.fails_all or not _succeeds(run.order) else "done"
 
     def _end(self, key: str, how: str) -> None:
-        run = self.working.pop(key)
+        run = self.run_by_key.pop(key)
         order = run.order
         end = RunEnd(
             number=self.noted + len(self.ends) + 1,
@@ -155,10 +155,12 @@
         )
         self.ends.append(end)
         self._bar(RunRef(task_id=order.task_id, run=order.run))
-        self.watch("end", self, end)
+        self.listener("end", self, end)
 
     def _bar(self, ref: RunRef) -> None:
-        self.barred[ref.task_id] = max(ref.run, self.barred.get(ref.task_id, 0))
+        self.barred_run_by_task[ref.task_id] = max(
+            ref.run, self.barred_run_by_task.get(ref.task_id, 0)
+        )
 
     @singledispatchmethod
     def call(self, command: ExecutorCommand, now: float) -> ExecutorEvent:
@@ -170,37 +172,39 @@
         if command.server_id != self.server_id:
             return OtherIncarnation(server_id=command.server_id)
         if command.lease_until_ms is not None:
-            self._lease(command.lease_until_ms)
+            self._extend_lease(command.lease_until_ms)
         while self.ends and self.ends[0].number <= command.noted:
             end = self.ends.pop(0)
             self.noted = end.number
-            self.watch("noted", self, end)
+            self.listener("noted", self, end)
         runs = tuple(
             RunStatus(
                 task_id=run.order.task_id,
                 run=run.order.run,
                 checkpoint=self._checkpoint(run, now),
             )
-            for run in self.working.values()
+            for run in self.run_by_key.values()
         )
         return RunsListed(
             server_id=command.server_id,
-            started_at_ms=self.lives,
-            clock_ms=int((now - self.born_at) * 1000),
+            started_at_ms=self.incarnation,
+            clock_ms=int((now - self.incarnation_started_at) * 1000),
             runs=runs,
             ends=tuple(self.ends),
         )
 
-    def _checkpoint(self, run: Working, now: float) -> str:
+    def _checkpoint(self, run: ExecutorRun, now: float) -> str:
         """Return the work done so far, in whole seconds, as text."""
         if not self.checkpoints:
             return ""
         left_s = run.ends_at - now
-        worked_s = int(float(run.order.payload) - left_s) if _works(run.order) else 0
+        worked_s = int(float(run.order.payload) - left_s) if _succeeds(run.order) else 0
         return str(worked_s) if worked_s > 0 else run.order.checkpoint
 
-    def _lease(self, until_ms: int) -> None:
-        self.lease_until = max(self.lease_until, self.born_at + until_ms / 1000)
+    def _extend_lease(self, until_ms: int) -> None:
+        self.lease_until = max(
+            self.lease_until, self.incarnation_started_at + until_ms / 1000
+        )
 
     @call.register
     def _(self, command: StartRun, now: float) -> ExecutorEvent:
@@ -209,32 +213,32 @@
         denied = StartDenied(server_id=command.server_id, run=ref, reason="old")
         if command.server_id != self.server_id:
             return replace(denied, reason="life")
-        if order.key in self.working:
+        if order.key in self.run_by_key:
             return RunStarted(server_id=command.server_id, run=ref)
-        if self.wants_ticket and order.ticket != f"ticket-{self.server_id}":
+        if self.requires_ticket and order.ticket != f"ticket-{self.server_id}":
             return replace(denied, reason="ticket")
-        if order.run <= self.barred.get(order.task_id, 0):
+        if order.run <= self.barred_run_by_task.get(order.task_id, 0):
             return replace(denied, final=True)
-        if self.born_at + command.lease_until_ms / 1000 <= now:
+        if self.incarnation_started_at + command.lease_until_ms / 1000 <= now:
             return replace(denied, reason="late")
-        self._lease(command.lease_until_ms)
-        duration_s = float(order.payload) if _works(order) else POISON_S
+        self._extend_lease(command.lease_until_ms)
+        duration_s = float(order.payload) if _succeeds(order) else POISON_RUN_TIME_S
         duration_s -= float(order.checkpoint or 0)
-        self.working[order.key] = Working(
-            order=order, began_at=now, ends_at=now + duration_s
+        self.run_by_key[order.key] = ExecutorRun(
+            order=order, started_at=now, ends_at=now + duration_s
         )
-        self.watch("start", self, order)
+        self.listener("start", self, order)
         return RunStarted(server_id=command.server_id, run=ref)
 
     @call.register
     def _(self, command: StopRun, now: float) -> ExecutorEvent:
         if command.server_id == self.server_id:
-            run = self.working.get(command.run.key)
+            run = self.run_by_key.get(command.run.key)
             if run is not None and not run.stopping:
                 saved = self._checkpoint(run, now)
                 self.checkpoint_by_key[command.run.key] = saved
-                self.working[command.run.key] = replace(
-                    run, stopping=True, ends_at=now + KILL_S
+                self.run_by_key[command.run.key] = replace(
+                    run, stopping=True, ends_at=now + KILL_TIME_S
                 )
             self._bar(command.run)
         return StopAnswered(server_id=command.server_id, run=command.run)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -9,7 +9,7 @@
 import enum
 from dataclasses import dataclass, replace
 
-LONGEST_QUEUE_S = 2.0
+MAX_QUEUE_WAIT_S = 2.0
 
 
 class Mode(enum.Enum):
@@ -56,7 +56,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Pace:
+class RateLimiter:
     """A bounded number of operations a second, served in order."""
 
     per_s: float
@@ -68,8 +68,8 @@
 
     def accepts(self, now: float) -> bool:
         """Tell whether an operation that comes at `now` is served at all."""
-        return self.starts_at(now) - now <= LONGEST_QUEUE_S
+        return self.starts_at(now) - now <= MAX_QUEUE_WAIT_S
 
-    def reserved(self, now: float) -> Pace:
+    def reserved(self, now: float) -> RateLimiter:
         """Return the pace after an operation that came at `now`."""
         return replace(self, free_at=self.starts_at(now) + 1.0 / self.per_s)
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -20,7 +20,14 @@
 
 from standins import table_core
 from standins.faults import Faults, Mode, Switch
-from standins.table_core import At, CommitResult, Put, Stored, TableState, Transaction
+from standins.table_core import (
+    CommitResult,
+    Put,
+    Stored,
+    TableState,
+    Transaction,
+    VersionCondition,
+)
 from standins.web import (
     Request,
     Response,
@@ -33,13 +40,13 @@
 
 FLAGS = flags.FLAGS
 # No byte of a table's, part's or key's text.
-BETWEEN = "\x1f"
-TRANSACTION_S = 0.004
-LONGEST_WAIT_S = 30.0
-MAX_ROWS = 500
-MAX_ENTRIES = 100
+KEY_SEPARATOR = "\x1f"
+REQUEST_DELAY_S = 0.004
+MAX_FEED_WAIT_S = 30.0
+MAX_ROWS_PER_READ = 500
+MAX_TRANSACTION_ENTRIES = 100
 # Written by operators alone; the system's writes are refused.
-OPERATORS_TABLES = frozenset({"op", "servers"})
+OPERATOR_TABLES = frozenset({"op", "servers"})
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
 _decode_switch = msgspec.json.Decoder(Switch).decode
@@ -50,16 +57,16 @@
     """The rows and the version up to which the history is gone."""
 
     state: TableState
-    forgotten: int = 0
+    compacted_version: int = 0
 
 
 def core_key(raw: dict[str, Any]) -> str:
     """Return the key of the core of a row's address."""
-    return BETWEEN.join((raw["Table"], raw.get("part", ""), raw["Key"]))
+    return KEY_SEPARATOR.join((raw["Table"], raw.get("part", ""), raw["Key"]))
 
 
 def _row(stored: Stored) -> dict[str, Any]:
-    table, part, key = stored.key.split(BETWEEN)
+    table, part, key = stored.key.split(KEY_SEPARATOR)
     row: dict[str, Any] = {"Table": table, "part": part, "Key": key}
     if stored.value is None:
         # A tombstone, or a row that a condition found absent.
@@ -70,7 +77,7 @@
 def transaction_of(raw: dict[str, Any]) -> Transaction:
     """Return the transaction of a body; raises `ValueError` on a bad one."""
     conditions = tuple(
-        At(key=core_key(item), version=item["Ver"])
+        VersionCondition(key=core_key(item), version=item["Ver"])
         for item in raw.get("ExpectedRev") or ()
     )
     puts = tuple(
@@ -80,10 +87,10 @@
     deletes = tuple(
         Put(key=core_key(item), value=None) for item in raw.get("Deletes") or ()
     )
-    if len(conditions) + len(puts) + len(deletes) > MAX_ENTRIES:
+    if len(conditions) + len(puts) + len(deletes) > MAX_TRANSACTION_ENTRIES:
         raise ValueError("too many entries")
     keys = (entry.key for entries in (conditions, puts, deletes) for entry in entries)
-    parts = {key.split(BETWEEN)[1] for key in keys}
+    parts = {key.split(KEY_SEPARATOR)[1] for key in keys}
     if len(parts) > 1:
         raise ValueError("entries of several parts")
     return Transaction(conditions=conditions, puts=(*puts, *deletes))
@@ -120,7 +127,7 @@
         mode = self._faults.mode_at(now)
         if mode is Mode.DOWN:
             return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, mode.value)
-        wait_until(now + TRANSACTION_S + self._faults.delay_at(now), now)
+        wait_until(now + REQUEST_DELAY_S + self._faults.delay_at(now), now)
         response = handler(request)
         lost = self._faults.mode_at(self._clock()) is Mode.LOSE_ANSWERS
         return replace(response, lost=lost and request.method == "POST")
@@ -128,7 +135,7 @@
     def _compact(self) -> Response:
         with self._changed:
             version = self._store.state.revision
-            self._store = replace(self._store, forgotten=version)
+            self._store = replace(self._store, compacted_version=version)
             self._changed.notify_all()
         return as_json(http.HTTPStatus.OK, {})
 
@@ -138,8 +145,8 @@
 
     def _transact(self, request: Request) -> Response:
         transaction = transaction_of(msgspec.json.decode(request.body))
-        tables = {put.key.split(BETWEEN)[0] for put in transaction.puts}
-        if tables & OPERATORS_TABLES:
+        tables = {put.key.split(KEY_SEPARATOR)[0] for put in transaction.puts}
+        if tables & OPERATOR_TABLES:
             return refusal(http.HTTPStatus.FORBIDDEN, "operators' tables")
         return self._commit(transaction)
 
@@ -148,12 +155,12 @@
             result = table_core.commit(self._store.state, transaction)
             self._store = replace(self._store, state=result.state)
             self._changed.notify_all()
-        return self._committed(result)
+        return self._commit_response(result)
 
-    def _committed(self, result: CommitResult) -> Response:
+    def _commit_response(self, result: CommitResult) -> Response:
         if result.committed:
             return self._answer(http.HTTPStatus.OK, {"Ver": result.revision})
-        rows = [_row(stored) for stored in result.failed]
+        rows = [_row(stored) for stored in result.conflicting_rows]
         return self._answer(http.HTTPStatus.PRECONDITION_FAILED, {"rows": rows})
 
     def _answer(self, status: http.HTTPStatus, body: dict[str, Any]) -> Response:
@@ -161,7 +168,7 @@
 
     def _read(self, request: Request) -> Response:
         query = request.query
-        prefix = BETWEEN.join((query["Table"], query.get("part", ""), ""))
+        prefix = KEY_SEPARATOR.join((query["Table"], query.get("part", ""), ""))
         state = self._store.state
         page = table_core.read(state, prefix=prefix, limit=len(state.rows) + 1)
         first, end = query.get("From", ""), query.get("To", "")
@@ -170,20 +177,20 @@
             row for row in rows if row["Key"] >= first and (not end or row["Key"] < end)
         ]
         body = {
-            "rows": found[:MAX_ROWS],
-            "HasMore": len(found) > MAX_ROWS,
+            "rows": found[:MAX_ROWS_PER_READ],
+            "HasMore": len(found) > MAX_ROWS_PER_READ,
             "Ver": state.revision,
         }
         return self._answer(http.HTTPStatus.OK, body)
 
     def _feed(self, request: Request) -> Response:
         after = int(request.query.get("After", "0"))
-        wait_s = min(LONGEST_WAIT_S, int(request.query.get("WaitMs", "0")) / 1_000)
-        prefix = request.query["Table"] + BETWEEN
+        wait_s = min(MAX_FEED_WAIT_S, int(request.query.get("WaitMs", "0")) / 1_000)
+        prefix = request.query["Table"] + KEY_SEPARATOR
         until = self._clock() + wait_s
         with self._changed:
             while True:
-                if after < self._store.forgotten:
+                if after < self._store.compacted_version:
                     return refusal(http.HTTPStatus.GONE, "history is gone")
                 page = self._changes(prefix, after)
                 left_s = until - self._clock()
--- a/standins/table_core.py
+++ b/standins/table_core.py
@@ -17,12 +17,12 @@
 
 from bulrushpulley.entities.table import Table
 
-DEFAULT_LIMIT = 1_000
-INDEXED_DEPTH = 2
+DEFAULT_PAGE_LIMIT = 1_000
+MAX_INDEXED_DEPTH = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class At:
+class VersionCondition:
     """Requires a key to stand at `version`; 0 requires it to be absent."""
 
     key: str
@@ -41,7 +41,7 @@
 class Transaction:
     """Writes that take effect together if every condition holds."""
 
-    conditions: tuple[At, ...]
+    conditions: tuple[VersionCondition, ...]
     puts: tuple[Put, ...]
 
 
@@ -62,7 +62,7 @@
 def folders_of(key: str) -> tuple[str, ...]:
     """Return the first prefixes of a key that end with a slash, shortest first."""
     parts = key.split("/")[:-1]
-    depths = range(1, min(len(parts), INDEXED_DEPTH) + 1)
+    depths = range(1, min(len(parts), MAX_INDEXED_DEPTH) + 1)
     return tuple("/".join(parts[:depth]) + "/" for depth in depths)
 
 
@@ -91,12 +91,12 @@
 
     state: TableState
     revision: int
-    failed: tuple[Stored, ...] = ()
+    conflicting_rows: tuple[Stored, ...] = ()
 
     @property
     def committed(self) -> bool:
         """Whether the transaction took effect."""
-        return not self.failed
+        return not self.conflicting_rows
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -108,7 +108,7 @@
     more: bool
 
 
-def _found(state: TableState, key: str) -> Stored:
+def _current_row(state: TableState, key: str) -> Stored:
     row = state.rows.get(key)
     if row is None or row.value is None:
         return Stored(key=key, version=0, value=None)
@@ -117,10 +117,12 @@
 
 def commit(state: TableState, transaction: Transaction) -> CommitResult:
     """Apply a transaction if all of its conditions hold."""
-    found = [(at, _found(state, at.key)) for at in transaction.conditions]
-    failed = tuple(row for at, row in found if row.version != at.version)
-    if failed:
-        return CommitResult(state=state, revision=state.revision, failed=failed)
+    found = [(at, _current_row(state, at.key)) for at in transaction.conditions]
+    conflicting_rows = tuple(row for at, row in found if row.version != at.version)
+    if conflicting_rows:
+        return CommitResult(
+            state=state, revision=state.revision, conflicting_rows=conflicting_rows
+        )
     revision = state.revision + 1
     rows = state.rows
     for put in transaction.puts:
@@ -139,7 +141,7 @@
 
 
 def read(
-    state: TableState, *, prefix: str, since: int = 0, limit: int = DEFAULT_LIMIT
+    state: TableState, *, prefix: str, since: int = 0, limit: int = DEFAULT_PAGE_LIMIT
 ) -> Page:
     """Read the rows under `prefix` with a version above `since`.
 
--- a/standins/table_service.py
+++ b/standins/table_service.py
@@ -16,8 +16,15 @@
 from absl import app, flags
 
 from standins import table_core
-from standins.faults import Faults, Mode, Pace, Switch
-from standins.table_core import At, CommitResult, Put, Stored, TableState, Transaction
+from standins.faults import Faults, Mode, RateLimiter, Switch
+from standins.table_core import (
+    CommitResult,
+    Put,
+    Stored,
+    TableState,
+    Transaction,
+    VersionCondition,
+)
 from standins.web import (
     Request,
     Response,
@@ -48,7 +55,7 @@
 class TransactionForm:
     """A transaction as it is sent."""
 
-    conditions: tuple[At, ...]
+    conditions: tuple[VersionCondition, ...]
     writes: tuple[PutForm, ...]
 
 
@@ -95,9 +102,9 @@
         self._clock = clock
         self._state = TableState.empty()
         self._faults = Faults()
-        self._pace_by_method = {
-            "POST": Pace(per_s=writes_per_s),
-            "GET": Pace(per_s=reads_per_s),
+        self._limiter_by_method = {
+            "POST": RateLimiter(per_s=writes_per_s),
+            "GET": RateLimiter(per_s=reads_per_s),
         }
         self._handler_by_path = {
             ("POST", "/v1/transactions"): self._transact,
@@ -112,20 +119,20 @@
         if handler is None:
             return refusal(http.HTTPStatus.NOT_FOUND, request.path)
         mode = self._faults.mode_at(self._clock())
-        if mode is Mode.DOWN or not self._admitted(request.method):
+        if mode is Mode.DOWN or not self._admit(request.method):
             return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, mode.value)
         response = handler(request)
         lost = self._faults.mode_at(self._clock()) is Mode.LOSE_ANSWERS
         return replace(response, lost=lost)
 
-    def _admitted(self, method: str) -> bool:
+    def _admit(self, method: str) -> bool:
         with self._lock:
             now = self._clock()
-            pace = self._pace_by_method[method]
-            if not pace.accepts(now):
+            limiter = self._limiter_by_method[method]
+            if not limiter.accepts(now):
                 return False
-            self._pace_by_method[method] = pace.reserved(now)
-            starts_at = pace.starts_at(now) + self._faults.delay_at(now)
+            self._limiter_by_method[method] = limiter.reserved(now)
+            starts_at = limiter.starts_at(now) + self._faults.delay_at(now)
         wait_until(starts_at, now)
         return True
 
@@ -149,7 +156,7 @@
             self._state,
             prefix=request.query.get("prefix", ""),
             since=int(request.query.get("since", "0")),
-            limit=int(request.query.get("limit", str(table_core.DEFAULT_LIMIT))),
+            limit=int(request.query.get("limit", str(table_core.DEFAULT_PAGE_LIMIT))),
         )
         rows = [_row_form(row) for row in page.rows]
         body = {"revision": page.revision, "rows": rows, "more": page.more}
@@ -160,7 +167,7 @@
     if result.committed:
         body = {"committed": True, "revision": result.revision}
         return as_json(http.HTTPStatus.OK, body)
-    rows = [_row_form(row) for row in result.failed]
+    rows = [_row_form(row) for row in result.conflicting_rows]
     return as_json(http.HTTPStatus.CONFLICT, {"committed": False, "rows": rows})
 
 
--- a/standins/web.py
+++ b/standins/web.py
@@ -59,7 +59,7 @@
         threading.Event().wait(at - now)
 
 
-def _request(environ: dict[str, Any]) -> Request:
+def _parse_request(environ: dict[str, Any]) -> Request:
     length = int(environ.get("CONTENT_LENGTH") or 0)
     return Request(
         method=environ["REQUEST_METHOD"],
@@ -72,7 +72,7 @@
     )
 
 
-def _answered(handle: Handler, request: Request) -> Response:
+def _answer(handle: Handler, request: Request) -> Response:
     try:
         return handle(request)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -85,7 +85,7 @@
     def application(
         environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
-        response = _answered(handle, _request(environ))
+        response = _answer(handle, _parse_request(environ))
         if response.lost:
             # cheroot closes the connection without an answer on this error.
             raise ConnectionResetError(errno.ECONNRESET, "answer lost")
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -30,7 +30,7 @@
 from standins.worker_core import Renew, Run, Start, WorkerState
 
 FLAGS = flags.FLAGS
-WORKERS_IN_A_RACK = 3
+WORKERS_PER_RACK = 3
 
 
 class Mode(enum.Enum):
@@ -93,7 +93,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Host:
+class SimulatedWorker:
     """A worker's runs and its mode, which lasts until `until`."""
 
     state: WorkerState
@@ -126,7 +126,7 @@
         self._clock = clock
         self._capacity = capacity
         self._failure_domain = failure_domain
-        self._host_by_id: dict[str, Host] = {}
+        self._worker_by_id: dict[str, SimulatedWorker] = {}
         self._change_by_path = {
             "/v1/tasks": self._start,
             "/v1/tasks/stop": self._stop,
@@ -142,27 +142,27 @@
             return refusal(http.HTTPStatus.NOT_FOUND, request.path)
         if path == "/switch":
             return self._switch(worker_id, request)
-        host = self._host(worker_id)
-        mode = host.mode_at(self._clock())
+        worker = self._find_worker(worker_id)
+        mode = worker.mode_at(self._clock())
         if mode is Mode.DOWN:
             return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, "down")
         if mode is Mode.SLOW:
             now = self._clock()
-            wait_until(now + host.switch.delay_s, now)
+            wait_until(now + worker.switch.delay_s, now)
         response = self._answer(worker_id, path, request)
         return replace(response, lost=mode is Mode.LOSE_ANSWERS)
 
-    def _host(self, worker_id: str) -> Host:
-        known = self._host_by_id.get(worker_id)
-        return known or Host(state=WorkerState.empty())
+    def _find_worker(self, worker_id: str) -> SimulatedWorker:
+        known = self._worker_by_id.get(worker_id)
+        return known or SimulatedWorker(state=WorkerState.empty())
 
     def _switch(self, worker_id: str, request: Request) -> Response:
         switch = _decode_switch(request.body)
         with self._lock:
             now = self._clock()
             until = now + switch.seconds if switch.seconds else float("inf")
-            host = replace(self._host(worker_id), switch=switch, until=until)
-            self._host_by_id[worker_id] = host
+            worker = replace(self._find_worker(worker_id), switch=switch, until=until)
+            self._worker_by_id[worker_id] = worker
         return as_json(http.HTTPStatus.OK, {"mode": switch.mode.value})
 
     def _answer(self, worker_id: str, path: str, request: Request) -> Response:
@@ -173,11 +173,11 @@
             return refusal(http.HTTPStatus.NOT_FOUND, request.path)
         with self._lock:
             now = self._clock()
-            host = self._host(worker_id)
-            failing = host.mode_at(now) is Mode.FAIL_ALL
-            state = replace(host.state, fail_all=failing)
+            worker = self._find_worker(worker_id)
+            failing = worker.mode_at(now) is Mode.FAIL_ALL
+            state = replace(worker.state, fail_all=failing)
             state = worker_core.advance(change(state, request.body, now), now)
-            self._host_by_id[worker_id] = replace(host, state=state)
+            self._worker_by_id[worker_id] = replace(worker, state=state)
         if path == "/v1/report":
             return as_json(http.HTTPStatus.OK, _report(state, now))
         return as_json(http.HTTPStatus.OK, {})
@@ -190,7 +190,7 @@
             "processors_m": capacity.processors_m,
             "memory_mb": capacity.memory_mb,
             "accelerators": capacity.accelerators,
-            "rack": f"rack-{number // WORKERS_IN_A_RACK}",
+            "rack": f"rack-{number // WORKERS_PER_RACK}",
             "failure_domain": self._failure_domain,
         }
         return as_json(http.HTTPStatus.OK, body)
@@ -202,7 +202,7 @@
             memory_mb=form.memory_mb,
             accelerators=form.accelerators,
         )
-        told = Start(
+        order = Start(
             task_id=form.task_id,
             generation=form.generation,
             lease_s=form.lease_s,
@@ -211,7 +211,7 @@
             checkpoint=form.checkpoint,
             task_class=form.task_class,
         )
-        return worker_core.start(state, told, now)
+        return worker_core.start(state, order, now)
 
     def _stop(self, state: WorkerState, body: bytes, now: float) -> WorkerState:
         form = _decode_stop(body)
@@ -232,7 +232,10 @@
 def _report(state: WorkerState, now: float) -> dict[str, object]:
     return {
         "tasks": [_run_form(run) for run in state.runs.rows()],
-        "usage": [_usage_form(state, run, now) for run in worker_core.used(state, now)],
+        "usage": [
+            _usage_form(state, run, now)
+            for run in worker_core.runs_with_usage(state, now)
+        ],
     }
 
 
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -15,9 +15,9 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.table import Table
 
-FAILS_AFTER_S = 0.2
+FAILURE_DELAY_S = 0.2
 USAGE_LAG_S = 10.0
-LOADS_KEPT_S = 2 * USAGE_LAG_S
+LOAD_RETENTION_S = 2 * USAGE_LAG_S
 LATENCY_ALONE_MS = 100.0
 HARMFUL_ONE_IN = 4
 HARM_MS = 80.0
@@ -56,9 +56,9 @@
 
     start: Start
     state: RunState
-    began_at: float
+    started_at: float
     done_s: float
-    counted_at: float
+    progress_updated_at: float
     leased_until: float
     share: float = 1.0
     fails_at: float = float("inf")
@@ -108,23 +108,23 @@
         return WorkerState(runs=Table.empty(indexes={"task": by_task}))
 
 
-def start(state: WorkerState, told: Start, now: float) -> WorkerState:
+def start(state: WorkerState, order: Start, now: float) -> WorkerState:
     """Start a run, whatever runs already."""
-    done_s = float(told.checkpoint or 0.0)
+    done_s = float(order.checkpoint or 0.0)
     run = Run(
-        start=told,
+        start=order,
         state=RunState.RUNNING,
-        began_at=now,
+        started_at=now,
         done_s=done_s,
-        counted_at=now,
-        leased_until=now + told.lease_s,
-        fails_at=now + FAILS_AFTER_S if state.fail_all else float("inf"),
-        checkpoint=told.checkpoint,
+        progress_updated_at=now,
+        leased_until=now + order.lease_s,
+        fails_at=now + FAILURE_DELAY_S if state.fail_all else float("inf"),
+        checkpoint=order.checkpoint,
     )
     number = state.started + 1
     key = f"{number:08d}"
     started = replace(state, started=number, runs=state.runs.put(key, run))
-    return _noted(started, now)
+    return _with_load_recorded(started, now)
 
 
 def advance(state: WorkerState, now: float) -> WorkerState:
@@ -134,17 +134,17 @@
         run = runs.by_key[key]
         if run.state is RunState.RUNNING:
             runs = runs.put(key, _advanced(run, now))
-    return _noted(replace(state, runs=runs), now)
+    return _with_load_recorded(replace(state, runs=runs), now)
 
 
-def _noted(state: WorkerState, now: float) -> WorkerState:
+def _with_load_recorded(state: WorkerState, now: float) -> WorkerState:
     """Keep the sum of harm for the usage reports, which lag."""
     harm_ms = sum(
         harm_of(state, run.start.task_id) * run.share
         for run in state.runs.rows()
         if run.state is RunState.RUNNING and run.start.task_class == "batch"
     )
-    loads = tuple(load for load in state.loads if now - load.at <= LOADS_KEPT_S)
+    loads = tuple(load for load in state.loads if now - load.at <= LOAD_RETENTION_S)
     if not loads and state.loads:
         loads = state.loads[-1:]
     if not loads or loads[-1].harm_ms != harm_ms:
@@ -170,8 +170,8 @@
 
 def _advanced(run: Run, now: float) -> Run:
     until = min(now, run.leased_until, run.fails_at)
-    done_s = run.done_s + run.share * max(0.0, until - run.counted_at)
-    worked = replace(run, done_s=done_s, counted_at=now)
+    done_s = run.done_s + run.share * max(0.0, until - run.progress_updated_at)
+    worked = replace(run, done_s=done_s, progress_updated_at=now)
     if run.start.run_s and done_s >= run.start.run_s:
         return replace(worked, state=RunState.FINISHED)
     if run.fails_at <= min(now, run.leased_until):
@@ -209,7 +209,7 @@
             runs = runs.put(key, stopped)
         elif not checkpoint:
             runs = runs.drop(key)
-    return _noted(replace(state, runs=runs), now)
+    return _with_load_recorded(replace(state, runs=runs), now)
 
 
 def throttle(
@@ -220,15 +220,15 @@
     runs = state.runs
     for key in list(runs.keys_where("task", f"{task_id}|{generation}")):
         runs = runs.put(key, replace(runs.by_key[key], share=share))
-    return _noted(replace(state, runs=runs), now)
+    return _with_load_recorded(replace(state, runs=runs), now)
 
 
-def used(state: WorkerState, now: float) -> tuple[Run, ...]:
+def runs_with_usage(state: WorkerState, now: float) -> tuple[Run, ...]:
     """Return the runs whose usage is known by now: it lags by `USAGE_LAG_S`."""
     return tuple(
         run
         for run in state.runs.rows()
-        if run.state is RunState.RUNNING and now - run.began_at >= USAGE_LAG_S
+        if run.state is RunState.RUNNING and now - run.started_at >= USAGE_LAG_S
     )
 
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -74,7 +74,7 @@
 from bulrushpulley.roles import cell_owner
 from bulrushpulley.wire.rows import decode_row, encode_row
 from standins import table_core, worker_core
-from standins.table_core import At, Put, TableState, Transaction
+from standins.table_core import Put, TableState, Transaction, VersionCondition
 from standins.worker_core import Renew, Start, WorkerState
 from test.virtual_world import Path, Seat, VirtualWorld
 
@@ -339,7 +339,8 @@
             for w in submission.writes
         )
         conditions = tuple(
-            At(key=c.key, version=c.version) for c in submission.conditions
+            VersionCondition(key=c.key, version=c.version)
+            for c in submission.conditions
         )
         result = table_core.commit(
             self.store, Transaction(conditions=conditions, puts=puts)
@@ -351,7 +352,7 @@
             if self.lose_commit(submission):
                 return Unsettled(submission_id=key, reason="answer lost")
             return Committed(submission_id=key, revision=result.revision)
-        rows = tuple(self._versioned(row) for row in result.failed)
+        rows = tuple(self._versioned(row) for row in result.conflicting_rows)
         own = [row.version for row in rows if row.token == key]
         if own:
             return Committed(submission_id=key, revision=own[0])
@@ -518,7 +519,7 @@
                 latency_ms=worker_core.latency_ms(state, run, at)
                 * self.latency_noise(at),
             )
-            for run in worker_core.used(state, now)
+            for run in worker_core.runs_with_usage(state, now)
         )
 
     @_handle_command.register
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -40,7 +40,7 @@
 from bulrushpulley.roles.committer import build
 from bulrushpulley.wire.rows import decode_row, encode_row
 from standins import table_core
-from standins.table_core import At, Put, Stored, TableState
+from standins.table_core import Put, Stored, TableState, VersionCondition
 
 TICK_INTERVAL_S = 0.2
 ANSWER_DELAY_S = 0.004
@@ -263,17 +263,23 @@
         fence = command.fence
         fence_put = Put(key=fence.key, value=command.transaction_id.encode())
         puts = [encode_put(put.key, put.row, put.token) for put in command.writes]
-        conditions = [At(key=at.key, version=at.version) for at in command.conditions]
+        conditions = [
+            VersionCondition(key=at.key, version=at.version)
+            for at in command.conditions
+        ]
         result = table_core.commit(
             self.store,
             table_core.Transaction(
-                conditions=(At(key=fence.key, version=fence.version), *conditions),
+                conditions=(
+                    VersionCondition(key=fence.key, version=fence.version),
+                    *conditions,
+                ),
                 puts=(fence_put, *puts),
             ),
         )
         self.store = result.state
         if not result.committed:
-            return conflict(command, result.failed)
+            return conflict(command, result.conflicting_rows)
         self._check_key_conflicts(command)
         for token in dict.fromkeys(put.token for put in command.writes):
             self.commits_of[token].append(result.revision)
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -44,7 +44,15 @@
 from bulrushpulley.roles import controller
 from bulrushpulley.roles.actor import Role
 from bulrushpulley.wire.rows import decode_row, encode_row
-from standins.table_core import At, Put, Stored, TableState, Transaction, commit, read
+from standins.table_core import (
+    Put,
+    Stored,
+    TableState,
+    Transaction,
+    VersionCondition,
+    commit,
+    read,
+)
 
 T = TypeVar("T")
 STEP_S = 0.1
@@ -191,7 +199,8 @@
     token = submission.submission_id
     transaction = Transaction(
         conditions=tuple(
-            At(key=one.key, version=one.version) for one in submission.conditions
+            VersionCondition(key=one.key, version=one.version)
+            for one in submission.conditions
         ),
         puts=tuple(
             Put(
@@ -203,7 +212,7 @@
     )
     result = commit(bench.state, transaction)
     bench.state = result.state
-    rows = tuple(versioned(row) for row in result.failed)
+    rows = tuple(versioned(row) for row in result.conflicting_rows)
     if bench.mode == "lose_answers":
         outcome = Unsettled(submission_id=token, reason="answer lost")
     elif result.committed:
--- a/test/jobs_matrix.py
+++ b/test/jobs_matrix.py
@@ -179,7 +179,7 @@
     running = [
         order.order.task_id
         for executor in world.executor_by_host.values()
-        for order in executor.working.values()
+        for order in executor.run_by_key.values()
     ]
     stored = world.store.row_by_key
     if any(key.key == f"{cancelled}.cancel" for key in stored) and running:
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -206,8 +206,8 @@
         self.executor_by_host[name] = FakeExecutor(
             host=name,
             capacity=CAPACITY,
-            watch=self._on_executor_event,
-            born_at=self.now,
+            listener=self._on_executor_event,
+            incarnation_started_at=self.now,
         )
         self.machines.add(name)
         self.start_agent(name)
@@ -601,7 +601,7 @@
         others = [
             other.host
             for other in self.executor_by_host.values()
-            for working in other.working.values()
+            for working in other.run_by_key.values()
             if other is not executor and working.order.task_id == run.task_id
         ]
         if others:
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -46,7 +46,7 @@
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.wire.rows import encode_row
 from standins import table_core, worker_core
-from standins.table_core import At, Put, Stored, Transaction
+from standins.table_core import Put, Stored, Transaction, VersionCondition
 from standins.worker_core import Renew, Start
 from test.cell_bench import runs_of
 from test.control_bench import versioned
@@ -194,8 +194,10 @@
         "transaction_id": command.transaction_id,
     }
     fence = command.fence
-    conditions = [At(key=c.key, version=c.version) for c in command.conditions]
-    conditions.append(At(key=fence.key, version=fence.version))
+    conditions = [
+        VersionCondition(key=c.key, version=c.version) for c in command.conditions
+    ]
+    conditions.append(VersionCondition(key=fence.key, version=fence.version))
     puts = [Put(key=fence.key, value=command.transaction_id.encode())]
     for write in command.writes:
         value = None if write.row is None else encode_row(write.row, write.token)
@@ -206,8 +208,8 @@
         check_commit(command, site)
         site.store = result.state
         return TransactionCommitted(**ids, revision=result.revision)
-    rows = [row for row in result.failed if row.key != fence.key]
-    stood = [row for row in result.failed if row.key == fence.key]
+    rows = [row for row in result.conflicting_rows if row.key != fence.key]
+    stood = [row for row in result.conflicting_rows if row.key == fence.key]
     return TransactionConflicted(
         **ids,
         rows=tuple(versioned(row) for row in rows),
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -274,7 +274,7 @@
         usage = functools.partial(RunUsage, processors_m=1, memory_mb=1)
         bench.usages_of = lambda state: tuple(  # type: ignore[method-assign]
             usage(task_id=run.start.task_id, generation=run.start.generation)
-            for run in worker_core.used(state, bench.world.now)
+            for run in worker_core.runs_with_usage(state, bench.world.now)
         )
         bench.run(40.0)
         self.assertIn("record/job/lean", bench.tables("a").job_usages)
--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -135,7 +135,7 @@
             )
             self.assertIsInstance(self.client.throttle(command), outcome)
             self.clock.now += 2.0
-            (run,) = self.workers._host("w1").state.runs.rows()
+            (run,) = self.workers._find_worker("w1").state.runs.rows()
             self.assertEqual(share, run.share)
             self.clock.now -= 2.0
 
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -23,7 +23,7 @@
 )
 from bulrushpulley.platform.backend_server import BackendServerClient
 from standins.backend_server import BackendServer
-from standins.caller import Caller, Target, make_all
+from standins.caller import Caller, Target, make_calls
 from standins.caller_core import Outcome, outcome_of, plan, tally
 from standins.web import make_server
 
@@ -125,7 +125,7 @@
             max_tries=2,
             body_bytes=10,
         )
-        report = tally(make_all(Caller(target=target), calls, 8), {"t-0": 2})
+        report = tally(make_calls(Caller(target=target), calls, 8), {"t-0": 2})
         self.assertEqual(len(calls), report.unknown)
         self.assertEqual(len(calls) - 1, report.lost)
 
--- a/test/test_jobs_cases.py
+++ b/test/test_jobs_cases.py
@@ -97,7 +97,7 @@
 
     def _running(self, world: JobsWorld) -> dict[str, Any]:
         return {
-            name: str(len(executor.working))
+            name: str(len(executor.run_by_key))
             for name, executor in world.executor_by_host.items()
-            if executor.working
+            if executor.run_by_key
         }
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -73,7 +73,7 @@
             world.submit(number, step(1), payload="3.0", entry="entry-1")
         world.run_until(lambda: world.owner() == "entry-1", 6.0)
         world.run(1.0)
-        counts = [len(host.working) for host in world.executor_by_host.values()]
+        counts = [len(host.run_by_key) for host in world.executor_by_host.values()]
         self.assertEqual([2, 2, 2], sorted(counts))
 
 
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -101,7 +101,7 @@
         )
         world.tell(world.process_by_name["entry-1"], "intake", call)
         world.run(1.0)
-        self.assertEqual({}, world.executor_by_host["z0-0"].working)
+        self.assertEqual({}, world.executor_by_host["z0-0"].run_by_key)
         self.assertEqual(JobState.CANCELLED, world.state_of(job))
         world.submit(2, step(4))
         world.run(3.0)
@@ -152,7 +152,7 @@
         world.run(2.0)
         world.submit(1, step(3, per_host_limit=1), payload="9.0")
         world.run(1.0)
-        counts = [len(host.working) for host in world.executor_by_host.values()]
+        counts = [len(host.run_by_key) for host in world.executor_by_host.values()]
         self.assertEqual([1, 1, 1], counts)
 
     def test_occurrences_start_when_they_are_due(self) -> None:
@@ -190,7 +190,7 @@
         world = JobsWorld()
         world.configure(replace(QUEUE, advice=terms))
         for executor in world.executor_by_host.values():
-            executor.wants_ticket = True
+            executor.requires_ticket = True
         world.run(2.0)
         return world
 
@@ -199,7 +199,7 @@
         world.disallowed.add(world.executor_by_host["z0-0"].server_id)
         world.submit(1, *CHAIN)
         self.assertTrue(world.run_until(world.all_complete, 8.0))
-        self.assertEqual({}, world.executor_by_host["z0-0"].barred)
+        self.assertEqual({}, world.executor_by_host["z0-0"].barred_run_by_task)
         self.assertEqual([], world.violations)
 
     def test_advice_that_has_run_out_is_asked_for_again(self) -> None:
@@ -226,13 +226,13 @@
         for number in range(6):
             world.submit(number, step(2))
         world.run(4.0)
-        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred))
+        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred_run_by_task))
         world.evacuate("z0", back=True)
         world.run(1.0)
         for number in range(6, 12):
             world.submit(number, step(2))
         self.assertTrue(world.run_until(world.all_complete, 10.0))
-        self.assertNotEqual(0, len(world.executor_by_host["z0-0"].barred))
+        self.assertNotEqual(0, len(world.executor_by_host["z0-0"].barred_run_by_task))
 
     def test_a_leaving_backend_server_gets_nothing_and_its_work_moves(self) -> None:
         world = JobsWorld()
@@ -242,8 +242,8 @@
         leaving = world.executor_by_host["z0-0"]
         leaving.draining = True
         world.run(3.0)
-        self.assertEqual({}, leaving.working)
-        running = sum(len(host.working) for host in world.executor_by_host.values())
+        self.assertEqual({}, leaving.run_by_key)
+        running = sum(len(host.run_by_key) for host in world.executor_by_host.values())
         self.assertEqual(8, running)
         self.assertEqual([], world.violations)
 
@@ -268,7 +268,7 @@
         for number in range(6):
             world.submit(number, step(2))
         world.run(4.0)
-        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred))
+        self.assertEqual(0, len(world.executor_by_host["z0-0"].barred_run_by_task))
 
 
 class CondensedRowsTest(testtools.TestCase):
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -14,7 +14,7 @@
 import urllib3
 
 from scripts.fleet import HOST, Fleet, ask, make_layout
-from standins.caller import Caller, Target, count_runs, make_all
+from standins.caller import Caller, Target, count_runs, make_calls
 from standins.caller_core import Report, plan, tally
 
 SERVICE = "oven-conductor"
@@ -80,7 +80,7 @@
         calls = plan(
             rate=30.0, seconds=seconds, repeatable_share=0.3, seed=7, name="load"
         )
-        ended = make_all(Caller(target=target), calls, 128)
+        ended = make_calls(Caller(target=target), calls, 128)
         return tally(ended, count_runs(fleet.layout.backend_urls))
 
     def test_a_port_in_use_ends_the_start_with_its_step(self) -> None:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,22 +12,22 @@
 from pyrsistent import pmap
 
 from scripts.fleet import ROOT
-from soak.picture import draw_picture
-from soak.plan import JobPlan, Kill, draw, draw_jobs
-from soak.promises import (
+from soak.invariants import (
     Answered,
     Cancelled,
     Ended,
     Evacuated,
     Noted,
+    Observation,
     ServerGone,
     Shown,
-    Sight,
     Started,
     Tables,
-    judge,
+    check_observation,
     unfinished,
 )
+from soak.picture import draw_picture
+from soak.plan import JobPlan, Kill, draw, draw_jobs
 from soak.site import make_names
 
 JOB = JobPlan(
@@ -53,29 +53,29 @@
     return Shown(at=at, job_id=JOB.job_id, state=state)
 
 
-def answered(what: str, at: float = 0.5) -> Answered:
+def answered(answer: str, at: float = 0.5) -> Answered:
     """Return the last answer to a submission."""
-    return Answered(at=at, job_id=JOB.job_id, what=what, final=True)
+    return Answered(at=at, job_id=JOB.job_id, answer=answer, final=True)
 
 
 DONE = Noted(at=2.5, task=FIRST, how="done")
-OUT = Evacuated(at=1.0, failure_domain="z1")
+EVACUATED = Evacuated(at=1.0, failure_domain="z1")
 CANCELLED = Cancelled(at=1.0, job_id=JOB.job_id)
 # What breaks each promise, and what looks like it and does not.
-BROKEN_BY_PROMISE: Mapping[str, tuple[Sight, ...]] = {
+OBSERVATIONS_BY_VIOLATION: Mapping[str, tuple[Observation, ...]] = {
     "unasked": (started("5c0e.0.0.2"),),
     "twice": (started(FIRST), started(FIRST, host="host-1", run=2)),
     "again": (started(FIRST), ended(FIRST), DONE, started(FIRST, at=3.0, run=2)),
     "order": (started(FIRST), ended(FIRST), started(LAST)),
     "refused": (answered("refused"), started(FIRST)),
     "cancelled": (CANCELLED, started(FIRST, at=4.5)),
-    "evacuated": (OUT, started(FIRST, at=6.5)),
+    "evacuated": (EVACUATED, started(FIRST, at=6.5)),
     "capacity": (started(FIRST), started(SECOND)),
     "complete": (started(FIRST), ended(FIRST), shown("completed")),
     "lost": (answered("accepted"), shown("gone")),
     "failed": (answered("accepted"), shown("failed")),
 }
-KEPT: Mapping[str, tuple[Sight, ...]] = {
+NO_VIOLATION_CASES: Mapping[str, tuple[Observation, ...]] = {
     "a run after a crash": (
         started(FIRST),
         ServerGone(at=1.5, host="host-0"),
@@ -93,39 +93,39 @@
     ),
     "a start right after a cancellation": (CANCELLED, started(FIRST, at=2.0)),
     "a start after the return of a failure domain": (
-        OUT,
-        Evacuated(at=6.0, failure_domain="z1", back=True),
+        EVACUATED,
+        Evacuated(at=6.0, failure_domain="z1", returned=True),
         started(FIRST, at=6.5),
     ),
 }
 
 
-def judged(*sights: Sight) -> Tables:
+def check_all(*observations: Observation) -> Tables:
     """Judge some sights in a time without faults."""
     tables = Tables(
         job_by_id=pmap({JOB.job_id: JOB}), capacity_m=4_000, calm=(0.0, 60.0)
     )
-    for sight in sights:
-        tables = judge(sight, tables)
+    for observation in observations:
+        tables = check_observation(observation, tables)
     return tables
 
 
 class PromisesTest(testtools.TestCase):
     def test_each_promise_is_seen_broken(self) -> None:
-        for promise, sights in BROKEN_BY_PROMISE.items():
-            with self.subTest(promise):
-                broken = judged(*sights).broken
-                self.assertEqual([promise], [line.split()[0] for line in broken])
+        for invariant, observations in OBSERVATIONS_BY_VIOLATION.items():
+            with self.subTest(invariant):
+                violations = check_all(*observations).violations
+                self.assertEqual([invariant], [line.split()[0] for line in violations])
 
     def test_what_only_looks_broken_is_kept(self) -> None:
-        for name, sights in KEPT.items():
+        for name, observations in NO_VIOLATION_CASES.items():
             with self.subTest(name):
-                self.assertEqual((), judged(*sights).broken)
+                self.assertEqual((), check_all(*observations).violations)
 
     def test_an_accepted_job_without_an_end_is_unfinished(self) -> None:
-        tables = judged(answered("accepted"), shown("running"))
+        tables = check_all(answered("accepted"), shown("running"))
         self.assertEqual((JOB.job_id,), unfinished(tables))
-        over = judge(shown("failed"), replace(tables, broken=()))
+        over = check_observation(shown("failed"), replace(tables, violations=()))
         self.assertEqual((), unfinished(over))
 
 
@@ -149,8 +149,10 @@
 
 class PictureTest(testtools.TestCase):
     def test_each_stretch_shows_what_happened_in_it(self) -> None:
-        sights = (answered("accepted"), started(FIRST), started(SECOND, at=3.0))
-        lines = draw_picture(0.0, sights, (Kill(at=2.5, name="entry-0", for_s=1.0),))
+        observations = (answered("accepted"), started(FIRST), started(SECOND, at=3.0))
+        lines = draw_picture(
+            0.0, observations, (Kill(at=2.5, name="entry-0", duration_s=1.0),)
+        )
         self.assertEqual(
             [
                 "     0 s   1 acc   0 ref   1",
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -27,7 +27,7 @@
 from bulrushpulley.platform.object_store import ObjectStoreClient
 from bulrushpulley.platform.table_service import TableServiceClient
 from bulrushpulley.roles.committer_io import read_rows, transact
-from standins.faults import LONGEST_QUEUE_S, Faults, Mode, Pace, Switch
+from standins.faults import MAX_QUEUE_WAIT_S, Faults, Mode, RateLimiter, Switch
 from standins.object_store import ObjectStore
 from standins.table_service import TableService
 from standins.web import Handler, make_server
@@ -179,10 +179,10 @@
         self.assertEqual(Mode.UP, down.mode_at(15.0))
 
     def test_pace_bounds_the_rate_and_the_queue(self) -> None:
-        pace = Pace(per_s=100.0)
+        pace = RateLimiter(per_s=100.0)
         accepted = 0
         while pace.accepts(0.0):
             pace = pace.reserved(0.0)
             accepted += 1
-        self.assertAlmostEqual(100 * LONGEST_QUEUE_S, accepted, delta=2)
+        self.assertAlmostEqual(100 * MAX_QUEUE_WAIT_S, accepted, delta=2)
         self.assertTrue(pace.accepts(1.0))
