Reword the texts of the platform's clients and fronts

Docstrings, comments and error details spoke of a server's word on itself, of answers that make no sense, of whole answers and of calls that leave. They now say what is decoded, sent or rejected in the usual terms. Details of invalid fields name what is expected, and the three errors of an answer's body name the missing length, the size limit and the deadline. Tests are named after the behaviour that they check.

--- a/bulrushpulley/platform/advice.py
+++ b/bulrushpulley/platform/advice.py
@@ -1,4 +1,4 @@
-"""The client of the service that knows which backend servers may run a step."""
+"""The client of the advice service, which knows which servers may run a step."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class AdviceClient:
-    """Asks for advice; each call blocks up to its timeout."""
+    """Requests advice; each call blocks up to its timeout."""
 
     def __init__(self, *, address: str) -> None:
         self._http = HttpClient(
@@ -29,8 +29,8 @@
         )
 
     def request_advice(self, command: RequestAdvice) -> Event:
-        """Ask about one step."""
-        # The servers are named "workers" in the call.
+        """Request the backend servers that may run a step, with their tickets."""
+        # "Workers" are backend servers here.
         body = {"StepId": command.step_key, "Workers": list(command.server_ids)}
         try:
             answer = self._http.exchange(
@@ -47,7 +47,9 @@
             # A row is [server id, ticket].
             rows = items(raw, "Approved", STEP)
             if not all(isinstance(row, list) and len(row) > 1 for row in rows):
-                raise field_error(STEP, "Approved", "must have rows of two")
+                raise field_error(
+                    STEP, "Approved", "must be a list of [server id, ticket] rows"
+                )
         except BulrushpulleyError as error:
             return AdviceFailed(step_key=command.step_key, reason=str(error))
         ticket_by_server = {str(row[0]): str(row[1]) for row in rows}
--- a/bulrushpulley/platform/agent_front.py
+++ b/bulrushpulley/platform/agent_front.py
@@ -1,4 +1,4 @@
-"""The announcements of the backend server beside an agent, and its metrics."""
+"""The HTTP front of an agent: announcements of its backend server, and metrics."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class AgentFront:
-    """Hands announcements to the keeper; a malformed one names no backend server."""
+    """Passes announcements to the job agent; reports and rejects malformed ones."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         self._metrics_text = metrics_text
 
     def handle(self, request: HttpRequest) -> HttpReply:
-        """Take one announcement, or answer with the metrics page."""
+        """Handle an announcement, a withdrawal or a request for the metrics page."""
         announce_match = ANNOUNCE_PATH.fullmatch(request.path)
         if announce_match is not None:
             return self._announce(announce_match.group(1), request.body)
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -1,8 +1,9 @@
 """The HTTP client of a backend server.
 
-Every call has a deadline. A refused connection means that surely nothing was sent;
-any later failure means that the request may have run. A body that is shorter than
-its Content-Length, or that has no stated end, is never taken for an answer.
+Every call has a deadline. A connection that could not be established means that
+nothing was sent; after any later failure the request may have run. A body that is
+shorter than its Content-Length, or that has neither a Content-Length nor chunked
+encoding, is an error.
 """
 
 from __future__ import annotations
@@ -44,7 +45,7 @@
         )
 
     def run(self, command: RunOnBackend) -> BackendAnswered | BackendFailed:
-        """Run one request and return its whole answer or how it failed."""
+        """Run one request and return its complete answer or the failure."""
         deadline = time.monotonic() + command.within_s
         try:
             response = self._post(command)
@@ -63,7 +64,7 @@
         )
 
     def check(self) -> HealthChecked:
-        """Ask the backend server for its health."""
+        """Check the health of the backend server."""
         try:
             response = self._pool.request(
                 "GET", f"{self._url}/v1/health", timeout=HEALTH_TIMEOUT_S
@@ -107,7 +108,7 @@
 
 @singledispatch
 def may_have_sent(error: Exception) -> bool:
-    """Tell whether a byte of the request may have left before the error."""
+    """Return whether any part of the request may have been sent before the error."""
     return True
 
 
--- a/bulrushpulley/platform/errors.py
+++ b/bulrushpulley/platform/errors.py
@@ -1,4 +1,4 @@
-"""How calls to the platform fail: surely without effect, or with an unknown one."""
+"""The errors of calls to the platform, by whether the call may have had effect."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class BusyError(RefusedError):
-    """The service has too much to do at the moment."""
+    """The service is overloaded; the request has no effect."""
 
 
 class NoListenerError(RefusedError):
@@ -18,8 +18,8 @@
 
 
 class RejectedError(BulrushpulleyError):
-    """The service does not take such a request; it has no effect, repeated or not."""
+    """The service rejects the request; it has no effect, even if it is repeated."""
 
 
 class AnswerLostError(BulrushpulleyError):
-    """No whole answer came; the request may have had effect or may yet have it."""
+    """No complete answer arrived; the request may still take effect or have done so."""
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -1,4 +1,4 @@
-"""The client of the backend server beside an agent, and its announcements."""
+"""The client of the backend server on an agent's host, and its announcements."""
 
 from __future__ import annotations
 
@@ -45,8 +45,8 @@
 from bulrushpulley.platform.job_bodies import decode_resources
 
 STEP = "executor.decode"
-# Only the agent beside it calls a backend server, and the ways in which its runs are
-# numbered keep an order that comes late from doing harm, so one token serves always.
+# A constant token is enough: only the agent on the same host calls a backend server,
+# and the run numbers make orders that arrive late harmless.
 FENCING_TOKEN = 1
 EXECUTOR_CONNECTIONS = 10
 DRAINING = "draining"
@@ -202,9 +202,9 @@
 
 
 def _decode_status(row: Any) -> RunStatus:
-    # A row is [task, run, checkpoint, percent, measure]; the last one may be missing.
+    # A row is [task, run, checkpoint, percent, measure]; the measure may be missing.
     if not isinstance(row, list) or len(row) < 4:
-        raise field_error(STEP, "Running", "must have rows of four or five")
+        raise field_error(STEP, "Running", "must be a list of rows of 4 or 5 values")
     measure = row[4] if len(row) > 4 and isinstance(row[4], (int, float)) else 0
     return RunStatus(
         task_id=str(row[0]),
@@ -216,9 +216,9 @@
 
 
 def _decode_end(row: Any) -> RunEnd:
-    # A row is [number, task, run, how, checkpoint].
+    # A row is [number, task, run, how, checkpoint]; the checkpoint may be missing.
     if not isinstance(row, list) or len(row) < 4:
-        raise field_error(STEP, "Finished", "must have rows of four or five")
+        raise field_error(STEP, "Finished", "must be a list of rows of 4 or 5 values")
     return RunEnd(
         number=int(row[0]),
         task_id=str(row[1]),
@@ -229,17 +229,20 @@
 
 
 def decode_announcement(server_id: str, body: bytes) -> Announced:
-    """Return a backend server's word on itself; raises `BulrushpulleyError`."""
+    """Decode the announcement of a backend server.
+
+    Raises `BulrushpulleyError` if it is malformed.
+    """
     step = "announce.decode"
     raw = decode_object(body, step)
     state = text(raw, "State", step)
     if state not in (READY, DRAINING):
-        raise field_error(step, "State", f"{state!r} is no state that is known")
+        raise field_error(step, "State", f"unknown state {state!r}")
     if not text(raw, "Addr", step) or not text(raw, "Service", step):
-        raise field_error(step, "Addr", "and Service must not be empty")
+        raise field_error(step, "Addr", "Addr and Service must not be empty")
     return Announced(
         server_id=server_id,
-        # The time since 1970 at which this life began.
+        # When this incarnation started, in milliseconds since 1970.
         started_at_ms=integer(raw, "born", step),
         sequence=integer(raw, "Seq", step),
         service=text(raw, "Service", step),
--- a/bulrushpulley/platform/fields.py
+++ b/bulrushpulley/platform/fields.py
@@ -1,6 +1,6 @@
-"""Reads fields of decoded bodies, and says which one makes no sense.
+"""Readers of the fields of decoded JSON bodies; errors name the invalid field.
 
-Absent fields have the platform's defaults: zero, false or empty.
+Absent and null fields have the platform's defaults: zero, false or empty.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 def field_error(step: str, field: str, detail: str) -> BulrushpulleyError:
-    """Return the error of a field that makes no sense."""
+    """Return the error for an invalid field."""
     problem = Problem(
         code=Code.INVALID, step=step, peer="body", detail=detail, field=field
     )
@@ -25,7 +25,7 @@
 
 
 def decode_object(data: bytes, step: str) -> Fields:
-    """Return the object that some bytes hold in JSON."""
+    """Decode JSON that must be an object."""
     try:
         value = msgspec.json.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -34,7 +34,7 @@
 
 
 def check_object(value: object, step: str, field: str) -> Fields:
-    """Return a value that must be an object."""
+    """Return `value`, which must be a JSON object."""
     if not isinstance(value, dict):
         raise field_error(step, field, "must be an object")
     return value
@@ -66,7 +66,7 @@
 
 
 def number(raw: Fields, name: str, step: str) -> float:
-    """Return a field that must be a number that is not negative."""
+    """Return a field that must be a non-negative number."""
     value = raw.get(name, 0)
     if value is None:
         return 0.0
@@ -78,7 +78,7 @@
 
 
 def integer(raw: Fields, name: str, step: str) -> int:
-    """Return a field that must be a whole number that is not negative."""
+    """Return a field that must be a non-negative integer."""
     value = number(raw, name, step)
     if value != int(value):
         raise field_error(step, name, "must be a whole number")
--- a/bulrushpulley/platform/http_body.py
+++ b/bulrushpulley/platform/http_body.py
@@ -1,4 +1,4 @@
-"""Reads the body of an HTTP answer whole, within a size and a deadline."""
+"""Reads the complete body of an HTTP answer, up to a size limit and a deadline."""
 
 from __future__ import annotations
 
@@ -24,11 +24,11 @@
 ) -> bytes:
     """Read a body of at most `limit` bytes to its end, before `deadline`.
 
-    A body that is shorter than its Content-Length is an error of urllib3. One
-    that ends only with its connection may have been cut short, and is refused.
+    urllib3 raises an error if the body is shorter than its Content-Length. A body
+    that ends only when the connection closes is an error, since it may be truncated.
     """
     if not is_delimited(response):
-        detail = "the body has no stated end"
+        detail = "the body has neither Content-Length nor chunked encoding"
         raise _error(Code.OUTCOME_UNKNOWN, step, peer, detail)
     chunks: list[bytes] = []
     size = 0
@@ -36,14 +36,18 @@
         chunks.append(chunk)
         size += len(chunk)
         if size > limit:
-            raise _error(Code.TOO_LARGE, step, peer, f"over {limit} bytes")
+            raise _error(
+                Code.TOO_LARGE, step, peer, f"the body is larger than {limit} bytes"
+            )
         if clock() > deadline:
-            raise _error(Code.DEADLINE, step, peer, "the body did not end in time")
+            raise _error(
+                Code.DEADLINE, step, peer, "the body was not complete by the deadline"
+            )
     return b"".join(chunks)
 
 
 def is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
-    """Tell whether the head of an answer says where its body ends."""
+    """Return whether the headers of an answer determine where its body ends."""
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     has_length = "Content-Length" in response.headers
     return chunked or has_length or response.status in BODILESS_STATUSES
--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -1,6 +1,6 @@
-"""One HTTP exchange with a service of the platform, under a deadline.
+"""The HTTP client for the platform's services; every request has a timeout.
 
-Nothing is retried here: only the caller knows what may be sent twice.
+Requests are not retried here: only the caller knows which may be sent twice.
 """
 
 from __future__ import annotations
@@ -30,14 +30,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpAnswer:
-    """A whole answer."""
+    """A complete answer."""
 
     status: int
     body: bytes
 
 
 class HttpClient:
-    """Sends requests to one base URL over kept connections; safe across threads."""
+    """Sends requests to one base URL over pooled connections; it is thread-safe."""
 
     def __init__(self, *, url: str, connections: int, service: str) -> None:
         self._peer = url
@@ -56,11 +56,11 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
-        """Send one request and return its whole answer.
+        """Send one request and return its complete answer.
 
-        Raises `RefusedError` if it surely had no effect and `AnswerLostError` if
-        that is unknown. `timeout_s` bounds the connecting together with each wait
-        for the answer.
+        Raises `RefusedError` if the request certainly had no effect and
+        `AnswerLostError` if that is unknown. `timeout_s` limits the time to connect
+        plus a single wait for data of the answer, not the sum of all waits.
         """
         step = f"{self._service}.{method.lower()}"
         try:
@@ -93,7 +93,7 @@
         return HttpAnswer(status=response.status, body=response.data)
 
     def invalid_answer(self, step: str, detail: str) -> Problem:
-        """Describe an answer that this client does not understand."""
+        """Return the problem for a malformed answer or an unexpected status."""
         return Problem(code=Code.INVALID, step=step, peer=self._peer, detail=detail)
 
     def _unavailable(self, step: str, detail: str) -> Problem:
--- a/bulrushpulley/platform/job_bodies.py
+++ b/bulrushpulley/platform/job_bodies.py
@@ -1,4 +1,4 @@
-"""The bodies of submitted jobs, decoded into the product's specs."""
+"""Decodes the bodies of submitted jobs into job specs."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def decode_job(body: bytes) -> JobSpec:
-    """Return the job of a body; raises `BulrushpulleyError` for a senseless one."""
+    """Decode a job; raises `BulrushpulleyError` if it is invalid."""
     raw = decode_object(body, STEP)
     steps = tuple(
         _step(item, position)
@@ -31,17 +31,17 @@
     spec = JobSpec(
         payload=text(raw, "Spec", STEP),
         steps=steps,
-        # How often the steps run; 0 for once and at once.
+        # How many times the steps run; 0 means once, immediately.
         occurrences=integer(raw, "RepeatCount", STEP),
         first_due_s=number(raw, "StartAtMs", STEP) / 1_000,
         interval_s=number(raw, "IntervalMs", STEP) / 1_000,
     )
     if not steps:
-        raise field_error(STEP, "Steps", "must have a step")
+        raise field_error(STEP, "Steps", "must have at least one step")
     if sum(step.count for step in steps) * spec.runs > MAX_TASKS:
-        raise field_error(STEP, "Steps", f"must have {MAX_TASKS} tasks at most")
+        raise field_error(STEP, "Steps", f"must have at most {MAX_TASKS} tasks")
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
-        raise field_error(STEP, "Spec", f"must have {MAX_PAYLOAD_BYTES} bytes at most")
+        raise field_error(STEP, "Spec", f"must have at most {MAX_PAYLOAD_BYTES} bytes")
     return spec
 
 
@@ -56,18 +56,18 @@
         after=_earlier_steps(raw, position),
         gang=flag(raw, "Gang", STEP),
         one_rack=flag(raw, "RackLocal", STEP),
-        # One label that the host must have, in spite of the plural.
+        # A single label that the host must have, despite the plural.
         needs_label=text(raw, "Constraints", STEP),
-        # The rack where the data is.
+        # The rack that holds the data.
         near_rack=text(raw, "Affinity", STEP),
-        # The most tasks of the step on one host; 0 for no limit.
+        # The maximum number of tasks of the step on one host; 0 means no limit.
         per_host_limit=integer(raw, "AntiAffinity", STEP),
         checkpoints=flag(raw, "Checkpointing", STEP),
         speculative=flag(raw, "Speculative", STEP),
         lasting=flag(raw, "LongRunning", STEP),
         image=text(raw, "Image", STEP),
         latency_target_ms=number(raw, "TargetMs", STEP),
-        # The step takes what processors others leave; the name says nothing of that.
+        # Despite its name: the step runs on processors that others leave idle.
         fills=flag(raw, "Utilization", STEP),
         disruption_budget=integer(raw, "MaxUnavailable", STEP),
     )
@@ -77,12 +77,14 @@
     step_indexes = items(raw, "After", STEP)
     for step_index in step_indexes:
         if type(step_index) is not int or not 0 <= step_index < position:
-            raise field_error(STEP, "After", "must name earlier steps by their number")
+            raise field_error(
+                STEP, "After", "must be a list of indexes of earlier steps"
+            )
     return tuple(step_indexes)
 
 
 def decode_resources(raw: Fields, step: str) -> Resources:
-    """Return an amount of resources."""
+    """Decode an amount of resources."""
     return Resources(
         processors_m=integer(raw, "Cpu", step),
         memory_mb=integer(raw, "MemMb", step),
--- a/bulrushpulley/platform/job_front.py
+++ b/bulrushpulley/platform/job_front.py
@@ -1,4 +1,4 @@
-"""Callers' calls about jobs in HTTP, decoded to the product's calls, and answers."""
+"""The HTTP front for callers' job calls: decodes requests and encodes answers."""
 
 from __future__ import annotations
 
@@ -33,15 +33,19 @@
 )
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
-# How long callers wait who do not say it, and the longest that one is believed.
+# The timeout of calls without a valid Deadline-Ms header, and the longest timeout.
 DEFAULT_JOB_CALL_TIMEOUT_S = 3.0
 MAX_JOB_CALL_TIMEOUT_S = 30.0
-# The role answers before its caller's time is up; this covers a role that is late.
+# The intake answers before the caller's deadline. If it is late, the front replies
+# itself, this long before the deadline.
 JOB_CALL_TIMEOUT_MARGIN_S = 0.05
 
 
 def decode_call(request: HttpRequest, call_id: str, now_s: float) -> JobCall | None:
-    """Return the call of a request at `now_s` since 1970; None for other methods."""
+    """Decode a request received at `now_s` since 1970.
+
+    Returns None for other methods than GET, DELETE and POST.
+    """
     common_fields = {
         "call_id": call_id,
         "authority": request.header_by_name.get("host", ""),
@@ -72,7 +76,7 @@
 
 @singledispatch
 def encode_answer(answer: Command) -> HttpReply:
-    """Return the reply of an answer."""
+    """Encode an answer as an HTTP reply."""
     raise NotImplementedError(f"no reply for {type(answer).__name__}")
 
 
@@ -124,14 +128,14 @@
 
 
 class JobFront:
-    """Hands callers' calls to the intake and waits for its answers."""
+    """Passes callers' calls to the intake and waits for its answers."""
 
     def __init__(self, *, pending: PendingCalls, tell: Callable[[Event], None]) -> None:
         self._pending = pending
         self._tell = tell
 
     def handle(self, request: HttpRequest) -> HttpReply:
-        """Answer one request."""
+        """Handle one request and return the reply."""
         pending = self._pending.open()
         call = decode_call(request, pending.call_id, time.time())
         if call is None:
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -1,4 +1,4 @@
-"""The client of the platform's service that knows machines and takes them down."""
+"""The client of the machine service, which takes machines down for upkeep."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
         )
 
     def list_all(self, command: ListMachines) -> Event:
-        """Read every page of the list."""
+        """List all machines, page by page."""
         machines: list[Machine] = []
         token = ""
         try:
@@ -64,12 +64,13 @@
         return decode_object(answer.body, STEP)
 
     def order_upkeep(self, command: OrderUpkeep) -> Event:
-        """Order the upkeep of one machine; asked again, it is taken once."""
+        """Order the upkeep of one machine; a repeated order has no further effect."""
         body = {"Machine": command.machine_id, "MaintenanceWave": command.wave}
         headers = {
             "Content-Type": "application/json",
             "Lease-Holder": command.holder,
-            # Rises with each owner of the shard, so that late orders can be told.
+            # Increases with each owner of the shard, so that the service can detect
+            # late orders of a former owner.
             "Fencing-Token": str(command.token),
         }
         try:
@@ -105,13 +106,11 @@
     try:
         machine_state = MachineState(state)
     except ValueError as error:
-        raise field_error(
-            STEP, "State", f"{state!r} is no state that is known"
-        ) from error
+        raise field_error(STEP, "State", f"unknown state {state!r}") from error
     return Machine(
         machine_id=text(raw, "Machine", STEP),
         pool=text(raw, "Pool", STEP),
         state=machine_state,
-        # The id of the backend server that lives on the machine.
+        # The id of the backend server that runs on the machine.
         server_id=text(raw, "Id", STEP),
     )
--- a/bulrushpulley/platform/object_store.py
+++ b/bulrushpulley/platform/object_store.py
@@ -14,7 +14,8 @@
 class ObjectStoreClient:
     """Puts, gets and deletes objects by key; each call blocks up to its timeout.
 
-    Errors are those of `HttpClient.exchange`. Every call is idempotent.
+    Every call is idempotent. Besides the errors of `HttpClient.exchange`, an
+    unexpected status raises `BulrushpulleyError`.
     """
 
     def __init__(self, *, url: str) -> None:
@@ -23,7 +24,7 @@
         )
 
     def put(self, key: str, data: bytes, *, timeout_s: float) -> None:
-        """Store `data` under `key`, replacing what was there."""
+        """Store `data` under `key`, replacing any existing object."""
         self._request("PUT", key, timeout_s=timeout_s, body=data)
 
     def get(self, key: str, *, timeout_s: float) -> bytes | None:
@@ -32,7 +33,7 @@
         return None if answer.status == http.HTTPStatus.NOT_FOUND else answer.body
 
     def delete(self, key: str, *, timeout_s: float) -> None:
-        """Delete the object under `key`; an absent one is no error."""
+        """Delete the object under `key`; it is no error if there is none."""
         self._request("DELETE", key, timeout_s=timeout_s)
 
     def _request(
--- a/bulrushpulley/platform/order_rows.py
+++ b/bulrushpulley/platform/order_rows.py
@@ -1,4 +1,4 @@
-"""What operators write into the store, decoded into the product's orders."""
+"""Decodes the rows that operators write into the store: settings and orders."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 def decode_order(key: str, data: bytes) -> object | None:
-    """Return the order of a row, or None for a kind that is not known."""
+    """Decode the configuration or order of a row; None if its kind is unknown."""
     if key == CONFIG_KEY:
         return _configuration(decode_object(data, STEP))
     if key.startswith(EVACUATE_PREFIX):
@@ -48,7 +48,7 @@
         number=wave,
         machine_ids=tuple(str(name) for name in items(raw, "Machines", STEP)),
         within_s=number(raw, "DurationS", STEP),
-        # How many machines may be down at the same time.
+        # The maximum number of machines that are down at the same time.
         at_once=max(1, integer(raw, "MaxCount", STEP)),
     )
 
@@ -69,9 +69,10 @@
         service=text(raw, "Service", STEP),
         priority=integer(raw, "Priority", STEP),
         max_attempts=max(1, integer(raw, "MaxAttempts", STEP)),
-        # The part of a job's objective that grows with its longest chain of work.
+        # The part of a job's latency target that is proportional to the length of
+        # its longest chain of steps.
         latency_factor=number(raw, "LatencyFactor", STEP),
-        # The part of a job's objective that every job of the queue has.
+        # The constant part of a job's latency target.
         target_latency_s=number(raw, "TargetLatencyMs", STEP) / 1_000,
         timeout_s=number(raw, "TimeoutMs", STEP) / 1_000,
         advice=_advice(raw),
@@ -84,7 +85,7 @@
     terms = check_object(raw["Recommendation"], STEP, "Recommendation")
     return AdviceTerms(
         decide_s=number(terms, "DecisionMs", STEP) / 1_000,
-        # For each server that a call names.
+        # The additional time for each server in a request.
         per_server_s=number(terms, "PerItemMs", STEP) / 1_000,
         valid_s=number(terms, "ValidityMs", STEP) / 1_000,
     )
--- a/bulrushpulley/platform/ready_front.py
+++ b/bulrushpulley/platform/ready_front.py
@@ -1,4 +1,4 @@
-"""What an entry answers besides callers: readiness, metrics, and questions on jobs."""
+"""The HTTP front of an entry for readiness, metrics and explanations of jobs."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 @singledispatch
 def encode_explanation(answer: Command) -> HttpReply:
-    """Return the reply of an answer about a job."""
+    """Encode an answer about a job as an HTTP reply."""
     raise NotImplementedError(f"no reply for {type(answer).__name__}")
 
 
@@ -43,7 +43,7 @@
 
 @encode_explanation.register
 def _(answer: JobNotKnown) -> HttpReply:
-    detail = f"the owner of the shard knows no job {answer.job_id}"
+    detail = f"the owner of the shard has no job {answer.job_id}"
     return _problem_reply(Code.NOT_FOUND, "self", detail)
 
 
@@ -61,7 +61,7 @@
 
 
 class ReadyFront:
-    """Answers whether new callers should come here, and why a job is where it is."""
+    """Answers readiness checks, and explains the state of jobs."""
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
         self._tell = tell
 
     def handle(self, request: HttpRequest) -> HttpReply:
-        """Answer a readiness check, the metrics page or a question about a job."""
+        """Handle a readiness check, or a request for metrics or an explanation."""
         if request.path == READY_PATH:
             return json_reply(200 if self._is_ready() else 503, {})
         if request.path == METRICS_PATH:
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -1,4 +1,4 @@
-"""The client of the platform's store of rows; each call blocks up to its timeout."""
+"""The client of the platform's row store; each call blocks up to its timeout."""
 
 from __future__ import annotations
 
@@ -50,8 +50,8 @@
 class RowStoreClient:
     """Sends transactions, reads ranges and watches tables.
 
-    A row that cannot be read, such as one of another writer, is reported by `report`
-    and comes as a row without content; the others hold.
+    A row that cannot be decoded, such as one of another writer, is passed to `report`
+    and returned without content; it does not affect the other rows.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         self._report = report
 
     def transact(self, call: Transact) -> StoreEvent:
-        """Send a transaction once and say what became of it."""
+        """Send a transaction once and return its outcome."""
         body = msgspec.json.encode(_encode_transaction(call))
         try:
             answer = self._http.exchange(
@@ -114,14 +114,14 @@
                 version = version or integer(raw, "Ver", STEP)
                 if not page or not flag(raw, "HasMore", STEP):
                     break
-                # The least key above the last one that was read.
+                # The smallest key greater than the last one read.
                 first = page[-1].key.key + "\0"
         except READ_FAILURES as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
         return RangeRead(purpose=call.purpose, rows=tuple(rows), version=version)
 
     def watch(self, call: Watch) -> StoreEvent:
-        """Wait for changes of a table."""
+        """Wait for changes of a table, for at most `wait_s` of the call."""
         query = {
             "Table": call.table,
             "After": call.after,
@@ -169,7 +169,7 @@
 
     def _decode_content(self, key: RowKey, raw: Fields) -> object | None:
         if key.table == STATUS:
-            # Written for operators only, in their encoding.
+            # These rows are written for operators only, in the platform's encoding.
             return None
         try:
             data = base64.b64decode(text(raw, "Value", STEP), validate=True)
@@ -190,7 +190,7 @@
 
 def _encode_transaction(call: Transact) -> dict[str, Any]:
     return {
-        # Conditions by version, although the name speaks of revisions; 0 for absent.
+        # Despite its name, it lists versions; 0 means that the row must be absent.
         "ExpectedRev": [
             {**_encode_key(condition.key), "Ver": condition.version}
             for condition in call.conditions
--- a/bulrushpulley/platform/status_rows.py
+++ b/bulrushpulley/platform/status_rows.py
@@ -1,4 +1,4 @@
-"""What operators read of the system, in the platform's encoding."""
+"""Encodes rows for the store; those for operators in the platform's encoding."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @singledispatch
 def encode_stored_row(row: Row) -> bytes:
-    """Return the bytes of a row; the product's own rows have its own encoding."""
+    """Encode a row; rows that are not for operators have the internal encoding."""
     return encode_row(row)
 
 
--- a/bulrushpulley/platform/table_service.py
+++ b/bulrushpulley/platform/table_service.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _FenceRow:
-    """Nothing but its version and token matter."""
+    """An empty row: only the version and the token of a fence matter."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Page:
-    """Some rows of a prefix in the order of their versions."""
+    """One page of the rows of a prefix, ordered by version."""
 
     revision: int
     rows: tuple[VersionedRow, ...]
@@ -124,7 +124,10 @@
 
 
 def _conflicting_row(form: _RowForm) -> VersionedRow:
-    """Decode a row that barred a transaction; its version is known in any case."""
+    """Decode a row that a transaction conflicts with.
+
+    If the content cannot be decoded, the row has just its version.
+    """
     try:
         return _versioned_row(form)
     except BulrushpulleyError:
@@ -153,9 +156,9 @@
 class TableServiceClient:
     """Commits transactions and reads prefixes; each call blocks up to its timeout.
 
-    Besides the errors of `HttpClient.exchange`, a status of neither commit nor
-    conflict is a `RejectedError`, and an answer that makes no sense an
-    `AnswerLostError`, since the request may have had effect all the same.
+    Besides the errors of `HttpClient.exchange`, a status other than commit or
+    conflict raises `RejectedError`, and a malformed answer raises `AnswerLostError`,
+    since the request may still have had effect.
     """
 
     def __init__(self, *, url: str, connections: int) -> None:
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -1,9 +1,9 @@
 """The HTTP client of workers.
 
-Every call has a timeout, and none leaves after its `not_after`, which is checked
+Every call has a timeout, and none is sent after its `not_after`, which is checked
 on an open connection right before the request is written. A start is written at
-most once: it is never retried, and whatever goes wrong after the check leaves its
-outcome unknown.
+most once: it is never retried, and after any failure past that check its outcome
+is unknown.
 """
 
 from __future__ import annotations
@@ -45,13 +45,13 @@
 
 MAX_REPORT_BYTES = 4 * 1024 * 1024
 STEP = "worker.call"
-# A connection without a pool raises the errors of http.client as they are.
+# A connection without a pool does not convert the errors of http.client.
 CALL_ERRORS = (HTTPError, http.client.HTTPException, OSError, ValueError)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartForm:
-    """The body of a start."""
+    """The body of a request to start a task."""
 
     task_id: str
     generation: int
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopForm:
-    """The body of a stop."""
+    """The body of a request to stop a task."""
 
     task_id: str
     generation: int
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleForm:
-    """The body of a throttle."""
+    """The body of a request to throttle a task."""
 
     task_id: str
     generation: int
@@ -101,17 +101,17 @@
 
 
 class WorkerClient:
-    """Calls workers, each call on a connection of its own.
+    """Calls workers, with a new connection for each call.
 
-    A new connection for each call keeps a start from being written on one that
-    the worker has closed, where it could not be told whether it arrived.
+    A start that is written to a reused connection which the worker has just closed
+    would have an unknown outcome; new connections avoid this.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
 
     def start(self, command: StartTask) -> StartOutcome:
-        """Send a start unless its deadline has passed."""
+        """Start a task unless the deadline of the command has passed."""
         form = StartForm(
             task_id=command.task_id,
             generation=command.generation,
@@ -134,7 +134,7 @@
         )
 
     def stop(self, command: StopTask) -> WorkerEvent:
-        """Send a stop."""
+        """Stop a task."""
         form = StopForm(
             task_id=command.task_id,
             generation=command.generation,
@@ -147,7 +147,7 @@
         return StopAnswered(worker_id=command.worker_id)
 
     def throttle(self, command: ThrottleTask) -> WorkerEvent:
-        """Send the share of a run."""
+        """Set the share of a task."""
         form = ThrottleForm(
             task_id=command.task_id,
             generation=command.generation,
@@ -167,7 +167,7 @@
         )
 
     def report(self, command: AskReport) -> WorkerEvent:
-        """Renew leases and read all runs."""
+        """Renew leases and read the report on all runs."""
         form = ReportForm(renew=command.renewals)
         try:
             answer = _decode_report_answer(
@@ -203,7 +203,7 @@
                 command, Code.UNAVAILABLE, _describe_error(error)
             ) from error
         if self._clock() > command.not_after:
-            detail = "its deadline passed before it could be sent"
+            detail = "the deadline passed before the call could be sent"
             raise _not_sent_error(command, Code.DEADLINE, detail)
 
 
--- a/test/test_platform_bodies.py
+++ b/test/test_platform_bodies.py
@@ -1,4 +1,4 @@
-"""What the platform's bodies are decoded to, and what is said of malformed ones."""
+"""Tests of decoding the platform's bodies, also malformed ones."""
 
 from __future__ import annotations
 
@@ -35,12 +35,12 @@
     b'"RemainingMs":2500,"born":1770570211410}'
 )
 MALFORMED_JOBS = {
-    "no JSON": b"{",
-    "no object": b"[]",
+    "not JSON": b"{",
+    "not an object": b"[]",
     "no steps": b'{"Spec":"s"}',
-    "a step that is no object": b'{"Steps":[1]}',
+    "a step that is not an object": b'{"Steps":[1]}',
     "no tasks": b'{"Steps":[{"Count":0}]}',
-    "a later step before": b'{"Steps":[{"Count":1,"After":[0]}]}',
+    "a dependency on the step itself": b'{"Steps":[{"Count":1,"After":[0]}]}',
     "a negative amount": b'{"Steps":[{"Count":1,"Cpu":-1}]}',
     "text for a number": b'{"Steps":[{"Count":"1"}]}',
     "too many tasks": b'{"Steps":[{"Count":9000}]}',
@@ -57,7 +57,7 @@
         self.assertEqual(0, second.committed.processors_m)
         self.assertEqual(1, spec.runs)
 
-    def test_malformed_jobs_name_what_is_wrong(self) -> None:
+    def test_malformed_jobs_are_errors(self) -> None:
         for name, body in MALFORMED_JOBS.items():
             with self.subTest(name):
                 error = self.assertRaises(BulrushpulleyError, decode_job, body)
@@ -78,10 +78,10 @@
         order = decode_order("evacuate/ege-izmir", b"{}")
         self.assertEqual(Evacuation(failure_domain="ege-izmir"), order)
 
-    def test_other_orders_are_passed_over(self) -> None:
+    def test_orders_of_unknown_kinds_are_ignored(self) -> None:
         self.assertIsNone(decode_order("other/1", b"{}"))
 
-    def test_a_wave_without_a_number_makes_no_sense(self) -> None:
+    def test_a_wave_without_a_number_is_invalid(self) -> None:
         error = self.assertRaises(BulrushpulleyError, decode_order, "wave/1", b"{}")
         self.assertEqual("MaintenanceWave", error.problem.field)
 
@@ -93,13 +93,13 @@
         self.assertEqual(2.5, announced.leaves_in_s)
         self.assertEqual(1770570211410, announced.started_at_ms)
 
-    def test_a_state_that_is_not_known_names_no_server(self) -> None:
+    def test_an_unknown_state_is_an_error(self) -> None:
         body = ANNOUNCEMENT.replace(b"draining", b"dreaming")
         self.assertRaises(BulrushpulleyError, decode_announcement, "i-1", body)
 
 
 class RowTest(testtools.TestCase):
-    def test_rows_come_back_as_they_were(self) -> None:
+    def test_rows_are_equal_after_encoding_and_decoding(self) -> None:
         task = TaskProgress(occurrence=0, step=1, index=2, run=3, host="h", life="l")
         rows: tuple[Row, ...] = (
             CancelRow(job_id="j"),
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -1,4 +1,4 @@
-"""The client of the service of machines against a small server, and waves' rows."""
+"""Tests of the machine service's client against an HTTP server, and of wave rows."""
 
 from __future__ import annotations
 
@@ -39,11 +39,11 @@
         )
         self.assertEqual(wanted, decode_order("wave/3", WAVE))
 
-    def test_operators_read_the_state_of_a_wave_in_their_encoding(self) -> None:
+    def test_the_state_of_a_wave_has_the_platforms_encoding(self) -> None:
         row = WaveStatusRow(number=3, state=WaveState.RUNNING)
         self.assertEqual({"State": "running"}, json.loads(encode_stored_row(row)))
 
-    def test_progress_of_a_wave_keeps_the_products_encoding(self) -> None:
+    def test_progress_of_a_wave_has_the_internal_encoding(self) -> None:
         row = WaveRow(number=3, ordered=("m-1",))
         self.assertEqual(row, decode_row(encode_stored_row(row), peer="waves/wave-3"))
 
@@ -84,7 +84,7 @@
         second = Machine(machine_id="m-2", pool="ovens", state=MachineState.UPKEEP)
         self.assertEqual(MachinesListed(machines=(first, second)), event)
 
-    def test_a_list_with_an_unknown_state_is_no_list(self) -> None:
+    def test_an_unknown_machine_state_fails_the_list(self) -> None:
         odd = {**FIRST, "State": "odd"}
         self.replies = [json_reply(200, {"Machines": [odd]})]
         event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -1,4 +1,4 @@
-"""The client of the store of rows against the stand-in over HTTP on loopback."""
+"""Tests of the row store's client against the stand-in over HTTP on loopback."""
 
 from __future__ import annotations
 
@@ -86,7 +86,7 @@
         self.assertEqual([ROW], [stored.row for stored in read.rows])
         self.assertEqual(written.version, read.rows[0].version)
 
-    def test_a_condition_that_does_not_hold_shows_the_row_that_bars_it(self) -> None:
+    def test_a_failed_condition_returns_the_conflicting_row(self) -> None:
         self.client.transact(transact(ROW, version=0))
         event = self.client.transact(transact(ROW, version=0))
         assert isinstance(event, Conflicted)
@@ -103,7 +103,7 @@
         self.assertEqual([ROW], [stored.row for stored in event.rows])
         self.assertGreater(event.version, first.version)
 
-    def test_a_watch_on_a_history_that_is_gone_says_so(self) -> None:
+    def test_a_watch_after_compaction_reports_lost_history(self) -> None:
         first = self.client.transact(transact(ROW))
         assert isinstance(first, Transacted)
         self.client.transact(transact(ROW))
@@ -132,7 +132,7 @@
         )
         self.assertIsInstance(self.client.transact(put_if_absent), Transacted)
 
-    def test_faults_of_the_store_are_told_apart(self) -> None:
+    def test_faults_of_the_store_are_distinguished(self) -> None:
         self.switch(self.url, '{"mode":"down","seconds":0.5,"delay_s":0}')
         refused = self.client.transact(transact(ROW))
         assert isinstance(refused, TransactRefused)
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -91,7 +91,7 @@
             [("k/1", 1, "a")], [key_version_token(row) for row in rows.rows]
         )
 
-    def test_lost_answer_and_refusal_are_told_apart(self) -> None:
+    def test_lost_answer_and_refusal_are_distinguished(self) -> None:
         self.switch(self.url, '{"mode":"lose_answers"}')
         lost = transact(transact_command("k/1", 0, 0), self.table)
         self.assertIsInstance(lost, TransactionLost)
@@ -116,7 +116,7 @@
         self.assertEqual("e1-1/bulk/a", settled.fence.token)
 
     def eventually(self, attempt: Callable[[], Event]) -> Event:
-        """Repeat an attempt that got no answer."""
+        """Repeat an attempt until it gets an answer, at most ten times."""
         for _ in range(10):
             ended = attempt()
             if not isinstance(ended, TransactionLost):
@@ -132,7 +132,7 @@
         refused = transact(transact_command("k/1", 0, 0), table)
         self.assertIsInstance(refused, TransactionRefused)
 
-    def test_pages_join_into_one_reading(self) -> None:
+    def test_a_read_joins_all_pages(self) -> None:
         for number in range(1, 4):
             writes = tuple(
                 TokenWrite(
