Reword the texts of the stand-ins

Docstrings described the stand-ins in figures: lives, words on itself, what is told, barred or forgotten. They now say what is stored, refused, delayed or ended. Flag helps name units and limits, and the row store's refusals say what was wrong with the request.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins of the platform, the backend servers and the callers."""
+"""Small stand-ins for the platform, the backend servers and the callers."""
--- a/standins/backend_core.py
+++ b/standins/backend_core.py
@@ -1,6 +1,6 @@
-"""A backend server as a value: its slots, and how often each request has run.
+"""The state of a simulated backend server: its slots and the run count by request.
 
-Requests beyond the slots wait in the order in which they came.
+Requests that find no free slot wait in the order of their arrival.
 """
 
 from __future__ import annotations
@@ -13,27 +13,27 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendState:
-    """`free_at` holds for each slot when it is free; `run_count_by_id` counts runs."""
+    """When each slot becomes free, and how often each request id has run."""
 
     free_at: tuple[float, ...]
     run_count_by_id: PMap[str, int]
 
     @staticmethod
     def empty(*, slots: int) -> BackendState:
-        """Return a server that has run nothing."""
+        """Return a server that has not run anything."""
         return BackendState(free_at=(0.0,) * slots, run_count_by_id=pmap())
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Run:
-    """The state with one more run, and when that run ends."""
+    """The state after one more run was admitted, and when that run ends."""
 
     state: BackendState
     ends_at: float
 
 
 def admit(state: BackendState, *, request_id: str, service_s: float, now: float) -> Run:
-    """Put a request into the slot that is free first."""
+    """Assign a request to the slot that becomes free first."""
     free_at = list(state.free_at)
     ends_at = max(now, heapq.heappop(free_at)) + service_s
     heapq.heappush(free_at, ends_at)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -1,8 +1,8 @@
 """A backend server over HTTP: ``python -m standins.backend_server --port 7100``.
 
-It answers a request with its id, a line feed and its body, after a log-normal
-service time. Mode ``slow`` of /switch adds a delay to each. SIGTERM lets the
-requests that run finish.
+A request is answered with its id, a line feed and its body, after a log-normal
+service time. Mode ``slow`` of /switch adds a delay to each request. On SIGTERM the
+server finishes the requests in flight and exits.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
 
 
 class BackendServer:
-    """Holds the state behind one lock and answers requests."""
+    """Keeps the state, protected by one lock, and answers requests."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request; blocks until its run has ended."""
+        """Answer one request; block until its run has ended."""
         handler = self._handler_by_path.get((request.method, request.path))
         if handler is None:
             return refusal(http.HTTPStatus.NOT_FOUND, request.path)
@@ -108,7 +108,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags."""
+    """Serve on the port given by the flags."""
     del argv
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     server = BackendServer(
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,9 +1,10 @@
-"""A load of callers: ``python -m standins.caller --entries URL,URL --service NAME``.
+"""A load generator: ``python -m standins.caller --entries URL,URL --service NAME``.
 
 Calls arrive in an open loop with a fixed seed. A call that was refused as not run,
-or whose outcome is unknown, is repeated with the same id through the next entry
-while its time lasts. With ``--backend_servers`` the runs of each id are counted
-afterwards. Exits 1 if a call was doubled, wrongly answered or falsely refused.
+or whose outcome is unknown, is retried with the same id through the next entry
+until its deadline. With ``--backend_servers`` the runs of each id are counted
+afterwards. Exits with 1 if an unrepeatable call ran twice, a call got a wrong answer,
+or a call was refused as not run although it ran.
 """
 
 from __future__ import annotations
@@ -41,7 +42,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Target:
-    """Where the load goes and how long each caller waits."""
+    """The entries and the service to call, and the limits of each call."""
 
     entries: tuple[str, ...]
     service: str
@@ -51,7 +52,7 @@
 
 
 class Caller:
-    """Makes planned calls over pooled connections."""
+    """Makes the planned calls over pooled connections."""
 
     def __init__(self, *, target: Target) -> None:
         self._target = target
@@ -60,7 +61,7 @@
         )
 
     def make(self, call: PlannedCall, number: int, started: float) -> EndedCall:
-        """Make a call that was due at `started`, with its repeats."""
+        """Make a call that was due at `started`, with its retries."""
         deadline = started + self._target.within_s
         body = call.request_id.encode().ljust(self._target.body_bytes, b".")
         outcomes: list[Outcome] = []
@@ -105,7 +106,7 @@
 def make_calls(
     caller: Caller, calls: Sequence[PlannedCall], threads: int
 ) -> list[EndedCall]:
-    """Make every call at its moment, whatever became of those before."""
+    """Make every call when it is due, even if earlier calls are still in flight."""
     start = time.monotonic()
     waiter = threading.Event()
     with ThreadPoolExecutor(threads) as pool:
@@ -128,13 +129,13 @@
 
 
 def format_report(report: Report) -> str:
-    """Return a report as lines for a terminal."""
+    """Format a report as lines for a terminal."""
     values = dataclasses.asdict(report)
     return "\n".join(f"{name:<15} {value}" for name, value in values.items())
 
 
 def main(argv: list[str]) -> None:
-    """Make the load of the flags and print its report."""
+    """Generate the load given by the flags and print its report."""
     del argv
     target = Target(
         entries=tuple(url.rstrip("/") for url in FLAGS.entries),
@@ -163,14 +164,18 @@
     flags.DEFINE_list("entries", [], "Base URLs of the entries.")
     flags.DEFINE_list("backend_servers", [], "Base URLs to count runs at.")
     flags.DEFINE_string("service", "oven-conductor", "The service to call.")
-    flags.DEFINE_string("id_prefix", "call", "Begins every id; unique to a load.")
+    flags.DEFINE_string(
+        "id_prefix", "call", "Prefix of every request id; must be unique to a load."
+    )
     flags.DEFINE_float("rate", 50.0, "Arrivals a second.")
     flags.DEFINE_float("seconds", 5.0, "Length of the load.")
-    flags.DEFINE_float("repeatable_share", 0.7, "Share of repeatable requests.")
-    flags.DEFINE_float("within_s", 2.0, "Time that each caller waits.")
-    flags.DEFINE_integer("max_tries", 3, "Tries of each call.")
+    flags.DEFINE_float("repeatable_share", 0.7, "Fraction of repeatable requests.")
+    flags.DEFINE_float("within_s", 2.0, "Seconds until the deadline of each call.")
+    flags.DEFINE_integer("max_tries", 3, "Maximum attempts of each call.")
     flags.DEFINE_integer("body_bytes", 200, "Size of each body.")
-    flags.DEFINE_integer("threads", 128, "Calls that can be out at once.")
-    flags.DEFINE_integer("seed", 1, "Seed of arrivals and of the mix.")
+    flags.DEFINE_integer("threads", 128, "Maximum calls in flight.")
+    flags.DEFINE_integer(
+        "seed", 1, "Seed of the arrivals and of which calls are repeatable."
+    )
     flags.DEFINE_bool("json", False, "Print the report as one JSON line.")
     app.run(main)
--- a/standins/caller_core.py
+++ b/standins/caller_core.py
@@ -1,4 +1,4 @@
-"""The plan of a load and the tally of its outcomes, as values."""
+"""The plan of a load, and the report on the outcomes of its calls."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlannedCall:
-    """One call of the load; `at_s` is the moment of its arrival from the start."""
+    """One call of the load, which is due `at_s` seconds after the start."""
 
     at_s: float
     request_id: str
@@ -36,7 +36,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndedCall:
-    """A call with its last outcome; `surely_not_run` if every try was "not run"."""
+    """A call with its last outcome.
+
+    `known_not_run` is set if every attempt was refused as not run.
+    """
 
     call: PlannedCall
     outcome: Outcome
@@ -47,11 +50,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Report:
-    """What a load came to.
+    """The result of a load.
 
-    `doubled` counts unrepeatable ids that ran more than once, `false_refusals`
-    those that ran although every try was refused as not run, and `lost` the calls
-    with an unknown outcome that never ran.
+    `doubled` counts the unrepeatable calls that ran more than once, `false_refusals`
+    the calls that ran although every attempt was refused as not run, and `lost` the
+    calls with an unknown outcome that never ran.
     """
 
     calls: int
@@ -100,7 +103,7 @@
 
 
 def ran_field(body: bytes) -> str:
-    """Return the field "ran" of a refusal, or empty."""
+    """Return the field "ran" of a refusal, or an empty string without one."""
     try:
         value = json.loads(body)
     except ValueError:
@@ -109,7 +112,7 @@
 
 
 def tally(ended: Iterable[EndedCall], run_count_by_id: Mapping[str, int]) -> Report:
-    """Count the outcomes, and compare them with what the backend servers ran."""
+    """Count the outcomes and compare them with the runs on the backend servers."""
     calls = list(ended)
     count_by_outcome = Counter(item.outcome for item in calls)
     histogram = HdrHistogram(1, HISTOGRAM_MAX_US, HISTOGRAM_DIGITS)
@@ -133,17 +136,17 @@
 
 
 def is_doubled(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
-    """Tell whether an unrepeatable call ran more than once."""
+    """Return whether an unrepeatable call ran more than once."""
     count = run_count_by_id.get(item.call.request_id, 0)
     return not item.call.repeatable and count > 1
 
 
 def is_false_refusal(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
-    """Tell whether a call ran that was always refused as not run."""
+    """Return whether a call ran although every attempt was refused as not run."""
     return item.known_not_run and item.call.request_id in run_count_by_id
 
 
 def is_lost(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
-    """Tell whether a call with an unknown outcome never ran."""
+    """Return whether a call with an unknown outcome never ran."""
     unknown = item.outcome is Outcome.UNKNOWN
     return unknown and item.call.request_id not in run_count_by_id
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -1,8 +1,8 @@
-"""A backend server on loopback that announces itself to the agent beside it.
+"""A backend server on loopback that announces itself to the agent of its host.
 
-Each start and end is written to standard output as a line of JSON with the steady
-time, the host, the task and its run, so that a run can be judged afterwards.
-SIGUSR1 makes it say that it is draining.
+Each start and end of a run is written to standard output as a line of JSON with the
+monotonic time, the host, the task and the number of the run, so that the whole
+execution can be checked afterwards. On SIGUSR1 the server announces that it drains.
 """
 
 from __future__ import annotations
@@ -40,13 +40,13 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 ADVANCE_INTERVAL_S = 0.02
 CALL_TIMEOUT_S = 1.0
-# How long a backend server stays after it was told to leave.
+# How long a backend server keeps running after it was told to drain.
 DRAIN_TIME_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerDescription:
-    """Where a backend server is and what it offers."""
+    """The location, service and capacity of a backend server."""
 
     host: str
     service: str
@@ -57,13 +57,13 @@
 
 
 def write_line(fields: dict[str, Any]) -> None:
-    """Write one line that cannot be split by another thread's."""
+    """Write one line in a single call, so that lines of threads are not mixed."""
     sys.stdout.write(msgspec.json.encode(fields).decode() + "\n")
     sys.stdout.flush()
 
 
 class ExecutorServer:
-    """One life of a backend server behind one lock."""
+    """One incarnation of a backend server, protected by one lock."""
 
     def __init__(
         self,
@@ -96,7 +96,7 @@
 
     @property
     def server_id(self) -> str:
-        """The id of this life."""
+        """The id of this incarnation."""
         return self._core.server_id
 
     def _report_event(
@@ -116,7 +116,7 @@
         )
 
     def advance(self) -> None:
-        """End what has come to its end."""
+        """End the runs that are due to end."""
         with self._lock:
             self._core.advance(self._clock())
 
@@ -176,7 +176,7 @@
 
     def _list_runs(self, command: PollRuns) -> RunsListed:
         listed = self._call(command)
-        # The instance that the call named was checked before.
+        # `handle` has checked that the call names this instance.
         assert isinstance(listed, RunsListed)
         return listed
 
@@ -207,7 +207,7 @@
         return self._answer({})
 
     def announcement(self) -> dict[str, Any]:
-        """Return its next word on itself."""
+        """Return the body of the next announcement."""
         self._sequence += 1
         description = self._description
         left_s = (
@@ -230,12 +230,15 @@
         }
 
     def leave(self) -> None:
-        """Say that it is draining from now on."""
+        """Announce the state "draining" from now on."""
         self.leaving_at = self._clock() + DRAIN_TIME_S
 
 
 def announce(server: ExecutorServer, agent: str, *, withdraw: bool = False) -> None:
-    """Tell the agent about a backend server; an agent that is away is told later."""
+    """Announce a server to its agent, or withdraw it.
+
+    A failure is only logged, since the next heartbeat announces the server again.
+    """
     verb = "deregister" if withdraw else "heartbeat"
     body = {} if withdraw else server.announcement()
     try:
@@ -269,7 +272,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags until told to leave."""
+    """Serve on the port given by the flags until drained."""
     del argv
     description = ServerDescription(
         host=FLAGS.host,
@@ -297,10 +300,10 @@
 if __name__ == "__main__":
     flags.DEFINE_integer("port", 7400, "Port on 127.0.0.1.")
     flags.DEFINE_string("host", "host-1", "Name of the host.")
-    flags.DEFINE_string("service", "ovens", "Service that it serves.")
+    flags.DEFINE_string("service", "ovens", "Service that the server runs.")
     flags.DEFINE_string("failure_domain", "z1", "Failure domain of the host.")
     flags.DEFINE_string("rack", "r1", "Rack of the host.")
-    flags.DEFINE_string("agent", "127.0.0.1:7500", "Where the agent listens.")
-    flags.DEFINE_integer("processors_m", 4_000, "Processors, in thousandths.")
+    flags.DEFINE_string("agent", "127.0.0.1:7500", "Address of the agent.")
+    flags.DEFINE_integer("processors_m", 4_000, "Processors in thousandths.")
     flags.DEFINE_integer("memory_mb", 8_000, "Memory in MB.")
     app.run(main)
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -1,8 +1,9 @@
-"""A backend server that runs tasks under a lease, with the time passed in.
+"""A simulated backend server that runs tasks under a lease.
 
-It behaves as the platform describes: a start is idempotent, a stop bars the run for
-good, ends are listed until they are noted, and everything ends with the lease. Tests
-in virtual time use it directly, `executor` serves it over HTTP.
+It follows the platform's contract: a start is idempotent, a stopped run can never be
+started again, ends are listed until they are acknowledged, and all runs end when the
+lease lapses. The time is passed in: tests in virtual time use this module directly,
+and `executor` serves it over HTTP.
 """
 
 from __future__ import annotations
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExecutorRun:
-    """A run that is there, until `ends_at`; `stopping` once it was told to stop."""
+    """A run in progress, due to end at `ends_at`; `stopping` after a stop."""
 
     order: RunOrder
     started_at: float
@@ -52,7 +53,10 @@
 
 
 class FakeExecutor:
-    """One host's backend server through its lives; `watch` sees starts and ends."""
+    """The backend server of one host over its successive incarnations.
+
+    `listener` is called for each start, each end and each acknowledged end.
+    """
 
     def __init__(
         self,
@@ -86,19 +90,19 @@
 
     @property
     def server_id(self) -> str:
-        """The id of the present life."""
+        """The id of the current incarnation."""
         return f"i-{self.host}-{self.incarnation}"
 
     @property
     def committed(self) -> Resources:
-        """What its runs take, those that are being stopped among them."""
+        """The resources of all runs, including those that are being stopped."""
         total = NO_RESOURCES
         for run in self.run_by_key.values():
             total = total.plus(run.order.committed)
         return total
 
     def announcement(self, now: float) -> Announced:
-        """Return its word on itself."""
+        """Return the announcement of this server."""
         return Announced(
             server_id=self.server_id,
             started_at_ms=self.incarnation,
@@ -112,17 +116,17 @@
         )
 
     def crash(self) -> None:
-        """End this life with all that it runs."""
+        """Crash: drop all runs without listing their ends."""
         self.up = False
         self.run_by_key = {}
 
     def break_all(self) -> None:
-        """End every run, as those of a gang end that lost a member."""
+        """End every run as broken, as when a gang has lost a member."""
         for key in sorted(self.run_by_key):
             self._end(key, "broken")
 
     def restart(self, now: float) -> None:
-        """Begin another life, which knows nothing."""
+        """Start the next incarnation, without any state of the last one."""
         self.up, self.draining, self.incarnation, self.incarnation_started_at = (
             True,
             False,
@@ -133,7 +137,7 @@
         self.ends, self.run_by_key, self.barred_run_by_task = [], {}, {}
 
     def advance(self, now: float) -> None:
-        """End what has come to its end by `now`."""
+        """End the runs whose lease has lapsed or that are due to end by `now`."""
         for key, run in sorted(self.run_by_key.items()):
             if self.lease_until <= now and run.started_at < self.lease_until:
                 self._end(key, "lapsed")
@@ -164,7 +168,7 @@
 
     @singledispatchmethod
     def call(self, command: ExecutorCommand, now: float) -> ExecutorEvent:
-        """Carry out one call."""
+        """Handle one call of the agent."""
         raise NotImplementedError(type(command).__name__)
 
     @call.register
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,7 +1,7 @@
-"""Faults that a stand-in can be switched to, and the pace at which it works.
+"""The fault modes and the rate limit of a stand-in.
 
-Both are values: the time is passed in, so that tests in virtual time and the HTTP
-servers use the same rules.
+Both are immutable and the time is passed in, so that tests in virtual time and the
+HTTP servers use the same rules.
 """
 
 from __future__ import annotations
@@ -23,9 +23,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Switch:
-    """A mode that lasts for `seconds` (0: until the next switch).
+    """Sets a mode for `seconds` (0: until the next switch).
 
-    `delay_s` is how much later each request takes effect in mode ``slow``.
+    In mode ``slow`` each request is delayed by `delay_s`.
     """
 
     mode: Mode
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Faults:
-    """The mode in force; after `until` the stand-in is up again."""
+    """The current mode; after `until` the mode is `UP` again."""
 
     mode: Mode = Mode.UP
     until: float = float("inf")
@@ -47,29 +47,29 @@
         return Faults(mode=switch.mode, until=until, delay_s=switch.delay_s)
 
     def mode_at(self, now: float) -> Mode:
-        """Return the mode in force at `now`."""
+        """Return the current mode at `now`."""
         return self.mode if now < self.until else Mode.UP
 
     def delay_at(self, now: float) -> float:
-        """Return how much later a request that comes at `now` takes effect."""
+        """Return the delay of a request that arrives at `now`."""
         return self.delay_s if self.mode_at(now) is Mode.SLOW else 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RateLimiter:
-    """A bounded number of operations a second, served in order."""
+    """Limits the rate of operations, which are served in order of arrival."""
 
     per_s: float
     free_at: float = 0.0
 
     def starts_at(self, now: float) -> float:
-        """Return when an operation that comes at `now` is served."""
+        """Return when an operation that arrives at `now` is served."""
         return max(now, self.free_at)
 
     def accepts(self, now: float) -> bool:
-        """Tell whether an operation that comes at `now` is served at all."""
+        """Return whether an operation at `now` starts within `MAX_QUEUE_WAIT_S`."""
         return self.starts_at(now) - now <= MAX_QUEUE_WAIT_S
 
     def reserved(self, now: float) -> RateLimiter:
-        """Return the pace after an operation that came at `now`."""
+        """Return the limiter after an operation that arrived at `now`."""
         return replace(self, free_at=self.starts_at(now) + 1.0 / self.per_s)
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -30,7 +30,7 @@
 
 
 class ObjectStore:
-    """Holds the objects behind one lock and answers requests."""
+    """Keeps the objects, protected by one lock, and answers requests."""
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self._lock = threading.Lock()
@@ -44,7 +44,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request; blocks for as long as the mode demands."""
+        """Answer one request, after the delay of the fault mode."""
         if request.path == "/switch":
             return self._switch(request)
         handler = self._handler_by_method.get(request.method)
@@ -82,7 +82,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags."""
+    """Serve on the port given by the flags."""
     del argv
     serve(make_server(handle=ObjectStore().handle, port=FLAGS.port))
 
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -1,8 +1,8 @@
-"""The platform's store of rows on loopback, over the core of the table service.
+"""The platform's row store on loopback, built on `table_core`.
 
-A row's table, part and key make one key of the core, in that order, so that reading
-a prefix reads a table or a part. ``POST /switch`` takes a fault, ``POST /compact``
-forgets the history.
+The table, part and key of a row are joined to one key of `table_core`, in that order,
+so that a prefix selects a table or a part. ``POST /switch`` sets a fault mode and
+``POST /compact`` deletes the history of changes.
 """
 
 from __future__ import annotations
@@ -39,13 +39,13 @@
 )
 
 FLAGS = flags.FLAGS
-# No byte of a table's, part's or key's text.
+# Does not occur in the name of a table, in a part or in a key.
 KEY_SEPARATOR = "\x1f"
 REQUEST_DELAY_S = 0.004
 MAX_FEED_WAIT_S = 30.0
 MAX_ROWS_PER_READ = 500
 MAX_TRANSACTION_ENTRIES = 100
-# Written by operators alone; the system's writes are refused.
+# Only operators write to these tables; writes of the system are refused.
 OPERATOR_TABLES = frozenset({"op", "servers"})
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
@@ -54,14 +54,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RowStore:
-    """The rows and the version up to which the history is gone."""
+    """The rows, and the version up to which the history has been deleted."""
 
     state: TableState
     compacted_version: int = 0
 
 
 def core_key(raw: dict[str, Any]) -> str:
-    """Return the key of the core of a row's address."""
+    """Return the key in `table_core` for the address of a row."""
     return KEY_SEPARATOR.join((raw["Table"], raw.get("part", ""), raw["Key"]))
 
 
@@ -69,13 +69,13 @@
     table, part, key = stored.key.split(KEY_SEPARATOR)
     row: dict[str, Any] = {"Table": table, "part": part, "Key": key}
     if stored.value is None:
-        # A tombstone, or a row that a condition found absent.
+        # A tombstone, or an absent row that failed a condition.
         return {**row, "Ver": stored.version, "Deleted": bool(stored.version)}
     return {**row, "Ver": stored.version, "Value": stored.value.decode()}
 
 
 def transaction_of(raw: dict[str, Any]) -> Transaction:
-    """Return the transaction of a body; raises `ValueError` on a bad one."""
+    """Decode the body of a transaction; raise `ValueError` if it is invalid."""
     conditions = tuple(
         VersionCondition(key=core_key(item), version=item["Ver"])
         for item in raw.get("ExpectedRev") or ()
@@ -88,16 +88,16 @@
         Put(key=core_key(item), value=None) for item in raw.get("Deletes") or ()
     )
     if len(conditions) + len(puts) + len(deletes) > MAX_TRANSACTION_ENTRIES:
-        raise ValueError("too many entries")
+        raise ValueError("too many entries in a transaction")
     keys = (entry.key for entries in (conditions, puts, deletes) for entry in entries)
     parts = {key.split(KEY_SEPARATOR)[1] for key in keys}
     if len(parts) > 1:
-        raise ValueError("entries of several parts")
+        raise ValueError("entries of several parts in a transaction")
     return Transaction(conditions=conditions, puts=(*puts, *deletes))
 
 
 class RowStoreServer:
-    """Holds the store behind one lock and answers requests."""
+    """Keeps the store, protected by one lock, and answers requests."""
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self._changed = threading.Condition()
@@ -111,7 +111,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request; blocks for as long as the mode and the call demand."""
+        """Answer one request, after the wait of a feed or the fault mode."""
         if request.path == "/switch":
             switch = _decode_switch(request.body)
             self._faults = self._faults.switched(switch, self._clock())
@@ -140,14 +140,16 @@
         return as_json(http.HTTPStatus.OK, {})
 
     def _operate(self, request: Request) -> Response:
-        """Write what operators write."""
+        """Apply a transaction of an operator, which may write to any table."""
         return self._commit(transaction_of(msgspec.json.decode(request.body)))
 
     def _transact(self, request: Request) -> Response:
         transaction = transaction_of(msgspec.json.decode(request.body))
         tables = {put.key.split(KEY_SEPARATOR)[0] for put in transaction.puts}
         if tables & OPERATOR_TABLES:
-            return refusal(http.HTTPStatus.FORBIDDEN, "operators' tables")
+            return refusal(
+                http.HTTPStatus.FORBIDDEN, "table is writable by operators only"
+            )
         return self._commit(transaction)
 
     def _commit(self, transaction: Transaction) -> Response:
@@ -191,7 +193,9 @@
         with self._changed:
             while True:
                 if after < self._store.compacted_version:
-                    return refusal(http.HTTPStatus.GONE, "history is gone")
+                    return refusal(
+                        http.HTTPStatus.GONE, "history of changes was compacted"
+                    )
                 page = self._changes(prefix, after)
                 left_s = until - self._clock()
                 if page or left_s <= 0.0:
@@ -212,7 +216,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags."""
+    """Serve on the port given by the flags."""
     del argv
     gc.set_threshold(*GC_THRESHOLDS)
     serve(make_server(handle=RowStoreServer().handle, port=FLAGS.port))
--- a/standins/table_core.py
+++ b/standins/table_core.py
@@ -1,13 +1,14 @@
-"""The table service itself, as an immutable table and pure functions.
+"""The rules of the table service: an immutable table and pure functions.
 
-A transaction commits whole or not at all, and every row that it writes gets the
-number of the commit as its version. A deleted row leaves a tombstone, which
-conditions see as absent and readers that follow changes see as deleted.
+A transaction is atomic, and every row that it writes gets the number of the commit
+as its version. A deleted row leaves a tombstone: conditions treat the row as absent,
+and readers that follow changes see it as deleted.
 
 Example::
 
     put = Put(key="claim/s/1", value=b"{}")
-    transaction = Transaction(conditions=(At(key="claim/s/1", version=0),), puts=(put,))
+    condition = VersionCondition(key="claim/s/1", version=0)
+    transaction = Transaction(conditions=(condition,), puts=(put,))
     commit(TableState.empty(), transaction).revision
 """
 
@@ -23,7 +24,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class VersionCondition:
-    """Requires a key to stand at `version`; 0 requires it to be absent."""
+    """Requires a row to have `version`; 0 requires it to be absent."""
 
     key: str
     version: int
@@ -31,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Put:
-    """Puts `value` under `key`; None deletes it."""
+    """Writes `value` to the row `key`; None deletes the row."""
 
     key: str
     value: bytes | None
@@ -39,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Transaction:
-    """Writes that take effect together if every condition holds."""
+    """Writes that are applied atomically if every condition holds."""
 
     conditions: tuple[VersionCondition, ...]
     puts: tuple[Put, ...]
@@ -47,7 +48,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Stored:
-    """A row; a tombstone has no value."""
+    """A stored row; a tombstone has no value."""
 
     key: str
     version: int
@@ -55,12 +56,15 @@
 
     @property
     def condition_version(self) -> int:
-        """The version that conditions compare with: 0 for a tombstone."""
+        """The version that conditions are compared with: 0 for a tombstone."""
         return self.version if self.value is not None else 0
 
 
 def folders_of(key: str) -> tuple[str, ...]:
-    """Return the first prefixes of a key that end with a slash, shortest first."""
+    """Return the first prefixes of a key that end with a slash, shortest first.
+
+    There are at most `MAX_INDEXED_DEPTH` of them.
+    """
     parts = key.split("/")[:-1]
     depths = range(1, min(len(parts), MAX_INDEXED_DEPTH) + 1)
     return tuple("/".join(parts[:depth]) + "/" for depth in depths)
@@ -79,7 +83,7 @@
 
     @staticmethod
     def empty() -> TableState:
-        """Return a service that holds nothing."""
+        """Return a service without rows."""
         return TableState(
             revision=0, rows=Table.empty(indexes={"folder": _row_folders})
         )
@@ -87,7 +91,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitResult:
-    """The state after a transaction; `failed` are the rows that barred it."""
+    """The state after a transaction.
+
+    If it failed, `conflicting_rows` are the rows that did not meet a condition.
+    """
 
     state: TableState
     revision: int
@@ -95,13 +102,13 @@
 
     @property
     def committed(self) -> bool:
-        """Whether the transaction took effect."""
+        """Whether the transaction was committed."""
         return not self.conflicting_rows
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Page:
-    """Rows in the order of their versions; rows of one commit are never split."""
+    """Rows by version; the rows of one commit are never split over two pages."""
 
     revision: int
     rows: tuple[Stored, ...]
@@ -133,7 +140,7 @@
 
 
 def _candidates(state: TableState, prefix: str) -> list[Stored]:
-    """Return rows among which are all with the prefix."""
+    """Return a superset of the rows with the prefix, from the index if possible."""
     folders = folders_of(prefix)
     if not folders:
         return state.rows.rows()
--- a/standins/table_service.py
+++ b/standins/table_service.py
@@ -1,6 +1,7 @@
 """The table service over HTTP: ``python -m standins.table_service --port 7000``.
 
-One transaction counts as one write and one page as one read, whatever their rows.
+For the rate limits a transaction is one write and a page is one read, regardless of
+the number of rows.
 """
 
 from __future__ import annotations
@@ -39,13 +40,14 @@
 DEFAULT_WRITES_PER_S = 300.0
 DEFAULT_READS_PER_S = 2_000.0
 MAX_TRANSACTION_BYTES = 4 * 1024 * 1024
-# The persistent maps hold many objects and no cycles: full collections only cost.
+# The persistent maps hold many objects but no reference cycles, so that full
+# collections take time and free nothing.
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PutForm:
-    """A write as it is sent; null deletes."""
+    """A write in the body of a request; a null value deletes the row."""
 
     key: str
     value: msgspec.Raw
@@ -53,7 +55,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionForm:
-    """A transaction as it is sent."""
+    """The body of a transaction request."""
 
     conditions: tuple[VersionCondition, ...]
     writes: tuple[PutForm, ...]
@@ -61,7 +63,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RowForm:
-    """A row as it is answered."""
+    """A row in the body of a response."""
 
     key: str
     version: int
@@ -89,7 +91,7 @@
 
 
 class TableService:
-    """Holds the state of the service behind one lock and answers requests."""
+    """Keeps the state, protected by one lock, and answers requests."""
 
     def __init__(
         self,
@@ -112,7 +114,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request; blocks for as long as the mode and the pace demand."""
+        """Answer one request, after the delays of the rate limit and the fault mode."""
         if request.path == "/switch":
             return self._switch(request)
         handler = self._handler_by_path.get((request.method, request.path))
@@ -172,7 +174,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags."""
+    """Serve on the port given by the flags."""
     del argv
     gc.set_threshold(*GC_THRESHOLDS)
     service = TableService(
--- a/standins/web.py
+++ b/standins/web.py
@@ -1,4 +1,4 @@
-"""What the HTTP stand-ins share: requests, responses and the cheroot server."""
+"""Shared code of the HTTP stand-ins: requests, responses and the cheroot server."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Request:
-    """A request with its whole body, its query and its headers by name.
+    """A request with its complete body, its query and its headers by name.
 
-    The names of headers are in the form of WSGI, such as ``HTTP_X_REQUEST_ID``.
+    Header names have the form used by WSGI, such as ``HTTP_X_REQUEST_ID``.
     """
 
     method: str
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Response:
-    """An answer; `lost` closes the connection without sending it."""
+    """A response; if `lost`, the connection is closed instead of sending it."""
 
     status: http.HTTPStatus
     body: bytes = b""
@@ -49,7 +49,7 @@
 
 
 def refusal(status: http.HTTPStatus, detail: str) -> Response:
-    """Return a response that says why nothing was done."""
+    """Return an error response with the reason in `detail`."""
     return as_json(status, {"detail": detail})
 
 
@@ -87,7 +87,7 @@
     ) -> Iterable[bytes]:
         response = _answer(handle, _parse_request(environ))
         if response.lost:
-            # cheroot closes the connection without an answer on this error.
+            # On this error cheroot closes the connection without sending a response.
             raise ConnectionResetError(errno.ECONNRESET, "answer lost")
         status = f"{response.status.value} {response.status.phrase}"
         headers = [
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,7 +1,7 @@
 """Workers over HTTP: ``python -m standins.worker --port 7100``.
 
-One process serves many workers, each under ``/w/WORKER_ID``. Unknown ids are
-served too, so that a record alone decides which workers there are.
+One process serves many workers, each under ``/w/WORKER_ID``. Any id is served, so
+that only the records decide which workers exist.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Switch:
-    """A mode that lasts for `seconds` (0: until the next switch)."""
+    """Sets a mode for `seconds` (0: until the next switch)."""
 
     mode: Mode
     seconds: float = 0.0
@@ -94,14 +94,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SimulatedWorker:
-    """A worker's runs and its mode, which lasts until `until`."""
+    """The runs of a worker and its fault mode, which ends at `until`."""
 
     state: WorkerState
     switch: Switch = Switch(mode=Mode.UP)
     until: float = float("inf")
 
     def mode_at(self, now: float) -> Mode:
-        """Return the mode in force at `now`."""
+        """Return the current mode at `now`."""
         return self.switch.mode if now < self.until else Mode.UP
 
 
@@ -113,7 +113,7 @@
 
 
 class Workers:
-    """Holds all workers behind one lock and answers requests."""
+    """Keeps all workers, protected by one lock, and answers requests."""
 
     def __init__(
         self,
@@ -135,7 +135,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request for the worker that the path names."""
+        """Answer one request for the worker named in the path."""
         _, prefix, worker_id, *rest = [*request.path.split("/"), "", "", ""]
         path = "/" + "/".join(part for part in rest if part)
         if prefix != "w" or not worker_id:
@@ -260,7 +260,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Serve on the port of the flags."""
+    """Serve on the port given by the flags."""
     del argv
     capacity = Resources(
         processors_m=FLAGS.processors_m,
@@ -273,8 +273,10 @@
 
 if __name__ == "__main__":
     flags.DEFINE_integer("port", 7100, "Port on 127.0.0.1.")
-    flags.DEFINE_integer("processors_m", 32_000, "Processors of each worker.")
-    flags.DEFINE_integer("memory_mb", 125_000, "Memory of each worker.")
+    flags.DEFINE_integer(
+        "processors_m", 32_000, "Processors of each worker in thousandths."
+    )
+    flags.DEFINE_integer("memory_mb", 125_000, "Memory of each worker in MB.")
     flags.DEFINE_integer("accelerators", 0, "Accelerators of each worker.")
     flags.DEFINE_string("failure_domain", "", "Failure domain of the workers.")
     app.run(main)
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -1,8 +1,8 @@
-"""One worker, as an immutable table of runs and pure functions.
+"""A simulated worker: an immutable table of runs and pure functions.
 
-It starts whatever it is given, whether it fits or not, and twice if it is told
-twice. Leases lapse on the worker's own clock. A run that has ended stays in the
-reports until a stop without checkpoint has it forgotten.
+The worker starts every task that it receives, even beyond its capacity, and starts a
+task twice if it receives the start twice. Leases lapse on the worker's own clock. A
+run that has ended stays in the reports until a stop without checkpoint removes it.
 """
 
 from __future__ import annotations
@@ -35,10 +35,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Start:
-    """What a worker is told to start.
+    """An order to start a task.
 
-    `run_s` 0 runs until it is stopped. A checkpoint names the seconds of work
-    that were done already.
+    A task with `run_s` 0 runs until it is stopped. A checkpoint is the number of
+    seconds of work that are already done.
     """
 
     task_id: str
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Run:
-    """One run of a task; `share` is the part of its speed that it may use."""
+    """One run of a task, throttled to the fraction `share` of its full speed."""
 
     start: Start
     state: RunState
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Renew:
-    """Extends the lease of a run from now."""
+    """Extends the lease of a run to `lease_s` from now."""
 
     task_id: str
     generation: int
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
-    """The sum of the harm of all batch runs from `at` on."""
+    """The latency added by all batch runs from `at` on."""
 
     at: float
     harm_ms: float
@@ -90,10 +90,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerState:
-    """All runs of a worker by number, and whether it fails what it starts.
+    """All runs of a worker by number, and whether new runs fail.
 
-    `harm_by_job` says by how much one run of a job raises the latency of every
-    latency-critical run beside it; without it a hash of the job's name does.
+    `harm_by_job` is by how many milliseconds one run of a job raises the latency of
+    every latency-critical run on the worker. Without it, a hash of the job's name
+    decides.
     """
 
     runs: Table[Run]
@@ -104,12 +105,12 @@
 
     @staticmethod
     def empty() -> WorkerState:
-        """Return a worker that runs nothing."""
+        """Return a worker without runs."""
         return WorkerState(runs=Table.empty(indexes={"task": by_task}))
 
 
 def start(state: WorkerState, order: Start, now: float) -> WorkerState:
-    """Start a run, whatever runs already."""
+    """Start a run, regardless of the runs that exist."""
     done_s = float(order.checkpoint or 0.0)
     run = Run(
         start=order,
@@ -128,7 +129,7 @@
 
 
 def advance(state: WorkerState, now: float) -> WorkerState:
-    """Let running tasks work, finish, fail or lapse up to now."""
+    """Update the progress of the runs up to now; end those that are due."""
     runs = state.runs
     for key in runs:
         run = runs.by_key[key]
@@ -138,7 +139,7 @@
 
 
 def _with_load_recorded(state: WorkerState, now: float) -> WorkerState:
-    """Keep the sum of harm for the usage reports, which lag."""
+    """Record the current harm, because usage reports show a past time."""
     harm_ms = sum(
         harm_of(state, run.start.task_id) * run.share
         for run in state.runs.rows()
@@ -153,7 +154,7 @@
 
 
 def harm_of(state: WorkerState, task_id: str) -> float:
-    """Return the harm of one run at full speed in milliseconds."""
+    """Return the latency in milliseconds that one run adds at full speed."""
     job = task_id.split("/")[0]
     if state.harm_by_job is not None:
         return state.harm_by_job.get(job, 0.0)
@@ -161,7 +162,7 @@
 
 
 def latency_ms(state: WorkerState, run: Run, at: float) -> float:
-    """Return the latency of a run as it was at a past time; zero for batch runs."""
+    """Return the latency of a run at a past time; zero for batch runs."""
     if run.start.task_class == "batch":
         return 0.0
     before = [load.harm_ms for load in state.loads if load.at <= at]
@@ -182,7 +183,7 @@
 
 
 def renew(state: WorkerState, renewals: tuple[Renew, ...], now: float) -> WorkerState:
-    """Extend the leases of runs that still run."""
+    """Extend the leases of the runs that are still running."""
     state = advance(state, now)
     runs = state.runs
     for renewal in renewals:
@@ -198,7 +199,7 @@
 def stop(
     state: WorkerState, task_id: str, generation: int, checkpoint: bool, now: float
 ) -> WorkerState:
-    """Stop a generation; without `checkpoint` forget it if it has ended."""
+    """Stop a generation; without `checkpoint` remove it if it has ended."""
     state = advance(state, now)
     runs = state.runs
     for key in list(runs.keys_where("task", f"{task_id}|{generation}")):
@@ -215,7 +216,7 @@
 def throttle(
     state: WorkerState, task_id: str, generation: int, share: float, now: float
 ) -> WorkerState:
-    """Let a generation work at a share of its speed."""
+    """Throttle a generation to a share of its full speed."""
     state = advance(state, now)
     runs = state.runs
     for key in list(runs.keys_where("task", f"{task_id}|{generation}")):
@@ -224,7 +225,7 @@
 
 
 def runs_with_usage(state: WorkerState, now: float) -> tuple[Run, ...]:
-    """Return the runs whose usage is known by now: it lags by `USAGE_LAG_S`."""
+    """Return the runs whose usage is known, which takes `USAGE_LAG_S`."""
     return tuple(
         run
         for run in state.runs.rows()
@@ -233,7 +234,7 @@
 
 
 def running_size(state: WorkerState) -> Resources:
-    """Return the sum over everything that runs, for checks."""
+    """Return the total size of the running tasks, for checks in tests."""
     total = Resources()
     for run in state.runs.rows():
         if run.state is RunState.RUNNING:
