--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -29,9 +29,9 @@
     `lease` is the lease row at version `lease_version`. While watching,
     `alive_version` is the version of the owner's liveness row, first seen at
     `alive_seen_at`. Task leases of the previous owner have expired after
-    `lapsed_at`. Rows are known up to revision `rows_since`. `place_due` is set when
-    something relevant to placement has changed, `fit_due` when a worker may hold
-    more than its capacity.
+    `leases_expired_at`. Rows are known up to revision `rows_since`. `place_due` is set
+    when something relevant to placement has changed, `fit_due` when a worker may
+    hold more than its capacity.
     """
 
     name: str
@@ -42,7 +42,7 @@
     alive_seen_at: float = 0.0
     next_watch_at: float = 0.0
     taken_at: float = 0.0
-    lapsed_at: float = 0.0
+    leases_expired_at: float = 0.0
     rows_since: int = 0
     refetch_at: float = 0.0
     place_due: bool = False
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -28,11 +28,11 @@
 class TakeCell(Purpose):
     """Makes the agent the owner of a cell.
 
-    `lapsed_at` is a lower bound for `Cell.lapsed_at`.
+    `leases_expired_at` is a lower bound for `Cell.leases_expired_at`.
     """
 
     cell: str
-    lapsed_at: float
+    leases_expired_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/worker.py
+++ b/bulrushpulley/entities/worker.py
@@ -26,10 +26,10 @@
     """One worker of a cell.
 
     `present` is false once the cell's record no longer names the worker; its
-    capacity is then zero. `asked_at` is when the report in flight was requested, or
-    None; `reported_at` is when the last answered report was requested. No renewal
-    of a task lease was sent after `renewed_until`; the next ones are due at
-    `renew_at`. `runs` counts the runs of the last report, `unexpected_runs` those
+    capacity is then zero. `report_requested_at` is when the report in flight was
+    requested, or None; `reported_at` is when the last answered report was requested.
+    No renewal of a task lease was sent after `renewed_until`; the next ones are due
+    at `renew_at`. `runs` counts the runs of the last report, `unexpected_runs` those
     running there that the owner has not assigned to it. `unanswered_at` is when a
     call to it last failed, or None once a report requested after that is answered.
     """
@@ -40,7 +40,7 @@
     rack: str
     capacity: Resources
     present: bool = True
-    asked_at: float | None = None
+    report_requested_at: float | None = None
     next_report_at: float = 0.0
     reported_at: float | None = None
     answered_at: float = 0.0
--- a/bulrushpulley/entities/worker_calls.py
+++ b/bulrushpulley/entities/worker_calls.py
@@ -83,7 +83,7 @@
 class AskReport(WorkerCommand):
     """Renews leases and requests all runs and their resource usage in one call."""
 
-    asked_at: float
+    requested_at: float
     renewals: tuple[Renewal, ...]
 
 
@@ -173,16 +173,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerReported(WorkerEvent):
-    """All runs of a worker, in answer to the report requested at `asked_at`."""
+    """All runs of a worker, in answer to the report requested at `requested_at`."""
 
-    asked_at: float
+    requested_at: float
     runs: tuple[RunReport, ...]
     usages: tuple[RunUsage, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportUnanswered(WorkerEvent):
-    """The report requested at `asked_at` was not sent, or its answer is missing."""
+    """The report requested at `requested_at` was not sent, or its answer is missing."""
 
-    asked_at: float
+    requested_at: float
     problem: Problem
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -176,12 +176,12 @@
         except BulrushpulleyError as error:
             return ReportUnanswered(
                 worker_id=command.worker_id,
-                asked_at=command.asked_at,
+                requested_at=command.requested_at,
                 problem=error.problem,
             )
         return WorkerReported(
             worker_id=command.worker_id,
-            asked_at=command.asked_at,
+            requested_at=command.requested_at,
             runs=answer.tasks,
             usages=answer.usage,
         )
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -50,7 +50,7 @@
             cell_quarantine.probe_quarantined,
             cell_evict.drain,
             cell_evict.cancel,
-            cell_stop.end_lapsed_tasks,
+            cell_stop.end_tasks_with_expired_leases,
             cell_evict.evict_over_capacity,
             cell_interference.limit_interference,
             cell_place.place,
--- a/bulrushpulley/systems/cell/endings.py
+++ b/bulrushpulley/systems/cell/endings.py
@@ -37,9 +37,9 @@
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.outcomes import (
-    on_committed,
-    on_conflicted,
-    on_withdrawn,
+    handle_committed,
+    handle_conflicted,
+    handle_withdrawn,
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
@@ -165,7 +165,7 @@
     )
 
 
-@on_committed.register
+@handle_committed.register
 def _(
     purpose: WriteEnding,
     in_flight: InFlightSubmission,
@@ -190,7 +190,7 @@
     return Step(tables=cell_rows.put_task(tables, waiting), commands=(ended,))
 
 
-@on_conflicted.register
+@handle_conflicted.register
 def _(
     purpose: WriteEnding,
     in_flight: InFlightSubmission,
@@ -238,7 +238,7 @@
     return cell_rows.put_task(tables, replace(task, ending=waiting))
 
 
-@on_withdrawn.register
+@handle_withdrawn.register
 def _(
     purpose: WriteEnding,
     in_flight: InFlightSubmission,
--- a/bulrushpulley/systems/cell/learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -116,8 +116,8 @@
         )
     smoothed_ms = known.smoothed_ms + LATENCY_WEIGHT * (sample_ms - known.smoothed_ms)
     latency = replace(known, smoothed_ms=smoothed_ms, target_ms=target_ms)
-    judged = cell_degradation.update_degraded(latency, now)
-    return replace(tables, latencies=tables.latencies.put(task.key, judged))
+    updated = cell_degradation.update_degraded(latency, now)
+    return replace(tables, latencies=tables.latencies.put(task.key, updated))
 
 
 def _shares_by_job(
--- a/bulrushpulley/systems/cell/liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -24,17 +24,17 @@
     RenewAlive,
 )
 from bulrushpulley.entities.owner_times import (
+    CELL_TAKEOVER_TIMEOUT_S,
     LIVENESS_RENEW_INTERVAL_S,
-    TAKEOVER_TIMEOUT_S,
 )
 from bulrushpulley.entities.rows import AliveRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.cell import outcomes as cell_outcomes
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.outcomes import (
-    on_committed,
-    on_conflicted,
-    on_withdrawn,
+    handle_committed,
+    handle_conflicted,
+    handle_withdrawn,
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
@@ -52,7 +52,7 @@
     its successor runs. Leases may be renewed for longer, which is harmless.
     """
     confirmed = tables.liveness.confirmed_sent_at
-    owned = float("-inf") if confirmed is None else confirmed + TAKEOVER_TIMEOUT_S
+    owned = float("-inf") if confirmed is None else confirmed + CELL_TAKEOVER_TIMEOUT_S
     return min(owned, autonomy_deadline(tables))
 
 
@@ -81,7 +81,7 @@
     return Step(tables=replace(tables, liveness=live))
 
 
-@on_committed.register
+@handle_committed.register
 def _(
     purpose: RenewAlive,
     in_flight: InFlightSubmission,
@@ -99,7 +99,7 @@
     return Step(tables=replace(tables, liveness=live))
 
 
-@on_withdrawn.register
+@handle_withdrawn.register
 def _(
     purpose: RenewAlive,
     in_flight: InFlightSubmission,
@@ -111,7 +111,7 @@
     return Step(tables=replace(tables, liveness=live))
 
 
-@on_conflicted.register
+@handle_conflicted.register
 def _(
     purpose: RenewAlive,
     in_flight: InFlightSubmission,
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -51,18 +51,18 @@
     if in_flight_read is None:
         return Step(tables=tables)
     tables = replace(tables, reads=tables.reads.drop(event.fetch_id))
-    return on_fetched(in_flight_read.purpose, event, tables, now)
+    return handle_fetched(in_flight_read.purpose, event, tables, now)
 
 
 @singledispatch
-def on_fetched(
+def handle_fetched(
     purpose: ReadPurpose, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
     """Apply the rows of a read according to its purpose."""
     raise NotImplementedError(type(purpose).__name__)
 
 
-@on_fetched.register
+@handle_fetched.register
 def _(
     purpose: ReadOwnAlive, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
@@ -77,7 +77,7 @@
     return Step(tables=replace(tables, liveness=live))
 
 
-@on_fetched.register
+@handle_fetched.register
 def _(
     purpose: ReadLease, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
@@ -90,7 +90,7 @@
     return cell_watch.handle_lease_read(cell, found, tables, now)
 
 
-@on_fetched.register
+@handle_fetched.register
 def _(
     purpose: ReadOwnerAlive, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
@@ -103,7 +103,7 @@
     return cell_watch.handle_owner_alive_read(cell, found, tables, now)
 
 
-@on_fetched.register
+@handle_fetched.register
 def _(
     purpose: ReadTasks, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
@@ -118,7 +118,7 @@
         tables, taken = cell_rows.adopt_task(found, tables, now)
         complete = complete and taken
     tables = _apply_records(event.rows, tables, now)
-    return _rows_read(purpose.cell, event, complete, tables, now)
+    return _handle_rows_read(purpose.cell, event, complete, tables, now)
 
 
 def _apply_records(
@@ -136,7 +136,7 @@
     return tables
 
 
-def _rows_read(
+def _handle_rows_read(
     name: str, event: Fetched, complete: bool, tables: CellOwnerTables, now: float
 ) -> CellStep:
     cell = tables.cells.by_key[name]
--- a/bulrushpulley/systems/cell/outcomes.py
+++ b/bulrushpulley/systems/cell/outcomes.py
@@ -1,8 +1,8 @@
 """Applies the outcomes of submissions according to their purpose.
 
-`on_committed`, `on_conflicted` and `on_withdrawn` dispatch on the purpose; the
-modules that submit register the implementations. A conflict that shows another
-owner of the cell gives the cell up, and nothing else is done.
+`handle_committed`, `handle_conflicted` and `handle_withdrawn` dispatch on the purpose;
+the modules that submit register the implementations. After a conflict that shows
+another owner of the cell, the cell is given up and nothing else is done.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 @singledispatch
-def on_committed(
+def handle_committed(
     purpose: Purpose,
     in_flight: InFlightSubmission,
     outcome: Committed,
@@ -41,7 +41,7 @@
 
 
 @singledispatch
-def on_conflicted(
+def handle_conflicted(
     purpose: Purpose,
     in_flight: InFlightSubmission,
     outcome: Conflicted,
@@ -53,7 +53,7 @@
 
 
 @singledispatch
-def on_withdrawn(
+def handle_withdrawn(
     purpose: Purpose,
     in_flight: InFlightSubmission,
     outcome: Withdrawn,
@@ -70,7 +70,7 @@
     if in_flight is None:
         return Step(tables=tables)
     tables = _remove_submission(tables, in_flight)
-    return on_committed(in_flight.purpose, in_flight, event, tables, now)
+    return handle_committed(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
@@ -81,7 +81,7 @@
     if names_other_owner(tables, in_flight, event):
         return lose_cell(tables, in_flight.cell, "another owner holds the lease")
     tables = _remove_submission(tables, in_flight)
-    return on_conflicted(in_flight.purpose, in_flight, event, tables, now)
+    return handle_conflicted(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
@@ -92,7 +92,7 @@
     if in_flight.may_take_effect:
         return Step(tables=cell_send.resubmit(tables, in_flight, now))
     tables = _remove_submission(tables, in_flight)
-    return on_withdrawn(in_flight.purpose, in_flight, event, tables, now)
+    return handle_withdrawn(in_flight.purpose, in_flight, event, tables, now)
 
 
 @apply.register
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -23,9 +23,9 @@
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.outcomes import (
-    on_committed,
-    on_conflicted,
-    on_withdrawn,
+    handle_committed,
+    handle_conflicted,
+    handle_withdrawn,
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
@@ -56,8 +56,8 @@
     sending = phase_index(cell=cell.name, phase=Phase.SENDING)
     if tables.tasks.count_where("phase", sending):
         return False
-    began = cell.release_by - RELEASE_TIMEOUT_S
-    return now - began >= WORKER_CALL_TIMEOUT_S
+    started_at = cell.release_by - RELEASE_TIMEOUT_S
+    return now - started_at >= WORKER_CALL_TIMEOUT_S
 
 
 def _submit_release(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
@@ -76,7 +76,7 @@
     return cell_rows.put_cell(tables, replace(cell, phase=CellPhase.RELEASING))
 
 
-@on_committed.register
+@handle_committed.register
 def _(
     purpose: ReleaseCell,
     in_flight: InFlightSubmission,
@@ -93,7 +93,7 @@
     return Step(tables=step.tables, commands=commands)
 
 
-@on_conflicted.register
+@handle_conflicted.register
 def _(
     purpose: ReleaseCell,
     in_flight: InFlightSubmission,
@@ -104,7 +104,7 @@
     return cell_outcomes.lose_cell(tables, purpose.cell, "the lease has changed")
 
 
-@on_withdrawn.register
+@handle_withdrawn.register
 def _(
     purpose: ReleaseCell,
     in_flight: InFlightSubmission,
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -67,25 +67,28 @@
     if tables.leaving or now > not_after:
         return Step(tables=tables)
     for worker in tables.workers.rows():
-        if worker.asked_at is not None and now - worker.asked_at < REPORT_TIMEOUT_S:
+        if (
+            worker.report_requested_at is not None
+            and now - worker.report_requested_at < REPORT_TIMEOUT_S
+        ):
             continue
         if not worker.url or now < worker.next_report_at:
             continue
         renewals = _renewals(tables, worker, now)
-        asked = replace(
+        requested = replace(
             worker,
-            asked_at=now,
+            report_requested_at=now,
             next_report_at=now + report_interval(tables, worker),
             renewed_until=not_after if renewals else worker.renewed_until,
             renew_at=now + TASK_LEASE_RENEW_INTERVAL_S if renewals else worker.renew_at,
         )
-        tables = cell_rows.put_worker(tables, asked)
+        tables = cell_rows.put_worker(tables, requested)
         commands.append(
             AskReport(
                 worker_id=worker.worker_id,
                 url=worker.url,
                 not_after=not_after,
-                asked_at=now,
+                requested_at=now,
                 renewals=renewals,
             )
         )
@@ -94,13 +97,13 @@
 
 def renew_all_task_leases(tables: CellOwnerTables, now: float) -> CellStep:
     """Renew all task leases once more, to last until a new owner has the cells."""
-    due = tables.workers
-    for worker in due.rows():
-        due = due.put(
+    workers = tables.workers
+    for worker in workers.rows():
+        workers = workers.put(
             worker.worker_id,
-            replace(worker, asked_at=None, next_report_at=now, renew_at=now),
+            replace(worker, report_requested_at=None, next_report_at=now, renew_at=now),
         )
-    return request_reports(replace(tables, workers=due), now)
+    return request_reports(replace(tables, workers=workers), now)
 
 
 def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
@@ -194,9 +197,9 @@
 @apply.register
 def _(event: ReportUnanswered, tables: CellOwnerTables, now: float) -> CellStep:
     worker = tables.workers.get(event.worker_id)
-    if worker is None or worker.asked_at != event.asked_at:
+    if worker is None or worker.report_requested_at != event.requested_at:
         return Step(tables=tables)
-    tables = cell_rows.put_worker(tables, replace(worker, asked_at=None))
+    tables = cell_rows.put_worker(tables, replace(worker, report_requested_at=None))
     return Step(tables=_note_failed_call(tables, event.worker_id, now))
 
 
@@ -214,18 +217,18 @@
 @apply.register
 def _(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
     worker = tables.workers.get(event.worker_id)
-    if worker is None or worker.asked_at != event.asked_at:
+    if worker is None or worker.report_requested_at != event.requested_at:
         return Step(tables=tables)
     cell = tables.cells.by_key[worker.cell]
     loaded = cell.phase is CellPhase.OWNED
     back = worker.reported_at is None or worker.unanswered_at is not None
     reported = replace(
         worker,
-        asked_at=None,
+        report_requested_at=None,
         answered_at=now,
         runs=len(event.runs),
-        reported_at=event.asked_at if loaded else worker.reported_at,
-        unanswered_at=_still_unanswered(worker, event.asked_at),
+        reported_at=event.requested_at if loaded else worker.reported_at,
+        unanswered_at=_still_unanswered(worker, event.requested_at),
     )
     tables = cell_rows.put_worker(tables, reported)
     if not loaded:
@@ -235,9 +238,9 @@
     return _apply_runs(event, tables, now)
 
 
-def _still_unanswered(worker: Worker, asked_at: float) -> float | None:
+def _still_unanswered(worker: Worker, requested_at: float) -> float | None:
     failed_at = worker.unanswered_at
-    return failed_at if failed_at is not None and asked_at <= failed_at else None
+    return failed_at if failed_at is not None and requested_at <= failed_at else None
 
 
 def _apply_runs(event: WorkerReported, tables: CellOwnerTables, now: float) -> CellStep:
@@ -268,11 +271,11 @@
     task = tables.tasks.get(key)
     if task is None or task.row.generation != run.generation:
         return False
-    settling = task.phase in REPORTABLE_PHASES or task.phase in (
+    reportable = task.phase in REPORTABLE_PHASES or task.phase in (
         Phase.ENDED,
         Phase.WRITING,
     )
-    return settling and task.row.worker_id == worker.worker_id
+    return reportable and task.row.worker_id == worker.worker_id
 
 
 def _apply_run(
@@ -327,18 +330,18 @@
     for task in tables.tasks.rows_where("worker", event.worker_id):
         if task.key in seen or task.phase not in REPORTABLE_PHASES:
             continue
-        if shows_absence(task, event.asked_at):
+        if shows_absence(task, event.requested_at):
             reason = f"worker {event.worker_id} does not run the task"
             tables = cell_stop.end_as_planned(tables, task, reason, now)
     return tables
 
 
-def shows_absence(task: Task, asked_at: float) -> bool:
-    """Tell whether absence from a report requested at `asked_at` proves an end.
+def shows_absence(task: Task, requested_at: float) -> bool:
+    """Tell whether absence from a report requested at `requested_at` proves an end.
 
     An earlier report may lack a task whose start was still on its way.
     """
-    return asked_at > task.settle_after
+    return requested_at > task.settle_after
 
 
 def _note_unexpected_runs(
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -131,19 +131,19 @@
     named = {worker.worker_id: worker for worker in record.workers}
     for worker in tables.workers.rows_where("cell", cell.name):
         if worker.worker_id not in named:
-            gone = replace(worker, present=False, capacity=NO_RESOURCES)
-            tables = put_worker(tables, gone)
-    for worker_id, wanted in named.items():
-        fresh = worker_from_record(wanted, cell=cell.name, now=now)
+            removed = replace(worker, present=False, capacity=NO_RESOURCES)
+            tables = put_worker(tables, removed)
+    for worker_id, worker_record in named.items():
+        fresh = worker_from_record(worker_record, cell=cell.name, now=now)
         known = tables.workers.get(worker_id)
         if known is not None and known.cell != cell.name:
             continue
         if known is not None:
             fresh = replace(
                 known,
-                url=wanted.url,
-                rack=wanted.rack,
-                capacity=wanted.capacity,
+                url=worker_record.url,
+                rack=worker_record.rack,
+                capacity=worker_record.capacity,
                 present=True,
             )
         tables = put_worker(tables, fresh)
@@ -209,7 +209,7 @@
 def task_of(key: str, row: TaskRow, version: int, cell: Cell, now: float) -> Task:
     """Return the task of a stored row; a started task may still be running."""
     waiting = row.state is TaskState.WAITING
-    own_bound = now + START_WINDOW_S + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
+    latest_expiry = now + START_WINDOW_S + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return Task(
         key=key,
         cell=cell.name,
@@ -218,7 +218,7 @@
         phase=Phase.WAITING if waiting else Phase.UNKNOWN,
         since=now,
         settle_after=now + START_SETTLE_TIME_S,
-        leased_until=max(cell.lapsed_at, own_bound),
+        leased_until=max(cell.leases_expired_at, latest_expiry),
     )
 
 
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -18,7 +18,7 @@
 MAX_EXPECTED_LATENCY_RATIO = 1.0
 PLACEMENT_RETRY_DELAY_S = 2.0
 # Less than the 30 s after which a waiting task is returned from its cell.
-MAX_DEFERRAL_S = 20.0
+MAX_PLACEMENT_DEFERRAL_S = 20.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,8 +27,9 @@
 
     A batch task is not placed where it is expected to raise the latency of a service
     above its target, nor beside the first task of its job until the effect of that
-    task is measured. If it is urgent or has waited `MAX_DEFERRAL_S`, it is placed on
-    the least harmful worker, so that no job waits for as long as a service runs.
+    task is measured. If it is urgent or has waited `MAX_PLACEMENT_DEFERRAL_S`, it is
+    placed on the least harmful worker, so that no job waits for as long as a service
+    runs.
     """
 
 
@@ -59,7 +60,7 @@
     now: float,
 ) -> Choice:
     spec = task.row.spec
-    deferral_over = now - task.since >= MAX_DEFERRAL_S
+    deferral_over = now - task.since >= MAX_PLACEMENT_DEFERRAL_S
     measured = [candidate for candidate in fitting if not candidate.effect_pending]
     harmless = [
         candidate
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -43,13 +43,13 @@
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell.outcomes import (
-    on_committed,
-    on_conflicted,
-    on_withdrawn,
+    handle_committed,
+    handle_conflicted,
+    handle_withdrawn,
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
-START_RETRY_DELAY_S = 1.0
+TASK_START_RETRY_DELAY_S = 1.0
 
 
 def commit_start(
@@ -99,7 +99,7 @@
     )
 
 
-@on_committed.register
+@handle_committed.register
 def _(
     purpose: CommitStart,
     in_flight: InFlightSubmission,
@@ -176,7 +176,7 @@
     )
 
 
-@on_withdrawn.register
+@handle_withdrawn.register
 def _(
     purpose: CommitStart,
     in_flight: InFlightSubmission,
@@ -187,11 +187,11 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    later = replace(task, retry_at=now + START_RETRY_DELAY_S)
+    later = replace(task, retry_at=now + TASK_START_RETRY_DELAY_S)
     return Step(tables=_return_to_waiting(tables, later, now))
 
 
-@on_conflicted.register
+@handle_conflicted.register
 def _(
     purpose: CommitStart,
     in_flight: InFlightSubmission,
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -13,8 +13,8 @@
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.owner_times import (
     CLOCK_DRIFT_MARGIN_S,
-    STOP_RETRY_DELAY_S,
     TASK_LEASE_S,
+    WORKER_CALL_RETRY_DELAY_S,
     WORKER_CALL_TIMEOUT_S,
     WORKER_UNREACHABLE_TIMEOUT_S,
 )
@@ -103,10 +103,10 @@
         value = phase_index(cell=cell.name, phase=Phase.STOPPING)
         for task in tables.tasks.rows_where("phase", value):
             worker = tables.workers.get(task.worker_id)
-            if worker is None or not worker.url or now < task.stop_sent_at:
+            if worker is None or not worker.url or now < task.next_stop_at:
                 continue
-            due = replace(task, stop_sent_at=now + STOP_RETRY_DELAY_S)
-            tables = replace(tables, tasks=tables.tasks.put(task.key, due))
+            sent = replace(task, next_stop_at=now + WORKER_CALL_RETRY_DELAY_S)
+            tables = replace(tables, tasks=tables.tasks.put(task.key, sent))
             commands.append(_stop_command(task, worker, not_after))
     return Step(tables=tables, commands=tuple(commands))
 
@@ -127,20 +127,20 @@
     return now - worker.answered_at >= WORKER_UNREACHABLE_TIMEOUT_S
 
 
-def lease_has_lapsed(task: Task, worker: Worker, now: float) -> bool:
+def lease_has_expired(task: Task, worker: Worker, now: float) -> bool:
     """Tell whether the lease of a task has lapsed even on the worker's own clock."""
     last_lease = worker.renewed_until + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return now >= max(task.leased_until, last_lease)
 
 
-def end_lapsed_tasks(tables: CellOwnerTables, now: float) -> CellStep:
+def end_tasks_with_expired_leases(tables: CellOwnerTables, now: float) -> CellStep:
     """End the tasks of unreachable workers whose leases have lapsed."""
     for worker in tables.workers.rows():
         if not is_unreachable(worker, now):
             continue
         for task in tables.tasks.rows_where("worker", worker.worker_id):
             committing = task.phase is Phase.COMMITTING
-            if not committing and lease_has_lapsed(task, worker, now):
+            if not committing and lease_has_expired(task, worker, now):
                 reason = f"the lease lapsed on unreachable worker {worker.worker_id}"
                 tables = end_as_planned(tables, task, reason, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -6,7 +6,10 @@
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
 from bulrushpulley.entities.interference import Throttle
-from bulrushpulley.entities.owner_times import STOP_RETRY_DELAY_S, WORKER_CALL_TIMEOUT_S
+from bulrushpulley.entities.owner_times import (
+    WORKER_CALL_RETRY_DELAY_S,
+    WORKER_CALL_TIMEOUT_S,
+)
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, Task
@@ -66,7 +69,7 @@
             continue
         if not worker.url or tables.leaving:
             continue
-        sent = replace(throttle, send_at=now + STOP_RETRY_DELAY_S)
+        sent = replace(throttle, send_at=now + WORKER_CALL_RETRY_DELAY_S)
         tables = replace(tables, throttles=tables.throttles.put(task.key, sent))
         commands.append(
             ThrottleTask(
@@ -97,8 +100,8 @@
 @apply.register
 def _(event: ThrottleAnswered, tables: CellOwnerTables, now: float) -> CellStep:
     throttle = tables.throttles.get(event.task_key)
-    asked = (event.generation, event.share)
-    if throttle is None or (throttle.generation, throttle.share) != asked:
+    answered = (event.generation, event.share)
+    if throttle is None or (throttle.generation, throttle.share) != answered:
         return Step(tables=tables)
     confirmed = replace(throttle, confirmed=True)
     throttles = tables.throttles.put(event.task_key, confirmed)
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -27,9 +27,9 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.owner_times import (
+    CELL_TAKEOVER_TIMEOUT_S,
     CLOCK_DRIFT_MARGIN_S,
     LEASE_WATCH_INTERVAL_S,
-    TAKEOVER_TIMEOUT_S,
     TASK_LEASE_S,
 )
 from bulrushpulley.entities.rows import AliveRow, LeaseRow
@@ -37,9 +37,9 @@
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import send as cell_send
 from bulrushpulley.systems.cell.outcomes import (
-    on_committed,
-    on_conflicted,
-    on_withdrawn,
+    handle_committed,
+    handle_conflicted,
+    handle_withdrawn,
 )
 from bulrushpulley.systems.cell.owner_events import CellStep
 
@@ -50,8 +50,8 @@
         return Step(tables=tables)
     for cell in tables.cells.rows():
         if cell.phase is CellPhase.WATCHING and now >= cell.next_watch_at:
-            due = replace(cell, next_watch_at=now + LEASE_WATCH_INTERVAL_S)
-            tables = cell_rows.put_cell(tables, due)
+            scheduled = replace(cell, next_watch_at=now + LEASE_WATCH_INTERVAL_S)
+            tables = cell_rows.put_cell(tables, scheduled)
             tables = cell_send.read(
                 tables,
                 purpose=ReadLease(cell=cell.name),
@@ -107,7 +107,7 @@
 
 def owner_timed_out(cell: Cell, now: float) -> bool:
     """Tell whether the owner's liveness row is unchanged for the takeover timeout."""
-    return now - cell.alive_seen_at >= TAKEOVER_TIMEOUT_S
+    return now - cell.alive_seen_at >= CELL_TAKEOVER_TIMEOUT_S
 
 
 def restart_watch(cell: Cell, tables: CellOwnerTables) -> CellOwnerTables:
@@ -130,11 +130,11 @@
         autonomy_s=tables.autonomy_s,
     )
     key = lease_key(cell.name)
-    lapsed_at = last_commands + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
+    leases_expired_at = last_commands + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     tables = cell_rows.put_cell(tables, replace(cell, phase=CellPhase.TAKING))
     tables, _ = cell_send.submit(
         tables,
-        purpose=TakeCell(cell=cell.name, lapsed_at=lapsed_at),
+        purpose=TakeCell(cell=cell.name, leases_expired_at=leases_expired_at),
         cell=cell.name,
         conditions=(Condition(key=key, version=cell.lease_version), *conditions),
         writes=(Write(key=key, row=lease),),
@@ -150,7 +150,7 @@
     return Step(tables=tables, commands=(decision,))
 
 
-@on_committed.register
+@handle_committed.register
 def _(
     purpose: TakeCell,
     in_flight: InFlightSubmission,
@@ -168,14 +168,16 @@
         lease=lease,
         lease_version=outcome.revision,
         taken_at=now,
-        lapsed_at=max(purpose.lapsed_at, now + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S),
+        leases_expired_at=max(
+            purpose.leases_expired_at, now + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
+        ),
         refetch_at=now,
     )
     tables = cell_rows.put_cell(cell_send.drop_reads(tables, cell.name), taken)
     return Step(tables=cell_rows.sync_workers(tables, taken, now))
 
 
-@on_conflicted.register
+@handle_conflicted.register
 def _(
     purpose: TakeCell,
     in_flight: InFlightSubmission,
@@ -186,7 +188,7 @@
     return Step(tables=_return_to_watching(purpose, tables, now))
 
 
-@on_withdrawn.register
+@handle_withdrawn.register
 def _(
     purpose: TakeCell,
     in_flight: InFlightSubmission,
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -50,9 +50,9 @@
     revision = known_revision(tables, row.submission_id)
     if revision:
         return report_committed(tables, row, revision, now)
-    fault = unsafe_reason(event.submission)
-    if fault:
-        return withdraw(tables, row, fault, now)
+    reason = unsafe_reason(event.submission)
+    if reason:
+        return withdraw(tables, row, reason, now)
     lane = tables.lanes.by_key[row.lane]
     if len(lane.queue) >= MAX_QUEUED_PER_LANE:
         return withdraw(tables, row, "the committer's queue is full", now)
--- a/bulrushpulley/systems/commit/backoff.py
+++ b/bulrushpulley/systems/commit/backoff.py
@@ -6,8 +6,8 @@
 
 from bulrushpulley.entities.committer_tables import LaneRow
 
-MIN_COMMIT_RETRY_DELAY_S = 0.05
-MAX_COMMIT_RETRY_DELAY_S = 2.0
+MIN_TRANSACTION_RETRY_DELAY_S = 0.05
+MAX_TRANSACTION_RETRY_DELAY_S = 2.0
 FAILURES_TO_OPEN_CIRCUIT = 3
 MIN_COMMIT_TIMEOUT_S = 2.0
 MAX_COMMIT_TIMEOUT_S = 8.0
@@ -22,7 +22,8 @@
 def retry_delay(failures: int, name: str) -> float:
     """Return the delay after consecutive failures: exponential, with jitter."""
     max_delay_s: float = min(
-        MAX_COMMIT_RETRY_DELAY_S, MIN_COMMIT_RETRY_DELAY_S * 2.0 ** (failures - 1)
+        MAX_TRANSACTION_RETRY_DELAY_S,
+        MIN_TRANSACTION_RETRY_DELAY_S * 2.0 ** (failures - 1),
     )
     return max_delay_s * (0.5 + 0.5 * jitter(f"{name} {failures}"))
 
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -158,7 +158,7 @@
             chosen.append(row)
         else:
             remaining.append(key)
-        required.update(at.key for at in row.submission.conditions)
+        required.update(condition.key for condition in row.submission.conditions)
         written.update(write.key for write in row.submission.writes)
     return Batch(chosen=tuple(chosen), remaining=tuple(remaining))
 
@@ -182,7 +182,7 @@
 
 
 def _conditions(entries: Iterable[SubmissionRow]) -> tuple[Condition, ...]:
-    found = [at for row in entries for at in row.submission.conditions]
+    found = [condition for row in entries for condition in row.submission.conditions]
     return tuple(dict.fromkeys(found))
 
 
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -158,10 +158,10 @@
 ) -> ControllerStep:
     spec = current_spec(tables, first)
     if spec is None:
-        taken = mark_assigning(tables, first.lane, (first,))
-        return Step(tables=defer(taken, first, now))
-    wanted = min(max_tasks, _likely_tasks(tables, first))
-    choice = choose_cells(tables, first, spec, wanted, now, cache)
+        assigning = mark_assigning(tables, first.lane, (first,))
+        return Step(tables=defer(assigning, first, now))
+    task_count = min(max_tasks, _likely_tasks(tables, first))
+    choice = choose_cells(tables, first, spec, task_count, now, cache)
     if choice.cells:
         return _submit_assignment(tables, first.lane, choice, now)
     decision = Decision(
--- a/bulrushpulley/systems/control/assignment_outcomes.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -31,14 +31,14 @@
 from bulrushpulley.systems.control.cells import put_cells
 from bulrushpulley.systems.control.events import (
     ControllerStep,
-    on_commit,
-    on_conflict,
-    on_loss,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
 )
 from bulrushpulley.systems.control.records import update_records
 
 
-@on_commit.register
+@handle_committed.register
 def _(
     purpose: AssignTasks,
     pending: Pending,
@@ -101,7 +101,7 @@
     return [tables.cells.by_key[cell] for cell in cells]
 
 
-@on_conflict.register
+@handle_conflicted.register
 def _(
     purpose: AssignTasks,
     pending: Pending,
@@ -143,7 +143,7 @@
     return max((now - row.first_seen_at for row in found), default=0.0)
 
 
-@on_loss.register
+@handle_given_up.register
 def _(
     purpose: AssignTasks,
     pending: Pending,
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.queue import Queue
 from bulrushpulley.entities.rows import BacklogRow, TaskSpec
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import ControllerStep, on_rows
+from bulrushpulley.systems.control.events import ControllerStep, handle_rows
 
 BACKLOG_PREFIX = "backlog/"
 BACKLOG_READ_INTERVAL_S = 0.75
@@ -46,7 +46,7 @@
     )
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadBacklog,
     rows: tuple[VersionedRow, ...],
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -30,10 +30,10 @@
 from bulrushpulley.systems.control.events import (
     ControllerStep,
     apply,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
     join_steps,
-    on_commit,
-    on_conflict,
-    on_loss,
 )
 from bulrushpulley.systems.control.plans import (
     AlreadyInForce,
@@ -55,7 +55,7 @@
 from bulrushpulley.systems.control.submissions import submit
 
 CHANGE_TIMEOUT_S = 10.0
-ANSWER_MARGIN_S = 0.5
+CHANGE_ANSWER_MARGIN_S = 0.5
 MAX_CHANGE_ATTEMPTS = 16
 MAX_CHANGES = 512
 
@@ -69,7 +69,8 @@
         detail = f"{MAX_CHANGES} changes are already in progress"
         return _reject(tables, event.call_id, problem(detail, Code.OVERLOADED))
     within_s = min(
-        CHANGE_TIMEOUT_S, max(ANSWER_MARGIN_S, event.within_s - ANSWER_MARGIN_S)
+        CHANGE_TIMEOUT_S,
+        max(CHANGE_ANSWER_MARGIN_S, event.within_s - CHANGE_ANSWER_MARGIN_S),
     )
     change = Change(call=event, deadline=now + within_s)
     tables = replace(tables, changes=tables.changes.put(event.call_id, change))
@@ -192,7 +193,7 @@
     )
 
 
-@on_commit.register
+@handle_committed.register
 def _(
     purpose: ChangeRecord,
     pending: Pending,
@@ -211,7 +212,7 @@
     return _accept(tables, change.call, purpose.row)
 
 
-@on_commit.register
+@handle_committed.register
 def _(
     purpose: ProbeRecord,
     pending: Pending,
@@ -225,7 +226,7 @@
     return _attempt_change(tables, replace(change, verified=True), now)
 
 
-@on_conflict.register
+@handle_conflicted.register
 def _(
     purpose: ProbeRecord,
     pending: Pending,
@@ -240,7 +241,7 @@
     return _attempt_change(update_records(tables, outcome.rows), found, now)
 
 
-@on_conflict.register
+@handle_conflicted.register
 def _(
     purpose: ChangeRecord,
     pending: Pending,
@@ -291,8 +292,8 @@
     return problem(detail, Code.CONFLICT)
 
 
-@on_loss.register(ChangeRecord)
-@on_loss.register(ProbeRecord)
+@handle_given_up.register(ChangeRecord)
+@handle_given_up.register(ProbeRecord)
 def _(
     purpose: ChangeRecord | ProbeRecord,
     pending: Pending,
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -44,11 +44,11 @@
 from bulrushpulley.systems.control.decision_limit import limit_decisions
 from bulrushpulley.systems.control.events import (
     ControllerStep,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
+    handle_rows,
     join_steps,
-    on_commit,
-    on_conflict,
-    on_loss,
-    on_rows,
 )
 from bulrushpulley.systems.control.share import is_responsible
 from bulrushpulley.systems.control.submissions import submit_as, with_new_id
@@ -195,7 +195,7 @@
     return Step(tables=tables, commands=sends)
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadClosed,
     rows: tuple[VersionedRow, ...],
@@ -277,8 +277,8 @@
     return int(key.rsplit("/", 1)[1])
 
 
-@on_commit.register(CloseTasks)
-@on_commit.register(EndClosing)
+@handle_committed.register(CloseTasks)
+@handle_committed.register(EndClosing)
 def _(
     purpose: CloseTasks | EndClosing,
     pending: Pending,
@@ -297,8 +297,8 @@
     return Step(tables=_with_outcomes(tables, closing, rows))
 
 
-@on_conflict.register(CloseTasks)
-@on_conflict.register(EndClosing)
+@handle_conflicted.register(CloseTasks)
+@handle_conflicted.register(EndClosing)
 def _(
     purpose: CloseTasks | EndClosing,
     pending: Pending,
@@ -313,8 +313,8 @@
     )
 
 
-@on_loss.register(CloseTasks)
-@on_loss.register(EndClosing)
+@handle_given_up.register(CloseTasks)
+@handle_given_up.register(EndClosing)
 def _(
     purpose: CloseTasks | EndClosing,
     pending: Pending,
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -27,10 +27,10 @@
 from bulrushpulley.systems.control.events import (
     ControllerStep,
     apply,
-    on_commit,
-    on_conflict,
-    on_loss,
-    on_rows,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
+    handle_rows,
 )
 from bulrushpulley.systems.control.explain import explain_from_rows, explain_waiting
 from bulrushpulley.systems.control.polls import read_once
@@ -102,7 +102,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadForCall,
     rows: tuple[VersionedRow, ...],
@@ -113,7 +113,7 @@
     return _record_result(tables, target.call_id, event.fetch_id, rows, event.failed)
 
 
-@on_commit.register
+@handle_committed.register
 def _(
     purpose: ProbeForCall,
     pending: Pending,
@@ -124,7 +124,7 @@
     return _record_result(tables, purpose.call_id, outcome.submission_id, (), "")
 
 
-@on_conflict.register
+@handle_conflicted.register
 def _(
     purpose: ProbeForCall,
     pending: Pending,
@@ -137,7 +137,7 @@
     )
 
 
-@on_loss.register
+@handle_given_up.register
 def _(
     purpose: ProbeForCall,
     pending: Pending,
--- a/bulrushpulley/systems/control/events.py
+++ b/bulrushpulley/systems/control/events.py
@@ -1,8 +1,8 @@
 """Dispatches the controller's events and the outcomes that it waits for.
 
 Modules of the controller register their handlers with these functions: `apply` by
-the class of an event, `on_commit`, `on_conflict` and `on_loss` by the purpose of a
-submission, and `on_rows` by the target of a read.
+the class of an event, `handle_committed`, `handle_conflicted` and `handle_given_up` by
+the purpose of a submission, and `handle_rows` by the target of a read.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 
 
 @singledispatch
-def on_commit(
+def handle_committed(
     purpose: Purpose,
     pending: Pending,
     outcome: Committed,
@@ -49,7 +49,7 @@
 
 
 @singledispatch
-def on_conflict(
+def handle_conflicted(
     purpose: Purpose,
     pending: Pending,
     outcome: Conflicted,
@@ -61,19 +61,19 @@
 
 
 @singledispatch
-def on_loss(
+def handle_given_up(
     purpose: Purpose,
     pending: Pending,
     reason: str,
     tables: ControllerTables,
     now: float,
 ) -> ControllerStep:
-    """Handle a submission that is given up; it may have taken effect if unsettled."""
+    """Handle a withdrawn or given up submission; if unsettled, it may take effect."""
     return Step(tables=tables)
 
 
 @singledispatch
-def on_rows(
+def handle_rows(
     target: ReadTarget,
     rows: tuple[VersionedRow, ...],
     event: Fetched,
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -32,10 +32,10 @@
 from bulrushpulley.systems.control.events import (
     ControllerStep,
     apply,
-    on_commit,
-    on_conflict,
-    on_loss,
-    on_rows,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
+    handle_rows,
 )
 from bulrushpulley.systems.control.submissions import submit
 
@@ -153,7 +153,7 @@
     )
 
 
-@on_commit.register
+@handle_committed.register
 def _(
     purpose: RenewMember,
     pending: Pending,
@@ -167,7 +167,7 @@
     return _delete_own_row(tables, now) if tables.leaving else Step(tables=tables)
 
 
-@on_conflict.register
+@handle_conflicted.register
 def _(
     purpose: RenewMember,
     pending: Pending,
@@ -183,7 +183,7 @@
     return Step(tables=tables)
 
 
-@on_loss.register
+@handle_given_up.register
 def _(
     purpose: RenewMember,
     pending: Pending,
@@ -198,7 +198,7 @@
     )
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadMembers,
     rows: tuple[VersionedRow, ...],
--- a/bulrushpulley/systems/control/polls.py
+++ b/bulrushpulley/systems/control/polls.py
@@ -9,8 +9,8 @@
 from bulrushpulley.entities.link import Fetched
 from bulrushpulley.entities.pending import Poll, ReadTarget
 from bulrushpulley.entities.step import Command, Step, Tell
-from bulrushpulley.systems.control.events import ControllerStep, apply, on_rows
-from bulrushpulley.systems.control.submissions import COMMITTER, ROLE, with_new_id
+from bulrushpulley.systems.control.events import ControllerStep, apply, handle_rows
+from bulrushpulley.systems.control.submissions import COMMITTER, CONTROLLER, with_new_id
 
 POLL_TIMEOUT_S = 5.0
 
@@ -49,7 +49,7 @@
 
 def _read_command(poll: Poll) -> Command:
     event = ReadRequested(
-        origin=ROLE, fetch_id=poll.fetch_id, prefix=poll.prefix, since=poll.since
+        origin=CONTROLLER, fetch_id=poll.fetch_id, prefix=poll.prefix, since=poll.since
     )
     return Tell(role=COMMITTER, event=event)
 
@@ -62,7 +62,7 @@
         return Step(tables=tables)
     if poll.interval_s == 0.0:
         tables = replace(tables, polls=tables.polls.drop(name))
-        return on_rows(poll.target, event.rows, event, tables, now)
+        return handle_rows(poll.target, event.rows, event, tables, now)
     since = poll.since if event.failed else max(poll.since, event.revision)
     next_at = (
         None if poll.next_at is None else max(now, poll.requested_at + poll.interval_s)
@@ -71,4 +71,4 @@
     tables = replace(tables, polls=tables.polls.put(name, idle))
     if event.failed:
         return Step(tables=tables)
-    return on_rows(poll.target, event.rows, event, tables, now)
+    return handle_rows(poll.target, event.rows, event, tables, now)
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -26,7 +26,7 @@
 )
 from bulrushpulley.entities.rows import RecordRow, RevisionRow
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.control.events import ControllerStep, on_rows
+from bulrushpulley.systems.control.events import ControllerStep, handle_rows
 
 R = TypeVar("R")
 
@@ -152,7 +152,7 @@
     return update_revision(tables, newer, now)
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadRevision,
     rows: tuple[VersionedRow, ...],
@@ -163,7 +163,7 @@
     return Step(tables=update_revision(tables, rows, now))
 
 
-@on_rows.register
+@handle_rows.register
 def _(
     target: ReadRecords,
     rows: tuple[VersionedRow, ...],
--- a/bulrushpulley/systems/control/share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -41,7 +41,7 @@
         (used.memory_mb, limit.memory_mb),
         (used.accelerators, limit.accelerators),
     )
-    return max((have / most for have, most in pairs if most > 0), default=0.0)
+    return max((have / total for have, total in pairs if total > 0), default=0.0)
 
 
 def aged_priority(lane: Lane, first: WaitingRow, now: float) -> float:
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -24,12 +24,12 @@
 from bulrushpulley.systems.control.events import (
     ControllerStep,
     apply,
-    on_commit,
-    on_conflict,
-    on_loss,
+    handle_committed,
+    handle_conflicted,
+    handle_given_up,
 )
 
-ROLE = "controller"
+CONTROLLER = "controller"
 COMMITTER = "committer"
 UNSETTLED_RESUBMIT_DELAY_S = 0.5
 GIVE_UP_MARGIN_S = 0.5
@@ -87,7 +87,9 @@
 
 
 def _submit_command(submission: Submission) -> Command:
-    return Tell(role=COMMITTER, event=Submitted(origin=ROLE, submission=submission))
+    return Tell(
+        role=COMMITTER, event=Submitted(origin=CONTROLLER, submission=submission)
+    )
 
 
 def _pop_pending(
@@ -102,7 +104,7 @@
     tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
-    return on_commit(pending.purpose, pending, event, tables, now)
+    return handle_committed(pending.purpose, pending, event, tables, now)
 
 
 @apply.register
@@ -110,7 +112,7 @@
     tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
-    return on_conflict(pending.purpose, pending, event, tables, now)
+    return handle_conflicted(pending.purpose, pending, event, tables, now)
 
 
 @apply.register
@@ -118,7 +120,7 @@
     tables, pending = _pop_pending(tables, event.submission_id)
     if pending is None:
         return Step(tables=tables)
-    return on_loss(pending.purpose, pending, event.reason, tables, now)
+    return handle_given_up(pending.purpose, pending, event.reason, tables, now)
 
 
 @apply.register
@@ -149,7 +151,9 @@
     pending = tables.pending.by_key[submission_id]
     if now >= pending.deadline:
         tables, _ = _pop_pending(tables, submission_id)
-        lost = on_loss(pending.purpose, pending, "no answer in time", tables, now)
+        lost = handle_given_up(
+            pending.purpose, pending, "no answer in time", tables, now
+        )
         return Step(tables=lost.tables, commands=(*step.commands, *lost.commands))
     if pending.resubmit_at is None or now < pending.resubmit_at:
         return step
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -113,7 +113,7 @@
         self.before_commit: Callable[[Submission], None] = lambda submission: None
         self.checks_deadline = True
         self.drained_at: float | None = None
-        self.shrunk_at: dict[str, float] = {}
+        self.capacity_reduced_at: dict[str, float] = {}
         self.starts: list[StartTask] = []
         self.commands: list[tuple[float, str, Command]] = []
         self.decisions: list[Decision] = []
@@ -165,7 +165,7 @@
     def put_capacity(self, worker: str, capacity: Resources) -> None:
         """Store a new capacity of a worker; agents do not know it yet."""
         self.capacity[worker] = capacity
-        self.shrunk_at[worker] = self.world.now
+        self.capacity_reduced_at[worker] = self.world.now
         self.put_record("cell", self.cell())
 
     def resize(self, worker: str, capacity: Resources) -> None:
@@ -210,9 +210,11 @@
         row = TaskRow(spec=spec, state=TaskState.WAITING)
         self.put(f"task/c0/{job}/{index}", row)
 
-    def agent(self, name: str, life: int = 1, autonomy_s: float = 3600.0) -> None:
+    def agent(
+        self, name: str, incarnation_number: int = 1, autonomy_s: float = 3600.0
+    ) -> None:
         """Start and link an agent, send it the configuration and offer the cell."""
-        incarnation = f"{name}#{life}"
+        incarnation = f"{name}#{incarnation_number}"
         role = cell_owner.build(
             agent=name, incarnation=incarnation, region="ege", autonomy_s=autonomy_s
         )
@@ -283,9 +285,9 @@
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
         bound = START_WINDOW_S + self.start_delay_s
-        shrunk_at = self.shrunk_at.get(worker, float("-inf"))
+        capacity_reduced_at = self.capacity_reduced_at.get(worker, float("-inf"))
         over = not load.fits(self.capacity.get(worker, CAPACITY))
-        if over and self.world.now > shrunk_at + bound:
+        if over and self.world.now > capacity_reduced_at + bound:
             self.violations.append(f"started beyond capacity: {command.task_id}")
 
     def check_workers(self) -> None:
@@ -526,7 +528,7 @@
     def _(self, command: AskReport, owner: Seat) -> None:
         worker = command.worker_id
         unanswered = ReportUnanswered(
-            worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
+            worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
         )
         if not self._reaches(owner, worker) or self.world.now > command.not_after:
             self._deliver(owner, unanswered)
@@ -540,7 +542,7 @@
         self.check_workers()
         reported = WorkerReported(
             worker_id=worker,
-            asked_at=command.asked_at,
+            requested_at=command.requested_at,
             runs=runs_of(state),
             usages=self.usages_of(state),
         )
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -100,7 +100,7 @@
 
 def _restart(bench: CellBench) -> None:
     bench.world.kill("a")
-    bench.world.at(1.0, lambda: bench.agent("a", life=2))
+    bench.world.at(1.0, lambda: bench.agent("a", incarnation_number=2))
 
 
 def _pause(bench: CellBench) -> None:
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -338,7 +338,7 @@
 def _(command: AskReport, site: Site, seat: Seat) -> None:
     worker = command.worker_id
     unanswered = ReportUnanswered(
-        worker_id=worker, asked_at=command.asked_at, problem=PROBLEM
+        worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
     )
     if site.world.now > command.not_after or worker in site.dead_workers:
         site.world.deliver(seat, unanswered, Path(delay_s=WORKER_S))
@@ -352,7 +352,7 @@
     site.workers[worker] = state
     check_workers(site)
     reported = WorkerReported(
-        worker_id=worker, asked_at=command.asked_at, runs=runs_of(state)
+        worker_id=worker, requested_at=command.requested_at, runs=runs_of(state)
     )
     answer(site, seat, worker, reported)
     lose(site, seat, worker, unanswered)
--- a/test/test_cell_actor.py
+++ b/test/test_cell_actor.py
@@ -34,7 +34,7 @@
 from test.cell_bench import CAPACITY, DOMAIN, CellBench
 
 DONE_TIMEOUT_S = 20.0
-TICK_S = 0.05
+TICK_INTERVAL_S = 0.05
 
 
 class Entry:
@@ -97,9 +97,9 @@
 
     def _tick(self, until: threading.Event) -> bool:
         """Have the actor tick until an event is set, for at most `DONE_TIMEOUT_S`."""
-        for _ in range(round(DONE_TIMEOUT_S / TICK_S)):
+        for _ in range(round(DONE_TIMEOUT_S / TICK_INTERVAL_S)):
             self.ref.tell(TickDue())
-            if until.wait(TICK_S):
+            if until.wait(TICK_INTERVAL_S):
                 return True
         return False
 
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -133,7 +133,7 @@
         self.assertEqual(12, len(bench.starts))
         self.assertEqual([], bench.violations)
 
-    def test_a_drain_and_a_return_resume_the_tasks(self) -> None:
+    def test_tasks_resume_when_a_drained_domain_returns_to_service(self) -> None:
         bench = ControlledBench()
         bench.submit(curves(tasks=4, run_s=30.0))
         bench.run(20.0)
@@ -166,7 +166,7 @@
         self.assertEqual({TaskState.CANCELLED}, done)
         self.assertEqual([], bench.running("curves/0"))
         self.assertEqual(1, len(bench.running("oven/1")))
-        lowered = AmendRecord(
+        scaled_down = AmendRecord(
             call_id="lower",
             author="op",
             kind="service",
@@ -174,7 +174,7 @@
             record=replace(service, replicas=1),
             expected_revision=0,
         )
-        bench.call(lowered)
+        bench.call(scaled_down)
         bench.run(10.0)
         self.assertEqual([], bench.running("oven/1"))
         self.assertIsNone(bench.row("task/c0/oven/1"))
@@ -260,7 +260,7 @@
 
 
 class OperatorFaultMixTest(testtools.TestCase):
-    def test_work_completes_once_through_drawn_faults_and_drains(self) -> None:
+    def test_tasks_finish_once_despite_random_faults_and_drains(self) -> None:
         for seed in (11, 12):
             bench = ControlledBench(agents=("a", "b"))
             bench.submit(curves(tasks=10, run_s=12.0))
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -83,7 +83,7 @@
             bench.run(3.0)
         self.assertNotEqual([], bench.violations)
 
-    def test_a_shrunken_worker_keeps_services_and_evicts_the_newest_batch(self) -> None:
+    def test_reduced_capacity_evicts_the_newest_batch_task_and_no_service(self) -> None:
         bench = CellBench(workers=1)
         version = bench.put_service("oven")
         bench.task("oven", 0, version, run_s=0.0, **LATENCY_CRITICAL)
@@ -97,7 +97,7 @@
         running = [bench.running(task) for task in ("oven/0", "older/0", "newer/0")]
         self.assertEqual([["w0"], ["w0"], []], running)
 
-    def test_a_lowered_service_loses_its_last_replicas(self) -> None:
+    def test_a_scaled_down_service_loses_its_last_replicas(self) -> None:
         bench = CellBench()
         version = bench.put_service("oven", replicas=2)
         for index in range(2):
@@ -111,7 +111,9 @@
         self.assertEqual([], bench.running("oven/1"))
         self.assertEqual(TaskState.CANCELLED, bench.done("oven/1"))
 
-    def test_a_service_lowered_while_nobody_owned_its_cell_loses_replicas(self) -> None:
+    def test_a_service_scaled_down_while_its_cell_had_no_owner_loses_replicas(
+        self,
+    ) -> None:
         bench = CellBench()
         version = bench.put_service("oven", replicas=2)
         for index in range(2):
@@ -150,7 +152,7 @@
         self.assertEqual(8, len(bench.starts))
         self.assertEqual(Resources(), _load(bench))
 
-    def test_a_task_that_fits_nowhere_goes_back(self) -> None:
+    def test_a_task_that_fits_no_worker_is_returned_to_the_backlog(self) -> None:
         bench = CellBench()
         bench.job("huge", size=Resources(processors_m=64_000))
         bench.agent("a")
@@ -268,7 +270,7 @@
 class FaultMixTest(testtools.TestCase):
     """Faults drawn from fixed seeds, two at a time, must not break any invariant."""
 
-    def test_drawn_mixes_violate_nothing_and_lose_nothing(self) -> None:
+    def test_random_fault_mixes_break_no_invariant_and_lose_no_task(self) -> None:
         for seed in range(1, 5):
             bench = CellBench(seed=seed, workers=3)
             for number in range(8):
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -42,7 +42,7 @@
     return True
 
 
-class OnceOnly:
+class ActOnFirstMatch:
     """Runs an action at the first call that matches."""
 
     def __init__(
@@ -105,7 +105,7 @@
 
 def with_drain_at_commit(bench: CellBench) -> None:
     """Drain the failure domain right before a start would commit."""
-    bench.before_commit = OnceOnly(matches=writes_start, action=bench.drain)  # type: ignore[assignment]
+    bench.before_commit = ActOnFirstMatch(matches=writes_start, action=bench.drain)  # type: ignore[assignment]
     bench.job("curves")
     bench.agent("a")
     bench.run(1.0)
@@ -114,7 +114,9 @@
 
 def with_drain_and_lost_commit(bench: CellBench) -> None:
     """Commit a start just before a drain, with the answer delayed by an outage."""
-    down = OnceOnly(matches=writes_start, action=lambda: drain_during_outage(bench))
+    down = ActOnFirstMatch(
+        matches=writes_start, action=lambda: drain_during_outage(bench)
+    )
     bench.lose_commit = down
     bench.job("curves")
     bench.agent("a")
@@ -145,7 +147,7 @@
     worker = bench.tables("a").workers.by_key["w1"]
     late = WorkerReported(
         worker_id="w1",
-        asked_at=worker.asked_at or worker.reported_at or 0.0,
+        requested_at=worker.report_requested_at or worker.reported_at or 0.0,
         runs=early,
     )
     bench.world.deliver(seat("a"), late)
@@ -154,13 +156,13 @@
 
 GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
     (with_delayed_start, cell_reports, "shows_absence", always),
-    (with_unreachable_worker, cell_stop, "lease_has_lapsed", always),
+    (with_unreachable_worker, cell_stop, "lease_has_expired", always),
     (with_crowded_cell, cell_candidates, "committed", lambda *_: SIZE.minus(SIZE)),
 )
 
 
 class GuardTest(testtools.TestCase):
-    def test_nothing_is_violated_under_each_fault(self) -> None:
+    def test_no_fault_breaks_an_invariant(self) -> None:
         for case in (
             with_delayed_start,
             with_paused_owner,
@@ -199,7 +201,7 @@
             with_drain_and_lost_commit(bench)
         self.assertNotEqual([], bench.violations)
 
-    def test_a_paused_owner_would_stop_what_its_successor_runs(self) -> None:
+    def test_a_paused_owner_would_stop_tasks_of_its_successor(self) -> None:
         bench = CellBench()
         with_paused_owner(bench)
         self.assertEqual(1, len(bench.starts))
@@ -211,7 +213,7 @@
             with_paused_owner(bench)
         self.assertNotEqual(1, len(bench.starts))
 
-    def test_a_drained_domain_bars_the_commit_of_a_start(self) -> None:
+    def test_a_drained_domain_prevents_the_commit_of_a_start(self) -> None:
         def unconditional(tables: Any, cell: Any, task: Any) -> Any:
             return conditions(tables, cell, task)[:3]
 
@@ -227,10 +229,10 @@
             with_drain_at_commit(bench)
         self.assertNotEqual([], bench.starts)
 
-    def test_a_shrunken_worker_bars_the_commit_of_a_start(self) -> None:
-        def shrunk_at_commit() -> CellBench:
+    def test_reduced_capacity_prevents_the_commit_of_a_start(self) -> None:
+        def capacity_reduced_at_commit() -> CellBench:
             bench = CellBench(workers=1)
-            bench.before_commit = OnceOnly(  # type: ignore[assignment]
+            bench.before_commit = ActOnFirstMatch(  # type: ignore[assignment]
                 matches=writes_start,
                 action=lambda: bench.put_capacity("w0", SIZE.minus(ONE_CORE)),
             )
@@ -240,13 +242,13 @@
             return bench
 
         conditions = cell_start.start_conditions
-        self.assertEqual([], shrunk_at_commit().starts)
+        self.assertEqual([], capacity_reduced_at_commit().starts)
         with mock.patch.object(
             cell_start, "start_conditions", lambda *args: conditions(*args)[:4]
         ):
-            self.assertNotEqual([], shrunk_at_commit().violations)
+            self.assertNotEqual([], capacity_reduced_at_commit().violations)
 
-    def test_a_takeover_waits_for_the_liveness_row_to_stand_still(self) -> None:
+    def test_a_takeover_waits_until_the_liveness_row_is_unchanged(self) -> None:
         def owner_after(guard: Any) -> str:
             bench = CellBench()
             bench.agent("a")
@@ -265,7 +267,7 @@
 
 
 class OutcomeTest(testtools.TestCase):
-    def test_paused_owner_gives_the_cell_up_and_sends_nothing_more(self) -> None:
+    def test_a_paused_owner_gives_up_the_cell_and_sends_no_more_starts(self) -> None:
         bench = CellBench()
         with_paused_owner(bench)
         self.assertEqual("b", bench.row("lease/c0").owner)
@@ -274,7 +276,7 @@
         self.assertEqual([], [c for c in later if isinstance(c, StartTask)])
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
-    def test_a_new_owner_adopts_what_runs(self) -> None:
+    def test_a_new_owner_adopts_running_tasks(self) -> None:
         bench = CellBench()
         bench.job("curves", run_s=60.0)
         bench.agent("a")
@@ -286,7 +288,9 @@
         self.assertEqual(1, len(bench.starts))
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
-    def test_an_unreachable_worker_is_waited_for_after_a_takeover(self) -> None:
+    def test_after_a_takeover_leases_on_an_unreachable_worker_expire_first(
+        self,
+    ) -> None:
         def starts(bench: CellBench) -> list[int]:
             bench.job("curves", run_s=400.0)
             bench.agent("a", autonomy_s=60.0)
@@ -300,7 +304,7 @@
             return [len(early), len(bench.starts)]
 
         self.assertEqual([1, 2], starts(CellBench()))
-        with mock.patch.object(cell_stop, "lease_has_lapsed", always):
+        with mock.patch.object(cell_stop, "lease_has_expired", always):
             self.assertEqual([2, 2], starts(CellBench()))
 
     def test_an_owner_without_its_row_stops_renewing_before_others_start(self) -> None:
@@ -342,7 +346,7 @@
         bench.job("curves", run_s=60.0)
         bench.agent("a")
         bench.run(5.0)
-        bench.agent("a", life=2)
+        bench.agent("a", incarnation_number=2)
         bench.run(2.0)
         lease = bench.row("lease/c0")
         self.assertEqual(("a#2", 2), (lease.incarnation, lease.epoch))
@@ -363,7 +367,7 @@
         self.assertEqual(1, len(bench.starts))
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
-    def test_a_silent_worker_s_task_resumes_once_after_its_lease(self) -> None:
+    def test_a_task_of_an_unreachable_worker_resumes_once_after_its_lease(self) -> None:
         bench = CellBench()
         with_unreachable_worker(bench)
         self.assertEqual([1, 2], [start.generation for start in bench.starts])
@@ -383,7 +387,7 @@
 
     def test_an_unsettled_start_is_not_sent_once_its_window_has_passed(self) -> None:
         bench = CellBench()
-        bench.lose_commit = OnceOnly(
+        bench.lose_commit = ActOnFirstMatch(
             matches=writes_start, action=lambda: outage(bench, 4.0)
         )
         bench.job("curves", run_s=5.0)
@@ -394,14 +398,14 @@
 
     def test_an_unsettled_ending_is_written_once(self) -> None:
         bench = CellBench()
-        bench.lose_commit = OnceOnly(matches=writes_done, action=do_nothing)
+        bench.lose_commit = ActOnFirstMatch(matches=writes_done, action=do_nothing)
         bench.job("curves", run_s=5.0)
         bench.agent("a")
         bench.run(30.0)
         self.assertEqual([], bench.violations)
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
-    def test_tasks_run_on_through_a_store_outage(self) -> None:
+    def test_tasks_keep_running_during_a_store_outage(self) -> None:
         bench = CellBench()
         bench.job("curves", run_s=200.0)
         bench.agent("a")
@@ -413,7 +417,7 @@
         self.assertEqual(1, len(bench.starts))
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
-    def test_a_cancelled_job_never_starts_once_its_record_says_so(self) -> None:
+    def test_a_job_does_not_start_after_its_record_is_cancelled(self) -> None:
         def cancel() -> None:
             record = JobRecord(
                 name="curves",
@@ -426,7 +430,7 @@
             bench.put_record("job", record)
 
         bench = CellBench()
-        bench.before_commit = OnceOnly(matches=writes_start, action=cancel)  # type: ignore[assignment]
+        bench.before_commit = ActOnFirstMatch(matches=writes_start, action=cancel)  # type: ignore[assignment]
         bench.job("curves")
         bench.agent("a")
         bench.run(5.0)
--- a/test/test_cell_matrix.py
+++ b/test/test_cell_matrix.py
@@ -25,13 +25,13 @@
         matrix = cell_matrix.load()
         for step, fault, module, guard in (
             ("start_sent", "start_delayed", cell_reports, "shows_absence"),
-            ("running", "first_worker_cut_off", cell_stop, "lease_has_lapsed"),
+            ("running", "first_worker_cut_off", cell_stop, "lease_has_expired"),
         ):
             with mock.patch.object(module, guard, always):
                 verdict = cell_matrix.run_cell(step, fault)
             self.assertFalse(verdict.passed(matrix), str(verdict))
 
-    def test_a_share_of_the_matrix_passes(self) -> None:
+    def test_a_sample_of_the_matrix_passes(self) -> None:
         matrix = cell_matrix.load()
         self.assertEqual(set(cell_matrix.MATCHER_BY_STEP), set(matrix.steps))
         for row, step in enumerate(matrix.steps):
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -107,7 +107,9 @@
         self.assertEqual(1.0, run.share)
         self.assertEqual(0, len(bench.tables("a").throttles))
 
-    def test_what_throttling_cannot_relieve_is_evicted_and_kept_away(self) -> None:
+    def test_a_task_that_throttling_cannot_contain_is_evicted_and_kept_away(
+        self,
+    ) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0}, workers=2)
         bench.run(150.0)
         self.assertEqual(["noisy/0"], evicted(bench))
@@ -130,7 +132,7 @@
         bench.run(120.0)
         bench.job("noisy-again", run_s=50.0)
         held = (
-            cell_spread_and_pack.MAX_DEFERRAL_S
+            cell_spread_and_pack.MAX_PLACEMENT_DEFERRAL_S
             + cell_spread_and_pack.PLACEMENT_RETRY_DELAY_S
         )
         with mock.patch.object(cell_learn, "estimate", return_value=900.0):
@@ -148,11 +150,11 @@
             workers=2,
             eviction_weight=eviction_weight,
         )
-        began = bench.world.now
-        while not evicted(bench) and bench.world.now < began + 400.0:
+        started_at = bench.world.now
+        while not evicted(bench) and bench.world.now < started_at + 400.0:
             bench.run(1.0)
         share = min(command.share for _, command in throttles(bench))
-        return bench.world.now - began, share
+        return bench.world.now - started_at, share
 
     def test_a_high_eviction_weight_throttles_deeper_and_longer(self) -> None:
         latency_first = self._evicted_at(0.25)
@@ -193,7 +195,9 @@
             memory_mb=1,
             latency_ms=9_000.0,
         )
-        event = WorkerReported(worker_id="w0", asked_at=0.0, runs=(), usages=(usage,))
+        event = WorkerReported(
+            worker_id="w0", requested_at=0.0, runs=(), usages=(usage,)
+        )
         before = bench.tables("a")
         after = cell_learn.learn(event, before, bench.world.now)
         self.assertEqual("w0", worker.worker_id)
@@ -282,7 +286,7 @@
         self.assertEqual(CAPACITY.processors_m, load.processors_m)
         self.assertEqual([], bench.violations)
 
-    def test_first_fit_stays_as_a_policy(self) -> None:
+    def test_the_first_fit_policy_can_be_used(self) -> None:
         bench = CellBench(workers=3)
         bench.agent("a")
         bench.run(2.0)
--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -96,7 +96,7 @@
     def _report(self) -> Any:
         renewal = Renewal(task_id="curves/0", generation=3, lease_s=30.0)
         command = AskReport(
-            **self._common(1e9), asked_at=self.clock.now, renewals=(renewal,)
+            **self._common(1e9), requested_at=self.clock.now, renewals=(renewal,)
         )
         return self.client.report(command)
 
@@ -144,7 +144,7 @@
         self.assertIsInstance(self._start(not_after=99.0), Started)
         self.assertEqual([RunState.RUNNING], self._states())
 
-    def test_a_malformed_answer_or_url_is_an_outcome_and_no_crash(self) -> None:
+    def test_a_malformed_answer_or_url_yields_an_outcome_without_a_crash(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
             thread = threading.Thread(target=answer_garbage, args=(server,))
             thread.start()
@@ -178,12 +178,12 @@
             self._switch("up")
             self.assertEqual(states(), self._states())
 
-    def test_a_worker_starts_twice_what_it_is_told_twice(self) -> None:
+    def test_a_worker_runs_a_repeated_start_twice(self) -> None:
         self._start()
         self._start()
         self.assertEqual([RunState.RUNNING] * 2, self._states())
 
-    def test_leases_lapse_on_the_worker_s_own_clock(self) -> None:
+    def test_leases_expire_on_the_worker_s_own_clock(self) -> None:
         self._start(run_s=1_000.0)
         self.clock.now = 125.0
         self.assertEqual([RunState.RUNNING], self._states())
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -232,7 +232,7 @@
         for case in read_cases(CASES).values():
             self.assertEqual([], run_case(case), case.name)
 
-    def test_every_case_goes_red_without_its_guard(self) -> None:
+    def test_each_case_fails_without_its_safeguard(self) -> None:
         by_name = read_cases(CASES)
         for mutation in MUTATIONS:
             with mock.patch.object(
@@ -273,7 +273,7 @@
 )
 TIMES = st.integers(0, 80).map(lambda tenths: tenths / 10)
 DELAYS = st.integers(10, 200).map(lambda tenths: tenths / 10)
-MIX = settings(
+MIX_SETTINGS = settings(
     derandomize=True,
     max_examples=80,
     deadline=None,
@@ -308,7 +308,7 @@
 
 
 class CommitMixTest(testtools.TestCase):
-    @MIX
+    @MIX_SETTINGS
     @given(
         fates=FATES,
         timed=st.lists(st.tuples(TIMES, submissions(True)), min_size=1, max_size=8),
@@ -320,7 +320,7 @@
     def test_one_process(self, **mix: Any) -> None:
         self.assertEqual([], run_mix(processes=("e1",), **mix))
 
-    @MIX
+    @MIX_SETTINGS
     @given(
         fates=FATES,
         timed=st.lists(st.tuples(TIMES, submissions(False)), min_size=1, max_size=8),
--- a/test/test_committer_http.py
+++ b/test/test_committer_http.py
@@ -109,7 +109,7 @@
             )
             return [type(outcome) for outcome in self.outcomes]
 
-    def test_every_submission_commits_though_answers_are_lost(self) -> None:
+    def test_every_submission_commits_although_answers_are_lost(self) -> None:
         self.switch_mode('{"mode":"lose_answers","seconds":0.5}')
         self.submit(400, "task")
         self.assertEqual([Committed] * 400, self.wait_for(400))
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -107,15 +107,15 @@
         self.assertEqual({1}, set(task_row_counts(bench).values()))
         self.assertEqual(100, len(task_row_counts(bench)))
 
-    def test_two_entries_that_assign_at_once_double_nothing(self) -> None:
+    def test_two_entries_that_assign_at_once_assign_no_task_twice(self) -> None:
         self.check_two_entries_at_once()
 
-    def test_guard_out_two_entries_would_double_tasks(self) -> None:
+    def test_without_conditions_two_entries_would_assign_tasks_twice(self) -> None:
         self.patch(control_assign, "conditions_of", lambda *given: ())
         with self.assertRaises(AssertionError):
             self.check_two_entries_at_once()
 
-    def test_an_entry_that_dies_after_the_commit_loses_and_doubles_nothing(
+    def test_an_entry_crash_after_the_commit_neither_loses_nor_repeats_tasks(
         self,
     ) -> None:
         bench = Bench(entries=("a", "b"))
@@ -170,12 +170,12 @@
         self.assertEqual(0, self.assigned_to_a_drained_domain())
         self.assertIn("out of service", self.reason)
 
-    def test_guard_out_a_drained_domain_would_be_assigned_tasks(self) -> None:
+    def test_without_the_check_a_drained_domain_would_be_assigned_tasks(self) -> None:
         self.patch(control_place, "in_service", lambda tables, name: True)
         with self.assertRaises(AssertionError):
             self.assertEqual(0, self.assigned_to_a_drained_domain())
 
-    def test_a_job_that_no_worker_can_hold_holds_nothing_up(self) -> None:
+    def test_a_job_too_large_for_any_worker_delays_no_other_job(self) -> None:
         bench = Bench()
         huge = BIG.plus(BIG)
         bench.call("a", submit_record(job("never", 5, size=huge, priority=9)))
@@ -217,7 +217,7 @@
     def test_a_quota_is_a_hard_limit(self) -> None:
         self.assertEqual(7, self.used_under_quota())
 
-    def test_guard_out_a_quota_would_be_passed(self) -> None:
+    def test_without_the_check_a_quota_would_be_exceeded(self) -> None:
         self.patch(control_place, "tasks_within_quota", lambda tables, spec: 64)
         self.assertEqual(50, self.used_under_quota())
 
@@ -266,7 +266,7 @@
         self.assertEqual(2, sum(cells_of(bench, "oven").values()))
         self.assertEqual(0, sum(cells_of(bench, "bread").values()))
 
-    def test_a_cell_in_which_nothing_runs_is_not_asked_to_make_room(self) -> None:
+    def test_a_cell_without_running_tasks_is_not_chosen_for_displacement(self) -> None:
         bench = Bench()
         with_cells(bench, CELLS, lambda n, d: summary(n, d, free=NO_ROOM))
         bench.call("a", submit_record(service(2)))
@@ -296,7 +296,7 @@
         bench.run(2.0)
         return bench
 
-    def test_lowered_replicas_end_before_the_service_grows_again(self) -> None:
+    def test_surplus_replicas_end_before_the_service_is_scaled_up_again(self) -> None:
         bench = self.scaled_down_and_up()
         self.assertIsInstance(self.early, ops.Reject)
         self.assertIn("still ending", self.early.problem.detail)
@@ -313,7 +313,7 @@
         self.assertEqual({f"oven/{n}" for n in range(4)}, set(task_row_counts(bench)))
         self.assertEqual({1}, set(task_row_counts(bench).values()))
 
-    def test_guard_out_a_closing_would_end_while_replicas_run(self) -> None:
+    def test_without_the_condition_a_closing_would_end_while_replicas_run(self) -> None:
         self.patch(control_plans, "nothing_closing", lambda name: ())
         bench = self.scaled_down_and_up()
         bench.run(5.0)
@@ -323,7 +323,7 @@
 
 
 class UrgentTest(testtools.TestCase):
-    def test_urgent_work_is_assigned_past_10_000_waiting_batch_tasks(self) -> None:
+    def test_urgent_tasks_are_assigned_before_10_000_waiting_batch_tasks(self) -> None:
         bench = Bench()
         with_cells(bench, CELLS, full_summary)
         numbers = range(10_000)
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -70,10 +70,10 @@
             self.assertEqual(before, self.live(bench))
         return before
 
-    def test_in_an_outage_the_last_list_stays(self) -> None:
+    def test_the_last_list_of_entries_is_kept_during_an_outage(self) -> None:
         self.assertEqual(("a", "b"), self.in_an_outage())
 
-    def test_guard_out_an_outage_would_empty_the_list(self) -> None:
+    def test_without_the_gap_limit_an_outage_would_empty_the_list(self) -> None:
         self.patch(control_members, "MAX_COUNTED_GAP_S", 1e9)
         with self.assertRaises(AssertionError):
             self.in_an_outage()
@@ -90,7 +90,7 @@
         bench.run(10.0)
         self.assertEqual(["member/a"], list(bench.rows("member/")))
 
-    def test_a_replaced_entry_takes_its_row_over(self) -> None:
+    def test_a_restarted_entry_takes_over_its_member_row(self) -> None:
         bench = Bench(entries=("a",))
         bench.run(2.0)
         bench.stop("a")
@@ -105,7 +105,7 @@
         sends = [one for one in bench.commands_of(Send) if isinstance(one.item, Offer)]
         return [one.peer for one in sends]
 
-    def test_a_silent_cell_is_offered_outside_its_domain_first_and_then_on(
+    def test_an_unowned_cell_is_offered_outside_its_domain_first(
         self,
     ) -> None:
         bench = Bench()
@@ -120,7 +120,7 @@
         self.assertNotIn("abroad", found)
         self.assertLess(len(found), 8)
 
-    def test_a_cell_is_not_offered_while_its_owner_speaks(self) -> None:
+    def test_a_cell_is_not_offered_while_its_owner_sends_summaries(self) -> None:
         bench = Bench()
         with_cells(bench, {"r1": "izmir"}, summary)
         for _ in range(6):
@@ -158,7 +158,9 @@
             bench.write(key, None)
             bench.write(f"done/{row.spec.task_id}", row)
 
-    def test_a_cancelled_job_is_told_until_every_task_has_ended(self) -> None:
+    def test_owners_are_notified_of_a_cancelled_job_until_every_task_has_ended(
+        self,
+    ) -> None:
         bench = Bench()
         room = Resources(processors_m=3_000, memory_mb=64_000)
         with_cells(bench, {"r1": "izmir"}, lambda n, d: summary(n, d, free=room))
@@ -179,7 +181,7 @@
         found = status.jobs[0]
         self.assertEqual((10, 0, 0), (found.tasks, found.waiting, found.held))
 
-    def test_another_entry_finishes_the_closing_of_one_that_died(self) -> None:
+    def test_another_entry_finishes_the_closing_of_a_crashed_one(self) -> None:
         bench = Bench(entries=("a", "b"))
         with_cells(bench, {"r1": "izmir"}, summary)
         bench.call("a", submit_record(job("bread", 3)))
@@ -210,10 +212,10 @@
         bench.run(4.0)
         return len(bench.rows("task/"))
 
-    def test_a_cancelled_job_is_not_revived_by_an_entry_that_is_behind(self) -> None:
+    def test_a_stale_entry_assigns_no_task_of_a_cancelled_job(self) -> None:
         self.assertEqual(0, self.tasks_assigned_by_a_stale_entry())
 
-    def test_guard_out_a_cancelled_job_would_be_assigned(self) -> None:
+    def test_without_conditions_a_cancelled_job_would_be_assigned(self) -> None:
         self.patch(control_assign, "conditions_of", lambda *given: ())
         self.assertGreater(self.tasks_assigned_by_a_stale_entry(), 0)
 
@@ -230,19 +232,19 @@
         for number in range(150):
             call = ops.CancelJob(call_id=f"c{number}", author="x", job=f"j{number}")
             bench.tell("a", call)
-        most = 0
+        peak = 0
         for _ in range(100):
             before = bench.transactions
             bench.run(0.5)
-            most = max(most, bench.transactions - before)
+            peak = max(peak, bench.transactions - before)
         self.assertEqual({}, bench.rows("backlog/"))
         self.assertEqual({}, bench.rows("task/"))
         done = bench.rows("done/").values()
         tasks = sum(row.count for row in done if isinstance(row, BacklogRow))
         self.assertEqual(150_000, tasks)
-        return most
+        return peak
 
-    def test_a_wave_of_cancellations_stays_within_the_write_budget(self) -> None:
+    def test_many_cancellations_at_once_stay_within_the_write_budget(self) -> None:
         self.assertLess(self.peak_transactions(), 400)
 
     def test_closings_in_flight_are_bounded(self) -> None:
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -43,7 +43,7 @@
 
 
 class ChangesTest(testtools.TestCase):
-    def test_of_two_racing_operators_one_wins_and_is_named(self) -> None:
+    def test_the_conflict_of_racing_operators_names_the_author_in_force(self) -> None:
         bench = Bench(entries=("a", "b"))
         accepted = bench.call("a", submit_record(domain("izmir")))
         bench.run(1.0)
@@ -87,7 +87,7 @@
         answer = bench.call("a", submit_record(job("bread")))
         self.assertEqual(Code.OUTCOME_UNKNOWN, code_of(answer))
 
-    def test_a_change_that_was_replaced_while_unsettled_is_not_called_undone(
+    def test_an_unsettled_change_that_was_replaced_has_an_unknown_outcome(
         self,
     ) -> None:
         bench = Bench()
@@ -112,7 +112,7 @@
         self.assertEqual(Code.OUTCOME_UNKNOWN, rejected.problem.code)
         self.assertIn("baraka", rejected.problem.detail)
 
-    def test_an_outage_refuses_and_changes_nothing(self) -> None:
+    def test_a_change_during_an_outage_is_rejected_without_effect(self) -> None:
         bench = Bench()
         bench.mode = "down"
         answer = bench.call("a", submit_record(domain("izmir")))
@@ -151,19 +151,21 @@
         answer = bench.call("b", change(DomainState.DRAINED, "baraka", 0))
         self.assertIsInstance(answer, ops.Accepted)
         row = bench.rows("record/failure_domain/izmir")
-        held = row["record/failure_domain/izmir"]
-        assert isinstance(held, RecordRow)
-        assert isinstance(held.record, FailureDomainRecord)
-        return held.record.state
+        stored_row = row["record/failure_domain/izmir"]
+        assert isinstance(stored_row, RecordRow)
+        assert isinstance(stored_row.record, FailureDomainRecord)
+        return stored_row.record.state
 
-    def test_an_accepted_drain_stands_though_the_entry_was_behind(self) -> None:
+    def test_a_drain_accepted_by_a_stale_entry_takes_effect(self) -> None:
         self.assertEqual(DomainState.DRAINED, self.drain_through_a_stale_entry())
 
-    def test_guard_out_a_stale_view_would_accept_a_drain_that_is_not(self) -> None:
+    def test_without_verification_a_stale_entry_would_accept_a_drain_without_effect(
+        self,
+    ) -> None:
         self.patch(control_changes, "must_verify", lambda change: False)
         self.assertEqual(DomainState.IN_SERVICE, self.drain_through_a_stale_entry())
 
-    def test_a_size_of_no_worker_is_bad_input(self) -> None:
+    def test_a_size_that_fits_no_worker_is_invalid(self) -> None:
         bench = Bench()
         with_cells(bench, {"r1": "izmir"}, summary)
         size = cell("x", "y").workers[0].capacity
@@ -173,7 +175,7 @@
         self.assertEqual({}, bench.rows("record/job/"))
 
 
-class SpreadTest(testtools.TestCase):
+class DistributionTest(testtools.TestCase):
     def test_a_change_is_in_force_at_every_entry_and_agent_within_3_s(self) -> None:
         bench = Bench(entries=("a", "b"))
         bench.run(2.0)
@@ -196,7 +198,7 @@
         for name in ("a", "b"):
             self.assertEqual(revision, bench.tables[name].revision)
 
-    def test_links_get_the_whole_first_and_then_what_changed(self) -> None:
+    def test_links_get_the_full_configuration_and_then_the_changes(self) -> None:
         bench = Bench()
         bench.call("a", submit_record(domain("izmir")))
         bench.tell("a", LinkUp(peer="agent-1", region="ege"))
@@ -214,7 +216,9 @@
             [one.revision for one in router_events if isinstance(one, Configured)],
         )
 
-    def test_an_agent_that_does_not_confirm_gets_the_whole_again(self) -> None:
+    def test_an_agent_that_does_not_confirm_gets_the_full_configuration_again(
+        self,
+    ) -> None:
         bench = Bench()
         bench.call("a", submit_record(domain("izmir")))
         bench.tell("a", LinkUp(peer="agent-1", region="ege"))
@@ -228,23 +232,27 @@
         bench.call("a", submit_record(domain("izmir")))
         bench.call("a", change(DomainState.DRAINED, "amina"))
         tables = bench.tables["a"]
-        newest = tables.records.by_key["record/failure_domain/izmir"]
-        assert isinstance(newest.row, RecordRow)
-        old = RecordRow(
+        current_row = tables.records.by_key["record/failure_domain/izmir"]
+        assert isinstance(current_row.row, RecordRow)
+        old_record_row = RecordRow(
             kind="failure_domain",
             schema_version=1,
             record=domain("izmir"),
             author="amina",
             revision=1,
         )
-        offered = type(newest)(key=newest.key, version=newest.version - 1, row=old)
-        tables = control_records.update_records(tables, [offered])
+        old_row = type(current_row)(
+            key=current_row.key, version=current_row.version - 1, row=old_record_row
+        )
+        tables = control_records.update_records(tables, [old_row])
         in_service = control_records.in_service(tables, "izmir")
         return DomainState.IN_SERVICE if in_service else DomainState.DRAINED
 
-    def test_an_older_row_offered_changes_nothing(self) -> None:
+    def test_an_older_row_is_ignored(self) -> None:
         self.assertEqual(DomainState.DRAINED, self.after_an_older_row())
 
-    def test_guard_out_an_older_row_would_revert_the_configuration(self) -> None:
+    def test_without_the_check_an_older_row_would_revert_the_configuration(
+        self,
+    ) -> None:
         self.patch(control_records, "is_newer", lambda row, known: True)
         self.assertEqual(DomainState.IN_SERVICE, self.after_an_older_row())
--- a/test/test_control_verbs.py
+++ b/test/test_control_verbs.py
@@ -132,7 +132,7 @@
             code = self.run_verb("submit", str(self.record), entries=(lost, good))
         self.assertEqual(ExitCode.OUTCOME_UNKNOWN, code)
 
-    def test_a_conflict_has_its_own_code_and_names_the_winner(self) -> None:
+    def test_a_conflict_has_its_own_code_and_names_the_other_author(self) -> None:
         answer = problem("conflict")
         answer["problems"][0]["detail"] = "written by amina at revision 9"
         with entry((409, answer)) as (url, _):
