Reword a few more texts of the jobs' systems, tables and tests

The sort key of placement named a field that no longer exists and left out that lasting jobs are never late. Some comments had lost a part of their reason: a task's earlier failure was on another host, tasks on a machine due for upkeep may finish until the wave would be late, and the clock margin is an upper limit. Log reasons call an incarnation by that name.

--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -12,7 +12,7 @@
 
 # A backend server's clock may be this much slower than ours, as the platform states.
 CLOCK_DRIFT = 0.02
-# Covers clock reading and late timers.
+# Upper limit of the delays from reading clocks and from timers that fire late.
 CLOCK_MARGIN_S = 0.5
 
 
--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -46,6 +46,7 @@
     agent. The host is `synced` once the agent has reported every run of this
     incarnation to this owner. `committed` are the resources that its tasks hold, and
     `images` their images. The host gets no new tasks before `quarantined_until`.
+    `filling_m` is the processors that its filling tasks request, in thousandths.
     `sent_verdicts` are the verdicts on interference last sent to its agent.
     """
 
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -154,11 +154,11 @@
     """The whole state of the role.
 
     `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
-    name while linked. `contact_at` is when the last contact that the owner answered
-    was sent. `orders_complete` means that the owner's complete list of runs for the
-    current incarnation has arrived. `stalled_since` is since when all serving runs
-    have been stalled, `search_started_at` when this process began to wait for an
-    announcement. `ends` are kept by number until the server may discard them.
+    name while linked. `last_confirmed_contact_at` is when the last contact that the
+    owner answered was sent. `orders_complete` means that the owner's complete list of
+    runs for the current incarnation has arrived. `stalled_since` is since when all
+    serving runs have been stalled, `search_started_at` when this process began to wait
+    for an announcement. `ends` are kept by number until the server may discard them.
     `synced` means that the owner has been sent the complete list of runs.
     """
 
@@ -170,7 +170,7 @@
     service: str = ""
     owner: str = ""
     epoch: int = 0
-    contact_at: float = -60.0
+    last_confirmed_contact_at: float = -60.0
     contact_sent_at: float = -60.0
     orders_complete: bool = False
     server: Server | None = None
--- a/bulrushpulley/roles/job_agent.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -1,4 +1,4 @@
-"""Builds the job agent, the role that runs tasks on the backend server beside it."""
+"""Builds the job agent, the role that runs tasks on the backend server of its host."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -1,4 +1,4 @@
-"""Assembles and runs an agent on the users' platform, beside a backend server."""
+"""Assembles and runs an agent on the host of a backend server of the platform."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -40,7 +40,7 @@
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems import store_timeouts
 
-# The store takes 100 rows in a transaction, and 1 MB; a job is 20 KB at most.
+# The store accepts 100 rows and 1 MB in a transaction; a job has 20 KB at most.
 MAX_BATCH_JOBS = 45
 # A submission that the store refused is retried for this long before its caller gets a
 # refusal; a quarter of the shortest latency objective.
@@ -58,7 +58,7 @@
 CALL_ANSWER_MARGIN_S = 0.3
 MAX_REMEMBERED_JOBS = 4_000
 # The watch gets an answer from the store every second. A submission sent to a store
-# that has been silent for longer would most likely end with an unknown outcome.
+# that has not answered for longer would most likely end with an unknown outcome.
 STORE_UNREACHABLE_TIMEOUT_S = 1.6
 
 
@@ -101,7 +101,7 @@
 
 
 def retry_after_s(unanswered_s: float) -> float:
-    """Return the retry delay for callers: the store's silence so far, within bounds."""
+    """Return the retry delay for callers: the length of the outage, within limits."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, unanswered_s))
 
 
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -54,8 +54,10 @@
     """Record the contact as of the time at which it was sent."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
-    contact_at = max(tables.contact_at, event.sent_at)
-    return Step(tables=replace(tables, contact_at=contact_at))
+    last_confirmed_contact_at = max(tables.last_confirmed_contact_at, event.sent_at)
+    return Step(
+        tables=replace(tables, last_confirmed_contact_at=last_confirmed_contact_at)
+    )
 
 
 def handle_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -40,7 +40,7 @@
 
 def has_recent_contact(tables: JobAgentTables, now: float) -> bool:
     """Return whether the last confirmed contact still allows leases and starts."""
-    return now - tables.contact_at < tables.bounds.agent_autonomy_s
+    return now - tables.last_confirmed_contact_at < tables.bounds.agent_autonomy_s
 
 
 def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -137,7 +137,7 @@
         synced=host.synced and event.life == host.life,
     )
     tables = replace(edits.put_host(tables, known), place_due=True)
-    reason = f"life {event.life}, leaves in {event.leaves_in_s:g} s"
+    reason = f"incarnation {event.life}, leaves in {event.leaves_in_s:g} s"
     line = edits.log(tables, "host.state", host.name, event.state.value, reason)
     commands: tuple[Command, ...] = (line,)
     if event.life or event.state is ServerState.GONE:
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -1,7 +1,7 @@
 """Changes to the scheduler's tables that several systems make.
 
 Every change of a task goes through `put_task`, which also updates the committed
-capacity of its host, so that no system can miss to reserve or release it.
+capacity of its host, so that no system can forget to reserve or release it.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 def is_loaded(tables: SchedulerTables) -> bool:
-    """Tell whether this process owns the shard and has read all its rows."""
+    """Return whether this process owns the shard and has read all its rows."""
     leadership = tables.leadership
     return isinstance(leadership, Owning) and not leadership.loading
 
@@ -105,13 +105,13 @@
 
 
 def is_unwritten(tables: SchedulerTables, job_id: str) -> bool:
-    """Tell whether a job has changes that are not durable yet."""
+    """Return whether a job has changes that are not durable yet."""
     in_flight = tables.commit is not None and job_id in tables.commit.job_ids
     return in_flight or job_id in tables.effects_by_job
 
 
 def is_settled(tables: SchedulerTables, job: Job) -> bool:
-    """Tell whether a job's end is durable and none of its tasks can still run."""
+    """Return whether a job's end is durable and none of its tasks can still run."""
     return (
         job.is_final
         and not is_unwritten(tables, job.job_id)
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -1,7 +1,7 @@
 """Empties the hosts of machines that are about to be taken down for upkeep.
 
 Tasks that can resume elsewhere are stopped, as far as the disruption budgets of their
-steps allow. Others may finish, unless the wave would miss its time limit.
+steps allow. Others may finish, until the wave would miss its time limit.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -53,7 +53,7 @@
 
 @singledispatch
 def has_run(ending: Ending) -> bool:
-    """Tell whether a run that ended this way has certainly been running."""
+    """Return whether a run that ended this way has certainly been running."""
     return False
 
 
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -108,7 +108,7 @@
 
 @singledispatch
 def _is_current(purpose: Purpose, tables: SchedulerTables) -> bool:
-    """Tell whether a call was made by the current tenure, if that matters."""
+    """Return whether a call was made by the current tenure, if that matters."""
     return True
 
 
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -35,7 +35,7 @@
         )
         tables = step.tables
         if step.commands:
-            line = edits.log(tables, "host.lapse", name, "", f"life {host.life}")
+            line = edits.log(tables, "host.lapse", name, "", f"incarnation {host.life}")
             commands.extend((line, *step.commands))
     return Step(tables=tables, commands=tuple(commands))
 
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -155,7 +155,7 @@
 
 
 def _may_claim_unowned(seen: Following, tables: SchedulerTables, now: float) -> bool:
-    """Tell whether it is this entry's turn to claim a shard that has no owner."""
+    """Return whether it is this entry's turn to claim a shard that has no owner."""
     unchanged_timeout_s = _stagger_fraction(seen, tables) * MAX_UNOWNED_STAGGER_S
     return now - seen.unchanged_since >= unchanged_timeout_s
 
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -124,7 +124,11 @@
 
 
 def placement_order(job: Job, now: float) -> tuple[bool, int, bool, float, str]:
-    """Return the sort key: jobs past their `lost_at` last, then priority, objective."""
+    """Return the sort key of a job.
+
+    Jobs past their `deadline_at` come last, except lasting ones, which are never late.
+    Then priority counts, then lasting before other jobs, then `objective_at`.
+    """
     lasting = any(step.lasting for step in job.row.spec.steps)
     late = now > job.deadline_at and not lasting
     return (late, job.row.priority, not lasting, job.objective_at, job.job_id)
--- a/bulrushpulley/systems/scheduling/quarantine.py
+++ b/bulrushpulley/systems/scheduling/quarantine.py
@@ -48,7 +48,8 @@
 @host_after_ending.register
 def _(ending: Failed, host: Host, task: Task, now: float) -> Host:
     if task.failures:
-        # The task has failed before, so its failure is no evidence against this host.
+        # A task that has failed before, on another host, is weak evidence against this
+        # one.
         return host
     recent = tuple(at for at in host.failed_at if now - at < FAILURE_WINDOW_S)
     failed = replace(host, failed_at=(*recent, now))
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -23,7 +23,7 @@
 
     @property
     def load(self) -> float:
-        """The fraction of the processors committed to or wanted by tasks."""
+        """The fraction of the processors committed, or requested by filling tasks."""
         capacity = max(1, self.host.capacity.processors_m)
         return (capacity - self.free.processors_m + self.filling_m) / capacity
 
--- a/test/jobs_matrix.py
+++ b/test/jobs_matrix.py
@@ -138,8 +138,8 @@
 class FaultCase:
     """One case of the matrix.
 
-    Each injection is a step, a fault and the number of the time that the step is
-    reached at which the fault is injected.
+    An injection ``(step, fault, n)`` injects the fault when the step is reached for
+    the nth time.
     """
 
     injections: tuple[tuple[str, str, int], ...]
--- a/test/jobs_store.py
+++ b/test/jobs_store.py
@@ -64,7 +64,7 @@
         return Transacted(purpose=call.purpose, version=version)
 
     def has_conflict(self, call: Transact) -> bool:
-        """Tell whether a condition of a transaction does not hold."""
+        """Return whether a condition of a transaction does not hold."""
         return any(
             self._row(condition.key).version != condition.version
             for condition in call.conditions
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -679,7 +679,7 @@
         return row.state if isinstance(row, ProgressRow) else None
 
     def all_complete(self) -> bool:
-        """Tell whether all submitted jobs are complete."""
+        """Return whether all submitted jobs are complete."""
         states = {self.state_of(job_id) for job_id in self.spec_by_job}
         return states <= {JobState.COMPLETED}
 
