--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -22,35 +22,43 @@
 import urllib3
 from absl import app, flags
 
-from scripts.fleet import HOST, Fleet, Layout, ask, make_layout, records, submit
+from scripts.fleet import (
+    HOST,
+    Fleet,
+    Layout,
+    get_json,
+    make_layout,
+    sample_records,
+    submit_record,
+)
 
 FLAGS = flags.FLAGS
 AGENTS = ("agent-01", "agent-02", "agent-05", "agent-08")
 ENTRIES = ("entry-1", "entry-2")
 JOB = "long-curves"
-TASKS = 24
-RUN_S = 60.0
-READY_S = 30.0
-TAKEOVER_S = 60.0
-DONE_S = 120.0
-OUTAGE_S = 20.0
-POLL_S = 0.2
+TASK_COUNT = 24
+TASK_RUN_S = 60.0
+READY_TIMEOUT_S = 30.0
+MAX_TAKEOVER_S = 60.0
+JOB_TIMEOUT_S = 120.0
+OUTAGE_DURATION_S = 20.0
+POLL_INTERVAL_S = 0.2
 
 
-def say(text: str) -> None:
+def print_progress(text: str) -> None:
     """Show progress."""
     print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
 
 
-def wait_for(condition: Callable[[], bool], within_s: float, what: str) -> float:
+def wait_for(condition: Callable[[], bool], timeout_s: float, what: str) -> float:
     """Wait until a condition holds and return how long that took."""
-    began = time.monotonic()
+    started_at = time.monotonic()
     pause = threading.Event()
     while not condition():
-        if time.monotonic() - began > within_s:
-            raise RuntimeError(f"{what}: not within {within_s:g} s")
-        pause.wait(POLL_S)
-    return time.monotonic() - began
+        if time.monotonic() - started_at > timeout_s:
+            raise RuntimeError(f"{what}: not within {timeout_s:g} s")
+        pause.wait(POLL_INTERVAL_S)
+    return time.monotonic() - started_at
 
 
 class Platform:
@@ -94,7 +102,7 @@
         self._pool.request("POST", f"{self._tables}/switch", json=body)
 
 
-class Watcher:
+class DuplicateRunWatcher:
     """Looks again and again for a task that runs twice."""
 
     def __init__(self, *, platform: Platform, worker_ids: list[str]) -> None:
@@ -102,8 +110,8 @@
         self._worker_ids = worker_ids
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._watch, daemon=True)
-        self.doubled: set[str] = set()
-        self.looks = 0
+        self.tasks_run_twice: set[str] = set()
+        self.polls = 0
 
     def start(self) -> None:
         """Begin to look."""
@@ -115,12 +123,14 @@
         self._thread.join()
 
     def _watch(self) -> None:
-        while not self._stopped.wait(POLL_S):
+        while not self._stopped.wait(POLL_INTERVAL_S):
             runs: Counter[str] = Counter()
             for worker_id in self._worker_ids:
                 runs.update(self._running(worker_id))
-            self.doubled.update(task for task, count in runs.items() if count > 1)
-            self.looks += 1
+            self.tasks_run_twice.update(
+                task for task, count in runs.items() if count > 1
+            )
+            self.polls += 1
 
     def _running(self, worker_id: str) -> list[str]:
         try:
@@ -129,36 +139,36 @@
             return []
 
 
-def begin(fleet: Fleet) -> Watcher:
+def start_job(fleet: Fleet) -> DuplicateRunWatcher:
     """Put the records in force and start the job."""
     layout = fleet.layout
     url = layout.operator_urls[0]
     platform = Platform(layout=layout)
     agents = len(layout.agents)
     wait_for(
-        lambda: len(ask(url, "/v1/status").get("agents", [])) == agents,
-        READY_S,
+        lambda: len(get_json(url, "/v1/status").get("agents", [])) == agents,
+        READY_TIMEOUT_S,
         "links",
     )
-    loaded = records(layout)
-    for record in loaded:
+    sample = sample_records(layout)
+    for record in sample:
         if record["kind"] != "job":
-            submit(url, record)
-    job = next(record for record in loaded if record["kind"] == "job")
-    submit(url, {**job, "name": JOB, "tasks": TASKS, "run_s": RUN_S})
-    cells = [record for record in loaded if record["kind"] == "cell"]
+            submit_record(url, record)
+    job = next(record for record in sample if record["kind"] == "job")
+    submit_record(url, {**job, "name": JOB, "tasks": TASK_COUNT, "run_s": TASK_RUN_S})
+    cells = [record for record in sample if record["kind"] == "cell"]
     worker_ids = [w["worker_id"] for cell in cells for w in cell["workers"]]
-    watcher = Watcher(platform=platform, worker_ids=worker_ids)
+    watcher = DuplicateRunWatcher(platform=platform, worker_ids=worker_ids)
     watcher.start()
     wait_for(
-        lambda: sum(len(platform.running(w)) for w in worker_ids) >= TASKS,
-        READY_S,
+        lambda: sum(len(platform.running(w)) for w in worker_ids) >= TASK_COUNT,
+        READY_TIMEOUT_S,
         "starts",
     )
     return watcher
 
 
-def busiest(platform: Platform) -> str:
+def agent_with_most_cells(platform: Platform) -> str:
     """Return the agent that owns the most cells."""
     owners = Counter(platform.owner_by_cell().values())
     return max(sorted(owners), key=lambda owner: owners[owner])
@@ -166,65 +176,75 @@
 
 def pause_owner(fleet: Fleet, platform: Platform) -> None:
     """Stop an owner until its cells were taken over, then continue it."""
-    name = busiest(platform)
+    name = agent_with_most_cells(platform)
     process = fleet.program_by_name[name].process
     process.send_signal(signal.SIGSTOP)
-    took = wait_for(
+    waited_s = wait_for(
         lambda: name not in platform.owner_by_cell().values(),
-        TAKEOVER_S,
+        MAX_TAKEOVER_S,
         "takeover",
     )
     process.send_signal(signal.SIGCONT)
-    say(f"{name} was paused; its cells were taken over within {took:.1f} s")
+    print_progress(
+        f"{name} was paused; its cells were taken over within {waited_s:.1f} s"
+    )
 
 
 def kill_owner(fleet: Fleet, platform: Platform, worker_ids: list[str]) -> None:
     """Kill an owner amid lost answers and an outage, and start it again."""
-    name = busiest(platform)
+    name = agent_with_most_cells(platform)
     program = fleet.program_by_name.pop(name)
     program.process.kill()
     program.process.wait()
-    say(f"{name} was killed; answers are lost and the table service is down")
+    print_progress(f"{name} was killed; answers are lost and the table service is down")
     for worker_id in worker_ids:
-        platform.lose_worker_answers(worker_id, OUTAGE_S / 2)
-    platform.take_tables_down(OUTAGE_S)
-    threading.Event().wait(OUTAGE_S)
+        platform.lose_worker_answers(worker_id, OUTAGE_DURATION_S / 2)
+    platform.take_tables_down(OUTAGE_DURATION_S)
+    threading.Event().wait(OUTAGE_DURATION_S)
     fleet.start_agent(next(a for a in fleet.layout.agents if a.name == name))
 
 
 def run(fleet: Fleet) -> bool:
     """Run the signals against a started fleet and tell whether all was well."""
     platform = Platform(layout=fleet.layout)
-    watcher = begin(fleet)
-    say(f"{TASKS} tasks run; owners are {dict(platform.owner_by_cell())}")
+    watcher = start_job(fleet)
+    print_progress(
+        f"{TASK_COUNT} tasks run; owners are {dict(platform.owner_by_cell())}"
+    )
     pause_owner(fleet, platform)
     kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
-    took = wait_for(lambda: platform.finished() == TASKS, DONE_S, "the job")
+    waited_s = wait_for(
+        lambda: platform.finished() == TASK_COUNT, JOB_TIMEOUT_S, "the job"
+    )
     watcher.stop()
     rows = platform.rows(f"done/{JOB}/").values()
     generations = Counter(row["generation"] for row in rows)
-    say(f"finished {took:.1f} s later; tasks by generation: {dict(generations)}")
-    say(f"{watcher.looks} looks; ran twice at once: {sorted(watcher.doubled)}")
+    print_progress(
+        f"finished {waited_s:.1f} s later; tasks by generation: {dict(generations)}"
+    )
+    print_progress(
+        f"{watcher.polls} looks; ran twice at once: {sorted(watcher.tasks_run_twice)}"
+    )
     names = [agent.name for agent in fleet.layout.agents]
     codes = {name: fleet.stop(name) for name in (*names, *ENTRIES)}
-    say(f"exit codes: {codes}")
-    return not watcher.doubled and not any(codes.values())
+    print_progress(f"exit codes: {codes}")
+    return not watcher.tasks_run_twice and not any(codes.values())
 
 
 def main(argv: list[str]) -> None:
     """Run everything in a folder of its own."""
     del argv
     folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-signals-"))
-    say(f"settings and logs are in {folder}")
+    print_progress(f"settings and logs are in {folder}")
     layout = make_layout(FLAGS.deployment, ENTRIES, AGENTS)
     fleet = Fleet(layout=layout, folder=folder)
     try:
         fleet.start_all()
-        good = run(fleet)
+        passed = run(fleet)
     finally:
-        fleet.end_all()
-    say("passed" if good else "failed")
-    sys.exit(0 if good else 1)
+        fleet.kill_all()
+    print_progress("passed" if passed else "failed")
+    sys.exit(0 if passed else 1)
 
 
 if __name__ == "__main__":
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,20 +20,28 @@
 
 from absl import app, flags
 
-from scripts.fleet import ROOT, Fleet, Layout, ask, make_layout, records, submit
+from scripts.fleet import (
+    ROOT,
+    Fleet,
+    Layout,
+    get_json,
+    make_layout,
+    sample_records,
+    submit_record,
+)
 from standins.caller import Caller, Target, count_runs, make_calls
 from standins.caller_core import Report, plan, tally
 
 FLAGS = flags.FLAGS
-REQUESTS = 200
+REQUEST_COUNT = 200
 PLAN_MARGIN = 2.0
-REPEATABLE_SHARE = 0.5
-CALL_WITHIN_S = 4.0
+REPEATABLE_FRACTION = 0.5
+CALL_TIMEOUT_S = 4.0
 CALL_THREADS = 64
-READY_S = 30.0
-JOB_S = 90.0
-ASK_S = 0.5
-INTERRUPTED = 130
+READY_TIMEOUT_S = 30.0
+JOB_TIMEOUT_S = 90.0
+STATUS_POLL_INTERVAL_S = 0.5
+INTERRUPTED_EXIT_CODE = 130
 AGENTS_BY_DEPLOYMENT: Mapping[str, tuple[str, ...]] = {
     "firinzeka": ("agent-01", "agent-05", "agent-08"),
     "kalamu": ("agent-01", "agent-05", "agent-08"),
@@ -51,7 +59,7 @@
     exit_codes: Mapping[str, int]
 
     @property
-    def good(self) -> bool:
+    def passed(self) -> bool:
         """Whether nothing was lost or doubled and everything ended well."""
         calls = self.calls
         bad_calls = calls.doubled + calls.lost + calls.wrong + calls.false_refusals
@@ -60,19 +68,21 @@
         return not bad_calls and job_done and self.drained and stopped
 
 
-def say(text: str) -> None:
+def print_progress(text: str) -> None:
     """Show progress."""
     print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
 
 
 def wait_until_ready(layout: Layout) -> None:
     """Wait until every entry has a link to every agent."""
-    deadline = time.monotonic() + READY_S
+    deadline = time.monotonic() + READY_TIMEOUT_S
     for url in layout.operator_urls:
-        while len(ask(url, "/v1/status").get("agents", [])) < len(layout.agents):
+        while len(get_json(url, "/v1/status").get("agents", [])) < len(layout.agents):
             if time.monotonic() > deadline:
-                raise RuntimeError(f"agents are not linked: {ask(url, '/v1/status')}")
-            threading.Event().wait(ASK_S)
+                raise RuntimeError(
+                    f"agents are not linked: {get_json(url, '/v1/status')}"
+                )
+            threading.Event().wait(STATUS_POLL_INTERVAL_S)
 
 
 def send_calls(layout: Layout, service: str, seconds: float) -> Report:
@@ -80,46 +90,52 @@
     target = Target(
         entries=layout.caller_urls,
         service=service,
-        within_s=CALL_WITHIN_S,
+        within_s=CALL_TIMEOUT_S,
         max_tries=3,
         body_bytes=200,
     )
     calls = plan(
-        rate=REQUESTS / seconds,
+        rate=REQUEST_COUNT / seconds,
         seconds=seconds * PLAN_MARGIN,
-        repeatable_share=REPEATABLE_SHARE,
+        repeatable_share=REPEATABLE_FRACTION,
         seed=FLAGS.seed,
         name="demo",
     )
-    ended = make_calls(Caller(target=target), calls[:REQUESTS], CALL_THREADS)
+    ended = make_calls(Caller(target=target), calls[:REQUEST_COUNT], CALL_THREADS)
     return tally(ended, count_runs(layout.backend_urls))
 
 
 def wait_for_job(layout: Layout, name: str) -> Mapping[str, Any]:
     """Wait until every task of a job has ended, and return the job's status."""
-    deadline = time.monotonic() + JOB_S
-    shown = -1
+    deadline = time.monotonic() + JOB_TIMEOUT_S
+    finished = -1
     while True:
-        status = ask(layout.operator_urls[0], f"/v1/status?job={name}")
+        status = get_json(layout.operator_urls[0], f"/v1/status?job={name}")
         jobs = [job for job in status.get("jobs", []) if job["name"] == name]
         job: Mapping[str, Any] = jobs[0] if jobs else {}
-        if job.get("finished", 0) != shown:
-            shown = job.get("finished", 0)
-            say(f"job {name}: {shown} of {job.get('tasks', '?')} tasks finished")
+        if job.get("finished", 0) != finished:
+            finished = job.get("finished", 0)
+            print_progress(
+                f"job {name}: {finished} of {job.get('tasks', '?')} tasks finished"
+            )
         ended = sum(job.get(key, 0) for key in ("finished", "failed", "cancelled"))
         if (job and ended == job["tasks"]) or time.monotonic() > deadline:
             return job
-        threading.Event().wait(ASK_S)
+        threading.Event().wait(STATUS_POLL_INTERVAL_S)
 
 
 def drain_and_return(fleet: Fleet, failure_domain: str, pause_s: float) -> bool:
     """Take a failure domain out of service and return it after a pause."""
-    say(f"draining {failure_domain}")
-    drained = fleet.verb("drain", failure_domain, "--wait")
-    say(f"{failure_domain} is drained everywhere" if drained == 0 else "drain failed")
+    print_progress(f"draining {failure_domain}")
+    drained = fleet.run_verb("drain", failure_domain, "--wait")
+    print_progress(
+        f"{failure_domain} is drained everywhere" if drained == 0 else "drain failed"
+    )
     threading.Event().wait(pause_s)
-    restored = fleet.verb("restore", failure_domain, "--wait")
-    say(f"{failure_domain} is back in service" if restored == 0 else "return failed")
+    restored = fleet.run_verb("restore", failure_domain, "--wait")
+    print_progress(
+        f"{failure_domain} is back in service" if restored == 0 else "return failed"
+    )
     return drained == 0 and restored == 0
 
 
@@ -127,18 +143,18 @@
     """Run every part of the demo on a started fleet."""
     layout = fleet.layout
     wait_until_ready(layout)
-    say("every agent is linked to every entry")
-    submitted = records(layout)
+    print_progress("every agent is linked to every entry")
+    submitted = sample_records(layout)
     for record in submitted:
-        submit(layout.operator_urls[0], record)
-    say(f"{len(submitted)} records are in force")
+        submit_record(layout.operator_urls[0], record)
+    print_progress(f"{len(submitted)} records are in force")
     name_by_kind = {record["kind"]: record["name"] for record in submitted}
     domain = next(r["name"] for r in submitted if r["kind"] == "failure_domain")
     with ThreadPoolExecutor(2) as pool:
         calls = pool.submit(send_calls, layout, name_by_kind["service"], seconds)
         drain = pool.submit(drain_and_return, fleet, domain, seconds / 4)
         job = wait_for_job(layout, name_by_kind["job"])
-        say("waiting for the rest of the requests")
+        print_progress("waiting for the rest of the requests")
         report, drained = calls.result(), drain.result()
     exit_codes = stop_all(fleet)
     return Outcome(calls=report, job=job, drained=drained, exit_codes=exit_codes)
@@ -150,11 +166,11 @@
     codes = {}
     for name in names:
         codes[name] = fleet.stop(name)
-        say(f"{name} stopped with exit code {codes[name]}")
+        print_progress(f"{name} stopped with exit code {codes[name]}")
     return codes
 
 
-def show(outcome: Outcome) -> None:
+def print_outcome(outcome: Outcome) -> None:
     """Print what the demo came to."""
     calls = outcome.calls
     print(
@@ -165,7 +181,7 @@
     print(f"latency: p50 {calls.p50_ms:.1f} ms, p99 {calls.p99_ms:.1f} ms")
     print(f"job: {json.dumps(outcome.job)}")
     print(f"drained and returned: {'yes' if outcome.drained else 'no'}")
-    print("demo passed" if outcome.good else "demo FAILED")
+    print("demo passed" if outcome.passed else "demo FAILED")
 
 
 def command() -> tuple[str, ...]:
@@ -183,19 +199,19 @@
     )
     folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-demo-"))
     fleet = Fleet(layout=layout, folder=folder, command=command())
-    say(f"starting {FLAGS.deployment}; settings and logs are in {folder}")
+    print_progress(f"starting {FLAGS.deployment}; settings and logs are in {folder}")
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         fleet.start_all()
         outcome = run(fleet, FLAGS.seconds)
     except KeyboardInterrupt:
         signal.signal(signal.SIGINT, signal.SIG_IGN)
-        say("interrupted; ending what was started")
-        sys.exit(INTERRUPTED)
+        print_progress("interrupted; ending what was started")
+        sys.exit(INTERRUPTED_EXIT_CODE)
     finally:
-        fleet.end_all()
-    show(outcome)
-    sys.exit(0 if outcome.good else 1)
+        fleet.kill_all()
+    print_outcome(outcome)
+    sys.exit(0 if outcome.passed else 1)
 
 
 if __name__ == "__main__":
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -25,9 +25,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
-START_S = 20.0
-STOP_S = 40.0
-RETRY_S = 0.1
+STARTUP_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 40.0
+CONNECT_RETRY_DELAY_S = 0.1
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
 
@@ -131,7 +131,7 @@
     )
 
 
-def sample(deployment: str, name: str) -> dict[str, Any]:
+def read_sample_settings(deployment: str, name: str) -> dict[str, Any]:
     """Read one of the sample settings."""
     path = ROOT / "config" / deployment / f"{name}.toml"
     return tomllib.loads(path.read_text())
@@ -139,7 +139,7 @@
 
 def entry_settings(layout: Layout, ports: EntryPorts) -> dict[str, Any]:
     """Return an entry's sample settings moved to loopback."""
-    raw = sample(layout.deployment, ports.name)
+    raw = read_sample_settings(layout.deployment, ports.name)
     raw["links"] = {"host": HOST, "port": ports.links}
     raw["callers"].update(host=HOST, port=ports.callers)
     raw["operators"].update(host=HOST, port=ports.operators)
@@ -150,7 +150,7 @@
 
 def agent_settings(layout: Layout, ports: AgentPorts) -> dict[str, Any]:
     """Return an agent's sample settings moved to loopback."""
-    raw = sample(layout.deployment, ports.name)
+    raw = read_sample_settings(layout.deployment, ports.name)
     raw["seeds"] = [f"{HOST}:{layout.entries[0].links}"]
     raw["health"].update(host=HOST, port=ports.health)
     raw["backend_server"]["url"] = f"http://{HOST}:{ports.backend_server}"
@@ -172,7 +172,7 @@
     return "\n".join([*plain, *tables]) + "\n"
 
 
-def records(layout: Layout) -> list[dict[str, Any]]:
+def sample_records(layout: Layout) -> list[dict[str, Any]]:
     """Read the sample records in their order, with workers on loopback."""
     folder = ROOT / "config" / layout.deployment / "records"
     loaded = [json.loads(path.read_text()) for path in sorted(folder.glob("*.json"))]
@@ -205,15 +205,15 @@
 
     def start_platform(self) -> None:
         """Start the table service, the object store and the workers."""
-        self._stand_in("table_service", self.layout.table_service)
-        self._stand_in("object_store", self.layout.object_store)
-        self._stand_in("worker", self.layout.workers)
+        self._start_stand_in("table_service", self.layout.table_service)
+        self._start_stand_in("object_store", self.layout.object_store)
+        self._start_stand_in("worker", self.layout.workers)
         for agent in self.layout.agents:
-            self._stand_in("backend_server", agent.backend_server, agent.name)
+            self._start_stand_in("backend_server", agent.backend_server, agent.name)
         for port in (self.layout.table_service, self.layout.workers):
             wait_for_port(port)
 
-    def _stand_in(self, module: str, port: int, suffix: str = "") -> None:
+    def _start_stand_in(self, module: str, port: int, suffix: str = "") -> None:
         command = (sys.executable, "-m", f"standins.{module}", "--port", str(port))
         self.start(f"{module}-{suffix}" if suffix else module, command)
 
@@ -246,14 +246,14 @@
         for agent in self.layout.agents:
             wait_for_port(agent.health)
 
-    def verb(self, *arguments: str, within_s: float = 30.0) -> int:
+    def run_verb(self, *arguments: str, timeout_s: float = 30.0) -> int:
         """Run an operators' verb and return its exit code."""
         urls = [f"--entry={url}" for url in self.layout.operator_urls]
         done = subprocess.run(
             [*self.command, *arguments, *urls],
             stdout=subprocess.DEVNULL,
             cwd=ROOT,
-            timeout=within_s,
+            timeout=timeout_s,
             check=False,
         )
         return done.returncode
@@ -262,21 +262,21 @@
         """End one process by SIGTERM and return its exit code."""
         program = self.program_by_name.pop(name)
         program.process.send_signal(signal.SIGTERM)
-        return program.process.wait(STOP_S)
+        return program.process.wait(STOP_TIMEOUT_S)
 
-    def end_all(self) -> None:
+    def kill_all(self) -> None:
         """End whatever is left, by id."""
         for program in self.program_by_name.values():
             program.process.kill()
         for program in self.program_by_name.values():
-            program.process.wait(STOP_S)
+            program.process.wait(STOP_TIMEOUT_S)
         self.program_by_name.clear()
 
 
 def wait_for_port(port: int) -> None:
     """Wait until something listens on a port."""
     pause = threading.Event()
-    deadline = time.monotonic() + START_S
+    deadline = time.monotonic() + STARTUP_TIMEOUT_S
     while True:
         try:
             socket.create_connection((HOST, port), timeout=1.0).close()
@@ -284,16 +284,16 @@
         except OSError:
             if time.monotonic() > deadline:
                 raise
-            pause.wait(RETRY_S)
+            pause.wait(CONNECT_RETRY_DELAY_S)
 
 
-def ask(url: str, path: str) -> Any:
+def get_json(url: str, path: str) -> Any:
     """Read one JSON answer of an entry."""
     reply = urllib3.request("GET", url + path, timeout=15.0, retries=False)
     return reply.json()
 
 
-def submit(url: str, record: Mapping[str, Any]) -> None:
+def submit_record(url: str, record: Mapping[str, Any]) -> None:
     """Submit a record; raises `RuntimeError` with the entry's problems."""
     reply = urllib3.request(
         "POST", f"{url}/v1/records", json=record, timeout=20.0, retries=False
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -23,29 +23,29 @@
 from bulrushpulley.entities.worker_calls import AskReport
 from bulrushpulley.roles.actor import Role
 from standins.worker_core import WorkerState
-from test.cell_bench import CellBench, runs_of, seat
+from test.cell_bench import CellBench, cell_owner_address, runs_of
 
-OWNER = seat("a")
-WARM_S = 15.0
-MEASURED_S = 60.0
-ROOMY = Resources(processors_m=10_000_000, memory_mb=10_000_000)
-SMALL = Resources(processors_m=100, memory_mb=100)
-FOREVER_S = 1e6
+OWNER = cell_owner_address("a")
+WARM_UP_S = 15.0
+MEASUREMENT_S = 60.0
+LARGE_CAPACITY = Resources(processors_m=10_000_000, memory_mb=10_000_000)
+SMALL_TASK_SIZE = Resources(processors_m=100, memory_mb=100)
+UNENDING_RUN_S = 1e6
 
 
-class Meter:
+class TickTimer:
     """Adds up the processor time of a role's ticks."""
 
     def __init__(self, *, role: Role[Any]) -> None:
         self._role = role
-        self.spent_s = 0.0
+        self.processor_s = 0.0
         self.ticks = 0
 
     def tick(self, tables: Any, events: Iterable[Event], now: float) -> Step[Any]:
         """Run one tick and add its time."""
-        began = time.process_time()
+        started_at = time.process_time()
         step = self._role.tick(tables, events, now)
-        self.spent_s += time.process_time() - began
+        self.processor_s += time.process_time() - started_at
         self.ticks += 1
         return step
 
@@ -60,24 +60,24 @@
     report_bytes: float
 
 
-def owner_of(tasks: int, run_s: float) -> tuple[CellBench, Meter]:
+def make_bench(tasks: int, run_s: float) -> tuple[CellBench, TickTimer]:
     """Return a bench whose owner is about to start `tasks` tasks."""
     bench = CellBench(workers=3)
-    bench.capacity = dict.fromkeys(bench.capacity, ROOMY)
+    bench.capacity = dict.fromkeys(bench.capacity, LARGE_CAPACITY)
     bench.put_record("cell", bench.cell())
     if tasks:
-        bench.job("curves", tasks=tasks, run_s=run_s, size=SMALL)
+        bench.job("curves", tasks=tasks, run_s=run_s, size=SMALL_TASK_SIZE)
     bench.agent("a")
-    meter = Meter(role=bench.world.roles[OWNER])
-    bench.world.roles[OWNER] = meter  # type: ignore[assignment]
-    return bench, meter
+    timer = TickTimer(role=bench.world.roles[OWNER])
+    bench.world.roles[OWNER] = timer  # type: ignore[assignment]
+    return bench, timer
 
 
 def report_bytes(bench: CellBench, since: float) -> int:
     """Return the bytes of the bodies of the reports since a time."""
-    size_by_worker = {w: _answer_bytes(state) for w, state in bench.workers.items()}
+    bytes_by_worker = {w: _answer_bytes(state) for w, state in bench.workers.items()}
     return sum(
-        size_by_worker[command.worker_id]
+        bytes_by_worker[command.worker_id]
         + len(msgspec.json.encode({"renew": command.renewals}))
         for at, _, command in bench.commands
         if at >= since and isinstance(command, AskReport)
@@ -88,32 +88,32 @@
     return len(msgspec.json.encode({"tasks": runs_of(state), "usage": ()}))
 
 
-def steady(tasks: int) -> Cost:
+def measure_running_tasks(tasks: int) -> Cost:
     """Measure an owner whose tasks all run."""
-    bench, meter = owner_of(tasks, FOREVER_S)
-    bench.run(WARM_S)
-    meter.spent_s, meter.ticks = 0.0, 0
+    bench, timer = make_bench(tasks, UNENDING_RUN_S)
+    bench.run(WARM_UP_S)
+    timer.processor_s, timer.ticks = 0.0, 0
     since = bench.world.now
-    bench.run(MEASURED_S)
+    bench.run(MEASUREMENT_S)
     return Cost(
         tasks=tasks,
-        processor_ms=1000 * meter.spent_s / MEASURED_S,
-        ticks=meter.ticks / MEASURED_S,
-        report_bytes=report_bytes(bench, since) / MEASURED_S,
+        processor_ms=1000 * timer.processor_s / MEASUREMENT_S,
+        ticks=timer.ticks / MEASUREMENT_S,
+        report_bytes=report_bytes(bench, since) / MEASUREMENT_S,
     )
 
 
 def tables_bytes(tasks: int) -> int:
     """Return the memory of the tables of an owner whose tasks all run."""
-    bench, _ = owner_of(tasks, FOREVER_S)
-    bench.run(WARM_S)
+    bench, _ = make_bench(tasks, UNENDING_RUN_S)
+    bench.run(WARM_UP_S)
     tables = bench.tables("a")
     tracemalloc.start()
     copies = replace(
         tables,
-        tasks=_rebuilt(tables.tasks),
-        workers=_rebuilt(tables.workers),
-        records=_rebuilt(tables.records),
+        tasks=_copy_table(tables.tasks),
+        workers=_copy_table(tables.workers),
+        records=_copy_table(tables.records),
     )
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -121,33 +121,33 @@
     return size
 
 
-def _rebuilt(table: Any) -> Any:
+def _copy_table(table: Any) -> Any:
     """Return a table with the same rows in maps of its own."""
-    fresh = type(table).empty(indexes=table.index_of)
+    copied = type(table).empty(indexes=table.index_of)
     for key in table:
-        fresh = fresh.put(key, copy.deepcopy(table.by_key[key]))
-    return fresh
+        copied = copied.put(key, copy.deepcopy(table.by_key[key]))
+    return copied
 
 
-def life_ms(tasks: int) -> float:
+def task_processor_ms(tasks: int) -> float:
     """Return the processor time of one task from start to outcome."""
-    bench, meter = owner_of(tasks, 5.0)
+    bench, timer = make_bench(tasks, 5.0)
     bench.run(40.0)
-    idle, rest = owner_of(0, 5.0)
-    idle.run(40.0)
-    return 1000 * (meter.spent_s - rest.spent_s) / tasks
+    idle_bench, idle_timer = make_bench(0, 5.0)
+    idle_bench.run(40.0)
+    return 1000 * (timer.processor_s - idle_timer.processor_s) / tasks
 
 
 def main() -> None:
     """Print the costs."""
     for tasks in (0, 10, 50, 100, 200):
-        cost = steady(tasks)
+        cost = measure_running_tasks(tasks)
         print(
             f"{cost.tasks} tasks: {cost.processor_ms:.2f} ms/s in"
             f" {cost.ticks:.1f} ticks/s, reports {cost.report_bytes:.0f} B/s,"
             f" tables {tables_bytes(tasks)} B"
         )
-    print(f"one task from start to outcome: {life_ms(200):.2f} ms")
+    print(f"one task from start to outcome: {task_processor_ms(200):.2f} ms")
 
 
 if __name__ == "__main__":
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Measured:
+class Measurement:
     """The figures of one run."""
 
     waiting: int
@@ -62,7 +62,7 @@
     p99_ms: float
 
     @property
-    def per_s(self) -> float:
+    def commits_per_s(self) -> float:
         """Commits a second."""
         return self.commits / self.seconds
 
@@ -73,11 +73,11 @@
     def __init__(self, *, waiting: int, prefix: str) -> None:
         self._prefix = prefix
         self._waiting = waiting
-        self._sent_at_by_id: dict[str, float] = {}
+        self._submitted_at_by_id: dict[str, float] = {}
         self._number = 0
-        self.delays = HdrHistogram(1, 60 * US_PER_S, 3)
+        self.latencies = HdrHistogram(1, 60 * US_PER_S, 3)
         self.commits = 0
-        self.others = 0
+        self.other_outcomes = 0
         self.transactions = 0
         self.actor: pykka.ActorRef[RoleActor] | None = None
 
@@ -92,17 +92,17 @@
 
     def report(self, command: ReportTo) -> None:
         """Record an outcome and submit again."""
-        record(command.outcome, self)
+        record_outcome(command.outcome, self)
 
     def count(self, command: Count) -> None:
         """Count transactions."""
         if command.name == "commit.transactions":
             self.transactions += command.by
 
-    def settled(self, submission_id: str) -> None:
+    def record_commit(self, submission_id: str) -> None:
         """Record the delay of a committed submission."""
-        delay_s = time.monotonic() - self._sent_at_by_id.pop(submission_id)
-        self.delays.record_value(max(1, int(delay_s * US_PER_S)))
+        latency_s = time.monotonic() - self._submitted_at_by_id.pop(submission_id)
+        self.latencies.record_value(max(1, int(latency_s * US_PER_S)))
         self.commits += 1
         if self._waiting:
             self._submit()
@@ -124,23 +124,23 @@
             writes=(Write(key=key, row=row),),
             give_up_after_s=60.0,
         )
-        self._sent_at_by_id[name] = time.monotonic()
+        self._submitted_at_by_id[name] = time.monotonic()
         assert self.actor is not None
         self.actor.tell(Submitted(origin="bench", submission=submission))
 
 
 @singledispatch
-def record(outcome: Event, submitters: Submitters) -> None:
+def record_outcome(outcome: Event, submitters: Submitters) -> None:
     """Count any outcome but a commit."""
-    submitters.others += 1
+    submitters.other_outcomes += 1
 
 
-@record.register
+@record_outcome.register
 def _(outcome: Committed, submitters: Submitters) -> None:
-    submitters.settled(outcome.submission_id)
+    submitters.record_commit(outcome.submission_id)
 
 
-def ignore(command: Command) -> None:
+def ignore_command(command: Command) -> None:
     """Pass over what is not measured here."""
 
 
@@ -155,19 +155,19 @@
         pool.submit(lambda: actor.tell(work()))
 
     return committer_io.CommitterPorts(
-        send=ignore,
+        send=ignore_command,
         tell=lambda role, event: None,
-        answer=ignore,
-        decide=ignore,
+        answer=ignore_command,
+        decide=ignore_command,
         count=submitters.count,
-        observe=ignore,
+        observe=ignore_command,
         run=run,
         table=TableServiceClient(url=url, connections=CONNECTIONS),
         report=submitters.report,
     )
 
 
-def measure(*, url: str, waiting: int, seconds: float, prefix: str) -> Measured:
+def measure(*, url: str, waiting: int, seconds: float, prefix: str) -> Measurement:
     """Run `waiting` submitters for `seconds`."""
     submitters = Submitters(waiting=waiting, prefix=prefix)
     with ThreadPoolExecutor(max_workers=CONNECTIONS) as pool:
@@ -177,24 +177,24 @@
             role=role, carry_out=lambda command: carry_out(command, ports)
         )
         submitters.actor = actor
-        used_s = cpu_s()
-        started = time.monotonic()
+        cpu_at_start_s = cpu_s()
+        started_at = time.monotonic()
         submitters.start()
         threading.Event().wait(seconds)
-        measured = Measured(
+        measurement = Measurement(
             waiting=waiting,
             commits=submitters.commits,
-            seconds=time.monotonic() - started,
-            cpu_s=cpu_s() - used_s,
+            seconds=time.monotonic() - started_at,
+            cpu_s=cpu_s() - cpu_at_start_s,
             transactions=submitters.transactions,
-            p50_ms=submitters.delays.get_value_at_percentile(50) / 1_000,
-            p99_ms=submitters.delays.get_value_at_percentile(99) / 1_000,
+            p50_ms=submitters.latencies.get_value_at_percentile(50) / 1_000,
+            p99_ms=submitters.latencies.get_value_at_percentile(99) / 1_000,
         )
         submitters.stop()
         actor.stop()
-    if submitters.others:
-        raise RuntimeError(f"{submitters.others} submissions did not commit")
-    return measured
+    if submitters.other_outcomes:
+        raise RuntimeError(f"{submitters.other_outcomes} submissions did not commit")
+    return measurement
 
 
 def cpu_s() -> float:
@@ -203,14 +203,15 @@
     return used.ru_utime + used.ru_stime
 
 
-def show(label: str, measured: Measured) -> None:
+def print_row(label: str, measurement: Measurement) -> None:
     """Print one row of figures."""
-    rows = measured.commits / max(1, measured.transactions)
+    rows = measurement.commits / max(1, measurement.transactions)
     print(
-        f"{label:8} waiting={measured.waiting:5} commits/s={measured.per_s:8.1f}"
-        f" rows/transaction={rows:6.1f} p50={measured.p50_ms:8.1f} ms"
-        f" p99={measured.p99_ms:8.1f} ms"
-        f" cpu={measured.cpu_s / measured.commits * US_PER_S:7.0f} us/commit",
+        f"{label:8} waiting={measurement.waiting:5}"
+        f" commits/s={measurement.commits_per_s:8.1f}"
+        f" rows/transaction={rows:6.1f} p50={measurement.p50_ms:8.1f} ms"
+        f" p99={measurement.p99_ms:8.1f} ms"
+        f" cpu={measurement.cpu_s / measurement.commits * US_PER_S:7.0f} us/commit",
         flush=True,
     )
 
@@ -231,12 +232,15 @@
             single = measure(
                 url=url, waiting=waiting, seconds=FLAGS.seconds, prefix=f"one{text}-"
             )
-        show("single", single)
+        print_row("single", single)
         grouped = measure(
             url=url, waiting=waiting, seconds=FLAGS.seconds, prefix=f"group{text}-"
         )
-        show("grouped", grouped)
-        print(f"ratio    waiting={waiting:5} {grouped.per_s / single.per_s:.1f}")
+        print_row("grouped", grouped)
+        print(
+            f"ratio    waiting={waiting:5}"
+            f" {grouped.commits_per_s / single.commits_per_s:.1f}"
+        )
 
 
 if __name__ == "__main__":
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -15,7 +15,12 @@
 from bulrushpulley.entities.backlog import backlog_key
 from bulrushpulley.entities.commit import Committed, VersionedRow
 from bulrushpulley.entities.controller_tables import ControllerTables
-from bulrushpulley.entities.link import Announce, CellSummary, DepartmentUse, LinkUp
+from bulrushpulley.entities.link import (
+    Announce,
+    CellSummary,
+    DepartmentUse,
+    LinkUp,
+)
 from bulrushpulley.entities.records import (
     CellRecord,
     FailureDomainRecord,
@@ -32,16 +37,16 @@
 from bulrushpulley.systems.control.records import update_records
 
 CAPACITY = Resources(processors_m=32_000, memory_mb=125_000)
-SIZE = Resources(processors_m=1_000, memory_mb=1_000)
-DEPARTMENTS = 130
-DOMAINS = 7
-TICKS = 100
+TASK_SIZE = Resources(processors_m=1_000, memory_mb=1_000)
+DEPARTMENT_COUNT = 130
+DOMAIN_COUNT = 7
+TICK_COUNT = 100
 
 
-def record(kind: str, held: CellRecord | FailureDomainRecord) -> VersionedRow:
+def record_row(kind: str, value: CellRecord | FailureDomainRecord) -> VersionedRow:
     """Return a record row as the table service would hold it."""
-    row = RecordRow(kind=kind, schema_version=1, record=held, author="x", revision=1)
-    return VersionedRow(key=f"record/{kind}/{held.name}", version=1, row=row)
+    row = RecordRow(kind=kind, schema_version=1, record=value, author="x", revision=1)
+    return VersionedRow(key=f"record/{kind}/{value.name}", version=1, row=row)
 
 
 def cell_record(number: int) -> CellRecord:
@@ -50,14 +55,16 @@
         WorkerRecord(worker_id=f"{number}-{w}", url="", rack="", capacity=CAPACITY)
         for w in range(3)
     )
-    domain = f"d{number % DOMAINS}"
+    domain = f"d{number % DOMAIN_COUNT}"
     return CellRecord(name=f"c{number}", failure_domain=domain, workers=workers)
 
 
 def summary(number: int, free: Resources) -> CellSummary:
     """Return a summary of a cell in which three departments run tasks."""
     uses = tuple(
-        DepartmentUse(department=f"dep{(number + n) % DEPARTMENTS}", committed=SIZE)
+        DepartmentUse(
+            department=f"dep{(number + n) % DEPARTMENT_COUNT}", committed=TASK_SIZE
+        )
         for n in range(3)
     )
     return CellSummary(
@@ -65,7 +72,7 @@
         cell=f"c{number}",
         owner=f"agent-{number % 100}",
         epoch=1,
-        failure_domain=f"d{number % DOMAINS}",
+        failure_domain=f"d{number % DOMAIN_COUNT}",
         region="ege",
         free=free,
         largest=free,
@@ -75,7 +82,7 @@
     )
 
 
-def link(number: int) -> tuple[Event, ...]:
+def link_events(number: int) -> tuple[Event, ...]:
     """Return what an agent says when it links."""
     peer = f"agent-{number}"
     announced = Announce(
@@ -95,55 +102,61 @@
     return (LinkUp(peer=peer, region="ege"), announced)
 
 
-def built(cells: int, waiting: int) -> tuple[Role[ControllerTables], ControllerTables]:
+def build_controller(
+    cells: int, waiting: int
+) -> tuple[Role[ControllerTables], ControllerTables]:
     """Return a controller with full cells, 100 links and waiting jobs."""
     role = controller.build(
         entry="a", incarnation="a-1", host="127.0.0.1", port=1, region="ege"
     )
-    domains = [FailureDomainRecord(name=f"d{n}", region="ege") for n in range(DOMAINS)]
-    rows = [record("failure_domain", one) for one in domains]
-    rows += [record("cell", cell_record(number)) for number in range(cells)]
+    domains = [
+        FailureDomainRecord(name=f"d{n}", region="ege") for n in range(DOMAIN_COUNT)
+    ]
+    rows = [record_row("failure_domain", domain) for domain in domains]
+    rows += [record_row("cell", cell_record(number)) for number in range(cells)]
     tables = update_records(role.tables, rows)
-    events = [event for number in range(100) for event in link(number)]
+    events = [event for number in range(100) for event in link_events(number)]
     events += [summary(number, NO_RESOURCES) for number in range(cells)]
     tables = role.tick(tables, events, 0.0).tables
-    backlog = [waiting_row(number) for number in range(waiting)]
+    backlog = [backlog_row(number) for number in range(waiting)]
     return role, handle_backlog_rows(tables, backlog, 0.0)
 
 
-def waiting_row(number: int, tasks: int = 1) -> VersionedRow:
+def backlog_row(number: int, tasks: int = 1) -> VersionedRow:
     """Return a backlog row of one job."""
     name = f"j{number}"
-    department = f"dep{number % DEPARTMENTS}"
-    job = JobRecord(name=name, department=department, tasks=tasks, size=SIZE, run_s=1.0)
+    department = f"dep{number % DEPARTMENT_COUNT}"
+    job = JobRecord(
+        name=name, department=department, tasks=tasks, size=TASK_SIZE, run_s=1.0
+    )
     row = BacklogRow(spec=job_spec(job), count=tasks)
     return VersionedRow(key=backlog_key(name, 0), version=1, row=row)
 
 
-def timed(work: Callable[[], None]) -> float:
+def processor_ms(work: Callable[[], None]) -> float:
     """Return the processor time of `work` in milliseconds."""
     gc.collect()
-    began = time.process_time()
+    started_at = time.process_time()
     work()
-    return (time.process_time() - began) * 1_000
+    return (time.process_time() - started_at) * 1_000
 
 
 def measure(cells: int, waiting: int) -> None:
     """Print the figures of one size."""
-    role, tables = built(cells, waiting)
-    held = [tables]
+    role, tables = build_controller(cells, waiting)
+    latest = [tables]
 
     def ticks() -> None:
-        for number in range(TICKS):
-            held[0] = role.tick(held[0], (), 1.0 + number / 20).tables
+        for number in range(TICK_COUNT):
+            latest[0] = role.tick(latest[0], (), 1.0 + number / 20).tables
 
     def summaries() -> None:
-        events = [summary(number, SIZE.plus(SIZE)) for number in range(cells)]
+        events = [summary(number, TASK_SIZE.plus(TASK_SIZE)) for number in range(cells)]
         for event in events:
-            held[0] = role.apply(event, held[0], 11.0).tables
+            latest[0] = role.apply(event, latest[0], 11.0).tables
 
-    tick_ms = timed(ticks) / TICKS
-    summary_us = timed(summaries) / cells * 1_000
+    tick_ms = processor_ms(ticks) / TICK_COUNT
+    summary_us = processor_ms(summaries) / cells * 1_000
     memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
     print(
         f"cells {cells:5d}  waiting {waiting:6d}  tick {tick_ms:6.2f} ms"
@@ -151,30 +164,30 @@
     )
 
 
-def assigning(tasks_a_job: int, jobs: int) -> None:
+def measure_assigning(tasks_per_job: int, jobs: int) -> None:
     """Print what assigning costs for each task, its commit answered at once."""
-    role, tables = built(200, 0)
+    role, tables = build_controller(200, 0)
     free = Resources(processors_m=10_000_000, memory_mb=10_000_000)
     events: list[Event] = [summary(number, free) for number in range(200)]
     tables = role.tick(tables, events, 1.0).tables
-    rows = [waiting_row(number, tasks_a_job) for number in range(jobs)]
-    held = [handle_backlog_rows(tables, rows, 1.0)]
+    rows = [backlog_row(number, tasks_per_job) for number in range(jobs)]
+    latest = [handle_backlog_rows(tables, rows, 1.0)]
 
     def assign() -> None:
         now, outcomes = 1.0, ()
-        while held[0].waiting:
+        while latest[0].waiting:
             now += 0.001
-            step = role.tick(held[0], outcomes, now)
-            held[0] = step.tables
+            step = role.tick(latest[0], outcomes, now)
+            latest[0] = step.tables
             outcomes = tuple(
                 Committed(submission_id=submission_id, revision=2)
-                for submission_id in held[0].pending
+                for submission_id in latest[0].pending
             )
 
-    spent_ms = timed(assign)
-    tasks = tasks_a_job * jobs
+    spent_ms = processor_ms(assign)
+    tasks = tasks_per_job * jobs
     print(
-        f"assigning {jobs:5d} jobs of {tasks_a_job:4d} tasks:"
+        f"assigning {jobs:5d} jobs of {tasks_per_job:4d} tasks:"
         f" {spent_ms / tasks * 1_000:5.0f} us a task"
     )
 
@@ -185,8 +198,8 @@
         measure(cells, waiting)
     for waiting in (1_000, 10_000, 100_000):
         measure(200, waiting)
-    for tasks_a_job, jobs in ((1, 2_000), (16, 200), (256, 20)):
-        assigning(tasks_a_job, jobs)
+    for tasks_per_job, jobs in ((1, 2_000), (16, 200), (256, 20)):
+        measure_assigning(tasks_per_job, jobs)
 
 
 if __name__ == "__main__":
--- a/scripts/measure_jobs.py
+++ b/scripts/measure_jobs.py
@@ -20,52 +20,57 @@
 flags.DEFINE_list("hosts", ["10", "30", "100"], "Numbers of hosts to measure.")
 flags.DEFINE_integer("jobs", 20, "Jobs of ten tasks, for each ten hosts.")
 
-READY_S = 4.0
-REST_S = 10.0
+STARTUP_S = 4.0
+MEASUREMENT_S = 10.0
 
 
 class TimedWorld(JobsWorld):
     """A site that adds up the processor time of each role."""
 
-    spent_s: defaultdict[str, float]
+    processor_s: defaultdict[str, float]
 
     def _tick(self, process: Process, role: str) -> None:
-        began = time.process_time()
+        started_at = time.process_time()
         super()._tick(process, role)
-        self.spent_s[role] += time.process_time() - began
+        self.processor_s[role] += time.process_time() - started_at
 
 
-def timed(hosts: int) -> TimedWorld:
+def idle_world(hosts: int) -> TimedWorld:
     """Return a site at rest."""
-    TimedWorld.spent_s = defaultdict(float)
+    TimedWorld.processor_s = defaultdict(float)
     world = TimedWorld(hosts=hosts)
-    world.run(READY_S)
+    world.run(STARTUP_S)
     return world
 
 
-def spent(world: TimedWorld, seconds: float) -> dict[str, float]:
+def processor_s_by_role(world: TimedWorld, seconds: float) -> dict[str, float]:
     """Run for a while and return what each role has spent meanwhile."""
-    before = dict(world.spent_s)
+    before = dict(world.processor_s)
     world.run(seconds)
-    return {role: world.spent_s[role] - before.get(role, 0.0) for role in world.spent_s}
+    return {
+        role: world.processor_s[role] - before.get(role, 0.0)
+        for role in world.processor_s
+    }
 
 
 def measure(hosts: int, jobs: int) -> None:
     """Print the costs at one size."""
-    world = timed(hosts)
-    rest = spent(world, REST_S)
+    world = idle_world(hosts)
+    idle_s = processor_s_by_role(world, MEASUREMENT_S)
     for number in range(jobs):
         world.submit(number, step(10), payload="1.0")
-    starts = world.starts
-    loaded = spent(world, REST_S)
-    started = world.starts - starts
-    idle = {role: 1e3 * rest[role] / REST_S for role in rest}
-    each = {role: 1e3 * (loaded[role] - rest[role]) / started for role in rest}
+    starts_before = world.starts
+    loaded_s = processor_s_by_role(world, MEASUREMENT_S)
+    started = world.starts - starts_before
+    idle_ms_per_s = {role: 1e3 * idle_s[role] / MEASUREMENT_S for role in idle_s}
+    ms_per_start = {
+        role: 1e3 * (loaded_s[role] - idle_s[role]) / started for role in idle_s
+    }
     print(
-        f"{hosts:5} hosts: at rest scheduler {idle['scheduler']:7.2f} ms/s,"
-        f" keepers {idle['keeper'] / hosts:6.3f} ms/s each; {started} starts,"
-        f" {each['scheduler']:6.3f} ms of scheduler and {each['keeper']:6.3f} ms of"
-        " keeper each"
+        f"{hosts:5} hosts: at rest scheduler {idle_ms_per_s['scheduler']:7.2f} ms/s,"
+        f" job agents {idle_ms_per_s['keeper'] / hosts:6.3f} ms/s each;"
+        f" {started} starts, {ms_per_start['scheduler']:6.3f} ms of scheduler and"
+        f" {ms_per_start['keeper']:6.3f} ms of job agent each"
     )
 
 
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -38,18 +38,18 @@
 
 FLAGS = flags.FLAGS
 SERVICE = "front"
-WORKERS = 3
-STEADY_S = 600
-DRAIN_S = 60
+WORKER_COUNT = 3
+STEADY_PHASE_S = 600
+DRAIN_PHASE_S = 60
 END_S = 900
-STEP_S = 1.0
-JOB_EVERY_S = 30
-JOBS = 20
+TIME_STEP_S = 1.0
+JOB_INTERVAL_S = 30
+JOB_COUNT = 20
 TASKS_PER_JOB = 8
 TASK_RUN_S = (60.0, 180.0)
-HARMFUL_PART = 0.3
+HARMFUL_FRACTION = 0.3
 HARM_MS = (40.0, 90.0)
-LARGEST_US = 10_000_000
+MAX_LATENCY_US = 10_000_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,7 +74,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Measured:
+class Measurement:
     """What one run came to; work is in processor seconds."""
 
     p99_ms: float
@@ -114,9 +114,9 @@
 
     def __init__(self, *, deployment: Deployment, seed: int) -> None:
         self.deployment = deployment
-        self.chance = random.Random(seed)
-        self.latencies = HdrHistogram(1, LARGEST_US, 3)
-        self.bench = bench = CellBench(seed=seed, workers=WORKERS)
+        self.rng = random.Random(seed)
+        self.latencies = HdrHistogram(1, MAX_LATENCY_US, 3)
+        self.bench = bench = CellBench(seed=seed, workers=WORKER_COUNT)
         bench.capacity = dict.fromkeys(bench.workers, deployment.capacity)
         bench.put_record("cell", bench.cell())
         weights = PolicyRecord(
@@ -127,11 +127,11 @@
         )
         bench.put_record("policy", weights)
         self.harm_by_job: dict[str, float] = {}
-        bench.latency_noise = self.noise
-        version = bench.put_service(SERVICE, replicas=WORKERS)
+        bench.latency_noise = self.latency_factor
+        version = bench.put_service(SERVICE, replicas=WORKER_COUNT)
         bench.agent("a")
         bench.run(2.0)
-        for index in range(WORKERS):
+        for index in range(WORKER_COUNT):
             bench.task(
                 SERVICE,
                 index,
@@ -143,27 +143,27 @@
             )
         bench.assign("a")
 
-    def noise(self, now: float) -> float:
+    def latency_factor(self, now: float) -> float:
         """Return the factor on latencies at a time."""
         return 0.9 + 0.2 * random.Random(int(now)).random()
 
     def add_job(self, number: int) -> None:
         """Submit the next job."""
         name = f"job{number:02d}"
-        if self.chance.random() < HARMFUL_PART:
-            self.harm_by_job[name] = self.chance.uniform(*HARM_MS)
+        if self.rng.random() < HARMFUL_FRACTION:
+            self.harm_by_job[name] = self.rng.uniform(*HARM_MS)
         for worker, state in self.bench.workers.items():
             harms = dict(self.harm_by_job)
             self.bench.workers[worker] = replace(state, harm_by_job=harms)
-        processors_m = self.chance.choice(self.deployment.task_processors_m)
+        processors_m = self.rng.choice(self.deployment.task_processors_m)
         size = Resources(processors_m=processors_m, memory_mb=processors_m)
-        run_s = self.chance.uniform(*TASK_RUN_S)
+        run_s = self.rng.uniform(*TASK_RUN_S)
         self.bench.job(name, tasks=TASKS_PER_JOB, run_s=run_s, size=size)
 
     def reassign(self) -> None:
         """Give the cell what it returned to the backlog, as a controller does."""
-        for found in self.bench.rows("backlog/"):
-            row = found.row
+        for stored in self.bench.rows("backlog/"):
+            row = stored.row
             if isinstance(row, BacklogRow):
                 spec = row.spec
                 task = TaskRow(
@@ -173,7 +173,7 @@
                     checkpoint=row.checkpoint,
                     attempts=row.attempts,
                 )
-                self.bench.put(found.key, None)
+                self.bench.put(stored.key, None)
                 self.bench.put(f"task/c0/{spec.task_id}", task)
         self.bench.assign("a")
 
@@ -186,21 +186,21 @@
                 if service and run.state is RunState.RUNNING:
                     latency_ms = worker_core.latency_ms(state, run, now)
                     self.latencies.record_value(
-                        int(1000 * latency_ms * self.noise(now))
+                        int(1000 * latency_ms * self.latency_factor(now))
                     )
 
     def run(self, until: float, *, drained: bool = False) -> None:
         """Let time pass, with jobs, reassignments and samples."""
         while self.bench.world.now < until:
-            self.bench.run(STEP_S)
+            self.bench.run(TIME_STEP_S)
             second = round(self.bench.world.now)
-            if second % JOB_EVERY_S == 0 and second // JOB_EVERY_S <= JOBS:
-                self.add_job(second // JOB_EVERY_S)
+            if second % JOB_INTERVAL_S == 0 and second // JOB_INTERVAL_S <= JOB_COUNT:
+                self.add_job(second // JOB_INTERVAL_S)
             if second % 5 == 0 and not drained:
                 self.reassign()
             self.sample()
 
-    def switch(self, state: DomainState) -> None:
+    def set_domain_state(self, state: DomainState) -> None:
         """Drain the failure domain or return it to service."""
         self.bench.drain()
         if state is DomainState.IN_SERVICE:
@@ -210,9 +210,9 @@
 
     def rows_of(self, prefix: str) -> list[Any]:
         """Return the rows of tasks under a prefix."""
-        return [self.bench.row(found.key) for found in self.bench.rows(prefix)]
+        return [self.bench.row(stored.key) for stored in self.bench.rows(prefix)]
 
-    def work(self) -> float:
+    def batch_work(self) -> float:
         """Return the batch work kept so far in processor seconds."""
         done: float = sum(
             row.spec.size.processors_m * row.spec.run_s / 1000
@@ -232,33 +232,33 @@
         return done
 
 
-def measure(deployment: Deployment, variant: Variant, seed: int) -> Measured:
+def measure(deployment: Deployment, variant: Variant, seed: int) -> Measurement:
     """Run one rack under the policies of a variant."""
     placing = mock.patch.object(cell_place, "PLACEMENT_POLICY", variant.placement)
     relieving = mock.patch.object(cell_interference, "RELIEF_POLICY", variant.relief)
     with placing, relieving:
         rack = Rack(deployment=deployment, seed=seed)
-        rack.run(STEADY_S)
+        rack.run(STEADY_PHASE_S)
         p99_ms = rack.latencies.get_value_at_percentile(99.0) / 1000
-        steady = rack.work()
+        steady_work = rack.batch_work()
         evictions = sum(1 for d in rack.bench.decisions if d.kind == "task.evict")
-        rack.switch(DomainState.DRAINED)
-        rack.run(STEADY_S + DRAIN_S, drained=True)
-        rack.switch(DomainState.IN_SERVICE)
+        rack.set_domain_state(DomainState.DRAINED)
+        rack.run(STEADY_PHASE_S + DRAIN_PHASE_S, drained=True)
+        rack.set_domain_state(DomainState.IN_SERVICE)
         rack.run(END_S)
-    return Measured(
+    return Measurement(
         p99_ms=p99_ms,
-        work=steady,
+        work=steady_work,
         evictions=evictions,
-        work_across_drain=rack.work() - steady,
+        work_across_drain=rack.batch_work() - steady_work,
         violations=len(rack.bench.violations),
     )
 
 
-def mean(all_measured: Iterable[Measured]) -> Measured:
+def mean(measurements: Iterable[Measurement]) -> Measurement:
     """Return the mean over seeds; violations are added up."""
-    runs = list(all_measured)
-    return Measured(
+    runs = list(measurements)
+    return Measurement(
         p99_ms=sum(m.p99_ms for m in runs) / len(runs),
         work=sum(m.work for m in runs) / len(runs),
         evictions=sum(m.evictions for m in runs) / len(runs),
@@ -267,16 +267,21 @@
     )
 
 
-def report(name: str, one: Measured, base: Measured) -> None:
+def report(name: str, measurement: Measurement, baseline: Measurement) -> None:
     """Print the figures of a variant and their ratios to the baseline."""
-    evictions = one.evictions / base.evictions if base.evictions else float("nan")
+    evictions = (
+        measurement.evictions / baseline.evictions
+        if baseline.evictions
+        else float("nan")
+    )
     print(
-        f"  {name:13} p99 {one.p99_ms:6.0f} ms ({one.p99_ms / base.p99_ms:.2f})"
-        f"  work {one.work:7.0f} ({one.work / base.work:.2f})"
-        f"  evictions {one.evictions:5.1f} ({evictions:.2f})"
-        f"  across drain {one.work_across_drain:7.0f}"
-        f" ({one.work_across_drain / base.work_across_drain:.2f})"
-        f"  violations {one.violations}",
+        f"  {name:13} p99 {measurement.p99_ms:6.0f} ms"
+        f" ({measurement.p99_ms / baseline.p99_ms:.2f})"
+        f"  work {measurement.work:7.0f} ({measurement.work / baseline.work:.2f})"
+        f"  evictions {measurement.evictions:5.1f} ({evictions:.2f})"
+        f"  across drain {measurement.work_across_drain:7.0f}"
+        f" ({measurement.work_across_drain / baseline.work_across_drain:.2f})"
+        f"  violations {measurement.violations}",
         flush=True,
     )
 
@@ -288,12 +293,12 @@
         if FLAGS.only not in ("", deployment.name):
             continue
         print(f"{deployment.name}, {FLAGS.seeds} seeds, ratios to the first line")
-        base: Measured | None = None
+        baseline: Measurement | None = None
         for variant in VARIANTS:
             seeds = range(1, FLAGS.seeds + 1)
-            one = mean(measure(deployment, variant, seed) for seed in seeds)
-            base = base or one
-            report(variant.name, one, base)
+            measurement = mean(measure(deployment, variant, seed) for seed in seeds)
+            baseline = baseline or measurement
+            report(variant.name, measurement, baseline)
 
 
 if __name__ == "__main__":
--- a/scripts/measure_process.py
+++ b/scripts/measure_process.py
@@ -21,11 +21,19 @@
 import urllib3
 from absl import app, flags
 
-from scripts.fleet import HOST, ROOT, Fleet, ask, make_layout, records, submit
+from scripts.fleet import (
+    HOST,
+    ROOT,
+    Fleet,
+    get_json,
+    make_layout,
+    sample_records,
+    submit_record,
+)
 
 FLAGS = flags.FLAGS
-SETTLE_S = 8.0
-READY_S = 30.0
+SETTLE_TIME_S = 8.0
+READY_TIMEOUT_S = 30.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 LINK_BYTES = re.compile(r"^link_bytes_(?:sent|received)\{[^}]*\} (\d+)$", re.MULTILINE)
 
@@ -42,7 +50,7 @@
     link_bytes: int
 
 
-def take(pid: int, metrics_port: int) -> Sample:
+def take_sample(pid: int, metrics_port: int) -> Sample:
     """Read a process's use from /proc and its link counters."""
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
@@ -63,7 +71,7 @@
     return int(found.group(1)) if found else 0
 
 
-def shown(name: str, before: Sample, after: Sample) -> str:
+def format_line(name: str, before: Sample, after: Sample) -> str:
     """Return the line of one process."""
     seconds = after.at - before.at
     processor = (after.processor_s - before.processor_s) / seconds
@@ -84,8 +92,8 @@
 
 def wait_for_agents(url: str, count: int) -> None:
     """Wait until an entry has a link to every agent."""
-    deadline = time.monotonic() + READY_S
-    while len(ask(url, "/v1/status")["agents"]) < count:
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while len(get_json(url, "/v1/status")["agents"]) < count:
         if time.monotonic() > deadline:
             raise RuntimeError(f"fewer than {count} agents are linked")
         threading.Event().wait(0.2)
@@ -96,14 +104,16 @@
     pause = threading.Event()
     url = fleet.layout.operator_urls[0]
     wait_for_agents(url, len(fleet.layout.agents))
-    for record in records(fleet.layout):
+    for record in sample_records(fleet.layout):
         if record["kind"] not in ("job", "service"):
-            submit(url, record)
-    pause.wait(SETTLE_S)
-    before = {name: take(pid, port) for name, pid, port in processes(fleet)}
+            submit_record(url, record)
+    pause.wait(SETTLE_TIME_S)
+    before = {name: take_sample(pid, port) for name, pid, port in processes(fleet)}
     pause.wait(seconds)
     for name, pid, port in processes(fleet):
-        print("  " + shown(name, before[name], take(pid, port)), flush=True)
+        print(
+            "  " + format_line(name, before[name], take_sample(pid, port)), flush=True
+        )
 
 
 def command() -> tuple[str, ...]:
@@ -129,7 +139,7 @@
             fleet.start_all()
             measure(fleet, FLAGS.seconds)
         finally:
-            fleet.end_all()
+            fleet.kill_all()
 
 
 if __name__ == "__main__":
--- a/scripts/measure_router_cost.py
+++ b/scripts/measure_router_cost.py
@@ -19,8 +19,8 @@
 
 SERVICE = "oven-conductor"
 SLOTS = 8
-CALLS = 400
-GAP_S = 0.001
+CALL_COUNT = 400
+CALL_INTERVAL_S = 0.001
 SIZES = ((10, 0), (40, 0), (160, 0), (10, 500), (10, 2_000))
 
 
@@ -54,23 +54,23 @@
     )
 
 
-def dispatched(commands: tuple[Command, ...]) -> list[tuple[str, Dispatch]]:
+def dispatches_in(commands: tuple[Command, ...]) -> list[tuple[str, Dispatch]]:
     """Return the dispatches among commands and to whom they go."""
     sends = [item for item in commands if type(item) is Send]
     return [(send.peer, send.item) for send in sends if type(send.item) is Dispatch]
 
 
-def answers(commands: tuple[Command, ...]) -> list[Answered]:
+def answers_to(commands: tuple[Command, ...]) -> list[Answered]:
     """Answer every dispatch among commands."""
     return [
         Answered(
             peer=peer, attempt_id=item.attempt_id, status=200, body=b"", took_s=0.02
         )
-        for peer, item in dispatched(commands)
+        for peer, item in dispatches_in(commands)
     ]
 
 
-def started(servers: int, waiting: int) -> Any:
+def build_router(servers: int, waiting: int) -> Any:
     """Return a router's tables with free servers, or full ones with waiting calls."""
     role = router.build(incarnation="e1", region="ege")
     names = [f"a{number}" for number in range(servers)]
@@ -84,19 +84,19 @@
 def measure(servers: int, waiting: int) -> str:
     """Return one line on a router of a size."""
     tracemalloc.start()
-    role, tables = started(servers, waiting)
+    role, tables = build_router(servers, waiting)
     memory_kb = tracemalloc.get_traced_memory()[0] / 1024
     tracemalloc.stop()
     now = 0.0
-    began = time.process_time()
-    for number in range(CALLS):
-        now += GAP_S
+    started_at = time.process_time()
+    for number in range(CALL_COUNT):
+        now += CALL_INTERVAL_S
         step = role.tick(tables, [call(f"c{number}")], now)
-        tables = role.tick(step.tables, answers(step.commands), now).tables
-    spent_us = (time.process_time() - began) / CALLS * 1e6
+        tables = role.tick(step.tables, answers_to(step.commands), now).tables
+    processor_us = (time.process_time() - started_at) / CALL_COUNT * 1e6
     return (
         f"{servers:4} servers, {waiting:5} calls waiting:"
-        f" {spent_us:7.0f} us a call, {memory_kb:7.0f} KB in tables"
+        f" {processor_us:7.0f} us a call, {memory_kb:7.0f} KB in tables"
     )
 
 
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -25,12 +25,12 @@
 from test.request_world import RequestWorld
 
 FLAGS = flags.FLAGS
-SERVERS = 10
+SERVER_COUNT = 10
 SLOTS = 8
-MEAN_S = 0.05
-SPREAD = 0.5
+MEAN_SERVICE_TIME_S = 0.05
+SERVICE_TIME_SIGMA = 0.5
 DEADLINE_S = 1.0
-CAPACITY_PER_S = SERVERS * SLOTS / MEAN_S
+CAPACITY_PER_S = SERVER_COUNT * SLOTS / MEAN_SERVICE_TIME_S
 WARM_UP_S = 1.0
 SLOW_FACTOR = 10.0
 
@@ -45,9 +45,9 @@
 
     rate: float
     seconds: float
-    slow: int = 0
-    stalls: float = 0.0
-    unrepeatable: float = 0.0
+    slow_servers: int = 0
+    stalled_fraction: float = 0.0
+    unrepeatable_fraction: float = 0.0
     entries: int = 1
     seed: int = 1
 
@@ -65,24 +65,24 @@
 
 def arrivals(load: Load) -> list[float]:
     """Return the moments of arrival."""
-    dice = random.Random(load.seed)
+    rng = random.Random(load.seed)
     rate = load.rate * CAPACITY_PER_S
-    now, found = 0.0, []
+    now, arrival_times = 0.0, []
     while now < load.seconds:
-        now += dice.expovariate(rate)
-        found.append(now)
-    return found
+        now += rng.expovariate(rate)
+        arrival_times.append(now)
+    return arrival_times
 
 
 def service_time(load: Load) -> Callable[[int], float]:
     """Return the function that draws the next service time of a server."""
-    dice = random.Random(load.seed + 1)
-    mu = -SPREAD * SPREAD / 2
+    rng = random.Random(load.seed + 1)
+    mu = -SERVICE_TIME_SIGMA * SERVICE_TIME_SIGMA / 2
 
     def draw(server: int) -> float:
-        stalled = dice.random() < load.stalls
-        factor = SLOW_FACTOR if server < load.slow or stalled else 1.0
-        return factor * MEAN_S * dice.lognormvariate(mu, SPREAD)
+        stalled = rng.random() < load.stalled_fraction
+        factor = SLOW_FACTOR if server < load.slow_servers or stalled else 1.0
+        return factor * MEAN_SERVICE_TIME_S * rng.lognormvariate(mu, SERVICE_TIME_SIGMA)
 
     return draw
 
@@ -100,7 +100,7 @@
         return self.ended_at - self.arrived_at
 
 
-def summary(name: str, load: Load, answers: Sequence[Answer]) -> Result:
+def summarize(name: str, load: Load, answers: Sequence[Answer]) -> Result:
     """Return the percentiles, and the useful answers given while the load lasted."""
     histogram = HdrHistogram(1, 60_000_000, 3)
     useful = [
@@ -124,50 +124,52 @@
 
 def run_baseline(name: str, load: Load) -> Result:
     """Send each arrival to a server's own queue, chosen at random or by its load."""
-    dice = random.Random(load.seed + 2)
+    rng = random.Random(load.seed + 2)
     draw = service_time(load)
-    free_at = [[0.0] * SLOTS for _ in range(SERVERS)]
-    ends: list[list[float]] = [[] for _ in range(SERVERS)]
+    free_at = [[0.0] * SLOTS for _ in range(SERVER_COUNT)]
+    ends: list[list[float]] = [[] for _ in range(SERVER_COUNT)]
     answers: list[Answer] = []
     for now in arrivals(load):
         for queue in ends:
             while queue and queue[0] <= now:
                 heapq.heappop(queue)
-        server = dice.randrange(SERVERS)
+        server = rng.randrange(SERVER_COUNT)
         if name == "least connections":
-            server = min(range(SERVERS), key=lambda n: (len(ends[n]), n ^ server))
+            server = min(range(SERVER_COUNT), key=lambda n: (len(ends[n]), n ^ server))
         starts = max(now, heapq.heappop(free_at[server]))
         end = starts + draw(server)
         heapq.heappush(free_at[server], end)
         heapq.heappush(ends[server], end)
         answers.append(Answer(arrived_at=now, ended_at=end))
-    return summary(name, load, answers)
+    return summarize(name, load, answers)
 
 
 def run_router(name: str, load: Load) -> Result:
     """Send the arrivals through the routers of some entries and ten guards."""
-    world = RequestWorld(entries=load.entries, agents=SERVERS)
-    dice = random.Random(load.seed + 3)
+    world = RequestWorld(entries=load.entries, agents=SERVER_COUNT)
+    rng = random.Random(load.seed + 3)
     draw = service_time(load)
-    number_by_agent = {agent: place for place, agent in enumerate(world.agents)}
+    number_by_agent = {agent: index for index, agent in enumerate(world.agents)}
     world.service_s = lambda agent: draw(number_by_agent[agent])
     start = world.world.now
-    moments = arrivals(load)
-    for number, at in enumerate(moments):
+    arrival_times = arrivals(load)
+    for number, at in enumerate(arrival_times):
         call_id = f"c{number}"
-        request_id = call_id if dice.random() < load.unrepeatable else ""
+        request_id = call_id if rng.random() < load.unrepeatable_fraction else ""
         entry = world.entries[number % load.entries]
         world.call_at(at, entry, call_id, request_id=request_id, within_s=DEADLINE_S)
     world.run(load.seconds + 2 * DEADLINE_S)
     answers = [
-        Answer(arrived_at=moments[int(call_id[1:])], ended_at=found[0][0] - start)
-        for call_id, found in world.answers.items()
-        if isinstance(found[0][1], AnswerCall)
+        Answer(
+            arrived_at=arrival_times[int(call_id[1:])], ended_at=answer[0][0] - start
+        )
+        for call_id, answer in world.answers.items()
+        if isinstance(answer[0][1], AnswerCall)
     ]
-    return summary(name, load, answers)
+    return summarize(name, load, answers)
 
 
-def shown(result: Result) -> str:
+def format_result(result: Result) -> str:
     """Return a result as one line."""
     return (
         f"{result.name:<20} offered {result.offered_per_s:6.0f}/s"
@@ -181,10 +183,10 @@
     ("least connections", run_baseline),
     ("router", run_router),
 )
-RATES = (0.5, 1.0, 2.0, 5.0)
+LOAD_RATES = (0.5, 1.0, 2.0, 5.0)
 
 
-def never(*_: object) -> bool:
+def return_false(*_: object) -> bool:
     """Stand in for a test that is switched off."""
     return False
 
@@ -192,7 +194,7 @@
 def oldest_first(name: str, load: Load) -> Result:
     """Run the router without shedding: oldest first, whatever the queue."""
     with (
-        mock.patch.object(route_queue, "is_standing_queue", never),
+        mock.patch.object(route_queue, "is_standing_queue", return_false),
         mock.patch.object(route_shed, "MIN_QUEUE_LIMIT", sys.maxsize),
         mock.patch.object(route_shed, "MAX_QUEUE_LIMIT", sys.maxsize),
     ):
@@ -207,28 +209,35 @@
 
 def measure_slow_server(seconds: float, seed: int) -> None:
     """Compare one slow server out of ten with ten healthy ones."""
-    print(f"one of {SERVERS} servers {SLOW_FACTOR:.0f} times slower, 0.6x capacity")
+    print(
+        f"one of {SERVER_COUNT} servers {SLOW_FACTOR:.0f} times slower, 0.6x capacity"
+    )
     for name, run in POLICIES:
         healthy = run(name, Load(rate=0.6, seconds=seconds, seed=seed))
-        slow = run(name, Load(rate=0.6, seconds=seconds, slow=1, seed=seed))
-        print(f"  healthy  {shown(healthy)}")
-        print(f"  one slow {shown(slow)} p99 ratio {slow.p99_s / healthy.p99_s:.2f}")
+        slow = run(name, Load(rate=0.6, seconds=seconds, slow_servers=1, seed=seed))
+        print(f"  healthy  {format_result(healthy)}")
+        print(
+            f"  one slow {format_result(slow)}"
+            f" p99 ratio {slow.p99_s / healthy.p99_s:.2f}"
+        )
 
 
 def measure_overload(seconds: float, seed: int) -> None:
     """Compare the useful answers as the offered load passes the capacity."""
     print(f"useful answers, capacity {CAPACITY_PER_S:.0f}/s")
     for name, run in (*POLICIES, ("router, oldest first", oldest_first)):
-        loads = [Load(rate=rate, seconds=seconds, seed=seed) for rate in RATES]
+        loads = [Load(rate=rate, seconds=seconds, seed=seed) for rate in LOAD_RATES]
         print_overload(name, [run(name, load) for load in loads])
 
 
-def measure_shared(seconds: float, seed: int) -> None:
+def measure_shared_servers(seconds: float, seed: int) -> None:
     """Do the same with three entries that share the servers, and claims."""
     print("useful answers, three entries, half of the calls unrepeatable")
     loads = [
-        Load(rate=rate, seconds=seconds, seed=seed, entries=3, unrepeatable=0.5)
-        for rate in RATES
+        Load(
+            rate=rate, seconds=seconds, seed=seed, entries=3, unrepeatable_fraction=0.5
+        )
+        for rate in LOAD_RATES
     ]
     print_overload("router", [run_router("router", load) for load in loads])
 
@@ -236,21 +245,25 @@
 def print_overload(name: str, results: Sequence[Result]) -> None:
     """Print results with their share of the peak."""
     peak = max(result.useful_per_s for result in results)
-    for rate, result in zip(RATES, results, strict=True):
-        share = result.useful_per_s / min(peak, result.offered_per_s)
-        print(f"  {rate:3.1f}x {shown(result)} of the peak or offer {share:.2f}")
+    for rate, result in zip(LOAD_RATES, results, strict=True):
+        fraction = result.useful_per_s / min(peak, result.offered_per_s)
+        print(
+            f"  {rate:3.1f}x {format_result(result)}"
+            f" of the peak or offer {fraction:.2f}"
+        )
 
 
 def measure_hedges(seconds: float, seed: int) -> None:
     """Compare second attempts with none where one run in a hundred stalls."""
     print(f"1 % of the runs take {SLOW_FACTOR:.0f} times as long")
     for rate in (0.3, 0.6, 0.8):
-        load = Load(rate=rate, seconds=seconds, stalls=0.01, seed=seed)
+        load = Load(rate=rate, seconds=seconds, stalled_fraction=0.01, seed=seed)
         before = without_hedges("without hedges", load)
         after = run_router("router", load)
-        print(f"  {rate:3.1f}x {shown(before)}")
+        print(f"  {rate:3.1f}x {format_result(before)}")
         print(
-            f"  {rate:3.1f}x {shown(after)} p99 ratio {after.p99_s / before.p99_s:.2f}"
+            f"  {rate:3.1f}x {format_result(after)}"
+            f" p99 ratio {after.p99_s / before.p99_s:.2f}"
         )
 
 
@@ -260,7 +273,7 @@
     measure_slow_server(FLAGS.seconds, FLAGS.seed)
     measure_hedges(FLAGS.seconds / 2, FLAGS.seed)
     measure_overload(FLAGS.seconds / 2, FLAGS.seed)
-    measure_shared(FLAGS.seconds / 2, FLAGS.seed)
+    measure_shared_servers(FLAGS.seconds / 2, FLAGS.seed)
 
 
 if __name__ == "__main__":
--- a/soak/run.py
+++ b/soak/run.py
@@ -146,7 +146,7 @@
         site.start()
         started_at = _run_plan(site, plan, jobs, observer)
     finally:
-        site.fleet.end_all()
+        site.fleet.kill_all()
     return Verdict(
         seed=seed,
         tables=observer.tables,
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -76,7 +76,7 @@
 from standins import table_core, worker_core
 from standins.table_core import Put, TableState, Transaction, VersionCondition
 from standins.worker_core import Renew, Start, WorkerState
-from test.virtual_world import Path, Seat, VirtualWorld
+from test.virtual_world import Path, RoleAddress, VirtualWorld
 
 DOMAIN = "ege-izmir"
 CAPACITY = Resources(processors_m=8_000, memory_mb=16_000)
@@ -85,9 +85,9 @@
 PROBLEM = Problem(code=Code.UNAVAILABLE, step="fake", peer="fake", detail="fake")
 
 
-def seat(agent: str) -> Seat:
-    """Return the seat of an agent's cell owner."""
-    return Seat(process=agent, role="cell_owner")
+def cell_owner_address(agent: str) -> RoleAddress:
+    """Return the address of an agent's cell owner."""
+    return RoleAddress(process=agent, role="cell_owner")
 
 
 class CellBench:
@@ -188,7 +188,7 @@
     def assign(self, agent: str) -> None:
         """Send an owner all task rows, as the controller does."""
         event = Assigned(cell="c0", rows=self.rows("task/c0/"))
-        self.world.deliver(seat(agent), event)
+        self.world.deliver(cell_owner_address(agent), event)
 
     def put_service(self, name: str, replicas: int = 1) -> int:
         """Store a service's record."""
@@ -220,13 +220,15 @@
         )
         self.world.start(name, [role])
         for entry in ("entry-1", "entry-2"):
-            self.world.deliver(seat(name), LinkUp(peer=entry, region="ege"))
+            self.world.deliver(
+                cell_owner_address(name), LinkUp(peer=entry, region="ege")
+            )
         self.distribute_records()
         self.offer(name)
 
     def offer(self, name: str) -> None:
         """Offer the cell to an agent."""
-        self.world.deliver(seat(name), Offer(peer="entry-1", cell="c0"))
+        self.world.deliver(cell_owner_address(name), Offer(peer="entry-1", cell="c0"))
 
     def run(self, seconds: float) -> None:
         """Advance the virtual time."""
@@ -236,7 +238,7 @@
 
     def tables(self, agent: str) -> CellOwnerTables:
         """Return an agent's tables."""
-        found: CellOwnerTables = self.world.tables[seat(agent)]
+        found: CellOwnerTables = self.world.tables[cell_owner_address(agent)]
         return found
 
     def row(self, key: str) -> Any:
@@ -362,33 +364,35 @@
 
     # Commands.
 
-    def _carry_out(self, world: VirtualWorld, owner: Seat, command: Command) -> None:
+    def _carry_out(
+        self, world: VirtualWorld, owner: RoleAddress, command: Command
+    ) -> None:
         self.commands.append((world.now, owner.process, command))
         self._handle_command(command, owner)
 
     @singledispatchmethod
-    def _handle_command(self, command: Command, owner: Seat) -> None:
+    def _handle_command(self, command: Command, owner: RoleAddress) -> None:
         """Ignore commands without a handler."""
 
     @_handle_command.register
-    def _(self, command: Decision, owner: Seat) -> None:
+    def _(self, command: Decision, owner: RoleAddress) -> None:
         self.decisions.append(command)
 
     @_handle_command.register
-    def _(self, command: Send, owner: Seat) -> None:
+    def _(self, command: Send, owner: RoleAddress) -> None:
         if (owner.process, "store") not in self.cut_off:
             self._handle_item(command.item, owner)
 
     @singledispatchmethod
-    def _handle_item(self, item: Event, owner: Seat) -> None:
+    def _handle_item(self, item: Event, owner: RoleAddress) -> None:
         """Ignore items without a handler."""
 
     @_handle_item.register
-    def _(self, item: CellSummary, owner: Seat) -> None:
+    def _(self, item: CellSummary, owner: RoleAddress) -> None:
         self.summaries.append(item)
 
     @_handle_item.register
-    def _(self, item: Submit, owner: Seat) -> None:
+    def _(self, item: Submit, owner: RoleAddress) -> None:
         def act() -> None:
             outcome = self.commit(item.submission)
             self._answer(owner, outcome)
@@ -396,7 +400,7 @@
         self.world.at(self.store_delay_s, act)
 
     @_handle_item.register
-    def _(self, item: Fetch, owner: Seat) -> None:
+    def _(self, item: Fetch, owner: RoleAddress) -> None:
         def act() -> None:
             fetched = Fetched(
                 fetch_id=item.fetch_id,
@@ -409,11 +413,11 @@
 
         self.world.at(self.store_delay_s, act)
 
-    def _answer(self, owner: Seat, event: Event) -> None:
+    def _answer(self, owner: RoleAddress, event: Event) -> None:
         """Deliver an event to an owner, as from an entry."""
         self.world.at(DELIVERY_DELAY_S, lambda: self._deliver(owner, event))
 
-    def _deliver(self, owner: Seat, event: Event) -> None:
+    def _deliver(self, owner: RoleAddress, event: Event) -> None:
         if self.world.alive(owner.process):
             self.world.deliver(owner, event, self.path)
 
@@ -426,12 +430,12 @@
     def _answers(self, worker: str) -> bool:
         return worker not in self.unreachable | self.lose_worker_answers
 
-    def _reaches(self, owner: Seat, worker: str) -> bool:
+    def _reaches(self, owner: RoleAddress, worker: str) -> bool:
         cut = (owner.process, worker) in self.cut_off
         return not cut and worker not in self.unreachable
 
     @_handle_command.register
-    def _(self, command: StartTask, owner: Seat) -> None:
+    def _(self, command: StartTask, owner: RoleAddress) -> None:
         ids: dict[str, Any] = {
             "worker_id": command.worker_id,
             "task_key": command.task_key,
@@ -470,7 +474,7 @@
             self.world.at(0.1, lambda: self._deliver(owner, unknown))
 
     @_handle_command.register
-    def _(self, command: StopTask, owner: Seat) -> None:
+    def _(self, command: StopTask, owner: RoleAddress) -> None:
         worker = command.worker_id
         lost = StopUnanswered(worker_id=worker, problem=PROBLEM)
         if not self._reaches(owner, worker) or self.world.now > command.not_after:
@@ -487,7 +491,7 @@
         self._deliver(owner, answered if self._answers(worker) else lost)
 
     @_handle_command.register
-    def _(self, command: ThrottleTask, owner: Seat) -> None:
+    def _(self, command: ThrottleTask, owner: RoleAddress) -> None:
         worker = command.worker_id
         lost = ThrottleUnanswered(worker_id=worker, problem=PROBLEM)
         if not self._reaches(owner, worker) or self.world.now > command.not_after:
@@ -525,7 +529,7 @@
         )
 
     @_handle_command.register
-    def _(self, command: AskReport, owner: Seat) -> None:
+    def _(self, command: AskReport, owner: RoleAddress) -> None:
         worker = command.worker_id
         unanswered = ReportUnanswered(
             worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -15,8 +15,8 @@
 from bulrushpulley.entities.rows import AliveRow, LeaseRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
-from test.cell_bench import DELIVERY_DELAY_S, SIZE, CellBench, seat
-from test.virtual_world import Path, Seat, VirtualWorld
+from test.cell_bench import DELIVERY_DELAY_S, SIZE, CellBench, cell_owner_address
+from test.virtual_world import Path, RoleAddress, VirtualWorld
 
 DATA = pathlib.Path(__file__).resolve().parent.parent / "test-data/cell/matrix.txt"
 TASK = "curves/0"
@@ -125,7 +125,7 @@
 
 def _notify_cancelled(bench: CellBench, agent: str) -> None:
     if bench.world.alive(agent):
-        bench.world.deliver(seat(agent), JobCancelled(job="curves"))
+        bench.world.deliver(cell_owner_address(agent), JobCancelled(job="curves"))
 
 
 def _drain(bench: CellBench) -> None:
@@ -190,12 +190,12 @@
     bench = CellBench()
     injected: list[str] = []
 
-    def watch(world: VirtualWorld, owner: Seat, command: Command) -> None:
+    def watch(world: VirtualWorld, owner: RoleAddress, command: Command) -> None:
         if not injected and owner.process == "a" and MATCHER_BY_STEP[step](command):
             injected.append(fault)
             INJECT_BY_FAULT[fault](bench)
 
-    bench.world.watches.append(watch)
+    bench.world.command_hooks.append(watch)
     bench.job("curves", run_s=RUN_S)
     bench.agent("a")
     bench.run(2.0)
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -36,28 +36,28 @@
     SERVICE,
     WORKERS,
     Site,
-    described,
+    describe_answer,
 )
-from test.virtual_world import Seat, VirtualWorld
+from test.virtual_world import RoleAddress, VirtualWorld
 
-ARMED_AT_S = 8.0
+FAULTS_FROM_S = 8.0
 CALLS_FROM_S = 8.0
-CALLS = 60
-CALL_EVERY_S = 0.5
-CALL_WITHIN_S = 3.0
-CALL_TRIES = 12
-OPERATOR_TRIES = 6
-OPERATOR_PATIENCE_S = 15.0
-SETTLED_FROM_S = 75.0
-LOOK_EVERY_S = 5.0
+CALL_COUNT = 60
+CALL_INTERVAL_S = 0.5
+CALL_TIMEOUT_S = 3.0
+MAX_CALL_ATTEMPTS = 12
+MAX_OPERATOR_RETRIES = 6
+OPERATOR_TIMEOUT_S = 15.0
+FIRST_CHECK_AT_S = 75.0
+CHECK_INTERVAL_S = 5.0
 END_S = 240.0
 JOBS = {"curves": 6, "audit": 4}
-RUN_S = 12.0
-SIZE = Resources(processors_m=2_000, memory_mb=1_000)
+TASK_RUN_S = 12.0
+TASK_SIZE = Resources(processors_m=2_000, memory_mb=1_000)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Cell:
+class FaultCase:
     """A step and the faults that are done there, in order.
 
     `occurrence` says at which time of the step the faults are done.
@@ -79,7 +79,7 @@
 class Verdict:
     """How a cell ended; `reached` tells whether its step was taken at all."""
 
-    cell: Cell
+    case: FaultCase
     reached: bool
     violations: tuple[str, ...]
 
@@ -87,31 +87,31 @@
 class Caller:
     """Makes one call and repeats it under its id until it is answered."""
 
-    def __init__(self, *, site: Site, request_id: str, first: int) -> None:
+    def __init__(self, *, site: Site, request_id: str, first_attempt: int) -> None:
         self.site = site
         self.request_id = request_id
-        self.tries = first
-        self.first = first
+        self.attempts = first_attempt
+        self.first_attempt = first_attempt
         self.outcomes: list[str] = []
 
     def attempt(self) -> None:
         """Call through the next entry."""
-        entry = ENTRIES[self.tries % len(ENTRIES)]
-        call_id = f"{self.request_id}.{self.tries}"
-        self.tries += 1
-        self.site.call(entry, call_id, self.request_id, CALL_WITHIN_S)
-        self.site.world.at(CALL_WITHIN_S + 0.2, lambda: self.look(call_id))
+        entry = ENTRIES[self.attempts % len(ENTRIES)]
+        call_id = f"{self.request_id}.{self.attempts}"
+        self.attempts += 1
+        self.site.call(entry, call_id, self.request_id, CALL_TIMEOUT_S)
+        self.site.world.at(CALL_TIMEOUT_S + 0.2, lambda: self.check_answer(call_id))
 
-    def look(self, call_id: str) -> None:
+    def check_answer(self, call_id: str) -> None:
         """Repeat the call unless it was answered."""
         answers = self.site.answers.get(call_id, [])
-        outcome = described(answers[0]) if answers else "no answer"
+        outcome = describe_answer(answers[0]) if answers else "no answer"
         self.outcomes.append(outcome)
         answered = outcome.startswith("answered")
-        if not answered and self.tries - self.first < CALL_TRIES:
+        if not answered and self.attempts - self.first_attempt < MAX_CALL_ATTEMPTS:
             self.attempt()
 
-    def fault(self) -> str:
+    def problem(self) -> str:
         """Return what is wrong with how the call ended, if anything."""
         runs = self.site.runs[self.request_id]
         if runs and set(self.outcomes) == {"ran no"}:
@@ -122,124 +122,134 @@
         return ""
 
 
-class Run:
+class ScenarioRun:
     """One run of the scenario."""
 
-    def __init__(self, *, cell: Cell) -> None:
-        self.cell = cell
-        self.site = Site(seed=cell.seed)
+    def __init__(self, *, case: FaultCase) -> None:
+        self.case = case
+        self.site = Site(seed=case.seed)
         self.reached = False
-        self.occurred = 0
+        self.occurrence_count = 0
         self.callers: list[Caller] = []
-        self.site.world.watches.append(self._watch)
+        self.site.world.command_hooks.append(self._inject_faults)
 
-    def _watch(self, world: VirtualWorld, seat: Seat, command: Command) -> None:
-        if self.reached or world.now < ARMED_AT_S:
+    def _inject_faults(
+        self, world: VirtualWorld, address: RoleAddress, command: Command
+    ) -> None:
+        if self.reached or world.now < FAULTS_FROM_S:
             return
-        if not STEP_BY_NAME[self.cell.step](command):
+        if not STEP_BY_NAME[self.case.step](command):
             return
-        self.occurred += 1
-        self.reached = self.occurred == self.cell.occurrence
-        for name in self.cell.faults if self.reached else ():
-            FAULT_BY_NAME[name](self.site, seat, command)
+        self.occurrence_count += 1
+        self.reached = self.occurrence_count == self.case.occurrence
+        for name in self.case.faults if self.reached else ():
+            FAULT_BY_NAME[name](self.site, address, command)
 
     def at(self, when: float, action: Any) -> None:
         """Have something happen at a moment of the scenario."""
         self.site.world.at(when, action)
 
-    def whole(self) -> Verdict:
+    def execute(self) -> Verdict:
         """Run the scenario to its end and check it."""
-        for place, (kind, record) in enumerate(records()):
-            self.submit(1.0 + place / 10, kind, record)
-        self.submit(10.0, "job", job("curves"))
-        self.submit(50.0, "job", job("audit"))
-        for number in range(CALLS):
-            caller = Caller(site=self.site, request_id=f"r{number}", first=number % 2)
+        for index, (kind, record) in enumerate(records()):
+            self.submit(1.0 + index / 10, kind, record)
+        self.submit(10.0, "job", job_record("curves"))
+        self.submit(50.0, "job", job_record("audit"))
+        for number in range(CALL_COUNT):
+            caller = Caller(
+                site=self.site, request_id=f"r{number}", first_attempt=number % 2
+            )
             self.callers.append(caller)
-            self.at(CALLS_FROM_S + number * CALL_EVERY_S, caller.attempt)
-        self.domain(18.0, DomainState.DRAINED)
-        self.domain(30.0, DomainState.IN_SERVICE)
-        self.at(40.0, lambda: self.leave("a1"))
-        self.site.run(SETTLED_FROM_S)
-        while self.site.world.now < END_S and self.missing():
-            self.site.run(LOOK_EVERY_S)
+            self.at(CALLS_FROM_S + number * CALL_INTERVAL_S, caller.attempt)
+        self.set_domain_state(18.0, DomainState.DRAINED)
+        self.set_domain_state(30.0, DomainState.IN_SERVICE)
+        self.at(40.0, lambda: self.stop_gracefully("a1"))
+        self.site.run(FIRST_CHECK_AT_S)
+        while self.site.world.now < END_S and self.unfinished():
+            self.site.run(CHECK_INTERVAL_S)
         self.check()
         return Verdict(
-            cell=self.cell,
+            case=self.case,
             reached=self.reached,
             violations=tuple(self.site.violations),
         )
 
-    def submit(self, when: float, kind: str, record: Record, tries: int = 0) -> None:
+    def submit(self, when: float, kind: str, record: Record, attempts: int = 0) -> None:
         """Submit a record, and again through the other entry until it is accepted."""
-        call_id = f"submit-{record.name}-{tries}"
-        entry = ENTRIES[tries % len(ENTRIES)]
+        call_id = f"submit-{record.name}-{attempts}"
+        entry = ENTRIES[attempts % len(ENTRIES)]
         event = SubmitRecord(
             call_id=call_id, author="op", kind=kind, schema_version=1, record=record
         )
 
-        def look() -> None:
+        def check_outcome() -> None:
             reply = self.site.replies.get(call_id)
             accepted = reply is not None and hasattr(reply, "row")
-            if not accepted and tries < OPERATOR_TRIES:
-                self.submit(0.0, kind, record, tries + 1)
+            if not accepted and attempts < MAX_OPERATOR_RETRIES:
+                self.submit(0.0, kind, record, attempts + 1)
 
-        self.at(when, lambda: self.site.operate(entry, event))
-        patience = 0.3 if when < ARMED_AT_S else OPERATOR_PATIENCE_S
-        self.at(when + patience, look)
+        self.at(when, lambda: self.site.send_operator_call(entry, event))
+        timeout_s = 0.3 if when < FAULTS_FROM_S else OPERATOR_TIMEOUT_S
+        self.at(when + timeout_s, check_outcome)
 
-    def domain(self, when: float, state: DomainState, tries: int = 0) -> None:
+    def set_domain_state(
+        self, when: float, state: DomainState, attempts: int = 0
+    ) -> None:
         """Change the first failure domain, and again until the store shows it."""
 
-        def look() -> None:
+        def check_outcome() -> None:
             row = self.site.row(f"record/failure_domain/{DOMAINS[0]}")
             wanted = row is not None and row.record.state is state
-            if not wanted and tries < OPERATOR_TRIES:
-                self.domain(0.0, state, tries + 1)
+            if not wanted and attempts < MAX_OPERATOR_RETRIES:
+                self.set_domain_state(0.0, state, attempts + 1)
 
-        entry = ENTRIES[tries % len(ENTRIES)]
+        entry = ENTRIES[attempts % len(ENTRIES)]
         self.at(when, lambda: change_domain(self.site, entry, DOMAINS[0], state))
-        self.at(when + 3.0, look)
+        self.at(when + 3.0, check_outcome)
 
-    def leave(self, agent: str) -> None:
+    def stop_gracefully(self, agent: str) -> None:
         """Stop an agent as SIGTERM does, and start it again when it has ended."""
         if not self.site.world.alive(agent):
             return
-        life = self.site.lives[agent]
+        start_count = self.site.start_counts[agent]
         for role in ("guard", "cell_owner"):
-            self.site.world.deliver(Seat(process=agent, role=role), Leave())
+            self.site.world.deliver(RoleAddress(process=agent, role=role), Leave())
 
-        def ended() -> None:
-            if self.site.lives[agent] == life:
+        def restart() -> None:
+            if self.site.start_counts[agent] == start_count:
                 self.site.start(agent)
 
-        self.at(15.0, ended)
+        self.at(15.0, restart)
 
-    def missing(self) -> list[str]:
+    def unfinished(self) -> list[str]:
         """Return what is not finished yet."""
-        found: list[str] = []
+        problems: list[str] = []
         for name, tasks in JOBS.items():
             for index in range(tasks):
                 row = self.site.row(f"done/{name}/{index}")
                 if row is None or row.state is not TaskState.FINISHED:
                     state = "lost" if row is None else row.state.value
-                    found.append(f"task {name}/{index} is not finished but {state}")
-        return found + [f"the backlog holds {k}" for k in self.site.keys("backlog/")]
+                    problems.append(f"task {name}/{index} is not finished but {state}")
+        return problems + [f"the backlog holds {k}" for k in self.site.keys("backlog/")]
 
     def check(self) -> None:
         """Check the whole run."""
         for caller in self.callers:
-            fault = caller.fault()
-            if fault:
-                self.site.violate(fault)
-        for fault in self.missing():
-            self.site.violate(fault)
+            problem = caller.problem()
+            if problem:
+                self.site.record_violation(problem)
+        for problem in self.unfinished():
+            self.site.record_violation(problem)
 
 
-def job(name: str) -> JobRecord:
+def job_record(name: str) -> JobRecord:
     """Return a batch job of the scenario."""
     return JobRecord(
-        name=name, department="bakery", tasks=JOBS[name], size=SIZE, run_s=RUN_S
+        name=name,
+        department="bakery",
+        tasks=JOBS[name],
+        size=TASK_SIZE,
+        run_s=TASK_RUN_S,
     )
 
 
@@ -248,7 +258,7 @@
     for domain in DOMAINS:
         yield "failure_domain", FailureDomainRecord(name=domain, region=REGION)
     for domain in DOMAINS:
-        names = [name for name, where in WORKERS.items() if where == domain]
+        names = [name for name, domain_name in WORKERS.items() if domain_name == domain]
         yield (
             "cell",
             CellRecord(
@@ -270,6 +280,6 @@
     )
 
 
-def run_cell(cell: Cell) -> Verdict:
+def run_case(case: FaultCase) -> Verdict:
     """Run one cell of the matrix."""
-    return Run(cell=cell).whole()
+    return ScenarioRun(case=case).execute()
--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -8,20 +8,20 @@
 from bulrushpulley.entities.operations import ChangeDomain
 from bulrushpulley.entities.records import DomainState
 from standins.worker_core import WorkerState
-from test.site import AGENTS, DOMAINS, ENTRIES, STORE_S, WORKERS, Site
-from test.virtual_world import Path, Seat
+from test.site import AGENTS, DOMAINS, ENTRIES, STORE_DELAY_S, WORKERS, Site
+from test.virtual_world import Path, RoleAddress
 
-RESTART_S = 5.0
-PAUSE_S = 45.0
-CUT_S = 8.0
-DELAY_S = 2.5
-SLOW_S = 1.5
-STORE_FAULT_S = 20.0
-PATH_FAULT_S = 20.0
-WORKER_DEAD_S = 30.0
-WORKER_SICK_S = 40.0
+RESTART_DELAY_S = 5.0
+PAUSE_DURATION_S = 45.0
+CUT_DURATION_S = 8.0
+MESSAGE_DELAY_S = 2.5
+SLOW_STORE_DELAY_S = 1.5
+STORE_FAULT_DURATION_S = 20.0
+PATH_FAULT_DURATION_S = 20.0
+WORKER_DOWN_DURATION_S = 30.0
+WORKER_FAILING_DURATION_S = 40.0
 
-Fault = Callable[[Site, Seat, Any], None]
+InjectFault = Callable[[Site, RoleAddress, Any], None]
 
 
 def peers_of(process: str) -> tuple[str, ...]:
@@ -29,31 +29,35 @@
     return AGENTS if process in ENTRIES else ENTRIES
 
 
-def kill(site: Site, seat: Seat, command: Any) -> None:
+def kill(site: Site, address: RoleAddress, command: Any) -> None:
     """Kill the process; another one of its name starts a little later."""
-    site.kill(seat.process)
-    site.world.at(RESTART_S, lambda: site.start(seat.process))
+    site.kill(address.process)
+    site.world.at(RESTART_DELAY_S, lambda: site.start(address.process))
 
 
-def lose_host(site: Site, seat: Seat, command: Any) -> None:
+def lose_host(site: Site, address: RoleAddress, command: Any) -> None:
     """Kill the process for good."""
-    site.kill(seat.process)
-    site.lost.add(seat.process)
+    site.kill(address.process)
+    site.lost_processes.add(address.process)
 
 
-def pause(site: Site, seat: Seat, command: Any) -> None:
+def pause(site: Site, address: RoleAddress, command: Any) -> None:
     """Freeze the process past every lease, right before the command leaves."""
-    site.freeze(seat.process, PAUSE_S)
+    site.freeze(address.process, PAUSE_DURATION_S)
 
 
-def cut_out(site: Site, seat: Seat, command: Any) -> None:
+def cut_outgoing(site: Site, address: RoleAddress, command: Any) -> None:
     """Lose what the process sends."""
-    site.cut_off({(seat.process, peer) for peer in peers_of(seat.process)}, CUT_S)
+    site.cut_off(
+        {(address.process, peer) for peer in peers_of(address.process)}, CUT_DURATION_S
+    )
 
 
-def cut_in(site: Site, seat: Seat, command: Any) -> None:
+def cut_incoming(site: Site, address: RoleAddress, command: Any) -> None:
     """Lose what the process is sent."""
-    site.cut_off({(peer, seat.process) for peer in peers_of(seat.process)}, CUT_S)
+    site.cut_off(
+        {(peer, address.process) for peer in peers_of(address.process)}, CUT_DURATION_S
+    )
 
 
 def change_path(site: Site, path: Path) -> None:
@@ -63,20 +67,20 @@
     def heal() -> None:
         site.path = Path()
 
-    site.world.at(PATH_FAULT_S, heal)
+    site.world.at(PATH_FAULT_DURATION_S, heal)
 
 
-def delay(site: Site, seat: Seat, command: Any) -> None:
+def delay(site: Site, address: RoleAddress, command: Any) -> None:
     """Delay every message."""
-    change_path(site, Path(delay_s=DELAY_S))
+    change_path(site, Path(delay_s=MESSAGE_DELAY_S))
 
 
-def repeat(site: Site, seat: Seat, command: Any) -> None:
+def repeat(site: Site, address: RoleAddress, command: Any) -> None:
     """Repeat every message."""
     change_path(site, Path(repeat_percent=100, jitter_s=0.2))
 
 
-def reorder(site: Site, seat: Seat, command: Any) -> None:
+def reorder(site: Site, address: RoleAddress, command: Any) -> None:
     """Deliver messages out of order."""
     change_path(site, Path(jitter_s=0.8))
 
@@ -86,24 +90,24 @@
     site.store_mode, site.store_delay_s = mode, delay_s
 
     def heal() -> None:
-        site.store_mode, site.store_delay_s = "up", STORE_S
+        site.store_mode, site.store_delay_s = "up", STORE_DELAY_S
 
-    site.world.at(STORE_FAULT_S, heal)
+    site.world.at(STORE_FAULT_DURATION_S, heal)
 
 
-def store_down(site: Site, seat: Seat, command: Any) -> None:
+def store_down(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the store refuse everything."""
-    change_store(site, "down", STORE_S)
+    change_store(site, "down", STORE_DELAY_S)
 
 
-def store_slow(site: Site, seat: Seat, command: Any) -> None:
+def store_slow(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the store take long."""
-    change_store(site, "up", SLOW_S)
+    change_store(site, "up", SLOW_STORE_DELAY_S)
 
 
-def lose_answers(site: Site, seat: Seat, command: Any) -> None:
+def lose_answers(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the store's answers lost after the write."""
-    change_store(site, "lose_answers", STORE_S)
+    change_store(site, "lose_answers", STORE_DELAY_S)
 
 
 def worker_of(command: Any) -> str:
@@ -112,33 +116,33 @@
     return name
 
 
-def worker_dies(site: Site, seat: Seat, command: Any) -> None:
+def worker_dies(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the worker lose all that it runs, and return later."""
     worker = worker_of(command)
     site.advance()
     site.dead_workers.add(worker)
     site.workers[worker] = WorkerState.empty()
-    site.world.at(WORKER_DEAD_S, lambda: site.dead_workers.discard(worker))
+    site.world.at(WORKER_DOWN_DURATION_S, lambda: site.dead_workers.discard(worker))
 
 
-def worker_loses_answers(site: Site, seat: Seat, command: Any) -> None:
+def worker_loses_answers(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the worker's answers lost."""
     worker = worker_of(command)
     site.lossy_workers.add(worker)
-    site.world.at(WORKER_DEAD_S, lambda: site.lossy_workers.discard(worker))
+    site.world.at(WORKER_DOWN_DURATION_S, lambda: site.lossy_workers.discard(worker))
 
 
-def worker_fails_all(site: Site, seat: Seat, command: Any) -> None:
+def worker_fails_all(site: Site, address: RoleAddress, command: Any) -> None:
     """Have the worker fail everything that it starts."""
     worker = worker_of(command)
     site.fail_all(worker, True)
-    site.world.at(WORKER_SICK_S, lambda: site.fail_all(worker, False))
+    site.world.at(WORKER_FAILING_DURATION_S, lambda: site.fail_all(worker, False))
 
 
 def change_domain(site: Site, entry: str, domain: str, state: DomainState) -> None:
     """Have an operator change a failure domain at an entry."""
     call_id = f"op-{domain}-{state.value}-{entry}-{site.world.now:.3f}"
-    site.operate(
+    site.send_operator_call(
         entry,
         ChangeDomain(
             call_id=call_id,
@@ -150,7 +154,7 @@
     )
 
 
-def operators_race(site: Site, seat: Seat, command: Any) -> None:
+def operators_race(site: Site, address: RoleAddress, command: Any) -> None:
     """Have operators take a failure domain out and return it at the same moment."""
     first, second = ENTRIES
     change_domain(site, first, DOMAINS[1], DomainState.DRAINED)
@@ -160,7 +164,7 @@
     )
 
 
-def domain_drained(site: Site, seat: Seat, command: Any) -> None:
+def domain_drained(site: Site, address: RoleAddress, command: Any) -> None:
     """Take the second failure domain out for a while."""
     change_domain(site, ENTRIES[1], DOMAINS[1], DomainState.DRAINED)
     site.world.at(
@@ -169,12 +173,12 @@
     )
 
 
-FAULT_BY_NAME: Mapping[str, Fault] = {
+FAULT_BY_NAME: Mapping[str, InjectFault] = {
     "process killed": kill,
     "host lost": lose_host,
     "process paused": pause,
-    "cut outward": cut_out,
-    "cut inward": cut_in,
+    "cut outward": cut_outgoing,
+    "cut inward": cut_incoming,
     "message delayed": delay,
     "message repeated": repeat,
     "out of order": reorder,
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Written:
+class WrittenRow:
     """A key and the row that a command would have written there."""
 
     key: str
@@ -33,95 +33,103 @@
 
 
 @singledispatch
-def submitted(command: Any) -> tuple[Written, ...]:
+def submitted_writes(command: Any) -> tuple[WrittenRow, ...]:
     """Return what a command gives to a committer; nothing by default."""
     return ()
 
 
-@submitted.register
-def _(command: Send) -> tuple[Written, ...]:
-    return submitted(command.item)
+@submitted_writes.register
+def _(command: Send) -> tuple[WrittenRow, ...]:
+    return submitted_writes(command.item)
 
 
-@submitted.register
-def _(command: Tell) -> tuple[Written, ...]:
-    return submitted(command.event)
+@submitted_writes.register
+def _(command: Tell) -> tuple[WrittenRow, ...]:
+    return submitted_writes(command.event)
 
 
-@submitted.register(Submit)
-@submitted.register(Submitted)
-def _(command: Any) -> tuple[Written, ...]:
+@submitted_writes.register(Submit)
+@submitted_writes.register(Submitted)
+def _(command: Any) -> tuple[WrittenRow, ...]:
     content: Submission = command.submission
-    return tuple(Written(key=w.key, row=w.row) for w in content.writes)
+    return tuple(WrittenRow(key=w.key, row=w.row) for w in content.writes)
 
 
 @singledispatch
-def transacted(command: Command) -> tuple[Written, ...]:
+def transaction_writes(command: Command) -> tuple[WrittenRow, ...]:
     """Return what a command sends to the table service; nothing by default."""
     return ()
 
 
-@transacted.register
-def _(command: Transact) -> tuple[Written, ...]:
-    return tuple(Written(key=w.key, row=w.row) for w in command.writes)
+@transaction_writes.register
+def _(command: Transact) -> tuple[WrittenRow, ...]:
+    return tuple(WrittenRow(key=w.key, row=w.row) for w in command.writes)
 
 
-def writes(
-    prefix: str, found: Callable[[Any], bool] = lambda row: row is not None
+def submits_row(
+    prefix: str, matches: Callable[[Any], bool] = lambda row: row is not None
 ) -> Callable[[Any], bool]:
     """Recognise a submission that writes a fitting row under a prefix."""
     return lambda command: any(
-        w.key.startswith(prefix) and found(w.row) for w in submitted(command)
+        w.key.startswith(prefix) and matches(w.row) for w in submitted_writes(command)
     )
 
 
-def commits(
-    prefix: str, found: Callable[[Any], bool] = lambda row: row is not None
+def commits_row(
+    prefix: str, matches: Callable[[Any], bool] = lambda row: row is not None
 ) -> Callable[[Any], bool]:
     """Recognise a transaction that writes a fitting row under a prefix."""
     return lambda command: any(
-        w.key.startswith(prefix) and found(w.row) for w in transacted(command)
+        w.key.startswith(prefix) and matches(w.row) for w in transaction_writes(command)
     )
 
 
-def sends(kind: type, found: Callable[[Any], bool] = bool) -> Callable[[Any], bool]:
+def sends_item(
+    kind: type, matches: Callable[[Any], bool] = bool
+) -> Callable[[Any], bool]:
     """Recognise an item of a link."""
     return lambda command: (
-        isinstance(getattr(command, "item", None), kind) and found(command.item)
+        isinstance(getattr(command, "item", None), kind) and matches(command.item)
     )
 
 
-def gives(kind: type, found: Callable[[Any], bool] = bool) -> Callable[[Any], bool]:
+def is_command(
+    kind: type, matches: Callable[[Any], bool] = bool
+) -> Callable[[Any], bool]:
     """Recognise a command by its class."""
-    return lambda command: isinstance(command, kind) and found(command)
+    return lambda command: isinstance(command, kind) and matches(command)
 
 
-def starting(row: Any) -> bool:
+def is_starting(row: Any) -> bool:
     """Tell whether a row is that of a task that is to start."""
     return row is not None and row.state is TaskState.STARTING
 
 
 STEP_BY_NAME: Mapping[str, Callable[[Any], bool]] = {
-    "request accepted": writes("claim/"),
-    "request routed": commits("claim/"),
-    "request dispatched": sends(Dispatch),
-    "request running": gives(RunOnBackend),
-    "request answered": sends(Answered),
-    "task submitted": commits("record/job/"),
-    "task committed": sends(Assigned),
-    "task leased": writes("task/", starting),
-    "task start sent": gives(StartTask),
-    "task running": gives(AskReport, lambda c: bool(c.renewals)),
-    "task checkpoint": gives(StopTask, lambda c: c.checkpoint),
-    "task stop": gives(StopTask, lambda c: not c.checkpoint),
-    "task resumed": gives(StartTask, lambda c: c.generation > 1),
-    "task finished": writes("done/"),
-    "configuration submitted": writes("record/failure_domain/"),
-    "configuration committed": commits("record/failure_domain/"),
-    "configuration spread": sends(Configured, lambda i: i.base > 0),
-    "configuration in force": sends(Announce, lambda i: i.applied_revision > 0),
-    "cell taken": writes("lease/", lambda row: row is not None and row.owner != ""),
-    "cell renewed": writes("alive/"),
-    "cell handed over": writes("lease/", lambda row: row is not None and not row.owner),
+    "request accepted": submits_row("claim/"),
+    "request routed": commits_row("claim/"),
+    "request dispatched": sends_item(Dispatch),
+    "request running": is_command(RunOnBackend),
+    "request answered": sends_item(Answered),
+    "task submitted": commits_row("record/job/"),
+    "task committed": sends_item(Assigned),
+    "task leased": submits_row("task/", is_starting),
+    "task start sent": is_command(StartTask),
+    "task running": is_command(AskReport, lambda c: bool(c.renewals)),
+    "task checkpoint": is_command(StopTask, lambda c: c.checkpoint),
+    "task stop": is_command(StopTask, lambda c: not c.checkpoint),
+    "task resumed": is_command(StartTask, lambda c: c.generation > 1),
+    "task finished": submits_row("done/"),
+    "configuration submitted": submits_row("record/failure_domain/"),
+    "configuration committed": commits_row("record/failure_domain/"),
+    "configuration spread": sends_item(Configured, lambda i: i.base > 0),
+    "configuration in force": sends_item(Announce, lambda i: i.applied_revision > 0),
+    "cell taken": submits_row(
+        "lease/", lambda row: row is not None and row.owner != ""
+    ),
+    "cell renewed": submits_row("alive/"),
+    "cell handed over": submits_row(
+        "lease/", lambda row: row is not None and not row.owner
+    ),
 }
 """A step is taken by the first command after `ARMED_AT_S` that its function finds."""
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -38,7 +38,7 @@
 from bulrushpulley.entities.step import Command, Event, Tell
 from bulrushpulley.errors import Ran
 from bulrushpulley.roles import guard, router
-from test.virtual_world import Path, Seat, VirtualWorld
+from test.virtual_world import Path, RoleAddress, VirtualWorld
 
 SERVICE = "oven-conductor"
 STORE_DELAY_S = 0.005
@@ -139,25 +139,29 @@
         """Open the link between two processes."""
         for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
             self.world.deliver(
-                Seat(process=one, role=role), LinkUp(peer=other, region="ege")
+                RoleAddress(process=one, role=role), LinkUp(peer=other, region="ege")
             )
 
     def unlink(self, entry: str, agent: str) -> None:
         """End the link between two processes."""
         for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
-            self.world.deliver(Seat(process=one, role=role), LinkDown(peer=other))
+            self.world.deliver(
+                RoleAddress(process=one, role=role), LinkDown(peer=other)
+            )
 
     def kill(self, name: str) -> None:
         """Kill a process and end its links."""
         self.world.kill(name)
         for other in self.agents if name in self.entries else self.entries:
             role = "guard" if name in self.entries else "router"
-            self.world.deliver(Seat(process=other, role=role), LinkDown(peer=name))
+            self.world.deliver(
+                RoleAddress(process=other, role=role), LinkDown(peer=name)
+            )
 
     def tell(self, process: str, event: Event) -> None:
         """Deliver an event to the role of a process."""
         role = "router" if process in self.entries else "guard"
-        self.world.deliver(Seat(process=process, role=role), event)
+        self.world.deliver(RoleAddress(process=process, role=role), event)
 
     def call(
         self, entry: str, call_id: str, request_id: str = "", **fields: Any
@@ -211,10 +215,12 @@
     def tables(self, process: str) -> Any:
         """Return the tables of the role of a process."""
         role = "router" if process in self.entries else "guard"
-        return self.world.tables[Seat(process=process, role=role)]
+        return self.world.tables[RoleAddress(process=process, role=role)]
 
-    def _carry_out(self, world: VirtualWorld, seat: Seat, command: Command) -> None:
-        carry_out(command, self, seat)
+    def _carry_out(
+        self, world: VirtualWorld, address: RoleAddress, command: Command
+    ) -> None:
+        carry_out(command, self, address)
 
 
 @singledispatch
@@ -234,20 +240,20 @@
 
 
 @singledispatch
-def carry_out(command: Command, world: RequestWorld, seat: Seat) -> None:
+def carry_out(command: Command, world: RequestWorld, address: RoleAddress) -> None:
     """Carry out a command on the fakes; unregistered commands have no effect."""
     if type(command).__name__ in {"GuardDone", "RouterDone"}:
-        world.done.append(seat.process)
+        world.done.append(address.process)
 
 
 @carry_out.register
-def _(command: Send, world: RequestWorld, seat: Seat) -> None:
-    if (seat.process, command.peer) in world.cut_links:
+def _(command: Send, world: RequestWorld, address: RoleAddress) -> None:
+    if (address.process, command.peer) in world.cut_links:
         return
     role = "router" if isinstance(command.item, ROUTER_ITEMS) else "guard"
     assert isinstance(command.item, LinkEvent)
-    target = Seat(process=command.peer, role=role)
-    world.world.deliver(target, from_peer(command.item, seat.process), world.path)
+    target = RoleAddress(process=command.peer, role=role)
+    world.world.deliver(target, from_peer(command.item, address.process), world.path)
 
 
 def from_peer(item: LinkEvent, peer: str) -> LinkEvent:
@@ -256,41 +262,41 @@
 
 
 @carry_out.register
-def _(command: Tell, world: RequestWorld, seat: Seat) -> None:
+def _(command: Tell, world: RequestWorld, address: RoleAddress) -> None:
     if not isinstance(command.event, Submitted):
         return
     content = command.event.submission
     half = Path(delay_s=world.store.delay_s / 2)
 
     def arrive() -> None:
-        world.world.deliver(seat, world.store.submit(content), half)
+        world.world.deliver(address, world.store.submit(content), half)
 
     world.world.at(half.delay_s, arrive)
 
 
 @carry_out.register
-def _(command: RunOnBackend, world: RequestWorld, seat: Seat) -> None:
+def _(command: RunOnBackend, world: RequestWorld, address: RoleAddress) -> None:
     key = command.request_id or command.execution_id
     world.runs[key] += 1
-    world.run_on[key] = seat.process
+    world.run_on[key] = address.process
     event = BackendAnswered(
         execution_id=command.execution_id, status=200, body=b"done " + command.body
     )
-    world.world.deliver(seat, event, Path(delay_s=world.service_s(seat.process)))
+    world.world.deliver(address, event, Path(delay_s=world.service_s(address.process)))
 
 
 @carry_out.register
-def _(command: CheckBackend, world: RequestWorld, seat: Seat) -> None:
-    world.world.deliver(seat, HealthChecked(healthy=True), Path(delay_s=0.001))
+def _(command: CheckBackend, world: RequestWorld, address: RoleAddress) -> None:
+    world.world.deliver(address, HealthChecked(healthy=True), Path(delay_s=0.001))
 
 
 @carry_out.register
-def _(command: Count, world: RequestWorld, seat: Seat) -> None:
+def _(command: Count, world: RequestWorld, address: RoleAddress) -> None:
     world.counts[command.name] += command.by
 
 
 @carry_out.register(AnswerCall)
 @carry_out.register(RefuseCall)
-def _(command: Answer, world: RequestWorld, seat: Seat) -> None:
+def _(command: Answer, world: RequestWorld, address: RoleAddress) -> None:
     entry = (world.world.now, command)
     world.answers.setdefault(command.call_id, []).append(entry)
--- a/test/site.py
+++ b/test/site.py
@@ -21,7 +21,7 @@
 from standins import worker_core
 from standins.table_core import TableState
 from standins.worker_core import WorkerState
-from test.virtual_world import Path, Seat, VirtualWorld
+from test.virtual_world import Path, RoleAddress, VirtualWorld
 
 SERVICE = "oven-conductor"
 REGION = "ege"
@@ -30,10 +30,10 @@
 AGENTS = ("a1", "a2", "a3")
 WORKERS = {"w0": "ege-izmir", "w1": "ege-izmir", "w2": "ege-manisa", "w3": "ege-manisa"}
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
-LINK_DOWN_AFTER_S = 3.0
-RELINK_S = 0.5
-STORE_S = 0.005
-DRAIN_BOUND_S = 4.0
+LINK_DOWN_TIMEOUT_S = 3.0
+RELINK_DELAY_S = 0.5
+STORE_DELAY_S = 0.005
+MAX_START_AFTER_DRAIN_S = 4.0
 
 Answer = AnswerCall | RefuseCall
 
@@ -45,20 +45,20 @@
         from test.site_io import carry_out
 
         self.world = VirtualWorld(
-            carry_out=lambda world, seat, command: carry_out(command, self, seat),
+            carry_out=lambda world, address, command: carry_out(command, self, address),
             seed=seed,
         )
         self.store = TableState.empty()
         self.store_mode = "up"
-        self.store_delay_s = STORE_S
+        self.store_delay_s = STORE_DELAY_S
         self.workers = {name: WorkerState.empty() for name in WORKERS}
         self.dead_workers: set[str] = set()
         self.lossy_workers: set[str] = set()
-        self.lost: set[str] = set()
+        self.lost_processes: set[str] = set()
         self.path = Path()
-        self.cut: set[tuple[str, str]] = set()
-        self.lives: Counter[str] = Counter()
-        self.process_of: dict[str, str] = {}
+        self.cut_links: set[tuple[str, str]] = set()
+        self.start_counts: Counter[str] = Counter()
+        self.process_by_incarnation: dict[str, str] = {}
         self.links: dict[tuple[str, str], int] = {}
         self.link_number = 0
         self.runs: Counter[str] = Counter()
@@ -68,52 +68,56 @@
         self.replies: dict[str, Command] = {}
         self.drained_at: dict[str, float] = {}
         self.decisions: Counter[str] = Counter()
-        self.done_processes: set[tuple[str, str]] = set()
+        self.finished_roles: set[tuple[str, str]] = set()
         self.violations: list[str] = []
         for name in (*ENTRIES, *AGENTS):
             self.start(name)
 
     # Processes and links.
 
-    def incarnation(self, process: str) -> str:
+    def incarnation_of(self, process: str) -> str:
         """Return the incarnation of the present life of a process."""
-        return f"{process}#{self.lives[process]}"
+        return f"{process}#{self.start_counts[process]}"
 
     def start(self, process: str) -> None:
         """Start a process, in place of its earlier life, and link it."""
-        if process in self.lost:
+        if process in self.lost_processes:
             return
         self.kill(process)
-        self.lives[process] += 1
-        name = self.incarnation(process)
-        self.process_of[name] = process
+        self.start_counts[process] += 1
+        name = self.incarnation_of(process)
+        self.process_by_incarnation[name] = process
         roles = self._entry(process) if process in ENTRIES else self._agent(process)
         self.world.start(process, roles)
         for other in AGENTS if process in ENTRIES else ENTRIES:
             pair = (process, other) if process in ENTRIES else (other, process)
-            self.world.at(RELINK_S, lambda pair=pair: self.link(*pair))  # type: ignore[misc]
+            self.world.at(RELINK_DELAY_S, lambda pair=pair: self.link(*pair))  # type: ignore[misc]
 
     def _entry(self, name: str) -> list[Any]:
-        life = self.incarnation(name)
+        incarnation = self.incarnation_of(name)
         return [
-            router.build(incarnation=life, region=REGION),
+            router.build(incarnation=incarnation, region=REGION),
             controller.build(
-                entry=name, incarnation=life, host="127.0.0.1", port=1, region=REGION
+                entry=name,
+                incarnation=incarnation,
+                host="127.0.0.1",
+                port=1,
+                region=REGION,
             ),
-            committer.build(name=name, incarnation=life),
+            committer.build(name=name, incarnation=incarnation),
         ]
 
     def _agent(self, name: str) -> list[Any]:
-        life = self.incarnation(name)
+        incarnation = self.incarnation_of(name)
         return [
             guard.build(
                 agent=name,
-                incarnation=life,
+                incarnation=incarnation,
                 service=SERVICE,
                 region=REGION,
                 failure_domain=DOMAINS[0],
             ),
-            cell_owner.build(agent=name, incarnation=life, region=REGION),
+            cell_owner.build(agent=name, incarnation=incarnation, region=REGION),
         ]
 
     def kill(self, process: str) -> None:
@@ -124,66 +128,70 @@
 
     def link(self, entry: str, agent: str) -> None:
         """Open the link of two live processes, unless it is open or cut."""
-        both = self.world.alive(entry) and self.world.alive(agent)
-        barred = {(entry, agent), (agent, entry)} & self.cut
-        if not both or barred or (entry, agent) in self.links:
+        both_alive = self.world.alive(entry) and self.world.alive(agent)
+        blocked = {(entry, agent), (agent, entry)} & self.cut_links
+        if not both_alive or blocked or (entry, agent) in self.links:
             return
         self.link_number += 1
         self.links[entry, agent] = self.link_number
-        self.tell(entry, LinkUp(peer=self.incarnation(agent), region=REGION))
-        self.tell(agent, LinkUp(peer=self.incarnation(entry), region=REGION))
+        self.deliver_to_process(
+            entry, LinkUp(peer=self.incarnation_of(agent), region=REGION)
+        )
+        self.deliver_to_process(
+            agent, LinkUp(peer=self.incarnation_of(entry), region=REGION)
+        )
 
     def unlink(self, entry: str, agent: str) -> None:
         """End a link; nothing more arrives on it."""
         if self.links.pop((entry, agent), None) is None:
             return
-        self.tell(entry, LinkDown(peer=self.incarnation(agent)))
-        self.tell(agent, LinkDown(peer=self.incarnation(entry)))
+        self.deliver_to_process(entry, LinkDown(peer=self.incarnation_of(agent)))
+        self.deliver_to_process(agent, LinkDown(peer=self.incarnation_of(entry)))
 
     def freeze(self, process: str, seconds: float) -> None:
         """Pause a process; its peers end their links by keepalive meanwhile."""
         self.world.pause(process, seconds)
         pairs = [pair for pair in self.links if process in pair]
-        life = self.lives[process]
+        start_count = self.start_counts[process]
 
-        def notice() -> None:
+        def end_links() -> None:
             for pair in pairs:
                 self.unlink(*pair)
 
         def relink() -> None:
-            for pair in pairs if self.lives[process] == life else []:
+            for pair in pairs if self.start_counts[process] == start_count else []:
                 self.link(*pair)
 
-        self.world.at(min(LINK_DOWN_AFTER_S, seconds), notice)
-        self.world.at(seconds + RELINK_S, relink)
+        self.world.at(min(LINK_DOWN_TIMEOUT_S, seconds), end_links)
+        self.world.at(seconds + RELINK_DELAY_S, relink)
 
-    def cut_off(self, ways: set[tuple[str, str]], seconds: float) -> None:
+    def cut_off(self, directions: set[tuple[str, str]], seconds: float) -> None:
         """Lose what travels these ways; keepalives end the links after a while."""
-        self.cut |= ways
-        pairs = {pair for pair in self.links if {pair, pair[::-1]} & ways}
+        self.cut_links |= directions
+        pairs = {pair for pair in self.links if {pair, pair[::-1]} & directions}
 
-        def notice() -> None:
+        def end_links() -> None:
             for pair in pairs:
                 self.unlink(*pair)
 
         def heal() -> None:
-            self.cut -= ways
+            self.cut_links -= directions
             for pair in pairs:
                 self.link(*pair)
 
-        self.world.at(min(LINK_DOWN_AFTER_S, seconds), notice)
+        self.world.at(min(LINK_DOWN_TIMEOUT_S, seconds), end_links)
         self.world.at(seconds, heal)
 
     def send(self, source: str, peer: str, item: LinkEvent) -> None:
         """Put an item on a link, over the present path."""
-        target = self.process_of.get(peer, "")
+        target = self.process_by_incarnation.get(peer, "")
         pair = (source, target) if source in ENTRIES else (target, source)
         number = self.links.get(pair)
-        if number is None or peer != self.incarnation(target):
+        if number is None or peer != self.incarnation_of(target):
             return
-        if (source, target) in self.cut:
+        if (source, target) in self.cut_links:
             return
-        event = replace(item, peer=self.incarnation(source))
+        event = replace(item, peer=self.incarnation_of(source))
         for delay_s in self.world.delays(self.path):
             self.world.at(delay_s, lambda: self._arrive(pair, number, target, event))
 
@@ -191,14 +199,14 @@
         self, pair: tuple[str, str], number: int, target: str, event: LinkEvent
     ) -> None:
         if self.links.get(pair) == number:
-            self.tell(target, event)
+            self.deliver_to_process(target, event)
 
-    def tell(self, process: str, event: Event) -> None:
+    def deliver_to_process(self, process: str, event: Event) -> None:
         """Tell the roles of a process an item, as the product routes it."""
         for role in recipients(event):
-            seat = Seat(process=process, role=role)
-            if seat in self.world.roles:
-                self.world.deliver(seat, event_for_item(event))
+            address = RoleAddress(process=process, role=role)
+            if address in self.world.roles:
+                self.world.deliver(address, event_for_item(event))
 
     # Outside events.
 
@@ -213,11 +221,11 @@
             body=request_id.encode(),
         )
         self.calls[call_id] = event
-        self.world.deliver(Seat(process=entry, role="router"), event)
+        self.world.deliver(RoleAddress(process=entry, role="router"), event)
 
-    def operate(self, entry: str, event: Event) -> None:
+    def send_operator_call(self, entry: str, event: Event) -> None:
         """Make an operator's call at an entry."""
-        self.world.deliver(Seat(process=entry, role="controller"), event)
+        self.world.deliver(RoleAddress(process=entry, role="controller"), event)
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -253,16 +261,18 @@
         finished = worker_core.RunState.FINISHED
         for key in after.runs:
             run = after.runs.by_key[key]
-            old = before.runs.get(key)
-            if run.state is finished and (old is None or old.state is not finished):
+            earlier = before.runs.get(key)
+            if run.state is finished and (
+                earlier is None or earlier.state is not finished
+            ):
                 self.finishes[run.start.task_id] += 1
 
-    def violate(self, what: str) -> None:
+    def record_violation(self, violation: str) -> None:
         """Keep what broke an invariant, with the time."""
-        self.violations.append(f"{self.world.now:.2f} {what}")
+        self.violations.append(f"{self.world.now:.2f} {violation}")
 
 
-def described(answer: Answer) -> str:
+def describe_answer(answer: Answer) -> str:
     """Return how a call ended: its body, or whether its request ran."""
     body: bytes | None = getattr(answer, "body", None)
     if body is not None:
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -50,46 +50,46 @@
 from standins.worker_core import Renew, Start
 from test.cell_bench import runs_of
 from test.control_bench import versioned
-from test.site import CAPACITY, DRAIN_BOUND_S, WORKERS, Site, described
-from test.virtual_world import Path, Seat
+from test.site import CAPACITY, MAX_START_AFTER_DRAIN_S, WORKERS, Site, describe_answer
+from test.virtual_world import Path, RoleAddress
 
 PROBLEM = Problem(code=Code.UNAVAILABLE, step="fake", peer="fake", detail="fake")
-BACKEND_S = 0.05
-WORKER_S = 0.002
-ANSWER_LOST_S = 1.0
-STORE_REFUSES_S = 0.001
+BACKEND_DELAY_S = 0.05
+WORKER_DELAY_S = 0.002
+LOST_ANSWER_TIMEOUT_S = 1.0
+STORE_ANSWER_DELAY_S = 0.001
 
 
 @singledispatch
-def carry_out(command: Command, site: Site, seat: Seat) -> None:
+def carry_out(command: Command, site: Site, address: RoleAddress) -> None:
     """Carry out a command; counts and durations have no effect."""
 
 
 @carry_out.register
-def _(command: Decision, site: Site, seat: Seat) -> None:
+def _(command: Decision, site: Site, address: RoleAddress) -> None:
     site.decisions[command.kind] += 1
 
 
 @carry_out.register
-def _(command: Send, site: Site, seat: Seat) -> None:
+def _(command: Send, site: Site, address: RoleAddress) -> None:
     item: Any = command.item
-    site.send(seat.process, command.peer, item)
+    site.send(address.process, command.peer, item)
 
 
 @carry_out.register
-def _(command: Tell, site: Site, seat: Seat) -> None:
-    target = Seat(process=seat.process, role=command.role)
+def _(command: Tell, site: Site, address: RoleAddress) -> None:
+    target = RoleAddress(process=address.process, role=command.role)
     site.world.deliver(target, command.event)
 
 
 @carry_out.register
-def _(command: ReportTo, site: Site, seat: Seat) -> None:
-    target = Seat(process=seat.process, role=command.origin)
+def _(command: ReportTo, site: Site, address: RoleAddress) -> None:
+    target = RoleAddress(process=address.process, role=command.origin)
     if target in site.world.roles:
         site.world.deliver(target, command.outcome)
         return
     outcome: Any = command.outcome
-    send_outcome(site, seat.process, command.origin, outcome)
+    send_outcome(site, address.process, command.origin, outcome)
 
 
 def send_outcome(site: Site, source: str, peer: str, outcome: Any) -> None:
@@ -97,15 +97,15 @@
     if isinstance(outcome, LinkEvent):
         site.send(source, peer, outcome)
         return
-    target = site.process_of.get(peer, "")
+    target = site.process_by_incarnation.get(peer, "")
     number = site.links.get((source, target))
-    if number is None or (source, target) in site.cut:
+    if number is None or (source, target) in site.cut_links:
         return
     for delay_s in site.world.delays(site.path):
         site.world.at(
             delay_s,
             lambda: (
-                site.tell(target, outcome)
+                site.deliver_to_process(target, outcome)
                 if site.links.get((source, target)) == number
                 else None
             ),
@@ -117,74 +117,74 @@
 
 @carry_out.register(AnswerCall)
 @carry_out.register(RefuseCall)
-def _(command: AnswerCall | RefuseCall, site: Site, seat: Seat) -> None:
+def _(command: AnswerCall | RefuseCall, site: Site, address: RoleAddress) -> None:
     answers = site.answers.setdefault(command.call_id, [])
     answers.append(command)
     if len(answers) > 1:
-        site.violate(f"call {command.call_id} was answered twice")
+        site.record_violation(f"call {command.call_id} was answered twice")
     request_id = site.calls[command.call_id].request_id
-    told = described(command)
-    if told.startswith("answered") and told != f"answered done {request_id}":
-        site.violate(f"call {command.call_id} got another's answer: {told}")
+    outcome = describe_answer(command)
+    if outcome.startswith("answered") and outcome != f"answered done {request_id}":
+        site.record_violation(f"call {command.call_id} got another's answer: {outcome}")
 
 
 @carry_out.register(Reply)
 @carry_out.register(Reject)
-def _(command: Reply | Reject, site: Site, seat: Seat) -> None:
+def _(command: Reply | Reject, site: Site, address: RoleAddress) -> None:
     site.replies[command.call_id] = command
 
 
 @carry_out.register(GuardDone)
 @carry_out.register(RouterDone)
 @carry_out.register(CellOwnerDone)
-def _(command: Command, site: Site, seat: Seat) -> None:
-    site.done_processes.add((seat.process, seat.role))
+def _(command: Command, site: Site, address: RoleAddress) -> None:
+    site.finished_roles.add((address.process, address.role))
 
 
 # Backend servers.
 
 
 @carry_out.register
-def _(command: RunOnBackend, site: Site, seat: Seat) -> None:
+def _(command: RunOnBackend, site: Site, address: RoleAddress) -> None:
     site.runs[command.request_id] += 1
     if site.runs[command.request_id] > 1:
-        site.violate(f"request {command.request_id} ran twice")
+        site.record_violation(f"request {command.request_id} ran twice")
     event = BackendAnswered(
         execution_id=command.execution_id, status=200, body=b"done " + command.body
     )
-    site.world.deliver(seat, event, Path(delay_s=BACKEND_S))
+    site.world.deliver(address, event, Path(delay_s=BACKEND_DELAY_S))
 
 
 @carry_out.register
-def _(command: CheckBackend, site: Site, seat: Seat) -> None:
-    site.world.deliver(seat, HealthChecked(healthy=True), Path(delay_s=0.001))
+def _(command: CheckBackend, site: Site, address: RoleAddress) -> None:
+    site.world.deliver(address, HealthChecked(healthy=True), Path(delay_s=0.001))
 
 
 # The table service.
 
 
 @carry_out.register
-def _(command: Transact, site: Site, seat: Seat) -> None:
+def _(command: Transact, site: Site, address: RoleAddress) -> None:
     ids: dict[str, Any] = {
         "lane": command.lane,
         "transaction_id": command.transaction_id,
     }
     if site.store_mode == "down":
         refused = TransactionRefused(**ids, reason="down")
-        site.world.deliver(seat, refused, Path(delay_s=STORE_REFUSES_S))
+        site.world.deliver(address, refused, Path(delay_s=STORE_ANSWER_DELAY_S))
         return
-    loses = site.store_mode == "lose_answers"
-    slow_s = site.store_delay_s
+    answers_lost = site.store_mode == "lose_answers"
+    store_delay_s = site.store_delay_s
     lost = TransactionLost(**ids, reason="no answer")
-    if loses or slow_s >= command.timeout_s:
-        site.world.deliver(seat, lost, Path(delay_s=command.timeout_s))
+    if answers_lost or store_delay_s >= command.timeout_s:
+        site.world.deliver(address, lost, Path(delay_s=command.timeout_s))
 
     def arrive() -> None:
         event = commit(command, site)
-        if not loses and slow_s < command.timeout_s:
-            site.world.deliver(seat, event, Path(delay_s=STORE_REFUSES_S))
+        if not answers_lost and store_delay_s < command.timeout_s:
+            site.world.deliver(address, event, Path(delay_s=STORE_ANSWER_DELAY_S))
 
-    site.world.at(slow_s, arrive)
+    site.world.at(store_delay_s, arrive)
 
 
 def commit(command: Transact, site: Site) -> Any:
@@ -209,11 +209,11 @@
         site.store = result.state
         return TransactionCommitted(**ids, revision=result.revision)
     rows = [row for row in result.conflicting_rows if row.key != fence.key]
-    stood = [row for row in result.conflicting_rows if row.key == fence.key]
+    fence_rows = [row for row in result.conflicting_rows if row.key == fence.key]
     return TransactionConflicted(
         **ids,
         rows=tuple(versioned(row) for row in rows),
-        fence=fence_of(stood[0]) if stood else None,
+        fence=fence_of(fence_rows[0]) if fence_rows else None,
     )
 
 
@@ -227,7 +227,7 @@
     """Check that no outcome of a task is written over, and note drains."""
     for write in command.writes:
         if write.key.startswith("done/") and site.row(write.key) is not None:
-            site.violate(f"done twice: {write.key}")
+            site.record_violation(f"done twice: {write.key}")
         if write.key.startswith("record/failure_domain/"):
             row: Any = write.row
             name = row.record.name
@@ -237,13 +237,13 @@
 
 
 @carry_out.register
-def _(command: ReadRows, site: Site, seat: Seat) -> None:
+def _(command: ReadRows, site: Site, address: RoleAddress) -> None:
     failed = ReadFailed(read_id=command.read_id, reason="store")
     if site.store_mode == "down":
-        site.world.deliver(seat, failed, Path(delay_s=STORE_REFUSES_S))
+        site.world.deliver(address, failed, Path(delay_s=STORE_ANSWER_DELAY_S))
         return
     if site.store_delay_s >= command.timeout_s:
-        site.world.deliver(seat, failed, Path(delay_s=command.timeout_s))
+        site.world.deliver(address, failed, Path(delay_s=command.timeout_s))
         return
 
     def arrive() -> None:
@@ -252,7 +252,7 @@
         )
         rows = tuple(versioned(row) for row in page.rows)
         event = RowsRead(read_id=command.read_id, revision=page.revision, rows=rows)
-        site.world.deliver(seat, event, Path(delay_s=STORE_REFUSES_S))
+        site.world.deliver(address, event, Path(delay_s=STORE_ANSWER_DELAY_S))
 
     site.world.at(site.store_delay_s, arrive)
 
@@ -266,7 +266,7 @@
     names: list[str] = []
     for name, state in site.workers.items():
         if not worker_core.running_size(state).fits(CAPACITY):
-            site.violate(f"{name} is over its capacity")
+            site.record_violation(f"{name} is over its capacity")
         names += [
             run.start.task_id
             for run in state.runs.rows()
@@ -274,11 +274,11 @@
             and name not in site.dead_workers
         ]
     for task in sorted({task for task in names if names.count(task) > 1}):
-        site.violate(f"{task} runs twice")
+        site.record_violation(f"{task} runs twice")
 
 
 @carry_out.register
-def _(command: StartTask, site: Site, seat: Seat) -> None:
+def _(command: StartTask, site: Site, address: RoleAddress) -> None:
     worker = command.worker_id
     ids: dict[str, Any] = {
         "worker_id": worker,
@@ -286,9 +286,9 @@
         "generation": command.generation,
     }
     if site.world.now > command.not_after or worker in site.dead_workers:
-        site.world.deliver(seat, StartNotSent(problem=PROBLEM, **ids))
+        site.world.deliver(address, StartNotSent(problem=PROBLEM, **ids))
         return
-    told = Start(
+    start = Start(
         task_id=command.task_id,
         generation=command.generation,
         lease_s=command.lease_s,
@@ -301,26 +301,31 @@
         if worker in site.dead_workers:
             return
         drained_at = site.drained_at.get(WORKERS[worker])
-        if drained_at is not None and site.world.now > drained_at + DRAIN_BOUND_S:
-            site.violate(f"{command.task_id} started in a drained failure domain")
+        if (
+            drained_at is not None
+            and site.world.now > drained_at + MAX_START_AFTER_DRAIN_S
+        ):
+            site.record_violation(
+                f"{command.task_id} started in a drained failure domain"
+            )
         if site.row(f"done/{command.task_id}") is not None:
-            site.violate(f"{command.task_id} started again after its outcome")
+            site.record_violation(f"{command.task_id} started again after its outcome")
         state = site.workers[worker]
-        site.workers[worker] = worker_core.start(state, told, site.world.now)
+        site.workers[worker] = worker_core.start(state, start, site.world.now)
         check_workers(site)
-        answer(site, seat, worker, Started(**ids))
+        deliver_answer(site, address, worker, Started(**ids))
 
-    site.world.at(WORKER_S, arrive)
+    site.world.at(WORKER_DELAY_S, arrive)
     lost = StartUnknown(problem=PROBLEM, **ids)
-    lose(site, seat, worker, lost)
+    report_lost_answer(site, address, worker, lost)
 
 
 @carry_out.register
-def _(command: StopTask, site: Site, seat: Seat) -> None:
+def _(command: StopTask, site: Site, address: RoleAddress) -> None:
     worker = command.worker_id
     unanswered = StopUnanswered(worker_id=worker, problem=PROBLEM)
     if site.world.now > command.not_after or worker in site.dead_workers:
-        site.world.deliver(seat, unanswered, Path(delay_s=WORKER_S))
+        site.world.deliver(address, unanswered, Path(delay_s=WORKER_DELAY_S))
         return
     site.advance()
     site.workers[worker] = worker_core.stop(
@@ -330,18 +335,18 @@
         command.checkpoint,
         site.world.now,
     )
-    answer(site, seat, worker, StopAnswered(worker_id=worker))
-    lose(site, seat, worker, unanswered)
+    deliver_answer(site, address, worker, StopAnswered(worker_id=worker))
+    report_lost_answer(site, address, worker, unanswered)
 
 
 @carry_out.register
-def _(command: AskReport, site: Site, seat: Seat) -> None:
+def _(command: AskReport, site: Site, address: RoleAddress) -> None:
     worker = command.worker_id
     unanswered = ReportUnanswered(
         worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
     )
     if site.world.now > command.not_after or worker in site.dead_workers:
-        site.world.deliver(seat, unanswered, Path(delay_s=WORKER_S))
+        site.world.deliver(address, unanswered, Path(delay_s=WORKER_DELAY_S))
         return
     site.advance()
     renewals = tuple(
@@ -354,17 +359,19 @@
     reported = WorkerReported(
         worker_id=worker, requested_at=command.requested_at, runs=runs_of(state)
     )
-    answer(site, seat, worker, reported)
-    lose(site, seat, worker, unanswered)
+    deliver_answer(site, address, worker, reported)
+    report_lost_answer(site, address, worker, unanswered)
 
 
-def answer(site: Site, seat: Seat, worker: str, event: Any) -> None:
+def deliver_answer(site: Site, address: RoleAddress, worker: str, event: Any) -> None:
     """Give the owner a worker's answer, unless the worker's answers are lost."""
     if worker not in site.lossy_workers:
-        site.world.deliver(seat, event, Path(delay_s=WORKER_S))
+        site.world.deliver(address, event, Path(delay_s=WORKER_DELAY_S))
 
 
-def lose(site: Site, seat: Seat, worker: str, event: Any) -> None:
+def report_lost_answer(
+    site: Site, address: RoleAddress, worker: str, event: Any
+) -> None:
     """Tell the owner that no answer came, if the worker's answers are lost."""
     if worker in site.lossy_workers:
-        site.world.deliver(seat, event, Path(delay_s=ANSWER_LOST_S))
+        site.world.deliver(address, event, Path(delay_s=LOST_ANSWER_TIMEOUT_S))
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -25,11 +25,17 @@
 from bulrushpulley.entities.rows import TaskState
 from bulrushpulley.entities.step import Command, Tell
 from bulrushpulley.roles import cell_owner, controller
-from test.cell_bench import DELIVERY_DELAY_S, DOMAIN, SIZE, CellBench, seat
+from test.cell_bench import (
+    DELIVERY_DELAY_S,
+    DOMAIN,
+    SIZE,
+    CellBench,
+    cell_owner_address,
+)
 from test.control_bench import submit_record
-from test.virtual_world import Dice, Seat, VirtualWorld
+from test.virtual_world import RandomGenerator, RoleAddress, VirtualWorld
 
-ENTRY = Seat(process="entry-1", role="controller")
+ENTRY = RoleAddress(process="entry-1", role="controller")
 
 
 class ControlledBench(CellBench):
@@ -53,7 +59,9 @@
         """Start an agent and link it to the entry."""
         role = cell_owner.build(agent=name, incarnation=name, region="ege")
         self.world.start(name, [role])
-        self.world.deliver(seat(name), LinkUp(peer="entry-1", region="ege"))
+        self.world.deliver(
+            cell_owner_address(name), LinkUp(peer="entry-1", region="ege")
+        )
         self.world.deliver(ENTRY, LinkUp(peer=name, region="ege"))
         self._announce(name)
 
@@ -86,7 +94,9 @@
         """Submit a record as an operator."""
         self.call(submit_record(record))
 
-    def _carry_out(self, world: VirtualWorld, owner: Seat, command: Command) -> None:
+    def _carry_out(
+        self, world: VirtualWorld, owner: RoleAddress, command: Command
+    ) -> None:
         if owner != ENTRY:
             super()._carry_out(world, owner, command)
             if isinstance(command, Send) and isinstance(command.item, CellSummary):
@@ -102,7 +112,7 @@
 
     def _deliver_to_agent(self, peer: str, item: Any) -> None:
         if self.world.alive(peer):
-            self.world.deliver(seat(peer), replace(item, peer="entry-1"))
+            self.world.deliver(cell_owner_address(peer), replace(item, peer="entry-1"))
 
     def _handle_tell(self, event: Any) -> None:
         if isinstance(event, Submitted):
@@ -203,7 +213,7 @@
     def __init__(self, *, bench: ControlledBench, seed: int) -> None:
         self._bench = bench
         self._calls = 0
-        bench.world.dice = Dice(state=seed)
+        bench.world.rng = RandomGenerator(state=seed)
 
     def run(self) -> None:
         """Run the mix, then clear all faults and let the tasks complete."""
@@ -239,7 +249,7 @@
         )
 
     def _draw(self, sides: int) -> int:
-        number, self._bench.world.dice = self._bench.world.dice.roll(sides * 1000)
+        number, self._bench.world.rng = self._bench.world.rng.draw(sides * 1000)
         return number % sides
 
     def _restart(self, name: str, down: bool) -> None:
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -16,7 +16,7 @@
 from bulrushpulley.systems.cell import quarantine as cell_quarantine
 from bulrushpulley.systems.cell import stop as cell_stop
 from standins.worker_core import running_size
-from test.cell_bench import CAPACITY, CellBench, failing, seat
+from test.cell_bench import CAPACITY, CellBench, cell_owner_address, failing
 
 LATENCY_CRITICAL = {"task_class": TaskClass.LATENCY_CRITICAL, "kind": "service"}
 
@@ -145,7 +145,7 @@
         bench.job("curves", tasks=100, run_s=500.0)
         bench.agent("a")
         bench.run(5.0)
-        bench.world.deliver(seat("a"), JobCancelled(job="curves"))
+        bench.world.deliver(cell_owner_address("a"), JobCancelled(job="curves"))
         bench.run(8.0)
         done = {bench.done(f"curves/{index}") for index in range(100)}
         self.assertEqual({TaskState.CANCELLED}, done)
@@ -237,7 +237,7 @@
         bench.job("curves", run_s=60.0)
         bench.agent("a")
         bench.run(5.0)
-        bench.world.deliver(seat("a"), Leave())
+        bench.world.deliver(cell_owner_address("a"), Leave())
         bench.run(5.0)
         self.assertEqual("", bench.row("lease/c0").owner)
         commands = [(at, c) for at, agent, c in bench.commands if agent == "a"]
@@ -258,7 +258,7 @@
         bench.agent("a")
         bench.run(5.0)
         bench.store_up = False
-        bench.world.deliver(seat("a"), Leave())
+        bench.world.deliver(cell_owner_address("a"), Leave())
         bench.run(15.0)
         kinds = [type(command) for _, _, command in bench.commands]
         self.assertEqual(1, kinds.count(CellOwnerDone))
@@ -315,5 +315,5 @@
         return self._draw(bench, 2) == 0
 
     def _draw(self, bench: CellBench, sides: int) -> int:
-        number, bench.world.dice = bench.world.dice.roll(sides * 1000)
+        number, bench.world.rng = bench.world.rng.draw(sides * 1000)
         return number % sides
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -22,8 +22,8 @@
 from bulrushpulley.systems.cell import stop as cell_stop
 from bulrushpulley.systems.cell import watch as cell_watch
 from bulrushpulley.systems.cell.liveness import autonomy_deadline
-from test.cell_bench import SIZE, CellBench, runs_of, seat
-from test.virtual_world import Seat, VirtualWorld
+from test.cell_bench import SIZE, CellBench, cell_owner_address, runs_of
+from test.virtual_world import RoleAddress, VirtualWorld
 
 
 def writes_start(submission: Submission) -> bool:
@@ -79,14 +79,14 @@
 def with_paused_owner(bench: CellBench) -> None:
     """Pause an owner right before it sends a start, and have it replaced meanwhile."""
 
-    def pause(world: VirtualWorld, owner: Seat, command: Command) -> None:
+    def pause(world: VirtualWorld, owner: RoleAddress, command: Command) -> None:
         if isinstance(command, StartTask) and owner.process == "a":
-            world.watches.clear()
+            world.command_hooks.clear()
             world.pause("a", 60.0)
 
     bench.job("curves", run_s=90.0)
     bench.agent("a")
-    bench.world.watches.append(pause)
+    bench.world.command_hooks.append(pause)
     bench.run(2.0)
     bench.agent("b")
     bench.run(120.0)
@@ -150,7 +150,7 @@
         requested_at=worker.report_requested_at or worker.reported_at or 0.0,
         runs=early,
     )
-    bench.world.deliver(seat("a"), late)
+    bench.world.deliver(cell_owner_address("a"), late)
     bench.run(5.0)
 
 
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -14,7 +14,7 @@
 from bulrushpulley.systems.guard import requests as guard_requests
 from bulrushpulley.systems.route import choice as route_choice
 from test.request_world import SERVICE, RequestWorld
-from test.virtual_world import Seat
+from test.virtual_world import RoleAddress
 
 DISPATCHES = 40
 AGENT_CAPACITY = 16
@@ -48,11 +48,11 @@
     """Record the items that the processes send from now on."""
     found: list[Send] = []
 
-    def watch(_: object, seat: Seat, command: Command) -> None:
+    def watch(_: object, address: RoleAddress, command: Command) -> None:
         if isinstance(command, Send):
             found.append(command)
 
-    world.world.watches.append(watch)
+    world.world.command_hooks.append(watch)
     return found
 
 
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -14,34 +14,34 @@
 
 from bulrushpulley.systems.cell import start as cell_start
 from bulrushpulley.systems.guard import requests as guard_requests
-from test.matrix import Cell, run_cell
+from test.matrix import FaultCase, run_case
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class GuardOut:
+class Mutation:
     """A guard, what stands in its place, the cell and a word of the violation."""
 
     name: str
     patches: tuple[tuple[Any, str, Any], ...]
-    cell: Cell
+    case: FaultCase
     violation: str
 
 
-def never_known(tables: Any, request_id: str, waiter: Any) -> None:
+def never_join_known(tables: Any, request_id: str, waiter: Any) -> None:
     """Forget every id that ran."""
 
 
 CASES = (
-    GuardOut(
+    Mutation(
         name="an agent that forgets ids runs a repeated request twice",
-        patches=((guard_requests, "join_known", never_known),),
-        cell=Cell(step="request dispatched", faults=("message repeated",)),
+        patches=((guard_requests, "join_known", never_join_known),),
+        case=FaultCase(step="request dispatched", faults=("message repeated",)),
         violation="ran twice",
     ),
-    GuardOut(
+    Mutation(
         name="a start that may leave late comes after the next owner's run",
         patches=((cell_start, "START_WINDOW_S", 1_000.0),),
-        cell=Cell(step="task start sent", faults=("process paused",)),
+        case=FaultCase(step="task start sent", faults=("process paused",)),
         violation="started again",
     ),
 )
@@ -49,19 +49,21 @@
 
 class MatrixGuardTest(testtools.TestCase):
     def test_a_cell_goes_red_without_its_guard(self) -> None:
-        for case in CASES:
-            with self.subTest(case.name):
-                self.assertEqual((), run_cell(case.cell).violations)
-                found = violations_without(case)
-                self.assertTrue(any(case.violation in one for one in found), found)
+        for mutation in CASES:
+            with self.subTest(mutation.name):
+                self.assertEqual((), run_case(mutation.case).violations)
+                violations = violations_without(mutation)
+                self.assertTrue(
+                    any(mutation.violation in one for one in violations), violations
+                )
 
 
-def violations_without(case: GuardOut) -> tuple[str, ...]:
+def violations_without(mutation: Mutation) -> tuple[str, ...]:
     """Run the case's cell with its guard taken out."""
-    patches = [mock.patch.object(*patch) for patch in case.patches]
+    patches = [mock.patch.object(*patch) for patch in mutation.patches]
     for patch in patches:
         patch.start()
     try:
-        return run_cell(case.cell).violations
+        return run_case(mutation.case).violations
     finally:
         mock.patch.stopall()
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -13,7 +13,7 @@
 import testtools
 import urllib3
 
-from scripts.fleet import HOST, Fleet, ask, make_layout
+from scripts.fleet import HOST, Fleet, get_json, make_layout
 from standins.caller import Caller, Target, count_runs, make_calls
 from standins.caller_core import Report, plan, tally
 
@@ -39,7 +39,7 @@
         )
         folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-test-"))
         fleet = Fleet(layout=layout, folder=folder)
-        self.addCleanup(fleet.end_all)
+        self.addCleanup(fleet.kill_all)
         fleet.start_all()
         for url in layout.operator_urls:
             self.wait_for_agents(url, agents)
@@ -50,7 +50,7 @@
     ) -> None:
         deadline = time.monotonic() + timeout_s
         while True:
-            status = ask(url, "/v1/status")
+            status = get_json(url, "/v1/status")
             if len(status.get("agents", [])) == count:
                 return
             self.assertTrue(time.monotonic() < deadline, status)
@@ -87,7 +87,7 @@
         layout = make_layout("firinzeka", ["entry-1"], [])
         folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-test-"))
         fleet = Fleet(layout=layout, folder=folder)
-        self.addCleanup(fleet.end_all)
+        self.addCleanup(fleet.kill_all)
         with socket.create_server((HOST, layout.entries[0].callers)):
             program = fleet.start_entry(layout.entries[0])
             self.assertEqual(1, program.process.wait(READY_TIMEOUT_S))
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -24,22 +24,22 @@
 from bulrushpulley.systems.route import recall as route_recall
 from bulrushpulley.systems.route.finish import deadline_problem
 from test.request_world import RequestWorld
-from test.virtual_world import Path, Seat
+from test.virtual_world import Path, RoleAddress
 
 
 def kill_after(world: RequestWorld, kind: type[Command], item: type[Any]) -> None:
     """Kill e1 as soon as it has carried out a command of `kind` with an `item`."""
 
-    def watch(_: object, seat: Seat, command: Command) -> None:
+    def watch(_: object, address: RoleAddress, command: Command) -> None:
         about = getattr(command, "item", getattr(command, "event", None))
         if (
-            seat.process == "e1"
+            address.process == "e1"
             and isinstance(command, kind)
             and isinstance(about, item)
         ):
             world.world.at(0.0, lambda: world.kill("e1"))
 
-    world.world.watches.append(watch)
+    world.world.command_hooks.append(watch)
 
 
 def same_moment(world: RequestWorld) -> None:
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Seat:
+class RoleAddress:
     """One role of one process."""
 
     process: str
@@ -40,19 +40,19 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Dice:
+class RandomGenerator:
     """A small reproducible source of chance."""
 
     state: int = 1
 
-    def roll(self, sides: int) -> tuple[int, Dice]:
+    def draw(self, bound: int) -> tuple[int, RandomGenerator]:
         """Return a number below `sides` and the next dice."""
         state = (self.state * RANDOM_FACTOR) % RANDOM_MODULUS
-        return state % sides, Dice(state=state)
+        return state % bound, RandomGenerator(state=state)
 
 
-CarryOut = Callable[["VirtualWorld", Seat, Command], None]
-Watch = Callable[["VirtualWorld", Seat, Command], None]
+CarryOut = Callable[["VirtualWorld", RoleAddress, Command], None]
+CommandHook = Callable[["VirtualWorld", RoleAddress, Command], None]
 
 
 class VirtualWorld:
@@ -60,12 +60,12 @@
 
     def __init__(self, *, carry_out: CarryOut, seed: int = 1) -> None:
         self.now = 0.0
-        self.dice = Dice(state=seed)
-        self.tables: dict[Seat, Any] = {}
-        self.roles: dict[Seat, Role[Any]] = {}
-        self.births: dict[str, int] = {}
+        self.rng = RandomGenerator(state=seed)
+        self.tables: dict[RoleAddress, Any] = {}
+        self.roles: dict[RoleAddress, Role[Any]] = {}
+        self.incarnations: dict[str, int] = {}
         self.paused_until: dict[str, float] = {}
-        self.watches: list[Watch] = []
+        self.command_hooks: list[CommandHook] = []
         self._carry_out = carry_out
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
@@ -78,45 +78,49 @@
     def start(self, process: str, roles: Iterable[Role[Any]]) -> None:
         """Start a process; starting it again replaces it with empty tables."""
         self.kill(process)
-        birth = self.births[process] = self.births.get(process, 0) + 1
+        incarnation = self.incarnations[process] = self.incarnations.get(process, 0) + 1
         for role in roles:
-            seat = Seat(process=process, role=role.name)
-            self.roles[seat] = role
-            self.tables[seat] = role.tables
-        self.at(0.0, lambda: self._tick_all(process, birth))
+            address = RoleAddress(process=process, role=role.name)
+            self.roles[address] = role
+            self.tables[address] = role.tables
+        self.at(0.0, lambda: self._tick_all(process, incarnation))
 
     def kill(self, process: str) -> None:
         """End a process at once; whatever it held is gone."""
-        for seat in [seat for seat in self.roles if seat.process == process]:
-            del self.roles[seat], self.tables[seat]
-        self.births[process] = self.births.get(process, 0) + 1
+        for address in [
+            address for address in self.roles if address.process == process
+        ]:
+            del self.roles[address], self.tables[address]
+        self.incarnations[process] = self.incarnations.get(process, 0) + 1
         self.paused_until.pop(process, None)
 
     def alive(self, process: str) -> bool:
         """Tell whether the process runs (it may be paused)."""
-        return any(seat.process == process for seat in self.roles)
+        return any(address.process == process for address in self.roles)
 
     def pause(self, process: str, seconds: float) -> None:
         """Freeze a process; events wait, and so do commands not yet carried out."""
         self.paused_until[process] = self.now + seconds
 
-    def deliver(self, seat: Seat, event: Event, path: Path | None = None) -> None:
+    def deliver(
+        self, address: RoleAddress, event: Event, path: Path | None = None
+    ) -> None:
         """Have a role told an event over a path, unless the process dies first."""
-        birth = self.births.get(seat.process, 0)
+        incarnation = self.incarnations.get(address.process, 0)
         for delay_s in self.delays(path or Path(delay_s=0.0)):
-            self.at(delay_s, lambda: self._tell(seat, birth, (event,)))
+            self.at(delay_s, lambda: self._tick_role(address, incarnation, (event,)))
 
     def delays(self, path: Path) -> tuple[float, ...]:
         """Return the delay of each copy of a message on a path; none if it is lost."""
-        lost, self.dice = self.dice.roll(100)
-        repeated, self.dice = self.dice.roll(100)
-        if lost < path.lose_percent:
+        loss_draw, self.rng = self.rng.draw(100)
+        repeat_draw, self.rng = self.rng.draw(100)
+        if loss_draw < path.lose_percent:
             return ()
-        found: list[float] = []
-        for _ in range(2 if repeated < path.repeat_percent else 1):
-            part, self.dice = self.dice.roll(1000)
-            found.append(path.delay_s + path.jitter_s * part / 1000)
-        return tuple(found)
+        delays_s: list[float] = []
+        for _ in range(2 if repeat_draw < path.repeat_percent else 1):
+            permille, self.rng = self.rng.draw(1000)
+            delays_s.append(path.delay_s + path.jitter_s * permille / 1000)
+        return tuple(delays_s)
 
     def run(self, until: float) -> None:
         """Let everything happen up to a time."""
@@ -125,48 +129,59 @@
             action()
         self.now = until
 
-    def change(self, seat: Seat, **fields: Any) -> None:
+    def change(self, address: RoleAddress, **fields: Any) -> None:
         """Replace fields of a role's tables, to set up a case."""
-        self.tables[seat] = replace(self.tables[seat], **fields)
+        self.tables[address] = replace(self.tables[address], **fields)
 
-    def _frozen_for(self, process: str) -> float:
+    def _remaining_pause_s(self, process: str) -> float:
         return max(0.0, self.paused_until.get(process, 0.0) - self.now)
 
-    def _tick_all(self, process: str, birth: int) -> None:
-        if self.births.get(process) != birth:
+    def _tick_all(self, process: str, incarnation: int) -> None:
+        if self.incarnations.get(process) != incarnation:
             return
-        for seat in [seat for seat in self.roles if seat.process == process]:
-            self._tell(seat, birth, ())
-        wait = max(TICK_INTERVAL_S, self._frozen_for(process))
-        self.at(wait, lambda: self._tick_all(process, birth))
-
-    def _tell(self, seat: Seat, birth: int, events: tuple[Event, ...]) -> None:
-        if self.births.get(seat.process) != birth or seat not in self.roles:
+        for address in [
+            address for address in self.roles if address.process == process
+        ]:
+            self._tick_role(address, incarnation, ())
+        wait = max(TICK_INTERVAL_S, self._remaining_pause_s(process))
+        self.at(wait, lambda: self._tick_all(process, incarnation))
+
+    def _tick_role(
+        self, address: RoleAddress, incarnation: int, events: tuple[Event, ...]
+    ) -> None:
+        if (
+            self.incarnations.get(address.process) != incarnation
+            or address not in self.roles
+        ):
             return
-        frozen = self._frozen_for(seat.process)
-        if frozen:
+        pause_s = self._remaining_pause_s(address.process)
+        if pause_s:
             if events:
-                self.at(frozen, lambda: self._tell(seat, birth, events))
+                self.at(pause_s, lambda: self._tick_role(address, incarnation, events))
             return
-        step = self.roles[seat].tick(self.tables[seat], events, self.now)
-        self.tables[seat] = step.tables
+        step = self.roles[address].tick(self.tables[address], events, self.now)
+        self.tables[address] = step.tables
         for command in step.commands:
-            self._leave(seat, birth, command)
+            self._execute_command(address, incarnation, command)
 
-    def _leave(self, seat: Seat, birth: int, command: Command) -> None:
+    def _execute_command(
+        self, address: RoleAddress, incarnation: int, command: Command
+    ) -> None:
         """Carry out a command, later if a watch has just paused the process."""
-        if self.births.get(seat.process) != birth:
+        if self.incarnations.get(address.process) != incarnation:
             return
-        frozen = self._frozen_for(seat.process)
-        if frozen:
-            self.at(frozen, lambda: self._leave(seat, birth, command))
+        pause_s = self._remaining_pause_s(address.process)
+        if pause_s:
+            self.at(
+                pause_s, lambda: self._execute_command(address, incarnation, command)
+            )
             return
-        for watch in tuple(self.watches):
-            watch(self, seat, command)
-        if self.births.get(seat.process) != birth:
+        for hook in tuple(self.command_hooks):
+            hook(self, address, command)
+        if self.incarnations.get(address.process) != incarnation:
             return
-        frozen = self._frozen_for(seat.process)
-        if frozen:
-            self.at(frozen, lambda: self._carry_out(self, seat, command))
+        pause_s = self._remaining_pause_s(address.process)
+        if pause_s:
+            self.at(pause_s, lambda: self._carry_out(self, address, command))
             return
-        self._carry_out(self, seat, command)
+        self._carry_out(self, address, command)
