Reword the texts of the soak

Docstrings and the details of violated invariants were figurative or too short to be understood without the code: promises, sights, lives, harm. They now say which observation is checked, which fault is injected and which invariant was violated. The comment on the start of the planned changes gave 2 s as the longest time that faults last; the plan draws up to 4 s. The docstring of JobPlan listed a field of steps that does not exist.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,6 +1,7 @@
-"""A soak of the job programs as real processes on loopback, with faults by a seed.
+"""A soak test of the job programs, as real processes on loopback with seeded faults.
 
-`plan` draws what happens when, `site` starts processes and carries faults out, `proxy`
-harms connections, `callers` submit jobs and note the answers, `promises` judges what
-callers and backend servers saw, `picture` shows it, and `run` puts a run together.
+`plan` draws the schedule of faults and jobs, `site` starts processes and injects the
+faults, `proxy` injects those of connections, `callers` submit jobs and record the
+answers, `invariants` checks the observations of callers and backend servers, `picture`
+charts them, and `run` executes a run.
 """
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,7 +1,7 @@
-"""Callers of a run: they submit jobs, ask for states and cancel, over kept connections.
+"""Simulated callers, which submit jobs, poll their states and cancel them.
 
-Each caller keeps its connection until it breaks, then goes to the next entry, as
-clients behind the platform's balancer do.
+Each caller keeps its connection until it fails, then connects to the next entry, as
+clients behind the platform's load balancer do.
 """
 
 from __future__ import annotations
@@ -29,14 +29,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply:
-    """An answer; status 0 stands for none."""
+    """The response to a request; status 0 if there was none."""
 
     status: int
     body: dict[str, object]
 
 
 class Connection:
-    """One caller's connection to whichever entry serves it."""
+    """The connection of one caller to its current entry."""
 
     def __init__(self, urls: tuple[str, ...], first_entry: int) -> None:
         self._urls = urls
@@ -44,7 +44,7 @@
         self._pool = urllib3.PoolManager(num_pools=4, maxsize=1, retries=False)
 
     def call(self, method: str, job_id: str, body: object = None) -> Reply:
-        """Send one request; moves on to the next entry where this one fails."""
+        """Send one request; switch to the next entry after a failure."""
         url = self._urls[self._entry_index % len(self._urls)]
         try:
             answer = self._pool.request(
@@ -58,7 +58,7 @@
                 },
             )
         except urllib3.exceptions.NewConnectionError:
-            # Nothing was sent, so this is as sure as a refusal.
+            # Nothing was sent, so the outcome is known, as with a refusal.
             self._entry_index += 1
             return Reply(status=REFUSAL_STATUSES[-1], body={})
         except urllib3.exceptions.HTTPError:
@@ -78,7 +78,7 @@
 
 
 def body_of(job: JobPlan) -> dict[str, object]:
-    """Return the body that submits a job."""
+    """Return the body of the request that submits a job."""
     steps = [
         {
             "Count": count,
@@ -96,14 +96,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Caller:
-    """Takes one job through its life; `see` is told what it saw."""
+    """Submits and follows one job; observations are passed to `record`."""
 
     connection: Connection
     record: Callable[[Observation], None]
     stop: threading.Event
 
     def run(self, job: JobPlan) -> None:
-        """Submit a job, follow it, and cancel it when its plan says so."""
+        """Submit a job, poll its state, and cancel it if planned."""
         if not self._submit(job):
             return
         accepted_at = time.monotonic()
@@ -136,7 +136,7 @@
         self.record(Answered(at=at, job_id=job.job_id, answer=answer, final=final))
 
     def query_state(self, job_id: str) -> str:
-        """Ask for the state of a job; empty where no answer came."""
+        """Return the state of a job; empty if there was no answer."""
         reply = self.connection.call("GET", job_id)
         state = "gone" if reply.status == 410 else str(reply.body.get("State", ""))
         if state:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,7 +1,8 @@
-"""Judges what callers and backend servers saw, one sight after another.
+"""Checks the observations of callers and backend servers against invariants.
 
-Sights are taken in the order of their time. `judge` returns the tables after a sight;
-a broken promise adds a line to `broken`. Times are steady, in seconds.
+Observations are handled in the order of their time. `check_observation` returns the
+tables after an observation; a violated invariant adds a line to `violations`. Times
+are monotonic, in seconds.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 from soak.plan import JobPlan
 
-# The bounds of the users' pages for planned changes, in calm times.
+# The bounds documented for users for planned changes while there are no faults.
 MAX_CANCEL_TIME_S = 3.0
 MAX_EVACUATION_TIME_S = 5.0
 MAX_VISIBILITY_DELAY_S = 3.0
@@ -21,14 +22,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Observation:
-    """The base of what was seen, at `at`."""
+    """Base of the observations; `at` is the time."""
 
     at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Started(Observation):
-    """A backend server began a run."""
+    """A backend server started a run."""
 
     host: str
     failure_domain: str
@@ -48,7 +49,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Noted(Observation):
-    """A backend server was told that the end of a run is noted."""
+    """The end of a run was acknowledged to its backend server."""
 
     task: str
     how: str
@@ -56,16 +57,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerGone(Observation):
-    """A backend server is gone with all that it ran."""
+    """A backend server has exited, and all its runs with it."""
 
     host: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered(Observation):
-    """A caller's submission was answered: accepted, refused or unsure.
+    """A caller's submission was "accepted" or "refused", or its outcome is "unsure".
 
-    `final` says that the caller tries no more.
+    `final` is set if the caller will not try again.
     """
 
     job_id: str
@@ -82,7 +83,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Shown(Observation):
-    """A caller was shown the state of a job; `gone` where there is none."""
+    """A caller got the state of a job, or "gone" if the job is unknown."""
 
     job_id: str
     state: str
@@ -90,7 +91,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Evacuated(Observation):
-    """A failure domain was taken out of service, or `back`."""
+    """A failure domain was taken out of service, or `returned` to it."""
 
     failure_domain: str
     returned: bool = False
@@ -98,7 +99,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Running:
-    """A run that is on its backend server."""
+    """A run that is in progress on a backend server."""
 
     host: str
     run: int
@@ -106,7 +107,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tables:
-    """What has been seen so far; `calm` is the stretch without faults."""
+    """The state from the observations so far; `calm` is the time without faults."""
 
     job_by_id: PMap[str, JobPlan]
     capacity_m: int
@@ -126,16 +127,16 @@
     def with_violation(
         self, observation: Observation, invariant: str, detail: str
     ) -> Tables:
-        """Add a broken promise."""
+        """Add a violated invariant."""
         line = f"{invariant} at {observation.at:.2f}: {detail}"
         return replace(self, violations=(*self.violations, line))
 
     def is_calm(self, at: float) -> bool:
-        """Tell whether nothing has been harmed for a while."""
+        """Return whether `at` is in the time without faults."""
         return self.calm[0] <= at < self.calm[1]
 
     def job_of(self, task: str) -> JobPlan | None:
-        """Return the job of a task, if callers sent one with it."""
+        """Return the job that contains a task, if a caller submitted one."""
         job_id, _, rest = task.partition(".")
         job = self.job_by_id.get(job_id)
         numbers = [int(number) for number in rest.split(".")]
@@ -147,7 +148,7 @@
 
 @singledispatch
 def check_observation(observation: Observation, tables: Tables) -> Tables:
-    """Take one sight in."""
+    """Update the tables, and check the invariants that the observation concerns."""
     raise NotImplementedError(type(observation).__name__)
 
 
@@ -156,7 +157,7 @@
     job = tables.job_of(observation.task)
     if job is None:
         return tables.with_violation(
-            observation, "unasked", f"{observation.task} was never asked for"
+            observation, "unasked", f"{observation.task} was never submitted"
         )
     tables = replace(tables, starts=tables.starts + 1)
     for check in (
@@ -178,7 +179,7 @@
     if other is None:
         return tables
     detail = (
-        f"{observation.task}#{observation.run} on {observation.host} beside {other}"
+        f"{observation.task}#{observation.run} on {observation.host} besides {other}"
     )
     return tables.with_violation(observation, "twice", detail)
 
@@ -187,7 +188,9 @@
     if observation.task not in tables.noted or job.lasting:
         return tables
     return tables.with_violation(
-        observation, "again", f"{observation.task} ran after it was done"
+        observation,
+        "again",
+        f"{observation.task} started again after its completion was acknowledged",
     )
 
 
@@ -197,7 +200,9 @@
         for index in range(job.steps[before][0]):
             if f"{job.job_id}.0.{before}.{index}" not in tables.done:
                 return tables.with_violation(
-                    observation, "order", f"{observation.task} before {before}"
+                    observation,
+                    "order",
+                    f"{observation.task} started before step {before} was done",
                 )
     return tables
 
@@ -206,7 +211,7 @@
     if job.job_id not in tables.refused:
         return tables
     return tables.with_violation(
-        observation, "refused", f"{observation.task} of a refused job ran"
+        observation, "refused", f"{observation.task} of a refused job was started"
     )
 
 
@@ -221,7 +226,9 @@
     if not tables.is_calm(observation.at):
         return tables
     return tables.with_violation(
-        observation, "cancelled", f"{observation.task} ran after its job's end"
+        observation,
+        "cancelled",
+        f"{observation.task} was started after its job was cancelled",
     )
 
 
@@ -235,7 +242,7 @@
         or not tables.is_calm(observation.at)
     ):
         return tables
-    detail = f"{observation.task} began in {observation.failure_domain}"
+    detail = f"{observation.task} was started in evacuated {observation.failure_domain}"
     return tables.with_violation(observation, "evacuated", detail)
 
 
@@ -293,7 +300,7 @@
     refused = replace(tables, refused=tables.refused.add(job_id))
     if any(task.startswith(job_id) for task in (*tables.running, *tables.done)):
         return refused.with_violation(
-            observation, "refused", f"{job_id} ran and was refused"
+            observation, "refused", f"{job_id} was refused although tasks of it ran"
         )
     return refused
 
@@ -324,7 +331,7 @@
     )
     if observation.state == "gone" and late:
         return tables.with_violation(
-            observation, "lost", f"{job_id} is not known any more"
+            observation, "lost", f"{job_id} was accepted but is unknown to the entry"
         )
     tables = replace(
         tables, state_by_job=tables.state_by_job.set(job_id, observation.state)
@@ -334,7 +341,7 @@
     fails = tables.job_by_id[job_id].payload == "poison"
     if observation.state == "failed" and not fails:
         return tables.with_violation(
-            observation, "failed", f"{job_id} failed without cause"
+            observation, "failed", f"{job_id} failed unexpectedly"
         )
     return tables
 
@@ -346,13 +353,13 @@
             task = f"{job.job_id}.0.{number}.{index}"
             if task not in tables.done:
                 return tables.with_violation(
-                    observation, "complete", f"{task} has not ended"
+                    observation, "complete", f"{task} of a completed job is not done"
                 )
     return tables
 
 
 def unfinished(tables: Tables) -> tuple[str, ...]:
-    """Return the accepted jobs that have not come to their end."""
+    """Return the accepted jobs that must end but have not ended."""
     final_states = {"completed", "failed", "cancelled"}
     return tuple(
         sorted(
--- a/soak/picture.py
+++ b/soak/picture.py
@@ -1,7 +1,7 @@
-"""A run as a picture in text: what happened in each stretch of it.
+"""A text chart of a run with one line for each `PICTURE_INTERVAL_S`.
 
-Example of a line: the stretch, jobs accepted and refused, starts as a bar, and what was
-done to the site::
+A line has the start of the interval, the jobs accepted and refused, the started runs
+as a bar, and the faults injected::
 
       6 s   7 acc   0 ref  ######### 18  Kill StoreTrouble
 """
@@ -21,7 +21,7 @@
 
 @singledispatch
 def counter_name(observation: Observation) -> str:
-    """Return what a sight is counted as; most are not shown."""
+    """Return the counter of an observation; empty if it is not in the chart."""
     return ""
 
 
@@ -38,7 +38,7 @@
 def draw_picture(
     started_at: float, observations: Iterable[Observation], faults: Iterable[Fault]
 ) -> list[str]:
-    """Return the lines of a run that began at `began`."""
+    """Return the lines for a run that began at `started_at`."""
     counts: dict[int, Counter[str]] = defaultdict(Counter)
     for observation in observations:
         counts[int((observation.at - started_at) // PICTURE_INTERVAL_S)][
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,4 +1,4 @@
-"""What a run of the soak does when: faults and jobs, drawn from its seed."""
+"""The schedule of faults and jobs of a soak run, drawn from its seed."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fault:
-    """The base of what is done to the site, `at` seconds from its start."""
+    """Base of the faults, injected `at` seconds after the start of the run."""
 
     at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Kill(Fault):
-    """A process is killed, and started again after `for_s`."""
+    """A process is killed, and started again after `duration_s`."""
 
     name: str
     duration_s: float
@@ -30,14 +30,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Terminate(Fault):
-    """A process is told to stop, and started again once it has."""
+    """A process is terminated, and started again after its exit."""
 
     name: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pause(Fault):
-    """A process stands still."""
+    """A process is suspended."""
 
     name: str
     duration_s: float
@@ -45,14 +45,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reload(Fault):
-    """A process is told that its settings have changed."""
+    """A process reloads its settings."""
 
     name: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash(Fault):
-    """A backend server is killed, and another life begins after `for_s`."""
+    """A backend server is killed, and started again after `duration_s`."""
 
     host: str
     duration_s: float
@@ -60,14 +60,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Drain(Fault):
-    """A backend server says that it leaves, and another life begins later."""
+    """A backend server drains and exits, and is started again later."""
 
     host: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreTrouble(Fault):
-    """The store is down, slow, or loses its answers."""
+    """The store is down or slow, or its responses are lost."""
 
     mode: str
     duration_s: float
@@ -75,12 +75,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Compact(Fault):
-    """The store forgets its history."""
+    """The store deletes its history of changes."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Harm(Fault):
-    """The connections through one proxy are harmed."""
+    """A fault is injected into the connections through one proxy."""
 
     proxy: str
     fault_kind: str
@@ -89,12 +89,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reconfigure(Fault):
-    """A new version of the configuration comes into force."""
+    """A new version of the configuration is written."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Evacuate(Fault):
-    """A failure domain is taken out of service, and taken back."""
+    """A failure domain is taken out of service, and returned later."""
 
     failure_domain: str
     duration_s: float
@@ -102,7 +102,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SiteNames:
-    """The names of what a site consists of."""
+    """The names of the parts of a site."""
 
     entries: tuple[str, ...]
     agents: tuple[str, ...]
@@ -113,7 +113,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Plan:
-    """One run; between `calm_from` and `calm_until` nothing is harmed."""
+    """The faults of one run, with none from `calm_from` to `calm_until`.
+
+    Planned changes, such as an evacuation, are made in that time.
+    """
 
     seed: int
     seconds: float
@@ -123,7 +126,7 @@
 
 
 def draw(seed: int, seconds: float, names: SiteNames) -> Plan:
-    """Draw a run: trouble, a calm stretch with planned changes, and trouble again."""
+    """Draw a run: faults, a calm period with planned changes, and faults again."""
     rng = random.Random(seed)
     calm_from = (seconds - CALM_PERIOD_S) / 2
     calm_until = calm_from + CALM_PERIOD_S
@@ -131,12 +134,12 @@
     at = 1.0
     while at < seconds:
         if at < calm_from or at >= calm_until:
-            # A series: several faults of the same moment, which may overlap.
+            # Several faults at the same time, which may overlap.
             for _ in range(rng.choice((1, 1, 2, 3))):
                 faults.append(_fault(rng, at, names))
         at += rng.uniform(0.8, 3.0)
     domain = rng.choice(names.failure_domains)
-    # Every fault has ended 2 s after the last one began at the latest.
+    # By then the faults before the calm period, which last at most 4 s, have ended.
     changes_at = calm_from + CALM_PERIOD_S / 3
     calm: tuple[Fault, ...] = (
         Evacuate(
@@ -185,7 +188,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobPlan:
-    """One job of a run: its steps as (tasks, processors, seconds, earlier steps)."""
+    """One job of a run.
+
+    A step is (task count, thousandths of processors, numbers of the steps before it).
+    """
 
     at: float
     job_id: str
@@ -196,7 +202,7 @@
 
 
 def draw_jobs(seed: int, seconds: float, per_s: float) -> tuple[JobPlan, ...]:
-    """Draw the jobs of a run; a few last, are cancelled, or can never be done."""
+    """Draw the jobs of a run; a few run long, are cancelled, or always fail."""
     rng = random.Random(seed + 1)
     jobs: list[JobPlan] = []
     at = 0.5
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,8 +1,9 @@
-"""A loopback proxy that delays, resets, cuts and silences connections.
+"""A loopback proxy that injects faults into connections.
 
-All proxies of a run share one event loop in a thread of their own. A cut holds bytes
-of one direction back until it heals, as retransmission would; a silenced connection
-carries nothing any more, while new ones work.
+All proxies of a run share one event loop, which runs in its own thread. A cut holds
+back the bytes of one direction until the fault ends, as if packets were lost and
+retransmitted. After a silence, open connections never carry data again, while new
+ones work.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 
 class ProxiedConnection:
-    """A connection and the one that carries it on."""
+    """An accepted connection and the connection to the target."""
 
     def __init__(
         self, *, writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
@@ -31,7 +32,10 @@
 
 
 class Proxy:
-    """Carries connections from `port` to `target`; `held` names directions."""
+    """Forwards connections from `port` to the port `target`.
+
+    The directions in `held_directions` are cut.
+    """
 
     def __init__(self, *, port: int, target: int) -> None:
         self.port = port
@@ -41,7 +45,7 @@
         self.connections: list[ProxiedConnection] = []
 
     async def start(self) -> None:
-        """Listen."""
+        """Start listening."""
         await asyncio.start_server(self._accept, HOST, self.port)
 
     async def _accept(
@@ -52,7 +56,7 @@
                 HOST, self.target
             )
         except OSError:
-            # Nothing listens there, which the caller sees as a reset.
+            # The target is not listening; the client gets a reset.
             writer.transport.abort()
             return
         connection = ProxiedConnection(writers=(writer, target_writer))
@@ -88,7 +92,7 @@
                 writer.transport.abort()
 
     def start_fault(self, fault_kind: str) -> None:
-        """Begin one kind of harm."""
+        """Start a fault of one kind."""
         if fault_kind == "reset":
             self.reset()
         elif fault_kind == "silence":
@@ -102,7 +106,7 @@
             }
 
     def end_fault(self, fault_kind: str) -> None:
-        """End one kind of harm; silenced connections stay silent."""
+        """End a fault of one kind; silenced connections stay silent."""
         if fault_kind == "delay":
             self.delay_s = 0.0
         self.held_directions = self.held_directions - {fault_kind.removeprefix("cut_")}
@@ -117,7 +121,7 @@
         self.by_name: dict[str, Proxy] = {}
 
     def add(self, name: str, port: int, target: int) -> None:
-        """Start one more."""
+        """Start a proxy."""
         proxy = Proxy(port=port, target=target)
         self._wait(proxy.start())
         self.by_name[name] = proxy
@@ -126,9 +130,9 @@
         asyncio.run_coroutine_threadsafe(work, self._loop).result(5.0)
 
     def start_fault(self, name: str, fault_kind: str) -> None:
-        """Begin to harm the connections of a proxy."""
+        """Start a fault on a proxy."""
         self._loop.call_soon_threadsafe(self.by_name[name].start_fault, fault_kind)
 
     def end_fault(self, name: str, fault_kind: str) -> None:
-        """End that harm."""
+        """End a fault on a proxy."""
         self._loop.call_soon_threadsafe(self.by_name[name].end_fault, fault_kind)
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,7 +1,7 @@
 """Runs the soak: ``scripts/soak --seed N`` or ``scripts/soak --seeds K --minutes M``.
 
-Each run prints its seed, what was done and seen, every broken promise, and its
-verdict last. The exit code is 1 when a run failed.
+Each run prints its seed, its faults and observations, every violated invariant, and
+finally its verdict. The exit code is 1 if a run failed.
 """
 
 from __future__ import annotations
@@ -38,12 +38,12 @@
 from soak.site import CAPACITY_M, Site, inject_fault, make_names, make_site
 
 FLAGS = flags.FLAGS
-# The agents announce, and a first owner settles, within this time.
+# Within this time the agents are announced and a first owner holds the lease.
 READY_WAIT_S = 3.0
-# What is left when the faults are over is done within this time: leases of 6 s, twice,
-# and the work itself.
+# Jobs that are left after the last fault end within this time: the leases of 6 s may
+# have to lapse twice before the tasks run.
 FINISH_TIMEOUT_S = 45.0
-# Sights of different processes are put in order over this time.
+# Observations are kept this long, to put those of different processes in order.
 REORDER_WINDOW_S = 1.0
 MAX_CALLERS = 48
 POLL_INTERVAL_S = 0.25
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
-    """What a run came to."""
+    """The result of a run."""
 
     seed: int
     tables: Tables
@@ -60,12 +60,12 @@
 
     @property
     def passed(self) -> bool:
-        """Whether every promise was kept and no job was lost."""
+        """Whether every invariant held and every job ended."""
         return not (self.tables.violations or self.unfinished)
 
 
 class Observer:
-    """Puts what was seen in order and judges it while the run goes on."""
+    """Orders the observations and checks them during the run."""
 
     def __init__(self, tables: Tables, folder: pathlib.Path) -> None:
         self.tables = tables
@@ -76,11 +76,11 @@
         self.processed: list[Observation] = []
 
     def record(self, observation: Observation) -> None:
-        """Take in what a caller or the site itself saw."""
+        """Add an observation of a caller or of the site."""
         self._observations.put(observation)
 
     def process(self, now: float) -> None:
-        """Read the logs of backend servers on, and judge what is old enough."""
+        """Read new log lines of backend servers; check what is old enough."""
         for path in self._folder.glob("host-*.log"):
             self._read(path)
         while not self._observations.empty():
@@ -127,7 +127,7 @@
 
 
 def run_seed(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
-    """Play one run and judge it."""
+    """Run one seed and return its verdict."""
     names = make_names(FLAGS.entries, FLAGS.hosts)
     plan = draw(seed, seconds, names)
     if FLAGS.calm:
@@ -158,10 +158,10 @@
 def _run_plan(
     site: Site, plan: Plan, jobs: tuple[JobPlan, ...], observer: Observer
 ) -> float:
-    """Do what the plan says, wait for the end, and return when it began."""
+    """Execute the plan, wait for the jobs to end, and return the start time."""
     _process_for(observer, READY_WAIT_S)
     started_at = time.monotonic()
-    # The first part of the calm stretch is left for what came before it.
+    # The first third of the calm period is left for faults to end.
     settled = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
     calm = (settled, started_at + plan.calm_until)
     observer.tables = replace(observer.tables, calm=calm)
@@ -180,7 +180,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunContext:
-    """What faults and callers need to do their part."""
+    """What is needed to inject faults and to run callers."""
 
     site: Site
     pool: ThreadPoolExecutor
@@ -190,7 +190,7 @@
 
 @singledispatch
 def start_item(item: Fault | JobPlan, context: RunContext) -> None:
-    """Do what is due now: by default a fault."""
+    """Start a fault or a job that is due."""
     assert isinstance(item, Fault)
     inject_fault(item, context.site)
 
@@ -203,7 +203,7 @@
 
 
 def _wait_until_finished(site: Site, observer: Observer) -> None:
-    """Wait until every accepted job has ended, or it has taken too long."""
+    """Wait until every accepted job has ended, up to `FINISH_TIMEOUT_S`."""
     until = time.monotonic() + FINISH_TIMEOUT_S
     connection = Connection(site.caller_urls, 0)
     caller = Caller(
@@ -220,7 +220,7 @@
 
 
 def _process_for(observer: Observer, duration_s: float) -> None:
-    """Wait, and judge what is seen in the meantime."""
+    """Process observations for a time."""
     until = time.monotonic() + duration_s
     while True:
         observer.process(time.monotonic())
@@ -231,7 +231,7 @@
 
 
 def print_verdict(verdict: Verdict, folder: pathlib.Path) -> None:
-    """Print what a run came to, its verdict last."""
+    """Print the result of a run, its verdict last."""
     tables = verdict.tables
     if FLAGS.picture:
         print("\n".join(verdict.picture))
@@ -250,7 +250,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Play the seeds of the flags."""
+    """Run the seeds given by the flags."""
     del argv
     seeds = [FLAGS.seed]
     if FLAGS.seed is None:
@@ -275,13 +275,21 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_integer("seed", None, "Play this one seed.")
-    flags.DEFINE_integer("seeds", 1, "Play this many fresh seeds.")
-    flags.DEFINE_float("minutes", 60.0, "Begin no further run after this time.")
-    flags.DEFINE_float("seconds", 34.0, "Length of a run before its end.")
-    flags.DEFINE_integer("entries", 2, "Entries.")
-    flags.DEFINE_integer("hosts", 4, "Hosts, each with an agent and a server.")
-    flags.DEFINE_bool("calm", False, "Do no harm: a demonstration of the whole path.")
-    flags.DEFINE_bool("picture", False, "Print what happened in each two seconds.")
-    flags.DEFINE_float("jobs_per_s", 3.0, "Jobs a second.")
+    flags.DEFINE_integer("seed", None, "Run this seed only.")
+    flags.DEFINE_integer("seeds", 1, "Number of random seeds to run.")
+    flags.DEFINE_float(
+        "minutes", 60.0, "Minutes after which no further run is started."
+    )
+    flags.DEFINE_float(
+        "seconds", 34.0, "Seconds during which a run injects faults and submits jobs."
+    )
+    flags.DEFINE_integer("entries", 2, "Number of entries.")
+    flags.DEFINE_integer(
+        "hosts", 4, "Number of hosts, each with an agent and a backend server."
+    )
+    flags.DEFINE_bool("calm", False, "Inject no faults, to demonstrate the whole path.")
+    flags.DEFINE_bool(
+        "picture", False, "Print a chart with a line for every two seconds."
+    )
+    flags.DEFINE_float("jobs_per_s", 3.0, "Jobs submitted per second.")
     app.run(main)
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,6 +1,6 @@
-"""The processes of a run, and how each fault is done to them.
+"""The processes of a run, and the injection of each fault.
 
-Every process is one that the run started itself, and is signalled by its id.
+Only processes that the run itself has started are signalled, by their ids.
 """
 
 from __future__ import annotations
@@ -42,13 +42,13 @@
 SERVICE = "ovens"
 FAILURE_DOMAINS = ("z1", "z2")
 CAPACITY_M = 4_000
-# A server that said that it leaves stays for 3 s; its next life begins after that.
+# A draining server exits after 3 s; its next incarnation must start after that.
 RESTART_DELAY_AFTER_DRAIN_S = 4.0
 KILL_TIME_S = 0.3
 
 
 class Site:
-    """A running site; `see` is told of what backend servers cannot say themselves."""
+    """A running site; events that backend servers cannot log go to `record`."""
 
     def __init__(
         self,
@@ -70,12 +70,12 @@
 
     @property
     def store(self) -> str:
-        """The URL of the store, past all proxies."""
+        """The URL of the store, without a proxy."""
         return f"http://{HOST}:{self.port_by_name['store']}"
 
     @property
     def caller_urls(self) -> tuple[str, ...]:
-        """Where callers reach the entries."""
+        """The URLs of the entries for callers."""
         return tuple(
             f"http://{HOST}:{self.port_by_name[f'callers {name}']}"
             for name in self.names.entries
@@ -128,7 +128,7 @@
         return FAILURE_DOMAINS[int(name.rpartition("-")[2]) % len(FAILURE_DOMAINS)]
 
     def start_server(self, host: str) -> None:
-        """Start the next life of a backend server."""
+        """Start the next incarnation of a backend server."""
         agent = self.names.agents[self.names.hosts.index(host)]
         flags = {
             "port": self.port_by_name[f"server {host}"],
@@ -146,14 +146,14 @@
             self.fleet.start(f"{host}.{self.incarnation_by_host[host]}", command)
 
     def signal(self, name: str, number: signal.Signals) -> None:
-        """Signal a process of the run, if it still runs."""
+        """Signal a process of the run, if it is still running."""
         with self.lock:
             program = self.fleet.program_by_name.get(name)
             if program is not None and program.process.poll() is None:
                 program.process.send_signal(number)
 
     def wait_ended(self, name: str, within_s: float) -> None:
-        """Wait until a process has ended, and kill it where it does not."""
+        """Wait for a process to exit, and kill it after `within_s`."""
         program = self.fleet.program_by_name.get(name)
         if program is None:
             return
@@ -164,17 +164,17 @@
             program.process.wait(within_s)
 
     def current_server(self, host: str) -> str:
-        """Return the process of the present life on a host."""
+        """Return the process name of the current backend server of a host."""
         return f"{host}.{self.incarnation_by_host[host]}"
 
     def schedule(self, after_s: float, action: Callable[[], None]) -> None:
-        """Have something done later."""
+        """Run `action` after a delay."""
         timer = threading.Timer(after_s, action)
         timer.daemon = True
         timer.start()
 
     def post_to_store(self, path: str, body: object) -> None:
-        """Have the store do something as its operators would."""
+        """Send a request to the store as its operators would."""
         answer = urllib3.request(
             "POST", f"{self.store}{path}", json=body, timeout=5.0, retries=False
         )
@@ -182,7 +182,7 @@
             raise RuntimeError(f"store {path}: {answer.status} {answer.data!r}")
 
     def write_order(self, key: str, value: object | None) -> None:
-        """Write or drop an order of operators."""
+        """Write an operators' order, or delete it if `value` is None."""
         at = {"Table": "op", "part": "", "Key": key}
         if value is None:
             self.post_to_store("/operate", {"Deletes": [at]})
@@ -192,7 +192,7 @@
         self.post_to_store("/operate", {"Upserts": [put]})
 
     def configure(self) -> None:
-        """Put the next version of the configuration in force."""
+        """Write the next version of the configuration."""
         self.version += 3
         route = {
             "Name": "push",
@@ -211,7 +211,7 @@
 
 
 def make_names(entries: int, hosts: int) -> SiteNames:
-    """Return the names of a site."""
+    """Return the names for the given numbers of entries and hosts."""
     entry_names = tuple(f"entry-{number}" for number in range(entries))
     agents = tuple(f"agent-{number}" for number in range(hosts))
     return SiteNames(
@@ -257,7 +257,7 @@
 
 @singledispatch
 def inject_fault(fault: Fault, site: Site) -> None:
-    """Do one fault to the site; what ends it comes later."""
+    """Inject a fault, and schedule its end."""
     raise NotImplementedError(type(fault).__name__)
 
 
@@ -306,7 +306,7 @@
     site.signal(name, signal.SIGUSR1)
 
     def restart() -> None:
-        # Killed or ended, nothing of this life runs any more.
+        # No run may survive the draining server, even if it has not exited by itself.
         site.signal(name, signal.SIGKILL)
         site.wait_ended(name, 5.0)
         if name == site.current_server(fault.host):
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,4 +1,4 @@
-"""The soak: each promise broken once on purpose, its plan, and a short real run."""
+"""Tests of the soak: a violation of each invariant, the plan, and a short real run."""
 
 from __future__ import annotations
 
@@ -54,14 +54,14 @@
 
 
 def answered(answer: str, at: float = 0.5) -> Answered:
-    """Return the last answer to a submission."""
+    """Return the final answer to a submission."""
     return Answered(at=at, job_id=JOB.job_id, answer=answer, final=True)
 
 
 DONE = Noted(at=2.5, task=FIRST, how="done")
 EVACUATED = Evacuated(at=1.0, failure_domain="z1")
 CANCELLED = Cancelled(at=1.0, job_id=JOB.job_id)
-# What breaks each promise, and what looks like it and does not.
+# Observations that violate each invariant, and similar ones that violate none.
 OBSERVATIONS_BY_VIOLATION: Mapping[str, tuple[Observation, ...]] = {
     "unasked": (started("5c0e.0.0.2"),),
     "twice": (started(FIRST), started(FIRST, host="host-1", run=2)),
@@ -76,17 +76,17 @@
     "failed": (answered("accepted"), shown("failed")),
 }
 NO_VIOLATION_CASES: Mapping[str, tuple[Observation, ...]] = {
-    "a run after a crash": (
+    "a second run after a crash": (
         started(FIRST),
         ServerGone(at=1.5, host="host-0"),
         started(FIRST, at=2.0, host="host-1", run=2),
     ),
-    "a run again whose end was never noted": (
+    "a second run after an end that was never acknowledged": (
         started(FIRST),
         ended(FIRST),
         started(FIRST, at=3.0, run=2),
     ),
-    "a refusal after an answer that was lost": (
+    "a refusal after an unknown outcome": (
         answered("unsure"),
         answered("refused"),
         started(FIRST),
@@ -101,7 +101,7 @@
 
 
 def check_all(*observations: Observation) -> Tables:
-    """Judge some sights in a time without faults."""
+    """Check observations, all in a time without faults."""
     tables = Tables(
         job_by_id=pmap({JOB.job_id: JOB}), capacity_m=4_000, calm=(0.0, 60.0)
     )
