Reword a few texts of cells, the committer and the controller

Docstrings of the batching rule, the lease renewals and the hysteresis were hard to read or ambiguous; leases expire, also in the log reason of an unreachable worker. A few locals named the opposite of what they held, such as the tasks of a drained cell under the name of a leaving agent.

--- a/bulrushpulley/entities/outcome.py
+++ b/bulrushpulley/entities/outcome.py
@@ -1,4 +1,4 @@
-"""Which tasks have ended, and how, by the rows under ``done/``."""
+"""Reads from the rows under ``done/`` which tasks have ended, and how."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/entities/owner_times.py
+++ b/bulrushpulley/entities/owner_times.py
@@ -1,7 +1,7 @@
 """Timeouts and intervals shared by all cell owners.
 
 They are constants rather than settings, because an owner relies on the bounds
-that the previous owner of the cell has observed.
+that the previous owner of the cell has kept to.
 """
 
 LIVENESS_RENEW_INTERVAL_S = 5.0
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -5,7 +5,7 @@
     record/KIND/NAME          RecordRow    configuration, one row a record
     revision                  RevisionRow  the last revision of the configuration
     backlog/JOB/FIRST         BacklogRow   tasks that no cell holds yet
-    backlog/JOB/closing       BacklogRow   tasks that are being stopped for good
+    backlog/JOB/closing       BacklogRow   tasks that are being stopped permanently
     task/CELL/JOB/INDEX       TaskRow      a task held by a cell
     done/JOB/INDEX            TaskRow      the outcome of a task
     done/JOB/FIRST            BacklogRow   tasks closed before any cell held them
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -26,7 +26,7 @@
 from bulrushpulley.systems.control import submissions as control_submissions
 
 CONTROLLER = "controller"
-# The modules that register events by being imported.
+# Imported only because they register event handlers.
 EVENT_MODULES = (control_assignment_outcomes, control_cells)
 
 
--- a/bulrushpulley/systems/cell/degradation.py
+++ b/bulrushpulley/systems/cell/degradation.py
@@ -1,4 +1,4 @@
-"""Decides with hysteresis, so that noise causes no flapping, if a service is degraded.
+"""Decides with hysteresis if a service is degraded, so that noise causes no flapping.
 
 A service becomes degraded after several consecutive samples above its target, and
 recovers after several below a lower bound. Either state lasts for a minimum dwell
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -52,7 +52,7 @@
     for cell in owned_cells(tables):
         if not cell_domains.is_drained(tables, cell):
             continue
-        leaving = [
+        drained_tasks = [
             task
             for phase in DRAINABLE_PHASES
             for task in tables.tasks.rows_where(
@@ -60,7 +60,7 @@
             )
         ]
         ending = Return(reason="the failure domain was taken out of service")
-        for task in leaving[:MAX_EVICTIONS_PER_TICK]:
+        for task in drained_tasks[:MAX_EVICTIONS_PER_TICK]:
             tables = cell_stop.plan_ending(tables, task, ending, now)
     return Step(tables=tables)
 
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -122,7 +122,10 @@
 def _renewals(
     tables: CellOwnerTables, worker: Worker, now: float
 ) -> tuple[Renewal, ...]:
-    """Return the renewals that are due; leases on an unreachable worker may lapse."""
+    """Return the renewals that are due.
+
+    Leases on an unreachable worker are not renewed, so that they expire.
+    """
     if now < worker.renew_at or cell_stop.is_unreachable(worker, now):
         return ()
     return tuple(
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -128,19 +128,19 @@
 
 
 def lease_has_expired(task: Task, worker: Worker, now: float) -> bool:
-    """Tell whether the lease of a task has lapsed even on the worker's own clock."""
+    """Tell whether the lease of a task has expired even on the worker's own clock."""
     last_lease = worker.renewed_until + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     return now >= max(task.leased_until, last_lease)
 
 
 def end_tasks_with_expired_leases(tables: CellOwnerTables, now: float) -> CellStep:
-    """End the tasks of unreachable workers whose leases have lapsed."""
+    """End the tasks of unreachable workers whose leases have expired."""
     for worker in tables.workers.rows():
         if not is_unreachable(worker, now):
             continue
         for task in tables.tasks.rows_where("worker", worker.worker_id):
             committing = task.phase is Phase.COMMITTING
             if not committing and lease_has_expired(task, worker, now):
-                reason = f"the lease lapsed on unreachable worker {worker.worker_id}"
+                reason = f"the lease expired on unreachable worker {worker.worker_id}"
                 tables = end_as_planned(tables, task, reason, now)
     return Step(tables=tables)
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -54,7 +54,10 @@
 
 
 def may_share(submission: Submission, required: Set[str], written: Set[str]) -> bool:
-    """Tell whether a submission has no write conflict with the others of a batch."""
+    """Tell whether a submission may join a batch.
+
+    Neither may require or write a key that the other writes.
+    """
     reads = {condition.key for condition in submission.conditions}
     writes = {write.key for write in submission.writes}
     return writes.isdisjoint(required) and (reads | writes).isdisjoint(written)
@@ -166,7 +169,7 @@
 def _send(
     tables: CommitterTables, lane: LaneRow, transaction: Transaction, now: float
 ) -> Step[CommitterTables]:
-    waiting = replace(lane, transaction=transaction, awaiting=True, sent_at=now)
+    sent_lane = replace(lane, transaction=transaction, awaiting=True, sent_at=now)
     fence = Fence(
         key=f"fence/{tables.name}/{lane.name}", version=transaction.fence_version
     )
@@ -178,7 +181,7 @@
         fence=fence,
         timeout_s=commit_backoff.timeout_for(lane),
     )
-    return Step(tables=_with_lane(tables, waiting), commands=(command,))
+    return Step(tables=_with_lane(tables, sent_lane), commands=(command,))
 
 
 def _conditions(entries: Iterable[SubmissionRow]) -> tuple[Condition, ...]:
--- a/bulrushpulley/systems/control/assignment_outcomes.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -61,8 +61,10 @@
     tables = replace(tables, waiting=waiting)
     for write in submission.writes:
         if write.key.startswith(BACKLOG_PREFIX) and write.row is not None:
-            left = VersionedRow(key=write.key, version=outcome.revision, row=write.row)
-            tables = handle_backlog_rows(tables, (left,), now, first=True)
+            remainder = VersionedRow(
+                key=write.key, version=outcome.revision, row=write.row
+            )
+            tables = handle_backlog_rows(tables, (remainder,), now, first=True)
     commands = _notify_owners(
         tables, purpose, submission.submission_id, outcome.revision
     )
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -76,13 +76,13 @@
     prefixes: list[str],
 ) -> ControllerStep:
     commands: list[Command] = []
-    waits: set[str] = set()
+    awaited_ids: set[str] = set()
     for prefix in prefixes:
         target = ReadForCall(call_id=call.call_id)
         step, fetch_id = read_once(tables, now, target=target, prefix=prefix)
         tables = step.tables
         commands.extend(step.commands)
-        waits.add(fetch_id)
+        awaited_ids.add(fetch_id)
     for job in jobs:
         step = submit(
             tables,
@@ -94,9 +94,9 @@
         )
         tables = step.tables
         commands.extend(step.commands)
-        waits.add(f"{tables.identity.incarnation}/c{tables.last_number}")
+        awaited_ids.add(f"{tables.identity.incarnation}/c{tables.last_number}")
     enquiry = Enquiry(
-        call=call, deadline=now + ENQUIRY_TIMEOUT_S, waiting_for=frozenset(waits)
+        call=call, deadline=now + ENQUIRY_TIMEOUT_S, waiting_for=frozenset(awaited_ids)
     )
     tables = replace(tables, enquiries=tables.enquiries.put(call.call_id, enquiry))
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -107,8 +107,8 @@
     due_at = tables.member_renew_at
     if changed:
         due_at -= MEMBER_RENEW_INTERVAL_S - MEMBER_RENEW_DELAY_AFTER_CHANGE_S
-    waits = tables.leaving or tables.renewal_key or tables.members_read_at is None
-    if waits or now < due_at:
+    must_wait = tables.leaving or tables.renewal_key or tables.members_read_at is None
+    if must_wait or now < due_at:
         return Step(tables=tables)
     row = own_row(tables)
     known = tables.members.get(row.name)
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -175,8 +175,8 @@
                 tick_at = self.now + TICK_INTERVAL_S
                 for name in self._roles:
                     events[name].extend([])
-            for name, some in events.items():
-                self._tick(name, some)
+            for name, tick_events in events.items():
+                self._tick(name, tick_events)
 
     def _tick(self, name: str, events: list[Event]) -> None:
         step = self._roles[name].tick(self._tables[name], events, self.now)
@@ -365,7 +365,7 @@
             found.append(f"{submission_id} has no outcome")
         for place, reported in enumerate(reports):
             others = [r for r in reports[:place] if r.process != reported.process]
-            fault = mismatch_of(reported.outcome, commits)
-            if fault and not others:
-                found.append(f"{submission_id} {fault}")
+            mismatch = mismatch_of(reported.outcome, commits)
+            if mismatch and not others:
+                found.append(f"{submission_id} {mismatch}")
     return found
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -145,11 +145,11 @@
         self.tell(name, event)
         for _ in range(round(within_s / STEP_S)):
             self.step()
-            given: list[Any] = [
+            replies: list[Any] = [
                 *self.commands_of(ops.Reply),
                 *self.commands_of(ops.Reject),
             ]
-            answers = [one for one in given if one.call_id == event.call_id]
+            answers = [one for one in replies if one.call_id == event.call_id]
             if answers:
                 return answers[-1]
         raise AssertionError(f"no answer to {event}")
@@ -173,7 +173,7 @@
 
 @singledispatch
 def serve(command: Command, bench: Bench, name: str) -> None:
-    """Carry out a controller's command to the committer."""
+    """Carry out a controller's command to the committer; ignore other commands."""
 
 
 @serve.register
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -71,14 +71,14 @@
         self.assertEqual(TaskState.FINISHED, bench.done("audit/0"))
 
     def test_an_unconfirmed_stop_would_run_a_task_twice(self) -> None:
-        def at_once(tables, task, ending, now):  # type: ignore[no-untyped-def]
+        def end_at_once(tables, task, ending, now):  # type: ignore[no-untyped-def]
             return cell_stop.end_task(tables, task, ending, now)
 
         bench = CellBench()
         bench.job("audit", run_s=60.0)
         bench.agent("a")
         bench.run(10.0)
-        with mock.patch.object(cell_stop, "plan_ending", at_once):
+        with mock.patch.object(cell_stop, "plan_ending", end_at_once):
             bench.resize("w0", Resources())
             bench.run(3.0)
         self.assertNotEqual([], bench.violations)
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -93,7 +93,7 @@
 
 
 def with_unreachable_worker(bench: CellBench) -> None:
-    """Cut a worker off for so long that the leases of its tasks lapse."""
+    """Cut a worker off for so long that the leases of its tasks expire."""
     bench.job("curves", run_s=60.0)
     bench.agent("a")
     bench.run(5.0)
@@ -178,9 +178,9 @@
             self.assertTrue(bench.commands, case.__name__)
 
     def test_each_check_fails_without_its_guard(self) -> None:
-        for case, module, guard, without in GUARDED:
+        for case, module, guard, replacement in GUARDED:
             bench = CellBench()
-            with mock.patch.object(module, guard, without):
+            with mock.patch.object(module, guard, replacement):
                 case(bench)
             self.assertNotEqual([], bench.violations, f"{case.__name__} {guard}")
 
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -111,7 +111,7 @@
         self.check_two_entries_at_once()
 
     def test_without_conditions_two_entries_would_assign_tasks_twice(self) -> None:
-        self.patch(control_assign, "conditions_of", lambda *given: ())
+        self.patch(control_assign, "conditions_of", lambda *args: ())
         with self.assertRaises(AssertionError):
             self.check_two_entries_at_once()
 
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -216,7 +216,7 @@
         self.assertEqual(0, self.tasks_assigned_by_a_stale_entry())
 
     def test_without_conditions_a_cancelled_job_would_be_assigned(self) -> None:
-        self.patch(control_assign, "conditions_of", lambda *given: ())
+        self.patch(control_assign, "conditions_of", lambda *args: ())
         self.assertGreater(self.tasks_assigned_by_a_stale_entry(), 0)
 
     def peak_transactions(self) -> int:
--- a/test/test_control_verbs.py
+++ b/test/test_control_verbs.py
@@ -53,7 +53,7 @@
 
         do_GET = do_POST = do_PUT = do_any  # noqa: N815
 
-        def log_message(self, *given: Any) -> None:
+        def log_message(self, *arguments: Any) -> None:
             pass
 
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
@@ -89,9 +89,9 @@
 
     def run_verb(self, *argv: str, entries: tuple[str, ...]) -> int:
         self.out, self.err = io.StringIO(), io.StringIO()
-        given = [*argv, *(f"--entry={url}" for url in entries)]
+        arguments = [*argv, *(f"--entry={url}" for url in entries)]
         with contextlib.redirect_stdout(self.out), contextlib.redirect_stderr(self.err):
-            return verbs.run(given)
+            return verbs.run(arguments)
 
     def test_a_refused_connection_moves_on_to_the_next_entry(self) -> None:
         with entry((200, ACCEPTED)) as (url, seen):
