--- a/scripts/__init__.py
+++ b/scripts/__init__.py
@@ -1,1 +1,1 @@
-"""Programs for developers: the demo, the build's checks and measurements."""
+"""Programs for developers: the demo, checks with processes, and measurements."""
--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -1,10 +1,10 @@
-"""Sends real signals to the owners of cells while a job runs, and checks the work.
+"""Sends real signals to cell owners while a job runs, and checks the job's tasks.
 
 Run with ``PYTHONPATH=. python -m scripts.cell_signals``; it takes two minutes. One
-owner is stopped for longer than a takeover takes and continued, another is killed
-while workers lose their answers and the table service goes down, and is started
-again. It exits 1 if a task was seen to run twice at once, if one did not finish,
-or if a process did not stop well.
+owner is paused with SIGSTOP until its cells have been taken over, then continued.
+Another is killed while answers of workers are lost and the table service is down,
+and then restarted. The program exits with 1 if a task was seen to run twice at once,
+if a task did not finish, or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -46,23 +46,23 @@
 
 
 def print_progress(text: str) -> None:
-    """Show progress."""
+    """Print a line of progress with the time."""
     print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
 
 
 def wait_for(condition: Callable[[], bool], timeout_s: float, what: str) -> float:
-    """Wait until a condition holds and return how long that took."""
+    """Wait until a condition holds and return the time waited in seconds."""
     started_at = time.monotonic()
     pause = threading.Event()
     while not condition():
         if time.monotonic() - started_at > timeout_s:
-            raise RuntimeError(f"{what}: not within {timeout_s:g} s")
+            raise RuntimeError(f"{what}: timed out after {timeout_s:g} s")
         pause.wait(POLL_INTERVAL_S)
     return time.monotonic() - started_at
 
 
 class Platform:
-    """Reads the table service and the workers, and switches their faults."""
+    """Reads from the table service and the workers, and injects their faults."""
 
     def __init__(self, *, layout: Layout) -> None:
         self._tables = f"http://{HOST}:{layout.table_service}"
@@ -80,30 +80,30 @@
         return {key: row["owner"] for key, row in self.rows("lease/").items()}
 
     def finished(self) -> int:
-        """Count the tasks of the job that finished."""
+        """Return the number of finished tasks of the job."""
         done = self.rows(f"done/{JOB}/").values()
         return sum(1 for row in done if row["state"] == "finished")
 
     def running(self, worker_id: str) -> list[str]:
-        """Return the tasks that a worker runs, once for each run."""
+        """Return the task ids of a worker's runs in progress, one for each run."""
         url = f"{self._workers}/{worker_id}/v1/report"
         report = self._pool.request("POST", url, json={"renew": []}).json()
         runs = report.get("tasks", [])
         return [run["task_id"] for run in runs if run["state"] == "running"]
 
     def lose_worker_answers(self, worker_id: str, seconds: float) -> None:
-        """Have a worker's answers lost for a while."""
+        """Make a worker lose its answers for a time."""
         body = {"mode": "lose_answers", "seconds": seconds}
         self._pool.request("POST", f"{self._workers}/{worker_id}/switch", json=body)
 
     def take_tables_down(self, seconds: float) -> None:
-        """Have the table service down for a while."""
+        """Make the table service unavailable for a time."""
         body = {"mode": "down", "seconds": seconds}
         self._pool.request("POST", f"{self._tables}/switch", json=body)
 
 
 class DuplicateRunWatcher:
-    """Looks again and again for a task that runs twice."""
+    """Polls the workers for tasks that run twice at once."""
 
     def __init__(self, *, platform: Platform, worker_ids: list[str]) -> None:
         self._platform = platform
@@ -114,11 +114,11 @@
         self.polls = 0
 
     def start(self) -> None:
-        """Begin to look."""
+        """Start polling."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Look no more."""
+        """Stop polling."""
         self._stopped.set()
         self._thread.join()
 
@@ -140,7 +140,7 @@
 
 
 def start_job(fleet: Fleet) -> DuplicateRunWatcher:
-    """Put the records in force and start the job."""
+    """Submit the sample records and the job, and wait until all tasks run."""
     layout = fleet.layout
     url = layout.operator_urls[0]
     platform = Platform(layout=layout)
@@ -175,7 +175,7 @@
 
 
 def pause_owner(fleet: Fleet, platform: Platform) -> None:
-    """Stop an owner until its cells were taken over, then continue it."""
+    """Pause an owner until its cells have been taken over, then continue it."""
     name = agent_with_most_cells(platform)
     process = fleet.program_by_name[name].process
     process.send_signal(signal.SIGSTOP)
@@ -191,7 +191,7 @@
 
 
 def kill_owner(fleet: Fleet, platform: Platform, worker_ids: list[str]) -> None:
-    """Kill an owner amid lost answers and an outage, and start it again."""
+    """Kill an owner during an outage with lost answers, and restart it."""
     name = agent_with_most_cells(platform)
     program = fleet.program_by_name.pop(name)
     program.process.kill()
@@ -205,11 +205,11 @@
 
 
 def run(fleet: Fleet) -> bool:
-    """Run the signals against a started fleet and tell whether all was well."""
+    """Send the signals to a started fleet and tell whether all checks passed."""
     platform = Platform(layout=fleet.layout)
     watcher = start_job(fleet)
     print_progress(
-        f"{TASK_COUNT} tasks run; owners are {dict(platform.owner_by_cell())}"
+        f"{TASK_COUNT} tasks run; the owners are {dict(platform.owner_by_cell())}"
     )
     pause_owner(fleet, platform)
     kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
@@ -223,7 +223,7 @@
         f"finished {waited_s:.1f} s later; tasks by generation: {dict(generations)}"
     )
     print_progress(
-        f"{watcher.polls} looks; ran twice at once: {sorted(watcher.tasks_run_twice)}"
+        f"{watcher.polls} polls; ran twice at once: {sorted(watcher.tasks_run_twice)}"
     )
     names = [agent.name for agent in fleet.layout.agents]
     codes = {name: fleet.stop(name) for name in (*names, *ENTRIES)}
@@ -232,7 +232,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run everything in a folder of its own."""
+    """Start a fleet in a temporary folder and run the checks."""
     del argv
     folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-signals-"))
     print_progress(f"settings and logs are in {folder}")
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,7 @@
-"""The demo: two entries and three agents in two regions serve and run a job.
+"""The demo: two entries and three agents in two regions serve requests and run a job.
 
-It exits 1 when a request was doubled, wrongly answered or falsely refused, when
-one was lost, when the job did not finish, or when a process did not stop well.
+It exits with 1 if a request was run twice, lost, wrongly answered or wrongly refused,
+if the job or the drain did not finish, or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outcome:
-    """What the demo came to."""
+    """The results of the demo."""
 
     calls: Report
     job: Mapping[str, Any]
@@ -60,7 +60,7 @@
 
     @property
     def passed(self) -> bool:
-        """Whether nothing was lost or doubled and everything ended well."""
+        """Whether calls, job, drain and exit codes are all as expected."""
         calls = self.calls
         bad_calls = calls.doubled + calls.lost + calls.wrong + calls.false_refusals
         job_done = self.job.get("finished") == self.job.get("tasks")
@@ -69,7 +69,7 @@
 
 
 def print_progress(text: str) -> None:
-    """Show progress."""
+    """Print a line of progress with the time."""
     print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
 
 
@@ -86,7 +86,7 @@
 
 
 def send_calls(layout: Layout, service: str, seconds: float) -> Report:
-    """Send the requests through both entries and count what became of them."""
+    """Send the requests through both entries and count their outcomes."""
     target = Target(
         entries=layout.caller_urls,
         service=service,
@@ -125,7 +125,7 @@
 
 
 def drain_and_return(fleet: Fleet, failure_domain: str, pause_s: float) -> bool:
-    """Take a failure domain out of service and return it after a pause."""
+    """Drain a failure domain and return it to service after a pause."""
     print_progress(f"draining {failure_domain}")
     drained = fleet.run_verb("drain", failure_domain, "--wait")
     print_progress(
@@ -134,7 +134,7 @@
     threading.Event().wait(pause_s)
     restored = fleet.run_verb("restore", failure_domain, "--wait")
     print_progress(
-        f"{failure_domain} is back in service" if restored == 0 else "return failed"
+        f"{failure_domain} is back in service" if restored == 0 else "restore failed"
     )
     return drained == 0 and restored == 0
 
@@ -154,14 +154,14 @@
         calls = pool.submit(send_calls, layout, name_by_kind["service"], seconds)
         drain = pool.submit(drain_and_return, fleet, domain, seconds / 4)
         job = wait_for_job(layout, name_by_kind["job"])
-        print_progress("waiting for the rest of the requests")
+        print_progress("waiting for the remaining requests")
         report, drained = calls.result(), drain.result()
     exit_codes = stop_all(fleet)
     return Outcome(calls=report, job=job, drained=drained, exit_codes=exit_codes)
 
 
 def stop_all(fleet: Fleet) -> Mapping[str, int]:
-    """Stop the agents, then the entries, each gracefully by its id."""
+    """Stop the agents gracefully, then the entries, and return the exit codes."""
     names = [item.name for item in (*fleet.layout.agents, *fleet.layout.entries)]
     codes = {}
     for name in names:
@@ -171,7 +171,7 @@
 
 
 def print_outcome(outcome: Outcome) -> None:
-    """Print what the demo came to."""
+    """Print the results of the demo."""
     calls = outcome.calls
     print(
         f"requests: {calls.calls} sent, {calls.served} served, {calls.lost} lost,"
@@ -192,7 +192,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run the demo; whatever it started is ended by id, also on an interrupt."""
+    """Run the demo; end all processes that it started, also on an interrupt."""
     del argv
     layout = make_layout(
         FLAGS.deployment, ENTRIES, AGENTS_BY_DEPLOYMENT[FLAGS.deployment]
@@ -206,7 +206,7 @@
         outcome = run(fleet, FLAGS.seconds)
     except KeyboardInterrupt:
         signal.signal(signal.SIGINT, signal.SIG_IGN)
-        print_progress("interrupted; ending what was started")
+        print_progress("interrupted; ending the started processes")
         sys.exit(INTERRUPTED_EXIT_CODE)
     finally:
         fleet.kill_all()
@@ -216,7 +216,9 @@
 
 if __name__ == "__main__":
     flags.DEFINE_float("seconds", 10.0, "Seconds over which requests are sent.")
-    flags.DEFINE_enum("deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample.")
+    flags.DEFINE_enum(
+        "deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample settings."
+    )
     flags.DEFINE_bool("binary", False, "Run the built file dist/bulrushpulley.")
     flags.DEFINE_integer("seed", 1, "Seed of the requests.")
     app.run(main)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,7 +1,7 @@
 """Runs a deployment on loopback: stand-ins, entries and agents as processes.
 
 The settings are those of ``config/DEPLOYMENT`` with every address replaced by a
-port on 127.0.0.1. Every process is ended by its own id.
+port on 127.0.0.1. Each process is ended by its process id.
 """
 
 from __future__ import annotations
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AgentPorts:
-    """The ports of one agent and of the backend server beside it."""
+    """The ports of one agent and of its backend server."""
 
     name: str
     health: int
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Layout:
-    """Which sample settings run and on which ports."""
+    """The sample settings to run and the ports to use."""
 
     deployment: str
     table_service: int
@@ -64,23 +64,23 @@
 
     @property
     def caller_urls(self) -> tuple[str, ...]:
-        """Where callers reach the entries."""
+        """URLs at which callers reach the entries."""
         return tuple(f"http://{HOST}:{entry.callers}" for entry in self.entries)
 
     @property
     def operator_urls(self) -> tuple[str, ...]:
-        """Where operators reach the entries."""
+        """URLs at which operators reach the entries."""
         return tuple(f"http://{HOST}:{entry.operators}" for entry in self.entries)
 
     @property
     def backend_urls(self) -> tuple[str, ...]:
-        """Where the backend servers are."""
+        """URLs of the backend servers."""
         return tuple(f"http://{HOST}:{agent.backend_server}" for agent in self.agents)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Program:
-    """A started process and where its output goes."""
+    """A started process and the file of its output."""
 
     name: str
     process: subprocess.Popen[bytes]
@@ -88,10 +88,10 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nothing is bound to now.
+    """Return ports on loopback that are currently unused.
 
-    They lie below the range from which the kernel takes ports for outgoing
-    connections, so that none is lost to one before its process starts.
+    They are below the kernel's range of ports for outgoing connections, so that no
+    such connection can take a port before its process starts.
     """
     sockets: list[socket.socket] = []
     while len(sockets) < count:
@@ -132,13 +132,13 @@
 
 
 def read_sample_settings(deployment: str, name: str) -> dict[str, Any]:
-    """Read one of the sample settings."""
+    """Read the sample settings of a process."""
     path = ROOT / "config" / deployment / f"{name}.toml"
     return tomllib.loads(path.read_text())
 
 
 def entry_settings(layout: Layout, ports: EntryPorts) -> dict[str, Any]:
-    """Return an entry's sample settings moved to loopback."""
+    """Return an entry's sample settings with its addresses on loopback."""
     raw = read_sample_settings(layout.deployment, ports.name)
     raw["links"] = {"host": HOST, "port": ports.links}
     raw["callers"].update(host=HOST, port=ports.callers)
@@ -149,7 +149,7 @@
 
 
 def agent_settings(layout: Layout, ports: AgentPorts) -> dict[str, Any]:
-    """Return an agent's sample settings moved to loopback."""
+    """Return an agent's sample settings with its addresses on loopback."""
     raw = read_sample_settings(layout.deployment, ports.name)
     raw["seeds"] = [f"{HOST}:{layout.entries[0].links}"]
     raw["health"].update(host=HOST, port=ports.health)
@@ -158,7 +158,7 @@
 
 
 def to_toml(raw: Mapping[str, Any]) -> str:
-    """Write settings of one level of tables as TOML."""
+    """Format settings as TOML; tables must not be nested."""
     plain = [
         f"{key} = {json.dumps(value)}"
         for key, value in raw.items()
@@ -173,7 +173,7 @@
 
 
 def sample_records(layout: Layout) -> list[dict[str, Any]]:
-    """Read the sample records in their order, with workers on loopback."""
+    """Read the sample records ordered by file name, with the workers on loopback."""
     folder = ROOT / "config" / layout.deployment / "records"
     loaded = [json.loads(path.read_text()) for path in sorted(folder.glob("*.json"))]
     for record in loaded:
@@ -235,7 +235,7 @@
         return self.start(name, (*self.command, verb, "--config", str(path)))
 
     def start_all(self) -> None:
-        """Start everything and wait until it answers."""
+        """Start all processes and wait until they accept connections."""
         self.start_platform()
         for entry in self.layout.entries:
             self.start_entry(entry)
@@ -247,7 +247,7 @@
             wait_for_port(agent.health)
 
     def run_verb(self, *arguments: str, timeout_s: float = 30.0) -> int:
-        """Run an operators' verb and return its exit code."""
+        """Run an operator verb and return its exit code."""
         urls = [f"--entry={url}" for url in self.layout.operator_urls]
         done = subprocess.run(
             [*self.command, *arguments, *urls],
@@ -259,13 +259,13 @@
         return done.returncode
 
     def stop(self, name: str) -> int:
-        """End one process by SIGTERM and return its exit code."""
+        """Stop one process with SIGTERM and return its exit code."""
         program = self.program_by_name.pop(name)
         program.process.send_signal(signal.SIGTERM)
         return program.process.wait(STOP_TIMEOUT_S)
 
     def kill_all(self) -> None:
-        """End whatever is left, by id."""
+        """Kill the processes that still run."""
         for program in self.program_by_name.values():
             program.process.kill()
         for program in self.program_by_name.values():
@@ -274,7 +274,7 @@
 
 
 def wait_for_port(port: int) -> None:
-    """Wait until something listens on a port."""
+    """Wait until a port accepts connections."""
     pause = threading.Event()
     deadline = time.monotonic() + STARTUP_TIMEOUT_S
     while True:
@@ -288,13 +288,13 @@
 
 
 def get_json(url: str, path: str) -> Any:
-    """Read one JSON answer of an entry."""
+    """Send a GET request to an entry and return its JSON answer."""
     reply = urllib3.request("GET", url + path, timeout=15.0, retries=False)
     return reply.json()
 
 
 def submit_record(url: str, record: Mapping[str, Any]) -> None:
-    """Submit a record; raises `RuntimeError` with the entry's problems."""
+    """Submit a record; raise `RuntimeError` with the answer if it is rejected."""
     reply = urllib3.request(
         "POST", f"{url}/v1/records", json=record, timeout=20.0, retries=False
     )
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -1,10 +1,10 @@
-"""Measures what a cell owner costs by the tasks of its cell.
+"""Measures the cost of a cell owner by the number of tasks in its cell.
 
 Run with ``PYTHONPATH=. python scripts/measure_cell_owner.py``. It drives one owner
-of three workers in virtual time and prints, for each number of running tasks, the
-processor time of its ticks for each second, the memory of its tables, and the bytes
-of its reports without usage and HTTP heads; then the processor time of one task
-from start to outcome.
+of three workers in virtual time. For each number of running tasks it prints, per
+second, the processor time of the ticks and the bytes of the reports, without usage
+and HTTP headers, and also the memory of the tables. Then it prints the processor
+time of one task from start to outcome.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
         self.ticks = 0
 
     def tick(self, tables: Any, events: Iterable[Event], now: float) -> Step[Any]:
-        """Run one tick and add its time."""
+        """Run one tick and add its processor time."""
         started_at = time.process_time()
         step = self._role.tick(tables, events, now)
         self.processor_s += time.process_time() - started_at
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Cost:
-    """What one run of the owner cost for each second."""
+    """The cost of an owner per second of virtual time."""
 
     tasks: int
     processor_ms: float
@@ -61,7 +61,7 @@
 
 
 def make_bench(tasks: int, run_s: float) -> tuple[CellBench, TickTimer]:
-    """Return a bench whose owner is about to start `tasks` tasks."""
+    """Return a bench with a job of `tasks` tasks, and the timer of its owner."""
     bench = CellBench(workers=3)
     bench.capacity = dict.fromkeys(bench.capacity, LARGE_CAPACITY)
     bench.put_record("cell", bench.cell())
@@ -74,7 +74,7 @@
 
 
 def report_bytes(bench: CellBench, since: float) -> int:
-    """Return the bytes of the bodies of the reports since a time."""
+    """Return the size of the report bodies, requests and answers, since a time."""
     bytes_by_worker = {w: _answer_bytes(state) for w, state in bench.workers.items()}
     return sum(
         bytes_by_worker[command.worker_id]
@@ -89,7 +89,7 @@
 
 
 def measure_running_tasks(tasks: int) -> Cost:
-    """Measure an owner whose tasks all run."""
+    """Measure the cost of an owner while all its tasks run."""
     bench, timer = make_bench(tasks, UNENDING_RUN_S)
     bench.run(WARM_UP_S)
     timer.processor_s, timer.ticks = 0.0, 0
@@ -104,7 +104,7 @@
 
 
 def tables_bytes(tasks: int) -> int:
-    """Return the memory of the tables of an owner whose tasks all run."""
+    """Return the memory of an owner's tables while all its tasks run."""
     bench, _ = make_bench(tasks, UNENDING_RUN_S)
     bench.run(WARM_UP_S)
     tables = bench.tables("a")
@@ -122,7 +122,7 @@
 
 
 def _copy_table(table: Any) -> Any:
-    """Return a table with the same rows in maps of its own."""
+    """Return a deep copy of a table."""
     copied = type(table).empty(indexes=table.index_of)
     for key in table:
         copied = copied.put(key, copy.deepcopy(table.by_key[key]))
@@ -139,7 +139,7 @@
 
 
 def main() -> None:
-    """Print the costs."""
+    """Print the costs for several numbers of tasks."""
     for tasks in (0, 10, 50, 100, 200):
         cost = measure_running_tasks(tasks)
         print(
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -1,12 +1,12 @@
-"""Measures group commit against one transaction for each submission.
+"""Compares group commit with one transaction for each submission.
 
-Runs the committer's actor against the stand-in of the table service over HTTP on
-loopback, with so many submissions waiting at all times::
+Runs the committer's actor with the stand-in of the table service over HTTP on
+loopback, with a fixed number of submissions outstanding at all times::
 
     PYTHONPATH=. python scripts/measure_commit.py --waiting 1,10,100,1000
 
-`waiting` submitters each submit again when their outcome came. The baseline
-is the same actor with a batch of one row.
+Each of the `waiting` submitters submits again when it gets its outcome. The baseline
+is the same actor with batches of one row.
 """
 
 from __future__ import annotations
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Measurement:
-    """The figures of one run."""
+    """The results of one run."""
 
     waiting: int
     commits: int
@@ -63,12 +63,12 @@
 
     @property
     def commits_per_s(self) -> float:
-        """Commits a second."""
+        """Commits per second."""
         return self.commits / self.seconds
 
 
 class Submitters:
-    """Keeps `waiting` submissions open and records their delays."""
+    """Keeps `waiting` submissions outstanding and records their latencies."""
 
     def __init__(self, *, waiting: int, prefix: str) -> None:
         self._prefix = prefix
@@ -82,16 +82,16 @@
         self.actor: pykka.ActorRef[RoleActor] | None = None
 
     def start(self) -> None:
-        """Submit for every submitter."""
+        """Send the first submission of every submitter."""
         for _ in range(self._waiting):
             self._submit()
 
     def stop(self) -> None:
-        """Submit no more."""
+        """Stop submitting."""
         self._waiting = 0
 
     def report(self, command: ReportTo) -> None:
-        """Record an outcome and submit again."""
+        """Record an outcome."""
         record_outcome(command.outcome, self)
 
     def count(self, command: Count) -> None:
@@ -100,7 +100,7 @@
             self.transactions += command.by
 
     def record_commit(self, submission_id: str) -> None:
-        """Record the delay of a committed submission."""
+        """Record the latency of a committed submission and submit again."""
         latency_s = time.monotonic() - self._submitted_at_by_id.pop(submission_id)
         self.latencies.record_value(max(1, int(latency_s * US_PER_S)))
         self.commits += 1
@@ -131,7 +131,7 @@
 
 @singledispatch
 def record_outcome(outcome: Event, submitters: Submitters) -> None:
-    """Count any outcome but a commit."""
+    """Count an outcome other than a commit."""
     submitters.other_outcomes += 1
 
 
@@ -141,7 +141,7 @@
 
 
 def ignore_command(command: Command) -> None:
-    """Pass over what is not measured here."""
+    """Ignore a command that is not measured."""
 
 
 def make_ports(
@@ -204,7 +204,7 @@
 
 
 def print_row(label: str, measurement: Measurement) -> None:
-    """Print one row of figures."""
+    """Print the results of one run."""
     rows = measurement.commits / max(1, measurement.transactions)
     print(
         f"{label:8} waiting={measurement.waiting:5}"
@@ -217,7 +217,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Measure each count of waiting submissions, grouped and one by one."""
+    """Measure each number of waiting submissions, grouped and one by one."""
     del argv
     gc.set_threshold(*GC_THRESHOLDS)
     url = FLAGS.url
@@ -244,8 +244,14 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_list("waiting", "1,10,100,1000", "Submissions that wait.")
+    flags.DEFINE_list(
+        "waiting", "1,10,100,1000", "Numbers of submissions outstanding at a time."
+    )
     flags.DEFINE_float("seconds", 5.0, "Length of each run.")
-    flags.DEFINE_float("writes_per_s", 300.0, "Transactions a second of the stand-in.")
-    flags.DEFINE_string("url", "", "A table service that runs already.")
+    flags.DEFINE_float(
+        "writes_per_s", 300.0, "Transactions per second that the stand-in accepts."
+    )
+    flags.DEFINE_string(
+        "url", "", "URL of a running table service; empty to start the stand-in."
+    )
     app.run(main)
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,8 +1,8 @@
-"""Prints what a tick and a summary cost the controller, by size.
+"""Measures the cost of ticks, cell summaries and assignments in the controller.
 
 Usage: PYTHONPATH=. python scripts/measure_control.py
 
-Every figure is processor time of this process, over roles in virtual time.
+The costs are processor time of this process; the role runs in virtual time.
 """
 
 from __future__ import annotations
@@ -44,13 +44,13 @@
 
 
 def record_row(kind: str, value: CellRecord | FailureDomainRecord) -> VersionedRow:
-    """Return a record row as the table service would hold it."""
+    """Return the row of a record in the table service."""
     row = RecordRow(kind=kind, schema_version=1, record=value, author="x", revision=1)
     return VersionedRow(key=f"record/{kind}/{value.name}", version=1, row=row)
 
 
 def cell_record(number: int) -> CellRecord:
-    """Return a cell of three workers."""
+    """Return the record of a cell of three workers."""
     workers = tuple(
         WorkerRecord(worker_id=f"{number}-{w}", url="", rack="", capacity=CAPACITY)
         for w in range(3)
@@ -83,7 +83,7 @@
 
 
 def link_events(number: int) -> tuple[Event, ...]:
-    """Return what an agent says when it links."""
+    """Return the events by which an agent links and announces itself."""
     peer = f"agent-{number}"
     announced = Announce(
         peer=peer,
@@ -123,7 +123,7 @@
 
 
 def backlog_row(number: int, tasks: int = 1) -> VersionedRow:
-    """Return a backlog row of one job."""
+    """Return the backlog row of a waiting job."""
     name = f"j{number}"
     department = f"dep{number % DEPARTMENT_COUNT}"
     job = JobRecord(
@@ -134,7 +134,7 @@
 
 
 def processor_ms(work: Callable[[], None]) -> float:
-    """Return the processor time of `work` in milliseconds."""
+    """Run `work` and return its processor time in milliseconds."""
     gc.collect()
     started_at = time.process_time()
     work()
@@ -142,7 +142,7 @@
 
 
 def measure(cells: int, waiting: int) -> None:
-    """Print the figures of one size."""
+    """Print the costs of ticks and summaries for one size."""
     role, tables = build_controller(cells, waiting)
     latest = [tables]
 
@@ -165,7 +165,7 @@
 
 
 def measure_assigning(tasks_per_job: int, jobs: int) -> None:
-    """Print what assigning costs for each task, its commit answered at once."""
+    """Print the cost of assigning a task when commits are answered at once."""
     role, tables = build_controller(200, 0)
     free = Resources(processors_m=10_000_000, memory_mb=10_000_000)
     events: list[Event] = [summary(number, free) for number in range(200)]
@@ -193,7 +193,7 @@
 
 
 def main() -> None:
-    """Print the figures at growing sizes."""
+    """Print the costs for growing sizes."""
     for cells, waiting in ((20, 0), (200, 0), (2_000, 0)):
         measure(cells, waiting)
     for waiting in (1_000, 10_000, 100_000):
--- a/scripts/measure_jobs.py
+++ b/scripts/measure_jobs.py
@@ -1,8 +1,8 @@
-"""Measures what the scheduler and the keeper cost by hosts and by started tasks.
+"""Measures the cost of the scheduler and job agents by hosts and started tasks.
 
 Run with ``scripts/measure jobs``. Sites of the product's roles run in virtual time
-(`test.jobs_world`); the processor time of each role's ticks is added up, at rest and
-while jobs run. HTTP, links and encoding are not in these figures.
+(`test.jobs_world`). The processor time of each role's ticks is added up, both idle
+and while jobs run. The figures do not include HTTP, links and encoding.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list("hosts", ["10", "30", "100"], "Numbers of hosts to measure.")
-flags.DEFINE_integer("jobs", 20, "Jobs of ten tasks, for each ten hosts.")
+flags.DEFINE_integer("jobs", 20, "Number of jobs of ten tasks for every ten hosts.")
 
 STARTUP_S = 4.0
 MEASUREMENT_S = 10.0
@@ -36,7 +36,7 @@
 
 
 def idle_world(hosts: int) -> TimedWorld:
-    """Return a site at rest."""
+    """Return a site that has started and runs no jobs."""
     TimedWorld.processor_s = defaultdict(float)
     world = TimedWorld(hosts=hosts)
     world.run(STARTUP_S)
@@ -44,7 +44,7 @@
 
 
 def processor_s_by_role(world: TimedWorld, seconds: float) -> dict[str, float]:
-    """Run for a while and return what each role has spent meanwhile."""
+    """Run for some seconds and return the processor time of each role."""
     before = dict(world.processor_s)
     world.run(seconds)
     return {
@@ -67,7 +67,7 @@
         role: 1e3 * (loaded_s[role] - idle_s[role]) / started for role in idle_s
     }
     print(
-        f"{hosts:5} hosts: at rest scheduler {idle_ms_per_s['scheduler']:7.2f} ms/s,"
+        f"{hosts:5} hosts: idle scheduler {idle_ms_per_s['scheduler']:7.2f} ms/s,"
         f" job agents {idle_ms_per_s['keeper'] / hosts:6.3f} ms/s each;"
         f" {started} starts, {ms_per_start['scheduler']:6.3f} ms of scheduler and"
         f" {ms_per_start['keeper']:6.3f} ms of job agent each"
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -2,10 +2,11 @@
 
 Run with ``PYTHONPATH=. python scripts/measure_policy.py [--seeds 3]``. It drives one
 owner of a rack of three workers in virtual time at the sizes of both deployments.
-Batch jobs fill the rack; some of them harm the service beside them. After a steady
-part the failure domain is drained and returned. For each measure it prints the
-baselines (first fit; evict the newest batch task beside a suffering service, or
-leave it alone) and the product's policies, as ratios to the first baseline.
+Batch jobs fill the rack; some of them slow down the service on the same worker.
+After a steady phase the failure domain is drained and returned to service. The
+baselines place by first fit; a batch task beside a degraded service is evicted, the
+newest first, or left alone. For the baselines and the product's policies it prints
+each measure and its ratio to that of the first baseline.
 """
 
 from __future__ import annotations
@@ -54,7 +55,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Deployment:
-    """The sizes and weights of one organisation."""
+    """The sizes and policy weights of one deployment."""
 
     name: str
     capacity: Resources
@@ -66,7 +67,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Variant:
-    """The policies of one run."""
+    """A combination of policies to measure."""
 
     name: str
     placement: PlacementPolicy
@@ -75,7 +76,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Measurement:
-    """What one run came to; work is in processor seconds."""
+    """The results of one run; work is in processor seconds."""
 
     p99_ms: float
     work: float
@@ -110,7 +111,7 @@
 
 
 class Rack:
-    """One rack, its jobs by a fixed seed, and what is measured of it."""
+    """A rack, its jobs drawn from a seed, and the measured latencies."""
 
     def __init__(self, *, deployment: Deployment, seed: int) -> None:
         self.deployment = deployment
@@ -144,7 +145,7 @@
         bench.assign("a")
 
     def latency_factor(self, now: float) -> float:
-        """Return the factor on latencies at a time."""
+        """Return the random factor of latencies at a time."""
         return 0.9 + 0.2 * random.Random(int(now)).random()
 
     def add_job(self, number: int) -> None:
@@ -161,7 +162,7 @@
         self.bench.job(name, tasks=TASKS_PER_JOB, run_s=run_s, size=size)
 
     def reassign(self) -> None:
-        """Give the cell what it returned to the backlog, as a controller does."""
+        """Assign tasks in the backlog to the cell again, as a controller does."""
         for stored in self.bench.rows("backlog/"):
             row = stored.row
             if isinstance(row, BacklogRow):
@@ -190,7 +191,7 @@
                     )
 
     def run(self, until: float, *, drained: bool = False) -> None:
-        """Let time pass, with jobs, reassignments and samples."""
+        """Advance the time; submit jobs, reassign tasks and sample latencies."""
         while self.bench.world.now < until:
             self.bench.run(TIME_STEP_S)
             second = round(self.bench.world.now)
@@ -209,11 +210,11 @@
         self.bench.distribute_records()
 
     def rows_of(self, prefix: str) -> list[Any]:
-        """Return the rows of tasks under a prefix."""
+        """Return the rows under a prefix."""
         return [self.bench.row(stored.key) for stored in self.bench.rows(prefix)]
 
     def batch_work(self) -> float:
-        """Return the batch work kept so far in processor seconds."""
+        """Return the batch work done and not lost, in processor seconds."""
         done: float = sum(
             row.spec.size.processors_m * row.spec.run_s / 1000
             for row in self.rows_of("done/")
@@ -233,7 +234,7 @@
 
 
 def measure(deployment: Deployment, variant: Variant, seed: int) -> Measurement:
-    """Run one rack under the policies of a variant."""
+    """Run one rack with the policies of a variant."""
     placing = mock.patch.object(cell_place, "PLACEMENT_POLICY", variant.placement)
     relieving = mock.patch.object(cell_interference, "RELIEF_POLICY", variant.relief)
     with placing, relieving:
@@ -256,7 +257,7 @@
 
 
 def mean(measurements: Iterable[Measurement]) -> Measurement:
-    """Return the mean over seeds; violations are added up."""
+    """Return the mean over seeds, and the sum of the violations."""
     runs = list(measurements)
     return Measurement(
         p99_ms=sum(m.p99_ms for m in runs) / len(runs),
@@ -268,7 +269,7 @@
 
 
 def report(name: str, measurement: Measurement, baseline: Measurement) -> None:
-    """Print the figures of a variant and their ratios to the baseline."""
+    """Print the results of a variant and their ratios to the baseline."""
     evictions = (
         measurement.evictions / baseline.evictions
         if baseline.evictions
@@ -287,7 +288,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Print the measures of both deployments."""
+    """Measure the variants for both deployments."""
     del argv
     for deployment in DEPLOYMENTS:
         if FLAGS.only not in ("", deployment.name):
@@ -302,6 +303,6 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_integer("seeds", 3, "How many seeds are run, from 1 on.")
-    flags.DEFINE_string("only", "", "Measure only the deployment of this name.")
+    flags.DEFINE_integer("seeds", 3, "Number of seeds to run, starting from 1.")
+    flags.DEFINE_string("only", "", "Name of the only deployment to measure.")
     app.run(main)
--- a/scripts/measure_process.py
+++ b/scripts/measure_process.py
@@ -1,9 +1,9 @@
-"""Measures what an idle entry and an idle agent cost, at several numbers of agents.
+"""Measures the cost of an idle entry and an idle agent by the number of agents.
 
 Usage: ``python -m scripts.measure_process --agents 1,5,10 --seconds 20``. For each
-number it starts a fleet on loopback, submits the sample records but no job, lets
-it settle and reports processor time, memory, threads, child processes and the
-bytes on links by the processes' own counters.
+number of agents it starts a fleet on loopback, submits the sample records without
+jobs and services, and waits until the fleet has settled. It reports processor time,
+memory, threads, child processes and the bytes on links, as counted in the metrics.
 """
 
 from __future__ import annotations
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Sample:
-    """What one process has used so far."""
+    """The resources that a process has used so far."""
 
     at: float
     processor_s: float
@@ -51,7 +51,7 @@
 
 
 def take_sample(pid: int, metrics_port: int) -> Sample:
-    """Read a process's use from /proc and its link counters."""
+    """Read a process's resource use from /proc and its link bytes from /metrics."""
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     children = pathlib.Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
@@ -72,7 +72,7 @@
 
 
 def format_line(name: str, before: Sample, after: Sample) -> str:
-    """Return the line of one process."""
+    """Return a line with the costs of one process between two samples."""
     seconds = after.at - before.at
     processor = (after.processor_s - before.processor_s) / seconds
     link_bytes = (after.link_bytes - before.link_bytes) / seconds
@@ -100,7 +100,7 @@
 
 
 def measure(fleet: Fleet, seconds: float) -> None:
-    """Measure a started fleet and print its lines."""
+    """Measure a started fleet and print a line for each process."""
     pause = threading.Event()
     url = fleet.layout.operator_urls[0]
     wait_for_agents(url, len(fleet.layout.agents))
@@ -124,7 +124,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Measure at each number of agents."""
+    """Measure a fleet for each number of agents."""
     del argv
     for count in [int(text) for text in FLAGS.agents]:
         layout = make_layout(
@@ -144,6 +144,6 @@
 
 if __name__ == "__main__":
     flags.DEFINE_list("agents", ["1", "5", "10"], "Numbers of agents, at most 10.")
-    flags.DEFINE_float("seconds", 15.0, "Seconds of each measurement.")
+    flags.DEFINE_float("seconds", 15.0, "Length of each measurement in seconds.")
     flags.DEFINE_bool("binary", False, "Run the built file dist/bulrushpulley.")
     app.run(main)
--- a/scripts/measure_router_cost.py
+++ b/scripts/measure_router_cost.py
@@ -1,7 +1,7 @@
-"""Measures the router's processor time and memory by its number of servers and calls.
+"""Measures the router's processor time and memory by servers and waiting calls.
 
-Run: ``python -m scripts.measure_router_cost``. One call at a time is taken in,
-dispatched and answered while others wait; only the router's own ticks are counted.
+Run: ``python -m scripts.measure_router_cost``. One call at a time is accepted,
+dispatched and answered while others wait. Only the router's ticks are measured.
 """
 
 from __future__ import annotations
@@ -55,13 +55,13 @@
 
 
 def dispatches_in(commands: tuple[Command, ...]) -> list[tuple[str, Dispatch]]:
-    """Return the dispatches among commands and to whom they go."""
+    """Return the dispatches among commands with their receivers."""
     sends = [item for item in commands if type(item) is Send]
     return [(send.peer, send.item) for send in sends if type(send.item) is Dispatch]
 
 
 def answers_to(commands: tuple[Command, ...]) -> list[Answered]:
-    """Answer every dispatch among commands."""
+    """Return an answer to every dispatch among commands."""
     return [
         Answered(
             peer=peer, attempt_id=item.attempt_id, status=200, body=b"", took_s=0.02
@@ -71,7 +71,7 @@
 
 
 def build_router(servers: int, waiting: int) -> Any:
-    """Return a router's tables with free servers, or full ones with waiting calls."""
+    """Return a router and its tables; servers are full if calls are to wait."""
     role = router.build(incarnation="e1", region="ege")
     names = [f"a{number}" for number in range(servers)]
     running = 2 * SLOTS if waiting else 0
@@ -82,7 +82,7 @@
 
 
 def measure(servers: int, waiting: int) -> str:
-    """Return one line on a router of a size."""
+    """Return a line with the costs of a router of one size."""
     tracemalloc.start()
     role, tables = build_router(servers, waiting)
     memory_kb = tracemalloc.get_traced_memory()[0] / 1024
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -1,8 +1,8 @@
-"""Measures the router's policy in virtual time against simple baselines.
+"""Compares the router's policy with simple baselines in virtual time.
 
-Run: ``python -m scripts.measure_routing [--seed N]``. The same arrivals and service
-times go to random choice, least connections (both with a queue at each backend
-server) and the router with its guards. It prints one line for each run and the
+Run: ``python -m scripts.measure_routing [--seed N]``. Random choice, least
+connections (both with a queue at each backend server) and the router with its
+guards get the same arrivals and service times. It prints a line for each run, and
 ratios.
 """
 
@@ -37,10 +37,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
-    """An open-loop load: arrivals at `rate` of the capacity, and what is slow.
+    """An open-loop load: arrivals at `rate` times the capacity, and slow runs.
 
-    `slow` servers are `SLOW_FACTOR` times slower; `stalls` is the share of runs
-    that are so anywhere. `unrepeatable` is the share of calls with a claim.
+    The first `slow_servers` servers are `SLOW_FACTOR` times slower, and so is the
+    fraction `stalled_fraction` of the runs on the other servers. Calls with a claim
+    make up the fraction `unrepeatable_fraction`.
     """
 
     rate: float
@@ -64,7 +65,7 @@
 
 
 def arrivals(load: Load) -> list[float]:
-    """Return the moments of arrival."""
+    """Return the arrival times of a load."""
     rng = random.Random(load.seed)
     rate = load.rate * CAPACITY_PER_S
     now, arrival_times = 0.0, []
@@ -75,7 +76,7 @@
 
 
 def service_time(load: Load) -> Callable[[int], float]:
-    """Return the function that draws the next service time of a server."""
+    """Return a function that draws a service time for a server."""
     rng = random.Random(load.seed + 1)
     mu = -SERVICE_TIME_SIGMA * SERVICE_TIME_SIGMA / 2
 
@@ -89,19 +90,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """When a call came and when it was answered."""
+    """The times at which a call arrived and was answered."""
 
     arrived_at: float
     ended_at: float
 
     @property
     def latency_s(self) -> float:
-        """How long the caller waited."""
+        """The time between arrival and answer."""
         return self.ended_at - self.arrived_at
 
 
 def summarize(name: str, load: Load, answers: Sequence[Answer]) -> Result:
-    """Return the percentiles, and the useful answers given while the load lasted."""
+    """Return latency percentiles, and the rate of useful answers during the load."""
     histogram = HdrHistogram(1, 60_000_000, 3)
     useful = [
         answer
@@ -123,7 +124,7 @@
 
 
 def run_baseline(name: str, load: Load) -> Result:
-    """Send each arrival to a server's own queue, chosen at random or by its load."""
+    """Queue each arrival at a server chosen at random or by least connections."""
     rng = random.Random(load.seed + 2)
     draw = service_time(load)
     free_at = [[0.0] * SLOTS for _ in range(SERVER_COUNT)]
@@ -145,7 +146,7 @@
 
 
 def run_router(name: str, load: Load) -> Result:
-    """Send the arrivals through the routers of some entries and ten guards."""
+    """Send the arrivals through the routers of the entries to ten guards."""
     world = RequestWorld(entries=load.entries, agents=SERVER_COUNT)
     rng = random.Random(load.seed + 3)
     draw = service_time(load)
@@ -187,12 +188,12 @@
 
 
 def return_false(*_: object) -> bool:
-    """Stand in for a test that is switched off."""
+    """Stand in for a condition that is switched off."""
     return False
 
 
 def oldest_first(name: str, load: Load) -> Result:
-    """Run the router without shedding: oldest first, whatever the queue."""
+    """Run the router without load shedding, so that it serves oldest first."""
     with (
         mock.patch.object(route_queue, "is_standing_queue", return_false),
         mock.patch.object(route_shed, "MIN_QUEUE_LIMIT", sys.maxsize),
@@ -202,7 +203,7 @@
 
 
 def without_hedges(name: str, load: Load) -> Result:
-    """Run the router without second attempts."""
+    """Run the router without hedged attempts."""
     with mock.patch.object(route_calls, "MAX_HEDGE_TOKENS", 0.0):
         return run_router(name, load)
 
@@ -223,7 +224,7 @@
 
 
 def measure_overload(seconds: float, seed: int) -> None:
-    """Compare the useful answers as the offered load passes the capacity."""
+    """Compare the useful answers for loads from below to above the capacity."""
     print(f"useful answers, capacity {CAPACITY_PER_S:.0f}/s")
     for name, run in (*POLICIES, ("router, oldest first", oldest_first)):
         loads = [Load(rate=rate, seconds=seconds, seed=seed) for rate in LOAD_RATES]
@@ -231,7 +232,7 @@
 
 
 def measure_shared_servers(seconds: float, seed: int) -> None:
-    """Do the same with three entries that share the servers, and claims."""
+    """Measure overload with three entries that share the servers, and claims."""
     print("useful answers, three entries, half of the calls unrepeatable")
     loads = [
         Load(
@@ -243,18 +244,18 @@
 
 
 def print_overload(name: str, results: Sequence[Result]) -> None:
-    """Print results with their share of the peak."""
+    """Print results and their ratio to the peak or the offered load."""
     peak = max(result.useful_per_s for result in results)
     for rate, result in zip(LOAD_RATES, results, strict=True):
         fraction = result.useful_per_s / min(peak, result.offered_per_s)
         print(
             f"  {rate:3.1f}x {format_result(result)}"
-            f" of the peak or offer {fraction:.2f}"
+            f" of peak or offered load {fraction:.2f}"
         )
 
 
 def measure_hedges(seconds: float, seed: int) -> None:
-    """Compare second attempts with none where one run in a hundred stalls."""
+    """Compare runs with and without hedged attempts if 1 % of the runs stall."""
     print(f"1 % of the runs take {SLOW_FACTOR:.0f} times as long")
     for rate in (0.3, 0.6, 0.8):
         load = Load(rate=rate, seconds=seconds, stalled_fraction=0.01, seed=seed)
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -1,9 +1,9 @@
-"""Runs one scenario for each cell of the fault matrix and checks what must hold.
+"""Runs one scenario for each case of the fault matrix and checks the invariants.
 
 The scenario serves unrepeatable calls through both entries, runs two jobs, drains
-a failure domain and returns it, and stops an agent gracefully. A cell does a fault
-at the first moment of a step, or two faults at once. Checks run at every start,
-commit and answer (`site_io`), and at the end over the whole run.
+a failure domain and returns it to service, and stops an agent gracefully. A case
+injects one or two faults at an occurrence of a step, by default the first. Checks
+run at every start, commit and answer (`site_io`), and at the end over the whole run.
 """
 
 from __future__ import annotations
@@ -58,9 +58,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FaultCase:
-    """A step and the faults that are done there, in order.
+    """A step and the faults that are injected at it, in order.
 
-    `occurrence` says at which time of the step the faults are done.
+    `occurrence` is the occurrence of the step, counted from 1, that gets the faults.
     """
 
     step: str
@@ -70,14 +70,14 @@
 
     @property
     def name(self) -> str:
-        """The cell's readable name."""
+        """The name of the case in reports."""
         faults = " + ".join(self.faults)
         return f"{self.step} {self.occurrence} / {faults} / seed {self.seed}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
-    """How a cell ended; `reached` tells whether its step was taken at all."""
+    """How a case ended; `reached` tells whether its step occurred."""
 
     case: FaultCase
     reached: bool
@@ -85,7 +85,7 @@
 
 
 class Caller:
-    """Makes one call and repeats it under its id until it is answered."""
+    """Makes one call and repeats it with the same request id until it is answered."""
 
     def __init__(self, *, site: Site, request_id: str, first_attempt: int) -> None:
         self.site = site
@@ -95,7 +95,7 @@
         self.outcomes: list[str] = []
 
     def attempt(self) -> None:
-        """Call through the next entry."""
+        """Make the call through the next entry."""
         entry = ENTRIES[self.attempts % len(ENTRIES)]
         call_id = f"{self.request_id}.{self.attempts}"
         self.attempts += 1
@@ -112,13 +112,13 @@
             self.attempt()
 
     def problem(self) -> str:
-        """Return what is wrong with how the call ended, if anything."""
+        """Return what is wrong with the outcome of the call, or an empty string."""
         runs = self.site.runs[self.request_id]
         if runs and set(self.outcomes) == {"ran no"}:
             return f"{self.request_id} ran, but every answer was 'not run'"
         last = self.outcomes[-1] if self.outcomes else "no answer"
         if last == "ran no" and not runs:
-            return f"{self.request_id} never ran, in {len(self.outcomes)} tries"
+            return f"{self.request_id} did not run in {len(self.outcomes)} attempts"
         return ""
 
 
@@ -146,7 +146,7 @@
             FAULT_BY_NAME[name](self.site, address, command)
 
     def at(self, when: float, action: Any) -> None:
-        """Have something happen at a moment of the scenario."""
+        """Schedule an action of the scenario after a delay."""
         self.site.world.at(when, action)
 
     def execute(self) -> Verdict:
@@ -175,7 +175,7 @@
         )
 
     def submit(self, when: float, kind: str, record: Record, attempts: int = 0) -> None:
-        """Submit a record, and again through the other entry until it is accepted."""
+        """Submit a record, through alternating entries, until it is accepted."""
         call_id = f"submit-{record.name}-{attempts}"
         entry = ENTRIES[attempts % len(ENTRIES)]
         event = SubmitRecord(
@@ -195,7 +195,7 @@
     def set_domain_state(
         self, when: float, state: DomainState, attempts: int = 0
     ) -> None:
-        """Change the first failure domain, and again until the store shows it."""
+        """Change the first failure domain until the store holds the change."""
 
         def check_outcome() -> None:
             row = self.site.row(f"record/failure_domain/{DOMAINS[0]}")
@@ -208,7 +208,7 @@
         self.at(when + 3.0, check_outcome)
 
     def stop_gracefully(self, agent: str) -> None:
-        """Stop an agent as SIGTERM does, and start it again when it has ended."""
+        """Stop an agent as SIGTERM does, and start it again later."""
         if not self.site.world.alive(agent):
             return
         start_count = self.site.start_counts[agent]
@@ -222,7 +222,7 @@
         self.at(15.0, restart)
 
     def unfinished(self) -> list[str]:
-        """Return what is not finished yet."""
+        """Return what is unfinished, one line each."""
         problems: list[str] = []
         for name, tasks in JOBS.items():
             for index in range(tasks):
@@ -233,7 +233,7 @@
         return problems + [f"the backlog holds {k}" for k in self.site.keys("backlog/")]
 
     def check(self) -> None:
-        """Check the whole run."""
+        """Check the outcome of every call, task and backlog row."""
         for caller in self.callers:
             problem = caller.problem()
             if problem:
@@ -243,7 +243,7 @@
 
 
 def job_record(name: str) -> JobRecord:
-    """Return a batch job of the scenario."""
+    """Return the record of a batch job of the scenario."""
     return JobRecord(
         name=name,
         department="bakery",
@@ -281,5 +281,5 @@
 
 
 def run_case(case: FaultCase) -> Verdict:
-    """Run one cell of the matrix."""
+    """Run one case of the matrix."""
     return ScenarioRun(case=case).execute()
--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -1,4 +1,4 @@
-"""The faults of the fault matrix, each done to a site at the moment of a step."""
+"""The faults of the fault matrix, each injected into a site at a step."""
 
 from __future__ import annotations
 
@@ -25,43 +25,43 @@
 
 
 def peers_of(process: str) -> tuple[str, ...]:
-    """Return the processes that a process has links to."""
+    """Return the processes to which a process has links."""
     return AGENTS if process in ENTRIES else ENTRIES
 
 
 def kill(site: Site, address: RoleAddress, command: Any) -> None:
-    """Kill the process; another one of its name starts a little later."""
+    """Kill the process and restart it under the same name after a delay."""
     site.kill(address.process)
     site.world.at(RESTART_DELAY_S, lambda: site.start(address.process))
 
 
 def lose_host(site: Site, address: RoleAddress, command: Any) -> None:
-    """Kill the process for good."""
+    """Kill the process and never restart it."""
     site.kill(address.process)
     site.lost_processes.add(address.process)
 
 
 def pause(site: Site, address: RoleAddress, command: Any) -> None:
-    """Freeze the process past every lease, right before the command leaves."""
+    """Pause the process right before the command, until every lease has expired."""
     site.freeze(address.process, PAUSE_DURATION_S)
 
 
 def cut_outgoing(site: Site, address: RoleAddress, command: Any) -> None:
-    """Lose what the process sends."""
+    """Lose all items that the process sends."""
     site.cut_off(
         {(address.process, peer) for peer in peers_of(address.process)}, CUT_DURATION_S
     )
 
 
 def cut_incoming(site: Site, address: RoleAddress, command: Any) -> None:
-    """Lose what the process is sent."""
+    """Lose all items that are sent to the process."""
     site.cut_off(
         {(peer, address.process) for peer in peers_of(address.process)}, CUT_DURATION_S
     )
 
 
 def change_path(site: Site, path: Path) -> None:
-    """Have all links carry messages over `path` for a while."""
+    """Use `path` for the messages of all links for a limited time."""
     site.path = path
 
     def heal() -> None:
@@ -86,7 +86,7 @@
 
 
 def change_store(site: Site, mode: str, delay_s: float) -> None:
-    """Have the store misbehave for a while."""
+    """Set the mode and the delay of the store for a limited time."""
     site.store_mode, site.store_delay_s = mode, delay_s
 
     def heal() -> None:
@@ -96,28 +96,28 @@
 
 
 def store_down(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the store refuse everything."""
+    """Make the store refuse all requests."""
     change_store(site, "down", STORE_DELAY_S)
 
 
 def store_slow(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the store take long."""
+    """Make the store slow."""
     change_store(site, "up", SLOW_STORE_DELAY_S)
 
 
 def lose_answers(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the store's answers lost after the write."""
+    """Lose the store's answers after the writes were applied."""
     change_store(site, "lose_answers", STORE_DELAY_S)
 
 
 def worker_of(command: Any) -> str:
-    """Return the worker that a step concerns, or some worker."""
+    """Return the worker that a command concerns, or the first worker."""
     name: str = getattr(command, "worker_id", next(iter(WORKERS)))
     return name
 
 
 def worker_dies(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the worker lose all that it runs, and return later."""
+    """Stop the worker, which loses all its runs, and return it later."""
     worker = worker_of(command)
     site.advance()
     site.dead_workers.add(worker)
@@ -126,21 +126,21 @@
 
 
 def worker_loses_answers(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the worker's answers lost."""
+    """Lose the worker's answers."""
     worker = worker_of(command)
     site.lossy_workers.add(worker)
     site.world.at(WORKER_DOWN_DURATION_S, lambda: site.lossy_workers.discard(worker))
 
 
 def worker_fails_all(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have the worker fail everything that it starts."""
+    """Make the worker fail all tasks that it starts."""
     worker = worker_of(command)
     site.fail_all(worker, True)
     site.world.at(WORKER_FAILING_DURATION_S, lambda: site.fail_all(worker, False))
 
 
 def change_domain(site: Site, entry: str, domain: str, state: DomainState) -> None:
-    """Have an operator change a failure domain at an entry."""
+    """Change the state of a failure domain through an entry, as an operator does."""
     call_id = f"op-{domain}-{state.value}-{entry}-{site.world.now:.3f}"
     site.send_operator_call(
         entry,
@@ -155,7 +155,7 @@
 
 
 def operators_race(site: Site, address: RoleAddress, command: Any) -> None:
-    """Have operators take a failure domain out and return it at the same moment."""
+    """Drain a failure domain and return it to service at the same moment."""
     first, second = ENTRIES
     change_domain(site, first, DOMAINS[1], DomainState.DRAINED)
     change_domain(site, second, DOMAINS[1], DomainState.IN_SERVICE)
@@ -165,7 +165,7 @@
 
 
 def domain_drained(site: Site, address: RoleAddress, command: Any) -> None:
-    """Take the second failure domain out for a while."""
+    """Drain the second failure domain for a limited time."""
     change_domain(site, ENTRIES[1], DOMAINS[1], DomainState.DRAINED)
     site.world.at(
         20.0,
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -1,4 +1,4 @@
-"""The steps of the fault matrix: how each is recognised in the commands of roles."""
+"""The steps of the fault matrix, each recognised by a command of a role."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WrittenRow:
-    """A key and the row that a command would have written there."""
+    """A key and the row that a command writes to it."""
 
     key: str
     row: Any
@@ -34,7 +34,7 @@
 
 @singledispatch
 def submitted_writes(command: Any) -> tuple[WrittenRow, ...]:
-    """Return what a command gives to a committer; nothing by default."""
+    """Return the writes that a command submits to a committer; none by default."""
     return ()
 
 
@@ -57,7 +57,7 @@
 
 @singledispatch
 def transaction_writes(command: Command) -> tuple[WrittenRow, ...]:
-    """Return what a command sends to the table service; nothing by default."""
+    """Return the writes that a command sends to the table service; none by default."""
     return ()
 
 
@@ -69,7 +69,7 @@
 def submits_row(
     prefix: str, matches: Callable[[Any], bool] = lambda row: row is not None
 ) -> Callable[[Any], bool]:
-    """Recognise a submission that writes a fitting row under a prefix."""
+    """Return a test for a submission that writes a matching row under a prefix."""
     return lambda command: any(
         w.key.startswith(prefix) and matches(w.row) for w in submitted_writes(command)
     )
@@ -78,7 +78,7 @@
 def commits_row(
     prefix: str, matches: Callable[[Any], bool] = lambda row: row is not None
 ) -> Callable[[Any], bool]:
-    """Recognise a transaction that writes a fitting row under a prefix."""
+    """Return a test for a transaction that writes a matching row under a prefix."""
     return lambda command: any(
         w.key.startswith(prefix) and matches(w.row) for w in transaction_writes(command)
     )
@@ -87,7 +87,7 @@
 def sends_item(
     kind: type, matches: Callable[[Any], bool] = bool
 ) -> Callable[[Any], bool]:
-    """Recognise an item of a link."""
+    """Return a test for a command that sends a matching item over a link."""
     return lambda command: (
         isinstance(getattr(command, "item", None), kind) and matches(command.item)
     )
@@ -96,12 +96,12 @@
 def is_command(
     kind: type, matches: Callable[[Any], bool] = bool
 ) -> Callable[[Any], bool]:
-    """Recognise a command by its class."""
+    """Return a test for a matching command of a class."""
     return lambda command: isinstance(command, kind) and matches(command)
 
 
 def is_starting(row: Any) -> bool:
-    """Tell whether a row is that of a task that is to start."""
+    """Tell whether a row is the row of a task in the state STARTING."""
     return row is not None and row.state is TaskState.STARTING
 
 
@@ -132,4 +132,4 @@
         "lease/", lambda row: row is not None and not row.owner
     ),
 }
-"""A step is taken by the first command after `ARMED_AT_S` that its function finds."""
+"""Tests whether a command takes a step; commands before `FAULTS_FROM_S` are ignored."""
--- a/test/site.py
+++ b/test/site.py
@@ -1,8 +1,8 @@
 """A whole site in virtual time: entries, agents, workers, backend servers, the store.
 
-It runs the very roles of the product, routed as the product routes them, over the
-cores of the stand-ins. `site_io` carries out the commands. Faults are switches of
-this class; what breaks an invariant is kept in `violations`.
+It runs the roles of the product, with the product's routing of events, on the cores
+of the stand-ins. `site_io` carries out the commands. `Site` has methods and fields
+that inject faults; broken invariants are recorded in `violations`.
 """
 
 from __future__ import annotations
@@ -76,11 +76,11 @@
     # Processes and links.
 
     def incarnation_of(self, process: str) -> str:
-        """Return the incarnation of the present life of a process."""
+        """Return the name of the current incarnation of a process."""
         return f"{process}#{self.start_counts[process]}"
 
     def start(self, process: str) -> None:
-        """Start a process, in place of its earlier life, and link it."""
+        """Start a process, replacing its earlier incarnation, and link it."""
         if process in self.lost_processes:
             return
         self.kill(process)
@@ -121,13 +121,13 @@
         ]
 
     def kill(self, process: str) -> None:
-        """End a process; its peers see their links end."""
+        """End a process and, for its peers, its links."""
         for pair in [pair for pair in self.links if process in pair]:
             self.unlink(*pair)
         self.world.kill(process)
 
     def link(self, entry: str, agent: str) -> None:
-        """Open the link of two live processes, unless it is open or cut."""
+        """Open the link of two running processes, unless it is open or cut."""
         both_alive = self.world.alive(entry) and self.world.alive(agent)
         blocked = {(entry, agent), (agent, entry)} & self.cut_links
         if not both_alive or blocked or (entry, agent) in self.links:
@@ -142,14 +142,14 @@
         )
 
     def unlink(self, entry: str, agent: str) -> None:
-        """End a link; nothing more arrives on it."""
+        """End a link; items in flight on it are lost."""
         if self.links.pop((entry, agent), None) is None:
             return
         self.deliver_to_process(entry, LinkDown(peer=self.incarnation_of(agent)))
         self.deliver_to_process(agent, LinkDown(peer=self.incarnation_of(entry)))
 
     def freeze(self, process: str, seconds: float) -> None:
-        """Pause a process; its peers end their links by keepalive meanwhile."""
+        """Pause a process; its peers end their links after the keepalive timeout."""
         self.world.pause(process, seconds)
         pairs = [pair for pair in self.links if process in pair]
         start_count = self.start_counts[process]
@@ -166,7 +166,7 @@
         self.world.at(seconds + RELINK_DELAY_S, relink)
 
     def cut_off(self, directions: set[tuple[str, str]], seconds: float) -> None:
-        """Lose what travels these ways; keepalives end the links after a while."""
+        """Lose items in these directions; the links end after the keepalive timeout."""
         self.cut_links |= directions
         pairs = {pair for pair in self.links if {pair, pair[::-1]} & directions}
 
@@ -183,7 +183,7 @@
         self.world.at(seconds, heal)
 
     def send(self, source: str, peer: str, item: LinkEvent) -> None:
-        """Put an item on a link, over the present path."""
+        """Send an item over a link, with the delays of the current path."""
         target = self.process_by_incarnation.get(peer, "")
         pair = (source, target) if source in ENTRIES else (target, source)
         number = self.links.get(pair)
@@ -202,16 +202,16 @@
             self.deliver_to_process(target, event)
 
     def deliver_to_process(self, process: str, event: Event) -> None:
-        """Tell the roles of a process an item, as the product routes it."""
+        """Deliver an event to the roles of a process that the product routes it to."""
         for role in recipients(event):
             address = RoleAddress(process=process, role=role)
             if address in self.world.roles:
                 self.world.deliver(address, event_for_item(event))
 
-    # Outside events.
+    # Calls from callers and operators, and the passage of time.
 
     def call(self, entry: str, call_id: str, request_id: str, within_s: float) -> None:
-        """Make an unrepeatable call through an entry."""
+        """Make an unrepeatable call at an entry."""
         event = CallReceived(
             call_id=call_id,
             service=SERVICE,
@@ -228,14 +228,14 @@
         self.world.deliver(RoleAddress(process=entry, role="controller"), event)
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the virtual time."""
         self.world.run(self.world.now + seconds)
 
     def fail_all(self, worker: str, fails: bool) -> None:
-        """Have a worker fail everything that it starts, or not."""
+        """Set whether a worker fails all tasks that it starts."""
         self.workers[worker] = replace(self.workers[worker], fail_all=fails)
 
-    # What checks look at.
+    # State for checks.
 
     def row(self, key: str) -> Any:
         """Return the row of a key, or None."""
@@ -250,7 +250,7 @@
         return [r.key for r in rows if r.value is not None and r.key.startswith(prefix)]
 
     def advance(self) -> None:
-        """Let the workers work up to now, and count what has finished."""
+        """Advance the workers to the current time, and count the runs that finished."""
         for name, state in self.workers.items():
             if name not in self.dead_workers:
                 after = worker_core.advance(state, self.world.now)
@@ -268,7 +268,7 @@
                 self.finishes[run.start.task_id] += 1
 
     def record_violation(self, violation: str) -> None:
-        """Keep what broke an invariant, with the time."""
+        """Record a broken invariant with the time."""
         self.violations.append(f"{self.world.now:.2f} {violation}")
 
 
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -62,7 +62,7 @@
 
 @singledispatch
 def carry_out(command: Command, site: Site, address: RoleAddress) -> None:
-    """Carry out a command; counts and durations have no effect."""
+    """Carry out a command; commands without a handler, such as counts, are ignored."""
 
 
 @carry_out.register
@@ -93,7 +93,7 @@
 
 
 def send_outcome(site: Site, source: str, peer: str, outcome: Any) -> None:
-    """Send an outcome over a link; only link items name their peer."""
+    """Send an outcome over a link; outcomes other than link items name no peer."""
     if isinstance(outcome, LinkEvent):
         site.send(source, peer, outcome)
         return
@@ -112,7 +112,7 @@
         )
 
 
-# Callers, operators and the ends of roles.
+# Answers to callers and operators, and roles that have finished.
 
 
 @carry_out.register(AnswerCall)
@@ -125,7 +125,9 @@
     request_id = site.calls[command.call_id].request_id
     outcome = describe_answer(command)
     if outcome.startswith("answered") and outcome != f"answered done {request_id}":
-        site.record_violation(f"call {command.call_id} got another's answer: {outcome}")
+        site.record_violation(
+            f"call {command.call_id} got another call's answer: {outcome}"
+        )
 
 
 @carry_out.register(Reply)
@@ -188,7 +190,7 @@
 
 
 def commit(command: Transact, site: Site) -> Any:
-    """Commit a transaction in the store and return what its sender would learn."""
+    """Commit a transaction in the store and return the outcome for its sender."""
     ids: dict[str, Any] = {
         "lane": command.lane,
         "transaction_id": command.transaction_id,
@@ -218,16 +220,16 @@
 
 
 def fence_of(row: Stored) -> Fence:
-    """Return a fence as it stands in the store."""
+    """Return the fence that a row of the store holds."""
     token = (row.value or b"").decode()
     return Fence(key=row.key, version=row.version, token=token)
 
 
 def check_commit(command: Transact, site: Site) -> None:
-    """Check that no outcome of a task is written over, and note drains."""
+    """Check that no task outcome is overwritten, and record when drains commit."""
     for write in command.writes:
         if write.key.startswith("done/") and site.row(write.key) is not None:
-            site.record_violation(f"done twice: {write.key}")
+            site.record_violation(f"task outcome written twice: {write.key}")
         if write.key.startswith("record/failure_domain/"):
             row: Any = write.row
             name = row.record.name
@@ -261,7 +263,7 @@
 
 
 def check_workers(site: Site) -> None:
-    """Check that no task runs twice and that no worker is beyond its capacity."""
+    """Check that no task runs twice at once and no worker exceeds its capacity."""
     site.advance()
     names: list[str] = []
     for name, state in site.workers.items():
@@ -274,7 +276,7 @@
             and name not in site.dead_workers
         ]
     for task in sorted({task for task in names if names.count(task) > 1}):
-        site.record_violation(f"{task} runs twice")
+        site.record_violation(f"{task} runs twice at once")
 
 
 @carry_out.register
@@ -364,7 +366,7 @@
 
 
 def deliver_answer(site: Site, address: RoleAddress, worker: str, event: Any) -> None:
-    """Give the owner a worker's answer, unless the worker's answers are lost."""
+    """Deliver a worker's answer to the owner, unless the worker's answers are lost."""
     if worker not in site.lossy_workers:
         site.world.deliver(address, event, Path(delay_s=WORKER_DELAY_S))
 
@@ -372,6 +374,6 @@
 def report_lost_answer(
     site: Site, address: RoleAddress, worker: str, event: Any
 ) -> None:
-    """Tell the owner that no answer came, if the worker's answers are lost."""
+    """Report a timeout to the owner if the worker's answers are lost."""
     if worker in site.lossy_workers:
         site.world.deliver(address, event, Path(delay_s=LOST_ANSWER_TIMEOUT_S))
--- a/test/test_fault_matrix.py
+++ b/test/test_fault_matrix.py
@@ -1,8 +1,8 @@
 """The fault matrix: every fault at every step, and pairs of faults.
 
-`test-data/fault_matrix.txt` lists the steps and faults. Each cell is one run of the
-scenario of `matrix` in virtual time, with a fixed seed; the cells are shared out
-over the processors, which changes no verdict. The table of cells is printed.
+`test-data/fault_matrix.txt` lists the steps and faults. Each case is one run of the
+scenario of `matrix` in virtual time, with a fixed seed. The cases run in parallel,
+which does not affect their verdicts. A table of the results is printed.
 """
 
 from __future__ import annotations
@@ -44,14 +44,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MatrixNames:
-    """The steps and the faults of the matrix, as the data file names them."""
+    """The names of steps and faults in the data file."""
 
     steps: tuple[str, ...]
     faults: tuple[str, ...]
 
 
 def read_names() -> MatrixNames:
-    """Read the data file: a heading in brackets, then a name on each line."""
+    """Read the data file: headings in brackets, each followed by a name a line."""
     names_by_heading: dict[str, list[str]] = {"steps": [], "faults": []}
     heading = ""
     for line in DATA.read_text().splitlines():
@@ -65,12 +65,12 @@
 
 
 def single_fault_cases(names: MatrixNames) -> list[FaultCase]:
-    """Return a cell for each fault at each step."""
+    """Return a case for each fault at each step."""
     return [FaultCase(step=s, faults=(f,)) for s in names.steps for f in names.faults]
 
 
 def fault_pair_cases(names: MatrixNames) -> list[FaultCase]:
-    """Return cells of two faults at once, drawn with a fixed seed."""
+    """Return cases of two faults at once, drawn with a fixed seed."""
     rng = RandomGenerator(state=PAIR_SEED)
     cases: list[FaultCase] = []
     for number in range(PAIR_CASE_COUNT):
@@ -84,7 +84,7 @@
 
 
 def later_occurrence_cases(names: MatrixNames) -> list[FaultCase]:
-    """Return cells at later times of steps that occur often."""
+    """Return cases at later occurrences of frequent steps."""
     steps = [step for step in names.steps if step in FREQUENT_STEPS]
     rng = RandomGenerator(state=LATER_SEED)
     cases: list[FaultCase] = []
@@ -103,30 +103,30 @@
 
 
 def run_cases(cases: list[FaultCase]) -> list[Verdict]:
-    """Run the cells, a few at a time, and return their verdicts in order."""
+    """Run the cases in parallel and return their verdicts in order."""
     context = multiprocessing.get_context("spawn")
     with context.Pool(os.cpu_count()) as pool:
         return pool.map(run_case, cases, chunksize=1)
 
 
 def report(name: str, verdicts: list[Verdict]) -> list[str]:
-    """Print a line for each step, and return what went wrong."""
+    """Print a line for each step, and return the problems."""
     by_step: dict[str, Counter[str]] = {}
     problems: list[str] = []
     for verdict in verdicts:
         counts = by_step.setdefault(verdict.case.step, Counter())
         counts["run" if verdict.reached else "not reached"] += 1
-        counts["red" if verdict.violations else "passed"] += 1
+        counts["failed" if verdict.violations else "passed"] += 1
         problems += [
             f"{verdict.case.name}: {violation}" for violation in verdict.violations
         ]
         if not verdict.reached:
             problems.append(f"{verdict.case.name}: the step was not reached")
-    print(f"\n{name}: {len(verdicts)} cells")
+    print(f"\n{name}: {len(verdicts)} cases")
     for step, counts in by_step.items():
         print(
             f"  {step:26} run {counts['run']:3}  passed {counts['passed']:3}"
-            f"  red {counts['red']:3}"
+            f"  failed {counts['failed']:3}"
         )
     return problems
 
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -1,7 +1,7 @@
-"""Cells of the fault matrix go red when a guard is taken out.
+"""Cases of the fault matrix fail when a safeguard of the product is removed.
 
-This shows that the checks of the matrix can fail: each case patches one guard of
-the product, runs one cell that passes with the guard, and expects violations.
+This shows that the checks of the matrix can fail. Each mutation patches out one
+safeguard, runs a case that passes with the safeguard, and expects violations.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Mutation:
-    """A guard, what stands in its place, the cell and a word of the violation."""
+    """A patched safeguard, the case to run, and a part of the expected violation."""
 
     name: str
     patches: tuple[tuple[Any, str, Any], ...]
@@ -28,18 +28,18 @@
 
 
 def never_join_known(tables: Any, request_id: str, waiter: Any) -> None:
-    """Forget every id that ran."""
+    """Stand in for `join_known` as if no request id had run before."""
 
 
 CASES = (
     Mutation(
-        name="an agent that forgets ids runs a repeated request twice",
+        name="an agent that does not remember ids runs a repeated request twice",
         patches=((guard_requests, "join_known", never_join_known),),
         case=FaultCase(step="request dispatched", faults=("message repeated",)),
         violation="ran twice",
     ),
     Mutation(
-        name="a start that may leave late comes after the next owner's run",
+        name="a start that may be sent late arrives after the next owner's run",
         patches=((cell_start, "START_WINDOW_S", 1_000.0),),
         case=FaultCase(step="task start sent", faults=("process paused",)),
         violation="started again",
@@ -59,7 +59,7 @@
 
 
 def violations_without(mutation: Mutation) -> tuple[str, ...]:
-    """Run the case's cell with its guard taken out."""
+    """Run the case of a mutation without its safeguard."""
     patches = [mock.patch.object(*patch) for patch in mutation.patches]
     for patch in patches:
         patch.start()
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -1,10 +1,10 @@
 """Runs the roles of several processes in virtual time over small fakes.
 
-It holds no decision of its own: roles tick as in `RoleActor`, commands are
-carried out by a function that the test gives, and everything that happens is an
-entry in one ordered queue, so that a run is the same each time. A process can be
-killed, started again, or paused, also between a decision and its commands; a
-message can be delayed, repeated, held back or lost by its `Path`.
+It makes no decisions itself: roles tick as in `RoleActor`, a function given by the
+test carries out their commands, and all actions are entries in one ordered queue,
+so that every run is the same. A process can be killed, restarted or paused, also
+between a decision and its commands. A `Path` can delay, reorder, repeat or lose
+messages.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoleAddress:
-    """One role of one process."""
+    """Identifies a role of a process."""
 
     process: str
     role: str
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Path:
-    """How messages travel: delays in seconds, faults by probability in percent."""
+    """How messages are delivered: delays in seconds, fault rates in percent."""
 
     delay_s: float = 0.001
     jitter_s: float = 0.0
@@ -41,12 +41,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RandomGenerator:
-    """A small reproducible source of chance."""
+    """A small random number generator with a reproducible sequence."""
 
     state: int = 1
 
     def draw(self, bound: int) -> tuple[int, RandomGenerator]:
-        """Return a number below `sides` and the next dice."""
+        """Return a number below `bound` and the next generator."""
         state = (self.state * RANDOM_FACTOR) % RANDOM_MODULUS
         return state % bound, RandomGenerator(state=state)
 
@@ -56,7 +56,7 @@
 
 
 class VirtualWorld:
-    """The queue of what happens, and the tables of every role."""
+    """The queue of scheduled actions, and the tables of every role."""
 
     def __init__(self, *, carry_out: CarryOut, seed: int = 1) -> None:
         self.now = 0.0
@@ -71,7 +71,7 @@
         self._count = 0
 
     def at(self, delay_s: float, action: Callable[[], None]) -> None:
-        """Have `action` happen after a delay."""
+        """Schedule an action after a delay."""
         self._count += 1
         heapq.heappush(self._queue, (self.now + delay_s, self._count, action))
 
@@ -86,7 +86,7 @@
         self.at(0.0, lambda: self._tick_all(process, incarnation))
 
     def kill(self, process: str) -> None:
-        """End a process at once; whatever it held is gone."""
+        """End a process at once; its tables are lost."""
         for address in [
             address for address in self.roles if address.process == process
         ]:
@@ -99,13 +99,13 @@
         return any(address.process == process for address in self.roles)
 
     def pause(self, process: str, seconds: float) -> None:
-        """Freeze a process; events wait, and so do commands not yet carried out."""
+        """Pause a process, which delays its events and its outstanding commands."""
         self.paused_until[process] = self.now + seconds
 
     def deliver(
         self, address: RoleAddress, event: Event, path: Path | None = None
     ) -> None:
-        """Have a role told an event over a path, unless the process dies first."""
+        """Deliver an event to a role over a path, unless its process ends first."""
         incarnation = self.incarnations.get(address.process, 0)
         for delay_s in self.delays(path or Path(delay_s=0.0)):
             self.at(delay_s, lambda: self._tick_role(address, incarnation, (event,)))
@@ -123,14 +123,14 @@
         return tuple(delays_s)
 
     def run(self, until: float) -> None:
-        """Let everything happen up to a time."""
+        """Run all actions that are due up to a time."""
         while self._queue and self._queue[0][0] <= until:
             self.now, _, action = heapq.heappop(self._queue)
             action()
         self.now = until
 
     def change(self, address: RoleAddress, **fields: Any) -> None:
-        """Replace fields of a role's tables, to set up a case."""
+        """Replace fields of a role's tables, to set up a test case."""
         self.tables[address] = replace(self.tables[address], **fields)
 
     def _remaining_pause_s(self, process: str) -> float:
@@ -167,7 +167,7 @@
     def _execute_command(
         self, address: RoleAddress, incarnation: int, command: Command
     ) -> None:
-        """Carry out a command, later if a watch has just paused the process."""
+        """Carry out a command, or delay it if a hook has just paused the process."""
         if self.incarnations.get(address.process) != incarnation:
             return
         pause_s = self._remaining_pause_s(address.process)
