Rename more constants, times and parameters of the jobs' systems

Parameters that hold a server's incarnation are called incarnation, as elsewhere, and no longer life unless they are a field. Factors, fractions and patterns say in their names what they are, and the times of the last placement pass and of the last count of the backlog that they are times.

--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 # A backend server's clock may be this much slower than ours, as the platform states.
-CLOCK_DRIFT = 0.02
+MAX_CLOCK_DRIFT_FRACTION = 0.02
 # Upper limit of the delays from reading clocks and from timers that fire late.
 CLOCK_MARGIN_S = 0.5
 
@@ -39,7 +39,11 @@
     @property
     def lease_expiry_s(self) -> float:
         """Time since the last renewal after which a lease and its runs have ended."""
-        return self.lease_s / (1.0 - CLOCK_DRIFT) + self.kill_s + CLOCK_MARGIN_S
+        return (
+            self.lease_s / (1.0 - MAX_CLOCK_DRIFT_FRACTION)
+            + self.kill_s
+            + CLOCK_MARGIN_S
+        )
 
     @property
     def agent_expiry_s(self) -> float:
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -176,7 +176,7 @@
     commit: Commit | None = None
     watch_by_table: PMap[str, WatchState] = field(default_factory=pmap)
     backlog: BacklogRow = NO_BACKLOG
-    backlog_at: float = 0.0
+    backlog_counted_at: float = 0.0
     backlog_written: BacklogRow = NO_BACKLOG
     store_latency_s: float = 0.05
     wall_offset_s: float = 0.0
@@ -188,7 +188,7 @@
     verdicts_sent_at: float = 0.0
     harms_saved_at: float = 0.0
     place_due: bool = False
-    placed_at: float = 0.0
+    last_placement_at: float = 0.0
     purged_at: float = 0.0
     expiry_checked_at: float = 0.0
     condensed_at: float = 0.0
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -47,7 +47,7 @@
     submitting,
 )
 
-JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 # A process has read its configuration within this time after its start.
 STARTUP_RETRY_AFTER_S = 0.5
 
@@ -98,13 +98,13 @@
 @singledispatch
 def _has_valid_job_id(call: JobCall, job_id: str) -> bool:
     """Return whether the rest of the path is a job id, or empty where allowed."""
-    return not job_id or JOB_ID.fullmatch(job_id) is not None
+    return not job_id or JOB_ID_PATTERN.fullmatch(job_id) is not None
 
 
 @_has_valid_job_id.register(SubmitCall)
 @_has_valid_job_id.register(CancelCall)
 def _(call: JobCall, job_id: str) -> bool:
-    return JOB_ID.fullmatch(job_id) is not None
+    return JOB_ID_PATTERN.fullmatch(job_id) is not None
 
 
 def _refuse(
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -27,7 +27,7 @@
 # Three contacts in a row must fail before the owner stops placing tasks here.
 CONTACT_INTERVAL_S = 0.8
 # Checkpoints are needed only when the host is lost, so slightly old ones suffice.
-CHECKPOINT_INTERVAL_S = 1.0
+CHECKPOINT_REPORT_INTERVAL_S = 1.0
 # Latencies are measured over half a second.
 MEASURE_INTERVAL_S = 0.5
 
@@ -145,4 +145,4 @@
         return True
     if run_.reported.checkpoint == run_.status.checkpoint:
         return False
-    return now - run_.reported_at >= CHECKPOINT_INTERVAL_S
+    return now - run_.reported_at >= CHECKPOINT_REPORT_INTERVAL_S
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -184,5 +184,7 @@
     return ServerState.STALLED if stalls else ServerState.READY
 
 
-def _line(tables: JobAgentTables, life: str, state: str, reason: str) -> Decision:
-    return edits.log(tables, "server.state", life, state, reason)
+def _line(
+    tables: JobAgentTables, incarnation: str, state: str, reason: str
+) -> Decision:
+    return edits.log(tables, "server.state", incarnation, state, reason)
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -192,13 +192,13 @@
 
 
 def _current_task(
-    tables: SchedulerTables, host: Host, life: str, task_id: str, run: int
+    tables: SchedulerTables, host: Host, incarnation: str, task_id: str, run: int
 ) -> Task | None:
     """Return the task if this is its current run and may be running on the host."""
     task = tables.tasks.get(task_id)
     if task is None or task.state not in HOLDING_STATES or task.run != run:
         return None
-    return task if (task.host, task.life) == (host.name, life) else None
+    return task if (task.host, task.life) == (host.name, incarnation) else None
 
 
 @apply_item.register
@@ -220,9 +220,9 @@
 
 
 def _apply_run_status(
-    tables: SchedulerTables, host: Host, life: str, status: RunStatus, now: float
+    tables: SchedulerTables, host: Host, incarnation: str, status: RunStatus, now: float
 ) -> SchedulerTables:
-    task = _current_task(tables, host, life, status.task_id, status.run)
+    task = _current_task(tables, host, incarnation, status.task_id, status.run)
     if task is None:
         return tables
     job = tables.jobs.by_key[task.job_id]
@@ -247,17 +247,19 @@
 
 
 def _apply_run_end(
-    tables: SchedulerTables, host: Host, life: str, end: RunEnd, now: float
+    tables: SchedulerTables, host: Host, incarnation: str, end: RunEnd, now: float
 ) -> SchedulerStep:
-    acknowledgement = AcknowledgeEnd(host=host.name, life=life, number=end.number)
-    task = _current_task(tables, host, life, end.task_id, end.run)
+    acknowledgement = AcknowledgeEnd(
+        host=host.name, life=incarnation, number=end.number
+    )
+    task = _current_task(tables, host, incarnation, end.task_id, end.run)
     if task is not None:
         ending = ending_of(end.how, end.checkpoint)
         return endings.end_run(tables, task, ending, now, acknowledgement)
     job_id = job_id_of(end.task_id)
     if edits.is_unwritten(tables, job_id):
         return Step(tables=edits.mark_dirty(tables, job_id, acknowledgement))
-    noted = EndsNoted(epoch=tables.epoch, life=life, numbers=(end.number,))
+    noted = EndsNoted(epoch=tables.epoch, life=incarnation, numbers=(end.number,))
     return Step(tables=tables, commands=(Send(peer=host.peer, item=noted),))
 
 
--- a/bulrushpulley/systems/scheduling/backlog.py
+++ b/bulrushpulley/systems/scheduling/backlog.py
@@ -19,10 +19,10 @@
     """Count again once the interval has passed; the next commit writes the count."""
     if (
         not edits.is_loaded(tables)
-        or now - tables.backlog_at < BACKLOG_COUNT_INTERVAL_S
+        or now - tables.backlog_counted_at < BACKLOG_COUNT_INTERVAL_S
     ):
         return Step(tables=tables)
     jobs = tables.jobs.rows_where("stage", UNSTARTED)
     counts = Counter(job.row.queue for job in jobs)
     row = BacklogRow(waiting=tuple(sorted(counts.items())))
-    return Step(tables=replace(tables, backlog=row, backlog_at=now))
+    return Step(tables=replace(tables, backlog=row, backlog_counted_at=now))
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -41,9 +41,9 @@
         host = tables.hosts.by_key[name]
         item = Orders(epoch=tables.epoch, life=host.life, start=tuple(orders))
         commands.append(Send(peer=host.peer, item=item))
-    for (name, life), numbers in numbers_by_incarnation.items():
+    for (name, incarnation), numbers in numbers_by_incarnation.items():
         peer = tables.hosts.by_key[name].peer
-        noted = EndsNoted(epoch=tables.epoch, life=life, numbers=tuple(numbers))
+        noted = EndsNoted(epoch=tables.epoch, life=incarnation, numbers=tuple(numbers))
         if peer:
             commands.append(Send(peer=peer, item=noted))
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -48,7 +48,7 @@
 NEAR_STORE_LATENCY_S = 0.02
 # The estimate is the minimum of the latest reads, as a busy process slows down single
 # reads; it grows by this factor with each read, so that old reads lose influence.
-READ_LATENCY_GROWTH = 1.2
+READ_LATENCY_GROWTH_FACTOR = 1.2
 OWNER_CALL_TIMEOUT_S = 1.5
 CLAIM_RETRY_DELAY_S = 0.2
 
@@ -116,7 +116,9 @@
         version=stored.version,
         unchanged_since=unchanged_since,
         polled_at=leadership.polled_at,
-        read_latency_s=min(took_s, leadership.read_latency_s * READ_LATENCY_GROWTH),
+        read_latency_s=min(
+            took_s, leadership.read_latency_s * READ_LATENCY_GROWTH_FACTOR
+        ),
     )
     reason = _reason_to_claim(seen, tables, now)
     if not reason:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -56,12 +56,12 @@
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Run a placement pass if something has changed or the interval has passed."""
     waiting = tables.tasks.by_index["waiting"]
-    due = tables.place_due or now - tables.placed_at >= PLACEMENT_INTERVAL_S
+    due = tables.place_due or now - tables.last_placement_at >= PLACEMENT_INTERVAL_S
     if not edits.is_loaded(tables) or not waiting or not due or tables.leaving:
         return Step(tables=tables)
     if _awaits_agents(tables, now):
         return Step(tables=tables)
-    tables = replace(tables, place_due=False, placed_at=now)
+    tables = replace(tables, place_due=False, last_placement_at=now)
     closed = emptying.closed_hosts(tables)
     candidates = {
         host.name: candidate_of(host)
