--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,7 +18,7 @@
 
 ROUTE_HOST = "push.example"
 ROUTE_PREFIX = "/push/"
-CALL_TIMEOUT_S = 3.0
+CALLER_TIMEOUT_S = 3.0
 MAX_SUBMIT_ATTEMPTS = 8
 CALLER_RETRY_DELAY_S = 0.3
 STATE_POLL_INTERVAL_S = 1.0
@@ -51,10 +51,10 @@
                 method,
                 f"{url}{ROUTE_PREFIX}{job_id}",
                 json=body,
-                timeout=CALL_TIMEOUT_S,
+                timeout=CALLER_TIMEOUT_S,
                 headers={
                     "Host": ROUTE_HOST,
-                    "Deadline-Ms": str(int(CALL_TIMEOUT_S * 1_000)),
+                    "Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1_000)),
                 },
             )
         except urllib3.exceptions.NewConnectionError:
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -39,7 +39,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.0
 ADVANCE_INTERVAL_S = 0.02
-CALL_TIMEOUT_S = 1.0
+EXECUTOR_CALL_TIMEOUT_S = 1.0
 # How long a backend server keeps running after it was told to drain.
 DRAIN_TIME_S = 3.0
 
@@ -140,7 +140,7 @@
         return {
             "server_id": self.server_id,
             "address": "",
-            "timeout_s": CALL_TIMEOUT_S,
+            "timeout_s": EXECUTOR_CALL_TIMEOUT_S,
         }
 
     def _answer(
