Rename stored outcomes of the guard and constants that shared a name

The guard called one thing both "stored" and "remembered"; it is stored_outcomes now. MAX_BODY_BYTES, MAX_ANSWER_BYTES and LISTEN_BACKLOG stood for different limits in two modules each and have specific names. The runtime's heartbeat and silence parameters have the names of the link's settings.

--- a/bulrushpulley/entities/execution.py
+++ b/bulrushpulley/entities/execution.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class RememberedOutcome:
+class StoredOutcome:
     """The outcome of an unrepeatable request id, kept until `expires_at`."""
 
     request_id: str
--- a/bulrushpulley/entities/guard_tables.py
+++ b/bulrushpulley/entities/guard_tables.py
@@ -8,7 +8,7 @@
 
 from bulrushpulley.entities.execution import (
     Execution,
-    RememberedOutcome,
+    StoredOutcome,
     by_request_id,
     by_state,
 )
@@ -59,9 +59,9 @@
 class GuardTables:
     """The state of a guard.
 
-    `remembered` holds the outcomes of unrepeatable ids and `remembered_order` their
-    ids, oldest first. Until `outcomes_missing_until` an outcome may have been
-    dropped before it expired, so an unknown id cannot be reported as not run.
+    `stored_outcomes` holds the outcomes of unrepeatable ids and `outcome_order` their
+    ids, oldest first. Until `outcomes_missing_until` an outcome may have been dropped
+    before it expired, so an unknown id cannot be reported as not run.
     `body_order` holds, oldest first, the ids whose answers still have their bodies,
     `body_bytes` in total. `refused_attempts` holds attempts that were answered "not
     run" and must never run; `refused_order` holds the same ones, oldest first.
@@ -70,8 +70,8 @@
     settings: GuardSettings
     executions: Table[Execution]
     links: Table[EntryLink]
-    remembered: Table[RememberedOutcome]
-    remembered_order: KeyQueue
+    stored_outcomes: Table[StoredOutcome]
+    outcome_order: KeyQueue
     body_order: KeyQueue
     refused_attempts: PMap[str, None]
     refused_order: KeyQueue
@@ -96,8 +96,8 @@
                 indexes={"state": by_state, "request_id": by_request_id}
             ),
             links=Table.empty(),
-            remembered=Table.empty(),
-            remembered_order=KeyQueue(),
+            stored_outcomes=Table.empty(),
+            outcome_order=KeyQueue(),
             body_order=KeyQueue(),
             refused_attempts=pmap(),
             refused_order=KeyQueue(),
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -28,7 +28,7 @@
 from bulrushpulley.platform.http_body import read_body
 
 BACKEND_SERVER_CONNECTIONS = 64
-MAX_ANSWER_BYTES = 1024 * 1024
+MAX_BACKEND_ANSWER_BYTES = 1024 * 1024
 HEALTH_TIMEOUT_S = 0.5
 RUN_STEP = "backend_server.run"
 
@@ -53,7 +53,7 @@
                 body = read_body(
                     response,
                     deadline=deadline,
-                    limit=MAX_ANSWER_BYTES,
+                    limit=MAX_BACKEND_ANSWER_BYTES,
                     step=RUN_STEP,
                     peer=self._url,
                 )
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -44,7 +44,7 @@
 
 STEP = "store.decode"
 JSON_HEADERS = {"Content-Type": "application/json"}
-READ_FAILURES = (RefusedError, AnswerLostError, BulrushpulleyError)
+READ_ERRORS = (RefusedError, AnswerLostError, BulrushpulleyError)
 
 
 class RowStoreClient:
@@ -116,7 +116,7 @@
                     break
                 # The smallest key greater than the last one read.
                 first = page[-1].key.key + "\0"
-        except READ_FAILURES as error:
+        except READ_ERRORS as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
         return RangeRead(purpose=call.purpose, rows=tuple(rows), version=version)
 
@@ -136,7 +136,7 @@
             raw = self._decode_body(answer)
             rows = tuple(self._stored_row(item) for item in objects(raw, "rows", STEP))
             version = integer(raw, "Ver", STEP)
-        except READ_FAILURES as error:
+        except READ_ERRORS as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
         return RowsChanged(purpose=call.purpose, rows=rows, version=version)
 
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -50,8 +50,8 @@
             port=port,
             links=self.runtime.links,
             hooks=self.runtime.hooks(
-                heartbeat_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
-                silence_s=JOB_LINK_SILENCE_TIMEOUT_S,
+                heartbeat_interval_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
+                silence_timeout_s=JOB_LINK_SILENCE_TIMEOUT_S,
             ),
         )
         self._start_job_agent()
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -57,8 +57,8 @@
         self._dialler = Dialler(
             links=self.runtime.links,
             hooks=self.runtime.hooks(
-                heartbeat_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
-                silence_s=JOB_LINK_SILENCE_TIMEOUT_S,
+                heartbeat_interval_s=JOB_LINK_HEARTBEAT_INTERVAL_S,
+                silence_timeout_s=JOB_LINK_SILENCE_TIMEOUT_S,
             ),
             hello_timeout_s=JOB_LINK_HELLO_TIMEOUT_S,
         )
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -85,8 +85,8 @@
     def hooks(
         self,
         *,
-        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
-        silence_s: float = SILENCE_TIMEOUT_S,
+        heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S,
+        silence_timeout_s: float = SILENCE_TIMEOUT_S,
     ) -> LinkHooks:
         """Return the identity of this process on its links and their callbacks."""
         return LinkHooks(
@@ -95,8 +95,8 @@
             receive=self.receive,
             count=self.metrics.count,
             report=self.report,
-            heartbeat_interval_s=heartbeat_s,
-            silence_timeout_s=silence_s,
+            heartbeat_interval_s=heartbeat_interval_s,
+            silence_timeout_s=silence_timeout_s,
         )
 
     def ports(self, *, answer: Callable[[Command], None]) -> dict[str, Any]:
--- a/bulrushpulley/systems/guard/outcomes.py
+++ b/bulrushpulley/systems/guard/outcomes.py
@@ -2,31 +2,31 @@
 
 An outcome is kept for `OUTCOME_RETENTION_S`, well beyond the lifetime of the id's
 claim. The body of an answer is dropped earlier if the bodies together exceed
-`MAX_REMEMBERED_BODY_BYTES`; the id is then still known to have run.
+`MAX_STORED_BODY_BYTES`; the id is then still known to have run.
 """
 
 from __future__ import annotations
 
 from dataclasses import replace
 
-from bulrushpulley.entities.execution import Outcome, RememberedOutcome
+from bulrushpulley.entities.execution import Outcome, StoredOutcome
 from bulrushpulley.entities.guard_tables import GuardTables
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Problem, Ran
 
 OUTCOME_RETENTION_S = 4 * 3600.0
-MAX_REMEMBERED_OUTCOMES = 50_000
-MAX_REMEMBERED_BODY_BYTES = 16 * 1024 * 1024
+MAX_STORED_OUTCOMES = 50_000
+MAX_STORED_BODY_BYTES = 16 * 1024 * 1024
 MAX_REFUSED_ATTEMPTS = 10_000
 
 
-def remember(
+def store_outcome(
     tables: GuardTables, request_id: str, outcome: Outcome, now: float
 ) -> GuardTables:
     """Store the outcome of an id, unless it already has one."""
-    if request_id in tables.remembered:
+    if request_id in tables.stored_outcomes:
         return tables
-    row = RememberedOutcome(
+    row = StoredOutcome(
         request_id=request_id, expires_at=now + OUTCOME_RETENTION_S, outcome=outcome
     )
     body_order = tables.body_order
@@ -34,8 +34,8 @@
         body_order = body_order.append(request_id)
     tables = replace(
         tables,
-        remembered=tables.remembered.put(request_id, row),
-        remembered_order=tables.remembered_order.append(request_id),
+        stored_outcomes=tables.stored_outcomes.put(request_id, row),
+        outcome_order=tables.outcome_order.append(request_id),
         body_order=body_order,
         body_bytes=tables.body_bytes + len(outcome.body),
     )
@@ -44,8 +44,8 @@
 
 def trim_ids(tables: GuardTables, now: float) -> GuardTables:
     """Drop the oldest ids beyond the limit, and record until when they are missing."""
-    while len(tables.remembered) > MAX_REMEMBERED_OUTCOMES:
-        oldest = tables.remembered.by_key[tables.remembered_order.left]
+    while len(tables.stored_outcomes) > MAX_STORED_OUTCOMES:
+        oldest = tables.stored_outcomes.by_key[tables.outcome_order.left]
         expires_at = max(tables.outcomes_missing_until, oldest.expires_at)
         tables = replace(drop_oldest(tables), outcomes_missing_until=expires_at)
     return tables
@@ -53,18 +53,18 @@
 
 def drop_oldest(tables: GuardTables) -> GuardTables:
     """Drop the oldest id and its outcome."""
-    request_id = tables.remembered_order.left
+    request_id = tables.outcome_order.left
     tables = drop_body(tables, request_id)
     return replace(
         tables,
-        remembered=tables.remembered.drop(request_id),
-        remembered_order=tables.remembered_order.popleft(),
+        stored_outcomes=tables.stored_outcomes.drop(request_id),
+        outcome_order=tables.outcome_order.popleft(),
     )
 
 
 def trim_bodies(tables: GuardTables) -> GuardTables:
     """Drop the oldest bodies beyond the limit; their ids are kept."""
-    while tables.body_bytes > MAX_REMEMBERED_BODY_BYTES:
+    while tables.body_bytes > MAX_STORED_BODY_BYTES:
         tables = drop_body(tables, tables.body_order.left)
     return tables
 
@@ -76,11 +76,13 @@
     """
     if not tables.body_order or tables.body_order.left != request_id:
         return tables
-    row = tables.remembered.by_key[request_id]
+    row = tables.stored_outcomes.by_key[request_id]
     outcome = Outcome(ran=Ran.YES, took_s=row.outcome.took_s, problem=BODY_DROPPED)
     return replace(
         tables,
-        remembered=tables.remembered.put(request_id, replace(row, outcome=outcome)),
+        stored_outcomes=tables.stored_outcomes.put(
+            request_id, replace(row, outcome=outcome)
+        ),
         body_order=tables.body_order.popleft(),
         body_bytes=tables.body_bytes - len(row.outcome.body),
     )
@@ -108,8 +110,8 @@
 
 def run(tables: GuardTables, now: float) -> Step[GuardTables]:
     """Drop the expired outcomes."""
-    while tables.remembered_order:
-        oldest = tables.remembered.by_key[tables.remembered_order.left]
+    while tables.outcome_order:
+        oldest = tables.stored_outcomes.by_key[tables.outcome_order.left]
         if oldest.expires_at > now:
             break
         tables = drop_oldest(tables)
--- a/bulrushpulley/systems/guard/requests.py
+++ b/bulrushpulley/systems/guard/requests.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Code, Ran
 from bulrushpulley.systems.guard.events import apply
-from bulrushpulley.systems.guard.outcomes import record_refused_attempt, remember
+from bulrushpulley.systems.guard.outcomes import record_refused_attempt, store_outcome
 from bulrushpulley.systems.guard.reply import not_run, problem, replies
 
 ACCEPT_STEP = "guard.accept"
@@ -66,7 +66,7 @@
 
     Return None if the id is unknown.
     """
-    row = tables.remembered.get(request_id)
+    row = tables.stored_outcomes.get(request_id)
     if row is not None:
         return Step(tables=tables, commands=replies(row.outcome, (waiter,)))
     for execution in tables.executions.rows_where("request_id", request_id):
@@ -141,7 +141,7 @@
     barred = not_run(
         Code.NOT_RUN, RECALL_STEP, "the id never came here and is barred now"
     )
-    tables = remember(tables, event.request_id, barred, now)
+    tables = store_outcome(tables, event.request_id, barred, now)
     count = Count(name="guard.barred", label=event.service)
     return Step(tables=tables, commands=(*replies(barred, (waiter,)), count))
 
--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.step import Step
 from bulrushpulley.errors import Ran
 from bulrushpulley.systems.guard.events import apply
-from bulrushpulley.systems.guard.outcomes import record_refused_attempt, remember
+from bulrushpulley.systems.guard.outcomes import record_refused_attempt, store_outcome
 from bulrushpulley.systems.guard.reply import replies
 
 RUN_TIME_WEIGHT = 0.1
@@ -67,5 +67,5 @@
     if outcome.ran is Ran.NO:
         tables = record_refused_attempt(tables, execution.execution_id)
     elif not execution.repeatable:
-        tables = remember(tables, execution.request_id, outcome, now)
+        tables = store_outcome(tables, execution.request_id, outcome, now)
     return Step(tables=tables, commands=replies(outcome, execution.waiters))
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -152,8 +152,8 @@
 
     This happens if there is no other agent to try.
     """
-    again = request.tried_agents.count(request.tried_agents[-1]) > 1
-    return problem.code is Code.NOT_RUN and again
+    tried_again = request.tried_agents.count(request.tried_agents[-1]) > 1
+    return problem.code is Code.NOT_RUN and tried_again
 
 
 @handle_refusal.register
--- a/bulrushpulley/systems/route/calls.py
+++ b/bulrushpulley/systems/route/calls.py
@@ -14,7 +14,7 @@
 from bulrushpulley.systems.route.events import apply
 from bulrushpulley.systems.route.finish import SELF, enqueue, remove_request
 
-MAX_BODY_BYTES = 1024 * 1024
+MAX_CALL_BODY_BYTES = 1024 * 1024
 MAX_PENDING_BODY_BYTES = 32 * 1024 * 1024
 MAX_REQUEST_ID_LENGTH = 200
 MAX_CALL_TIMEOUT_S = 60.0
@@ -40,8 +40,8 @@
 
 def validation_problem(call: CallReceived) -> Problem | None:
     """Return the reason why the call is invalid or late, if it is."""
-    if len(call.body) > MAX_BODY_BYTES:
-        return refusal(Code.TOO_LARGE, f"the body exceeds {MAX_BODY_BYTES} bytes")
+    if len(call.body) > MAX_CALL_BODY_BYTES:
+        return refusal(Code.TOO_LARGE, f"the body exceeds {MAX_CALL_BODY_BYTES} bytes")
     if not call.repeatable and not is_request_id(call.request_id):
         detail = "an unrepeatable request needs an id of printable ASCII without '/'"
         return refusal(Code.INVALID, detail, "request_id")
--- a/bulrushpulley/systems/route/claim_outcomes.py
+++ b/bulrushpulley/systems/route/claim_outcomes.py
@@ -155,8 +155,8 @@
     now: float,
 ) -> Step[RouterTables]:
     due_at = min(request.deadline, now + CLAIM_RESUBMIT_DELAY_S)
-    again = replace(request, stage=replace(stage, resubmit=True), due_at=due_at)
-    return Step(tables=put_request(tables, again))
+    updated = replace(request, stage=replace(stage, resubmit=True), due_at=due_at)
+    return Step(tables=put_request(tables, updated))
 
 
 def dispatch_claimed(
@@ -175,19 +175,19 @@
     key = claim_key(request.service, request.request_id)
     tables = schedule_claim_deletion(tables, key, version, now + CLAIM_TTL_S)
     request = replace(request, claim_version=version)
-    ready = put_request(tables, request)
+    tables_after = put_request(tables, request)
     server = tables.servers.get(stage.agent)
     reason = unusable_reason(server, now) if server is not None else "not linked"
     if now >= request.deadline:
         reason = "the deadline passed"
     if not reason:
-        return dispatch(ready, request, stage.agent, now, reason="claimed")
+        return dispatch(tables_after, request, stage.agent, now, reason="claimed")
     code = Code.LEAVING if reason == LEAVING else Code.UNAVAILABLE
     problem = Problem(code=code, step="route.claim", peer=stage.agent, detail=reason)
     request = replace(
         request, stage=Stage(), tried_agents=(*request.tried_agents, stage.agent)
     )
-    return retry(ready, request, ran=Ran.NO, problem=problem, now=now)
+    return retry(tables_after, request, ran=Ran.NO, problem=problem, now=now)
 
 
 def conflicting_claim(outcome: Conflicted, key: str) -> VersionedRow:
--- a/bulrushpulley/systems/route/eject.py
+++ b/bulrushpulley/systems/route/eject.py
@@ -18,8 +18,8 @@
 
 EJECTION_CHECK_INTERVAL_S = 0.25
 MAX_LATENCY_AGE_S = 5.0
-EJECT_FACTOR = 3.0
-RETURN_FACTOR = 2.0
+EJECTION_LATENCY_FACTOR = 3.0
+RETURN_LATENCY_FACTOR = 2.0
 MIN_SERVERS_TO_EJECT = 3
 MIN_LATENCY_SAMPLES = 5
 MAX_EJECTED_FRACTION = 0.34
@@ -85,7 +85,7 @@
     ejected = sum(server.ejected for server in servers)
     commands: list[Command] = []
     for server in sorted(measured, key=lambda item: -item.latency_s):
-        after = ejection_checked(
+        after = with_ejection_updated(
             server, median_s, ejected < max_ejected, probe_interval_s(service), now
         )
         if after is server:
@@ -98,7 +98,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def ejection_checked(
+def with_ejection_updated(
     server: BackendServer,
     median_s: float,
     may_eject: bool,
@@ -107,11 +107,11 @@
 ) -> BackendServer:
     """Return the server with its ejection and next probe updated, or unchanged."""
     if not server.ejected:
-        slow = server.latency_s > EJECT_FACTOR * median_s
+        slow = server.latency_s > EJECTION_LATENCY_FACTOR * median_s
         if not slow or not may_eject:
             return server
         return replace(server, ejected=True, probe_at=now + interval_s)
-    if server.latency_s <= RETURN_FACTOR * median_s:
+    if server.latency_s <= RETURN_LATENCY_FACTOR * median_s:
         return replace(server, ejected=False)
     if server.in_flight and server.probe_at <= now:
         return replace(server, probe_at=now + interval_s)
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -160,13 +160,13 @@
 
     A refusal as not run also deletes the claim, so that a repeated call may run.
     """
-    surely_not = ran is Ran.NO and not request.may_have_run
+    certainly_not_run = ran is Ran.NO and not request.may_have_run
     if ran is Ran.NO and request.may_have_run:
         ran = Ran.UNKNOWN
         problem = replace(problem, code=Code.OUTCOME_UNKNOWN)
     step = remove_request(tables, request)
     tables = step.tables
-    if surely_not and request.claim_version:
+    if certainly_not_run and request.claim_version:
         tables = delete_refused_claim(tables, request, now)
     commands = (
         RefuseCall(call_id=request.call_id, ran=ran, problem=problem),
@@ -201,8 +201,8 @@
         return refuse(tables, request, ran=ran, problem=problem, now=now)
     spent = replace(service, retry_tokens=service.retry_tokens - cost)
     tables = leave_stage(request.stage, request, tables)
-    again = replace(request, hedged=False)
-    tables = enqueue(tables, again, spent, first=True)
+    updated = replace(request, hedged=False)
+    tables = enqueue(tables, updated, spent, first=True)
     count = Count(name="route.retries", label=request.service)
     return Step(tables=tables, commands=(count,))
 
--- a/bulrushpulley/systems/route/recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -34,9 +34,9 @@
     tables = leave_stage(request.stage, request, tables)
     if agent in tables.links:
         return send_recall(tables, request, agent, now)
-    until = min(request.deadline, now + LINK_WAIT_TIMEOUT_S)
-    stage = Recalling(agent=agent, link_deadline=until)
-    waiting = replace(request, stage=stage, due_at=until)
+    link_deadline = min(request.deadline, now + LINK_WAIT_TIMEOUT_S)
+    stage = Recalling(agent=agent, link_deadline=link_deadline)
+    waiting = replace(request, stage=stage, due_at=link_deadline)
     return Step(tables=put_request(tables, waiting))
 
 
@@ -52,7 +52,7 @@
         sent_at=now,
         recall=True,
     )
-    asked = replace(
+    recalling = replace(
         request,
         stage=Recalling(agent=agent),
         due_at=request.deadline,
@@ -72,7 +72,7 @@
         reason="the claim of the request id names this agent",
     )
     commands = (Send(peer=agent, item=item), decision)
-    return Step(tables=put_request(tables, asked), commands=commands)
+    return Step(tables=put_request(tables, recalling), commands=commands)
 
 
 def unlinked_problem(agent: str) -> Problem:
--- a/bulrushpulley/systems/route/send.py
+++ b/bulrushpulley/systems/route/send.py
@@ -31,7 +31,7 @@
     sent = replace(
         request,
         stage=InFlight(),
-        due_at=hedge_at(tables, request, now),
+        due_at=due_after_dispatch(tables, request, now),
         attempts=(*request.attempts, attempt_id),
     )
     item = Dispatch(
@@ -55,7 +55,7 @@
     return Step(tables=put_request(tables, sent), commands=commands)
 
 
-def hedge_at(tables: RouterTables, request: Request, now: float) -> float:
+def due_after_dispatch(tables: RouterTables, request: Request, now: float) -> float:
     """Return when a dispatched request is due: to be hedged, or at its deadline."""
     latency_p95_s = tables.service(request.service).latency_p95_s
     if not request.repeatable or request.hedged or not latency_p95_s:
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -105,8 +105,8 @@
     if not prefix:
         return Step(tables=tables)
     tables, fetch_id = replace(tables, page_number=tables.page_number + 1).numbered()
-    asked = ReadRequested(origin="router", fetch_id=fetch_id, prefix=prefix)
-    return Step(tables=tables, commands=(Tell(role="committer", event=asked),))
+    read_request = ReadRequested(origin="router", fetch_id=fetch_id, prefix=prefix)
+    return Step(tables=tables, commands=(Tell(role="committer", event=read_request),))
 
 
 @apply.register
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -27,9 +27,9 @@
     HttpReply,
     HttpRequest,
     error_reply,
-    invalid,
     json_reply,
     problem_value,
+    request_error,
 )
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
@@ -102,7 +102,9 @@
 def _field_error(
     request: HttpRequest, field: str, detail: str, code: Code = Code.INVALID
 ) -> BulrushpulleyError:
-    return invalid(step=STEP, peer=request.peer, field=field, detail=detail, code=code)
+    return request_error(
+        step=STEP, peer=request.peer, field=field, detail=detail, code=code
+    )
 
 
 @singledispatch
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -111,7 +111,7 @@
     )
 
 
-def invalid(
+def request_error(
     *, step: str, peer: str, field: str, detail: str, code: Code = Code.INVALID
 ) -> BulrushpulleyError:
     """Return the error of a malformed request."""
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -3,8 +3,8 @@
 A request occupies one thread from its first byte to the last byte of its answer.
 The thread pool and its queue are bounded; a connection that exceeds both gets 503
 at once. A request that is not completely read within `REQUEST_READ_TIMEOUT_S` gets
-408, even if bytes keep arriving slowly. Bodies larger than `MAX_BODY_BYTES` are
-refused before they are read.
+408, even if bytes keep arriving slowly. Bodies larger than `MAX_HTTP_BODY_BYTES`
+are refused before they are read.
 """
 
 from __future__ import annotations
@@ -29,14 +29,14 @@
     problem_value,
 )
 
-MAX_BODY_BYTES = 1024 * 1024
+MAX_HTTP_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 REQUEST_READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60
 EXPIRATION_CHECK_INTERVAL_S = 0.5
 MAX_QUEUED_PER_THREAD = 2
 MAX_KEEP_ALIVE_CONNECTIONS = 4_096
-LISTEN_BACKLOG = 512
+HTTP_LISTEN_BACKLOG = 512
 
 Handler = Callable[[HttpRequest], HttpReply]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -196,14 +196,14 @@
             wsgi_app(handler),
             numthreads=threads,
             max=threads,
-            request_queue_size=LISTEN_BACKLOG,
+            request_queue_size=HTTP_LISTEN_BACKLOG,
             timeout=IDLE_TIMEOUT_S,
             accepted_queue_size=threads * MAX_QUEUED_PER_THREAD,
             accepted_queue_timeout=0,
         )
         server.ConnectionClass = _connection
         server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
-        server.max_request_body_size = MAX_BODY_BYTES
+        server.max_request_body_size = MAX_HTTP_BODY_BYTES
         server.max_request_header_size = MAX_HEADER_BYTES
         server.expiration_interval = EXPIRATION_CHECK_INTERVAL_S
         server.error_log = self._log
--- a/bulrushpulley/wire/link_server.py
+++ b/bulrushpulley/wire/link_server.py
@@ -18,7 +18,7 @@
 )
 from bulrushpulley.wire.links import Links
 
-LISTEN_BACKLOG = 1_024
+LINK_LISTEN_BACKLOG = 1_024
 
 
 class LinkService(LinkBase):
@@ -57,7 +57,7 @@
         hooks: LinkHooks,
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        self._listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        self._listener = socket.create_server((host, port), backlog=LINK_LISTEN_BACKLOG)
         self._service = LinkService(links=links, hooks=hooks)
         self._tls = tls
         self.port: int = self._listener.getsockname()[1]
--- a/bulrushpulley/wire/operator_front.py
+++ b/bulrushpulley/wire/operator_front.py
@@ -9,7 +9,7 @@
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.wire import operator_http
-from bulrushpulley.wire.http_message import HttpReply, HttpRequest, invalid
+from bulrushpulley.wire.http_message import HttpReply, HttpRequest, request_error
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
 OPERATOR_ANSWER_TIMEOUT_S = 15.0
@@ -33,7 +33,7 @@
         if request.path == METRICS_PATH:
             body = self._metrics_text().encode()
             return HttpReply(status=200, body=body, content_type="text/plain")
-        raise invalid(
+        raise request_error(
             step="health.parse",
             peer=request.peer,
             field="path",
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -137,25 +137,25 @@
 
     def link(self, entry: str, agent: str) -> None:
         """Open the link between two processes."""
-        for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
+        for process, peer, role in ((entry, agent, "router"), (agent, entry, "guard")):
             self.world.deliver(
-                RoleAddress(process=one, role=role), LinkUp(peer=other, region="ege")
+                RoleAddress(process=process, role=role), LinkUp(peer=peer, region="ege")
             )
 
     def unlink(self, entry: str, agent: str) -> None:
         """End the link between two processes."""
-        for one, other, role in ((entry, agent, "router"), (agent, entry, "guard")):
+        for process, peer, role in ((entry, agent, "router"), (agent, entry, "guard")):
             self.world.deliver(
-                RoleAddress(process=one, role=role), LinkDown(peer=other)
+                RoleAddress(process=process, role=role), LinkDown(peer=peer)
             )
 
     def kill(self, name: str) -> None:
         """Kill a process and end its links."""
         self.world.kill(name)
-        for other in self.agents if name in self.entries else self.entries:
+        for peer in self.agents if name in self.entries else self.entries:
             role = "guard" if name in self.entries else "router"
             self.world.deliver(
-                RoleAddress(process=other, role=role), LinkDown(peer=name)
+                RoleAddress(process=peer, role=role), LinkDown(peer=name)
             )
 
     def tell(self, process: str, event: Event) -> None:
@@ -266,12 +266,12 @@
     if not isinstance(command.event, Submitted):
         return
     content = command.event.submission
-    half = Path(delay_s=world.store.delay_s / 2)
+    one_way = Path(delay_s=world.store.delay_s / 2)
 
     def arrive() -> None:
-        world.world.deliver(address, world.store.submit(content), half)
+        world.world.deliver(address, world.store.submit(content), one_way)
 
-    world.world.at(half.delay_s, arrive)
+    world.world.at(one_way.delay_s, arrive)
 
 
 @carry_out.register
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -67,7 +67,7 @@
 
 
 class BackendServerTest(testtools.TestCase):
-    def test_only_whole_answers_are_answers(self) -> None:
+    def test_only_complete_answers_are_accepted(self) -> None:
         for name, answer, kind in CASES:
             with serve_once(answer) as url:
                 result = run(url)
@@ -75,7 +75,7 @@
             if isinstance(result, BackendFailed):
                 self.assertTrue(result.sent, name)
 
-    def test_without_the_length_check_a_part_looks_whole(self) -> None:
+    def test_without_the_length_check_a_truncated_answer_looks_complete(self) -> None:
         with serve_once(COMPLETE_ANSWER[:-2]) as url:
             client = BackendServerClient(url=url)
             request = partial(client._pool.request, enforce_content_length=False)
@@ -83,14 +83,16 @@
                 result = client.run(COMMAND)
         self.assertIs(BackendAnswered, type(result))
 
-    def test_refused_connection_was_surely_not_sent(self) -> None:
+    def test_a_refused_connection_counts_as_not_sent(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
         result = run(f"http://127.0.0.1:{port}")
         assert isinstance(result, BackendFailed)
         self.assertFalse(result.sent)
 
-    def test_silent_server_may_have_run_and_the_deadline_holds(self) -> None:
+    def test_a_silent_server_may_have_run_and_the_call_ends_at_its_deadline(
+        self,
+    ) -> None:
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
             result = run(f"http://127.0.0.1:{port}", within_s=0.1)
@@ -112,7 +114,9 @@
 
 
 class CallerTest(testtools.TestCase):
-    def test_unreachable_entries_are_unknown_and_the_plan_is_fixed(self) -> None:
+    def test_unreachable_entries_give_unknown_outcomes_and_a_plan_repeats(
+        self,
+    ) -> None:
         calls = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
         again = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
         self.assertEqual(calls, again)
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -44,21 +44,21 @@
     )
 
 
-def sent(world: RequestWorld) -> list[Send]:
+def record_sent_items(world: RequestWorld) -> list[Send]:
     """Record the items that the processes send from now on."""
-    found: list[Send] = []
+    sent_items: list[Send] = []
 
-    def watch(_: object, address: RoleAddress, command: Command) -> None:
+    def hook(_: object, address: RoleAddress, command: Command) -> None:
         if isinstance(command, Send):
-            found.append(command)
+            sent_items.append(command)
 
-    world.world.command_hooks.append(watch)
-    return found
+    world.world.command_hooks.append(hook)
+    return sent_items
 
 
-def replies(found: list[Send], attempt_id: str) -> list[str]:
+def replies(sent_items: list[Send], attempt_id: str) -> list[str]:
     """Describe the replies to an attempt: answered, or whether it ran."""
-    items = [send.item for send in found]
+    items = [send.item for send in sent_items]
     own = [item for item in items if getattr(item, "attempt_id", "") == attempt_id]
     return [item.ran.value if hasattr(item, "ran") else "answered" for item in own]
 
@@ -76,37 +76,37 @@
         with mock.patch.object(guard_requests, "capacity_refusal", lambda *_: None):
             self.assertEqual(DISPATCHES, self.flood())
 
-    def test_forgotten_ids_are_never_said_not_to_have_run(self) -> None:
+    def test_ids_dropped_early_are_never_reported_as_not_run(self) -> None:
         for limit, expected in ((2, ["unknown"]), (50_000, ["answered"])):
             world = RequestWorld(agents=1)
-            found = sent(world)
-            with mock.patch.object(guard_outcomes, "MAX_REMEMBERED_OUTCOMES", limit):
+            sent_items = record_sent_items(world)
+            with mock.patch.object(guard_outcomes, "MAX_STORED_OUTCOMES", limit):
                 for name in ("x1", "x2", "x3"):
                     world.tell("a1", dispatch(name))
                     world.run(0.1)
                 world.tell("a1", recall("x1"))
                 world.run(0.1)
-            self.assertEqual(expected, replies(found, "recall-x1"))
+            self.assertEqual(expected, replies(sent_items, "recall-x1"))
 
-    def test_an_answer_no_longer_kept_is_said_to_have_run(self) -> None:
+    def test_a_dropped_answer_is_reported_as_run(self) -> None:
         world = RequestWorld(agents=1)
-        found = sent(world)
-        with mock.patch.object(guard_outcomes, "MAX_REMEMBERED_BODY_BYTES", 3):
+        sent_items = record_sent_items(world)
+        with mock.patch.object(guard_outcomes, "MAX_STORED_BODY_BYTES", 3):
             world.tell("a1", dispatch("x1"))
             world.run(0.1)
         world.tell("a1", recall("x1"))
         world.run(0.1)
-        self.assertEqual(["yes"], replies(found, "recall-x1"))
+        self.assertEqual(["yes"], replies(sent_items, "recall-x1"))
         self.assertEqual(0, world.tables("a1").body_bytes)
 
-    def test_an_unhealthy_backend_server_gets_nothing(self) -> None:
+    def test_an_unhealthy_backend_server_gets_no_requests(self) -> None:
         world = RequestWorld(agents=1)
         world.tell("a1", HealthChecked(healthy=False))
         world.tell("a1", dispatch("x1"))
         world.run(0.1)
         self.assertEqual(0, sum(world.runs.values()))
 
-    def test_leaving_finishes_what_runs_and_takes_nothing_new(self) -> None:
+    def test_a_leaving_agent_finishes_its_requests_and_gets_no_new_ones(self) -> None:
         world = RequestWorld(agents=2)
         world.service_s = lambda agent: 0.5
         for number in range(6):
@@ -145,17 +145,17 @@
         world.run(1.0)
         return len([name for name in world.run_on.values() if name == "a1"])
 
-    def test_a_backend_server_no_longer_announced_gets_nothing(self) -> None:
+    def test_a_backend_server_no_longer_announced_gets_no_requests(self) -> None:
         self.assertEqual(0, self.unannounced_server_runs())
         with mock.patch.object(route_choice, "ANNOUNCE_TTL_S", 99.0):
             self.assertNotEqual(0, self.unannounced_server_runs())
 
-    def test_announcements_are_few(self) -> None:
+    def test_the_rate_of_announcements_is_bounded(self) -> None:
         world = RequestWorld(entries=5, agents=1)
-        found = sent(world)
+        sent_items = record_sent_items(world)
         for number in range(400):
             world.call_at(number * 0.025, f"e{1 + number % 5}", f"c{number}")
         world.run(10.0)
-        announced = [send for send in found if isinstance(send.item, Announce)]
+        announced = [send for send in sent_items if isinstance(send.item, Announce)]
         self.assertTrue(50 <= len(announced) <= 10 * MAX_ANNOUNCEMENTS_PER_S)
         self.assertLess(MAX_ANNOUNCEMENTS_PER_S * ANNOUNCE_BYTES, 10_000)
--- a/test/test_main_signals.py
+++ b/test/test_main_signals.py
@@ -46,7 +46,7 @@
         code = main.run_process(cast(main.Process, process))
         self.assertEqual((0, ["start", "stop"]), (code, process.stages))
 
-    def test_a_second_signal_hurries_the_stop(self) -> None:
+    def test_a_second_signal_skips_the_notice(self) -> None:
         process = FakeProcess(signal.SIGTERM, signal.SIGTERM)
         main.run_process(cast(main.Process, process))
         self.assertTrue(process.runtime.skip_notice.is_set())
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -34,10 +34,10 @@
 
 class RowsTest(testtools.TestCase):
     def test_a_wave_is_decoded(self) -> None:
-        wanted = WaveOrder(
+        expected = WaveOrder(
             number=3, machine_ids=("m-1", "m-2"), within_s=20.0, at_once=2
         )
-        self.assertEqual(wanted, decode_order("wave/3", WAVE))
+        self.assertEqual(expected, decode_order("wave/3", WAVE))
 
     def test_the_state_of_a_wave_has_the_platforms_encoding(self) -> None:
         row = WaveStatusRow(number=3, state=WaveState.RUNNING)
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -93,7 +93,7 @@
             self.assertEqual(1, program.process.wait(READY_TIMEOUT_S))
         self.assertIn("process.start", program.log.read_text())
 
-    def test_a_planned_stop_cuts_off_no_request(self) -> None:
+    def test_a_planned_stop_interrupts_no_request(self) -> None:
         fleet = self.start(entries=1, agents=1)
         self.slow_down(fleet)
         url = f"{fleet.layout.caller_urls[0]}/v1/call/{SERVICE}"
@@ -112,7 +112,7 @@
                 self.assertEqual(200, reply.status, str(reply.data))
                 self.assertEqual(f"{key}\nbread".encode(), reply.data)
 
-    def test_a_killed_entry_doubles_nothing(self) -> None:
+    def test_no_request_runs_twice_after_an_entry_is_killed(self) -> None:
         fleet = self.start(entries=2, agents=2)
         with ThreadPoolExecutor(1) as pool:
             load: Future[Report] = pool.submit(self.send, fleet, 3.0)
--- a/test/test_records_checked.py
+++ b/test/test_records_checked.py
@@ -41,7 +41,7 @@
         self.assertEqual({"settings.check"}, {problem.step for problem in problems})
         return {problem.field: problem.code for problem in problems}
 
-    def test_a_whole_mapping_is_read(self) -> None:
+    def test_a_complete_mapping_is_read(self) -> None:
         raw = {"name": "ege", "share": 2, "many": [{"port": 1}], "by_name": {"a": 1}}
         built = build(Outer, raw, step="settings.check", peer="self")
         self.assertEqual(2.0, built.share)
--- a/test/test_records_forms.py
+++ b/test/test_records_forms.py
@@ -60,7 +60,7 @@
 
 
 class RecordsTest(testtools.TestCase):
-    def test_each_case_has_its_stated_outcome(self) -> None:
+    def test_each_case_has_its_expected_outcome(self) -> None:
         count = 0
         for case in cases():
             with self.subTest(case.name):
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -30,19 +30,19 @@
 def kill_after(world: RequestWorld, kind: type[Command], item: type[Any]) -> None:
     """Kill e1 as soon as it has carried out a command of `kind` with an `item`."""
 
-    def watch(_: object, address: RoleAddress, command: Command) -> None:
-        about = getattr(command, "item", getattr(command, "event", None))
+    def hook(_: object, address: RoleAddress, command: Command) -> None:
+        subject = getattr(command, "item", getattr(command, "event", None))
         if (
             address.process == "e1"
             and isinstance(command, kind)
-            and isinstance(about, item)
+            and isinstance(subject, item)
         ):
             world.world.at(0.0, lambda: world.kill("e1"))
 
-    world.world.command_hooks.append(watch)
+    world.world.command_hooks.append(hook)
 
 
-def same_moment(world: RequestWorld) -> None:
+def same_id_at_two_entries(world: RequestWorld) -> None:
     """Send the same id to two entries that prefer different agents."""
     world.call("e2", "warm")
     world.run(0.5)
@@ -51,7 +51,7 @@
     world.run(1.0)
 
 
-def overtaken(world: RequestWorld) -> None:
+def recall_before_dispatch(world: RequestWorld) -> None:
     """Let the second entry ask the agent before the first one's dispatch arrives."""
     world.call("e1", "c1", "id1")
     world.run(0.004)
@@ -60,7 +60,7 @@
     world.run(2.0)
 
 
-def dies_before_dispatch(world: RequestWorld) -> None:
+def entry_dies_before_dispatch(world: RequestWorld) -> None:
     kill_after(world, Tell, object)
     world.call("e1", "c1", "id1")
     world.run(0.1)
@@ -68,7 +68,7 @@
     world.run(1.0)
 
 
-def dies_after_dispatch(world: RequestWorld) -> None:
+def entry_dies_after_dispatch(world: RequestWorld) -> None:
     kill_after(world, Send, Dispatch)
     world.call("e1", "c1", "id1")
     world.run(0.1)
@@ -149,7 +149,7 @@
     world.run(9.0)
 
 
-def copies_of_refused(world: RequestWorld) -> None:
+def duplicated_dispatches(world: RequestWorld) -> None:
     """Deliver each dispatch twice, while the agents are full and after that."""
     world.path = Path(repeat_percent=100, jitter_s=0.5)
     world.service_s = lambda agent: 0.3
@@ -169,10 +169,10 @@
 
 
 CASES: tuple[tuple[Callable[[RequestWorld], None], dict[str, str]], ...] = (
-    (same_moment, {"c1": "done c1", "c2": "done c1"}),
-    (overtaken, {"c1": "done c2", "c2": "done c2"}),
-    (dies_before_dispatch, {"c2": "done c2"}),
-    (dies_after_dispatch, {"c2": "done c1"}),
+    (same_id_at_two_entries, {"c1": "done c1", "c2": "done c1"}),
+    (recall_before_dispatch, {"c1": "done c2", "c2": "done c2"}),
+    (entry_dies_before_dispatch, {"c2": "done c2"}),
+    (entry_dies_after_dispatch, {"c2": "done c1"}),
     (agent_dies, {"c1": "unknown"}),
     (agent_restarts, {"c1": "unknown", "c2": "unknown"}),
     (answer_lost, {"c1": "done c1"}),
@@ -181,12 +181,12 @@
     (store_loses_answers, {"c1": "done c1"}),
     (store_loses_all_answers, {"c1": "not run", "c2": "done c2"}),
     (store_slow, {"c1": "not run", "c2": "done c2"}),
-    (copies_of_refused, {}),
+    (duplicated_dispatches, {}),
     (answers_out_of_order, {f"c{n}": f"done c{n}" for n in range(1, 5)}),
 )
 
 
-def any_attempt(tables: Any, event: Any, attempt_id: str) -> Any:
+def first_attempt(tables: Any, event: Any, attempt_id: str) -> Any:
     """Match an answer to the first attempt, as if answers were matched by order."""
     if not tables.attempts:
         return None
@@ -194,35 +194,40 @@
     return attempt, tables.requests.by_key[attempt.call_id]
 
 
-def unconditional(request: Any, stage: Any, now: float) -> Submission:
+def submission_without_conditions(request: Any, stage: Any, now: float) -> Submission:
     return replace(SUBMISSION(request, stage, now), conditions=())
 
 
-def not_asked(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
+def without_recall(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
     """Claim for another agent without asking the claimed agent for the outcome."""
     service = tables.service(request.service)
     return Step(tables=route_finish.enqueue(tables, request, service))
 
 
-def never_may_have_run(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
+def refuse_as_not_run(tables: Any, request: Any, agent: str, now: float) -> Step[Any]:
     problem = deadline_problem()
     return route_finish.refuse(tables, request, ran=Ran.NO, problem=problem, now=now)
 
 
 SUBMISSION = route_claims.submission
 UNPROTECTED_CASES: tuple[tuple[Callable[[RequestWorld], None], Any, str, Any], ...] = (
-    (same_moment, route_claims, "submission", unconditional),
-    (overtaken, guard_requests, "remember", lambda tables, *_: tables),
-    (dies_after_dispatch, guard_requests, "join_known", lambda *_: None),
+    (same_id_at_two_entries, route_claims, "submission", submission_without_conditions),
     (
-        copies_of_refused,
+        recall_before_dispatch,
+        guard_requests,
+        "store_outcome",
+        lambda tables, *_: tables,
+    ),
+    (entry_dies_after_dispatch, guard_requests, "join_known", lambda *_: None),
+    (
+        duplicated_dispatches,
         guard_requests,
         "record_refused_attempt",
         lambda tables, _: tables,
     ),
-    (answers_out_of_order, route_answers, "match_attempt", any_attempt),
-    (agent_restarts, route_claim_outcomes, "recall", not_asked),
-    (agent_dies, route_recall, "recall", never_may_have_run),
+    (answers_out_of_order, route_answers, "match_attempt", first_attempt),
+    (agent_restarts, route_claim_outcomes, "recall", without_recall),
+    (agent_dies, route_recall, "recall", refuse_as_not_run),
 )
 
 
@@ -237,12 +242,12 @@
 
     def test_an_id_barred_by_the_only_agent_is_refused_after_few_claims(self) -> None:
         world = RequestWorld(agents=1)
-        overtaken(world)
+        recall_before_dispatch(world)
         world.check()
         self.assertEqual({"not run"}, {world.outcome(name) for name in ("c1", "c2")})
         self.assertLess(world.store.revision, 6)
 
-    def test_each_guard_is_needed(self) -> None:
+    def test_each_safeguard_is_needed(self) -> None:
         for scenario, module, name, patch in UNPROTECTED_CASES:
             world = RequestWorld()
             with mock.patch.object(module, name, patch):
--- a/test/test_route_key_queue.py
+++ b/test/test_route_key_queue.py
@@ -11,10 +11,10 @@
 
 class KeyQueueTest(testtools.TestCase):
     def test_behaves_as_a_list(self) -> None:
-        dice = random.Random(1)
+        rng = random.Random(1)
         queue, expected = KeyQueue(), list[str]()
         for number in range(500):
-            kind = dice.randrange(5)
+            kind = rng.randrange(5)
             if kind == 0:
                 queue, expected = (
                     queue.appendleft(str(number)),
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -27,20 +27,20 @@
 
 
 class PolicyTest(testtools.TestCase):
-    def count_useful(self, rate: float, seconds: float = 2.0) -> int:
+    def count_answers_in_time(self, rate: float, seconds: float = 2.0) -> int:
         """Count the answers in time under `rate` calls per second on 2 x 8 slots."""
         world = RequestWorld(entries=1, agents=2, service_s=0.1)
-        dice = random.Random(1)
+        rng = random.Random(1)
         for number in range(int(rate * seconds)):
-            at = dice.random() * seconds
+            at = rng.random() * seconds
             world.call_at(at, "e1", f"c{number}", within_s=0.5)
         world.run(seconds + 1.0)
         ended = [world.outcome(call_id) for call_id in world.answers]
         return sum(outcome.startswith("done") for outcome in ended)
 
-    def test_overload_keeps_useful_answers_up(self) -> None:
-        peak = self.count_useful(160.0)
-        self.assertGreater(self.count_useful(800.0), 0.9 * peak)
+    def test_overload_does_not_reduce_answers_in_time(self) -> None:
+        peak = self.count_answers_in_time(160.0)
+        self.assertGreater(self.count_answers_in_time(800.0), 0.9 * peak)
 
     def test_repeatable_calls_survive_a_lost_agent_and_budgets_bound_retries(
         self,
@@ -79,11 +79,11 @@
     def test_without_ejection_and_weights_a_slow_server_gets_its_share(self) -> None:
         with (
             mock.patch.object(route_choice, "cost_s", lambda server: 0.0),
-            mock.patch.object(route_eject, "EJECT_FACTOR", 99.0),
+            mock.patch.object(route_eject, "EJECTION_LATENCY_FACTOR", 99.0),
         ):
             self.assertGreater(self.slow_server_fraction(), 0.03)
 
-    def test_other_regions_take_only_what_the_own_region_cannot(self) -> None:
+    def test_other_regions_get_only_calls_beyond_the_own_regions_slots(self) -> None:
         world = RequestWorld(entries=1, agents=1, service_s=0.2)
         world.agents.append("far")
         world.start_agent("far", region="marmara")
@@ -107,7 +107,7 @@
         world.run(2.0)
         return world.answers["late"][0][0] - started_at
 
-    def test_a_late_repeatable_call_gets_a_second_try(self) -> None:
+    def test_a_slow_repeatable_call_is_hedged(self) -> None:
         self.assertLess(self.stalled_latency(), 0.3)
         with mock.patch.object(route_calls, "MAX_HEDGE_TOKENS", 0.0):
             self.assertGreater(self.stalled_latency(), 1.4)
@@ -139,7 +139,7 @@
             ("no id", "", {"repeatable": False}),
             ("slash", "a/b", {}),
             ("space", "a b", {}),
-            ("large", "a", {"body": b"x" * (route_calls.MAX_BODY_BYTES + 1)}),
+            ("large", "a", {"body": b"x" * (route_calls.MAX_CALL_BODY_BYTES + 1)}),
             ("late", "a", {"within_s": 0.0}),
         ):
             world.call("e1", name, request_id, **fields)
@@ -147,7 +147,7 @@
             self.assertEqual("not run", world.outcome(name), name)
         self.assertEqual(0, sum(world.runs.values()))
 
-    def test_claims_are_deleted_after_their_time(self) -> None:
+    def test_claims_are_deleted_when_they_expire(self) -> None:
         world = RequestWorld(entries=1)
         with mock.patch.object(route_claim_outcomes, "CLAIM_TTL_S", TTL_S):
             world.call("e1", "c1", "id1")
@@ -178,39 +178,39 @@
 
 def run_mix(seed: int) -> RequestWorld:
     """Run calls through entries and agents that fail at random."""
-    dice = random.Random(seed)
+    rng = random.Random(seed)
     world = RequestWorld(entries=3, agents=4)
-    world.service_s = lambda agent: dice.choice((0.005, 0.02, 0.1, 0.6))
+    world.service_s = lambda agent: rng.choice((0.005, 0.02, 0.1, 0.6))
     world.path = Path(jitter_s=0.05, repeat_percent=10)
     for number in range(150):
-        entry = dice.choice(world.entries)
+        entry = rng.choice(world.entries)
         if world.world.alive(entry):
-            world.call(entry, f"c{number}", f"id{dice.randrange(60)}")
-        if dice.random() < 0.25:
-            inject_fault(world, dice, number)
-        world.run(dice.random() * 0.06)
+            world.call(entry, f"c{number}", f"id{rng.randrange(60)}")
+        if rng.random() < 0.25:
+            inject_fault(world, rng, number)
+        world.run(rng.random() * 0.06)
     world.store.mode = "up"
     world.run(4.0)
     return world
 
 
-def inject_fault(world: RequestWorld, dice: random.Random, number: int) -> None:
+def inject_fault(world: RequestWorld, rng: random.Random, number: int) -> None:
     """Inject one random fault."""
-    entry, agent = dice.choice(world.entries), dice.choice(world.agents)
-    kind = dice.randrange(6)
+    entry, agent = rng.choice(world.entries), rng.choice(world.agents)
+    kind = rng.randrange(6)
     if kind == 0:
         world.unlink(entry, agent)
         world.world.at(0.3, lambda: relink(world, entry, agent))
     elif kind == 1:
-        world.world.pause(dice.choice((entry, agent)), dice.random())
+        world.world.pause(rng.choice((entry, agent)), rng.random())
     elif kind == 2:
-        world.store.mode = dice.choice(("up", "down", "lose_answers"))
+        world.store.mode = rng.choice(("up", "down", "lose_answers"))
     elif kind == 3 and number % 5 == 0:
         world.kill(agent)
         world.agents[world.agents.index(agent)] = f"{agent}+"
         world.start_agent(f"{agent}+")
     elif kind == 4:
-        world.store.delay_s = dice.choice((0.005, 0.3))
+        world.store.delay_s = rng.choice((0.005, 0.3))
     else:
         world.cut_links ^= {(agent, entry)}
 
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -82,21 +82,21 @@
         runtime = self.start()
         sent: list[Send] = []
         self.patch(runtime.links, "send", sent.append)
-        told_events: list[tuple[str, Event]] = []
+        delivered_events: list[tuple[str, Event]] = []
         self.patch(
-            runtime, "tell", lambda role, event: told_events.append((role, event))
+            runtime, "tell", lambda role, event: delivered_events.append((role, event))
         )
         outcome = Committed(submission_id="a", revision=1)
         runtime.report_to(ReportTo(origin="router", outcome=outcome))
         runtime.report_to(ReportTo(origin="agent-1-ab", outcome=outcome))
-        self.assertEqual([("router", outcome)], told_events)
+        self.assertEqual([("router", outcome)], delivered_events)
         self.assertEqual(1, len(sent))
 
     def test_items_go_to_their_roles(self) -> None:
         fetch = Fetch(peer="a", fetch_id="f", prefix="p/", since=3)
-        asked = ReadRequested(origin="a", fetch_id="f", prefix="p/", since=3)
+        read_request = ReadRequested(origin="a", fetch_id="f", prefix="p/", since=3)
         self.assertEqual(("committer",), recipients(fetch))
-        self.assertEqual(asked, event_for_item(fetch))
+        self.assertEqual(read_request, event_for_item(fetch))
         answered = Answered(attempt_id="1", status=200, body=b"", took_s=0.1)
         self.assertEqual(("router",), recipients(answered))
         self.assertEqual((), recipients(Event()))
@@ -117,7 +117,7 @@
         self.assertEqual(("r-1", "agent-1"), (line["subject"], line["chosen"]))
         self.assertEqual(["agent-2"], line["passed_over"])
 
-    def test_a_full_log_drops_and_counts_lines_and_delays_nobody(self) -> None:
+    def test_a_full_log_drops_and_counts_lines_without_delay(self) -> None:
         read, write = os.pipe()
         counts: list[Count] = []
         writer = LineWriter(fd=write, count=counts.append)
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -54,7 +54,7 @@
         path.write_text(text)
         return path
 
-    def test_every_sample_is_good(self) -> None:
+    def test_every_sample_is_valid(self) -> None:
         samples = sorted((ROOT / "config").rglob("*.toml"))
         self.assertEqual(26, len(samples))
         for path in samples:
--- a/test/test_table.py
+++ b/test/test_table.py
@@ -48,7 +48,7 @@
         self.assertEqual([], list(blue.keys_where("colour", "red")))
         self.assertEqual(0, len(blue.drop("a").by_index["colour"]))
 
-    def test_an_index_value_that_is_given_twice_counts_once(self) -> None:
+    def test_an_index_value_that_is_returned_twice_counts_once(self) -> None:
         items: Table[Item] = Table.empty(
             indexes={"words": lambda item: tuple(item.colour.split())}
         )
