Rename a few vague names of the router, the tables and the actor

numbered, since_boot and index_of did not say what they return; they are with_new_id, seconds_since_boot and index_functions.

--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -136,7 +136,7 @@
             claim_pages=Table.empty(),
         )
 
-    def numbered(self) -> tuple[RouterTables, str]:
+    def with_new_id(self) -> tuple[RouterTables, str]:
         """Return the tables and a new id that is unique in this process."""
         number = self.sequence + 1
         return replace(self, sequence=number), f"{self.incarnation}.{number}"
--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -24,7 +24,7 @@
 
 R = TypeVar("R")
 
-IndexOf = Callable[[R], tuple[str, ...]]
+IndexFunction = Callable[[R], tuple[str, ...]]
 Entries = PMap[str, "PMap[str, None]"]
 
 
@@ -45,17 +45,17 @@
     """Rows keyed by id, with secondary indexes from index values to keys."""
 
     by_key: PMap[str, R]
-    index_of: Mapping[str, IndexOf[R]]
+    index_functions: Mapping[str, IndexFunction[R]]
     by_index: Mapping[str, Entries]
 
     @staticmethod
-    def empty(indexes: Mapping[str, IndexOf[R]] | None = None) -> Table[R]:
+    def empty(indexes: Mapping[str, IndexFunction[R]] | None = None) -> Table[R]:
         """Return a table without rows; `indexes` maps names to index functions."""
-        index_of = dict(indexes or {})
+        index_functions = dict(indexes or {})
         return Table(
             by_key=pmap(),
-            index_of=index_of,
-            by_index={name: pmap() for name in index_of},
+            index_functions=index_functions,
+            by_index={name: pmap() for name in index_functions},
         )
 
     def get(self, key: str) -> R | None:
@@ -66,7 +66,9 @@
         """Return a table in which `key` maps to `row`."""
         indexes = self._reindexed(key, self.by_key.get(key), row)
         return Table(
-            by_key=self.by_key.set(key, row), index_of=self.index_of, by_index=indexes
+            by_key=self.by_key.set(key, row),
+            index_functions=self.index_functions,
+            by_index=indexes,
         )
 
     def drop(self, key: str) -> Table[R]:
@@ -75,7 +77,9 @@
             return self
         indexes = self._reindexed(key, self.by_key[key], None)
         return Table(
-            by_key=self.by_key.remove(key), index_of=self.index_of, by_index=indexes
+            by_key=self.by_key.remove(key),
+            index_functions=self.index_functions,
+            by_index=indexes,
         )
 
     def keys_where(self, index: str, value: str) -> Iterable[str]:
@@ -107,9 +111,9 @@
         self, key: str, before: R | None, after: R | None
     ) -> Mapping[str, Entries]:
         changed: dict[str, Entries] = {}
-        for name, index_of in self.index_of.items():
-            old = index_of(before) if before is not None else ()
-            new = index_of(after) if after is not None else ()
+        for name, index_function in self.index_functions.items():
+            old = index_function(before) if before is not None else ()
+            new = index_function(after) if after is not None else ()
             if old == new:
                 continue
             entries = self.by_index[name]
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -25,7 +25,7 @@
 CONTROL_TICK_INTERVAL_S = 0.2
 
 
-def since_boot() -> float:
+def seconds_since_boot() -> float:
     """Read a monotonic clock that also advances while the host is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.jobs.intake_tables import INTAKE, IntakeTables
-from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, seconds_since_boot
 from bulrushpulley.systems.intake import (
     checking,
     inquiring,
@@ -28,5 +28,5 @@
             readiness.run,
         ),
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
-        clock=since_boot,
+        clock=seconds_since_boot,
     )
--- a/bulrushpulley/roles/job_agent.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
-from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, seconds_since_boot
 from bulrushpulley.systems.job_agent import (
     pacing,
     polling,
@@ -33,5 +33,5 @@
             reporting.run,
         ),
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
-        clock=since_boot,
+        clock=seconds_since_boot,
     )
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -11,7 +11,7 @@
     Following,
     SchedulerTables,
 )
-from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, since_boot
+from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, seconds_since_boot
 from bulrushpulley.systems.scheduling import (
     agents,
     backlog,
@@ -68,5 +68,5 @@
             committing.run,
         ),
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
-        clock=since_boot,
+        clock=seconds_since_boot,
     )
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -24,7 +24,7 @@
 
 STEP = "settings.check"
 # Leases are requested for this fraction of the longest one allowed, as a margin for
-# the reading of clocks.
+# errors in reading clocks.
 LEASE_FRACTION = 0.95
 
 Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", max_characters=100)]
@@ -113,7 +113,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BackendSettings:
-    """The backend server beside the agent and its limits."""
+    """The backend server on the host of the agent, and its limits."""
 
     url: Url
     service: Name
--- a/bulrushpulley/systems/__init__.py
+++ b/bulrushpulley/systems/__init__.py
@@ -1,1 +1,1 @@
-"""The decisions: pure functions over tables, run in a stated order each tick."""
+"""The decision logic: pure functions over tables, run in a fixed order each tick."""
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -108,7 +108,7 @@
         server_state=ServerState.GONE,
         stalled_since=None,
         poll=PollState(),
-        runs=Table.empty(indexes=tables.runs.index_of),
+        runs=Table.empty(indexes=tables.runs.index_functions),
         ends=pmap(),
         last_end_sent=0,
         orders_complete=False,
--- a/bulrushpulley/systems/route/claims.py
+++ b/bulrushpulley/systems/route/claims.py
@@ -24,7 +24,7 @@
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
     """Submit a claim of the request for `agent`, replacing a refused one if any."""
-    tables, submission_id = tables.numbered()
+    tables, submission_id = tables.with_new_id()
     server = tables.servers.by_key[agent]
     stage = Claiming(agent=agent, agent_name=server.agent, submission_id=submission_id)
     updated_server = replace(server, pending_claims=server.pending_claims + 1)
--- a/bulrushpulley/systems/route/recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -44,7 +44,7 @@
     tables: RouterTables, request: Request, agent: str, now: float
 ) -> Step[RouterTables]:
     """Send the agent a recall over its current link."""
-    tables, attempt_id = tables.numbered()
+    tables, attempt_id = tables.with_new_id()
     attempt = Attempt(
         attempt_id=attempt_id,
         call_id=request.call_id,
--- a/bulrushpulley/systems/route/send.py
+++ b/bulrushpulley/systems/route/send.py
@@ -18,7 +18,7 @@
 ) -> Step[RouterTables]:
     """Send the request to `agent` as a new attempt, which occupies a slot there."""
     skipped = passed_over(tables, request.service, agent, now)
-    tables, attempt_id = tables.numbered()
+    tables, attempt_id = tables.with_new_id()
     attempt = Attempt(
         attempt_id=attempt_id, call_id=request.call_id, agent=agent, sent_at=now
     )
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -1,10 +1,10 @@
 """Deletes expired claims, at a bounded rate.
 
-A router deletes the claims that it wrote after `CLAIM_TTL_S`, and permanently refused
-ones immediately. Claims of routers that have died are found by reading all claims
-page by page: a row with the same version as in a read `CLAIM_TTL_S` ago is at least
-that old, judged by this process's clock only. Every deletion is conditional on the
-version, so a claim that was replaced in the meantime is kept.
+A router deletes each claim that it wrote `CLAIM_TTL_S` after it was committed, and
+permanently refused ones immediately. Claims of routers that have died are found by
+reading all claims page by page: a row with the same version as in a read `CLAIM_TTL_S`
+ago is at least that old, judged by this process's clock only. Every deletion is
+conditional on the version, so a claim that was replaced in the meantime is kept.
 """
 
 from __future__ import annotations
@@ -59,7 +59,7 @@
     due = due_claims(tables, now)
     commands: list[Command] = []
     for claim in due:
-        tables, submission_id = tables.numbered()
+        tables, submission_id = tables.with_new_id()
         tables = replace(tables, claim_deletions=tables.claim_deletions.drop(claim.key))
         commands.append(deletion_command(claim, submission_id))
     if due:
@@ -104,7 +104,7 @@
     prefix = page_prefix(tables)
     if not prefix:
         return Step(tables=tables)
-    tables, fetch_id = replace(tables, page_number=tables.page_number + 1).numbered()
+    tables, fetch_id = replace(tables, page_number=tables.page_number + 1).with_new_id()
     read_request = ReadRequested(origin="router", fetch_id=fetch_id, prefix=prefix)
     return Step(tables=tables, commands=(Tell(role="committer", event=read_request),))
 
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -123,7 +123,7 @@
 
 def _copy_table(table: Any) -> Any:
     """Return a deep copy of a table."""
-    copied = type(table).empty(indexes=table.index_of)
+    copied = type(table).empty(indexes=table.index_functions)
     for key in table:
         copied = copied.put(key, copy.deepcopy(table.by_key[key]))
     return copied
--- a/test/test_actor.py
+++ b/test/test_actor.py
@@ -13,15 +13,15 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class WordEvent(Event):
-    word: str
+class LabelledEvent(Event):
+    label: str
     waits: bool = False
 
 
 def record_event(
-    event: Event, words: tuple[Event, ...], now: float
+    event: Event, events: tuple[Event, ...], now: float
 ) -> Step[tuple[Event, ...]]:
-    return Step(tables=(*words, event))
+    return Step(tables=(*events, event))
 
 
 def event_can_wait(event: Any) -> bool:
@@ -31,8 +31,11 @@
 
 class ActorTest(testtools.TestCase):
     def test_an_event_that_can_wait_is_applied_in_order_at_the_next_tick(self) -> None:
-        first, second = WordEvent(word="a", waits=True), WordEvent(word="b", waits=True)
-        last = WordEvent(word="c")
+        first, second = (
+            LabelledEvent(label="a", waits=True),
+            LabelledEvent(label="b", waits=True),
+        )
+        last = LabelledEvent(label="c")
         role: Role[Any] = Role(
             name="r", tables=(), apply=record_event, systems=(), can_wait=event_can_wait
         )
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -173,8 +173,8 @@
     def wait_until_received(self) -> None:
         """Wait until a thread of the server handles a call."""
         pause = threading.Event()
-        until = time.monotonic() + 5.0
-        while not self.received and time.monotonic() < until:
+        deadline = time.monotonic() + 5.0
+        while not self.received and time.monotonic() < deadline:
             pause.wait(0.01)
 
     def test_operators_are_served_while_callers_use_all_threads(self) -> None:
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -50,9 +50,9 @@
             silence_timeout_s=self.silence_timeout_s,
         )
 
-    async def wait_for(self, wanted: Event) -> None:
+    async def wait_for(self, expected: Event) -> None:
         async with asyncio.timeout(TIMEOUT_S):
-            while await self.events.get() != wanted:
+            while await self.events.get() != expected:
                 pass
 
 
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -83,7 +83,7 @@
         ended = make_calls(Caller(target=target), calls, 128)
         return tally(ended, count_runs(fleet.layout.backend_urls))
 
-    def test_a_port_in_use_ends_the_start_with_its_step(self) -> None:
+    def test_a_port_in_use_is_reported_with_its_step(self) -> None:
         layout = make_layout("firinzeka", ["entry-1"], [])
         folder = pathlib.Path(tempfile.mkdtemp(prefix="bulrushpulley-test-"))
         fleet = Fleet(layout=layout, folder=folder)
@@ -124,7 +124,7 @@
         self.assertEqual(0, report.false_refusals, str(report))
         self.assertTrue(report.served > report.calls * 0.9, report)
 
-    def test_a_paused_agent_is_dropped_and_comes_back(self) -> None:
+    def test_a_paused_agent_is_dropped_and_returns(self) -> None:
         fleet = self.start(entries=1, agents=2)
         paused = fleet.program_by_name["agent-01"].process
         paused.send_signal(signal.SIGSTOP)
