--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -32,8 +32,8 @@
     if value not in entries:
         # An index function may return a value twice.
         return entries
-    left = entries[value].discard(key)
-    return entries.set(value, left) if left else entries.remove(value)
+    remaining = entries[value].discard(key)
+    return entries.set(value, remaining) if remaining else entries.remove(value)
 
 
 def _with(entries: Entries, value: str, key: str) -> Entries:
--- a/bulrushpulley/systems/guard/requests.py
+++ b/bulrushpulley/systems/guard/requests.py
@@ -31,9 +31,9 @@
 @apply.register
 def _(event: Dispatch, tables: GuardTables, now: float) -> Step[GuardTables]:
     waiter = Waiter(peer=event.peer, attempt_id=event.attempt_id)
-    known = None if event.repeatable else join_known(tables, event.request_id, waiter)
-    if known is not None:
-        return known
+    joined = None if event.repeatable else join_known(tables, event.request_id, waiter)
+    if joined is not None:
+        return joined
     if event.attempt_id in tables.executions:
         return Step(tables=tables)
     refusal = dispatch_refusal(event, tables)
@@ -129,9 +129,9 @@
 @apply.register
 def _(event: Recall, tables: GuardTables, now: float) -> Step[GuardTables]:
     waiter = Waiter(peer=event.peer, attempt_id=event.attempt_id)
-    known = join_known(tables, event.request_id, waiter)
-    if known is not None:
-        return known
+    joined = join_known(tables, event.request_id, waiter)
+    if joined is not None:
+        return joined
     if now < tables.outcomes_missing_until:
         missing = problem(
             Code.OUTCOME_UNKNOWN, RECALL_STEP, "the id may have been forgotten"
--- a/bulrushpulley/systems/route/choice.py
+++ b/bulrushpulley/systems/route/choice.py
@@ -95,12 +95,12 @@
 def candidates(tables: RouterTables, service: str, now: float) -> list[Candidate]:
     """Return a heap of the servers of a service that can receive a request now."""
     servers = tables.servers.rows_where("service", service)
-    known = tables.service(service)
+    service_row = tables.service(service)
     count = len(servers)
     heap = [
         candidate(server, tables, (position - tables.sequence) % count)
         for position, server in enumerate(servers)
-        if not ineligible_reason(server, known, now)
+        if not ineligible_reason(server, service_row, now)
     ]
     heapq.heapify(heap)
     return heap
@@ -111,12 +111,12 @@
 ) -> tuple[str, ...]:
     """Return the names of some servers that were not chosen, with the reasons."""
     found: list[str] = []
-    known = tables.service(service)
+    service_row = tables.service(service)
     for key in tables.servers.keys_where("service", service):
         if key == chosen:
             continue
         server = tables.servers.by_key[key]
-        reason = ineligible_reason(server, known, now) or f"load {server.load}"
+        reason = ineligible_reason(server, service_row, now) or f"load {server.load}"
         found.append(f"{server.agent}: {reason}")
         if len(found) == MAX_PASSED_OVER:
             break
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -94,8 +94,8 @@
 
 def without_attempt(request: Request, attempt_id: str) -> Request:
     """Return the request without one of its attempts."""
-    left = tuple(item for item in request.attempts if item != attempt_id)
-    return replace(request, attempts=left)
+    remaining = tuple(item for item in request.attempts if item != attempt_id)
+    return replace(request, attempts=remaining)
 
 
 @singledispatch
--- a/test/test_control_verbs.py
+++ b/test/test_control_verbs.py
@@ -35,16 +35,18 @@
 
 
 @contextlib.contextmanager
-def entry(*answers: tuple[int, dict[str, Any]]) -> Iterator[tuple[str, list[str]]]:
+def serve_entry(
+    *answers: tuple[int, dict[str, Any]],
+) -> Iterator[tuple[str, list[str]]]:
     """Serve the answers in order, repeating the last one; log the requests."""
-    seen: list[str] = []
+    requests: list[str] = []
 
     class Handler(http.server.BaseHTTPRequestHandler):
         def do_any(self) -> None:
             self.rfile.read(int(self.headers.get("Content-Length", 0)))
-            place = min(len(seen), len(answers) - 1)
-            seen.append(f"{self.command} {self.path}")
-            status, value = answers[place]
+            index = min(len(requests), len(answers) - 1)
+            requests.append(f"{self.command} {self.path}")
+            status, value = answers[index]
             body = json.dumps(value).encode()
             self.send_response(status)
             self.send_header("Content-Length", str(len(body)))
@@ -60,7 +62,7 @@
     thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
     thread.start()
     try:
-        yield f"http://127.0.0.1:{server.server_address[1]}", seen
+        yield f"http://127.0.0.1:{server.server_address[1]}", requests
     finally:
         server.shutdown()
         server.server_close()
@@ -93,74 +95,92 @@
         with contextlib.redirect_stdout(self.out), contextlib.redirect_stderr(self.err):
             return verbs.run(arguments)
 
-    def test_a_refused_connection_moves_on_to_the_next_entry(self) -> None:
-        with entry((200, ACCEPTED)) as (url, seen):
+    def test_after_a_refused_connection_the_next_entry_is_called(self) -> None:
+        with serve_entry((200, ACCEPTED)) as (url, requests):
             code = self.run_verb("drain", "izmir", entries=(refusing_entry(), url))
         self.assertEqual(ExitCode.OK, code)
-        self.assertEqual(["POST /v1/failure-domains/izmir/drain?revision=0"], seen)
+        self.assertEqual(["POST /v1/failure-domains/izmir/drain?revision=0"], requests)
         self.assertIn("revision 7", self.out.getvalue())
 
-    def test_an_answer_that_says_not_accepted_moves_on(self) -> None:
-        with entry((503, problem("unavailable"))) as (bad, _):
-            with entry((200, ACCEPTED)) as (good, _):
-                code = self.run_verb("drain", "izmir", entries=(bad, good))
+    def test_after_an_unavailable_entry_the_next_one_is_called(self) -> None:
+        with serve_entry((503, problem("unavailable"))) as (failing_url, _):
+            with serve_entry((200, ACCEPTED)) as (accepting_url, _):
+                code = self.run_verb(
+                    "drain", "izmir", entries=(failing_url, accepting_url)
+                )
             self.assertEqual(ExitCode.OK, code)
-            code = self.run_verb("drain", "izmir", entries=(bad,))
+            code = self.run_verb("drain", "izmir", entries=(failing_url,))
         self.assertEqual(ExitCode.UNAVAILABLE, code)
 
     def test_without_an_answer_only_idempotent_calls_are_repeated(self) -> None:
         with (
             unresponsive_entry() as unresponsive,
-            entry((200, ACCEPTED)) as (good, seen),
+            serve_entry((200, ACCEPTED)) as (accepting_url, requests),
         ):
-            both = (unresponsive, good)
-            drain = self.run_verb("drain", "izmir", "--timeout=0.3", entries=both)
-            self.assertEqual((ExitCode.OUTCOME_UNKNOWN, []), (drain, seen))
-            again = ("submit", str(self.record), "--timeout=1")
-            self.assertEqual(ExitCode.OK, self.run_verb(*again, entries=both))
+            urls = (unresponsive, accepting_url)
+            drain = self.run_verb("drain", "izmir", "--timeout=0.3", entries=urls)
+            self.assertEqual((ExitCode.OUTCOME_UNKNOWN, []), (drain, requests))
+            submit_arguments = ("submit", str(self.record), "--timeout=1")
+            self.assertEqual(
+                ExitCode.OK, self.run_verb(*submit_arguments, entries=urls)
+            )
         unknown = (504, problem("outcome_unknown"))
-        with entry(unknown) as (lost, _), entry((200, ACCEPTED)) as (good, _):
-            both = (lost, good)
-            submit = self.run_verb("submit", str(self.record), entries=both)
-            unsafe = self.run_verb("restore", "izmir", entries=both)
-            safe = self.run_verb("restore", "izmir", "--revision=4", entries=both)
+        with (
+            serve_entry(unknown) as (unknown_url, _),
+            serve_entry((200, ACCEPTED)) as (accepting_url, _),
+        ):
+            urls = (unknown_url, accepting_url)
+            submit = self.run_verb("submit", str(self.record), entries=urls)
+            restore_without_revision = self.run_verb("restore", "izmir", entries=urls)
+            restore_with_revision = self.run_verb(
+                "restore", "izmir", "--revision=4", entries=urls
+            )
         self.assertEqual(
-            (ExitCode.OK, ExitCode.OUTCOME_UNKNOWN, ExitCode.OK), (submit, unsafe, safe)
+            (ExitCode.OK, ExitCode.OUTCOME_UNKNOWN, ExitCode.OK),
+            (submit, restore_without_revision, restore_with_revision),
         )
         conflict = (409, problem("conflict"))
-        with entry(unknown) as (lost, _), entry(conflict) as (good, _):
-            code = self.run_verb("submit", str(self.record), entries=(lost, good))
+        with (
+            serve_entry(unknown) as (unknown_url, _),
+            serve_entry(conflict) as (conflict_url, _),
+        ):
+            code = self.run_verb(
+                "submit", str(self.record), entries=(unknown_url, conflict_url)
+            )
         self.assertEqual(ExitCode.OUTCOME_UNKNOWN, code)
 
     def test_a_conflict_has_its_own_code_and_names_the_other_author(self) -> None:
         answer = problem("conflict")
         answer["problems"][0]["detail"] = "written by amina at revision 9"
-        with entry((409, answer)) as (url, _):
+        with serve_entry((409, answer)) as (url, _):
             code = self.run_verb("submit", str(self.record), entries=(url,))
         self.assertEqual(ExitCode.CONFLICT, code)
         self.assertIn("amina", self.err.getvalue())
 
-    def test_wait_ends_when_in_force_or_when_time_is_up(self) -> None:
-        behind = {"revision": 7, "everywhere": False, "missing": ["agent-3"]}
-        there = {"revision": 7, "everywhere": True, "missing": []}
+    def test_wait_ends_when_in_force_or_at_the_timeout(self) -> None:
+        not_in_force = {"revision": 7, "everywhere": False, "missing": ["agent-3"]}
+        in_force = {"revision": 7, "everywhere": True, "missing": []}
         arguments = ("submit", str(self.record), "--wait", "--json")
-        with entry((200, ACCEPTED), (200, behind), (200, there)) as (url, _):
+        with serve_entry((200, ACCEPTED), (200, not_in_force), (200, in_force)) as (
+            url,
+            _,
+        ):
             code = self.run_verb(*arguments, entries=(url,))
         self.assertEqual(ExitCode.OK, code)
         self.assertTrue(json.loads(self.out.getvalue())["in_force"])
-        with entry((200, ACCEPTED), (200, behind)) as (url, _):
+        with serve_entry((200, ACCEPTED), (200, not_in_force)) as (url, _):
             code = self.run_verb(*arguments, "--timeout=0.2", entries=(url,))
         self.assertEqual(ExitCode.NOT_IN_FORCE, code)
         self.assertIn("agent-3", self.err.getvalue())
 
     def test_bad_input_is_refused_before_any_call(self) -> None:
-        with entry((200, ACCEPTED)) as (url, seen):
+        with serve_entry((200, ACCEPTED)) as (url, requests):
             self.assertEqual(ExitCode.BAD_INPUT, self.run_verb("drain", entries=(url,)))
-            bad = self.run_verb("drain", "izmir", "--speed=1", entries=(url,))
-            self.assertEqual(ExitCode.BAD_INPUT, bad)
+            code = self.run_verb("drain", "izmir", "--speed=1", entries=(url,))
+            self.assertEqual(ExitCode.BAD_INPUT, code)
             self.record.write_text(json.dumps({**RECORD, "tasks": 0, "colour": 1}))
-            bad = self.run_verb("submit", str(self.record), entries=(url,))
-            self.assertEqual((ExitCode.BAD_INPUT, []), (bad, seen))
+            code = self.run_verb("submit", str(self.record), entries=(url,))
+            self.assertEqual((ExitCode.BAD_INPUT, []), (code, requests))
             self.assertIn("tasks", self.err.getvalue())
             self.assertIn("colour", self.err.getvalue())
 
