--- a/test/matrix.py
+++ b/test/matrix.py
@@ -151,7 +151,7 @@
 
     def execute(self) -> Verdict:
         """Run the scenario to its end and check it."""
-        for index, (kind, record) in enumerate(records()):
+        for index, (kind, record) in enumerate(initial_records()):
             self.submit(1.0 + index / 10, kind, record)
         self.submit(10.0, "job", job_record("curves"))
         self.submit(50.0, "job", job_record("audit"))
@@ -253,7 +253,7 @@
     )
 
 
-def records() -> Iterable[tuple[str, Record]]:
+def initial_records() -> Iterable[tuple[str, Record]]:
     """Yield the records that are in force before the scenario begins."""
     for domain in DOMAINS:
         yield "failure_domain", FailureDomainRecord(name=domain, region=REGION)
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -48,7 +48,7 @@
 
 
 class MatrixGuardTest(testtools.TestCase):
-    def test_a_cell_goes_red_without_its_guard(self) -> None:
+    def test_a_case_fails_without_its_safeguard(self) -> None:
         for mutation in CASES:
             with self.subTest(mutation.name):
                 self.assertEqual((), run_case(mutation.case).violations)
