Reword texts that say whole, at once, beside and gone

"At once" meant both immediately and simultaneously, "whole" meant all or complete, "beside" meant on the same host, and "gone" meant ended. The comments and docstrings now use the plainer words.

--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -2,7 +2,7 @@
 
 Rows wait in lanes, which are first-in, first-out queues. All tasks of a lane have
 the same department, rank, priority, size and failure domains. If the first row of
-a lane cannot be placed, the whole lane is therefore blocked for a while, without
+a lane cannot be placed, all of the lane is therefore blocked for a while, without
 delaying other lanes. A lane may still hold keys of deleted rows; they are skipped
 when they reach the front.
 """
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -1,6 +1,6 @@
 """An entry's view of a cell: the owner's last summary and the reservations.
 
-A reservation stands for tasks that were assigned to the cell but that its
+A reservation represents tasks that were assigned to the cell but that its
 summaries cannot show yet. It keeps capacity from being allocated twice.
 """
 
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class IntakeTables:
-    """The whole state of the role.
+    """The complete state of the role.
 
     `accepted` and `older_accepted` hold the ids of jobs that are known to be stored:
     the recent ones and those before. `store_answered_at` is when the store last
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -151,7 +151,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobAgentTables:
-    """The whole state of the role.
+    """The complete state of the role.
 
     `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
     name while linked. `last_confirmed_contact_at` is when the last contact that the
--- a/bulrushpulley/entities/jobs/spec.py
+++ b/bulrushpulley/entities/jobs/spec.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobSpec:
-    """A whole job; `payload` is passed to every task unchanged.
+    """The specification of a job; `payload` is passed to every task unchanged.
 
     With `occurrences` above zero the steps run that many times. Occurrence K is due
     at `first_due_s` (since 1970) plus K times `interval_s`.
--- a/bulrushpulley/entities/link.py
+++ b/bulrushpulley/entities/link.py
@@ -194,7 +194,7 @@
     """Configuration rows that have come into force, from entry to agents.
 
     `base` is the revision that the receiver must already have, `revision` the one
-    it has after applying the rows. With base 0 the rows are the whole configuration.
+    it has after applying the rows. With base 0 the rows are the full configuration.
     """
 
     base: int
--- a/bulrushpulley/entities/transactions.py
+++ b/bulrushpulley/entities/transactions.py
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRows(Command):
-    """Reads a whole prefix; the result is `RowsRead` or `ReadFailed`."""
+    """Reads all rows of a prefix; the result is `RowsRead` or `ReadFailed`."""
 
     read_id: str
     prefix: str
--- a/bulrushpulley/roles/carry_out.py
+++ b/bulrushpulley/roles/carry_out.py
@@ -1,9 +1,9 @@
 """Carries out the commands of the roles; all I/O of the roles starts here.
 
 `carry_out` is a `singledispatch` function over command types. The common commands
-are registered here. A role with I/O of its own registers its commands in a module
-beside it, such as `guard_io`. Blocking calls are passed to `Ports.run`, which
-executes them off the actor's thread and sends the resulting event to the role.
+are registered here. A role with I/O of its own registers its commands in a separate
+module, such as `guard_io`. Blocking calls are passed to `Ports.run`, which executes
+them off the actor's thread and sends the resulting event to the role.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -100,7 +100,7 @@
         self._front.start()
 
     def stop(self) -> None:
-        """Stop at once; runs continue, and the next process finds them by polling."""
+        """Stop; runs continue, and the next process finds them by polling."""
         log_process(process=self.runtime.name, stage="leaving")
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -31,8 +31,8 @@
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.pending import PendingCalls
 
-# Writes that wait for a slow store hold threads beside those of the reads that
-# check whether a write took effect.
+# Leaves threads for the reads that check whether a write took effect while writes
+# that wait for a slow store hold the others.
 INTAKE_THREADS = 14
 SCHEDULER_THREADS = 6
 CALLER_THREADS = 24
--- a/bulrushpulley/roles/linker_io.py
+++ b/bulrushpulley/roles/linker_io.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkerPorts(Ports):
-    """The ports of the linker; `dial` returns at once."""
+    """The ports of the linker; `dial` does not block."""
 
     dial: Callable[[str], None]
 
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerPorts(StorePorts):
-    """The ports of the scheduler; `dial` returns at once.
+    """The ports of the scheduler; `dial` does not block.
 
     `advice` and `machines` are None if no such service is configured.
     """
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -1,6 +1,6 @@
-"""Settings in TOML, read into frozen classes and checked as a whole.
+"""Settings in TOML, read into frozen classes and checked completely.
 
-All errors of a file are reported at once, with the file as peer and the dotted
+All errors of a file are reported together, with the file as peer and the dotted
 path of the key; unknown keys are errors. The key ``role`` names the class, so
 that an agent cannot be started from an entry's file.
 
--- a/bulrushpulley/systems/cell/neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -85,7 +85,7 @@
 
 
 def _modelled_ms(tables: CellOwnerTables, service: str, worker_id: str) -> float:
-    """Return the expected latency of a service beside the tasks of a worker.
+    """Return the expected latency of a service next to the tasks of a worker.
 
     Throttled tasks count at full speed, so that no new task takes up what their
     throttles have freed.
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -158,7 +158,7 @@
     """Leave out workers on which this very task failed, if another could ever run it.
 
     A worker that fails every task is always the emptiest; a task that returned to it
-    at once would use up its attempts there before there is enough evidence.
+    immediately would use up its attempts there before there is enough evidence.
     """
     failures = tables.failures.rows_where("task", task.key)
     failed = {failure.worker_id for failure in failures}
--- a/bulrushpulley/systems/cell/preempt.py
+++ b/bulrushpulley/systems/cell/preempt.py
@@ -43,7 +43,7 @@
 ) -> Preemption:
     """Evict batch tasks from the first worker on which a task would then fit.
 
-    Nothing is evicted where the task fits once the tasks being stopped are gone.
+    Nothing is evicted where the task fits after the tasks being stopped have ended.
     """
     size = task.row.spec.size
     for candidate in candidates:
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -1,4 +1,4 @@
-"""Relief policies: reduce the load beside a degraded service.
+"""Relief policies: reduce the load on the worker of a degraded service.
 
 The departments' policy records give the weights: the more an eviction costs the
 batch task's department relative to what latency costs the service's department, the
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -26,7 +26,7 @@
     """Spreads replicas over the least loaded workers and best-fits batch tasks.
 
     A batch task is not placed where it is expected to raise the latency of a service
-    above its target, nor beside the first task of its job until the effect of that
+    above its target, nor next to the first task of its job until the effect of that
     task is measured. If it is urgent or has waited `MAX_PLACEMENT_DEFERRAL_S`, it is
     placed on the least harmful worker, so that no job waits for as long as a service
     runs.
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -84,7 +84,7 @@
 def handle_owner_alive_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take the cell if its owner is gone; stop watching it if the owner is live."""
+    """Take the cell if its owner ended; stop watching it if the owner is live."""
     lease = cell.lease
     if lease is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -1,4 +1,4 @@
-"""Queues submissions on their lane, or withdraws them at once."""
+"""Queues submissions on their lane, or withdraws them immediately."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -1,6 +1,6 @@
 """Combines the submissions waiting in a lane into one transaction.
 
-There is no batching timer: an idle lane sends at once, and a busy lane collects
+There is no batching timer: an idle lane sends immediately; a busy lane collects
 submissions until its current transaction is settled. A submission that conflicts
 with another one of the batch on a key waits for a later transaction.
 """
--- a/bulrushpulley/systems/commit/give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -2,8 +2,8 @@
 
 A submission that was not sent is withdrawn: it certainly has no effect. One that is
 in flight is unsettled. While the store is considered down, a submission that would
-be given up before the next probe is withdrawn at once, so that a caller learns early
-that its request did not run.
+be given up before the next probe is withdrawn immediately, so that a caller learns
+early that its request did not run.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/control/distribution.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -1,7 +1,7 @@
 """Distributes the configuration to the linked agents and to the router.
 
-A new link gets the whole configuration, the others the changes since the revision
-last sent to them. An agent that does not confirm in time gets the whole
+A new link gets the full configuration, the others the changes since the revision
+last sent to them. An agent that does not confirm in time gets the full
 configuration again. Duplicate and reordered items do no harm: receivers keep the
 newer row.
 """
--- a/bulrushpulley/systems/control/moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -2,7 +2,7 @@
 
 A move takes rows of one lane, whose tasks have the same requirements. It is
 conditional on every backlog row, on the records that the tasks belong to, and on
-the absence of the rows it writes, so that it takes effect as a whole and at most
+the absence of the rows it writes, so that it takes effect completely and at most
 once.
 """
 
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -140,7 +140,7 @@
 ) -> ControllerTables:
     """Store the rows that a change by this process has just committed.
 
-    The new revision takes effect at once if the one before it was in effect.
+    The new revision takes effect immediately if the one before it was in effect.
     """
     before = tables.revision
     tables = update_records(tables, rows)
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -65,7 +65,7 @@
 def submit(
     call: SubmitCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Queue a job for storing, or answer at once if the outcome is already known."""
+    """Queue a job for storing, or answer without delay if the outcome is known."""
     if call.spec is None:
         problem = call.problem or _invalid(call, "the job makes no sense")
         return _answer(tables, BadCall(call_id=call.call_id, problem=problem))
@@ -268,7 +268,7 @@
 
 
 def handle_outcome_unknown(tables: IntakeTables, now: float) -> IntakeStep:
-    """Requeue a batch without answer at once."""
+    """Requeue a batch without answer immediately."""
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/interference_step.py
+++ b/bulrushpulley/systems/interference_step.py
@@ -1,6 +1,6 @@
 """One step of learning how jobs slow services, shared by all roles that measure it.
 
-A latency is modelled as the service's own plus, for each job beside it, the harm of
+A latency is modelled as the service's own plus, for each job on its host, the harm of
 one unit of that job times the units of it that run there. A sample corrects the
 estimates by one step of a Kalman filter with independent states: the least certain
 estimate takes most of the error, so a job that has long done no harm is not blamed
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -41,7 +41,7 @@
 PAUSE_ALL_AFTER_S = 1.5
 SPEEDUP_PERCENT = 15
 MIN_PACE_PERCENT = 5
-# The initial pace of a run beside a task that it is known to slow, or may slow.
+# The initial pace of a run on the host of a task that it is known to slow, or may slow.
 HARMFUL_START_PERCENT = 20
 UNKNOWN_START_PERCENT = 50
 PACE_TIMEOUT_S = 0.5
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -28,7 +28,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.job_agent import edits, refusing, server_lifecycle
 
-# The call returns at once when a run ends; otherwise the wait bounds the age of the
+# The call returns as soon as a run ends; otherwise the wait bounds the age of the
 # measured latencies and the delay of a lease renewal.
 POLL_WAIT_MS = 400
 # The backend server is on the same host; a later answer is considered lost.
@@ -131,7 +131,7 @@
     for end in event.ends:
         tables = _record_end(tables, end)
     if tables.ends:
-        # The server answers at once while ends are not acknowledged, so delay the call.
+        # The server answers immediately while ends are unacknowledged: delay the call.
         poll = replace(tables.poll, retry_at=now + UNACKNOWLEDGED_ENDS_INTERVAL_S)
         tables = replace(tables, poll=poll)
     return _refuse_missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
--- a/bulrushpulley/systems/route/agents.py
+++ b/bulrushpulley/systems/route/agents.py
@@ -80,7 +80,7 @@
 
 
 def clear_declared(tables: RouterTables) -> RouterTables:
-    """Mark all services as not declared, before a whole configuration is applied."""
+    """Mark all services as not declared, before a full configuration is applied."""
     for service in tables.services.rows():
         tables = put_service(tables, replace(service, declared=False))
     return tables
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -51,7 +51,7 @@
     quarantine,
 )
 
-# Bounds the work of a job that is lost if all hosts fail at once.
+# Bounds the work of a job that is lost if all hosts fail together.
 CHECKPOINT_SAVE_INTERVAL_S = 1.0
 # The percentage that a lasting task reports once its startup is over.
 STARTUP_DONE_PERCENT = 100
--- a/bulrushpulley/systems/scheduling/dialling.py
+++ b/bulrushpulley/systems/scheduling/dialling.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits
 
-# An agent that restarts accepts links within a second; one that is gone for good costs
+# An agent that restarts accepts links within a second; one that never returns costs
 # an attempt each `MAX_REDIAL_DELAY_S`.
 MIN_REDIAL_DELAY_S = 0.2
 MAX_REDIAL_DELAY_S = 1.5
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -36,7 +36,7 @@
 
 # Bounds how soon a released shard is noticed; each poll costs a call to the store.
 OWNER_POLL_INTERVAL_S = 0.4
-# The owner renews each 0.8 s (`committing.OWNER_RENEW_INTERVAL_S`), so this takes two
+# The owner renews each 0.8 s (`committing.RENEW_INTERVAL_S`), so this takes two
 # missing renewals in a row.
 SHARD_TAKEOVER_TIMEOUT_S = 2.0
 # How far apart the first and the last follower attempt a takeover, from an owner that
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -229,7 +229,7 @@
 
 
 def service_of(tables: SchedulerTables, job: Job) -> str:
-    """Return the service of the job's queue, or that at acceptance if it is gone."""
+    """Return the service of the job's queue, or the one at acceptance if none."""
     queue = tables.operator_settings.queue(job.row.queue)
     return queue.service if queue is not None else job.row.service
 
--- a/bulrushpulley/systems/scheduling/watching.py
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -56,7 +56,7 @@
 
 
 def handle_history_lost(table: str, tables: SchedulerTables) -> SchedulerStep:
-    """Read the whole table again; the watch then continues from its version."""
+    """Read the complete table again; the watch then continues from its version."""
     read = ReadRange(
         role=SCHEDULER,
         purpose=RereadTable(table=table, epoch=tables.epoch),
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -22,8 +22,8 @@
 def call(state: WatchState, *, role: str, purpose: Purpose, table: str) -> Watch:
     """Return the next call of a watch.
 
-    After a failure it does not wait for changes, so that its answer shows at once that
-    the store is available again.
+    After a failure it does not wait for changes, so that an early answer shows
+    that the store is available again.
     """
     wait_s = 0.0 if state.failed else WATCH_WAIT_S
     return Watch(
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -2,7 +2,7 @@
 
 A request occupies one thread from its first byte to the last byte of its answer.
 The thread pool and its queue are bounded; a connection that exceeds both gets 503
-at once. A request that is not completely read within `REQUEST_READ_TIMEOUT_S` gets
+immediately. A request that is not completely read within `REQUEST_READ_TIMEOUT_S` gets
 408, even if bytes keep arriving slowly. Bodies larger than `MAX_HTTP_BODY_BYTES`
 are refused before they are read.
 """
@@ -180,7 +180,7 @@
 
 
 class HttpServer:
-    """A cheroot server with its own threads; `start` returns at once."""
+    """A cheroot server with its own threads; `start` does not block."""
 
     def __init__(
         self,
--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -3,7 +3,7 @@
 Run with ``PYTHONPATH=. python -m scripts.cell_signals``; it takes two minutes. One
 owner is paused with SIGSTOP until its cells have been taken over, then continued.
 Another is killed while answers of workers are lost and the table service is down,
-and then restarted. The program exits with 1 if a task was seen to run twice at once,
+and then restarted. The program exits with 1 if two runs of a task were seen to overlap,
 if a task did not finish, or if a process did not exit with 0.
 """
 
@@ -103,7 +103,7 @@
 
 
 class DuplicateRunWatcher:
-    """Polls the workers for tasks that run twice at once."""
+    """Polls the workers for tasks of which two runs overlap."""
 
     def __init__(self, *, platform: Platform, worker_ids: list[str]) -> None:
         self._platform = platform
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -165,7 +165,7 @@
 
 
 def measure_assigning(tasks_per_job: int, jobs: int) -> None:
-    """Print the cost of assigning a task when commits are answered at once."""
+    """Print the cost of assigning a task when commits are answered immediately."""
     role, tables = build_controller(200, 0)
     free = Resources(processors_m=10_000_000, memory_mb=10_000_000)
     events: list[Event] = [summary(number, free) for number in range(200)]
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -4,9 +4,9 @@
 owner of a rack of three workers in virtual time at the sizes of both deployments.
 Batch jobs fill the rack; some of them slow down the service on the same worker.
 After a steady phase the failure domain is drained and returned to service. The
-baselines place by first fit; a batch task beside a degraded service is evicted, the
-newest first, or left alone. For the baselines and the product's policies it prints
-each measure and its ratio to that of the first baseline.
+baselines place by first fit; of the batch tasks on the worker of a degraded service
+they evict the newest first, or none. For the baselines and the product's policies
+it prints each measure and its ratio to that of the first baseline.
 """
 
 from __future__ import annotations
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -1,7 +1,7 @@
 """A backend server on loopback that announces itself to the agent of its host.
 
 Each start and end of a run is written to standard output as a line of JSON with the
-monotonic time, the host, the task and the number of the run, so that the whole
+monotonic time, the host, the task and the number of the run, so that all of the
 execution can be checked afterwards. On SIGUSR1 the server announces that it drains.
 """
 
@@ -40,7 +40,7 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 ADVANCE_INTERVAL_S = 0.02
 EXECUTOR_CALL_TIMEOUT_S = 1.0
-# How long a backend server keeps running after it was told to drain.
+# How long a backend server keeps running after the signal to drain.
 DRAIN_TIME_S = 3.0
 
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -151,7 +151,7 @@
         return self.put(f"record/{kind}/{record.name}", row)
 
     def distribute_records(self) -> None:
-        """Send the whole configuration to every agent."""
+        """Send the full configuration to every agent."""
         rows = self.rows("record/")
         event = Configured(base=0, revision=self.store.revision, rows=rows)
         for owner in list(self.world.roles):
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -245,7 +245,7 @@
         self.at(tick_interval_s, lambda: self._tick_repeatedly(process, role))
 
     def kill(self, name: str) -> None:
-        """End a process at once; its links end with it."""
+        """End a process abruptly; its links end with it."""
         process = self.process_by_name[name]
         process.alive = False
         for pair in list(self.links.items()):
--- a/test/site.py
+++ b/test/site.py
@@ -1,4 +1,4 @@
-"""A whole site in virtual time: entries, agents, workers, backend servers, the store.
+"""A site in virtual time: entries, agents, workers, backend servers and the store.
 
 It runs the roles of the product, with the product's routing of events, on the cores
 of the stand-ins. `site_io` carries out the commands. `Site` has methods and fields
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -263,7 +263,7 @@
 
 
 def check_workers(site: Site) -> None:
-    """Check that no task runs twice at once and no worker exceeds its capacity."""
+    """Check that no two runs of a task overlap and no worker exceeds its capacity."""
     site.advance()
     names: list[str] = []
     for name, state in site.workers.items():
--- a/test/test_cell_actor.py
+++ b/test/test_cell_actor.py
@@ -38,7 +38,7 @@
 
 
 class Entry:
-    """An entry that commits to the bench's store and answers at once."""
+    """An entry that commits to the bench's store and answers immediately."""
 
     def __init__(self, *, tell: Callable[[Event], None], bench: CellBench) -> None:
         self._tell = tell
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -1,4 +1,4 @@
-"""Tests faults during the life of a task in a cell, with and without their guards."""
+"""Tests faults while a task is in a cell, with and without their guards."""
 
 from __future__ import annotations
 
--- a/test/test_cell_thin.py
+++ b/test/test_cell_thin.py
@@ -1,4 +1,4 @@
-"""Tests the life of a task in an owned cell without faults."""
+"""Tests a task in an owned cell from start to end without faults."""
 
 from __future__ import annotations
 
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -88,7 +88,7 @@
 
     @staticmethod
     def seed(bench: Bench, record: JobRecord) -> None:
-        """Put a job into the table service so that all entries read it at once."""
+        """Put a job into the table service so that all entries read it immediately."""
         row = RecordRow(
             kind="job", schema_version=1, record=record, author="x", revision=0
         )
--- a/test/test_fault_matrix.py
+++ b/test/test_fault_matrix.py
@@ -70,7 +70,7 @@
 
 
 def fault_pair_cases(names: MatrixNames) -> list[FaultCase]:
-    """Return cases of two faults at once, drawn with a fixed seed."""
+    """Return cases of two faults each, drawn with a fixed seed."""
     rng = RandomGenerator(state=PAIR_SEED)
     cases: list[FaultCase] = []
     for number in range(PAIR_CASE_COUNT):
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -166,7 +166,7 @@
 
 
 class PacingTest(testtools.TestCase):
-    """Filling runs beside serving tasks: which are slowed, and when they recover."""
+    """Filling runs next to serving tasks: which are slowed, and when they recover."""
 
     def _run_beside(self, verdict: str) -> tuple[Bench, list[int]]:
         bench = Bench()
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -19,7 +19,7 @@
 
 
 class LastingWorkFillsEveryHost(testtools.TestCase):
-    """After an outage more lasting tasks restart at once than the hosts can hold.
+    """After an outage more lasting tasks restart together than the hosts can hold.
 
     Seen in scale-2 of kalamu-sched after a power loss, with one host fewer than before:
     short urgent jobs waited 11 s, because lasting tasks held all processors.
@@ -116,7 +116,7 @@
 
 
 class EverythingStartsAgain(testtools.TestCase):
-    """All processes lose power at once, and filling tasks are placed again.
+    """All processes lose power together, and filling tasks are placed again.
 
     Seen in trouble-3 of kalamu-sched: from 5 s after the restart, serving tasks missed
     their targets for ten seconds, because the interference estimates had been lost.
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -37,7 +37,7 @@
     def test_pairs_that_once_failed(self) -> None:
         """Pairs that failed in random draws, each with the cause of its failure."""
         cases = [
-            # The scheduler waited without end for a server that was gone before its
+            # The scheduler waited without end for a server that had ended before its
             # agent restarted: nothing reported that its leases had expired.
             FaultCase(
                 injections=(
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of the settings: the samples load, and all errors are reported at once."""
+"""Tests of the settings: the samples load, and all errors are reported together."""
 
 from __future__ import annotations
 
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -86,7 +86,7 @@
         self.at(0.0, lambda: self._tick_all(process, incarnation))
 
     def kill(self, process: str) -> None:
-        """End a process at once; its tables are lost."""
+        """End a process abruptly; its tables are lost."""
         for address in [
             address for address in self.roles if address.process == process
         ]:
