--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -80,9 +80,11 @@
 
 
 def _recount(view: CellView) -> CellView:
-    reserved = sum_resources(tuple(one.total for one in view.reservations))
+    reserved = sum_resources(
+        tuple(reservation.total for reservation in view.reservations)
+    )
     free = view.summary.free.minus(reserved) if view.summary else NO_RESOURCES
-    tasks = sum(one.tasks for one in view.reservations)
+    tasks = sum(reservation.tasks for reservation in view.reservations)
     return replace(view, free=free, reserved_tasks=tasks)
 
 
@@ -103,15 +105,15 @@
         )
     kept: tuple[Reservation, ...] = ()
     tasks = 0
-    for one in reversed(view.reservations):
+    for reservation in reversed(view.reservations):
         settled = (
-            one.committed_at is not None
-            and now >= one.committed_at + RESERVATION_RETENTION_S
+            reservation.committed_at is not None
+            and now >= reservation.committed_at + RESERVATION_RETENTION_S
         )
         if settled and tasks >= summary.waiting:
             continue
-        kept = (one, *kept)
-        tasks += one.tasks
+        kept = (reservation, *kept)
+        tasks += reservation.tasks
     return _recount(
         replace(
             view,
@@ -136,15 +138,21 @@
 ) -> CellView:
     """Mark the reservation of an assignment as committed at `now`."""
     settled = tuple(
-        replace(one, committed_at=now) if one.submission_id == submission_id else one
-        for one in view.reservations
+        replace(reservation, committed_at=now)
+        if reservation.submission_id == submission_id
+        else reservation
+        for reservation in view.reservations
     )
     return replace(view, reservations=settled)
 
 
 def without_reservation(view: CellView, submission_id: str) -> CellView:
     """Release the capacity of an assignment that did not take effect."""
-    kept = tuple(one for one in view.reservations if one.submission_id != submission_id)
+    kept = tuple(
+        reservation
+        for reservation in view.reservations
+        if reservation.submission_id != submission_id
+    )
     return _recount(replace(view, reservations=kept))
 
 
@@ -152,5 +160,7 @@
     """Return what each department uses or has reserved in the cell."""
     summary = view.summary
     used = [(use.department, use.committed) for use in summary.uses] if summary else []
-    reserved = [(one.department, one.total) for one in view.reservations]
+    reserved = [
+        (reservation.department, reservation.total) for reservation in view.reservations
+    ]
     return (*used, *reserved)
--- a/bulrushpulley/roles/cell_owner.py
+++ b/bulrushpulley/roles/cell_owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerTables
-from bulrushpulley.entities.owner_times import AUTONOMY_S
+from bulrushpulley.entities.owner_times import DEFAULT_AUTONOMY_S
 from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role
 from bulrushpulley.systems.cell import evict as cell_evict
 from bulrushpulley.systems.cell import interference as cell_interference
@@ -26,7 +26,7 @@
 
 
 def build(
-    *, agent: str, incarnation: str, region: str, autonomy_s: float = AUTONOMY_S
+    *, agent: str, incarnation: str, region: str, autonomy_s: float = DEFAULT_AUTONOMY_S
 ) -> Role[CellOwnerTables]:
     """Return the cell owner of an agent, initially without cells.
 
--- a/bulrushpulley/systems/cell/endings.py
+++ b/bulrushpulley/systems/cell/endings.py
@@ -249,5 +249,5 @@
     task = tables.tasks.get(purpose.task_key)
     if task is None:
         return Step(tables=tables)
-    again = replace(task, phase=Phase.ENDED, retry_at=now + ENDING_RETRY_DELAY_S)
-    return Step(tables=cell_rows.put_task(tables, again))
+    retried = replace(task, phase=Phase.ENDED, retry_at=now + ENDING_RETRY_DELAY_S)
+    return Step(tables=cell_rows.put_task(tables, retried))
--- a/bulrushpulley/systems/cell/learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -144,7 +144,9 @@
     share_by_job = {SERVICE_ALONE: 1.0, **_shares_by_job(tables, worker_id, now)}
     target_ms = float(service.latency_target_ms)
     harms = [harm_of(tables, service.name, job, target_ms, now) for job in share_by_job]
-    for harm in interference_step.corrected(harms, share_by_job, sample_ms, now):
+    for harm in interference_step.correct_estimates(
+        harms, share_by_job, sample_ms, now
+    ):
         tables = _put_harm(tables, harm)
     return tables
 
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -115,5 +115,5 @@
     cell = tables.cells.get(purpose.cell)
     if cell is None:
         return Step(tables=tables)
-    again = replace(cell, phase=CellPhase.OWNED)
-    return Step(tables=cell_rows.put_cell(tables, again))
+    owned = replace(cell, phase=CellPhase.OWNED)
+    return Step(tables=cell_rows.put_cell(tables, owned))
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -158,7 +158,7 @@
 @apply.register
 def _(event: StartNotSent, tables: CellOwnerTables, now: float) -> CellStep:
     task = _current_task(tables, event.task_key, event.generation)
-    tables = _note_failed_call(tables, event.worker_id, now)
+    tables = _record_failed_call(tables, event.worker_id, now)
     if task is None or task.phase not in (Phase.SENDING, Phase.STOPPING):
         return Step(tables=tables)
     reason = f"the start was not sent: {event.problem.detail}"
@@ -168,7 +168,7 @@
 @apply.register
 def _(event: StartUnknown, tables: CellOwnerTables, now: float) -> CellStep:
     task = _current_task(tables, event.task_key, event.generation)
-    tables = _note_failed_call(tables, event.worker_id, now)
+    tables = _record_failed_call(tables, event.worker_id, now)
     if task is None or task.phase is not Phase.SENDING:
         return Step(tables=tables)
     unknown = replace(task, phase=Phase.UNKNOWN)
@@ -203,10 +203,10 @@
     if worker is None or worker.report_requested_at != event.requested_at:
         return Step(tables=tables)
     tables = cell_rows.put_worker(tables, replace(worker, report_requested_at=None))
-    return Step(tables=_note_failed_call(tables, event.worker_id, now))
+    return Step(tables=_record_failed_call(tables, event.worker_id, now))
 
 
-def _note_failed_call(
+def _record_failed_call(
     tables: CellOwnerTables, worker_id: str, now: float
 ) -> CellOwnerTables:
     worker = tables.workers.get(worker_id)
@@ -262,7 +262,7 @@
         commands.extend(step.commands)
     tables = _end_missing(event, seen, tables, now)
     tables = cell_learn.learn(event, tables, now)
-    tables = _note_unexpected_runs(tables, worker.worker_id, unexpected_runs)
+    tables = _record_unexpected_runs(tables, worker.worker_id, unexpected_runs)
     commands.extend(_stop_unexpected_runs(tables, worker, unexpected_runs, now))
     return Step(tables=tables, commands=tuple(commands))
 
@@ -347,7 +347,7 @@
     return requested_at > task.settle_after
 
 
-def _note_unexpected_runs(
+def _record_unexpected_runs(
     tables: CellOwnerTables, worker_id: str, unexpected_runs: list[RunReport]
 ) -> CellOwnerTables:
     worker = tables.workers.by_key[worker_id]
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -100,7 +100,7 @@
     tables: CellOwnerTables, in_flight: InFlightSubmission, now: float
 ) -> CellOwnerTables:
     """Queue a submission again whose outcome is unknown."""
-    again = replace(
+    requeued = replace(
         in_flight,
         peer="",
         avoid=in_flight.peer or in_flight.avoid,
@@ -108,7 +108,7 @@
         may_take_effect=True,
     )
     key = in_flight.submission.submission_id
-    return replace(tables, submissions=tables.submissions.put(key, again))
+    return replace(tables, submissions=tables.submissions.put(key, requeued))
 
 
 def choose_entry(tables: CellOwnerTables, *, avoid: str) -> LinkedEntry | None:
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -205,9 +205,9 @@
     cell = tables.cells.get(purpose.cell)
     if cell is None:
         return tables
-    again = Cell(
+    watching = Cell(
         name=cell.name,
         phase=CellPhase.WATCHING,
         next_watch_at=now + LEASE_WATCH_INTERVAL_S,
     )
-    return cell_rows.put_cell(tables, again)
+    return cell_rows.put_cell(tables, watching)
--- a/bulrushpulley/systems/control/cells.py
+++ b/bulrushpulley/systems/control/cells.py
@@ -23,12 +23,12 @@
     """Return the tables with the given views and the departments' usage updated."""
     cells, usage = tables.cells, tables.usage
     for view in views:
-        usage = _with_use(usage, cells.get(view.cell), view)
+        usage = _with_updated_usage(usage, cells.get(view.cell), view)
         cells = cells.put(view.cell, view)
     return replace(tables, cells=cells, usage=usage)
 
 
-def _with_use(
+def _with_updated_usage(
     usage: PMap[str, Resources], known: CellView | None, view: CellView
 ) -> PMap[str, Resources]:
     before = usage_by_department(known) if known is not None else ()
--- a/bulrushpulley/systems/control/distribution.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -54,13 +54,13 @@
     by_base: dict[int, Configured] = {}
     commands: list[Command] = []
     if tables.distributed_revision < current:
-        item = _since(tables, tables.distributed_revision, by_base)
+        item = _changes_since(tables, tables.distributed_revision, by_base)
         commands.append(Tell(role=ROUTER, event=item))
         tables = replace(tables, distributed_revision=current)
     for link in tables.links.rows():
         if link.sent_revision >= current:
             continue
-        item = _since(tables, link.sent_revision, by_base)
+        item = _changes_since(tables, link.sent_revision, by_base)
         commands.append(Send(peer=link.peer, item=item))
         sent = replace(link, sent_revision=current, sent_at=now)
         tables = replace(tables, links=tables.links.put(link.peer, sent))
@@ -72,7 +72,7 @@
     return tables.distributed_revision == tables.revision and sent == len(tables.links)
 
 
-def _since(
+def _changes_since(
     tables: ControllerTables, base: int, by_base: dict[int, Configured]
 ) -> Configured:
     if base not in by_base:
--- a/bulrushpulley/systems/control/explain.py
+++ b/bulrushpulley/systems/control/explain.py
@@ -28,14 +28,14 @@
                 call_id=call.call_id,
                 task_id=call.task_id,
                 state="waiting",
-                detail=why_waits(tables, waiting, now),
+                detail=waiting_reason(tables, waiting, now),
                 generation=waiting.row.generation,
                 attempts=waiting.row.attempts,
             )
     return None
 
 
-def why_waits(tables: ControllerTables, waiting: WaitingRow, now: float) -> str:
+def waiting_reason(tables: ControllerTables, waiting: WaitingRow, now: float) -> str:
     """Return why a row waits, by a trial placement unless it is being assigned."""
     if waiting.phase is Phase.ASSIGNING:
         return WaitReason.ASSIGNING.value
--- a/bulrushpulley/systems/control/in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -23,7 +23,7 @@
     """Answer the calls whose revision is applied everywhere or whose time is up."""
     commands: list[Command] = []
     for wait in tables.in_force_waits.rows():
-        missing = processes_behind(tables, wait.call.revision)
+        missing = processes_without_revision(tables, wait.call.revision)
         if missing and now < wait.deadline:
             continue
         commands.append(_reply(wait.call, missing))
@@ -32,7 +32,9 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def processes_behind(tables: ControllerTables, revision: int) -> tuple[str, ...]:
+def processes_without_revision(
+    tables: ControllerTables, revision: int
+) -> tuple[str, ...]:
     """Return the linked agents and live entries that have not applied a revision."""
     agents = [
         link.announced.agent if link.announced else link.peer
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -102,7 +102,7 @@
     if waiting.lane.rank is Rank.LATENCY_CRITICAL:
         choice = _spread_replicas(tables, spec, open_domains, count, now)
     else:
-        choice = _most_free(tables, waiting, spec, names, count, now)
+        choice = _choose_most_free(tables, waiting, spec, names, count, now)
     if choice.cells:
         return choice
     if waiting.lane.rank is not Rank.BATCH:
@@ -169,7 +169,7 @@
     )
 
 
-def _most_free(
+def _choose_most_free(
     tables: ControllerTables,
     waiting: WaitingRow,
     spec: TaskSpec,
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -282,7 +282,7 @@
     Jobs and services use the same keys for their tasks.
     """
     key = backlog_key(backlog.spec.job, backlog.spec.index)
-    closing = nothing_closing(backlog.spec.job)
+    closing = no_closing_conditions(backlog.spec.job)
     absent = (Condition(key=namesake, version=0), *closing)
     if backlog.count == 0:
         return PlannedChange(row=row, conditions=absent)
@@ -308,7 +308,7 @@
     if record.replicas == before.replicas:
         return PlannedChange(row=row)
     marker = backlog_key(record.name, CLOSING_MARKER)
-    absent = nothing_closing(record.name)
+    absent = no_closing_conditions(record.name)
     first, last = sorted((record.replicas, before.replicas))
     backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
     if record.replicas < before.replicas:
@@ -325,6 +325,6 @@
     )
 
 
-def nothing_closing(name: str) -> tuple[Condition, ...]:
+def no_closing_conditions(name: str) -> tuple[Condition, ...]:
     """Require that no tasks of an earlier record of the name are still ending."""
     return (Condition(key=backlog_key(name, CLOSING_MARKER), version=0),)
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -24,7 +24,7 @@
     ServiceStatus,
     Status,
 )
-from bulrushpulley.systems.control.explain import why_waits
+from bulrushpulley.systems.control.explain import waiting_reason
 from bulrushpulley.systems.control.members import live_entries
 from bulrushpulley.systems.control.offers import SUMMARY_TIMEOUT_S
 from bulrushpulley.systems.control.records import record_row
@@ -66,16 +66,16 @@
     announcements = [link.announced for link in tables.links.rows()]
     return tuple(
         AgentStatus(
-            agent=one.agent,
-            incarnation=one.incarnation,
-            region=one.region,
-            failure_domain=one.failure_domain,
-            service=one.service,
-            leaving=one.leaving,
-            applied_revision=one.applied_revision,
+            agent=announced.agent,
+            incarnation=announced.incarnation,
+            region=announced.region,
+            failure_domain=announced.failure_domain,
+            service=announced.service,
+            leaving=announced.leaving,
+            applied_revision=announced.applied_revision,
         )
-        for one in announcements
-        if one is not None
+        for announced in announcements
+        if announced is not None
     )
 
 
@@ -166,7 +166,7 @@
     waiting = _waiting_of(tables, job.name)
     ended = sum(done.values())
     rows = tables.waiting.rows_where("job", job.name)[:MAX_EXPLAINED_ROWS]
-    reasons = {why_waits(tables, row, now) for row in rows}
+    reasons = {waiting_reason(tables, row, now) for row in rows}
     return JobStatus(
         name=job.name,
         department=job.department,
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -128,11 +128,11 @@
     pending = tables.pending.get(event.submission_id)
     if pending is None:
         return Step(tables=tables)
-    again = replace(
+    updated = replace(
         pending, unsettled=True, resubmit_at=now + UNSETTLED_RESUBMIT_DELAY_S
     )
     return Step(
-        tables=replace(tables, pending=tables.pending.put(event.submission_id, again))
+        tables=replace(tables, pending=tables.pending.put(event.submission_id, updated))
     )
 
 
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -60,7 +60,7 @@
     if not store_watch.due(state, now):
         return Step(tables=tables)
     call = store_watch.call(state, role=INTAKE, purpose=WatchOrders(), table=ORDERS)
-    watching = replace(tables, watch=store_watch.called(state))
+    watching = replace(tables, watch=store_watch.with_call_sent(state))
     return Step(tables=watching, commands=(call,))
 
 
@@ -93,7 +93,7 @@
     """Apply changed rows."""
     if tables.watch is None:
         return Step(tables=tables)
-    watch = store_watch.answered(tables.watch, version)
+    watch = store_watch.with_changes_read(tables.watch, version)
     return _apply_rows(replace(tables, watch=watch), rows, version)
 
 
@@ -106,7 +106,9 @@
     """Schedule a retry of the watch."""
     if tables.watch is None:
         return Step(tables=tables)
-    return Step(tables=replace(tables, watch=store_watch.failed(tables.watch, now)))
+    return Step(
+        tables=replace(tables, watch=store_watch.with_failed_call(tables.watch, now))
+    )
 
 
 def _apply_rows(
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -229,7 +229,7 @@
     commands: list[Command] = []
     for job_id in job_ids:
         row = tables.submissions.get(job_id)
-        tables = _remember(tables, job_id)
+        tables = _record_accepted(tables, job_id)
         if row is None:
             continue
         tables = replace(tables, submissions=tables.submissions.drop(job_id))
@@ -248,7 +248,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _remember(tables: IntakeTables, job_id: str) -> IntakeTables:
+def _record_accepted(tables: IntakeTables, job_id: str) -> IntakeTables:
     accepted = tables.accepted.add(job_id)
     if len(accepted) <= MAX_REMEMBERED_JOBS:
         return replace(tables, accepted=accepted)
--- a/bulrushpulley/systems/interference_step.py
+++ b/bulrushpulley/systems/interference_step.py
@@ -20,7 +20,7 @@
 DRIFT_VARIANCE = 0.002
 
 
-def corrected(
+def correct_estimates(
     harms: Sequence[Harm],
     units_by_job: Mapping[str, float],
     sample_ms: float,
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -67,7 +67,7 @@
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     if event.complete:
-        tables = _drop_unnamed(tables, event)
+        tables = _drop_unlisted(tables, event)
     for order in event.start:
         tables = _mark_wanted(tables, order, now)
     for ref in event.stop:
@@ -75,7 +75,7 @@
     return Step(tables=tables)
 
 
-def _drop_unnamed(tables: JobAgentTables, event: Orders) -> JobAgentTables:
+def _drop_unlisted(tables: JobAgentTables, event: Orders) -> JobAgentTables:
     """Mark all runs as unwanted that are missing from a complete list."""
     named = {order.key for order in event.start} | {ref.key for ref in event.stop}
     for run in tables.runs.rows():
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -37,8 +37,8 @@
 # After the first time near the target, images known as harmless are slowed too; after
 # the second, all runs that may disturb are paused: many slow runs together still do
 # harm, and a task may exceed its target for 4 s at most.
-SLOW_HARMLESS_AFTER_S = 0.9
-PAUSE_ALL_AFTER_S = 1.5
+SLOW_HARMLESS_DELAY_S = 0.9
+PAUSE_ALL_DELAY_S = 1.5
 SPEEDUP_PERCENT = 15
 MIN_PACE_PERCENT = 5
 # The initial pace of a run on the host of a task that it is known to slow, or may slow.
@@ -87,7 +87,7 @@
         if run_.order is None or not run_.order.disturbs or not run_.wanted:
             continue
         worst = _worst_ratio(pacing, run_.order.image, ratio_by_image, now)
-        pace = 0 if near_target_s >= PAUSE_ALL_AFTER_S else _next_pace(run_.pace, worst)
+        pace = 0 if near_target_s >= PAUSE_ALL_DELAY_S else _next_pace(run_.pace, worst)
         if pace == run_.pace:
             continue
         paced = replace(run_, pace=pace)
@@ -146,7 +146,7 @@
     """Return the highest latency ratio among the tasks that an image may slow.
 
     Serving images to which it is known to be harmless do not count, unless slowing the
-    other runs has not helped for `SLOW_HARMLESS_AFTER_S`.
+    other runs has not helped for `SLOW_HARMLESS_DELAY_S`.
     """
     worst = 0.0
     for serving, ratio in ratio_by_image.items():
@@ -154,7 +154,7 @@
         if (
             serving,
             image,
-        ) in pacing.harmless and near_target_s < SLOW_HARMLESS_AFTER_S:
+        ) in pacing.harmless and near_target_s < SLOW_HARMLESS_DELAY_S:
             continue
         worst = max(worst, ratio)
     return worst
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -104,7 +104,7 @@
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is not RunPhase.STARTING:
-        return Step(tables=_answered(tables, run_))
+        return Step(tables=_with_call_ended(tables, run_))
     started = replace(
         run_,
         phase=RunPhase.RUNNING,
@@ -124,7 +124,7 @@
     return Step(tables=tables, commands=(line, waited))
 
 
-def _answered(tables: JobAgentTables, run_: Run) -> JobAgentTables:
+def _with_call_ended(tables: JobAgentTables, run_: Run) -> JobAgentTables:
     """Record that no call about a run is in flight any more."""
     answered = replace(run_, in_flight=False)
     return edits.put_run(tables, answered)
@@ -138,7 +138,7 @@
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is not RunPhase.STARTING:
-        return Step(tables=_answered(tables, run_))
+        return Step(tables=_with_call_ended(tables, run_))
     if event.final:
         denied = replace(run_, phase=RunPhase.BARRED, barred_at=now, in_flight=False)
     elif event.reason == "late":
@@ -157,7 +157,7 @@
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is not RunPhase.STARTING:
-        return Step(tables=_answered(tables, run_))
+        return Step(tables=_with_call_ended(tables, run_))
     unhealthy = replace(run_, in_flight=False, unhealthy=True)
     if run_.unconfirmed:
         barring = replace(unhealthy, wanted=False)
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -68,7 +68,7 @@
     sample_ms = min(serving.latency_ms, MAX_LATENCY_RATIO * serving.target_ms)
     harms = [_known_or_initial_estimate(tables, serving, image, now) for image in units]
     table = tables.harms
-    for harm in interference_step.corrected(harms, units, sample_ms, now):
+    for harm in interference_step.correct_estimates(harms, units, sample_ms, now):
         table = table.put(harm_key(service=harm.service, job=harm.job), harm)
     return replace(tables, harms=table)
 
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -106,7 +106,7 @@
     leadership = tables.leadership
     if not isinstance(leadership, Following):
         return Step(tables=tables)
-    stored = event.rows[0] if event.rows else _absent()
+    stored = event.rows[0] if event.rows else _no_owner_row()
     row = stored.row if isinstance(stored.row, OwnerRow) else None
     same = stored.version == leadership.version
     unchanged_since = leadership.unchanged_since if same else now
@@ -134,7 +134,7 @@
     return Step(tables=replace(tables, leadership=claiming), commands=(line,))
 
 
-def _absent() -> StoredRow:
+def _no_owner_row() -> StoredRow:
     return StoredRow(key=OWNER_KEY, version=0, row=None)
 
 
--- a/bulrushpulley/systems/scheduling/watching.py
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -25,7 +25,7 @@
     commands: list[Command] = []
     for table, state in tables.watch_by_table.items():
         if store_watch.due(state, now):
-            tables = _put(tables, table, store_watch.called(state))
+            tables = _put(tables, table, store_watch.with_call_sent(state))
             purpose = WatchTable(table=table, epoch=tables.epoch)
             commands.append(
                 store_watch.call(state, role=SCHEDULER, purpose=purpose, table=table)
@@ -49,7 +49,7 @@
     state = tables.watch_by_table.get(table)
     if state is None:
         return Step(tables=tables)
-    tables = _put(tables, table, store_watch.answered(state, version))
+    tables = _put(tables, table, store_watch.with_changes_read(state, version))
     if table == HOSTS:
         return Step(tables=loading.handle_host_rows(tables, rows))
     return accepting.handle_rows(rows, tables, now)
@@ -74,4 +74,4 @@
     state = tables.watch_by_table.get(table)
     if state is None:
         return Step(tables=tables)
-    return Step(tables=_put(tables, table, store_watch.failed(state, now)))
+    return Step(tables=_put(tables, table, store_watch.with_failed_call(state, now)))
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -58,7 +58,7 @@
         return Step(tables=tables)
     if tables.upkeep.written_by_wave is None:
         return _load_waves(tables)
-    tables = _follow_orders(tables, now)
+    tables = _apply_wave_orders(tables, now)
     commands: list[Command] = []
     if _is_list_due(tables, now):
         tables = _put(
@@ -124,7 +124,7 @@
     return Step(tables=_put(tables, replace(tables.upkeep, reading=False)))
 
 
-def _follow_orders(tables: SchedulerTables, now: float) -> SchedulerTables:
+def _apply_wave_orders(tables: SchedulerTables, now: float) -> SchedulerTables:
     ordered = {str(order.number): order for order in tables.operator_settings.waves}
     for wave in tables.upkeep.waves.rows():
         if str(wave.order.number) not in ordered:
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -36,18 +36,18 @@
     )
 
 
-def called(state: WatchState) -> WatchState:
+def with_call_sent(state: WatchState) -> WatchState:
     """Return the state while a call is in flight."""
     return replace(state, in_flight=True)
 
 
-def answered(state: WatchState, version: int) -> WatchState:
+def with_changes_read(state: WatchState, version: int) -> WatchState:
     """Return the state after changes up to `version` have been read."""
     after = max(state.after, version)
     return replace(state, in_flight=False, after=after, failed=False)
 
 
-def failed(state: WatchState, now: float) -> WatchState:
+def with_failed_call(state: WatchState, now: float) -> WatchState:
     """Return the state after a call without answer."""
     return replace(
         state, in_flight=False, failed=True, retry_at=now + WATCH_RETRY_DELAY_S
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -42,7 +42,7 @@
 WORKER_COUNT = 3
 STEADY_PHASE_S = 600
 DRAIN_PHASE_S = 60
-END_S = 900
+SIMULATION_DURATION_S = 900
 TIME_STEP_S = 1.0
 JOB_INTERVAL_S = 30
 JOB_COUNT = 20
@@ -246,7 +246,7 @@
         rack.set_domain_state(DomainState.DRAINED)
         rack.run(STEADY_PHASE_S + DRAIN_PHASE_S, drained=True)
         rack.set_domain_state(DomainState.IN_SERVICE)
-        rack.run(END_S)
+        rack.run(SIMULATION_DURATION_S)
     return Measurement(
         p99_ms=p99_ms,
         work=steady_work,
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -29,7 +29,7 @@
 SLOTS = 8
 MEAN_SERVICE_TIME_S = 0.05
 SERVICE_TIME_SIGMA = 0.5
-DEADLINE_S = 1.0
+REQUEST_TIMEOUT_S = 1.0
 CAPACITY_PER_S = SERVER_COUNT * SLOTS / MEAN_SERVICE_TIME_S
 WARM_UP_S = 1.0
 SLOW_FACTOR = 10.0
@@ -107,7 +107,7 @@
     useful = [
         answer
         for answer in answers
-        if answer.latency_s <= DEADLINE_S
+        if answer.latency_s <= REQUEST_TIMEOUT_S
         and WARM_UP_S <= answer.ended_at < load.seconds
     ]
     for answer in answers:
@@ -158,8 +158,10 @@
         call_id = f"c{number}"
         request_id = call_id if rng.random() < load.unrepeatable_fraction else ""
         entry = world.entries[number % load.entries]
-        world.call_at(at, entry, call_id, request_id=request_id, within_s=DEADLINE_S)
-    world.run(load.seconds + 2 * DEADLINE_S)
+        world.call_at(
+            at, entry, call_id, request_id=request_id, within_s=REQUEST_TIMEOUT_S
+        )
+    world.run(load.seconds + 2 * REQUEST_TIMEOUT_S)
     answers = [
         Answer(
             arrived_at=arrival_times[int(call_id[1:])], ended_at=answer[0][0] - start
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -20,12 +20,12 @@
 
 DATA = pathlib.Path(__file__).resolve().parent.parent / "test-data/cell/matrix.txt"
 TASK = "curves/0"
-RUN_S = 30.0
+CELL_TASK_RUN_S = 30.0
 EVICTED_AT_S = 6.0
 FAULT_DURATION_S = 20.0
-PAUSE_S = 45.0
+AGENT_PAUSE_DURATION_S = 45.0
 OFFER_INTERVAL_S = 4.0
-END_S = 160.0
+CELL_CASE_END_S = 160.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -104,7 +104,7 @@
 
 
 def _pause(bench: CellBench) -> None:
-    bench.world.pause("a", PAUSE_S)
+    bench.world.pause("a", AGENT_PAUSE_DURATION_S)
 
 
 def _cancel(bench: CellBench) -> None:
@@ -113,7 +113,7 @@
         department="bakery",
         tasks=1,
         size=SIZE,
-        run_s=RUN_S,
+        run_s=CELL_TASK_RUN_S,
         cancelled=True,
     )
     bench.put_record("job", record)
@@ -196,14 +196,14 @@
             INJECT_BY_FAULT[fault](bench)
 
     bench.world.command_hooks.append(watch)
-    bench.job("curves", run_s=RUN_S)
+    bench.job("curves", run_s=CELL_TASK_RUN_S)
     bench.agent("a")
     bench.run(2.0)
     bench.agent("b")
     bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
     bench.run(EVICTED_AT_S - 2.0)
     bench.resize("w0", Resources())
-    bench.run(END_S - EVICTED_AT_S)
+    bench.run(CELL_CASE_END_S - EVICTED_AT_S)
     return Verdict(
         step=step,
         fault=fault,
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -245,8 +245,8 @@
     def _(self, event: SubmitAgain, events: dict[str, list[Event]]) -> None:
         reports = self.reports_of[event.submission.submission_id]
         if reports and is_unsettled(reports[-1].outcome):
-            again = Submitted(origin="tester", submission=event.submission)
-            events[event.process].append(again)
+            resubmitted = Submitted(origin="tester", submission=event.submission)
+            events[event.process].append(resubmitted)
 
     @_handle_event.register
     def _(self, event: ForeignWrite, events: dict[str, list[Event]]) -> None:
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -55,7 +55,7 @@
 )
 
 T = TypeVar("T")
-STEP_S = 0.1
+TIME_STEP_S = 0.1
 BIG = Resources(processors_m=32_000, memory_mb=64_000)
 SMALL = Resources(processors_m=1_000, memory_mb=1_000)
 
@@ -110,7 +110,7 @@
             self.tell(name, *events)
 
     def step(self) -> None:
-        self.now += STEP_S
+        self.now += TIME_STEP_S
         for name in list(self.roles):
             if name not in self.paused:
                 self.tick(name)
@@ -126,7 +126,7 @@
             serve(command, self, name)
 
     def run(self, seconds: float) -> None:
-        for _ in range(round(seconds / STEP_S)):
+        for _ in range(round(seconds / TIME_STEP_S)):
             self.step()
 
     def commands_of(self, kind: type[T], name: str = "") -> list[T]:
@@ -143,7 +143,7 @@
 
     def call(self, name: str, event: ops.OperatorCall, within_s: float = 15.0) -> Any:
         self.tell(name, event)
-        for _ in range(round(within_s / STEP_S)):
+        for _ in range(round(within_s / TIME_STEP_S)):
             self.step()
             replies: list[Any] = [
                 *self.commands_of(ops.Reply),
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -18,7 +18,7 @@
     UpkeepOrderFailed,
 )
 
-UPKEEP_S = 2.0
+UPKEEP_DURATION_S = 2.0
 MIN_HANDOVER_DELAY_S = 3.0
 
 
@@ -81,7 +81,7 @@
         if len(down) >= self.limit_by_wave.get(command.wave, 1):
             self.violations.append(f"too many machines down for wave {command.wave}")
         machine.completed_waves.add(command.wave)
-        machine.up_at = now + UPKEEP_S
+        machine.up_at = now + UPKEEP_DURATION_S
         machine.last_wave = command.wave
         self.taken_down.append(command.machine_id)
         return accepted, True
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -68,7 +68,7 @@
 from bulrushpulley.roles import intake, job_agent, scheduler
 from bulrushpulley.roles.actor import Role
 from standins.executor_core import FakeExecutor
-from test.jobs_machines import UPKEEP_S, FakeMachines
+from test.jobs_machines import UPKEEP_DURATION_S, FakeMachines
 from test.jobs_store import JobsStore
 
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
@@ -255,8 +255,8 @@
     def restart(self, name: str) -> None:
         """Kill a process and start it again half a second later."""
         self.kill(name)
-        again = self.start_entry if name.startswith("entry") else self.start_agent
-        self.at(0.5, lambda: again(name))
+        start = self.start_entry if name.startswith("entry") else self.start_agent
+        self.at(0.5, lambda: start(name))
 
     def freeze(self, name: str, for_s: float) -> None:
         """Suspend a process for a while."""
@@ -415,7 +415,7 @@
     def _take_down(self, machine_id: str) -> None:
         host = self.machines.machine_by_id[machine_id].host
         self.executor_by_host[host].crash()
-        self.at(UPKEEP_S, lambda: self._bring_up(host))
+        self.at(UPKEEP_DURATION_S, lambda: self._bring_up(host))
 
     def _bring_up(self, host: str) -> None:
         self.executor_by_host[host].restart(self.now)
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -50,7 +50,7 @@
 OPERATOR_TIMEOUT_S = 15.0
 FIRST_CHECK_AT_S = 75.0
 CHECK_INTERVAL_S = 5.0
-END_S = 240.0
+SITE_CASE_END_S = 240.0
 JOBS = {"curves": 6, "audit": 4}
 TASK_RUN_S = 12.0
 TASK_SIZE = Resources(processors_m=2_000, memory_mb=1_000)
@@ -165,7 +165,7 @@
         self.set_domain_state(30.0, DomainState.IN_SERVICE)
         self.at(40.0, lambda: self.stop_gracefully("a1"))
         self.site.run(FIRST_CHECK_AT_S)
-        while self.site.world.now < END_S and self.unfinished():
+        while self.site.world.now < SITE_CASE_END_S and self.unfinished():
             self.site.run(CHECK_INTERVAL_S)
         self.check()
         return Verdict(
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -314,7 +314,7 @@
         self.assertEqual({1}, set(task_row_counts(bench).values()))
 
     def test_without_the_condition_a_closing_would_end_while_replicas_run(self) -> None:
-        self.patch(control_plans, "nothing_closing", lambda name: ())
+        self.patch(control_plans, "no_closing_conditions", lambda name: ())
         bench = self.scaled_down_and_up()
         bench.run(5.0)
         self.assertIsInstance(self.early, ops.Accepted)
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -133,8 +133,8 @@
     def test_the_same_record_again_is_accepted_and_another_is_not(self) -> None:
         bench = Bench(entries=("a", "b"))
         first = bench.call("a", submit_record(job("bread", 3), "1"))
-        again = bench.call("b", submit_record(job("bread", 3), "2"))
-        self.assertEqual(first.row, again.row)
+        repeated = bench.call("b", submit_record(job("bread", 3), "2"))
+        self.assertEqual(first.row, repeated.row)
         other = bench.call("b", submit_record(job("bread", 4), "3"))
         self.assertEqual(Code.CONFLICT, code_of(other))
         self.assertEqual(1, len(bench.rows("backlog/")))
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -118,8 +118,8 @@
         self,
     ) -> None:
         calls = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
-        again = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
-        self.assertEqual(calls, again)
+        repeated = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
+        self.assertEqual(calls, repeated)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
         target = Target(
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -217,8 +217,8 @@
 
     def test_the_pace_recovers_once_the_serving_task_meets_its_target(self) -> None:
         bench, paces = self._run_beside("harmful")
-        again = self._paces(bench, 3)
-        self.assertGreater(again[-1], paces[-1])
+        recovered = self._paces(bench, 3)
+        self.assertGreater(recovered[-1], paces[-1])
 
     def test_a_pace_without_answer_is_sent_again(self) -> None:
         bench, _ = self._run_beside("harmful")
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -27,7 +27,7 @@
 
 HOST = "127.0.0.1"
 TLS = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
-TIMEOUT_S = 4.0
+LINK_EVENT_TIMEOUT_S = 4.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,7 +51,7 @@
         )
 
     async def wait_for(self, expected: Event) -> None:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with asyncio.timeout(LINK_EVENT_TIMEOUT_S):
             while await self.events.get() != expected:
                 pass
 
@@ -115,7 +115,7 @@
             for number in range(500):
                 entry.links.send(Send(peer="agent", item=Offer(cell=str(number))))
             for number in range(500):
-                async with asyncio.timeout(TIMEOUT_S):
+                async with asyncio.timeout(LINK_EVENT_TIMEOUT_S):
                     event = await agent.events.get()
                 self.assertEqual(Offer(peer="entry", cell=str(number)), event)
             await finish(server, agent, entry)
@@ -253,7 +253,7 @@
                 diallers.append(dialler)
             await ends["ours"].wait_for(LinkUp(peer="entry", region="ege"))
             for name in ("theirs", "plain"):
-                async with asyncio.timeout(TIMEOUT_S):
+                async with asyncio.timeout(LINK_EVENT_TIMEOUT_S):
                     self.assertEqual(DialEnded, type(await ends[name].events.get()))
             self.assertFalse(entry.links.has("theirs") or entry.links.has("plain"))
             await finish(server, *ends.values(), entry)
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -23,7 +23,7 @@
 from test.virtual_world import Path
 
 MIX_SEEDS = range(1, 7)
-TTL_S = 15.0
+SHORTENED_CLAIM_TTL_S = 15.0
 
 
 class PolicyTest(testtools.TestCase):
@@ -149,9 +149,11 @@
 
     def test_claims_are_deleted_when_they_expire(self) -> None:
         world = RequestWorld(entries=1)
-        with mock.patch.object(route_claim_outcomes, "CLAIM_TTL_S", TTL_S):
+        with mock.patch.object(
+            route_claim_outcomes, "CLAIM_TTL_S", SHORTENED_CLAIM_TTL_S
+        ):
             world.call("e1", "c1", "id1")
-            world.run(TTL_S - 1.0)
+            world.run(SHORTENED_CLAIM_TTL_S - 1.0)
             self.assertEqual(1, len(world.store.by_key))
             world.run(20.0)
         self.assertEqual(0, len(world.store.by_key))
@@ -165,14 +167,14 @@
         old = VersionedRow(key=key, version=3, row=row)
         world.store.by_key[key] = old
         prefix = f"claim/{SERVICE}/x"
-        with mock.patch.object(route_sweep, "CLAIM_TTL_S", TTL_S):
+        with mock.patch.object(route_sweep, "CLAIM_TTL_S", SHORTENED_CLAIM_TTL_S):
             for revision in (9, 12):
                 self.assertEqual(1, len(world.store.by_key))
                 page = Fetched(
                     fetch_id="f", prefix=prefix, revision=revision, rows=(old,)
                 )
                 world.tell("e1", page)
-                world.run(TTL_S + 1.0)
+                world.run(SHORTENED_CLAIM_TTL_S + 1.0)
         self.assertEqual(0, len(world.store.by_key))
 
 
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -21,7 +21,7 @@
 from bulrushpulley.roles.routing import event_for_item, recipients
 from bulrushpulley.roles.runtime import Runtime
 
-TIMEOUT_S = 3.0
+RUNTIME_STOP_TIMEOUT_S = 3.0
 DECISION = Decision(
     kind="route.dispatch",
     subject="r-1",
@@ -67,7 +67,7 @@
         self.patch(runtime, "report", reported.append)
         self.start_role(runtime, "router", fail)
         runtime.tell("router", Committed(submission_id="a", revision=1))
-        self.assertTrue(runtime.stopping.wait(TIMEOUT_S))
+        self.assertTrue(runtime.stopping.wait(RUNTIME_STOP_TIMEOUT_S))
         self.assertTrue(runtime.failed.is_set())
         self.assertIn("a fault of the role", reported[0].detail)
 
@@ -75,7 +75,7 @@
         runtime = self.start()
         self.start_role(runtime, "guard", record_event)
         runtime.run(role="guard", work=lambda: [][0])
-        self.assertTrue(runtime.stopping.wait(TIMEOUT_S))
+        self.assertTrue(runtime.stopping.wait(RUNTIME_STOP_TIMEOUT_S))
         self.assertTrue(runtime.failed.is_set())
 
     def test_an_outcome_reaches_the_role_or_the_peer_that_asked(self) -> None:
@@ -128,7 +128,7 @@
         drained.start()
         writer.stop()
         os.close(write)
-        drained.join(TIMEOUT_S)
+        drained.join(RUNTIME_STOP_TIMEOUT_S)
         self.assertTrue(sum(count.by for count in counts) > 0)
 
 
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -32,7 +32,7 @@
 from standins.table_service import TableService
 from standins.web import Handler, make_server
 
-TIMEOUT_S = 0.5
+STORE_TIMEOUT_S = 0.5
 FENCE_KEY = "fence/e1/bulk"
 
 
@@ -56,7 +56,7 @@
         conditions=(Condition(key=key, version=version),),
         writes=(TokenWrite(key=key, row=RevisionRow(revision=7), token=token),),
         fence=Fence(key=FENCE_KEY, version=fence),
-        timeout_s=TIMEOUT_S,
+        timeout_s=STORE_TIMEOUT_S,
     )
 
 
@@ -68,7 +68,7 @@
 
     def read(self, since: int = 0) -> Event:
         read_command = ReadRows(
-            read_id="r", prefix="k/", since=since, timeout_s=TIMEOUT_S
+            read_id="r", prefix="k/", since=since, timeout_s=STORE_TIMEOUT_S
         )
         return read_rows(read_command, self.table)
 
@@ -165,11 +165,11 @@
     def test_put_get_delete(self) -> None:
         url = self.serve(ObjectStore().handle)
         store = ObjectStoreClient(url=url)
-        self.assertIsNone(store.get("c/1", timeout_s=TIMEOUT_S))
-        store.put("c/1", b"state", timeout_s=TIMEOUT_S)
-        self.assertEqual(b"state", store.get("c/1", timeout_s=TIMEOUT_S))
-        store.delete("c/1", timeout_s=TIMEOUT_S)
-        self.assertIsNone(store.get("c/1", timeout_s=TIMEOUT_S))
+        self.assertIsNone(store.get("c/1", timeout_s=STORE_TIMEOUT_S))
+        store.put("c/1", b"state", timeout_s=STORE_TIMEOUT_S)
+        self.assertEqual(b"state", store.get("c/1", timeout_s=STORE_TIMEOUT_S))
+        store.delete("c/1", timeout_s=STORE_TIMEOUT_S)
+        self.assertIsNone(store.get("c/1", timeout_s=STORE_TIMEOUT_S))
 
 
 class FaultsTest(testtools.TestCase):
