--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -60,7 +60,7 @@
 class LaneRow:
     """A lane: its queued ids, the transaction not settled yet, and its backoff.
 
-    `awaiting` is set while a request sent at `sent_at` is in flight.
+    `request_in_flight` is set while a request sent at `sent_at` is in flight.
     `request_in_doubt` is set while an earlier request may still take effect, until
     the fence moves; `fence_move_due` asks for an empty transaction to move it. The
     next `single_sends` submissions are sent one by one. `failures` counts consecutive
@@ -70,9 +70,9 @@
     name: str
     queue: tuple[str, ...] = ()
     transaction: Transaction | None = None
-    transactions: int = 0
+    last_transaction_number: int = 0
     fence_version: int = 0
-    awaiting: bool = False
+    request_in_flight: bool = False
     sent_at: float = 0.0
     timeout_s: float = 0.0
     request_in_doubt: bool = False
@@ -91,7 +91,7 @@
 
     submission_id: str
     transaction_ids: tuple[str, ...]
-    since: float
+    marked_at: float
     revision: int = 0
 
 
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -85,7 +85,7 @@
     return VersionedRow(key="revision", version=0, row=None)
 
 
-def _by_sent(link: AgentLink) -> tuple[str, ...]:
+def _by_sent_revision(link: AgentLink) -> tuple[str, ...]:
     return (str(link.sent_revision),)
 
 
@@ -97,23 +97,23 @@
     return (view.peer,) if view.peer else ()
 
 
-def _links() -> Table[AgentLink]:
-    return Table.empty(indexes={"sent": _by_sent})
+def _empty_links() -> Table[AgentLink]:
+    return Table.empty(indexes={"sent": _by_sent_revision})
 
 
-def _records() -> Table[VersionedRow]:
+def _empty_records() -> Table[VersionedRow]:
     return Table.empty(indexes={"kind": _by_kind})
 
 
-def _cells() -> Table[CellView]:
+def _empty_cells() -> Table[CellView]:
     return Table.empty(indexes={"peer": _by_peer})
 
 
-def _waiting() -> Table[WaitingRow]:
+def _empty_waiting() -> Table[WaitingRow]:
     return Table.empty(indexes={"job": by_job})
 
 
-def _pending() -> Table[Pending]:
+def _empty_pending() -> Table[Pending]:
     return Table.empty(
         indexes={
             "resubmit": by_resubmission,
@@ -157,13 +157,13 @@
     quotas: PMap[str, Resources] = field(default_factory=pmap)
     next_offers_at: float = 0.0
     current_change_id: str = ""
-    records: Table[VersionedRow] = field(default_factory=_records)
+    records: Table[VersionedRow] = field(default_factory=_empty_records)
     members: Table[Member] = field(default_factory=Table.empty)
-    links: Table[AgentLink] = field(default_factory=_links)
-    cells: Table[CellView] = field(default_factory=_cells)
+    links: Table[AgentLink] = field(default_factory=_empty_links)
+    cells: Table[CellView] = field(default_factory=_empty_cells)
     offers: Table[CellOffer] = field(default_factory=Table.empty)
     usage: PMap[str, Resources] = field(default_factory=pmap)
-    waiting: Table[WaitingRow] = field(default_factory=_waiting)
+    waiting: Table[WaitingRow] = field(default_factory=_empty_waiting)
     lanes: Lanes = field(default_factory=pmap)
     ready: PSet[Lane] = field(default_factory=pset)
     blocked: PMap[Lane, WaitReason] = field(default_factory=pmap)
@@ -174,7 +174,7 @@
     closing_outcomes: PMap[str, PMap[str, ClosingOutcome]] = field(default_factory=pmap)
     changes: Table[Change] = field(default_factory=Table.empty)
     change_queue: Queue[str] = field(default_factory=Queue.empty)
-    pending: Table[Pending] = field(default_factory=_pending)
+    pending: Table[Pending] = field(default_factory=_empty_pending)
     polls: Table[Poll] = field(default_factory=Table.empty)
     in_force_waits: Table[InForceWait] = field(default_factory=Table.empty)
     enquiries: Table[Enquiry] = field(default_factory=Table.empty)
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -46,7 +46,7 @@
     known = tables.submissions.get(event.submission.submission_id)
     if known is not None:
         return _add_origin(event, known, tables, now)
-    row = _row(event, now)
+    row = _submission_row(event, now)
     revision = known_revision(tables, row.submission_id)
     if revision:
         return report_committed(tables, row, revision, now)
@@ -61,7 +61,7 @@
     return Step(tables=_with_submission(tables, row, lanes))
 
 
-def _row(event: Submitted, now: float) -> SubmissionRow:
+def _submission_row(event: Submitted, now: float) -> SubmissionRow:
     submission = event.submission
     return SubmissionRow(
         submission=submission,
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -53,21 +53,25 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def may_share(submission: Submission, required: Set[str], written: Set[str]) -> bool:
+def may_join_batch(
+    submission: Submission, required: Set[str], written: Set[str]
+) -> bool:
     """Tell whether a submission may join a batch.
 
     Neither may require or write a key that the other writes.
     """
-    reads = {condition.key for condition in submission.conditions}
-    writes = {write.key for write in submission.writes}
-    return writes.isdisjoint(required) and (reads | writes).isdisjoint(written)
+    condition_keys = {condition.key for condition in submission.conditions}
+    write_keys = {write.key for write in submission.writes}
+    return write_keys.isdisjoint(required) and (condition_keys | write_keys).isdisjoint(
+        written
+    )
 
 
 def _run_lane(
     tables: CommitterTables, lane: LaneRow, now: float
 ) -> Step[CommitterTables]:
-    if lane.awaiting:
-        return _lost_if_overdue(tables, lane, now)
+    if lane.request_in_flight:
+        return _handle_overdue_request(tables, lane, now)
     if now < lane.retry_at:
         return Step(tables=tables)
     transaction = lane.transaction
@@ -93,11 +97,11 @@
     return any(row.submission_id in tables.submissions for row in transaction.entries)
 
 
-def _lost_if_overdue(
+def _handle_overdue_request(
     tables: CommitterTables, lane: LaneRow, now: float
 ) -> Step[CommitterTables]:
-    due_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_MARGIN_S
-    if lane.transaction is None or now < due_at:
+    overdue_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_MARGIN_S
+    if lane.transaction is None or now < overdue_at:
         return Step(tables=tables)
     transaction_id = lane.transaction.transaction_id
     event = TransactionLost(
@@ -114,7 +118,7 @@
     queue = lane.queue if lane.fence_move_due else batch.remaining
     if not batch.chosen and not lane.fence_move_due:
         return replace(lane, transaction=None, queue=queue)
-    number = lane.transactions + 1
+    number = lane.last_transaction_number + 1
     transaction = Transaction(
         transaction_id=f"{tables.incarnation}/{lane.name}/{number}",
         entries=batch.chosen,
@@ -123,7 +127,7 @@
     return replace(
         lane,
         transaction=transaction,
-        transactions=number,
+        last_transaction_number=number,
         queue=queue,
         single_sends=max(0, lane.single_sends - len(batch.chosen)),
     )
@@ -148,8 +152,8 @@
     required: set[str] = set()
     written: set[str] = set()
     rows = size_bytes = 0
-    for position, key in enumerate(lane.queue):
-        row = tables.submissions.get(key)
+    for position, submission_id in enumerate(lane.queue):
+        row = tables.submissions.get(submission_id)
         if row is None:
             continue
         rows += len(row.submission.writes)
@@ -157,10 +161,10 @@
         if chosen and (rows > row_limit or size_bytes > MAX_BATCH_BYTES):
             remaining.extend(lane.queue[position:])
             break
-        if may_share(row.submission, required, written):
+        if may_join_batch(row.submission, required, written):
             chosen.append(row)
         else:
-            remaining.append(key)
+            remaining.append(submission_id)
         required.update(condition.key for condition in row.submission.conditions)
         written.update(write.key for write in row.submission.writes)
     return Batch(chosen=tuple(chosen), remaining=tuple(remaining))
@@ -169,7 +173,9 @@
 def _send(
     tables: CommitterTables, lane: LaneRow, transaction: Transaction, now: float
 ) -> Step[CommitterTables]:
-    sent_lane = replace(lane, transaction=transaction, awaiting=True, sent_at=now)
+    sent_lane = replace(
+        lane, transaction=transaction, request_in_flight=True, sent_at=now
+    )
     fence = Fence(
         key=f"fence/{tables.name}/{lane.name}", version=transaction.fence_version
     )
@@ -185,8 +191,10 @@
 
 
 def _conditions(entries: Iterable[SubmissionRow]) -> tuple[Condition, ...]:
-    found = [condition for row in entries for condition in row.submission.conditions]
-    return tuple(dict.fromkeys(found))
+    conditions = [
+        condition for row in entries for condition in row.submission.conditions
+    ]
+    return tuple(dict.fromkeys(conditions))
 
 
 def _writes(entries: Iterable[SubmissionRow]) -> tuple[TokenWrite, ...]:
--- a/bulrushpulley/systems/commit/conflict.py
+++ b/bulrushpulley/systems/commit/conflict.py
@@ -27,7 +27,7 @@
     report_settled,
     report_unsettled,
 )
-from bulrushpulley.systems.commit.settle import all_committed
+from bulrushpulley.systems.commit.settle import report_all_committed
 
 
 def handle_conflicted(
@@ -39,7 +39,7 @@
     """Report the submissions that committed or cannot commit; requeue the others."""
     fence = event.fence
     if fence is not None and shows_commit(fence, transaction):
-        return all_committed(transaction, event.lane, fence.version, tables, now)
+        return report_all_committed(transaction, event.lane, fence.version, tables, now)
     lane = after_answer(tables.lanes.by_key[event.lane], now)
     rounds = Count(name="commit.conflict_rounds", label=event.lane)
     if fence is not None:
@@ -146,9 +146,13 @@
 def _failed_rows(
     row: SubmissionRow, row_by_key: Mapping[str, VersionedRow]
 ) -> tuple[VersionedRow, ...]:
-    found = [
+    required = [
         (condition.version, row_by_key[condition.key])
         for condition in row.submission.conditions
         if condition.key in row_by_key
     ]
-    return tuple(held for version, held in found if held.version != version)
+    return tuple(
+        current_row
+        for expected_version, current_row in required
+        if current_row.version != expected_version
+    )
--- a/bulrushpulley/systems/commit/give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -32,18 +32,24 @@
     lanes = tables.lanes.rows()
     transaction_by_id = _in_flight(lanes)
     next_send_at_by_lane = {lane.name: _next_send_at(lane, now) for lane in lanes}
-    ended = [
-        key
-        for key, row in tables.submissions.by_key.items()
+    overdue_ids = [
+        submission_id
+        for submission_id, row in tables.submissions.by_key.items()
         if row.give_up_at
-        <= (now if key in transaction_by_id else next_send_at_by_lane[row.lane])
+        <= (
+            now
+            if submission_id in transaction_by_id
+            else next_send_at_by_lane[row.lane]
+        )
     ]
     commands: list[Command] = []
-    for key in sorted(ended):
-        step = _give_up(tables, key, transaction_by_id.get(key), now)
+    for submission_id in sorted(overdue_ids):
+        step = _give_up(
+            tables, submission_id, transaction_by_id.get(submission_id), now
+        )
         tables = step.tables
         commands.extend(step.commands)
-    after = _drop_reported_ids(tables) if ended else tables
+    after = _drop_reported_ids(tables) if overdue_ids else tables
     return Step(tables=after, commands=tuple(commands))
 
 
@@ -63,11 +69,14 @@
 
 
 def _give_up(
-    tables: CommitterTables, key: str, transaction: Transaction | None, now: float
+    tables: CommitterTables,
+    submission_id: str,
+    transaction: Transaction | None,
+    now: float,
 ) -> Step[CommitterTables]:
-    row = tables.submissions.by_key[key]
+    row = tables.submissions.by_key[submission_id]
     if transaction is not None:
-        marked = mark_in_doubt(tables, [key], transaction, now)
+        marked = mark_in_doubt(tables, [submission_id], transaction, now)
         return report_unsettled(marked, row, "the store did not answer in time", now)
     is_down = is_circuit_open(tables.lanes.by_key[row.lane])
     reason = "the store is down" if is_down else "waited too long for the store"
@@ -78,6 +87,10 @@
     """Drop the ids of reported submissions from the queues."""
     lanes = tables.lanes
     for lane in lanes.rows():
-        queue = tuple(key for key in lane.queue if key in tables.submissions)
+        queue = tuple(
+            submission_id
+            for submission_id in lane.queue
+            if submission_id in tables.submissions
+        )
         lanes = lanes.put(lane.name, replace(lane, queue=queue))
     return replace(tables, lanes=lanes)
--- a/bulrushpulley/systems/commit/in_doubt.py
+++ b/bulrushpulley/systems/commit/in_doubt.py
@@ -36,7 +36,7 @@
         row = InDoubtRow(
             submission_id=submission_id,
             transaction_ids=tuple(sent_in),
-            since=now,
+            marked_at=now,
         )
         in_doubt = in_doubt.put(submission_id, row)
     return replace(tables, in_doubt=in_doubt)
@@ -71,6 +71,6 @@
         return tables
     in_doubt = tables.in_doubt
     for known in tables.in_doubt.rows():
-        if known.since + IN_DOUBT_RETENTION_S <= now:
+        if known.marked_at + IN_DOUBT_RETENTION_S <= now:
             in_doubt = in_doubt.drop(known.submission_id)
     return replace(tables, in_doubt=in_doubt)
--- a/bulrushpulley/systems/commit/queue.py
+++ b/bulrushpulley/systems/commit/queue.py
@@ -19,7 +19,7 @@
     return replace(
         lane,
         transaction=None,
-        awaiting=False,
+        request_in_flight=False,
         failures=0,
         retry_at=now,
         timeout_s=commit_backoff.timeout_after_answer(now - lane.sent_at),
@@ -30,15 +30,17 @@
     """Return the lane after a failed request: it backs off."""
     failures = lane.failures + 1
     delay_s = commit_backoff.retry_delay(failures, transaction.transaction_id)
-    return replace(lane, awaiting=False, failures=failures, retry_at=now + delay_s)
+    return replace(
+        lane, request_in_flight=False, failures=failures, retry_at=now + delay_s
+    )
 
 
 def unreported(
     tables: CommitterTables, entries: Iterable[SubmissionRow]
 ) -> list[SubmissionRow]:
     """Return the entries whose outcome is not reported yet, with all their origins."""
-    found = [tables.submissions.get(row.submission_id) for row in entries]
-    return [row for row in found if row is not None]
+    rows = [tables.submissions.get(row.submission_id) for row in entries]
+    return [row for row in rows if row is not None]
 
 
 def put_back(
@@ -47,6 +49,6 @@
     """Make the lane idle and put the entries at the head of its queue."""
     queued = set(lane.queue)
     ids = [row.submission_id for row in unreported(tables, entries)]
-    head = tuple(key for key in ids if key not in queued)
+    head = tuple(submission_id for submission_id in ids if submission_id not in queued)
     idle = replace(lane, queue=(*head, *lane.queue), transaction=None)
     return replace(tables, lanes=tables.lanes.put(lane.name, idle))
--- a/bulrushpulley/systems/commit/read.py
+++ b/bulrushpulley/systems/commit/read.py
@@ -75,12 +75,12 @@
     """Send waiting reads, at most one in flight for each query."""
     commands: list[Command] = []
     reads = tables.reads
-    free = MAX_READS_IN_FLIGHT - reads.count_where("state", "sent")
-    for read in tables.reads.rows_where("state", "waiting") if free else ():
+    free_slots = MAX_READS_IN_FLIGHT - reads.count_where("state", "sent")
+    for read in tables.reads.rows_where("state", "waiting") if free_slots else ():
         same_query = reads.rows_where("query", read.query)
-        if free == 0 or any(other.sent for other in same_query):
+        if free_slots == 0 or any(other.sent for other in same_query):
             continue
-        free -= 1
+        free_slots -= 1
         reads = reads.put(read.read_id, replace(read, sent=True))
         commands.append(_command(read))
     return Step(tables=replace(tables, reads=reads), commands=tuple(commands))
--- a/bulrushpulley/systems/commit/settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -43,11 +43,11 @@
 ) -> Step[CommitterTables]:
     """Report every submission of the transaction as committed."""
     bytes_sent = Count(name="commit.bytes", label=event.lane, by=event.sent_bytes)
-    step = all_committed(transaction, event.lane, event.revision, tables, now)
+    step = report_all_committed(transaction, event.lane, event.revision, tables, now)
     return replace(step, commands=(bytes_sent, *step.commands))
 
 
-def all_committed(
+def report_all_committed(
     transaction: Transaction,
     lane_name: str,
     revision: int,
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -67,7 +67,7 @@
     """A lane's position in the order of its rank; `key` is its first row's key."""
 
     department_share: float
-    minus_priority: float
+    negated_priority: float
     key: str
     lane: Lane = field(compare=False)
 
@@ -83,10 +83,10 @@
     cache = PlacementCache()
     attempts_left = MAX_ATTEMPTS_PER_TICK
     for lanes in by_rank.values():
-        ranked, attempts_left = _assign_rank(
+        rank_step, attempts_left = _assign_rank(
             step.tables, lanes, attempts_left, now, cache
         )
-        step = join_steps(step, ranked)
+        step = join_steps(step, rank_step)
     return step
 
 
@@ -114,7 +114,9 @@
         _, first = head(step.tables, lane)
         if first is None:
             continue
-        step = join_steps(step, _attempt(step.tables, first, max_tasks, now, cache))
+        step = join_steps(
+            step, _attempt_assignment(step.tables, first, max_tasks, now, cache)
+        )
         attempts_left -= 1
         if lane in step.tables.ready:
             heapq.heappush(turns, _turn(step.tables, lane, first, now))
@@ -143,13 +145,13 @@
 ) -> LaneTurn:
     return LaneTurn(
         department_share=department_share(tables, lane.department),
-        minus_priority=-aged_priority(lane, first, now),
+        negated_priority=-aged_priority(lane, first, now),
         key=first.key,
         lane=lane,
     )
 
 
-def _attempt(
+def _attempt_assignment(
     tables: ControllerTables,
     first: WaitingRow,
     max_tasks: int,
@@ -187,23 +189,23 @@
     return max(first.row.count, rows)
 
 
-def _first_rows(
-    tables: ControllerTables, lane: Lane, tasks: int
+def _first_row_moves(
+    tables: ControllerTables, lane: Lane, task_count: int
 ) -> tuple[RowMove, ...]:
     """Return as many first rows of a lane as hold the number of tasks."""
-    found: dict[str, RowMove] = {}
+    move_by_key: dict[str, RowMove] = {}
     queue = tables.lanes.get(lane) or Queue.empty()
-    while queue and tasks > 0 and len(found) < MAX_ROWS_PER_MOVE:
+    while queue and task_count > 0 and len(move_by_key) < MAX_ROWS_PER_MOVE:
         waiting = tables.waiting.get(queue.first)
         queue = queue.rest()
         if waiting is None or waiting.phase is not Phase.QUEUED:
             continue
         spec = current_spec(tables, waiting)
-        if spec is None or waiting.key in found:
+        if spec is None or waiting.key in move_by_key:
             break
-        found[waiting.key] = RowMove(waiting=waiting, spec=spec)
-        tasks -= waiting.row.count
-    return tuple(found.values())
+        move_by_key[waiting.key] = RowMove(waiting=waiting, spec=spec)
+        task_count -= waiting.row.count
+    return tuple(move_by_key.values())
 
 
 def _submit_assignment(
@@ -211,10 +213,10 @@
 ) -> ControllerStep:
     tables, submission_id = with_new_id(tables, "c")
     row_moves = distribute_cells(
-        _first_rows(tables, lane, len(choice.cells)), choice.cells
+        _first_row_moves(tables, lane, len(choice.cells)), choice.cells
     )
     rows = tuple(row_move.waiting for row_move in row_moves)
-    placed = tuple(one for row_move in row_moves for one in placed_tasks(row_move))
+    placed = tuple(task for row_move in row_moves for task in placed_tasks(row_move))
     writes = writes_of(row_moves, placed)
     tables = mark_assigning(tables, lane, rows)
     tables = _reserve(tables, submission_id, placed)
@@ -237,7 +239,7 @@
 ) -> ControllerTables:
     spec = placed[0].row.spec
     views: list[CellView] = []
-    for cell, count in Counter(one.cell for one in placed).items():
+    for cell, count in Counter(task.cell for task in placed).items():
         reservation = Reservation(
             submission_id=submission_id,
             department=spec.department,
--- a/bulrushpulley/systems/control/assignment_outcomes.py
+++ b/bulrushpulley/systems/control/assignment_outcomes.py
@@ -64,7 +64,7 @@
             remainder = VersionedRow(
                 key=write.key, version=outcome.revision, row=write.row
             )
-            tables = handle_backlog_rows(tables, (remainder,), now, first=True)
+            tables = handle_backlog_rows(tables, (remainder,), now, at_front=True)
     commands = _notify_owners(
         tables, purpose, submission.submission_id, outcome.revision
     )
@@ -78,9 +78,9 @@
     tables: ControllerTables, purpose: AssignTasks, token: str, version: int
 ) -> tuple[Command, ...]:
     rows_by_cell: dict[str, list[VersionedRow]] = defaultdict(list)
-    for one in purpose.placed:
-        row = VersionedRow(key=one.key, version=version, row=one.row, token=token)
-        rows_by_cell[one.cell].append(row)
+    for task in purpose.placed:
+        row = VersionedRow(key=task.key, version=version, row=task.row, token=token)
+        rows_by_cell[task.cell].append(row)
     return tuple(
         Send(
             peer=tables.cells.by_key[cell].peer,
@@ -95,11 +95,13 @@
     tables: ControllerTables, purpose: AssignTasks, submission_id: str
 ) -> ControllerTables:
     views = _cell_views(tables, purpose)
-    return put_cells(tables, [without_reservation(one, submission_id) for one in views])
+    return put_cells(
+        tables, [without_reservation(view, submission_id) for view in views]
+    )
 
 
 def _cell_views(tables: ControllerTables, purpose: AssignTasks) -> list[CellView]:
-    cells = dict.fromkeys(one.cell for one in purpose.placed)
+    cells = dict.fromkeys(task.cell for task in purpose.placed)
     return [tables.cells.by_key[cell] for cell in cells]
 
 
@@ -115,34 +117,34 @@
     tables = update_records(
         handle_backlog_rows(tables, outcome.rows, now), outcome.rows
     )
-    failed = {row.key for row in outcome.rows}
+    failed_keys = {row.key for row in outcome.rows}
     record_key_by_job = {
-        one.row.spec.job: one.row.spec.record_key for one in purpose.placed
+        task.row.spec.job: task.row.spec.record_key for task in purpose.placed
     }
     for source in reversed(_still_assigning(tables, purpose)):
         record_key = record_key_by_job.get(source.row.spec.job)
-        task_taken = any(key.startswith("task/") for key in failed)
-        if record_key in failed or task_taken:
+        task_taken = any(key.startswith("task/") for key in failed_keys)
+        if record_key in failed_keys or task_taken:
             tables = defer(tables, source, now)
         else:
-            tables = enqueue(tables, source.key, first=True)
+            tables = enqueue(tables, source.key, at_front=True)
     return Step(tables=tables)
 
 
 def _still_assigning(
     tables: ControllerTables, purpose: AssignTasks
 ) -> tuple[WaitingRow, ...]:
-    found = (tables.waiting.get(key) for key in purpose.sources)
+    rows = (tables.waiting.get(key) for key in purpose.sources)
     return tuple(
-        row for row in found if row is not None and row.phase is Phase.ASSIGNING
+        row for row in rows if row is not None and row.phase is Phase.ASSIGNING
     )
 
 
 def _longest_wait_s(
     tables: ControllerTables, purpose: AssignTasks, now: float
 ) -> float:
-    found = _still_assigning(tables, purpose)
-    return max((now - row.first_seen_at for row in found), default=0.0)
+    rows = _still_assigning(tables, purpose)
+    return max((now - row.first_seen_at for row in rows), default=0.0)
 
 
 @handle_given_up.register
--- a/bulrushpulley/systems/control/backlog.py
+++ b/bulrushpulley/systems/control/backlog.py
@@ -62,17 +62,17 @@
     rows: Iterable[VersionedRow],
     now: float,
     *,
-    first: bool = False,
+    at_front: bool = False,
 ) -> ControllerTables:
-    """Apply backlog rows of the table service; `first` puts new ones in front."""
+    """Apply backlog rows of the table service; `at_front` puts new ones in front."""
     for row in rows:
         if row.key.startswith(BACKLOG_PREFIX):
-            tables = _handle_row(tables, row, now, first)
+            tables = _handle_row(tables, row, now, at_front)
     return tables
 
 
 def _handle_row(
-    tables: ControllerTables, row: VersionedRow, now: float, first: bool
+    tables: ControllerTables, row: VersionedRow, now: float, at_front: bool
 ) -> ControllerTables:
     if row.key.endswith(f"/{CLOSING_MARKER}"):
         return _handle_marker(tables, row, now)
@@ -93,7 +93,7 @@
         waiting=tables.waiting.put(row.key, waiting),
         recent_jobs=_with_recent(tables, row.row.spec),
     )
-    return enqueue(tables, row.key, first=first)
+    return enqueue(tables, row.key, at_front=at_front)
 
 
 def _with_recent(tables: ControllerTables, spec: TaskSpec) -> tuple[str, ...]:
@@ -126,15 +126,15 @@
 
 
 def enqueue(
-    tables: ControllerTables, key: str, *, first: bool = False
+    tables: ControllerTables, key: str, *, at_front: bool = False
 ) -> ControllerTables:
-    """Put a row into its lane, at the end or, if `first`, at the front."""
+    """Put a row into its lane, at the end or, if `at_front`, at the front."""
     waiting = tables.waiting.get(key)
     if waiting is None:
         return tables
     lane = waiting.lane
     queue = tables.lanes.get(lane) or Queue.empty()
-    queue = queue.prepend(key) if first else queue.append(key)
+    queue = queue.prepend(key) if at_front else queue.append(key)
     if waiting.phase is not Phase.QUEUED:
         queued = replace(waiting, phase=Phase.QUEUED)
         tables = replace(tables, waiting=tables.waiting.put(key, queued))
--- a/bulrushpulley/systems/control/changes.py
+++ b/bulrushpulley/systems/control/changes.py
@@ -88,7 +88,7 @@
 def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Start the next change of the configuration once the previous one has ended."""
     step = Step(tables=tables)
-    while step.tables.change_queue and not _is_changing(step.tables):
+    while step.tables.change_queue and not _is_change_in_progress(step.tables):
         tables = step.tables
         call_id = tables.change_queue.first
         queue = tables.change_queue.rest()
@@ -97,7 +97,7 @@
     return step
 
 
-def _is_changing(tables: ControllerTables) -> bool:
+def _is_change_in_progress(tables: ControllerTables) -> bool:
     return tables.current_change_id in tables.changes
 
 
@@ -237,8 +237,8 @@
     change = tables.changes.get(purpose.call_id)
     if change is None:
         return Step(tables=tables)
-    found = replace(change, current=outcome.rows[0], verified=True)
-    return _attempt_change(update_records(tables, outcome.rows), found, now)
+    verified = replace(change, current=outcome.rows[0], verified=True)
+    return _attempt_change(update_records(tables, outcome.rows), verified, now)
 
 
 @handle_conflicted.register
@@ -268,10 +268,13 @@
 
 
 def _answer_unsettled_change(
-    tables: ControllerTables, change: Change, intended: RecordRow, found: VersionedRow
+    tables: ControllerTables,
+    change: Change,
+    intended: RecordRow,
+    stored_row: VersionedRow,
 ) -> ControllerStep:
     """Answer a change that may have committed before another one replaced it."""
-    current_row = record_row(found)
+    current_row = record_row(stored_row)
     if current_row == intended:
         return _accept(tables, change.call, intended)
     replacement = (
@@ -285,9 +288,9 @@
 
 
 def _conflict_problem(row: VersionedRow) -> Problem:
-    held = record_row(row)
-    if held is not None:
-        return conflict(held)
+    existing = record_row(row)
+    if existing is not None:
+        return conflict(existing)
     detail = f"tasks of an earlier record are still ending ({row.key}); try again"
     return problem(detail, Code.CONFLICT)
 
@@ -303,8 +306,10 @@
 ) -> ControllerStep:
     outcome_unknown = pending.unsettled and bool(pending.submission.writes)
     code = Code.OUTCOME_UNKNOWN if outcome_unknown else Code.UNAVAILABLE
-    lost = Problem(code=code, step="store.commit", peer="table service", detail=reason)
-    return _reject(tables, purpose.call_id, lost)
+    failure = Problem(
+        code=code, step="store.commit", peer="table service", detail=reason
+    )
+    return _reject(tables, purpose.call_id, failure)
 
 
 def _accept(
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -65,16 +65,16 @@
 def run(tables: ControllerTables, now: float) -> ControllerStep:
     """Advance the closings that are due, a bounded number per tick."""
     step = Step(tables=tables)
-    left = MAX_CLOSINGS_PER_TICK
+    closings_left = MAX_CLOSINGS_PER_TICK
     for job in sorted(tables.closings):
         closing = tables.closings.by_key[job]
-        if left == 0:
+        if closings_left == 0:
             break
         if now < closing.next_at or closing.submission_id in tables.pending:
             continue
         if not is_responsible(tables, closing.marker.spec.department):
             continue
-        left -= 1
+        closings_left -= 1
         step = join_steps(step, _advance_closing(step.tables, closing, now))
     return step
 
@@ -82,7 +82,7 @@
 def _advance_closing(
     tables: ControllerTables, closing: Closing, now: float
 ) -> ControllerStep:
-    rows = _open_rows(tables, closing)
+    rows = _rows_to_close(tables, closing)
     if rows and _in_flight(tables) < MAX_CLOSINGS_IN_FLIGHT:
         return _close_rows(tables, closing, rows, now)
     if _ended_task_count(tables, closing) >= closing.marker.count:
@@ -94,15 +94,15 @@
     return tables.pending.count_where("purpose", CloseTasks.__name__)
 
 
-def _open_rows(tables: ControllerTables, closing: Closing) -> list[WaitingRow]:
+def _rows_to_close(tables: ControllerTables, closing: Closing) -> list[WaitingRow]:
     rows = tables.waiting.rows_where("job", closing.job)
-    open_rows = [
+    rows_to_close = [
         row
         for row in rows
         if row.phase is not Phase.ASSIGNING
         and closing.covers(row.row.spec.index + row.row.count - 1)
     ]
-    return open_rows[:MAX_ROWS_PER_TRANSACTION]
+    return rows_to_close[:MAX_ROWS_PER_TRANSACTION]
 
 
 def _close_rows(
@@ -163,8 +163,8 @@
 
 
 def _ended_task_count(tables: ControllerTables, closing: Closing) -> int:
-    closed = tables.closing_outcomes.get(closing.job, pmap())
-    return sum(one.tasks for one in closed.values())
+    outcomes = tables.closing_outcomes.get(closing.job, pmap())
+    return sum(outcome.tasks for outcome in outcomes.values())
 
 
 def _notify_owners(
@@ -220,18 +220,18 @@
 def _with_outcomes(
     tables: ControllerTables, closing: Closing, rows: tuple[VersionedRow, ...]
 ) -> ControllerTables:
-    closed = tables.closing_outcomes.get(closing.job, pmap())
+    outcomes = tables.closing_outcomes.get(closing.job, pmap())
     for row in rows:
         if not row.key.startswith("done/"):
             continue
         tasks = _covered_task_count(row, closing)
         if tasks:
-            closed = closed.set(
+            outcomes = outcomes.set(
                 row.key, ClosingOutcome(tasks=tasks, version=row.version)
             )
         else:
-            closed = closed.discard(row.key)
-    closing_outcomes = tables.closing_outcomes.set(closing.job, closed)
+            outcomes = outcomes.discard(row.key)
+    closing_outcomes = tables.closing_outcomes.set(closing.job, outcomes)
     return replace(tables, closing_outcomes=closing_outcomes)
 
 
@@ -248,17 +248,25 @@
     Without its outcomes, the service can be scaled up again. If they exceed one
     transaction, the marker is kept until all are deleted.
     """
-    closed = tables.closing_outcomes.get(closing.job, pmap())
-    deleted: list[str] = []
+    outcomes = tables.closing_outcomes.get(closing.job, pmap())
+    deleted_keys: list[str] = []
     if closing.marker.spec.kind == "service":
-        deleted = sorted(closed, key=_index_of, reverse=True)[:MAX_ROWS_PER_TRANSACTION]
-    left = closing.marker.count - sum(closed[key].tasks for key in deleted)
-    kept = replace(closing.marker, count=left) if deleted and left > 0 else None
-    marker = backlog_key(closing.job, CLOSING_MARKER)
-    conditions = [Condition(key=marker, version=closing.version)]
-    conditions += [Condition(key=key, version=closed[key].version) for key in deleted]
-    writes = [Write(key=marker, row=kept)]
-    writes += [Write(key=key, row=None) for key in deleted]
+        deleted_keys = sorted(outcomes, key=_index_of, reverse=True)[
+            :MAX_ROWS_PER_TRANSACTION
+        ]
+    remaining = closing.marker.count - sum(outcomes[key].tasks for key in deleted_keys)
+    reduced_marker = (
+        replace(closing.marker, count=remaining)
+        if deleted_keys and remaining > 0
+        else None
+    )
+    marker_key = backlog_key(closing.job, CLOSING_MARKER)
+    conditions = [Condition(key=marker_key, version=closing.version)]
+    conditions += [
+        Condition(key=key, version=outcomes[key].version) for key in deleted_keys
+    ]
+    writes = [Write(key=marker_key, row=reduced_marker)]
+    writes += [Write(key=key, row=None) for key in deleted_keys]
     decision = Decision(
         kind="record.closed",
         subject=closing.job,
--- a/bulrushpulley/systems/control/distribution.py
+++ b/bulrushpulley/systems/control/distribution.py
@@ -84,5 +84,5 @@
 
 
 def _revision_of(row: VersionedRow) -> int:
-    held = record_row(row)
-    return held.revision if held is not None else 0
+    existing = record_row(row)
+    return existing.revision if existing is not None else 0
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -152,7 +152,7 @@
 def _record_result(
     tables: ControllerTables,
     call_id: str,
-    awaited: str,
+    awaited_id: str,
     rows: tuple[VersionedRow, ...],
     failed: str,
 ) -> ControllerStep:
@@ -161,7 +161,7 @@
         return Step(tables=tables)
     updated = replace(
         enquiry,
-        waiting_for=enquiry.waiting_for - {awaited},
+        waiting_for=enquiry.waiting_for - {awaited_id},
         rows=(*enquiry.rows, *rows),
         failed=failed or enquiry.failed,
     )
@@ -174,14 +174,16 @@
     """Answer the calls whose reads have ended or whose deadline has passed."""
     commands: list[Command] = []
     for enquiry in tables.enquiries.rows():
-        late = now >= enquiry.deadline
-        if enquiry.waiting_for and not late:
+        deadline_passed = now >= enquiry.deadline
+        if enquiry.waiting_for and not deadline_passed:
             continue
-        failed = enquiry.failed or ("not everything was read in time" if late else "")
+        failed = enquiry.failed or (
+            "not everything was read in time" if deadline_passed else ""
+        )
         finished = replace(enquiry, failed=failed)
         commands.append(_answer(finished, tables, now))
-        for awaited in enquiry.waiting_for:
-            tables = replace(tables, polls=tables.polls.drop(awaited))
+        for awaited_id in enquiry.waiting_for:
+            tables = replace(tables, polls=tables.polls.drop(awaited_id))
         call_id = enquiry.call.call_id
         tables = replace(tables, enquiries=tables.enquiries.drop(call_id))
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -206,8 +206,10 @@
     tables: ControllerTables,
     now: float,
 ) -> ControllerStep:
-    last = tables.members_read_at
-    elapsed_s = 0.0 if last is None else min(now - last, MAX_COUNTED_GAP_S)
+    last_read_at = tables.members_read_at
+    elapsed_s = (
+        0.0 if last_read_at is None else min(now - last_read_at, MAX_COUNTED_GAP_S)
+    )
     tables = replace(tables, members_read_at=now)
     for name in tables.members:
         member = tables.members.by_key[name]
--- a/bulrushpulley/systems/control/moves.py
+++ b/bulrushpulley/systems/control/moves.py
@@ -45,18 +45,18 @@
     """
     spec = waiting.row.spec
     closing = tables.closings.get(spec.job)
-    last = spec.index + waiting.row.count - 1
-    if is_closing(closing, spec.index, last):
+    last_index = spec.index + waiting.row.count - 1
+    if is_closing(closing, spec.index, last_index):
         return None
     if spec.kind == "job":
         return replace(spec, record_version=spec.record_version or waiting.version)
     record = find_record(tables, "service", spec.job, ServiceRecord)
-    held = tables.records.get(record_key("service", spec.job))
-    if record is None or held is None or last >= record.replicas:
+    versioned_row = tables.records.get(record_key("service", spec.job))
+    if record is None or versioned_row is None or last_index >= record.replicas:
         return None
     return replace(
         spec,
-        record_version=held.version,
+        record_version=versioned_row.version,
         size=record.size,
         department=record.department,
         failure_domains=record.failure_domains,
@@ -81,8 +81,8 @@
     """Return the tasks that a row's move places, with their cells."""
     row = row_move.waiting.row
     tasks: list[PlacedTask] = []
-    for place, cell in enumerate(row_move.cells):
-        spec = replace(row_move.spec, index=row_move.spec.index + place)
+    for offset, cell in enumerate(row_move.cells):
+        spec = replace(row_move.spec, index=row_move.spec.index + offset)
         task = TaskRow(
             spec=spec,
             state=TaskState.WAITING,
@@ -97,28 +97,30 @@
 def _remainder(row_move: RowMove) -> tuple[Write, ...]:
     """Return the write of the tasks that stay in the backlog, if any."""
     row = row_move.waiting.row
-    taken = len(row_move.cells)
-    if taken == row.count:
+    placed_count = len(row_move.cells)
+    if placed_count == row.count:
         return ()
-    first = row_move.spec.index + taken
+    first_remaining = row_move.spec.index + placed_count
     remainder = replace(
-        row, spec=replace(row_move.spec, index=first), count=row.count - taken
+        row,
+        spec=replace(row_move.spec, index=first_remaining),
+        count=row.count - placed_count,
     )
-    return (Write(key=backlog_key(row_move.spec.job, first), row=remainder),)
+    return (Write(key=backlog_key(row_move.spec.job, first_remaining), row=remainder),)
 
 
 def conditions_of(
     row_moves: tuple[RowMove, ...], writes: tuple[Write, ...]
 ) -> tuple[Condition, ...]:
     """Return the conditions of a move."""
-    found: list[Condition] = []
+    conditions: list[Condition] = []
     for row_move in row_moves:
         spec, waiting = row_move.spec, row_move.waiting
-        found.append(Condition(key=waiting.key, version=waiting.version))
-        found.append(Condition(key=spec.record_key, version=spec.record_version))
-    absent = [write.key for write in writes if write.row is not None]
-    found += [Condition(key=key, version=0) for key in absent]
-    return tuple(dict.fromkeys(found))
+        conditions.append(Condition(key=waiting.key, version=waiting.version))
+        conditions.append(Condition(key=spec.record_key, version=spec.record_version))
+    absent_keys = [write.key for write in writes if write.row is not None]
+    conditions += [Condition(key=key, version=0) for key in absent_keys]
+    return tuple(dict.fromkeys(conditions))
 
 
 def writes_of(
@@ -126,6 +128,6 @@
 ) -> tuple[Write, ...]:
     """Return the writes of a move."""
     deletions = [Write(key=row_move.waiting.key, row=None) for row_move in row_moves]
-    tasks = [Write(key=one.key, row=one.row) for one in placed]
+    task_writes = [Write(key=task.key, row=task.row) for task in placed]
     remainders = [write for row_move in row_moves for write in _remainder(row_move)]
-    return (*deletions, *tasks, *remainders)
+    return (*deletions, *task_writes, *remainders)
--- a/bulrushpulley/systems/control/offers.py
+++ b/bulrushpulley/systems/control/offers.py
@@ -55,14 +55,14 @@
 def _cells_without_summaries(tables: ControllerTables, now: float) -> list[str]:
     linked = set(tables.links)
     view_by_cell = tables.cells.by_key
-    summary_after = now - SUMMARY_TIMEOUT_S
+    fresh_after = now - SUMMARY_TIMEOUT_S
     unowned: list[str] = []
     for names in tables.fleet.cells_by_domain.values():
         for cell in names:
             view = view_by_cell.get(cell)
             if (
                 view is None
-                or view.last_summary_at <= summary_after
+                or view.last_summary_at <= fresh_after
                 or view.peer not in linked
             ):
                 unowned.append(cell)
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -63,14 +63,16 @@
 def tasks_within_quota(tables: ControllerTables, spec: TaskSpec) -> int:
     """Return how many more tasks the department's quota allows."""
     quota = tables.quotas.get(spec.department, NO_RESOURCES)
-    left = quota.minus(used_by(tables, spec.department))
+    remaining = quota.minus(used_by(tables, spec.department))
     limits = (
-        (quota.processors_m, spec.size.processors_m, left.processors_m),
-        (quota.memory_mb, spec.size.memory_mb, left.memory_mb),
-        (quota.accelerators, spec.size.accelerators, left.accelerators),
+        (quota.processors_m, spec.size.processors_m, remaining.processors_m),
+        (quota.memory_mb, spec.size.memory_mb, remaining.memory_mb),
+        (quota.accelerators, spec.size.accelerators, remaining.accelerators),
     )
     counts = [
-        max(0, have // need) for limit, need, have in limits if limit > 0 and need > 0
+        max(0, available // needed)
+        for limit, needed, available in limits
+        if limit > 0 and needed > 0
     ]
     return min(counts, default=MAX_TASKS_PER_TRANSACTION)
 
@@ -94,13 +96,13 @@
     count = min(max_tasks, MAX_TASKS_PER_TRANSACTION, tasks_within_quota(tables, spec))
     if count == 0:
         return Choice(wait_reason=WaitReason.QUOTA)
-    open_domains = tuple(name for name in allowed if in_service(tables, name))
-    shape = (spec.size, open_domains)
+    domains_in_service = tuple(name for name in allowed if in_service(tables, name))
+    shape = (spec.size, domains_in_service)
     if waiting.lane.rank is Rank.BATCH and shape in cache.wait_reason_by_shape:
         return Choice(wait_reason=cache.wait_reason_by_shape[shape])
-    names = _cell_names(tables, open_domains)
+    names = _cell_names(tables, domains_in_service)
     if waiting.lane.rank is Rank.LATENCY_CRITICAL:
-        choice = _spread_replicas(tables, spec, open_domains, count, now)
+        choice = _spread_replicas(tables, spec, domains_in_service, count, now)
     else:
         choice = _choose_most_free(tables, waiting, spec, names, count, now)
     if choice.cells:
@@ -142,11 +144,11 @@
 def _candidates(
     tables: ControllerTables, names: Iterable[str], spec: TaskSpec, now: float
 ) -> list[Candidate]:
-    found = [
+    candidates = [
         Candidate(view=view, free_slots=_free_slots(view, spec))
         for view in _reachable(tables, names, now)
     ]
-    return [candidate for candidate in found if candidate.free_slots > 0]
+    return [candidate for candidate in candidates if candidate.free_slots > 0]
 
 
 def _free_slots(view: CellView, spec: TaskSpec) -> int:
@@ -164,8 +166,8 @@
     start = crc32(seed.encode())
     stride = len(names) // CELL_SAMPLE_SIZE
     return tuple(
-        names[(start + place * stride) % len(names)]
-        for place in range(CELL_SAMPLE_SIZE)
+        names[(start + number * stride) % len(names)]
+        for number in range(CELL_SAMPLE_SIZE)
     )
 
 
@@ -178,39 +180,41 @@
     now: float,
 ) -> Choice:
     seed = f"{waiting.key}|{tables.last_number}"
-    found = _candidates(tables, _sample(names, seed), spec, now)
-    if sum(candidate.free_slots for candidate in found) < count:
-        found = _candidates(tables, names, spec, now)
-    if not found:
+    candidates = _candidates(tables, _sample(names, seed), spec, now)
+    if sum(candidate.free_slots for candidate in candidates) < count:
+        candidates = _candidates(tables, names, spec, now)
+    if not candidates:
         reachable = _reachable(tables, names, now)
         return Choice(
             wait_reason=WaitReason.NO_ROOM if reachable else WaitReason.NO_CELL
         )
-    found.sort(key=lambda one: (-one.free_slots, one.name))
-    return Choice(cells=_distribute_tasks(found, count))
+    candidates.sort(key=lambda one: (-one.free_slots, one.name))
+    return Choice(cells=_distribute_tasks(candidates, count))
 
 
-def _sufficient_candidates(found: list[Candidate], count: int) -> list[Candidate]:
+def _sufficient_candidates(candidates: list[Candidate], count: int) -> list[Candidate]:
     """Return the first candidates, at least a few and enough for `count` tasks."""
     free_slots = 0
-    for place, candidate in enumerate(found):
+    for position, candidate in enumerate(candidates):
         free_slots += candidate.free_slots
-        if free_slots >= count and place + 1 >= min(count, MIN_CELLS_PER_MOVE):
-            return found[: place + 1]
-    return found
+        if free_slots >= count and position + 1 >= min(count, MIN_CELLS_PER_MOVE):
+            return candidates[: position + 1]
+    return candidates
 
 
-def _distribute_tasks(found: list[Candidate], count: int) -> tuple[str, ...]:
+def _distribute_tasks(candidates: list[Candidate], count: int) -> tuple[str, ...]:
     cells: list[str] = []
-    found = _sufficient_candidates(found, count)
-    for place, candidate in enumerate(found):
-        left = count - len(cells)
-        share = -(-left // (len(found) - place))
-        cells.extend([candidate.name] * min(share, candidate.free_slots, left))
-    for candidate in found:
-        taken = cells.count(candidate.name)
-        more = min(count - len(cells), candidate.free_slots - taken)
-        cells.extend([candidate.name] * more)
+    candidates = _sufficient_candidates(candidates, count)
+    for position, candidate in enumerate(candidates):
+        remaining = count - len(cells)
+        cell_share = -(-remaining // (len(candidates) - position))
+        cells.extend(
+            [candidate.name] * min(cell_share, candidate.free_slots, remaining)
+        )
+    for candidate in candidates:
+        assigned = cells.count(candidate.name)
+        extra = min(count - len(cells), candidate.free_slots - assigned)
+        cells.extend([candidate.name] * extra)
     return tuple(cells)
 
 
@@ -250,12 +254,12 @@
     index: int,
     free_slots: Mapping[str, int],
 ) -> str | None:
-    for turn in range(len(domains)):
-        candidates = ordered[domains[(index + turn) % len(domains)]]
-        for step in range(len(candidates)):
-            place = (index // len(domains) + step) % len(candidates)
-            if free_slots[candidates[place].name] > 0:
-                return candidates[place].name
+    for domain_offset in range(len(domains)):
+        candidates = ordered[domains[(index + domain_offset) % len(domains)]]
+        for cell_offset in range(len(candidates)):
+            position = (index // len(domains) + cell_offset) % len(candidates)
+            if free_slots[candidates[position].name] > 0:
+                return candidates[position].name
     return None
 
 
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -113,7 +113,7 @@
     if existing is not None:
         return Refusal(problem=conflict(existing))
     return _refuse_if_too_large(call, call.record, tables) or _plan_new(
-        call.record, _row(call, tables)
+        call.record, _new_row(call, tables)
     )
 
 
@@ -139,7 +139,9 @@
         refused = problem(detail, Code.SCHEMA_VERSION, "schema_version")
         return Refusal(problem=refused)
     refusal = _refuse_if_too_large(call, call.record, tables)
-    return refusal or _plan_amended(call.record, existing.record, _row(call, tables))
+    return refusal or _plan_amended(
+        call.record, existing.record, _new_row(call, tables)
+    )
 
 
 @plan.register
@@ -190,7 +192,7 @@
     return Refusal(problem=problem(f"there is no {key}", Code.NOT_FOUND))
 
 
-def _row(
+def _new_row(
     call: ops.SubmitRecord | ops.AmendRecord, tables: ControllerTables
 ) -> RecordRow:
     increment = 0 if call.kind == "job" else 1
@@ -206,10 +208,10 @@
 def _refuse_if_too_large(
     call: ops.OperatorCall, record: Record, tables: ControllerTables
 ) -> Refusal | None:
-    size = _sized_record(record)
-    if size is None or not tables.fleet.capacities_by_cell:
+    sized = _sized_record(record)
+    if sized is None or not tables.fleet.capacities_by_cell:
         return None
-    if tables.fleet.could_hold(size.size, size.failure_domains):
+    if tables.fleet.could_hold(sized.size, sized.failure_domains):
         return None
     detail = "no allowed worker of the known cells could ever hold it"
     return Refusal(problem=problem(detail, Code.INVALID, "size", CHECK_STEP))
@@ -244,13 +246,13 @@
     )
 
 
-def service_spec(service: ServiceRecord, first: int) -> TaskSpec:
+def service_spec(service: ServiceRecord, index: int) -> TaskSpec:
     """Return the spec of a service's replica, without its record's version."""
     return TaskSpec(
         kind="service",
         record_version=0,
         job=service.name,
-        index=first,
+        index=index,
         department=service.department,
         task_class=TaskClass.LATENCY_CRITICAL,
         size=service.size,
@@ -276,19 +278,21 @@
     return _with_tasks(row, record_key("job", record.name), backlog)
 
 
-def _with_tasks(row: RecordRow, namesake: str, backlog: BacklogRow) -> PlannedChange:
+def _with_tasks(
+    row: RecordRow, other_kind_key: str, backlog: BacklogRow
+) -> PlannedChange:
     """Plan a new record with its tasks; no record of the other kind may share its name.
 
     Jobs and services use the same keys for their tasks.
     """
     key = backlog_key(backlog.spec.job, backlog.spec.index)
-    closing = no_closing_conditions(backlog.spec.job)
-    absent = (Condition(key=namesake, version=0), *closing)
+    no_closing = no_closing_conditions(backlog.spec.job)
+    absence_conditions = (Condition(key=other_kind_key, version=0), *no_closing)
     if backlog.count == 0:
-        return PlannedChange(row=row, conditions=absent)
+        return PlannedChange(row=row, conditions=absence_conditions)
     return PlannedChange(
         row=row,
-        conditions=(*absent, Condition(key=key, version=0)),
+        conditions=(*absence_conditions, Condition(key=key, version=0)),
         writes=(Write(key=key, row=backlog),),
     )
 
@@ -308,19 +312,19 @@
     if record.replicas == before.replicas:
         return PlannedChange(row=row)
     marker = backlog_key(record.name, CLOSING_MARKER)
-    absent = no_closing_conditions(record.name)
+    no_closing = no_closing_conditions(record.name)
     first, last = sorted((record.replicas, before.replicas))
     backlog = BacklogRow(spec=service_spec(record, first), count=last - first)
     if record.replicas < before.replicas:
         return PlannedChange(
             row=row,
-            conditions=absent,
+            conditions=no_closing,
             writes=(Write(key=marker, row=backlog),),
         )
     key = backlog_key(record.name, first)
     return PlannedChange(
         row=row,
-        conditions=(*absent, Condition(key=key, version=0)),
+        conditions=(*no_closing, Condition(key=key, version=0)),
         writes=(Write(key=key, row=backlog),),
     )
 
--- a/bulrushpulley/systems/control/records.py
+++ b/bulrushpulley/systems/control/records.py
@@ -76,7 +76,7 @@
         )
     if "policy" in changed:
         policies = records_of_kind(tables, "policy", PolicyRecord)
-        quotas = pmap({one.department: one.quota for one in policies})
+        quotas = pmap({policy.department: policy.quota for policy in policies})
         tables = replace(tables, quotas=quotas)
     return tables
 
@@ -88,8 +88,8 @@
 
 def record_row(row: VersionedRow | None) -> RecordRow | None:
     """Return the record row that a versioned row holds, or None."""
-    held = row.row if row is not None else None
-    return held if isinstance(held, RecordRow) else None
+    stored = row.row if row is not None else None
+    return stored if isinstance(stored, RecordRow) else None
 
 
 def find_record(
@@ -142,14 +142,17 @@
 
     The new revision takes effect immediately if the one before it was in effect.
     """
-    before = tables.revision
+    previous_revision = tables.revision
     tables = update_records(tables, rows)
-    newer = [row for row in rows if row.key == REVISION_KEY]
-    for row in newer:
-        reached = isinstance(row.row, RevisionRow) and row.row.revision == before + 1
-        if reached and row.version > tables.revision_row.version:
-            tables = replace(tables, revision=before + 1, revision_row=row)
-    return update_revision(tables, newer, now)
+    revision_rows = [row for row in rows if row.key == REVISION_KEY]
+    for row in revision_rows:
+        is_next = (
+            isinstance(row.row, RevisionRow)
+            and row.row.revision == previous_revision + 1
+        )
+        if is_next and row.version > tables.revision_row.version:
+            tables = replace(tables, revision=previous_revision + 1, revision_row=row)
+    return update_revision(tables, revision_rows, now)
 
 
 @handle_rows.register
@@ -179,6 +182,6 @@
         tables = replace(tables, polls=tables.polls.put(name, idle))
     read_to = min(tables.polls.by_key[f"record/{kind}/"].since for kind in CONFIG_KINDS)
     if read_to >= tables.revision_row.version:
-        reached = max(tables.revision, tables.last_revision)
-        tables = replace(tables, revision=reached)
+        revision = max(tables.revision, tables.last_revision)
+        tables = replace(tables, revision=revision)
     return Step(tables=tables)
--- a/bulrushpulley/systems/control/share.py
+++ b/bulrushpulley/systems/control/share.py
@@ -41,7 +41,7 @@
         (used.memory_mb, limit.memory_mb),
         (used.accelerators, limit.accelerators),
     )
-    return max((have / total for have, total in pairs if total > 0), default=0.0)
+    return max((amount / total for amount, total in pairs if total > 0), default=0.0)
 
 
 def aged_priority(lane: Lane, first: WaitingRow, now: float) -> float:
--- a/bulrushpulley/systems/control/status.py
+++ b/bulrushpulley/systems/control/status.py
@@ -111,7 +111,7 @@
     return [row for row in rows if row is not None]
 
 
-def _waiting_of(tables: ControllerTables, job: str) -> int:
+def _waiting_task_count(tables: ControllerTables, job: str) -> int:
     return sum(row.row.count for row in tables.waiting.rows_where("job", job))
 
 
@@ -123,7 +123,7 @@
             schema_version=row.schema_version,
             revision=row.revision,
             replicas=row.record.replicas,
-            waiting=_waiting_of(tables, row.record.name),
+            waiting=_waiting_task_count(tables, row.record.name),
         )
         for row in _rows_of_kind(tables, "service")
         if isinstance(row.record, ServiceRecord)
@@ -152,7 +152,9 @@
         if row.key.startswith("done/"):
             counts = done_by_job[row.key.split("/")[1]]
             counts[state_of(row.row)] += len(indexes_of(row.row))
-    jobs = [held.record for row in rows if (held := record_row(row)) is not None]
+    jobs = [
+        existing.record for row in rows if (existing := record_row(row)) is not None
+    ]
     return tuple(
         _job(tables, job, done_by_job[job.name], now)
         for job in jobs
@@ -163,7 +165,7 @@
 def _job(
     tables: ControllerTables, job: JobRecord, done: Counter[TaskState], now: float
 ) -> JobStatus:
-    waiting = _waiting_of(tables, job.name)
+    waiting = _waiting_task_count(tables, job.name)
     ended = sum(done.values())
     rows = tables.waiting.rows_where("job", job.name)[:MAX_EXPLAINED_ROWS]
     reasons = {waiting_reason(tables, row, now) for row in rows}
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -35,10 +35,12 @@
 GIVE_UP_MARGIN_S = 0.5
 
 
-def with_new_id(tables: ControllerTables, letter: str) -> tuple[ControllerTables, str]:
+def with_new_id(
+    tables: ControllerTables, kind_letter: str
+) -> tuple[ControllerTables, str]:
     """Return the tables and a new id, unique over all processes and time."""
     number = tables.last_number + 1
-    new_id = f"{tables.identity.incarnation}/{letter}{number}"
+    new_id = f"{tables.identity.incarnation}/{kind_letter}{number}"
     return replace(tables, last_number=number), new_id
 
 
@@ -151,10 +153,12 @@
     pending = tables.pending.by_key[submission_id]
     if now >= pending.deadline:
         tables, _ = _pop_pending(tables, submission_id)
-        lost = handle_given_up(
+        given_up = handle_given_up(
             pending.purpose, pending, "no answer in time", tables, now
         )
-        return Step(tables=lost.tables, commands=(*step.commands, *lost.commands))
+        return Step(
+            tables=given_up.tables, commands=(*step.commands, *given_up.commands)
+        )
     if pending.resubmit_at is None or now < pending.resubmit_at:
         return step
     sent = replace(pending, resubmit_at=None)
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -54,12 +54,12 @@
 
     effect_after_s: float | None = ANSWER_DELAY_S
     answered: bool = True
-    ended: type[TransactionRefused | TransactionRejected] = TransactionRefused
+    refusal_class: type[TransactionRefused | TransactionRejected] = TransactionRefused
 
 
 OK = Fate()
 REFUSED = Fate(effect_after_s=None)
-REJECTED = Fate(effect_after_s=None, ended=TransactionRejected)
+REJECTED = Fate(effect_after_s=None, refusal_class=TransactionRejected)
 NEVER_SENT = Fate(effect_after_s=None, answered=False)
 LOST = Fate(answered=False)
 
@@ -122,9 +122,9 @@
 def versioned(row: Stored) -> VersionedRow:
     if row.value is None:
         return VersionedRow(key=row.key, version=0, row=None)
-    found = decode_row(row.value)
+    decoded = decode_row(row.value)
     return VersionedRow(
-        key=row.key, version=row.version, row=found.row, token=found.token
+        key=row.key, version=row.version, row=decoded.row, token=decoded.token
     )
 
 
@@ -221,7 +221,7 @@
             lost = TransactionLost(**base, reason="timeout")
             self.at(self.now + command.timeout_s, Delivery(process=process, event=lost))
         elif fate.effect_after_s is None:
-            refused = fate.ended(**base, reason="not taken")
+            refused = fate.refusal_class(**base, reason="not taken")
             self.at(self.now + ANSWER_DELAY_S, Delivery(process=process, event=refused))
 
     @singledispatchmethod
@@ -264,8 +264,8 @@
         fence_put = Put(key=fence.key, value=command.transaction_id.encode())
         puts = [encode_put(put.key, put.row, put.token) for put in command.writes]
         conditions = [
-            VersionCondition(key=at.key, version=at.version)
-            for at in command.conditions
+            VersionCondition(key=condition.key, version=condition.version)
+            for condition in command.conditions
         ]
         result = table_core.commit(
             self.store,
@@ -291,11 +291,13 @@
 
     def _check_key_conflicts(self, command: Transact) -> None:
         """Find submissions of one commit that require a key another one writes."""
-        writer_of = {put.key: put.token for put in command.writes}
-        for token in set(writer_of.values()):
-            for at in self.submission_by_id[token].conditions:
-                if writer_of.get(at.key, token) != token:
-                    self.key_conflicts.append(f"{token} shares {at.key} with another")
+        writer_by_key = {put.key: put.token for put in command.writes}
+        for token in set(writer_by_key.values()):
+            for condition in self.submission_by_id[token].conditions:
+                if writer_by_key.get(condition.key, token) != token:
+                    self.key_conflicts.append(
+                        f"{token} shares {condition.key} with another"
+                    )
 
 
 def conflict(command: Transact, failed: Iterable[Stored]) -> TransactionConflicted:
@@ -355,17 +357,17 @@
     `Withdrawn` and a conflict with a later writer do not exclude that the other
     process's request took effect.
     """
-    found = list(bench.key_conflicts)
+    mismatches = list(bench.key_conflicts)
     for submission_id in bench.submission_by_id:
         commits = bench.commits_of[submission_id]
         if len(commits) > 1:
-            found.append(f"{submission_id} committed {len(commits)} times")
+            mismatches.append(f"{submission_id} committed {len(commits)} times")
         reports = bench.reports_of[submission_id]
         if not reports:
-            found.append(f"{submission_id} has no outcome")
-        for place, reported in enumerate(reports):
-            others = [r for r in reports[:place] if r.process != reported.process]
+            mismatches.append(f"{submission_id} has no outcome")
+        for position, reported in enumerate(reports):
+            others = [r for r in reports[:position] if r.process != reported.process]
             mismatch = mismatch_of(reported.outcome, commits)
             if mismatch and not others:
-                found.append(f"{submission_id} {mismatch}")
-    return found
+                mismatches.append(f"{submission_id} {mismatch}")
+    return mismatches
--- a/test/control_bench.py
+++ b/test/control_bench.py
@@ -63,9 +63,9 @@
 def versioned(row: Stored) -> VersionedRow:
     if row.value is None:
         return VersionedRow(key=row.key, version=row.version, row=None)
-    held = decode_row(row.value)
+    decoded = decode_row(row.value)
     return VersionedRow(
-        key=row.key, version=row.version, row=held.row, token=held.token
+        key=row.key, version=row.version, row=decoded.row, token=decoded.token
     )
 
 
@@ -99,8 +99,8 @@
         self.inbox[name] = []
 
     def stop(self, name: str) -> None:
-        for held in (self.roles, self.tables, self.inbox):
-            del held[name]
+        for by_name in (self.roles, self.tables, self.inbox):
+            del by_name[name]
 
     def tell(self, name: str, *events: Event) -> None:
         self.inbox[name].extend(events)
--- a/test/test_committer.py
+++ b/test/test_committer.py
@@ -208,7 +208,7 @@
     ),
     Mutation(
         module=commit_batch,
-        name="may_share",
+        name="may_join_batch",
         replacement=always(True),
         case="same key twice is not merged",
     ),
@@ -273,7 +273,7 @@
 )
 TIMES = st.integers(0, 80).map(lambda tenths: tenths / 10)
 DELAYS = st.integers(10, 200).map(lambda tenths: tenths / 10)
-MIX_SETTINGS = settings(
+RANDOM_CASE_SETTINGS = settings(
     derandomize=True,
     max_examples=80,
     deadline=None,
@@ -281,59 +281,65 @@
 )
 
 
-def run_mix(
+def run_random_case(
     *,
     processes: tuple[str, ...],
     fates: list[Fate],
-    timed: list[tuple[float, Submission]],
-    again: list[tuple[int, float, str]],
-    outside: list[tuple[float, int, bool]],
+    timed_submissions: list[tuple[float, Submission]],
+    resubmissions: list[tuple[int, float, str]],
+    foreign_writes: list[tuple[float, int, bool]],
 ) -> list[str]:
     bench = Bench(fates=fates)
     named = [
         (when, replace(submission, submission_id=f"s{number}"))
-        for number, (when, submission) in enumerate(timed)
+        for number, (when, submission) in enumerate(timed_submissions)
     ]
     for when, submission in named:
         bench.submit(when, processes[int(when) % len(processes)], submission)
-    for number, delay, process in again:
+    for number, delay_s, process in resubmissions:
         when, submission = named[number % len(named)]
         event = SubmitAgain(process=process, submission=submission)
-        bench.at(when + delay, event)
-    for when, number, delete in outside:
+        bench.at(when + delay_s, event)
+    for when, number, delete in foreign_writes:
         put = encode_put(f"k/{number}", None if delete else ROW, "outside")
         bench.at(when, ForeignWrite(put=put))
     bench.run_until(45.0)
     return mismatches_of(bench)
 
 
-class CommitMixTest(testtools.TestCase):
-    @MIX_SETTINGS
+class RandomCommitTest(testtools.TestCase):
+    @RANDOM_CASE_SETTINGS
     @given(
         fates=FATES,
-        timed=st.lists(st.tuples(TIMES, submissions(True)), min_size=1, max_size=8),
-        again=st.lists(st.tuples(st.integers(0, 7), DELAYS, st.just("e1")), max_size=4),
-        outside=st.lists(
+        timed_submissions=st.lists(
+            st.tuples(TIMES, submissions(True)), min_size=1, max_size=8
+        ),
+        resubmissions=st.lists(
+            st.tuples(st.integers(0, 7), DELAYS, st.just("e1")), max_size=4
+        ),
+        foreign_writes=st.lists(
             st.tuples(TIMES, st.integers(0, 4), st.booleans()), max_size=4
         ),
     )
-    def test_one_process(self, **mix: Any) -> None:
-        self.assertEqual([], run_mix(processes=("e1",), **mix))
+    def test_one_process(self, **random_case: Any) -> None:
+        self.assertEqual([], run_random_case(processes=("e1",), **random_case))
 
-    @MIX_SETTINGS
+    @RANDOM_CASE_SETTINGS
     @given(
         fates=FATES,
-        timed=st.lists(st.tuples(TIMES, submissions(False)), min_size=1, max_size=8),
-        again=st.lists(
+        timed_submissions=st.lists(
+            st.tuples(TIMES, submissions(False)), min_size=1, max_size=8
+        ),
+        resubmissions=st.lists(
             st.tuples(st.integers(0, 7), DELAYS, st.sampled_from(["e1", "e1b", "e2"])),
             max_size=8,
         ),
-        outside=st.lists(
+        foreign_writes=st.lists(
             st.tuples(TIMES, st.integers(0, 4), st.just(False)), max_size=4
         ),
     )
-    def test_two_processes(self, **mix: Any) -> None:
-        self.assertEqual([], run_mix(processes=("e1", "e1b"), **mix))
+    def test_two_processes(self, **random_case: Any) -> None:
+        self.assertEqual([], run_random_case(processes=("e1", "e1b"), **random_case))
 
 
 class PrefixReadTest(testtools.TestCase):
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -43,7 +43,7 @@
 )
 
 CELLS = {"r1": "izmir", "r2": "izmir", "r3": "manisa", "r4": "manisa"}
-NO_ROOM = Resources()
+NOTHING_FREE = Resources()
 
 
 def task_row_counts(bench: Bench) -> Counter[str]:
@@ -68,7 +68,7 @@
 
 
 def full_summary(name: str, failure_domain: str) -> CellSummary:
-    return summary(name, failure_domain, free=NO_ROOM, running=3)
+    return summary(name, failure_domain, free=NOTHING_FREE, running=3)
 
 
 class AssignTest(testtools.TestCase):
@@ -96,7 +96,7 @@
         spec = replace(job_spec(record), record_version=bench.state.revision)
         bench.write(f"backlog/{record.name}/0", BacklogRow(spec=spec, count=100))
 
-    def check_two_entries_at_once(self) -> None:
+    def check_simultaneous_assignment(self) -> None:
         self.patch(control_assign, "is_responsible", lambda tables, name: True)
         bench = Bench(entries=("a", "b"))
         with_cells(bench, CELLS, summary)
@@ -107,13 +107,13 @@
         self.assertEqual({1}, set(task_row_counts(bench).values()))
         self.assertEqual(100, len(task_row_counts(bench)))
 
-    def test_two_entries_that_assign_at_once_assign_no_task_twice(self) -> None:
-        self.check_two_entries_at_once()
+    def test_two_entries_assigning_simultaneously_assign_no_task_twice(self) -> None:
+        self.check_simultaneous_assignment()
 
     def test_without_conditions_two_entries_would_assign_tasks_twice(self) -> None:
         self.patch(control_assign, "conditions_of", lambda *args: ())
         with self.assertRaises(AssertionError):
-            self.check_two_entries_at_once()
+            self.check_simultaneous_assignment()
 
     def test_an_entry_crash_after_the_commit_neither_loses_nor_repeats_tasks(
         self,
@@ -146,7 +146,7 @@
         self.assertEqual({1}, set(task_row_counts(bench).values()))
         self.assertEqual((100, 0), (len(task_row_counts(bench)), waiting(bench)))
 
-    def assigned_to_a_drained_domain(self) -> int:
+    def tasks_assigned_to_a_drained_domain(self) -> int:
         bench = Bench()
         with_cells(bench, CELLS, summary)
         drain = ops.ChangeDomain(
@@ -167,13 +167,13 @@
         return found["r1"] + found["r2"]
 
     def test_a_drained_failure_domain_is_assigned_nothing(self) -> None:
-        self.assertEqual(0, self.assigned_to_a_drained_domain())
+        self.assertEqual(0, self.tasks_assigned_to_a_drained_domain())
         self.assertIn("out of service", self.reason)
 
     def test_without_the_check_a_drained_domain_would_be_assigned_tasks(self) -> None:
         self.patch(control_place, "in_service", lambda tables, name: True)
         with self.assertRaises(AssertionError):
-            self.assertEqual(0, self.assigned_to_a_drained_domain())
+            self.assertEqual(0, self.tasks_assigned_to_a_drained_domain())
 
     def test_a_job_too_large_for_any_worker_delays_no_other_job(self) -> None:
         bench = Bench()
@@ -191,7 +191,7 @@
         lines = [one for one in bench.commands_of(Decision) if one.subject == "never"]
         self.assertLess(len(lines), 5)
 
-    def used_under_quota(self) -> int:
+    def tasks_assigned_under_quota(self) -> int:
         bench = Bench()
         with_cells(bench, CELLS, summary)
         quota = Resources(processors_m=7_000)
@@ -204,22 +204,24 @@
             counts = dict.fromkeys(CELLS, 0)
             for key in bench.rows("task/"):
                 counts[key.split("/")[1]] += 1
-            bench.tell("a", *(self.in_use(name, counts[name]) for name in CELLS))
+            bench.tell(
+                "a", *(self.summary_with_usage(name, counts[name]) for name in CELLS)
+            )
         return sum(task_row_counts(bench).values())
 
     @staticmethod
-    def in_use(name: str, count: int) -> CellSummary:
+    def summary_with_usage(name: str, count: int) -> CellSummary:
         used = Resources(processors_m=1_000 * count, memory_mb=1_000 * count)
         uses = (DepartmentUse(department="bakery", committed=used),)
         free = BIG.minus(used)
         return summary(name, CELLS[name], free=free, uses=uses if count else ())
 
     def test_a_quota_is_a_hard_limit(self) -> None:
-        self.assertEqual(7, self.used_under_quota())
+        self.assertEqual(7, self.tasks_assigned_under_quota())
 
     def test_without_the_check_a_quota_would_be_exceeded(self) -> None:
         self.patch(control_place, "tasks_within_quota", lambda tables, spec: 64)
-        self.assertEqual(50, self.used_under_quota())
+        self.assertEqual(50, self.tasks_assigned_under_quota())
 
     def test_waiting_tasks_of_a_cell_count_against_the_quota(self) -> None:
         bench = Bench()
@@ -231,8 +233,8 @@
         bench.run(3.0)
         counts = cells_of(bench, "bread")
         for _ in range(3):
-            late = (summary(n, d, waiting=counts[n]) for n, d in CELLS.items())
-            bench.tell("a", *late)
+            summaries = (summary(n, d, waiting=counts[n]) for n, d in CELLS.items())
+            bench.tell("a", *summaries)
             bench.run(3.0)
         self.assertEqual(4, sum(task_row_counts(bench).values()))
 
@@ -268,7 +270,7 @@
 
     def test_a_cell_without_running_tasks_is_not_chosen_for_displacement(self) -> None:
         bench = Bench()
-        with_cells(bench, CELLS, lambda n, d: summary(n, d, free=NO_ROOM))
+        with_cells(bench, CELLS, lambda n, d: summary(n, d, free=NOTHING_FREE))
         bench.call("a", submit_record(service(2)))
         bench.run(2.0)
         self.assertEqual(0, sum(cells_of(bench, "oven").values()))
@@ -284,7 +286,7 @@
         )
         return bench.call("a", call)
 
-    def scaled_down_and_up(self) -> Bench:
+    def scale_down_and_up(self) -> Bench:
         """Scale a service down and up again while owners still stop replicas."""
         bench = Bench()
         with_cells(bench, CELLS, summary)
@@ -292,14 +294,14 @@
         bench.run(1.0)
         self.amend(bench, 2, "down")
         bench.tell("a", full_summary("r1", "izmir"), full_summary("r3", "manisa"))
-        self.early = self.amend(bench, 4, "up-early")
+        self.early_answer = self.amend(bench, 4, "up-early")
         bench.run(2.0)
         return bench
 
     def test_surplus_replicas_end_before_the_service_is_scaled_up_again(self) -> None:
-        bench = self.scaled_down_and_up()
-        self.assertIsInstance(self.early, ops.Reject)
-        self.assertIn("still ending", self.early.problem.detail)
+        bench = self.scale_down_and_up()
+        self.assertIsInstance(self.early_answer, ops.Reject)
+        self.assertIn("still ending", self.early_answer.problem.detail)
         self.assertIn("backlog/oven/closing", bench.rows("backlog/"))
         self.assertEqual({1}, set(task_row_counts(bench).values()))
         for key, row in bench.rows("task/").items():
@@ -315,9 +317,9 @@
 
     def test_without_the_condition_a_closing_would_end_while_replicas_run(self) -> None:
         self.patch(control_plans, "no_closing_conditions", lambda name: ())
-        bench = self.scaled_down_and_up()
+        bench = self.scale_down_and_up()
         bench.run(5.0)
-        self.assertIsInstance(self.early, ops.Accepted)
+        self.assertIsInstance(self.early_answer, ops.Accepted)
         self.assertIn("oven/2", task_row_counts(bench))
         self.assertNotIn("backlog/oven/closing", bench.rows("backlog/"))
 
@@ -337,9 +339,9 @@
         while sum(task_row_counts(bench).values()) < 4:
             bench.step()
             self.assertLess(bench.now - started_at, 2.7)
-        took_s, before = bench.now - started_at, bench.tick_s
+        took_s, tick_s_before = bench.now - started_at, bench.tick_s
         bench.run(0.5)
-        tick_ms = (bench.tick_s - before) / 5 * 1_000
+        tick_ms = (bench.tick_s - tick_s_before) / 5 * 1_000
         print(f"urgent assigned in {took_s:.1f} s; {tick_ms:.1f} ms a tick")
         self.assertLess(tick_ms, 50.0)
         self.assertEqual(
--- a/test/test_control_cells.py
+++ b/test/test_control_cells.py
@@ -58,7 +58,7 @@
         ]
         self.assertEqual([["a", "b"], ["a"]], lists)
 
-    def in_an_outage(self) -> tuple[str, ...]:
+    def live_entries_over_an_outage(self) -> tuple[str, ...]:
         bench = Bench(entries=("a", "b"))
         bench.run(2.0)
         bench.mode = "down"
@@ -71,14 +71,14 @@
         return before
 
     def test_the_last_list_of_entries_is_kept_during_an_outage(self) -> None:
-        self.assertEqual(("a", "b"), self.in_an_outage())
+        self.assertEqual(("a", "b"), self.live_entries_over_an_outage())
 
     def test_without_the_gap_limit_an_outage_would_empty_the_list(self) -> None:
         self.patch(control_members, "MAX_COUNTED_GAP_S", 1e9)
         with self.assertRaises(AssertionError):
-            self.in_an_outage()
+            self.live_entries_over_an_outage()
 
-    def test_a_leaving_entry_is_left_out_at_once(self) -> None:
+    def test_a_leaving_entry_is_left_out_immediately(self) -> None:
         bench = Bench(entries=("a", "b"))
         bench.run(7.0)
         bench.tell("b", LinkUp(peer="agent-1", region="ege"))
@@ -234,9 +234,9 @@
             bench.tell("a", call)
         peak = 0
         for _ in range(100):
-            before = bench.transactions
+            transactions_before = bench.transactions
             bench.run(0.5)
-            peak = max(peak, bench.transactions - before)
+            peak = max(peak, bench.transactions - transactions_before)
         self.assertEqual({}, bench.rows("backlog/"))
         self.assertEqual({}, bench.rows("task/"))
         done = bench.rows("done/").values()
@@ -244,7 +244,7 @@
         self.assertEqual(150_000, tasks)
         return peak
 
-    def test_many_cancellations_at_once_stay_within_the_write_budget(self) -> None:
+    def test_simultaneous_cancellations_stay_within_the_transaction_limit(self) -> None:
         self.assertLess(self.peak_transactions(), 400)
 
     def test_closings_in_flight_are_bounded(self) -> None:
--- a/test/test_control_changes.py
+++ b/test/test_control_changes.py
@@ -53,10 +53,10 @@
         restore = change(DomainState.IN_SERVICE, "chidi", expected)
         bench.run(2.0)
         self.assertEqual(2, len(bench.commands_of(ops.Accepted)) - 1)
-        late = bench.call("b", restore)
-        self.assertEqual(Code.CONFLICT, code_of(late))
-        self.assertIn("amina", late.problem.detail)
-        self.assertIn(f"revision {expected + 1}", late.problem.detail)
+        late_answer = bench.call("b", restore)
+        self.assertEqual(Code.CONFLICT, code_of(late_answer))
+        self.assertIn("amina", late_answer.problem.detail)
+        self.assertIn(f"revision {expected + 1}", late_answer.problem.detail)
 
     def test_racing_changes_of_other_records_are_all_accepted_in_turn(self) -> None:
         bench = Bench(entries=("a", "b"))
@@ -227,7 +227,7 @@
         bench.run(0.2)
         self.assertEqual([0, 0], [one.base for one in bench.sent_items(Configured)])
 
-    def after_an_older_row(self) -> DomainState:
+    def state_after_an_older_row(self) -> DomainState:
         bench = Bench()
         bench.call("a", submit_record(domain("izmir")))
         bench.call("a", change(DomainState.DRAINED, "amina"))
@@ -249,10 +249,10 @@
         return DomainState.IN_SERVICE if in_service else DomainState.DRAINED
 
     def test_an_older_row_is_ignored(self) -> None:
-        self.assertEqual(DomainState.DRAINED, self.after_an_older_row())
+        self.assertEqual(DomainState.DRAINED, self.state_after_an_older_row())
 
     def test_without_the_check_an_older_row_would_revert_the_configuration(
         self,
     ) -> None:
         self.patch(control_records, "is_newer", lambda row, known: True)
-        self.assertEqual(DomainState.IN_SERVICE, self.after_an_older_row())
+        self.assertEqual(DomainState.IN_SERVICE, self.state_after_an_older_row())
--- a/test/test_control_path.py
+++ b/test/test_control_path.py
@@ -9,7 +9,7 @@
 from test.control_bench import Bench, job, submit_record, summary, with_cells
 
 
-class PathTest(testtools.TestCase):
+class EndToEndTest(testtools.TestCase):
     def test_a_submitted_job_is_assigned_to_the_owner_of_a_cell(self) -> None:
         bench = Bench()
         with_cells(bench, {"r1": "izmir"}, summary)
--- a/test/test_records_checked.py
+++ b/test/test_records_checked.py
@@ -34,7 +34,7 @@
 
 
 class CheckedTest(testtools.TestCase):
-    def found(self, raw: object) -> dict[str, Code]:
+    def codes_by_field(self, raw: object) -> dict[str, Code]:
         with self.assertRaises(ExceptionGroup) as caught:
             build(Outer, raw, step="settings.check", peer="self")
         problems = [error.problem for error in caught.exception.exceptions]  # type: ignore[union-attr]
@@ -62,11 +62,13 @@
         )
         expected["by_name.a"] = Code.INVALID
         expected["inner.extra"] = expected["unknown"] = Code.UNKNOWN_KEY
-        self.assertEqual(expected, self.found(raw))
+        self.assertEqual(expected, self.codes_by_field(raw))
 
     def test_lengths_and_patterns_are_limits(self) -> None:
-        self.assertEqual({"name": Code.INVALID}, self.found({"name": "abcdef"}))
-        self.assertEqual({"name": Code.INVALID}, self.found({"name": "A"}))
+        self.assertEqual(
+            {"name": Code.INVALID}, self.codes_by_field({"name": "abcdef"})
+        )
+        self.assertEqual({"name": Code.INVALID}, self.codes_by_field({"name": "A"}))
         raw = {"name": "a", "many": [{}, {}, {}]}
-        self.assertEqual({"many": Code.INVALID}, self.found(raw))
-        self.assertEqual({"": Code.INVALID}, self.found([]))
+        self.assertEqual({"many": Code.INVALID}, self.codes_by_field(raw))
+        self.assertEqual({"": Code.INVALID}, self.codes_by_field([]))
--- a/test/test_records_forms.py
+++ b/test/test_records_forms.py
@@ -47,11 +47,13 @@
     try:
         parsed = parse_record(decode_object(case.body, peer="ops"), peer="ops")
     except (BulrushpulleyError, ExceptionGroup) as error:
-        found = operator_http.problems_of(error)
-        assert {(one.step, one.peer) for one in found} == {("records.check", "ops")}
-        return {f"{one.field or '-'} {one.code.value}" for one in found}
+        problems = operator_http.problems_of(error)
+        assert {(problem.step, problem.peer) for problem in problems} == {
+            ("records.check", "ops")
+        }
+        return {f"{problem.field or '-'} {problem.code.value}" for problem in problems}
     paths = [line.split(" = ")[0] for line in case.lines]
-    return {f"{p} = {operator.attrgetter(p)(parsed.record)}" for p in paths}
+    return {f"{path} = {operator.attrgetter(path)(parsed.record)}" for path in paths}
 
 
 def problem_code(error: BulrushpulleyError | None) -> Code:
