Correct and complete texts of the controller and committer

Some docstrings did not match the code: a service has no executors, a sent revision of 0 also means that an agent did not confirm, a closing is advanced at next_at whether or not a notice is due, and only a cancelled job has its owners notified. Others named a value without saying what it is for.

--- a/bulrushpulley/entities/backlog.py
+++ b/bulrushpulley/entities/backlog.py
@@ -96,9 +96,9 @@
 class Closing:
     """Tasks of a record that are being stopped permanently.
 
-    The durable marker row covers its `count` tasks from `spec.index` on. The
-    cell owners are notified again at `next_at`; `notice_delay_s` is the delay until
-    the notice after that. `submission_id` identifies the write in flight.
+    The durable marker row covers its `count` tasks from `spec.index` on. The closing
+    is advanced next at `next_at`; `notice_delay_s` is the delay after the next notice
+    to the cell owners. `submission_id` identifies the last write.
     """
 
     marker: BacklogRow
@@ -127,7 +127,7 @@
 
 
 def backlog_key(job: str, first: int | str) -> str:
-    """Return the key of a backlog row."""
+    """Return the key of the row with index `first`, or of the `CLOSING_MARKER`."""
     return f"backlog/{job}/{first}"
 
 
--- a/bulrushpulley/entities/committer_tables.py
+++ b/bulrushpulley/entities/committer_tables.py
@@ -44,10 +44,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Transaction:
-    """What was sent, with the fence version it depends on; resent unchanged.
+    """The submissions sent in one transaction and the fence version it requires.
 
-    `lost` is set after a request with it got no answer. A transaction without
-    entries only moves the fence.
+    It is only ever sent again unchanged. `lost` is set after a request with it got no
+    answer. A transaction without entries only moves the fence.
     """
 
     transaction_id: str
@@ -60,11 +60,13 @@
 class LaneRow:
     """A lane: its queued ids, the transaction not settled yet, and its backoff.
 
-    `request_in_flight` is set while a request sent at `sent_at` is in flight.
-    `request_in_doubt` is set while an earlier request may still take effect, until
-    the fence moves; `fence_move_due` asks for an empty transaction to move it. The
-    next `single_sends` submissions are sent one by one. `failures` counts consecutive
-    requests that failed.
+    `last_transaction_number` is part of the transaction ids. `request_in_flight` is
+    set while a request sent at `sent_at` is in flight. `timeout_s` follows the time
+    that the store took to answer. `request_in_doubt` is set while an earlier request
+    may still take effect, until the fence moves; `fence_move_due` asks for an empty
+    transaction to move it. The next `single_sends` submissions are sent one by one.
+    `failures` counts consecutive requests that failed; nothing is sent before
+    `retry_at`.
     """
 
     name: str
@@ -84,7 +86,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InDoubtRow:
-    """A submission sent in `transaction_ids`, whose outcome is unknown.
+    """A submission sent in `transaction_ids`, last marked in doubt at `marked_at`.
 
     `revision` is not 0 once the fence has shown that one of them committed.
     """
--- a/bulrushpulley/entities/controller_tables.py
+++ b/bulrushpulley/entities/controller_tables.py
@@ -55,8 +55,8 @@
     """A linked agent and the revision of the configuration last sent to it.
 
     `announced` is its last announcement, None before the first one. If
-    `sent_revision` is 0, nothing was sent yet, and the link is sent the full
-    configuration.
+    `sent_revision` is 0, the link is sent the full configuration: nothing was sent
+    yet, or the agent did not confirm in time.
     """
 
     peer: str
@@ -131,9 +131,11 @@
 
     `records` holds the record rows of the configuration by key, without jobs.
     They are complete up to `revision`; `revision_row` is the last seen revision
-    row of the table service. `usage` sums what each department uses and has
-    reserved in all `cells`. Each lane of `lanes` is either in `ready` or in
-    `blocked`; the `wakes` of a rank and `deferred` are ordered by time.
+    row of the table service. `distributed_revision` is the one last sent to the
+    router. `renewal_key` is empty unless a renewal of the member row is in flight, and
+    `renewed_revision` is the revision in the last renewal. `usage` sums what each
+    department uses and has reserved in all `cells`. Each lane of `lanes` is either in
+    `ready` or in `blocked`; the `wakes` of a rank and `deferred` are ordered by time.
     `capacity_freed` is set when a cell has more free capacity than before.
     `current_change_id` is the call whose configuration change is in progress.
     `closing_outcomes` holds the outcomes of each closing record by key, and
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -66,9 +66,10 @@
 class InFlightSubmission:
     """A submission in flight to the entry `peer`, or queued if `peer` is empty.
 
-    `first_sent_at` is None until it is sent. `may_take_effect` is set when an
-    earlier attempt may still commit, so that only a commit or a conflict settles
-    the submission. `avoid` is the entry of the failed attempt.
+    `first_sent_at` is None until it is sent, which is not before `send_at`.
+    `may_take_effect` is set when an earlier attempt may still commit, so that only a
+    commit or a conflict settles the submission. `avoid` is the entry of the failed
+    attempt, which is used again only if there is no other.
     """
 
     submission: Submission
--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -68,7 +68,7 @@
 class AskStatus(OperatorCall):
     """Asks for members, cells, services, jobs and failure domains.
 
-    With `job` the reply lists that job alone, else the jobs last seen waiting.
+    With `job` the reply lists only that job, otherwise the jobs last seen waiting.
     """
 
     job: str = ""
@@ -117,9 +117,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reject(Command):
-    """The refusal of an operator's call; nothing was changed by it.
+    """The refusal of an operator's call, which changed nothing.
 
-    With `Code.OUTCOME_UNKNOWN` the change may still come into force.
+    Only with `Code.OUTCOME_UNKNOWN` the change may be in force or come into force.
     """
 
     call_id: str
--- a/bulrushpulley/entities/outcome.py
+++ b/bulrushpulley/entities/outcome.py
@@ -25,7 +25,10 @@
 
 @singledispatch
 def state_of(row: DurableRow | None) -> TaskState:
-    """Return the final state of the tasks of an outcome row."""
+    """Return the final state of the tasks of an outcome row.
+
+    Tasks that were closed before any cell held them count as cancelled.
+    """
     return TaskState.CANCELLED
 
 
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -192,7 +192,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InForceWait:
-    """A query whether a revision is in force, kept open until `deadline`."""
+    """An `AskInForce` call that is not answered yet, kept open until `deadline`."""
 
     call: AskInForce
     deadline: float
--- a/bulrushpulley/entities/records.py
+++ b/bulrushpulley/entities/records.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceRecord:
-    """A latency-critical service: its executors and how callers reach it."""
+    """A latency-critical service and the deadline and latency target of requests."""
 
     name: str
     department: str
@@ -60,7 +60,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PolicyRecord:
-    """The weights of a department, and its quota (zero means no limit)."""
+    """The weights of a department's latency and of its evictions, and its quota.
+
+    A quota of zero for a resource means no limit.
+    """
 
     name: str
     department: str
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -2,7 +2,7 @@
 
 Keys::
 
-    record/KIND/NAME          RecordRow    configuration, one row a record
+    record/KIND/NAME          RecordRow    configuration, one row per record
     revision                  RevisionRow  the last revision of the configuration
     backlog/JOB/FIRST         BacklogRow   tasks that no cell holds yet
     backlog/JOB/closing       BacklogRow   tasks that are being stopped permanently
@@ -12,7 +12,7 @@
     lease/CELL                LeaseRow     the owner of a cell
     alive/AGENT               AliveRow     the liveness of an owner of cells
     member/ENTRY              MemberRow    an entry process
-    claim/SERVICE/ID          ClaimRow     the one run of an unrepeatable request
+    claim/SERVICE/ID          ClaimRow     the right to run an unrepeatable request
 
 A row's version is the commit number of the transaction that last wrote it; an
 absent row has version 0. Conditions on versions fence every write.
@@ -28,7 +28,7 @@
 
 
 class TaskClass(enum.Enum):
-    """Whether a task is run for its latency or as batch work."""
+    """Whether a task is a replica of a service or part of a batch job."""
 
     LATENCY_CRITICAL = "latency_critical"
     BATCH = "batch"
--- a/bulrushpulley/systems/commit/accept.py
+++ b/bulrushpulley/systems/commit/accept.py
@@ -21,7 +21,10 @@
 
 
 def lane_of(submission: Submission) -> Lane:
-    """Choose the lane by the keys: claims and control rows do not wait for tasks."""
+    """Choose the lane by the keys: claims and control rows do not wait for tasks.
+
+    A submission that writes nothing, which only checks rows, is urgent too.
+    """
     keys = [write.key for write in submission.writes]
     if all(key.startswith(URGENT_PREFIXES) for key in keys):
         return Lane.URGENT
--- a/bulrushpulley/systems/commit/give_up.py
+++ b/bulrushpulley/systems/commit/give_up.py
@@ -64,7 +64,10 @@
 
 
 def _next_send_at(lane: LaneRow, now: float) -> float:
-    """Return the earliest time at which the lane can send."""
+    """Return the earliest time at which the lane can send.
+
+    Short retry delays are ignored: they count only while the store is considered down.
+    """
     return max(now, lane.retry_at) if is_circuit_open(lane) else now
 
 
--- a/bulrushpulley/systems/commit/settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -93,7 +93,7 @@
     tables: CommitterTables,
     now: float,
 ) -> Step[CommitterTables]:
-    """Have the submissions sent one by one to find the one that is rejected."""
+    """Withdraw a single submission; have several sent one by one to find the cause."""
     count = Count(name="commit.rejected", label=event.lane)
     entries = transaction.entries
     if transaction.lost or not entries:
--- a/bulrushpulley/systems/control/assign.py
+++ b/bulrushpulley/systems/control/assign.py
@@ -56,6 +56,7 @@
 from bulrushpulley.systems.control.submissions import submit_as, with_new_id
 
 MAX_ROWS_PER_MOVE = 32
+# Moves are smaller while several departments compete, so that they take turns.
 MAX_TASKS_PER_TURN = 16
 MAX_ASSIGNMENTS_IN_FLIGHT = 32
 MAX_ATTEMPTS_PER_TICK = 64
@@ -130,7 +131,7 @@
 def _add_turn(
     tables: ControllerTables, lane: Lane, turns: list[LaneTurn], now: float
 ) -> ControllerTables:
-    """Add a lane's turn; drop an empty lane and block one of another entry."""
+    """Add a lane's turn; drop an empty lane, block one that another entry assigns."""
     queue, first = head(tables, lane)
     if first is None:
         return with_queue(tables, lane, queue)
@@ -160,6 +161,7 @@
 ) -> ControllerStep:
     spec = current_spec(tables, first)
     if spec is None:
+        # Marking the row takes it out of its lane, where it would delay the others.
         assigning = mark_assigning(tables, first.lane, (first,))
         return Step(tables=defer(assigning, first, now))
     task_count = min(max_tasks, _likely_tasks(tables, first))
@@ -192,7 +194,7 @@
 def _first_row_moves(
     tables: ControllerTables, lane: Lane, task_count: int
 ) -> tuple[RowMove, ...]:
-    """Return as many first rows of a lane as hold the number of tasks."""
+    """Return the first rows of a lane that hold `task_count` tasks, without cells."""
     move_by_key: dict[str, RowMove] = {}
     queue = tables.lanes.get(lane) or Queue.empty()
     while queue and task_count > 0 and len(move_by_key) < MAX_ROWS_PER_MOVE:
--- a/bulrushpulley/systems/control/closing.py
+++ b/bulrushpulley/systems/control/closing.py
@@ -2,8 +2,9 @@
 
 A durable marker row informs every entry of the closing; the one responsible for
 the department carries it out. It turns backlog rows into outcomes in bounded
-transactions and notifies the cell owners repeatedly, at growing intervals, until
-the outcomes account for every task. Only then does it delete the marker.
+transactions. It reads the outcomes at growing intervals, and notifies the cell owners
+of a cancelled job, until the outcomes account for every task. Only then does it
+delete the marker.
 """
 
 from __future__ import annotations
@@ -170,7 +171,11 @@
 def _notify_owners(
     tables: ControllerTables, closing: Closing, now: float
 ) -> ControllerStep:
-    """Notify the cell owners again and schedule a read of the outcomes."""
+    """Notify the cell owners again and schedule a read of the outcomes.
+
+    Only a cancelled job needs a notice: owners see in the record of a service that it
+    has fewer replicas. All linked agents are notified, as each may hold tasks of it.
+    """
     delay_s = min(MAX_NOTICE_DELAY_S, closing.notice_delay_s * 2)
     delayed = replace(
         closing, next_at=now + closing.notice_delay_s, notice_delay_s=delay_s
--- a/bulrushpulley/systems/control/enquiries.py
+++ b/bulrushpulley/systems/control/enquiries.py
@@ -94,6 +94,7 @@
         )
         tables = step.tables
         commands.extend(step.commands)
+        # The id that `submit` has just made.
         awaited_ids.add(f"{tables.identity.incarnation}/c{tables.last_number}")
     enquiry = Enquiry(
         call=call, deadline=now + ENQUIRY_TIMEOUT_S, waiting_for=frozenset(awaited_ids)
--- a/bulrushpulley/systems/control/events.py
+++ b/bulrushpulley/systems/control/events.py
@@ -26,7 +26,7 @@
 
 @singledispatch
 def can_wait(event: Event) -> bool:
-    """Tell whether an event may wait for the next tick of the role's interval."""
+    """Tell whether an event may wait for the next tick instead of causing one."""
     return False
 
 
--- a/bulrushpulley/systems/control/in_force.py
+++ b/bulrushpulley/systems/control/in_force.py
@@ -20,7 +20,7 @@
 
 
 def run(tables: ControllerTables, now: float) -> ControllerStep:
-    """Answer the calls whose revision is applied everywhere or whose time is up."""
+    """Answer the calls that are satisfied or whose deadline has passed."""
     commands: list[Command] = []
     for wait in tables.in_force_waits.rows():
         missing = processes_without_revision(tables, wait.call.revision)
--- a/bulrushpulley/systems/control/members.py
+++ b/bulrushpulley/systems/control/members.py
@@ -103,6 +103,7 @@
 
 
 def _renew_if_due(tables: ControllerTables, now: float) -> ControllerStep:
+    """Renew this entry's row when due, sooner if its applied revision has changed."""
     changed = tables.revision != tables.renewed_revision
     due_at = tables.member_renew_at
     if changed:
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -152,6 +152,10 @@
 
 
 def _free_slots(view: CellView, spec: TaskSpec) -> int:
+    """Return how many tasks fit into a cell.
+
+    Batch tasks do not fit if more tasks wait there than this entry has reserved.
+    """
     summary = view.summary
     if summary is None or not spec.size.fits(summary.largest):
         return 0
@@ -161,6 +165,7 @@
 
 
 def _sample(names: tuple[str, ...], seed: str) -> tuple[str, ...]:
+    """Return evenly spaced names, from a start that depends on the seed."""
     if len(names) <= CELL_SAMPLE_SIZE:
         return names
     start = crc32(seed.encode())
@@ -179,6 +184,7 @@
     count: int,
     now: float,
 ) -> Choice:
+    """Choose the freest cells of a sample, or of all if it has too little room."""
     seed = f"{waiting.key}|{tables.last_number}"
     candidates = _candidates(tables, _sample(names, seed), spec, now)
     if sum(candidate.free_slots for candidate in candidates) < count:
@@ -193,7 +199,7 @@
 
 
 def _sufficient_candidates(candidates: list[Candidate], count: int) -> list[Candidate]:
-    """Return the first candidates, at least a few and enough for `count` tasks."""
+    """Return enough first candidates for `count` tasks, and at least a few."""
     free_slots = 0
     for position, candidate in enumerate(candidates):
         free_slots += candidate.free_slots
@@ -203,6 +209,7 @@
 
 
 def _distribute_tasks(candidates: list[Candidate], count: int) -> tuple[str, ...]:
+    """Distribute tasks evenly over the candidates, the rest in their order."""
     cells: list[str] = []
     candidates = _sufficient_candidates(candidates, count)
     for position, candidate in enumerate(candidates):
@@ -254,6 +261,7 @@
     index: int,
     free_slots: Mapping[str, int],
 ) -> str | None:
+    """Return the next cell with room, from the domain and the cell of `index` on."""
     for domain_offset in range(len(domains)):
         candidates = ordered[domains[(index + domain_offset) % len(domains)]]
         for cell_offset in range(len(candidates)):
@@ -298,5 +306,6 @@
 
 
 def _expected_waiting(view: CellView) -> int:
+    """Return how many tasks wait in a cell, counting those not yet in its summary."""
     waiting = view.summary.waiting if view.summary is not None else 0
     return max(waiting, view.reserved_tasks)
--- a/bulrushpulley/systems/control/plans.py
+++ b/bulrushpulley/systems/control/plans.py
@@ -229,7 +229,11 @@
 
 
 def job_spec(job: JobRecord) -> TaskSpec:
-    """Return the spec of a job's first task, without its record's version."""
+    """Return the spec of a job's first task.
+
+    The version of the record is not known before it commits, so it is 0 here;
+    `current_spec` sets it.
+    """
     return TaskSpec(
         kind="job",
         record_version=0,
@@ -247,7 +251,7 @@
 
 
 def service_spec(service: ServiceRecord, index: int) -> TaskSpec:
-    """Return the spec of a service's replica, without its record's version."""
+    """Return the spec of the replica at `index`; for its version see `job_spec`."""
     return TaskSpec(
         kind="service",
         record_version=0,
--- a/bulrushpulley/systems/control/submissions.py
+++ b/bulrushpulley/systems/control/submissions.py
@@ -38,7 +38,10 @@
 def with_new_id(
     tables: ControllerTables, kind_letter: str
 ) -> tuple[ControllerTables, str]:
-    """Return the tables and a new id, unique over all processes and time."""
+    """Return the tables and a new id, unique over all processes and time.
+
+    `kind_letter` is "c" for submissions and "f" for reads.
+    """
     number = tables.last_number + 1
     new_id = f"{tables.identity.incarnation}/{kind_letter}{number}"
     return replace(tables, last_number=number), new_id
--- a/test/committer_bench.py
+++ b/test/committer_bench.py
@@ -221,7 +221,7 @@
             lost = TransactionLost(**base, reason="timeout")
             self.at(self.now + command.timeout_s, Delivery(process=process, event=lost))
         elif fate.effect_after_s is None:
-            refused = fate.refusal_class(**base, reason="not taken")
+            refused = fate.refusal_class(**base, reason="refused by the store")
             self.at(self.now + ANSWER_DELAY_S, Delivery(process=process, event=refused))
 
     @singledispatchmethod
--- a/test/test_control_assign.py
+++ b/test/test_control_assign.py
@@ -342,7 +342,7 @@
         took_s, tick_s_before = bench.now - started_at, bench.tick_s
         bench.run(0.5)
         tick_ms = (bench.tick_s - tick_s_before) / 5 * 1_000
-        print(f"urgent assigned in {took_s:.1f} s; {tick_ms:.1f} ms a tick")
+        print(f"urgent assigned in {took_s:.1f} s; {tick_ms:.1f} ms per tick")
         self.assertLess(tick_ms, 50.0)
         self.assertEqual(
             0, bench.tables["a"].pending.count_where("purpose", AssignTasks.__name__)
