Rename ambiguous locals and constants of the router and guard

Several names meant two things or hid what they hold: Entries was both a link item and the entries of a table's index, page_read_at read like the time of the last read but is the time of the next one, the run time average had two weight names, and the guard marks its server unhealthy at the third failure, so the limit was no maximum. They are IndexEntries, next_page_read_at, RUN_TIME_WEIGHT and UNHEALTHY_AFTER_FAILURES now. Locals carry their unit or say what they hold, and five test names say what the test checks.

--- a/bulrushpulley/entities/key_queue.py
+++ b/bulrushpulley/entities/key_queue.py
@@ -43,13 +43,13 @@
 
     def pop(self) -> KeyQueue:
         """Return the queue without the key at its right end."""
-        left = self.by_position.remove(self.last)
-        return replace(self, by_position=left, last=self.last - 1)
+        remaining = self.by_position.remove(self.last)
+        return replace(self, by_position=remaining, last=self.last - 1)
 
     def popleft(self) -> KeyQueue:
         """Return the queue without the key at its left end."""
-        left = self.by_position.remove(self.first)
-        return replace(self, by_position=left, first=self.first + 1)
+        remaining = self.by_position.remove(self.first)
+        return replace(self, by_position=remaining, first=self.first + 1)
 
     def __len__(self) -> int:
         return len(self.by_position)
--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -112,7 +112,7 @@
     ejection_check_at: float = 0.0
     revision: int = 0
     sweep_at: float = 0.0
-    page_read_at: float = 0.0
+    next_page_read_at: float = 0.0
     page_number: int = 0
     leaving: bool = False
     done: bool = False
--- a/bulrushpulley/entities/table.py
+++ b/bulrushpulley/entities/table.py
@@ -25,10 +25,10 @@
 R = TypeVar("R")
 
 IndexFunction = Callable[[R], tuple[str, ...]]
-Entries = PMap[str, "PMap[str, None]"]
+IndexEntries = PMap[str, "PMap[str, None]"]
 
 
-def _without(entries: Entries, value: str, key: str) -> Entries:
+def _without(entries: IndexEntries, value: str, key: str) -> IndexEntries:
     if value not in entries:
         # An index function may return a value twice.
         return entries
@@ -36,7 +36,7 @@
     return entries.set(value, remaining) if remaining else entries.remove(value)
 
 
-def _with(entries: Entries, value: str, key: str) -> Entries:
+def _with(entries: IndexEntries, value: str, key: str) -> IndexEntries:
     return entries.set(value, entries.get(value, pmap()).set(key, None))
 
 
@@ -46,7 +46,7 @@
 
     by_key: PMap[str, R]
     index_functions: Mapping[str, IndexFunction[R]]
-    by_index: Mapping[str, Entries]
+    by_index: Mapping[str, IndexEntries]
 
     @staticmethod
     def empty(indexes: Mapping[str, IndexFunction[R]] | None = None) -> Table[R]:
@@ -109,8 +109,8 @@
 
     def _reindexed(
         self, key: str, before: R | None, after: R | None
-    ) -> Mapping[str, Entries]:
-        changed: dict[str, Entries] = {}
+    ) -> Mapping[str, IndexEntries]:
+        changed: dict[str, IndexEntries] = {}
         for name, index_function in self.index_functions.items():
             old = index_function(before) if before is not None else ()
             new = index_function(after) if after is not None else ()
--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -19,7 +19,7 @@
 from bulrushpulley.systems.guard.reply import replies
 
 RUN_TIME_WEIGHT = 0.1
-MAX_CONSECUTIVE_FAILURES = 3
+UNHEALTHY_AFTER_FAILURES = 3
 
 
 @apply.register
@@ -47,7 +47,7 @@
     outcome = Outcome(ran=ran, problem=event.problem)
     out_of_time = now >= execution.deadline
     failures = tables.failures + (not out_of_time)
-    healthy = tables.healthy and failures < MAX_CONSECUTIVE_FAILURES
+    healthy = tables.healthy and failures < UNHEALTHY_AFTER_FAILURES
     tables = replace(tables, failures=failures, healthy=healthy)
     step = finish(tables, execution, outcome, now)
     count = Count(name=f"guard.failed.{ran.value}", label=execution.service)
--- a/bulrushpulley/systems/interference_step.py
+++ b/bulrushpulley/systems/interference_step.py
@@ -27,13 +27,15 @@
     now: float,
 ) -> list[Harm]:
     """Return the estimates corrected by one sample of their combined latency."""
-    expected = sum(harm.estimate_ms * units_by_job[harm.job] for harm in harms)
-    spread = sum(harm.variance * units_by_job[harm.job] ** 2 for harm in harms)
-    error_ms = sample_ms - expected
+    expected_ms = sum(harm.estimate_ms * units_by_job[harm.job] for harm in harms)
+    expected_variance = sum(
+        harm.variance * units_by_job[harm.job] ** 2 for harm in harms
+    )
+    error_ms = sample_ms - expected_ms
     after: list[Harm] = []
     for harm in harms:
         units = units_by_job[harm.job]
-        gain = harm.variance * units / (spread + NOISE_VARIANCE)
+        gain = harm.variance * units / (expected_variance + NOISE_VARIANCE)
         after.append(
             replace(
                 harm,
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -30,9 +30,9 @@
     in each run of a test.
     """
     exponent = min(failures, MAX_BACKOFF_EXPONENT)
-    delay = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
+    delay_s = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
     jitter = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
-    return delay * (0.5 + jitter / 2)
+    return delay_s * (0.5 + jitter / 2)
 
 
 @singledispatch
@@ -69,14 +69,14 @@
     dial = tables.dials.get(event.address)
     if dial is None:
         return Step(tables=tables)
-    delay = retry_delay(
+    delay_s = retry_delay(
         incarnation=tables.incarnation, address=dial.address, failures=dial.failures
     )
     ended = replace(
         dial,
         state=DialState.WAITING,
         failures=dial.failures + 1,
-        retry_at=now + delay,
+        retry_at=now + delay_s,
     )
     dials = tables.dials.put(event.address, ended)
     code = event.problem.code.value if event.problem else "closed"
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -33,7 +33,7 @@
     without_attempt,
 )
 
-SERVICE_TIME_WEIGHT = 0.05
+RUN_TIME_WEIGHT = 0.05
 LATENCY_QUANTILE = 0.95
 QUANTILE_STEP_FRACTION = 0.05
 
@@ -86,8 +86,7 @@
     )
     return replace(
         service,
-        service_s=service.service_s
-        + SERVICE_TIME_WEIGHT * (took_s - service.service_s),
+        service_s=service.service_s + RUN_TIME_WEIGHT * (took_s - service.service_s),
         latency_p95_s=max(service.latency_p95_s + step * up, 0.0),
     )
 
--- a/bulrushpulley/systems/route/eject.py
+++ b/bulrushpulley/systems/route/eject.py
@@ -65,8 +65,8 @@
     would never be measured again.
     """
     for server in servers:
-        idle = not server.ejected and server.observed_at + MAX_LATENCY_AGE_S < now
-        if not idle or server.latency_s <= median_s:
+        stale = not server.ejected and server.observed_at + MAX_LATENCY_AGE_S < now
+        if not stale or server.latency_s <= median_s:
             continue
         latency_s = (server.latency_s + median_s) / 2
         decayed = replace(server, latency_s=latency_s)
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -47,8 +47,10 @@
         step = delete_due(replace(tables, sweep_at=now + CLAIM_SWEEP_INTERVAL_S), now)
         tables = step.tables
         commands.extend(step.commands)
-    if now >= tables.page_read_at:
-        step = read_page(replace(tables, page_read_at=now + CLAIM_PAGE_READ_INTERVAL_S))
+    if now >= tables.next_page_read_at:
+        step = read_page(
+            replace(tables, next_page_read_at=now + CLAIM_PAGE_READ_INTERVAL_S)
+        )
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -60,28 +60,30 @@
 
         "down" withdraws it; "lose_answers" applies it and reports it as unsettled.
         """
-        name = content.submission_id
+        submission_id = content.submission_id
         if self.mode == "down":
-            return Withdrawn(submission_id=name, reason="the store is down")
-        failed = tuple(
-            self.row(at.key)
-            for at in content.conditions
-            if self.row(at.key).version != at.version
+            return Withdrawn(submission_id=submission_id, reason="the store is down")
+        conflicting_rows = tuple(
+            self.row(condition.key)
+            for condition in content.conditions
+            if self.row(condition.key).version != condition.version
         )
         if self.mode == "lose_answers":
-            self._write(content, failed)
-            return Unsettled(submission_id=name, reason="no answer")
-        self._write(content, failed)
-        if failed:
-            return Conflicted(submission_id=name, rows=failed)
-        return Committed(submission_id=name, revision=self.revision)
+            self._write(content, conflicting_rows)
+            return Unsettled(submission_id=submission_id, reason="no answer")
+        self._write(content, conflicting_rows)
+        if conflicting_rows:
+            return Conflicted(submission_id=submission_id, rows=conflicting_rows)
+        return Committed(submission_id=submission_id, revision=self.revision)
 
     def row(self, key: str) -> VersionedRow:
         """Return a row; one without contents if it is absent."""
         return self.by_key.get(key, VersionedRow(key=key, version=0, row=None))
 
-    def _write(self, content: Submission, failed: tuple[VersionedRow, ...]) -> None:
-        if failed:
+    def _write(
+        self, content: Submission, conflicting_rows: tuple[VersionedRow, ...]
+    ) -> None:
+        if conflicting_rows:
             return
         self.revision += 1
         for write in content.writes:
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -99,7 +99,7 @@
         assert isinstance(result, BackendFailed)
         self.assertTrue(result.sent)
 
-    def test_stand_in_counts_runs(self) -> None:
+    def test_the_stand_in_answers_calls_and_health_checks(self) -> None:
         server = make_server(handle=BackendServer(mean_s=0.005).handle, port=0)
         thread = threading.Thread(target=server.serve, daemon=True)
         thread.start()
@@ -114,7 +114,7 @@
 
 
 class CallerTest(testtools.TestCase):
-    def test_unreachable_entries_give_unknown_outcomes_and_a_plan_repeats(
+    def test_equal_seeds_give_equal_plans_and_unreachable_entries_unknown_outcomes(
         self,
     ) -> None:
         calls = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
@@ -133,7 +133,7 @@
         self.assertEqual(len(calls), report.unknown)
         self.assertEqual(len(calls) - 1, report.lost)
 
-    def test_outcomes(self) -> None:
+    def test_an_answer_is_classified_by_status_and_body(self) -> None:
         call = plan(rate=9, seconds=9, repeatable_share=0, seed=1, name="t")[0]
         for status, body, expected in (
             (200, b"t-0\nsent", Outcome.SERVED),
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -64,7 +64,7 @@
 
 
 class GuardTest(testtools.TestCase):
-    def flood(self) -> int:
+    def run_dispatches(self) -> int:
         world = RequestWorld(agents=1)
         for number in range(DISPATCHES):
             world.tell("a1", dispatch(f"x{number}"))
@@ -72,9 +72,9 @@
         return sum(world.runs.values())
 
     def test_beyond_slots_and_queue_nothing_reaches_the_backend_server(self) -> None:
-        self.assertEqual(AGENT_CAPACITY, self.flood())
+        self.assertEqual(AGENT_CAPACITY, self.run_dispatches())
         with mock.patch.object(guard_requests, "capacity_refusal", lambda *_: None):
-            self.assertEqual(DISPATCHES, self.flood())
+            self.assertEqual(DISPATCHES, self.run_dispatches())
 
     def test_ids_dropped_early_are_never_reported_as_not_run(self) -> None:
         for limit, expected in ((2, ["unknown"]), (50_000, ["answered"])):
--- a/test/test_linker.py
+++ b/test/test_linker.py
@@ -60,13 +60,13 @@
 
     def test_a_failed_dial_is_retried_after_a_growing_delay(self) -> None:
         self.tick(0.0)
-        attempts_at, now, failed = [], 0.0, True
+        attempts_at, now, dialling = [], 0.0, True
         for _ in range(400):
             now += 0.1
-            failed = bool(
-                self.tick(now, *([DialEnded(address=SEED)] if failed else []))
+            dialling = bool(
+                self.tick(now, *([DialEnded(address=SEED)] if dialling else []))
             )
-            attempts_at += [now] if failed else []
+            attempts_at += [now] if dialling else []
         delays = [later - earlier for earlier, later in itertools.pairwise(attempts_at)]
         self.assertTrue(len(attempts_at) < 20, attempts_at)
         self.assertTrue(max(delays) <= MAX_DIAL_RETRY_DELAY_S + 0.2, delays)
@@ -79,7 +79,7 @@
         self.tick(0.3)
         self.assertNotIn(LISTED, self.tables.dials)
 
-    def test_delays_of_two_agents_differ(self) -> None:
+    def test_retry_delays_differ_between_agents(self) -> None:
         delays = {
             retry_delay(incarnation=name, address=SEED, failures=3)
             for name in ("a", "b", "c")
--- a/test/test_route_claims.py
+++ b/test/test_route_claims.py
@@ -232,7 +232,7 @@
 
 
 class ClaimTest(testtools.TestCase):
-    def test_failures(self) -> None:
+    def test_each_failure_gives_the_expected_outcomes(self) -> None:
         for scenario, expected in CASES:
             world = RequestWorld()
             scenario(world)
