Correct and complete texts of the router, guard and linker

Some texts did not match the code: a call is abandoned by the front end and not only when the caller disconnects, a recall may concern a request that never reached the agent, the remaining time of a dispatch is that of the decision, and the linker counts ended streams as failures too. Fields without a description have one, the limits of requests beyond an agent's slots have their reasons, and the functions on an index are called index functions, as the table calls them.

--- a/bulrushpulley/entities/backend_server.py
+++ b/bulrushpulley/entities/backend_server.py
@@ -18,7 +18,8 @@
     """One linked agent and its backend server, keyed by the agent's incarnation.
 
     `other_load` counts the requests of other entries on the server;
-    `pending_claims` counts the claims that name it and await their outcome. An
+    `pending_claims` counts the claims that name it and await their outcome.
+    `observed_at` is the time of the last of its `samples` latency samples. An
     `ejected` server receives only one probe request at a time, starting at
     `probe_at`.
     """
@@ -64,5 +65,5 @@
 
 
 def by_service(server: BackendServer) -> tuple[str, ...]:
-    """Index key function: the service that the backend server runs."""
+    """Index function: the service that the backend server runs."""
     return (server.service,)
--- a/bulrushpulley/entities/calls.py
+++ b/bulrushpulley/entities/calls.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallAbandoned(Event):
-    """The caller has disconnected and no longer waits for the answer."""
+    """The front end no longer waits for the answer to a call."""
 
     call_id: str
 
--- a/bulrushpulley/entities/execution.py
+++ b/bulrushpulley/entities/execution.py
@@ -113,12 +113,12 @@
 
 
 def by_state(execution: Execution) -> tuple[str, ...]:
-    """Index key function: the state, queued or running."""
+    """Index function: the state, queued or running."""
     return (execution.state.value,)
 
 
 def by_request_id(execution: Execution) -> tuple[str, ...]:
-    """Index key function: the request id, if the request is unrepeatable."""
+    """Index function: the request id, if the request is unrepeatable."""
     if execution.repeatable or not execution.request_id:
         return ()
     return (execution.request_id,)
--- a/bulrushpulley/entities/guard_tables.py
+++ b/bulrushpulley/entities/guard_tables.py
@@ -65,6 +65,7 @@
     `body_order` holds, oldest first, the ids whose answers still have their bodies,
     `body_bytes` in total. `refused_attempts` holds attempts that were answered "not
     run" and must never run; `refused_order` holds the same ones, oldest first.
+    `service_s` is the average run time, and `failures` counts consecutive failed runs.
     """
 
     settings: GuardSettings
--- a/bulrushpulley/entities/link.py
+++ b/bulrushpulley/entities/link.py
@@ -63,7 +63,7 @@
 
     `attempt_id` is unique to this dispatch; `request_id` is the caller's id, or
     empty if the caller gave none. `remaining_s` is the time left until the caller's
-    deadline when the frame was written.
+    deadline when the entry dispatched the request.
     """
 
     attempt_id: str
@@ -76,10 +76,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Recall(LinkEvent):
-    """Asks the agent for the outcome of a claimed request sent to it earlier.
+    """Asks the agent named by a claim for the outcome of the claimed request.
 
-    An agent that has not seen `request_id` answers `Refused` with `Ran.NO` and
-    refuses that id from then on.
+    An agent that does not hold `request_id` and certainly has not run it answers
+    `Refused` with `Ran.NO` and refuses that id from then on.
     """
 
     attempt_id: str
--- a/bulrushpulley/entities/linker_tables.py
+++ b/bulrushpulley/entities/linker_tables.py
@@ -20,8 +20,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Dial:
-    """One address of an entry; `failures` counts failed attempts since the last link.
+    """One address of an entry.
 
+    `failures` counts the attempts and streams that ended since it was last `LINKED`.
     A `seed` address comes from the settings and is never removed. Any other address
     is removed when the entries no longer list it and its link has ended.
     """
@@ -35,7 +36,7 @@
 
 
 def by_state(dial: Dial) -> tuple[str, ...]:
-    """Index key function: the state of a dial."""
+    """Index function: the state of a dial."""
     return (dial.state.value,)
 
 
--- a/bulrushpulley/entities/queue.py
+++ b/bulrushpulley/entities/queue.py
@@ -23,7 +23,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Queue(Generic[T]):
-    """The items put back in `front`, then those of `items` from `start` on."""
+    """The items put back in `front`, then those of `items` from `start` on.
+
+    The removed items before `start` are dropped once there are `MIN_START_TO_COMPACT`
+    of them and they are more than half of `items`, so that copying the rest is rare.
+    """
 
     front: tuple[T, ...]
     items: PVector[T]
--- a/bulrushpulley/entities/request.py
+++ b/bulrushpulley/entities/request.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Stage:
-    """The base class of the stages."""
+    """The base class of the stages.
+
+    An instance of the base class itself stands for a request that has left one stage
+    and not yet entered the next.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,10 +64,11 @@
     """One call, keyed by the front end's `call_id`.
 
     `due_at` is when the request's timer fires. `claim_version` is the version of the
-    claim row for the request id, 0 if there is none. The row is replaced or deleted
-    on that version once the agent named in it has refused the request.
-    `may_have_run` is set once an attempt ended without a known outcome.
-    `tried_agents` holds the incarnations of the agents that refused or failed it.
+    claim row for the request id, 0 if there is none. Once the agent named in the row
+    has refused the request, the row is replaced or deleted by a write conditional on
+    that version. `may_have_run` is set once an attempt ended without a known outcome.
+    `tried_agents` holds the incarnations of the agents that refused or failed it, and
+    `attempts` the ids of its attempts in flight.
     """
 
     call_id: str
@@ -102,12 +107,12 @@
 
 
 def by_due(request: Request) -> tuple[str, ...]:
-    """Index key function: the timer bucket of `due_at`."""
+    """Index function: the timer bucket of `due_at`."""
     return (str(timer_bucket(request.due_at)),)
 
 
 def by_agent(attempt: Attempt) -> tuple[str, ...]:
-    """Index key function: the agent that the attempt was sent to."""
+    """Index function: the agent that the attempt was sent to."""
     return (attempt.agent,)
 
 
@@ -123,5 +128,5 @@
 
 
 def by_awaited_link(request: Request) -> tuple[str, ...]:
-    """Index key function: the agent to be asked for the outcome once it is linked."""
+    """Index function: the agent to be asked for the outcome once it is linked."""
     return awaited_link(request.stage)
--- a/bulrushpulley/entities/router_tables.py
+++ b/bulrushpulley/entities/router_tables.py
@@ -32,9 +32,9 @@
 
     `queue` holds the ids of waiting calls, oldest first; it may still contain ids of
     calls that have ended. `interarrival_s` is the average time between arrivals,
-    `service_s` the average run time, `claim_latency_s` the average time of a claim,
-    and `latency_p95_s` the estimated 95th percentile of the latency. Each token
-    permits one retry or hedge.
+    `service_s` the average run time, `claim_latency_s` the average time until the
+    outcome of a claim is known, and `latency_p95_s` the estimated 95th percentile of
+    the latency. Each token permits one retry or hedge.
     """
 
     name: str
@@ -82,7 +82,7 @@
 
 
 def by_deletion(claim: ClaimDeletion) -> tuple[str, ...]:
-    """Index key function: the time bucket of the deletion."""
+    """Index function: the time bucket of the deletion."""
     return (str(int(claim.delete_at / CLAIM_DELETION_BUCKET_S)),)
 
 
@@ -90,9 +90,11 @@
 class RouterTables:
     """The state of a router.
 
-    `last_timer_bucket` is the last timer bucket that was processed. `sequence`
-    numbers attempts, submissions and reads. `busy_services` names the services with
-    waiting calls, and `body_bytes` is the total size of the bodies held.
+    `links` maps the incarnation of each linked agent to its region. `revision` is the
+    configuration revision in force. `last_timer_bucket` is the last timer bucket that
+    was processed. `sequence` numbers attempts, submissions and reads. `busy_services`
+    names the services with waiting calls, and `body_bytes` is the total size of the
+    bodies held.
     """
 
     incarnation: str
--- a/bulrushpulley/systems/guard/outcomes.py
+++ b/bulrushpulley/systems/guard/outcomes.py
@@ -43,7 +43,7 @@
 
 
 def trim_ids(tables: GuardTables, now: float) -> GuardTables:
-    """Drop the oldest ids beyond the limit, and record until when they are missing."""
+    """Drop the oldest ids beyond the limit, and record when the last would expire."""
     while len(tables.stored_outcomes) > MAX_STORED_OUTCOMES:
         oldest = tables.stored_outcomes.by_key[tables.outcome_order.left]
         expires_at = max(tables.outcomes_missing_until, oldest.expires_at)
--- a/bulrushpulley/systems/guard/queue.py
+++ b/bulrushpulley/systems/guard/queue.py
@@ -24,6 +24,7 @@
 
     While a slot is free, requests are started until their deadline, whatever the
     average run time is, so that a backend server that was slow once is still tried.
+    `queue_limit` keeps the queue short enough to sort it in each tick.
     """
     if not tables.executions.count_where("state", QUEUED):
         return Step(tables=tables)
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -23,11 +23,11 @@
 
 
 def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
-    """Return the exponential backoff before the next attempt, with jitter.
+    """Return the delay before the next attempt, in seconds.
 
-    The result is between half and all of the exponential delay. The jitter is
-    derived from the arguments, so that it differs between processes and is the same
-    in each run of a test.
+    It is between half and all of an exponential backoff. The jitter is derived from
+    the arguments, so that it differs between processes and is the same in each run of
+    a test.
     """
     exponent = min(failures, MAX_BACKOFF_EXPONENT)
     delay_s = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
--- a/bulrushpulley/systems/route/choice.py
+++ b/bulrushpulley/systems/route/choice.py
@@ -1,9 +1,9 @@
 """Chooses the backend server for a request.
 
-Servers of the router's own region are preferred; those of other regions are used only
-while none of them has a free slot. Within a region the server with the least expected
-wait is chosen: its load weighted by its observed latency, so that a slow server gets
-few requests even before it is ejected.
+Servers of other regions are used only while no server of the router's own region has
+a free slot. Among the servers considered, the one with the least expected wait is
+chosen: its load weighted by its observed latency, so that a slow server gets few
+requests even before it is ejected.
 """
 
 from __future__ import annotations
@@ -18,7 +18,10 @@
 ANNOUNCE_TTL_S = 3.0
 MIN_CLAIM_ALLOWANCE = 2
 LEAVING = "leaving"
+# A server that other entries use too gets more requests beyond its slots, which wait in
+# the agent's queue: the load of other entries is known only from announcements.
 SHARED_SERVER_QUEUE_LIMIT = 4
+# Without this request a slot would be unused between an answer and the next dispatch.
 UNSHARED_SERVER_QUEUE_LIMIT = 1
 MAX_PASSED_OVER = 4
 
@@ -93,7 +96,10 @@
 
 
 def candidates(tables: RouterTables, service: str, now: float) -> list[Candidate]:
-    """Return a heap of the servers of a service that can receive a request now."""
+    """Return a heap of the servers of a service that can receive a request now.
+
+    The tie ranks rotate with `sequence`, so that equal servers take turns.
+    """
     servers = tables.servers.rows_where("service", service)
     service_row = tables.service(service)
     count = len(servers)
--- a/bulrushpulley/systems/route/claim_outcomes.py
+++ b/bulrushpulley/systems/route/claim_outcomes.py
@@ -1,10 +1,10 @@
 """Handles the outcome of each submitted claim.
 
-A claim that was committed for a call that has ended was never dispatched under, so it
-is deleted. Nothing runs under a claim of unknown outcome either: only the router that
-submitted it can dispatch under it, and it does so only once it knows that the claim
-was committed. Hence the call can be refused as "not run" if its deadline passes while
-the outcome is unknown.
+If a claim is committed after its call has ended, nothing was dispatched under it, so
+the claim is deleted. Nothing runs under a claim of unknown outcome either: only the
+router that submitted it can dispatch under it, and it does so only once it knows that
+the claim was committed. Hence the call can be refused as "not run" if its deadline
+passes while the outcome is unknown.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/route/claims.py
+++ b/bulrushpulley/systems/route/claims.py
@@ -61,7 +61,7 @@
 
 
 def submission(request: Request, stage: Claiming, now: float) -> Submission:
-    """Return the submission of a claim; only its timeout differs between retries."""
+    """Return the submission of a claim; on a resubmission only the timeout differs."""
     key = claim_key(request.service, request.request_id)
     row = ClaimRow(
         service=request.service,
--- a/bulrushpulley/systems/route/dispatch.py
+++ b/bulrushpulley/systems/route/dispatch.py
@@ -21,7 +21,7 @@
 
 
 def run(tables: RouterTables, now: float) -> Step[RouterTables]:
-    """Dispatch the requests of each busy service that its free slots allow."""
+    """Dispatch as many waiting requests of each busy service as free slots allow."""
     commands: list[Command] = []
     for name in sorted(tables.busy_services):
         step = dispatch_service(tables, name, now)
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -46,9 +46,10 @@
 def enqueue(
     tables: RouterTables, request: Request, service: Service, *, first: bool = False
 ) -> RouterTables:
-    """Queue a request for `service`, at the front if `first`, as for a retry.
+    """Queue a request, and store `service` as the row of its service.
 
-    It is due when it could no longer be answered in time.
+    The request goes to the front of the queue if `first`, as for a retry. It is due
+    when it could no longer be answered in time.
     """
     queue = service.queue
     queue = (
@@ -100,7 +101,7 @@
 
 @singledispatch
 def leave_stage(stage: Stage, request: Request, tables: RouterTables) -> RouterTables:
-    """Update the counters that a request in `stage` is part of when it leaves it."""
+    """Remove a request that leaves `stage` from the counters that include it."""
     return tables
 
 
--- a/bulrushpulley/systems/route/hedge.py
+++ b/bulrushpulley/systems/route/hedge.py
@@ -14,9 +14,10 @@
 
 
 def hedge(tables: RouterTables, request: Request, now: float) -> Step[RouterTables]:
-    """Try another backend server if the budget and the free slots allow it.
+    """Try another server of the own region if the budget and the free slots allow it.
 
-    The time waited so far is taken as a latency sample of the servers tried.
+    No hedge is sent while calls wait for a slot. The time waited so far is taken as a
+    latency sample of the servers tried.
     """
     tables = raise_latencies(tables, request, now)
     request = replace(request, hedged=True, due_at=request.deadline)
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -93,7 +93,10 @@
 
 
 def page_prefix(tables: RouterTables) -> str:
-    """Return the prefix of the page to read next; empty if there is no service."""
+    """Return the prefix of the page to read next; empty if there is no service.
+
+    A page holds the claims of one service for one first character of the request id.
+    """
     names = sorted(tables.services)
     if not names:
         return ""
--- a/bulrushpulley/systems/route/timers.py
+++ b/bulrushpulley/systems/route/timers.py
@@ -61,7 +61,7 @@
 def refuse_late(
     request: Request, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
-    """Refuse a request with nothing in flight that can't be answered in time."""
+    """Refuse a request with nothing in flight that cannot be answered in time."""
     return refuse(tables, request, ran=Ran.NO, problem=deadline_problem(), now=now)
 
 
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -259,7 +259,7 @@
 
 
 def from_peer(item: LinkEvent, peer: str) -> LinkEvent:
-    """Return an item as its receiver sees it."""
+    """Return an item as its receiver sees it, with the sender as `peer`."""
     return replace(item, peer=peer)
 
 
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -30,7 +30,7 @@
 COMMAND = RunOnBackend(execution_id="x1", request_id="", within_s=2.0, body=b"dough")
 COMPLETE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 CASES = (
-    ("whole", COMPLETE_ANSWER, BackendAnswered),
+    ("complete", COMPLETE_ANSWER, BackendAnswered),
     ("cut in the body", COMPLETE_ANSWER[:-2], BackendFailed),
     ("cut in the head", COMPLETE_ANSWER[:20], BackendFailed),
     ("no answer", b"", BackendFailed),
--- a/test/test_guard_requests.py
+++ b/test/test_guard_requests.py
@@ -65,6 +65,7 @@
 
 class GuardTest(testtools.TestCase):
     def run_dispatches(self) -> int:
+        """Send `DISPATCHES` dispatches to an agent at once; return how many ran."""
         world = RequestWorld(agents=1)
         for number in range(DISPATCHES):
             world.tell("a1", dispatch(f"x{number}"))
