Name the step of the percentile and the request id in its check

The local up held a negative number of steps for a latency below the estimate, and the check of the request world called request ids names. They are steps, with step_s for the size of one in seconds, and request_id.

--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -78,8 +78,8 @@
     """
     if not service.service_s:
         return replace(service, service_s=took_s, latency_p95_s=2 * latency_s)
-    step = QUANTILE_STEP_FRACTION * max(service.service_s, service.latency_p95_s / 2)
-    up = (
+    step_s = QUANTILE_STEP_FRACTION * max(service.service_s, service.latency_p95_s / 2)
+    steps = (
         LATENCY_QUANTILE
         if latency_s > service.latency_p95_s
         else LATENCY_QUANTILE - 1.0
@@ -87,7 +87,7 @@
     return replace(
         service,
         service_s=service.service_s + RUN_TIME_WEIGHT * (took_s - service.service_s),
-        latency_p95_s=max(service.latency_p95_s + step * up, 0.0),
+        latency_p95_s=max(service.latency_p95_s + step_s * steps, 0.0),
     )
 
 
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -204,15 +204,20 @@
         A request whose calls were all refused as not run did not run.
         """
         ended: dict[str, set[str]] = {}
-        for call_id, name in self.id_of_call.items():
+        for call_id, request_id in self.id_of_call.items():
             outcome = self.outcome(call_id)
-            ended.setdefault(name, set()).add(outcome)
-            own = {f"done {body}" for body in self.bodies_of_id[name]}
-            assert outcome in {"", "not run", "unknown", "ran"} | own, (name, outcome)
-        for name, outcomes in ended.items():
-            runs = self.runs[name]
-            assert runs <= 1, f"{name} ran {runs} times"
-            assert outcomes != {"not run"} or not runs, f"{name} ran, but 'not run'"
+            ended.setdefault(request_id, set()).add(outcome)
+            own = {f"done {body}" for body in self.bodies_of_id[request_id]}
+            assert outcome in {"", "not run", "unknown", "ran"} | own, (
+                request_id,
+                outcome,
+            )
+        for request_id, outcomes in ended.items():
+            runs = self.runs[request_id]
+            assert runs <= 1, f"{request_id} ran {runs} times"
+            assert outcomes != {"not run"} or not runs, (
+                f"{request_id} ran, but 'not run'"
+            )
 
     def tables(self, process: str) -> Any:
         """Return the tables of the role of a process."""
