--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -23,16 +23,16 @@
 
 
 def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
-    """Return the exponential backoff before the next attempt, with jitter.
+    """Return the delay before the next attempt, in seconds.
 
-    The result is between half and all of the exponential delay. The jitter is
-    derived from the arguments, so that it differs between processes and is the same
-    in each run of a test.
+    It is between half and all of an exponential backoff. The jitter is derived from
+    the arguments, so that it differs between processes and is the same in each run of
+    a test.
     """
     exponent = min(failures, MAX_BACKOFF_EXPONENT)
-    delay = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
+    delay_s = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
     jitter = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
-    return delay * (0.5 + jitter / 2)
+    return delay_s * (0.5 + jitter / 2)
 
 
 @singledispatch
@@ -69,14 +69,14 @@
     dial = tables.dials.get(event.address)
     if dial is None:
         return Step(tables=tables)
-    delay = retry_delay(
+    delay_s = retry_delay(
         incarnation=tables.incarnation, address=dial.address, failures=dial.failures
     )
     ended = replace(
         dial,
         state=DialState.WAITING,
         failures=dial.failures + 1,
-        retry_at=now + delay,
+        retry_at=now + delay_s,
     )
     dials = tables.dials.put(event.address, ended)
     code = event.problem.code.value if event.problem else "closed"
--- a/bulrushpulley/systems/route/sweep.py
+++ b/bulrushpulley/systems/route/sweep.py
@@ -47,8 +47,10 @@
         step = delete_due(replace(tables, sweep_at=now + CLAIM_SWEEP_INTERVAL_S), now)
         tables = step.tables
         commands.extend(step.commands)
-    if now >= tables.page_read_at:
-        step = read_page(replace(tables, page_read_at=now + CLAIM_PAGE_READ_INTERVAL_S))
+    if now >= tables.next_page_read_at:
+        step = read_page(
+            replace(tables, next_page_read_at=now + CLAIM_PAGE_READ_INTERVAL_S)
+        )
         tables = step.tables
         commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
@@ -91,7 +93,10 @@
 
 
 def page_prefix(tables: RouterTables) -> str:
-    """Return the prefix of the page to read next; empty if there is no service."""
+    """Return the prefix of the page to read next; empty if there is no service.
+
+    A page holds the claims of one service for one first character of the request id.
+    """
     names = sorted(tables.services)
     if not names:
         return ""
--- a/test/request_world.py
+++ b/test/request_world.py
@@ -60,28 +60,30 @@
 
         "down" withdraws it; "lose_answers" applies it and reports it as unsettled.
         """
-        name = content.submission_id
+        submission_id = content.submission_id
         if self.mode == "down":
-            return Withdrawn(submission_id=name, reason="the store is down")
-        failed = tuple(
-            self.row(at.key)
-            for at in content.conditions
-            if self.row(at.key).version != at.version
+            return Withdrawn(submission_id=submission_id, reason="the store is down")
+        conflicting_rows = tuple(
+            self.row(condition.key)
+            for condition in content.conditions
+            if self.row(condition.key).version != condition.version
         )
         if self.mode == "lose_answers":
-            self._write(content, failed)
-            return Unsettled(submission_id=name, reason="no answer")
-        self._write(content, failed)
-        if failed:
-            return Conflicted(submission_id=name, rows=failed)
-        return Committed(submission_id=name, revision=self.revision)
+            self._write(content, conflicting_rows)
+            return Unsettled(submission_id=submission_id, reason="no answer")
+        self._write(content, conflicting_rows)
+        if conflicting_rows:
+            return Conflicted(submission_id=submission_id, rows=conflicting_rows)
+        return Committed(submission_id=submission_id, revision=self.revision)
 
     def row(self, key: str) -> VersionedRow:
         """Return a row; one without contents if it is absent."""
         return self.by_key.get(key, VersionedRow(key=key, version=0, row=None))
 
-    def _write(self, content: Submission, failed: tuple[VersionedRow, ...]) -> None:
-        if failed:
+    def _write(
+        self, content: Submission, conflicting_rows: tuple[VersionedRow, ...]
+    ) -> None:
+        if conflicting_rows:
             return
         self.revision += 1
         for write in content.writes:
@@ -202,15 +204,20 @@
         A request whose calls were all refused as not run did not run.
         """
         ended: dict[str, set[str]] = {}
-        for call_id, name in self.id_of_call.items():
+        for call_id, request_id in self.id_of_call.items():
             outcome = self.outcome(call_id)
-            ended.setdefault(name, set()).add(outcome)
-            own = {f"done {body}" for body in self.bodies_of_id[name]}
-            assert outcome in {"", "not run", "unknown", "ran"} | own, (name, outcome)
-        for name, outcomes in ended.items():
-            runs = self.runs[name]
-            assert runs <= 1, f"{name} ran {runs} times"
-            assert outcomes != {"not run"} or not runs, f"{name} ran, but 'not run'"
+            ended.setdefault(request_id, set()).add(outcome)
+            own = {f"done {body}" for body in self.bodies_of_id[request_id]}
+            assert outcome in {"", "not run", "unknown", "ran"} | own, (
+                request_id,
+                outcome,
+            )
+        for request_id, outcomes in ended.items():
+            runs = self.runs[request_id]
+            assert runs <= 1, f"{request_id} ran {runs} times"
+            assert outcomes != {"not run"} or not runs, (
+                f"{request_id} ran, but 'not run'"
+            )
 
     def tables(self, process: str) -> Any:
         """Return the tables of the role of a process."""
@@ -257,7 +264,7 @@
 
 
 def from_peer(item: LinkEvent, peer: str) -> LinkEvent:
-    """Return an item as its receiver sees it."""
+    """Return an item as its receiver sees it, with the sender as `peer`."""
     return replace(item, peer=peer)
 
 
