--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -141,9 +141,9 @@
     line = edits.log(tables, "host.state", host.name, event.state.value, reason)
     commands: tuple[Command, ...] = (line,)
     if event.life or event.state is ServerState.GONE:
-        lost = "its backend server's life was over"
+        loss_reason = "its backend server's life was over"
         step = endings.end_runs_as_lost(
-            tables, host.name, now, lost, keep_incarnation=event.life
+            tables, host.name, now, loss_reason, keep_incarnation=event.life
         )
         tables, commands = step.tables, (*commands, *step.commands)
     if known.state is ServerState.DRAINING and host.state is not known.state:
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -54,7 +54,7 @@
     request: PlacementRequest,
     candidate_by_host: Mapping[str, Candidate],
     task: Task,
-    siblings: Counter[str],
+    sibling_count_by_host: Counter[str],
     ranked_by_host: dict[str, RankedCandidate],
 ) -> Candidate | None:
     """Return the best candidate for a task, and cache ranks in `ranked_by_host`."""
@@ -67,19 +67,23 @@
                 candidate=candidate, rank=_rank(request, candidate, candidate_by_host)
             )
             ranked_by_host[name] = known
-        if known.rank is not None and not (limit and siblings[name] >= limit):
+        if known.rank is not None and not (
+            limit and sibling_count_by_host[name] >= limit
+        ):
             fitting.append((known.rank, name))
     if task.avoided_hosts:
         fitting = [
             pair for pair in fitting if pair[1] not in task.avoided_hosts
         ] or fitting
     if request.step.one_rack:
-        fitting = _prefer_same_rack(fitting, candidate_by_host, siblings)
+        fitting = _prefer_same_rack(fitting, candidate_by_host, sibling_count_by_host)
     return candidate_by_host[min(fitting)[1]] if fitting else None
 
 
 def _rank(
-    request: PlacementRequest, candidate: Candidate, candidates: Mapping[str, Candidate]
+    request: PlacementRequest,
+    candidate: Candidate,
+    candidate_by_host: Mapping[str, Candidate],
 ) -> Rank | None:
     step, host = request.step, candidate.host
     if host.service != request.service:
@@ -88,7 +92,7 @@
         return None
     if request.tickets is not None and advising.server_of(host) not in request.tickets:
         return None
-    free_fraction = _free_fraction(candidates) if step.lasting else 1.0
+    free_fraction = _free_fraction(candidate_by_host) if step.lasting else 1.0
     if not fits(step, candidate, free_fraction):
         return None
     if should_wait(
@@ -99,25 +103,27 @@
     return outside_rack, cost(request.kind, step, candidate, request.harm_fraction)
 
 
-def _free_fraction(candidates: Mapping[str, Candidate]) -> float:
+def _free_fraction(candidate_by_host: Mapping[str, Candidate]) -> float:
     """Return the free fraction of the processors of all open hosts."""
     capacity = sum(
-        candidate.host.capacity.processors_m for candidate in candidates.values()
+        candidate.host.capacity.processors_m for candidate in candidate_by_host.values()
     )
-    free = sum(candidate.free.processors_m for candidate in candidates.values())
+    free = sum(candidate.free.processors_m for candidate in candidate_by_host.values())
     return free / max(1, capacity)
 
 
 def _prefer_same_rack(
     fitting: list[tuple[Rank, str]],
     candidate_by_host: Mapping[str, Candidate],
-    siblings: Counter[str],
+    sibling_count_by_host: Counter[str],
 ) -> list[tuple[Rank, str]]:
     """Keep the candidates in racks that already hold sibling tasks, if any."""
     racks = {
         candidate_by_host[name].host.rack
-        for name in siblings
+        for name in sibling_count_by_host
         if name in candidate_by_host
     }
-    near = [pair for pair in fitting if candidate_by_host[pair[1]].host.rack in racks]
-    return near or fitting
+    same_rack = [
+        pair for pair in fitting if candidate_by_host[pair[1]].host.rack in racks
+    ]
+    return same_rack or fitting
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -65,8 +65,12 @@
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
-    due = _due_jobs(tables)
-    if not due and now - owning.renewed_at < RENEW_INTERVAL_S and not tables.leaving:
+    job_ids = _due_job_ids(tables)
+    if (
+        not job_ids
+        and now - owning.renewed_at < RENEW_INTERVAL_S
+        and not tables.leaving
+    ):
         return Step(tables=tables)
     row = OwnerRow(
         holder="" if tables.leaving else tables.name,
@@ -77,7 +81,7 @@
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
-    puts.extend(progress_of(tables, job_id) for job_id in due)
+    puts.extend(progress_of(tables, job_id) for job_id in job_ids)
     harms = None if owning.loading else interference.row_to_save(tables, now)
     if harms is not None:
         puts.append(harms)
@@ -92,16 +96,16 @@
         puts=tuple(puts),
     )
     deferred = tuple(
-        effect for job_id in due for effect in tables.effects_by_job[job_id]
+        effect for job_id in job_ids for effect in tables.effects_by_job[job_id]
     )
     remaining_effects = tables.effects_by_job
-    for job_id in due:
+    for job_id in job_ids:
         remaining_effects = remaining_effects.remove(job_id)
     commit = Commit(
         transact=transact,
         row=row,
         effects=deferred,
-        job_ids=frozenset(due),
+        job_ids=frozenset(job_ids),
         waves=tuple(row.number for row in unwritten),
         first_sent_at=now,
         sent_at=now,
@@ -115,7 +119,7 @@
     return Step(tables=tables, commands=(transact,))
 
 
-def _due_jobs(tables: SchedulerTables) -> list[str]:
+def _due_job_ids(tables: SchedulerTables) -> list[str]:
     chosen: list[str] = []
     tasks = 0
     for job_id in tables.effects_by_job:
@@ -164,9 +168,9 @@
     tables = replace(
         tables, leadership=renewed, commit=None, store_latency_s=store_latency_s
     )
-    took = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
+    observation = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
     step = _apply_effects(commit.effects, tables, now)
-    return Step(tables=step.tables, commands=(took, *step.commands))
+    return Step(tables=step.tables, commands=(observation, *step.commands))
 
 
 def _apply_effects(
@@ -178,7 +182,7 @@
     return Step(tables=following.tables, commands=commands)
 
 
-def handle_conflict(
+def handle_conflicted(
     event: Conflicted, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Distinguish an earlier attempt that was applied from the loss of the shard."""
@@ -201,19 +205,19 @@
 def handle_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
     """Retry the same transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
-    wait_s = min(
+    retry_delay_s = min(
         MAX_PROGRESS_COMMIT_RETRY_DELAY_S,
         PROGRESS_COMMIT_RETRY_DELAY_S * 2 ** min(attempts, 8),
     )
-    return _retry(tables, now, wait_s, reason)
+    return _retry(tables, now, retry_delay_s, reason)
 
 
 def _retry(
-    tables: SchedulerTables, now: float, wait_s: float, reason: str
+    tables: SchedulerTables, now: float, retry_delay_s: float, reason: str
 ) -> SchedulerStep:
     commit = tables.commit
     if commit is None:
         return Step(tables=tables)
-    waiting = replace(commit, in_flight=False, retry_at=now + wait_s)
+    waiting = replace(commit, in_flight=False, retry_at=now + retry_delay_s)
     line = effects.log_retry(tables, commit, reason)
     return Step(tables=replace(tables, commit=waiting), commands=(line,))
--- a/bulrushpulley/systems/scheduling/dialling.py
+++ b/bulrushpulley/systems/scheduling/dialling.py
@@ -38,9 +38,12 @@
 ) -> SchedulerStep:
     """Schedule the next attempt, with exponential backoff."""
     for host in tables.hosts.rows_where("address", event.address):
-        wait_s = min(MAX_REDIAL_DELAY_S, MIN_REDIAL_DELAY_S * 2**host.redials)
+        retry_delay_s = min(MAX_REDIAL_DELAY_S, MIN_REDIAL_DELAY_S * 2**host.redials)
         retried = replace(
-            host, dialling=False, redial_at=now + wait_s, redials=host.redials + 1
+            host,
+            dialling=False,
+            redial_at=now + retry_delay_s,
+            redials=host.redials + 1,
         )
         tables = edits.put_host(tables, retried)
     return Step(tables=tables)
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -57,17 +57,19 @@
 def _with_committed(
     hosts: Table[Host], name: str, spec: StepSpec, sign: int
 ) -> Table[Host]:
-    row = hosts.get(name) or Host(name=name)
+    host = hosts.get(name) or Host(name=name)
     amount = spec.committed
-    committed = row.committed.plus(amount) if sign > 0 else row.committed.minus(amount)
-    filling = spec.size.processors_m if spec.fills else 0
+    committed = (
+        host.committed.plus(amount) if sign > 0 else host.committed.minus(amount)
+    )
+    filling_m = spec.size.processors_m if spec.fills else 0
     return hosts.put(
         name,
         replace(
-            row,
+            host,
             committed=committed,
-            filling_m=row.filling_m + sign * filling,
-            images=_with_image(row.images, spec, sign) if spec.image else row.images,
+            filling_m=host.filling_m + sign * filling_m,
+            images=_with_image(host.images, spec, sign) if spec.image else host.images,
         ),
     )
 
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -30,18 +30,18 @@
     """Apply effects in order; the orders to one host are sent in one item."""
     commands: list[Command] = []
     orders_by_host: dict[str, list[RunOrder]] = defaultdict(list)
-    numbers_by_incarnation: dict[tuple[str, str], list[int]] = defaultdict(list)
+    end_numbers_by_incarnation: dict[tuple[str, str], list[int]] = defaultdict(list)
     for effect in effects:
         step = apply_effect(effect, tables, now)
         tables = step.tables
         for command in step.commands:
             commands.append(command)
-        _collect_messages(effect, tables, orders_by_host, numbers_by_incarnation)
+        _collect_messages(effect, tables, orders_by_host, end_numbers_by_incarnation)
     for name, orders in orders_by_host.items():
         host = tables.hosts.by_key[name]
         item = Orders(epoch=tables.epoch, life=host.life, start=tuple(orders))
         commands.append(Send(peer=host.peer, item=item))
-    for (name, incarnation), numbers in numbers_by_incarnation.items():
+    for (name, incarnation), numbers in end_numbers_by_incarnation.items():
         peer = tables.hosts.by_key[name].peer
         noted = EndsNoted(epoch=tables.epoch, life=incarnation, numbers=tuple(numbers))
         if peer:
@@ -84,7 +84,7 @@
     effect: Effect,
     tables: SchedulerTables,
     orders_by_host: dict[str, list[RunOrder]],
-    numbers_by_incarnation: dict[tuple[str, str], list[int]],
+    end_numbers_by_incarnation: dict[tuple[str, str], list[int]],
 ) -> None:
     """Collect the messages that an effect has to send; none by default."""
 
@@ -94,7 +94,7 @@
     effect: SendStart,
     tables: SchedulerTables,
     orders_by_host: dict[str, list[RunOrder]],
-    numbers_by_incarnation: dict[tuple[str, str], list[int]],
+    end_numbers_by_incarnation: dict[tuple[str, str], list[int]],
 ) -> None:
     task = tables.tasks.get(effect.task_id)
     if task is None or task.run != effect.run or task.state is not TaskState.HELD:
@@ -109,9 +109,9 @@
     effect: AcknowledgeEnd,
     tables: SchedulerTables,
     orders_by_host: dict[str, list[RunOrder]],
-    numbers_by_incarnation: dict[tuple[str, str], list[int]],
+    end_numbers_by_incarnation: dict[tuple[str, str], list[int]],
 ) -> None:
-    numbers_by_incarnation[(effect.host, effect.life)].append(effect.number)
+    end_numbers_by_incarnation[(effect.host, effect.life)].append(effect.number)
 
 
 def log_retry(tables: SchedulerTables, commit: Commit, reason: str) -> Decision:
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -85,7 +85,7 @@
         return Step(tables=_requeue(tables, task, now))
     members = [task]
     if spec.gang:
-        members = _siblings(tables, task)
+        members = _open_tasks_of_step(tables, task)
     for member in members:
         done = replace(member, state=TaskState.DONE, host="", life="", since=now)
         tables = edits.put_task(tables, done)
@@ -97,7 +97,7 @@
     return Step(tables=unblocking.unblock(tables, job, now))
 
 
-def _siblings(tables: SchedulerTables, task: Task) -> list[Task]:
+def _open_tasks_of_step(tables: SchedulerTables, task: Task) -> list[Task]:
     key = step_key(task.job_id, task.occurrence, task.step)
     return tables.tasks.rows_where("open", key)
 
@@ -114,7 +114,9 @@
         return Step(tables=tables)
     failures = failed.failures
     if spec.gang:
-        failures = sum(member.failures for member in _siblings(tables, failed))
+        failures = sum(
+            member.failures for member in _open_tasks_of_step(tables, failed)
+        )
     if failures < job.row.max_attempts:
         return Step(tables=tables)
     reason = f"{task.task_id} failed {failures} times"
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -197,8 +197,8 @@
 def _(
     purpose: WriteWaveStatus, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    done = isinstance(event, (Transacted, Conflicted))
-    return waves.handle_state_reported(purpose, done, tables, now)
+    is_written = isinstance(event, (Transacted, Conflicted))
+    return waves.handle_state_reported(purpose, is_written, tables, now)
 
 
 @handle_store_event.register
@@ -248,7 +248,7 @@
 
 @handle_commit_answer.register
 def _(event: Conflicted, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return committing.handle_conflict(event, tables, now)
+    return committing.handle_conflicted(event, tables, now)
 
 
 @handle_commit_answer.register
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -47,7 +47,7 @@
         unknown = JobNotKnown(call_id=event.call_id, job_id=event.job_id)
         return Step(tables=tables, commands=(unknown,))
     tasks = tables.tasks.rows_where("job", job.job_id)
-    left = [task for task in tasks if task.state is not TaskState.DONE]
+    remaining = [task for task in tasks if task.state is not TaskState.DONE]
     explained = JobExplained(
         call_id=event.call_id,
         job_id=job.job_id,
@@ -55,9 +55,10 @@
         state=job.state.value,
         detail=job.reason or _time_to_objective(job, now),
         epoch=tables.epoch,
-        done=len(tasks) - len(left),
+        done=len(tasks) - len(remaining),
         tasks=tuple(
-            _explain_task(tables, job, task, now) for task in left[:MAX_EXPLAINED_TASKS]
+            _explain_task(tables, job, task, now)
+            for task in remaining[:MAX_EXPLAINED_TASKS]
         ),
     )
     return Step(tables=tables, commands=(explained,))
@@ -75,10 +76,10 @@
 
 
 def _time_to_objective(job: Job, now: float) -> str:
-    left_s = job.objective_at - now
-    if left_s >= 0.0:
-        return f"its objective is in {left_s:.1f} s"
-    return f"its objective was {-left_s:.1f} s ago"
+    remaining_s = job.objective_at - now
+    if remaining_s >= 0.0:
+        return f"its objective is in {remaining_s:.1f} s"
+    return f"its objective was {-remaining_s:.1f} s ago"
 
 
 def _explain_task(
@@ -121,13 +122,13 @@
 ) -> str:
     step = job.step(task.step)
     service = placing.service_of(tables, job)
-    serving = [
+    of_service = [
         candidate for candidate in candidates if candidate.host.service == service
     ]
     label = step.needs_label
     labelled = [
         candidate
-        for candidate in serving
+        for candidate in of_service
         if not label or label in candidate.host.labels
     ]
     with_room = [candidate for candidate in labelled if fits(step, candidate, 0.0)]
@@ -139,6 +140,7 @@
         if not should_wait(kind_of(step), step, candidate, harm_fraction, waited_s)
     ]
     return (
-        f"{len(serving)} hosts of {service} are open, {len(labelled)} have its label,"
-        f" {len(with_room)} have room, {len(undisturbed)} would let it run undisturbed"
+        f"{len(of_service)} hosts of {service} are open,"
+        f" {len(labelled)} have its label, {len(with_room)} have room,"
+        f" {len(undisturbed)} would let it run undisturbed"
     )
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -77,9 +77,9 @@
     tables: SchedulerTables, serving: ServingMeasure, image: str, now: float
 ) -> Harm:
     known = tables.harms.get(harm_key(service=serving.image, job=image))
-    first_ms = 0.0 if image else INITIAL_SERVING_LATENCY_RATIO * serving.target_ms
+    initial_ms = 0.0 if image else INITIAL_SERVING_LATENCY_RATIO * serving.target_ms
     return known or Harm(
-        service=serving.image, job=image, estimate_ms=first_ms, variance=1.0, at=now
+        service=serving.image, job=image, estimate_ms=initial_ms, variance=1.0, at=now
     )
 
 
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -79,8 +79,8 @@
     owning = tables.leadership
     if not isinstance(owning, Owning) or table not in owning.loading:
         return Step(tables=tables)
-    left = owning.loading - {table}
-    tables = replace(tables, leadership=replace(owning, loading=left))
+    remaining = owning.loading - {table}
+    tables = replace(tables, leadership=replace(owning, loading=remaining))
     commands: tuple[Command, ...] = ()
     if table == PROGRESS:
         tables = restoring.keep_progress(tables, _progress_rows(event.rows))
@@ -94,7 +94,7 @@
         step = accepting.handle_rows(event.rows, tables, now)
         tables = _start_watch(restoring.drop_progress(step.tables), JOBS, event.version)
         commands = step.commands
-    if left:
+    if remaining:
         return Step(tables=tables, commands=commands)
     reason = f"{len(tables.jobs)} jobs, {len(tables.hosts)} hosts"
     line = edits.log(tables, "shard.ready", OWNED_PART, tables.incarnation, reason)
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -63,19 +63,19 @@
         return Step(tables=tables)
     tables = replace(tables, place_due=False, last_placement_at=now)
     closed = emptying.closed_hosts(tables)
-    candidates = {
+    candidate_by_host = {
         host.name: candidate_of(host)
         for host in tables.hosts.rows()
         if is_open(tables, host, now) and host.name not in closed
     }
-    state = PlacementPass(tables=tables, candidate_by_host=candidates)
+    state = PlacementPass(tables=tables, candidate_by_host=candidate_by_host)
     jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
     jobs.sort(key=lambda job: placement_order(job, now))
     for job in jobs:
         if state.placed >= MAX_PLACED_PER_PASS:
             break
         state = _place_job(state, job, now)
-    hosts = [candidate.host for candidate in candidates.values()]
+    hosts = [candidate.host for candidate in candidate_by_host.values()]
     advice_step = advising.request_advice(state.tables, jobs, hosts, now)
     commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
     return Step(tables=advice_step.tables, commands=commands)
@@ -141,15 +141,17 @@
         groups.setdefault((task.occurrence, task.step), []).append(task)
     for (occurrence, number), members in sorted(groups.items()):
         step = job.step(number)
-        siblings = _siblings(state.tables, job.job_id, occurrence, number)
+        sibling_count_by_host = _count_siblings_by_host(
+            state.tables, job.job_id, occurrence, number
+        )
         if step.gang:
-            state = _place_gang(state, job, step, members, siblings, now)
+            state = _place_gang(state, job, step, members, sibling_count_by_host, now)
         else:
-            state = _place_each(state, job, step, members, siblings, now)
+            state = _place_each(state, job, step, members, sibling_count_by_host, now)
     return state
 
 
-def _siblings(
+def _count_siblings_by_host(
     tables: SchedulerTables, job_id: str, occurrence: int, number: int
 ) -> Counter[str]:
     """Count the tasks of a step by the host whose resources they hold."""
@@ -166,23 +168,29 @@
     job: Job,
     step: StepSpec,
     members: Iterable[Task],
-    siblings: Counter[str],
+    sibling_count_by_host: Counter[str],
     now: float,
 ) -> PlacementPass:
-    ranked: dict[float, dict[str, choosing.RankedCandidate]] = {}
+    ranked_by_since: dict[float, dict[str, choosing.RankedCandidate]] = {}
     for task in members:
         request = _placement_request(state, job, step, task, now)
         # The rank of a lasting task depends on the free resources of all hosts, which
         # change with each placement, so its ranks are not cached.
-        cached = {} if step.lasting else ranked.setdefault(task.since, {})
+        ranked_by_host = (
+            {} if step.lasting else ranked_by_since.setdefault(task.since, {})
+        )
         candidate = choosing.choose_candidate(
-            request, state.candidate_by_host, task, siblings, cached
+            request,
+            state.candidate_by_host,
+            task,
+            sibling_count_by_host,
+            ranked_by_host,
         )
         if candidate is None:
             if not task.avoided_hosts:
                 break
             continue
-        siblings[candidate.host.name] += 1
+        sibling_count_by_host[candidate.host.name] += 1
         state = _assign(state, job, step, task, candidate, task.run + 1, now)
     return state
 
@@ -192,7 +200,7 @@
     job: Job,
     step: StepSpec,
     members: list[Task],
-    siblings: Counter[str],
+    sibling_count_by_host: Counter[str],
     now: float,
 ) -> PlacementPass:
     """Place all tasks of a gang with one run number and checkpoint, or none of them."""
@@ -204,11 +212,11 @@
     for task in members:
         request = _placement_request(trial, job, step, task, now)
         candidate = choosing.choose_candidate(
-            request, trial.candidate_by_host, task, siblings, {}
+            request, trial.candidate_by_host, task, sibling_count_by_host, {}
         )
         if candidate is None:
             return state
-        siblings[candidate.host.name] += 1
+        sibling_count_by_host[candidate.host.name] += 1
         member = replace(task, checkpoint=checkpoint)
         trial = _assign(trial, job, step, member, candidate, run, now)
     return trial
--- a/bulrushpulley/systems/scheduling/restoring.py
+++ b/bulrushpulley/systems/scheduling/restoring.py
@@ -39,7 +39,7 @@
     """Return a task in its durable state; one with a host may be running there."""
     return replace(
         task,
-        state=_state(progress, task.state),
+        state=_restored_state(progress, task.state),
         run=progress.run,
         failures=progress.failures,
         host=progress.host,
@@ -48,7 +48,7 @@
     )
 
 
-def _state(progress: TaskProgress, fresh: TaskState) -> TaskState:
+def _restored_state(progress: TaskProgress, initial_state: TaskState) -> TaskState:
     if progress.done:
         return TaskState.DONE
-    return TaskState.HELD if progress.host else fresh
+    return TaskState.HELD if progress.host else initial_state
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -26,10 +26,10 @@
 def _is_ready(tables: SchedulerTables, job: Job, task: Task, wall_s: float) -> bool:
     if wall_s < job.row.spec.due_s(task.occurrence):
         return False
-    before = job.step(task.step).after
+    earlier_steps = job.step(task.step).after
     return not any(
         tables.tasks.count_where("open", step_key(job.job_id, task.occurrence, number))
-        for number in before
+        for number in earlier_steps
     )
 
 
@@ -40,11 +40,13 @@
     wall_s = now + tables.wall_offset_s
     for job_id in sorted(tables.timed_job_ids):
         job = tables.jobs.by_key[job_id]
-        due_s = [job.row.spec.due_s(number) for number in range(job.row.spec.runs)]
+        due_times_s = [
+            job.row.spec.due_s(occurrence) for occurrence in range(job.row.spec.runs)
+        ]
         if job.is_final:
             tables = replace(tables, timed_job_ids=tables.timed_job_ids.discard(job_id))
-        elif any(at <= wall_s for at in due_s):
+        elif any(at <= wall_s for at in due_times_s):
             tables = unblock(tables, job, now)
-        if due_s[-1] <= wall_s:
+        if due_times_s[-1] <= wall_s:
             tables = replace(tables, timed_job_ids=tables.timed_job_ids.discard(job_id))
     return Step(tables=tables)
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -82,9 +82,11 @@
     free_slots = wave.order.at_once - sum(
         upkeep.phase in DOWN_PHASES for upkeep in upkeeps
     )
-    waiting = [up for up in upkeeps if up.phase is UpkeepPhase.WAITING]
-    ready = [up for up in waiting if _is_up(tables, up) and not _is_down(tables, up)]
-    ready.sort(key=lambda up: (_task_count(tables, up), up.machine_id))
+    waiting = [each for each in upkeeps if each.phase is UpkeepPhase.WAITING]
+    ready = [
+        each for each in waiting if _is_up(tables, each) and not _is_down(tables, each)
+    ]
+    ready.sort(key=lambda each: (_task_count(tables, each), each.machine_id))
     for upkeep in ready[: max(0, free_slots)]:
         if emptying.has_room_elsewhere(tables, upkeep.machine_id):
             tables = _with_phase(tables, upkeep, UpkeepPhase.EMPTYING, now)
@@ -140,9 +142,9 @@
     if not isinstance(owning, Owning) or upkeep.in_flight or now < upkeep.retry_at:
         return Step(tables=tables)
     durable = upkeep.machine_id in wave.durable_row.ordered
-    turn_waited = now - owning.since >= tables.bounds.turn_s
+    handover_waited = now - owning.since >= tables.bounds.turn_s
     recently_renewed = now - owning.renewed_at < MAX_RENEWAL_AGE_S
-    if not (durable and turn_waited and recently_renewed) or tables.leaving:
+    if not (durable and handover_waited and recently_renewed) or tables.leaving:
         return Step(tables=tables)
     call = OrderUpkeep(
         role=SCHEDULER,
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -214,8 +214,12 @@
     """Return the row that stores the progress of a wave."""
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
     ordered_phases = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
-    ordered = (up.machine_id for up in upkeeps if up.phase in ordered_phases)
-    finished = (up.machine_id for up in upkeeps if up.phase is UpkeepPhase.FINISHED)
+    ordered = (
+        upkeep.machine_id for upkeep in upkeeps if upkeep.phase in ordered_phases
+    )
+    finished = (
+        upkeep.machine_id for upkeep in upkeeps if upkeep.phase is UpkeepPhase.FINISHED
+    )
     return WaveRow(
         number=wave.order.number,
         ordered=tuple(sorted(ordered)),
@@ -274,13 +278,13 @@
 
 
 def handle_state_reported(
-    purpose: WriteWaveStatus, done: bool, tables: SchedulerTables, now: float
+    purpose: WriteWaveStatus, is_written: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Record the state that operators can read, or schedule another write."""
     wave = tables.upkeep.waves.get(str(purpose.number))
     if wave is None:
         return Step(tables=tables)
-    reported_state = purpose.state if done else wave.reported_state
+    reported_state = purpose.state if is_written else wave.reported_state
     updated = replace(
         wave,
         reporting=False,
--- a/test/jobs_matrix.py
+++ b/test/jobs_matrix.py
@@ -41,8 +41,8 @@
 
 
 def _commits_progress(command: Command) -> bool:
-    many = isinstance(command, store.Transact) and len(command.puts) > 1
-    return many and isinstance(_purpose(command), CommitProgress)
+    writes_progress = isinstance(command, store.Transact) and len(command.puts) > 1
+    return writes_progress and isinstance(_purpose(command), CommitProgress)
 
 
 def _renews_lease(command: Command) -> bool:
@@ -177,9 +177,9 @@
         if world.state_of(job) is not JobState.COMPLETED
     ]
     running = [
-        order.order.task_id
+        run.order.task_id
         for executor in world.executor_by_host.values()
-        for order in executor.run_by_key.values()
+        for run in executor.run_by_key.values()
     ]
     stored = world.store.row_by_key
     if any(key.key == f"{cancelled}.cancel" for key in stored) and running:
@@ -188,13 +188,13 @@
 
 
 def _inject_faults(world: JobsWorld, case: FaultCase) -> None:
-    left = {number: nth for number, (_, _, nth) in enumerate(case.injections)}
+    remaining = {number: nth for number, (_, _, nth) in enumerate(case.injections)}
 
     def inject(command: Command) -> None:
         for number, (at, fault, _) in enumerate(case.injections):
-            if left[number] and STEPS[at](command):
-                left[number] -= 1
-                if not left[number]:
+            if remaining[number] and STEPS[at](command):
+                remaining[number] -= 1
+                if not remaining[number]:
                     world.at(0.0, lambda fault=fault: FAULTS[fault](world))  # type: ignore[misc]
 
     world.hook = inject
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -18,7 +18,7 @@
 SMALL = Resources(processors_m=200, memory_mb=100)
 
 
-class LastingWorkFillsEveryHost(testtools.TestCase):
+class LastingTasksFillEveryHost(testtools.TestCase):
     """After an outage more lasting tasks restart together than the hosts can hold.
 
     Seen in scale-2 of kalamu-sched after a power loss, with one host fewer than before:
@@ -41,8 +41,8 @@
     def test_lasting_tasks_fill_hosts_with_room_for_two_of_them(self) -> None:
         world = self._full_world()
         for executor in world.executor_by_host.values():
-            left = executor.capacity.minus(executor.committed)
-            self.assertLess(left.processors_m, 2 * BIG.processors_m)
+            free = executor.capacity.minus(executor.committed)
+            self.assertLess(free.processors_m, 2 * BIG.processors_m)
 
 
 class ManyShortJobsAtOnce(testtools.TestCase):
@@ -175,13 +175,15 @@
     callers had used up all their retries before the store was available again.
     """
 
-    def _attempts(self, outage_s: float, first_after_s: float) -> tuple[int, float]:
+    def _attempts(
+        self, outage_s: float, first_call_after_s: float
+    ) -> tuple[int, float]:
         """Return how many calls a caller needed, and how long it waited."""
         world = JobsWorld(entries=1)
         world.run(3.0)
         world.store_up = False
         world.at(outage_s, lambda: setattr(world, "store_up", True))
-        world.run(first_after_s)
+        world.run(first_call_after_s)
         started_at = world.now
         for attempt in range(1, 6):
             world.answers.clear()
@@ -195,9 +197,9 @@
         return 6, world.now - started_at
 
     def test_a_caller_from_the_start_of_the_outage_is_accepted_after_it(self) -> None:
-        attempts, _ = self._attempts(outage_s=6.0, first_after_s=0.05)
+        attempts, _ = self._attempts(outage_s=6.0, first_call_after_s=0.05)
         self.assertLessEqual(attempts, 5)
 
     def test_a_caller_late_in_the_outage_waits_little_longer_than_it(self) -> None:
-        _, waited_s = self._attempts(outage_s=4.2, first_after_s=3.0)
+        _, waited_s = self._attempts(outage_s=4.2, first_call_after_s=3.0)
         self.assertLess(waited_s, 1.2 + 2.2)
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -12,7 +12,7 @@
 from test.jobs_matrix import FAULTS, STEPS, FaultCase, run_case
 from test.jobs_store import JobsStore
 
-PAIRS = 60
+PAIR_COUNT = 60
 SEED = 20261204
 
 
@@ -21,7 +21,7 @@
         problems = {case.name: found for case in cases if (found := run_case(case))}
         self.assertEqual({}, problems)
 
-    def test_every_fault_at_the_first_of_every_step(self) -> None:
+    def test_every_fault_at_the_first_time_of_every_step(self) -> None:
         cases = [
             FaultCase(injections=((at, fault, 1),)) for at in STEPS for fault in FAULTS
         ]
@@ -59,7 +59,7 @@
         draw = random.Random(SEED)
         steps, faults = list(STEPS), list(FAULTS)
         cases = []
-        for _ in range(PAIRS):
+        for _ in range(PAIR_COUNT):
             first = (draw.choice(steps), draw.choice(faults), draw.randint(1, 4))
             second = (draw.choice(steps), draw.choice(faults), draw.randint(1, 6))
             cases.append(FaultCase(injections=(first, second)))
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -77,8 +77,8 @@
         min_running = 6
         for _ in range(300):
             world.run(0.1)
-            tables = world.process_by_name[world.owner()].instance_by_role["scheduler"]
-            tasks = tables.tables.tasks.rows()
+            owner = world.process_by_name[world.owner()].instance_by_role["scheduler"]
+            tasks = owner.tables.tasks.rows()
             running = sum(
                 task.state is TaskState.RUNNING and task.startup_done for task in tasks
             )
