Rename two handlers of the scheduler for what they handle

`handle_state_reported` also handles a failed write of a wave's status, and `has_run` asks whether a run must have started, not whether it has ended.

--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -37,7 +37,7 @@
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
     tables = quarantine.record_ending(tables, task, ending, now)
-    if has_run(ending) and not job.started:
+    if must_have_started(ending) and not job.started:
         job = replace(job, started=True)
         tables = edits.put_job(tables, job)
     if job.is_final:
@@ -52,13 +52,13 @@
 
 
 @singledispatch
-def has_run(ending: Ending) -> bool:
+def must_have_started(ending: Ending) -> bool:
     """Return whether a run that ended this way has certainly been running."""
     return False
 
 
-@has_run.register(Done)
-@has_run.register(Failed)
+@must_have_started.register(Done)
+@must_have_started.register(Failed)
 def _(ending: Ending) -> bool:
     return True
 
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -198,7 +198,7 @@
     purpose: WriteWaveStatus, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     is_written = isinstance(event, (Transacted, Conflicted))
-    return waves.handle_state_reported(purpose, is_written, tables, now)
+    return waves.handle_status_write_ended(purpose, is_written, tables, now)
 
 
 @handle_store_event.register
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -277,7 +277,7 @@
     return Step(tables=tables, commands=(line, write))
 
 
-def handle_state_reported(
+def handle_status_write_ended(
     purpose: WriteWaveStatus, is_written: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Record the state that operators can read, or schedule another write."""
