Correct and complete texts of the scheduler's systems and tests

The docstring of `end_runs_as_lost` named a parameter that does not exist, the one of `explaining` promised a trial placement, and the note on avoided hosts contradicted the bounded list. The reason for the cap on latencies and for the treatment of an empty list of machines is stated again, and several docstrings say what a function returns by default or leaves out.

--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -92,6 +92,7 @@
 
 
 def _step_without_advice(tables: SchedulerTables, job: Job, now: float) -> str:
+    """Return the key of a waiting step that needs advice, or an empty string."""
     for task in tables.tasks.rows_where("waiting", job.job_id):
         key = step_key(task.job_id, task.occurrence, task.step)
         advice = tables.advice.get(key)
@@ -109,7 +110,7 @@
 def handle_advice(
     event: AdviceReceived, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Store the tickets and trigger a placement pass."""
+    """Store the tickets and trigger a placement pass, if the step still needs them."""
     job = tables.jobs.get(event.step_key.partition(".")[0])
     known = tables.advice.get(event.step_key)
     terms = advice_terms(tables, job) if job is not None else None
@@ -144,5 +145,5 @@
 
 
 def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
-    """Drop the rejected tickets of a step, so that new ones are requested."""
+    """Drop all tickets of a step after one was refused, so that it gets new ones."""
     return replace(tables, advice=tables.advice.drop(key))
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -22,16 +22,16 @@
     should_wait,
 )
 
-# The lowest rank is chosen: whether the host is outside the preferred rack, then cost.
+# Whether the host is outside the preferred rack, and the cost; the lowest is chosen.
 Rank = tuple[bool, float]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementRequest:
-    """What the tasks of a step require of a host.
+    """What a task of a step requires of a host.
 
     `tickets` are the tickets from advice by backend server, None if none are needed.
-    `waited_s` is how long the tasks have waited.
+    `waited_s` is how long the task has waited.
     """
 
     step: StepSpec
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RankedCandidate:
-    """A candidate and its rank; None if the task must not be placed on it."""
+    """A candidate and its rank, which is None if the task must not be placed on it."""
 
     candidate: Candidate
     rank: Rank | None
@@ -117,7 +117,7 @@
     candidate_by_host: Mapping[str, Candidate],
     sibling_count_by_host: Counter[str],
 ) -> list[tuple[Rank, str]]:
-    """Keep the candidates in racks that already hold sibling tasks, if any."""
+    """Return the candidates in the racks of sibling tasks, or all if there are none."""
     racks = {
         candidate_by_host[name].host.rack
         for name in sibling_count_by_host
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -133,7 +133,11 @@
 
 
 def progress_of(tables: SchedulerTables, job_id: str) -> ProgressRow:
-    """Return the durable state of a job, without the tasks never assigned."""
+    """Return the row with a job's progress.
+
+    It leaves out tasks that were never assigned and, once the job has ended, those that
+    can no longer run.
+    """
     job = tables.jobs.by_key[job_id]
     tasks = tables.tasks.rows_where("job", job_id)
     if job.is_final:
--- a/bulrushpulley/systems/scheduling/draining.py
+++ b/bulrushpulley/systems/scheduling/draining.py
@@ -9,7 +9,7 @@
 
 
 def drain_host(tables: SchedulerTables, host: Host, now: float) -> SchedulerStep:
-    """Stop tasks that can resume elsewhere or would be cut off; let others finish."""
+    """Stop tasks that can resume elsewhere or cannot finish before the host leaves."""
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
         spec = edits.step_of(tables, task)
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -51,7 +51,7 @@
 
 @singledispatch
 def apply_effect(effect: Effect, tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Apply one effect to the tables."""
+    """Apply one effect to the tables; by default they do not change."""
     return Step(tables=tables)
 
 
@@ -71,7 +71,7 @@
 
 
 def may_start(tables: SchedulerTables, host: Host, task: Task) -> bool:
-    """Check, before an order is sent, what may have changed since placement."""
+    """Return whether a placed task may start; its host may have changed meanwhile."""
     return (
         host.life == task.life
         and host.state is ServerState.READY
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -40,7 +40,7 @@
 def empty_host(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, host: Host, now: float
 ) -> SchedulerStep:
-    """Stop the runs that can resume elsewhere, and all of them once time is up.
+    """Stop the runs that can resume elsewhere, and after `finish_timeout_s` all runs.
 
     Disruption budgets are respected in both cases.
     """
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -16,7 +16,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, finishing, quarantine, unblocking
 
-# A task never stops avoiding a host on which it failed, so a short list suffices.
+# A task returns to a host on which it failed only if no other has room, so the list
+# grows slowly and a few names suffice.
 MAX_AVOIDED_HOSTS = 8
 
 
@@ -53,7 +54,7 @@
 
 @singledispatch
 def must_have_started(ending: Ending) -> bool:
-    """Return whether a run that ended this way has certainly been running."""
+    """Return whether a run that ended this way must have started."""
     return False
 
 
@@ -131,7 +132,10 @@
     *,
     keep_incarnation: str = "",
 ) -> SchedulerStep:
-    """End as lost every run on a host, except those of the incarnation `keep_life`."""
+    """End as lost the runs on a host, except those of `keep_incarnation`.
+
+    A run in the state PLACED is skipped, because no order for it has been sent yet.
+    """
     commands: list[Command] = []
     for task_id in sorted(tables.tasks.keys_where("host", host)):
         # The end of another task may have ended the job, and with it this task.
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -108,7 +108,7 @@
 
 @singledispatch
 def _is_current(purpose: Purpose, tables: SchedulerTables) -> bool:
-    """Return whether a call was made by the current tenure, if that matters."""
+    """Return whether an answer to a call may still be used; by default it may."""
     return True
 
 
@@ -197,6 +197,7 @@
 def _(
     purpose: WriteWaveStatus, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
+    # On a conflict a former owner has already written a state of the wave.
     is_written = isinstance(event, (Transacted, Conflicted))
     return waves.handle_status_write_ended(purpose, is_written, tables, now)
 
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -1,4 +1,4 @@
-"""Reports where the tasks of a job are, or why they wait, by a trial placement."""
+"""Reports where the tasks of a job are, or how many hosts could take a waiting one."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -1,8 +1,8 @@
 """Learns which images slow which serving images, over all hosts of the shard.
 
 The estimates are written periodically with the owner's other rows. A new owner starts
-from them, with a higher variance; until then the agents keep the former owner's
-verdicts.
+from them, with a higher variance. Agents keep the former owner's verdicts until the new
+owner sends its own.
 """
 
 from __future__ import annotations
@@ -21,10 +21,12 @@
 from bulrushpulley.systems import interference_step
 from bulrushpulley.systems.scheduling import edits
 
+# Stands for no image: the estimate is the latency of a serving task without neighbours.
 SERVICE_ALONE = ""
 # A serving task without neighbours has about this fraction of its target latency.
 INITIAL_SERVING_LATENCY_RATIO = 0.4
-# Higher latencies are capped at this multiple of the target.
+# Latencies are capped at this multiple of the target, because higher ones show nothing
+# more than that the latency is too high.
 MAX_LATENCY_RATIO = 2.0
 # An image is harmful if one unit of it adds at least the first fraction of the target,
 # because a few such units take a serving task past its target. It is no longer harmful
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -41,7 +41,7 @@
 
 
 def leases_expired_at(tables: SchedulerTables, owning: Owning, host: Host) -> float:
-    """Return from when no run that was ordered on a host can still be running."""
+    """Return the time after which no run ordered on a host can still be running."""
     if host.last_contact_at > 0.0:
         return host.last_contact_at + tables.bounds.agent_expiry_s
     return owning.since + tables.bounds.agent_expiry_after_takeover_s
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -174,8 +174,9 @@
     ranked_by_since: dict[float, dict[str, choosing.RankedCandidate]] = {}
     for task in members:
         request = _placement_request(state, job, step, task, now)
-        # The rank of a lasting task depends on the free resources of all hosts, which
-        # change with each placement, so its ranks are not cached.
+        # Tasks that have waited equally long share ranks. The rank of a lasting task
+        # depends on the free resources of all hosts, which change with each placement,
+        # so its ranks are not reused.
         ranked_by_host = (
             {} if step.lasting else ranked_by_since.setdefault(task.since, {})
         )
@@ -237,7 +238,10 @@
 
 
 def service_of(tables: SchedulerTables, job: Job) -> str:
-    """Return the service of the job's queue, or the one at acceptance if none."""
+    """Return the service of the job's queue.
+
+    If the queue no longer exists, it is the service at the time of acceptance.
+    """
     queue = tables.operator_settings.queue(job.row.queue)
     return queue.service if queue is not None else job.row.service
 
--- a/bulrushpulley/systems/scheduling/quarantine.py
+++ b/bulrushpulley/systems/scheduling/quarantine.py
@@ -1,7 +1,8 @@
 """Quarantines hosts on which runs fail.
 
 A host gets no new tasks for a while after repeated failures, unless the same tasks
-fail elsewhere too. Failures expire, and the host is used again after the quarantine.
+fail elsewhere too. Old failures are ignored, and the host is used again after the
+quarantine.
 """
 
 from __future__ import annotations
@@ -59,7 +60,7 @@
 
 
 def record_refusal(tables: SchedulerTables, name: str, now: float) -> SchedulerTables:
-    """Quarantine a host that refused to start a task."""
+    """Quarantine a host whose backend server refused to start a task as unhealthy."""
     host = tables.hosts.by_key[name]
     quarantined = replace(
         host, quarantined_until=max(host.quarantined_until, now + REFUSAL_QUARANTINE_S)
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
-    """A host that is open for tasks, including those placed on it in this pass."""
+    """A host that is open for tasks, as it is after the placements of this pass."""
 
     host: Host
     free: Resources
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -12,7 +12,7 @@
 
 
 def unblock(tables: SchedulerTables, job: Job, now: float) -> SchedulerTables:
-    """Let the blocked tasks of a job that are ready wait for a host."""
+    """Change the tasks of a job that are ready from BLOCKED to WAITING."""
     if job.is_final:
         return tables
     wall_s = now + tables.wall_offset_s
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -184,6 +184,7 @@
     event: MachinesListed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Replace the list of machines; an empty list is treated as a failed read."""
+    # A machine that is not listed counts as removed, so an empty list would finish all.
     if not event.machines:
         return handle_list_failed(
             ListMachinesFailed(reason="empty list of machines"), tables, now
@@ -280,7 +281,7 @@
 def handle_status_write_ended(
     purpose: WriteWaveStatus, is_written: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Record the state that operators can read, or schedule another write."""
+    """Record that operators can read the state, or schedule another write."""
     wave = tables.upkeep.waves.get(str(purpose.number))
     if wave is None:
         return Step(tables=tables)
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -1,7 +1,8 @@
 """A fake of the platform's machine service in virtual time, for `JobsWorld`.
 
-It records violations of the upkeep rules: more machines down than a wave allows, and
-orders with a lower token after a higher one.
+It records violations of the upkeep rules: more machines down than a wave allows, orders
+with a lower token after a higher one, two holders with the same token, and orders of
+two holders within the handover delay.
 """
 
 from __future__ import annotations
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -202,4 +202,5 @@
 
     def test_a_caller_late_in_the_outage_waits_little_longer_than_it(self) -> None:
         _, waited_s = self._attempts(outage_s=4.2, first_call_after_s=3.0)
+        # The outage lasts 1.2 s after the first call, and a retry delay up to 2 s.
         self.assertLess(waited_s, 1.2 + 2.2)
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -1,4 +1,4 @@
-"""The fault matrix of jobs in virtual time, also without one safeguard each."""
+"""Runs the fault matrix of jobs in virtual time, and cases without a safeguard."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
 
 
 class SafeguardTest(testtools.TestCase):
-    """Without each safeguard a case fails that passes with it."""
+    """For each safeguard, a case that passes with it and fails without it."""
 
     def test_without_the_wait_for_lease_expiry_a_task_runs_twice(self) -> None:
         case = FaultCase(injections=(("start called", "host cut off", 3),))
