--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -16,7 +16,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, finishing, quarantine, unblocking
 
-# A task never stops avoiding a host on which it failed, so a short list suffices.
+# A task returns to a host on which it failed only if no other has room, so the list
+# grows slowly and a few names suffice.
 MAX_AVOIDED_HOSTS = 8
 
 
@@ -37,7 +38,7 @@
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
     tables = quarantine.record_ending(tables, task, ending, now)
-    if has_run(ending) and not job.started:
+    if must_have_started(ending) and not job.started:
         job = replace(job, started=True)
         tables = edits.put_job(tables, job)
     if job.is_final:
@@ -52,13 +53,13 @@
 
 
 @singledispatch
-def has_run(ending: Ending) -> bool:
-    """Return whether a run that ended this way has certainly been running."""
+def must_have_started(ending: Ending) -> bool:
+    """Return whether a run that ended this way must have started."""
     return False
 
 
-@has_run.register(Done)
-@has_run.register(Failed)
+@must_have_started.register(Done)
+@must_have_started.register(Failed)
 def _(ending: Ending) -> bool:
     return True
 
@@ -85,7 +86,7 @@
         return Step(tables=_requeue(tables, task, now))
     members = [task]
     if spec.gang:
-        members = _siblings(tables, task)
+        members = _open_tasks_of_step(tables, task)
     for member in members:
         done = replace(member, state=TaskState.DONE, host="", life="", since=now)
         tables = edits.put_task(tables, done)
@@ -97,7 +98,7 @@
     return Step(tables=unblocking.unblock(tables, job, now))
 
 
-def _siblings(tables: SchedulerTables, task: Task) -> list[Task]:
+def _open_tasks_of_step(tables: SchedulerTables, task: Task) -> list[Task]:
     key = step_key(task.job_id, task.occurrence, task.step)
     return tables.tasks.rows_where("open", key)
 
@@ -114,7 +115,9 @@
         return Step(tables=tables)
     failures = failed.failures
     if spec.gang:
-        failures = sum(member.failures for member in _siblings(tables, failed))
+        failures = sum(
+            member.failures for member in _open_tasks_of_step(tables, failed)
+        )
     if failures < job.row.max_attempts:
         return Step(tables=tables)
     reason = f"{task.task_id} failed {failures} times"
@@ -129,7 +132,10 @@
     *,
     keep_incarnation: str = "",
 ) -> SchedulerStep:
-    """End as lost every run on a host, except those of the incarnation `keep_life`."""
+    """End as lost the runs on a host, except those of `keep_incarnation`.
+
+    A run in the state PLACED is skipped, because no order for it has been sent yet.
+    """
     commands: list[Command] = []
     for task_id in sorted(tables.tasks.keys_where("host", host)):
         # The end of another task may have ended the job, and with it this task.
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -108,7 +108,7 @@
 
 @singledispatch
 def _is_current(purpose: Purpose, tables: SchedulerTables) -> bool:
-    """Return whether a call was made by the current tenure, if that matters."""
+    """Return whether an answer to a call may still be used; by default it may."""
     return True
 
 
@@ -197,8 +197,9 @@
 def _(
     purpose: WriteWaveStatus, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    done = isinstance(event, (Transacted, Conflicted))
-    return waves.handle_state_reported(purpose, done, tables, now)
+    # On a conflict a former owner has already written a state of the wave.
+    is_written = isinstance(event, (Transacted, Conflicted))
+    return waves.handle_status_write_ended(purpose, is_written, tables, now)
 
 
 @handle_store_event.register
@@ -248,7 +249,7 @@
 
 @handle_commit_answer.register
 def _(event: Conflicted, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return committing.handle_conflict(event, tables, now)
+    return committing.handle_conflicted(event, tables, now)
 
 
 @handle_commit_answer.register
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -184,6 +184,7 @@
     event: MachinesListed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Replace the list of machines; an empty list is treated as a failed read."""
+    # A machine that is not listed counts as removed, so an empty list would finish all.
     if not event.machines:
         return handle_list_failed(
             ListMachinesFailed(reason="empty list of machines"), tables, now
@@ -214,8 +215,12 @@
     """Return the row that stores the progress of a wave."""
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
     ordered_phases = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
-    ordered = (up.machine_id for up in upkeeps if up.phase in ordered_phases)
-    finished = (up.machine_id for up in upkeeps if up.phase is UpkeepPhase.FINISHED)
+    ordered = (
+        upkeep.machine_id for upkeep in upkeeps if upkeep.phase in ordered_phases
+    )
+    finished = (
+        upkeep.machine_id for upkeep in upkeeps if upkeep.phase is UpkeepPhase.FINISHED
+    )
     return WaveRow(
         number=wave.order.number,
         ordered=tuple(sorted(ordered)),
@@ -273,14 +278,14 @@
     return Step(tables=tables, commands=(line, write))
 
 
-def handle_state_reported(
-    purpose: WriteWaveStatus, done: bool, tables: SchedulerTables, now: float
+def handle_status_write_ended(
+    purpose: WriteWaveStatus, is_written: bool, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Record the state that operators can read, or schedule another write."""
+    """Record that operators can read the state, or schedule another write."""
     wave = tables.upkeep.waves.get(str(purpose.number))
     if wave is None:
         return Step(tables=tables)
-    reported_state = purpose.state if done else wave.reported_state
+    reported_state = purpose.state if is_written else wave.reported_state
     updated = replace(
         wave,
         reporting=False,
