Rename vague names of the intake and the job agent

The fields reading, read_at and retry_at of the intake's tables did not say which call they were about, and reported meant a run's status in one class and the host's report in another. Locals that held a submission were called row, next to a field of that name, and first named both a function and a command. The mark of runs that cannot start shared its verb with the withdrawal of a backend server. The names now say what they hold.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -92,19 +92,19 @@
 
     `accepted` and `older_accepted` hold the ids of jobs that are known to be stored:
     the recent ones and those before. `store_answered_at` is when the store last
-    answered any call, and `store_latency_s` its smoothed latency. `reading` is
+    answered any call, and `store_latency_s` its smoothed latency. `reading_orders` is
     whether a read of all orders is in flight.
     """
 
     operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
     order_by_key: PMap[str, OrderEntry] = field(default_factory=pmap)
     watch: WatchState | None = None
-    reading: bool = False
-    read_at: float = 0.0
+    reading_orders: bool = False
+    orders_read_sent_at: float = 0.0
     submissions: Table[Submission] = field(default_factory=Table.empty)
     batch: Batch | None = None
     batch_count: int = 0
-    retry_at: float = 0.0
+    batch_retry_at: float = 0.0
     inquiries: Table[Inquiry] = field(default_factory=Table.empty)
     accepted: PSet[str] = field(default_factory=pset)
     older_accepted: PSet[str] = field(default_factory=pset)
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -185,11 +185,11 @@
     last_end_sent: int = 0
     pacing: Pacing = field(default_factory=Pacing)
     measures_sent_at: float = 0.0
-    reported: HostReport | None = None
+    last_host_report: HostReport | None = None
     synced: bool = False
     registered: bool = False
     registering: bool = False
-    register_at: float = 0.0
+    register_retry_at: float = 0.0
     leaving: bool = False
 
 
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -36,10 +36,10 @@
         return Step(tables=tables)
     left = [job_id for job_id in batch.job_ids if job_id in tables.submissions]
     reads: tuple[Command, ...] = tuple(_read(batch, job_id) for job_id in left)
-    checked = replace(
+    being_checked = replace(
         batch, checking=frozenset(left), reads_sent_at=now, row_missing=False
     )
-    return Step(tables=replace(tables, batch=checked), commands=reads)
+    return Step(tables=replace(tables, batch=being_checked), commands=reads)
 
 
 def _read(batch: Batch, job_id: str) -> ReadRange:
@@ -66,7 +66,7 @@
     found = _job_row_found(event)
     checking = batch.checking - {purpose.job_id}
     row_missing = batch.row_missing or not found
-    known = found is not None
+    read_succeeded = found is not None
     tables = replace(
         tables, batch=replace(batch, checking=checking, row_missing=row_missing)
     )
@@ -76,7 +76,7 @@
     if checking:
         return step
     is_fast = now - batch.reads_sent_at < MAX_FAST_READ_S
-    resends = row_missing and (is_fast or not known)
+    resends = row_missing and (is_fast or not read_succeeded)
     return Step(tables=_finish_check(step.tables, resends, now), commands=step.commands)
 
 
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -86,16 +86,20 @@
 def _(
     call: ShowCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    read = _read_progress if job_id else _read_backlog
-    return _start_inquiry(call, queue, job_id, tables, now, read(call.call_id, job_id))
+    build_command = _read_progress if job_id else _read_backlog
+    return _start_inquiry(
+        call, queue, job_id, tables, now, build_command(call.call_id, job_id)
+    )
 
 
 @inquire.register
 def _(
     call: CancelCall, queue: Queue, job_id: str, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    first = _store_cancel if is_accepted(tables, job_id) else _read_job
-    return _start_inquiry(call, queue, job_id, tables, now, first(call.call_id, job_id))
+    build_command = _store_cancel if is_accepted(tables, job_id) else _read_job
+    return _start_inquiry(
+        call, queue, job_id, tables, now, build_command(call.call_id, job_id)
+    )
 
 
 def _start_inquiry(
@@ -104,7 +108,7 @@
     job_id: str,
     tables: IntakeTables,
     now: float,
-    first: StoreCommand,
+    first_command: StoreCommand,
 ) -> IntakeStep:
     inquiry = Inquiry(
         call=call,
@@ -113,7 +117,9 @@
         due_at=now + max(0.0, call.within_s - CALL_ANSWER_MARGIN_S),
     )
     inquiries = tables.inquiries.put(call.call_id, inquiry)
-    command = replace(first, timeout_s=store_timeouts.timeout_s(tables.store_latency_s))
+    command = replace(
+        first_command, timeout_s=store_timeouts.timeout_s(tables.store_latency_s)
+    )
     return Step(tables=replace(tables, inquiries=inquiries), commands=(command,))
 
 
@@ -184,14 +190,14 @@
     if now >= inquiry.due_at:
         return _give_up(tables, inquiry)
     call_id = inquiry.call.call_id
-    wait_s = min(
+    delay_s = min(
         MAX_INQUIRY_RETRY_DELAY_S, MIN_INQUIRY_RETRY_DELAY_S * 2.0**inquiry.retries
     )
     retried = replace(
         inquiry,
         retries=inquiry.retries + 1,
         retry_purpose=purpose,
-        next_retry_at=now + wait_s,
+        next_retry_at=now + delay_s,
     )
     inquiries = tables.inquiries.put(call_id, retried)
     return Step(tables=replace(tables, inquiries=inquiries))
@@ -225,10 +231,10 @@
         timeout_s = (
             store_timeouts.timeout_s(tables.store_latency_s) * 2.0**inquiry.retries
         )
-        left_s = max(MIN_INQUIRY_TIMEOUT_S, inquiry.due_at - now)
+        remaining_s = max(MIN_INQUIRY_TIMEOUT_S, inquiry.due_at - now)
         command = replace(
             retry_command(purpose, inquiry),
-            timeout_s=min(timeout_s, left_s, store_timeouts.MAX_STORE_TIMEOUT_S),
+            timeout_s=min(timeout_s, remaining_s, store_timeouts.MAX_STORE_TIMEOUT_S),
         )
         sent = replace(inquiry, retry_purpose=None)
         tables = replace(tables, inquiries=tables.inquiries.put(call_id, sent))
@@ -305,9 +311,9 @@
     if is_accepted(tables, inquiry.job_id):
         shown = JobShown(call_id=purpose.call_id, state=JobState.QUEUED)
         return _finish(tables, inquiry, shown)
-    read = _read_job(purpose.call_id, inquiry.job_id)
+    command = _read_job(purpose.call_id, inquiry.job_id)
     timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
-    return Step(tables=tables, commands=(replace(read, timeout_s=timeout_s),))
+    return Step(tables=tables, commands=(replace(command, timeout_s=timeout_s),))
 
 
 @handle_rows_read.register
@@ -336,9 +342,9 @@
 ) -> IntakeStep:
     if any(isinstance(row, CancelRow) for row in rows):
         return _finish(tables, inquiry, JobCancelled(call_id=call.call_id))
-    store = _store_cancel(call.call_id, inquiry.job_id)
+    command = _store_cancel(call.call_id, inquiry.job_id)
     timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
-    return Step(tables=tables, commands=(replace(store, timeout_s=timeout_s),))
+    return Step(tables=tables, commands=(replace(command, timeout_s=timeout_s),))
 
 
 @handle_rows_read.register
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -46,9 +46,12 @@
     """Read the orders once, then watch them for changes."""
     state = tables.watch
     if state is None:
-        if tables.reading or now - tables.read_at < ORDERS_READ_RETRY_DELAY_S:
+        if (
+            tables.reading_orders
+            or now - tables.orders_read_sent_at < ORDERS_READ_RETRY_DELAY_S
+        ):
             return Step(tables=tables)
-        reading = replace(tables, reading=True, read_at=now)
+        reading = replace(tables, reading_orders=True, orders_read_sent_at=now)
         read = ReadRange(
             role=INTAKE,
             purpose=ReadOrders(),
@@ -76,7 +79,7 @@
     tables = replace(
         tables,
         order_by_key=entries,
-        reading=False,
+        reading_orders=False,
         watch=WatchState(after=event.version),
     )
     return _apply_rows(tables, event.rows, event.version)
@@ -84,7 +87,7 @@
 
 def handle_orders_read_failed(tables: IntakeTables) -> IntakeStep:
     """Allow another read of the orders, after the retry delay."""
-    return Step(tables=replace(tables, reading=False))
+    return Step(tables=replace(tables, reading_orders=False))
 
 
 def handle_orders_changed(
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -139,9 +139,11 @@
     """Answer the submissions that expired and send those that wait."""
     step = _expire(tables, now)
     tables = step.tables
-    if tables.batch is not None or now < tables.retry_at:
+    if tables.batch is not None or now < tables.batch_retry_at:
         return step
-    waiting = sorted(tables.submissions.rows(), key=lambda row: row.received_at)
+    waiting = sorted(
+        tables.submissions.rows(), key=lambda submission: submission.received_at
+    )
     chosen = waiting[:MAX_BATCH_JOBS]
     if not chosen:
         return step
@@ -151,11 +153,12 @@
         purpose=StoreJobs(number=number),
         timeout_s=store_timeouts.MAX_STORE_TIMEOUT_S,
         conditions=tuple(
-            Condition(key=job_key(row.job_id), version=0) for row in chosen
+            Condition(key=job_key(submission.job_id), version=0)
+            for submission in chosen
         ),
-        puts=tuple(row.row for row in chosen),
+        puts=tuple(submission.row for submission in chosen),
     )
-    job_ids = tuple(row.job_id for row in chosen)
+    job_ids = tuple(submission.job_id for submission in chosen)
     batch = Batch(
         number=number,
         transact=transact,
@@ -164,48 +167,58 @@
         check_at=now + store_timeouts.timeout_s(tables.store_latency_s),
     )
     submissions = tables.submissions
-    for row in chosen:
-        submissions = submissions.put(row.job_id, replace(row, in_flight=True))
+    for submission in chosen:
+        submissions = submissions.put(
+            submission.job_id, replace(submission, in_flight=True)
+        )
     tables = replace(tables, batch=batch, batch_count=number, submissions=submissions)
     return Step(tables=tables, commands=(*step.commands, transact))
 
 
 def _expire(tables: IntakeTables, now: float) -> IntakeStep:
     commands: list[Command] = []
-    for row in tables.submissions.rows():
-        if row.in_flight and now < row.due_at:
+    for submission in tables.submissions.rows():
+        if submission.in_flight and now < submission.due_at:
             continue
-        outcome_unknown = row.outcome_unknown or row.in_flight
-        retry_timeout_s = BUSY_TIMEOUT_S if row.busy else REFUSED_TIMEOUT_S
-        refused = row.refused_at is not None and now - row.refused_at >= retry_timeout_s
-        if now < row.due_at and (outcome_unknown or not refused):
+        outcome_unknown = submission.outcome_unknown or submission.in_flight
+        retry_timeout_s = BUSY_TIMEOUT_S if submission.busy else REFUSED_TIMEOUT_S
+        refused = (
+            submission.refused_at is not None
+            and now - submission.refused_at >= retry_timeout_s
+        )
+        if now < submission.due_at and (outcome_unknown or not refused):
             continue
-        tables = replace(tables, submissions=tables.submissions.drop(row.job_id))
+        tables = replace(tables, submissions=tables.submissions.drop(submission.job_id))
         retry_s = retry_after_s(now - tables.store_answered_at)
-        commands.extend(_give_up(row, outcome_unknown, retry_s))
+        commands.extend(_give_up(submission, outcome_unknown, retry_s))
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _give_up(row: Submission, outcome_unknown: bool, retry_s: float) -> list[Command]:
+def _give_up(
+    submission: Submission, outcome_unknown: bool, retry_s: float
+) -> list[Command]:
     reason = (
         "the store did not answer" if outcome_unknown else "the store takes nothing"
     )
     line = Decision(
         kind="job.unsure" if outcome_unknown else "job.refuse",
-        subject=row.job_id,
-        chosen=row.row.queue,
+        subject=submission.job_id,
+        chosen=submission.row.queue,
         reason=reason,
     )
     if outcome_unknown:
         return [
             line,
-            *(OutcomeUnknown(call_id=call, reason=reason) for call in row.call_ids),
+            *(
+                OutcomeUnknown(call_id=call, reason=reason)
+                for call in submission.call_ids
+            ),
         ]
     return [
         line,
         *(
             TryLater(call_id=call, reason=reason, retry_after_s=retry_s)
-            for call in row.call_ids
+            for call in submission.call_ids
         ),
     ]
 
@@ -228,23 +241,23 @@
     """Answer the callers of jobs that are known to be stored."""
     commands: list[Command] = []
     for job_id in job_ids:
-        row = tables.submissions.get(job_id)
+        submission = tables.submissions.get(job_id)
         tables = _record_accepted(tables, job_id)
-        if row is None:
+        if submission is None:
             continue
         tables = replace(tables, submissions=tables.submissions.drop(job_id))
         line = Decision(
             kind="job.store",
             subject=job_id,
-            chosen=row.row.queue,
-            reason=f"after {now - row.received_at:.3f} s",
+            chosen=submission.row.queue,
+            reason=f"after {now - submission.received_at:.3f} s",
             revision=tables.operator_settings.revision,
         )
         commands.append(line)
         commands.append(
-            Observe(name="job_store_seconds", seconds=now - row.received_at)
+            Observe(name="job_store_seconds", seconds=now - submission.received_at)
         )
-        commands.extend(JobAccepted(call_id=call) for call in row.call_ids)
+        commands.extend(JobAccepted(call_id=call) for call in submission.call_ids)
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -281,12 +294,12 @@
     """Requeue a batch that was refused, to be sent after a delay."""
     tables = requeue_batch(tables, outcome_unknown=False)
     submissions = tables.submissions
-    for row in submissions.rows():
-        since = now if row.refused_at is None else row.refused_at
-        refused = replace(row, refused_at=since, busy=event.busy)
-        submissions = submissions.put(row.job_id, refused)
+    for submission in submissions.rows():
+        since = now if submission.refused_at is None else submission.refused_at
+        refused = replace(submission, refused_at=since, busy=event.busy)
+        submissions = submissions.put(submission.job_id, refused)
     delay_s = BUSY_RETRY_DELAY_S if event.busy else REFUSED_RETRY_DELAY_S
-    tables = replace(tables, submissions=submissions, retry_at=now + delay_s)
+    tables = replace(tables, submissions=submissions, batch_retry_at=now + delay_s)
     return Step(tables=tables)
 
 
@@ -294,12 +307,12 @@
     """Move the jobs of the batch back to those that wait for the next one."""
     submissions = tables.submissions
     for job_id in tables.batch.job_ids if tables.batch else ():
-        row = submissions.get(job_id)
-        if row is not None:
+        submission = submissions.get(job_id)
+        if submission is not None:
             requeued = replace(
-                row,
+                submission,
                 in_flight=False,
-                outcome_unknown=row.outcome_unknown or outcome_unknown,
+                outcome_unknown=submission.outcome_unknown or outcome_unknown,
             )
             submissions = submissions.put(job_id, requeued)
     return replace(tables, batch=None, submissions=submissions)
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -32,7 +32,7 @@
         contact_sent_at=NEVER_CONTACTED_AT_S,
         orders_complete=False,
         synced=False,
-        reported=None,
+        last_host_report=None,
         last_end_sent=0,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -116,9 +116,12 @@
     same_image_paces = [
         other.pace for other in runs if other.order and other.order.image == image
     ]
-    known = any((name, image) in tables.pacing.harmful for name in serving)
+    is_harmful = any((name, image) in tables.pacing.harmful for name in serving)
     return min(
-        [*same_image_paces, HARMFUL_START_PERCENT if known else UNKNOWN_START_PERCENT]
+        [
+            *same_image_paces,
+            HARMFUL_START_PERCENT if is_harmful else UNKNOWN_START_PERCENT,
+        ]
     )
 
 
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -78,7 +78,7 @@
     poll = tables.poll
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
-    first = poll.failing_since is None
+    first_failure = poll.failing_since is None
     failing = replace(
         poll,
         in_flight=False,
@@ -89,7 +89,7 @@
         else 0,
     )
     tables = replace(tables, poll=failing)
-    if not first:
+    if not first_failure:
         return Step(tables=tables)
     line = edits.log(
         tables,
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -24,7 +24,7 @@
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Write the row once, with retries until the store has confirmed it."""
-    waits = tables.registered or tables.registering or now < tables.register_at
+    waits = tables.registered or tables.registering or now < tables.register_retry_at
     if waits:
         return Step(tables=tables)
     row = HostRow(
@@ -53,6 +53,6 @@
             tables,
             registering=False,
             registered=done,
-            register_at=now + REGISTER_RETRY_DELAY_S,
+            register_retry_at=now + REGISTER_RETRY_DELAY_S,
         )
     )
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -54,12 +54,12 @@
 
 def _report_host(tables: JobAgentTables, now: float) -> JobAgentStep:
     report = host_report(tables)
-    before = tables.reported
+    before = tables.last_host_report
     if before is not None and replace(before, leaves_in_s=0.0) == replace(
         report, leaves_in_s=0.0
     ):
         return Step(tables=tables)
-    tables = replace(tables, reported=report)
+    tables = replace(tables, last_host_report=report)
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=report),))
 
 
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -102,7 +102,7 @@
     server = tables.server
     if server is None:
         return Step(tables=tables)
-    fresh = replace(
+    cleared = replace(
         tables,
         server=None,
         server_state=ServerState.GONE,
@@ -119,7 +119,7 @@
     if tables.owner:
         ended = LifeEnded(epoch=tables.epoch, life=server.life)
         commands.append(Send(peer=tables.owner, item=ended))
-    return Step(tables=fresh, commands=tuple(commands))
+    return Step(tables=cleared, commands=tuple(commands))
 
 
 def update_state(tables: JobAgentTables, now: float) -> JobAgentStep:
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -34,7 +34,7 @@
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the starts that may be sent now."""
-    tables = _withdraw_unstarted(tables, now)
+    tables = _mark_unstarted_unwanted(tables, now)
     server = tables.server
     if (
         server is None
@@ -86,11 +86,11 @@
     return used
 
 
-def _withdraw_unstarted(tables: JobAgentTables, now: float) -> JobAgentTables:
+def _mark_unstarted_unwanted(tables: JobAgentTables, now: float) -> JobAgentTables:
     for run_ in tables.runs.rows_where("phase", RunPhase.ORDERED.value):
         late = now - run_.since > START_ORDER_TIMEOUT_S
-        closed = tables.server_state is ServerState.DRAINING
-        if run_.wanted and (late or closed):
+        draining = tables.server_state is ServerState.DRAINING
+        if run_.wanted and (late or draining):
             unwanted = replace(run_, wanted=False)
             tables = edits.put_run(tables, unwanted)
     return tables
