Rename figurative names of the tests of jobs

They now name what they are: the entry of a linked agent, a withdrawn order, a slowdown factor. The order of steps, the checks and the times of the tests are unchanged.

--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -74,7 +74,7 @@
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
 SIZE = Resources(processors_m=1_000, memory_mb=1_000)
 STORE_LATENCY_S = 0.006
-FAR_STORE_LATENCY_S = 0.024
+FAR_STORE_EXTRA_LATENCY_S = 0.024
 PART_WRITES_PER_S = 150
 MAX_PART_QUEUE_S = 1.0
 LINK_LATENCY_S = 0.001
@@ -124,17 +124,17 @@
         self.store = JobsStore()
         self.process_by_name: dict[str, Process] = {}
         self.executor_by_host: dict[str, FakeExecutor] = {}
-        self.links: dict[str, str] = {}
+        self.entry_by_linked_agent: dict[str, str] = {}
         self.cut_off_processes: set[str] = set()
         self.cut_off_from_store: set[str] = set()
         self.store_up = True
         self.lose_answers = False
         self.reads_fail = False
         self.far_from_store: set[str] = set()
-        self.slowness = 1.0
+        self.store_slowdown_factor = 1.0
         self.part_free_at: dict[str, float] = {}
         self.call_delay_s = 0.0
-        self.disallowed: set[str] = set()
+        self.disallowed_server_ids: set[str] = set()
         self.machines = FakeMachines()
         self.lose_upkeep_answers = False
         self.hook: Callable[[Command], None] | None = None
@@ -161,11 +161,11 @@
         order = Configuration(version=version, queues=queues or (QUEUE,))
         self.store.put(key=key, order=order)
 
-    def evacuate(self, domain: str, *, back: bool = False) -> None:
+    def evacuate(self, domain: str, *, withdraw: bool = False) -> None:
         """Take a failure domain out of service, or back."""
         key = RowKey(table="op", part="", key=f"evacuate/{domain}")
         self.store.put(
-            key=key, order=None if back else Evacuation(failure_domain=domain)
+            key=key, order=None if withdraw else Evacuation(failure_domain=domain)
         )
 
     def order_wave(self, number: int, *machine_ids: str, at_once: int = 1) -> None:
@@ -248,7 +248,7 @@
         """End a process abruptly; its links end with it."""
         process = self.process_by_name[name]
         process.alive = False
-        for pair in list(self.links.items()):
+        for pair in list(self.entry_by_linked_agent.items()):
             if process.incarnation in pair:
                 self._unlink(pair[0])
 
@@ -258,11 +258,11 @@
         start = self.start_entry if name.startswith("entry") else self.start_agent
         self.at(0.5, lambda: start(name))
 
-    def freeze(self, name: str, for_s: float) -> None:
+    def freeze(self, name: str, duration_s: float) -> None:
         """Suspend a process for a while."""
         process = self.process_by_name[name]
         process.frozen = True
-        self.at(for_s, lambda: self._thaw(process))
+        self.at(duration_s, lambda: self._thaw(process))
 
     def _thaw(self, process: Process) -> None:
         process.frozen = False
@@ -274,22 +274,22 @@
         for role in self.process_by_name[name].instance_by_role:
             self.tell(self.process_by_name[name], role, Leave())
 
-    def cut_off(self, name: str, for_s: float) -> None:
+    def cut_off(self, name: str, duration_s: float) -> None:
         """Cut a process off from every other and from the store."""
         self.cut_off_processes.add(name)
         self.cut_off_from_store.add(name)
-        self.at(for_s, lambda: self.cut_off_processes.discard(name))
-        self.at(for_s, lambda: self.cut_off_from_store.discard(name))
+        self.at(duration_s, lambda: self.cut_off_processes.discard(name))
+        self.at(duration_s, lambda: self.cut_off_from_store.discard(name))
         self.at(LINK_TIMEOUT_S, lambda: self._drop_unreachable(name))
 
     def _drop_unreachable(self, name: str) -> None:
         incarnation = self.process_by_name[name].incarnation
-        for pair in list(self.links.items()):
+        for pair in list(self.entry_by_linked_agent.items()):
             if name in self.cut_off_processes and incarnation in pair:
                 self._unlink(pair[0])
 
     def _unlink(self, agent: str) -> None:
-        owner = self.links.pop(agent)
+        owner = self.entry_by_linked_agent.pop(agent)
         for end, other in ((agent, owner), (owner, agent)):
             process = self._process(end)
             if process is not None:
@@ -298,8 +298,10 @@
 
     def _process(self, incarnation: str) -> Process | None:
         found = self.process_by_name.get(incarnation.rpartition("-")[0])
-        ok = found is not None and found.alive and found.incarnation == incarnation
-        return found if ok else None
+        is_current = (
+            found is not None and found.alive and found.incarnation == incarnation
+        )
+        return found if is_current else None
 
     # Time
 
@@ -386,7 +388,7 @@
         approved = {
             server_id: f"ticket-{server_id}"
             for server_id in command.server_ids
-            if server_id not in self.disallowed
+            if server_id not in self.disallowed_server_ids
         }
         advised = AdviceReceived(step_key=command.step_key, ticket_by_server=approved)
         self.at(0.05, lambda: self.tell(process, command.role, advised))
@@ -427,26 +429,30 @@
 
     @_carry_out.register
     def _(self, command: DialAgent, process: Process) -> None:
-        self.at(DIAL_LATENCY_S, lambda: self._dialled(command.address, process))
+        self.at(DIAL_LATENCY_S, lambda: self._open_link(command.address, process))
 
-    def _dialled(self, address: str, process: Process) -> None:
+    def _open_link(self, address: str, process: Process) -> None:
         agent = self.process_by_name.get(address)
         is_cut_off = {address, process.name} & self.cut_off_processes
         if agent is None or not agent.alive or agent.frozen or is_cut_off:
             ended = DialEnded(address=address)
             self.at(0.5, lambda: self.tell(process, SCHEDULER, ended))
             return
-        if agent.incarnation in self.links:
+        if agent.incarnation in self.entry_by_linked_agent:
             self._unlink(agent.incarnation)
-        self.links[agent.incarnation] = process.incarnation
+        self.entry_by_linked_agent[agent.incarnation] = process.incarnation
         self._tell_all(process, LinkUp(peer=agent.incarnation, region="ege"))
         self._tell_all(agent, LinkUp(peer=process.incarnation, region="ege"))
 
     @_carry_out.register
     def _(self, command: Send, process: Process) -> None:
         linked = command.peer in (
-            self.links.get(process.incarnation),
-            *(end for end, owner in self.links.items() if owner == process.incarnation),
+            self.entry_by_linked_agent.get(process.incarnation),
+            *(
+                end
+                for end, owner in self.entry_by_linked_agent.items()
+                if owner == process.incarnation
+            ),
         )
         target = self._process(command.peer)
         if (
@@ -463,19 +469,21 @@
     @_carry_out.register
     def _(self, command: store.Transact, process: Process) -> None:
         refused = store.TransactRefused(purpose=command.purpose, reason="down")
-        lost = store.TransactOutcomeUnknown(purpose=command.purpose, reason="no answer")
+        outcome_unknown = store.TransactOutcomeUnknown(
+            purpose=command.purpose, reason="no answer"
+        )
         if process.name in self.cut_off_from_store:
-            self._answer(command, process, command.timeout_s, lambda: lost)
+            self._answer(command, process, command.timeout_s, lambda: outcome_unknown)
         elif not self.store_up:
             self._answer(command, process, STORE_LATENCY_S, lambda: refused)
         elif self.lose_answers:
             self.store.transact(command)
-            self._answer(command, process, command.timeout_s, lambda: lost)
+            self._answer(command, process, command.timeout_s, lambda: outcome_unknown)
         else:
             self._transact_in_turn(command, process)
 
     def _transact_in_turn(self, command: store.Transact, process: Process) -> None:
-        """Run a part's transactions one after another, slowed down by `slowness`."""
+        """Run a part's transactions in turn, slowed by `store_slowdown_factor`."""
         part = key_of(command.puts[0]).part if command.puts else ""
         begins_at = max(self.now, self.part_free_at.get(part, 0.0))
         if begins_at - self.now > MAX_PART_QUEUE_S:
@@ -483,18 +491,25 @@
                 purpose=command.purpose, reason="status 429", busy=True
             )
             self._answer(
-                command, process, STORE_LATENCY_S * self.slowness, lambda: busy
+                command,
+                process,
+                STORE_LATENCY_S * self.store_slowdown_factor,
+                lambda: busy,
             )
             return
-        self.part_free_at[part] = begins_at + self.slowness / PART_WRITES_PER_S
-        took_s = begins_at - self.now + STORE_LATENCY_S * self.slowness
+        self.part_free_at[part] = (
+            begins_at + self.store_slowdown_factor / PART_WRITES_PER_S
+        )
+        took_s = begins_at - self.now + STORE_LATENCY_S * self.store_slowdown_factor
         if took_s <= command.timeout_s:
             done = partial(self.store.transact, command)
             self._answer(command, process, took_s, done)
             return
         self.at(took_s, lambda: self._transact_unanswered(command))
-        lost = store.TransactOutcomeUnknown(purpose=command.purpose, reason="no answer")
-        self._answer(command, process, command.timeout_s, lambda: lost)
+        outcome_unknown = store.TransactOutcomeUnknown(
+            purpose=command.purpose, reason="no answer"
+        )
+        self._answer(command, process, command.timeout_s, lambda: outcome_unknown)
 
     def _transact_unanswered(self, command: store.Transact) -> None:
         self.store.transact(command)
@@ -506,7 +521,9 @@
         after_s: float,
         answer: Callable[[], store.StoreEvent],
     ) -> None:
-        after_s += FAR_STORE_LATENCY_S if process.name in self.far_from_store else 0.0
+        after_s += (
+            FAR_STORE_EXTRA_LATENCY_S if process.name in self.far_from_store else 0.0
+        )
         self.at(after_s, lambda: self.tell(process, command.role, answer()))
 
     @_carry_out.register
@@ -533,7 +550,9 @@
     ) -> None:
         can_read = process.name not in self.cut_off_from_store and not self.reads_fail
         if self.store_up and can_read:
-            self._answer(command, process, STORE_LATENCY_S * self.slowness, read)
+            self._answer(
+                command, process, STORE_LATENCY_S * self.store_slowdown_factor, read
+            )
             return
         failed = store.ReadFailed(purpose=command.purpose, reason="down")
         after_s = (
@@ -556,13 +575,16 @@
             self.at(self.call_delay_s, lambda: self._call_late(executor, command))
             return
         until = self.now + getattr(command, "wait_ms", 0) / 1_000
-        self.at(CALL_LATENCY_S, lambda: self._called(executor, command, process, until))
+        self.at(
+            CALL_LATENCY_S,
+            lambda: self._call_executor(executor, command, process, until),
+        )
 
     def _call_late(self, executor: FakeExecutor, command: ExecutorCommand) -> None:
         if executor.up:
             executor.call(command, self.now)
 
-    def _called(
+    def _call_executor(
         self,
         executor: FakeExecutor,
         command: ExecutorCommand,
@@ -570,7 +592,9 @@
         until: float,
     ) -> None:
         if executor.up and not executor.ends and self.now < until:
-            self.at(0.02, lambda: self._called(executor, command, process, until))
+            self.at(
+                0.02, lambda: self._call_executor(executor, command, process, until)
+            )
             return
         event = (
             executor.call(command, self.now) if executor.up else _unanswered(command)
@@ -587,13 +611,13 @@
     # Checks of what backend servers run
 
     def _handle_executor_event(
-        self, what: str, executor: FakeExecutor, run: RunOrder | RunEnd
+        self, kind: str, executor: FakeExecutor, run: RunOrder | RunEnd
     ) -> None:
         if isinstance(run, RunEnd):
             if run.how == "done":
                 (
                     self.acknowledged_task_ids
-                    if what == "noted"
+                    if kind == "noted"
                     else self.done_task_ids
                 ).add(run.task_id)
             return
@@ -605,17 +629,17 @@
             if other is not executor and working.order.task_id == run.task_id
         ]
         if others:
-            self._add_violation(
+            self._record_violation(
                 "runs twice at once", run, f"{executor.host} and {others}"
             )
         if run.task_id in self.acknowledged_task_ids and not self._is_lasting(
             run.task_id
         ):
-            self._add_violation(
+            self._record_violation(
                 "runs again after its end was acknowledged", run, executor.host
             )
         if not executor.committed.fits(executor.capacity):
-            self._add_violation("exceeds the capacity", run, executor.host)
+            self._record_violation("exceeds the capacity", run, executor.host)
         self._check_order(run)
 
     def _is_lasting(self, task_id: str) -> bool:
@@ -626,18 +650,21 @@
         job_id, occurrence, step, _ = run.task_id.split(".")
         spec = self.spec_by_job.get(job_id)
         if spec is None:
-            self._add_violation("is of no submitted job", run, "")
+            self._record_violation("is of no submitted job", run, "")
             return
-        for before in spec.steps[int(step)].after:
-            for index in range(spec.steps[before].count):
-                if f"{job_id}.{occurrence}.{before}.{index}" not in self.done_task_ids:
-                    self._add_violation(
+        for earlier_step in spec.steps[int(step)].after:
+            for index in range(spec.steps[earlier_step].count):
+                if (
+                    f"{job_id}.{occurrence}.{earlier_step}.{index}"
+                    not in self.done_task_ids
+                ):
+                    self._record_violation(
                         "runs before an earlier step has completed",
                         run,
-                        f"step {before}",
+                        f"step {earlier_step}",
                     )
 
-    def _add_violation(self, what: str, run: RunOrder, detail: str) -> None:
+    def _record_violation(self, what: str, run: RunOrder, detail: str) -> None:
         self.violations.append(f"{self.now:.2f} {run.key} {what} {detail}")
 
     # Callers
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -32,7 +32,7 @@
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.roles import job_agent
 
-LIFE = "i-1/5"
+INCARNATION = "i-1/5"
 OWNER = "entry-1-ab"
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
 
@@ -63,7 +63,7 @@
         self.tell(Adopt(peer=OWNER, epoch=1))
         self.acknowledge_contact()
         self.list_runs()
-        self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, complete=True))
+        self.tell(Orders(peer=OWNER, epoch=1, life=INCARNATION, complete=True))
 
     def tell(self, *events: Event) -> list[Command]:
         """Run a tick with events and return its commands."""
@@ -92,9 +92,9 @@
         """Order a run of a task."""
         size = Resources(processors_m=1_000, memory_mb=1_000)
         order = RunOrder(task_id=task, run=1, payload="p", committed=size, **more)
-        return self.tell(Orders(peer=OWNER, epoch=1, life=LIFE, start=(order,)))
+        return self.tell(Orders(peer=OWNER, epoch=1, life=INCARNATION, start=(order,)))
 
-    def running(self, task: str, **more: Any) -> None:
+    def order_and_start(self, task: str, **more: Any) -> None:
         """Order a run and have it started."""
         self.order(task, **more)
         self.tell(RunStarted(server_id="i-1", run=RunRef(task_id=task, run=1)))
@@ -115,15 +115,15 @@
         self.assertEqual(1, len(commands_of(StartRun, bench.order("t"))))
         bench.list_runs(RunStatus(task_id="t", run=1))
         bench.tell(RunStarted(server_id="i-1", run=ref))
-        stop = Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,))
+        stop = Orders(peer=OWNER, epoch=1, life=INCARNATION, stop=(ref,))
         self.assertEqual(1, len(commands_of(StopRun, bench.tell(stop))))
 
     def test_an_accepted_stop_is_repeated_until_the_end_is_listed(self) -> None:
         bench = Bench()
-        bench.running("t")
+        bench.order_and_start("t")
         ref = RunRef(task_id="t", run=1)
         bench.list_runs(RunStatus(task_id="t", run=1))
-        bench.tell(Orders(peer=OWNER, epoch=1, life=LIFE, stop=(ref,)))
+        bench.tell(Orders(peer=OWNER, epoch=1, life=INCARNATION, stop=(ref,)))
         bench.tell(StopAnswered(server_id="i-1", run=ref))
         bench.now += 2.0
         self.assertEqual(1, len(commands_of(StopRun, bench.tell())))
@@ -168,15 +168,15 @@
 class PacingTest(testtools.TestCase):
     """Filling runs next to serving tasks: which are slowed, and when they recover."""
 
-    def _run_beside(self, verdict: str) -> tuple[Bench, list[int]]:
+    def _run_with_serving_task(self, verdict: str) -> tuple[Bench, list[int]]:
         bench = Bench()
         pair = (("oven", "tune"),)
         harmful = pair if verdict == "harmful" else ()
         harmless = pair if verdict == "harmless" else ()
         verdicts = HarmVerdicts(peer=OWNER, epoch=1, harmful=harmful, harmless=harmless)
         bench.tell(verdicts)
-        bench.running("serve", target_ms=10.0, image="oven")
-        bench.running("fill", image="tune", disturbs=True)
+        bench.order_and_start("serve", target_ms=10.0, image="oven")
+        bench.order_and_start("fill", image="tune", disturbs=True)
         return bench, self._paces(bench, 20)
 
     def _paces(self, bench: Bench, measure: int) -> list[int]:
@@ -192,36 +192,36 @@
             paces.append(bench.tables.runs.by_key["fill#1"].pace)
         return paces
 
-    def test_a_harmful_run_is_slowed_at_once_and_further(self) -> None:
-        _, paces = self._run_beside("harmful")
+    def test_a_harmful_run_starts_slow_and_is_slowed_further(self) -> None:
+        _, paces = self._run_with_serving_task("harmful")
         self.assertEqual(sorted(paces, reverse=True), paces)
         self.assertLessEqual(paces[0], 20)
 
     def test_a_run_with_an_unknown_effect_is_slowed(self) -> None:
-        _, paces = self._run_beside("unknown")
+        _, paces = self._run_with_serving_task("unknown")
         self.assertLessEqual(paces[-1], 25)
 
     def test_a_harmless_run_keeps_its_speed_until_nothing_else_helps(self) -> None:
-        _, paces = self._run_beside("harmless")
+        _, paces = self._run_with_serving_task("harmless")
         self.assertEqual([100, 100], paces[:2])
 
-    def test_disturbing_runs_are_paused_beside_a_task_over_target_for_long(
+    def test_disturbing_runs_are_paused_once_a_task_is_over_target_for_long(
         self,
     ) -> None:
         # In hunt-b8f2-23 of firinzeka-prod many filling runs on one host, each known as
         # harmless or slowed to 5%, kept a serving task over its target for 4 s.
         for verdict in ("harmful", "unknown", "harmless"):
-            bench, _ = self._run_beside(verdict)
+            bench, _ = self._run_with_serving_task(verdict)
             self.assertEqual(0, self._paces(bench, 20)[1], verdict)
             self.assertGreater(self._paces(bench, 3)[-1], 0, verdict)
 
     def test_the_pace_recovers_once_the_serving_task_meets_its_target(self) -> None:
-        bench, paces = self._run_beside("harmful")
+        bench, paces = self._run_with_serving_task("harmful")
         recovered = self._paces(bench, 3)
         self.assertGreater(recovered[-1], paces[-1])
 
     def test_a_pace_without_answer_is_sent_again(self) -> None:
-        bench, _ = self._run_beside("harmful")
+        bench, _ = self._run_with_serving_task("harmful")
         ref = RunRef(task_id="fill", run=1)
         bench.tell(PaceFailed(server_id="i-1", run=ref, reason="no answer"))
         bench.now += 0.2
@@ -231,11 +231,11 @@
 class ReportTest(testtools.TestCase):
     def test_a_new_owner_gets_the_full_state(self) -> None:
         bench = Bench()
-        bench.running("t")
+        bench.order_and_start("t")
         bench.list_runs(RunStatus(task_id="t", run=1))
         sent = commands_of(Send, bench.tell(Adopt(peer="entry-2-cd", epoch=2)))
         kinds = [type(command.item).__name__ for command in sent]
         self.assertIn("HostReport", kinds)
         self.assertIn("RunsReport", kinds)
         report = next(c.item for c in sent if isinstance(c.item, HostReport))
-        self.assertEqual(LIFE, report.life)
+        self.assertEqual(INCARNATION, report.life)
--- a/test/test_jobs_load.py
+++ b/test/test_jobs_load.py
@@ -89,7 +89,7 @@
     def test_jobs_are_accepted_by_every_entry_at_the_first_call(self) -> None:
         world = JobsWorld(entries=3)
         world.run(4.0)
-        world.slowness = 60.0
+        world.store_slowdown_factor = 60.0
         for number in range(12):
             world.submit(number, step(1), entry=f"entry-{number % 3}")
             world.run(0.15)
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -69,7 +69,7 @@
         world.run(2.0)
         job = world.submit(1, payload="5.0")
         world.run(1.0)
-        for kind, path, wanted in (
+        for kind, path, expected in (
             (ShowCall, f"/push/{job}", JobShown),
             (ShowCall, "/push/00000000000000ff", NoSuchJob),
             (ShowCall, f"/elsewhere/{job}", NoSuchQueue),
@@ -85,7 +85,7 @@
             )
             world.tell(world.process_by_name["entry-1"], "intake", call)
             world.run(0.3)
-            self.assertIsInstance(world.answer_to(call.call_id), wanted, path)
+            self.assertIsInstance(world.answer_to(call.call_id), expected, path)
 
     def test_a_cancelled_job_is_stopped_and_frees_its_resources(self) -> None:
         world = JobsWorld(hosts=1)
@@ -196,7 +196,7 @@
 
     def test_tasks_start_with_a_ticket_and_only_where_allowed(self) -> None:
         world = self._world_with_advice()
-        world.disallowed.add(world.executor_by_host["z0-0"].server_id)
+        world.disallowed_server_ids.add(world.executor_by_host["z0-0"].server_id)
         world.submit(1, *CHAIN)
         self.assertTrue(world.run_until(world.all_complete, 8.0))
         self.assertEqual({}, world.executor_by_host["z0-0"].barred_run_by_task)
@@ -227,7 +227,7 @@
             world.submit(number, step(2))
         world.run(4.0)
         self.assertEqual(0, len(world.executor_by_host["z0-0"].barred_run_by_task))
-        world.evacuate("z0", back=True)
+        world.evacuate("z0", withdraw=True)
         world.run(1.0)
         for number in range(6, 12):
             world.submit(number, step(2))
@@ -239,10 +239,10 @@
         world.run(2.0)
         world.submit(1, step(9, lasting=True), payload="100.0")
         world.run(1.0)
-        leaving = world.executor_by_host["z0-0"]
-        leaving.draining = True
+        executor = world.executor_by_host["z0-0"]
+        executor.draining = True
         world.run(3.0)
-        self.assertEqual({}, leaving.run_by_key)
+        self.assertEqual({}, executor.run_by_key)
         running = sum(len(host.run_by_key) for host in world.executor_by_host.values())
         self.assertEqual(8, running)
         self.assertEqual([], world.violations)
@@ -334,8 +334,8 @@
         world = JobsWorld()
         world.run(2.0)
         world.store_up = False
-        asked: list[Command] = []
-        world.hook = asked.append
+        commands: list[Command] = []
+        world.hook = commands.append
         for number in range(5):
             call = ShowCall(
                 call_id=f"show-{number}",
@@ -346,11 +346,11 @@
             )
             world.tell(world.process_by_name["entry-0"], "intake", call)
         world.run(3.0)
-        reads = [command for command in asked if isinstance(command, ReadRange)]
+        reads = [command for command in commands if isinstance(command, ReadRange)]
         self.assertLess(len(reads), 5 * 12)
         self.assertIsInstance(world.answer_to("show-0"), TryLater)
 
-    def test_a_refused_caller_is_answered_at_once_and_the_job_is_not_stored(
+    def test_a_refused_caller_is_answered_soon_and_the_job_is_not_stored(
         self,
     ) -> None:
         world = JobsWorld()
@@ -365,7 +365,9 @@
         self.assertIsNone(world.state_of(f"{1:016x}"))
         self.assertEqual(0, world.starts)
 
-    def test_callers_are_refused_at_once_while_the_store_is_unreachable(self) -> None:
+    def test_callers_are_refused_immediately_while_the_store_is_unreachable(
+        self,
+    ) -> None:
         # One entry loses its connection to the store while callers keep calling it.
         world = JobsWorld()
         world.run(2.0)
