Say plainly when leases end, jobs fail and readiness holds

Several texts of the entities of jobs, the intake and the job agent were vague or wrong about the code. The bounds did not say what the owner confirms and that a lease has certainly ended by its expiry. A queue's max_attempts was described as the number of failures allowed, while the job fails with that failure. The check of an unanswered batch left out that it is sent again after a failed read; the readiness left out that a configuration must have been read. The log line of a server's state said 'no answer for 0.0 s' for a server that answers. Fields without a description got one, and all base classes of these folders are introduced in the same words.

--- a/bulrushpulley/entities/jobs/__init__.py
+++ b/bulrushpulley/entities/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Jobs of steps and tasks: tables and messages of scheduler, front end and agents."""
+"""Jobs of steps and tasks: tables and messages of scheduler, intake and agents."""
--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -1,9 +1,10 @@
-"""How long each party may continue without contact to the others, in seconds.
+"""How long each party may continue without contact with the others, in seconds.
 
-A run continues while its backend server holds a lease. The agent renews the lease
-while the owner of the shard is in contact with it, and the owner may do so while its
-row in the store is recent. A new owner waits for the sum of these times before it
-restarts elsewhere a run whose agent is unreachable.
+A run continues while its backend server holds a lease. The agent renews the lease for
+`agent_autonomy_s` after a contact that the owner of the shard confirmed, and the owner
+confirms contacts for `owner_autonomy_s` after a renewal of its row in the store. A new
+owner waits for the sum of these times before it restarts elsewhere a run whose agent
+is unreachable.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
 class Bounds:
     """The time limits of one deployment.
 
-    `owner_autonomy_s`: an owner answers agents for this long after it sent its last
-    successful renewal to the store; covers the usual store outages of up to 5 s.
+    `owner_autonomy_s`: an owner confirms contacts of agents for this long after it sent
+    its last successful renewal to the store; covers usual store outages of up to 5 s.
     `agent_autonomy_s`: an agent renews leases for this long after it sent the last
     contact that was answered; with a lease it covers a loss of all entries for 10 s.
     `lease_s`: the longest lease that an agent grants.
@@ -38,7 +39,7 @@
 
     @property
     def lease_expiry_s(self) -> float:
-        """Time since the last renewal after which a lease and its runs have ended."""
+        """Time after which an unrenewed lease and its runs have certainly ended."""
         return (
             self.lease_s / (1.0 - MAX_CLOCK_DRIFT_FRACTION)
             + self.kill_s
@@ -47,7 +48,7 @@
 
     @property
     def agent_expiry_s(self) -> float:
-        """Time since the last contact after which an agent's runs have ended."""
+        """Time without contact after which an agent's runs have certainly ended."""
         return self.agent_autonomy_s + self.lease_expiry_s
 
     @property
--- a/bulrushpulley/entities/jobs/calls.py
+++ b/bulrushpulley/entities/jobs/calls.py
@@ -108,6 +108,6 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BacklogShown(CallAnswer):
-    """The number of accepted jobs of a queue none of whose tasks has started."""
+    """How many accepted jobs of a queue have no task that has started."""
 
     waiting: int
--- a/bulrushpulley/entities/jobs/configuration.py
+++ b/bulrushpulley/entities/jobs/configuration.py
@@ -13,8 +13,9 @@
 
     Priority 0 is the most urgent. A job is late when it takes longer than
     `latency_factor` times the length of its longest chain of steps, plus
-    `target_latency_s`. A task may fail `max_attempts` times. A queue with `advice`
-    terms runs a step only on servers that the platform's service allows.
+    `target_latency_s`. It fails once one of its tasks, unless lasting, has failed
+    `max_attempts` times; the failures of a gang's tasks are added up. A queue with
+    `advice` terms runs a step only on servers that the platform's service allows.
     """
 
     name: str
--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -18,8 +18,8 @@
     """An announcement that a backend server sends about itself.
 
     `started_at_ms` distinguishes incarnations with the same id, and `sequence` orders
-    the announcements of one. `leaves_in_s` is the least time that a draining server
-    still runs.
+    the announcements of one. `leaves_in_s` is the minimum time for which a draining
+    server still runs.
     """
 
     server_id: str
--- a/bulrushpulley/entities/jobs/explanation.py
+++ b/bulrushpulley/entities/jobs/explanation.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExplainJob(Event):
-    """Requests where the tasks of a job are, or why they wait."""
+    """Asks where the tasks of a job run, or why they wait."""
 
     call_id: str
     job_id: str
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskExplanation:
-    """One task that has not ended; `detail` is the reason if it waits."""
+    """One task that has not ended.
+
+    `for_s` is the time since its state began, `detail` the reason if it waits.
+    """
 
     task_id: str
     state: str
@@ -30,14 +33,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Explanation(Command):
-    """The base of the answers."""
+    """Base class for the answers."""
 
     call_id: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobExplained(Explanation):
-    """The state of a job according to the owner with this `epoch`."""
+    """The state of a job according to the owner with this `epoch`.
+
+    `detail` is the reason why the job failed or was cancelled, or else the time to its
+    latency objective. `done` is the number of its completed tasks; `tasks` holds the
+    others, up to a limit.
+    """
 
     job_id: str
     queue: str
--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -12,8 +12,9 @@
 class ServerState(enum.Enum):
     """The state of a backend server as reported by its agent.
 
-    A SILENT server does not answer, but its lease may not have expired. A GONE server
-    is known to have no runs. A STALLED server answers, but its runs make no progress.
+    It is UNKNOWN until the server has announced itself and listed its runs. A SILENT
+    server does not answer, but its lease may not have expired. A GONE server is known
+    to have no runs. A STALLED server answers, but its runs make no progress.
     """
 
     UNKNOWN = "unknown"
@@ -45,7 +46,8 @@
     this tenure, or zero. `announced_epoch` is the tenure that was announced to the
     agent. The host is `synced` once the agent has reported every run of this
     incarnation to this owner. `committed` are the resources that its tasks hold, and
-    `images` their images. The host gets no new tasks before `quarantined_until`.
+    `images` their images. The host gets no new tasks before `quarantined_until`;
+    `failed_at` are the times of the recent failures that may lead to a quarantine.
     `filling_m` is the processors that its filling tasks request, in thousandths.
     `sent_verdicts` are the verdicts on interference last sent to its agent.
     """
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OrderEntry:
-    """A row of operators' orders as last read, with its version."""
+    """A row of operators' orders as last read; `row` is None if it was deleted."""
 
     version: int
     row: object | None
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -60,7 +60,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Contact(JobItem):
-    """Asks the owner to confirm its ownership, which allows leases from `sent_at`."""
+    """Asks the owner to confirm that it still owns the shard.
+
+    A confirmation allows the agent to renew leases for a time that starts at `sent_at`.
+    """
 
     sent_at: float
 
@@ -109,7 +112,7 @@
 class HostReport(JobItem):
     """The state of a host and its backend server as the agent knows it.
 
-    `leaves_in_s` is the least time that a draining backend server still runs.
+    `leaves_in_s` is the minimum time for which a draining server still runs.
     """
 
     host: str
--- a/bulrushpulley/entities/jobs/job.py
+++ b/bulrushpulley/entities/jobs/job.py
@@ -45,7 +45,7 @@
 
 @cache
 def critical_path_s(spec: JobSpec) -> float:
-    """Return the longest chain of estimated step durations, in seconds."""
+    """Return the estimated duration of the longest chain of steps, in seconds."""
     ends: list[float] = []
     for step in spec.steps:
         before = max((ends[number] for number in step.after), default=0.0)
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -47,7 +47,7 @@
     for which the backend server denied one. `pace` is the intended percentage of full
     speed, and `pace_set` the last one that was sent, or zero if the actual one is not
     known. Until `pace_uncertain_until` a late call may still change it, so the pace is
-    sent again.
+    sent again. `reported` is the status that the owner was last sent.
     """
 
     ref: RunRef
@@ -159,7 +159,8 @@
     runs for the current incarnation has arrived. `stalled_since` is since when all
     serving runs have been stalled, `search_started_at` when this process began to wait
     for an announcement. `ends` are kept by number until the server may discard them.
-    `synced` means that the owner has been sent the complete list of runs.
+    `synced` means that the owner has been sent the complete list of runs;
+    `last_host_report` and the end with number `last_end_sent` are the last ones sent.
     """
 
     host: str
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Row:
-    """The base of the durable rows."""
+    """Base class for the durable rows."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/runs.py
+++ b/bulrushpulley/entities/jobs/runs.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ending:
-    """The base of the ways in which a run ends."""
+    """Base class for the ways in which a run ends."""
 
     checkpoint: str = ""
 
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Effect:
-    """The base of effects that are deferred until a job's progress is durable."""
+    """Base class for effects that are deferred until a job's progress is durable."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AcknowledgeEnd(Effect):
-    """Tell a backend server that it may drop the end of a run."""
+    """Tell a backend server that it may discard the end of a run."""
 
     host: str
     life: str
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Leadership:
-    """The base of the states of this process regarding ownership of the shard."""
+    """Base class for the states of this process regarding ownership of the shard."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -230,7 +230,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TenurePurpose(Purpose):
-    """The base of calls whose answers only the tenure that made them may use."""
+    """Base class for purposes of calls whose answers only the same tenure may use."""
 
     epoch: int
 
@@ -266,7 +266,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RereadTable(TenurePurpose):
-    """An owner reads a table again after the store dropped changes it missed."""
+    """An owner reads a table again after the store dropped changes it had not read."""
 
     table: str
 
@@ -286,7 +286,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CondenseJobRows(Purpose):
-    """An owner condenses the rows of jobs that have ended."""
+    """An owner shortens the rows of ended jobs to what callers may still request."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -32,12 +32,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Purpose:
-    """The base of the purposes of calls to the store."""
+    """Base class for the purposes of calls to the store."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreCommand(Command):
-    """The base of the commands to the store."""
+    """Base class for the commands to the store."""
 
     role: str
     purpose: Purpose
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreEvent(Event):
-    """The base of the answers of the store."""
+    """Base class for the answers of the store."""
 
     purpose: Purpose
 
--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -108,6 +108,8 @@
 
     `written_by_wave` is None until the rows of former owners have been read.
     `machines_as_of` is the time at which the list in `machines` was requested.
+    `reading` and `listing` are set while a read of those rows, or a request for the
+    list, is in flight.
     """
 
     waves: Table[Wave] = field(default_factory=Table.empty)
@@ -161,7 +163,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepEvent(Event):
-    """The base of the answers about one machine of a wave."""
+    """Base class for the answers about one machine of a wave."""
 
     wave: int
     machine_id: str
@@ -169,7 +171,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepOrderAccepted(UpkeepEvent):
-    """The machine is down for its upkeep, or has already been."""
+    """The machine is down for its upkeep, or has already been through it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/intake/checking.py
+++ b/bulrushpulley/systems/intake/checking.py
@@ -1,9 +1,10 @@
 """Checks whether a batch without an answer was stored nonetheless.
 
 A write without an answer is slow or lost. Reads do not wait for a part's writes, so
-they show which: jobs whose rows are found are accepted immediately; if a fast read
-finds a row missing, the batch is sent again; while reads are slow too, the write is
-left to complete, since a second copy would only add load to a slow store.
+they show which. Jobs whose rows are found are accepted immediately. If a row is missing
+and the reads were fast, or the last of them failed, the batch is sent again. If the
+reads were slow too, the write is left to complete, since a second copy would only add
+load to a slow store.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -142,7 +142,7 @@
 def record_store_answer(
     event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeTables:
-    """Record the time of the answer, unless it is a failure."""
+    """Record when the store answered; failed and refused calls do not count."""
     return replace(tables, store_answered_at=now)
 
 
@@ -219,7 +219,7 @@
 def handle_batch_answer(
     event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Handle the answer to a batch of submissions; by default it was lost."""
+    """Handle the answer to a batch of submissions; by default none was received."""
     return submitting.handle_outcome_unknown(tables, now)
 
 
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -1,7 +1,7 @@
 """Answers calls about the state of jobs and queues, and stores cancellations.
 
-Every call reads the store, so all entries give the same answer. A store call that is
-refused or gets no answer is retried while the caller waits.
+Every call is answered from the store, so all entries give the same answer. A store call
+that is refused or gets no answer is retried while the caller waits.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -70,7 +70,10 @@
 def handle_orders_read(
     event: RangeRead, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Replace all orders by those that were read, and watch from that version."""
+    """Apply the orders that were read, and watch for changes after that version.
+
+    Orders that are no longer stored are dropped, unless a newer row is known.
+    """
     found = {stored.key.key for stored in event.rows}
     entries = tables.order_by_key
     for key in entries:
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -1,4 +1,8 @@
-"""Publishes readiness for new callers: store reachable and process not leaving."""
+"""Publishes whether the platform should route new callers to this entry.
+
+It should once a configuration has been read, while the store answers and the process
+is not leaving.
+"""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -281,7 +281,7 @@
 
 
 def handle_outcome_unknown(tables: IntakeTables, now: float) -> IntakeStep:
-    """Requeue a batch without answer immediately."""
+    """Requeue a batch without answer, to be sent again without delay."""
     batch = tables.batch
     if batch is None:
         return Step(tables=tables)
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -21,7 +21,7 @@
 
 
 def handle_adopt(event: Adopt, tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Follow only the newest owner, and send it the full state."""
+    """Follow only the newest owner; the next reports send it the full state."""
     if event.epoch < tables.epoch:
         line = _line(tables, event.peer, f"its epoch {event.epoch} is outdated")
         return Step(tables=tables, commands=(line,))
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -34,9 +34,10 @@
 NEAR_TARGET_RATIO = 0.95
 RECOVERED_RATIO = 0.8
 SLOWDOWN_FACTOR = 0.5
-# After the first time near the target, images known as harmless are slowed too; after
-# the second, all runs that may disturb are paused: many slow runs together still do
-# harm, and a task may exceed its target for 4 s at most.
+# Once a serving task has been near its target for the first of these times, images
+# known as harmless are slowed too; after the second, all runs that may disturb are
+# paused: many slow runs together still do harm, and a task may exceed its target for
+# 4 s at most.
 SLOW_HARMLESS_DELAY_S = 0.9
 PAUSE_ALL_DELAY_S = 1.5
 SPEEDUP_PERCENT = 15
@@ -93,7 +94,9 @@
         paced = replace(run_, pace=pace)
         tables = edits.put_run(tables, paced)
         lines.append(
-            _line(tables, paced, f"worst latency at {worst:.2f} of its target")
+            _line(
+                tables, paced, f"worst latency of serving tasks: {worst:.2f} of target"
+            )
         )
     return Step(tables=tables, commands=tuple(lines))
 
@@ -131,7 +134,7 @@
     for run_ in runs:
         if run_.order is None or run_.order.target_ms <= 0.0:
             continue
-        # Before its first measure a task neither slows other runs nor speeds them up.
+        # Until its first measure a task causes no run to be slowed or sped up.
         measure = (
             run_.status.measure
             if run_.status
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -74,7 +74,7 @@
 def handle_poll_failed(
     event: PollFailed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Schedule a retry, and record since when the calls fail."""
+    """Schedule a retry, and record since when the calls have failed."""
     poll = tables.poll
     if tables.server is None or tables.server.server_id != event.server_id:
         return Step(tables=tables)
@@ -174,7 +174,7 @@
 def _refuse_missing(
     tables: JobAgentTables, listed: frozenset[str], sent_at: float, now: float
 ) -> JobAgentStep:
-    """Report the barred and the running runs that the list should have contained.
+    """Refuse the barred and the running runs that are not on the list.
 
     Only runs that were barred or started before the list was requested count.
     """
@@ -196,7 +196,11 @@
 def handle_ends_noted(
     event: EndsNoted, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Acknowledge to the backend server the ends up to the first non-durable one."""
+    """Record which ends are durable; the next poll acknowledges them.
+
+    A poll acknowledges all ends up to a number, so those after the first end that is
+    not durable have to wait.
+    """
     server = tables.server
     stale = event.epoch != tables.epoch or server is None or event.life != server.life
     if stale or server is None:
--- a/bulrushpulley/systems/job_agent/refusing.py
+++ b/bulrushpulley/systems/job_agent/refusing.py
@@ -1,4 +1,4 @@
-"""Reports runs to the owner that do not exist and can never start."""
+"""Reports to the owner the runs that do not exist and can never start."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def refuse(tables: JobAgentTables, run: Run, reason: str) -> JobAgentStep:
-    """Drop a run and report it; an owner that is not linked asks for it again later."""
+    """Drop a run and report it; an owner without a link orders it again once linked."""
     tables = replace(tables, runs=tables.runs.drop(run.key))
     reason = run.denied or reason
     line = edits.log(tables, "run.refuse", run.key, "", reason)
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -142,7 +142,9 @@
     state = _state(server, failing_s, stalls)
     if state is tables.server_state:
         return Step(tables=tables)
-    line = _line(tables, server.life, state.value, f"no answer for {failing_s:.1f} s")
+    line = _line(
+        tables, server.life, state.value, f"calls have failed for {failing_s:.1f} s"
+    )
     return Step(tables=replace(tables, server_state=state), commands=(line,))
 
 
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -87,6 +87,7 @@
 
 
 def _mark_unstarted_unwanted(tables: JobAgentTables, now: float) -> JobAgentTables:
+    """Mark as unwanted the ordered runs that are overdue or whose server drains."""
     for run_ in tables.runs.rows_where("phase", RunPhase.ORDERED.value):
         late = now - run_.since > START_ORDER_TIMEOUT_S
         draining = tables.server_state is ServerState.DRAINING
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -117,7 +117,11 @@
 
 
 class JobsWorld:
-    """The simulated site; `run` advances it, `violations` must stay empty."""
+    """The simulated site; `run` advances it, `violations` must stay empty.
+
+    `hook` is called with each command before it is carried out. While `call_delay_s` is
+    set, starts and stops reach the backend server that much later, without an answer.
+    """
 
     def __init__(self, *, entries: int = 2, hosts: int = 3) -> None:
         self.now = 100.0
@@ -162,7 +166,7 @@
         self.store.put(key=key, order=order)
 
     def evacuate(self, domain: str, *, withdraw: bool = False) -> None:
-        """Take a failure domain out of service, or back."""
+        """Order the evacuation of a failure domain, or withdraw the order."""
         key = RowKey(table="op", part="", key=f"evacuate/{domain}")
         self.store.put(
             key=key, order=None if withdraw else Evacuation(failure_domain=domain)
@@ -311,7 +315,7 @@
         heapq.heappush(self._heap, entry)
 
     def run(self, seconds: float) -> None:
-        """Advance the site."""
+        """Advance the virtual time and run the actions that fall due."""
         until = self.now + seconds
         while self._heap and self._heap[0][0] <= until:
             self.now, _, action = heapq.heappop(self._heap)
--- a/test/test_jobs_explain.py
+++ b/test/test_jobs_explain.py
@@ -86,7 +86,7 @@
 
 class FrontTest(testtools.TestCase):
     def _client(self, *answers: Callable[[str], Explanation]) -> OperatorClient:
-        """Return a client of one entry for each answer."""
+        """Return a client of entries that give these answers, one entry for each."""
         return OperatorClient(
             entries=tuple(self._entry(answer) for answer in answers), author="amina"
         )
--- a/test/test_jobs_keeping.py
+++ b/test/test_jobs_keeping.py
@@ -109,7 +109,7 @@
     def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
         # If the answer to a start arrives after a list with the run, the run must not
         # stay marked as in flight, or its stop is never sent: in hunt-c697-19 of
-        # kalamu-sched a cancelled task ran on for 4.9 s.
+        # kalamu-sched a cancelled task kept running for 4.9 s.
         bench = Bench()
         ref = RunRef(task_id="t", run=1)
         self.assertEqual(1, len(commands_of(StartRun, bench.order("t"))))
