--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -291,7 +291,10 @@
 def handle_refused(
     event: TransactRefused, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Requeue a batch that was refused, to be sent after a delay."""
+    """Requeue a batch that was refused, to be sent after a delay.
+
+    All waiting submissions count as refused, also those that were not in the batch.
+    """
     tables = requeue_batch(tables, outcome_unknown=False)
     submissions = tables.submissions
     for submission in submissions.rows():
