--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -30,8 +30,8 @@
     `alive_version` is the version of the owner's liveness row, first seen at
     `alive_seen_at`. Task leases of the previous owner have expired after
     `leases_expired_at`. Rows are known up to revision `rows_since`. `place_due` is set
-    when something relevant to placement has changed, `fit_due` when a worker may
-    hold more than its capacity.
+    when something relevant to placement has changed, `capacity_check_due` when a
+    worker may hold more than its capacity.
     """
 
     name: str
@@ -46,7 +46,7 @@
     rows_since: int = 0
     refetch_at: float = 0.0
     place_due: bool = False
-    fit_due: bool = False
+    capacity_check_due: bool = False
     sweep_at: float = 0.0
     summary_due: bool = True
     summary: CellSummary | None = None
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -137,13 +137,13 @@
     view: CellView, submission_id: str, now: float
 ) -> CellView:
     """Mark the reservation of an assignment as committed at `now`."""
-    settled = tuple(
+    marked = tuple(
         replace(reservation, committed_at=now)
         if reservation.submission_id == submission_id
         else reservation
         for reservation in view.reservations
     )
-    return replace(view, reservations=settled)
+    return replace(view, reservations=marked)
 
 
 def without_reservation(view: CellView, submission_id: str) -> CellView:
--- a/bulrushpulley/entities/interference.py
+++ b/bulrushpulley/entities/interference.py
@@ -86,13 +86,13 @@
     """The last action taken for the services of a worker, at `acted_at`.
 
     No further action is taken before measurements can show the effect of the last.
-    A share is raised `hold_s` after the last action at the earliest;
+    A share is raised `raise_delay_s` after the last action at the earliest;
     `raised_share` is set if the last action raised one.
     """
 
     worker_id: str
     acted_at: float
-    hold_s: float
+    raise_delay_s: float
     raised_share: bool = False
 
 
--- a/bulrushpulley/systems/cell/candidates.py
+++ b/bulrushpulley/systems/cell/candidates.py
@@ -9,7 +9,7 @@
 from bulrushpulley.systems.cell.stop import is_unreachable
 
 
-def committed(tables: CellOwnerTables, worker_id: str) -> Resources:
+def held_capacity(tables: CellOwnerTables, worker_id: str) -> Resources:
     """Return the total size of the tasks that may be running on a worker."""
     total = NO_RESOURCES
     for key in tables.tasks.keys_where("worker", worker_id):
@@ -41,7 +41,7 @@
     return tuple(
         Candidate(
             worker=worker,
-            free=worker.capacity.minus(committed(tables, worker.worker_id)),
+            free=worker.capacity.minus(held_capacity(tables, worker.worker_id)),
         )
         for worker in tables.workers.rows_where("cell", cell)
         if accepts_tasks(tables, worker, now)
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -27,7 +27,7 @@
 from bulrushpulley.systems.cell import place as cell_place
 from bulrushpulley.systems.cell import rows as cell_rows
 from bulrushpulley.systems.cell import stop as cell_stop
-from bulrushpulley.systems.cell.candidates import committed
+from bulrushpulley.systems.cell.candidates import held_capacity
 from bulrushpulley.systems.cell.owner_events import CellStep
 from bulrushpulley.systems.cell.preempt import eviction_commands, stopping_size
 from bulrushpulley.systems.cell.victims import (
@@ -81,7 +81,7 @@
     return Step(tables=tables)
 
 
-@cell_rows.record_changed.register
+@cell_rows.handle_record.register
 def _(record: ServiceRecord, tables: CellOwnerTables, now: float) -> CellOwnerTables:
     """Cancel replicas in excess of the service's replica count."""
     ending = Cancel(reason="its service asks for fewer replicas")
@@ -96,17 +96,17 @@
     """Evict the newest batch tasks of workers whose tasks exceed their capacity."""
     commands: list[Command] = []
     for cell in owned_cells(tables):
-        if not cell.fit_due:
+        if not cell.capacity_check_due:
             continue
-        over = False
+        any_over = False
         for worker in tables.workers.rows_where("cell", cell.name):
-            held = committed(tables, worker.worker_id)
+            held = held_capacity(tables, worker.worker_id)
             if not held.fits(worker.capacity):
-                over = True
+                any_over = True
                 step = _evict_excess(cell, worker, held, tables, now)
                 tables = step.tables
                 commands.extend(step.commands)
-        kept = replace(tables.cells.by_key[cell.name], fit_due=over)
+        kept = replace(tables.cells.by_key[cell.name], capacity_check_due=any_over)
         tables = cell_rows.put_cell(tables, kept)
     return Step(tables=tables, commands=tuple(commands))
 
@@ -115,11 +115,11 @@
     cell: Cell, worker: Worker, held: Resources, tables: CellOwnerTables, now: float
 ) -> CellStep:
     running = tables.tasks.rows_where("worker", worker.worker_id)
-    over = _excess(held, worker.capacity)
+    excess = _excess(held, worker.capacity)
     free_after_stops = stopping_size(running)
     ending = Requeue(reason=f"{worker.worker_id} holds more than its capacity")
     commands: list[Command] = []
-    for task in _choose_excess(over, free_after_stops, running):
+    for task in _choose_evictions(excess, free_after_stops, running):
         tables = cell_stop.plan_ending(tables, task, ending, now)
         commands.extend(eviction_commands(cell, task, ending.reason))
     return Step(tables=tables, commands=tuple(commands))
@@ -134,13 +134,13 @@
     )
 
 
-def _choose_excess(
-    over: Resources, free_after_stops: Resources, running: list[Task]
+def _choose_evictions(
+    excess: Resources, free_after_stops: Resources, running: list[Task]
 ) -> tuple[Task, ...]:
     """Return the tasks to evict: all evictable ones if even those are not enough."""
-    if over.fits(free_after_stops):
+    if excess.fits(free_after_stops):
         return ()
-    victims = choose_victims(needed=over, free=free_after_stops, running=running)
+    victims = choose_victims(needed=excess, free=free_after_stops, running=running)
     return victims or tuple(task for task in running if is_evictable(task))
 
 
@@ -153,7 +153,7 @@
         tables = cell_rows.put_cell(tables, swept)
         value = phase_index(cell=cell.name, phase=Phase.WAITING)
         for task in tables.tasks.rows_where("phase", value):
-            ending = _reason_to_return(tables, cell, task, now)
+            ending = _return_ending(tables, cell, task, now)
             if task.retry_at:
                 tables = cell_rows.touch_cell(tables, cell.name)
             if ending is not None:
@@ -161,7 +161,7 @@
     return Step(tables=tables)
 
 
-def _reason_to_return(
+def _return_ending(
     tables: CellOwnerTables, cell: Cell, task: Task, now: float
 ) -> Return | None:
     domain = cell_rows.failure_domain_of(tables, cell.name)
--- a/bulrushpulley/systems/cell/interference.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -31,10 +31,10 @@
 
 RELIEF_POLICY: ReliefPolicy = ThrottleFirst()
 SETTLING_TIME_S = cell_learn.USAGE_LAG_S + 5.0
-MAX_HOLD_S = 600.0
+MAX_RAISE_DELAY_S = 600.0
 SHARE_STEP = 0.25
 SAFE_LATENCY_RATIO = 0.9
-FORCED_RAISE_AFTER_HOLDS = 4
+FORCED_RAISE_DELAY_FACTOR = 4
 
 
 def limit_interference(tables: CellOwnerTables, now: float) -> CellStep:
@@ -76,10 +76,10 @@
     step = relieve(RELIEF_POLICY, case, tables, now)
     if not step.commands:
         return step
-    hold_s = relief.hold_s if relief else SETTLING_TIME_S
+    raise_delay_s = relief.raise_delay_s if relief else SETTLING_TIME_S
     if relief is not None and relief.raised_share:
-        hold_s = min(MAX_HOLD_S, 2 * hold_s)
-    acted = Relief(worker_id=worker_id, acted_at=now, hold_s=hold_s)
+        raise_delay_s = min(MAX_RAISE_DELAY_S, 2 * raise_delay_s)
+    acted = Relief(worker_id=worker_id, acted_at=now, raise_delay_s=raise_delay_s)
     return Step(tables=_put_relief(step.tables, acted), commands=step.commands)
 
 
@@ -95,34 +95,38 @@
     now: float,
 ) -> CellStep:
     relief = tables.reliefs.get(worker_id)
-    if relief is None or now - relief.acted_at < relief.hold_s:
+    if relief is None or now - relief.acted_at < relief.raise_delay_s:
         return Step(tables=tables)
     throttled = [
         throttle
         for throttle in tables.throttles.rows_where("worker", worker_id)
         if throttle.share < cell_throttle.FULL_SHARE and throttle.confirmed
     ]
-    forced = now - relief.acted_at >= FORCED_RAISE_AFTER_HOLDS * relief.hold_s
+    forced = now - relief.acted_at >= FORCED_RAISE_DELAY_FACTOR * relief.raise_delay_s
     for throttle in sorted(throttled, key=lambda row: (row.changed_at, row.task_key)):
         task = tables.tasks.get(throttle.task_key)
-        step = min(SHARE_STEP, cell_throttle.FULL_SHARE - throttle.share)
+        increase = min(SHARE_STEP, cell_throttle.FULL_SHARE - throttle.share)
         if task is None:
             continue
-        if not forced and not _is_safe(tables, task, step, latencies):
+        if not forced and not _is_safe(tables, task, increase, latencies):
             continue
-        return _raise_share(cell, relief, task, throttle, step, tables, now)
-    if not throttled and now - relief.acted_at >= MAX_HOLD_S:
+        return _raise_share(cell, relief, task, throttle, increase, tables, now)
+    if not throttled and now - relief.acted_at >= MAX_RAISE_DELAY_S:
         tables = replace(tables, reliefs=tables.reliefs.drop(worker_id))
     return Step(tables=tables)
 
 
 def _is_safe(
-    tables: CellOwnerTables, task: Task, step: float, latencies: list[ServiceLatency]
+    tables: CellOwnerTables,
+    task: Task,
+    increase: float,
+    latencies: list[ServiceLatency],
 ) -> bool:
     """Tell whether all services are expected to stay below target after the step."""
     job = task.row.spec.record_key
     return all(
-        latency.smoothed_ms + step * cell_learn.estimate(tables, latency.service, job)
+        latency.smoothed_ms
+        + increase * cell_learn.estimated_harm_ms(tables, latency.service, job)
         <= SAFE_LATENCY_RATIO * latency.target_ms
         for latency in latencies
     )
@@ -133,11 +137,11 @@
     relief: Relief,
     task: Task,
     throttle: Throttle,
-    step: float,
+    increase: float,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    share = round(throttle.share + step, 2)
+    share = round(throttle.share + increase, 2)
     tables = cell_throttle.set_share(tables, task, share, now)
     raised = replace(relief, acted_at=now, raised_share=True)
     reason = f"no service is degraded; share {throttle.share:.2f} to {share:.2f}"
--- a/bulrushpulley/systems/cell/learn.py
+++ b/bulrushpulley/systems/cell/learn.py
@@ -84,8 +84,8 @@
     """Return the share in effect when the measurements that arrive now were taken."""
     if throttle is None:
         return 1.0
-    older = now - throttle.changed_at < USAGE_LAG_S
-    return throttle.share_before if older else throttle.share
+    taken_before_change = now - throttle.changed_at < USAGE_LAG_S
+    return throttle.share_before if taken_before_change else throttle.share
 
 
 def service_of(tables: CellOwnerTables, task: Task) -> ServiceRecord | None:
@@ -156,13 +156,13 @@
 ) -> Harm:
     """Return the learned harm of a job, or the initial estimate."""
     known = tables.harms.get(harm_key(service=service, job=job))
-    first_ms = 0.0 if job else INITIAL_OWN_LATENCY_RATIO * target_ms
+    initial_ms = 0.0 if job else INITIAL_OWN_LATENCY_RATIO * target_ms
     return known or Harm(
-        service=service, job=job, estimate_ms=first_ms, variance=1.0, at=now
+        service=service, job=job, estimate_ms=initial_ms, variance=1.0, at=now
     )
 
 
-def estimate(tables: CellOwnerTables, service: str, job: str) -> float:
+def estimated_harm_ms(tables: CellOwnerTables, service: str, job: str) -> float:
     """Return the learned harm of a job to a service in milliseconds."""
     known = tables.harms.get(harm_key(service=service, job=job))
     return known.estimate_ms if known else 0.0
--- a/bulrushpulley/systems/cell/liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -52,8 +52,10 @@
     its successor runs. Leases may be renewed for longer, which is harmless.
     """
     confirmed = tables.liveness.confirmed_sent_at
-    owned = float("-inf") if confirmed is None else confirmed + CELL_TAKEOVER_TIMEOUT_S
-    return min(owned, autonomy_deadline(tables))
+    earliest_takeover = (
+        float("-inf") if confirmed is None else confirmed + CELL_TAKEOVER_TIMEOUT_S
+    )
+    return min(earliest_takeover, autonomy_deadline(tables))
 
 
 def renew(tables: CellOwnerTables, now: float) -> CellStep:
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -115,8 +115,8 @@
         return Step(tables=cell_rows.put_cell(tables, later))
     complete = True
     for found in event.rows:
-        tables, taken = cell_rows.adopt_task(found, tables, now)
-        complete = complete and taken
+        tables, applied = cell_rows.adopt_task(found, tables, now)
+        complete = complete and applied
     tables = _apply_records(event.rows, tables, now)
     return _handle_rows_read(purpose.cell, event, complete, tables, now)
 
@@ -132,7 +132,7 @@
     for key in sorted({task.row.spec.record_key for task in tasks if task}):
         found = tables.records.get(key)
         if found is not None and isinstance(found.row, RecordRow):
-            tables = cell_rows.record_changed(found.row.record, tables, now)
+            tables = cell_rows.handle_record(found.row.record, tables, now)
     return tables
 
 
@@ -147,7 +147,7 @@
         phase=CellPhase.OWNED,
         rows_since=since,
         refetch_at=now + TASK_REFETCH_INTERVAL_S,
-        fit_due=cell.fit_due or loading,
+        capacity_check_due=cell.capacity_check_due or loading,
     )
     tables = cell_rows.touch_cell(cell_rows.put_cell(tables, owned), name)
     commands: tuple[Command, ...] = ()
--- a/bulrushpulley/systems/cell/neighbours.py
+++ b/bulrushpulley/systems/cell/neighbours.py
@@ -34,7 +34,7 @@
             )
             for candidate in candidates
         )
-    return _for_service(tables, task, tuple(candidates))
+    return _with_service_neighbours(tables, task, tuple(candidates))
 
 
 def record_first_start(
@@ -75,7 +75,7 @@
     job = task.row.spec.record_key
     worst = 0.0
     for latency in tables.latencies.rows_where("worker", worker_id):
-        added_ms = cell_learn.estimate(tables, latency.service, job)
+        added_ms = cell_learn.estimated_harm_ms(tables, latency.service, job)
         if added_ms < MIN_HARM_RATIO * latency.target_ms:
             continue
         modelled_ms = _modelled_ms(tables, latency.service, worker_id)
@@ -90,15 +90,15 @@
     Throttled tasks count at full speed, so that no new task takes up what their
     throttles have freed.
     """
-    total_ms = cell_learn.estimate(tables, service, "")
+    total_ms = cell_learn.estimated_harm_ms(tables, service, "")
     for task in tables.tasks.rows_where("worker", worker_id):
         if task.row.spec.task_class is TaskClass.BATCH:
             job = task.row.spec.record_key
-            total_ms += cell_learn.estimate(tables, service, job)
+            total_ms += cell_learn.estimated_harm_ms(tables, service, job)
     return total_ms
 
 
-def _for_service(
+def _with_service_neighbours(
     tables: CellOwnerTables, task: Task, candidates: tuple[Candidate, ...]
 ) -> tuple[Candidate, ...]:
     spec = task.row.spec
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -62,7 +62,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Placement:
+class PlacementPass:
     """The state of a pass over the waiting tasks of a cell."""
 
     candidates: Mapping[str, Candidate]
@@ -86,7 +86,7 @@
         candidate.worker.worker_id: candidate
         for candidate in candidates_of(tables, cell.name, now)
     }
-    placement = Placement(candidates=candidates, tables=tables)
+    placement = PlacementPass(candidates=candidates, tables=tables)
     for task in waiting[:MAX_PLACEMENTS_PER_TICK]:
         placement = _place_task(cell, task, placement, now)
     more_waiting = len(waiting) > MAX_PLACEMENTS_PER_TICK
@@ -95,7 +95,9 @@
     return Step(tables=tables, commands=placement.commands)
 
 
-def _place_task(cell: Cell, task: Task, placement: Placement, now: float) -> Placement:
+def _place_task(
+    cell: Cell, task: Task, placement: PlacementPass, now: float
+) -> PlacementPass:
     tables, candidates = placement.tables, placement.candidates
     avoid = workers_with_failures_of(tables, task)
     untried = without_failed_workers(tables, task, tuple(candidates.values()))
@@ -104,26 +106,26 @@
     if choice.worker_id:
         tables = cell_neighbours.record_first_start(tables, task, choice.worker_id, now)
         started = cell_start.commit_start(tables, cell, task, choice.worker_id, now)
-        line = _decision(cell, task, choice, tables)
-        return Placement(
+        decision = _decision(cell, task, choice, tables)
+        return PlacementPass(
             candidates=_with_task_placed(candidates, choice.worker_id, task),
             tables=started,
-            commands=(*placement.commands, line),
+            commands=(*placement.commands, decision),
         )
     commands = placement.commands
     if task.skip_reason != choice.reason:
         skipped = replace(task, skip_reason=choice.reason)
         tables = cell_rows.put_task(tables, skipped)
         commands = (*commands, _decision(cell, task, choice, tables))
-    if choice.retry_s:
+    if choice.retry_delay_s:
         retried = replace(
-            task, skip_reason=choice.reason, retry_at=now + choice.retry_s
+            task, skip_reason=choice.reason, retry_at=now + choice.retry_delay_s
         )
         tables = cell_rows.put_task(tables, retried)
     if not may_preempt(task):
-        return Placement(candidates=candidates, tables=tables, commands=commands)
+        return PlacementPass(candidates=candidates, tables=tables, commands=commands)
     preemption = preempt_batch_tasks(cell, task, candidates.values(), tables, now)
-    return Placement(
+    return PlacementPass(
         candidates=_without_worker(candidates, preemption.worker_id),
         tables=preemption.tables,
         commands=(*commands, *preemption.commands),
--- a/bulrushpulley/systems/cell/placement_policy.py
+++ b/bulrushpulley/systems/cell/placement_policy.py
@@ -34,13 +34,13 @@
 class Choice:
     """The chosen worker or the empty string, the reason, and the other workers.
 
-    A task that was refused because of its neighbours is retried after `retry_s`.
+    A task that was refused because of its neighbours is retried after `retry_delay_s`.
     """
 
     worker_id: str
     reason: str
     passed_over: tuple[str, ...] = ()
-    retry_s: float = 0.0
+    retry_delay_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/cell/quarantine.py
+++ b/bulrushpulley/systems/cell/quarantine.py
@@ -43,7 +43,7 @@
     return any(other.worker_id != failure.worker_id for other in same_job)
 
 
-def task_failed(
+def handle_task_failed(
     tables: CellOwnerTables, task: Task, worker: Worker, now: float
 ) -> tuple[CellOwnerTables, bool, tuple[Command, ...]]:
     """Record a failure and tell whether it counts against the task."""
@@ -77,7 +77,7 @@
     return replace(tables, failures=failures)
 
 
-def task_succeeded(
+def handle_task_succeeded(
     tables: CellOwnerTables, task: Task, worker: Worker, now: float
 ) -> CellStep:
     """Clear a worker on which a task succeeded; recheck those where it failed."""
@@ -113,14 +113,14 @@
 def _quarantine(
     tables: CellOwnerTables, worker: Worker, now: float
 ) -> tuple[CellOwnerTables, tuple[Command, ...]]:
-    backoff = min(
+    backoff_s = min(
         MAX_QUARANTINE_BACKOFF_S, max(QUARANTINE_BACKOFF_S, 2 * worker.backoff_s)
     )
     quarantined = replace(
         worker,
         health=Health.QUARANTINED,
-        backoff_s=backoff,
-        quarantined_until=now + backoff,
+        backoff_s=backoff_s,
+        quarantined_until=now + backoff_s,
     )
     tables = cell_rows.put_worker(tables, quarantined)
     tables = cell_rows.touch_cell(tables, worker.cell)
@@ -128,7 +128,7 @@
         kind="worker.aside",
         subject=worker.worker_id,
         chosen="",
-        reason=f"tasks fail here but not elsewhere; next probe in {backoff:.0f} s",
+        reason=f"tasks fail here but not elsewhere; next probe in {backoff_s:.0f} s",
     )
     return tables, (decision,)
 
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -224,7 +224,7 @@
         return Step(tables=tables)
     cell = tables.cells.by_key[worker.cell]
     loaded = cell.phase is CellPhase.OWNED
-    back = worker.reported_at is None or worker.unanswered_at is not None
+    newly_available = worker.reported_at is None or worker.unanswered_at is not None
     reported = replace(
         worker,
         report_requested_at=None,
@@ -236,7 +236,7 @@
     tables = cell_rows.put_worker(tables, reported)
     if not loaded:
         return Step(tables=tables)
-    if back:
+    if newly_available:
         tables = cell_rows.touch_cell(tables, worker.cell)
     return _apply_runs(event, tables, now)
 
@@ -253,7 +253,7 @@
     seen: set[str] = set()
     for run in event.runs:
         key = task_key(cell=worker.cell, task_id=run.task_id)
-        if not is_current(tables, worker, key, run):
+        if not is_current_run(tables, worker, key, run):
             unexpected_runs.append(run)
             continue
         seen.add(key)
@@ -267,7 +267,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def is_current(
+def is_current_run(
     tables: CellOwnerTables, worker: Worker, key: str, run: RunReport
 ) -> bool:
     """Tell whether a run is of the generation that the owner assigned to the worker."""
@@ -291,7 +291,7 @@
         return Step(tables=_handle_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        succeeded = cell_quarantine.task_succeeded(tables, task, worker, now)
+        succeeded = cell_quarantine.handle_task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
         ended = cell_stop.end_task(succeeded.tables, task, finish, now, run.checkpoint)
         return Step(tables=ended, commands=succeeded.commands)
@@ -320,7 +320,9 @@
 def _handle_failed(
     run: RunReport, task: Task, worker: Worker, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    tables, counted, commands = cell_quarantine.task_failed(tables, task, worker, now)
+    tables, counted, commands = cell_quarantine.handle_task_failed(
+        tables, task, worker, now
+    )
     fail = Fail(reason=f"failed on {worker.worker_id}: {run.detail}", counted=counted)
     tables = cell_stop.end_task(tables, task, fail, now, run.checkpoint)
     return Step(tables=tables, commands=commands)
@@ -333,13 +335,13 @@
     for task in tables.tasks.rows_where("worker", event.worker_id):
         if task.key in seen or task.phase not in REPORTABLE_PHASES:
             continue
-        if shows_absence(task, event.requested_at):
+        if absence_is_conclusive(task, event.requested_at):
             reason = f"{event.worker_id} does not run it"
             tables = cell_stop.end_as_planned(tables, task, reason, now)
     return tables
 
 
-def shows_absence(task: Task, requested_at: float) -> bool:
+def absence_is_conclusive(task: Task, requested_at: float) -> bool:
     """Tell whether absence from a report requested at `requested_at` proves an end.
 
     An earlier report may lack a task whose start was still on its way.
@@ -378,11 +380,11 @@
             checkpoint=False,
         )
         for run in unexpected_runs[:MAX_UNEXPECTED_RUN_STOPS_PER_REPORT]
-        if not is_newer(tables, worker, run)
+        if not is_newer_run(tables, worker, run)
     ]
 
 
-def is_newer(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
+def is_newer_run(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
     """Tell whether a run is of a later generation, which another owner started."""
     task = tables.tasks.get(task_key(cell=worker.cell, task_id=run.task_id))
     return task is not None and run.generation > task.row.generation
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -46,25 +46,25 @@
         return tables
     tables = replace(tables, records=tables.records.put(found.key, found))
     if isinstance(found.row, RecordRow):
-        return record_changed(found.row.record, tables, now)
+        return handle_record(found.row.record, tables, now)
     return tables
 
 
 @singledispatch
-def record_changed(
+def handle_record(
     record: Record, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
     """Apply the consequences of a changed record; by default there are none."""
     return tables
 
 
-@record_changed.register
+@handle_record.register
 def _(record: CellRecord, tables: CellOwnerTables, now: float) -> CellOwnerTables:
     cell = tables.cells.get(record.name)
     return sync_workers(tables, cell, now) if cell else tables
 
 
-@record_changed.register
+@handle_record.register
 def _(
     record: FailureDomainRecord, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
@@ -147,7 +147,9 @@
                 present=True,
             )
         tables = put_worker(tables, fresh)
-    tables = put_cell(tables, replace(tables.cells.by_key[cell.name], fit_due=True))
+    tables = put_cell(
+        tables, replace(tables.cells.by_key[cell.name], capacity_check_due=True)
+    )
     return touch_cell(tables, cell.name)
 
 
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -119,8 +119,8 @@
     chosen only if it is the only one.
     """
     entries = tables.entries.rows()
-    near = [entry for entry in entries if entry.region == tables.region]
-    for candidates in (near, entries):
+    same_region = [entry for entry in entries if entry.region == tables.region]
+    for candidates in (same_region, entries):
         others = [entry for entry in candidates if entry.peer != avoid]
         if others:
             return others[zlib.crc32(tables.agent.encode()) % len(others)]
@@ -129,7 +129,7 @@
 
 def send(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
     """Send what is queued, after queuing again what timed out."""
-    tables = _expire(tables, now)
+    tables = _handle_timeouts(tables, now)
     commands: list[Command] = []
     for in_flight in tables.submissions.rows_where("peer", ""):
         entry = choose_entry(tables, avoid=in_flight.avoid)
@@ -164,7 +164,7 @@
     return replace(tables, submissions=submissions)
 
 
-def _expire(tables: CellOwnerTables, now: float) -> CellOwnerTables:
+def _handle_timeouts(tables: CellOwnerTables, now: float) -> CellOwnerTables:
     for in_flight in tables.submissions.rows():
         if in_flight.peer and now - in_flight.sent_at >= SUBMISSION_TIMEOUT_S:
             tables = resubmit(tables, in_flight, now)
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -48,7 +48,7 @@
         return Choice(worker_id="", reason=reason, passed_over=_worker_ids(candidates))
     if spec.task_class is TaskClass.BATCH:
         return _choose_for_batch(task, candidates, fitting, avoid, now)
-    best = min(fitting, key=lambda candidate: _service_key(candidate, avoid))
+    best = min(fitting, key=lambda candidate: _service_order(candidate, avoid))
     return _choice(best, candidates, "least loaded, replicas spread")
 
 
@@ -72,11 +72,11 @@
             worker_id="",
             reason=_deferral_reason(measured),
             passed_over=_worker_ids(candidates),
-            retry_s=PLACEMENT_RETRY_DELAY_S,
+            retry_delay_s=PLACEMENT_RETRY_DELAY_S,
         )
     best = min(
         harmless or fitting,
-        key=lambda candidate: _batch_key(candidate, spec.size, avoid),
+        key=lambda candidate: _batch_order(candidate, spec.size, avoid),
     )
     return _choice(best, candidates, "best fit with the least harm to services")
 
@@ -98,7 +98,7 @@
     return tuple(candidate.worker.worker_id for candidate in candidates)
 
 
-def _service_key(
+def _service_order(
     candidate: Candidate, avoid: frozenset[str]
 ) -> tuple[bool, int, int, bool, float, str]:
     worker = candidate.worker
@@ -112,13 +112,13 @@
     )
 
 
-def _batch_key(
+def _batch_order(
     candidate: Candidate, size: Resources, avoid: frozenset[str]
 ) -> tuple[bool, float, float, str]:
     worker = candidate.worker
-    left = _free_fraction(candidate.free.minus(size), worker.capacity)
+    remaining_fraction = _free_fraction(candidate.free.minus(size), worker.capacity)
     harm = round(candidate.expected_latency_ratio, 1)
-    return (worker.worker_id in avoid, harm, left, worker.worker_id)
+    return (worker.worker_id in avoid, harm, remaining_fraction, worker.worker_id)
 
 
 def _free_fraction(free: Resources, capacity: Resources) -> float:
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -148,7 +148,7 @@
         return "its failure domain was taken out of service"
     if worker is None or not worker.present:
         return "its worker was taken out of the cell"
-    held = cell_candidates.committed(tables, worker.worker_id)
+    held = cell_candidates.held_capacity(tables, worker.worker_id)
     if not held.fits(worker.capacity):
         return "its worker has lost capacity"
     return "the agent is leaving" if tables.leaving else ""
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -29,11 +29,11 @@
     for cell in tables.cells.rows():
         age = now - cell.summarized_at
         due = (cell.summary_due and age >= SUMMARY_INTERVAL_S) or not cell.summary
-        kept_alive = age >= SUMMARY_KEEPALIVE_INTERVAL_S
-        if cell.phase is not CellPhase.OWNED or not (due or kept_alive):
+        keepalive_due = age >= SUMMARY_KEEPALIVE_INTERVAL_S
+        if cell.phase is not CellPhase.OWNED or not (due or keepalive_due):
             continue
         summary = summary_of(tables, cell, now)
-        if summary != cell.summary or kept_alive:
+        if summary != cell.summary or keepalive_due:
             commands.extend(
                 Send(peer=entry.peer, item=summary) for entry in tables.entries.rows()
             )
@@ -53,15 +53,15 @@
         epoch=cell.epoch,
         failure_domain=cell_rows.failure_domain_of(tables, cell.name),
         region=tables.region,
-        free=_free(candidates),
-        largest=_largest(candidates),
+        free=_total_free(candidates),
+        largest=_largest_free(candidates),
         waiting=sum(1 for task in tasks if task.phase in NOT_STARTED),
         running=sum(1 for task in tasks if task.phase in HOLDING_PHASES - NOT_STARTED),
         uses=_uses(tables, cell),
     )
 
 
-def _usable(candidate: Candidate) -> Resources:
+def _nonnegative_free(candidate: Candidate) -> Resources:
     return Resources(
         processors_m=max(0, candidate.free.processors_m),
         memory_mb=max(0, candidate.free.memory_mb),
@@ -69,16 +69,16 @@
     )
 
 
-def _free(candidates: tuple[Candidate, ...]) -> Resources:
+def _total_free(candidates: tuple[Candidate, ...]) -> Resources:
     total = NO_RESOURCES
     for candidate in candidates:
-        total = total.plus(_usable(candidate))
+        total = total.plus(_nonnegative_free(candidate))
     return total
 
 
-def _largest(candidates: tuple[Candidate, ...]) -> Resources:
+def _largest_free(candidates: tuple[Candidate, ...]) -> Resources:
     """Return the free resources of the worker with most processors, then memory."""
-    usable = [_usable(candidate) for candidate in candidates]
+    usable = [_nonnegative_free(candidate) for candidate in candidates]
     return max(
         usable, key=lambda r: (r.processors_m, r.memory_mb), default=NO_RESOURCES
     )
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -100,9 +100,9 @@
         return Step(tables=replace(tables, cells=tables.cells.drop(cell.name)))
     if not owner_timed_out(cell, now):
         return Step(tables=tables)
-    last_commands = cell.alive_seen_at + lease.autonomy_s
+    last_command_at = cell.alive_seen_at + lease.autonomy_s
     reason = "the owner did not renew its liveness row"
-    return _take_cell(cell, (alive,), last_commands, reason, tables, now)
+    return _take_cell(cell, (alive,), last_command_at, reason, tables, now)
 
 
 def owner_timed_out(cell: Cell, now: float) -> bool:
@@ -118,7 +118,7 @@
 def _take_cell(
     cell: Cell,
     conditions: tuple[Condition, ...],
-    last_commands: float,
+    last_command_at: float,
     reason: str,
     tables: CellOwnerTables,
     now: float,
@@ -130,7 +130,7 @@
         autonomy_s=tables.autonomy_s,
     )
     key = lease_key(cell.name)
-    leases_expired_at = last_commands + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
+    leases_expired_at = last_command_at + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     tables = cell_rows.put_cell(tables, replace(cell, phase=CellPhase.TAKING))
     tables, _ = cell_send.submit(
         tables,
--- a/scripts/cell_matrix.py
+++ b/scripts/cell_matrix.py
@@ -15,7 +15,7 @@
     matrix = cell_matrix.load()
     verdicts = []
     for fault in matrix.outcomes_by_fault:
-        row = [cell_matrix.run_cell(step, fault) for step in matrix.steps]
+        row = [cell_matrix.run_case(step, fault) for step in matrix.steps]
         verdicts.extend(row)
         marks = ["pass" if v.passed(matrix) else "FAIL" for v in row]
         print(f"{fault:22}", " ".join(f"{mark:5}" for mark in marks), flush=True)
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -64,10 +64,10 @@
     """Return a bench with a job of `tasks` tasks, and the timer of its owner."""
     bench = CellBench(workers=3)
     bench.capacity = dict.fromkeys(bench.capacity, LARGE_CAPACITY)
-    bench.put_record("cell", bench.cell())
+    bench.put_record("cell", bench.cell_record())
     if tasks:
-        bench.job("curves", tasks=tasks, run_s=run_s, size=SMALL_TASK_SIZE)
-    bench.agent("a")
+        bench.put_job("curves", tasks=tasks, run_s=run_s, size=SMALL_TASK_SIZE)
+    bench.start_agent("a")
     timer = TickTimer(role=bench.world.roles[OWNER])
     bench.world.roles[OWNER] = timer  # type: ignore[assignment]
     return bench, timer
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -119,7 +119,7 @@
         self.latencies = HdrHistogram(1, MAX_LATENCY_US, 3)
         self.bench = bench = CellBench(seed=seed, workers=WORKER_COUNT)
         bench.capacity = dict.fromkeys(bench.workers, deployment.capacity)
-        bench.put_record("cell", bench.cell())
+        bench.put_record("cell", bench.cell_record())
         weights = PolicyRecord(
             name="weights",
             department="bakery",
@@ -130,10 +130,10 @@
         self.harm_by_job: dict[str, float] = {}
         bench.latency_noise = self.latency_factor
         version = bench.put_service(SERVICE, replicas=WORKER_COUNT)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(2.0)
         for index in range(WORKER_COUNT):
-            bench.task(
+            bench.put_task(
                 SERVICE,
                 index,
                 version,
@@ -159,7 +159,7 @@
         processors_m = self.rng.choice(self.deployment.task_processors_m)
         size = Resources(processors_m=processors_m, memory_mb=processors_m)
         run_s = self.rng.uniform(*TASK_RUN_S)
-        self.bench.job(name, tasks=TASKS_PER_JOB, run_s=run_s, size=size)
+        self.bench.put_job(name, tasks=TASKS_PER_JOB, run_s=run_s, size=size)
 
     def reassign(self) -> None:
         """Assign tasks in the backlog to the cell again, as a controller does."""
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -107,7 +107,7 @@
         self.start_delay_s = DELIVERY_DELAY_S
         self.store_delay_s = DELIVERY_DELAY_S
         self.path = Path(delay_s=0.0)
-        self.bad_jobs: set[str] = set()
+        self.failing_jobs: set[str] = set()
         self.store_up = True
         self.lose_commit: Callable[[Submission], bool] = lambda submission: False
         self.before_commit: Callable[[Submission], None] = lambda submission: None
@@ -120,12 +120,12 @@
         self.summaries: list[CellSummary] = []
         self.violations: list[str] = []
         self.put_record("failure_domain", self._domain(DomainState.IN_SERVICE))
-        self.put_record("cell", self.cell())
+        self.put_record("cell", self.cell_record())
 
     def _domain(self, state: DomainState) -> FailureDomainRecord:
         return FailureDomainRecord(name=DOMAIN, region="ege", state=state)
 
-    def cell(self) -> CellRecord:
+    def cell_record(self) -> CellRecord:
         """Return the cell's record, with the workers listed in `capacity`."""
         workers = tuple(
             WorkerRecord(worker_id=w, url=f"http://{w}", rack="r0", capacity=size)
@@ -166,14 +166,14 @@
         """Store a new capacity of a worker; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.capacity_reduced_at[worker] = self.world.now
-        self.put_record("cell", self.cell())
+        self.put_record("cell", self.cell_record())
 
     def resize(self, worker: str, capacity: Resources) -> None:
         """Store a new capacity of a worker and distribute the record."""
         self.put_capacity(worker, capacity)
         self.distribute_records()
 
-    def job(
+    def put_job(
         self, name: str, *, tasks: int = 1, run_s: float = 5.0, **more: Any
     ) -> None:
         """Store a job's record and its tasks as assigned to the cell."""
@@ -183,7 +183,7 @@
         )
         version = self.put_record("job", record)
         for index in range(tasks):
-            self.task(name, index, version, run_s=run_s, **more)
+            self.put_task(name, index, version, run_s=run_s, **more)
 
     def assign(self, agent: str) -> None:
         """Send an owner all task rows, as the controller does."""
@@ -197,7 +197,7 @@
         )
         return self.put_record("service", record)
 
-    def task(self, job: str, index: int, version: int, **more: Any) -> None:
+    def put_task(self, job: str, index: int, version: int, **more: Any) -> None:
         """Store one waiting task as assigned to the cell."""
         fields = {"task_class": TaskClass.BATCH, "kind": "job", "size": SIZE, **more}
         spec = TaskSpec(
@@ -210,7 +210,7 @@
         row = TaskRow(spec=spec, state=TaskState.WAITING)
         self.put(f"task/c0/{job}/{index}", row)
 
-    def agent(
+    def start_agent(
         self, name: str, incarnation_number: int = 1, autonomy_s: float = 3600.0
     ) -> None:
         """Start and link an agent, send it the configuration and offer the cell."""
@@ -458,7 +458,9 @@
                 task_class=command.task_class.value,
             )
             before = self.workers[command.worker_id]
-            fails = before.fail_all or command.task_id.split("/")[0] in self.bad_jobs
+            fails = (
+                before.fail_all or command.task_id.split("/")[0] in self.failing_jobs
+            )
             state = worker_core.start(failing(before, fails), start, self.world.now)
             state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -100,7 +100,7 @@
 
 def _restart(bench: CellBench) -> None:
     bench.world.kill("a")
-    bench.world.at(1.0, lambda: bench.agent("a", incarnation_number=2))
+    bench.world.at(1.0, lambda: bench.start_agent("a", incarnation_number=2))
 
 
 def _pause(bench: CellBench) -> None:
@@ -185,7 +185,7 @@
     return "returned" if bench.row(f"backlog/{TASK}") else "open"
 
 
-def run_cell(step: str, fault: str) -> Verdict:
+def run_case(step: str, fault: str) -> Verdict:
     """Run one cell of the matrix: inject a fault when a step is first reached."""
     bench = CellBench()
     injected: list[str] = []
@@ -196,10 +196,10 @@
             INJECT_BY_FAULT[fault](bench)
 
     bench.world.command_hooks.append(watch)
-    bench.job("curves", run_s=CELL_TASK_RUN_S)
-    bench.agent("a")
+    bench.put_job("curves", run_s=CELL_TASK_RUN_S)
+    bench.start_agent("a")
     bench.run(2.0)
-    bench.agent("b")
+    bench.start_agent("b")
     bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
     bench.run(EVICTED_AT_S - 2.0)
     bench.resize("w0", Resources())
--- a/test/test_cell_actor.py
+++ b/test/test_cell_actor.py
@@ -110,7 +110,7 @@
         )
         record = CellRecord(name="c0", failure_domain=DOMAIN, workers=(worker,))
         bench.put_record("cell", record)
-        bench.job("curves", run_s=0.5)
+        bench.put_job("curves", run_s=0.5)
         role = cell_owner.build(agent="a", incarnation="a#1", region="ege")
         entry = Entry(tell=lambda event: self.ref.tell(event), bench=bench)
         with ThreadPoolExecutor(8) as pool:
--- a/test/test_cell_controlled.py
+++ b/test/test_cell_controlled.py
@@ -52,7 +52,7 @@
         for name in agents:
             self.join(name)
         self.call(submit_record(self._domain(DomainState.IN_SERVICE)))
-        self.call(submit_record(self.cell()))
+        self.call(submit_record(self.cell_record()))
         self.run(8.0)
 
     def join(self, name: str) -> None:
@@ -190,7 +190,7 @@
         self.assertIsNone(bench.row("task/c0/oven/1"))
         self.assertEqual(1, len(bench.running("oven/0")))
 
-    def test_another_agent_takes_the_cell_of_a_lost_one(self) -> None:
+    def test_another_agent_takes_the_cell_of_a_killed_one(self) -> None:
         bench = ControlledBench(agents=("a", "b"))
         owner = bench.row("lease/c0").owner
         bench.submit(curves(tasks=2, run_s=90.0))
@@ -248,22 +248,22 @@
             self._drain,
         )
 
-    def _draw(self, sides: int) -> int:
-        number, self._bench.world.rng = self._bench.world.rng.draw(sides * 1000)
-        return number % sides
+    def _draw(self, choices: int) -> int:
+        number, self._bench.world.rng = self._bench.world.rng.draw(choices * 1000)
+        return number % choices
 
     def _restart(self, name: str, down: bool) -> None:
         self._bench.world.kill(name)
         if not down:
             self._bench.join(name)
 
-    def _drain(self, out: bool) -> None:
+    def _drain(self, drained: bool) -> None:
         self._calls += 1
         call = ChangeDomain(
             call_id=f"call-{self._calls}",
             author="op",
             failure_domain=DOMAIN,
-            state=DomainState.DRAINED if out else DomainState.IN_SERVICE,
+            state=DomainState.DRAINED if drained else DomainState.IN_SERVICE,
             expected_revision=0,
         )
         self._bench.call(call)
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -24,8 +24,8 @@
 class EvictionTest(testtools.TestCase):
     def test_a_drain_returns_tasks_with_their_checkpoints(self) -> None:
         bench = CellBench()
-        bench.job("curves", tasks=3, run_s=60.0)
-        bench.agent("a")
+        bench.put_job("curves", tasks=3, run_s=60.0)
+        bench.start_agent("a")
         bench.run(20.0)
         bench.drain()
         bench.distribute_records()
@@ -40,10 +40,10 @@
 
     def test_an_urgent_task_evicts_a_batch_task_that_resumes_once(self) -> None:
         bench = CellBench(workers=1)
-        bench.job("audit", run_s=40.0, size=CAPACITY)
-        bench.agent("a")
+        bench.put_job("audit", run_s=40.0, size=CAPACITY)
+        bench.start_agent("a")
         bench.run(20.0)
-        bench.job("sweep", run_s=5.0, urgent=True, size=CAPACITY)
+        bench.put_job("sweep", run_s=5.0, urgent=True, size=CAPACITY)
         bench.assign("a")
         bench.run(2.7)
         self.assertEqual(["w0"], bench.running("sweep/0"))
@@ -57,8 +57,8 @@
 
     def test_an_eviction_whose_stops_lose_their_answers_resumes_once(self) -> None:
         bench = CellBench()
-        bench.job("audit", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("audit", run_s=60.0)
+        bench.start_agent("a")
         bench.run(10.0)
         bench.lose_worker_answers = {"w0"}
         bench.resize("w0", Resources())
@@ -71,14 +71,14 @@
         self.assertEqual(TaskState.FINISHED, bench.done("audit/0"))
 
     def test_an_unconfirmed_stop_would_run_a_task_twice(self) -> None:
-        def end_at_once(tables, task, ending, now):  # type: ignore[no-untyped-def]
+        def end_without_stop(tables, task, ending, now):  # type: ignore[no-untyped-def]
             return cell_stop.end_task(tables, task, ending, now)
 
         bench = CellBench()
-        bench.job("audit", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("audit", run_s=60.0)
+        bench.start_agent("a")
         bench.run(10.0)
-        with mock.patch.object(cell_stop, "plan_ending", end_at_once):
+        with mock.patch.object(cell_stop, "plan_ending", end_without_stop):
             bench.resize("w0", Resources())
             bench.run(3.0)
         self.assertNotEqual([], bench.violations)
@@ -86,11 +86,11 @@
     def test_reduced_capacity_evicts_the_newest_batch_task_and_no_service(self) -> None:
         bench = CellBench(workers=1)
         version = bench.put_service("oven")
-        bench.task("oven", 0, version, run_s=0.0, **LATENCY_CRITICAL)
-        bench.agent("a")
+        bench.put_task("oven", 0, version, run_s=0.0, **LATENCY_CRITICAL)
+        bench.start_agent("a")
         bench.run(12.0)
         for name in ("older", "newer"):
-            bench.job(name, run_s=500.0)
+            bench.put_job(name, run_s=500.0)
             bench.run(12.0)
         bench.resize("w0", Resources(processors_m=4_000, memory_mb=16_000))
         bench.run(5.0)
@@ -101,8 +101,8 @@
         bench = CellBench()
         version = bench.put_service("oven", replicas=2)
         for index in range(2):
-            bench.task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
-        bench.agent("a")
+            bench.put_task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.put_service("oven", replicas=1)
         bench.distribute_records()
@@ -117,12 +117,12 @@
         bench = CellBench()
         version = bench.put_service("oven", replicas=2)
         for index in range(2):
-            bench.task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
-        bench.agent("a")
+            bench.put_task("oven", index, version, run_s=0.0, **LATENCY_CRITICAL)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.world.kill("a")
         bench.put_service("oven", replicas=1)
-        bench.agent("b")
+        bench.start_agent("b")
         bench.run(40.0)
         self.assertEqual(1, len(bench.running("oven/0")))
         self.assertEqual([], bench.running("oven/1"))
@@ -130,11 +130,11 @@
 
     def test_a_removed_worker_is_emptied_of_batch_tasks(self) -> None:
         bench = CellBench()
-        bench.job("audit", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("audit", run_s=60.0)
+        bench.start_agent("a")
         bench.run(5.0)
         del bench.capacity["w0"]
-        bench.put_record("cell", bench.cell())
+        bench.put_record("cell", bench.cell_record())
         bench.distribute_records()
         bench.run(8.0)
         self.assertEqual(["w1"], bench.running("audit/0"))
@@ -142,8 +142,8 @@
 
     def test_a_cancelled_job_is_stopped(self) -> None:
         bench = CellBench()
-        bench.job("curves", tasks=100, run_s=500.0)
-        bench.agent("a")
+        bench.put_job("curves", tasks=100, run_s=500.0)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.world.deliver(cell_owner_address("a"), JobCancelled(job="curves"))
         bench.run(8.0)
@@ -154,8 +154,8 @@
 
     def test_a_task_that_fits_no_worker_is_returned_to_the_backlog(self) -> None:
         bench = CellBench()
-        bench.job("huge", size=Resources(processors_m=64_000))
-        bench.agent("a")
+        bench.put_job("huge", size=Resources(processors_m=64_000))
+        bench.start_agent("a")
         bench.run(40.0)
         self.assertEqual(1, bench.row("backlog/huge/0").count)
         self.assertIn("task.return", bench.kinds())
@@ -173,8 +173,8 @@
         bench = CellBench(workers=3)
         bench.workers["w0"] = failing(bench.workers["w0"], True)
         for number in range(6):
-            bench.job(f"job{number}", run_s=5.0)
-        bench.agent("a")
+            bench.put_job(f"job{number}", run_s=5.0)
+        bench.start_agent("a")
         bench.run(25.0)
         for number in range(6):
             self.assertEqual(TaskState.FINISHED, bench.done(f"job{number}/0"))
@@ -183,7 +183,7 @@
         self.assertEqual(Health.QUARANTINED, worker.health)
         bench.workers["w0"] = failing(bench.workers["w0"], False)
         bench.run(20.0)
-        bench.job("later", tasks=8, run_s=5.0)
+        bench.put_job("later", tasks=8, run_s=5.0)
         bench.run(40.0)
         worker = bench.tables("a").workers.by_key["w0"]
         self.assertEqual(Health.HEALTHY, worker.health)
@@ -192,10 +192,10 @@
         bench = CellBench(workers=3)
         for worker in ("w0", "w1"):
             bench.workers[worker] = failing(bench.workers[worker], True)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(2.0)
         for number in range(3):
-            bench.job(f"job{number}", run_s=5.0)
+            bench.put_job(f"job{number}", run_s=5.0)
             bench.assign("a")
             bench.run(0.1)
         bench.run(25.0)
@@ -210,18 +210,18 @@
         bench = CellBench(workers=2)
         bench.workers["w0"] = failing(bench.workers["w0"], True)
         for number in range(4):
-            bench.job(f"job{number}", run_s=5.0)
-        bench.agent("a")
+            bench.put_job(f"job{number}", run_s=5.0)
+        bench.start_agent("a")
         with mock.patch.object(cell_quarantine, "is_faulty", lambda *_: False):
             bench.run(25.0)
         self.assertNotIn("worker.aside", bench.kinds())
 
     def test_a_job_that_fails_everywhere_quarantines_no_worker(self) -> None:
         bench = CellBench(workers=3)
-        bench.agent("a")
-        bench.bad_jobs = {"broken"}
-        bench.job("broken", tasks=2, run_s=5.0)
-        bench.job("sound", tasks=4, run_s=5.0)
+        bench.start_agent("a")
+        bench.failing_jobs = {"broken"}
+        bench.put_job("broken", tasks=2, run_s=5.0)
+        bench.put_job("sound", tasks=4, run_s=5.0)
         bench.run(120.0)
         for index in range(2):
             self.assertEqual(TaskState.FAILED, bench.done(f"broken/{index}"))
@@ -234,8 +234,8 @@
 class ReleaseTest(testtools.TestCase):
     def test_a_leaving_agent_releases_its_cell_after_its_last_command(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=60.0)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.world.deliver(cell_owner_address("a"), Leave())
         bench.run(5.0)
@@ -245,17 +245,17 @@
         kinds = (StartTask, StopTask, AskReport)
         last = max(at for at, c in commands if isinstance(c, kinds))
         self.assertEqual(1, len(released))
-        asked = [(at, c) for at, c in commands if isinstance(c, AskReport)]
-        self.assertTrue(any(at >= 5.0 and c.renewals for at, c in asked))
+        reports = [(at, c) for at, c in commands if isinstance(c, AskReport)]
+        self.assertTrue(any(at >= 5.0 and c.renewals for at, c in reports))
         self.assertLess(last + 1.9, released[0])
-        bench.agent("b")
+        bench.start_agent("b")
         bench.run(70.0)
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
         self.assertEqual(1, len(bench.starts))
 
     def test_a_leaving_agent_is_done_even_in_a_store_outage(self) -> None:
         bench = CellBench()
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(5.0)
         bench.store_up = False
         bench.world.deliver(cell_owner_address("a"), Leave())
@@ -274,16 +274,16 @@
         for seed in range(1, 5):
             bench = CellBench(seed=seed, workers=3)
             for number in range(8):
-                bench.job(f"job{number}", tasks=2, run_s=15.0 + number)
-            bench.agent("a")
+                bench.put_job(f"job{number}", tasks=2, run_s=15.0 + number)
+            bench.start_agent("a")
             self._mix(bench)
             bench.run(90.0)
             self.assertEqual([], bench.violations, f"seed {seed}")
             for number in range(8):
                 for index in range(2):
-                    self._accounted_for(bench, f"job{number}/{index}", seed)
+                    self._assert_in_one_place(bench, f"job{number}/{index}", seed)
 
-    def _accounted_for(self, bench: CellBench, task: str, seed: int) -> None:
+    def _assert_in_one_place(self, bench: CellBench, task: str, seed: int) -> None:
         places = (f"done/{task}", f"task/c0/{task}", f"backlog/{task}")
         found = [key for key in places if bench.row(key) is not None]
         self.assertEqual(1, len(found), f"seed {seed}: {task} {found}")
@@ -296,10 +296,10 @@
             lambda on: setattr(bench, "lose_start_answers", on),
             lambda on: setattr(bench, "start_delay_s", 1.5 if on else 0.005),
             lambda on: setattr(
-                bench, "lose_commit", lambda _: on and self._half(bench)
+                bench, "lose_commit", lambda _: on and self._draw_boolean(bench)
             ),
             lambda on: bench.world.pause("a", 20.0) if on else None,
-            lambda on: bench.agent("b") if on else bench.offer("a"),
+            lambda on: bench.start_agent("b") if on else bench.offer("a"),
         )
         until = bench.world.now + MIX_DURATION_S
         while bench.world.now < until:
@@ -311,9 +311,9 @@
                 faults[index](False)
             bench.run(1.0 + self._draw(bench, 6))
 
-    def _half(self, bench: CellBench) -> bool:
+    def _draw_boolean(self, bench: CellBench) -> bool:
         return self._draw(bench, 2) == 0
 
-    def _draw(self, bench: CellBench, sides: int) -> int:
-        number, bench.world.rng = bench.world.rng.draw(sides * 1000)
-        return number % sides
+    def _draw(self, bench: CellBench, choices: int) -> int:
+        number, bench.world.rng = bench.world.rng.draw(choices * 1000)
+        return number % choices
--- a/test/test_cell_thin.py
+++ b/test/test_cell_fault_free.py
@@ -17,8 +17,8 @@
 class FaultFreeTaskTest(testtools.TestCase):
     def test_a_task_is_started_finishes_and_is_done(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=5.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=5.0)
+        bench.start_agent("a")
         bench.run(20.0)
         self.assertEqual([], bench.violations)
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
@@ -32,8 +32,8 @@
         for tasks in (4, 25):
             bench = CellBench(workers=1)
             size = Resources(processors_m=100, memory_mb=100)
-            bench.job("curves", tasks=tasks, run_s=500.0, size=size)
-            bench.agent("a")
+            bench.put_job("curves", tasks=tasks, run_s=500.0, size=size)
+            bench.start_agent("a")
             bench.run(10.0)
             before = reports(bench)
             bench.run(30.0)
--- a/test/test_cell_faults.py
+++ b/test/test_cell_faults.py
@@ -67,8 +67,8 @@
 
 def with_delayed_start(bench: CellBench) -> None:
     """Send a start in time that arrives late, and lose its answer."""
-    bench.job("curves", run_s=20.0)
-    bench.agent("a")
+    bench.put_job("curves", run_s=20.0)
+    bench.start_agent("a")
     bench.start_delay_s = 3.0
     bench.lose_start_answers = True
     bench.run(2.0)
@@ -84,18 +84,18 @@
             world.command_hooks.clear()
             world.pause("a", 60.0)
 
-    bench.job("curves", run_s=90.0)
-    bench.agent("a")
+    bench.put_job("curves", run_s=90.0)
+    bench.start_agent("a")
     bench.world.command_hooks.append(pause)
     bench.run(2.0)
-    bench.agent("b")
+    bench.start_agent("b")
     bench.run(120.0)
 
 
 def with_unreachable_worker(bench: CellBench) -> None:
     """Cut a worker off for so long that the leases of its tasks expire."""
-    bench.job("curves", run_s=60.0)
-    bench.agent("a")
+    bench.put_job("curves", run_s=60.0)
+    bench.start_agent("a")
     bench.run(5.0)
     bench.unreachable = {"w0"}
     bench.run(60.0)
@@ -106,20 +106,20 @@
 def with_drain_at_commit(bench: CellBench) -> None:
     """Drain the failure domain right before a start would commit."""
     bench.before_commit = ActOnFirstMatch(matches=writes_start, action=bench.drain)  # type: ignore[assignment]
-    bench.job("curves")
-    bench.agent("a")
+    bench.put_job("curves")
+    bench.start_agent("a")
     bench.run(1.0)
     bench.run(10.0)
 
 
 def with_drain_and_lost_commit(bench: CellBench) -> None:
     """Commit a start just before a drain, with the answer delayed by an outage."""
-    down = ActOnFirstMatch(
+    outage_at_commit = ActOnFirstMatch(
         matches=writes_start, action=lambda: drain_during_outage(bench)
     )
-    bench.lose_commit = down
-    bench.job("curves")
-    bench.agent("a")
+    bench.lose_commit = outage_at_commit
+    bench.put_job("curves")
+    bench.start_agent("a")
     bench.run(30.0)
 
 
@@ -131,15 +131,15 @@
 
 def with_crowded_cell(bench: CellBench) -> None:
     """Submit more tasks than the workers have capacity for."""
-    bench.job("curves", tasks=20, run_s=10.0)
-    bench.agent("a")
+    bench.put_job("curves", tasks=20, run_s=10.0)
+    bench.start_agent("a")
     bench.run(60.0)
 
 
 def with_late_report(bench: CellBench) -> None:
     """Deliver a report of an earlier generation again, much later."""
-    bench.job("curves", run_s=30.0)
-    bench.agent("a")
+    bench.put_job("curves", run_s=30.0)
+    bench.start_agent("a")
     bench.run(3.0)
     early = runs_of(bench.workers["w0"])
     bench.unreachable = {"w0"}
@@ -155,9 +155,9 @@
 
 
 GUARDED: tuple[tuple[Callable[[CellBench], None], Any, str, Any], ...] = (
-    (with_delayed_start, cell_reports, "shows_absence", always),
+    (with_delayed_start, cell_reports, "absence_is_conclusive", always),
     (with_unreachable_worker, cell_stop, "lease_has_expired", always),
-    (with_crowded_cell, cell_candidates, "committed", lambda *_: SIZE.minus(SIZE)),
+    (with_crowded_cell, cell_candidates, "held_capacity", lambda *_: SIZE.minus(SIZE)),
 )
 
 
@@ -190,7 +190,7 @@
         with_paused_owner(bench)
         self.assertNotEqual([], bench.violations)
 
-    def test_a_start_whose_commit_was_confirmed_late_breaks_the_bound(self) -> None:
+    def test_a_start_whose_commit_is_confirmed_late_is_not_sent(self) -> None:
         bench = CellBench()
         bench.checks_deadline = False
         with_drain_and_lost_commit(bench)
@@ -208,7 +208,7 @@
         bench = CellBench()
         with (
             mock.patch.object(cell_reports, "stop_deadline", lambda _: float("inf")),
-            mock.patch.object(cell_reports, "is_newer", lambda *_: False),
+            mock.patch.object(cell_reports, "is_newer_run", lambda *_: False),
         ):
             with_paused_owner(bench)
         self.assertNotEqual(1, len(bench.starts))
@@ -236,8 +236,8 @@
                 matches=writes_start,
                 action=lambda: bench.put_capacity("w0", SIZE.minus(ONE_CORE)),
             )
-            bench.job("curves")
-            bench.agent("a")
+            bench.put_job("curves")
+            bench.start_agent("a")
             bench.run(5.0)
             return bench
 
@@ -251,9 +251,9 @@
     def test_a_takeover_waits_until_the_liveness_row_is_unchanged(self) -> None:
         def owner_after(guard: Any) -> str:
             bench = CellBench()
-            bench.agent("a")
+            bench.start_agent("a")
             bench.run(5.0)
-            bench.agent("b")
+            bench.start_agent("b")
             with mock.patch.object(cell_watch, "owner_timed_out", guard):
                 for _ in range(10):
                     bench.offer("b")
@@ -278,11 +278,11 @@
 
     def test_a_new_owner_adopts_running_tasks(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=60.0)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.world.kill("a")
-        bench.agent("b")
+        bench.start_agent("b")
         bench.run(90.0)
         self.assertEqual([], bench.violations)
         self.assertEqual(1, len(bench.starts))
@@ -292,11 +292,11 @@
         self,
     ) -> None:
         def starts(bench: CellBench) -> list[int]:
-            bench.job("curves", run_s=400.0)
-            bench.agent("a", autonomy_s=60.0)
+            bench.put_job("curves", run_s=400.0)
+            bench.start_agent("a", autonomy_s=60.0)
             bench.run(5.0)
             bench.world.kill("a")
-            bench.agent("b")
+            bench.start_agent("b")
             bench.unreachable = {"w0"}
             bench.run(85.0)
             early = [start.generation for start in bench.starts]
@@ -307,14 +307,16 @@
         with mock.patch.object(cell_stop, "lease_has_expired", always):
             self.assertEqual([2, 2], starts(CellBench()))
 
-    def test_an_owner_without_its_row_stops_renewing_before_others_start(self) -> None:
+    def test_an_owner_cut_from_the_store_stops_renewing_before_another_starts(
+        self,
+    ) -> None:
         def violations(guard: Any) -> list[str]:
             bench = CellBench()
-            bench.job("curves", run_s=400.0)
-            bench.agent("a", autonomy_s=60.0)
+            bench.put_job("curves", run_s=400.0)
+            bench.start_agent("a", autonomy_s=60.0)
             bench.run(5.0)
             bench.cut_off = {("a", "store"), ("b", "w0")}
-            bench.agent("b")
+            bench.start_agent("b")
             with mock.patch.object(cell_reports, "autonomy_deadline", guard):
                 bench.run(120.0)
             self.assertEqual([1, 2], [start.generation for start in bench.starts])
@@ -325,28 +327,28 @@
 
     def test_a_task_does_not_start_where_its_record_forbids_it(self) -> None:
         bench = CellBench()
-        bench.job("curves", failure_domains=("nbo-a",))
-        bench.agent("a")
+        bench.put_job("curves", failure_domains=("nbo-a",))
+        bench.start_agent("a")
         bench.run(5.0)
         self.assertEqual([], bench.starts)
         self.assertIsNotNone(bench.row("backlog/curves/0"))
 
-    def test_a_worker_that_refuses_starts_is_not_tried_again_at_once(self) -> None:
+    def test_an_unreachable_worker_is_not_tried_again_immediately(self) -> None:
         bench = CellBench(workers=1)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(3.0)
         bench.unreachable = {"w0"}
-        bench.job("curves", run_s=5.0)
+        bench.put_job("curves", run_s=5.0)
         bench.assign("a")
         bench.run(9.0)
         self.assertLess(bench.row("task/c0/curves/0").generation, 2)
 
-    def test_a_restarted_agent_takes_its_cell_back_at_once(self) -> None:
+    def test_a_restarted_agent_takes_its_cell_back_immediately(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=60.0)
+        bench.start_agent("a")
         bench.run(5.0)
-        bench.agent("a", incarnation_number=2)
+        bench.start_agent("a", incarnation_number=2)
         bench.run(2.0)
         lease = bench.row("lease/c0")
         self.assertEqual(("a#2", 2), (lease.incarnation, lease.epoch))
@@ -354,8 +356,8 @@
 
     def test_a_lost_answer_holds_capacity_until_the_worker_reports(self) -> None:
         bench = CellBench(workers=1)
-        bench.job("curves", run_s=30.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=30.0)
+        bench.start_agent("a")
         bench.lose_start_answers = True
         bench.run(2.0)
         bench.lose_worker_answers = {"w0"}
@@ -375,8 +377,8 @@
 
     def test_a_worker_that_comes_back_in_time_keeps_its_task(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=60.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=60.0)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.unreachable = {"w0"}
         bench.run(8.0)
@@ -390,8 +392,8 @@
         bench.lose_commit = ActOnFirstMatch(
             matches=writes_start, action=lambda: outage(bench, 4.0)
         )
-        bench.job("curves", run_s=5.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=5.0)
+        bench.start_agent("a")
         bench.run(30.0)
         self.assertEqual([2], [start.generation for start in bench.starts])
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
@@ -399,16 +401,16 @@
     def test_an_unsettled_ending_is_written_once(self) -> None:
         bench = CellBench()
         bench.lose_commit = ActOnFirstMatch(matches=writes_done, action=do_nothing)
-        bench.job("curves", run_s=5.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=5.0)
+        bench.start_agent("a")
         bench.run(30.0)
         self.assertEqual([], bench.violations)
         self.assertEqual(TaskState.FINISHED, bench.done("curves/0"))
 
     def test_tasks_keep_running_during_a_store_outage(self) -> None:
         bench = CellBench()
-        bench.job("curves", run_s=200.0)
-        bench.agent("a")
+        bench.put_job("curves", run_s=200.0)
+        bench.start_agent("a")
         bench.run(5.0)
         bench.store_up = False
         bench.run(250.0)
@@ -431,8 +433,8 @@
 
         bench = CellBench()
         bench.before_commit = ActOnFirstMatch(matches=writes_start, action=cancel)  # type: ignore[assignment]
-        bench.job("curves")
-        bench.agent("a")
+        bench.put_job("curves")
+        bench.start_agent("a")
         bench.run(5.0)
         self.assertEqual([], bench.starts)
         self.assertEqual(TaskState.CANCELLED, bench.done("curves/0"))
--- a/test/test_cell_matrix.py
+++ b/test/test_cell_matrix.py
@@ -18,17 +18,17 @@
 
 
 class MatrixTest(testtools.TestCase):
-    def test_a_cell_fails_without_its_guard(self) -> None:
+    def test_a_case_fails_without_its_guard(self) -> None:
         def always(*_: Any) -> bool:
             return True
 
         matrix = cell_matrix.load()
         for step, fault, module, guard in (
-            ("start_sent", "start_delayed", cell_reports, "shows_absence"),
+            ("start_sent", "start_delayed", cell_reports, "absence_is_conclusive"),
             ("running", "first_worker_cut_off", cell_stop, "lease_has_expired"),
         ):
             with mock.patch.object(module, guard, always):
-                verdict = cell_matrix.run_cell(step, fault)
+                verdict = cell_matrix.run_case(step, fault)
             self.assertFalse(verdict.passed(matrix), str(verdict))
 
     def test_a_sample_of_the_matrix_passes(self) -> None:
@@ -37,5 +37,5 @@
         for row, step in enumerate(matrix.steps):
             for column, fault in enumerate(matrix.outcomes_by_fault):
                 if (3 * row + column) % SAMPLE_STRIDE == 0:
-                    verdict = cell_matrix.run_cell(step, fault)
+                    verdict = cell_matrix.run_case(step, fault)
                     self.assertTrue(verdict.passed(matrix), str(verdict))
--- a/test/test_cell_policy.py
+++ b/test/test_cell_policy.py
@@ -54,11 +54,11 @@
     )
     bench.put_record("policy", policy)
     version = bench.put_service("oven")
-    bench.task("oven", 0, version, run_s=0.0, **SERVICE)
-    bench.agent("a")
+    bench.put_task("oven", 0, version, run_s=0.0, **SERVICE)
+    bench.start_agent("a")
     for job in jobs:
         bench.run(20.0)
-        bench.job(job, run_s=5_000.0)
+        bench.put_job(job, run_s=5_000.0)
         bench.assign("a")
     return bench
 
@@ -93,8 +93,8 @@
     def test_no_further_action_is_taken_before_the_lag_has_passed(self) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0, "quiet": 900.0})
         bench.run(120.0)
-        instants = sorted({at for at, _ in throttles(bench)})
-        gaps = [b - a for a, b in itertools.pairwise(instants)]
+        sent_times = sorted({at for at, _ in throttles(bench)})
+        gaps = [b - a for a, b in itertools.pairwise(sent_times)]
         self.assertGreaterEqual(min(gaps, default=99.0), worker_core.USAGE_LAG_S)
 
     def test_a_share_is_raised_once_the_service_is_gone(self) -> None:
@@ -120,31 +120,33 @@
         bench = colocated(harm_by_job={"noisy": 150.0})
         bench.run(60.0)
         bench.world.kill("a")
-        bench.agent("b")
+        bench.start_agent("b")
         bench.run(30.0)
         shares = {run.share for run in bench.workers["w0"].runs.rows()}
         self.assertEqual({1.0}, shares)
 
 
 class DeferralTest(testtools.TestCase):
-    def test_a_job_that_harms_on_every_worker_starts_within_the_bound(self) -> None:
+    def test_a_job_harmful_on_every_worker_starts_within_the_deferral_bound(
+        self,
+    ) -> None:
         bench = colocated(harm_by_job={"noisy": 900.0})
         bench.run(120.0)
-        bench.job("noisy-again", run_s=50.0)
-        held = (
+        bench.put_job("noisy-again", run_s=50.0)
+        deferral_bound_s = (
             cell_spread_and_pack.MAX_PLACEMENT_DEFERRAL_S
             + cell_spread_and_pack.PLACEMENT_RETRY_DELAY_S
         )
-        with mock.patch.object(cell_learn, "estimate", return_value=900.0):
+        with mock.patch.object(cell_learn, "estimated_harm_ms", return_value=900.0):
             bench.assign("a")
-            bench.run(held / 2)
+            bench.run(deferral_bound_s / 2)
             self.assertEqual([], bench.running("noisy-again/0"))
-            bench.run(held)
+            bench.run(deferral_bound_s)
         self.assertNotEqual([], bench.running("noisy-again/0"))
 
 
 class WeightTest(testtools.TestCase):
-    def _evicted_at(self, eviction_weight: float) -> tuple[float, float]:
+    def _eviction_time_and_share(self, eviction_weight: float) -> tuple[float, float]:
         bench = colocated(
             harm_by_job={"noisy": 5_000.0},
             workers=2,
@@ -157,8 +159,8 @@
         return bench.world.now - started_at, share
 
     def test_a_high_eviction_weight_throttles_deeper_and_longer(self) -> None:
-        latency_first = self._evicted_at(0.25)
-        evictions_last = self._evicted_at(4.0)
+        latency_first = self._eviction_time_and_share(0.25)
+        evictions_last = self._eviction_time_and_share(4.0)
         self.assertLess(latency_first[0] + 60.0, evictions_last[0])
         self.assertEqual((0.5, 0.0625), (latency_first[1], evictions_last[1]))
 
@@ -170,10 +172,10 @@
         bench.run(600.0)
         return len(throttles(bench)) + len(evicted(bench))
 
-    def test_noisy_waves_cause_no_flapping(self) -> None:
+    def test_noisy_latencies_cause_no_flapping(self) -> None:
         self.assertLessEqual(self._changes(), 4)
 
-    def test_without_hysteresis_noisy_waves_cause_flapping(self) -> None:
+    def test_without_hysteresis_noisy_latencies_cause_flapping(self) -> None:
         def naive(latency: ServiceLatency, now: float) -> ServiceLatency:
             degraded = latency.smoothed_ms > latency.target_ms
             return replace(latency, degraded=degraded)
@@ -238,7 +240,7 @@
 class PlacementTest(testtools.TestCase):
     def test_replicas_spread_over_workers(self) -> None:
         bench = CellBench(workers=3)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(2.0)
         self._oven(bench)
         bench.run(5.0)
@@ -248,21 +250,21 @@
     def _oven(self, bench: CellBench) -> None:
         version = bench.put_service("oven", replicas=3)
         for index in range(3):
-            bench.task("oven", index, version, run_s=0.0, **SERVICE)
+            bench.put_task("oven", index, version, run_s=0.0, **SERVICE)
         bench.assign("a")
 
     def _big_fits(self) -> bool:
         bench = CellBench(workers=2)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(2.0)
-        bench.job("half", size=replace(SIZE, processors_m=5_000), run_s=500.0)
+        bench.put_job("half", size=replace(SIZE, processors_m=5_000), run_s=500.0)
         bench.assign("a")
         bench.run(1.0)
-        bench.job("more", size=replace(SIZE, processors_m=4_000), run_s=500.0)
+        bench.put_job("more", size=replace(SIZE, processors_m=4_000), run_s=500.0)
         bench.assign("a")
         bench.run(1.0)
-        bench.job("small", size=replace(SIZE, processors_m=3_000), run_s=500.0)
-        bench.job("last", size=replace(SIZE, processors_m=4_000), run_s=500.0)
+        bench.put_job("small", size=replace(SIZE, processors_m=3_000), run_s=500.0)
+        bench.put_job("last", size=replace(SIZE, processors_m=4_000), run_s=500.0)
         bench.assign("a")
         bench.run(3.0)
         self.assertEqual([], bench.violations)
@@ -273,8 +275,8 @@
 
     def test_learned_usage_commits_nothing_beyond_declared_capacity(self) -> None:
         bench = CellBench(workers=1)
-        bench.job("lean", tasks=30, run_s=500.0, size=SIZE)
-        bench.agent("a")
+        bench.put_job("lean", tasks=30, run_s=500.0, size=SIZE)
+        bench.start_agent("a")
         usage = functools.partial(RunUsage, processors_m=1, memory_mb=1)
         bench.usages_of = lambda state: tuple(  # type: ignore[method-assign]
             usage(task_id=run.start.task_id, generation=run.start.generation)
@@ -288,7 +290,7 @@
 
     def test_the_first_fit_policy_can_be_used(self) -> None:
         bench = CellBench(workers=3)
-        bench.agent("a")
+        bench.start_agent("a")
         bench.run(2.0)
         self._oven(bench)
         with mock.patch.object(cell_place, "PLACEMENT_POLICY", FirstFit()):
