Complete and correct the texts of the cell owner

Some docstrings did not match the code: of the tasks on a worker over its capacity, those of the lowest priority are evicted first, not just the newest; reads without an answer are dropped, not retried; a release is given up after its timeout; a stop also ends when the lease has expired on an unreachable worker; reports are requested every one to three seconds; a probed worker also returns to service when its task has run for long enough. Fields and side effects that a reader had to infer are now stated, such as `sweep_at`, `release_by`, `last_number` and the mark for placement when a retry is due. Figurative words such as clear, grow, weigh and breach are replaced.

--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -28,10 +28,12 @@
 
     `lease` is the lease row at version `lease_version`. While watching,
     `alive_version` is the version of the owner's liveness row, first seen at
-    `alive_seen_at`. Task leases of the previous owner have expired after
+    `alive_seen_at`. Task leases granted by the previous owner have expired by
     `leases_expired_at`. Rows are known up to revision `rows_since`. `place_due` is set
-    when something relevant to placement has changed, `capacity_check_due` when a
-    worker may hold more than its capacity.
+    when something relevant to placement has changed, `capacity_check_due` when the
+    tasks on a worker may exceed its capacity. The waiting tasks are next checked for
+    return to the backlog at `sweep_at`. `release_by` is when a leaving agent stops
+    waiting for the release, or zero before it leaves.
     """
 
     name: str
--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordCancellation:
-    """A record whose tasks are being cancelled, a batch each tick."""
+    """A record whose tasks are being cancelled, a limited number each tick."""
 
     record_key: str
 
@@ -112,7 +112,9 @@
     """The complete state of the cell owner.
 
     `agent`, `incarnation`, `region` and `autonomy_s` come from the settings and
-    never change. `records` holds the configuration's record rows by key.
+    never change. `leaving` is set on `Leave`, `released` once `CellOwnerDone` has been
+    sent. `last_number` is the number in the id of the last submission or read.
+    `records` holds the configuration's record rows by key, complete up to `revision`.
     """
 
     agent: str
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -70,7 +70,10 @@
 
 
 def count_fitting(size: Resources, capacity: Resources) -> int:
-    """Return how many tasks of `size` fit into the sum of `capacity`."""
+    """Return how many tasks of `size` fit into `capacity`.
+
+    How the capacity is divided among workers is not considered.
+    """
     pairs = (
         (size.processors_m, capacity.processors_m),
         (size.memory_mb, capacity.memory_mb),
--- a/bulrushpulley/entities/fleet.py
+++ b/bulrushpulley/entities/fleet.py
@@ -12,7 +12,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fleet:
-    """The cells and the distinct worker capacities of each failure domain."""
+    """The cells and worker capacities, and the total capacity of all workers.
+
+    Equal worker capacities are listed once for each failure domain, but once for each
+    worker of a cell.
+    """
 
     cells_by_domain: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     capacities_by_domain: Mapping[str, tuple[Resources, ...]] = field(
--- a/bulrushpulley/entities/interference.py
+++ b/bulrushpulley/entities/interference.py
@@ -27,7 +27,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobUsage:
-    """What one task of a job uses, as an exponentially weighted mean."""
+    """What one task of a job uses, as an exponentially weighted mean.
+
+    `processors_m` is the usage at full speed. `at` is the time of the last update.
+    """
 
     job: str
     processors_m: float
--- a/bulrushpulley/systems/cell/evict.py
+++ b/bulrushpulley/systems/cell/evict.py
@@ -93,7 +93,7 @@
 
 
 def evict_over_capacity(tables: CellOwnerTables, now: float) -> CellStep:
-    """Evict the newest batch tasks of workers whose tasks exceed their capacity."""
+    """Evict batch tasks from workers whose tasks exceed their capacity."""
     commands: list[Command] = []
     for cell in owned_cells(tables):
         if not cell.capacity_check_due:
@@ -137,7 +137,10 @@
 def _choose_evictions(
     excess: Resources, free_after_stops: Resources, running: list[Task]
 ) -> tuple[Task, ...]:
-    """Return the tasks to evict: all evictable ones if even those are not enough."""
+    """Return the tasks to evict: all evictable ones if even those are not enough.
+
+    None are returned if the tasks that are being stopped already free the excess.
+    """
     if excess.fits(free_after_stops):
         return ()
     victims = choose_victims(needed=excess, free=free_after_stops, running=running)
@@ -145,7 +148,11 @@
 
 
 def return_waiting_tasks(tables: CellOwnerTables, now: float) -> CellStep:
-    """Return tasks to the backlog that may not or could not start in their cell."""
+    """Return tasks to the backlog that may not or could not start in their cell.
+
+    A cell with a task to be retried is marked for placement, since the end of the
+    retry delay alone does not mark it.
+    """
     for cell in owned_cells(tables):
         if now < cell.sweep_at:
             continue
--- a/bulrushpulley/systems/cell/interference.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -122,7 +122,10 @@
     increase: float,
     latencies: list[ServiceLatency],
 ) -> bool:
-    """Tell whether all services are expected to stay below target after the step."""
+    """Tell whether all services are expected to stay below target after the raise.
+
+    `SAFE_LATENCY_RATIO` keeps a margin to the target.
+    """
     job = task.row.spec.record_key
     return all(
         latency.smoothed_ms
--- a/bulrushpulley/systems/cell/place.py
+++ b/bulrushpulley/systems/cell/place.py
@@ -36,7 +36,7 @@
 
 
 def place(tables: CellOwnerTables, now: float) -> CellStep:
-    """Start the tasks that fit in the owned cells that have changed."""
+    """Start waiting tasks in the owned cells that are marked for placement."""
     commands: list[Command] = []
     for cell in tables.cells.rows():
         due = cell.place_due and cell.phase is CellPhase.OWNED
@@ -157,10 +157,11 @@
 def without_failed_workers(
     tables: CellOwnerTables, task: Task, candidates: Sequence[Candidate]
 ) -> tuple[Candidate, ...]:
-    """Leave out workers on which this very task failed, if another could ever run it.
+    """Leave out workers on which this task itself failed, if another is large enough.
 
-    A worker that fails every task is always the emptiest; a task that returned to it
-    immediately would use up its attempts there before there is enough evidence.
+    A worker that fails every task is soon the one with the most free resources; a task
+    that returned to it immediately would use up its attempts before there is enough
+    evidence against the worker.
     """
     failures = tables.failures.rows_where("task", task.key)
     failed = {failure.worker_id for failure in failures}
--- a/bulrushpulley/systems/cell/placement_policy.py
+++ b/bulrushpulley/systems/cell/placement_policy.py
@@ -16,10 +16,10 @@
     """A worker that accepts tasks, its free resources, and the task's neighbours.
 
     `replicas` and `rack_replicas` count the tasks of the same service on the worker
-    and in its rack. `expected_latency_ratio` is the latency relative to its target
-    that is expected of the service that the task belongs to or would harm.
-    `effect_pending` is set while a first task of the same job runs there and its
-    effect on services is not measured yet.
+    and in its rack. `expected_latency_ratio` is the expected latency, relative to its
+    target, of the service that the task belongs to or would harm. `effect_pending` is
+    set while a first task of the same job runs there and its effect on services is not
+    measured yet.
     """
 
     worker: Worker
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
-    """The chosen worker or the empty string, the reason, and the other workers.
+    """The chosen worker or the empty string, the reason, and workers not chosen.
 
     A task that was refused because of its neighbours is retried after `retry_delay_s`.
     """
--- a/bulrushpulley/systems/cell/quarantine.py
+++ b/bulrushpulley/systems/cell/quarantine.py
@@ -3,8 +3,8 @@
 A worker is quarantined when tasks of several jobs, or several tasks of one job, fail
 on it while those jobs fail on no other worker, or those tasks succeed on another.
 Otherwise a job that fails on more than one worker is itself at fault. After its
-backoff a quarantined worker gets one task: success returns it to service, failure
-doubles the backoff.
+backoff a quarantined worker gets one task: if it succeeds or runs for long enough, the
+worker returns to service; if it fails, the backoff is doubled.
 """
 
 from __future__ import annotations
@@ -80,7 +80,11 @@
 def handle_task_succeeded(
     tables: CellOwnerTables, task: Task, worker: Worker, now: float
 ) -> CellStep:
-    """Clear a worker on which a task succeeded; recheck those where it failed."""
+    """Drop the evidence against a worker on which a task succeeded.
+
+    Earlier failures of the task on other workers are now proven to be the fault of
+    those workers, which are quarantined if that is enough evidence.
+    """
     tables = return_to_service(tables, worker)
     commands: tuple[Command, ...] = ()
     for failure in tables.failures.rows_where("task", task.key):
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -31,7 +31,11 @@
 
 
 def release(tables: CellOwnerTables, now: float) -> CellStep:
-    """Release each held cell with nothing in flight; report when no cell is left."""
+    """Release each held cell with nothing in flight.
+
+    The agent is done when no cell is left, or when the release of those left has taken
+    longer than `RELEASE_TIMEOUT_S`, as in a store outage.
+    """
     if not tables.leaving or tables.released:
         return Step(tables=tables)
     for cell in tables.cells.rows():
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -45,7 +45,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleFirst(ReliefPolicy):
-    """Throttles the most harmful tasks, then evicts the one that loses least work."""
+    """Throttles the most harmful tasks, then evicts the one that loses least work.
+
+    While no task has a significant learned harm, one task is throttled: the one with
+    the greatest learned harm, then with the most processors used.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -195,7 +199,7 @@
 def _throttle(
     case: ReliefCase, tasks: list[Task], tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Throttle as many tasks, and as deep, as needed to reach the latency goal."""
+    """Throttle as many tasks, and as deeply, as needed to reach the latency goal."""
     latency = case.latency
     needed_ms = latency.smoothed_ms - RELIEF_GOAL_LATENCY_RATIO * latency.target_ms
     commands: list[Decision | Count] = []
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -1,7 +1,7 @@
 """Requests reports from workers and applies the reported starts, stops and runs.
 
-A report is requested from each worker about once a second, by one call that never
-overlaps with another and that also renews the leases of its tasks when that is due.
+A report is requested from each worker every one to three seconds, by one call that
+never overlaps with another and that also renews the leases of its tasks when due.
 Only the answer to the latest request is applied. Runs of older generations in it
 change no state, but are stopped.
 """
@@ -110,7 +110,8 @@
     """Return the interval before the next report.
 
     The size of a report grows with the number of runs on the worker, so the interval
-    grows with it. While any task is not simply running, the interval is one second.
+    grows with it. While the state of any task there is changing or unknown, it is
+    `MIN_REPORT_INTERVAL_S`.
     """
     for key in tables.tasks.keys_where("worker", worker.worker_id):
         if tables.tasks.by_key[key].phase is not Phase.RUNNING:
@@ -305,6 +306,12 @@
 def _handle_running(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
+    """Mark a started task as running.
+
+    A probing worker returns to service once a task has run for `MIN_PROBE_RUN_S`. A
+    task in phase UNKNOWN may have been throttled by a previous owner, so its share is
+    reset.
+    """
     worker = tables.workers.by_key[worker_id]
     probe_passed = task.phase is Phase.RUNNING and now - task.since >= MIN_PROBE_RUN_S
     if probe_passed and worker.health is Health.PROBING:
@@ -342,9 +349,9 @@
 
 
 def absence_is_conclusive(task: Task, requested_at: float) -> bool:
-    """Tell whether absence from a report requested at `requested_at` proves an end.
+    """Tell whether a task that the report lacks is proven not to be running.
 
-    An earlier report may lack a task whose start was still on its way.
+    A report requested earlier may lack a task whose start was still in flight.
     """
     return requested_at > task.settle_after
 
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -1,6 +1,6 @@
 """Applies rows written by other processes: configuration, tasks and their records.
 
-Versions of a row only grow; a row that is not newer than the known one is ignored.
+The version of a row only increases; a row not newer than the known one is ignored.
 """
 
 from __future__ import annotations
@@ -54,7 +54,7 @@
 def handle_record(
     record: Record, tables: CellOwnerTables, now: float
 ) -> CellOwnerTables:
-    """Apply the consequences of a changed record; by default there are none."""
+    """Apply the consequences of a record; by default there are none."""
     return tables
 
 
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -1,7 +1,8 @@
-"""Sends submissions and reads to an entry, and retries those without an outcome.
+"""Sends submissions and reads to an entry, and retries submissions without an outcome.
 
 A submission is retried unchanged, through another entry if there is one: its
-conditions and its id ensure that it takes effect at most once.
+conditions and its id ensure that it takes effect at most once. A read without an
+answer is dropped, and queued again by the system that needs it.
 """
 
 from __future__ import annotations
@@ -128,7 +129,7 @@
 
 
 def send(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
-    """Send what is queued, after queuing again what timed out."""
+    """Send queued submissions and reads, after handling those that timed out."""
     tables = _handle_timeouts(tables, now)
     commands: list[Command] = []
     for in_flight in tables.submissions.rows_where("peer", ""):
--- a/bulrushpulley/systems/cell/spread_and_pack.py
+++ b/bulrushpulley/systems/cell/spread_and_pack.py
@@ -1,4 +1,4 @@
-"""The placement policy that weighs neighbours: spread services, pack batch tasks."""
+"""The placement policy that spreads replicas of services and packs batch tasks."""
 
 from __future__ import annotations
 
@@ -23,13 +23,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SpreadAndPack(PlacementPolicy):
-    """Spreads replicas over the least loaded workers and best-fits batch tasks.
+    """Spreads replicas over the least loaded workers; places batch tasks by best fit.
 
     A batch task is not placed where it is expected to raise the latency of a service
     above its target, nor next to the first task of its job until the effect of that
     task is measured. If it is urgent or has waited `MAX_PLACEMENT_DEFERRAL_S`, it is
-    placed on the least harmful worker, so that no job waits for as long as a service
-    runs.
+    placed where it does the least harm; otherwise its job could wait for as long as
+    the service runs.
     """
 
 
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -1,7 +1,8 @@
 """Stops tasks: plans endings, sends stops, and ends tasks known to have stopped.
 
-A stop is repeated until a report shows that the task is no longer running; only then
-is its ending written. Any of these messages may be repeated or lost.
+A stop is repeated until a report shows that the task is no longer running, or until
+its lease has expired on an unreachable worker; only then is its ending written. Any of
+these messages may be repeated or lost.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -77,7 +77,10 @@
 
 
 def _largest_free(candidates: tuple[Candidate, ...]) -> Resources:
-    """Return the free resources of the worker with most processors, then memory."""
+    """Return the free resources of the worker with the most free processors.
+
+    Of several such workers, it is the one with the most free memory.
+    """
     usable = [_nonnegative_free(candidate) for candidate in candidates]
     return max(
         usable, key=lambda r: (r.processors_m, r.memory_mb), default=NO_RESOURCES
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -84,7 +84,10 @@
 def handle_owner_alive_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take the cell if its owner ended; stop watching it if the owner is live."""
+    """Take the cell if its owner was restarted or has timed out.
+
+    Watching ends when the liveness row has changed, which shows a live owner.
+    """
     lease = cell.lease
     if lease is None:
         return Step(tables=tables)
@@ -106,7 +109,7 @@
 
 
 def owner_timed_out(cell: Cell, now: float) -> bool:
-    """Tell whether the owner's liveness row is unchanged for the takeover timeout."""
+    """Tell whether the liveness row has been unchanged for the takeover timeout."""
     return now - cell.alive_seen_at >= CELL_TAKEOVER_TIMEOUT_S
 
 
@@ -123,6 +126,10 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
+    """Submit the takeover of a cell.
+
+    The previous owner renews no task lease after `last_command_at`.
+    """
     lease = LeaseRow(
         owner=tables.agent,
         incarnation=tables.incarnation,
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -1,7 +1,7 @@
 """Runs cell owners in virtual time with an in-memory store and simulated workers.
 
-Invariants are checked at every start and every commit; breaches are collected in
-`violations`. Faults are switched on by the sets and hooks of `CellBench`.
+Invariants are checked at every start and every commit; the text of each violation is
+added to `violations`. Faults are switched on by the sets and hooks of `CellBench`.
 """
 
 from __future__ import annotations
@@ -283,7 +283,10 @@
         self.starts.append(command)
 
     def _check_capacity(self, command: StartTask) -> None:
-        """Check that no task starts beyond a capacity that was reduced long before."""
+        """Check that no task starts beyond its worker's capacity.
+
+        A start committed before the capacity was reduced may arrive within its window.
+        """
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
         bound = START_WINDOW_S + self.start_delay_s
@@ -333,7 +336,11 @@
         )
 
     def commit(self, submission: Submission) -> CommitOutcome:
-        """Commit a submission as a committer does, recognizing its own token."""
+        """Commit a submission as a committer does.
+
+        A conflict with a row that has the submission's own token means that an earlier
+        attempt was committed.
+        """
         key = submission.submission_id
         if not self.store_up:
             return Unsettled(submission_id=key, reason="down")
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix of tasks in cells: every fault at every step, all checks."""
+"""Runs the fault matrix of tasks in cells: a case for each fault at each step."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
-    """The result of one cell of the matrix."""
+    """The result of one case: a fault at a step."""
 
     step: str
     fault: str
@@ -47,7 +47,10 @@
     violations: tuple[str, ...]
 
     def passed(self, matrix: Matrix) -> bool:
-        """Tell whether the fault was injected and the outcome is allowed and clean."""
+        """Tell whether the fault was injected and led to an allowed outcome.
+
+        No invariant may be violated either.
+        """
         allowed = matrix.outcomes_by_fault[self.fault]
         return self.injected and not self.violations and self.outcome in allowed
 
@@ -186,7 +189,7 @@
 
 
 def run_case(step: str, fault: str) -> Verdict:
-    """Run one cell of the matrix: inject a fault when a step is first reached."""
+    """Run one case: inject a fault when a step is first reached."""
     bench = CellBench()
     injected: list[str] = []
 
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -1,4 +1,4 @@
-"""Evictions, drains, reduced capacities, faulty workers, bad jobs and releases."""
+"""Evictions, drains, reduced capacities, faulty workers, failing jobs, releases."""
 
 from __future__ import annotations
 
