Spell out the liveness locals and the bench's worker check

The local `live` held the liveness row, and `_answers` stood beside `_answer`, which delivers an event. They are named `liveness` and `_is_answering`.

--- a/bulrushpulley/systems/cell/liveness.py
+++ b/bulrushpulley/systems/cell/liveness.py
@@ -60,14 +60,14 @@
 
 def renew(tables: CellOwnerTables, now: float) -> CellStep:
     """Renew the liveness row when it is due and the agent has any cell."""
-    live = tables.liveness
-    if live.pending or not len(tables.cells) or now < live.renew_at:
+    liveness = tables.liveness
+    if liveness.pending or not len(tables.cells) or now < liveness.renew_at:
         return Step(tables=tables)
     key = alive_key(tables.agent)
-    if live.version is None:
+    if liveness.version is None:
         purpose = ReadOwnAlive()
         return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
-    renewals = live.renewals + 1
+    renewals = liveness.renewals + 1
     row = AliveRow(
         agent=tables.agent, incarnation=tables.incarnation, renewals=renewals
     )
@@ -75,12 +75,14 @@
         tables,
         purpose=RenewAlive(renewals=renewals),
         cell="",
-        conditions=(Condition(key=key, version=live.version),),
+        conditions=(Condition(key=key, version=liveness.version),),
         writes=(Write(key=key, row=row),),
         now=now,
     )
-    live = replace(live, pending=pending, renew_at=now + LIVENESS_RENEW_INTERVAL_S)
-    return Step(tables=replace(tables, liveness=live))
+    liveness = replace(
+        liveness, pending=pending, renew_at=now + LIVENESS_RENEW_INTERVAL_S
+    )
+    return Step(tables=replace(tables, liveness=liveness))
 
 
 @handle_committed.register
@@ -91,14 +93,14 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    live = replace(
+    liveness = replace(
         tables.liveness,
         version=outcome.revision,
         renewals=purpose.renewals,
         pending="",
         confirmed_sent_at=in_flight.first_sent_at,
     )
-    return Step(tables=replace(tables, liveness=live))
+    return Step(tables=replace(tables, liveness=liveness))
 
 
 @handle_withdrawn.register
@@ -109,8 +111,8 @@
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
-    live = replace(tables.liveness, pending="", renew_at=now + 1.0)
-    return Step(tables=replace(tables, liveness=live))
+    liveness = replace(tables.liveness, pending="", renew_at=now + 1.0)
+    return Step(tables=replace(tables, liveness=liveness))
 
 
 @handle_conflicted.register
@@ -127,8 +129,8 @@
     ):
         return _give_up_all_cells(tables)
     version = found.version if found else None
-    live = replace(tables.liveness, version=version, pending="", renew_at=now)
-    return Step(tables=replace(tables, liveness=live))
+    liveness = replace(tables.liveness, version=version, pending="", renew_at=now)
+    return Step(tables=replace(tables, liveness=liveness))
 
 
 def _is_other_incarnation(found: VersionedRow | None, tables: CellOwnerTables) -> bool:
@@ -142,6 +144,6 @@
     for name in sorted(tables.cells):
         step = cell_outcomes.lose_cell(tables, name, "a newer incarnation is running")
         tables, commands = step.tables, commands + step.commands
-    live = Liveness(renew_at=float("inf"))
-    tables = replace(tables, liveness=live, leaving=True)
+    liveness = Liveness(renew_at=float("inf"))
+    tables = replace(tables, liveness=liveness, leaving=True)
     return Step(tables=tables, commands=commands)
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -66,15 +66,15 @@
 def _(
     purpose: ReadOwnAlive, event: Fetched, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    live = tables.liveness
-    if event.failed or live.version is not None:
+    liveness = tables.liveness
+    if event.failed or liveness.version is not None:
         return Step(tables=tables)
     found = _row_with_key(event, alive_key(tables.agent))
     row = found.row if found else None
     renewals = row.renewals if isinstance(row, AliveRow) else 0
     version = found.version if found and row else 0
-    live = replace(live, version=version, renewals=renewals)
-    return Step(tables=replace(tables, liveness=live))
+    liveness = replace(liveness, version=version, renewals=renewals)
+    return Step(tables=replace(tables, liveness=liveness))
 
 
 @handle_fetched.register
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -434,7 +434,7 @@
         for worker, state in self.workers.items():
             self.workers[worker] = worker_core.advance(state, self.world.now)
 
-    def _answers(self, worker: str) -> bool:
+    def _is_answering(self, worker: str) -> bool:
         return worker not in self.unreachable | self.lose_worker_answers
 
     def _reaches(self, owner: RoleAddress, worker: str) -> bool:
@@ -476,7 +476,7 @@
             if answers:
                 self._deliver(owner, Started(**ids))
 
-        answers = self._answers(command.worker_id) and not self.lose_start_answers
+        answers = self._is_answering(command.worker_id) and not self.lose_start_answers
         self.world.at(self.start_delay_s, act)
         if not answers:
             unknown = StartUnknown(problem=PROBLEM, **ids)
@@ -497,7 +497,7 @@
             self.world.now,
         )
         answered = StopAnswered(worker_id=worker)
-        self._deliver(owner, answered if self._answers(worker) else lost)
+        self._deliver(owner, answered if self._is_answering(worker) else lost)
 
     @_handle_command.register
     def _(self, command: ThrottleTask, owner: RoleAddress) -> None:
@@ -519,7 +519,7 @@
             generation=command.generation,
             share=command.share,
         )
-        self.world.deliver(owner, answered if self._answers(worker) else lost)
+        self.world.deliver(owner, answered if self._is_answering(worker) else lost)
 
     def usages_of(self, state: WorkerState) -> tuple[RunUsage, ...]:
         """Return the usages that a worker reports, delayed by the usage lag."""
@@ -559,7 +559,7 @@
             runs=runs_of(state),
             usages=self.usages_of(state),
         )
-        self._deliver(owner, reported if self._answers(worker) else unanswered)
+        self._deliver(owner, reported if self._is_answering(worker) else unanswered)
 
 
 def runs_of(state: WorkerState) -> tuple[RunReport, ...]:
