--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -10,7 +10,12 @@
 
 
 class CellPhase(enum.Enum):
-    """The state of an agent's ownership of a cell."""
+    """The state of an agent's ownership of a cell.
+
+    While WATCHING, another agent may own the cell. It is TAKING while the takeover is
+    in flight, LOADING until the task rows have been read under the new lease, and
+    RELEASING while the release is in flight.
+    """
 
     WATCHING = "watching"
     TAKING = "taking"
--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -16,8 +16,10 @@
 class Phase(enum.Enum):
     """The state of a task between its stored row and the worker.
 
-    From COMMITTING to STOPPING the task may be running and holds capacity. An ENDED
-    task is known not to be running and waits for its outcome to be stored; it is
+    From COMMITTING to STOPPING the task may be running and holds capacity. It is
+    COMMITTING while its start is being stored, SENDING until the start call has an
+    outcome, and UNKNOWN if that outcome is unknown or if another owner started it. An
+    ENDED task is known not to be running and waits for its outcome to be stored; it is
     WRITING while that submission is in flight.
     """
 
--- a/bulrushpulley/systems/cell/interference.py
+++ b/bulrushpulley/systems/cell/interference.py
@@ -4,8 +4,8 @@
 measurements, which arrive late, can show the effect. While no service of a worker is
 degraded and none is expected to be, the shares of throttled tasks are raised in
 steps; each degradation after a step doubles the wait before the next one. After a
-longer wait a step is made whatever is expected, since an estimate that is too high
-could never be corrected otherwise.
+longer wait a share is raised even if that is expected to degrade a service, since an
+estimate that is too high could never be corrected otherwise.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/cell/throttle.py
+++ b/bulrushpulley/systems/cell/throttle.py
@@ -47,7 +47,7 @@
 
 
 def reset_share(tables: CellOwnerTables, task: Task, now: float) -> CellOwnerTables:
-    """Reset an adopted batch task to full speed, whatever a previous owner set."""
+    """Reset a batch task to full speed, as a previous owner may have throttled it."""
     if task.row.spec.task_class is not TaskClass.BATCH:
         return tables
     return set_share(tables, task, FULL_SHARE, now)
--- a/bulrushpulley/systems/cell/victims.py
+++ b/bulrushpulley/systems/cell/victims.py
@@ -16,7 +16,7 @@
 
 
 def is_evictable(task: Task) -> bool:
-    """Tell whether a running task may be evicted for another."""
+    """Tell whether a task that may be running can be evicted for another."""
     spec = task.row.spec
     batch = spec.task_class is TaskClass.BATCH
     return batch and not spec.urgent and task.phase in STOPPABLE_PHASES
