--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -10,7 +10,12 @@
 
 
 class CellPhase(enum.Enum):
-    """The state of an agent's ownership of a cell."""
+    """The state of an agent's ownership of a cell.
+
+    While WATCHING, another agent may own the cell. It is TAKING while the takeover is
+    in flight, LOADING until the task rows have been read under the new lease, and
+    RELEASING while the release is in flight.
+    """
 
     WATCHING = "watching"
     TAKING = "taking"
@@ -28,10 +33,12 @@
 
     `lease` is the lease row at version `lease_version`. While watching,
     `alive_version` is the version of the owner's liveness row, first seen at
-    `alive_seen_at`. Task leases of the previous owner have expired after
+    `alive_seen_at`. Task leases granted by the previous owner have expired by
     `leases_expired_at`. Rows are known up to revision `rows_since`. `place_due` is set
-    when something relevant to placement has changed, `fit_due` when a worker may
-    hold more than its capacity.
+    when something relevant to placement has changed, `capacity_check_due` when the
+    tasks on a worker may exceed its capacity. The waiting tasks are next checked for
+    return to the backlog at `sweep_at`. `release_by` is when a leaving agent stops
+    waiting for the release, or zero before it leaves.
     """
 
     name: str
@@ -46,7 +53,7 @@
     rows_since: int = 0
     refetch_at: float = 0.0
     place_due: bool = False
-    fit_due: bool = False
+    capacity_check_due: bool = False
     sweep_at: float = 0.0
     summary_due: bool = True
     summary: CellSummary | None = None
--- a/bulrushpulley/entities/cell_view.py
+++ b/bulrushpulley/entities/cell_view.py
@@ -70,7 +70,10 @@
 
 
 def count_fitting(size: Resources, capacity: Resources) -> int:
-    """Return how many tasks of `size` fit into the sum of `capacity`."""
+    """Return how many tasks of `size` fit into `capacity`.
+
+    How the capacity is divided among workers is not considered.
+    """
     pairs = (
         (size.processors_m, capacity.processors_m),
         (size.memory_mb, capacity.memory_mb),
@@ -137,13 +140,13 @@
     view: CellView, submission_id: str, now: float
 ) -> CellView:
     """Mark the reservation of an assignment as committed at `now`."""
-    settled = tuple(
+    marked = tuple(
         replace(reservation, committed_at=now)
         if reservation.submission_id == submission_id
         else reservation
         for reservation in view.reservations
     )
-    return replace(view, reservations=settled)
+    return replace(view, reservations=marked)
 
 
 def without_reservation(view: CellView, submission_id: str) -> CellView:
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -45,7 +45,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleFirst(ReliefPolicy):
-    """Throttles the most harmful tasks, then evicts the one that loses least work."""
+    """Throttles the most harmful tasks, then evicts the one that loses least work.
+
+    While no task has a significant learned harm, one task is throttled: the one with
+    the greatest learned harm, then with the most processors used.
+    """
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -131,7 +135,7 @@
 def _harm_ms(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     """Return what a task adds to the latency at its current share."""
     job = task.row.spec.record_key
-    harm = cell_learn.estimate(tables, case.latency.service, job)
+    harm = cell_learn.estimated_harm_ms(tables, case.latency.service, job)
     return harm * cell_throttle.share_of(tables, task)
 
 
@@ -195,7 +199,7 @@
 def _throttle(
     case: ReliefCase, tasks: list[Task], tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Throttle as many tasks, and as deep, as needed to reach the latency goal."""
+    """Throttle as many tasks, and as deeply, as needed to reach the latency goal."""
     latency = case.latency
     needed_ms = latency.smoothed_ms - RELIEF_GOAL_LATENCY_RATIO * latency.target_ms
     commands: list[Decision | Count] = []
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -1,7 +1,7 @@
 """Requests reports from workers and applies the reported starts, stops and runs.
 
-A report is requested from each worker about once a second, by one call that never
-overlaps with another and that also renews the leases of its tasks when that is due.
+A report is requested from each worker every one to three seconds, by one call that
+never overlaps with another and that also renews the leases of its tasks when due.
 Only the answer to the latest request is applied. Runs of older generations in it
 change no state, but are stopped.
 """
@@ -110,7 +110,8 @@
     """Return the interval before the next report.
 
     The size of a report grows with the number of runs on the worker, so the interval
-    grows with it. While any task is not simply running, the interval is one second.
+    grows with it. While the state of any task there is changing or unknown, it is
+    `MIN_REPORT_INTERVAL_S`.
     """
     for key in tables.tasks.keys_where("worker", worker.worker_id):
         if tables.tasks.by_key[key].phase is not Phase.RUNNING:
@@ -224,7 +225,7 @@
         return Step(tables=tables)
     cell = tables.cells.by_key[worker.cell]
     loaded = cell.phase is CellPhase.OWNED
-    back = worker.reported_at is None or worker.unanswered_at is not None
+    newly_available = worker.reported_at is None or worker.unanswered_at is not None
     reported = replace(
         worker,
         report_requested_at=None,
@@ -236,7 +237,7 @@
     tables = cell_rows.put_worker(tables, reported)
     if not loaded:
         return Step(tables=tables)
-    if back:
+    if newly_available:
         tables = cell_rows.touch_cell(tables, worker.cell)
     return _apply_runs(event, tables, now)
 
@@ -253,7 +254,7 @@
     seen: set[str] = set()
     for run in event.runs:
         key = task_key(cell=worker.cell, task_id=run.task_id)
-        if not is_current(tables, worker, key, run):
+        if not is_current_run(tables, worker, key, run):
             unexpected_runs.append(run)
             continue
         seen.add(key)
@@ -267,7 +268,7 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def is_current(
+def is_current_run(
     tables: CellOwnerTables, worker: Worker, key: str, run: RunReport
 ) -> bool:
     """Tell whether a run is of the generation that the owner assigned to the worker."""
@@ -291,7 +292,7 @@
         return Step(tables=_handle_running(tables, task, worker_id, now))
     worker = tables.workers.by_key[worker_id]
     if run.state is RunState.FINISHED:
-        succeeded = cell_quarantine.task_succeeded(tables, task, worker, now)
+        succeeded = cell_quarantine.handle_task_succeeded(tables, task, worker, now)
         finish = Finish(reason=f"finished on {worker_id}")
         ended = cell_stop.end_task(succeeded.tables, task, finish, now, run.checkpoint)
         return Step(tables=ended, commands=succeeded.commands)
@@ -305,6 +306,12 @@
 def _handle_running(
     tables: CellOwnerTables, task: Task, worker_id: str, now: float
 ) -> CellOwnerTables:
+    """Mark a started task as running.
+
+    A probing worker returns to service once a task has run for `MIN_PROBE_RUN_S`. A
+    task in phase UNKNOWN may have been throttled by a previous owner, so its share is
+    reset.
+    """
     worker = tables.workers.by_key[worker_id]
     probe_passed = task.phase is Phase.RUNNING and now - task.since >= MIN_PROBE_RUN_S
     if probe_passed and worker.health is Health.PROBING:
@@ -320,7 +327,9 @@
 def _handle_failed(
     run: RunReport, task: Task, worker: Worker, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    tables, counted, commands = cell_quarantine.task_failed(tables, task, worker, now)
+    tables, counted, commands = cell_quarantine.handle_task_failed(
+        tables, task, worker, now
+    )
     fail = Fail(reason=f"failed on {worker.worker_id}: {run.detail}", counted=counted)
     tables = cell_stop.end_task(tables, task, fail, now, run.checkpoint)
     return Step(tables=tables, commands=commands)
@@ -333,16 +342,16 @@
     for task in tables.tasks.rows_where("worker", event.worker_id):
         if task.key in seen or task.phase not in REPORTABLE_PHASES:
             continue
-        if shows_absence(task, event.requested_at):
+        if absence_is_conclusive(task, event.requested_at):
             reason = f"{event.worker_id} does not run it"
             tables = cell_stop.end_as_planned(tables, task, reason, now)
     return tables
 
 
-def shows_absence(task: Task, requested_at: float) -> bool:
-    """Tell whether absence from a report requested at `requested_at` proves an end.
+def absence_is_conclusive(task: Task, requested_at: float) -> bool:
+    """Tell whether a task that the report lacks is proven not to be running.
 
-    An earlier report may lack a task whose start was still on its way.
+    A report requested earlier may lack a task whose start was still in flight.
     """
     return requested_at > task.settle_after
 
@@ -378,11 +387,11 @@
             checkpoint=False,
         )
         for run in unexpected_runs[:MAX_UNEXPECTED_RUN_STOPS_PER_REPORT]
-        if not is_newer(tables, worker, run)
+        if not is_newer_run(tables, worker, run)
     ]
 
 
-def is_newer(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
+def is_newer_run(tables: CellOwnerTables, worker: Worker, run: RunReport) -> bool:
     """Tell whether a run is of a later generation, which another owner started."""
     task = tables.tasks.get(task_key(cell=worker.cell, task_id=run.task_id))
     return task is not None and run.generation > task.row.generation
--- a/bulrushpulley/systems/cell/send.py
+++ b/bulrushpulley/systems/cell/send.py
@@ -1,7 +1,8 @@
-"""Sends submissions and reads to an entry, and retries those without an outcome.
+"""Sends submissions and reads to an entry, and retries submissions without an outcome.
 
 A submission is retried unchanged, through another entry if there is one: its
-conditions and its id ensure that it takes effect at most once.
+conditions and its id ensure that it takes effect at most once. A read without an
+answer is dropped, and queued again by the system that needs it.
 """
 
 from __future__ import annotations
@@ -119,8 +120,8 @@
     chosen only if it is the only one.
     """
     entries = tables.entries.rows()
-    near = [entry for entry in entries if entry.region == tables.region]
-    for candidates in (near, entries):
+    same_region = [entry for entry in entries if entry.region == tables.region]
+    for candidates in (same_region, entries):
         others = [entry for entry in candidates if entry.peer != avoid]
         if others:
             return others[zlib.crc32(tables.agent.encode()) % len(others)]
@@ -128,8 +129,8 @@
 
 
 def send(tables: CellOwnerTables, now: float) -> Step[CellOwnerTables]:
-    """Send what is queued, after queuing again what timed out."""
-    tables = _expire(tables, now)
+    """Send queued submissions and reads, after handling those that timed out."""
+    tables = _handle_timeouts(tables, now)
     commands: list[Command] = []
     for in_flight in tables.submissions.rows_where("peer", ""):
         entry = choose_entry(tables, avoid=in_flight.avoid)
@@ -164,7 +165,7 @@
     return replace(tables, submissions=submissions)
 
 
-def _expire(tables: CellOwnerTables, now: float) -> CellOwnerTables:
+def _handle_timeouts(tables: CellOwnerTables, now: float) -> CellOwnerTables:
     for in_flight in tables.submissions.rows():
         if in_flight.peer and now - in_flight.sent_at >= SUBMISSION_TIMEOUT_S:
             tables = resubmit(tables, in_flight, now)
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -84,7 +84,10 @@
 def handle_owner_alive_read(
     cell: Cell, found: VersionedRow | None, tables: CellOwnerTables, now: float
 ) -> CellStep:
-    """Take the cell if its owner ended; stop watching it if the owner is live."""
+    """Take the cell if its owner was restarted or has timed out.
+
+    Watching ends when the liveness row has changed, which shows a live owner.
+    """
     lease = cell.lease
     if lease is None:
         return Step(tables=tables)
@@ -100,13 +103,13 @@
         return Step(tables=replace(tables, cells=tables.cells.drop(cell.name)))
     if not owner_timed_out(cell, now):
         return Step(tables=tables)
-    last_commands = cell.alive_seen_at + lease.autonomy_s
+    last_command_at = cell.alive_seen_at + lease.autonomy_s
     reason = "the owner did not renew its liveness row"
-    return _take_cell(cell, (alive,), last_commands, reason, tables, now)
+    return _take_cell(cell, (alive,), last_command_at, reason, tables, now)
 
 
 def owner_timed_out(cell: Cell, now: float) -> bool:
-    """Tell whether the owner's liveness row is unchanged for the takeover timeout."""
+    """Tell whether the liveness row has been unchanged for the takeover timeout."""
     return now - cell.alive_seen_at >= CELL_TAKEOVER_TIMEOUT_S
 
 
@@ -118,11 +121,15 @@
 def _take_cell(
     cell: Cell,
     conditions: tuple[Condition, ...],
-    last_commands: float,
+    last_command_at: float,
     reason: str,
     tables: CellOwnerTables,
     now: float,
 ) -> CellStep:
+    """Submit the takeover of a cell.
+
+    The previous owner renews no task lease after `last_command_at`.
+    """
     lease = LeaseRow(
         owner=tables.agent,
         incarnation=tables.incarnation,
@@ -130,7 +137,7 @@
         autonomy_s=tables.autonomy_s,
     )
     key = lease_key(cell.name)
-    leases_expired_at = last_commands + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
+    leases_expired_at = last_command_at + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
     tables = cell_rows.put_cell(tables, replace(cell, phase=CellPhase.TAKING))
     tables, _ = cell_send.submit(
         tables,
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -1,7 +1,7 @@
 """Runs cell owners in virtual time with an in-memory store and simulated workers.
 
-Invariants are checked at every start and every commit; breaches are collected in
-`violations`. Faults are switched on by the sets and hooks of `CellBench`.
+Invariants are checked at every start and every commit; the text of each violation is
+added to `violations`. Faults are switched on by the sets and hooks of `CellBench`.
 """
 
 from __future__ import annotations
@@ -107,7 +107,7 @@
         self.start_delay_s = DELIVERY_DELAY_S
         self.store_delay_s = DELIVERY_DELAY_S
         self.path = Path(delay_s=0.0)
-        self.bad_jobs: set[str] = set()
+        self.failing_jobs: set[str] = set()
         self.store_up = True
         self.lose_commit: Callable[[Submission], bool] = lambda submission: False
         self.before_commit: Callable[[Submission], None] = lambda submission: None
@@ -120,12 +120,12 @@
         self.summaries: list[CellSummary] = []
         self.violations: list[str] = []
         self.put_record("failure_domain", self._domain(DomainState.IN_SERVICE))
-        self.put_record("cell", self.cell())
+        self.put_record("cell", self.cell_record())
 
     def _domain(self, state: DomainState) -> FailureDomainRecord:
         return FailureDomainRecord(name=DOMAIN, region="ege", state=state)
 
-    def cell(self) -> CellRecord:
+    def cell_record(self) -> CellRecord:
         """Return the cell's record, with the workers listed in `capacity`."""
         workers = tuple(
             WorkerRecord(worker_id=w, url=f"http://{w}", rack="r0", capacity=size)
@@ -166,14 +166,14 @@
         """Store a new capacity of a worker; agents do not know it yet."""
         self.capacity[worker] = capacity
         self.capacity_reduced_at[worker] = self.world.now
-        self.put_record("cell", self.cell())
+        self.put_record("cell", self.cell_record())
 
     def resize(self, worker: str, capacity: Resources) -> None:
         """Store a new capacity of a worker and distribute the record."""
         self.put_capacity(worker, capacity)
         self.distribute_records()
 
-    def job(
+    def put_job(
         self, name: str, *, tasks: int = 1, run_s: float = 5.0, **more: Any
     ) -> None:
         """Store a job's record and its tasks as assigned to the cell."""
@@ -183,7 +183,7 @@
         )
         version = self.put_record("job", record)
         for index in range(tasks):
-            self.task(name, index, version, run_s=run_s, **more)
+            self.put_task(name, index, version, run_s=run_s, **more)
 
     def assign(self, agent: str) -> None:
         """Send an owner all task rows, as the controller does."""
@@ -197,7 +197,7 @@
         )
         return self.put_record("service", record)
 
-    def task(self, job: str, index: int, version: int, **more: Any) -> None:
+    def put_task(self, job: str, index: int, version: int, **more: Any) -> None:
         """Store one waiting task as assigned to the cell."""
         fields = {"task_class": TaskClass.BATCH, "kind": "job", "size": SIZE, **more}
         spec = TaskSpec(
@@ -210,7 +210,7 @@
         row = TaskRow(spec=spec, state=TaskState.WAITING)
         self.put(f"task/c0/{job}/{index}", row)
 
-    def agent(
+    def start_agent(
         self, name: str, incarnation_number: int = 1, autonomy_s: float = 3600.0
     ) -> None:
         """Start and link an agent, send it the configuration and offer the cell."""
@@ -283,7 +283,10 @@
         self.starts.append(command)
 
     def _check_capacity(self, command: StartTask) -> None:
-        """Check that no task starts beyond a capacity that was reduced long before."""
+        """Check that no task starts beyond its worker's capacity.
+
+        A start committed before the capacity was reduced may arrive within its window.
+        """
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
         bound = START_WINDOW_S + self.start_delay_s
@@ -333,7 +336,11 @@
         )
 
     def commit(self, submission: Submission) -> CommitOutcome:
-        """Commit a submission as a committer does, recognizing its own token."""
+        """Commit a submission as a committer does.
+
+        A conflict with a row that has the submission's own token means that an earlier
+        attempt was committed.
+        """
         key = submission.submission_id
         if not self.store_up:
             return Unsettled(submission_id=key, reason="down")
@@ -427,7 +434,7 @@
         for worker, state in self.workers.items():
             self.workers[worker] = worker_core.advance(state, self.world.now)
 
-    def _answers(self, worker: str) -> bool:
+    def _is_answering(self, worker: str) -> bool:
         return worker not in self.unreachable | self.lose_worker_answers
 
     def _reaches(self, owner: RoleAddress, worker: str) -> bool:
@@ -458,7 +465,9 @@
                 task_class=command.task_class.value,
             )
             before = self.workers[command.worker_id]
-            fails = before.fail_all or command.task_id.split("/")[0] in self.bad_jobs
+            fails = (
+                before.fail_all or command.task_id.split("/")[0] in self.failing_jobs
+            )
             state = worker_core.start(failing(before, fails), start, self.world.now)
             state = failing(state, before.fail_all)
             self.workers[command.worker_id] = state
@@ -467,7 +476,7 @@
             if answers:
                 self._deliver(owner, Started(**ids))
 
-        answers = self._answers(command.worker_id) and not self.lose_start_answers
+        answers = self._is_answering(command.worker_id) and not self.lose_start_answers
         self.world.at(self.start_delay_s, act)
         if not answers:
             unknown = StartUnknown(problem=PROBLEM, **ids)
@@ -488,7 +497,7 @@
             self.world.now,
         )
         answered = StopAnswered(worker_id=worker)
-        self._deliver(owner, answered if self._answers(worker) else lost)
+        self._deliver(owner, answered if self._is_answering(worker) else lost)
 
     @_handle_command.register
     def _(self, command: ThrottleTask, owner: RoleAddress) -> None:
@@ -510,7 +519,7 @@
             generation=command.generation,
             share=command.share,
         )
-        self.world.deliver(owner, answered if self._answers(worker) else lost)
+        self.world.deliver(owner, answered if self._is_answering(worker) else lost)
 
     def usages_of(self, state: WorkerState) -> tuple[RunUsage, ...]:
         """Return the usages that a worker reports, delayed by the usage lag."""
@@ -550,7 +559,7 @@
             runs=runs_of(state),
             usages=self.usages_of(state),
         )
-        self._deliver(owner, reported if self._answers(worker) else unanswered)
+        self._deliver(owner, reported if self._is_answering(worker) else unanswered)
 
 
 def runs_of(state: WorkerState) -> tuple[RunReport, ...]:
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -1,4 +1,4 @@
-"""Runs the fault matrix of tasks in cells: every fault at every step, all checks."""
+"""Runs the fault matrix of tasks in cells: a case for each fault at each step."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Verdict:
-    """The result of one cell of the matrix."""
+    """The result of one case: a fault at a step."""
 
     step: str
     fault: str
@@ -47,7 +47,10 @@
     violations: tuple[str, ...]
 
     def passed(self, matrix: Matrix) -> bool:
-        """Tell whether the fault was injected and the outcome is allowed and clean."""
+        """Tell whether the fault was injected and led to an allowed outcome.
+
+        No invariant may be violated either.
+        """
         allowed = matrix.outcomes_by_fault[self.fault]
         return self.injected and not self.violations and self.outcome in allowed
 
@@ -100,7 +103,7 @@
 
 def _restart(bench: CellBench) -> None:
     bench.world.kill("a")
-    bench.world.at(1.0, lambda: bench.agent("a", incarnation_number=2))
+    bench.world.at(1.0, lambda: bench.start_agent("a", incarnation_number=2))
 
 
 def _pause(bench: CellBench) -> None:
@@ -185,8 +188,8 @@
     return "returned" if bench.row(f"backlog/{TASK}") else "open"
 
 
-def run_cell(step: str, fault: str) -> Verdict:
-    """Run one cell of the matrix: inject a fault when a step is first reached."""
+def run_case(step: str, fault: str) -> Verdict:
+    """Run one case: inject a fault when a step is first reached."""
     bench = CellBench()
     injected: list[str] = []
 
@@ -196,10 +199,10 @@
             INJECT_BY_FAULT[fault](bench)
 
     bench.world.command_hooks.append(watch)
-    bench.job("curves", run_s=CELL_TASK_RUN_S)
-    bench.agent("a")
+    bench.put_job("curves", run_s=CELL_TASK_RUN_S)
+    bench.start_agent("a")
     bench.run(2.0)
-    bench.agent("b")
+    bench.start_agent("b")
     bench.world.at(OFFER_INTERVAL_S, lambda: _offer_repeatedly(bench))
     bench.run(EVICTED_AT_S - 2.0)
     bench.resize("w0", Resources())
