Rename vague names of the processes, verbs and their tests

In the process classes, attributes such as _callers, _links and _health held servers but were named like what the servers serve; they are now named _caller_server, _link_server and so on, and the local front ends _front. The ports common to all roles were passed as base. PROCESS_BY_VERB maps verbs to factories, so it is PROCESS_FACTORY_BY_VERB. CommitterPorts.report, which takes ReportTo commands, had the name of the function that logs problems and is now report_to. The operator client used both idempotent and repeatable for calls that can be repeated safely; repeatable remains. Test names that read oddly are reworded.

--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -94,7 +94,7 @@
     return f"{name}-{uuid.uuid4().hex[:12]}"
 
 
-PROCESS_BY_VERB: Mapping[str, Callable[[Options], Process]] = {
+PROCESS_FACTORY_BY_VERB: Mapping[str, Callable[[Options], Process]] = {
     "entry": _make_entry,
     "agent": _make_agent,
     "job-entry": _make_job_entry,
@@ -153,7 +153,7 @@
 def main(argv: list[str] | None = None) -> int:
     """Carry out a verb and return the exit code."""
     argv = sys.argv[1:] if argv is None else argv
-    if not argv or argv[0] not in PROCESS_BY_VERB:
+    if not argv or argv[0] not in PROCESS_FACTORY_BY_VERB:
         return _run_operator_verb(argv)
     return _run_process_verb(argv)
 
@@ -162,7 +162,7 @@
     from bulrushpulley import verbs
 
     if not argv or argv[0] not in verbs.VERBS:
-        known = ", ".join([*PROCESS_BY_VERB, *verbs.VERBS])
+        known = ", ".join([*PROCESS_FACTORY_BY_VERB, *verbs.VERBS])
         print(f"usage: bulrushpulley VERB ...; verbs: {known}", file=sys.stderr)
         return EXIT_USAGE
     return verbs.run(argv)
@@ -170,7 +170,7 @@
 
 def _run_process_verb(argv: list[str]) -> int:
     try:
-        process = PROCESS_BY_VERB[argv[0]](parse(argv))
+        process = PROCESS_FACTORY_BY_VERB[argv[0]](parse(argv))
     except flags.Error as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -38,11 +38,11 @@
         """Add to a counter."""
         key = (command.name, command.label)
         with self._lock:
-            if key not in self._count_by_key and self._is_full():
+            if key not in self._count_by_key and self._are_counters_full():
                 key = (command.name, OTHER_LABEL)
             self._count_by_key[key] = self._count_by_key.get(key, 0) + command.by
 
-    def _is_full(self) -> bool:
+    def _are_counters_full(self) -> bool:
         return len(self._count_by_key) >= MAX_COUNTERS
 
     def observe(self, command: Observe) -> None:
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -31,13 +31,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """A call of an operator; `idempotent` ones can always be repeated safely."""
+    """A call of an operator; `repeatable` ones can always be repeated safely."""
 
     method: str
     path: str
     query: Mapping[str, str]
     body: bytes = b""
-    idempotent: bool = False
+    repeatable: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,8 +83,8 @@
         """
         deadline = time.monotonic() + timeout_s
         last = _failure_answer("", Code.UNAVAILABLE, "no entry is configured")
-        unknown: Answer | None = None
-        repeatable = call.idempotent
+        last_unknown: Answer | None = None
+        repeatable = call.repeatable
         for index, entry in enumerate(self._entries):
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0:
@@ -96,10 +96,10 @@
             if last.status == OUTCOME_UNKNOWN_STATUS and not repeatable:
                 return last
             if last.status not in (NOT_ACCEPTED_STATUS, OUTCOME_UNKNOWN_STATUS):
-                return unknown if unknown is not None and last.codes else last
+                return last_unknown if last_unknown is not None and last.codes else last
             if last.status == OUTCOME_UNKNOWN_STATUS:
-                unknown = last
-        return unknown or last
+                last_unknown = last
+        return last_unknown or last
 
     def _call_entry(self, entry: str, call: Call, timeout_s: float) -> Answer:
         timeout = urllib3.Timeout(
--- a/bulrushpulley/roles/agent_process.py
+++ b/bulrushpulley/roles/agent_process.py
@@ -24,7 +24,7 @@
 
 LINKS_CLOSE_TIMEOUT_S = 10.0
 LINK_FLUSH_TIMEOUT_S = 2.0
-HEALTH_THREADS = 2
+BACKEND_CHECK_THREADS = 2
 WORKER_THREADS = 16
 
 
@@ -52,19 +52,19 @@
         log_process(
             process=self.runtime.name,
             stage="started",
-            detail=f"health={self._health.port}",
+            detail=f"health={self._health_server.port}",
         )
 
     def _start_roles(self) -> None:
-        base = self.runtime.ports(answer=self._reject_answer)
-        self._start_guard(base)
-        self._start_cell_owner(base)
+        common_ports = self.runtime.ports(answer=self._reject_answer)
+        self._start_guard(common_ports)
+        self._start_cell_owner(common_ports)
         role = linker.build(
             incarnation=self.runtime.incarnation, seeds=self._settings.seeds
         )
-        self.runtime.start_role(role, LinkerPorts(**base, dial=self._dial))
+        self.runtime.start_role(role, LinkerPorts(**common_ports, dial=self._dial))
 
-    def _start_guard(self, base: dict[str, Any]) -> None:
+    def _start_guard(self, common_ports: dict[str, Any]) -> None:
         settings = self._settings
         backend = settings.backend_server
         role = guard.build(
@@ -77,15 +77,17 @@
             queue_limit=backend.queue_limit,
         )
         ports = GuardPorts(
-            **base,
+            **common_ports,
             backend_server=BackendServerClient(
                 url=backend.url, connections=backend.connections
             ),
             done=partial(self.runtime.role_done, GUARD),
         )
-        self.runtime.start_role(role, ports, threads=backend.slots + HEALTH_THREADS)
+        self.runtime.start_role(
+            role, ports, threads=backend.slots + BACKEND_CHECK_THREADS
+        )
 
-    def _start_cell_owner(self, base: dict[str, Any]) -> None:
+    def _start_cell_owner(self, common_ports: dict[str, Any]) -> None:
         settings = self._settings
         role = cell_owner.build(
             agent=settings.name,
@@ -94,7 +96,7 @@
             autonomy_s=settings.cells.autonomy_s,
         )
         ports = CellOwnerPorts(
-            **base,
+            **common_ports,
             workers=WorkerClient(),
             done=partial(self.runtime.role_done, CELL_OWNER),
         )
@@ -107,18 +109,18 @@
         raise NotImplementedError(f"no front end for {type(command).__name__}")
 
     def _start_front(self) -> None:
-        health = HealthFront(
+        health_front = HealthFront(
             is_leaving=self.runtime.stopping.is_set,
             metrics_text=self.runtime.metrics.text,
         )
-        self._health = HttpServer(
+        self._health_server = HttpServer(
             host=self._settings.health.host,
             port=self._settings.health.port,
-            handler=health.handle,
+            handler=health_front.handle,
             threads=self._settings.health.threads,
             report=self.runtime.report,
         )
-        self._health.start()
+        self._health_server.start()
 
     def stop(self) -> None:
         """Finish the requests in flight, release the cells, then stop."""
@@ -128,5 +130,5 @@
         self.runtime.tell(LINKER, Leave())
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
-        self._health.stop(LINK_FLUSH_TIMEOUT_S)
+        self._health_server.stop(LINK_FLUSH_TIMEOUT_S)
         self.runtime.stop()
--- a/bulrushpulley/roles/committer_io.py
+++ b/bulrushpulley/roles/committer_io.py
@@ -30,10 +30,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitterPorts(Ports):
-    """The ports of the committer; `report` sends an outcome to a role or a peer."""
+    """The ports of the committer; `report_to` sends an outcome to a role or a peer."""
 
     table: TableServiceClient
-    report: Callable[[ReportTo], None]
+    report_to: Callable[[ReportTo], None]
 
 
 @carry_out.register
@@ -48,7 +48,7 @@
 
 @carry_out.register
 def _(command: ReportTo, ports: CommitterPorts) -> None:
-    ports.report(command)
+    ports.report_to(command)
 
 
 def transact(command: Transact, table: TableServiceClient) -> Event:
--- a/bulrushpulley/roles/entry_process.py
+++ b/bulrushpulley/roles/entry_process.py
@@ -44,19 +44,19 @@
     def start(self) -> None:
         """Start all parts; the listeners then accept calls."""
         self.runtime.start()
-        self._bind_links()
+        self._bind_link_server()
         self._start_roles()
-        self.runtime.run_on_loop(self._links.start()).result(LINKS_TIMEOUT_S)
+        self.runtime.run_on_loop(self._link_server.start()).result(LINKS_TIMEOUT_S)
         self._start_fronts()
-        ports = (
-            f"links={self._links.port} callers={self._callers.port}"
-            f" operators={self._operators.port}"
+        detail = (
+            f"links={self._link_server.port} callers={self._caller_server.port}"
+            f" operators={self._operator_server.port}"
         )
-        log_process(process=self.runtime.name, stage="started", detail=ports)
+        log_process(process=self.runtime.name, stage="started", detail=detail)
 
-    def _bind_links(self) -> None:
+    def _bind_link_server(self) -> None:
         settings = self._settings
-        self._links = LinkServer(
+        self._link_server = LinkServer(
             host=settings.links.host,
             port=settings.links.port,
             links=self.runtime.links,
@@ -65,62 +65,64 @@
         )
 
     def _start_roles(self) -> None:
-        base = self.runtime.ports(answer=self._answer)
-        self._start_committer(base)
-        self._start_controller(base)
+        common_ports = self.runtime.ports(answer=self._answer)
+        self._start_committer(common_ports)
+        self._start_controller(common_ports)
         role = router.build(
             incarnation=self.runtime.incarnation, region=self.runtime.region
         )
         done = partial(self.runtime.role_done, ROUTER)
-        self.runtime.start_role(role, RouterPorts(**base, done=done))
+        self.runtime.start_role(role, RouterPorts(**common_ports, done=done))
 
-    def _start_committer(self, base: dict[str, Any]) -> None:
+    def _start_committer(self, common_ports: dict[str, Any]) -> None:
         role = committer.build(
             name=self._settings.name, incarnation=self.runtime.incarnation
         )
         table = TableServiceClient(
             url=self._settings.table_service.url, connections=COMMITTER_THREADS
         )
-        ports = CommitterPorts(**base, table=table, report=self.runtime.report_to)
+        ports = CommitterPorts(
+            **common_ports, table=table, report_to=self.runtime.report_to
+        )
         self.runtime.start_role(role, ports, threads=COMMITTER_THREADS)
 
-    def _start_controller(self, base: dict[str, Any]) -> None:
+    def _start_controller(self, common_ports: dict[str, Any]) -> None:
         links = self._settings.links
         role = controller.build(
             entry=self._settings.name,
             incarnation=self.runtime.incarnation,
             host=links.advertised_host or links.host,
-            port=self._links.port,
+            port=self._link_server.port,
             region=self._settings.region,
         )
-        self.runtime.start_role(role, Ports(**base))
+        self.runtime.start_role(role, Ports(**common_ports))
 
     def _start_fronts(self) -> None:
         settings = self._settings
-        callers = CallerFront(pending=self._pending, tell=self._tell_router)
-        health = HealthFront(
+        caller_front = CallerFront(pending=self._pending, tell=self._tell_router)
+        health_front = HealthFront(
             is_leaving=self.runtime.stopping.is_set,
             metrics_text=self.runtime.metrics.text,
         )
-        operators = OperatorFront(
-            health=health, pending=self._pending, tell=self._tell_controller
+        operator_front = OperatorFront(
+            health=health_front, pending=self._pending, tell=self._tell_controller
         )
-        self._callers = HttpServer(
+        self._caller_server = HttpServer(
             host=settings.callers.host,
             port=settings.callers.port,
-            handler=callers.handle,
+            handler=caller_front.handle,
             threads=settings.callers.threads,
             report=self.runtime.report,
         )
-        self._operators = HttpServer(
+        self._operator_server = HttpServer(
             host=settings.operators.host,
             port=settings.operators.port,
-            handler=operators.handle,
+            handler=operator_front.handle,
             threads=settings.operators.threads,
             report=self.runtime.report,
         )
-        self._callers.start()
-        self._operators.start()
+        self._caller_server.start()
+        self._operator_server.start()
 
     def _tell_router(self, event: Event) -> None:
         self.runtime.tell(ROUTER, event)
@@ -138,11 +140,11 @@
         self.runtime.skip_notice.wait(stop.notice_s)
         self.runtime.tell(CONTROLLER, Leave())
         self.runtime.leave(Leave(), (ROUTER,), stop.within_s)
-        self._callers.stop(stop.within_s)
-        self._operators.stop(LINK_FLUSH_TIMEOUT_S)
+        self._caller_server.stop(stop.within_s)
+        self._operator_server.stop(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(self._close_links()).result(LINKS_TIMEOUT_S)
         self.runtime.stop()
 
     async def _close_links(self) -> None:
         await self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
-        await self._links.close()
+        await self._link_server.close()
--- a/bulrushpulley/roles/job_agent_process.py
+++ b/bulrushpulley/roles/job_agent_process.py
@@ -45,7 +45,7 @@
         settings = self._settings
         self.runtime.start()
         host, port = split_address(settings.links)
-        self._links = LinkServer(
+        self._link_server = LinkServer(
             host=host,
             port=port,
             links=self.runtime.links,
@@ -55,7 +55,9 @@
             ),
         )
         self._start_job_agent()
-        self.runtime.run_on_loop(self._links.start()).result(LINKS_START_TIMEOUT_S)
+        self.runtime.run_on_loop(self._link_server.start()).result(
+            LINKS_START_TIMEOUT_S
+        )
         self._start_front()
         log_process(process=self.runtime.name, stage="started")
 
@@ -90,19 +92,19 @@
             metrics_text=self.runtime.metrics.text,
         )
         host, port = split_address(self._settings.announcements)
-        self._front = HttpServer(
+        self._front_server = HttpServer(
             host=host,
             port=port,
             handler=front.handle,
             threads=FRONT_THREADS,
             report=self.runtime.report,
         )
-        self._front.start()
+        self._front_server.start()
 
     def stop(self) -> None:
         """Stop; runs continue, and the next process finds them by polling."""
         log_process(process=self.runtime.name, stage="leaving")
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
-        self._front.stop(LINK_FLUSH_TIMEOUT_S)
+        self._front_server.stop(LINK_FLUSH_TIMEOUT_S)
         self.runtime.stop()
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -66,20 +66,20 @@
     def start(self) -> None:
         """Start all parts; the listeners then accept calls."""
         self.runtime.start()
-        base = self.runtime.ports(answer=self._answer)
-        self._start_scheduler(base)
-        self._start_intake(base)
+        common_ports = self.runtime.ports(answer=self._answer)
+        self._start_scheduler(common_ports)
+        self._start_intake(common_ports)
         self._start_fronts()
         log_process(process=self.runtime.name, stage="started")
 
-    def _store(self, connections: int) -> RowStoreClient:
+    def _make_store_client(self, connections: int) -> RowStoreClient:
         return RowStoreClient(
             url=self._settings.store.url,
             connections=connections,
             report=self.runtime.report,
         )
 
-    def _start_scheduler(self, base: dict[str, Any]) -> None:
+    def _start_scheduler(self, common_ports: dict[str, Any]) -> None:
         settings = self._settings
         role = scheduler.build(
             name=settings.name,
@@ -88,8 +88,8 @@
             bounds=settings.bounds.within(settings.limits),
         )
         ports = SchedulerPorts(
-            **base,
-            store=self._store(SCHEDULER_THREADS),
+            **common_ports,
+            store=self._make_store_client(SCHEDULER_THREADS),
             dial=self._dial,
             advice=AdviceClient(address=settings.advice) if settings.advice else None,
             machines=(
@@ -101,9 +101,11 @@
     def _dial(self, address: str) -> None:
         self.runtime.loop.call_soon_threadsafe(self._dialler.dial, address)
 
-    def _start_intake(self, base: dict[str, Any]) -> None:
+    def _start_intake(self, common_ports: dict[str, Any]) -> None:
         ports = IntakePorts(
-            **base, store=self._store(INTAKE_THREADS), set_ready=self._set_ready
+            **common_ports,
+            store=self._make_store_client(INTAKE_THREADS),
+            set_ready=self._set_ready,
         )
         self.runtime.start_role(intake.build(), ports, threads=INTAKE_THREADS)
 
@@ -114,23 +116,25 @@
         self._pending.resolve(getattr(command, "call_id"), command)  # noqa: B009
 
     def _start_fronts(self) -> None:
-        callers = JobFront(
+        job_front = JobFront(
             pending=self._pending, tell=partial(self.runtime.tell, INTAKE)
         )
-        checks = ReadyFront(
+        ready_front = ReadyFront(
             is_ready=self._ready.is_set,
             metrics_text=self.runtime.metrics.text,
             pending=self._pending,
             tell=partial(self.runtime.tell, SCHEDULER),
         )
-        self._callers = self._server(
-            self._settings.callers, callers.handle, CALLER_THREADS
+        self._caller_server = self._make_server(
+            self._settings.callers, job_front.handle, CALLER_THREADS
         )
-        self._checks = self._server(self._settings.ready, checks.handle, READY_THREADS)
-        self._callers.start()
-        self._checks.start()
+        self._ready_server = self._make_server(
+            self._settings.ready, ready_front.handle, READY_THREADS
+        )
+        self._caller_server.start()
+        self._ready_server.start()
 
-    def _server(self, address: str, handler: Any, threads: int) -> HttpServer:
+    def _make_server(self, address: str, handler: Any, threads: int) -> HttpServer:
         host, port = split_address(address)
         return HttpServer(
             host=host,
@@ -147,8 +151,8 @@
         self.runtime.tell(SCHEDULER, Leave())
         self.runtime.tell(INTAKE, Leave())
         self.runtime.skip_notice.wait(stop.notice_s)
-        self._callers.stop(stop.within_s)
-        self._checks.stop(LINK_FLUSH_TIMEOUT_S)
+        self._caller_server.stop(stop.within_s)
+        self._ready_server.stop(LINK_FLUSH_TIMEOUT_S)
         closing = self.runtime.links.close(LINK_FLUSH_TIMEOUT_S)
         self.runtime.run_on_loop(closing).result(LINKS_CLOSE_TIMEOUT_S)
         self.runtime.stop()
--- a/bulrushpulley/verb_output.py
+++ b/bulrushpulley/verb_output.py
@@ -11,7 +11,7 @@
 from bulrushpulley.errors import Problem
 from bulrushpulley.operator_client import Answer
 
-LIST_KEYS = ("failure_domains", "members", "agents", "cells", "services", "jobs")
+STATUS_LIST_KEYS = ("failure_domains", "members", "agents", "cells", "services", "jobs")
 
 
 def print_problems(problems: Iterable[Problem]) -> None:
@@ -90,7 +90,7 @@
 
 def _status_lines(value: Mapping[str, Any]) -> list[str]:
     lines = [f"revision {value['revision']}"]
-    for key in LIST_KEYS:
+    for key in STATUS_LIST_KEYS:
         lines.append(f"{key.replace('_', ' ')}:")
         lines.extend(f"  {_row_line(row)}" for row in value[key])
     if value["incomplete"]:
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -52,7 +52,7 @@
         return self.arguments[0]
 
 
-def _define(values: flags.FlagValues) -> None:
+def _define_flags(values: flags.FlagValues) -> None:
     flags.DEFINE_string(
         "config", None, "Settings of role operator.", flag_values=values
     )
@@ -89,18 +89,20 @@
 def parse(argv: list[str]) -> Options:
     """Read the command line; raises `flags.Error` or a group of problems."""
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
-    _define(values)
+    _define_flags(values)
     arguments = tuple(values(argv, known_only=False)[1:])
     verb = argv[0]
-    counts = VERB_BY_NAME[verb].arguments
+    counts = VERB_BY_NAME[verb].argument_counts
     if len(arguments) not in counts:
         expected = " or ".join(str(count) for count in counts[:2])
         raise flags.Error(f"{verb} takes {expected} argument(s), not {len(arguments)}")
-    operator = None
+    client_settings = None
     if values.config is not None and verb != "check":
         path = pathlib.Path(values.config)
-        operator = settings.load(settings.OperatorClientSettings, path)
-    entries = tuple(values.entry) or (operator.entries if operator else ())
+        client_settings = settings.load(settings.OperatorClientSettings, path)
+    entries = tuple(values.entry) or (
+        client_settings.entries if client_settings else ()
+    )
     if not entries and verb != "check":
         raise flags.Error("give --config with a file of role operator, or --entry")
     if verb == "check" and values.config is not None:
@@ -109,9 +111,10 @@
         verb=verb,
         arguments=arguments,
         entries=entries,
-        author=values.author or (operator.author if operator else "operator"),
+        author=values.author
+        or (client_settings.author if client_settings else "operator"),
         timeout_s=values.timeout
-        or (operator.timeout_s if operator else DEFAULT_TIMEOUT_S),
+        or (client_settings.timeout_s if client_settings else DEFAULT_TIMEOUT_S),
         wait=values.wait,
         as_json=values.json,
         revision=values.revision,
@@ -155,7 +158,7 @@
 
 def _submit(options: Options) -> int:
     body = _record_body(options)
-    call = Call(method="POST", path="/v1/records", query={}, body=body, idempotent=True)
+    call = Call(method="POST", path="/v1/records", query={}, body=body, repeatable=True)
     return _send_change(options, call)
 
 
@@ -167,7 +170,7 @@
     repeatable = options.revision > 0
     return _send_change(
         options,
-        Call(method="PUT", path=path, query={}, body=body, idempotent=repeatable),
+        Call(method="PUT", path=path, query={}, body=body, repeatable=repeatable),
     )
 
 
@@ -181,7 +184,7 @@
 def _cancel(options: Options) -> int:
     path = f"/v1/jobs/{quote(options.argument, safe='')}/cancel"
     return _send_change(
-        options, Call(method="POST", path=path, query={}, idempotent=True)
+        options, Call(method="POST", path=path, query={}, repeatable=True)
     )
 
 
@@ -190,13 +193,13 @@
     path = f"/v1/failure-domains/{name}/{options.verb}?revision={options.revision}"
     repeatable = options.revision > 0
     return _send_change(
-        options, Call(method="POST", path=path, query={}, idempotent=repeatable)
+        options, Call(method="POST", path=path, query={}, repeatable=repeatable)
     )
 
 
 def _status(options: Options) -> int:
     query = {"job": options.argument} if options.arguments else {}
-    return _query(options, Call(method="GET", path="/v1/status", query=query))
+    return _send_query(options, Call(method="GET", path="/v1/status", query=query))
 
 
 def _explain(options: Options) -> int:
@@ -204,13 +207,13 @@
     path = f"/v1/explain/{quote(job, safe='')}"
     if slash:
         path += f"/{quote(index, safe='')}"
-    return _query(options, Call(method="GET", path=path, query={}))
+    return _send_query(options, Call(method="GET", path=path, query={}))
 
 
-def _query(options: Options, call: Call) -> int:
+def _send_query(options: Options, call: Call) -> int:
     client = OperatorClient(entries=options.entries, author=options.author)
     query_call = Call(
-        method=call.method, path=call.path, query=call.query, idempotent=True
+        method=call.method, path=call.path, query=call.query, repeatable=True
     )
     answer = client.call(query_call, options.timeout_s)
     print_answer(options.verb, answer, as_json=options.as_json)
@@ -248,7 +251,7 @@
             method="GET",
             path=f"/v1/in-force/{revision}",
             query={"wait_s": f"{wait_s:.3f}"},
-            idempotent=True,
+            repeatable=True,
         )
         answer = client.call(call, remaining_s)
         if answer.codes:
@@ -264,15 +267,15 @@
     """A verb: the function that carries it out and how many arguments it takes."""
 
     run: Callable[[Options], int]
-    arguments: range = range(1, 2)
+    argument_counts: range = range(1, 2)
 
 
 VERB_BY_NAME: Mapping[str, Verb] = {
-    "check": Verb(run=_check, arguments=range(1_000)),
+    "check": Verb(run=_check, argument_counts=range(1_000)),
     "submit": Verb(run=_submit),
     "amend": Verb(run=_amend),
     "cancel": Verb(run=_cancel),
-    "status": Verb(run=_status, arguments=range(2)),
+    "status": Verb(run=_status, argument_counts=range(2)),
     "explain": Verb(run=_explain),
     "drain": Verb(run=_change_domain),
     "restore": Verb(run=_change_domain),
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -163,7 +163,7 @@
         observe=ignore_command,
         run=run,
         table=TableServiceClient(url=url, connections=CONNECTIONS),
-        report=submitters.report,
+        report_to=submitters.report,
     )
 
 
--- a/test/test_committer_http.py
+++ b/test/test_committer_http.py
@@ -64,7 +64,7 @@
             observe=ignore_command,
             run=self.run_work,
             table=TableServiceClient(url=self.url, connections=4),
-            report=self.record_outcome,
+            report_to=self.record_outcome,
         )
         role = committer.build(name="e1", incarnation="e1-1")
         actor = RoleActor.start(role=role, carry_out=partial(carry_out, ports=ports))
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from bulrushpulley.main import PROCESS_BY_VERB
+from bulrushpulley.main import PROCESS_FACTORY_BY_VERB
 from bulrushpulley.settings import (
     JobAgentSettings,
     JobEntrySettings,
@@ -39,9 +39,9 @@
 }
 
 
-def render_template(name: str, **other: str) -> pathlib.Path:
+def render_template(name: str, **overrides: str) -> pathlib.Path:
     """Return the path of a template with its placeholders filled in."""
-    values = {**VALUE_BY_PLACEHOLDER, **other}
+    values = {**VALUE_BY_PLACEHOLDER, **overrides}
     text = (DEPLOY / name).read_text()
     text = re.sub(
         r"\{\{#(.+?)\}\}(.*?)\{\{/\1\}\}",
@@ -56,20 +56,20 @@
 
 
 class DeployTest(testtools.TestCase):
-    def test_the_template_of_an_entry_gives_its_settings(self) -> None:
+    def test_the_entry_template_renders_to_valid_settings(self) -> None:
         settings = load(JobEntrySettings, render_template("entry.toml"))
         self.assertEqual(("10.1.0.13", 8161), split_address(settings.callers))
         self.assertEqual(6.0, settings.limits.longest_lease_s)
         self.assertEqual(0.2, settings.limits.kill_s)
         self.assertEqual(3.0, settings.limits.turn_s)
 
-    def test_a_platform_without_advice_gives_settings_too(self) -> None:
+    def test_the_entry_template_is_valid_without_an_advice_service(self) -> None:
         settings = load(
             JobEntrySettings, render_template("entry.toml", Recommendation="")
         )
         self.assertEqual("", settings.advice)
 
-    def test_the_template_of_an_agent_gives_its_settings(self) -> None:
+    def test_the_agent_template_renders_to_valid_settings(self) -> None:
         settings = load(JobAgentSettings, render_template("agent.toml"))
         self.assertEqual(("10.1.0.13", 7720), split_address(settings.links))
         self.assertIs(JobAgentSettings, type(load_any(render_template("agent.toml"))))
@@ -79,9 +79,9 @@
         bounds = settings.bounds.within(settings.limits)
         self.assertLess(bounds.lease_s, settings.limits.longest_lease_s)
 
-    def test_the_deploy_file_starts_verbs_that_there_are(self) -> None:
+    def test_the_deploy_file_starts_existing_verbs(self) -> None:
         deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
         for role in deploy["roles"].values():
             verb = role["run"].split()[3]
-            self.assertIn(verb, PROCESS_BY_VERB)
+            self.assertIn(verb, PROCESS_FACTORY_BY_VERB)
             self.assertTrue((DEPLOY.parent / role["template"]).is_file())
--- a/test/test_jobs_explain.py
+++ b/test/test_jobs_explain.py
@@ -130,7 +130,7 @@
             lambda job: RedirectToOwner(call_id="", owner="entry-2"),
             lambda job: replace(EXPLAINED, job_id=job),
         )
-        call = Call(method="GET", path=f"/v1/explain/{JOB}", query={}, idempotent=True)
+        call = Call(method="GET", path=f"/v1/explain/{JOB}", query={}, repeatable=True)
         answer = client.call(call, 5.0)
         self.assertEqual([], answer.codes)
         self.assertEqual(
@@ -144,7 +144,7 @@
 
     def test_an_unknown_job_is_an_error_with_step_and_peer(self) -> None:
         client = self._client(lambda job: JobNotKnown(call_id="", job_id=job))
-        call = Call(method="GET", path=f"/v1/explain/{JOB}", query={}, idempotent=True)
+        call = Call(method="GET", path=f"/v1/explain/{JOB}", query={}, repeatable=True)
         answer = client.call(call, 5.0)
         self.assertEqual(["not_found"], answer.codes)
         self.assertEqual("job.explain", answer.problems[0]["step"])
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -24,9 +24,9 @@
 
 
 def post(url: str, body: bytes, **headers: str) -> urllib3.BaseHTTPResponse:
-    names = {name.replace("_", "-"): value for name, value in headers.items()}
+    header_by_name = {name.replace("_", "-"): value for name, value in headers.items()}
     return urllib3.request(
-        "POST", url, body=body, headers=names, timeout=15.0, retries=False
+        "POST", url, body=body, headers=header_by_name, timeout=15.0, retries=False
     )
 
 
@@ -69,7 +69,7 @@
             )
             threading.Event().wait(POLL_INTERVAL_S)
 
-    def send(self, fleet: Fleet, seconds: float) -> Report:
+    def send_calls(self, fleet: Fleet, duration_s: float) -> Report:
         target = Target(
             entries=fleet.layout.caller_urls,
             service=SERVICE,
@@ -78,7 +78,7 @@
             body_bytes=50,
         )
         calls = plan(
-            rate=30.0, seconds=seconds, repeatable_share=0.3, seed=7, name="load"
+            rate=30.0, seconds=duration_s, repeatable_share=0.3, seed=7, name="load"
         )
         ended = make_calls(Caller(target=target), calls, 128)
         return tally(ended, count_runs(fleet.layout.backend_urls))
@@ -115,7 +115,7 @@
     def test_no_request_runs_twice_after_an_entry_is_killed(self) -> None:
         fleet = self.start(entries=2, agents=2)
         with ThreadPoolExecutor(1) as pool:
-            load: Future[Report] = pool.submit(self.send, fleet, 3.0)
+            load: Future[Report] = pool.submit(self.send_calls, fleet, 3.0)
             threading.Event().wait(1.5)
             fleet.program_by_name["entry-1"].process.kill()
             report = load.result()
@@ -129,11 +129,11 @@
         paused = fleet.program_by_name["agent-01"].process
         paused.send_signal(signal.SIGSTOP)
         self.wait_for_agents(fleet.layout.operator_urls[0], 1)
-        report = self.send(fleet, 0.5)
+        report = self.send_calls(fleet, 0.5)
         self.assertEqual(report.calls, report.served, str(report))
         paused.send_signal(signal.SIGCONT)
         self.wait_for_agents(fleet.layout.operator_urls[0], 2)
-        report = self.send(fleet, 0.5)
+        report = self.send_calls(fleet, 0.5)
         self.assertEqual(
             (report.calls, 0), (report.served, report.doubled), str(report)
         )
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -124,11 +124,11 @@
         writer.start()
         for number in range(MAX_QUEUED_LINES + 5_000):
             writer.put({"number": number, "text": "x" * 50})
-        drained = threading.Thread(target=_drain, args=(read,), daemon=True)
-        drained.start()
+        drainer = threading.Thread(target=_drain, args=(read,), daemon=True)
+        drainer.start()
         writer.stop()
         os.close(write)
-        drained.join(RUNTIME_STOP_TIMEOUT_S)
+        drainer.join(RUNTIME_STOP_TIMEOUT_S)
         self.assertTrue(sum(count.by for count in counts) > 0)
 
 
