Correct and complete texts of the processes, roles and verbs

The stop of a job entry was said to refuse new calls, but it only fails readiness checks; calls are accepted until the notice ends. The order of takeover again says that it holds among entries equally near the store, and the router again says that it returns complete answers. The operator client explains what it returns without a definite answer.

--- a/bulrushpulley/exit_codes.py
+++ b/bulrushpulley/exit_codes.py
@@ -33,7 +33,10 @@
 
 
 def exit_code_of(codes: list[str]) -> ExitCode:
-    """Return the exit code for the error codes of an answer."""
+    """Return the exit code for the first error code of an answer.
+
+    Error codes without an exit code of their own give `ExitCode.UNAVAILABLE`.
+    """
     if not codes:
         return ExitCode.OK
     return EXIT_CODE_BY_ERROR_CODE.get(codes[0], ExitCode.UNAVAILABLE)
--- a/bulrushpulley/logs.py
+++ b/bulrushpulley/logs.py
@@ -47,7 +47,7 @@
         eliot.add_destinations(self.put)
 
     def put(self, message: dict[str, Any]) -> None:
-        """Queue one message; called by eliot on any thread."""
+        """Queue one message, or drop it if the queue is full; called on any thread."""
         with self._ready:
             if len(self._queue) >= MAX_QUEUED_LINES:
                 self._dropped += 1
--- a/bulrushpulley/main.py
+++ b/bulrushpulley/main.py
@@ -127,9 +127,13 @@
         runtime.stopping.set()
 
     def reload(signum: int, frame: FrameType | None) -> None:
-        # Running parts do not depend on settings that may change; changes are read
+        # No running part depends on settings that may change, so changes take effect
         # at the next start.
-        log_process(process=runtime.name, stage="reload", detail="settings changed")
+        log_process(
+            process=runtime.name,
+            stage="reload",
+            detail="SIGHUP received; settings are read at the next start",
+        )
 
     signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -6,7 +6,8 @@
     route_latency_seconds{label="oven-conductor",quantile="0.99"} 0.0131
 
 A histogram is created with its first value. The numbers of counters and histograms
-are bounded, so that many different labels cannot exhaust memory.
+are bounded, so that many different labels cannot exhaust memory; beyond the bounds,
+values with new labels are recorded under the label ``other``.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """A call of an operator; `repeatable` ones can always be repeated safely."""
+    """A call of an operator; `repeatable` if it can always be repeated safely."""
 
     method: str
     path: str
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """The decoded answer of an entry; its problems have codes of `Code`."""
+    """The decoded answer of an entry; its problems have the codes of `Code`."""
 
     entry: str
     status: int
@@ -75,11 +75,13 @@
         self._pool = urllib3.PoolManager(retries=False)
 
     def call(self, call: Call, timeout_s: float) -> Answer:
-        """Return the first definite answer, or the last failure of all entries.
+        """Return the first definite answer of an entry.
 
-        A refusal after a call of unknown outcome is not definite: that call may
-        have taken effect and caused the refusal. A repeatable call leaves each of
-        the later entries an equal share of the time.
+        Without one, return the last unknown outcome, or else the last failure.
+        A call that is not repeatable ends at its first unknown outcome. A refusal
+        after a call of unknown outcome is not definite, since that call may have
+        taken effect and caused the refusal; the unknown outcome is returned then.
+        A repeatable call leaves each of the later entries an equal share of the time.
         """
         deadline = time.monotonic() + timeout_s
         last = _failure_answer("", Code.UNAVAILABLE, "no entry is configured")
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -3,7 +3,7 @@
 It holds the role's tables and queues the events that it receives. Each tick applies
 the queued events, runs the role's systems and carries out their commands. Ticks also
 run at the role's interval, so that deadlines are checked when no events arrive.
-Decisions are made in `systems`; the clock is read only here, once per tick.
+Decisions are made in `systems`; the role's clock is read only here, once per tick.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 
 
 def ignore_failure(error: BaseException | None) -> None:
-    """Do nothing when a role ends."""
+    """Do nothing when a role fails."""
 
 
 def no_event_can_wait(event: Event) -> bool:
--- a/bulrushpulley/roles/carry_out.py
+++ b/bulrushpulley/roles/carry_out.py
@@ -29,9 +29,9 @@
 class Ports:
     """The functions that a process provides for the commands; none of them block.
 
-    `answer` takes the commands that answer calls of callers and operators, `decide`
-    logs a decision. A role with platform clients of its own extends this class in
-    its I/O module.
+    `answer` takes the commands that answer calls of callers and operators, and
+    `decide` logs a decision. A role with platform clients of its own extends this
+    class in its I/O module.
     """
 
     send: Callable[[Send], None]
--- a/bulrushpulley/roles/controller.py
+++ b/bulrushpulley/roles/controller.py
@@ -1,4 +1,4 @@
-"""Builds the controller, which handles records, members, cells and the backlog."""
+"""Builds the controller of records, members, offers of cells and the backlog."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/roles/guard.py
+++ b/bulrushpulley/roles/guard.py
@@ -1,6 +1,6 @@
 """Builds the guard of a backend server.
 
-It makes the last check on requests and runs them on the server.
+The guard makes the last check on requests and runs them on the server.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from bulrushpulley.systems.guard.events import apply
 
 EVENT_MODULES = (guard_requests, guard_results)
-"""The modules that register events by being imported."""
+"""Imported only because they register event handlers."""
 
 DEFAULT_SLOTS = 8
 DEFAULT_QUEUE_LIMIT = 8
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -31,8 +31,8 @@
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.pending import PendingCalls
 
-# Leaves threads for the reads that check whether a write took effect while writes
-# that wait for a slow store hold the others.
+# Writes to a slow store hold threads for long; the reads that check whether these
+# writes took effect need others.
 INTAKE_THREADS = 14
 SCHEDULER_THREADS = 6
 CALLER_THREADS = 24
@@ -145,7 +145,11 @@
         )
 
     def stop(self) -> None:
-        """Refuse new calls, release the shard, finish calls in flight, then stop."""
+        """Release the shard, finish calls in flight, then stop.
+
+        Readiness checks fail from the start of the notice, and calls are still accepted
+        during it.
+        """
         stop = self._settings.stop
         log_process(process=self.runtime.name, stage="leaving")
         self.runtime.tell(SCHEDULER, Leave())
@@ -159,5 +163,8 @@
 
 
 def takeover_stagger(settings: JobEntrySettings) -> float:
-    """Return when an entry takes over relative to other entries, from 0 to 1."""
+    """Return a number from 0 to 1, derived from the entry's name.
+
+    Among entries equally near the store, lower numbers take over the shard earlier.
+    """
     return (zlib.crc32(settings.name.encode()) % 997) / 997
--- a/bulrushpulley/roles/router.py
+++ b/bulrushpulley/roles/router.py
@@ -1,4 +1,4 @@
-"""Builds the router, which sends callers' requests to agents and returns answers."""
+"""Builds the router, which sends requests to agents and returns complete answers."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     route_resubmit,
     route_claim_outcomes,
 )
-"""The modules that register events by being imported."""
+"""Imported only because they register event handlers."""
 
 
 def build(*, incarnation: str, region: str) -> Role[RouterTables]:
--- a/bulrushpulley/roles/routing.py
+++ b/bulrushpulley/roles/routing.py
@@ -22,6 +22,7 @@
 GUARD = "guard"
 CELL_OWNER = "cell_owner"
 LINKER = "linker"
+# The roles of entry and agent processes other than those on the users' platform.
 ROLES = frozenset({ROUTER, CONTROLLER, COMMITTER, GUARD, CELL_OWNER, LINKER})
 
 
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -137,6 +137,7 @@
             for role, ref in tuple(self._ref_by_role.items()):
                 if now < due_by_role.get(role, 0.0):
                     continue
+                # Half a tick less, as a wake-up may come slightly before its time.
                 due_by_role[role] = (
                     now + self._tick_interval_s_by_role[role] - TICK_INTERVAL_S / 2
                 )
@@ -213,7 +214,7 @@
                         code=Code.DEADLINE,
                         step="process.leave",
                         peer=role,
-                        detail=f"not done within {timeout_s:g} s",
+                        detail=f"work not finished within {timeout_s:g} s",
                     )
                 )
 
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -1,6 +1,6 @@
 """Builds the scheduler, which places the tasks of jobs.
 
-One entry's scheduler owns a shard; those of the other entries follow it.
+One entry's scheduler owns the shard; those of the other entries wait to take it over.
 """
 
 from __future__ import annotations
@@ -37,7 +37,8 @@
 ) -> Role[SchedulerTables]:
     """Return the scheduler of an entry.
 
-    The entry with the least `takeover_stagger` takes over first.
+    Among entries equally near the store, the one with the lowest `takeover_stagger`
+    takes over first.
     """
     tables = SchedulerTables(
         name=name,
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -73,7 +73,7 @@
 class StopSettings:
     """A planned stop.
 
-    Health checks fail for `notice_s`, then work in flight is finished in `within_s`.
+    Health checks fail for `notice_s`; then work in flight has `within_s` to finish.
     """
 
     notice_s: Seconds = 0.0
@@ -194,7 +194,7 @@
 
     `callers` is the address for job submissions, `ready` the one for the platform's
     readiness checks. `advice` is the service that knows where steps may run and
-    `machines` the one that takes machines down; both are optional.
+    `machines` the one that takes machines down for upkeep; both are optional.
     """
 
     role: Annotated[str, Text(pattern="job-entry")]
@@ -217,8 +217,8 @@
     """The settings of an agent on the users' platform.
 
     `links` is the address at which it accepts links. The shard's owner connects to it,
-    or to `reached_at` if set. At `announcements` its backend server, which runs
-    `service`, announces itself.
+    or to `reached_at` if set. The backend server on its host, which runs `service`,
+    announces itself at `announcements`.
     """
 
     role: Annotated[str, Text(pattern="job-agent")]
--- a/bulrushpulley/verbs.py
+++ b/bulrushpulley/verbs.py
@@ -29,6 +29,7 @@
 
 DEFAULT_TIMEOUT_S = 10.0
 MAX_LONG_POLL_S = 5.0
+# Leaves the rest of the time for the answer to arrive.
 LONG_POLL_FRACTION = 0.7
 MIN_REMAINING_S = 0.1
 
@@ -54,13 +55,16 @@
 
 def _define_flags(values: flags.FlagValues) -> None:
     flags.DEFINE_string(
-        "config", None, "Settings of role operator.", flag_values=values
+        "config",
+        None,
+        "Settings file of role operator; for check, a file to check.",
+        flag_values=values,
     )
     flags.DEFINE_multi_string(
         "entry", [], "URL of an entry; may be repeated.", flag_values=values
     )
     flags.DEFINE_string(
-        "author", None, "Name of who makes the change.", flag_values=values
+        "author", None, "Name recorded as the author of the change.", flag_values=values
     )
     flags.DEFINE_float(
         "timeout",
@@ -243,7 +247,11 @@
 def _wait_until_in_force(
     client: OperatorClient, revision: int, deadline: float
 ) -> Answer | None:
-    """Long-poll the entries until the revision is in force or the time is up."""
+    """Long-poll the entries until the revision is in force or the time is up.
+
+    A failed poll ends the wait. Returns the last answer without problems, otherwise
+    the failure, or None if no time was left to ask.
+    """
     last: Answer | None = None
     while (remaining_s := deadline - time.monotonic()) > MIN_REMAINING_S:
         wait_s = min(remaining_s * LONG_POLL_FRACTION, MAX_LONG_POLL_S)
