--- a/bulrushpulley/metrics.py
+++ b/bulrushpulley/metrics.py
@@ -6,7 +6,8 @@
     route_latency_seconds{label="oven-conductor",quantile="0.99"} 0.0131
 
 A histogram is created with its first value. The numbers of counters and histograms
-are bounded, so that many different labels cannot exhaust memory.
+are bounded, so that many different labels cannot exhaust memory; beyond the bounds,
+values with new labels are recorded under the label ``other``.
 """
 
 from __future__ import annotations
@@ -38,11 +39,11 @@
         """Add to a counter."""
         key = (command.name, command.label)
         with self._lock:
-            if key not in self._count_by_key and self._is_full():
+            if key not in self._count_by_key and self._are_counters_full():
                 key = (command.name, OTHER_LABEL)
             self._count_by_key[key] = self._count_by_key.get(key, 0) + command.by
 
-    def _is_full(self) -> bool:
+    def _are_counters_full(self) -> bool:
         return len(self._count_by_key) >= MAX_COUNTERS
 
     def observe(self, command: Observe) -> None:
--- a/bulrushpulley/operator_client.py
+++ b/bulrushpulley/operator_client.py
@@ -31,18 +31,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """A call of an operator; `idempotent` ones can always be repeated safely."""
+    """A call of an operator; `repeatable` if it can always be repeated safely."""
 
     method: str
     path: str
     query: Mapping[str, str]
     body: bytes = b""
-    idempotent: bool = False
+    repeatable: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """The decoded answer of an entry; its problems have codes of `Code`."""
+    """The decoded answer of an entry; its problems have the codes of `Code`."""
 
     entry: str
     status: int
@@ -75,16 +75,18 @@
         self._pool = urllib3.PoolManager(retries=False)
 
     def call(self, call: Call, timeout_s: float) -> Answer:
-        """Return the first definite answer, or the last failure of all entries.
+        """Return the first definite answer of an entry.
 
-        A refusal after a call of unknown outcome is not definite: that call may
-        have taken effect and caused the refusal. A repeatable call leaves each of
-        the later entries an equal share of the time.
+        Without one, return the last unknown outcome, or else the last failure.
+        A call that is not repeatable ends at its first unknown outcome. A refusal
+        after a call of unknown outcome is not definite, since that call may have
+        taken effect and caused the refusal; the unknown outcome is returned then.
+        A repeatable call leaves each of the later entries an equal share of the time.
         """
         deadline = time.monotonic() + timeout_s
         last = _failure_answer("", Code.UNAVAILABLE, "no entry is configured")
-        unknown: Answer | None = None
-        repeatable = call.idempotent
+        last_unknown: Answer | None = None
+        repeatable = call.repeatable
         for index, entry in enumerate(self._entries):
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0:
@@ -96,10 +98,10 @@
             if last.status == OUTCOME_UNKNOWN_STATUS and not repeatable:
                 return last
             if last.status not in (NOT_ACCEPTED_STATUS, OUTCOME_UNKNOWN_STATUS):
-                return unknown if unknown is not None and last.codes else last
+                return last_unknown if last_unknown is not None and last.codes else last
             if last.status == OUTCOME_UNKNOWN_STATUS:
-                unknown = last
-        return unknown or last
+                last_unknown = last
+        return last_unknown or last
 
     def _call_entry(self, entry: str, call: Call, timeout_s: float) -> Answer:
         timeout = urllib3.Timeout(
