--- a/bulrushpulley/wire/validation.py
+++ b/bulrushpulley/wire/validation.py
@@ -90,7 +90,7 @@
 class ScalarShape:
     """A number, boolean or string."""
 
-    of: type
+    value_type: type
     limits: tuple[object, ...] = ()
 
 
@@ -98,14 +98,14 @@
 class ChoiceShape:
     """An enum member, read by its value."""
 
-    of: type[enum.Enum]
+    enum_type: type[enum.Enum]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordShape:
     """A data class, read from a mapping."""
 
-    of: type
+    record_type: type
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -142,7 +142,9 @@
     Raises an `ExceptionGroup` of `BulrushpulleyError`, one for each problem.
     """
     result = read(
-        RecordShape(of=cls), raw, ValueLocation(step=step, peer=peer, field=field)
+        RecordShape(record_type=cls),
+        raw,
+        ValueLocation(step=step, peer=peer, field=field),
     )
     raise_problems(result.problems)
     value: T = result.value
@@ -160,44 +162,46 @@
 def shapes_of(cls: type) -> Mapping[str, Shape]:
     """Return the shape of each field of a data class by name."""
     hints = typing.get_type_hints(cls, include_extras=True)
-    return {item.name: _shape_of(hints[item.name]) for item in dataclasses.fields(cls)}
+    return {
+        field.name: _shape_of(hints[field.name]) for field in dataclasses.fields(cls)
+    }
 
 
 def _shape_of(hint: Any, limits: tuple[object, ...] = ()) -> Shape:
     origin = typing.get_origin(hint)
     if origin is not None:
-        return _SHAPE_OF_ORIGIN[origin](hint, limits)
+        return _SHAPE_BUILDER_BY_ORIGIN[origin](hint, limits)
     if dataclasses.is_dataclass(hint):
-        return RecordShape(of=typing.cast(type, hint))
+        return RecordShape(record_type=typing.cast(type, hint))
     if issubclass(hint, enum.Enum):
-        return ChoiceShape(of=hint)
-    return ScalarShape(of=hint, limits=limits)
+        return ChoiceShape(enum_type=hint)
+    return ScalarShape(value_type=hint, limits=limits)
 
 
-def _annotated(hint: Any, limits: tuple[object, ...]) -> Shape:
+def _annotated_shape(hint: Any, limits: tuple[object, ...]) -> Shape:
     return _shape_of(hint.__origin__, limits + tuple(hint.__metadata__))
 
 
-def _items(hint: Any, limits: tuple[object, ...]) -> Shape:
+def _items_shape(hint: Any, limits: tuple[object, ...]) -> Shape:
     return ItemsShape(item=_shape_of(typing.get_args(hint)[0]), limits=limits)
 
 
-def _mapping(hint: Any, limits: tuple[object, ...]) -> Shape:
+def _mapping_shape(hint: Any, limits: tuple[object, ...]) -> Shape:
     return MappingShape(item=_shape_of(typing.get_args(hint)[1]), limits=limits)
 
 
-def _optional(hint: Any, limits: tuple[object, ...]) -> Shape:
+def _optional_shape(hint: Any, limits: tuple[object, ...]) -> Shape:
     chosen = [arg for arg in typing.get_args(hint) if arg is not types.NoneType]
     return OptionalShape(item=_shape_of(chosen[0], limits))
 
 
-_SHAPE_OF_ORIGIN: Mapping[Any, Callable[[Any, tuple[object, ...]], Shape]] = {
-    typing.Annotated: _annotated,
-    tuple: _items,
-    Mapping: _mapping,
-    dict: _mapping,
-    types.UnionType: _optional,
-    typing.Union: _optional,
+_SHAPE_BUILDER_BY_ORIGIN: Mapping[Any, Callable[[Any, tuple[object, ...]], Shape]] = {
+    typing.Annotated: _annotated_shape,
+    tuple: _items_shape,
+    Mapping: _mapping_shape,
+    dict: _mapping_shape,
+    types.UnionType: _optional_shape,
+    typing.Union: _optional_shape,
 }
 
 
@@ -209,19 +213,19 @@
 
 @read.register
 def _(shape: ScalarShape, raw: object, location: ValueLocation) -> ReadResult:
-    if shape.of is float and type(raw) is int:
+    if shape.value_type is float and type(raw) is int:
         raw = float(raw)
-    if type(raw) is not shape.of:
-        detail = f"must be {shape.of.__name__}, not {type(raw).__name__}"
+    if type(raw) is not shape.value_type:
+        detail = f"must be {shape.value_type.__name__}, not {type(raw).__name__}"
         return ReadResult(problems=(location.problem(detail),))
-    if shape.of is float and not math.isfinite(typing.cast(float, raw)):
+    if shape.value_type is float and not math.isfinite(typing.cast(float, raw)):
         return ReadResult(problems=(location.problem("must be a finite number"),))
     return _check_limits(raw, shape.limits, location)
 
 
 @read.register
 def _(shape: ChoiceShape, raw: object, location: ValueLocation) -> ReadResult:
-    by_value = {member.value: member for member in shape.of}
+    by_value = {member.value: member for member in shape.enum_type}
     if type(raw) is str and raw in by_value:
         return ReadResult(value=by_value[raw])
     return ReadResult(
@@ -238,27 +242,31 @@
 def _(shape: ItemsShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, (list, tuple)):
         return ReadResult(problems=(location.problem("must be a list"),))
-    parts = [
+    results = [
         read(shape.item, item, location.at(str(index)))
         for index, item in enumerate(raw)
     ]
-    problems = tuple(problem for part in parts for problem in part.problems)
+    problems = tuple(problem for result in results for problem in result.problems)
     if problems:
         return ReadResult(problems=problems)
-    return _check_limits(tuple(part.value for part in parts), shape.limits, location)
+    return _check_limits(
+        tuple(result.value for result in results), shape.limits, location
+    )
 
 
 @read.register
 def _(shape: MappingShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
         return ReadResult(problems=(location.problem("must be a table of keys"),))
-    parts = {
+    results = {
         key: read(shape.item, item, location.at(str(key))) for key, item in raw.items()
     }
-    problems = tuple(problem for part in parts.values() for problem in part.problems)
+    problems = tuple(
+        problem for result in results.values() for problem in result.problems
+    )
     if problems:
         return ReadResult(problems=problems)
-    value = {key: part.value for key, part in parts.items()}
+    value = {key: result.value for key, result in results.items()}
     return _check_limits(value, shape.limits, location)
 
 
@@ -266,29 +274,29 @@
 def _(shape: RecordShape, raw: object, location: ValueLocation) -> ReadResult:
     if not isinstance(raw, Mapping):
         return ReadResult(problems=(location.problem("must be a table of keys"),))
-    shapes = shapes_of(shape.of)
+    shapes = shapes_of(shape.record_type)
     problems = [
         location.at(str(key)).problem("unknown key", Code.UNKNOWN_KEY)
         for key in raw
         if key not in shapes
     ]
     values: dict[str, Any] = {}
-    for item in dataclasses.fields(shape.of):
-        if item.name not in raw:
-            if _is_required(item):
-                problems.append(location.at(item.name).problem("is required"))
+    for field in dataclasses.fields(shape.record_type):
+        if field.name not in raw:
+            if _is_required(field):
+                problems.append(location.at(field.name).problem("is required"))
             continue
-        part = read(shapes[item.name], raw[item.name], location.at(item.name))
-        problems.extend(part.problems)
-        values[item.name] = part.value
+        result = read(shapes[field.name], raw[field.name], location.at(field.name))
+        problems.extend(result.problems)
+        values[field.name] = result.value
     if problems:
         return ReadResult(problems=tuple(problems))
-    return ReadResult(value=shape.of(**values))
+    return ReadResult(value=shape.record_type(**values))
 
 
-def _is_required(item: dataclasses.Field[Any]) -> bool:
+def _is_required(field: dataclasses.Field[Any]) -> bool:
     missing = dataclasses.MISSING
-    return item.default is missing and item.default_factory is missing
+    return field.default is missing and field.default_factory is missing
 
 
 def _check_limits(
