Rename vague constants and fields of the HTTP and link encoding

`parts` meant the segments of a path in one request class and the captured variables of a route in the other, which was itself called `Request` beside `HttpRequest`. `kind` meant a name and a class in the same module, and `form` a stored record beside the forms that operators submit. The tables of decoders and plain items now say what they are keyed by, and a limit on revisions that also applies to indexes is a limit on numbers.

--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -38,25 +38,25 @@
 MAX_CALL_TIMEOUT_S = 60.0
 CALL_TIMEOUT_MARGIN_S = 0.5
 MAX_KEY_CHARACTERS = 200
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
-_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+_SERVICE_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+_KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
 _BOOL_BY_TEXT = {"true": True, "false": False}
 _CALLER_ERROR_STATUSES = frozenset({400, 404, 413})
 
 
 def parse_call(request: HttpRequest, call_id: str, now: float) -> CallReceived:
     """Parse a call; raises `BulrushpulleyError` that names the invalid field."""
-    parts = request.parts
-    if len(parts) != 3 or parts[:2] != ("v1", "call"):
+    segments = request.path_segments
+    if len(segments) != 3 or segments[:2] != ("v1", "call"):
         raise _field_error(request, "path", "no such path", Code.NOT_FOUND)
     if request.method != "POST":
         raise _field_error(request, "method", "must be POST")
-    if _NAME.fullmatch(parts[2]) is None:
+    if _SERVICE_NAME_PATTERN.fullmatch(segments[2]) is None:
         raise _field_error(request, "service", "is no name of a service")
     key = _idempotency_key(request)
     return CallReceived(
         call_id=call_id,
-        service=parts[2],
+        service=segments[2],
         request_id=key,
         repeatable=_repeatable(request, key),
         within_s=_timeout_s(request),
@@ -67,7 +67,7 @@
 
 def _idempotency_key(request: HttpRequest) -> str:
     key = request.header_by_name.get("idempotency-key", "")
-    if key and _KEY.fullmatch(key) is None:
+    if key and _KEY_PATTERN.fullmatch(key) is None:
         raise _field_error(
             request,
             "Idempotency-Key",
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -45,7 +45,7 @@
     peer: str
 
     @property
-    def parts(self) -> tuple[str, ...]:
+    def path_segments(self) -> tuple[str, ...]:
         """The segments of the path."""
         return tuple(self.path.strip("/").split("/"))
 
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -34,7 +34,7 @@
 REQUEST_READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60
 EXPIRATION_CHECK_INTERVAL_S = 0.5
-MAX_QUEUED_PER_THREAD = 2
+MAX_QUEUED_CONNECTIONS_PER_THREAD = 2
 MAX_KEEP_ALIVE_CONNECTIONS = 4_096
 HTTP_LISTEN_BACKLOG = 512
 
@@ -198,7 +198,7 @@
             max=threads,
             request_queue_size=HTTP_LISTEN_BACKLOG,
             timeout=IDLE_TIMEOUT_S,
-            accepted_queue_size=threads * MAX_QUEUED_PER_THREAD,
+            accepted_queue_size=threads * MAX_QUEUED_CONNECTIONS_PER_THREAD,
             accepted_queue_timeout=0,
         )
         server.ConnectionClass = _connection
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -27,7 +27,7 @@
     items.LifeEnded,
 )
 ITEM_CLASS_BY_NAME: Mapping[str, type[items.JobItem]] = {
-    kind.__name__: kind for kind in ITEM_CLASSES
+    item_class.__name__: item_class for item_class in ITEM_CLASSES
 }
 
 
@@ -41,10 +41,10 @@
     try:
         plain = decompress(data)
         name, body = msgspec.msgpack.decode(plain, type=tuple[str, msgspec.Raw])
-        kind = ITEM_CLASS_BY_NAME.get(name)
-        if kind is None:
+        item_class = ITEM_CLASS_BY_NAME.get(name)
+        if item_class is None:
             return None
-        return replace(msgspec.msgpack.decode(body, type=kind), peer=peer)
+        return replace(msgspec.msgpack.decode(body, type=item_class), peer=peer)
     except (msgspec.MsgspecError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
         problem = Problem(code=Code.INVALID, step=STEP, peer=peer, detail=detail)
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -37,7 +37,7 @@
     "wave": rows.WaveRow,
     "harms": rows.HarmsRow,
 }
-KIND_BY_ROW_CLASS = {kind: name for name, kind in ROW_CLASS_BY_KIND.items()}
+KIND_BY_ROW_CLASS = {row_class: kind for kind, row_class in ROW_CLASS_BY_KIND.items()}
 
 _decode_envelope = msgspec.msgpack.Decoder(Envelope).decode
 
@@ -53,8 +53,8 @@
     """Decode a row; raises `BulrushpulleyError` if the data is malformed."""
     try:
         envelope = _decode_envelope(decompress(data))
-        kind = ROW_CLASS_BY_KIND[envelope.kind]
-        return msgspec.msgpack.decode(envelope.row, type=kind)
+        row_class = ROW_CLASS_BY_KIND[envelope.kind]
+        return msgspec.msgpack.decode(envelope.row, type=row_class)
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
         problem = Problem(code=Code.INVALID, step=STEP, peer=peer, detail=detail)
--- a/bulrushpulley/wire/link_codec.py
+++ b/bulrushpulley/wire/link_codec.py
@@ -2,8 +2,8 @@
 
 `encode_item` varies by `singledispatch`; decoding varies by the name of the
 oneof field. Items whose message has the same fields, all of plain types, are listed
-in `_PLAIN` and need no functions of their own. Durable rows are encoded as in the
-table service.
+in `_PLAIN_ITEM_BY_NAME` and need no functions of their own. Durable rows are encoded
+as in the table service.
 """
 
 from __future__ import annotations
@@ -31,17 +31,21 @@
 class PlainItem:
     """An item whose fields, except `peer`, are those of its message."""
 
-    event: type[Event]
-    message: type[Message]
-    names: tuple[str, ...]
+    event_class: type[Event]
+    message_class: type[Message]
+    field_names: tuple[str, ...]
 
 
-def _plain_item(event: type[Event], message: type[Message]) -> PlainItem:
-    names = tuple(field.name for field in fields(event) if field.name != "peer")
-    return PlainItem(event=event, message=message, names=names)
+def _plain_item(event_class: type[Event], message_class: type[Message]) -> PlainItem:
+    field_names = tuple(
+        field.name for field in fields(event_class) if field.name != "peer"
+    )
+    return PlainItem(
+        event_class=event_class, message_class=message_class, field_names=field_names
+    )
 
 
-_PLAIN: Mapping[str, PlainItem] = {
+_PLAIN_ITEM_BY_NAME: Mapping[str, PlainItem] = {
     "announce": _plain_item(link.Announce, pb.Announce),
     "dispatch": _plain_item(link.Dispatch, pb.Dispatch),
     "recall": _plain_item(link.Recall, pb.Recall),
@@ -63,12 +67,14 @@
 
 
 def _encode_plain(item: Event, name: str, plain: PlainItem) -> pb.Item:
-    values = {field: getattr(item, field) for field in plain.names}
-    return pb.Item(**{name: plain.message(**values)})  # type: ignore[arg-type]
+    values = {field: getattr(item, field) for field in plain.field_names}
+    return pb.Item(**{name: plain.message_class(**values)})  # type: ignore[arg-type]
 
 
-for _name, _kind in _PLAIN.items():
-    encode_item.register(_kind.event, partial(_encode_plain, name=_name, plain=_kind))
+for _name, _plain in _PLAIN_ITEM_BY_NAME.items():
+    encode_item.register(
+        _plain.event_class, partial(_encode_plain, name=_name, plain=_plain)
+    )
 
 
 def _encode_resources(amount: Resources) -> pb.Resources:
@@ -217,7 +223,7 @@
     if name is None:
         return None
     try:
-        return _DECODERS[name](getattr(item, name), peer)
+        return _DECODER_BY_NAME[name](getattr(item, name), peer)
     except BulrushpulleyError:
         raise
     except (ValueError, KeyError, TypeError) as error:
@@ -228,10 +234,10 @@
 
 
 def _decode_plain(message: Any, peer: str, plain: PlainItem) -> Event:
-    values = {name: getattr(message, name) for name in plain.names}
-    if issubclass(plain.event, link.LinkEvent):
+    values = {name: getattr(message, name) for name in plain.field_names}
+    if issubclass(plain.event_class, link.LinkEvent):
         values["peer"] = peer
-    return plain.event(**values)
+    return plain.event_class(**values)
 
 
 def _decode_resources(message: Any) -> Resources:
@@ -355,7 +361,7 @@
     )
 
 
-_DECODERS: Mapping[str, Callable[[Any, str], Event | None]] = {
+_DECODER_BY_NAME: Mapping[str, Callable[[Any, str], Event | None]] = {
     "refused": _decode_refused,
     "cell_summary": _decode_cell_summary,
     "submit": _decode_submit,
@@ -365,5 +371,8 @@
     "assigned": _decode_assigned,
     "conflicted": _decode_conflicted,
     "job_item": decode_job_item,
-    **{name: partial(_decode_plain, plain=plain) for name, plain in _PLAIN.items()},
+    **{
+        name: partial(_decode_plain, plain=plain)
+        for name, plain in _PLAIN_ITEM_BY_NAME.items()
+    },
 }
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -76,7 +76,7 @@
     return Problem(code=Code.DEADLINE, step="link.stream", peer=peer, detail=detail)
 
 
-async def receive_hello(stream: Any, address: str) -> Frame:
+async def receive_hello(stream: Any, peer: str) -> Frame:
     """Receive the first frame of the other side, which names the peer."""
     async with asyncio.timeout(HELLO_TIMEOUT_S):
         frame = await stream.recv_message()
@@ -84,7 +84,7 @@
         raise link_error(
             code=Code.INVALID,
             step="link.hello",
-            peer=address,
+            peer=peer,
             detail="the first frame does not name the peer",
         )
     return cast(Frame, frame)
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -35,8 +35,8 @@
 AUTHOR_HEADER = "x-author"
 TIMEOUT_HEADER = "x-timeout-s"
 SECONDS_PATTERN = r"[0-9]{1,4}(\.[0-9]{1,6})?"
-MAX_AUTHOR_CHARS = 200
-MAX_REVISION_DIGITS = 18
+MAX_AUTHOR_CHARACTERS = 200
+MAX_NUMBER_DIGITS = 18
 
 OPERATOR_STATUS_BY_CODE: Mapping[Code, int] = {
     Code.INVALID: 400,
@@ -63,17 +63,17 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Request:
-    """A request whose path matched a route; `parts` are the path's variables."""
+class RoutedRequest:
+    """A request whose path matched a route; `path_variables` are the route's groups."""
 
-    parts: tuple[str, ...]
+    path_variables: tuple[str, ...]
     query: Mapping[str, str]
     body: bytes
     call_id: str
     author: str
 
 
-Parser = Callable[[Request], ops.OperatorCall]
+Parser = Callable[[RoutedRequest], ops.OperatorCall]
 
 
 def parse(
@@ -94,15 +94,15 @@
     for route in ROUTES:
         matched = re.fullmatch(route.pattern, path)
         if route.method == method and matched is not None:
-            request = Request(
-                parts=matched.groups(),
+            request = RoutedRequest(
+                path_variables=matched.groups(),
                 query=query,
                 body=body,
                 call_id=call_id,
                 author=author,
             )
             return replace(route.parser(request), within_s=timeout_s)
-    raise _refusal(f"no operation {method} {path[:200]}", Code.NOT_FOUND)
+    raise _request_error(f"no operation {method} {path[:200]}", Code.NOT_FOUND)
 
 
 @singledispatch
@@ -169,7 +169,7 @@
     return HttpAnswer(status=status, body=msgspec.json.encode(value))
 
 
-def _refusal(
+def _request_error(
     detail: str, code: Code = Code.INVALID, field: str = ""
 ) -> BulrushpulleyError:
     location = ValueLocation(step=STEP, peer="operator", field=field)
@@ -181,36 +181,36 @@
     if text is None:
         return MAX_OPERATOR_CALL_TIMEOUT_S
     if re.fullmatch(SECONDS_PATTERN, text) is None:
-        raise _refusal("must be a number of seconds", field=TIMEOUT_HEADER)
+        raise _request_error("must be a number of seconds", field=TIMEOUT_HEADER)
     return min(float(text), MAX_OPERATOR_CALL_TIMEOUT_S)
 
 
 def _author(header_by_name: Mapping[str, str]) -> str:
     author = header_by_name.get(AUTHOR_HEADER, "unknown")
-    if len(author) > MAX_AUTHOR_CHARS or not author.isprintable():
-        raise _refusal("must be short and printable", field=AUTHOR_HEADER)
+    if len(author) > MAX_AUTHOR_CHARACTERS or not author.isprintable():
+        raise _request_error("must be short and printable", field=AUTHOR_HEADER)
     return author
 
 
 def _number(text: str, field: str) -> int:
-    if not text.isascii() or not text.isdigit() or len(text) > MAX_REVISION_DIGITS:
-        raise _refusal("must be a whole number", field=field)
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_NUMBER_DIGITS:
+        raise _request_error("must be a whole number", field=field)
     return int(text)
 
 
 def _expected_revision(query: Mapping[str, str]) -> int:
     unknown = [key for key in query if key != "revision"]
     if unknown:
-        raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
+        raise _request_error("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     return _number(query.get("revision", "0"), "revision")
 
 
-def _parse_body_record(request: Request) -> ParsedRecord:
+def _parse_body_record(request: RoutedRequest) -> ParsedRecord:
     raw = decode_object(request.body, peer=request.author)
     return parse_record(raw, peer=request.author)
 
 
-def _submit(request: Request) -> ops.OperatorCall:
+def _submit(request: RoutedRequest) -> ops.OperatorCall:
     parsed = _parse_body_record(request)
     return ops.SubmitRecord(
         call_id=request.call_id,
@@ -221,11 +221,11 @@
     )
 
 
-def _amend(request: Request) -> ops.OperatorCall:
+def _amend(request: RoutedRequest) -> ops.OperatorCall:
     parsed = _parse_body_record(request)
-    kind, name = request.parts
+    kind, name = request.path_variables
     if (parsed.kind, parsed.record.name) != (kind, name):
-        raise _refusal(
+        raise _request_error(
             f"the record is not {kind}/{name} as the path says", field="name"
         )
     return ops.AmendRecord(
@@ -238,18 +238,18 @@
     )
 
 
-def _cancel(request: Request) -> ops.OperatorCall:
+def _cancel(request: RoutedRequest) -> ops.OperatorCall:
     return ops.CancelJob(
-        call_id=request.call_id, author=request.author, job=request.parts[0]
+        call_id=request.call_id, author=request.author, job=request.path_variables[0]
     )
 
 
 def _change_domain(state: DomainState) -> Parser:
-    def parser(request: Request) -> ops.OperatorCall:
+    def parser(request: RoutedRequest) -> ops.OperatorCall:
         return ops.ChangeDomain(
             call_id=request.call_id,
             author=request.author,
-            failure_domain=request.parts[0],
+            failure_domain=request.path_variables[0],
             state=state,
             expected_revision=_expected_revision(request.query),
         )
@@ -257,10 +257,10 @@
     return parser
 
 
-def _status(request: Request) -> ops.OperatorCall:
+def _status(request: RoutedRequest) -> ops.OperatorCall:
     unknown = [key for key in request.query if key != "job"]
     if unknown:
-        raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
+        raise _request_error("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     return ops.AskStatus(
         call_id=request.call_id,
         author=request.author,
@@ -268,8 +268,8 @@
     )
 
 
-def _explain(request: Request) -> ops.OperatorCall:
-    job, index = request.parts
+def _explain(request: RoutedRequest) -> ops.OperatorCall:
+    job, index = request.path_variables
     return ops.AskExplain(
         call_id=request.call_id,
         author=request.author,
@@ -277,11 +277,11 @@
     )
 
 
-def _in_force(request: Request) -> ops.OperatorCall:
+def _in_force(request: RoutedRequest) -> ops.OperatorCall:
     return ops.AskInForce(
         call_id=request.call_id,
         author=request.author,
-        revision=_number(request.parts[0], "revision"),
+        revision=_number(request.path_variables[0], "revision"),
         wait_s=_wait_s(request.query),
     )
 
@@ -289,10 +289,10 @@
 def _wait_s(query: Mapping[str, str]) -> float:
     unknown = [key for key in query if key != "wait_s"]
     if unknown:
-        raise _refusal("unknown query key", Code.UNKNOWN_KEY, unknown[0])
+        raise _request_error("unknown query key", Code.UNKNOWN_KEY, unknown[0])
     text = query.get("wait_s", "0")
     if re.fullmatch(SECONDS_PATTERN, text) is None:
-        raise _refusal("must be a number of seconds", field="wait_s")
+        raise _request_error("must be a number of seconds", field="wait_s")
     return min(float(text), MAX_IN_FORCE_WAIT_S)
 
 
--- a/bulrushpulley/wire/record_forms.py
+++ b/bulrushpulley/wire/record_forms.py
@@ -24,7 +24,7 @@
 from bulrushpulley.wire.validation import Length, Range, Text
 
 MB_PER_GB = 1_024
-MILLI = 1_000
+MILLI_PER_UNIT = 1_000
 
 Name = Annotated[str, Text(pattern="[a-z0-9]([a-z0-9.-]*[a-z0-9])?", max_characters=63)]
 Names = Annotated[tuple[Name, ...], Length(max_items=64)]
@@ -160,7 +160,7 @@
 
 def _resources_from_units(processors: float, memory_gb: float) -> Resources:
     return Resources(
-        processors_m=max(1, round(processors * MILLI)),
+        processors_m=max(1, round(processors * MILLI_PER_UNIT)),
         memory_mb=max(1, round(memory_gb * MB_PER_GB)),
     )
 
@@ -179,7 +179,7 @@
         replicas=form.executors,
         size=_resources_from_units(form.processors, form.memory_gb),
         failure_domains=form.failure_domains,
-        deadline_ms=max(1, round(form.deadline_s * MILLI)),
+        deadline_ms=max(1, round(form.deadline_s * MILLI_PER_UNIT)),
     )
 
 
--- a/bulrushpulley/wire/rows.py
+++ b/bulrushpulley/wire/rows.py
@@ -38,7 +38,7 @@
 )
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 
-DECODE_STEP = "rows.decode"
+STEP = "rows.decode"
 
 T = TypeVar("T")
 
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _RecordForm:
+class _RecordEnvelope:
     kind: str
     schema_version: int
     record: msgspec.Raw
@@ -67,8 +67,8 @@
     revision: int
 
 
-def _decoder(form: type[T]) -> Callable[[bytes | msgspec.Raw], T]:
-    return msgspec.json.Decoder(form).decode
+def _decoder(cls: type[T]) -> Callable[[bytes | msgspec.Raw], T]:
+    return msgspec.json.Decoder(cls).decode
 
 
 RECORD_DECODER_BY_KIND: Mapping[str, Callable[[msgspec.Raw], Record]] = {
@@ -79,7 +79,7 @@
     "cell": _decoder(CellRecord),
 }
 
-KIND_BY_CLASS: Mapping[type[Any], str] = {
+KIND_BY_ROW_CLASS: Mapping[type[Any], str] = {
     RecordRow: "record",
     RevisionRow: "revision",
     BacklogRow: "backlog",
@@ -91,19 +91,19 @@
 }
 
 _decode_envelope = _decoder(_Envelope)
-_decode_record_form = _decoder(_RecordForm)
+_decode_record_envelope = _decoder(_RecordEnvelope)
 
 
 def _decode_record_row(data: msgspec.Raw) -> RecordRow:
-    form = _decode_record_form(data)
-    if form.kind not in RECORD_DECODER_BY_KIND:
-        raise _malformed(f"unknown kind of record {form.kind!r}")
+    envelope = _decode_record_envelope(data)
+    if envelope.kind not in RECORD_DECODER_BY_KIND:
+        raise _malformed(f"unknown kind of record {envelope.kind!r}")
     return RecordRow(
-        kind=form.kind,
-        schema_version=form.schema_version,
-        record=RECORD_DECODER_BY_KIND[form.kind](form.record),
-        author=form.author,
-        revision=form.revision,
+        kind=envelope.kind,
+        schema_version=envelope.schema_version,
+        record=RECORD_DECODER_BY_KIND[envelope.kind](envelope.record),
+        author=envelope.author,
+        revision=envelope.revision,
     )
 
 
@@ -120,15 +120,13 @@
 
 
 def _malformed(detail: str) -> BulrushpulleyError:
-    problem = Problem(
-        code=Code.INVALID, step=DECODE_STEP, peer="table service", detail=detail
-    )
+    problem = Problem(code=Code.INVALID, step=STEP, peer="table service", detail=detail)
     return BulrushpulleyError(problem=problem)
 
 
 def encode_row(row: DurableRow, token: str) -> bytes:
     """Encode a row together with the token of the submission that writes it."""
-    kind = KIND_BY_CLASS[type(row)]
+    kind = KIND_BY_ROW_CLASS[type(row)]
     raw = msgspec.Raw(msgspec.json.encode(row))
     return msgspec.json.encode(_Envelope(token=token, kind=kind, row=raw))
 
--- a/test/test_link_codec.py
+++ b/test/test_link_codec.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem, Ran
 from bulrushpulley.wire import link_pb2 as pb
-from bulrushpulley.wire.link_codec import _DECODERS, decode_item, encode_item
+from bulrushpulley.wire.link_codec import _DECODER_BY_NAME, decode_item, encode_item
 
 PEER = "agent-1-abc"
 SIZE = Resources(processors_m=1_500, memory_mb=-3, accelerators=2)
@@ -134,7 +134,7 @@
     def test_every_field_of_the_protocol_has_a_case_and_a_decoder(self) -> None:
         names = {field.name for field in pb.Item.DESCRIPTOR.fields}
         self.assertEqual(names, set(ITEMS))
-        self.assertEqual(names, set(_DECODERS))
+        self.assertEqual(names, set(_DECODER_BY_NAME))
 
     def test_an_item_of_a_newer_version_is_ignored(self) -> None:
         newer = pb.Item.FromString(b"\xfa\x01\x02\x08\x01")
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -30,7 +30,7 @@
 )
 from bulrushpulley.errors import BulrushpulleyError
 from bulrushpulley.wire.rows import (
-    KIND_BY_CLASS,
+    KIND_BY_ROW_CLASS,
     RECORD_DECODER_BY_KIND,
     DecodedRow,
     decode_row,
@@ -84,7 +84,7 @@
         for row in rows:
             decoded = decode_row(encode_row(row, "a/1/7"))
             self.assertEqual(DecodedRow(row=row, token="a/1/7"), decoded)
-        self.assertEqual(set(KIND_BY_CLASS), {type(row) for row in rows})
+        self.assertEqual(set(KIND_BY_ROW_CLASS), {type(row) for row in rows})
         self.assertEqual(set(RECORD_DECODER_BY_KIND), set(RECORDS))
 
     def test_malformed_data_is_refused_with_step_and_peer(self) -> None:
