--- a/test/runner.py
+++ b/test/runner.py
@@ -27,14 +27,14 @@
     """Counts successes and reports slow tests."""
 
     passed = 0
-    started = 0.0
+    started_at = 0.0
 
     def startTest(self, test: unittest.TestCase) -> None:
-        self.started = time.monotonic()
+        self.started_at = time.monotonic()
         super().startTest(test)
 
     def stopTest(self, test: unittest.TestCase) -> None:
-        duration_s = time.monotonic() - self.started
+        duration_s = time.monotonic() - self.started_at
         if duration_s > SLOW_TEST_S:
             print(f"slow: {test.id()} {duration_s:.1f} s", file=sys.stderr)
         super().stopTest(test)
@@ -44,13 +44,15 @@
         super().addSuccess(test)
 
 
-def select_tests(suite: unittest.TestSuite, parts: list[str]) -> unittest.TestSuite:
-    """Return the tests whose id contains one of `parts`, or all if there are none."""
+def select_tests(
+    suite: unittest.TestSuite, substrings: list[str]
+) -> unittest.TestSuite:
+    """Return the tests whose id contains one of `substrings`; all if none are given."""
     chosen = unittest.TestSuite()
     for item in suite:
         if isinstance(item, unittest.TestSuite):
-            chosen.addTests(select_tests(item, parts))
-        elif not parts or any(part in item.id() for part in parts):
+            chosen.addTests(select_tests(item, substrings))
+        elif not substrings or any(substring in item.id() for substring in substrings):
             chosen.addTest(item)
     return chosen
 
--- a/test/test_packed.py
+++ b/test/test_compression.py
@@ -20,7 +20,7 @@
 ROW = ProgressRow(job_id="5c0e7a21d94b36f8", state=JobState.RUNNING, tasks=TASKS)
 
 
-class PackedTest(testtools.TestCase):
+class CompressionTest(testtools.TestCase):
     def test_small_data_is_not_compressed(self) -> None:
         data = b"\x82" + bytes(MIN_BYTES_TO_COMPRESS - 2)
         self.assertEqual(data, compress(data))
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -151,17 +151,17 @@
         self.patch(http_server, "REQUEST_READ_TIMEOUT_S", 0.4)
         port = self.serve_callers(threads=1).port
         with socket.create_connection((HOST, port), timeout=5.0) as sock:
-            started = time.monotonic()
+            started_at = time.monotonic()
             status = b""
             sock.settimeout(0.1)
-            while not status and time.monotonic() - started < 4.0:
+            while not status and time.monotonic() - started_at < 4.0:
                 sock.sendall(b"P")
                 try:
                     status = sock.recv(12)
                 except TimeoutError:
                     status = b""
         self.assertEqual(b"HTTP/1.1 408", status)
-        self.assertTrue(time.monotonic() - started < 2.0)
+        self.assertTrue(time.monotonic() - started_at < 2.0)
 
     def send(self, port: int, data: bytes) -> socket.socket:
         """Open a connection, send a request on it and leave it open."""
@@ -186,10 +186,10 @@
         self.wait_until_received()
         connections += [self.send(callers.port, data) for _ in range(5)]
         threading.Event().wait(0.2)
-        started = time.monotonic()
+        started_at = time.monotonic()
         url = f"http://{HOST}:{operators.port}"
         self.assertEqual(200, urllib3.request("GET", url + "/healthz").status)
         self.assertEqual(b"a 1\n", urllib3.request("GET", url + "/metrics").data)
-        self.assertTrue(time.monotonic() - started < 0.5)
+        self.assertTrue(time.monotonic() - started_at < 0.5)
         answers = [sock.recv(12) for sock in connections]
         self.assertEqual(3, answers.count(b"HTTP/1.1 503"), str(answers))
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -26,7 +26,7 @@
 from bulrushpulley.wire.tls import client_context, server_context
 
 HOST = "127.0.0.1"
-TLS = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
+TLS_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
 LINK_EVENT_TIMEOUT_S = 4.0
 
 
@@ -58,9 +58,9 @@
 
 def tls_settings(owner: str) -> TlsSettings:
     return TlsSettings(
-        certificate=str(TLS / f"{owner}-certificate.pem"),
-        key=str(TLS / f"{owner}-key.pem"),
-        ca=str(TLS / "ours-ca.pem"),
+        certificate=str(TLS_DIRECTORY / f"{owner}-certificate.pem"),
+        key=str(TLS_DIRECTORY / f"{owner}-key.pem"),
+        ca=str(TLS_DIRECTORY / "ours-ca.pem"),
     )
 
 
