Correct and complete texts of the wire modules and their tests

The head of the package said that it only encodes, but it also holds the links and the HTTP server. An idle link was said to end without a frame from either side; only received frames and slow sends count. Reasons without a text were the margin after a call's deadline, the 503 and 504 of refusals, the text of the read timeout that cheroot compares, the size that a frame may exceed, the overhead counted for a frame, which wait the hello timeout of a dialler limits, and why a run of tests in which none passes fails.

--- a/bulrushpulley/wire/__init__.py
+++ b/bulrushpulley/wire/__init__.py
@@ -1,1 +1,4 @@
-"""Encoding only: protobuf between processes, JSON for callers and operators."""
+"""Links between processes, HTTP for callers and operators, and the encoding of rows.
+
+These modules encode, decode and transport; the decisions are made in `systems`.
+"""
--- a/bulrushpulley/wire/caller_http.py
+++ b/bulrushpulley/wire/caller_http.py
@@ -36,11 +36,14 @@
 STEP = "call.parse"
 DEFAULT_CALL_TIMEOUT_S = 5.0
 MAX_CALL_TIMEOUT_S = 60.0
+# The router answers at the deadline at the latest, and only its refusal can say
+# whether the request ran, so the front waits a little longer for it.
 CALL_TIMEOUT_MARGIN_S = 0.5
 MAX_KEY_CHARACTERS = 200
 _SERVICE_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 _KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
 _BOOL_BY_TEXT = {"true": True, "false": False}
+# Any other refusal gets 503 if the request did not run, and 504 if it may have run.
 _CALLER_ERROR_STATUSES = frozenset({400, 404, 413})
 
 
--- a/bulrushpulley/wire/compression.py
+++ b/bulrushpulley/wire/compression.py
@@ -1,8 +1,9 @@
 """Compresses large messages and rows; small ones are left uncompressed.
 
 Both are MessagePack maps or arrays, whose first byte is never `COMPRESSED_PREFIX`, so
-a reader can recognise compressed data. Links of entries and of the store have little
-bandwidth, and rows and orders of many similar tasks shrink to a quarter.
+a reader can recognise compressed data. The network connections of entries and of the
+store have little bandwidth, and rows and orders of many similar tasks shrink to a
+quarter.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -99,7 +99,10 @@
 
 
 def problems_in(error: BaseException) -> tuple[Problem, ...]:
-    """Return the problems that an error or a group of errors carries."""
+    """Return the problems that an error or a group of errors carries.
+
+    An error without a problem gives one with the code `UNAVAILABLE`.
+    """
     if isinstance(error, BaseExceptionGroup):
         return tuple(found for part in error.exceptions for found in problems_in(part))
     problem = getattr(error, "problem", None)
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -60,6 +60,7 @@
         """Read what has arrived, or fail when the deadline has passed."""
         remaining_s = self.deadline - time.monotonic()
         if remaining_s <= 0:
+            # cheroot answers 408 only to an error with exactly this text.
             raise TimeoutError("timed out")
         self._sock.settimeout(remaining_s)  # type: ignore[attr-defined]
         try:
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -32,12 +32,15 @@
 
 
 def encode_job_item(item: items.JobItem) -> bytes:
-    """Encode an item, preceded by the name of its class."""
+    """Encode an item, preceded by the name of its class; compress it if it is large."""
     return compress(msgspec.msgpack.encode((type(item).__name__, item)))
 
 
 def decode_job_item(data: bytes, peer: str) -> items.JobItem | None:
-    """Decode an item that `peer` sent; None if its class is unknown."""
+    """Decode an item that `peer` sent; None if its class is unknown.
+
+    Raises `BulrushpulleyError` if the data is malformed.
+    """
     try:
         plain = decompress(data)
         name, body = msgspec.msgpack.decode(plain, type=tuple[str, msgspec.Raw])
--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -24,7 +24,11 @@
 
 
 class Dialler:
-    """Opens streams to peers; the hooks receive `DialLinked` and `DialEnded`."""
+    """Opens streams to peers; the hooks receive `DialLinked` and `DialEnded`.
+
+    `hello_timeout_s` limits connecting and sending the hello. `HELLO_TIMEOUT_S` then
+    limits the wait for the hello of the peer.
+    """
 
     def __init__(
         self,
--- a/bulrushpulley/wire/link_stream.py
+++ b/bulrushpulley/wire/link_stream.py
@@ -27,8 +27,10 @@
 SILENCE_TIMEOUT_S = 5.0
 MAX_QUEUED_ITEMS = 16_384
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
+# No item is added to a frame of this size; the last one may make it larger.
 MAX_FRAME_BYTES = 256 * 1024
 HELLO_TIMEOUT_S = 5.0
+# The prefix of a gRPC message (5 bytes) and the header of an HTTP/2 frame (9 bytes).
 FRAME_OVERHEAD_BYTES = 14
 
 
@@ -38,9 +40,9 @@
 
     `receive` gets each decoded item and the `LinkUp` and `LinkDown` of each
     stream; `count` gets the byte counters; `report` gets the reason why a stream was
-    closed. All are called on the event loop and must not block. An idle link sends an
-    empty frame every `heartbeat_interval_s` and is closed after `silence_timeout_s`
-    without one.
+    closed. All are called on the event loop and must not block. When nothing is queued
+    for `heartbeat_interval_s`, an empty frame is sent. A link is closed when no frame
+    was received, or sending one did not finish, within `silence_timeout_s`.
     """
 
     incarnation: str
@@ -60,7 +62,7 @@
 
 @singledispatch
 def stream_problem(error: Exception, peer: str) -> Problem:
-    """Return the problem that ended a stream."""
+    """Return the problem that describes the error with which a stream ended."""
     detail = f"{type(error).__name__}: {error}"
     return Problem(code=Code.UNAVAILABLE, step="link.stream", peer=peer, detail=detail)
 
@@ -77,7 +79,10 @@
 
 
 async def receive_hello(stream: Any, peer: str) -> Frame:
-    """Receive the first frame of the other side, which names the peer."""
+    """Receive the first frame of the other side, which names its process.
+
+    `peer` describes the other side in an error.
+    """
     async with asyncio.timeout(HELLO_TIMEOUT_S):
         frame = await stream.recv_message()
     if frame is None or not frame.peer:
@@ -193,6 +198,7 @@
                 self._flushed.set()
 
     async def _wait_for_items(self) -> None:
+        """Wait until an item is queued or the next heartbeat is due."""
         if self._queue:
             return
         self._wake.clear()
--- a/bulrushpulley/wire/links.py
+++ b/bulrushpulley/wire/links.py
@@ -12,7 +12,7 @@
 
 
 class Links:
-    """The streams by peer; a newer stream of a peer replaces the older one.
+    """The open streams, one for each peer; a newer stream replaces an older one.
 
     `send` may be called from any thread. Everything else runs on the event loop.
     An item for a peer without a stream is dropped, like items queued on a stream
--- a/bulrushpulley/wire/operator_http.py
+++ b/bulrushpulley/wire/operator_http.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutedRequest:
-    """A request whose path matched a route; `path_variables` are the route's groups."""
+    """A request whose path matched a route, with the variables in the path."""
 
     path_variables: tuple[str, ...]
     query: Mapping[str, str]
@@ -107,7 +107,10 @@
 
 @singledispatch
 def problems_of(error: BaseException) -> tuple[Problem, ...]:
-    """Return the problems that an error or a group of errors carries."""
+    """Return the problems that an error or a group of errors carries.
+
+    An error without a problem gives one with the code `INVALID`.
+    """
     problem = Problem(code=Code.INVALID, step=STEP, peer="self", detail=repr(error))
     return (problem,)
 
--- a/bulrushpulley/wire/records.py
+++ b/bulrushpulley/wire/records.py
@@ -1,4 +1,4 @@
-"""Parses operators' records from decoded JSON, and converts them back to it.
+"""Parses operators' records from decoded JSON, and converts data classes for JSON.
 
 A record names its kind and schema version; `FORMS` holds the typed form of each
 pair. Several versions of a kind are supported side by side: each form is validated
--- a/test/runner.py
+++ b/test/runner.py
@@ -58,7 +58,10 @@
 
 
 def main() -> int:
-    """Run the selected tests and return the exit code."""
+    """Run the selected tests and return the exit code.
+
+    A run in which no test passes fails, so that a wrong selection is noticed.
+    """
     found = unittest.TestLoader().discover(str(ROOT / "test"), top_level_dir=str(ROOT))
     suite = select_tests(found, sys.argv[1:])
     runner = unittest.TextTestRunner(resultclass=Result, verbosity=1)  # type: ignore[arg-type]
--- a/test/test_http_front.py
+++ b/test/test_http_front.py
@@ -99,6 +99,7 @@
         return self.serve(front.handle, threads)
 
     def exchange(self, port: int, data: bytes) -> tuple[int, dict[str, str]]:
+        """Send raw bytes and return the status and the JSON body of the answer."""
         with socket.create_connection((HOST, port), timeout=5.0) as sock:
             sock.sendall(data)
             sock.shutdown(socket.SHUT_WR)
@@ -191,5 +192,6 @@
         self.assertEqual(200, urllib3.request("GET", url + "/healthz").status)
         self.assertEqual(b"a 1\n", urllib3.request("GET", url + "/metrics").data)
         self.assertTrue(time.monotonic() - started_at < 0.5)
+        # Of the six calls, one is handled, two are queued and three are refused.
         answers = [sock.recv(12) for sock in connections]
         self.assertEqual(3, answers.count(b"HTTP/1.1 503"), str(answers))
--- a/test/test_link_codec.py
+++ b/test/test_link_codec.py
@@ -111,11 +111,11 @@
 MALFORMED: dict[str, pb.Item] = {
     "unknown outcome": pb.Item(refused=pb.Refused(ran="perhaps")),
     "unknown code": pb.Item(refused=pb.Refused(ran="no", problem=pb.Problem(code="?"))),
-    "row is no JSON": pb.Item(
+    "row is not JSON": pb.Item(
         assigned=pb.Assigned(rows=[pb.VersionedRow(key="k", row=b"{")])
     ),
-    "job item of another shape": pb.Item(job_item=b"\x92\xa5Adopt\x01"),
-    "job item that is no message": pb.Item(job_item=b"\xc1"),
+    "job item whose body is not a map": pb.Item(job_item=b"\x92\xa5Adopt\x01"),
+    "job item that is not MessagePack": pb.Item(job_item=b"\xc1"),
     "row of unknown kind": pb.Item(
         submit=pb.Submission(
             writes=[pb.Write(key="k", row=b'{"token":"","kind":"x","row":{}}')]
@@ -137,6 +137,7 @@
         self.assertEqual(names, set(_DECODER_BY_NAME))
 
     def test_an_item_of_a_newer_version_is_ignored(self) -> None:
+        # Sets field 31, which `Item` does not have.
         newer = pb.Item.FromString(b"\xfa\x01\x02\x08\x01")
         self.assertIsNone(decode_item(newer, PEER))
 
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -78,6 +78,7 @@
 
 
 async def dial(agent: End, server: LinkServer) -> Dialler:
+    """Start a link; the caller keeps the dialler, which refers to the link's task."""
     dialler = Dialler(links=agent.links, hooks=agent.hooks())
     dialler.dial(f"{HOST}:{server.port}")
     return dialler
@@ -90,6 +91,7 @@
 
 
 async def attach_raw(server: LinkServer, use: Callable[[Any], Awaitable[None]]) -> None:
+    """Open a stream that sends only what `use` sends on it after the hellos."""
     channel = Channel(HOST, server.port)
     try:
         async with LinkStub(channel).Attach.open() as stream:
