--- a/bulrushpulley/wire/http_message.py
+++ b/bulrushpulley/wire/http_message.py
@@ -45,7 +45,7 @@
     peer: str
 
     @property
-    def parts(self) -> tuple[str, ...]:
+    def path_segments(self) -> tuple[str, ...]:
         """The segments of the path."""
         return tuple(self.path.strip("/").split("/"))
 
@@ -99,7 +99,10 @@
 
 
 def problems_in(error: BaseException) -> tuple[Problem, ...]:
-    """Return the problems that an error or a group of errors carries."""
+    """Return the problems that an error or a group of errors carries.
+
+    An error without a problem gives one with the code `UNAVAILABLE`.
+    """
     if isinstance(error, BaseExceptionGroup):
         return tuple(found for part in error.exceptions for found in problems_in(part))
     problem = getattr(error, "problem", None)
--- a/bulrushpulley/wire/http_server.py
+++ b/bulrushpulley/wire/http_server.py
@@ -34,7 +34,7 @@
 REQUEST_READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60
 EXPIRATION_CHECK_INTERVAL_S = 0.5
-MAX_QUEUED_PER_THREAD = 2
+MAX_QUEUED_CONNECTIONS_PER_THREAD = 2
 MAX_KEEP_ALIVE_CONNECTIONS = 4_096
 HTTP_LISTEN_BACKLOG = 512
 
@@ -60,6 +60,7 @@
         """Read what has arrived, or fail when the deadline has passed."""
         remaining_s = self.deadline - time.monotonic()
         if remaining_s <= 0:
+            # cheroot answers 408 only to an error with exactly this text.
             raise TimeoutError("timed out")
         self._sock.settimeout(remaining_s)  # type: ignore[attr-defined]
         try:
@@ -198,7 +199,7 @@
             max=threads,
             request_queue_size=HTTP_LISTEN_BACKLOG,
             timeout=IDLE_TIMEOUT_S,
-            accepted_queue_size=threads * MAX_QUEUED_PER_THREAD,
+            accepted_queue_size=threads * MAX_QUEUED_CONNECTIONS_PER_THREAD,
             accepted_queue_timeout=0,
         )
         server.ConnectionClass = _connection
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -26,7 +26,7 @@
 from bulrushpulley.wire.tls import client_context, server_context
 
 HOST = "127.0.0.1"
-TLS = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
+TLS_DIRECTORY = pathlib.Path(__file__).resolve().parent.parent / "test-data" / "tls"
 LINK_EVENT_TIMEOUT_S = 4.0
 
 
@@ -58,9 +58,9 @@
 
 def tls_settings(owner: str) -> TlsSettings:
     return TlsSettings(
-        certificate=str(TLS / f"{owner}-certificate.pem"),
-        key=str(TLS / f"{owner}-key.pem"),
-        ca=str(TLS / "ours-ca.pem"),
+        certificate=str(TLS_DIRECTORY / f"{owner}-certificate.pem"),
+        key=str(TLS_DIRECTORY / f"{owner}-key.pem"),
+        ca=str(TLS_DIRECTORY / "ours-ca.pem"),
     )
 
 
@@ -78,6 +78,7 @@
 
 
 async def dial(agent: End, server: LinkServer) -> Dialler:
+    """Start a link; the caller keeps the dialler, which refers to the link's task."""
     dialler = Dialler(links=agent.links, hooks=agent.hooks())
     dialler.dial(f"{HOST}:{server.port}")
     return dialler
@@ -90,6 +91,7 @@
 
 
 async def attach_raw(server: LinkServer, use: Callable[[Any], Awaitable[None]]) -> None:
+    """Open a stream that sends only what `use` sends on it after the hellos."""
     channel = Channel(HOST, server.port)
     try:
         async with LinkStub(channel).Attach.open() as stream:
