Name the attempts, the due time and the id prefix of the load generator

The load generator had tries beside the attempts of its texts, a parameter started for the time at which a call is due, a name that is only the prefix of the request ids, and a share that is a fraction from 0 to 1. The flags keep their names. Vague locals are named for what they hold.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -91,15 +91,15 @@
         entries=layout.caller_urls,
         service=service,
         within_s=CALL_TIMEOUT_S,
-        max_tries=3,
+        max_attempts=3,
         body_bytes=200,
     )
     calls = plan(
         rate=REQUEST_COUNT / seconds,
         seconds=seconds * PLAN_MARGIN,
-        repeatable_share=REPEATABLE_FRACTION,
+        repeatable_fraction=REPEATABLE_FRACTION,
         seed=FLAGS.seed,
-        name="demo",
+        id_prefix="demo",
     )
     ended = make_calls(Caller(target=target), calls[:REQUEST_COUNT], CALL_THREADS)
     return tally(ended, count_runs(layout.backend_urls))
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -47,7 +47,7 @@
     entries: tuple[str, ...]
     service: str
     within_s: float
-    max_tries: int
+    max_attempts: int
     body_bytes: int
 
 
@@ -60,27 +60,27 @@
             num_pools=len(target.entries), maxsize=MAX_CONNECTIONS, retries=False
         )
 
-    def make(self, call: PlannedCall, number: int, started: float) -> EndedCall:
-        """Make a call that was due at `started`, with its retries."""
-        deadline = started + self._target.within_s
+    def make(self, call: PlannedCall, number: int, due: float) -> EndedCall:
+        """Make a call that was due at `due`, with its retries."""
+        deadline = due + self._target.within_s
         body = call.request_id.encode().ljust(self._target.body_bytes, b".")
         outcomes: list[Outcome] = []
-        for attempt in range(self._target.max_tries):
+        for attempt in range(self._target.max_attempts):
             entry = self._target.entries[(number + attempt) % len(self._target.entries)]
-            outcomes.append(self._try(entry, call, body, deadline))
-            left_s = deadline - time.monotonic() - CALL_RETRY_DELAY_S
-            if outcomes[-1] not in RETRYABLE_OUTCOMES or left_s <= 0:
+            outcomes.append(self._attempt(entry, call, body, deadline))
+            remaining_s = deadline - time.monotonic() - CALL_RETRY_DELAY_S
+            if outcomes[-1] not in RETRYABLE_OUTCOMES or remaining_s <= 0:
                 break
             threading.Event().wait(CALL_RETRY_DELAY_S)
         return EndedCall(
             call=call,
             outcome=outcomes[-1],
-            latency_s=time.monotonic() - started,
-            tries=len(outcomes),
+            latency_s=time.monotonic() - due,
+            attempts=len(outcomes),
             known_not_run=set(outcomes) == {Outcome.REFUSED},
         )
 
-    def _try(
+    def _attempt(
         self, entry: str, call: PlannedCall, body: bytes, deadline: float
     ) -> Outcome:
         within_s = max(0.001, deadline - time.monotonic())
@@ -141,18 +141,18 @@
         entries=tuple(url.rstrip("/") for url in FLAGS.entries),
         service=FLAGS.service,
         within_s=FLAGS.within_s,
-        max_tries=FLAGS.max_tries,
+        max_attempts=FLAGS.max_tries,
         body_bytes=FLAGS.body_bytes,
     )
     calls = plan(
         rate=FLAGS.rate,
         seconds=FLAGS.seconds,
-        repeatable_share=FLAGS.repeatable_share,
+        repeatable_fraction=FLAGS.repeatable_share,
         seed=FLAGS.seed,
-        name=FLAGS.id_prefix,
+        id_prefix=FLAGS.id_prefix,
     )
-    ended = make_calls(Caller(target=target), calls, FLAGS.threads)
-    report = tally(ended, count_runs(FLAGS.backend_servers))
+    ended_calls = make_calls(Caller(target=target), calls, FLAGS.threads)
+    report = tally(ended_calls, count_runs(FLAGS.backend_servers))
     print(
         msgspec.json.encode(report).decode() if FLAGS.json else format_report(report),
         flush=True,
--- a/standins/caller_core.py
+++ b/standins/caller_core.py
@@ -44,7 +44,7 @@
     call: PlannedCall
     outcome: Outcome
     latency_s: float
-    tries: int
+    attempts: int
     known_not_run: bool
 
 
@@ -72,30 +72,37 @@
 
 
 def plan(
-    *, rate: float, seconds: float, repeatable_share: float, seed: int, name: str
+    *,
+    rate: float,
+    seconds: float,
+    repeatable_fraction: float,
+    seed: int,
+    id_prefix: str,
 ) -> tuple[PlannedCall, ...]:
-    """Return open-loop arrivals at `rate` a second; ids begin with `name`."""
+    """Return open-loop arrivals at `rate` a second; ids begin with `id_prefix`."""
     rng = random.Random(seed)
     calls: list[PlannedCall] = []
     at_s = rng.expovariate(rate)
     while at_s < seconds:
         call = PlannedCall(
             at_s=at_s,
-            request_id=f"{name}-{len(calls)}",
-            repeatable=rng.random() < repeatable_share,
+            request_id=f"{id_prefix}-{len(calls)}",
+            repeatable=rng.random() < repeatable_fraction,
         )
         calls.append(call)
         at_s += rng.expovariate(rate)
     return tuple(calls)
 
 
-def outcome_of(status: int, body: bytes, call: PlannedCall, sent: bytes) -> Outcome:
+def outcome_of(
+    status: int, body: bytes, call: PlannedCall, sent_body: bytes
+) -> Outcome:
     """Classify one reply of an entry."""
     if status == 200:
-        own = body.endswith(b"\n" + sent) and (
+        is_own_answer = body.endswith(b"\n" + sent_body) and (
             call.repeatable or body.startswith(call.request_id.encode() + b"\n")
         )
-        return Outcome.SERVED if own else Outcome.WRONG
+        return Outcome.SERVED if is_own_answer else Outcome.WRONG
     ran = ran_field(body)
     if ran == "no":
         return Outcome.INVALID if status in (400, 404, 413) else Outcome.REFUSED
@@ -111,14 +118,16 @@
     return str(value.get("ran", "")) if isinstance(value, dict) else ""
 
 
-def tally(ended: Iterable[EndedCall], run_count_by_id: Mapping[str, int]) -> Report:
+def tally(
+    ended_calls: Iterable[EndedCall], run_count_by_id: Mapping[str, int]
+) -> Report:
     """Count the outcomes and compare them with the runs on the backend servers."""
-    calls = list(ended)
-    count_by_outcome = Counter(item.outcome for item in calls)
+    calls = list(ended_calls)
+    count_by_outcome = Counter(ended_call.outcome for ended_call in calls)
     histogram = HdrHistogram(1, HISTOGRAM_MAX_US, HISTOGRAM_DIGITS)
-    for item in calls:
-        if item.outcome is Outcome.SERVED:
-            histogram.record_value(int(item.latency_s * 1e6))
+    for ended_call in calls:
+        if ended_call.outcome is Outcome.SERVED:
+            histogram.record_value(int(ended_call.latency_s * 1e6))
     return Report(
         calls=len(calls),
         served=count_by_outcome[Outcome.SERVED],
@@ -126,27 +135,29 @@
         refused=count_by_outcome[Outcome.REFUSED],
         unknown=count_by_outcome[Outcome.UNKNOWN],
         invalid=count_by_outcome[Outcome.INVALID],
-        doubled=sum(is_doubled(item, run_count_by_id) for item in calls),
-        false_refusals=sum(is_false_refusal(item, run_count_by_id) for item in calls),
-        lost=sum(is_lost(item, run_count_by_id) for item in calls),
-        retries=sum(item.tries - 1 for item in calls),
+        doubled=sum(is_doubled(ended_call, run_count_by_id) for ended_call in calls),
+        false_refusals=sum(
+            is_false_refusal(ended_call, run_count_by_id) for ended_call in calls
+        ),
+        lost=sum(is_lost(ended_call, run_count_by_id) for ended_call in calls),
+        retries=sum(ended_call.attempts - 1 for ended_call in calls),
         p50_ms=histogram.get_value_at_percentile(50) / 1e3,
         p99_ms=histogram.get_value_at_percentile(99) / 1e3,
     )
 
 
-def is_doubled(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
+def is_doubled(ended_call: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
     """Return whether an unrepeatable call ran more than once."""
-    count = run_count_by_id.get(item.call.request_id, 0)
-    return not item.call.repeatable and count > 1
+    count = run_count_by_id.get(ended_call.call.request_id, 0)
+    return not ended_call.call.repeatable and count > 1
 
 
-def is_false_refusal(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
+def is_false_refusal(ended_call: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
     """Return whether a call ran although every attempt was refused as not run."""
-    return item.known_not_run and item.call.request_id in run_count_by_id
+    return ended_call.known_not_run and ended_call.call.request_id in run_count_by_id
 
 
-def is_lost(item: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
+def is_lost(ended_call: EndedCall, run_count_by_id: Mapping[str, int]) -> bool:
     """Return whether a call with an unknown outcome never ran."""
-    unknown = item.outcome is Outcome.UNKNOWN
-    return unknown and item.call.request_id not in run_count_by_id
+    unknown = ended_call.outcome is Outcome.UNKNOWN
+    return unknown and ended_call.call.request_id not in run_count_by_id
--- a/test/test_guard_backend_server.py
+++ b/test/test_guard_backend_server.py
@@ -117,8 +117,12 @@
     def test_equal_seeds_give_equal_plans_and_unreachable_entries_unknown_outcomes(
         self,
     ) -> None:
-        calls = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
-        repeated = plan(rate=50, seconds=0.2, repeatable_share=0.5, seed=3, name="t")
+        calls = plan(
+            rate=50, seconds=0.2, repeatable_fraction=0.5, seed=3, id_prefix="t"
+        )
+        repeated = plan(
+            rate=50, seconds=0.2, repeatable_fraction=0.5, seed=3, id_prefix="t"
+        )
         self.assertEqual(calls, repeated)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
@@ -126,7 +130,7 @@
             entries=(f"http://127.0.0.1:{port}",),
             service="s",
             within_s=0.1,
-            max_tries=2,
+            max_attempts=2,
             body_bytes=10,
         )
         report = tally(make_calls(Caller(target=target), calls, 8), {"t-0": 2})
@@ -134,7 +138,7 @@
         self.assertEqual(len(calls) - 1, report.lost)
 
     def test_an_answer_is_classified_by_status_and_body(self) -> None:
-        call = plan(rate=9, seconds=9, repeatable_share=0, seed=1, name="t")[0]
+        call = plan(rate=9, seconds=9, repeatable_fraction=0, seed=1, id_prefix="t")[0]
         for status, body, expected in (
             (200, b"t-0\nsent", Outcome.SERVED),
             (200, b"t-1\nsent", Outcome.WRONG),
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -74,11 +74,15 @@
             entries=fleet.layout.caller_urls,
             service=SERVICE,
             within_s=6.0,
-            max_tries=20,
+            max_attempts=20,
             body_bytes=50,
         )
         calls = plan(
-            rate=30.0, seconds=seconds, repeatable_share=0.3, seed=7, name="load"
+            rate=30.0,
+            seconds=seconds,
+            repeatable_fraction=0.3,
+            seed=7,
+            id_prefix="load",
         )
         ended = make_calls(Caller(target=target), calls, 128)
         return tally(ended, count_runs(fleet.layout.backend_urls))
