Rename vague and misleading names of the stand-ins and body reader

A worker's total harm was called a load, an admission to a slot a run, and leave only began the draining of a server. The byte limit of a body now names its unit. The test of a deleted row does not watch the table, so its name no longer says so.

--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -53,7 +53,7 @@
                 body = read_body(
                     response,
                     deadline=deadline,
-                    limit=MAX_BACKEND_ANSWER_BYTES,
+                    max_bytes=MAX_BACKEND_ANSWER_BYTES,
                     step=RUN_STEP,
                     peer=self._url,
                 )
--- a/bulrushpulley/platform/http_body.py
+++ b/bulrushpulley/platform/http_body.py
@@ -17,12 +17,12 @@
     response: urllib3.BaseHTTPResponse,
     *,
     deadline: float,
-    limit: int,
+    max_bytes: int,
     step: str,
     peer: str,
     clock: Callable[[], float] = time.monotonic,
 ) -> bytes:
-    """Read a body of at most `limit` bytes to its end, before `deadline`.
+    """Read a body of at most `max_bytes` bytes to its end, before `deadline`.
 
     urllib3 raises an error if the body is shorter than its Content-Length. A body
     that ends only when the connection closes is an error, since it may be truncated.
@@ -35,8 +35,8 @@
     for chunk in response.stream(READ_CHUNK_BYTES):
         chunks.append(chunk)
         size += len(chunk)
-        if size > limit:
-            raise _error(Code.TOO_LARGE, step, peer, f"over {limit} bytes")
+        if size > max_bytes:
+            raise _error(Code.TOO_LARGE, step, peer, f"over {max_bytes} bytes")
         if clock() > deadline:
             raise _error(Code.DEADLINE, step, peer, "the body did not end in time")
     return b"".join(chunks)
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -236,7 +236,7 @@
         body = read_body(
             response,
             deadline=time.monotonic() + WORKER_CALL_TIMEOUT_S,
-            limit=MAX_REPORT_BYTES,
+            max_bytes=MAX_REPORT_BYTES,
             step=STEP,
             peer=command.worker_id,
         )
--- a/standins/backend_core.py
+++ b/standins/backend_core.py
@@ -25,22 +25,24 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Run:
+class Admission:
     """The state after one more run was admitted, and when that run ends."""
 
     state: BackendState
     ends_at: float
 
 
-def admit(state: BackendState, *, request_id: str, service_s: float, now: float) -> Run:
+def admit(
+    state: BackendState, *, request_id: str, service_s: float, now: float
+) -> Admission:
     """Assign a request to the slot that becomes free first."""
     free_at = list(state.free_at)
     ends_at = max(now, heapq.heappop(free_at)) + service_s
     heapq.heappush(free_at, ends_at)
     count = state.run_count_by_id.get(request_id, 0) + 1
-    after = replace(
+    next_state = replace(
         state,
         free_at=tuple(free_at),
         run_count_by_id=state.run_count_by_id.set(request_id, count),
     )
-    return Run(state=after, ends_at=ends_at)
+    return Admission(state=next_state, ends_at=ends_at)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -80,11 +80,11 @@
                 return refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, mode.value)
             service_s = self._rng.lognormvariate(self._mu, self._spread)
             service_s += self._faults.delay_at(now)
-            run = admit(
+            admission = admit(
                 self._state, request_id=request_id, service_s=service_s, now=now
             )
-            self._state = run.state
-        wait_until(run.ends_at, now)
+            self._state = admission.state
+        wait_until(admission.ends_at, now)
         body = request_id.encode() + b"\n" + request.body
         lost = mode is Mode.LOSE_ANSWERS
         return Response(status=http.HTTPStatus.OK, body=body, lost=lost)
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -125,8 +125,10 @@
         handler = self._handler_by_path.get(request.path)
         if handler is None:
             return refusal(http.HTTPStatus.NOT_FOUND, request.path)
-        named = request.header_by_name.get("HTTP_EXPECTED_INSTANCE", self.server_id)
-        if named != self.server_id:
+        expected_id = request.header_by_name.get(
+            "HTTP_EXPECTED_INSTANCE", self.server_id
+        )
+        if expected_id != self.server_id:
             return refusal(http.HTTPStatus.MISDIRECTED_REQUEST, "another instance")
         return handler(msgspec.json.decode(request.body))
 
@@ -136,7 +138,7 @@
             self._core.advance(now)
             return self._core.call(command, now)
 
-    def _common(self) -> dict[str, Any]:
+    def _common_fields(self) -> dict[str, Any]:
         return {
             "server_id": self.server_id,
             "address": "",
@@ -155,7 +157,7 @@
     def _poll(self, raw: dict[str, Any]) -> Response:
         until = self._clock() + raw.get("WaitMs", 0) / 1_000
         command = PollRuns(
-            **self._common(),
+            **self._common_fields(),
             noted=raw.get("LastSeen", 0),
             wait_ms=0,
             lease_until_ms=raw.get("DeadlineMs"),
@@ -189,7 +191,7 @@
             checkpoint=raw.get("Checkpoint", ""),
         )
         command = StartRun(
-            **self._common(), order=order, lease_until_ms=raw["DeadlineMs"]
+            **self._common_fields(), order=order, lease_until_ms=raw["DeadlineMs"]
         )
         event = self._call(command)
         if isinstance(event, StartDenied):
@@ -198,19 +200,19 @@
 
     def _stop(self, raw: dict[str, Any]) -> Response:
         run = RunRef(task_id=raw["Task"], run=raw["RunId"])
-        self._call(StopRun(**self._common(), run=run))
+        self._call(StopRun(**self._common_fields(), run=run))
         return self._answer({})
 
     def _pace(self, raw: dict[str, Any]) -> Response:
         run = RunRef(task_id=raw["Task"], run=raw["RunId"])
-        self._call(PaceRun(**self._common(), run=run, percent=raw["Percent"]))
+        self._call(PaceRun(**self._common_fields(), run=run, percent=raw["Percent"]))
         return self._answer({})
 
     def announcement(self) -> dict[str, Any]:
         """Return the body of the next announcement."""
         self._sequence += 1
         description = self._description
-        left_s = (
+        remaining_s = (
             DRAIN_TIME_S if self.leaving_at is None else self.leaving_at - self._clock()
         )
         return {
@@ -218,7 +220,7 @@
             "Addr": f"{HOST}:{description.port}",
             "Zone": description.failure_domain,
             "State": "ready" if self.leaving_at is None else "draining",
-            "RemainingMs": int(1_000 * max(0.0, left_s)),
+            "RemainingMs": int(1_000 * max(0.0, remaining_s)),
             "Capacity": {
                 "Cpu": description.capacity.processors_m,
                 "MemMb": description.capacity.memory_mb,
@@ -229,7 +231,7 @@
             "born": self.incarnation_started_at_ms,
         }
 
-    def leave(self) -> None:
+    def drain(self) -> None:
         """Announce the state "draining" from now on."""
         self.leaving_at = self._clock() + DRAIN_TIME_S
 
@@ -284,17 +286,17 @@
     )
     server = ExecutorServer(description=description)
 
-    def leave(signum: int, frame: FrameType | None) -> None:
-        server.leave()
+    def drain(signum: int, frame: FrameType | None) -> None:
+        server.drain()
 
-    signal.signal(signal.SIGUSR1, leave)
-    web = make_server(handle=server.handle, port=FLAGS.port)
+    signal.signal(signal.SIGUSR1, drain)
+    web_server = make_server(handle=server.handle, port=FLAGS.port)
     for target, arguments in (
         (_advance_regularly, (server,)),
-        (_send_heartbeats, (server, FLAGS.agent, web.stop)),
+        (_send_heartbeats, (server, FLAGS.agent, web_server.stop)),
     ):
         threading.Thread(target=target, args=arguments, daemon=True).start()
-    serve(web)
+    serve(web_server)
 
 
 if __name__ == "__main__":
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -201,8 +201,10 @@
         """Return the work done so far, in whole seconds, as text."""
         if not self.checkpoints:
             return ""
-        left_s = run.ends_at - now
-        worked_s = int(float(run.order.payload) - left_s) if _succeeds(run.order) else 0
+        remaining_s = run.ends_at - now
+        worked_s = (
+            int(float(run.order.payload) - remaining_s) if _succeeds(run.order) else 0
+        )
         return str(worked_s) if worked_s > 0 else run.order.checkpoint
 
     def _extend_lease(self, until_ms: int) -> None:
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -65,7 +65,7 @@
     return KEY_SEPARATOR.join((raw["Table"], raw.get("part", ""), raw["Key"]))
 
 
-def _row(stored: Stored) -> dict[str, Any]:
+def _row_body(stored: Stored) -> dict[str, Any]:
     table, part, key = stored.key.split(KEY_SEPARATOR)
     row: dict[str, Any] = {"Table": table, "part": part, "Key": key}
     if stored.value is None:
@@ -160,7 +160,7 @@
     def _commit_response(self, result: CommitResult) -> Response:
         if result.committed:
             return self._answer(http.HTTPStatus.OK, {"Ver": result.revision})
-        rows = [_row(stored) for stored in result.conflicting_rows]
+        rows = [_row_body(stored) for stored in result.conflicting_rows]
         return self._answer(http.HTTPStatus.PRECONDITION_FAILED, {"rows": rows})
 
     def _answer(self, status: http.HTTPStatus, body: dict[str, Any]) -> Response:
@@ -172,13 +172,15 @@
         state = self._store.state
         page = table_core.read(state, prefix=prefix, limit=len(state.rows) + 1)
         first, end = query.get("From", ""), query.get("To", "")
-        rows = sorted((_row(stored) for stored in page.rows), key=lambda r: r["Key"])
-        found = [
+        rows = sorted(
+            (_row_body(stored) for stored in page.rows), key=lambda row: row["Key"]
+        )
+        selected = [
             row for row in rows if row["Key"] >= first and (not end or row["Key"] < end)
         ]
         body = {
-            "rows": found[:MAX_ROWS_PER_READ],
-            "HasMore": len(found) > MAX_ROWS_PER_READ,
+            "rows": selected[:MAX_ROWS_PER_READ],
+            "HasMore": len(selected) > MAX_ROWS_PER_READ,
             "Ver": state.revision,
         }
         return self._answer(http.HTTPStatus.OK, body)
@@ -192,13 +194,13 @@
             while True:
                 if after < self._store.compacted_version:
                     return refusal(http.HTTPStatus.GONE, "history is gone")
-                page = self._changes(prefix, after)
-                left_s = until - self._clock()
-                if page or left_s <= 0.0:
+                changes = self._changes(prefix, after)
+                remaining_s = until - self._clock()
+                if changes or remaining_s <= 0.0:
                     break
-                self._changed.wait(left_s)
+                self._changed.wait(remaining_s)
             version = self._store.state.revision
-        body = {"rows": [_row(stored) for stored in page], "Ver": version}
+        body = {"rows": [_row_body(stored) for stored in changes], "Ver": version}
         return self._answer(http.HTTPStatus.OK, body)
 
     def _changes(self, prefix: str, after: int) -> tuple[Stored, ...]:
--- a/standins/table_core.py
+++ b/standins/table_core.py
@@ -124,8 +124,13 @@
 
 def commit(state: TableState, transaction: Transaction) -> CommitResult:
     """Apply a transaction if all of its conditions hold."""
-    found = [(at, _current_row(state, at.key)) for at in transaction.conditions]
-    conflicting_rows = tuple(row for at, row in found if row.version != at.version)
+    checked = [
+        (condition, _current_row(state, condition.key))
+        for condition in transaction.conditions
+    ]
+    conflicting_rows = tuple(
+        row for condition, row in checked if row.version != condition.version
+    )
     if conflicting_rows:
         return CommitResult(
             state=state, revision=state.revision, conflicting_rows=conflicting_rows
@@ -135,8 +140,8 @@
     for put in transaction.puts:
         row = Stored(key=put.key, version=revision, value=put.value)
         rows = rows.put(put.key, row)
-    after = TableState(revision=revision, rows=rows)
-    return CommitResult(state=after, revision=revision)
+    next_state = TableState(revision=revision, rows=rows)
+    return CommitResult(state=next_state, revision=revision)
 
 
 def _candidates(state: TableState, prefix: str) -> list[Stored]:
--- a/standins/web.py
+++ b/standins/web.py
@@ -83,7 +83,7 @@
     """Return a server bound to `port` (0: any) that is ready to serve."""
 
     def application(
-        environ: dict[str, Any], start: Callable[..., Any]
+        environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         response = _answer(handle, _parse_request(environ))
         if response.lost:
@@ -94,7 +94,7 @@
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(response.body))),
         ]
-        start(status, headers)
+        start_response(status, headers)
         return [response.body]
 
     server = wsgi.Server((HOST, port), application, numthreads=SERVER_THREADS)
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -17,7 +17,7 @@
 
 FAILURE_DELAY_S = 0.2
 USAGE_LAG_S = 10.0
-LOAD_RETENTION_S = 2 * USAGE_LAG_S
+HARM_RETENTION_S = 2 * USAGE_LAG_S
 LATENCY_ALONE_MS = 100.0
 HARMFUL_ONE_IN = 4
 HARM_MS = 80.0
@@ -81,7 +81,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Load:
+class HarmLevel:
     """The latency added by all batch runs from `at` on."""
 
     at: float
@@ -101,7 +101,7 @@
     started: int = 0
     fail_all: bool = False
     harm_by_job: Mapping[str, float] | None = None
-    loads: tuple[Load, ...] = ()
+    harm_levels: tuple[HarmLevel, ...] = ()
 
     @staticmethod
     def empty() -> WorkerState:
@@ -125,7 +125,7 @@
     number = state.started + 1
     key = f"{number:08d}"
     started = replace(state, started=number, runs=state.runs.put(key, run))
-    return _with_load_recorded(started, now)
+    return _with_harm_recorded(started, now)
 
 
 def advance(state: WorkerState, now: float) -> WorkerState:
@@ -135,22 +135,24 @@
         run = runs.by_key[key]
         if run.state is RunState.RUNNING:
             runs = runs.put(key, _advanced(run, now))
-    return _with_load_recorded(replace(state, runs=runs), now)
+    return _with_harm_recorded(replace(state, runs=runs), now)
 
 
-def _with_load_recorded(state: WorkerState, now: float) -> WorkerState:
+def _with_harm_recorded(state: WorkerState, now: float) -> WorkerState:
     """Record the current harm, because usage reports show a past time."""
     harm_ms = sum(
         harm_of(state, run.start.task_id) * run.share
         for run in state.runs.rows()
         if run.state is RunState.RUNNING and run.start.task_class == "batch"
     )
-    loads = tuple(load for load in state.loads if now - load.at <= LOAD_RETENTION_S)
-    if not loads and state.loads:
-        loads = state.loads[-1:]
-    if not loads or loads[-1].harm_ms != harm_ms:
-        loads = (*loads, Load(at=now, harm_ms=harm_ms))
-    return replace(state, loads=loads)
+    harm_levels = tuple(
+        level for level in state.harm_levels if now - level.at <= HARM_RETENTION_S
+    )
+    if not harm_levels and state.harm_levels:
+        harm_levels = state.harm_levels[-1:]
+    if not harm_levels or harm_levels[-1].harm_ms != harm_ms:
+        harm_levels = (*harm_levels, HarmLevel(at=now, harm_ms=harm_ms))
+    return replace(state, harm_levels=harm_levels)
 
 
 def harm_of(state: WorkerState, task_id: str) -> float:
@@ -165,21 +167,21 @@
     """Return the latency of a run at a past time; zero for batch runs."""
     if run.start.task_class == "batch":
         return 0.0
-    before = [load.harm_ms for load in state.loads if load.at <= at]
+    before = [level.harm_ms for level in state.harm_levels if level.at <= at]
     return LATENCY_ALONE_MS + (before[-1] if before else 0.0)
 
 
 def _advanced(run: Run, now: float) -> Run:
     until = min(now, run.leased_until, run.fails_at)
     done_s = run.done_s + run.share * max(0.0, until - run.progress_updated_at)
-    worked = replace(run, done_s=done_s, progress_updated_at=now)
+    advanced = replace(run, done_s=done_s, progress_updated_at=now)
     if run.start.run_s and done_s >= run.start.run_s:
-        return replace(worked, state=RunState.FINISHED)
+        return replace(advanced, state=RunState.FINISHED)
     if run.fails_at <= min(now, run.leased_until):
-        return replace(worked, state=RunState.FAILED, detail="exit status 1")
+        return replace(advanced, state=RunState.FAILED, detail="exit status 1")
     if run.leased_until <= now:
-        return replace(worked, state=RunState.LAPSED)
-    return worked
+        return replace(advanced, state=RunState.LAPSED)
+    return advanced
 
 
 def renew(state: WorkerState, renewals: tuple[Renew, ...], now: float) -> WorkerState:
@@ -191,8 +193,8 @@
         for key in list(runs.keys_where("task", index)):
             run = runs.by_key[key]
             if run.state is RunState.RUNNING:
-                leased = replace(run, leased_until=now + renewal.lease_s)
-                runs = runs.put(key, leased)
+                renewed = replace(run, leased_until=now + renewal.lease_s)
+                runs = runs.put(key, renewed)
     return replace(state, runs=runs)
 
 
@@ -210,7 +212,7 @@
             runs = runs.put(key, stopped)
         elif not checkpoint:
             runs = runs.drop(key)
-    return _with_load_recorded(replace(state, runs=runs), now)
+    return _with_harm_recorded(replace(state, runs=runs), now)
 
 
 def throttle(
@@ -221,7 +223,7 @@
     runs = state.runs
     for key in list(runs.keys_where("task", f"{task_id}|{generation}")):
         runs = runs.put(key, replace(runs.by_key[key], share=share))
-    return _with_load_recorded(replace(state, runs=runs), now)
+    return _with_harm_recorded(replace(state, runs=runs), now)
 
 
 def runs_with_usage(state: WorkerState, now: float) -> tuple[Run, ...]:
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -28,8 +28,8 @@
 from scripts.fleet import free_ports
 
 WAVE = b'{"MaintenanceWave":3,"Machines":["m-1","m-2"],"DurationS":20,"MaxCount":2}'
-FIRST = {"Machine": "m-1", "Pool": "ovens", "State": "up", "Id": "i-1"}
-SECOND = {"Machine": "m-2", "Pool": "ovens", "State": "upkeep"}
+FIRST_MACHINE = {"Machine": "m-1", "Pool": "ovens", "State": "up", "Id": "i-1"}
+SECOND_MACHINE = {"Machine": "m-2", "Pool": "ovens", "State": "upkeep"}
 
 
 class RowsTest(testtools.TestCase):
@@ -74,8 +74,8 @@
 
     def test_the_list_is_read_page_by_page(self) -> None:
         self.replies = [
-            json_reply(200, {"Machines": [FIRST], "NextToken": "t"}),
-            json_reply(200, {"Machines": [SECOND], "NextToken": None}),
+            json_reply(200, {"Machines": [FIRST_MACHINE], "NextToken": "t"}),
+            json_reply(200, {"Machines": [SECOND_MACHINE], "NextToken": None}),
         ]
         event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
         first = Machine(
@@ -85,13 +85,13 @@
         self.assertEqual(MachinesListed(machines=(first, second)), event)
 
     def test_an_unknown_machine_state_fails_the_list(self) -> None:
-        odd = {**FIRST, "State": "odd"}
+        odd = {**FIRST_MACHINE, "State": "odd"}
         self.replies = [json_reply(200, {"Machines": [odd]})]
         event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
         self.assertIsInstance(event, ListMachinesFailed)
 
-    def test_the_answers_to_an_order(self) -> None:
-        for status, kind, unknown in (
+    def test_an_order_is_accepted_or_failed_by_its_answer(self) -> None:
+        for status, event_type, unknown_machine in (
             (200, UpkeepOrderAccepted, False),
             (409, UpkeepOrderFailed, False),
             (400, UpkeepOrderFailed, True),
@@ -108,8 +108,8 @@
                     timeout_s=1.0,
                 )
             )
-            self.assertIsInstance(event, kind, str(status))
-            self.assertEqual(unknown, getattr(event, "unknown_machine", False))
+            self.assertIsInstance(event, event_type, str(status))
+            self.assertEqual(unknown_machine, getattr(event, "unknown_machine", False))
         self.assertEqual(
             {"Machine": "m-1", "MaintenanceWave": 3},
             json.loads(self.requests[-1].body),
--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -111,7 +111,7 @@
         event = self.client.watch(self._watch(first.version))
         self.assertIsInstance(event, HistoryLost)
 
-    def test_a_deleted_row_is_absent_and_its_deletion_is_seen(self) -> None:
+    def test_a_deleted_row_is_absent_for_conditions(self) -> None:
         row = CancelRow(job_id="5c0e7a21d94b36f8")
         self.client.transact(transact(row))
         key = cancel_key(row.job_id)
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -49,13 +49,15 @@
         urllib3.request("POST", f"{url}/switch", body=body.encode())
 
 
-def transact_command(key: str, version: int, fence: int, token: str = "a") -> Transact:
+def transact_command(
+    key: str, version: int, fence_version: int, token: str = "a"
+) -> Transact:
     return Transact(
         lane="bulk",
         transaction_id=f"e1-1/bulk/{token}",
         conditions=(Condition(key=key, version=version),),
         writes=(TokenWrite(key=key, row=RevisionRow(revision=7), token=token),),
-        fence=Fence(key=FENCE_KEY, version=fence),
+        fence=Fence(key=FENCE_KEY, version=fence_version),
         timeout_s=STORE_TIMEOUT_S,
     )
 
@@ -108,20 +110,20 @@
         self.switch(self.url, '{"mode":"slow","seconds":0.7,"delay_s":0.8}')
         lost = transact(transact_command("k/1", 0, 0), self.table)
         self.assertIsInstance(lost, TransactionLost)
-        settled = self.eventually(
+        outcome = self.eventually(
             lambda: transact(transact_command("k/1", 0, 0), self.table)
         )
-        assert isinstance(settled, TransactionConflicted)
-        assert settled.fence is not None
-        self.assertEqual("e1-1/bulk/a", settled.fence.token)
+        assert isinstance(outcome, TransactionConflicted)
+        assert outcome.fence is not None
+        self.assertEqual("e1-1/bulk/a", outcome.fence.token)
 
     def eventually(self, attempt: Callable[[], Event]) -> Event:
         """Repeat an attempt until it gets an answer, at most ten times."""
         for _ in range(10):
-            ended = attempt()
-            if not isinstance(ended, TransactionLost):
-                return ended
-        return ended
+            outcome = attempt()
+            if not isinstance(outcome, TransactionLost):
+                return outcome
+        return outcome
 
     def test_transaction_that_is_too_large_is_rejected(self) -> None:
         large = transact_command("k/1", 0, 0, token="x" * 5_000_000)
@@ -178,11 +180,11 @@
         self.assertEqual(Mode.DOWN, down.mode_at(14.9))
         self.assertEqual(Mode.UP, down.mode_at(15.0))
 
-    def test_pace_bounds_the_rate_and_the_queue(self) -> None:
-        pace = RateLimiter(per_s=100.0)
+    def test_limiter_bounds_the_rate_and_the_queue(self) -> None:
+        limiter = RateLimiter(per_s=100.0)
         accepted = 0
-        while pace.accepts(0.0):
-            pace = pace.reserved(0.0)
+        while limiter.accepts(0.0):
+            limiter = limiter.reserved(0.0)
             accepted += 1
         self.assertAlmostEqual(100 * MAX_QUEUE_WAIT_S, accepted, delta=2)
-        self.assertTrue(pace.accepts(1.0))
+        self.assertTrue(limiter.accepts(1.0))
