--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -38,7 +38,9 @@
 PURPOSE = Purpose()
 
 
-def transact(*rows: OwnerRow | CancelRow, version: int | None = None) -> Transact:
+def transact_command(
+    *rows: OwnerRow | CancelRow, version: int | None = None
+) -> Transact:
     """Return a transaction, conditional on a version of the owner row if given."""
     conditions = () if version is None else (Condition(key=OWNER_KEY, version=version),)
     return Transact(
@@ -59,7 +61,7 @@
             url=self.url, connections=4, report=self.problems.append
         )
 
-    def _read(self) -> ReadRange:
+    def _read_command(self) -> ReadRange:
         return ReadRange(
             role="scheduler",
             purpose=PURPOSE,
@@ -68,7 +70,7 @@
             part=OWNED_PART,
         )
 
-    def _watch(self, after: int, wait_s: float = 0.5) -> Watch:
+    def _watch_command(self, after: int, wait_s: float = 0.5) -> Watch:
         return Watch(
             role="scheduler",
             purpose=PURPOSE,
@@ -79,41 +81,41 @@
         )
 
     def test_a_row_is_written_and_read_with_its_version(self) -> None:
-        written = self.client.transact(transact(ROW, version=0))
+        written = self.client.transact(transact_command(ROW, version=0))
         assert isinstance(written, Transacted)
-        read = self.client.read_range(self._read())
+        read = self.client.read_range(self._read_command())
         assert isinstance(read, RangeRead)
         self.assertEqual([ROW], [stored.row for stored in read.rows])
         self.assertEqual(written.version, read.rows[0].version)
 
     def test_a_failed_condition_returns_the_conflicting_row(self) -> None:
-        self.client.transact(transact(ROW, version=0))
-        event = self.client.transact(transact(ROW, version=0))
+        self.client.transact(transact_command(ROW, version=0))
+        event = self.client.transact(transact_command(ROW, version=0))
         assert isinstance(event, Conflicted)
         self.assertEqual([ROW], [stored.row for stored in event.rows])
 
     def test_a_watch_returns_as_soon_as_a_row_changes(self) -> None:
-        first = self.client.transact(transact(ROW))
+        first = self.client.transact(transact_command(ROW))
         assert isinstance(first, Transacted)
-        timer = threading.Timer(0.2, self.client.transact, (transact(ROW),))
+        timer = threading.Timer(0.2, self.client.transact, (transact_command(ROW),))
         timer.start()
         self.addCleanup(timer.join)
-        event = self.client.watch(self._watch(first.version, wait_s=5.0))
+        event = self.client.watch(self._watch_command(first.version, wait_s=5.0))
         assert isinstance(event, RowsChanged)
         self.assertEqual([ROW], [stored.row for stored in event.rows])
         self.assertGreater(event.version, first.version)
 
     def test_a_watch_after_compaction_reports_lost_history(self) -> None:
-        first = self.client.transact(transact(ROW))
+        first = self.client.transact(transact_command(ROW))
         assert isinstance(first, Transacted)
-        self.client.transact(transact(ROW))
+        self.client.transact(transact_command(ROW))
         urllib3.request("POST", f"{self.url}/compact")
-        event = self.client.watch(self._watch(first.version))
+        event = self.client.watch(self._watch_command(first.version))
         self.assertIsInstance(event, HistoryLost)
 
     def test_a_deleted_row_is_absent_for_conditions(self) -> None:
         row = CancelRow(job_id="5c0e7a21d94b36f8")
-        self.client.transact(transact(row))
+        self.client.transact(transact_command(row))
         key = cancel_key(row.job_id)
         deletion = Transact(
             role="scheduler",
@@ -134,16 +136,16 @@
 
     def test_faults_of_the_store_are_distinguished(self) -> None:
         self.switch(self.url, '{"mode":"down","seconds":0.5,"delay_s":0}')
-        refused = self.client.transact(transact(ROW))
+        refused = self.client.transact(transact_command(ROW))
         assert isinstance(refused, TransactRefused)
         self.assertFalse(refused.busy)
-        self.assertIsInstance(self.client.read_range(self._read()), ReadFailed)
+        self.assertIsInstance(self.client.read_range(self._read_command()), ReadFailed)
         self.switch(self.url, '{"mode":"lose_answers","seconds":5,"delay_s":0}')
         self.assertIsInstance(
-            self.client.transact(transact(ROW)), TransactOutcomeUnknown
+            self.client.transact(transact_command(ROW)), TransactOutcomeUnknown
         )
         self.switch(self.url, '{"mode":"up","seconds":0,"delay_s":0}')
-        read = self.client.read_range(self._read())
+        read = self.client.read_range(self._read_command())
         assert isinstance(read, RangeRead)
         self.assertEqual([ROW], [stored.row for stored in read.rows])
         self.assertEqual([], self.problems)
