Correct and complete texts of the platform clients and stand-ins

Some texts did not match the code: an empty table was called a service, a page holds exactly its limit of rows but for those of its last commit, a lost withdrawal is not announced again, the soak log also has acknowledged ends, and runs also end when their lease expires. Restored are what a readiness check asks and how long a server drains. The reasons for the margin of a call's timeout, the collector thresholds of the row store, the largest integer of a body and the constants of simulated workers had no text, and several flag helps had no unit.

--- a/bulrushpulley/platform/__init__.py
+++ b/bulrushpulley/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: table service, object store, workers, backend servers."""
+"""Clients of the platform's services, workers and backend servers; HTTP fronts."""
--- a/bulrushpulley/platform/advice.py
+++ b/bulrushpulley/platform/advice.py
@@ -29,8 +29,8 @@
         )
 
     def request_advice(self, command: RequestAdvice) -> Event:
-        """Request the backend servers that may run a step, with their tickets."""
-        # "Workers" are backend servers here.
+        """Ask which of the given backend servers may run a step, with their tickets."""
+        # `Workers` lists backend servers, despite its name.
         body = {"StepId": command.step_key, "Workers": list(command.server_ids)}
         try:
             answer = self._http.exchange(
--- a/bulrushpulley/platform/backend_server.py
+++ b/bulrushpulley/platform/backend_server.py
@@ -34,7 +34,7 @@
 
 
 class BackendServerClient:
-    """Calls one backend server over a pool of at most `connections`."""
+    """Calls one backend server over a pool of at most `connections` connections."""
 
     def __init__(
         self, *, url: str, connections: int = BACKEND_SERVER_CONNECTIONS
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -1,4 +1,4 @@
-"""The client of the backend server on an agent's host, and its announcements."""
+"""The client of the backend server on an agent's host; decodes its announcements."""
 
 from __future__ import annotations
 
@@ -166,6 +166,7 @@
                 connections=EXECUTOR_CONNECTIONS,
                 service="executor",
             )
+            # The server on the host has one address; older clients are not needed.
             self._client_by_address = {command.address: client}
         return client.exchange(
             "POST",
@@ -184,7 +185,8 @@
         return RunStarted(server_id=command.server_id, run=run)
     reason = f"status {answer.status}"
     if answer.status == http.HTTPStatus.CONFLICT:
-        # `Reason` is one of fence, old, late, room and ticket.
+        # `Reason` is one of fence, old, late, room and ticket. After "old" the run
+        # can never start.
         reason = text(decode_object(answer.body, STEP), "Reason", STEP)
     return StartDenied(
         server_id=command.server_id, run=run, reason=reason, final=reason == "old"
--- a/bulrushpulley/platform/fields.py
+++ b/bulrushpulley/platform/fields.py
@@ -13,6 +13,7 @@
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 
 Fields = Mapping[str, Any]
+# Larger integers are not all exact as floats.
 MAX_INTEGER = 2**53
 
 
--- a/bulrushpulley/platform/job_front.py
+++ b/bulrushpulley/platform/job_front.py
@@ -42,9 +42,10 @@
 
 
 def decode_call(request: HttpRequest, call_id: str, now_s: float) -> JobCall | None:
-    """Decode a request received at `now_s` since 1970.
+    """Decode a request received at `now_s`, in seconds since 1970.
 
-    Returns None for other methods than GET, DELETE and POST.
+    Returns None unless the method is GET, DELETE or POST. An invalid job becomes a
+    call with its problem.
     """
     common_fields = {
         "call_id": call_id,
--- a/bulrushpulley/platform/ready_front.py
+++ b/bulrushpulley/platform/ready_front.py
@@ -61,7 +61,7 @@
 
 
 class ReadyFront:
-    """Answers readiness checks, and explains the state of jobs."""
+    """Answers whether new callers should use this entry, and explains jobs' states."""
 
     def __init__(
         self,
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -121,7 +121,7 @@
         return RangeRead(purpose=call.purpose, rows=tuple(rows), version=version)
 
     def watch(self, call: Watch) -> StoreEvent:
-        """Wait for changes of a table, for at most `wait_s` of the call."""
+        """Wait for changes of a table, for at most `call.wait_s`."""
         query = {
             "Table": call.table,
             "After": call.after,
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -147,7 +147,7 @@
         return StopAnswered(worker_id=command.worker_id)
 
     def throttle(self, command: ThrottleTask) -> WorkerEvent:
-        """Set the share of a task."""
+        """Limit a task to a share of its full speed."""
         form = ThrottleForm(
             task_id=command.task_id,
             generation=command.generation,
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -55,6 +55,7 @@
         self._state = BackendState.empty(slots=slots)
         self._faults = Faults()
         self._rng = random.Random(seed)
+        # This location gives the log-normal distribution the mean `mean_s`.
         self._mu = math.log(mean_s) - spread * spread / 2
         self._spread = spread
         self._handler_by_path = {
@@ -119,8 +120,12 @@
 
 if __name__ == "__main__":
     flags.DEFINE_integer("port", 7100, "Port on 127.0.0.1.")
-    flags.DEFINE_integer("slots", DEFAULT_SLOTS, "Requests that run at once.")
+    flags.DEFINE_integer(
+        "slots", DEFAULT_SLOTS, "Maximum requests that run at the same time."
+    )
     flags.DEFINE_float("mean_s", DEFAULT_MEAN_S, "Mean service time in seconds.")
-    flags.DEFINE_float("spread", DEFAULT_SPREAD, "Sigma of the log-normal time.")
+    flags.DEFINE_float(
+        "spread", DEFAULT_SPREAD, "Sigma of the log-normal service time."
+    )
     flags.DEFINE_integer("seed", 1, "Seed of the service times.")
     app.run(main)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -35,6 +35,8 @@
 
 FLAGS = flags.FLAGS
 MAX_CONNECTIONS = 64
+# The HTTP timeout of an attempt ends this long after the deadline of the call, so
+# that an answer sent at the deadline is still received.
 CALL_TIMEOUT_MARGIN_S = 1.0
 CALL_RETRY_DELAY_S = 0.02
 RETRYABLE_OUTCOMES = frozenset({Outcome.REFUSED, Outcome.UNKNOWN})
@@ -61,7 +63,10 @@
         )
 
     def make(self, call: PlannedCall, number: int, due: float) -> EndedCall:
-        """Make a call that was due at `due`, with its retries."""
+        """Make a call that was due at `due`, with its retries.
+
+        The latency and the deadline count from `due`, even if the call started later.
+        """
         deadline = due + self._target.within_s
         body = call.request_id.encode().ljust(self._target.body_bytes, b".")
         outcomes: list[Outcome] = []
@@ -162,17 +167,21 @@
 
 if __name__ == "__main__":
     flags.DEFINE_list("entries", [], "Base URLs of the entries.")
-    flags.DEFINE_list("backend_servers", [], "Base URLs to count runs at.")
+    flags.DEFINE_list(
+        "backend_servers",
+        [],
+        "Base URLs of the backend servers whose runs are counted.",
+    )
     flags.DEFINE_string("service", "oven-conductor", "The service to call.")
     flags.DEFINE_string(
-        "id_prefix", "call", "Prefix of every request id; must be unique to a load."
+        "id_prefix", "call", "Prefix of every request id; must differ between loads."
     )
-    flags.DEFINE_float("rate", 50.0, "Arrivals a second.")
-    flags.DEFINE_float("seconds", 5.0, "Length of the load.")
+    flags.DEFINE_float("rate", 50.0, "Calls per second.")
+    flags.DEFINE_float("seconds", 5.0, "Duration of the load in seconds.")
     flags.DEFINE_float("repeatable_share", 0.7, "Fraction of repeatable requests.")
     flags.DEFINE_float("within_s", 2.0, "Seconds until the deadline of each call.")
     flags.DEFINE_integer("max_tries", 3, "Maximum attempts of each call.")
-    flags.DEFINE_integer("body_bytes", 200, "Size of each body.")
+    flags.DEFINE_integer("body_bytes", 200, "Size of each request body in bytes.")
     flags.DEFINE_integer("threads", 128, "Maximum calls in flight.")
     flags.DEFINE_integer(
         "seed", 1, "Seed of the arrivals and of which calls are repeatable."
--- a/standins/caller_core.py
+++ b/standins/caller_core.py
@@ -97,7 +97,10 @@
 def outcome_of(
     status: int, body: bytes, call: PlannedCall, sent_body: bytes
 ) -> Outcome:
-    """Classify one reply of an entry."""
+    """Classify one reply of an entry.
+
+    Only the answer to an unrepeatable call must begin with the request id.
+    """
     if status == 200:
         is_own_answer = body.endswith(b"\n" + sent_body) and (
             call.repeatable or body.startswith(call.request_id.encode() + b"\n")
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -1,8 +1,8 @@
 """A backend server on loopback that announces itself to the agent of its host.
 
-Each start and end of a run is written to standard output as a line of JSON with the
-monotonic time, the host, the task and the number of the run, so that all of the
-execution can be checked afterwards. On SIGUSR1 the server announces that it drains.
+Each start, end and acknowledged end of a run is written to standard output as a line
+of JSON with the monotonic time, the host, the task and the number of the run, so that
+a soak run can be checked afterwards. On SIGUSR1 the server announces that it drains.
 """
 
 from __future__ import annotations
@@ -116,7 +116,7 @@
         )
 
     def advance(self) -> None:
-        """End the runs that are due to end."""
+        """End the runs that are due to end or whose lease has expired."""
         with self._lock:
             self._core.advance(self._clock())
 
@@ -232,14 +232,15 @@
         }
 
     def drain(self) -> None:
-        """Announce the state "draining" from now on."""
+        """Announce the state "draining" from now on, and leave after `DRAIN_TIME_S`."""
         self.leaving_at = self._clock() + DRAIN_TIME_S
 
 
 def announce(server: ExecutorServer, agent: str, *, withdraw: bool = False) -> None:
     """Announce a server to its agent, or withdraw it.
 
-    A failure is only logged, since the next heartbeat announces the server again.
+    A failure is only logged: the next heartbeat announces the server again, and a
+    withdrawal is not repeated.
     """
     verb = "deregister" if withdraw else "heartbeat"
     body = {} if withdraw else server.announcement()
@@ -252,7 +253,13 @@
             retries=False,
         )
     except urllib3.exceptions.HTTPError as error:
-        write_line({"at": time.monotonic(), "what": "unheard", "reason": str(error)})
+        write_line(
+            {
+                "at": time.monotonic(),
+                "what": "announce_failed",
+                "reason": str(error),
+            }
+        )
 
 
 def _send_heartbeats(
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -2,7 +2,7 @@
 
 It follows the platform's contract: a start is idempotent, a stopped run can never be
 started again, ends are listed until they are acknowledged, and all runs end when the
-lease lapses. The time is passed in: tests in virtual time use this module directly,
+lease expires. The time is passed in: tests in virtual time use this module directly,
 and `executor` serves it over HTTP.
 """
 
@@ -30,7 +30,9 @@
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 
+# A stopped run ends after this time.
 KILL_TIME_S = 0.2
+# A run with this payload fails; for others the payload is the duration in seconds.
 POISON_PAYLOAD = "poison"
 POISON_RUN_TIME_S = 0.3
 
@@ -137,7 +139,7 @@
         self.ends, self.run_by_key, self.barred_run_by_task = [], {}, {}
 
     def advance(self, now: float) -> None:
-        """End the runs whose lease has lapsed or that are due to end by `now`."""
+        """End the runs whose lease has expired or that are due to end by `now`."""
         for key, run in sorted(self.run_by_key.items()):
             if self.lease_until <= now and run.started_at < self.lease_until:
                 self._end(key, "lapsed")
@@ -198,7 +200,10 @@
         )
 
     def _checkpoint(self, run: ExecutorRun, now: float) -> str:
-        """Return the work done so far, in whole seconds, as text."""
+        """Return the work done so far, in whole seconds, as text.
+
+        A run without a second of work has the checkpoint with which it started, if any.
+        """
         if not self.checkpoints:
             return ""
         remaining_s = run.ends_at - now
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -9,6 +9,7 @@
 import enum
 from dataclasses import dataclass, replace
 
+# Operations that would wait longer are refused.
 MAX_QUEUE_WAIT_S = 2.0
 
 
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -1,8 +1,9 @@
 """The platform's row store on loopback, built on `table_core`.
 
 The table, part and key of a row are joined to one key of `table_core`, in that order,
-so that a prefix selects a table or a part. ``POST /switch`` sets a fault mode and
-``POST /compact`` deletes the history of changes.
+so that a prefix selects a table or a part. ``POST /switch`` sets a fault mode,
+``POST /compact`` deletes the history of changes, and ``POST /operate`` applies a
+transaction of an operator.
 """
 
 from __future__ import annotations
@@ -45,8 +46,10 @@
 MAX_FEED_WAIT_S = 30.0
 MAX_ROWS_PER_READ = 500
 MAX_TRANSACTION_ENTRIES = 100
-# Only operators write to these tables; writes of the system are refused.
+# Only operators write to these tables; writes of the scheduler are refused.
 OPERATOR_TABLES = frozenset({"op", "servers"})
+# The persistent maps hold many objects but no reference cycles, so that full
+# collections take time and free nothing.
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
 _decode_switch = msgspec.json.Decoder(Switch).decode
@@ -111,7 +114,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request, after the wait of a feed or the fault mode."""
+        """Answer one request, after the request delay and that of the fault mode."""
         if request.path == "/switch":
             switch = _decode_switch(request.body)
             self._faults = self._faults.switched(switch, self._clock())
@@ -173,7 +176,7 @@
         page = table_core.read(state, prefix=prefix, limit=len(state.rows) + 1)
         first, end = query.get("From", ""), query.get("To", "")
         rows = sorted(
-            (_row_body(stored) for stored in page.rows), key=lambda row: row["Key"]
+            (_row_body(stored) for stored in page.rows), key=lambda item: item["Key"]
         )
         selected = [
             row for row in rows if row["Key"] >= first and (not end or row["Key"] < end)
--- a/standins/table_core.py
+++ b/standins/table_core.py
@@ -19,6 +19,7 @@
 from bulrushpulley.entities.table import Table
 
 DEFAULT_PAGE_LIMIT = 1_000
+# Reads of a longer prefix filter the rows of its longest indexed folder.
 MAX_INDEXED_DEPTH = 2
 
 
@@ -83,7 +84,7 @@
 
     @staticmethod
     def empty() -> TableState:
-        """Return a service without rows."""
+        """Return a table without rows."""
         return TableState(
             revision=0, rows=Table.empty(indexes={"folder": _row_folders})
         )
@@ -157,7 +158,8 @@
 ) -> Page:
     """Read the rows under `prefix` with a version above `since`.
 
-    Tombstones are read only with `since` above 0. A page holds about `limit` rows.
+    Tombstones are read only with `since` above 0. A page holds `limit` rows, and more
+    only to include all rows of its last commit.
     """
     rows = [
         row
--- a/standins/table_service.py
+++ b/standins/table_service.py
@@ -185,6 +185,10 @@
 
 if __name__ == "__main__":
     flags.DEFINE_integer("port", 7000, "Port on 127.0.0.1.")
-    flags.DEFINE_float("writes_per_s", DEFAULT_WRITES_PER_S, "Transactions a second.")
-    flags.DEFINE_float("reads_per_s", DEFAULT_READS_PER_S, "Pages read a second.")
+    flags.DEFINE_float(
+        "writes_per_s", DEFAULT_WRITES_PER_S, "Maximum transactions per second."
+    )
+    flags.DEFINE_float(
+        "reads_per_s", DEFAULT_READS_PER_S, "Maximum pages read per second."
+    )
     app.run(main)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -34,7 +34,7 @@
 
 
 class Mode(enum.Enum):
-    """How a worker answers."""
+    """How a worker answers; runs that start in mode ``fail_all`` fail."""
 
     UP = "up"
     DOWN = "down"
@@ -45,7 +45,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Switch:
-    """Sets a mode for `seconds` (0: until the next switch)."""
+    """Sets a mode for `seconds` (0: until the next switch).
+
+    In mode ``slow`` each request is delayed by `delay_s`.
+    """
 
     mode: Mode
     seconds: float = 0.0
@@ -54,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartForm:
-    """The body of a start."""
+    """The body of a request to start a task."""
 
     task_id: str
     generation: int
@@ -69,7 +72,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StopForm:
-    """The body of a stop."""
+    """The body of a request to stop a task."""
 
     task_id: str
     generation: int
@@ -78,7 +81,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ThrottleForm:
-    """The body of a throttle."""
+    """The body of a request to throttle a task."""
 
     task_id: str
     generation: int
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -1,7 +1,7 @@
 """A simulated worker: an immutable table of runs and pure functions.
 
 The worker starts every task that it receives, even beyond its capacity, and starts a
-task twice if it receives the start twice. Leases lapse on the worker's own clock. A
+task twice if it receives the start twice. Leases expire by the worker's own clock. A
 run that has ended stays in the reports until a stop without checkpoint removes it.
 """
 
@@ -16,9 +16,11 @@
 from bulrushpulley.entities.table import Table
 
 FAILURE_DELAY_S = 0.2
+# Usage reports show the runs as they were this long before.
 USAGE_LAG_S = 10.0
 HARM_RETENTION_S = 2 * USAGE_LAG_S
 LATENCY_ALONE_MS = 100.0
+# One in this many jobs is harmful.
 HARMFUL_ONE_IN = 4
 HARM_MS = 80.0
 
@@ -82,7 +84,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HarmLevel:
-    """The latency added by all batch runs from `at` on."""
+    """The latency added by all batch runs together, from `at` to the next level."""
 
     at: float
     harm_ms: float
@@ -139,7 +141,7 @@
 
 
 def _with_harm_recorded(state: WorkerState, now: float) -> WorkerState:
-    """Record the current harm, because usage reports show a past time."""
+    """Record the current harm, which later usage reports show."""
     harm_ms = sum(
         harm_of(state, run.start.task_id) * run.share
         for run in state.runs.rows()
--- a/test/test_table_service.py
+++ b/test/test_table_service.py
@@ -37,6 +37,8 @@
 
 
 class ServedTest(testtools.TestCase):
+    """Serves stand-ins over HTTP and sets their fault modes."""
+
     def serve(self, handle: Handler) -> str:
         server = make_server(handle=handle, port=0)
         thread = threading.Thread(target=server.serve, daemon=True)
