--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -147,7 +147,7 @@
         return StopAnswered(worker_id=command.worker_id)
 
     def throttle(self, command: ThrottleTask) -> WorkerEvent:
-        """Set the share of a task."""
+        """Limit a task to a share of its full speed."""
         form = ThrottleForm(
             task_id=command.task_id,
             generation=command.generation,
@@ -236,7 +236,7 @@
         body = read_body(
             response,
             deadline=time.monotonic() + WORKER_CALL_TIMEOUT_S,
-            limit=MAX_REPORT_BYTES,
+            max_bytes=MAX_REPORT_BYTES,
             step=STEP,
             peer=command.worker_id,
         )
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -35,6 +35,8 @@
 
 FLAGS = flags.FLAGS
 MAX_CONNECTIONS = 64
+# The HTTP timeout of an attempt ends this long after the deadline of the call, so
+# that an answer sent at the deadline is still received.
 CALL_TIMEOUT_MARGIN_S = 1.0
 CALL_RETRY_DELAY_S = 0.02
 RETRYABLE_OUTCOMES = frozenset({Outcome.REFUSED, Outcome.UNKNOWN})
@@ -47,7 +49,7 @@
     entries: tuple[str, ...]
     service: str
     within_s: float
-    max_tries: int
+    max_attempts: int
     body_bytes: int
 
 
@@ -60,27 +62,30 @@
             num_pools=len(target.entries), maxsize=MAX_CONNECTIONS, retries=False
         )
 
-    def make(self, call: PlannedCall, number: int, started: float) -> EndedCall:
-        """Make a call that was due at `started`, with its retries."""
-        deadline = started + self._target.within_s
+    def make(self, call: PlannedCall, number: int, due: float) -> EndedCall:
+        """Make a call that was due at `due`, with its retries.
+
+        The latency and the deadline count from `due`, even if the call started later.
+        """
+        deadline = due + self._target.within_s
         body = call.request_id.encode().ljust(self._target.body_bytes, b".")
         outcomes: list[Outcome] = []
-        for attempt in range(self._target.max_tries):
+        for attempt in range(self._target.max_attempts):
             entry = self._target.entries[(number + attempt) % len(self._target.entries)]
-            outcomes.append(self._try(entry, call, body, deadline))
-            left_s = deadline - time.monotonic() - CALL_RETRY_DELAY_S
-            if outcomes[-1] not in RETRYABLE_OUTCOMES or left_s <= 0:
+            outcomes.append(self._attempt(entry, call, body, deadline))
+            remaining_s = deadline - time.monotonic() - CALL_RETRY_DELAY_S
+            if outcomes[-1] not in RETRYABLE_OUTCOMES or remaining_s <= 0:
                 break
             threading.Event().wait(CALL_RETRY_DELAY_S)
         return EndedCall(
             call=call,
             outcome=outcomes[-1],
-            latency_s=time.monotonic() - started,
-            tries=len(outcomes),
+            latency_s=time.monotonic() - due,
+            attempts=len(outcomes),
             known_not_run=set(outcomes) == {Outcome.REFUSED},
         )
 
-    def _try(
+    def _attempt(
         self, entry: str, call: PlannedCall, body: bytes, deadline: float
     ) -> Outcome:
         within_s = max(0.001, deadline - time.monotonic())
@@ -141,18 +146,18 @@
         entries=tuple(url.rstrip("/") for url in FLAGS.entries),
         service=FLAGS.service,
         within_s=FLAGS.within_s,
-        max_tries=FLAGS.max_tries,
+        max_attempts=FLAGS.max_tries,
         body_bytes=FLAGS.body_bytes,
     )
     calls = plan(
         rate=FLAGS.rate,
         seconds=FLAGS.seconds,
-        repeatable_share=FLAGS.repeatable_share,
+        repeatable_fraction=FLAGS.repeatable_share,
         seed=FLAGS.seed,
-        name=FLAGS.id_prefix,
+        id_prefix=FLAGS.id_prefix,
     )
-    ended = make_calls(Caller(target=target), calls, FLAGS.threads)
-    report = tally(ended, count_runs(FLAGS.backend_servers))
+    ended_calls = make_calls(Caller(target=target), calls, FLAGS.threads)
+    report = tally(ended_calls, count_runs(FLAGS.backend_servers))
     print(
         msgspec.json.encode(report).decode() if FLAGS.json else format_report(report),
         flush=True,
@@ -162,17 +167,21 @@
 
 if __name__ == "__main__":
     flags.DEFINE_list("entries", [], "Base URLs of the entries.")
-    flags.DEFINE_list("backend_servers", [], "Base URLs to count runs at.")
+    flags.DEFINE_list(
+        "backend_servers",
+        [],
+        "Base URLs of the backend servers whose runs are counted.",
+    )
     flags.DEFINE_string("service", "oven-conductor", "The service to call.")
     flags.DEFINE_string(
-        "id_prefix", "call", "Prefix of every request id; must be unique to a load."
+        "id_prefix", "call", "Prefix of every request id; must differ between loads."
     )
-    flags.DEFINE_float("rate", 50.0, "Arrivals a second.")
-    flags.DEFINE_float("seconds", 5.0, "Length of the load.")
+    flags.DEFINE_float("rate", 50.0, "Calls per second.")
+    flags.DEFINE_float("seconds", 5.0, "Duration of the load in seconds.")
     flags.DEFINE_float("repeatable_share", 0.7, "Fraction of repeatable requests.")
     flags.DEFINE_float("within_s", 2.0, "Seconds until the deadline of each call.")
     flags.DEFINE_integer("max_tries", 3, "Maximum attempts of each call.")
-    flags.DEFINE_integer("body_bytes", 200, "Size of each body.")
+    flags.DEFINE_integer("body_bytes", 200, "Size of each request body in bytes.")
     flags.DEFINE_integer("threads", 128, "Maximum calls in flight.")
     flags.DEFINE_integer(
         "seed", 1, "Seed of the arrivals and of which calls are repeatable."
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -1,8 +1,9 @@
 """The platform's row store on loopback, built on `table_core`.
 
 The table, part and key of a row are joined to one key of `table_core`, in that order,
-so that a prefix selects a table or a part. ``POST /switch`` sets a fault mode and
-``POST /compact`` deletes the history of changes.
+so that a prefix selects a table or a part. ``POST /switch`` sets a fault mode,
+``POST /compact`` deletes the history of changes, and ``POST /operate`` applies a
+transaction of an operator.
 """
 
 from __future__ import annotations
@@ -45,8 +46,10 @@
 MAX_FEED_WAIT_S = 30.0
 MAX_ROWS_PER_READ = 500
 MAX_TRANSACTION_ENTRIES = 100
-# Only operators write to these tables; writes of the system are refused.
+# Only operators write to these tables; writes of the scheduler are refused.
 OPERATOR_TABLES = frozenset({"op", "servers"})
+# The persistent maps hold many objects but no reference cycles, so that full
+# collections take time and free nothing.
 GC_THRESHOLDS = (100_000, 50, 1_000)
 
 _decode_switch = msgspec.json.Decoder(Switch).decode
@@ -65,7 +68,7 @@
     return KEY_SEPARATOR.join((raw["Table"], raw.get("part", ""), raw["Key"]))
 
 
-def _row(stored: Stored) -> dict[str, Any]:
+def _row_body(stored: Stored) -> dict[str, Any]:
     table, part, key = stored.key.split(KEY_SEPARATOR)
     row: dict[str, Any] = {"Table": table, "part": part, "Key": key}
     if stored.value is None:
@@ -111,7 +114,7 @@
         }
 
     def handle(self, request: Request) -> Response:
-        """Answer one request, after the wait of a feed or the fault mode."""
+        """Answer one request, after the request delay and that of the fault mode."""
         if request.path == "/switch":
             switch = _decode_switch(request.body)
             self._faults = self._faults.switched(switch, self._clock())
@@ -160,7 +163,7 @@
     def _commit_response(self, result: CommitResult) -> Response:
         if result.committed:
             return self._answer(http.HTTPStatus.OK, {"Ver": result.revision})
-        rows = [_row(stored) for stored in result.conflicting_rows]
+        rows = [_row_body(stored) for stored in result.conflicting_rows]
         return self._answer(http.HTTPStatus.PRECONDITION_FAILED, {"rows": rows})
 
     def _answer(self, status: http.HTTPStatus, body: dict[str, Any]) -> Response:
@@ -172,13 +175,15 @@
         state = self._store.state
         page = table_core.read(state, prefix=prefix, limit=len(state.rows) + 1)
         first, end = query.get("From", ""), query.get("To", "")
-        rows = sorted((_row(stored) for stored in page.rows), key=lambda r: r["Key"])
-        found = [
+        rows = sorted(
+            (_row_body(stored) for stored in page.rows), key=lambda item: item["Key"]
+        )
+        selected = [
             row for row in rows if row["Key"] >= first and (not end or row["Key"] < end)
         ]
         body = {
-            "rows": found[:MAX_ROWS_PER_READ],
-            "HasMore": len(found) > MAX_ROWS_PER_READ,
+            "rows": selected[:MAX_ROWS_PER_READ],
+            "HasMore": len(selected) > MAX_ROWS_PER_READ,
             "Ver": state.revision,
         }
         return self._answer(http.HTTPStatus.OK, body)
@@ -192,13 +197,13 @@
             while True:
                 if after < self._store.compacted_version:
                     return refusal(http.HTTPStatus.GONE, "history is gone")
-                page = self._changes(prefix, after)
-                left_s = until - self._clock()
-                if page or left_s <= 0.0:
+                changes = self._changes(prefix, after)
+                remaining_s = until - self._clock()
+                if changes or remaining_s <= 0.0:
                     break
-                self._changed.wait(left_s)
+                self._changed.wait(remaining_s)
             version = self._store.state.revision
-        body = {"rows": [_row(stored) for stored in page], "Ver": version}
+        body = {"rows": [_row_body(stored) for stored in changes], "Ver": version}
         return self._answer(http.HTTPStatus.OK, body)
 
     def _changes(self, prefix: str, after: int) -> tuple[Stored, ...]:
--- a/standins/table_core.py
+++ b/standins/table_core.py
@@ -19,6 +19,7 @@
 from bulrushpulley.entities.table import Table
 
 DEFAULT_PAGE_LIMIT = 1_000
+# Reads of a longer prefix filter the rows of its longest indexed folder.
 MAX_INDEXED_DEPTH = 2
 
 
@@ -83,7 +84,7 @@
 
     @staticmethod
     def empty() -> TableState:
-        """Return a service without rows."""
+        """Return a table without rows."""
         return TableState(
             revision=0, rows=Table.empty(indexes={"folder": _row_folders})
         )
@@ -124,8 +125,13 @@
 
 def commit(state: TableState, transaction: Transaction) -> CommitResult:
     """Apply a transaction if all of its conditions hold."""
-    found = [(at, _current_row(state, at.key)) for at in transaction.conditions]
-    conflicting_rows = tuple(row for at, row in found if row.version != at.version)
+    checked = [
+        (condition, _current_row(state, condition.key))
+        for condition in transaction.conditions
+    ]
+    conflicting_rows = tuple(
+        row for condition, row in checked if row.version != condition.version
+    )
     if conflicting_rows:
         return CommitResult(
             state=state, revision=state.revision, conflicting_rows=conflicting_rows
@@ -135,8 +141,8 @@
     for put in transaction.puts:
         row = Stored(key=put.key, version=revision, value=put.value)
         rows = rows.put(put.key, row)
-    after = TableState(revision=revision, rows=rows)
-    return CommitResult(state=after, revision=revision)
+    next_state = TableState(revision=revision, rows=rows)
+    return CommitResult(state=next_state, revision=revision)
 
 
 def _candidates(state: TableState, prefix: str) -> list[Stored]:
@@ -152,7 +158,8 @@
 ) -> Page:
     """Read the rows under `prefix` with a version above `since`.
 
-    Tombstones are read only with `since` above 0. A page holds about `limit` rows.
+    Tombstones are read only with `since` above 0. A page holds `limit` rows, and more
+    only to include all rows of its last commit.
     """
     rows = [
         row
