Name the tables and faults of the soak by what they hold

The tables of the soak had names such as noted, done and running, which did not say whether they hold tasks, jobs or times; they now do, as state_by_job did. StoreTrouble and Harm are faults like the others and are called StoreFault and ConnectionFault. The tests are named after invariants and the calm period, as the code is.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 
 import urllib3
 
-from soak.invariants import Answered, Cancelled, Observation, Shown
+from soak.invariants import Answered, Cancelled, Observation, StateReceived
 from soak.plan import JobPlan
 
 ROUTE_HOST = "push.example"
@@ -47,7 +47,7 @@
         """Send one request; switch to the next entry after a failure."""
         url = self._urls[self._entry_index % len(self._urls)]
         try:
-            answer = self._pool.request(
+            response = self._pool.request(
                 method,
                 f"{url}{ROUTE_PREFIX}{job_id}",
                 json=body,
@@ -64,14 +64,14 @@
         except urllib3.exceptions.HTTPError:
             self._entry_index += 1
             return Reply(status=0, body={})
-        if answer.status in (*REFUSAL_STATUSES, *OUTCOME_UNKNOWN_STATUSES):
+        if response.status in (*REFUSAL_STATUSES, *OUTCOME_UNKNOWN_STATUSES):
             self._entry_index += 1
-        return Reply(status=answer.status, body=_parse_json(answer))
+        return Reply(status=response.status, body=_parse_json(response))
 
 
-def _parse_json(answer: urllib3.BaseHTTPResponse) -> dict[str, object]:
+def _parse_json(response: urllib3.BaseHTTPResponse) -> dict[str, object]:
     try:
-        value = answer.json()
+        value = response.json()
     except ValueError:
         return {}
     return value if isinstance(value, dict) else {}
@@ -140,7 +140,7 @@
         reply = self.connection.call("GET", job_id)
         state = "gone" if reply.status == 410 else str(reply.body.get("State", ""))
         if state:
-            self.record(Shown(at=time.monotonic(), job_id=job_id, state=state))
+            self.record(StateReceived(at=time.monotonic(), job_id=job_id, state=state))
         return state
 
     def _cancel(self, job: JobPlan) -> None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Noted(Observation):
+class EndAcknowledged(Observation):
     """The end of a run was acknowledged to its backend server."""
 
     task: str
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Shown(Observation):
+class StateReceived(Observation):
     """A caller got the state of a job, or "gone" if the job is unknown."""
 
     job_id: str
@@ -107,21 +107,26 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tables:
-    """The state from the observations so far; `calm` is the time without faults."""
+    """The state from the observations so far.
+
+    `capacity_m` is the capacity of each host in thousandths of processors, and
+    `calm_period` the start and end of the time without faults. `done_tasks` have a run
+    that ended with "done"; of `acknowledged_tasks` such an end was acknowledged.
+    """
 
     job_by_id: PMap[str, JobPlan]
     capacity_m: int
-    calm: tuple[float, float]
-    running: PMap[str, Running] = field(default_factory=pmap)
-    done: PSet[str] = field(default_factory=pset)
-    noted: PSet[str] = field(default_factory=pset)
-    accepted: PMap[str, float] = field(default_factory=pmap)
-    refused: PSet[str] = field(default_factory=pset)
-    outcome_unknown: PSet[str] = field(default_factory=pset)
-    cancelled: PMap[str, float] = field(default_factory=pmap)
-    evacuated: PMap[str, float] = field(default_factory=pmap)
+    calm_period: tuple[float, float]
+    run_by_task: PMap[str, Running] = field(default_factory=pmap)
+    done_tasks: PSet[str] = field(default_factory=pset)
+    acknowledged_tasks: PSet[str] = field(default_factory=pset)
+    accepted_at_by_job: PMap[str, float] = field(default_factory=pmap)
+    refused_jobs: PSet[str] = field(default_factory=pset)
+    outcome_unknown_jobs: PSet[str] = field(default_factory=pset)
+    cancelled_at_by_job: PMap[str, float] = field(default_factory=pmap)
+    evacuated_at_by_domain: PMap[str, float] = field(default_factory=pmap)
     state_by_job: PMap[str, str] = field(default_factory=pmap)
-    starts: int = 0
+    start_count: int = 0
     violations: tuple[str, ...] = ()
 
     def with_violation(
@@ -133,7 +138,7 @@
 
     def is_calm(self, at: float) -> bool:
         """Return whether `at` is in the time without faults."""
-        return self.calm[0] <= at < self.calm[1]
+        return self.calm_period[0] <= at < self.calm_period[1]
 
     def job_of(self, task: str) -> JobPlan | None:
         """Return the job that contains a task, if a caller submitted one."""
@@ -159,7 +164,7 @@
         return tables.with_violation(
             observation, "unasked", f"{observation.task} was never submitted"
         )
-    tables = replace(tables, starts=tables.starts + 1)
+    tables = replace(tables, start_count=tables.start_count + 1)
     for check in (
         _check_single_run,
         _check_no_rerun,
@@ -170,12 +175,12 @@
     ):
         tables = check(observation, tables, job)
     run = Running(host=observation.host, run=observation.run)
-    tables = replace(tables, running=tables.running.set(observation.task, run))
+    tables = replace(tables, run_by_task=tables.run_by_task.set(observation.task, run))
     return _check_capacity(observation, tables)
 
 
 def _check_single_run(observation: Started, tables: Tables, job: JobPlan) -> Tables:
-    other = tables.running.get(observation.task)
+    other = tables.run_by_task.get(observation.task)
     if other is None:
         return tables
     detail = (
@@ -185,7 +190,7 @@
 
 
 def _check_no_rerun(observation: Started, tables: Tables, job: JobPlan) -> Tables:
-    if observation.task not in tables.noted or job.lasting:
+    if observation.task not in tables.acknowledged_tasks or job.lasting:
         return tables
     return tables.with_violation(
         observation,
@@ -198,7 +203,7 @@
     number = int(observation.task.split(".")[2])
     for before in job.steps[number][2]:
         for index in range(job.steps[before][0]):
-            if f"{job.job_id}.0.{before}.{index}" not in tables.done:
+            if f"{job.job_id}.0.{before}.{index}" not in tables.done_tasks:
                 return tables.with_violation(
                     observation,
                     "order",
@@ -208,7 +213,7 @@
 
 
 def _check_refused_job(observation: Started, tables: Tables, job: JobPlan) -> Tables:
-    if job.job_id not in tables.refused:
+    if job.job_id not in tables.refused_jobs:
         return tables
     return tables.with_violation(
         observation, "refused", f"{observation.task} of a refused job was started"
@@ -216,7 +221,7 @@
 
 
 def _check_cancelled_job(observation: Started, tables: Tables, job: JobPlan) -> Tables:
-    since = tables.cancelled.get(job.job_id)
+    since = tables.cancelled_at_by_job.get(job.job_id)
     if (
         since is None
         or observation.at - since <= MAX_CANCEL_TIME_S
@@ -235,7 +240,7 @@
 def _check_evacuated_domain(
     observation: Started, tables: Tables, job: JobPlan
 ) -> Tables:
-    since = tables.evacuated.get(observation.failure_domain)
+    since = tables.evacuated_at_by_domain.get(observation.failure_domain)
     if (
         since is None
         or observation.at - since <= MAX_EVACUATION_TIME_S
@@ -248,7 +253,7 @@
 
 def _check_capacity(observation: Started, tables: Tables) -> Tables:
     used_m = 0
-    for task, run in tables.running.items():
+    for task, run in tables.run_by_task.items():
         job = tables.job_of(task)
         if run.host == observation.host and job is not None:
             used_m += job.steps[int(task.split(".")[2])][1]
@@ -260,26 +265,30 @@
 
 @check_observation.register
 def _(observation: Ended, tables: Tables) -> Tables:
-    running = tables.running.get(observation.task)
+    running = tables.run_by_task.get(observation.task)
     if running is not None and running.run == observation.run:
-        tables = replace(tables, running=tables.running.remove(observation.task))
+        tables = replace(
+            tables, run_by_task=tables.run_by_task.remove(observation.task)
+        )
     if observation.how != "done":
         return tables
-    return replace(tables, done=tables.done.add(observation.task))
+    return replace(tables, done_tasks=tables.done_tasks.add(observation.task))
 
 
 @check_observation.register
-def _(observation: Noted, tables: Tables) -> Tables:
+def _(observation: EndAcknowledged, tables: Tables) -> Tables:
     if observation.how != "done":
         return tables
-    return replace(tables, noted=tables.noted.add(observation.task))
+    return replace(
+        tables, acknowledged_tasks=tables.acknowledged_tasks.add(observation.task)
+    )
 
 
 @check_observation.register
 def _(observation: ServerGone, tables: Tables) -> Tables:
-    for task, run in tables.running.items():
+    for task, run in tables.run_by_task.items():
         if run.host == observation.host:
-            tables = replace(tables, running=tables.running.remove(task))
+            tables = replace(tables, run_by_task=tables.run_by_task.remove(task))
     return tables
 
 
@@ -287,18 +296,22 @@
 def _(observation: Answered, tables: Tables) -> Tables:
     job_id = observation.job_id
     if observation.answer == "accepted":
-        accepted = tables.accepted.set(job_id, observation.at)
+        accepted = tables.accepted_at_by_job.set(job_id, observation.at)
         return replace(
             tables,
-            accepted=accepted,
-            outcome_unknown=tables.outcome_unknown.discard(job_id),
+            accepted_at_by_job=accepted,
+            outcome_unknown_jobs=tables.outcome_unknown_jobs.discard(job_id),
         )
     if observation.answer == "unsure":
-        return replace(tables, outcome_unknown=tables.outcome_unknown.add(job_id))
-    if not observation.final or job_id in tables.outcome_unknown:
+        return replace(
+            tables, outcome_unknown_jobs=tables.outcome_unknown_jobs.add(job_id)
+        )
+    if not observation.final or job_id in tables.outcome_unknown_jobs:
         return tables
-    refused = replace(tables, refused=tables.refused.add(job_id))
-    if any(task.startswith(job_id) for task in (*tables.running, *tables.done)):
+    refused = replace(tables, refused_jobs=tables.refused_jobs.add(job_id))
+    if any(
+        task.startswith(job_id) for task in (*tables.run_by_task, *tables.done_tasks)
+    ):
         return refused.with_violation(
             observation, "refused", f"{job_id} was refused although tasks of it ran"
         )
@@ -308,23 +321,28 @@
 @check_observation.register
 def _(observation: Cancelled, tables: Tables) -> Tables:
     return replace(
-        tables, cancelled=tables.cancelled.set(observation.job_id, observation.at)
+        tables,
+        cancelled_at_by_job=tables.cancelled_at_by_job.set(
+            observation.job_id, observation.at
+        ),
     )
 
 
 @check_observation.register
 def _(observation: Evacuated, tables: Tables) -> Tables:
     if observation.returned:
-        evacuated = tables.evacuated.discard(observation.failure_domain)
+        evacuated = tables.evacuated_at_by_domain.discard(observation.failure_domain)
     else:
-        evacuated = tables.evacuated.set(observation.failure_domain, observation.at)
-    return replace(tables, evacuated=evacuated)
+        evacuated = tables.evacuated_at_by_domain.set(
+            observation.failure_domain, observation.at
+        )
+    return replace(tables, evacuated_at_by_domain=evacuated)
 
 
 @check_observation.register
-def _(observation: Shown, tables: Tables) -> Tables:
+def _(observation: StateReceived, tables: Tables) -> Tables:
     job_id = observation.job_id
-    accepted_at = tables.accepted.get(job_id)
+    accepted_at = tables.accepted_at_by_job.get(job_id)
     late = (
         accepted_at is not None
         and observation.at - accepted_at > MAX_VISIBILITY_DELAY_S
@@ -346,12 +364,12 @@
     return tables
 
 
-def _check_completion(observation: Shown, tables: Tables) -> Tables:
+def _check_completion(observation: StateReceived, tables: Tables) -> Tables:
     job = tables.job_by_id[observation.job_id]
     for number, (count, _, _) in enumerate(job.steps):
         for index in range(count):
             task = f"{job.job_id}.0.{number}.{index}"
-            if task not in tables.done:
+            if task not in tables.done_tasks:
                 return tables.with_violation(
                     observation, "complete", f"{task} of a completed job is not done"
                 )
@@ -364,9 +382,9 @@
     return tuple(
         sorted(
             job_id
-            for job_id in tables.accepted
+            for job_id in tables.accepted_at_by_job
             if tables.state_by_job.get(job_id) not in final_states
-            and job_id not in tables.cancelled
+            and job_id not in tables.cancelled_at_by_job
             and not tables.job_by_id[job_id].lasting
         )
     )
--- a/soak/picture.py
+++ b/soak/picture.py
@@ -3,7 +3,7 @@
 A line has the start of the interval, the jobs accepted and refused, the started runs
 as a bar, and the faults injected::
 
-      6 s   7 acc   0 ref  ######### 18  Kill StoreTrouble
+      6 s   7 acc   0 ref  ######### 18  Kill StoreFault
 """
 
 from __future__ import annotations
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,7 +8,7 @@
 
 CALM_PERIOD_S = 12.0
 STORE_MODES = ("down", "slow", "lose_answers")
-LINK_FAULT_KINDS = ("delay", "reset", "cut_in", "cut_out", "silence")
+CONNECTION_FAULT_KINDS = ("delay", "reset", "cut_in", "cut_out", "silence")
 SLOW_STORE_DELAY_S = 0.4
 EVACUATION_DURATION_S = 7.0
 
@@ -66,7 +66,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class StoreTrouble(Fault):
+class StoreFault(Fault):
     """The store is down or slow, or its responses are lost."""
 
     mode: str
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Harm(Fault):
+class ConnectionFault(Fault):
     """A fault is injected into the connections through one proxy."""
 
     proxy: str
@@ -136,18 +136,18 @@
         if at < calm_from or at >= calm_until:
             # Several faults at the same time, which may overlap.
             for _ in range(rng.choice((1, 1, 2, 3))):
-                faults.append(_fault(rng, at, names))
+                faults.append(_draw_fault(rng, at, names))
         at += rng.uniform(0.8, 3.0)
     domain = rng.choice(names.failure_domains)
     # By then the faults before the calm period, which last at most 4 s, have ended.
     changes_at = calm_from + CALM_PERIOD_S / 3
-    calm: tuple[Fault, ...] = (
+    planned_changes: tuple[Fault, ...] = (
         Evacuate(
             at=changes_at, failure_domain=domain, duration_s=EVACUATION_DURATION_S
         ),
         Reconfigure(at=changes_at + 1.0),
     )
-    ordered = sorted((*faults, *calm), key=lambda fault: fault.at)
+    ordered = sorted((*faults, *planned_changes), key=lambda fault: fault.at)
     return Plan(
         seed=seed,
         seconds=seconds,
@@ -157,15 +157,20 @@
     )
 
 
-def _fault(rng: random.Random, at: float, names: SiteNames) -> Fault:
+def _draw_fault(rng: random.Random, at: float, names: SiteNames) -> Fault:
     """Draw one fault."""
     process = rng.choice((*names.entries, *names.entries, *names.agents))
     host = rng.choice(names.hosts)
     duration_s = round(rng.uniform(0.3, 4.0), 2)
 
-    def harm() -> Fault:
-        proxy, fault_kind = rng.choice(names.proxies), rng.choice(LINK_FAULT_KINDS)
-        return Harm(at=at, proxy=proxy, fault_kind=fault_kind, duration_s=duration_s)
+    def connection_fault() -> Fault:
+        proxy, fault_kind = (
+            rng.choice(names.proxies),
+            rng.choice(CONNECTION_FAULT_KINDS),
+        )
+        return ConnectionFault(
+            at=at, proxy=proxy, fault_kind=fault_kind, duration_s=duration_s
+        )
 
     makers: tuple[Callable[[], Fault], ...] = (
         lambda: Kill(at=at, name=process, duration_s=duration_s / 2),
@@ -175,12 +180,10 @@
         lambda: Reload(at=at, name=process),
         lambda: Crash(at=at, host=host, duration_s=duration_s / 2),
         lambda: Drain(at=at, host=host),
-        lambda: StoreTrouble(
-            at=at, mode=rng.choice(STORE_MODES), duration_s=duration_s
-        ),
+        lambda: StoreFault(at=at, mode=rng.choice(STORE_MODES), duration_s=duration_s),
         lambda: Compact(at=at),
-        harm,
-        harm,
+        connection_fault,
+        connection_fault,
         lambda: Reconfigure(at=at),
     )
     return rng.choice(makers)()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -32,14 +32,14 @@
 
 
 class Proxy:
-    """Forwards connections from `port` to the port `target`.
+    """Forwards connections from `port` to `target_port`.
 
     The directions in `held_directions` are cut.
     """
 
-    def __init__(self, *, port: int, target: int) -> None:
+    def __init__(self, *, port: int, target_port: int) -> None:
         self.port = port
-        self.target = target
+        self.target_port = target_port
         self.delay_s = 0.0
         self.held_directions: frozenset[str] = frozenset()
         self.connections: list[ProxiedConnection] = []
@@ -53,7 +53,7 @@
     ) -> None:
         try:
             target_reader, target_writer = await asyncio.open_connection(
-                HOST, self.target
+                HOST, self.target_port
             )
         except OSError:
             # The target is not listening; the client gets a reset.
@@ -120,14 +120,14 @@
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
         self.by_name: dict[str, Proxy] = {}
 
-    def add(self, name: str, port: int, target: int) -> None:
+    def add(self, name: str, port: int, target_port: int) -> None:
         """Start a proxy."""
-        proxy = Proxy(port=port, target=target)
-        self._wait(proxy.start())
+        proxy = Proxy(port=port, target_port=target_port)
+        self._run(proxy.start())
         self.by_name[name] = proxy
 
-    def _wait(self, work: Coroutine[Any, Any, None]) -> None:
-        asyncio.run_coroutine_threadsafe(work, self._loop).result(5.0)
+    def _run(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(5.0)
 
     def start_fault(self, name: str, fault_kind: str) -> None:
         """Start a fault on a proxy."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,8 +25,8 @@
 
 from soak.callers import Caller, Connection
 from soak.invariants import (
+    EndAcknowledged,
     Ended,
-    Noted,
     Observation,
     Started,
     Tables,
@@ -72,7 +72,7 @@
         self._folder = folder
         self._observations: queue.SimpleQueue[Observation] = queue.SimpleQueue()
         self._pending: list[Observation] = []
-        self._read_by_path: dict[pathlib.Path, int] = {}
+        self._offset_by_path: dict[pathlib.Path, int] = {}
         self.processed: list[Observation] = []
 
     def record(self, observation: Observation) -> None:
@@ -82,7 +82,7 @@
     def process(self, now: float) -> None:
         """Read new log lines of backend servers; check what is old enough."""
         for path in self._folder.glob("host-*.log"):
-            self._read(path)
+            self._read_log(path)
         while not self._observations.empty():
             self._pending.append(self._observations.get())
         self._pending.sort(key=lambda observation: observation.at)
@@ -91,14 +91,14 @@
             self.processed.append(observation)
             self.tables = check_observation(observation, self.tables)
 
-    def _read(self, path: pathlib.Path) -> None:
-        offset = self._read_by_path.get(path, 0)
+    def _read_log(self, path: pathlib.Path) -> None:
+        offset = self._offset_by_path.get(path, 0)
         with path.open("rb") as log:
             log.seek(offset)
             data = log.read()
-        whole = data[: data.rfind(b"\n") + 1]
-        self._read_by_path[path] = offset + len(whole)
-        for line in whole.splitlines():
+        complete_lines = data[: data.rfind(b"\n") + 1]
+        self._offset_by_path[path] = offset + len(complete_lines)
+        for line in complete_lines.splitlines():
             observation = _parse_observation(line)
             if observation is not None:
                 self._pending.append(observation)
@@ -122,7 +122,7 @@
             at=at, host=raw["host"], task=raw["task"], run=raw["run"], how=raw["how"]
         )
     if what == "noted":
-        return Noted(at=at, task=raw["task"], how=raw["how"])
+        return EndAcknowledged(at=at, task=raw["task"], how=raw["how"])
     return None
 
 
@@ -138,7 +138,7 @@
     tables = Tables(
         job_by_id=pmap({job.job_id: job for job in jobs}),
         capacity_m=CAPACITY_M,
-        calm=(0.0, 0.0),
+        calm_period=(0.0, 0.0),
     )
     observer = Observer(tables, folder)
     site = make_site(names, folder, observer.record)
@@ -162,9 +162,9 @@
     _process_for(observer, READY_WAIT_S)
     started_at = time.monotonic()
     # The first third of the calm period is left for faults to end.
-    settled = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
-    calm = (settled, started_at + plan.calm_until)
-    observer.tables = replace(observer.tables, calm=calm)
+    settled_at = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
+    calm_period = (settled_at, started_at + plan.calm_until)
+    observer.tables = replace(observer.tables, calm_period=calm_period)
     stop = threading.Event()
     items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
     with ThreadPoolExecutor(MAX_CALLERS) as pool:
@@ -237,8 +237,9 @@
         print("\n".join(verdict.picture))
     states = collections.Counter(tables.state_by_job.values())
     print(
-        f"  {len(tables.accepted)} jobs accepted, {len(tables.refused)} refused,"
-        f" {len(tables.outcome_unknown)} unsure; {tables.starts} starts;"
+        f"  {len(tables.accepted_at_by_job)} jobs accepted,"
+        f" {len(tables.refused_jobs)} refused,"
+        f" {len(tables.outcome_unknown_jobs)} unsure; {tables.start_count} starts;"
         f" states {dict(sorted(states.items()))}"
     )
     for line in tables.violations:
--- a/soak/site.py
+++ b/soak/site.py
@@ -24,17 +24,17 @@
 from soak.plan import (
     SLOW_STORE_DELAY_S,
     Compact,
+    ConnectionFault,
     Crash,
     Drain,
     Evacuate,
     Fault,
-    Harm,
     Kill,
     Pause,
     Reconfigure,
     Reload,
     SiteNames,
-    StoreTrouble,
+    StoreFault,
     Terminate,
 )
 from soak.proxy import Proxies
@@ -69,7 +69,7 @@
         self.incarnation_by_host: dict[str, int] = {}
 
     @property
-    def store(self) -> str:
+    def store_url(self) -> str:
         """The URL of the store, without a proxy."""
         return f"http://{HOST}:{self.port_by_name['store']}"
 
@@ -105,19 +105,19 @@
             self.fleet.start(name, command)
 
     def _settings(self, name: str, verb: str) -> dict[str, Any]:
-        address = {
+        address_by_kind = {
             kind: f"{HOST}:{self.port_by_name[f'{kind} {name}']}"
             for kind in ("callers", "ready", "links", "announcements", "reached_at")
             if f"{kind} {name}" in self.port_by_name
         }
-        store = self.port_by_name[f"store < {name}"]
+        store_port = self.port_by_name[f"store < {name}"]
         common: dict[str, Any] = {
             "role": verb,
             "name": name,
             "region": "ege",
             "failure_domain": self._failure_domain(name),
-            **address,
-            "store": {"url": f"http://{HOST}:{store}"},
+            **address_by_kind,
+            "store": {"url": f"http://{HOST}:{store_port}"},
             "limits": {"longest_lease_s": 6.0, "kill_s": KILL_TIME_S},
         }
         if verb == "job-entry":
@@ -176,7 +176,7 @@
     def post_to_store(self, path: str, body: object) -> None:
         """Send a request to the store as its operators would."""
         answer = urllib3.request(
-            "POST", f"{self.store}{path}", json=body, timeout=5.0, retries=False
+            "POST", f"{self.store_url}{path}", json=body, timeout=5.0, retries=False
         )
         if answer.status != 200:
             raise RuntimeError(f"store {path}: {answer.status} {answer.data!r}")
@@ -317,7 +317,7 @@
 
 
 @inject_fault.register
-def _(fault: StoreTrouble, site: Site) -> None:
+def _(fault: StoreFault, site: Site) -> None:
     delay_s = SLOW_STORE_DELAY_S if fault.mode == "slow" else 0.0
     switch = {"mode": fault.mode, "seconds": fault.duration_s, "delay_s": delay_s}
     site.post_to_store("/switch", switch)
@@ -329,7 +329,7 @@
 
 
 @inject_fault.register
-def _(fault: Harm, site: Site) -> None:
+def _(fault: ConnectionFault, site: Site) -> None:
     site.proxies.start_fault(fault.proxy, fault.fault_kind)
     site.schedule(
         fault.duration_s, lambda: site.proxies.end_fault(fault.proxy, fault.fault_kind)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -15,13 +15,13 @@
 from soak.invariants import (
     Answered,
     Cancelled,
+    EndAcknowledged,
     Ended,
     Evacuated,
-    Noted,
     Observation,
     ServerGone,
-    Shown,
     Started,
+    StateReceived,
     Tables,
     check_observation,
     unfinished,
@@ -48,9 +48,9 @@
     return Ended(at=at, host="host-0", task=task, run=run, how=how)
 
 
-def shown(state: str, at: float = 9.0) -> Shown:
+def state_received(state: str, at: float = 9.0) -> StateReceived:
     """Return the state that a caller was shown."""
-    return Shown(at=at, job_id=JOB.job_id, state=state)
+    return StateReceived(at=at, job_id=JOB.job_id, state=state)
 
 
 def answered(answer: str, at: float = 0.5) -> Answered:
@@ -58,22 +58,27 @@
     return Answered(at=at, job_id=JOB.job_id, answer=answer, final=True)
 
 
-DONE = Noted(at=2.5, task=FIRST, how="done")
+FIRST_ACKNOWLEDGED = EndAcknowledged(at=2.5, task=FIRST, how="done")
 EVACUATED = Evacuated(at=1.0, failure_domain="z1")
 CANCELLED = Cancelled(at=1.0, job_id=JOB.job_id)
 # Observations that violate each invariant, and similar ones that violate none.
 OBSERVATIONS_BY_VIOLATION: Mapping[str, tuple[Observation, ...]] = {
     "unasked": (started("5c0e.0.0.2"),),
     "twice": (started(FIRST), started(FIRST, host="host-1", run=2)),
-    "again": (started(FIRST), ended(FIRST), DONE, started(FIRST, at=3.0, run=2)),
+    "again": (
+        started(FIRST),
+        ended(FIRST),
+        FIRST_ACKNOWLEDGED,
+        started(FIRST, at=3.0, run=2),
+    ),
     "order": (started(FIRST), ended(FIRST), started(LAST)),
     "refused": (answered("refused"), started(FIRST)),
     "cancelled": (CANCELLED, started(FIRST, at=4.5)),
     "evacuated": (EVACUATED, started(FIRST, at=6.5)),
     "capacity": (started(FIRST), started(SECOND)),
-    "complete": (started(FIRST), ended(FIRST), shown("completed")),
-    "lost": (answered("accepted"), shown("gone")),
-    "failed": (answered("accepted"), shown("failed")),
+    "complete": (started(FIRST), ended(FIRST), state_received("completed")),
+    "lost": (answered("accepted"), state_received("gone")),
+    "failed": (answered("accepted"), state_received("failed")),
 }
 NO_VIOLATION_CASES: Mapping[str, tuple[Observation, ...]] = {
     "a second run after a crash": (
@@ -103,30 +108,32 @@
 def check_all(*observations: Observation) -> Tables:
     """Check observations, all in a time without faults."""
     tables = Tables(
-        job_by_id=pmap({JOB.job_id: JOB}), capacity_m=4_000, calm=(0.0, 60.0)
+        job_by_id=pmap({JOB.job_id: JOB}), capacity_m=4_000, calm_period=(0.0, 60.0)
     )
     for observation in observations:
         tables = check_observation(observation, tables)
     return tables
 
 
-class PromisesTest(testtools.TestCase):
-    def test_each_promise_is_seen_broken(self) -> None:
+class InvariantsTest(testtools.TestCase):
+    def test_a_violation_of_each_invariant_is_reported(self) -> None:
         for invariant, observations in OBSERVATIONS_BY_VIOLATION.items():
             with self.subTest(invariant):
                 violations = check_all(*observations).violations
                 self.assertEqual([invariant], [line.split()[0] for line in violations])
 
-    def test_what_only_looks_broken_is_kept(self) -> None:
+    def test_similar_observations_violate_no_invariant(self) -> None:
         for name, observations in NO_VIOLATION_CASES.items():
             with self.subTest(name):
                 self.assertEqual((), check_all(*observations).violations)
 
     def test_an_accepted_job_without_an_end_is_unfinished(self) -> None:
-        tables = check_all(answered("accepted"), shown("running"))
+        tables = check_all(answered("accepted"), state_received("running"))
         self.assertEqual((JOB.job_id,), unfinished(tables))
-        over = check_observation(shown("failed"), replace(tables, violations=()))
-        self.assertEqual((), unfinished(over))
+        ended_tables = check_observation(
+            state_received("failed"), replace(tables, violations=())
+        )
+        self.assertEqual((), unfinished(ended_tables))
 
 
 class PlanTest(testtools.TestCase):
@@ -136,7 +143,7 @@
         self.assertEqual(draw_jobs(5, 34.0, 3.0), draw_jobs(5, 34.0, 3.0))
         self.assertNotEqual(draw(5, 34.0, names), draw(6, 34.0, names))
 
-    def test_only_planned_changes_come_in_the_calm_stretch(self) -> None:
+    def test_only_planned_changes_are_made_in_the_calm_period(self) -> None:
         for seed in range(20):
             plan = draw(seed, 34.0, make_names(2, 4))
             kinds = {
@@ -148,7 +155,7 @@
 
 
 class PictureTest(testtools.TestCase):
-    def test_each_stretch_shows_what_happened_in_it(self) -> None:
+    def test_each_line_counts_the_events_of_its_interval(self) -> None:
         observations = (answered("accepted"), started(FIRST), started(SECOND, at=3.0))
         lines = draw_picture(
             0.0, observations, (Kill(at=2.5, name="entry-0", duration_s=1.0),)
@@ -163,7 +170,7 @@
 
 
 class ShortRunTest(testtools.TestCase):
-    def test_a_short_run_keeps_every_promise(self) -> None:
+    def test_a_short_run_violates_no_invariant(self) -> None:
         done = subprocess.run(
             (sys.executable, "-m", "soak.run", *SHORT_RUN),
             cwd=ROOT,
