Rename vague locals of the scripts and the fault matrix

The parameter when of the scenario is a delay and is called delay_s. A site pauses a process, as the virtual world does, instead of freezing it. The results of the demo are a report, processor time is processor_s as in the other measurements, and clock ticks are told apart from ticks of roles. Other vague locals and constants of these files are named by what they hold.

--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -35,7 +35,7 @@
 FLAGS = flags.FLAGS
 AGENTS = ("agent-01", "agent-02", "agent-05", "agent-08")
 ENTRIES = ("entry-1", "entry-2")
-JOB = "long-curves"
+JOB_NAME = "long-curves"
 TASK_COUNT = 24
 TASK_RUN_S = 60.0
 READY_TIMEOUT_S = 30.0
@@ -79,12 +79,12 @@
         """Return the owner of each cell."""
         return {key: row["owner"] for key, row in self.rows("lease/").items()}
 
-    def finished(self) -> int:
+    def finished_count(self) -> int:
         """Return the number of finished tasks of the job."""
-        done = self.rows(f"done/{JOB}/").values()
-        return sum(1 for row in done if row["state"] == "finished")
+        outcomes = self.rows(f"done/{JOB_NAME}/").values()
+        return sum(1 for row in outcomes if row["state"] == "finished")
 
-    def running(self, worker_id: str) -> list[str]:
+    def running_tasks(self, worker_id: str) -> list[str]:
         """Return the task ids of a worker's runs in progress, one for each run."""
         url = f"{self._workers}/{worker_id}/v1/report"
         report = self._pool.request("POST", url, json={"renew": []}).json()
@@ -126,15 +126,15 @@
         while not self._stopped.wait(POLL_INTERVAL_S):
             runs: Counter[str] = Counter()
             for worker_id in self._worker_ids:
-                runs.update(self._running(worker_id))
+                runs.update(self._running_tasks(worker_id))
             self.tasks_run_twice.update(
                 task for task, count in runs.items() if count > 1
             )
             self.polls += 1
 
-    def _running(self, worker_id: str) -> list[str]:
+    def _running_tasks(self, worker_id: str) -> list[str]:
         try:
-            return self._platform.running(worker_id)
+            return self._platform.running_tasks(worker_id)
         except urllib3.exceptions.HTTPError:
             return []
 
@@ -155,13 +155,15 @@
         if record["kind"] != "job":
             submit_record(url, record)
     job = next(record for record in sample if record["kind"] == "job")
-    submit_record(url, {**job, "name": JOB, "tasks": TASK_COUNT, "run_s": TASK_RUN_S})
+    submit_record(
+        url, {**job, "name": JOB_NAME, "tasks": TASK_COUNT, "run_s": TASK_RUN_S}
+    )
     cells = [record for record in sample if record["kind"] == "cell"]
     worker_ids = [w["worker_id"] for cell in cells for w in cell["workers"]]
     watcher = DuplicateRunWatcher(platform=platform, worker_ids=worker_ids)
     watcher.start()
     wait_for(
-        lambda: sum(len(platform.running(w)) for w in worker_ids) >= TASK_COUNT,
+        lambda: sum(len(platform.running_tasks(w)) for w in worker_ids) >= TASK_COUNT,
         READY_TIMEOUT_S,
         "starts",
     )
@@ -214,10 +216,10 @@
     pause_owner(fleet, platform)
     kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
     waited_s = wait_for(
-        lambda: platform.finished() == TASK_COUNT, JOB_TIMEOUT_S, "the job"
+        lambda: platform.finished_count() == TASK_COUNT, JOB_TIMEOUT_S, "the job"
     )
     watcher.stop()
-    rows = platform.rows(f"done/{JOB}/").values()
+    rows = platform.rows(f"done/{JOB_NAME}/").values()
     generations = Counter(row["generation"] for row in rows)
     print_progress(
         f"finished {waited_s:.1f} s later; tasks by generation: {dict(generations)}"
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -34,7 +34,7 @@
 
 FLAGS = flags.FLAGS
 REQUEST_COUNT = 200
-PLAN_MARGIN = 2.0
+PLAN_DURATION_FACTOR = 2.0
 REPEATABLE_FRACTION = 0.5
 CALL_TIMEOUT_S = 4.0
 CALL_THREADS = 64
@@ -53,7 +53,7 @@
 class Outcome:
     """The results of the demo."""
 
-    calls: Report
+    report: Report
     job: Mapping[str, Any]
     drained: bool
     exit_codes: Mapping[str, int]
@@ -61,8 +61,8 @@
     @property
     def passed(self) -> bool:
         """Whether calls, job, drain and exit codes are all as expected."""
-        calls = self.calls
-        bad_calls = calls.doubled + calls.lost + calls.wrong + calls.false_refusals
+        report = self.report
+        bad_calls = report.doubled + report.lost + report.wrong + report.false_refusals
         job_done = self.job.get("finished") == self.job.get("tasks")
         stopped = all(code == 0 for code in self.exit_codes.values())
         return not bad_calls and job_done and self.drained and stopped
@@ -96,7 +96,7 @@
     )
     calls = plan(
         rate=REQUEST_COUNT / seconds,
-        seconds=seconds * PLAN_MARGIN,
+        seconds=seconds * PLAN_DURATION_FACTOR,
         repeatable_share=REPEATABLE_FRACTION,
         seed=FLAGS.seed,
         name="demo",
@@ -151,13 +151,15 @@
     name_by_kind = {record["kind"]: record["name"] for record in submitted}
     domain = next(r["name"] for r in submitted if r["kind"] == "failure_domain")
     with ThreadPoolExecutor(2) as pool:
-        calls = pool.submit(send_calls, layout, name_by_kind["service"], seconds)
-        drain = pool.submit(drain_and_return, fleet, domain, seconds / 4)
+        report_future = pool.submit(
+            send_calls, layout, name_by_kind["service"], seconds
+        )
+        drain_future = pool.submit(drain_and_return, fleet, domain, seconds / 4)
         job = wait_for_job(layout, name_by_kind["job"])
         print_progress("waiting for the remaining requests")
-        report, drained = calls.result(), drain.result()
+        report, drained = report_future.result(), drain_future.result()
     exit_codes = stop_all(fleet)
-    return Outcome(calls=report, job=job, drained=drained, exit_codes=exit_codes)
+    return Outcome(report=report, job=job, drained=drained, exit_codes=exit_codes)
 
 
 def stop_all(fleet: Fleet) -> Mapping[str, int]:
@@ -172,13 +174,13 @@
 
 def print_outcome(outcome: Outcome) -> None:
     """Print the results of the demo."""
-    calls = outcome.calls
+    report = outcome.report
     print(
-        f"requests: {calls.calls} sent, {calls.served} served, {calls.lost} lost,"
-        f" {calls.doubled} doubled, {calls.refused} refused as not run,"
-        f" {calls.unknown} unknown, {calls.wrong} wrong, {calls.retries} retries"
+        f"requests: {report.calls} sent, {report.served} served, {report.lost} lost,"
+        f" {report.doubled} doubled, {report.refused} refused as not run,"
+        f" {report.unknown} unknown, {report.wrong} wrong, {report.retries} retries"
     )
-    print(f"latency: p50 {calls.p50_ms:.1f} ms, p99 {calls.p99_ms:.1f} ms")
+    print(f"latency: p50 {report.p50_ms:.1f} ms, p99 {report.p99_ms:.1f} ms")
     print(f"job: {json.dumps(outcome.job)}")
     print(f"drained and returned: {'yes' if outcome.drained else 'no'}")
     print("demo passed" if outcome.passed else "demo FAILED")
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -56,7 +56,7 @@
     waiting: int
     commits: int
     seconds: float
-    cpu_s: float
+    processor_s: float
     transactions: int
     p50_ms: float
     p99_ms: float
@@ -177,7 +177,7 @@
             role=role, carry_out=lambda command: carry_out(command, ports)
         )
         submitters.actor = actor
-        cpu_at_start_s = cpu_s()
+        processor_at_start_s = processor_s()
         started_at = time.monotonic()
         submitters.start()
         threading.Event().wait(seconds)
@@ -185,7 +185,7 @@
             waiting=waiting,
             commits=submitters.commits,
             seconds=time.monotonic() - started_at,
-            cpu_s=cpu_s() - cpu_at_start_s,
+            processor_s=processor_s() - processor_at_start_s,
             transactions=submitters.transactions,
             p50_ms=submitters.latencies.get_value_at_percentile(50) / 1_000,
             p99_ms=submitters.latencies.get_value_at_percentile(99) / 1_000,
@@ -197,7 +197,7 @@
     return measurement
 
 
-def cpu_s() -> float:
+def processor_s() -> float:
     """Return the processor time that this process has used."""
     used = resource.getrusage(resource.RUSAGE_SELF)
     return used.ru_utime + used.ru_stime
@@ -205,13 +205,15 @@
 
 def print_row(label: str, measurement: Measurement) -> None:
     """Print the results of one run."""
-    rows = measurement.commits / max(1, measurement.transactions)
+    rows_per_transaction = measurement.commits / max(1, measurement.transactions)
     print(
         f"{label:8} waiting={measurement.waiting:5}"
         f" commits/s={measurement.commits_per_s:8.1f}"
-        f" rows/transaction={rows:6.1f} p50={measurement.p50_ms:8.1f} ms"
+        f" rows/transaction={rows_per_transaction:6.1f}"
+        f" p50={measurement.p50_ms:8.1f} ms"
         f" p99={measurement.p99_ms:8.1f} ms"
-        f" cpu={measurement.cpu_s / measurement.commits * US_PER_S:7.0f} us/commit",
+        f" cpu={measurement.processor_s / measurement.commits * US_PER_S:7.0f}"
+        " us/commit",
         flush=True,
     )
 
--- a/scripts/measure_process.py
+++ b/scripts/measure_process.py
@@ -34,7 +34,7 @@
 FLAGS = flags.FLAGS
 SETTLE_TIME_S = 8.0
 READY_TIMEOUT_S = 30.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 LINK_BYTES = re.compile(r"^link_bytes_(?:sent|received)\{[^}]*\} (\d+)$", re.MULTILINE)
 
 
@@ -58,7 +58,7 @@
     text = urllib3.request("GET", f"http://{HOST}:{metrics_port}/metrics").data.decode()
     return Sample(
         at=time.monotonic(),
-        processor_s=(int(stat[11]) + int(stat[12])) / TICKS_PER_S,
+        processor_s=(int(stat[11]) + int(stat[12])) / CLOCK_TICKS_PER_S,
         resident_kb=_number(status, "VmRSS"),
         threads=_number(status, "Threads"),
         children=len(children),
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -145,9 +145,9 @@
         for name in self.case.faults if self.reached else ():
             FAULT_BY_NAME[name](self.site, address, command)
 
-    def at(self, when: float, action: Any) -> None:
+    def at(self, delay_s: float, action: Any) -> None:
         """Schedule an action of the scenario after a delay."""
-        self.site.world.at(when, action)
+        self.site.world.at(delay_s, action)
 
     def execute(self) -> Verdict:
         """Run the scenario to its end and check it."""
@@ -174,7 +174,9 @@
             violations=tuple(self.site.violations),
         )
 
-    def submit(self, when: float, kind: str, record: Record, attempts: int = 0) -> None:
+    def submit(
+        self, delay_s: float, kind: str, record: Record, attempts: int = 0
+    ) -> None:
         """Submit a record, through alternating entries, until it is accepted."""
         call_id = f"submit-{record.name}-{attempts}"
         entry = ENTRIES[attempts % len(ENTRIES)]
@@ -188,24 +190,24 @@
             if not accepted and attempts < MAX_OPERATOR_RETRIES:
                 self.submit(0.0, kind, record, attempts + 1)
 
-        self.at(when, lambda: self.site.send_operator_call(entry, event))
-        timeout_s = 0.3 if when < FAULTS_FROM_S else OPERATOR_TIMEOUT_S
-        self.at(when + timeout_s, check_outcome)
+        self.at(delay_s, lambda: self.site.send_operator_call(entry, event))
+        timeout_s = 0.3 if delay_s < FAULTS_FROM_S else OPERATOR_TIMEOUT_S
+        self.at(delay_s + timeout_s, check_outcome)
 
     def set_domain_state(
-        self, when: float, state: DomainState, attempts: int = 0
+        self, delay_s: float, state: DomainState, attempts: int = 0
     ) -> None:
         """Change the first failure domain until the store holds the change."""
 
         def check_outcome() -> None:
             row = self.site.row(f"record/failure_domain/{DOMAINS[0]}")
-            wanted = row is not None and row.record.state is state
-            if not wanted and attempts < MAX_OPERATOR_RETRIES:
+            changed = row is not None and row.record.state is state
+            if not changed and attempts < MAX_OPERATOR_RETRIES:
                 self.set_domain_state(0.0, state, attempts + 1)
 
         entry = ENTRIES[attempts % len(ENTRIES)]
-        self.at(when, lambda: change_domain(self.site, entry, DOMAINS[0], state))
-        self.at(when + 3.0, check_outcome)
+        self.at(delay_s, lambda: change_domain(self.site, entry, DOMAINS[0], state))
+        self.at(delay_s + 3.0, check_outcome)
 
     def stop_gracefully(self, agent: str) -> None:
         """Stop an agent as SIGTERM does, and start it again later."""
--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -43,7 +43,7 @@
 
 def pause(site: Site, address: RoleAddress, command: Any) -> None:
     """Pause the process right before the command, until every lease has expired."""
-    site.freeze(address.process, PAUSE_DURATION_S)
+    site.pause(address.process, PAUSE_DURATION_S)
 
 
 def cut_outgoing(site: Site, address: RoleAddress, command: Any) -> None:
@@ -64,10 +64,10 @@
     """Use `path` for the messages of all links for a limited time."""
     site.path = path
 
-    def heal() -> None:
+    def restore() -> None:
         site.path = Path()
 
-    site.world.at(PATH_FAULT_DURATION_S, heal)
+    site.world.at(PATH_FAULT_DURATION_S, restore)
 
 
 def delay(site: Site, address: RoleAddress, command: Any) -> None:
@@ -89,10 +89,10 @@
     """Set the mode and the delay of the store for a limited time."""
     site.store_mode, site.store_delay_s = mode, delay_s
 
-    def heal() -> None:
+    def restore() -> None:
         site.store_mode, site.store_delay_s = "up", STORE_DELAY_S
 
-    site.world.at(STORE_FAULT_DURATION_S, heal)
+    site.world.at(STORE_FAULT_DURATION_S, restore)
 
 
 def store_down(site: Site, address: RoleAddress, command: Any) -> None:
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -51,8 +51,8 @@
 @submitted_writes.register(Submit)
 @submitted_writes.register(Submitted)
 def _(command: Any) -> tuple[WrittenRow, ...]:
-    content: Submission = command.submission
-    return tuple(WrittenRow(key=w.key, row=w.row) for w in content.writes)
+    submission: Submission = command.submission
+    return tuple(WrittenRow(key=w.key, row=w.row) for w in submission.writes)
 
 
 @singledispatch
--- a/test/site.py
+++ b/test/site.py
@@ -148,7 +148,7 @@
         self.deliver_to_process(entry, LinkDown(peer=self.incarnation_of(agent)))
         self.deliver_to_process(agent, LinkDown(peer=self.incarnation_of(entry)))
 
-    def freeze(self, process: str, seconds: float) -> None:
+    def pause(self, process: str, seconds: float) -> None:
         """Pause a process; its peers end their links after the keepalive timeout."""
         self.world.pause(process, seconds)
         pairs = [pair for pair in self.links if process in pair]
@@ -174,13 +174,13 @@
             for pair in pairs:
                 self.unlink(*pair)
 
-        def heal() -> None:
+        def reconnect() -> None:
             self.cut_links -= directions
             for pair in pairs:
                 self.link(*pair)
 
         self.world.at(min(LINK_DOWN_TIMEOUT_S, seconds), end_links)
-        self.world.at(seconds, heal)
+        self.world.at(seconds, reconnect)
 
     def send(self, source: str, peer: str, item: LinkEvent) -> None:
         """Send an item over a link, with the delays of the current path."""
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -265,17 +265,19 @@
 def check_workers(site: Site) -> None:
     """Check that no two runs of a task overlap and no worker exceeds its capacity."""
     site.advance()
-    names: list[str] = []
+    running_tasks: list[str] = []
     for name, state in site.workers.items():
         if not worker_core.running_size(state).fits(CAPACITY):
             site.record_violation(f"{name} is over its capacity")
-        names += [
+        running_tasks += [
             run.start.task_id
             for run in state.runs.rows()
             if run.state is worker_core.RunState.RUNNING
             and name not in site.dead_workers
         ]
-    for task in sorted({task for task in names if names.count(task) > 1}):
+    for task in sorted(
+        {task for task in running_tasks if running_tasks.count(task) > 1}
+    ):
         site.record_violation(f"{task} runs twice at once")
 
 
--- a/test/test_fault_matrix.py
+++ b/test/test_fault_matrix.py
@@ -23,8 +23,8 @@
 DATA = pathlib.Path(__file__).parent.parent / "test-data" / "fault_matrix.txt"
 PAIR_CASE_COUNT = 80
 PAIR_SEED = 20_261
-LATER_CASE_COUNT = 60
-LATER_SEED = 20_262
+LATER_OCCURRENCE_CASE_COUNT = 60
+LATER_OCCURRENCE_SEED = 20_262
 OCCURRENCE_CHOICES = 7
 FREQUENT_STEPS = frozenset(
     {
@@ -86,9 +86,9 @@
 def later_occurrence_cases(names: MatrixNames) -> list[FaultCase]:
     """Return cases at later occurrences of frequent steps."""
     steps = [step for step in names.steps if step in FREQUENT_STEPS]
-    rng = RandomGenerator(state=LATER_SEED)
+    rng = RandomGenerator(state=LATER_OCCURRENCE_SEED)
     cases: list[FaultCase] = []
-    for number in range(LATER_CASE_COUNT):
+    for number in range(LATER_OCCURRENCE_CASE_COUNT):
         step, rng = rng.draw(len(steps))
         fault, rng = rng.draw(len(names.faults))
         occurrence, rng = rng.draw(OCCURRENCE_CHOICES)
@@ -145,6 +145,6 @@
         verdicts = run_cases(fault_pair_cases(read_names()))
         self.assertEqual([], report("pairs of faults", verdicts))
 
-    def test_faults_at_later_times_of_a_step(self) -> None:
+    def test_faults_at_later_occurrences_of_a_step(self) -> None:
         verdicts = run_cases(later_occurrence_cases(read_names()))
         self.assertEqual([], report("later times of a step", verdicts))
--- a/test/test_matrix_guards.py
+++ b/test/test_matrix_guards.py
@@ -31,7 +31,7 @@
     """Stand in for `join_known` as if no request id had run before."""
 
 
-CASES = (
+MUTATIONS = (
     Mutation(
         name="an agent that does not remember ids runs a repeated request twice",
         patches=((guard_requests, "join_known", never_join_known),),
@@ -47,9 +47,9 @@
 )
 
 
-class MatrixGuardTest(testtools.TestCase):
+class MatrixSafeguardTest(testtools.TestCase):
     def test_a_case_fails_without_its_safeguard(self) -> None:
-        for mutation in CASES:
+        for mutation in MUTATIONS:
             with self.subTest(mutation.name):
                 self.assertEqual((), run_case(mutation.case).violations)
                 violations = violations_without(mutation)
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -68,12 +68,12 @@
         self.command_hooks: list[CommandHook] = []
         self._carry_out = carry_out
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
+        self._action_count = 0
 
     def at(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule an action after a delay."""
-        self._count += 1
-        heapq.heappush(self._queue, (self.now + delay_s, self._count, action))
+        self._action_count += 1
+        heapq.heappush(self._queue, (self.now + delay_s, self._action_count, action))
 
     def start(self, process: str, roles: Iterable[Role[Any]]) -> None:
         """Start a process; starting it again replaces it with empty tables."""
@@ -143,8 +143,8 @@
             address for address in self.roles if address.process == process
         ]:
             self._tick_role(address, incarnation, ())
-        wait = max(TICK_INTERVAL_S, self._remaining_pause_s(process))
-        self.at(wait, lambda: self._tick_all(process, incarnation))
+        wait_s = max(TICK_INTERVAL_S, self._remaining_pause_s(process))
+        self.at(wait_s, lambda: self._tick_all(process, incarnation))
 
     def _tick_role(
         self, address: RoleAddress, incarnation: int, events: tuple[Event, ...]
