Correct and complete texts of the soak

The picture counts attempts to submit, and its second number includes those of unknown outcome, which its description did not say. The visibility bound is checked at all times, while the comment said that all bounds hold for times without faults. The payload of a job, the form of a task id, the names of the proxies and the choice of the first entry were not explained. The comment on the time to finish again names the run time of the tasks. A run that passes now prints "passed" instead of "kept", a violation "VIOLATED" instead of "BROKEN", and "unsure" is the outcome "unknown"; the test expects the new word.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -126,7 +126,9 @@
                 return True
             outcome_unknown = outcome_unknown or reply.status not in REFUSAL_STATUSES
             self._record_answer(
-                job, "unsure" if outcome_unknown else "refused", final=not attempts_left
+                job,
+                "unknown" if outcome_unknown else "refused",
+                final=not attempts_left,
             )
             self.stop.wait(CALLER_RETRY_DELAY_S)
         return False
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -2,7 +2,8 @@
 
 Observations are handled in the order of their time. `check_observation` returns the
 tables after an observation; a violated invariant adds a line to `violations`. Times
-are monotonic, in seconds.
+are monotonic, in seconds. A task id is ``JOB.OCCURRENCE.STEP.INDEX``; the jobs of the
+soak occur once, so their occurrence is 0.
 """
 
 from __future__ import annotations
@@ -14,7 +15,8 @@
 
 from soak.plan import JobPlan
 
-# The bounds documented for users for planned changes while there are no faults.
+# The bounds that the users' documentation gives for times without faults. Whether an
+# accepted job is visible within its bound is checked at all times.
 MAX_CANCEL_TIME_S = 3.0
 MAX_EVACUATION_TIME_S = 5.0
 MAX_VISIBILITY_DELAY_S = 3.0
@@ -29,7 +31,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Started(Observation):
-    """A backend server started a run."""
+    """A backend server started a run of a task; `run` is the number of the run."""
 
     host: str
     failure_domain: str
@@ -39,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ended(Observation):
-    """A run ended on its backend server."""
+    """A run ended on its backend server; `how` is "done" if it succeeded."""
 
     host: str
     task: str
@@ -64,7 +66,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered(Observation):
-    """A caller's submission was "accepted" or "refused", or its outcome is "unsure".
+    """A caller's submission was "accepted" or "refused", or its outcome is "unknown".
 
     `final` is set if the caller will not try again.
     """
@@ -83,7 +85,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StateReceived(Observation):
-    """A caller got the state of a job, or "gone" if the job is unknown."""
+    """A caller received the state of a job, or "gone" if the entry does not know it."""
 
     job_id: str
     state: str
@@ -184,7 +186,8 @@
     if other is None:
         return tables
     detail = (
-        f"{observation.task}#{observation.run} on {observation.host} besides {other}"
+        f"{observation.task}#{observation.run} started on {observation.host}"
+        f" during {other}"
     )
     return tables.with_violation(observation, "twice", detail)
 
@@ -259,7 +262,10 @@
             used_m += job.steps[int(task.split(".")[2])][1]
     if used_m <= tables.capacity_m:
         return tables
-    detail = f"{observation.host} has {used_m} of {tables.capacity_m}"
+    detail = (
+        f"{observation.host} runs tasks of {used_m} thousandths of processors,"
+        f" its capacity is {tables.capacity_m}"
+    )
     return tables.with_violation(observation, "capacity", detail)
 
 
@@ -302,7 +308,7 @@
             accepted_at_by_job=accepted,
             outcome_unknown_jobs=tables.outcome_unknown_jobs.discard(job_id),
         )
-    if observation.answer == "unsure":
+    if observation.answer == "unknown":
         return replace(
             tables, outcome_unknown_jobs=tables.outcome_unknown_jobs.add(job_id)
         )
--- a/soak/picture.py
+++ b/soak/picture.py
@@ -1,7 +1,8 @@
 """A text chart of a run with one line for each `PICTURE_INTERVAL_S`.
 
-A line has the start of the interval, the jobs accepted and refused, the started runs
-as a bar, and the faults injected::
+A line has the start of the interval, the attempts to submit a job that were accepted,
+those that were refused or whose outcome is unknown, the started runs as a bar and as a
+number, and the faults injected::
 
       6 s   7 acc   0 ref  ######### 18  Kill StoreFault
 """
@@ -53,7 +54,7 @@
         bar = "#" * (count["started"] // STARTS_PER_MARK)
         lines.append(
             f"  {interval * PICTURE_INTERVAL_S:4.0f} s {count['accepted']:3d} acc"
-            f" {count['refused'] + count['unsure']:3d} ref"
+            f" {count['refused'] + count['unknown']:3d} ref"
             f"  {bar} {count['started']}  {' '.join(fault_names[interval])}".rstrip()
         )
     return lines
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Pause(Fault):
-    """A process is suspended."""
+    """A process is suspended, and continued after `duration_s`."""
 
     name: str
     duration_s: float
@@ -158,7 +158,7 @@
 
 
 def _draw_fault(rng: random.Random, at: float, names: SiteNames) -> Fault:
-    """Draw one fault."""
+    """Draw one fault; each entry is at least twice as likely to be hit as an agent."""
     process = rng.choice((*names.entries, *names.entries, *names.agents))
     host = rng.choice(names.hosts)
     duration_s = round(rng.uniform(0.3, 4.0), 2)
@@ -193,7 +193,9 @@
 class JobPlan:
     """One job of a run.
 
-    A step is (task count, thousandths of processors, numbers of the steps before it).
+    `payload` is the run time of each task in seconds, or "poison" if every run fails. A
+    step is (task count, thousandths of processors, numbers of the steps before it).
+    `lasting` jobs run until they are cancelled.
     """
 
     at: float
@@ -205,7 +207,7 @@
 
 
 def draw_jobs(seed: int, seconds: float, per_s: float) -> tuple[JobPlan, ...]:
-    """Draw the jobs of a run; a few run long, are cancelled, or always fail."""
+    """Draw the jobs of a run; a few are lasting, are cancelled, or always fail."""
     rng = random.Random(seed + 1)
     jobs: list[JobPlan] = []
     at = 0.5
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that injects faults into connections.
+"""A loopback proxy that delays, resets, cuts and silences connections.
 
 All proxies of a run share one event loop, which runs in its own thread. A cut holds
 back the bytes of one direction until the fault ends, as if packets were lost and
@@ -34,7 +34,7 @@
 class Proxy:
     """Forwards connections from `port` to `target_port`.
 
-    The directions in `held_directions` are cut.
+    The directions in `held_directions` are cut; `IN` is towards the target.
     """
 
     def __init__(self, *, port: int, target_port: int) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,7 +1,7 @@
 """Runs the soak: ``scripts/soak --seed N`` or ``scripts/soak --seeds K --minutes M``.
 
-Each run prints its seed, its faults and observations, every violated invariant, and
-finally its verdict. The exit code is 1 if a run failed.
+Each run prints its seed, the numbers of its jobs and faults, every violated invariant
+and unfinished job, and finally its verdict. The exit code is 1 if a run failed.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 # Within this time the agents are announced and a first owner holds the lease.
 READY_WAIT_S = 3.0
 # Jobs that are left after the last fault end within this time: the leases of 6 s may
-# have to lapse twice before the tasks run.
+# have to expire twice before the tasks run, and then the tasks run to their end.
 FINISH_TIMEOUT_S = 45.0
 # Observations are kept this long, to put those of different processes in order.
 REORDER_WINDOW_S = 1.0
@@ -65,7 +65,7 @@
 
 
 class Observer:
-    """Orders the observations and checks them during the run."""
+    """Sorts the observations by time and checks them during the run."""
 
     def __init__(self, tables: Tables, folder: pathlib.Path) -> None:
         self.tables = tables
@@ -80,7 +80,10 @@
         self._observations.put(observation)
 
     def process(self, now: float) -> None:
-        """Read new log lines of backend servers; check what is old enough."""
+        """Read new log lines of backend servers, and check the observations due.
+
+        An observation is due `REORDER_WINDOW_S` after its time.
+        """
         for path in self._folder.glob("host-*.log"):
             self._read_log(path)
         while not self._observations.empty():
@@ -180,7 +183,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunContext:
-    """What is needed to inject faults and to run callers."""
+    """The site to inject faults into, and what callers need to run."""
 
     site: Site
     pool: ThreadPoolExecutor
@@ -197,6 +200,7 @@
 
 @start_item.register
 def _(item: JobPlan, context: RunContext) -> None:
+    # The number of a's in the random job id spreads the callers over the entries.
     connection = Connection(context.site.caller_urls, item.job_id.count("a"))
     caller = Caller(connection=connection, record=context.record, stop=context.stop)
     context.pool.submit(caller.run, item)
@@ -239,14 +243,15 @@
     print(
         f"  {len(tables.accepted_at_by_job)} jobs accepted,"
         f" {len(tables.refused_jobs)} refused,"
-        f" {len(tables.outcome_unknown_jobs)} unsure; {tables.start_count} starts;"
+        f" {len(tables.outcome_unknown_jobs)} of unknown outcome;"
+        f" {tables.start_count} starts;"
         f" states {dict(sorted(states.items()))}"
     )
     for line in tables.violations:
-        print(f"  BROKEN {line}")
+        print(f"  VIOLATED {line}")
     for job_id in verdict.unfinished:
-        print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'not shown')}")
-    end = "kept" if verdict.passed else f"FAILED, logs in {folder}"
+        print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'no state')}")
+    end = "passed" if verdict.passed else f"FAILED, logs in {folder}"
     print(f"seed {verdict.seed}: {end}", flush=True)
 
 
@@ -288,7 +293,7 @@
     flags.DEFINE_integer(
         "hosts", 4, "Number of hosts, each with an agent and a backend server."
     )
-    flags.DEFINE_bool("calm", False, "Inject no faults, to demonstrate the whole path.")
+    flags.DEFINE_bool("calm", False, "Inject no faults and make no planned changes.")
     flags.DEFINE_bool(
         "picture", False, "Print a chart with a line for every two seconds."
     )
--- a/soak/site.py
+++ b/soak/site.py
@@ -153,7 +153,7 @@
                 program.process.send_signal(number)
 
     def wait_ended(self, name: str, within_s: float) -> None:
-        """Wait for a process to exit, and kill it after `within_s`."""
+        """Wait for a process to exit, and kill it if it has not after `within_s`."""
         program = self.fleet.program_by_name.get(name)
         if program is None:
             return
@@ -182,7 +182,7 @@
             raise RuntimeError(f"store {path}: {answer.status} {answer.data!r}")
 
     def write_order(self, key: str, value: object | None) -> None:
-        """Write an operators' order, or delete it if `value` is None."""
+        """Write an order of operators to the store, or delete it if `value` is None."""
         at = {"Table": "op", "part": "", "Key": key}
         if value is None:
             self.post_to_store("/operate", {"Deletes": [at]})
@@ -211,7 +211,11 @@
 
 
 def make_names(entries: int, hosts: int) -> SiteNames:
-    """Return the names for the given numbers of entries and hosts."""
+    """Return the names for the given numbers of entries and hosts.
+
+    Each process reaches the store through the proxy ``store < PROCESS``, and entries
+    reach an agent through the proxy ``reached_at AGENT``.
+    """
     entry_names = tuple(f"entry-{number}" for number in range(entries))
     agents = tuple(f"agent-{number}" for number in range(hosts))
     return SiteNames(
@@ -270,6 +274,7 @@
 
 @inject_fault.register
 def _(fault: Terminate, site: Site) -> None:
+    # A suspended process would not handle SIGTERM.
     site.signal(fault.name, signal.SIGCONT)
     site.signal(fault.name, signal.SIGTERM)
 
@@ -348,6 +353,7 @@
     site.record(Evacuated(at=time.monotonic(), failure_domain=fault.failure_domain))
 
     def end_evacuation() -> None:
+        # Recorded first, as runs may start in the domain as soon as the order is gone.
         observation = Evacuated(
             at=time.monotonic(), failure_domain=fault.failure_domain, returned=True
         )
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -61,7 +61,7 @@
 FIRST_ACKNOWLEDGED = EndAcknowledged(at=2.5, task=FIRST, how="done")
 EVACUATED = Evacuated(at=1.0, failure_domain="z1")
 CANCELLED = Cancelled(at=1.0, job_id=JOB.job_id)
-# Observations that violate each invariant, and similar ones that violate none.
+# Observations that violate one invariant each, and similar ones that violate none.
 OBSERVATIONS_BY_VIOLATION: Mapping[str, tuple[Observation, ...]] = {
     "unasked": (started("5c0e.0.0.2"),),
     "twice": (started(FIRST), started(FIRST, host="host-1", run=2)),
@@ -92,7 +92,7 @@
         started(FIRST, at=3.0, run=2),
     ),
     "a refusal after an unknown outcome": (
-        answered("unsure"),
+        answered("unknown"),
         answered("refused"),
         started(FIRST),
     ),
@@ -181,4 +181,4 @@
             check=False,
         )
         self.assertEqual(0, done.returncode, done.stdout + done.stderr)
-        self.assertIn("seed 7: kept", done.stdout)
+        self.assertIn("seed 7: passed", done.stdout)
