Correct texts of the scripts and the fault matrix

The latencies of measure_routing are those of all answers, not only of the useful ones. The demo fails if an unrepeatable request ran twice; repeatable ones may. The measurements name the one command that runs each of them. Timeouts of cell_signals name what was not done in time. The copies in measure_cell_owner, the longer plan of the demo and the comparison by XOR in the baseline now have their reason. The policies of measure_policy are printed as "no relief" and "product". A task without an outcome at the end of a case of the matrix is no longer called lost.

--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -2,9 +2,9 @@
 
 Run with ``PYTHONPATH=. python -m scripts.cell_signals``; it takes two minutes. One
 owner is paused with SIGSTOP until its cells have been taken over, then continued.
-Another is killed while answers of workers are lost and the table service is down,
-and then restarted. The program exits with 1 if two runs of a task were seen to overlap,
-if a task did not finish, or if a process did not exit with 0.
+An owner is killed, and restarted after a time in which answers of workers are lost and
+the table service is down. The program exits with 1 if two runs of a task were seen to
+overlap, if a task did not finish, or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -148,7 +148,7 @@
     wait_for(
         lambda: len(get_json(url, "/v1/status").get("agents", [])) == agents,
         READY_TIMEOUT_S,
-        "links",
+        "linking the agents",
     )
     sample = sample_records(layout)
     for record in sample:
@@ -165,7 +165,7 @@
     wait_for(
         lambda: sum(len(platform.running_tasks(w)) for w in worker_ids) >= TASK_COUNT,
         READY_TIMEOUT_S,
-        "starts",
+        "starting the tasks",
     )
     return watcher
 
@@ -184,7 +184,7 @@
     waited_s = wait_for(
         lambda: name not in platform.owner_by_cell().values(),
         MAX_TAKEOVER_S,
-        "takeover",
+        "taking over the cells",
     )
     process.send_signal(signal.SIGCONT)
     print_progress(
@@ -193,7 +193,7 @@
 
 
 def kill_owner(fleet: Fleet, platform: Platform, worker_ids: list[str]) -> None:
-    """Kill an owner during an outage with lost answers, and restart it."""
+    """Kill an owner, and restart it after an outage with lost answers of workers."""
     name = agent_with_most_cells(platform)
     program = fleet.program_by_name.pop(name)
     program.process.kill()
@@ -211,12 +211,15 @@
     platform = Platform(layout=fleet.layout)
     watcher = start_job(fleet)
     print_progress(
-        f"{TASK_COUNT} tasks run; the owners are {dict(platform.owner_by_cell())}"
+        f"{TASK_COUNT} tasks run;"
+        f" the owners by cell are {dict(platform.owner_by_cell())}"
     )
     pause_owner(fleet, platform)
     kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
     waited_s = wait_for(
-        lambda: platform.finished_count() == TASK_COUNT, JOB_TIMEOUT_S, "the job"
+        lambda: platform.finished_count() == TASK_COUNT,
+        JOB_TIMEOUT_S,
+        "finishing the tasks",
     )
     watcher.stop()
     rows = platform.rows(f"done/{JOB_NAME}/").values()
@@ -225,7 +228,8 @@
         f"finished {waited_s:.1f} s later; tasks by generation: {dict(generations)}"
     )
     print_progress(
-        f"{watcher.polls} polls; ran twice at once: {sorted(watcher.tasks_run_twice)}"
+        f"{watcher.polls} polls;"
+        f" tasks with overlapping runs: {sorted(watcher.tasks_run_twice)}"
     )
     names = [agent.name for agent in fleet.layout.agents]
     codes = {name: fleet.stop(name) for name in (*names, *ENTRIES)}
@@ -250,5 +254,7 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_string("deployment", "firinzeka", "The sample settings to run.")
+    flags.DEFINE_string(
+        "deployment", "firinzeka", "Name of the sample settings to run."
+    )
     app.run(main)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,8 @@
 """The demo: two entries and three agents in two regions serve requests and run a job.
 
-It exits with 1 if a request was run twice, lost, wrongly answered or wrongly refused,
-if the job or the drain did not finish, or if a process did not exit with 0.
+It exits with 1 if an unrepeatable request ran twice, if a request was lost, wrongly
+answered or refused as not run although it ran, if the job or the drain did not finish,
+or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
 
 FLAGS = flags.FLAGS
 REQUEST_COUNT = 200
+# Arrivals are planned for a longer time, so that they are at least `REQUEST_COUNT`.
 PLAN_DURATION_FACTOR = 2.0
 REPEATABLE_FRACTION = 0.5
 CALL_TIMEOUT_S = 4.0
@@ -106,7 +108,7 @@
 
 
 def wait_for_job(layout: Layout, name: str) -> Mapping[str, Any]:
-    """Wait until every task of a job has ended, and return the job's status."""
+    """Wait until a job has ended, or `JOB_TIMEOUT_S`, and return its status."""
     deadline = time.monotonic() + JOB_TIMEOUT_S
     finished = -1
     while True:
@@ -177,8 +179,9 @@
     report = outcome.report
     print(
         f"requests: {report.calls} sent, {report.served} served, {report.lost} lost,"
-        f" {report.doubled} doubled, {report.refused} refused as not run,"
-        f" {report.unknown} unknown, {report.wrong} wrong, {report.retries} retries"
+        f" {report.doubled} run twice, {report.refused} refused as not run,"
+        f" {report.unknown} of unknown outcome,"
+        f" {report.wrong} wrongly answered, {report.retries} retries"
     )
     print(f"latency: p50 {report.p50_ms:.1f} ms, p99 {report.p99_ms:.1f} ms")
     print(f"job: {json.dumps(outcome.job)}")
@@ -219,8 +222,10 @@
 if __name__ == "__main__":
     flags.DEFINE_float("seconds", 10.0, "Seconds over which requests are sent.")
     flags.DEFINE_enum(
-        "deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample settings."
+        "deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample settings to run."
     )
     flags.DEFINE_bool("binary", False, "Run the built file dist/bulrushpulley.")
-    flags.DEFINE_integer("seed", 1, "Seed of the requests.")
+    flags.DEFINE_integer(
+        "seed", 1, "Seed of the arrival times and kinds of the requests."
+    )
     app.run(main)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,7 +1,7 @@
 """Runs a deployment on loopback: stand-ins, entries and agents as processes.
 
 The settings are those of ``config/DEPLOYMENT`` with every address replaced by a
-port on 127.0.0.1. Each process is ended by its process id.
+port on 127.0.0.1. Only processes that the fleet has started are ended, by their ids.
 """
 
 from __future__ import annotations
@@ -158,7 +158,7 @@
 
 
 def to_toml(raw: Mapping[str, Any]) -> str:
-    """Format settings as TOML; tables must not be nested."""
+    """Format settings as TOML; a table may not contain another table."""
     plain = [
         f"{key} = {json.dumps(value)}"
         for key, value in raw.items()
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -1,10 +1,10 @@
 """Measures the cost of a cell owner by the number of tasks in its cell.
 
-Run with ``PYTHONPATH=. python scripts/measure_cell_owner.py``. It drives one owner
-of three workers in virtual time. For each number of running tasks it prints, per
-second, the processor time of the ticks and the bytes of the reports, without usage
-and HTTP headers, and also the memory of the tables. Then it prints the processor
-time of one task from start to outcome.
+Run with ``scripts/measure cell_owner``. It drives one owner of three workers in
+virtual time. For each number of running tasks it prints the processor time of the
+ticks and the bytes of the reports, both per second, and the memory of the tables. The
+reports are counted without usage and HTTP headers. Then it prints the processor time
+of one task from start to outcome.
 """
 
 from __future__ import annotations
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Cost:
-    """The cost of an owner per second of virtual time."""
+    """The cost of an owner with `tasks` tasks, per second of virtual time."""
 
     tasks: int
     processor_ms: float
@@ -108,6 +108,7 @@
     bench, _ = make_bench(tasks, UNENDING_RUN_S)
     bench.run(WARM_UP_S)
     tables = bench.tables("a")
+    # Only memory that is allocated while it is traced is counted, so it is copied.
     tracemalloc.start()
     copies = replace(
         tables,
@@ -130,7 +131,7 @@
 
 
 def task_processor_ms(tasks: int) -> float:
-    """Return the processor time of one task from start to outcome."""
+    """Return the processor time of one task, without that of an idle owner."""
     bench, timer = make_bench(tasks, 5.0)
     bench.run(40.0)
     idle_bench, idle_timer = make_bench(0, 5.0)
--- a/scripts/measure_commit.py
+++ b/scripts/measure_commit.py
@@ -3,7 +3,7 @@
 Runs the committer's actor with the stand-in of the table service over HTTP on
 loopback, with a fixed number of submissions outstanding at all times::
 
-    PYTHONPATH=. python scripts/measure_commit.py --waiting 1,10,100,1000
+    scripts/measure commit --waiting 1,10,100,1000
 
 Each of the `waiting` submitters submits again when it gets its outcome. The baseline
 is the same actor with batches of one row.
@@ -95,7 +95,7 @@
         record_outcome(command.outcome, self)
 
     def count(self, command: Count) -> None:
-        """Count transactions."""
+        """Add up the transactions; other counts are ignored."""
         if command.name == "commit.transactions":
             self.transactions += command.by
 
@@ -249,7 +249,7 @@
     flags.DEFINE_list(
         "waiting", "1,10,100,1000", "Numbers of submissions outstanding at a time."
     )
-    flags.DEFINE_float("seconds", 5.0, "Length of each run.")
+    flags.DEFINE_float("seconds", 5.0, "Length of each run in seconds.")
     flags.DEFINE_float(
         "writes_per_s", 300.0, "Transactions per second that the stand-in accepts."
     )
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,8 +1,7 @@
 """Measures the cost of ticks, cell summaries and assignments in the controller.
 
-Usage: PYTHONPATH=. python scripts/measure_control.py
-
-The costs are processor time of this process; the role runs in virtual time.
+Run with ``scripts/measure control``. The costs are processor time of this process; the
+role runs in virtual time.
 """
 
 from __future__ import annotations
@@ -142,7 +141,7 @@
 
 
 def measure(cells: int, waiting: int) -> None:
-    """Print the costs of ticks and summaries for one size."""
+    """Print the costs of ticks and summaries, and the memory, for one size."""
     role, tables = build_controller(cells, waiting)
     latest = [tables]
 
@@ -193,7 +192,7 @@
 
 
 def main() -> None:
-    """Print the costs for growing sizes."""
+    """Print the costs for several sizes."""
     for cells, waiting in ((20, 0), (200, 0), (2_000, 0)):
         measure(cells, waiting)
     for waiting in (1_000, 10_000, 100_000):
--- a/scripts/measure_jobs.py
+++ b/scripts/measure_jobs.py
@@ -1,8 +1,9 @@
 """Measures the cost of the scheduler and job agents by hosts and started tasks.
 
-Run with ``scripts/measure jobs``. Sites of the product's roles run in virtual time
-(`test.jobs_world`). The processor time of each role's ticks is added up, both idle
-and while jobs run. The figures do not include HTTP, links and encoding.
+Run with ``scripts/measure jobs``. The product's roles run in a simulated site in
+virtual time (`test.jobs_world`). The processor time of each role's ticks is added up,
+first while the site is idle, then while jobs run. The figures do not include HTTP,
+links and encoding.
 """
 
 from __future__ import annotations
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -1,12 +1,12 @@
 """Measures placement and relief within a cell against simple baselines.
 
-Run with ``PYTHONPATH=. python scripts/measure_policy.py [--seeds 3]``. It drives one
-owner of a rack of three workers in virtual time at the sizes of both deployments.
-Batch jobs fill the rack; some of them slow down the service on the same worker.
-After a steady phase the failure domain is drained and returned to service. The
-baselines place by first fit; of the batch tasks on the worker of a degraded service
-they evict the newest first, or none. For the baselines and the product's policies
-it prints each measure and its ratio to that of the first baseline.
+Run with ``scripts/measure policy [--seeds 3]``. It drives one owner of a rack of three
+workers in virtual time at the sizes of both deployments. Batch jobs fill the rack; some
+of them slow down the service on the same worker. After a steady phase the failure
+domain is drained and returned to service. Both baselines place by first fit; when a
+service is degraded, one evicts the newest batch task on its worker, and the other does
+nothing. For the baselines and the product's policies it prints each measure and its
+ratio to that of the first baseline.
 """
 
 from __future__ import annotations
@@ -76,7 +76,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Measurement:
-    """The results of one run; work is in processor seconds."""
+    """The results of one run.
+
+    Work is in processor seconds. `work_across_drain` is the work from the drain to the
+    end, and `violations` are those of the whole run; the rest is of the steady phase.
+    """
 
     p99_ms: float
     work: float
@@ -105,8 +109,8 @@
 )
 VARIANTS = (
     Variant(name="evict newest", placement=FirstFit(), relief=EvictNewest()),
-    Variant(name="leave alone", placement=FirstFit(), relief=NoRelief()),
-    Variant(name="ours", placement=SpreadAndPack(), relief=ThrottleFirst()),
+    Variant(name="no relief", placement=FirstFit(), relief=NoRelief()),
+    Variant(name="product", placement=SpreadAndPack(), relief=ThrottleFirst()),
 )
 
 
@@ -179,7 +183,7 @@
         self.bench.assign("a")
 
     def sample(self) -> None:
-        """Record the true latency of every replica."""
+        """Record the current latency of every replica of the service."""
         now = self.bench.world.now
         for state in self.bench.workers.values():
             for run in state.runs.rows():
@@ -214,7 +218,10 @@
         return [self.bench.row(stored.key) for stored in self.bench.rows(prefix)]
 
     def batch_work(self) -> float:
-        """Return the batch work done and not lost, in processor seconds."""
+        """Return the batch work done and not lost, in processor seconds.
+
+        Of a task that does not run, it is the work up to its checkpoint.
+        """
         done: float = sum(
             row.spec.size.processors_m * row.spec.run_s / 1000
             for row in self.rows_of("done/")
--- a/scripts/measure_process.py
+++ b/scripts/measure_process.py
@@ -1,9 +1,9 @@
 """Measures the cost of an idle entry and an idle agent by the number of agents.
 
-Usage: ``python -m scripts.measure_process --agents 1,5,10 --seconds 20``. For each
+Run with ``scripts/measure process --agents 1,5,10 --seconds 20``. For each
 number of agents it starts a fleet on loopback, submits the sample records without
 jobs and services, and waits until the fleet has settled. It reports processor time,
-memory, threads, child processes and the bytes on links, as counted in the metrics.
+memory, threads and child processes, and the bytes on links from the metrics.
 """
 
 from __future__ import annotations
--- a/scripts/measure_router_cost.py
+++ b/scripts/measure_router_cost.py
@@ -1,6 +1,6 @@
 """Measures the router's processor time and memory by servers and waiting calls.
 
-Run: ``python -m scripts.measure_router_cost``. One call at a time is accepted,
+Run with ``scripts/measure router_cost``. One call at a time is accepted,
 dispatched and answered while others wait. Only the router's ticks are measured.
 """
 
@@ -21,6 +21,7 @@
 SLOTS = 8
 CALL_COUNT = 400
 CALL_INTERVAL_S = 0.001
+# Pairs of the numbers of servers and of waiting calls.
 SIZES = ((10, 0), (40, 0), (160, 0), (10, 500), (10, 2_000))
 
 
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -1,9 +1,8 @@
 """Compares the router's policy with simple baselines in virtual time.
 
-Run: ``python -m scripts.measure_routing [--seed N]``. Random choice, least
-connections (both with a queue at each backend server) and the router with its
-guards get the same arrivals and service times. It prints a line for each run, and
-ratios.
+Run with ``scripts/measure routing [--seed N]``. Random choice, least connections (both
+with a queue at each backend server) and the router with its guards get the same
+arrivals and service times. It prints a line for each run, and ratios between runs.
 """
 
 from __future__ import annotations
@@ -40,8 +39,8 @@
     """An open-loop load: arrivals at `rate` times the capacity, and slow runs.
 
     The first `slow_servers` servers are `SLOW_FACTOR` times slower, and so is the
-    fraction `stalled_fraction` of the runs on the other servers. Calls with a claim
-    make up the fraction `unrepeatable_fraction`.
+    fraction `stalled_fraction` of the runs on the other servers. The fraction
+    `unrepeatable_fraction` of the calls is unrepeatable, so that each needs a claim.
     """
 
     rate: float
@@ -55,7 +54,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Result:
-    """Latencies of useful answers, those within the deadline, and their rate."""
+    """Latencies of all answers, and the rate of the useful ones.
+
+    An answer is useful within `REQUEST_TIMEOUT_S` of its arrival.
+    """
 
     name: str
     p50_s: float
@@ -136,6 +138,7 @@
                 heapq.heappop(queue)
         server = rng.randrange(SERVER_COUNT)
         if name == "least connections":
+            # Comparing by XOR with the random choice breaks ties at random.
             server = min(range(SERVER_COUNT), key=lambda n: (len(ends[n]), n ^ server))
         starts = max(now, heapq.heappop(free_at[server]))
         end = starts + draw(server)
@@ -195,7 +198,7 @@
 
 
 def oldest_first(name: str, load: Load) -> Result:
-    """Run the router without load shedding, so that it serves oldest first."""
+    """Run the router without load shedding, and always serve the oldest call first."""
     with (
         mock.patch.object(route_queue, "is_standing_queue", return_false),
         mock.patch.object(route_shed, "MIN_QUEUE_LIMIT", sys.maxsize),
@@ -234,7 +237,7 @@
 
 
 def measure_shared_servers(seconds: float, seed: int) -> None:
-    """Measure overload with three entries that share the servers, and claims."""
+    """Measure overload with claims, and three entries that share the servers."""
     print("useful answers, three entries, half of the calls unrepeatable")
     loads = [
         Load(
@@ -246,13 +249,13 @@
 
 
 def print_overload(name: str, results: Sequence[Result]) -> None:
-    """Print results and their ratio to the peak or the offered load."""
+    """Print results and their ratio to the lower of the peak and the offered load."""
     peak = max(result.useful_per_s for result in results)
     for rate, result in zip(LOAD_RATES, results, strict=True):
         fraction = result.useful_per_s / min(peak, result.offered_per_s)
         print(
             f"  {rate:3.1f}x {format_result(result)}"
-            f" of peak or offered load {fraction:.2f}"
+            f" ratio to peak or offered load {fraction:.2f}"
         )
 
 
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -85,7 +85,10 @@
 
 
 class Caller:
-    """Makes one call and repeats it with the same request id until it is answered."""
+    """Makes one call and repeats it with the same request id until it is answered.
+
+    `attempts` counts from `first_attempt`, which selects the first entry.
+    """
 
     def __init__(self, *, site: Site, request_id: str, first_attempt: int) -> None:
         self.site = site
@@ -95,7 +98,7 @@
         self.outcomes: list[str] = []
 
     def attempt(self) -> None:
-        """Make the call through the next entry."""
+        """Make the call through the next entry, and check later for its answer."""
         entry = ENTRIES[self.attempts % len(ENTRIES)]
         call_id = f"{self.request_id}.{self.attempts}"
         self.attempts += 1
@@ -103,7 +106,7 @@
         self.site.world.at(CALL_TIMEOUT_S + 0.2, lambda: self.check_answer(call_id))
 
     def check_answer(self, call_id: str) -> None:
-        """Repeat the call unless it was answered."""
+        """Repeat the call unless it was answered or has used up its attempts."""
         answers = self.site.answers.get(call_id, [])
         outcome = describe_answer(answers[0]) if answers else "no answer"
         self.outcomes.append(outcome)
@@ -197,7 +200,7 @@
     def set_domain_state(
         self, delay_s: float, state: DomainState, attempts: int = 0
     ) -> None:
-        """Change the first failure domain until the store holds the change."""
+        """Change the first failure domain, again until the store holds the change."""
 
         def check_outcome() -> None:
             row = self.site.row(f"record/failure_domain/{DOMAINS[0]}")
@@ -230,12 +233,12 @@
             for index in range(tasks):
                 row = self.site.row(f"done/{name}/{index}")
                 if row is None or row.state is not TaskState.FINISHED:
-                    state = "lost" if row is None else row.state.value
+                    state = "without an outcome" if row is None else row.state.value
                     problems.append(f"task {name}/{index} is not finished but {state}")
         return problems + [f"the backlog holds {k}" for k in self.site.keys("backlog/")]
 
     def check(self) -> None:
-        """Check the outcome of every call, task and backlog row."""
+        """Check that every call has a valid outcome and nothing is unfinished."""
         for caller in self.callers:
             problem = caller.problem()
             if problem:
--- a/test/matrix_faults.py
+++ b/test/matrix_faults.py
@@ -117,7 +117,7 @@
 
 
 def worker_dies(site: Site, address: RoleAddress, command: Any) -> None:
-    """Stop the worker, which loses all its runs, and return it later."""
+    """Stop the worker, which loses all its runs, and start it again later."""
     worker = worker_of(command)
     site.advance()
     site.dead_workers.add(worker)
@@ -155,7 +155,7 @@
 
 
 def operators_race(site: Site, address: RoleAddress, command: Any) -> None:
-    """Drain a failure domain and return it to service at the same moment."""
+    """Drain the second failure domain and return it through two entries at once."""
     first, second = ENTRIES
     change_domain(site, first, DOMAINS[1], DomainState.DRAINED)
     change_domain(site, second, DOMAINS[1], DomainState.IN_SERVICE)
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -132,4 +132,4 @@
         "lease/", lambda row: row is not None and not row.owner
     ),
 }
-"""Tests whether a command takes a step; commands before `FAULTS_FROM_S` are ignored."""
+"""The test of each step. Commands before `FAULTS_FROM_S` are not tested."""
--- a/test/site.py
+++ b/test/site.py
@@ -1,8 +1,8 @@
 """A site in virtual time: entries, agents, workers, backend servers and the store.
 
-It runs the roles of the product, with the product's routing of events, on the cores
+It runs the roles of the product, with the product's routing of events, and the cores
 of the stand-ins. `site_io` carries out the commands. `Site` has methods and fields
-that inject faults; broken invariants are recorded in `violations`.
+that inject faults; violated invariants are recorded in `violations`.
 """
 
 from __future__ import annotations
@@ -39,7 +39,11 @@
 
 
 class Site:
-    """All processes of a small deployment in one region with two failure domains."""
+    """All processes of a small deployment in one region with two failure domains.
+
+    A link is the pair of its entry and agent; `links` has the number of each open
+    link. `cut_links` holds pairs of a sender and a receiver whose items are lost.
+    """
 
     def __init__(self, *, seed: int = 1) -> None:
         from test.site_io import carry_out
@@ -268,7 +272,7 @@
                 self.finishes[run.start.task_id] += 1
 
     def record_violation(self, violation: str) -> None:
-        """Record a broken invariant with the time."""
+        """Record a violated invariant with the time."""
         self.violations.append(f"{self.world.now:.2f} {violation}")
 
 
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -93,7 +93,7 @@
 
 
 def send_outcome(site: Site, source: str, peer: str, outcome: Any) -> None:
-    """Send an outcome over a link; outcomes other than link items name no peer."""
+    """Send an outcome over a link; only link items have a field for the peer."""
     if isinstance(outcome, LinkEvent):
         site.send(source, peer, outcome)
         return
@@ -226,7 +226,7 @@
 
 
 def check_commit(command: Transact, site: Site) -> None:
-    """Check that no task outcome is overwritten, and record when drains commit."""
+    """Check that no task outcome is overwritten; note the times of committed drains."""
     for write in command.writes:
         if write.key.startswith("done/") and site.row(write.key) is not None:
             site.record_violation(f"task outcome written twice: {write.key}")
--- a/test/test_fault_matrix.py
+++ b/test/test_fault_matrix.py
@@ -51,7 +51,10 @@
 
 
 def read_names() -> MatrixNames:
-    """Read the data file: headings in brackets, each followed by a name a line."""
+    """Read the data file: headings in brackets, each followed by a name per line.
+
+    The text after a bar describes the name.
+    """
     names_by_heading: dict[str, list[str]] = {"steps": [], "faults": []}
     heading = ""
     for line in DATA.read_text().splitlines():
@@ -84,7 +87,7 @@
 
 
 def later_occurrence_cases(names: MatrixNames) -> list[FaultCase]:
-    """Return cases at later occurrences of frequent steps."""
+    """Return cases at the second to eighth occurrence of frequent steps."""
     steps = [step for step in names.steps if step in FREQUENT_STEPS]
     rng = RandomGenerator(state=LATER_OCCURRENCE_SEED)
     cases: list[FaultCase] = []
@@ -147,4 +150,4 @@
 
     def test_faults_at_later_occurrences_of_a_step(self) -> None:
         verdicts = run_cases(later_occurrence_cases(read_names()))
-        self.assertEqual([], report("later times of a step", verdicts))
+        self.assertEqual([], report("later occurrences of a step", verdicts))
--- a/test/virtual_world.py
+++ b/test/virtual_world.py
@@ -1,10 +1,10 @@
-"""Runs the roles of several processes in virtual time over small fakes.
+"""Runs the roles of several processes in virtual time, without threads and I/O.
 
 It makes no decisions itself: roles tick as in `RoleActor`, a function given by the
 test carries out their commands, and all actions are entries in one ordered queue,
-so that every run is the same. A process can be killed, restarted or paused, also
-between a decision and its commands. A `Path` can delay, reorder, repeat or lose
-messages.
+so that every run with the same seed is the same. A process can be killed, restarted
+or paused, also between a decision and its commands. A `Path` can delay, reorder,
+repeat or lose messages.
 """
 
 from __future__ import annotations
