Name the task counts of the matrix and the kind draw of the soak

JOBS holds the number of tasks of each job of the scenario, and kind in draw_jobs is the random number that decides the kind of a job. The key function that sorts the items of a run names its parameter.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -212,10 +212,10 @@
     jobs: list[JobPlan] = []
     at = 0.5
     while at < seconds:
-        kind = rng.random()
-        lasting = kind < 0.05
+        kind_draw = rng.random()
+        lasting = kind_draw < 0.05
         payload = "900" if lasting else str(round(rng.uniform(0.2, 3.0), 1))
-        if 0.05 <= kind < 0.1:
+        if 0.05 <= kind_draw < 0.1:
             payload = "poison"
         steps = [(rng.randint(1, 4), rng.choice((250, 500, 1_000)), ())]
         if not lasting and rng.random() < 0.5:
--- a/soak/run.py
+++ b/soak/run.py
@@ -169,7 +169,7 @@
     calm_period = (settled_at, started_at + plan.calm_until)
     observer.tables = replace(observer.tables, calm_period=calm_period)
     stop = threading.Event()
-    items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
+    items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda due: due.at)
     with ThreadPoolExecutor(MAX_CALLERS) as pool:
         context = RunContext(site=site, pool=pool, record=observer.record, stop=stop)
         for item in items:
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -51,7 +51,7 @@
 FIRST_CHECK_AT_S = 75.0
 CHECK_INTERVAL_S = 5.0
 SITE_CASE_END_S = 240.0
-JOBS = {"curves": 6, "audit": 4}
+TASK_COUNT_BY_JOB = {"curves": 6, "audit": 4}
 TASK_RUN_S = 12.0
 TASK_SIZE = Resources(processors_m=2_000, memory_mb=1_000)
 
@@ -229,7 +229,7 @@
     def unfinished(self) -> list[str]:
         """Return what is unfinished, one line each."""
         problems: list[str] = []
-        for name, tasks in JOBS.items():
+        for name, tasks in TASK_COUNT_BY_JOB.items():
             for index in range(tasks):
                 row = self.site.row(f"done/{name}/{index}")
                 if row is None or row.state is not TaskState.FINISHED:
@@ -252,7 +252,7 @@
     return JobRecord(
         name=name,
         department="bakery",
-        tasks=JOBS[name],
+        tasks=TASK_COUNT_BY_JOB[name],
         size=TASK_SIZE,
         run_s=TASK_RUN_S,
     )
