--- a/scripts/cell_signals.py
+++ b/scripts/cell_signals.py
@@ -2,9 +2,9 @@
 
 Run with ``PYTHONPATH=. python -m scripts.cell_signals``; it takes two minutes. One
 owner is paused with SIGSTOP until its cells have been taken over, then continued.
-Another is killed while answers of workers are lost and the table service is down,
-and then restarted. The program exits with 1 if two runs of a task were seen to overlap,
-if a task did not finish, or if a process did not exit with 0.
+An owner is killed, and restarted after a time in which answers of workers are lost and
+the table service is down. The program exits with 1 if two runs of a task were seen to
+overlap, if a task did not finish, or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
 FLAGS = flags.FLAGS
 AGENTS = ("agent-01", "agent-02", "agent-05", "agent-08")
 ENTRIES = ("entry-1", "entry-2")
-JOB = "long-curves"
+JOB_NAME = "long-curves"
 TASK_COUNT = 24
 TASK_RUN_S = 60.0
 READY_TIMEOUT_S = 30.0
@@ -79,12 +79,12 @@
         """Return the owner of each cell."""
         return {key: row["owner"] for key, row in self.rows("lease/").items()}
 
-    def finished(self) -> int:
+    def finished_count(self) -> int:
         """Return the number of finished tasks of the job."""
-        done = self.rows(f"done/{JOB}/").values()
-        return sum(1 for row in done if row["state"] == "finished")
+        outcomes = self.rows(f"done/{JOB_NAME}/").values()
+        return sum(1 for row in outcomes if row["state"] == "finished")
 
-    def running(self, worker_id: str) -> list[str]:
+    def running_tasks(self, worker_id: str) -> list[str]:
         """Return the task ids of a worker's runs in progress, one for each run."""
         url = f"{self._workers}/{worker_id}/v1/report"
         report = self._pool.request("POST", url, json={"renew": []}).json()
@@ -126,15 +126,15 @@
         while not self._stopped.wait(POLL_INTERVAL_S):
             runs: Counter[str] = Counter()
             for worker_id in self._worker_ids:
-                runs.update(self._running(worker_id))
+                runs.update(self._running_tasks(worker_id))
             self.tasks_run_twice.update(
                 task for task, count in runs.items() if count > 1
             )
             self.polls += 1
 
-    def _running(self, worker_id: str) -> list[str]:
+    def _running_tasks(self, worker_id: str) -> list[str]:
         try:
-            return self._platform.running(worker_id)
+            return self._platform.running_tasks(worker_id)
         except urllib3.exceptions.HTTPError:
             return []
 
@@ -148,22 +148,24 @@
     wait_for(
         lambda: len(get_json(url, "/v1/status").get("agents", [])) == agents,
         READY_TIMEOUT_S,
-        "links",
+        "linking the agents",
     )
     sample = sample_records(layout)
     for record in sample:
         if record["kind"] != "job":
             submit_record(url, record)
     job = next(record for record in sample if record["kind"] == "job")
-    submit_record(url, {**job, "name": JOB, "tasks": TASK_COUNT, "run_s": TASK_RUN_S})
+    submit_record(
+        url, {**job, "name": JOB_NAME, "tasks": TASK_COUNT, "run_s": TASK_RUN_S}
+    )
     cells = [record for record in sample if record["kind"] == "cell"]
     worker_ids = [w["worker_id"] for cell in cells for w in cell["workers"]]
     watcher = DuplicateRunWatcher(platform=platform, worker_ids=worker_ids)
     watcher.start()
     wait_for(
-        lambda: sum(len(platform.running(w)) for w in worker_ids) >= TASK_COUNT,
+        lambda: sum(len(platform.running_tasks(w)) for w in worker_ids) >= TASK_COUNT,
         READY_TIMEOUT_S,
-        "starts",
+        "starting the tasks",
     )
     return watcher
 
@@ -182,7 +184,7 @@
     waited_s = wait_for(
         lambda: name not in platform.owner_by_cell().values(),
         MAX_TAKEOVER_S,
-        "takeover",
+        "taking over the cells",
     )
     process.send_signal(signal.SIGCONT)
     print_progress(
@@ -191,7 +193,7 @@
 
 
 def kill_owner(fleet: Fleet, platform: Platform, worker_ids: list[str]) -> None:
-    """Kill an owner during an outage with lost answers, and restart it."""
+    """Kill an owner, and restart it after an outage with lost answers of workers."""
     name = agent_with_most_cells(platform)
     program = fleet.program_by_name.pop(name)
     program.process.kill()
@@ -209,21 +211,25 @@
     platform = Platform(layout=fleet.layout)
     watcher = start_job(fleet)
     print_progress(
-        f"{TASK_COUNT} tasks run; the owners are {dict(platform.owner_by_cell())}"
+        f"{TASK_COUNT} tasks run;"
+        f" the owners by cell are {dict(platform.owner_by_cell())}"
     )
     pause_owner(fleet, platform)
     kill_owner(fleet, platform, ["w-01", "w-02", "w-03"])
     waited_s = wait_for(
-        lambda: platform.finished() == TASK_COUNT, JOB_TIMEOUT_S, "the job"
+        lambda: platform.finished_count() == TASK_COUNT,
+        JOB_TIMEOUT_S,
+        "finishing the tasks",
     )
     watcher.stop()
-    rows = platform.rows(f"done/{JOB}/").values()
+    rows = platform.rows(f"done/{JOB_NAME}/").values()
     generations = Counter(row["generation"] for row in rows)
     print_progress(
         f"finished {waited_s:.1f} s later; tasks by generation: {dict(generations)}"
     )
     print_progress(
-        f"{watcher.polls} polls; ran twice at once: {sorted(watcher.tasks_run_twice)}"
+        f"{watcher.polls} polls;"
+        f" tasks with overlapping runs: {sorted(watcher.tasks_run_twice)}"
     )
     names = [agent.name for agent in fleet.layout.agents]
     codes = {name: fleet.stop(name) for name in (*names, *ENTRIES)}
@@ -248,5 +254,7 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_string("deployment", "firinzeka", "The sample settings to run.")
+    flags.DEFINE_string(
+        "deployment", "firinzeka", "Name of the sample settings to run."
+    )
     app.run(main)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,8 @@
 """The demo: two entries and three agents in two regions serve requests and run a job.
 
-It exits with 1 if a request was run twice, lost, wrongly answered or wrongly refused,
-if the job or the drain did not finish, or if a process did not exit with 0.
+It exits with 1 if an unrepeatable request ran twice, if a request was lost, wrongly
+answered or refused as not run although it ran, if the job or the drain did not finish,
+or if a process did not exit with 0.
 """
 
 from __future__ import annotations
@@ -34,7 +35,8 @@
 
 FLAGS = flags.FLAGS
 REQUEST_COUNT = 200
-PLAN_MARGIN = 2.0
+# Arrivals are planned for a longer time, so that they are at least `REQUEST_COUNT`.
+PLAN_DURATION_FACTOR = 2.0
 REPEATABLE_FRACTION = 0.5
 CALL_TIMEOUT_S = 4.0
 CALL_THREADS = 64
@@ -53,7 +55,7 @@
 class Outcome:
     """The results of the demo."""
 
-    calls: Report
+    report: Report
     job: Mapping[str, Any]
     drained: bool
     exit_codes: Mapping[str, int]
@@ -61,8 +63,8 @@
     @property
     def passed(self) -> bool:
         """Whether calls, job, drain and exit codes are all as expected."""
-        calls = self.calls
-        bad_calls = calls.doubled + calls.lost + calls.wrong + calls.false_refusals
+        report = self.report
+        bad_calls = report.doubled + report.lost + report.wrong + report.false_refusals
         job_done = self.job.get("finished") == self.job.get("tasks")
         stopped = all(code == 0 for code in self.exit_codes.values())
         return not bad_calls and job_done and self.drained and stopped
@@ -96,7 +98,7 @@
     )
     calls = plan(
         rate=REQUEST_COUNT / seconds,
-        seconds=seconds * PLAN_MARGIN,
+        seconds=seconds * PLAN_DURATION_FACTOR,
         repeatable_fraction=REPEATABLE_FRACTION,
         seed=FLAGS.seed,
         id_prefix="demo",
@@ -106,7 +108,7 @@
 
 
 def wait_for_job(layout: Layout, name: str) -> Mapping[str, Any]:
-    """Wait until every task of a job has ended, and return the job's status."""
+    """Wait until a job has ended, or `JOB_TIMEOUT_S`, and return its status."""
     deadline = time.monotonic() + JOB_TIMEOUT_S
     finished = -1
     while True:
@@ -151,13 +153,15 @@
     name_by_kind = {record["kind"]: record["name"] for record in submitted}
     domain = next(r["name"] for r in submitted if r["kind"] == "failure_domain")
     with ThreadPoolExecutor(2) as pool:
-        calls = pool.submit(send_calls, layout, name_by_kind["service"], seconds)
-        drain = pool.submit(drain_and_return, fleet, domain, seconds / 4)
+        report_future = pool.submit(
+            send_calls, layout, name_by_kind["service"], seconds
+        )
+        drain_future = pool.submit(drain_and_return, fleet, domain, seconds / 4)
         job = wait_for_job(layout, name_by_kind["job"])
         print_progress("waiting for the remaining requests")
-        report, drained = calls.result(), drain.result()
+        report, drained = report_future.result(), drain_future.result()
     exit_codes = stop_all(fleet)
-    return Outcome(calls=report, job=job, drained=drained, exit_codes=exit_codes)
+    return Outcome(report=report, job=job, drained=drained, exit_codes=exit_codes)
 
 
 def stop_all(fleet: Fleet) -> Mapping[str, int]:
@@ -172,13 +176,14 @@
 
 def print_outcome(outcome: Outcome) -> None:
     """Print the results of the demo."""
-    calls = outcome.calls
+    report = outcome.report
     print(
-        f"requests: {calls.calls} sent, {calls.served} served, {calls.lost} lost,"
-        f" {calls.doubled} doubled, {calls.refused} refused as not run,"
-        f" {calls.unknown} unknown, {calls.wrong} wrong, {calls.retries} retries"
+        f"requests: {report.calls} sent, {report.served} served, {report.lost} lost,"
+        f" {report.doubled} run twice, {report.refused} refused as not run,"
+        f" {report.unknown} of unknown outcome,"
+        f" {report.wrong} wrongly answered, {report.retries} retries"
     )
-    print(f"latency: p50 {calls.p50_ms:.1f} ms, p99 {calls.p99_ms:.1f} ms")
+    print(f"latency: p50 {report.p50_ms:.1f} ms, p99 {report.p99_ms:.1f} ms")
     print(f"job: {json.dumps(outcome.job)}")
     print(f"drained and returned: {'yes' if outcome.drained else 'no'}")
     print("demo passed" if outcome.passed else "demo FAILED")
@@ -217,8 +222,10 @@
 if __name__ == "__main__":
     flags.DEFINE_float("seconds", 10.0, "Seconds over which requests are sent.")
     flags.DEFINE_enum(
-        "deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample settings."
+        "deployment", "firinzeka", list(AGENTS_BY_DEPLOYMENT), "Sample settings to run."
     )
     flags.DEFINE_bool("binary", False, "Run the built file dist/bulrushpulley.")
-    flags.DEFINE_integer("seed", 1, "Seed of the requests.")
+    flags.DEFINE_integer(
+        "seed", 1, "Seed of the arrival times and kinds of the requests."
+    )
     app.run(main)
--- a/scripts/measure_process.py
+++ b/scripts/measure_process.py
@@ -1,9 +1,9 @@
 """Measures the cost of an idle entry and an idle agent by the number of agents.
 
-Usage: ``python -m scripts.measure_process --agents 1,5,10 --seconds 20``. For each
+Run with ``scripts/measure process --agents 1,5,10 --seconds 20``. For each
 number of agents it starts a fleet on loopback, submits the sample records without
 jobs and services, and waits until the fleet has settled. It reports processor time,
-memory, threads, child processes and the bytes on links, as counted in the metrics.
+memory, threads and child processes, and the bytes on links from the metrics.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 FLAGS = flags.FLAGS
 SETTLE_TIME_S = 8.0
 READY_TIMEOUT_S = 30.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 LINK_BYTES = re.compile(r"^link_bytes_(?:sent|received)\{[^}]*\} (\d+)$", re.MULTILINE)
 
 
@@ -58,7 +58,7 @@
     text = urllib3.request("GET", f"http://{HOST}:{metrics_port}/metrics").data.decode()
     return Sample(
         at=time.monotonic(),
-        processor_s=(int(stat[11]) + int(stat[12])) / TICKS_PER_S,
+        processor_s=(int(stat[11]) + int(stat[12])) / CLOCK_TICKS_PER_S,
         resident_kb=_number(status, "VmRSS"),
         threads=_number(status, "Threads"),
         children=len(children),
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,7 +1,7 @@
 """Runs the soak: ``scripts/soak --seed N`` or ``scripts/soak --seeds K --minutes M``.
 
-Each run prints its seed, its faults and observations, every violated invariant, and
-finally its verdict. The exit code is 1 if a run failed.
+Each run prints its seed, the numbers of its jobs and faults, every violated invariant
+and unfinished job, and finally its verdict. The exit code is 1 if a run failed.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
 
 from soak.callers import Caller, Connection
 from soak.invariants import (
+    EndAcknowledged,
     Ended,
-    Noted,
     Observation,
     Started,
     Tables,
@@ -41,7 +41,7 @@
 # Within this time the agents are announced and a first owner holds the lease.
 READY_WAIT_S = 3.0
 # Jobs that are left after the last fault end within this time: the leases of 6 s may
-# have to lapse twice before the tasks run.
+# have to expire twice before the tasks run, and then the tasks run to their end.
 FINISH_TIMEOUT_S = 45.0
 # Observations are kept this long, to put those of different processes in order.
 REORDER_WINDOW_S = 1.0
@@ -65,14 +65,14 @@
 
 
 class Observer:
-    """Orders the observations and checks them during the run."""
+    """Sorts the observations by time and checks them during the run."""
 
     def __init__(self, tables: Tables, folder: pathlib.Path) -> None:
         self.tables = tables
         self._folder = folder
         self._observations: queue.SimpleQueue[Observation] = queue.SimpleQueue()
         self._pending: list[Observation] = []
-        self._read_by_path: dict[pathlib.Path, int] = {}
+        self._offset_by_path: dict[pathlib.Path, int] = {}
         self.processed: list[Observation] = []
 
     def record(self, observation: Observation) -> None:
@@ -80,9 +80,12 @@
         self._observations.put(observation)
 
     def process(self, now: float) -> None:
-        """Read new log lines of backend servers; check what is old enough."""
+        """Read new log lines of backend servers, and check the observations due.
+
+        An observation is due `REORDER_WINDOW_S` after its time.
+        """
         for path in self._folder.glob("host-*.log"):
-            self._read(path)
+            self._read_log(path)
         while not self._observations.empty():
             self._pending.append(self._observations.get())
         self._pending.sort(key=lambda observation: observation.at)
@@ -91,14 +94,14 @@
             self.processed.append(observation)
             self.tables = check_observation(observation, self.tables)
 
-    def _read(self, path: pathlib.Path) -> None:
-        offset = self._read_by_path.get(path, 0)
+    def _read_log(self, path: pathlib.Path) -> None:
+        offset = self._offset_by_path.get(path, 0)
         with path.open("rb") as log:
             log.seek(offset)
             data = log.read()
-        whole = data[: data.rfind(b"\n") + 1]
-        self._read_by_path[path] = offset + len(whole)
-        for line in whole.splitlines():
+        complete_lines = data[: data.rfind(b"\n") + 1]
+        self._offset_by_path[path] = offset + len(complete_lines)
+        for line in complete_lines.splitlines():
             observation = _parse_observation(line)
             if observation is not None:
                 self._pending.append(observation)
@@ -122,7 +125,7 @@
             at=at, host=raw["host"], task=raw["task"], run=raw["run"], how=raw["how"]
         )
     if what == "noted":
-        return Noted(at=at, task=raw["task"], how=raw["how"])
+        return EndAcknowledged(at=at, task=raw["task"], how=raw["how"])
     return None
 
 
@@ -138,7 +141,7 @@
     tables = Tables(
         job_by_id=pmap({job.job_id: job for job in jobs}),
         capacity_m=CAPACITY_M,
-        calm=(0.0, 0.0),
+        calm_period=(0.0, 0.0),
     )
     observer = Observer(tables, folder)
     site = make_site(names, folder, observer.record)
@@ -162,11 +165,11 @@
     _process_for(observer, READY_WAIT_S)
     started_at = time.monotonic()
     # The first third of the calm period is left for faults to end.
-    settled = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
-    calm = (settled, started_at + plan.calm_until)
-    observer.tables = replace(observer.tables, calm=calm)
+    settled_at = started_at + plan.calm_from + (plan.calm_until - plan.calm_from) / 3
+    calm_period = (settled_at, started_at + plan.calm_until)
+    observer.tables = replace(observer.tables, calm_period=calm_period)
     stop = threading.Event()
-    items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda it: it.at)
+    items: list[Fault | JobPlan] = sorted((*plan.faults, *jobs), key=lambda due: due.at)
     with ThreadPoolExecutor(MAX_CALLERS) as pool:
         context = RunContext(site=site, pool=pool, record=observer.record, stop=stop)
         for item in items:
@@ -180,7 +183,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunContext:
-    """What is needed to inject faults and to run callers."""
+    """The site to inject faults into, and what callers need to run."""
 
     site: Site
     pool: ThreadPoolExecutor
@@ -197,6 +200,7 @@
 
 @start_item.register
 def _(item: JobPlan, context: RunContext) -> None:
+    # The number of a's in the random job id spreads the callers over the entries.
     connection = Connection(context.site.caller_urls, item.job_id.count("a"))
     caller = Caller(connection=connection, record=context.record, stop=context.stop)
     context.pool.submit(caller.run, item)
@@ -237,15 +241,17 @@
         print("\n".join(verdict.picture))
     states = collections.Counter(tables.state_by_job.values())
     print(
-        f"  {len(tables.accepted)} jobs accepted, {len(tables.refused)} refused,"
-        f" {len(tables.outcome_unknown)} unsure; {tables.starts} starts;"
+        f"  {len(tables.accepted_at_by_job)} jobs accepted,"
+        f" {len(tables.refused_jobs)} refused,"
+        f" {len(tables.outcome_unknown_jobs)} of unknown outcome;"
+        f" {tables.start_count} starts;"
         f" states {dict(sorted(states.items()))}"
     )
     for line in tables.violations:
-        print(f"  BROKEN {line}")
+        print(f"  VIOLATED {line}")
     for job_id in verdict.unfinished:
-        print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'not shown')}")
-    end = "kept" if verdict.passed else f"FAILED, logs in {folder}"
+        print(f"  UNFINISHED {job_id}: {tables.state_by_job.get(job_id, 'no state')}")
+    end = "passed" if verdict.passed else f"FAILED, logs in {folder}"
     print(f"seed {verdict.seed}: {end}", flush=True)
 
 
@@ -287,7 +293,7 @@
     flags.DEFINE_integer(
         "hosts", 4, "Number of hosts, each with an agent and a backend server."
     )
-    flags.DEFINE_bool("calm", False, "Inject no faults, to demonstrate the whole path.")
+    flags.DEFINE_bool("calm", False, "Inject no faults and make no planned changes.")
     flags.DEFINE_bool(
         "picture", False, "Print a chart with a line for every two seconds."
     )
--- a/test/matrix.py
+++ b/test/matrix.py
@@ -51,7 +51,7 @@
 FIRST_CHECK_AT_S = 75.0
 CHECK_INTERVAL_S = 5.0
 SITE_CASE_END_S = 240.0
-JOBS = {"curves": 6, "audit": 4}
+TASK_COUNT_BY_JOB = {"curves": 6, "audit": 4}
 TASK_RUN_S = 12.0
 TASK_SIZE = Resources(processors_m=2_000, memory_mb=1_000)
 
@@ -85,7 +85,10 @@
 
 
 class Caller:
-    """Makes one call and repeats it with the same request id until it is answered."""
+    """Makes one call and repeats it with the same request id until it is answered.
+
+    `attempts` counts from `first_attempt`, which selects the first entry.
+    """
 
     def __init__(self, *, site: Site, request_id: str, first_attempt: int) -> None:
         self.site = site
@@ -95,7 +98,7 @@
         self.outcomes: list[str] = []
 
     def attempt(self) -> None:
-        """Make the call through the next entry."""
+        """Make the call through the next entry, and check later for its answer."""
         entry = ENTRIES[self.attempts % len(ENTRIES)]
         call_id = f"{self.request_id}.{self.attempts}"
         self.attempts += 1
@@ -103,7 +106,7 @@
         self.site.world.at(CALL_TIMEOUT_S + 0.2, lambda: self.check_answer(call_id))
 
     def check_answer(self, call_id: str) -> None:
-        """Repeat the call unless it was answered."""
+        """Repeat the call unless it was answered or has used up its attempts."""
         answers = self.site.answers.get(call_id, [])
         outcome = describe_answer(answers[0]) if answers else "no answer"
         self.outcomes.append(outcome)
@@ -145,9 +148,9 @@
         for name in self.case.faults if self.reached else ():
             FAULT_BY_NAME[name](self.site, address, command)
 
-    def at(self, when: float, action: Any) -> None:
+    def at(self, delay_s: float, action: Any) -> None:
         """Schedule an action of the scenario after a delay."""
-        self.site.world.at(when, action)
+        self.site.world.at(delay_s, action)
 
     def execute(self) -> Verdict:
         """Run the scenario to its end and check it."""
@@ -174,7 +177,9 @@
             violations=tuple(self.site.violations),
         )
 
-    def submit(self, when: float, kind: str, record: Record, attempts: int = 0) -> None:
+    def submit(
+        self, delay_s: float, kind: str, record: Record, attempts: int = 0
+    ) -> None:
         """Submit a record, through alternating entries, until it is accepted."""
         call_id = f"submit-{record.name}-{attempts}"
         entry = ENTRIES[attempts % len(ENTRIES)]
@@ -188,24 +193,24 @@
             if not accepted and attempts < MAX_OPERATOR_RETRIES:
                 self.submit(0.0, kind, record, attempts + 1)
 
-        self.at(when, lambda: self.site.send_operator_call(entry, event))
-        timeout_s = 0.3 if when < FAULTS_FROM_S else OPERATOR_TIMEOUT_S
-        self.at(when + timeout_s, check_outcome)
+        self.at(delay_s, lambda: self.site.send_operator_call(entry, event))
+        timeout_s = 0.3 if delay_s < FAULTS_FROM_S else OPERATOR_TIMEOUT_S
+        self.at(delay_s + timeout_s, check_outcome)
 
     def set_domain_state(
-        self, when: float, state: DomainState, attempts: int = 0
+        self, delay_s: float, state: DomainState, attempts: int = 0
     ) -> None:
-        """Change the first failure domain until the store holds the change."""
+        """Change the first failure domain, again until the store holds the change."""
 
         def check_outcome() -> None:
             row = self.site.row(f"record/failure_domain/{DOMAINS[0]}")
-            wanted = row is not None and row.record.state is state
-            if not wanted and attempts < MAX_OPERATOR_RETRIES:
+            changed = row is not None and row.record.state is state
+            if not changed and attempts < MAX_OPERATOR_RETRIES:
                 self.set_domain_state(0.0, state, attempts + 1)
 
         entry = ENTRIES[attempts % len(ENTRIES)]
-        self.at(when, lambda: change_domain(self.site, entry, DOMAINS[0], state))
-        self.at(when + 3.0, check_outcome)
+        self.at(delay_s, lambda: change_domain(self.site, entry, DOMAINS[0], state))
+        self.at(delay_s + 3.0, check_outcome)
 
     def stop_gracefully(self, agent: str) -> None:
         """Stop an agent as SIGTERM does, and start it again later."""
@@ -224,16 +229,16 @@
     def unfinished(self) -> list[str]:
         """Return what is unfinished, one line each."""
         problems: list[str] = []
-        for name, tasks in JOBS.items():
+        for name, tasks in TASK_COUNT_BY_JOB.items():
             for index in range(tasks):
                 row = self.site.row(f"done/{name}/{index}")
                 if row is None or row.state is not TaskState.FINISHED:
-                    state = "lost" if row is None else row.state.value
+                    state = "without an outcome" if row is None else row.state.value
                     problems.append(f"task {name}/{index} is not finished but {state}")
         return problems + [f"the backlog holds {k}" for k in self.site.keys("backlog/")]
 
     def check(self) -> None:
-        """Check the outcome of every call, task and backlog row."""
+        """Check that every call has a valid outcome and nothing is unfinished."""
         for caller in self.callers:
             problem = caller.problem()
             if problem:
@@ -247,7 +252,7 @@
     return JobRecord(
         name=name,
         department="bakery",
-        tasks=JOBS[name],
+        tasks=TASK_COUNT_BY_JOB[name],
         size=TASK_SIZE,
         run_s=TASK_RUN_S,
     )
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -51,8 +51,8 @@
 @submitted_writes.register(Submit)
 @submitted_writes.register(Submitted)
 def _(command: Any) -> tuple[WrittenRow, ...]:
-    content: Submission = command.submission
-    return tuple(WrittenRow(key=w.key, row=w.row) for w in content.writes)
+    submission: Submission = command.submission
+    return tuple(WrittenRow(key=w.key, row=w.row) for w in submission.writes)
 
 
 @singledispatch
@@ -132,4 +132,4 @@
         "lease/", lambda row: row is not None and not row.owner
     ),
 }
-"""Tests whether a command takes a step; commands before `FAULTS_FROM_S` are ignored."""
+"""The test of each step. Commands before `FAULTS_FROM_S` are not tested."""
--- a/test/site.py
+++ b/test/site.py
@@ -1,8 +1,8 @@
 """A site in virtual time: entries, agents, workers, backend servers and the store.
 
-It runs the roles of the product, with the product's routing of events, on the cores
+It runs the roles of the product, with the product's routing of events, and the cores
 of the stand-ins. `site_io` carries out the commands. `Site` has methods and fields
-that inject faults; broken invariants are recorded in `violations`.
+that inject faults; violated invariants are recorded in `violations`.
 """
 
 from __future__ import annotations
@@ -39,7 +39,11 @@
 
 
 class Site:
-    """All processes of a small deployment in one region with two failure domains."""
+    """All processes of a small deployment in one region with two failure domains.
+
+    A link is the pair of its entry and agent; `links` has the number of each open
+    link. `cut_links` holds pairs of a sender and a receiver whose items are lost.
+    """
 
     def __init__(self, *, seed: int = 1) -> None:
         from test.site_io import carry_out
@@ -148,7 +152,7 @@
         self.deliver_to_process(entry, LinkDown(peer=self.incarnation_of(agent)))
         self.deliver_to_process(agent, LinkDown(peer=self.incarnation_of(entry)))
 
-    def freeze(self, process: str, seconds: float) -> None:
+    def pause(self, process: str, seconds: float) -> None:
         """Pause a process; its peers end their links after the keepalive timeout."""
         self.world.pause(process, seconds)
         pairs = [pair for pair in self.links if process in pair]
@@ -174,13 +178,13 @@
             for pair in pairs:
                 self.unlink(*pair)
 
-        def heal() -> None:
+        def reconnect() -> None:
             self.cut_links -= directions
             for pair in pairs:
                 self.link(*pair)
 
         self.world.at(min(LINK_DOWN_TIMEOUT_S, seconds), end_links)
-        self.world.at(seconds, heal)
+        self.world.at(seconds, reconnect)
 
     def send(self, source: str, peer: str, item: LinkEvent) -> None:
         """Send an item over a link, with the delays of the current path."""
@@ -268,7 +272,7 @@
                 self.finishes[run.start.task_id] += 1
 
     def record_violation(self, violation: str) -> None:
-        """Record a broken invariant with the time."""
+        """Record a violated invariant with the time."""
         self.violations.append(f"{self.world.now:.2f} {violation}")
 
 
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -93,7 +93,7 @@
 
 
 def send_outcome(site: Site, source: str, peer: str, outcome: Any) -> None:
-    """Send an outcome over a link; outcomes other than link items name no peer."""
+    """Send an outcome over a link; only link items have a field for the peer."""
     if isinstance(outcome, LinkEvent):
         site.send(source, peer, outcome)
         return
@@ -226,7 +226,7 @@
 
 
 def check_commit(command: Transact, site: Site) -> None:
-    """Check that no task outcome is overwritten, and record when drains commit."""
+    """Check that no task outcome is overwritten; note the times of committed drains."""
     for write in command.writes:
         if write.key.startswith("done/") and site.row(write.key) is not None:
             site.record_violation(f"task outcome written twice: {write.key}")
@@ -265,17 +265,19 @@
 def check_workers(site: Site) -> None:
     """Check that no two runs of a task overlap and no worker exceeds its capacity."""
     site.advance()
-    names: list[str] = []
+    running_tasks: list[str] = []
     for name, state in site.workers.items():
         if not worker_core.running_size(state).fits(CAPACITY):
             site.record_violation(f"{name} is over its capacity")
-        names += [
+        running_tasks += [
             run.start.task_id
             for run in state.runs.rows()
             if run.state is worker_core.RunState.RUNNING
             and name not in site.dead_workers
         ]
-    for task in sorted({task for task in names if names.count(task) > 1}):
+    for task in sorted(
+        {task for task in running_tasks if running_tasks.count(task) > 1}
+    ):
         site.record_violation(f"{task} runs twice at once")
 
 
