Restore the reason that is logged for a released cell

The decision cell.release was logged with the reason "leaving", which is on the list of external names. A rewording had changed it to "the agent is leaving". The logged value is again the listed one.

--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -91,10 +91,7 @@
     step = cell_outcomes.lose_cell(tables, purpose.cell, "released")
     commands: tuple[Command, ...] = (
         Decision(
-            kind="cell.release",
-            subject=purpose.cell,
-            chosen="",
-            reason="the agent is leaving",
+            kind="cell.release", subject=purpose.cell, chosen="", reason="leaving"
         ),
     )
     return Step(tables=step.tables, commands=commands)
