Name handlers of one kind of outcome alike

Handlers are named after the event that they take in, as a participle, but a few were named by a noun or by another participle for the same event. A conflict is now handled by handle_conflicted and handle_claim_conflicted, a stored batch of job submissions by handle_committed, a refused attempt by handle_refused, a lost attempt by handle_attempt_lost, and received advice by handle_advice_received.

--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -225,12 +225,12 @@
 
 @handle_batch_answer.register
 def _(event: Transacted, tables: IntakeTables, now: float) -> IntakeStep:
-    return submitting.handle_stored(tables, now)
+    return submitting.handle_committed(tables, now)
 
 
 @handle_batch_answer.register
 def _(event: Conflicted, tables: IntakeTables, now: float) -> IntakeStep:
-    return submitting.handle_conflict(event, tables, now)
+    return submitting.handle_conflicted(event, tables, now)
 
 
 @handle_batch_answer.register
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -223,7 +223,7 @@
     ]
 
 
-def handle_stored(tables: IntakeTables, now: float) -> IntakeStep:
+def handle_committed(tables: IntakeTables, now: float) -> IntakeStep:
     """Accept the jobs of a batch that was stored."""
     batch = tables.batch
     if batch is None:
@@ -268,7 +268,9 @@
     return replace(tables, accepted=pset(), older_accepted=accepted)
 
 
-def handle_conflict(event: Conflicted, tables: IntakeTables, now: float) -> IntakeStep:
+def handle_conflicted(
+    event: Conflicted, tables: IntakeTables, now: float
+) -> IntakeStep:
     """Accept the jobs of a batch that are already stored; the others are sent again."""
     batch = tables.batch
     if batch is None:
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -105,7 +105,7 @@
         tried_agents=(*request.tried_agents, attempt.agent),
     )
     tables = put_request(tables, updated)
-    return handle_refusal(updated.stage, updated, event, tables, now)
+    return handle_refused(updated.stage, updated, event, tables, now)
 
 
 def mark_full(tables: RouterTables, agent: str) -> RouterTables:
@@ -119,14 +119,14 @@
 
 
 @singledispatch
-def handle_refusal(
+def handle_refused(
     stage: Stage, request: Request, event: Refused, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Continue a request in `stage` after an agent refused an attempt."""
     return Step(tables=tables)
 
 
-@handle_refusal.register
+@handle_refused.register
 def _(
     stage: InFlight,
     request: Request,
@@ -155,7 +155,7 @@
     return problem.code is Code.NOT_RUN and tried_again
 
 
-@handle_refusal.register
+@handle_refused.register
 def _(
     stage: Recalling,
     request: Request,
--- a/bulrushpulley/systems/route/recall.py
+++ b/bulrushpulley/systems/route/recall.py
@@ -94,20 +94,20 @@
         return Step(tables=tables)
     updated = without_attempt(request, attempt.attempt_id)
     tables = put_request(tables, updated)
-    step = handle_lost_attempt(updated.stage, updated, attempt, tables, now)
+    step = handle_attempt_lost(updated.stage, updated, attempt, tables, now)
     count = Count(name="route.attempts_lost", label=request.service)
     return Step(tables=step.tables, commands=(*step.commands, count))
 
 
 @singledispatch
-def handle_lost_attempt(
+def handle_attempt_lost(
     stage: Stage, request: Request, attempt: Attempt, tables: RouterTables, now: float
 ) -> Step[RouterTables]:
     """Continue a request in `stage` after an attempt was lost with its link."""
     return Step(tables=tables)
 
 
-@handle_lost_attempt.register
+@handle_attempt_lost.register
 def _(
     stage: InFlight,
     request: Request,
@@ -126,7 +126,7 @@
     return retry(tables, updated, ran=Ran.UNKNOWN, problem=problem, now=now)
 
 
-@handle_lost_attempt.register
+@handle_attempt_lost.register
 def _(
     stage: Recalling,
     request: Request,
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -107,7 +107,7 @@
     return replace(tables, advice=tables.advice.put(advice.step_key, advice))
 
 
-def handle_advice(
+def handle_advice_received(
     event: AdviceReceived, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Store the tickets and trigger a placement pass, if the step still needs them."""
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -69,7 +69,7 @@
 apply.register(LinkDown, agents.handle_link_down)
 apply.register(JobItem, agents.handle_item)
 apply.register(DialEnded, dialling.handle_dial_ended)
-apply.register(AdviceReceived, advising.handle_advice)
+apply.register(AdviceReceived, advising.handle_advice_received)
 apply.register(AdviceFailed, advising.handle_advice_failed)
 apply.register(ExplainJob, explaining.handle_explain_job)
 apply.register(MachinesListed, waves.handle_machines_listed)
@@ -224,7 +224,7 @@
 
 @handle_claim_answer.register
 def _(event: Conflicted, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return ownership.handle_claim_conflict(event, tables, now)
+    return ownership.handle_claim_conflicted(event, tables, now)
 
 
 @handle_store_event.register
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -195,7 +195,7 @@
     return Step(tables=step.tables, commands=(line, *step.commands))
 
 
-def handle_claim_conflict(
+def handle_claim_conflicted(
     event: Conflicted, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Follow the winner, unless an earlier attempt of this claim was applied."""
