--- a/bulrushpulley/entities/commit.py
+++ b/bulrushpulley/entities/commit.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitOutcome(Event):
-    """The base of the outcomes of a submission."""
+    """Base class for the outcomes of a submission."""
 
     submission_id: str
 
--- a/bulrushpulley/entities/in_flight.py
+++ b/bulrushpulley/entities/in_flight.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Purpose:
-    """Base class of the purposes of submissions."""
+    """Base class for the purposes of submissions."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadPurpose:
-    """Base class of the purposes of reads; `cell` is empty for the agent's own row."""
+    """Base class for the purposes of reads; `cell` is empty for the agent's own row."""
 
     cell: str = ""
 
--- a/bulrushpulley/entities/link.py
+++ b/bulrushpulley/entities/link.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinkEvent(Event):
-    """The base of the items; `peer` is the sending process's incarnation."""
+    """Base class for the items; `peer` is the sending process's incarnation."""
 
     peer: str = ""
 
--- a/bulrushpulley/entities/operations.py
+++ b/bulrushpulley/entities/operations.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OperatorCall(Event):
-    """The base of the calls; `author` names the operator for the record row.
+    """Base class for the calls; `author` names the operator for the record row.
 
     `within_s` is how long the operator will wait.
     """
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reply(Command):
-    """The base of the successful replies."""
+    """Base class for the successful replies."""
 
     call_id: str
 
--- a/bulrushpulley/entities/pending.py
+++ b/bulrushpulley/entities/pending.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Purpose:
-    """The base of the purposes of submissions."""
+    """Base class for the purposes of submissions."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadTarget:
-    """The base of the targets of reads."""
+    """Base class for the targets of reads."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/request.py
+++ b/bulrushpulley/entities/request.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Stage:
-    """The base class of the stages.
+    """Base class for the stages.
 
     An instance of the base class itself stands for a request that has left one stage
     and not yet entered the next.
--- a/bulrushpulley/entities/transactions.py
+++ b/bulrushpulley/entities/transactions.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TransactionEnded(Event):
-    """The base of the results of a request to commit."""
+    """Base class for the results of a request to commit."""
 
     lane: str
     transaction_id: str
--- a/bulrushpulley/systems/cell/placement_policy.py
+++ b/bulrushpulley/systems/cell/placement_policy.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementPolicy:
-    """The base of the placement policies."""
+    """Base class for the placement policies."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReliefPolicy:
-    """The base of the relief policies."""
+    """Base class for the relief policies."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TaskKind:
-    """The base of the kinds of tasks; each kind has its own placement rules."""
+    """Base class for the kinds of tasks; each kind has its own placement rules."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Observation:
-    """Base of the observations; `at` is the time."""
+    """Base class for the observations; `at` is the time."""
 
     at: float
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fault:
-    """Base of the faults, injected `at` seconds after the start of the run."""
+    """Base class for the faults, injected `at` seconds after the start of the run."""
 
     at: float
 
