Rename AskReport to RequestReport

Commands that ask a service for something are named after a request, such as RequestAdvice. The command to a worker for a report now follows this.

--- a/bulrushpulley/entities/worker_calls.py
+++ b/bulrushpulley/entities/worker_calls.py
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class AskReport(WorkerCommand):
+class RequestReport(WorkerCommand):
     """Renews leases and requests all runs and their resource usage in one call."""
 
     requested_at: float
--- a/bulrushpulley/platform/worker.py
+++ b/bulrushpulley/platform/worker.py
@@ -20,9 +20,9 @@
 
 from bulrushpulley.entities.owner_times import WORKER_CALL_TIMEOUT_S
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
     Renewal,
     ReportUnanswered,
+    RequestReport,
     RunReport,
     RunUsage,
     Started,
@@ -166,7 +166,7 @@
             share=command.share,
         )
 
-    def report(self, command: AskReport) -> WorkerEvent:
+    def report(self, command: RequestReport) -> WorkerEvent:
         """Renew leases and read the report on all runs."""
         form = ReportForm(renew=command.renewals)
         try:
@@ -247,7 +247,7 @@
     return body
 
 
-def _decode_report_answer(command: AskReport, body: bytes) -> ReportAnswer:
+def _decode_report_answer(command: RequestReport, body: bytes) -> ReportAnswer:
     try:
         return _decode_report(body)
     except msgspec.MsgspecError as error:
--- a/bulrushpulley/roles/cell_owner_io.py
+++ b/bulrushpulley/roles/cell_owner_io.py
@@ -8,7 +8,7 @@
 
 from bulrushpulley.entities.cell_owner_tables import CellOwnerDone
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
+    RequestReport,
     StartTask,
     StopTask,
     ThrottleTask,
@@ -43,7 +43,7 @@
 
 
 @carry_out.register
-def _(command: AskReport, ports: CellOwnerPorts) -> None:
+def _(command: RequestReport, ports: CellOwnerPorts) -> None:
     ports.run(role=CELL_OWNER, work=partial(ports.workers.report, command))
 
 
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -31,9 +31,9 @@
 )
 from bulrushpulley.entities.worker import Health, Worker
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
     Renewal,
     ReportUnanswered,
+    RequestReport,
     RunReport,
     RunState,
     Started,
@@ -84,7 +84,7 @@
         )
         tables = cell_rows.put_worker(tables, requested)
         commands.append(
-            AskReport(
+            RequestReport(
                 worker_id=worker.worker_id,
                 url=worker.url,
                 not_after=not_after,
--- a/scripts/measure_cell_owner.py
+++ b/scripts/measure_cell_owner.py
@@ -20,7 +20,7 @@
 
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Event, Step
-from bulrushpulley.entities.worker_calls import AskReport
+from bulrushpulley.entities.worker_calls import RequestReport
 from bulrushpulley.roles.actor import Role
 from standins.worker_core import WorkerState
 from test.cell_bench import CellBench, cell_owner_address, runs_of
@@ -80,7 +80,7 @@
         bytes_by_worker[command.worker_id]
         + len(msgspec.json.encode({"renew": command.renewals}))
         for at, _, command in bench.commands
-        if at >= since and isinstance(command, AskReport)
+        if at >= since and isinstance(command, RequestReport)
     )
 
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -53,8 +53,8 @@
 )
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
     ReportUnanswered,
+    RequestReport,
     RunReport,
     RunState,
     RunUsage,
@@ -538,7 +538,7 @@
         )
 
     @_handle_command.register
-    def _(self, command: AskReport, owner: RoleAddress) -> None:
+    def _(self, command: RequestReport, owner: RoleAddress) -> None:
         worker = command.worker_id
         unanswered = ReportUnanswered(
             worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
--- a/test/cell_matrix.py
+++ b/test/cell_matrix.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import AliveRow, LeaseRow, TaskRow, TaskState
 from bulrushpulley.entities.step import Command
-from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
+from bulrushpulley.entities.worker_calls import RequestReport, StartTask, StopTask
 from test.cell_bench import DELIVERY_DELAY_S, SIZE, CellBench, cell_owner_address
 from test.virtual_world import Path, RoleAddress, VirtualWorld
 
@@ -90,7 +90,7 @@
         c, lambda row: _in_state(row, TaskState.STARTING)
     ),
     "start_sent": lambda c: isinstance(c, StartTask),
-    "running": lambda c: isinstance(c, AskReport) and bool(c.renewals),
+    "running": lambda c: isinstance(c, RequestReport) and bool(c.renewals),
     "stop_sent": lambda c: isinstance(c, StopTask) and c.checkpoint,
     "resumed": lambda c: isinstance(c, StartTask) and c.generation > 1,
     "outcome_written": lambda c: _writes(c, lambda row: _in_state(row, *ENDED)),
--- a/test/matrix_steps.py
+++ b/test/matrix_steps.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.rows import TaskState
 from bulrushpulley.entities.step import Command, Tell
 from bulrushpulley.entities.transactions import Transact
-from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
+from bulrushpulley.entities.worker_calls import RequestReport, StartTask, StopTask
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -115,7 +115,7 @@
     "task committed": sends_item(Assigned),
     "task leased": submits_row("task/", is_starting),
     "task start sent": is_command(StartTask),
-    "task running": is_command(AskReport, lambda c: bool(c.renewals)),
+    "task running": is_command(RequestReport, lambda c: bool(c.renewals)),
     "task checkpoint": is_command(StopTask, lambda c: c.checkpoint),
     "task stop": is_command(StopTask, lambda c: not c.checkpoint),
     "task resumed": is_command(StartTask, lambda c: c.generation > 1),
--- a/test/site_io.py
+++ b/test/site_io.py
@@ -32,8 +32,8 @@
     TransactionRefused,
 )
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
     ReportUnanswered,
+    RequestReport,
     Started,
     StartNotSent,
     StartTask,
@@ -344,7 +344,7 @@
 
 
 @carry_out.register
-def _(command: AskReport, site: Site, address: RoleAddress) -> None:
+def _(command: RequestReport, site: Site, address: RoleAddress) -> None:
     worker = command.worker_id
     unanswered = ReportUnanswered(
         worker_id=worker, requested_at=command.requested_at, problem=PROBLEM
--- a/test/test_cell_evict.py
+++ b/test/test_cell_evict.py
@@ -12,7 +12,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import TaskClass, TaskState
 from bulrushpulley.entities.worker import Health
-from bulrushpulley.entities.worker_calls import AskReport, StartTask, StopTask
+from bulrushpulley.entities.worker_calls import RequestReport, StartTask, StopTask
 from bulrushpulley.systems.cell import quarantine as cell_quarantine
 from bulrushpulley.systems.cell import stop as cell_stop
 from standins.worker_core import running_size
@@ -242,10 +242,10 @@
         self.assertEqual("", bench.row("lease/c0").owner)
         commands = [(at, c) for at, agent, c in bench.commands if agent == "a"]
         released = [at for at, c in commands if isinstance(c, CellOwnerDone)]
-        kinds = (StartTask, StopTask, AskReport)
+        kinds = (StartTask, StopTask, RequestReport)
         last = max(at for at, c in commands if isinstance(c, kinds))
         self.assertEqual(1, len(released))
-        reports = [(at, c) for at, c in commands if isinstance(c, AskReport)]
+        reports = [(at, c) for at, c in commands if isinstance(c, RequestReport)]
         self.assertTrue(any(at >= 5.0 and c.renewals for at, c in reports))
         self.assertLess(last + 1.9, released[0])
         bench.start_agent("b")
--- a/test/test_cell_fault_free.py
+++ b/test/test_cell_fault_free.py
@@ -6,12 +6,12 @@
 
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import TaskState
-from bulrushpulley.entities.worker_calls import AskReport
+from bulrushpulley.entities.worker_calls import RequestReport
 from test.cell_bench import CellBench
 
 
 def reports(bench: CellBench) -> int:
-    return sum(1 for _, _, c in bench.commands if isinstance(c, AskReport))
+    return sum(1 for _, _, c in bench.commands if isinstance(c, RequestReport))
 
 
 class FaultFreeTaskTest(testtools.TestCase):
--- a/test/test_cell_worker_http.py
+++ b/test/test_cell_worker_http.py
@@ -14,9 +14,9 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import TaskClass
 from bulrushpulley.entities.worker_calls import (
-    AskReport,
     Renewal,
     ReportUnanswered,
+    RequestReport,
     RunState,
     Started,
     StartNotSent,
@@ -95,7 +95,7 @@
 
     def _report(self) -> Any:
         renewal = Renewal(task_id="curves/0", generation=3, lease_s=30.0)
-        command = AskReport(
+        command = RequestReport(
             **self._common(1e9), requested_at=self.clock.now, renewals=(renewal,)
         )
         return self.client.report(command)
