Use one name for the time at which a lease expires

Tasks and workers had it as leased_until, and backend servers, with the calls that renew their leases, as lease_until. It is lease_until everywhere.

--- a/bulrushpulley/entities/task.py
+++ b/bulrushpulley/entities/task.py
@@ -85,7 +85,7 @@
 
     `planned_worker` is the worker of a start that is being committed. A report that
     was requested after `settle_after` and lacks the task proves that the task is not
-    running. Its first lease has expired by `leased_until`, clock drift included.
+    running. Its first lease has expired by `lease_until`, clock drift included.
     `ending` is the planned ending while the task may still be running, and final once
     the task is ENDED. `skip_reason` is the last reason why no worker was chosen. No
     write is retried before `retry_at`.
@@ -99,7 +99,7 @@
     since: float
     planned_worker: str = ""
     settle_after: float = 0.0
-    leased_until: float = 0.0
+    lease_until: float = 0.0
     next_stop_at: float = 0.0
     ending: Ending | None = None
     skip_reason: str = ""
--- a/bulrushpulley/systems/cell/rows.py
+++ b/bulrushpulley/systems/cell/rows.py
@@ -220,7 +220,7 @@
         phase=Phase.WAITING if waiting else Phase.UNKNOWN,
         since=now,
         settle_after=now + START_SETTLE_TIME_S,
-        leased_until=max(cell.leases_expired_at, latest_expiry),
+        lease_until=max(cell.leases_expired_at, latest_expiry),
     )
 
 
--- a/bulrushpulley/systems/cell/start.py
+++ b/bulrushpulley/systems/cell/start.py
@@ -125,7 +125,7 @@
         phase=Phase.SENDING,
         since=now,
         settle_after=deadline + WORKER_CALL_TIMEOUT_S + CLOCK_DRIFT_MARGIN_S,
-        leased_until=deadline + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S,
+        lease_until=deadline + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S,
     )
     command = _start_command(sending, worker, deadline)
     commit_time = Observe(name="start_commit_s", seconds=now - in_flight.first_sent_at)
--- a/bulrushpulley/systems/cell/stop.py
+++ b/bulrushpulley/systems/cell/stop.py
@@ -131,7 +131,7 @@
 def lease_has_expired(task: Task, worker: Worker, now: float) -> bool:
     """Tell whether the lease of a task has expired even on the worker's own clock."""
     last_lease_end = worker.renewed_until + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
-    return now >= max(task.leased_until, last_lease_end)
+    return now >= max(task.lease_until, last_lease_end)
 
 
 def end_tasks_with_expired_leases(tables: CellOwnerTables, now: float) -> CellStep:
--- a/standins/worker_core.py
+++ b/standins/worker_core.py
@@ -61,7 +61,7 @@
     started_at: float
     done_s: float
     progress_updated_at: float
-    leased_until: float
+    lease_until: float
     share: float = 1.0
     fails_at: float = float("inf")
     checkpoint: str = ""
@@ -120,7 +120,7 @@
         started_at=now,
         done_s=done_s,
         progress_updated_at=now,
-        leased_until=now + order.lease_s,
+        lease_until=now + order.lease_s,
         fails_at=now + FAILURE_DELAY_S if state.fail_all else float("inf"),
         checkpoint=order.checkpoint,
     )
@@ -174,14 +174,14 @@
 
 
 def _advanced(run: Run, now: float) -> Run:
-    until = min(now, run.leased_until, run.fails_at)
+    until = min(now, run.lease_until, run.fails_at)
     done_s = run.done_s + run.share * max(0.0, until - run.progress_updated_at)
     advanced = replace(run, done_s=done_s, progress_updated_at=now)
     if run.start.run_s and done_s >= run.start.run_s:
         return replace(advanced, state=RunState.FINISHED)
-    if run.fails_at <= min(now, run.leased_until):
+    if run.fails_at <= min(now, run.lease_until):
         return replace(advanced, state=RunState.FAILED, detail="exit status 1")
-    if run.leased_until <= now:
+    if run.lease_until <= now:
         return replace(advanced, state=RunState.LAPSED)
     return advanced
 
@@ -195,7 +195,7 @@
         for key in list(runs.keys_where("task", index)):
             run = runs.by_key[key]
             if run.state is RunState.RUNNING:
-                renewed = replace(run, leased_until=now + renewal.lease_s)
+                renewed = replace(run, lease_until=now + renewal.lease_s)
                 runs = runs.put(key, renewed)
     return replace(state, runs=runs)
 
