Name the parameter for queueing in front alike

The enqueue functions of the router and of the controller both put entries in front of a queue on request, the one by a parameter first, the other by at_front. Both have at_front.

--- a/bulrushpulley/systems/route/claim_outcomes.py
+++ b/bulrushpulley/systems/route/claim_outcomes.py
@@ -124,7 +124,7 @@
     request = replace(request, claim_version=found.version)
     if found.row is None:
         service = tables.service(request.service)
-        return Step(tables=enqueue(tables, request, service, first=True))
+        return Step(tables=enqueue(tables, request, service, at_front=True))
     agent = cast(ClaimRow, found.row).incarnation
     return recall(tables, replace(request, stage=Stage()), agent, now)
 
--- a/bulrushpulley/systems/route/finish.py
+++ b/bulrushpulley/systems/route/finish.py
@@ -44,16 +44,16 @@
 
 
 def enqueue(
-    tables: RouterTables, request: Request, service: Service, *, first: bool = False
+    tables: RouterTables, request: Request, service: Service, *, at_front: bool = False
 ) -> RouterTables:
     """Queue a request, and store `service` as the row of its service.
 
-    The request goes to the front of the queue if `first`, as for a retry. It is due
+    The request goes to the front of the queue if `at_front`, as for a retry. It is due
     when it could no longer be answered in time.
     """
     queue = service.queue
     queue = (
-        queue.appendleft(request.call_id) if first else queue.append(request.call_id)
+        queue.appendleft(request.call_id) if at_front else queue.append(request.call_id)
     )
     service = replace(service, queue=queue, waiting=service.waiting + 1)
     due_at = request.deadline - dispatch_margin_s(request, service)
@@ -203,7 +203,7 @@
     spent = replace(service, retry_tokens=service.retry_tokens - cost)
     tables = leave_stage(request.stage, request, tables)
     updated = replace(request, hedged=False)
-    tables = enqueue(tables, updated, spent, first=True)
+    tables = enqueue(tables, updated, spent, at_front=True)
     count = Count(name="route.retries", label=request.service)
     return Step(tables=tables, commands=(count,))
 
