Name spans of time with their unit

Functions and locals that hold spans in seconds lacked the unit that others carry: the retry delays of the linker and of the committer, the timeouts of a lane, the interval between reports, the age of a summary, and a few in tests and scripts. They end in _s now, and harm in milliseconds in _ms. timeout_for, which gave no hint of what it is for, is next_timeout_s.

--- a/bulrushpulley/entities/backend_server.py
+++ b/bulrushpulley/entities/backend_server.py
@@ -58,9 +58,9 @@
     def with_latency_sample(self, latency_s: float, now: float) -> BackendServer:
         """Return the row with a latency sample added to the average."""
         weight = LATENCY_SAMPLE_WEIGHT if self.samples else 1.0
-        average = self.latency_s + weight * (latency_s - self.latency_s)
+        average_s = self.latency_s + weight * (latency_s - self.latency_s)
         return replace(
-            self, latency_s=average, samples=self.samples + 1, observed_at=now
+            self, latency_s=average_s, samples=self.samples + 1, observed_at=now
         )
 
 
--- a/bulrushpulley/systems/cell/relief.py
+++ b/bulrushpulley/systems/cell/relief.py
@@ -135,8 +135,8 @@
 def _harm_ms(tables: CellOwnerTables, case: ReliefCase, task: Task) -> float:
     """Return what a task adds to the latency at its current share."""
     job = task.row.spec.record_key
-    harm = cell_learn.estimated_harm_ms(tables, case.latency.service, job)
-    return harm * cell_throttle.share_of(tables, task)
+    harm_ms = cell_learn.estimated_harm_ms(tables, case.latency.service, job)
+    return harm_ms * cell_throttle.share_of(tables, task)
 
 
 def _min_harm_ms(case: ReliefCase) -> float:
--- a/bulrushpulley/systems/cell/reports.py
+++ b/bulrushpulley/systems/cell/reports.py
@@ -78,7 +78,7 @@
         requested = replace(
             worker,
             report_requested_at=now,
-            next_report_at=now + report_interval(tables, worker),
+            next_report_at=now + report_interval_s(tables, worker),
             renewed_until=not_after if renewals else worker.renewed_until,
             renew_at=now + TASK_LEASE_RENEW_INTERVAL_S if renewals else worker.renew_at,
         )
@@ -106,7 +106,7 @@
     return request_reports(replace(tables, workers=workers), now)
 
 
-def report_interval(tables: CellOwnerTables, worker: Worker) -> float:
+def report_interval_s(tables: CellOwnerTables, worker: Worker) -> float:
     """Return the interval before the next report.
 
     The size of a report grows with the number of runs on the worker, so the interval
@@ -116,8 +116,8 @@
     for key in tables.tasks.keys_where("worker", worker.worker_id):
         if tables.tasks.by_key[key].phase is not Phase.RUNNING:
             return MIN_REPORT_INTERVAL_S
-    steady = max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_PER_RUN_S * worker.runs)
-    return min(MAX_REPORT_INTERVAL_S, steady)
+    steady_s = max(MIN_REPORT_INTERVAL_S, REPORT_INTERVAL_PER_RUN_S * worker.runs)
+    return min(MAX_REPORT_INTERVAL_S, steady_s)
 
 
 def _renewals(
--- a/bulrushpulley/systems/cell/summary.py
+++ b/bulrushpulley/systems/cell/summary.py
@@ -27,9 +27,9 @@
     """Send a cell's summary when it has changed, and periodically as a keepalive."""
     commands: list[Command] = []
     for cell in tables.cells.rows():
-        age = now - cell.summarized_at
-        due = (cell.summary_due and age >= SUMMARY_INTERVAL_S) or not cell.summary
-        keepalive_due = age >= SUMMARY_KEEPALIVE_INTERVAL_S
+        age_s = now - cell.summarized_at
+        due = (cell.summary_due and age_s >= SUMMARY_INTERVAL_S) or not cell.summary
+        keepalive_due = age_s >= SUMMARY_KEEPALIVE_INTERVAL_S
         if cell.phase is not CellPhase.OWNED or not (due or keepalive_due):
             continue
         summary = summary_of(tables, cell, now)
--- a/bulrushpulley/systems/commit/backoff.py
+++ b/bulrushpulley/systems/commit/backoff.py
@@ -19,7 +19,7 @@
     return zlib.crc32(name.encode()) / 2**32
 
 
-def retry_delay(failures: int, name: str) -> float:
+def retry_delay_s(failures: int, name: str) -> float:
     """Return the delay after consecutive failures: exponential, with jitter."""
     max_delay_s: float = min(
         MAX_TRANSACTION_RETRY_DELAY_S,
@@ -33,16 +33,16 @@
     return lane.failures >= FAILURES_TO_OPEN_CIRCUIT
 
 
-def timeout_for(lane: LaneRow) -> float:
+def next_timeout_s(lane: LaneRow) -> float:
     """Return the timeout of the lane's next request."""
     return max(MIN_COMMIT_TIMEOUT_S, lane.timeout_s)
 
 
-def timeout_after_answer(delay_s: float) -> float:
+def timeout_after_answer_s(delay_s: float) -> float:
     """Return the timeout to use after the store took `delay_s` to answer."""
     return min(MAX_COMMIT_TIMEOUT_S, COMMIT_TIMEOUT_FACTOR * delay_s)
 
 
-def timeout_after_loss(lane: LaneRow) -> float:
+def timeout_after_loss_s(lane: LaneRow) -> float:
     """Return the timeout to use after a request timed out."""
-    return min(MAX_COMMIT_TIMEOUT_S, 2.0 * timeout_for(lane))
+    return min(MAX_COMMIT_TIMEOUT_S, 2.0 * next_timeout_s(lane))
--- a/bulrushpulley/systems/commit/batch.py
+++ b/bulrushpulley/systems/commit/batch.py
@@ -100,7 +100,7 @@
 def _handle_overdue_request(
     tables: CommitterTables, lane: LaneRow, now: float
 ) -> Step[CommitterTables]:
-    overdue_at = lane.sent_at + commit_backoff.timeout_for(lane) + OVERDUE_MARGIN_S
+    overdue_at = lane.sent_at + commit_backoff.next_timeout_s(lane) + OVERDUE_MARGIN_S
     if lane.transaction is None or now < overdue_at:
         return Step(tables=tables)
     transaction_id = lane.transaction.transaction_id
@@ -185,7 +185,7 @@
         conditions=_conditions(transaction.entries),
         writes=_writes(transaction.entries),
         fence=fence,
-        timeout_s=commit_backoff.timeout_for(lane),
+        timeout_s=commit_backoff.next_timeout_s(lane),
     )
     return Step(tables=_with_lane(tables, sent_lane), commands=(command,))
 
--- a/bulrushpulley/systems/commit/queue.py
+++ b/bulrushpulley/systems/commit/queue.py
@@ -22,14 +22,14 @@
         request_in_flight=False,
         failures=0,
         retry_at=now,
-        timeout_s=commit_backoff.timeout_after_answer(now - lane.sent_at),
+        timeout_s=commit_backoff.timeout_after_answer_s(now - lane.sent_at),
     )
 
 
 def after_failure(lane: LaneRow, transaction: Transaction, now: float) -> LaneRow:
     """Return the lane after a failed request: it backs off."""
     failures = lane.failures + 1
-    delay_s = commit_backoff.retry_delay(failures, transaction.transaction_id)
+    delay_s = commit_backoff.retry_delay_s(failures, transaction.transaction_id)
     return replace(
         lane, request_in_flight=False, failures=failures, retry_at=now + delay_s
     )
--- a/bulrushpulley/systems/commit/settle.py
+++ b/bulrushpulley/systems/commit/settle.py
@@ -126,7 +126,7 @@
     lane = replace(
         after_failure(before, transaction, now),
         transaction=replace(transaction, lost=True),
-        timeout_s=commit_backoff.timeout_after_loss(before),
+        timeout_s=commit_backoff.timeout_after_loss_s(before),
         request_in_doubt=True,
     )
     count = Count(name="commit.lost", label=event.lane)
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -22,7 +22,7 @@
 MAX_BACKOFF_EXPONENT = 10
 
 
-def retry_delay(*, incarnation: str, address: str, failures: int) -> float:
+def retry_delay_s(*, incarnation: str, address: str, failures: int) -> float:
     """Return the delay before the next attempt, in seconds.
 
     It is between half and all of an exponential backoff. The jitter is derived from
@@ -69,7 +69,7 @@
     dial = tables.dials.get(event.address)
     if dial is None:
         return Step(tables=tables)
-    delay_s = retry_delay(
+    delay_s = retry_delay_s(
         incarnation=tables.incarnation, address=dial.address, failures=dial.failures
     )
     ended = replace(
--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -115,12 +115,12 @@
     for answer in answers:
         if answer.arrived_at >= WARM_UP_S:
             histogram.record_value(int(answer.latency_s * 1e6))
-    span = load.seconds - WARM_UP_S
+    span_s = load.seconds - WARM_UP_S
     return Result(
         name=name,
         p50_s=histogram.get_value_at_percentile(50) / 1e6,
         p99_s=histogram.get_value_at_percentile(99) / 1e6,
-        useful_per_s=len(useful) / span,
+        useful_per_s=len(useful) / span_s,
         offered_per_s=load.rate * CAPACITY_PER_S,
     )
 
--- a/test/cell_bench.py
+++ b/test/cell_bench.py
@@ -277,8 +277,8 @@
         ]
         if twice:
             self.violations.append(f"sent twice: {command.task_id}")
-        bound = START_WINDOW_S + self.start_delay_s
-        if self.drained_at is not None and self.world.now > self.drained_at + bound:
+        bound_s = START_WINDOW_S + self.start_delay_s
+        if self.drained_at is not None and self.world.now > self.drained_at + bound_s:
             self.violations.append(f"started after the drain: {command.task_id}")
         self.starts.append(command)
 
@@ -289,10 +289,10 @@
         """
         worker = command.worker_id
         load = worker_core.running_size(self.workers[worker])
-        bound = START_WINDOW_S + self.start_delay_s
+        bound_s = START_WINDOW_S + self.start_delay_s
         capacity_reduced_at = self.capacity_reduced_at.get(worker, float("-inf"))
         over = not load.fits(self.capacity.get(worker, CAPACITY))
-        if over and self.world.now > capacity_reduced_at + bound:
+        if over and self.world.now > capacity_reduced_at + bound_s:
             self.violations.append(f"started beyond capacity: {command.task_id}")
 
     def check_workers(self) -> None:
--- a/test/test_linker.py
+++ b/test/test_linker.py
@@ -15,7 +15,7 @@
 )
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.roles import linker
-from bulrushpulley.systems.linker_events import MAX_DIAL_RETRY_DELAY_S, retry_delay
+from bulrushpulley.systems.linker_events import MAX_DIAL_RETRY_DELAY_S, retry_delay_s
 
 SEED = "127.0.0.1:1"
 LISTED = "127.0.0.1:2"
@@ -81,7 +81,7 @@
 
     def test_retry_delays_differ_between_agents(self) -> None:
         delays = {
-            retry_delay(incarnation=name, address=SEED, failures=3)
+            retry_delay_s(incarnation=name, address=SEED, failures=3)
             for name in ("a", "b", "c")
         }
         self.assertEqual(3, len(delays))
--- a/test/test_route_policy.py
+++ b/test/test_route_policy.py
@@ -94,7 +94,7 @@
         ran = list(world.run_on.values())
         self.assertEqual((9, 3), (ran.count("a1"), ran.count("far")))
 
-    def stalled_latency(self) -> float:
+    def stalled_latency_s(self) -> float:
         """Return the latency of a call whose first run stalls."""
         world = RequestWorld(entries=1, agents=2)
         for number in range(100):
@@ -108,9 +108,9 @@
         return world.answers["late"][0][0] - started_at
 
     def test_a_slow_repeatable_call_is_hedged(self) -> None:
-        self.assertLess(self.stalled_latency(), 0.3)
+        self.assertLess(self.stalled_latency_s(), 0.3)
         with mock.patch.object(route_calls, "MAX_HEDGE_TOKENS", 0.0):
-            self.assertGreater(self.stalled_latency(), 1.4)
+            self.assertGreater(self.stalled_latency_s(), 1.4)
 
     def test_an_abandoned_call_leaves_no_claim_and_does_not_run(self) -> None:
         world = RequestWorld(entries=1)
