Give constants with different meanings different names

RUN_TIME_WEIGHT weighed a service's average run time over all agents in the router and the average on one agent in the guard, with different values. The names tell them apart now. HARMFUL_FRACTION was a threshold in the interference estimate and the fraction of harmful jobs in scripts/measure_policy.py, where it is HARMFUL_JOB_FRACTION now.

--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -18,7 +18,7 @@
 from bulrushpulley.systems.guard.outcomes import record_refused_attempt, store_outcome
 from bulrushpulley.systems.guard.reply import replies
 
-RUN_TIME_WEIGHT = 0.1
+AGENT_RUN_TIME_WEIGHT = 0.1
 UNHEALTHY_AFTER_FAILURES = 3
 
 
@@ -29,7 +29,7 @@
         return Step(tables=tables)
     took_s = now - execution.started_at
     outcome = Outcome(ran=Ran.YES, status=event.status, body=event.body, took_s=took_s)
-    weight = RUN_TIME_WEIGHT if tables.service_s else 1.0
+    weight = AGENT_RUN_TIME_WEIGHT if tables.service_s else 1.0
     average_s = tables.service_s + weight * (took_s - tables.service_s)
     tables = replace(tables, service_s=average_s, failures=0)
     step = finish(tables, execution, outcome, now)
--- a/bulrushpulley/systems/route/answers.py
+++ b/bulrushpulley/systems/route/answers.py
@@ -33,7 +33,7 @@
     without_attempt,
 )
 
-RUN_TIME_WEIGHT = 0.05
+SERVICE_RUN_TIME_WEIGHT = 0.05
 LATENCY_QUANTILE = 0.95
 QUANTILE_STEP_FRACTION = 0.05
 
@@ -86,7 +86,8 @@
     )
     return replace(
         service,
-        service_s=service.service_s + RUN_TIME_WEIGHT * (took_s - service.service_s),
+        service_s=service.service_s
+        + SERVICE_RUN_TIME_WEIGHT * (took_s - service.service_s),
         latency_p95_s=max(service.latency_p95_s + step_s * steps, 0.0),
     )
 
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -48,7 +48,7 @@
 JOB_COUNT = 20
 TASKS_PER_JOB = 8
 TASK_RUN_S = (60.0, 180.0)
-HARMFUL_FRACTION = 0.3
+HARMFUL_JOB_FRACTION = 0.3
 HARM_MS = (40.0, 90.0)
 MAX_LATENCY_US = 10_000_000
 
@@ -155,7 +155,7 @@
     def add_job(self, number: int) -> None:
         """Submit the next job."""
         name = f"job{number:02d}"
-        if self.rng.random() < HARMFUL_FRACTION:
+        if self.rng.random() < HARMFUL_JOB_FRACTION:
             self.harm_by_job[name] = self.rng.uniform(*HARM_MS)
         for worker, state in self.bench.workers.items():
             harms = dict(self.harm_by_job)
