--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -102,7 +102,7 @@
 
 
 def policy_department(found: VersionedRow) -> tuple[str, ...]:
-    """Index key function: the department of a policy record; other rows have none."""
+    """Index function: the department of a policy record; other rows have none."""
     record = found.row.record if isinstance(found.row, RecordRow) else None
     return (record.department,) if isinstance(record, PolicyRecord) else ()
 
