Turn a string statement of the guard into a comment

The string stood after the first statement of a handler, so it was not a docstring. A string statement has no effect, so the behaviour is the same. It is a comment at that place now.

--- a/bulrushpulley/systems/guard/results.py
+++ b/bulrushpulley/systems/guard/results.py
@@ -42,7 +42,7 @@
     execution = tables.executions.get(event.execution_id)
     if execution is None:
         return Step(tables=tables)
-    """A run that ended at the caller's deadline is not counted as a failure."""
+    # A run that ended at the caller's deadline is not counted as a failure.
     ran = Ran.UNKNOWN if event.sent else Ran.NO
     outcome = Outcome(ran=ran, problem=event.problem)
     out_of_time = now >= execution.deadline
