Say free capacity and free slots instead of room

Comments and docstrings of placement said "room" for free resources of a host and for free slots of a cell. The docstring of fits says now what a lasting task needs below the reserve.

--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -43,8 +43,8 @@
 
     `host` and `life` (an incarnation of the host's backend server) tell where its
     current run may be; `since` is when its state began. `avoided_hosts` are hosts where
-    it failed; it is placed on them only if no other host has room. `startup_done` is
-    set once its backend server reports that the startup is over.
+    it failed; it is placed on them only if no other host has free capacity.
+    `startup_done` is set once its backend server reports that the startup is over.
     """
 
     task_id: str
--- a/bulrushpulley/systems/control/place.py
+++ b/bulrushpulley/systems/control/place.py
@@ -184,7 +184,7 @@
     count: int,
     now: float,
 ) -> Choice:
-    """Choose the freest cells of a sample, or of all if it has too little room."""
+    """Choose the freest cells of a sample, or of all if it has too few free slots."""
     seed = f"{waiting.key}|{tables.last_number}"
     candidates = _candidates(tables, _sample(names, seed), spec, now)
     if sum(candidate.free_slots for candidate in candidates) < count:
@@ -261,7 +261,7 @@
     index: int,
     free_slots: Mapping[str, int],
 ) -> str | None:
-    """Return the next cell with room, from the domain and the cell of `index` on."""
+    """Return a cell with a free slot, starting from the one at `index`."""
     for domain_offset in range(len(domains)):
         candidates = ordered[domains[(index + domain_offset) % len(domains)]]
         for cell_offset in range(len(candidates)):
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -16,8 +16,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits, finishing, quarantine, unblocking
 
-# A task returns to a host on which it failed only if no other has room, so the list
-# grows slowly and a few names suffice.
+# A task returns to a host on which it failed only if no other has free capacity, so
+# the list grows slowly and a few names suffice.
 MAX_AVOIDED_HOSTS = 8
 
 
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -152,10 +152,11 @@
 
 
 def fits(step: StepSpec, candidate: Candidate, free_fraction: float) -> bool:
-    """Return whether a task fits; a lasting one must leave room for short tasks.
+    """Return whether a task fits; a lasting one must leave a reserve.
 
     `free_fraction` is the free fraction of the processors of all hosts. If it is
-    below the reserve, a lasting task fits only where there is room for it twice.
+    below the reserve for short tasks, a lasting task fits only on a host whose free
+    resources are at least twice what it needs.
     """
     need = step.committed
     if not need.fits(candidate.free):
