--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -65,12 +65,8 @@
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
-    job_ids = _due_job_ids(tables)
-    if (
-        not job_ids
-        and now - owning.renewed_at < RENEW_INTERVAL_S
-        and not tables.leaving
-    ):
+    due = _due_job_ids(tables)
+    if not due and now - owning.renewed_at < RENEW_INTERVAL_S and not tables.leaving:
         return Step(tables=tables)
     row = OwnerRow(
         holder="" if tables.leaving else tables.name,
@@ -81,7 +77,7 @@
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
-    puts.extend(progress_of(tables, job_id) for job_id in job_ids)
+    puts.extend(progress_of(tables, job_id) for job_id in due)
     harms = None if owning.loading else interference.row_to_save(tables, now)
     if harms is not None:
         puts.append(harms)
@@ -96,16 +92,16 @@
         puts=tuple(puts),
     )
     deferred = tuple(
-        effect for job_id in job_ids for effect in tables.effects_by_job[job_id]
+        effect for job_id in due for effect in tables.effects_by_job[job_id]
     )
     remaining_effects = tables.effects_by_job
-    for job_id in job_ids:
+    for job_id in due:
         remaining_effects = remaining_effects.remove(job_id)
     commit = Commit(
         transact=transact,
         row=row,
         effects=deferred,
-        job_ids=frozenset(job_ids),
+        job_ids=frozenset(due),
         waves=tuple(row.number for row in unwritten),
         first_sent_at=now,
         sent_at=now,
