Restore the request limit as a reason for the list interval

The comment above MACHINE_LIST_INTERVAL_S again gives both reasons: the service of machines accepts only a few list requests per second from all processes together, and an upkeep takes seconds.

--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -45,7 +45,8 @@
 from bulrushpulley.entities.table import Table
 from bulrushpulley.systems.scheduling import edits
 
-# An upkeep takes seconds, so the list of machines need not be read more often.
+# The service of machines accepts only a few list requests per second from all processes
+# together, and an upkeep takes seconds, so the list need not be read more often.
 MACHINE_LIST_INTERVAL_S = 1.0
 WAVE_CALL_TIMEOUT_S = 1.5
 WAVE_STATUS_RETRY_DELAY_S = 0.5
