Review, case 5: a large job that was accepted stops all scheduling

Cause: the progress of a job with 5,000 checkpointing tasks outgrows a row of the store; the owner repeats the refused transaction without end, with all other jobs in it.

Change: a script with a stand-in of the store that checks the limits of rows.

--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -106,6 +106,10 @@
         }
         # Where agents reach the executors; a case may put a proxy in between.
         self.dialled_port = {host: self.port[host] for host in self.hosts}
+        # Where programs reach the store; a case may put a proxy in between.
+        self.store_port = dict.fromkeys(
+            (*self.entries, *self.hosts), self.port["store"]
+        )
         self._lock = threading.Lock()
         self.lines: list[dict[str, Any]] = []
         self._version = 0
@@ -174,7 +178,7 @@
             "Listen": {key: f"{HOST}:{self.port[at]}" for key, at in listen.items()},
             "Limits": {"CpuShare": 0.537, "Cores": 2},
             "Bounds": BOUNDS,
-            "platform": {"Addr": f"{HOST}:{self.port['store']}"},
+            "platform": {"Addr": f"{HOST}:{self.store_port[name]}"},
             "Cloud": {"Addr": f"{HOST}:{self.port['cloud']}"},
         }
 
@@ -300,6 +304,15 @@
             time.sleep(0.5)
         return False
 
+    def owner(self) -> str:
+        """Return the entry that the store has as the owner of the shard."""
+        path = "/v1/rows-get?Table=owners&part=shard-0"
+        _, value = self.call(self.port["store"], "GET", path)
+        data = b"".join(
+            base64.b64decode(row.get("Value", "")) for row in value.get("rows", [])
+        )
+        return next((name for name in self.entries if name.encode() in data), "")
+
     def states(self, job_ids: list[str]) -> dict[str, str]:
         """Ask for the states of jobs."""
         return {
@@ -334,6 +347,32 @@
             shutil.rmtree(self.folder)
 
 
+def restarts(seen: list[dict[str, Any]]) -> list[str]:
+    """Return the starts of tasks after a run had ended `done`.
+
+    The end counts if `LastSeen` reached it, then or later.
+    """
+    noted: dict[tuple[str, int], int] = {}
+    for line in seen:
+        if line["what"] == "noted":
+            life = (line["host"], line["born"])
+            noted[life] = max(line["up_to"], noted.get(life, 0))
+    done: dict[str, dict[str, Any]] = {}
+    found: list[str] = []
+    for line in seen:
+        if line["what"] == "end" and line["how"] == "done":
+            if line["number"] <= noted.get((line["host"], line["born"]), 0):
+                done[line["task"]] = line
+        elif line["what"] == "start" and line["task"] in done:
+            end = done[line["task"]]
+            found.append(
+                f"{line['task']}: run {line['run']} began on {line['host']} at "
+                f"{line['at']:.3f}, after run {end['run']} had ended done on "
+                f"{end['host']} at {end['at']:.3f}, which was taken note of"
+            )
+    return found
+
+
 def overlaps(seen: list[dict[str, Any]], gone: list[dict[str, Any]]) -> list[str]:
     """Return where two runs of one task ran at the same time.
 
