Review, case 2: a former owner takes a restarted agent over

Cause: agents keep the newest epoch in memory only, and a process that has lost the shard without knowing adopts agents and acknowledges ends that it does not know.

Change: a script that takes the store from the owner, cuts its successor from one zone and restarts the agent there; the cases move up, and the large job gives way to this one.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,77 +1,102 @@
-"""A heartbeat of another writer makes tasks run twice."""
+"""A former owner takes a restarted agent over, and tasks that are done run again."""
 
 from __future__ import annotations
 
 import json
 import os
 import pathlib
+import signal
 import sys
 import time
 
-from review.lib.site import HOST, Site, overlaps
+from review.lib.bridge import Bridge
+from review.lib.site import ZONES, Site, free_ports, overlaps, restarts
+from soak.proxy import Proxies
 
 CASE = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOBS = 6
+JOBS = 8
 TASKS = 6
-SECONDS = 8.0
-WORK_S = 3.0
-FOLLOW_S = 20.0
+SECONDS = 1.8
+# `platform_down` for single machines: 9.0 s at most; `bridge_cut`: 5.5 s.
+NO_STORE_S = 9.0
+BRIDGE_CUT_S = 5.5
+# Another entry takes over within some 4 s, and reaches the agents soon after.
+TAKEOVER_S = 5.0
+REACH_S = 0.7
+RUN_S = 0.6
+DOWN_S = 0.5
+FINISH_S = 14.0
 
 
 def body() -> dict[str, object]:
-    """Return a job of tasks that take `SECONDS` each."""
-    step = {"Count": TASKS, "Cpu": 500, "MemMb": 256, "EstimateMs": 8_000}
+    """Return a job of short tasks."""
+    step = {"Count": TASKS, "Cpu": 500, "MemMb": 256, "EstimateMs": 1_800}
     return {"Spec": json.dumps({"seconds": SECONDS, "cpu": 500}), "Steps": [step]}
 
 
-def odd_heartbeat() -> dict[str, object]:
-    """Return a heartbeat with a service that the configuration does not name."""
-    return {
-        "Service": "no-service-of-ours",
-        "Addr": f"{HOST}:9",
-        "Zone": "ege-izmir",
-        "Version": "v1",
-        "Slots": 8,
-        "State": "ready",
-        "ColdLeftMs": 0,
-        "Capacity": {"Cpu": 1_000, "MemMb": 1_000, "Gpu": 0},
-        "Labels": ["a", "r-other"],
-        "ClockMs": 1_000,
-        "Seq": 1,
-        "born": int(time.time() * 1_000),
-    }
+def disturb_store(site: Site, proxies: Proxies, owner: str, *, down: bool) -> None:
+    """Begin or end the time in which the store is out of reach for an entry."""
+    site.record("store out of reach" if down else "store in reach", name=owner)
+    for kind in ("cut_in", "cut_out"):
+        change = proxies.start_fault if down else proxies.end_fault
+        change(owner, kind)
 
 
 def play(site: Site) -> list[str]:
-    """Hand jobs in, send the odd heartbeat, and return the doubled runs."""
+    """Take the store from the owner, restart an agent, return what ran twice."""
+    proxies = Proxies()
+    for name, port in zip(site.entries, free_ports(len(site.entries)), strict=True):
+        proxies.add(name, port, site.port["store"])
+        site.store_port[name] = port
+    bridges = {}
+    for host, port in zip(site.hosts, free_ports(len(site.hosts)), strict=True):
+        target = site.port[f"links {host}"]
+        bridges[host] = Bridge(port=port, target=target, entries=site.entries)
+        site.reached_at[host] = port
     site.start()
-    time.sleep(3.0)
-    job_ids = [f"{number:016x}" for number in range(0xA0, 0xA0 + JOBS)]
-    if not all(site.submit(job_id, body()) for job_id in job_ids):
-        raise RuntimeError("the jobs were not accepted")
-    time.sleep(WORK_S)
-    starts = [line for line in site.seen() if line["what"] == "start"]
-    if len(starts) < JOBS * TASKS:
-        raise RuntimeError(f"only {len(starts)} tasks have begun")
+    time.sleep(5.0)
+    former = site.owner()
+    began = time.monotonic()
     if TROUBLE:
-        port = site.port[f"control {site.hosts[0]}"]
-        status, _ = site.call(
-            port, "POST", "/v1/instances/i-other-writer/heartbeat", odd_heartbeat()
-        )
-        site.record("odd heartbeat", host=site.hosts[0], status=status)
-    until = time.monotonic() + FOLLOW_S
-    while time.monotonic() < until:
-        time.sleep(1.0)
-        if set(site.states(job_ids).values()) == {"completed"}:
-            break
-    site.record("states", states=site.states(job_ids))
-    return overlaps(site.seen(), [])
+        disturb_store(site, proxies, former, down=True)
+    owner = site.owner()
+    while TROUBLE and owner in ("", former):
+        if time.monotonic() - began > TAKEOVER_S:
+            raise RuntimeError("no other entry has taken over")
+        time.sleep(0.1)
+        owner = site.owner()
+    time.sleep(REACH_S)
+    # The zone of the third entry reaches both owners, until it is cut from the new one.
+    third = next(name for name in site.entries if name not in (former, owner))
+    host = next(name for name in site.hosts if site.zone(name) == site.zone(third))
+    live = site.entries.index(third)
+    for number in range(JOBS):
+        status, _ = site.job("POST", f"{0xF0 + number:016x}", body(), entry=live)
+        if status != 200:
+            raise RuntimeError("a job was not accepted")
+    time.sleep(RUN_S)
+    if TROUBLE:
+        site.record("bridge cut", zones=[site.zone(owner), site.zone(host)])
+        cut_at = time.monotonic()
+        bridges[host].cut.add(owner)
+        site.signal(host, signal.SIGKILL)
+        site.wait_ended(host, 5.0)
+        time.sleep(DOWN_S)
+        site.start_program(host)
+        time.sleep(max(0.0, began + NO_STORE_S - time.monotonic()))
+        disturb_store(site, proxies, former, down=False)
+        time.sleep(max(0.0, cut_at + BRIDGE_CUT_S - time.monotonic()))
+        bridges[host].cut.clear()
+        site.record("bridge healed")
+    time.sleep(FINISH_S)
+    seen = site.seen()
+    return restarts(seen) + overlaps(seen, [])
 
 
 def main() -> int:
     """Return the exit code of the case."""
-    site = Site(CASE, entries=2, hosts=3)
+    site = Site(CASE, entries=len(ZONES), hosts=len(ZONES))
     try:
         found = play(site)
     except (RuntimeError, OSError) as error:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,74 +1,72 @@
-"""A late start reaches the next life of an executor, and a task runs twice."""
+"""A heartbeat of another writer makes tasks run twice."""
 
 from __future__ import annotations
 
 import json
 import os
 import pathlib
-import signal
 import sys
 import time
 
-from review.lib.late_proxy import LateProxy
-from review.lib.site import Site, free_ports, overlaps
+from review.lib.site import HOST, Site, overlaps
 
 CASE = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOBS = 17
-TASKS = 12
-SECONDS = 12.0
-# `applied_late`: at most 0.061 of the orders, 2 to 12 s late.
-ONE_IN = 17
-LATE_S = 5.0
-# `srv_crash`: down for 4.5 s at most.
-CRASH_AFTER_S = 2.5
-DOWN_S = 1.0
-FOLLOW_S = 22.0
+JOBS = 6
+TASKS = 6
+SECONDS = 8.0
+WORK_S = 3.0
+FOLLOW_S = 20.0
 
 
 def body() -> dict[str, object]:
     """Return a job of tasks that take `SECONDS` each."""
-    step = {"Count": TASKS, "Cpu": 100, "MemMb": 256, "EstimateMs": 12_000}
-    return {"Spec": json.dumps({"seconds": SECONDS, "cpu": 100}), "Steps": [step]}
+    step = {"Count": TASKS, "Cpu": 500, "MemMb": 256, "EstimateMs": 8_000}
+    return {"Spec": json.dumps({"seconds": SECONDS, "cpu": 500}), "Steps": [step]}
+
+
+def odd_heartbeat() -> dict[str, object]:
+    """Return a heartbeat with a service that the configuration does not name."""
+    return {
+        "Service": "no-service-of-ours",
+        "Addr": f"{HOST}:9",
+        "Zone": "ege-izmir",
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "ColdLeftMs": 0,
+        "Capacity": {"Cpu": 1_000, "MemMb": 1_000, "Gpu": 0},
+        "Labels": ["a", "r-other"],
+        "ClockMs": 1_000,
+        "Seq": 1,
+        "born": int(time.time() * 1_000),
+    }
 
 
 def play(site: Site) -> list[str]:
-    """Hand jobs in, crash one executor, and return the doubled runs."""
-    proxies = []
-    for host, port in zip(site.hosts, free_ports(len(site.hosts)), strict=True):
-        proxy = LateProxy(
-            port=port,
-            target=site.port[host],
-            one_in=ONE_IN,
-            late_s=LATE_S,
-            record=site.record,
-        )
-        proxies.append(proxy)
-        site.dialled_port[host] = port
+    """Hand jobs in, send the odd heartbeat, and return the doubled runs."""
     site.start()
     time.sleep(3.0)
-    for proxy in proxies:
-        proxy.armed = TROUBLE
-    job_ids = [f"{number:016x}" for number in range(0xB0, 0xB0 + JOBS)]
+    job_ids = [f"{number:016x}" for number in range(0xA0, 0xA0 + JOBS)]
     if not all(site.submit(job_id, body()) for job_id in job_ids):
         raise RuntimeError("the jobs were not accepted")
-    time.sleep(CRASH_AFTER_S)
-    for proxy in proxies:
-        proxy.armed = False
-    gone = []
+    time.sleep(WORK_S)
+    starts = [line for line in site.seen() if line["what"] == "start"]
+    if len(starts) < JOBS * TASKS:
+        raise RuntimeError(f"only {len(starts)} tasks have begun")
     if TROUBLE:
-        host = site.hosts[0]
-        site.signal(f"{host}.1", signal.SIGKILL)
-        site.wait_ended(f"{host}.1", 5.0)
-        gone.append({"at": time.monotonic(), "what": "gone", "host": host})
-        time.sleep(DOWN_S)
-        site.start_executor(host, life=2, same_id=True)
+        port = site.port[f"control {site.hosts[0]}"]
+        status, _ = site.call(
+            port, "POST", "/v1/instances/i-other-writer/heartbeat", odd_heartbeat()
+        )
+        site.record("odd heartbeat", host=site.hosts[0], status=status)
     until = time.monotonic() + FOLLOW_S
     while time.monotonic() < until:
-        time.sleep(2.0)
+        time.sleep(1.0)
         if set(site.states(job_ids).values()) == {"completed"}:
             break
-    return overlaps(site.seen(), gone)
+    site.record("states", states=site.states(job_ids))
+    return overlaps(site.seen(), [])
 
 
 def main() -> int:
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 export PYTHONPATH=$PWD/target/deps:$PWD
 python3 -m compileall -q standins review
-python3 -c "import review.lib.cloud, review.lib.executor, review.lib.late_proxy, review.lib.site, review.lib.store"
+python3 -c "import review.lib.bridge, review.lib.cloud, review.lib.executor, review.lib.late_proxy, review.lib.site, review.lib.store"
--- a/review/lib/site.py
+++ b/review/lib/site.py
@@ -106,6 +106,8 @@
         }
         # Where agents reach the executors; a case may put a proxy in between.
         self.dialled_port = {host: self.port[host] for host in self.hosts}
+        # Where owners reach agents, if not where these listen.
+        self.reached_at: dict[str, int] = {}
         # Where programs reach the store; a case may put a proxy in between.
         self.store_port = dict.fromkeys(
             (*self.entries, *self.hosts), self.port["store"]
@@ -127,7 +129,7 @@
     def _spawn(self, name: str, command: list[str]) -> None:
         environment = {
             "PATH": os.environ.get("PATH", ""),
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": os.environ.get("HOME", ""),
             "PYTHONPATH": f"{ROOT / 'target/deps'}:{ROOT}",
             "PYTHONDONTWRITEBYTECODE": "1",
         }
@@ -187,7 +189,10 @@
         role = self.deploy["roles"]["entry" if name in self.entries else "agent"]
         settings = self.folder / f"{name}.toml"
         template = (ROOT / role["template"]).read_text()
-        settings.write_text(render(template, self._fields(name)))
+        text = render(template, self._fields(name))
+        if name in self.reached_at:
+            text = f'reached_at = "{HOST}:{self.reached_at[name]}"\n{text}'
+        settings.write_text(text)
         command = role["run"].split()
         command[0] = sys.executable
         self._spawn(name, [*command[:-1], str(settings)])
