Adopt an agent only once ownership is confirmed after its link was opened

Cause: agents keep the newest epoch in memory, so a restarted one follows whoever adopts it. A former owner that had lost the store did not know of its successor, adopted such an agent and acknowledged the ends of its successor's tasks, which it does not know. Neither step needed a transaction, which would have conflicted.

Evidence: the agent's log shows the adoption by the older epoch after the takeover; no entry logs an end of these tasks. Ends of tasks that the former owner knows were ruled out: they wait for its transaction.

Change: an owner adopts an agent only after a transaction that was sent later than the link was opened, and sends one if nothing else is due. If it succeeds, every later owner gives that agent process a higher epoch. This also keeps a former owner from stopping its successor's runs and from prolonging their leases.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -44,15 +44,15 @@
 class Host:
     """One host with its agent and backend server.
 
-    `peer` is the agent's process while it is linked, and `life` the current incarnation
-    of the backend server. `last_contact_at` is the time of the agent's last contact in
-    this tenure, or zero. `announced_epoch` is the tenure that was announced to the
-    agent. The host is `synced` once the agent has reported every run of this
-    incarnation to this owner. `committed` are the resources that its tasks hold, and
-    `images` their images. The host gets no new tasks before `quarantined_until`;
-    `failed_at` are the times of the recent failures that may lead to a quarantine.
-    `filling_m` is the processors that its filling tasks request, and `lasting_m` those
-    that its lasting tasks hold, in thousandths.
+    `peer` is the agent's process while it is linked, `linked_at` when the link was
+    opened, and `life` the current incarnation of the backend server. `last_contact_at`
+    is the time of the agent's last contact in this tenure, or zero. `announced_epoch`
+    is the tenure that was announced to the agent. The host is `synced` once the agent
+    has reported every run of this incarnation to this owner. `committed` are the
+    resources that its tasks hold, and `images` their images. The host gets no new tasks
+    before `quarantined_until`; `failed_at` are the times of the recent failures that
+    may lead to a quarantine. `filling_m` is the processors that its filling tasks
+    request, and `lasting_m` those that its lasting tasks hold, in thousandths.
     `sent_verdicts` are the verdicts on interference last sent to its agent.
     """
 
@@ -60,6 +60,7 @@
     address: str = ""
     failure_domain: str = ""
     peer: str = ""
+    linked_at: float = 0.0
     dialling: bool = False
     redial_at: float = 0.0
     redials: int = 0
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -68,7 +68,15 @@
     """Record the agent's process; an owner adopts it at its next tick."""
     name = host_of_peer(event.peer)
     host = tables.hosts.get(name) or Host(name=name)
-    linked = replace(host, peer=event.peer, synced=False, redials=0, sent_verdicts=None)
+    linked = replace(
+        host,
+        peer=event.peer,
+        linked_at=now,
+        announced_epoch=0,
+        synced=False,
+        redials=0,
+        sent_verdicts=None,
+    )
     return Step(tables=edits.put_host(tables, linked))
 
 
@@ -86,21 +94,48 @@
 
 
 def adopt(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Adopt the linked agents that this tenure has not adopted yet."""
+    """Adopt the linked agents that this tenure has not adopted yet.
+
+    A restarted agent does not know the epoch of its owner and follows any process that
+    adopts it. An agent is therefore adopted only after a transaction that was sent
+    later than its link was opened: a replaced owner, whose transactions conflict, would
+    acknowledge ends and stop runs that its successor has ordered.
+    """
     if not edits.is_loaded(tables):
         return Step(tables=tables)
     commands: list[Command] = []
-    adopted_by = f"{tables.epoch}"
-    for epoch in sorted(tables.hosts.by_index["link"]):
-        if epoch in (adopted_by, UNLINKED):
+    for host in unadopted_hosts(tables):
+        if not _is_ownership_confirmed(tables, host):
             continue
-        for host in tables.hosts.rows_where("link", epoch):
-            adopted = replace(host, announced_epoch=tables.epoch, synced=False)
-            tables = edits.put_host(tables, adopted)
-            commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
+        adopted = replace(host, announced_epoch=tables.epoch, synced=False)
+        tables = edits.put_host(tables, adopted)
+        commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
     return Step(tables=tables, commands=tuple(commands))
 
 
+def unadopted_hosts(tables: SchedulerTables) -> list[Host]:
+    """Return the hosts whose linked agents this tenure has not adopted."""
+    adopted_by = f"{tables.epoch}"
+    epochs = [
+        epoch
+        for epoch in sorted(tables.hosts.by_index["link"])
+        if epoch not in (adopted_by, UNLINKED)
+    ]
+    return [host for epoch in epochs for host in tables.hosts.rows_where("link", epoch)]
+
+
+def is_confirmation_due(tables: SchedulerTables) -> bool:
+    """Return whether an agent waits for a transaction that confirms ownership."""
+    return any(
+        not _is_ownership_confirmed(tables, host) for host in unadopted_hosts(tables)
+    )
+
+
+def _is_ownership_confirmed(tables: SchedulerTables, host: Host) -> bool:
+    owning = tables.leadership
+    return isinstance(owning, Owning) and owning.renewed_at >= host.linked_at
+
+
 def handle_item(event: JobItem, tables: SchedulerTables, now: float) -> SchedulerStep:
     """Handle an item from an agent; items for another epoch are ignored."""
     hosts = tables.hosts.rows_where("peer", event.peer)
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -29,7 +29,13 @@
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_timeouts
-from bulrushpulley.systems.scheduling import effects, interference, ownership, waves
+from bulrushpulley.systems.scheduling import (
+    agents,
+    effects,
+    interference,
+    ownership,
+    waves,
+)
 
 # How often an owner with nothing to write renews its row. It is twice the followers'
 # poll interval, so that they see a change at every second read.
@@ -65,7 +71,7 @@
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
     due = _due_job_ids(tables)
-    if not due and now - owning.renewed_at < RENEW_INTERVAL_S and not tables.leaving:
+    if not due and not _is_renewal_due(tables, owning, now):
         return Step(tables=tables)
     row = OwnerRow(
         holder="" if tables.leaving else tables.name,
@@ -114,6 +120,14 @@
     return Step(tables=tables, commands=(transact,))
 
 
+def _is_renewal_due(tables: SchedulerTables, owning: Owning, now: float) -> bool:
+    return (
+        now - owning.renewed_at >= RENEW_INTERVAL_S
+        or tables.leaving
+        or agents.is_confirmation_due(tables)
+    )
+
+
 def _due_job_ids(tables: SchedulerTables) -> list[str]:
     chosen: list[str] = []
     tasks = 0
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -121,6 +121,7 @@
 
     `hook` is called with each command before it is carried out. While `call_delay_s` is
     set, starts and stops reach the backend server that much later, without an answer.
+    The two processes of each of the `cut_pairs` cannot reach each other.
     """
 
     def __init__(self, *, entries: int = 2, hosts: int = 3) -> None:
@@ -130,6 +131,7 @@
         self.executor_by_host: dict[str, FakeExecutor] = {}
         self.entry_by_linked_agent: dict[str, str] = {}
         self.cut_off_processes: set[str] = set()
+        self.cut_pairs: set[frozenset[str]] = set()
         self.cut_off_from_store: set[str] = set()
         self.store_up = True
         self.lose_answers = False
@@ -286,6 +288,20 @@
         self.at(duration_s, lambda: self.cut_off_from_store.discard(name))
         self.at(LINK_TIMEOUT_S, lambda: self._drop_unreachable(name))
 
+    def cut_pair(self, name: str, other: str) -> None:
+        """Cut two processes off from each other until `cut_pairs` is cleared."""
+        self.cut_pairs.add(frozenset((name, other)))
+        for agent, owner in list(self.entry_by_linked_agent.items()):
+            ends = {end.rpartition("-")[0] for end in (agent, owner)}
+            if ends == {name, other}:
+                self._unlink(agent)
+
+    def _is_cut_off(self, name: str, other: str) -> bool:
+        return (
+            bool({name, other} & self.cut_off_processes)
+            or frozenset((name, other)) in self.cut_pairs
+        )
+
     def _drop_unreachable(self, name: str) -> None:
         incarnation = self.process_by_name[name].incarnation
         for pair in list(self.entry_by_linked_agent.items()):
@@ -438,7 +454,7 @@
 
     def _open_link(self, address: str, process: Process) -> None:
         agent = self.process_by_name.get(address)
-        is_cut_off = {address, process.name} & self.cut_off_processes
+        is_cut_off = self._is_cut_off(address, process.name)
         if agent is None or not agent.alive or agent.frozen or is_cut_off:
             ended = DialEnded(address=address)
             self.at(0.5, lambda: self.tell(process, SCHEDULER, ended))
@@ -460,11 +476,7 @@
             ),
         )
         target = self._process(command.peer)
-        if (
-            not linked
-            or target is None
-            or {target.name, process.name} & self.cut_off_processes
-        ):
+        if not linked or target is None or self._is_cut_off(target.name, process.name):
             return
         item = command.item
         if isinstance(item, LinkEvent):
--- /dev/null
+++ b/test/test_jobs_former_owner.py
@@ -0,0 +1,87 @@
+"""Tests of an entry that still acts as the owner after another one has taken over."""
+
+from __future__ import annotations
+
+import testtools
+
+from bulrushpulley.entities.jobs.items import Adopt
+from bulrushpulley.entities.link import Send
+from bulrushpulley.entities.step import Command
+from test.jobs_world import JobsWorld, step
+
+ZONE_HOST = "z0-0"
+
+
+class FormerOwnerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = JobsWorld(entries=2, hosts=2)
+        self.world.run(2.0)
+        self.former = self.world.owner()
+        self.successor = next(
+            name for name in ("entry-0", "entry-1") if name != self.former
+        )
+
+    def take_over(self) -> None:
+        """Cut the owner off from the store until the other entry owns the shard."""
+        self.world.cut_off_from_store.add(self.former)
+        process = self.world.process_by_name[self.successor]
+        self.assertTrue(self.world.run_until(lambda: self.owns(process.name), 6.0))
+        self.world.run(0.7)
+
+    def owns(self, name: str) -> bool:
+        """Return whether an entry believes that it owns the shard."""
+        scheduler = self.world.process_by_name[name].instance_by_role["scheduler"]
+        return bool(scheduler.tables.epoch)
+
+    def test_ends_that_a_former_owner_hears_of_do_not_make_tasks_run_again(
+        self,
+    ) -> None:
+        # A restarted agent forgets its owner's epoch and follows whoever adopts it. A
+        # former owner that did not yet know of its successor acknowledged the ends of
+        # the successor's tasks, which then started again (review/2, TWICE).
+        self.take_over()
+        self.world.submit(1, step(8), payload="2.0", entry=self.successor)
+        self.world.run(0.6)
+        self.world.cut_pair(self.successor, ZONE_HOST)
+        self.world.restart(ZONE_HOST)
+        self.world.run(3.5)
+        self.world.cut_off_from_store.clear()
+        self.world.run(1.0)
+        self.world.cut_pairs.clear()
+        self.assertTrue(self.world.run_until(self.world.all_complete, 20.0))
+        self.assertEqual([], self.world.violations)
+        self.assertEqual(8, self.world.starts)
+
+    def test_an_agent_is_not_adopted_while_ownership_cannot_be_confirmed(self) -> None:
+        # Adoption alone lets a former owner stop the runs of its successor and renew
+        # leases for longer than the successor waits for them.
+        adopted: list[str] = []
+
+        def record(command: Command) -> None:
+            if isinstance(command, Send) and isinstance(command.item, Adopt):
+                adopted.append(command.peer.rpartition("-")[0])
+
+        self.world.cut_off_from_store.update(("entry-0", "entry-1"))
+        self.world.run(0.1)
+        self.world.hook = record
+        self.world.restart(ZONE_HOST)
+        self.world.run(3.0)
+        self.assertEqual([], adopted)
+        self.world.cut_off_from_store.clear()
+        self.world.run(4.0)
+        self.assertIn(ZONE_HOST, adopted)
+
+    def test_an_agent_is_adopted_soon_after_its_restart(self) -> None:
+        # An owner with nothing to write renews its row only each 0.8 s.
+        self.world.kill(ZONE_HOST)
+        self.world.run(0.5)
+        self.world.start_agent(ZONE_HOST)
+        host_by_key = self.world.process_by_name[self.former].instance_by_role
+        scheduler = host_by_key["scheduler"]
+
+        def is_synced() -> bool:
+            return bool(scheduler.tables.hosts.by_key[ZONE_HOST].synced)
+
+        self.assertTrue(self.world.run_until(lambda: not is_synced(), 1.0))
+        self.assertTrue(self.world.run_until(is_synced, 2.0))
