Use an announced backend server only once it answers as announced

Cause: any announcement with a newer start ended the known incarnation of the backend server, and the owner started its tasks elsewhere at once. The announcement was another writer's; the sound server ran on.

Evidence: the agent logs "another incarnation was announced" for the unknown id within milliseconds of the announcement, and the owner `host.life ended`. A check of the service alone was ruled out: an announcement with a known service does the same.

Change: an announced incarnation is a candidate until a backend server answers at its address by its id with the announced start (systems/job_agent/confirming). Only then is it reported and does it replace the known one. Related paths: a late announcement of a former incarnation that reaches a restarted agent first, a late withdrawal of an earlier incarnation with the same id, and an announcement with another address for the known incarnation changed it in the same way, and no longer do.

--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -50,6 +50,13 @@
     timeout_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmIncarnation(ExecutorCommand):
+    """Asks whether the incarnation that started at `started_at_ms` answers there."""
+
+    started_at_ms: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PollRuns(ExecutorCommand):
     """Lists all runs and ends, and renews the lease to `lease_until_ms` if given.
@@ -93,6 +100,22 @@
     server_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IncarnationConfirmed(ExecutorEvent):
+    """The announced incarnation answers at `address`."""
+
+    started_at_ms: int
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IncarnationUnconfirmed(ExecutorEvent):
+    """Nothing, or another incarnation, has answered at the announced address."""
+
+    started_at_ms: int
+    reason: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunsListed(ExecutorEvent):
     """All runs and the ends not yet discarded, at `clock_ms` of the server's clock."""
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -12,6 +12,11 @@
 from immutables import Map
 
 from bulrushpulley.entities.jobs.bounds import Bounds
+from bulrushpulley.entities.jobs.executor_calls import (
+    Announced,
+    IncarnationConfirmed,
+    IncarnationUnconfirmed,
+)
 from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.items import HostReport
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
@@ -89,7 +94,8 @@
     `clock_ms` is the newest time on its clock that an answer carried. All ends with
     numbers up to `noted` are durable, and so are those in `noted_out_of_order`.
     `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
-    once it has answered with a list of its runs.
+    once it has answered with a list of its runs, and `withdrawn` once it has announced
+    its end.
     """
 
     server_id: str
@@ -106,6 +112,7 @@
     noted_out_of_order: frozenset[int] = frozenset()
     lease_sent_at: float = 0.0
     listed: bool = False
+    withdrawn: bool = False
 
     @property
     def life(self) -> str:
@@ -113,6 +120,33 @@
         return f"{self.server_id}/{self.started_at_ms}"
 
 
+def incarnation_name(
+    event: Announced | IncarnationConfirmed | IncarnationUnconfirmed,
+) -> str:
+    """Return the unique name of an incarnation, as in `Server.life`."""
+    return f"{event.server_id}/{event.started_at_ms}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """An announced incarnation of the backend server that is not confirmed yet.
+
+    `announced_at` is when its last announcement arrived, and `failures` counts the
+    calls that did not confirm it. The next call is sent at `retry_at`.
+    """
+
+    announced: Announced
+    announced_at: float
+    in_flight: bool = False
+    retry_at: float = 0.0
+    failures: int = 0
+
+    @property
+    def name(self) -> str:
+        """The unique name of the incarnation."""
+        return incarnation_name(self.announced)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PollState:
     """The state of the call that lists runs.
@@ -158,7 +192,8 @@
     owner answered was sent. `orders_complete` means that the owner's complete list of
     runs for the current incarnation has arrived. `stalled_since` is since when all
     serving runs have been stalled, `search_started_at` when this process began to wait
-    for an announcement. `ends` are kept by number until the server may discard them.
+    for an announcement. `candidates` are the announced incarnations that are not
+    confirmed, by name. `ends` are kept by number until the server may discard them.
     `synced` means that the owner has been sent the complete list of runs;
     `last_host_report` and the end with number `last_end_sent` are the last ones sent.
     """
@@ -178,6 +213,7 @@
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
     search_started_at: float | None = None
+    candidates: Table[Candidate] = field(default_factory=Table.empty)
     poll: PollState = PollState()
     runs: Table[Run] = field(
         default_factory=lambda: Table.empty(indexes={"phase": by_phase})
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -11,8 +11,11 @@
 
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
+    ConfirmIncarnation,
     ExecutorCommand,
     ExecutorEvent,
+    IncarnationConfirmed,
+    IncarnationUnconfirmed,
     OtherIncarnation,
     PaceAnswered,
     PaceFailed,
@@ -107,6 +110,34 @@
         except BulrushpulleyError as error:
             return PollFailed(server_id=command.server_id, reason=str(error))
 
+    @call.register
+    def _(self, command: ConfirmIncarnation) -> ExecutorEvent:
+        try:
+            started_at_ms = self._started_at_ms(command)
+        except BulrushpulleyError as error:
+            return _unconfirmed(command, str(error))
+        if started_at_ms != command.started_at_ms:
+            return _unconfirmed(command, f"one started at {started_at_ms} answers")
+        return IncarnationConfirmed(
+            server_id=command.server_id,
+            started_at_ms=command.started_at_ms,
+            address=command.address,
+        )
+
+    def _started_at_ms(self, command: ConfirmIncarnation) -> int:
+        """Return when the incarnation that answers has started.
+
+        The call neither renews the lease nor discards ends. Its client is not kept, so
+        that announced addresses do not replace the one in use.
+        """
+        body = {"FencingToken": FENCING_TOKEN, "LastSeen": 0, "WaitMs": 0}
+        client = _new_client(command.address, connections=1)
+        answer = _exchange(client, command, "/v1/hold", body)
+        if answer.status != http.HTTPStatus.OK:
+            detail = f"status {answer.status}: {answer.body[:200]!r}"
+            raise BulrushpulleyError(problem=client.invalid_answer(STEP, detail))
+        return integer(decode_object(answer.body, STEP), "born", STEP)
+
     @call.register
     def _(self, command: StartRun) -> ExecutorEvent:
         order = command.order
@@ -185,23 +216,39 @@
     ) -> HttpAnswer:
         client = self._client_by_address.get(command.address)
         if client is None:
-            client = HttpClient(
-                url=f"http://{command.address}",
-                connections=EXECUTOR_CONNECTIONS,
-                service="executor",
-            )
+            client = _new_client(command.address, connections=EXECUTOR_CONNECTIONS)
             # The server on the host has one address; older clients are not needed.
             self._client_by_address = {command.address: client}
-        return client.exchange(
-            "POST",
-            path,
-            timeout_s=command.timeout_s,
-            body=msgspec.json.encode(body),
-            headers={
-                "Content-Type": "application/json",
-                "Expected-Instance": command.server_id,
-            },
-        )
+        return _exchange(client, command, path, body)
+
+
+def _new_client(address_: str, *, connections: int) -> HttpClient:
+    return HttpClient(
+        url=f"http://{address_}", connections=connections, service="executor"
+    )
+
+
+def _exchange(
+    client: HttpClient, command: ExecutorCommand, path: str, body: dict[str, Any]
+) -> HttpAnswer:
+    return client.exchange(
+        "POST",
+        path,
+        timeout_s=command.timeout_s,
+        body=msgspec.json.encode(body),
+        headers={
+            "Content-Type": "application/json",
+            "Expected-Instance": command.server_id,
+        },
+    )
+
+
+def _unconfirmed(command: ConfirmIncarnation, reason: str) -> IncarnationUnconfirmed:
+    return IncarnationUnconfirmed(
+        server_id=command.server_id,
+        started_at_ms=command.started_at_ms,
+        reason=reason,
+    )
 
 
 def _start_outcome(command: StartRun, run: RunRef, answer: HttpAnswer) -> ExecutorEvent:
--- a/bulrushpulley/roles/job_agent.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -5,6 +5,7 @@
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
 from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, seconds_since_boot
 from bulrushpulley.systems.job_agent import (
+    confirming,
     pacing,
     polling,
     registering,
@@ -24,6 +25,7 @@
         apply=apply,
         systems=(
             registering.run,
+            confirming.run,
             server_lifecycle.update_state,
             starting.run,
             stopping.run,
--- a/bulrushpulley/systems/job_agent/events.py
+++ b/bulrushpulley/systems/job_agent/events.py
@@ -6,6 +6,8 @@
 
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
+    IncarnationConfirmed,
+    IncarnationUnconfirmed,
     OtherIncarnation,
     PaceAnswered,
     PaceFailed,
@@ -31,6 +33,7 @@
 from bulrushpulley.entities.link import LinkDown
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.systems.job_agent import (
+    confirming,
     owner_orders,
     pacing,
     polling,
@@ -60,7 +63,9 @@
     return Step(tables=tables)
 
 
-apply.register(Announced, server_lifecycle.handle_announced)
+apply.register(Announced, confirming.handle_announced)
+apply.register(IncarnationConfirmed, confirming.handle_confirmed)
+apply.register(IncarnationUnconfirmed, confirming.handle_unconfirmed)
 apply.register(Withdrawn, server_lifecycle.handle_withdrawn)
 apply.register(RunsListed, polling.handle_runs_listed)
 apply.register(PollFailed, polling.handle_poll_failed)
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -33,37 +33,34 @@
 STALLED_TIMEOUT_S = 0.5
 
 
-def handle_announced(
+def update_announced(
     event: Announced, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Apply an announcement of the backend server, unless a newer one is known."""
+    """Apply a newer announcement of the known incarnation, which keeps its address."""
     known = tables.server
-    if known is not None and event.started_at_ms < known.started_at_ms:
-        return Step(tables=tables)
-    if known is None or _incarnation_of(event) != known.life:
-        return _begin_incarnation(event, tables, now)
-    if event.sequence < known.sequence:
+    if known is None or event.sequence < known.sequence:
         return Step(tables=tables)
+    if event.address != known.address:
+        reason = f"an announcement names the address {event.address}"
+        line = _line(tables, known.life, tables.server_state.value, reason)
+        return Step(tables=tables, commands=(line,))
     server = replace(
         known,
         sequence=event.sequence,
-        address=event.address,
         draining=event.is_draining,
         capacity=event.capacity,
         labels=event.labels,
         leaves_in_s=event.leaves_in_s,
+        withdrawn=False,
     )
     return Step(tables=replace(tables, server=server))
 
 
-def _incarnation_of(event: Announced) -> str:
-    return f"{event.server_id}/{event.started_at_ms}"
-
-
-def _begin_incarnation(
+def begin_incarnation(
     event: Announced, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    step = end_incarnation(tables, "another incarnation was announced")
+    """Use a confirmed incarnation instead of the one known so far."""
+    step = end_incarnation(tables, "another incarnation has begun")
     server = Server(
         server_id=event.server_id,
         started_at_ms=event.started_at_ms,
@@ -90,10 +87,17 @@
 def handle_withdrawn(
     event: Withdrawn, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """End the incarnation that has announced its own end."""
-    if tables.server is None or tables.server.server_id != event.server_id:
+    """Poll the incarnation that has announced its end, to see whether it has ended.
+
+    The announcement may be that of an earlier incarnation with the same id.
+    """
+    server = tables.server
+    if server is None or server.server_id != event.server_id:
         return Step(tables=tables)
-    return end_incarnation(tables, "it announced its end")
+    withdrawn = replace(server, draining=True, withdrawn=True)
+    poll = replace(tables.poll, retry_at=now)
+    line = _line(tables, server.life, "withdrawn", "it announced its end")
+    return Step(tables=replace(tables, server=withdrawn, poll=poll), commands=(line,))
 
 
 def end_incarnation(tables: JobAgentTables, reason: str) -> JobAgentStep:
@@ -132,6 +136,8 @@
         and failing_s >= REFUSED_CONNECTIONS_TIMEOUT_S
     ):
         return end_incarnation(tables, "no process listens at its address")
+    if server.withdrawn and poll.connections_refused:
+        return end_incarnation(tables, "it announced its end, and nothing listens")
     lease_expired = now - server.lease_sent_at > tables.bounds.lease_expiry_s
     if failing_s > SERVER_UNREACHABLE_TIMEOUT_S and lease_expired:
         return end_incarnation(tables, "it did not answer until its lease had expired")
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -14,8 +14,11 @@
 
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
+    ConfirmIncarnation,
     ExecutorCommand,
     ExecutorEvent,
+    IncarnationConfirmed,
+    IncarnationUnconfirmed,
     OtherIncarnation,
     PaceAnswered,
     PaceRun,
@@ -173,6 +176,21 @@
         """Handle one call of the agent."""
         raise NotImplementedError(type(command).__name__)
 
+    @call.register
+    def _(self, command: ConfirmIncarnation, now: float) -> ExecutorEvent:
+        answers = (command.server_id, command.started_at_ms, command.address)
+        if answers != (self.server_id, self.incarnation, self.host):
+            return IncarnationUnconfirmed(
+                server_id=command.server_id,
+                started_at_ms=command.started_at_ms,
+                reason="another incarnation answers",
+            )
+        return IncarnationConfirmed(
+            server_id=command.server_id,
+            started_at_ms=command.started_at_ms,
+            address=command.address,
+        )
+
     @call.register
     def _(self, command: PollRuns, now: float) -> ExecutorEvent:
         if command.server_id != self.server_id:
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -25,7 +25,9 @@
     WaveOrder,
 )
 from bulrushpulley.entities.jobs.executor_calls import (
+    ConfirmIncarnation,
     ExecutorCommand,
+    IncarnationUnconfirmed,
     PaceFailed,
     PaceRun,
     PollFailed,
@@ -752,6 +754,12 @@
 
 def _unanswered(command: ExecutorCommand) -> Event:
     server_id = command.server_id
+    if isinstance(command, ConfirmIncarnation):
+        return IncarnationUnconfirmed(
+            server_id=server_id,
+            started_at_ms=command.started_at_ms,
+            reason="no answer",
+        )
     if isinstance(command, PollRuns):
         return PollFailed(server_id=server_id, reason="no answer")
     return _unanswered_run(command)
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -9,6 +9,7 @@
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
+    IncarnationConfirmed,
     PaceFailed,
     PaceRun,
     PollRuns,
@@ -60,6 +61,7 @@
                 labels=("a", "r1"),
             )
         )
+        self.confirm("i-1", 5)
         self.tell(Adopt(peer=OWNER, epoch=1))
         self.acknowledge_contact()
         self.list_runs()
@@ -72,6 +74,13 @@
         self.tables = step.tables
         return list(step.commands)
 
+    def confirm(self, server_id: str, started_at_ms: int) -> list[Command]:
+        """Answer the call that confirms an announced incarnation."""
+        confirmed = IncarnationConfirmed(
+            server_id=server_id, started_at_ms=started_at_ms, address="x"
+        )
+        return self.tell(confirmed)
+
     def acknowledge_contact(self) -> None:
         """Answer the last contact."""
         sent_at = self.tables.contact_sent_at
