Acknowledge ends again after a restart of an agent

Cause: acknowledgements go up to a number. A restarted agent waited for the end with number 1, which its predecessor had acknowledged and the backend server had discarded, so it acknowledged nothing any more. A backend server lists 500 ends at a time; beyond them the agent found a run on neither list, refused it as "no longer listed", and the owner started it again.

Change: ends before the first one that the backend server keeps count as durable, as only an acknowledgement discards ends; an unreadable first end is not skipped. A run missing from a full list of ends is not refused, so 500 ends that cannot be acknowledged, as while the store is down, do the same harm no more.

The record of the users has too little traffic for 500 ends on a usual host, so a second cause is still looked for.

--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -118,12 +118,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunsListed(ExecutorEvent):
-    """All runs and the ends not yet discarded, at `clock_ms` of the server's clock."""
+    """All runs and the ends not yet discarded, at `clock_ms` of the server's clock.
+
+    `first_end` is the number of the first end that the server still keeps, zero if
+    there is none or its number cannot be read. Unless `ends_complete`, the server may
+    keep more ends than it has listed.
+    """
 
     started_at_ms: int
     clock_ms: int
     runs: tuple[RunStatus, ...]
     ends: tuple[RunEnd, ...]
+    first_end: int = 0
+    ends_complete: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 from typing import Any
 
@@ -63,6 +63,8 @@
 DRAINING = "draining"
 READY = "ready"
 MAX_PERCENT = 100
+# A backend server lists this many ends at a time.
+MAX_LISTED_ENDS = 500
 # Announcements beyond these bounds cannot be true, and would attract all tasks.
 MAX_SERVER_CAPACITY = Resources(
     processors_m=10_000_000, memory_mb=2**30, accelerators=100_000
@@ -268,15 +270,29 @@
     command: PollRuns, raw: Fields, report: Callable[[Problem], None]
 ) -> RunsListed:
     """Decode the lists of a backend server; malformed entries are left out."""
+    ends = items(raw, "Finished", STEP)
     return RunsListed(
         server_id=command.server_id,
         started_at_ms=integer(raw, "born", STEP),
         clock_ms=integer(raw, "ClockMs", STEP),
         runs=sound_values(items(raw, "Running", STEP), _decode_status, report),
-        ends=sound_values(items(raw, "Finished", STEP), _decode_end, report),
+        ends=sound_values(ends, _decode_end, report),
+        first_end=_first_end(ends),
+        ends_complete=len(ends) < MAX_LISTED_ENDS,
     )
 
 
+def _first_end(rows: Sequence[Any]) -> int:
+    """Return the number of the first end listed; zero without a readable one."""
+    first = rows[0] if rows else None
+    if not isinstance(first, list) or not first:
+        return 0
+    try:
+        return integer_value(first[0], "Finished", STEP)
+    except BulrushpulleyError:
+        return 0
+
+
 def _decode_status(row: Any) -> RunStatus:
     # A row is [task, run, checkpoint, percent, measure]; the measure may be missing.
     field = "Running"
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -125,6 +125,9 @@
     sent_at = tables.poll.sent_at
     server = replace(server, clock_ms=max(server.clock_ms, event.clock_ms), listed=True)
     tables = replace(tables, server=server, poll=PollState())
+    # What precedes the first end that the server keeps was acknowledged by an earlier
+    # process of this agent.
+    tables = _with_noted(tables, max(server.noted, event.first_end - 1))
     for status in event.runs:
         tables = _update_run(tables, status, now)
     for end in event.ends:
@@ -133,6 +136,9 @@
         # The server answers immediately while ends are unacknowledged: delay the call.
         poll = replace(tables.poll, retry_at=now + UNACKNOWLEDGED_ENDS_INTERVAL_S)
         tables = replace(tables, poll=poll)
+    if not event.ends_complete:
+        # A run that is not listed may have ended.
+        return Step(tables=tables)
     return _refuse_missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
 
 
@@ -205,16 +211,28 @@
     if stale or server is None:
         return Step(tables=tables)
     out_of_order = server.noted_out_of_order | frozenset(event.numbers)
-    noted = server.noted
-    while noted + 1 in out_of_order:
+    tables = replace(tables, server=replace(server, noted_out_of_order=out_of_order))
+    tables = _with_noted(tables, server.noted)
+    if not tables.ends:
+        tables = replace(tables, poll=replace(tables.poll, retry_at=now))
+    return Step(tables=tables)
+
+
+def _with_noted(tables: JobAgentTables, noted: int) -> JobAgentTables:
+    """Record that the ends up to `noted`, and those durable after it, are durable."""
+    server = tables.server
+    if server is None:
+        return tables
+    while noted + 1 in server.noted_out_of_order:
         noted += 1
-    out_of_order = frozenset(number for number in out_of_order if number > noted)
+    if noted == server.noted:
+        return tables
+    out_of_order = frozenset(
+        number for number in server.noted_out_of_order if number > noted
+    )
     ends = tables.ends
-    for number in range(server.noted + 1, noted + 1):
-        if number in ends:
+    for number in tables.ends:
+        if number <= noted:
             ends = ends.delete(number)
     server = replace(server, noted=noted, noted_out_of_order=out_of_order)
-    tables = replace(tables, server=server, ends=ends)
-    if not ends:
-        tables = replace(tables, poll=replace(tables.poll, retry_at=now))
-    return Step(tables=tables)
+    return replace(tables, server=server, ends=ends)
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -38,6 +38,7 @@
 # A run with this payload fails; for others the payload is the duration in seconds.
 POISON_PAYLOAD = "poison"
 POISON_RUN_TIME_S = 0.3
+MAX_LISTED_ENDS = 500
 
 
 def _succeeds(order: RunOrder) -> bool:
@@ -87,6 +88,7 @@
         self.checkpoints = checkpoints
         self.fails_all = False
         self.noted = 0
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.ends: list[RunEnd] = []
         self.run_by_key: dict[str, ExecutorRun] = {}
         self.barred_run_by_task: dict[str, int] = {}
@@ -214,7 +216,9 @@
             started_at_ms=self.incarnation,
             clock_ms=int((now - self.incarnation_started_at) * 1000),
             runs=runs,
-            ends=tuple(self.ends),
+            ends=tuple(self.ends[: self.max_listed_ends]),
+            first_end=self.ends[0].number if self.ends else 0,
+            ends_complete=len(self.ends) < self.max_listed_ends,
         )
 
     def _checkpoint(self, run: ExecutorRun, now: float) -> str:
