Wait for owners before the former one as well

The owner before it may be cut off from the store and still confirm those of an agent that only it reaches; the agent's tasks then ran twice.

Change: the owner row says for how long owners before its own may confirm contacts; rows of versions that do not say it are taken for the whole span. Hosts without a link have an index, so that the cost of a commit does not grow with the number of hosts.

Result: test_an_owner_before_the_former_one_is_waited_for failed before (two tasks running twice) and passes.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -10,6 +10,8 @@
 
 # The index value of hosts that are to be dialled.
 UNLINKED = "unlinked"
+# The index value of hosts without a link.
+SILENT = "silent"
 
 
 class ServerState(enum.Enum):
@@ -110,6 +112,11 @@
     return peer.rpartition("-")[0]
 
 
+def by_silence(host: Host) -> tuple[str, ...]:
+    """Index hosts without a link."""
+    return () if host.peer else (SILENT,)
+
+
 def by_link(host: Host) -> tuple[str, ...]:
     """Index hosts that are to be dialled, and linked ones by the epoch announced."""
     if host.peer:
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -79,7 +79,9 @@
     `holder` is the name of the owner's entry and `incarnation` that of its process;
     `holder` is empty once an owner has released the shard. `epoch` increases with each
     change of owner, `sequence` with each transaction of the owner. `silent_hosts` lets
-    the next owner count from when a host was last heard of.
+    the next owner count from when a host was last heard of. Owners before this one may
+    confirm contacts of agents for `confirmed_for_s` after the row was written; versions
+    that do not write it leave that unknown.
     """
 
     holder: str
@@ -87,6 +89,7 @@
     epoch: int
     sequence: int
     silent_hosts: tuple[SilentHost, ...] = ()
+    confirmed_for_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -186,6 +186,7 @@
                 "peer": host.by_peer,
                 "address": host.by_address,
                 "link": host.by_link,
+                "silence": host.by_silence,
             }
         )
     )
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -80,6 +80,7 @@
         epoch=owning.epoch,
         sequence=owning.sequence + 1,
         silent_hosts=lease_expiry.silent_hosts(tables, owning, now),
+        confirmed_for_s=max(0.0, owning.confirmed_until - now),
     )
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -8,7 +8,7 @@
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.host import SILENT, Host
 from bulrushpulley.entities.jobs.rows import OwnerRow, SilentHost
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Owning,
@@ -65,21 +65,23 @@
 
     Agents that link again are adopted after a transaction with a row without them.
     """
-    names = set(tables.tasks.by_index["host"])
-    if owning.loading:
-        names.update(host.name for host in tables.hosts.rows() if host.runs_end_by)
-    hosts = (tables.hosts.get(name) or Host(name=name) for name in sorted(names))
     silent = (
         SilentHost(
             host=host.name,
             runs_end_in_s=max(0.0, leases_expired_at(tables, owning, host) - now),
         )
-        for host in hosts
-        if not host.peer
+        for host in tables.hosts.rows_where("silence", SILENT)
+        if _may_have_runs(tables, owning, host)
     )
     return tuple(islice(silent, MAX_SILENT_HOSTS))
 
 
+def _may_have_runs(tables: SchedulerTables, owning: Owning, host: Host) -> bool:
+    """Return whether tasks hold the host, or may once the shard has been read."""
+    is_held = bool(tables.tasks.count_where("host", host.name))
+    return is_held or bool(owning.loading and host.runs_end_by)
+
+
 def runs_end_by_host(row: OwnerRow | None, now: float) -> Map[str, float]:
     """Return when the runs on silent hosts have ended, by a row that was just read."""
     silent = row.silent_hosts if row is not None else ()
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -123,16 +123,18 @@
     reason = _reason_to_claim(seen, tables, now)
     if not reason:
         return Step(tables=replace(tables, leadership=seen))
+    confirmed_until = _confirmed_until(seen, tables, now)
     own_row = OwnerRow(
         holder=tables.name,
         incarnation=tables.incarnation,
         epoch=_last_epoch(stored) + 1,
         sequence=0,
+        confirmed_for_s=max(0.0, confirmed_until - now),
     )
     claiming = Claiming(
         row=own_row,
         version=stored.version,
-        confirmed_until=_confirmed_until(seen, tables, now),
+        confirmed_until=confirmed_until,
         runs_end_by_host=lease_expiry.runs_end_by_host(row, now),
     )
     line = edits.log(tables, "shard.claim", OWNED_PART, tables.incarnation, reason)
@@ -142,15 +144,21 @@
 def _confirmed_until(seen: Following, tables: SchedulerTables, now: float) -> float:
     """Return until when former owners may confirm contacts of agents.
 
-    An owner that releases the shard confirms none any more, and the earlier process of
-    this host has ended. Any other sent its last successful transaction before its row
-    was seen for the first time.
+    A former owner may for `owner_autonomy_s` after its last successful transaction,
+    which it sent before its row was seen for the first time. One that has released the
+    shard or was an earlier process of this host confirms none any more, but the owners
+    before it may.
     """
-    if seen.row is None:
-        return now + tables.bounds.owner_autonomy_s
-    if seen.row.holder in ("", tables.name):
+    row, autonomy_s = seen.row, tables.bounds.owner_autonomy_s
+    if not seen.version:
+        # The shard has had no owner.
         return now
-    return seen.unchanged_since + tables.bounds.owner_autonomy_s
+    if row is None:
+        return now + autonomy_s
+    if row.holder in ("", tables.name) and row.incarnation != tables.incarnation:
+        confirmed_for_s = row.confirmed_for_s
+        return now + (autonomy_s if confirmed_for_s is None else confirmed_for_s)
+    return seen.unchanged_since + autonomy_s
 
 
 def _owner_row(rows: tuple[StoredRow, ...]) -> StoredRow:
--- a/test/test_jobs_lost_host.py
+++ b/test/test_jobs_lost_host.py
@@ -9,6 +9,7 @@
 
 import testtools
 
+from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.rows import OWNER_KEY, OwnerRow
 from test.jobs_world import JobsWorld, step
@@ -18,6 +19,8 @@
 # A takeover, the read of the shard, a placement and the run itself.
 RESTART_S = 4.0
 LONG = "40.0"
+# Shorter than a read of the store.
+CLAIM_STEP_S = 0.002
 
 
 class LostHostTest(testtools.TestCase):
@@ -48,6 +51,18 @@
         wait_s = BOUNDS.agent_expiry_s + RESTART_S
         self.assertLess(self.time_to_complete(lost_at), wait_s)
 
+    def test_an_owner_row_of_an_earlier_version_leaves_the_wait_as_it_was(self) -> None:
+        # It does not say whether an owner before its own may still confirm contacts.
+        key = OWNER_KEY
+        lost_at = self.lose_host()
+        self.world.kill(self.world.owner())
+        row = self.world.store.row_by_key[key].row
+        assert isinstance(row, OwnerRow)
+        self.world.store.put(replace(row, confirmed_for_s=None, silent_hosts=()))
+        self.world.start_entry(row.holder)
+        self.assertFalse(self.world.run_until(self.world.all_complete, 18.0))
+        self.assertGreater(self.time_to_complete(lost_at), 18.0)
+
     def test_several_takeovers_do_not_prolong_the_wait(self) -> None:
         lost_at = self.lose_host()
         for _ in range(2):
@@ -113,6 +128,23 @@
         self.assertEqual([], self.world.violations)
         self.assertGreater(self.world.starts, 9)
 
+    def test_an_owner_before_the_former_one_is_waited_for(self) -> None:
+        # It may confirm contacts for longer than its successor has owned the shard.
+        first = self.world.owner()
+        second = self.other_than(first)
+        self.world.cut_off_from_store.add(first)
+        self.world.cut_pair(second, HOST)
+        until = self.world.now + 6.0
+        while self.owner_row().holder != second and self.world.now < until:
+            self.world.run(CLAIM_STEP_S)
+        # It has not read the shard yet, so its row names no silent host.
+        self.assertEqual((), self.owner_row().silent_hosts)
+        self.world.kill(second)
+        self.world.start_entry(second)
+        self.world.run(30.0)
+        self.assertEqual([], self.world.violations)
+        self.assertGreater(self.world.starts, 9)
+
     def test_a_host_that_is_back_is_no_longer_recorded_as_silent(self) -> None:
         # Otherwise the next owner would start its tasks elsewhere while they run on.
         self.world.cut_off(HOST, 5.0)
