--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -11,7 +11,7 @@
 # The index value of hosts that are to be dialled.
 UNLINKED = "unlinked"
 # The index value of hosts without a link.
-SILENT = "silent"
+NO_LINK = "none"
 
 
 class ServerState(enum.Enum):
@@ -112,9 +112,9 @@
     return peer.rpartition("-")[0]
 
 
-def by_silence(host: Host) -> tuple[str, ...]:
+def by_missing_link(host: Host) -> tuple[str, ...]:
     """Index hosts without a link."""
-    return () if host.peer else (SILENT,)
+    return () if host.peer else (NO_LINK,)
 
 
 def by_link(host: Host) -> tuple[str, ...]:
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -128,7 +128,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Candidate:
+class UnconfirmedServer:
     """An announced incarnation of the backend server that is not confirmed yet.
 
     `announced_at` is when its last announcement arrived, and `failures` counts the
@@ -192,7 +192,7 @@
     owner answered was sent. `orders_complete` means that the owner's complete list of
     runs for the current incarnation has arrived. `stalled_since` is since when all
     serving runs have been stalled, `search_started_at` when this process began to wait
-    for an announcement. `candidates` are the announced incarnations that are not
+    for an announcement. `unconfirmed` are the announced incarnations that are not
     confirmed, by name. `ends` are kept by number until the server may discard them.
     `synced` means that the owner has been sent the complete list of runs;
     `last_host_report` and the end with number `last_end_sent` are the last ones sent.
@@ -213,7 +213,7 @@
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
     search_started_at: float | None = None
-    candidates: Table[Candidate] = field(default_factory=Table.empty)
+    unconfirmed: Table[UnconfirmedServer] = field(default_factory=Table.empty)
     poll: PollState = PollState()
     runs: Table[Run] = field(
         default_factory=lambda: Table.empty(indexes={"phase": by_phase})
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class SilentHost:
+class UnlinkedHost:
     """A host without a link to the owner, on which runs may remain.
 
     They have certainly ended `runs_end_in_s` after the row was written: an owner lets
@@ -78,17 +78,17 @@
 
     `holder` is the name of the owner's entry and `incarnation` that of its process;
     `holder` is empty once an owner has released the shard. `epoch` increases with each
-    change of owner, `sequence` with each transaction of the owner. `silent_hosts` lets
-    the next owner count from when a host was last heard of. Owners before this one may
-    confirm contacts of agents for `confirmed_for_s` after the row was written; versions
-    that do not write it leave that unknown.
+    change of owner, `sequence` with each transaction of the owner. `unlinked_hosts`
+    lets the next owner count from when a host was last heard of. Owners before this one
+    may confirm contacts of agents for `confirmed_for_s` after the row was written;
+    versions that do not write it leave that unknown.
     """
 
     holder: str
     incarnation: str
     epoch: int
     sequence: int
-    silent_hosts: tuple[SilentHost, ...] = ()
+    unlinked_hosts: tuple[UnlinkedHost, ...] = ()
     confirmed_for_s: float | None = None
 
 
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -186,7 +186,7 @@
                 "peer": host.by_peer,
                 "address": host.by_address,
                 "link": host.by_link,
-                "silence": host.by_silence,
+                "missing_link": host.by_missing_link,
             }
         )
     )
--- a/bulrushpulley/systems/job_agent/confirming.py
+++ b/bulrushpulley/systems/job_agent/confirming.py
@@ -15,9 +15,9 @@
     IncarnationUnconfirmed,
 )
 from bulrushpulley.entities.jobs.job_agent_tables import (
-    Candidate,
     JobAgentStep,
     JobAgentTables,
+    UnconfirmedServer,
     incarnation_name,
 )
 from bulrushpulley.entities.observe import Decision
@@ -28,8 +28,8 @@
 CONFIRM_TIMEOUT_S = 0.3
 CONFIRM_RETRY_DELAY_S = 0.1
 # A backend server announces itself about once a second.
-CANDIDATE_TIMEOUT_S = 3.0
-MAX_CANDIDATES = 8
+UNCONFIRMED_TIMEOUT_S = 3.0
+MAX_UNCONFIRMED_SERVERS = 8
 # Calls to addresses that do not answer must leave threads for the other calls.
 MAX_CONFIRMATIONS_IN_FLIGHT = 2
 
@@ -44,38 +44,38 @@
         return Step(tables=tables)
     if known is not None and name == known.life:
         return server_lifecycle.update_announced(event, tables, now)
-    before = tables.candidates.get(name)
+    before = tables.unconfirmed.get(name)
     if before is not None and event.sequence < before.announced.sequence:
         return Step(tables=tables)
     if before is None:
-        candidate = Candidate(announced=event, announced_at=now)
+        server = UnconfirmedServer(announced=event, announced_at=now)
     else:
-        candidate = replace(before, announced=event, announced_at=now)
-    candidates = tables.candidates.put(name, candidate)
-    if len(candidates) > MAX_CANDIDATES:
-        oldest = min(candidates.rows(), key=lambda row: row.announced_at)
-        candidates = candidates.drop(oldest.name)
-    return Step(tables=replace(tables, candidates=candidates))
+        server = replace(before, announced=event, announced_at=now)
+    unconfirmed = tables.unconfirmed.put(name, server)
+    if len(unconfirmed) > MAX_UNCONFIRMED_SERVERS:
+        oldest = min(unconfirmed.rows(), key=lambda row: row.announced_at)
+        unconfirmed = unconfirmed.drop(oldest.name)
+    return Step(tables=replace(tables, unconfirmed=unconfirmed))
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Ask the candidates that are due to confirm themselves; drop expired ones."""
+    """Call the unconfirmed servers that are due, and drop the expired ones."""
     commands: list[Command] = []
     in_flight = 0
-    for candidate in tables.candidates.rows():
-        if now - candidate.announced_at > CANDIDATE_TIMEOUT_S:
-            candidates = tables.candidates.drop(candidate.name)
-            tables = replace(tables, candidates=candidates)
-        elif candidate.in_flight:
+    for server in tables.unconfirmed.rows():
+        if now - server.announced_at > UNCONFIRMED_TIMEOUT_S:
+            unconfirmed = tables.unconfirmed.drop(server.name)
+            tables = replace(tables, unconfirmed=unconfirmed)
+        elif server.in_flight:
             in_flight += 1
-    for candidate in sorted(tables.candidates.rows(), key=lambda row: row.retry_at):
-        if candidate.in_flight or now < candidate.retry_at:
+    for server in sorted(tables.unconfirmed.rows(), key=lambda row: row.retry_at):
+        if server.in_flight or now < server.retry_at:
             continue
         if in_flight >= MAX_CONFIRMATIONS_IN_FLIGHT:
             break
         in_flight += 1
-        tables = _put(tables, replace(candidate, in_flight=True))
-        announced = candidate.announced
+        tables = _put(tables, replace(server, in_flight=True))
+        announced = server.announced
         call = ConfirmIncarnation(
             server_id=announced.server_id,
             address=announced.address,
@@ -90,43 +90,43 @@
     event: IncarnationConfirmed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """Begin the incarnation, which ends the one known so far."""
-    candidate = tables.candidates.get(incarnation_name(event))
-    if candidate is None:
+    server = tables.unconfirmed.get(incarnation_name(event))
+    if server is None:
         return Step(tables=tables)
-    if candidate.announced.address != event.address:
-        return Step(tables=_put(tables, replace(candidate, in_flight=False)))
-    candidates = tables.candidates.drop(candidate.name)
-    tables = replace(tables, candidates=candidates)
+    if server.announced.address != event.address:
+        return Step(tables=_put(tables, replace(server, in_flight=False)))
+    unconfirmed = tables.unconfirmed.drop(server.name)
+    tables = replace(tables, unconfirmed=unconfirmed)
     known = tables.server
     if known is not None and event.started_at_ms < known.started_at_ms:
         return Step(tables=tables)
-    return server_lifecycle.begin_incarnation(candidate.announced, tables, now)
+    return server_lifecycle.begin_incarnation(server.announced, tables, now)
 
 
 def handle_unconfirmed(
     event: IncarnationUnconfirmed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """Schedule another attempt, and log the first failure."""
-    candidate = tables.candidates.get(incarnation_name(event))
-    if candidate is None:
+    server = tables.unconfirmed.get(incarnation_name(event))
+    if server is None:
         return Step(tables=tables)
     failed = replace(
-        candidate,
+        server,
         in_flight=False,
         retry_at=now + CONFIRM_RETRY_DELAY_S,
-        failures=candidate.failures + 1,
+        failures=server.failures + 1,
     )
     commands: tuple[Command, ...] = ()
-    if not candidate.failures:
-        commands = (_line(tables, candidate, event.reason),)
+    if not server.failures:
+        commands = (_line(tables, server, event.reason),)
     return Step(tables=_put(tables, failed), commands=commands)
 
 
-def _put(tables: JobAgentTables, candidate: Candidate) -> JobAgentTables:
-    candidates = tables.candidates.put(candidate.name, candidate)
-    return replace(tables, candidates=candidates)
+def _put(tables: JobAgentTables, server: UnconfirmedServer) -> JobAgentTables:
+    unconfirmed = tables.unconfirmed.put(server.name, server)
+    return replace(tables, unconfirmed=unconfirmed)
 
 
-def _line(tables: JobAgentTables, candidate: Candidate, reason: str) -> Decision:
-    address = candidate.announced.address
-    return edits.log(tables, "server.unconfirmed", candidate.name, address, reason)
+def _line(tables: JobAgentTables, server: UnconfirmedServer, reason: str) -> Decision:
+    address = server.announced.address
+    return edits.log(tables, "server.unconfirmed", server.name, address, reason)
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -165,7 +165,7 @@
 def _may_confirm_contact(tables: SchedulerTables, host: Host, now: float) -> bool:
     """Return whether an agent may renew leases; an owner that leaves confirms none.
 
-    The next owner relies on that, and on `SilentHost` for agents not adopted yet.
+    The next owner relies on that, and on `UnlinkedHost` for agents not adopted yet.
     """
     owning = tables.leadership
     if not isinstance(owning, Owning) or tables.leaving:
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -74,14 +74,7 @@
     due = _due_job_ids(tables)
     if not due and not _is_renewal_due(tables, owning, now):
         return Step(tables=tables)
-    row = OwnerRow(
-        holder="" if tables.leaving else tables.name,
-        incarnation=tables.incarnation,
-        epoch=owning.epoch,
-        sequence=owning.sequence + 1,
-        silent_hosts=lease_expiry.silent_hosts(tables, owning, now),
-        confirmed_for_s=max(0.0, owning.confirmed_until - now),
-    )
+    row = _next_owner_row(tables, owning, now)
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
@@ -123,6 +116,18 @@
     return Step(tables=tables, commands=(transact,))
 
 
+def _next_owner_row(tables: SchedulerTables, owning: Owning, now: float) -> OwnerRow:
+    """Return the owner row of the next transaction."""
+    return OwnerRow(
+        holder="" if tables.leaving else tables.name,
+        incarnation=tables.incarnation,
+        epoch=owning.epoch,
+        sequence=owning.sequence + 1,
+        unlinked_hosts=lease_expiry.unlinked_hosts(tables, owning, now),
+        confirmed_for_s=max(0.0, owning.confirmed_until - now),
+    )
+
+
 def _is_renewal_due(tables: SchedulerTables, owning: Owning, now: float) -> bool:
     return (
         now - owning.renewed_at >= RENEW_INTERVAL_S
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -8,8 +8,8 @@
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.host import SILENT, Host
-from bulrushpulley.entities.jobs.rows import OwnerRow, SilentHost
+from bulrushpulley.entities.jobs.host import NO_LINK, Host
+from bulrushpulley.entities.jobs.rows import OwnerRow, UnlinkedHost
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Owning,
     SchedulerStep,
@@ -23,7 +23,7 @@
 EXPIRY_CHECK_INTERVAL_S = 0.2
 # Bounds the owner row to a few tens of kilobytes. For hosts beyond it, the next owner
 # waits as long as for one that was linked until the takeover.
-MAX_SILENT_HOSTS = 500
+MAX_UNLINKED_HOSTS = 500
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -58,22 +58,22 @@
     return owning.confirmed_until + tables.bounds.agent_expiry_s
 
 
-def silent_hosts(
+def unlinked_hosts(
     tables: SchedulerTables, owning: Owning, now: float
-) -> tuple[SilentHost, ...]:
+) -> tuple[UnlinkedHost, ...]:
     """Return the hosts without a link on which runs may remain, for the owner row.
 
     Agents that link again are adopted after a transaction with a row without them.
     """
-    silent = (
-        SilentHost(
+    unlinked = (
+        UnlinkedHost(
             host=host.name,
             runs_end_in_s=max(0.0, leases_expired_at(tables, owning, host) - now),
         )
-        for host in tables.hosts.rows_where("silence", SILENT)
+        for host in tables.hosts.rows_where("missing_link", NO_LINK)
         if _may_have_runs(tables, owning, host)
     )
-    return tuple(islice(silent, MAX_SILENT_HOSTS))
+    return tuple(islice(unlinked, MAX_UNLINKED_HOSTS))
 
 
 def _may_have_runs(tables: SchedulerTables, owning: Owning, host: Host) -> bool:
@@ -83,9 +83,9 @@
 
 
 def runs_end_by_host(row: OwnerRow | None, now: float) -> Map[str, float]:
-    """Return when the runs on silent hosts have ended, by a row that was just read."""
-    silent = row.silent_hosts if row is not None else ()
-    return Map({entry.host: now + entry.runs_end_in_s for entry in silent})
+    """Return when the runs on unlinked hosts have ended, by a row just read."""
+    unlinked = row.unlinked_hosts if row is not None else ()
+    return Map({entry.host: now + entry.runs_end_in_s for entry in unlinked})
 
 
 def with_ends(hosts: Table[Host], runs_end_by_host: Mapping[str, float]) -> Table[Host]:
--- a/test/test_jobs_announcements.py
+++ b/test/test_jobs_announcements.py
@@ -124,14 +124,16 @@
 
     def test_candidates_are_bounded_and_expire(self) -> None:
         bench = Bench()
-        for number in range(confirming.MAX_CANDIDATES + 4):
+        for number in range(confirming.MAX_UNCONFIRMED_SERVERS + 4):
             bench.tell(replace(ODD, server_id=f"i-{number}-odd"))
-        self.assertEqual(confirming.MAX_CANDIDATES, len(bench.tables.candidates))
-        in_flight = [row for row in bench.tables.candidates.rows() if row.in_flight]
+        self.assertEqual(
+            confirming.MAX_UNCONFIRMED_SERVERS, len(bench.tables.unconfirmed)
+        )
+        in_flight = [row for row in bench.tables.unconfirmed.rows() if row.in_flight]
         self.assertLessEqual(len(in_flight), confirming.MAX_CONFIRMATIONS_IN_FLIGHT)
-        bench.now += confirming.CANDIDATE_TIMEOUT_S + 1.0
+        bench.now += confirming.UNCONFIRMED_TIMEOUT_S + 1.0
         bench.tell()
-        self.assertEqual(0, len(bench.tables.candidates))
+        self.assertEqual(0, len(bench.tables.unconfirmed))
 
     def test_an_incarnation_keeps_its_address(self) -> None:
         # Calls to another address are refused, which would end the incarnation.
--- a/test/test_jobs_lost_host.py
+++ b/test/test_jobs_lost_host.py
@@ -58,7 +58,7 @@
         self.world.kill(self.world.owner())
         row = self.world.store.row_by_key[key].row
         assert isinstance(row, OwnerRow)
-        self.world.store.put(replace(row, confirmed_for_s=None, silent_hosts=()))
+        self.world.store.put(replace(row, confirmed_for_s=None, unlinked_hosts=()))
         self.world.start_entry(row.holder)
         self.assertFalse(self.world.run_until(self.world.all_complete, 18.0))
         self.assertGreater(self.time_to_complete(lost_at), 18.0)
@@ -137,22 +137,22 @@
         until = self.world.now + 6.0
         while self.owner_row().holder != second and self.world.now < until:
             self.world.run(CLAIM_STEP_S)
-        # It has not read the shard yet, so its row names no silent host.
-        self.assertEqual((), self.owner_row().silent_hosts)
+        # It has not read the shard yet, so its row names no unlinked host.
+        self.assertEqual((), self.owner_row().unlinked_hosts)
         self.world.kill(second)
         self.world.start_entry(second)
         self.world.run(30.0)
         self.assertEqual([], self.world.violations)
         self.assertGreater(self.world.starts, 9)
 
-    def test_a_host_that_is_back_is_no_longer_recorded_as_silent(self) -> None:
+    def test_a_host_that_is_back_is_no_longer_recorded_as_unlinked(self) -> None:
         # Otherwise the next owner would start its tasks elsewhere while they run on.
         self.world.cut_off(HOST, 5.0)
         self.world.run(4.5)
-        silent = [silent.host for silent in self.owner_row().silent_hosts]
-        self.assertEqual([HOST], silent)
+        unlinked = [host.host for host in self.owner_row().unlinked_hosts]
+        self.assertEqual([HOST], unlinked)
         self.world.run(4.0)
-        self.assertEqual((), self.owner_row().silent_hosts)
+        self.assertEqual((), self.owner_row().unlinked_hosts)
         owner = self.world.owner()
         self.world.cut_pair(self.other_than(owner), HOST)
         self.world.kill(owner)
