Bound the wait for a host that is lost together with the owner

Cause: three spans were counted one after the other. An owner confirmed contacts for 8 s after its last renewal, an agent renewed leases for 6 s after the last confirmation, and a lease takes 7.2 s to expire. Each span was chosen alone, and nothing compared the sum with what callers are promised. Waits after two takeovers in quick succession began anew as well, as the row of an owner that had read nothing yet said that its agents might renew.

Change: the answer to a contact says for how long the agent may renew leases: 6 s after the owner's last renewal of its row, so that the spans of owner and agent overlap and a handover does not lengthen them. The owner row says for how long agents may renew after it; until the shard is read it permits nothing of its own, and agents are adopted only after a later row. The platform's own limit (14 s) is a setting that shortens both spans if they and a lease would take longer.

Why it is safe: no agent renews later than 6 s after a successful transaction of its owner, each transaction of a former owner precedes the last change of its row, and the row was created before it was first seen. Rows of earlier versions are waited for as long as before (14 s and a lease).

--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -1,10 +1,15 @@
 """How long each party may continue without contact with the others, in seconds.
 
 A run continues while its backend server holds a lease. The agent renews the lease for
-`agent_autonomy_s` after a contact that the owner of the shard confirmed, and the owner
-confirms contacts for `owner_autonomy_s` after a renewal of its row in the store. Before
-a new owner restarts elsewhere a run whose agent is unreachable, it waits for the sum of
-these times, counted from the last renewal or contact that it knows of.
+`agent_autonomy_s` after a contact that the owner of the shard confirmed, but no longer
+than for `owner_autonomy_s` after the owner last renewed its row in the store. Before a
+new owner restarts elsewhere a run whose agent is unreachable, it waits until the last
+lease has expired, counted from the last renewal or contact that it knows of.
+
+The times do not add up: however often the shard changes hands, no agent renews leases
+later than `owner_autonomy_s` after the last renewal of a row by its owner. The wait
+decides how long a task of a lost host is not served, so it is limited by how long the
+platform lets an accepted task wait (`LimitSettings.longest_wait_s`).
 """
 
 from __future__ import annotations
@@ -13,6 +18,8 @@
 
 # A backend server's clock may be this much slower than ours, as the platform states.
 MAX_CLOCK_DRIFT_FRACTION = 0.02
+# Earlier versions let agents renew leases for this long after a renewal of the owner.
+EARLIER_VERSION_RENEWALS_S = 14.0
 # Upper limit of the delays from reading clocks and from timers that fire late.
 CLOCK_MARGIN_S = 0.5
 
@@ -21,17 +28,17 @@
 class Bounds:
     """The time limits of one deployment.
 
-    `owner_autonomy_s`: an owner confirms contacts of agents for this long after it sent
-    its last successful renewal to the store; covers usual store outages of up to 5 s.
+    `owner_autonomy_s`: agents renew leases for this long after their owner sent its
+    last successful renewal to the store; with a lease it covers store outages of 10 s.
     `agent_autonomy_s`: an agent renews leases for this long after it sent the last
-    contact that was answered; with a lease it covers a loss of all entries for 10 s.
+    contact that was answered.
     `lease_s`: the longest lease that an agent grants.
     `kill_s`: how long a backend server may take to end runs that lost their lease.
     `turn_s`: how long a new owner waits before it orders upkeep, as an order of the
     former owner may still be in flight.
     """
 
-    owner_autonomy_s: float = 8.0
+    owner_autonomy_s: float = 6.0
     agent_autonomy_s: float = 6.0
     lease_s: float = 5.7
     kill_s: float = 1.0
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -52,10 +52,13 @@
 class ContactAck(JobItem):
     """Confirms that the owner still owns the shard.
 
-    `sent_at` is the time on the agent's clock at which it sent the contact.
+    `sent_at` is the time on the agent's clock at which it sent the contact. The owner
+    permits renewals of leases for `renewals_for_s` from then on; earlier versions leave
+    that to the agent.
     """
 
     sent_at: float
+    renewals_for_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -188,8 +188,8 @@
     """The complete state of the role.
 
     `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
-    name while linked. `last_confirmed_contact_at` is when the last contact that the
-    owner answered was sent. `orders_complete` means that the owner's complete list of
+    name while linked. Contacts that the owner answered permit leases and starts
+    until `renewals_end_at`. `orders_complete` means that the owner's complete list of
     runs for the current incarnation has arrived. `stalled_since` is since when all
     serving runs have been stalled, `search_started_at` when this process began to wait
     for an announcement. `unconfirmed` are the announced incarnations that are not
@@ -206,7 +206,7 @@
     service: str = ""
     owner: str = ""
     epoch: int = 0
-    last_confirmed_contact_at: float = -60.0
+    renewals_end_at: float = -60.0
     contact_sent_at: float = -60.0
     orders_complete: bool = False
     server: Server | None = None
--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -33,8 +33,8 @@
 @row_defect.register
 def _(row: OwnerRow) -> str:
     ends_in_s = (host.runs_end_in_s for host in row.unlinked_hosts)
-    confirmed_for_s = row.confirmed_for_s or 0.0
-    return _numbers_defect(row.epoch, row.sequence, confirmed_for_s, *ends_in_s)
+    renewals_for_s = row.renewals_for_s or 0.0
+    return _numbers_defect(row.epoch, row.sequence, renewals_for_s, *ends_in_s)
 
 
 @row_defect.register
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -79,9 +79,9 @@
     `holder` is the name of the owner's entry and `incarnation` that of its process;
     `holder` is empty once an owner has released the shard. `epoch` increases with each
     change of owner, `sequence` with each transaction of the owner. `unlinked_hosts`
-    lets the next owner count from when a host was last heard of. Owners before this one
-    may confirm contacts of agents for `confirmed_for_s` after the row was written;
-    versions that do not write it leave that unknown.
+    lets the next owner count from when a host was last heard of. Agents of this owner
+    and of those before it may renew leases for `renewals_for_s` after the row was
+    created; earlier versions do not write it.
     """
 
     holder: str
@@ -89,7 +89,7 @@
     epoch: int
     sequence: int
     unlinked_hosts: tuple[UnlinkedHost, ...] = ()
-    confirmed_for_s: float | None = None
+    renewals_for_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -87,14 +87,14 @@
 class Claiming(Leadership):
     """Tries to take the shard over by a write conditional on the version seen.
 
-    Former owners confirm no contacts of agents after `confirmed_until`. The runs on
-    the hosts in `runs_end_by_host` have ended by these times, as far as no owner has
+    Agents of former owners renew no leases after `renewals_end_at`. The runs on the
+    hosts in `runs_end_by_host` have ended by these times, as far as no owner has
     adopted their agents since.
     """
 
     row: OwnerRow
     version: int
-    confirmed_until: float
+    renewals_end_at: float
     runs_end_by_host: Map[str, float] = field(default_factory=Map)
     sent_at: float = 0.0
     in_flight: bool = False
@@ -110,9 +110,9 @@
 class Owning(Leadership):
     """This process has owned the shard since `since`, by an owner row of `version`.
 
-    `renewed_at` is when the last successful transaction was first sent. Former owners
-    confirm no contacts of agents after `confirmed_until`. `loading` names the tables
-    that have not been read yet.
+    `renewed_at` is when the last successful transaction was first sent. Agents of
+    former owners renew no leases after `renewals_end_at`. `loading` names the tables
+    that have not been read yet; the last of them was read at `loaded_at`.
     """
 
     epoch: int
@@ -120,8 +120,9 @@
     sequence: int
     since: float
     renewed_at: float
-    confirmed_until: float
+    renewals_end_at: float
     loading: frozenset[str] = frozenset()
+    loaded_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from typing import Annotated, Any, TypeVar
 
+from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire.validation import Length, Range, SocketAddress, Text, build
@@ -26,6 +27,10 @@
 # Leases are requested for this fraction of the longest one allowed, as a margin for
 # errors in reading clocks.
 LEASE_FRACTION = 0.95
+# A task is placed and started within this time after its lease has expired.
+RESTART_MARGIN_S = 0.8
+# An owner renews each 0.8 s and an agent makes contact as often; either may miss one.
+MIN_AUTONOMY_S = 2.0
 
 Name = Annotated[str, Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]*", max_characters=100)]
 Host = Annotated[str, Text(pattern=r"[0-9.]+|[0-9a-fA-F:]+", max_characters=45)]
@@ -159,31 +164,47 @@
     """What the platform's backend servers allow.
 
     No lease is longer than `longest_lease_s`. A run that lost its lease or is stopped
-    ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep.
+    ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep. An
+    accepted task whose host is lost must run again within `longest_wait_s`.
     """
 
     longest_lease_s: Annotated[float, Range(low=0.5, high=3_600.0)]
     kill_s: Annotated[float, Range(low=0.0, high=600.0)]
     turn_s: Annotated[float, Range(low=0.0, high=600.0)] = 3.0
+    longest_wait_s: Annotated[float, Range(low=1.0, high=3_600.0)] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BoundSettings:
     """How long each party continues without contact; see `entities.jobs.bounds`."""
 
-    owner_autonomy_s: Seconds = 8.0
+    owner_autonomy_s: Seconds = 6.0
     agent_autonomy_s: Seconds = 6.0
     lease_s: Annotated[float, Range(low=0.5, high=3_600.0)] = 5.7
 
     def within(self, limits: LimitSettings) -> Bounds:
-        """Return the bounds, with leases limited to what the platform allows."""
-        return Bounds(
+        """Return the bounds, limited to what the platform allows."""
+        bounds = Bounds(
             owner_autonomy_s=self.owner_autonomy_s,
             agent_autonomy_s=self.agent_autonomy_s,
             lease_s=min(self.lease_s, limits.longest_lease_s * LEASE_FRACTION),
             kill_s=limits.kill_s,
             turn_s=limits.turn_s,
         )
+        if limits.longest_wait_s is None:
+            return bounds
+        return _waiting_at_most(bounds, limits.longest_wait_s)
+
+
+def _waiting_at_most(bounds: Bounds, longest_wait_s: float) -> Bounds:
+    """Shorten the autonomies until the task of a lost host runs again in time."""
+    autonomy_s = longest_wait_s - bounds.lease_expiry_s - RESTART_MARGIN_S
+    autonomy_s = max(MIN_AUTONOMY_S, autonomy_s)
+    return replace(
+        bounds,
+        owner_autonomy_s=min(bounds.owner_autonomy_s, autonomy_s),
+        agent_autonomy_s=min(bounds.agent_autonomy_s, autonomy_s),
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -50,13 +50,14 @@
 def handle_contact_ack(
     event: ContactAck, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Record the contact as of the time at which it was sent."""
+    """Permit renewals of leases, counted from when the contact was sent."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
-    last_confirmed_contact_at = max(tables.last_confirmed_contact_at, event.sent_at)
-    return Step(
-        tables=replace(tables, last_confirmed_contact_at=last_confirmed_contact_at)
-    )
+    renewals_for_s = tables.bounds.agent_autonomy_s
+    if event.renewals_for_s is not None:
+        renewals_for_s = min(renewals_for_s, event.renewals_for_s)
+    renewals_end_at = max(tables.renewals_end_at, event.sent_at + renewals_for_s)
+    return Step(tables=replace(tables, renewals_end_at=renewals_end_at))
 
 
 def handle_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -38,8 +38,8 @@
 
 
 def has_recent_contact(tables: JobAgentTables, now: float) -> bool:
-    """Return whether the last confirmed contact still allows leases and starts."""
-    return now - tables.last_confirmed_contact_at < tables.bounds.agent_autonomy_s
+    """Return whether the confirmed contacts still allow leases and starts."""
+    return now < tables.renewals_end_at
 
 
 def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -99,7 +99,9 @@
     A restarted agent does not know the epoch of its owner and follows any process that
     adopts it. An agent is therefore adopted only after a transaction that was sent
     later than its link was opened: a replaced owner, whose transactions conflict, would
-    acknowledge ends and stop runs that its successor has ordered.
+    acknowledge ends and stop runs that its successor has ordered. The transaction must
+    also be later than the read of the shard, so that the owner row tells the next owner
+    that agents may have been adopted, and from which hosts none was.
     """
     if not edits.is_loaded(tables):
         return Step(tables=tables)
@@ -126,15 +128,17 @@
 
 def is_confirmation_due(tables: SchedulerTables) -> bool:
     """Return whether an agent waits for a transaction that confirms ownership."""
-    return any(
+    return edits.is_loaded(tables) and any(
         not _is_ownership_confirmed(tables, host) for host in unadopted_hosts(tables)
     )
 
 
 def _is_ownership_confirmed(tables: SchedulerTables, host: Host) -> bool:
-    """Return whether a transaction was created after the link was known."""
+    """Return whether a transaction was created after the link and the read shard."""
     owning = tables.leadership
-    return isinstance(owning, Owning) and owning.renewed_at > host.linked_at
+    if not isinstance(owning, Owning):
+        return False
+    return owning.renewed_at > max(host.linked_at, owning.loaded_at)
 
 
 def handle_item(event: JobItem, tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -156,22 +160,27 @@
 @apply_item.register
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
     tables = edits.put_host(tables, replace(host, last_contact_at=now))
-    if not _may_confirm_contact(tables, host, now):
+    renewals_for_s = _renewals_for_s(tables, host, now)
+    if renewals_for_s <= 0.0:
         return Step(tables=tables)
-    ack = ContactAck(epoch=tables.epoch, sent_at=event.sent_at)
+    ack = ContactAck(
+        epoch=tables.epoch, sent_at=event.sent_at, renewals_for_s=renewals_for_s
+    )
     return Step(tables=tables, commands=(Send(peer=host.peer, item=ack),))
 
 
-def _may_confirm_contact(tables: SchedulerTables, host: Host, now: float) -> bool:
-    """Return whether an agent may renew leases; an owner that leaves confirms none.
+def _renewals_for_s(tables: SchedulerTables, host: Host, now: float) -> float:
+    """Return how long an agent may renew leases; zero or less if it may not.
 
-    The next owner relies on that, and on `UnlinkedHost` for agents not adopted yet.
+    The next owner relies on `OwnerRow.renewals_for_s`, and on `UnlinkedHost` for agents
+    not adopted yet.
     """
     owning = tables.leadership
     if not isinstance(owning, Owning) or tables.leaving:
-        return False
-    is_adopted = host.announced_epoch == tables.epoch
-    return is_adopted and now - owning.renewed_at <= tables.bounds.owner_autonomy_s
+        return 0.0
+    if host.announced_epoch != tables.epoch:
+        return 0.0
+    return owning.renewed_at + tables.bounds.owner_autonomy_s - now
 
 
 @apply_item.register
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -124,10 +124,20 @@
         epoch=owning.epoch,
         sequence=owning.sequence + 1,
         unlinked_hosts=lease_expiry.unlinked_hosts(tables, owning, now),
-        confirmed_for_s=max(0.0, owning.confirmed_until - now),
+        renewals_for_s=_renewals_for_s(tables, owning, now),
     )
 
 
+def _renewals_for_s(tables: SchedulerTables, owning: Owning, now: float) -> float:
+    """Return how long agents may renew leases after a row that is created now.
+
+    Before the shard is loaded no agent is adopted, so only agents of former owners may.
+    """
+    former_s = owning.renewals_end_at - now
+    own_s = 0.0 if owning.loading else tables.bounds.owner_autonomy_s
+    return max(former_s, own_s)
+
+
 def _is_renewal_due(tables: SchedulerTables, owning: Owning, now: float) -> bool:
     return (
         now - owning.renewed_at >= RENEW_INTERVAL_S
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -55,7 +55,7 @@
         return host.last_contact_at + tables.bounds.agent_expiry_s
     if host.runs_end_by > 0.0:
         return host.runs_end_by
-    return owning.confirmed_until + tables.bounds.agent_expiry_s
+    return owning.renewals_end_at + tables.bounds.lease_expiry_s
 
 
 def unlinked_hosts(
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -79,7 +79,9 @@
     if not isinstance(owning, Owning) or table not in owning.loading:
         return Step(tables=tables)
     remaining = owning.loading - {table}
-    tables = replace(tables, leadership=replace(owning, loading=remaining))
+    loaded_at = owning.loaded_at if remaining else now
+    read = replace(owning, loading=remaining, loaded_at=loaded_at)
+    tables = replace(tables, leadership=read)
     commands: tuple[Command, ...] = ()
     if table == PROGRESS:
         tables = restoring.keep_progress(tables, _progress_rows(event.rows))
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -11,6 +11,7 @@
 from functools import singledispatch
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.bounds import EARLIER_VERSION_RENEWALS_S
 from bulrushpulley.entities.jobs.rows import OWNED_PART, OWNER_KEY, OWNERS, OwnerRow
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
@@ -123,42 +124,36 @@
     reason = _reason_to_claim(seen, tables, now)
     if not reason:
         return Step(tables=replace(tables, leadership=seen))
-    confirmed_until = _confirmed_until(seen, tables, now)
+    renewals_end_at = _renewals_end_at(seen, now)
     own_row = OwnerRow(
         holder=tables.name,
         incarnation=tables.incarnation,
         epoch=_last_epoch(stored) + 1,
         sequence=0,
-        confirmed_for_s=max(0.0, confirmed_until - now),
+        renewals_for_s=max(0.0, renewals_end_at - now),
     )
     claiming = Claiming(
         row=own_row,
         version=stored.version,
-        confirmed_until=confirmed_until,
+        renewals_end_at=renewals_end_at,
         runs_end_by_host=lease_expiry.runs_end_by_host(row, now),
     )
     line = edits.log(tables, "shard.claim", OWNED_PART, tables.incarnation, reason)
     return Step(tables=replace(tables, leadership=claiming), commands=(line,))
 
 
-def _confirmed_until(seen: Following, tables: SchedulerTables, now: float) -> float:
-    """Return until when former owners may confirm contacts of agents.
+def _renewals_end_at(seen: Following, now: float) -> float:
+    """Return until when agents of former owners may renew leases.
 
-    A former owner may for `owner_autonomy_s` after its last successful transaction,
-    which it sent before its row was seen for the first time. One that has released the
-    shard or was an earlier process of this host confirms none any more, but the owners
-    before it may.
+    The row says so, counted from its creation, which was before it was first seen.
     """
-    row, autonomy_s = seen.row, tables.bounds.owner_autonomy_s
     if not seen.version:
         # The shard has had no owner.
         return now
-    if row is None:
-        return now + autonomy_s
-    if row.holder in ("", tables.name) and row.incarnation != tables.incarnation:
-        confirmed_for_s = row.confirmed_for_s
-        return now + (autonomy_s if confirmed_for_s is None else confirmed_for_s)
-    return seen.unchanged_since + autonomy_s
+    renewals_for_s = seen.row.renewals_for_s if seen.row is not None else None
+    if renewals_for_s is None:
+        return now + EARLIER_VERSION_RENEWALS_S
+    return seen.unchanged_since + renewals_for_s
 
 
 def _owner_row(rows: tuple[StoredRow, ...]) -> StoredRow:
@@ -229,7 +224,7 @@
         sequence=0,
         since=now,
         renewed_at=claiming.sent_at,
-        confirmed_until=claiming.confirmed_until,
+        renewals_end_at=claiming.renewals_end_at,
     )
     hosts = lease_expiry.with_ends(tables.hosts, claiming.runs_end_by_host)
     tables = replace(tables, leadership=owning, hosts=hosts)
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -37,6 +37,7 @@
     "Bounds.KillTimeoutMs": "200",
     "Bounds.LeaseMs": "3000",
     "Cloud.Addr": "10.200.0.79:8169",
+    "Bounds.finish_s": "14",
     "Limits.CpuShare": "0.537",
     "Limits.Cores": "2",
 }
@@ -84,6 +85,20 @@
         bounds = settings.bounds.within(settings.limits)
         self.assertLess(bounds.lease_s, settings.limits.longest_lease_s)
 
+    def test_a_task_of_a_lost_host_waits_no_longer_than_the_platform_allows(
+        self,
+    ) -> None:
+        # The autonomies of owner and agent and the lease were chosen one by one, and
+        # their sum was longer (LOST at the end of a day).
+        for kill_ms in ("200", "900", "2000"):
+            values = {"Bounds.KillTimeoutMs": kill_ms, "Bounds.MaxHoldMs": "10000"}
+            path = render_template("agent.toml", **values)
+            settings = load(JobAgentSettings, path)
+            bounds = settings.bounds.within(settings.limits)
+            self.assertEqual(14.0, settings.limits.longest_wait_s)
+            self.assertLess(bounds.owner_autonomy_s + bounds.lease_expiry_s, 14.0)
+            self.assertLess(bounds.agent_expiry_s, 14.0)
+
     def test_the_deploy_file_starts_existing_verbs(self) -> None:
         deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
         for role in deploy["roles"].values():
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
@@ -161,6 +162,20 @@
         lease_ms = int(bench.tables.bounds.lease_s * 1_000)
         self.assertEqual(server.clock_ms + lease_ms, poll.lease_until_ms)
 
+    def test_no_lease_is_requested_after_the_time_that_the_owner_permits(self) -> None:
+        # Otherwise the autonomy of an owner that was replaced and that of its agent
+        # would add up, and tasks of a lost host would wait for both.
+        bench = Bench()
+        bench.tables = replace(bench.tables, renewals_end_at=0.0)
+        sent_at = bench.now
+        ack = ContactAck(peer=OWNER, epoch=1, sent_at=sent_at, renewals_for_s=2.0)
+        bench.tell(ack)
+        poll = commands_of(PollRuns, bench.list_runs())[-1]
+        self.assertIsNotNone(poll.lease_until_ms)
+        bench.now = sent_at + 2.0
+        poll = commands_of(PollRuns, bench.list_runs())[-1]
+        self.assertIsNone(poll.lease_until_ms)
+
     def test_no_run_starts_once_the_last_contact_is_too_old(self) -> None:
         bench = Bench()
         bench.now += bench.tables.bounds.agent_autonomy_s
--- a/test/test_jobs_former_owner.py
+++ b/test/test_jobs_former_owner.py
@@ -4,9 +4,11 @@
 
 import testtools
 
+from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.items import Adopt
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
+from bulrushpulley.systems.scheduling import agents
 from test.jobs_world import JobsWorld, step
 
 ZONE_HOST = "z0-0"
@@ -85,3 +87,21 @@
 
         self.assertTrue(self.world.run_until(lambda: not is_synced(), 1.0))
         self.assertTrue(self.world.run_until(is_synced, 2.0))
+
+    def test_no_agent_is_adopted_before_the_owner_row_permits_renewals(self) -> None:
+        # The row that is written while the shard is read permits no renewals of this
+        # owner's agents. If it adopted one then and was lost, the next owner would
+        # start the agent's tasks elsewhere while they run on.
+        process = self.world.process_by_name[self.former]
+        tables = process.instance_by_role["scheduler"].tables
+        now = self.world.now
+        host = replace(tables.hosts.by_key[ZONE_HOST], announced_epoch=0)
+        hosts = tables.hosts.put(ZONE_HOST, host)
+        owning = replace(tables.leadership, renewed_at=now - 0.2, loaded_at=now - 0.1)
+        unconfirmed = replace(tables, hosts=hosts, leadership=owning)
+        self.assertEqual((), agents.adopt(unconfirmed, now).commands)
+        self.assertTrue(agents.is_confirmation_due(unconfirmed))
+        owning = replace(owning, renewed_at=now)
+        confirmed = replace(unconfirmed, leadership=owning)
+        adopt = Send(peer=host.peer, item=Adopt(epoch=tables.epoch))
+        self.assertEqual((adopt,), agents.adopt(confirmed, now).commands)
--- a/test/test_jobs_lost_host.py
+++ b/test/test_jobs_lost_host.py
@@ -11,7 +11,11 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import Bounds
+from bulrushpulley.entities.jobs.host import host_of_peer
+from bulrushpulley.entities.jobs.items import ContactAck
 from bulrushpulley.entities.jobs.rows import OWNER_KEY, OwnerRow
+from bulrushpulley.entities.link import Send
+from bulrushpulley.entities.step import Command
 from test.jobs_world import JobsWorld, step
 
 HOST = "z0-0"
@@ -55,13 +59,13 @@
         self.assertLess(self.time_to_complete(lost_at), wait_s)
 
     def test_an_owner_row_of_an_earlier_version_leaves_the_wait_as_it_was(self) -> None:
-        # It does not say whether an owner before its own may still confirm contacts.
+        # It does not say until when agents may renew leases.
         key = OWNER_KEY
         lost_at = self.lose_host()
         self.world.kill(self.world.owner())
         row = self.world.store.row_by_key[key].row
         assert isinstance(row, OwnerRow)
-        self.world.store.put(replace(row, confirmed_for_s=None, unlinked_hosts=()))
+        self.world.store.put(replace(row, renewals_for_s=None, unlinked_hosts=()))
         self.world.start_entry(row.holder)
         self.assertFalse(self.world.run_until(self.world.all_complete, 18.0))
         self.assertGreater(self.time_to_complete(lost_at), 18.0)
@@ -213,6 +217,29 @@
         self.assertEqual([], self.world.violations)
         self.assertGreater(self.world.starts, 9)
 
+    def test_an_agent_of_an_owner_that_is_lost_at_once_is_waited_for(self) -> None:
+        # Its agents may renew leases for as long as those of any other owner.
+        acknowledged: list[str] = []
+
+        def record(command: Command) -> None:
+            if isinstance(command, Send) and isinstance(command.item, ContactAck):
+                acknowledged.append(host_of_peer(command.peer))
+
+        self.world.start_entry("entry-2")
+        self.world.run(1.0)
+        self.world.kill(self.world.owner())
+        self.world.hook = record
+        until = self.world.now + 6.0
+        while HOST not in acknowledged and self.world.now < until:
+            self.world.run(CLAIM_STEP_S)
+        self.assertIn(HOST, acknowledged)
+        for name in ("entry-0", "entry-1", "entry-2"):
+            self.world.cut_pair(name, HOST)
+        self.world.kill(self.owner_row().holder)
+        self.world.run(25.0)
+        self.assertEqual([], self.world.violations)
+        self.assertGreater(self.world.starts, 9)
+
     def test_a_host_that_is_back_is_no_longer_recorded_as_unlinked(self) -> None:
         # Otherwise the next owner would start its tasks elsewhere while they run on.
         self.world.cut_off(HOST, 5.0)
