Log what waits, is held or is kept without progress

Could not be told before: why a task waits, whether a held run exists, and whether ends wait for an acknowledgement.

Change: two systems run each second and decide nothing. On the owner, `unserved` writes `task.wait` (one line a step, hosts counted by what excludes them), `task.unsettled`, `job.idle` and `host.unsettled`; on the agent, `unsettled` writes `run.unsettled`, `ends.unacknowledged`, `owner.none` and `server.none`. Each state is logged after 3 s and at doubling ages; a report writes four lines of a kind at most, and the last one says how many were left out. Indexes on the tasks name the waiting steps, the blocked jobs and the unsettled runs.

Why a host takes no task is judged in one place for hosts (`placing`) and one for steps (`choosing`), which now give the reason instead of None; placement, the explanation and `task.wait` share them. Decisions are as before. The explanation now also counts tickets, the reserve of lasting tasks, and the per-host limit, which placement has always respected.

--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -196,6 +196,8 @@
     confirmed, by name. `ends` are kept by number until the server may discard them.
     `synced` means that the owner has been sent the complete list of runs;
     `last_host_report` and the end with number `last_end_sent` are the last ones sent.
+    `unsettled_since_by_kind` is since when each lack that is logged has lasted, by the
+    kind of its line, and `oldest_end` the number of the first end when last checked.
     """
 
     host: str
@@ -229,6 +231,9 @@
     registering: bool = False
     register_retry_at: float = 0.0
     leaving: bool = False
+    unsettled_reported_at: float = 0.0
+    unsettled_since_by_kind: Map[str, float] = field(default_factory=Map)
+    oldest_end: int = 0
 
 
 JobAgentStep = Step[JobAgentTables]
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -157,6 +157,7 @@
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock.
+    - `unsynced_since_by_host` is since when linked hosts have been seen not synced.
     - `leaving` is set once the process is stopping.
     """
 
@@ -175,8 +176,11 @@
             indexes={
                 "job": task.by_job,
                 "waiting": task.by_waiting_job,
+                "waiting_step": task.by_waiting_step,
                 "host": task.by_host,
                 "open": task.by_open_step,
+                "blocked": task.by_blocked_job,
+                "unsettled": task.by_unsettled,
             }
         )
     )
@@ -214,6 +218,8 @@
     purged_at: float = 0.0
     expiry_checked_at: float = 0.0
     condensed_at: float = 0.0
+    unserved_reported_at: float = 0.0
+    unsynced_since_by_host: Map[str, float] = field(default_factory=Map)
     leaving: bool = False
 
     @property
--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -34,6 +34,10 @@
 HOLDING_STATES = frozenset(
     {TaskState.PLACED, TaskState.HELD, TaskState.RUNNING, TaskState.STOPPING}
 )
+# The states from which the next report of a host about the run leads.
+UNSETTLED_STATES = frozenset({TaskState.PLACED, TaskState.HELD, TaskState.STOPPING})
+# The index value of the tasks in these states.
+UNSETTLED = "unsettled"
 OPEN_STATES = HOLDING_STATES | {TaskState.BLOCKED, TaskState.WAITING}
 
 
@@ -105,6 +109,23 @@
     return (task.job_id,) if task.state is TaskState.WAITING else ()
 
 
+def by_waiting_step(task: Task) -> tuple[str, ...]:
+    """Index by step the tasks that wait for a host."""
+    if task.state is not TaskState.WAITING:
+        return ()
+    return (step_key(task.job_id, task.occurrence, task.step),)
+
+
+def by_blocked_job(task: Task) -> tuple[str, ...]:
+    """Index by job the tasks that wait for earlier steps or their due time."""
+    return (task.job_id,) if task.state is TaskState.BLOCKED else ()
+
+
+def by_unsettled(task: Task) -> tuple[str, ...]:
+    """Index the tasks whose runs are not reported as running or ended yet."""
+    return (UNSETTLED,) if task.state in UNSETTLED_STATES else ()
+
+
 def by_host(task: Task) -> tuple[str, ...]:
     """Index by host the tasks that hold capacity."""
     return (task.host,) if task.state in HOLDING_STATES else ()
--- a/bulrushpulley/roles/job_agent.py
+++ b/bulrushpulley/roles/job_agent.py
@@ -13,6 +13,7 @@
     server_lifecycle,
     starting,
     stopping,
+    unsettled,
 )
 from bulrushpulley.systems.job_agent.events import apply, can_wait
 
@@ -33,6 +34,7 @@
             pacing.run,
             polling.run,
             reporting.run,
+            unsettled.run,
         ),
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
         can_wait=can_wait,
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -16,6 +16,7 @@
     JobAgentTables,
     Run,
     RunPhase,
+    Server,
 )
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
@@ -48,7 +49,7 @@
     if not unconfirmed and not ordered:
         return Step(tables=tables)
     in_flight = sum(1 for run_ in unconfirmed if run_.in_flight)
-    free = server.capacity.minus(_used_resources(tables))
+    free = free_resources(tables, server)
     chosen: list[Run] = []
     for run_ in unconfirmed:
         if run_.wanted and not run_.in_flight and now >= run_.retry_at:
@@ -76,6 +77,11 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
+def free_resources(tables: JobAgentTables, server: Server) -> Resources:
+    """Return the capacity of the server that no run takes or may take."""
+    return server.capacity.minus(_used_resources(tables))
+
+
 def _used_resources(tables: JobAgentTables) -> Resources:
     """Return the resources of all runs that exist, may exist or are being stopped."""
     used = NO_RESOURCES
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -13,6 +13,7 @@
 from immutables import Map
 
 from bulrushpulley.entities.jobs.candidate import Candidate
+from bulrushpulley.entities.jobs.exclusion import Exclusion
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.systems.scheduling import advising
@@ -26,6 +27,10 @@
 
 # Whether the host is outside the preferred rack, and the cost; the lowest is chosen.
 Rank = tuple[bool, float]
+# Each host is ranked for each step, and looking up an enum's member takes longer than
+# most of the conditions.
+OTHER_SERVICE, NO_LABEL = Exclusion.OTHER_SERVICE, Exclusion.NO_LABEL
+NO_TICKET, NO_ROOM, HARM = Exclusion.NO_TICKET, Exclusion.NO_ROOM, Exclusion.HARM
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,11 +67,11 @@
 ) -> Ranking:
     """Rank the candidates for the tasks of a step that have waited equally long."""
     is_lasting = request.step.lasting
-    lasting_fraction = _lasting_fraction(candidate_by_host) if is_lasting else 0.0
+    lasting_fraction = lasting_fraction_of(candidate_by_host) if is_lasting else 0.0
     heap = [
         (rank, name, candidate)
         for name, candidate in candidate_by_host.items()
-        if (rank := _rank(request, candidate, lasting_fraction)) is not None
+        if isinstance(rank := _rank(request, candidate, lasting_fraction), tuple)
     ]
     heapq.heapify(heap)
     return Ranking(request=request, heap=heap)
@@ -104,11 +109,11 @@
         candidate = candidate_by_host[name]
         if candidate is not ranked:
             rank = _rank(request, candidate, 0.0)
-            if rank is None:
+            if isinstance(rank, Exclusion):
                 heapq.heappop(heap)
             else:
                 heapq.heapreplace(heap, (rank, name, candidate))
-        elif limit and sibling_count_by_host[name] >= limit:
+        elif _is_at_limit(limit, name, sibling_count_by_host):
             heapq.heappop(heap)
         else:
             return candidate
@@ -125,36 +130,58 @@
     fitting: list[tuple[Rank, str]] = []
     for ranked_rank, name, ranked in ranking.heap:
         candidate = candidate_by_host[name]
-        rank: Rank | None = ranked_rank
+        rank: Rank | Exclusion = ranked_rank
         if candidate is not ranked:
             rank = _rank(ranking.request, candidate, 0.0)
-        if rank is not None and not (limit and sibling_count_by_host[name] >= limit):
+        if isinstance(rank, Exclusion):
+            continue
+        if not _is_at_limit(limit, name, sibling_count_by_host):
             fitting.append((rank, name))
     return fitting
 
 
+def _is_at_limit(limit: int, name: str, sibling_count_by_host: Counter[str]) -> bool:
+    """Return whether a host has as many tasks of a step as it may; 0 is no limit."""
+    return bool(limit) and sibling_count_by_host[name] >= limit
+
+
+def exclusion_of(
+    request: PlacementRequest,
+    candidate: Candidate,
+    lasting_fraction: float,
+    sibling_count_by_host: Counter[str],
+) -> Exclusion | None:
+    """Return why an open host takes no task of a step; None if it takes one."""
+    rank = _rank(request, candidate, lasting_fraction)
+    if isinstance(rank, Exclusion):
+        return rank
+    limit, name = request.step.per_host_limit, candidate.host.name
+    is_full = _is_at_limit(limit, name, sibling_count_by_host)
+    return Exclusion.HOST_LIMIT if is_full else None
+
+
 def _rank(
     request: PlacementRequest, candidate: Candidate, lasting_fraction: float
-) -> Rank | None:
-    """Return the rank of a candidate; None if the task must not be placed on it."""
+) -> Rank | Exclusion:
+    """Return the rank of a candidate, or why the task must not be placed on it."""
     step, host = request.step, candidate.host
     if host.service != request.service:
-        return None
+        return OTHER_SERVICE
     if step.needs_label and step.needs_label not in host.labels:
-        return None
+        return NO_LABEL
     if request.tickets is not None and advising.server_of(host) not in request.tickets:
-        return None
+        return NO_TICKET
     if not fits(step, candidate, lasting_fraction):
-        return None
+        return NO_ROOM
     if should_wait(
         request.kind, step, candidate, request.harm_fraction, request.waited_s
     ):
-        return None
-    outside_rack = bool(step.near_rack) and host.rack != step.near_rack
+        return HARM
+    outside_rack = step.near_rack != "" and host.rack != step.near_rack
     return outside_rack, cost(request.kind, step, candidate, request.harm_fraction)
 
 
-def _lasting_fraction(candidate_by_host: Mapping[str, Candidate]) -> float:
+def lasting_fraction_of(candidate_by_host: Mapping[str, Candidate]) -> float:
     """Return the fraction of the open hosts' processors that lasting tasks hold."""
     candidates = candidate_by_host.values()
     capacity = sum(candidate.host.capacity.processors_m for candidate in candidates)
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -0,0 +1,99 @@
+"""Counts the hosts that take no task of a step, by the reason."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from immutables import Map
+
+from bulrushpulley.entities.jobs.candidate import Candidate
+from bulrushpulley.entities.jobs.exclusion import Exclusion
+from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
+from bulrushpulley.entities.jobs.task import Task
+from bulrushpulley.systems.scheduling import choosing, emptying, placing
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenHosts:
+    """The hosts that are open as candidates, and the others by their exclusion."""
+
+    candidate_by_host: Map[str, Candidate]
+    count_by_exclusion: Mapping[Exclusion, int]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostCounts:
+    """How many hosts would take a waiting task, and how many would not, by reason."""
+
+    taking: int
+    count_by_exclusion: Mapping[Exclusion, int]
+
+    @property
+    def total(self) -> int:
+        """The count of all hosts."""
+        return self.taking + sum(self.count_by_exclusion.values())
+
+    def count_passing(self, last: Exclusion) -> int:
+        """Count the hosts that no reason up to `last` excludes."""
+        reasons = list(Exclusion)
+        later = reasons[reasons.index(last) + 1 :]
+        return self.taking + sum(
+            self.count_by_exclusion.get(reason, 0) for reason in later
+        )
+
+    def describe(self) -> str:
+        """Return the counts as text, in the order in which reasons are examined."""
+        parts = [
+            f"{reason.value} {self.count_by_exclusion[reason]}"
+            for reason in Exclusion
+            if self.count_by_exclusion.get(reason)
+        ]
+        return ", ".join(parts) or "no host is excluded"
+
+
+def open_hosts(tables: SchedulerTables, now: float) -> OpenHosts:
+    """Return the hosts that are open for some task, and count the others."""
+    closed = emptying.closed_hosts(tables)
+    count_by_exclusion: Counter[Exclusion] = Counter()
+    candidate_by_host: dict[str, Candidate] = {}
+    for name, host in tables.hosts.by_key.items():
+        reason = placing.exclusion_of(tables, host, closed, now)
+        if reason is None:
+            candidate_by_host[name] = _candidate_of(tables, host)
+        else:
+            count_by_exclusion[reason] += 1
+    return OpenHosts(
+        candidate_by_host=Map(candidate_by_host), count_by_exclusion=count_by_exclusion
+    )
+
+
+def _candidate_of(tables: SchedulerTables, host: Host) -> Candidate:
+    known = tables.candidate_by_host.get(host.name)
+    is_valid = known is not None and known.host is host
+    return known if known is not None and is_valid else placing.candidate_of(host)
+
+
+def count_hosts(
+    tables: SchedulerTables, hosts: OpenHosts, job: Job, task: Task, now: float
+) -> HostCounts:
+    """Count the hosts by what excludes them for a waiting task."""
+    candidates = hosts.candidate_by_host
+    step = job.step(task.step)
+    request = placing.placement_request(tables, job, step, task, now)
+    lasting_fraction = choosing.lasting_fraction_of(candidates) if step.lasting else 0.0
+    siblings = placing.count_siblings_by_host(
+        tables, job.job_id, task.occurrence, task.step
+    )
+    count_by_exclusion = Counter(hosts.count_by_exclusion)
+    taking = 0
+    for candidate in candidates.values():
+        reason = choosing.exclusion_of(request, candidate, lasting_fraction, siblings)
+        if reason is None:
+            taking += 1
+        else:
+            count_by_exclusion[reason] += 1
+    return HostCounts(taking=taking, count_by_exclusion=count_by_exclusion)
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from functools import partial, singledispatch
+from functools import singledispatch
 
-from bulrushpulley.entities.jobs.candidate import Candidate
+from bulrushpulley.entities.jobs.exclusion import Exclusion
 from bulrushpulley.entities.jobs.explanation import (
     ExplainJob,
     JobExplained,
@@ -22,12 +21,7 @@
 )
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits, emptying, interference, placing
-from bulrushpulley.systems.scheduling.ranking import (
-    fits,
-    kind_of,
-    should_wait,
-)
+from bulrushpulley.systems.scheduling import edits, excluding, placing
 
 MAX_EXPLAINED_TASKS = 200
 
@@ -104,43 +98,12 @@
         return "earlier steps are not complete"
     if task.state is not TaskState.WAITING:
         return ""
-    closed = emptying.closed_hosts(tables)
-    candidates = [
-        placing.candidate_of(host)
-        for host in tables.hosts.rows()
-        if placing.is_open(tables, host, now) and host.name not in closed
-    ]
-    return _explain_waiting(tables, job, task, candidates, now)
-
-
-def _explain_waiting(
-    tables: SchedulerTables,
-    job: Job,
-    task: Task,
-    candidates: Iterable[Candidate],
-    now: float,
-) -> str:
-    step = job.step(task.step)
+    hosts = excluding.open_hosts(tables, now)
+    counts = excluding.count_hosts(tables, hosts, job, task, now)
     service = placing.service_of(tables, job)
-    of_service = [
-        candidate for candidate in candidates if candidate.host.service == service
-    ]
-    label = step.needs_label
-    labelled = [
-        candidate
-        for candidate in of_service
-        if not label or label in candidate.host.labels
-    ]
-    with_room = [candidate for candidate in labelled if fits(step, candidate, 0.0)]
-    harm_fraction = partial(interference.harm_fraction, tables)
-    waited_s = now - task.since
-    undisturbed = [
-        candidate
-        for candidate in with_room
-        if not should_wait(kind_of(step), step, candidate, harm_fraction, waited_s)
-    ]
     return (
-        f"{len(of_service)} hosts of {service} are open,"
-        f" {len(labelled)} have its label, {len(with_room)} have room,"
-        f" {len(undisturbed)} would let it run undisturbed"
+        f"{counts.count_passing(Exclusion.OTHER_SERVICE)} hosts of {service} are open,"
+        f" {counts.count_passing(Exclusion.NO_LABEL)} have its label,"
+        f" {counts.count_passing(Exclusion.NO_ROOM)} have room,"
+        f" {counts.taking} would let it run undisturbed; {counts.describe()}"
     )
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from functools import partial
 
@@ -16,6 +16,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.candidate import Candidate
+from bulrushpulley.entities.jobs.exclusion import Exclusion
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.rows import JobState
@@ -76,7 +77,7 @@
         {
             name: candidate
             for name, candidate in known.items()
-            if is_open(tables, candidate.host, now) and name not in closed
+            if exclusion_of(tables, candidate.host, closed, now) is None
         }
     )
     state = PlacementPass(tables=tables, candidate_by_host=candidate_by_host)
@@ -136,15 +137,24 @@
     )
 
 
-def is_open(tables: SchedulerTables, host: Host, now: float) -> bool:
-    """Return whether a host accepts new tasks."""
-    return (
-        host.state is ServerState.READY
-        and host.synced
-        and now - host.last_contact_at < MAX_CONTACT_AGE_S
-        and now >= host.quarantined_until
-        and host.failure_domain not in tables.operator_settings.evacuated
-    )
+def exclusion_of(
+    tables: SchedulerTables, host: Host, closed: Container[str], now: float
+) -> Exclusion | None:
+    """Return why a host accepts no new tasks of any step; None if it is open.
+
+    `closed` are the hosts that are closed for upkeep.
+    """
+    if host.state is not ServerState.READY:
+        return Exclusion.NOT_READY
+    if not host.synced:
+        return Exclusion.NOT_SYNCED
+    if now - host.last_contact_at >= MAX_CONTACT_AGE_S:
+        return Exclusion.CONTACT_TOO_OLD
+    if now < host.quarantined_until:
+        return Exclusion.QUARANTINED
+    if host.failure_domain in tables.operator_settings.evacuated:
+        return Exclusion.EVACUATED
+    return Exclusion.UPKEEP if host.name in closed else None
 
 
 def _is_overdue(tables: SchedulerTables, job: Job, now: float) -> bool:
@@ -181,7 +191,7 @@
         groups.setdefault((task.occurrence, task.step), []).append(task)
     for (occurrence, number), members in sorted(groups.items()):
         step = job.step(number)
-        sibling_count_by_host = _count_siblings_by_host(
+        sibling_count_by_host = count_siblings_by_host(
             state.tables, job.job_id, occurrence, number
         )
         if step.gang:
@@ -191,7 +201,7 @@
     return state
 
 
-def _count_siblings_by_host(
+def count_siblings_by_host(
     tables: SchedulerTables, job_id: str, occurrence: int, number: int
 ) -> Counter[str]:
     """Count the tasks of a step by the host whose resources they hold."""
@@ -218,7 +228,7 @@
             # The rank of a lasting task depends on the free resources of all hosts,
             # which change with each placement. Other tasks that have waited equally
             # long share a ranking.
-            request = _placement_request(state, job, step, task, now)
+            request = placement_request(state.tables, job, step, task, now)
             ranking = choosing.rank_candidates(request, state.candidate_by_host)
             ranking_by_since[task.since] = ranking
         candidate = choosing.choose_candidate(
@@ -248,7 +258,7 @@
     checkpoint = max(task.checkpoint for task in members)
     trial = state
     for task in members:
-        request = _placement_request(trial, job, step, task, now)
+        request = placement_request(trial.tables, job, step, task, now)
         ranking = choosing.rank_candidates(request, trial.candidate_by_host)
         candidate = choosing.choose_candidate(
             ranking, trial.candidate_by_host, task, sibling_count_by_host
@@ -261,16 +271,17 @@
     return trial
 
 
-def _placement_request(
-    state: PlacementPass, job: Job, step: StepSpec, task: Task, now: float
+def placement_request(
+    tables: SchedulerTables, job: Job, step: StepSpec, task: Task, now: float
 ) -> choosing.PlacementRequest:
+    """Return what a waiting task requires of a host."""
     key = step_key(task.job_id, task.occurrence, task.step)
     return choosing.PlacementRequest(
         step=step,
         kind=kind_of(step),
-        service=service_of(state.tables, job),
-        tickets=advising.tickets(state.tables, job, key, now),
-        harm_fraction=partial(interference.harm_fraction, state.tables),
+        service=service_of(tables, job),
+        tickets=advising.tickets(tables, job, key, now),
+        harm_fraction=partial(interference.harm_fraction, tables),
         waited_s=now - task.since,
     )
 
--- a/test/test_jobs_explain.py
+++ b/test/test_jobs_explain.py
@@ -65,6 +65,7 @@
         self.assertEqual("waiting", huge.state)
         self.assertIn("3 hosts of ovens are open", huge.detail)
         self.assertIn("0 have room", huge.detail)
+        self.assertIn("undisturbed; no room 3", huge.detail)
         details = {task.detail for task in later}
         self.assertEqual({"earlier steps are not complete"}, details)
 
