--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -405,7 +405,8 @@
         while self._heap and self._heap[0][0] <= until:
             self.now, _, action = heapq.heappop(self._heap)
             for executor in self.executor_by_host.values():
-                executor.advance(self.now)
+                if executor.run_by_key:
+                    executor.advance(self.now)
             action()
         self.now = until
 
