Count the wait for unlinked hosts from when their row was first seen

What callers saw: each takeover by another entry made the tasks of a lost host wait 2.4 s longer: 14.3 s without one and 21.9 s after three (virtual time).

Cause: the owner row says after how long the runs on a host without a link will have ended, counted from the row's creation. The next owner counted it from its claim, for which the row has to be unchanged for 2 s or more.

Change: the time counts from when the row was first seen, which was after its creation.

--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -82,10 +82,10 @@
     return is_held or bool(owning.loading and host.runs_end_by)
 
 
-def runs_end_by_host(row: OwnerRow | None, now: float) -> Map[str, float]:
-    """Return when the runs on unlinked hosts have ended, by a row just read."""
+def runs_end_by_host(row: OwnerRow | None, seen_at: float) -> Map[str, float]:
+    """Return when the runs on unlinked hosts have ended, by a row first seen then."""
     unlinked = row.unlinked_hosts if row is not None else ()
-    return Map({entry.host: now + entry.runs_end_in_s for entry in unlinked})
+    return Map({entry.host: seen_at + entry.runs_end_in_s for entry in unlinked})
 
 
 def with_ends(hosts: Table[Host], runs_end_by_host: Mapping[str, float]) -> Table[Host]:
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -136,7 +136,7 @@
         row=own_row,
         version=stored.version,
         renewals_end_at=renewals_end_at,
-        runs_end_by_host=lease_expiry.runs_end_by_host(row, now),
+        runs_end_by_host=lease_expiry.runs_end_by_host(row, unchanged_since),
     )
     line = edits.log(tables, "shard.claim", OWNED_PART, tables.incarnation, reason)
     return Step(tables=replace(tables, leadership=claiming), commands=(line,))
