Print from a log for how long jobs had nothing running

A job or task without an end is not counted as waiting past its last line where owners' lines are missing, and a run whose start is missing is not counted as waiting. A wait can therefore be missed, but is not made up.

--- /dev/null
+++ b/scripts/gaps.py
@@ -0,0 +1,222 @@
+"""Prints for how long jobs had nothing running, from the log lines of a play.
+
+``scripts/gaps [--worst N] FILE`` reads the lines that the processes of a deployment
+wrote. For each job it finds the longest time between acceptance and end in which none
+of its tasks ran, and prints the longest of these with the last line about each task
+until then; then the same for single tasks, from the first placement of each.
+
+A run lasts from its start at an agent to its end at the owner. If it ended as lost, it
+lasts to the last line of its host before that. Jobs with several occurrences are left
+out, since no line says when one is due. What reads a log may drop lines of a busy
+process, which shows in their numbers: if owners' lines are missing after the last line
+about a job or task that has no end, the time after that line does not count.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from absl import app, flags
+
+from scripts.log_lines import Line, missing_times_s, parse
+
+FLAGS = flags.FLAGS
+COUNTED_GAPS_S = (3.0, 6.0, 12.0)
+RUN_KEY = re.compile(r"\w+\.\d+\.\d+\.\d+#\d+")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Span:
+    """A span of time."""
+
+    start_s: float
+    end_s: float
+
+    @property
+    def length_s(self) -> float:
+        """The length."""
+        return self.end_s - self.start_s
+
+
+# The subject is a job or a task.
+Gap = tuple[str, Span]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """One run of a task, as far as the lines tell."""
+
+    task_id: str
+    number: int
+    seen: Span
+    running: Span | None
+    ended_as: str
+    has_start: bool
+
+
+def runs_of(lines: Sequence[Line]) -> list[Run]:
+    """Return the runs of all tasks; each ends at the latest when the next is placed."""
+    times_by_process: defaultdict[str, list[float]] = defaultdict(list)
+    lines_by_run: defaultdict[str, list[Line]] = defaultdict(list)
+    for line in lines:
+        times_by_process[line.process].append(line.timestamp)
+        if RUN_KEY.fullmatch(line.subject):
+            lines_by_run[line.subject].append(line)
+    found = [
+        _run(about, times_by_process, lines[-1]) for about in lines_by_run.values()
+    ]
+    runs: list[Run] = []
+    for run in sorted(found, key=lambda run: (run.task_id, run.number)):
+        last = runs[-1] if runs else None
+        if last and last.running and last.task_id == run.task_id:
+            end_s = min(last.running.end_s, run.seen.start_s)
+            end_s = max(end_s, last.running.start_s)
+            runs[-1] = replace(last, running=replace(last.running, end_s=end_s))
+        if last and run.running and not run.has_start and last.task_id == run.task_id:
+            run = replace(run, running=replace(run.running, start_s=last.seen.end_s))
+        runs.append(run)
+    return runs
+
+
+def _run(
+    about: Sequence[Line], times_by_process: Mapping[str, Sequence[float]], last: Line
+) -> Run:
+    task_id, _, number = about[0].subject.rpartition("#")
+    seen = Span(start_s=about[0].timestamp, end_s=about[-1].timestamp)
+    start = next((line for line in about if line.message_type == "run.start"), None)
+    end = next((line for line in about if line.message_type == "task.end"), None)
+    running = None
+    if start is not None:
+        end_s = end.timestamp if end else last.timestamp
+        if end and end.reason.startswith("lost"):
+            heard = (at for at in times_by_process.get(end.chosen, ()) if at <= end_s)
+            end_s = max(heard, default=start.timestamp)
+        running = Span(start_s=start.timestamp, end_s=max(start.timestamp, end_s))
+    elif end and end.reason.startswith(("done", "failed")):
+        running = seen
+    return Run(
+        task_id=task_id,
+        number=int(number),
+        seen=seen,
+        running=running,
+        ended_as=end.reason if end else "",
+        has_start=len(about) > 1 or end is None,
+    )
+
+
+def longest_gap(window: Span, busy: Iterable[Span]) -> Span:
+    """Return the longest part of a window that no busy span covers."""
+    longest = Span(start_s=window.start_s, end_s=window.start_s)
+    free_s = window.start_s
+    end = Span(start_s=window.end_s, end_s=window.end_s)
+    for span in (*sorted(busy, key=lambda span: span.start_s), end):
+        gap = Span(start_s=free_s, end_s=min(span.start_s, window.end_s))
+        longest = max(longest, gap, key=lambda gap: gap.length_s)
+        free_s = max(free_s, span.end_s)
+    return longest
+
+
+def job_windows(lines: Sequence[Line]) -> dict[str, Span]:
+    """Return the time from the acceptance of each job to its end or the log's."""
+    window_by_job: dict[str, Span] = {}
+    for line in lines:
+        window = window_by_job.get(line.subject)
+        if line.message_type == "job.accept" and window is None:
+            span = Span(start_s=line.timestamp, end_s=lines[-1].timestamp)
+            window_by_job[line.subject] = span
+        elif line.message_type == "job.end" and window is not None:
+            end_s = min(window.end_s, line.timestamp)
+            window_by_job[line.subject] = replace(window, end_s=end_s)
+    return window_by_job
+
+
+def find_gaps(lines: Sequence[Line]) -> tuple[list[Gap], list[Gap]]:
+    """Return the longest gap of each job and of each task, the longest first."""
+    if not lines:
+        return [], []
+    missing_s = missing_times_s(lines)
+    runs_by_task: defaultdict[str, list[Run]] = defaultdict(list)
+    for run in runs_of(lines):
+        runs_by_task[run.task_id].append(run)
+    timed = {task.split(".")[0] for task in runs_by_task if task.split(".")[1] != "0"}
+    runs_by_job: defaultdict[str, list[Run]] = defaultdict(list)
+    windows = job_windows(lines)
+
+    def gap(subject: str, window: Span, runs: Sequence[Run], is_open: bool) -> Gap:
+        seen_s = max((run.seen.end_s for run in runs), default=window.start_s)
+        if is_open and any(seen_s < at <= window.end_s for at in missing_s):
+            window = replace(window, end_s=seen_s)
+        busy = [run.running for run in runs if run.running]
+        return subject, longest_gap(window, busy)
+
+    log_end_s = lines[-1].timestamp
+    task_gaps: list[Gap] = []
+    for task_id, runs in runs_by_task.items():
+        job_id = task_id.split(".")[0]
+        if job_id in windows and job_id not in timed:
+            runs_by_job[job_id].extend(runs)
+            window = replace(windows[job_id], start_s=runs[0].seen.start_s)
+            if runs[-1].ended_as.startswith("done"):
+                window = replace(window, end_s=min(window.end_s, runs[-1].seen.end_s))
+            is_open = not runs[-1].ended_as or window.end_s == log_end_s
+            task_gaps.append(gap(task_id, window, runs, is_open))
+    job_gaps = [
+        gap(job_id, window, runs_by_job.get(job_id, ()), window.end_s == log_end_s)
+        for job_id, window in windows.items()
+        if job_id not in timed
+    ]
+    return _longest_first(job_gaps), _longest_first(task_gaps)
+
+
+def _longest_first(gaps: Iterable[Gap]) -> list[Gap]:
+    return sorted(gaps, key=lambda gap: -gap[1].length_s)
+
+
+def summary(name: str, gaps: Sequence[Gap]) -> str:
+    """Return one line with the longest gap and how many exceed each length."""
+    longest_s = gaps[0][1].length_s if gaps else 0.0
+    counts = ", ".join(
+        f"{sum(span.length_s > least_s for _, span in gaps)} over {least_s:g} s"
+        for least_s in COUNTED_GAPS_S
+    )
+    return f"{len(gaps)} {name}: longest gap {longest_s:.2f} s, {counts}"
+
+
+def report(lines: Sequence[Line], *, worst: int) -> list[str]:
+    """Return the text for a log."""
+    lines_by_job: defaultdict[str, list[Line]] = defaultdict(list)
+    for line in lines:
+        lines_by_job[line.subject.partition(".")[0]].append(line)
+    job_gaps, task_gaps = find_gaps(lines)
+    printed: list[str] = []
+    for subject, span in (*job_gaps[:worst], *task_gaps[:worst]):
+        times = f"from {span.start_s:.3f} s to {span.end_s:.3f} s"
+        printed.append(f"{subject}: {span.length_s:.2f} s, {times}")
+        last_by_task = {
+            line.subject.partition("#")[0]: line
+            for line in lines_by_job[subject.partition(".")[0]]
+            if line.timestamp < span.end_s and line.subject.startswith(subject)
+        }
+        for task_id, line in sorted(last_by_task.items()):
+            text = f"{line.message_type} {line.chosen} {line.reason}"
+            printed.append(f"    {task_id:24} {line.timestamp:8.3f} {text}")
+    return [*printed, summary("jobs", job_gaps), summary("tasks", task_gaps)]
+
+
+def main(argv: list[str]) -> None:
+    """Read the logs and print the report."""
+    texts: list[str] = []
+    for path in argv[1:]:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            texts.extend(file)
+    lines = parse(texts if argv[1:] else sys.stdin)
+    print("\n".join(report(lines, worst=FLAGS.worst)))
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("worst", 10, "How many jobs and how many tasks to print.")
+    app.run(main)
--- /dev/null
+++ b/test/test_gaps.py
@@ -0,0 +1,215 @@
+"""Tests of the script that reads from a log for how long jobs had nothing running."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+
+from scripts.gaps import Span, find_gaps, longest_gap, report
+from scripts.log_lines import Line, missing_times_s, parse
+
+JOB = "33350f17888d312f"
+OWNER = "entry-1"
+HOST = "agent-1"
+
+
+class Log:
+    """Writes the lines of a log."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+        self._number_by_process: dict[str, int] = {}
+
+    def skip(self, process: str, count: int) -> None:
+        """Leave out lines of a process."""
+        self._number_by_process[process] = (
+            self._number_by_process.get(process, 0) + count
+        )
+
+    def add(
+        self,
+        at_s: float,
+        process: str,
+        kind: str,
+        subject: str,
+        chosen: str = "",
+        reason: str = "",
+    ) -> None:
+        self.skip(process, 1)
+        fields = {
+            "timestamp": 1000.0 + at_s,
+            "task_uuid": f"uuid-{process}",
+            "task_level": [self._number_by_process[process]],
+            "message_type": kind,
+            "process": process,
+            "subject": subject,
+            "chosen": chosen,
+            "reason": reason,
+        }
+        text = json.dumps(fields, separators=(",", ":"))
+        self.texts.append(f"{at_s:9.4f} {process} {text}\n")
+
+    def accept(self, at_s: float) -> None:
+        self.add(at_s, OWNER, "job.accept", JOB, "queue", "queued, 0.01 s")
+
+    def place(self, at_s: float, task: str, run: int = 1) -> None:
+        self.add(at_s, OWNER, "task.place", f"{JOB}.{task}#{run}", HOST)
+
+    def start(self, at_s: float, task: str, run: int = 1) -> None:
+        self.add(at_s, HOST, "run.start", f"{JOB}.{task}#{run}", "i-1")
+
+    def end(self, at_s: float, task: str, reason: str, run: int = 1) -> None:
+        self.add(at_s, OWNER, "task.end", f"{JOB}.{task}#{run}", HOST, reason)
+
+    def end_job(self, at_s: float) -> None:
+        self.add(at_s, OWNER, "job.end", JOB, "completed")
+
+    @property
+    def lines(self) -> list[Line]:
+        return parse(self.texts)
+
+    def job_gap(self) -> tuple[float, float]:
+        """Return the longest gap of the only job."""
+        [(subject, span)] = find_gaps(self.lines)[0]
+        assert subject == JOB
+        return span.start_s, span.end_s
+
+    def task_gaps(self) -> dict[str, tuple[float, float]]:
+        """Return the longest gap of each task."""
+        gaps = find_gaps(self.lines)[1]
+        return {
+            subject.partition(".")[2]: (span.start_s, span.end_s)
+            for subject, span in gaps
+        }
+
+
+class ParseTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log()
+        self.log.accept(-1.5)
+        self.log.place(2.0, "0.0.0")
+
+    def test_the_time_before_the_line_counts(self) -> None:
+        self.assertEqual([-1.5, 2.0], [line.timestamp for line in self.log.lines])
+
+    def test_a_line_without_a_time_has_that_of_the_previous_one(self) -> None:
+        first, second = self.log.texts
+        bare = second[second.index("{") :]
+        self.assertEqual(
+            [-1.5, -1.5], [line.timestamp for line in parse([first, bare])]
+        )
+        self.assertEqual([1002.0], [line.timestamp for line in parse([bare])])
+
+    def test_a_line_after_the_rest_of_a_cut_one_is_read(self) -> None:
+        first, second = self.log.texts
+        lines = parse(["worth 0.7\n", first[:70] + second])
+        self.assertEqual(["task.place"], [line.message_type for line in lines])
+        self.assertEqual([2.0], [line.timestamp for line in lines])
+
+    def test_missing_lines_of_owners_are_found(self) -> None:
+        self.assertEqual([], missing_times_s(self.log.lines))
+        self.log.skip(HOST, 3)
+        self.log.start(2.5, "0.0.0")
+        self.log.skip(OWNER, 1)
+        self.log.end(3.0, "0.0.0", "done")
+        self.assertEqual([3.0], missing_times_s(self.log.lines))
+
+
+class LongestGapTest(testtools.TestCase):
+    def test_it_is_what_no_busy_span_covers(self) -> None:
+        busy = [
+            Span(start_s=5.0, end_s=6.0),
+            Span(start_s=1.0, end_s=4.0),
+            Span(start_s=2.0, end_s=3.0),
+        ]
+        gap = longest_gap(Span(start_s=0.0, end_s=10.0), busy)
+        self.assertEqual(Span(start_s=6.0, end_s=10.0), gap)
+        gap = longest_gap(Span(start_s=0.0, end_s=5.5), busy)
+        self.assertEqual(1.0, gap.length_s)
+
+
+class JobGapTest(testtools.TestCase):
+    """A wait is read from the log even if the play breaks no rule."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log()
+        self.log.accept(1.0)
+        self.log.place(1.0, "0.0.0")
+        self.log.start(1.5, "0.0.0")
+
+    def test_a_step_whose_turn_has_come_and_that_waits(self) -> None:
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.place(4.0, "0.1.0")
+        self.log.start(9.0, "0.1.0")
+        self.log.end(10.0, "0.1.0", "done")
+        self.log.end_job(10.0)
+        self.assertEqual((4.0, 9.0), self.log.job_gap())
+        self.assertEqual(
+            {"0.1.0": (4.0, 9.0), "0.0.0": (1.0, 1.5)}, self.log.task_gaps()
+        )
+
+    def test_a_task_that_waits_beside_another(self) -> None:
+        self.log.place(1.0, "0.0.1")
+        self.log.end(2.0, "0.0.0", "stopped")
+        self.log.start(2.0, "0.0.1")
+        self.log.place(7.0, "0.0.0", run=2)
+        self.log.start(8.0, "0.0.0", run=2)
+        self.log.end(12.0, "0.0.1", "done")
+        self.log.end(12.0, "0.0.0", "done", run=2)
+        self.log.end_job(12.0)
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+        self.assertEqual((2.0, 8.0), self.log.task_gaps()["0.0.0"])
+
+    def test_a_lost_run_lasts_to_the_last_line_of_its_host(self) -> None:
+        self.log.add(3.0, HOST, "run.pace", f"{JOB}.0.0.0#1", "80%")
+        self.log.end(17.0, "0.0.0", "lost expired")
+        self.log.place(17.0, "0.0.0", run=2)
+        self.log.start(17.5, "0.0.0", run=2)
+        self.log.end(19.0, "0.0.0", "done", run=2)
+        self.log.end_job(19.0)
+        self.assertEqual((3.0, 17.5), self.log.job_gap())
+
+    def test_a_job_that_has_not_ended_waits_to_the_end_of_the_log(self) -> None:
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.place(5.0, "0.1.0")
+        self.log.add(30.0, HOST, "process", "")
+        self.assertEqual((4.0, 30.0), self.log.job_gap())
+
+    def test_an_end_that_may_be_missing_is_no_wait(self) -> None:
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.skip(OWNER, 2)
+        self.log.add(20.0, OWNER, "harm.learn", "1 pairs")
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+
+    def test_a_run_whose_start_is_missing_is_no_wait(self) -> None:
+        self.log.end(4.0, "0.0.0", "stopped")
+        self.log.end(20.0, "0.0.0", "done", run=2)
+        self.log.end_job(20.0)
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+
+    def test_jobs_with_several_occurrences_are_left_out(self) -> None:
+        self.log.place(20.0, "1.0.0")
+        self.assertEqual(([], []), find_gaps(self.log.lines))
+
+    def test_the_report_names_the_last_line_about_each_task(self) -> None:
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.place(4.5, "0.1.0")
+        self.log.start(18.0, "0.1.0")
+        self.log.end(19.0, "0.1.0", "done")
+        self.log.end_job(19.0)
+        self.assertEqual(
+            [
+                f"{JOB}: 14.00 s, from 4.000 s to 18.000 s",
+                f"    {JOB:24}    1.000 job.accept queue queued, 0.01 s",
+                f"    {JOB}.0.0.0      4.000 task.end {HOST} done",
+                f"    {JOB}.0.1.0      4.500 task.place {HOST} ",
+                f"{JOB}.0.1.0: 13.50 s, from 4.500 s to 18.000 s",
+                f"    {JOB}.0.1.0      4.500 task.place {HOST} ",
+                "1 jobs: longest gap 14.00 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
+                "2 tasks: longest gap 13.50 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
+            ],
+            report(self.log.lines, worst=1),
+        )
