--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -128,12 +128,17 @@
         if line.message_type == "job.accept" and window is None:
             span = Span(start_s=line.timestamp, end_s=lines[-1].timestamp)
             window_by_job[line.subject] = span
-        elif line.message_type == "job.end" and window is not None:
+        elif window is not None and _ends_job(line):
             end_s = min(window.end_s, line.timestamp)
             window_by_job[line.subject] = replace(window, end_s=end_s)
     return window_by_job
 
 
+def _ends_job(line: Line) -> bool:
+    """Return whether a line says that a job has ended; the owner's may be lost."""
+    return line.message_type == "job.end" or line.chosen == "JobCancelled"
+
+
 def find_gaps(lines: Sequence[Line]) -> tuple[list[Gap], list[Gap]]:
     """Return the longest gap of each job and of each task, the longest first."""
     if not lines:
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -184,6 +184,13 @@
         self.log.add(20.0, OWNER, "harm.learn", "1 pairs")
         self.assertEqual((1.0, 1.5), self.log.job_gap())
 
+    def test_a_cancelled_job_does_not_wait(self) -> None:
+        # An owner that is killed may not have written the line of the end.
+        self.log.add(3.0, "entry-2", "call.answer", JOB, "JobCancelled")
+        self.log.end(4.0, "0.0.0", "stopped")
+        self.log.add(30.0, HOST, "process", "")
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+
     def test_a_run_whose_start_is_missing_is_no_wait(self) -> None:
         self.log.end(4.0, "0.0.0", "stopped")
         self.log.end(20.0, "0.0.0", "done", run=2)
