Count a run on a host that the new owner never heard as not running

They now last to the last line of the host, unless lines of the former owner are missing in between, as the end may be among these.

--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -6,10 +6,11 @@
 until then; then the same for single tasks, from the first placement of each.
 
 A run lasts from its start at an agent to its end at the owner. If it ended as lost, it
-lasts to the last line of its host before that. Jobs with several occurrences are left
-out, since no line says when one is due. What reads a log may drop lines of a busy
-process, which shows in their numbers: if owners' lines are missing after the last line
-about a job or task that has no end, the time after that line does not count.
+lasts to the last line of its host before that; if it has no end, to the last line of a
+host that has written none since the last change of owner. Jobs with several occurrences
+are left out, since no line says when one is due. What reads a log may drop lines of a
+busy process, which shows in their numbers: if owners' lines are missing after the last
+line about a job or task that has no end, the time after that line does not count.
 """
 
 from __future__ import annotations
@@ -58,7 +59,7 @@
     has_start: bool
 
 
-def runs_of(lines: Sequence[Line]) -> list[Run]:
+def runs_of(lines: Sequence[Line], missing_s: Sequence[float]) -> list[Run]:
     """Return the runs of all tasks; each ends at the latest when the next is placed."""
     times_by_process: defaultdict[str, list[float]] = defaultdict(list)
     lines_by_run: defaultdict[str, list[Line]] = defaultdict(list)
@@ -66,8 +67,18 @@
         times_by_process[line.process].append(line.timestamp)
         if RUN_KEY.fullmatch(line.subject):
             lines_by_run[line.subject].append(line)
+    # A new owner accepts all jobs again; not all of these lines are missing.
+    owned_s_by_process = {
+        line.task_uuid: line.timestamp
+        for line in reversed(lines)
+        if line.message_type in ("shard.own", "job.accept")
+    }
+    owned_s = max(owned_s_by_process.values(), default=-float("inf"))
+    last_by_process = {name: times_s[-1] for name, times_s in times_by_process.items()}
+    silent_since = {name: at for name, at in last_by_process.items() if at < owned_s}
     found = [
-        _run(about, times_by_process, lines[-1]) for about in lines_by_run.values()
+        _run(about, times_by_process, silent_since, missing_s, lines[-1].timestamp)
+        for about in lines_by_run.values()
     ]
     runs: list[Run] = []
     for run in sorted(found, key=lambda run: (run.task_id, run.number)):
@@ -83,7 +94,11 @@
 
 
 def _run(
-    about: Sequence[Line], times_by_process: Mapping[str, Sequence[float]], last: Line
+    about: Sequence[Line],
+    times_by_process: Mapping[str, Sequence[float]],
+    silent_since: Mapping[str, float],
+    missing_s: Sequence[float],
+    log_end_s: float,
 ) -> Run:
     task_id, _, number = about[0].subject.rpartition("#")
     seen = Span(start_s=about[0].timestamp, end_s=about[-1].timestamp)
@@ -91,7 +106,13 @@
     end = next((line for line in about if line.message_type == "task.end"), None)
     running = None
     if start is not None:
-        end_s = end.timestamp if end else last.timestamp
+        last_s = silent_since.get(start.process, log_end_s)
+        end_s = end.timestamp if end else last_s
+        if end is None and start.process in silent_since:
+            # A later run would show in the line of another agent.
+            is_known = not any(start.timestamp < at <= last_s for at in missing_s)
+            seen = replace(seen, end_s=log_end_s if is_known else seen.end_s)
+            end_s = last_s if is_known else log_end_s
         if end and end.reason.startswith("lost"):
             heard = (at for at in times_by_process.get(end.chosen, ()) if at <= end_s)
             end_s = max(heard, default=start.timestamp)
@@ -145,7 +166,7 @@
         return [], []
     missing_s = missing_times_s(lines)
     runs_by_task: defaultdict[str, list[Run]] = defaultdict(list)
-    for run in runs_of(lines):
+    for run in runs_of(lines, missing_s):
         runs_by_task[run.task_id].append(run)
     timed = {task.split(".")[0] for task in runs_by_task if task.split(".")[1] != "0"}
     runs_by_job: defaultdict[str, list[Run]] = defaultdict(list)
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -172,6 +172,26 @@
         self.log.end_job(19.0)
         self.assertEqual((3.0, 17.5), self.log.job_gap())
 
+    def test_a_run_without_an_end_on_a_host_that_the_owner_never_heard(self) -> None:
+        # The run is given up only after the end of the log.
+        self.log.add(3.0, HOST, "run.pace", f"{JOB}.0.0.0#1", "80%")
+        self.log.add(4.0, "entry-2", "shard.own", "shard-0")
+        self.log.add(20.0, "agent-2", "process", "")
+        self.assertEqual((3.0, 20.0), self.log.job_gap())
+        self.assertEqual((3.0, 20.0), self.log.task_gaps()["0.0.0"])
+
+    def test_lines_that_a_new_owner_writes_at_once_may_be_missing(self) -> None:
+        self.log.add(4.0, "entry-2", "job.accept", JOB)
+        self.log.skip("entry-2", 9)
+        self.log.add(20.0, "entry-2", "harm.learn", "1 pairs")
+        self.assertEqual((1.5, 20.0), self.log.job_gap())
+
+    def test_a_run_without_an_end_on_a_host_that_the_owner_has_heard(self) -> None:
+        self.log.add(4.0, "entry-2", "shard.own", "shard-0")
+        self.log.add(4.5, HOST, "owner.hear", "entry-2", "", "adopted")
+        self.log.add(20.0, "agent-2", "process", "")
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+
     def test_a_job_that_has_not_ended_waits_to_the_end_of_the_log(self) -> None:
         self.log.end(4.0, "0.0.0", "done")
         self.log.place(5.0, "0.1.0")
