Never start the agent's runs by a slice with a negative end

What callers saw: nothing by itself; an agent could send more starts at once than its limit of 6 while stops of unsettled runs were in flight.

Cause: the limit less the calls in flight is the end of a slice. Stops of runs without a definite answer count as calls in flight, so the end became negative, and such a slice takes all but the last runs.

Evidence: StartsInFlightTest.test_stops_in_flight_do_not_raise_the_limit failed before (15 starts in flight). Change: the end is at least 0.

--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -59,7 +59,8 @@
                 free = free.minus(run_.committed)
                 chosen.append(run_)
     commands: list[Command] = []
-    for run_ in chosen[: MAX_STARTS_IN_FLIGHT - in_flight]:
+    # Stops of runs without a definite answer count as calls in flight too.
+    for run_ in chosen[: max(0, MAX_STARTS_IN_FLIGHT - in_flight)]:
         assert run_.order is not None
         call = StartRun(
             server_id=server.server_id,
