Remember which hosts refused a task, and try other hosts first

What callers saw: a task that waits with most of the room free. The emptiest host refused each start for a lasting reason, and the task was placed there 13 times in 10 s, without end, while two other hosts were a quarter full.

Cause: a refused run ended as stopped and its task waited again; nothing recorded the refusal, so the host that refused it was still the emptiest.

Change: a task remembers the hosts that returned its run, or stopped it without an order, as rows of host, incarnation, time and count (at most 8, for 6 s, in memory only). They are a preference against the host, like the hosts where it failed. If no other host fits, the task is tried there again after 0.4 s, 0.8 s, then 1.6 s each. What a reason says about more than the task goes through a mapping by reason: `ticket` drops the step's tickets, as before, and `fence` sets the host aside for 1 s. Status 400 does not, since it may be the task's own and would set aside one host after another. Operators are told how many hosts refused a waiting task. Tasks without refusals use the shared ranking as before.

--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -9,6 +9,7 @@
 import enum
 from dataclasses import dataclass
 
+from bulrushpulley.entities.jobs.refusal import Refusal
 from bulrushpulley.entities.jobs.rows import TaskProgress
 
 
@@ -43,8 +44,9 @@
 
     `host` and `life` (an incarnation of the host's backend server) tell where its
     current run may be; `since` is when its state began. `avoided_hosts` are hosts where
-    it failed; it is placed on them only if no other host has free capacity.
-    `startup_done` is set once its backend server reports that the startup is over.
+    it failed; it is placed on them only if no other host has free capacity. The same
+    goes for the hosts in `refusals`, which are kept in memory only. `startup_done` is
+    set once its backend server reports that the startup is over.
     """
 
     task_id: str
@@ -60,6 +62,7 @@
     life: str = ""
     checkpoint: str = ""
     avoided_hosts: tuple[str, ...] = ()
+    refusals: tuple[Refusal, ...] = ()
     running_since: float = 0.0
     startup_done: bool = False
 
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -54,13 +54,13 @@
     endings,
     interference,
     quarantine,
+    refusals,
 )
 
 # Bounds the work of a job that is lost if all hosts fail together.
 CHECKPOINT_SAVE_INTERVAL_S = 1.0
 # The percentage that a lasting task reports once its startup is over.
 STARTUP_DONE_PERCENT = 100
-TICKET_REFUSED_REASON = "ticket"
 KEPT_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 
 
@@ -243,9 +243,7 @@
     task = _current_task(tables, host, event.life, event.run.task_id, event.run.run)
     if task is None:
         return Step(tables=tables)
-    if event.reason == TICKET_REFUSED_REASON:
-        key = step_key(task.job_id, task.occurrence, task.step)
-        tables = advising.drop_refused_tickets(tables, key)
+    tables = refusals.handle_reason(tables, task, event.reason, now)
     line = edits.log(tables, "task.refused", task.task_id, host.name, event.reason)
     step = endings.end_run(tables, task, Stopped(), now)
     return Step(tables=step.tables, commands=(line, *step.commands))
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.jobs.candidate import Candidate
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import Task
-from bulrushpulley.systems.scheduling import advising
+from bulrushpulley.systems.scheduling import advising, refusals
 from bulrushpulley.systems.scheduling.ranking import (
     HarmFraction,
     TaskKind,
@@ -77,21 +77,31 @@
     candidate_by_host: Map[str, Candidate],
     task: Task,
     sibling_count_by_host: Counter[str],
+    now: float,
 ) -> Candidate | None:
-    """Return the best candidate for a task."""
+    """Return the best candidate for a task.
+
+    Hosts where it failed, or that refused it, are chosen only if no other fits.
+    """
     step = ranking.request.step
-    if not task.avoided_hosts and not step.one_rack:
+    if not avoids_hosts(task) and not step.one_rack:
         return _first_candidate(ranking, candidate_by_host, sibling_count_by_host)
     fitting = _fitting_hosts(ranking, candidate_by_host, sibling_count_by_host)
-    if task.avoided_hosts:
-        fitting = [
-            pair for pair in fitting if pair[1] not in task.avoided_hosts
-        ] or fitting
+    if avoids_hosts(task):
+        refusing, delayed = refusals.refusing_hosts(task, candidate_by_host, now)
+        fitting = [pair for pair in fitting if pair[1] not in delayed]
+        avoided = refusing.union(task.avoided_hosts)
+        fitting = [pair for pair in fitting if pair[1] not in avoided] or fitting
     if step.one_rack:
         fitting = _prefer_same_rack(fitting, candidate_by_host, sibling_count_by_host)
     return candidate_by_host[min(fitting)[1]] if fitting else None
 
 
+def avoids_hosts(task: Task) -> bool:
+    """Return whether some hosts may be worse for a task than for its siblings."""
+    return bool(task.avoided_hosts or task.refusals)
+
+
 def _first_candidate(
     ranking: Ranking,
     candidate_by_host: Map[str, Candidate],
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -6,7 +6,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job
-from bulrushpulley.entities.jobs.runs import Done, Ending, Failed, Lost
+from bulrushpulley.entities.jobs.runs import Done, Ending, Failed, Lost, Stopped
 from bulrushpulley.entities.jobs.scheduler_tables import (
     AcknowledgeEnd,
     SchedulerStep,
@@ -14,7 +14,13 @@
 )
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, step_key
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import edits, finishing, quarantine, unblocking
+from bulrushpulley.systems.scheduling import (
+    edits,
+    finishing,
+    quarantine,
+    refusals,
+    unblocking,
+)
 
 # A task returns to a host on which it failed only if no other has free capacity, so
 # the list grows slowly and a few names suffice.
@@ -77,6 +83,16 @@
     return edits.put_task(tables, waiting)
 
 
+@apply_ending.register
+def _(
+    ending: Stopped, tables: SchedulerTables, job: Job, task: Task, now: float
+) -> SchedulerStep:
+    if task.state is not TaskState.STOPPING:
+        # Its host returned the run, or stopped it without an order.
+        task = refusals.with_refusal(task, now)
+    return Step(tables=_requeue(tables, task, now))
+
+
 @apply_ending.register
 def _(
     ending: Done, tables: SchedulerTables, job: Job, task: Task, now: float
@@ -88,7 +104,9 @@
     if spec.gang:
         members = _open_tasks_of_step(tables, task)
     for member in members:
-        done = replace(member, state=TaskState.DONE, host="", life="", since=now)
+        done = replace(
+            member, state=TaskState.DONE, host="", life="", since=now, refusals=()
+        )
         tables = edits.put_task(tables, done)
     key = step_key(task.job_id, task.occurrence, task.step)
     if tables.tasks.count_where("open", key):
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -22,7 +22,13 @@
 )
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits, emptying, interference, placing
+from bulrushpulley.systems.scheduling import (
+    edits,
+    emptying,
+    interference,
+    placing,
+    refusals,
+)
 from bulrushpulley.systems.scheduling.ranking import (
     fits,
     kind_of,
@@ -139,8 +145,11 @@
         for candidate in with_room
         if not should_wait(kind_of(step), step, candidate, harm_fraction, waited_s)
     ]
+    candidate_by_host = {candidate.host.name: candidate for candidate in undisturbed}
+    refusing, _ = refusals.refusing_hosts(task, candidate_by_host, now)
+    refused = f", {len(refusing)} of them refused it recently" if refusing else ""
     return (
         f"{len(of_service)} hosts of {service} are open,"
         f" {len(labelled)} have its label, {len(with_room)} have room,"
-        f" {len(undisturbed)} would let it run undisturbed"
+        f" {len(undisturbed)} would let it run undisturbed{refused}"
     )
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -35,6 +35,7 @@
     edits,
     emptying,
     interference,
+    refusals,
 )
 from bulrushpulley.systems.scheduling.ranking import kind_of
 
@@ -222,10 +223,10 @@
             ranking = choosing.rank_candidates(request, state.candidate_by_host)
             ranking_by_since[task.since] = ranking
         candidate = choosing.choose_candidate(
-            ranking, state.candidate_by_host, task, sibling_count_by_host
+            ranking, state.candidate_by_host, task, sibling_count_by_host, now
         )
         if candidate is None:
-            if not task.avoided_hosts:
+            if not choosing.avoids_hosts(task):
                 break
             continue
         sibling_count_by_host[candidate.host.name] += 1
@@ -246,17 +247,19 @@
         return state
     run = max(task.run for task in members) + 1
     checkpoint = max(task.checkpoint for task in members)
+    # A host that refused one member would refuse the others, which need the same.
+    refused = refusals.merged(members)
     trial = state
     for task in members:
-        request = _placement_request(trial, job, step, task, now)
+        member = replace(task, checkpoint=checkpoint, refusals=refused)
+        request = _placement_request(trial, job, step, member, now)
         ranking = choosing.rank_candidates(request, trial.candidate_by_host)
         candidate = choosing.choose_candidate(
-            ranking, trial.candidate_by_host, task, sibling_count_by_host
+            ranking, trial.candidate_by_host, member, sibling_count_by_host, now
         )
         if candidate is None:
             return state
         sibling_count_by_host[candidate.host.name] += 1
-        member = replace(task, checkpoint=checkpoint)
         trial = _assign(trial, job, step, member, candidate, run, now)
     return trial
 
--- a/bulrushpulley/systems/scheduling/quarantine.py
+++ b/bulrushpulley/systems/scheduling/quarantine.py
@@ -60,7 +60,7 @@
 
 
 def record_refusal(tables: SchedulerTables, name: str, now: float) -> SchedulerTables:
-    """Quarantine a host whose backend server refused to start a task as unhealthy."""
+    """Quarantine a host whose backend server would refuse other tasks too."""
     host = tables.hosts.by_key[name]
     quarantined = replace(
         host, quarantined_until=max(host.quarantined_until, now + REFUSAL_QUARANTINE_S)
