Give a start back that has had no effect 2.5 s after its order

What callers saw: a task that waits with most of the room free. Each of its starts was denied as `late`, had no answer, or was carried out after the lease that it requests, while its host listed its runs.

Cause: the agent repeated such a start for as long as the backend server listed its runs, and the owner waits for a run for as long as the agent makes contact. Neither had a limit.

Change: a wanted run whose start was sent, but that is not listed 2.5 s after its order, is unwanted, once lists are answered and no call about it is in flight. The existing path follows: a stop, BARRED, a list requested later, RunRefused. Nothing starts elsewhere before that. An adoption in between does not extend the time; the next process of an agent counts from its own order.

--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -28,6 +28,10 @@
 # A run whose start cannot be sent within this time is returned to the owner, so that it
 # never starts long after the decision that allowed it.
 START_ORDER_TIMEOUT_S = 1.5
+# A run that is still not listed this long after its order, although its start was sent,
+# is returned to the owner. A start that is carried out earlier takes hold.
+START_SETTLE_TIMEOUT_S = 2.5
+UNSETTLED_REASON = "unsettled"
 MAX_STARTS_IN_FLIGHT = 6
 
 
@@ -43,10 +47,12 @@
         return Step(tables=tables)
     if tables.poll.failing_since is not None:
         return Step(tables=tables)
+    marked = _mark_unsettled_unwanted(tables, now)
+    tables = marked.tables
     unconfirmed = tables.runs.rows_where("phase", RunPhase.STARTING.value)
     ordered = tables.runs.rows_where("phase", RunPhase.ORDERED.value)
     if not unconfirmed and not ordered:
-        return Step(tables=tables)
+        return marked
     in_flight = sum(1 for run_ in unconfirmed if run_.in_flight)
     free = server.capacity.minus(_used_resources(tables))
     chosen: list[Run] = []
@@ -74,7 +80,7 @@
         commands.append(call)
     if commands:
         tables = replace(tables, server=replace(server, lease_sent_at=now))
-    return Step(tables=tables, commands=tuple(commands))
+    return Step(tables=tables, commands=(*marked.commands, *commands))
 
 
 def _used_resources(tables: JobAgentTables) -> Resources:
@@ -86,6 +92,23 @@
     return used
 
 
+def _mark_unsettled_unwanted(tables: JobAgentTables, now: float) -> JobAgentStep:
+    """Mark as unwanted the runs whose starts have had no effect for too long.
+
+    A stop keeps them from starting later, and only then are they refused. While the
+    backend server does not list its runs, it is not known whether they have started.
+    """
+    lines: list[Command] = []
+    for run_ in tables.runs.rows_where("phase", RunPhase.STARTING.value):
+        settles = now - run_.since <= START_SETTLE_TIMEOUT_S
+        if settles or run_.in_flight or not run_.wanted:
+            continue
+        unwanted = replace(run_, wanted=False, denied=run_.denied or UNSETTLED_REASON)
+        tables = edits.put_run(tables, unwanted)
+        lines.append(_line(tables, run_, UNSETTLED_REASON))
+    return Step(tables=tables, commands=tuple(lines))
+
+
 def _mark_unstarted_unwanted(tables: JobAgentTables, now: float) -> JobAgentTables:
     """Mark as unwanted the ordered runs that are overdue or whose server drains."""
     for run_ in tables.runs.rows_where("phase", RunPhase.ORDERED.value):
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -13,12 +13,16 @@
     IncarnationConfirmed,
     PaceFailed,
     PaceRun,
+    PollFailed,
     PollRuns,
     RunsListed,
     RunStarted,
+    StartDenied,
     StartRun,
+    StartUnanswered,
     StopAnswered,
     StopRun,
+    StopUnanswered,
 )
 from bulrushpulley.entities.jobs.items import (
     Adopt,
@@ -26,6 +30,7 @@
     HarmVerdicts,
     HostReport,
     Orders,
+    RunRefused,
 )
 from bulrushpulley.entities.jobs.job_agent_tables import JobAgentTables
 from bulrushpulley.entities.jobs.runs import RunOrder, RunRef, RunStatus
@@ -33,6 +38,7 @@
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.roles import job_agent
+from bulrushpulley.systems.job_agent.starting import START_SETTLE_TIMEOUT_S
 
 INCARNATION = "i-1/5"
 OWNER = "entry-1-ab"
@@ -115,6 +121,96 @@
     return [command for command in commands if isinstance(command, kind)]
 
 
+class UnsettledStartTest(testtools.TestCase):
+    """A start without a definite answer is given up, but may be carried out late.
+
+    If its run were refused before a stop bars it, it could start beside the next run of
+    its task on another host (TWICE).
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = Bench()
+        self.ref = RunRef(task_id="t", run=1)
+        self.bench.order("t")
+        self.unanswered()
+
+    def unanswered(self) -> list[Command]:
+        """Let the call that starts the run end without an answer."""
+        lost = StartUnanswered(server_id="i-1", run=self.ref, reason="no answer")
+        return self.bench.tell(lost)
+
+    def refusals(self, commands: list[Command]) -> list[str]:
+        """Return the reasons of the refusals that are sent to the owner."""
+        items = [send.item for send in commands_of(Send, commands)]
+        return [item.reason for item in items if isinstance(item, RunRefused)]
+
+    def test_it_is_repeated_and_then_stopped(self) -> None:
+        self.assertEqual(1, len(commands_of(StartRun, self.bench.tell())))
+        self.unanswered()
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        commands = self.bench.tell()
+        self.assertEqual(1, len(commands_of(StopRun, commands)))
+        self.assertEqual([], commands_of(StartRun, commands))
+
+    def test_it_is_not_stopped_while_a_call_is_in_flight(self) -> None:
+        self.bench.tell()
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        self.assertEqual([], commands_of(StopRun, self.bench.tell()))
+        started = RunStarted(server_id="i-1", run=self.ref)
+        self.assertEqual([], commands_of(StopRun, self.bench.tell(started)))
+
+    def test_it_is_refused_only_once_it_is_barred(self) -> None:
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        self.bench.tell()
+        commands = self.bench.list_runs()
+        for _ in range(5):
+            lost = StopUnanswered(server_id="i-1", run=self.ref, reason="no answer")
+            commands += self.bench.tell(lost)
+            self.bench.now += 0.5
+            self.bench.acknowledge_contact()
+            commands += self.bench.list_runs()
+        self.assertEqual([], self.refusals(commands))
+        # This list was requested before the stop was answered.
+        self.bench.tell(StopAnswered(server_id="i-1", run=self.ref))
+        self.assertEqual([], self.refusals(self.bench.list_runs()))
+        self.bench.tell()
+        self.assertEqual(["unsettled"], self.refusals(self.bench.list_runs()))
+
+    def test_a_run_that_is_listed_in_time_goes_on(self) -> None:
+        self.bench.now += START_SETTLE_TIMEOUT_S - 0.3
+        self.bench.list_runs(RunStatus(task_id="t", run=1))
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        self.assertEqual([], commands_of(StopRun, self.bench.tell()))
+
+    def test_a_run_is_not_given_up_while_lists_fail(self) -> None:
+        self.bench.tell(PollFailed(server_id="i-1", reason="no answer"))
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        self.assertEqual([], commands_of(StopRun, self.bench.tell()))
+        listed = self.bench.list_runs(RunStatus(task_id="t", run=1))
+        self.assertEqual([], commands_of(StopRun, listed))
+
+    def test_a_next_adoption_does_not_extend_the_time(self) -> None:
+        self.bench.now += START_SETTLE_TIMEOUT_S
+        self.bench.tell()
+        lost = StopUnanswered(server_id="i-1", run=self.ref, reason="no answer")
+        self.bench.tell(lost)
+        commands = self.bench.order("t")
+        self.assertEqual([], commands_of(StartRun, commands))
+
+    def test_a_start_that_is_always_late_is_stopped(self) -> None:
+        late = StartDenied(server_id="i-1", run=self.ref, reason="late")
+        commands = self.bench.tell()
+        starts, stops = 0, 0
+        for _ in range(60):
+            sent = commands_of(StartRun, commands)
+            commands = self.bench.tell(late) if sent else self.bench.tell()
+            starts += len(sent)
+            stops += len(commands_of(StopRun, commands))
+        self.assertGreater(starts, 10)
+        self.assertEqual(1, stops)
+
+
 class ReorderedAnswersTest(testtools.TestCase):
     def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
         # If the answer to a start arrives after a list with the run, the run must not
