--- a/bulrushpulley/systems/scheduling/excluding.py
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task
-from bulrushpulley.systems.scheduling import choosing, emptying, placing
+from bulrushpulley.systems.scheduling import choosing, emptying, placing, refusals
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,9 +29,14 @@
 class HostCounts:
     """How many hosts would take a waiting task, and how many would not, by reason."""
 
-    taking: int
+    taking_by_host: Mapping[str, Candidate]
     count_by_exclusion: Mapping[Exclusion, int]
 
+    @property
+    def taking(self) -> int:
+        """The count of hosts that would take the task."""
+        return len(self.taking_by_host)
+
     @property
     def total(self) -> int:
         """The count of all hosts."""
@@ -89,11 +94,19 @@
         tables, job.job_id, task.occurrence, task.step
     )
     count_by_exclusion = Counter(hosts.count_by_exclusion)
-    taking = 0
-    for candidate in candidates.values():
+    taking_by_host: dict[str, Candidate] = {}
+    for name, candidate in candidates.items():
         reason = choosing.exclusion_of(request, candidate, lasting_fraction, siblings)
         if reason is None:
-            taking += 1
+            taking_by_host[name] = candidate
         else:
             count_by_exclusion[reason] += 1
-    return HostCounts(taking=taking, count_by_exclusion=count_by_exclusion)
+    return HostCounts(
+        taking_by_host=taking_by_host, count_by_exclusion=count_by_exclusion
+    )
+
+
+def describe_refusals(counts: HostCounts, task: Task, now: float) -> str:
+    """Return how many of the hosts that would take a task refused it, as text."""
+    refusing, _ = refusals.refusing_hosts(task, counts.taking_by_host, now)
+    return f", {len(refusing)} of them refused it recently" if refusing else ""
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -105,5 +105,6 @@
         f"{counts.count_passing(Exclusion.OTHER_SERVICE)} hosts of {service} are open,"
         f" {counts.count_passing(Exclusion.NO_LABEL)} have its label,"
         f" {counts.count_passing(Exclusion.NO_ROOM)} have room,"
-        f" {counts.taking} would let it run undisturbed; {counts.describe()}"
+        f" {counts.taking} would let it run undisturbed"
+        f"{excluding.describe_refusals(counts, task, now)}; {counts.describe()}"
     )
--- a/bulrushpulley/systems/scheduling/unserved.py
+++ b/bulrushpulley/systems/scheduling/unserved.py
@@ -124,8 +124,9 @@
         f"for {now - task.since:.1f} s with {step.count} of its step,"
         f" after run {task.run};"
         f" needs {need.processors_m}, {need.memory_mb}, {need.accelerators};"
-        f" {counts.taking} of {counts.total} hosts would take it:"
-        f" {counts.describe()}; oldest contact {_oldest_contact(tables, now)},"
+        f" {counts.taking} of {counts.total} hosts would take it"
+        f"{excluding.describe_refusals(counts, task, now)}: {counts.describe()};"
+        f" oldest contact {_oldest_contact(tables, now)},"
         f" placement {now - tables.last_placement_at:.1f} s ago"
         f"{_explain_advice(tables, job, task, now)}"
     )
