A peer has one open stream, however many replace the same older one

Callers would see: an agent that was frozen accepts all streams that its owner opened meanwhile. It adopts its owner on the newest, hears of the end of another one, drops the owner and takes no task any more while the link stays open.

Cause: `Links.run` looked for an older stream once, before it waited for its end. Two streams that waited for the same one both went on, and the second took the place of the first without closing it. The linker's links, which use the same class, too.

Change: the stream looks again after each wait, so the first is closed in its turn and its end is reported before the second is open.

--- a/bulrushpulley/wire/links.py
+++ b/bulrushpulley/wire/links.py
@@ -46,9 +46,12 @@
         return peer in self._by_peer
 
     async def run(self, stream: LinkStream) -> None:
-        """Run a stream until it ends, after closing an older one of its peer."""
-        older = self._by_peer.get(stream.peer)
-        if older is not None:
+        """Run a stream until it ends, after closing an older one of its peer.
+
+        Several streams may wait for the end of the same older one. The first of them is
+        open when the next one goes on, and is closed in its turn.
+        """
+        while (older := self._by_peer.get(stream.peer)) is not None:
             older.close(
                 link_error(
                     code=Code.CONFLICT,
