An agent that says nothing on its open link is adopted again

Callers would see: tasks of one host are given up after 13.3 s, and the host takes no task any more until its agent or the owner ends.

Cause: an owner adopted an agent once for a link. An agent that has dropped its owner makes no contact, and heartbeats keep the link open. A complete list that is lost is not sent again either.

--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -22,6 +22,9 @@
 EARLIER_VERSION_RENEWALS_S = 14.0
 # Upper limit of the delays from reading clocks and from timers that fire late.
 CLOCK_MARGIN_S = 0.5
+# How often an agent makes contact with its owner. Three contacts in a row must fail
+# before the owner stops placing tasks there.
+CONTACT_INTERVAL_S = 0.8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -214,6 +214,7 @@
     last_placement_at: float = 0.0
     purged_at: float = 0.0
     expiry_checked_at: float = 0.0
+    silence_checked_at: float = 0.0
     condensed_at: float = 0.0
     leaving: bool = False
 
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.bounds import CONTACT_INTERVAL_S
 from bulrushpulley.entities.jobs.items import (
     Contact,
     FillingMeasure,
@@ -23,8 +24,6 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.job_agent import edits
 
-# Three contacts in a row must fail before the owner stops placing tasks here.
-CONTACT_INTERVAL_S = 0.8
 # Checkpoints are needed only when the host is lost, so slightly old ones suffice.
 CHECKPOINT_REPORT_INTERVAL_S = 1.0
 # Only bounds how often an owner hears of runs that began; it need not know at once.
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -109,7 +109,9 @@
     for host in unadopted_hosts(tables):
         if not _is_ownership_confirmed(tables, host):
             continue
-        adopted = replace(host, announced_epoch=tables.epoch, synced=False)
+        adopted = replace(
+            host, announced_epoch=tables.epoch, announced_at=now, synced=False
+        )
         tables = edits.put_host(tables, adopted)
         commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
     return Step(tables=tables, commands=tuple(commands))
--- a/test/test_jobs_waits.py
+++ b/test/test_jobs_waits.py
@@ -282,6 +282,28 @@
         world.submit(1, step(2), payload=f"{RUN_TIME_S}")
         self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
 
+    def test_an_agent_whose_complete_list_was_lost_is_adopted_again(self) -> None:
+        # It makes contact, but the owner places nothing on a host before it has listed
+        # its runs, which it does once after an adoption.
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        owner = world.process_by_name[world.owner()]
+        instance = owner.instance_by_role[SCHEDULER]
+        host = instance.tables.hosts.by_key[HOST]
+        unsynced = replace(host, synced=False)
+        instance.tables = edits.put_host(instance.tables, unsynced)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
+    def test_agents_are_not_adopted_again_while_they_make_contact(self) -> None:
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(20.0)
+        world.freeze(world.owner(), 1.9)
+        world.run(20.0)
+        kinds = [decision.kind for decision in world.decisions]
+        self.assertIn("host.synced", kinds)
+        self.assertNotIn("host.readopt", kinds)
+
     def test_agents_follow_the_owner_after_its_row_was_removed(self) -> None:
         # Any client of the store may remove the row. The next epoch was 1, and agents
         # that had been adopted with a higher one ignored the owner.
