Retry delays are limited before they are doubled

Callers would see: the owner's process ends about 26 minutes after a host was lost for good, and so does each owner after it. In the product's other deployment the committer ends about half an hour after its store went away.

Cause: the delay was a power of the number of failures and limited afterwards. The power raises OverflowError after 1,024 of them. Of the four delays of this kind those of the dials to agents and of the committer's lanes overflowed; those of the linker's dials and of refused commits limited the exponent.

Change: one function limits the exponent, and all four use it.

--- a/bulrushpulley/systems/commit/backoff.py
+++ b/bulrushpulley/systems/commit/backoff.py
@@ -5,6 +5,7 @@
 import zlib
 
 from bulrushpulley.entities.committer_tables import LaneRow
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 
 MIN_TRANSACTION_RETRY_DELAY_S = 0.05
 MAX_TRANSACTION_RETRY_DELAY_S = 2.0
@@ -21,9 +22,10 @@
 
 def retry_delay_s(failures: int, name: str) -> float:
     """Return the delay after consecutive failures: exponential, with jitter."""
-    max_delay_s: float = min(
-        MAX_TRANSACTION_RETRY_DELAY_S,
-        MIN_TRANSACTION_RETRY_DELAY_S * 2.0 ** (failures - 1),
+    max_delay_s = exponential_delay_s(
+        min_delay_s=MIN_TRANSACTION_RETRY_DELAY_S,
+        max_delay_s=MAX_TRANSACTION_RETRY_DELAY_S,
+        doublings=failures - 1,
     )
     return max_delay_s * (0.5 + 0.5 * jitter(f"{name} {failures}"))
 
--- a/bulrushpulley/systems/linker_events.py
+++ b/bulrushpulley/systems/linker_events.py
@@ -16,10 +16,10 @@
 )
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Event, Step
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 
 MIN_DIAL_RETRY_DELAY_S = 0.2
 MAX_DIAL_RETRY_DELAY_S = 10.0
-MAX_BACKOFF_EXPONENT = 10
 
 
 def retry_delay_s(*, incarnation: str, address: str, failures: int) -> float:
@@ -29,8 +29,11 @@
     the arguments, so that it differs between processes and is the same in each run of
     a test.
     """
-    exponent = min(failures, MAX_BACKOFF_EXPONENT)
-    delay_s = min(MIN_DIAL_RETRY_DELAY_S * 2.0**exponent, MAX_DIAL_RETRY_DELAY_S)
+    delay_s = exponential_delay_s(
+        min_delay_s=MIN_DIAL_RETRY_DELAY_S,
+        max_delay_s=MAX_DIAL_RETRY_DELAY_S,
+        doublings=failures,
+    )
     jitter = zlib.crc32(f"{incarnation} {address} {failures}".encode()) / 2**32
     return delay_s * (0.5 + jitter / 2)
 
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -29,6 +29,7 @@
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_timeouts
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.scheduling import (
     agents,
     effects,
@@ -236,9 +237,10 @@
 def handle_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
     """Retry the same transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
-    retry_delay_s = min(
-        MAX_PROGRESS_COMMIT_RETRY_DELAY_S,
-        PROGRESS_COMMIT_RETRY_DELAY_S * 2 ** min(attempts, 8),
+    retry_delay_s = exponential_delay_s(
+        min_delay_s=PROGRESS_COMMIT_RETRY_DELAY_S,
+        max_delay_s=MAX_PROGRESS_COMMIT_RETRY_DELAY_S,
+        doublings=attempts,
     )
     return _retry(tables, now, retry_delay_s, reason)
 
--- a/bulrushpulley/systems/scheduling/dialling.py
+++ b/bulrushpulley/systems/scheduling/dialling.py
@@ -12,6 +12,7 @@
 )
 from bulrushpulley.entities.linker_tables import DialEnded
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.scheduling import edits
 
 # An agent that restarts accepts links within a second; one that never returns costs
@@ -48,7 +49,11 @@
 ) -> SchedulerStep:
     """Schedule the next attempt, with exponential backoff."""
     for host in tables.hosts.rows_where("address", event.address):
-        retry_delay_s = min(MAX_REDIAL_DELAY_S, MIN_REDIAL_DELAY_S * 2**host.redials)
+        retry_delay_s = exponential_delay_s(
+            min_delay_s=MIN_REDIAL_DELAY_S,
+            max_delay_s=MAX_REDIAL_DELAY_S,
+            doublings=host.redials,
+        )
         retried = replace(
             host,
             dialling=False,
