A host whose address changes while it is linked is dialled again

Callers would see: a host that ran tasks takes none any more after its agent restarts, until the owner is replaced, if its row was changed or removed meanwhile. Any client of the store may do that.

Cause: the end of a link or attempt is recorded for the hosts that have its address then. A host whose address has changed matched no more and counted as being dialled for ever. The linker's dials are kept by address until they end, and are not concerned.

Change: a host with another address, or none, does not count as being dialled.

--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -137,7 +137,11 @@
 def handle_host_rows(
     tables: SchedulerTables, rows: tuple[StoredRow, ...]
 ) -> SchedulerTables:
-    """Update the addresses of agents; a host without a row is no longer dialled."""
+    """Update the addresses of agents; a host without a row is no longer dialled.
+
+    The end of an attempt or link is recorded for the hosts that have its address then,
+    so a host whose address changes does not count as being dialled any more.
+    """
     for stored in rows:
         row = stored.row
         if stored.unreadable:
@@ -145,10 +149,16 @@
         if not isinstance(row, HostRow):
             removed = tables.hosts.get(stored.key.key)
             if removed is not None:
-                tables = edits.put_host(tables, replace(removed, address=""))
+                unknown = replace(removed, address="", dialling=False)
+                tables = edits.put_host(tables, unknown)
             continue
         host = tables.hosts.get(row.host) or Host(name=row.host)
-        known = replace(host, address=row.address, failure_domain=row.failure_domain)
+        known = replace(
+            host,
+            address=row.address,
+            failure_domain=row.failure_domain,
+            dialling=host.dialling and host.address == row.address,
+        )
         tables = edits.put_host(tables, known)
     return tables
 
--- a/test/test_jobs_waits.py
+++ b/test/test_jobs_waits.py
@@ -248,6 +248,18 @@
         world.submit(1, step(2), payload=f"{RUN_TIME_S}")
         self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
 
+    def test_a_host_whose_row_was_removed_while_it_is_linked_is_dialled_again(
+        self,
+    ) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        world.store.put(key=RowKey(table=HOSTS, part="", key=HOST), order=None)
+        world.run(1.0)
+        world.restart(HOST)
+        world.run(RESTART_S)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
     def test_a_host_that_never_returns_may_be_dialled_a_thousand_times(self) -> None:
         # The delay was computed as a power of the number of attempts before it was
         # limited, which raises OverflowError after 1024 of them: the owner ended about
