Inquiries of the intake limit their doublings too

Callers saw nothing: a call waits 30 s at most (`MAX_JOB_CALL_TIMEOUT_S`), and a retry is due each 0.8 s, so an inquiry is far from 1,024 retries. A front end with longer calls would reach them, and end the entry's process.

Cause: delay and timeout of a retry were powers of the number of retries that were limited afterwards.

Change: both use the function that limits the exponent.

--- a/bulrushpulley/systems/exponential_backoff.py
+++ b/bulrushpulley/systems/exponential_backoff.py
@@ -1,4 +1,4 @@
-"""Delays that double with each failure in a row."""
+"""Delays and timeouts that double with each failure in a row."""
 
 from __future__ import annotations
 
--- a/bulrushpulley/systems/intake/inquiring.py
+++ b/bulrushpulley/systems/intake/inquiring.py
@@ -62,6 +62,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_timeouts
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.intake.submitting import (
     CALL_ANSWER_MARGIN_S,
     MIN_RETRY_AFTER_S,
@@ -190,8 +191,10 @@
     if now >= inquiry.due_at:
         return _give_up(tables, inquiry)
     call_id = inquiry.call.call_id
-    delay_s = min(
-        MAX_INQUIRY_RETRY_DELAY_S, MIN_INQUIRY_RETRY_DELAY_S * 2.0**inquiry.retries
+    delay_s = exponential_delay_s(
+        min_delay_s=MIN_INQUIRY_RETRY_DELAY_S,
+        max_delay_s=MAX_INQUIRY_RETRY_DELAY_S,
+        doublings=inquiry.retries,
     )
     retried = replace(
         inquiry,
@@ -228,13 +231,15 @@
             continue
         if purpose is None or now < inquiry.next_retry_at:
             continue
-        timeout_s = (
-            store_timeouts.timeout_s(tables.store_latency_s) * 2.0**inquiry.retries
+        timeout_s = exponential_delay_s(
+            min_delay_s=store_timeouts.timeout_s(tables.store_latency_s),
+            max_delay_s=store_timeouts.MAX_STORE_TIMEOUT_S,
+            doublings=inquiry.retries,
         )
         remaining_s = max(MIN_INQUIRY_TIMEOUT_S, inquiry.due_at - now)
         command = replace(
             retry_command(purpose, inquiry),
-            timeout_s=min(timeout_s, remaining_s, store_timeouts.MAX_STORE_TIMEOUT_S),
+            timeout_s=min(timeout_s, remaining_s),
         )
         sent = replace(inquiry, retry_purpose=None)
         tables = replace(tables, inquiries=tables.inquiries.put(call_id, sent))
