Advice is asked about all hosts that could take a step

Callers would see: a job whose step may run only on hosts with less room than 30 others never starts. A step whose advised hosts are all gone waits until its tickets expire.

Cause: each request named the 30 open hosts with most room, of any service, whether or not they had been asked about. While a step had any valid ticket, also of hosts without room or that were gone, it was not asked for again.

Change: a step keeps for each server the time until which the answer about it is valid: that of the ticket, or 10 s for a server that is not allowed. While tasks of it wait after a pass, the hosts of its service and label without such an answer are asked about, 30 at first and then 100, which the platform accepts. Once an open host has a ticket, only hosts with room are. Between two requests of a step are 0.3 s as before, one call is in flight, and 10 steps are examined in a pass. A server is asked about once while its answer is valid, so calls have a bound. Advice on ended jobs was never dropped; it is now once nothing of it is valid.

New tests of the number of calls without permission, of hosts with tickets that are gone, and of tickets of earlier requests were written with the change and not run without it.

--- a/bulrushpulley/entities/jobs/advice.py
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bulrushpulley.entities.step import Command, Event
 
@@ -26,12 +26,16 @@
 class Advice:
     """The advice on one occurrence of a step; it has no tickets until it arrives.
 
-    It is valid until `valid_until`, and may be requested again from `retry_at` on.
+    `valid_until_by_server` holds all backend servers that were asked about, also those
+    that may not run the step, with the time from which they may be asked about again.
+    `asked_server_ids` are those of the request in flight. The next request is sent at
+    `retry_at` or later.
     """
 
     step_key: str
     ticket_by_server: Mapping[str, str]
-    valid_until: float = 0.0
+    valid_until_by_server: Mapping[str, float] = field(default_factory=dict)
+    asked_server_ids: tuple[str, ...] = ()
     retry_at: float = 0.0
     in_flight: bool = False
 
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from itertools import islice
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.advice import (
@@ -23,12 +24,20 @@
     SchedulerStep,
     SchedulerTables,
 )
+from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import step_key
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
-# The platform expects about 30 servers per step, and accepts 100 per call.
-MAX_SERVERS_PER_REQUEST = 30
+# The platform expects about 30 servers per step, and accepts 100 per call. A step that
+# may run on few servers takes fewer calls if more are asked about at once.
+SERVERS_PER_FIRST_REQUEST = 30
+MAX_SERVERS_PER_REQUEST = 100
+# Bounds the time of a pass while many steps wait that all hosts were asked about for.
+MAX_EXAMINED_STEPS = 10
+# The platform does not change what it allows to a step. Asking again bounds the wait if
+# an answer was wrong, such as one about a server that had just begun.
+DENIAL_VALIDITY_S = 10.0
 ADVICE_TIMEOUT_MARGIN_S = 1.0
 ADVICE_RETRY_DELAY_S = 0.3
 # Tickets with less validity left would expire before the task has started.
@@ -48,9 +57,7 @@
     if advice_terms(tables, job) is None:
         return None
     advice = tables.advice.get(key)
-    if advice is None or advice.valid_until - now < MIN_TICKET_VALIDITY_S:
-        return {}
-    return advice.ticket_by_server
+    return _usable_tickets(advice, now) if advice is not None else {}
 
 
 def server_of(host: Host) -> str:
@@ -61,46 +68,110 @@
 def request_advice(
     tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
 ) -> SchedulerStep:
-    """Request advice for the first step of `jobs` that needs it, in placement order."""
+    """Request advice for the first step of `jobs` that needs it, in placement order.
+
+    The tasks of a step that still wait after a placement pass fit on none of the hosts
+    that it has tickets for. So the hosts with most room are asked about that it has
+    neither tickets nor denials for, until all hosts were.
+    """
     if any(advice.in_flight for advice in tables.advice.rows()):
         return Step(tables=tables)
+    by_free_processors = sorted(open_hosts, key=lambda host: -host.free.processors_m)
+    examined = 0
     for job in jobs:
-        terms = advice_terms(tables, job)
-        key = _step_without_advice(tables, job, now) if terms is not None else ""
-        if terms is None or not key:
+        if advice_terms(tables, job) is None:
             continue
-        by_free_processors = sorted(
-            open_hosts, key=lambda host: -host.free.processors_m
-        )
-        server_ids = tuple(
-            server_of(host) for host in by_free_processors[:MAX_SERVERS_PER_REQUEST]
-        )
-        if not server_ids:
-            return Step(tables=tables)
-        call = RequestAdvice(
-            role=SCHEDULER,
-            step_key=key,
-            server_ids=server_ids,
-            timeout_s=terms.decide_s
-            + len(server_ids) * terms.per_server_s
-            + ADVICE_TIMEOUT_MARGIN_S,
-        )
-        known = tables.advice.get(key) or Advice(step_key=key, ticket_by_server={})
-        tables = _put(tables, replace(known, in_flight=True))
-        return Step(tables=tables, commands=(call,))
+        for key, step in _waiting_steps(tables, job).items():
+            known = tables.advice.get(key) or Advice(step_key=key, ticket_by_server={})
+            if now < known.retry_at:
+                continue
+            if examined >= MAX_EXAMINED_STEPS:
+                return Step(tables=tables)
+            examined += 1
+            server_ids = _servers_to_ask(
+                tables, job, step, known, by_free_processors, now
+            )
+            if server_ids:
+                return _send_request(tables, job, known, server_ids)
+            # Other steps are examined in the next passes.
+            later = replace(known, retry_at=now + ADVICE_RETRY_DELAY_S)
+            tables = _put(tables, later)
     return Step(tables=tables)
 
 
-def _step_without_advice(tables: SchedulerTables, job: Job, now: float) -> str:
-    """Return the key of a waiting step that needs advice, or an empty string."""
+def _waiting_steps(tables: SchedulerTables, job: Job) -> dict[str, StepSpec]:
+    """Return the steps of a job with waiting tasks, by key."""
+    step_by_key: dict[str, StepSpec] = {}
     for task in tables.tasks.rows_where("waiting", job.job_id):
         key = step_key(task.job_id, task.occurrence, task.step)
-        advice = tables.advice.get(key)
-        if advice is None:
-            return key
-        if now >= advice.retry_at and advice.valid_until - now < MIN_TICKET_VALIDITY_S:
-            return key
-    return ""
+        step_by_key.setdefault(key, job.step(task.step))
+    return step_by_key
+
+
+def _servers_to_ask(
+    tables: SchedulerTables,
+    job: Job,
+    step: StepSpec,
+    known: Advice,
+    hosts: list[Host],
+    now: float,
+) -> tuple[str, ...]:
+    """Return the servers to ask about that could run a step, in the order of hosts.
+
+    A step that has a ticket for an open host needs others only where it has room.
+    """
+    queue = tables.operator_settings.queue(job.row.queue)
+    service = queue.service if queue is not None else job.row.service
+    suitable = [
+        host
+        for host in hosts
+        if host.service == service
+        and (not step.needs_label or step.needs_label in host.labels)
+    ]
+    usable = _usable_tickets(known, now)
+    is_advised = any(server_of(host) in usable for host in suitable)
+    limit = MAX_SERVERS_PER_REQUEST
+    if not known.valid_until_by_server:
+        limit = SERVERS_PER_FIRST_REQUEST
+    unknown = (
+        server_of(host)
+        for host in suitable
+        if not _is_answered(known, server_of(host), now)
+        and (not is_advised or step.committed.fits(host.free))
+    )
+    return tuple(islice(unknown, limit))
+
+
+def _is_answered(advice: Advice, server_id: str, now: float) -> bool:
+    """Return whether an answer about a server is valid for long enough."""
+    valid_until = advice.valid_until_by_server.get(server_id, 0.0)
+    return valid_until - now >= MIN_TICKET_VALIDITY_S
+
+
+def _usable_tickets(advice: Advice, now: float) -> dict[str, str]:
+    return {
+        server_id: ticket
+        for server_id, ticket in advice.ticket_by_server.items()
+        if _is_answered(advice, server_id, now)
+    }
+
+
+def _send_request(
+    tables: SchedulerTables, job: Job, known: Advice, server_ids: tuple[str, ...]
+) -> SchedulerStep:
+    terms = advice_terms(tables, job)
+    if terms is None:
+        return Step(tables=tables)
+    call = RequestAdvice(
+        role=SCHEDULER,
+        step_key=known.step_key,
+        server_ids=server_ids,
+        timeout_s=terms.decide_s
+        + len(server_ids) * terms.per_server_s
+        + ADVICE_TIMEOUT_MARGIN_S,
+    )
+    asked = replace(known, in_flight=True, asked_server_ids=server_ids)
+    return Step(tables=_put(tables, asked), commands=(call,))
 
 
 def _put(tables: SchedulerTables, advice: Advice) -> SchedulerTables:
@@ -116,16 +187,42 @@
     terms = advice_terms(tables, job) if job is not None else None
     if known is None or terms is None or job is None or job.is_final:
         return _drop_advice(tables, event.step_key)
+    validity_s = {
+        server_id: (
+            terms.valid_s if server_id in event.ticket_by_server else DENIAL_VALIDITY_S
+        )
+        for server_id in (*known.asked_server_ids, *event.ticket_by_server)
+    }
+    valid_until_by_server = {
+        server_id: valid_until
+        for server_id, valid_until in known.valid_until_by_server.items()
+        if valid_until > now
+    } | {server_id: now + span_s for server_id, span_s in validity_s.items()}
+    earlier_tickets = {
+        server_id: ticket
+        for server_id, ticket in known.ticket_by_server.items()
+        if server_id in valid_until_by_server and server_id not in validity_s
+    }
     advice = Advice(
         step_key=event.step_key,
-        ticket_by_server=event.ticket_by_server,
-        valid_until=now + terms.valid_s,
+        ticket_by_server=earlier_tickets | dict(event.ticket_by_server),
+        valid_until_by_server=valid_until_by_server,
         retry_at=now + ADVICE_RETRY_DELAY_S,
     )
     count = len(event.ticket_by_server)
     line = edits.log(tables, "step.advice", event.step_key, f"{count} servers", "")
-    tables = replace(_put(tables, advice), place_due=True)
-    return Step(tables=tables, commands=(line,))
+    tables = _put(_drop_expired(tables, now), advice)
+    return Step(tables=replace(tables, place_due=True), commands=(line,))
+
+
+def _drop_expired(tables: SchedulerTables, now: float) -> SchedulerTables:
+    """Drop the advice of which nothing is valid any more, such as on ended jobs."""
+    advice = tables.advice
+    for known in tables.advice.rows():
+        ends_at = max(known.valid_until_by_server.values(), default=known.retry_at)
+        if not known.in_flight and ends_at <= now:
+            advice = advice.drop(known.step_key)
+    return replace(tables, advice=advice)
 
 
 def _drop_advice(tables: SchedulerTables, key: str) -> SchedulerStep:
@@ -147,9 +244,16 @@
 def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
     """Drop all tickets of a step after one was refused, so that it gets new ones.
 
-    A request in flight stays known, since the service takes one at a time.
+    A request in flight stays known, since the service takes one at a time, and so do
+    the servers that may not run the step.
     """
     known = tables.advice.get(key)
-    if known is not None and known.in_flight:
-        return _put(tables, replace(known, ticket_by_server={}))
-    return replace(tables, advice=tables.advice.drop(key))
+    if known is None:
+        return tables
+    denials = {
+        server_id: valid_until
+        for server_id, valid_until in known.valid_until_by_server.items()
+        if server_id not in known.ticket_by_server
+    }
+    kept = replace(known, ticket_by_server={}, valid_until_by_server=denials)
+    return _put(tables, kept)
--- a/test/test_jobs_waits.py
+++ b/test/test_jobs_waits.py
@@ -9,13 +9,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
 import testtools
 
-from bulrushpulley.entities.jobs.advice import AdviceTerms
+from bulrushpulley.entities.jobs.advice import (
+    Advice,
+    AdviceReceived,
+    AdviceTerms,
+    RequestAdvice,
+)
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT
 from bulrushpulley.entities.jobs.rows import (
@@ -25,11 +31,11 @@
     JobState,
     RowKey,
 )
-from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.link import LinkDown, LinkUp
 from bulrushpulley.entities.linker_tables import DialEnded
-from bulrushpulley.entities.step import Event
-from bulrushpulley.systems.scheduling import dialling, edits
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.systems.scheduling import advising, dialling, edits
 from bulrushpulley.wire.link_stream import LinkHooks, LinkStream
 from bulrushpulley.wire.links import Links
 from test.jobs_world import QUEUE, JobsWorld, step
@@ -228,6 +234,77 @@
 
         self.assertTrue(world.run_until(is_complete, FINISH_S + RUN_TIME_S))
 
+    def _world_without_permission(self) -> JobsWorld:
+        world = JobsWorld(hosts=40)
+        world.configure(self.QUEUE_WITH_ADVICE)
+        for executor in world.executor_by_host.values():
+            world.disallowed_server_ids.add(executor.server_id)
+        world.run(3.0)
+        return world
+
+    def test_hosts_without_permission_are_asked_about_once_in_ten_seconds(self) -> None:
+        # Calls are priced, and the service takes one at a time.
+        world = self._world_without_permission()
+        requests: list[RequestAdvice] = []
+
+        def note(command: Command) -> None:
+            if isinstance(command, RequestAdvice):
+                requests.append(command)
+
+        world.hook = note
+        world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(9.0)
+        asked = Counter(server for call in requests for server in call.server_ids)
+        self.assertEqual((2, 40, {1}), (len(requests), len(asked), {*asked.values()}))
+        world.run(10.0)
+        self.assertEqual(4, len(requests))
+
+    def test_a_step_is_asked_for_again_when_all_hosts_with_tickets_are_gone(
+        self,
+    ) -> None:
+        # Tickets of hosts that are gone kept a step from asking until they expired.
+        world = self._world_without_permission()
+        job_id = world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(1.0)
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        advice = Advice(
+            step_key=f"{job_id}.0.0",
+            ticket_by_server={"gone": "ticket"},
+            valid_until_by_server={"gone": world.now + 60.0},
+        )
+        tables = replace(tables, advice=tables.advice.put(advice.step_key, advice))
+        jobs, hosts = [tables.jobs.by_key[job_id]], list(tables.hosts.rows())
+        sent = advising.request_advice(tables, jobs, hosts, world.now)
+        self.assertEqual(1, len(sent.commands))
+
+    def test_tickets_of_earlier_requests_are_kept_until_they_expire(self) -> None:
+        world = self._world_without_permission()
+        job_id = world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(1.0)
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        now = world.now
+        advice = Advice(
+            step_key=f"{job_id}.0.0",
+            ticket_by_server={"kept": "1", "expired": "2", "denied": "3"},
+            valid_until_by_server={
+                "kept": now + 1.0,
+                "expired": now - 1.0,
+                "denied": now - 1.0,
+            },
+            asked_server_ids=("denied", "new"),
+            in_flight=True,
+        )
+        tables = replace(tables, advice=tables.advice.put(advice.step_key, advice))
+        event = AdviceReceived(step_key=advice.step_key, ticket_by_server={"new": "4"})
+        tables = advising.handle_advice_received(event, tables, now).tables
+        job = tables.jobs.by_key[job_id]
+        tickets = advising.tickets(tables, job, advice.step_key, now)
+        self.assertEqual({"kept": "1", "new": "4"}, tickets)
+        later = advising.tickets(tables, job, advice.step_key, now + 1.0)
+        self.assertEqual({"new": "4"}, later)
+
 
 class DiallingTest(testtools.TestCase):
     def test_a_host_whose_address_changes_while_it_is_linked_is_dialled_again(
