Epochs go on, and leases are waited for, after the owner row was removed

Callers would see: after another client of the store removes the owner row, agents ignore the owner until they are restarted, so nothing is started any more. Where an agent is out of reach then, its tasks run twice.

Cause: the first owner after that had epoch 1, and agents follow no lower epoch than they know. A shard without row was also taken for one that never had an owner, so its agents' leases counted as not renewed any more.

Change: an epoch that follows an absent row is the version of the claim, which no epoch so far exceeds; one that follows a row is higher than the row's version, too. Two claims after two removals thus never share an epoch. A process also remembers the highest epoch that it knows of, in case another client wrote a higher one. The owner whose row is gone does not write it again under its own epoch: another entry may have owned the shard meanwhile, and its assignments would be overwritten.

Three new tests failed: runs on a host out of reach ("runs twice at once"), two claims after two removals (epochs 1 and 1), and a row with a high epoch (without the memory of epochs).

A check that moved: SafeguardTest showed that a case of the matrix ends in broken rules without the condition on the owner row. The condition is still needed where an agent was restarted and only a former owner reaches it: the test of the same name in FormerOwnerTest passes with the condition and fails without it. The former case itself stays in the matrix.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -72,12 +72,14 @@
     """Another process may own the shard; this one polls the owner row.
 
     `unchanged_since` is when the row's version was first seen, on this host's clock.
+    `last_epoch` is not lower than any epoch that this process knows to have been used.
     `read_latency_s` is the shortest latency of the latest reads.
     """
 
     row: OwnerRow | None = None
     version: int = -1
     unchanged_since: float = 0.0
+    last_epoch: int = 0
     polled_at: float = -60.0
     polling: bool = False
     read_latency_s: float = 60.0
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -97,6 +97,11 @@
         commands = step.commands
     if remaining:
         return Step(tables=tables, commands=commands)
+    if not tables.tasks.by_index["host"]:
+        # No run of a former owner has to end before its task starts again.
+        renewals_end_at = min(read.renewals_end_at, now)
+        read = replace(read, renewals_end_at=renewals_end_at)
+        tables = replace(tables, leadership=read)
     reason = f"{len(tables.jobs)} jobs, {len(tables.hosts)} hosts"
     line = edits.log(tables, "shard.ready", OWNED_PART, tables.incarnation, reason)
     return Step(tables=replace(tables, place_due=True), commands=(*commands, line))
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -116,6 +116,7 @@
         row=row,
         version=stored.version,
         unchanged_since=unchanged_since,
+        last_epoch=max(leadership.last_epoch, _last_epoch(stored, event.version)),
         polled_at=leadership.polled_at,
         read_latency_s=min(
             took_s, leadership.read_latency_s * READ_LATENCY_GROWTH_FACTOR
@@ -128,7 +129,7 @@
     own_row = OwnerRow(
         holder=tables.name,
         incarnation=tables.incarnation,
-        epoch=_last_epoch(stored) + 1,
+        epoch=seen.last_epoch + 1,
         sequence=0,
         renewals_for_s=max(0.0, renewals_end_at - now),
     )
@@ -147,11 +148,9 @@
 
     The row says so, counted from its creation, which was before it was first seen.
     """
-    if not seen.version:
-        # The shard has had no owner.
-        return now
     renewals_for_s = seen.row.renewals_for_s if seen.row is not None else None
     if renewals_for_s is None:
+        # The shard may have had an owner whose row another client has removed.
         return now + EARLIER_VERSION_RENEWALS_S
     return seen.unchanged_since + renewals_for_s
 
@@ -162,11 +161,16 @@
     return next((stored for stored in rows if stored.key == OWNER_KEY), absent)
 
 
-def _last_epoch(stored: StoredRow) -> int:
-    """Return an epoch that is not lower than that of any owner so far."""
+def _last_epoch(stored: StoredRow, store_version: int) -> int:
+    """Return an epoch that is not lower than that of any owner so far.
+
+    Each epoch takes a transaction, so none is higher than the version of the row, or
+    of the store if the row is absent: another client may have removed it.
+    """
+    if not stored.version:
+        return store_version
     if isinstance(stored.row, OwnerRow):
-        return stored.row.epoch
-    # Each epoch takes a transaction, so no epoch is higher than the row's version.
+        return max(stored.row.epoch, stored.version)
     return stored.version
 
 
@@ -218,13 +222,19 @@
     claiming = tables.leadership
     if not isinstance(claiming, Claiming):
         return Step(tables=tables)
+    epoch, renewals_end_at = claiming.epoch, claiming.renewals_end_at
+    if not claiming.version:
+        # Since the read, another entry may have owned the shard by a row that is
+        # removed, too. The version of the claim is higher than its epoch.
+        epoch = max(epoch, version)
+        renewals_end_at = now + EARLIER_VERSION_RENEWALS_S
     owning = Owning(
-        epoch=claiming.row.epoch,
+        epoch=epoch,
         version=version,
         sequence=0,
         since=now,
         renewed_at=claiming.sent_at,
-        renewals_end_at=claiming.renewals_end_at,
+        renewals_end_at=renewals_end_at,
     )
     hosts = lease_expiry.with_ends(tables.hosts, claiming.runs_end_by_host)
     tables = replace(tables, leadership=owning, hosts=hosts)
@@ -264,7 +274,9 @@
         takeover_stagger=tables.takeover_stagger,
         claim_stagger=tables.claim_stagger,
         bounds=tables.bounds,
-        leadership=Following(unchanged_since=now),
+        leadership=Following(
+            unchanged_since=now, last_epoch=_known_epoch(tables.leadership)
+        ),
         operator_settings=tables.operator_settings,
         hosts=loading.reset_hosts(tables.hosts),
         store_latency_s=tables.store_latency_s,
@@ -275,5 +287,27 @@
     return Step(tables=fresh, commands=commands)
 
 
+@singledispatch
+def _known_epoch(leadership: Leadership) -> int:
+    """Return the highest epoch that is known to have been used; 0 by default."""
+    return 0
+
+
+@_known_epoch.register
+def _(leadership: Following) -> int:
+    return leadership.last_epoch
+
+
+@_known_epoch.register
+def _(leadership: Claiming) -> int:
+    # Its own epoch is not in use before the claim succeeds.
+    return leadership.epoch - 1
+
+
+@_known_epoch.register
+def _(leadership: Owning) -> int:
+    return leadership.epoch
+
+
 def _owned_or_claimed(tables: SchedulerTables) -> bool:
     return not isinstance(tables.leadership, Following)
--- a/test/test_jobs_former_owner.py
+++ b/test/test_jobs_former_owner.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import testtools
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.items import Adopt
+from bulrushpulley.entities.jobs.rows import OWNED_PART, OWNER_KEY, OWNERS
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    Following,
+    PollOwner,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.store import (
+    RangeRead,
+    ReadRange,
+    Transact,
+    Transacted,
+)
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.scheduling import agents
+from bulrushpulley.systems.scheduling import agents, ownership
+from test.jobs_store import JobsStore
 from test.jobs_world import JobsWorld, step
 
 ZONE_HOST = "z0-0"
@@ -17,6 +32,10 @@
 class FormerOwnerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
+        self.start()
+
+    def start(self) -> None:
+        """Start a site with one owner and one other entry."""
         self.world = JobsWorld(entries=2, hosts=2)
         self.world.run(2.0)
         self.former = self.world.owner()
@@ -55,6 +74,29 @@
         self.assertEqual([], self.world.violations)
         self.assertEqual(8, self.world.starts)
 
+    def test_without_the_condition_on_the_owner_row_two_owners_write(self) -> None:
+        # Epochs alone keep two owners apart at all agents that know the newer one, but
+        # not at one that was restarted and that only the former owner reaches.
+        self.assertEqual([], self.violations_of_a_former_owner_that_writes_again())
+        self.start()
+        with mock.patch.object(JobsStore, "has_conflict", lambda self, call: False):
+            violations = self.violations_of_a_former_owner_that_writes_again()
+        self.assertNotEqual([], violations)
+
+    def violations_of_a_former_owner_that_writes_again(self) -> list[str]:
+        """Let a former owner reach the store and a restarted agent for 3 s."""
+        self.take_over()
+        self.world.submit(1, step(8), payload="2.0", entry=self.successor)
+        self.world.run(0.6)
+        self.world.cut_pair(self.successor, ZONE_HOST)
+        self.world.restart(ZONE_HOST)
+        self.world.run(1.0)
+        self.world.cut_off_from_store.clear()
+        self.world.run(3.0)
+        self.world.cut_pairs.clear()
+        self.assertTrue(self.world.run_until(self.world.all_complete, 30.0))
+        return self.world.violations
+
     def test_an_agent_is_not_adopted_while_ownership_cannot_be_confirmed(self) -> None:
         # Adoption alone lets a former owner stop the runs of its successor and renew
         # leases for longer than the successor waits for them.
@@ -88,6 +130,58 @@
         self.assertTrue(self.world.run_until(lambda: not is_synced(), 1.0))
         self.assertTrue(self.world.run_until(is_synced, 2.0))
 
+    def test_runs_go_on_elsewhere_only_after_their_leases_if_the_row_was_removed(
+        self,
+    ) -> None:
+        # A shard without owner row was taken for one that never had an owner, whose
+        # agents need not be waited for (TWICE). The agent renews leases on.
+        self.world.submit(1, step(6), payload="60.0")
+        self.world.run(1.0)
+        self.assertNotEqual({}, self.world.executor_by_host[ZONE_HOST].run_by_key)
+        for entry in (self.former, self.successor):
+            self.world.cut_pair(entry, ZONE_HOST)
+        self.world.store.put(key=OWNER_KEY, order=None)
+        self.world.run(30.0)
+        self.assertEqual([], self.world.violations)
+        running = [
+            len(executor.run_by_key)
+            for name, executor in self.world.executor_by_host.items()
+            if name != ZONE_HOST
+        ]
+        self.assertEqual([4], running)
+
+    def test_an_epoch_is_not_used_twice_if_the_row_is_removed_twice(self) -> None:
+        # Two entries read that the row is absent. The first claims the shard and loses
+        # its row, so the condition of the second one's claim holds, too.
+        process = self.world.process_by_name[self.successor]
+        tables: SchedulerTables = process.instance_by_role["scheduler"].tables
+        self.world.store.put(key=OWNER_KEY, order=None)
+        polled = ReadRange(
+            role="scheduler",
+            purpose=PollOwner(),
+            timeout_s=1.0,
+            table=OWNERS,
+            part=OWNED_PART,
+        )
+        read = self.world.store.read_range(polled)
+        assert isinstance(read, RangeRead)
+        epochs = []
+        for _ in range(2):
+            following = Following(polled_at=self.world.now, unchanged_since=-60.0)
+            follower = replace(tables, leadership=replace(following, version=0))
+            claiming = ownership.handle_owner_read(read, follower, self.world.now)
+            sent = ownership.run(claiming.tables, self.world.now)
+            (claim,) = sent.commands
+            assert isinstance(claim, Transact)
+            done = self.world.store.transact(claim)
+            assert isinstance(done, Transacted)
+            owner = ownership.handle_claimed(
+                done.version, sent.tables, self.world.now
+            ).tables
+            epochs.append(owner.epoch)
+            self.world.store.put(key=OWNER_KEY, order=None)
+        self.assertTrue(epochs[0] < epochs[1], epochs)
+
     def test_no_agent_is_adopted_before_the_owner_row_permits_renewals(self) -> None:
         # The row that is written while the shard is read permits no renewals of this
         # owner's agents. If it adopted one then and was lost, the next owner would
--- a/test/test_jobs_matrix.py
+++ b/test/test_jobs_matrix.py
@@ -10,7 +10,6 @@
 from bulrushpulley.entities.jobs import bounds
 from standins.executor_core import FakeExecutor
 from test.jobs_matrix import FAULTS, STEPS, FaultCase, run_case
-from test.jobs_store import JobsStore
 
 PAIR_COUNT = 60
 SEED = 20261204
@@ -67,7 +66,10 @@
 
 
 class SafeguardTest(testtools.TestCase):
-    """For each safeguard, a case that passes with it and fails without it."""
+    """For each safeguard, a case that passes with it and fails without it.
+
+    That of the condition on the owner row is in `test_jobs_former_owner`.
+    """
 
     def test_without_the_wait_for_lease_expiry_a_task_runs_twice(self) -> None:
         case = FaultCase(injections=(("start called", "host cut off", 3),))
@@ -76,12 +78,6 @@
         with mock.patch.object(bounds.Bounds, "agent_expiry_s", short_expiry):
             self.assertNotEqual([], run_case(case, payload="4.0"))
 
-    def test_without_the_condition_on_the_owner_row_two_owners_write(self) -> None:
-        case = FaultCase(injections=(("end reported", "owner without store", 1),))
-        self.assertEqual([], run_case(case))
-        with mock.patch.object(JobsStore, "has_conflict", lambda self, call: False):
-            self.assertNotEqual([], run_case(case))
-
     def test_without_the_barring_of_late_starts_a_task_runs_twice(self) -> None:
         case = FaultCase(injections=(("stop called", "orders late", 1),))
         self.assertEqual([], run_case(case))
--- a/test/test_jobs_waits.py
+++ b/test/test_jobs_waits.py
@@ -29,6 +29,7 @@
     OWNER_KEY,
     HostRow,
     JobState,
+    OwnerRow,
     RowKey,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
@@ -393,6 +394,21 @@
         self.assertIn("host.synced", kinds)
         self.assertNotIn("host.readopt", kinds)
 
+    def test_agents_follow_the_owner_after_a_row_with_a_high_epoch_was_removed(
+        self,
+    ) -> None:
+        # Another client may have written a row with an epoch above all versions. The
+        # epochs that follow it are higher, but not those after the row is removed.
+        world = JobsWorld(entries=1, hosts=2)
+        world.run(2.0)
+        odd = OwnerRow(holder="odd", incarnation="odd-1", epoch=10**6, sequence=0)
+        world.store.put(odd)
+        world.run(6.0)
+        world.store.put(key=OWNER_KEY, order=None)
+        world.run(3.0)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
     def test_agents_follow_the_owner_after_its_row_was_removed(self) -> None:
         # Any client of the store may remove the row. The next epoch was 1, and agents
         # that had been adopted with a higher one ignored the owner.
