--- a/bulrushpulley/systems/scheduling/unserved.py
+++ b/bulrushpulley/systems/scheduling/unserved.py
@@ -148,8 +148,14 @@
     key = step_key(task.job_id, task.occurrence, task.step)
     known = tables.advice.get(key)
     calls = [advice.step_key for advice in tables.advice.rows() if advice.in_flight]
-    valid_s = known.valid_until - now if known is not None else 0.0
-    return f", tickets valid for {valid_s:.1f} s, advice asked for {calls}"
+    tickets = known.ticket_by_server if known is not None else {}
+    until = known.valid_until_by_server if known is not None else {}
+    ends = [until.get(server_id, now) for server_id in tickets]
+    valid_s = max(ends, default=now) - now
+    return (
+        f", {len(tickets)} tickets of {len(until)} servers asked about,"
+        f" the last valid for {valid_s:.1f} s, advice asked for {calls}"
+    )
 
 
 def _report_unsettled(
--- a/test/test_jobs_waits.py
+++ b/test/test_jobs_waits.py
@@ -9,13 +9,19 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
 import testtools
 
-from bulrushpulley.entities.jobs.advice import AdviceTerms
+from bulrushpulley.entities.jobs.advice import (
+    Advice,
+    AdviceReceived,
+    AdviceTerms,
+    RequestAdvice,
+)
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT
 from bulrushpulley.entities.jobs.rows import (
@@ -23,13 +29,14 @@
     OWNER_KEY,
     HostRow,
     JobState,
+    OwnerRow,
     RowKey,
 )
-from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.link import LinkDown, LinkUp
 from bulrushpulley.entities.linker_tables import DialEnded
-from bulrushpulley.entities.step import Event
-from bulrushpulley.systems.scheduling import dialling, edits
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.systems.scheduling import advising, dialling, edits
 from bulrushpulley.wire.link_stream import LinkHooks, LinkStream
 from bulrushpulley.wire.links import Links
 from test.jobs_world import QUEUE, JobsWorld, step
@@ -228,6 +235,77 @@
 
         self.assertTrue(world.run_until(is_complete, FINISH_S + RUN_TIME_S))
 
+    def _world_without_permission(self) -> JobsWorld:
+        world = JobsWorld(hosts=40)
+        world.configure(self.QUEUE_WITH_ADVICE)
+        for executor in world.executor_by_host.values():
+            world.disallowed_server_ids.add(executor.server_id)
+        world.run(3.0)
+        return world
+
+    def test_hosts_without_permission_are_asked_about_once_in_ten_seconds(self) -> None:
+        # Calls are priced, and the service takes one at a time.
+        world = self._world_without_permission()
+        requests: list[RequestAdvice] = []
+
+        def note(command: Command) -> None:
+            if isinstance(command, RequestAdvice):
+                requests.append(command)
+
+        world.hook = note
+        world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(9.0)
+        asked = Counter(server for call in requests for server in call.server_ids)
+        self.assertEqual((2, 40, {1}), (len(requests), len(asked), {*asked.values()}))
+        world.run(10.0)
+        self.assertEqual(4, len(requests))
+
+    def test_a_step_is_asked_for_again_when_all_hosts_with_tickets_are_gone(
+        self,
+    ) -> None:
+        # Tickets of hosts that are gone kept a step from asking until they expired.
+        world = self._world_without_permission()
+        job_id = world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(1.0)
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        advice = Advice(
+            step_key=f"{job_id}.0.0",
+            ticket_by_server={"gone": "ticket"},
+            valid_until_by_server={"gone": world.now + 60.0},
+        )
+        tables = replace(tables, advice=tables.advice.put(advice.step_key, advice))
+        jobs, hosts = [tables.jobs.by_key[job_id]], list(tables.hosts.rows())
+        sent = advising.request_advice(tables, jobs, hosts, world.now)
+        self.assertEqual(1, len(sent.commands))
+
+    def test_tickets_of_earlier_requests_are_kept_until_they_expire(self) -> None:
+        world = self._world_without_permission()
+        job_id = world.submit(1, step(2), queue=self.QUEUE_WITH_ADVICE)
+        world.run(1.0)
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        now = world.now
+        advice = Advice(
+            step_key=f"{job_id}.0.0",
+            ticket_by_server={"kept": "1", "expired": "2", "denied": "3"},
+            valid_until_by_server={
+                "kept": now + 1.0,
+                "expired": now - 1.0,
+                "denied": now - 1.0,
+            },
+            asked_server_ids=("denied", "new"),
+            in_flight=True,
+        )
+        tables = replace(tables, advice=tables.advice.put(advice.step_key, advice))
+        event = AdviceReceived(step_key=advice.step_key, ticket_by_server={"new": "4"})
+        tables = advising.handle_advice_received(event, tables, now).tables
+        job = tables.jobs.by_key[job_id]
+        tickets = advising.tickets(tables, job, advice.step_key, now)
+        self.assertEqual({"kept": "1", "new": "4"}, tickets)
+        later = advising.tickets(tables, job, advice.step_key, now + 1.0)
+        self.assertEqual({"new": "4"}, later)
+
 
 class DiallingTest(testtools.TestCase):
     def test_a_host_whose_address_changes_while_it_is_linked_is_dialled_again(
@@ -248,6 +326,18 @@
         world.submit(1, step(2), payload=f"{RUN_TIME_S}")
         self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
 
+    def test_a_host_whose_row_was_removed_while_it_is_linked_is_dialled_again(
+        self,
+    ) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        world.store.put(key=RowKey(table=HOSTS, part="", key=HOST), order=None)
+        world.run(1.0)
+        world.restart(HOST)
+        world.run(RESTART_S)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
     def test_a_host_that_never_returns_may_be_dialled_a_thousand_times(self) -> None:
         # The delay was computed as a power of the number of attempts before it was
         # limited, which raises OverflowError after 1024 of them: the owner ended about
@@ -282,6 +372,43 @@
         world.submit(1, step(2), payload=f"{RUN_TIME_S}")
         self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
 
+    def test_an_agent_whose_complete_list_was_lost_is_adopted_again(self) -> None:
+        # It makes contact, but the owner places nothing on a host before it has listed
+        # its runs, which it does once after an adoption.
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        owner = world.process_by_name[world.owner()]
+        instance = owner.instance_by_role[SCHEDULER]
+        host = instance.tables.hosts.by_key[HOST]
+        unsynced = replace(host, synced=False)
+        instance.tables = edits.put_host(instance.tables, unsynced)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
+    def test_agents_are_not_adopted_again_while_they_make_contact(self) -> None:
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(20.0)
+        world.freeze(world.owner(), 1.9)
+        world.run(20.0)
+        kinds = [decision.kind for decision in world.decisions]
+        self.assertIn("host.synced", kinds)
+        self.assertNotIn("host.readopt", kinds)
+
+    def test_agents_follow_the_owner_after_a_row_with_a_high_epoch_was_removed(
+        self,
+    ) -> None:
+        # Another client may have written a row with an epoch above all versions. The
+        # epochs that follow it are higher, but not those after the row is removed.
+        world = JobsWorld(entries=1, hosts=2)
+        world.run(2.0)
+        odd = OwnerRow(holder="odd", incarnation="odd-1", epoch=10**6, sequence=0)
+        world.store.put(odd)
+        world.run(6.0)
+        world.store.put(key=OWNER_KEY, order=None)
+        world.run(3.0)
+        world.submit(1, step(2), payload=f"{RUN_TIME_S}")
+        self.assertTrue(world.run_until(world.all_complete, FINISH_S + RUN_TIME_S))
+
     def test_agents_follow_the_owner_after_its_row_was_removed(self) -> None:
         # Any client of the store may remove the row. The next epoch was 1, and agents
         # that had been adopted with a higher one ignored the owner.
