--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -6,9 +6,9 @@
 new owner restarts elsewhere a run whose agent is unreachable, it waits until the last
 lease has expired, counted from the last renewal or contact that it knows of.
 
-The times do not add up: however often the shard changes hands, no agent renews leases
-later than `owner_autonomy_s` after the last renewal of a row by its owner. The wait
-decides how long a task of a lost host is not served, so it is limited by how long the
+The times of owner and agent overlap: however often the shard changes hands, no agent
+renews leases later than `owner_autonomy_s` after the last renewal of a row by its
+owner. The wait decides how long a task of a lost host is not served, so it is limited by how long the
 platform lets an accepted task wait (`LimitSettings.longest_wait_s`).
 """
 
@@ -32,7 +32,7 @@
     """The time limits of one deployment.
 
     `owner_autonomy_s`: agents renew leases for this long after their owner sent its
-    last successful renewal to the store; with a lease it covers store outages of 10 s.
+    last successful renewal to the store; with a lease it covers store outages of 8.5 s.
     `agent_autonomy_s`: an agent renews leases for this long after it sent the last
     contact that was answered.
     `lease_s`: the longest lease that an agent grants.
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -27,7 +27,8 @@
 # Leases are requested for this fraction of the longest one allowed, as a margin for
 # errors in reading clocks.
 LEASE_FRACTION = 0.95
-# A task is placed and started within this time after its lease has expired.
+# A task is placed and started within this time after its lease has expired, unless it
+# is held back for the harm that it would do.
 RESTART_MARGIN_S = 0.8
 # An owner renews each 0.8 s and an agent makes contact as often; either may miss one.
 MIN_AUTONOMY_S = 2.0
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -162,7 +162,7 @@
 @apply_item.register
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
     tables = edits.put_host(tables, replace(host, last_contact_at=now))
-    renewals_for_s = _renewals_for_s(tables, host, now)
+    renewals_for_s = _permitted_renewals_s(tables, host, now)
     if renewals_for_s <= 0.0:
         return Step(tables=tables)
     ack = ContactAck(
@@ -171,7 +171,7 @@
     return Step(tables=tables, commands=(Send(peer=host.peer, item=ack),))
 
 
-def _renewals_for_s(tables: SchedulerTables, host: Host, now: float) -> float:
+def _permitted_renewals_s(tables: SchedulerTables, host: Host, now: float) -> float:
     """Return how long an agent may renew leases; zero or less if it may not.
 
     The next owner relies on `OwnerRow.renewals_for_s`, and on `UnlinkedHost` for agents
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -146,7 +146,8 @@
 def _renewals_end_at(seen: Following, now: float) -> float:
     """Return until when agents of former owners may renew leases.
 
-    The row says so, counted from its creation, which was before it was first seen.
+    The row says so, counted from its creation, which was before it was first seen. If
+    it cannot be read or does not say so, it is taken for one of an earlier version.
     """
     renewals_for_s = seen.row.renewals_for_s if seen.row is not None else None
     if renewals_for_s is None:
--- a/test/test_jobs_lost_host.py
+++ b/test/test_jobs_lost_host.py
@@ -84,7 +84,7 @@
         self.assertLess(self.time_to_complete(lost_at), wait_s)
 
     def test_a_host_lost_together_with_the_owner(self) -> None:
-        # The next process of the same host knows that its predecessor has ended.
+        # The next process of the same host claims the shard at once.
         lost_at = self.lose_host()
         self.world.restart(self.world.owner())
         wait_s = BOUNDS.agent_expiry_s + RESTART_S
