--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -8,8 +8,8 @@
 
 The times of owner and agent overlap: however often the shard changes hands, no agent
 renews leases later than `owner_autonomy_s` after the last renewal of a row by its
-owner. The wait decides how long a task of a lost host is not served, so it is limited by how long the
-platform lets an accepted task wait (`LimitSettings.longest_wait_s`).
+owner. The wait decides how long a task of a lost host is not served, so it is limited
+by how long the platform lets an accepted task wait (`LimitSettings.longest_wait_s`).
 """
 
 from __future__ import annotations
