A new owner of a cell waits for owners before the former one

What callers saw or would see: a batch task running on two workers at once. An owner that is cut off from the store, but not from its workers, renews task leases for its autonomy (1 hour by default). If its successor was restarted or released the cell within that time, the next owner started a task again on another worker while the first run went on.

Cause: the lease row told only the autonomy of its own owner. After a restart or a release the next owner waited for one task lease, as that owner could no longer renew any; the owner before it was forgotten. It was also forgotten when another agent saw that the owner was restarted.

Change: the lease row says for how long owners before its own may renew (`former_renewals_for_s`), in a takeover and in a release. The next owner counts from when it first saw the row. The row changes only with the owner, so the time in it does not count down; without more, a restart long after a takeover would wait again in full. The row therefore also has the number of renewals of the owner's liveness row (`alive_renewals`). A restarted agent compares it with the row that its earlier process left and deducts an interval for each renewal but the first two.

Why it is safe: the row is created before it is first seen, and the time in it is computed before it is sent, so counting from the first sight waits too long rather than too short. Renewals of one process are sent at least 5 s apart; the first one counted may have been in flight at the takeover and the second may have followed at once, so neither counts. The deduction needs the same incarnation in both rows. A row of an earlier version, or a number out of range, is waited for as for an owner with the longer one of the autonomy in the row and the agent's own. Releases compute the time from the expiry that the releasing owner itself waits for.

--- a/bulrushpulley/entities/cell.py
+++ b/bulrushpulley/entities/cell.py
@@ -31,20 +31,21 @@
 class Cell:
     """One cell.
 
-    `lease` is the lease row at version `lease_version`. While watching,
-    `alive_version` is the version of the owner's liveness row, first seen at
-    `alive_seen_at`. Task leases granted by the previous owner have expired by
-    `leases_expired_at`. Rows are known up to revision `rows_since`. `place_due` is set
-    when something relevant to placement has changed, `capacity_check_due` when the
-    tasks on a worker may exceed its capacity. The waiting tasks are next checked for
-    return to the backlog at `sweep_at`. `release_by` is when a leaving agent stops
-    waiting for the release, or zero before it leaves.
+    `lease` is the lease row at version `lease_version`, which was first seen at
+    `lease_seen_at`. While watching, `alive_version` is the version of the owner's
+    liveness row, first seen at `alive_seen_at`. Task leases granted by all previous
+    owners have expired by `leases_expired_at`. Rows are known up to revision
+    `rows_since`. `place_due` is set when something relevant to placement has changed,
+    `capacity_check_due` when the tasks on a worker may exceed its capacity. The waiting
+    tasks are next checked for return to the backlog at `sweep_at`. `release_by` is when
+    a leaving agent stops waiting for the release, or zero before it leaves.
     """
 
     name: str
     phase: CellPhase
     lease: LeaseRow | None = None
     lease_version: int = 0
+    lease_seen_at: float = 0.0
     alive_version: int | None = None
     alive_seen_at: float = 0.0
     next_watch_at: float = 0.0
--- a/bulrushpulley/entities/cell_owner_tables.py
+++ b/bulrushpulley/entities/cell_owner_tables.py
@@ -8,7 +8,7 @@
 from bulrushpulley.entities import in_flight, interference, task, worker
 from bulrushpulley.entities.commit import VersionedRow
 from bulrushpulley.entities.records import PolicyRecord
-from bulrushpulley.entities.rows import RecordRow
+from bulrushpulley.entities.rows import AliveRow, RecordRow
 from bulrushpulley.entities.step import Command
 from bulrushpulley.entities.table import Table
 
@@ -30,12 +30,14 @@
 class Liveness:
     """The agent's own liveness row.
 
-    `version` is None until the row has been read. `confirmed_sent_at` is the time
-    at which the last renewal known to have committed was first sent. `pending` is
-    the submission id of the renewal in flight.
+    `version` is None until the row has been read, and `found` is the row of an earlier
+    process that was read then. `confirmed_sent_at` is the time at which the last
+    renewal known to have committed was first sent. `pending` is the submission id of
+    the renewal in flight.
     """
 
     version: int | None = None
+    found: AliveRow | None = None
     renewals: int = 0
     pending: str = ""
     renew_at: float = 0.0
--- a/bulrushpulley/entities/rows.py
+++ b/bulrushpulley/entities/rows.py
@@ -117,13 +117,17 @@
 
     `epoch` grows with each owner. `autonomy_s` is how long the owner may go on
     renewing task leases after the last commit of its `AliveRow` was sent. An
-    empty `owner` means that the last one released the cell.
+    empty `owner` means that the last one released the cell. Owners before this one
+    may renew task leases for `former_renewals_for_s` after the row was created, when
+    the owner's `AliveRow` had `alive_renewals`; earlier versions write neither.
     """
 
     owner: str
     incarnation: str
     epoch: int
     autonomy_s: float
+    former_renewals_for_s: float | None = None
+    alive_renewals: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/cell/load.py
+++ b/bulrushpulley/systems/cell/load.py
@@ -71,9 +71,10 @@
         return Step(tables=tables)
     found = _row_with_key(event, alive_key(tables.agent))
     row = found.row if found else None
-    renewals = row.renewals if isinstance(row, AliveRow) else 0
+    last = row if isinstance(row, AliveRow) else None
+    renewals = last.renewals if last else 0
     version = found.version if found and row else 0
-    liveness = replace(liveness, version=version, renewals=renewals)
+    liveness = replace(liveness, version=version, renewals=renewals, found=last)
     return Step(tables=replace(tables, liveness=liveness))
 
 
--- a/bulrushpulley/systems/cell/release.py
+++ b/bulrushpulley/systems/cell/release.py
@@ -14,7 +14,12 @@
 )
 from bulrushpulley.entities.in_flight import InFlightSubmission, ReleaseCell
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.entities.owner_times import RELEASE_TIMEOUT_S, WORKER_CALL_TIMEOUT_S
+from bulrushpulley.entities.owner_times import (
+    CLOCK_DRIFT_MARGIN_S,
+    RELEASE_TIMEOUT_S,
+    TASK_LEASE_S,
+    WORKER_CALL_TIMEOUT_S,
+)
 from bulrushpulley.entities.rows import LeaseRow
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.task import Phase, phase_index
@@ -65,8 +70,13 @@
 
 def _submit_release(tables: CellOwnerTables, cell: Cell, now: float) -> CellOwnerTables:
     key = lease_key(cell.name)
+    last_command_at = cell.leases_expired_at - TASK_LEASE_S - CLOCK_DRIFT_MARGIN_S
     lease = LeaseRow(
-        owner="", incarnation="", epoch=cell.epoch, autonomy_s=tables.autonomy_s
+        owner="",
+        incarnation="",
+        epoch=cell.epoch,
+        autonomy_s=tables.autonomy_s,
+        former_renewals_for_s=max(0.0, last_command_at - now),
     )
     tables, _ = cell_send.submit(
         tables,
--- a/bulrushpulley/systems/cell/watch.py
+++ b/bulrushpulley/systems/cell/watch.py
@@ -24,11 +24,13 @@
     ReadOwnerAlive,
     TakeCell,
 )
+from bulrushpulley.entities.numbers import are_amounts
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.owner_times import (
     CELL_TAKEOVER_TIMEOUT_S,
     CLOCK_DRIFT_MARGIN_S,
     LEASE_WATCH_INTERVAL_S,
+    LIVENESS_RENEW_INTERVAL_S,
     TASK_LEASE_S,
 )
 from bulrushpulley.entities.rows import AliveRow, LeaseRow
@@ -68,13 +70,18 @@
     lease = row if isinstance(row, LeaseRow) else None
     version = found.version if found and lease else 0
     if version != cell.lease_version:
-        cell = replace(cell, alive_version=None)
+        cell = replace(cell, alive_version=None, lease_seen_at=now)
     cell = replace(cell, lease=lease, lease_version=version)
     tables = cell_rows.put_cell(tables, cell)
-    if lease is None or not lease.owner:
+    if lease is None:
         return _take_cell(cell, (), now, "the cell has no owner", tables, now)
+    former_end_at = _former_renewals_end_at(cell, lease, tables)
+    if not lease.owner:
+        reason = "the cell has no owner"
+        return _take_cell(cell, (), former_end_at, reason, tables, now)
     if lease.owner == tables.agent:
-        return _take_cell(cell, (), now, "this agent was restarted", tables, now)
+        reason = "this agent was restarted"
+        return _take_cell(cell, (), former_end_at, reason, tables, now)
     purpose = ReadOwnerAlive(cell=cell.name)
     key = alive_key(lease.owner)
     return Step(tables=cell_send.read(tables, purpose=purpose, prefix=key, now=now))
@@ -93,8 +100,10 @@
     version = found.version if found else 0
     alive = Condition(key=alive_key(lease.owner), version=version)
     row = found.row if found else None
+    former_end_at = _former_renewals_end_at(cell, lease, tables)
     if isinstance(row, AliveRow) and row.incarnation != lease.incarnation:
-        return _take_cell(cell, (alive,), now, "the owner was restarted", tables, now)
+        reason = "the owner was restarted"
+        return _take_cell(cell, (alive,), former_end_at, reason, tables, now)
     if cell.alive_version is None:
         cell = replace(cell, alive_version=version, alive_seen_at=now)
         return Step(tables=cell_rows.put_cell(tables, cell))
@@ -102,11 +111,41 @@
         return Step(tables=replace(tables, cells=tables.cells.drop(cell.name)))
     if not owner_timed_out(cell, now):
         return Step(tables=tables)
-    last_command_at = cell.alive_seen_at + lease.autonomy_s
+    last_command_at = max(cell.alive_seen_at + lease.autonomy_s, former_end_at)
     reason = "the owner did not renew its liveness row"
     return _take_cell(cell, (alive,), last_command_at, reason, tables, now)
 
 
+def _former_renewals_end_at(
+    cell: Cell, lease: LeaseRow, tables: CellOwnerTables
+) -> float:
+    """Return until when owners before that of the lease row may renew task leases.
+
+    The row says so, counted from its creation, which was before it was first seen.
+    """
+    renewals_for_s = lease.former_renewals_for_s
+    if renewals_for_s is None or not are_amounts(renewals_for_s):
+        # The row does not tell the autonomy of those owners, which is a setting.
+        renewals_for_s = max(lease.autonomy_s, tables.autonomy_s)
+    return cell.lease_seen_at + renewals_for_s - _owned_for_s(lease, tables)
+
+
+def _owned_for_s(lease: LeaseRow, tables: CellOwnerTables) -> float:
+    """Return how long an earlier process of this agent has owned a cell at least.
+
+    The first renewal counted may have been in flight when the lease row was created,
+    and the second may have followed at once.
+    """
+    last = tables.liveness.found
+    if last is None or last.incarnation != lease.incarnation:
+        return 0.0
+    first_renewals = lease.alive_renewals
+    if first_renewals is None or not are_amounts(first_renewals, last.renewals):
+        return 0.0
+    intervals = max(0, last.renewals - first_renewals - 2)
+    return intervals * LIVENESS_RENEW_INTERVAL_S
+
+
 def owner_timed_out(cell: Cell, now: float) -> bool:
     """Tell whether the liveness row has been unchanged for the takeover timeout."""
     return now - cell.alive_seen_at >= CELL_TAKEOVER_TIMEOUT_S
@@ -127,13 +166,15 @@
 ) -> CellStep:
     """Submit the takeover of a cell.
 
-    The previous owner renews no task lease after `last_command_at`.
+    No previous owner renews a task lease after `last_command_at`.
     """
     lease = LeaseRow(
         owner=tables.agent,
         incarnation=tables.incarnation,
         epoch=cell.epoch + 1,
         autonomy_s=tables.autonomy_s,
+        former_renewals_for_s=max(0.0, last_command_at - now),
+        alive_renewals=tables.liveness.renewals,
     )
     key = lease_key(cell.name)
     leases_expired_at = last_command_at + TASK_LEASE_S + CLOCK_DRIFT_MARGIN_S
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -22,7 +22,7 @@
 from bulrushpulley.entities.jobs.executor_calls import PollRuns
 from bulrushpulley.entities.jobs.spec import MAX_TASKS, JobSpec, StepSpec
 from bulrushpulley.entities.resources import Resources
-from bulrushpulley.entities.rows import RevisionRow
+from bulrushpulley.entities.rows import LeaseRow, RevisionRow
 from bulrushpulley.errors import BulrushpulleyError, Problem
 from bulrushpulley.operator_client import decode_answer
 from bulrushpulley.platform.executor import decode_announcement, decode_runs
@@ -123,6 +123,14 @@
         target_by_image=(("a", 9.0),),
     ),
 )
+LEASE_ROW = LeaseRow(
+    owner="a",
+    incarnation="a-1",
+    epoch=3,
+    autonomy_s=9.0,
+    former_renewals_for_s=2.5,
+    alive_renewals=4,
+)
 ITEM = items.Contact(epoch=3, sent_at=4.5)
 
 
@@ -155,6 +163,7 @@
         table_rows.decode_row,
         table_rows.encode_row(RevisionRow(revision=7), "t"),
     ),
+    "lease row": (table_rows.decode_row, table_rows.encode_row(LEASE_ROW, "t")),
     "record": (
         lambda data: records.decode_object(data, peer="caller"),
         b'{"kind":"service","schema_version":1}',
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -62,6 +62,9 @@
     BacklogRow(spec=SPEC, count=9),
     TaskRow(spec=SPEC, state=TaskState.STARTING, generation=2, worker_id="w1"),
     LeaseRow(owner="a", incarnation="a/1", epoch=3, autonomy_s=3600.0),
+    LeaseRow(
+        owner="", incarnation="", epoch=3, autonomy_s=9.0, former_renewals_for_s=2.5
+    ),
     AliveRow(agent="a", incarnation="a/1", renewals=12),
     MemberRow(
         name="e", incarnation="e/1", host="10.0.0.1", port=1, region="r", renewals=1
