--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -120,8 +120,7 @@
 
     A step that has a ticket for an open host needs others only where it has room.
     """
-    queue = tables.operator_settings.queue(job.row.queue)
-    service = queue.service if queue is not None else job.row.service
+    service = edits.service_of(tables, job)
     suitable = [
         host
         for host in hosts
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -1,4 +1,4 @@
-"""Changes to the scheduler's tables that several systems make.
+"""Changes to and reads of the scheduler's tables that several systems make.
 
 Every change of a task goes through `put_task`, which also updates the committed
 capacity of its host, so that no system can forget to reserve or release it.
@@ -33,6 +33,15 @@
     return tables.jobs.by_key[task.job_id].step(task.step)
 
 
+def service_of(tables: SchedulerTables, job: Job) -> str:
+    """Return the service of the job's queue.
+
+    If the queue no longer exists, it is the service at the time of acceptance.
+    """
+    queue = tables.operator_settings.queue(job.row.queue)
+    return queue.service if queue is not None else job.row.service
+
+
 def put_task(tables: SchedulerTables, task: Task) -> SchedulerTables:
     """Store a task and update the committed capacity of the hosts concerned."""
     before = tables.tasks.get(task.task_id)
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -21,7 +21,7 @@
 )
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits, excluding, placing
+from bulrushpulley.systems.scheduling import edits, excluding
 
 MAX_EXPLAINED_TASKS = 200
 
@@ -100,7 +100,7 @@
         return ""
     hosts = excluding.open_hosts(tables, now)
     counts = excluding.count_hosts(tables, hosts, job, task, now)
-    service = placing.service_of(tables, job)
+    service = edits.service_of(tables, job)
     return (
         f"{counts.count_passing(Exclusion.OTHER_SERVICE)} hosts of {service} are open,"
         f" {counts.count_passing(Exclusion.NO_LABEL)} have its label,"
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -282,22 +282,13 @@
     return choosing.PlacementRequest(
         step=step,
         kind=kind_of(step),
-        service=service_of(tables, job),
+        service=edits.service_of(tables, job),
         tickets=advising.tickets(tables, job, key, now),
         harm_fraction=partial(interference.harm_fraction, tables),
         waited_s=now - task.since,
     )
 
 
-def service_of(tables: SchedulerTables, job: Job) -> str:
-    """Return the service of the job's queue.
-
-    If the queue no longer exists, it is the service at the time of acceptance.
-    """
-    queue = tables.operator_settings.queue(job.row.queue)
-    return queue.service if queue is not None else job.row.service
-
-
 def _assign(
     state: PlacementPass,
     job: Job,
