Keep the list of machines apart from waves of upkeep

The list was read only while a wave is open, by the system of the waves. It has tables and a system of its own now, so that other systems can ask for it. A list that fails again and again is logged once until one succeeds.

--- /dev/null
+++ b/bulrushpulley/entities/jobs/machines.py
@@ -0,0 +1,68 @@
+"""Machines, and the list of them that the platform keeps."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.entities.table import Table
+
+
+class MachineState(enum.Enum):
+    """The state of a machine as listed by the platform; UNKNOWN if it is malformed."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+    UNKNOWN = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Machine:
+    """A machine as listed by the platform; `server_id` names its backend server."""
+
+    machine_id: str
+    pool: str
+    state: MachineState
+    server_id: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MachineTables:
+    """The last list of machines in the tables of the shard's owner.
+
+    `listed_at` is the time at which the list in `machines` was requested. `listing` is
+    set while a request, last sent at `requested_at`, is in flight, and `failing` once
+    the last one has failed.
+    """
+
+    machines: Table[Machine] = field(default_factory=Table.empty)
+    listed_at: float = -60.0
+    listing: bool = False
+    requested_at: float = -60.0
+    failing: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListMachines(Command):
+    """Asks the platform for all machines."""
+
+    role: str
+    timeout_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MachinesListed(Event):
+    """The list of machines; not `complete` if malformed entries were left out."""
+
+    machines: tuple[Machine, ...]
+    complete: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListMachinesFailed(Event):
+    """The platform returned no list of machines."""
+
+    reason: str
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -24,6 +24,7 @@
 )
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.machines import MachineTables
 from bulrushpulley.entities.jobs.rows import (
     BacklogRow,
     OwnerRow,
@@ -212,6 +213,7 @@
     harms: Table[Harm] = field(default_factory=Table.empty)
     target_by_image: Map[str, float] = field(default_factory=Map)
     harmful: frozenset[tuple[str, str]] = frozenset()
+    machines: MachineTables = field(default_factory=MachineTables)
     upkeep: UpkeepTables = field(default_factory=UpkeepTables)
     verdicts_sent_at: float = 0.0
     harms_saved_at: float = 0.0
--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -1,4 +1,4 @@
-"""Machines, the platform's calls about them, and the progress of their upkeep.
+"""The upkeep of machines: its progress, and the platform's calls that order it.
 
 A machine undergoes upkeep once per wave: the platform takes it down, which ends all
 runs on it, and brings it back with a new incarnation of its backend server.
@@ -16,26 +16,6 @@
 from bulrushpulley.entities.table import Table
 
 
-class MachineState(enum.Enum):
-    """The state of a machine as listed by the platform; UNKNOWN if it is malformed."""
-
-    UP = "up"
-    MOVING = "moving"
-    UPKEEP = "upkeep"
-    DOWN = "down"
-    UNKNOWN = ""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Machine:
-    """A machine as listed by the platform; `server_id` names its backend server."""
-
-    machine_id: str
-    pool: str
-    state: MachineState
-    server_id: str = ""
-
-
 class UpkeepPhase(enum.Enum):
     """The progress of a machine in a wave.
 
@@ -105,32 +85,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepTables:
-    """The waves and machines in the tables of the shard's owner.
+    """The waves in the tables of the shard's owner.
 
-    `written_by_wave` is None until the rows of former owners have been read.
-    `machines_as_of` is the time at which the list in `machines` was requested.
-    `reading` and `listing` are set while a read of those rows, or a request for the
-    list, is in flight.
+    `written_by_wave` is None until the rows of former owners have been read. `reading`
+    is set while a read of those rows is in flight.
     """
 
     waves: Table[Wave] = field(default_factory=Table.empty)
     upkeeps: Table[Upkeep] = field(
         default_factory=lambda: Table.empty(indexes={"wave": by_wave})
     )
-    machines: Table[Machine] = field(default_factory=Table.empty)
     written_by_wave: Mapping[int, WaveRow] | None = None
     reading: bool = False
-    listing: bool = False
-    list_requested_at: float = -60.0
-    machines_as_of: float = -60.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ListMachines(Command):
-    """Asks the platform for all machines."""
-
-    role: str
-    timeout_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -148,21 +114,6 @@
     timeout_s: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MachinesListed(Event):
-    """The list of machines; not `complete` if malformed entries were left out."""
-
-    machines: tuple[Machine, ...]
-    complete: bool = True
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ListMachinesFailed(Event):
-    """The platform returned no list of machines."""
-
-    reason: str
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepEvent(Event):
     """Base class for the answers about one machine of a wave."""
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -9,12 +9,14 @@
 
 import msgspec
 
-from bulrushpulley.entities.jobs.upkeep import (
+from bulrushpulley.entities.jobs.machines import (
     ListMachines,
     ListMachinesFailed,
     Machine,
     MachinesListed,
     MachineState,
+)
+from bulrushpulley.entities.jobs.upkeep import (
     OrderUpkeep,
     UpkeepEvent,
     UpkeepOrderAccepted,
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -9,14 +9,16 @@
 
 from bulrushpulley.entities.jobs.advice import AdviceFailed, RequestAdvice
 from bulrushpulley.entities.jobs.explanation import Explanation
+from bulrushpulley.entities.jobs.machines import (
+    ListMachines,
+    ListMachinesFailed,
+)
 from bulrushpulley.entities.jobs.scheduler_tables import (
     DialAgent,
     ReadWallClock,
     WallClock,
 )
 from bulrushpulley.entities.jobs.upkeep import (
-    ListMachines,
-    ListMachinesFailed,
     OrderUpkeep,
     UpkeepOrderFailed,
 )
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -19,7 +19,7 @@
 
 def host_of(tables: SchedulerTables, machine_id: str) -> Host | None:
     """Return the host of a machine, if its backend server is known."""
-    machine = tables.upkeep.machines.get(machine_id)
+    machine = tables.machines.machines.get(machine_id)
     if machine is None or not machine.server_id:
         return None
     for host in tables.hosts.rows():
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -13,6 +13,10 @@
     Measures,
     RunsReport,
 )
+from bulrushpulley.entities.jobs.machines import (
+    ListMachinesFailed,
+    MachinesListed,
+)
 from bulrushpulley.entities.jobs.scheduler_tables import (
     ClaimShard,
     CommitProgress,
@@ -40,8 +44,6 @@
     TransactRefused,
 )
 from bulrushpulley.entities.jobs.upkeep import (
-    ListMachinesFailed,
-    MachinesListed,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
 )
@@ -57,6 +59,7 @@
     dialling,
     explaining,
     loading,
+    machine_list,
     ownership,
     upkeep,
     watching,
@@ -98,8 +101,8 @@
 apply.register(AdviceReceived, advising.handle_advice_received)
 apply.register(AdviceFailed, advising.handle_advice_failed)
 apply.register(ExplainJob, explaining.handle_explain_job)
-apply.register(MachinesListed, waves.handle_machines_listed)
-apply.register(ListMachinesFailed, waves.handle_list_failed)
+apply.register(MachinesListed, machine_list.handle_machines_listed)
+apply.register(ListMachinesFailed, machine_list.handle_list_failed)
 apply.register(UpkeepOrderAccepted, upkeep.handle_order_accepted)
 apply.register(UpkeepOrderFailed, upkeep.handle_order_failed)
 
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/machine_list.py
@@ -0,0 +1,75 @@
+"""Reads the platform's list of machines while something depends on it."""
+
+from __future__ import annotations
+
+from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.machines import (
+    ListMachines,
+    ListMachinesFailed,
+    Machine,
+    MachinesListed,
+    MachineTables,
+)
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.step import Step
+from bulrushpulley.entities.table import Table
+from bulrushpulley.systems.scheduling import edits, waves
+
+# The service of machines accepts only a few list requests per second from all processes
+# together, and an upkeep takes seconds, so the list need not be read more often.
+MACHINE_LIST_INTERVAL_S = 1.0
+MACHINE_LIST_TIMEOUT_S = 1.5
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Request the list while a wave is open."""
+    machines = tables.machines
+    if not edits.is_loaded(tables) or machines.listing:
+        return Step(tables=tables)
+    if now - machines.requested_at < MACHINE_LIST_INTERVAL_S:
+        return Step(tables=tables)
+    if not waves.is_any_open(tables):
+        return Step(tables=tables)
+    requested = replace(machines, listing=True, requested_at=now)
+    call = ListMachines(role=SCHEDULER, timeout_s=MACHINE_LIST_TIMEOUT_S)
+    return Step(tables=replace(tables, machines=requested), commands=(call,))
+
+
+def handle_machines_listed(
+    event: MachinesListed, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Replace the list of machines; an empty list is treated as a failed read.
+
+    Machines that are missing from an incomplete list are kept.
+    """
+    # A machine that is not listed counts as removed, so an empty list would finish all.
+    if not event.machines:
+        return handle_list_failed(
+            ListMachinesFailed(reason="empty list of machines"), tables, now
+        )
+    known = tables.machines
+    machines: Table[Machine] = Table.empty() if event.complete else known.machines
+    for machine in event.machines:
+        machines = machines.put(machine.machine_id, machine)
+    listed = MachineTables(
+        machines=machines,
+        listed_at=known.requested_at,
+        requested_at=known.requested_at,
+    )
+    return Step(tables=replace(tables, machines=listed))
+
+
+def handle_list_failed(
+    event: ListMachinesFailed, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    """Log the first failure; the list is requested again after the usual interval."""
+    known = tables.machines
+    tables = replace(tables, machines=replace(known, listing=False, failing=True))
+    if known.failing:
+        return Step(tables=tables)
+    line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
+    return Step(tables=tables, commands=(line,))
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.machines import MachineState
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
     Owning,
@@ -17,7 +18,6 @@
 from bulrushpulley.entities.jobs.upkeep import (
     DOWN_INDEX,
     DOWN_PHASES,
-    MachineState,
     OrderUpkeep,
     Upkeep,
     UpkeepOrderAccepted,
@@ -37,7 +37,7 @@
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Advance every wave."""
-    if not edits.is_loaded(tables) or tables.upkeep.machines_as_of < 0.0:
+    if not edits.is_loaded(tables) or tables.machines.listed_at < 0.0:
         return Step(tables=tables)
     commands: list[Command] = []
     for wave in tables.upkeep.waves.rows():
@@ -61,12 +61,12 @@
     tables: SchedulerTables, wave: Wave, now: float
 ) -> SchedulerTables:
     """Finish the upkeep of machines that are up again or no longer exist."""
-    machines = tables.upkeep.machines
-    machines_as_of = tables.upkeep.machines_as_of
+    machines = tables.machines.machines
+    listed_at = tables.machines.listed_at
     for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
         machine = machines.get(upkeep.machine_id)
         # A list requested before the phase began may not show its effect.
-        if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= machines_as_of:
+        if upkeep.phase is UpkeepPhase.FINISHED or upkeep.since >= listed_at:
             continue
         is_up = machine is not None and machine.state is MachineState.UP
         if machine is None or (is_up and upkeep.phase is UpkeepPhase.TAKEN):
@@ -93,7 +93,7 @@
 
 
 def _is_up(tables: SchedulerTables, upkeep: Upkeep) -> bool:
-    machine = tables.upkeep.machines.get(upkeep.machine_id)
+    machine = tables.machines.machines.get(upkeep.machine_id)
     return machine is not None and machine.state is MachineState.UP
 
 
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -30,10 +30,6 @@
     Transact,
 )
 from bulrushpulley.entities.jobs.upkeep import (
-    ListMachines,
-    ListMachinesFailed,
-    Machine,
-    MachinesListed,
     Upkeep,
     UpkeepPhase,
     UpkeepTables,
@@ -41,18 +37,14 @@
     wave_index,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.entities.table import Table
 from bulrushpulley.systems.scheduling import edits
 
-# The service of machines accepts only a few list requests per second from all processes
-# together, and an upkeep takes seconds, so the list need not be read more often.
-MACHINE_LIST_INTERVAL_S = 1.0
 WAVE_CALL_TIMEOUT_S = 1.5
 WAVE_STATUS_RETRY_DELAY_S = 0.5
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Follow the orders, list machines while a wave is open, and report its state."""
+    """Follow the orders of waves, and report the states of waves."""
     has_waves = tables.operator_settings.waves or len(tables.upkeep.waves)
     if not edits.is_loaded(tables) or not has_waves:
         return Step(tables=tables)
@@ -60,11 +52,6 @@
         return _load_waves(tables)
     tables = _apply_wave_orders(tables, now)
     commands: list[Command] = []
-    if _is_list_due(tables, now):
-        tables = _put(
-            tables, replace(tables.upkeep, listing=True, list_requested_at=now)
-        )
-        commands.append(ListMachines(role=SCHEDULER, timeout_s=WAVE_CALL_TIMEOUT_S))
     for wave in tables.upkeep.waves.rows():
         step = _report_state(tables, wave, now)
         tables = step.tables
@@ -173,45 +160,10 @@
     return all(upkeep.phase is UpkeepPhase.FINISHED for upkeep in upkeeps)
 
 
-def _is_list_due(tables: SchedulerTables, now: float) -> bool:
-    upkeep = tables.upkeep
-    if upkeep.listing or now - upkeep.list_requested_at < MACHINE_LIST_INTERVAL_S:
-        return False
-    return any(not is_finished(tables, wave) for wave in upkeep.waves.rows())
-
-
-def handle_machines_listed(
-    event: MachinesListed, tables: SchedulerTables, now: float
-) -> SchedulerStep:
-    """Replace the list of machines; an empty list is treated as a failed read.
-
-    Machines that are missing from an incomplete list are kept.
-    """
-    # A machine that is not listed counts as removed, so an empty list would finish all.
-    if not event.machines:
-        return handle_list_failed(
-            ListMachinesFailed(reason="empty list of machines"), tables, now
-        )
-    upkeep = tables.upkeep
-    machines: Table[Machine] = Table.empty() if event.complete else upkeep.machines
-    for machine in event.machines:
-        machines = machines.put(machine.machine_id, machine)
-    listed = replace(
-        upkeep,
-        machines=machines,
-        listing=False,
-        machines_as_of=upkeep.list_requested_at,
-    )
-    return Step(tables=_put(tables, listed))
-
-
-def handle_list_failed(
-    event: ListMachinesFailed, tables: SchedulerTables, now: float
-) -> SchedulerStep:
-    """Log the failure; the list is requested again after the usual interval."""
-    line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
-    updated = replace(tables.upkeep, listing=False)
-    return Step(tables=_put(tables, updated), commands=(line,))
+def is_any_open(tables: SchedulerTables) -> bool:
+    """Return whether a wave has machines that have not finished."""
+    waves = tables.upkeep.waves.rows()
+    return any(not is_finished(tables, wave) for wave in waves)
 
 
 def row_of(tables: SchedulerTables, wave: Wave) -> WaveRow:
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -9,10 +9,12 @@
 
 from dataclasses import dataclass, field
 
-from bulrushpulley.entities.jobs.upkeep import (
+from bulrushpulley.entities.jobs.machines import (
     Machine,
     MachinesListed,
     MachineState,
+)
+from bulrushpulley.entities.jobs.upkeep import (
     OrderUpkeep,
     UpkeepEvent,
     UpkeepOrderAccepted,
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -42,6 +42,9 @@
 from bulrushpulley.entities.jobs.explanation import Explanation
 from bulrushpulley.entities.jobs.intake_tables import PublishReady
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
+from bulrushpulley.entities.jobs.machines import (
+    ListMachines,
+)
 from bulrushpulley.entities.jobs.rows import (
     JobState,
     ProgressRow,
@@ -59,7 +62,6 @@
 )
 from bulrushpulley.entities.jobs.spec import JobSpec, StepSpec
 from bulrushpulley.entities.jobs.upkeep import (
-    ListMachines,
     OrderUpkeep,
     UpkeepOrderFailed,
 )
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -8,13 +8,15 @@
 import testtools
 
 from bulrushpulley.entities.jobs.configuration import WaveOrder
-from bulrushpulley.entities.jobs.rows import WaveRow, WaveState, WaveStatusRow
-from bulrushpulley.entities.jobs.upkeep import (
+from bulrushpulley.entities.jobs.machines import (
     ListMachines,
     ListMachinesFailed,
     Machine,
     MachinesListed,
     MachineState,
+)
+from bulrushpulley.entities.jobs.rows import WaveRow, WaveState, WaveStatusRow
+from bulrushpulley.entities.jobs.upkeep import (
     OrderUpkeep,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
