Log hosts without a link on which tasks are held

While a host was lost, nothing was logged between the end of its link and the lapse of its leases: its tasks count as running, and host.unsettled covered linked hosts only. It names every host with tasks that makes no contact now, and after how long its tasks are given up, so that a long wait differs from one without an end.

Result: a test of a lost host with running tasks failed before.

--- a/bulrushpulley/systems/scheduling/unserved.py
+++ b/bulrushpulley/systems/scheduling/unserved.py
@@ -30,7 +30,12 @@
     is_report_due,
     left_out,
 )
-from bulrushpulley.systems.scheduling import advising, edits, excluding
+from bulrushpulley.systems.scheduling import (
+    advising,
+    edits,
+    excluding,
+    lease_expiry,
+)
 
 # The tasks of a step usually begin to wait together, so a few tell how long it waits.
 MAX_EXAMINED_PER_STEP = 32
@@ -189,6 +194,14 @@
         yield edits.log(tables, "task.unsettled", subject, task.host, reason)
 
 
+def _given_up_in_s(tables: SchedulerTables, host: Host, now: float) -> float:
+    """Return after how long the runs on a host that stays silent count as lost."""
+    owning = tables.leadership
+    if not isinstance(owning, Owning):
+        return 0.0
+    return max(0.0, lease_expiry.leases_expired_at(tables, owning, host) - now)
+
+
 def _describe_host(host: Host, now: float) -> str:
     contact = "none"
     if host.last_contact_at > 0.0:
@@ -257,12 +270,15 @@
 def _report_hosts(
     tables: SchedulerTables, last_report_at: float, now: float
 ) -> Iterable[Command]:
-    """Report the linked hosts that are not synced or make no contact."""
+    """Report the linked hosts that are not synced, and hosts that make no contact.
+
+    Without a link and without runs, a host is not expected to make contact.
+    """
     owning = tables.leadership
     owned_since = owning.since if isinstance(owning, Owning) else now
     due: list[tuple[float, Host]] = []
     for name, host in tables.hosts.by_key.items():
-        if not host.peer:
+        if not host.peer and not tables.tasks.count_where("host", name):
             continue
         silent_since = max(host.last_contact_at, host.linked_at, owned_since)
         since = min(silent_since, tables.unsynced_since_by_host.get(name, now))
@@ -276,7 +292,8 @@
         reason = (
             f"for {now - since:.1f} s; {_describe_host(host, now)};"
             f" adopted {host.announced_epoch == tables.epoch},"
-            f" linked {now - host.linked_at:.1f} s ago, {held} tasks held;"
+            f" linked {now - host.linked_at:.1f} s ago, {held} tasks held,"
+            f" given up in {_given_up_in_s(tables, host, now):.1f} s without contact;"
             f" {unlinked} hosts have no link"
         )
         reason += left_out(due) if host is logged[-1][1] else ""
--- a/test/test_jobs_unserved.py
+++ b/test/test_jobs_unserved.py
@@ -349,6 +349,19 @@
         self.assertIn(f"; {left_out} more are not logged", found[-1].reason)
 
 
+class LostHostTest(SiteTest):
+    def test_a_host_that_is_lost_with_running_tasks_is_logged(self) -> None:
+        # Nothing was logged between the end of its link and the lapse of its leases.
+        self.world.submit(1, step(9), payload=LONG)
+        self.world.run(2.0)
+        self.world.executor_by_host["z0-0"].crash()
+        self.world.kill("z0-0")
+        (line,) = self.run_for(LATEST_S, "host.unsettled")
+        self.assertEqual("z0-0", line.subject)
+        self.assertIn("linked False", line.reason)
+        self.assertIn("3 tasks held, given up in 9.", line.reason)
+
+
 class UnsyncedHostTest(SiteTest):
     def test_a_linked_host_that_stays_unsynced_is_logged(self) -> None:
         tables, now = tables_of_owner(self.world), self.world.now
