Use a list of machines only as the answer to its own request

Read, not seen by callers: an answer that a former tenure of the same process had asked for could come while a new owner waits for its own. A server that started in between is missing from it, and its runs would count as lost and run twice. Answers repeat the time of their request now and are ignored unless it is the last one.

The need of a list is checked each 0.4 s, and a list is compared with the servers of hosts and of silent hosts' tasks, not with those of all tasks.

--- a/bulrushpulley/entities/jobs/machines.py
+++ b/bulrushpulley/entities/jobs/machines.py
@@ -52,14 +52,22 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListMachines(Command):
-    """Asks the platform for all machines."""
+    """Asks the platform for all machines; the answer repeats `requested_at`."""
 
     role: str
+    requested_at: float
     timeout_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class MachinesListed(Event):
+class MachineListAnswer(Event):
+    """Base class for the answers to the request that was sent at `requested_at`."""
+
+    requested_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MachinesListed(MachineListAnswer):
     """The list of machines; not `complete` if malformed entries were left out."""
 
     machines: tuple[Machine, ...]
@@ -67,7 +75,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ListMachinesFailed(Event):
+class ListMachinesFailed(MachineListAnswer):
     """The platform returned no list of machines."""
 
     reason: str
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -66,9 +66,13 @@
                 if not token:
                     break
         except BulrushpulleyError as error:
-            return ListMachinesFailed(reason=str(error))
+            return ListMachinesFailed(
+                requested_at=command.requested_at, reason=str(error)
+            )
         return MachinesListed(
-            machines=tuple(machines), complete=len(machines) == listed
+            requested_at=command.requested_at,
+            machines=tuple(machines),
+            complete=len(machines) == listed,
         )
 
     def _machine(self, entry: Any) -> Machine:
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -71,7 +71,10 @@
 @carry_out.register
 def _(command: ListMachines, ports: SchedulerPorts) -> None:
     if ports.machines is None:
-        ports.tell(command.role, ListMachinesFailed(reason=NO_MACHINES_SERVICE))
+        failed = ListMachinesFailed(
+            requested_at=command.requested_at, reason=NO_MACHINES_SERVICE
+        )
+        ports.tell(command.role, failed)
         return
     ports.run(role=command.role, work=partial(ports.machines.list_all, command))
 
--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -60,9 +60,9 @@
         for machine in tables.machines.machines.rows()
         if machine.server_id
     )
-    if listed.isdisjoint(_known_server_ids(tables)):
-        return Step(tables=tables)
     still_silent = tables.machines.silent_hosts & silent_hosts(tables, now)
+    if not _names_known_servers(tables, listed, still_silent):
+        return Step(tables=tables)
     commands: list[Command] = []
     up_hosts: set[str] = set()
     for name in sorted(still_silent):
@@ -83,12 +83,14 @@
     return Step(tables=replace(tables, machines=machines), commands=tuple(commands))
 
 
-def _known_server_ids(tables: SchedulerTables) -> Set[str]:
-    """Return the ids of the backend servers that agents or progress rows name."""
+def _names_known_servers(
+    tables: SchedulerTables, listed: Set[str], silent: Set[str]
+) -> bool:
+    """Return whether a list names a backend server that agents or tasks name too."""
     incarnations = {host.life for host in tables.hosts.rows()}
-    for name in tables.tasks.by_index["host"]:
+    for name in silent:
         incarnations |= _incarnations_with_tasks(tables, name)
-    return {server_of_incarnation(each) for each in incarnations if each}
+    return any(server_of_incarnation(each) in listed for each in incarnations)
 
 
 def _incarnations_with_tasks(tables: SchedulerTables, name: str) -> frozenset[str]:
--- a/bulrushpulley/systems/scheduling/machine_list.py
+++ b/bulrushpulley/systems/scheduling/machine_list.py
@@ -7,6 +7,7 @@
     ListMachines,
     ListMachinesFailed,
     Machine,
+    MachineListAnswer,
     MachinesListed,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import (
@@ -22,7 +23,7 @@
 # together, and an upkeep takes seconds, so the list need not be read more often.
 MACHINE_LIST_INTERVAL_S = 1.0
 # Short compared with the time after which a host counts as silent.
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.4
 MACHINE_LIST_TIMEOUT_S = 1.5
 
 
@@ -46,7 +47,9 @@
     if not silent_hosts and not waves.is_any_open(tables):
         return Step(tables=replace(tables, machines=machines))
     requested = replace(machines, listing=True, requested_at=now)
-    call = ListMachines(role=SCHEDULER, timeout_s=MACHINE_LIST_TIMEOUT_S)
+    call = ListMachines(
+        role=SCHEDULER, requested_at=now, timeout_s=MACHINE_LIST_TIMEOUT_S
+    )
     return Step(tables=replace(tables, machines=requested), commands=(call,))
 
 
@@ -58,12 +61,15 @@
     An empty list is treated as a failed read. Machines that are missing from an
     incomplete list are kept, and no run is ended by it.
     """
+    known = tables.machines
+    if not _is_awaited(event, tables):
+        return Step(tables=tables)
     # A machine that is not listed counts as removed, so an empty list would finish all.
     if not event.machines:
-        return handle_list_failed(
-            ListMachinesFailed(reason="empty list of machines"), tables, now
+        failed = ListMachinesFailed(
+            requested_at=event.requested_at, reason="empty list of machines"
         )
-    known = tables.machines
+        return handle_list_failed(failed, tables, now)
     machines: Table[Machine] = Table.empty() if event.complete else known.machines
     for machine in event.machines:
         machines = machines.put(machine.machine_id, machine)
@@ -85,8 +91,19 @@
 ) -> SchedulerStep:
     """Log the first failure; the list is requested again after the usual interval."""
     known = tables.machines
+    if not _is_awaited(event, tables):
+        return Step(tables=tables)
     tables = replace(tables, machines=replace(known, listing=False, failing=True))
     if known.failing:
         return Step(tables=tables)
     line = edits.log(tables, "machines.unlisted", "machines", "", event.reason)
     return Step(tables=tables, commands=(line,))
+
+
+def _is_awaited(event: MachineListAnswer, tables: SchedulerTables) -> bool:
+    """Return whether an answer is to the last request, and not to an earlier tenure's.
+
+    What an older list leaves out may have started since.
+    """
+    machines = tables.machines
+    return machines.listing and event.requested_at == machines.requested_at
