Judge only what a list of machines was asked about, and by two lists

A task could run twice: a list that came 5 s late ended the runs of a server that had started after the request, on a host that fell silent again; one list that lacked a server was believed, although a machine may move past a page boundary while pages are read; of a machine that changed between two pages only the last entry counted.

The adapter names the servers on all machines that may be up, malformed entries included; only an entry that does not show its server makes a list unusable. A request without an answer is sent again after 4 s, and a list has 2 s for its pages.

--- a/bulrushpulley/entities/jobs/machines.py
+++ b/bulrushpulley/entities/jobs/machines.py
@@ -35,14 +35,17 @@
 
     `listed_at` is the time at which the list in `machines` was requested. `listing` is
     set while a request, last sent at `requested_at`, is in flight, and `failing` once
-    the last one has failed. `silent_hosts` were silent when it was sent. Of these, the
-    backend servers of `up_hosts` are on the last list. The need of a list was last
-    checked at `checked_at`.
+    the last one has failed. The need of a list was last checked at `checked_at`.
+
+    `asked_incarnations` are the incarnations of backend servers that held tasks on
+    silent hosts when the last request was sent. Of these, the last list named
+    `named_incarnations` as running and did not name `missing_incarnations`.
     """
 
     machines: Table[Machine] = field(default_factory=Table.empty)
-    silent_hosts: frozenset[str] = frozenset()
-    up_hosts: frozenset[str] = frozenset()
+    asked_incarnations: frozenset[str] = frozenset()
+    named_incarnations: frozenset[str] = frozenset()
+    missing_incarnations: frozenset[str] = frozenset()
     checked_at: float = -60.0
     listed_at: float = -60.0
     listing: bool = False
@@ -68,9 +71,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MachinesListed(MachineListAnswer):
-    """The list of machines; not `complete` if malformed entries were left out."""
+    """The list of machines; not `complete` if malformed entries were left out.
+
+    `running_server_ids` are the backend servers on all machines that may be up, those
+    of malformed entries included. It is None if an entry does not show which it has.
+    """
 
     machines: tuple[Machine, ...]
+    running_server_ids: frozenset[str] | None
     complete: bool = True
 
 
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import http
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -37,6 +38,13 @@
 
 STEP = "machines.decode"
 MAX_SHOWN_CHARACTERS = 100
+# Bounds a list whose pages do not end.
+MAX_LIST_DURATION_S = 2.0
+# The platform ends everything on a machine before it enters one of these states.
+STATES_WITHOUT_SERVER = tuple(
+    state.value
+    for state in (MachineState.MOVING, MachineState.UPKEEP, MachineState.DOWN)
+)
 
 
 class MachinesClient:
@@ -53,28 +61,34 @@
 
     def list_all(self, command: ListMachines) -> Event:
         """List all machines, page by page."""
-        machines: list[Machine] = []
-        listed = 0
-        token = ""
         try:
-            while True:
-                raw = self._read_page(token, command.timeout_s)
-                entries = items(raw, "Machines", STEP)
-                listed += len(entries)
-                machines.extend(sound_values(entries, self._machine, self._report))
-                token = text(raw, "NextToken", STEP)
-                if not token:
-                    break
+            entries = self._read_entries(command.timeout_s)
         except BulrushpulleyError as error:
             return ListMachinesFailed(
                 requested_at=command.requested_at, reason=str(error)
             )
+        machines = sound_values(entries, self._machine, self._report)
         return MachinesListed(
             requested_at=command.requested_at,
-            machines=tuple(machines),
-            complete=len(machines) == listed,
+            machines=machines,
+            running_server_ids=_running_server_ids(entries),
+            complete=len(machines) == len(entries),
         )
 
+    def _read_entries(self, timeout_s: float) -> list[Any]:
+        entries: list[Any] = []
+        token = ""
+        gives_up_at = time.monotonic() + MAX_LIST_DURATION_S
+        while True:
+            raw = self._read_page(token, timeout_s)
+            entries.extend(items(raw, "Machines", STEP))
+            token = text(raw, "NextToken", STEP)
+            if not token:
+                return entries
+            if time.monotonic() > gives_up_at:
+                detail = f"more pages follow after {MAX_LIST_DURATION_S:g} s"
+                raise field_error(STEP, "NextToken", detail)
+
     def _machine(self, entry: Any) -> Machine:
         raw = check_object(entry, STEP, "Machines")
         machine_id = text(raw, "Machine", STEP)
@@ -132,6 +146,25 @@
         return _order_failed(command, reason, unknown_machine=unknown_machine)
 
 
+def _running_server_ids(entries: Iterable[Any]) -> frozenset[str] | None:
+    """Return the backend servers on machines that are not known to be down.
+
+    It is None if an entry is too malformed to show which server it names.
+    """
+    server_ids: set[str] = set()
+    for entry in entries:
+        if not isinstance(entry, dict):
+            return None
+        if entry.get("State") in STATES_WITHOUT_SERVER:
+            continue
+        # The field is left out where no server runs.
+        server_id = entry.get("Id") or ""
+        if not isinstance(server_id, str):
+            return None
+        server_ids.add(server_id)
+    return frozenset(server_ids - {""})
+
+
 def _order_failed(
     command: OrderUpkeep, reason: str, *, unknown_machine: bool = False
 ) -> UpkeepEvent:
--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Set
+from collections.abc import Mapping, Set
+
+from immutables import Map
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import CONTACT_INTERVAL_S
@@ -28,15 +30,21 @@
 UNANSWERING_STATES = frozenset({ServerState.UNKNOWN, ServerState.SILENT})
 
 
-def silent_hosts(tables: SchedulerTables, now: float) -> frozenset[str]:
-    """Return the hosts with tasks whose agent or backend server is silent."""
+def host_by_silent_incarnation(tables: SchedulerTables, now: float) -> Map[str, str]:
+    """Return the incarnations that hold tasks on silent hosts, with their hosts.
+
+    A host is silent if its agent makes no contact, or has no answer from its server.
+    """
     owning = tables.leadership
     if not isinstance(owning, Owning):
-        return frozenset()
-    return frozenset(
-        name
-        for name in tables.tasks.by_index["host"]
-        if _is_silent(tables.hosts.get(name), owning, now)
+        return Map()
+    return Map(
+        {
+            incarnation: name
+            for name in tables.tasks.by_index["host"]
+            if _is_silent(tables.hosts.get(name), owning, now)
+            for incarnation in _incarnations_with_tasks(tables, name)
+        }
     )
 
 
@@ -48,72 +56,71 @@
     return now - max(host.last_contact_at, owning.loaded_at) > MAX_CONTACT_AGE_S
 
 
-def end_unlisted(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """End the runs on silent hosts whose backend servers the last list does not name.
+def _incarnations_with_tasks(tables: SchedulerTables, name: str) -> frozenset[str]:
+    return frozenset(task.life for task in tables.tasks.rows_where("host", name))
+
+
+def end_unlisted(
+    tables: SchedulerTables, running_server_ids: Set[str], now: float
+) -> SchedulerStep:
+    """End the runs on silent hosts whose backend servers two lists do not name.
 
-    The list counts only for hosts that were silent when it was requested, so that a
-    server that has just started is not missed, and only if it names backend servers
-    that run tasks of this shard at all.
+    The list counts only for incarnations that were asked about when it was requested,
+    so that a server that has started since is not missed. A second list is needed as
+    a machine may be left out of one that changes while its pages are read.
     """
-    listed = frozenset(
-        machine.server_id
-        for machine in tables.machines.machines.rows()
-        if machine.server_id
-    )
-    still_silent = tables.machines.silent_hosts & silent_hosts(tables, now)
-    if not _names_known_servers(tables, listed, still_silent):
+    host_by_silent = host_by_silent_incarnation(tables, now)
+    if not _names_known_servers(tables, running_server_ids, host_by_silent):
         return Step(tables=tables)
+    machines = tables.machines
+    judged = machines.asked_incarnations & frozenset(host_by_silent)
+    named = frozenset(
+        each for each in judged if server_of_incarnation(each) in running_server_ids
+    )
+    missing = judged - named
     commands: list[Command] = []
-    up_hosts: set[str] = set()
-    for name in sorted(still_silent):
-        incarnations = _incarnations_with_tasks(tables, name)
-        up = frozenset(
-            each for each in incarnations if server_of_incarnation(each) in listed
-        )
-        if up == incarnations:
-            up_hosts.add(name)
-            continue
-        step = _end_runs(tables, name, listed, up, now)
+    for incarnation in sorted(named - machines.named_incarnations):
+        reason = f"silent, but the platform lists its backend server {incarnation}"
+        name = host_by_silent[incarnation]
+        commands.append(edits.log(tables, "host.listed", name, "", reason))
+    for incarnation in sorted(missing & machines.missing_incarnations):
+        step = _end_incarnation(tables, host_by_silent[incarnation], incarnation, now)
         tables = step.tables
         commands.extend(step.commands)
-    for name in sorted(up_hosts - tables.machines.up_hosts):
-        reason = "silent, but the platform lists its backend server as up"
-        commands.append(edits.log(tables, "host.listed", name, "", reason))
-    machines = replace(tables.machines, up_hosts=frozenset(up_hosts))
+    machines = replace(machines, named_incarnations=named, missing_incarnations=missing)
     return Step(tables=replace(tables, machines=machines), commands=tuple(commands))
 
 
 def _names_known_servers(
-    tables: SchedulerTables, listed: Set[str], silent: Set[str]
+    tables: SchedulerTables,
+    running_server_ids: Set[str],
+    host_by_silent: Mapping[str, str],
 ) -> bool:
-    """Return whether a list names a backend server that agents or tasks name too."""
-    incarnations = {host.life for host in tables.hosts.rows()}
-    for name in silent:
-        incarnations |= _incarnations_with_tasks(tables, name)
-    return any(server_of_incarnation(each) in listed for each in incarnations)
+    """Return whether a list names any backend server that hosts or tasks name.
 
-
-def _incarnations_with_tasks(tables: SchedulerTables, name: str) -> frozenset[str]:
-    return frozenset(task.life for task in tables.tasks.rows_where("host", name))
+    Otherwise it is not a list of the servers that run the tasks of this shard.
+    """
+    return any(
+        server_of_incarnation(host.life) in running_server_ids
+        for host in tables.hosts.by_key.values()
+    ) or any(
+        server_of_incarnation(each) in running_server_ids for each in host_by_silent
+    )
 
 
-def _end_runs(
-    tables: SchedulerTables,
-    name: str,
-    listed: frozenset[str],
-    up: frozenset[str],
-    now: float,
+def _end_incarnation(
+    tables: SchedulerTables, name: str, incarnation: str, now: float
 ) -> SchedulerStep:
     host = tables.hosts.get(name)
-    if host is not None and server_of_incarnation(host.life) not in listed:
+    if host is not None and host.life == incarnation:
         tables = edits.put_server_gone(tables, host)
-    line = edits.log(
+    reason = f"silent, and the platform lists its backend server {incarnation} no more"
+    line = edits.log(tables, "host.unlisted", name, "", reason)
+    step = endings.end_runs_as_lost(
         tables,
-        "host.unlisted",
         name,
-        "",
-        "silent, and the platform lists its backend server no more",
+        now,
+        "its backend server was no longer listed",
+        keep_incarnations=_incarnations_with_tasks(tables, name) - {incarnation},
     )
-    reason = "its backend server was no longer listed"
-    step = endings.end_runs_as_lost(tables, name, now, reason, keep_incarnations=up)
     return Step(tables=step.tables, commands=(line, *step.commands))
--- a/bulrushpulley/systems/scheduling/machine_list.py
+++ b/bulrushpulley/systems/scheduling/machine_list.py
@@ -25,26 +25,31 @@
 # Short compared with the time after which a host counts as silent.
 CHECK_INTERVAL_S = 0.4
 MACHINE_LIST_TIMEOUT_S = 1.5
+# Longer than the client takes; a request without any answer is then sent again.
+MAX_ANSWER_AGE_S = 4.0
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Request the list while a wave is open or a host with tasks is silent."""
     machines = tables.machines
-    if not edits.is_loaded(tables) or machines.listing:
+    if not edits.is_loaded(tables):
+        return Step(tables=tables)
+    if machines.listing and now - machines.requested_at < MAX_ANSWER_AGE_S:
         return Step(tables=tables)
     if (
         now - machines.requested_at < MACHINE_LIST_INTERVAL_S
         or now - machines.checked_at < CHECK_INTERVAL_S
     ):
         return Step(tables=tables)
-    silent_hosts = lost_servers.silent_hosts(tables, now)
+    silent = frozenset(lost_servers.host_by_silent_incarnation(tables, now))
     machines = replace(
         machines,
-        silent_hosts=silent_hosts,
-        up_hosts=machines.up_hosts & silent_hosts,
+        asked_incarnations=silent,
+        named_incarnations=machines.named_incarnations & silent,
+        missing_incarnations=machines.missing_incarnations & silent,
         checked_at=now,
     )
-    if not silent_hosts and not waves.is_any_open(tables):
+    if not silent and not waves.is_any_open(tables):
         return Step(tables=replace(tables, machines=machines))
     requested = replace(machines, listing=True, requested_at=now)
     call = ListMachines(
@@ -59,7 +64,7 @@
     """Replace the list of machines, and end the runs on servers that are not listed.
 
     An empty list is treated as a failed read. Machines that are missing from an
-    incomplete list are kept, and no run is ended by it.
+    incomplete list are kept.
     """
     known = tables.machines
     if not _is_awaited(event, tables):
@@ -81,9 +86,9 @@
         failing=False,
     )
     tables = replace(tables, machines=listed)
-    if not event.complete:
+    if event.running_server_ids is None:
         return Step(tables=tables)
-    return lost_servers.end_unlisted(tables, now)
+    return lost_servers.end_unlisted(tables, event.running_server_ids, now)
 
 
 def handle_list_failed(
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -63,7 +63,11 @@
             )
             for machine_id, machine in self.machine_by_id.items()
         )
-        return MachinesListed(requested_at=requested_at, machines=machines)
+        return MachinesListed(
+            requested_at=requested_at,
+            machines=machines,
+            running_server_ids=frozenset(server_by_host.values()),
+        )
 
     def order(self, command: OrderUpkeep, now: float) -> tuple[UpkeepEvent, bool]:
         """Answer an order, and return whether the machine goes down now."""
--- a/test/test_jobs_lost_servers.py
+++ b/test/test_jobs_lost_servers.py
@@ -14,11 +14,10 @@
 
 from bulrushpulley.entities.jobs.machines import (
     ListMachines,
-    Machine,
     MachinesListed,
-    MachineState,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
+from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command
 from bulrushpulley.systems.scheduling import machine_list
 from test.jobs_machines import FakeMachines
@@ -108,8 +107,8 @@
         self.world.run(ASKED_S)
         self.assertNotIn("host.unlisted", self.kinds())
 
-    def test_an_incomplete_list_ends_no_run(self) -> None:
-        self.change_list(lambda listed: replace(listed, complete=False))
+    def test_a_list_that_may_name_more_servers_ends_no_run(self) -> None:
+        self.change_list(lambda listed: replace(listed, running_server_ids=None))
         self.lose_host()
         self.world.run(ASKED_S)
         self.assertNotIn("host.unlisted", self.kinds())
@@ -125,10 +124,8 @@
         self.assertEqual(1, len(unlisted))
 
     def test_a_list_of_other_servers_ends_no_run(self) -> None:
-        other = Machine(
-            machine_id="m", pool="p", state=MachineState.UP, server_id="i-other"
-        )
-        self.change_list(lambda listed: replace(listed, machines=(other,)))
+        other = frozenset({"i-other"})
+        self.change_list(lambda listed: replace(listed, running_server_ids=other))
         self.world.cut_off(HOST, 6.0)
         self.world.run(10.0)
         self.assertEqual((9, []), (self.world.starts, self.world.violations))
@@ -152,32 +149,52 @@
         )
         return machine_list.handle_machines_listed(listed, tables, now).commands
 
-    def test_only_hosts_that_were_silent_at_the_request_are_judged(self) -> None:
-        # A server that started after the request is not on the list either.
+    def _asked_about_lost_host(
+        self, *, asked: bool = True, was_missing: bool = True
+    ) -> SchedulerTables:
+        """Return the owner's tables while it waits for a list, sent now."""
+        life = self._tables_of_owner().hosts.by_key[HOST].life
         self.lose_host()
         self.world.run(0.1)
-        now = self.world.now
-        tables = self._tables_of_owner()
-        asked = replace(tables.machines, listing=True, requested_at=now)
-        later = now + ASKED_S
-        for silent_hosts in (frozenset[str](), frozenset({HOST})):
-            machines = replace(asked, silent_hosts=silent_hosts)
-            tables = replace(tables, machines=machines)
-            commands = self._answer(tables, requested_at=now, now=later)
-            self.assertEqual(bool(silent_hosts), bool(commands))
-
-    def test_the_answer_to_an_earlier_request_is_ignored(self) -> None:
-        # It may come in a later tenure of the same process.
-        self.lose_host()
-        self.world.run(0.1)
-        now = self.world.now
         tables = self._tables_of_owner()
         machines = replace(
             tables.machines,
             listing=True,
-            requested_at=now,
-            silent_hosts=frozenset({HOST}),
+            requested_at=self.world.now,
+            asked_incarnations=frozenset({life} if asked else ()),
+            missing_incarnations=frozenset({life} if was_missing else ()),
         )
-        tables = replace(tables, machines=machines)
+        return replace(tables, machines=machines)
+
+    def test_a_host_that_two_lists_do_not_name_is_lost(self) -> None:
+        tables, now = self._asked_about_lost_host(), self.world.now
+        commands = self._answer(tables, requested_at=now, now=now + ASKED_S)
+        kinds = [each.kind for each in commands if isinstance(each, Decision)]
+        self.assertIn("host.unlisted", kinds)
+
+    def test_one_list_that_does_not_name_a_host_ends_no_run(self) -> None:
+        # A machine may be left out of a list that changes between its pages.
+        tables = self._asked_about_lost_host(was_missing=False)
+        now = self.world.now
+        commands = self._answer(tables, requested_at=now, now=now + ASKED_S)
+        self.assertEqual([], list(commands))
+
+    def test_a_server_that_was_not_asked_about_is_not_judged(self) -> None:
+        # It may have started after the request, and then no list names it.
+        tables = self._asked_about_lost_host(asked=False)
+        now = self.world.now
+        commands = self._answer(tables, requested_at=now, now=now + ASKED_S)
+        self.assertEqual([], list(commands))
+
+    def test_the_answer_to_an_earlier_request_is_ignored(self) -> None:
+        # It may come in a later tenure of the same process.
+        tables, now = self._asked_about_lost_host(), self.world.now
         commands = self._answer(tables, requested_at=now - 1.0, now=now + ASKED_S)
-        self.assertEqual((), tuple(commands))
+        self.assertEqual([], list(commands))
+
+    def test_a_list_that_never_comes_is_asked_for_again(self) -> None:
+        tables = self._asked_about_lost_host()
+        later = self.world.now + machine_list.MAX_ANSWER_AGE_S
+        self.assertEqual((), machine_list.run(tables, later - 0.1).commands)
+        (request,) = machine_list.run(tables, later).commands
+        self.assertIsInstance(request, ListMachines)
--- /dev/null
+++ b/test/test_jobs_machine_lists.py
@@ -0,0 +1,211 @@
+"""Tests of hosts that are lost or cut off while lists of machines are late or flawed.
+
+A list that is believed too readily makes tasks run twice (TWICE), and one that is given
+up too readily leaves the tasks of a lost host waiting for its leases (LOST).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import testtools
+
+from bulrushpulley.entities.jobs.machines import (
+    ListMachines,
+    ListMachinesFailed,
+    MachinesListed,
+)
+from bulrushpulley.entities.step import Command, Event
+from test.jobs_machines import FakeMachines
+from test.jobs_world import JobsWorld, Process, step
+
+HOST = "z0-0"
+LONG = "60.0"
+MAX_ALONE_S = 8.0
+
+
+class SlowListWorld(JobsWorld):
+    """A site whose lists of machines take `list_delay_s` longer to arrive."""
+
+    def __init__(self, *, entries: int, hosts: int) -> None:
+        self.list_delay_s = 0.0
+        super().__init__(entries=entries, hosts=hosts)
+
+    def tell(self, process: Process, role: str, event: Event) -> None:
+        """Delay the lists of machines."""
+        is_list = isinstance(event, (MachinesListed, ListMachinesFailed))
+        if not is_list or not self.list_delay_s:
+            super().tell(process, role, event)
+            return
+        deliver = super().tell
+        self.at(self.list_delay_s, lambda: deliver(process, role, event))
+
+
+class ListTest(testtools.TestCase):
+    """A site on which each host runs lasting tasks."""
+
+    tasks = 9
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start_world()
+
+    def start_world(self, *, hosts: int = 5) -> None:
+        """Start a site on which lasting tasks run."""
+        self.world = SlowListWorld(entries=2, hosts=hosts)
+        self.requested_at: list[float] = []
+        self.world.hook = self._note_request
+        self.world.run(3.0)
+        self.world.submit(1, step(self.tasks, lasting=True), payload=LONG)
+        self.world.run(2.0)
+        self.assertNotEqual({}, self.world.executor_by_host[HOST].run_by_key)
+
+    def _note_request(self, command: Command) -> None:
+        if isinstance(command, ListMachines):
+            self.requested_at.append(self.world.now)
+
+    def lose_host(self, name: str = HOST) -> None:
+        """Lose a host for good."""
+        self.world.executor_by_host[name].crash()
+        self.world.kill(name)
+
+    def all_running(self) -> bool:
+        """Return whether all tasks run on servers that are up."""
+        executors = self.world.executor_by_host.values()
+        running = sum(len(each.run_by_key) for each in executors if each.up)
+        return running == self.tasks
+
+    def assert_running_soon(self) -> None:
+        """Assert that all tasks run again in time."""
+        self.assertTrue(self.world.run_until(self.all_running, MAX_ALONE_S))
+        self.assertEqual([], self.world.violations)
+
+    def change_list(self, change: Callable[[MachinesListed], MachinesListed]) -> None:
+        """Change each list before it is returned."""
+        listed = FakeMachines.listed
+
+        def changed(
+            machines: FakeMachines,
+            server_by_host: dict[str, str],
+            now: float,
+            *,
+            requested_at: float,
+        ) -> MachinesListed:
+            return change(
+                listed(machines, server_by_host, now, requested_at=requested_at)
+            )
+
+        self.patch(FakeMachines, "listed", changed)
+
+
+class LateListTest(ListTest):
+    """A list names what ran when it was requested, however late it arrives."""
+
+    tasks = 18
+
+    def test_a_server_that_started_after_the_request_keeps_its_runs(self) -> None:
+        for cut_after_s in (1.0, 1.5, 2.0, 2.5):
+            self.start_world()
+            self.requested_at.clear()
+            # Several slow pages, or an owner that stood still meanwhile.
+            self.world.list_delay_s = 5.0
+            self.lose_host()
+            self.assertTrue(self.world.run_until(lambda: bool(self.requested_at), 5.0))
+            self.world.executor_by_host[HOST].restart(self.world.now)
+            self.world.start_agent(HOST)
+            self.world._announce(HOST)
+            self.world.run(cut_after_s)
+            self.world.cut_off(HOST, 5.0)
+            self.world.run(8.0)
+            self.assertEqual([], self.world.violations)
+
+
+class BrokenListTest(ListTest):
+    def test_a_malformed_entry_does_not_hide_a_lost_host(self) -> None:
+        self.change_list(lambda listed: replace(listed, complete=False))
+        self.lose_host()
+        self.assert_running_soon()
+
+    def test_one_list_that_lacks_a_server_ends_no_run(self) -> None:
+        # A page boundary moved past its machine, or the list is a second old.
+        lists: list[MachinesListed] = []
+
+        server_id = self.world.executor_by_host[HOST].server_id
+
+        def lacking(listed: MachinesListed) -> MachinesListed:
+            lists.append(listed)
+            if len(lists) > 1:
+                return listed
+            others = (listed.running_server_ids or frozenset()) - {server_id}
+            return replace(listed, running_server_ids=others)
+
+        self.change_list(lacking)
+        self.world.cut_off(HOST, 5.0)
+        self.world.run(8.0)
+        self.assertEqual([], self.world.violations)
+
+
+class ManyLostTest(ListTest):
+    def test_all_hosts_lost_and_replaced(self) -> None:
+        for host in list(self.world.executor_by_host):
+            self.lose_host(host)
+        lost_at = self.world.now
+        self.world.run(1.0)
+        for number in range(5):
+            self.world.start_host(f"z{number % 3}-new{number}")
+        left_s = lost_at + MAX_ALONE_S - self.world.now
+        self.assertTrue(self.world.run_until(self.all_running, left_s))
+        self.assertEqual([], self.world.violations)
+
+    def test_all_hosts_with_tasks_lost_together(self) -> None:
+        self.start_world(hosts=12)
+        for host, executor in self.world.executor_by_host.items():
+            if executor.run_by_key:
+                self.lose_host(host)
+        self.assert_running_soon()
+
+    def test_all_hosts_with_tasks_lost_with_the_owner(self) -> None:
+        self.start_world(hosts=12)
+        lost_at = self.world.now
+        for host, executor in self.world.executor_by_host.items():
+            if executor.run_by_key:
+                self.lose_host(host)
+        self.world.kill(self.world.owner())
+        left_s = lost_at + 9.5 - self.world.now
+        self.assertTrue(self.world.run_until(self.all_running, left_s))
+        self.assertEqual([], self.world.violations)
+
+
+class AgentTest(ListTest):
+    def test_a_hanging_server(self) -> None:
+        self.world.unlisted_hosts.add(HOST)
+        self.world.run(30.0)
+        self.assertEqual([], self.world.violations)
+
+    def test_a_server_lost_while_its_agent_is_cut_off_and_back(self) -> None:
+        self.world.cut_off(HOST, 3.0)
+        self.world.run(1.0)
+        self.world.executor_by_host[HOST].crash()
+        self.assert_running_soon()
+
+    def test_a_server_lost_while_its_agent_restarts_again_and_again(self) -> None:
+        self.world.executor_by_host[HOST].crash()
+        for after_s in (0.5, 2.5, 4.5):
+            self.world.at(after_s, lambda: self.world.restart(HOST))
+        self.assert_running_soon()
+
+    def test_a_host_lost_when_an_upkeep_wave_is_open(self) -> None:
+        self.world.order_wave(1, "m-z1-1", "m-z2-2")
+        self.world.run(0.5)
+        self.lose_host()
+        self.assert_running_soon()
+
+    def test_a_host_lost_during_a_second_tenure_of_the_same_entry(self) -> None:
+        self.world.restart(self.world.owner())
+        self.world.run(1.0)
+        lost_at = self.world.now
+        self.lose_host()
+        left_s = lost_at + 9.5 - self.world.now
+        self.assertTrue(self.world.run_until(self.all_running, left_s))
+        self.assertEqual([], self.world.violations)
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -4,6 +4,7 @@
 
 import json
 from typing import Any
+from unittest import mock
 
 import testtools
 
@@ -22,6 +23,7 @@
     UpkeepOrderFailed,
 )
 from bulrushpulley.errors import Problem
+from bulrushpulley.platform import machines
 from bulrushpulley.platform.machines import MachinesClient
 from bulrushpulley.platform.order_rows import decode_order
 from bulrushpulley.platform.status_rows import encode_stored_row
@@ -90,10 +92,12 @@
             machine_id="m-1", pool="ovens", state=MachineState.UP, server_id="i-1"
         )
         second = Machine(machine_id="m-2", pool="ovens", state=MachineState.UPKEEP)
-        self.assertEqual(
-            MachinesListed(requested_at=REQUEST.requested_at, machines=(first, second)),
-            event,
+        listed = MachinesListed(
+            requested_at=REQUEST.requested_at,
+            machines=(first, second),
+            running_server_ids=frozenset({"i-1"}),
         )
+        self.assertEqual(listed, event)
 
     def test_a_machine_in_an_unknown_state_stays_in_the_list(self) -> None:
         """Such a machine is neither up nor gone, so its upkeep is not finished."""
@@ -119,6 +123,46 @@
             self.assertFalse(event.complete)
             self.assertEqual(1, len(self.problems))
 
+    def _running_server_ids(self, *entries: Any) -> frozenset[str] | None:
+        self.replies = [json_reply(200, {"Machines": entries})]
+        event = self.client.list_all(REQUEST)
+        assert isinstance(event, MachinesListed)
+        return event.running_server_ids
+
+    def test_servers_of_malformed_machines_are_running(self) -> None:
+        # Their runs would count as lost otherwise.
+        changes: tuple[dict[str, Any], ...] = (
+            {"Machine": 7},
+            {"Machine": {}},
+            {"State": "odd"},
+            {"Pool": 1},
+        )
+        for odd in changes:
+            found = self._running_server_ids({**FIRST_MACHINE, **odd}, SECOND_MACHINE)
+            self.assertEqual({"i-1"}, found)
+
+    def test_an_entry_without_a_readable_server_leaves_all_unknown(self) -> None:
+        entries: tuple[Any, ...] = (7, None, [], {"Id": 7}, {"Id": ["i-1"]})
+        for odd in entries:
+            self.assertIsNone(self._running_server_ids(odd, FIRST_MACHINE))
+
+    def test_a_machine_that_is_listed_twice_names_both_servers(self) -> None:
+        # It changed while the list was read page by page.
+        later = {**FIRST_MACHINE, "Id": "i-2"}
+        found = self._running_server_ids(FIRST_MACHINE, later)
+        self.assertEqual({"i-1", "i-2"}, found)
+
+    def test_a_machine_that_is_down_runs_no_server(self) -> None:
+        for state in ("down", "moving", "upkeep"):
+            down = {**FIRST_MACHINE, "State": state}
+            self.assertEqual(frozenset(), self._running_server_ids(down))
+
+    def test_a_list_that_does_not_end_fails(self) -> None:
+        page = {"Machines": [FIRST_MACHINE], "NextToken": "t"}
+        self.replies = [json_reply(200, page) for _ in range(3)]
+        with mock.patch.object(machines, "MAX_LIST_DURATION_S", 0.0):
+            self.assertIsInstance(self.client.list_all(REQUEST), ListMachinesFailed)
+
     def test_a_body_that_is_no_list_fails_the_list(self) -> None:
         self.replies = [json_reply(200, {"Machines": "odd"})]
         event = self.client.list_all(REQUEST)
