Adopt the agent of an unlisted host anew, and believe no nameless machine

A host that lists left out by mistake, and whose link outlasted its silence, stayed without a backend server at the owner for good, as its agent had nothing new to report. It is adopted again, so its agent reports all. A machine that is listed as up without a backend server counted as running none, so tasks of a host that was cut off ran twice; such a list ends nothing now.

An owner does not ask again while a request hangs: each would take one of the threads that also carry its transactions.

--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -149,7 +149,7 @@
 def _running_server_ids(entries: Iterable[Any]) -> frozenset[str] | None:
     """Return the backend servers on machines that are not known to be down.
 
-    It is None if an entry is too malformed to show which server it names.
+    It is None if one of these machines is listed without a readable server.
     """
     server_ids: set[str] = set()
     for entry in entries:
@@ -157,12 +157,11 @@
             return None
         if entry.get("State") in STATES_WITHOUT_SERVER:
             continue
-        # The field is left out where no server runs.
-        server_id = entry.get("Id") or ""
-        if not isinstance(server_id, str):
+        server_id = entry.get("Id")
+        if not server_id or not isinstance(server_id, str):
             return None
         server_ids.add(server_id)
-    return frozenset(server_ids - {""})
+    return frozenset(server_ids)
 
 
 def _order_failed(
--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -111,11 +111,6 @@
 def _end_incarnation(
     tables: SchedulerTables, name: str, incarnation: str, now: float
 ) -> SchedulerStep:
-    host = tables.hosts.get(name)
-    if host is not None and host.life == incarnation:
-        tables = edits.put_server_gone(tables, host)
-    reason = f"silent, and the platform lists its backend server {incarnation} no more"
-    line = edits.log(tables, "host.unlisted", name, "", reason)
     step = endings.end_runs_as_lost(
         tables,
         name,
@@ -123,4 +118,14 @@
         "its backend server was no longer listed",
         keep_incarnations=_incarnations_with_tasks(tables, name) - {incarnation},
     )
-    return Step(tables=step.tables, commands=(line, *step.commands))
+    if not step.commands:
+        # Its tasks are placed and not ordered yet.
+        return Step(tables=tables)
+    tables = step.tables
+    host = tables.hosts.get(name)
+    if host is not None and host.life == incarnation:
+        # Once it is adopted again, the agent reports the server if it is up after all.
+        tables = edits.put_server_gone(tables, replace(host, announced_epoch=0))
+    reason = f"silent, and the platform lists its backend server {incarnation} no more"
+    line = edits.log(tables, "host.unlisted", name, "", reason)
+    return Step(tables=tables, commands=(line, *step.commands))
--- a/bulrushpulley/systems/scheduling/machine_list.py
+++ b/bulrushpulley/systems/scheduling/machine_list.py
@@ -25,16 +25,13 @@
 # Short compared with the time after which a host counts as silent.
 CHECK_INTERVAL_S = 0.4
 MACHINE_LIST_TIMEOUT_S = 1.5
-# Longer than the client takes; a request without any answer is then sent again.
-MAX_ANSWER_AGE_S = 4.0
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Request the list while a wave is open or a host with tasks is silent."""
     machines = tables.machines
-    if not edits.is_loaded(tables):
-        return Step(tables=tables)
-    if machines.listing and now - machines.requested_at < MAX_ANSWER_AGE_S:
+    # A second call while one hangs would take another of the threads for calls.
+    if not edits.is_loaded(tables) or machines.listing:
         return Step(tables=tables)
     if (
         now - machines.requested_at < MACHINE_LIST_INTERVAL_S
--- a/test/test_jobs_machine_lists.py
+++ b/test/test_jobs_machine_lists.py
@@ -11,11 +11,13 @@
 
 import testtools
 
+from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.machines import (
     ListMachines,
     ListMachinesFailed,
     MachinesListed,
 )
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.step import Command, Event
 from test.jobs_machines import FakeMachines
 from test.jobs_world import JobsWorld, Process, step
@@ -209,3 +211,50 @@
         left_s = lost_at + 9.5 - self.world.now
         self.assertTrue(self.world.run_until(self.all_running, left_s))
         self.assertEqual([], self.world.violations)
+
+
+class FalseListTest(ListTest):
+    def test_a_host_that_was_taken_for_lost_gets_tasks_again(self) -> None:
+        # Its link outlasts the silence, so its agent has no cause to report anew.
+        server_id = self.world.executor_by_host[HOST].server_id
+
+        def lacking(listed: MachinesListed) -> MachinesListed:
+            others = (listed.running_server_ids or frozenset()) - {server_id}
+            return replace(listed, running_server_ids=others)
+
+        self.change_list(lacking)
+        self.world.silence(HOST, self.world.owner(), 2.9)
+        self.world.run(4.0)
+        self.assertIn("host.unlisted", {line.kind for line in self.world.decisions})
+        self.world.run(20.0)
+        owner = self.world.process_by_name[self.world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        self.assertIs(ServerState.READY, tables.hosts.by_key[HOST].state)
+
+
+class LeavingOwnerTest(ListTest):
+    def test_a_host_lost_while_the_owner_leaves(self) -> None:
+        for delay_s in (0.0, 0.5, 1.5):
+            self.start_world()
+            lost_at = self.world.now
+            self.lose_host()
+            self.world.run(delay_s)
+            self.world.leave(self.world.owner())
+            left_s = lost_at + 9.5 - self.world.now
+            self.assertTrue(self.world.run_until(self.all_running, left_s))
+            self.assertEqual([], self.world.violations)
+
+    def test_a_host_that_is_cut_off_while_the_owner_stands_still(self) -> None:
+        for delay_s in (0.0, 1.0, 2.0):
+            self.start_world()
+            self.world.cut_off(HOST, 7.0)
+            self.world.run(delay_s)
+            self.world.freeze(self.world.owner(), 4.0)
+            self.world.run(25.0)
+            self.assertEqual([], self.world.violations)
+
+    def test_a_host_lost_whose_list_fails_at_first(self) -> None:
+        self.world.machines_up = False
+        self.lose_host()
+        self.world.at(4.0, lambda: setattr(self.world, "machines_up", True))
+        self.assert_running_soon()
