Tell an end taken note of from one listed while its lease expired

Cause: the check, not the scheduler. The run ended at 106.3 s on a host out of reach of its owner, whose lease expired at 113.5 s. The next owner gave the run up at 117.0 s, started the task again, and acknowledged the end of the first run. By the rule an end is taken note of when LastSeen reaches it, unless the executor's lease lapsed between the two, and that stands for good.

The stand-in now acknowledges such an end as late, which does not count; every other acknowledged end counts as before, and a test shows that the check still notices a run after it.

--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -61,7 +61,9 @@
 class FakeExecutor:
     """The backend server of one host over its successive incarnations.
 
-    `listener` is called for each start, each end and each acknowledged end.
+    `listener` is called for each start, each end and each acknowledged end. An end
+    that was listed while the lease expired is acknowledged "late": by the rule it is
+    not taken note of any more, so its task may run again (TWICE).
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         self.checkpoints = checkpoints
         self.fails_all = False
         self.noted = 0
+        self.last_expired_end = 0
         self.max_listed_ends = MAX_LISTED_ENDS
         self.ends: list[RunEnd] = []
         self.run_by_key: dict[str, ExecutorRun] = {}
@@ -142,7 +145,7 @@
             now,
         )
         self.id_number = self.id_number if same_id else self.incarnation
-        self.lease_until, self.noted = 0.0, 0
+        self.lease_until, self.noted, self.last_expired_end = 0.0, 0, 0
         self.ends, self.run_by_key, self.barred_run_by_task = [], {}, {}
 
     def advance(self, now: float) -> None:
@@ -199,12 +202,14 @@
     def _(self, command: PollRuns, now: float) -> ExecutorEvent:
         if command.server_id != self.server_id:
             return OtherIncarnation(server_id=command.server_id)
+        self._note_expiry(now)
         if command.lease_until_ms is not None:
             self._extend_lease(command.lease_until_ms)
         while self.ends and self.ends[0].number <= command.noted:
             end = self.ends.pop(0)
             self.noted = end.number
-            self.listener("noted", self, end)
+            is_late = end.number <= self.last_expired_end
+            self.listener("noted late" if is_late else "noted", self, end)
         runs = tuple(
             RunStatus(
                 task_id=run.order.task_id,
@@ -236,6 +241,11 @@
         )
         return str(worked_s) if worked_s > 0 else run.order.checkpoint
 
+    def _note_expiry(self, now: float) -> None:
+        """Remember which ends were listed while the lease expired."""
+        if self.lease_until <= now and self.ends:
+            self.last_expired_end = self.ends[-1].number
+
     def _extend_lease(self, until_ms: int) -> None:
         self.lease_until = max(
             self.lease_until, self.incarnation_started_at + until_ms / 1000
@@ -256,6 +266,7 @@
             return replace(denied, final=True)
         if self.incarnation_started_at + command.lease_until_ms / 1000 <= now:
             return replace(denied, reason="late")
+        self._note_expiry(now)
         self._extend_lease(command.lease_until_ms)
         duration_s = float(order.payload) if _succeeds(order) else POISON_RUN_TIME_S
         duration_s -= float(order.checkpoint or 0)
--- a/test/test_jobs_trouble_series.py
+++ b/test/test_jobs_trouble_series.py
@@ -13,6 +13,8 @@
 import testtools
 
 from bulrushpulley.entities.jobs import bounds
+from bulrushpulley.entities.jobs.executor_calls import StartRun
+from bulrushpulley.entities.jobs.runs import RunOrder
 from test.jobs_restarts import MAX_ALONE_S
 from test.jobs_trouble_series import (
     BOUNDS,
@@ -20,15 +22,17 @@
     LASTING_PAYLOAD,
     HostGone,
     JobPlan,
+    PairCut,
     Plan,
     ProcessKilled,
+    StoreAnswersLost,
     StoreCutOff,
     Trouble,
     draw_calm_plan,
     draw_plan,
     run_plan,
 )
-from test.jobs_world import JobsWorld, step
+from test.jobs_world import SIZE, JobsWorld, step
 
 SEEDS = range(1, 5)
 CALM_SEEDS = range(1, 9)
@@ -134,6 +138,49 @@
         plan = Plan(jobs=(job,), troubles=troubles, ends_at_s=9.4, lists_machines=False)
         self.assertEqual((), run_plan(plan).problems)
 
+    def test_an_end_that_is_listed_while_the_lease_expires(self) -> None:
+        """Seed 70266.
+
+        The run ends while its agent is out of reach, and its lease expires. The next
+        owner gives the run up as it claims the shard and starts the task again, then
+        acknowledges the end of the first run. Such an end is not taken note of by the
+        rule, but the check of the simulated site counted it.
+        """
+        planned = replace(
+            plan_of(
+                PairCut(at_s=1.9, for_s=10.7, name=HOST, other="entry-0"),
+                StoreAnswersLost(at_s=10.5, for_s=3.4, applied_after_s=0.0),
+                work_s=3.8,
+            ),
+            ends_at_s=13.9,
+        )
+        result = run_plan(planned)
+        self.assertEqual((), result.problems)
+        ends = [line for line in result.world.decisions if line.kind == "task.end"]
+        self.assertTrue(any("silent too long" in line.reason for line in ends))
+
+    def test_a_run_after_an_acknowledged_end_is_noticed(self) -> None:
+        # Only an end that was listed while the lease expired does not count.
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        job_id = world.submit(1, step(1), payload="0.5")
+        self.assertTrue(world.run_until(world.all_complete, 3.0))
+        world.run(1.0)
+        executor = world.executor_by_host["z0-0"]
+        order = RunOrder(
+            task_id=f"{job_id}.0.0.0", run=9, payload="0.5", committed=SIZE
+        )
+        start = StartRun(
+            server_id=executor.server_id,
+            address="z0-0",
+            timeout_s=0.5,
+            order=order,
+            lease_until_ms=60_000,
+        )
+        executor.call(start, world.now)
+        self.assertEqual(1, len(world.violations))
+        self.assertIn("after its end was acknowledged", world.violations[0])
+
 
 class HostLostBeforeTakeoversTest(testtools.TestCase):
     """A host that is lost, then owners of several entries, one after the other.
