--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -39,12 +39,9 @@
 STEP = "machines.decode"
 MAX_SHOWN_CHARACTERS = 100
 # Bounds a list whose pages do not end.
-MAX_LIST_DURATION_S = 2.0
-# The platform ends everything on a machine before it enters one of these states.
-STATES_WITHOUT_SERVER = tuple(
-    state.value
-    for state in (MachineState.MOVING, MachineState.UPKEEP, MachineState.DOWN)
-)
+MAX_LIST_DURATION_S = 4.0
+# The platform ends everything on a machine as it enters one of these states.
+STATES_WITHOUT_SERVER = (MachineState.MOVING.value, MachineState.UPKEEP.value)
 
 
 class MachinesClient:
@@ -147,9 +144,9 @@
 
 
 def _running_server_ids(entries: Iterable[Any]) -> frozenset[str] | None:
-    """Return the backend servers on machines that are not known to be down.
+    """Return the backend servers that the platform may still be running.
 
-    It is None if one of these machines is listed without a readable server.
+    It is None if a machine that may be up is listed without a readable server.
     """
     server_ids: set[str] = set()
     for entry in entries:
@@ -158,6 +155,8 @@
         if entry.get("State") in STATES_WITHOUT_SERVER:
             continue
         server_id = entry.get("Id")
+        if not server_id and entry.get("State") == MachineState.DOWN.value:
+            continue
         if not server_id or not isinstance(server_id, str):
             return None
         server_ids.add(server_id)
--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -21,11 +21,12 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.lasting_states import first_lines, left_out
 from bulrushpulley.systems.scheduling import edits, endings
 
-# The agent of a host makes contact this often or more if all is well, so two contacts
-# in a row are missing. More only delays the start of its tasks elsewhere.
-MAX_CONTACT_AGE_S = 2 * CONTACT_INTERVAL_S
+# Two contacts in a row are missing by then. A longer time would only delay the start of
+# a lost host's tasks elsewhere.
+HOST_SILENCE_TIMEOUT_S = 2 * CONTACT_INTERVAL_S
 # An agent in contact reports these while its backend server does not answer it.
 UNANSWERING_STATES = frozenset({ServerState.UNKNOWN, ServerState.SILENT})
 
@@ -50,10 +51,10 @@
 
 def _is_silent(host: Host | None, owning: Owning, now: float) -> bool:
     if host is None or host.last_contact_at <= 0.0:
-        return now - owning.loaded_at > MAX_CONTACT_AGE_S
+        return now - owning.loaded_at > HOST_SILENCE_TIMEOUT_S
     if host.state in UNANSWERING_STATES:
         return True
-    return now - max(host.last_contact_at, owning.loaded_at) > MAX_CONTACT_AGE_S
+    return now - max(host.last_contact_at, owning.loaded_at) > HOST_SILENCE_TIMEOUT_S
 
 
 def _incarnations_with_tasks(tables: SchedulerTables, name: str) -> frozenset[str]:
@@ -79,8 +80,11 @@
     )
     missing = judged - named
     commands: list[Command] = []
-    for incarnation in sorted(named - machines.named_incarnations):
+    newly_named = sorted(named - machines.named_incarnations)
+    logged = first_lines(newly_named)
+    for incarnation in logged:
         reason = f"silent, but the platform lists its backend server {incarnation}"
+        reason += left_out(newly_named) if incarnation == logged[-1] else ""
         name = host_by_silent[incarnation]
         commands.append(edits.log(tables, "host.listed", name, "", reason))
     for incarnation in sorted(missing & machines.missing_incarnations):
