Tests of an owner that reads an old list of machines

Runs count as lost earlier since the list is read, so a list that is out of date when its owner reads it could start tasks twice. The owner stands still for 1 s to 6 s between request and answer, or has lost the store, while the host is cut off or frozen, or its server is reborn under the same or another id.

--- a/test/test_jobs_lost_servers.py
+++ b/test/test_jobs_lost_servers.py
@@ -22,6 +22,7 @@
 from bulrushpulley.entities.step import Command
 from bulrushpulley.systems.scheduling import machine_list
 from test.jobs_machines import FakeMachines
+from test.jobs_restarts import running_tasks
 from test.jobs_world import JobsWorld, step
 
 HOST = "z0-0"
@@ -145,3 +146,70 @@
             listed, tables, self.world.now + ASKED_S
         )
         self.assertEqual((), late.commands)
+
+
+class OldListTest(testtools.TestCase):
+    """A list that is old when its owner reads it must not make a task run twice.
+
+    The owner stands still between request and answer, or has lost the store, while the
+    host comes back, its server is reborn, or another entry takes the shard over.
+    """
+
+    def start_world(self) -> JobsWorld:
+        """Start a site whose lists are returned late."""
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(2.0)
+        world.submit(1, step(6), payload=LONG)
+        world.run(2.0)
+        self.assertNotEqual({}, world.executor_by_host[HOST].run_by_key)
+        world.list_delay_s = 1.2
+        return world
+
+    def freeze_owner_at_request(self, world: JobsWorld, for_s: float) -> list[str]:
+        """Suspend the owner when it requests the first list; return whom, later."""
+        frozen: list[str] = []
+
+        def freeze(command: Command) -> None:
+            if isinstance(command, ListMachines) and not frozen:
+                frozen.append(world.owner())
+                world.at(0.001, lambda: world.freeze(frozen[0], for_s))
+
+        world.hook = freeze
+        return frozen
+
+    def end_server(self, world: JobsWorld, *, same_id: bool) -> None:
+        """Let the server of a host out of reach crash and be reborn 2 s later."""
+        executor = world.executor_by_host[HOST]
+        world.cut_off(HOST, 5.0)
+        executor.crash()
+        world.at(2.0, lambda: executor.restart(world.now, same_id=same_id))
+
+    def troubles(self) -> list[Callable[[JobsWorld], None]]:
+        """Return what may happen to the host."""
+        return [
+            lambda world: world.cut_off(HOST, 4.0),
+            lambda world: world.freeze(HOST, 4.0),
+            lambda world: self.end_server(world, same_id=False),
+            lambda world: self.end_server(world, same_id=True),
+        ]
+
+    def assert_each_runs_once(self, world: JobsWorld) -> None:
+        """Assert that all tasks run once after the trouble, and never ran twice."""
+        world.run(25.0)
+        self.assertEqual([], world.violations)
+        self.assertEqual(6, len(set(running_tasks(world))))
+
+    def test_an_owner_that_stands_still_between_request_and_answer(self) -> None:
+        for begin, for_s in itertools.product(self.troubles(), (1.0, 2.0, 6.0)):
+            world = self.start_world()
+            frozen = self.freeze_owner_at_request(world, for_s)
+            begin(world)
+            self.assert_each_runs_once(world)
+            self.assertEqual(1, len(frozen))
+
+    def test_an_owner_without_the_store_that_still_reads_the_list(self) -> None:
+        for begin in self.troubles():
+            world = self.start_world()
+            world.cut_off_from_store.add(world.owner())
+            begin(world)
+            self.assert_each_runs_once(world)
