--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -2,7 +2,7 @@
 
 It records violations of the upkeep rules: more machines down than a wave allows, orders
 with a lower token after a higher one, two holders with the same token, and orders of
-two holders within the handover delay.
+two holders within the handover delay. The world adds machines that go down with runs.
 """
 
 from __future__ import annotations
@@ -37,7 +37,12 @@
 
 @dataclass(kw_only=True, slots=True)
 class FakeMachines:
-    """All machines; the id of a machine is ``m-`` and the name of its host."""
+    """All machines; the id of a machine is ``m-`` and the name of its host.
+
+    Orders for `refused_ids` are refused as busy, and those for `denied_ids` as if there
+    were no such machine. While `drops_orders` is set, orders get no answer and are not
+    carried out.
+    """
 
     machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
     limit_by_wave: dict[int, int] = field(default_factory=dict)
@@ -45,6 +50,10 @@
     ordered_at: list[float] = field(default_factory=list)
     taken_down: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    refused_ids: set[str] = field(default_factory=set)
+    denied_ids: set[str] = field(default_factory=set)
+    drops_orders: bool = False
+    upkeep_duration_s: float = UPKEEP_DURATION_S
 
     def add(self, host: str) -> None:
         """Add the machine of a host."""
@@ -68,13 +77,15 @@
         self._check_order(command, now)
         self.orders.append(command)
         self.ordered_at.append(now)
+        if self.drops_orders:
+            return _order_failed(command, "no answer"), False
         machine = self.machine_by_id.get(command.machine_id)
-        if machine is None:
+        if machine is None or command.machine_id in self.denied_ids:
             return _order_failed(command, "no such machine", unknown=True), False
         accepted = UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         if command.wave in machine.completed_waves:
             return accepted, False
-        if now < machine.up_at:
+        if now < machine.up_at or command.machine_id in self.refused_ids:
             return _order_failed(command, "busy"), False
         down = [
             other
@@ -84,7 +95,7 @@
         if len(down) >= self.limit_by_wave.get(command.wave, 1):
             self.violations.append(f"too many machines down for wave {command.wave}")
         machine.completed_waves.add(command.wave)
-        machine.up_at = now + UPKEEP_DURATION_S
+        machine.up_at = now + self.upkeep_duration_s
         machine.last_wave = command.wave
         self.taken_down.append(command.machine_id)
         return accepted, True
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -75,7 +75,7 @@
 from bulrushpulley.roles import intake, job_agent, scheduler
 from bulrushpulley.roles.actor import Role
 from standins.executor_core import FakeExecutor
-from test.jobs_machines import UPKEEP_DURATION_S, FakeMachines
+from test.jobs_machines import FakeMachines
 from test.jobs_store import JobsStore
 
 CAPACITY = Resources(processors_m=4_000, memory_mb=8_000)
@@ -545,8 +545,10 @@
 
     def _take_down(self, machine_id: str) -> None:
         host = self.machines.machine_by_id[machine_id].host
+        if self.executor_by_host[host].run_by_key:
+            self.machines.violations.append(f"{machine_id} went down with runs on it")
         self.executor_by_host[host].crash()
-        self.at(UPKEEP_DURATION_S, lambda: self._bring_up(host))
+        self.at(self.machines.upkeep_duration_s, lambda: self._bring_up(host))
 
     def _bring_up(self, host: str) -> None:
         self.executor_by_host[host].restart(self.now)
