Open the host of a machine whose upkeep the platform refuses

Cause: a failed order was repeated twice a second, without limit and whatever its reason, while its host stayed closed. An empty host closed whenever the wave asked, the last one of a service as well.

The answer is now decoded to a reason, and each reason has a policy: how many orders, whether one may have been carried out, and for how long the host is open until the next try; these pauses double. A service with several hosts keeps one open until the platform has taken a machine of the wave. An order without a certain outcome counts for MaxCount and stays written down until its outcome is known, also for a next owner. That owner empties the host before it orders again, as the former one may have opened it. A machine that the platform calls unknown but lists is not over, so the wave is not told to be completed. wave.wait tells why a wave stands still.

The test of the client's answers is replaced by one that checks each status and reason; it showed that 429 and 503 do not reach the client as answers but as errors. The tests on the limit of a wave fail if an order without a certain outcome does not count for it, is not written down, or is not taken over from the row; those on hosts fail if the last host may close, or if a refused machine is emptied without room elsewhere.

--- a/bulrushpulley/entities/jobs/upkeep.py
+++ b/bulrushpulley/entities/jobs/upkeep.py
@@ -21,7 +21,8 @@
 
     The machine counts as down from EMPTYING until FINISHED. In EMPTYING its host
     accepts no new tasks. In ORDERED its upkeep may have begun once this phase is
-    durable. TAKEN means that the platform has accepted the order.
+    durable. TAKEN means that the platform has accepted the order. A machine whose order
+    was refused is WAITING again, and its host is open.
     """
 
     WAITING = "waiting"
@@ -34,9 +35,44 @@
 DOWN_PHASES = frozenset({UpkeepPhase.EMPTYING, UpkeepPhase.ORDERED, UpkeepPhase.TAKEN})
 
 
+class UpkeepRefusal(enum.Enum):
+    """Why an order of upkeep failed.
+
+    After NO_ANSWER it may still be carried out; after the others it was not.
+    NEWER_TOKEN means that an owner with a newer token has ordered the upkeep.
+    """
+
+    CANNOT_GO_DOWN = "cannot go down now"
+    NOT_IN_WAVE = "not part of the wave"
+    NEWER_TOKEN = "newer token"
+    NO_SUCH_MACHINE = "no such machine"
+    TOO_MANY_CALLS = "too many calls"
+    UNAVAILABLE = "unavailable"
+    OTHER = "another reason"
+    NO_ANSWER = "no answer"
+
+
+class UpkeepHold(enum.Enum):
+    """Why a waiting machine is not emptied yet, in the order of examination."""
+
+    NOT_UP = "not listed as up"
+    OTHER_WAVE = "down for another wave"
+    DEFERRED = "deferred"
+    NO_SLOT = "as many are down as the wave allows"
+    LAST_HOST = "last open host"
+    NO_ROOM = "no room elsewhere"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Upkeep:
-    """The upkeep of one machine in one wave; `since` is when its phase began."""
+    """The upkeep of one machine in one wave; `since` is when its phase began.
+
+    `may_have_begun` is set from the first order until it is certain that none was
+    carried out. `unanswered_at` is when an order last ended without a certain outcome,
+    `attempts` how many orders have failed in this phase, and `refusal` why the last one
+    did. Once `exhausted`, no order is sent at `retry_at` but the upkeep is deferred;
+    `deferrals` is how often it was.
+    """
 
     wave: int
     machine_id: str
@@ -44,6 +80,12 @@
     since: float
     in_flight: bool = False
     retry_at: float = 0.0
+    may_have_begun: bool = False
+    unanswered_at: float = -60.0
+    attempts: int = 0
+    refusal: UpkeepRefusal | None = None
+    exhausted: bool = False
+    deferrals: int = 0
 
     @property
     def key(self) -> str:
@@ -72,15 +114,21 @@
 
     `submitted_row` is its row in the last commit that contains one, `durable_row` the
     row that is known to be written. `reported_state` is the state written for
-    operators; `reporting` means that a write of it is in flight.
+    operators; `reporting` means that a write of it is in flight. `accepted` is set once
+    the platform has accepted an order of the wave in this tenure. `since` is when the
+    wave was added to this tenure, and `stall_checked_at` when it was last checked
+    whether it stands still.
     """
 
     order: WaveOrder
     submitted_row: WaveRow
     durable_row: WaveRow
+    since: float
     reported_state: WaveState | None = None
     reporting: bool = False
     retry_at: float = 0.0
+    accepted: bool = False
+    stall_checked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,10 +177,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpkeepOrderFailed(UpkeepEvent):
-    """The platform rejected the order, or gave no answer.
-
-    `unknown_machine` means that the machine no longer exists.
-    """
+    """The platform rejected the order, or gave no answer; `reason` is for the log."""
 
+    refusal: UpkeepRefusal
     reason: str
-    unknown_machine: bool = False
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import http
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import urlencode
 
@@ -21,9 +21,11 @@
     UpkeepEvent,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import BulrushpulleyError, Problem
+from bulrushpulley.platform.errors import BusyError, RefusedError
 from bulrushpulley.platform.fields import (
     Fields,
     check_object,
@@ -33,10 +35,16 @@
     sound_values,
     text,
 )
-from bulrushpulley.platform.http_client import HttpClient
+from bulrushpulley.platform.http_client import HttpAnswer, HttpClient
 
 STEP = "machines.decode"
 MAX_SHOWN_CHARACTERS = 100
+# The `Reason` of an answer with status 409.
+REFUSAL_BY_REASON: Mapping[str, UpkeepRefusal] = {
+    "busy": UpkeepRefusal.CANNOT_GO_DOWN,
+    "wave": UpkeepRefusal.NOT_IN_WAVE,
+    "fence": UpkeepRefusal.NEWER_TOKEN,
+}
 
 
 class MachinesClient:
@@ -119,21 +127,36 @@
                 body=msgspec.json.encode(body),
                 headers=headers,
             )
+        except BusyError as error:
+            return _order_failed(command, UpkeepRefusal.TOO_MANY_CALLS, str(error))
+        except RefusedError as error:
+            return _order_failed(command, UpkeepRefusal.UNAVAILABLE, str(error))
         except BulrushpulleyError as error:
-            return _order_failed(command, str(error))
+            return _order_failed(command, UpkeepRefusal.NO_ANSWER, str(error))
         if answer.status == http.HTTPStatus.OK:
             return UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         reason = f"status {answer.status}: {answer.body[:200]!r}"
-        unknown_machine = answer.status == http.HTTPStatus.BAD_REQUEST
-        return _order_failed(command, reason, unknown_machine=unknown_machine)
+        return _order_failed(command, _refusal_of(answer), reason)
+
+
+def _refusal_of(answer: HttpAnswer) -> UpkeepRefusal:
+    if answer.status == http.HTTPStatus.BAD_REQUEST:
+        return UpkeepRefusal.NO_SUCH_MACHINE
+    if answer.status != http.HTTPStatus.CONFLICT:
+        return UpkeepRefusal.OTHER
+    try:
+        reason = text(decode_object(answer.body, STEP), "Reason", STEP)
+    except BulrushpulleyError:
+        return UpkeepRefusal.OTHER
+    return REFUSAL_BY_REASON.get(reason, UpkeepRefusal.OTHER)
 
 
 def _order_failed(
-    command: OrderUpkeep, reason: str, *, unknown_machine: bool = False
+    command: OrderUpkeep, refusal: UpkeepRefusal, reason: str
 ) -> UpkeepEvent:
     return UpkeepOrderFailed(
         wave=command.wave,
         machine_id=command.machine_id,
+        refusal=refusal,
         reason=reason,
-        unknown_machine=unknown_machine,
     )
--- a/bulrushpulley/roles/scheduler_io.py
+++ b/bulrushpulley/roles/scheduler_io.py
@@ -21,6 +21,7 @@
 from bulrushpulley.entities.jobs.upkeep import (
     OrderUpkeep,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
 from bulrushpulley.platform.advice import AdviceClient
 from bulrushpulley.platform.machines import MachinesClient
@@ -80,7 +81,10 @@
 def _(command: OrderUpkeep, ports: SchedulerPorts) -> None:
     if ports.machines is None:
         failed = UpkeepOrderFailed(
-            wave=command.wave, machine_id=command.machine_id, reason=NO_MACHINES_SERVICE
+            wave=command.wave,
+            machine_id=command.machine_id,
+            refusal=UpkeepRefusal.OTHER,
+            reason=NO_MACHINES_SERVICE,
         )
         ports.tell(command.role, failed)
         return
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -55,15 +55,38 @@
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
 
 
-def has_room_elsewhere(tables: SchedulerTables, machine_id: str) -> bool:
+def leaves_open_host(tables: SchedulerTables, machine_id: str) -> bool:
+    """Return whether a service keeps an open host when the one of a machine closes.
+
+    The answer is true for the only host of a service.
+    """
+    leaving = host_of(tables, machine_id)
+    if leaving is None:
+        return True
+    others = [
+        host.name
+        for host in tables.hosts.rows()
+        if host.service == leaving.service
+        and host.name != leaving.name
+        and host.synced
+        and host.state is ServerState.READY
+    ]
+    return not others or not closed_hosts(tables).issuperset(others)
+
+
+def has_room_elsewhere(
+    tables: SchedulerTables, machine_id: str, *, required: bool
+) -> bool:
     """Return whether the tasks on a machine fit on the hosts that stay open.
 
-    While no other machine is down the answer is always true, because otherwise a wave
-    might never make progress.
+    Unless the room is `required`, the answer is always true while no other machine is
+    down, because otherwise a wave might never make progress.
     """
     leaving = host_of(tables, machine_id)
+    if leaving is None or is_empty(tables, leaving):
+        return True
     closed = closed_hosts(tables)
-    if leaving is None or is_empty(tables, leaving) or not closed:
+    if not closed and not required:
         return True
     moving, free = leaving.committed, NO_RESOURCES
     for host in tables.hosts.rows():
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -62,6 +62,7 @@
     machine_list,
     ownership,
     upkeep,
+    upkeep_refusals,
     watching,
     waves,
 )
@@ -104,7 +105,7 @@
 apply.register(MachinesListed, machine_list.handle_machines_listed)
 apply.register(ListMachinesFailed, machine_list.handle_list_failed)
 apply.register(UpkeepOrderAccepted, upkeep.handle_order_accepted)
-apply.register(UpkeepOrderFailed, upkeep.handle_order_failed)
+apply.register(UpkeepOrderFailed, upkeep_refusals.handle_order_failed)
 
 
 @apply.register
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -2,7 +2,8 @@
 
 A machine is emptied first, then the order for its upkeep is made durable, and only
 then is the order sent. The machine counts as down until the platform lists it as up
-again, or no longer lists it.
+again, or no longer lists it. If the platform refuses the order, the machine waits
+again, with its host open for tasks (`upkeep_refusals`).
 """
 
 from __future__ import annotations
@@ -16,20 +17,22 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.upkeep import (
-    DOWN_INDEX,
-    DOWN_PHASES,
     OrderUpkeep,
     Upkeep,
     UpkeepOrderAccepted,
-    UpkeepOrderFailed,
     UpkeepPhase,
     Wave,
 )
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import edits, emptying, waves
+from bulrushpulley.systems.scheduling import (
+    edits,
+    emptying,
+    upkeep_holds,
+    upkeep_refusals,
+    waves,
+)
 
 UPKEEP_ORDER_TIMEOUT_S = 1.0
-UPKEEP_ORDER_RETRY_DELAY_S = 0.5
 # An owner sends orders only if it renewed its row within this time; otherwise it may
 # be replaced before an order arrives. Followers wait longer than this.
 MAX_RENEWAL_AGE_S = 1.2
@@ -42,19 +45,14 @@
     commands: list[Command] = []
     for wave in tables.upkeep.waves.rows():
         tables = _finish_returned(tables, wave, now)
+        tables = _settle(tables, wave)
         tables = _start_emptying(tables, wave, now)
         for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
             step = _advance(tables, wave, upkeep, now)
             tables = step.tables
             commands.extend(step.commands)
-    return Step(tables=tables, commands=tuple(commands))
-
-
-def _with_phase(
-    tables: SchedulerTables, upkeep: Upkeep, phase: UpkeepPhase, now: float
-) -> SchedulerTables:
-    changed = replace(upkeep, phase=phase, since=now, in_flight=False, retry_at=0.0)
-    return waves.put_upkeep(tables, changed)
+    step = upkeep_holds.log_stalled(tables, now)
+    return Step(tables=step.tables, commands=(*commands, *step.commands))
 
 
 def _finish_returned(
@@ -70,39 +68,50 @@
             continue
         is_up = machine is not None and machine.state is MachineState.UP
         if machine is None or (is_up and upkeep.phase is UpkeepPhase.TAKEN):
-            tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
+            tables = waves.enter_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
             tables = replace(tables, place_due=True)
     return tables
 
 
+def _settle(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
+    """Find the machines that are not down for an order without a certain outcome.
+
+    Only a list requested after such an order can no longer arrive tells.
+    """
+    settled_by = tables.machines.listed_at - tables.bounds.turn_s
+    for upkeep in waves.upkeeps_of_wave(tables, wave.order.number):
+        is_deferred = upkeep.phase is UpkeepPhase.WAITING and upkeep.may_have_begun
+        if (
+            is_deferred
+            and upkeep.unanswered_at <= settled_by
+            and upkeep_holds.is_listed_up(tables, upkeep)
+        ):
+            tables = waves.put_upkeep(tables, replace(upkeep, may_have_begun=False))
+    return tables
+
+
 def _start_emptying(tables: SchedulerTables, wave: Wave, now: float) -> SchedulerTables:
     """Start emptying as many machines as the wave allows, fewest tasks first."""
-    upkeeps = waves.upkeeps_of_wave(tables, wave.order.number)
-    free_slots = wave.order.at_once - sum(
-        upkeep.phase in DOWN_PHASES for upkeep in upkeeps
-    )
-    waiting = [each for each in upkeeps if each.phase is UpkeepPhase.WAITING]
+    slots = upkeep_holds.free_slots(tables, wave)
+    waiting = [
+        each
+        for each in waves.upkeeps_of_wave(tables, wave.order.number)
+        if each.phase is UpkeepPhase.WAITING
+    ]
     ready = [
-        each for each in waiting if _is_up(tables, each) and not _is_down(tables, each)
+        each
+        for each in waiting
+        if upkeep_holds.machine_hold(tables, each, slots, now) is None
     ]
     ready.sort(key=lambda each: (_task_count(tables, each), each.machine_id))
-    for upkeep in ready[: max(0, free_slots)]:
-        if emptying.has_room_elsewhere(tables, upkeep.machine_id):
-            tables = _with_phase(tables, upkeep, UpkeepPhase.EMPTYING, now)
+    for upkeep in ready:
+        needed = 0 if upkeep.may_have_begun else 1
+        if needed <= max(0, slots) and not upkeep_holds.host_hold(tables, wave, upkeep):
+            tables = waves.enter_phase(tables, upkeep, UpkeepPhase.EMPTYING, now)
+            slots -= needed
     return tables
 
 
-def _is_up(tables: SchedulerTables, upkeep: Upkeep) -> bool:
-    machine = tables.machines.machines.get(upkeep.machine_id)
-    return machine is not None and machine.state is MachineState.UP
-
-
-def _is_down(tables: SchedulerTables, upkeep: Upkeep) -> bool:
-    """Return whether the machine already counts as down, for whichever wave."""
-    down = tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
-    return any(other.machine_id == upkeep.machine_id for other in down)
-
-
 def _task_count(tables: SchedulerTables, upkeep: Upkeep) -> int:
     host = emptying.host_of(tables, upkeep.machine_id)
     return tables.tasks.count_where("host", host.name) if host is not None else 0
@@ -111,13 +120,32 @@
 def _advance(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, now: float
 ) -> SchedulerStep:
-    if upkeep.phase is UpkeepPhase.EMPTYING:
+    if _may_be_down(tables, upkeep, now):
+        tables = waves.enter_phase(tables, upkeep, UpkeepPhase.ORDERED, now)
+    elif upkeep.phase is UpkeepPhase.EMPTYING:
         return _empty(tables, wave, upkeep, now)
     if upkeep.phase is UpkeepPhase.ORDERED:
         return _order_upkeep(tables, wave, upkeep, now)
     return Step(tables=tables)
 
 
+def _may_be_down(tables: SchedulerTables, upkeep: Upkeep, now: float) -> bool:
+    """Return whether a waiting machine seems to be down for an earlier order.
+
+    The platform accepts the order again, so that the machine is not emptied once more
+    when it is up.
+    """
+    machine = tables.machines.machines.get(upkeep.machine_id)
+    return (
+        upkeep.phase is UpkeepPhase.WAITING
+        and upkeep.may_have_begun
+        and now >= upkeep.retry_at
+        and machine is not None
+        and machine.state is MachineState.UPKEEP
+        and not upkeep_holds.is_down(tables, upkeep)
+    )
+
+
 def _empty(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, now: float
 ) -> SchedulerStep:
@@ -129,7 +157,7 @@
         return Step(tables=tables)
     name = host.name if host is not None else ""
     line = edits.log(tables, "upkeep.order", upkeep.key, name, "no tasks left")
-    tables = _with_phase(tables, upkeep, UpkeepPhase.ORDERED, now)
+    tables = waves.enter_phase(tables, upkeep, UpkeepPhase.ORDERED, now)
     return Step(tables=tables, commands=(line,))
 
 
@@ -137,10 +165,16 @@
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, now: float
 ) -> SchedulerStep:
     """Send a durable order, unless another owner may be sending orders too."""
+    if upkeep.exhausted and now >= upkeep.retry_at:
+        return upkeep_refusals.defer(tables, upkeep, now)
     owning = tables.leadership
     if not isinstance(owning, Owning) or upkeep.in_flight or now < upkeep.retry_at:
         return Step(tables=tables)
-    durable = upkeep.machine_id in wave.durable_row.ordered
+    # A transaction in flight may remove the order from the durable row.
+    durable = (
+        upkeep.machine_id in wave.durable_row.ordered
+        and upkeep.machine_id in wave.submitted_row.ordered
+    )
     handover_waited = now - owning.since >= tables.bounds.turn_s
     recently_renewed = now - owning.renewed_at < MAX_RENEWAL_AGE_S
     if not (durable and handover_waited and recently_renewed) or tables.leaving:
@@ -153,7 +187,8 @@
         token=tables.epoch,
         timeout_s=UPKEEP_ORDER_TIMEOUT_S,
     )
-    tables = waves.put_upkeep(tables, replace(upkeep, in_flight=True))
+    ordered = replace(upkeep, in_flight=True, may_have_begun=True)
+    tables = waves.put_upkeep(tables, ordered)
     return Step(tables=tables, commands=(call,))
 
 
@@ -165,22 +200,7 @@
     if upkeep is None or upkeep.phase is not UpkeepPhase.ORDERED:
         return Step(tables=tables)
     line = edits.log(tables, "upkeep.taken", upkeep.key, "", "accepted by the platform")
-    tables = _with_phase(tables, upkeep, UpkeepPhase.TAKEN, now)
+    wave = tables.upkeep.waves.by_key[str(event.wave)]
+    tables = waves.put_wave(tables, replace(wave, accepted=True))
+    tables = waves.enter_phase(tables, upkeep, UpkeepPhase.TAKEN, now)
     return Step(tables=tables, commands=(line,))
-
-
-def handle_order_failed(
-    event: UpkeepOrderFailed, tables: SchedulerTables, now: float
-) -> SchedulerStep:
-    """Retry after a delay, or finish if there is no such machine."""
-    upkeep = tables.upkeep.upkeeps.get(f"{event.wave}/{event.machine_id}")
-    if upkeep is None or upkeep.phase is not UpkeepPhase.ORDERED:
-        return Step(tables=tables)
-    line = edits.log(tables, "upkeep.denied", upkeep.key, "", event.reason)
-    if event.unknown_machine:
-        tables = _with_phase(tables, upkeep, UpkeepPhase.FINISHED, now)
-        return Step(tables=tables, commands=(line,))
-    retried = replace(
-        upkeep, in_flight=False, retry_at=now + UPKEEP_ORDER_RETRY_DELAY_S
-    )
-    return Step(tables=waves.put_upkeep(tables, retried), commands=(line,))
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -69,7 +69,24 @@
     return _put(tables, replace(tables.upkeep, upkeeps=upkeeps))
 
 
-def _put_wave(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
+def enter_phase(
+    tables: SchedulerTables, upkeep: Upkeep, phase: UpkeepPhase, now: float
+) -> SchedulerTables:
+    """Store that the upkeep of a machine has reached a phase."""
+    changed = replace(
+        upkeep,
+        phase=phase,
+        since=now,
+        in_flight=False,
+        retry_at=0.0,
+        attempts=0,
+        exhausted=False,
+    )
+    return put_upkeep(tables, changed)
+
+
+def put_wave(tables: SchedulerTables, wave: Wave) -> SchedulerTables:
+    """Store a wave."""
     waves = tables.upkeep.waves.put(str(wave.order.number), wave)
     return _put(tables, replace(tables.upkeep, waves=waves))
 
@@ -134,26 +151,25 @@
 def _add_wave(tables: SchedulerTables, order: WaveOrder, now: float) -> SchedulerTables:
     written_by_wave = tables.upkeep.written_by_wave or {}
     written = written_by_wave.get(order.number, WaveRow(number=order.number))
-    wave = Wave(order=order, submitted_row=written, durable_row=written)
-    tables = _put_wave(tables, wave)
+    wave = Wave(order=order, submitted_row=written, durable_row=written, since=now)
+    tables = put_wave(tables, wave)
     for machine_id in order.machine_ids:
+        is_finished = machine_id in written.finished
         upkeep = Upkeep(
             wave=order.number,
             machine_id=machine_id,
-            phase=_initial_phase(written, machine_id),
+            phase=UpkeepPhase.FINISHED if is_finished else UpkeepPhase.WAITING,
             since=now,
+            # It is unknown whether a former owner's order was carried out, and whether
+            # that owner opened the host again, so the host is emptied and the order
+            # sent again.
+            may_have_begun=machine_id in written.ordered and not is_finished,
+            unanswered_at=now,
         )
         tables = put_upkeep(tables, upkeep)
     return tables
 
 
-def _initial_phase(written: WaveRow, machine_id: str) -> UpkeepPhase:
-    if machine_id in written.finished:
-        return UpkeepPhase.FINISHED
-    # It is unknown whether a former owner's order was accepted, so it is sent again.
-    return UpkeepPhase.ORDERED if machine_id in written.ordered else UpkeepPhase.WAITING
-
-
 def is_finished(tables: SchedulerTables, wave: Wave) -> bool:
     """Return whether every machine of a wave has finished."""
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
@@ -171,7 +187,10 @@
     upkeeps = upkeeps_of_wave(tables, wave.order.number)
     ordered_phases = (UpkeepPhase.ORDERED, UpkeepPhase.TAKEN)
     ordered = (
-        upkeep.machine_id for upkeep in upkeeps if upkeep.phase in ordered_phases
+        upkeep.machine_id
+        for upkeep in upkeeps
+        if upkeep.phase in ordered_phases
+        or (upkeep.may_have_begun and upkeep.phase is not UpkeepPhase.FINISHED)
     )
     finished = (
         upkeep.machine_id for upkeep in upkeeps if upkeep.phase is UpkeepPhase.FINISHED
@@ -195,7 +214,7 @@
     """Record that a transaction with these rows is in flight."""
     for row in rows:
         wave = tables.upkeep.waves.by_key[str(row.number)]
-        tables = _put_wave(tables, replace(wave, submitted_row=row))
+        tables = put_wave(tables, replace(wave, submitted_row=row))
     return tables
 
 
@@ -204,7 +223,7 @@
     for number in numbers:
         wave = tables.upkeep.waves.get(str(number))
         if wave is not None:
-            tables = _put_wave(tables, replace(wave, durable_row=wave.submitted_row))
+            tables = put_wave(tables, replace(wave, durable_row=wave.submitted_row))
     return tables
 
 
@@ -226,7 +245,7 @@
         conditions=conditions,
         puts=(row,),
     )
-    tables = _put_wave(tables, replace(wave, reporting=True))
+    tables = put_wave(tables, replace(wave, reporting=True))
     subject = f"wave {wave.order.number}"
     reason = f"{len(finished)} of {len(wave.order.machine_ids)} machines finished"
     line = edits.log(tables, "wave.tell", subject, state.value, reason)
@@ -247,4 +266,4 @@
         reported_state=reported_state,
         retry_at=now + WAVE_STATUS_RETRY_DELAY_S,
     )
-    return Step(tables=_put_wave(tables, updated))
+    return Step(tables=put_wave(tables, updated))
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -19,6 +19,7 @@
     UpkeepEvent,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
 
 UPKEEP_DURATION_S = 2.0
@@ -39,9 +40,8 @@
 class FakeMachines:
     """All machines; the id of a machine is ``m-`` and the name of its host.
 
-    Orders for `refused_ids` are refused as busy, and those for `denied_ids` as if there
-    were no such machine. While `drops_orders` is set, orders get no answer and are not
-    carried out.
+    Orders for the machines of `refusal_by_id` fail for that reason, and are not carried
+    out.
     """
 
     machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
@@ -50,9 +50,7 @@
     ordered_at: list[float] = field(default_factory=list)
     taken_down: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
-    refused_ids: set[str] = field(default_factory=set)
-    denied_ids: set[str] = field(default_factory=set)
-    drops_orders: bool = False
+    refusal_by_id: dict[str, UpkeepRefusal] = field(default_factory=dict)
     upkeep_duration_s: float = UPKEEP_DURATION_S
 
     def add(self, host: str) -> None:
@@ -77,16 +75,17 @@
         self._check_order(command, now)
         self.orders.append(command)
         self.ordered_at.append(now)
-        if self.drops_orders:
-            return _order_failed(command, "no answer"), False
+        refusal = self.refusal_by_id.get(command.machine_id)
+        if refusal is not None:
+            return _order_failed(command, refusal), False
         machine = self.machine_by_id.get(command.machine_id)
-        if machine is None or command.machine_id in self.denied_ids:
-            return _order_failed(command, "no such machine", unknown=True), False
+        if machine is None:
+            return _order_failed(command, UpkeepRefusal.NO_SUCH_MACHINE), False
         accepted = UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         if command.wave in machine.completed_waves:
             return accepted, False
-        if now < machine.up_at or command.machine_id in self.refused_ids:
-            return _order_failed(command, "busy"), False
+        if now < machine.up_at:
+            return _order_failed(command, UpkeepRefusal.CANNOT_GO_DOWN), False
         down = [
             other
             for other in self.machine_by_id.values()
@@ -118,12 +117,10 @@
     return MachineState.UP if machine.host in server_by_host else MachineState.DOWN
 
 
-def _order_failed(
-    command: OrderUpkeep, reason: str, *, unknown: bool = False
-) -> UpkeepOrderFailed:
+def _order_failed(command: OrderUpkeep, refusal: UpkeepRefusal) -> UpkeepOrderFailed:
     return UpkeepOrderFailed(
         wave=command.wave,
         machine_id=command.machine_id,
-        reason=reason,
-        unknown_machine=unknown,
+        refusal=refusal,
+        reason=refusal.value,
     )
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -65,6 +65,7 @@
 from bulrushpulley.entities.jobs.upkeep import (
     OrderUpkeep,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
 from bulrushpulley.entities.lifecycle import Leave
 from bulrushpulley.entities.link import LinkDown, LinkEvent, LinkUp, Send
@@ -539,7 +540,10 @@
             self._take_down(command.machine_id)
         if self.lose_upkeep_answers:
             event = UpkeepOrderFailed(
-                wave=command.wave, machine_id=command.machine_id, reason="no answer"
+                wave=command.wave,
+                machine_id=command.machine_id,
+                refusal=UpkeepRefusal.NO_ANSWER,
+                reason="no answer",
             )
         self.at(CALL_LATENCY_S, lambda: self.tell(process, command.role, event))
 
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 
 import testtools
 
 from bulrushpulley.entities.jobs.rows import RowKey, WaveState, WaveStatusRow
 from bulrushpulley.entities.jobs.task import TaskState
+from bulrushpulley.entities.jobs.upkeep import UpkeepRefusal
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command
 from test.jobs_world import JobsWorld, step
@@ -212,6 +214,10 @@
         self.assertEqual([], self.world.violations)
         self.assertEqual([], self.world.machines.violations)
 
+    def _refuse(self, refusal: UpkeepRefusal, *machine_ids: str) -> None:
+        for machine_id in machine_ids:
+            self.world.machines.refusal_by_id[machine_id] = refusal
+
     def _assert_jobs_run(self, count: int) -> None:
         """Submit jobs 2 s apart, and check that each completes within 3 s."""
         for _ in range(count):
@@ -227,18 +233,25 @@
         )
 
     def test_jobs_run_while_every_order_of_a_wave_is_refused(self) -> None:
-        self.world.machines.refused_ids.update(MACHINES)
-        self.world.order_wave(4, *MACHINES, at_once=3)
-        self.world.run(3.0)
-        self._assert_jobs_run(10)
-        self.assertIs(WaveState.RUNNING, wave_state(self.world, 4))
-        self._check()
+        """Whatever the reason, and until the platform takes the orders after all."""
+        for refusal in UpkeepRefusal:
+            self.world = JobsWorld()
+            self.world.run(6.0)
+            self._refuse(refusal, *MACHINES)
+            self.world.order_wave(4, *MACHINES, at_once=3)
+            self.world.run(0.5)
+            self._assert_jobs_run(10)
+            self.assertIs(WaveState.RUNNING, wave_state(self.world, 4))
+            self.assertEqual([], self.world.machines.taken_down)
+            self.world.machines.refusal_by_id.clear()
+            self.assertTrue(self._completes(4, 60.0), str(refusal))
+            self._check()
 
     def test_a_lasting_task_returns_to_a_host_whose_upkeep_is_refused(self) -> None:
         """The only host of a service is not emptied again for a refused order."""
         world = self.world = JobsWorld(hosts=1)
         world.run(6.0)
-        world.machines.refused_ids.add("m-z0-0")
+        self._refuse(UpkeepRefusal.CANNOT_GO_DOWN, "m-z0-0")
         world.submit(1, step(1, lasting=True), payload="900.0")
         world.run(2.0)
         world.order_wave(4, "m-z0-0")
@@ -248,37 +261,25 @@
         self._check()
 
     def test_refused_orders_are_repeated_with_growing_pauses(self) -> None:
-        self.world.machines.refused_ids.add("m-z0-0")
+        self._refuse(UpkeepRefusal.CANNOT_GO_DOWN, "m-z0-0")
         self.world.order_wave(4, "m-z0-0")
         self.world.run(120.0)
         ordered_at = self.world.machines.ordered_at
-        pauses = [
-            after - before
-            for before, after in zip(ordered_at, ordered_at[1:], strict=False)
-        ]
+        pauses = [after - before for before, after in pairwise(ordered_at)]
         self.assertGreater(len(pauses), 2)
         self.assertLess(len(pauses), 8)
         self.assertGreater(pauses[-1], 4 * pauses[0])
 
     def test_a_refused_machine_does_not_keep_the_others_of_its_wave(self) -> None:
-        self.world.machines.refused_ids.add("m-z0-0")
+        self._refuse(UpkeepRefusal.CANNOT_GO_DOWN, "m-z0-0")
         self.world.order_wave(4, *MACHINES)
         self.world.run(15.0)
         self.assertEqual(["m-z1-1", "m-z2-2"], sorted(self.world.machines.taken_down))
         self.assertIs(WaveState.RUNNING, wave_state(self.world, 4))
-        self.world.machines.refused_ids.clear()
+        self.world.machines.refusal_by_id.clear()
         self.assertTrue(self._completes(4, 25.0))
         self._check()
 
-    def test_jobs_run_while_the_platform_answers_no_order(self) -> None:
-        self.world.machines.drops_orders = True
-        self.world.order_wave(4, *MACHINES, at_once=3)
-        self.world.run(0.5)
-        self._assert_jobs_run(10)
-        self.world.machines.drops_orders = False
-        self.assertTrue(self._completes(4, 45.0))
-        self._check()
-
     def test_an_upkeep_that_may_have_begun_counts_for_its_wave(self) -> None:
         """Giving an order up for a time must not let another machine go down."""
         self.world.machines.upkeep_duration_s = 12.0
@@ -296,7 +297,7 @@
         world.machines.upkeep_duration_s = 20.0
         world.lose_upkeep_answers = True
         world.order_wave(4, *MACHINES)
-        world.run(9.0)
+        world.run(5.0)
         world.kill(world.owner())
         world.run(9.0)
         self.assertEqual(1, len(world.machines.taken_down))
@@ -308,19 +309,19 @@
         """A former owner may have opened the host again after its last order."""
         world = self.world = JobsWorld(entries=3)
         world.run(6.0)
-        world.machines.drops_orders = True
+        self._refuse(UpkeepRefusal.NO_ANSWER, *MACHINES)
         world.order_wave(4, *MACHINES)
         world.run(8.0)
         world.submit(1, step(12), payload="6.0")
         world.run(1.0)
         world.kill(world.owner())
-        world.machines.drops_orders = False
+        world.machines.refusal_by_id.clear()
         self.assertTrue(self._completes(4, 90.0))
         self.assertTrue(world.all_complete())
         self._check()
 
     def test_a_wave_is_not_completed_while_a_denied_machine_is_listed(self) -> None:
-        self.world.machines.denied_ids.add("m-z0-0")
+        self._refuse(UpkeepRefusal.NO_SUCH_MACHINE, "m-z0-0")
         self.world.order_wave(4, "m-z0-0")
         self.world.run(10.0)
         self.assertIs(WaveState.RUNNING, wave_state(self.world, 4))
@@ -328,7 +329,7 @@
         self.assertTrue(self._completes(4, 5.0))
 
     def test_a_log_line_tells_why_a_wave_stands_still(self) -> None:
-        self.world.machines.refused_ids.update(MACHINES)
+        self._refuse(UpkeepRefusal.CANNOT_GO_DOWN, *MACHINES)
         self.world.order_wave(4, *MACHINES, at_once=3)
         self.world.run(30.0)
         lines = [line for line in self.world.decisions if line.kind == "wave.wait"]
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -20,7 +20,9 @@
     OrderUpkeep,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
+from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import Problem
 from bulrushpulley.platform.machines import MachinesClient
 from bulrushpulley.platform.order_rows import decode_order
@@ -119,27 +121,49 @@
         event = self.client.list_all(ListMachines(role="scheduler", timeout_s=1.0))
         self.assertIsInstance(event, ListMachinesFailed)
 
+    def _order(self) -> Event:
+        order = OrderUpkeep(
+            role="scheduler",
+            machine_id="m-1",
+            wave=3,
+            holder="entry-1",
+            token=7,
+            timeout_s=10.0,
+        )
+        return self.client.order_upkeep(order)
+
     def test_an_order_is_accepted_or_failed_by_its_answer(self) -> None:
-        for status, event_type, unknown_machine in (
-            (200, UpkeepOrderAccepted, False),
-            (409, UpkeepOrderFailed, False),
-            (400, UpkeepOrderFailed, True),
-            (503, UpkeepOrderFailed, False),
-        ):
-            self.replies = [json_reply(status, {"Reason": "busy"})]
-            event = self.client.order_upkeep(
-                OrderUpkeep(
-                    role="scheduler",
-                    machine_id="m-1",
-                    wave=3,
-                    holder="entry-1",
-                    token=7,
-                    timeout_s=1.0,
-                )
-            )
-            self.assertIsInstance(event, event_type, str(status))
-            self.assertEqual(unknown_machine, getattr(event, "unknown_machine", False))
+        """Each refusal is handled by its reason, so none may pass for another."""
+        odd_bodies: tuple[Any, ...] = ({"Reason": "odd"}, {"Reason": 7}, {}, [], None)
+        cases: list[tuple[int, Any, UpkeepRefusal]] = [
+            (409, {"Reason": "busy"}, UpkeepRefusal.CANNOT_GO_DOWN),
+            (409, {"Reason": "wave"}, UpkeepRefusal.NOT_IN_WAVE),
+            (409, {"Reason": "fence"}, UpkeepRefusal.NEWER_TOKEN),
+            *((409, odd, UpkeepRefusal.OTHER) for odd in odd_bodies),
+            (400, {"Reason": "busy"}, UpkeepRefusal.NO_SUCH_MACHINE),
+            (429, {}, UpkeepRefusal.TOO_MANY_CALLS),
+            (500, {}, UpkeepRefusal.NO_ANSWER),
+            (503, {"Reason": "busy"}, UpkeepRefusal.UNAVAILABLE),
+        ]
+        for status, body, refusal in cases:
+            self.replies = [json_reply(status, body)]
+            event = self._order()
+            assert isinstance(event, UpkeepOrderFailed), (status, body)
+            self.assertEqual((3, "m-1"), (event.wave, event.machine_id))
+            self.assertIs(refusal, event.refusal, f"{status} {body}: {event.reason}")
+            self.assertIn(str(status), event.reason)
+        self.replies = [json_reply(200, {"Reason": "busy"})]
+        self.assertEqual(UpkeepOrderAccepted(wave=3, machine_id="m-1"), self._order())
         self.assertEqual(
             {"Machine": "m-1", "MaintenanceWave": 3},
             json.loads(self.requests[-1].body),
         )
+
+    def test_an_order_that_reaches_no_server_is_not_carried_out(self) -> None:
+        (port,) = free_ports(1)
+        self.client = MachinesClient(
+            address=f"127.0.0.1:{port}", report=self.problems.append
+        )
+        event = self._order()
+        assert isinstance(event, UpkeepOrderFailed)
+        self.assertIs(UpkeepRefusal.UNAVAILABLE, event.refusal)
