Reject ids of backend servers that cannot be a header

Callers of an agent's Control address got 200 for POST /v1/instances/%FF%FE/heartbeat, and the agent ended with exit code 1.

Cause: the id was taken from the path unchecked and sent as the header Expected-Instance; http.client raises UnicodeEncodeError, or ValueError for a line break, and any error in the work of a role ends its process.

A header that cannot be sent fails its call with an unknown outcome instead of raising.

--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -54,8 +54,10 @@
 )
 from bulrushpulley.platform.http_client import HttpAnswer, HttpClient
 from bulrushpulley.platform.job_bodies import decode_resources
+from bulrushpulley.platform.server_ids import check_server_id
 
 STEP = "executor.decode"
+ANNOUNCE_STEP = "announce.decode"
 # A constant token is enough: only the agent on the same host calls a backend server,
 # and the run numbers make orders that arrive late harmless.
 FENCING_TOKEN = 1
@@ -330,9 +332,10 @@
 def decode_announcement(server_id: str, body: bytes) -> Announced:
     """Decode the announcement of a backend server.
 
-    Raises `BulrushpulleyError` if it is malformed.
+    Raises `BulrushpulleyError` if it is malformed, or the id cannot be used.
     """
-    step = "announce.decode"
+    step = ANNOUNCE_STEP
+    check_server_id(server_id, step)
     raw = decode_object(body, step)
     state = text(raw, "State", step)
     if state not in (READY, DRAINING):
--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -81,7 +81,8 @@
             raise RefusedError(problem=self._unavailable(step, str(error))) from error
         except NOT_SENT_ERRORS as error:
             raise RefusedError(problem=self._unavailable(step, str(error))) from error
-        except HTTPError as error:
+        except (HTTPError, ValueError) as error:
+            # http.client raises ValueError for a header that cannot be sent.
             raise AnswerLostError(
                 problem=self._outcome_unknown(step, str(error))
             ) from error
