--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -2,7 +2,7 @@
 
 It records violations of the upkeep rules: more machines down than a wave allows, orders
 with a lower token after a higher one, two holders with the same token, and orders of
-two holders within the handover delay.
+two holders within the handover delay. The world adds machines that go down with runs.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
     UpkeepEvent,
     UpkeepOrderAccepted,
     UpkeepOrderFailed,
+    UpkeepRefusal,
 )
 
 UPKEEP_DURATION_S = 2.0
@@ -37,7 +38,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class FakeMachines:
-    """All machines; the id of a machine is ``m-`` and the name of its host."""
+    """All machines; the id of a machine is ``m-`` and the name of its host.
+
+    Orders for the machines of `refusal_by_id` fail for that reason, and are not carried
+    out.
+    """
 
     machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
     limit_by_wave: dict[int, int] = field(default_factory=dict)
@@ -45,6 +50,8 @@
     ordered_at: list[float] = field(default_factory=list)
     taken_down: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    refusal_by_id: dict[str, UpkeepRefusal] = field(default_factory=dict)
+    upkeep_duration_s: float = UPKEEP_DURATION_S
 
     def add(self, host: str) -> None:
         """Add the machine of a host."""
@@ -74,14 +81,17 @@
         self._check_order(command, now)
         self.orders.append(command)
         self.ordered_at.append(now)
+        refusal = self.refusal_by_id.get(command.machine_id)
+        if refusal is not None:
+            return _order_failed(command, refusal), False
         machine = self.machine_by_id.get(command.machine_id)
         if machine is None:
-            return _order_failed(command, "no such machine", unknown=True), False
+            return _order_failed(command, UpkeepRefusal.NO_SUCH_MACHINE), False
         accepted = UpkeepOrderAccepted(wave=command.wave, machine_id=command.machine_id)
         if command.wave in machine.completed_waves:
             return accepted, False
         if now < machine.up_at:
-            return _order_failed(command, "busy"), False
+            return _order_failed(command, UpkeepRefusal.CANNOT_GO_DOWN), False
         down = [
             other
             for other in self.machine_by_id.values()
@@ -90,7 +100,7 @@
         if len(down) >= self.limit_by_wave.get(command.wave, 1):
             self.violations.append(f"too many machines down for wave {command.wave}")
         machine.completed_waves.add(command.wave)
-        machine.up_at = now + UPKEEP_DURATION_S
+        machine.up_at = now + self.upkeep_duration_s
         machine.last_wave = command.wave
         self.taken_down.append(command.machine_id)
         return accepted, True
@@ -113,12 +123,10 @@
     return MachineState.UP if machine.host in server_by_host else MachineState.DOWN
 
 
-def _order_failed(
-    command: OrderUpkeep, reason: str, *, unknown: bool = False
-) -> UpkeepOrderFailed:
+def _order_failed(command: OrderUpkeep, refusal: UpkeepRefusal) -> UpkeepOrderFailed:
     return UpkeepOrderFailed(
         wave=command.wave,
         machine_id=command.machine_id,
-        reason=reason,
-        unknown_machine=unknown,
+        refusal=refusal,
+        reason=refusal.value,
     )
