--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -61,7 +61,8 @@
 class FakeExecutor:
     """The backend server of one host over its successive incarnations.
 
-    `listener` is called for each start, each end and each acknowledged end.
+    `listener` is called for each start, each end and each acknowledged end. Its clock
+    shows `clock_rate` seconds for each second that passes.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.incarnation_started_at = incarnation_started_at
         self.incarnation = incarnation
         self.id_number = incarnation
+        self.clock_rate = 1.0
         self.lease_until = 0.0
         self.up = True
         self.draining = False
@@ -216,7 +218,7 @@
         return RunsListed(
             server_id=command.server_id,
             started_at_ms=self.incarnation,
-            clock_ms=int((now - self.incarnation_started_at) * 1000),
+            clock_ms=self.clock_ms(now),
             runs=runs,
             ends=tuple(self.ends[: self.max_listed_ends]),
             first_end=self.ends[0].number if self.ends else 0,
@@ -236,10 +238,15 @@
         )
         return str(worked_s) if worked_s > 0 else run.order.checkpoint
 
+    def clock_ms(self, now: float) -> int:
+        """Return the time on the clock of this incarnation."""
+        return int((now - self.incarnation_started_at) * self.clock_rate * 1000)
+
+    def _time_of(self, clock_ms: int) -> float:
+        return self.incarnation_started_at + clock_ms / 1000 / self.clock_rate
+
     def _extend_lease(self, until_ms: int) -> None:
-        self.lease_until = max(
-            self.lease_until, self.incarnation_started_at + until_ms / 1000
-        )
+        self.lease_until = max(self.lease_until, self._time_of(until_ms))
 
     @call.register
     def _(self, command: StartRun, now: float) -> ExecutorEvent:
@@ -254,7 +261,7 @@
             return replace(denied, reason="ticket")
         if order.run <= self.barred_run_by_task.get(order.task_id, 0):
             return replace(denied, final=True)
-        if self.incarnation_started_at + command.lease_until_ms / 1000 <= now:
+        if self._time_of(command.lease_until_ms) <= now:
             return replace(denied, reason="late")
         self._extend_lease(command.lease_until_ms)
         duration_s = float(order.payload) if _succeeds(order) else POISON_RUN_TIME_S
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -152,7 +152,8 @@
     `silent_directions` sends reaches the second only if its link outlasts the silence.
     The backend servers of `unlisted_hosts` answer no poll, those of `refusing_hosts`
     refuse every start as unhealthy, and those of `unannounced_hosts` do not announce
-    themselves. Unless `machines_up`, requests for the list of machines fail.
+    themselves. Unless `machines_up`, requests for the list of machines fail. A dial
+    that is not answered fails after `failed_dial_s`.
     """
 
     def __init__(self, *, entries: int = 2, hosts: int = 3) -> None:
@@ -183,6 +184,7 @@
         self.disallowed_server_ids: set[str] = set()
         self.machines = FakeMachines()
         self.machines_up = True
+        self.failed_dial_s = 0.5
         self.lose_upkeep_answers = False
         self.hook: Callable[[Command], None] | None = None
         self.answers: list[CallAnswer] = []
@@ -567,7 +569,7 @@
         ) or self._is_silent_either_way(address, process.name)
         if agent is None or not agent.alive or agent.frozen or is_cut_off:
             ended = DialEnded(address=address)
-            self.at(0.5, lambda: self.tell(process, SCHEDULER, ended))
+            self.at(self.failed_dial_s, lambda: self.tell(process, SCHEDULER, ended))
             return
         if agent.incarnation in self.entry_by_linked_agent:
             self._unlink(agent.incarnation)
