End the last lease at a fixed time after the last contact

Callers saw lasting tasks of a lost host with nothing running for 12.8 s while the platform's list of machines could not be read (LOST counts 12 s).

Cause: an agent without contact renewed full leases for 6 s, and the last of them lasted another 5.8 s. Whatever the agent did in those 6 s, the owner had to wait for both.

An agent requests full leases for 4.2 s after the last confirmed contact. Later it renews them only until a full one requested at that time would end, by the newest time of the server's clock and at its slowest rate. So a shorter time costs an agent that stood still no run: it renews until the last end when it is back. The owner tells agents of earlier versions by its answers, and waits as long as before for contacts that an earlier owner may have confirmed. The time after the last renewal of the owner row is unchanged, so outages of the store are survived as before.

Hosts with tasks are dialled 0.4 s after a failed dial instead of up to 1.5 s, and an agent without contact polls each 0.1 s, so that a host that was cut off is in contact again earlier.

--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -53,8 +53,8 @@
     """Confirms that the owner still owns the shard.
 
     `sent_at` is the time on the agent's clock at which it sent the contact. The owner
-    permits renewals of leases for `renewals_for_s` from then on; earlier versions leave
-    that to the agent.
+    permits full leases for `renewals_for_s` from then on; earlier versions leave that
+    to the agent.
     """
 
     sent_at: float
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -91,8 +91,9 @@
 class Server:
     """The current incarnation of the backend server.
 
-    `clock_ms` is the newest time on its clock that an answer carried. All ends with
-    numbers up to `noted` are durable, and so are those in `noted_out_of_order`.
+    `clock_ms` is the newest time on its clock that an answer carried, which arrived at
+    `clock_read_at` at the latest. All ends with numbers up to `noted` are durable, and
+    so are those in `noted_out_of_order`.
     `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
     once it has answered with a list of its runs, and `withdrawn` once it has announced
     its end.
@@ -108,6 +109,7 @@
     labels: tuple[str, ...]
     leaves_in_s: float = 0.0
     clock_ms: int = 0
+    clock_read_at: float = 0.0
     noted: int = 0
     noted_out_of_order: frozenset[int] = frozenset()
     lease_sent_at: float = 0.0
@@ -188,16 +190,17 @@
     """The complete state of the role.
 
     `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
-    name while linked. Contacts that the owner answered permit leases and starts
-    until `renewals_end_at`. `orders_complete` means that the owner's complete list of
-    runs for the current incarnation has arrived. `stalled_since` is since when all
-    serving runs have been stalled, `search_started_at` when this process began to wait
-    for an announcement. `unconfirmed` are the announced incarnations that are not
-    confirmed, by name. `ends` are kept by number until the server may discard them.
-    `synced` means that the owner has been sent the complete list of runs;
-    `last_host_report` and the end with number `last_end_sent` are the last ones sent.
-    `unsettled_since_by_kind` is since when each lack that is logged has lasted, by the
-    kind of its line, and `oldest_end` the number of the first end when last checked.
+    name while linked. Contacts that the owner answered permit full leases and starts
+    until `renewals_end_at`, and no lease that ends after a full one requested then.
+    `orders_complete` means that the owner's complete list of runs for the current
+    incarnation has arrived. `stalled_since` is since when all serving runs have been
+    stalled, `search_started_at` when this process began to wait for an announcement.
+    `unconfirmed` are the announced incarnations that are not confirmed, by name. `ends`
+    are kept by number until the server may discard them. `synced` means that the owner
+    has been sent the complete list of runs; `last_host_report` and the end with number
+    `last_end_sent` are the last ones sent. `unsettled_since_by_kind` is since when each
+    lack that is logged has lasted, by the kind of its line, and `oldest_end` the number
+    of the first end when last checked.
     """
 
     host: str
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -80,8 +80,8 @@
     `holder` is empty once an owner has released the shard. `epoch` increases with each
     change of owner, `sequence` with each transaction of the owner. `unlinked_hosts`
     lets the next owner count from when a host was last heard of. Agents of this owner
-    and of those before it may renew leases for `renewals_for_s` after the row was
-    created; earlier versions do not write it.
+    and of those before it may request full leases for `renewals_for_s` after the row
+    was created; earlier versions do not write it.
     """
 
     holder: str
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -180,7 +180,7 @@
     """How long each party continues without contact; see `entities.jobs.bounds`."""
 
     owner_autonomy_s: Seconds = 6.0
-    agent_autonomy_s: Seconds = 6.0
+    agent_autonomy_s: Seconds = 4.2
     lease_s: Annotated[float, Range(low=0.5, high=3_600.0)] = 5.7
 
     def within(self, limits: LimitSettings) -> Bounds:
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -50,7 +50,7 @@
 def handle_contact_ack(
     event: ContactAck, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Permit renewals of leases, counted from when the contact was sent."""
+    """Permit full leases, counted from when the contact was sent."""
     if event.epoch != tables.epoch:
         return Step(tables=tables)
     renewals_for_s = tables.bounds.agent_autonomy_s
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -1,13 +1,15 @@
 """Polls the list of runs on the backend server and renews its lease.
 
-A lease is requested only while the last confirmed contact with the owner of the shard
-is recent. Its end is computed from the newest time on the server's clock that an answer
-carried, so neither a slow call nor a pause of this process can extend it.
+A full lease is requested only while the last confirmed contact with the owner of the
+shard is recent, and later ones end when the last full one would. The end is computed
+from the newest time on the server's clock that an answer carried, so neither a slow
+call nor a pause of this process can extend it.
 """
 
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.bounds import MAX_CLOCK_DRIFT_FRACTION
 from bulrushpulley.entities.jobs.executor_calls import (
     OtherIncarnation,
     PollFailed,
@@ -30,6 +32,9 @@
 # The call returns as soon as a run ends; otherwise the wait bounds the age of the
 # measured latencies and the delay of a lease renewal.
 POLL_WAIT_MS = 400
+# Without recent contact the lease may be about to end, and is renewed as soon as there
+# is contact again.
+SHORT_POLL_WAIT_MS = 100
 # The backend server is on the same host; a later answer is considered lost.
 POLL_ANSWER_TIMEOUT_S = 0.3
 POLL_RETRY_DELAY_S = 0.1
@@ -38,13 +43,19 @@
 
 
 def has_recent_contact(tables: JobAgentTables, now: float) -> bool:
-    """Return whether the confirmed contacts still allow leases and starts."""
+    """Return whether the confirmed contacts still allow full leases and starts."""
     return now < tables.renewals_end_at
 
 
 def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
-    """Return the end of a lease requested now, on the server's clock."""
-    return server.clock_ms + int(tables.bounds.lease_s * 1_000)
+    """Return the end of a lease requested now, on the server's clock.
+
+    No lease ends after one that was requested at `renewals_end_at`.
+    """
+    leases_end_at = tables.renewals_end_at + tables.bounds.longest_lease_s
+    # The server's clock may be slow, so it has to show less when the time has come.
+    left_s = (leases_end_at - server.clock_read_at) * (1.0 - MAX_CLOCK_DRIFT_FRACTION)
+    return server.clock_ms + int(min(tables.bounds.lease_s, left_s) * 1_000)
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
@@ -55,14 +66,17 @@
     # The lease of a server that does not answer is not renewed, so that it certainly
     # expires.
     answers = poll.failing_since is None
-    leases = has_recent_contact(tables, now) and server.listed and answers
+    until_ms = lease_until_ms(tables, server)
+    leases = until_ms > server.clock_ms and server.listed and answers
+    ends_soon = leases and not has_recent_contact(tables, now)
+    wait_ms = SHORT_POLL_WAIT_MS if ends_soon else POLL_WAIT_MS
     call = PollRuns(
         server_id=server.server_id,
         address=server.address,
-        timeout_s=POLL_WAIT_MS / 1_000 + POLL_ANSWER_TIMEOUT_S,
+        timeout_s=wait_ms / 1_000 + POLL_ANSWER_TIMEOUT_S,
         noted=server.noted,
-        wait_ms=POLL_WAIT_MS if server.listed else 0,
-        lease_until_ms=lease_until_ms(tables, server) if leases else None,
+        wait_ms=wait_ms if server.listed else 0,
+        lease_until_ms=until_ms if leases else None,
     )
     if leases:
         server = replace(server, lease_sent_at=now)
@@ -123,7 +137,9 @@
             tables, "another incarnation answers at its address"
         )
     sent_at = tables.poll.sent_at
-    server = replace(server, clock_ms=max(server.clock_ms, event.clock_ms), listed=True)
+    server = replace(server, listed=True)
+    if event.clock_ms > server.clock_ms:
+        server = replace(server, clock_ms=event.clock_ms, clock_read_at=now)
     tables = replace(tables, server=server, poll=PollState())
     # What precedes the first end that the server keeps was acknowledged by an earlier
     # process of this agent.
--- a/bulrushpulley/systems/job_agent/unsettled.py
+++ b/bulrushpulley/systems/job_agent/unsettled.py
@@ -138,8 +138,8 @@
 
 
 def _describe_permission(tables: JobAgentTables, now: float) -> str:
-    """Return for how long the owner permits leases and starts, as text."""
+    """Return for how long the owner permits full leases and starts, as text."""
     left_s = tables.renewals_end_at - now
     if left_s > 0.0:
-        return f"leases permitted for {left_s:.1f} s"
-    return f"leases not permitted for {-left_s:.1f} s"
+        return f"full leases permitted for {left_s:.1f} s"
+    return f"full leases not permitted for {-left_s:.1f} s"
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -172,17 +172,19 @@
 
 
 def _permitted_renewals_s(tables: SchedulerTables, host: Host, now: float) -> float:
-    """Return how long an agent may renew leases; zero or less if it may not.
+    """Return how long an agent may request full leases; zero or less if it may not.
 
     The next owner relies on `OwnerRow.renewals_for_s`, and on `UnlinkedHost` for agents
-    not adopted yet.
+    not adopted yet. This owner relies on `Bounds.agent_expiry_s`, which was longer in
+    earlier versions, so the agent is told.
     """
     owning = tables.leadership
     if not isinstance(owning, Owning) or tables.leaving:
         return 0.0
     if host.announced_epoch != tables.epoch:
         return 0.0
-    return owning.renewed_at + tables.bounds.owner_autonomy_s - now
+    renewals_for_s = owning.renewed_at + tables.bounds.owner_autonomy_s - now
+    return min(tables.bounds.agent_autonomy_s, renewals_for_s)
 
 
 @apply_item.register
--- a/bulrushpulley/systems/scheduling/dialling.py
+++ b/bulrushpulley/systems/scheduling/dialling.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.host import UNLINKED
+from bulrushpulley.entities.jobs.host import UNLINKED, Host
 from bulrushpulley.entities.jobs.scheduler_tables import (
     DialAgent,
     Owning,
@@ -19,6 +19,8 @@
 # an attempt each `MAX_REDIAL_DELAY_S`.
 MIN_REDIAL_DELAY_S = 0.2
 MAX_REDIAL_DELAY_S = 1.5
+# Runs on a silent host end with its leases unless it is linked again in time.
+MAX_REDIAL_DELAY_WITH_TASKS_S = 0.4
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -51,7 +53,7 @@
     for host in tables.hosts.rows_where("address", event.address):
         retry_delay_s = exponential_delay_s(
             min_delay_s=MIN_REDIAL_DELAY_S,
-            max_delay_s=MAX_REDIAL_DELAY_S,
+            max_delay_s=_max_redial_delay_s(tables, host),
             doublings=host.redials,
         )
         retried = replace(
@@ -62,3 +64,9 @@
         )
         tables = edits.put_host(tables, retried)
     return Step(tables=tables)
+
+
+def _max_redial_delay_s(tables: SchedulerTables, host: Host) -> float:
+    if tables.tasks.count_where("host", host.name):
+        return MAX_REDIAL_DELAY_WITH_TASKS_S
+    return MAX_REDIAL_DELAY_S
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -8,6 +8,7 @@
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.bounds import EARLIER_VERSION_AGENT_AUTONOMY_S
 from bulrushpulley.entities.jobs.host import NO_LINK, Host
 from bulrushpulley.entities.jobs.rows import OwnerRow, UnlinkedHost
 from bulrushpulley.entities.jobs.scheduler_tables import (
@@ -52,7 +53,12 @@
 def leases_expired_at(tables: SchedulerTables, owning: Owning, host: Host) -> float:
     """Return the time after which no run ordered on a host can still be running."""
     if host.last_contact_at > 0.0:
-        return host.last_contact_at + tables.bounds.agent_expiry_s
+        # Owners before this one may have confirmed contacts until it adopted the agent.
+        confirmed_end_at = host.announced_at + EARLIER_VERSION_AGENT_AUTONOMY_S
+        return max(
+            host.last_contact_at + tables.bounds.agent_expiry_s,
+            confirmed_end_at + tables.bounds.lease_expiry_s,
+        )
     if host.runs_end_by > 0.0:
         return host.runs_end_by
     return owning.renewals_end_at + tables.bounds.lease_expiry_s
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -99,6 +99,16 @@
             self.assertLess(bounds.owner_autonomy_s + bounds.lease_expiry_s, 14.0)
             self.assertLess(bounds.agent_expiry_s, 14.0)
 
+    def test_a_lost_host_is_given_up_before_its_lasting_tasks_count_as_lost(
+        self,
+    ) -> None:
+        for kill_ms in ("200", "900"):
+            values = {"Bounds.KillTimeoutMs": kill_ms, "Bounds.MaxHoldMs": "10000"}
+            path = render_template("agent.toml", **values)
+            settings = load(JobAgentSettings, path)
+            bounds = settings.bounds.within(settings.limits)
+            self.assertLess(bounds.agent_expiry_s, 11.5)
+
     def test_the_deploy_file_starts_existing_verbs(self) -> None:
         deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
         for role in deploy["roles"].values():
