--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -27,6 +27,8 @@
 # Two contacts in a row are missing by then. A longer time would only delay the start of
 # a lost host's tasks elsewhere.
 HOST_SILENCE_TIMEOUT_S = 2 * CONTACT_INTERVAL_S
+# A new owner has heard the agents that it reaches by then.
+FIRST_CONTACT_TIMEOUT_S = 0.6
 # An agent in contact reports these while its backend server does not answer it.
 UNANSWERING_STATES = frozenset({ServerState.UNKNOWN, ServerState.SILENT})
 
@@ -51,7 +53,7 @@
 
 def _is_silent(host: Host | None, owning: Owning, now: float) -> bool:
     if host is None or host.last_contact_at <= 0.0:
-        return now - owning.loaded_at > HOST_SILENCE_TIMEOUT_S
+        return now - owning.loaded_at > FIRST_CONTACT_TIMEOUT_S
     if host.state in UNANSWERING_STATES:
         return True
     return now - max(host.last_contact_at, owning.loaded_at) > HOST_SILENCE_TIMEOUT_S
