Send a transaction again as soon as the store is seen to answer

Callers saw a job with nothing running although most of the room was free (LOST), after an outage of the store alone: its step 0 had ended while the store did not answer, and all tasks of step 1 were placed and not written.

Cause: the timeouts of a transaction grow to 3 s. One that was sent just before the store returned had all of that before it was sent again; the rule allows 3 s with nothing running. The wait adds to the outage.

Change: when a watch is answered that had failed before, and that was sent later than the transaction in flight, the transaction was lost and is sent again with its first timeout. Answers name the attempt, so that a late one is not taken for that of another transaction.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -281,7 +281,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommitProgress(TenurePurpose):
-    """An owner writes progress and renews its owner row."""
+    """An owner writes progress and renews its owner row.
+
+    `sequence` is that of the owner row, and `attempt` counts the calls for it.
+    """
+
+    sequence: int
+    attempt: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -148,11 +148,12 @@
 class WatchState:
     """The state of a watch on one table.
 
-    Changes up to the version `after` have been read. `failed` is set if the last call
-    failed.
+    Changes up to the version `after` have been read. The last call was sent at
+    `sent_at`; `failed` is set if the last one that has ended failed.
     """
 
     after: int
+    sent_at: float = 0.0
     in_flight: bool = False
     failed: bool = False
     retry_at: float = 0.0
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -63,7 +63,7 @@
     if not store_watch.due(state, now):
         return Step(tables=tables)
     call = store_watch.call(state, role=INTAKE, purpose=WatchOrders(), table=ORDERS)
-    watching = replace(tables, watch=store_watch.with_call_sent(state))
+    watching = replace(tables, watch=store_watch.with_call_sent(state, now))
     return Step(tables=watching, commands=(call,))
 
 
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -60,15 +60,27 @@
     if commit.in_flight or now < commit.retry_at:
         return Step(tables=tables)
     timeout_s = store_timeouts.next_timeout_s(commit.transact.timeout_s)
+    return _send_again(tables, commit, timeout_s, now)
+
+
+def _send_again(
+    tables: SchedulerTables, commit: Commit, timeout_s: float, now: float
+) -> SchedulerStep:
+    attempt = commit.attempts + 1
+    transact = replace(
+        commit.transact,
+        purpose=_purpose(tables, commit.row, attempt),
+        timeout_s=timeout_s,
+    )
     retried = replace(
-        commit,
-        transact=replace(commit.transact, timeout_s=timeout_s),
-        in_flight=True,
-        sent_at=now,
-        attempts=commit.attempts + 1,
+        commit, transact=transact, in_flight=True, sent_at=now, attempts=attempt
     )
     tables = replace(tables, commit=retried)
-    return Step(tables=tables, commands=(retried.transact,))
+    return Step(tables=tables, commands=(transact,))
+
+
+def _purpose(tables: SchedulerTables, row: OwnerRow, attempt: int) -> CommitProgress:
+    return CommitProgress(epoch=tables.epoch, sequence=row.sequence, attempt=attempt)
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
@@ -88,7 +100,7 @@
     puts.extend(unwritten)
     transact = Transact(
         role=SCHEDULER,
-        purpose=CommitProgress(epoch=tables.epoch),
+        purpose=_purpose(tables, row, attempt=1),
         timeout_s=store_timeouts.timeout_s(tables.store_latency_s),
         conditions=(Condition(key=OWNER_KEY, version=owning.version),),
         puts=tuple(puts),
@@ -234,6 +246,23 @@
     return _retry(tables, now, 0.0, reason)
 
 
+def handle_store_back(
+    tables: SchedulerTables, read_sent_at: float, now: float
+) -> SchedulerStep:
+    """Send the transaction in flight again if a read that was sent later is answered.
+
+    The store did not answer before, so the transaction was lost as well. Its timeout
+    may be seconds away.
+    """
+    commit = tables.commit
+    if commit is None or not commit.in_flight or commit.sent_at >= read_sent_at:
+        return Step(tables=tables)
+    line = effects.log_retry(tables, commit, "the store answers again")
+    timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
+    step = _send_again(tables, commit, timeout_s, now)
+    return Step(tables=step.tables, commands=(line, *step.commands))
+
+
 def handle_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
     """Retry the same transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -147,6 +147,13 @@
     return purpose.epoch == tables.epoch
 
 
+@_is_current.register
+def _(purpose: CommitProgress, tables: SchedulerTables) -> bool:
+    # An attempt that was given up may still be answered after a later one was sent.
+    commit = tables.commit
+    return commit is not None and purpose == commit.transact.purpose
+
+
 @singledispatch
 def handle_store_event(
     purpose: Purpose, event: StoreEvent, tables: SchedulerTables, now: float
--- a/bulrushpulley/systems/scheduling/watching.py
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.jobs.store import ReadRange, StoredRow, WatchState
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_watch
-from bulrushpulley.systems.scheduling import accepting, edits, loading
+from bulrushpulley.systems.scheduling import accepting, committing, edits, loading
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -24,7 +24,7 @@
     commands: list[Command] = []
     for table, state in tables.watch_by_table.items():
         if store_watch.due(state, now):
-            tables = _put(tables, table, store_watch.with_call_sent(state))
+            tables = _put(tables, table, store_watch.with_call_sent(state, now))
             purpose = WatchTable(table=table, epoch=tables.epoch)
             commands.append(
                 store_watch.call(state, role=SCHEDULER, purpose=purpose, table=table)
@@ -49,6 +49,16 @@
     if state is None:
         return Step(tables=tables)
     tables = _put(tables, table, store_watch.with_changes_read(state, version))
+    step = _apply_rows(rows, table, tables, now)
+    if not state.failed:
+        return step
+    resent = committing.handle_store_back(step.tables, state.sent_at, now)
+    return Step(tables=resent.tables, commands=(*step.commands, *resent.commands))
+
+
+def _apply_rows(
+    rows: tuple[StoredRow, ...], table: str, tables: SchedulerTables, now: float
+) -> SchedulerStep:
     if table == HOSTS:
         return Step(tables=loading.handle_host_rows(tables, rows))
     return accepting.handle_rows(rows, tables, now)
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -35,9 +35,9 @@
     )
 
 
-def with_call_sent(state: WatchState) -> WatchState:
+def with_call_sent(state: WatchState, now: float) -> WatchState:
     """Return the state while a call is in flight."""
-    return replace(state, in_flight=True)
+    return replace(state, in_flight=True, sent_at=now)
 
 
 def with_changes_read(state: WatchState, version: int) -> WatchState:
