--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -49,9 +49,8 @@
 ) -> Role[SchedulerTables]:
     """Return the scheduler of an entry.
 
-    Among entries equally near the store, the one with the lowest `takeover_stagger`
-    takes over first from an owner that does not renew, and the one with the lowest
-    `claim_stagger` claims a shard without owner first.
+    Among entries equally near the store, the lowest `takeover_stagger` takes over first
+    from an owner that does not renew, the lowest `claim_stagger` without an owner.
     """
     tables = SchedulerTables(
         name=name,
