Count earlier owners' confirmations from the first adoption of an agent

The wait for a silent host counted from its last adoption, as owners before may have confirmed contacts until then. An agent that says nothing on an open link is adopted again every few seconds, so its tasks would have been held for good (LOST).

Only the first adoption in a tenure ends what earlier owners may confirm; its time is kept.

Result: a test of leases_expired_at after a second adoption failed before.

--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -110,7 +110,11 @@
         if not _is_ownership_confirmed(tables, host):
             continue
         adopted = replace(
-            host, announced_epoch=tables.epoch, announced_at=now, synced=False
+            host,
+            announced_epoch=tables.epoch,
+            announced_at=now,
+            adopted_at=host.adopted_at or now,
+            synced=False,
         )
         tables = edits.put_host(tables, adopted)
         commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -54,7 +54,7 @@
     """Return the time after which no run ordered on a host can still be running."""
     if host.last_contact_at > 0.0:
         # Owners before this one may have confirmed contacts until it adopted the agent.
-        confirmed_end_at = host.announced_at + EARLIER_VERSION_AGENT_AUTONOMY_S
+        confirmed_end_at = host.adopted_at + EARLIER_VERSION_AGENT_AUTONOMY_S
         return max(
             host.last_contact_at + tables.bounds.agent_expiry_s,
             confirmed_end_at + tables.bounds.lease_expiry_s,
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -178,6 +178,7 @@
             last_contact_at=0.0,
             runs_end_by=0.0,
             announced_epoch=0,
+            adopted_at=0.0,
             synced=False,
             committed=NO_RESOURCES,
             filling_m=0,
--- a/test/test_jobs_unreachable_host.py
+++ b/test/test_jobs_unreachable_host.py
@@ -13,11 +13,18 @@
 
 import testtools
 
+from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import MAX_CLOCK_DRIFT_FRACTION
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder
-from bulrushpulley.entities.jobs.scheduler_tables import DialAgent
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
+    DialAgent,
+    Owning,
+    SchedulerTables,
+)
 from bulrushpulley.entities.step import Command
 from bulrushpulley.roles.job_links import JOB_LINK_HELLO_TIMEOUT_S
+from bulrushpulley.systems.scheduling import agents, edits, lease_expiry
 from standins.executor_core import FakeExecutor
 from test.jobs_world import JobsWorld, step
 
@@ -69,6 +76,25 @@
             self.assertEqual([], world.violations)
 
 
+class ReadoptedTest(UnreachableHostTest):
+    def test_a_silent_agent_that_is_adopted_again_is_not_waited_for_longer(
+        self,
+    ) -> None:
+        # It is adopted each few seconds while its link is open, so its tasks would be
+        # held for good.
+        world = self.world_with_tasks(0.0)
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        owning = tables.leadership
+        assert isinstance(owning, Owning)
+        host = tables.hosts.by_key[HOST]
+        ends_at = lease_expiry.leases_expired_at(tables, owning, host)
+        due = edits.put_host(tables, replace(host, announced_epoch=0))
+        again = agents.adopt(due, world.now + 10.0).tables.hosts.by_key[HOST]
+        self.assertEqual(world.now + 10.0, again.announced_at)
+        self.assertEqual(ends_at, lease_expiry.leases_expired_at(tables, owning, again))
+
+
 class KeptRunsTest(UnreachableHostTest):
     """Troubles that end before the wait is over, and cost no run."""
 
