Write log lines whole, in pieces of at most 4,096 bytes

Up to 500 lines went out in one write; a pipe passes only PIPE_BUF bytes (4,096) on whole, and a reader with a small buffer lost the middle of larger writes.

The writer now joins whole lines to pieces of at most that size; a longer line is written alone. If a write fails, the lines of that piece count as lost. Two tests failed before: the packing of lines, and a pipe in packet mode, whose reads must hold whole lines.

--- a/bulrushpulley/logs.py
+++ b/bulrushpulley/logs.py
@@ -3,7 +3,7 @@
 A thread that logs only queues the message; a separate thread encodes and writes it.
 When the queue is full, because the reader of the log is slow or absent, lines are
 dropped and counted, and the count is logged once there is room again. A slow log
-therefore never delays a request.
+therefore never delays a request. Lines are written whole, several in a piece.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import time
 import uuid
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from typing import Any
 
@@ -27,6 +27,9 @@
 MAX_QUEUED_LINES = 20_000
 MAX_LINES_PER_WRITE = 500
 FLUSH_TIMEOUT_S = 2.0
+# A pipe passes a write of this size (Linux's PIPE_BUF) on whole, a larger one in parts
+# that the log's reader may lose.
+MAX_PIECE_BYTES = 4_096
 # Lines that arrive within this time are written together, since waking the writer
 # for each of them costs more than writing the line.
 MAX_BATCH_DELAY_S = 0.1
@@ -77,13 +80,15 @@
 
     def _write_all(self) -> None:
         while batch := self._next_batch():
-            data = b"".join(
+            lines = (
                 msgspec.json.encode(message, enc_hook=str) + b"\n" for message in batch
             )
-            try:
-                _write(self._fd, data)
-            except OSError:
-                self._count(Count(name="log_lines_lost", by=len(batch)))
+            for piece in pack_lines(lines):
+                try:
+                    _write(self._fd, piece)
+                except OSError:
+                    lost = piece.count(b"\n")
+                    self._count(Count(name="log_lines_lost", by=lost))
 
     def _next_batch(self) -> list[dict[str, Any]]:
         with self._ready:
@@ -98,6 +103,23 @@
         return batch
 
 
+def pack_lines(lines: Iterable[bytes]) -> Iterator[bytes]:
+    """Join whole lines to pieces of `MAX_PIECE_BYTES` at most.
+
+    A line that is longer than that is a piece of its own.
+    """
+    piece: list[bytes] = []
+    size_bytes = 0
+    for line in lines:
+        if piece and size_bytes + len(line) > MAX_PIECE_BYTES:
+            yield b"".join(piece)
+            piece, size_bytes = [], 0
+        piece.append(line)
+        size_bytes += len(line)
+    if piece:
+        yield b"".join(piece)
+
+
 def _write(fd: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -14,7 +14,13 @@
 from bulrushpulley.entities.observe import Count, Decision, Observe
 from bulrushpulley.entities.step import Event, Step
 from bulrushpulley.errors import Problem
-from bulrushpulley.logs import MAX_QUEUED_LINES, LineWriter, log_decision
+from bulrushpulley.logs import (
+    MAX_PIECE_BYTES,
+    MAX_QUEUED_LINES,
+    LineWriter,
+    log_decision,
+    pack_lines,
+)
 from bulrushpulley.metrics import MAX_COUNTERS, Metrics
 from bulrushpulley.roles.actor import Role
 from bulrushpulley.roles.carry_out import Ports
@@ -117,6 +123,42 @@
         self.assertEqual(("r-1", "agent-1"), (line["subject"], line["chosen"]))
         self.assertEqual(["agent-2"], line["passed_over"])
 
+    def test_lines_are_packed_whole_into_pieces_of_bounded_size(self) -> None:
+        """A pipe passes larger writes on in parts, between which lines were lost."""
+        short = b"x" * 999 + b"\n"
+        longer = b"y" * MAX_PIECE_BYTES + b"\n"
+        exact = b"z" * (MAX_PIECE_BYTES - 1) + b"\n"
+        self.assertEqual([], list(pack_lines([])))
+        for lines, sizes in (
+            ([short], [1]),
+            ([short] * 9, [4, 4, 1]),
+            ([exact, exact], [1, 1]),
+            ([short, exact, short], [1, 1, 1]),
+            ([short, longer, short, short], [1, 1, 2]),
+            ([longer], [1]),
+        ):
+            pieces = list(pack_lines(lines))
+            self.assertEqual(b"".join(lines), b"".join(pieces))
+            self.assertEqual(sizes, [piece.count(b"\n") for piece in pieces])
+            self.assertTrue(all(piece.endswith(b"\n") for piece in pieces))
+
+    def test_each_write_to_a_pipe_holds_whole_lines(self) -> None:
+        """In packet mode each read returns the data of one write at most."""
+        read, write = os.pipe2(os.O_DIRECT)
+        writer = LineWriter(fd=write, count=lambda count: None)
+        for number in range(60):
+            writer.put({"number": number, "text": "x" * 300})
+        writer.start()
+        writer.stop()
+        os.close(write)
+        written = []
+        while piece := os.read(read, 65_536):
+            written.append(piece)
+        os.close(read)
+        self.assertTrue(all(len(piece) <= MAX_PIECE_BYTES for piece in written))
+        self.assertTrue(all(piece.endswith(b"\n") for piece in written))
+        self.assertEqual(60, b"".join(written).count(b"\n"))
+
     def test_a_full_log_drops_and_counts_lines_without_delay(self) -> None:
         read, write = os.pipe()
         counts: list[Count] = []
