Give the row of an ended job a type of its own

Callers whose 2xx was lost and who sent the job again a few seconds later, to an entry that had not stored it, were refused as not run, although the job had been accepted and had ended.

Cause: the owner shortens the row of an ended job to one without steps, and the decoder of rows refuses a job without steps. The virtual store kept rows as objects, so CondensedRowsTest did not see this.

The owner now writes an `EndedJobRow` (kind ended-job). It counts as stored for a submission, and a new owner keeps the job without tasks and only if its progress is final, to purge its rows. Rows that earlier versions shortened (kind job, spec exactly without steps and payload) are read as the same type; every other job without steps stays malformed. A row without steps that has no progress is never made a job. Entries of an earlier version treat the new kind as unreadable, as they do with the rows shortened until now.

--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -12,6 +12,7 @@
 from bulrushpulley.entities.address import address_defect
 from bulrushpulley.entities.jobs.rows import (
     BacklogRow,
+    EndedJobRow,
     HarmsRow,
     HostRow,
     JobRow,
@@ -20,7 +21,7 @@
     Row,
     WaveRow,
 )
-from bulrushpulley.entities.jobs.spec import spec_defect
+from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS, spec_defect
 from bulrushpulley.entities.numbers import are_amounts
 
 
@@ -39,14 +40,23 @@
 
 @row_defect.register
 def _(row: JobRow) -> str:
-    defect = _numbers_defect(
+    return _settings_defect(row) or spec_defect(row.spec)
+
+
+@row_defect.register
+def _(row: EndedJobRow) -> str:
+    has_steps = row.spec != SPEC_WITHOUT_STEPS
+    return _settings_defect(row) or ("must have no steps" if has_steps else "")
+
+
+def _settings_defect(row: JobRow) -> str:
+    return _numbers_defect(
         row.priority,
         row.max_attempts,
         row.latency_factor,
         row.target_latency_s,
         row.accepted_at_s,
     )
-    return defect or spec_defect(row.spec)
 
 
 @row_defect.register
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from bulrushpulley.entities.jobs.spec import JobSpec
+from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS, JobSpec
 
 OWNED_PART = "shard-0"
 INTAKE_PART = "intake-0"
@@ -107,6 +107,15 @@
     spec: JobSpec
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndedJobRow(JobRow):
+    """The row of a job that has ended; its spec is `SPEC_WITHOUT_STEPS`.
+
+    It replaces the `JobRow`, so it says that the job was accepted, but it holds
+    nothing that could be scheduled. The progress of the job has its final state.
+    """
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CancelRow(Row):
     """The cancellation of a job."""
@@ -260,6 +269,21 @@
     return RowKey(table=STATUS, part="", key=f"wave/{row.number}")
 
 
+def ended_row(row: JobRow) -> EndedJobRow:
+    """Return the row that replaces the one of a job once that has ended."""
+    return EndedJobRow(
+        job_id=row.job_id,
+        queue=row.queue,
+        service=row.service,
+        priority=row.priority,
+        max_attempts=row.max_attempts,
+        latency_factor=row.latency_factor,
+        target_latency_s=row.target_latency_s,
+        accepted_at_s=row.accepted_at_s,
+        spec=SPEC_WITHOUT_STEPS,
+    )
+
+
 def job_key(job_id: str) -> RowKey:
     """Return the key of a job's submission."""
     return RowKey(table=JOBS, part=INTAKE_PART, key=f"{job_id}.job")
--- a/bulrushpulley/entities/jobs/spec.py
+++ b/bulrushpulley/entities/jobs/spec.py
@@ -85,6 +85,9 @@
         return self.first_due_s + occurrence * self.interval_s
 
 
+SPEC_WITHOUT_STEPS = JobSpec(payload="", steps=())
+
+
 def spec_defect(spec: JobSpec) -> str:
     """Describe why a job cannot be scheduled; empty if it can."""
     if not spec.steps:
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -6,7 +6,13 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job, new_job
-from bulrushpulley.entities.jobs.rows import CancelRow, JobRow, ProgressRow
+from bulrushpulley.entities.jobs.rows import (
+    FINAL_STATES,
+    CancelRow,
+    EndedJobRow,
+    JobRow,
+    ProgressRow,
+)
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.store import StoredRow
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, task_id_of
@@ -56,6 +62,20 @@
     return Step(tables=tables, commands=(line,))
 
 
+@handle_row.register
+def _(row: EndedJobRow, tables: SchedulerTables, now: float) -> SchedulerStep:
+    """Keep an ended job that a former owner has left until its rows are purged.
+
+    Without progress in a final state nothing says when it may be purged.
+    """
+    progress = tables.progress_by_job.get(row.job_id)
+    is_known = row.job_id in tables.jobs
+    if is_known or progress is None or progress.state not in FINAL_STATES:
+        return Step(tables=tables)
+    job = restoring.restored_job(new_job(row, now), progress)
+    return Step(tables=edits.put_job(tables, job))
+
+
 def _tasks_of(job: Job, progress: ProgressRow | None, now: float) -> list[Task]:
     """Return the tasks of a job; of an ended job only those that may still run."""
     restored_by_id = {
--- a/bulrushpulley/systems/scheduling/condensing.py
+++ b/bulrushpulley/systems/scheduling/condensing.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.rows import EndedJobRow, ended_row
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
     CondenseJobRows,
     SchedulerStep,
     SchedulerTables,
 )
-from bulrushpulley.entities.jobs.spec import JobSpec
 from bulrushpulley.entities.jobs.store import Transact
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
@@ -21,7 +21,6 @@
 CONDENSE_INTERVAL_S = 2.0
 MAX_CONDENSED_ROWS = 90
 CONDENSE_TIMEOUT_S = 3.0
-SPEC_WITHOUT_STEPS = JobSpec(payload="", steps=())
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -36,13 +35,13 @@
     chosen = [
         job
         for job in tables.jobs.rows()
-        if job.row.spec.steps and edits.is_settled(tables, job)
+        if not isinstance(job.row, EndedJobRow) and edits.is_settled(tables, job)
     ]
     if not chosen:
         return Step(tables=tables)
     rows = []
     for job in chosen[:MAX_CONDENSED_ROWS]:
-        row = replace(job.row, spec=SPEC_WITHOUT_STEPS)
+        row = ended_row(job.row)
         rows.append(row)
         tables = edits.put_job(tables, replace(job, row=row))
     write = Transact(
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -14,6 +14,7 @@
 
 from bulrushpulley.entities.jobs import rows
 from bulrushpulley.entities.jobs.row_checks import row_defect
+from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire.compression import compress, decompress
 from bulrushpulley.wire.decoding import DECODING_ERRORS
@@ -32,6 +33,7 @@
 ROW_CLASS_BY_KIND: Mapping[str, type[rows.Row]] = {
     "owner": rows.OwnerRow,
     "job": rows.JobRow,
+    "ended-job": rows.EndedJobRow,
     "cancel": rows.CancelRow,
     "progress": rows.ProgressRow,
     "host": rows.HostRow,
@@ -62,6 +64,9 @@
         row = msgspec.msgpack.decode(envelope.row, type=row_class)
     except DECODING_ERRORS as error:
         raise _row_error(peer, f"{type(error).__name__}: {error}") from error
+    if type(row) is rows.JobRow and row.spec == SPEC_WITHOUT_STEPS:
+        # Earlier versions shortened the row of an ended job, but left its kind.
+        row = rows.ended_row(row)
     defect = row_defect(row)
     if defect:
         raise _row_error(peer, defect)
--- a/test/jobs_store.py
+++ b/test/jobs_store.py
@@ -5,7 +5,7 @@
 import base64
 from dataclasses import dataclass, field
 
-from bulrushpulley.entities.jobs.rows import Row, RowKey, key_of
+from bulrushpulley.entities.jobs.rows import HOSTS, STATUS, Row, RowKey, key_of
 from bulrushpulley.entities.jobs.store import (
     Conflicted,
     HistoryLost,
@@ -20,6 +20,7 @@
 )
 from bulrushpulley.errors import Problem
 from bulrushpulley.platform.stored_rows import StoredRowDecoder
+from bulrushpulley.wire.job_rows import encode_row
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,7 +41,7 @@
         """Write rows as another client, or an operator's `order` at `key`."""
         version = self.version + 1
         for row in rows:
-            self._set(StoredRow(key=key_of(row), version=version, row=row))
+            self._put_encoded(row, version)
         if key is not None:
             self._set(StoredRow(key=key, version=version, row=order))
 
@@ -51,14 +52,28 @@
             self.row_by_key[stored.key] = stored
         self.history.append(stored)
 
+    def _put_encoded(self, row: Row, version: int) -> None:
+        """Write a row as its readers get it.
+
+        Rows for operators are not read, and addresses are names here.
+        """
+        key = key_of(row)
+        if key.table in (STATUS, HOSTS):
+            self._set(StoredRow(key=key, version=version, row=row))
+        else:
+            self._set_value(key, encode_row(row), version)
+
     def put_value(self, key: RowKey, value: bytes) -> None:
         """Write bytes as another client that need not know the encoding of rows."""
+        self._set_value(key, value, self.version + 1)
+
+    def _set_value(self, key: RowKey, value: bytes, version: int) -> None:
         entry = {
             "Table": key.table,
             "part": key.part,
             "Key": key.key,
             "Value": base64.b64encode(value).decode("ascii"),
-            "Ver": self.version + 1,
+            "Ver": version,
         }
         decoder = StoredRowDecoder(report=self.problems.append)
         for stored in decoder.decode({"rows": [entry]}):
@@ -75,7 +90,7 @@
             return Conflicted(purpose=call.purpose, rows=rows)
         version = self.version + 1
         for row in call.puts:
-            self._set(StoredRow(key=key_of(row), version=version, row=row))
+            self._put_encoded(row, version)
         for key in call.deletes:
             self._set(StoredRow(key=key, version=version, row=None))
         return Transacted(purpose=call.purpose, version=version)
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -20,7 +20,12 @@
 
 from bulrushpulley.entities.jobs import items, rows
 from bulrushpulley.entities.jobs.executor_calls import PollRuns
-from bulrushpulley.entities.jobs.spec import MAX_TASKS, JobSpec, StepSpec
+from bulrushpulley.entities.jobs.spec import (
+    MAX_TASKS,
+    SPEC_WITHOUT_STEPS,
+    JobSpec,
+    StepSpec,
+)
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import LeaseRow, RevisionRow
 from bulrushpulley.errors import BulrushpulleyError, Problem
@@ -107,6 +112,7 @@
 ROWS: tuple[rows.Row, ...] = (
     rows.OwnerRow(holder="e", incarnation="e-1", epoch=3, sequence=4),
     JOB_ROW,
+    rows.ended_row(JOB_ROW),
     rows.CancelRow(job_id=JOB_ID),
     rows.ProgressRow(
         job_id=JOB_ID,
@@ -352,6 +358,22 @@
         ):
             self._assert_refused(replace(JOB_ROW, spec=spec))
 
+    def test_an_ended_job_is_told_from_a_job_without_steps(self) -> None:
+        """Our own rows of ended jobs were refused, which hid rows that are odd."""
+        ended = rows.ended_row(JOB_ROW)
+        self.assertEqual(ended, decode_row(encode_row(ended), peer="p"))
+        earlier_form = replace(JOB_ROW, spec=SPEC_WITHOUT_STEPS)
+        self.assertEqual(ended, decode_row(encode_row(earlier_form), peer="p"))
+        for odd in (
+            replace(earlier_form, spec=replace(SPEC, steps=())),
+            replace(earlier_form, priority=-1),
+            replace(earlier_form, spec=replace(SPEC_WITHOUT_STEPS, occurrences=9)),
+            replace(ended, priority=-1),
+            replace(ended, spec=SPEC),
+            replace(ended, spec=replace(SPEC_WITHOUT_STEPS, occurrences=9)),
+        ):
+            self._assert_refused(odd)
+
     def test_announcements_beyond_sense_are_refused(self) -> None:
         body = msgspec.json.decode(ANNOUNCEMENT)
         odd_fields: tuple[dict[str, Any], ...] = (
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import fields as dataclass_fields
 from dataclasses import replace
 
 import testtools
@@ -23,13 +24,16 @@
 from bulrushpulley.entities.jobs.rows import (
     BACKLOG_KEY,
     BacklogRow,
+    EndedJobRow,
     JobRow,
     JobState,
     ProgressRow,
+    ended_row,
     job_key,
     progress_key,
 )
-from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
+from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS
 from bulrushpulley.entities.jobs.store import ReadRange
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
@@ -303,8 +307,9 @@
         world.run(2.0)
         job = self._run_job_to_end(world)
         row = world.store.row_by_key[job_key(job)].row
-        assert isinstance(row, JobRow)
+        assert isinstance(row, EndedJobRow)
         self.assertEqual((), row.spec.steps)
+        self.assertEqual([], world.store.problems)
         progress = world.store.row_by_key[progress_key(job)].row
         assert isinstance(progress, ProgressRow)
         self.assertEqual((), progress.tasks)
@@ -322,6 +327,95 @@
         self.assertEqual(6, world.starts)
         self.assertEqual([], world.violations)
 
+    def test_a_job_submitted_again_after_a_lost_answer_is_accepted(self) -> None:
+        """Its row was taken for another writer's, and the job refused as not run."""
+        world = JobsWorld(entries=3)
+        world.run(2.0)
+        job = self._run_job_to_end(world)
+        self.assertEqual("entry-0", world.owner())
+        world.submit(1, *CHAIN, entry="entry-2")
+        world.run(1.0)
+        self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
+        show = ShowCall(
+            call_id="show",
+            authority=QUEUE.authority,
+            path=f"{QUEUE.path_prefix}{job}",
+            within_s=3.0,
+            received_at_s=world.now,
+        )
+        world.tell(world.process_by_name["entry-2"], "intake", show)
+        world.run(1.0)
+        shown = JobShown(call_id="show", state=JobState.COMPLETED)
+        self.assertEqual(shown, world.answer_to("show"))
+        self.assertEqual((6, []), (world.starts, world.violations))
+
+    def _check_next_owner(self, world: JobsWorld, job: str) -> None:
+        world.decisions.clear()
+        world.kill(world.owner())
+        world.run(8.0)
+        owner = world.process_by_name[world.owner()].instance_by_role[SCHEDULER]
+        tables: SchedulerTables = owner.tables
+        self.assertEqual(
+            [JobState.COMPLETED], [row.state for row in tables.jobs.rows()]
+        )
+        self.assertEqual([], list(tables.tasks.rows()))
+        self.assertEqual([], [line for line in world.decisions if line.subject == job])
+        self.assertEqual([], world.store.problems)
+        world.run(purging.JOB_RETENTION_S)
+        self.assertNotIn(job_key(job), world.store.row_by_key)
+        self.assertNotIn(progress_key(job), world.store.row_by_key)
+        self.assertEqual((6, []), (world.starts, world.violations))
+
+    def test_the_next_owner_keeps_an_ended_job_only_to_purge_it(self) -> None:
+        """The rows of ended jobs of a former owner were never removed."""
+        world = JobsWorld()
+        world.run(2.0)
+        self._check_next_owner(world, self._run_job_to_end(world))
+
+    def test_rows_condensed_by_an_earlier_version_are_read(self) -> None:
+        """They have the kind of a job; during an upgrade both versions run."""
+        world = JobsWorld()
+        world.run(2.0)
+        job = self._run_job_to_end(world)
+        row = world.store.row_by_key[job_key(job)].row
+        assert isinstance(row, EndedJobRow)
+        fields = {
+            field.name: getattr(row, field.name) for field in dataclass_fields(row)
+        }
+        world.store.put(JobRow(**fields))
+        world.submit(1, *CHAIN, entry="entry-1")
+        world.run(1.0)
+        self.assertIsInstance(world.answer_to("submit-1"), JobAccepted)
+        self._check_next_owner(world, job)
+
+    def test_a_row_without_steps_of_another_writer_is_never_a_job(self) -> None:
+        world = JobsWorld()
+        world.run(2.0)
+        job = f"{1:016x}"
+        template = JobRow(
+            job_id=job,
+            queue=QUEUE.name,
+            service=QUEUE.service,
+            priority=0,
+            max_attempts=1,
+            latency_factor=1.0,
+            target_latency_s=1.0,
+            accepted_at_s=world.now,
+            spec=replace(SPEC_WITHOUT_STEPS, payload="odd"),
+        )
+        for row, problems in (
+            (template, 1),
+            (replace(template, spec=SPEC_WITHOUT_STEPS), 1),
+            (ended_row(template), 1),
+        ):
+            world.store.put(row)
+            world.run(1.0)
+            world.restart(world.owner())
+            world.run(8.0)
+            owner = world.process_by_name[world.owner()].instance_by_role[SCHEDULER]
+            self.assertEqual(0, len(owner.tables.jobs))
+            self.assertEqual(problems, len(world.store.problems))
+
 
 class BacklogTest(testtools.TestCase):
     def test_jobs_assigned_but_never_started_still_count_as_waiting(self) -> None:
