Log what a new owner has read, and the lost runs of a host in one line

A log did not say in which state a new owner found the jobs after a recovery, and took a line for each task of a lost host, at the moment when most lines are written.

`job.restore` now gives, before `shard.ready`, one line for each job that has not ended: its state, how many steps are done, and for the first eight others how many tasks are in each state. `host.lost` replaces the `task.end ... lost` lines of the runs that a host loses together; its reason ends with the list of them, 80 in a line at most. Ends of single runs keep `task.end`.

--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from functools import singledispatch
 
 from bulrushpulley.entities.changing import replace
@@ -25,6 +26,8 @@
 # A task returns to a host on which it failed only if no other has free capacity, so
 # the list grows slowly and a few names suffice.
 MAX_AVOIDED_HOSTS = 8
+# Keeps a line below 4 KB, so that it can share a write with others.
+MAX_RUNS_PER_LINE = 80
 
 
 def end_run(
@@ -35,7 +38,6 @@
     *effects: AcknowledgeEnd,
 ) -> SchedulerStep:
     """End the current run of a task; the effects follow once that is durable."""
-    job = tables.jobs.by_key[task.job_id]
     line = edits.log(
         tables,
         "task.end",
@@ -43,6 +45,18 @@
         task.host,
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
+    step = _end_unlogged(tables, task, ending, now, *effects)
+    return Step(tables=step.tables, commands=(line, *step.commands))
+
+
+def _end_unlogged(
+    tables: SchedulerTables,
+    task: Task,
+    ending: Ending,
+    now: float,
+    *effects: AcknowledgeEnd,
+) -> SchedulerStep:
+    job = tables.jobs.by_key[task.job_id]
     tables = quarantine.record_ending(tables, task, ending, now)
     if must_have_started(ending) and not job.started:
         job = replace(job, started=True)
@@ -50,12 +64,12 @@
     if job.is_final:
         tables = finishing.remove_task(tables, task.task_id)
         tables = edits.mark_dirty(tables, task.job_id, *effects)
-        return Step(tables=tables, commands=(line,))
+        return Step(tables=tables)
     if ending.checkpoint:
         task = replace(task, checkpoint=ending.checkpoint)
     step = apply_ending(ending, tables, job, task, now)
     tables = edits.mark_dirty(step.tables, task.job_id, *effects)
-    return Step(tables=tables, commands=(line, *step.commands))
+    return Step(tables=tables, commands=step.commands)
 
 
 @singledispatch
@@ -153,8 +167,10 @@
     """End as lost the runs on a host, except those of `keep_incarnations`.
 
     A run in the state PLACED is skipped, because no order for it has been sent yet.
+    The runs share a line, since there may be many while much else is logged.
     """
     commands: list[Command] = []
+    lost_runs: list[str] = []
     for task_id in sorted(tables.tasks.keys_where("host", host)):
         # The end of another task may have ended the job, and with it this task.
         task = tables.tasks.get(task_id)
@@ -166,7 +182,20 @@
             continue
         if task.state is TaskState.PLACED:
             continue
-        step = end_run(tables, task, Lost(reason=reason), now)
+        lost_runs.append(f"{task.task_id}#{task.run}")
+        step = _end_unlogged(tables, task, Lost(reason=reason), now)
         tables = step.tables
         commands.extend(step.commands)
-    return Step(tables=tables, commands=tuple(commands))
+    lines = [
+        edits.log(tables, "host.lost", host, f"{len(lost_runs)} runs", text)
+        for text in lost_run_texts(reason, lost_runs)
+    ]
+    return Step(tables=tables, commands=(*lines, *commands))
+
+
+def lost_run_texts(reason: str, runs: Sequence[str]) -> list[str]:
+    """Return the reason of each line about lost runs; the script `gaps` reads it."""
+    return [
+        f"{reason}: {' '.join(runs[start : start + MAX_RUNS_PER_LINE])}"
+        for start in range(0, len(runs), MAX_RUNS_PER_LINE)
+    ]
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -104,7 +104,9 @@
         tables = replace(tables, leadership=read)
     reason = f"{len(tables.jobs)} jobs, {len(tables.hosts)} hosts"
     line = edits.log(tables, "shard.ready", OWNED_PART, tables.incarnation, reason)
-    return Step(tables=replace(tables, place_due=True), commands=(*commands, line))
+    restored = restoring.restored_lines(tables)
+    tables = replace(tables, place_due=True)
+    return Step(tables=tables, commands=(*commands, *restored, line))
 
 
 def handle_read_failed(
--- a/bulrushpulley/systems/scheduling/restoring.py
+++ b/bulrushpulley/systems/scheduling/restoring.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Iterable
+
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
@@ -9,6 +12,10 @@
 from bulrushpulley.entities.jobs.rows import ProgressRow, TaskProgress
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState
+from bulrushpulley.entities.step import Command
+from bulrushpulley.systems.scheduling import edits
+
+MAX_STEPS_PER_LINE = 8
 
 
 def keep_progress(
@@ -51,3 +58,32 @@
     if progress.done:
         return TaskState.DONE
     return TaskState.HELD if progress.host else initial_state
+
+
+def restored_lines(tables: SchedulerTables) -> Iterable[Command]:
+    """Return a line for each job that has not ended, with the states of its tasks."""
+    for job in tables.jobs.rows():
+        if not job.is_final:
+            reason = f"{job.state.value}; {_describe_tasks(tables, job)}"
+            yield edits.log(tables, "job.restore", job.job_id, job.row.queue, reason)
+
+
+def _describe_tasks(tables: SchedulerTables, job: Job) -> str:
+    """Count the tasks of the steps that are not done, by state."""
+    tasks = tables.tasks.rows_where("job", job.job_id)
+    counts = Counter((task.step, task.state) for task in tasks)
+    open_steps = sorted(
+        {number for number, state in counts if state is not TaskState.DONE}
+    )
+    total = len(job.row.spec.steps)
+    texts = [f"{total - len(open_steps)} of {total} steps done"]
+    for number in open_steps[:MAX_STEPS_PER_LINE]:
+        states = [
+            f"{counts[number, state]} {state.value}"
+            for state in TaskState
+            if counts[number, state]
+        ]
+        texts.append(f"step {number}: {', '.join(states)}")
+    if len(open_steps) > MAX_STEPS_PER_LINE:
+        texts.append(f"{len(open_steps) - MAX_STEPS_PER_LINE} more steps")
+    return "; ".join(texts)
--- a/scripts/log_lines.py
+++ b/scripts/log_lines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -31,7 +31,8 @@
 
     The time is the number before the line, else that of the previous one, else the
     line's own, which changes with the clock of its host. A line may follow on what is
-    left of one that was cut.
+    left of one that was cut. The line of the lost runs of a host is followed by a
+    `task.end` for each of them, with the number of that line.
     """
     lines: list[Line] = []
     at_s: float | None = None
@@ -43,10 +44,25 @@
             line = msgspec.json.decode(start + body, type=Line)
         except msgspec.DecodeError:
             continue
-        lines.append(line if at_s is None else replace(line, timestamp=at_s))
+        line = line if at_s is None else replace(line, timestamp=at_s)
+        lines.extend((line, *_ends_of_lost_runs(line)))
     return sorted(lines, key=lambda line: line.timestamp)
 
 
+def _ends_of_lost_runs(line: Line) -> Iterator[Line]:
+    if line.message_type != "host.lost":
+        return
+    reason, _, runs = line.reason.rpartition(": ")
+    for run in runs.split():
+        yield replace(
+            line,
+            message_type="task.end",
+            subject=run,
+            chosen=line.subject,
+            reason=f"lost {reason}",
+        )
+
+
 def missing_times_s(lines: Iterable[Line]) -> list[float]:
     """Return the times after which lines of owners are missing."""
     owners = {line.task_uuid for line in lines if line.message_type == "job.accept"}
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -62,6 +62,11 @@
     def end(self, at_s: float, task: str, reason: str, run: int = 1) -> None:
         self.add(at_s, OWNER, "task.end", f"{JOB}.{task}#{run}", HOST, reason)
 
+    def lose(self, at_s: float, *runs: str) -> None:
+        subjects = " ".join(f"{JOB}.{run}" for run in runs)
+        reason = f"its host was silent too long: {subjects}"
+        self.add(at_s, OWNER, "host.lost", HOST, f"{len(runs)} runs", reason)
+
     def end_job(self, at_s: float) -> None:
         self.add(at_s, OWNER, "job.end", JOB, "completed")
 
@@ -172,6 +177,38 @@
         self.log.end_job(19.0)
         self.assertEqual((3.0, 17.5), self.log.job_gap())
 
+    def test_one_line_for_the_lost_runs_of_a_host_ends_each_of_them(self) -> None:
+        self.log.place(1.0, "0.0.1")
+        self.log.start(1.5, "0.0.1")
+        self.log.add(3.0, HOST, "run.pace", f"{JOB}.0.0.0#1", "80%")
+        self.log.lose(17.0, "0.0.0#1", "0.0.1#1")
+        for task in ("0.0.0", "0.0.1"):
+            self.log.place(17.0, task, run=2)
+        self.log.start(17.5, "0.0.0", run=2)
+        self.log.start(18.5, "0.0.1", run=2)
+        for task in ("0.0.0", "0.0.1"):
+            self.log.end(19.0, task, "done", run=2)
+        self.log.end_job(19.0)
+        self.assertEqual((3.0, 17.5), self.log.job_gap())
+        self.assertEqual(
+            {"0.0.0": (3.0, 17.5), "0.0.1": (3.0, 18.5)}, self.log.task_gaps()
+        )
+        self.assertEqual([], missing_times_s(self.log.lines))
+        [last] = [
+            text
+            for text in report(self.log.lines, worst=1)
+            if text.startswith(f"    {JOB}.0.0.1") and "17.000" in text
+        ][:1]
+        self.assertIn("task.place", last)
+
+    def test_a_task_that_waits_after_the_loss_of_its_host(self) -> None:
+        self.log.lose(17.0, "0.0.0#1")
+        self.log.add(30.0, "agent-2", "process", "")
+        self.assertEqual((1.5, 30.0), self.log.job_gap())
+        printed = report(self.log.lines, worst=1)
+        reason = "lost its host was silent too long"
+        self.assertIn(f"    {JOB}.0.0.0     17.000 task.end {HOST} {reason}", printed)
+
     def test_a_run_without_an_end_on_a_host_that_the_owner_never_heard(self) -> None:
         # The run is given up only after the end of the log.
         self.log.add(3.0, HOST, "run.pace", f"{JOB}.0.0.0#1", "80%")
