Quarantine at most half of a service's hosts

Cause: two runs that fail on a host within 4 s close it for 4 s; runs of jobs that fail by their own fault are spread over all hosts, so that all were closed at once. Evidence: QuarantineTest, 4.8 s without anything running, failed before. Failures on most hosts do not tell them apart, so a host is closed only while at least half of the ready hosts stay open.

--- a/bulrushpulley/systems/scheduling/quarantine.py
+++ b/bulrushpulley/systems/scheduling/quarantine.py
@@ -2,7 +2,8 @@
 
 A host gets no new tasks for a while after repeated failures, unless the same tasks
 fail elsewhere too. Old failures are ignored, and the host is used again after the
-quarantine.
+quarantine. If runs fail on most hosts, the failures do not tell them apart, so at most
+half of a service's hosts are in quarantine at a time.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from functools import singledispatch
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.runs import Done, Ending, Failed
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task
@@ -32,7 +33,21 @@
     host = tables.hosts.get(task.host)
     if host is None:
         return tables
-    return edits.put_host(tables, host_after_ending(ending, host, task, now))
+    after = host_after_ending(ending, host, task, now)
+    if now < after.quarantined_until and not _may_close(tables, host, now):
+        after = replace(after, quarantined_until=host.quarantined_until)
+    return edits.put_host(tables, after)
+
+
+def _may_close(tables: SchedulerTables, host: Host, now: float) -> bool:
+    """Return whether at least half of the ready hosts of a service would stay open."""
+    ready = [
+        other
+        for other in tables.hosts.rows()
+        if other.service == host.service and other.state is ServerState.READY
+    ]
+    closed = {other.name for other in ready if now < other.quarantined_until}
+    return 2 * len(closed | {host.name}) <= len(ready)
 
 
 @singledispatch
