Tests of waits that begin anew without a bound, which fail

What callers see: a job with room for it waits for as long as other jobs or hosts are in a certain state. Four cases in virtual time, none guarded so far: - Ten steps are examined for advice in a pass, and passes come each 0.5 s, after their retry delay of 0.3 s: the ten most urgent, which no host may run, are examined again and again. Beside 40 of them a new step waits 3.9 s for its first advice. - The step whose request had no answer is asked for first again. Beside two of them a third step has no advice after 20 s. - A task remembers eight hosts that refused it, each for 6 s.

The simulated site can deny advice to the steps of a job, and leave them unanswered.

--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -16,7 +16,11 @@
 from typing import Any
 
 from bulrushpulley.entities.jobs import store
-from bulrushpulley.entities.jobs.advice import AdviceReceived, RequestAdvice
+from bulrushpulley.entities.jobs.advice import (
+    AdviceFailed,
+    AdviceReceived,
+    RequestAdvice,
+)
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.calls import CallAnswer, SubmitCall
 from bulrushpulley.entities.jobs.configuration import (
@@ -157,7 +161,9 @@
     refuse every start as unhealthy, and those of `unannounced_hosts` do not announce
     themselves. Unless `machines_up`, requests for the list of machines fail, and the
     list is returned `list_delay_s` later as it was when it was requested. A dial
-    that is not answered fails after `failed_dial_s`.
+    that is not answered fails after `failed_dial_s`. The service of advice allows no
+    server to the steps of `disallowed_job_ids`, and gives those of `unadvised_job_ids`
+    no answer.
     """
 
     def __init__(
@@ -189,6 +195,8 @@
         self.owner_by_half_open_agent: dict[str, str] = {}
         self.gone_hosts: set[str] = set()
         self.disallowed_server_ids: set[str] = set()
+        self.disallowed_job_ids: set[str] = set()
+        self.unadvised_job_ids: set[str] = set()
         self.machines = FakeMachines()
         self.machines_up = True
         self.list_delay_s = 0.0
@@ -522,10 +530,16 @@
 
     @_carry_out.register
     def _(self, command: RequestAdvice, process: Process) -> None:
+        job_id = command.step_key.partition(".")[0]
+        if job_id in self.unadvised_job_ids:
+            failed = AdviceFailed(step_key=command.step_key, reason="no answer")
+            self.at(command.timeout_s, lambda: self.tell(process, command.role, failed))
+            return
         approved = {
             server_id: f"ticket-{server_id}"
             for server_id in command.server_ids
             if server_id not in self.disallowed_server_ids
+            and job_id not in self.disallowed_job_ids
         }
         advised = AdviceReceived(step_key=command.step_key, ticket_by_server=approved)
         self.at(0.05, lambda: self.tell(process, command.role, advised))
--- /dev/null
+++ b/test/test_jobs_waits_anew.py
@@ -0,0 +1,147 @@
+"""Tests of waits that may begin anew while there is room for a task.
+
+Each wait has a bound, but a state that is entered again and again has none. The users
+count a job as lost that has nothing running for 3 s although the turn of a task has
+come and there is room for it. `docs/WAITS.md` says for each state that can begin anew
+what bounds the number of times.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import testtools
+
+from bulrushpulley.entities.jobs.advice import AdviceTerms
+from bulrushpulley.entities.resources import Resources
+from test.jobs_refusals import (
+    DenyStarts,
+    LoseStarts,
+    RefuseStarts,
+    Trouble,
+    TroubledExecutor,
+)
+from test.jobs_world import CAPACITY, QUEUE, JobsWorld, step
+from test.test_jobs_refusal_memory import placements
+
+MAX_IDLE_S = 3.0
+OBSERVED_S = 20.0
+LAST_HOST_WITHIN_S = 90.0
+LONG = "200.0"
+SOUND_HOST = "z0-0"
+# Many tasks of this size fit on a host.
+TINY = Resources(processors_m=1, memory_mb=1)
+
+
+def running_jobs(world: JobsWorld) -> frozenset[str]:
+    """Return the jobs of which a task runs."""
+    return frozenset(
+        key.partition(".")[0]
+        for executor in world.executor_by_host.values()
+        for key in executor.run_by_key
+    )
+
+
+def wait_s(world: JobsWorld, job_id: str, within_s: float = OBSERVED_S) -> float:
+    """Return after how long a task of a job runs; `within_s` if none does."""
+    since, until = world.now, world.now + within_s
+    while job_id not in running_jobs(world) and world.now < until:
+        world.run(0.02)
+    return world.now - since
+
+
+class AdviceTest(testtools.TestCase):
+    """The service of advice takes one call at a time, for the most urgent step first.
+
+    Steps that never get further must not keep the others from their turn.
+    """
+
+    def start_world(self) -> JobsWorld:
+        """Start a site whose queue needs advice, with room on all hosts."""
+        world = JobsWorld(entries=2, hosts=3)
+        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=60.0)
+        world.configure(replace(QUEUE, advice=terms))
+        world.run(3.0)
+        return world
+
+    # Ten steps are examined in a pass, and each pass examined the same ten again.
+    def test_steps_that_no_host_may_run_do_not_keep_others_from_asking(self) -> None:
+        for count in (10, 40, 80):
+            world = self.start_world()
+            for number in range(1, count + 1):
+                world.disallowed_job_ids.add(f"{number:016x}")
+                world.submit(number, step(1, estimate_s=30.0), payload=LONG)
+            world.run(8.0)
+            job_id = world.submit(100, step(1, estimate_s=30.0), payload=LONG)
+            self.assertLess(wait_s(world, job_id), MAX_IDLE_S, f"{count} steps wait")
+
+    # A request without answer takes over 1 s, and the same step asked first again.
+    def test_a_step_without_answer_does_not_keep_others_from_asking(self) -> None:
+        for count in (1, 2):
+            world = self.start_world()
+            for number in range(1, count + 1):
+                world.unadvised_job_ids.add(f"{number:016x}")
+                world.submit(number, step(1, estimate_s=30.0), payload=LONG)
+            world.run(0.5)
+            job_id = world.submit(100, step(1, estimate_s=30.0), payload=LONG)
+            self.assertLess(wait_s(world, job_id), MAX_IDLE_S, f"{count} unanswered")
+
+
+class RefusingHostsTest(testtools.TestCase):
+    """All hosts but one refuse each start, and are the emptiest."""
+
+    def tried_hosts(self, refusing: int, trouble: Trouble) -> list[str]:
+        """Return the hosts on which a task was placed until it ran, or for 90 s."""
+        world = JobsWorld(entries=2, hosts=1)
+        world.run(2.0)
+        world.submit(1, step(1), payload=LONG)
+        world.run(1.0)
+        for number in range(1, refusing + 1):
+            name = f"z1-{number}"
+            world.start_host(name)
+            TroubledExecutor(world=world, host=name).trouble = trouble
+        world.run(2.0)
+        job_id = world.submit(2, step(1), payload=LONG)
+        wait_s(world, job_id, LAST_HOST_WITHIN_S)
+        return placements(world, f"{job_id}.0.0.0")
+
+    # A task forgot the first refusals before it had tried the last host, and so never
+    # reached it: it remembered eight hosts, each for 6 s.
+    def test_a_task_is_placed_on_each_host_once_at_most(self) -> None:
+        for refusing, trouble in (
+            (4, DenyStarts(reason="room")),
+            (12, DenyStarts(reason="room")),
+            (12, RefuseStarts()),
+            (5, LoseStarts()),
+        ):
+            tried = self.tried_hosts(refusing, trouble)
+            self.assertEqual(SOUND_HOST, tried[-1], f"{trouble}: {tried}")
+            self.assertEqual(sorted({*tried}), sorted(tried), f"{trouble}")
+
+
+class PassTest(testtools.TestCase):
+    """A placement pass ends before all tasks with room have been placed."""
+
+    # A pass places 400 tasks, and the next one came 0.5 s later.
+    def test_tasks_beyond_the_limit_of_a_pass_are_placed_in_time(self) -> None:
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(3.0)
+        for number in range(1, 4):
+            world.submit(number, step(900, size=TINY), payload=LONG)
+        job_id = world.submit(9, step(1, size=TINY), payload=LONG)
+        self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
+
+
+class ReserveTest(testtools.TestCase):
+    """Lasting tasks hold 95% of a site, so that those on one host must fit twice."""
+
+    # A task of most of a host never fits twice on one, although two hosts are empty.
+    def test_a_lasting_task_runs_where_two_hosts_have_room_for_it(self) -> None:
+        world = JobsWorld(entries=2, hosts=40)
+        world.run(3.0)
+        held = step(38, lasting=True, size=CAPACITY, per_host_limit=1)
+        world.submit(1, held, payload=LONG)
+        world.run(2.0)
+        large = Resources(processors_m=3_700, memory_mb=5_000)
+        job_id = world.submit(2, step(1, lasting=True, size=large), payload=LONG)
+        self.assertLess(wait_s(world, job_id, 8.0), MAX_IDLE_S)
