Let steps that get no further give way when advice is asked for

What callers saw: a job with room for it waited for as long as ten more urgent steps had no host left to ask about, or one or two had requests without an answer (20 s and more in virtual time). Cause: steps were examined in the order of urgency from the start at each pass. Ten with nothing to ask used the limit of a pass up, and were due again at the next one, 0.5 s later, as their retry delay is 0.3 s. A failed request was due again after the same delay, before any less urgent step. Change: of the steps with no server left to ask about, the ten are examined that were longest ago; the others have a limit of their own. A step whose request failed gives way until another request was answered, and to all others after two failures in a row. The order lasts as long as the job. One order serves both, so they change together. With k steps that are never answered, each costs the others two requests.

--- a/bulrushpulley/entities/jobs/advice.py
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -29,7 +29,9 @@
     `valid_until_by_server` holds all backend servers that were asked about, also those
     that may not run the step, with the time from which they may be asked about again.
     `asked_server_ids` are those of the request in flight. The next request is sent at
-    `retry_at` or later.
+    `retry_at` or later. `exhausted_at` is when there was last no server to ask about,
+    and `failed_at` when the last of `failures` requests in a row failed; they are 0
+    after an answer.
     """
 
     step_key: str
@@ -38,6 +40,9 @@
     asked_server_ids: tuple[str, ...] = ()
     retry_at: float = 0.0
     in_flight: bool = False
+    exhausted_at: float = 0.0
+    failed_at: float = 0.0
+    failures: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -210,6 +210,8 @@
     store_latency_s: float = 0.05
     wall_offset_s: float = 0.0
     advice: Table[Advice] = field(default_factory=Table.empty)
+    # Whether the last request for advice failed.
+    advice_failing: bool = False
     harms: Table[Harm] = field(default_factory=Table.empty)
     target_by_image: Map[str, float] = field(default_factory=Map)
     harmful: frozenset[tuple[str, str]] = frozenset()
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -1,13 +1,19 @@
 """Requests advice for the steps that need it, one call at a time.
 
 The service handles one call per process at a time. Requests are therefore made one
-by one, for the most urgent step first, so that no call queues behind another.
+by one, for the most urgent step first, so that no call queues behind another. Steps
+whose requests fail, or that have no server left to ask about, give way: otherwise they
+would keep the others from their first advice.
 """
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import partial
 from itertools import islice
+from operator import attrgetter
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.advice import (
@@ -25,7 +31,7 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.spec import StepSpec
-from bulrushpulley.entities.jobs.task import step_key
+from bulrushpulley.entities.jobs.task import job_id_of, step_key
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
@@ -33,7 +39,8 @@
 # may run on few servers takes fewer calls if more are asked about at once.
 SERVERS_PER_FIRST_REQUEST = 30
 MAX_SERVERS_PER_REQUEST = 100
-# Bounds the time of a pass while many steps wait that all hosts were asked about for.
+# Bounds the time of a pass while many steps wait. It applies to the steps that have no
+# server left to ask about, and to the others.
 MAX_EXAMINED_STEPS = 10
 # The platform does not change what it allows to a step. Asking again bounds the wait if
 # an answer was wrong, such as one about a server that had just begun.
@@ -65,10 +72,19 @@
     return server_of_incarnation(host.life)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DueStep:
+    """A step with waiting tasks, and its advice, that may be asked about now."""
+
+    job: Job
+    step: StepSpec
+    advice: Advice
+
+
 def request_advice(
     tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
 ) -> SchedulerStep:
-    """Request advice for the first step of `jobs` that needs it, in placement order.
+    """Request advice for the first step of `jobs` that needs it.
 
     The tasks of a step that still wait after a placement pass fit on none of the hosts
     that it has tickets for. So the hosts with most room are asked about that it has
@@ -77,26 +93,61 @@
     if any(advice.in_flight for advice in tables.advice.rows()):
         return Step(tables=tables)
     by_free_processors = sorted(open_hosts, key=lambda host: -host.free.processors_m)
-    examined = 0
+    for due in _steps_in_turn(tables, _due_steps(tables, jobs, now)):
+        server_ids = _servers_to_ask(tables, due, by_free_processors, now)
+        if server_ids:
+            return _send_request(tables, due.job, due.advice, server_ids)
+        retry_at = now + ADVICE_RETRY_DELAY_S
+        exhausted = replace(due.advice, retry_at=retry_at, exhausted_at=now)
+        tables = _put(tables, exhausted)
+    return Step(tables=tables)
+
+
+def _due_steps(tables: SchedulerTables, jobs: list[Job], now: float) -> list[DueStep]:
+    """Return the steps that may be asked about now, in the order of `jobs`."""
+    due: list[DueStep] = []
     for job in jobs:
         if advice_terms(tables, job) is None:
             continue
         for key, step in _waiting_steps(tables, job).items():
             known = tables.advice.get(key) or Advice(step_key=key, ticket_by_server={})
-            if now < known.retry_at:
-                continue
-            if examined >= MAX_EXAMINED_STEPS:
-                return Step(tables=tables)
-            examined += 1
-            server_ids = _servers_to_ask(
-                tables, job, step, known, by_free_processors, now
-            )
-            if server_ids:
-                return _send_request(tables, job, known, server_ids)
-            # Other steps are examined in the next passes.
-            later = replace(known, retry_at=now + ADVICE_RETRY_DELAY_S)
-            tables = _put(tables, later)
-    return Step(tables=tables)
+            if now >= known.retry_at:
+                due.append(DueStep(job=job, step=step, advice=known))
+    return due
+
+
+def _steps_in_turn(tables: SchedulerTables, due: list[DueStep]) -> list[DueStep]:
+    """Return the steps to examine in this pass, in the order in which to ask.
+
+    Those that give way come last, the one that failed longest ago first. Of those with
+    no server left to ask about, the ones are examined that were longest ago, so that
+    each has its turn.
+    """
+    exhausted = [each for each in due if each.advice.exhausted_at]
+    others = [each for each in due if not each.advice.exhausted_at]
+    others.sort(key=partial(_yielding_since, tables))
+    in_turn = {
+        each.advice.step_key
+        for each in (
+            *others[:MAX_EXAMINED_STEPS],
+            *heapq.nsmallest(
+                MAX_EXAMINED_STEPS, exhausted, key=attrgetter("advice.exhausted_at")
+            ),
+        )
+    }
+    chosen = [each for each in due if each.advice.step_key in in_turn]
+    return sorted(chosen, key=partial(_yielding_since, tables))
+
+
+def _yielding_since(tables: SchedulerTables, due: DueStep) -> float:
+    """Return since when a step gives way to others because it failed, 0 if it doesn't.
+
+    After a single failure it gives way only until another request is answered, so that
+    a lost answer does not put an urgent step behind all others.
+    """
+    failures = due.advice.failures
+    yields = failures > 1 or (failures == 1 and tables.advice_failing)
+    return due.advice.failed_at if yields else 0.0
 
 
 def _waiting_steps(tables: SchedulerTables, job: Job) -> dict[str, StepSpec]:
@@ -109,18 +160,14 @@
 
 
 def _servers_to_ask(
-    tables: SchedulerTables,
-    job: Job,
-    step: StepSpec,
-    known: Advice,
-    hosts: list[Host],
-    now: float,
+    tables: SchedulerTables, due: DueStep, hosts: list[Host], now: float
 ) -> tuple[str, ...]:
     """Return the servers to ask about that could run a step, in the order of hosts.
 
     A step that has a ticket for an open host needs others only where it has room.
     """
-    service = edits.service_of(tables, job)
+    step, known = due.step, due.advice
+    service = edits.service_of(tables, due.job)
     suitable = [
         host
         for host in hosts
@@ -181,6 +228,7 @@
     event: AdviceReceived, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Store the tickets and trigger a placement pass, if the step still needs them."""
+    tables = replace(tables, advice_failing=False)
     job = tables.jobs.get(event.step_key.partition(".")[0])
     known = tables.advice.get(event.step_key)
     terms = advice_terms(tables, job) if job is not None else None
@@ -215,11 +263,18 @@
 
 
 def _drop_expired(tables: SchedulerTables, now: float) -> SchedulerTables:
-    """Drop the advice of which nothing is valid any more, such as on ended jobs."""
+    """Drop the advice of which nothing is valid any more, such as on ended jobs.
+
+    The order in which steps are asked for is kept for as long as their jobs last.
+    """
     advice = tables.advice
     for known in tables.advice.rows():
         ends_at = max(known.valid_until_by_server.values(), default=known.retry_at)
-        if not known.in_flight and ends_at <= now:
+        if known.in_flight or ends_at > now:
+            continue
+        job = tables.jobs.get(job_id_of(known.step_key))
+        gives_way = bool(known.exhausted_at or known.failures)
+        if not gives_way or job is None or job.is_final:
             advice = advice.drop(known.step_key)
     return replace(tables, advice=advice)
 
@@ -235,7 +290,14 @@
     known = tables.advice.get(event.step_key)
     if known is None:
         return Step(tables=tables)
-    retried = replace(known, in_flight=False, retry_at=now + ADVICE_RETRY_DELAY_S)
+    retried = replace(
+        known,
+        in_flight=False,
+        retry_at=now + ADVICE_RETRY_DELAY_S,
+        failed_at=now,
+        failures=known.failures + 1,
+    )
+    tables = replace(tables, advice_failing=True)
     line = edits.log(tables, "step.unadvised", event.step_key, "", event.reason)
     return Step(tables=_put(tables, retried), commands=(line,))
 
--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -86,6 +86,18 @@
             job_id = world.submit(100, step(1, estimate_s=30.0), payload=LONG)
             self.assertLess(wait_s(world, job_id), MAX_IDLE_S, f"{count} unanswered")
 
+    # A step that gave way for one lost answer would be the last of many.
+    def test_a_lost_answer_does_not_put_a_step_behind_all_others(self) -> None:
+        world = self.start_world()
+        urgent = world.submit(1, step(1, estimate_s=30.0), payload=LONG)
+        world.unadvised_job_ids.add(urgent)
+        world.run(0.5)
+        for number in range(2, 82):
+            world.submit(number, step(1, estimate_s=40.0, size=TINY), payload=LONG)
+        world.run(0.5)
+        world.unadvised_job_ids.clear()
+        self.assertLess(wait_s(world, urgent), MAX_IDLE_S)
+
 
 class RefusingHostsTest(testtools.TestCase):
     """All hosts but one refuse each start, and are the emptiest."""
