Remember refusals until a series of them has ended

What callers saw: beside 12 emptier hosts that deny starts, or five that do not answer them, a task was placed on these in turn for 90 s and never on the one sound host. Cause: a task remembered eight hosts, each for 6 s. A refused start takes up to 3 s and more, so the first hosts were forgotten, and as the emptiest chosen again, before the last was reached (`RefusingHostsTest`; nine placements a cycle with denied starts). Change: refusals are remembered until 6 s after the last one, and for 64 hosts. A host that refused is still chosen if no other fits, so nothing is shut out. Ruled out: a longer time for each host, which only moves the number of hosts. Result: each host is tried once, with 4 and 12 that deny, 12 that answer 503, and 5 that do not answer. It does not end a series whose refusals are over 6 s apart.

--- a/bulrushpulley/systems/scheduling/refusals.py
+++ b/bulrushpulley/systems/scheduling/refusals.py
@@ -1,8 +1,10 @@
 """Remembers which hosts refused a task, so that it is tried on other hosts first.
 
-A host counts for a short time, and only in the incarnation that refused the task. It is
-tried again if no other host fits, after a delay that grows with each refusal, because
-refused starts have a price. The memory ends with the tenure.
+A host counts until a short time after the last refusal by any host, and only in the
+incarnation that refused the task: if each counted for that time by itself, a task would
+return to the first hosts before it has tried the last. A host is tried again if no
+other fits, after a delay that grows with each refusal, because refused starts have a
+price. The memory ends with the tenure.
 """
 
 from __future__ import annotations
@@ -18,19 +20,20 @@
 
 # Longer than the longest retry delay and a refused start together.
 REFUSAL_MEMORY_S = 6.0
-MAX_REFUSALS = 8
+# More hosts than refuse starts at a time; beyond it, the first are forgotten.
+MAX_REFUSALS = 64
 MIN_REFUSED_RETRY_DELAY_S = 0.4
 MAX_REFUSED_RETRY_DELAY_S = 1.6
 
 
 def with_refusal(task: Task, now: float) -> Task:
     """Return a task that remembers a refusal by the host of its current run."""
-    recent = [known for known in task.refusals if _is_recent(known, now)]
+    remembered = _remembered(task, now)
     count = 1
-    for known in recent:
+    for known in remembered:
         if (known.host, known.life) == (task.host, task.life):
             count = known.count + 1
-    others = [known for known in recent if known.host != task.host]
+    others = [known for known in remembered if known.host != task.host]
     refusal = Refusal(host=task.host, life=task.life, at=now, count=count)
     return replace(task, refusals=(*others, refusal)[-MAX_REFUSALS:])
 
@@ -50,9 +53,8 @@
     """Return the hosts that refused a task, and those of them not to be retried yet."""
     refusing = [
         refusal
-        for refusal in task.refusals
-        if _is_recent(refusal, now)
-        and refusal.host in candidate_by_host
+        for refusal in _remembered(task, now)
+        if refusal.host in candidate_by_host
         and candidate_by_host[refusal.host].host.life == refusal.life
     ]
     delayed = [
@@ -61,8 +63,10 @@
     return frozenset(refusal.host for refusal in refusing), frozenset(delayed)
 
 
-def _is_recent(refusal: Refusal, now: float) -> bool:
-    return now - refusal.at < REFUSAL_MEMORY_S
+def _remembered(task: Task, now: float) -> tuple[Refusal, ...]:
+    """Return the refusals of a task, none if the last was too long ago."""
+    last_at = max((refusal.at for refusal in task.refusals), default=now)
+    return task.refusals if now - last_at < REFUSAL_MEMORY_S else ()
 
 
 def _delay_s(refusal: Refusal) -> float:
