Let one list of machines end the runs of a lost host if it has one page

What callers saw: the tasks of a host that is lost after the end of traffic wait up to 3.2 s, of which the second list takes 1 s; the rule counts 3 s. Why two: a machine may be missing from a list that changes while its pages are read, or that is older than the machine's server. Change: the client says whether a list came in one page, which cannot change while it is read. Such a list ends the runs of a server that it does not name, if the server held tasks 1.5 s before the request. Otherwise, as after a takeover, two are needed as before. `OnePageTest` fails if one list is not enough, and if a young server is taken for lost. Not known: whether the lists of the sites have one page, and how old they may be.

--- a/bulrushpulley/entities/jobs/machines.py
+++ b/bulrushpulley/entities/jobs/machines.py
@@ -75,11 +75,13 @@
 
     `running_server_ids` are the backend servers on all machines that may be up, those
     of malformed entries included. It is None if an entry does not show which it has.
+    A list that is in `one_page` cannot have changed while it was read.
     """
 
     machines: tuple[Machine, ...]
     running_server_ids: frozenset[str] | None
     complete: bool = True
+    one_page: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/machines.py
+++ b/bulrushpulley/platform/machines.py
@@ -67,29 +67,31 @@
     def list_all(self, command: ListMachines) -> Event:
         """List all machines, page by page."""
         try:
-            entries = self._read_entries(command.timeout_s)
+            pages = self._read_pages(command.timeout_s)
         except BulrushpulleyError as error:
             return ListMachinesFailed(
                 requested_at=command.requested_at, reason=str(error)
             )
+        entries = [entry for page in pages for entry in page]
         machines = sound_values(entries, self._machine, self._report)
         return MachinesListed(
             requested_at=command.requested_at,
             machines=machines,
             running_server_ids=_running_server_ids(entries),
             complete=len(machines) == len(entries),
+            one_page=len(pages) == 1,
         )
 
-    def _read_entries(self, timeout_s: float) -> list[Any]:
-        entries: list[Any] = []
+    def _read_pages(self, timeout_s: float) -> list[list[Any]]:
+        pages: list[list[Any]] = []
         token = ""
         gives_up_at = time.monotonic() + MAX_LIST_DURATION_S
         while True:
             raw = self._read_page(token, timeout_s)
-            entries.extend(items(raw, "Machines", STEP))
+            pages.append(list(items(raw, "Machines", STEP)))
             token = text(raw, "NextToken", STEP)
             if not token:
-                return entries
+                return pages
             if time.monotonic() > gives_up_at:
                 detail = f"more pages follow after {MAX_LIST_DURATION_S:g} s"
                 raise field_error(STEP, "NextToken", detail)
--- a/bulrushpulley/systems/scheduling/lost_servers.py
+++ b/bulrushpulley/systems/scheduling/lost_servers.py
@@ -29,6 +29,8 @@
 HOST_SILENCE_TIMEOUT_S = 2 * CONTACT_INTERVAL_S
 # A new owner has heard the agents that it reaches by then.
 FIRST_CONTACT_TIMEOUT_S = 0.6
+# The platform's list may be this old when it is returned.
+MAX_LIST_AGE_S = 1.5
 # An agent in contact reports these while its backend server does not answer it.
 UNANSWERING_STATES = frozenset({ServerState.UNKNOWN, ServerState.SILENT})
 
@@ -64,13 +66,18 @@
 
 
 def end_unlisted(
-    tables: SchedulerTables, running_server_ids: Set[str], now: float
+    tables: SchedulerTables,
+    running_server_ids: Set[str],
+    now: float,
+    *,
+    one_page: bool,
 ) -> SchedulerStep:
-    """End the runs on silent hosts whose backend servers two lists do not name.
+    """End the runs on silent hosts whose backend servers the platform does not list.
 
     The list counts only for incarnations that were asked about when it was requested,
     so that a server that has started since is not missed. A second list is needed as
-    a machine may be left out of one that changes while its pages are read.
+    a machine may be left out of one that changes while its pages are read, and as the
+    list may be older than a server that has just started.
     """
     host_by_silent = host_by_silent_incarnation(tables, now)
     if not _names_known_servers(tables, running_server_ids, host_by_silent):
@@ -89,7 +96,14 @@
         reason += left_out(newly_named) if incarnation == logged[-1] else ""
         name = host_by_silent[incarnation]
         commands.append(edits.log(tables, "host.listed", name, "", reason))
-    for incarnation in sorted(missing & machines.missing_incarnations):
+    lost = missing & machines.missing_incarnations
+    if one_page:
+        lost |= {
+            each
+            for each in missing
+            if _is_older_than_lists(tables, host_by_silent[each], each)
+        }
+    for incarnation in sorted(lost):
         step = _end_incarnation(tables, host_by_silent[incarnation], incarnation, now)
         tables = step.tables
         commands.extend(step.commands)
@@ -97,6 +111,16 @@
     return Step(tables=replace(tables, machines=machines), commands=tuple(commands))
 
 
+def _is_older_than_lists(tables: SchedulerTables, name: str, incarnation: str) -> bool:
+    """Return whether an incarnation held tasks well before the list was requested."""
+    held_since = [
+        task.since
+        for task in tables.tasks.rows_where("host", name)
+        if task.life == incarnation
+    ]
+    return min(held_since) <= tables.machines.requested_at - MAX_LIST_AGE_S
+
+
 def _names_known_servers(
     tables: SchedulerTables,
     running_server_ids: Set[str],
--- a/bulrushpulley/systems/scheduling/machine_list.py
+++ b/bulrushpulley/systems/scheduling/machine_list.py
@@ -85,7 +85,9 @@
     tables = replace(tables, machines=listed)
     if event.running_server_ids is None:
         return Step(tables=tables)
-    return lost_servers.end_unlisted(tables, event.running_server_ids, now)
+    return lost_servers.end_unlisted(
+        tables, event.running_server_ids, now, one_page=event.one_page
+    )
 
 
 def handle_list_failed(
--- a/test/jobs_machines.py
+++ b/test/jobs_machines.py
@@ -41,7 +41,7 @@
     """All machines; the id of a machine is ``m-`` and the name of its host.
 
     Orders for the machines of `refusal_by_id` fail for that reason, and are not carried
-    out.
+    out. Its lists are in several pages unless `one_page` is set.
     """
 
     machine_by_id: dict[str, FakeMachine] = field(default_factory=dict)
@@ -52,6 +52,7 @@
     violations: list[str] = field(default_factory=list)
     refusal_by_id: dict[str, UpkeepRefusal] = field(default_factory=dict)
     upkeep_duration_s: float = UPKEEP_DURATION_S
+    one_page: bool = False
 
     def add(self, host: str) -> None:
         """Add the machine of a host."""
@@ -74,6 +75,7 @@
             requested_at=requested_at,
             machines=machines,
             running_server_ids=frozenset(server_by_host.values()),
+            one_page=self.one_page,
         )
 
     def order(self, command: OrderUpkeep, now: float) -> tuple[UpkeepEvent, bool]:
--- a/test/test_jobs_machine_lists.py
+++ b/test/test_jobs_machine_lists.py
@@ -18,13 +18,18 @@
     MachinesListed,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
+from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.systems.scheduling import edits, lost_servers
+from bulrushpulley.systems.scheduling.lost_servers import MAX_LIST_AGE_S
 from test.jobs_machines import FakeMachines
 from test.jobs_world import JobsWorld, Process, step
 
 HOST = "z0-0"
 LONG = "60.0"
 MAX_ALONE_S = 8.0
+# A job that has nothing running for this long counts as lost.
+MAX_IDLE_S = 3.0
 
 
 class SlowListWorld(JobsWorld):
@@ -123,6 +128,66 @@
             self.assertEqual([], self.world.violations)
 
 
+class OnePageTest(ListTest):
+    """Lists in one page, which cannot change while they are read."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world.machines.one_page = True
+
+    # A second list is requested 1 s later, for which the tasks of a lost host waited.
+    def test_one_list_ends_the_runs_of_a_lost_host(self) -> None:
+        for phase in range(8):
+            self.start_world()
+            self.world.machines.one_page = True
+            self.world.run(phase / 10)
+            self.lose_host()
+            lost_at = self.world.now
+            self.assertTrue(self.world.run_until(self.all_running, MAX_ALONE_S))
+            self.assertLess(self.world.now - lost_at, MAX_IDLE_S)
+            self.assertEqual(1, len(self.requested_at))
+            self.assertEqual([], self.world.violations)
+
+    # The list may be older than the server, whose tasks would run twice.
+    def test_one_list_ends_no_run_of_a_server_that_is_younger(self) -> None:
+        owner = self.world.process_by_name[self.world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        now = self.world.now
+        host = replace(tables.hosts.by_key[HOST], last_contact_at=now - MAX_ALONE_S)
+        machines = replace(
+            tables.machines, requested_at=now, asked_incarnations=frozenset({host.life})
+        )
+        tables = edits.put_host(replace(tables, machines=machines), host)
+        others = frozenset(
+            executor.server_id
+            for name, executor in self.world.executor_by_host.items()
+            if name != HOST
+        )
+        lines_by_age: dict[float, list[str]] = {}
+        for age_s in (MAX_LIST_AGE_S - 0.1, MAX_LIST_AGE_S + 0.1):
+            for task in tables.tasks.rows_where("host", HOST):
+                tables = edits.put_task(tables, replace(task, since=now - age_s))
+            step_ = lost_servers.end_unlisted(tables, others, now, one_page=True)
+            lines_by_age[age_s] = [
+                command.kind
+                for command in step_.commands
+                if isinstance(command, Decision)
+            ]
+        young, old = lines_by_age.values()
+        self.assertNotIn("host.unlisted", young)
+        self.assertIn("host.unlisted", old)
+
+    # After a takeover, it is not known for how long a server has held its tasks.
+    def test_a_host_that_is_cut_off_keeps_its_runs(self) -> None:
+        self.world.cut_off(HOST, 5.0)
+        self.world.run(1.0)
+        self.world.kill(self.world.owner())
+        self.world.run(10.0)
+        kinds = [line.kind for line in self.world.decisions]
+        self.assertNotIn("host.unlisted", kinds)
+        self.assertEqual([], self.world.violations)
+
+
 class BrokenListTest(ListTest):
     def test_a_malformed_entry_does_not_hide_a_lost_host(self) -> None:
         self.change_list(lambda listed: replace(listed, complete=False))
--- a/test/test_platform_machines.py
+++ b/test/test_platform_machines.py
@@ -101,6 +101,20 @@
         )
         self.assertEqual(listed, event)
 
+    def test_a_list_in_one_page_is_said_to_be(self) -> None:
+        """A list in several pages may change while they are read."""
+        self.replies = [json_reply(200, {"Machines": [FIRST_MACHINE]})]
+        event = self.client.list_all(REQUEST)
+        assert isinstance(event, MachinesListed)
+        self.assertTrue(event.one_page)
+        self.replies = [
+            json_reply(200, {"Machines": [FIRST_MACHINE], "NextToken": "t"}),
+            json_reply(200, {"Machines": [], "NextToken": ""}),
+        ]
+        event = self.client.list_all(REQUEST)
+        assert isinstance(event, MachinesListed)
+        self.assertFalse(event.one_page)
+
     def test_a_machine_in_an_unknown_state_stays_in_the_list(self) -> None:
         """Such a machine is neither up nor gone, so its upkeep is not finished."""
         odd = {**FIRST_MACHINE, "State": "odd"}
