Have the tests of refused transactions and rereads meet the trouble

Cause: the job of the first ran before the store was busy, and no reread failed in the second, so both would have passed without what they guard. Change: the first judges a second step whose turn comes while transactions are refused, and both check that what they are about has happened.

--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -16,10 +16,13 @@
 from bulrushpulley.entities.jobs.advice import AdviceTerms
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
+    RereadTable,
     SchedulerTables,
     WallClock,
 )
+from bulrushpulley.entities.jobs.store import ReadRange
 from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command
 from bulrushpulley.systems.scheduling import edits, placing, ranking
 from test.jobs_refusals import (
     DenyStarts,
@@ -35,6 +38,7 @@
 # The deferral, the next placement pass, its transaction and the start.
 MAX_DEFERRED_S = ranking.MAX_FILLING_DEFERRAL_S + placing.PLACEMENT_INTERVAL_S + 0.2
 OBSERVED_S = 20.0
+FAILED_REREADS = 3
 LAST_HOST_WITHIN_S = 90.0
 LONG = "200.0"
 SOUND_HOST = "z0-0"
@@ -249,27 +253,39 @@
     """The store refuses or loses calls again and again."""
 
     # A transaction that is refused as busy is sent again, whatever reads say.
-    def test_a_task_runs_soon_after_refused_transactions(self) -> None:
+    def test_a_step_runs_soon_after_refused_transactions(self) -> None:
         world = JobsWorld(entries=2, hosts=3)
         world.run(3.0)
-        job_id = world.submit(1, step(2), payload=LONG)
-        world.run(0.1)
-        jobs_part = {"": 0.0, **world.part_free_at}
-        for part in jobs_part:
+        steps = step(2), step(2, after=(0,))
+        job_id = world.submit(1, *steps, payload="1.0")
+        world.run(0.5)
+        for part in world.part_free_at:
             world.part_free_at[part] = world.now + 5.0
-        world.run(5.0)
+        world.run(4.5)
+        self.assertIn("commit.retry", [line.kind for line in world.decisions])
+        self.assertNotIn(job_id, running_jobs(world))
         self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
 
     # A watch whose history is lost reads the whole table, which may fail.
-    def test_a_job_is_seen_although_history_is_lost_and_reads_fail(self) -> None:
+    def test_a_job_is_seen_although_rereads_of_its_table_fail(self) -> None:
         world = JobsWorld(entries=2, hosts=3)
         world.run(3.0)
-        world.reads_fail = True
+        rereads: list[float] = []
+
+        def fail_first(command: Command) -> None:
+            is_reread = isinstance(command, ReadRange) and isinstance(
+                command.purpose, RereadTable
+            )
+            rereads.extend([world.now] * is_reread)
+            world.reads_fail = is_reread and len(rereads) <= FAILED_REREADS
+
+        world.hook = fail_first
         job_id = world.submit(1, step(2, estimate_s=30.0), payload=LONG)
-        world.run(1.5)
-        world.store.compacted_versions.append(world.store.version)
-        world.reads_fail = False
+        world.store.compact()
+        world.run(0.01)
+        world.store.compact()
         self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
+        self.assertGreater(len(rereads), FAILED_REREADS)
 
 
 class ClockTest(testtools.TestCase):
