Place lasting tasks that two hosts have room for

Cause: once lasting tasks hold 94% of the processors, another one had to fit twice on one host; one of most of a host never does. The rule counts room for it twice over, on whichever hosts. Change: two hosts that have room for it are enough.

--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -22,6 +22,7 @@
     TaskKind,
     cost,
     fits,
+    must_leave_reserve,
     should_wait,
 )
 
@@ -66,12 +67,11 @@
     request: PlacementRequest, candidate_by_host: Map[str, Candidate]
 ) -> Ranking:
     """Rank the candidates for the tasks of a step that have waited equally long."""
-    is_lasting = request.step.lasting
-    lasting_fraction = lasting_fraction_of(candidate_by_host) if is_lasting else 0.0
+    leaves_reserve = must_leave_reserve(request.step, tuple(candidate_by_host.values()))
     heap = [
         (rank, name, candidate)
         for name, candidate in candidate_by_host.items()
-        if isinstance(rank := _rank(request, candidate, lasting_fraction), tuple)
+        if isinstance(rank := _rank(request, candidate, leaves_reserve), tuple)
     ]
     heapq.heapify(heap)
     return Ranking(request=request, heap=heap)
@@ -118,7 +118,7 @@
         _, name, ranked = heap[0]
         candidate = candidate_by_host[name]
         if candidate is not ranked:
-            rank = _rank(request, candidate, 0.0)
+            rank = _rank(request, candidate, False)
             if isinstance(rank, Exclusion):
                 heapq.heappop(heap)
             else:
@@ -142,7 +142,7 @@
         candidate = candidate_by_host[name]
         rank: Rank | Exclusion = ranked_rank
         if candidate is not ranked:
-            rank = _rank(ranking.request, candidate, 0.0)
+            rank = _rank(ranking.request, candidate, False)
         if isinstance(rank, Exclusion):
             continue
         if not _is_at_limit(limit, name, sibling_count_by_host):
@@ -158,11 +158,11 @@
 def exclusion_of(
     request: PlacementRequest,
     candidate: Candidate,
-    lasting_fraction: float,
+    leaves_reserve: bool,
     sibling_count_by_host: Counter[str],
 ) -> Exclusion | None:
     """Return why an open host takes no task of a step; None if it takes one."""
-    rank = _rank(request, candidate, lasting_fraction)
+    rank = _rank(request, candidate, leaves_reserve)
     if isinstance(rank, Exclusion):
         return rank
     limit, name = request.step.per_host_limit, candidate.host.name
@@ -171,7 +171,7 @@
 
 
 def _rank(
-    request: PlacementRequest, candidate: Candidate, lasting_fraction: float
+    request: PlacementRequest, candidate: Candidate, leaves_reserve: bool
 ) -> Rank | Exclusion:
     """Return the rank of a candidate, or why the task must not be placed on it."""
     step, host = request.step, candidate.host
@@ -181,7 +181,7 @@
         return NO_LABEL
     if request.tickets is not None and advising.server_of(host) not in request.tickets:
         return NO_TICKET
-    if not fits(step, candidate, lasting_fraction):
+    if not fits(step, candidate, leaves_reserve=leaves_reserve):
         return NO_ROOM
     if should_wait(
         request.kind, step, candidate, request.harm_fraction, request.idle_s
@@ -191,14 +191,6 @@
     return outside_rack, cost(request.kind, step, candidate, request.harm_fraction)
 
 
-def lasting_fraction_of(candidate_by_host: Mapping[str, Candidate]) -> float:
-    """Return the fraction of the open hosts' processors that lasting tasks hold."""
-    candidates = candidate_by_host.values()
-    capacity = sum(candidate.host.capacity.processors_m for candidate in candidates)
-    held = sum(candidate.lasting_m for candidate in candidates)
-    return held / max(1, capacity)
-
-
 def _prefer_same_rack(
     fitting: list[tuple[Rank, str]],
     candidate_by_host: Mapping[str, Candidate],
--- a/bulrushpulley/systems/scheduling/excluding.py
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -15,6 +15,7 @@
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.systems.scheduling import choosing, emptying, placing, refusals
+from bulrushpulley.systems.scheduling.ranking import must_leave_reserve
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,14 +90,14 @@
     candidates = hosts.candidate_by_host
     step = job.step(task.step)
     request = placing.placement_request(tables, job, step, task, now)
-    lasting_fraction = choosing.lasting_fraction_of(candidates) if step.lasting else 0.0
+    leaves_reserve = must_leave_reserve(step, tuple(candidates.values()))
     siblings = placing.count_siblings_by_host(
         tables, job.job_id, task.occurrence, task.step
     )
     count_by_exclusion = Counter(hosts.count_by_exclusion)
     taking_by_host: dict[str, Candidate] = {}
     for name, candidate in candidates.items():
-        reason = choosing.exclusion_of(request, candidate, lasting_fraction, siblings)
+        reason = choosing.exclusion_of(request, candidate, leaves_reserve, siblings)
         if reason is None:
             taking_by_host[name] = candidate
         else:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -90,7 +90,10 @@
             break
         state = _place_job(state, job, now)
     hosts = [candidate.host for candidate in candidate_by_host.values()]
-    advice_step = advising.request_advice(state.tables, jobs, hosts, now)
+    # What is beyond the limit of this pass is placed in the next tick.
+    is_cut_short = state.placed >= MAX_PLACED_PER_PASS
+    tables = replace(state.tables, place_due=state.tables.place_due or is_cut_short)
+    advice_step = advising.request_advice(tables, jobs, hosts, now)
     commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
     return Step(tables=advice_step.tables, commands=commands)
 
--- a/bulrushpulley/systems/scheduling/ranking.py
+++ b/bulrushpulley/systems/scheduling/ranking.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -51,10 +51,12 @@
 # and the next placement pass, the transaction and the start take time as well.
 MAX_HARM_FRACTION = 0.3
 MAX_FILLING_DEFERRAL_S = 1.5
-# Fraction of all processors that lasting tasks leave free. Short urgent tasks use a
-# twentieth on average in both deployments.
+# Fraction of all processors that lasting tasks leave free, unless there is room for
+# another one twice. Short urgent tasks use a twentieth on average.
 RESERVED_FRACTION = 0.06
 
+MIN_FITTING_HOSTS = 2
+
 HarmFraction = Callable[[str, str, float], float]
 
 
@@ -107,19 +109,29 @@
     )
 
 
-def fits(step: StepSpec, candidate: Candidate, lasting_fraction: float) -> bool:
-    """Return whether a task fits; lasting tasks must leave a reserve.
+def fits(step: StepSpec, candidate: Candidate, *, leaves_reserve: bool) -> bool:
+    """Return whether a task fits, twice if it has to leave a reserve."""
+    need = step.committed
+    if leaves_reserve:
+        need = need.plus(need)
+    return need.fits(candidate.free)
+
+
+def must_leave_reserve(step: StepSpec, candidates: Collection[Candidate]) -> bool:
+    """Return whether a task fits only where it leaves as much room as it takes.
 
-    `lasting_fraction` is the fraction of the processors of all hosts that lasting tasks
-    hold. If less than the reserve for short tasks is left, another one fits only on a
-    host whose free resources are at least twice what it needs.
+    That holds for a lasting task if lasting tasks hold all processors but the reserve
+    for short ones, and no two hosts have room for it: the platform wants a lasting task
+    to run if there is room for it twice.
     """
-    need = step.committed
-    if not need.fits(candidate.free):
+    if not step.lasting:
+        return False
+    capacity_m = sum(each.host.capacity.processors_m for each in candidates)
+    held_m = sum(each.lasting_m for each in candidates)
+    if held_m <= (1.0 - RESERVED_FRACTION) * capacity_m:
         return False
-    if not step.lasting or lasting_fraction <= 1.0 - RESERVED_FRACTION:
-        return True
-    return need.plus(need).fits(candidate.free)
+    fitting = sum(step.committed.fits(each.free) for each in candidates)
+    return fitting < MIN_FITTING_HOSTS
 
 
 @singledispatch
--- a/test/test_jobs_unserved.py
+++ b/test/test_jobs_unserved.py
@@ -262,7 +262,7 @@
         )
         for idle_s, expected in ((0.0, Exclusion.HARM), (3.0, None)):
             found = choosing.exclusion_of(
-                replace(request, idle_s=idle_s), candidate, 0.0, Counter()
+                replace(request, idle_s=idle_s), candidate, False, Counter()
             )
             self.assertEqual(expected, found)
 
