Say in the line of a placement what held the task back

A wait of less than 3 s showed only as a time in `task.place`, so a log did not tell a step that was held back for harm from one without room or with all hosts quarantined.

A pass now keeps, for the first 200 steps that it cannot place and that have waited for over 0.5 s, the reasons of their ranking, which it has anyway. Nothing is added for tasks that are placed sooner. Hosts that were filled within the pass, or that the task avoids, are not counted.

Two tests failed before.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -22,6 +22,7 @@
     NO_OPERATOR_SETTINGS,
     OperatorSettings,
 )
+from bulrushpulley.entities.jobs.exclusion import HeldBack
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.machines import MachineTables
@@ -158,6 +159,8 @@
     - `read_retry_at_by_table` is when a read that failed during loading is retried.
     - `candidate_by_host` holds all hosts as of the last placement pass; a candidate
       is valid as long as its host is the one in `hosts`.
+    - `held_back_by_step` says why no host took a task of a step in the last placement
+      pass; it holds only some of the steps, and none that has just begun to wait.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock.
@@ -219,6 +222,7 @@
     harms_saved_at: float = 0.0
     place_due: bool = False
     candidate_by_host: Map[str, Candidate] = field(default_factory=Map)
+    held_back_by_step: Map[str, HeldBack] = field(default_factory=Map)
     last_placement_at: float = 0.0
     purged_at: float = 0.0
     expiry_checked_at: float = 0.0
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from immutables import Map
@@ -55,11 +55,13 @@
 
     `heap` holds the rank, the host's name and the candidate as it was ranked. A
     placement changes one candidate, which is ranked again once it is the first; this
-    suffices because placements only make candidates worse.
+    suffices because placements only make candidates worse. `excluded` are the reasons
+    of the candidates that were never in it.
     """
 
     request: PlacementRequest
     heap: list[tuple[Rank, str, Candidate]]
+    excluded: Sequence[Exclusion]
 
 
 def rank_candidates(
@@ -68,13 +70,16 @@
     """Rank the candidates for the tasks of a step that have waited equally long."""
     is_lasting = request.step.lasting
     lasting_fraction = lasting_fraction_of(candidate_by_host) if is_lasting else 0.0
-    heap = [
-        (rank, name, candidate)
-        for name, candidate in candidate_by_host.items()
-        if isinstance(rank := _rank(request, candidate, lasting_fraction), tuple)
-    ]
+    heap: list[tuple[Rank, str, Candidate]] = []
+    excluded: list[Exclusion] = []
+    for name, candidate in candidate_by_host.items():
+        rank = _rank(request, candidate, lasting_fraction)
+        if isinstance(rank, Exclusion):
+            excluded.append(rank)
+        else:
+            heap.append((rank, name, candidate))
     heapq.heapify(heap)
-    return Ranking(request=request, heap=heap)
+    return Ranking(request=request, heap=heap, excluded=excluded)
 
 
 def choose_candidate(
--- a/bulrushpulley/systems/scheduling/excluding.py
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -9,7 +9,7 @@
 from immutables import Map
 
 from bulrushpulley.entities.jobs.candidate import Candidate
-from bulrushpulley.entities.jobs.exclusion import Exclusion
+from bulrushpulley.entities.jobs.exclusion import Exclusion, describe_counts
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
@@ -52,12 +52,7 @@
 
     def describe(self) -> str:
         """Return the counts as text, in the order in which reasons are examined."""
-        parts = [
-            f"{reason.value} {self.count_by_exclusion[reason]}"
-            for reason in Exclusion
-            if self.count_by_exclusion.get(reason)
-        ]
-        return ", ".join(parts) or "no host is excluded"
+        return describe_counts(self.count_by_exclusion)
 
 
 def open_hosts(tables: SchedulerTables, now: float) -> OpenHosts:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -16,7 +16,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.candidate import Candidate
-from bulrushpulley.entities.jobs.exclusion import Exclusion
+from bulrushpulley.entities.jobs.exclusion import Exclusion, HeldBack
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.rows import JobState
@@ -49,14 +49,23 @@
 MAX_LASTING_WAIT_S = 3.5
 # Reachable agents report their runs to a new owner within this time.
 AGENT_SYNC_TIMEOUT_S = 0.6
+# The line of a placement says what held a task back that has waited for longer.
+MAX_UNEXPLAINED_WAIT_S = 1.0
+# Bounds the time of a pass while many steps wait; the most urgent ones come first.
+MAX_HELD_BACK_STEPS = 200
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementPass:
-    """The state of one pass over the waiting tasks."""
+    """The state of one pass over the waiting tasks.
+
+    `closed` counts the hosts that are closed for all tasks, by the reason.
+    """
 
     tables: SchedulerTables
     candidate_by_host: Map[str, Candidate]
+    closed: Mapping[Exclusion, int]
+    held_back_by_step: Map[str, HeldBack]
     commands: tuple[Command, ...] = ()
     placed: int = 0
 
@@ -74,14 +83,19 @@
         tables, place_due=False, last_placement_at=now, candidate_by_host=known
     )
     closed = emptying.closed_hosts(tables)
+    reason_by_host = {
+        name: exclusion_of(tables, candidate.host, closed, now)
+        for name, candidate in known.items()
+    }
     candidate_by_host = Map(
-        {
-            name: candidate
-            for name, candidate in known.items()
-            if exclusion_of(tables, candidate.host, closed, now) is None
-        }
+        {name: known[name] for name, reason in reason_by_host.items() if reason is None}
+    )
+    state = PlacementPass(
+        tables=tables,
+        candidate_by_host=candidate_by_host,
+        held_back_by_step=Map(),
+        closed=Counter(reason for reason in reason_by_host.values() if reason),
     )
-    state = PlacementPass(tables=tables, candidate_by_host=candidate_by_host)
     jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
     overdue = {job.job_id for job in jobs if _is_overdue(tables, job, now)}
     jobs.sort(key=lambda job: (job.job_id not in overdue, placement_order(job, now)))
@@ -90,7 +104,8 @@
             break
         state = _place_job(state, job, now)
     hosts = [candidate.host for candidate in candidate_by_host.values()]
-    advice_step = advising.request_advice(state.tables, jobs, hosts, now)
+    tables = replace(state.tables, held_back_by_step=state.held_back_by_step)
+    advice_step = advising.request_advice(tables, jobs, hosts, now)
     commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
     return Step(tables=advice_step.tables, commands=commands)
 
@@ -240,6 +255,7 @@
             ranking, state.candidate_by_host, task, sibling_count_by_host, now
         )
         if candidate is None:
+            state = _with_held_back(state, task, ranking, now)
             if not avoids_hosts:
                 unplaceable_since.add(task.idle_since)
             continue
@@ -272,12 +288,25 @@
             ranking, trial.candidate_by_host, member, sibling_count_by_host, now
         )
         if candidate is None:
-            return state
+            return _with_held_back(state, task, ranking, now)
         sibling_count_by_host[candidate.host.name] += 1
         trial = _assign(trial, job, step, member, candidate, run, now)
     return trial
 
 
+def _with_held_back(
+    state: PlacementPass, task: Task, ranking: choosing.Ranking, now: float
+) -> PlacementPass:
+    """Record what excluded the hosts from a step that may wait for long."""
+    known = state.held_back_by_step
+    is_recent = now - task.since < MAX_UNEXPLAINED_WAIT_S - PLACEMENT_INTERVAL_S
+    if is_recent or len(known) >= MAX_HELD_BACK_STEPS:
+        return state
+    key = step_key(task.job_id, task.occurrence, task.step)
+    held_back = HeldBack(closed=state.closed, excluded=ranking.excluded)
+    return replace(state, held_back_by_step=known.set(key, held_back))
+
+
 def placement_request(
     tables: SchedulerTables, job: Job, step: StepSpec, task: Task, now: float
 ) -> choosing.PlacementRequest:
@@ -320,11 +349,14 @@
     effect = SendStart(task_id=task.task_id, run=run)
     tables = edits.mark_dirty(tables, job.job_id, effect)
     reason = f"waited {now - task.since:.2f} s, load {candidate.load:.2f}"
+    if now - task.since > MAX_UNEXPLAINED_WAIT_S:
+        reason += _describe_held_back(state.tables, task)
     wait_observation = Observe(
         name="task_wait_seconds", seconds=now - task.since, label=job.row.queue
     )
     line = edits.log(tables, "task.place", f"{task.task_id}#{run}", host.name, reason)
-    return PlacementPass(
+    return replace(
+        state,
         tables=tables,
         candidate_by_host=state.candidate_by_host.set(
             host.name, candidate.with_task(step)
@@ -332,3 +364,10 @@
         commands=(*state.commands, line, wait_observation),
         placed=state.placed + 1,
     )
+
+
+def _describe_held_back(tables: SchedulerTables, task: Task) -> str:
+    """Return what held the step of a task back in the pass before, as text."""
+    key = step_key(task.job_id, task.occurrence, task.step)
+    held_back = tables.held_back_by_step.get(key)
+    return f", held back last: {held_back.describe()}" if held_back else ""
--- a/test/test_jobs_unserved.py
+++ b/test/test_jobs_unserved.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter
 from dataclasses import replace
+from typing import Any
 
 import testtools
 
@@ -486,3 +487,52 @@
             {f"t{number}#1" for number in range(4)}, {line.subject for line in found}
         )
         self.assertIn("in flight True", found[0].reason)
+
+
+class PlacedAfterWaitTest(testtools.TestCase):
+    """A wait of less than 3 s has no line of its own."""
+
+    def _reasons(self, world: JobsWorld, job: str) -> list[str]:
+        return [
+            line.reason
+            for line in world.decisions
+            if line.kind == "task.place" and line.subject.startswith(job)
+        ]
+
+    def _world(self, wait_s: float, **more: Any) -> tuple[JobsWorld, str]:
+        """Submit a job that has to wait until another one has ended."""
+        world = JobsWorld(hosts=2)
+        world.run(2.0)
+        whole_host = step(2, size=Resources(processors_m=4_000, memory_mb=100), **more)
+        world.submit(1, whole_host, payload=f"{wait_s}")
+        world.run(0.5)
+        job = world.submit(2, whole_host)
+        self.assertTrue(world.run_until(world.all_complete, 9.0))
+        return world, job
+
+    def test_the_line_of_a_placement_says_what_held_the_task_back(self) -> None:
+        for gang in (False, True):
+            world, job = self._world(2.5, gang=gang)
+            reasons = self._reasons(world, job)
+            self.assertEqual(2, len(reasons))
+            for reason in reasons:
+                self.assertIn(", held back last: no room 2", reason)
+
+    def test_hosts_that_are_closed_for_all_tasks_are_counted(self) -> None:
+        world = JobsWorld(hosts=2)
+        world.run(2.0)
+        world.evacuate("z0")
+        world.evacuate("z1")
+        world.run(0.5)
+        job = world.submit(1, step(1))
+        world.run(2.0)
+        world.evacuate("z0", withdraw=True)
+        world.evacuate("z1", withdraw=True)
+        self.assertTrue(world.run_until(world.all_complete, 5.0))
+        [reason] = self._reasons(world, job)
+        self.assertIn(", held back last: evacuated 2", reason)
+
+    def test_nothing_is_added_after_a_short_wait(self) -> None:
+        world, job = self._world(0.7)
+        for reason in self._reasons(world, job):
+            self.assertNotIn("held back", reason)
