--- a/test/jobs_all_lost.py
+++ b/test/jobs_all_lost.py
@@ -3,13 +3,15 @@
 A loss strikes just before or soon after the nth command of a kind, and the processes
 return one after another. From the last return on, every task whose turn has come has
 to run in time, and all jobs have to complete.
-`python -m test.jobs_all_lost --seeds A-B` runs many seeds; `PYTHONPATH` names the root.
+`python -m test.jobs_all_lost --seeds A-B` runs many seeds, with `--sweep A-B` the cases
+of a sweep over all kinds of commands; `PYTHONPATH` names the root.
 """
 
 from __future__ import annotations
 
 import argparse
 import functools
+import itertools
 import random
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -54,6 +56,13 @@
 MOMENT_TIMEOUT_S = 12.0
 SECOND_MOMENT_TIMEOUT_S = 3.0
 CROWD_COUNT = 260
+SMALL_JOBS = 200
+SMALL_SIZE = Resources(processors_m=4, memory_mb=4)
+MAX_SWEPT_OF_A_KIND = 10
+SEEDS_PER_MANY_JOBS = 25
+# Before a command, and after a call, a message or a transaction.
+SWEPT_DELAYS_S = (None, 0.0012, 0.0065)
+SWEEP_DOWN_S = 0.9
 SERVING_IMAGE = "serving"
 FILLING_IMAGE = "filling"
 TARGET_MS = 50.0
@@ -99,6 +108,9 @@
     same_id: bool
 
 
+Servers = ServersLiveOn | ServersLost
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Loss:
     """The processes are lost at a moment and return.
@@ -108,7 +120,7 @@
     """
 
     moment: Moment
-    servers: ServersLiveOn | ServersLost
+    servers: Servers
     down_s: float
     entries_after_s: float
     agents_after_s: float
@@ -177,7 +189,8 @@
 
     Tasks may have checkpoints. If `crowded`, one job has a step of `CROWD_COUNT` tasks.
     If `gang`, second steps are gangs. If `images`, tasks that fill have an image that
-    is known to harm the one of the lasting tasks.
+    is known to harm the one of the lasting tasks. Each of `small_jobs` has two steps of
+    one small task.
     """
 
     checkpoints: bool = False
@@ -185,6 +198,7 @@
     gang: bool = False
     images: bool = False
     lasting: int = 3
+    small_jobs: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -337,10 +351,13 @@
     steps = step(2, **filling), step(2, **second)
     world.submit(2, *steps, payload="5.0", entry=ENTRIES[1])
     world.submit(3, step(jobs.lasting, **lasting), payload=LASTING_PAYLOAD)
+    small: dict[str, Any] = {**filling, "size": SMALL_SIZE}
+    rest: dict[str, Any] = {**small, "after": (0,)}
+    for number in range(jobs.small_jobs):
+        steps = step(1, **small), step(1, **rest)
+        world.submit(100 + number, *steps, payload="2.0", entry=ENTRIES[number % 2])
     if jobs.crowded:
-        size = Resources(processors_m=4, memory_mb=4)
-        rest: dict[str, Any] = {**filling, "after": (0,), "size": size}
-        crowd = step(CROWD_COUNT, **{**filling, "size": size})
+        crowd = step(CROWD_COUNT, **small)
         steps = crowd, step(CROWD_COUNT // 4, **rest)
         world.submit(4, *steps, payload="2.0", entry=ENTRIES[1])
 
@@ -615,7 +632,7 @@
 
 @singledispatch
 def lose_servers(
-    servers: ServersLiveOn | ServersLost,
+    servers: Servers,
     world: JobsWorld,
     start_later: StartLater,
 ) -> None:
@@ -667,6 +684,7 @@
         gang=draw.random() < 0.25,
         images=draw.random() < 0.25,
         lasting=draw.choice((3, 3, 9)) if not crowded else 3,
+        small_jobs=SMALL_JOBS if seed % SEEDS_PER_MANY_JOBS == 0 else 0,
     )
     losses = [_draw_loss(draw, command_counts(jobs))]
     if draw.random() < 0.35:
@@ -698,7 +716,7 @@
     )
 
 
-def _draw_servers(draw: random.Random, down_s: float) -> ServersLiveOn | ServersLost:
+def _draw_servers(draw: random.Random, down_s: float) -> Servers:
     how = draw.choice(("live on", "all", "all", "some"))
     if how == "live on":
         return ServersLiveOn()
@@ -731,27 +749,82 @@
     return tuple(troubles)
 
 
+# Every kind of command in turn
+
+
+def sweep_cases() -> Iterator[LossCase]:
+    """Return cases that strike before and after commands of each kind.
+
+    The loss is the only one, or it follows another one that strikes in the middle.
+    """
+    servers: tuple[Servers, ...] = (
+        ServersLiveOn(),
+        _all_servers(same_id=False),
+        _all_servers(same_id=True),
+    )
+    jobs = JobMix(checkpoints=True)
+    for moment, lost in itertools.product(_moments(command_counts(jobs)), servers):
+        yield LossCase(losses=(_loss(moment, lost),), jobs=jobs)
+    middle = Moment(kind="RunsReport ends", nth=3, delay_s=0.003)
+    first = _loss(middle, _all_servers(same_id=False))
+    for moment, lost in itertools.product(_moments(recovery_counts()), servers[:2]):
+        yield LossCase(losses=(first, _loss(moment, lost)), jobs=jobs)
+
+
+def _all_servers(*, same_id: bool) -> ServersLost:
+    return ServersLost(hosts=HOSTS, return_after_s=SWEEP_DOWN_S, same_id=same_id)
+
+
+def _loss(moment: Moment, servers: Servers) -> Loss:
+    return Loss(
+        moment=moment,
+        servers=servers,
+        down_s=SWEEP_DOWN_S,
+        entries_after_s=0.0,
+        agents_after_s=0.3,
+        spread_s=0.0,
+    )
+
+
+def _moments(counts: Counter[str]) -> Iterator[Moment]:
+    for kind, count in sorted(counts.items()):
+        step_by = -(-count // MAX_SWEPT_OF_A_KIND)
+        for nth in range(1, count + 1, step_by):
+            for delay_s in SWEPT_DELAYS_S:
+                yield Moment(kind=kind, nth=nth, delay_s=delay_s)
+
+
+def cases_of(options: argparse.Namespace) -> Iterator[tuple[str, LossCase]]:
+    """Return the cases that the command line names."""
+    if options.sweep:
+        first, _, last = options.sweep.partition("-")
+        cases = enumerate(sweep_cases())
+        for number, case in itertools.islice(cases, int(first), int(last) + 1):
+            yield f"case {number}", case
+        return
+    first, _, last = options.seeds.partition("-")
+    for seed in range(int(first), int(last or first) + 1):
+        yield f"seed {seed}", draw_case(seed)
+
+
 def main() -> int:
-    """Run the seeds of the command line, and print those that fail."""
+    """Run the cases of the command line, and print those that fail."""
     parser = argparse.ArgumentParser(description="Lose all processes of a site.")
-    parser.add_argument("--seeds", required=True, metavar="A-B")
-    parser.add_argument("--show", action="store_true", help="print the cases")
-    options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed, longest_wait, longest_idle = 0, (0.0, 0), (0.0, 0)
-    for seed in seeds:
-        case = draw_case(seed)
+    chosen = parser.add_mutually_exclusive_group(required=True)
+    chosen.add_argument("--seeds", metavar="A-B")
+    chosen.add_argument("--sweep", metavar="A-B", help="cases by their numbers")
+    count, failed = 0, 0
+    longest_wait, longest_idle = (0.0, ""), (0.0, "")
+    for name, case in cases_of(parser.parse_args()):
         result = run_case(case)
-        longest_wait = max(longest_wait, (result.longest_wait_s, seed))
-        longest_idle = max(longest_idle, (result.longest_idle_s, seed))
-        if options.show:
-            print(case)
+        count += 1
+        longest_wait = max(longest_wait, (result.longest_wait_s, name))
+        longest_idle = max(longest_idle, (result.longest_idle_s, name))
         if result.problems:
             failed += 1
-            print(f"seed {seed}: {'; '.join(result.problems[:3])}", flush=True)
+            print(f"{name}: {'; '.join(result.problems[:3])}", flush=True)
     print(f"longest wait {longest_wait}, longest idle {longest_idle}")
-    print(f"{len(seeds)} seeds, {failed} failed")
+    print(f"{count} cases, {failed} failed")
     return 1 if failed else 0
 
 
