--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -138,6 +138,10 @@
         for key in sorted(self.run_by_key):
             self._end(key, "broken")
 
+    def end_alone(self, key: str) -> None:
+        """End a run that has waited too long for the others of its gang."""
+        self._end(key, "alone")
+
     def restart(self, now: float, *, same_id: bool = False) -> None:
         """Start the next incarnation, without any state of the last one."""
         self.up, self.draining, self.incarnation, self.incarnation_started_at = (
