Show that a half purged job runs again under the next owner

A job that ended long ago ran again after all processes had been lost. Its progress had been deleted and its row had not, so that it looked like one that never started.

--- a/test/test_jobs_all_lost.py
+++ b/test/test_jobs_all_lost.py
@@ -8,6 +8,13 @@
 
 import testtools
 
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    CondenseJobRows,
+    DropJobRows,
+)
+from bulrushpulley.entities.jobs.store import Transact
+from bulrushpulley.entities.step import Command
+from bulrushpulley.systems.scheduling import purging
 from test.jobs_all_lost import (
     HOSTS,
     JobMix,
@@ -21,6 +28,7 @@
     draw_case,
     run_case,
 )
+from test.jobs_world import JobsWorld, step
 
 SEEDS = range(1, 33)
 JOBS = JobMix(checkpoints=True)
@@ -60,3 +68,31 @@
             for problem in run_case(draw_case(seed)).problems
         ]
         self.assertEqual([], problems)
+
+
+class HalfPurgedTest(testtools.TestCase):
+    """A job whose progress was removed and whose row was not must not run again."""
+
+    def test_the_store_refuses_only_the_first_transaction(self) -> None:
+        self.patch(purging, "JOB_RETENTION_S", 3.0)
+        world = JobsWorld()
+        refused: list[str] = []
+
+        def refuse(command: Command) -> None:
+            """Turn away the short rows, and the first transaction of a purge."""
+            purpose = command.purpose if isinstance(command, Transact) else None
+            is_first = isinstance(purpose, DropJobRows) and not refused
+            world.store_up = not is_first and not isinstance(purpose, CondenseJobRows)
+            if is_first:
+                refused.append("purge")
+
+        world.hook = refuse
+        world.run(2.0)
+        world.submit(1, step(2), payload="0.5")
+        world.run_until(lambda: bool(refused), 20.0)
+        self.assertTrue(refused)
+        world.run(1.0)
+        for name in list(world.process_by_name):
+            world.restart(name)
+        world.run(5.0)
+        self.assertEqual((2, []), (world.starts, world.violations))
