Remove the progress of ended jobs only after their rows

Cause: the rows of a job and its progress lie in two parts of the store, so a purge is two transactions, and both were sent at once. If the store refuses the first or does not answer it and takes the second, the row is left without progress, like that of a job that has not started. Where the row has been shortened the next owner leaves such a job out; where that write failed too, which is not retried, it runs the job.

Change: the progress is deleted once the store has confirmed that the rows are. A purge that fails halfway leaves progress without a job, which no owner acts on; as before, nothing removes it.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -336,7 +336,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DropJobRows(Purpose):
-    """An owner deletes the rows of jobs that ended long ago."""
+    """An owner deletes the rows of jobs that ended long ago; their progress follows."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DropProgressRows(Purpose):
+    """An owner deletes the progress of jobs whose rows it has deleted."""
 
 
 SchedulerStep = Step[SchedulerTables]
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -20,6 +20,7 @@
 from bulrushpulley.entities.jobs.scheduler_tables import (
     ClaimShard,
     CommitProgress,
+    DropJobRows,
     LoadTable,
     LoadWaves,
     OperatorSettingsChanged,
@@ -60,6 +61,7 @@
     loading,
     machine_list,
     ownership,
+    purging,
     upkeep,
     upkeep_refusals,
     wall_clock,
@@ -239,6 +241,15 @@
     return waves.handle_status_write_ended(purpose, is_written, tables, now)
 
 
+@handle_store_event.register
+def _(
+    purpose: DropJobRows, event: StoreEvent, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    if not isinstance(event, Transacted):
+        return Step(tables=tables)
+    return purging.handle_rows_dropped(purpose, tables, now)
+
+
 @handle_store_event.register
 def _(
     purpose: ClaimShard, event: StoreEvent, tables: SchedulerTables, now: float
