--- a/bulrushpulley/systems/scheduling/restoring.py
+++ b/bulrushpulley/systems/scheduling/restoring.py
@@ -16,6 +16,8 @@
 from bulrushpulley.systems.scheduling import edits
 
 MAX_STEPS_PER_LINE = 8
+# Bounds the time before a new owner places anything, and what it logs at once.
+MAX_RESTORE_LINES = 2_000
 
 
 def keep_progress(
@@ -61,11 +63,13 @@
 
 
 def restored_lines(tables: SchedulerTables) -> Iterable[Command]:
-    """Return a line for each job that has not ended, with the states of its tasks."""
-    for job in tables.jobs.rows():
-        if not job.is_final:
-            reason = f"{job.state.value}; {_describe_tasks(tables, job)}"
-            yield edits.log(tables, "job.restore", job.job_id, job.row.queue, reason)
+    """Return a line for each job that has not ended, up to a bound, with its tasks."""
+    open_jobs = [job for job in tables.jobs.rows() if not job.is_final]
+    for number, job in enumerate(open_jobs[:MAX_RESTORE_LINES], start=1):
+        reason = f"{job.state.value}; {_describe_tasks(tables, job)}"
+        if number == MAX_RESTORE_LINES < len(open_jobs):
+            reason += f"; {len(open_jobs) - number} more jobs are left out"
+        yield edits.log(tables, "job.restore", job.job_id, job.row.queue, reason)
 
 
 def _describe_tasks(tables: SchedulerTables, job: Job) -> str:
--- a/test/test_jobs_recovery_lines.py
+++ b/test/test_jobs_recovery_lines.py
@@ -10,7 +10,7 @@
 from testtools.matchers import EndsWith, StartsWith
 
 from bulrushpulley.entities.observe import Decision
-from bulrushpulley.systems.scheduling import endings
+from bulrushpulley.systems.scheduling import endings, restoring
 from test.jobs_world import JobsWorld, step
 
 
@@ -44,6 +44,22 @@
         self.assertThat(reason_by_job[waiting], StartsWith("running; 0 of 12 steps "))
         self.assertThat(reason_by_job[waiting], EndsWith("; 4 more steps"))
 
+    def test_the_number_of_lines_is_bounded(self) -> None:
+        """The lines are made before the new owner places anything."""
+        self.patch(restoring, "MAX_RESTORE_LINES", 3)
+        world = JobsWorld(hosts=1)
+        world.run(2.0)
+        for number in range(5):
+            world.submit(number, step(1), payload="60.0")
+        world.run(1.0)
+        world.decisions.clear()
+        world.kill(world.owner())
+        self.assertTrue(world.run_until(lambda: bool(world.owner()), 8.0))
+        reasons = [line.reason for line in self._lines(world, "job.restore")]
+        self.assertEqual(3, len(reasons))
+        self.assertThat(reasons[-1], EndsWith("; 2 more jobs are left out"))
+        self.assertNotIn("left out", reasons[0])
+
     def _second_step_runs(self, world: JobsWorld, job: str) -> bool:
         return any(
             line.kind == "run.start" and line.subject.startswith(f"{job}.0.1.1")
