Test of a takeover while reads of the owner row fail at times, which fails

Cause: each failed read restarts the takeover timeout, since the owner may have been unable to renew either. Not changed here: leaving the time without reads out instead, so that it does not count but what was seen before does, gives a live owner 0.4 s to 0.8 s to renew after an outage instead of 2 s.

--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import replace
 
 import testtools
@@ -16,6 +17,7 @@
 from bulrushpulley.entities.jobs.advice import AdviceTerms
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
+    PollOwner,
     RereadTable,
     SchedulerTables,
 )
@@ -249,6 +251,28 @@
         self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
 
 
+class FollowerTest(testtools.TestCase):
+    """Reads of the owner row fail at times while the owner is lost."""
+
+    # Each failed read restarted the takeover timeout, so it never passed.
+    def test_the_shard_is_taken_over_although_each_second_read_fails(self) -> None:
+        world = JobsWorld(entries=3, hosts=3)
+        world.run(3.0)
+        reads = itertools.count()
+
+        def fail_each_second(command: Command) -> None:
+            is_poll = isinstance(command, ReadRange) and isinstance(
+                command.purpose, PollOwner
+            )
+            world.reads_fail = is_poll and next(reads) // 2 % 2 == 0
+
+        world.hook = fail_each_second
+        world.kill(world.owner())
+        lost_at = world.now
+        self.assertTrue(world.run_until(lambda: bool(world.owner()), OBSERVED_S))
+        self.assertLess(world.now - lost_at, 2 * MAX_TAKEOVER_S)
+
+
 class StoreTest(testtools.TestCase):
     """The store refuses or loses calls again and again."""
 
