Test of steps that fit nowhere and ask for advice again, which fails

What callers see: beside 100 steps that fit on no host and whose tickets are valid for 4 s, a step with room for it has no advice after 20 s; beside 40 it waits 0.1 s (2.7 s before; 20 s beside 100 there too). Trials in virtual time, 0.05 s a call. Cause: one call at a time, the most urgent step first. Tickets expire while a step waits for room, and it asks again, though no host has room for it; from about 80 such steps on the calls take as long as the tickets are valid.

--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -102,10 +102,10 @@
     Steps that never get further must not keep the others from their turn.
     """
 
-    def start_world(self) -> JobsWorld:
+    def start_world(self, valid_s: float = 60.0) -> JobsWorld:
         """Start a site whose queue needs advice, with room on all hosts."""
         world = JobsWorld(entries=2, hosts=3)
-        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=60.0)
+        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=valid_s)
         world.configure(replace(QUEUE, advice=terms))
         world.run(3.0)
         return world
@@ -132,6 +132,20 @@
             job_id = world.submit(100, step(1, estimate_s=30.0), payload=LONG)
             self.assertLess(wait_s(world, job_id), MAX_IDLE_S, f"{count} unanswered")
 
+    # Tickets expire while a step fits nowhere. The steps ask again, the most urgent
+    # first, and beside a hundred of them no call is left for the others.
+    def test_steps_that_fit_nowhere_do_not_keep_others_from_asking(self) -> None:
+        world = self.start_world(valid_s=4.0)
+        held = replace(CAPACITY, processors_m=2_000, memory_mb=100)
+        large = replace(CAPACITY, processors_m=2_500, memory_mb=100)
+        world.submit(1, step(3, lasting=True, size=held, per_host_limit=1))
+        world.run(2.0)
+        for number in range(2, 102):
+            world.submit(number, step(1, size=large, estimate_s=300.0))
+        world.run(3.0)
+        job_id = world.submit(200, step(1, estimate_s=300.0), payload=LONG)
+        self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
+
     # A step that gave way for one lost answer would be the last of many.
     def test_a_lost_answer_does_not_put_a_step_behind_all_others(self) -> None:
         world = self.start_world()
