--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import replace
 
 import testtools
@@ -16,6 +17,7 @@
 from bulrushpulley.entities.jobs.advice import AdviceTerms
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
+    PollOwner,
     RereadTable,
     SchedulerTables,
 )
@@ -100,10 +102,10 @@
     Steps that never get further must not keep the others from their turn.
     """
 
-    def start_world(self) -> JobsWorld:
+    def start_world(self, valid_s: float = 60.0) -> JobsWorld:
         """Start a site whose queue needs advice, with room on all hosts."""
         world = JobsWorld(entries=2, hosts=3)
-        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=60.0)
+        terms = AdviceTerms(decide_s=0.05, per_server_s=0.001, valid_s=valid_s)
         world.configure(replace(QUEUE, advice=terms))
         world.run(3.0)
         return world
@@ -130,6 +132,20 @@
             job_id = world.submit(100, step(1, estimate_s=30.0), payload=LONG)
             self.assertLess(wait_s(world, job_id), MAX_IDLE_S, f"{count} unanswered")
 
+    # Tickets expire while a step fits nowhere. The steps ask again, the most urgent
+    # first, and beside a hundred of them no call is left for the others.
+    def test_steps_that_fit_nowhere_do_not_keep_others_from_asking(self) -> None:
+        world = self.start_world(valid_s=4.0)
+        held = replace(CAPACITY, processors_m=2_000, memory_mb=100)
+        large = replace(CAPACITY, processors_m=2_500, memory_mb=100)
+        world.submit(1, step(3, lasting=True, size=held, per_host_limit=1))
+        world.run(2.0)
+        for number in range(2, 102):
+            world.submit(number, step(1, size=large, estimate_s=300.0))
+        world.run(3.0)
+        job_id = world.submit(200, step(1, estimate_s=300.0), payload=LONG)
+        self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
+
     # A step that gave way for one lost answer would be the last of many.
     def test_a_lost_answer_does_not_put_a_step_behind_all_others(self) -> None:
         world = self.start_world()
@@ -249,6 +265,28 @@
         self.assertLess(wait_s(world, job_id), MAX_IDLE_S)
 
 
+class FollowerTest(testtools.TestCase):
+    """Reads of the owner row fail at times while the owner is lost."""
+
+    # Each failed read restarted the takeover timeout, so it never passed.
+    def test_the_shard_is_taken_over_although_each_second_read_fails(self) -> None:
+        world = JobsWorld(entries=3, hosts=3)
+        world.run(3.0)
+        reads = itertools.count()
+
+        def fail_each_second(command: Command) -> None:
+            is_poll = isinstance(command, ReadRange) and isinstance(
+                command.purpose, PollOwner
+            )
+            world.reads_fail = is_poll and next(reads) // 2 % 2 == 0
+
+        world.hook = fail_each_second
+        world.kill(world.owner())
+        lost_at = world.now
+        self.assertTrue(world.run_until(lambda: bool(world.owner()), OBSERVED_S))
+        self.assertLess(world.now - lost_at, 2 * MAX_TAKEOVER_S)
+
+
 class StoreTest(testtools.TestCase):
     """The store refuses or loses calls again and again."""
 
