Let agents without an owner report ends through their rows

Cause: owner and agent have one link, and an end travels on it alone.

The owner that watches or loads the row ends these runs. It acknowledges nothing, and the row is no contact. Ends are facts of a run number that is never reused, so a row that is read late does no harm; no epoch is needed. Rows of earlier versions decode; malformed ends refuse the row, as before.

--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -19,6 +19,7 @@
 )
 from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.items import HostReport
+from bulrushpulley.entities.jobs.rows import HostRow
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.step import Step
@@ -200,7 +201,9 @@
     has been sent the complete list of runs; `last_host_report` and the end with number
     `last_end_sent` are the last ones sent. `unsettled_since_by_kind` is since when each
     lack that is logged has lasted, by the kind of its line, and `oldest_end` the number
-    of the first end when last checked.
+    of the first end when last checked. `confirmed_at` is when the last contact that an
+    owner confirmed was sent, or when the row of the host was first stored, if that is
+    later. `stored_row` is the last row that the store has confirmed.
     """
 
     host: str
@@ -230,7 +233,8 @@
     measures_sent_at: float = 0.0
     last_host_report: HostReport | None = None
     synced: bool = False
-    registered: bool = False
+    confirmed_at: float = -60.0
+    stored_row: HostRow | None = None
     registering: bool = False
     register_retry_at: float = 0.0
     leaving: bool = False
--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -61,7 +61,8 @@
 
 @row_defect.register
 def _(row: HostRow) -> str:
-    return address_defect(row.address)
+    numbers = (number for end in row.ends for number in (end.number, end.run))
+    return address_defect(row.address) or _numbers_defect(*numbers)
 
 
 @row_defect.register
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from bulrushpulley.entities.jobs.runs import RunEnd
 from bulrushpulley.entities.jobs.spec import JobSpec
 
 OWNED_PART = "shard-0"
@@ -151,12 +152,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostRow(Row):
-    """The address at which the agent of a host accepts links."""
+    """The address at which the agent of a host accepts links.
+
+    `ends` are runs of the incarnation `life` of its backend server that have ended. The
+    agent stores them while no owner confirms its contacts, and leaves them there.
+    """
 
     host: str
     address: str
     failure_domain: str
     region: str
+    life: str = ""
+    ends: tuple[RunEnd, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -71,6 +71,7 @@
             dialling.run,
             readopting.run,
             agents.adopt,
+            agents.handle_stored_ends,
             lease_expiry.run,
             unblocking.unblock_due,
             waves.run,
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -57,7 +57,12 @@
     if event.renewals_for_s is not None:
         renewals_for_s = min(renewals_for_s, event.renewals_for_s)
     renewals_end_at = max(tables.renewals_end_at, event.sent_at + renewals_for_s)
-    return Step(tables=replace(tables, renewals_end_at=renewals_end_at))
+    confirmed_at = max(tables.confirmed_at, event.sent_at)
+    return Step(
+        tables=replace(
+            tables, renewals_end_at=renewals_end_at, confirmed_at=confirmed_at
+        )
+    )
 
 
 def handle_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -1,59 +1,119 @@
-"""Stores the address of this agent, so that owners of the shard can dial it."""
+"""Stores the row of this host: its address, and ends that no owner confirms.
+
+Owners of the shard dial the address. Owner and agent have one link; behind a cut that
+leaves the store reachable, the owner learns from the row which runs have ended. An end
+never changes and run numbers are not reused, so a row may be read at any later time.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.bounds import CONTACT_INTERVAL_S
 from bulrushpulley.entities.jobs.job_agent_tables import (
     JOB_AGENT,
     JobAgentStep,
     JobAgentTables,
 )
 from bulrushpulley.entities.jobs.rows import HostRow
+from bulrushpulley.entities.jobs.runs import RunEnd
 from bulrushpulley.entities.jobs.store import Purpose, Transact, Transacted
-from bulrushpulley.entities.step import Step
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.job_agent import edits
 
 REGISTER_TIMEOUT_S = 1.5
 REGISTER_RETRY_DELAY_S = 0.4
+# One missing contact may be due to a pause of the owner.
+OWNER_SILENCE_TIMEOUT_S = 1.9 * CONTACT_INTERVAL_S
+# Calls to the store are priced.
+STORED_ENDS_INTERVAL_S = 1.0
+# The store accepts rows of 65,536 bytes.
+MAX_STORED_ENDS_BYTES = 32_768
+# The numbers of an end and the framing of its fields.
+END_OVERHEAD_BYTES = 64
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RegisterHost(Purpose):
     """Writes the row of this host."""
 
+    row: HostRow
+
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Write the row once, with retries until the store has confirmed it."""
-    waits = tables.registered or tables.registering or now < tables.register_retry_at
-    if waits:
+    """Write the row once, with retries, and again while its ends have changed."""
+    if tables.registering or now < tables.register_retry_at:
+        return Step(tables=tables)
+    row = _row(tables, now)
+    if row == tables.stored_row:
         return Step(tables=tables)
-    row = HostRow(
-        host=tables.host,
-        address=tables.address,
-        failure_domain=tables.failure_domain,
-        region=tables.region,
-    )
     call = Transact(
         role=JOB_AGENT,
-        purpose=RegisterHost(),
+        purpose=RegisterHost(row=row),
         timeout_s=REGISTER_TIMEOUT_S,
         conditions=(),
         puts=(row,),
     )
-    return Step(tables=replace(tables, registering=True), commands=(call,))
+    commands: list[Command] = [call]
+    if row.ends:
+        silent_s = now - tables.confirmed_at
+        reason = (
+            f"{len(row.ends)} ends; no owner confirms contacts for {silent_s:.1f} s"
+        )
+        commands.append(edits.log(tables, "ends.store", tables.host, row.life, reason))
+    return Step(tables=replace(tables, registering=True), commands=tuple(commands))
+
+
+def _row(tables: JobAgentTables, now: float) -> HostRow:
+    row = tables.stored_row or HostRow(
+        host=tables.host,
+        address=tables.address,
+        failure_domain=tables.failure_domain,
+        region=tables.region,
+    )
+    if tables.stored_row is None or not _is_without_owner(tables, now):
+        return row
+    if tables.server is None or not tables.ends:
+        return row
+    unconfirmed = (tables.ends[number] for number in sorted(tables.ends))
+    return replace(row, life=tables.server.life, ends=fitting_ends(unconfirmed))
+
+
+def _is_without_owner(tables: JobAgentTables, now: float) -> bool:
+    return now - tables.confirmed_at >= OWNER_SILENCE_TIMEOUT_S
+
+
+def fitting_ends(ends: Iterable[RunEnd]) -> tuple[RunEnd, ...]:
+    """Return the first ends that fit into the row, without those too large for it."""
+    fitting: list[RunEnd] = []
+    left_bytes = MAX_STORED_ENDS_BYTES
+    for end in ends:
+        text = f"{end.task_id}{end.how}{end.checkpoint}"
+        size_bytes = len(text.encode()) + END_OVERHEAD_BYTES
+        if size_bytes <= left_bytes:
+            fitting.append(end)
+            left_bytes -= size_bytes
+    return tuple(fitting)
 
 
 def handle_registration_answer(
     event: object, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Record that the row is stored, or schedule a retry."""
-    done = isinstance(event, Transacted)
-    return Step(
-        tables=replace(
-            tables,
-            registering=False,
-            registered=done,
-            register_retry_at=now + REGISTER_RETRY_DELAY_S,
+    """Record the row that is stored, or schedule a retry."""
+    tables = replace(tables, registering=False)
+    is_first = tables.stored_row is None
+    if isinstance(event, Transacted) and isinstance(event.purpose, RegisterHost):
+        # An owner that reads the row for the first time has yet to dial.
+        confirmed_at = now if is_first else tables.confirmed_at
+        return Step(
+            tables=replace(
+                tables,
+                stored_row=event.purpose.row,
+                confirmed_at=confirmed_at,
+                register_retry_at=now + STORED_ENDS_INTERVAL_S,
+            )
         )
-    )
+    delay_s = REGISTER_RETRY_DELAY_S if is_first else STORED_ENDS_INTERVAL_S
+    return Step(tables=replace(tables, register_retry_at=now + delay_s))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -4,6 +4,8 @@
 
 from functools import singledispatch
 
+from immutables import Map
+
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import (
     UNLINKED,
@@ -335,6 +337,35 @@
     return Step(tables=tables, commands=(Send(peer=host.peer, item=noted),))
 
 
+def handle_stored_ends(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """End the runs that have ended according to the rows of their hosts.
+
+    Agents write them while they have no owner. A row is no contact with its agent, so
+    it permits neither leases nor tasks there. The ends are not acknowledged: the agent
+    reports them again once it is linked.
+    """
+    if not tables.row_by_host_with_ends or not edits.is_loaded(tables):
+        return Step(tables=tables)
+    commands: list[Command] = []
+    for name, row in sorted(tables.row_by_host_with_ends.items()):
+        host = tables.hosts.get(name) or Host(name=name)
+        current = 0
+        for end in row.ends:
+            task = _current_task(tables, host, row.life, end.task_id, end.run)
+            if task is None:
+                continue
+            current += 1
+            ending = ending_of(end.how, end.checkpoint)
+            step = endings.end_run(tables, task, ending, now)
+            tables = step.tables
+            commands.extend(step.commands)
+        if current:
+            reason = f"its row names {len(row.ends)} ends, {current} of current runs"
+            commands.append(edits.log(tables, "host.ends", name, row.life, reason))
+    tables = replace(tables, row_by_host_with_ends=Map())
+    return Step(tables=tables, commands=tuple(commands))
+
+
 def _handle_complete_report(
     tables: SchedulerTables, name: str, now: float
 ) -> SchedulerStep:
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -142,7 +142,9 @@
 def handle_host_rows(
     tables: SchedulerTables, rows: tuple[StoredRow, ...]
 ) -> SchedulerTables:
-    """Update the addresses of agents; a host without a row is no longer dialled.
+    """Update the addresses of agents, and keep the ends that they have stored.
+
+    A host without a row is no longer dialled.
 
     The end of an attempt or link is recorded for the hosts that have its address then,
     so a host whose address changes does not count as being dialled any more.
@@ -165,6 +167,9 @@
             dialling=host.dialling and host.address == row.address,
         )
         tables = edits.put_host(tables, known)
+        if row.ends:
+            with_ends = tables.row_by_host_with_ends.set(row.host, row)
+            tables = replace(tables, row_by_host_with_ends=with_ends)
     return tables
 
 
