Start runs elsewhere whose orders were lost with the link

Cause: an order that is lost cannot be told from one that was carried out, and the agent, which knows, had nobody to tell.

Change: adoptions of a host are numbered in a tenure, and orders carry the number. Once an agent's link has ended and no full lease is permitted (4.2 s after the last confirmed contact), it takes no more orders of its last adoption, and its row names that adoption, the tenure's epoch, and the runs that it has beside the ends. The owner of that epoch ends the runs of that incarnation that the row does not name, if the host has not been adopted since. A row of an earlier adoption that is stored late ends nothing. An agent that has not had the complete orders of the adoption tells nothing, as a start of its former process may be carried out late; nor does one whose runs or ends do not fit. Earlier versions number no adoption, and their rows and items decode.

A cut of over 4.2 s costs one call for each host; takeovers within that time none.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -52,7 +52,8 @@
     runs have ended by `runs_end_by`, if a former owner has recorded that, or zero.
     `announced_epoch` is the tenure that was last announced to the agent, at
     `announced_at`, and zero if it is to be announced again. It was first announced at
-    `adopted_at`, or never in this tenure if that is zero. The host is
+    `adopted_at`, or never in this tenure if that is zero, and `adoptions` counts how
+    often this tenure has been announced. The host is
     `synced` once the agent has reported every run of this incarnation to this owner.
     `committed` are the resources that its tasks hold, and `images` their images. The
     host gets no new tasks before `quarantined_until`; `failed_at` are the times of the
@@ -80,6 +81,7 @@
     runs_end_by: float = 0.0
     announced_epoch: int = 0
     announced_at: float = 0.0
+    adoptions: int = 0
     adopted_at: float = 0.0
     synced: bool = False
     committed: Resources = NO_RESOURCES
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -24,7 +24,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Adopt(JobItem):
-    """The owner of `epoch` takes over the agent, which replies with its full state."""
+    """The owner of `epoch` takes over the agent, which replies with its full state.
+
+    `adoption` counts the adoptions of the host in a tenure, from 1; earlier versions
+    leave it at zero.
+    """
+
+    adoption: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,12 +38,14 @@
     """Runs to start or keep, and runs to stop, on one incarnation of a server.
 
     If `complete`, it lists every run that may exist, and all others are stopped.
+    `adoption` is the last one of the host when the item was sent.
     """
 
     life: str
     start: tuple[RunOrder, ...] = ()
     stop: tuple[RunRef, ...] = ()
     complete: bool = False
+    adoption: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -203,7 +203,9 @@
     lack that is logged has lasted, by the kind of its line, and `oldest_end` the number
     of the first end when last checked. `confirmed_at` is when the last contact that an
     owner confirmed was sent, or when the row of the host was first stored, if that is
-    later. `stored_row` is the last row that the store has confirmed.
+    later. `stored_row` is the last row that the store has confirmed. `adoption` is the
+    number of the last adoption, and `closed_adoption` the one whose orders are not
+    taken any more.
     """
 
     host: str
@@ -217,6 +219,8 @@
     renewals_end_at: float = -60.0
     contact_sent_at: float = -60.0
     orders_complete: bool = False
+    adoption: int = 0
+    closed_adoption: int = 0
     server: Server | None = None
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -61,8 +61,10 @@
 
 @row_defect.register
 def _(row: HostRow) -> str:
-    numbers = (number for end in row.ends for number in (end.number, end.run))
-    return address_defect(row.address) or _numbers_defect(*numbers)
+    end_numbers = (number for end in row.ends for number in (end.number, end.run))
+    runs = (ref.run for ref in row.runs)
+    defect = _numbers_defect(row.epoch, row.adoption, *end_numbers, *runs)
+    return address_defect(row.address) or defect
 
 
 @row_defect.register
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
-from bulrushpulley.entities.jobs.runs import RunEnd
+from bulrushpulley.entities.jobs.runs import RunEnd, RunRef
 from bulrushpulley.entities.jobs.spec import JobSpec
 
 OWNED_PART = "shard-0"
@@ -155,7 +155,9 @@
     """The address at which the agent of a host accepts links.
 
     `ends` are runs of the incarnation `life` of its backend server that have ended. The
-    agent stores them while no owner confirms its contacts, and leaves them there.
+    agent stores them while no owner confirms its contacts, and leaves them there. If
+    `adoption` is set, the agent takes no more orders of that adoption in the tenure
+    `epoch`, and has none of its runs but `runs` and those in `ends`.
     """
 
     host: str
@@ -164,6 +166,9 @@
     region: str
     life: str = ""
     ends: tuple[RunEnd, ...] = ()
+    epoch: int = 0
+    adoption: int = 0
+    runs: tuple[RunRef, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -159,7 +159,8 @@
     - `read_retry_at_by_table` is when a read that failed during loading is retried.
     - `candidate_by_host` holds all hosts as of the last placement pass; a candidate
       is valid as long as its host is the one in `hosts`.
-    - `row_by_host_with_ends` holds the hosts' rows with ends that are not handled yet.
+    - `unhandled_row_by_host` holds the rows of hosts that tell of runs, until the next
+      tick of a loaded shard.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock.
@@ -203,7 +204,7 @@
     effects_by_job: Map[str, tuple[Effect, ...]] = field(default_factory=Map)
     progress_by_job: Map[str, ProgressRow] = field(default_factory=Map)
     read_retry_at_by_table: Map[str, float] = field(default_factory=Map)
-    row_by_host_with_ends: Map[str, HostRow] = field(default_factory=Map)
+    unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
     watch_by_table: Map[str, WatchState] = field(default_factory=Map)
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -24,6 +24,9 @@
     if event.epoch < tables.epoch:
         line = _line(tables, event.peer, f"its epoch {event.epoch} is outdated")
         return Step(tables=tables, commands=(line,))
+    if event.epoch == tables.epoch and 0 < event.adoption <= tables.adoption:
+        line = _line(tables, event.peer, f"adoption {event.adoption} is outdated")
+        return Step(tables=tables, commands=(line,))
     adopted = replace(
         tables,
         owner=event.peer,
@@ -33,6 +36,8 @@
         synced=False,
         last_host_report=None,
         last_end_sent=0,
+        adoption=event.adoption,
+        closed_adoption=0,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
 
@@ -71,6 +76,10 @@
     if event.epoch != tables.epoch or server is None or event.life != server.life:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
+    is_closed = event.adoption == tables.closed_adoption != 0
+    if event.adoption != tables.adoption or is_closed:
+        reason = f"orders of adoption {event.adoption} are out of date"
+        return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     if event.complete:
         tables = _drop_unlisted(tables, event)
     for order in event.start:
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -3,6 +3,11 @@
 Owners of the shard dial the address. Owner and agent have one link; behind a cut that
 leaves the store reachable, the owner learns from the row which runs have ended. An end
 never changes and run numbers are not reused, so a row may be read at any later time.
+
+An order may be lost with the link as well. Once no full lease is permitted and the link
+has ended, the agent takes no more orders of that adoption, and the row names the runs
+that it has. It may only tell that after the complete orders of the adoption, as a start
+that an earlier process of the agent sent may be carried out late.
 """
 
 from __future__ import annotations
@@ -18,10 +23,10 @@
     JobAgentTables,
 )
 from bulrushpulley.entities.jobs.rows import HostRow
-from bulrushpulley.entities.jobs.runs import RunEnd
+from bulrushpulley.entities.jobs.runs import RunEnd, RunRef
 from bulrushpulley.entities.jobs.store import Purpose, Transact, Transacted
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.job_agent import edits
+from bulrushpulley.systems.job_agent import edits, polling
 
 REGISTER_TIMEOUT_S = 1.5
 REGISTER_RETRY_DELAY_S = 0.4
@@ -31,6 +36,7 @@
 STORED_ENDS_INTERVAL_S = 1.0
 # The store accepts rows of 65,536 bytes.
 MAX_STORED_ENDS_BYTES = 32_768
+MAX_STORED_RUNS = 300
 # The numbers of an end and the framing of its fields.
 END_OVERHEAD_BYTES = 64
 
@@ -57,13 +63,17 @@
         puts=(row,),
     )
     commands: list[Command] = [call]
-    if row.ends:
+    if tables.stored_row is not None:
         silent_s = now - tables.confirmed_at
         reason = (
-            f"{len(row.ends)} ends; no owner confirms contacts for {silent_s:.1f} s"
+            f"{len(row.ends)} ends, adoption {row.adoption}, {len(row.runs)} runs;"
+            f" no owner confirms contacts for {silent_s:.1f} s"
         )
         commands.append(edits.log(tables, "ends.store", tables.host, row.life, reason))
-    return Step(tables=replace(tables, registering=True), commands=tuple(commands))
+    tables = replace(tables, registering=True)
+    if row.adoption and row.epoch == tables.epoch:
+        tables = replace(tables, closed_adoption=row.adoption)
+    return Step(tables=tables, commands=tuple(commands))
 
 
 def _row(tables: JobAgentTables, now: float) -> HostRow:
@@ -75,10 +85,31 @@
     )
     if tables.stored_row is None or not _is_without_owner(tables, now):
         return row
-    if tables.server is None or not tables.ends:
+    if tables.server is None:
+        return row
+    unconfirmed = tuple(tables.ends[number] for number in sorted(tables.ends))
+    ends = fitting_ends(unconfirmed)
+    refs = tuple(sorted((run_.ref for run_ in tables.runs.rows()), key=_key))
+    takes_no_orders = not tables.owner and not polling.has_recent_contact(tables, now)
+    is_complete = ends == unconfirmed and len(refs) <= MAX_STORED_RUNS
+    if takes_no_orders and is_complete and tables.orders_complete and tables.adoption:
+        return replace(
+            row,
+            life=tables.server.life,
+            ends=ends,
+            epoch=tables.epoch,
+            adoption=tables.adoption,
+            runs=refs,
+        )
+    if not ends:
         return row
-    unconfirmed = (tables.ends[number] for number in sorted(tables.ends))
-    return replace(row, life=tables.server.life, ends=fitting_ends(unconfirmed))
+    return replace(
+        row, life=tables.server.life, ends=ends, epoch=0, adoption=0, runs=()
+    )
+
+
+def _key(ref: RunRef) -> str:
+    return ref.key
 
 
 def _is_without_owner(tables: JobAgentTables, now: float) -> bool:
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -26,7 +26,9 @@
     RunRefused,
     RunsReport,
 )
+from bulrushpulley.entities.jobs.rows import HostRow
 from bulrushpulley.entities.jobs.runs import (
+    Lost,
     RunEnd,
     RunOrder,
     RunRef,
@@ -63,6 +65,7 @@
 CHECKPOINT_SAVE_INTERVAL_S = 1.0
 # The percentage that a lasting task reports once its startup is over.
 STARTUP_DONE_PERCENT = 100
+ORDERED_STATES = HOLDING_STATES - {TaskState.PLACED}
 KEPT_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 
 
@@ -116,10 +119,12 @@
             announced_epoch=tables.epoch,
             announced_at=now,
             adopted_at=host.adopted_at or now,
+            adoptions=host.adoptions + 1,
             synced=False,
         )
         tables = edits.put_host(tables, adopted)
-        commands.append(Send(peer=host.peer, item=Adopt(epoch=tables.epoch)))
+        item = Adopt(epoch=tables.epoch, adoption=adopted.adoptions)
+        commands.append(Send(peer=host.peer, item=item))
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -338,16 +343,16 @@
 
 
 def handle_stored_ends(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """End the runs that have ended according to the rows of their hosts.
+    """End the runs that have ended, or never began, by the rows of their hosts.
 
     Agents write them while they have no owner. A row is no contact with its agent, so
     it permits neither leases nor tasks there. The ends are not acknowledged: the agent
     reports them again once it is linked.
     """
-    if not tables.row_by_host_with_ends or not edits.is_loaded(tables):
+    if not tables.unhandled_row_by_host or not edits.is_loaded(tables):
         return Step(tables=tables)
     commands: list[Command] = []
-    for name, row in sorted(tables.row_by_host_with_ends.items()):
+    for name, row in sorted(tables.unhandled_row_by_host.items()):
         host = tables.hosts.get(name) or Host(name=name)
         current = 0
         for end in row.ends:
@@ -362,7 +367,34 @@
         if current:
             reason = f"its row names {len(row.ends)} ends, {current} of current runs"
             commands.append(edits.log(tables, "host.ends", name, row.life, reason))
-    tables = replace(tables, row_by_host_with_ends=Map())
+        if (row.epoch, row.adoption) == (tables.epoch, host.adoptions):
+            step = _end_unreceived(tables, row, now)
+            tables = step.tables
+            commands.extend(step.commands)
+    tables = replace(tables, unhandled_row_by_host=Map())
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _end_unreceived(tables: SchedulerTables, row: HostRow, now: float) -> SchedulerStep:
+    """End the runs that an agent does not have and takes no order for any more.
+
+    Its row tells that for the orders of one adoption. A row of an earlier adoption may
+    be stored late and says nothing about runs that were ordered since.
+    """
+    commands: list[Command] = []
+    present = {ref.key for ref in row.runs}
+    for task_id in sorted(tables.tasks.keys_where("host", row.host)):
+        # The end of another task may have ended the job, and with it this task.
+        task = tables.tasks.get(task_id)
+        if task is None or task.life != row.life or task.state not in ORDERED_STATES:
+            continue
+        if RunRef(task_id=task_id, run=task.run).key in present:
+            continue
+        step = endings.end_run(
+            tables, task, Lost(reason="its host has no such run"), now
+        )
+        tables = step.tables
+        commands.extend(step.commands)
     return Step(tables=tables, commands=tuple(commands))
 
 
@@ -388,6 +420,7 @@
         ),
         stop=stops,
         complete=True,
+        adoption=host.adoptions,
     )
     reason = f"{len(item.start)} runs kept, {len(stops)} stopped"
     line = edits.log(tables, "host.synced", name, host.life, reason)
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -39,7 +39,12 @@
         _collect_messages(effect, tables, orders_by_host, end_numbers_by_incarnation)
     for name, orders in orders_by_host.items():
         host = tables.hosts.by_key[name]
-        item = Orders(epoch=tables.epoch, life=host.life, start=tuple(orders))
+        item = Orders(
+            epoch=tables.epoch,
+            life=host.life,
+            start=tuple(orders),
+            adoption=host.adoptions,
+        )
         commands.append(Send(peer=host.peer, item=item))
     for (name, incarnation), numbers in end_numbers_by_incarnation.items():
         peer = tables.hosts.by_key[name].peer
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -142,7 +142,7 @@
 def handle_host_rows(
     tables: SchedulerTables, rows: tuple[StoredRow, ...]
 ) -> SchedulerTables:
-    """Update the addresses of agents, and keep the ends that they have stored.
+    """Update the addresses of agents, and keep rows that tell of runs.
 
     A host without a row is no longer dialled.
 
@@ -167,9 +167,9 @@
             dialling=host.dialling and host.address == row.address,
         )
         tables = edits.put_host(tables, known)
-        if row.ends:
-            with_ends = tables.row_by_host_with_ends.set(row.host, row)
-            tables = replace(tables, row_by_host_with_ends=with_ends)
+        if row.ends or row.adoption:
+            unhandled = tables.unhandled_row_by_host.set(row.host, row)
+            tables = replace(tables, unhandled_row_by_host=unhandled)
     return tables
 
 
@@ -183,6 +183,7 @@
             last_contact_at=0.0,
             runs_end_by=0.0,
             announced_epoch=0,
+            adoptions=0,
             adopted_at=0.0,
             synced=False,
             committed=NO_RESOURCES,
--- a/bulrushpulley/systems/scheduling/stopping.py
+++ b/bulrushpulley/systems/scheduling/stopping.py
@@ -50,5 +50,7 @@
     if host is None or not host.peer or not host.synced:
         return ()
     ref = RunRef(task_id=task.task_id, run=task.run)
-    item = Orders(epoch=tables.epoch, life=task.life, stop=(ref,))
+    item = Orders(
+        epoch=tables.epoch, life=task.life, stop=(ref,), adoption=host.adoptions
+    )
     return (Send(peer=host.peer, item=item),)
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -20,7 +20,7 @@
 
 from bulrushpulley.entities.jobs import items, rows
 from bulrushpulley.entities.jobs.executor_calls import PollRuns
-from bulrushpulley.entities.jobs.runs import RunEnd
+from bulrushpulley.entities.jobs.runs import RunEnd, RunRef
 from bulrushpulley.entities.jobs.spec import MAX_TASKS, JobSpec, StepSpec
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.rows import LeaseRow, RevisionRow
@@ -122,6 +122,9 @@
         region="r",
         life="i-1/1",
         ends=(RunEnd(number=1, task_id="a.0.0.1", run=2, how="done", checkpoint="c"),),
+        epoch=3,
+        adoption=2,
+        runs=(RunRef(task_id="a.0.0.2", run=1),),
     ),
     rows.BacklogRow(waiting=(("q", 3),)),
     rows.WaveRow(number=3, ordered=("m-1",)),
@@ -346,6 +349,10 @@
             self._assert_refused(replace(JOB_ROW, max_attempts=number))
             end = RunEnd(number=number, task_id="a.0.0.1", run=1, how="done")
             self._assert_refused(replace(HOST_ROW, ends=(end,)))
+            self._assert_refused(replace(HOST_ROW, epoch=number))
+            self._assert_refused(replace(HOST_ROW, adoption=number))
+            ref = RunRef(task_id="a.0.0.1", run=number)
+            self._assert_refused(replace(HOST_ROW, runs=(ref,)))
             end = RunEnd(number=1, task_id="a.0.0.1", run=number, how="done")
             self._assert_refused(replace(HOST_ROW, ends=(end,)))
         for amount in (float("nan"), float("inf"), -1.0):
