Expect the number of the adoption in the test of adoptions

test_no_agent_is_adopted_before_the_owner_row_permits_renewals compares the whole item, which carries a number since orders that are lost with the link are told apart.

--- a/test/test_jobs_former_owner.py
+++ b/test/test_jobs_former_owner.py
@@ -197,5 +197,7 @@
         self.assertTrue(agents.is_confirmation_due(unconfirmed))
         owning = replace(owning, renewed_at=now)
         confirmed = replace(unconfirmed, leadership=owning)
-        adopt = Send(peer=host.peer, item=Adopt(epoch=tables.epoch))
+        adopt = Send(
+            peer=host.peer, item=Adopt(epoch=tables.epoch, adoption=host.adoptions + 1)
+        )
         self.assertEqual((adopt,), agents.adopt(confirmed, now).commands)
