--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -28,6 +28,7 @@
 from bulrushpulley.entities.jobs.machines import MachineTables
 from bulrushpulley.entities.jobs.rows import (
     BacklogRow,
+    HostRow,
     OwnerRow,
     ProgressRow,
     WaveState,
@@ -161,6 +162,8 @@
       is valid as long as its host is the one in `hosts`.
     - `held_back_by_step` says why no host took a task of a step in the last placement
       pass; it holds only some of the steps, and none that has just begun to wait.
+    - `unhandled_row_by_host` holds the rows of hosts that tell of runs, until the next
+      tick of a loaded shard.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock, the median of the
@@ -206,6 +209,7 @@
     effects_by_job: Map[str, tuple[Effect, ...]] = field(default_factory=Map)
     progress_by_job: Map[str, ProgressRow] = field(default_factory=Map)
     read_retry_at_by_table: Map[str, float] = field(default_factory=Map)
+    unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
     watch_by_table: Map[str, WatchState] = field(default_factory=Map)
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -24,6 +24,9 @@
     if event.epoch < tables.epoch:
         line = _line(tables, event.peer, f"its epoch {event.epoch} is outdated")
         return Step(tables=tables, commands=(line,))
+    if event.epoch == tables.epoch and 0 < event.adoption <= tables.adoption:
+        line = _line(tables, event.peer, f"adoption {event.adoption} is outdated")
+        return Step(tables=tables, commands=(line,))
     adopted = replace(
         tables,
         owner=event.peer,
@@ -33,6 +36,8 @@
         synced=False,
         last_host_report=None,
         last_end_sent=0,
+        adoption=event.adoption,
+        closed_adoption=0,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
 
@@ -57,7 +62,12 @@
     if event.renewals_for_s is not None:
         renewals_for_s = min(renewals_for_s, event.renewals_for_s)
     renewals_end_at = max(tables.renewals_end_at, event.sent_at + renewals_for_s)
-    return Step(tables=replace(tables, renewals_end_at=renewals_end_at))
+    confirmed_at = max(tables.confirmed_at, event.sent_at)
+    return Step(
+        tables=replace(
+            tables, renewals_end_at=renewals_end_at, confirmed_at=confirmed_at
+        )
+    )
 
 
 def handle_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
@@ -66,6 +76,10 @@
     if event.epoch != tables.epoch or server is None or event.life != server.life:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
+    is_closed = event.adoption == tables.closed_adoption != 0
+    if event.adoption != tables.adoption or is_closed:
+        reason = f"orders of adoption {event.adoption} are out of date"
+        return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     if event.complete:
         tables = _drop_unlisted(tables, event)
     for order in event.start:
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -144,7 +144,9 @@
 def handle_host_rows(
     tables: SchedulerTables, rows: tuple[StoredRow, ...]
 ) -> SchedulerTables:
-    """Update the addresses of agents; a host without a row is no longer dialled.
+    """Update the addresses of agents, and keep rows that tell of runs.
+
+    A host without a row is no longer dialled.
 
     The end of an attempt or link is recorded for the hosts that have its address then,
     so a host whose address changes does not count as being dialled any more.
@@ -167,6 +169,9 @@
             dialling=host.dialling and host.address == row.address,
         )
         tables = edits.put_host(tables, known)
+        if row.ends or row.adoption:
+            unhandled = tables.unhandled_row_by_host.set(row.host, row)
+            tables = replace(tables, unhandled_row_by_host=unhandled)
     return tables
 
 
@@ -180,6 +185,7 @@
             last_contact_at=0.0,
             runs_end_by=0.0,
             announced_epoch=0,
+            adoptions=0,
             adopted_at=0.0,
             synced=False,
             committed=NO_RESOURCES,
