--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -18,6 +18,7 @@
     committing,
     condensing,
     dialling,
+    host_rows,
     interference,
     lease_expiry,
     loading,
@@ -47,10 +48,9 @@
     bounds: Bounds,
     claim_stagger: float = 1.0,
 ) -> Role[SchedulerTables]:
-    """Return the scheduler of an entry.
+    """Return the scheduler of an entry; `SchedulerTables` explains the staggers.
 
-    Among entries equally near the store, the lowest `takeover_stagger` takes over first
-    from an owner that does not renew, the lowest `claim_stagger` without an owner.
+    Among entries equally near the store, the one with the lowest stagger goes first.
     """
     tables = SchedulerTables(
         name=name,
@@ -71,7 +71,7 @@
             dialling.run,
             readopting.run,
             agents.adopt,
-            agents.handle_stored_ends,
+            host_rows.run,
             lease_expiry.run,
             unblocking.unblock_due,
             waves.run,
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -4,8 +4,6 @@
 
 from functools import singledispatch
 
-from immutables import Map
-
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import (
     UNLINKED,
@@ -26,9 +24,7 @@
     RunRefused,
     RunsReport,
 )
-from bulrushpulley.entities.jobs.rows import HostRow
 from bulrushpulley.entities.jobs.runs import (
-    Lost,
     RunEnd,
     RunOrder,
     RunRef,
@@ -65,7 +61,6 @@
 CHECKPOINT_SAVE_INTERVAL_S = 1.0
 # The percentage that a lasting task reports once its startup is over.
 STARTUP_DONE_PERCENT = 100
-ORDERED_STATES = HOLDING_STATES - {TaskState.PLACED}
 KEPT_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 
 
@@ -258,7 +253,7 @@
 ) -> SchedulerStep:
     if event.unhealthy:
         tables = quarantine.record_refusal(tables, host.name, now)
-    task = _current_task(tables, host, event.life, event.run.task_id, event.run.run)
+    task = current_task(tables, host, event.life, event.run.task_id, event.run.run)
     if task is None:
         return Step(tables=tables)
     tables = refusals.handle_reason(tables, task, event.reason, now)
@@ -270,7 +265,7 @@
 apply_item.register(Measures, interference.handle_measures)
 
 
-def _current_task(
+def current_task(
     tables: SchedulerTables, host: Host, incarnation: str, task_id: str, run: int
 ) -> Task | None:
     """Return the task if this is its current run and may be running on the host."""
@@ -301,7 +296,7 @@
 def _apply_run_status(
     tables: SchedulerTables, host: Host, incarnation: str, status: RunStatus, now: float
 ) -> SchedulerTables:
-    task = _current_task(tables, host, incarnation, status.task_id, status.run)
+    task = current_task(tables, host, incarnation, status.task_id, status.run)
     if task is None:
         return tables
     job = tables.jobs.by_key[task.job_id]
@@ -331,7 +326,7 @@
     acknowledgement = AcknowledgeEnd(
         host=host.name, life=incarnation, number=end.number
     )
-    task = _current_task(tables, host, incarnation, end.task_id, end.run)
+    task = current_task(tables, host, incarnation, end.task_id, end.run)
     if task is not None:
         ending = ending_of(end.how, end.checkpoint)
         return endings.end_run(tables, task, ending, now, acknowledgement)
@@ -342,62 +337,6 @@
     return Step(tables=tables, commands=(Send(peer=host.peer, item=noted),))
 
 
-def handle_stored_ends(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """End the runs that have ended, or never began, by the rows of their hosts.
-
-    Agents write them while they have no owner. A row is no contact with its agent, so
-    it permits neither leases nor tasks there. The ends are not acknowledged: the agent
-    reports them again once it is linked.
-    """
-    if not tables.unhandled_row_by_host or not edits.is_loaded(tables):
-        return Step(tables=tables)
-    commands: list[Command] = []
-    for name, row in sorted(tables.unhandled_row_by_host.items()):
-        host = tables.hosts.get(name) or Host(name=name)
-        current = 0
-        for end in row.ends:
-            task = _current_task(tables, host, row.life, end.task_id, end.run)
-            if task is None:
-                continue
-            current += 1
-            ending = ending_of(end.how, end.checkpoint)
-            step = endings.end_run(tables, task, ending, now)
-            tables = step.tables
-            commands.extend(step.commands)
-        if current:
-            reason = f"its row names {len(row.ends)} ends, {current} of current runs"
-            commands.append(edits.log(tables, "host.ends", name, row.life, reason))
-        if (row.epoch, row.adoption) == (tables.epoch, host.adoptions):
-            step = _end_unreceived(tables, row, now)
-            tables = step.tables
-            commands.extend(step.commands)
-    tables = replace(tables, unhandled_row_by_host=Map())
-    return Step(tables=tables, commands=tuple(commands))
-
-
-def _end_unreceived(tables: SchedulerTables, row: HostRow, now: float) -> SchedulerStep:
-    """End the runs that an agent does not have and takes no order for any more.
-
-    Its row tells that for the orders of one adoption. A row of an earlier adoption may
-    be stored late and says nothing about runs that were ordered since.
-    """
-    commands: list[Command] = []
-    present = {ref.key for ref in row.runs}
-    for task_id in sorted(tables.tasks.keys_where("host", row.host)):
-        # The end of another task may have ended the job, and with it this task.
-        task = tables.tasks.get(task_id)
-        if task is None or task.life != row.life or task.state not in ORDERED_STATES:
-            continue
-        if RunRef(task_id=task_id, run=task.run).key in present:
-            continue
-        step = endings.end_run(
-            tables, task, Lost(reason="its host has no such run"), now
-        )
-        tables = step.tables
-        commands.extend(step.commands)
-    return Step(tables=tables, commands=tuple(commands))
-
-
 def _handle_complete_report(
     tables: SchedulerTables, name: str, now: float
 ) -> SchedulerStep:
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/host_rows.py
@@ -0,0 +1,75 @@
+"""Handles what the rows of hosts that no owner reaches tell of their runs."""
+
+from __future__ import annotations
+
+from immutables import Map
+
+from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.rows import HostRow
+from bulrushpulley.entities.jobs.runs import Lost, RunRef, ending_of
+from bulrushpulley.entities.jobs.scheduler_tables import (
+    SchedulerStep,
+    SchedulerTables,
+)
+from bulrushpulley.entities.jobs.task import HOLDING_STATES, TaskState
+from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.scheduling import agents, edits, endings
+
+ORDERED_STATES = HOLDING_STATES - {TaskState.PLACED}
+
+
+def run(tables: SchedulerTables, now: float) -> SchedulerStep:
+    """End the runs that have ended, or never began, by the rows of their hosts.
+
+    Agents write them while they have no owner. A row is no contact with its agent, so
+    it permits neither leases nor tasks there. The ends are not acknowledged: the agent
+    reports them again once it is linked.
+    """
+    if not tables.unhandled_row_by_host or not edits.is_loaded(tables):
+        return Step(tables=tables)
+    commands: list[Command] = []
+    for name, row in sorted(tables.unhandled_row_by_host.items()):
+        host = tables.hosts.get(name) or Host(name=name)
+        current = 0
+        for end in row.ends:
+            task = agents.current_task(tables, host, row.life, end.task_id, end.run)
+            if task is None:
+                continue
+            current += 1
+            ending = ending_of(end.how, end.checkpoint)
+            step = endings.end_run(tables, task, ending, now)
+            tables = step.tables
+            commands.extend(step.commands)
+        if current:
+            reason = f"its row names {len(row.ends)} ends, {current} of current runs"
+            commands.append(edits.log(tables, "host.ends", name, row.life, reason))
+        if (row.epoch, row.adoption) == (tables.epoch, host.adoptions):
+            step = _end_unreceived(tables, row, now)
+            tables = step.tables
+            commands.extend(step.commands)
+    tables = replace(tables, unhandled_row_by_host=Map())
+    return Step(tables=tables, commands=tuple(commands))
+
+
+def _end_unreceived(tables: SchedulerTables, row: HostRow, now: float) -> SchedulerStep:
+    """End the runs that an agent does not have and takes no order for any more.
+
+    Its row tells that for the orders of one adoption. A row of an earlier adoption may
+    be stored late and says nothing about runs that were ordered since.
+    """
+    commands: list[Command] = []
+    present = {ref.key for ref in row.runs}
+    for task_id in sorted(tables.tasks.keys_where("host", row.host)):
+        # The end of another task may have ended the job, and with it this task.
+        task = tables.tasks.get(task_id)
+        if task is None or task.life != row.life or task.state not in ORDERED_STATES:
+            continue
+        if RunRef(task_id=task_id, run=task.run).key in present:
+            continue
+        step = endings.end_run(
+            tables, task, Lost(reason="its host has no such run"), now
+        )
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(tables=tables, commands=tuple(commands))
