--- a/bulrushpulley/systems/scheduling/excluding.py
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -9,12 +9,13 @@
 from immutables import Map
 
 from bulrushpulley.entities.jobs.candidate import Candidate
-from bulrushpulley.entities.jobs.exclusion import Exclusion
+from bulrushpulley.entities.jobs.exclusion import Exclusion, describe_counts
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.systems.scheduling import choosing, emptying, placing, refusals
+from bulrushpulley.systems.scheduling.ranking import must_leave_reserve
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,12 +53,7 @@
 
     def describe(self) -> str:
         """Return the counts as text, in the order in which reasons are examined."""
-        parts = [
-            f"{reason.value} {self.count_by_exclusion[reason]}"
-            for reason in Exclusion
-            if self.count_by_exclusion.get(reason)
-        ]
-        return ", ".join(parts) or "no host is excluded"
+        return describe_counts(self.count_by_exclusion)
 
 
 def open_hosts(tables: SchedulerTables, now: float) -> OpenHosts:
@@ -89,14 +85,14 @@
     candidates = hosts.candidate_by_host
     step = job.step(task.step)
     request = placing.placement_request(tables, job, step, task, now)
-    lasting_fraction = choosing.lasting_fraction_of(candidates) if step.lasting else 0.0
+    leaves_reserve = must_leave_reserve(step, tuple(candidates.values()))
     siblings = placing.count_siblings_by_host(
         tables, job.job_id, task.occurrence, task.step
     )
     count_by_exclusion = Counter(hosts.count_by_exclusion)
     taking_by_host: dict[str, Candidate] = {}
     for name, candidate in candidates.items():
-        reason = choosing.exclusion_of(request, candidate, lasting_fraction, siblings)
+        reason = choosing.exclusion_of(request, candidate, leaves_reserve, siblings)
         if reason is None:
             taking_by_host[name] = candidate
         else:
