--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -40,6 +40,30 @@
 # ticks, so it adds little to the hundreds of milliseconds that callers expect.
 MIN_SCHEDULER_TICK_INTERVAL_S = 0.015
 
+# In the order in which they run in each tick.
+SYSTEMS = (
+    wall_clock.run,
+    ownership.run,
+    loading.run,
+    watching.run,
+    dialling.run,
+    readopting.run,
+    agents.adopt,
+    host_rows.run,
+    lease_expiry.run,
+    unblocking.unblock_due,
+    waves.run,
+    machine_list.run,
+    upkeep.run,
+    placing.run,
+    interference.send_verdicts,
+    backlog.run,
+    condensing.run,
+    purging.run,
+    committing.run,
+    unserved.run,
+)
+
 
 def build(
     *,
@@ -65,28 +89,7 @@
         name=SCHEDULER,
         tables=tables,
         apply=apply,
-        systems=(
-            wall_clock.run,
-            ownership.run,
-            loading.run,
-            watching.run,
-            dialling.run,
-            readopting.run,
-            agents.adopt,
-            host_rows.run,
-            lease_expiry.run,
-            unblocking.unblock_due,
-            waves.run,
-            machine_list.run,
-            upkeep.run,
-            placing.run,
-            interference.send_verdicts,
-            backlog.run,
-            condensing.run,
-            purging.run,
-            committing.run,
-            unserved.run,
-        ),
+        systems=SYSTEMS,
         tick_interval_s=CONTROL_TICK_INTERVAL_S,
         min_tick_interval_s=MIN_SCHEDULER_TICK_INTERVAL_S,
         can_wait=can_wait,
