Let quarantined hosts run the steps that no other host may run

What callers would see: nothing of a job runs for 4.1 s with room free and no host at fault. Cause: the limit of half of the ready hosts counted those that are evacuated or lack the label of a step as open, so that all hosts that may run a step could be closed. Change: quarantine is examined last, and a step that no open host may run, with room or without, is placed on quarantined ones.

--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Mapping, Sequence
 from dataclasses import dataclass
 
 from immutables import Map
@@ -32,6 +32,8 @@
 # most of the conditions.
 OTHER_SERVICE, NO_LABEL = Exclusion.OTHER_SERVICE, Exclusion.NO_LABEL
 NO_TICKET, NO_ROOM, HARM = Exclusion.NO_TICKET, Exclusion.NO_ROOM, Exclusion.HARM
+# Hosts excluded for these may not run a step, however long it waits.
+UNSUITABLE = frozenset({OTHER_SERVICE, NO_LABEL, NO_TICKET})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,9 +68,29 @@
 
 
 def rank_candidates(
-    request: PlacementRequest, candidate_by_host: Map[str, Candidate]
+    request: PlacementRequest,
+    candidate_by_host: Map[str, Candidate],
+    quarantined: Container[str] = frozenset(),
+) -> Ranking:
+    """Rank the candidates for the tasks of a step that have waited equally long.
+
+    Hosts in quarantine count if no other may run the step, whether it has room or not:
+    their failures then do not tell them apart.
+    """
+    open_by_host = {
+        name: candidate
+        for name, candidate in candidate_by_host.items()
+        if name not in quarantined
+    }
+    ranking = _rank_all(request, open_by_host)
+    if ranking.heap or not UNSUITABLE.issuperset(ranking.excluded):
+        return ranking
+    return _rank_all(request, candidate_by_host)
+
+
+def _rank_all(
+    request: PlacementRequest, candidate_by_host: Mapping[str, Candidate]
 ) -> Ranking:
-    """Rank the candidates for the tasks of a step that have waited equally long."""
     leaves_reserve = must_leave_reserve(request.step, tuple(candidate_by_host.values()))
     heap: list[tuple[Rank, str, Candidate]] = []
     excluded: list[Exclusion] = []
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -59,11 +59,13 @@
 class PlacementPass:
     """The state of one pass over the waiting tasks.
 
-    `closed` counts the hosts that are closed for all tasks, by the reason.
+    `closed` counts the hosts that are closed for all tasks, by the reason. Those in
+    `quarantined` are candidates only for the steps that no other host may run.
     """
 
     tables: SchedulerTables
     candidate_by_host: Map[str, Candidate]
+    quarantined: frozenset[str]
     closed: Mapping[Exclusion, int]
     held_back_by_step: Map[str, HeldBack]
     commands: tuple[Command, ...] = ()
@@ -87,12 +89,22 @@
         name: exclusion_of(tables, candidate.host, closed, now)
         for name, candidate in known.items()
     }
+    quarantined = frozenset(
+        name
+        for name, reason in reason_by_host.items()
+        if reason is Exclusion.QUARANTINED
+    )
     candidate_by_host = Map(
-        {name: known[name] for name, reason in reason_by_host.items() if reason is None}
+        {
+            name: known[name]
+            for name, reason in reason_by_host.items()
+            if reason is None or name in quarantined
+        }
     )
     state = PlacementPass(
         tables=tables,
         candidate_by_host=candidate_by_host,
+        quarantined=quarantined,
         held_back_by_step=Map(),
         closed=Counter(reason for reason in reason_by_host.values() if reason),
     )
@@ -103,7 +115,11 @@
         if state.placed >= MAX_PLACED_PER_PASS:
             break
         state = _place_job(state, job, now)
-    hosts = [candidate.host for candidate in candidate_by_host.values()]
+    hosts = [
+        candidate.host
+        for name, candidate in candidate_by_host.items()
+        if name not in quarantined
+    ]
     # What is beyond the limit of this pass is placed in the next tick.
     is_cut_short = state.placed >= MAX_PLACED_PER_PASS
     tables = replace(
@@ -172,11 +188,11 @@
         return Exclusion.NOT_SYNCED
     if now - host.last_contact_at >= MAX_CONTACT_AGE_S:
         return Exclusion.CONTACT_TOO_OLD
-    if now < host.quarantined_until:
-        return Exclusion.QUARANTINED
     if host.failure_domain in tables.operator_settings.evacuated:
         return Exclusion.EVACUATED
-    return Exclusion.UPKEEP if host.name in closed else None
+    if host.name in closed:
+        return Exclusion.UPKEEP
+    return Exclusion.QUARANTINED if now < host.quarantined_until else None
 
 
 def _is_overdue(tables: SchedulerTables, job: Job, now: float) -> bool:
@@ -255,7 +271,9 @@
             # which change with each placement. Other tasks that have waited equally
             # long share a ranking.
             request = placement_request(state.tables, job, step, task, now)
-            ranking = choosing.rank_candidates(request, state.candidate_by_host)
+            ranking = choosing.rank_candidates(
+                request, state.candidate_by_host, state.quarantined
+            )
             ranking_by_idle_since[task.idle_since] = ranking
         candidate = choosing.choose_candidate(
             ranking, state.candidate_by_host, task, sibling_count_by_host, now
@@ -289,7 +307,9 @@
     for task in members:
         member = replace(task, checkpoint=checkpoint, refusals=refused)
         request = placement_request(trial.tables, job, step, member, now)
-        ranking = choosing.rank_candidates(request, trial.candidate_by_host)
+        ranking = choosing.rank_candidates(
+            request, trial.candidate_by_host, trial.quarantined
+        )
         candidate = choosing.choose_candidate(
             ranking, trial.candidate_by_host, member, sibling_count_by_host, now
         )
--- a/test/test_jobs_held_back.py
+++ b/test/test_jobs_held_back.py
@@ -149,3 +149,33 @@
         for number in range(10, 30):
             world.spec_by_job.pop(f"{number:016x}")
         self.assertLess(longest_idle_s(world, job_id, 12.0), MAX_IDLE_S)
+
+    def fail_tasks(self, world: JobsWorld, label: str = "") -> None:
+        """Have tasks of several jobs fail at about the same time."""
+        for number in range(10, 14):
+            failing = step(1, needs_label=label)
+            job_id = world.submit(number, failing, payload=POISON_PAYLOAD)
+            world.spec_by_job.pop(job_id)
+        world.run(0.6)
+
+    # The hosts that are evacuated counted as open, so the others were all closed.
+    def test_evacuated_hosts_are_not_what_stays_open(self) -> None:
+        for hosts, domains in ((4, ("z0",)), (6, ("z0", "z1"))):
+            world = JobsWorld(entries=2, hosts=hosts)
+            world.run(3.0)
+            for domain in domains:
+                world.evacuate(domain)
+            world.run(1.0)
+            self.fail_tasks(world)
+            job_id = world.submit(JOB, step(2), payload="0.5")
+            self.assertLess(longest_idle_s(world, job_id, 12.0), MAX_IDLE_S)
+
+    # Hosts without the label of a step counted as open for it.
+    def test_the_hosts_with_a_label_are_not_all_closed(self) -> None:
+        world = JobsWorld(entries=2, hosts=8)
+        for name in ("z0-0", "z1-1"):
+            world.executor_by_host[name].labels = ("gpu", f"rack-{name}")
+        world.run(3.0)
+        self.fail_tasks(world, "gpu")
+        job_id = world.submit(JOB, step(2, needs_label="gpu"), payload="0.5")
+        self.assertLess(longest_idle_s(world, job_id, 12.0), MAX_IDLE_S)
