Start a task elsewhere whose order cannot be sent

What callers would see: a job stands still for 3.6 s and more after the link of a host has ended. Cause: a task whose placement is committed after the link of its host has ended was believed to be held by the host, although no order can be sent to it. Evidence: UnsentOrderTest failed before with 3.63 s. Change: such a placement is withdrawn. Result: the test passes.

--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -76,9 +76,13 @@
 
 
 def may_start(tables: SchedulerTables, host: Host, task: Task) -> bool:
-    """Return whether a placed task may start; its host may have changed meanwhile."""
+    """Return whether a placed task may start; its host may have changed meanwhile.
+
+    No order can be sent to a host that is not synced, and none has been.
+    """
     return (
         host.life == task.life
+        and host.synced
         and host.state is ServerState.READY
         and host.failure_domain not in tables.operator_settings.evacuated
     )
--- a/test/test_jobs_held_back.py
+++ b/test/test_jobs_held_back.py
@@ -12,9 +12,12 @@
 import testtools
 
 from bulrushpulley.entities.interference import Harm, harm_key
+from bulrushpulley.entities.jobs.rows import ProgressRow
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
+from bulrushpulley.entities.jobs.store import Transact
 from bulrushpulley.entities.jobs.task import TaskState
 from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command
 from bulrushpulley.systems.scheduling import effects
 from standins.executor_core import POISON_PAYLOAD
 from test.jobs_world import SIZE, JobsWorld, step
@@ -179,3 +182,33 @@
         self.fail_tasks(world, "gpu")
         job_id = world.submit(JOB, step(2, needs_label="gpu"), payload="0.5")
         self.assertLess(longest_idle_s(world, job_id, 12.0), MAX_IDLE_S)
+
+
+class UnsentOrderTest(testtools.TestCase):
+    """The link of a host ends between a placement there and its transaction."""
+
+    # The task was believed to be held by the host, which never got its order.
+    def test_a_task_whose_order_cannot_be_sent_starts_elsewhere(self) -> None:
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(3.0)
+        cut_hosts: list[str] = []
+
+        def cut(command: Command) -> None:
+            rows = command.puts if isinstance(command, Transact) else ()
+            placed = [
+                task.host
+                for row in rows
+                if isinstance(row, ProgressRow)
+                for task in row.tasks
+                if task.host
+            ]
+            if placed and not cut_hosts:
+                cut_hosts.extend(placed[:1])
+                for name in ("entry-0", "entry-1"):
+                    world.cut_pair(name, placed[0])
+
+        world.hook = cut
+        job_id = world.submit(JOB, step(1), payload="0.5")
+        self.assertLess(longest_idle_s(world, job_id, 12.0), 1.0)
+        self.assertTrue(cut_hosts)
+        self.assertEqual([], world.violations)
