Compare the row of a host with the adoption that orders were sent in

Cause: an owner that adopts an agent again on a link that is silent but not yet closed counts an adoption that the agent never learns of, and took the agent's row for one of an earlier adoption. Change: orders are sent once the agent is synced, so the row is compared with the last adoption in which it was.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -54,7 +54,8 @@
     `announced_at`, and zero if it is to be announced again. It was first announced at
     `adopted_at`, or never in this tenure if that is zero, and `adoptions` counts how
     often this tenure has been announced. The host is
-    `synced` once the agent has reported every run of this incarnation to this owner.
+    `synced` once the agent has reported every run of this incarnation to this owner;
+    the last adoption in which it has is `synced_adoption`.
     `committed` are the resources that its tasks hold, and `images` their images. The
     host gets no new tasks before `quarantined_until`; `failed_at` are the times of the
     recent failures that may lead to a quarantine. `filling_m` is the processors that
@@ -82,6 +83,7 @@
     announced_epoch: int = 0
     announced_at: float = 0.0
     adoptions: int = 0
+    synced_adoption: int = 0
     adopted_at: float = 0.0
     synced: bool = False
     committed: Resources = NO_RESOURCES
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -341,7 +341,8 @@
     tables: SchedulerTables, name: str, now: float
 ) -> SchedulerStep:
     """Answer a complete list with all runs that may be there; others are stopped."""
-    host = replace(tables.hosts.by_key[name], synced=True)
+    known = tables.hosts.by_key[name]
+    host = replace(known, synced=True, synced_adoption=known.adoptions)
     tables = replace(edits.put_host(tables, host), place_due=True)
     held = [
         task for task in tables.tasks.rows_where("host", name) if task.life == host.life
--- a/bulrushpulley/systems/scheduling/host_rows.py
+++ b/bulrushpulley/systems/scheduling/host_rows.py
@@ -44,7 +44,7 @@
         if current:
             reason = f"its row names {len(row.ends)} ends, {current} of current runs"
             commands.append(edits.log(tables, "host.ends", name, row.life, reason))
-        if (row.epoch, row.adoption) == (tables.epoch, host.adoptions):
+        if (row.epoch, row.adoption) == (tables.epoch, host.synced_adoption):
             step = _end_unreceived(tables, row, now)
             tables = step.tables
             commands.extend(step.commands)
@@ -55,8 +55,9 @@
 def _end_unreceived(tables: SchedulerTables, row: HostRow, now: float) -> SchedulerStep:
     """End the runs that an agent does not have and takes no order for any more.
 
-    Its row tells that for the orders of one adoption. A row of an earlier adoption may
-    be stored late and says nothing about runs that were ordered since.
+    Its row tells that for the orders of one adoption, which are sent once the agent is
+    synced in it; a later adoption may not have reached the agent. A row of an earlier
+    adoption may be stored late and says nothing about runs that were ordered since.
     """
     commands: list[Command] = []
     present = {ref.key for ref in row.runs}
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -186,6 +186,7 @@
             runs_end_by=0.0,
             announced_epoch=0,
             adoptions=0,
+            synced_adoption=0,
             adopted_at=0.0,
             synced=False,
             committed=NO_RESOURCES,
--- a/bulrushpulley/systems/scheduling/readopting.py
+++ b/bulrushpulley/systems/scheduling/readopting.py
@@ -17,7 +17,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import edits
 
-# Longer than a link without frames lasts, so that only open links are concerned.
+# About as long as a link without frames lasts, so that mostly open links are concerned.
 MAX_AGENT_SILENCE_S = 4 * CONTACT_INTERVAL_S
 # Servers in these states have listed their runs, which a complete report follows.
 LISTED_STATES = frozenset(
--- a/test/test_jobs_second_path.py
+++ b/test/test_jobs_second_path.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import testtools
 
 from bulrushpulley.entities.changing import replace
@@ -31,6 +33,8 @@
 RUN_S = 1.5
 # Two missing contacts, a write of the row, and the placement of the next step.
 MAX_KNOWN_AFTER_S = 3.0
+# The permission of full leases, a write of the row, a placement and a run of 1.0 s.
+MAX_ORDERS_KNOWN_LOST_S = 7.5
 # A takeover takes 3.7 s at most.
 MAX_TAKEOVER_S = 5.0
 
@@ -322,3 +326,29 @@
         self.assertGreater(len(fitting), 100)
         text = "".join(f"{end.task_id}{end.checkpoint}{end.how}" for end in fitting)
         self.assertLess(len(text.encode()), registering.MAX_STORED_ENDS_BYTES)
+
+
+class SilentLinkTest(testtools.TestCase):
+    """Owner and agent no longer hear each other; their link ends seconds later."""
+
+    # The owner adopted the agent again on the silent link, and took the agent's row for
+    # one of an earlier adoption: the lost orders waited 11.5 s for the leases.
+    def test_lost_orders_are_known_although_an_adoption_is_lost_too(self) -> None:
+        late: list[str] = []
+        cases = itertools.product((0.0, 0.3, 0.6), (0.1, 0.3, 0.5, 0.7))
+        for restart_after_s, phase_s in cases:
+            world = JobsWorld(entries=2, hosts=3)
+            world.run(3.0 + restart_after_s)
+            world.restart(HOST)
+            world.run(4.0 - restart_after_s + phase_s)
+            for name in ENTRIES:
+                world.silence(name, HOST, CUT_S)
+                world.silence(HOST, name, CUT_S)
+            silent_at = world.now
+            world.submit(1, step(9), payload="1.0")
+            self.assertTrue(world.run_until(world.all_complete, CUT_S))
+            took_s = world.now - silent_at
+            if took_s > MAX_ORDERS_KNOWN_LOST_S:
+                late.append(f"{restart_after_s}, {phase_s}: {took_s:.1f} s")
+            self.assertEqual([], world.violations)
+        self.assertEqual([], late)
