Split long functions of placement and of host rows, and name their cases

No change of behaviour: the order of jobs has a module of its own, a pass begins in a function of its own, and the row of a host names when it tells of runs.

--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -76,7 +76,8 @@
     if event.epoch != tables.epoch or server is None or event.life != server.life:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
-    is_closed = event.adoption == tables.closed_adoption != 0
+    has_closed = bool(tables.closed_adoption)
+    is_closed = has_closed and event.adoption == tables.closed_adoption
     if event.adoption != tables.adoption or is_closed:
         reason = f"orders of adoption {event.adoption} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -77,43 +77,48 @@
 
 
 def _row(tables: JobAgentTables, now: float) -> HostRow:
-    row = tables.stored_row or HostRow(
-        host=tables.host,
-        address=tables.address,
-        failure_domain=tables.failure_domain,
-        region=tables.region,
-    )
-    if tables.stored_row is None or not _is_without_owner(tables, now):
-        return row
-    if tables.server is None:
-        return row
+    """Return the row to store; it changes only while no owner confirms contacts."""
+    stored = tables.stored_row
+    if stored is None:
+        return HostRow(
+            host=tables.host,
+            address=tables.address,
+            failure_domain=tables.failure_domain,
+            region=tables.region,
+        )
+    server = tables.server
+    if server is None or now - tables.confirmed_at < OWNER_SILENCE_TIMEOUT_S:
+        return stored
     unconfirmed = tuple(tables.ends[number] for number in sorted(tables.ends))
     ends = fitting_ends(unconfirmed)
-    refs = tuple(sorted((run_.ref for run_ in tables.runs.rows()), key=_key))
-    takes_no_orders = not tables.owner and not polling.has_recent_contact(tables, now)
-    is_complete = ends == unconfirmed and len(refs) <= MAX_STORED_RUNS
-    if takes_no_orders and is_complete and tables.orders_complete and tables.adoption:
+    runs = tuple(sorted((run_.ref for run_ in tables.runs.rows()), key=_key))
+    fits = ends == unconfirmed and len(runs) <= MAX_STORED_RUNS
+    if fits and _takes_no_orders(tables, now):
         return replace(
-            row,
-            life=tables.server.life,
+            stored,
+            life=server.life,
             ends=ends,
             epoch=tables.epoch,
             adoption=tables.adoption,
-            runs=refs,
+            runs=runs,
         )
     if not ends:
-        return row
-    return replace(
-        row, life=tables.server.life, ends=ends, epoch=0, adoption=0, runs=()
-    )
+        return stored
+    return replace(stored, life=server.life, ends=ends, epoch=0, adoption=0, runs=())
 
 
-def _key(ref: RunRef) -> str:
-    return ref.key
+def _takes_no_orders(tables: JobAgentTables, now: float) -> bool:
+    """Return whether the runs that the agent has are all that it will have.
+
+    That needs the complete orders of a numbered adoption, and the end of its link.
+    """
+    has_all_orders = tables.orders_complete and bool(tables.adoption)
+    may_start = bool(tables.owner) or polling.has_recent_contact(tables, now)
+    return has_all_orders and not may_start
 
 
-def _is_without_owner(tables: JobAgentTables, now: float) -> bool:
-    return now - tables.confirmed_at >= OWNER_SILENCE_TIMEOUT_S
+def _key(ref: RunRef) -> str:
+    return ref.key
 
 
 def fitting_ends(ends: Iterable[RunEnd]) -> tuple[RunEnd, ...]:
--- a/bulrushpulley/systems/scheduling/host_rows.py
+++ b/bulrushpulley/systems/scheduling/host_rows.py
@@ -16,7 +16,8 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import agents, edits, endings
 
-ORDERED_STATES = HOLDING_STATES - {TaskState.PLACED}
+# No order has been sent for a task that is only placed.
+ORDER_SENT_STATES = HOLDING_STATES - {TaskState.PLACED}
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -64,7 +65,7 @@
     for task_id in sorted(tables.tasks.keys_where("host", row.host)):
         # The end of another task may have ended the job, and with it this task.
         task = tables.tasks.get(task_id)
-        if task is None or task.life != row.life or task.state not in ORDERED_STATES:
+        if task is None or task.life != row.life or task.state not in ORDER_SENT_STATES:
             continue
         if RunRef(task_id=task_id, run=task.run).key in present:
             continue
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -1,6 +1,6 @@
 """Assigns waiting tasks to hosts, the most urgent jobs first.
 
-A pass goes through the jobs with waiting tasks in the order of `placement_order` and
+A pass goes through the jobs with waiting tasks in the order of `job_order` and
 assigns as many tasks as fit. Smaller tasks overtake larger ones that do not fit. A
 task starts only after its assignment is committed.
 """
@@ -36,6 +36,7 @@
     edits,
     emptying,
     interference,
+    job_order,
     refusals,
 )
 from bulrushpulley.systems.scheduling.ranking import kind_of
@@ -45,8 +46,6 @@
 # No event reports the end of a quarantine, so passes also run at this interval.
 PLACEMENT_INTERVAL_S = 0.5
 MAX_PLACED_PER_PASS = 400
-# The platform requires a lasting task to run 6 s after its last run if it fits.
-MAX_LASTING_WAIT_S = 3.5
 # Reachable agents report their runs to a new owner within this time.
 AGENT_SYNC_TIMEOUT_S = 0.6
 # The line of a placement says what held a task back that has waited for longer.
@@ -84,6 +83,38 @@
     tables = replace(
         tables, place_due=False, last_placement_at=now, candidate_by_host=known
     )
+    state = _begin_pass(tables, now)
+    jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
+    overdue = {job.job_id for job in jobs if job_order.is_overdue(tables, job, now)}
+    jobs.sort(
+        key=lambda job: (
+            job.job_id not in overdue,
+            job_order.placement_order(job, now),
+        )
+    )
+    for job in jobs:
+        if state.placed >= MAX_PLACED_PER_PASS:
+            break
+        state = _place_job(state, job, now)
+    hosts = [
+        candidate.host
+        for name, candidate in state.candidate_by_host.items()
+        if name not in state.quarantined
+    ]
+    # What is beyond the limit of this pass is placed in the next tick.
+    is_cut_short = state.placed >= MAX_PLACED_PER_PASS
+    tables = replace(
+        state.tables,
+        held_back_by_step=state.held_back_by_step,
+        place_due=state.tables.place_due or is_cut_short,
+    )
+    advice_step = advising.request_advice(tables, jobs, hosts, now)
+    commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
+    return Step(tables=advice_step.tables, commands=commands)
+
+
+def _begin_pass(tables: SchedulerTables, now: float) -> PlacementPass:
+    known = tables.candidate_by_host
     closed = emptying.closed_hosts(tables)
     reason_by_host = {
         name: exclusion_of(tables, candidate.host, closed, now)
@@ -101,35 +132,13 @@
             if reason is None or name in quarantined
         }
     )
-    state = PlacementPass(
+    return PlacementPass(
         tables=tables,
         candidate_by_host=candidate_by_host,
         quarantined=quarantined,
         held_back_by_step=Map(),
         closed=Counter(reason for reason in reason_by_host.values() if reason),
     )
-    jobs = [tables.jobs.by_key[job_id] for job_id in waiting]
-    overdue = {job.job_id for job in jobs if _is_overdue(tables, job, now)}
-    jobs.sort(key=lambda job: (job.job_id not in overdue, placement_order(job, now)))
-    for job in jobs:
-        if state.placed >= MAX_PLACED_PER_PASS:
-            break
-        state = _place_job(state, job, now)
-    hosts = [
-        candidate.host
-        for name, candidate in candidate_by_host.items()
-        if name not in quarantined
-    ]
-    # What is beyond the limit of this pass is placed in the next tick.
-    is_cut_short = state.placed >= MAX_PLACED_PER_PASS
-    tables = replace(
-        state.tables,
-        held_back_by_step=state.held_back_by_step,
-        place_due=state.tables.place_due or is_cut_short,
-    )
-    advice_step = advising.request_advice(tables, jobs, hosts, now)
-    commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
-    return Step(tables=advice_step.tables, commands=commands)
 
 
 def _awaits_agents(tables: SchedulerTables, now: float) -> bool:
@@ -195,33 +204,6 @@
     return Exclusion.QUARANTINED if now < host.quarantined_until else None
 
 
-def _is_overdue(tables: SchedulerTables, job: Job, now: float) -> bool:
-    """Return whether a lasting task of a job has waited too long for its turn.
-
-    Lasting tasks must run while there is capacity for them, however many tasks of a
-    higher priority arrive.
-    """
-    if not _is_lasting(job):
-        return False
-    waiting = tables.tasks.rows_where("waiting", job.job_id)
-    return any(now - task.idle_since >= MAX_LASTING_WAIT_S for task in waiting)
-
-
-def _is_lasting(job: Job) -> bool:
-    return any(step.lasting for step in job.row.spec.steps)
-
-
-def placement_order(job: Job, now: float) -> tuple[bool, int, bool, float, str]:
-    """Return the sort key of a job, unless a lasting task of it is overdue.
-
-    Jobs past their `deadline_at` come last, except lasting ones, which are never late.
-    Then priority counts, then lasting before other jobs, then `objective_at`.
-    """
-    lasting = _is_lasting(job)
-    late = now > job.deadline_at and not lasting
-    return (late, job.row.priority, not lasting, job.objective_at, job.job_id)
-
-
 def _place_job(state: PlacementPass, job: Job, now: float) -> PlacementPass:
     tasks = state.tables.tasks.rows_where("waiting", job.job_id)
     groups: dict[tuple[int, int], list[Task]] = {}
