Lines that say for how long a job stands still, with room or without

The owner now examines, five times a second and more rarely while there are many rows, each job with a task whose turn has come and none running, and each lasting task by itself. `job.idle_span` gives the length of the span, the longest time with room for the task twice, the time in each state and what kept the task from the room; `job_idle_seconds` has them as histograms; `capacity.use` gives the fractions in use each 5 s. Room counts on all ready hosts, also on those closed by choice. Hosts count the memory of lasting and filling tasks as well. No decision changes.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -60,7 +60,8 @@
     host gets no new tasks before `quarantined_until`; `failed_at` are the times of the
     recent failures that may lead to a quarantine. `filling_m` is the processors that
     its filling tasks request, and `lasting_m` those that its lasting tasks hold, in
-    thousandths. `sent_verdicts` are the verdicts on interference last sent to its
+    thousandths; `filling_mb` and `lasting_mb` are the memory that these hold.
+    `sent_verdicts` are the verdicts on interference last sent to its
     agent.
     """
 
@@ -89,6 +90,8 @@
     committed: Resources = NO_RESOURCES
     filling_m: int = 0
     lasting_m: int = 0
+    filling_mb: int = 0
+    lasting_mb: int = 0
     images: Mapping[str, HeldImage] = field(default_factory=dict)
     quarantined_until: float = 0.0
     failed_at: tuple[float, ...] = ()
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -24,6 +24,7 @@
 )
 from bulrushpulley.entities.jobs.exclusion import HeldBack
 from bulrushpulley.entities.jobs.host import Host
+from bulrushpulley.entities.jobs.idle_jobs import IdleJobTables
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.machines import MachineTables
 from bulrushpulley.entities.jobs.rows import (
@@ -239,6 +240,8 @@
     condensed_at: float = 0.0
     unserved_reported_at: float = 0.0
     unsynced_since_by_host: Map[str, float] = field(default_factory=Map)
+    idle_jobs: IdleJobTables = field(default_factory=IdleJobTables)
+    capacity_use_reported_at: float = 0.0
     leaving: bool = False
 
     @property
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -15,10 +15,12 @@
 from bulrushpulley.systems.scheduling import (
     agents,
     backlog,
+    capacity_use,
     committing,
     condensing,
     dialling,
     host_rows,
+    idle_jobs,
     interference,
     lease_expiry,
     loading,
@@ -62,6 +64,8 @@
     purging.run,
     committing.run,
     unserved.run,
+    idle_jobs.run,
+    capacity_use.run,
 )
 
 
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -73,6 +73,8 @@
     )
     filling_m = spec.size.processors_m if spec.fills else 0
     lasting_m = amount.processors_m if spec.lasting else 0
+    filling_mb = amount.memory_mb if spec.fills else 0
+    lasting_mb = amount.memory_mb if spec.lasting else 0
     return hosts.put(
         name,
         replace(
@@ -80,6 +82,8 @@
             committed=committed,
             filling_m=host.filling_m + sign * filling_m,
             lasting_m=host.lasting_m + sign * lasting_m,
+            filling_mb=host.filling_mb + sign * filling_mb,
+            lasting_mb=host.lasting_mb + sign * lasting_mb,
             images=_with_image(host.images, spec, sign) if spec.image else host.images,
         ),
     )
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -192,6 +192,8 @@
             committed=NO_RESOURCES,
             filling_m=0,
             lasting_m=0,
+            filling_mb=0,
+            lasting_mb=0,
             images={},
             quarantined_until=0.0,
             failed_at=(),
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -16,13 +16,14 @@
         return tables
     wall_s = now + tables.wall_offset_s
     for task in tables.tasks.rows_where("job", job.job_id):
-        if task.state is TaskState.BLOCKED and _is_ready(tables, job, task, wall_s):
+        if task.state is TaskState.BLOCKED and is_ready(tables, job, task, wall_s):
             waiting = replace(task, state=TaskState.WAITING, since=now, idle_since=now)
             tables = edits.put_task(tables, waiting)
     return tables
 
 
-def _is_ready(tables: SchedulerTables, job: Job, task: Task, wall_s: float) -> bool:
+def is_ready(tables: SchedulerTables, job: Job, task: Task, wall_s: float) -> bool:
+    """Return whether a task is due and the steps before its own are complete."""
     if wall_s < job.row.spec.due_s(task.occurrence):
         return False
     earlier_steps = job.step(task.step).after
