A line for the start of a run that a list shows first

The agent writes `run.start` when the call that starts a run is answered; if a list of runs shows the run before, the answer came without a line.

Now the list writes the line, with "listed". StartLineTest failed before.

--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -144,6 +144,7 @@
     # What precedes the first end that the server keeps was acknowledged by an earlier
     # process of this agent.
     tables = _with_noted(tables, max(server.noted, event.first_end - 1))
+    lines = _start_lines(tables, event, now)
     for status in event.runs:
         tables = _update_run(tables, status, now)
     for end in event.ends:
@@ -154,8 +155,31 @@
         tables = replace(tables, poll=poll)
     if not event.ends_complete:
         # A run that is not listed may have ended.
-        return Step(tables=tables)
-    return _refuse_missing(tables, frozenset(s.key for s in event.runs), sent_at, now)
+        return Step(tables=tables, commands=lines)
+    listed = frozenset(status.key for status in event.runs)
+    step = _refuse_missing(tables, listed, sent_at, now)
+    return replace(step, commands=(*lines, *step.commands))
+
+
+def _start_lines(
+    tables: JobAgentTables, event: RunsListed, now: float
+) -> tuple[Command, ...]:
+    """Return the lines of the runs that a list shows before their starts are answered.
+
+    Their answers, if they come, are not logged any more.
+    """
+    known = [tables.runs.get(status.key) for status in event.runs]
+    return tuple(
+        edits.log(
+            tables,
+            "run.start",
+            run_.key,
+            event.server_id,
+            f"listed {now - run_.since:.3f} s after its order",
+        )
+        for run_ in known
+        if run_ is not None and run_.phase is not RunPhase.RUNNING
+    )
 
 
 def _update_run(
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -35,6 +35,7 @@
 from bulrushpulley.entities.jobs.job_agent_tables import JobAgentTables
 from bulrushpulley.entities.jobs.runs import RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.link import Send
+from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.roles import job_agent
@@ -121,6 +122,35 @@
     return [command for command in commands if isinstance(command, kind)]
 
 
+class StartLineTest(testtools.TestCase):
+    """A list may show a run before its start is answered; it has a line as well.
+
+    Without one, nothing in the log showed that the run worked.
+    """
+
+    def test_a_run_that_a_list_shows_first_has_one_line_of_its_start(self) -> None:
+        bench = Bench()
+        bench.order("t")
+        status = RunStatus(task_id="t", run=1)
+        found = [
+            *bench.list_runs(status),
+            *bench.tell(RunStarted(server_id="i-1", run=RunRef(task_id="t", run=1))),
+            *bench.list_runs(status),
+        ]
+        starts = [
+            line for line in commands_of(Decision, found) if line.kind == "run.start"
+        ]
+        (line,) = starts
+        self.assertEqual(("t#1", "i-1"), (line.subject, line.chosen))
+        self.assertIn("listed 0.", line.reason)
+
+    def test_a_run_whose_start_was_answered_has_no_second_line(self) -> None:
+        bench = Bench()
+        bench.order_and_start("t")
+        found = bench.list_runs(RunStatus(task_id="t", run=1))
+        self.assertEqual([], commands_of(Decision, found))
+
+
 class UnsettledStartTest(testtools.TestCase):
     """A start without a definite answer is given up, but may be carried out late.
 
