scripts/gaps knows room, jobs that had ended, and runs that were paced

It knew nothing of room.

It now ends such jobs with the last line about them, lets a paced run begin with its placement, and reads `job.idle_span` and `capacity.use`: each time comes with the longest part with room for the task twice, joined over owners, and with what is not known; then follow the fractions in use at the end and one line with the worst time with room and the worst of all. So that a long span without room bounds what comes after its last line, the owner also reports a span whose room has lasted for 3 s.

Run on the code before: 2 new tests of JobGapTest, 6 of RoomTest and test_room_that_lasts_... failed. test_the_report_names_the_last_line_... expects the new lines of the report in addition; nothing of it is dropped.

--- a/bulrushpulley/systems/scheduling/idle_jobs.py
+++ b/bulrushpulley/systems/scheduling/idle_jobs.py
@@ -346,11 +346,15 @@
 def _report_lasting(
     tables: SchedulerTables, last_report_at: float, now: float
 ) -> Iterator[Command]:
-    """Report the spans that have reached one of the ages, those with room first."""
+    """Report the spans that have reached one of the ages, those with room first.
+
+    The time for which there has been room counts as well as the span.
+    """
     due = [
         EndedSpan(span=span, ended_at=now)
         for span in tables.idle_jobs.spans.by_key.values()
         if is_report_due(span.since, last_report_at, now)
+        or is_report_due(span.room_since or now, last_report_at, now)
     ]
     due.sort(key=_severity, reverse=True)
     logged = first_lines(due)
--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -8,9 +8,15 @@
 A run lasts from its start at an agent to its end at the owner. If it ended as lost, it
 lasts to the last line of its host before that; if it has no end, to the last line of a
 host that has written none since the last change of owner. Jobs with several occurrences
-are left out, since no line says when one is due. What reads a log may drop lines of a
+are left out, since no line says when one is due. A run without a line of its start that
+an agent has paced began with its placement. A job that a next owner finds ended has
+ended with the last line about it before. What reads a log may drop lines of a
 busy process, which shows in their numbers: if owners' lines are missing after the last
 line about a job or task that has no end, the time after that line does not count.
+
+Each time comes with the longest part of it for which an owner saw room for the task
+twice, as far as its `job.idle_span` lines tell; those of several owners are joined. The
+end says how much of the capacity was in use last, and names the worst times.
 """
 
 from __future__ import annotations
@@ -23,11 +29,24 @@
 
 from absl import app, flags
 
+from bulrushpulley.entities.jobs import rows
+from bulrushpulley.systems.lasting_states import FIRST_REPORT_AGE_S, REPORT_INTERVAL_S
+from bulrushpulley.systems.scheduling import idle_jobs
 from scripts.log_lines import Line, missing_times_s, parse
 
 FLAGS = flags.FLAGS
 COUNTED_GAPS_S = (3.0, 6.0, 12.0)
 RUN_KEY = re.compile(r"\w+\.\d+\.\d+\.\d+#\d+")
+# Lines of agents about a run that works.
+WORK_KINDS = ("run.start", "run.pace")
+FINAL_STATES = tuple(state.value for state in rows.FINAL_STATES)
+IDLE_LENGTH = re.compile(r"idle for (\d+\.\d+) s(?:, ended (\d+\.\d+) s ago)?")
+ROOM_LENGTH = re.compile(r"room (\d+\.\d+) s")
+COMMITTED = re.compile(r"committed processors (\d+\.\d+), memory (\d+\.\d+)")
+# Shorter spans have no line.
+MIN_LOGGED_SPAN_S = idle_jobs.MIN_LOGGED_SPAN_S
+# Room that lasts for longer is reported; this is a report, an examination and a tick.
+MAX_UNREPORTED_ROOM_S = FIRST_REPORT_AGE_S + REPORT_INTERVAL_S + 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -102,7 +121,7 @@
 ) -> Run:
     task_id, _, number = about[0].subject.rpartition("#")
     seen = Span(start_s=about[0].timestamp, end_s=about[-1].timestamp)
-    start = next((line for line in about if line.message_type == "run.start"), None)
+    start = _start(about)
     end = next((line for line in about if line.message_type == "task.end"), None)
     running = None
     if start is not None:
@@ -129,6 +148,20 @@
     )
 
 
+def _start(about: Sequence[Line]) -> Line | None:
+    """Return the line of a run's start, or one of its agent at the time it was placed.
+
+    A list of runs may show a run before its start is answered; agents of earlier
+    versions have no line of such a start.
+    """
+    worked = [line for line in about if line.message_type in WORK_KINDS]
+    if not worked:
+        return None
+    if worked[0].message_type == "run.start":
+        return worked[0]
+    return replace(worked[0], timestamp=about[0].timestamp)
+
+
 def longest_gap(window: Span, busy: Iterable[Span]) -> Span:
     """Return the longest part of a window that no busy span covers."""
     longest = Span(start_s=window.start_s, end_s=window.start_s)
@@ -144,17 +177,31 @@
 def job_windows(lines: Sequence[Line]) -> dict[str, Span]:
     """Return the time from the acceptance of each job to its end or the log's."""
     window_by_job: dict[str, Span] = {}
+    # The answer to a caller is no step of a job.
+    last_s_by_job: dict[str, float] = {}
     for line in lines:
+        job_id = line.subject.partition(".")[0]
         window = window_by_job.get(line.subject)
         if line.message_type == "job.accept" and window is None:
             span = Span(start_s=line.timestamp, end_s=lines[-1].timestamp)
-            window_by_job[line.subject] = span
-        elif window is not None and _ends_job(line):
+            window = window_by_job[line.subject] = span
+        if window is not None and _ends_job(line):
             end_s = min(window.end_s, line.timestamp)
             window_by_job[line.subject] = replace(window, end_s=end_s)
+        elif window is not None and _finds_job_ended(line):
+            end_s = min(window.end_s, last_s_by_job.get(job_id, line.timestamp))
+            end_s = max(window.start_s, end_s)
+            window_by_job[line.subject] = replace(window, end_s=end_s)
+        if line.message_type != "call.answer":
+            last_s_by_job[job_id] = line.timestamp
     return window_by_job
 
 
+def _finds_job_ended(line: Line) -> bool:
+    """Return whether an owner takes over a job that has ended."""
+    return line.message_type == "job.accept" and line.reason.startswith(FINAL_STATES)
+
+
 def _ends_job(line: Line) -> bool:
     """Return whether a line says that a job has ended; the owner's may be lost."""
     return line.message_type == "job.end" or line.chosen == "JobCancelled"
@@ -202,6 +249,155 @@
     return sorted(gaps, key=lambda gap: -gap[1].length_s)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Room:
+    """For how long on end there was room for a task twice in a time.
+
+    It is at least `seen_s`, and at most `possible_s` with what is not known.
+    """
+
+    seen_s: float
+    possible_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IdleLine:
+    """What a `job.idle_span` line tells."""
+
+    subject: str
+    span: Span
+    room_s: float
+    lasts: bool
+
+
+def idle_lines_by_subject(lines: Iterable[Line]) -> Mapping[str, Sequence[IdleLine]]:
+    """Return the spans that owners logged, by job or lasting task."""
+    found: defaultdict[str, list[IdleLine]] = defaultdict(list)
+    for line in lines:
+        length = IDLE_LENGTH.match(line.reason)
+        if line.message_type != "job.idle_span" or length is None:
+            continue
+        end_s = line.timestamp - float(length[2] or 0.0)
+        span = Span(start_s=end_s - float(length[1]), end_s=end_s)
+        room = ROOM_LENGTH.fullmatch(line.chosen)
+        room_s = float(room[1]) if room else 0.0
+        found[line.subject].append(
+            IdleLine(
+                subject=line.subject, span=span, room_s=room_s, lasts=length[2] is None
+            )
+        )
+    return found
+
+
+def owned_times_s(lines: Iterable[Line]) -> Sequence[float]:
+    """Return when owners took over."""
+    return [line.timestamp for line in lines if line.message_type == "shard.own"]
+
+
+def room_in(gap: Span, logged: Sequence[IdleLine], owned_s: Sequence[float]) -> Room:
+    """Return for how long there was room in a gap, from the lines about its subject.
+
+    `owned_s` are the times at which owners took over.
+    """
+    pieces = _pieces(gap, logged)
+    if not pieces:
+        return Room(seen_s=0.0, possible_s=gap.length_s)
+    seen_s = max(min(piece.room_s, piece.span.length_s) for piece in pieces)
+    joined_s = sum(min(piece.room_s, piece.span.length_s) for piece in pieces)
+    covered_s = sum(piece.span.length_s for piece in pieces)
+    unknown_s = max(0.0, gap.length_s - covered_s)
+    last_s = pieces[-1].span.end_s
+    if pieces[-1].lasts and not any(last_s < at <= gap.end_s for at in owned_s):
+        # More room after the last line would have been reported.
+        tail_s = gap.end_s - last_s
+        unknown_s -= max(0.0, tail_s - MAX_UNREPORTED_ROOM_S)
+    return Room(seen_s=seen_s, possible_s=min(gap.length_s, joined_s + unknown_s))
+
+
+def _pieces(gap: Span, logged: Sequence[IdleLine]) -> list[IdleLine]:
+    """Return the parts of a gap that lines cover, one for each span of an owner."""
+    pieces: list[IdleLine] = []
+    for line in sorted(logged, key=lambda line: (line.span.start_s, line.span.end_s)):
+        span = Span(
+            start_s=max(gap.start_s, line.span.start_s),
+            end_s=min(gap.end_s, line.span.end_s),
+        )
+        if span.length_s <= 0.0:
+            continue
+        part = replace(line, span=span)
+        last = pieces[-1] if pieces else None
+        if last is None or span.start_s >= last.span.end_s:
+            pieces.append(part)
+        elif span.end_s > last.span.end_s:
+            joined = replace(span, start_s=last.span.start_s)
+            room_s = max(last.room_s, part.room_s)
+            pieces[-1] = replace(part, span=joined, room_s=room_s)
+    return pieces
+
+
+def describe_room(span: Span, room: Room) -> str:
+    """Return how much room there was in a gap, as text."""
+    if span.length_s < MIN_LOGGED_SPAN_S:
+        return "room not known, too short"
+    if room.possible_s - room.seen_s < MIN_LOGGED_SPAN_S:
+        return f"room for {room.seen_s:.2f} s" if room.seen_s else "no room"
+    return f"room for {room.seen_s:.2f} s, perhaps {room.possible_s:.2f} s"
+
+
+def capacity_lines(lines: Sequence[Line]) -> list[str]:
+    """Return the last line about the capacity in use of each service, as text."""
+    last_by_service = {
+        line.subject: line for line in lines if line.message_type == "capacity.use"
+    }
+    printed: list[str] = []
+    for service, line in sorted(last_by_service.items()):
+        found = COMMITTED.search(line.reason)
+        fractions = [float(found[1]), float(found[2])] if found else []
+        under = [
+            f"{name} {'under' if fraction < 0.5 else 'not under'} one half"
+            for name, fraction in zip(("processors", "memory"), fractions, strict=False)
+        ]
+        printed.append(
+            f"{service} at {line.timestamp:.3f} s, {line.chosen}: {line.reason}:"
+            f" {', '.join(under)}"
+        )
+    return printed
+
+
+def worst_line(
+    job_gaps: Sequence[Gap],
+    idle_by_subject: Mapping[str, Sequence[IdleLine]],
+    owned_s: Sequence[float],
+) -> str:
+    """Return one line with the worst time with room, and the worst of all.
+
+    Those of lasting tasks are the spans that owners logged.
+    """
+    rooms = [
+        (room_in(span, idle_by_subject.get(subject, ()), owned_s), subject)
+        for subject, span in job_gaps
+        if span.length_s >= MIN_LOGGED_SPAN_S
+    ]
+    seen = max(((room.seen_s, subject) for room, subject in rooms), default=(0.0, "-"))
+    possible_s = max((room.possible_s for room, _ in rooms), default=0.0)
+    longest = job_gaps[0] if job_gaps else ("-", Span(start_s=0.0, end_s=0.0))
+    lasting = [
+        line
+        for subject, logged in idle_by_subject.items()
+        if "." in subject
+        for line in logged
+    ]
+    lasting_room_s = max((line.room_s for line in lasting), default=0.0)
+    lasting_s = max((line.span.length_s for line in lasting), default=0.0)
+    job_id = seen[1] if seen[0] else "-"
+    return (
+        f"worst: {seen[0]:.2f} s with room ({job_id}),"
+        f" at most {possible_s:.2f} s with what is not known;"
+        f" {longest[1].length_s:.2f} s of all ({longest[0]});"
+        f" lasting tasks {lasting_room_s:.2f} s with room, {lasting_s:.2f} s of all"
+    )
+
+
 def summary(name: str, gaps: Sequence[Gap]) -> str:
     """Return one line with the longest gap and how many exceed each length."""
     longest_s = gaps[0][1].length_s if gaps else 0.0
@@ -218,10 +414,17 @@
     for line in lines:
         lines_by_job[line.subject.partition(".")[0]].append(line)
     job_gaps, task_gaps = find_gaps(lines)
+    idle_by_subject = idle_lines_by_subject(lines)
+    owned_s = owned_times_s(lines)
     printed: list[str] = []
     for subject, span in (*job_gaps[:worst], *task_gaps[:worst]):
         times = f"from {span.start_s:.3f} s to {span.end_s:.3f} s"
-        printed.append(f"{subject}: {span.length_s:.2f} s, {times}")
+        logged = idle_by_subject.get(subject, ())
+        text = f"{subject}: {span.length_s:.2f} s, {times}"
+        if logged or "." not in subject:
+            # Only the lasting ones of the tasks have spans of their own.
+            text += f", {describe_room(span, room_in(span, logged, owned_s))}"
+        printed.append(text)
         last_by_task = {
             line.subject.partition("#")[0]: line
             for line in lines_by_job[subject.partition(".")[0]]
@@ -230,7 +433,13 @@
         for task_id, line in sorted(last_by_task.items()):
             text = f"{line.message_type} {line.chosen} {line.reason}"
             printed.append(f"    {task_id:24} {line.timestamp:8.3f} {text}")
-    return [*printed, summary("jobs", job_gaps), summary("tasks", task_gaps)]
+    return [
+        *printed,
+        summary("jobs", job_gaps),
+        summary("tasks", task_gaps),
+        *capacity_lines(lines),
+        worst_line(job_gaps, idle_by_subject, owned_s),
+    ]
 
 
 def main(argv: list[str]) -> None:
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -6,7 +6,13 @@
 
 import testtools
 
-from scripts.gaps import Span, find_gaps, longest_gap, report
+from scripts.gaps import (
+    MAX_UNREPORTED_ROOM_S,
+    Span,
+    find_gaps,
+    longest_gap,
+    report,
+)
 from scripts.log_lines import Line, missing_times_s, parse
 
 JOB = "33350f17888d312f"
@@ -67,6 +73,30 @@
         reason = f"its host was silent too long: {subjects}"
         self.add(at_s, OWNER, "host.lost", HOST, f"{len(runs)} runs", reason)
 
+    def pace(self, at_s: float, task: str, run: int = 1) -> None:
+        self.add(at_s, HOST, "run.pace", f"{JOB}.{task}#{run}", "80%")
+
+    def own(self, at_s: float, process: str, reason: str) -> None:
+        """Let another owner take over, which finds the job as `reason` says."""
+        self.add(at_s, process, "shard.own", "shard-0")
+        self.add(at_s, process, "job.accept", JOB, "queue", reason)
+
+    def span(
+        self,
+        at_s: float,
+        idle_s: float,
+        room_s: float = 0.0,
+        *,
+        ended_s: float | None = None,
+        process: str = OWNER,
+        subject: str = JOB,
+    ) -> None:
+        """Write the line of an idle span; `ended_s` is for how long it has ended."""
+        chosen = f"room {room_s:.2f} s" if room_s else "no room"
+        end = "" if ended_s is None else f", ended {ended_s:.2f} s ago"
+        reason = f"idle for {idle_s:.2f} s{end}: waiting {idle_s:.1f} s"
+        self.add(at_s, process, "job.idle_span", subject, chosen, reason)
+
     def end_job(self, at_s: float) -> None:
         self.add(at_s, OWNER, "job.end", JOB, "completed")
 
@@ -254,6 +284,33 @@
         self.log.end_job(20.0)
         self.assertEqual((1.0, 1.5), self.log.job_gap())
 
+    def test_a_job_that_ended_before_a_takeover_does_not_stand_still(self) -> None:
+        # The owner that ended it did not write the line of the end.
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.own(40.0, "entry-2", "completed, 39.00 s")
+        self.log.add(80.0, HOST, "process", "")
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+
+    def test_a_job_that_is_open_after_a_takeover_stands_still(self) -> None:
+        self.log.end(4.0, "0.0.0", "done")
+        self.log.own(40.0, "entry-2", "running, 39.00 s")
+        self.log.add(80.0, HOST, "process", "")
+        self.assertEqual((4.0, 80.0), self.log.job_gap())
+
+    def test_a_run_that_is_paced_has_started(self) -> None:
+        # A list showed the run before its start was answered, so no line says so.
+        self.log.place(2.0, "0.0.1")
+        self.log.pace(5.0, "0.0.1")
+        self.log.end(6.0, "0.0.0", "done")
+        self.log.add(30.0, "agent-2", "process", "")
+        self.assertEqual((1.0, 1.5), self.log.job_gap())
+        self.assertEqual((2.0, 2.0), self.log.task_gaps()["0.0.1"])
+
+    def test_a_placed_run_without_a_line_of_its_agent_has_not_started(self) -> None:
+        self.log.place(2.0, "0.0.1")
+        self.log.add(30.0, "agent-2", "process", "")
+        self.assertEqual((2.0, 30.0), self.log.task_gaps()["0.0.1"])
+
     def test_jobs_with_several_occurrences_are_left_out(self) -> None:
         self.log.place(20.0, "1.0.0")
         self.assertEqual(([], []), find_gaps(self.log.lines))
@@ -266,7 +323,8 @@
         self.log.end_job(19.0)
         self.assertEqual(
             [
-                f"{JOB}: 14.00 s, from 4.000 s to 18.000 s",
+                f"{JOB}: 14.00 s, from 4.000 s to 18.000 s,"
+                " room for 0.00 s, perhaps 14.00 s",
                 f"    {JOB:24}    1.000 job.accept queue queued, 0.01 s",
                 f"    {JOB}.0.0.0      4.000 task.end {HOST} done",
                 f"    {JOB}.0.1.0      4.500 task.place {HOST} ",
@@ -274,6 +332,84 @@
                 f"    {JOB}.0.1.0      4.500 task.place {HOST} ",
                 "1 jobs: longest gap 14.00 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
                 "2 tasks: longest gap 13.50 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
+                "worst: 0.00 s with room (-), at most 14.00 s with what is not known;"
+                f" 14.00 s of all ({JOB});"
+                " lasting tasks 0.00 s with room, 0.00 s of all",
             ],
             report(self.log.lines, worst=1),
         )
+
+
+class RoomTest(testtools.TestCase):
+    """A wait counts against the platform's rule only while there is room."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log()
+        self.log.accept(1.0)
+        self.log.place(1.0, "0.0.0")
+        self.log.start(1.5, "0.0.0")
+        self.log.end(4.0, "0.0.0", "done")
+
+    def report(self) -> list[str]:
+        return report(self.log.lines, worst=1)
+
+    def test_the_room_of_a_span_that_ended_is_printed(self) -> None:
+        self.log.start(9.0, "0.1.0")
+        self.log.span(9.5, 5.0, 2.25, ended_s=0.5)
+        self.log.end(10.0, "0.1.0", "done")
+        self.log.end_job(10.0)
+        first, *_, last = self.report()
+        self.assertEqual(
+            f"{JOB}: 5.00 s, from 4.000 s to 9.000 s, room for 2.25 s", first
+        )
+        self.assertIn(f"worst: 2.25 s with room ({JOB}), at most 2.25 s", last)
+
+    def test_a_span_without_room_says_so(self) -> None:
+        self.log.start(9.0, "0.1.0")
+        self.log.span(7.0, 3.0)
+        self.log.span(9.5, 5.0, ended_s=0.5)
+        self.log.end(10.0, "0.1.0", "done")
+        self.log.end_job(10.0)
+        first, *_, last = self.report()
+        self.assertIn(", no room", first)
+        self.assertIn("worst: 0.00 s with room (-), at most 0.00 s", last)
+
+    def test_the_spans_of_two_owners_are_joined(self) -> None:
+        self.log.span(7.0, 3.0, 3.0)
+        self.log.own(10.0, "entry-2", "running, 9.00 s")
+        self.log.span(13.0, 2.0, 2.0, ended_s=1.0, process="entry-2")
+        self.log.start(12.0, "0.1.0")
+        self.log.end(14.0, "0.1.0", "done")
+        self.log.end_job(14.0)
+        first, *_, last = self.report()
+        self.assertIn("8.00 s, from 4.000 s to 12.000 s", first)
+        self.assertIn("room for 3.00 s, perhaps 8.00 s", first)
+        self.assertIn(f"worst: 3.00 s with room ({JOB}), at most 8.00 s", last)
+
+    def test_room_after_the_last_line_of_an_owner_is_bounded(self) -> None:
+        self.log.span(7.0, 3.0)
+        self.log.span(10.0, 6.0)
+        self.log.add(20.0, HOST, "process", "")
+        possible_s = MAX_UNREPORTED_ROOM_S
+        self.assertIn(f"room for 0.00 s, perhaps {possible_s:.2f} s", self.report()[0])
+        self.log.own(15.0, "entry-2", "running, 14.00 s")
+        self.assertIn("room for 0.00 s, perhaps 10.00 s", self.report()[0])
+
+    def test_lasting_tasks_are_named_by_their_spans(self) -> None:
+        self.log.end_job(4.0)
+        self.log.span(20.0, 3.5, 3.25, subject="00ff.0.0.1")
+        last = self.report()[-1]
+        self.assertIn("lasting tasks 3.25 s with room, 3.50 s of all", last)
+
+    def test_the_share_in_use_at_the_end_is_printed(self) -> None:
+        for at_s, processors in ((10.0, 0.7), (15.0, 0.327)):
+            reason = (
+                f"committed processors {processors:.3f}, memory 0.989; lasting tasks"
+                " hold processors 0.300, memory 0.195; filling tasks request"
+                " processors 1.800, memory 0.794"
+            )
+            self.log.add(at_s, OWNER, "capacity.use", "ovens", "18 hosts ready", reason)
+        *_, use, _ = self.report()
+        self.assertIn("ovens at 15.000 s, 18 hosts ready: committed", use)
+        self.assertIn("processors under one half, memory not under one half", use)
--- a/test/test_jobs_idle_spans.py
+++ b/test/test_jobs_idle_spans.py
@@ -350,6 +350,17 @@
         (span,) = self.tables.idle_jobs.spans.rows()
         self.assertAlmostEqual(3.5, span.room_s(self.now), delta=TOLERANCE_S)
 
+    def test_room_that_lasts_is_logged_in_a_span_that_was_logged_before(self) -> None:
+        self.leave(0, 0, 0)
+        self.pass_time(6.8)
+        self.assertEqual(2, len(self.logged()))
+        self.leave(2, 0, 0)
+        self.pass_time(2.5)
+        self.assertEqual([], self.logged())
+        self.pass_time(1.7)
+        (line,) = self.logged()
+        self.assertEqual("room", line.chosen.split()[0])
+
     def test_what_keeps_a_job_from_the_room_is_named(self) -> None:
         self.change_hosts(
             quarantined_until=self.now + 60.0, last_contact_at=self.now + 60.0
