Each idle span that reaches 3 s gets a line, and the reports are a module

A span without a line stays due, and goes before those that had one, if there is room for both or for neither. test_a_span_that_a_report_leaves_... failed before. scripts/gaps counts the jobs with room for 3 s. What writes lines is systems/scheduling/idle_reports.py, what reads them scripts/idle_lines.py; both are moved code otherwise.

--- a/bulrushpulley/entities/jobs/idle_jobs.py
+++ b/bulrushpulley/entities/jobs/idle_jobs.py
@@ -18,9 +18,9 @@
     There has been room for the task twice since `room_since`, None if there is none
     now; `longest_room_s` is the longest such time before. Whether there is room was
     last examined at `room_examined_at`, or never if that is zero.
-    `seconds_by_state` is for how long the most advanced of the tasks has been in each
-    state. `held_back` says what excluded the hosts with room when that was last
-    examined, at `explained_at`.
+    `is_logged` is set once it has had a line. `seconds_by_state` is for how long the
+    most advanced of the tasks has been in each state. `held_back` says what excluded
+    the hosts with room when that was last examined, at `explained_at`.
     """
 
     subject: str
@@ -31,6 +31,7 @@
     room_examined_at: float = 0.0
     room_since: float | None = None
     longest_room_s: float = 0.0
+    is_logged: bool = False
     seconds_by_state: Mapping[TaskState, float] = field(default_factory=dict)
     held_back: str = ""
     explained_at: float = 0.0
--- a/bulrushpulley/systems/scheduling/idle_jobs.py
+++ b/bulrushpulley/systems/scheduling/idle_jobs.py
@@ -20,16 +20,15 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.task import UNSETTLED, Task, TaskState
-from bulrushpulley.entities.observe import Observe
-from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.lasting_states import (
-    MAX_OBSERVED_PER_REPORT,
-    REPORT_INTERVAL_S,
-    first_lines,
-    is_report_due,
-    left_out,
+from bulrushpulley.entities.step import Step
+from bulrushpulley.systems.lasting_states import REPORT_INTERVAL_S
+from bulrushpulley.systems.scheduling import (
+    edits,
+    excluding,
+    idle_reports,
+    room,
+    unblocking,
 )
-from bulrushpulley.systems.scheduling import edits, excluding, room, unblocking
 
 MIN_EXAMINE_INTERVAL_S = 0.2
 # Bounds the processor time while many jobs wait: the interval grows with their number.
@@ -38,18 +37,10 @@
 MAX_EXAMINED_WAITING_TASKS = 32
 # Most tasks run sooner, so whether there was room for them is not examined.
 MIN_EXAMINED_SPAN_S = 0.4
-MIN_LOGGED_SPAN_S = 1.5
 # Counting what excludes each host takes longer than looking for room.
 MIN_EXPLAINED_SPAN_S = 1.0
 MAX_EXPLAINED_PER_EXAMINATION = 2
 MAX_ENDED_PER_REPORT = 200
-# From the least to the most advanced.
-TURN_STATES = (
-    TaskState.BLOCKED,
-    TaskState.WAITING,
-    TaskState.PLACED,
-    TaskState.HELD,
-)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -63,7 +54,9 @@
     @property
     def most_advanced(self) -> Task:
         """The task that is nearest to running."""
-        return max(self.tasks, key=lambda task: TURN_STATES.index(task.state))
+        return max(
+            self.tasks, key=lambda task: idle_reports.TURN_STATES.index(task.state)
+        )
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -74,12 +67,11 @@
     idle = tables.idle_jobs
     if now - idle.reported_at < REPORT_INTERVAL_S:
         return Step(tables=tables)
-    commands = (
-        *_report_ended(tables, now),
-        *_report_lasting(tables, idle.reported_at, now),
-    )
-    idle = replace(idle, ended=(), reported_at=now)
-    return Step(tables=replace(tables, idle_jobs=idle), commands=commands)
+    ended = tuple(idle_reports.ended_lines(tables, now))
+    lasting = idle_reports.report_lasting(tables, idle.reported_at, now)
+    idle = replace(lasting.tables.idle_jobs, ended=(), reported_at=now)
+    tables = replace(lasting.tables, idle_jobs=idle)
+    return Step(tables=tables, commands=(*ended, *lasting.commands))
 
 
 def examine(tables: SchedulerTables, now: float) -> SchedulerTables:
@@ -98,7 +90,7 @@
         known = known or _new_span(tables, turn, idle.examined_at, now)
         spans = spans.put(subject, _with_state(known, turn, idle.examined_at, now))
     examined = [each for each in ended if each.idle_s >= MIN_EXAMINED_SPAN_S]
-    examined.sort(key=_severity, reverse=True)
+    examined.sort(key=idle_reports.severity, reverse=True)
     rows = (
         len(tables.tasks.by_index["waiting"])
         + len(tables.tasks.by_index["blocked"])
@@ -120,10 +112,6 @@
     return _explain(_examine_room(tables, now), now)
 
 
-def _severity(ended: EndedSpan) -> tuple[float, float]:
-    return ended.room_s, ended.idle_s
-
-
 def _turns(tables: SchedulerTables, now: float) -> Iterator[Turn]:
     """Yield the turns of jobs of which nothing runs, and of single lasting tasks."""
     unsettled_by_job = _unsettled_by_job(tables)
@@ -227,7 +215,7 @@
 def _began_to_run_at(
     tables: SchedulerTables, span: IdleSpan, examined_at: float, now: float
 ) -> float:
-    if now - span.since < MIN_LOGGED_SPAN_S:
+    if now - span.since < idle_reports.MIN_LOGGED_SPAN_S:
         return examined_at
     is_job = span.subject == span.job_id
     rows = tables.tasks.by_key
@@ -324,62 +312,3 @@
         f"{counts.taking} of {counts.total} hosts would take it"
         f"{excluding.describe_refusals(counts, task, now)}: {counts.describe()}"
     )
-
-
-def _report_ended(tables: SchedulerTables, now: float) -> Iterator[Command]:
-    """Report the spans that ended since the last report, those with room first."""
-    ended = tables.idle_jobs.ended
-    for each in ended[:MAX_OBSERVED_PER_REPORT]:
-        yield Observe(
-            name="job_idle_seconds",
-            seconds=each.room_s or each.idle_s,
-            label="yes" if each.room_s else "no",
-        )
-    due = [each for each in ended if each.idle_s >= MIN_LOGGED_SPAN_S]
-    logged = first_lines(due)
-    for each in logged:
-        text = f", ended {now - each.ended_at:.2f} s ago"
-        more = left_out(due) if each is logged[-1] else ""
-        yield _line(tables, each, text, more)
-
-
-def _report_lasting(
-    tables: SchedulerTables, last_report_at: float, now: float
-) -> Iterator[Command]:
-    """Report the spans that have reached one of the ages, those with room first.
-
-    The time for which there has been room counts as well as the span.
-    """
-    due = [
-        EndedSpan(span=span, ended_at=now)
-        for span in tables.idle_jobs.spans.by_key.values()
-        if is_report_due(span.since, last_report_at, now)
-        or is_report_due(span.room_since or now, last_report_at, now)
-    ]
-    due.sort(key=_severity, reverse=True)
-    logged = first_lines(due)
-    for each in logged:
-        more = left_out(due) if each is logged[-1] else ""
-        yield _line(tables, each, "", more)
-
-
-def _line(tables: SchedulerTables, each: EndedSpan, text: str, more: str) -> Command:
-    """Return the line of a span; `text` says when it ended, if it has."""
-    span = each.span
-    states = ", ".join(
-        f"{state.value} {span.seconds_by_state[state]:.1f} s"
-        for state in TURN_STATES
-        if state in span.seconds_by_state
-    )
-    known = "" if span.room_examined_at else ", not examined"
-    reason = f"idle for {each.idle_s:.2f} s{text}: {states}; {span.task_id}"
-    task = tables.tasks.get(span.task_id)
-    if task is not None and task.job_id in tables.jobs:
-        need = edits.step_of(tables, task).committed
-        reason += (
-            f" run {task.run} needs {need.processors_m}, {need.memory_mb},"
-            f" {need.accelerators}"
-        )
-    reason += f"; {span.held_back}" if span.held_back else ""
-    chosen = f"room {each.room_s:.2f} s" if each.room_s else f"no room{known}"
-    return edits.log(tables, "job.idle_span", span.subject, chosen, reason + more)
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -6,13 +6,8 @@
 
 import testtools
 
-from scripts.gaps import (
-    MAX_UNREPORTED_ROOM_S,
-    Span,
-    find_gaps,
-    longest_gap,
-    report,
-)
+from scripts.gaps import find_gaps, longest_gap, report
+from scripts.idle_lines import MAX_UNREPORTED_ROOM_S, Span
 from scripts.log_lines import Line, missing_times_s, parse
 
 JOB = "33350f17888d312f"
@@ -333,7 +328,7 @@
                 "1 jobs: longest gap 14.00 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
                 "2 tasks: longest gap 13.50 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
                 "worst: 0.00 s with room (-), at most 14.00 s with what is not known;"
-                f" 14.00 s of all ({JOB});"
+                f" 14.00 s of all ({JOB}); 0 jobs with room for 3 s;"
                 " lasting tasks 0.00 s with room, 0.00 s of all",
             ],
             report(self.log.lines, worst=1),
@@ -386,6 +381,7 @@
         self.assertIn("8.00 s, from 4.000 s to 12.000 s", first)
         self.assertIn("room for 3.00 s, perhaps 8.00 s", first)
         self.assertIn(f"worst: 3.00 s with room ({JOB}), at most 8.00 s", last)
+        self.assertIn("1 jobs with room for 3 s", last)
 
     def test_room_after_the_last_line_of_an_owner_is_bounded(self) -> None:
         self.log.span(7.0, 3.0)
--- a/test/test_jobs_idle_spans.py
+++ b/test/test_jobs_idle_spans.py
@@ -394,6 +394,15 @@
         self.assertLessEqual(len(found), 2 * MAX_LINES_PER_REPORT)
         self.assertTrue(any("more are not logged" in line.reason for line in found))
 
+    def test_a_span_that_a_report_leaves_out_has_a_line_later(self) -> None:
+        count = 3 * MAX_LINES_PER_REPORT
+        for number in range(1, count + 1):
+            self.world.submit(number, replace(step(1), size=HUGE))
+        self.world.run(0.5)
+        self.take_tables()
+        self.pass_time(6.0)
+        self.assertEqual(count, len({line.subject for line in self.logged()}))
+
     def test_the_interval_grows_with_the_number_of_rows(self) -> None:
         job = self.world.submit(1, replace(step(1), size=HUGE))
         self.world.run(0.5)
