--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -8,9 +8,15 @@
 A run lasts from its start at an agent to its end at the owner. If it ended as lost, it
 lasts to the last line of its host before that; if it has no end, to the last line of a
 host that has written none since the last change of owner. Jobs with several occurrences
-are left out, since no line says when one is due. What reads a log may drop lines of a
+are left out, since no line says when one is due. A run without a line of its start that
+an agent has paced began with its placement. A job that a next owner finds ended has
+ended with the last line about it before. What reads a log may drop lines of a
 busy process, which shows in their numbers: if owners' lines are missing after the last
 line about a job or task that has no end, the time after that line does not count.
+
+Each time comes with the longest part of it for which an owner saw room for the task
+twice, as far as its `job.idle_span` lines tell; those of several owners are joined. The
+end says how much of the capacity was in use last, and names the worst times.
 """
 
 from __future__ import annotations
@@ -23,26 +29,25 @@
 
 from absl import app, flags
 
+from bulrushpulley.entities.jobs import rows
+from scripts.idle_lines import (
+    MIN_LOGGED_SPAN_S,
+    IdleLine,
+    Span,
+    capacity_lines,
+    describe_room,
+    idle_lines_by_subject,
+    owned_times_s,
+    room_in,
+)
 from scripts.log_lines import Line, missing_times_s, parse
 
 FLAGS = flags.FLAGS
 COUNTED_GAPS_S = (3.0, 6.0, 12.0)
 RUN_KEY = re.compile(r"\w+\.\d+\.\d+\.\d+#\d+")
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Span:
-    """A span of time."""
-
-    start_s: float
-    end_s: float
-
-    @property
-    def length_s(self) -> float:
-        """The length."""
-        return self.end_s - self.start_s
-
-
+# Lines of agents about a run that works.
+WORK_KINDS = ("run.start", "run.pace")
+FINAL_STATES = tuple(state.value for state in rows.FINAL_STATES)
 # The subject is a job or a task.
 Gap = tuple[str, Span]
 
@@ -102,7 +107,7 @@
 ) -> Run:
     task_id, _, number = about[0].subject.rpartition("#")
     seen = Span(start_s=about[0].timestamp, end_s=about[-1].timestamp)
-    start = next((line for line in about if line.message_type == "run.start"), None)
+    start = _start(about)
     end = next((line for line in about if line.message_type == "task.end"), None)
     running = None
     if start is not None:
@@ -129,6 +134,20 @@
     )
 
 
+def _start(about: Sequence[Line]) -> Line | None:
+    """Return the line of a run's start, or one of its agent at the time it was placed.
+
+    A list of runs may show a run before its start is answered; agents of earlier
+    versions have no line of such a start.
+    """
+    worked = [line for line in about if line.message_type in WORK_KINDS]
+    if not worked:
+        return None
+    if worked[0].message_type == "run.start":
+        return worked[0]
+    return replace(worked[0], timestamp=about[0].timestamp)
+
+
 def longest_gap(window: Span, busy: Iterable[Span]) -> Span:
     """Return the longest part of a window that no busy span covers."""
     longest = Span(start_s=window.start_s, end_s=window.start_s)
@@ -144,17 +163,31 @@
 def job_windows(lines: Sequence[Line]) -> dict[str, Span]:
     """Return the time from the acceptance of each job to its end or the log's."""
     window_by_job: dict[str, Span] = {}
+    # The answer to a caller is no step of a job.
+    last_s_by_job: dict[str, float] = {}
     for line in lines:
+        job_id = line.subject.partition(".")[0]
         window = window_by_job.get(line.subject)
         if line.message_type == "job.accept" and window is None:
             span = Span(start_s=line.timestamp, end_s=lines[-1].timestamp)
-            window_by_job[line.subject] = span
-        elif window is not None and _ends_job(line):
+            window = window_by_job[line.subject] = span
+        if window is not None and _ends_job(line):
             end_s = min(window.end_s, line.timestamp)
             window_by_job[line.subject] = replace(window, end_s=end_s)
+        elif window is not None and _finds_job_ended(line):
+            end_s = min(window.end_s, last_s_by_job.get(job_id, line.timestamp))
+            end_s = max(window.start_s, end_s)
+            window_by_job[line.subject] = replace(window, end_s=end_s)
+        if line.message_type != "call.answer":
+            last_s_by_job[job_id] = line.timestamp
     return window_by_job
 
 
+def _finds_job_ended(line: Line) -> bool:
+    """Return whether an owner takes over a job that has ended."""
+    return line.message_type == "job.accept" and line.reason.startswith(FINAL_STATES)
+
+
 def _ends_job(line: Line) -> bool:
     """Return whether a line says that a job has ended; the owner's may be lost."""
     return line.message_type == "job.end" or line.chosen == "JobCancelled"
@@ -202,6 +235,42 @@
     return sorted(gaps, key=lambda gap: -gap[1].length_s)
 
 
+def worst_line(
+    job_gaps: Sequence[Gap],
+    idle_by_subject: Mapping[str, Sequence[IdleLine]],
+    owned_s: Sequence[float],
+) -> str:
+    """Return one line with the worst time with room, and the worst of all.
+
+    Those of lasting tasks are the spans that owners logged.
+    """
+    rooms = [
+        (room_in(span, idle_by_subject.get(subject, ()), owned_s), subject)
+        for subject, span in job_gaps
+        if span.length_s >= MIN_LOGGED_SPAN_S
+    ]
+    count = sum(room.seen_s >= COUNTED_GAPS_S[0] for room, _ in rooms)
+    seen = max(((room.seen_s, subject) for room, subject in rooms), default=(0.0, "-"))
+    possible_s = max((room.possible_s for room, _ in rooms), default=0.0)
+    longest = job_gaps[0] if job_gaps else ("-", Span(start_s=0.0, end_s=0.0))
+    lasting = [
+        line
+        for subject, logged in idle_by_subject.items()
+        if "." in subject
+        for line in logged
+    ]
+    lasting_room_s = max((line.room_s for line in lasting), default=0.0)
+    lasting_s = max((line.span.length_s for line in lasting), default=0.0)
+    job_id = seen[1] if seen[0] else "-"
+    return (
+        f"worst: {seen[0]:.2f} s with room ({job_id}),"
+        f" at most {possible_s:.2f} s with what is not known;"
+        f" {longest[1].length_s:.2f} s of all ({longest[0]});"
+        f" {count} jobs with room for {COUNTED_GAPS_S[0]:g} s;"
+        f" lasting tasks {lasting_room_s:.2f} s with room, {lasting_s:.2f} s of all"
+    )
+
+
 def summary(name: str, gaps: Sequence[Gap]) -> str:
     """Return one line with the longest gap and how many exceed each length."""
     longest_s = gaps[0][1].length_s if gaps else 0.0
@@ -218,10 +287,17 @@
     for line in lines:
         lines_by_job[line.subject.partition(".")[0]].append(line)
     job_gaps, task_gaps = find_gaps(lines)
+    idle_by_subject = idle_lines_by_subject(lines)
+    owned_s = owned_times_s(lines)
     printed: list[str] = []
     for subject, span in (*job_gaps[:worst], *task_gaps[:worst]):
         times = f"from {span.start_s:.3f} s to {span.end_s:.3f} s"
-        printed.append(f"{subject}: {span.length_s:.2f} s, {times}")
+        logged = idle_by_subject.get(subject, ())
+        text = f"{subject}: {span.length_s:.2f} s, {times}"
+        if logged or "." not in subject:
+            # Only the lasting ones of the tasks have spans of their own.
+            text += f", {describe_room(span, room_in(span, logged, owned_s))}"
+        printed.append(text)
         last_by_task = {
             line.subject.partition("#")[0]: line
             for line in lines_by_job[subject.partition(".")[0]]
@@ -230,7 +306,13 @@
         for task_id, line in sorted(last_by_task.items()):
             text = f"{line.message_type} {line.chosen} {line.reason}"
             printed.append(f"    {task_id:24} {line.timestamp:8.3f} {text}")
-    return [*printed, summary("jobs", job_gaps), summary("tasks", task_gaps)]
+    return [
+        *printed,
+        summary("jobs", job_gaps),
+        summary("tasks", task_gaps),
+        *capacity_lines(lines),
+        worst_line(job_gaps, idle_by_subject, owned_s),
+    ]
 
 
 def main(argv: list[str]) -> None:
