--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -50,6 +50,8 @@
     opened, and `life` the current incarnation of the backend server. `last_contact_at`
     is the time of the agent's last contact in this tenure, or zero. Without one, its
     runs have ended by `runs_end_by`, if a former owner has recorded that, or zero.
+    `contact_sent_at` is when the agent sent its last contact over this link, on its own
+    clock.
     `announced_epoch` is the tenure that was last announced to the agent, at
     `announced_at`, and zero if it is to be announced again. It was first announced at
     `adopted_at`, or never in this tenure if that is zero, and `adoptions` counts how
@@ -79,6 +81,7 @@
     labels: tuple[str, ...] = ()
     leaves_in_s: float = 0.0
     last_contact_at: float = 0.0
+    contact_sent_at: float | None = None
     runs_end_by: float = 0.0
     announced_epoch: int = 0
     announced_at: float = 0.0
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -33,7 +33,12 @@
     ProgressRow,
     WaveState,
 )
-from bulrushpulley.entities.jobs.store import Purpose, Transact, WatchState
+from bulrushpulley.entities.jobs.store import (
+    ProbeState,
+    Purpose,
+    Transact,
+    WatchState,
+)
 from bulrushpulley.entities.jobs.task import Task
 from bulrushpulley.entities.jobs.upkeep import UpkeepTables
 from bulrushpulley.entities.step import Command, Event, Step
@@ -115,9 +120,10 @@
 class Owning(Leadership):
     """This process has owned the shard since `since`, by an owner row of `version`.
 
-    `renewed_at` is when the last successful transaction was first sent. Agents of
-    former owners renew no leases after `renewals_end_at`. `loading` names the tables
-    that have not been read yet; the last of them was read at `loaded_at`.
+    `sequence` is that of the last owner row that was sent. `renewed_at` is when the
+    last successful transaction was first sent. Agents of former owners renew no leases
+    after `renewals_end_at`. `loading` names the tables that have not been read yet; the
+    last of them was read at `loaded_at`.
     """
 
     epoch: int
@@ -130,21 +136,43 @@
     loaded_at: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Batch:
+    """What an owner row makes durable beyond the batches before it.
+
+    `effects_by_job` holds the jobs whose progress was new, with the effects deferred
+    until then. The transaction was first sent at `first_sent_at`, when `row` was made.
+    """
+
+    row: OwnerRow
+    effects_by_job: Map[str, tuple[Effect, ...]]
+    first_sent_at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Commit:
-    """The one transaction in flight, and the effects to apply once it is durable."""
+    """The one transaction in flight, and the effects to apply once it is durable.
+
+    An attempt may hold more than those before it. Each batch has an owner row of its
+    own, and all require the same version of that row, so at most one of them is ever
+    applied, whenever that is. The last of the `batches` was sent last; `job_ids` are
+    the jobs of all of them. `waves` are in each attempt.
+    """
 
     transact: Transact
-    row: OwnerRow
-    effects: tuple[Effect, ...]
+    batches: tuple[Batch, ...]
     job_ids: frozenset[str]
     waves: tuple[int, ...]
-    first_sent_at: float
     sent_at: float
     in_flight: bool = True
     retry_at: float = 0.0
     attempts: int = 1
 
+    @property
+    def row(self) -> OwnerRow:
+        """The owner row of the last attempt."""
+        return self.batches[-1].row
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerTables:
@@ -165,6 +193,7 @@
     - `unhandled_row_by_host` holds the rows of hosts that tell of runs, until the next
       tick of a loaded shard.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
+    - `probe` is in use while `commit` waits for the store.
     - `store_latency_s` is the smoothed latency of the store.
     - `wall_offset_s` is the time since 1970 minus the role's clock, the median of the
       recent readings in `wall_offsets_s`.
@@ -212,6 +241,7 @@
     unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
+    probe: ProbeState = field(default_factory=ProbeState)
     watch_by_table: Map[str, WatchState] = field(default_factory=Map)
     backlog: BacklogRow = NO_BACKLOG
     backlog_counted_at: float = 0.0
@@ -303,6 +333,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeStore(TenurePurpose):
+    """An owner reads its row, at `sent_at`, to see whether the store answers again."""
+
+    sent_at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadTable(TenurePurpose):
     """A new owner reads a table of its shard."""
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -157,3 +157,16 @@
     in_flight: bool = False
     failed: bool = False
     retry_at: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeState:
+    """The state of the reads that show whether the store answers again.
+
+    The last one was sent at `sent_at`; `failed` is set if the last one that has ended
+    failed.
+    """
+
+    sent_at: float = 0.0
+    in_flight: bool = False
+    failed: bool = False
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -25,6 +25,7 @@
     machine_list,
     ownership,
     placing,
+    probing,
     purging,
     readopting,
     unblocking,
@@ -61,6 +62,7 @@
     condensing.run,
     purging.run,
     committing.run,
+    probing.run,
     unserved.run,
 )
 
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -72,6 +72,7 @@
         host,
         peer=event.peer,
         linked_at=now,
+        contact_sent_at=None,
         announced_epoch=0,
         synced=False,
         redials=0,
@@ -167,14 +168,40 @@
 
 @apply_item.register
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
-    tables = edits.put_host(tables, replace(host, last_contact_at=now))
+    host = replace(host, last_contact_at=now, contact_sent_at=event.sent_at)
+    tables = edits.put_host(tables, host)
+    return Step(tables=tables, commands=_confirm_contact(tables, host, now))
+
+
+def _confirm_contact(
+    tables: SchedulerTables, host: Host, now: float
+) -> tuple[Command, ...]:
+    """Return the answer to the last contact of an agent, if it may renew leases."""
     renewals_for_s = _permitted_renewals_s(tables, host, now)
-    if renewals_for_s <= 0.0:
-        return Step(tables=tables)
+    if renewals_for_s <= 0.0 or host.contact_sent_at is None:
+        return ()
     ack = ContactAck(
-        epoch=tables.epoch, sent_at=event.sent_at, renewals_for_s=renewals_for_s
+        epoch=tables.epoch, sent_at=host.contact_sent_at, renewals_for_s=renewals_for_s
+    )
+    return (Send(peer=host.peer, item=ack),)
+
+
+def confirm_contacts(
+    tables: SchedulerTables, renewed_before_at: float, now: float
+) -> tuple[Command, ...]:
+    """Confirm contacts again after a renewal that came late.
+
+    The permission that agents had may have ended or be about to, and without it they
+    would start nothing before their next contact.
+    """
+    bounds = tables.bounds
+    if now - renewed_before_at <= bounds.owner_autonomy_s - bounds.agent_autonomy_s:
+        return ()
+    return tuple(
+        command
+        for host in tables.hosts.rows_where("link", f"{tables.epoch}")
+        for command in _confirm_contact(tables, host, now)
     )
-    return Step(tables=tables, commands=(Send(peer=host.peer, item=ack),))
 
 
 def _permitted_renewals_s(tables: SchedulerTables, host: Host, now: float) -> float:
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -2,12 +2,18 @@
 
 Effects of a job, such as sending a start order, are deferred until the transaction
 with its progress has succeeded. Each transaction sets a sequence number of its own in
-the owner row. After a lost answer the same transaction is sent again: if the first
-attempt was applied, the retry conflicts with the owner row that it wrote itself.
+the owner row. After a lost answer it is sent again, on the same condition and with all
+that has come to be written since, under a new sequence number. So one attempt at most
+is applied, and if it was an earlier one, the retry conflicts with the owner row that
+this one wrote; what only later attempts held is then written by the next transaction.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from immutables import Map
+
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.rows import (
     OWNER_KEY,
@@ -17,6 +23,7 @@
 )
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
+    Batch,
     Commit,
     CommitProgress,
     Effect,
@@ -66,6 +73,7 @@
 def _send_again(
     tables: SchedulerTables, commit: Commit, timeout_s: float, now: float
 ) -> SchedulerStep:
+    tables, commit = _with_later_progress(tables, commit, now)
     attempt = commit.attempts + 1
     transact = replace(
         commit.transact,
@@ -79,12 +87,56 @@
     return Step(tables=tables, commands=(transact,))
 
 
+def _with_later_progress(
+    tables: SchedulerTables, commit: Commit, now: float
+) -> tuple[SchedulerTables, Commit]:
+    """Add the progress that has come to be written since the last attempt."""
+    owning = tables.leadership
+    due = _due_job_ids(tables, commit.job_ids)
+    if not due or not isinstance(owning, Owning):
+        return tables, commit
+    row = _next_owner_row(tables, owning, now)
+    tables, batch = _take_batch(tables, row, due, now)
+    job_ids = commit.job_ids.union(due)
+    others = (
+        put
+        for put in commit.transact.puts
+        if not isinstance(put, (OwnerRow, ProgressRow))
+    )
+    progress = (progress_of(tables, job_id) for job_id in sorted(job_ids))
+    transact = replace(commit.transact, puts=(row, *others, *progress))
+    extended = replace(
+        commit, transact=transact, batches=(*commit.batches, batch), job_ids=job_ids
+    )
+    return tables, extended
+
+
+def _take_batch(
+    tables: SchedulerTables, row: OwnerRow, job_ids: Iterable[str], now: float
+) -> tuple[SchedulerTables, Batch]:
+    """Return a batch with the deferred effects of jobs, and the tables without them.
+
+    The sequence number of its row is used up, whether or not the row is ever written.
+    """
+    taken: dict[str, tuple[Effect, ...]] = {}
+    remaining = tables.effects_by_job
+    for job_id in job_ids:
+        taken[job_id] = remaining[job_id]
+        remaining = remaining.delete(job_id)
+    leadership = tables.leadership
+    if isinstance(leadership, Owning):
+        leadership = replace(leadership, sequence=row.sequence)
+    tables = replace(tables, effects_by_job=remaining, leadership=leadership)
+    batch = Batch(row=row, effects_by_job=Map(taken), first_sent_at=now)
+    return tables, batch
+
+
 def _purpose(tables: SchedulerTables, row: OwnerRow, attempt: int) -> CommitProgress:
     return CommitProgress(epoch=tables.epoch, sequence=row.sequence, attempt=attempt)
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
-    due = _due_job_ids(tables)
+    due = _due_job_ids(tables, frozenset())
     if not due and not _is_renewal_due(tables, owning, now):
         return Step(tables=tables)
     row = _next_owner_row(tables, owning, now)
@@ -105,25 +157,17 @@
         conditions=(Condition(key=OWNER_KEY, version=owning.version),),
         puts=tuple(puts),
     )
-    deferred = tuple(
-        effect for job_id in due for effect in tables.effects_by_job[job_id]
-    )
-    remaining_effects = tables.effects_by_job
-    for job_id in due:
-        remaining_effects = remaining_effects.delete(job_id)
+    tables, batch = _take_batch(tables, row, due, now)
     commit = Commit(
         transact=transact,
-        row=row,
-        effects=deferred,
+        batches=(batch,),
         job_ids=frozenset(due),
         waves=tuple(row.number for row in unwritten),
-        first_sent_at=now,
         sent_at=now,
     )
     tables = replace(
         waves.mark_submitted(tables, unwritten),
         commit=commit,
-        effects_by_job=remaining_effects,
         backlog_written=tables.backlog,
     )
     return Step(tables=tables, commands=(transact,))
@@ -159,14 +203,16 @@
     )
 
 
-def _due_job_ids(tables: SchedulerTables) -> list[str]:
+def _due_job_ids(tables: SchedulerTables, sent: frozenset[str]) -> list[str]:
+    """Return the jobs to be written that fit into a transaction beside those `sent`."""
     chosen: list[str] = []
-    tasks = 0
+    jobs = len(sent)
+    tasks = sum(tables.tasks.count_where("job", job_id) for job_id in sent)
     for job_id in tables.effects_by_job:
-        tasks += tables.tasks.count_where("job", job_id)
-        if chosen and (
-            tasks > MAX_TASKS_PER_COMMIT or len(chosen) >= MAX_JOBS_PER_COMMIT
-        ):
+        if job_id not in sent:
+            jobs += 1
+            tasks += tables.tasks.count_where("job", job_id)
+        if jobs > 1 and (tasks > MAX_TASKS_PER_COMMIT or jobs > MAX_JOBS_PER_COMMIT):
             break
         chosen.append(job_id)
     return chosen
@@ -194,27 +240,60 @@
 def handle_committed(
     version: int, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Record the renewal and apply the effects that waited for the transaction."""
-    commit, owning = tables.commit, tables.leadership
-    if commit is None or not isinstance(owning, Owning):
+    """Record that all that was sent is durable."""
+    commit = tables.commit
+    if commit is None:
         return Step(tables=tables)
-    if tables.leaving and not commit.row.holder:
+    return _apply_batches(version, tables, commit, len(commit.batches), now)
+
+
+def _apply_batches(
+    version: int, tables: SchedulerTables, commit: Commit, applied: int, now: float
+) -> SchedulerStep:
+    """Record the renewal and apply the effects of the first `applied` batches.
+
+    The others are to be written again.
+    """
+    owning = tables.leadership
+    if not isinstance(owning, Owning):
+        return Step(tables=tables)
+    last = commit.batches[applied - 1]
+    if tables.leaving and not last.row.holder:
         return ownership.become_follower(tables, now, "the process is stopping")
-    renewed = replace(
-        owning,
-        version=version,
-        sequence=commit.row.sequence,
-        renewed_at=commit.first_sent_at,
-    )
+    renewed = replace(owning, version=version, renewed_at=last.first_sent_at)
     took_s = now - commit.sent_at
     store_latency_s = store_timeouts.smoothed_latency_s(tables.store_latency_s, took_s)
     tables = waves.mark_durable(tables, commit.waves)
     tables = replace(
-        tables, leadership=renewed, commit=None, store_latency_s=store_latency_s
+        tables,
+        leadership=renewed,
+        commit=None,
+        store_latency_s=store_latency_s,
+        effects_by_job=_with_unapplied(tables.effects_by_job, commit.batches[applied:]),
+    )
+    first_sent_at = commit.batches[0].first_sent_at
+    observation = Observe(name="commit_seconds", seconds=now - first_sent_at)
+    deferred = tuple(
+        effect
+        for batch in commit.batches[:applied]
+        for effects_of_job in batch.effects_by_job.values()
+        for effect in effects_of_job
     )
-    observation = Observe(name="commit_seconds", seconds=now - commit.first_sent_at)
-    step = _apply_effects(commit.effects, tables, now)
-    return Step(tables=step.tables, commands=(observation, *step.commands))
+    confirmations = agents.confirm_contacts(tables, owning.renewed_at, now)
+    step = _apply_effects(deferred, tables, now)
+    commands = (observation, *confirmations, *step.commands)
+    return Step(tables=step.tables, commands=commands)
+
+
+def _with_unapplied(
+    effects_by_job: Map[str, tuple[Effect, ...]], batches: tuple[Batch, ...]
+) -> Map[str, tuple[Effect, ...]]:
+    """Put the effects of batches before those that were deferred later."""
+    for batch in reversed(batches):
+        for job_id, earlier in batch.effects_by_job.items():
+            later = effects_by_job.get(job_id, ())
+            effects_by_job = effects_by_job.set(job_id, (*earlier, *later))
+    return effects_by_job
 
 
 def _apply_effects(
@@ -234,28 +313,31 @@
     if commit is None:
         return Step(tables=tables)
     for stored in event.rows:
-        if stored.key == OWNER_KEY and stored.row == commit.row:
-            return handle_committed(stored.version, tables, now)
+        if stored.key != OWNER_KEY:
+            continue
+        for applied, batch in enumerate(commit.batches, start=1):
+            if stored.row == batch.row:
+                return _apply_batches(stored.version, tables, commit, applied, now)
     return ownership.become_follower(tables, now, "another entry took the shard over")
 
 
 def handle_outcome_unknown(
     tables: SchedulerTables, now: float, reason: str
 ) -> SchedulerStep:
-    """Retry the same transaction immediately."""
+    """Retry the transaction immediately."""
     return _retry(tables, now, 0.0, reason)
 
 
 def handle_store_back(
     tables: SchedulerTables, read_sent_at: float, now: float
 ) -> SchedulerStep:
-    """Send the transaction in flight again if a read that was sent later is answered.
+    """Send the transaction again if a read that was sent later is answered.
 
-    The store did not answer before, so the transaction was lost as well. Its timeout
-    may be seconds away.
+    The store did not answer before, so the transaction was lost or refused as well. Its
+    timeout may be seconds away.
     """
     commit = tables.commit
-    if commit is None or not commit.in_flight or commit.sent_at >= read_sent_at:
+    if commit is None or commit.sent_at >= read_sent_at:
         return Step(tables=tables)
     line = effects.log_retry(tables, commit, "the store answers again")
     timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
@@ -264,7 +346,7 @@
 
 
 def handle_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
-    """Retry the same transaction with exponential backoff."""
+    """Retry the transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
     retry_delay_s = exponential_delay_s(
         min_delay_s=PROGRESS_COMMIT_RETRY_DELAY_S,
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -25,6 +25,7 @@
     LoadWaves,
     OperatorSettingsChanged,
     PollOwner,
+    ProbeStore,
     RereadTable,
     SchedulerStep,
     SchedulerTables,
@@ -61,6 +62,7 @@
     loading,
     machine_list,
     ownership,
+    probing,
     purging,
     upkeep,
     upkeep_refusals,
@@ -173,6 +175,15 @@
     return ownership.handle_owner_read_failed(tables, now)
 
 
+@handle_store_event.register
+def _(
+    purpose: ProbeStore, event: StoreEvent, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    if isinstance(event, RangeRead):
+        return probing.handle_answered(purpose, tables, now)
+    return probing.handle_failed(purpose, tables)
+
+
 @handle_store_event.register
 def _(
     purpose: LoadTable, event: StoreEvent, tables: SchedulerTables, now: float
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -183,6 +183,7 @@
             life="",
             state=ServerState.UNKNOWN,
             last_contact_at=0.0,
+            contact_sent_at=None,
             runs_end_by=0.0,
             announced_epoch=0,
             adoptions=0,
--- /dev/null
+++ b/test/test_jobs_store_return.py
@@ -0,0 +1,103 @@
+"""Tests of how soon after an outage of the store a step begins.
+
+What an outage held up passed one transaction after the other once the store was back:
+the one that had no answer, then the one with the placements. The first of them waited
+for a watch to be answered, up to 1 s. A step that an outage had held up was then judged
+as one that could run and does not (LOST at the end of a day).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import testtools
+
+from bulrushpulley.entities.jobs.executor_calls import StartRun
+from bulrushpulley.entities.step import Command
+from test.jobs_world import JobsWorld, step
+
+ENTRIES = ("entry-0", "entry-1", "entry-2")
+# A job is judged by the last 3 s of a day, and the store may be back this long before
+# their end.
+MAX_START_DELAY_S = 0.7
+OUTAGES_S = tuple(1.0 + 0.25 * number for number in range(29))
+# Nothing runs between the end of the first step, at about 1 s, and the return of the
+# store.
+STEP_S = 1.0
+FIRST_TASKS = 4
+TASKS = 10
+
+
+def _silence(world: JobsWorld) -> None:
+    world.cut_off_from_store.update(ENTRIES)
+
+
+def _refuse(world: JobsWorld) -> None:
+    world.store_up = False
+
+
+def _end(world: JobsWorld) -> None:
+    world.cut_off_from_store.clear()
+    world.store_up = True
+
+
+class StoreReturnTest(testtools.TestCase):
+    def _start_delay_s(
+        self,
+        outage_s: float,
+        begin: Callable[[JobsWorld], None],
+        *,
+        before_s: float,
+        far: bool = False,
+    ) -> float:
+        """Return how long after an outage the last task of a second step starts.
+
+        The outage begins `before_s` after the submission, and the first step ends in
+        it.
+        """
+        world = JobsWorld(entries=len(ENTRIES), hosts=4)
+        if far:
+            world.far_from_store.update(ENTRIES)
+        started_at: list[float] = []
+
+        def record(command: Command) -> None:
+            if isinstance(command, StartRun):
+                started_at.append(world.now)
+
+        world.hook = record
+        world.run(3.0)
+        world.submit(
+            1, step(FIRST_TASKS), step(TASKS - FIRST_TASKS, after=(0,)), payload="1.0"
+        )
+        world.run(before_s)
+        self.assertEqual(FIRST_TASKS, world.starts)
+        begin(world)
+        world.run(outage_s)
+        _end(world)
+        back_at = world.now
+        self.assertTrue(world.run_until(lambda: world.starts == TASKS, 10.0))
+        self.assertEqual([], world.violations)
+        return started_at[-1] - back_at
+
+    def _late(self, begin: Callable[[JobsWorld], None], far: bool) -> dict[str, float]:
+        delays = {
+            f"{outage_s:g} s, begun after {before_s:g} s": self._start_delay_s(
+                outage_s, begin, before_s=before_s, far=far
+            )
+            for outage_s in OUTAGES_S
+            for before_s in (0.5, 0.8)
+        }
+        return {
+            case: round(delay_s, 2)
+            for case, delay_s in delays.items()
+            if delay_s > MAX_START_DELAY_S
+        }
+
+    def test_a_step_begins_soon_after_a_silence(self) -> None:
+        self.assertEqual({}, self._late(_silence, far=False))
+
+    def test_a_step_begins_soon_after_a_silence_of_a_far_store(self) -> None:
+        self.assertEqual({}, self._late(_silence, far=True))
+
+    def test_a_step_begins_soon_after_refusals(self) -> None:
+        self.assertEqual({}, self._late(_refuse, far=False))
