scripts/gaps counts the spans of its lasting tasks for a job

The owner measures lasting tasks by themselves, so jobs whose tasks all last came with "room for 0.00 s, perhaps 12.12 s" although each of their tasks had lines.

test_the_spans_of_its_lasting_tasks_count_for_a_job failed before.

--- a/scripts/idle_lines.py
+++ b/scripts/idle_lines.py
@@ -55,7 +55,10 @@
 
 
 def idle_lines_by_subject(lines: Iterable[Line]) -> Mapping[str, Sequence[IdleLine]]:
-    """Return the spans that owners logged, by job or lasting task."""
+    """Return the spans that owners logged, by job or lasting task.
+
+    A job whose tasks last has no spans of its own; those of its tasks count for it.
+    """
     found: defaultdict[str, list[IdleLine]] = defaultdict(list)
     for line in lines:
         length = IDLE_LENGTH.match(line.reason)
@@ -70,6 +73,10 @@
                 subject=line.subject, span=span, room_s=room_s, lasts=length[2] is None
             )
         )
+    for subject, logged in tuple(found.items()):
+        job_id, is_task, _ = subject.partition(".")
+        if is_task:
+            found[job_id].extend(logged)
     return found
 
 
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -398,6 +398,12 @@
         last = self.report()[-1]
         self.assertIn("lasting tasks 3.25 s with room, 3.50 s of all", last)
 
+    def test_the_spans_of_its_lasting_tasks_count_for_a_job(self) -> None:
+        self.log.start(9.0, "0.0.0", run=2)
+        self.log.span(9.5, 5.0, 4.25, ended_s=0.5, subject=f"{JOB}.0.0.0")
+        self.log.end_job(10.0)
+        self.assertIn("to 9.000 s, room for 4.25 s", self.report()[0])
+
     def test_the_share_in_use_at_the_end_is_printed(self) -> None:
         for at_s, processors in ((10.0, 0.7), (15.0, 0.327)):
             reason = (
