Give a denied start back at once if no other call for it can be in flight

Callers saw: nothing directly. A task whose start a host denied with 409 (`room`, `fence`, `ticket`) or 400 went to the next host about 0.8 s later, so beside four such hosts its job had nothing running for over 3 s (LOST).

Cause: the agent barred each denied run by a stop and a list that was requested later, also where its only call had been answered, and so had done nothing. A 503 was given back at once already.

Change: a run is barred first only if a call for it may still be carried out: one had no answer, or the order came in a complete list, which may repeat an order that an earlier process of the host has sent. The latter holds for 503 as well now, where a run that was ordered anew after a restart of its agent was given back although a call of the earlier process could be in flight.

Evidence: `DeniedStartTest`, of which `test_it_is_refused_at_once` failed before (no refusal).

--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -49,8 +49,9 @@
 
     A run that is not `wanted` is stopped. No call about it is sent before `retry_at`
     or while one is in flight. `since` is when the order came or the run was first
-    listed. `unconfirmed` is set once a start got no answer, and `denied` is the reason
-    for which the backend server denied one. `pace` is the intended percentage of full
+    listed. `unconfirmed` is set once a start got no answer, or if an earlier process of
+    the host may have sent one, and `denied` is the reason for which the backend server
+    denied one. `pace` is the intended percentage of full
     speed, and `pace_set` the last one that was sent, or zero if the actual one is not
     known. Until `pace_uncertain_until` a late call may still change it, so the pace is
     sent again. `reported` is the status that the owner was last sent.
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -84,7 +84,7 @@
     if event.complete:
         tables = _drop_unlisted(tables, event)
     for order in event.start:
-        tables = _mark_wanted(tables, order, now)
+        tables = _mark_wanted(tables, order, now, repeated=event.complete)
     for ref in event.stop:
         tables = _mark_unwanted(tables, ref, now)
     return Step(tables=tables)
@@ -104,12 +104,19 @@
     return replace(tables, orders_complete=True)
 
 
-def _mark_wanted(tables: JobAgentTables, order: RunOrder, now: float) -> JobAgentTables:
+def _mark_wanted(
+    tables: JobAgentTables, order: RunOrder, now: float, *, repeated: bool
+) -> JobAgentTables:
+    """Record that a run is to be started or kept.
+
+    An order that may be `repeated` may have been given to an earlier process of this
+    host, whose call is then not known to be answered.
+    """
     ref = RunRef(task_id=order.task_id, run=order.run)
     if any(end.key == order.key for end in tables.ends.values()):
         return tables
     known = tables.runs.get(order.key)
-    run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now)
+    run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now, unconfirmed=repeated)
     barred = run.phase is RunPhase.BARRED
     ordered = replace(run, order=order, wanted=run.wanted if barred else True)
     return edits.put_run(tables, ordered)
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -163,20 +163,27 @@
 def handle_start_denied(
     event: StartDenied, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Retry with a newer lease, or make sure that the run never starts."""
+    """Retry with a newer lease, or return the run to the owner.
+
+    A denied call has done nothing. The run has to be barred first only if an earlier
+    call had no answer, as that one may still be carried out.
+    """
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
         return Step(tables=tables)
     if run_.phase is not RunPhase.STARTING:
         return Step(tables=_with_call_ended(tables, run_))
+    line = _line(tables, run_, event.reason)
     if event.final:
         denied = replace(run_, phase=RunPhase.BARRED, barred_at=now, in_flight=False)
     elif event.reason == "late":
         denied = replace(run_, in_flight=False, retry_at=now + RUN_START_RETRY_DELAY_S)
-    else:
+    elif run_.unconfirmed:
         denied = replace(run_, in_flight=False, wanted=False, denied=event.reason)
-    tables = edits.put_run(tables, denied)
-    return Step(tables=tables, commands=(_line(tables, run_, event.reason),))
+    else:
+        step = refusing.refuse(tables, run_, event.reason)
+        return Step(tables=step.tables, commands=(line, *step.commands))
+    return Step(tables=edits.put_run(tables, denied), commands=(line,))
 
 
 def handle_start_unhealthy(
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -211,6 +211,63 @@
         self.assertEqual(1, stops)
 
 
+class DeniedStartTest(testtools.TestCase):
+    """A start is answered with 409, and nothing has been done.
+
+    A run that was barred first, although no call for it could be in flight, kept its
+    task from other hosts for 0.8 s more.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = Bench()
+        self.ref = RunRef(task_id="t", run=1)
+        self.denied = StartDenied(server_id="i-1", run=self.ref, reason="room")
+
+    def refusals(self, commands: list[Command]) -> list[str]:
+        """Return the reasons of refusals."""
+        return [
+            command.item.reason
+            for command in commands_of(Send, commands)
+            if isinstance(command.item, RunRefused)
+        ]
+
+    def test_it_is_refused_at_once(self) -> None:
+        self.assertEqual(1, len(commands_of(StartRun, self.bench.order("t"))))
+        commands = self.bench.tell(self.denied)
+        self.assertEqual(["room"], self.refusals(commands))
+        self.assertEqual([], commands_of(StopRun, commands))
+
+    def test_it_is_barred_first_if_an_earlier_call_had_no_answer(self) -> None:
+        self.bench.order("t")
+        lost = StartUnanswered(server_id="i-1", run=self.ref, reason="no answer")
+        self.bench.tell(lost)
+        self.bench.now += 0.1
+        self.assertEqual(1, len(commands_of(StartRun, self.bench.tell())))
+        self.check_that_it_is_barred_first(self.bench.tell(self.denied))
+
+    # An earlier process of the host may have sent a call, which may be in flight.
+    def test_it_is_barred_first_if_its_order_may_be_repeated(self) -> None:
+        self.bench.list_runs()
+        size = Resources(processors_m=1_000, memory_mb=1_000)
+        order = RunOrder(task_id="t", run=1, payload="p", committed=size)
+        orders = Orders(
+            peer=OWNER, epoch=1, life=INCARNATION, start=(order,), complete=True
+        )
+        self.assertEqual(1, len(commands_of(StartRun, self.bench.tell(orders))))
+        self.check_that_it_is_barred_first(self.bench.tell(self.denied))
+
+    def check_that_it_is_barred_first(self, commands: list[Command]) -> None:
+        """Check that it is refused by a list that was requested after its stop."""
+        self.assertEqual([], self.refusals(commands))
+        self.assertEqual(1, len(commands_of(StopRun, commands)))
+        self.assertEqual([], self.refusals(self.bench.list_runs()))
+        self.bench.tell(StopAnswered(server_id="i-1", run=self.ref))
+        self.bench.list_runs()
+        self.bench.tell()
+        self.assertEqual(["room"], self.refusals(self.bench.list_runs()))
+
+
 class ReorderedAnswersTest(testtools.TestCase):
     def test_a_run_listed_before_its_start_is_answered_can_be_stopped(self) -> None:
         # If the answer to a start arrives after a list with the run, the run must not
