Bar a denied run unless its answer says that nothing was done

Callers saw: nothing. A status such as 500 counted as a sure denial, so a run whose start may have been carried out would have been given back unbarred, and its task could have run twice (TWICE).

Change: the adapter says which denials are certain (409, 400, 421); a run that was denied otherwise is barred first, as it always was.

Evidence: `StartOutcomeTest` and `test_it_is_barred_first_if_the_call_may_have_done_something`.

--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -160,10 +160,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartDenied(RunEvent):
-    """The run was not started; if `final`, it can never start."""
+    """The run was not started; if `final`, it can never start.
+
+    If it was `certainly_denied`, the call has done nothing, and will not.
+    """
 
     reason: str
     final: bool = False
+    certainly_denied: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -56,6 +56,14 @@
 from bulrushpulley.platform.job_bodies import decode_resources
 from bulrushpulley.platform.server_ids import check_server_id
 
+# The executor answers so before it has done anything.
+DENYING_STATUSES = frozenset(
+    {
+        http.HTTPStatus.CONFLICT,
+        http.HTTPStatus.BAD_REQUEST,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+    }
+)
 STEP = "executor.decode"
 ANNOUNCE_STEP = "announce.decode"
 # A constant token is enough: only the agent on the same host calls a backend server,
@@ -168,7 +176,7 @@
                 server_id=command.server_id, run=run, reason=str(error)
             )
         try:
-            return _start_outcome(command, run, answer)
+            return start_outcome(command, run, answer)
         except BulrushpulleyError as error:
             return StartUnanswered(
                 server_id=command.server_id, run=run, reason=str(error)
@@ -255,7 +263,8 @@
     )
 
 
-def _start_outcome(command: StartRun, run: RunRef, answer: HttpAnswer) -> ExecutorEvent:
+def start_outcome(command: StartRun, run: RunRef, answer: HttpAnswer) -> ExecutorEvent:
+    """Return what an answer says about a start."""
     if answer.status == http.HTTPStatus.OK:
         return RunStarted(server_id=command.server_id, run=run)
     reason = f"status {answer.status}"
@@ -264,7 +273,11 @@
         # can never start.
         reason = text(decode_object(answer.body, STEP), "Reason", STEP)
     return StartDenied(
-        server_id=command.server_id, run=run, reason=reason, final=reason == "old"
+        server_id=command.server_id,
+        run=run,
+        reason=reason,
+        final=reason == "old",
+        certainly_denied=answer.status in DENYING_STATUSES,
     )
 
 
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -165,8 +165,8 @@
 ) -> JobAgentStep:
     """Retry with a newer lease, or return the run to the owner.
 
-    A denied call has done nothing. The run has to be barred first only if an earlier
-    call had no answer, as that one may still be carried out.
+    The run has to be barred first only if it is not certain that the call has done
+    nothing, or if an earlier call had no answer, which may still be carried out.
     """
     run_ = tables.runs.get(event.run.key)
     if run_ is None:
@@ -178,7 +178,7 @@
         denied = replace(run_, phase=RunPhase.BARRED, barred_at=now, in_flight=False)
     elif event.reason == "late":
         denied = replace(run_, in_flight=False, retry_at=now + RUN_START_RETRY_DELAY_S)
-    elif run_.unconfirmed:
+    elif run_.unconfirmed or not event.certainly_denied:
         denied = replace(run_, in_flight=False, wanted=False, denied=event.reason)
     else:
         step = refusing.refuse(tables, run_, event.reason)
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -266,7 +266,9 @@
     def _(self, command: StartRun, now: float) -> ExecutorEvent:
         order = command.order
         ref = RunRef(task_id=order.task_id, run=order.run)
-        denied = StartDenied(server_id=command.server_id, run=ref, reason="old")
+        denied = StartDenied(
+            server_id=command.server_id, run=ref, reason="old", certainly_denied=True
+        )
         if command.server_id != self.server_id:
             return replace(denied, reason="life")
         if order.key in self.run_by_key:
--- a/test/jobs_refusals.py
+++ b/test/jobs_refusals.py
@@ -111,6 +111,7 @@
         run=_run_of(command),
         reason=trouble.reason,
         final=trouble.reason == "old",
+        certainly_denied=True,
     )
 
 
--- a/test/test_jobs_agent.py
+++ b/test/test_jobs_agent.py
@@ -222,7 +222,9 @@
         super().setUp()
         self.bench = Bench()
         self.ref = RunRef(task_id="t", run=1)
-        self.denied = StartDenied(server_id="i-1", run=self.ref, reason="room")
+        self.denied = StartDenied(
+            server_id="i-1", run=self.ref, reason="room", certainly_denied=True
+        )
 
     def refusals(self, commands: list[Command]) -> list[str]:
         """Return the reasons of refusals."""
@@ -246,6 +248,11 @@
         self.assertEqual(1, len(commands_of(StartRun, self.bench.tell())))
         self.check_that_it_is_barred_first(self.bench.tell(self.denied))
 
+    def test_it_is_barred_first_if_the_call_may_have_done_something(self) -> None:
+        self.bench.order("t")
+        uncertain = replace(self.denied, certainly_denied=False)
+        self.check_that_it_is_barred_first(self.bench.tell(uncertain))
+
     # An earlier process of the host may have sent a call, which may be in flight.
     def test_it_is_barred_first_if_its_order_may_be_repeated(self) -> None:
         self.bench.list_runs()
--- a/test/test_platform_bodies.py
+++ b/test/test_platform_bodies.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bulrushpulley.entities.jobs.configuration import Evacuation, route
+from bulrushpulley.entities.jobs.executor_calls import StartDenied, StartRun
 from bulrushpulley.entities.jobs.rows import (
     CancelRow,
     JobState,
@@ -12,8 +13,11 @@
     Row,
     TaskProgress,
 )
+from bulrushpulley.entities.jobs.runs import RunOrder, RunRef
+from bulrushpulley.entities.resources import Resources
 from bulrushpulley.errors import BulrushpulleyError
-from bulrushpulley.platform.executor import decode_announcement
+from bulrushpulley.platform.executor import decode_announcement, start_outcome
+from bulrushpulley.platform.http_client import HttpAnswer
 from bulrushpulley.platform.job_bodies import decode_job
 from bulrushpulley.platform.order_rows import decode_order
 from bulrushpulley.wire.job_rows import decode_row, encode_row
@@ -66,6 +70,27 @@
                 self.assertEqual("job.decode", error.problem.step)
 
 
+class StartOutcomeTest(testtools.TestCase):
+    """A run whose start may have done something must be barred before it is refused."""
+
+    def test_only_some_answers_say_that_nothing_was_done(self) -> None:
+        run = RunRef(task_id="t", run=1)
+        start = StartRun(
+            server_id="i-1",
+            address="10.0.0.9:80",
+            timeout_s=0.5,
+            order=RunOrder(
+                task_id="t", run=1, payload="p", committed=Resources(processors_m=1)
+            ),
+            lease_until_ms=1,
+        )
+        for status, certain in ((409, True), (400, True), (421, True), (500, False)):
+            answer = HttpAnswer(status=status, body=b'{"Reason":"room"}')
+            outcome = start_outcome(start, run, answer)
+            assert isinstance(outcome, StartDenied)
+            self.assertEqual(certain, outcome.certainly_denied, str(status))
+
+
 class OrderTest(testtools.TestCase):
     def test_a_configuration_routes_by_the_longest_prefix(self) -> None:
         configuration = decode_order("config", CONFIG)
