Take over the shard although some reads of the owner row fail

Callers saw: nothing runs or starts until a lost owner is replaced; where each second read failed, that was not within 20 s.

Cause: each failed read restarted a follower's takeover timeout, as the owner may have renewed its row unseen. The next read shows whether it has.

Change: the time since the read before is left out of the timeout instead, as an owner cannot renew its row while the store does not answer. Reads that fail for 2 s restart it as before, so that an owner renews first after an outage. The time never moves to before the row was first seen, so the ends of leases that are counted from it do not become earlier, and a claim is still conditional on the version of the row.

New: an owner keeps the shard through six outages in a row of 0.5 s to 3 s each, 1 s to 3 s apart.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -74,7 +74,9 @@
 class Following(Leadership):
     """Another process may own the shard; this one polls the owner row.
 
-    `unchanged_since` is when the row's version was first seen, on this host's clock.
+    `unchanged_since` is when the row's version was first seen, on this host's clock, or
+    later by the time in which reads failed. The last read ended at `read_at`, and the
+    last one that succeeded at `seen_at`.
     `last_epoch` is not lower than any epoch that this process knows to have been used.
     `read_latency_s` is the shortest latency of the latest reads.
     """
@@ -82,6 +84,8 @@
     row: OwnerRow | None = None
     version: int = -1
     unchanged_since: float = 0.0
+    read_at: float = -60.0
+    seen_at: float = -60.0
     last_epoch: int = 0
     polled_at: float = -60.0
     polling: bool = False
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -116,6 +116,8 @@
         row=row,
         version=stored.version,
         unchanged_since=unchanged_since,
+        read_at=now,
+        seen_at=now,
         last_epoch=max(leadership.last_epoch, _last_epoch(stored, event.version)),
         polled_at=leadership.polled_at,
         read_latency_s=min(
@@ -210,12 +212,21 @@
 
 
 def handle_owner_read_failed(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Restart the takeover timeout, as the owner may have renewed unseen."""
+    """Leave the time since the last read out of the takeover timeout.
+
+    While the store does not answer, the owner cannot renew its row either. After a
+    longer outage the timeout is restarted, so that the owner can renew first.
+    """
     leadership = tables.leadership
     if not isinstance(leadership, Following):
         return Step(tables=tables)
-    restarted = replace(leadership, polling=False, unchanged_since=now)
-    return Step(tables=replace(tables, leadership=restarted))
+    unchanged_since = leadership.unchanged_since + now - leadership.read_at
+    if now - leadership.seen_at >= SHARD_TAKEOVER_TIMEOUT_S:
+        unchanged_since = now
+    failed = replace(
+        leadership, polling=False, unchanged_since=unchanged_since, read_at=now
+    )
+    return Step(tables=replace(tables, leadership=failed))
 
 
 def handle_claimed(version: int, tables: SchedulerTables, now: float) -> SchedulerStep:
--- a/test/test_jobs_waits_anew.py
+++ b/test/test_jobs_waits_anew.py
@@ -286,6 +286,20 @@
         self.assertTrue(world.run_until(lambda: bool(world.owner()), OBSERVED_S))
         self.assertLess(world.now - lost_at, 2 * MAX_TAKEOVER_S)
 
+    # The time in which reads fail must not count, as the owner cannot renew then.
+    def test_an_owner_keeps_the_shard_through_short_outages(self) -> None:
+        for outage_s, up_s in itertools.product((0.5, 1.0, 1.9, 3.0), (1.0, 1.5, 3.0)):
+            world = JobsWorld(entries=3, hosts=3)
+            world.run(3.0)
+            epoch = scheduler(world).epoch
+            for _ in range(6):
+                world.store_up = False
+                world.run(outage_s)
+                world.store_up = True
+                world.run(up_s)
+            world.run(2.0)
+            self.assertEqual(epoch, scheduler(world).epoch, f"{outage_s} {up_s}")
+
 
 class StoreTest(testtools.TestCase):
     """The store refuses or loses calls again and again."""
