One clock for each job, which ends what holds its tasks back by choice

Cause: harm, quarantine, refusals, advice and the placement interval have a bound each, and were spent one after the other.

Change: once nothing of a job has run for 1.5 s since the turn of a task, or a lasting task has waited for 3.5 s, `idle_clock.may_hold_back` says no: harm does not count, and hosts in quarantine take the task after the open ones and before those that refused it, unless a failure there were its last attempt. A pass is due when that time comes. A job with another task running keeps its holds. The reserve looks at hosts in quarantine too, and so never keeps out a lasting task that has room on two hosts.

--- a/bulrushpulley/entities/jobs/advice.py
+++ b/bulrushpulley/entities/jobs/advice.py
@@ -28,16 +28,17 @@
 
     `valid_until_by_server` holds all backend servers that were asked about, also those
     that may not run the step, with the time from which they may be asked about again.
-    `asked_server_ids` are those of the request in flight. The next request is sent at
-    `retry_at` or later. `exhausted_at` is when there was last no server to ask about,
-    and `failed_at` when the last of `failures` requests in a row failed; they are 0
-    after an answer.
+    `asked_server_ids` are those of the last request, which was sent at `asked_at`. The
+    next request is sent at `retry_at` or later. `exhausted_at` is when there was last
+    no server to ask about, and `failed_at` when the last of `failures` requests in a
+    row failed; they are 0 after an answer.
     """
 
     step_key: str
     ticket_by_server: Mapping[str, str]
     valid_until_by_server: Mapping[str, float] = field(default_factory=dict)
     asked_server_ids: tuple[str, ...] = ()
+    asked_at: float = 0.0
     retry_at: float = 0.0
     in_flight: bool = False
     exhausted_at: float = 0.0
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from immutables import Map
@@ -166,6 +167,8 @@
       is valid as long as its host is the one in `hosts`.
     - `held_back_by_step` says why no host took a task of a step in the last placement
       pass; it holds only some of the steps, and none that has just begun to wait.
+    - `holds_end_at` is the first time after the last placement pass at which a hold by
+      choice on a task that it left waiting ends.
     - `unhandled_row_by_host` holds the rows of hosts that tell of runs, until the next
       tick of a loaded shard.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
@@ -196,6 +199,7 @@
                 "host": task.by_host,
                 "open": task.by_open_step,
                 "blocked": task.by_blocked_job,
+                "running": task.by_running_job,
                 "unsettled": task.by_unsettled,
             }
         )
@@ -237,6 +241,7 @@
     candidate_by_host: Map[str, Candidate] = field(default_factory=Map)
     held_back_by_step: Map[str, HeldBack] = field(default_factory=Map)
     last_placement_at: float = 0.0
+    holds_end_at: float = math.inf
     purged_at: float = 0.0
     expiry_checked_at: float = 0.0
     silence_checked_at: float = 0.0
--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -127,6 +127,12 @@
     return (task.job_id,) if task.state is TaskState.BLOCKED else ()
 
 
+def by_running_job(task: Task) -> tuple[str, ...]:
+    """Index by job the tasks whose current runs have been seen running."""
+    holds = task.state in (TaskState.RUNNING, TaskState.STOPPING)
+    return (task.job_id,) if holds and task.running_since else ()
+
+
 def by_unsettled(task: Task) -> tuple[str, ...]:
     """Index the tasks whose runs are not reported as running or ended yet."""
     return (UNSETTLED,) if task.state in UNSETTLED_STATES else ()
--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -2,14 +2,14 @@
 
 The service handles one call per process at a time. Requests are therefore made one
 by one, for the most urgent step first, so that no call queues behind another. Steps
-whose requests fail, or that have no server left to ask about, give way: otherwise they
-would keep the others from their first advice.
+whose requests fail, that have no server left to ask about, or that have room on no host
+give way: otherwise they would keep the others from their first advice.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from functools import partial
 from itertools import islice
@@ -32,6 +32,7 @@
 )
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import job_id_of, step_key
+from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Step
 from bulrushpulley.systems.scheduling import edits
 
@@ -42,6 +43,7 @@
 # Bounds the time of a pass while many steps wait. It applies to the steps that have no
 # server left to ask about, and to the others.
 MAX_EXAMINED_STEPS = 10
+MAX_STEPS_EXAMINED_FOR_ROOM = 200
 # The platform does not change what it allows to a step. Asking again bounds the wait if
 # an answer was wrong, such as one about a server that had just begun.
 DENIAL_VALIDITY_S = 10.0
@@ -82,21 +84,28 @@
 
 
 def request_advice(
-    tables: SchedulerTables, jobs: list[Job], open_hosts: list[Host], now: float
+    tables: SchedulerTables,
+    jobs: list[Job],
+    hosts: list[Host],
+    now: float,
+    quarantined: Container[str] = frozenset(),
 ) -> SchedulerStep:
     """Request advice for the first step of `jobs` that needs it.
 
     The tasks of a step that still wait after a placement pass fit on none of the hosts
     that it has tickets for. So the hosts with most room are asked about that it has
-    neither tickets nor denials for, until all hosts were.
+    neither tickets nor denials for, until all hosts were, those in quarantine last.
     """
     if any(advice.in_flight for advice in tables.advice.rows()):
         return Step(tables=tables)
-    by_free_processors = sorted(open_hosts, key=lambda host: -host.free.processors_m)
-    for due in _steps_in_turn(tables, _due_steps(tables, jobs, now)):
+    by_free_processors = sorted(
+        hosts, key=lambda host: (host.name in quarantined, -host.free.processors_m)
+    )
+    due_steps = _due_steps(tables, jobs, now)
+    for due in _steps_in_turn(tables, due_steps, by_free_processors):
         server_ids = _servers_to_ask(tables, due, by_free_processors, now)
         if server_ids:
-            return _send_request(tables, due.job, due.advice, server_ids)
+            return _send_request(tables, due.job, due.advice, server_ids, now)
         retry_at = now + ADVICE_RETRY_DELAY_S
         exhausted = replace(due.advice, retry_at=retry_at, exhausted_at=now)
         tables = _put(tables, exhausted)
@@ -116,20 +125,32 @@
     return due
 
 
-def _steps_in_turn(tables: SchedulerTables, due: list[DueStep]) -> list[DueStep]:
+def _steps_in_turn(
+    tables: SchedulerTables, due: list[DueStep], hosts: list[Host]
+) -> list[DueStep]:
     """Return the steps to examine in this pass, in the order in which to ask.
 
     Those that give way come last, the one that failed longest ago first. Of those with
     no server left to ask about, the ones are examined that were longest ago, so that
-    each has its turn.
+    each has its turn. Steps that have room on none of `hosts` come after the others.
     """
     exhausted = [each for each in due if each.advice.exhausted_at]
     others = [each for each in due if not each.advice.exhausted_at]
     others.sort(key=partial(_yielding_since, tables))
+    has_room_by_shape: dict[Shape, bool] = {}
+
+    def has_room(each: DueStep) -> bool:
+        shape = _shape_of(tables, each)
+        if shape not in has_room_by_shape:
+            has_room_by_shape[shape] = _has_room(shape, hosts)
+        return has_room_by_shape[shape]
+
+    examined = others[:MAX_STEPS_EXAMINED_FOR_ROOM]
+    with_room = list(islice(filter(has_room, examined), MAX_EXAMINED_STEPS))
     in_turn = {
         each.advice.step_key
         for each in (
-            *others[:MAX_EXAMINED_STEPS],
+            *(with_room or others[:MAX_EXAMINED_STEPS]),
             *heapq.nsmallest(
                 MAX_EXAMINED_STEPS, exhausted, key=attrgetter("advice.exhausted_at")
             ),
@@ -139,6 +160,34 @@
     return sorted(chosen, key=partial(_yielding_since, tables))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shape:
+    """What many steps require alike of a host; they have room on the same hosts."""
+
+    service: str
+    label: str
+    need: Resources
+
+
+def _shape_of(tables: SchedulerTables, due: DueStep) -> Shape:
+    return Shape(
+        service=edits.service_of(tables, due.job),
+        label=due.step.needs_label,
+        need=due.step.committed,
+    )
+
+
+def _has_room(shape: Shape, hosts: list[Host]) -> bool:
+    return any(
+        _is_suitable(shape, host) and shape.need.fits(host.free) for host in hosts
+    )
+
+
+def _is_suitable(shape: Shape, host: Host) -> bool:
+    has_label = not shape.label or shape.label in host.labels
+    return host.service == shape.service and has_label
+
+
 def _yielding_since(tables: SchedulerTables, due: DueStep) -> float:
     """Return since when a step gives way to others because it failed, 0 if it doesn't.
 
@@ -167,13 +216,8 @@
     A step that has a ticket for an open host needs others only where it has room.
     """
     step, known = due.step, due.advice
-    service = edits.service_of(tables, due.job)
-    suitable = [
-        host
-        for host in hosts
-        if host.service == service
-        and (not step.needs_label or step.needs_label in host.labels)
-    ]
+    shape = _shape_of(tables, due)
+    suitable = [host for host in hosts if _is_suitable(shape, host)]
     usable = _usable_tickets(known, now)
     is_advised = any(server_of(host) in usable for host in suitable)
     limit = MAX_SERVERS_PER_REQUEST
@@ -203,7 +247,11 @@
 
 
 def _send_request(
-    tables: SchedulerTables, job: Job, known: Advice, server_ids: tuple[str, ...]
+    tables: SchedulerTables,
+    job: Job,
+    known: Advice,
+    server_ids: tuple[str, ...],
+    now: float,
 ) -> SchedulerStep:
     terms = advice_terms(tables, job)
     if terms is None:
@@ -216,7 +264,7 @@
         + len(server_ids) * terms.per_server_s
         + ADVICE_TIMEOUT_MARGIN_S,
     )
-    asked = replace(known, in_flight=True, asked_server_ids=server_ids)
+    asked = replace(known, in_flight=True, asked_server_ids=server_ids, asked_at=now)
     return Step(tables=_put(tables, asked), commands=(call,))
 
 
@@ -286,24 +334,30 @@
 def handle_advice_failed(
     event: AdviceFailed, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Schedule another request after the retry delay."""
+    """Schedule another request, and a placement pass to send it.
+
+    The retry delay counts from the request, so that a call that has taken long is
+    repeated at once.
+    """
     known = tables.advice.get(event.step_key)
     if known is None:
         return Step(tables=tables)
+    retry_at = max(now, known.asked_at + ADVICE_RETRY_DELAY_S)
     retried = replace(
         known,
         in_flight=False,
-        retry_at=now + ADVICE_RETRY_DELAY_S,
+        retry_at=retry_at,
         failed_at=now,
         failures=known.failures + 1,
     )
-    tables = replace(tables, advice_failing=True)
+    holds_end_at = min(tables.holds_end_at, retry_at)
+    tables = replace(tables, advice_failing=True, holds_end_at=holds_end_at)
     line = edits.log(tables, "step.unadvised", event.step_key, "", event.reason)
     return Step(tables=_put(tables, retried), commands=(line,))
 
 
 def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
-    """Drop all tickets of a step after one was refused, so that it gets new ones.
+    """Drop all tickets of a step after one was refused, so that it gets new ones soon.
 
     A request in flight stays known, since the service takes one at a time, and so do
     the servers that may not run the step.
@@ -316,5 +370,7 @@
         for server_id, valid_until in known.valid_until_by_server.items()
         if server_id not in known.ticket_by_server
     }
-    kept = replace(known, ticket_by_server={}, valid_until_by_server=denials)
+    kept = replace(
+        known, ticket_by_server={}, valid_until_by_server=denials, retry_at=0.0
+    )
     return _put(tables, kept)
--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -7,7 +7,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Container, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from immutables import Map
@@ -26,8 +26,9 @@
     should_wait,
 )
 
-# Whether the host is outside the preferred rack, and the cost; the lowest is chosen.
-Rank = tuple[bool, float]
+# Whether the host is in quarantine, whether it is outside the preferred rack, and the
+# cost; the lowest is chosen.
+Rank = tuple[bool, bool, float]
 # Each host is ranked for each step, and looking up an enum's member takes longer than
 # most of the conditions.
 OTHER_SERVICE, NO_LABEL = Exclusion.OTHER_SERVICE, Exclusion.NO_LABEL
@@ -41,7 +42,9 @@
     """What a task of a step requires of a host.
 
     `tickets` are the tickets from advice by backend server, None if none are needed.
-    `idle_s` is for how long its turn has come and none of its runs has been seen.
+    `idle_s` is for how long its turn has come and none of its runs has been seen. Holds
+    by choice apply only if it `may_hold_back`. Hosts in `quarantined` are ranked behind
+    all others, and are suitable only if it `may_use_quarantined`.
     """
 
     step: StepSpec
@@ -50,6 +53,9 @@
     tickets: Mapping[str, str] | None
     harm_fraction: HarmFraction
     idle_s: float
+    may_hold_back: bool = True
+    quarantined: frozenset[str] = frozenset()
+    may_use_quarantined: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,30 +74,34 @@
 
 
 def rank_candidates(
-    request: PlacementRequest,
-    candidate_by_host: Map[str, Candidate],
-    quarantined: Container[str] = frozenset(),
+    request: PlacementRequest, candidate_by_host: Map[str, Candidate]
 ) -> Ranking:
     """Rank the candidates for the tasks of a step that have waited equally long.
 
-    Hosts in quarantine count if no other may run the step, whether it has room or not:
-    their failures then do not tell them apart.
+    Hosts in quarantine count if the task may not be held back any more, or if no other
+    may run the step, whether it has room or not: their failures then do not tell them
+    apart.
     """
+    candidates = tuple(candidate_by_host.values())
+    leaves_reserve = must_leave_reserve(request.step, candidates)
+    if request.may_use_quarantined and not request.may_hold_back:
+        return _rank_all(request, candidate_by_host, leaves_reserve)
     open_by_host = {
         name: candidate
         for name, candidate in candidate_by_host.items()
-        if name not in quarantined
+        if name not in request.quarantined
     }
-    ranking = _rank_all(request, open_by_host)
+    ranking = _rank_all(request, open_by_host, leaves_reserve)
     if ranking.heap or not UNSUITABLE.issuperset(ranking.excluded):
         return ranking
-    return _rank_all(request, candidate_by_host)
+    return _rank_all(request, candidate_by_host, leaves_reserve)
 
 
 def _rank_all(
-    request: PlacementRequest, candidate_by_host: Mapping[str, Candidate]
+    request: PlacementRequest,
+    candidate_by_host: Mapping[str, Candidate],
+    leaves_reserve: bool,
 ) -> Ranking:
-    leaves_reserve = must_leave_reserve(request.step, tuple(candidate_by_host.values()))
     heap: list[tuple[Rank, str, Candidate]] = []
     excluded: list[Exclusion] = []
     for name, candidate in candidate_by_host.items():
@@ -210,12 +220,15 @@
         return NO_TICKET
     if not fits(step, candidate, leaves_reserve=leaves_reserve):
         return NO_ROOM
-    if should_wait(
+    if request.may_hold_back and should_wait(
         request.kind, step, candidate, request.harm_fraction, request.idle_s
     ):
         return HARM
-    outside_rack = step.near_rack != "" and host.rack != step.near_rack
-    return outside_rack, cost(request.kind, step, candidate, request.harm_fraction)
+    return (
+        host.name in request.quarantined,
+        step.near_rack != "" and host.rack != step.near_rack,
+        cost(request.kind, step, candidate, request.harm_fraction),
+    )
 
 
 def _prefer_same_rack(
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -60,9 +60,10 @@
     tables = quarantine.record_ending(tables, task, ending, now)
     if must_have_started(ending):
         task = replace(task, running_since=task.running_since or now)
-        if not job.started:
-            job = replace(job, started=True)
-            tables = edits.put_job(tables, job)
+        job = replace(job, started=True)
+    if task.running_since:
+        job = replace(job, ran_until=now)
+        tables = edits.put_job(tables, job)
     if job.is_final:
         tables = finishing.remove_task(tables, task.task_id)
         tables = edits.mark_dirty(tables, task.job_id, *effects)
--- /dev/null
+++ b/bulrushpulley/systems/scheduling/idle_clock.py
@@ -0,0 +1,52 @@
+"""Tells whether a task that has room may still be held back by choice.
+
+The platform counts a job as lost that has nothing running for 3 s although the turn of
+a task has come and there is room for it, and a task that lasts from 6 s after its last
+run. It counts one time for all that happens meanwhile, so there is one clock here too:
+since when a job has nothing running. Each hold by choice (harm, quarantine) asks
+`may_hold_back`, and falls away once it returns False, whatever bound of its own it has.
+What the platform forbids is no hold by choice, nor is the delay before the only host
+that fits is asked again after it refused: refused starts have a price.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
+from bulrushpulley.entities.jobs.spec import StepSpec
+from bulrushpulley.entities.jobs.task import Task
+
+# Leaves half of the 3 s to a placement that is withdrawn or refused, the transaction
+# and the start.
+MAX_JOB_IDLE_S = 1.5
+MAX_LASTING_IDLE_S = 3.5
+
+
+def may_hold_back(tables: SchedulerTables, job: Job, task: Task, now: float) -> bool:
+    """Return whether a waiting task may be held back by choice."""
+    if is_overdue_lasting(job, task, now):
+        return False
+    is_running = tables.tasks.count_where("running", job.job_id) > 0
+    return is_running or now < hold_until(job, task)
+
+
+def hold_until(job: Job, task: Task) -> float:
+    """Return until when a waiting task may be held back if nothing of its job runs."""
+    return max(task.idle_since, job.ran_until) + MAX_JOB_IDLE_S
+
+
+def is_overdue_lasting(job: Job, task: Task, now: float) -> bool:
+    """Return whether a task lasts and has waited too long, whatever else runs."""
+    is_late = now - task.idle_since >= MAX_LASTING_IDLE_S
+    return is_late and job.step(task.step).lasting
+
+
+def may_risk_failure(job: Job, step: StepSpec, members: Collection[Task]) -> bool:
+    """Return whether tasks may run where they are likely to fail.
+
+    A job fails with the last attempt of a task, or of all members of a gang.
+    """
+    failures = sum(task.failures for task in members) + len(members)
+    return step.lasting or failures < job.row.max_attempts
--- a/bulrushpulley/systems/scheduling/job_order.py
+++ b/bulrushpulley/systems/scheduling/job_order.py
@@ -4,9 +4,7 @@
 
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
-
-# The platform requires a lasting task to run 6 s after its last run if it fits.
-MAX_LASTING_WAIT_S = 3.5
+from bulrushpulley.systems.scheduling import idle_clock
 
 
 def is_overdue(tables: SchedulerTables, job: Job, now: float) -> bool:
@@ -18,7 +16,7 @@
     if not _is_lasting(job):
         return False
     waiting = tables.tasks.rows_where("waiting", job.job_id)
-    return any(now - task.idle_since >= MAX_LASTING_WAIT_S for task in waiting)
+    return any(idle_clock.is_overdue_lasting(job, task, now) for task in waiting)
 
 
 def _is_lasting(job: Job) -> bool:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
@@ -35,6 +36,7 @@
     choosing,
     edits,
     emptying,
+    idle_clock,
     interference,
     job_order,
     refusals,
@@ -67,6 +69,7 @@
     quarantined: frozenset[str]
     closed: Mapping[Exclusion, int]
     held_back_by_step: Map[str, HeldBack]
+    holds_end_at: float = math.inf
     commands: tuple[Command, ...] = ()
     placed: int = 0
 
@@ -74,7 +77,8 @@
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Run a placement pass if something has changed or the interval has passed."""
     waiting = tables.tasks.by_index["waiting"]
-    due = tables.place_due or now - tables.last_placement_at >= PLACEMENT_INTERVAL_S
+    interval_ends_at = tables.last_placement_at + PLACEMENT_INTERVAL_S
+    due = tables.place_due or now >= min(interval_ends_at, tables.holds_end_at)
     if not edits.is_loaded(tables) or not waiting or not due or tables.leaving:
         return Step(tables=tables)
     if _awaits_agents(tables, now):
@@ -96,19 +100,16 @@
         if state.placed >= MAX_PLACED_PER_PASS:
             break
         state = _place_job(state, job, now)
-    hosts = [
-        candidate.host
-        for name, candidate in state.candidate_by_host.items()
-        if name not in state.quarantined
-    ]
+    hosts = [candidate.host for candidate in state.candidate_by_host.values()]
     # What is beyond the limit of this pass is placed in the next tick.
     is_cut_short = state.placed >= MAX_PLACED_PER_PASS
     tables = replace(
         state.tables,
         held_back_by_step=state.held_back_by_step,
+        holds_end_at=state.holds_end_at,
         place_due=state.tables.place_due or is_cut_short,
     )
-    advice_step = advising.request_advice(tables, jobs, hosts, now)
+    advice_step = advising.request_advice(tables, jobs, hosts, now, state.quarantined)
     commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
     return Step(tables=advice_step.tables, commands=commands)
 
@@ -241,27 +242,30 @@
     sibling_count_by_host: Counter[str],
     now: float,
 ) -> PlacementPass:
-    ranking_by_idle_since: dict[float, choosing.Ranking] = {}
+    ranking_by_waits: dict[tuple[float, bool], choosing.Ranking] = {}
     unplaceable_since: set[float] = set()
     for task in members:
         avoids_hosts = choosing.avoids_hosts(task)
         if task.idle_since in unplaceable_since and not avoids_hosts:
             continue
-        ranking = ranking_by_idle_since.get(task.idle_since)
+        may_fail = idle_clock.may_risk_failure(job, step, (task,))
+        ranking = ranking_by_waits.get((task.idle_since, may_fail))
         if ranking is None or step.lasting:
             # The rank of a lasting task depends on the free resources of all hosts,
             # which change with each placement. Other tasks that have waited equally
             # long share a ranking.
-            request = placement_request(state.tables, job, step, task, now)
-            ranking = choosing.rank_candidates(
-                request, state.candidate_by_host, state.quarantined
+            request = replace(
+                placement_request(state.tables, job, step, task, now),
+                quarantined=state.quarantined,
+                may_use_quarantined=may_fail,
             )
-            ranking_by_idle_since[task.idle_since] = ranking
+            ranking = choosing.rank_candidates(request, state.candidate_by_host)
+            ranking_by_waits[task.idle_since, may_fail] = ranking
         candidate = choosing.choose_candidate(
             ranking, state.candidate_by_host, task, sibling_count_by_host, now
         )
         if candidate is None:
-            state = _with_held_back(state, task, ranking, now)
+            state = _with_held_back(state, job, task, ranking, now)
             if not avoids_hosts:
                 unplaceable_since.add(task.idle_since)
             continue
@@ -285,27 +289,34 @@
     checkpoint = max(task.checkpoint for task in members)
     # A host that refused one member would refuse the others, which need the same.
     refused = refusals.merged(members)
+    may_fail = idle_clock.may_risk_failure(job, step, members)
     trial = state
     for task in members:
         member = replace(task, checkpoint=checkpoint, refusals=refused)
-        request = placement_request(trial.tables, job, step, member, now)
-        ranking = choosing.rank_candidates(
-            request, trial.candidate_by_host, trial.quarantined
+        request = replace(
+            placement_request(trial.tables, job, step, member, now),
+            quarantined=trial.quarantined,
+            may_use_quarantined=may_fail,
         )
+        ranking = choosing.rank_candidates(request, trial.candidate_by_host)
         candidate = choosing.choose_candidate(
             ranking, trial.candidate_by_host, member, sibling_count_by_host, now
         )
         if candidate is None:
-            return _with_held_back(state, task, ranking, now)
+            return _with_held_back(state, job, task, ranking, now)
         sibling_count_by_host[candidate.host.name] += 1
         trial = _assign(trial, job, step, member, candidate, run, now)
     return trial
 
 
 def _with_held_back(
-    state: PlacementPass, task: Task, ranking: choosing.Ranking, now: float
+    state: PlacementPass, job: Job, task: Task, ranking: choosing.Ranking, now: float
 ) -> PlacementPass:
-    """Record what excluded the hosts from a step that may wait for long."""
+    """Record when holds on a task end, and what keeps a step that may wait for long."""
+    hold_until = idle_clock.hold_until(job, task)
+    is_held = bool(state.quarantined) or choosing.HARM in ranking.excluded
+    if is_held and now < hold_until < state.holds_end_at:
+        state = replace(state, holds_end_at=hold_until)
     known = state.held_back_by_step
     is_recent = now - task.since < MAX_UNEXPLAINED_WAIT_S - PLACEMENT_INTERVAL_S
     if is_recent or len(known) >= MAX_HELD_BACK_STEPS:
@@ -327,6 +338,7 @@
         tickets=advising.tickets(tables, job, key, now),
         harm_fraction=partial(interference.harm_fraction, tables),
         idle_s=now - task.idle_since,
+        may_hold_back=idle_clock.may_hold_back(tables, job, task, now),
     )
 
 
