A slow store whose reads fail now and then leaves an owner without answers

Callers would see leases end and the shard change hands beside a slow store of which 5% of the reads are refused.

Cause: a probe that is answered after one that failed replaces the attempt in flight, with a first timeout, and answers to replaced attempts are dropped. Each attempt is replaced before its answer comes.

--- /dev/null
+++ b/test/test_jobs_flaky_reads.py
@@ -0,0 +1,96 @@
+"""Tests that an owner beside a slow store goes on although some of its reads fail.
+
+While a transaction waits, the owner reads its row often, and the first answer after a
+failure sends the transaction again, with its first timeout. Beside a slow store whose
+reads fail now and then, each attempt was replaced before it could be answered: for as
+long as that lasted the owner did not learn that its transactions were applied, so its
+agents could not renew their leases and the shard changed hands.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import testtools
+
+from bulrushpulley.entities.jobs import store
+from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, Owning
+from test.jobs_world import STORE_LATENCY_S, JobsWorld, Process, step
+
+TROUBLE_S = 20.0
+# Agents renew leases for 6 s after the owner sent a transaction that succeeded.
+MAX_RENEWAL_AGE_S = 6.0
+SAMPLE_INTERVAL_S = 0.05
+# Transactions take 0.48 s, 0.6 s and 0.84 s then.
+SLOWDOWN_FACTORS = (80.0, 100.0, 140.0)
+SLOW_READ_S = (0.05, 0.3)
+
+
+class FlakyReadsWorld(JobsWorld):
+    """A site on which `read_fails` and `read_latency_s` are drawn for each read."""
+
+    def __init__(self) -> None:
+        self.draw = random.Random(1)
+        self.read_fails: Callable[[], bool] = lambda: False
+        self.read_latency_s: Callable[[], float] = lambda: STORE_LATENCY_S
+        super().__init__(entries=3, hosts=4)
+
+    def _read(
+        self,
+        command: store.StoreCommand,
+        process: Process,
+        read: Callable[[], store.StoreEvent],
+    ) -> None:
+        """Answer a read, or fail it."""
+        after_s = self.read_latency_s()
+        is_late = isinstance(command, store.ReadRange) and after_s > command.timeout_s
+        if is_late or (isinstance(command, store.ReadRange) and self.read_fails()):
+            failed = store.ReadFailed(purpose=command.purpose, reason="status 503")
+            after_s = command.timeout_s if is_late else after_s
+            self._answer(command, process, after_s, lambda: failed)
+            return
+        self._answer(command, process, after_s, read)
+
+
+class FlakyReadsTest(testtools.TestCase):
+    def longest_renewal_age_s(self, world: FlakyReadsWorld, factor: float) -> float:
+        """Return the greatest age of an owner's renewal beside a slow store."""
+        world.submit(1, step(4), step(4, after=(0,)), payload="3.0")
+        world.run(1.0)
+        world.store_slowdown_factor = factor
+        longest_s, until = 0.0, world.now + TROUBLE_S
+        while world.now < until:
+            world.run(SAMPLE_INTERVAL_S)
+            process = world.process_by_name.get(world.owner())
+            if process is None:
+                continue
+            leadership = process.instance_by_role[SCHEDULER].tables.leadership
+            if isinstance(leadership, Owning):
+                longest_s = max(longest_s, world.now - leadership.renewed_at)
+        self.assertEqual([], world.violations)
+        self.assertIs(JobState.COMPLETED, world.state_of(f"{1:016x}"))
+        return longest_s
+
+    def test_reads_that_are_refused_now_and_then(self) -> None:
+        late: list[str] = []
+        for factor in SLOWDOWN_FACTORS:
+            world = FlakyReadsWorld()
+            world.run(3.0)
+            world.read_fails = lambda draw=world.draw: draw.random() < 0.05  # type: ignore[misc]
+            age_s = self.longest_renewal_age_s(world, factor)
+            if age_s >= MAX_RENEWAL_AGE_S:
+                late.append(f"{factor:g}: {age_s:.2f} s")
+        self.assertEqual([], late)
+
+    def test_reads_of_which_some_take_too_long(self) -> None:
+        late: list[str] = []
+        for factor in SLOWDOWN_FACTORS:
+            world = FlakyReadsWorld()
+            world.run(3.0)
+            world.read_latency_s = lambda draw=world.draw: draw.uniform(*SLOW_READ_S)  # type: ignore[misc]
+            age_s = self.longest_renewal_age_s(world, factor)
+            if age_s >= MAX_RENEWAL_AGE_S:
+                late.append(f"{factor:g}: {age_s:.2f} s")
+        self.assertEqual([], late)
