--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -338,11 +338,13 @@
 class CommitProgress(TenurePurpose):
     """An owner writes progress and renews its owner row.
 
-    `sequence` is that of the owner row, and `attempt` counts the calls for it.
+    `sequence` is that of the owner row, and `attempt` counts the calls of the
+    transaction. The call was made at `sent_at`.
     """
 
     sequence: int
     attempt: int
+    sent_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -164,9 +164,10 @@
     """The state of the reads that show whether the store answers again.
 
     The last one was sent at `sent_at`; `failed` is set if the last one that has ended
-    failed.
+    failed. The last answer came at `answered_at`.
     """
 
     sent_at: float = 0.0
+    answered_at: float = 0.0
     in_flight: bool = False
     failed: bool = False
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -77,7 +77,7 @@
     attempt = commit.attempts + 1
     transact = replace(
         commit.transact,
-        purpose=_purpose(tables, commit.row, attempt),
+        purpose=_purpose(tables, commit.row, attempt, now),
         timeout_s=timeout_s,
     )
     retried = replace(
@@ -131,8 +131,12 @@
     return tables, batch
 
 
-def _purpose(tables: SchedulerTables, row: OwnerRow, attempt: int) -> CommitProgress:
-    return CommitProgress(epoch=tables.epoch, sequence=row.sequence, attempt=attempt)
+def _purpose(
+    tables: SchedulerTables, row: OwnerRow, attempt: int, now: float
+) -> CommitProgress:
+    return CommitProgress(
+        epoch=tables.epoch, sequence=row.sequence, attempt=attempt, sent_at=now
+    )
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
@@ -152,7 +156,7 @@
     puts.extend(unwritten)
     transact = Transact(
         role=SCHEDULER,
-        purpose=_purpose(tables, row, attempt=1),
+        purpose=_purpose(tables, row, 1, now),
         timeout_s=store_timeouts.timeout_s(tables.store_latency_s),
         conditions=(Condition(key=OWNER_KEY, version=owning.version),),
         puts=tuple(puts),
@@ -238,22 +242,33 @@
 
 
 def handle_committed(
-    version: int, tables: SchedulerTables, now: float
+    version: int, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Record that all that was sent is durable."""
+    """Record that all that an attempt held is durable."""
     commit = tables.commit
     if commit is None:
         return Step(tables=tables)
-    return _apply_batches(version, tables, commit, len(commit.batches), now)
+    for applied, batch in enumerate(commit.batches, start=1):
+        if batch.row.sequence == purpose.sequence:
+            return _apply_batches(version, purpose, tables, applied, now)
+    return Step(tables=tables)
 
 
 def _apply_batches(
-    version: int, tables: SchedulerTables, commit: Commit, applied: int, now: float
+    version: int,
+    purpose: CommitProgress,
+    tables: SchedulerTables,
+    applied: int,
+    now: float,
 ) -> SchedulerStep:
     """Record the renewal and apply the effects of the first `applied` batches.
 
-    The others are to be written again.
+    The others are to be written again. `purpose` is that of the attempt which was
+    answered.
     """
+    commit = tables.commit
+    if commit is None:
+        return Step(tables=tables)
     owning = tables.leadership
     if not isinstance(owning, Owning):
         return Step(tables=tables)
@@ -261,7 +276,7 @@
     if tables.leaving and not last.row.holder:
         return ownership.become_follower(tables, now, "the process is stopping")
     renewed = replace(owning, version=version, renewed_at=last.first_sent_at)
-    took_s = now - commit.sent_at
+    took_s = now - purpose.sent_at
     store_latency_s = store_timeouts.smoothed_latency_s(tables.store_latency_s, took_s)
     tables = waves.mark_durable(tables, commit.waves)
     tables = replace(
@@ -306,7 +321,7 @@
 
 
 def handle_conflicted(
-    event: Conflicted, tables: SchedulerTables, now: float
+    event: Conflicted, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Distinguish an earlier attempt that was applied from the loss of the shard."""
     commit = tables.commit
@@ -317,15 +332,15 @@
             continue
         for applied, batch in enumerate(commit.batches, start=1):
             if stored.row == batch.row:
-                return _apply_batches(stored.version, tables, commit, applied, now)
+                return _apply_batches(stored.version, purpose, tables, applied, now)
     return ownership.become_follower(tables, now, "another entry took the shard over")
 
 
 def handle_outcome_unknown(
-    tables: SchedulerTables, now: float, reason: str
+    purpose: CommitProgress, tables: SchedulerTables, now: float, reason: str
 ) -> SchedulerStep:
     """Retry the transaction immediately."""
-    return _retry(tables, now, 0.0, reason)
+    return _retry(purpose, tables, now, 0.0, reason)
 
 
 def handle_store_back(
@@ -340,12 +355,14 @@
     if commit is None or commit.sent_at >= read_sent_at:
         return Step(tables=tables)
     line = effects.log_retry(tables, commit, "the store answers again")
-    timeout_s = store_timeouts.timeout_s(tables.store_latency_s)
-    step = _send_again(tables, commit, timeout_s, now)
+    usual_s = store_timeouts.timeout_s(tables.store_latency_s)
+    step = _send_again(tables, commit, max(commit.transact.timeout_s, usual_s), now)
     return Step(tables=step.tables, commands=(line, *step.commands))
 
 
-def handle_refused(tables: SchedulerTables, now: float, reason: str) -> SchedulerStep:
+def handle_refused(
+    purpose: CommitProgress, tables: SchedulerTables, now: float, reason: str
+) -> SchedulerStep:
     """Retry the transaction with exponential backoff."""
     attempts = tables.commit.attempts if tables.commit else 1
     retry_delay_s = exponential_delay_s(
@@ -353,14 +370,19 @@
         max_delay_s=MAX_PROGRESS_COMMIT_RETRY_DELAY_S,
         doublings=attempts,
     )
-    return _retry(tables, now, retry_delay_s, reason)
+    return _retry(purpose, tables, now, retry_delay_s, reason)
 
 
 def _retry(
-    tables: SchedulerTables, now: float, retry_delay_s: float, reason: str
+    purpose: CommitProgress,
+    tables: SchedulerTables,
+    now: float,
+    retry_delay_s: float,
+    reason: str,
 ) -> SchedulerStep:
+    """Have the transaction sent again unless a later attempt is in flight."""
     commit = tables.commit
-    if commit is None:
+    if commit is None or purpose != commit.transact.purpose:
         return Step(tables=tables)
     waiting = replace(commit, in_flight=False, retry_at=now + retry_delay_s)
     line = effects.log_retry(tables, commit, reason)
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -155,7 +155,10 @@
 def _(purpose: CommitProgress, tables: SchedulerTables) -> bool:
     # An attempt that was given up may still be answered after a later one was sent.
     commit = tables.commit
-    return commit is not None and purpose == commit.transact.purpose
+    return commit is not None and (
+        purpose.epoch == tables.epoch
+        and any(purpose.sequence == batch.row.sequence for batch in commit.batches)
+    )
 
 
 @singledispatch
@@ -290,34 +293,43 @@
 def _(
     purpose: CommitProgress, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    return handle_commit_answer(event, tables, now)
+    return handle_commit_answer(event, purpose, tables, now)
 
 
 @singledispatch
 def handle_commit_answer(
-    event: StoreEvent, tables: SchedulerTables, now: float
+    event: StoreEvent, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Handle the answer to the transaction in flight."""
+    """Handle the answer to an attempt of the transaction in flight."""
     return Step(tables=tables)
 
 
 @handle_commit_answer.register
-def _(event: Transacted, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return committing.handle_committed(event.version, tables, now)
+def _(
+    event: Transacted, purpose: CommitProgress, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    return committing.handle_committed(event.version, purpose, tables, now)
 
 
 @handle_commit_answer.register
-def _(event: Conflicted, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return committing.handle_conflicted(event, tables, now)
+def _(
+    event: Conflicted, purpose: CommitProgress, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    return committing.handle_conflicted(event, purpose, tables, now)
 
 
 @handle_commit_answer.register
 def _(
-    event: TransactOutcomeUnknown, tables: SchedulerTables, now: float
+    event: TransactOutcomeUnknown,
+    purpose: CommitProgress,
+    tables: SchedulerTables,
+    now: float,
 ) -> SchedulerStep:
-    return committing.handle_outcome_unknown(tables, now, event.reason)
+    return committing.handle_outcome_unknown(purpose, tables, now, event.reason)
 
 
 @handle_commit_answer.register
-def _(event: TransactRefused, tables: SchedulerTables, now: float) -> SchedulerStep:
-    return committing.handle_refused(tables, now, event.reason)
+def _(
+    event: TransactRefused, purpose: CommitProgress, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    return committing.handle_refused(purpose, tables, now, event.reason)
--- a/test/test_jobs_commit_faults.py
+++ b/test/test_jobs_commit_faults.py
@@ -37,9 +37,10 @@
         apply_batches = committing._apply_batches
 
         def apply_all(
-            version: int, tables: Any, commit: Any, applied: int, now: float
+            version: int, purpose: Any, tables: Any, applied: int, now: float
         ) -> Any:
-            return apply_batches(version, tables, commit, len(commit.batches), now)
+            count = len(tables.commit.batches)
+            return apply_batches(version, purpose, tables, count, now)
 
         with mock.patch.object(committing, "_apply_batches", apply_all):
             self.assertTrue(any(run_series(seed) for seed in SAFEGUARD_SEEDS))
