Count idleness from a host's last contact, and let last attempts end a hold

Causes: the time for which a job has had nothing running began when the loss of its host was noticed; a task whose next failure would be its last never used a host in quarantine, which costs its job more than a failure; and a task that may not use one kept its siblings that may from being looked at.

Change: a run that is lost ran until the last contact of its host. Last attempts use hosts in quarantine after 2.0 s. Tasks are passed over only for siblings with the same permission.

--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -62,7 +62,9 @@
         task = replace(task, running_since=task.running_since or now)
         job = replace(job, started=True)
     if task.running_since:
-        job = replace(job, ran_until=now)
+        ran_until = last_seen_at(ending, tables, task, now)
+        job = replace(job, ran_until=max(job.ran_until, ran_until))
+        task = replace(task, idle_since=ran_until)
         tables = edits.put_job(tables, job)
     if job.is_final:
         tables = finishing.remove_task(tables, task.task_id)
@@ -75,6 +77,22 @@
     return Step(tables=tables, commands=step.commands)
 
 
+@singledispatch
+def last_seen_at(
+    ending: Ending, tables: SchedulerTables, task: Task, now: float
+) -> float:
+    """Return until when a run that was seen running is known to have run."""
+    return now
+
+
+@last_seen_at.register
+def _(ending: Lost, tables: SchedulerTables, task: Task, now: float) -> float:
+    """Return the last contact of its host, as a loss is noticed later."""
+    host = tables.hosts.get(task.host)
+    heard_at = host.last_contact_at if host is not None else 0.0
+    return min(now, max(task.running_since, heard_at))
+
+
 @singledispatch
 def must_have_started(ending: Ending) -> bool:
     """Return whether a run that ended this way must have started."""
@@ -102,7 +120,6 @@
         host="",
         life="",
         since=now,
-        idle_since=now if task.running_since else task.idle_since,
     )
     return edits.put_task(tables, waiting)
 
--- a/bulrushpulley/systems/scheduling/idle_clock.py
+++ b/bulrushpulley/systems/scheduling/idle_clock.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 
 from bulrushpulley.entities.jobs.job import Job
@@ -21,6 +22,8 @@
 # Leaves half of the 3 s to a placement that is withdrawn or refused, the transaction
 # and the start.
 MAX_JOB_IDLE_S = 1.5
+# An attempt that may be the last one waits longer for a host on which no runs fail.
+MAX_LAST_ATTEMPT_IDLE_S = 2.0
 MAX_LASTING_IDLE_S = 3.5
 
 
@@ -28,13 +31,27 @@
     """Return whether a waiting task may be held back by choice."""
     if is_overdue_lasting(job, task, now):
         return False
-    is_running = tables.tasks.count_where("running", job.job_id) > 0
-    return is_running or now < hold_until(job, task)
+    return _is_running(tables, job) or now < hold_until(job, task)
+
+
+def _is_running(tables: SchedulerTables, job: Job) -> bool:
+    return tables.tasks.count_where("running", job.job_id) > 0
 
 
 def hold_until(job: Job, task: Task) -> float:
     """Return until when a waiting task may be held back if nothing of its job runs."""
-    return max(task.idle_since, job.ran_until) + MAX_JOB_IDLE_S
+    return _idle_since(job, task) + MAX_JOB_IDLE_S
+
+
+def _idle_since(job: Job, task: Task) -> float:
+    return max(task.idle_since, job.ran_until)
+
+
+def next_change_at(job: Job, task: Task, now: float) -> float:
+    """Return when a hold on a waiting task ends next if nothing of its job runs."""
+    idle_since = _idle_since(job, task)
+    ends = (idle_since + MAX_JOB_IDLE_S, idle_since + MAX_LAST_ATTEMPT_IDLE_S)
+    return min((at for at in ends if now < at), default=math.inf)
 
 
 def is_overdue_lasting(job: Job, task: Task, now: float) -> bool:
@@ -43,6 +60,14 @@
     return is_late and job.step(task.step).lasting
 
 
+def may_risk_last_attempt(
+    tables: SchedulerTables, job: Job, task: Task, now: float
+) -> bool:
+    """Return whether a task may run where its failure is likely and ends its job."""
+    is_late = now >= _idle_since(job, task) + MAX_LAST_ATTEMPT_IDLE_S
+    return is_late and not _is_running(tables, job)
+
+
 def may_risk_failure(job: Job, step: StepSpec, members: Collection[Task]) -> bool:
     """Return whether tasks may run where they are likely to fail.
 
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -243,13 +243,14 @@
     now: float,
 ) -> PlacementPass:
     ranking_by_waits: dict[tuple[float, bool], choosing.Ranking] = {}
-    unplaceable_since: set[float] = set()
+    unplaceable: set[tuple[float, bool]] = set()
     for task in members:
         avoids_hosts = choosing.avoids_hosts(task)
-        if task.idle_since in unplaceable_since and not avoids_hosts:
+        may_fail = _may_fail(state.tables, job, step, (task,), now)
+        waits = (task.idle_since, may_fail)
+        if waits in unplaceable and not avoids_hosts:
             continue
-        may_fail = idle_clock.may_risk_failure(job, step, (task,))
-        ranking = ranking_by_waits.get((task.idle_since, may_fail))
+        ranking = ranking_by_waits.get(waits)
         if ranking is None or step.lasting:
             # The rank of a lasting task depends on the free resources of all hosts,
             # which change with each placement. Other tasks that have waited equally
@@ -260,20 +261,33 @@
                 may_use_quarantined=may_fail,
             )
             ranking = choosing.rank_candidates(request, state.candidate_by_host)
-            ranking_by_waits[task.idle_since, may_fail] = ranking
+            ranking_by_waits[waits] = ranking
         candidate = choosing.choose_candidate(
             ranking, state.candidate_by_host, task, sibling_count_by_host, now
         )
         if candidate is None:
             state = _with_held_back(state, job, task, ranking, now)
             if not avoids_hosts:
-                unplaceable_since.add(task.idle_since)
+                unplaceable.add(waits)
             continue
         sibling_count_by_host[candidate.host.name] += 1
         state = _assign(state, job, step, task, candidate, task.run + 1, now)
     return state
 
 
+def _may_fail(
+    tables: SchedulerTables,
+    job: Job,
+    step: StepSpec,
+    members: Sequence[Task],
+    now: float,
+) -> bool:
+    """Return whether a task, or all members of a gang, may use hosts in quarantine."""
+    return idle_clock.may_risk_failure(job, step, members) or all(
+        idle_clock.may_risk_last_attempt(tables, job, task, now) for task in members
+    )
+
+
 def _place_gang(
     state: PlacementPass,
     job: Job,
@@ -289,7 +303,7 @@
     checkpoint = max(task.checkpoint for task in members)
     # A host that refused one member would refuse the others, which need the same.
     refused = refusals.merged(members)
-    may_fail = idle_clock.may_risk_failure(job, step, members)
+    may_fail = _may_fail(state.tables, job, step, members, now)
     trial = state
     for task in members:
         member = replace(task, checkpoint=checkpoint, refusals=refused)
@@ -313,10 +327,10 @@
     state: PlacementPass, job: Job, task: Task, ranking: choosing.Ranking, now: float
 ) -> PlacementPass:
     """Record when holds on a task end, and what keeps a step that may wait for long."""
-    hold_until = idle_clock.hold_until(job, task)
     is_held = bool(state.quarantined) or choosing.HARM in ranking.excluded
-    if is_held and now < hold_until < state.holds_end_at:
-        state = replace(state, holds_end_at=hold_until)
+    if is_held:
+        ends_at = idle_clock.next_change_at(job, task, now)
+        state = replace(state, holds_end_at=min(ends_at, state.holds_end_at))
     known = state.held_back_by_step
     is_recent = now - task.since < MAX_UNEXPLAINED_WAIT_S - PLACEMENT_INTERVAL_S
     if is_recent or len(known) >= MAX_HELD_BACK_STEPS:
