--- a/test/test_jobs_idle_clock.py
+++ b/test/test_jobs_idle_clock.py
@@ -37,6 +37,7 @@
 
 FAILED_SEEDS = (3, 16, 22, 37, 38, 51, 54, 69, 73, 74)
 OTHER_SEEDS = (21, 49)
+UNANSWERED_SEED = 220
 LONG = "90.0"
 
 
@@ -50,6 +51,10 @@
                 late.append(f"{seed}: {idle_s:.2f} s, {combination.describe()}")
         self.assertEqual([], late)
 
+    # The first call for advice waits behind more urgent steps, and two have no answer.
+    def test_advice_without_answer_beside_refused_tickets(self) -> None:
+        self.assertLess(longest_idle_s(draw_combination(UNANSWERED_SEED)), MAX_IDLE_S)
+
 
 class AllHostsHeldTest(testtools.TestCase):
     """The sound hosts are in quarantine, and all others refuse each start."""
