--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -129,7 +129,7 @@
     ),
     Mutant(
         name="quarantine-endless",
-        fault="a host on which a run fails takes no more tasks; all hosts may close",
+        fault="a host on which a run fails takes no more tasks; one host stays open",
         path=f"{SCHEDULING}/quarantine.py",
         replacements=(
             Replacement(
@@ -142,7 +142,7 @@
             ),
             Replacement(
                 old="    return 2 * len(closed | {host.name}) <= len(ready)\n",
-                new="    return len(closed | {host.name}) <= len(ready)\n",
+                new="    return len(closed | {host.name}) < len(ready)\n",
             ),
         ),
     ),
