--- a/test/test_jobs_last_resort.py
+++ b/test/test_jobs_last_resort.py
@@ -96,6 +96,13 @@
         job_id = world.submit(JOB, step(1, size=WAITING_SIZE), queue=queue)
         self.assertLess(self.idle_s(world, job_id), MAX_IDLE_S)
 
+    # Each member of a gang counted as a failure of its next run, of which one ends so.
+    def test_a_gang_of_as_many_members_as_attempts(self) -> None:
+        world = self.start_world()
+        gang = step(QUEUE.max_attempts, size=WAITING_SIZE, gang=True)
+        job_id = world.submit(JOB, gang)
+        self.assertLess(self.idle_s(world, job_id), MAX_IDLE_S)
+
     # A task that may not be placed kept siblings that may from being looked at.
     def test_a_sibling_of_a_last_attempt(self) -> None:
         world = self.start_world()
@@ -113,3 +120,33 @@
         tables: SchedulerTables = instance.tables
         task = replace(tables.tasks.by_key[task_id], failures=failures)
         instance.tables = replace(tables, tasks=tables.tasks.put(task_id, task))
+
+
+class UpkeepTest(testtools.TestCase):
+    """The only host with room is closed for its upkeep until a run there has ended."""
+
+    def test_a_job_does_not_wait_for_a_run_beside_it(self) -> None:
+        world = JobsWorld(entries=2, hosts=3)
+        for number, executor in enumerate(world.executor_by_host.values()):
+            executor.labels = (FULL if number else SPARE, f"rack-{executor.host}")
+        spare = next(iter(world.executor_by_host))
+        world.run(3.0)
+        long = step(2, needs_label=FULL, per_host_limit=1, size=LONG_SIZE)
+        world.submit(1, long, payload=LONG)
+        world.submit(JOB + 1, step(1, needs_label=SPARE), payload="8.0")
+        world.run(1.5)
+        world.order_wave(1, f"m-{spare}")
+        world.run(1.5)
+        # The host has room for it twice.
+        size = Resources(processors_m=1_000, memory_mb=3_200)
+        job_id = world.submit(JOB, step(1, size=size))
+        since = world.now
+        world.run_until(
+            lambda: any(
+                key.startswith(job_id)
+                for executor in world.executor_by_host.values()
+                for key in executor.run_by_key
+            ),
+            10.0,
+        )
+        self.assertLess(world.now - since, MAX_IDLE_S)
