--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -191,8 +191,8 @@
         path=f"{SCHEDULING}/committing.py",
         replacements=(
             Replacement(
-                old="    return _retry(tables, now, 0.0, reason)\n",
-                new="    return _retry(tables, now, 8.0, reason)\n",
+                old="    return _retry(purpose, tables, now, 0.0, reason)\n",
+                new="    return _retry(purpose, tables, now, 8.0, reason)\n",
             ),
         ),
     ),
@@ -203,7 +203,12 @@
         replacements=(
             Replacement(
                 old="in_flight=True, sent_at=now, attempts=attempt\n",
-                new="in_flight=True, sent_at=now, attempts=attempt, effects=()\n",
+                new="""\
+in_flight=True, sent_at=now, attempts=attempt,
+        batches=tuple(
+            replace(batch, effects_by_job=Map()) for batch in commit.batches
+        ),
+""",
             ),
         ),
     ),
