A slow store whose watches fail now and then still leaves an owner without answers

Callers would see leases end beside a slow store of which 5% of the reads and watches are refused.

Cause: a watch that is answered after one that failed sends the transaction again, whether or not the store has answered anything since the last attempt.

--- a/test/test_jobs_flaky_reads.py
+++ b/test/test_jobs_flaky_reads.py
@@ -29,11 +29,15 @@
 
 
 class FlakyReadsWorld(JobsWorld):
-    """A site on which `read_fails` and `read_latency_s` are drawn for each read."""
+    """A site on which `read_fails` and `read_latency_s` are drawn for each read.
+
+    Watches fail like reads only if `watches_fail`.
+    """
 
     def __init__(self) -> None:
         self.draw = random.Random(1)
         self.read_fails: Callable[[], bool] = lambda: False
+        self.watches_fail = False
         self.read_latency_s: Callable[[], float] = lambda: STORE_LATENCY_S
         super().__init__(entries=3, hosts=4)
 
@@ -45,8 +49,10 @@
     ) -> None:
         """Answer a read, or fail it."""
         after_s = self.read_latency_s()
-        is_late = isinstance(command, store.ReadRange) and after_s > command.timeout_s
-        if is_late or (isinstance(command, store.ReadRange) and self.read_fails()):
+        is_read = isinstance(command, store.ReadRange)
+        is_late = is_read and after_s > command.timeout_s
+        may_fail = is_read or self.watches_fail
+        if is_late or (may_fail and self.read_fails()):
             failed = store.ReadFailed(purpose=command.purpose, reason="status 503")
             after_s = command.timeout_s if is_late else after_s
             self._answer(command, process, after_s, lambda: failed)
@@ -94,3 +100,16 @@
             if age_s >= MAX_RENEWAL_AGE_S:
                 late.append(f"{factor:g}: {age_s:.2f} s")
         self.assertEqual([], late)
+
+    # A watch that is answered after one that failed replaces the attempt, too.
+    def test_watches_that_are_refused_now_and_then(self) -> None:
+        late: list[str] = []
+        for factor in SLOWDOWN_FACTORS:
+            world = FlakyReadsWorld()
+            world.watches_fail = True
+            world.run(3.0)
+            world.read_fails = lambda draw=world.draw: draw.random() < 0.05  # type: ignore[misc]
+            age_s = self.longest_renewal_age_s(world, factor)
+            if age_s >= MAX_RENEWAL_AGE_S:
+                late.append(f"{factor:g}: {age_s:.2f} s")
+        self.assertEqual([], late)
