A thread for the transaction that is sent again at the return of the store

An owner's calls that are not answered hold a thread each until their timeouts: two watches, the shortening of rows, the transaction, the read that probes the store, a list of machines, a call for advice, an order of upkeep. With six threads the transaction that is sent again could wait for one of these timeouts. CallsInFlightTest counts them in outages of 1 s to 8 s: five, and two more calls that the simulated site does not make then, where six threads were there. It failed with 7 against 6. There are ten now.

--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -35,7 +35,9 @@
 # Writes to a slow store hold threads for long; the reads that check whether these
 # writes took effect need others.
 INTAKE_THREADS = 14
-SCHEDULER_THREADS = 6
+# In an outage each of the owner's calls holds a thread until its timeout, and the
+# transaction that is sent again once the store answers needs one at once.
+SCHEDULER_THREADS = 10
 CALLER_THREADS = 24
 READY_THREADS = 2
 LINK_FLUSH_TIMEOUT_S = 0.5
--- a/test/test_jobs_store_return.py
+++ b/test/test_jobs_store_return.py
@@ -13,7 +13,11 @@
 import testtools
 
 from bulrushpulley.entities.jobs.executor_calls import StartRun
+from bulrushpulley.entities.jobs.machines import ListMachines
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, PollOwner
+from bulrushpulley.entities.jobs.store import StoreCommand
 from bulrushpulley.entities.step import Command
+from bulrushpulley.roles.job_entry_process import SCHEDULER_THREADS
 from test.jobs_world import JobsWorld, step
 
 ENTRIES = ("entry-0", "entry-1", "entry-2")
@@ -101,3 +105,56 @@
 
     def test_a_step_begins_soon_after_refusals(self) -> None:
         self.assertEqual({}, self._late(_refuse, far=False))
+
+
+class CallsInFlightTest(testtools.TestCase):
+    """Each call that is not answered takes a thread of the owner until its timeout.
+
+    Without a free one, the transaction that is sent again at the return of the store
+    waits for a timeout after all.
+    """
+
+    def _most_in_flight(self, outage_s: float) -> list[str]:
+        """Return the calls that the owner has in flight when it has the most."""
+        world = JobsWorld(entries=len(ENTRIES), hosts=4)
+        calls: list[tuple[float, float, str]] = []
+
+        def record(command: Command) -> None:
+            if isinstance(command, ListMachines):
+                sent = (world.now, world.now + command.timeout_s, "list of machines")
+                calls.append(sent)
+            elif isinstance(command, StoreCommand) and command.role == SCHEDULER:
+                purpose = command.purpose
+                if not isinstance(purpose, PollOwner):
+                    name = type(purpose).__name__
+                    calls.append((world.now, world.now + command.timeout_s, name))
+
+        world.run(3.0)
+        # Rows of jobs that have ended are shortened in the outage, in vain.
+        world.submit(1, step(2), payload="0.2")
+        world.submit(2, step(2), step(3, after=(0,)), payload="1.0")
+        world.run(0.8)
+        world.hook = record
+        _silence(world)
+        # A host is lost, and the service of machines does not answer either.
+        world.executor_by_host["z0-0"].crash()
+        world.kill("z0-0")
+        world.list_delay_s = outage_s
+        world.run(outage_s)
+        _end(world)
+        back_at = world.now
+        world.run(0.5)
+        most: list[str] = []
+        for sent_at, _, name in calls:
+            open_calls = [
+                other
+                for other_sent_at, until, other in calls
+                if other_sent_at < min(back_at, sent_at) and sent_at < until
+            ]
+            most = max(most, [*open_calls, name], key=len)
+        return most
+
+    def test_a_thread_is_left_for_the_transaction_that_is_sent_again(self) -> None:
+        most = max((self._most_in_flight(outage_s) for outage_s in OUTAGES_S), key=len)
+        # An advice call and an order of upkeep may be in flight as well.
+        self.assertLessEqual(len(most) + 2, SCHEDULER_THREADS, most)
