Resend a transaction after a failed watch only if nothing was read since

Cause: a watch that was answered after one that failed sent the transaction again each time, as probes did.

Change: the condition stands where both send it.

--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -349,11 +349,15 @@
     """Send the transaction again if a read that was sent later is answered.
 
     The store did not answer before, so the transaction was lost or refused as well. Its
-    timeout may be seconds away.
+    timeout may be seconds away. If another read was answered in between, the store is
+    slow or refuses some calls, and may still answer the attempt in flight.
     """
-    commit = tables.commit
+    commit, probe = tables.commit, tables.probe
     if commit is None or commit.sent_at >= read_sent_at:
         return Step(tables=tables)
+    if probe.answered_at >= commit.sent_at:
+        return Step(tables=tables)
+    tables = replace(tables, probe=replace(probe, answered_at=now))
     line = effects.log_retry(tables, commit, "the store answers again")
     usual_s = store_timeouts.timeout_s(tables.store_latency_s)
     step = _send_again(tables, commit, max(commit.transact.timeout_s, usual_s), now)
--- a/bulrushpulley/systems/scheduling/probing.py
+++ b/bulrushpulley/systems/scheduling/probing.py
@@ -62,19 +62,15 @@
 def handle_answered(
     purpose: ProbeStore, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Send the transaction again if no read has been answered since it was sent.
-
-    A read that was answered in between shows a store that is slow or refuses some
-    calls, and so may still answer the attempt in flight.
-    """
-    probe, commit = tables.probe, tables.commit
+    """Send the transaction again if earlier reads were not answered."""
+    probe = tables.probe
     if purpose.sent_at != probe.sent_at:
         return Step(tables=tables)
-    answered = replace(probe, in_flight=False, failed=False, answered_at=now)
+    answered = replace(probe, in_flight=False, failed=False)
     tables = replace(tables, probe=answered)
-    if not probe.failed or commit is None or probe.answered_at >= commit.sent_at:
-        return Step(tables=tables)
-    return committing.handle_store_back(tables, probe.sent_at, now)
+    if probe.failed:
+        return committing.handle_store_back(tables, probe.sent_at, now)
+    return Step(tables=replace(tables, probe=replace(answered, answered_at=now)))
 
 
 def handle_failed(purpose: ProbeStore, tables: SchedulerTables) -> SchedulerStep:
