--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -14,7 +14,6 @@
 from bulrushpulley.entities.jobs.items import (
     Adopt,
     Contact,
-    ContactAck,
     EndsNoted,
     HostReport,
     JobItem,
@@ -24,6 +23,7 @@
     RunRefused,
     RunsReport,
 )
+from bulrushpulley.entities.jobs.progress_commit import AcknowledgeEnd
 from bulrushpulley.entities.jobs.runs import (
     RunEnd,
     RunOrder,
@@ -33,7 +33,6 @@
     ending_of,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import (
-    AcknowledgeEnd,
     Owning,
     SchedulerStep,
     SchedulerTables,
@@ -49,6 +48,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import (
     advising,
+    confirming,
     draining,
     edits,
     endings,
@@ -170,54 +170,7 @@
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
     host = replace(host, last_contact_at=now, contact_sent_at=event.sent_at)
     tables = edits.put_host(tables, host)
-    return Step(tables=tables, commands=_confirm_contact(tables, host, now))
-
-
-def _confirm_contact(
-    tables: SchedulerTables, host: Host, now: float
-) -> tuple[Command, ...]:
-    """Return the answer to the last contact of an agent, if it may renew leases."""
-    renewals_for_s = _permitted_renewals_s(tables, host, now)
-    if renewals_for_s <= 0.0 or host.contact_sent_at is None:
-        return ()
-    ack = ContactAck(
-        epoch=tables.epoch, sent_at=host.contact_sent_at, renewals_for_s=renewals_for_s
-    )
-    return (Send(peer=host.peer, item=ack),)
-
-
-def confirm_contacts(
-    tables: SchedulerTables, renewed_before_at: float, now: float
-) -> tuple[Command, ...]:
-    """Confirm contacts again after a renewal that came late.
-
-    The permission that agents had may have ended or be about to, and without it they
-    would start nothing before their next contact.
-    """
-    bounds = tables.bounds
-    if now - renewed_before_at <= bounds.owner_autonomy_s - bounds.agent_autonomy_s:
-        return ()
-    return tuple(
-        command
-        for host in tables.hosts.rows_where("link", f"{tables.epoch}")
-        for command in _confirm_contact(tables, host, now)
-    )
-
-
-def _permitted_renewals_s(tables: SchedulerTables, host: Host, now: float) -> float:
-    """Return how long an agent may request full leases; zero or less if it may not.
-
-    The next owner relies on `OwnerRow.renewals_for_s`, and on `UnlinkedHost` for agents
-    not adopted yet. This owner relies on `Bounds.agent_expiry_s`, which was longer in
-    earlier versions, so the agent is told.
-    """
-    owning = tables.leadership
-    if not isinstance(owning, Owning) or tables.leaving:
-        return 0.0
-    if host.announced_epoch != tables.epoch:
-        return 0.0
-    renewals_for_s = owning.renewed_at + tables.bounds.owner_autonomy_s - now
-    return min(tables.bounds.agent_autonomy_s, renewals_for_s)
+    return Step(tables=tables, commands=confirming.confirm_contact(tables, host, now))
 
 
 @apply_item.register
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -15,6 +15,7 @@
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.progress_commit import Batch, Commit, Effect
 from bulrushpulley.entities.jobs.rows import (
     OWNER_KEY,
     OwnerRow,
@@ -23,10 +24,7 @@
 )
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
-    Batch,
-    Commit,
     CommitProgress,
-    Effect,
     Owning,
     SchedulerStep,
     SchedulerTables,
@@ -39,6 +37,7 @@
 from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.scheduling import (
     agents,
+    confirming,
     effects,
     interference,
     lease_expiry,
@@ -294,7 +293,7 @@
         for effects_of_job in batch.effects_by_job.values()
         for effect in effects_of_job
     )
-    confirmations = agents.confirm_contacts(tables, owning.renewed_at, now)
+    confirmations = confirming.confirm_contacts(tables, owning.renewed_at, now)
     step = _apply_effects(deferred, tables, now)
     commands = (observation, *confirmations, *step.commands)
     return Step(tables=step.tables, commands=commands)
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -11,11 +11,8 @@
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import HeldImage, Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
-from bulrushpulley.entities.jobs.scheduler_tables import (
-    Effect,
-    Owning,
-    SchedulerTables,
-)
+from bulrushpulley.entities.jobs.progress_commit import Effect
+from bulrushpulley.entities.jobs.scheduler_tables import Owning, SchedulerTables
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState
 from bulrushpulley.entities.observe import Decision
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -8,15 +8,14 @@
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.items import EndsNoted, Orders
-from bulrushpulley.entities.jobs.runs import Lost, RunOrder, Stopped
-from bulrushpulley.entities.jobs.scheduler_tables import (
+from bulrushpulley.entities.jobs.progress_commit import (
     AcknowledgeEnd,
     Commit,
     Effect,
-    SchedulerStep,
-    SchedulerTables,
     SendStart,
 )
+from bulrushpulley.entities.jobs.runs import Lost, RunOrder, Stopped
+from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.observe import Decision
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -7,12 +7,9 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.progress_commit import AcknowledgeEnd
 from bulrushpulley.entities.jobs.runs import Done, Ending, Failed, Lost, Stopped
-from bulrushpulley.entities.jobs.scheduler_tables import (
-    AcknowledgeEnd,
-    SchedulerStep,
-    SchedulerTables,
-)
+from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, step_key
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import (
--- a/bulrushpulley/systems/scheduling/idle_clock.py
+++ b/bulrushpulley/systems/scheduling/idle_clock.py
@@ -75,3 +75,16 @@
     """
     failures = sum(task.failures for task in members) + len(members)
     return step.lasting or failures < job.row.max_attempts
+
+
+def may_use_quarantined(
+    tables: SchedulerTables,
+    job: Job,
+    step: StepSpec,
+    members: Collection[Task],
+    now: float,
+) -> bool:
+    """Return whether a task, or all members of a gang, may use hosts in quarantine."""
+    return may_risk_failure(job, step, members) or all(
+        may_risk_last_attempt(tables, job, task, now) for task in members
+    )
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -20,12 +20,12 @@
 from bulrushpulley.entities.jobs.exclusion import Exclusion, HeldBack
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
+from bulrushpulley.entities.jobs.progress_commit import SendStart
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Owning,
     SchedulerStep,
     SchedulerTables,
-    SendStart,
 )
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, step_key
@@ -246,7 +246,7 @@
     unplaceable: set[tuple[float, bool]] = set()
     for task in members:
         avoids_hosts = choosing.avoids_hosts(task)
-        may_fail = _may_fail(state.tables, job, step, (task,), now)
+        may_fail = idle_clock.may_use_quarantined(state.tables, job, step, (task,), now)
         waits = (task.idle_since, may_fail)
         if waits in unplaceable and not avoids_hosts:
             continue
@@ -275,19 +275,6 @@
     return state
 
 
-def _may_fail(
-    tables: SchedulerTables,
-    job: Job,
-    step: StepSpec,
-    members: Sequence[Task],
-    now: float,
-) -> bool:
-    """Return whether a task, or all members of a gang, may use hosts in quarantine."""
-    return idle_clock.may_risk_failure(job, step, members) or all(
-        idle_clock.may_risk_last_attempt(tables, job, task, now) for task in members
-    )
-
-
 def _place_gang(
     state: PlacementPass,
     job: Job,
@@ -303,7 +290,7 @@
     checkpoint = max(task.checkpoint for task in members)
     # A host that refused one member would refuse the others, which need the same.
     refused = refusals.merged(members)
-    may_fail = _may_fail(state.tables, job, step, members, now)
+    may_fail = idle_clock.may_use_quarantined(state.tables, job, step, members, now)
     trial = state
     for task in members:
         member = replace(task, checkpoint=checkpoint, refusals=refused)
--- a/bulrushpulley/systems/scheduling/probing.py
+++ b/bulrushpulley/systems/scheduling/probing.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.progress_commit import Commit
 from bulrushpulley.entities.jobs.rows import OWNED_PART, OWNERS
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
-    Commit,
     Owning,
     ProbeStore,
     SchedulerStep,
