Agents log each end that their backend server lists, and each one acknowledged

What callers saw: LOST, a step that is never unblocked; the logs could not tell a run that ended from one that is stuck. Cause: agents wrote no line when a run ended. Change: run.end with how and number, run.noted once the owner has called the end durable. Evidence: the new test finds neither line before.

--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -143,12 +143,15 @@
     tables = replace(tables, server=server, poll=PollState())
     # What precedes the first end that the server keeps was acknowledged by an earlier
     # process of this agent.
-    tables = _with_noted(tables, max(server.noted, event.first_end - 1))
-    lines = _start_lines(tables, event, now)
+    noted = _with_noted(tables, max(server.noted, event.first_end - 1))
+    tables = noted.tables
+    lines = (*noted.commands, *_start_lines(tables, event, now))
     for status in event.runs:
         tables = _update_run(tables, status, now)
     for end in event.ends:
-        tables = _record_end(tables, end)
+        recorded = _record_end(tables, end)
+        tables = recorded.tables
+        lines = (*lines, *recorded.commands)
     if tables.ends:
         # The server answers immediately while ends are unacknowledged: delay the call.
         poll = replace(tables.poll, retry_at=now + UNACKNOWLEDGED_ENDS_INTERVAL_S)
@@ -205,15 +208,17 @@
     return edits.put_run(tables, updated)
 
 
-def _record_end(tables: JobAgentTables, end: RunEnd) -> JobAgentTables:
+def _record_end(tables: JobAgentTables, end: RunEnd) -> JobAgentStep:
     server = tables.server
-    if server is None or end.number <= server.noted:
-        return tables
-    return replace(
+    if server is None or end.number <= server.noted or end.number in tables.ends:
+        return Step(tables=tables)
+    line = edits.log(tables, "run.end", end.key, end.how, f"end {end.number}")
+    recorded = replace(
         tables,
         ends=tables.ends.set(end.number, end),
         runs=tables.runs.drop(end.key),
     )
+    return Step(tables=recorded, commands=(line,))
 
 
 def _refuse_missing(
@@ -252,27 +257,32 @@
         return Step(tables=tables)
     out_of_order = server.noted_out_of_order | frozenset(event.numbers)
     tables = replace(tables, server=replace(server, noted_out_of_order=out_of_order))
-    tables = _with_noted(tables, server.noted)
+    step = _with_noted(tables, server.noted)
+    tables = step.tables
     if not tables.ends:
         tables = replace(tables, poll=replace(tables.poll, retry_at=now))
-    return Step(tables=tables)
+    return replace(step, tables=tables)
 
 
-def _with_noted(tables: JobAgentTables, noted: int) -> JobAgentTables:
+def _with_noted(tables: JobAgentTables, noted: int) -> JobAgentStep:
     """Record that the ends up to `noted`, and those durable after it, are durable."""
     server = tables.server
     if server is None:
-        return tables
+        return Step(tables=tables)
     while noted + 1 in server.noted_out_of_order:
         noted += 1
     if noted == server.noted:
-        return tables
+        return Step(tables=tables)
     out_of_order = frozenset(
         number for number in server.noted_out_of_order if number > noted
     )
     ends = tables.ends
-    for number in tables.ends:
+    lines: list[Command] = []
+    for number, end in sorted(tables.ends.items()):
         if number <= noted:
             ends = ends.delete(number)
+            reason = f"end {number} of {server.life} is durable"
+            lines.append(edits.log(tables, "run.noted", end.key, end.how, reason))
     server = replace(server, noted=noted, noted_out_of_order=out_of_order)
-    return replace(tables, server=server, ends=ends)
+    noted_tables = replace(tables, server=server, ends=ends)
+    return Step(tables=noted_tables, commands=tuple(lines))
--- a/test/test_jobs_ends.py
+++ b/test/test_jobs_ends.py
@@ -62,6 +62,23 @@
         self.assertEqual([], world.violations)
 
 
+class EndLinesTest(testtools.TestCase):
+    def test_each_end_and_its_acknowledgement_have_a_line_of_the_agent(self) -> None:
+        # A run that ended and one that is stuck looked alike in the logs.
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        job_id = world.submit(1, step(2), payload="0.3")
+        self.assertTrue(world.run_until(world.all_complete, 10.0))
+        world.run(1.0)
+        runs = [f"{job_id}.0.0.0#1", f"{job_id}.0.0.1#1"]
+        for kind in ("run.end", "run.noted"):
+            lines = [line for line in world.decisions if line.kind == kind]
+            self.assertEqual(runs, sorted(line.subject for line in lines))
+            self.assertEqual({"done"}, {line.chosen for line in lines})
+            numbers = {line.reason.split()[1] for line in lines}
+            self.assertEqual({"1", "2"}, numbers)
+
+
 class ListedEndsTest(testtools.TestCase):
     def decode(self, *ends: Any) -> tuple[int, bool]:
         """Return the first end and whether the list is complete."""
