Compare the owner's books with those of each agent at every contact

What callers saw: LOST, a task that could run and does not. Where a message between owner and agent is lost, the owner's books are wrong and nothing shows it: the meter of idle jobs measures what the owner believes.

Change: orders are numbered within an adoption; a contact carries the number of the last ones handled, digests of the runs ordered and of the last report of the host, and the age of the oldest end. The owner compares them and logs books.differ with kind and age once a difference outlasts what may be in flight. Contacts follow what an agent has to report. Nothing is put right yet.

Evidence: test_jobs_books loses one end, start, acknowledgement, refusal and report of a host; each is named, and none on a site without losses.

--- /dev/null
+++ b/bulrushpulley/entities/jobs/books.py
@@ -0,0 +1,68 @@
+"""What owner and agent believe of the runs on a host, in a form that can be compared.
+
+Each message between them is sent once. With each contact the agent sends a summary of
+what it holds, so that the owner notices a message that was lost, on the way or by its
+receiver, whatever it said.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+DIGEST_BYTES = 8
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Books:
+    """The summary that an agent sends with a contact.
+
+    `adoption` is the one that it is about, and `orders` the number of the last item of
+    orders handled. `misses_orders` is set once a later one has arrived. `runs` is the
+    digest of the runs that the owner has ordered, and empty while the agent has not got
+    all orders or the list of its backend server. `host` is the digest of the last
+    report of the host. The agent has held the first of its `ends` unacknowledged ends
+    for `oldest_end_s`.
+    """
+
+    adoption: int
+    orders: int = 0
+    misses_orders: bool = False
+    runs: bytes = b""
+    host: bytes = b""
+    ends: int = 0
+    oldest_end_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostBooks:
+    """What the owner compares with the books of one agent.
+
+    It has sent `orders` items of orders in the current adoption, and `due_orders` of
+    them by `due_at`. `report` is the digest of the last report of the host. The books
+    have differed since `differ_since`, in `difference`, or agreed at the last
+    comparison if that is None; this has been reported `reports` times, and is not
+    reported again before `report_at`.
+    """
+
+    host: str
+    orders: int = 0
+    due_orders: int = 0
+    due_at: float = 0.0
+    report: bytes = b""
+    differ_since: float | None = None
+    difference: str = ""
+    reports: int = 0
+    report_at: float = 0.0
+
+
+def digest_of(texts: Iterable[str]) -> bytes:
+    """Return the digest of texts in their order."""
+    data = "\n".join(texts).encode()
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def digest_of_runs(kept: Iterable[str], stopped: Iterable[str]) -> bytes:
+    """Return the digest of the keys of runs that are to be kept and to be stopped."""
+    return digest_of((*sorted(kept), "", *sorted(stopped)))
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from bulrushpulley.entities.jobs.books import Books, digest_of
 from bulrushpulley.entities.jobs.host import ServerState
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.link import LinkEvent
@@ -38,7 +39,8 @@
     """Runs to start or keep, and runs to stop, on one incarnation of a server.
 
     If `complete`, it lists every run that may exist, and all others are stopped.
-    `adoption` is the last one of the host when the item was sent.
+    `adoption` is the last one of the host when the item was sent, and `number` counts
+    the items of orders in it, from 1; earlier versions leave it at zero.
     """
 
     life: str
@@ -46,6 +48,7 @@
     stop: tuple[RunRef, ...] = ()
     complete: bool = False
     adoption: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,9 +77,12 @@
     """Asks the owner to confirm that it still owns the shard.
 
     A confirmation allows the agent to renew leases for a time that starts at `sent_at`.
+    All that the agent had to report by then was sent before. Earlier versions send no
+    `books`.
     """
 
     sent_at: float
+    books: Books | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -135,6 +141,21 @@
     labels: tuple[str, ...]
     leaves_in_s: float = 0.0
 
+    @property
+    def digest(self) -> bytes:
+        """The digest of the report, without the time left, of which none is sent."""
+        room = self.capacity
+        return digest_of(
+            (
+                self.failure_domain,
+                self.life,
+                self.service,
+                self.state.value,
+                f"{room.processors_m} {room.memory_mb} {room.accelerators}",
+                *self.labels,
+            )
+        )
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunsReport(JobItem):
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -43,15 +43,23 @@
     BARRED = "barred"
 
 
+class Asked(enum.Enum):
+    """What the owner's last order about a run asks for; NOTHING if there is none."""
+
+    NOTHING = "nothing"
+    KEEP = "keep"
+    STOP = "stop"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Run:
     """One run: the order for it, if there is one, and its status on the server.
 
-    A run that is not `wanted` is stopped. No call about it is sent before `retry_at`
-    or while one is in flight. `since` is when the order came or the run was first
-    listed. `unconfirmed` is set once a start got no answer, or if an earlier process of
-    the host may have sent one, and `denied` is the reason for which the backend server
-    denied one. `pace` is the intended percentage of full
+    A run that is not `wanted` is stopped, whatever the owner has `asked`. No call about
+    it is sent before `retry_at` or while one is in flight. `since` is when the order
+    came or the run was first listed. `unconfirmed` is set once a start got no answer,
+    or if an earlier process of the host may have sent one, and `denied` is the reason
+    for which the backend server denied one. `pace` is the intended percentage of full
     speed, and `pace_set` the last one that was sent, or zero if the actual one is not
     known. Until `pace_uncertain_until` a late call may still change it, so the pace is
     sent again. `reported` is the status that the owner was last sent.
@@ -60,6 +68,7 @@
     ref: RunRef
     phase: RunPhase
     wanted: bool = True
+    asked: Asked = Asked.NOTHING
     order: RunOrder | None = None
     status: RunStatus | None = None
     in_flight: bool = False
@@ -200,9 +209,12 @@
     `unconfirmed` are the announced incarnations that are not confirmed, by name. `ends`
     are kept by number until the server may discard them. `synced` means that the owner
     has been sent the complete list of runs; `last_host_report` and the end with number
-    `last_end_sent` are the last ones sent. `unsettled_since_by_kind` is since when each
-    lack that is logged has lasted, by the kind of its line, and `oldest_end` the number
-    of the first end when last checked. `confirmed_at` is when the last contact that an
+    `last_end_sent` are the last ones sent. `end_listed_at` is when each of the `ends`
+    was first listed. `orders` is the number of the last item of orders in `adoption`
+    that was handled, and `misses_orders` is set once a later one has arrived.
+    `unsettled_since_by_kind` is since when each lack that is logged has lasted, by the
+    kind of its line, and `oldest_end` the number of the first end when last checked.
+    `confirmed_at` is when the last contact that an
     owner confirmed was sent, or when the row of the host was first stored, if that is
     later. `stored_row` is the last row that the store has confirmed. `adoption` is the
     number of the last adoption, and `closed_adoption` the one whose orders are not
@@ -222,6 +234,8 @@
     orders_complete: bool = False
     adoption: int = 0
     closed_adoption: int = 0
+    orders: int = 0
+    misses_orders: bool = False
     server: Server | None = None
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
@@ -232,6 +246,7 @@
         default_factory=lambda: Table.empty(indexes={"phase": by_phase})
     )
     ends: Map[int, RunEnd] = field(default_factory=Map)
+    end_listed_at: Map[int, float] = field(default_factory=Map)
     last_end_sent: int = 0
     pacing: Pacing = field(default_factory=Pacing)
     runs_reported_at: float = 0.0
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -17,6 +17,7 @@
 from bulrushpulley.entities.interference import Harm
 from bulrushpulley.entities.jobs import host, job, task
 from bulrushpulley.entities.jobs.advice import Advice
+from bulrushpulley.entities.jobs.books import HostBooks
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.candidate import Candidate
 from bulrushpulley.entities.jobs.configuration import (
@@ -146,6 +147,7 @@
     - `wall_offset_s` is the time since 1970 minus the role's clock, the median of the
       recent readings in `wall_offsets_s`.
     - `advice_failing` is set if the last request for advice failed.
+    - `books` holds, for each host, what is compared with the books of its agent.
     - `unsynced_since_by_host` is since when linked hosts have been seen not synced.
     - `leaving` is set once the process is stopping.
     """
@@ -218,6 +220,7 @@
     silence_checked_at: float = 0.0
     condensed_at: float = 0.0
     unserved_reported_at: float = 0.0
+    books: Table[HostBooks] = field(default_factory=Table.empty)
     unsynced_since_by_host: Map[str, float] = field(default_factory=Map)
     idle_jobs: IdleJobTables = field(default_factory=IdleJobTables)
     capacity_use_reported_at: float = 0.0
--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -35,6 +35,8 @@
 HOLDING_STATES = frozenset(
     {TaskState.PLACED, TaskState.HELD, TaskState.RUNNING, TaskState.STOPPING}
 )
+# The runs that a host was ordered to start and is to keep.
+KEPT_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 # The states from which the next report of a host about the run leads.
 UNSETTLED_STATES = frozenset({TaskState.PLACED, TaskState.HELD, TaskState.STOPPING})
 # The index value of the tasks in these states.
@@ -73,6 +75,11 @@
     running_since: float = 0.0
     startup_done: bool = False
 
+    @property
+    def run_key(self) -> str:
+        """The key of its current run, as in `RunRef.key`."""
+        return f"{self.task_id}#{self.run}"
+
     @property
     def progress(self) -> TaskProgress:
         """The durable part of the task."""
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -5,6 +5,7 @@
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.items import Adopt, ContactAck, Orders
 from bulrushpulley.entities.jobs.job_agent_tables import (
+    Asked,
     JobAgentStep,
     JobAgentTables,
     Run,
@@ -38,6 +39,8 @@
         last_end_sent=0,
         adoption=event.adoption,
         closed_adoption=0,
+        orders=0,
+        misses_orders=False,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
 
@@ -72,8 +75,7 @@
 
 def handle_orders(event: Orders, tables: JobAgentTables, now: float) -> JobAgentStep:
     """Record which runs are to be started, kept or stopped."""
-    server = tables.server
-    if event.epoch != tables.epoch or server is None or event.life != server.life:
+    if event.epoch != tables.epoch:
         reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     has_closed = bool(tables.closed_adoption)
@@ -81,6 +83,12 @@
     if event.adoption != tables.adoption or is_closed:
         reason = f"orders of adoption {event.adoption} are out of date"
         return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
+    if event.number:
+        tables = replace(tables, orders=max(tables.orders, event.number))
+    server = tables.server
+    if server is None or event.life != server.life:
+        reason = f"orders of epoch {event.epoch} for {event.life} are out of date"
+        return Step(tables=tables, commands=(_line(tables, event.peer, reason),))
     if event.complete:
         tables = _drop_unlisted(tables, event)
     for order in event.start:
@@ -99,7 +107,7 @@
         if run.phase is RunPhase.ORDERED:
             tables = replace(tables, runs=tables.runs.drop(run.key))
             continue
-        unwanted = replace(run, wanted=False)
+        unwanted = replace(run, wanted=False, asked=Asked.NOTHING)
         tables = edits.put_run(tables, unwanted)
     return replace(tables, orders_complete=True)
 
@@ -118,7 +126,12 @@
     known = tables.runs.get(order.key)
     run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now, unconfirmed=repeated)
     barred = run.phase is RunPhase.BARRED
-    ordered = replace(run, order=order, wanted=run.wanted if barred else True)
+    ordered = replace(
+        run,
+        order=order,
+        wanted=run.wanted if barred else True,
+        asked=Asked.KEEP,
+    )
     return edits.put_run(tables, ordered)
 
 
@@ -127,7 +140,7 @@
         return tables
     known = tables.runs.get(ref.key)
     run = known or Run(ref=ref, phase=RunPhase.ORDERED, since=now)
-    unwanted = replace(run, wanted=False)
+    unwanted = replace(run, wanted=False, asked=Asked.STOP)
     return edits.put_run(tables, unwanted)
 
 
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -149,7 +149,7 @@
     for status in event.runs:
         tables = _update_run(tables, status, now)
     for end in event.ends:
-        recorded = _record_end(tables, end)
+        recorded = _record_end(tables, end, now)
         tables = recorded.tables
         lines = (*lines, *recorded.commands)
     if tables.ends:
@@ -208,7 +208,7 @@
     return edits.put_run(tables, updated)
 
 
-def _record_end(tables: JobAgentTables, end: RunEnd) -> JobAgentStep:
+def _record_end(tables: JobAgentTables, end: RunEnd, now: float) -> JobAgentStep:
     server = tables.server
     if server is None or end.number <= server.noted or end.number in tables.ends:
         return Step(tables=tables)
@@ -216,6 +216,7 @@
     recorded = replace(
         tables,
         ends=tables.ends.set(end.number, end),
+        end_listed_at=tables.end_listed_at.set(end.number, now),
         runs=tables.runs.drop(end.key),
     )
     return Step(tables=recorded, commands=(line,))
@@ -276,13 +277,14 @@
     out_of_order = frozenset(
         number for number in server.noted_out_of_order if number > noted
     )
-    ends = tables.ends
+    ends, end_listed_at = tables.ends, tables.end_listed_at
     lines: list[Command] = []
     for number, end in sorted(tables.ends.items()):
         if number <= noted:
             ends = ends.delete(number)
+            end_listed_at = end_listed_at.delete(number)
             reason = f"end {number} of {server.life} is durable"
             lines.append(edits.log(tables, "run.noted", end.key, end.how, reason))
     server = replace(server, noted=noted, noted_out_of_order=out_of_order)
-    noted_tables = replace(tables, server=server, ends=ends)
-    return Step(tables=noted_tables, commands=tuple(lines))
+    tables = replace(tables, server=server, ends=ends, end_listed_at=end_listed_at)
+    return Step(tables=tables, commands=tuple(lines))
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.books import Books, digest_of_runs
 from bulrushpulley.entities.jobs.bounds import CONTACT_INTERVAL_S
 from bulrushpulley.entities.jobs.items import (
     Contact,
@@ -13,6 +16,7 @@
     ServingMeasure,
 )
 from bulrushpulley.entities.jobs.job_agent_tables import (
+    Asked,
     JobAgentStep,
     JobAgentTables,
     Run,
@@ -33,11 +37,14 @@
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Send contacts, the state of the host, changed runs and ends, and measures."""
+    """Send the state of the host, changed runs and ends, measures, and contacts.
+
+    The owner compares its books with those of a contact, so contacts come last.
+    """
     if not tables.owner:
         return Step(tables=tables)
     commands: list[Command] = []
-    for send_due in (_send_contact, _report_host, _report_runs, _send_measures):
+    for send_due in (_report_host, _report_runs, _send_measures, _send_contact):
         step = send_due(tables, now)
         tables = step.tables
         commands.extend(step.commands)
@@ -47,11 +54,37 @@
 def _send_contact(tables: JobAgentTables, now: float) -> JobAgentStep:
     if now - tables.contact_sent_at < CONTACT_INTERVAL_S:
         return Step(tables=tables)
-    contact = Contact(epoch=tables.epoch, sent_at=now)
+    contact = Contact(epoch=tables.epoch, sent_at=now, books=_books(tables, now))
     tables = replace(tables, contact_sent_at=now)
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=contact),))
 
 
+def _books(tables: JobAgentTables, now: float) -> Books:
+    server, report = tables.server, tables.last_host_report
+    runs = b""
+    if server is not None and server.listed and tables.orders_complete:
+        runs = digest_of_runs(
+            kept=_keys_asked(tables, Asked.KEEP),
+            stopped=_keys_asked(tables, Asked.STOP),
+        )
+    oldest_end_s = 0.0
+    if tables.ends:
+        oldest_end_s = now - tables.end_listed_at.get(min(tables.ends), now)
+    return Books(
+        adoption=tables.adoption,
+        orders=tables.orders,
+        misses_orders=tables.misses_orders,
+        runs=runs,
+        host=report.digest if report is not None else b"",
+        ends=len(tables.ends),
+        oldest_end_s=oldest_end_s,
+    )
+
+
+def _keys_asked(tables: JobAgentTables, asked: Asked) -> Iterator[str]:
+    return (run_.key for run_ in tables.runs.rows() if run_.asked is asked)
+
+
 def _report_host(tables: JobAgentTables, now: float) -> JobAgentStep:
     report = host_report(tables)
     before = tables.last_host_report
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -113,6 +113,7 @@
         poll=PollState(),
         runs=Table.empty(indexes=tables.runs.index_functions),
         ends=Map(),
+        end_listed_at=Map(),
         last_end_sent=0,
         orders_complete=False,
         synced=False,
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -19,7 +19,6 @@
     JobItem,
     LifeEnded,
     Measures,
-    Orders,
     RunRefused,
     RunsReport,
 )
@@ -39,6 +38,7 @@
 )
 from bulrushpulley.entities.jobs.task import (
     HOLDING_STATES,
+    KEPT_STATES,
     Task,
     TaskState,
     job_id_of,
@@ -48,11 +48,13 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import (
     advising,
+    comparing,
     confirming,
     draining,
     edits,
     endings,
     interference,
+    ordering,
     quarantine,
     refusals,
 )
@@ -61,7 +63,6 @@
 CHECKPOINT_SAVE_INTERVAL_S = 1.0
 # The percentage that a lasting task reports once its startup is over.
 STARTUP_DONE_PERCENT = 100
-KEPT_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 
 
 def handle_link_up(event: LinkUp, tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -78,6 +79,7 @@
         redials=0,
         sent_verdicts=None,
     )
+    tables = replace(tables, books=tables.books.drop(name))
     return Step(tables=edits.put_host(tables, linked))
 
 
@@ -118,7 +120,7 @@
             adoptions=host.adoptions + 1,
             synced=False,
         )
-        tables = edits.put_host(tables, adopted)
+        tables = comparing.restart(edits.put_host(tables, adopted), adopted, now)
         item = Adopt(epoch=tables.epoch, adoption=adopted.adoptions)
         commands.append(Send(peer=host.peer, item=item))
     return Step(tables=tables, commands=tuple(commands))
@@ -170,7 +172,9 @@
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
     host = replace(host, last_contact_at=now, contact_sent_at=event.sent_at)
     tables = edits.put_host(tables, host)
-    return Step(tables=tables, commands=confirming.confirm_contact(tables, host, now))
+    confirmation = confirming.confirm_contact(tables, host, now)
+    step = comparing.handle_books(tables, host, event.books, now)
+    return replace(step, commands=(*confirmation, *step.commands))
 
 
 @apply_item.register
@@ -190,6 +194,7 @@
         synced=host.synced and event.life == host.life,
     )
     tables = replace(edits.put_host(tables, known), place_due=True)
+    tables = comparing.handle_report(tables, known, event.digest)
     reason = f"incarnation {event.life}, leaves in {event.leaves_in_s:g} s"
     line = edits.log(tables, "host.state", host.name, event.state.value, reason)
     commands: tuple[Command, ...] = (line,)
@@ -332,19 +337,15 @@
         for task in held
         if task.state is TaskState.STOPPING
     )
-    item = Orders(
-        epoch=tables.epoch,
-        life=host.life,
-        start=tuple(
-            run_order_for(tables, task) for task in held if task.state in KEPT_STATES
-        ),
-        stop=stops,
-        complete=True,
-        adoption=host.adoptions,
+    starts = tuple(
+        run_order_for(tables, task) for task in held if task.state in KEPT_STATES
     )
-    reason = f"{len(item.start)} runs kept, {len(stops)} stopped"
+    reason = f"{len(starts)} runs kept, {len(stops)} stopped"
     line = edits.log(tables, "host.synced", name, host.life, reason)
-    return Step(tables=tables, commands=(line, Send(peer=host.peer, item=item)))
+    ordered = ordering.send(
+        tables, host, host.life, start=starts, stop=stops, complete=True
+    )
+    return Step(tables=ordered.tables, commands=(line, *ordered.commands))
 
 
 def run_order_for(tables: SchedulerTables, task: Task) -> RunOrder:
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -7,7 +7,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import Host, ServerState
-from bulrushpulley.entities.jobs.items import EndsNoted, Orders
+from bulrushpulley.entities.jobs.items import EndsNoted
 from bulrushpulley.entities.jobs.progress_commit import (
     AcknowledgeEnd,
     Commit,
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import agents, edits, endings
+from bulrushpulley.systems.scheduling import agents, edits, endings, ordering
 
 
 def apply_effects(
@@ -38,13 +38,9 @@
         _collect_messages(effect, tables, orders_by_host, end_numbers_by_incarnation)
     for name, orders in orders_by_host.items():
         host = tables.hosts.by_key[name]
-        item = Orders(
-            epoch=tables.epoch,
-            life=host.life,
-            start=tuple(orders),
-            adoption=host.adoptions,
-        )
-        commands.append(Send(peer=host.peer, item=item))
+        ordered = ordering.send(tables, host, host.life, start=tuple(orders))
+        tables = ordered.tables
+        commands.extend(ordered.commands)
     for (name, incarnation), numbers in end_numbers_by_incarnation.items():
         peer = tables.hosts.by_key[name].peer
         noted = EndsNoted(epoch=tables.epoch, life=incarnation, numbers=tuple(numbers))
--- a/bulrushpulley/systems/scheduling/stopping.py
+++ b/bulrushpulley/systems/scheduling/stopping.py
@@ -5,13 +5,11 @@
 from collections.abc import Callable
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.items import Orders
 from bulrushpulley.entities.jobs.runs import RunRef
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState
-from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, ordering
 
 STOPPABLE_STATES = frozenset({TaskState.HELD, TaskState.RUNNING})
 
@@ -21,7 +19,8 @@
     stopping = replace(task, state=TaskState.STOPPING, since=now)
     tables = edits.put_task(tables, stopping)
     line = edits.log(tables, "task.stop", task.task_id, task.host, reason)
-    return Step(tables=tables, commands=(line, *stop_order(tables, task)))
+    ordered = _order_stop(tables, task)
+    return Step(tables=ordered.tables, commands=(line, *ordered.commands))
 
 
 def stop_selected(
@@ -44,13 +43,10 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
-def stop_order(tables: SchedulerTables, task: Task) -> tuple[Command, ...]:
-    """Return the order to stop a run, if its host is linked and synced."""
+def _order_stop(tables: SchedulerTables, task: Task) -> SchedulerStep:
+    """Send the order to stop a run, if its host is linked and synced."""
     host = tables.hosts.get(task.host)
     if host is None or not host.peer or not host.synced:
-        return ()
+        return Step(tables=tables)
     ref = RunRef(task_id=task.task_id, run=task.run)
-    item = Orders(
-        epoch=tables.epoch, life=task.life, stop=(ref,), adoption=host.adoptions
-    )
-    return (Send(peer=host.peer, item=item),)
+    return ordering.send(tables, host, task.life, stop=(ref,))
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -10,7 +10,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import partial, singledispatchmethod
 from typing import Any
@@ -151,7 +151,9 @@
 class JobsWorld:
     """The simulated site; `run` advances it, `violations` must stay empty.
 
-    `hook` is called with each command before it is carried out. While `call_delay_s` is
+    `hook` is called with each command before it is carried out. `delays_of` returns,
+    for an item on a link with its sender and receiver, the extra delays with which it
+    is delivered, one for each time: none if it is lost. While `call_delay_s` is
     set, starts and stops reach the backend server that much later, without an answer;
     `late_calls` draws such calls one by one. While `late_writes_s` is set, transactions
     are applied that much later, without an answer. The two processes of each of the
@@ -205,6 +207,9 @@
         self.wall_error_s = 0.0
         self.lose_upkeep_answers = False
         self.hook: Callable[[Command], None] | None = None
+        self.delays_of: Callable[[Event, Process, Process], Iterable[float]] | None = (
+            None
+        )
         self.answers: list[CallAnswer] = []
         self.explanations: list[Explanation] = []
         self.decisions: list[Decision] = []
@@ -641,7 +646,12 @@
             held.append(item)
             self.at(HELD_ITEM_CHECK_INTERVAL_S, lambda: self._deliver(process, target))
             return
-        self.at(LINK_LATENCY_S, lambda: self._deliver_on_link(process, target, item))
+        delays_s = self.delays_of(item, process, target) if self.delays_of else (0.0,)
+        for delay_s in delays_s:
+            self.at(
+                LINK_LATENCY_S + delay_s,
+                lambda: self._deliver_on_link(process, target, item),
+            )
 
     def _deliver_on_link(self, process: Process, target: Process, item: Event) -> None:
         """Deliver an item unless its link has ended, as a stream does."""
--- /dev/null
+++ b/test/test_jobs_books.py
@@ -0,0 +1,87 @@
+"""Tests of the comparison of the owner's books with those of the agents."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import testtools
+
+from bulrushpulley.entities.jobs.items import (
+    EndsNoted,
+    HostReport,
+    Orders,
+    RunRefused,
+    RunsReport,
+)
+from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.step import Event
+from test.jobs_world import JobsWorld, Process, step
+
+HOST = "z0-0"
+
+
+class BooksTest(testtools.TestCase):
+    """One message is lost on an open link, and nothing is lost after it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = JobsWorld(entries=1, hosts=1)
+        self.world.run(2.0)
+
+    def lose_first(self, is_lost: Callable[[Event], bool]) -> list[Event]:
+        """Lose the first such message; return the list that will hold it."""
+        lost: list[Event] = []
+
+        def delays_of(
+            item: Event, sender: Process, receiver: Process
+        ) -> Iterable[float]:
+            if lost or not is_lost(item):
+                return (0.0,)
+            lost.append(item)
+            return ()
+
+        self.world.delays_of = delays_of
+        return lost
+
+    def differences(self) -> list[Decision]:
+        """Return the lines about books that differ."""
+        return [line for line in self.world.decisions if line.kind == "books.differ"]
+
+    def check_seen(self, is_lost: Callable[[Event], bool], difference: str) -> None:
+        lost = self.lose_first(is_lost)
+        self.world.submit(1, step(2), step(2, after=(0,)), payload="0.5")
+        self.world.run(4.0)
+        self.assertEqual(1, len(lost))
+        lines = self.differences()
+        self.assertNotEqual([], lines)
+        self.assertEqual((HOST, difference), (lines[0].subject, lines[0].chosen))
+
+    def test_sound_books_do_not_differ(self) -> None:
+        for number in range(1, 30):
+            self.world.submit(number, step(2), step(2, after=(0,)), payload="0.4")
+            self.world.run(0.3)
+        self.world.run(5.0)
+        self.assertEqual([], self.differences())
+
+    def test_a_lost_end_is_seen(self) -> None:
+        self.check_seen(
+            lambda item: isinstance(item, RunsReport) and bool(item.ends), "runs"
+        )
+
+    def test_a_lost_start_is_seen(self) -> None:
+        self.check_seen(
+            lambda item: isinstance(item, Orders) and bool(item.start), "orders"
+        )
+
+    def test_a_lost_acknowledgement_is_seen(self) -> None:
+        self.check_seen(lambda item: isinstance(item, EndsNoted), "ends")
+
+    def test_a_lost_refusal_is_seen(self) -> None:
+        self.world.refusing_hosts.add(HOST)
+        self.world.at(1.0, self.world.refusing_hosts.clear)
+        self.check_seen(lambda item: isinstance(item, RunRefused), "runs")
+
+    def test_a_lost_state_of_a_host_is_seen(self) -> None:
+        executor = self.world.executor_by_host[HOST]
+        executor.draining = True
+        self.check_seen(lambda item: isinstance(item, HostReport), "host")
