Pause between attempts that a store ends by resetting connections

What operators saw: beside a store that resets connections the owner sent its transaction 62 to 70 times a second, with a line each. Cause: an attempt without answer was repeated at once, whether its timeout had passed or not. Change: attempts begin at intervals of 0.05 s, doubling to 0.4 s; one whose timeout has passed is repeated at once as before.

--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -52,6 +52,9 @@
 # 100 bytes; the owner, the backlog, harms and waves need a few of the rows.
 MAX_JOBS_PER_COMMIT = 90
 MAX_TASKS_PER_COMMIT = 5_000
+# Between attempts that end without an answer long before their timeout.
+MIN_UNANSWERED_INTERVAL_S = 0.05
+MAX_UNANSWERED_INTERVAL_S = 0.4
 PROGRESS_COMMIT_RETRY_DELAY_S = 0.15
 MAX_PROGRESS_COMMIT_RETRY_DELAY_S = 0.6
 
@@ -338,8 +341,22 @@
 def handle_outcome_unknown(
     purpose: CommitProgress, tables: SchedulerTables, now: float, reason: str
 ) -> SchedulerStep:
-    """Retry the transaction immediately."""
-    return _retry(purpose, tables, now, 0.0, reason)
+    """Retry the transaction, immediately if its timeout has passed.
+
+    A store that resets connections ends each attempt within milliseconds, so these
+    attempts begin at growing intervals. The first one is repeated almost at once, as a
+    connection may have ended while it was idle.
+    """
+    commit = tables.commit
+    if commit is None:
+        return Step(tables=tables)
+    interval_s = exponential_delay_s(
+        min_delay_s=MIN_UNANSWERED_INTERVAL_S,
+        max_delay_s=MAX_UNANSWERED_INTERVAL_S,
+        doublings=commit.attempts - 1,
+    )
+    retry_delay_s = max(0.0, commit.sent_at + interval_s - now)
+    return _retry(purpose, tables, now, retry_delay_s, reason)
 
 
 def handle_store_back(
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -191,8 +191,8 @@
         path=f"{SCHEDULING}/committing.py",
         replacements=(
             Replacement(
-                old="    return _retry(purpose, tables, now, 0.0, reason)\n",
-                new="    return _retry(purpose, tables, now, 8.0, reason)\n",
+                old="    retry_delay_s = max(0.0, commit.sent_at + interval_s - now)\n",
+                new="    retry_delay_s = 8.0 + 0.0 * interval_s\n",
             ),
         ),
     ),
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -156,10 +156,11 @@
     is delivered, one for each time: none if it is lost. Answers to watches lack the
     rows that `hides` selects. While `call_delay_s` is set, starts and stops reach the
     backend server that much later, without an answer; `late_calls` draws such calls one
-    by one. While `late_writes_s` is set, transactions are applied that much later,
-    without an answer. The two processes of each of the `cut_pairs` cannot reach each
-    other. What the first process of each of the `silent_directions` sends reaches the
-    second only if its link outlasts the silence. The backend servers of
+    by one. While `resets_transactions`, the store closes each connection before it
+    applies a transaction. While `late_writes_s` is set, transactions are applied that
+    much later, without an answer. The two processes of each of the `cut_pairs` cannot
+    reach each other. What the first process of each of the `silent_directions` sends
+    reaches the second only if its link outlasts the silence. The backend servers of
     `unlisted_hosts` answer no poll, those of `refusing_hosts` refuse every start as
     unhealthy, and those of `unannounced_hosts` do not announce themselves. Unless
     `machines_up`, requests for the list of machines fail, and the list is returned
@@ -188,6 +189,7 @@
         self.cut_off_from_store: set[str] = set()
         self.store_up = True
         self.lose_answers = False
+        self.resets_transactions = False
         self.reads_fail = False
         self.far_from_store: set[str] = set()
         self.store_slowdown_factor = 1.0
@@ -683,6 +685,8 @@
             self._answer(command, process, command.timeout_s, lambda: outcome_unknown)
         elif not self.store_up:
             self._answer(command, process, STORE_LATENCY_S, lambda: refused)
+        elif self.resets_transactions:
+            self._answer(command, process, STORE_LATENCY_S, lambda: outcome_unknown)
         elif self.late_writes_s:
             self.at(self.late_writes_s, lambda: self._transact_unanswered(command))
             self._answer(command, process, command.timeout_s, lambda: outcome_unknown)
--- a/test/test_jobs_store_return.py
+++ b/test/test_jobs_store_return.py
@@ -15,7 +15,7 @@
 from bulrushpulley.entities.jobs.executor_calls import StartRun
 from bulrushpulley.entities.jobs.machines import ListMachines
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, PollOwner
-from bulrushpulley.entities.jobs.store import StoreCommand
+from bulrushpulley.entities.jobs.store import StoreCommand, Transact
 from bulrushpulley.entities.step import Command
 from bulrushpulley.roles.job_entry_process import SCHEDULER_THREADS
 from test.jobs_world import JobsWorld, step
@@ -28,6 +28,8 @@
 # Nothing runs between the end of the first step, at about 1 s, and the return of the
 # store.
 STEP_S = 1.0
+# Enough to notice the end of a trouble within a fraction of a second.
+MAX_ATTEMPTS_PER_S = 5
 FIRST_TASKS = 4
 TASKS = 10
 
@@ -40,7 +42,12 @@
     world.store_up = False
 
 
+def _reset(world: JobsWorld) -> None:
+    world.resets_transactions = True
+
+
 def _end(world: JobsWorld) -> None:
+    world.resets_transactions = False
     world.cut_off_from_store.clear()
     world.store_up = True
 
@@ -103,10 +110,33 @@
     def test_a_step_begins_soon_after_a_silence_of_a_far_store(self) -> None:
         self.assertEqual({}, self._late(_silence, far=True))
 
+    def test_a_step_begins_soon_after_resets(self) -> None:
+        self.assertEqual({}, self._late(_reset, far=False))
+
     def test_a_step_begins_soon_after_refusals(self) -> None:
         self.assertEqual({}, self._late(_refuse, far=False))
 
 
+class ResetConnectionsTest(testtools.TestCase):
+    """The store closes each connection on which a transaction arrives."""
+
+    def test_the_transaction_is_not_repeated_without_a_pause(self) -> None:
+        # Each attempt ended within milliseconds and was followed by the next one, with
+        # a line each: 60 to 70 a second.
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(3.0)
+        attempts: list[float] = []
+
+        def record(command: Command) -> None:
+            if isinstance(command, Transact) and command.role == SCHEDULER:
+                attempts.append(world.now)
+
+        world.hook = record
+        _reset(world)
+        world.run(5.0)
+        self.assertLess(len(attempts), 5 * MAX_ATTEMPTS_PER_S)
+
+
 class CallsInFlightTest(testtools.TestCase):
     """Each call that is not answered takes a thread of the owner until its timeout.
 
