--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from bulrushpulley.entities.jobs import items, rows
+from bulrushpulley.entities.jobs.books import Books
 from bulrushpulley.entities.jobs.executor_calls import PollRuns
 from bulrushpulley.entities.jobs.runs import RunEnd, RunRef
 from bulrushpulley.entities.jobs.spec import (
@@ -150,7 +151,10 @@
     former_renewals_for_s=2.5,
     alive_renewals=4,
 )
-ITEM = items.Contact(epoch=3, sent_at=4.5)
+ITEM = items.Contact(
+    epoch=3, sent_at=4.5, books=Books(adoption=1, orders=2, runs=b"12345678")
+)
+ORDERS = items.Orders(epoch=3, life="i-1/5", stop=(RunRef(task_id="t", run=1),))
 
 
 def ignore(problem: Problem) -> None:
@@ -201,6 +205,7 @@
         for row in ROWS
     },
     "job item": (lambda data: decode_job_item(data, "peer"), encode_job_item(ITEM)),
+    "orders": (lambda data: decode_job_item(data, "peer"), encode_job_item(ORDERS)),
     "link item": (decode_link_item, encode_job_item(ITEM)),
 }
 
--- a/test/test_jobs_books.py
+++ b/test/test_jobs_books.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Callable, Iterable
 
+import msgspec
 import testtools
 
+from bulrushpulley.entities.jobs.books import Books, digest_of
 from bulrushpulley.entities.jobs.items import (
+    Contact,
     EndsNoted,
     HostReport,
     Orders,
@@ -15,6 +18,7 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Event
+from bulrushpulley.wire.job_items import decode_job_item, encode_job_item
 from test.jobs_world import JobsWorld, Process, step
 
 HOST = "z0-0"
@@ -85,3 +89,32 @@
         executor = self.world.executor_by_host[HOST]
         executor.draining = True
         self.check_seen(lambda item: isinstance(item, HostReport), "host")
+
+
+class ContactMessageTest(testtools.TestCase):
+    BOOKS = Books(
+        adoption=3,
+        orders=70_000,
+        misses_orders=True,
+        runs=digest_of(("r",)),
+        host=digest_of(("h",)),
+        ends=2,
+        oldest_end_s=1.25,
+    )
+
+    def test_books_are_read_as_they_were_sent(self) -> None:
+        for books in (self.BOOKS, None):
+            sent = Contact(epoch=7, sent_at=12.5, books=books)
+            self.assertEqual(sent, decode_job_item(encode_job_item(sent), peer=""))
+
+    def test_an_earlier_version_reads_a_contact_without_its_books(self) -> None:
+        data = encode_job_item(Contact(epoch=7, sent_at=12.5, books=self.BOOKS))
+        name, fields = msgspec.msgpack.decode(data)
+        self.assertEqual("Contact", name)
+        self.assertEqual((7, 12.5), (fields["epoch"], fields["sent_at"]))
+
+    def test_a_contact_of_an_earlier_version_has_no_books(self) -> None:
+        fields = {"peer": "", "epoch": 7, "sent_at": 12.5}
+        data = msgspec.msgpack.encode(("Contact", fields))
+        contact = Contact(peer="a", epoch=7, sent_at=12.5)
+        self.assertEqual(contact, decode_job_item(data, peer="a"))
