Write the progress of jobs in turn, so that none is passed over

What callers saw: beside a slow store, some jobs neither start their tasks nor go on after an end, while others do.

Cause: a transaction holds 90 jobs or 5,000 tasks, and takes them in the order of a hash map, which depends on the seed of the process. While more jobs change than fit, the same ones come first each time. A job that does not fit also ends the choice, so all jobs behind it in that order wait with it.

Change: jobs are numbered as they come to be written, keep their number until they are, and are taken in that order; those of an attempt that was not applied come first. The mutant of test_jobs_commit_faults that forgets them gets the tables now instead of the map, and forgets the same.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -131,7 +131,8 @@
     - `claim_stagger` is a number from 0 to 1; entries with lower numbers, which have
       more processor time, claim a shard without owner earlier.
     - `effects_by_job` holds the jobs whose progress is to be written, with the effects
-      deferred until then.
+      deferred until then; `turn_by_job` numbers them in the order in which they are to
+      be written, and `turns` is the last number.
     - `progress_by_job` holds the progress that was read, until the jobs are read.
     - `read_retry_at_by_table` is when a read that failed during loading is retried.
     - `candidate_by_host` holds all hosts as of the last placement pass; a candidate
@@ -188,6 +189,8 @@
         )
     )
     effects_by_job: Map[str, tuple[Effect, ...]] = field(default_factory=Map)
+    turn_by_job: Map[str, int] = field(default_factory=Map)
+    turns: int = 0
     progress_by_job: Map[str, ProgressRow] = field(default_factory=Map)
     read_retry_at_by_table: Map[str, float] = field(default_factory=Map)
     unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -56,6 +56,8 @@
 MIN_UNANSWERED_INTERVAL_S = 0.05
 MAX_UNANSWERED_INTERVAL_S = 0.4
 PROGRESS_COMMIT_RETRY_DELAY_S = 0.15
+# Precedes the turns that `edits.mark_dirty` counts.
+FIRST_TURN = 0
 MAX_PROGRESS_COMMIT_RETRY_DELAY_S = 0.6
 
 
@@ -121,14 +123,20 @@
     The sequence number of its row is used up, whether or not the row is ever written.
     """
     taken: dict[str, tuple[Effect, ...]] = {}
-    remaining = tables.effects_by_job
+    remaining, turn_by_job = tables.effects_by_job, tables.turn_by_job
     for job_id in job_ids:
         taken[job_id] = remaining[job_id]
         remaining = remaining.delete(job_id)
+        turn_by_job = turn_by_job.delete(job_id)
     leadership = tables.leadership
     if isinstance(leadership, Owning):
         leadership = replace(leadership, sequence=row.sequence)
-    tables = replace(tables, effects_by_job=remaining, leadership=leadership)
+    tables = replace(
+        tables,
+        effects_by_job=remaining,
+        turn_by_job=turn_by_job,
+        leadership=leadership,
+    )
     batch = Batch(row=row, effects_by_job=Map(taken), first_sent_at=now)
     return tables, batch
 
@@ -210,11 +218,14 @@
 
 
 def _due_job_ids(tables: SchedulerTables, sent: frozenset[str]) -> list[str]:
-    """Return the jobs to be written that fit into a transaction beside those `sent`."""
+    """Return the jobs to be written that fit into a transaction beside those `sent`.
+
+    They are taken in turn, so that none is passed over while others change.
+    """
     chosen: list[str] = []
     jobs = len(sent)
     tasks = sum(tables.tasks.count_where("job", job_id) for job_id in sent)
-    for job_id in tables.effects_by_job:
+    for job_id in sorted(tables.effects_by_job, key=tables.turn_by_job.__getitem__):
         if job_id not in sent:
             jobs += 1
             tasks += tables.tasks.count_where("job", job_id)
@@ -286,8 +297,8 @@
         leadership=renewed,
         commit=None,
         store_latency_s=store_latency_s,
-        effects_by_job=_with_unapplied(tables.effects_by_job, commit.batches[applied:]),
     )
+    tables = _with_unapplied(tables, commit.batches[applied:])
     first_sent_at = commit.batches[0].first_sent_at
     observation = Observe(name="commit_seconds", seconds=now - first_sent_at)
     deferred = tuple(
@@ -303,14 +314,19 @@
 
 
 def _with_unapplied(
-    effects_by_job: Map[str, tuple[Effect, ...]], batches: tuple[Batch, ...]
-) -> Map[str, tuple[Effect, ...]]:
-    """Put the effects of batches before those that were deferred later."""
+    tables: SchedulerTables, batches: tuple[Batch, ...]
+) -> SchedulerTables:
+    """Put the effects of batches before those that were deferred later.
+
+    Their jobs are the next to be written.
+    """
+    effects_by_job, turn_by_job = tables.effects_by_job, tables.turn_by_job
     for batch in reversed(batches):
         for job_id, earlier in batch.effects_by_job.items():
             later = effects_by_job.get(job_id, ())
             effects_by_job = effects_by_job.set(job_id, (*earlier, *later))
-    return effects_by_job
+            turn_by_job = turn_by_job.set(job_id, FIRST_TURN)
+    return replace(tables, effects_by_job=effects_by_job, turn_by_job=turn_by_job)
 
 
 def _apply_effects(
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -119,9 +119,21 @@
 def mark_dirty(
     tables: SchedulerTables, job_id: str, *effects: Effect
 ) -> SchedulerTables:
-    """Schedule a write of a job's progress, and the effects to apply after it."""
+    """Schedule a write of a job's progress, and the effects to apply after it.
+
+    A job keeps its turn until it is written, however often it changes.
+    """
     waiting = (*tables.effects_by_job.get(job_id, ()), *effects)
-    return replace(tables, effects_by_job=tables.effects_by_job.set(job_id, waiting))
+    effects_by_job = tables.effects_by_job.set(job_id, waiting)
+    if job_id in tables.turn_by_job:
+        return replace(tables, effects_by_job=effects_by_job)
+    turn = tables.turns + 1
+    return replace(
+        tables,
+        effects_by_job=effects_by_job,
+        turn_by_job=tables.turn_by_job.set(job_id, turn),
+        turns=turn,
+    )
 
 
 def is_unwritten(tables: SchedulerTables, job_id: str) -> bool:
--- a/test/test_jobs_commit_faults.py
+++ b/test/test_jobs_commit_faults.py
@@ -49,6 +49,6 @@
         with mock.patch.object(
             committing,
             "_with_unapplied",
-            lambda effects_by_job, batches: effects_by_job,
+            lambda tables, batches: tables,
         ):
             self.assertTrue(any(run_series(seed) for seed in SAFEGUARD_SEEDS))
