End a dial although the transport of its link takes no more

What callers saw: after a cut, an owner may not dial a host again for minutes although it is back, so its runs end with their leases.

Cause: once a link has ended, its dial cancels the stream. For that grpclib waits until the transport takes data. The buffer of a transport to a host that is cut off stays full until the system gives the connection up, after minutes. No `DialEnded` follows until then, the host counts as being dialled, and nothing else makes the owner dial it.

Evidence: test_a_dial_ends_although_the_transport_takes_no_more, with grpclib's own `pause_writing`, failed first: LinkDown came, and TimeoutError after 4 s without DialEnded.

Change: the cancellation has a timeout of 0.2 s; then the channel is closed without it.

Result: the test passes; test_links and test_linker pass.

--- a/bulrushpulley/wire/link_client.py
+++ b/bulrushpulley/wire/link_client.py
@@ -22,6 +22,8 @@
 )
 from bulrushpulley.wire.links import Links
 
+CANCEL_TIMEOUT_S = 0.2
+
 
 class Dialler:
     """Opens streams to peers; the hooks receive `DialLinked` and `DialEnded`.
@@ -67,7 +69,10 @@
                 link = await self._exchange_hellos(stream, address)
                 self._hooks.receive(DialLinked(address=address))
                 await self._links.run(link)
-                await stream.cancel()
+                # A transport whose buffer is full takes nothing more until the system
+                # gives the connection up; the attempt has to end before.
+                async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                    await stream.cancel()
         finally:
             channel.close()
 
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -16,7 +16,7 @@
 from bulrushpulley.entities.step import Event
 from bulrushpulley.errors import Problem
 from bulrushpulley.settings import TlsSettings
-from bulrushpulley.wire import link_stream
+from bulrushpulley.wire import link_client, link_stream
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.link_grpc import LinkStub
 from bulrushpulley.wire.link_pb2 import Frame, Item, Refused
@@ -221,6 +221,38 @@
 
         self.run_async(work())
 
+    def test_a_dial_ends_although_the_transport_takes_no_more(self) -> None:
+        """The end of the stream waited for a transport whose buffer was full.
+
+        A host that is cut off while much is sent to it leaves it full until the system
+        gives the connection up, minutes later. Until then no `DialEnded` came, and the
+        host was not dialled again.
+        """
+        channels: list[Channel] = []
+
+        def open_channel(*args: Any, **more: Any) -> Channel:
+            channels.append(Channel(*args, **more))
+            return channels[-1]
+
+        self.patch(link_client, "Channel", open_channel)
+
+        async def work() -> None:
+            entry = make_end("entry", silence_timeout_s=0.3)
+            agent = make_end("agent")
+            server = await serve(agent)
+            dialler = await dial(entry, server)
+            await entry.wait_for(LinkUp(peer="agent", region="ege"))
+            # As asyncio does once the buffer of the transport is full.
+            channels[0]._protocol.pause_writing()  # type: ignore[union-attr]
+            entry.links.send(Send(peer="agent", item=Offer(cell="1")))
+            await entry.wait_for(LinkDown(peer="agent"))
+            async with asyncio.timeout(LINK_EVENT_TIMEOUT_S):
+                self.assertEqual(DialEnded, type(await entry.events.get()))
+            await finish(server, agent, entry)
+            self.assertIsNotNone(dialler)
+
+        self.run_async(work())
+
     def test_a_queue_beyond_its_bound_closes_the_stream(self) -> None:
         self.patch(link_stream, "MAX_QUEUED_ITEMS", 10)
 
