Compare whole tables with the store, and add rows that the load has missed

Cause: a table is read once when the shard is loaded, and nothing compares it with the store after that.

A job that is missed is added with its progress, read first, if its row is still there after that; its hosts are adopted again.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -41,6 +41,7 @@
     ProbeState,
     Purpose,
     RecheckState,
+    RereadState,
     WatchState,
 )
 from bulrushpulley.entities.jobs.task import Task
@@ -199,6 +200,7 @@
     probe: ProbeState = field(default_factory=ProbeState)
     watch_by_table: Map[str, WatchState] = field(default_factory=Map)
     recheck_by_table: Map[str, RecheckState] = field(default_factory=Map)
+    reread_by_table: Map[str, RereadState] = field(default_factory=Map)
     backlog: BacklogRow = NO_BACKLOG
     backlog_counted_at: float = 0.0
     backlog_written: BacklogRow = NO_BACKLOG
@@ -324,6 +326,25 @@
     watched: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompareTable(TenurePurpose):
+    """An owner reads a page of a table to compare it with its own."""
+
+    table: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadMissedProgress(TenurePurpose):
+    """An owner reads the progress of jobs that a page has and its tables lack."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmMissedJobs(TenurePurpose):
+    """An owner reads the page again once it has read the `progress` of all jobs."""
+
+    progress: tuple[ProgressRow, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RereadTable(TenurePurpose):
     """An owner reads a table again after the store dropped changes it had not read."""
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -172,6 +172,22 @@
     in_flight: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RereadState:
+    """The state of the reads that compare a table with the store.
+
+    The next read is due at `due_at`. It is of the `page` with keys from `first` to
+    `end`, `end` excluded, which is the whole table if both are empty. The page is -1
+    until all of the table has been compared once.
+    """
+
+    due_at: float
+    in_flight: bool = False
+    page: int = -1
+    first: str = ""
+    end: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProbeState:
     """The state of the reads that show whether the store answers again.
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -320,6 +320,9 @@
     job_id = job_id_of(end.task_id)
     if edits.is_unwritten(tables, job_id):
         return Step(tables=edits.mark_dirty(tables, job_id, acknowledgement))
+    if job_id not in tables.jobs and not edits.has_compared_jobs(tables):
+        # The load may have missed its job. The agent reports the end again.
+        return Step(tables=tables)
     noted = EndsNoted(epoch=tables.epoch, life=incarnation, numbers=(end.number,))
     return Step(tables=tables, commands=(Send(peer=host.peer, item=noted),))
 
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -12,6 +12,7 @@
 from bulrushpulley.entities.jobs.host import HeldImage, Host, ServerState
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.progress_commit import Effect
+from bulrushpulley.entities.jobs.rows import JOBS
 from bulrushpulley.entities.jobs.scheduler_tables import Owning, SchedulerTables
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState
@@ -25,6 +26,12 @@
     return isinstance(leadership, Owning) and not leadership.loading
 
 
+def has_compared_jobs(tables: SchedulerTables) -> bool:
+    """Return whether all jobs have been compared with the store since the load."""
+    state = tables.reread_by_table.get(JOBS)
+    return state is not None and state.page >= 0
+
+
 def step_of(tables: SchedulerTables, task: Task) -> StepSpec:
     """Return the step that a task belongs to."""
     return tables.jobs.by_key[task.job_id].step(task.step)
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -17,15 +17,19 @@
     ListMachinesFailed,
     MachinesListed,
 )
+from bulrushpulley.entities.jobs.rows import JOBS
 from bulrushpulley.entities.jobs.scheduler_tables import (
     ClaimShard,
     CommitProgress,
+    CompareTable,
+    ConfirmMissedJobs,
     DropJobRows,
     LoadTable,
     LoadWaves,
     OperatorSettingsChanged,
     PollOwner,
     ProbeStore,
+    ReadMissedProgress,
     RecheckTable,
     RereadTable,
     SchedulerStep,
@@ -66,6 +70,7 @@
     probing,
     purging,
     rechecking,
+    rereading,
     upkeep,
     upkeep_refusals,
     wall_clock,
@@ -268,6 +273,28 @@
     return rechecking.handle_history_lost(purpose.table, tables)
 
 
+@handle_store_event.register
+def _(
+    purpose: CompareTable, event: StoreEvent, tables: SchedulerTables, now: float
+) -> SchedulerStep:
+    if isinstance(event, RangeRead):
+        return rereading.handle_rows(purpose, event, tables, now)
+    return rereading.handle_failed(purpose.table, tables)
+
+
+@handle_store_event.register(ReadMissedProgress)
+@handle_store_event.register(ConfirmMissedJobs)
+def _(
+    purpose: ReadMissedProgress | ConfirmMissedJobs,
+    event: StoreEvent,
+    tables: SchedulerTables,
+    now: float,
+) -> SchedulerStep:
+    if isinstance(event, RangeRead):
+        return rereading.handle_rows(purpose, event, tables, now)
+    return rereading.handle_failed(JOBS, tables)
+
+
 @handle_store_event.register
 def _(
     purpose: LoadWaves, event: StoreEvent, tables: SchedulerTables, now: float
--- a/bulrushpulley/systems/scheduling/rechecking.py
+++ b/bulrushpulley/systems/scheduling/rechecking.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from functools import singledispatch
 
 from bulrushpulley.entities.changing import replace
@@ -105,9 +105,9 @@
     ]
     if not missed:
         return Step(tables=tables)
-    lines = _lines(tables, missed, watch.after)
+    named = lines(tables, missed, watch.after)
     step = watching.apply_rows(tuple(missed), table, tables, now)
-    return replace(step, commands=(*lines, *step.commands))
+    return replace(step, commands=(*named, *step.commands))
 
 
 def _newest(rows: Iterable[StoredRow]) -> list[StoredRow]:
@@ -146,9 +146,10 @@
     return host is not None and bool(host.address)
 
 
-def _lines(
-    tables: SchedulerTables, missed: list[StoredRow], watched: int
+def lines(
+    tables: SchedulerTables, missed: Sequence[StoredRow], watched: int
 ) -> list[Command]:
+    """Return the lines that name missed rows, up to a bound."""
     logged = first_lines(missed)
     return [
         edits.log(
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -153,21 +153,21 @@
 
     `hook` is called with each command before it is carried out. `delays_of` returns,
     for an item on a link with its sender and receiver, the extra delays with which it
-    is delivered, one for each time: none if it is lost. Answers to watches lack the
-    rows that `hides` selects. While `call_delay_s` is set, starts and stops reach the
-    backend server that much later, without an answer; `late_calls` draws such calls one
-    by one. While `resets_transactions`, the store closes each connection before it
-    applies a transaction. While `late_writes_s` is set, transactions are applied that
-    much later, without an answer. The two processes of each of the `cut_pairs` cannot
-    reach each other. What the first process of each of the `silent_directions` sends
-    reaches the second only if its link outlasts the silence. The backend servers of
-    `unlisted_hosts` answer no poll, those of `refusing_hosts` refuse every start as
-    unhealthy, and those of `unannounced_hosts` do not announce themselves. Unless
-    `machines_up`, requests for the list of machines fail, and the list is returned
-    `list_delay_s` later as it was when it was requested. A dial that is not answered
-    fails after `failed_dial_s`. Wall clocks are `wall_error_s` ahead. The service of
-    advice allows no server to the steps of `disallowed_job_ids`, and gives those of
-    `unadvised_job_ids` no answer.
+    is delivered, one for each time: none if it is lost. Answers to watches and reads
+    lack the rows that `hides` selects. While `call_delay_s` is set, starts and stops
+    reach the backend server that much later, without an answer; `late_calls` draws such
+    calls one by one. While `resets_transactions`, the store closes each connection
+    before it applies a transaction. While `late_writes_s` is set, transactions are
+    applied that much later, without an answer. The two processes of each of the
+    `cut_pairs` cannot reach each other. What the first process of each of the
+    `silent_directions` sends reaches the second only if its link outlasts the silence.
+    The backend servers of `unlisted_hosts` answer no poll, those of `refusing_hosts`
+    refuse every start as unhealthy, and those of `unannounced_hosts` do not announce
+    themselves. Unless `machines_up`, requests for the list of machines fail, and the
+    list is returned `list_delay_s` later as it was when it was requested. A dial that
+    is not answered fails after `failed_dial_s`. Wall clocks are `wall_error_s` ahead.
+    The service of advice allows no server to the steps of `disallowed_job_ids`, and
+    gives those of `unadvised_job_ids` no answer.
     """
 
     def __init__(
@@ -212,7 +212,7 @@
         self.delays_of: Callable[[Event, Process, Process], Iterable[float]] | None = (
             None
         )
-        self.hides: Callable[[store.Watch, store.StoredRow], bool] | None = None
+        self.hides: Callable[[store.StoreCommand, store.StoredRow], bool] | None = None
         self.answers: list[CallAnswer] = []
         self.explanations: list[Explanation] = []
         self.decisions: list[Decision] = []
@@ -742,7 +742,11 @@
 
     @_carry_out.register
     def _(self, command: store.ReadRange, process: Process) -> None:
-        self._read(command, process, lambda: self.store.read_range(command))
+        self._read(
+            command,
+            process,
+            lambda: self._without_hidden(command, self.store.read_range(command)),
+        )
 
     @_carry_out.register
     def _(self, command: store.Watch, process: Process) -> None:
@@ -757,8 +761,14 @@
             self.at(0.02, lambda: self._watch(command, process, until))
 
     def _visible_changes(self, command: store.Watch) -> store.StoreEvent:
-        event = self.store.changes(command)
-        if self.hides is None or not isinstance(event, store.RowsChanged):
+        return self._without_hidden(command, self.store.changes(command))
+
+    def _without_hidden(
+        self, command: store.StoreCommand, event: store.StoreEvent
+    ) -> store.StoreEvent:
+        if self.hides is None:
+            return event
+        if not isinstance(event, (store.RowsChanged, store.RangeRead)):
             return event
         rows = tuple(row for row in event.rows if not self.hides(command, row))
         return replace(event, rows=rows)
--- a/test/test_jobs_flaky_reads.py
+++ b/test/test_jobs_flaky_reads.py
@@ -19,6 +19,7 @@
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
+    CompareTable,
     Owning,
     RecheckTable,
 )
@@ -36,9 +37,9 @@
 class FlakyReadsWorld(JobsWorld):
     """A site on which `read_fails` and `read_latency_s` are drawn for each read.
 
-    Watches fail like reads only if `watches_fail`. Second reads of changes fail as
-    often, by draws of their own, so that a seed draws the same for all others as
-    without them.
+    Watches fail like reads only if `watches_fail`. Second reads of changes and tables
+    fail as often, by draws of their own, so that a seed draws the same for all others
+    as without them.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -58,7 +59,7 @@
         read: Callable[[], store.StoreEvent],
     ) -> None:
         """Answer a read, or fail it."""
-        is_recheck = isinstance(command.purpose, RecheckTable)
+        is_recheck = isinstance(command.purpose, (CompareTable, RecheckTable))
         draw = self.recheck_draw if is_recheck else self.draw
         after_s = self.read_latency_s(draw)
         is_read = isinstance(command, store.ReadRange)
--- a/test/test_jobs_lost_messages.py
+++ b/test/test_jobs_lost_messages.py
@@ -17,8 +17,9 @@
     RunRefused,
     RunsReport,
 )
-from bulrushpulley.entities.jobs.rows import CancelRow, HostRow, JobRow
-from bulrushpulley.entities.jobs.store import StoredRow, Watch
+from bulrushpulley.entities.jobs.rows import CancelRow, HostRow, JobRow, JobState
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, LoadTable
+from bulrushpulley.entities.jobs.store import StoreCommand, StoredRow, Watch
 from bulrushpulley.entities.step import Event
 from test.jobs_world import JobsWorld, Process, step
 
@@ -52,8 +53,9 @@
     def lose_row(self, is_lost: Callable[[object], bool]) -> None:
         """Hide the first such row from the first watch of the owner that has it."""
 
-        def hides(watch: Watch, stored: StoredRow) -> bool:
-            if self.lost or watch.role != "scheduler" or not is_lost(stored.row):
+        def hides(call: StoreCommand, stored: StoredRow) -> bool:
+            is_watch = isinstance(call, Watch) and call.role == SCHEDULER
+            if self.lost or not is_watch or not is_lost(stored.row):
                 return False
             self.lost.append(stored.row)
             return True
@@ -194,3 +196,77 @@
         self.lose_row(lambda row: isinstance(row, HostRow))
         self.world.start_host(HOST)
         self.check_job()
+
+
+class MissedAtLoadTest(testtools.TestCase):
+    """An owner misses a row when it loads the shard, and no change follows."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = JobsWorld(entries=2, hosts=2)
+        self.world.run(2.0)
+        self.hidden: list[object] = []
+
+    def take_over(self, is_missed: Callable[[object], bool]) -> None:
+        """Have the next owner miss the first such row of its load."""
+
+        def hides(call: StoreCommand, stored: StoredRow) -> bool:
+            is_load = isinstance(call.purpose, LoadTable)
+            if self.hidden or not is_load or not is_missed(stored.row):
+                return False
+            self.hidden.append(stored.row)
+            return True
+
+        self.world.hides = hides
+        self.assertTrue(self.world.run_until(lambda: bool(self.world.owner()), 6.0))
+        self.assertEqual(1, len(self.hidden))
+
+    def check_completed_soon(self, job_id: str, within_s: float) -> None:
+        def is_completed() -> bool:
+            return self.world.state_of(job_id) is JobState.COMPLETED
+
+        self.assertTrue(self.world.run_until(is_completed, within_s))
+        self.assertEqual([], self.world.violations)
+
+    def test_a_job_goes_on_and_what_is_done_does_not_run_again(self) -> None:
+        job_id = self.world.submit(1, step(2), step(2, after=(0,)), payload="1.0")
+        self.world.run(1.6)
+        self.world.kill(self.world.owner())
+        self.take_over(lambda row: isinstance(row, JobRow))
+        self.check_completed_soon(job_id, MAX_IDLE_S + 1.0)
+        self.assertEqual([], self.running())
+
+    def test_a_lasting_task_runs_on_or_again(self) -> None:
+        job_id = self.world.submit(1, step(1, lasting=True), payload="60")
+        self.world.run(1.0)
+        self.assertEqual([f"{job_id}.0.0.0"], self.running())
+        self.world.kill(self.world.owner())
+        self.take_over(lambda row: isinstance(row, JobRow))
+        self.world.run(MAX_IDLE_S)
+        self.assertEqual([f"{job_id}.0.0.0"], self.running())
+        self.assertEqual([], self.world.violations)
+
+    def test_a_cancelled_job_stops(self) -> None:
+        job_id = self.world.submit(1, step(1, lasting=True), payload="60")
+        self.world.run(1.0)
+        self.world.kill(self.world.owner())
+        self.world.store.put(CancelRow(job_id=job_id))
+        self.take_over(lambda row: isinstance(row, CancelRow))
+        self.world.run(MAX_IDLE_S)
+        self.assertEqual([], self.running())
+
+    def test_a_host_is_dialled(self) -> None:
+        job_id = self.world.submit(1, step(2), payload="8.0")
+        self.world.run(1.0)
+        self.world.kill(self.world.owner())
+        self.take_over(lambda row: isinstance(row, HostRow))
+        self.check_completed_soon(job_id, 12.0)
+        self.assertEqual(2, self.world.starts)
+
+    def running(self) -> list[str]:
+        """Return the tasks that run."""
+        return sorted(
+            working.order.task_id
+            for executor in self.world.executor_by_host.values()
+            for working in executor.run_by_key.values()
+        )
