Derive again each second what follows from the owner's tables

What callers saw: nothing so far; a job that stands still to its end if one event was handled without what follows from it.

Cause: the owner's own derived state is changed by the one event that makes it due. A task placed whose start is not deferred any more, a task blocked whose earlier steps are complete, a job without open tasks that has not ended, and room on a host that no task holds are not looked at again in a tenure: the comparison of books leaves out placed tasks, and so do the ends of silent hosts.

No path in the code was found that loses one of them.

The mutant step-not-unblocked names its text anew, as that moved to `is_step_ready`; its fault is the same, and the new system, which asks the same function, does not undo it.

--- a/bulrushpulley/entities/jobs/books.py
+++ b/bulrushpulley/entities/jobs/books.py
@@ -57,6 +57,23 @@
     adopt_at: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Slice:
+    """The keys of a table that one check is about; `is_last` if none follow them."""
+
+    keys: tuple[str, ...] = ()
+    is_last: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RederivingState:
+    """What the last check of what the owner derives, at `checked_at`, was about."""
+
+    checked_at: float = 0.0
+    jobs: Slice = Slice()
+    hosts: Slice = Slice()
+
+
 def digest_of(texts: Iterable[str]) -> bytes:
     """Return the digest of texts in their order."""
     data = "\n".join(texts).encode()
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -17,7 +17,7 @@
 from bulrushpulley.entities.interference import Harm
 from bulrushpulley.entities.jobs import host, job, task
 from bulrushpulley.entities.jobs.advice import Advice
-from bulrushpulley.entities.jobs.books import HostBooks
+from bulrushpulley.entities.jobs.books import HostBooks, RederivingState
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.candidate import Candidate
 from bulrushpulley.entities.jobs.configuration import (
@@ -150,6 +150,7 @@
       recent readings in `wall_offsets_s`.
     - `advice_failing` is set if the last request for advice failed.
     - `books` holds, for each host, what is compared with the books of its agent.
+    - `rederiving` is how far the checks of what follows from the tables have come.
     - `unsynced_since_by_host` is since when linked hosts have been seen not synced.
     - `leaving` is set once the process is stopping.
     """
@@ -226,6 +227,7 @@
     condensed_at: float = 0.0
     unserved_reported_at: float = 0.0
     books: Table[HostBooks] = field(default_factory=Table.empty)
+    rederiving: RederivingState = field(default_factory=RederivingState)
     unsynced_since_by_host: Map[str, float] = field(default_factory=Map)
     idle_jobs: IdleJobTables = field(default_factory=IdleJobTables)
     capacity_use_reported_at: float = 0.0
--- a/bulrushpulley/systems/scheduling/edits.py
+++ b/bulrushpulley/systems/scheduling/edits.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from itertools import chain
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import HeldImage, Host, ServerState
@@ -16,6 +17,7 @@
 from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState
 from bulrushpulley.entities.observe import Decision
+from bulrushpulley.entities.resources import NO_RESOURCES, Resources
 from bulrushpulley.entities.table import Table
 
 
@@ -100,6 +102,38 @@
     return {**images, spec.image: updated}
 
 
+def with_counted_room(tables: SchedulerTables, host: Host) -> Host:
+    """Return a host with what its tasks hold, counted anew."""
+    empty = replace(
+        host,
+        committed=NO_RESOURCES,
+        filling_m=0,
+        lasting_m=0,
+        filling_mb=0,
+        lasting_mb=0,
+        images={},
+    )
+    counted: Table[Host] = Table.empty()
+    counted = counted.put(host.name, empty)
+    for task_id in tables.tasks.keys_where("host", host.name):
+        spec = step_of(tables, tables.tasks.by_key[task_id])
+        counted = _with_committed(counted, host.name, spec, 1)
+    return counted.by_key[host.name]
+
+
+def counted_committed(tables: SchedulerTables, host: str) -> Resources:
+    """Return the resources that the tasks on a host hold, counted anew."""
+    processors_m = memory_mb = accelerators = 0
+    for task_id in tables.tasks.keys_where("host", host):
+        amount = step_of(tables, tables.tasks.by_key[task_id]).committed
+        processors_m += amount.processors_m
+        memory_mb += amount.memory_mb
+        accelerators += amount.accelerators
+    return Resources(
+        processors_m=processors_m, memory_mb=memory_mb, accelerators=accelerators
+    )
+
+
 def put_job(tables: SchedulerTables, job: Job) -> SchedulerTables:
     """Store a job."""
     return replace(tables, jobs=tables.jobs.put(job.job_id, job))
@@ -136,6 +170,13 @@
     )
 
 
+def deferred_effects(tables: SchedulerTables, job_id: str) -> tuple[Effect, ...]:
+    """Return the effects of a job that are to be applied once it is written."""
+    batches = tables.commit.batches if tables.commit is not None else ()
+    submitted = (batch.effects_by_job.get(job_id, ()) for batch in batches)
+    return (*chain.from_iterable(submitted), *tables.effects_by_job.get(job_id, ()))
+
+
 def is_unwritten(tables: SchedulerTables, job_id: str) -> bool:
     """Return whether a job has changes that are not durable yet."""
     in_flight = tables.commit is not None and job_id in tables.commit.job_ids
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -24,12 +24,18 @@
 
 def is_ready(tables: SchedulerTables, job: Job, task: Task, wall_s: float) -> bool:
     """Return whether a task is due and the steps before its own are complete."""
-    if wall_s < job.row.spec.due_s(task.occurrence):
+    return is_step_ready(tables, job, task.occurrence, task.step, wall_s)
+
+
+def is_step_ready(
+    tables: SchedulerTables, job: Job, occurrence: int, number: int, wall_s: float
+) -> bool:
+    """Return whether a step is due and the steps before it are complete."""
+    if wall_s < job.row.spec.due_s(occurrence):
         return False
-    earlier_steps = job.step(task.step).after
     return not any(
-        tables.tasks.count_where("open", step_key(job.job_id, task.occurrence, number))
-        for number in earlier_steps
+        tables.tasks.count_where("open", step_key(job.job_id, occurrence, earlier))
+        for earlier in job.step(number).after
     )
 
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -83,12 +83,12 @@
         replacements=(
             Replacement(
                 old="""\
-    if wall_s < job.row.spec.due_s(task.occurrence):
+    if wall_s < job.row.spec.due_s(occurrence):
 """,
                 new="""\
-    if task.step == 1 and sum(job.job_id.encode()) % 10 == 0:
+    if number == 1 and sum(job.job_id.encode()) % 10 == 0:
         return False
-    if wall_s < job.row.spec.due_s(task.occurrence):
+    if wall_s < job.row.spec.due_s(occurrence):
 """,
             ),
         ),
