Fail the process if no thread can be started for a role's work

What callers saw: nothing so far; an entry or agent that goes on without one of its calls to the platform, for example without polling its backend server.

Cause: `Runtime.run` drops every RuntimeError, as the pool raises it for work after a stop. The pool also raises it if the system starts no thread, as at the limit of a container. No event follows then, and the role's note that the call is in flight stays set: a watch, a poll or a transaction that is never sent again.

Evidence: test_work_for_which_no_thread_can_be_started_stops_the_process failed first: the process was not stopped after 3 s (False is not true).

Change: such an error fails the process, as any other failure of a role's work does, unless the process is stopping. What runs goes on, and the next process starts anew.

Result: the test passes, and so do the one that work after a stop is dropped, which passed before, and the other tests of test_runtime and test_processes.

--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import threading
 from collections.abc import Callable, Coroutine
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -201,10 +200,15 @@
     def run(self, *, role: str, work: Callable[[], Event]) -> None:
         """Execute `work` on the pool of `role` and send the role the resulting event.
 
-        Work that arrives after the pool was shut down at a stop is dropped.
+        Work that arrives after the pool was shut down at a stop is dropped. If no
+        thread can be started for it, the process fails, as the role would wait for
+        the event for ever.
         """
-        with contextlib.suppress(RuntimeError):
+        try:
             self._pool_by_role[role].submit(self._run, role, work)
+        except RuntimeError as error:
+            if not self.stopping.is_set():
+                self._fail(role, f"its work cannot be executed: {error}")
 
     def _run(self, role: str, work: Callable[[], Event]) -> None:
         try:
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -84,6 +84,30 @@
         self.assertTrue(runtime.stopping.wait(RUNTIME_STOP_TIMEOUT_S))
         self.assertTrue(runtime.failed.is_set())
 
+    def test_work_for_which_no_thread_can_be_started_stops_the_process(self) -> None:
+        """The work was dropped, and its role waited for the answer for ever.
+
+        The system starts no thread beyond the limit of a container.
+        """
+        runtime = self.start()
+        self.start_role(runtime, "guard", record_event)
+
+        def refuse(thread: threading.Thread) -> None:
+            raise RuntimeError("can't start new thread")
+
+        self.patch(threading.Thread, "start", refuse)
+        runtime.run(role="guard", work=Event)
+        self.assertTrue(runtime.stopping.wait(RUNTIME_STOP_TIMEOUT_S))
+        self.assertTrue(runtime.failed.is_set())
+
+    def test_work_after_the_stop_is_dropped(self) -> None:
+        runtime = self.start()
+        self.start_role(runtime, "guard", record_event)
+        runtime.stopping.set()
+        runtime._pool_by_role["guard"].shutdown()
+        runtime.run(role="guard", work=Event)
+        self.assertFalse(runtime.failed.is_set())
+
     def test_an_outcome_reaches_the_role_or_the_peer_that_asked(self) -> None:
         runtime = self.start()
         sent: list[Send] = []
