Find a cancellation whose job is found by the same second read

What callers saw: nothing so far; a cancelled job that starts and runs to its end.

Cause: the watch passes a cancellation on while its job, whose row it has missed, is not known, and nothing is done. The second read looks at all rows before it adds any: the job is missed, the cancellation of an unknown job is not, and it is not read again.

Evidence: test_row_of_a_job_that_is_cancelled_before_it_is_found, in six phases of the second read, failed first: the run was still there 3 s after the cancellation.

Change: missed rows are added one by one, cancellations last.

Result: the test passes, and so do test_jobs_lost_messages, test_jobs_books and test_mutants.

--- a/bulrushpulley/systems/scheduling/rechecking.py
+++ b/bulrushpulley/systems/scheduling/rechecking.py
@@ -98,22 +98,28 @@
         return handle_failed(table, tables)
     after = max(state.after, min(event.version, purpose.watched))
     tables = _put(tables, table, replace(state, in_flight=False, after=after))
-    missed = [
-        stored
-        for stored in _newest(event.rows)
-        if stored.version <= watch.after and is_missed(stored.row, stored, tables)
-    ]
-    if not missed:
-        return Step(tables=tables)
-    lines = _lines(tables, missed, watch.after)
-    step = watching.apply_rows(tuple(missed), table, tables, now)
-    return replace(step, commands=(*lines, *step.commands))
+    missed: list[StoredRow] = []
+    commands: list[Command] = []
+    for stored in _newest(event.rows):
+        if stored.version > watch.after or not is_missed(stored.row, stored, tables):
+            continue
+        missed.append(stored)
+        step = watching.apply_rows((stored,), table, tables, now)
+        tables = step.tables
+        commands.extend(step.commands)
+    return Step(
+        tables=tables, commands=(*_lines(tables, missed, watch.after), *commands)
+    )
 
 
 def _newest(rows: Iterable[StoredRow]) -> list[StoredRow]:
-    """Return the last change of each row, as an earlier one may be out of date."""
+    """Return the last change of each row, as an earlier one may be out of date.
+
+    Cancellations come last: one is missed only if its job is known.
+    """
     newest = {stored.key: stored for stored in rows}
-    return [stored for stored in newest.values() if not stored.unreadable]
+    readable = [stored for stored in newest.values() if not stored.unreadable]
+    return sorted(readable, key=lambda stored: type(stored.row) is CancelRow)
 
 
 @singledispatch
--- a/test/test_jobs_lost_messages.py
+++ b/test/test_jobs_lost_messages.py
@@ -17,7 +17,7 @@
     RunRefused,
     RunsReport,
 )
-from bulrushpulley.entities.jobs.rows import CancelRow, HostRow, JobRow
+from bulrushpulley.entities.jobs.rows import CancelRow, HostRow, JobRow, JobState
 from bulrushpulley.entities.jobs.store import StoredRow, Watch
 from bulrushpulley.entities.step import Event
 from test.jobs_world import JobsWorld, Process, step
@@ -188,6 +188,20 @@
         self.assertEqual(1, len(self.lost))
         self.assertEqual({}, executor.run_by_key)
 
+    def test_row_of_a_job_that_is_cancelled_before_it_is_found(self) -> None:
+        # The watch passes the cancellation on while the job is not known yet.
+        for phase in range(6):
+            self.world, self.lost = JobsWorld(entries=1, hosts=1), []
+            self.world.run(2.0 + 0.25 * phase)
+            self.lose_row(lambda row: isinstance(row, JobRow))
+            job_id = self.world.submit(1, step(1, lasting=True), payload="60")
+            self.world.run(0.1)
+            self.world.store.put(CancelRow(job_id=job_id))
+            self.world.run(MAX_IDLE_S)
+            self.assertEqual(1, len(self.lost))
+            self.assertEqual({}, self.world.executor_by_host[HOST].run_by_key)
+            self.assertEqual(JobState.CANCELLED, self.world.state_of(job_id))
+
     def test_row_of_a_host(self) -> None:
         self.world = JobsWorld(entries=1, hosts=0)
         self.world.run(2.0)
