Check slices of the owner's tables, and that series of troubles have nothing to derive

Tests of `scheduling/rederiving`: each key is checked in its turn, rows and tasks of a check are bounded, and four drawn series of troubles (seeds 101 to 104) leave nothing to put right.

--- a/test/test_jobs_rederiving.py
+++ b/test/test_jobs_rederiving.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 import testtools
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.books import Slice
 from bulrushpulley.entities.jobs.progress_commit import SendStart
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
@@ -21,13 +23,15 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.resources import Resources
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import finishing, unblocking
+from bulrushpulley.systems.scheduling import finishing, rederiving, unblocking
+from test.jobs_trouble_series import draw_plan, run_plan
 from test.jobs_world import JobsWorld, RoleInstance, step
 
 HOST = "z0-0"
 # The platform calls a job lost of which nothing runs for this long beside free room.
 MAX_IDLE_S = 3.0
 RUN_S = 0.5
+SERIES_SEEDS = range(101, 105)
 # Less than the time of a transaction.
 SAMPLE_INTERVAL_S = 0.001
 
@@ -133,6 +137,47 @@
         self.world.run(20.0)
         self.assertEqual([], self.derived_lines())
 
+    def test_nothing_is_found_in_series_of_troubles(self) -> None:
+        found: list[str] = []
+
+        def record(
+            tables: SchedulerTables, subjects: Sequence[str], reason: str
+        ) -> tuple[Decision, ...]:
+            found.extend(f"{subject} {reason}" for subject in subjects)
+            return ()
+
+        self.patch(rederiving, "_lines", record)
+        for seed in SERIES_SEEDS:
+            run_plan(draw_plan(seed))
+        self.assertEqual([], found)
+
+
+class SliceTest(testtools.TestCase):
+    """Each key is checked in its turn, however many there are."""
+
+    def slices(self, keys: list[str], tasks: int, count: int) -> list[int]:
+        """Return how many keys each of the first slices has."""
+        before, sizes = Slice(), []
+        for _ in range(count):
+            before = rederiving.next_slice(keys, before, lambda key: tasks)
+            sizes.append(len(before.keys))
+        return sizes
+
+    def test_rows_are_bounded(self) -> None:
+        keys = [f"{number:05}" for number in range(4_500)]
+        self.assertEqual([2_000, 2_000, 500, 2_000], self.slices(keys, 0, 4))
+
+    def test_tasks_are_bounded_and_one_key_is_always_taken(self) -> None:
+        keys = ["a", "b", "c"]
+        self.assertEqual([2, 1, 2], self.slices(keys, 2_500, 3))
+        self.assertEqual([1, 1, 1, 1], self.slices(keys, 9_000, 4))
+
+    def test_a_table_that_became_empty(self) -> None:
+        before = Slice(keys=("a",), is_last=False)
+        after = rederiving.next_slice([], before, lambda key: 0)
+        self.assertEqual(Slice(), after)
+        self.assertEqual(("a",), rederiving.next_slice(["a"], after, len).keys)
+
 
 def _without_starts(effects_by_job: Map[str, Any]) -> Map[str, Any]:
     return Map(
