Keep a job in memory until its rows are removed, so that it does not run again

Cause: a job whose retention period is over was dropped from memory when the removal of its rows was sent. If the store does not take it, the row stays. If it does not take the shorter row of the ended job either, which is also sent once, the row is that of a job to be run. A read of the whole table, after the store has dropped changes that the watch had not read, then finds an unknown job without progress.

Evidence: test_jobs_purging, with both refused and a lost history, failed first: the task was started twice (1 != 2).

Result: the test passes, and the rows are removed once the store takes that. Also passed: test_jobs_path, test_jobs_all_lost, test_jobs_malformed, test_mutants (59 tests).

--- a/bulrushpulley/systems/scheduling/purging.py
+++ b/bulrushpulley/systems/scheduling/purging.py
@@ -26,10 +26,10 @@
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Remove the jobs whose retention period is over.
 
-    Their progress is removed once that is durable: a job without progress would look
-    as if it had never started, and run again. A failed transaction is not retried: it
-    leaves rows that no caller may ask for any more, and the next owner reads and
-    removes those of jobs.
+    They stay in memory until that is durable, and their progress is removed after it:
+    a row that is read again of a job that is not known, or has no progress, looks as if
+    the job had never started, and it would run again. A failed transaction is repeated
+    at the next interval. One that removes progress is not: no caller may ask for it.
     """
     if not edits.is_loaded(tables) or now - tables.purged_at < PURGE_INTERVAL_S:
         return Step(tables=tables)
@@ -43,9 +43,6 @@
     if not expired:
         return Step(tables=tables)
     chosen = expired[:MAX_JOBS_PER_PURGE]
-    jobs = tables.jobs
-    for job in chosen:
-        jobs = jobs.drop(job.job_id)
     keys = tuple(
         key for job in chosen for key in (job_key(job.job_id), cancel_key(job.job_id))
     )
@@ -56,13 +53,18 @@
         conditions=(),
         deletes=keys,
     )
-    return Step(tables=replace(tables, jobs=jobs), commands=(write,))
+    return Step(tables=tables, commands=(write,))
 
 
 def handle_rows_dropped(
     purpose: DropJobRows, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
-    """Remove the progress of jobs whose rows have been removed."""
+    """Forget the jobs whose rows have been removed, and remove their progress."""
+    jobs = tables.jobs
+    for job_id in purpose.job_ids:
+        job = jobs.get(job_id)
+        if job is not None and edits.is_settled(tables, job):
+            jobs = jobs.drop(job_id)
     write = Transact(
         role=SCHEDULER,
         purpose=DropProgressRows(),
@@ -70,4 +72,4 @@
         conditions=(),
         deletes=tuple(progress_key(job_id) for job_id in purpose.job_ids),
     )
-    return Step(tables=tables, commands=(write,))
+    return Step(tables=replace(tables, jobs=jobs), commands=(write,))
