Leave out answers of a backend server's former life with the same id

What callers saw: nothing so far; a task that runs twice at once (TWICE) after a backend server was reborn with the same id.

Cause: an agent took an answer to a poll by the id of the server alone. A list of the former life, or its word that another incarnation answers, ended the new life if it was handled after that had begun: a server that was frozen, replaced and went on, or an agent that stood still. The owner was told that the new life had ended, and started its tasks elsewhere while they went on.

A failed poll did no harm.

Change: a poll names the incarnation that is called, its answers name it too, and those of another incarnation are left out.

--- a/bulrushpulley/entities/jobs/executor_calls.py
+++ b/bulrushpulley/entities/jobs/executor_calls.py
@@ -62,11 +62,12 @@
     """Lists all runs and ends, and renews the lease to `lease_until_ms` if given.
 
     The server may discard the ends with numbers up to `noted`. It answers after up to
-    `wait_ms`, or as soon as a run ends.
+    `wait_ms`, or as soon as a run ends. `life` is the incarnation that is called.
     """
 
     noted: int
     wait_ms: int
+    life: str = ""
     lease_until_ms: int | None = None
 
 
@@ -117,7 +118,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class RunsListed(ExecutorEvent):
+class PollEvent(ExecutorEvent):
+    """Base class for the answers to `PollRuns`; `life` is that of the call."""
+
+    life: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunsListed(PollEvent):
     """All runs and the ends not yet discarded, at `clock_ms` of the server's clock.
 
     `first_end` is the number of the first end that the server still keeps, zero if
@@ -134,7 +142,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PollFailed(ExecutorEvent):
+class PollFailed(PollEvent):
     """No list was received; with `connection_refused` no process listens there."""
 
     reason: str
@@ -142,7 +150,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class OtherIncarnation(ExecutorEvent):
+class OtherIncarnation(PollEvent):
     """A different backend server or incarnation answers at the address."""
 
 
--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -109,18 +109,25 @@
         try:
             answer = self._post(command, "/v1/hold", body)
             if answer.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-                return OtherIncarnation(server_id=command.server_id)
+                return OtherIncarnation(server_id=command.server_id, life=command.life)
             if answer.status != http.HTTPStatus.OK:
                 reason = f"status {answer.status}: {answer.body[:200]!r}"
-                return PollFailed(server_id=command.server_id, reason=reason)
+                return PollFailed(
+                    server_id=command.server_id, life=command.life, reason=reason
+                )
             raw = decode_object(answer.body, STEP)
             return decode_runs(command, raw, self._report)
         except NoListenerError as error:
             return PollFailed(
-                server_id=command.server_id, reason=str(error), connection_refused=True
+                server_id=command.server_id,
+                life=command.life,
+                reason=str(error),
+                connection_refused=True,
             )
         except BulrushpulleyError as error:
-            return PollFailed(server_id=command.server_id, reason=str(error))
+            return PollFailed(
+                server_id=command.server_id, life=command.life, reason=str(error)
+            )
 
     @call.register
     def _(self, command: ConfirmIncarnation) -> ExecutorEvent:
@@ -288,6 +295,7 @@
     ends = items(raw, "Finished", STEP)
     return RunsListed(
         server_id=command.server_id,
+        life=command.life,
         started_at_ms=integer(raw, "born", STEP),
         clock_ms=integer(raw, "ClockMs", STEP),
         runs=sound_values(items(raw, "Running", STEP), _decode_status, report),
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -12,6 +12,7 @@
 from bulrushpulley.entities.jobs.bounds import MAX_CLOCK_DRIFT_FRACTION
 from bulrushpulley.entities.jobs.executor_calls import (
     OtherIncarnation,
+    PollEvent,
     PollFailed,
     PollRuns,
     RunsListed,
@@ -75,6 +76,7 @@
         address=server.address,
         timeout_s=wait_ms / 1_000 + POLL_ANSWER_TIMEOUT_S,
         noted=server.noted,
+        life=server.life,
         wait_ms=wait_ms if server.listed else 0,
         lease_until_ms=until_ms if leases else None,
     )
@@ -84,12 +86,25 @@
     return Step(tables=replace(tables, server=server, poll=sent), commands=(call,))
 
 
+def called_server(event: PollEvent, tables: JobAgentTables) -> Server | None:
+    """Return the server if the answer is to a call of its current incarnation.
+
+    A backend server may be reborn with the same id. What its former incarnation has
+    answered says nothing of the present one.
+    """
+    server = tables.server
+    if server is None or server.server_id != event.server_id:
+        return None
+    return server if event.life in ("", server.life) else None
+
+
 def handle_poll_failed(
     event: PollFailed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """Schedule a retry, and record since when the calls have failed."""
     poll = tables.poll
-    if tables.server is None or tables.server.server_id != event.server_id:
+    server = called_server(event, tables)
+    if server is None:
         return Step(tables=tables)
     first_failure = poll.failing_since is None
     failing = replace(
@@ -107,7 +122,7 @@
     line = edits.log(
         tables,
         "server.silent",
-        tables.server.life if tables.server else "",
+        server.life,
         "",
         event.reason,
     )
@@ -118,7 +133,7 @@
     event: OtherIncarnation, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """End the incarnation that was called; the new one will announce itself."""
-    if tables.server is None or tables.server.server_id != event.server_id:
+    if called_server(event, tables) is None:
         return Step(tables=tables)
     return server_lifecycle.end_incarnation(
         tables, "another incarnation answers at its address"
@@ -129,8 +144,8 @@
     event: RunsListed, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """Update the table of runs to the list of the backend server."""
-    server = tables.server
-    if server is None or server.server_id != event.server_id:
+    server = called_server(event, tables)
+    if server is None:
         return Step(tables=tables)
     if event.started_at_ms not in (0, server.started_at_ms):
         return server_lifecycle.end_incarnation(
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -207,7 +207,7 @@
     @call.register
     def _(self, command: PollRuns, now: float) -> ExecutorEvent:
         if command.server_id != self.server_id:
-            return OtherIncarnation(server_id=command.server_id)
+            return OtherIncarnation(server_id=command.server_id, life=command.life)
         self._note_expiry(now)
         if command.lease_until_ms is not None:
             self._extend_lease(command.lease_until_ms)
@@ -226,6 +226,7 @@
         )
         return RunsListed(
             server_id=command.server_id,
+            life=command.life,
             started_at_ms=self.incarnation,
             clock_ms=self.clock_ms(now),
             runs=runs,
--- a/test/jobs_refusals.py
+++ b/test/jobs_refusals.py
@@ -173,7 +173,9 @@
     if now % trouble.period_s >= trouble.fails_s:
         return None
     if isinstance(command, PollRuns):
-        return PollFailed(server_id=command.server_id, reason="connection reset")
+        return PollFailed(
+            server_id=command.server_id, life=command.life, reason="connection reset"
+        )
     return None
 
 
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -990,7 +990,7 @@
             reason="no answer",
         )
     if isinstance(command, PollRuns):
-        return PollFailed(server_id=server_id, reason="no answer")
+        return PollFailed(server_id=server_id, life=command.life, reason="no answer")
     return _unanswered_run(command)
 
 
