--- a/test/test_jobs_former_lives.py
+++ b/test/test_jobs_former_lives.py
@@ -1,4 +1,4 @@
-"""Tests that an answer of a former life of a backend server does no lasting harm.
+"""Tests that answers of a former life, and the end of a former link, do no harm.
 
 A backend server may be reborn with the same id, and answers to calls of its former life
 may be handled after its next life is known, as after a pause of the agent's process.
@@ -16,7 +16,10 @@
     RunsListed,
 )
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, Server
+from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
+from bulrushpulley.entities.link import LinkDown, LinkUp
 from bulrushpulley.platform.executor import ExecutorClient, decode_runs
+from bulrushpulley.systems.scheduling import agents
 from test.jobs_world import JobsWorld, step
 
 HOST = "z0-0"
@@ -107,3 +110,18 @@
         listed = decode_runs(poll, {"born": 5}, lambda problem: None)
         assert isinstance(failed, PollFailed)
         self.assertEqual(["i-1/5", "i-1/5"], [failed.life, listed.life])
+
+
+class FormerPeerTest(testtools.TestCase):
+    """An agent's next process is linked before its former link is known to be down."""
+
+    def test_the_end_of_the_former_link_does_not_take_the_next_one_away(self) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        tables = world.process_by_name["entry-0"].instance_by_role[SCHEDULER].tables
+        former = tables.hosts.by_key[HOST].peer
+        peer = f"{HOST}-next"
+        up = agents.handle_link_up(LinkUp(peer=peer, region="ege"), tables, world.now)
+        down = agents.handle_link_down(LinkDown(peer=former), up.tables, world.now)
+        self.assertEqual(peer, down.tables.hosts.by_key[HOST].peer)
+        self.assertEqual((), down.commands)
