--- a/bulrushpulley/systems/scheduling/rechecking.py
+++ b/bulrushpulley/systems/scheduling/rechecking.py
@@ -98,16 +98,20 @@
         return handle_failed(table, tables)
     after = max(state.after, min(event.version, purpose.watched))
     tables = _put(tables, table, replace(state, in_flight=False, after=after))
-    missed = [
-        stored
-        for stored in _newest(event.rows)
-        if stored.version <= watch.after and is_missed(stored.row, stored, tables)
-    ]
-    if not missed:
-        return Step(tables=tables)
+    missed: list[StoredRow] = []
+    commands: list[Command] = []
+    # A cancellation counts as missed if it was read before the missed row of its job.
+    for stored in sorted(
+        _newest(event.rows), key=lambda stored: type(stored.row) is CancelRow
+    ):
+        if stored.version > watch.after or not is_missed(stored.row, stored, tables):
+            continue
+        missed.append(stored)
+        step = watching.apply_rows((stored,), table, tables, now)
+        tables = step.tables
+        commands.extend(step.commands)
     lines = _lines(tables, missed, watch.after)
-    step = watching.apply_rows(tuple(missed), table, tables, now)
-    return replace(step, commands=(*lines, *step.commands))
+    return Step(tables=tables, commands=(*lines, *commands))
 
 
 def _newest(rows: Iterable[StoredRow]) -> list[StoredRow]:
