Read again which ends the row of a host tells

Cause: an agent that no owner reaches tells of its ends by the row of its host. The second read compared addresses only, so such a row that was missed stayed missed, until the leases of the host had expired and the ended task was taken for lost.

Change: a row of a host also counts as missed if handling it would end current runs. An end never changes, and a closed adoption takes no orders, so a row may be handled twice.

--- a/bulrushpulley/systems/scheduling/host_rows.py
+++ b/bulrushpulley/systems/scheduling/host_rows.py
@@ -7,7 +7,7 @@
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.rows import HostRow
-from bulrushpulley.entities.jobs.runs import Lost, RunRef, ending_of
+from bulrushpulley.entities.jobs.runs import Lost, ending_of
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SchedulerStep,
     SchedulerTables,
@@ -45,29 +45,50 @@
         if current:
             reason = f"its row names {len(row.ends)} ends, {current} of current runs"
             commands.append(edits.log(tables, "host.ends", name, row.life, reason))
-        if (row.epoch, row.adoption) == (tables.epoch, host.synced_adoption):
-            step = _end_unreceived(tables, row, now)
-            tables = step.tables
-            commands.extend(step.commands)
+        step = _end_unreceived(tables, host, row, now)
+        tables = step.tables
+        commands.extend(step.commands)
     tables = replace(tables, unhandled_row_by_host=Map())
     return Step(tables=tables, commands=tuple(commands))
 
 
-def _end_unreceived(tables: SchedulerTables, row: HostRow, now: float) -> SchedulerStep:
-    """End the runs that an agent does not have and takes no order for any more.
+def tells_of_ends(tables: SchedulerTables, row: HostRow) -> bool:
+    """Return whether handling the row of a host would end current runs."""
+    host = tables.hosts.get(row.host) or Host(name=row.host)
+    return any(
+        agents.current_task(tables, host, row.life, end.task_id, end.run) is not None
+        for end in row.ends
+    ) or bool(_unreceived(tables, host, row))
+
+
+def _unreceived(tables: SchedulerTables, host: Host, row: HostRow) -> list[str]:
+    """Return the tasks whose runs an agent lacks and takes no order for any more.
 
     Its row tells that for the orders of one adoption, which are sent once the agent is
     synced in it; a later adoption may not have reached the agent. A row of an earlier
     adoption may be stored late and says nothing about runs that were ordered since.
     """
-    commands: list[Command] = []
+    if (row.epoch, row.adoption) != (tables.epoch, host.synced_adoption):
+        return []
     present = {ref.key for ref in row.runs}
-    for task_id in sorted(tables.tasks.keys_where("host", row.host)):
+    return [
+        task.task_id
+        for task in tables.tasks.rows_where("host", row.host)
+        if task.life == row.life
+        and task.state in ORDER_SENT_STATES
+        and task.run_key not in present
+    ]
+
+
+def _end_unreceived(
+    tables: SchedulerTables, host: Host, row: HostRow, now: float
+) -> SchedulerStep:
+    """End the runs that an agent does not have and takes no order for any more."""
+    commands: list[Command] = []
+    for task_id in sorted(_unreceived(tables, host, row)):
         # The end of another task may have ended the job, and with it this task.
         task = tables.tasks.get(task_id)
-        if task is None or task.life != row.life or task.state not in ORDER_SENT_STATES:
-            continue
-        if RunRef(task_id=task_id, run=task.run).key in present:
+        if task is None or task.state not in ORDER_SENT_STATES:
             continue
         step = endings.end_run(
             tables, task, Lost(reason="its host has no such run"), now
--- a/bulrushpulley/systems/scheduling/rechecking.py
+++ b/bulrushpulley/systems/scheduling/rechecking.py
@@ -26,7 +26,7 @@
 )
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.lasting_states import first_lines, left_out
-from bulrushpulley.systems.scheduling import edits, watching
+from bulrushpulley.systems.scheduling import edits, host_rows, watching
 from bulrushpulley.systems.store_watch import WATCH_ANSWER_TIMEOUT_S
 
 # Each call of the store is priced; a missed job must be placed well within 3 s.
@@ -140,7 +140,10 @@
 @is_missed.register
 def _(row: HostRow, stored: StoredRow, tables: SchedulerTables) -> bool:
     host = tables.hosts.get(row.host)
-    return host is None or host.address != row.address
+    if host is None or host.address != row.address:
+        return True
+    is_due = tables.unhandled_row_by_host.get(row.host) == row
+    return not is_due and host_rows.tells_of_ends(tables, row)
 
 
 @is_missed.register
