Read the orders of operators a second time in each entry

Cause: the same as for the rows of jobs. The watch of an entry reads each change of an operator's order once; one that it misses comes into force with the next change of the same order only, or when the process starts again.

Change: as the owner does for jobs and hosts, an entry reads the changes a second time each 1.5 s; rows are applied only if newer than those known, so doubled ones do nothing. After a lost history all orders are read, as the watch does.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -14,7 +14,12 @@
     Queue,
 )
 from bulrushpulley.entities.jobs.rows import JobRow
-from bulrushpulley.entities.jobs.store import Purpose, Transact, WatchState
+from bulrushpulley.entities.jobs.store import (
+    Purpose,
+    RecheckState,
+    Transact,
+    WatchState,
+)
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
 
@@ -100,6 +105,7 @@
     operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
     order_by_key: Map[str, OrderEntry] = field(default_factory=Map)
     watch: WatchState | None = None
+    recheck: RecheckState | None = None
     reading_orders: bool = False
     orders_read_sent_at: float = 0.0
     submissions: Table[Submission] = field(default_factory=Table.empty)
@@ -132,6 +138,16 @@
     """Watches for changes of operators' orders."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecheckOrders(Purpose):
+    """Reads changes of operators' orders a second time.
+
+    The watch had read all up to the version `watched` when this was sent.
+    """
+
+    watched: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreJobs(Purpose):
     """Stores the submissions of the batch with this number."""
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -9,6 +9,7 @@
     inquiring,
     operator_orders,
     readiness,
+    rechecking,
     submitting,
 )
 from bulrushpulley.systems.intake.events import apply
@@ -22,6 +23,7 @@
         apply=apply,
         systems=(
             operator_orders.run,
+            rechecking.run,
             checking.run,
             submitting.run,
             inquiring.run,
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -22,6 +22,7 @@
     IntakeStep,
     IntakeTables,
     ReadOrders,
+    RecheckOrders,
     StoreJobs,
     WatchOrders,
 )
@@ -44,6 +45,7 @@
     checking,
     inquiring,
     operator_orders,
+    rechecking,
     submitting,
 )
 
@@ -202,6 +204,31 @@
     return operator_orders.handle_history_lost(tables)
 
 
+@handle_store_event.register
+def _(
+    purpose: RecheckOrders, event: StoreEvent, tables: IntakeTables, now: float
+) -> IntakeStep:
+    return handle_recheck_answer(event, purpose, tables)
+
+
+@singledispatch
+def handle_recheck_answer(
+    event: StoreEvent, purpose: RecheckOrders, tables: IntakeTables
+) -> IntakeStep:
+    """Handle the answer to a second read; by default the call has failed."""
+    return rechecking.handle_failed(tables)
+
+
+@handle_recheck_answer.register
+def _(event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables) -> IntakeStep:
+    return rechecking.handle_changes(event, purpose, tables)
+
+
+@handle_recheck_answer.register
+def _(event: HistoryLost, purpose: RecheckOrders, tables: IntakeTables) -> IntakeStep:
+    return operator_orders.handle_history_lost(tables)
+
+
 handle_store_event.register(CheckStored, checking.handle_check_read)
 
 
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -85,7 +85,7 @@
         reading_orders=False,
         watch=WatchState(after=event.version),
     )
-    return _apply_rows(tables, event.rows, event.version)
+    return apply_rows(tables, event.rows, event.version)
 
 
 def handle_orders_read_failed(tables: IntakeTables) -> IntakeStep:
@@ -100,12 +100,12 @@
     if tables.watch is None:
         return Step(tables=tables)
     watch = store_watch.with_changes_read(tables.watch, version)
-    return _apply_rows(replace(tables, watch=watch), rows, version)
+    return apply_rows(replace(tables, watch=watch), rows, version)
 
 
 def handle_history_lost(tables: IntakeTables) -> IntakeStep:
     """Read all orders again."""
-    return Step(tables=replace(tables, watch=None))
+    return Step(tables=replace(tables, watch=None, recheck=None))
 
 
 def handle_watch_failed(tables: IntakeTables, now: float) -> IntakeStep:
@@ -117,9 +117,10 @@
     )
 
 
-def _apply_rows(
+def apply_rows(
     tables: IntakeTables, rows: tuple[StoredRow, ...], version: int
 ) -> IntakeStep:
+    """Apply the rows that are newer than those known, and tell the scheduler."""
     entries = tables.order_by_key
     for stored in rows:
         known = entries.get(stored.key.key)
--- a/bulrushpulley/systems/scheduling/rechecking.py
+++ b/bulrushpulley/systems/scheduling/rechecking.py
@@ -27,10 +27,7 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.lasting_states import first_lines, left_out
 from bulrushpulley.systems.scheduling import edits, host_rows, watching
-from bulrushpulley.systems.store_watch import WATCH_ANSWER_TIMEOUT_S
-
-# Each call of the store is priced; a missed job must be placed well within 3 s.
-RECHECK_INTERVAL_S = 1.5
+from bulrushpulley.systems.store_watch import RECHECK_INTERVAL_S, WATCH_ANSWER_TIMEOUT_S
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -11,6 +11,8 @@
 WATCH_WAIT_S = 1.0
 WATCH_ANSWER_TIMEOUT_S = 0.7
 WATCH_RETRY_DELAY_S = 0.3
+# Each call of the store is priced; a missed job must be placed well within 3 s.
+RECHECK_INTERVAL_S = 1.5
 
 
 def due(state: WatchState, now: float) -> bool:
