--- a/test/test_jobs_books.py
+++ b/test/test_jobs_books.py
@@ -91,6 +91,52 @@
         self.check_seen(lambda item: isinstance(item, HostReport), "host")
 
 
+class BusyHostTest(testtools.TestCase):
+    """One acknowledgement is lost while others are always due for the same host."""
+
+    # The platform expects each listed end to be acknowledged within this time.
+    MAX_ACKNOWLEDGEMENT_S = 5.0
+
+    def check_noted(self, *, store_slowdown_factor: float) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(2.0)
+        world.store_slowdown_factor = store_slowdown_factor
+        submitted: list[str] = []
+
+        def submit() -> None:
+            number = len(submitted) + 1
+            submitted.append(world.submit(number, step(1), payload="0.2"))
+            world.at(0.1, submit)
+
+        submit()
+        world.run(3.0)
+        lost: list[int] = []
+
+        def delays_of(
+            item: Event, sender: Process, receiver: Process
+        ) -> Iterable[float]:
+            if lost or not isinstance(item, EndsNoted):
+                return (0.0,)
+            lost.extend(item.numbers)
+            return ()
+
+        world.delays_of = delays_of
+        self.assertTrue(world.run_until(lambda: bool(lost), within_s=2.0))
+        executor = world.executor_by_host[HOST]
+
+        def is_noted() -> bool:
+            return all(end.number not in lost for end in executor.ends)
+
+        self.assertFalse(is_noted())
+        self.assertTrue(world.run_until(is_noted, self.MAX_ACKNOWLEDGEMENT_S))
+
+    def test_a_lost_acknowledgement_on_a_busy_host(self) -> None:
+        self.check_noted(store_slowdown_factor=1.0)
+
+    def test_a_lost_acknowledgement_on_a_busy_host_beside_a_slow_store(self) -> None:
+        self.check_noted(store_slowdown_factor=60.0)
+
+
 class ContactMessageTest(testtools.TestCase):
     BOOKS = Books(
         adoption=3,
