Name the end that is not acknowledged in the books of an agent

Cause: an agent told only how old its first unacknowledged end is, and the owner excused it while any acknowledgement for that host waited for the store. On a host with many short tasks, beside a slow store, one always does.

Change: the books name the first end, and only a transaction that holds this end excuses it. Of two contacts in a row both have to name the same one, as the acknowledgement of another may be in flight each time.

--- a/bulrushpulley/entities/jobs/books.py
+++ b/bulrushpulley/entities/jobs/books.py
@@ -22,8 +22,8 @@
     orders handled. `misses_orders` is set once a later one has arrived. `runs` is the
     digest of the runs that the owner has ordered, and empty while the agent has not got
     all orders or the list of its backend server. `host` is the digest of the last
-    report of the host. The agent has held the first of its `ends` unacknowledged ends
-    for `oldest_end_s`.
+    report of the host. The agent has held the first of its `ends` unacknowledged ends,
+    with number `first_end`, for `oldest_end_s`.
     """
 
     adoption: int
@@ -33,6 +33,7 @@
     host: bytes = b""
     ends: int = 0
     oldest_end_s: float = 0.0
+    first_end: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,7 +43,8 @@
     It has sent `orders` items of orders in the current adoption, and `due_orders` of
     them by `due_at`. `report` is the digest of the last report of the host. The books
     have differed since `differ_since`, in `difference`, or agreed at the last
-    comparison if that is None; because of that the agent has been adopted again
+    comparison if that is None; `first_end` is the end that was not acknowledged then,
+    if they differ in that. Because of a difference the agent has been adopted again
     `adoptions` times, and the next time is not before `adopt_at`.
     """
 
@@ -53,6 +55,7 @@
     report: bytes = b""
     differ_since: float | None = None
     difference: str = ""
+    first_end: int = 0
     adoptions: int = 0
     adopt_at: float = 0.0
 
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -67,9 +67,8 @@
             kept=_keys_asked(tables, Asked.KEEP),
             stopped=_keys_asked(tables, Asked.STOP),
         )
-    oldest_end_s = 0.0
-    if tables.ends:
-        oldest_end_s = now - tables.end_listed_at.get(min(tables.ends), now)
+    first_end = min(tables.ends, default=0)
+    oldest_end_s = now - tables.end_listed_at.get(first_end, now)
     return Books(
         adoption=tables.adoption,
         orders=tables.orders,
@@ -78,6 +77,7 @@
         host=report.digest if report is not None else b"",
         ends=len(tables.ends),
         oldest_end_s=oldest_end_s,
+        first_end=first_end,
     )
 
 
--- a/bulrushpulley/systems/scheduling/comparing.py
+++ b/bulrushpulley/systems/scheduling/comparing.py
@@ -26,6 +26,7 @@
 # An end is acknowledged once a transaction has made it durable.
 END_ACKNOWLEDGEMENT_TIMEOUT_S = 1.0
 ORDERS = "orders"
+ENDS = "ends"
 MIN_ADOPTION_INTERVAL_S = 1.5
 MAX_ADOPTION_INTERVAL_S = 12.0
 # Keeps a line below 4 KB, so that it can share a write with others.
@@ -63,8 +64,15 @@
         return Step(tables=tables)
     if not difference:
         return _agree(tables, ours, now)
-    since = now if ours.differ_since is None else ours.differ_since
-    ours = replace(ours, differ_since=since, difference=difference)
+    # The acknowledgement of another end may be in flight each time.
+    is_other_end = difference == ENDS and theirs.first_end != ours.first_end
+    since = now if ours.differ_since is None or is_other_end else ours.differ_since
+    ours = replace(
+        ours,
+        differ_since=since,
+        difference=difference,
+        first_end=theirs.first_end if difference == ENDS else 0,
+    )
     # Orders count as missing only once they have settled.
     has_settled = difference == ORDERS or now - since >= SETTLE_TIMEOUT_S
     if not has_settled or now < ours.adopt_at:
@@ -87,8 +95,8 @@
     if theirs.runs != runs_digest(tables, host):
         return "runs"
     is_overdue = theirs.oldest_end_s > END_ACKNOWLEDGEMENT_TIMEOUT_S
-    if is_overdue and not _is_acknowledgement_due(tables, host):
-        return "ends"
+    if is_overdue and not _is_acknowledgement_due(tables, host, theirs.first_end):
+        return ENDS
     return ""
 
 
@@ -106,19 +114,25 @@
     return [task for task in tasks if task.life == host.life]
 
 
-def _is_acknowledgement_due(tables: SchedulerTables, host: Host) -> bool:
-    """Return whether a transaction has still to make an end of the host durable."""
+def _is_acknowledgement_due(tables: SchedulerTables, host: Host, number: int) -> bool:
+    """Return whether a transaction has still to make an end of a host durable."""
     deferred = [*tables.effects_by_job.values()]
     if tables.commit is not None:
         for batch in tables.commit.batches:
             deferred.extend(batch.effects_by_job.values())
     return any(
-        _acknowledges(effect, host) for effects in deferred for effect in effects
+        _acknowledges(effect, host, number)
+        for effects in deferred
+        for effect in effects
     )
 
 
-def _acknowledges(effect: Effect, host: Host) -> bool:
-    return isinstance(effect, AcknowledgeEnd) and effect.host == host.name
+def _acknowledges(effect: Effect, host: Host, number: int) -> bool:
+    return (
+        isinstance(effect, AcknowledgeEnd)
+        and (effect.host, effect.life) == (host.name, host.life)
+        and effect.number == number
+    )
 
 
 def _agree(tables: SchedulerTables, ours: HostBooks, now: float) -> SchedulerStep:
