Gaps counts the differences of books that owners logged

What developers saw: `scripts/gaps` printed for how long jobs stood still, and nothing of `books.differ` and `books.agree`, so that a play had to be searched by hand for whether a lost message was noticed. Change: one more line with the number of differences by kind, how many have no line that the books agree, and the oldest with its beginning. Evidence: six tests with a log of each case; the line is added to the expected text of the report's test.

--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -16,7 +16,9 @@
 
 Each time comes with the longest part of it for which an owner saw room for the task
 twice, as far as its `job.idle_span` lines tell; those of several owners are joined. The
-end says how much of the capacity was in use last, and names the worst times.
+end says how many differences owners logged between their books and those of agents, or
+the rows of a table, how much of the capacity was in use last, and names the worst
+times.
 """
 
 from __future__ import annotations
@@ -30,6 +32,7 @@
 from absl import app, flags
 
 from bulrushpulley.entities.jobs import rows
+from scripts.book_lines import books_line
 from scripts.idle_lines import (
     MIN_LOGGED_SPAN_S,
     IdleLine,
@@ -310,6 +313,7 @@
         *printed,
         summary("jobs", job_gaps),
         summary("tasks", task_gaps),
+        books_line(lines),
         *capacity_lines(lines),
         worst_line(job_gaps, idle_by_subject, owned_s),
     ]
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -327,6 +327,7 @@
                 f"    {JOB}.0.1.0      4.500 task.place {HOST} ",
                 "1 jobs: longest gap 14.00 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
                 "2 tasks: longest gap 13.50 s, 1 over 3 s, 1 over 6 s, 1 over 12 s",
+                "books: no difference",
                 "worst: 0.00 s with room (-), at most 14.00 s with what is not known;"
                 f" 14.00 s of all ({JOB}); 0 jobs with room for 3 s;"
                 " lasting tasks 0.00 s with room, 0.00 s of all",
@@ -415,3 +416,85 @@
         *_, use, _ = self.report()
         self.assertIn("ovens at 15.000 s, 18 hosts ready: committed", use)
         self.assertIn("processors under one half, memory not under one half", use)
+
+
+class BooksTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log()
+        self.log.accept(1.0)
+
+    def differ(
+        self, at_s: float, kind: str, age_s: float, host: str = HOST, by: str = OWNER
+    ) -> None:
+        reason = (
+            f"for {age_s:.2f} s; the agent handled 4 of 5 orders of adoption 1, and"
+            " holds 2 ends, the first for 1.8 s"
+        )
+        self.log.add(at_s, by, "books.differ", host, kind, reason)
+
+    def agree(self, at_s: float, kind: str, age_s: float, host: str = HOST) -> None:
+        reason = f"after {age_s:.2f} s"
+        self.log.add(at_s, OWNER, "books.agree", host, kind, reason)
+
+    def miss(self, at_s: float, job_id: str, end: str = "") -> None:
+        reason = f"the watch has read up to 90 and missed version 81{end}"
+        self.log.add(at_s, OWNER, "books.differ", job_id, "row", reason)
+
+    def line(self) -> str:
+        [line] = [
+            line
+            for line in report(self.log.lines, worst=10)
+            if line.startswith("books: ")
+        ]
+        return line
+
+    def test_books_that_never_differ(self) -> None:
+        self.assertEqual("books: no difference", self.line())
+
+    def test_differences_are_counted_by_kind_and_the_oldest_is_named(self) -> None:
+        self.differ(10.0, "runs", 0.72)
+        self.agree(10.8, "runs", 1.52)
+        self.differ(12.0, "orders", 0.0, "agent-2")
+        self.differ(12.1, "runs", 0.75, "agent-3")
+        self.agree(12.2, "orders", 0.2, "agent-2")
+        self.agree(12.9, "runs", 1.55, "agent-3")
+        self.assertEqual(
+            "books: 3 differences, 1 orders, 2 runs; the oldest 1.55 s, runs of"
+            " agent-3, from 11.350 s",
+            self.line(),
+        )
+
+    def test_a_difference_is_counted_once_until_the_books_agree(self) -> None:
+        self.differ(10.0, "host", 0.75)
+        self.log.add(10.1, OWNER, "books.differ", HOST, "named", "ended there: a.0#1")
+        self.differ(11.5, "runs", 2.25)
+        self.agree(12.0, "runs", 2.75)
+        self.differ(20.0, "runs", 0.75)
+        self.agree(20.5, "runs", 1.25)
+        self.assertEqual(
+            "books: 2 differences, 1 host, 1 runs; the oldest 2.75 s, host of"
+            " agent-1, from 9.250 s",
+            self.line(),
+        )
+
+    def test_a_difference_that_no_line_ends_is_named(self) -> None:
+        self.differ(10.0, "runs", 0.75)
+        self.differ(20.0, "runs", 0.8)
+        self.agree(20.5, "runs", 1.3)
+        self.assertEqual(
+            "books: 2 differences, 2 runs; 1 without a line that they agree; the"
+            " oldest 1.30 s, runs of agent-1, from 19.200 s",
+            self.line(),
+        )
+
+    def test_each_owner_has_books_of_its_own(self) -> None:
+        self.differ(10.0, "runs", 0.75)
+        self.differ(10.0, "runs", 0.75, by="entry-2")
+        self.agree(10.5, "runs", 1.25)
+        self.assertIn("2 differences, 2 runs; 1 without", self.line())
+
+    def test_missed_rows_have_no_age_and_agree_at_once(self) -> None:
+        self.miss(10.0, JOB)
+        self.miss(10.0, "00ff", "; 3 more are not logged")
+        self.assertEqual("books: 5 differences, 5 row", self.line())
