Compare books also while orders are on the way to an agent

Cause: a contact was not compared if an order was on its way to the agent, so on a busy host contact after contact said nothing. With a job each 0.2 s and 30 ms to the agent, a lost end was not named within 25 s in virtual time. Change: the owner keeps the runs of each item of orders until a contact says that it is handled, and compares the books as they were before the items that are not. Result: the three tests of a busy host, one of which was red before.

--- a/bulrushpulley/entities/jobs/books.py
+++ b/bulrushpulley/entities/jobs/books.py
@@ -35,13 +35,27 @@
     oldest_end_s: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SentOrders:
+    """The keys of the runs that an item of orders starts and stops.
+
+    A `complete` one may concern other runs as well.
+    """
+
+    number: int
+    started: tuple[str, ...] = ()
+    stopped: tuple[str, ...] = ()
+    complete: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostBooks:
     """What the owner compares with the books of one agent.
 
     It has sent `orders` items of orders in the current adoption, and `due_orders` of
-    them by `due_at`. `report` is the digest of the last report of the host. The books
-    have differed since `differ_since`, in `difference`, or agreed at the last
+    them by `due_at`. Those that no contact has said to be handled are in `unhandled`,
+    the first one first. `report` is the digest of the last report of the host. The
+    books have differed since `differ_since`, in `difference`, or agreed at the last
     comparison if that is None; because of that the agent has been adopted again
     `adoptions` times, and the next time is not before `adopt_at`.
     """
@@ -50,6 +64,7 @@
     orders: int = 0
     due_orders: int = 0
     due_at: float = 0.0
+    unhandled: tuple[SentOrders, ...] = ()
     report: bytes = b""
     differ_since: float | None = None
     difference: str = ""
--- a/bulrushpulley/systems/scheduling/comparing.py
+++ b/bulrushpulley/systems/scheduling/comparing.py
@@ -1,15 +1,20 @@
 """Compares the owner's books of each host with those of its agent.
 
-A contact follows all that the agent has reported, so once the agent has handled all
-orders, both must name the same runs. What is in flight agrees by the next contact; a
-difference that outlasts it means that a message was lost or not handled. The agent is
-then adopted again, which has both sides send all that they hold.
+A contact follows all that the agent has reported, and says which orders it has handled,
+so but for the others both must name the same runs. What else is in flight agrees by the
+next contact; a difference that outlasts it means that a message was lost or not
+handled. The agent is then adopted again, which has both sides send all that they hold.
 """
 
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.books import Books, HostBooks, digest_of_runs
+from bulrushpulley.entities.jobs.books import (
+    Books,
+    HostBooks,
+    SentOrders,
+    digest_of_runs,
+)
 from bulrushpulley.entities.jobs.bounds import CONTACT_INTERVAL_S
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.items import RunsReport
@@ -35,7 +40,7 @@
 def restart(tables: SchedulerTables, host: Host, now: float) -> SchedulerTables:
     """Begin to count orders anew for an adoption; a known difference is kept."""
     known = ordering.books_of(tables, host.name)
-    fresh = replace(known, orders=0, due_orders=0, due_at=now, report=b"")
+    fresh = replace(known, orders=0, due_orders=0, due_at=now, unhandled=(), report=b"")
     return ordering.put_books(tables, fresh)
 
 
@@ -54,7 +59,10 @@
     is_current = host.announced_epoch == tables.epoch
     if theirs is None or not is_current or theirs.adoption != host.adoptions:
         return Step(tables=tables)
-    ours = ordering.books_of(tables, host.name)
+    known = ordering.books_of(tables, host.name)
+    ours = _without_handled(known, theirs)
+    if ours is not known:
+        tables = ordering.put_books(tables, ours)
     difference = find_difference(tables, host, ours, theirs, now)
     if ours.orders != ours.due_orders and now - ours.due_at >= SETTLE_TIMEOUT_S:
         ours = replace(ours, due_orders=ours.orders, due_at=now)
@@ -72,6 +80,13 @@
     return _adopt_again(tables, host, ours, theirs, now)
 
 
+def _without_handled(ours: HostBooks, theirs: Books) -> HostBooks:
+    if not ours.unhandled or ours.unhandled[0].number > theirs.orders:
+        return ours
+    unhandled = tuple(sent for sent in ours.unhandled if sent.number > theirs.orders)
+    return replace(ours, unhandled=unhandled)
+
+
 def find_difference(
     tables: SchedulerTables, host: Host, ours: HostBooks, theirs: Books, now: float
 ) -> str | None:
@@ -82,9 +97,11 @@
         return ORDERS
     if theirs.host != ours.report:
         return "host"
-    if not host.synced or theirs.orders != ours.orders or not theirs.runs:
+    if not host.synced or theirs.orders > ours.orders or not theirs.runs:
         return None
-    if theirs.runs != runs_digest(tables, host):
+    if any(sent.complete for sent in ours.unhandled):
+        return None
+    if theirs.runs != runs_digest(tables, host, ours.unhandled):
         return "runs"
     is_overdue = theirs.oldest_end_s > END_ACKNOWLEDGEMENT_TIMEOUT_S
     if is_overdue and not _is_acknowledgement_due(tables, host):
@@ -92,13 +109,22 @@
     return ""
 
 
-def runs_digest(tables: SchedulerTables, host: Host) -> bytes:
-    """Return the digest of the runs that have been ordered on a host."""
+def runs_digest(
+    tables: SchedulerTables, host: Host, unhandled: tuple[SentOrders, ...]
+) -> bytes:
+    """Return the digest of the runs that have been ordered on a host.
+
+    It is as before the orders that the agent has not handled: on a busy host there may
+    be some with each contact.
+    """
     tasks = _tasks_on(tables, host)
-    return digest_of_runs(
-        kept=(task.run_key for task in tasks if task.state in KEPT_STATES),
-        stopped=(task.run_key for task in tasks if task.state is TaskState.STOPPING),
-    )
+    kept = {task.run_key for task in tasks if task.state in KEPT_STATES}
+    stopped = {task.run_key for task in tasks if task.state is TaskState.STOPPING}
+    for sent in reversed(unhandled):
+        unstopped = stopped.intersection(sent.stopped)
+        stopped -= unstopped
+        kept = (kept | unstopped).difference(sent.started)
+    return digest_of_runs(kept=kept, stopped=stopped)
 
 
 def _tasks_on(tables: SchedulerTables, host: Host) -> list[Task]:
--- a/bulrushpulley/systems/scheduling/ordering.py
+++ b/bulrushpulley/systems/scheduling/ordering.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.books import HostBooks
+from bulrushpulley.entities.jobs.books import HostBooks, SentOrders
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.items import Orders
 from bulrushpulley.entities.jobs.runs import RunOrder, RunRef
@@ -23,7 +23,14 @@
 ) -> SchedulerStep:
     """Send the next item of orders of the current adoption to the agent of a host."""
     known = books_of(tables, host.name)
-    sent = replace(known, orders=known.orders + 1)
+    number = known.orders + 1
+    entry = SentOrders(
+        number=number,
+        started=tuple(order.key for order in start),
+        stopped=tuple(ref.key for ref in stop),
+        complete=complete,
+    )
+    sent = replace(known, orders=number, unhandled=(*known.unhandled, entry))
     item = Orders(
         epoch=tables.epoch,
         life=life,
@@ -31,7 +38,7 @@
         stop=stop,
         complete=complete,
         adoption=host.adoptions,
-        number=sent.orders,
+        number=number,
     )
     command = Send(peer=host.peer, item=item)
     return Step(tables=put_books(tables, sent), commands=(command,))
--- a/test/test_jobs_books.py
+++ b/test/test_jobs_books.py
@@ -8,6 +8,7 @@
 import testtools
 
 from bulrushpulley.entities.jobs.books import Books, digest_of
+from bulrushpulley.entities.jobs.calls import CancelCall
 from bulrushpulley.entities.jobs.items import (
     Contact,
     EndsNoted,
@@ -19,7 +20,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Event
 from bulrushpulley.wire.job_items import decode_job_item, encode_job_item
-from test.jobs_world import JobsWorld, Process, step
+from test.jobs_world import QUEUE, JobsWorld, Process, step
 
 HOST = "z0-0"
 
@@ -91,6 +92,69 @@
         self.check_seen(lambda item: isinstance(item, HostReport), "host")
 
 
+class BusyHostTest(testtools.TestCase):
+    """Orders are on the way to a host whenever its agent makes a contact."""
+
+    LATENCY_S = 0.03
+    # Contacts are made at a multiple of this interval.
+    JOB_INTERVAL_S = 0.2
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = JobsWorld(entries=1, hosts=1)
+        self.lost: list[Event] = []
+        self.lost_at = 0.0
+        self.is_lost: Callable[[Event], bool] = lambda item: False
+        self.world.delays_of = self.delays_of
+        self.world.run(2.57)
+
+    def delays_of(
+        self, item: Event, sender: Process, receiver: Process
+    ) -> Iterable[float]:
+        if self.lost or not self.is_lost(item):
+            return (self.LATENCY_S,)
+        self.lost.append(item)
+        self.lost_at = self.world.now
+        return ()
+
+    def submit_jobs(self, count: int, first: int = 1) -> None:
+        for number in range(first, first + count):
+            self.world.submit(number, step(1), payload="0.15")
+            self.world.run(self.JOB_INTERVAL_S)
+
+    def differences(self) -> list[Decision]:
+        return [line for line in self.world.decisions if line.kind == "books.differ"]
+
+    def test_a_lost_end_is_seen(self) -> None:
+        self.submit_jobs(12)
+        self.is_lost = lambda item: isinstance(item, RunsReport) and bool(item.ends)
+        self.submit_jobs(12, first=13)
+        self.assertEqual(1, len(self.lost))
+        self.assertEqual(
+            [(HOST, "runs"), (HOST, "named")],
+            [(line.subject, line.chosen) for line in self.differences()],
+        )
+
+    def test_books_do_not_differ_while_orders_are_on_the_way(self) -> None:
+        self.submit_jobs(30)
+        self.assertEqual([], self.differences())
+
+    def test_books_do_not_differ_while_stops_are_on_the_way(self) -> None:
+        for number in range(1, 30):
+            job_id = self.world.submit(number, step(1), payload="9.0")
+            self.world.run(self.JOB_INTERVAL_S)
+            call = CancelCall(
+                call_id=f"cancel-{number}",
+                authority=QUEUE.authority,
+                path=f"{QUEUE.path_prefix}{job_id}",
+                within_s=3.0,
+                received_at_s=self.world.now,
+            )
+            self.world.tell(self.world.process_by_name["entry-0"], "intake", call)
+        self.world.run(3.0)
+        self.assertEqual([], self.differences())
+
+
 class ContactMessageTest(testtools.TestCase):
     BOOKS = Books(
         adoption=3,
