--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -137,6 +137,19 @@
         return self.draw.uniform(self.min_delay_s, self.max_delay_s)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallOutcome:
+    """What becomes of one call to the store or a backend server.
+
+    It is carried out once after each of `carried_out_after_s`. What the last one so far
+    has returned is the answer, which comes `answered_after_s` later than usual; without
+    an answer, or with one that is too late, the call times out.
+    """
+
+    carried_out_after_s: tuple[float, ...] = (0.0,)
+    answered_after_s: float | None = 0.0
+
+
 @dataclass(kw_only=True, slots=True)
 class Process:
     """One entry or agent process; a frozen one queues its events."""
@@ -154,20 +167,21 @@
     `hook` is called with each command before it is carried out. `delays_of` returns,
     for an item on a link with its sender and receiver, the extra delays with which it
     is delivered, one for each time: none if it is lost. Answers to watches and reads
-    lack the rows that `hides` selects. While `call_delay_s` is set, starts and stops
-    reach the backend server that much later, without an answer; `late_calls` draws such
-    calls one by one. While `resets_transactions`, the store closes each connection
-    before it applies a transaction. While `late_writes_s` is set, transactions are
-    applied that much later, without an answer. The two processes of each of the
-    `cut_pairs` cannot reach each other. What the first process of each of the
-    `silent_directions` sends reaches the second only if its link outlasts the silence.
-    The backend servers of `unlisted_hosts` answer no poll, those of `refusing_hosts`
-    refuse every start as unhealthy, and those of `unannounced_hosts` do not announce
-    themselves. Unless `machines_up`, requests for the list of machines fail, and the
-    list is returned `list_delay_s` later as it was when it was requested. A dial that
-    is not answered fails after `failed_dial_s`. Wall clocks are `wall_error_s` ahead.
-    The service of advice allows no server to the steps of `disallowed_job_ids`, and
-    gives those of `unadvised_job_ids` no answer.
+    lack the rows that `hides` selects. `outcome_of` returns what becomes of a call to
+    the store or a backend server, or None if nothing disturbs it. While `call_delay_s`
+    is set, starts and stops reach the backend server that much later, without an
+    answer; `late_calls` draws such calls one by one. While `resets_transactions`, the
+    store closes each connection before it applies a transaction. While `late_writes_s`
+    is set, transactions are applied that much later, without an answer. The two
+    processes of each of the `cut_pairs` cannot reach each other. What the first process
+    of each of the `silent_directions` sends reaches the second only if its link
+    outlasts the silence. The backend servers of `unlisted_hosts` answer no poll, those
+    of `refusing_hosts` refuse every start as unhealthy, and those of
+    `unannounced_hosts` do not announce themselves. Unless `machines_up`, requests for
+    the list of machines fail, and the list is returned `list_delay_s` later as it was
+    when it was requested. A dial that is not answered fails after `failed_dial_s`. Wall
+    clocks are `wall_error_s` ahead. The service of advice allows no server to the steps
+    of `disallowed_job_ids`, and gives those of `unadvised_job_ids` no answer.
     """
 
     def __init__(
@@ -213,6 +227,7 @@
             None
         )
         self.hides: Callable[[store.StoreCommand, store.StoredRow], bool] | None = None
+        self.outcome_of: Callable[[Command, Process], CallOutcome | None] | None = None
         self.answers: list[CallAnswer] = []
         self.explanations: list[Explanation] = []
         self.decisions: list[Decision] = []
@@ -651,10 +666,16 @@
             return
         delays_s = self.delays_of(item, process, target) if self.delays_of else (0.0,)
         for delay_s in delays_s:
-            self.at(
-                LINK_LATENCY_S + delay_s,
-                lambda: self._deliver_on_link(process, target, item),
-            )
+            self.deliver_later(process, target, item, delay_s)
+
+    def deliver_later(
+        self, process: Process, target: Process, item: Event, delay_s: float
+    ) -> None:
+        """Deliver an item on a link, later than usual by a delay."""
+        self.at(
+            LINK_LATENCY_S + delay_s,
+            lambda: self._deliver_on_link(process, target, item),
+        )
 
     def _deliver_on_link(self, process: Process, target: Process, item: Event) -> None:
         """Deliver an item unless its link has ended, as a stream does."""
@@ -738,7 +759,37 @@
         after_s += (
             FAR_STORE_EXTRA_LATENCY_S if process.name in self.far_from_store else 0.0
         )
-        self.at(after_s, lambda: self.tell(process, command.role, answer()))
+        outcome = self.outcome_of(command, process) if self.outcome_of else None
+        if outcome is None:
+            self.at(after_s, lambda: self.tell(process, command.role, answer()))
+            return
+        unanswered = _unanswered_by_store(command)
+        self._call_with(
+            outcome,
+            carry_out=answer,
+            after_s=after_s,
+            times_out_after_s=command.timeout_s,
+            tell=lambda event: self.tell(process, command.role, event or unanswered),
+        )
+
+    def _call_with(
+        self,
+        outcome: CallOutcome,
+        *,
+        carry_out: Callable[[], Event],
+        after_s: float,
+        times_out_after_s: float,
+        tell: Callable[[Event | None], None],
+    ) -> None:
+        """Carry out a call as `outcome` says; an unanswered one is told as None."""
+        results: list[Event] = []
+        for delay_s in outcome.carried_out_after_s:
+            self.at(after_s + delay_s, lambda: results.append(carry_out()))
+        answered_after_s = outcome.answered_after_s
+        if answered_after_s is None or after_s + answered_after_s > times_out_after_s:
+            self.at(times_out_after_s, lambda: tell(None))
+            return
+        self.at(after_s + answered_after_s, lambda: tell(results[-1]))
 
     @_carry_out.register
     def _(self, command: store.ReadRange, process: Process) -> None:
@@ -756,7 +807,12 @@
         event = self.store.changes(command)
         has_result = not isinstance(event, store.RowsChanged) or event.rows
         if has_result or self.now >= until or not self.store_up:
-            self._read(command, process, lambda: self._visible_changes(command))
+            call = command
+            if self.outcome_of is not None:
+                # It times out as long after it was sent as without changes.
+                waited_s = self.now - (until - command.wait_s)
+                call = replace(command, timeout_s=command.timeout_s - waited_s)
+            self._read(call, process, lambda: self._visible_changes(command))
         else:
             self.at(0.02, lambda: self._watch(command, process, until))
 
@@ -814,7 +870,7 @@
             failed = _unanswered(command)
             self.at(command.timeout_s, lambda: self.tell(process, JOB_AGENT, failed))
             called = executor.incarnation
-            self.at(delay_s, lambda: self._call_late(executor, called, command))
+            self.at(delay_s, lambda: self._call_once(executor, called, command))
             return
         until = self.now + getattr(command, "wait_ms", 0) / 1_000
         self.at(
@@ -827,19 +883,20 @@
             return self.call_delay_s
         return self.late_calls.delay_s(command) if self.late_calls else 0.0
 
-    def _call_late(
+    def _call_once(
         self, executor: FakeExecutor, called: int, command: ExecutorCommand
-    ) -> None:
-        """Carry out a late call.
+    ) -> Event:
+        """Carry out a call that may be late.
 
         The next incarnation with the same id would carry it out too, which is an open
         fault (review.5 in KNOWN-RED.txt); such calls are lost instead.
         """
         is_reborn = executor.incarnation != called
         if is_reborn and command.server_id == executor.server_id:
-            return
-        if executor.up:
-            executor.call(command, self.now)
+            return _unanswered(command)
+        if not executor.up:
+            return _unanswered(command)
+        return executor.call(command, self.now)
 
     def _call_executor(
         self,
@@ -853,6 +910,19 @@
                 0.02, lambda: self._call_executor(executor, command, process, until)
             )
             return
+        outcome = self.outcome_of(command, process) if self.outcome_of else None
+        if outcome is not None:
+            called = executor.incarnation
+            wait_s = getattr(command, "wait_ms", 0) / 1_000
+            unanswered = _unanswered(command)
+            self._call_with(
+                outcome,
+                carry_out=lambda: self._call_once(executor, called, command),
+                after_s=0.0,
+                times_out_after_s=until - wait_s + command.timeout_s - self.now,
+                tell=lambda event: self.tell(process, JOB_AGENT, event or unanswered),
+            )
+            return
         event = (
             executor.call(command, self.now) if executor.up else _unanswered(command)
         )
@@ -991,6 +1061,12 @@
     return StepSpec(**{"count": count, "size": SIZE, "estimate_s": 1.0, **more})
 
 
+def _unanswered_by_store(command: store.StoreCommand) -> Event:
+    if isinstance(command, store.Transact):
+        return store.TransactOutcomeUnknown(purpose=command.purpose, reason="no answer")
+    return store.ReadFailed(purpose=command.purpose, reason="no answer")
+
+
 def _unanswered(command: ExecutorCommand) -> Event:
     server_id = command.server_id
     if isinstance(command, ConfirmIncarnation):
