Ignore refusals of a run that came before the next adoption

What callers saw: nothing yet; in the table of message faults, TWICE.

Cause: an agent that has refused a run for certain forgets it. If the refusal is late, the owner's books differ, it adopts the agent again, and its complete orders name the run, which the agent starts. When the late refusal arrives, the owner takes it for one of this run and starts the task elsewhere, beside it.

Evidence: `run-refused:late-1.5:first-end` and `run-refused:late-4:reborn-server` ran a task twice; 2 of 63 plays with a refusal failed.

Change: a refusal names its adoption, and the owner leaves one of an earlier adoption out: the complete orders of the next one name the run, so it is refused again or runs. Earlier versions leave the number at zero, and are treated as before. The table now has hosts refuse until a refusal was hit, so that each point has one; the test plays the two cases above, as the one it had needs two refusals no more.

--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -169,15 +169,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunRefused(JobItem):
-    """A run that does not exist and can never start any more.
+    """A run that does not exist, and will not unless it is ordered again.
 
     `unhealthy` means that the backend server refused it because of its own state.
+    `adoption` is the one in which it was refused; earlier versions leave it at zero.
+    The complete orders of a later adoption may have ordered it again.
     """
 
     life: str
     run: RunRef
     reason: str
     unhealthy: bool = False
+    adoption: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/job_agent/refusing.py
+++ b/bulrushpulley/systems/job_agent/refusing.py
@@ -27,6 +27,7 @@
             run=run.ref,
             reason=reason,
             unhealthy=run.unhealthy,
+            adoption=tables.adoption,
         )
         commands.append(Send(peer=tables.owner, item=item))
     return Step(tables=tables, commands=tuple(commands))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -238,6 +238,9 @@
 ) -> SchedulerStep:
     if event.unhealthy:
         tables = quarantine.record_refusal(tables, host.name, now)
+    if event.adoption and event.adoption != host.adoptions:
+        # The orders of the next adoption name the run, so it is refused again or runs.
+        return Step(tables=tables)
     task = current_task(tables, host, event.life, event.run.task_id, event.run.run)
     if task is None:
         return Step(tables=tables)
--- a/test/jobs_message_faults.py
+++ b/test/jobs_message_faults.py
@@ -84,7 +84,7 @@
 CANCEL_AT_S = 4.0
 RETRY_AT_S = 8.0
 END_AT_S = 17.0
-REFUSING_FOR_S = 0.2
+MAX_REFUSING_S = 2.5
 SAME_ID_DOWN_S = 1.6
 # The platform calls a job lost of which nothing runs for this long beside free room,
 # from 4 s after a trouble (`ContactMs`) on.
@@ -774,11 +774,20 @@
     world.at(point.down_s, lambda: executor.restart(world.now, same_id=point.same_id))
 
 
+def _end_refusals(world: JobsWorld, injection: Injection, until: float) -> None:
+    """Have starts refused until the fault has had a refusal."""
+    if injection.hit is not None or world.now >= until:
+        world.refusing_hosts.clear()
+        return
+    delay_s = SAMPLE_INTERVAL_S
+    world.at(delay_s, lambda: _end_refusals(world, injection, until))
+
+
 def _arm(world: JobsWorld, injection: Injection) -> None:
     injection.armed = True
     if isinstance(injection.kind, ItemKind) and injection.kind.item is RunRefused:
         world.refusing_hosts.update(HOSTS)
-        world.at(REFUSING_FOR_S, world.refusing_hosts.clear)
+        _end_refusals(world, injection, world.now + MAX_REFUSING_S)
 
 
 @singledispatch
