Repeat a read of the shard after 1.5 s without an answer

What callers saw: nothing yet; in the table of message faults, nothing of a job ran for 8.6 s after the owner was lost, and a cancelled run and ends stayed as long.

Cause: each read of the shard waits 6 s for its answer, so one lost answer is a takeover that takes 6 s longer.

Evidence: all eight cases `load-*:answerlost` at the first adoption and beside a takeover failed, standing still for 4.9 s, and 4.6 s from 4 s after the loss of the owner.

Change: the first read of a table waits 1.5 s, and each repeated one twice as long, up to the 6 s that a store 100 times slower may need. The purpose of a read counts its failures.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -135,7 +135,7 @@
       deferred until then; `turn_by_job` numbers them in the order in which they are to
       be written, and `turns` is the last number.
     - `progress_by_job` holds the progress that was read, until the jobs are read.
-    - `read_retry_at_by_table` is when a read that failed during loading is retried.
+    - `read_retry_by_table` says when a read that failed during loading is retried.
     - `candidate_by_host` holds all hosts as of the last placement pass; a candidate
       is valid as long as its host is the one in `hosts`.
     - `held_back_by_step` says why no host took a task of a step in the last placement
@@ -194,7 +194,7 @@
     turn_by_job: Map[str, int] = field(default_factory=Map)
     turns: int = 0
     progress_by_job: Map[str, ProgressRow] = field(default_factory=Map)
-    read_retry_at_by_table: Map[str, float] = field(default_factory=Map)
+    read_retry_by_table: Map[str, ReadRetry] = field(default_factory=Map)
     unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
@@ -308,9 +308,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LoadTable(TenurePurpose):
-    """A new owner reads a table of its shard."""
+    """A new owner reads a table of its shard, after so many `failures`."""
 
     table: str
+    failures: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRetry:
+    """When a table is read again, and how many reads of it have failed."""
+
+    at: float
+    failures: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -200,7 +200,7 @@
 ) -> SchedulerStep:
     if isinstance(event, RangeRead):
         return loading.handle_table_loaded(event, purpose.table, tables, now)
-    return loading.handle_read_failed(purpose.table, tables, now)
+    return loading.handle_read_failed(purpose, tables, now)
 
 
 @handle_store_event.register
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -18,6 +18,7 @@
     SCHEDULER,
     LoadTable,
     Owning,
+    ReadRetry,
     ReadWallClock,
     SchedulerStep,
     SchedulerTables,
@@ -31,10 +32,14 @@
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.entities.table import Table
+from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.scheduling import accepting, edits, interference, restoring
 
 # Enough for a few hundred rows from a store that is 100 times slower than usual.
 LOAD_TIMEOUT_S = 6.0
+# An answer that is lost must not take up the time in which a job may stand still. Each
+# repeated read of a table has twice the time, up to `LOAD_TIMEOUT_S`.
+FIRST_LOAD_TIMEOUT_S = 1.5
 LOAD_RETRY_DELAY_S = 0.2
 PART_BY_TABLE = {
     JOBS: INTAKE_PART,
@@ -61,11 +66,16 @@
     return Step(tables=replace(tables, leadership=loading), commands=reads)
 
 
-def _read(table: str, tables: SchedulerTables) -> ReadRange:
+def _read(table: str, tables: SchedulerTables, failures: int = 0) -> ReadRange:
+    timeout_s = exponential_delay_s(
+        min_delay_s=FIRST_LOAD_TIMEOUT_S,
+        max_delay_s=LOAD_TIMEOUT_S,
+        doublings=failures,
+    )
     return ReadRange(
         role=SCHEDULER,
-        purpose=LoadTable(table=table, epoch=tables.epoch),
-        timeout_s=LOAD_TIMEOUT_S,
+        purpose=LoadTable(table=table, epoch=tables.epoch, failures=failures),
+        timeout_s=timeout_s,
         table=table,
         part=PART_BY_TABLE[table],
     )
@@ -110,25 +120,22 @@
 
 
 def handle_read_failed(
-    table: str, tables: SchedulerTables, now: float
+    purpose: LoadTable, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Schedule another read of a table whose read failed."""
-    read_retry_at_by_table = tables.read_retry_at_by_table.set(
-        table, now + LOAD_RETRY_DELAY_S
-    )
-    return Step(tables=replace(tables, read_retry_at_by_table=read_retry_at_by_table))
+    retry = ReadRetry(at=now + LOAD_RETRY_DELAY_S, failures=purpose.failures + 1)
+    retries = tables.read_retry_by_table.set(purpose.table, retry)
+    return Step(tables=replace(tables, read_retry_by_table=retries))
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
     """Retry the failed reads that are due."""
     commands: list[Command] = []
-    for table, retry_at in tables.read_retry_at_by_table.items():
-        if now >= retry_at:
-            tables = replace(
-                tables,
-                read_retry_at_by_table=tables.read_retry_at_by_table.delete(table),
-            )
-            commands.append(_read(table, tables))
+    for table, retry in tables.read_retry_by_table.items():
+        if now >= retry.at:
+            retries = tables.read_retry_by_table.delete(table)
+            tables = replace(tables, read_retry_by_table=retries)
+            commands.append(_read(table, tables, retry.failures))
     return Step(tables=tables, commands=tuple(commands))
 
 
