Send verdicts on harm again that have not arrived

Cause: verdicts are sent when they change, and only a new link has them sent again. One message that is lost is never made up for while the images stay the same.

--- a/bulrushpulley/entities/jobs/books.py
+++ b/bulrushpulley/entities/jobs/books.py
@@ -23,7 +23,8 @@
     digest of the runs that the owner has ordered, and empty while the agent has not got
     all orders or the list of its backend server. `host` is the digest of the last
     report of the host. The agent has held the first of its `ends` unacknowledged ends,
-    with number `first_end`, for `oldest_end_s`.
+    with number `first_end`, for `oldest_end_s`. `verdicts` is the number of the last
+    verdicts on harm that arrived.
     """
 
     adoption: int
@@ -34,6 +35,7 @@
     ends: int = 0
     oldest_end_s: float = 0.0
     first_end: int = 0
+    verdicts: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,8 +57,9 @@
 
     It has sent `orders` items of orders in the current adoption, and `due_orders` of
     them by `due_at`. Those that no contact has said to be handled are in `unhandled`,
-    the first one first. `report` is the digest of the last report of the host. The
-    books have differed since `differ_since`, in `difference`, or agreed at the last
+    the first one first. `verdicts` counts the verdicts on harm, of which the last were
+    sent at `verdicts_sent_at`. `report` is the digest of the last report of the host.
+    The books have differed since `differ_since`, in `difference`, or agreed at the last
     comparison if that is None; `first_end` is the end that was not acknowledged then,
     if they differ in that. Because of a difference the agent has been adopted again
     `adoptions` times, and the next time is not before `adopt_at`.
@@ -68,6 +71,8 @@
     due_at: float = 0.0
     unhandled: tuple[SentOrders, ...] = ()
     report: bytes = b""
+    verdicts: int = 0
+    verdicts_sent_at: float = 0.0
     differ_since: float | None = None
     difference: str = ""
     first_end: int = 0
--- a/bulrushpulley/entities/jobs/items.py
+++ b/bulrushpulley/entities/jobs/items.py
@@ -118,11 +118,13 @@
     """Which images are known to slow, or not to slow, which serving images.
 
     Each pair names the serving image first. The effect of a pair in neither list is
-    unknown.
+    unknown. `number` counts these items in an adoption, from 1; earlier versions leave
+    it at zero.
     """
 
     harmful: tuple[tuple[str, str], ...]
     harmless: tuple[tuple[str, str], ...]
+    number: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -211,7 +211,8 @@
     has been sent the complete list of runs; `last_host_report` and the end with number
     `last_end_sent` are the last ones sent. `end_listed_at` is when each of the `ends`
     was first listed. `orders` is the number of the last item of orders in `adoption`
-    that was handled, and `misses_orders` is set once a later one has arrived.
+    that was handled, and `misses_orders` is set once a later one has arrived;
+    `verdicts` is the number of the last verdicts on harm in it.
     `unsettled_since_by_kind` is since when each lack that is logged has lasted, by the
     kind of its line, and `oldest_end` the number of the first end when last checked.
     `confirmed_at` is when the last contact that an
@@ -236,6 +237,7 @@
     closed_adoption: int = 0
     orders: int = 0
     misses_orders: bool = False
+    verdicts: int = 0
     server: Server | None = None
     server_state: ServerState = ServerState.UNKNOWN
     stalled_since: float | None = None
--- a/bulrushpulley/systems/job_agent/owner_orders.py
+++ b/bulrushpulley/systems/job_agent/owner_orders.py
@@ -41,6 +41,7 @@
         closed_adoption=0,
         orders=0,
         misses_orders=False,
+        verdicts=0,
     )
     return Step(tables=adopted, commands=(_line(adopted, event.peer, "adopted"),))
 
--- a/bulrushpulley/systems/job_agent/pacing.py
+++ b/bulrushpulley/systems/job_agent/pacing.py
@@ -64,7 +64,7 @@
         harmful=frozenset(event.harmful),
         harmless=frozenset(event.harmless),
     )
-    return Step(tables=replace(tables, pacing=pacing))
+    return Step(tables=replace(tables, pacing=pacing, verdicts=event.number))
 
 
 def decide_paces(tables: JobAgentTables, now: float) -> JobAgentStep:
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -78,6 +78,7 @@
         ends=len(tables.ends),
         oldest_end_s=oldest_end_s,
         first_end=first_end,
+        verdicts=tables.verdicts,
     )
 
 
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -119,6 +119,7 @@
             adopted_at=host.adopted_at or now,
             adoptions=host.adoptions + 1,
             synced=False,
+            sent_verdicts=None,
         )
         tables = comparing.restart(edits.put_host(tables, adopted), adopted, now)
         item = Adopt(epoch=tables.epoch, adoption=adopted.adoptions)
--- a/bulrushpulley/systems/scheduling/comparing.py
+++ b/bulrushpulley/systems/scheduling/comparing.py
@@ -33,7 +33,7 @@
 ORDERS = "orders"
 ENDS = "ends"
 MIN_ADOPTION_INTERVAL_S = 1.5
-MAX_ADOPTION_INTERVAL_S = 12.0
+MAX_ADOPTION_INTERVAL_S = 3.0
 # Keeps a line below 4 KB, so that it can share a write with others.
 MAX_RUNS_PER_LINE = 60
 
@@ -41,7 +41,15 @@
 def restart(tables: SchedulerTables, host: Host, now: float) -> SchedulerTables:
     """Begin to count orders anew for an adoption; a known difference is kept."""
     known = ordering.books_of(tables, host.name)
-    fresh = replace(known, orders=0, due_orders=0, due_at=now, unhandled=(), report=b"")
+    fresh = replace(
+        known,
+        orders=0,
+        due_orders=0,
+        due_at=now,
+        unhandled=(),
+        report=b"",
+        verdicts=0,
+    )
     return ordering.put_books(tables, fresh)
 
 
@@ -67,6 +75,12 @@
     ours = _without_handled(known, theirs)
     if ours is not known:
         tables = ordering.put_books(tables, ours)
+    if (
+        theirs.verdicts != ours.verdicts
+        and now - ours.verdicts_sent_at >= SETTLE_TIMEOUT_S
+    ):
+        host = replace(host, sent_verdicts=None)
+        tables = edits.put_host(tables, host)
     difference = find_difference(tables, host, ours, theirs, now)
     if ours.orders != ours.due_orders and now - ours.due_at >= SETTLE_TIMEOUT_S:
         ours = replace(ours, due_orders=ours.orders, due_at=now)
@@ -75,6 +89,9 @@
         return Step(tables=tables)
     if not difference:
         return _agree(tables, ours, now)
+    if difference != ours.difference:
+        # Another message is missing, which need not wait for the interval of the first.
+        ours = replace(ours, differ_since=None, adoptions=0, adopt_at=0.0)
     # The acknowledgement of another end may be in flight each time.
     is_other_end = difference == ENDS and theirs.first_end != ours.first_end
     since = now if ours.differ_since is None or is_other_end else ours.differ_since
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -18,7 +18,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import interference_step
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, ordering
 
 # Stands for no image: the estimate is the latency of a serving task without neighbours.
 SERVICE_ALONE = ""
@@ -133,7 +133,10 @@
 
 
 def send_verdicts(tables: SchedulerTables, now: float) -> SchedulerStep:
-    """Send each agent the verdicts on the images on its host, if they changed."""
+    """Send each agent the verdicts on the images on its host, if they changed.
+
+    They are sent again if a later contact shows that they have not arrived.
+    """
     if (
         not edits.is_loaded(tables)
         or now - tables.verdicts_sent_at < VERDICT_INTERVAL_S
@@ -157,7 +160,11 @@
         )
         if item != host.sent_verdicts:
             tables = edits.put_host(tables, replace(host, sent_verdicts=item))
-            commands.append(Send(peer=host.peer, item=item))
+            books = ordering.books_of(tables, host.name)
+            books = replace(books, verdicts=books.verdicts + 1, verdicts_sent_at=now)
+            tables = ordering.put_books(tables, books)
+            numbered = replace(item, number=books.verdicts)
+            commands.append(Send(peer=host.peer, item=numbered))
     return Step(tables=tables, commands=tuple(commands))
 
 
--- a/bulrushpulley/wire/job_items.py
+++ b/bulrushpulley/wire/job_items.py
@@ -50,6 +50,7 @@
     ends: int = 0
     oldest_end_ms: int = 0
     first_end: int = 0
+    verdicts: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,6 +82,7 @@
         ends=books.ends,
         oldest_end_ms=round(books.oldest_end_s * 1_000),
         first_end=books.first_end,
+        verdicts=books.verdicts,
     )
     return ContactMessage(epoch=item.epoch, sent_at=item.sent_at, books=listed)
 
@@ -110,6 +112,7 @@
             ends=listed.ends,
             oldest_end_s=listed.oldest_end_ms / 1_000,
             first_end=listed.first_end,
+            verdicts=listed.verdicts,
         )
     return items.Contact(
         peer=peer, epoch=message.epoch, sent_at=message.sent_at, books=books
--- a/test/test_jobs_books.py
+++ b/test/test_jobs_books.py
@@ -211,6 +211,7 @@
         ends=2,
         oldest_end_s=1.25,
         first_end=90_000,
+        verdicts=300,
     )
 
     def test_books_are_read_as_they_were_sent(self) -> None:
