--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -30,7 +30,6 @@
     SchedulerTables,
 )
 from bulrushpulley.entities.jobs.store import Condition, Conflicted, Transact
-from bulrushpulley.entities.jobs.task import HOLDING_STATES
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import store_timeouts
@@ -42,16 +41,13 @@
     interference,
     lease_expiry,
     ownership,
+    progress,
     waves,
 )
 
 # How often an owner with nothing to write renews its row. It is twice the followers'
 # poll interval, so that they see a change at every second read.
 RENEW_INTERVAL_S = 0.8
-# The store accepts 100 rows and 1 MB in a transaction. A task's progress takes about
-# 100 bytes; the owner, the backlog, harms and waves need a few of the rows.
-MAX_JOBS_PER_COMMIT = 90
-MAX_TASKS_PER_COMMIT = 5_000
 # Between attempts that end without an answer long before their timeout.
 MIN_UNANSWERED_INTERVAL_S = 0.05
 MAX_UNANSWERED_INTERVAL_S = 0.4
@@ -96,7 +92,7 @@
 ) -> tuple[SchedulerTables, Commit]:
     """Add the progress that has come to be written since the last attempt."""
     owning = tables.leadership
-    due = _due_job_ids(tables, commit.job_ids)
+    due = progress.due_job_ids(tables, commit.job_ids)
     if not due or not isinstance(owning, Owning):
         return tables, commit
     row = _next_owner_row(tables, owning, now)
@@ -107,8 +103,8 @@
         for put in commit.transact.puts
         if not isinstance(put, (OwnerRow, ProgressRow))
     )
-    progress = (progress_of(tables, job_id) for job_id in sorted(job_ids))
-    transact = replace(commit.transact, puts=(row, *others, *progress))
+    written = (progress.row_of(tables, job_id) for job_id in sorted(job_ids))
+    transact = replace(commit.transact, puts=(row, *others, *written))
     extended = replace(
         commit, transact=transact, batches=(*commit.batches, batch), job_ids=job_ids
     )
@@ -150,14 +146,14 @@
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
-    due = _due_job_ids(tables, frozenset())
+    due = progress.due_job_ids(tables, frozenset())
     if not due and not _is_renewal_due(tables, owning, now):
         return Step(tables=tables)
     row = _next_owner_row(tables, owning, now)
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
-    puts.extend(progress_of(tables, job_id) for job_id in due)
+    puts.extend(progress.row_of(tables, job_id) for job_id in due)
     harms = None if owning.loading else interference.row_to_save(tables, now)
     if harms is not None:
         puts.append(harms)
@@ -217,43 +213,6 @@
     )
 
 
-def _due_job_ids(tables: SchedulerTables, sent: frozenset[str]) -> list[str]:
-    """Return the jobs to be written that fit into a transaction beside those `sent`.
-
-    They are taken in turn, so that none is passed over while others change.
-    """
-    chosen: list[str] = []
-    jobs = len(sent)
-    tasks = sum(tables.tasks.count_where("job", job_id) for job_id in sent)
-    for job_id in sorted(tables.effects_by_job, key=tables.turn_by_job.__getitem__):
-        if job_id not in sent:
-            jobs += 1
-            tasks += tables.tasks.count_where("job", job_id)
-        if jobs > 1 and (tasks > MAX_TASKS_PER_COMMIT or jobs > MAX_JOBS_PER_COMMIT):
-            break
-        chosen.append(job_id)
-    return chosen
-
-
-def progress_of(tables: SchedulerTables, job_id: str) -> ProgressRow:
-    """Return the row with a job's progress.
-
-    It leaves out tasks that were never assigned and, once the job has ended, those that
-    can no longer run.
-    """
-    job = tables.jobs.by_key[job_id]
-    tasks = tables.tasks.rows_where("job", job_id)
-    if job.is_final:
-        tasks = [task for task in tasks if task.state in HOLDING_STATES]
-    return ProgressRow(
-        job_id=job_id,
-        state=job.state,
-        tasks=tuple(task.progress for task in tasks if task.run),
-        ended_at_s=job.ended_at_s,
-        started=job.started,
-    )
-
-
 def handle_committed(
     version: int, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
--- a/bulrushpulley/systems/scheduling/comparing.py
+++ b/bulrushpulley/systems/scheduling/comparing.py
@@ -204,7 +204,7 @@
         max_delay_s=MAX_ADOPTION_INTERVAL_S,
         doublings=ours.adoptions,
     )
-    age_s = now - (now if ours.differ_since is None else ours.differ_since)
+    age_s = now - ours.differ_since if ours.differ_since is not None else 0.0
     reason = (
         f"for {age_s:.2f} s; the agent handled {theirs.orders} of {ours.orders} orders"
         f" of adoption {theirs.adoption}, and holds {theirs.ends} ends, the first for"
@@ -240,18 +240,16 @@
         "not known here": sorted(listed - held),
         "ended there and not known here": sorted(ended - held),
     }
-    parts = [
-        f"{kind}: {' '.join(keys[:MAX_RUNS_PER_LINE])}"
-        + (
-            f" and {len(keys) - MAX_RUNS_PER_LINE} more"
-            * (len(keys) > MAX_RUNS_PER_LINE)
-        )
-        for kind, keys in run_keys_by_kind.items()
-        if keys
-    ]
+    parts = [_named(kind, keys) for kind, keys in run_keys_by_kind.items() if keys]
     reason = "; ".join(parts) or "the same runs on both sides"
     return (edits.log(tables, "books.differ", host.name, "named", reason),)
 
 
+def _named(kind: str, run_keys: list[str]) -> str:
+    text = f"{kind}: {' '.join(run_keys[:MAX_RUNS_PER_LINE])}"
+    left_out = len(run_keys) - MAX_RUNS_PER_LINE
+    return f"{text} and {left_out} more" if left_out > 0 else text
+
+
 def _observation(ours: HostBooks, age_s: float) -> Observe:
     return Observe(name="books_differ_seconds", seconds=age_s, label=ours.difference)
--- a/test/test_mutants.py
+++ b/test/test_mutants.py
@@ -13,12 +13,11 @@
 
 import testtools
 
+from scripts.mutant import Mutant, Replacement
 from scripts.mutants import (
     MUTANT_BY_NAME,
     MUTANTS,
-    Mutant,
     MutantError,
-    Replacement,
     apply,
     find,
     main,
