scripts/gaps: measure idle spans by the lines of agents

A run counted as going on until an owner noted its end. While a shard has no owner nobody notes ends, so a job that stood still for a whole takeover counted as working: a play whose jobs ran nothing for 5.15 s (64.20 s to 69.35 s) was reported with a longest gap of 0.21 s.

Cause: the script had only the owner's side of an end; `run.end` lines of agents came later and no tool read them.

Change: scripts/true_spans.py measures from `run.start` to `run.end`, and for runs without an end to the loss of the host. A job is waited for from when it is stored, and is over at its last `run.end`. The report begins with the worst spans, says where the owner saw over a second less of one, and ends with a line that begins with `true:`. The figures by the owner's lines stay. Runs and windows of jobs move to modules of their own, and the writer of logs for tests to test/play_log.py. The tests of the `worst:` line look it up by its beginning, as it is no longer the last.

--- a/scripts/gaps.py
+++ b/scripts/gaps.py
@@ -1,18 +1,22 @@
 """Prints for how long jobs had nothing running, from the log lines of a play.
 
 ``scripts/gaps [--worst N] FILE`` reads the lines that the processes of a deployment
-wrote. For each job it finds the longest time between acceptance and end in which none
-of its tasks ran, and prints the longest of these with the last line about each task
-until then; then the same for single tasks, from the first placement of each.
-
-A run lasts from its start at an agent to its end at the owner. If it ended as lost, it
-lasts to the last line of its host before that; if it has no end, to the last line of a
-host that has written none since the last change of owner. Jobs with several occurrences
-are left out, since no line says when one is due. A run without a line of its start that
-an agent has paced began with its placement. A job that a next owner finds ended has
-ended with the last line about it before. What reads a log may drop lines of a
-busy process, which shows in their numbers: if owners' lines are missing after the last
-line about a job or task that has no end, the time after that line does not count.
+wrote. It first prints the longest time of each job in which nothing of it ran by the
+lines of agents, which `true_spans` measures, with the last lines until then and the
+changes of owner. Where owners saw over a second less of it, the line says so. The last
+line of all, which begins with `true:`, sums these up.
+
+Then come such times by the lines of owners, for jobs and for single tasks, from the
+first placement of each, with the last line about each task. There, a run lasts from its
+start at an agent to its end at the owner, so time without an owner counts as work. If
+it ended as lost, it lasts to the last line of its host before that; if it has no end,
+to the last line of a host that has written none since the last change of owner. Jobs
+with several occurrences are left out, since no line says when one is due. A run without
+a line of its start that an agent has paced began with its placement. A job that a next
+owner finds ended has ended with the last line about it before. What reads a log may
+drop lines of a busy process, which shows in their numbers: if owners' lines are missing
+after the last line about a job or task that has no end, the time after that line does
+not count.
 
 Each time comes with the longest part of it for which an owner saw room for the task
 twice, as far as its `job.idle_span` lines tell; those of several owners are joined. The
@@ -23,15 +27,13 @@
 
 from __future__ import annotations
 
-import re
 import sys
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from absl import app, flags
 
-from bulrushpulley.entities.jobs import rows
 from scripts.book_lines import books_line
 from scripts.idle_lines import (
     MIN_LOGGED_SPAN_S,
@@ -43,159 +45,17 @@
     owned_times_s,
     room_in,
 )
+from scripts.job_windows import job_windows, longest_gap
 from scripts.log_lines import Line, missing_times_s, parse
+from scripts.owner_runs import Run, runs_of
+from scripts.true_spans import true_lines, true_spans, true_summary
 
 FLAGS = flags.FLAGS
 COUNTED_GAPS_S = (3.0, 6.0, 12.0)
-RUN_KEY = re.compile(r"\w+\.\d+\.\d+\.\d+#\d+")
-# Lines of agents about a run that works.
-WORK_KINDS = ("run.start", "run.pace")
-FINAL_STATES = tuple(state.value for state in rows.FINAL_STATES)
 # The subject is a job or a task.
 Gap = tuple[str, Span]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Run:
-    """One run of a task, as far as the lines tell."""
-
-    task_id: str
-    number: int
-    seen: Span
-    running: Span | None
-    ended_as: str
-    has_start: bool
-
-
-def runs_of(lines: Sequence[Line], missing_s: Sequence[float]) -> list[Run]:
-    """Return the runs of all tasks; each ends at the latest when the next is placed."""
-    times_by_process: defaultdict[str, list[float]] = defaultdict(list)
-    lines_by_run: defaultdict[str, list[Line]] = defaultdict(list)
-    for line in lines:
-        times_by_process[line.process].append(line.timestamp)
-        if RUN_KEY.fullmatch(line.subject):
-            lines_by_run[line.subject].append(line)
-    # A new owner accepts all jobs again; not all of these lines are missing.
-    owned_s_by_process = {
-        line.task_uuid: line.timestamp
-        for line in reversed(lines)
-        if line.message_type in ("shard.own", "job.accept")
-    }
-    owned_s = max(owned_s_by_process.values(), default=-float("inf"))
-    last_by_process = {name: times_s[-1] for name, times_s in times_by_process.items()}
-    silent_since = {name: at for name, at in last_by_process.items() if at < owned_s}
-    found = [
-        _run(about, times_by_process, silent_since, missing_s, lines[-1].timestamp)
-        for about in lines_by_run.values()
-    ]
-    runs: list[Run] = []
-    for run in sorted(found, key=lambda run: (run.task_id, run.number)):
-        last = runs[-1] if runs else None
-        if last and last.running and last.task_id == run.task_id:
-            end_s = min(last.running.end_s, run.seen.start_s)
-            end_s = max(end_s, last.running.start_s)
-            runs[-1] = replace(last, running=replace(last.running, end_s=end_s))
-        if last and run.running and not run.has_start and last.task_id == run.task_id:
-            run = replace(run, running=replace(run.running, start_s=last.seen.end_s))
-        runs.append(run)
-    return runs
-
-
-def _run(
-    about: Sequence[Line],
-    times_by_process: Mapping[str, Sequence[float]],
-    silent_since: Mapping[str, float],
-    missing_s: Sequence[float],
-    log_end_s: float,
-) -> Run:
-    task_id, _, number = about[0].subject.rpartition("#")
-    seen = Span(start_s=about[0].timestamp, end_s=about[-1].timestamp)
-    start = _start(about)
-    end = next((line for line in about if line.message_type == "task.end"), None)
-    running = None
-    if start is not None:
-        last_s = silent_since.get(start.process, log_end_s)
-        end_s = end.timestamp if end else last_s
-        if end is None and start.process in silent_since:
-            # A later run would show in the line of another agent.
-            is_known = not any(start.timestamp < at <= last_s for at in missing_s)
-            seen = replace(seen, end_s=log_end_s if is_known else seen.end_s)
-            end_s = last_s if is_known else log_end_s
-        if end and end.reason.startswith("lost"):
-            heard = (at for at in times_by_process.get(end.chosen, ()) if at <= end_s)
-            end_s = max(heard, default=start.timestamp)
-        running = Span(start_s=start.timestamp, end_s=max(start.timestamp, end_s))
-    elif end and end.reason.startswith(("done", "failed")):
-        running = seen
-    return Run(
-        task_id=task_id,
-        number=int(number),
-        seen=seen,
-        running=running,
-        ended_as=end.reason if end else "",
-        has_start=len(about) > 1 or end is None,
-    )
-
-
-def _start(about: Sequence[Line]) -> Line | None:
-    """Return the line of a run's start, or one of its agent at the time it was placed.
-
-    A list of runs may show a run before its start is answered; agents of earlier
-    versions have no line of such a start.
-    """
-    worked = [line for line in about if line.message_type in WORK_KINDS]
-    if not worked:
-        return None
-    if worked[0].message_type == "run.start":
-        return worked[0]
-    return replace(worked[0], timestamp=about[0].timestamp)
-
-
-def longest_gap(window: Span, busy: Iterable[Span]) -> Span:
-    """Return the longest part of a window that no busy span covers."""
-    longest = Span(start_s=window.start_s, end_s=window.start_s)
-    free_s = window.start_s
-    end = Span(start_s=window.end_s, end_s=window.end_s)
-    for span in (*sorted(busy, key=lambda span: span.start_s), end):
-        gap = Span(start_s=free_s, end_s=min(span.start_s, window.end_s))
-        longest = max(longest, gap, key=lambda gap: gap.length_s)
-        free_s = max(free_s, span.end_s)
-    return longest
-
-
-def job_windows(lines: Sequence[Line]) -> dict[str, Span]:
-    """Return the time from the acceptance of each job to its end or the log's."""
-    window_by_job: dict[str, Span] = {}
-    # The answer to a caller is no step of a job.
-    last_s_by_job: dict[str, float] = {}
-    for line in lines:
-        job_id = line.subject.partition(".")[0]
-        window = window_by_job.get(line.subject)
-        if line.message_type == "job.accept" and window is None:
-            span = Span(start_s=line.timestamp, end_s=lines[-1].timestamp)
-            window = window_by_job[line.subject] = span
-        if window is not None and _ends_job(line):
-            end_s = min(window.end_s, line.timestamp)
-            window_by_job[line.subject] = replace(window, end_s=end_s)
-        elif window is not None and _finds_job_ended(line):
-            end_s = min(window.end_s, last_s_by_job.get(job_id, line.timestamp))
-            end_s = max(window.start_s, end_s)
-            window_by_job[line.subject] = replace(window, end_s=end_s)
-        if line.message_type != "call.answer":
-            last_s_by_job[job_id] = line.timestamp
-    return window_by_job
-
-
-def _finds_job_ended(line: Line) -> bool:
-    """Return whether an owner takes over a job that has ended."""
-    return line.message_type == "job.accept" and line.reason.startswith(FINAL_STATES)
-
-
-def _ends_job(line: Line) -> bool:
-    """Return whether a line says that a job has ended; the owner's may be lost."""
-    return line.message_type == "job.end" or line.chosen == "JobCancelled"
-
-
 def find_gaps(lines: Sequence[Line]) -> tuple[list[Gap], list[Gap]]:
     """Return the longest gap of each job and of each task, the longest first."""
     if not lines:
@@ -292,7 +152,8 @@
     job_gaps, task_gaps = find_gaps(lines)
     idle_by_subject = idle_lines_by_subject(lines)
     owned_s = owned_times_s(lines)
-    printed: list[str] = []
+    spans = true_spans(lines)
+    printed = true_lines(lines, spans, worst=worst)
     for subject, span in (*job_gaps[:worst], *task_gaps[:worst]):
         times = f"from {span.start_s:.3f} s to {span.end_s:.3f} s"
         logged = idle_by_subject.get(subject, ())
@@ -316,6 +177,7 @@
         books_line(lines),
         *capacity_lines(lines),
         worst_line(job_gaps, idle_by_subject, owned_s),
+        true_summary(spans),
     ]
 
 
--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -2,116 +2,13 @@
 
 from __future__ import annotations
 
-import json
-
 import testtools
 
-from scripts.gaps import find_gaps, longest_gap, report
+from scripts.gaps import find_gaps, report
 from scripts.idle_lines import MAX_UNREPORTED_ROOM_S, Span
-from scripts.log_lines import Line, missing_times_s, parse
-
-JOB = "33350f17888d312f"
-OWNER = "entry-1"
-HOST = "agent-1"
-
-
-class Log:
-    """Writes the lines of a log."""
-
-    def __init__(self) -> None:
-        self.texts: list[str] = []
-        self._number_by_process: dict[str, int] = {}
-
-    def skip(self, process: str, count: int) -> None:
-        """Leave out lines of a process."""
-        self._number_by_process[process] = (
-            self._number_by_process.get(process, 0) + count
-        )
-
-    def add(
-        self,
-        at_s: float,
-        process: str,
-        kind: str,
-        subject: str,
-        chosen: str = "",
-        reason: str = "",
-    ) -> None:
-        self.skip(process, 1)
-        fields = {
-            "timestamp": 1000.0 + at_s,
-            "task_uuid": f"uuid-{process}",
-            "task_level": [self._number_by_process[process]],
-            "message_type": kind,
-            "process": process,
-            "subject": subject,
-            "chosen": chosen,
-            "reason": reason,
-        }
-        text = json.dumps(fields, separators=(",", ":"))
-        self.texts.append(f"{at_s:9.4f} {process} {text}\n")
-
-    def accept(self, at_s: float) -> None:
-        self.add(at_s, OWNER, "job.accept", JOB, "queue", "queued, 0.01 s")
-
-    def place(self, at_s: float, task: str, run: int = 1) -> None:
-        self.add(at_s, OWNER, "task.place", f"{JOB}.{task}#{run}", HOST)
-
-    def start(self, at_s: float, task: str, run: int = 1) -> None:
-        self.add(at_s, HOST, "run.start", f"{JOB}.{task}#{run}", "i-1")
-
-    def end(self, at_s: float, task: str, reason: str, run: int = 1) -> None:
-        self.add(at_s, OWNER, "task.end", f"{JOB}.{task}#{run}", HOST, reason)
-
-    def lose(self, at_s: float, *runs: str) -> None:
-        subjects = " ".join(f"{JOB}.{run}" for run in runs)
-        reason = f"its host was silent too long: {subjects}"
-        self.add(at_s, OWNER, "host.lost", HOST, f"{len(runs)} runs", reason)
-
-    def pace(self, at_s: float, task: str, run: int = 1) -> None:
-        self.add(at_s, HOST, "run.pace", f"{JOB}.{task}#{run}", "80%")
-
-    def own(self, at_s: float, process: str, reason: str) -> None:
-        """Let another owner take over, which finds the job as `reason` says."""
-        self.add(at_s, process, "shard.own", "shard-0")
-        self.add(at_s, process, "job.accept", JOB, "queue", reason)
-
-    def span(
-        self,
-        at_s: float,
-        idle_s: float,
-        room_s: float = 0.0,
-        *,
-        ended_s: float | None = None,
-        process: str = OWNER,
-        subject: str = JOB,
-    ) -> None:
-        """Write the line of an idle span; `ended_s` is for how long it has ended."""
-        chosen = f"room {room_s:.2f} s" if room_s else "no room"
-        end = "" if ended_s is None else f", ended {ended_s:.2f} s ago"
-        reason = f"idle for {idle_s:.2f} s{end}: waiting {idle_s:.1f} s"
-        self.add(at_s, process, "job.idle_span", subject, chosen, reason)
-
-    def end_job(self, at_s: float) -> None:
-        self.add(at_s, OWNER, "job.end", JOB, "completed")
-
-    @property
-    def lines(self) -> list[Line]:
-        return parse(self.texts)
-
-    def job_gap(self) -> tuple[float, float]:
-        """Return the longest gap of the only job."""
-        [(subject, span)] = find_gaps(self.lines)[0]
-        assert subject == JOB
-        return span.start_s, span.end_s
-
-    def task_gaps(self) -> dict[str, tuple[float, float]]:
-        """Return the longest gap of each task."""
-        gaps = find_gaps(self.lines)[1]
-        return {
-            subject.partition(".")[2]: (span.start_s, span.end_s)
-            for subject, span in gaps
-        }
+from scripts.job_windows import longest_gap
+from scripts.log_lines import missing_times_s, parse
+from test.play_log import HOST, JOB, OWNER, Log
 
 
 class ParseTest(testtools.TestCase):
@@ -331,6 +228,7 @@
                 "worst: 0.00 s with room (-), at most 14.00 s with what is not known;"
                 f" 14.00 s of all ({JOB}); 0 jobs with room for 3 s;"
                 " lasting tasks 0.00 s with room, 0.00 s of all",
+                "true: not known, no agent wrote of an end",
             ],
             report(self.log.lines, worst=1),
         )
@@ -350,12 +248,16 @@
     def report(self) -> list[str]:
         return report(self.log.lines, worst=1)
 
+    def worst_line(self) -> str:
+        [line] = [line for line in self.report() if line.startswith("worst: ")]
+        return line
+
     def test_the_room_of_a_span_that_ended_is_printed(self) -> None:
         self.log.start(9.0, "0.1.0")
         self.log.span(9.5, 5.0, 2.25, ended_s=0.5)
         self.log.end(10.0, "0.1.0", "done")
         self.log.end_job(10.0)
-        first, *_, last = self.report()
+        first, last = self.report()[0], self.worst_line()
         self.assertEqual(
             f"{JOB}: 5.00 s, from 4.000 s to 9.000 s, room for 2.25 s", first
         )
@@ -367,7 +269,7 @@
         self.log.span(9.5, 5.0, ended_s=0.5)
         self.log.end(10.0, "0.1.0", "done")
         self.log.end_job(10.0)
-        first, *_, last = self.report()
+        first, last = self.report()[0], self.worst_line()
         self.assertIn(", no room", first)
         self.assertIn("worst: 0.00 s with room (-), at most 0.00 s", last)
 
@@ -378,7 +280,7 @@
         self.log.start(12.0, "0.1.0")
         self.log.end(14.0, "0.1.0", "done")
         self.log.end_job(14.0)
-        first, *_, last = self.report()
+        first, last = self.report()[0], self.worst_line()
         self.assertIn("8.00 s, from 4.000 s to 12.000 s", first)
         self.assertIn("room for 3.00 s, perhaps 8.00 s", first)
         self.assertIn(f"worst: 3.00 s with room ({JOB}), at most 8.00 s", last)
@@ -396,7 +298,7 @@
     def test_lasting_tasks_are_named_by_their_spans(self) -> None:
         self.log.end_job(4.0)
         self.log.span(20.0, 3.5, 3.25, subject="00ff.0.0.1")
-        last = self.report()[-1]
+        last = self.worst_line()
         self.assertIn("lasting tasks 3.25 s with room, 3.50 s of all", last)
 
     def test_the_spans_of_its_lasting_tasks_count_for_a_job(self) -> None:
@@ -413,7 +315,7 @@
                 " processors 1.800, memory 0.794"
             )
             self.log.add(at_s, OWNER, "capacity.use", "ovens", "18 hosts ready", reason)
-        *_, use, _ = self.report()
+        *_, use, _, _ = self.report()
         self.assertIn("ovens at 15.000 s, 18 hosts ready: committed", use)
         self.assertIn("processors under one half, memory not under one half", use)
 
