--- a/scripts/true_spans.py
+++ b/scripts/true_spans.py
@@ -37,6 +37,8 @@
 NAMING_KINDS = ("run.start", "run.pace")
 # Lines of agents after which a run does not go on; only the first tells how it ended.
 ENDING_KINDS = ("run.end", "run.refuse")
+# Lines about a job or task that tell nothing new about it.
+LATE_KINDS = ("call.answer", "run.noted")
 WORKED_ENDINGS = ("done", "failed")
 OWNING_KINDS = ("shard.claim", "shard.own", "shard.ready")
 # The name of a process and the identity of one of its lives.
@@ -300,25 +302,36 @@
             text += f"; the owner saw {each.owner_s:.2f} s of it"
         printed.append(text)
         until = [line for line in lines if line.timestamp < span.end_s]
-        last_by_subject = {
-            line.subject.partition("#")[0]: line
-            for line in until
-            if line.subject.partition(".")[0] == each.job_id
-        }
+        last_by_subject = _last_by_subject(each.job_id, until)
         changes = [
-            line
+            (line.subject, line)
             for line in until
             if line.message_type in OWNING_KINDS and line.timestamp >= span.start_s
         ]
-        for subject, line in (
-            *sorted(last_by_subject.items()),
-            *((line.subject, line) for line in changes),
-        ):
+        for subject, line in (*sorted(last_by_subject.items()), *changes):
             text = f"{line.message_type} {line.chosen} {line.reason}"
             printed.append(f"    {subject:24} {line.timestamp:8.3f} {text}")
     return printed
 
 
+def _last_by_subject(job_id: str, lines: Iterable[Line]) -> Mapping[str, Line]:
+    """Return the last line about a job and each of its tasks.
+
+    Answers to callers are left out, and what owners note of an end that an agent wrote.
+    """
+    last_by_subject: dict[str, Line] = {}
+    for line in lines:
+        if line.subject.partition(".")[0] != job_id or line.message_type in LATE_KINDS:
+            continue
+        subject = line.subject.partition("#")[0]
+        last = last_by_subject.get(subject)
+        has_end = last is not None and last.message_type in ENDING_KINDS
+        if has_end and line.message_type == "task.end":
+            continue
+        last_by_subject[subject] = line
+    return last_by_subject
+
+
 def true_summary(spans: Sequence[TrueSpan]) -> str:
     """Return one line with the worst span, and how many exceed each length."""
     if not spans:
