--- a/bulrushpulley/systems/scheduling/renewals.py
+++ b/bulrushpulley/systems/scheduling/renewals.py
@@ -22,6 +22,7 @@
 MAX_RENEWS_WITHIN_S = 2.0
 # While a new owner reads the shard, its processor may be busy for longer.
 CLAIM_RENEWS_WITHIN_S = 0.45
+CLAIM_GROWTH_FACTOR = 1.5
 # How long a long interval is remembered; its weight falls exponentially.
 INTERVAL_MEMORY_S = 10.0
 # Followers wait for one and a half of the expected intervals.
@@ -64,12 +65,13 @@
 def claim_renews_within_s(former: OwnerRow | None) -> float:
     """Return within what time a new owner expects to renew its row while it loads.
 
-    It doubles if the former owner was replaced while it loaded, so that a shard which
+    It grows if the former owner was replaced while it loaded, so that a shard which
     takes long to read is read in the end.
     """
     if former is None or not former.loading or former.renews_within_s is None:
         return CLAIM_RENEWS_WITHIN_S
-    return max(CLAIM_RENEWS_WITHIN_S, _within_limits(2.0 * former.renews_within_s))
+    grown_s = CLAIM_GROWTH_FACTOR * former.renews_within_s
+    return max(CLAIM_RENEWS_WITHIN_S, _within_limits(grown_s))
 
 
 def next_renews_within_s(renews_within_s: float, interval_s: float) -> float:
