Holds by choice do not begin anew with a takeover

Seen by callers: a job that was held back for expected harm, for quarantine or as a last attempt when the owner was lost stood still for the hold so far, the takeover and a whole hold again, and once more with each further owner.

Cause: a new owner took the load of the shard for the time at which the turn of each task came, and counted 1.5 s (2.0 s for a last attempt) from there.

Change: tasks that a tenure restores, from the first read or with progress, are marked `may_be_idle_longer`: how long the former owner has held them is not known, so holds on them count as used up until a run of their job is seen to end. Lasting tasks do not become overdue by that, so their order stays. Clocks of hosts are not compared.

Jobs that come after the takeover are held as before.

--- a/bulrushpulley/entities/jobs/task.py
+++ b/bulrushpulley/entities/jobs/task.py
@@ -51,10 +51,11 @@
     `host` and `life` (an incarnation of the host's backend server) tell where its
     current run may be; `since` is when its state began. `idle_since` is when its turn
     came or its last run that was seen running ended; a placement that leads to no run
-    does not change it. `avoided_hosts` are hosts where it failed; it is placed on them
-    only if no other host has free capacity. The same goes for the hosts in `refusals`,
-    which are kept in memory only. `startup_done` is set once its backend server reports
-    that the startup is over.
+    does not change it. `may_be_idle_longer` is set while that is only known not to be
+    later, as a former owner had the task. `avoided_hosts` are hosts where it failed; it
+    is placed on them only if no other host has free capacity. The same goes for the
+    hosts in `refusals`, which are kept in memory only. `startup_done` is set once its
+    backend server reports that the startup is over.
     """
 
     task_id: str
@@ -65,6 +66,7 @@
     state: TaskState
     since: float
     idle_since: float = 0.0
+    may_be_idle_longer: bool = False
     run: int = 0
     failures: int = 0
     host: str = ""
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -8,6 +8,7 @@
 from bulrushpulley.entities.jobs.job import Job, new_job
 from bulrushpulley.entities.jobs.rows import (
     FINAL_STATES,
+    JOBS,
     CancelRow,
     EndedJobRow,
     JobRow,
@@ -53,9 +54,12 @@
     tables = edits.put_job(tables, job)
     if row.spec.occurrences:
         tables = replace(tables, timed_job_ids=tables.timed_job_ids.add(job.job_id))
+    # What the first read after a takeover finds, a former owner may have held back.
+    is_restored = progress is not None or JOBS not in tables.watch_by_table
     for task in _tasks_of(job, progress, now):
+        task = replace(task, may_be_idle_longer=is_restored)
         tables = edits.put_task(tables, task)
-    tables = unblocking.unblock(tables, job, now)
+    tables = unblocking.unblock(tables, job, now, may_be_idle_longer=is_restored)
     line = edits.log(
         tables, "job.accept", job.job_id, row.queue, f"{job.state.value}, {age_s:.2f} s"
     )
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -61,7 +61,7 @@
     if task.running_since:
         ran_until = last_seen_at(ending, tables, task, now)
         job = replace(job, ran_until=max(job.ran_until, ran_until))
-        task = replace(task, idle_since=ran_until)
+        task = replace(task, idle_since=ran_until, may_be_idle_longer=False)
         tables = edits.put_job(tables, job)
     if job.is_final:
         tables = finishing.remove_task(tables, task.task_id)
--- a/bulrushpulley/systems/scheduling/idle_clock.py
+++ b/bulrushpulley/systems/scheduling/idle_clock.py
@@ -5,6 +5,9 @@
 run. It counts one time for all that happens meanwhile, so there is one clock here too:
 since when a job has nothing running. Each hold by choice (harm, quarantine) asks
 `may_hold_back`, and falls away once it returns False, whatever bound of its own it has.
+A new owner does not know for how long the former one has held a task back, so holds on
+tasks that it has restored count as used up until a run of their job ends.
+
 What the platform forbids is no hold by choice, nor is the delay before the only host
 that fits is asked again after it refused: refused starts have a price.
 """
@@ -31,6 +34,8 @@
     """Return whether a waiting task may be held back by choice."""
     if is_overdue_lasting(job, task, now):
         return False
+    if task.may_be_idle_longer and job.step(task.step).lasting:
+        return False
     return _is_running(tables, job) or now < hold_until(job, task)
 
 
@@ -44,7 +49,9 @@
 
 
 def _idle_since(job: Job, task: Task) -> float:
-    return max(task.idle_since, job.ran_until)
+    """Return since when a job has been idle at the latest, or at an unknown time."""
+    turn_came_at = -math.inf if task.may_be_idle_longer else task.idle_since
+    return max(turn_came_at, job.ran_until)
 
 
 def next_change_at(job: Job, task: Task, now: float) -> float:
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -242,12 +242,12 @@
     sibling_count_by_host: Counter[str],
     now: float,
 ) -> PlacementPass:
-    ranking_by_waits: dict[tuple[float, bool], choosing.Ranking] = {}
-    unplaceable: set[tuple[float, bool]] = set()
+    ranking_by_waits: dict[tuple[float, bool, bool], choosing.Ranking] = {}
+    unplaceable: set[tuple[float, bool, bool]] = set()
     for task in members:
         avoids_hosts = choosing.avoids_hosts(task)
         may_fail = idle_clock.may_use_quarantined(state.tables, job, step, (task,), now)
-        waits = (task.idle_since, may_fail)
+        waits = (task.idle_since, task.may_be_idle_longer, may_fail)
         if waits in unplaceable and not avoids_hosts:
             continue
         ranking = ranking_by_waits.get(waits)
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -10,14 +10,29 @@
 from bulrushpulley.systems.scheduling import edits
 
 
-def unblock(tables: SchedulerTables, job: Job, now: float) -> SchedulerTables:
-    """Change the tasks of a job that are ready from BLOCKED to WAITING."""
+def unblock(
+    tables: SchedulerTables,
+    job: Job,
+    now: float,
+    *,
+    may_be_idle_longer: bool = False,
+) -> SchedulerTables:
+    """Change the tasks of a job that are ready from BLOCKED to WAITING.
+
+    Their turn has come now, unless they `may_be_idle_longer`.
+    """
     if job.is_final:
         return tables
     wall_s = now + tables.wall_offset_s
     for task in tables.tasks.rows_where("job", job.job_id):
         if task.state is TaskState.BLOCKED and is_ready(tables, job, task, wall_s):
-            waiting = replace(task, state=TaskState.WAITING, since=now, idle_since=now)
+            waiting = replace(
+                task,
+                state=TaskState.WAITING,
+                since=now,
+                idle_since=now,
+                may_be_idle_longer=may_be_idle_longer,
+            )
             tables = edits.put_task(tables, waiting)
     return tables
 
--- a/test/test_jobs_idle_clock.py
+++ b/test/test_jobs_idle_clock.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState
-from bulrushpulley.systems.scheduling import edits, idle_clock
+from bulrushpulley.systems.scheduling import edits, idle_clock, job_order
 from bulrushpulley.systems.scheduling.idle_clock import (
     MAX_JOB_IDLE_S,
     MAX_LASTING_IDLE_S,
@@ -138,6 +138,28 @@
         self.assertTrue(idle_clock.may_hold_back(tables, job, waiting, limit - 0.01))
         self.assertFalse(idle_clock.may_hold_back(tables, job, waiting, limit))
 
+    # If all were overdue after a takeover, lasting tasks would come before urgent ones.
+    def test_a_lasting_task_of_a_former_owner_is_not_overdue(self) -> None:
+        tables, job, waiting = self.start(lasting=True)
+        restored = replace(waiting, may_be_idle_longer=True)
+        tables = edits.put_task(tables, restored)
+        now = self.world.now
+        self.assertFalse(idle_clock.may_hold_back(tables, job, restored, now))
+        self.assertFalse(idle_clock.is_overdue_lasting(job, restored, now))
+        self.assertFalse(job_order.is_overdue(tables, job, now))
+
+    def test_a_task_of_a_former_owner_beside_one_that_runs(self) -> None:
+        tables, job, waiting = self.start()
+        restored = replace(waiting, may_be_idle_longer=True)
+        tables = edits.put_task(tables, restored)
+        now = self.world.now
+        self.assertTrue(idle_clock.may_hold_back(tables, job, restored, now))
+        running = tables.tasks.by_key[f"{job.job_id}.0.0.0"]
+        tables = edits.put_task(tables, replace(running, state=TaskState.WAITING))
+        self.assertFalse(idle_clock.may_hold_back(tables, job, restored, now))
+        ended = replace(job, ran_until=now)
+        self.assertTrue(idle_clock.may_hold_back(tables, ended, restored, now))
+
     def test_the_last_attempt_is_not_risked(self) -> None:
         _, job, waiting = self.start()
         spec, attempts = job.step(0), job.row.max_attempts
