Agents say how long ago a run ended, and holds count from there

Seen by callers: a step whose previous one ended while the shard had no owner stood still for the takeover and then for a whole hold by choice. The line job.idle_span of the next owner left the takeover out.

Cause: the next owner took the time at which it heard of the end for that of the end.

Change: an end in a report, and in the row of a host, carries `age_s`, the time since the agent first saw it listed, on its own clock; versions that do not send it count as zero, and odd values are refused in rows and capped in reports. The owner counts `ran_until`, `idle_since` and the end of a done task from there. Ages are no reason to write the row of a host again. A row of a host that a new owner reads tells the age as of its writing, so a new owner handles it only once the agent has had 0.2 s for a report; without the report nothing is placed in that time anyway.

Result: the step starts as soon as the agents have reported.

The stand-in for a lost call in test_jobs_rederiving passes keyword arguments on to the function that it replaces, as `unblock` has one now. What it loses is the same.

--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -71,7 +71,9 @@
 
 @row_defect.register
 def _(row: HostRow) -> str:
-    end_numbers = (number for end in row.ends for number in (end.number, end.run))
+    end_numbers = (
+        number for end in row.ends for number in (end.number, end.run, end.age_s)
+    )
     runs = (ref.run for ref in row.runs)
     defect = _numbers_defect(row.epoch, row.adoption, *end_numbers, *runs)
     return address_defect(row.address) or defect
--- a/bulrushpulley/entities/jobs/runs.py
+++ b/bulrushpulley/entities/jobs/runs.py
@@ -71,7 +71,8 @@
     """How a run ended.
 
     `number` counts the ends of one incarnation of a backend server. `how` is the kind
-    of ending; see `ending_of`.
+    of ending; see `ending_of`. `age_s` is for how long the agent had known of the end
+    when it sent it, on its own clock; earlier versions leave it at zero.
     """
 
     number: int
@@ -79,6 +80,7 @@
     run: int
     how: str
     checkpoint: str = ""
+    age_s: float = 0.0
 
     @property
     def key(self) -> str:
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -143,7 +143,7 @@
     - `holds_end_at` is the first time after the last placement pass at which a hold by
       choice on a task that it left waiting ends.
     - `unhandled_row_by_host` holds the rows of hosts that tell of runs, until the next
-      tick of a loaded shard.
+      tick of a loaded shard, or a little longer if the agent may report instead.
     - `timed_job_ids` are the jobs with occurrences that are not due yet.
     - `probe` is in use while `commit` waits for the store.
     - `store_latency_s` is the smoothed latency of the store.
--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -60,7 +60,7 @@
         purpose=RegisterHost(row=row),
         timeout_s=REGISTER_TIMEOUT_S,
         conditions=(),
-        puts=(row,),
+        puts=(_with_ages(tables, row, now),),
     )
     commands: list[Command] = [call]
     if tables.stored_row is not None:
@@ -107,6 +107,12 @@
     return replace(stored, life=server.life, ends=ends, epoch=0, adoption=0, runs=())
 
 
+def _with_ages(tables: JobAgentTables, row: HostRow, now: float) -> HostRow:
+    """Return a row as it is written; the ages of its ends are no reason to write it."""
+    ends = tuple(edits.with_age(tables, end, now) for end in row.ends)
+    return replace(row, ends=ends)
+
+
 def _takes_no_orders(tables: JobAgentTables, now: float) -> bool:
     """Return whether the runs that the agent has are all that it will have.
 
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -130,7 +130,11 @@
             reported = replace(run_, reported=run_.status, reported_at=now)
             tables = edits.put_run(tables, reported)
     sent = 0 if complete else tables.last_end_sent
-    ends = tuple(tables.ends[number] for number in sorted(tables.ends) if number > sent)
+    ends = tuple(
+        edits.with_age(tables, tables.ends[number], now)
+        for number in sorted(tables.ends)
+        if number > sent
+    )
     if not statuses and not ends and not complete:
         return Step(tables=tables)
     item = RunsReport(
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -320,7 +320,10 @@
     task = current_task(tables, host, incarnation, end.task_id, end.run)
     if task is not None:
         ending = ending_of(end.how, end.checkpoint)
-        return endings.end_run(tables, task, ending, now, acknowledgement)
+        ended_at = endings.reported_end_at(end, now)
+        return endings.end_run(
+            tables, task, ending, now, acknowledgement, ended_at=ended_at
+        )
     job_id = job_id_of(end.task_id)
     if edits.is_unwritten(tables, job_id):
         return Step(tables=edits.mark_dirty(tables, job_id, acknowledgement))
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from functools import singledispatch
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.progress_commit import AcknowledgeEnd
-from bulrushpulley.entities.jobs.runs import Done, Ending, Failed, Lost, Stopped
+from bulrushpulley.entities.jobs.runs import (
+    Done,
+    Ending,
+    Failed,
+    Lost,
+    RunEnd,
+    Stopped,
+)
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, step_key
+from bulrushpulley.entities.numbers import are_amounts
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import (
     edits,
@@ -23,6 +32,8 @@
 # A task returns to a host on which it failed only if no other has free capacity, so
 # the list grows slowly and a few names suffice.
 MAX_AVOIDED_HOSTS = 8
+# An agent's clock may be wrong, so the age of an end is capped at this value.
+MAX_END_AGE_S = 120.0
 # Keeps a line below 4 KB, so that it can share a write with others.
 MAX_RUNS_PER_LINE = 80
 
@@ -33,8 +44,12 @@
     ending: Ending,
     now: float,
     *effects: AcknowledgeEnd,
+    ended_at: float = math.inf,
 ) -> SchedulerStep:
-    """End the current run of a task; the effects follow once that is durable."""
+    """End the current run of a task; the effects follow once that is durable.
+
+    It ended now, or at `ended_at` if that is earlier.
+    """
     line = edits.log(
         tables,
         "task.end",
@@ -42,7 +57,7 @@
         task.host,
         f"{type(ending).__name__.lower()} {getattr(ending, 'reason', '')}".strip(),
     )
-    step = _end_unlogged(tables, task, ending, now, *effects)
+    step = _end_unlogged(tables, task, ending, now, *effects, ended_at=ended_at)
     return Step(tables=step.tables, commands=(line, *step.commands))
 
 
@@ -52,14 +67,15 @@
     ending: Ending,
     now: float,
     *effects: AcknowledgeEnd,
+    ended_at: float = math.inf,
 ) -> SchedulerStep:
     job = tables.jobs.by_key[task.job_id]
     tables = quarantine.record_ending(tables, task, ending, now)
     if must_have_started(ending):
-        task = replace(task, running_since=task.running_since or now)
+        task = replace(task, running_since=task.running_since or min(ended_at, now))
         job = replace(job, started=True)
     if task.running_since:
-        ran_until = last_seen_at(ending, tables, task, now)
+        ran_until = last_seen_at(ending, tables, task, min(ended_at, now))
         job = replace(job, ran_until=max(job.ran_until, ran_until))
         task = replace(task, idle_since=ran_until, may_be_idle_longer=False)
         tables = edits.put_job(tables, job)
@@ -74,20 +90,26 @@
     return Step(tables=tables, commands=step.commands)
 
 
+def reported_end_at(end: RunEnd, now: float) -> float:
+    """Return when a run ended whose end is reported now."""
+    age_s = end.age_s if are_amounts(end.age_s) else 0.0
+    return now - min(age_s, MAX_END_AGE_S)
+
+
 @singledispatch
 def last_seen_at(
-    ending: Ending, tables: SchedulerTables, task: Task, now: float
+    ending: Ending, tables: SchedulerTables, task: Task, ended_at: float
 ) -> float:
     """Return until when a run that was seen running is known to have run."""
-    return now
+    return max(task.running_since, ended_at)
 
 
 @last_seen_at.register
-def _(ending: Lost, tables: SchedulerTables, task: Task, now: float) -> float:
+def _(ending: Lost, tables: SchedulerTables, task: Task, ended_at: float) -> float:
     """Return the last contact of its host, as a loss is noticed later."""
     host = tables.hosts.get(task.host)
     heard_at = host.last_contact_at if host is not None else 0.0
-    return min(now, max(task.running_since, heard_at))
+    return max(task.running_since, min(ended_at, heard_at))
 
 
 @singledispatch
@@ -143,7 +165,12 @@
         members = _open_tasks_of_step(tables, task)
     for member in members:
         done = replace(
-            member, state=TaskState.DONE, host="", life="", since=now, refusals=()
+            member,
+            state=TaskState.DONE,
+            host="",
+            life="",
+            since=task.idle_since,
+            refusals=(),
         )
         tables = edits.put_task(tables, done)
     key = step_key(task.job_id, task.occurrence, task.step)
@@ -151,7 +178,7 @@
         return Step(tables=tables)
     if not tables.tasks.count_where("open", task.job_id):
         return finishing.complete(tables, job, now)
-    return Step(tables=unblocking.unblock(tables, job, now))
+    return Step(tables=unblocking.unblock(tables, job, now, came_at=job.ran_until))
 
 
 def _open_tasks_of_step(tables: SchedulerTables, task: Task) -> list[Task]:
--- a/bulrushpulley/systems/scheduling/host_rows.py
+++ b/bulrushpulley/systems/scheduling/host_rows.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from immutables import Map
-
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.rows import HostRow
 from bulrushpulley.entities.jobs.runs import Lost, ending_of
 from bulrushpulley.entities.jobs.scheduler_tables import (
+    Owning,
     SchedulerStep,
     SchedulerTables,
 )
@@ -16,6 +15,9 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.scheduling import agents, edits, endings
 
+# An agent that can be reached reports its ends to a new owner within this time. Nothing
+# is placed sooner, unless all agents have reported.
+REPORT_TIMEOUT_S = 0.2
 # No order has been sent for a task that is only placed.
 ORDER_SENT_STATES = HOLDING_STATES - {TaskState.PLACED}
 
@@ -30,7 +32,11 @@
     if not tables.unhandled_row_by_host or not edits.is_loaded(tables):
         return Step(tables=tables)
     commands: list[Command] = []
-    for name, row in sorted(tables.unhandled_row_by_host.items()):
+    unhandled = tables.unhandled_row_by_host
+    for name, row in sorted(unhandled.items()):
+        if _may_report(tables, name, now):
+            continue
+        unhandled = unhandled.delete(name)
         host = tables.hosts.get(name) or Host(name=name)
         current = 0
         for end in row.ends:
@@ -39,7 +45,9 @@
                 continue
             current += 1
             ending = ending_of(end.how, end.checkpoint)
-            step = endings.end_run(tables, task, ending, now)
+            # It ended that long before the row was written, or earlier.
+            ended_at = endings.reported_end_at(end, now)
+            step = endings.end_run(tables, task, ending, now, ended_at=ended_at)
             tables = step.tables
             commands.extend(step.commands)
         if current:
@@ -48,10 +56,21 @@
         step = _end_unreceived(tables, host, row, now)
         tables = step.tables
         commands.extend(step.commands)
-    tables = replace(tables, unhandled_row_by_host=Map())
+    tables = replace(tables, unhandled_row_by_host=unhandled)
     return Step(tables=tables, commands=tuple(commands))
 
 
+def _may_report(tables: SchedulerTables, name: str, now: float) -> bool:
+    """Return whether a new owner may soon have a report in place of a row.
+
+    The report says how long ago the runs ended, which the row told when it was written.
+    """
+    owning, host = tables.leadership, tables.hosts.get(name)
+    if not isinstance(owning, Owning) or host is None or host.synced:
+        return False
+    return now - owning.loaded_at < REPORT_TIMEOUT_S
+
+
 def tells_of_ends(tables: SchedulerTables, row: HostRow) -> bool:
     """Return whether handling the row of a host would end current runs."""
     host = tables.hosts.get(row.host) or Host(name=row.host)
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
@@ -15,11 +17,13 @@
     job: Job,
     now: float,
     *,
+    came_at: float = math.inf,
     may_be_idle_longer: bool = False,
 ) -> SchedulerTables:
     """Change the tasks of a job that are ready from BLOCKED to WAITING.
 
-    Their turn has come now, unless they `may_be_idle_longer`.
+    Their turn has come now, or at `came_at` if that is earlier, unless they
+    `may_be_idle_longer`.
     """
     if job.is_final:
         return tables
@@ -30,7 +34,7 @@
                 task,
                 state=TaskState.WAITING,
                 since=now,
-                idle_since=now,
+                idle_since=min(came_at, now),
                 may_be_idle_longer=may_be_idle_longer,
             )
             tables = edits.put_task(tables, waiting)
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -128,7 +128,16 @@
         failure_domain="z",
         region="r",
         life="i-1/1",
-        ends=(RunEnd(number=1, task_id="a.0.0.1", run=2, how="done", checkpoint="c"),),
+        ends=(
+            RunEnd(
+                number=1,
+                task_id="a.0.0.1",
+                run=2,
+                how="done",
+                checkpoint="c",
+                age_s=0.5,
+            ),
+        ),
         epoch=3,
         adoption=2,
         runs=(RunRef(task_id="a.0.0.2", run=1),),
@@ -368,6 +377,8 @@
             self._assert_refused(replace(HOST_ROW, ends=(end,)))
         for amount in (float("nan"), float("inf"), -1.0):
             self._assert_refused(replace(JOB_ROW, accepted_at_s=amount))
+            end = RunEnd(number=1, task_id="a.0.0.1", run=1, how="done", age_s=amount)
+            self._assert_refused(replace(HOST_ROW, ends=(end,)))
             self._assert_refused(
                 rows.HarmsRow(estimates=(), target_by_image=(("a", amount),))
             )
@@ -378,6 +389,16 @@
         data = msgspec.msgpack.encode({"kind": "host", "row": earlier})
         self.assertEqual(HOST_ROW, decode_row(compress(data), peer="h"))
 
+    def test_an_end_of_an_earlier_version_has_no_age(self) -> None:
+        fields = ("host", "address", "failure_domain", "region")
+        earlier = {name: getattr(HOST_ROW, name) for name in fields}
+        end = {"number": 1, "task_id": "a.0.0.1", "run": 1, "how": "done"}
+        row = {**earlier, "life": "i-1/1", "ends": [end]}
+        data = msgspec.msgpack.encode({"kind": "host", "row": row})
+        found = decode_row(compress(data), peer="h")
+        assert isinstance(found, rows.HostRow)
+        self.assertEqual([0.0], [each.age_s for each in found.ends])
+
     def test_jobs_that_cannot_be_expanded_are_refused(self) -> None:
         step = SPEC.steps[0]
         for spec in (
--- a/test/test_jobs_clocks.py
+++ b/test/test_jobs_clocks.py
@@ -7,14 +7,21 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import testtools
 
 from bulrushpulley.entities.interference import Harm, harm_key
+from bulrushpulley.entities.jobs.rows import HostRow, ProgressRow, progress_key
+from bulrushpulley.entities.jobs.runs import RunEnd
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.jobs.spec import StepSpec
+from bulrushpulley.entities.jobs.store import Transact
 from bulrushpulley.entities.resources import Resources
+from bulrushpulley.entities.step import Command
+from bulrushpulley.systems.job_agent.reporting import BEGUN_REPORT_INTERVAL_S
+from bulrushpulley.systems.scheduling import endings, idle_jobs
 from bulrushpulley.systems.scheduling.idle_clock import (
     MAX_JOB_IDLE_S,
     MAX_LAST_ATTEMPT_IDLE_S,
@@ -79,6 +86,14 @@
     return world.now - began_at
 
 
+def end_run_at(world: JobsWorld, key: str, ends_at: float) -> None:
+    """Let a run end at another time."""
+    for executor in world.executor_by_host.values():
+        run = executor.run_by_key.get(key)
+        if run is not None:
+            executor.run_by_key[key] = replace(run, ends_at=ends_at)
+
+
 def filling_step(**more: object) -> StepSpec:
     """Return a step whose task is expected to do harm wherever it runs."""
     return step(1, image=FILLING, fills=True, size=FILLING_SIZE, **more)
@@ -140,8 +155,8 @@
         self.assertLess(starts_after_s(self.world, job_id), START_WITHIN_S)
         self.assertEqual([], self.world.violations)
 
-    def submit_steps(self) -> str:
-        """Submit a job whose first step ends 0.2 s after the owner is lost."""
+    def submit_steps(self, ends_after_s: float) -> str:
+        """Submit a job whose first step ends that long after the owner is lost."""
         job_id = self.world.submit(
             JOB,
             step(1),
@@ -150,16 +165,42 @@
             entry=self.world.owner(),
         )
         self.assertLess(starts_after_s(self.world, f"{job_id}.0.0."), 0.5)
-        self.world.run(0.8)
+        self.world.run(float(SHORT) - ends_after_s)
         self.assertTrue(is_running(self.world, f"{job_id}.0.0."))
         return job_id
 
+    # The hold counted from when the new owner heard of the end, not from the end.
+    def test_a_step_that_ended_while_there_was_no_owner(self) -> None:
+        job_id = self.submit_steps(0.2)
+        ends_at = self.world.now + 0.2
+        lose_owner(self.world)
+        late_s = self.world.now - ends_at
+        held_s = max(START_WITHIN_S, MAX_JOB_IDLE_S - late_s + AFTER_HOLD_S)
+        self.assertLess(starts_after_s(self.world, f"{job_id}.0.1."), held_s)
+        self.assertEqual([], self.world.violations)
+
+    def is_first_step_done(self, job_id: str) -> bool:
+        """Return whether only the first step was ever placed, and is done."""
+        stored = self.world.store.row_by_key[progress_key(job_id)].row
+        assert isinstance(stored, ProgressRow)
+        return [task.done for task in stored.tasks] == [True]
+
     # The second owner had the end written, so the third one heard nothing of its age.
     def test_a_step_that_ended_before_two_takeovers(self) -> None:
-        job_id = self.submit_steps()
-        lose_owner(self.world)
-        # The job that is adopted meanwhile is not placed before its owner is lost.
-        self.world.run(0.3)
+        job_id = self.submit_steps(0.2)
+        first = f"{job_id}.0.0.0#1"
+        end_run_at(self.world, first, self.world.now + 60.0)
+        self.world.kill(self.world.owner())
+        known = len(self.world.decisions)
+        while not any(
+            each.kind == "shard.claim" for each in self.world.decisions[known:]
+        ):
+            self.world.run(SAMPLE_INTERVAL_S)
+        end_run_at(self.world, first, self.world.now)
+        deadline = self.world.now + float(SHORT)
+        while not self.is_first_step_done(job_id) and self.world.now < deadline:
+            self.world.run(SAMPLE_INTERVAL_S)
+        self.assertTrue(self.is_first_step_done(job_id))
         self.assertFalse(is_running(self.world, job_id))
         lose_owner(self.world)
         self.assertLess(starts_after_s(self.world, f"{job_id}.0.1."), START_WITHIN_S)
@@ -176,6 +217,65 @@
         self.assertGreater(took_s, MAX_JOB_IDLE_S - 0.1)
         self.assertLess(took_s, MAX_JOB_IDLE_S + AFTER_HOLD_S)
 
+    # The line said since the load of the shard.
+    def test_the_idle_span_counts_from_the_end_of_the_run(self) -> None:
+        job_id = self.submit_steps(0.2)
+        ends_at = self.world.now + 0.2
+        lose_owner(self.world)
+        starts_after_s(self.world, f"{job_id}.0.1.")
+        idle_s = self.world.now - ends_at
+        self.world.run(2.0)
+        (line,) = [
+            each
+            for each in self.world.decisions
+            if each.kind == "job.idle_span" and each.subject == job_id
+        ]
+        # The owner hears of the start, and examines the job, that much later.
+        delta = 2 * idle_jobs.MIN_EXAMINE_INTERVAL_S + BEGUN_REPORT_INTERVAL_S
+        self.assertAlmostEqual(idle_s, float(line.reason.split()[2]), delta=delta)
+
+
+class EndAgeTest(testtools.TestCase):
+    def end(self, age_s: float) -> RunEnd:
+        """Return an end that was reported with this age."""
+        return RunEnd(number=1, task_id="a.0.0.1", run=1, how="done", age_s=age_s)
+
+    # A clock that jumped at the agent would make a task overdue for all time.
+    def test_odd_ages(self) -> None:
+        for age_s, expected in (
+            (0.0, 500.0),
+            (2.5, 497.5),
+            (1e12, 500.0 - endings.MAX_END_AGE_S),
+            (-1.0, 500.0),
+            (math.nan, 500.0),
+            (math.inf, 500.0),
+        ):
+            found = endings.reported_end_at(self.end(age_s), 500.0)
+            self.assertEqual(expected, found)
+
+    # A row with other ages would be written each second for as long as no owner comes.
+    def test_ages_are_no_reason_to_store_a_row(self) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(3.0)
+        world.submit(JOB, step(1), payload=SHORT)
+        world.run(0.8)
+        written: list[HostRow] = []
+
+        def note(command: Command) -> None:
+            if isinstance(command, Transact):
+                rows = (row for row in command.puts if isinstance(row, HostRow))
+                written.extend(row for row in rows if row.ends)
+
+        world.hook = note
+        world.kill("entry-0")
+        world.run(3.0)
+        without_orders = [row for row in written if not row.adoption]
+        self.assertEqual(1, len(without_orders))
+        ((age_s,),) = ([end.age_s for end in row.ends] for row in without_orders)
+        self.assertGreater(age_s, 0.0)
+        world.run(9.0)
+        self.assertLessEqual(len(written), 2)
+
 
 class QuarantineTest(testtools.TestCase):
     """The only host with room for a task is in quarantine, the others are full."""
--- a/test/test_jobs_rederiving.py
+++ b/test/test_jobs_rederiving.py
@@ -68,9 +68,9 @@
         original = getattr(module, name)
         lost: list[str] = []
 
-        def call(tables: SchedulerTables, *args: Any) -> Any:
+        def call(tables: SchedulerTables, *args: Any, **more: Any) -> Any:
             if lost:
-                return original(tables, *args)
+                return original(tables, *args, **more)
             lost.append(name)
             return Step(tables=tables) if module is finishing else tables
 
