--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
@@ -10,14 +12,31 @@
 from bulrushpulley.systems.scheduling import edits
 
 
-def unblock(tables: SchedulerTables, job: Job, now: float) -> SchedulerTables:
-    """Change the tasks of a job that are ready from BLOCKED to WAITING."""
+def unblock(
+    tables: SchedulerTables,
+    job: Job,
+    now: float,
+    *,
+    came_at: float = math.inf,
+    may_be_idle_longer: bool = False,
+) -> SchedulerTables:
+    """Change the tasks of a job that are ready from BLOCKED to WAITING.
+
+    Their turn has come now, or at `came_at` if that is earlier, unless they
+    `may_be_idle_longer`.
+    """
     if job.is_final:
         return tables
     wall_s = now + tables.wall_offset_s
     for task in tables.tasks.rows_where("job", job.job_id):
         if task.state is TaskState.BLOCKED and is_ready(tables, job, task, wall_s):
-            waiting = replace(task, state=TaskState.WAITING, since=now, idle_since=now)
+            waiting = replace(
+                task,
+                state=TaskState.WAITING,
+                since=now,
+                idle_since=min(came_at, now),
+                may_be_idle_longer=may_be_idle_longer,
+            )
             tables = edits.put_task(tables, waiting)
     return tables
 
