Leave entries with little processor time longer to renew and to read the shard

By the lines, entries took the shard from owners that were busy: nine takeovers between 21 s and 28 s and between 58 s and 70 s, each of which read the shard for 1.4 s to 3.4 s.

Change: an entry with less than half a processor says in its row that renewals and the read of the shard take longer, in proportion and up to four times, and renews less often. Followers read the row five times in the time that they wait, each 0.4 s at most.

--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -156,6 +156,8 @@
       with lower numbers take a shard over earlier from an owner that does not renew.
     - `claim_stagger` is a number from 0 to 1; entries with lower numbers, which have
       more processor time, claim a shard without owner earlier.
+    - `slowness` is by what factor the process is slower than one with ample processor
+      time; see `renewals.slowness`.
     - `effects_by_job` holds the jobs whose progress is to be written, with the effects
       deferred until then; `turn_by_job` numbers them in the order in which they are to
       be written, and `turns` is the last number.
@@ -187,6 +189,7 @@
     claim_stagger: float
     bounds: Bounds
     leadership: Leadership
+    slowness: float = 1.0
     operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
     jobs: Table[Job] = field(
         default_factory=lambda: Table.empty(indexes={"stage": job.by_stage})
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -28,6 +28,7 @@
 from bulrushpulley.roles.runtime import Runtime
 from bulrushpulley.roles.scheduler_io import SchedulerPorts
 from bulrushpulley.settings import JobEntrySettings
+from bulrushpulley.systems.scheduling import renewals
 from bulrushpulley.wire.http_server import HttpServer
 from bulrushpulley.wire.link_client import Dialler
 from bulrushpulley.wire.pending import PendingCalls
@@ -91,6 +92,7 @@
             incarnation=self.runtime.incarnation,
             takeover_stagger=takeover_stagger(settings),
             claim_stagger=claim_stagger(settings),
+            slowness=renewals.slowness(settings.processor.processors),
             bounds=settings.bounds.within(settings.limits),
         )
         ports = SchedulerPorts(
--- a/bulrushpulley/roles/scheduler.py
+++ b/bulrushpulley/roles/scheduler.py
@@ -11,7 +11,12 @@
     Following,
     SchedulerTables,
 )
-from bulrushpulley.roles.actor import TICK_INTERVAL_S, Role, seconds_since_boot
+from bulrushpulley.roles.actor import (
+    CONTROL_TICK_INTERVAL_S,
+    TICK_INTERVAL_S,
+    Role,
+    seconds_since_boot,
+)
 from bulrushpulley.systems.scheduling import (
     agents,
     backlog,
@@ -84,16 +89,19 @@
     takeover_stagger: float,
     bounds: Bounds,
     claim_stagger: float = 1.0,
+    slowness: float = 1.0,
 ) -> Role[SchedulerTables]:
     """Return the scheduler of an entry; `SchedulerTables` explains the staggers.
 
     Among entries equally near the store, the one with the lowest stagger goes first.
+    One that is slow for lack of processor time ticks less often while it is idle.
     """
     tables = SchedulerTables(
         name=name,
         incarnation=incarnation,
         takeover_stagger=takeover_stagger,
         claim_stagger=claim_stagger,
+        slowness=slowness,
         bounds=bounds,
         leadership=Following(),
     )
@@ -102,7 +110,7 @@
         tables=tables,
         apply=apply,
         systems=SYSTEMS,
-        tick_interval_s=TICK_INTERVAL_S,
+        tick_interval_s=min(CONTROL_TICK_INTERVAL_S, TICK_INTERVAL_S * slowness),
         min_tick_interval_s=MIN_SCHEDULER_TICK_INTERVAL_S,
         can_wait=can_wait,
         clock=seconds_since_boot,
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -191,7 +191,7 @@
         unlinked_hosts=lease_expiry.unlinked_hosts(tables, owning, now),
         renewals_for_s=_renewals_for_s(tables, owning, now),
         renews_within_s=renewals.expected_s(
-            owning.renews_within_s, tables.store_latency_s
+            owning.renews_within_s, tables.store_latency_s, tables.slowness
         ),
         loading=bool(owning.loading),
     )
@@ -208,7 +208,9 @@
 
 
 def _is_renewal_due(tables: SchedulerTables, owning: Owning, now: float) -> bool:
-    renew_interval_s = renewals.renew_interval_s(tables.store_latency_s)
+    renew_interval_s = renewals.renew_interval_s(
+        tables.store_latency_s, tables.slowness
+    )
     return (
         now - owning.renewed_at >= renew_interval_s
         or tables.leaving
--- a/bulrushpulley/systems/scheduling/ownership.py
+++ b/bulrushpulley/systems/scheduling/ownership.py
@@ -47,6 +47,8 @@
 # costs a call to the store; entries that claim late poll less often.
 MIN_OWNER_POLL_INTERVAL_S = 0.15
 MAX_OWNER_POLL_INTERVAL_S = 0.3
+# For rows whose owners renew slowly.
+LONGEST_OWNER_POLL_INTERVAL_S = 0.4
 # How far apart the first and the last follower attempt a takeover, from an owner that
 # does not renew and if there is no owner. Simultaneous claims only cost a call each.
 MAX_TAKEOVER_STAGGER_S = 0.4
@@ -100,7 +102,9 @@
     """Return how often an entry reads the owner row, by its turn to claim."""
     stagger = stagger_by_distance(takeover_stagger, following)
     range_s = MAX_OWNER_POLL_INTERVAL_S - MIN_OWNER_POLL_INTERVAL_S
-    return MIN_OWNER_POLL_INTERVAL_S + stagger * range_s
+    interval_s = MIN_OWNER_POLL_INTERVAL_S + stagger * range_s
+    due_s = renewals.read_interval_s(following.row, following.read_took_s)
+    return max(interval_s, min(due_s, LONGEST_OWNER_POLL_INTERVAL_S))
 
 
 def _call_timeout_s(following: Following) -> float:
@@ -213,7 +217,7 @@
         epoch=seen.last_epoch + 1,
         sequence=0,
         renewals_for_s=max(0.0, renewals_end_at - now),
-        renews_within_s=renewals.claim_renews_within_s(row),
+        renews_within_s=renewals.claim_renews_within_s(row, tables.slowness),
         loading=True,
     )
     claiming = Claiming(
@@ -407,6 +411,7 @@
         incarnation=tables.incarnation,
         takeover_stagger=tables.takeover_stagger,
         claim_stagger=tables.claim_stagger,
+        slowness=tables.slowness,
         bounds=tables.bounds,
         leadership=Following(
             unchanged_since=now, last_epoch=_known_epoch(tables.leadership)
--- a/bulrushpulley/systems/scheduling/renewals.py
+++ b/bulrushpulley/systems/scheduling/renewals.py
@@ -32,18 +32,33 @@
 SLOW_READ_FACTOR = 2.0
 # Earlier versions renew each 0.8 s and do not say so in their rows.
 EARLIER_VERSION_TAKEOVER_TIMEOUT_S = 2.0
+# An entry with less processor time handles a burst of events for longer than this
+# module's spans, so they grow with what it lacks, up to a limit.
+AMPLE_PROCESSORS = 0.5
+MAX_SLOWNESS = 4.0
+# How often a follower reads the row while it waits for the next renewal.
+READS_PER_TAKEOVER_TIMEOUT = 5
 
 
-def renew_interval_s(store_latency_s: float) -> float:
+def slowness(processors: float) -> float:
+    """Return by what factor an entry is slower than one with ample processor time."""
+    return min(MAX_SLOWNESS, max(1.0, AMPLE_PROCESSORS / max(processors, 0.01)))
+
+
+def renew_interval_s(store_latency_s: float, slowness: float = 1.0) -> float:
     """Return how often an owner with nothing to write renews its row."""
-    interval_s = RENEW_LATENCY_FACTOR * store_latency_s
-    return min(MAX_RENEW_INTERVAL_S, max(MIN_RENEW_INTERVAL_S, interval_s))
+    interval_s = max(
+        MIN_RENEW_INTERVAL_S * slowness, RENEW_LATENCY_FACTOR * store_latency_s
+    )
+    return min(MAX_RENEW_INTERVAL_S, interval_s)
 
 
-def expected_s(renews_within_s: float, store_latency_s: float) -> float:
+def expected_s(
+    renews_within_s: float, store_latency_s: float, slowness: float = 1.0
+) -> float:
     """Return within what time the next renewal is to be expected, for the owner row."""
-    due_s = renew_interval_s(store_latency_s) + store_latency_s
-    return _within_limits(max(renews_within_s, due_s))
+    due_s = renew_interval_s(store_latency_s, slowness) + store_latency_s
+    return _within_limits(max(renews_within_s, due_s, MIN_RENEWS_WITHIN_S * slowness))
 
 
 def takeover_timeout_s(
@@ -62,16 +77,24 @@
     return timeout_s + SLOW_READ_FACTOR * read_took_s
 
 
-def claim_renews_within_s(former: OwnerRow | None) -> float:
+def read_interval_s(row: OwnerRow | None, read_took_s: float) -> float:
+    """Return how often a row is to be read to notice in time that it is overdue."""
+    if row is None or not row.holder:
+        return 0.0
+    return takeover_timeout_s(row, read_took_s) / READS_PER_TAKEOVER_TIMEOUT
+
+
+def claim_renews_within_s(former: OwnerRow | None, slowness: float = 1.0) -> float:
     """Return within what time a new owner expects to renew its row while it loads.
 
     It grows if the former owner was replaced while it loaded, so that a shard which
     takes long to read is read in the end.
     """
+    usual_s = _within_limits(CLAIM_RENEWS_WITHIN_S * slowness)
     if former is None or not former.loading or former.renews_within_s is None:
-        return CLAIM_RENEWS_WITHIN_S
+        return usual_s
     grown_s = CLAIM_GROWTH_FACTOR * former.renews_within_s
-    return max(CLAIM_RENEWS_WITHIN_S, _within_limits(grown_s))
+    return max(usual_s, _within_limits(grown_s))
 
 
 def next_renews_within_s(renews_within_s: float, interval_s: float) -> float:
--- a/test/test_jobs_renewals.py
+++ b/test/test_jobs_renewals.py
@@ -212,6 +212,19 @@
             expected_s = renewals.next_renews_within_s(expected_s, 0.25)
         self.assertEqual(renewals.MIN_RENEWS_WITHIN_S, expected_s)
 
+    # Entries with an eighth of a processor took the shard from one another.
+    def test_an_entry_with_little_processor_time_says_so(self) -> None:
+        self.assertEqual(1.0, renewals.slowness(1.0))
+        slowness = renewals.slowness(0.12)
+        expected_s = renewals.expected_s(0.0, 0.01, slowness)
+        row = owner_row(expected_s)
+        self.assertAlmostEqual(2.0, renewals.takeover_timeout_s(row, 0.0))
+        claimed_s = renewals.claim_renews_within_s(None, slowness)
+        self.assertGreater(claimed_s, expected_s)
+        self.assertEqual(
+            renewals.MAX_RENEW_INTERVAL_S, renewals.renew_interval_s(0.01, slowness)
+        )
+
     # Renewals take their turn with all other transactions of their part.
     def test_a_slow_store_is_given_fewer_renewals(self) -> None:
         self.assertEqual(
