A refused ticket drops that ticket, not those for all servers of its step

What callers saw: beside hosts that refuse each ticket, nothing of a job ran for 3.92 s, where 3 s are allowed (LOST): its first call for advice was sent 1.5 s after its submission, and two calls have no answer.

Cause: a refusal dropped the tickets of the step for all servers, so each refusal cost another call, and the service takes one call at a time. The protocol ends a ticket with its validity or the life of its server; neither says anything of another server.

A new test counts the calls of a step beside two hosts that refuse tickets: 3, now 1. Another one: a new incarnation left tickets of the former one in use, which a single refusal cleaned up by chance.

--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -356,21 +356,35 @@
     return Step(tables=_put(tables, retried), commands=(line,))
 
 
-def drop_refused_tickets(tables: SchedulerTables, key: str) -> SchedulerTables:
-    """Drop all tickets of a step after one was refused, so that it gets new ones soon.
+def drop_refused_ticket(
+    tables: SchedulerTables, key: str, server_id: str
+) -> SchedulerTables:
+    """Drop the ticket of a step for a server that refused it.
 
-    A request in flight stays known, since the service takes one at a time, and so do
-    the servers that may not run the step.
+    The tickets for other servers stay, so that the step waits for no request while one
+    of them has room. The server may be asked about again at once.
     """
     known = tables.advice.get(key)
     if known is None:
         return tables
-    denials = {
-        server_id: valid_until
-        for server_id, valid_until in known.valid_until_by_server.items()
-        if server_id not in known.ticket_by_server
-    }
-    kept = replace(
-        known, ticket_by_server={}, valid_until_by_server=denials, retry_at=0.0
+    return _put(tables, replace(_without_ticket(known, server_id), retry_at=0.0))
+
+
+def drop_tickets_of_server(tables: SchedulerTables, server_id: str) -> SchedulerTables:
+    """Drop the tickets for a server whose life is over, as they ended with it."""
+    for known in tables.advice.rows():
+        if server_id in known.ticket_by_server:
+            tables = _put(tables, _without_ticket(known, server_id))
+    return tables
+
+
+def _without_ticket(known: Advice, server_id: str) -> Advice:
+    ticket_by_server = dict(known.ticket_by_server)
+    valid_until_by_server = dict(known.valid_until_by_server)
+    ticket_by_server.pop(server_id, None)
+    valid_until_by_server.pop(server_id, None)
+    return replace(
+        known,
+        ticket_by_server=ticket_by_server,
+        valid_until_by_server=valid_until_by_server,
     )
-    return _put(tables, kept)
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -199,6 +199,9 @@
     reason = f"incarnation {event.life}, leaves in {event.leaves_in_s:g} s"
     line = edits.log(tables, "host.state", host.name, event.state.value, reason)
     commands: tuple[Command, ...] = (line,)
+    if known.life != host.life:
+        server_id = advising.server_of(known)
+        tables = advising.drop_tickets_of_server(tables, server_id)
     if event.life or event.state is ServerState.GONE:
         loss_reason = "its backend server's life was over"
         step = endings.end_runs_as_lost(
--- a/bulrushpulley/systems/scheduling/refusals.py
+++ b/bulrushpulley/systems/scheduling/refusals.py
@@ -13,6 +13,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.candidate import Candidate
+from bulrushpulley.entities.jobs.host import server_of_incarnation
 from bulrushpulley.entities.jobs.refusal import Refusal
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, step_key
@@ -86,9 +87,10 @@
     return tables if handle is None else handle(tables, task, now)
 
 
-def _drop_tickets(tables: SchedulerTables, task: Task, now: float) -> SchedulerTables:
+def _drop_ticket(tables: SchedulerTables, task: Task, now: float) -> SchedulerTables:
     key = step_key(task.job_id, task.occurrence, task.step)
-    return advising.drop_refused_tickets(tables, key)
+    server_id = server_of_incarnation(task.life)
+    return advising.drop_refused_ticket(tables, key, server_id)
 
 
 def _quarantine(tables: SchedulerTables, task: Task, now: float) -> SchedulerTables:
@@ -98,4 +100,4 @@
 # Other reasons concern the task on that host alone.
 HANDLER_BY_REASON: Mapping[
     str, Callable[[SchedulerTables, Task, float], SchedulerTables]
-] = {"ticket": _drop_tickets, "fence": _quarantine}
+] = {"ticket": _drop_ticket, "fence": _quarantine}
--- a/test/test_jobs_path.py
+++ b/test/test_jobs_path.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from bulrushpulley.entities.jobs.advice import Advice, AdviceTerms
+from bulrushpulley.entities.jobs.advice import Advice, AdviceTerms, RequestAdvice
 from bulrushpulley.entities.jobs.bounds import Bounds
 from bulrushpulley.entities.jobs.calls import (
     CancelCall,
@@ -20,7 +20,8 @@
     ShowCall,
     TryLater,
 )
-from bulrushpulley.entities.jobs.items import Orders
+from bulrushpulley.entities.jobs.host import server_of_incarnation
+from bulrushpulley.entities.jobs.items import HostReport, Orders
 from bulrushpulley.entities.jobs.rows import (
     BACKLOG_KEY,
     BacklogRow,
@@ -38,7 +39,8 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
 from bulrushpulley.roles import scheduler
-from bulrushpulley.systems.scheduling import advising, condensing, purging
+from bulrushpulley.systems.scheduling import advising, agents, condensing, purging
+from test.jobs_refusals import DenyStarts, TroubledExecutor
 from test.jobs_world import QUEUE, JobsWorld, step
 
 CHAIN = (step(2), step(3, after=(0,)), step(1, after=(1,)))
@@ -225,10 +227,58 @@
         ).tables
         asked = Advice(step_key="j.0.0", ticket_by_server={"i": "t"}, in_flight=True)
         tables = replace(tables, advice=tables.advice.put(asked.step_key, asked))
-        tables = advising.drop_refused_tickets(tables, asked.step_key)
+        tables = advising.drop_refused_ticket(tables, asked.step_key, "i")
         kept = tables.advice.by_key[asked.step_key]
         self.assertEqual(({}, True), (kept.ticket_by_server, kept.in_flight))
 
+    # A refusal dropped the tickets for all servers, so each cost another request, for
+    # which other steps had to wait (LOST).
+    def test_a_refused_ticket_leaves_those_for_other_servers(self) -> None:
+        world = self._world_with_advice()
+        requests: list[RequestAdvice] = []
+
+        def note(command: Command) -> None:
+            if isinstance(command, RequestAdvice):
+                requests.append(command)
+
+        world.hook = note
+        for host in list(world.executor_by_host)[:-1]:
+            server = TroubledExecutor(world=world, host=host)
+            server.trouble = DenyStarts(reason="ticket")
+        world.submit(1, step(1), payload="1.0")
+        self.assertTrue(world.run_until(world.all_complete, 1.9))
+        self.assertEqual(1, len(requests))
+        self.assertEqual([], world.violations)
+
+    # Each ticket for a life that was over cost a refused start.
+    def test_tickets_end_with_the_life_of_their_server(self) -> None:
+        world = self._world_with_advice()
+        owner = world.process_by_name[world.owner()]
+        tables: SchedulerTables = owner.instance_by_role[SCHEDULER].tables
+        host = tables.hosts.by_key["z0-0"]
+        server_id = server_of_incarnation(host.life)
+        asked = Advice(
+            step_key="j.0.0", ticket_by_server={server_id: "1", "other": "2"}
+        )
+        tables = replace(tables, advice=tables.advice.put(asked.step_key, asked))
+        for life, expected in (
+            (host.life, {server_id, "other"}),
+            (f"{server_id}/9", {"other"}),
+        ):
+            report = HostReport(
+                epoch=tables.epoch,
+                host=host.name,
+                failure_domain=host.failure_domain,
+                life=life,
+                service=host.service,
+                state=host.state,
+                capacity=host.capacity,
+                labels=host.labels,
+            )
+            tables = agents.apply_item(report, host, tables, world.now).tables
+            known = tables.advice.by_key[asked.step_key]
+            self.assertEqual(expected, set(known.ticket_by_server))
+
     def test_a_ticket_that_is_refused_is_replaced(self) -> None:
         world = self._world_with_advice()
         executor = world.executor_by_host["z0-0"]
