A job that stands still may use a host that is being emptied for its upkeep

Cause: a host is closed for all tasks from the moment its upkeep is chosen, although it stays up until its last run has ended or half of the machine's share of the wave's time is over. In that time the closing is a choice, but the clock of the job did not end it.

Change: while runs may finish on a closed host, it is ranked behind all others and taken by a task that may not be held back any more (idle_clock). The end of that time does not move, so the wave keeps its time; the order to the platform is still sent once the host is empty, and MaxCount counts the machine as before. A lasting or saving task that came so is stopped early only where an open host has room for it: otherwise it would be stopped at once and placed there again.

What can still wait: a host whose runs have to stop, or that a budget keeps busy, stays closed. Work that is placed on a closed host and outlasts the time is stopped at its end; that is the price of running meanwhile.

--- a/bulrushpulley/systems/scheduling/choosing.py
+++ b/bulrushpulley/systems/scheduling/choosing.py
@@ -26,9 +26,9 @@
     should_wait,
 )
 
-# Whether the host is in quarantine, whether it is outside the preferred rack, and the
-# cost; the lowest is chosen.
-Rank = tuple[bool, bool, float]
+# Whether the host is being emptied, whether it is in quarantine, whether it is outside
+# the preferred rack, and the cost; the lowest is chosen.
+Rank = tuple[bool, bool, bool, float]
 # Each host is ranked for each step, and looking up an enum's member takes longer than
 # most of the conditions.
 OTHER_SERVICE, NO_LABEL = Exclusion.OTHER_SERVICE, Exclusion.NO_LABEL
@@ -44,7 +44,9 @@
     `tickets` are the tickets from advice by backend server, None if none are needed.
     `idle_s` is for how long its turn has come and none of its runs has been seen. Holds
     by choice apply only if it `may_hold_back`. Hosts in `quarantined` are ranked behind
-    all others, and are suitable only if it `may_use_quarantined`.
+    all others, and are suitable only if it `may_use_quarantined`. Those in
+    `last_resorts` are being emptied for upkeep; they come last, once the task may not
+    be held back any more.
     """
 
     step: StepSpec
@@ -56,6 +58,7 @@
     may_hold_back: bool = True
     quarantined: frozenset[str] = frozenset()
     may_use_quarantined: bool = False
+    last_resorts: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,7 +77,7 @@
 
 
 def rank_candidates(
-    request: PlacementRequest, candidate_by_host: Map[str, Candidate]
+    request: PlacementRequest, candidate_by_host: Mapping[str, Candidate]
 ) -> Ranking:
     """Rank the candidates for the tasks of a step that have waited equally long.
 
@@ -82,21 +85,29 @@
     may run the step, whether it has room or not: their failures then do not tell them
     apart.
     """
+    if request.last_resorts and request.may_hold_back:
+        candidate_by_host = _without(candidate_by_host, request.last_resorts)
     candidates = tuple(candidate_by_host.values())
     leaves_reserve = must_leave_reserve(request.step, candidates)
     if request.may_use_quarantined and not request.may_hold_back:
         return _rank_all(request, candidate_by_host, leaves_reserve)
-    open_by_host = {
-        name: candidate
-        for name, candidate in candidate_by_host.items()
-        if name not in request.quarantined
-    }
+    open_by_host = _without(candidate_by_host, request.quarantined)
     ranking = _rank_all(request, open_by_host, leaves_reserve)
     if ranking.heap or not UNSUITABLE.issuperset(ranking.excluded):
         return ranking
     return _rank_all(request, candidate_by_host, leaves_reserve)
 
 
+def _without(
+    candidate_by_host: Mapping[str, Candidate], names: frozenset[str]
+) -> Mapping[str, Candidate]:
+    return {
+        name: candidate
+        for name, candidate in candidate_by_host.items()
+        if name not in names
+    }
+
+
 def _rank_all(
     request: PlacementRequest,
     candidate_by_host: Mapping[str, Candidate],
@@ -225,6 +236,7 @@
     ):
         return HARM
     return (
+        host.name in request.last_resorts,
         host.name in request.quarantined,
         step.near_rack != "" and host.rack != step.near_rack,
         cost(request.kind, step, candidate, request.harm_fraction),
--- a/bulrushpulley/systems/scheduling/emptying.py
+++ b/bulrushpulley/systems/scheduling/emptying.py
@@ -1,15 +1,17 @@
 """Empties the hosts of machines that are about to be taken down for upkeep.
 
 Tasks that can resume elsewhere are stopped, as far as the disruption budgets of their
-steps allow. Others may finish, until the wave would miss its time limit.
+steps allow. Others may finish, until the wave would miss its time limit. Meanwhile a
+job that would stand still otherwise may use the host.
 """
 
 from __future__ import annotations
 
 from bulrushpulley.entities.jobs.host import Host, ServerState
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
+from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import Task, TaskState, step_key
-from bulrushpulley.entities.jobs.upkeep import DOWN_INDEX, Upkeep, Wave
+from bulrushpulley.entities.jobs.upkeep import DOWN_INDEX, Upkeep, UpkeepPhase, Wave
 from bulrushpulley.entities.resources import NO_RESOURCES
 from bulrushpulley.systems.scheduling import advising, edits, stopping
 
@@ -37,6 +39,25 @@
     return frozenset(host.name for host in hosts if host is not None)
 
 
+def last_resorts(tables: SchedulerTables, now: float) -> frozenset[str]:
+    """Return the closed hosts on which runs may still finish.
+
+    They take the tasks of a job that has nothing running and fits on no open host.
+    """
+    hosts = (
+        host_of(tables, upkeep.machine_id)
+        for upkeep in tables.upkeep.upkeeps.rows_where("wave", DOWN_INDEX)
+        if upkeep.phase is UpkeepPhase.EMPTYING
+        and not is_overdue(tables.upkeep.waves.by_key[str(upkeep.wave)], upkeep, now)
+    )
+    return frozenset(host.name for host in hosts if host is not None)
+
+
+def is_overdue(wave: Wave, upkeep: Upkeep, now: float) -> bool:
+    """Return whether all runs on a host that is being emptied have to stop."""
+    return now - upkeep.since >= finish_timeout_s(wave)
+
+
 def empty_host(
     tables: SchedulerTables, wave: Wave, upkeep: Upkeep, host: Host, now: float
 ) -> SchedulerStep:
@@ -44,17 +65,43 @@
 
     Disruption budgets are respected in both cases.
     """
-    overdue = now - upkeep.since >= finish_timeout_s(wave)
+    overdue = is_overdue(wave, upkeep, now)
 
     def should_stop(tables: SchedulerTables, task: Task) -> bool:
-        spec = edits.step_of(tables, task)
-        must_leave = spec.lasting or spec.checkpoints or overdue
+        must_leave = overdue or _can_resume_elsewhere(tables, upkeep, host, task)
         return must_leave and may_stop(tables, task)
 
     reason = "its machine is due for upkeep"
     return stopping.stop_selected(tables, host.name, should_stop, now, reason)
 
 
+def _can_resume_elsewhere(
+    tables: SchedulerTables, upkeep: Upkeep, host: Host, task: Task
+) -> bool:
+    """Return whether a task loses little if it is stopped and placed again.
+
+    One that has come since the host was closed did not fit elsewhere, and would return.
+    """
+    step = edits.step_of(tables, task)
+    if not (step.lasting or step.checkpoints):
+        return False
+    return task.since < upkeep.since or _has_room(tables, host.service, step)
+
+
+def _has_room(tables: SchedulerTables, service: str, step: StepSpec) -> bool:
+    """Return whether an open host of a service has room for a task of a step."""
+    closed = closed_hosts(tables)
+    return any(
+        step.committed.fits(host.free)
+        and (not step.needs_label or step.needs_label in host.labels)
+        for host in tables.hosts.rows()
+        if host.service == service
+        and host.name not in closed
+        and host.synced
+        and host.state is ServerState.READY
+    )
+
+
 def leaves_open_host(tables: SchedulerTables, machine_id: str) -> bool:
     """Return whether a service keeps an open host when the one of a machine closes.
 
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -61,12 +61,14 @@
     """The state of one pass over the waiting tasks.
 
     `closed` counts the hosts that are closed for all tasks, by the reason. Those in
-    `quarantined` are candidates only for the steps that no other host may run.
+    `quarantined` are candidates only for the steps that no other host may run, and
+    those in `last_resorts`, which are closed for upkeep, for jobs that stand still.
     """
 
     tables: SchedulerTables
     candidate_by_host: Map[str, Candidate]
     quarantined: frozenset[str]
+    last_resorts: frozenset[str]
     closed: Mapping[Exclusion, int]
     held_back_by_step: Map[str, HeldBack]
     holds_end_at: float = math.inf
@@ -109,7 +111,8 @@
         holds_end_at=state.holds_end_at,
         place_due=state.tables.place_due or is_cut_short,
     )
-    advice_step = advising.request_advice(tables, jobs, hosts, now, state.quarantined)
+    asked_last = state.quarantined | state.last_resorts
+    advice_step = advising.request_advice(tables, jobs, hosts, now, asked_last)
     commands: tuple[Command, ...] = (*state.commands, *advice_step.commands)
     return Step(tables=advice_step.tables, commands=commands)
 
@@ -121,22 +124,28 @@
         name: exclusion_of(tables, candidate.host, closed, now)
         for name, candidate in known.items()
     }
-    quarantined = frozenset(
+    last_resorts = frozenset(
         name
-        for name, reason in reason_by_host.items()
-        if reason is Exclusion.QUARANTINED
+        for name in emptying.last_resorts(tables, now)
+        if reason_by_host.get(name) is Exclusion.UPKEEP
     )
     candidate_by_host = Map(
         {
             name: known[name]
             for name, reason in reason_by_host.items()
-            if reason is None or name in quarantined
+            if reason in (None, Exclusion.QUARANTINED) or name in last_resorts
         }
     )
+    quarantined = frozenset(
+        name
+        for name, candidate in candidate_by_host.items()
+        if now < candidate.host.quarantined_until
+    )
     return PlacementPass(
         tables=tables,
         candidate_by_host=candidate_by_host,
         quarantined=quarantined,
+        last_resorts=last_resorts,
         held_back_by_step=Map(),
         closed=Counter(reason for reason in reason_by_host.values() if reason),
     )
@@ -258,6 +267,7 @@
             request = replace(
                 placement_request(state.tables, job, step, task, now),
                 quarantined=state.quarantined,
+                last_resorts=state.last_resorts,
                 may_use_quarantined=may_fail,
             )
             ranking = choosing.rank_candidates(request, state.candidate_by_host)
@@ -297,6 +307,7 @@
         request = replace(
             placement_request(trial.tables, job, step, member, now),
             quarantined=trial.quarantined,
+            last_resorts=trial.last_resorts,
             may_use_quarantined=may_fail,
         )
         ranking = choosing.rank_candidates(request, trial.candidate_by_host)
@@ -314,8 +325,8 @@
     state: PlacementPass, job: Job, task: Task, ranking: choosing.Ranking, now: float
 ) -> PlacementPass:
     """Record when holds on a task end, and what keeps a step that may wait for long."""
-    is_held = bool(state.quarantined) or choosing.HARM in ranking.excluded
-    if is_held:
+    is_held = state.quarantined or state.last_resorts
+    if is_held or choosing.HARM in ranking.excluded:
         ends_at = idle_clock.next_change_at(job, task, now)
         state = replace(state, holds_end_at=min(ends_at, state.holds_end_at))
     known = state.held_back_by_step
--- a/test/test_jobs_last_resort.py
+++ b/test/test_jobs_last_resort.py
@@ -8,14 +8,19 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import testtools
 
 from bulrushpulley.entities.changing import replace
+from bulrushpulley.entities.jobs.calls import CancelCall
 from bulrushpulley.entities.jobs.configuration import Queue
+from bulrushpulley.entities.jobs.rows import WaveState
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
 from bulrushpulley.entities.resources import Resources
 from standins.executor_core import POISON_PAYLOAD
 from test.jobs_world import QUEUE, JobsWorld, step
+from test.test_jobs_upkeep import wave_state
 
 MAX_IDLE_S = 3.0
 LONG = "600.0"
@@ -25,6 +30,8 @@
 LONG_SIZE = Resources(processors_m=1_000, memory_mb=5_000)
 WAITING_SIZE = Resources(processors_m=1_000, memory_mb=4_000)
 JOB = 2
+# The time of a wave, without the 1.5 s since its order.
+WAVE_WITHIN_S = 28.5
 PHASES_S = (0.0, 0.3, 0.6)
 
 
@@ -150,3 +157,79 @@
             10.0,
         )
         self.assertLess(world.now - since, MAX_IDLE_S)
+
+
+class ClosedHostTest(testtools.TestCase):
+    """The only host with room is closed for its upkeep, and may be used meanwhile."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = world = JobsWorld(entries=2, hosts=3)
+        for number, executor in enumerate(world.executor_by_host.values()):
+            executor.labels = (FULL if number else SPARE, f"rack-{executor.host}")
+        self.spare = next(iter(world.executor_by_host))
+        world.run(3.0)
+        long = step(2, needs_label=FULL, per_host_limit=1, size=LONG_SIZE)
+        world.submit(1, long, payload=LONG)
+        world.submit(JOB + 1, step(1, needs_label=SPARE), payload="8.0")
+        world.run(1.5)
+        world.order_wave(1, f"m-{self.spare}")
+        world.run(1.5)
+
+    def check(self) -> None:
+        """Check that no rule was broken."""
+        self.assertEqual([], self.world.violations)
+        self.assertEqual([], self.world.machines.violations)
+
+    def submit_lasting(self) -> str:
+        """Submit a job of a task that lasts and fits on the closed host alone."""
+        lasting = step(1, lasting=True, size=WAITING_SIZE)
+        return self.world.submit(JOB, lasting, payload=LONG)
+
+    # Jobs that use a closed host one after another must not keep its machine up.
+    def test_a_wave_is_in_time_beside_jobs_that_use_its_host(self) -> None:
+        world = self.world
+        for number in range(10, 40):
+            world.at(
+                float(number - 10),
+                partial(world.submit, number, step(1, size=WAITING_SIZE), payload=LONG),
+            )
+        completed = world.run_until(
+            lambda: wave_state(world, 1) is WaveState.COMPLETED, WAVE_WITHIN_S
+        )
+        self.assertTrue(completed)
+        self.assertEqual([f"m-{self.spare}"], world.machines.taken_down)
+        self.check()
+
+    # A task that lasts was stopped at once on the host, and placed there once more.
+    def test_a_lasting_task_on_a_closed_host_is_not_stopped_each_time(self) -> None:
+        world, starts = self.world, self.world.starts
+        job_id = self.submit_lasting()
+        executor = world.executor_by_host[self.spare]
+        idle_s = 0.0
+        for _ in range(80):
+            world.run(0.1)
+            is_running = any(key.startswith(job_id) for key in executor.run_by_key)
+            idle_s += 0.0 if is_running else 0.1
+        self.assertLess(idle_s, MAX_IDLE_S)
+        self.assertEqual(1, world.starts - starts)
+        self.check()
+
+    # Else the machine would stay up for longer than it has to.
+    def test_a_lasting_task_leaves_a_closed_host_for_an_open_one(self) -> None:
+        world = self.world
+        job_id = self.submit_lasting()
+        world.run(MAX_IDLE_S)
+        spare = world.executor_by_host[self.spare]
+        self.assertTrue(any(key.startswith(job_id) for key in spare.run_by_key))
+        call = CancelCall(
+            call_id="cancel",
+            authority=QUEUE.authority,
+            path=f"{QUEUE.path_prefix}{1:016x}",
+            within_s=3.0,
+            received_at_s=world.now,
+        )
+        world.tell(world.process_by_name["entry-1"], "intake", call)
+        world.run(2.0)
+        self.assertFalse(any(key.startswith(job_id) for key in spare.run_by_key))
+        self.check()
