The owner row lists linked hosts whose agents are silent

Cause: the owner row says when the runs of a host have ended only for hosts without a link. The link of an agent that stands still stays open for 3 s, so the next owner, which knows of no contact, waited 13.3 s from the last renewal of the former one, up to 3 s after the last contact.

Change: an owner marks an agent that has been silent for 1.2 s on its link and lists its host like one without a link; no field of a row changes. A contact after such a silence is confirmed only once a row that was created after it is durable, which sends the confirmation. That is the rule that adoptions follow, and is needed: with it removed, a former owner that the agent reaches again lets its runs go on after the successor has started them elsewhere (TWICE; test_an_agent_that_was_silent_renews_no_leases_by_a_ former_owner plays both). The last contact of every host was weighed and not built, as agents would lose time in each outage of the store; so only agents that are silent as the outage begins do.

Not changed: an agent that the next owner has linked but not heard is not listed by it, so an owner after that waits from the renewals of that one.

--- a/bulrushpulley/entities/jobs/host.py
+++ b/bulrushpulley/entities/jobs/host.py
@@ -12,6 +12,8 @@
 UNLINKED = "unlinked"
 # The index value of hosts without a link.
 NO_LINK = "none"
+# The index value of linked hosts whose agents are silent.
+SILENT = "silent"
 
 
 class ServerState(enum.Enum):
@@ -51,7 +53,8 @@
     is the time of the agent's last contact in this tenure, or zero. Without one, its
     runs have ended by `runs_end_by`, if a former owner has recorded that, or zero.
     `contact_sent_at` is when the agent sent its last contact over this link, on its own
-    clock.
+    clock. It is `silent` if it has missed contacts on an open link, so that the owner
+    row lists it, and `resumed_at` is when a silent one last made contact again.
     `announced_epoch` is the tenure that was last announced to the agent, at
     `announced_at`, and zero if it is to be announced again. It was first announced at
     `adopted_at`, or never in this tenure if that is zero, and `adoptions` counts how
@@ -83,6 +86,8 @@
     leaves_in_s: float = 0.0
     last_contact_at: float = 0.0
     contact_sent_at: float | None = None
+    silent: bool = False
+    resumed_at: float = 0.0
     runs_end_by: float = 0.0
     announced_epoch: int = 0
     announced_at: float = 0.0
@@ -126,6 +131,11 @@
     return peer.rpartition("-")[0]
 
 
+def by_silence(host: Host) -> tuple[str, ...]:
+    """Index linked hosts that are silent."""
+    return (SILENT,) if host.peer and host.silent else ()
+
+
 def by_missing_link(host: Host) -> tuple[str, ...]:
     """Index hosts without a link."""
     return () if host.peer else (NO_LINK,)
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UnlinkedHost:
-    """A host without a link to the owner, on which runs may remain.
+    """A host without a link to the owner or contact with it, on which runs may remain.
 
     They have certainly ended `runs_end_in_s` after the row was written: an owner lets
     the host's agent renew leases again only once a row without the host is durable.
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -212,6 +212,7 @@
                 "address": host.by_address,
                 "link": host.by_link,
                 "missing_link": host.by_missing_link,
+                "silent": host.by_silence,
             }
         )
     )
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -74,6 +74,7 @@
         peer=event.peer,
         linked_at=now,
         contact_sent_at=None,
+        silent=False,
         announced_epoch=0,
         synced=False,
         redials=0,
@@ -171,7 +172,13 @@
 
 @apply_item.register
 def _(event: Contact, host: Host, tables: SchedulerTables, now: float) -> SchedulerStep:
-    host = replace(host, last_contact_at=now, contact_sent_at=event.sent_at)
+    host = replace(
+        host,
+        last_contact_at=now,
+        contact_sent_at=event.sent_at,
+        silent=False,
+        resumed_at=now if host.silent else host.resumed_at,
+    )
     tables = edits.put_host(tables, host)
     confirmation = confirming.confirm_contact(tables, host, now)
     step = comparing.handle_books(tables, host, event.books, now)
--- a/bulrushpulley/systems/scheduling/confirming.py
+++ b/bulrushpulley/systems/scheduling/confirming.py
@@ -25,17 +25,18 @@
 def confirm_contacts(
     tables: SchedulerTables, renewed_before_at: float, now: float
 ) -> tuple[Command, ...]:
-    """Confirm contacts again after a renewal that came late.
+    """Confirm contacts after a renewal that came late, or that they had to wait for.
 
     The permission that agents had may have ended or be about to, and without it they
     would start nothing before their next contact.
     """
     bounds = tables.bounds
-    if now - renewed_before_at <= bounds.owner_autonomy_s - bounds.agent_autonomy_s:
-        return ()
+    late_s = bounds.owner_autonomy_s - bounds.agent_autonomy_s
+    is_late = now - renewed_before_at > late_s
     return tuple(
         command
         for host in tables.hosts.rows_where("link", f"{tables.epoch}")
+        if is_late or host.resumed_at >= renewed_before_at
         for command in confirm_contact(tables, host, now)
     )
 
@@ -44,13 +45,24 @@
     """Return how long an agent may request full leases; zero or less if it may not.
 
     The next owner relies on `OwnerRow.renewals_for_s`, and on `UnlinkedHost` for agents
-    not adopted yet. This owner relies on `Bounds.agent_expiry_s`, which was longer in
-    earlier versions, so the agent is told.
+    not adopted yet or silent; one that was silent gets no permission before a row that
+    was created since it made contact is durable. This owner relies on
+    `Bounds.agent_expiry_s`, which was longer in earlier versions, so the agent is told.
     """
     owning = tables.leadership
     if not isinstance(owning, Owning) or tables.leaving:
         return 0.0
     if host.announced_epoch != tables.epoch:
         return 0.0
+    if may_be_listed(owning, host):
+        return 0.0
     renewals_for_s = owning.renewed_at + tables.bounds.owner_autonomy_s - now
     return min(tables.bounds.agent_autonomy_s, renewals_for_s)
+
+
+def may_be_listed(owning: Owning, host: Host) -> bool:
+    """Return whether the durable owner row may list an agent as silent.
+
+    The next owner would then count from the contact before the silence.
+    """
+    return owning.renewed_at <= host.resumed_at
--- a/bulrushpulley/systems/scheduling/lease_expiry.py
+++ b/bulrushpulley/systems/scheduling/lease_expiry.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from itertools import islice
+from itertools import chain, islice
 
 from immutables import Map
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.bounds import EARLIER_VERSION_AGENT_AUTONOMY_S
-from bulrushpulley.entities.jobs.host import NO_LINK, Host
+from bulrushpulley.entities.jobs.bounds import (
+    CONTACT_INTERVAL_S,
+    EARLIER_VERSION_AGENT_AUTONOMY_S,
+)
+from bulrushpulley.entities.jobs.host import NO_LINK, SILENT, Host
 from bulrushpulley.entities.jobs.rows import OwnerRow, UnlinkedHost
 from bulrushpulley.entities.jobs.scheduler_tables import (
     Owning,
@@ -25,6 +28,8 @@
 # Bounds the owner row to a few tens of kilobytes. For hosts beyond it, the next owner
 # waits as long as for one that was linked until the takeover.
 MAX_UNLINKED_HOSTS = 500
+# Agents that miss a contact are listed, as the owner may be lost next.
+MAX_LISTED_SILENCE_S = 1.5 * CONTACT_INTERVAL_S
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -38,6 +43,8 @@
     commands: list[Command] = []
     for name in sorted(tables.tasks.by_index["host"]):
         host = tables.hosts.get(name) or Host(name=name)
+        if _is_silent(owning, host):
+            tables = edits.put_host(tables, replace(host, silent=True))
         if now < leases_expired_at(tables, owning, host):
             continue
         step = endings.end_runs_as_lost(
@@ -50,6 +57,18 @@
     return Step(tables=tables, commands=tuple(commands))
 
 
+def _is_silent(owning: Owning, host: Host) -> bool:
+    """Return whether an agent has missed contacts on its link, and is not marked yet.
+
+    An owner that was suspended has not read yet what agents sent meanwhile, so a
+    transaction of this owner has to be later.
+    """
+    if host.silent or not host.peer or host.last_contact_at <= 0.0:
+        return False
+    heard_at = max(host.last_contact_at, host.linked_at)
+    return owning.renewed_at > heard_at + MAX_LISTED_SILENCE_S
+
+
 def leases_expired_at(tables: SchedulerTables, owning: Owning, host: Host) -> float:
     """Return the time after which no run ordered on a host can still be running."""
     if host.last_contact_at > 0.0:
@@ -67,16 +86,21 @@
 def unlinked_hosts(
     tables: SchedulerTables, owning: Owning, now: float
 ) -> tuple[UnlinkedHost, ...]:
-    """Return the hosts without a link on which runs may remain, for the owner row.
+    """Return the hosts out of reach on which runs may remain, for the owner row.
 
-    Agents that link again are adopted after a transaction with a row without them.
+    Agents that link again are adopted after a transaction with a row without them, and
+    the contacts of those that were silent are confirmed after such a one.
     """
+    out_of_reach = chain(
+        tables.hosts.rows_where("missing_link", NO_LINK),
+        tables.hosts.rows_where("silent", SILENT),
+    )
     unlinked = (
         UnlinkedHost(
             host=host.name,
             runs_end_in_s=max(0.0, leases_expired_at(tables, owning, host) - now),
         )
-        for host in tables.hosts.rows_where("missing_link", NO_LINK)
+        for host in out_of_reach
         if _may_have_runs(tables, owning, host)
     )
     return tuple(islice(unlinked, MAX_UNLINKED_HOSTS))
--- a/bulrushpulley/systems/scheduling/loading.py
+++ b/bulrushpulley/systems/scheduling/loading.py
@@ -200,6 +200,8 @@
             state=ServerState.UNKNOWN,
             last_contact_at=0.0,
             contact_sent_at=None,
+            silent=False,
+            resumed_at=0.0,
             runs_end_by=0.0,
             announced_epoch=0,
             adoptions=0,
--- a/test/test_jobs_former_owner.py
+++ b/test/test_jobs_former_owner.py
@@ -7,9 +7,10 @@
 import testtools
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.items import Adopt
-from bulrushpulley.entities.jobs.rows import OWNED_PART, OWNER_KEY, OWNERS
+from bulrushpulley.entities.jobs.items import Adopt, ContactAck
+from bulrushpulley.entities.jobs.rows import OWNED_PART, OWNER_KEY, OWNERS, OwnerRow
 from bulrushpulley.entities.jobs.scheduler_tables import (
+    SCHEDULER,
     Following,
     PollOwner,
     SchedulerTables,
@@ -22,11 +23,15 @@
 )
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.scheduling import agents, ownership
+from bulrushpulley.systems.scheduling import agents, confirming, ownership
 from test.jobs_store import JobsStore
 from test.jobs_world import JobsWorld, step
 
 ZONE_HOST = "z0-0"
+# Long enough for the owner row to list the agent, and no link ends in it.
+SILENCE_S = 2.2
+# A renewal and its answer, and less than the interval of contacts.
+MAX_CONFIRMATION_WAIT_S = 0.5
 
 
 class FormerOwnerTest(testtools.TestCase):
@@ -116,6 +121,61 @@
         self.world.run(4.0)
         self.assertIn(ZONE_HOST, adopted)
 
+    def test_an_agent_that_was_silent_renews_no_leases_by_a_former_owner(self) -> None:
+        # The row of the former owner lists the agent as silent, so the next one waits
+        # from the contact before. A later one that the former owner confirmed would
+        # let the runs go on for longer than that (TWICE).
+        self.assertEqual([], self.violations_beside_an_agent_that_was_silent())
+        self.start()
+        with mock.patch.object(confirming, "may_be_listed", lambda owning, host: False):
+            violations = self.violations_beside_an_agent_that_was_silent()
+        self.assertNotEqual([], violations)
+
+    def violations_beside_an_agent_that_was_silent(self) -> list[str]:
+        """Replace the owner, which an agent reaches again after a silence."""
+        self.world.submit(1, step(4), payload="60.0")
+        self.world.run(1.0)
+        self.assertNotEqual({}, self.world.executor_by_host[ZONE_HOST].run_by_key)
+        self.world.silence(ZONE_HOST, self.former, SILENCE_S)
+        self.world.run(SILENCE_S)
+        self.assertEqual([ZONE_HOST], self.listed_hosts())
+        self.world.cut_off_from_store.add(self.former)
+        self.world.cut_pair(self.successor, ZONE_HOST)
+        self.world.run(30.0)
+        self.assertTrue(self.owns(self.successor))
+        return self.world.violations
+
+    def listed_hosts(self) -> list[str]:
+        """Return the hosts that the owner row lists."""
+        row = self.world.store.row_by_key[OWNER_KEY].row
+        assert isinstance(row, OwnerRow)
+        return [listed.host for listed in row.unlinked_hosts]
+
+    def test_an_agent_that_was_silent_is_confirmed_with_the_next_renewal(self) -> None:
+        # Without a confirmation it starts nothing once its permission has ended.
+        self.world.submit(1, step(4), payload="60.0")
+        self.world.run(1.0)
+        self.world.silence(ZONE_HOST, self.former, SILENCE_S)
+        self.world.run(SILENCE_S)
+        self.assertEqual([ZONE_HOST], self.listed_hosts())
+        confirmed: list[float] = []
+
+        def record(command: Command) -> None:
+            if (
+                isinstance(command, Send)
+                and isinstance(command.item, ContactAck)
+                and command.peer.startswith(ZONE_HOST)
+            ):
+                confirmed.append(self.world.now)
+
+        self.world.hook = record
+        self.world.run(1.5)
+        self.assertEqual([], self.listed_hosts())
+        scheduler = self.world.process_by_name[self.former].instance_by_role[SCHEDULER]
+        resumed_at = scheduler.tables.hosts.by_key[ZONE_HOST].resumed_at
+        self.assertLess(0.0, resumed_at)
+        self.assertLess(confirmed[0] - resumed_at, MAX_CONFIRMATION_WAIT_S)
+
     def test_an_agent_is_adopted_soon_after_its_restart(self) -> None:
         # An owner with nothing to write renews its row only each 0.8 s.
         self.world.kill(ZONE_HOST)
