--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -215,6 +215,7 @@
                 "address": host.by_address,
                 "link": host.by_link,
                 "missing_link": host.by_missing_link,
+                "silent": host.by_silence,
             }
         )
     )
