True spans: say which jobs may have ended unseen

An open job whose last line is followed by missing lines of owners was left out after that line without a word, which could hide a job that stands still at the end. A job whose `job.end` says that it was cancelled counts as cancelled if the line of the answer is missing.

--- a/scripts/job_windows.py
+++ b/scripts/job_windows.py
@@ -10,6 +10,7 @@
 from scripts.log_lines import Line
 
 FINAL_STATES = tuple(state.value for state in rows.FINAL_STATES)
+CANCELLED = rows.JobState.CANCELLED.value
 
 
 def longest_gap(window: Span, busy: Iterable[Span]) -> Span:
@@ -58,7 +59,12 @@
 
 def cancelled_jobs(lines: Iterable[Line]) -> frozenset[str]:
     """Return the jobs that were cancelled."""
-    return frozenset(line.subject for line in lines if line.chosen == "JobCancelled")
+    return frozenset(
+        line.subject
+        for line in lines
+        if line.chosen == "JobCancelled"
+        or (line.message_type == "job.end" and line.chosen == CANCELLED)
+    )
 
 
 def _finds_job_ended(line: Line) -> bool:
--- a/scripts/true_spans.py
+++ b/scripts/true_spans.py
@@ -3,7 +3,8 @@
 An owner notes the end of a run only while there is an owner. So a run lasts here from
 its `run.start` to its `run.end`, which agents write whether there is an owner or not.
 A job lasts from when it is stored to its last `run.end` if it has ended, or to when it
-is cancelled, else to the end of the log. Jobs with several occurrences are left out.
+is cancelled, else to the end of the log, or to its last line if lines of owners are
+missing after it. Jobs with several occurrences are left out.
 
 A run without a line of its end lasts until its host was lost, which is the last line of
 the process that had it before that: before an owner gives the host up, before another
@@ -49,12 +50,14 @@
 class TrueSpan:
     """The longest time in which nothing of a job ran, by the lines of agents.
 
-    `owner_s` is the longest part of it in which owners knew that nothing ran.
+    `owner_s` is the longest part of it in which owners knew that nothing ran. If the
+    job `may_have_ended` without a line, the time after its last line does not count.
     """
 
     job_id: str
     span: Span
     owner_s: float
+    may_have_ended: bool = False
 
     @property
     def differs(self) -> bool:
@@ -208,7 +211,8 @@
     timed = {run.job_id for run in runs if run.task_id.split(".")[1] != "0"}
     busy_by_job = _busy_by_job(runs, _host_lines(lines))
     accepted = job_windows(lines, ACCEPTING_KINDS)
-    windows = _until_known(lines, _until_last_end(lines, accepted, runs))
+    windows = _until_last_end(lines, accepted, runs)
+    known_s_by_job = _unseen_ends(lines, windows)
     owner_busy_by_job: defaultdict[str, list[Span]] = defaultdict(list)
     for run in runs_of(lines, missing_times_s(lines)):
         if run.running:
@@ -218,11 +222,20 @@
     for job_id, window in windows.items():
         if job_id in timed:
             continue
-        span = longest_gap(window, busy_by_job.get(job_id, ()))
+        known_s = known_s_by_job.get(job_id, window.end_s)
+        known = replace(window, end_s=known_s)
+        span = longest_gap(known, busy_by_job.get(job_id, ()))
         logged = (line.span for line in idle_by_subject.get(job_id, ()))
         owner_gap = longest_gap(span, owner_busy_by_job.get(job_id, ()))
         owner_s = max(owner_gap.length_s, _longest_part_s(span, logged))
-        found.append(TrueSpan(job_id=job_id, span=span, owner_s=owner_s))
+        found.append(
+            TrueSpan(
+                job_id=job_id,
+                span=span,
+                owner_s=owner_s,
+                may_have_ended=job_id in known_s_by_job,
+            )
+        )
     return sorted(found, key=lambda each: -each.span.length_s)
 
 
@@ -257,22 +270,21 @@
     }
 
 
-def _until_known(
+def _unseen_ends(
     lines: Sequence[Line], windows: Mapping[str, Span]
-) -> Mapping[str, Span]:
-    """Return the times of jobs; an end whose line may be missing is no wait."""
+) -> Mapping[str, float]:
+    """Return the last lines of open jobs after which lines of owners are missing."""
     log_end_s = lines[-1].timestamp
     missing_s = missing_times_s(lines)
     last_s_by_job: dict[str, float] = {}
     for line in lines:
         last_s_by_job[line.subject.partition(".")[0]] = line.timestamp
-    known: dict[str, Span] = {}
-    for job_id, window in windows.items():
-        last_s = last_s_by_job[job_id]
-        is_open = window.end_s == log_end_s
-        is_unknown = is_open and any(at > last_s for at in missing_s)
-        known[job_id] = replace(window, end_s=last_s) if is_unknown else window
-    return known
+    return {
+        job_id: last_s_by_job[job_id]
+        for job_id, window in windows.items()
+        if window.end_s == log_end_s
+        and any(at > last_s_by_job[job_id] for at in missing_s)
+    }
 
 
 def _longest_part_s(span: Span, others: Iterable[Span]) -> float:
@@ -342,11 +354,13 @@
     for least_s in others_s:
         counts += f", {_count_over(spans, least_s)} over {least_s:g} s"
     differing = sum(each.differs for each in spans)
-    return (
+    unseen = sum(each.may_have_ended for each in spans)
+    text = (
         f"true: worst {worst.span.length_s:.2f} s ({worst.job_id},"
         f" {worst.span.start_s:.3f} s to {worst.span.end_s:.3f} s); {counts};"
         f" {differing} differ from the owner's by over {MAX_DIFFERENCE_S:g} s"
     )
+    return f"{text}; {unseen} jobs may have ended unseen" if unseen else text
 
 
 def _count_over(spans: Iterable[TrueSpan], least_s: float) -> int:
--- a/test/test_true_spans.py
+++ b/test/test_true_spans.py
@@ -75,6 +75,11 @@
         self.log.end_job(9.5)
         self.assertEqual((4.0, 9.0), self.span())
 
+    def test_a_cancelled_job_whose_caller_s_answer_is_missing(self) -> None:
+        self.log.run_end(4.0, "0.0.0")
+        self.log.add(9.0, OWNER, "job.end", JOB, "cancelled", "its caller cancelled it")
+        self.assertEqual((4.0, 9.0), self.span())
+
     def test_an_open_job_stands_still_to_the_end_of_the_log(self) -> None:
         self.log.run_end(4.0, "0.0.0")
         self.log.add(9.0, HOST, "process", "")
@@ -85,6 +90,9 @@
         self.log.skip(OWNER, 2)
         self.log.add(20.0, OWNER, "harm.learn", "1 pairs")
         self.assertEqual((1.0, 1.5), self.span())
+        self.assertTrue(
+            true_summary(self.spans()).endswith("; 1 jobs may have ended unseen")
+        )
 
     def test_a_job_that_is_stored_while_there_is_no_owner_waits_from_then_on(
         self,
