True spans: bound those that begin with the loss of a host

A run of a lost host lasts to the last line of its host.

Change: each span has a least length, which takes a lost host as working until its loss was noted. It is printed where it differs, and the summaries of scripts/gaps and scripts/plays count also by it ("for certain").

--- a/scripts/plays.py
+++ b/scripts/plays.py
@@ -21,7 +21,7 @@
 from absl import app, flags
 
 from scripts.log_lines import parse
-from scripts.true_spans import COUNTED_SPANS_S, TrueSpan, true_spans, true_summary
+from scripts.true_spans import TrueSpan, counts_over, true_spans, true_summary
 
 FLAGS = flags.FLAGS
 BROKEN_START = "rules broken: "
@@ -90,6 +90,11 @@
         """The longest span, or 0 if none is known."""
         return self.spans[0].span.length_s if self.spans else 0.0
 
+    @property
+    def least_s(self) -> float:
+        """How long the longest span is at least."""
+        return max((each.least_s for each in self.spans), default=0.0)
+
 
 def seeds_of(text: str) -> list[int]:
     """Return the seeds of a list of numbers and ranges, such as ``1-3,7``."""
@@ -135,21 +140,15 @@
         printed = f"worst: {worst.worst_s:.2f} s, {worst.play.name}"
     unplayed = sum(not result.is_complete for result in results)
     broken = sum(bool(result.broken) for result in results)
-    first_s, *others_s = COUNTED_SPANS_S
-    counts = f"{_count_over(results, first_s)} with a span over {first_s:g} s"
-    for least_s in others_s:
-        counts += f", {_count_over(results, least_s)} over {least_s:g} s"
+    counts = counts_over([result.worst_s for result in results], "with a span over")
+    certain = counts_over([result.least_s for result in results], "over")
     return [
         printed,
         f"{len(results)} plays, {unplayed} not played;"
-        f" {broken} with a broken rule; {counts}",
+        f" {broken} with a broken rule; {counts}; for certain {certain}",
     ]
 
 
-def _count_over(results: Sequence[Result], least_s: float) -> int:
-    return sum(result.worst_s > least_s for result in results)
-
-
 def play_all(
     bench: Bench,
     plays: Sequence[Play],
--- a/scripts/true_spans.py
+++ b/scripts/true_spans.py
@@ -14,6 +14,10 @@
 when an owner notes its end, or when the next run of its task is placed. A run that an
 agent ends without a line of its start began with its placement.
 
+A host writes little while its runs work, so the last line of a lost one may be long
+before its loss. The least length of a span takes the host as working until its loss was
+noted.
+
 A host that is frozen and then goes on counts as working meanwhile, and an end in the
 time between two processes of an agent counts from the line of the second.
 """
@@ -31,6 +35,7 @@
 
 COUNTED_SPANS_S = (2.0, 3.0)
 MAX_DIFFERENCE_S = 1.0
+LEAST_SHOWN_S = 0.01
 # How long after a change of owner all agents in touch have written that they heard it.
 ADOPTION_TIME_S = 1.0
 ACCEPTING_KINDS = ("job.store", "job.accept")
@@ -50,13 +55,15 @@
 class TrueSpan:
     """The longest time in which nothing of a job ran, by the lines of agents.
 
-    `owner_s` is the longest part of it in which owners knew that nothing ran. If the
+    `owner_s` is the longest part of it in which owners knew that nothing ran, and
+    `least_s` how long it is if lost hosts worked until their loss was noted. If the
     job `may_have_ended` without a line, the time after its last line does not count.
     """
 
     job_id: str
     span: Span
     owner_s: float
+    least_s: float
     may_have_ended: bool = False
 
     @property
@@ -83,6 +90,19 @@
         return next((line for line in self.about if line.message_type in kinds), None)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """When a run worked, and until when it may have worked if its host was lost."""
+
+    span: Span
+    noted_s: float
+
+    @property
+    def longest(self) -> Span:
+        """The span up to when the loss was noted."""
+        return replace(self.span, end_s=max(self.span.end_s, self.noted_s))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostLines:
     """When the lives of processes wrote, and which backend servers ended when.
@@ -100,13 +120,15 @@
         times_s = self.times_s_by_life.get(life, ())
         return max((at for at in times_s if at <= until_s), default=None)
 
-    def is_replaced(self, life: ProcessLife) -> bool:
-        """Return whether another process of the same name has started since."""
+    def replaced_s(self, life: ProcessLife) -> float | None:
+        """Return when another process of the same name has started since."""
         began_s = self.times_s_by_life[life][0]
-        return any(
-            other[0] == life[0] and other != life and times_s[0] > began_s
+        starts_s = (
+            times_s[0]
             for other, times_s in self.times_s_by_life.items()
+            if other[0] == life[0] and other != life
         )
+        return min((at for at in starts_s if at > began_s), default=None)
 
 
 def _host_lines(lines: Sequence[Line]) -> HostLines:
@@ -149,23 +171,26 @@
     return sorted(runs, key=lambda run: (run.task_id, run.number))
 
 
-def _work_span(run: AgentRun, following: AgentRun | None, hosts: HostLines) -> Span:
+def _work(run: AgentRun, following: AgentRun | None, hosts: HostLines) -> Work:
     """Return when a run worked, which is no time if it never began."""
     placed_s = run.about[0].timestamp
     named = [line for line in run.about if line.message_type in NAMING_KINDS]
     ended = run.first(*ENDING_KINDS)
     noted = run.first("task.end")
     if not named and not _has_worked(ended, noted):
-        return Span(start_s=placed_s, end_s=placed_s)
+        span = Span(start_s=placed_s, end_s=placed_s)
+        return Work(span=span, noted_s=placed_s)
     started = run.first("run.start")
     start_s = started.timestamp if started else placed_s
     if ended:
-        end_s = ended.timestamp
+        end_s = noted_s = ended.timestamp
     else:
-        end_s = _unended_s(named, noted, hosts)
+        end_s, noted_s = _unended_s(named, noted, hosts)
         if following:
             end_s = min(end_s, following.about[0].timestamp)
-    return Span(start_s=start_s, end_s=max(start_s, end_s))
+            noted_s = min(noted_s, following.about[0].timestamp)
+    span = Span(start_s=start_s, end_s=max(start_s, end_s))
+    return Work(span=span, noted_s=noted_s)
 
 
 def _has_worked(ended: Line | None, noted: Line | None) -> bool:
@@ -176,13 +201,15 @@
     )
 
 
-def _unended_s(named: Sequence[Line], noted: Line | None, hosts: HostLines) -> float:
-    """Return until when a run worked that no agent ended."""
+def _unended_s(
+    named: Sequence[Line], noted: Line | None, hosts: HostLines
+) -> tuple[float, float]:
+    """Return until when a run worked that no agent ended, and when that was noted."""
     if noted and not noted.reason.startswith("lost"):
-        return noted.timestamp
+        return noted.timestamp, noted.timestamp
     until_s = noted.timestamp if noted else hosts.log_end_s
     if not named:
-        return until_s
+        return until_s, until_s
     begun = named[0]
     life = _life(named[-1])
     server_ended_s = [
@@ -194,10 +221,13 @@
     ]
     until_s = min((until_s, *server_ended_s))
     last_s = hosts.last_s(life, until_s)
+    replaced_s = hosts.replaced_s(life)
+    if replaced_s is not None:
+        until_s = min(until_s, replaced_s)
     is_silent = hosts.times_s_by_life[life][-1] < hosts.owned_s
-    if last_s is not None and (noted or hosts.is_replaced(life) or is_silent):
-        return last_s
-    return until_s
+    if last_s is not None and (noted or replaced_s is not None or is_silent):
+        return last_s, until_s
+    return until_s, until_s
 
 
 def true_spans(lines: Sequence[Line]) -> list[TrueSpan]:
@@ -209,7 +239,7 @@
         return []
     runs = agent_runs(lines)
     timed = {run.job_id for run in runs if run.task_id.split(".")[1] != "0"}
-    busy_by_job = _busy_by_job(runs, _host_lines(lines))
+    work_by_job = _work_by_job(runs, _host_lines(lines))
     accepted = job_windows(lines, ACCEPTING_KINDS)
     windows = _until_last_end(lines, accepted, runs)
     known_s_by_job = _unseen_ends(lines, windows)
@@ -224,7 +254,9 @@
             continue
         known_s = known_s_by_job.get(job_id, window.end_s)
         known = replace(window, end_s=known_s)
-        span = longest_gap(known, busy_by_job.get(job_id, ()))
+        work = work_by_job.get(job_id, ())
+        span = longest_gap(known, [each.span for each in work])
+        least = longest_gap(known, [each.longest for each in work])
         logged = (line.span for line in idle_by_subject.get(job_id, ()))
         owner_gap = longest_gap(span, owner_busy_by_job.get(job_id, ()))
         owner_s = max(owner_gap.length_s, _longest_part_s(span, logged))
@@ -233,21 +265,22 @@
                 job_id=job_id,
                 span=span,
                 owner_s=owner_s,
+                least_s=least.length_s,
                 may_have_ended=job_id in known_s_by_job,
             )
         )
     return sorted(found, key=lambda each: -each.span.length_s)
 
 
-def _busy_by_job(
+def _work_by_job(
     runs: Sequence[AgentRun], hosts: HostLines
-) -> Mapping[str, Sequence[Span]]:
-    busy_by_job: defaultdict[str, list[Span]] = defaultdict(list)
+) -> Mapping[str, Sequence[Work]]:
+    work_by_job: defaultdict[str, list[Work]] = defaultdict(list)
     for run, following in zip(runs, (*runs[1:], None), strict=False):
         if following and following.task_id != run.task_id:
             following = None
-        busy_by_job[run.job_id].append(_work_span(run, following, hosts))
-    return busy_by_job
+        work_by_job[run.job_id].append(_work(run, following, hosts))
+    return work_by_job
 
 
 def _until_last_end(
@@ -307,7 +340,7 @@
     for each in spans[:worst]:
         span = each.span
         text = (
-            f"true: {each.job_id}: {span.length_s:.2f} s,"
+            f"true: {each.job_id}: {span.length_s:.2f} s{_least(each)},"
             f" from {span.start_s:.3f} s to {span.end_s:.3f} s"
         )
         if each.differs:
@@ -349,19 +382,31 @@
     if not spans:
         return "true: not known, no agent wrote of an end"
     worst = spans[0]
-    first_s, *others_s = COUNTED_SPANS_S
-    counts = f"{_count_over(spans, first_s)} jobs over {first_s:g} s"
-    for least_s in others_s:
-        counts += f", {_count_over(spans, least_s)} over {least_s:g} s"
+    counts = counts_over([each.span.length_s for each in spans], "jobs over")
+    certain = counts_over([each.least_s for each in spans], "over")
     differing = sum(each.differs for each in spans)
     unseen = sum(each.may_have_ended for each in spans)
     text = (
         f"true: worst {worst.span.length_s:.2f} s ({worst.job_id},"
-        f" {worst.span.start_s:.3f} s to {worst.span.end_s:.3f} s); {counts};"
+        f" {worst.span.start_s:.3f} s to {worst.span.end_s:.3f} s{_least(worst)});"
+        f" {counts};"
         f" {differing} differ from the owner's by over {MAX_DIFFERENCE_S:g} s"
     )
+    if any(_least(each) for each in spans):
+        text += f"; for certain {certain}"
     return f"{text}; {unseen} jobs may have ended unseen" if unseen else text
 
 
-def _count_over(spans: Iterable[TrueSpan], least_s: float) -> int:
-    return sum(each.span.length_s > least_s for each in spans)
+def _least(each: TrueSpan) -> str:
+    """Return the least length as text, if it is less than the length."""
+    is_certain = each.span.length_s - each.least_s < LEAST_SHOWN_S
+    return "" if is_certain else f", at least {each.least_s:.2f} s"
+
+
+def counts_over(lengths_s: Sequence[float], first_words: str) -> str:
+    """Return how many lengths exceed each counted one, as text."""
+    first_s, *others_s = COUNTED_SPANS_S
+    text = f"{sum(each > first_s for each in lengths_s)} {first_words} {first_s:g} s"
+    for least_s in others_s:
+        text += f", {sum(each > least_s for each in lengths_s)} over {least_s:g} s"
+    return text
--- a/test/test_plays.py
+++ b/test/test_plays.py
@@ -105,7 +105,8 @@
             [
                 "worst: 5.25 s, three-cuts seed 2",
                 "4 plays, 1 not played; 0 with a broken rule;"
-                " 2 with a span over 2 s, 1 over 3 s",
+                " 2 with a span over 2 s, 1 over 3 s;"
+                " for certain 2 over 2 s, 1 over 3 s",
             ],
             summary_lines(results),
         )
--- a/test/test_true_spans.py
+++ b/test/test_true_spans.py
@@ -9,7 +9,7 @@
 import testtools
 
 from scripts.gaps import report
-from scripts.true_spans import TrueSpan, true_spans, true_summary
+from scripts.true_spans import TrueSpan, true_lines, true_spans, true_summary
 from test.play_log import HOST, JOB, OWNER, Log
 
 OTHER_HOST = "agent-2"
@@ -146,6 +146,27 @@
         self.start_again(8.5)
         self.assertEqual((3.0, 8.5), self.span())
 
+    def test_a_host_may_have_worked_until_its_loss_is_noted(self) -> None:
+        self.log.lose(8.0, "0.0.0#1")
+        self.log.place(8.0, "0.0.0", run=2)
+        self.start_again(8.5)
+        spans = true_spans(self.log.lines)
+        self.assertEqual([0.5], [each.least_s for each in spans])
+        self.assertEqual(
+            f"true: worst 5.50 s ({JOB}, 3.000 s to 8.500 s, at least 0.50 s);"
+            " 1 jobs over 2 s, 1 over 3 s; 0 differ from the owner's by over 1 s;"
+            " for certain 0 over 2 s, 0 over 3 s",
+            true_summary(spans),
+        )
+        [first, *_] = true_lines(self.log.lines, spans, worst=1)
+        self.assertIn("5.50 s, at least 0.50 s, from 3.000 s to 8.500 s", first)
+
+    def test_a_host_may_have_worked_until_its_process_is_replaced(self) -> None:
+        self.log.replace_process(HOST)
+        self.log.add(6.0, HOST, "process", "")
+        self.start_again(8.5)
+        self.assertEqual([2.5], [each.least_s for each in true_spans(self.log.lines)])
+
     def test_a_host_whose_process_was_replaced(self) -> None:
         self.log.replace_process(HOST)
         self.log.add(6.0, HOST, "process", "")
