--- a/test/test_true_spans.py
+++ b/test/test_true_spans.py
@@ -9,7 +9,7 @@
 import testtools
 
 from scripts.gaps import report
-from scripts.true_spans import TrueSpan, true_spans, true_summary
+from scripts.true_spans import TrueSpan, true_lines, true_spans, true_summary
 from test.play_log import HOST, JOB, OWNER, Log
 
 OTHER_HOST = "agent-2"
@@ -75,6 +75,11 @@
         self.log.end_job(9.5)
         self.assertEqual((4.0, 9.0), self.span())
 
+    def test_a_cancelled_job_whose_caller_s_answer_is_missing(self) -> None:
+        self.log.run_end(4.0, "0.0.0")
+        self.log.add(9.0, OWNER, "job.end", JOB, "cancelled", "its caller cancelled it")
+        self.assertEqual((4.0, 9.0), self.span())
+
     def test_an_open_job_stands_still_to_the_end_of_the_log(self) -> None:
         self.log.run_end(4.0, "0.0.0")
         self.log.add(9.0, HOST, "process", "")
@@ -85,6 +90,9 @@
         self.log.skip(OWNER, 2)
         self.log.add(20.0, OWNER, "harm.learn", "1 pairs")
         self.assertEqual((1.0, 1.5), self.span())
+        self.assertTrue(
+            true_summary(self.spans()).endswith("; 1 jobs may have ended unseen")
+        )
 
     def test_a_job_that_is_stored_while_there_is_no_owner_waits_from_then_on(
         self,
@@ -138,6 +146,27 @@
         self.start_again(8.5)
         self.assertEqual((3.0, 8.5), self.span())
 
+    def test_a_host_may_have_worked_until_its_loss_is_noted(self) -> None:
+        self.log.lose(8.0, "0.0.0#1")
+        self.log.place(8.0, "0.0.0", run=2)
+        self.start_again(8.5)
+        spans = true_spans(self.log.lines)
+        self.assertEqual([0.5], [each.least_s for each in spans])
+        self.assertEqual(
+            f"true: worst 5.50 s ({JOB}, 3.000 s to 8.500 s, at least 0.50 s);"
+            " 1 jobs over 2 s, 1 over 3 s; 0 differ from the owner's by over 1 s;"
+            " for certain 0 over 2 s, 0 over 3 s",
+            true_summary(spans),
+        )
+        [first, *_] = true_lines(self.log.lines, spans, worst=1)
+        self.assertIn("5.50 s, at least 0.50 s, from 3.000 s to 8.500 s", first)
+
+    def test_a_host_may_have_worked_until_its_process_is_replaced(self) -> None:
+        self.log.replace_process(HOST)
+        self.log.add(6.0, HOST, "process", "")
+        self.start_again(8.5)
+        self.assertEqual([2.5], [each.least_s for each in true_spans(self.log.lines)])
+
     def test_a_host_whose_process_was_replaced(self) -> None:
         self.log.replace_process(HOST)
         self.log.add(6.0, HOST, "process", "")
