--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -16,6 +16,7 @@
 
 from scripts.message_mutants import MESSAGE_MUTANTS
 from scripts.mutant import SCHEDULING, Mutant, Replacement
+from scripts.takeover_mutants import TAKEOVER_MUTANTS
 
 USAGE = "usage: scripts/mutants list | apply NAME DIR"
 
@@ -239,6 +240,7 @@
         ),
     ),
     *MESSAGE_MUTANTS,
+    *TAKEOVER_MUTANTS,
 )
 MUTANT_BY_NAME = MappingProxyType({mutant.name: mutant for mutant in MUTANTS})
 
