--- a/test/jobs_owner_losses.py
+++ b/test/jobs_owner_losses.py
@@ -194,6 +194,17 @@
         )
 
 
+class Phase(enum.Enum):
+    """What a job that stands still waits for."""
+
+    OWNER = "without an owner"
+    LOADING = "loading"
+    STARTING = "until the start"
+
+
+PHASE_BY_LINE = {"shard.own": Phase.LOADING, "shard.ready": Phase.STARTING}
+
+
 class RunRecord:
     """The starts and ends of runs by the backend servers, and the spans in between."""
 
@@ -202,6 +213,7 @@
         self.spans: list[IdleSpan] = []
         self._open_by_job: dict[str, IdleSpan] = {}
         self.lines: list[tuple[float, str]] = []
+        self.phases: list[tuple[float, Phase]] = []
         self._listener = next(iter(world.executor_by_host.values())).listener
         for executor in world.executor_by_host.values():
             executor.listener = self._handle
@@ -210,6 +222,10 @@
         """Keep a line of the trace."""
         self.lines.append((self._world.now, line))
 
+    def begin_phase(self, phase: Phase) -> None:
+        """Note what jobs that stand still wait for from now on."""
+        self.phases.append((self._world.now, phase))
+
     def _handle(
         self, kind: str, executor: FakeExecutor, run: RunOrder | RunEnd
     ) -> None:
@@ -285,12 +301,24 @@
     losses: int
     problems: tuple[str, ...]
     lines: tuple[tuple[float, str], ...] = field(repr=False)
+    phases: tuple[tuple[float, Phase], ...] = field(repr=False)
 
     @property
     def worst_s(self) -> float:
         """The length of the longest span; 0 without one."""
         return self.worst.length_s if self.worst else 0.0
 
+    def spent_s_by_phase(self) -> dict[Phase, float]:
+        """Return what the time of the longest span was spent on."""
+        spent: dict[Phase, float] = defaultdict(float)
+        if self.worst is None:
+            return spent
+        ends = [at for at, _ in self.phases[1:]] + [self.worst.ended_at]
+        for (at, phase), end in zip(self.phases, ends, strict=True):
+            begins_at = max(at, self.worst.began_at)
+            spent[phase] += max(0.0, min(end, self.worst.ended_at) - begins_at)
+        return spent
+
     def trace(self) -> Iterator[str]:
         """Return the lines around the longest span."""
         if self.worst is None:
@@ -353,6 +381,7 @@
             losses=len(self._lost_at),
             problems=(*self._world.violations, *unfinished),
             lines=tuple(record.lines),
+            phases=tuple(record.phases),
         )
 
     def _submit(self, number: int, planned: JobPlan) -> None:
@@ -389,6 +418,8 @@
         if isinstance(command, Decision) and command.kind.startswith("shard"):
             entry = command.chosen.rpartition("-")[0]
             self._record.note(f"{command.kind} {entry}: {command.reason}")
+            if command.kind in PHASE_BY_LINE and command.epoch > self._last_epoch:
+                self._record.begin_phase(PHASE_BY_LINE[command.kind])
         if isinstance(command, Decision) and command.kind == "task.place":
             self._record.note(f"task.place {_short(command.subject)} {command.chosen}")
 
@@ -434,6 +465,7 @@
         self._last_epoch = max(self._last_epoch, epoch)
         self._lost_at.append(world.now)
         self._record.note(f"LOSS {type(loss).__name__} {owner}, epoch {epoch}")
+        self._record.begin_phase(Phase.OWNER)
         lose(loss, owner, world, self._record)
         self._is_armed = True
         self._look()
@@ -689,6 +721,11 @@
 
 def _describe_result(result: PlayResult) -> str:
     parts = [result.worst.describe() if result.worst else "no idle span"]
+    if result.worst is not None:
+        parts += [
+            f"{spent_s:.2f} s {phase.value}"
+            for phase, spent_s in result.spent_s_by_phase().items()
+        ]
     if result.first_start_s is not None:
         parts.append(f"first start {result.first_start_s:.2f} s after the loss")
     if result.worst_lost is not None:
