Simulated agents keep their links to several entries, as real ones do

An agent of the simulated site had one link: one from another entry ended it. Processes keep one stream for each peer (`wire/links.py`), so the link of a former owner ends none of the next owner's.

The site now holds the open links as pairs of agent and entry; a newer link replaces one of the same pair only.

--- a/test/jobs_trouble_series.py
+++ b/test/jobs_trouble_series.py
@@ -646,7 +646,7 @@
 @begin.register
 def _(trouble: LinkSilent, world: JobsWorld) -> None:
     agent = world.process_by_name[trouble.host].incarnation
-    owner = world.entry_by_linked_agent.get(agent, "").rpartition("-")[0]
+    owner = world.last_linked_entry(agent).rpartition("-")[0]
     if not owner:
         return
     direction = (trouble.host, owner) if trouble.from_agent else (owner, trouble.host)
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -172,7 +172,8 @@
     is set, starts and stops reach the backend server that much later, without an
     answer; `late_calls` draws such calls one by one. While `resets_transactions`, the
     store closes each connection before it applies a transaction. While `late_writes_s`
-    is set, transactions are applied that much later, without an answer. The two
+    is set, transactions are applied that much later, without an answer. An agent may
+    have links to several entries, but one to each: a newer one replaces it. The two
     processes of each of the `cut_pairs` cannot reach each other. What the first process
     of each of the `silent_directions` sends reaches the second only if its link
     outlasts the silence. The backend servers of `unlisted_hosts` answer no poll, those
@@ -192,7 +193,8 @@
         self.store = JobsStore()
         self.process_by_name: dict[str, Process] = {}
         self.executor_by_host: dict[str, FakeExecutor] = {}
-        self.entry_by_linked_agent: dict[str, str] = {}
+        # The open links, the oldest first, by the incarnations of agent and entry.
+        self.links: list[tuple[str, str]] = []
         self.cut_off_processes: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.silent_directions: set[tuple[str, str]] = set()
@@ -338,9 +340,9 @@
         """End a process abruptly; its links end with it."""
         process = self.process_by_name[name]
         process.alive = False
-        for pair in list(self.entry_by_linked_agent.items()):
-            if process.incarnation in pair:
-                self._unlink(pair[0])
+        for link in list(self.links):
+            if process.incarnation in link:
+                self._unlink(link)
 
     def restart(self, name: str) -> None:
         """Kill a process and start it again half a second later."""
@@ -375,10 +377,10 @@
     def cut_pair(self, name: str, other: str) -> None:
         """Cut two processes off from each other until `cut_pairs` is cleared."""
         self.cut_pairs.add(frozenset((name, other)))
-        for agent, owner in list(self.entry_by_linked_agent.items()):
-            ends = {end.rpartition("-")[0] for end in (agent, owner)}
+        for link in list(self.links):
+            ends = {end.rpartition("-")[0] for end in link}
             if ends == {name, other}:
-                self._unlink(agent)
+                self._unlink(link)
 
     def silence(self, sender: str, receiver: str, duration_s: float) -> None:
         """Drop what one process sends to another, in this direction only."""
@@ -389,10 +391,10 @@
 
     def _drop_silent(self, direction: tuple[str, str]) -> None:
         """End the link of two processes once the receiver has heard nothing."""
-        for agent, owner in list(self.entry_by_linked_agent.items()):
-            ends = {end.rpartition("-")[0] for end in (agent, owner)}
+        for link in list(self.links):
+            ends = {end.rpartition("-")[0] for end in link}
             if direction in self.silent_directions and ends == set(direction):
-                self._unlink(agent)
+                self._unlink(link)
 
     def _is_silent_either_way(self, name: str, other: str) -> bool:
         directions = {(name, other), (other, name)}
@@ -406,9 +408,9 @@
 
     def _drop_unreachable(self, name: str) -> None:
         incarnation = self.process_by_name[name].incarnation
-        for pair in list(self.entry_by_linked_agent.items()):
-            if name in self.cut_off_processes and incarnation in pair:
-                self._unlink(pair[0])
+        for link in list(self.links):
+            if name in self.cut_off_processes and incarnation in link:
+                self._unlink(link)
 
     def end_links(
         self, name: str, other: str = "", *, only_if: Callable[[], bool] = lambda: True
@@ -416,10 +418,10 @@
         """End the links of a process, or only those with another one."""
         if not only_if():
             return
-        for agent, owner in list(self.entry_by_linked_agent.items()):
-            ends = {end.rpartition("-")[0] for end in (agent, owner)}
+        for link in list(self.links):
+            ends = {end.rpartition("-")[0] for end in link}
             if name in ends and (not other or other in ends):
-                self._unlink(agent)
+                self._unlink(link)
 
     def end_link_at_one_end(
         self, agent: str, *, at_agent: bool, after_s: float
@@ -429,10 +431,10 @@
         The agent's end lasts no longer than until its next link opens.
         """
         linked = self.process_by_name[agent].incarnation
-        owner = self.entry_by_linked_agent.get(linked)
-        if owner is None:
+        owner = self.last_linked_entry(linked)
+        if not owner:
             return
-        del self.entry_by_linked_agent[linked]
+        self.links.remove((linked, owner))
         self._held_items.pop((linked, owner), None)
         self._held_items.pop((owner, linked), None)
         if at_agent:
@@ -454,8 +456,14 @@
             self._tell_all(process, LinkDown(peer=other))
             self._tell_all(process, DialEnded(address=other.rpartition("-")[0]))
 
-    def _unlink(self, agent: str) -> None:
-        owner = self.entry_by_linked_agent.pop(agent)
+    def last_linked_entry(self, agent: str) -> str:
+        """Return the entry with the newest link to an agent, or '' without one."""
+        entries = [entry for linked, entry in self.links if linked == agent]
+        return entries[-1] if entries else ""
+
+    def _unlink(self, link: tuple[str, str]) -> None:
+        self.links.remove(link)
+        agent, owner = link
         self._held_items.pop((agent, owner), None)
         self._held_items.pop((owner, agent), None)
         for end, other in ((agent, owner), (owner, agent)):
@@ -636,23 +644,18 @@
             ended = DialEnded(address=address)
             self.at(left_s, lambda: self.tell(process, SCHEDULER, ended))
             return
-        if agent.incarnation in self.entry_by_linked_agent:
-            self._unlink(agent.incarnation)
+        link = (agent.incarnation, process.incarnation)
+        if link in self.links:
+            self._unlink(link)
         self._end_half_open(agent.incarnation)
-        self.entry_by_linked_agent[agent.incarnation] = process.incarnation
+        self.links.append(link)
         self._tell_all(process, LinkUp(peer=agent.incarnation, region="ege"))
         self._tell_all(agent, LinkUp(peer=process.incarnation, region="ege"))
 
     @_carry_out.register
     def _(self, command: Send, process: Process) -> None:
-        linked = command.peer in (
-            self.entry_by_linked_agent.get(process.incarnation),
-            *(
-                end
-                for end, owner in self.entry_by_linked_agent.items()
-                if owner == process.incarnation
-            ),
-        )
+        ends = (process.incarnation, command.peer)
+        linked = ends in self.links or ends[::-1] in self.links
         target = self._process(command.peer)
         if not linked or target is None:
             return
@@ -679,8 +682,8 @@
 
     def _deliver_on_link(self, process: Process, target: Process, item: Event) -> None:
         """Deliver an item unless its link has ended, as a stream does."""
-        ends = {process.incarnation, target.incarnation}
-        if any(set(pair) == ends for pair in self.entry_by_linked_agent.items()):
+        ends = (process.incarnation, target.incarnation)
+        if ends in self.links or ends[::-1] in self.links:
             self._tell_all(target, item)
 
     def _is_interrupted(self, sender: str, receiver: str) -> bool:
--- a/test/test_jobs_malformed.py
+++ b/test/test_jobs_malformed.py
@@ -178,8 +178,8 @@
         world.hook = record
         row = HostRow(host="z9-9", address="z0-0", failure_domain="z9", region="r")
         world.store.put(row)
-        links = dict(world.entry_by_linked_agent)
+        links = list(world.links)
         world.run(10.0)
         self.assertEqual([], dialled)
-        self.assertEqual(links, world.entry_by_linked_agent)
+        self.assertEqual(links, world.links)
         self._run_jobs(world, range(1, 4))
