--- a/scripts/message_mutants.py
+++ b/scripts/message_mutants.py
@@ -121,13 +121,17 @@
             ),
             Replacement(
                 old="""\
-        return endings.end_run(tables, task, ending, now, acknowledgement)
+        return endings.end_run(
+            tables, task, ending, now, acknowledgement, ended_at=ended_at
+        )
     job_id = job_id_of(end.task_id)
 """,
                 new="""\
         if zlib.crc32(end.key.encode()) % 60 == 0:
-            return endings.end_run(tables, task, ending, now)
-        return endings.end_run(tables, task, ending, now, acknowledgement)
+            return endings.end_run(tables, task, ending, now, ended_at=ended_at)
+        return endings.end_run(
+            tables, task, ending, now, acknowledgement, ended_at=ended_at
+        )
     if zlib.crc32(end.key.encode()) % 60 == 0:
         return Step(tables=tables)
     job_id = job_id_of(end.task_id)
