--- a/scripts/takeover_mutants.py
+++ b/scripts/takeover_mutants.py
@@ -77,4 +77,17 @@
             ),
         ),
     ),
+    Mutant(
+        name="clock-anew",
+        fault="holds by choice count from the load of a new owner",
+        path=f"{SCHEDULING}/accepting.py",
+        replacements=(
+            Replacement(
+                old="""\
+    is_restored = progress is not None or JOBS not in tables.watch_by_table
+""",
+                new="    is_restored = False\n",
+            ),
+        ),
+    ),
 )
