Keep orders for upkeep of two owners 3 s apart beside fast takeovers

An owner sends orders until 1.2 s after its last renewal, and followers waited for longer than that. They replace it after 0.65 s now, so an owner that stood still for 0.8 s to 1.1 s sent an order 2.8 s to 3.0 s before the first one of the next (virtual time; the rule ONE allows no less than 3 s). The next owner now waits for 1.2 s more, in which the former one may send orders.

The new test fails without the change.

--- a/bulrushpulley/entities/jobs/bounds.py
+++ b/bulrushpulley/entities/jobs/bounds.py
@@ -44,8 +44,8 @@
     8 s.
     `lease_s`: the longest lease that an agent grants.
     `kill_s`: how long a backend server may take to end runs that lost their lease.
-    `turn_s`: how long a new owner waits before it orders upkeep, as an order of the
-    former owner may still be in flight.
+    `turn_s`: how long a new owner waits before it orders upkeep, once the former owner
+    sends no more orders, as one of them may still be in flight.
     """
 
     owner_autonomy_s: float = 6.0
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -165,8 +165,9 @@
     """What the platform's backend servers allow.
 
     No lease is longer than `longest_lease_s`. A run that lost its lease or is stopped
-    ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep. An
-    accepted task whose host is lost must run again within `longest_wait_s`.
+    ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep, once
+    the former owner sends no more orders. An accepted task whose host is lost must run
+    again within `longest_wait_s`.
     """
 
     longest_lease_s: Annotated[float, Range(low=0.5, high=3_600.0)]
--- a/bulrushpulley/systems/scheduling/upkeep.py
+++ b/bulrushpulley/systems/scheduling/upkeep.py
@@ -33,8 +33,9 @@
 )
 
 UPKEEP_ORDER_TIMEOUT_S = 1.0
-# An owner sends orders only if it renewed its row within this time; otherwise it may
-# be replaced before an order arrives. Followers wait longer than this.
+# An owner sends orders only if it renewed its row within this time, and the next one
+# begins to wait for `turn_s` only after this time. So orders of the two are that far
+# apart, however soon after a renewal the shard is taken over.
 MAX_RENEWAL_AGE_S = 1.2
 
 
@@ -175,7 +176,8 @@
         upkeep.machine_id in wave.durable_row.ordered
         and upkeep.machine_id in wave.submitted_row.ordered
     )
-    handover_waited = now - owning.since >= tables.bounds.turn_s
+    turn_begins_at = owning.since + MAX_RENEWAL_AGE_S
+    handover_waited = now - turn_begins_at >= tables.bounds.turn_s
     recently_renewed = now - owning.renewed_at < MAX_RENEWAL_AGE_S
     if not (durable and handover_waited and recently_renewed) or tables.leaving:
         return Step(tables=tables)
--- a/test/test_jobs_upkeep.py
+++ b/test/test_jobs_upkeep.py
@@ -118,6 +118,22 @@
         self.assertTrue(completed)
         self._check(world)
 
+    # Since owners are replaced within a second, one that stands still for that long may
+    # send an order before it hears of its loss. The next one sent its own 2.8 s later.
+    def test_orders_of_an_owner_that_stood_still_are_not_mixed_with_others(
+        self,
+    ) -> None:
+        for phase_s in (0.5, 0.6, 0.7):
+            for stall_s in (0.8, 1.0, 1.1):
+                world = JobsWorld(entries=3)
+                world.lose_upkeep_answers = True
+                world.run(6.0)
+                world.order_wave(4, *MACHINES, at_once=3)
+                world.run(phase_s)
+                world.freeze(world.owner(), stall_s)
+                world.run(8.0)
+                self._check(world)
+
     def test_no_upkeep_is_ordered_before_the_order_is_durable(self) -> None:
         world = JobsWorld()
         world.run(6.0)
