--- a/test/test_jobs_renewals.py
+++ b/test/test_jobs_renewals.py
@@ -148,6 +148,35 @@
     return CallOutcome(carried_out_after_s=(slower_by_s,), answered_after_s=slower_by_s)
 
 
+def latest_owner(world: JobsWorld) -> Process | None:
+    """Return the process of the highest epoch that has read the shard, if any."""
+    owners = {
+        process.instance_by_role[SCHEDULER].tables.epoch: process
+        for process in world.process_by_name.values()
+        if process.alive and SCHEDULER in process.instance_by_role
+    }
+    epoch = max(owners)
+    leadership = owners[epoch].instance_by_role[SCHEDULER].tables.leadership
+    is_loaded = isinstance(leadership, Owning) and not leadership.loading
+    return owners[epoch] if is_loaded else None
+
+
+def freeze_each_owner(world: JobsWorld, *, after_s: float, duration_s: float) -> None:
+    """Freeze each owner once, `after_s` after it has read the shard."""
+    frozen_epochs: set[int] = set()
+
+    def look() -> None:
+        owner = latest_owner(world)
+        if owner is not None and not owner.frozen:
+            epoch = owner.instance_by_role[SCHEDULER].tables.epoch
+            if epoch not in frozen_epochs:
+                frozen_epochs.add(epoch)
+                world.at(after_s, lambda: world.freeze(owner.name, duration_s))
+        world.at(0.01, look)
+
+    look()
+
+
 class TakeoverTimeoutTest(testtools.TestCase):
     # The takeover of any owner took over 2 s, so two in a row left jobs for 5 s.
     def test_an_owner_that_renewed_quickly_is_replaced_soon(self) -> None:
@@ -337,6 +366,19 @@
             world.run(15.0)
             self.assertEqual(before, self.takeovers(world))
 
+    # What one owner has measured of itself is lost with it, so the next one is given as
+    # little time, if all of them are short of processors. No wave gets its turn then.
+    def test_the_shard_settles_while_each_owner_stands_still_once(self) -> None:
+        world = JobsWorld(entries=3, hosts=3)
+        world.run(3.0)
+        world.order_wave(4, "m-z0-0", "m-z1-1", "m-z2-2")
+        freeze_each_owner(world, after_s=0.5, duration_s=1.2)
+        world.run(15.0)
+        before = self.takeovers(world)
+        world.run(15.0)
+        self.assertEqual(before, self.takeovers(world))
+        self.assertNotEqual([], world.machines.taken_down)
+
     def test_the_owner_says_how_slowly_it_renews(self) -> None:
         world = JobsWorld(entries=3, hosts=3)
         world.run(3.0)
