--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -65,6 +65,7 @@
     committing,
     dialling,
     explaining,
+    following,
     loading,
     machine_list,
     ownership,
@@ -182,8 +183,8 @@
     purpose: PollOwner, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     if isinstance(event, RangeRead):
-        return ownership.handle_owner_read(event, tables, now)
-    return ownership.handle_owner_read_failed(tables, now)
+        return following.handle_owner_read(event, tables, now)
+    return following.handle_owner_read_failed(tables, now)
 
 
 @handle_store_event.register
@@ -200,8 +201,8 @@
     purpose: ProbeWrites, event: StoreEvent, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     if isinstance(event, (Transacted, Conflicted)):
-        return ownership.handle_write_probe_answered(purpose, tables, now)
-    return ownership.handle_write_probe_failed(purpose, tables)
+        return following.handle_write_probe_answered(purpose, tables, now)
+    return following.handle_write_probe_failed(purpose, tables)
 
 
 @handle_store_event.register
--- a/scripts/takeover_mutants.py
+++ b/scripts/takeover_mutants.py
@@ -8,7 +8,7 @@
     Mutant(
         name="takeover-slow",
         fault="followers claim only once the owner row is unchanged for 4 s",
-        path=f"{SCHEDULING}/ownership.py",
+        path=f"{SCHEDULING}/following.py",
         replacements=(
             Replacement(
                 old="""\
--- a/test/test_jobs_former_owner.py
+++ b/test/test_jobs_former_owner.py
@@ -23,7 +23,7 @@
 )
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.scheduling import agents, confirming, ownership
+from bulrushpulley.systems.scheduling import agents, confirming, following, ownership
 from test.jobs_store import JobsStore
 from test.jobs_world import JobsWorld, step
 
@@ -227,9 +227,9 @@
         assert isinstance(read, RangeRead)
         epochs = []
         for _ in range(2):
-            following = Following(polled_at=self.world.now, unchanged_since=-60.0)
-            follower = replace(tables, leadership=replace(following, version=0))
-            claiming = ownership.handle_owner_read(read, follower, self.world.now)
+            seen = Following(polled_at=self.world.now, unchanged_since=-60.0)
+            follower = replace(tables, leadership=replace(seen, version=0))
+            claiming = following.handle_owner_read(read, follower, self.world.now)
             sent = ownership.run(claiming.tables, self.world.now)
             (claim,) = sent.commands
             assert isinstance(claim, Transact)
--- a/test/test_jobs_ownership.py
+++ b/test/test_jobs_ownership.py
@@ -15,7 +15,7 @@
 )
 from bulrushpulley.entities.jobs.store import RangeRead, StoredRow
 from bulrushpulley.roles import scheduler
-from bulrushpulley.systems.scheduling import ownership
+from bulrushpulley.systems.scheduling import following
 
 READ_AT = 10.0
 READ_LATENCY_S = 0.01
@@ -33,7 +33,7 @@
     polled = Following(unchanged_since=READ_AT, polled_at=READ_AT - took_s)
     tables = replace(role.tables, leadership=polled)
     event = RangeRead(purpose=PollOwner(), rows=(), version=5)
-    return ownership.handle_owner_read(event, tables, READ_AT).tables
+    return following.handle_owner_read(event, tables, READ_AT).tables
 
 
 class ClaimTest(testtools.TestCase):
@@ -52,9 +52,9 @@
             key=RowKey(table=OWNERS, part=OWNED_PART, key="a"), version=9, row=None
         )
         tables = tables_after_poll(claim_stagger=0.0, took_s=READ_LATENCY_S)
-        following = replace(tables, leadership=Following(polled_at=READ_AT))
+        polled = replace(tables, leadership=Following(polled_at=READ_AT))
         event = RangeRead(purpose=PollOwner(), rows=(odd,), version=9)
-        step = ownership.handle_owner_read(event, following, READ_AT)
+        step = following.handle_owner_read(event, polled, READ_AT)
         claiming = step.tables.leadership
         assert isinstance(claiming, Claiming)
         self.assertEqual(0, claiming.version)
--- a/test/test_jobs_renewals.py
+++ b/test/test_jobs_renewals.py
@@ -35,7 +35,7 @@
 )
 from bulrushpulley.entities.step import Command
 from bulrushpulley.roles import scheduler
-from bulrushpulley.systems.scheduling import ownership, renewals, write_probes
+from bulrushpulley.systems.scheduling import following, renewals, write_probes
 from test.jobs_world import CallOutcome, JobsWorld, Process
 
 LATENCY_S = 0.01
@@ -83,27 +83,26 @@
         self._poll(at - LATENCY_S)
         stored = StoredRow(key=OWNER_KEY, version=version, row=self.row)
         event = RangeRead(purpose=PollOwner(), rows=(stored,), version=version)
-        self._keep(ownership.handle_owner_read(event, self.tables, at))
+        self._keep(following.handle_owner_read(event, self.tables, at))
 
     def fail_read(self, at: float) -> None:
         self._poll(at - LATENCY_S)
-        self._keep(ownership.handle_owner_read_failed(self.tables, at))
+        self._keep(following.handle_owner_read_failed(self.tables, at))
 
     def _poll(self, at: float) -> None:
-        following = self.following
-        polled = replace(following, polled_at=at)
+        polled = replace(self.following, polled_at=at)
         self.tables = replace(self.tables, leadership=polled)
 
     def answer_probe(self, took_s: float) -> None:
         sent_at = self.following.write_probe.sent_at
         probe = ProbeWrites(sent_at=sent_at)
         self._keep(
-            ownership.handle_write_probe_answered(probe, self.tables, sent_at + took_s)
+            following.handle_write_probe_answered(probe, self.tables, sent_at + took_s)
         )
 
     def fail_probe(self) -> None:
         probe = ProbeWrites(sent_at=self.following.write_probe.sent_at)
-        self._keep(ownership.handle_write_probe_failed(probe, self.tables))
+        self._keep(following.handle_write_probe_failed(probe, self.tables))
 
     def _keep(self, step: SchedulerStep) -> None:
         self.tables = step.tables
