--- a/bulrushpulley/systems/scheduling/renewals.py
+++ b/bulrushpulley/systems/scheduling/renewals.py
@@ -16,11 +16,14 @@
 # so less often, as renewals take their turn with all other writes to its part.
 MIN_RENEW_INTERVAL_S = 0.25
 MAX_RENEW_INTERVAL_S = 0.8
+# Renewals keep a slow store busy for half of its time.
 RENEW_LATENCY_FACTOR = 2.0
 # A renewal is due at a tick of the role, and its answer takes some milliseconds.
 MIN_RENEWS_WITHIN_S = 0.3
+# Bounds for how long a shard is without an owner, whatever a row says.
 MAX_RENEWS_WITHIN_S = 2.0
-# While a new owner reads the shard, its processor may be busy for longer.
+# While a new owner reads the shard, its processor may be busy for longer. The time
+# grows with each owner that is replaced before it has renewed its row after that.
 CLAIM_RENEWS_WITHIN_S = 0.45
 CLAIM_GROWTH_FACTOR = 1.5
 # How long a long interval is remembered; its weight falls exponentially.
