--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -49,10 +49,10 @@
     use `TICK_INTERVAL_S`. Roles that only control use `CONTROL_TICK_INTERVAL_S`, as
     their deadlines are in seconds and idle ticks are most of the cost of an idle
     process. The scheduler ticks more often where it has the processor time, as it has
-    to notice soon that the owner is lost. An event for which `can_wait` returns True is queued for the next tick
-    and causes none itself, so that the events of many agents share one tick. Ticks
-    begin at least `min_tick_interval_s` apart, so that the events of that time share
-    one as well. `clock` returns the time that is passed to the ticks.
+    to notice soon that the owner is lost. An event for which `can_wait` returns True is
+    queued for the next tick and causes none itself, so that the events of many agents
+    share one tick. Ticks begin at least `min_tick_interval_s` apart, so that the events
+    of that time share one as well. `clock` returns the time that the ticks are passed.
     """
 
     name: str
