Give a probe more time whose answer an entry handled late

Read while the diff was gone through: an entry that handles each answer later than the timeout of the first probe would have repeated that probe for ever and never claimed the shard. The answer counts as none now, so that the next probe has twice the time. The new test failed before. The follower of the tests is told of an answer only once its time has come.

--- a/bulrushpulley/systems/scheduling/write_probes.py
+++ b/bulrushpulley/systems/scheduling/write_probes.py
@@ -69,11 +69,11 @@
     probe = following.write_probe
     if not probe.in_flight or purpose.sent_at != probe.sent_at:
         return following
-    took_s: float | None = now - purpose.sent_at
-    has_changed = purpose.sent_at < following.unchanged_since
     # An answer that comes after its timeout has waited for this process, not the store.
-    if has_changed or now - purpose.sent_at > _timeout_s(probe.failures):
-        took_s = None
+    if now - purpose.sent_at > _timeout_s(probe.failures):
+        return unanswered(following, purpose)
+    is_current = purpose.sent_at >= following.unchanged_since
+    took_s = now - purpose.sent_at if is_current else None
     probe = replace(probe, in_flight=False, took_s=took_s, failures=0)
     return replace(following, write_probe=probe)
 
--- a/test/test_jobs_renewals.py
+++ b/test/test_jobs_renewals.py
@@ -130,8 +130,11 @@
         while not self.has_claimed and at < CHANGED_AT + 10.0:
             at += 0.05
             self.read(at)
-            if not self.has_claimed and self.following.write_probe.in_flight:
-                self.answer_probe(write_took_s)
+            if self.has_claimed:
+                break
+            probe = self.following.write_probe
+            if probe.in_flight and at >= probe.sent_at + write_took_s:
+                self.answer_probe(at - probe.sent_at)
         return at - CHANGED_AT
 
 
@@ -217,6 +220,10 @@
         follower.read(CHANGED_AT + 1.45, version=VERSION + 1)
         self.assertEqual(2, follower.probes)
 
+    # Answers to an entry that is short of processor time would all come too late.
+    def test_probes_answered_late_are_given_more_time(self) -> None:
+        self.assertLess(Follower(owner_row()).claims_after_s(write_took_s=1.0), 6.0)
+
     # A follower that stood still took the store for slow until the row changed.
     def test_a_probe_answered_after_its_timeout_is_repeated(self) -> None:
         follower = Follower(owner_row())
