--- a/bulrushpulley/systems/scheduling/following.py
+++ b/bulrushpulley/systems/scheduling/following.py
@@ -37,7 +37,7 @@
 LONGEST_OWNER_POLL_INTERVAL_S = 0.4
 # How far apart the first and the last follower attempt a takeover, from an owner that
 # does not renew and if there is no owner. Simultaneous claims only cost a call each.
-MAX_TAKEOVER_STAGGER_S = 0.2
+MAX_TAKEOVER_STAGGER_S = 0.4
 MAX_UNOWNED_STAGGER_S = 0.3
 # After so many failed reads in a row the store is taken for unreachable.
 OUTAGE_READ_FAILURES = 2
