--- a/review/kit2/executors.py
+++ b/review/kit2/executors.py
@@ -21,6 +21,8 @@
 from review.kit2.web import HOST, serve
 
 HEARTBEAT_S = 0.5
+# A process that isn't scheduled for so long was stopped.
+MIN_SUSPENSION_S = 1.0
 MAX_LISTED_ENDS = 500
 
 
@@ -53,7 +55,9 @@
         self.raw, self.bounds = raw, bounds
         self.lock = threading.RLock()
         self.ended = threading.Condition(self.lock)
-        self.began = time.monotonic()
+        self.paused_s = 0.0
+        self.seen_at = time.monotonic()
+        self.began = self.now()
         self.born = int(time.time() * 1_000)
         self.id = f"i-{raw['name']}-{self.born % 100_000:05d}"
         self.runs: dict[str, Run] = {}
@@ -65,9 +69,22 @@
         self.lease_ms = 0.0
         self.work_by_saved: dict[str, float] = {}
 
+    def now(self) -> float:
+        """Return the steady clock, which doesn't count a suspension of the machine.
+
+        It is read at least each 20 ms while the machine runs.
+        """
+        with self.lock:
+            now = time.monotonic()
+            if now - self.seen_at > MIN_SUSPENSION_S:
+                self.paused_s += now - self.seen_at
+                line(what="woke", server=self.raw["name"], after=now - self.seen_at)
+            self.seen_at = now
+            return now - self.paused_s
+
     def clock_ms(self) -> int:
         """Return the executor's clock."""
-        return int((time.monotonic() - self.began) * 1_000)
+        return int((self.now() - self.began) * 1_000)
 
     def _saved(self, run: Run, now: float) -> str:
         step_s = self.bounds["CheckpointS"]
@@ -83,7 +100,7 @@
     def advance(self) -> None:
         """End what is due."""
         with self.lock:
-            now = time.monotonic()
+            now = self.now()
             if self.runs and self.clock_ms() >= self.lease_ms:
                 for run in list(self.runs.values()):
                     self._end(run, "lapsed", now)
@@ -145,13 +162,13 @@
         while self.ends and self.ends[0][0] <= seen:
             _, task, run, how, _ = self.ends.pop(0)
             line(what="noted", server=self.raw["name"], task=task, run=run, how=how)
-        until = time.monotonic() + min(2_000, body.get("WaitMs") or 0) / 1_000
+        until = self.now() + min(2_000, body.get("WaitMs") or 0) / 1_000
         while not self.ends:
-            left = until - time.monotonic()
+            left = until - self.now()
             if left <= 0:
                 break
             self.ended.wait(min(left, 0.05))
-        now = time.monotonic()
+        now = self.now()
         running = [
             [run.task, run.run, self._saved(run, now), run.percent, _measure(run)]
             for run in self.runs.values()
@@ -178,7 +195,7 @@
             run=number,
             work_s=float(spec.get("s", 1.0)),
             done_s=WORK_BY_SAVED.get(saved, 0.0),
-            at=time.monotonic(),
+            at=self.now(),
             saved=saved,
             lasts=bool(spec.get("lasts")),
             measure=int(spec.get("measure", 0)),
@@ -191,7 +208,7 @@
         self.barred[task] = max(number, self.barred.get(task, 0))
         run = self.runs.get(task)
         if run is not None and run.run <= number and run.stop_at is None:
-            run.stop_at = time.monotonic() + self.bounds["KillTimeoutMs"] / 2_000
+            run.stop_at = self.now() + self.bounds["KillTimeoutMs"] / 2_000
         return 200, self._head()
 
     def _pace(self, body: dict[str, Any]) -> tuple[int, Any]:
--- a/review/kit2/site.py
+++ b/review/kit2/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import http.client
 import json
 import os
@@ -51,12 +52,66 @@
     return ports
 
 
+class Proxy:
+    """Passes connections on; while it is cut, all bytes and connections wait."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self._open = threading.Event()
+        self._open.set()
+        self._server = socket.create_server((HOST, 0))
+        self.port = int(self._server.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self, off: bool) -> None:
+        """Hold everything back, or let it go on."""
+        if off:
+            self._open.clear()
+        else:
+            self._open.set()
+
+    def _accept(self) -> None:
+        while True:
+            client, _ = self._server.accept()
+            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+
+    def _serve(self, client: socket.socket) -> None:
+        self._open.wait()
+        try:
+            server = socket.create_connection((HOST, self.target))
+        except OSError:
+            client.close()
+            return
+        for each in (client, server):
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self._pass, args=(client, server), daemon=True).start()
+        self._pass(server, client)
+
+    def _pass(self, source: socket.socket, target: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                self._open.wait()
+                target.sendall(data)
+        self._open.wait()
+        for each in (source, target):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+
+
 class Site:
     """The processes of a run, which are all ended by `close`."""
 
     def __init__(
-        self, *, folder: pathlib.Path, entries: int, hosts: int, cpu: int, mem: int
+        self,
+        *,
+        folder: pathlib.Path,
+        entries: int,
+        hosts: int,
+        cpu: int,
+        mem: int,
+        apart: bool = False,
     ) -> None:
+        """Choose ports; with `apart` each executor has a process of its own."""
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.record_path = folder / "record.txt"
         self._record = self.record_path.open("w")
@@ -66,7 +121,8 @@
         self.entries = [f"edge-{number}" for number in range(entries)]
         self.hosts = [f"side-{number}" for number in range(hosts)]
         self.zones = [f"zone-{number}" for number in range(3)]
-        self.cpu, self.mem = cpu, mem
+        self.cpu, self.mem, self.apart = cpu, mem, apart
+        self.cut_by_host: dict[str, tuple[Proxy, Proxy]] = {}
         ports = iter(free_ports(1 + 2 * entries + 3 * hosts))
         self.store_port = next(ports)
         self.port_by_kind: dict[str, int] = {}
@@ -125,7 +181,12 @@
             lines.append(f'service = "{SERVICE}"')
             lines.append(f'links = "{HOST}:{port[f"links {name}"]}"')
             lines.append(f'announcements = "{HOST}:{port[f"announcements {name}"]}"')
-        lines += ["[store]", f'url = "http://{HOST}:{self.store_port}"', "[limits]"]
+        store_port = self.store_port
+        if name in self.cut_by_host:
+            links, store = self.cut_by_host[name]
+            lines.append(f'reached_at = "{HOST}:{links.port}"')
+            store_port = store.port
+        lines += ["[store]", f'url = "http://{HOST}:{store_port}"', "[limits]"]
         lines.append(f"longest_lease_s = {BOUNDS['MaxHoldMs']}e-3")
         lines.append(f"kill_s = {BOUNDS['KillTimeoutMs']}e-3")
         lines.append(f"longest_wait_s = {BOUNDS['finish_s']}e0")
@@ -155,9 +216,11 @@
             }
             for number, name in enumerate(self.hosts)
         ]
-        plan = json.dumps({"executors": executors, "bounds": BOUNDS})
-        command = [sys.executable, "-m", "review.kit2.executors", plan]
-        self._start("executors", command)
+        groups = [[each] for each in executors] if self.apart else [executors]
+        for group in groups:
+            plan = json.dumps({"executors": group, "bounds": BOUNDS})
+            name = f"executors-{group[0]['name']}"
+            self._start(name, [sys.executable, "-m", "review.kit2.executors", plan])
         for name in self.entries:
             self._wait_port(self.port_by_kind[f"callers {name}"])
         threading.Thread(target=self._keep_up, daemon=True).start()
@@ -182,6 +245,17 @@
                 time.sleep(0.1)
         raise RuntimeError(f"nothing listens at port {port}")
 
+    def let_cut(self, host: str) -> None:
+        """Put proxies between the agent of a host and the entries and the store."""
+        links = Proxy(self.port_by_kind[f"links {host}"])
+        self.cut_by_host[host] = (links, Proxy(self.store_port))
+
+    def cut(self, host: str, *, off: bool) -> None:
+        """Cut a host off from the entries and the store, or end the cut."""
+        self.note(what="cut" if off else "cut ends", host=host)
+        for proxy in self.cut_by_host[host]:
+            proxy.cut(off)
+
     def configure(self) -> None:
         """Write the configuration."""
         route = {
@@ -261,13 +335,12 @@
     def lines(self) -> list[dict[str, Any]]:
         """Return what the executors have written."""
         found = []
-        for text in (self.folder / "executors.log").read_text().splitlines():
-            if text.startswith("{"):
-                try:
-                    found.append(json.loads(text))
-                except ValueError:
-                    continue
-        return found
+        for path in self.folder.glob("executors-*.log"):
+            for text in path.read_text().splitlines():
+                if text.startswith("{"):
+                    with contextlib.suppress(ValueError):
+                        found.append(json.loads(text))
+        return sorted(found, key=lambda each: float(each["at"]))
 
     def idle_jobs(
         self, accepted: dict[str, float], tasks: int, since: float, idle_s: float
@@ -308,9 +381,8 @@
                 process.kill()
         for process in self.process_by_name.values():
             process.wait(10.0)
-        if (self.folder / "executors.log").exists():
-            for each in self.lines():
-                self._record.write(json.dumps(each) + "\n")
+        for each in self.lines():
+            self._record.write(json.dumps(each) + "\n")
         store_log = self.folder / "store.log"
         if store_log.exists():
             for text in store_log.read_text().splitlines()[:200]:
