--- a/review/kit2/site.py
+++ b/review/kit2/site.py
@@ -332,6 +332,16 @@
         self.note(what="signal", program=name, signal=number.name)
         self.process_by_name[name].send_signal(number)
 
+    def memory_mb(self) -> dict[str, int]:
+        """Return the resident memory of the entries."""
+        found = {}
+        for name in self.entries:
+            pid = self.process_by_name[name].pid
+            for text in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+                if text.startswith("VmRSS:"):
+                    found[name] = int(text.split()[1]) // 1_024
+        return found
+
     def lines(self) -> list[dict[str, Any]]:
         """Return what the executors have written."""
         found = []
