--- a/review/kit2/executors.py
+++ b/review/kit2/executors.py
@@ -46,6 +46,9 @@
     lasts: bool = False
     measure: int = 0
     percent: int = 100
+    # Of a gang: its size, and since when all its tasks are present.
+    gang: int = 0
+    together_at: float | None = None
 
 
 class Executor:
@@ -107,7 +110,12 @@
             for run in list(self.runs.values()):
                 if run.stop_at is not None and now >= run.stop_at:
                     self._end(run, "stopped", now)
-                worked_s = run.done_s + now - run.at
+                if run.gang and run.stop_at is None and run.together_at is None:
+                    if now - run.at >= self.bounds["GangTimeoutMs"] / 1_000:
+                        self._end(run, "alone", now)
+                    continue
+                began_at = run.at if run.together_at is None else run.together_at
+                worked_s = run.done_s + now - began_at
                 if run.stop_at is None and not run.lasts and worked_s >= run.work_s:
                     self._end(run, "done", now)
 
@@ -129,6 +137,8 @@
         headers: dict[str, str],
     ) -> tuple[int, Any] | None:
         """Answer one call of the agent."""
+        if path == "/gang":
+            return self._gang(body)
         if headers.get("expected-instance", self.id) != self.id:
             return 421, {}
         with self.lock:
@@ -198,6 +208,7 @@
             at=self.now(),
             saved=saved,
             lasts=bool(spec.get("lasts")),
+            gang=int(spec.get("gang", 0)),
             measure=int(spec.get("measure", 0)),
         )
         line(what="start", server=self.raw["name"], task=task, run=number)
@@ -211,6 +222,20 @@
             run.stop_at = self.now() + self.bounds["KillTimeoutMs"] / 2_000
         return 200, self._head()
 
+    def _gang(self, body: dict[str, Any]) -> tuple[int, Any]:
+        """Let the members of a gang work, or end as broken; the test bed says so."""
+        with self.lock:
+            now = self.now()
+            for run in list(self.runs.values()):
+                step = run.task.rpartition(".")[0]
+                if (step, run.run) != (body["step"], body["run"]) or not run.gang:
+                    continue
+                if body["broken"]:
+                    self._end(run, "broken", now)
+                elif run.together_at is None:
+                    run.together_at = now
+        return 200, {}
+
     def _pace(self, body: dict[str, Any]) -> tuple[int, Any]:
         run = self.runs.get(body["Task"])
         if run is not None and run.run == body["RunId"]:
--- a/review/kit2/site.py
+++ b/review/kit2/site.py
@@ -332,6 +332,41 @@
         self.note(what="signal", program=name, signal=number.name)
         self.process_by_name[name].send_signal(number)
 
+    def keep_gangs(self, size: int) -> None:
+        """Tell the executors when all tasks of a run of a gang are present.
+
+        Once a task of a gang that works has ended otherwise than `done`, the others
+        end as broken.
+        """
+        threading.Thread(target=self._keep_gangs, args=(size,), daemon=True).start()
+
+    def _keep_gangs(self, size: int) -> None:
+        present: dict[tuple[str, int], set[str]] = {}
+        together: set[tuple[str, int]] = set()
+        files = [path.open() for path in self.folder.glob("executors-*.log")]
+        while self.wanted:
+            for text in (text for each in files for text in each):
+                with contextlib.suppress(ValueError):
+                    each = json.loads(text)
+                    key = (each.get("task", "").rpartition(".")[0], each.get("run", 0))
+                    if each["what"] == "start":
+                        present.setdefault(key, set()).add(each["task"])
+                    elif each["what"] == "end":
+                        present.get(key, set()).discard(each["task"])
+                        if key in together and each["how"] not in ("done", "broken"):
+                            self._tell_gang(key, broken=True)
+            for key, tasks in present.items():
+                if len(tasks) == size and key not in together:
+                    together.add(key)
+                    self.note(what="gang together", step=key[0], run=key[1])
+                    self._tell_gang(key, broken=False)
+            time.sleep(0.02)
+
+    def _tell_gang(self, key: tuple[str, int], *, broken: bool) -> None:
+        body = {"step": key[0], "run": key[1], "broken": broken}
+        for host in self.hosts:
+            self.ask(self.port_by_kind[f"server {host}"], "POST", "/gang", body)
+
     def memory_mb(self) -> dict[str, int]:
         """Return the resident memory of the entries."""
         found = {}
