--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -200,9 +200,10 @@
 class JobAgentTables:
     """The complete state of the role.
 
-    `epoch` is that of the newest owner that adopted this agent, and `owner` its peer
-    name while linked. Contacts that the owner answered permit full leases and starts
-    until `renewals_end_at`, and no lease that ends after a full one requested then.
+    `began_at` is the time of this process's first tick. `epoch` is that of the newest
+    owner that adopted this agent, and `owner` its peer name while linked. Contacts that
+    the owner answered permit full leases and starts until `renewals_end_at`, and no
+    lease that ends after a full one requested then.
     `orders_complete` means that the owner's complete list of runs for the current
     incarnation has arrived. `stalled_since` is since when all serving runs have been
     stalled, `search_started_at` when this process began to wait for an announcement.
@@ -228,6 +229,7 @@
     address: str
     bounds: Bounds
     service: str = ""
+    began_at: float | None = None
     owner: str = ""
     epoch: int = 0
     renewals_end_at: float = -60.0
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -48,14 +48,19 @@
     return now < tables.renewals_end_at
 
 
+def leases_end_at(tables: JobAgentTables) -> float:
+    """Return when the last lease that may be requested ends, by the agent's clock."""
+    return tables.renewals_end_at + tables.bounds.longest_lease_s
+
+
 def lease_until_ms(tables: JobAgentTables, server: Server) -> int:
     """Return the end of a lease requested now, on the server's clock.
 
     No lease ends after one that was requested at `renewals_end_at`.
     """
-    leases_end_at = tables.renewals_end_at + tables.bounds.longest_lease_s
+    left_s = leases_end_at(tables) - server.clock_read_at
     # The server's clock may be slow, so it has to show less when the time has come.
-    left_s = (leases_end_at - server.clock_read_at) * (1.0 - MAX_CLOCK_DRIFT_FRACTION)
+    left_s *= 1.0 - MAX_CLOCK_DRIFT_FRACTION
     return server.clock_ms + int(min(tables.bounds.lease_s, left_s) * 1_000)
 
 
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -87,6 +87,7 @@
         self.clock_rate = 1.0
         self.lease_until = 0.0
         self.up = True
+        self.suspended_at: float | None = None
         self.draining = False
         self.hangs = False
         self.requires_ticket = False
@@ -154,8 +155,29 @@
         self.lease_until, self.noted, self.last_expired_end = 0.0, 0, 0
         self.ends, self.run_by_key, self.barred_run_by_task = [], {}, {}
 
+    def suspend(self, now: float) -> None:
+        """Suspend the host: neither the clock of this server nor its runs go on."""
+        self.suspended_at = now
+
+    def resume(self, now: float) -> None:
+        """Go on as if the suspension had taken no time."""
+        if self.suspended_at is None:
+            return
+        took_s = now - self.suspended_at
+        self.suspended_at = None
+        self.incarnation_started_at += took_s
+        self.lease_until += took_s
+        self.run_by_key = {
+            key: replace(
+                run, started_at=run.started_at + took_s, ends_at=run.ends_at + took_s
+            )
+            for key, run in self.run_by_key.items()
+        }
+
     def advance(self, now: float) -> None:
         """End the runs whose lease has expired or that are due to end by `now`."""
+        if self.suspended_at is not None:
+            return
         for key, run in sorted(self.run_by_key.items()):
             if self.lease_until <= now and run.started_at < self.lease_until:
                 self._end(key, "lapsed")
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -356,6 +356,13 @@
         process.frozen = True
         self.at(duration_s, lambda: self._thaw(process))
 
+    def suspend(self, host: str, duration_s: float) -> None:
+        """Suspend a host; the clock of its backend server stands still."""
+        executor = self.executor_by_host[host]
+        executor.suspend(self.now)
+        self.at(duration_s, lambda: executor.resume(self.now))
+        self.freeze(host, duration_s)
+
     def _thaw(self, process: Process) -> None:
         process.frozen = False
         for role in process.instance_by_role:
@@ -908,7 +915,9 @@
         process: Process,
         until: float,
     ) -> None:
-        if executor.up and not executor.ends and self.now < until:
+        is_waiting = not executor.ends and self.now < until
+        is_suspended = executor.suspended_at is not None
+        if executor.up and (is_suspended or is_waiting):
             self.at(
                 0.02, lambda: self._call_executor(executor, command, process, until)
             )
