Write the progress of a large job as several rows

Cause: the progress of a job was one row. The store accepts rows of 65,536 bytes and refuses the whole transaction otherwise, with the rows of all other jobs and the renewal of the owner row in it. So leases lapsed, and the next owner met the same.

Change: progress is split into rows of a bounded size, written in one transaction; the first says how many count.

The store of the virtual site has the platform's limits now, with which test_jobs_large failed before: Items in expected but not in actual: [<JobState.COMPLETED: 'completed'>] Items in actual but not in expected: [None]

--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -151,10 +151,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProgressRow(Row):
-    """The state of a job and of its tasks.
+    """The state of a job and of its tasks, or of some of them.
 
     `started` is set once one of the tasks has run. If the job has ended, `tasks` holds
-    only those that may still be running.
+    only those that may still be running. The tasks of a large job are distributed over
+    rows with the numbers `page` from 0 to `pages`, excluded; the row with the number 0
+    says how many there are, and counts for all that concerns the job as a whole.
     """
 
     job_id: str
@@ -162,6 +164,8 @@
     tasks: tuple[TaskProgress, ...] = ()
     ended_at_s: float = 0.0
     started: bool = False
+    page: int = 0
+    pages: int = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -258,7 +262,7 @@
 
 @key_of.register
 def _(row: ProgressRow) -> RowKey:
-    return progress_key(row.job_id)
+    return progress_key(row.job_id, row.page)
 
 
 @key_of.register
@@ -311,6 +315,7 @@
     return RowKey(table=JOBS, part=INTAKE_PART, key=f"{job_id}.cancel")
 
 
-def progress_key(job_id: str) -> RowKey:
-    """Return the key of a job's progress."""
-    return RowKey(table=PROGRESS, part=OWNED_PART, key=job_id)
+def progress_key(job_id: str, page: int = 0) -> RowKey:
+    """Return the key of a row with a job's progress."""
+    key = f"{job_id}.{page}" if page else job_id
+    return RowKey(table=PROGRESS, part=OWNED_PART, key=key)
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -162,6 +162,8 @@
       deferred until then; `turn_by_job` numbers them in the order in which they are to
       be written, and `turns` is the last number.
     - `progress_by_job` holds the progress that was read, until the jobs are read.
+    - `stored_pages_by_job` is how many rows the store may have of a job's progress,
+      for jobs with more than one.
     - `read_retry_by_table` says when a read that failed during loading is retried.
     - `candidate_by_host` holds all hosts as of the last placement pass; a candidate
       is valid as long as its host is the one in `hosts`.
@@ -223,6 +225,7 @@
     turn_by_job: Map[str, int] = field(default_factory=Map)
     turns: int = 0
     progress_by_job: Map[str, ProgressRow] = field(default_factory=Map)
+    stored_pages_by_job: Map[str, int] = field(default_factory=Map)
     read_retry_by_table: Map[str, ReadRetry] = field(default_factory=Map)
     unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -101,7 +101,10 @@
         for put in commit.transact.puts
         if not isinstance(put, (OwnerRow, ProgressRow))
     )
-    written = (progress.row_of(tables, job_id) for job_id in sorted(job_ids))
+    written = [
+        page for job_id in sorted(job_ids) for page in progress.rows_of(tables, job_id)
+    ]
+    tables = progress.with_stored_pages(tables, written)
     transact = replace(commit.transact, puts=(row, *others, *written))
     extended = replace(
         commit, transact=transact, batches=(*commit.batches, batch), job_ids=job_ids
@@ -151,7 +154,9 @@
     puts: list[Row] = [row]
     if not owning.loading and tables.backlog != tables.backlog_written:
         puts.append(tables.backlog)
-    puts.extend(progress.row_of(tables, job_id) for job_id in due)
+    written = [page for job_id in due for page in progress.rows_of(tables, job_id)]
+    tables = progress.with_stored_pages(tables, written)
+    puts.extend(written)
     harms = None if owning.loading else interference.row_to_save(tables, now)
     if harms is not None:
         puts.append(harms)
--- a/bulrushpulley/systems/scheduling/purging.py
+++ b/bulrushpulley/systems/scheduling/purging.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.rows import cancel_key, job_key, progress_key
+from bulrushpulley.entities.jobs.rows import cancel_key, job_key
 from bulrushpulley.entities.jobs.scheduler_tables import (
     SCHEDULER,
     DropJobRows,
@@ -13,13 +13,15 @@
 )
 from bulrushpulley.entities.jobs.store import Transact
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, progress
 
 # Callers may ask for the state of a job for 120 s after its end; clocks may be off.
 JOB_RETENTION_S = 300.0
 PURGE_INTERVAL_S = 5.0
-# Two rows of a job are in one part, and the store accepts 100 rows in a transaction.
-MAX_JOBS_PER_PURGE = 45
+# The store accepts 100 rows in a transaction.
+MAX_ROWS_PER_PURGE = 90
+# Two rows of a job are in the part of submissions.
+MAX_JOBS_PER_PURGE = MAX_ROWS_PER_PURGE // 2
 PURGE_TIMEOUT_S = 3.0
 
 
@@ -60,16 +62,27 @@
     purpose: DropJobRows, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
     """Forget the jobs whose rows have been removed, and remove their progress."""
-    jobs = tables.jobs
+    jobs, pages_by_job = tables.jobs, tables.stored_pages_by_job
+    keys = [
+        key
+        for job_id in purpose.job_ids
+        for key in progress.stored_keys(tables, job_id)
+    ]
     for job_id in purpose.job_ids:
         job = jobs.get(job_id)
         if job is not None and edits.is_settled(tables, job):
             jobs = jobs.drop(job_id)
-    write = Transact(
-        role=SCHEDULER,
-        purpose=DropProgressRows(),
-        timeout_s=PURGE_TIMEOUT_S,
-        conditions=(),
-        deletes=tuple(progress_key(job_id) for job_id in purpose.job_ids),
+            if job_id in pages_by_job:
+                pages_by_job = pages_by_job.delete(job_id)
+    writes = tuple(
+        Transact(
+            role=SCHEDULER,
+            purpose=DropProgressRows(),
+            timeout_s=PURGE_TIMEOUT_S,
+            conditions=(),
+            deletes=tuple(keys[first : first + MAX_ROWS_PER_PURGE]),
+        )
+        for first in range(0, len(keys), MAX_ROWS_PER_PURGE)
     )
-    return Step(tables=replace(tables, jobs=jobs), commands=(write,))
+    tables = replace(tables, jobs=jobs, stored_pages_by_job=pages_by_job)
+    return Step(tables=tables, commands=writes)
--- a/bulrushpulley/systems/scheduling/restoring.py
+++ b/bulrushpulley/systems/scheduling/restoring.py
@@ -13,7 +13,7 @@
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, progress
 
 MAX_STEPS_PER_LINE = 8
 # Bounds the time before a new owner places anything, and what it logs at once.
@@ -24,8 +24,8 @@
     tables: SchedulerTables, rows: tuple[ProgressRow, ...]
 ) -> SchedulerTables:
     """Keep the progress of jobs until the jobs themselves are read."""
-    progress = Map({row.job_id: row for row in rows})
-    return replace(tables, progress_by_job=progress)
+    tables = progress.with_stored_pages(tables, rows)
+    return replace(tables, progress_by_job=progress.merged(rows))
 
 
 def drop_progress(tables: SchedulerTables) -> SchedulerTables:
@@ -33,33 +33,33 @@
     return replace(tables, progress_by_job=Map())
 
 
-def restored_job(job: Job, progress: ProgressRow) -> Job:
+def restored_job(job: Job, stored: ProgressRow) -> Job:
     """Return a job in its durable state."""
     return replace(
         job,
-        state=progress.state,
-        started=progress.started,
-        ended_at_s=progress.ended_at_s,
+        state=stored.state,
+        started=stored.started,
+        ended_at_s=stored.ended_at_s,
     )
 
 
-def restored_task(task: Task, progress: TaskProgress) -> Task:
+def restored_task(task: Task, stored: TaskProgress) -> Task:
     """Return a task in its durable state; one with a host may be running there."""
     return replace(
         task,
-        state=_restored_state(progress, task.state),
-        run=progress.run,
-        failures=progress.failures,
-        host=progress.host,
-        life=progress.life,
-        checkpoint=progress.checkpoint,
+        state=_restored_state(stored, task.state),
+        run=stored.run,
+        failures=stored.failures,
+        host=stored.host,
+        life=stored.life,
+        checkpoint=stored.checkpoint,
     )
 
 
-def _restored_state(progress: TaskProgress, initial_state: TaskState) -> TaskState:
-    if progress.done:
+def _restored_state(stored: TaskProgress, initial_state: TaskState) -> TaskState:
+    if stored.done:
         return TaskState.DONE
-    return TaskState.HELD if progress.host else initial_state
+    return TaskState.HELD if stored.host else initial_state
 
 
 def restored_lines(tables: SchedulerTables) -> Iterable[Command]:
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
@@ -92,6 +93,8 @@
         self.hangs = False
         self.requires_ticket = False
         self.checkpoints = checkpoints
+        # How many random digits a checkpoint has beside the time that was worked.
+        self.checkpoint_digits = 0
         self.fails_all = False
         self.noted = 0
         self.last_expired_end = 0
@@ -268,7 +271,12 @@
         worked_s = (
             int(float(run.order.payload) - remaining_s) if _succeeds(run.order) else 0
         )
-        return str(worked_s) if worked_s > 0 else run.order.checkpoint
+        if worked_s <= 0:
+            return run.order.checkpoint
+        if not self.checkpoint_digits:
+            return str(worked_s)
+        digits = random.Random(run.order.key).randrange(10**self.checkpoint_digits)
+        return f"{worked_s}.{digits:0{self.checkpoint_digits}}"
 
     def _note_expiry(self, now: float) -> None:
         """Remember which ends were listed while the lease expired."""
--- a/test/jobs_store.py
+++ b/test/jobs_store.py
@@ -16,12 +16,18 @@
     StoreEvent,
     Transact,
     Transacted,
+    TransactRefused,
     Watch,
 )
 from bulrushpulley.errors import Problem
+from bulrushpulley.platform.status_rows import encode_stored_row
 from bulrushpulley.platform.stored_rows import StoredRowDecoder
 from bulrushpulley.wire.job_rows import encode_row
 
+MAX_ENTRIES = 100
+MAX_ROW_BYTES = 65_536
+MAX_TRANSACTION_BYTES = 1_000_000
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobsStore:
@@ -31,6 +37,7 @@
     history: list[StoredRow] = field(default_factory=list)
     compacted_versions: list[int] = field(default_factory=list)
     problems: list[Problem] = field(default_factory=list)
+    refusals: list[str] = field(default_factory=list)
 
     @property
     def version(self) -> int:
@@ -84,7 +91,14 @@
         self.compacted_versions.append(self.version)
 
     def transact(self, call: Transact) -> StoreEvent:
-        """Apply a transaction, or return the rows of its conditions on a conflict."""
+        """Apply a transaction, or return the rows of its conditions on a conflict.
+
+        One that exceeds a limit of the store is refused.
+        """
+        excess = _excess(call)
+        if excess:
+            self.refusals.append(excess)
+            return TransactRefused(purpose=call.purpose, reason=f"status 400: {excess}")
         if self.has_conflict(call):
             rows = tuple(self._row(condition.key) for condition in call.conditions)
             return Conflicted(purpose=call.purpose, rows=rows)
@@ -129,3 +143,17 @@
             if stored.version > call.after and stored.key.table == call.table
         )
         return RowsChanged(purpose=call.purpose, rows=rows, version=self.version)
+
+
+def _excess(call: Transact) -> str:
+    """Describe which limit of the store a transaction exceeds; empty if none."""
+    entries = len(call.conditions) + len(call.puts) + len(call.deletes)
+    if entries > MAX_ENTRIES:
+        return f"{entries} entries"
+    total_bytes = 0
+    for row in call.puts:
+        value = encode_stored_row(row)
+        if len(value) > MAX_ROW_BYTES:
+            return f"{key_of(row).key} has {len(value)} bytes"
+        total_bytes += len(base64.b64encode(value))
+    return f"{total_bytes} bytes" if total_bytes > MAX_TRANSACTION_BYTES else ""
