Bound the row of estimates of interference

Cause: the row held an estimate for each pair of images, without a bound, so it outgrew a row of the store; the refused transaction holds the renewal of the owner row too.

Change: the row holds the latest and most certain estimates that fit, by their size before compression. A new owner learns the others again. The selection is shared with the row of a host.

--- a/bulrushpulley/systems/job_agent/registering.py
+++ b/bulrushpulley/systems/job_agent/registering.py
@@ -26,6 +26,7 @@
 from bulrushpulley.entities.jobs.runs import RunEnd, RunRef
 from bulrushpulley.entities.jobs.store import Purpose, Transact, Transacted
 from bulrushpulley.entities.step import Command, Step
+from bulrushpulley.systems.fitting import fitting
 from bulrushpulley.systems.job_agent import edits, polling
 
 REGISTER_TIMEOUT_S = 1.5
@@ -129,15 +130,12 @@
 
 def fitting_ends(ends: Iterable[RunEnd]) -> tuple[RunEnd, ...]:
     """Return the first ends that fit into the row, without those too large for it."""
-    fitting: list[RunEnd] = []
-    left_bytes = MAX_STORED_ENDS_BYTES
-    for end in ends:
-        text = f"{end.task_id}{end.how}{end.checkpoint}"
-        size_bytes = len(text.encode()) + END_OVERHEAD_BYTES
-        if size_bytes <= left_bytes:
-            fitting.append(end)
-            left_bytes -= size_bytes
-    return tuple(fitting)
+    return fitting(ends, _end_bytes, MAX_STORED_ENDS_BYTES)
+
+
+def _end_bytes(end: RunEnd) -> int:
+    text = f"{end.task_id}{end.how}{end.checkpoint}"
+    return len(text.encode()) + END_OVERHEAD_BYTES
 
 
 def handle_registration_answer(
--- a/bulrushpulley/systems/scheduling/interference.py
+++ b/bulrushpulley/systems/scheduling/interference.py
@@ -18,6 +18,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems import interference_step
+from bulrushpulley.systems.fitting import fitting
 from bulrushpulley.systems.scheduling import edits, ordering
 
 # Stands for no image: the estimate is the latency of a serving task without neighbours.
@@ -41,6 +42,12 @@
 HARM_RETENTION_S = 60.0
 # Variance added to a restored estimate, as the load may have changed meanwhile.
 RESTORED_VARIANCE = 0.05
+# The store accepts rows of 65,536 bytes. The sizes are those before compression.
+MAX_ESTIMATES_BYTES = 48_000
+MAX_TARGETS_BYTES = 12_000
+# The names and numbers of an estimate or a target, and the framing of its texts.
+ESTIMATE_OVERHEAD_BYTES = 70
+TARGET_OVERHEAD_BYTES = 20
 
 ImagePair = tuple[str, str]
 
@@ -93,9 +100,14 @@
 
 
 def row_to_save(tables: SchedulerTables, now: float) -> HarmsRow | None:
-    """Return the row of estimates if it is due to be written, else None."""
+    """Return the row of estimates if it is due to be written, else None.
+
+    If not all estimates fit, the latest and most certain ones are written.
+    """
     if now - tables.harms_saved_at < HARMS_SAVE_INTERVAL_S or not len(tables.harms):
         return None
+    harms = [harm for harm in tables.harms.rows() if now - harm.at < HARM_RETENTION_S]
+    harms.sort(key=lambda harm: (-harm.at, harm.variance))
     estimates = tuple(
         HarmEstimate(
             serving=harm.service,
@@ -103,11 +115,22 @@
             estimate_ms=round(harm.estimate_ms, 2),
             variance=round(harm.variance, 4),
         )
-        for harm in tables.harms.rows()
-        if now - harm.at < HARM_RETENTION_S
+        for harm in fitting(harms, _estimate_bytes, MAX_ESTIMATES_BYTES)
     )
-    targets = tuple(sorted(tables.target_by_image.items()))
-    return HarmsRow(estimates=estimates, target_by_image=targets)
+    targets = sorted(tables.target_by_image.items())
+    return HarmsRow(
+        estimates=estimates,
+        target_by_image=fitting(targets, _target_bytes, MAX_TARGETS_BYTES),
+    )
+
+
+def _estimate_bytes(harm: Harm) -> int:
+    return ESTIMATE_OVERHEAD_BYTES + len(f"{harm.service}{harm.job}".encode())
+
+
+def _target_bytes(target: tuple[str, float]) -> int:
+    image, _ = target
+    return TARGET_OVERHEAD_BYTES + len(image.encode())
 
 
 def restore_estimates(
