Refuse jobs that no row of the store holds, and fill transactions of jobs by bytes

A job of many steps with names of their own would have been refused again and again, and with it every job that was submitted at about the same time.

Cause: the row of a job grows with its spec, and a transaction took up to 45 rows whatever their size. The store accepts 65,536 bytes a row and 1 MB a transaction.

Change: a submission whose spec takes over 60,000 bytes as it is stored is answered with 400 and the size. A transaction takes the submissions that fit.

Evidence: test_jobs_row_sizes, SubmissionTest, failed before: the job was decoded, and with 40 large jobs at once "[] != ['1742176 bytes', '1742176 bytes']".

Result: the tests pass.

--- a/bulrushpulley/entities/jobs/calls.py
+++ b/bulrushpulley/entities/jobs/calls.py
@@ -27,9 +27,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SubmitCall(JobCall):
-    """Submits a job; `problem` is set if the body of the call is invalid."""
+    """Submits a job; `problem` is set if the body of the call is invalid.
+
+    The spec takes `spec_bytes` in a row of the store.
+    """
 
     spec: JobSpec | None
+    spec_bytes: int = 0
     problem: Problem | None = None
 
 
--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -40,6 +40,7 @@
     call_ids: tuple[str, ...]
     received_at: float
     due_at: float
+    spec_bytes: int = 0
     in_flight: bool = False
     outcome_unknown: bool = False
     refused_at: float | None = None
--- a/bulrushpulley/entities/jobs/spec.py
+++ b/bulrushpulley/entities/jobs/spec.py
@@ -12,6 +12,9 @@
 
 MAX_TASKS = 5_000
 MAX_PAYLOAD_BYTES = 4_000
+# A row of the store has 65,536 bytes. A job's row holds its spec as it is encoded, and
+# the settings of its queue.
+MAX_SPEC_BYTES = 60_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/job_front.py
+++ b/bulrushpulley/platform/job_front.py
@@ -23,15 +23,18 @@
     SubmitCall,
     TryLater,
 )
+from bulrushpulley.entities.jobs.spec import MAX_SPEC_BYTES, JobSpec
 from bulrushpulley.entities.step import Command, Event
 from bulrushpulley.errors import BulrushpulleyError, Ran
-from bulrushpulley.platform.job_bodies import decode_job
+from bulrushpulley.platform.fields import field_error
+from bulrushpulley.platform.job_bodies import STEP, decode_job
 from bulrushpulley.wire.http_message import (
     HttpReply,
     HttpRequest,
     json_reply,
     problem_value,
 )
+from bulrushpulley.wire.job_rows import spec_bytes
 from bulrushpulley.wire.pending import PendingCall, PendingCalls
 
 # The timeout of calls without a valid Deadline-Ms header, and the longest timeout.
@@ -63,9 +66,22 @@
         return None
     try:
         spec = decode_job(request.body)
+        stored_bytes = _checked_spec_bytes(spec)
     except BulrushpulleyError as error:
         return SubmitCall(**common_fields, spec=None, problem=error.problem)  # type: ignore[arg-type]
-    return SubmitCall(**common_fields, spec=spec)  # type: ignore[arg-type]
+    return SubmitCall(**common_fields, spec=spec, spec_bytes=stored_bytes)  # type: ignore[arg-type]
+
+
+def _checked_spec_bytes(spec: JobSpec) -> int:
+    """Return how much a spec takes in the store.
+
+    Raises `BulrushpulleyError` if a row of the store cannot hold it.
+    """
+    stored_bytes = spec_bytes(spec)
+    if stored_bytes > MAX_SPEC_BYTES:
+        detail = f"take {stored_bytes} bytes to store, {MAX_SPEC_BYTES} at most"
+        raise field_error(STEP, "Steps", detail)
+    return stored_bytes
 
 
 def _timeout_s(header_by_name: Mapping[str, str]) -> float:
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -38,9 +38,13 @@
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem
 from bulrushpulley.systems import store_timeouts
+from bulrushpulley.systems.fitting import fitting
 
-# The store accepts 100 rows and 1 MB in a transaction; a job has 20 KB at most.
+# The store accepts 100 rows and 1 MB in a transaction. Values are sent as base64, and
+# beside its spec a row has the settings of its queue.
 MAX_BATCH_JOBS = 45
+MAX_BATCH_BYTES = 700_000
+ROW_OVERHEAD_BYTES = 1_000
 # A submission that the store refused is retried for this long before its caller gets a
 # refusal; a quarter of the shortest latency objective.
 REFUSED_TIMEOUT_S = 0.1
@@ -94,6 +98,7 @@
         call_ids=(call.call_id,),
         received_at=now,
         due_at=now + max(0.0, call.within_s - CALL_ANSWER_MARGIN_S),
+        spec_bytes=call.spec_bytes,
     )
     submissions = tables.submissions.put(job_id, submission)
     return Step(tables=replace(tables, submissions=submissions))
@@ -143,7 +148,7 @@
     waiting = sorted(
         tables.submissions.rows(), key=lambda submission: submission.received_at
     )
-    chosen = waiting[:MAX_BATCH_JOBS]
+    chosen = fitting(waiting, _row_bytes, MAX_BATCH_BYTES)[:MAX_BATCH_JOBS]
     if not chosen:
         return step
     number = tables.batch_count + 1
@@ -174,6 +179,10 @@
     return Step(tables=tables, commands=(*step.commands, transact))
 
 
+def _row_bytes(submission: Submission) -> int:
+    return submission.spec_bytes + ROW_OVERHEAD_BYTES
+
+
 def _expire(tables: IntakeTables, now: float) -> IntakeStep:
     commands: list[Command] = []
     for submission in tables.submissions.rows():
--- a/bulrushpulley/wire/job_rows.py
+++ b/bulrushpulley/wire/job_rows.py
@@ -14,7 +14,7 @@
 
 from bulrushpulley.entities.jobs import rows
 from bulrushpulley.entities.jobs.row_checks import row_defect
-from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS
+from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS, JobSpec
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire.compression import compress, decompress
 from bulrushpulley.wire.decoding import DECODING_ERRORS
@@ -53,6 +53,11 @@
     return compress(msgspec.msgpack.encode(envelope))
 
 
+def spec_bytes(spec: JobSpec) -> int:
+    """Return how many bytes a spec takes in the row of its job."""
+    return len(compress(msgspec.msgpack.encode(spec)))
+
+
 def decode_row(data: bytes, *, peer: str) -> rows.Row:
     """Decode a row and check that it can be used.
 
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -81,6 +81,7 @@
 from bulrushpulley.entities.step import Command, Event, Tell
 from bulrushpulley.roles import intake, job_agent, scheduler
 from bulrushpulley.roles.actor import Role
+from bulrushpulley.wire.job_rows import spec_bytes
 from standins.executor_core import FakeExecutor
 from test.jobs_machines import FakeMachines
 from test.jobs_store import JobsStore
@@ -1031,6 +1032,7 @@
             within_s=3.0,
             received_at_s=self.now,
             spec=spec,
+            spec_bytes=spec_bytes(spec),
         )
         self.tell(self.process_by_name[entry], "intake", call)
         return job_id
--- a/test/test_jobs_row_sizes.py
+++ b/test/test_jobs_row_sizes.py
@@ -6,16 +6,22 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
+import msgspec
 import testtools
 
 from bulrushpulley.entities.interference import Harm, harm_key
+from bulrushpulley.entities.jobs.calls import JobAccepted, SubmitCall
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER, SchedulerTables
+from bulrushpulley.entities.jobs.spec import StepSpec
+from bulrushpulley.platform.job_front import decode_call
 from bulrushpulley.systems.scheduling import interference
+from bulrushpulley.wire.http_message import HttpRequest
 from bulrushpulley.wire.job_rows import encode_row
 from test.jobs_store import MAX_ROW_BYTES
-from test.jobs_world import JobsWorld
+from test.jobs_world import JobsWorld, step
 
 IMAGES = 120
 TARGET_MS = 80.0
@@ -68,3 +74,61 @@
         self.assertEqual([], self.world.store.refusals)
         tables = self.world.process_by_name["entry-0"].instance_by_role[SCHEDULER]
         self.assertEqual(epoch, tables.tables.epoch)
+
+
+def long_name(drawn: random.Random) -> str:
+    """Return a name that does not compress to less than half of its length."""
+    return drawn.randbytes(100).hex()
+
+
+class SubmissionTest(testtools.TestCase):
+    """The row of a job grows with its steps and their names."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.drawn = random.Random(1)
+
+    def submitted(self, steps: int) -> SubmitCall:
+        """Return the call that a submission of so many steps is decoded to."""
+        body = {
+            "Spec": "x",
+            "Steps": [
+                {"Count": 1, "Cpu": 100, "Image": long_name(self.drawn)}
+                for _ in range(steps)
+            ],
+        }
+        request = HttpRequest(
+            method="POST",
+            path="/push/00000000000000ab",
+            query="",
+            peer="127.0.0.1",
+            header_by_name={"host": "push.example"},
+            body=msgspec.json.encode(body),
+        )
+        call = decode_call(request, "call-1", 0.0)
+        assert isinstance(call, SubmitCall)
+        return call
+
+    def test_a_job_that_fits_is_accepted(self) -> None:
+        self.assertIsNotNone(self.submitted(400).spec)
+
+    # The store refused it each time, and with it all jobs of the same transaction.
+    def test_a_job_that_no_row_holds_is_refused_with_the_reason(self) -> None:
+        call = self.submitted(1_000)
+        self.assertIsNone(call.spec)
+        assert call.problem is not None
+        self.assertIn("bytes to store", call.problem.detail)
+
+    # Their rows fit, but not all of them into one transaction.
+    def test_many_large_jobs_at_once(self) -> None:
+        world = JobsWorld(entries=1, hosts=1)
+        world.run(3.0)
+        for number in range(40):
+            steps: list[StepSpec] = [
+                step(1, needs_label=long_name(self.drawn)) for _ in range(250)
+            ]
+            world.submit(number + 1, *steps)
+        world.run(2.0)
+        self.assertEqual([], world.store.refusals)
+        accepted = [each for each in world.answers if isinstance(each, JobAccepted)]
+        self.assertEqual(40, len(accepted))
