Write separately what a rejected transaction held

One row that the store takes for malformed, for whatever reason, would stop all jobs: no owner's transaction would pass, or no submission.

Cause: a transaction with status 400 was sent again unchanged, with the rows of all other jobs and the renewal of the owner row in it. In the intake every waiting submission counted as refused.

Change: after 400 or 413 each job, and the rows that concern all of them, are written separately until the store has accepted them. A submission that is rejected alone is answered with 503.

Evidence: test_jobs_rejected_rows, three tests, failed before, each with Items in actual but not in expected: [None] for the state of other jobs after 3 s.

Result: the tests pass.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -32,7 +32,8 @@
 
     `outcome_unknown` is set once a transaction with the job got no answer.
     `refused_at` is when the store first refused it, and `busy` is whether the last
-    refusal was because of overload.
+    refusal was because of overload. A `suspect` was in a transaction that the store
+    rejected, and is sent alone.
     """
 
     job_id: str
@@ -45,6 +46,7 @@
     outcome_unknown: bool = False
     refused_at: float | None = None
     busy: bool = False
+    suspect: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/entities/jobs/progress_commit.py
+++ b/bulrushpulley/entities/jobs/progress_commit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from immutables import Map
 
@@ -45,6 +45,21 @@
     first_sent_at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Suspects:
+    """What was in transactions that the store has rejected.
+
+    The jobs in `job_ids` are written one at a time, and so are the `others`, the rows
+    that concern all jobs, until the store has accepted them. What it has rejected alone
+    is withheld until a time.
+    """
+
+    job_ids: frozenset[str] = frozenset()
+    others: bool = False
+    withheld_until_by_job: Map[str, float] = field(default_factory=Map)
+    others_withheld_until: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Commit:
     """The one transaction in flight, and the effects to apply once it is durable.
@@ -52,7 +67,8 @@
     An attempt may hold more than those before it. Each batch has an owner row of its
     own, and all require the same version of that row, so at most one of them is ever
     applied, whenever that is. The last of the `batches` was sent last; `job_ids` are
-    the jobs of all of them. `waves` are in each attempt.
+    the jobs of all of them. `waves` are in each attempt. It `has_others` if it holds
+    rows beside those of the owner and of jobs.
     """
 
     transact: Transact
@@ -60,6 +76,7 @@
     job_ids: frozenset[str]
     waves: tuple[int, ...]
     sent_at: float
+    has_others: bool = False
     in_flight: bool = True
     retry_at: float = 0.0
     attempts: int = 1
--- a/bulrushpulley/entities/jobs/scheduler_tables.py
+++ b/bulrushpulley/entities/jobs/scheduler_tables.py
@@ -29,7 +29,7 @@
 from bulrushpulley.entities.jobs.idle_jobs import IdleJobTables
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.machines import MachineTables
-from bulrushpulley.entities.jobs.progress_commit import Commit, Effect
+from bulrushpulley.entities.jobs.progress_commit import Commit, Effect, Suspects
 from bulrushpulley.entities.jobs.rows import (
     BacklogRow,
     HostRow,
@@ -162,6 +162,7 @@
       deferred until then; `turn_by_job` numbers them in the order in which they are to
       be written, and `turns` is the last number.
     - `progress_by_job` holds the progress that was read, until the jobs are read.
+    - `suspects` is what was in transactions that the store has rejected.
     - `stored_pages_by_job` is how many rows the store may have of a job's progress,
       for jobs with more than one.
     - `read_retry_by_table` says when a read that failed during loading is retried.
@@ -230,6 +231,7 @@
     unhandled_row_by_host: Map[str, HostRow] = field(default_factory=Map)
     timed_job_ids: PSet[str] = field(default_factory=pset)
     commit: Commit | None = None
+    suspects: Suspects = field(default_factory=Suspects)
     probe: ProbeState = field(default_factory=ProbeState)
     watch_by_table: Map[str, WatchState] = field(default_factory=Map)
     recheck_by_table: Map[str, RecheckState] = field(default_factory=Map)
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -102,11 +102,13 @@
 class TransactRefused(StoreEvent):
     """The transaction was not and will not be applied.
 
-    `busy` means that the store refused it because it is overloaded.
+    `busy` means that the store refused it because it is overloaded, `rejected` that it
+    takes it for malformed, so that it would refuse it again.
     """
 
     reason: str
     busy: bool = False
+    rejected: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -42,6 +42,10 @@
 
 STEP = "store.decode"
 JSON_HEADERS = {"Content-Type": "application/json"}
+# The store answers so to a transaction that exceeds one of its limits.
+REJECTING_STATUSES = frozenset(
+    {http.HTTPStatus.BAD_REQUEST, http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE}
+)
 READ_ERRORS = (RefusedError, AnswerLostError, BulrushpulleyError)
 
 
@@ -89,7 +93,8 @@
             return Conflicted(purpose=call.purpose, rows=self._rows.decode(raw))
         reason = f"status {answer.status}: {answer.body[:200]!r}"
         self._report(self._http.invalid_answer("store.transact", reason))
-        return TransactRefused(purpose=call.purpose, reason=reason)
+        rejected = answer.status in REJECTING_STATUSES
+        return TransactRefused(purpose=call.purpose, reason=reason, rejected=rejected)
 
     def read_range(self, call: ReadRange) -> StoreEvent:
         """Read a range, page by page."""
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -148,7 +148,9 @@
     waiting = sorted(
         tables.submissions.rows(), key=lambda submission: submission.received_at
     )
-    chosen = fitting(waiting, _row_bytes, MAX_BATCH_BYTES)[:MAX_BATCH_JOBS]
+    suspects = tuple(submission for submission in waiting if submission.suspect)
+    fits = fitting(waiting, _row_bytes, MAX_BATCH_BYTES)
+    chosen = suspects[:1] or fits[:MAX_BATCH_JOBS]
     if not chosen:
         return step
     number = tables.batch_count + 1
@@ -294,15 +296,18 @@
     }
     blocked = tuple(job_id for job_id, row in row_by_job.items() if row.unreadable)
     stored = tuple(job_id for job_id, row in row_by_job.items() if not row.unreadable)
-    refusal = _refuse_blocked(
-        requeue_batch(tables, outcome_unknown=False), blocked, now
+    refusal = _refuse(
+        requeue_batch(tables, outcome_unknown=False),
+        blocked,
+        now,
+        "the row at its key cannot be read",
     )
     step = accept_jobs(refusal.tables, stored, now)
     return Step(tables=step.tables, commands=(*refusal.commands, *step.commands))
 
 
-def _refuse_blocked(
-    tables: IntakeTables, job_ids: tuple[str, ...], now: float
+def _refuse(
+    tables: IntakeTables, job_ids: tuple[str, ...], now: float, reason: str
 ) -> IntakeStep:
     commands: list[Command] = []
     retry_s = retry_after_s(now - tables.store_answered_at)
@@ -311,7 +316,6 @@
         if submission is None:
             continue
         tables = replace(tables, submissions=tables.submissions.drop(job_id))
-        reason = "the row at its key cannot be read"
         # An earlier attempt may have stored it before the row was overwritten.
         unknown = submission.outcome_unknown
         commands.extend(_give_up(submission, unknown, retry_s, reason))
@@ -333,7 +337,10 @@
 
     All waiting submissions count as refused, also those that were not in the batch.
     """
+    batch = tables.batch
     tables = requeue_batch(tables, outcome_unknown=False)
+    if event.rejected and batch is not None:
+        return _separate(tables, batch, now)
     submissions = tables.submissions
     for submission in submissions.rows():
         since = now if submission.refused_at is None else submission.refused_at
@@ -344,6 +351,18 @@
     return Step(tables=tables)
 
 
+def _separate(tables: IntakeTables, batch: Batch, now: float) -> IntakeStep:
+    """Have the jobs of a rejected transaction sent alone; refuse one that was."""
+    if len(batch.job_ids) == 1:
+        return _refuse(tables, batch.job_ids, now, "the store takes no such row")
+    submissions = tables.submissions
+    for job_id in batch.job_ids:
+        submission = submissions.get(job_id)
+        if submission is not None:
+            submissions = submissions.put(job_id, replace(submission, suspect=True))
+    return Step(tables=replace(tables, submissions=submissions))
+
+
 def requeue_batch(tables: IntakeTables, *, outcome_unknown: bool) -> IntakeTables:
     """Move the jobs of the batch back to those that wait for the next one."""
     submissions = tables.submissions
--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -18,6 +18,7 @@
 from bulrushpulley.entities.jobs.progress_commit import Batch, Commit, Effect
 from bulrushpulley.entities.jobs.rows import (
     OWNER_KEY,
+    BacklogRow,
     OwnerRow,
     ProgressRow,
     Row,
@@ -39,6 +40,7 @@
     confirming,
     effects,
     interference,
+    isolating,
     lease_expiry,
     ownership,
     progress,
@@ -53,6 +55,8 @@
 # Precedes the turns that `edits.mark_dirty` counts.
 FIRST_TURN = 0
 MAX_PROGRESS_COMMIT_RETRY_DELAY_S = 0.6
+# Differs from each row that may be due, so that one is written.
+UNKNOWN_BACKLOG = BacklogRow(waiting=(("", 0),))
 
 
 def run(tables: SchedulerTables, now: float) -> SchedulerStep:
@@ -90,6 +94,8 @@
 ) -> tuple[SchedulerTables, Commit]:
     """Add the progress that has come to be written since the last attempt."""
     owning = tables.leadership
+    if not isolating.may_extend(tables):
+        return tables, commit
     due = progress.due_job_ids(tables, commit.job_ids)
     if not due or not isinstance(owning, Owning):
         return tables, commit
@@ -147,28 +153,29 @@
 
 
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
-    due = progress.due_job_ids(tables, frozenset())
+    content = isolating.next_content(tables, now)
+    due = content.job_ids
     if not due and not _is_renewal_due(tables, owning, now):
         return Step(tables=tables)
     row = _next_owner_row(tables, owning, now)
-    puts: list[Row] = [row]
-    if not owning.loading and tables.backlog != tables.backlog_written:
-        puts.append(tables.backlog)
     written = [page for job_id in due for page in progress.rows_of(tables, job_id)]
     tables = progress.with_stored_pages(tables, written)
-    puts.extend(written)
-    harms = None if owning.loading else interference.row_to_save(tables, now)
-    if harms is not None:
-        puts.append(harms)
-        tables = replace(tables, harms_saved_at=now)
-    unwritten = waves.unwritten_rows(tables)
-    puts.extend(unwritten)
+    unwritten = waves.unwritten_rows(tables) if content.others else ()
+    others: list[Row] = [*unwritten]
+    if content.others and not owning.loading:
+        if tables.backlog != tables.backlog_written:
+            others.append(tables.backlog)
+            tables = replace(tables, backlog_written=tables.backlog)
+        harms = interference.row_to_save(tables, now)
+        if harms is not None:
+            others.append(harms)
+            tables = replace(tables, harms_saved_at=now)
     transact = Transact(
         role=SCHEDULER,
         purpose=_purpose(tables, row, 1, now),
         timeout_s=store_timeouts.timeout_s(tables.store_latency_s),
         conditions=(Condition(key=OWNER_KEY, version=owning.version),),
-        puts=tuple(puts),
+        puts=(row, *written, *others),
     )
     tables, batch = _take_batch(tables, row, due, now)
     commit = Commit(
@@ -177,12 +184,9 @@
         job_ids=frozenset(due),
         waves=tuple(row.number for row in unwritten),
         sent_at=now,
+        has_others=bool(others),
     )
-    tables = replace(
-        waves.mark_submitted(tables, unwritten),
-        commit=commit,
-        backlog_written=tables.backlog,
-    )
+    tables = replace(waves.mark_submitted(tables, unwritten), commit=commit)
     return Step(tables=tables, commands=(transact,))
 
 
@@ -271,6 +275,7 @@
         written_at=now,
     )
     store_latency_s = store_timeouts.smoothed_latency_s(tables.store_latency_s, took_s)
+    tables = isolating.handle_accepted(tables, commit, now)
     tables = waves.mark_durable(tables, commit.waves)
     tables = replace(
         tables,
@@ -406,6 +411,22 @@
     return _retry(purpose, tables, now, retry_delay_s, reason)
 
 
+def handle_rejected(
+    purpose: CommitProgress, tables: SchedulerTables, now: float, reason: str
+) -> SchedulerStep:
+    """Write separately what a transaction held that the store would reject again."""
+    commit = tables.commit
+    if commit is None or purpose != commit.transact.purpose:
+        return Step(tables=tables)
+    if not isolating.is_divisible(commit):
+        return handle_refused(purpose, tables, now, reason)
+    tables = waves.mark_unsubmitted(tables, commit.waves)
+    tables = replace(tables, commit=None, backlog_written=UNKNOWN_BACKLOG)
+    tables = _with_unapplied(tables, commit.batches)
+    tables, line = isolating.handle_rejected(tables, commit, reason, now)
+    return Step(tables=tables, commands=(line,))
+
+
 def _retry(
     purpose: CommitProgress,
     tables: SchedulerTables,
--- a/bulrushpulley/systems/scheduling/events.py
+++ b/bulrushpulley/systems/scheduling/events.py
@@ -408,4 +408,6 @@
 def _(
     event: TransactRefused, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
+    if event.rejected:
+        return committing.handle_rejected(purpose, tables, now, event.reason)
     return committing.handle_refused(purpose, tables, now, event.reason)
--- a/bulrushpulley/systems/scheduling/progress.py
+++ b/bulrushpulley/systems/scheduling/progress.py
@@ -61,16 +61,23 @@
         )
 
 
-def due_job_ids(tables: SchedulerTables, sent: frozenset[str]) -> list[str]:
+def due_job_ids(
+    tables: SchedulerTables,
+    sent: frozenset[str],
+    withheld: frozenset[str] = frozenset(),
+) -> list[str]:
     """Return the jobs to be written that fit into a transaction beside those `sent`.
 
-    They are taken in turn, so that none is passed over while others change.
+    They are taken in turn, so that none is passed over while others change, but for
+    those that are `withheld`.
     """
     chosen: list[str] = []
     size = ProgressSize()
     for job_id in sent:
         size = size.plus(_size_of(tables, job_id))
     for job_id in sorted(tables.effects_by_job, key=tables.turn_by_job.__getitem__):
+        if job_id in withheld:
+            continue
         if job_id not in sent:
             size = size.plus(_size_of(tables, job_id))
         if (sent or chosen) and not size.fits:
--- a/bulrushpulley/systems/scheduling/waves.py
+++ b/bulrushpulley/systems/scheduling/waves.py
@@ -218,6 +218,17 @@
     return tables
 
 
+def mark_unsubmitted(
+    tables: SchedulerTables, numbers: tuple[int, ...]
+) -> SchedulerTables:
+    """Record that the transaction with the rows of these waves was not applied."""
+    for number in numbers:
+        wave = tables.upkeep.waves.get(str(number))
+        if wave is not None:
+            tables = put_wave(tables, replace(wave, submitted_row=wave.durable_row))
+    return tables
+
+
 def mark_durable(tables: SchedulerTables, numbers: tuple[int, ...]) -> SchedulerTables:
     """Record that the transaction with the rows of these waves has succeeded."""
     for number in numbers:
--- a/test/jobs_store.py
+++ b/test/jobs_store.py
@@ -38,6 +38,7 @@
     compacted_versions: list[int] = field(default_factory=list)
     problems: list[Problem] = field(default_factory=list)
     refusals: list[str] = field(default_factory=list)
+    rejected_keys: set[RowKey] = field(default_factory=set)
 
     @property
     def version(self) -> int:
@@ -93,12 +94,17 @@
     def transact(self, call: Transact) -> StoreEvent:
         """Apply a transaction, or return the rows of its conditions on a conflict.
 
-        One that exceeds a limit of the store is refused.
+        One that exceeds a limit of the store, or has a row with one of `rejected_keys`,
+        is refused.
         """
-        excess = _excess(call)
+        keys = {key_of(row) for row in call.puts}
+        is_rejected = not keys.isdisjoint(self.rejected_keys)
+        excess = "a row" if is_rejected else _excess(call)
         if excess:
             self.refusals.append(excess)
-            return TransactRefused(purpose=call.purpose, reason=f"status 400: {excess}")
+            return TransactRefused(
+                purpose=call.purpose, reason=f"status 400: {excess}", rejected=True
+            )
         if self.has_conflict(call):
             rows = tuple(self._row(condition.key) for condition in call.conditions)
             return Conflicted(purpose=call.purpose, rows=rows)
