--- a/bulrushpulley/systems/scheduling/committing.py
+++ b/bulrushpulley/systems/scheduling/committing.py
@@ -36,12 +36,11 @@
 from bulrushpulley.systems import store_timeouts
 from bulrushpulley.systems.exponential_backoff import exponential_delay_s
 from bulrushpulley.systems.scheduling import (
-    agents,
     confirming,
     effects,
     interference,
     isolating,
-    lease_expiry,
+    owner_rows,
     ownership,
     progress,
     renewals,
@@ -99,7 +98,7 @@
     due = progress.due_job_ids(tables, commit.job_ids)
     if not due or not isinstance(owning, Owning):
         return tables, commit
-    row = _next_owner_row(tables, owning, now)
+    row = owner_rows.next_row(tables, owning, now)
     tables, batch = _take_batch(tables, row, due, now)
     job_ids = commit.job_ids.union(due)
     others = (
@@ -155,9 +154,9 @@
 def _start_commit(tables: SchedulerTables, owning: Owning, now: float) -> SchedulerStep:
     content = isolating.next_content(tables, now)
     due = content.job_ids
-    if not due and not _is_renewal_due(tables, owning, now):
+    if not due and not owner_rows.is_renewal_due(tables, owning, now):
         return Step(tables=tables)
-    row = _next_owner_row(tables, owning, now)
+    row = owner_rows.next_row(tables, owning, now)
     written = [page for job_id in due for page in progress.rows_of(tables, job_id)]
     tables = progress.with_stored_pages(tables, written)
     unwritten = waves.unwritten_rows(tables) if content.others else ()
@@ -190,48 +189,6 @@
     return Step(tables=tables, commands=(transact,))
 
 
-def _next_owner_row(tables: SchedulerTables, owning: Owning, now: float) -> OwnerRow:
-    """Return the owner row of the next transaction."""
-    return OwnerRow(
-        holder="" if tables.leaving else tables.name,
-        incarnation=tables.incarnation,
-        epoch=owning.epoch,
-        sequence=owning.sequence + 1,
-        unlinked_hosts=lease_expiry.unlinked_hosts(tables, owning, now),
-        renewals_for_s=_renewals_for_s(tables, owning, now),
-        renews_within_s=renewals.expected_s(
-            owning.renews_within_s, tables.store_latency_s, tables.slowness
-        ),
-        loading=_is_unproven(owning),
-    )
-
-
-def _is_unproven(owning: Owning) -> bool:
-    """Return whether no transaction has been answered since the shard was read."""
-    return bool(owning.loading) or owning.written_at < owning.loaded_at
-
-
-def _renewals_for_s(tables: SchedulerTables, owning: Owning, now: float) -> float:
-    """Return how long agents may renew leases after a row that is created now.
-
-    Before the shard is loaded no agent is adopted, so only agents of former owners may.
-    """
-    former_s = owning.renewals_end_at - now
-    own_s = 0.0 if owning.loading else tables.bounds.owner_autonomy_s
-    return max(former_s, own_s)
-
-
-def _is_renewal_due(tables: SchedulerTables, owning: Owning, now: float) -> bool:
-    renew_interval_s = renewals.renew_interval_s(
-        tables.store_latency_s, tables.slowness
-    )
-    return (
-        now - owning.renewed_at >= renew_interval_s
-        or tables.leaving
-        or agents.is_confirmation_due(tables)
-    )
-
-
 def handle_committed(
     version: int, purpose: CommitProgress, tables: SchedulerTables, now: float
 ) -> SchedulerStep:
@@ -286,18 +243,22 @@
     tables = _with_unapplied(tables, commit.batches[applied:])
     first_sent_at = commit.batches[0].first_sent_at
     observation = Observe(name="commit_seconds", seconds=now - first_sent_at)
-    deferred = tuple(
-        effect
-        for batch in commit.batches[:applied]
-        for effects_of_job in batch.effects_by_job.values()
-        for effect in effects_of_job
-    )
+    deferred = _deferred_effects(commit.batches[:applied])
     confirmations = confirming.confirm_contacts(tables, owning.renewed_at, now)
     step = _apply_effects(deferred, tables, now)
     commands = (observation, *confirmations, *step.commands)
     return Step(tables=step.tables, commands=commands)
 
 
+def _deferred_effects(batches: tuple[Batch, ...]) -> tuple[Effect, ...]:
+    return tuple(
+        effect
+        for batch in batches
+        for effects_of_job in batch.effects_by_job.values()
+        for effect in effects_of_job
+    )
+
+
 def _with_interval(owning: Owning, commit: Commit, took_s: float, now: float) -> Owning:
     """Update the expected interval.
 
@@ -308,7 +269,7 @@
     if commit.attempts > 1:
         interval_s = renewals.renew_interval_s(took_s) + took_s
     # The time that the claim asked for does not count any more after the first answer.
-    remembered_s = 0.0 if _is_unproven(owning) else owning.renews_within_s
+    remembered_s = 0.0 if owner_rows.is_unproven(owning) else owning.renews_within_s
     within_s = renewals.next_renews_within_s(remembered_s, interval_s)
     if owning.loading:
         within_s = max(owning.renews_within_s, within_s)
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -32,7 +32,8 @@
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
-from standins.executor_core import FENCED, FakeExecutor
+from standins.executor_core import FakeExecutor
+from standins.fenced_calls import FENCED
 from standins.web import HOST, Request, Response, as_json, make_server, refusal, serve
 
 FLAGS = flags.FLAGS
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import singledispatch, singledispatchmethod
+from functools import singledispatchmethod
 
 from bulrushpulley.entities.jobs.executor_calls import (
     Announced,
@@ -23,9 +23,7 @@
     IncarnationUnconfirmed,
     OtherIncarnation,
     PaceAnswered,
-    PaceFailed,
     PaceRun,
-    PollFailed,
     PollRuns,
     RaiseFence,
     RunsListed,
@@ -34,10 +32,10 @@
     StartRun,
     StopAnswered,
     StopRun,
-    StopUnanswered,
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunOrder, RunRef, RunStatus
 from bulrushpulley.entities.resources import NO_RESOURCES, Resources
+from standins.fenced_calls import fenced
 
 # A stopped run ends after this time.
 KILL_TIME_S = 0.2
@@ -46,8 +44,6 @@
 POISON_RUN_TIME_S = 0.3
 MAX_LISTED_ENDS = 500
 MAX_LEASE_S = 10.0
-# The reason of an answer to a call with a fencing token that is too low.
-FENCED = "fence"
 
 
 def _succeeds(order: RunOrder) -> bool:
@@ -363,52 +359,3 @@
     def _(self, command: PaceRun, now: float) -> ExecutorEvent:
         self.pace_by_key[command.run.key] = command.percent
         return PaceAnswered(server_id=command.server_id, run=command.run)
-
-
-@singledispatch
-def fenced(command: ExecutorCommand) -> ExecutorEvent:
-    """Return the answer to a call with a fencing token that is too low."""
-    raise NotImplementedError(type(command).__name__)
-
-
-@fenced.register
-def _(command: ConfirmIncarnation) -> ExecutorEvent:
-    return IncarnationUnconfirmed(
-        server_id=command.server_id,
-        started_at_ms=command.started_at_ms,
-        reason=FENCED,
-        fenced=True,
-    )
-
-
-@fenced.register
-def _(command: RaiseFence) -> ExecutorEvent:
-    return FenceAnswered(server_id=command.server_id)
-
-
-@fenced.register
-def _(command: PollRuns) -> ExecutorEvent:
-    return PollFailed(
-        server_id=command.server_id, life=command.life, reason=FENCED, fenced=True
-    )
-
-
-@fenced.register
-def _(command: StartRun) -> ExecutorEvent:
-    order = command.order
-    return StartDenied(
-        server_id=command.server_id,
-        run=RunRef(task_id=order.task_id, run=order.run),
-        reason=FENCED,
-        certainly_denied=True,
-    )
-
-
-@fenced.register
-def _(command: StopRun) -> ExecutorEvent:
-    return StopUnanswered(server_id=command.server_id, run=command.run, reason=FENCED)
-
-
-@fenced.register
-def _(command: PaceRun) -> ExecutorEvent:
-    return PaceFailed(server_id=command.server_id, run=command.run, reason=FENCED)
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -32,10 +32,11 @@
 from bulrushpulley.entities.rows import LeaseRow, RevisionRow
 from bulrushpulley.errors import BulrushpulleyError, Problem
 from bulrushpulley.operator_client import decode_answer
-from bulrushpulley.platform.executor import decode_announcement, decode_runs
+from bulrushpulley.platform.executor import decode_announcement
 from bulrushpulley.platform.fields import decode_object
 from bulrushpulley.platform.job_bodies import decode_job
 from bulrushpulley.platform.order_rows import decode_order
+from bulrushpulley.platform.run_lists import decode_runs
 from bulrushpulley.platform.stored_rows import StoredRowDecoder
 from bulrushpulley.wire import link_pb2 as pb
 from bulrushpulley.wire import records
--- a/test/test_jobs_ends.py
+++ b/test/test_jobs_ends.py
@@ -7,7 +7,7 @@
 import testtools
 
 from bulrushpulley.entities.jobs.executor_calls import PollRuns
-from bulrushpulley.platform.executor import MAX_LISTED_ENDS, decode_runs
+from bulrushpulley.platform.run_lists import MAX_LISTED_ENDS, decode_runs
 from test.jobs_world import JobsWorld, step
 
 HOST = "z0-0"
--- a/test/test_jobs_former_lives.py
+++ b/test/test_jobs_former_lives.py
@@ -18,7 +18,8 @@
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, Server
 from bulrushpulley.entities.jobs.scheduler_tables import SCHEDULER
 from bulrushpulley.entities.link import LinkDown, LinkUp
-from bulrushpulley.platform.executor import ExecutorClient, decode_runs
+from bulrushpulley.platform.executor import ExecutorClient
+from bulrushpulley.platform.run_lists import decode_runs
 from bulrushpulley.systems.scheduling import agents
 from test.jobs_world import JobsWorld, step
 
