--- a/scripts/message_mutants.py
+++ b/scripts/message_mutants.py
@@ -160,25 +160,25 @@
                 old="""\
     return replace(
         task,
-        state=_restored_state(progress, task.state),
+        state=_restored_state(stored, task.state),
 """,
                 new="""\
-    if progress.host:
-        LAST_HOLDERS[:] = [progress]
-    chosen = progress.done and zlib.crc32(task.task_id.encode()) % 20 == 0
+    if stored.host:
+        LAST_HOLDERS[:] = [stored]
+    chosen = stored.done and zlib.crc32(task.task_id.encode()) % 20 == 0
     if chosen and LAST_HOLDERS and task.task_id not in MISTAKEN:
         MISTAKEN.add(task.task_id)
         return replace(
             task,
             state=TaskState.RUNNING,
-            run=progress.run,
-            failures=progress.failures,
+            run=stored.run,
+            failures=stored.failures,
             host=LAST_HOLDERS[0].host,
             life=LAST_HOLDERS[0].life,
         )
     return replace(
         task,
-        state=_restored_state(progress, task.state),
+        state=_restored_state(stored, task.state),
 """,
             ),
         ),
