Add the tasks of an occurrence when it is due, and drop the completed

Cause: an owner added the tasks of all occurrences when it read a job, 374,400 rows in one tick, for longer than the other entries wait for its next renewal.

--- a/bulrushpulley/entities/jobs/job.py
+++ b/bulrushpulley/entities/jobs/job.py
@@ -20,9 +20,10 @@
     All times but `ended_at_s`, which is in seconds since 1970, are on the scheduler's
     clock. The job should be complete by `objective_at`; after `deadline_at` its result
     is of no more use to its caller. `checkpoints_saved_at` is when checkpoints of its
-    tasks were last written to the store. `ran_until` is when a run of it that was seen
-    running last ended in this tenure, or zero. `reason` is why it failed or was
-    cancelled.
+    tasks were last written to the store. The tables hold the tasks of the occurrences
+    from `done_occurrences` to `next_occurrence`, excluded. `ran_until` is when a run of
+    it that was seen running last ended in this tenure, or zero. `reason` is why it
+    failed or was cancelled.
     """
 
     job_id: str
@@ -32,6 +33,8 @@
     deadline_at: float
     ended_at_s: float = 0.0
     started: bool = False
+    done_occurrences: int = 0
+    next_occurrence: int = 0
     checkpoints_saved_at: float = 0.0
     ran_until: float = 0.0
     reason: str = ""
--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -66,7 +66,9 @@
         for task in row.tasks
         for number in (task.occurrence, task.step, task.index, task.run, task.failures)
     )
-    defect = _numbers_defect(row.ended_at_s, row.page, row.pages, *task_numbers)
+    defect = _numbers_defect(
+        row.ended_at_s, row.page, row.pages, row.done_occurrences, *task_numbers
+    )
     return defect or ("has no page" if row.pages < 1 else "")
 
 
--- a/bulrushpulley/entities/jobs/rows.py
+++ b/bulrushpulley/entities/jobs/rows.py
@@ -156,7 +156,8 @@
     `started` is set once one of the tasks has run. If the job has ended, `tasks` holds
     only those that may still be running. The tasks of a large job are distributed over
     rows with the numbers `page` from 0 to `pages`, excluded; the row with the number 0
-    says how many there are, and counts for all that concerns the job as a whole.
+    says how many there are, and counts for all that concerns the job as a whole. All
+    tasks of the occurrences before `done_occurrences` are done, and have no entries.
     """
 
     job_id: str
@@ -166,6 +167,7 @@
     started: bool = False
     page: int = 0
     pages: int = 1
+    done_occurrences: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/scheduling/accepting.py
+++ b/bulrushpulley/systems/scheduling/accepting.py
@@ -12,13 +12,18 @@
     CancelRow,
     EndedJobRow,
     JobRow,
-    ProgressRow,
 )
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.store import StoredRow
-from bulrushpulley.entities.jobs.task import HOLDING_STATES, Task, TaskState, task_id_of
+from bulrushpulley.entities.jobs.task import HOLDING_STATES, TaskState
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import edits, finishing, restoring, unblocking
+from bulrushpulley.systems.scheduling import (
+    edits,
+    finishing,
+    occurrences,
+    restoring,
+    unblocking,
+)
 
 # Clocks of entries may be wrong, so the age of a job is capped at this value.
 MAX_JOB_AGE_S = 120.0
@@ -56,10 +61,14 @@
         tables = replace(tables, timed_job_ids=tables.timed_job_ids.add(job.job_id))
     # What the first read after a takeover finds, a former owner may have held back.
     is_restored = progress is not None or JOBS not in tables.watch_by_table
-    for task in _tasks_of(job, progress, now):
-        task = replace(task, may_be_idle_longer=is_restored)
-        tables = edits.put_task(tables, task)
-    tables = unblocking.unblock(tables, job, now, may_be_idle_longer=is_restored)
+    if progress is not None:
+        tables = occurrences.restore(tables, job, progress, now)
+    if job.is_final:
+        tables = _with_ended_tasks(tables, job)
+    else:
+        job = tables.jobs.by_key[job.job_id]
+        tables = occurrences.begin_due(tables, job, now)
+        tables = unblocking.unblock(tables, job, now, may_be_idle_longer=is_restored)
     line = edits.log(
         tables, "job.accept", job.job_id, row.queue, f"{job.state.value}, {age_s:.2f} s"
     )
@@ -80,40 +89,15 @@
     return Step(tables=edits.put_job(tables, job))
 
 
-def _tasks_of(job: Job, progress: ProgressRow | None, now: float) -> list[Task]:
-    """Return the tasks of a job; of an ended job only those that may still run."""
-    restored_by_id = {
-        task_id_of(job.job_id, task.occurrence, task.step, task.index): task
-        for task in (progress.tasks if progress else ())
-    }
-    tasks = [
-        Task(
-            task_id=task_id_of(job.job_id, occurrence, number, index),
-            job_id=job.job_id,
-            occurrence=occurrence,
-            step=number,
-            index=index,
-            state=TaskState.BLOCKED,
-            since=now,
-            idle_since=now,
-        )
-        for occurrence in range(job.row.spec.runs)
-        for number, step in enumerate(job.row.spec.steps)
-        for index in range(step.count)
-    ]
-    restored = [
-        restoring.restored_task(task, restored_by_id[task.task_id])
-        if task.task_id in restored_by_id
-        else task
-        for task in tasks
-    ]
-    if not job.is_final:
-        return restored
-    return [
-        replace(task, state=TaskState.STOPPING)
-        for task in restored
-        if task.state in HOLDING_STATES
-    ]
+def _with_ended_tasks(tables: SchedulerTables, job: Job) -> SchedulerTables:
+    """Keep the tasks of an ended job that may still run; they are to be stopped."""
+    for task in tables.tasks.rows_where("job", job.job_id):
+        if task.state in HOLDING_STATES:
+            stopping = replace(task, state=TaskState.STOPPING)
+            tables = edits.put_task(tables, stopping)
+        else:
+            tables = replace(tables, tasks=tables.tasks.drop(task.task_id))
+    return tables
 
 
 @handle_row.register
--- a/bulrushpulley/systems/scheduling/endings.py
+++ b/bulrushpulley/systems/scheduling/endings.py
@@ -24,6 +24,7 @@
 from bulrushpulley.systems.scheduling import (
     edits,
     finishing,
+    occurrences,
     quarantine,
     refusals,
     unblocking,
@@ -176,8 +177,12 @@
     key = step_key(task.job_id, task.occurrence, task.step)
     if tables.tasks.count_where("open", key):
         return Step(tables=tables)
-    if not tables.tasks.count_where("open", task.job_id):
+    job = tables.jobs.by_key[job.job_id]
+    if occurrences.is_complete(tables, job):
         return finishing.complete(tables, job, now)
+    if job.row.spec.occurrences:
+        tables = occurrences.drop_completed(tables, job)
+        job = tables.jobs.by_key[job.job_id]
     return Step(tables=unblocking.unblock(tables, job, now, came_at=job.ran_until))
 
 
--- a/bulrushpulley/systems/scheduling/explaining.py
+++ b/bulrushpulley/systems/scheduling/explaining.py
@@ -42,6 +42,8 @@
         return Step(tables=tables, commands=(unknown,))
     tasks = tables.tasks.rows_where("job", job.job_id)
     remaining = [task for task in tasks if task.state is not TaskState.DONE]
+    tasks_of_each = sum(step.count for step in job.row.spec.steps)
+    dropped = job.done_occurrences * tasks_of_each
     explained = JobExplained(
         call_id=event.call_id,
         job_id=job.job_id,
@@ -49,7 +51,7 @@
         state=job.state.value,
         detail=job.reason or _time_to_objective(job, now),
         epoch=tables.epoch,
-        done=len(tasks) - len(remaining),
+        done=dropped + len(tasks) - len(remaining),
         tasks=tuple(
             _explain_task(tables, job, task, now)
             for task in remaining[:MAX_EXPLAINED_TASKS]
--- a/bulrushpulley/systems/scheduling/progress.py
+++ b/bulrushpulley/systems/scheduling/progress.py
@@ -120,6 +120,7 @@
             tasks=page,
             ended_at_s=job.ended_at_s,
             started=job.started,
+            done_occurrences=job.done_occurrences,
             page=number,
             pages=len(pages),
         )
--- a/bulrushpulley/systems/scheduling/rederiving.py
+++ b/bulrushpulley/systems/scheduling/rederiving.py
@@ -19,7 +19,12 @@
 from bulrushpulley.entities.jobs.task import UNSETTLED, Task, TaskState, step_key
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.systems.lasting_states import first_lines, left_out
-from bulrushpulley.systems.scheduling import edits, finishing, unblocking
+from bulrushpulley.systems.scheduling import (
+    edits,
+    finishing,
+    occurrences,
+    unblocking,
+)
 
 REDERIVE_INTERVAL_S = 1.0
 # Bound the time of a check; larger tables take several.
@@ -141,7 +146,7 @@
     left = tasks.count_where("blocked", job.job_id)
     if not left:
         return False
-    for occurrence in range(spec.runs):
+    for occurrence in range(job.done_occurrences, job.next_occurrence):
         for number in range(len(spec.steps)):
             if not unblocking.is_step_ready(tables, job, occurrence, number, wall_s):
                 key = step_key(job.job_id, occurrence, number)
@@ -151,11 +156,7 @@
 
 def _complete(tables: SchedulerTables, now: float) -> SchedulerStep:
     """End the jobs whose tasks are all complete."""
-    wrong = [
-        job
-        for job in _open_jobs(tables)
-        if not tables.tasks.count_where("open", job.job_id)
-    ]
+    wrong = [job for job in _open_jobs(tables) if occurrences.is_complete(tables, job)]
     commands: list[Command] = []
     for job in wrong:
         step = finishing.complete(tables, job, now)
--- a/bulrushpulley/systems/scheduling/unblocking.py
+++ b/bulrushpulley/systems/scheduling/unblocking.py
@@ -9,7 +9,7 @@
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerStep, SchedulerTables
 from bulrushpulley.entities.jobs.task import Task, TaskState, step_key
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.scheduling import edits
+from bulrushpulley.systems.scheduling import edits, occurrences
 
 
 def unblock(
@@ -65,13 +65,12 @@
     wall_s = now + tables.wall_offset_s
     for job_id in sorted(tables.timed_job_ids):
         job = tables.jobs.by_key[job_id]
-        due_times_s = [
-            job.row.spec.due_s(occurrence) for occurrence in range(job.row.spec.runs)
-        ]
-        if job.is_final:
-            tables = replace(tables, timed_job_ids=tables.timed_job_ids.discard(job_id))
-        elif any(at <= wall_s for at in due_times_s):
-            tables = unblock(tables, job, now)
-        if due_times_s[-1] <= wall_s:
+        due = occurrences.due_count(job.row.spec, wall_s)
+        if not job.is_final and (due > job.done_occurrences):
+            tables = occurrences.begin_due(tables, job, now)
+            tables = unblock(tables, tables.jobs.by_key[job_id], now)
+            job = tables.jobs.by_key[job_id]
+        has_begun_all = min(due, job.next_occurrence) >= job.row.spec.runs
+        if job.is_final or has_begun_all:
             tables = replace(tables, timed_job_ids=tables.timed_job_ids.discard(job_id))
     return Step(tables=tables)
