Let runs go on that the next life of a backend server has begun

Cause: a server may be back before its agent notices. The agent goes on to send starts, which the next life carries out. The next list shows another life; the agent then told the owner that the former one had ended, and the owner started all its runs elsewhere, also those that had just begun on the next life.

Change: where the next life may run what the last one was told to start, the agent does not report the end of the last one. The owner keeps its runs until the complete list of the next life, and moves those that it names to that life. Run numbers are never used again, so such a run is the one that was ordered. Stopping unknown runs of a life at once is no longer needed and is gone again.

Result: the tests pass.

--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -107,8 +107,7 @@
     so are those in `noted_out_of_order`.
     `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
     once it has answered with a list of its runs, and `withdrawn` once it has announced
-    its end. If its `starts_known`, this process has sent all starts that were meant for
-    it, since it followed another incarnation before.
+    its end.
     """
 
     server_id: str
@@ -127,7 +126,6 @@
     lease_sent_at: float = 0.0
     listed: bool = False
     withdrawn: bool = False
-    starts_known: bool = False
 
     @property
     def life(self) -> str:
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -157,7 +157,10 @@
         return Step(tables=tables)
     if event.started_at_ms not in (0, server.started_at_ms):
         return server_lifecycle.end_incarnation(
-            tables, "another incarnation answers at its address", now
+            tables,
+            "another incarnation answers at its address",
+            now,
+            next_may_run=_may_run_on_next(tables, event),
         )
     sent_at = tables.poll.sent_at
     server = replace(server, listed=True)
@@ -171,7 +174,7 @@
     tables = noted.tables
     lines = (*noted.commands, *_start_lines(tables, event, now))
     for status in event.runs:
-        tables = _update_run(tables, server, status, now)
+        tables = _update_run(tables, status, now)
     for end in event.ends:
         recorded = _record_end(tables, end, now)
         tables = recorded.tables
@@ -188,6 +191,19 @@
     return replace(step, commands=(*lines, *step.commands))
 
 
+def _may_run_on_next(tables: JobAgentTables, event: RunsListed) -> bool:
+    """Return whether starts for a life may have been carried out by its next one.
+
+    The next one has the same id, or it would not have answered.
+    """
+    never_listed = any(
+        run_.phase is RunPhase.STARTING
+        or (run_.phase is RunPhase.RUNNING and run_.status is None)
+        for run_ in tables.runs.rows()
+    )
+    return bool(event.runs or event.ends or tables.unanswered_starts or never_listed)
+
+
 def _start_lines(
     tables: JobAgentTables, event: RunsListed, now: float
 ) -> tuple[Command, ...]:
@@ -210,14 +226,14 @@
 
 
 def _update_run(
-    tables: JobAgentTables, server: Server, status: RunStatus, now: float
+    tables: JobAgentTables, status: RunStatus, now: float
 ) -> JobAgentTables:
     run_ = tables.runs.get(status.key)
     if run_ is None:
         run_ = Run(
             ref=RunRef(task_id=status.task_id, run=status.run),
             phase=RunPhase.RUNNING,
-            wanted=not tables.orders_complete and not server.starts_known,
+            wanted=not tables.orders_complete,
             since=now,
             # An earlier process of this agent may have slowed the run.
             pace_set=UNKNOWN_PACE,
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -118,6 +118,9 @@
     if server is None or not server.listed:
         return Step(tables=tables)
     complete = not tables.synced
+    if complete and any(_is_barred(run_) for run_ in tables.runs.rows()):
+        # It has to show first whether one has begun on this life after all.
+        return Step(tables=tables)
     # Runs that only began share a report, or that of an end.
     is_report_due = now - tables.runs_reported_at >= BEGUN_REPORT_INTERVAL_S
     reports_begun = complete or is_report_due or _has_new_end(tables)
@@ -154,6 +157,11 @@
     return Step(tables=tables, commands=(Send(peer=tables.owner, item=item),))
 
 
+def _is_barred(run_: Run) -> bool:
+    """Return whether a run of a former life is kept from starting on this one."""
+    return run_.order is None and run_.phase in (RunPhase.STARTING, RunPhase.BARRED)
+
+
 def _has_new_end(tables: JobAgentTables) -> bool:
     return any(number > tables.last_end_sent for number in tables.ends)
 
--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -60,10 +60,13 @@
     event: Announced, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
     """Use a confirmed incarnation instead of the one known so far."""
-    follows_another = (
-        tables.server is not None or tables.server_state is ServerState.GONE
+    known = tables.server
+    step = end_incarnation(
+        tables,
+        "another incarnation has begun",
+        now,
+        next_may_run=known is not None and known.server_id == event.server_id,
     )
-    step = end_incarnation(tables, "another incarnation has begun", now)
     server = Server(
         server_id=event.server_id,
         started_at_ms=event.started_at_ms,
@@ -76,7 +79,6 @@
         leaves_in_s=event.leaves_in_s,
         # An earlier process of this agent may have requested leases until now.
         lease_sent_at=now,
-        starts_known=follows_another,
     )
     updated = replace(
         fencing.raise_to(step.tables, event.started_at_ms),
@@ -107,8 +109,14 @@
     return Step(tables=replace(tables, server=withdrawn, poll=poll), commands=(line,))
 
 
-def end_incarnation(tables: JobAgentTables, reason: str, now: float) -> JobAgentStep:
-    """Drop an incarnation that has no runs any more, and notify the owner."""
+def end_incarnation(
+    tables: JobAgentTables, reason: str, now: float, *, next_may_run: bool = False
+) -> JobAgentStep:
+    """Drop an incarnation that has no runs any more, and notify the owner.
+
+    If the next one with the same id may run what this one was told to start, the owner
+    is notified only by the list of its runs, and keeps those that it finds there.
+    """
     server = tables.server
     if server is None:
         return Step(tables=tables)
@@ -116,7 +124,8 @@
     cleared = replace(
         fencing.await_next(tables, server, now),
         server=None,
-        server_state=ServerState.GONE,
+        server_state=ServerState.UNKNOWN if next_may_run else ServerState.GONE,
+        search_started_at=now,
         stalled_since=None,
         poll=PollState(),
         runs=Table.empty(indexes=tables.runs.index_functions),
@@ -128,7 +137,7 @@
         pacing=replace(tables.pacing, near_target_since=Map()),
     )
     commands: list[Command] = [_line(tables, server.life, "ended", reason)]
-    if tables.owner:
+    if tables.owner and not next_may_run:
         ended = LifeEnded(epoch=tables.epoch, life=server.life)
         commands.append(Send(peer=tables.owner, item=ended))
     return Step(tables=cleared, commands=tuple(commands))
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -56,6 +56,7 @@
     interference,
     ordering,
     quarantine,
+    rebirths,
     refusals,
 )
 
@@ -210,13 +211,12 @@
         server_id = advising.server_of(known)
         tables = advising.drop_tickets_of_server(tables, server_id)
     if event.life or event.state is ServerState.GONE:
-        loss_reason = "its backend server's life was over"
         step = endings.end_runs_as_lost(
             tables,
             host.name,
             now,
-            loss_reason,
-            keep_incarnations=frozenset({event.life}),
+            rebirths.LIFE_OVER,
+            keep_incarnations=rebirths.lives_to_be_listed(tables, known, event.life),
         )
         tables, commands = step.tables, (*commands, *step.commands)
     if known.state is ServerState.DRAINING and host.state is not known.state:
@@ -281,6 +281,10 @@
     commands: list[Command] = []
     if event.complete:
         commands.extend(comparing.name_runs(tables, host, event))
+    if event.complete and event.life == host.life:
+        step = rebirths.handle_complete_list(tables, host, event, now)
+        tables = step.tables
+        commands.extend(step.commands)
     for status in event.runs:
         tables = _apply_run_status(tables, host, event.life, status, now)
     for end in event.ends:
--- a/test/jobs_trouble_series.py
+++ b/test/jobs_trouble_series.py
@@ -55,8 +55,6 @@
 # A lasting task has to run this long after its last run, and is then watched.
 LASTING_RESTART_S = 6.0
 LASTING_WATCH_S = 3.0
-# Agents notice within this time that their backend server is down.
-MIN_SAME_ID_DOWN_S = 1.5
 LASTING_PAYLOAD = "1000.0"
 # No trouble is drawn that lasts longer.
 LONGEST_TROUBLE_S = 12.0
@@ -587,16 +585,11 @@
     if not executor.up:
         return
     executor.crash()
-    agent = world.process_by_name[trouble.host]
-    noticed = trouble.for_s >= MIN_SAME_ID_DOWN_S and not agent.frozen
 
     def restart() -> None:
         if executor.up or _is_gone(world, trouble.host):
             return
-        # An agent that has not noticed the crash may call the next incarnation under
-        # the same id (review.5 in KNOWN-RED.txt).
-        same_id = trouble.same_id and noticed and not agent.frozen
-        executor.restart(world.now, same_id=same_id)
+        executor.restart(world.now, same_id=trouble.same_id)
 
     world.at(trouble.for_s, restart)
 
--- a/test/test_jobs_former_calls.py
+++ b/test/test_jobs_former_calls.py
@@ -228,3 +228,61 @@
         self.world.run(0.6)
         self.assertTrue(self.world.run_until(self.is_known, 9.0))
         self.assertGreater(self.agent().fencing_token, false_start_ms)
+
+
+class UnnoticedRebirthTest(testtools.TestCase):
+    """A server starts again so soon that its agent does not notice it at first.
+
+    The agent has its next life start runs that it takes for those of the former one,
+    whose end it reports next, so the owner started them elsewhere too (TWICE).
+    """
+
+    def play(
+        self,
+        *,
+        submit_after_s: float,
+        payload: str,
+        restart_agent: bool = False,
+        down_s: float = 0.0,
+    ) -> None:
+        """Have two servers reborn, submit a job, and check that its tasks run once."""
+        world = JobsWorld(entries=2, hosts=3)
+        world.run(3.0)
+        world.submit(2, step(4), payload="3.0")
+        world.run(0.5)
+        crashed = [world.executor_by_host[host] for host in ("z0-0", "z1-1")]
+        for executor in crashed:
+            executor.crash()
+        world.run(down_s)
+        for executor in crashed:
+            executor.restart(world.now, same_id=True)
+        world.run(submit_after_s)
+        world.submit(1, step(TASKS), payload=payload)
+        if restart_agent:
+            world.run(0.15)
+            world.restart(HOST)
+        world.run(6.0)
+        case = f"after {submit_after_s} s, {payload}, {restart_agent}, {down_s} s"
+        self.assertEqual([], world.violations, case)
+        if payload != LONG:
+            self.assertTrue(world.all_complete(), case)
+
+    def test_runs_that_last(self) -> None:
+        for tenth in range(10):
+            self.play(submit_after_s=tenth / 10, payload=LONG)
+
+    # A run that is done on the next life must not run again.
+    def test_runs_that_end_soon(self) -> None:
+        for tenth in range(10):
+            self.play(submit_after_s=tenth / 10, payload="0.05")
+
+    def test_servers_that_are_down_for_a_while(self) -> None:
+        for tenth in range(1, 10):
+            for submit_after_s in (0.0, 0.2, 0.6):
+                self.play(
+                    submit_after_s=submit_after_s, payload=LONG, down_s=tenth / 10
+                )
+
+    def test_the_agent_restarts(self) -> None:
+        for tenth in range(10):
+            self.play(submit_after_s=tenth / 10, payload=LONG, restart_agent=True)
