Let a backend server discard ends only once

Seen by callers: nothing yet; found while tests of reborn servers were written. A task that was done on the next life of a server ran again (TWICE).

Cause: each list of runs lets the server discard ends up to a number. Numbers begin anew with each life, so the list that showed the agent that another life answered had that life discard ends that nobody had read.

Change: a list names the number only until an answer has confirmed it.

--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -104,7 +104,8 @@
 
     `clock_ms` is the newest time on its clock that an answer carried, which arrived at
     `clock_read_at` at the latest. All ends with numbers up to `noted` are durable, and
-    so are those in `noted_out_of_order`.
+    so are those in `noted_out_of_order`. The server has discarded those with numbers up
+    to `discarded`.
     `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
     once it has answered with a list of its runs, and `withdrawn` once it has announced
     its end.
@@ -122,6 +123,7 @@
     clock_ms: int = 0
     clock_read_at: float = 0.0
     noted: int = 0
+    discarded: int = 0
     noted_out_of_order: frozenset[int] = frozenset()
     lease_sent_at: float = 0.0
     listed: bool = False
@@ -188,12 +190,14 @@
 class PollState:
     """The state of the call that lists runs.
 
-    `failing_since` is set while it gets no answer. `connections_refused` counts the
-    refused connections in a row.
+    The last one let the server discard ends with numbers up to `noted`. `failing_since`
+    is set while it gets no answer. `connections_refused` counts the refused connections
+    in a row.
     """
 
     in_flight: bool = False
     sent_at: float = 0.0
+    noted: int = 0
     retry_at: float = 0.0
     failing_since: float | None = None
     connections_refused: int = 0
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -76,19 +76,22 @@
     leases = until_ms > server.clock_ms and server.listed and answers
     ends_soon = leases and not has_recent_contact(tables, now)
     wait_ms = SHORT_POLL_WAIT_MS if ends_soon else POLL_WAIT_MS
+    # The numbers of ends begin anew with each life, so one that is not known yet would
+    # discard ends that nobody has read.
+    noted = server.noted if server.noted > server.discarded else 0
     call = PollRuns(
         server_id=server.server_id,
         address=server.address,
         timeout_s=wait_ms / 1_000 + POLL_ANSWER_TIMEOUT_S,
         fencing_token=tables.fencing_token,
-        noted=server.noted,
+        noted=noted,
         life=server.life,
         wait_ms=wait_ms if server.listed else 0,
         lease_until_ms=until_ms if leases else None,
     )
     if leases:
         server = replace(server, lease_sent_at=now)
-    sent = replace(poll, in_flight=True, sent_at=now)
+    sent = replace(poll, in_flight=True, sent_at=now, noted=noted)
     return Step(tables=replace(tables, server=server, poll=sent), commands=(call,))
 
 
@@ -163,7 +166,8 @@
             next_may_run=_may_run_on_next(tables, event),
         )
     sent_at = tables.poll.sent_at
-    server = replace(server, listed=True)
+    discarded = max(server.discarded, tables.poll.noted)
+    server = replace(server, listed=True, discarded=discarded)
     if event.clock_ms > server.clock_ms:
         server = replace(server, clock_ms=event.clock_ms, clock_read_at=now)
     tables = replace(tables, server=server, poll=PollState())
--- a/test/test_jobs_former_calls.py
+++ b/test/test_jobs_former_calls.py
@@ -248,6 +248,9 @@
         """Have two servers reborn, submit a job, and check that its tasks run once."""
         world = JobsWorld(entries=2, hosts=3)
         world.run(3.0)
+        # The numbers of ends begin anew with the next life.
+        world.submit(3, step(24), payload="0.1")
+        world.run(2.0)
         world.submit(2, step(4), payload="3.0")
         world.run(0.5)
         crashed = [world.executor_by_host[host] for host in ("z0-0", "z1-1")]
