Count only starts that may still be carried out as pending

An agent that had ever had a start without answer treated each later rebirth of its server as one that may run what its former life was told to start, and so told the owner of its end up to a second later than needed. Found by reading; one function now says which starts may still be carried out.

--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -28,7 +28,13 @@
 )
 from bulrushpulley.entities.jobs.runs import RunEnd, RunRef, RunStatus
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.job_agent import edits, fencing, refusing, server_lifecycle
+from bulrushpulley.systems.job_agent import (
+    edits,
+    fencing,
+    refusing,
+    server_lifecycle,
+    unanswered_starts,
+)
 
 # The call returns as soon as a run ends; otherwise the wait bounds the age of the
 # measured latencies and the delay of a lease renewal.
@@ -163,7 +169,7 @@
             tables,
             "another incarnation answers at its address",
             now,
-            next_may_run=_may_run_on_next(tables, event),
+            next_may_run=_may_run_on_next(tables, event, now),
         )
     sent_at = tables.poll.sent_at
     discarded = max(server.discarded, tables.poll.noted)
@@ -195,7 +201,7 @@
     return replace(step, commands=(*lines, *step.commands))
 
 
-def _may_run_on_next(tables: JobAgentTables, event: RunsListed) -> bool:
+def _may_run_on_next(tables: JobAgentTables, event: RunsListed, now: float) -> bool:
     """Return whether starts for a life may have been carried out by its next one.
 
     The next one has the same id, or it would not have answered.
@@ -205,7 +211,8 @@
         or (run_.phase is RunPhase.RUNNING and run_.status is None)
         for run_ in tables.runs.rows()
     )
-    return bool(event.runs or event.ends or tables.unanswered_starts or never_listed)
+    is_any_pending = bool(unanswered_starts.pending(tables, now))
+    return bool(event.runs or event.ends) or is_any_pending or never_listed
 
 
 def _start_lines(
--- a/bulrushpulley/systems/job_agent/unanswered_starts.py
+++ b/bulrushpulley/systems/job_agent/unanswered_starts.py
@@ -24,15 +24,20 @@
 def record(tables: JobAgentTables, ref: RunRef, now: float) -> JobAgentTables:
     """Record that a start may still be carried out."""
     start = UnansweredStart(ref=ref, sent_before=now)
-    starts = {
-        key: known
-        for key, known in tables.unanswered_starts.items()
-        if now - known.sent_before <= MAX_CALL_DELAY_S
-    }
+    starts = {known.ref.key: known for known in pending(tables, now)}
     unanswered = Map({**starts, ref.key: start})
     return replace(tables, unanswered_starts=unanswered)
 
 
+def pending(tables: JobAgentTables, now: float) -> list[UnansweredStart]:
+    """Return the starts that may still be carried out."""
+    return [
+        start
+        for start in tables.unanswered_starts.values()
+        if now - start.sent_before <= MAX_CALL_DELAY_S
+    ]
+
+
 def record_in_flight(tables: JobAgentTables, now: float) -> JobAgentTables:
     """Record the starts that are on their way as their server ends."""
     for run in tables.runs.rows_where("phase", RunPhase.STARTING.value):
@@ -43,14 +48,13 @@
 
 def bar(tables: JobAgentTables, now: float) -> JobAgentTables:
     """Have the runs of all such starts stopped on a server that has none of its own."""
-    for start in tables.unanswered_starts.values():
-        if now - start.sent_before <= MAX_CALL_DELAY_S:
-            run = Run(
-                ref=start.ref,
-                phase=RunPhase.STARTING,
-                wanted=False,
-                since=now,
-                unconfirmed=True,
-            )
-            tables = edits.put_run(tables, run)
+    for start in pending(tables, now):
+        run = Run(
+            ref=start.ref,
+            phase=RunPhase.STARTING,
+            wanted=False,
+            since=now,
+            unconfirmed=True,
+        )
+        tables = edits.put_run(tables, run)
     return tables
