--- a/bulrushpulley/entities/jobs/job_agent_tables.py
+++ b/bulrushpulley/entities/jobs/job_agent_tables.py
@@ -106,7 +106,8 @@
     `clock_read_at` at the latest. All ends with numbers up to `noted` are durable, and
     so are those in `noted_out_of_order`. The server has discarded those with numbers up
     to `discarded`.
-    `lease_sent_at` is when a call that renews its lease was last sent. It is `listed`
+    `lease_sent_at` is when a call that renews its lease was last sent, and
+    `lease_until_ms` the latest end that was requested, on its clock. It is `listed`
     once it has answered with a list of its runs, and `withdrawn` once it has announced
     its end.
     """
@@ -126,6 +127,7 @@
     discarded: int = 0
     noted_out_of_order: frozenset[int] = frozenset()
     lease_sent_at: float = 0.0
+    lease_until_ms: int = 0
     listed: bool = False
     withdrawn: bool = False
 
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -70,6 +70,12 @@
     return server.clock_ms + int(min(tables.bounds.lease_s, left_s) * 1_000)
 
 
+def with_lease_sent(server: Server, until_ms: int, now: float) -> Server:
+    """Record that a lease was requested, which never shortens an earlier one."""
+    latest_ms = max(server.lease_until_ms, until_ms)
+    return replace(server, lease_sent_at=now, lease_until_ms=latest_ms)
+
+
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
     """Send the next call once the previous one has ended."""
     server, poll = tables.server, tables.poll
@@ -96,7 +102,7 @@
         lease_until_ms=until_ms if leases else None,
     )
     if leases:
-        server = replace(server, lease_sent_at=now)
+        server = with_lease_sent(server, until_ms, now)
     sent = replace(poll, in_flight=True, sent_at=now, noted=noted)
     return Step(tables=replace(tables, server=server, poll=sent), commands=(call,))
 
--- a/bulrushpulley/systems/job_agent/starting.py
+++ b/bulrushpulley/systems/job_agent/starting.py
@@ -72,6 +72,7 @@
                 free = free.minus(run_.committed)
                 chosen.append(run_)
     commands: list[Command] = []
+    until_ms = polling.lease_until_ms(tables, server)
     # Stops of runs without a definite answer count as calls in flight too.
     for run_ in chosen[: max(0, MAX_STARTS_IN_FLIGHT - in_flight)]:
         assert run_.order is not None
@@ -81,13 +82,13 @@
             timeout_s=RUN_START_TIMEOUT_S,
             fencing_token=tables.fencing_token,
             order=run_.order,
-            lease_until_ms=polling.lease_until_ms(tables, server),
+            lease_until_ms=until_ms,
         )
         sent = replace(run_, phase=RunPhase.STARTING, in_flight=True)
         tables = edits.put_run(tables, sent)
         commands.append(call)
     if commands:
-        tables = replace(tables, server=replace(server, lease_sent_at=now))
+        tables = replace(tables, server=polling.with_lease_sent(server, until_ms, now))
     return Step(tables=tables, commands=(*marked.commands, *commands))
 
 
