--- a/bulrushpulley/systems/job_agent/fencing.py
+++ b/bulrushpulley/systems/job_agent/fencing.py
@@ -1,12 +1,12 @@
-"""Keeps calls for a former life of the backend server from its next one.
+"""Keeps calls for an incarnation of the backend server from the next one.
 
 A call without an answer may be carried out seconds later, and a server that has started
 again under its id takes it for its own. It ignores calls with lower fencing tokens than
-the highest that it has seen, so the token rises with each life, and a life whose start
-is awaited is called with it until it answers.
+the highest that it has seen, so the token rises with each incarnation, and one whose
+start is awaited is called with it until it answers.
 
-The token is the time at which the life started, so that the next process of this agent
-finds it again, or one more than the last if the clock of the host was set back.
+The token is the time at which the incarnation started, so that the next process of this
+agent finds it again, or one more than the last if the host's clock was set back.
 """
 
 from __future__ import annotations
@@ -38,14 +38,14 @@
 
 
 def raise_to(tables: JobAgentTables, started_at_ms: int) -> JobAgentTables:
-    """Use a token for the life that has started then."""
+    """Use a token for the incarnation that has started then."""
     if started_at_ms > MAX_STARTED_AT_MS or started_at_ms <= tables.fencing_token:
         return tables
     return replace(tables, fencing_token=started_at_ms)
 
 
 def await_next(tables: JobAgentTables, server: Server, now: float) -> JobAgentTables:
-    """Raise the token above that of a life that has ended, and await the next one."""
+    """Raise the token above that of an ended incarnation, and await the next one."""
     former = FormerServer(
         server_id=server.server_id, address=server.address, ended_at=now
     )
@@ -68,7 +68,7 @@
 
 
 def run(tables: JobAgentTables, now: float) -> JobAgentStep:
-    """Call the next life while it has not announced itself."""
+    """Call the next incarnation while it has not announced itself."""
     former = tables.former
     if former is None:
         return Step(tables=tables)
@@ -90,7 +90,7 @@
 def handle_answered(
     event: FenceAnswered, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Send no more calls: those for the former life are refused from now on."""
+    """Send no more calls: those for the former incarnation are refused from now on."""
     former = tables.former
     if former is None or former.server_id != event.server_id:
         return Step(tables=tables)
--- a/bulrushpulley/systems/job_agent/polling.py
+++ b/bulrushpulley/systems/job_agent/polling.py
@@ -88,8 +88,8 @@
     leases = until_ms > server.clock_ms and server.listed and answers
     ends_soon = leases and not has_recent_contact(tables, now)
     wait_ms = SHORT_POLL_WAIT_MS if ends_soon else POLL_WAIT_MS
-    # The numbers of ends begin anew with each life, so one that is not known yet would
-    # discard ends that nobody has read.
+    # The numbers of ends begin anew with each incarnation, so one that is not known yet
+    # would discard ends that nobody has read.
     noted = server.noted if server.noted > server.discarded else 0
     call = PollRuns(
         server_id=server.server_id,
@@ -208,7 +208,7 @@
 
 
 def _may_run_on_next(tables: JobAgentTables, event: RunsListed, now: float) -> bool:
-    """Return whether starts for a life may have been carried out by its next one.
+    """Return whether the next incarnation may have carried out starts for this one.
 
     The next one has the same id, or it would not have answered.
     """
--- a/bulrushpulley/systems/job_agent/reporting.py
+++ b/bulrushpulley/systems/job_agent/reporting.py
@@ -119,7 +119,7 @@
         return Step(tables=tables)
     complete = not tables.synced
     if complete and any(_is_barred(run_) for run_ in tables.runs.rows()):
-        # It has to show first whether one has begun on this life after all.
+        # The list has to show whether one has begun on this incarnation after all.
         return Step(tables=tables)
     # Runs that only began share a report, or that of an end.
     is_report_due = now - tables.runs_reported_at >= BEGUN_REPORT_INTERVAL_S
@@ -158,7 +158,7 @@
 
 
 def _is_barred(run_: Run) -> bool:
-    """Return whether a run of a former life is kept from starting on this one."""
+    """Return whether a run of a former incarnation is kept from starting here."""
     return run_.order is None and run_.phase in (RunPhase.STARTING, RunPhase.BARRED)
 
 
--- a/bulrushpulley/systems/job_agent/unanswered_starts.py
+++ b/bulrushpulley/systems/job_agent/unanswered_starts.py
@@ -1,8 +1,8 @@
-"""Keeps starts that got no answer from beginning runs on the next life of a server.
+"""Keeps starts that got no answer from beginning runs on the next incarnation.
 
 Such a start may be carried out seconds later, after its run has ended, was started
 elsewhere, or the backend server has started again under its id. A run that was stopped
-can never start on a server, so the next life is told to stop all of them.
+can never start on a server, so the next incarnation is told to stop all of them.
 """
 
 from __future__ import annotations
--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -216,7 +216,7 @@
             host.name,
             now,
             rebirths.LIFE_OVER,
-            keep_incarnations=rebirths.lives_to_be_listed(tables, known, event.life),
+            keep_incarnations=rebirths.incarnations_to_keep(tables, known, event.life),
         )
         tables, commands = step.tables, (*commands, *step.commands)
     if known.state is ServerState.DRAINING and host.state is not known.state:
--- a/bulrushpulley/systems/scheduling/rebirths.py
+++ b/bulrushpulley/systems/scheduling/rebirths.py
@@ -1,8 +1,9 @@
-"""Keeps the runs that the next life of a backend server has begun instead of the last.
+"""Keeps the runs that a backend server has begun after it has started again.
 
 A server may start again under its id before its agent notices, which then has the next
-life start runs that were ordered on the former one. The number of a run is never used
-again, so a run that the next life lists is the one that was ordered, and goes on.
+incarnation start runs that were ordered on the former one. The number of a run is never
+used again, so a run that the next incarnation lists is the one that was ordered, and
+goes on.
 """
 
 from __future__ import annotations
@@ -17,10 +18,10 @@
 LIFE_OVER = "its backend server's life was over"
 
 
-def lives_to_be_listed(
+def incarnations_to_keep(
     tables: SchedulerTables, host: Host, life: str
 ) -> frozenset[str]:
-    """Return the lives whose runs may go on beside the life that a host reports.
+    """Return the incarnations whose runs may go on if a host reports this one.
 
     Those of the same server end with the complete list of its runs at the latest.
     """
@@ -37,7 +38,7 @@
 def handle_complete_list(
     tables: SchedulerTables, host: Host, report: RunsReport, now: float
 ) -> SchedulerStep:
-    """Move the runs that a life has listed to it, and end those of former lives."""
+    """Move the runs that an incarnation lists to it, and end those of former ones."""
     server_id = server_of_incarnation(report.life)
     listed = {status.key for status in report.runs} | {end.key for end in report.ends}
     for task in tables.tasks.rows_where("host", host.name):
