Log how answers with operators' orders arrive

Callers were refused by an old configuration, and no line told whether its bytes, its old versions, threads, decoding or ticks made it late. The store's client now notes for each read when its call began, how long the answer took to begin, to arrive and to decode, and its size; orders.read says so for answers with rows, with the number of rows and keys and the wait for the tick, and orders_read_seconds has the durations. No decision changes.

--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -118,12 +118,35 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Receipt:
+    """How the answer to a read arrived, all pages of it together.
+
+    The call was begun at `started_at` and the answer decoded at `decoded_at`, in
+    seconds since boot. `waited_s` is the time until the answer began, `transferred_s`
+    the time until its `size_bytes` had arrived.
+    """
+
+    started_at: float
+    decoded_at: float
+    waited_s: float
+    transferred_s: float
+    size_bytes: int
+
+    @property
+    def decoding_s(self) -> float:
+        """How long the answer took to decode."""
+        busy_s = self.decoded_at - self.started_at
+        return max(0.0, busy_s - self.waited_s - self.transferred_s)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RangeRead(StoreEvent):
     """The rows of a range, and the newest version of the store at its start."""
 
     rows: tuple[StoredRow, ...]
     version: int
+    receipt: Receipt | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,6 +155,7 @@
 
     rows: tuple[StoredRow, ...]
     version: int
+    receipt: Receipt | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import http
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -31,10 +32,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HttpAnswer:
-    """A complete answer."""
+    """A complete answer.
+
+    It began `waited_s` after the request and was complete `transferred_s` later.
+    """
 
     status: int
     body: bytes
+    waited_s: float = 0.0
+    transferred_s: float = 0.0
 
 
 class HttpClient:
@@ -64,6 +70,7 @@
         plus a single wait for data of the answer, not the sum of all waits.
         """
         step = f"{self._service}.{method.lower()}"
+        sent_at = time.monotonic()
         try:
             response = self._pool.urlopen(
                 method,
@@ -73,7 +80,11 @@
                 timeout=urllib3.Timeout(total=timeout_s),
                 redirect=False,
                 retries=False,
+                preload_content=False,
             )
+            answered_at = time.monotonic()
+            # Returns the connection to the pool once the body is complete.
+            body_bytes = response.data
         except NewConnectionError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 problem = self._unavailable(step, str(error))
@@ -93,7 +104,12 @@
             raise RefusedError(problem=self._unavailable(step, detail))
         if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
             raise AnswerLostError(problem=self._outcome_unknown(step, detail))
-        return HttpAnswer(status=response.status, body=response.data)
+        return HttpAnswer(
+            status=response.status,
+            body=body_bytes,
+            waited_s=answered_at - sent_at,
+            transferred_s=time.monotonic() - answered_at,
+        )
 
     def invalid_answer(self, step: str, detail: str) -> Problem:
         """Return the problem for a malformed answer or an unexpected status."""
--- a/bulrushpulley/platform/row_store.py
+++ b/bulrushpulley/platform/row_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import http
+import time
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
@@ -17,6 +18,7 @@
     RangeRead,
     ReadFailed,
     ReadRange,
+    Receipt,
     RowsChanged,
     StoredRow,
     StoreEvent,
@@ -53,13 +55,20 @@
     """Sends transactions, reads ranges and watches tables.
 
     A row that cannot be decoded, such as one of another writer, is passed to `report`
-    and does not affect the other rows; see `StoredRowDecoder`.
+    and does not affect the other rows; see `StoredRowDecoder`. Receipts of answers have
+    the times of `clock`.
     """
 
     def __init__(
-        self, *, url: str, connections: int, report: Callable[[Problem], None]
+        self,
+        *,
+        url: str,
+        connections: int,
+        report: Callable[[Problem], None],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._http = HttpClient(url=url, connections=connections, service="store")
+        self._clock = clock
         self._report = report
         self._rows = StoredRowDecoder(report=report)
 
@@ -99,10 +108,12 @@
     def read_range(self, call: ReadRange) -> StoreEvent:
         """Read a range, page by page."""
         rows: list[StoredRow] = []
+        answers: list[HttpAnswer] = []
         version, first = 0, call.first
+        started_at = self._clock()
         try:
             while True:
-                raw = self._get(
+                answer = self._get(
                     "/v1/rows-get",
                     {
                         "Table": call.table,
@@ -112,6 +123,8 @@
                     },
                     call.timeout_s,
                 )
+                answers.append(answer)
+                raw = self._decode_body(answer)
                 rows.extend(self._rows.decode(raw))
                 version = version or integer(raw, "Ver", STEP)
                 if not flag(raw, "HasMore", STEP):
@@ -119,7 +132,12 @@
                 first = _next_first(raw)
         except READ_ERRORS as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
-        return RangeRead(purpose=call.purpose, rows=tuple(rows), version=version)
+        return RangeRead(
+            purpose=call.purpose,
+            rows=tuple(rows),
+            version=version,
+            receipt=self._receipt(started_at, answers),
+        )
 
     def watch(self, call: Watch) -> StoreEvent:
         """Wait for changes of a table, for at most `call.wait_s`."""
@@ -128,6 +146,7 @@
             "After": call.after,
             "WaitMs": int(call.wait_s * 1_000),
         }
+        started_at = self._clock()
         try:
             answer = self._http.exchange(
                 "GET", f"/v1/rows-feed?{urlencode(query)}", timeout_s=call.timeout_s
@@ -139,16 +158,29 @@
             version = integer(raw, "Ver", STEP)
         except READ_ERRORS as error:
             return ReadFailed(purpose=call.purpose, reason=str(error))
-        return RowsChanged(purpose=call.purpose, rows=rows, version=version)
+        return RowsChanged(
+            purpose=call.purpose,
+            rows=rows,
+            version=version,
+            receipt=self._receipt(started_at, [answer]),
+        )
+
+    def _receipt(self, started_at: float, answers: list[HttpAnswer]) -> Receipt:
+        return Receipt(
+            started_at=started_at,
+            decoded_at=self._clock(),
+            waited_s=sum(answer.waited_s for answer in answers),
+            transferred_s=sum(answer.transferred_s for answer in answers),
+            size_bytes=sum(len(answer.body) for answer in answers),
+        )
 
-    def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> Fields:
+    def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpAnswer:
         parameters = {
             name: value for name, value in query.items() if value or name == "part"
         }
-        answer = self._http.exchange(
+        return self._http.exchange(
             "GET", f"{path}?{urlencode(parameters)}", timeout_s=timeout_s
         )
-        return self._decode_body(answer)
 
     def _decode_body(self, answer: HttpAnswer) -> Fields:
         if answer.status != http.HTTPStatus.OK:
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -19,6 +19,7 @@
 from bulrushpulley.platform.ready_front import ReadyFront
 from bulrushpulley.platform.row_store import RowStoreClient
 from bulrushpulley.roles import intake, scheduler
+from bulrushpulley.roles.actor import seconds_since_boot
 from bulrushpulley.roles.intake_io import IntakePorts
 from bulrushpulley.roles.job_links import (
     JOB_LINK_HEARTBEAT_INTERVAL_S,
@@ -83,6 +84,7 @@
             url=self._settings.store.url,
             connections=connections,
             report=self.runtime.report,
+            clock=seconds_since_boot,
         )
 
     def _start_scheduler(self, common_ports: dict[str, Any]) -> None:
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -196,7 +196,7 @@
 
 @handle_watch_answer.register
 def _(event: RowsChanged, tables: IntakeTables, now: float) -> IntakeStep:
-    return operator_orders.handle_orders_changed(event.rows, event.version, tables, now)
+    return operator_orders.handle_orders_changed(event, tables, now)
 
 
 @handle_watch_answer.register
@@ -208,24 +208,28 @@
 def _(
     purpose: RecheckOrders, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    return handle_recheck_answer(event, purpose, tables)
+    return handle_recheck_answer(event, purpose, tables, now)
 
 
 @singledispatch
 def handle_recheck_answer(
-    event: StoreEvent, purpose: RecheckOrders, tables: IntakeTables
+    event: StoreEvent, purpose: RecheckOrders, tables: IntakeTables, now: float
 ) -> IntakeStep:
     """Handle the answer to a second read; by default the call has failed."""
     return rechecking.handle_failed(tables)
 
 
 @handle_recheck_answer.register
-def _(event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables) -> IntakeStep:
-    return rechecking.handle_changes(event, purpose, tables)
+def _(
+    event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables, now: float
+) -> IntakeStep:
+    return rechecking.handle_changes(event, purpose, tables, now)
 
 
 @handle_recheck_answer.register
-def _(event: HistoryLost, purpose: RecheckOrders, tables: IntakeTables) -> IntakeStep:
+def _(
+    event: HistoryLost, purpose: RecheckOrders, tables: IntakeTables, now: float
+) -> IntakeStep:
     return operator_orders.handle_history_lost(tables)
 
 
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -31,12 +31,14 @@
 from bulrushpulley.entities.jobs.store import (
     RangeRead,
     ReadRange,
+    RowsChanged,
     StoredRow,
     WatchState,
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.systems import store_watch
+from bulrushpulley.systems.intake import read_lines
 
 ORDERS_READ_TIMEOUT_S = 1.5
 ORDERS_READ_RETRY_DELAY_S = 0.3
@@ -79,13 +81,17 @@
     for key in entries:
         if key not in found and entries[key].version <= event.version:
             entries = entries.delete(key)
+    lines = read_lines.lines(
+        event, read="all", sent_at=tables.orders_read_sent_at, now=now
+    )
     tables = replace(
         tables,
         order_by_key=entries,
         reading_orders=False,
         watch=WatchState(after=event.version),
     )
-    return apply_rows(tables, event.rows, event.version)
+    step = apply_rows(tables, event.rows, event.version)
+    return replace(step, commands=(*lines, *step.commands))
 
 
 def handle_orders_read_failed(tables: IntakeTables) -> IntakeStep:
@@ -94,13 +100,17 @@
 
 
 def handle_orders_changed(
-    rows: tuple[StoredRow, ...], version: int, tables: IntakeTables, now: float
+    event: RowsChanged, tables: IntakeTables, now: float
 ) -> IntakeStep:
     """Apply changed rows."""
     if tables.watch is None:
         return Step(tables=tables)
-    watch = store_watch.with_changes_read(tables.watch, version)
-    return apply_rows(replace(tables, watch=watch), rows, version)
+    lines = read_lines.lines(
+        event, read="changes", sent_at=tables.watch.sent_at, now=now
+    )
+    watch = store_watch.with_changes_read(tables.watch, event.version)
+    step = apply_rows(replace(tables, watch=watch), event.rows, event.version)
+    return replace(step, commands=(*lines, *step.commands))
 
 
 def handle_history_lost(tables: IntakeTables) -> IntakeStep:
--- a/bulrushpulley/systems/intake/rechecking.py
+++ b/bulrushpulley/systems/intake/rechecking.py
@@ -22,7 +22,7 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.intake import operator_orders
+from bulrushpulley.systems.intake import operator_orders, read_lines
 from bulrushpulley.systems.lasting_states import first_lines, left_out
 from bulrushpulley.systems.store_watch import RECHECK_INTERVAL_S, WATCH_ANSWER_TIMEOUT_S
 
@@ -58,12 +58,13 @@
 
 
 def handle_changes(
-    event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables
+    event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables, now: float
 ) -> IntakeStep:
     """Apply the rows that the watch has passed and that are not known."""
     state, watch = tables.recheck, tables.watch
     if state is None or watch is None:
         return handle_failed(tables)
+    lines = read_lines.lines(event, read="second", sent_at=state.sent_at, now=now)
     after = max(state.after, min(event.version, purpose.watched))
     tables = replace(tables, recheck=replace(state, in_flight=False, after=after))
     missed = [
@@ -72,9 +73,11 @@
         if stored.version <= watch.after and _is_missed(stored, tables)
     ]
     if not missed:
-        return Step(tables=tables)
+        return Step(tables=tables, commands=lines)
     step = operator_orders.apply_rows(tables, tuple(missed), watch.after)
-    return replace(step, commands=(*_lines(missed, watch.after), *step.commands))
+    return replace(
+        step, commands=(*lines, *_lines(missed, watch.after), *step.commands)
+    )
 
 
 def _is_missed(stored: StoredRow, tables: IntakeTables) -> bool:
