Reproduce refusals by an old configuration in virtual time

The virtual site can now keep the link of an entry busy for each version of the configuration in an answer.

--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -22,7 +22,7 @@
     RequestAdvice,
 )
 from bulrushpulley.entities.jobs.bounds import Bounds
-from bulrushpulley.entities.jobs.calls import CallAnswer, SubmitCall
+from bulrushpulley.entities.jobs.calls import CallAnswer, ShowCall, SubmitCall
 from bulrushpulley.entities.jobs.configuration import (
     Configuration,
     Evacuation,
@@ -46,7 +46,7 @@
     StopUnanswered,
 )
 from bulrushpulley.entities.jobs.explanation import Explanation
-from bulrushpulley.entities.jobs.intake_tables import PublishReady
+from bulrushpulley.entities.jobs.intake_tables import INTAKE, PublishReady
 from bulrushpulley.entities.jobs.job_agent_tables import JOB_AGENT, JobAgentTables
 from bulrushpulley.entities.jobs.machines import (
     ListMachines,
@@ -185,7 +185,9 @@
     the list of machines fail, and the list is returned `list_delay_s` later as it was
     when it was requested. A dial that is not answered fails after `failed_dial_s`. Wall
     clocks are `wall_error_s` ahead. The service of advice allows no server to the steps
-    of `disallowed_job_ids`, and gives those of `unadvised_job_ids` no answer.
+    of `disallowed_job_ids`, and gives those of `unadvised_job_ids` no answer. Each
+    version of the configuration in an answer keeps the link of its entry busy for
+    `configuration_transfer_s`.
     """
 
     def __init__(
@@ -212,6 +214,8 @@
         self.reads_fail = False
         self.far_from_store: set[str] = set()
         self.store_slowdown_factor = 1.0
+        self.configuration_transfer_s = 0.0
+        self._link_free_at: dict[str, float] = {}
         self.part_free_at: dict[str, float] = {}
         self.call_delay_s = 0.0
         self.late_calls: LateCalls | None = None
@@ -850,9 +854,11 @@
     ) -> None:
         can_read = process.name not in self.cut_off_from_store and not self.reads_fail
         if self.store_up and can_read:
-            self._answer(
-                command, process, STORE_LATENCY_S * self.store_slowdown_factor, read
-            )
+            latency_s = STORE_LATENCY_S * self.store_slowdown_factor
+            if self.configuration_transfer_s:
+                self.at(latency_s, lambda: self._transfer(command, process, read()))
+            else:
+                self._answer(command, process, latency_s, read)
             return
         failed = store.ReadFailed(purpose=command.purpose, reason="down")
         after_s = (
@@ -862,6 +868,17 @@
         )
         self._answer(command, process, after_s, lambda: failed)
 
+    def _transfer(
+        self, command: store.StoreCommand, process: Process, event: store.StoreEvent
+    ) -> None:
+        """Deliver an answer once the link has carried it after those before it."""
+        rows: tuple[store.StoredRow, ...] = getattr(event, "rows", ())
+        versions = sum(isinstance(stored.row, Configuration) for stored in rows)
+        begins_at = max(self.now, self._link_free_at.get(process.name, 0.0))
+        arrives_at = begins_at + versions * self.configuration_transfer_s
+        self._link_free_at[process.name] = arrives_at
+        self._answer(command, process, arrives_at - self.now, lambda: event)
+
     @_carry_out.register
     def _(self, command: ExecutorCommand, process: Process) -> None:
         executor = self.executor_by_host[process.name]
@@ -1037,6 +1054,17 @@
         self.tell(self.process_by_name[entry], "intake", call)
         return job_id
 
+    def show(self, call_id: str, queue: Queue, *, entry: str) -> None:
+        """Request at an entry how many jobs of a queue wait."""
+        call = ShowCall(
+            call_id=call_id,
+            authority=queue.authority,
+            path=queue.path_prefix,
+            within_s=3.0,
+            received_at_s=self.now,
+        )
+        self.tell(self.process_by_name[entry], INTAKE, call)
+
     def state_of(self, job_id: str) -> JobState | None:
         """Return the durable state of a job, if it has any."""
         stored = self.store.row_by_key.get(progress_key(job_id))
