Read operators' orders as they are instead of following each version

Callers at an entry were refused with 404 for queues that had been added long before. Cause: the store's feed returns each version of a row since the one asked for. A configuration of 1,645 queues takes 445 KB, so where it changes about as fast as it crosses the entry's link, each answer holds more old versions than the one before, and the entry falls behind.

After a change of the configuration, and after a watch without answer, all orders are now read by range, which returns one version of each, until a read finds nothing new; only then is the feed followed again. Such a read is also the second read of what changed until then, which the feed's second read transferred before.

What is still red: an entry whose reads are late for another reason does not know it.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -102,7 +102,8 @@
     `accepted` and `older_accepted` hold the ids of jobs that are known to be stored:
     the recent ones and those before. `store_answered_at` is when the store last
     answered any call, and `store_latency_s` its smoothed latency. `reading_orders` is
-    whether a read of all orders is in flight.
+    whether a read of all orders is in flight, `orders_read_due_at` when the next one
+    may be sent, and `orders_read_s` how long the last one took.
     """
 
     operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
@@ -111,6 +112,8 @@
     recheck: RecheckState | None = None
     reading_orders: bool = False
     orders_read_sent_at: float = 0.0
+    orders_read_due_at: float = 0.0
+    orders_read_s: float = 0.0
     submissions: Table[Submission] = field(default_factory=Table.empty)
     batch: Batch | None = None
     batch_count: int = 0
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -2,6 +2,12 @@
 
 A row is replaced only by one with a newer version, so an order never reverts to an
 older state. The scheduler of the same process is notified of each change.
+
+The store's feed returns each version of a row since the one asked for. A configuration
+may take longer to arrive than until it is replaced, so an entry that followed the feed
+would fall ever further behind. After a change of the configuration, and after a call
+without answer, all orders are read as they are until a read finds nothing new, and only
+then are they watched again.
 """
 
 from __future__ import annotations
@@ -40,7 +46,9 @@
 from bulrushpulley.systems import store_watch
 from bulrushpulley.systems.intake import read_lines
 
-ORDERS_READ_TIMEOUT_S = 1.5
+# Without data for as long, a read is given up; the store answers within 0.5 s even
+# while it is slow.
+ORDERS_READ_TIMEOUT_S = 1.0
 ORDERS_READ_RETRY_DELAY_S = 0.3
 
 
@@ -48,12 +56,14 @@
     """Read the orders once, then watch them for changes."""
     state = tables.watch
     if state is None:
-        if (
-            tables.reading_orders
-            or now - tables.orders_read_sent_at < ORDERS_READ_RETRY_DELAY_S
-        ):
+        if tables.reading_orders or now < tables.orders_read_due_at:
             return Step(tables=tables)
-        reading = replace(tables, reading_orders=True, orders_read_sent_at=now)
+        reading = replace(
+            tables,
+            reading_orders=True,
+            orders_read_sent_at=now,
+            orders_read_due_at=now + ORDERS_READ_RETRY_DELAY_S,
+        )
         read = ReadRange(
             role=INTAKE,
             purpose=ReadOrders(),
@@ -74,8 +84,11 @@
 ) -> IntakeStep:
     """Apply the orders that were read, and watch for changes after that version.
 
-    Orders that are no longer stored are dropped, unless a newer row is known.
+    Orders that are no longer stored are dropped, unless a newer row is known. If the
+    configuration has changed, more of its versions may have been stored while this one
+    arrived, so the orders are read again.
     """
+    former = tables.operator_settings.configuration
     found = {stored.key.key for stored in event.rows}
     entries = tables.order_by_key
     for key in entries:
@@ -88,10 +101,20 @@
         tables,
         order_by_key=entries,
         reading_orders=False,
+        orders_read_s=now - tables.orders_read_sent_at,
         watch=WatchState(after=event.version),
+        recheck=store_watch.with_table_read(tables.recheck, event.version),
     )
     step = apply_rows(tables, event.rows, event.version)
-    return replace(step, commands=(*lines, *step.commands))
+    tables = step.tables
+    if former not in (None, tables.operator_settings.configuration):
+        tables = _with_read_due(tables, now)
+    return Step(tables=tables, commands=(*lines, *step.commands))
+
+
+def _with_read_due(tables: IntakeTables, at: float) -> IntakeTables:
+    """Stop watching, and read all orders at `at`."""
+    return replace(tables, watch=None, orders_read_due_at=at)
 
 
 def handle_orders_read_failed(tables: IntakeTables) -> IntakeStep:
@@ -102,15 +125,19 @@
 def handle_orders_changed(
     event: RowsChanged, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Apply changed rows."""
+    """Apply changed rows; after a change of the configuration, read all orders."""
     if tables.watch is None:
         return Step(tables=tables)
+    former = tables.operator_settings.configuration
     lines = read_lines.lines(
         event, read="changes", sent_at=tables.watch.sent_at, now=now
     )
     watch = store_watch.with_changes_read(tables.watch, event.version)
     step = apply_rows(replace(tables, watch=watch), event.rows, event.version)
-    return replace(step, commands=(*lines, *step.commands))
+    tables = step.tables
+    if tables.operator_settings.configuration != former:
+        tables = _with_read_due(tables, now)
+    return Step(tables=tables, commands=(*lines, *step.commands))
 
 
 def handle_history_lost(tables: IntakeTables) -> IntakeStep:
@@ -119,12 +146,10 @@
 
 
 def handle_watch_failed(tables: IntakeTables, now: float) -> IntakeStep:
-    """Schedule a retry of the watch."""
+    """Schedule a read of all orders, as several versions may have been missed."""
     if tables.watch is None:
         return Step(tables=tables)
-    return Step(
-        tables=replace(tables, watch=store_watch.with_failed_call(tables.watch, now))
-    )
+    return Step(tables=_with_read_due(tables, now + ORDERS_READ_RETRY_DELAY_S))
 
 
 def apply_rows(
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bulrushpulley.entities.changing import replace
-from bulrushpulley.entities.jobs.store import Purpose, Watch, WatchState
+from bulrushpulley.entities.jobs.store import Purpose, RecheckState, Watch, WatchState
 
 # The store answers a watch after this time even without changes, so that a dead
 # connection is detected. It must be well below the 2.5 s within which a change has to
@@ -53,3 +53,13 @@
     return replace(
         state, in_flight=False, failed=True, retry_at=now + WATCH_RETRY_DELAY_S
     )
+
+
+def with_table_read(state: RecheckState | None, version: int) -> RecheckState | None:
+    """Return the state after all rows were read, as of `version`.
+
+    Changes up to that version need no second read.
+    """
+    if state is None:
+        return None
+    return replace(state, after=max(state.after, version))
