Refuse calls while newer orders of operators may be unknown

Callers were refused with 404 for queues that had been added, and served on queues that had been dropped, by a configuration of any age: an entry that could not read the operators' orders, for whatever reason, went on as if its own were the newest.

Each read now says until when the orders are known to be complete: until it was sent, or until the wait of a watch without changes was over. Once that is longer ago than a configuration may take to be in force (limits.orders_within_s, ConfigApplyMs on the users' platform), calls are answered with 503 and may come back after 0.5 s, and the entry is not ready. A watch waits less while a read takes long, so that a change at the end of the wait still arrives in time. orders_age_seconds has the ages that are reached.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -24,6 +24,7 @@
 from bulrushpulley.entities.table import Table
 
 INTAKE = "intake"
+DEFAULT_ORDERS_WITHIN_S = 2.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,7 +104,9 @@
     the recent ones and those before. `store_answered_at` is when the store last
     answered any call, and `store_latency_s` its smoothed latency. `reading_orders` is
     whether a read of all orders is in flight, `orders_read_due_at` when the next one
-    may be sent, and `orders_read_s` how long the last one took.
+    may be sent, and `orders_read_s` how long the last one took. All orders are known
+    that were stored before `orders_confirmed_at`; an order has to be in force
+    `orders_within_s` after it was stored.
     """
 
     operator_settings: OperatorSettings = NO_OPERATOR_SETTINGS
@@ -114,6 +117,8 @@
     orders_read_sent_at: float = 0.0
     orders_read_due_at: float = 0.0
     orders_read_s: float = 0.0
+    orders_confirmed_at: float = 0.0
+    orders_within_s: float = DEFAULT_ORDERS_WITHIN_S
     submissions: Table[Submission] = field(default_factory=Table.empty)
     batch: Batch | None = None
     batch_count: int = 0
--- a/bulrushpulley/entities/jobs/store.py
+++ b/bulrushpulley/entities/jobs/store.py
@@ -175,11 +175,13 @@
     """The state of a watch on one table.
 
     Changes up to the version `after` have been read. The last call was sent at
-    `sent_at`; `failed` is set if the last one that has ended failed.
+    `sent_at`, to wait for `wait_s`; `failed` is set if the last one that has ended
+    failed.
     """
 
     after: int
     sent_at: float = 0.0
+    wait_s: float = 0.0
     in_flight: bool = False
     failed: bool = False
     retry_at: float = 0.0
--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from bulrushpulley.entities.jobs.intake_tables import INTAKE, IntakeTables
+from bulrushpulley.entities.jobs.intake_tables import (
+    DEFAULT_ORDERS_WITHIN_S,
+    INTAKE,
+    IntakeTables,
+)
 from bulrushpulley.roles.actor import CONTROL_TICK_INTERVAL_S, Role, seconds_since_boot
 from bulrushpulley.systems.intake import (
     checking,
@@ -15,11 +19,14 @@
 from bulrushpulley.systems.intake.events import apply
 
 
-def build() -> Role[IntakeTables]:
-    """Return the intake of an entry."""
+def build(*, orders_within_s: float = DEFAULT_ORDERS_WITHIN_S) -> Role[IntakeTables]:
+    """Return the intake of an entry.
+
+    Orders of operators have to be in force `orders_within_s` after they were stored.
+    """
     return Role(
         name=INTAKE,
-        tables=IntakeTables(),
+        tables=IntakeTables(orders_within_s=orders_within_s),
         apply=apply,
         systems=(
             operator_orders.run,
--- a/bulrushpulley/roles/job_entry_process.py
+++ b/bulrushpulley/roles/job_entry_process.py
@@ -123,7 +123,8 @@
             store=self._make_store_client(INTAKE_THREADS),
             set_ready=self._set_ready,
         )
-        self.runtime.start_role(intake.build(), ports, threads=INTAKE_THREADS)
+        role = intake.build(orders_within_s=self._settings.limits.orders_within_s)
+        self.runtime.start_role(role, ports, threads=INTAKE_THREADS)
 
     def _set_ready(self, ready: bool) -> None:
         (self._ready.set if ready else self._ready.clear)()
--- a/bulrushpulley/settings.py
+++ b/bulrushpulley/settings.py
@@ -20,6 +20,7 @@
 
 from bulrushpulley.entities.changing import replace
 from bulrushpulley.entities.jobs.bounds import Bounds
+from bulrushpulley.entities.jobs.intake_tables import DEFAULT_ORDERS_WITHIN_S
 from bulrushpulley.errors import BulrushpulleyError, Code, Problem
 from bulrushpulley.wire.validation import Length, Range, SocketAddress, Text, build
 
@@ -167,13 +168,17 @@
     No lease is longer than `longest_lease_s`. A run that lost its lease or is stopped
     ends within `kill_s`. A new owner waits for `turn_s` before it orders upkeep, once
     the former owner sends no more orders. An accepted task whose host is lost must run
-    again within `longest_wait_s`.
+    again within `longest_wait_s`. Calls are answered by orders of operators no longer
+    than `orders_within_s` after newer ones may have been stored.
     """
 
     longest_lease_s: Annotated[float, Range(low=0.5, high=3_600.0)]
     kill_s: Annotated[float, Range(low=0.0, high=600.0)]
     turn_s: Annotated[float, Range(low=0.0, high=600.0)] = 3.0
     longest_wait_s: Annotated[float, Range(low=1.0, high=3_600.0)] | None = None
+    orders_within_s: Annotated[float, Range(low=0.1, high=600.0)] = (
+        DEFAULT_ORDERS_WITHIN_S
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -45,6 +45,7 @@
     checking,
     inquiring,
     operator_orders,
+    order_age,
     rechecking,
     submitting,
 )
@@ -52,6 +53,8 @@
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 # A process has read its configuration within this time after its start.
 STARTUP_RETRY_AFTER_S = 0.5
+# Other entries, which callers use next, are seldom behind at the same time.
+OLD_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 
 @singledispatch
@@ -81,6 +84,14 @@
             retry_after_s=STARTUP_RETRY_AFTER_S,
         )
         return _refuse(tables, event, later, later.reason)
+    if not order_age.are_current(tables, now):
+        later = TryLater(
+            call_id=event.call_id,
+            reason=f"configuration version {configuration.version} may be old,"
+            f" it was last confirmed {order_age.age_s(tables, now):.1f} s ago",
+            retry_after_s=OLD_CONFIGURATION_RETRY_AFTER_S,
+        )
+        return _refuse(tables, event, later, later.reason)
     found = route(configuration, event.authority, event.path)
     if found is None:
         answer = NoSuchQueue(call_id=event.call_id)
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -44,7 +44,7 @@
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step, Tell
 from bulrushpulley.systems import store_watch
-from bulrushpulley.systems.intake import read_lines
+from bulrushpulley.systems.intake import order_age, read_lines
 
 # Without data for as long, a read is given up; the store answers within 0.5 s even
 # while it is slow.
@@ -74,8 +74,14 @@
         return Step(tables=reading, commands=(read,))
     if not store_watch.due(state, now):
         return Step(tables=tables)
-    call = store_watch.call(state, role=INTAKE, purpose=WatchOrders(), table=ORDERS)
-    watching = replace(tables, watch=store_watch.with_call_sent(state, now))
+    call = store_watch.call(
+        state,
+        role=INTAKE,
+        purpose=WatchOrders(),
+        table=ORDERS,
+        max_wait_s=order_age.watch_wait_s(tables),
+    )
+    watching = replace(tables, watch=store_watch.with_call_sent(state, call, now))
     return Step(tables=watching, commands=(call,))
 
 
@@ -105,11 +111,13 @@
         watch=WatchState(after=event.version),
         recheck=store_watch.with_table_read(tables.recheck, event.version),
     )
+    ages = order_age.ages(tables, now)
+    tables = order_age.with_confirmed(tables, tables.orders_read_sent_at)
     step = apply_rows(tables, event.rows, event.version)
     tables = step.tables
     if former not in (None, tables.operator_settings.configuration):
         tables = _with_read_due(tables, now)
-    return Step(tables=tables, commands=(*lines, *step.commands))
+    return Step(tables=tables, commands=(*lines, *ages, *step.commands))
 
 
 def _with_read_due(tables: IntakeTables, at: float) -> IntakeTables:
@@ -126,18 +134,29 @@
     event: RowsChanged, tables: IntakeTables, now: float
 ) -> IntakeStep:
     """Apply changed rows; after a change of the configuration, read all orders."""
-    if tables.watch is None:
+    state = tables.watch
+    if state is None:
         return Step(tables=tables)
     former = tables.operator_settings.configuration
-    lines = read_lines.lines(
-        event, read="changes", sent_at=tables.watch.sent_at, now=now
-    )
-    watch = store_watch.with_changes_read(tables.watch, event.version)
+    ages: tuple[Command, ...] = ()
+    if not event.rows:
+        ages = order_age.ages(tables, now)
+        unchanged_until = store_watch.unchanged_until(state, now)
+        tables = order_age.with_confirmed(tables, unchanged_until)
+    elif not _has_configuration(event):
+        tables = order_age.with_confirmed(tables, state.sent_at)
+    lines = read_lines.lines(event, read="changes", sent_at=state.sent_at, now=now)
+    watch = store_watch.with_changes_read(state, event.version)
     step = apply_rows(replace(tables, watch=watch), event.rows, event.version)
     tables = step.tables
     if tables.operator_settings.configuration != former:
         tables = _with_read_due(tables, now)
-    return Step(tables=tables, commands=(*lines, *step.commands))
+    return Step(tables=tables, commands=(*lines, *ages, *step.commands))
+
+
+def _has_configuration(event: RowsChanged) -> bool:
+    """Return whether an answer may lack newer versions that did not fit."""
+    return any(isinstance(stored.row, Configuration) for stored in event.rows)
 
 
 def handle_history_lost(tables: IntakeTables) -> IntakeStep:
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -1,7 +1,7 @@
 """Publishes whether the platform should route new callers to this entry.
 
-It should once a configuration has been read, while the store answers and the process
-is not leaving.
+It should once a configuration has been read, while that is known to be current, the
+store answers and the process is not leaving.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.intake import submitting
+from bulrushpulley.systems.intake import order_age, submitting
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
@@ -22,14 +22,18 @@
     store_answers = (
         now - tables.store_answered_at < submitting.STORE_UNREACHABLE_TIMEOUT_S
     )
+    are_current = order_age.are_current(tables, now)
     ready = (
         store_answers
+        and are_current
         and not tables.leaving
         and tables.operator_settings.configuration is not None
     )
     if ready == tables.ready:
         return Step(tables=tables)
-    reason = "leaving" if tables.leaving else f"store answers: {store_answers}"
+    reason = f"store answers: {store_answers}, orders current: {are_current}"
+    if tables.leaving:
+        reason = "leaving"
     line = Decision(
         kind="entry.ready",
         subject="entry",
--- a/bulrushpulley/systems/scheduling/watching.py
+++ b/bulrushpulley/systems/scheduling/watching.py
@@ -24,11 +24,11 @@
     commands: list[Command] = []
     for table, state in tables.watch_by_table.items():
         if store_watch.due(state, now):
-            tables = _put(tables, table, store_watch.with_call_sent(state, now))
             purpose = WatchTable(table=table, epoch=tables.epoch)
-            commands.append(
-                store_watch.call(state, role=SCHEDULER, purpose=purpose, table=table)
-            )
+            call = store_watch.call(state, role=SCHEDULER, purpose=purpose, table=table)
+            sent = store_watch.with_call_sent(state, call, now)
+            tables = _put(tables, table, sent)
+            commands.append(call)
     return Step(tables=tables, commands=tuple(commands))
 
 
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -20,13 +20,20 @@
     return not state.in_flight and now >= state.retry_at
 
 
-def call(state: WatchState, *, role: str, purpose: Purpose, table: str) -> Watch:
+def call(
+    state: WatchState,
+    *,
+    role: str,
+    purpose: Purpose,
+    table: str,
+    max_wait_s: float = WATCH_WAIT_S,
+) -> Watch:
     """Return the next call of a watch.
 
     After a failure it does not wait for changes, so that an early answer shows
     that the store is available again.
     """
-    wait_s = 0.0 if state.failed else WATCH_WAIT_S
+    wait_s = 0.0 if state.failed else max_wait_s
     return Watch(
         role=role,
         purpose=purpose,
@@ -37,9 +44,19 @@
     )
 
 
-def with_call_sent(state: WatchState, now: float) -> WatchState:
+def with_call_sent(state: WatchState, call: Watch, now: float) -> WatchState:
     """Return the state while a call is in flight."""
-    return replace(state, in_flight=True, sent_at=now)
+    return replace(state, in_flight=True, sent_at=now, wait_s=call.wait_s)
+
+
+def unchanged_until(state: WatchState, now: float) -> float:
+    """Return until when an answer without rows shows that nothing has changed.
+
+    The store answers so once the wait of the call is over, which began after the call
+    was sent.
+    """
+    waited_s = state.wait_s if now - state.sent_at >= state.wait_s else 0.0
+    return state.sent_at + waited_s
 
 
 def with_changes_read(state: WatchState, version: int) -> WatchState:
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -36,6 +36,7 @@
     "Bounds.MaxHoldMs": "6000",
     "Bounds.KillTimeoutMs": "200",
     "Bounds.LeaseMs": "3000",
+    "Bounds.ConfigApplyMs": "2200",
     "Cloud.Addr": "10.200.0.79:8169",
     "Bounds.finish_s": "14",
     "Limits.CpuShare": "0.537",
@@ -66,6 +67,7 @@
         self.assertEqual(6.0, settings.limits.longest_lease_s)
         self.assertEqual(0.2, settings.limits.kill_s)
         self.assertEqual(3.0, settings.limits.turn_s)
+        self.assertEqual(2.2, settings.limits.orders_within_s)
         self.assertAlmostEqual(1.074, settings.processor.processors)
         self.assertAlmostEqual(0.463, claim_stagger(settings))
 
