--- a/test/test_jobs_old_configuration.py
+++ b/test/test_jobs_old_configuration.py
@@ -21,16 +21,19 @@
     TryLater,
 )
 from bulrushpulley.entities.jobs.configuration import Queue
+from bulrushpulley.entities.jobs.executor_calls import StartRun
 from bulrushpulley.entities.jobs.intake_tables import (
     ReadOrders,
     RecheckOrders,
     WatchOrders,
 )
 from bulrushpulley.entities.step import Command
-from test.jobs_world import QUEUE, CallOutcome, JobsWorld, Process
+from test.jobs_world import QUEUE, CallOutcome, JobsWorld, Process, step
 
 # The platform requires a configuration to be in force this long after it was stored.
 APPLY_WITHIN_S = 2.5
+# No task may start in an evacuated failure domain this long after the order was stored.
+EVACUATE_WITHIN_S = 5.0
 SHOW_INTERVAL_S = 0.1
 CHANGE_INTERVAL_S = 0.33
 # How long 420 KB take over a link of 5 Mbit/s.
@@ -131,6 +134,31 @@
         later = self.answers_of(TryLater, shown)
         self.assertLessEqual(len(later), len(shown) / 20, later)
 
+    def test_jobs_and_evacuations_go_on_beside_changes_of_a_large_configuration(
+        self,
+    ) -> None:
+        # Evacuations are read by the same calls as the configuration, and rows of jobs
+        # over the same link.
+        world = self.world
+        world.configuration_transfer_s = TRANSFER_S
+        self.add_queues(seconds=15.0)
+        world.run(5.0)
+        world.evacuate("z0")
+        evacuated_at = world.now
+        started_at: list[float] = []
+
+        def note_start(command: Command) -> None:
+            if isinstance(command, StartRun) and command.server_id.startswith("z0"):
+                started_at.append(round(world.now - evacuated_at, 2))
+
+        world.hook = note_start
+        for number in range(40):
+            world.submit(number, step(2), payload="0.3")
+            world.run(0.3)
+        late = [after_s for after_s in started_at if after_s > EVACUATE_WITHIN_S]
+        self.assertEqual([], late)
+        self.assertTrue(world.run_until(world.all_complete, 10.0))
+
     def test_an_entry_that_cannot_read_the_configuration_refuses_calls(self) -> None:
         self.leave_unanswered("entry-1")
         self.check_no_answer_by_an_old_configuration(lambda: None)
