--- a/test/test_jobs_old_configuration.py
+++ b/test/test_jobs_old_configuration.py
@@ -38,6 +38,10 @@
 CHANGE_INTERVAL_S = 0.33
 # How long 420 KB take over a link of 5 Mbit/s.
 TRANSFER_S = 0.67
+# The same of the 65 KB of 245 queues.
+SHORT_TRANSFER_S = 0.1
+# A machine that was cut off is held to all bounds again after this time.
+IN_TOUCH_AFTER_S = 4.0
 ENTRIES = ("entry-0", "entry-1")
 ORDER_READS = (ReadOrders, WatchOrders, RecheckOrders)
 
@@ -168,6 +172,40 @@
         freeze = self.world.freeze
         self.check_no_answer_by_an_old_configuration(lambda: freeze("entry-1", 4.0))
 
+    def test_an_answer_from_before_an_entry_stood_still_confirms_nothing_later(
+        self,
+    ) -> None:
+        world = self.world
+        queue = added_queue(1)
+        world.freeze("entry-1", 6.0)
+        # The watch has been answered by then: nothing had changed.
+        world.run(2.0)
+        world.configure(QUEUE, queue)
+        changed_at = world.now
+        shown: list[Shown] = []
+        while world.now < changed_at + 2 * APPLY_WITHIN_S:
+            world.run(SHOW_INTERVAL_S)
+            if world.now - changed_at > APPLY_WITHIN_S:
+                shown.extend(self.show_all([(queue, changed_at)], ["entry-1"]))
+        world.run(1.0)
+        self.assertEqual([], self.answers_of(NoSuchQueue, shown))
+        self.assertNotEqual([], self.answers_of(TryLater, shown))
+        self.assertNotEqual([], self.answers_of(BacklogShown, shown))
+
+    def test_an_entry_that_was_cut_off_from_the_store_is_soon_up_to_date(self) -> None:
+        world = self.world
+        world.configuration_transfer_s = SHORT_TRANSFER_S
+        added_at = self.add_queues(seconds=8.0)
+        world.run(2.0)
+        world.cut_off_from_store.add("entry-1")
+        world.run(5.0)
+        world.cut_off_from_store.clear()
+        world.run(IN_TOUCH_AFTER_S)
+        newest = list(added_at.items())[-1]
+        shown = self.show_all([newest], ["entry-1"])
+        world.run(0.5)
+        self.assertEqual(1, len(self.answers_of(BacklogShown, shown)))
+
     def check_no_answer_by_an_old_configuration(
         self, disturb: Callable[[], None]
     ) -> None:
