Let the stand-in of the row store return each version from its feed

The stand-in returned only the newest, so that no test over HTTP could show what a follower of old versions costs. It keeps the latest 20,000 rows, and answers 410 for what is older. The client's receipts of answers have a test as well.

--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -10,14 +10,16 @@
 
 import gc
 import http
+import itertools
 import threading
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
 from absl import app, flags
+from pyrsistent import PVector, pvector
 
 from standins import table_core
 from standins.faults import Faults, Mode, Switch
@@ -46,6 +48,7 @@
 MAX_FEED_WAIT_S = 30.0
 MAX_ROWS_PER_READ = 500
 MAX_TRANSACTION_ENTRIES = 100
+MAX_HISTORY_ROWS = 20_000
 # Only operators write to these tables; writes of the scheduler are refused.
 OPERATOR_TABLES = frozenset({"op", "servers"})
 # The persistent maps hold many objects but no reference cycles, so that full
@@ -57,11 +60,29 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RowStore:
-    """The rows, and the version up to which the history has been deleted."""
+    """The rows, their latest versions, and up to which version these are deleted."""
 
     state: TableState
+    history: PVector[Stored] = field(default_factory=pvector)
     compacted_version: int = 0
 
+    def with_commit(self, result: CommitResult, keys: Iterable[str]) -> RowStore:
+        """Return the store after a commit that wrote rows with these keys."""
+        if not result.committed:
+            return self
+        state = result.state
+        history = self.history.extend(state.rows.by_key[key] for key in keys)
+        dropped = max(0, len(history) - MAX_HISTORY_ROWS)
+        if not dropped:
+            return replace(self, state=state, history=history)
+        compacted_version = history[dropped - 1].version
+        return replace(
+            self,
+            state=state,
+            history=history[dropped:],
+            compacted_version=compacted_version,
+        )
+
 
 def core_key(raw: dict[str, Any]) -> str:
     """Return the key in `table_core` for the address of a row."""
@@ -156,7 +177,8 @@
     def _commit(self, transaction: Transaction) -> Response:
         with self._changed:
             result = table_core.commit(self._store.state, transaction)
-            self._store = replace(self._store, state=result.state)
+            keys = (put.key for put in transaction.puts)
+            self._store = self._store.with_commit(result, keys)
             self._changed.notify_all()
         return self._commit_response(result)
 
@@ -207,13 +229,12 @@
         return self._answer(http.HTTPStatus.OK, body)
 
     def _changes(self, prefix: str, after: int) -> tuple[Stored, ...]:
-        state = self._store.state
-        if after >= state.revision:
-            return ()
-        page = table_core.read(
-            state, prefix=prefix, since=after, limit=len(state.rows) + 1
+        """Return each version of the rows with this prefix since `after`, in order."""
+        newest_first = itertools.takewhile(
+            lambda stored: stored.version > after, reversed(self._store.history)
         )
-        return page.rows
+        changes = [row for row in newest_first if row.key.startswith(prefix)]
+        return tuple(reversed(changes))
 
 
 def main(argv: list[str]) -> None:
--- a/test/test_row_store.py
+++ b/test/test_row_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import replace
 
 import urllib3
 
@@ -112,6 +113,30 @@
         assert isinstance(event, RowsChanged)
         self.assertEqual([ROW], [stored.row for stored in event.rows])
 
+    def test_a_watch_returns_each_version_of_a_row(self) -> None:
+        # As the platform's feed does: a follower that falls behind reads all of them.
+        first = self.client.transact(transact_command(ROW))
+        assert isinstance(first, Transacted)
+        later = [replace(ROW, sequence=sequence) for sequence in (1, 2, 3)]
+        for row in later:
+            self.client.transact(transact_command(row))
+        event = self.client.watch(self._watch_command(first.version))
+        assert isinstance(event, RowsChanged)
+        self.assertEqual(later, [stored.row for stored in event.rows])
+
+    def test_a_read_tells_how_its_answer_arrived(self) -> None:
+        self.client.transact(transact_command(ROW))
+        event = self.client.watch(self._watch_command(0))
+        assert isinstance(event, RowsChanged)
+        receipt = event.receipt
+        assert receipt is not None
+        self.assertGreater(receipt.size_bytes, 100)
+        self.assertGreater(receipt.waited_s, 0.0)
+        took_s = receipt.decoded_at - receipt.started_at
+        self.assertAlmostEqual(
+            took_s, receipt.waited_s + receipt.transferred_s + receipt.decoding_s
+        )
+
     def test_a_watch_after_compaction_reports_lost_history(self) -> None:
         first = self.client.transact(transact_command(ROW))
         assert isinstance(first, Transacted)
