Ignore answers to reads of orders that were replaced by newer ones

An answer to an earlier watch, handled after all orders had been read anew, was taken for the answer to the later watch and confirmed the orders up to when that one was sent: a call could be answered by a configuration that is older than the bound. The purposes of these calls carry when they were sent, and only the answer to the last one counts.

--- a/bulrushpulley/entities/jobs/intake_tables.py
+++ b/bulrushpulley/entities/jobs/intake_tables.py
@@ -141,12 +141,22 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadOrders(Purpose):
-    """Reads all orders of operators that are in force."""
+    """Reads all orders of operators that are in force.
+
+    The answer counts only while no call was sent after `sent_at`.
+    """
+
+    sent_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WatchOrders(Purpose):
-    """Watches for changes of operators' orders."""
+    """Watches for changes of operators' orders.
+
+    The answer counts only while no call was sent after `sent_at`.
+    """
+
+    sent_at: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -185,6 +185,8 @@
 def _(
     purpose: ReadOrders, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
+    if not tables.reading_orders or purpose.sent_at != tables.orders_read_sent_at:
+        return Step(tables=tables)
     if isinstance(event, RangeRead):
         return operator_orders.handle_orders_read(event, tables, now)
     return operator_orders.handle_orders_read_failed(tables)
@@ -194,6 +196,9 @@
 def _(
     purpose: WatchOrders, event: StoreEvent, tables: IntakeTables, now: float
 ) -> IntakeStep:
+    state = tables.watch
+    if state is None or not state.in_flight or purpose.sent_at != state.sent_at:
+        return Step(tables=tables)
     return handle_watch_answer(event, tables, now)
 
 
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -66,7 +66,7 @@
         )
         read = ReadRange(
             role=INTAKE,
-            purpose=ReadOrders(),
+            purpose=ReadOrders(sent_at=now),
             timeout_s=ORDERS_READ_TIMEOUT_S,
             table=ORDERS,
             part="",
@@ -77,7 +77,7 @@
     call = store_watch.call(
         state,
         role=INTAKE,
-        purpose=WatchOrders(),
+        purpose=WatchOrders(sent_at=now),
         table=ORDERS,
         max_wait_s=order_age.watch_wait_s(tables),
     )
--- a/test/test_jobs_old_configuration.py
+++ b/test/test_jobs_old_configuration.py
@@ -27,7 +27,14 @@
     RecheckOrders,
     WatchOrders,
 )
-from bulrushpulley.entities.step import Command
+from bulrushpulley.entities.jobs.store import (
+    HistoryLost,
+    RangeRead,
+    RowsChanged,
+    StoreCommand,
+)
+from bulrushpulley.entities.step import Command, Event
+from bulrushpulley.roles import intake
 from test.jobs_world import QUEUE, CallOutcome, JobsWorld, Process, step
 
 # The platform requires a configuration to be in force this long after it was stored.
@@ -232,3 +239,34 @@
         again = self.show_all([(queue, changed_at)], ["entry-1"])
         world.run(0.5)
         self.assertEqual(1, len(self.answers_of(BacklogShown, again)))
+
+
+class ConfirmedOrdersTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.role = intake.build()
+        self.tables = self.role.tables
+        self.calls: list[StoreCommand] = []
+
+    def tick(self, now: float, *events: Event) -> None:
+        """Run one tick and keep the calls of the store that it makes."""
+        step = self.role.tick(self.tables, events, now)
+        self.tables = step.tables
+        self.calls = [call for call in step.commands if isinstance(call, StoreCommand)]
+
+    def test_an_answer_to_a_call_that_was_replaced_confirms_nothing(self) -> None:
+        self.tick(10.0)
+        (first_read,) = self.calls
+        orders = RangeRead(purpose=first_read.purpose, rows=(), version=5)
+        self.tick(10.1, orders)
+        (replaced_watch,) = self.calls
+        # A second read finds that the history is lost, so the orders are read again.
+        self.tick(10.9, HistoryLost(purpose=RecheckOrders(watched=5)))
+        (second_read,) = self.calls
+        self.tick(11.0, replace(orders, purpose=second_read.purpose))
+        self.assertEqual(10.9, self.tables.orders_confirmed_at)
+        unchanged = RowsChanged(purpose=replaced_watch.purpose, rows=(), version=5)
+        self.tick(11.2, unchanged)
+        self.assertEqual(10.9, self.tables.orders_confirmed_at)
+        self.tick(11.3, orders)
+        self.assertEqual(10.9, self.tables.orders_confirmed_at)
