Transfer a change of operators' orders once at a time

Cause: the second read of the changes, sent meanwhile, transferred the same change over the same link, and no answer came within the 1.6 s after which a store counts as unreachable.

Second reads are now sent between two calls of the watch, which waits for less where reads take long, so that an answer arrives before the store counts as unreachable. A second read may be up to a second later than before.

--- a/bulrushpulley/roles/intake.py
+++ b/bulrushpulley/roles/intake.py
@@ -29,8 +29,8 @@
         tables=IntakeTables(orders_within_s=orders_within_s),
         apply=apply,
         systems=(
-            operator_orders.run,
             rechecking.run,
+            operator_orders.run,
             checking.run,
             submitting.run,
             inquiring.run,
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -72,7 +72,8 @@
             part="",
         )
         return Step(tables=reading, commands=(read,))
-    if not store_watch.due(state, now):
+    is_rechecking = tables.recheck is not None and tables.recheck.in_flight
+    if is_rechecking or not store_watch.due(state, now):
         return Step(tables=tables)
     call = store_watch.call(
         state,
--- a/bulrushpulley/systems/intake/order_age.py
+++ b/bulrushpulley/systems/intake/order_age.py
@@ -11,7 +11,10 @@
 from bulrushpulley.entities.jobs.intake_tables import IntakeTables
 from bulrushpulley.entities.observe import Observe
 from bulrushpulley.entities.step import Command
-from bulrushpulley.systems.store_watch import WATCH_WAIT_S
+from bulrushpulley.systems.store_watch import (
+    STORE_UNREACHABLE_TIMEOUT_S,
+    WATCH_WAIT_S,
+)
 
 # A read is late by the ticks before and after it, and by the latency of the store.
 READ_MARGIN_S = 0.3
@@ -43,8 +46,12 @@
 def watch_wait_s(tables: IntakeTables) -> float:
     """Return how long a watch may wait for changes.
 
-    A change at its end has to arrive with the answer and again with the read that
-    follows, before the orders are too old.
+    A change at its end has to arrive with the answer before the store counts as
+    unreachable, and again with the read that follows before the orders are too old.
     """
-    spare_s = tables.orders_within_s - 2 * tables.orders_read_s - READ_MARGIN_S
+    read_s = tables.orders_read_s + READ_MARGIN_S
+    spare_s = min(
+        STORE_UNREACHABLE_TIMEOUT_S - read_s,
+        tables.orders_within_s - tables.orders_read_s - read_s,
+    )
     return min(WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, spare_s))
--- a/bulrushpulley/systems/intake/readiness.py
+++ b/bulrushpulley/systems/intake/readiness.py
@@ -14,13 +14,14 @@
 )
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Step
-from bulrushpulley.systems.intake import order_age, submitting
+from bulrushpulley.systems import store_watch
+from bulrushpulley.systems.intake import order_age
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
     """Publish readiness when it changes."""
     store_answers = (
-        now - tables.store_answered_at < submitting.STORE_UNREACHABLE_TIMEOUT_S
+        now - tables.store_answered_at < store_watch.STORE_UNREACHABLE_TIMEOUT_S
     )
     are_current = order_age.are_current(tables, now)
     ready = (
--- a/bulrushpulley/systems/intake/rechecking.py
+++ b/bulrushpulley/systems/intake/rechecking.py
@@ -1,7 +1,8 @@
 """Reads the changes of operators' orders a second time, and applies what was missed.
 
 The watch reads each change once. An order that it, or what handles its answers, has
-missed would never be in force on this entry.
+missed would never be in force on this entry. Second reads are sent between two calls of
+the watch, as both would transfer the same change at the same time otherwise.
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
     if state is None:
         begun = RecheckState(after=watch.after, sent_at=now)
         return Step(tables=replace(tables, recheck=begun))
-    if state.in_flight or now - state.sent_at < RECHECK_INTERVAL_S:
+    if state.in_flight or watch.in_flight or now - state.sent_at < RECHECK_INTERVAL_S:
         return Step(tables=tables)
     call = Watch(
         role=INTAKE,
--- a/bulrushpulley/systems/intake/submitting.py
+++ b/bulrushpulley/systems/intake/submitting.py
@@ -37,7 +37,7 @@
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.step import Command, Step
 from bulrushpulley.errors import Code, Problem
-from bulrushpulley.systems import store_timeouts
+from bulrushpulley.systems import store_timeouts, store_watch
 from bulrushpulley.systems.fitting import fitting
 
 # The store accepts 100 rows and 1 MB in a transaction. Values are sent as base64, and
@@ -60,9 +60,6 @@
 # The answer must reach the caller before its deadline; a tick is 0.2 s.
 CALL_ANSWER_MARGIN_S = 0.3
 MAX_REMEMBERED_JOBS = 4_000
-# The watch gets an answer from the store every second. A submission sent to a store
-# that has not answered for longer would most likely end with an unknown outcome.
-STORE_UNREACHABLE_TIMEOUT_S = 1.6
 
 
 def submit(
@@ -75,14 +72,13 @@
     if is_accepted(tables, job_id):
         return _answer(tables, JobAccepted(call_id=call.call_id))
     known = tables.submissions.get(job_id)
-    if known is None and now - tables.store_answered_at > STORE_UNREACHABLE_TIMEOUT_S:
-        reason = (
-            f"the store has not answered for {now - tables.store_answered_at:.1f} s"
-        )
+    unanswered_s = now - tables.store_answered_at
+    if known is None and unanswered_s > store_watch.STORE_UNREACHABLE_TIMEOUT_S:
+        reason = f"the store has not answered for {unanswered_s:.1f} s"
         later = TryLater(
             call_id=call.call_id,
             reason=reason,
-            retry_after_s=retry_after_s(now - tables.store_answered_at),
+            retry_after_s=retry_after_s(unanswered_s),
         )
         line = Decision(
             kind="job.refuse", subject=job_id, chosen=queue.name, reason=reason
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -11,6 +11,9 @@
 WATCH_WAIT_S = 1.0
 WATCH_ANSWER_TIMEOUT_S = 0.7
 WATCH_RETRY_DELAY_S = 0.3
+# A store that has not answered a watch for longer is taken for unreachable: a
+# submission sent to it would most likely end with an unknown outcome.
+STORE_UNREACHABLE_TIMEOUT_S = 1.6
 # Each call of the store is priced; a missed job must be placed well within 3 s.
 RECHECK_INTERVAL_S = 1.5
 
--- a/test/test_jobs_old_configuration.py
+++ b/test/test_jobs_old_configuration.py
@@ -170,6 +170,20 @@
         self.assertEqual([], late)
         self.assertTrue(world.run_until(world.all_complete, 10.0))
 
+    def test_a_store_that_sends_a_large_configuration_counts_as_reachable(self) -> None:
+        # Submissions were refused while the only answer was still being transferred.
+        world = self.world
+        world.configuration_transfer_s = TRANSFER_S
+        world.configure(QUEUE, added_queue(0))
+        world.run(3.0)
+        begun = len(world.decisions)
+        for number in range(1, 20):
+            world.configure(QUEUE, added_queue(number))
+            # Changes come at all moments of a watch, and of a second read.
+            world.run(2.63)
+        lines = [line for line in world.decisions[begun:] if line.kind == "entry.ready"]
+        self.assertEqual([], lines)
+
     def test_an_entry_that_cannot_read_the_configuration_refuses_calls(self) -> None:
         self.leave_unanswered("entry-1")
         self.check_no_answer_by_an_old_configuration(lambda: None)
