--- a/bulrushpulley/platform/http_client.py
+++ b/bulrushpulley/platform/http_client.py
@@ -97,13 +97,7 @@
             raise AnswerLostError(
                 problem=self._outcome_unknown(step, str(error))
             ) from error
-        detail = f"status {response.status}"
-        if response.status == http.HTTPStatus.TOO_MANY_REQUESTS:
-            raise BusyError(problem=self._unavailable(step, detail))
-        if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            raise RefusedError(problem=self._unavailable(step, detail))
-        if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            raise AnswerLostError(problem=self._outcome_unknown(step, detail))
+        self._check_status(step, response.status)
         return HttpAnswer(
             status=response.status,
             body=body_bytes,
@@ -111,6 +105,16 @@
             transferred_s=time.monotonic() - answered_at,
         )
 
+    def _check_status(self, step: str, status: int) -> None:
+        """Raise the error for a status that says that the service did not answer."""
+        detail = f"status {status}"
+        if status == http.HTTPStatus.TOO_MANY_REQUESTS:
+            raise BusyError(problem=self._unavailable(step, detail))
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            raise RefusedError(problem=self._unavailable(step, detail))
+        if status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise AnswerLostError(problem=self._outcome_unknown(step, detail))
+
     def invalid_answer(self, step: str, detail: str) -> Problem:
         """Return the problem for a malformed answer or an unexpected status."""
         return Problem(code=Code.INVALID, step=step, peer=self._peer, detail=detail)
--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -53,7 +53,7 @@
 
 
 def run(tables: IntakeTables, now: float) -> IntakeStep:
-    """Read the orders once, then watch them for changes."""
+    """Read all orders, then watch them for changes."""
     state = tables.watch
     if state is None:
         if tables.reading_orders or now < tables.orders_read_due_at:
--- a/bulrushpulley/systems/store_watch.py
+++ b/bulrushpulley/systems/store_watch.py
@@ -47,9 +47,9 @@
     )
 
 
-def with_call_sent(state: WatchState, call: Watch, now: float) -> WatchState:
+def with_call_sent(state: WatchState, sent: Watch, now: float) -> WatchState:
     """Return the state while a call is in flight."""
-    return replace(state, in_flight=True, sent_at=now, wait_s=call.wait_s)
+    return replace(state, in_flight=True, sent_at=now, wait_s=sent.wait_s)
 
 
 def unchanged_until(state: WatchState, now: float) -> float:
