Read a change of the configuration a second time only behind the watch

Entries refused calls as their configuration might be old for seconds after the last change. Cause: right after a read of all orders a second read was due, from before that read's end; it transferred each version that had been stored meanwhile, more of them each time, and used none that the watch had not passed.

A second read now waits for a watch that was answered after the last read of all orders, and what it finds newer than the watch is applied as well.

--- a/bulrushpulley/systems/intake/operator_orders.py
+++ b/bulrushpulley/systems/intake/operator_orders.py
@@ -117,11 +117,11 @@
     step = apply_rows(tables, event.rows, event.version)
     tables = step.tables
     if former not in (None, tables.operator_settings.configuration):
-        tables = _with_read_due(tables, now)
+        tables = with_read_due(tables, now)
     return Step(tables=tables, commands=(*lines, *ages, *step.commands))
 
 
-def _with_read_due(tables: IntakeTables, at: float) -> IntakeTables:
+def with_read_due(tables: IntakeTables, at: float) -> IntakeTables:
     """Stop watching, and read all orders at `at`."""
     return replace(tables, watch=None, orders_read_due_at=at)
 
@@ -151,7 +151,7 @@
     step = apply_rows(replace(tables, watch=watch), event.rows, event.version)
     tables = step.tables
     if tables.operator_settings.configuration != former:
-        tables = _with_read_due(tables, now)
+        tables = with_read_due(tables, now)
     return Step(tables=tables, commands=(*lines, *ages, *step.commands))
 
 
@@ -169,7 +169,7 @@
     """Schedule a read of all orders, as several versions may have been missed."""
     if tables.watch is None:
         return Step(tables=tables)
-    return Step(tables=_with_read_due(tables, now + ORDERS_READ_RETRY_DELAY_S))
+    return Step(tables=with_read_due(tables, now + ORDERS_READ_RETRY_DELAY_S))
 
 
 def apply_rows(
--- a/bulrushpulley/systems/intake/rechecking.py
+++ b/bulrushpulley/systems/intake/rechecking.py
@@ -2,7 +2,9 @@
 
 The watch reads each change once. An order that it, or what handles its answers, has
 missed would never be in force on this entry. Second reads are sent between two calls of
-the watch, as both would transfer the same change at the same time otherwise.
+the watch, as both would transfer the same change at the same time otherwise, and not
+before a watch has followed a read of all orders, as versions that were stored during
+that read would be transferred with every second read.
 """
 
 from __future__ import annotations
@@ -36,7 +38,8 @@
     if state is None:
         begun = RecheckState(after=watch.after, sent_at=now)
         return Step(tables=replace(tables, recheck=begun))
-    if state.in_flight or watch.in_flight or now - state.sent_at < RECHECK_INTERVAL_S:
+    is_watched = watch.sent_at > 0.0 and not watch.in_flight
+    if state.in_flight or not is_watched or now - state.sent_at < RECHECK_INTERVAL_S:
         return Step(tables=tables)
     call = Watch(
         role=INTAKE,
@@ -61,21 +64,26 @@
 def handle_changes(
     event: RowsChanged, purpose: RecheckOrders, tables: IntakeTables, now: float
 ) -> IntakeStep:
-    """Apply the rows that the watch has passed and that are not known."""
+    """Apply the rows that are not known, and report those that the watch has passed."""
     state, watch = tables.recheck, tables.watch
     if state is None or watch is None:
         return handle_failed(tables)
     lines = read_lines.lines(event, read="second", sent_at=state.sent_at, now=now)
     after = max(state.after, min(event.version, purpose.watched))
     tables = replace(tables, recheck=replace(state, in_flight=False, after=after))
+    if not event.rows:
+        return Step(tables=tables)
     missed = [
         stored
         for stored in event.rows
         if stored.version <= watch.after and _is_missed(stored, tables)
     ]
+    former = tables.operator_settings.configuration
+    step = operator_orders.apply_rows(tables, event.rows, event.version)
+    if step.tables.operator_settings.configuration != former:
+        step = replace(step, tables=operator_orders.with_read_due(step.tables, now))
     if not missed:
-        return Step(tables=tables, commands=lines)
-    step = operator_orders.apply_rows(tables, tuple(missed), watch.after)
+        return replace(step, commands=(*lines, *step.commands))
     return replace(
         step, commands=(*lines, *_lines(missed, watch.after), *step.commands)
     )
