Let callers return as late in an outage with an old configuration as without

Callers from the start of an outage of the store of 6 s were no longer accepted after it: refused for an old configuration, they were told to come back after 0.5 s, and had used up their four retries.

While the store does not answer, such a refusal names the same delay as any other, the length of the outage within 1 s to 2 s.

--- a/bulrushpulley/systems/intake/events.py
+++ b/bulrushpulley/systems/intake/events.py
@@ -49,6 +49,7 @@
     rechecking,
     submitting,
 )
+from bulrushpulley.systems.store_watch import STORE_UNREACHABLE_TIMEOUT_S
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 # A process has read its configuration within this time after its start.
@@ -89,7 +90,7 @@
             call_id=event.call_id,
             reason=f"configuration version {configuration.version} may be old,"
             f" it was last confirmed {order_age.age_s(tables, now):.1f} s ago",
-            retry_after_s=OLD_CONFIGURATION_RETRY_AFTER_S,
+            retry_after_s=_old_configuration_retry_after_s(tables, now),
         )
         return _refuse(tables, event, later, later.reason)
     found = route(configuration, event.authority, event.path)
@@ -108,6 +109,14 @@
     return handle_call(event, queue, rest, tables, now)
 
 
+def _old_configuration_retry_after_s(tables: IntakeTables, now: float) -> float:
+    """Return when callers may retry: in an outage as for any other call."""
+    unanswered_s = now - tables.store_answered_at
+    if unanswered_s > STORE_UNREACHABLE_TIMEOUT_S:
+        return submitting.retry_after_s(unanswered_s)
+    return OLD_CONFIGURATION_RETRY_AFTER_S
+
+
 @singledispatch
 def _has_valid_job_id(call: JobCall, job_id: str) -> bool:
     """Return whether the rest of the path is a job id, or empty where allowed."""
