--- /dev/null
+++ b/review/kit3/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the scripts of the third review."""
