--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import pathlib
 import sys
 import time
@@ -15,7 +14,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent.parent))
 
-from review.kit3.site import Record, Site  # noqa: E402
+from review.kit3.site import Record, Site, run_case  # noqa: E402
 
 MIN_MACHINES = 2
 MIN_ENDS = 3
@@ -77,18 +76,5 @@
     return 1 if len(faulty) >= MIN_MACHINES else 0
 
 
-def main() -> int:
-    """Run the case and return its exit code."""
-    record = Record(FOLDER)
-    site = Site(record)
-    try:
-        return run(site, record, os.environ.get("TROUBLE", "1"))
-    except RuntimeError as error:
-        record.write(f"could not run: {error}")
-        return 2
-    finally:
-        site.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, run))
--- a/review/kit3/site.py
+++ b/review/kit3/site.py
@@ -22,6 +22,8 @@
 import threading
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 from typing import Any
 
 HOST = "127.0.0.1"
@@ -362,3 +364,22 @@
             process.wait(5.0)
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_case(
+    folder: pathlib.Path, run: Callable[[Site, Record, str], int], **more: Any
+) -> int:
+    """Run a case and return its exit code: 2 if it could not be run."""
+    record = Record(folder)
+    try:
+        site = Site(record, **more)
+    except Exception:
+        record.write(traceback.format_exc())
+        return 2
+    try:
+        return run(site, record, os.environ.get("TROUBLE", "1"))
+    except Exception:
+        record.write(f"the case could not run: {traceback.format_exc()}")
+        return 2
+    finally:
+        site.close()
