--- a/bulrushpulley/errors.py
+++ b/bulrushpulley/errors.py
@@ -8,7 +8,12 @@
 from __future__ import annotations
 
 import enum
+import traceback
 from dataclasses import dataclass
+from pathlib import PurePath
+
+# Enough to tell which row or event was handled.
+MAX_DESCRIBED_FRAMES = 8
 
 
 class Code(enum.Enum):
@@ -67,3 +72,20 @@
     def __init__(self, *, problem: Problem) -> None:
         super().__init__(str(problem))
         self.problem = problem
+
+
+def describe_error(error: BaseException | None) -> str:
+    """Return an unexpected exception and where it was raised, the innermost call first.
+
+    Example::
+
+        "TypeError('...') at room.py:152 _places_on, room.py:118 _room"
+    """
+    if error is None:
+        return "no exception"
+    frames = traceback.extract_tb(error.__traceback__)
+    places = [
+        f"{PurePath(frame.filename).name}:{frame.lineno} {frame.name}"
+        for frame in reversed(frames[-MAX_DESCRIBED_FRAMES:])
+    ]
+    return f"{error!r} at {', '.join(places)}" if places else repr(error)
--- a/bulrushpulley/roles/runtime.py
+++ b/bulrushpulley/roles/runtime.py
@@ -21,7 +21,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.observe import Count
 from bulrushpulley.entities.step import Command, Event
-from bulrushpulley.errors import Code, Problem
+from bulrushpulley.errors import Code, Problem, describe_error
 from bulrushpulley.logs import (
     LineWriter,
     decision_logger,
@@ -135,7 +135,7 @@
         ref = RoleActor.start(
             role=role,
             carry_out=lambda command: carry_out(command, ports),
-            report_failure=lambda error: self._fail(role.name, repr(error)),
+            report_failure=lambda error: self._fail(role.name, describe_error(error)),
             inbox=inbox,
         )
         self._mailbox_by_role[role.name] = Mailbox(
@@ -214,7 +214,7 @@
         try:
             event = work()
         except Exception as error:
-            self._fail(role, f"{type(error).__name__}: {error}")
+            self._fail(role, describe_error(error))
             return
         self.tell(role, event)
 
--- a/test/test_runtime.py
+++ b/test/test_runtime.py
@@ -77,6 +77,16 @@
         self.assertTrue(runtime.failed.is_set())
         self.assertIn("a fault of the role", reported[0].detail)
 
+    def test_the_line_of_a_failed_role_says_where_it_failed(self) -> None:
+        """It held the exception alone, which does not tell which row was handled."""
+        runtime = self.start()
+        reported: list[Problem] = []
+        self.patch(runtime, "report", reported.append)
+        self.start_role(runtime, "router", fail)
+        runtime.tell("router", Committed(submission_id="a", revision=1))
+        self.assertTrue(runtime.stopping.wait(RUNTIME_STOP_TIMEOUT_S))
+        self.assertRegex(reported[0].detail, r"test_runtime\.py:\d+ fail\b")
+
     def test_blocking_work_that_fails_stops_the_process(self) -> None:
         runtime = self.start()
         self.start_role(runtime, "guard", record_event)
