Find room for tasks that need nothing counted

Cause: room._places_on took min() over the free places by each resource that the task needs. Without such a resource min(most, *[]) is min(most), a TypeError. It runs for each job of which nothing has run for 0.4 s, only to write for how long there was room.

The new test raised it before the change.

Change: the minimum is taken over a list. A task that needs nothing counted fits as often as wanted, up to the limit of its step for a host, which the test covers for a step, a limited step and a gang.

--- a/bulrushpulley/systems/scheduling/room.py
+++ b/bulrushpulley/systems/scheduling/room.py
@@ -148,5 +148,6 @@
         (size.memory_mb, free.memory_mb),
         (size.accelerators, free.accelerators),
     )
-    fitting = (free_part // part for part, free_part in pairs if part)
-    return max(0, min(most, *fitting))
+    # A task that needs nothing counted fits any number of times.
+    fitting = [free_part // part for part, free_part in pairs if part]
+    return max(0, min([most, *fitting]))
--- a/test/test_jobs_idle_spans.py
+++ b/test/test_jobs_idle_spans.py
@@ -14,6 +14,7 @@
 from bulrushpulley.entities.jobs.idle_jobs import IdleJobTables
 from bulrushpulley.entities.jobs.rows import JobState
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
+from bulrushpulley.entities.jobs.spec import StepSpec
 from bulrushpulley.entities.jobs.task import Task, TaskState, task_id_of
 from bulrushpulley.entities.observe import Decision, Observe
 from bulrushpulley.entities.resources import Resources
@@ -334,6 +335,27 @@
         found = room.have_room_twice(self.tables, [tasks[0]])
         self.assertEqual({tasks[0].task_id: False}, found)
 
+    # Raised an exception, which ended each owner of the shard in turn.
+    def test_there_is_room_for_a_task_that_needs_nothing_counted(self) -> None:
+        filling = step(1, fills=True, size=Resources(processors_m=500))
+        self.assertTrue(self.is_roomy_beside_full_hosts(filling))
+        self.assertTrue(self.is_roomy_beside_full_hosts(step(1, size=Resources())))
+        limited = step(2, fills=True, per_host_limit=1, size=Resources())
+        self.assertTrue(self.is_roomy_beside_full_hosts(limited))
+        gang = replace(limited, count=4, gang=True)
+        self.assertFalse(self.is_roomy_beside_full_hosts(gang))
+
+    def is_roomy_beside_full_hosts(self, spec: StepSpec) -> bool:
+        """Return whether there is room for a task of a new job."""
+        number = len(self.tables.jobs) + 1
+        job_id = self.world.submit(number, spec, payload=LONG)
+        self.world.run(1.0)
+        self.take_tables()
+        (waiting, *_) = self.tasks(job_id)
+        self.wait_again(waiting)
+        self.leave(0, 0, 0)
+        return room.have_room_twice(self.tables, [waiting])[waiting.task_id]
+
     def leave_all(self) -> None:
         self.change_hosts(committed=Resources())
 
