Count the occurrences of a job with a very short interval

Cause: occurrences.due_count divides the time since the first occurrence by the interval. Decoding allows any number that is not negative, so the quotient may be infinite, and int() of it raises OverflowError.

Change: the quotient is limited to the number of occurrences before it is made an integer.

A simulated backend server can list a measure now, so that latencies and harms take part in the play.

--- a/bulrushpulley/systems/scheduling/occurrences.py
+++ b/bulrushpulley/systems/scheduling/occurrences.py
@@ -29,7 +29,9 @@
         return 0
     if spec.interval_s <= 0.0:
         return spec.runs
-    return min(spec.runs, int(late_s / spec.interval_s) + 1)
+    # Beside a very short interval the quotient is infinite, which is no integer.
+    passed = int(min(spec.runs, late_s / spec.interval_s))
+    return min(spec.runs, passed + 1)
 
 
 def is_complete(tables: SchedulerTables, job: Job) -> bool:
--- a/standins/executor_core.py
+++ b/standins/executor_core.py
@@ -104,6 +104,8 @@
         # How many random digits a checkpoint has beside the time that was worked.
         self.checkpoint_digits = 0
         self.fails_all = False
+        # What each listed run measures: its latency or the processors in use.
+        self.measure = 0
         self.noted = 0
         self.last_expired_end = 0
         self.max_listed_ends = MAX_LISTED_ENDS
@@ -267,6 +269,7 @@
                 task_id=run.order.task_id,
                 run=run.order.run,
                 checkpoint=self._checkpoint(run, now),
+                measure=self.measure,
             )
             for run in self.run_by_key.values()
         )
--- a/test/jobs_world.py
+++ b/test/jobs_world.py
@@ -1033,7 +1033,6 @@
         queue: Queue = QUEUE,
     ) -> str:
         """Submit a job at an entry; by default it has one step of two tasks."""
-        job_id = f"{number:016x}"
         spec = JobSpec(
             payload=payload,
             steps=steps or (step(2),),
@@ -1041,6 +1040,18 @@
             first_due_s=first_due_s,
             interval_s=2.0,
         )
+        return self.submit_spec(number, spec, entry=entry, queue=queue)
+
+    def submit_spec(
+        self,
+        number: int,
+        spec: JobSpec,
+        *,
+        entry: str = "entry-0",
+        queue: Queue = QUEUE,
+    ) -> str:
+        """Submit a job with any spec at an entry."""
+        job_id = f"{number:016x}"
         self.spec_by_job[job_id] = spec
         call = SubmitCall(
             call_id=f"submit-{number}",
--- a/test/test_jobs_occurrences.py
+++ b/test/test_jobs_occurrences.py
@@ -166,3 +166,9 @@
             for number in range(spec.runs):
                 is_due = wall_s >= spec.due_s(number)
                 self.assertEqual(number < expected, is_due)
+
+    # Raised an exception, which ended each owner that read the job in turn.
+    def test_an_interval_that_the_time_cannot_be_divided_by(self) -> None:
+        spec = JobSpec(payload="", steps=(step(1),), occurrences=3, interval_s=5e-324)
+        self.assertEqual(3, occurrences.due_count(spec, 1.8e9))
+        self.assertEqual(1, occurrences.due_count(spec, 0.0))
