Limit how long a request for advice may take

With a Recommendation whose DecisionMs or PerItemMs is beyond 292 years in all, the first step of that queue that waits ends each owner in turn, and the configuration stays.

Cause: the timeout of the call is the sum of the operators' spans. The socket raises OverflowError ("timestamp out of range for platform time_t") for such a timeout, which the HTTP client does not take for a failed call, and an exception in a role's work ends the process. Shown with a real client and server on loopback: 9.2e9 s is taken, 9.0e12 s raises.

Change: requests time out after 60 s at most. A service that takes longer would keep all other steps without advice meanwhile, as one request is made at a time.

--- a/bulrushpulley/systems/scheduling/advising.py
+++ b/bulrushpulley/systems/scheduling/advising.py
@@ -48,6 +48,9 @@
 # an answer was wrong, such as one about a server that had just begun.
 DENIAL_VALIDITY_S = 10.0
 ADVICE_TIMEOUT_MARGIN_S = 1.0
+# Operators may name any span, but no call can wait for centuries, and one that waits
+# keeps all other steps from being asked about.
+MAX_ADVICE_TIMEOUT_S = 60.0
 ADVICE_RETRY_DELAY_S = 0.3
 # Tickets with less validity left would expire before the task has started.
 MIN_TICKET_VALIDITY_S = 0.7
@@ -256,13 +259,12 @@
     terms = advice_terms(tables, job)
     if terms is None:
         return Step(tables=tables)
+    expected_s = terms.decide_s + len(server_ids) * terms.per_server_s
     call = RequestAdvice(
         role=SCHEDULER,
         step_key=known.step_key,
         server_ids=server_ids,
-        timeout_s=terms.decide_s
-        + len(server_ids) * terms.per_server_s
-        + ADVICE_TIMEOUT_MARGIN_S,
+        timeout_s=min(expected_s + ADVICE_TIMEOUT_MARGIN_S, MAX_ADVICE_TIMEOUT_S),
     )
     asked = replace(known, in_flight=True, asked_server_ids=server_ids, asked_at=now)
     return Step(tables=_put(tables, asked), commands=(call,))
