Refuse announcements that lack a field that each server sends

Cause: the decoder took missing fields for 0 or empty. The agent then had an announcement of the right incarnation with the highest number, with no capacity, and ignored the executor's own, which count up from 1.

Change: Service, Zone, Labels and Capacity with Cpu and MemMb must be there; Addr and State had to be already.

The new test failed before: an announcement without a zone was taken.

--- a/bulrushpulley/platform/executor.py
+++ b/bulrushpulley/platform/executor.py
@@ -307,7 +307,8 @@
 def decode_announcement(server_id: str, body: bytes) -> Announced:
     """Decode the announcement of a backend server.
 
-    Raises `BulrushpulleyError` if it is malformed, or the id cannot be used.
+    Raises `BulrushpulleyError` if it is malformed or lacks a field that each server
+    sends, as an announcement of another writer may, or if the id cannot be used.
     """
     step = ANNOUNCE_STEP
     check_server_id(server_id, step)
@@ -315,13 +316,16 @@
     state = text(raw, "State", step)
     if state not in (READY, DRAINING):
         raise field_error(step, "State", f"{state!r} is no state that is known")
-    if not text(raw, "Service", step):
-        raise field_error(step, "Service", "must not be empty")
+    for name in ("Service", "Zone", "Labels"):
+        if not raw.get(name):
+            raise field_error(step, name, "must not be empty")
     capacity = decode_resources(
-        check_object(raw.get("Capacity", {}), step, "Capacity"), step
+        check_object(raw.get("Capacity"), step, "Capacity"), step
     )
     if not capacity.fits(MAX_SERVER_CAPACITY):
         raise field_error(step, "Capacity", "is out of range")
+    if not (capacity.processors_m and capacity.memory_mb):
+        raise field_error(step, "Capacity", "must name processors and memory")
     leaves_in_s = number(raw, "RemainingMs", step) / 1_000
     if leaves_in_s > MAX_DRAIN_S:
         raise field_error(step, "RemainingMs", "is out of range")
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -429,6 +429,24 @@
         ):
             self._assert_refused(odd)
 
+    # One without `Capacity` replaced those of the server, which got no task any more.
+    def test_announcements_that_lack_a_field_are_refused(self) -> None:
+        body = msgspec.json.decode(ANNOUNCEMENT)
+        whole = {**body, "Capacity": {"Cpu": 1_000, "MemMb": 1_000}}
+        decode_announcement("i-1", msgspec.json.encode(whole))
+        fields = ("Service", "Addr", "Zone", "State", "Capacity", "Labels")
+        lacking = [
+            {name: value for name, value in whole.items() if name != field}
+            for field in fields
+        ]
+        lacking += [
+            {**whole, "Capacity": {"Cpu": 1_000}},
+            {**whole, "Capacity": {"MemMb": 1_000}},
+        ]
+        for odd in lacking:
+            data = msgspec.json.encode(odd)
+            self.assertRaises(BulrushpulleyError, decode_announcement, "i-1", data)
+
     def test_announcements_beyond_sense_are_refused(self) -> None:
         body = msgspec.json.decode(ANNOUNCEMENT)
         odd_fields: tuple[dict[str, Any], ...] = (
