Ignore announcements that name another service for a known incarnation

What callers would see: after one heartbeat of another writer that names a service of nobody, under the id and incarnation of a real executor and with a Seq above its own, the executor's own heartbeats are ignored until it starts again. So when it drains, tasks are placed on it as before.

Cause: the agent leaves out an announcement of the known incarnation with another address, but took one with another service, all but the service.

Change: an announcement of a known incarnation with another service is left out and logged, like one with another address.

Evidence: the new test failed before the change, as the server's own announcement that it drains was ignored.

--- a/bulrushpulley/systems/job_agent/server_lifecycle.py
+++ b/bulrushpulley/systems/job_agent/server_lifecycle.py
@@ -36,12 +36,15 @@
 def update_announced(
     event: Announced, tables: JobAgentTables, now: float
 ) -> JobAgentStep:
-    """Apply a newer announcement of the known incarnation, which keeps its address."""
+    """Apply a newer announcement of the known incarnation.
+
+    It keeps its address and service; an announcement with others is of another writer.
+    """
     known = tables.server
     if known is None or event.sequence < known.sequence:
         return Step(tables=tables)
-    if event.address != known.address:
-        reason = f"an announcement names the address {event.address}"
+    if (event.address, event.service) != (known.address, known.service):
+        reason = f"an announcement names {event.service!r} at {event.address}"
         line = _line(tables, known.life, tables.server_state.value, reason)
         return Step(tables=tables, commands=(line,))
     server = replace(
--- a/test/test_jobs_announcements.py
+++ b/test/test_jobs_announcements.py
@@ -142,6 +142,15 @@
         assert bench.tables.server is not None
         self.assertEqual("x", bench.tables.server.address)
 
+    # Its number was above those of the server, whose own announcements were ignored.
+    def test_an_incarnation_keeps_its_service(self) -> None:
+        bench = Bench()
+        odd = replace(SAME, service="no-service-of-ours", sequence=1_000)
+        bench.tell(odd)
+        bench.tell(replace(SAME, is_draining=True))
+        assert bench.tables.server is not None
+        self.assertTrue(bench.tables.server.draining)
+
 
 class WithdrawalTest(testtools.TestCase):
     """The withdrawal of an earlier incarnation with the same id may arrive late."""
