--- a/test/jobs_edges.py
+++ b/test/jobs_edges.py
@@ -20,9 +20,13 @@
 from typing import Any
 
 from bulrushpulley.entities.jobs.calls import CancelCall, JobAccepted
-from bulrushpulley.entities.jobs.configuration import Configuration, Queue
+from bulrushpulley.entities.jobs.configuration import (
+    Configuration,
+    Queue,
+    WaveOrder,
+)
 from bulrushpulley.entities.jobs.items import JobItem
-from bulrushpulley.entities.jobs.rows import JobState
+from bulrushpulley.entities.jobs.rows import JobState, RowKey
 from bulrushpulley.entities.jobs.spec import JobSpec
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.resources import Resources
@@ -70,6 +74,17 @@
 PAYLOADS = ("0.2", "1.0", "3.0", "poison")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Edges:
+    """What is drawn: jobs, their queue, the capacity of a host, measures and a wave."""
+
+    specs: tuple[JobSpec, ...]
+    queue: Queue
+    capacity: Resources
+    measure: int
+    wave: WaveOrder | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EdgeResult:
     """The result of a seed: the problems found, and how many jobs were accepted."""
@@ -120,6 +135,11 @@
     "PerItemMs": SPANS_MS,
     "ValidityMs": (None, 0, TINY, 1, 5_000, HUGE),
 }
+WAVE_EDGES: Mapping[str, Sequence[Any]] = {
+    "Machines": (None, [], ["m-z0-0"], ["m-z0-0", "m-z0-0"], ["m-z1-1", "m-none"]),
+    "DurationS": (None, 0, TINY, 1, 20, HUGE),
+    "MaxCount": (None, 0, 1, 2, HUGE),
+}
 
 
 def draw_body(draw: random.Random) -> dict[str, Any]:
@@ -160,24 +180,37 @@
         return None
 
 
-def play_seed(seed: int) -> EdgeResult:
-    """Play the jobs of a seed."""
+def draw_wave(draw: random.Random) -> WaveOrder | None:
+    """Return a wave of upkeep as it is read from its order, or none."""
+    if draw.random() < 0.7:
+        return None
+    body = json.dumps({"MaintenanceWave": 1, **_fields(draw, WAVE_EDGES)}).encode()
+    order = decode_order("wave/1", body)
+    assert isinstance(order, WaveOrder)
+    return order
+
+
+def draw_edges(seed: int) -> Edges:
+    """Return what is played for a seed."""
     draw = random.Random(seed)
     specs = [spec for _ in range(DRAWN_JOBS) if (spec := decoded(draw_body(draw)))]
-    return play(specs, draw_queue(draw), draw.choice(CAPACITIES))
-
+    return Edges(
+        specs=tuple(specs),
+        queue=draw_queue(draw),
+        capacity=draw.choice(CAPACITIES),
+        measure=draw.choice((50, 50, 0, 1, HUGE)),
+        wave=draw_wave(draw),
+    )
 
-def play(specs: Sequence[JobSpec], queue: Queue, capacity: Resources) -> EdgeResult:
-    """Submit jobs beside work that fills the hosts, and then jobs as usual.
 
-    One of the hosts has a capacity of its own.
-    """
+def play_seed(seed: int) -> EdgeResult:
+    """Submit the jobs of a seed beside work that fills the hosts, then usual jobs."""
     world = JobsWorld(entries=ENTRIES, hosts=HOSTS)
     problems: list[str] = []
     world.hook = partial(_check_encoding, problems)
     accepted = 0
     try:
-        accepted = _play_drawn(world, specs, queue, capacity)
+        accepted = _play_drawn(world, draw_edges(seed))
         problems.extend(_play_usual(world))
     except Exception as error:
         problems.append(f"a role failed: {describe_error(error)}")
@@ -199,14 +232,19 @@
     return decode_job_item(encode_job_item(item), item.peer)
 
 
-def _play_drawn(
-    world: JobsWorld, specs: Sequence[JobSpec], queue: Queue, capacity: Resources
-) -> int:
+def _order_wave(world: JobsWorld, wave: WaveOrder) -> None:
+    world.machines.limit_by_wave[wave.number] = wave.at_once
+    key = RowKey(table="op", part="", key=f"wave/{wave.number}")
+    world.store.put(key=key, order=wave)
+
+
+def _play_drawn(world: JobsWorld, edges: Edges) -> int:
     """Submit the drawn jobs, and return how many were accepted."""
+    queue = edges.queue
     world.configure(QUEUE, queue)
     for executor in world.executor_by_host.values():
-        executor.measure = 50
-    world.executor_by_host["z2-2"].capacity = capacity
+        executor.measure = edges.measure
+    world.executor_by_host["z2-2"].capacity = edges.capacity
     world.run(STARTUP_S)
     begun_at = world.now
     serving = step(HOSTS, lasting=True, image="x", latency_target_ms=100.0)
@@ -217,11 +255,14 @@
     crashing = world.executor_by_host["z1-1"]
     world.at(SERVER_CRASHES_AT_S, crashing.crash)
     world.at(SERVER_CRASHES_AT_S + SERVER_DOWN_S, lambda: crashing.restart(world.now))
-    for number, spec in enumerate(specs, start=2):
+    if edges.wave is not None:
+        _order_wave(world, edges.wave)
+    for number, spec in enumerate(edges.specs, start=2):
         world.run(SUBMIT_INTERVAL_S)
         world.submit_spec(number, spec, queue=queue, entry=f"entry-{number % ENTRIES}")
     world.run(DRAWN_FOR_S - (world.now - begun_at))
-    answers = [world.answer_to(f"submit-{number + 2}") for number in range(len(specs))]
+    count = len(edges.specs)
+    answers = [world.answer_to(f"submit-{number + 2}") for number in range(count)]
     accepted = [each for each in answers if isinstance(each, JobAccepted)]
     for number, job_id in enumerate(list(world.spec_by_job)):
         _cancel(world, job_id, queue if number else QUEUE)
