Report the exception of a role before its actor ends

What operators saw: "the role's actor has ended" as the first line of a failed role, and the exception after it or not at all, as the first report ends the process.

Cause: an actor calls on_failure only once it counts as ended. The loop that sends the ticks may notice the end in between and report it first.

Change: the exception is reported where it is caught, while the actor still runs; on_failure is not needed any more.

Evidence: the new test checks that the actor is alive when it reports.

--- a/bulrushpulley/errors.py
+++ b/bulrushpulley/errors.py
@@ -74,15 +74,13 @@
         self.problem = problem
 
 
-def describe_error(error: BaseException | None) -> str:
+def describe_error(error: Exception) -> str:
     """Return an unexpected exception and where it was raised, the innermost call first.
 
     Example::
 
         "TypeError('...') at room.py:152 _places_on, room.py:118 _room"
     """
-    if error is None:
-        return "no exception"
     frames = traceback.extract_tb(error.__traceback__)
     places = [
         f"{PurePath(frame.filename).name}:{frame.lineno} {frame.name}"
--- a/bulrushpulley/roles/actor.py
+++ b/bulrushpulley/roles/actor.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from types import TracebackType
 from typing import Any, Generic, TypeVar
 
 import pykka
@@ -32,7 +31,7 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def ignore_failure(error: BaseException | None) -> None:
+def ignore_failure(error: Exception) -> None:
     """Do nothing when a role fails."""
 
 
@@ -88,7 +87,7 @@
 class RoleActor(pykka.ThreadingActor):
     """Runs a role and calls `carry_out` with each command after the tick.
 
-    `report_failure` is called with the exception that ended the role, if any. Events
+    `report_failure` is called with the exception that ends the role, if any. Events
     may be told to the actor, or put into its `inbox` by any thread.
     """
 
@@ -99,7 +98,7 @@
         *,
         role: Role[Any],
         carry_out: Callable[[Command], None],
-        report_failure: Callable[[BaseException | None], None] = ignore_failure,
+        report_failure: Callable[[Exception], None] = ignore_failure,
         inbox: EventInbox | None = None,
     ) -> None:
         super().__init__()
@@ -112,18 +111,17 @@
         # Never set; waiting for it is a rest.
         self._rest = threading.Event()
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Report the exception that ended the role."""
-        self._report_failure(exception_value)
-
     def on_receive(self, message: Any) -> Any:
-        """Queue an event, run a tick, or return the tables."""
-        return self._receive(message)
+        """Queue an event, run a tick, or return the tables.
+
+        An exception is reported while the actor still runs, as others may notice its
+        end at once and know no reason for it.
+        """
+        try:
+            return self._receive(message)
+        except Exception as error:
+            self._report_failure(error)
+            raise
 
     @singledispatchmethod
     def _receive(self, message: Event) -> Any:
--- a/test/test_actor.py
+++ b/test/test_actor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -12,6 +13,8 @@
 from bulrushpulley.roles.actor import Inspect, Role, RoleActor, TickDue
 from bulrushpulley.roles.inbox import EventInbox
 
+REPORT_TIMEOUT_S = 10.0
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LabelledEvent(Event):
@@ -51,6 +54,27 @@
         ref.ask(Inspect())
         self.assertEqual((first, second, last), ref.ask(Inspect()))
 
+    # Who noticed the end of the actor first reported it without the exception.
+    def test_a_failure_is_reported_before_the_actor_ends(self) -> None:
+        alive_at_report: list[bool] = []
+        reported = threading.Event()
+
+        def report(error: Exception) -> None:
+            alive_at_report.append(ref.is_alive())
+            reported.set()
+
+        def fail(tables: tuple[Event, ...], now: float) -> Step[Any]:
+            raise ValueError("a fault of the role")
+
+        role: Role[Any] = Role(name="r", tables=(), apply=record_event, systems=(fail,))
+        ref = RoleActor.start(
+            role=role, carry_out=lambda command: None, report_failure=report
+        )
+        self.addCleanup(ref.stop)
+        ref.tell(TickDue())
+        self.assertTrue(reported.wait(REPORT_TIMEOUT_S))
+        self.assertEqual([True], alive_at_report)
+
     def test_events_share_a_tick_when_ticks_are_spaced(self) -> None:
         """With hundreds of agents, a tick for each event takes most of a processor."""
         ticks: list[int] = []
