Refuse rows of progress with more pages than any job has

What callers would see: nothing is served any more after one row of progress with a damaged number of pages. Each owner that loads the shard goes through all numbers up to it, renews its row no more, and the next one takes over. No row of ours is like that; found by drawing rows.

Cause: row_checks took each number up to 2^53. The pages of a job are merged by counting up to `pages`, and its rows are deleted by counting up to `page`.

Change: a page is below the number of pages, and there are at most as many as a job has tasks, and one that an oversized first task leaves empty.

--- a/bulrushpulley/entities/jobs/row_checks.py
+++ b/bulrushpulley/entities/jobs/row_checks.py
@@ -21,9 +21,16 @@
     Row,
     WaveRow,
 )
-from bulrushpulley.entities.jobs.spec import SPEC_WITHOUT_STEPS, spec_defect
+from bulrushpulley.entities.jobs.spec import (
+    MAX_TASKS,
+    SPEC_WITHOUT_STEPS,
+    spec_defect,
+)
 from bulrushpulley.entities.numbers import are_amounts
 
+# A task that does not fit into the first page leaves it empty.
+MAX_PAGES = MAX_TASKS + 1
+
 
 @singledispatch
 def row_defect(row: Row) -> str:
@@ -69,7 +76,9 @@
     defect = _numbers_defect(
         row.ended_at_s, row.page, row.pages, row.done_occurrences, *task_numbers
     )
-    return defect or ("has no page" if row.pages < 1 else "")
+    # An owner goes through all pages of a job.
+    is_page = row.page < row.pages <= MAX_PAGES
+    return defect or ("" if is_page else "is no page of a job's progress")
 
 
 @row_defect.register
--- a/test/test_decoders.py
+++ b/test/test_decoders.py
@@ -413,6 +413,14 @@
         ):
             self._assert_refused(replace(JOB_ROW, spec=spec))
 
+    # An owner went through all numbers up to that of the last page, without an end.
+    def test_pages_that_no_job_has_are_refused(self) -> None:
+        row = rows.ProgressRow(job_id="a", state=rows.JobState.RUNNING)
+        last = replace(row, page=MAX_TASKS, pages=MAX_TASKS + 1)
+        self.assertEqual(last, decode_row(encode_row(last), peer="p"))
+        for page, pages in ((0, 0), (0, 2**53), (1, 1), (2**53, 2**53)):
+            self._assert_refused(replace(row, page=page, pages=pages))
+
     def test_an_ended_job_is_told_from_a_job_without_steps(self) -> None:
         """Our own rows of ended jobs were refused, which hid rows that are odd."""
         ended = rows.ended_row(JOB_ROW)
