Move orders of runs and candidates out of two long modules

The order to start a task is made where orders are sent (ordering.py), and hosts become candidates in host_candidates.py.

--- a/bulrushpulley/systems/scheduling/agents.py
+++ b/bulrushpulley/systems/scheduling/agents.py
@@ -25,7 +25,6 @@
 from bulrushpulley.entities.jobs.progress_commit import AcknowledgeEnd
 from bulrushpulley.entities.jobs.runs import (
     RunEnd,
-    RunOrder,
     RunRef,
     RunStatus,
     Stopped,
@@ -42,7 +41,6 @@
     Task,
     TaskState,
     job_id_of,
-    step_key,
 )
 from bulrushpulley.entities.link import LinkDown, LinkUp, Send
 from bulrushpulley.entities.step import Command, Step
@@ -380,7 +378,9 @@
         if task.state is TaskState.STOPPING
     )
     starts = tuple(
-        run_order_for(tables, task) for task in held if task.state in KEPT_STATES
+        ordering.run_order_for(tables, task)
+        for task in held
+        if task.state in KEPT_STATES
     )
     reason = f"{len(starts)} runs kept, {len(stops)} stopped"
     line = edits.log(tables, "host.synced", name, host.life, reason)
@@ -388,28 +388,3 @@
         tables, host, host.life, start=starts, stop=stops, complete=True
     )
     return Step(tables=ordered.tables, commands=(line, *ordered.commands))
-
-
-def run_order_for(tables: SchedulerTables, task: Task) -> RunOrder:
-    """Return the order to start or keep the current run of a task."""
-    job = tables.jobs.by_key[task.job_id]
-    spec = job.step(task.step)
-    return RunOrder(
-        task_id=task.task_id,
-        run=task.run,
-        payload=job.row.spec.payload,
-        committed=spec.committed,
-        checkpoint=task.checkpoint,
-        target_ms=spec.latency_target_ms,
-        image=spec.image,
-        disturbs=bool(spec.image) and not spec.serves,
-        ticket=_advice_ticket(tables, task),
-    )
-
-
-def _advice_ticket(tables: SchedulerTables, task: Task) -> str:
-    advice = tables.advice.get(step_key(task.job_id, task.occurrence, task.step))
-    host = tables.hosts.get(task.host)
-    if advice is None or host is None:
-        return ""
-    return advice.ticket_by_server.get(advising.server_of(host), "")
--- a/bulrushpulley/systems/scheduling/effects.py
+++ b/bulrushpulley/systems/scheduling/effects.py
@@ -20,7 +20,7 @@
 from bulrushpulley.entities.link import Send
 from bulrushpulley.entities.observe import Decision
 from bulrushpulley.entities.step import Command, Step
-from bulrushpulley.systems.scheduling import agents, edits, endings, ordering
+from bulrushpulley.systems.scheduling import edits, endings, ordering
 
 
 def apply_effects(
@@ -105,7 +105,7 @@
         return
     host = tables.hosts.by_key[task.host]
     if host.peer and host.synced:
-        orders_by_host[host.name].append(agents.run_order_for(tables, task))
+        orders_by_host[host.name].append(ordering.run_order_for(tables, task))
 
 
 @_collect_messages.register
--- a/bulrushpulley/systems/scheduling/excluding.py
+++ b/bulrushpulley/systems/scheduling/excluding.py
@@ -14,7 +14,13 @@
 from bulrushpulley.entities.jobs.job import Job
 from bulrushpulley.entities.jobs.scheduler_tables import SchedulerTables
 from bulrushpulley.entities.jobs.task import Task
-from bulrushpulley.systems.scheduling import choosing, emptying, placing, refusals
+from bulrushpulley.systems.scheduling import (
+    choosing,
+    emptying,
+    host_candidates,
+    placing,
+    refusals,
+)
 from bulrushpulley.systems.scheduling.ranking import must_leave_reserve
 
 
@@ -75,7 +81,9 @@
 def _candidate_of(tables: SchedulerTables, host: Host) -> Candidate:
     known = tables.candidate_by_host.get(host.name)
     is_valid = known is not None and known.host is host
-    return known if known is not None and is_valid else placing.candidate_of(host)
+    return (
+        known if known is not None and is_valid else host_candidates.candidate_of(host)
+    )
 
 
 def count_hosts(
--- a/bulrushpulley/systems/scheduling/placing.py
+++ b/bulrushpulley/systems/scheduling/placing.py
@@ -36,6 +36,7 @@
     choosing,
     edits,
     emptying,
+    host_candidates,
     idle_clock,
     interference,
     job_order,
@@ -88,7 +89,7 @@
         return Step(tables=tables)
     if _awaits_agents(tables, now):
         return Step(tables=tables)
-    known = _updated_candidates(tables)
+    known = host_candidates.updated(tables)
     tables = replace(
         tables, place_due=False, last_placement_at=now, candidate_by_host=known
     )
@@ -173,37 +174,6 @@
     return synced < len(hosts)
 
 
-def _updated_candidates(tables: SchedulerTables) -> Map[str, Candidate]:
-    """Return all hosts as candidates; only hosts that have changed are converted."""
-    known = tables.candidate_by_host
-    changed = {
-        name: candidate_of(host)
-        for name, host in tables.hosts.by_key.items()
-        if name not in known or known[name].host is not host
-    }
-    return known.update(changed)
-
-
-def candidate_of(host: Host) -> Candidate:
-    """Return a host as a placement candidate, with the images of its tasks."""
-    capacity = max(1, host.capacity.processors_m)
-    images = host.images.items()
-    return Candidate(
-        host=host,
-        free=host.free,
-        filling_m=host.filling_m,
-        lasting_m=host.lasting_m,
-        target_by_image={
-            image: held.target_ms for image, held in images if held.target_ms
-        },
-        units_by_image={
-            image: 10 * held.processors_m / capacity
-            for image, held in images
-            if not held.target_ms
-        },
-    )
-
-
 def exclusion_of(
     tables: SchedulerTables, host: Host, closed: Container[str], now: float
 ) -> Exclusion | None:
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -147,8 +147,8 @@
         path=f"{SCHEDULING}/agents.py",
         replacements=(
             Replacement(
-                old="for task in held if task.state in KEPT_STATES\n",
-                new="for task in held if task.state is TaskState.RUNNING\n",
+                old="if task.state in KEPT_STATES\n",
+                new="if task.state is TaskState.RUNNING\n",
             ),
         ),
     ),
--- a/test/test_jobs_refusal_memory.py
+++ b/test/test_jobs_refusal_memory.py
@@ -14,7 +14,7 @@
 from bulrushpulley.entities.jobs.explanation import ExplainJob, JobExplained
 from bulrushpulley.entities.jobs.host import Host
 from bulrushpulley.entities.jobs.task import Task, TaskState
-from bulrushpulley.systems.scheduling import placing, refusals
+from bulrushpulley.systems.scheduling import host_candidates, placing, refusals
 from bulrushpulley.systems.scheduling.refusals import (
     MAX_REFUSALS,
     MAX_REFUSED_RETRY_DELAY_S,
@@ -45,7 +45,7 @@
     """Return candidates with the incarnations of their backend servers."""
     return Map(
         {
-            name: placing.candidate_of(Host(name=name, life=life))
+            name: host_candidates.candidate_of(Host(name=name, life=life))
             for name, life in life_by_host.items()
         }
     )
--- a/test/test_jobs_unserved.py
+++ b/test/test_jobs_unserved.py
@@ -37,6 +37,7 @@
     choosing,
     edits,
     excluding,
+    host_candidates,
     placing,
     unserved,
 )
@@ -255,7 +256,7 @@
     def test_a_task_that_is_held_back_for_harm(self) -> None:
         filling = step(1, image="tune", fills=True)
         candidate = replace(
-            placing.candidate_of(self.tables.hosts.by_key["z0-0"]),
+            host_candidates.candidate_of(self.tables.hosts.by_key["z0-0"]),
             target_by_image={"oven": 10.0},
         )
         request = choosing.PlacementRequest(
