--- a/test/test_gaps.py
+++ b/test/test_gaps.py
@@ -400,3 +400,16 @@
         self.miss(10.0, JOB)
         self.miss(10.0, "00ff", "; 3 more are not logged")
         self.assertEqual("books: 5 differences, 5 row", self.line())
+
+
+class FailuresTest(testtools.TestCase):
+    def test_what_an_owner_failed_to_handle_is_counted(self) -> None:
+        log = Log()
+        log.accept(1.0)
+        self.assertNotIn("failures", "\n".join(report(log.lines, worst=1)))
+        log.add(2.0, OWNER, "job.set_aside", JOB, "for 10 s", "ValueError('odd')")
+        log.add(3.0, OWNER, "report.failed", "unserved", "left out for 10 s")
+        expected = (
+            f"failures: 2, the first at 2.000 s: job.set_aside {JOB}: ValueError('odd')"
+        )
+        self.assertIn(expected, report(log.lines, worst=1))
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -30,7 +31,7 @@
 )
 from soak.picture import draw_picture
 from soak.plan import JobPlan, Kill, WriteOddRow, draw, draw_jobs
-from soak.run import Verdict
+from soak.run import Verdict, failure_lines
 from soak.site import make_names, make_site
 
 JOB = JobPlan(
@@ -159,6 +160,21 @@
         self.assertTrue(verdict.passed)
         self.assertFalse(replace(verdict, ended_by_itself=("entry-0",)).passed)
 
+    def test_a_job_that_an_entry_fails_to_handle_fails_the_run(self) -> None:
+        folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        text = '{"message_type":"%s","subject":"a"}\n'
+        (folder / "host-1.log").write_text(text % "job.set_aside")
+        (folder / "entry-0.log").write_text(text % "job.accept")
+        self.assertEqual((), failure_lines(folder))
+        (folder / "entry-1.log").write_text(text % "job.set_aside")
+        [failure] = failure_lines(folder)
+        self.assertIn("entry-1", failure)
+        verdict = Verdict(
+            seed=1, tables=check_all(), unfinished=(), failures=(failure,)
+        )
+        self.assertFalse(verdict.passed)
+
 
 class PlanTest(testtools.TestCase):
     def test_rows_of_other_writers_do_not_change_the_other_faults(self) -> None:
