--- a/test/jobs_edges.py
+++ b/test/jobs_edges.py
@@ -1,10 +1,11 @@
 """Jobs at the edges of the platform's schema, drawn from a seed, on a simulated site.
 
 Each field of a job, of its steps and of its queue is left out, 0, 1, usual, tiny or
-huge. The jobs are submitted beside work that fills the hosts, whose owner is lost and
-whose backend servers crash meanwhile. No role may raise an exception: a job is stored,
-so it would end each owner of the shard in turn. Jobs that are submitted later have to
-complete in time, and what the roles send and store has to be readable.
+huge. The jobs are submitted beside work that fills the hosts, the loss of the owner and
+a crash of a backend server. The next owner also reads rows with such fields that nobody
+has submitted. No role may raise an exception: what is stored would end each owner of
+the shard in turn. Jobs that are submitted later have to complete in time, and what the
+roles send and store has to be readable.
 `python -m test.jobs_edges --seeds A-B` plays many seeds; `PYTHONPATH` names the root.
 """
 
@@ -52,7 +53,7 @@
 from test.jobs_world import CAPACITY, QUEUE, JobsWorld, step
 
 HUGE = 2**53
-# In seconds, a span of so many milliseconds does not divide the time since 1970.
+# A time divided by a span of so many milliseconds, in seconds, is infinite.
 TINY = 1e-305
 ENTRIES = 2
 HOSTS = 3
@@ -79,6 +80,8 @@
 NUMBERS = (0, 1, 2, HUGE)
 RACKS = (None, None, "", "rack-z0-0", "rack-none")
 IMAGES = (None, None, "", "x", "y")
+# Announcements without processors or memory are refused, but an agent of an earlier
+# version may report them.
 CAPACITIES = (
     CAPACITY,
     Resources(),
